Set down the folders, the core types and the checks

Cause: every part needs the same ids, ranges, messages and error kinds before it can be written beside the others.

The decisions get a crate of their own without sockets, clocks and threads, so that the compiler keeps encoding and decisions apart. Ruled out: one crate with modules, where only a reader would notice a decision that opens a socket.

--- /dev/null
+++ b/crates/core/src/border.rs
@@ -0,0 +1,39 @@
+//! The borders of the decisions, as traits whose implementations vary.
+//!
+//! A client behind a border carries orders out and reports back through the
+//! event channel that it was given when it was made; it decides nothing. Tests
+//! put fakes here.
+
+use crate::{
+    message::Message,
+    store::{Call, CallId},
+    target::Command,
+    time::{Instant, Wall},
+    view::Lane,
+};
+
+/// The platform's key-value service and list.
+pub trait Platform {
+    /// Starts a call; its [`crate::store::Reply`] is reported under `id`.
+    fn call(&mut self, id: CallId, call: Call);
+}
+
+/// The targets.
+pub trait Targets {
+    /// Starts to carry out an order; [`crate::target::Event`]s report on it.
+    fn command(&mut self, command: Command);
+}
+
+/// The traffic threads of other VMs and the siblings of this one.
+pub trait Peers {
+    /// Sends a message, without a promise that it arrives.
+    fn send(&mut self, lane: &Lane, message: Message);
+}
+
+/// The clocks of this machine.
+pub trait Clock {
+    /// The monotonic time since the start of the process.
+    fn now(&self) -> Instant;
+    /// The wall-clock time, which may jump.
+    fn wall(&self) -> Wall;
+}
--- /dev/null
+++ b/crates/core/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! The decisions of the control thread: membership and publication of profiles.
--- /dev/null
+++ b/crates/core/src/digest.rs
@@ -0,0 +1,35 @@
+//! Digests that tie a reply to its content and a resend to its first request.
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::target::Row;
+
+/// The fingerprint of a request: equal for a request that is sent again.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct Fingerprint(pub u64);
+
+/// Computes the fingerprint of the parts of a request.
+///
+/// Each part is preceded by its length, so that moving a byte from one part to
+/// the next changes the fingerprint.
+pub fn fingerprint(parts: &[&[u8]]) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    Fingerprint(hash.digest())
+}
+
+/// Computes the digest of the rows of a reply, which shows a cut reply.
+pub fn rows(rows: &[Row]) -> u64 {
+    let mut hash = Xxh3::new();
+    for row in rows {
+        hash.update(&row.key.to_le_bytes());
+        hash.update(&(row.body.len() as u64).to_le_bytes());
+        hash.update(row.body.as_bytes());
+    }
+    hash.digest()
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,26 @@
+//! The decisions of laburnumworks.
+//!
+//! This crate holds tables (rows keyed by small typed ids) and systems (plain
+//! functions that run over the tables in a fixed order each tick). It has no
+//! socket, no clock and no thread: time is an argument, input arrives as typed
+//! events and output leaves in an outbox. The same code therefore runs behind
+//! any front end and inside a test. See `docs/DESIGN.md`.
+
+pub mod name;
+pub mod id;
+pub mod time;
+pub mod key;
+pub mod digest;
+pub mod rank;
+pub mod fault;
+pub mod profile;
+pub mod view;
+pub mod store;
+pub mod target;
+pub mod claim;
+pub mod message;
+pub mod notice;
+pub mod border;
+pub mod traffic;
+pub mod control;
+pub mod claims;
--- /dev/null
+++ b/crates/core/src/traffic/mod.rs
@@ -0,0 +1,1 @@
+//! The decisions of a traffic thread: queries, legs, attempts, targets.
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! The control thread.
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,1 @@
+//! The callers' interface over HTTP. It turns bytes into events and answers into bytes.
--- /dev/null
+++ b/src/log/mod.rs
@@ -0,0 +1,1 @@
+//! Numbered log events. The catalogue is in docs/EVENTS.md.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,7 @@
+//! The command line of laburnumworks.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    laburnumworks::cli::run()
+}
--- /dev/null
+++ b/src/metric/mod.rs
@@ -0,0 +1,1 @@
+//! Counters and histograms of one VM.
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' interface over HTTP.
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! The client of the platform's service.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings of one VM: TOML to checked types.
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the targets, for tests and the demo.
--- /dev/null
+++ b/src/target/mod.rs
@@ -0,0 +1,1 @@
+//! The client of the targets.
--- /dev/null
+++ b/src/traffic/mod.rs
@@ -0,0 +1,1 @@
+//! The traffic threads.
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,1 @@
+//! Messages between VMs: h2 streams that carry bincode.
