Add the tables and systems of the traffic thread

Cause: a search has to go from its entry to the homes of its shards, to the targets and back, and every decision on the way must run without a socket.

Rows: query, leg, link, index, job, shard, target, connection, attempt, usage, suspect, timer. Systems run in one order: refresh, collect, receive, expire, intake, claim, merge, plan, dispatch, tell, answer; what ends a wait comes before what starts work, so that a row past its deadline is never sent.

Ruled out: planning per query from the holdings (1,100 hashes a query); the plan is chosen when holdings change. Ruled out: counting replies for coverage; it is the covered part of the key space.

--- a/crates/core/src/fault.rs
+++ b/crates/core/src/fault.rs
@@ -14,10 +14,10 @@
 pub enum Ran {
     /// No target was handed any part of the request.
     No,
-    /// A target ran the request.
-    Yes,
     /// A target may have run the request.
     Unknown,
+    /// A target ran at least a part of the request.
+    Yes,
 }
 
 impl Ran {
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -122,19 +122,14 @@
 
     /// Adds the keys of `range`; neighbours are joined.
     pub fn insert(&mut self, range: Range) {
+        let start = self.0.partition_point(|own| own.last < range.first && !touches(*own, range));
+        let end = self.0.partition_point(|own| own.first <= range.last || touches(*own, range));
         let mut joined = range;
-        let mut rest = Vec::with_capacity(self.0.len() + 1);
-        for own in self.0.drain(..) {
-            if touches(own, joined) {
-                joined =
-                    Range { first: own.first.min(joined.first), last: own.last.max(joined.last) };
-            } else {
-                rest.push(own);
-            }
+        for own in &self.0[start..end] {
+            joined.first = joined.first.min(own.first);
+            joined.last = joined.last.max(own.last);
         }
-        let place = rest.partition_point(|own| own.first < joined.first);
-        rest.insert(place, joined);
-        self.0 = rest;
+        self.0.splice(start..end, [joined]);
     }
 
     /// Takes the keys of `range` out of the set.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -43,6 +43,9 @@
     Rows { version: Version, range: key::Range, rows: Vec<Row>, digest: u64 },
     /// The operation ran and returned this.
     Done { result: Arc<str> },
+    /// No target of the shard holds the range at the version any more; nothing
+    /// was run.
+    Moved,
     /// The leg was refused or failed.
     Failed { kind: Kind, ran: Ran, detail: String },
 }
@@ -56,6 +59,8 @@
     pub outcome: Outcome,
     /// The attempts at targets that the leg took.
     pub attempts: u32,
+    /// The time that a leg which arrives now is expected to wait for a slot.
+    pub backlog: Duration,
 }
 
 /// What a shard holds, as its home knows it from the targets.
@@ -65,8 +70,19 @@
     pub index: Name,
     /// The shard.
     pub shard: Name,
-    /// The ranges by version, each held by at least one target that takes work.
-    pub ranges: Vec<(Version, key::Range)>,
+    /// The ranges by version that targets which take work hold.
+    pub ranges: Vec<Held>,
+}
+
+/// A range that targets of a shard hold at a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Held {
+    /// The version.
+    pub version: Version,
+    /// The range.
+    pub range: key::Range,
+    /// The number of targets that hold it.
+    pub replicas: u32,
 }
 
 /// A message from one traffic thread to another.
@@ -82,4 +98,8 @@
     Holdings(Vec<Holding>),
     /// Asks for the holdings of all shards whose home is the receiver.
     AskHoldings,
+    /// Asks for a sign of life.
+    Ping,
+    /// The sign of life.
+    Pong,
 }
--- /dev/null
+++ b/crates/core/src/traffic/system/answer.rs
@@ -0,0 +1,119 @@
+//! Answers queries whose legs have ended or whose deadline has come.
+
+use crate::{
+    count::Count,
+    fault::{Fault, Kind, Ran},
+    id,
+    key::Range,
+    log::{self, Line},
+    traffic::{
+        Answer, Body, Context, Found, Outbox, Tables,
+        system::{claim, leg},
+        table::{
+            Query,
+            query::{Operation, Search, Stage, Task},
+            timer::Timer,
+        },
+    },
+};
+
+/// Answers the queries whose answer is due.
+pub fn run(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
+    for id in std::mem::take(&mut tables.to_answer) {
+        close(tables, cx, id, out);
+    }
+}
+
+fn close(tables: &mut Tables, cx: &mut Context, id: id::Query, out: &mut Outbox) {
+    let Some(query) = tables.queries.get(&id) else { return };
+    let open_legs = query.legs.clone();
+    let is_search = matches!(query.task, Task::Search(_));
+    let is_waiting = !open_legs.is_empty();
+    if is_search {
+        for leg in open_legs {
+            leg::withdraw(tables, cx, leg, out);
+        }
+    }
+    let Some(query) = tables.queries.remove(&id) else { return };
+    tables.timers.cancel(query.deadline, Timer::Query(id));
+    tables.calls.remove(&query.call);
+    tables.to_plan.remove(&id);
+    if let Some(usage) = tables.usages.get_mut(&query.profile) {
+        usage.open = usage.open.saturating_sub(1);
+    }
+    let call = query.call;
+    let profile = query.profile.clone();
+    let took = cx.now.since(query.arrived);
+    let body = match &query.task {
+        Task::Search(_) => found(query, is_waiting, cx),
+        Task::Operation(operation) => done(tables, id, &query, operation),
+    };
+    note(id, &body, out);
+    out.answers.push((call, Answer { query: id, body, profile, took }));
+}
+
+fn found(query: Query, is_waiting: bool, cx: &Context) -> Body {
+    let ran = if is_waiting { query.ran.max(Ran::Unknown) } else { query.ran };
+    let terms = query.terms;
+    let Task::Search(search) = query.task else {
+        return Body::Refused(Fault::unknown(Kind::Internal, "a search has no task"));
+    };
+    if let Some(fault) = search.fault {
+        return Body::Refused(fault);
+    }
+    let Search { version, covered, mut rows, .. } = search;
+    let coverage = covered.parts_per_million(Range::ALL);
+    let Some(version) = version.filter(|_| coverage >= terms.coverage) else {
+        return Body::Refused(incomplete(coverage, terms.coverage, ran, query.deadline <= cx.now));
+    };
+    rows.sort();
+    Body::Found(Found {
+        version,
+        coverage,
+        missing: covered.missing(Range::ALL),
+        revision: query.revision,
+        rows,
+        attempts: query.attempts,
+    })
+}
+
+fn incomplete(coverage: u32, asked: u32, ran: Ran, is_late: bool) -> Fault {
+    let kind = if is_late { Kind::DeadlinePassed } else { Kind::CoverageTooLow };
+    let detail = format!("{coverage} of a million parts were read, {asked} are asked for");
+    Fault { kind, ran, detail }
+}
+
+fn done(tables: &mut Tables, id: id::Query, query: &Query, operation: &Operation) -> Body {
+    match &operation.stage {
+        Stage::Settled(Ok(settled)) => Body::Done {
+            result: settled.result.clone(),
+            replayed: settled.replayed,
+            revision: query.revision,
+        },
+        Stage::Settled(Err(fault)) => Body::Refused(fault.clone()),
+        Stage::Claiming | Stage::Granted => {
+            claim::await_outcome(tables, id, operation.claim(query.fingerprint));
+            let detail = "the claim was not settled before the deadline";
+            Body::Refused(Fault::not_run(Kind::ClaimUnsettled, detail))
+        }
+        Stage::Sent => {
+            claim::await_outcome(tables, id, operation.claim(query.fingerprint));
+            let detail = "the operation was sent and its outcome is not known yet";
+            Body::Refused(Fault::unknown(Kind::DeadlinePassed, detail))
+        }
+    }
+}
+
+fn note(id: id::Query, body: &Body, out: &mut Outbox) {
+    match body {
+        Body::Found(found) if found.missing.is_empty() => out.count(Count::Complete),
+        Body::Found(_) => out.count(Count::Partial),
+        Body::Done { .. } => out.count(Count::Complete),
+        Body::Refused(fault) => {
+            out.count(Count::Refused(fault.kind));
+            let mut line = Line::new(log::Event::Refused, vec![("kind", fault.kind.to_string())]);
+            line.query = Some(id);
+            out.lines.push(line);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/system/collect.rs
@@ -0,0 +1,287 @@
+//! Takes the reports of the client of the targets.
+
+use crate::{
+    count::{Count, Drop, Retry},
+    digest,
+    fault::{Kind, Ran},
+    id, key,
+    log::{Event, Line},
+    message::Outcome,
+    name::Name,
+    notice::Report,
+    target::{self, Refusal, Reply, Row, Version, Work},
+    traffic::{
+        Context, Outbox, Tables,
+        system::{connect, job},
+        table::Attempt,
+    },
+};
+
+/// Takes the reports in the order in which they came.
+pub fn run(tables: &mut Tables, cx: &mut Context, events: Vec<target::Event>, out: &mut Outbox) {
+    for event in events {
+        match event {
+            target::Event::Opened { connection, status } => {
+                connect::opened(tables, cx, connection, out);
+                word(tables, cx, connection, status, out);
+            }
+            target::Event::Status { connection, status } => {
+                word(tables, cx, connection, status, out);
+            }
+            target::Event::Reply { connection, attempt, reply } => {
+                replied(tables, cx, connection, attempt, reply, out);
+            }
+            target::Event::Unsent { attempt, .. } => unsent(tables, cx, attempt, out),
+            target::Event::Closed { connection, detail } => {
+                closed(tables, cx, connection, &detail, out);
+            }
+        }
+    }
+}
+
+/// Takes a target's word on itself over a connection.
+fn word(
+    tables: &mut Tables,
+    cx: &Context,
+    connection: id::Connection,
+    status: target::Status,
+    out: &mut Outbox,
+) {
+    connect::heard(tables, cx, connection);
+    let Some(row) = tables.connections.get(&connection) else { return };
+    let name = row.target.clone();
+    connect::status(tables, &name, status, out);
+}
+
+fn replied(
+    tables: &mut Tables,
+    cx: &mut Context,
+    connection: id::Connection,
+    sent_as: id::Attempt,
+    reply: Reply,
+    out: &mut Outbox,
+) {
+    if let Some(status) = reply.status {
+        word(tables, cx, connection, status, out);
+    } else {
+        connect::heard(tables, cx, connection);
+    }
+    if reply.attempt.is_some_and(|echoed| echoed != sent_as) {
+        dropped(Drop::Crossed, sent_as, out);
+        lose(tables, cx, sent_as, Retry::Garbled, out);
+        connect::close(tables, cx, connection, out);
+        return;
+    }
+    let Some(attempt) = job::release(tables, sent_as) else {
+        out.count(Count::Dropped(Drop::Late));
+        return;
+    };
+    match reply.outcome {
+        target::Outcome::Refused(refusal) => refused(tables, cx, &attempt, refusal, out),
+        target::Outcome::Garbled { .. } => {
+            dropped(Drop::Cut, sent_as, out);
+            ran(tables, attempt.job);
+            avoid(tables, &attempt);
+            job::retry(tables, cx, attempt.job, Retry::Garbled, out);
+        }
+        target::Outcome::Done { result } => {
+            time(tables, cx, &attempt);
+            job::finish(tables, cx, attempt.job, Outcome::Done { result }, out);
+        }
+        target::Outcome::Rows { version, range, rows, count, digest } => {
+            let read = Read { version, range, rows, count, digest };
+            rows_read(tables, cx, sent_as, &attempt, read, out);
+        }
+    }
+}
+
+/// The rows of a reply that are yet to be checked.
+struct Read {
+    version: Version,
+    range: key::Range,
+    rows: Vec<Row>,
+    count: u64,
+    digest: u64,
+}
+
+fn rows_read(
+    tables: &mut Tables,
+    cx: &mut Context,
+    id: id::Attempt,
+    attempt: &Attempt,
+    read: Read,
+    out: &mut Outbox,
+) {
+    let Some(row) = tables.jobs.get(&attempt.job) else {
+        out.count(Count::Dropped(Drop::Late));
+        return;
+    };
+    match check(&row.leg.work, read) {
+        Ok(outcome) => {
+            time(tables, cx, attempt);
+            job::finish(tables, cx, attempt.job, outcome, out);
+        }
+        Err(reason) => {
+            dropped(reason, id, out);
+            avoid(tables, attempt);
+            job::retry(tables, cx, attempt.job, Retry::Garbled, out);
+        }
+    }
+}
+
+/// Checks that the rows are the whole answer to what was asked and nothing
+/// else.
+fn check(work: &Work, read: Read) -> Result<Outcome, Drop> {
+    let Work::Search { version, range, .. } = work else { return Err(Drop::Crossed) };
+    if read.version != *version {
+        return Err(Drop::WrongVersion);
+    }
+    if read.range != *range || read.rows.iter().any(|row| !range.contains(row.key)) {
+        return Err(Drop::OutsideRange);
+    }
+    let is_whole = u64::try_from(read.rows.len()) == Ok(read.count);
+    if !is_whole || digest::rows(&read.rows) != read.digest {
+        return Err(Drop::Cut);
+    }
+    let mut rows = read.rows;
+    rows.sort();
+    if rows.windows(2).any(|pair| pair[0] == pair[1]) {
+        return Err(Drop::Doubled);
+    }
+    let digest = digest::rows(&rows);
+    Ok(Outcome::Rows { version: *version, range: *range, rows, digest })
+}
+
+fn refused(
+    tables: &mut Tables,
+    cx: &mut Context,
+    attempt: &Attempt,
+    refusal: Refusal,
+    out: &mut Outbox,
+) {
+    let reason = match refusal {
+        Refusal::Shed => {
+            pause(tables, cx, &attempt.target);
+            cx.policies.slots.shed(&attempt.target);
+            Retry::Shed
+        }
+        Refusal::Draining => Retry::Draining,
+        Refusal::VersionGone => Retry::VersionGone,
+        Refusal::RangeMoved => Retry::RangeMoved,
+        Refusal::DeadlinePassed => {
+            let detail = "the deadline passed before the target had a slot".to_owned();
+            let ran = ran_of(tables, attempt.job);
+            let failed = Outcome::Failed { kind: Kind::DeadlinePassed, ran, detail };
+            job::finish(tables, cx, attempt.job, failed, out);
+            return;
+        }
+        Refusal::Cancelled => Retry::Unsent,
+    };
+    avoid(tables, attempt);
+    job::retry(tables, cx, attempt.job, reason, out);
+}
+
+/// Whether anything of a job may have run before this moment.
+pub fn ran_of(tables: &Tables, id: id::Leg) -> Ran {
+    match tables.jobs.get(&id) {
+        Some(job) if job.ran || !job.attempts.is_empty() => Ran::Unknown,
+        _ => Ran::No,
+    }
+}
+
+/// Gives the target no work for a moment after it shed.
+fn pause(tables: &mut Tables, cx: &mut Context, name: &Name) {
+    use rand::RngExt;
+    let Some(target) = tables.targets.get_mut(name) else { return };
+    let jitter = cx.random.random_range(1.0..2.0);
+    target.pause = cx.now + cx.limits.shed_pause.mul_f64(jitter);
+    let due = target.pause;
+    let shard = target.shard.clone();
+    tables.timers.set(due, crate::traffic::table::timer::Timer::Shard(shard));
+}
+
+fn unsent(tables: &mut Tables, cx: &mut Context, id: id::Attempt, out: &mut Outbox) {
+    let Some(attempt) = job::release(tables, id) else { return };
+    job::retry(tables, cx, attempt.job, Retry::Unsent, out);
+}
+
+fn closed(
+    tables: &mut Tables,
+    cx: &mut Context,
+    connection: id::Connection,
+    detail: &str,
+    out: &mut Outbox,
+) {
+    let Some(row) = connect::remove(tables, connection) else { return };
+    let fields = vec![("target", row.target.to_string()), ("detail", detail.to_owned())];
+    out.lines.push(Line::new(Event::ConnectionLost, fields));
+    for attempt in row.attempts {
+        suspect(tables, cx, attempt, out);
+        lose(tables, cx, attempt, Retry::ConnectionLost, out);
+    }
+    connect::reopen(tables, cx, &row.target, out);
+}
+
+/// Remembers that a target was lost while it ran a request.
+fn suspect(tables: &mut Tables, cx: &Context, id: id::Attempt, out: &mut Outbox) {
+    let Some(attempt) = tables.attempts.get(&id) else { return };
+    let Some(row) = tables.jobs.get_mut(&attempt.job) else { return };
+    row.suspect = true;
+    let fingerprint = row.leg.fingerprint;
+    let query = row.leg.query;
+    tables.suspects.retain(|_, suspect| suspect.until > cx.now);
+    let suspect = tables.suspects.entry(fingerprint).or_default();
+    suspect.until = cx.now + cx.limits.suspect;
+    if !suspect.targets.insert(attempt.target.clone()) {
+        return;
+    }
+    let target = attempt.target.clone();
+    out.reports.push(Report::Suspect { fingerprint, query, target });
+    if suspect.targets.len() == cx.limits.lost_targets {
+        out.reports.push(Report::Condemned { fingerprint, origin: cx.ids.origin() });
+        let mut line = Line::new(Event::RequestCondemned, Vec::new());
+        line.query = Some(query);
+        out.lines.push(line);
+    }
+}
+
+/// Ends an attempt that may have run and tries its job elsewhere.
+fn lose(tables: &mut Tables, cx: &mut Context, id: id::Attempt, reason: Retry, out: &mut Outbox) {
+    let Some(attempt) = job::release(tables, id) else { return };
+    ran(tables, attempt.job);
+    avoid(tables, &attempt);
+    job::retry(tables, cx, attempt.job, reason, out);
+}
+
+/// Ends an attempt whose connection was closed because it went silent.
+pub fn silent(tables: &mut Tables, cx: &mut Context, id: id::Attempt, out: &mut Outbox) {
+    lose(tables, cx, id, Retry::ConnectionSilent, out);
+}
+
+fn ran(tables: &mut Tables, id: id::Leg) {
+    if let Some(job) = tables.jobs.get_mut(&id) {
+        job.ran = true;
+    }
+}
+
+fn avoid(tables: &mut Tables, attempt: &Attempt) {
+    if let Some(job) = tables.jobs.get_mut(&attempt.job) {
+        job.avoid.insert(attempt.target.clone());
+    }
+}
+
+fn time(tables: &mut Tables, cx: &mut Context, attempt: &Attempt) {
+    let took = cx.now.since(attempt.sent);
+    cx.policies.slots.answered(&attempt.target, took);
+    let Some(target) = tables.targets.get_mut(&attempt.target) else { return };
+    target.latency.record(took);
+    if let Some(index) = tables.indexes.get_mut(&target.shard.index) {
+        index.latency.record(took);
+    }
+}
+
+fn dropped(reason: Drop, id: id::Attempt, out: &mut Outbox) {
+    out.count(Count::Dropped(reason));
+    let fields = vec![("attempt", id.to_string()), ("reason", format!("{reason:?}"))];
+    out.lines.push(Line::new(Event::ReplyDropped, fields));
+}
--- /dev/null
+++ b/crates/core/src/traffic/system/dispatch.rs
@@ -0,0 +1,285 @@
+//! Starts waiting jobs on free slots.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use crate::{
+    count::Count,
+    id,
+    message::Outcome,
+    name::Name,
+    target::{Command, Request, Work},
+    traffic::{
+        Context, Outbox, Tables,
+        system::{connect, job},
+        table::{Attempt, Job, Target, shard, timer::Timer},
+    },
+};
+
+/// Starts jobs of the shards in which a slot or a job has become free.
+pub fn run(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
+    for key in std::mem::take(&mut tables.to_dispatch) {
+        drain(tables, cx, &key, out);
+    }
+}
+
+/// Starts the jobs of one shard in the order of its queue.
+fn drain(tables: &mut Tables, cx: &mut Context, key: &shard::Key, out: &mut Outbox) {
+    let mut after = None;
+    while let Some(place) = next(tables, key, after) {
+        after = Some(place);
+        let id = place.1;
+        let Some(row) = tables.jobs.get(&id) else { continue };
+        if job::is_condemned(tables, cx, row) {
+            finish_condemned(tables, cx, id, out);
+            continue;
+        }
+        match choose(tables, cx, row) {
+            Pick::Target(name) => start(tables, cx, id, &name, out),
+            Pick::Moved => job::finish(tables, cx, id, Outcome::Moved, out),
+            Pick::Busy => {
+                if !may_overtake(tables, key) {
+                    break;
+                }
+            }
+        }
+    }
+    connect_waiting(tables, cx, key, out);
+}
+
+fn next(tables: &Tables, key: &shard::Key, after: Option<shard::Place>) -> Option<shard::Place> {
+    use std::ops::Bound;
+    let queue = &tables.shards.get(key)?.queue;
+    let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+    queue.range((start, Bound::Unbounded)).next().copied()
+}
+
+/// Whether a job behind one that must wait may still find a free slot, which
+/// is so when the targets of the shard hold different versions or ranges.
+fn may_overtake(tables: &Tables, key: &shard::Key) -> bool {
+    let Some(shard) = tables.shards.get(key) else { return false };
+    shard
+        .targets
+        .iter()
+        .filter_map(|name| tables.targets.get(name))
+        .any(|target| !target.is_draining() && target.in_use < target.slots && !target.reserved)
+}
+
+/// Where a job can run now.
+enum Pick {
+    /// On this target.
+    Target(Name),
+    /// On none now; it waits for a slot.
+    Busy,
+    /// On none at all: no target holds what it asks for.
+    Moved,
+}
+
+fn choose(tables: &Tables, cx: &Context, job: &Job) -> Pick {
+    let Some(shard) = tables.shards.get(&job.shard) else { return Pick::Moved };
+    let mut best: Option<(bool, Duration, &Name)> = None;
+    let mut may_come = false;
+    for name in &shard.targets {
+        let Some(target) = tables.targets.get(name) else { continue };
+        if !may_hold(target, &job.leg.work) {
+            continue;
+        }
+        may_come = true;
+        if !is_free(cx, target, job) || !has_connection(tables, target) {
+            continue;
+        }
+        let cost = cx.policies.choice.cost(target, cx.now);
+        let candidate = (job.avoid.contains(name), cost, name);
+        if best.is_none_or(|own| candidate < own) {
+            best = Some(candidate);
+        }
+    }
+    match best {
+        Some((_, _, name)) => Pick::Target(name.clone()),
+        None if may_come => Pick::Busy,
+        None => Pick::Moved,
+    }
+}
+
+/// Whether the target holds what is asked, or may yet say that it does.
+fn may_hold(target: &Target, work: &Work) -> bool {
+    if target.is_draining() || target.failures >= connect::LOST_FAILURES {
+        return false;
+    }
+    if target.status.is_none() {
+        return true;
+    }
+    match work {
+        Work::Search { version, range, .. } => target.holds(*version, *range),
+        Work::Operate { subject, .. } => target
+            .holdings()
+            .and_then(|held| held.values().next_back())
+            .is_some_and(|range| range.contains(*subject)),
+    }
+}
+
+/// Whether the target has a free slot for the job.
+fn is_free(cx: &Context, target: &Target, job: &Job) -> bool {
+    if !target.takes_work(cx.now) || target.reserved {
+        return false;
+    }
+    if job.suspect {
+        // It runs alone, so that a crash takes no other request with it.
+        return target.in_use == 0;
+    }
+    target.in_use < cx.policies.slots.limit(&cx.view, target)
+}
+
+fn has_connection(tables: &Tables, target: &Target) -> bool {
+    open_connection(tables, target, &BTreeSet::new()).is_some()
+}
+
+/// The open connection with the least attempts that is not in `avoid`; one on
+/// which an answer is awaited comes last.
+fn open_connection(
+    tables: &Tables,
+    target: &Target,
+    avoid: &BTreeSet<id::Connection>,
+) -> Option<id::Connection> {
+    target
+        .connections
+        .iter()
+        .filter(|id| !avoid.contains(id))
+        .filter_map(|id| tables.connections.get(id).map(|row| (id, row)))
+        .filter(|(_, row)| row.open)
+        .min_by_key(|(id, row)| (row.asked.is_some(), row.attempts.len(), **id))
+        .map(|(id, _)| *id)
+}
+
+fn finish_condemned(tables: &mut Tables, cx: &mut Context, id: id::Leg, out: &mut Outbox) {
+    let Some(row) = tables.jobs.get(&id) else { return };
+    let ran = if row.ran { crate::fault::Ran::Yes } else { crate::fault::Ran::No };
+    let detail = "the request crashed targets".to_owned();
+    let kind = crate::fault::Kind::Quarantined;
+    job::finish(tables, cx, id, Outcome::Failed { kind, ran, detail }, out);
+}
+
+/// Hands a job to a target.
+fn start(tables: &mut Tables, cx: &mut Context, id: id::Leg, name: &Name, out: &mut Outbox) {
+    let Some(target) = tables.targets.get(name) else { return };
+    let Some(connection) = open_connection(tables, target, &BTreeSet::new()) else { return };
+    let Some(row) = tables.jobs.get_mut(&id) else { return };
+    let is_first = row.tries == 0;
+    if let (Some(place), Some(shard)) = (row.place.take(), tables.shards.get_mut(&row.shard)) {
+        shard.dequeue(place);
+    }
+    if is_first {
+        out.count(Count::FirstAttempts);
+        earn(tables, cx, id);
+    }
+    attempt(tables, cx, id, name, connection, out);
+}
+
+/// Gives the profile of a job its share of extra attempts.
+fn earn(tables: &mut Tables, cx: &Context, id: id::Leg) {
+    let Some(row) = tables.jobs.get(&id) else { return };
+    let name = row.leg.profile.clone();
+    let extra = cx.view.document.profiles.get(&name).map_or(0, |profile| profile.extra_load);
+    tables.usages.entry(name).or_default().earn(extra, cx.limits.budget);
+}
+
+fn attempt(
+    tables: &mut Tables,
+    cx: &mut Context,
+    id: id::Leg,
+    name: &Name,
+    connection: id::Connection,
+    out: &mut Outbox,
+) {
+    let attempt = cx.ids.attempt();
+    let hedge = hedge_at(tables, cx, id);
+    let Some(row) = tables.jobs.get_mut(&id) else { return };
+    row.tries += 1;
+    row.attempts.insert(attempt);
+    let remaining = row.deadline.remaining(cx.now);
+    let request = Request { attempt, work: row.leg.work.clone(), remaining };
+    if let Some(target) = tables.targets.get_mut(name) {
+        target.in_use += 1;
+        target.reserved = row.suspect;
+    }
+    if let Some(row) = tables.connections.get_mut(&connection) {
+        row.attempts.insert(attempt);
+    }
+    let row = Attempt { job: id, target: name.clone(), connection, sent: cx.now, hedge };
+    tables.attempts.insert(attempt, row);
+    tables.timers.set(hedge, Timer::Hedge(attempt));
+    out.count(Count::Attempts);
+    out.commands.push(Command::Send { connection, request });
+}
+
+/// When an attempt of the job counts as slow. Its connection is then looked at,
+/// and a search is hedged if the policy allows.
+fn hedge_at(tables: &Tables, cx: &Context, id: id::Leg) -> crate::time::Instant {
+    let Some(row) = tables.jobs.get(&id) else { return cx.now };
+    let profile = cx.view.document.profiles.get(&row.leg.profile);
+    let tail = profile.map_or(cx.limits.silent, |profile| profile.tail);
+    let latency = tables.indexes.get(&row.leg.index).map(|index| &index.latency);
+    let delay = latency.and_then(|latency| cx.policies.hedge.delay(latency, tail));
+    cx.now + delay.unwrap_or(tail)
+}
+
+/// Tries a search at a second target beside a slow attempt, if the policy, the
+/// budget of its profile and a free slot allow.
+pub fn hedge(tables: &mut Tables, cx: &mut Context, id: id::Leg, out: &mut Outbox) {
+    let Some(row) = tables.jobs.get(&id) else { return };
+    if !row.is_idempotent() || row.suspect || row.attempts.len() != 1 || !allows(tables, cx, row) {
+        return;
+    }
+    let Some((name, connection)) = second(tables, cx, row) else { return };
+    let profile = row.leg.profile.clone();
+    if !job::spend(tables, &profile) {
+        out.count(Count::BudgetSpent);
+        return;
+    }
+    out.count(Count::Hedges);
+    attempt(tables, cx, id, &name, connection, out);
+}
+
+fn allows(tables: &Tables, cx: &Context, job: &Job) -> bool {
+    let latency = tables.indexes.get(&job.leg.index).map(|index| &index.latency);
+    let tail = Duration::MAX;
+    latency.is_some_and(|latency| cx.policies.hedge.delay(latency, tail).is_some())
+}
+
+/// The best other target with a free slot.
+fn second(tables: &Tables, cx: &Context, job: &Job) -> Option<(Name, id::Connection)> {
+    let busy: BTreeSet<&Name> = job
+        .attempts
+        .iter()
+        .filter_map(|id| tables.attempts.get(id))
+        .map(|attempt| &attempt.target)
+        .collect();
+    let shard = tables.shards.get(&job.shard)?;
+    shard
+        .targets
+        .iter()
+        .filter(|name| !busy.contains(name) && !job.avoid.contains(*name))
+        .filter_map(|name| tables.targets.get(name).map(|target| (name, target)))
+        .filter(|(_, target)| may_hold(target, &job.leg.work) && is_free(cx, target, job))
+        .filter_map(|(name, target)| {
+            let connection = open_connection(tables, target, &BTreeSet::new())?;
+            Some((cx.policies.choice.cost(target, cx.now), name, connection))
+        })
+        .min()
+        .map(|(_, name, connection)| (name.clone(), connection))
+}
+
+/// Opens connections to the targets of a shard that jobs wait for, also where
+/// this VM is not its first home.
+fn connect_waiting(tables: &mut Tables, cx: &mut Context, key: &shard::Key, out: &mut Outbox) {
+    let Some(shard) = tables.shards.get(key) else { return };
+    if shard.queue.is_empty() {
+        return;
+    }
+    if !shard.home {
+        tables.timers.set(cx.now + cx.limits.idle, Timer::Idle(key.clone()));
+    }
+    let names: Vec<Name> = shard.targets.iter().cloned().collect();
+    for name in names {
+        connect::ensure(tables, cx, &name, out);
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/system/job.rs
@@ -0,0 +1,236 @@
+//! The life of a job: accepted, attempted, finished.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use crate::{
+    count::{Count, Retry},
+    fault::{Kind, Ran},
+    id,
+    message::{self, Outcome},
+    target::Command,
+    traffic::{
+        Context, Outbox, Tables,
+        table::{Attempt, Job, shard, timer::Timer},
+    },
+    view::Lane,
+};
+
+/// The priority of a profile that is not in force here yet.
+const DEFAULT_PRIORITY: u32 = 10;
+
+/// Takes a leg for a shard of this VM.
+pub fn accept(
+    tables: &mut Tables,
+    cx: &mut Context,
+    from: Lane,
+    leg: message::Leg,
+    out: &mut Outbox,
+) {
+    if tables.jobs.contains_key(&leg.leg) {
+        return;
+    }
+    let shard = shard::Key { index: leg.index.clone(), shard: leg.shard.clone() };
+    let deadline = cx.now + leg.remaining;
+    let mut job = Job {
+        from,
+        shard,
+        deadline,
+        place: None,
+        attempts: BTreeSet::new(),
+        tries: 0,
+        avoid: BTreeSet::new(),
+        suspect: tables.suspects.contains_key(&leg.fingerprint),
+        overdue: false,
+        ran: false,
+        leg,
+    };
+    if let Some(outcome) = refusal(tables, cx, &job) {
+        reply(tables, cx, &job, outcome, out);
+        return;
+    }
+    let priority = cx
+        .view
+        .document
+        .profiles
+        .get(&job.leg.profile)
+        .map_or(DEFAULT_PRIORITY, |profile| profile.priority);
+    let id = job.leg.leg;
+    if let Some(row) = tables.shards.get_mut(&job.shard) {
+        row.used = cx.now;
+        job.place = Some(row.enqueue(id, &job.leg.profile, priority));
+    }
+    tables.to_dispatch.insert(job.shard.clone());
+    tables.timers.set(deadline, Timer::Job(id));
+    tables.jobs.insert(id, job);
+}
+
+fn refusal(tables: &Tables, cx: &Context, job: &Job) -> Option<Outcome> {
+    let refused = |kind, detail: &str| {
+        Some(Outcome::Failed { kind, ran: Ran::No, detail: detail.to_owned() })
+    };
+    if !tables.shards.contains_key(&job.shard) {
+        return refused(Kind::Unavailable, "the home knows no target of the shard");
+    }
+    if cx.paused && !job.is_idempotent() {
+        // The leg may have waited in a buffer for longer than its deadline.
+        return refused(Kind::NotReady, "the home was paused");
+    }
+    if tables.jobs.len() >= cx.limits.jobs {
+        return refused(Kind::Overloaded, "too many legs wait at the home");
+    }
+    if is_condemned(tables, cx, job) {
+        return refused(Kind::Quarantined, "the request crashed targets");
+    }
+    None
+}
+
+/// Whether the job's request may not be sent to another target.
+pub fn is_condemned(tables: &Tables, cx: &Context, job: &Job) -> bool {
+    let fingerprint = job.leg.fingerprint;
+    let lost = tables
+        .suspects
+        .get(&fingerprint)
+        .filter(|suspect| suspect.until > cx.now)
+        .map_or(0, |suspect| suspect.targets.len());
+    lost >= cx.limits.lost_targets || cx.view.quarantine.contains_key(&fingerprint)
+}
+
+/// The time that a leg which arrives now is expected to wait for a slot.
+pub fn backlog(tables: &Tables, cx: &Context, key: &shard::Key) -> Duration {
+    let Some(shard) = tables.shards.get(key) else { return Duration::ZERO };
+    if shard.queue.is_empty() {
+        return Duration::ZERO;
+    }
+    let targets = shard.targets.iter().filter_map(|name| tables.targets.get(name));
+    let mut rate = 0.0;
+    for target in targets.filter(|target| target.takes_work(cx.now)) {
+        let mean = target.latency.mean().as_secs_f64();
+        if mean > 0.0 {
+            rate += f64::from(target.slots) / mean;
+        }
+    }
+    if rate == 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::from_secs_f64(shard.queue.len() as f64 / rate)
+}
+
+/// Ends a job with `outcome`: its attempts are withdrawn and its lane is told.
+pub fn finish(
+    tables: &mut Tables,
+    cx: &mut Context,
+    id: id::Leg,
+    outcome: Outcome,
+    out: &mut Outbox,
+) {
+    let Some(job) = remove(tables, id, out) else { return };
+    reply(tables, cx, &job, outcome, out);
+}
+
+/// Ends a job without a reply.
+pub fn remove(tables: &mut Tables, id: id::Leg, out: &mut Outbox) -> Option<Job> {
+    let job = tables.jobs.remove(&id)?;
+    tables.timers.cancel(job.deadline, Timer::Job(id));
+    if let (Some(place), Some(shard)) = (job.place, tables.shards.get_mut(&job.shard)) {
+        shard.queue.remove(&place);
+    }
+    for &attempt in &job.attempts {
+        let Some(row) = release(tables, attempt) else { continue };
+        out.count(Count::Cancelled);
+        out.commands.push(Command::Cancel { connection: row.connection, attempt });
+    }
+    Some(job)
+}
+
+fn reply(tables: &mut Tables, cx: &Context, job: &Job, outcome: Outcome, out: &mut Outbox) {
+    let reply = message::Reply {
+        leg: job.leg.leg,
+        outcome,
+        attempts: job.tries,
+        backlog: backlog(tables, cx, &job.shard),
+    };
+    if job.from == cx.lane {
+        tables.replies.push(reply);
+    } else {
+        out.reply(job.from.clone(), reply);
+    }
+}
+
+/// Removes the row of an attempt and frees its slot.
+pub fn release(tables: &mut Tables, id: id::Attempt) -> Option<Attempt> {
+    let attempt = tables.attempts.remove(&id)?;
+    tables.timers.cancel(attempt.hedge, Timer::Hedge(id));
+    if let Some(connection) = tables.connections.get_mut(&attempt.connection) {
+        connection.attempts.remove(&id);
+    }
+    if let Some(target) = tables.targets.get_mut(&attempt.target) {
+        target.in_use = target.in_use.saturating_sub(1);
+        if target.in_use == 0 {
+            target.reserved = false;
+        }
+        tables.to_dispatch.insert(target.shard.clone());
+    }
+    if let Some(job) = tables.jobs.get_mut(&attempt.job) {
+        job.attempts.remove(&id);
+    }
+    Some(attempt)
+}
+
+/// Puts a job back into the queue after an attempt ended without an answer.
+pub fn retry(tables: &mut Tables, cx: &mut Context, id: id::Leg, reason: Retry, out: &mut Outbox) {
+    let Some(job) = tables.jobs.get(&id) else { return };
+    if !job.attempts.is_empty() || job.place.is_some() {
+        return;
+    }
+    if job.ran && !job.is_idempotent() {
+        let detail = "the target was lost while it may have run the operation".to_owned();
+        let failed = Outcome::Failed { kind: Kind::TargetFailed, ran: Ran::Unknown, detail };
+        finish(tables, cx, id, failed, out);
+        return;
+    }
+    if is_condemned(tables, cx, job) {
+        let detail = "the request was running when targets were lost".to_owned();
+        let failed = Outcome::Failed { kind: Kind::Quarantined, ran: Ran::Yes, detail };
+        finish(tables, cx, id, failed, out);
+        return;
+    }
+    if costs_budget(reason) && !spend(tables, &job.leg.profile.clone()) {
+        out.count(Count::BudgetSpent);
+        finish(tables, cx, id, spent(reason), out);
+        return;
+    }
+    out.count(Count::Retried(reason));
+    let Some(job) = tables.jobs.get_mut(&id) else { return };
+    if let Some(shard) = tables.shards.get_mut(&job.shard) {
+        job.place = Some(shard.requeue(id));
+        tables.to_dispatch.insert(job.shard.clone());
+    }
+}
+
+/// Whether a retry for this reason puts load on targets that the first attempt
+/// did not need. A target that moved or leaves refuses each job at most once.
+fn costs_budget(reason: Retry) -> bool {
+    !matches!(reason, Retry::Unsent | Retry::Draining | Retry::VersionGone | Retry::RangeMoved)
+}
+
+fn spent(reason: Retry) -> Outcome {
+    let detail = "the budget of extra attempts is used up".to_owned();
+    match reason {
+        Retry::Shed => Outcome::Failed { kind: Kind::Overloaded, ran: Ran::No, detail },
+        _ => Outcome::Failed { kind: Kind::TargetFailed, ran: Ran::Unknown, detail },
+    }
+}
+
+/// Takes one extra attempt from the budget of a profile.
+pub fn spend(tables: &mut Tables, profile: &crate::name::Name) -> bool {
+    tables.usages.entry(profile.clone()).or_default().spend()
+}
+
+/// Ends the jobs that wait for a shard that has no target any more.
+pub fn fail_queue(tables: &mut Tables, cx: &mut Context, key: &shard::Key, out: &mut Outbox) {
+    let Some(shard) = tables.shards.get(key) else { return };
+    let waiting: Vec<id::Leg> = shard.queue.iter().map(|&(_, id)| id).collect();
+    for id in waiting {
+        finish(tables, cx, id, Outcome::Moved, out);
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/system/merge.rs
@@ -0,0 +1,155 @@
+//! Merges the replies of homes into their queries.
+
+use crate::{
+    claim::{self, Outcome as Recorded},
+    count::{Count, Drop, Retry},
+    digest,
+    fault::{Fault, Kind, Ran},
+    message::{Outcome, Reply},
+    notice::Report,
+    traffic::{
+        Context, Outbox, Tables,
+        system::leg,
+        table::{
+            Leg,
+            query::{Settled, Stage, Task},
+        },
+    },
+};
+
+/// Merges the replies in the order in which they came.
+pub fn run(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
+    for reply in std::mem::take(&mut tables.replies) {
+        take(tables, cx, reply, out);
+    }
+}
+
+fn take(tables: &mut Tables, cx: &mut Context, reply: Reply, out: &mut Outbox) {
+    if leg::is_home_refusal(&reply) {
+        out.count(Count::Retried(Retry::HomeUnreachable));
+        leg::resend(tables, cx, reply.leg, out);
+        return;
+    }
+    let Some(leg) = leg::remove(tables, reply.leg) else {
+        out.count(Count::Dropped(Drop::Late));
+        return;
+    };
+    note_backlog(tables, cx, &leg, &reply);
+    if let Some(query) = tables.queries.get_mut(&leg.query) {
+        query.attempts += reply.attempts;
+        query.ran = query.ran.max(ran_of(&reply.outcome));
+    }
+    if leg.version.is_some() {
+        merge_search(tables, &leg, reply.outcome, out);
+    } else {
+        settle_operation(tables, &leg, reply.outcome, out);
+    }
+    ended(tables, &leg);
+}
+
+fn ran_of(outcome: &Outcome) -> Ran {
+    match outcome {
+        Outcome::Rows { .. } | Outcome::Done { .. } => Ran::Yes,
+        Outcome::Moved => Ran::No,
+        Outcome::Failed { ran, .. } => *ran,
+    }
+}
+
+fn note_backlog(tables: &mut Tables, cx: &Context, leg: &Leg, reply: &Reply) {
+    let index = tables.indexes.get_mut(&leg.message.index);
+    if let Some(holding) = index.and_then(|index| index.shards.get_mut(&leg.shard)) {
+        holding.backlog = reply.backlog;
+        holding.heard = cx.now;
+    }
+}
+
+fn merge_search(tables: &mut Tables, leg: &Leg, outcome: Outcome, out: &mut Outbox) {
+    let Some(query) = tables.queries.get_mut(&leg.query) else { return };
+    let Task::Search(search) = &mut query.task else { return };
+    if leg.version != search.version {
+        // The search has started over since the leg was sent.
+        out.count(Count::Dropped(Drop::WrongVersion));
+        return;
+    }
+    match outcome {
+        Outcome::Rows { version, range, rows, digest } => {
+            let is_asked = Some(version) == search.version && range == leg.range;
+            if !is_asked || digest::rows(&rows) != digest {
+                out.count(Count::Dropped(Drop::Cut));
+                return;
+            }
+            search.covered.insert(range);
+            search.rows.extend(rows);
+        }
+        Outcome::Moved => {
+            tables.to_plan.insert(leg.query);
+        }
+        Outcome::Failed { kind: Kind::Quarantined, ran, detail } => {
+            search.fault = Some(Fault { kind: Kind::Quarantined, ran, detail });
+            tables.to_answer.insert(leg.query);
+        }
+        Outcome::Failed { .. } | Outcome::Done { .. } => {}
+    }
+}
+
+fn settle_operation(tables: &mut Tables, leg: &Leg, outcome: Outcome, out: &mut Outbox) {
+    let (recorded, settled) = read_operation(outcome);
+    if let Some(query) = tables.queries.get_mut(&leg.query) {
+        let Task::Operation(operation) = &mut query.task else { return };
+        let request = operation.claim(query.fingerprint);
+        operation.stage = Stage::Settled(settled);
+        tables.to_answer.insert(leg.query);
+        record(request, recorded, out);
+    } else if let Some(request) = tables.unsettled.remove(&leg.query) {
+        record(request, recorded, out);
+    }
+}
+
+fn record(request: claim::Request, recorded: Option<Recorded>, out: &mut Outbox) {
+    if let Some(outcome) = recorded {
+        out.reports.push(Report::Outcome { request, outcome });
+    }
+}
+
+/// What is recorded of an operation's outcome and what its caller is told.
+fn read_operation(outcome: Outcome) -> (Option<Recorded>, Result<Settled, Fault>) {
+    match outcome {
+        Outcome::Done { result } => {
+            let recorded = Recorded::Done { result: result.clone() };
+            (Some(recorded), Ok(Settled { result, replayed: false }))
+        }
+        Outcome::Failed { kind, ran, detail } => {
+            let recorded = (ran == Ran::No).then_some(Recorded::NotRun);
+            (recorded, Err(Fault { kind, ran, detail }))
+        }
+        Outcome::Moved | Outcome::Rows { .. } => {
+            let detail = "no target holds the subject of the operation";
+            (Some(Recorded::NotRun), Err(Fault::not_run(Kind::Unavailable, detail)))
+        }
+    }
+}
+
+/// Answers a search that has no leg left, unless it is to be planned again.
+pub fn ended(tables: &mut Tables, leg: &Leg) {
+    let Some(query) = tables.queries.get(&leg.query) else { return };
+    let is_idle = query.legs.is_empty() && !tables.to_plan.contains(&leg.query);
+    match &query.task {
+        Task::Search(_) if is_idle => {
+            tables.to_answer.insert(leg.query);
+        }
+        Task::Operation(operation) if is_idle && operation.stage == Stage::Sent => {
+            settle_unreached(tables, leg);
+        }
+        _ => {}
+    }
+}
+
+/// Ends an operation that every home refused before it ran.
+fn settle_unreached(tables: &mut Tables, leg: &Leg) {
+    let Some(query) = tables.queries.get_mut(&leg.query) else { return };
+    if let Task::Operation(operation) = &mut query.task {
+        let detail = "no VM that serves the target takes requests";
+        operation.stage = Stage::Settled(Err(Fault::not_run(Kind::Unavailable, detail)));
+        tables.to_answer.insert(leg.query);
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/system/mod.rs
@@ -0,0 +1,37 @@
+//! The systems of a traffic thread, in the order in which a tick runs them.
+
+pub mod refresh;
+pub mod collect;
+pub mod receive;
+pub mod expire;
+pub mod intake;
+pub mod claim;
+pub mod merge;
+pub mod plan;
+pub mod dispatch;
+pub mod tell;
+pub mod answer;
+pub mod connect;
+pub mod job;
+pub mod leg;
+
+use super::{Context, Inbox, Outbox, Tables};
+
+/// Runs every system once.
+///
+/// What may end a wait comes first and what starts work comes last, so that a
+/// slot freed in a tick is used in the same tick and a row whose deadline has
+/// passed is never sent.
+pub fn run(tables: &mut Tables, cx: &mut Context, inbox: Inbox, out: &mut Outbox) {
+    refresh::run(tables, cx, inbox.view, out);
+    collect::run(tables, cx, inbox.targets, out);
+    receive::run(tables, cx, inbox.peers, out);
+    expire::run(tables, cx, out);
+    intake::run(tables, cx, inbox.calls, out);
+    claim::run(tables, cx, inbox.claims, out);
+    merge::run(tables, cx, out);
+    plan::run(tables, cx, out);
+    dispatch::run(tables, cx, out);
+    tell::run(tables, cx, out);
+    answer::run(tables, cx, out);
+}
--- /dev/null
+++ b/crates/core/src/traffic/system/refresh.rs
@@ -0,0 +1,162 @@
+//! Takes a new view: targets that came, changed or went, and homes that moved.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use crate::{
+    message::Message,
+    name::Name,
+    time::Instant,
+    traffic::{
+        Context, Outbox, Tables,
+        system::{connect, job, tell},
+        table::{Latency, Shard, Target, shard, timer::Timer},
+    },
+    view::{self, Lane, State, View},
+};
+
+/// Puts `view` into force.
+pub fn run(tables: &mut Tables, cx: &mut Context, view: Option<Arc<View>>, out: &mut Outbox) {
+    let Some(view) = view else { return };
+    let old = std::mem::replace(&mut cx.view, view);
+    remove_targets(tables, cx, out);
+    add_targets(tables, cx);
+    move_homes(tables, cx, out);
+    forget_shards(tables, cx, out);
+    greet(cx, &old, out);
+    if old.vms.is_empty() {
+        tables.timers.set(cx.now + tell::INTERVAL, Timer::Tell);
+    }
+}
+
+fn remove_targets(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
+    let gone: Vec<Name> = tables
+        .targets
+        .keys()
+        .filter(|name| !cx.view.targets.contains_key(*name))
+        .cloned()
+        .collect();
+    for name in gone {
+        connect::close_all(tables, cx, &name, out);
+        if let Some(target) = tables.targets.remove(&name) {
+            if let Some(shard) = tables.shards.get_mut(&target.shard) {
+                shard.targets.remove(&name);
+            }
+            tables.to_tell.insert(target.shard.clone());
+            tables.to_dispatch.insert(target.shard);
+        }
+    }
+}
+
+fn add_targets(tables: &mut Tables, cx: &Context) {
+    for (name, listed) in &cx.view.targets {
+        let key = shard::Key { index: listed.index.clone(), shard: listed.shard.clone() };
+        let leaving = listed.state == State::Leaving;
+        match tables.targets.get_mut(name) {
+            Some(target) if target.address == listed.address => {
+                if target.leaving != leaving {
+                    target.leaving = leaving;
+                    tables.to_tell.insert(key.clone());
+                    tables.to_dispatch.insert(key);
+                }
+            }
+            Some(_) | None => {
+                tables.shards.entry(key.clone()).or_default().targets.insert(name.clone());
+                tables.targets.insert(name.clone(), new_target(key, listed));
+            }
+        }
+    }
+}
+
+fn new_target(shard: shard::Key, listed: &view::Target) -> Target {
+    Target {
+        shard,
+        address: listed.address,
+        domain: listed.domain.clone(),
+        slots: listed.slots,
+        connection_limit: listed.connections,
+        in_use: 0,
+        reserved: false,
+        status: None,
+        leaving: listed.state == State::Leaving,
+        pause: Instant::default(),
+        connections: BTreeSet::new(),
+        failures: 0,
+        reopening: false,
+        latency: Latency::default(),
+    }
+}
+
+fn move_homes(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
+    let keys: Vec<shard::Key> = tables.shards.keys().cloned().collect();
+    for key in keys {
+        let lanes = cx.policies.route.lanes(&cx.view, &cx.lane, &key, cx.limits.homes);
+        let is_home = lanes.first() == Some(&cx.lane);
+        if let Some(index) = tables.indexes.get_mut(&key.index)
+            && let Some(holding) = index.shards.get_mut(&key.shard)
+        {
+            holding.lanes = lanes;
+        }
+        let Some(shard) = tables.shards.get_mut(&key) else { continue };
+        let was_home = std::mem::replace(&mut shard.home, is_home);
+        if is_home {
+            take_up(tables, cx, &key, out);
+        } else if was_home {
+            tables.timers.set(cx.now + cx.limits.idle, Timer::Idle(key));
+        }
+    }
+}
+
+/// Opens connections to the targets of a shard that this VM is home of.
+fn take_up(tables: &mut Tables, cx: &mut Context, key: &shard::Key, out: &mut Outbox) {
+    let names: Vec<Name> = tables
+        .shards
+        .get(key)
+        .map(|shard: &Shard| shard.targets.iter().cloned().collect())
+        .unwrap_or_default();
+    for name in names {
+        connect::ensure(tables, cx, &name, out);
+    }
+    tables.to_tell.insert(key.clone());
+}
+
+/// Drops shards that no target is listed for, here and in the plans.
+fn forget_shards(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
+    let empty: Vec<shard::Key> = tables
+        .shards
+        .iter()
+        .filter(|(_, shard)| shard.targets.is_empty())
+        .map(|(key, _)| key.clone())
+        .collect();
+    for key in empty {
+        job::fail_queue(tables, cx, &key, out);
+        tables.shards.remove(&key);
+        if let Some(index) = tables.indexes.get_mut(&key.index)
+            && index.shards.remove(&key.shard).is_some()
+        {
+            tables.to_choose.insert(key.index.clone());
+        }
+    }
+}
+
+/// Asks VMs that are new in the view what they hold.
+fn greet(cx: &Context, old: &View, out: &mut Outbox) {
+    for (name, vm) in &cx.view.vms {
+        let known = old.vms.get(name).is_some_and(|before| before.incarnation == vm.incarnation);
+        if known {
+            continue;
+        }
+        for lane in lanes_of(vm) {
+            if lane != cx.lane {
+                out.send(lane, Message::AskHoldings);
+            }
+        }
+    }
+}
+
+/// The lanes of a VM.
+pub fn lanes_of(vm: &view::Vm) -> impl Iterator<Item = Lane> + '_ {
+    (0..vm.traffic.len()).map(|thread| Lane {
+        vm: vm.name.clone(),
+        thread: u16::try_from(thread).unwrap_or(u16::MAX),
+    })
+}
--- /dev/null
+++ b/crates/core/src/traffic/table/mod.rs
@@ -0,0 +1,84 @@
+//! The tables of a traffic thread: rows keyed by small typed ids.
+
+pub mod query;
+pub mod leg;
+pub mod link;
+pub mod index;
+pub mod job;
+pub mod shard;
+pub mod target;
+pub mod connection;
+pub mod attempt;
+pub mod usage;
+pub mod suspect;
+pub mod latency;
+pub mod timer;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{claim, digest::Fingerprint, id, message, name::Name, view::Lane};
+
+pub use self::{
+    attempt::Attempt, connection::Connection, index::Index, job::Job, latency::Latency, leg::Leg,
+    link::Link, query::Query, shard::Shard, suspect::Suspect, target::Target, timer::Timers,
+    usage::Usage,
+};
+
+/// All rows of a traffic thread.
+///
+/// The lists at the end name the rows that a system has to look at in this
+/// tick, so that no system walks a whole table when few rows are due.
+#[derive(Debug, Default)]
+pub struct Tables {
+    /// Requests of callers at this entry.
+    pub queries: BTreeMap<id::Query, Query>,
+    /// The query of each open call of the front end.
+    pub calls: BTreeMap<super::Call, id::Query>,
+    /// Legs of the queries, in flight to their homes.
+    pub legs: BTreeMap<id::Leg, Leg>,
+    /// The lanes that legs are in flight to.
+    pub links: BTreeMap<Lane, Link>,
+    /// What the shards of each index hold.
+    pub indexes: BTreeMap<Name, Index>,
+    /// Use of each profile.
+    pub usages: BTreeMap<Name, Usage>,
+    /// Claims of operations that were answered before their outcome was known.
+    pub unsettled: BTreeMap<id::Query, claim::Request>,
+    /// Legs that this VM serves as home.
+    pub jobs: BTreeMap<id::Leg, Job>,
+    /// Shards that this VM serves as home.
+    pub shards: BTreeMap<shard::Key, Shard>,
+    /// Targets of those shards.
+    pub targets: BTreeMap<Name, Target>,
+    /// Connections to those targets.
+    pub connections: BTreeMap<id::Connection, Connection>,
+    /// Attempts in flight on those connections.
+    pub attempts: BTreeMap<id::Attempt, Attempt>,
+    /// Requests that were running when a target was lost.
+    pub suspects: BTreeMap<Fingerprint, Suspect>,
+    /// Points in time at which a row is due.
+    pub timers: Timers,
+    /// Replies to legs of this thread that are yet to be merged.
+    pub replies: Vec<message::Reply>,
+    /// Indexes whose plan is to be chosen again.
+    pub to_choose: BTreeSet<Name>,
+    /// Queries that need legs.
+    pub to_plan: BTreeSet<id::Query>,
+    /// Queries whose answer is due.
+    pub to_answer: BTreeSet<id::Query>,
+    /// Shards that may start a waiting job.
+    pub to_dispatch: BTreeSet<shard::Key>,
+    /// Shards whose holdings may have changed.
+    pub to_tell: BTreeSet<shard::Key>,
+}
+
+impl Tables {
+    /// Whether a system has work that is due at once.
+    pub fn is_busy(&self) -> bool {
+        !(self.replies.is_empty()
+            && self.to_plan.is_empty()
+            && self.to_answer.is_empty()
+            && self.to_dispatch.is_empty()
+            && self.to_tell.is_empty())
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/table/suspect.rs
@@ -0,0 +1,14 @@
+//! Requests that were running when a target was lost.
+
+use std::collections::BTreeSet;
+
+use crate::{name::Name, time::Instant};
+
+/// A request that may crash targets.
+#[derive(Clone, Debug, Default)]
+pub struct Suspect {
+    /// The targets that were lost while they ran it.
+    pub targets: BTreeSet<Name>,
+    /// When it is forgotten.
+    pub until: Instant,
+}
