Test the traffic systems over several VMs in virtual time

Cause: the systems were not tested. Two faults showed first: a job that waited for a connection was not looked at when the connection opened with an unchanged status, so a search that met two silent connections ended incomplete; and each new connection added another series of status reads to its target.

Changed: an opened connection makes its shard due; one series of reads for each target. Ruled out: the budget of extra attempts, which was not used up.

--- a/crates/core/src/traffic/system/connect.rs
+++ b/crates/core/src/traffic/system/connect.rs
@@ -58,8 +58,13 @@
     let name = row.target.clone();
     if let Some(target) = tables.targets.get_mut(&name) {
         target.failures = 0;
+        tables.to_tell.insert(target.shard.clone());
+        tables.to_dispatch.insert(target.shard.clone());
+        if !target.polled {
+            target.polled = true;
+            tables.timers.set(cx.now + cx.limits.poll, Timer::Poll(name.clone()));
+        }
     }
-    tables.timers.set(cx.now + cx.limits.poll, Timer::Poll(name.clone()));
     out.lines.push(Line::new(Event::ConnectionOpened, vec![("target", name.to_string())]));
 }
 
@@ -114,9 +119,10 @@
 
 /// Asks on every connection of a target and comes back after the interval.
 pub fn poll(tables: &mut Tables, cx: &mut Context, name: &Name, out: &mut Outbox) {
-    let Some(target) = tables.targets.get(name) else { return };
+    let Some(target) = tables.targets.get_mut(name) else { return };
     let connections: Vec<id::Connection> = target.connections.iter().copied().collect();
-    if connections.is_empty() {
+    target.polled = !connections.is_empty();
+    if !target.polled {
         return;
     }
     for connection in connections {
--- a/crates/core/src/traffic/system/refresh.rs
+++ b/crates/core/src/traffic/system/refresh.rs
@@ -81,6 +81,7 @@
         pause: Instant::default(),
         connections: BTreeSet::new(),
         failures: 0,
+        polled: false,
         reopening: false,
         latency: Latency::default(),
     }
--- a/crates/core/src/traffic/table/target.rs
+++ b/crates/core/src/traffic/table/target.rs
@@ -41,6 +41,8 @@
     pub connections: BTreeSet<id::Connection>,
     /// The failures to open a connection since one was last open.
     pub failures: u32,
+    /// Whether its status is read at intervals.
+    pub polled: bool,
     /// Whether a new connection is due at a later time.
     pub reopening: bool,
     /// How long its answers take.
--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -2,4 +2,7 @@
 
 #[macro_use]
 mod case;
+#[path = "../world/mod.rs"]
+mod world;
 mod key;
+mod search;
--- /dev/null
+++ b/crates/core/tests/rules/search.rs
@@ -0,0 +1,267 @@
+//! Searches: one snapshot, true coverage, the whole answer to one's own request.
+
+use std::time::Duration;
+
+use laburnum_core::{
+    count::{Count, Drop},
+    fault::{Kind, Ran},
+    target::Version,
+    traffic::Body,
+    view::State,
+};
+
+use crate::world::{ANY, WHOLE, World, name, targets::Fault};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn refusal(world: &World, call: laburnum_core::traffic::Call) -> (Kind, Ran) {
+    match &world.answer(call).body {
+        Body::Refused(fault) => (fault.kind, fault.ran),
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+fn complete_through_each_vm() {
+    let mut world = World::new(3, 6, 2);
+    for vm in ["vm-1", "vm-2", "vm-3"] {
+        let found = world.find(vm, WHOLE, "");
+        world.check(&found);
+        assert!(found.missing.is_empty());
+        assert_eq!(found.attempts, 6);
+    }
+}
+
+/// Every reply of one replica has the fault; the answer is still whole.
+fn bad_replies_are_dropped(fault: Fault, reason: Drop) {
+    let mut world = World::new(3, 4, 2);
+    world.targets.get(1, 0).fault = Some(fault);
+    for _ in 0..4 {
+        let found = world.find("vm-1", WHOLE, "");
+        world.check(&found);
+        assert!(found.missing.is_empty());
+    }
+    let dropped: u64 = world.vms.values().map(|vm| vm.counts.get(Count::Dropped(reason))).sum();
+    assert!(dropped > 0, "no reply was dropped as {reason:?}");
+}
+
+/// Every reply of a whole shard has the fault; the answer leaves it out.
+fn bad_shards_are_missing(fault: Fault) {
+    let mut world = World::new(3, 4, 2);
+    world.targets.get(1, 0).fault = Some(fault);
+    world.targets.get(1, 1).fault = Some(fault);
+    let found = world.find("vm-1", ANY, "");
+    world.check(&found);
+    assert_eq!(found.coverage, 750_000);
+}
+
+fn lost_shard_is_named() {
+    let mut world = World::new(3, 4, 2);
+    world.crash_target(2, 0);
+    world.crash_target(2, 1);
+    world.run(2000 * MS);
+    let found = world.find("vm-1", ANY, "");
+    world.check(&found);
+    assert_eq!(found.coverage, 750_000);
+    let call = world.search("vm-2", WHOLE, "");
+    world.run(1100 * MS);
+    assert_eq!(refusal(&world, call), (Kind::CoverageTooLow, Ran::No));
+}
+
+fn unlisted_shard_is_missing() {
+    let mut world = World::new(3, 4, 2);
+    for replica in 0..2 {
+        world.targets.get(3, replica).listed = None;
+    }
+    world.publish();
+    world.run(10 * MS);
+    let found = world.find("vm-1", ANY, "");
+    world.check(&found);
+    assert_eq!(found.coverage, 750_000);
+}
+
+fn replica_lost_under_the_query() {
+    let mut world = World::new(3, 4, 2);
+    let call = world.search("vm-1", WHOLE, "");
+    world.run(2 * MS);
+    world.crash_target(0, 0);
+    world.run(1100 * MS);
+    let found = world.found(call).clone();
+    world.check(&found);
+    assert!(found.missing.is_empty());
+}
+
+fn newer_version_is_read_once_it_is_everywhere() {
+    let mut world = World::new(3, 4, 2);
+    for shard in 0..4 {
+        for replica in 0..2 {
+            let target = world.targets.get(shard, replica);
+            let range = target.status.holds[&Version(1)];
+            target.status.holds.insert(Version(2), range);
+        }
+        world.run(1000 * MS);
+        let found = world.find("vm-1", WHOLE, "");
+        world.check(&found);
+        let expected = if shard == 3 { 2 } else { 1 };
+        assert_eq!(found.version, Version(expected));
+    }
+}
+
+fn version_goes_under_the_query() {
+    let mut world = World::new(3, 4, 2);
+    for shard in 0..4 {
+        for replica in 0..2 {
+            let target = world.targets.get(shard, replica);
+            let range = target.status.holds[&Version(1)];
+            target.status.holds = [(Version(2), range)].into();
+        }
+    }
+    let call = world.search("vm-1", WHOLE, "");
+    world.run(1100 * MS);
+    let found = world.found(call).clone();
+    world.check(&found);
+    assert_eq!(found.version, Version(2));
+    assert!(found.missing.is_empty());
+}
+
+fn repartition_under_the_query() {
+    let mut world = World::new(3, 4, 2);
+    let slow = world.targets.get(0, 0);
+    slow.service = 100 * MS;
+    let call = world.search("vm-1", WHOLE, "");
+    // Shards two and three change places at the same version.
+    for replica in 0..2 {
+        let two = world.targets.get(2, replica).status.holds.clone();
+        let three = std::mem::replace(&mut world.targets.get(3, replica).status.holds, two);
+        world.targets.get(2, replica).status.holds = three;
+    }
+    world.run(1100 * MS);
+    let found = world.found(call).clone();
+    world.check(&found);
+    assert!(found.missing.is_empty());
+}
+
+fn silent_connection_is_replaced() {
+    let mut world = World::new(3, 4, 2);
+    for replica in 0..2 {
+        world.targets.get(1, replica).go_silent();
+    }
+    let found = world.find("vm-1", WHOLE, "");
+    world.check(&found);
+    assert!(found.missing.is_empty());
+}
+
+fn home_killed_under_the_query() {
+    let mut world = World::new(3, 4, 2);
+    let home = world.home_of(1);
+    let entry = world.stranger_to(1);
+    let call = world.search(entry.as_str(), WHOLE, "");
+    world.run(Duration::from_micros(600));
+    world.kill_vm(home.as_str());
+    world.run(1100 * MS);
+    let found = world.found(call).clone();
+    world.check(&found);
+    assert!(found.missing.is_empty());
+}
+
+fn home_paused_under_the_query() {
+    let mut world = World::new(3, 4, 2);
+    let home = world.home_of(1);
+    let entry = world.stranger_to(1);
+    let call = world.search(entry.as_str(), WHOLE, "");
+    world.pause_vm(home.as_str(), 10_000 * MS);
+    world.run(1100 * MS);
+    let found = world.found(call).clone();
+    world.check(&found);
+    assert!(found.missing.is_empty());
+    world.run(11_000 * MS);
+    let found = world.find(home.as_str(), WHOLE, "");
+    world.check(&found);
+}
+
+fn drained_target_gets_no_work() {
+    let mut world = World::new(3, 4, 2);
+    world.targets.get(1, 0).status.draining = true;
+    world.run(2000 * MS);
+    let before = world.targets.get(1, 0).attempts;
+    for _ in 0..3 {
+        let found = world.find("vm-1", WHOLE, "");
+        assert!(found.missing.is_empty());
+    }
+    assert_eq!(world.targets.get(1, 0).attempts, before);
+}
+
+fn listed_as_leaving_gets_no_work() {
+    let mut world = World::new(3, 4, 2);
+    world.targets.get(1, 0).listed = Some(State::Leaving);
+    world.publish();
+    world.run(MS);
+    let before = world.targets.get(1, 0).attempts;
+    let found = world.find("vm-1", WHOLE, "");
+    assert!(found.missing.is_empty());
+    assert_eq!(world.targets.get(1, 0).attempts, before);
+}
+
+fn poison_stops_after_two_targets() {
+    let mut world = World::new(3, 2, 4);
+    for replica in 0..4 {
+        world.targets.get(1, replica).poison = Some("poison".into());
+    }
+    for vm in ["vm-1", "vm-2", "vm-3", "vm-1"] {
+        let call = world.search(vm, ANY, "poison");
+        world.run(1100 * MS);
+        assert_eq!(refusal(&world, call).0, Kind::Quarantined);
+    }
+    let crashed = (0..4).filter(|&replica| !world.targets.get(1, replica).alive).count();
+    assert_eq!(crashed, 2);
+    let found = world.find("vm-2", WHOLE, "other");
+    world.check(&found);
+    assert!(found.missing.is_empty());
+}
+
+fn unknown_profile_is_refused() {
+    let mut world = World::new(1, 1, 1);
+    let call = world.search("vm-1", "none", "");
+    world.run(MS);
+    assert_eq!(refusal(&world, call), (Kind::UnknownProfile, Ran::No));
+}
+
+fn homes_share_the_connections() {
+    let mut world = World::new(19, 4, 2);
+    for vm in 1..=19 {
+        world.search(&format!("vm-{vm}"), WHOLE, "");
+    }
+    world.run(1100 * MS);
+    for target in world.targets.rows.values() {
+        assert!(target.most_connections <= 2, "{} connections", target.most_connections);
+        assert!(target.most_running <= 2, "{} attempts at a time", target.most_running);
+    }
+    assert!(world.answers.len() == 19);
+    let _ = name("x");
+}
+
+cases! {
+    a_search_through_each_vm_is_complete => complete_through_each_vm();
+    a_cut_reply_is_dropped => bad_replies_are_dropped(Fault::Cut, Drop::Cut);
+    a_doubled_row_is_dropped => bad_replies_are_dropped(Fault::Doubled, Drop::Doubled);
+    a_crossed_reply_is_dropped => bad_replies_are_dropped(Fault::Crossed, Drop::Crossed);
+    another_version_is_dropped => bad_replies_are_dropped(Fault::WrongVersion, Drop::WrongVersion);
+    a_row_outside_is_dropped => bad_replies_are_dropped(Fault::Outside, Drop::OutsideRange);
+    a_shard_of_cut_replies_is_missing => bad_shards_are_missing(Fault::Cut);
+    a_shard_of_doubled_rows_is_missing => bad_shards_are_missing(Fault::Doubled);
+    a_shard_of_crossed_replies_is_missing => bad_shards_are_missing(Fault::Crossed);
+    a_shard_of_another_version_is_missing => bad_shards_are_missing(Fault::WrongVersion);
+    a_lost_shard_is_named => lost_shard_is_named();
+    a_shard_that_no_list_names_is_missing => unlisted_shard_is_missing();
+    a_replica_lost_under_the_query_is_replaced => replica_lost_under_the_query();
+    a_newer_version_is_read_once_it_is_everywhere => newer_version_is_read_once_it_is_everywhere();
+    a_version_that_goes_restarts_the_query => version_goes_under_the_query();
+    a_repartition_is_planned_again => repartition_under_the_query();
+    a_silent_connection_is_replaced => silent_connection_is_replaced();
+    a_killed_home_is_replaced => home_killed_under_the_query();
+    a_paused_home_is_replaced => home_paused_under_the_query();
+    a_target_that_says_it_drains_gets_no_work => drained_target_gets_no_work();
+    a_target_listed_as_leaving_gets_no_work => listed_as_leaving_gets_no_work();
+    a_poison_request_stops_after_two_targets => poison_stops_after_two_targets();
+    an_unknown_profile_is_refused => unknown_profile_is_refused();
+    nineteen_vms_share_the_connections => homes_share_the_connections();
+}
--- /dev/null
+++ b/crates/core/tests/world/targets.rs
@@ -0,0 +1,374 @@
+//! Fake targets behind the border.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use laburnum_core::{
+    digest, id,
+    key::Range,
+    name::Name,
+    target::{Command, Event, Outcome, Refusal, Reply, Request, Row, Status, Version, Work},
+    traffic,
+    view::{self, State},
+};
+
+use super::{INDEX, name};
+
+/// The rows of a whole version.
+const ROWS: u64 = 256;
+
+/// The slots of a target.
+const SLOTS: u32 = 2;
+
+/// The connections that a target takes.
+const CONNECTIONS: u32 = 55;
+
+/// The time that a new connection costs.
+const OPEN: Duration = Duration::from_millis(6);
+
+/// The time that a request and its reply take on the way.
+const HOP: Duration = Duration::from_millis(1);
+
+/// A fault of a target's replies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fault {
+    /// The last row is missing.
+    Cut,
+    /// A row comes twice.
+    Doubled,
+    /// The reply carries another attempt's id.
+    Crossed,
+    /// The rows are of another version than stated.
+    WrongVersion,
+    /// A row lies outside the range.
+    Outside,
+}
+
+/// A target.
+#[derive(Debug)]
+pub struct Target {
+    /// The number of its shard.
+    pub shard: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it says of itself.
+    pub status: Status,
+    /// What the list says of it, or none if it is not listed.
+    pub listed: Option<State>,
+    /// Whether it runs.
+    pub alive: bool,
+    /// The time that a request takes in a slot.
+    pub service: Duration,
+    /// Whether it sheds everything.
+    pub sheds: bool,
+    /// A text that crashes it.
+    pub poison: Option<String>,
+    /// What is wrong with its replies.
+    pub fault: Option<Fault>,
+    /// Connections on which it says nothing any more.
+    pub silent: BTreeSet<id::Connection>,
+    /// Its connections with the VMs they lead to.
+    pub connections: BTreeMap<id::Connection, Name>,
+    /// The most connections that it ever had.
+    pub most_connections: usize,
+    /// Attempts that run, with their connections.
+    pub running: BTreeMap<id::Attempt, (id::Connection, Request)>,
+    /// The most attempts that ever ran at a time.
+    pub most_running: usize,
+    /// Attempts that it got.
+    pub attempts: u64,
+    /// Attempts that it got after it said that it drains.
+    pub after_drain: u64,
+}
+
+/// All targets.
+#[derive(Debug)]
+pub struct Targets {
+    /// The targets by name.
+    pub rows: BTreeMap<Name, Target>,
+    /// The executions of operations by detail.
+    pub executions: BTreeMap<Arc<str>, u32>,
+}
+
+/// A report to a VM after a time.
+pub type Report = (Duration, Name, traffic::Event);
+
+/// What a command leads to.
+#[derive(Debug, Default)]
+pub struct Effect {
+    /// Reports to the VM that gave the command.
+    pub events: Vec<(Duration, Event)>,
+    /// Reports to any VM.
+    pub others: Vec<Report>,
+    /// Ends of service times.
+    pub serves: Vec<(Duration, Name, id::Attempt)>,
+}
+
+/// The rows of a version whose keys satisfy `is_wanted`.
+pub fn rows(version: Version, is_wanted: impl Fn(u64) -> bool) -> Vec<Row> {
+    (0..ROWS)
+        .map(|number| number * (u64::MAX / ROWS))
+        .filter(|&key| is_wanted(key))
+        .map(|key| Row { key, body: format!("{key:x} at {}", version.0).into() })
+        .collect()
+}
+
+/// The range of a shard when the key space is cut into `shards` equal parts.
+pub fn range_of(shard: u64, shards: u64) -> Range {
+    let bound = |number: u64| (u128::from(number) << 64) / u128::from(shards);
+    let first = u64::try_from(bound(shard)).unwrap();
+    let last = u64::try_from(bound(shard + 1) - 1).unwrap();
+    Range::try_from((first, last)).unwrap()
+}
+
+impl Targets {
+    /// Makes the targets of all shards.
+    pub fn new(shards: u64, replicas: u64) -> Targets {
+        let mut rows = BTreeMap::new();
+        for shard in 0..shards {
+            for replica in 0..replicas {
+                let target = new_target(shard, replica, range_of(shard, shards));
+                rows.insert(target_name(shard, replica), target);
+            }
+        }
+        Targets { rows, executions: BTreeMap::new() }
+    }
+
+    /// A target.
+    pub fn get(&mut self, shard: u64, replica: u64) -> &mut Target {
+        self.rows.get_mut(&target_name(shard, replica)).unwrap()
+    }
+
+    /// What the list says.
+    pub fn listed(&self) -> BTreeMap<Name, view::Target> {
+        self.rows
+            .iter()
+            .filter_map(|(target, row)| {
+                let entry = view::Target {
+                    name: target.clone(),
+                    index: name(INDEX),
+                    shard: name(&format!("shard-{}", row.shard)),
+                    domain: name("domain-1"),
+                    address: row.address,
+                    slots: SLOTS,
+                    connections: CONNECTIONS,
+                    state: row.listed?,
+                };
+                Some((target.clone(), entry))
+            })
+            .collect()
+    }
+
+    /// Carries out a command of a VM.
+    pub fn command(&mut self, vm: &Name, command: Command) -> Effect {
+        match command {
+            Command::Open { connection, address, .. } => self.open(vm, connection, address),
+            Command::Send { connection, request } => self.send(connection, request),
+            Command::Ask { connection, .. } => self.ask(connection),
+            Command::Cancel { connection, attempt } => self.cancel(connection, attempt),
+            Command::Close { connection } => {
+                if let Some(target) = self.by_connection(connection) {
+                    target.connections.remove(&connection);
+                }
+                Effect::default()
+            }
+        }
+    }
+
+    fn by_connection(&mut self, connection: id::Connection) -> Option<&mut Target> {
+        self.rows.values_mut().find(|target| target.connections.contains_key(&connection))
+    }
+
+    fn open(&mut self, vm: &Name, connection: id::Connection, address: SocketAddr) -> Effect {
+        let target = self.rows.values_mut().find(|target| target.address == address);
+        let Some(target) = target.filter(|target| target.alive) else {
+            let detail = "refused".to_owned();
+            return Effect::event(HOP, Event::Closed { connection, detail });
+        };
+        target.connections.insert(connection, vm.clone());
+        target.most_connections = target.most_connections.max(target.connections.len());
+        let status = target.status.clone();
+        Effect::event(OPEN, Event::Opened { connection, status })
+    }
+
+    fn ask(&mut self, connection: id::Connection) -> Effect {
+        let Some(target) = self.by_connection(connection) else { return Effect::default() };
+        if target.silent.contains(&connection) {
+            return Effect::default();
+        }
+        let status = target.status.clone();
+        Effect::event(HOP, Event::Status { connection, status })
+    }
+
+    fn cancel(&mut self, connection: id::Connection, attempt: id::Attempt) -> Effect {
+        if let Some(target) = self.by_connection(connection)
+            && !target.silent.contains(&connection)
+        {
+            target.running.remove(&attempt);
+        }
+        Effect::default()
+    }
+
+    fn send(&mut self, connection: id::Connection, request: Request) -> Effect {
+        let attempt = request.attempt;
+        let found = self.rows.iter_mut().find(|(_, row)| row.connections.contains_key(&connection));
+        let Some((target_name, target)) = found else {
+            return Effect::event(HOP, Event::Unsent { connection, attempt });
+        };
+        if target.silent.contains(&connection) {
+            return Effect::default();
+        }
+        target.attempts += 1;
+        if target.poison.as_ref().is_some_and(|poison| text_of(&request.work) == poison) {
+            return target.crash();
+        }
+        if let Some(refusal) = target.refuses(&request.work) {
+            let reply = target.reply(attempt, Outcome::Refused(refusal));
+            return Effect::event(HOP, Event::Reply { connection, attempt, reply });
+        }
+        target.running.insert(attempt, (connection, request));
+        target.most_running = target.most_running.max(target.running.len());
+        let served = (HOP / 2 + target.service, target_name.clone(), attempt);
+        Effect { serves: vec![served], ..Effect::default() }
+    }
+
+    /// Ends an attempt's service time and replies to the VM that waits.
+    pub fn served(&mut self, name: &Name, attempt: id::Attempt) -> Vec<Report> {
+        let Some(target) = self.rows.get_mut(name).filter(|target| target.alive) else {
+            return Vec::new();
+        };
+        let Some((connection, request)) = target.running.remove(&attempt) else {
+            return Vec::new();
+        };
+        let outcome = match &request.work {
+            Work::Operate { detail, .. } => {
+                *self.executions.entry(detail.clone()).or_insert(0) += 1;
+                Outcome::Done { result: format!("granted {detail}").into() }
+            }
+            Work::Search { version, range, .. } => search(target.fault, *version, *range),
+        };
+        let mut reply = target.reply(attempt, outcome);
+        if target.fault == Some(Fault::Crossed) {
+            reply.attempt = Some(id::Attempt { sequence: attempt.sequence + 1, ..attempt });
+        }
+        let is_silent = target.silent.contains(&connection);
+        let vm = target.connections.get(&connection).filter(|_| !is_silent).cloned();
+        let event = traffic::Event::Target(Event::Reply { connection, attempt, reply });
+        vm.map(|vm| (HOP / 2, vm, event)).into_iter().collect()
+    }
+}
+
+impl Effect {
+    fn event(after: Duration, event: Event) -> Effect {
+        Effect { events: vec![(after, event)], ..Effect::default() }
+    }
+}
+
+impl Target {
+    /// Ends the process; every VM loses its connections.
+    pub fn crash(&mut self) -> Effect {
+        self.alive = false;
+        self.running.clear();
+        let lost = std::mem::take(&mut self.connections);
+        let others = lost
+            .into_iter()
+            .map(|(connection, vm)| {
+                let detail = "lost".to_owned();
+                let event = traffic::Event::Target(Event::Closed { connection, detail });
+                (HOP / 2, vm, event)
+            })
+            .collect();
+        Effect { others, ..Effect::default() }
+    }
+
+    /// Starts the process again.
+    pub fn restart(&mut self) {
+        self.alive = true;
+        self.silent.clear();
+        self.status.incarnation += 1;
+        self.status.draining = false;
+    }
+
+    /// Says nothing more on the connections that are open now.
+    pub fn go_silent(&mut self) {
+        self.silent.extend(self.connections.keys().copied());
+    }
+
+    fn refuses(&mut self, work: &Work) -> Option<Refusal> {
+        if self.status.draining {
+            self.after_drain += 1;
+            return Some(Refusal::Draining);
+        }
+        if let Work::Search { version, range, .. } = work {
+            match self.status.holds.get(version) {
+                None => return Some(Refusal::VersionGone),
+                Some(held) if !held.covers(*range) => return Some(Refusal::RangeMoved),
+                Some(_) => {}
+            }
+        }
+        let is_full = self.running.len() >= SLOTS as usize;
+        (self.sheds || is_full).then_some(Refusal::Shed)
+    }
+
+    fn reply(&self, attempt: id::Attempt, outcome: Outcome) -> Reply {
+        Reply { attempt: Some(attempt), outcome, status: Some(self.status.clone()) }
+    }
+}
+
+fn text_of(work: &Work) -> &str {
+    match work {
+        Work::Search { text, .. } => text,
+        Work::Operate { detail, .. } => detail,
+    }
+}
+
+fn search(fault: Option<Fault>, version: Version, range: Range) -> Outcome {
+    let read = if fault == Some(Fault::WrongVersion) { Version(version.0 + 1) } else { version };
+    let mut found = rows(read, |key| range.contains(key));
+    let count = found.len() as u64;
+    match fault {
+        Some(Fault::Cut) => {
+            found.pop();
+        }
+        Some(Fault::Doubled) => {
+            let row = found[0].clone();
+            found.push(row);
+        }
+        Some(Fault::Outside) => found.extend(rows(version, |key| !range.contains(key))),
+        _ => {}
+    }
+    let digest = digest::rows(&found);
+    let count = if fault == Some(Fault::Cut) { count } else { found.len() as u64 };
+    Outcome::Rows { version: read, range, rows: found, count, digest }
+}
+
+fn target_name(shard: u64, replica: u64) -> Name {
+    name(&format!("target-{shard}-{replica}"))
+}
+
+fn new_target(shard: u64, replica: u64, range: Range) -> Target {
+    let port = 20_000 + shard * 100 + replica;
+    let holds = BTreeMap::from([(Version(1), range)]);
+    Target {
+        shard,
+        address: format!("127.0.0.1:{port}").parse().unwrap(),
+        status: Status { incarnation: 1, draining: false, holds },
+        listed: Some(State::Live),
+        alive: true,
+        service: Duration::from_millis(4),
+        sheds: false,
+        poison: None,
+        fault: None,
+        silent: BTreeSet::new(),
+        connections: BTreeMap::new(),
+        most_connections: 0,
+        running: BTreeMap::new(),
+        most_running: 0,
+        attempts: 0,
+        after_drain: 0,
+    }
+}
