Add the client of the platform's service and its stand-in

Cause: the control thread needs the border to the key-value service, and tests need a service whose faults are placed while it runs.

The stand-in keeps its state in tables and decides in systems that take the time as an argument; the HTTP front only encodes. A tick waits for an input or the next deadline. A write is reported as refused only when no connection was made or the service itself says so; every other missing answer is lost.

A retry inside the HTTP client was ruled out, because a write that is sent again after a lost answer conflicts with itself.

--- /dev/null
+++ b/src/standin/platform/mod.rs
@@ -0,0 +1,34 @@
+//! A stand-in for the platform: its key-value service and its list of VMs and
+//! targets, with faults that are switched while it runs.
+//!
+//! [`table`] holds the state and [`system`] the decisions, without a socket or
+//! a clock. [`front`] turns HTTP into inputs and outputs into HTTP, and
+//! [`serve`] runs the tick that joins them. Values are kept in memory only.
+
+pub mod fault;
+pub mod list;
+pub mod table;
+pub mod system;
+mod front;
+mod tick;
+
+use std::{io, net::TcpListener};
+
+pub use list::List;
+use tokio::sync::mpsc;
+
+/// The number of inputs that wait for a tick; the front waits when it is full.
+const MAX_WAITING_INPUTS: usize = 1024;
+
+/// Serves the platform on `listener` until the future is dropped.
+///
+/// `list` is in force from the start; later changes come over HTTP and lag.
+/// It runs on a current-thread runtime with its clock and sockets enabled.
+pub async fn serve(listener: TcpListener, list: List) -> io::Result<()> {
+    let (sender, receiver) = mpsc::channel(MAX_WAITING_INPUTS);
+    let ticks = tick::run(table::Tables::new(list), receiver);
+    tokio::select! {
+        result = front::run(listener, sender) => result,
+        () = ticks => Ok(()),
+    }
+}
--- /dev/null
+++ b/src/standin/platform/system/execute.rs
@@ -0,0 +1,148 @@
+//! Lets the calls take effect whose time has come, in the order of their times.
+
+use std::time::Duration;
+
+use laburnum_core::{
+    store::{Call, LeaseId, Reply, Version},
+    time::Instant,
+};
+
+use super::{Outbox, Output};
+use crate::{
+    platform::wire::MAX_VALUE,
+    standin::platform::table::{Keys, Lease, Pending, Tables, Ticket, Watch},
+};
+
+/// The longest time that a watch waits.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// Runs the system.
+pub fn run(tables: &mut Tables, now: Instant, outbox: &mut Outbox) {
+    while let Some(first) = tables.pending.first_entry() {
+        let (due, ticket) = *first.key();
+        if due > now {
+            break;
+        }
+        let pending = first.remove();
+        if let Some(output) = perform(tables, now, ticket, pending) {
+            outbox.push((ticket, output));
+        }
+    }
+}
+
+fn perform(tables: &mut Tables, now: Instant, ticket: Ticket, pending: Pending) -> Option<Output> {
+    let Pending { vm, call } = pending;
+    let reply = match call {
+        Call::Get { key } => {
+            Reply::Value { entry: tables.keys.entry(&key), change: tables.keys.change() }
+        }
+        Call::Scan { prefix } => {
+            Reply::Entries { entries: tables.keys.scan(&prefix), change: tables.keys.change() }
+        }
+        Call::Swap { key, expect, value, lease } => {
+            let loss = Loss::of(tables, &key);
+            return Some(loss.apply(tables, |tables| swap(tables, key, expect, value, lease)));
+        }
+        Call::Remove { key, expect } => {
+            let loss = Loss::of(tables, &key);
+            return Some(loss.apply(tables, |tables| remove(tables, &key, expect)));
+        }
+        Call::Grant { ttl } => grant(tables, now, ttl),
+        Call::Keep { lease } => keep(tables, now, lease),
+        Call::Watch { prefix, after, wait } => {
+            let ends = now + wait.min(MAX_WAIT);
+            tables.watches.insert(ticket, Watch { vm, prefix, after, ends });
+            return None;
+        }
+        Call::List => tables.list.read(),
+    };
+    Some(Output::Reply(reply))
+}
+
+/// What of a write is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    None,
+    Write,
+    Answer,
+}
+
+impl Loss {
+    fn of(tables: &Tables, key: &str) -> Loss {
+        let faults = &tables.faults;
+        if !key.starts_with(&faults.lose_prefix) {
+            Loss::None
+        } else if faults.lose_before > 0 {
+            Loss::Write
+        } else if faults.lose_after > 0 {
+            Loss::Answer
+        } else {
+            Loss::None
+        }
+    }
+
+    /// Lets the write take effect unless it is lost. Only the answer to a write
+    /// that took effect is lost; a conflict is answered.
+    fn apply(self, tables: &mut Tables, write: impl FnOnce(&mut Tables) -> Reply) -> Output {
+        if self == Loss::Write {
+            tables.faults.lose_before -= 1;
+            return Output::from(tables.faults.lose_by);
+        }
+        let reply = write(tables);
+        let took_effect = matches!(reply, Reply::Swapped { .. } | Reply::Removed);
+        if self == Loss::Answer && took_effect {
+            tables.faults.lose_after -= 1;
+            return Output::from(tables.faults.lose_by);
+        }
+        Output::Reply(reply)
+    }
+}
+
+fn swap(
+    tables: &mut Tables,
+    key: String,
+    expect: Option<Version>,
+    value: Vec<u8>,
+    lease: Option<LeaseId>,
+) -> Reply {
+    if value.len() > MAX_VALUE {
+        let detail = format!("value of {} bytes, allowed are {MAX_VALUE}", value.len());
+        return Reply::Refused { detail };
+    }
+    if lease.is_some_and(|lease| !tables.leases.contains_key(&lease)) {
+        return Reply::Lapsed;
+    }
+    if version(&tables.keys, &key) != expect {
+        return Reply::Conflict { current: tables.keys.entry(&key) };
+    }
+    Reply::Swapped { version: tables.keys.put(key, value, lease) }
+}
+
+fn remove(tables: &mut Tables, key: &str, expect: Version) -> Reply {
+    if version(&tables.keys, key) != Some(expect) {
+        return Reply::Conflict { current: tables.keys.entry(key) };
+    }
+    tables.keys.remove(key);
+    Reply::Removed
+}
+
+fn version(keys: &Keys, key: &str) -> Option<Version> {
+    keys.get(key).map(|content| content.version)
+}
+
+fn grant(tables: &mut Tables, now: Instant, ttl: Duration) -> Reply {
+    tables.last_lease += 1;
+    let lease = LeaseId(tables.last_lease);
+    tables.leases.insert(lease, Lease { ttl, ends: now + ttl });
+    Reply::Leased { lease }
+}
+
+fn keep(tables: &mut Tables, now: Instant, lease: LeaseId) -> Reply {
+    match tables.leases.get_mut(&lease) {
+        Some(row) => {
+            row.ends = now + row.ttl;
+            Reply::Leased { lease }
+        }
+        None => Reply::Lapsed,
+    }
+}
--- /dev/null
+++ b/tests/common/case.rs
@@ -0,0 +1,31 @@
+//! The macro that names each case.
+
+/// Makes a test of each named case: `cases! { name => expression; }`. The
+/// expression is the body of the test and asserts what must hold. After
+/// `async:` the bodies may wait; each runs on a runtime of its own and fails
+/// when it takes too long.
+#[macro_export]
+macro_rules! cases {
+    (async: $($(#[$meta:meta])* $name:ident => $body:expr;)*) => {
+        $(
+            $(#[$meta])*
+            #[test]
+            fn $name() {
+                let limit = std::time::Duration::from_secs(30);
+                let runtime =
+                    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+                let body = async { tokio::time::timeout(limit, async { $body }).await };
+                runtime.block_on(body).expect("the case takes too long");
+            }
+        )*
+    };
+    ($($(#[$meta:meta])* $name:ident => $body:expr;)*) => {
+        $(
+            $(#[$meta])*
+            #[test]
+            fn $name() {
+                $body
+            }
+        )*
+    };
+}
