Check the faults and the list of the stand-in by their types

Cause: a list file was taken unchecked, and the checks of faults stood beside the type. A suspect entry in a list file is now refused when it is read; a loss that is answered and a rate of zero have no representation.

--- a/src/standin/platform/fault.rs
+++ b/src/standin/platform/fault.rs
@@ -1,17 +1,27 @@
 //! The faults of the stand-in, as they are switched over HTTP.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, num::NonZeroU32, time::Duration};
 
 use laburnum_core::name::Name;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
 /// How a call fails.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Failure {
     /// The call is answered at once that it was refused.
     Refuse,
+    /// The connection stays open and silent.
+    Hang,
+    /// The connection is cut in place of an answer.
+    Cut,
+}
+
+/// How a write or its answer is lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Loss {
     /// The connection stays open and silent.
     Hang,
     /// The connection is cut in place of an answer.
@@ -38,16 +48,16 @@
     pub lose_after: u32,
     /// Only writes of keys that start with this are lost.
     pub lose_prefix: String,
-    /// How a write or its answer is lost; [`Failure::Refuse`] is not allowed.
-    pub lose_by: Failure,
+    /// How a write or its answer is lost.
+    pub lose_by: Loss,
     /// The time after which a change of the list is seen.
     #[serde(rename = "list_lag_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub list_lag: Duration,
     /// The number of writes that are taken each second; the rest are refused.
-    pub writes_per_second: Option<u32>,
+    pub writes_per_second: Option<NonZeroU32>,
     /// The number of reads that are taken each second; the rest are refused.
-    pub reads_per_second: Option<u32>,
+    pub reads_per_second: Option<NonZeroU32>,
 }
 
 impl Faults {
@@ -55,20 +65,4 @@
     pub fn failure(&self, vm: Option<&Name>) -> Option<Failure> {
         self.down.or_else(|| self.vms.get(vm?).copied())
     }
-
-    /// Tells what of the set is not allowed.
-    pub fn check(&self) -> Result<(), String> {
-        if self.lose_by == Failure::Refuse {
-            return Err("lose_by: found refuse, allowed are hang and cut".to_owned());
-        }
-        for (field, rate) in [
-            ("writes_per_second", self.writes_per_second),
-            ("reads_per_second", self.reads_per_second),
-        ] {
-            if rate == Some(0) {
-                return Err(format!("{field}: found 0, allowed are null and 1 or more"));
-            }
-        }
-        Ok(())
-    }
 }
--- a/src/standin/platform/front.rs
+++ b/src/standin/platform/front.rs
@@ -23,7 +23,7 @@
 
 use super::{
     fault::Faults,
-    list::Change,
+    list::{self, Change},
     system::{Input, Output},
     tick,
 };
@@ -79,20 +79,16 @@
 
 #[handler]
 async fn set_faults(inputs: Data<&Inputs>, body: Body) -> Response {
-    let faults: Faults = match decode(body).await {
-        Ok(faults) => faults,
-        Err(response) => return response,
-    };
-    match faults.check() {
-        Ok(()) => ask(&inputs, Input::SetFaults(faults)).await,
-        Err(detail) => refused(StatusCode::BAD_REQUEST, detail),
+    match decode::<Faults>(body).await {
+        Ok(faults) => ask(&inputs, Input::SetFaults(faults)).await,
+        Err(response) => response,
     }
 }
 
 #[handler]
 async fn put_vm(inputs: Data<&Inputs>, Path(name): Path<String>, body: Body) -> Response {
     match decode::<view::Vm>(body).await {
-        Ok(vm) => change_list(&inputs, &name, vm.name.clone(), Change::PutVm(vm)).await,
+        Ok(vm) => change_list(&inputs, &name, vm.name.clone(), Change::try_from(vm)).await,
         Err(response) => response,
     }
 }
@@ -101,7 +97,7 @@
 async fn put_target(inputs: Data<&Inputs>, Path(name): Path<String>, body: Body) -> Response {
     match decode::<view::Target>(body).await {
         Ok(target) => {
-            change_list(&inputs, &name, target.name.clone(), Change::PutTarget(target)).await
+            change_list(&inputs, &name, target.name.clone(), Change::try_from(target)).await
         }
         Err(response) => response,
     }
@@ -123,14 +119,19 @@
     }
 }
 
-async fn change_list(inputs: &Inputs, path: &str, name: Name, change: Change) -> Response {
+async fn change_list(
+    inputs: &Inputs,
+    path: &str,
+    name: Name,
+    change: Result<Change, list::Error>,
+) -> Response {
     if name.as_str() != path {
         let detail = format!("name: found {name}, but the path names {path}");
         return refused(StatusCode::BAD_REQUEST, detail);
     }
-    match change.check() {
-        Ok(()) => ask(inputs, Input::ChangeList(change)).await,
-        Err(detail) => refused(StatusCode::BAD_REQUEST, detail),
+    match change {
+        Ok(change) => ask(inputs, Input::ChangeList(change)).await,
+        Err(error) => refused(StatusCode::BAD_REQUEST, error.to_string()),
     }
 }
 
--- a/src/standin/platform/list.rs
+++ b/src/standin/platform/list.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    fmt,
     time::Duration,
 };
 
@@ -16,14 +17,58 @@
 
 /// The list that is in force from the start, as it stands in a TOML file.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(try_from = "Raw")]
 pub struct List {
+    vms: Vec<Vm>,
+    targets: Vec<Target>,
+}
+
+/// A list before it is checked.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Raw {
     /// The VMs.
     pub vms: Vec<Vm>,
     /// The targets.
     pub targets: Vec<Target>,
 }
 
+/// An entry of the list is in a state that the deployer cannot know of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// The entry at fault.
+    pub name: Name,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: state: found suspect, allowed are live and leaving", self.name)
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl TryFrom<Raw> for List {
+    type Error = Error;
+
+    fn try_from(raw: Raw) -> Result<List, Error> {
+        for vm in &raw.vms {
+            check(&vm.name, vm.state)?;
+        }
+        for target in &raw.targets {
+            check(&target.name, target.state)?;
+        }
+        Ok(List { vms: raw.vms, targets: raw.targets })
+    }
+}
+
+fn check(name: &Name, state: State) -> Result<(), Error> {
+    match state {
+        State::Live | State::Leaving => Ok(()),
+        State::Suspect => Err(Error { name: name.clone() }),
+    }
+}
+
 /// A change that the deployer makes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -37,19 +82,21 @@
     RemoveTarget(Name),
 }
 
-impl Change {
-    /// Tells what of the change is not allowed: the deployer knows what is live
-    /// or leaving, and nothing of suspicion.
-    pub fn check(&self) -> Result<(), String> {
-        let state = match self {
-            Change::PutVm(vm) => vm.state,
-            Change::PutTarget(target) => target.state,
-            Change::RemoveVm(_) | Change::RemoveTarget(_) => return Ok(()),
-        };
-        if state == State::Suspect {
-            return Err("state: found suspect, allowed are live and leaving".to_owned());
-        }
-        Ok(())
+impl TryFrom<Vm> for Change {
+    type Error = Error;
+
+    fn try_from(vm: Vm) -> Result<Change, Error> {
+        check(&vm.name, vm.state)?;
+        Ok(Change::PutVm(vm))
+    }
+}
+
+impl TryFrom<Target> for Change {
+    type Error = Error;
+
+    fn try_from(target: Target) -> Result<Change, Error> {
+        check(&target.name, target.state)?;
+        Ok(Change::PutTarget(target))
     }
 }
 
--- a/src/standin/platform/system/execute.rs
+++ b/src/standin/platform/system/execute.rs
@@ -40,12 +40,12 @@
             Reply::Entries { entries: tables.keys.scan(&prefix), change: tables.keys.change() }
         }
         Call::Swap { key, expect, value, lease } => {
-            let loss = Loss::of(tables, &key);
-            return Some(loss.apply(tables, |tables| swap(tables, key, expect, value, lease)));
+            let lost = Lost::of(tables, &key);
+            return Some(lost.apply(tables, |tables| swap(tables, key, expect, value, lease)));
         }
         Call::Remove { key, expect } => {
-            let loss = Loss::of(tables, &key);
-            return Some(loss.apply(tables, |tables| remove(tables, &key, expect)));
+            let lost = Lost::of(tables, &key);
+            return Some(lost.apply(tables, |tables| remove(tables, &key, expect)));
         }
         Call::Grant { ttl } => grant(tables, now, ttl),
         Call::Keep { lease } => keep(tables, now, lease),
@@ -61,36 +61,36 @@
 
 /// What of a write is lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Loss {
+enum Lost {
     None,
     Write,
     Answer,
 }
 
-impl Loss {
-    fn of(tables: &Tables, key: &str) -> Loss {
+impl Lost {
+    fn of(tables: &Tables, key: &str) -> Lost {
         let faults = &tables.faults;
         if !key.starts_with(&faults.lose_prefix) {
-            Loss::None
+            Lost::None
         } else if faults.lose_before > 0 {
-            Loss::Write
+            Lost::Write
         } else if faults.lose_after > 0 {
-            Loss::Answer
+            Lost::Answer
         } else {
-            Loss::None
+            Lost::None
         }
     }
 
     /// Lets the write take effect unless it is lost. Only the answer to a write
     /// that took effect is lost; a conflict is answered.
     fn apply(self, tables: &mut Tables, write: impl FnOnce(&mut Tables) -> Reply) -> Output {
-        if self == Loss::Write {
+        if self == Lost::Write {
             tables.faults.lose_before -= 1;
             return Output::from(tables.faults.lose_by);
         }
         let reply = write(tables);
         let took_effect = matches!(reply, Reply::Swapped { .. } | Reply::Removed);
-        if self == Loss::Answer && took_effect {
+        if self == Lost::Answer && took_effect {
             tables.faults.lose_after -= 1;
             return Output::from(tables.faults.lose_by);
         }
--- a/src/standin/platform/system/mod.rs
+++ b/src/standin/platform/system/mod.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    fault::{Failure, Faults},
+    fault::{Failure, Faults, Loss},
     list::Change,
     table::{Kind, Tables, Ticket},
 };
@@ -63,6 +63,15 @@
     }
 }
 
+impl From<Loss> for Output {
+    fn from(loss: Loss) -> Output {
+        match loss {
+            Loss::Hang => Output::Hang,
+            Loss::Cut => Output::Cut,
+        }
+    }
+}
+
 /// The outputs of a tick, each with the input that it answers.
 pub type Outbox = Vec<(Ticket, Output)>;
 
--- a/src/standin/platform/table.rs
+++ b/src/standin/platform/table.rs
@@ -1,6 +1,6 @@
 //! The tables of the stand-in: keys, leases, calls that wait, and counts.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, num::NonZeroU32, time::Duration};
 
 use laburnum_core::{
     name::Name,
@@ -225,9 +225,9 @@
 
 impl Bucket {
     /// Takes one call if `rate` calls a second allow it.
-    pub fn take(&mut self, now: Instant, rate: u32) -> bool {
+    pub fn take(&mut self, now: Instant, rate: NonZeroU32) -> bool {
         let second = Duration::from_secs(1);
-        let until = self.until.max(now) + second / rate.max(1);
+        let until = self.until.max(now) + second / rate.get();
         if until > now + second {
             return false;
         }
--- a/tests/border/platform.rs
+++ b/tests/border/platform.rs
@@ -6,7 +6,10 @@
     store::{Call, LeaseId, Reply, Version},
     view::State,
 };
-use laburnumworks::{platform::wire::MAX_VALUE, standin::platform::List};
+use laburnumworks::{
+    platform::wire::MAX_VALUE,
+    standin::platform::{List, list::Raw},
+};
 use reqwest::StatusCode;
 use serde_json::json;
 
@@ -158,7 +161,8 @@
         assert_eq!(counts, [("get", 2), ("list", 1), ("swap", 1), ("watch", 1)]);
     };
     the_list_starts_as_it_is_given => {
-        let list = List { vms: vec![vm("vm-2", State::Live), vm("vm-1", State::Leaving)], targets: vec![] };
+        let vms = vec![vm("vm-2", State::Live), vm("vm-1", State::Leaving)];
+        let list = List::try_from(Raw { vms, targets: vec![] }).unwrap();
         let mut caller = Service::start_with(list).caller("vm-1");
         let expected = [("vm-1".to_owned(), State::Leaving), ("vm-2".to_owned(), State::Live)];
         assert_eq!(caller.vms().await, expected);
@@ -193,8 +197,12 @@
 }
 
 cases! {
+    a_list_with_a_suspect_is_refused => {
+        let raw = Raw { vms: vec![vm("vm-1", State::Suspect)], targets: vec![] };
+        assert!(toml::from_str::<List>(&toml::to_string(&raw).unwrap()).is_err());
+    };
     a_list_is_read_from_toml => {
-        let list = List { vms: vec![vm("vm-1", State::Live)], targets: vec![] };
+        let list = List::try_from(Raw { vms: vec![vm("vm-1", State::Live)], targets: vec![] }).unwrap();
         let text = toml::to_string(&list).unwrap();
         assert_eq!(toml::from_str::<List>(&text).unwrap(), list);
     };
--- a/tests/border/platform_faults.rs
+++ b/tests/border/platform_faults.rs
@@ -230,6 +230,11 @@
         let status = service.put("/v1/faults", json!({ "explode": true })).await;
         assert_eq!(status, StatusCode::BAD_REQUEST);
     };
+    a_loss_that_is_answered_is_refused => {
+        let service = Service::start();
+        let status = service.put("/v1/faults", json!({ "lose_by": "refuse" })).await;
+        assert_eq!(status, StatusCode::BAD_REQUEST);
+    };
     a_rate_of_nothing_is_refused => {
         let service = Service::start();
         let status = service.put("/v1/faults", json!({ "reads_per_second": 0 })).await;
--- a/tests/border/platform_system.rs
+++ b/tests/border/platform_system.rs
@@ -1,6 +1,6 @@
 //! The decisions of the platform's stand-in, without sockets and clocks.
 
-use std::time::Duration;
+use std::{num::NonZeroU32, time::Duration};
 
 use laburnum_core::{
     store::{Call, LeaseId, Reply},
@@ -114,16 +114,16 @@
         assert_eq!(machine.tables.keys.entry("a").unwrap().value, b"1");
     };
     a_rate_allows_a_second_at_once_and_no_more => {
-        let mut bucket = Bucket::default();
-        let taken = (0..10).filter(|_| bucket.take(Instant(0), 4)).count();
+        let (mut bucket, rate) = (Bucket::default(), NonZeroU32::new(4).unwrap());
+        let taken = (0..10).filter(|_| bucket.take(Instant(0), rate)).count();
         assert_eq!(taken, 4);
-        assert!(!bucket.take(Instant(249_999), 4));
-        assert!(bucket.take(Instant(250_000), 4));
-        assert!(!bucket.take(Instant(250_000), 4));
+        assert!(!bucket.take(Instant(249_999), rate));
+        assert!(bucket.take(Instant(250_000), rate));
+        assert!(!bucket.take(Instant(250_000), rate));
     };
     a_refused_call_is_counted => {
         let mut machine =
-            Machine::new(Faults { reads_per_second: Some(1), ..Faults::default() });
+            Machine::new(Faults { reads_per_second: Some(NonZeroU32::MIN), ..Faults::default() });
         machine.call(get("a"));
         let reply = machine.call(get("a"));
         assert!(matches!(reply, Some(Reply::Refused { .. })), "{reply:?}");
