Add the stand-in of a target and the cases of the border

Cause: the tests and the demo need a target whose slots, limits and faults are known and can be switched while it runs.

Administration has an address of its own, so that it takes no connection of the limit.

--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for the platform and the targets, for tests and the demo.
+
+pub mod target;
--- /dev/null
+++ b/src/standin/target/row.rs
@@ -0,0 +1,64 @@
+//! The rows of a stand-in index, computed from a seed.
+//!
+//! Every replica computes the same rows, so that a test can compute the whole
+//! answer as well. A body names its version, so that a mixed answer shows.
+
+use std::sync::Arc;
+
+use laburnum_core::{
+    key,
+    target::{Row, Version},
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The words of which each body holds two.
+pub const WORDS: [&str; 12] = [
+    "amateur",
+    "aviation",
+    "broadcast",
+    "maritime",
+    "microwave",
+    "mobile",
+    "paging",
+    "radar",
+    "satellite",
+    "telemetry",
+    "trunked",
+    "uhf",
+];
+
+/// A generated index.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Index {
+    /// Seeds the rows.
+    pub seed: u64,
+    /// The rows of the whole index.
+    pub rows: u64,
+}
+
+impl Index {
+    /// The rows of `range` at `version` whose body contains `text`, by key.
+    pub fn read(self, version: Version, range: key::Range, text: &str) -> Vec<Row> {
+        if self.rows == 0 {
+            return Vec::new();
+        }
+        let step = u64::MAX / self.rows;
+        let first = range.first() / step;
+        let last = (range.last() / step).min(self.rows - 1);
+        (first..=last)
+            .map(|number| self.row(version, number, step))
+            .filter(|row| range.contains(row.key) && row.body.contains(text))
+            .collect()
+    }
+
+    /// One row in each stretch of `step` keys, at a place that depends on the
+    /// seed.
+    fn row(self, version: Version, number: u64, step: u64) -> Row {
+        let hash = xxh3_64_with_seed(&number.to_le_bytes(), self.seed);
+        let key = number * step + hash % step;
+        let word = WORDS[(hash % 12) as usize];
+        let other = WORDS[(hash / 12 % 12) as usize];
+        let body = format!("licence {number:06} {word} {other} v{}", version.0);
+        Row { key, body: Arc::from(body) }
+    }
+}
--- /dev/null
+++ b/tests/edge/bed.rs
@@ -0,0 +1,212 @@
+//! What the cases share: a stand-in target, a client and their helpers.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
+
+use laburnum_core::{
+    border::Targets,
+    id::{self, Origin},
+    key,
+    name::Name,
+    target::{Command, Event, Outcome, Reply, Request, Version, Work},
+};
+use laburnumworks::{
+    standin::target::{
+        self, Settings,
+        fault::{Faults, Hit, Wrong},
+        settings::Raw,
+        table::{Counts, Executions, Load},
+    },
+    target::{Client, Limits},
+};
+use tokio::{
+    sync::mpsc::{UnboundedReceiver, unbounded_channel},
+    time::timeout,
+};
+use uuid::Uuid;
+
+/// The time after which a case gives up on an event.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// The time in which nothing must happen.
+pub const QUIET: Duration = Duration::from_millis(200);
+
+/// The time that requests and openings are given.
+pub const LIMIT: Duration = Duration::from_secs(5);
+
+/// A listener on a free port of the loopback interface.
+pub fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("loopback has a free port")
+}
+
+/// A stand-in target that runs on the runtime of the case.
+pub struct Target {
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    admin: SocketAddr,
+    http: reqwest::Client,
+}
+
+impl Target {
+    /// Starts a target with two slots, fast service and no connection cost,
+    /// but for what `change` sets.
+    pub fn start(change: impl FnOnce(&mut Raw)) -> Target {
+        let mut raw = Raw {
+            service: Duration::from_millis(1),
+            connection_cost: Duration::ZERO,
+            ..Raw::default()
+        };
+        change(&mut raw);
+        let settings = Settings::try_from(raw).expect("the settings are valid");
+        let (traffic, admin) = (listener(), listener());
+        let address = traffic.local_addr().expect("it is bound");
+        let admin_address = admin.local_addr().expect("it is bound");
+        tokio::spawn(target::serve(settings, traffic, admin));
+        let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+        Target { address, admin: admin_address, http }
+    }
+
+    /// Puts faults in force.
+    pub async fn put(&self, faults: &Faults) {
+        let url = format!("http://{}/v1/faults", self.admin);
+        let response = self.http.put(url).json(faults).send().await.expect("the admin answers");
+        assert!(response.status().is_success(), "{}", response.text().await.unwrap_or_default());
+    }
+
+    /// Makes every reply wrong.
+    pub async fn spoil(&self, wrong: Wrong) {
+        let hits = vec![Hit { wrong, mark: String::new(), times: None }];
+        self.put(&Faults { hits, ..Faults::default() }).await;
+    }
+
+    /// Reads the counts.
+    pub async fn counts(&self) -> Counts {
+        self.read("counts").await
+    }
+
+    /// Reads the operations that took effect.
+    pub async fn executions(&self) -> Executions {
+        self.read("executions").await
+    }
+
+    /// Reads the load as it is reported.
+    pub async fn load(&self) -> Load {
+        self.read("load").await
+    }
+
+    async fn read<T: serde::de::DeserializeOwned>(&self, what: &str) -> T {
+        let url = format!("http://{}/v1/{what}", self.admin);
+        let response = self.http.get(url).send().await.expect("the admin answers");
+        response.json().await.expect("the answer is JSON")
+    }
+}
+
+/// A client of targets with its events and ids.
+pub struct Caller {
+    client: Client,
+    events: UnboundedReceiver<Event>,
+    ids: id::Source,
+}
+
+impl Caller {
+    /// Makes a client with the usual limits.
+    pub fn new() -> Caller {
+        Caller::with(Limits::default())
+    }
+
+    /// Makes a client with other limits.
+    pub fn with(limits: Limits) -> Caller {
+        let (sender, events) = unbounded_channel();
+        let ids = id::Source::new(Origin(7));
+        Caller { client: Client::new(limits, sender), events, ids }
+    }
+
+    /// Orders a connection and does not wait for it.
+    pub fn dial(&mut self, address: SocketAddr, limit: Duration) -> id::Connection {
+        let connection = self.ids.connection();
+        self.client.command(Command::Open { connection, address, limit });
+        connection
+    }
+
+    /// Opens a connection.
+    pub async fn open(&mut self, target: &Target) -> id::Connection {
+        let connection = self.dial(target.address, LIMIT);
+        match self.event().await {
+            Event::Opened { connection: opened, .. } if opened == connection => connection,
+            event => panic!("not opened: {event:?}"),
+        }
+    }
+
+    /// Carries out an order.
+    pub fn command(&mut self, command: Command) {
+        self.client.command(command);
+    }
+
+    /// Sends work and does not wait for the reply.
+    pub fn send(&mut self, connection: id::Connection, work: Work) -> id::Attempt {
+        self.send_within(connection, work, LIMIT)
+    }
+
+    /// Sends work with a deadline.
+    pub fn send_within(
+        &mut self,
+        connection: id::Connection,
+        work: Work,
+        remaining: Duration,
+    ) -> id::Attempt {
+        let attempt = self.ids.attempt();
+        let request = Request { attempt, work, remaining };
+        self.client.command(Command::Send { connection, request });
+        attempt
+    }
+
+    /// Sends work and waits for its reply.
+    pub async fn run(&mut self, connection: id::Connection, work: Work) -> Reply {
+        let attempt = self.send(connection, work);
+        match self.event().await {
+            Event::Reply { attempt: answered, reply, .. } if answered == attempt => reply,
+            event => panic!("no reply: {event:?}"),
+        }
+    }
+
+    /// Sends work and waits for its result.
+    pub async fn outcome(&mut self, connection: id::Connection, work: Work) -> Outcome {
+        self.run(connection, work).await.outcome
+    }
+
+    /// Waits for the next event.
+    pub async fn event(&mut self) -> Event {
+        let event = timeout(PATIENCE, self.events.recv()).await.expect("an event comes in time");
+        event.expect("the client lives")
+    }
+
+    /// Asserts that no event comes for a while.
+    pub async fn quiet(&mut self) {
+        if let Ok(event) = timeout(QUIET, self.events.recv()).await {
+            panic!("unexpected {event:?}");
+        }
+    }
+}
+
+/// A search of the whole key space at version 1.
+pub fn search(text: &str) -> Work {
+    search_at(1, key::Range::ALL, text)
+}
+
+/// A search.
+pub fn search_at(version: u64, range: key::Range, text: &str) -> Work {
+    Work::Search { version: Version(version), range, text: Arc::from(text) }
+}
+
+/// A clearance for subject 5 with a detail and a fresh token.
+pub fn operation(detail: &str) -> Work {
+    Work::Operate {
+        subject: 5,
+        operation: Name::try_from("clearance").expect("it is a name"),
+        detail: Arc::from(detail),
+        token: Uuid::now_v7(),
+    }
+}
--- /dev/null
+++ b/tests/edge/fault.rs
@@ -0,0 +1,200 @@
+//! The faults of the stand-in target, as the client sees them.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use laburnum_core::{
+    digest, id, key,
+    target::{Command, Event, Outcome, Refusal, Version},
+};
+use laburnumworks::standin::target::{
+    fault::{Crash, Faults, Hit, Moment, Wrong},
+    settings::part,
+    table::Load,
+};
+
+use crate::bed::{Caller, LIMIT, Target, operation, search, search_at};
+
+async fn bed() -> (Target, Caller, id::Connection) {
+    let target = Target::start(|_| {});
+    let mut caller = Caller::new();
+    let connection = caller.open(&target).await;
+    (target, caller, connection)
+}
+
+async fn spoilt(wrong: Wrong) -> Outcome {
+    let (target, mut caller, connection) = bed().await;
+    target.spoil(wrong).await;
+    caller.outcome(connection, search_at(1, part(0, 2), "")).await
+}
+
+async fn cut() {
+    let outcome = spoilt(Wrong::Cut).await;
+    assert!(matches!(outcome, Outcome::Garbled { .. }), "{outcome:?}");
+}
+
+async fn crossed() {
+    let (target, mut caller, connection) = bed().await;
+    target.spoil(Wrong::Crossed).await;
+    let attempt = caller.send(connection, search(""));
+    match caller.event().await {
+        Event::Reply { attempt: own, reply, .. } => {
+            assert_eq!(own, attempt);
+            assert_ne!(reply.attempt, Some(attempt));
+        }
+        event => panic!("{event:?}"),
+    }
+}
+
+async fn doubled() {
+    let Outcome::Rows { rows, count, digest, .. } = spoilt(Wrong::Doubled).await else {
+        panic!("no rows");
+    };
+    assert!(rows.chunks(2).all(|pair| pair[0] == pair[1]));
+    assert_eq!((count, digest), (rows.len() as u64, digest::rows(&rows)));
+}
+
+async fn outside() {
+    let Outcome::Rows { rows, range, .. } = spoilt(Wrong::Outside).await else {
+        panic!("no rows");
+    };
+    assert_eq!(rows.iter().filter(|row| !range.contains(row.key)).count(), 1);
+}
+
+async fn version() {
+    let Outcome::Rows { version, .. } = spoilt(Wrong::Version).await else {
+        panic!("no rows");
+    };
+    assert_eq!(version, Version(2));
+}
+
+async fn wrong_digest() {
+    let Outcome::Rows { rows, digest, .. } = spoilt(Wrong::Digest).await else {
+        panic!("no rows");
+    };
+    assert_ne!(digest, digest::rows(&rows));
+}
+
+async fn hit_times() {
+    let (target, mut caller, connection) = bed().await;
+    let hits = vec![Hit { wrong: Wrong::Cut, mark: "radar".to_owned(), times: Some(1) }];
+    target.put(&Faults { hits, ..Faults::default() }).await;
+    let mut garbled = Vec::new();
+    for text in ["uhf", "radar", "radar"] {
+        let outcome = caller.outcome(connection, search(text)).await;
+        garbled.push(matches!(outcome, Outcome::Garbled { .. }));
+    }
+    assert_eq!(garbled, [false, true, false]);
+}
+
+async fn refused(faults: Faults, refusal: Refusal) {
+    let (target, mut caller, connection) = bed().await;
+    target.put(&faults).await;
+    let reply = caller.run(connection, search("")).await;
+    assert_eq!(reply.outcome, Outcome::Refused(refusal));
+    assert_eq!(reply.status.map(|status| status.draining), Some(faults.drain));
+    assert_eq!(target.counts().await.started, 0);
+}
+
+async fn drain() {
+    refused(Faults { drain: true, ..Faults::default() }, Refusal::Draining).await;
+}
+
+async fn shed() {
+    refused(Faults { shed: true, ..Faults::default() }, Refusal::Shed).await;
+}
+
+async fn version_gone() {
+    let holds = BTreeMap::from([(Version(2), key::Range::ALL)]);
+    refused(Faults { holds: Some(holds), ..Faults::default() }, Refusal::VersionGone).await;
+}
+
+async fn repartition() {
+    let holds = BTreeMap::from([(Version(1), part(0, 2))]);
+    refused(Faults { holds: Some(holds), ..Faults::default() }, Refusal::RangeMoved).await;
+}
+
+/// Crashes a target with one operation and returns how often it ran.
+async fn crash(moment: Moment) -> u64 {
+    let (target, mut caller, connection) = bed().await;
+    let down = Duration::from_millis(300);
+    let crash = Some(Crash { mark: "boom".to_owned(), moment, down });
+    target.put(&Faults { crash, ..Faults::default() }).await;
+    caller.send(connection, operation("boom"));
+    assert!(matches!(caller.event().await, Event::Closed { .. }));
+    caller.dial(target.address, LIMIT);
+    assert!(matches!(caller.event().await, Event::Closed { .. }), "it must be down");
+    tokio::time::sleep(down).await;
+    caller.dial(target.address, LIMIT);
+    match caller.event().await {
+        Event::Opened { status, .. } => assert_eq!(status.incarnation, 2),
+        event => panic!("{event:?}"),
+    }
+    target.executions().await.details.get("boom").copied().unwrap_or_default()
+}
+
+async fn silence() {
+    let (target, mut caller, old) = bed().await;
+    target.put(&Faults { silence: true, ..Faults::default() }).await;
+    caller.send(old, search(""));
+    caller.quiet().await;
+    let new = caller.open(&target).await;
+    assert!(matches!(caller.outcome(new, search("")).await, Outcome::Rows { .. }));
+    caller.command(Command::Ask { connection: old, limit: Duration::from_millis(100) });
+    assert!(matches!(caller.event().await, Event::Closed { connection, .. } if connection == old));
+    assert_eq!(target.counts().await.attempts, 1);
+}
+
+async fn slow() {
+    let (target, mut caller, connection) = bed().await;
+    target.put(&Faults { slow_factor: 300.0, ..Faults::default() }).await;
+    let started = std::time::Instant::now();
+    caller.run(connection, search("")).await;
+    assert!(started.elapsed() > Duration::from_millis(50), "{:?}", started.elapsed());
+}
+
+async fn stragglers() {
+    let (target, mut caller, connection) = bed().await;
+    let faults = Faults {
+        straggler_ppm: Some(1_000_000),
+        straggler_factor: Some(300.0),
+        ..Faults::default()
+    };
+    target.put(&faults).await;
+    let started = std::time::Instant::now();
+    caller.run(connection, search("")).await;
+    assert!(started.elapsed() > Duration::from_millis(50), "{:?}", started.elapsed());
+}
+
+async fn misleading_load() {
+    let (target, _, _) = bed().await;
+    let load = Load { running: 9, waiting: 9, slots: 2 };
+    target.put(&Faults { load: Some(load), ..Faults::default() }).await;
+    assert_eq!(target.load().await, load);
+}
+
+cases! {
+    a_cut_reply_is_garbled => cut();
+    a_crossed_reply_carries_another_id => crossed();
+    doubled_rows_agree_with_their_digest => doubled();
+    a_row_outside_of_the_range_is_sent => outside();
+    a_wrong_version_is_stated => version();
+    a_wrong_digest_is_stated => wrong_digest();
+    a_fault_hits_marked_requests_so_many_times => hit_times();
+    a_draining_target_refuses_and_says_so => drain();
+    a_target_that_sheds_starts_nothing => shed();
+    a_version_that_is_gone_is_refused => version_gone();
+    a_range_that_moved_is_refused => repartition();
+    a_crash_at_the_start_has_no_effect => async {
+        assert_eq!(crash(Moment::Start).await, 0);
+    };
+    a_crash_midway_has_no_effect => async {
+        assert_eq!(crash(Moment::Midway).await, 0);
+    };
+    a_crash_after_the_effect_has_run_once => async {
+        assert_eq!(crash(Moment::After).await, 1);
+    };
+    a_silent_connection_stays_silent_and_new_ones_work => silence();
+    a_slow_target_answers_late => slow();
+    stragglers_answer_late => stragglers();
+    a_target_may_report_a_false_load => misleading_load();
+}
