Read settings and profiles from TOML into checked types

A deserializer that collects errors was ruled out: it would need a second set of raw types and still lose the line of a missing key.

Checks across keys come after the reading and point at the line of the key at fault.

--- /dev/null
+++ b/src/settings/profiles.rs
@@ -0,0 +1,110 @@
+//! Profile documents: `[profile.NAME]` tables to checked profiles.
+
+use std::{collections::BTreeMap, path::Path, time::Duration};
+
+use laburnum_core::{
+    name::Name,
+    profile::{Document as Published, Profile, Raw, Revision},
+};
+use toml::{Spanned, de::DeValue};
+
+use super::{Source, document::Document, error::Errors, read, section::Section};
+
+/// The profiles of a file, which have no revision until they are published.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Profiles(pub BTreeMap<Name, Profile>);
+
+impl Profiles {
+    /// Reads and checks the profiles in `file`.
+    pub fn load(file: &Path) -> Result<Profiles, Errors> {
+        let text = read(file)?;
+        Profiles::try_from(Source { file, text: &text })
+    }
+
+    /// The document that the profiles make under `revision`.
+    pub fn document(self, revision: Revision) -> Published {
+        Published { revision, profiles: self.0 }
+    }
+}
+
+impl TryFrom<Source<'_>> for Profiles {
+    type Error = Errors;
+
+    fn try_from(source: Source<'_>) -> Result<Profiles, Errors> {
+        let file = source.file.display().to_string();
+        let mut document = Document::new(&file, source.text);
+        let mut profiles = BTreeMap::new();
+        for (name, line, table) in document.subsections("profile") {
+            profiles.extend(entry(&mut document, &name, line, table));
+        }
+        document.finish()?;
+        Ok(Profiles(profiles))
+    }
+}
+
+fn entry<'i>(
+    document: &mut Document<'i>,
+    text: &str,
+    line: usize,
+    table: Spanned<DeValue<'i>>,
+) -> Option<(Name, Profile)> {
+    let path = format!("profile.{text}");
+    let name = Name::try_from(text);
+    if let Err(why) = &name {
+        document.report(line, path.clone(), why.to_string());
+    }
+    let mut section = document.open(path, line, table);
+    let profile = profile(&mut section);
+    section.finish();
+    Some((name.ok()?, profile?))
+}
+
+fn profile(section: &mut Section<'_, '_>) -> Option<Profile> {
+    const MILLIS: &str = "a whole number of milliseconds";
+    const COUNT: &str = "a whole number";
+    let millis = |n: u64| Ok::<_, String>(Duration::from_millis(n));
+    let team = section.value("team", "a name");
+    let index = section.value("index", "a name");
+    let coverage_ppm = section.value("coverage_ppm", COUNT);
+    let deadline = section.checked("deadline_ms", MILLIS, millis);
+    let tail = section.checked("tail_ms", MILLIS, millis);
+    let extra_load_ppm = section.value("extra_load_ppm", COUNT);
+    let concurrency = section.value("concurrency", COUNT);
+    let priority = section.value("priority", COUNT);
+    let raw = Raw {
+        team: team?,
+        index: index?,
+        coverage_ppm: coverage_ppm?,
+        deadline: deadline?,
+        tail: tail?,
+        extra_load_ppm: extra_load_ppm?,
+        concurrency: concurrency?,
+        priority: priority?,
+    };
+    check(section, raw)
+}
+
+/// Checks `raw` and reports each key at fault. After a report the key takes a
+/// value that is allowed, so that the check goes on to the next one.
+fn check(section: &mut Section<'_, '_>, mut raw: Raw) -> Option<Profile> {
+    let mut is_sound = true;
+    loop {
+        let error = match Profile::try_from(raw.clone()) {
+            Ok(profile) => return is_sound.then_some(profile),
+            Err(error) => error,
+        };
+        section.report(error.key, error.detail);
+        is_sound = false;
+        match error.key {
+            "team" => raw.team = "any".to_owned(),
+            "index" => raw.index = "any".to_owned(),
+            "coverage_ppm" => raw.coverage_ppm = 1,
+            "deadline_ms" => raw.deadline = laburnum_core::profile::MAX_DEADLINE,
+            "tail_ms" => raw.tail = Duration::from_millis(1),
+            "extra_load_ppm" => raw.extra_load_ppm = 1,
+            "concurrency" => raw.concurrency = 1,
+            "priority" => raw.priority = 1,
+            _ => return None,
+        }
+    }
+}
--- /dev/null
+++ b/tests/product/main.rs
@@ -0,0 +1,7 @@
+//! Tests of what surrounds the decisions: settings, logs, metrics, the command
+//! line and the pages that list them.
+
+#[macro_use]
+mod case;
+mod deployment;
+mod settings;
