Add the command line with documented exit codes

Each command is one file with one checked struct and one run function. check and query work whole; the others check their arguments and say that they are not built yet, with exit code 1.

--- /dev/null
+++ b/src/cli/failure.rs
@@ -0,0 +1,73 @@
+//! Why a command did not do what it was asked.
+
+use std::fmt;
+
+use error_stack::Report;
+
+use super::exit::Exit;
+
+/// The result of a command.
+pub type Outcome = Result<(), Report<Failure>>;
+
+/// The failure of a command: its exit code, what went wrong and what to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// The exit code.
+    pub exit: Exit,
+    /// What went wrong; it names the input at fault.
+    pub detail: String,
+    /// What to do next, or nothing where the detail says it.
+    pub hint: String,
+}
+
+impl Failure {
+    /// Makes a report of a failure.
+    pub fn report(
+        exit: Exit,
+        detail: impl Into<String>,
+        hint: impl Into<String>,
+    ) -> Report<Failure> {
+        Report::new(Failure { exit, detail: detail.into(), hint: hint.into() })
+    }
+
+    /// The failure of a command whose part does not exist yet.
+    pub fn absent(command: &str) -> Report<Failure> {
+        Failure::report(
+            Exit::Failed,
+            format!("{command} is not built yet"),
+            "docs/OPERATING.md says which commands are",
+        )
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.detail)
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// Writes `report` for people to the standard error.
+pub fn print(report: &Report<Failure>) {
+    let failure = report.current_context();
+    eprintln!("error: {failure}");
+    for cause in report.frames().skip(1).filter_map(|frame| frame.downcast_ref::<Cause>()) {
+        eprintln!("  because: {}", cause.0);
+    }
+    if !failure.hint.is_empty() {
+        eprintln!("hint: {}", failure.hint);
+    }
+}
+
+/// The text of an error of a library below a failure.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cause(pub String);
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Cause {}
--- /dev/null
+++ b/src/cli/value.rs
@@ -0,0 +1,38 @@
+//! Checked values of flags.
+
+use std::{fs, path::Path};
+
+use error_stack::Report;
+use laburnum_core::name::Name;
+
+use super::{exit::Exit, failure::Failure};
+use crate::settings::{Settings, error::Errors, identity::Secret, profiles::Profiles};
+
+/// Reads a flag that is a name.
+pub fn name(text: &str) -> Result<Name, String> {
+    Name::try_from(text).map_err(|e| e.to_string())
+}
+
+/// Loads a settings file for a command.
+pub fn settings(file: &Path) -> Result<Settings, Report<Failure>> {
+    Settings::load(file).map_err(|errors| invalid(&errors))
+}
+
+/// Loads a profiles file for a command.
+pub fn profiles(file: &Path) -> Result<Profiles, Report<Failure>> {
+    Profiles::load(file).map_err(|errors| invalid(&errors))
+}
+
+/// Reads the token of an operator from a file.
+pub fn token(file: &Path) -> Result<Secret, Report<Failure>> {
+    let hint = "the file holds the token alone, on one line";
+    let failed = |detail: String| {
+        Failure::report(Exit::Usage, format!("--token-file {}: {detail}", file.display()), hint)
+    };
+    let text = fs::read_to_string(file).map_err(|e| failed(e.to_string()))?;
+    Secret::try_from(text.trim()).map_err(failed)
+}
+
+fn invalid(errors: &Errors) -> Report<Failure> {
+    Failure::report(Exit::Invalid, errors.to_string(), "correct the file and run `check` on it")
+}
--- a/tests/product/main.rs
+++ b/tests/product/main.rs
@@ -3,5 +3,6 @@
 
 #[macro_use]
 mod case;
+mod cli;
 mod deployment;
 mod settings;
