--- /dev/null
+++ b/tests/product/main.rs
@@ -0,0 +1,8 @@
+//! Tests of what surrounds the decisions: settings, logs, metrics, the command
+//! line and the pages that list them.
+
+#[macro_use]
+mod case;
+mod cli;
+mod deployment;
+mod settings;
