Add the engine of the control thread

Tables and systems for membership, the platform's list, drain marks, publication of profiles and quarantine, behind typed events and an outbox. Stored values go through a codec border, so that the decisions do not know their encoding. A report of a target that serves again is added, because only the target's own word in a newer incarnation takes a drain mark back.

Checked: builds and passes the linter. No test covers it yet.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,1 +1,24 @@
 //! The decisions of the control thread: membership and publication of profiles.
+//!
+//! [`Engine`] holds the tables. Each step takes the events that are ready, runs
+//! the systems once in the order of [`Engine::step`] and leaves what is to be
+//! sent in an [`Outbox`]. See `docs/design/membership.md` and
+//! `docs/design/publication.md`.
+
+pub mod codec;
+pub mod engine;
+pub mod event;
+pub mod limit;
+pub mod message;
+pub mod request;
+pub mod system;
+pub mod table;
+
+pub use self::{
+    codec::{Codec, Record},
+    engine::{Engine, Setup},
+    event::{Event, Outbox, Post, Recipient},
+    limit::Limits,
+    message::Message,
+    request::{Answer, Request, RequestId},
+};
--- /dev/null
+++ b/crates/core/src/control/system/expiry.rs
@@ -0,0 +1,69 @@
+//! Ends what lasts for a limited time.
+
+use super::{member, pause};
+use crate::{
+    control::{engine::Step, message::Health, table::Tables},
+    name::Name,
+};
+
+/// The most words of targets that are kept.
+const MAX_WORDS: usize = 4096;
+
+/// Ends what lasts for a limited time.
+pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
+    bury(tables, step);
+    forget(tables, step);
+    isolate(tables, step);
+    quarantine(tables, step);
+    words(tables, step);
+}
+
+fn bury(tables: &mut Tables, step: &mut Step<'_>) {
+    let due: Vec<Name> = tables
+        .vms
+        .rows
+        .iter()
+        .filter(|(_, row)| row.member.health == Health::Suspect)
+        .filter(|(_, row)| row.gone_at.is_some_and(|at| at <= step.now))
+        .map(|(name, _)| name.clone())
+        .collect();
+    due.iter().for_each(|vm| member::bury(tables, step, vm));
+}
+
+fn forget(tables: &mut Tables, step: &Step<'_>) {
+    let (now, limit) = (step.now, step.limits.forget);
+    let rows = &mut tables.vms.rows;
+    rows.retain(|_, row| row.present() || row.listed || now.since(row.since) < limit);
+    if tables.words.len() > rows.len() {
+        tables.words.retain(|name, _| rows.contains_key(name));
+    }
+}
+
+/// Stops being ready when neither a VM nor the service was heard for too long:
+/// a revision may be in force elsewhere that this VM cannot learn of.
+fn isolate(tables: &mut Tables, step: &Step<'_>) {
+    let alone = tables.vms.rows.is_empty();
+    let silent = step.now.since(tables.own.heard) >= step.limits.isolation;
+    if tables.own.learnt && silent && !alone {
+        pause::unlearn(tables, step.now);
+    }
+}
+
+fn quarantine(tables: &mut Tables, step: &Step<'_>) {
+    if tables.quarantine.next().is_none_or(|next| next > step.now) {
+        return;
+    }
+    tables.quarantine.suspects.retain(|_, row| row.until > step.now);
+    tables.quarantine.condemned.retain(|_, row| row.until > step.now);
+    tables.changed = true;
+}
+
+fn words(tables: &mut Tables, step: &Step<'_>) {
+    let targets = &mut tables.targets;
+    if targets.words.len() > MAX_WORDS {
+        let (now, limit, listed) = (step.now, step.limits.forget, &targets.listed);
+        targets
+            .words
+            .retain(|name, heard| listed.contains_key(name) || now.since(heard.at) < limit);
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/system/list.rs
@@ -0,0 +1,178 @@
+//! The platform's list of VMs and targets, and the words of the targets.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::Xxh3;
+
+use super::{member, reading, spread};
+use crate::{
+    control::{
+        engine::Step,
+        message::{Body, Digest},
+        table::{
+            Tables, age,
+            age::Age,
+            news::Key,
+            target::{Heard, Word},
+        },
+    },
+    log::{Event, Line},
+    name::Name,
+    store::Reply,
+    time::Instant,
+    view,
+};
+
+/// The difference in age from which a list of another VM counts as read later;
+/// it covers the time that the message took.
+const SLACK: Duration = Duration::from_millis(100);
+
+/// Takes the reply to a read that was made at `made`.
+pub fn read(tables: &mut Tables, step: &mut Step<'_>, made: Instant, reply: Reply) {
+    tables.list.call = None;
+    let Reply::Listed { vms, targets } = reply else {
+        tables.list.failures += 1;
+        let failures = tables.list.failures;
+        tables.list.next = step.now + reading::back_off(tables, step, failures);
+        return;
+    };
+    tables.list.failures = 0;
+    let pause = reading::pause(tables, step.limits.list, step.limits.stale);
+    tables.list.next = step.now + pause;
+    replace(tables, step, (vms, targets), Age::new(Duration::ZERO, made));
+}
+
+/// Takes the list of another VM if it was read later than the own one.
+pub fn adopt(
+    tables: &mut Tables,
+    step: &mut Step<'_>,
+    vms: Vec<view::Vm>,
+    targets: Vec<view::Target>,
+    digest: &Digest,
+) {
+    let Some(listed) = digest.listed else { return };
+    let own = tables.targets.read.map(|age| age.at(step.now));
+    if own.is_none_or(|own| listed < own) {
+        replace(tables, step, (vms, targets), Age::new(listed, step.now));
+    }
+}
+
+/// Sends the list.
+pub fn tell(tables: &mut Tables, step: &mut Step<'_>, to: &Name) {
+    let vms = tables.targets.vms.clone();
+    let targets = tables.targets.listed.values().cloned().collect();
+    spread::post(tables, step, to, Body::List { vms, targets });
+}
+
+/// Compares the list of another VM with the own one.
+pub fn compare(tables: &mut Tables, step: &mut Step<'_>, from: &Name, digest: &Digest) {
+    let Some(listed) = digest.listed else { return };
+    let own = tables.targets.read;
+    if own.is_some() && digest.list == tables.targets.digest {
+        let age = Age::new(listed, step.now);
+        tables.targets.read = age::younger(own, Some(age), step.now);
+        return;
+    }
+    let later = own.is_none_or(|own| listed + SLACK < own.at(step.now));
+    if later && step.now >= tables.targets.ask {
+        tables.targets.ask = step.now + step.limits.ack;
+        spread::post(tables, step, from, Body::AskList);
+    }
+}
+
+fn replace(
+    tables: &mut Tables,
+    step: &mut Step<'_>,
+    (vms, targets): (Vec<view::Vm>, Vec<view::Target>),
+    age: Age,
+) {
+    let first = tables.targets.read.replace(age).is_none();
+    let digest = digest(&vms, &targets);
+    if !first && digest == tables.targets.digest {
+        return;
+    }
+    for vm in &vms {
+        member::listed(tables, step, vm);
+    }
+    for row in tables.vms.rows.values_mut() {
+        row.listed = false;
+    }
+    for vm in &vms {
+        if let Some(row) = tables.vms.rows.get_mut(&vm.name) {
+            row.listed = true;
+        }
+    }
+    tables.targets.listed =
+        targets.into_iter().map(|target| (target.name.clone(), target)).collect();
+    tables.targets.vms = vms;
+    tables.targets.digest = digest;
+    mark(tables);
+    tables.news.fresh = true;
+    tables.changed = true;
+}
+
+/// Notes which targets are listed as leaving, with the incarnation in which
+/// they were first listed so.
+fn mark(tables: &mut Tables) {
+    let targets = &mut tables.targets;
+    let listed = &targets.listed;
+    let leaving =
+        |name: &Name| listed.get(name).is_some_and(|target| target.state == view::State::Leaving);
+    targets.leaving.retain(|name, _| leaving(name));
+    for name in listed.keys().filter(|name| leaving(name)) {
+        let incarnation = targets.words.get(name).map(|heard| heard.word.incarnation);
+        targets.leaving.entry(name.clone()).or_insert(incarnation);
+    }
+}
+
+/// Takes the word of a target, heard by this VM or by another one. A newer
+/// incarnation replaces what was said in an older one; within an incarnation a
+/// target that drains does not return.
+pub fn word(
+    tables: &mut Tables,
+    step: &mut Step<'_>,
+    target: &Name,
+    incarnation: u64,
+    draining: bool,
+) {
+    let word = Word { incarnation, draining };
+    let old = tables.targets.words.get(target).map(|heard| heard.word);
+    if old.is_some_and(|old| old >= word) {
+        return;
+    }
+    let left = tables.targets.is_leaving(target);
+    tables.targets.words.insert(target.clone(), Heard { word, at: step.now });
+    if let Some(listed) = tables.targets.leaving.get_mut(target) {
+        listed.get_or_insert(incarnation);
+    }
+    let leaves = tables.targets.is_leaving(target);
+    let overrides = old.is_some_and(|old| old.draining);
+    if left != leaves {
+        tables.changed = true;
+    }
+    if draining || overrides || left != leaves {
+        tables.news.add(Key::Word(target.clone()));
+    }
+    if leaves && !left {
+        let fields = vec![("target", target.to_string())];
+        step.out.lines.push(Line::new(Event::TargetDraining, fields));
+    }
+}
+
+/// The digest of a list, equal on all VMs that hold an equal list.
+fn digest(vms: &[view::Vm], targets: &[view::Target]) -> u64 {
+    let mut hash = Xxh3::new();
+    for vm in vms {
+        let text =
+            format!("{}|{}|{:?}|{}|{:?};", vm.name, vm.domain, vm.state, vm.control, vm.traffic);
+        hash.update(text.as_bytes());
+    }
+    for target in targets {
+        let part = format!("{}|{}|{}|{}", target.name, target.index, target.shard, target.domain);
+        let rest = format!("|{}|{}|{}", target.address, target.slots, target.connections);
+        hash.update(part.as_bytes());
+        hash.update(rest.as_bytes());
+        hash.update(&[target.state as u8]);
+    }
+    hash.digest()
+}
--- /dev/null
+++ b/crates/core/src/control/system/mod.rs
@@ -0,0 +1,21 @@
+//! The systems of the control thread, in the order in which a step runs them.
+
+pub mod pause;
+pub mod intake;
+pub mod member;
+pub mod report;
+pub mod request;
+pub mod call;
+pub mod probe;
+pub mod expiry;
+pub mod reading;
+pub mod list;
+pub mod profiles;
+pub mod publish;
+pub mod outcome;
+pub mod quarantine;
+pub mod compare;
+pub mod spread;
+pub mod view;
+pub mod status;
+pub mod wake;
--- /dev/null
+++ b/crates/core/src/control/system/publish.rs
@@ -0,0 +1,275 @@
+//! Requests of operators that need the platform's service, step by step.
+//!
+//! Each step is one call that may be repeated: reads change nothing, an entry
+//! of the history is only ever created, and the write of a document expects the
+//! version that was read and carries its own token.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{call, outcome, profiles};
+use crate::{
+    control::{
+        Answer, Record, Request, RequestId,
+        codec::{CURRENT, HISTORY, MAX_VALUE, history},
+        engine::Step,
+        request::{Token, difference},
+        table::{
+            Tables,
+            call::Purpose,
+            publication::{Publication, Stage},
+        },
+    },
+    fault::{Fault, Kind},
+    profile::{Document, Revision},
+    store::{Call, Entry, Reply},
+};
+
+/// What becomes of a request after a step.
+pub enum Next {
+    /// It goes on with this step.
+    Step(Stage),
+    /// The step is tried again after a pause.
+    Again,
+    /// It is answered.
+    Done(Answer),
+}
+
+/// Makes the calls that are due and answers requests whose time is up.
+pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
+    let ids: Vec<RequestId> = tables.publications.keys().copied().collect();
+    for id in ids {
+        let Some(mut row) = tables.publications.remove(&id) else { continue };
+        if row.until <= step.now {
+            let answer = outcome::late(tables, &row);
+            step.out.answers.push((id, answer));
+            continue;
+        }
+        if row.call.is_none() && row.next <= step.now {
+            let call = call(step, &row);
+            let purpose = Purpose::Request(id);
+            row.call = Some(call::make(tables, step, purpose, call, Duration::ZERO));
+        }
+        tables.publications.insert(id, row);
+    }
+}
+
+fn call(step: &Step<'_>, row: &Publication) -> Call {
+    let get = |key: String| Call::Get { key };
+    let swap = |key: String, expect, record: Option<&Record>| {
+        let value = record.map(|record| step.codec.encode(record)).unwrap_or_default();
+        Call::Swap { key, expect, value, lease: None }
+    };
+    match &row.stage {
+        Stage::Read => get(CURRENT.to_owned()),
+        Stage::Fetch => get(history(rollback(row).0)),
+        Stage::Trace => get(history(row.token.map_or(0, |token| token.revision.0))),
+        Stage::Scan => Call::Scan { prefix: HISTORY.to_owned() },
+        Stage::Keep => swap(history(revision(row).0), None, row.base.as_ref()),
+        Stage::Swap => swap(CURRENT.to_owned(), row.version, row.offer.as_ref()),
+        Stage::Fence => swap(CURRENT.to_owned(), row.version, Some(&fence(row))),
+    }
+}
+
+fn rollback(row: &Publication) -> Revision {
+    match row.request {
+        Request::Rollback { to, .. } => to,
+        _ => Revision::default(),
+    }
+}
+
+/// The revision in force at the service when it was read.
+pub fn revision(row: &Publication) -> Revision {
+    row.base.as_ref().map_or_else(Revision::default, |base| base.document.revision)
+}
+
+/// The record in force as it is, or an empty one if there is none.
+fn fence(row: &Publication) -> Record {
+    row.base.clone().unwrap_or_else(|| Record {
+        document: Document::default(),
+        token: uuid::Uuid::nil(),
+        who: String::new(),
+        at: Default::default(),
+        note: String::new(),
+    })
+}
+
+/// Takes the reply to the call of a step.
+pub fn reply(tables: &mut Tables, step: &mut Step<'_>, id: RequestId, reply: Reply) {
+    let Some(mut row) = tables.publications.remove(&id) else { return };
+    row.call = None;
+    match advance(tables, step, &mut row, reply) {
+        Next::Done(answer) => return step.out.answers.push((id, answer)),
+        Next::Again => row.next = step.now + step.limits.retry,
+        Next::Step(stage) => {
+            row.stage = stage;
+            row.next = step.now;
+        }
+    }
+    tables.publications.insert(id, row);
+}
+
+fn advance(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication, reply: Reply) -> Next {
+    if let Reply::Lost { .. } = reply {
+        row.lost |= row.stage == Stage::Swap;
+        return Next::Again;
+    }
+    if let Reply::Refused { .. } = reply {
+        return Next::Again;
+    }
+    match (row.stage.clone(), reply) {
+        (Stage::Read, Reply::Value { entry, .. }) => read(tables, step, row, entry),
+        (Stage::Fetch, Reply::Value { entry, .. }) => fetched(tables, step, row, entry),
+        (Stage::Scan, Reply::Entries { entries, .. }) => scanned(step, row, &entries),
+        (Stage::Trace, Reply::Value { entry, .. }) => outcome::traced(step, row, entry),
+        (Stage::Keep, Reply::Swapped { .. } | Reply::Conflict { .. }) => Next::Step(Stage::Swap),
+        (Stage::Swap, Reply::Swapped { .. }) => outcome::accepted(tables, step, row),
+        (Stage::Fence, Reply::Swapped { .. }) => {
+            Next::Done(Answer::NotPublished { current: revision(row) })
+        }
+        (Stage::Swap | Stage::Fence, Reply::Conflict { current }) => {
+            match load(step, row, current) {
+                Ok(()) => outcome::judge(tables, step, row),
+                Err(answer) => Next::Done(answer),
+            }
+        }
+        (_, reply) => Next::Done(internal(format!("unexpected reply {reply:?}"))),
+    }
+}
+
+/// Notes what the service holds under the key of the document in force.
+fn load(step: &Step<'_>, row: &mut Publication, entry: Option<Entry>) -> Result<(), Answer> {
+    row.version = entry.as_ref().map(|entry| entry.version);
+    row.base = entry
+        .map(|entry| profiles::decode(step, &entry))
+        .transpose()
+        .map_err(|e| internal(format!("{CURRENT} cannot be decoded: {e}")))?;
+    Ok(())
+}
+
+fn read(
+    tables: &mut Tables,
+    step: &mut Step<'_>,
+    row: &mut Publication,
+    entry: Option<Entry>,
+) -> Next {
+    if let Err(answer) = load(step, row, entry) {
+        return Next::Done(answer);
+    }
+    if let Some(base) = &row.base {
+        profiles::apply(tables, step, Arc::new(base.document.clone()));
+    }
+    match row.request.clone() {
+        Request::Publish { profiles, expect, who, dry_run } => {
+            let plan = Plan { profiles, expect, who, note: String::new(), dry_run };
+            offer(tables, step, row, plan)
+        }
+        Request::Rollback { to, .. } if to != revision(row) => Next::Step(Stage::Fetch),
+        Request::Rollback { .. } => match row.base.clone() {
+            Some(base) => roll_back(tables, step, row, base.document),
+            None => Next::Done(missing(Revision::default())),
+        },
+        Request::Settle { token } => {
+            row.token = Some(token);
+            row.lost = true;
+            outcome::judge(tables, step, row)
+        }
+        Request::Diff { profiles } => Next::Done(Answer::Changes {
+            revision: revision(row),
+            changes: changes(row, &profiles),
+        }),
+        Request::History => Next::Step(Stage::Scan),
+        _ => {
+            let document = Arc::clone(&tables.in_force.document);
+            Next::Done(Answer::Document { document, confirmed: true })
+        }
+    }
+}
+
+/// What leads from the document in force at the service to `profiles`.
+pub fn changes(
+    row: &Publication,
+    profiles: &std::collections::BTreeMap<crate::name::Name, crate::profile::Profile>,
+) -> Vec<crate::control::request::Difference> {
+    let empty = Default::default();
+    let before = row.base.as_ref().map_or(&empty, |base| &base.document.profiles);
+    difference(before, profiles)
+}
+
+struct Plan {
+    profiles: std::collections::BTreeMap<crate::name::Name, crate::profile::Profile>,
+    expect: Option<Revision>,
+    who: String,
+    note: String,
+    dry_run: bool,
+}
+
+fn fetched(
+    tables: &mut Tables,
+    step: &mut Step<'_>,
+    row: &mut Publication,
+    entry: Option<Entry>,
+) -> Next {
+    let Some(entry) = entry else { return Next::Done(missing(rollback(row))) };
+    match profiles::decode(step, &entry) {
+        Ok(record) => roll_back(tables, step, row, record.document),
+        Err(e) => Next::Done(internal(format!("{} cannot be decoded: {e}", entry.key))),
+    }
+}
+
+fn roll_back(
+    tables: &mut Tables,
+    step: &mut Step<'_>,
+    row: &mut Publication,
+    document: Document,
+) -> Next {
+    let Request::Rollback { to, expect, who } = row.request.clone() else {
+        return Next::Done(internal("no roll back was asked for".to_owned()));
+    };
+    let note = format!("roll back to revision {}", to.0);
+    let plan = Plan { profiles: document.profiles, expect, who, note, dry_run: false };
+    offer(tables, step, row, plan)
+}
+
+fn offer(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication, plan: Plan) -> Next {
+    let base = revision(row);
+    if plan.expect.is_some_and(|expect| expect != base) {
+        return Next::Done(outcome::conflict(row, &plan.profiles));
+    }
+    // The service may have lost a revision that is in force here; the next one
+    // must be higher all the same.
+    let highest = base.max(tables.in_force.document.revision);
+    let next = Revision(highest.0 + 1);
+    if plan.dry_run {
+        let changes = changes(row, &plan.profiles);
+        return Next::Done(Answer::Planned { revision: next, changes });
+    }
+    let id = uuid::Builder::from_random_bytes(rand::RngExt::random(&mut tables.rng)).into_uuid();
+    let document = Document { revision: next, profiles: plan.profiles };
+    let record = Record { document, token: id, who: plan.who, at: step.wall, note: plan.note };
+    let size = step.codec.encode(&record).len();
+    if size > MAX_VALUE {
+        let detail = format!("the profiles take {size} bytes, allowed are {MAX_VALUE}");
+        return Next::Done(Answer::Failed(Fault::not_run(Kind::TooLarge, detail)));
+    }
+    row.token = Some(Token { base, revision: next, id });
+    row.offer = Some(record);
+    Next::Step(if row.base.is_some() { Stage::Keep } else { Stage::Swap })
+}
+
+fn scanned(step: &Step<'_>, row: &Publication, entries: &[Entry]) -> Next {
+    let kept = entries.iter().filter_map(|entry| profiles::decode(step, entry).ok());
+    let mut records: Vec<Record> = kept.collect();
+    records.extend(row.base.clone());
+    records.sort_by_key(|record| record.document.revision);
+    records.dedup_by_key(|record| record.document.revision);
+    Next::Done(Answer::History(outcome::audits(&records)))
+}
+
+fn missing(revision: Revision) -> Answer {
+    let detail = format!("revision {} is not kept", revision.0);
+    Answer::Failed(Fault::not_run(Kind::NotFound, detail))
+}
+
+fn internal(detail: String) -> Answer {
+    Answer::Failed(Fault::not_run(Kind::Internal, detail))
+}
--- /dev/null
+++ b/crates/core/src/control/system/quarantine.rs
@@ -0,0 +1,78 @@
+//! Fingerprints of requests that crashed targets.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use crate::{
+    control::{
+        engine::Step,
+        table::{
+            Tables,
+            news::Key,
+            quarantine::{Condemned, Suspicion},
+        },
+    },
+    digest::Fingerprint,
+    id::Origin,
+    log::{Event, Line},
+    name::Name,
+};
+
+/// The number of lost targets that condemns a fingerprint.
+const LOST_TARGETS: usize = 2;
+
+/// Notes that a target was lost with a fingerprint. The second target condemns
+/// it, through whichever VMs the two were reached.
+pub fn suspect(
+    tables: &mut Tables,
+    step: &mut Step<'_>,
+    (fingerprint, target, origin): (Fingerprint, Name, Origin),
+    remaining: Duration,
+) {
+    if tables.quarantine.condemned.contains_key(&fingerprint) {
+        return;
+    }
+    let until = step.now + remaining.min(step.limits.suspect_fingerprint);
+    let rows = &mut tables.quarantine.suspects;
+    let row = rows.entry(fingerprint).or_insert_with(|| Suspicion {
+        targets: BTreeSet::new(),
+        origin,
+        until,
+    });
+    if !row.targets.insert(target) {
+        return;
+    }
+    if row.targets.len() >= LOST_TARGETS {
+        return condemn(tables, step, fingerprint, origin, step.limits.condemned_fingerprint);
+    }
+    if rows.len() > step.limits.fingerprints {
+        let oldest = rows.iter().min_by_key(|(_, row)| row.until).map(|(&key, _)| key);
+        oldest.and_then(|key| rows.remove(&key));
+    }
+    tables.news.add(Key::Suspect(fingerprint));
+}
+
+/// Holds a fingerprint back from now on.
+pub fn condemn(
+    tables: &mut Tables,
+    step: &mut Step<'_>,
+    fingerprint: Fingerprint,
+    origin: Origin,
+    remaining: Duration,
+) {
+    let rows = &mut tables.quarantine.condemned;
+    if rows.contains_key(&fingerprint) {
+        return;
+    }
+    let until = step.now + remaining.min(step.limits.condemned_fingerprint);
+    rows.insert(fingerprint, Condemned { origin, until });
+    if rows.len() > step.limits.fingerprints {
+        let oldest = rows.iter().min_by_key(|(_, row)| row.until).map(|(&key, _)| key);
+        oldest.and_then(|key| rows.remove(&key));
+    }
+    tables.quarantine.suspects.remove(&fingerprint);
+    tables.news.sent.remove(&Key::Suspect(fingerprint));
+    tables.news.add(Key::Condemned(fingerprint));
+    tables.changed = true;
+    let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
+    step.out.lines.push(Line::new(Event::RequestCondemned, fields));
+}
--- /dev/null
+++ b/crates/core/src/control/system/report.rs
@@ -0,0 +1,38 @@
+//! Takes the reports of the traffic threads.
+
+use super::{list, quarantine};
+use crate::{
+    claim::Verdict,
+    control::{Recipient, engine::Step, table::Tables},
+    notice::{Notice, Report},
+};
+
+/// Takes the report of a traffic thread.
+pub fn take(tables: &mut Tables, step: &mut Step<'_>, thread: u16, report: Report) {
+    match report {
+        Report::Claim { operation, .. } => {
+            let verdict = Verdict::Unsettled { detail: "claims are not served".to_owned() };
+            let notice = Notice::Claimed { operation, verdict };
+            step.out.notices.push((Recipient::Thread(thread), notice));
+        }
+        Report::Outcome { .. } => {}
+        Report::Suspect { fingerprint, query, target } => {
+            let remaining = step.limits.suspect_fingerprint;
+            quarantine::suspect(tables, step, (fingerprint, target, query.origin), remaining);
+        }
+        Report::Condemned { fingerprint, origin } => {
+            let remaining = step.limits.condemned_fingerprint;
+            quarantine::condemn(tables, step, fingerprint, origin, remaining);
+        }
+        Report::Draining { target, incarnation } => {
+            list::word(tables, step, &target, incarnation, true);
+        }
+        Report::Serving { target, incarnation } => {
+            list::word(tables, step, &target, incarnation, false);
+        }
+        Report::Unreachable { vm } => tables.vms.urgent.push(vm),
+        Report::InFlight { count } => {
+            tables.own.in_flight.insert(thread, count);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/system/view.rs
@@ -0,0 +1,45 @@
+//! Makes the view for the traffic threads when something changed.
+
+use std::sync::Arc;
+
+use crate::{
+    control::{Recipient, engine::Step, table::Tables},
+    log::{Event, Line},
+    notice::Notice,
+    view::View,
+};
+
+/// Publishes a new view when something changed that the traffic threads use.
+pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
+    if !std::mem::take(&mut tables.changed) {
+        return;
+    }
+    let ready = is_ready(tables);
+    if ready && !tables.own.ready {
+        step.out.lines.push(Line::new(Event::Ready, Vec::new()));
+    }
+    tables.own.ready = ready;
+    let notice = Notice::View(Arc::new(make(tables)));
+    step.out.notices.push((Recipient::All, notice));
+}
+
+fn is_ready(tables: &Tables) -> bool {
+    tables.own.learnt && tables.targets.read.is_some() && !tables.own.leaving()
+}
+
+fn make(tables: &Tables) -> View {
+    let own = &tables.own.vm;
+    let others = tables.vms.rows.iter();
+    let shown = others.filter_map(|(name, row)| Some((name.clone(), row.shown()?)));
+    let condemned = tables.quarantine.condemned.iter();
+    View {
+        vm: own.name.clone(),
+        domain: own.domain.clone(),
+        vms: shown.chain([(own.name.clone(), own.clone())]).collect(),
+        targets: tables.targets.shown(),
+        document: Arc::clone(&tables.in_force.document),
+        quarantine: condemned.map(|(&key, row)| (key, row.origin)).collect(),
+        ready: tables.own.ready,
+        leaving: tables.own.leaving(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/system/wake.rs
@@ -0,0 +1,34 @@
+//! The earliest time at which a system has something to do.
+
+use super::reading;
+use crate::{
+    control::{Limits, table::Tables},
+    time::Instant,
+};
+
+/// The earliest time at which a system has something to do without an event.
+pub fn next(tables: &Tables, limits: &Limits) -> Option<Instant> {
+    let vms = &tables.vms;
+    let gone = vms.rows.values().any(|row| !row.present());
+    let suspects = vms.rows.values().filter_map(|row| row.gone_at).min();
+    let isolation = tables.own.learnt && !vms.rows.is_empty();
+    let publications = tables.publications.values().map(|row| match row.call {
+        Some(_) => row.until,
+        None => row.until.min(row.next),
+    });
+    let times = [
+        Some(vms.next),
+        Some(vms.compare),
+        gone.then_some(vms.revive),
+        suspects,
+        vms.probes.values().map(|probe| probe.until).min(),
+        isolation.then(|| tables.own.heard + limits.isolation),
+        tables.news.fresh.then_some(tables.news.next),
+        tables.calls.rows.values().map(|row| row.until).min(),
+        reading::profiles_due(tables, limits.stale),
+        reading::list_due(tables, limits.stale),
+        publications.min(),
+        tables.quarantine.next(),
+    ];
+    times.into_iter().flatten().min()
+}
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -26,6 +26,9 @@
     Condemned { fingerprint: Fingerprint, origin: Origin },
     /// A target said itself that it is leaving, in this incarnation.
     Draining { target: Name, incarnation: u64 },
+    /// A target said itself that it takes work, in this incarnation. The report
+    /// is made once for each incarnation that the thread learns of.
+    Serving { target: Name, incarnation: u64 },
     /// A VM did not take messages or did not answer in time.
     Unreachable { vm: Name },
     /// The number of requests and legs that the thread still has in flight,
