--- a/crates/core/src/control/engine.rs
+++ b/crates/core/src/control/engine.rs
@@ -101,6 +101,11 @@
         in_flight.len() >= threads && in_flight.values().all(|&count| count == 0)
     }
 
+    /// Whether this VM is shutting down.
+    pub fn leaving(&self) -> bool {
+        self.tables.own.leaving()
+    }
+
     /// The tables, to be read.
     pub fn tables(&self) -> &Tables {
         &self.tables
--- /dev/null
+++ b/src/control/thread.rs
@@ -0,0 +1,166 @@
+//! The loop of the control thread.
+
+use std::{collections::BTreeMap, io, thread, time::Duration};
+
+use laburnum_core::{
+    border::Clock,
+    control::{Answer, Engine, Event, Outbox, Recipient, RequestId, Setup},
+    notice::Notice,
+};
+use tokio::{
+    runtime::{Builder, Runtime},
+    sync::{mpsc::UnboundedSender, oneshot, watch},
+    time::sleep,
+};
+
+use super::{Ask, Borders, Inbox};
+
+/// The longest sleep when the engine has nothing to do.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// The most events that one step takes.
+const MAX_BATCH: usize = 1024;
+
+/// What the control thread is made from.
+pub struct Parts {
+    /// What the engine is made from.
+    pub setup: Setup,
+    /// The ways into the thread.
+    pub inbox: Inbox,
+    /// The traffic threads, by number.
+    pub threads: Vec<UnboundedSender<Notice>>,
+    /// The clocks.
+    pub clock: Box<dyn Clock + Send>,
+    /// Makes the borders on the thread.
+    pub borders: Box<dyn FnOnce() -> Borders + Send>,
+    /// Becomes true when the VM is leaving and has nothing in flight.
+    pub idle: watch::Sender<bool>,
+}
+
+/// Starts the control thread. It ends when every [`super::Handle`] is dropped.
+pub fn spawn(parts: Parts) -> io::Result<thread::JoinHandle<()>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    thread::Builder::new().name("control".to_owned()).spawn(move || run(&runtime, parts))
+}
+
+fn run(runtime: &Runtime, parts: Parts) {
+    runtime.block_on(async move {
+        let mut control = Control {
+            borders: (parts.borders)(),
+            engine: Engine::new(parts.setup),
+            clock: parts.clock,
+            threads: parts.threads,
+            idle: parts.idle,
+            pending: BTreeMap::new(),
+            last: 0,
+        };
+        let mut inbox = parts.inbox;
+        let mut events = Vec::new();
+        loop {
+            control.step(std::mem::take(&mut events));
+            if !control.wait(&mut inbox, &mut events).await {
+                return;
+            }
+        }
+    });
+}
+
+struct Control {
+    borders: Borders,
+    engine: Engine,
+    clock: Box<dyn Clock + Send>,
+    threads: Vec<UnboundedSender<Notice>>,
+    idle: watch::Sender<bool>,
+    pending: BTreeMap<RequestId, oneshot::Sender<Answer>>,
+    last: u64,
+}
+
+impl Control {
+    /// Waits for the first event or the earliest time at which the engine has
+    /// something to do, then takes all events that are ready. It returns false
+    /// when no more events can come.
+    async fn wait(&mut self, inbox: &mut Inbox, events: &mut Vec<Event>) -> bool {
+        let now = self.clock.now();
+        let pause = self.engine.wake().map_or(IDLE, |wake| wake.remaining(now).min(IDLE));
+        tokio::select! {
+            event = inbox.events.recv() => match event {
+                Some(event) => events.push(event),
+                None => return false,
+            },
+            Some(ask) = inbox.asks.recv() => events.push(self.open(ask)),
+            Some((call, reply)) = inbox.replies.recv() => {
+                events.push(Event::Reply { call, reply });
+            }
+            () = sleep(pause) => {}
+        }
+        self.drain(inbox, events);
+        true
+    }
+
+    fn drain(&mut self, inbox: &mut Inbox, events: &mut Vec<Event>) {
+        while events.len() < MAX_BATCH {
+            if let Ok((call, reply)) = inbox.replies.try_recv() {
+                events.push(Event::Reply { call, reply });
+            } else if let Ok(event) = inbox.events.try_recv() {
+                events.push(event);
+            } else if let Ok(ask) = inbox.asks.try_recv() {
+                events.push(self.open(ask));
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn open(&mut self, ask: Ask) -> Event {
+        self.last += 1;
+        let id = RequestId(self.last);
+        self.pending.insert(id, ask.answer);
+        Event::Request { id, request: ask.request }
+    }
+
+    fn step(&mut self, events: Vec<Event>) {
+        let mut out = Outbox::default();
+        self.engine.step(self.clock.now(), self.clock.wall(), events, &mut out);
+        self.flush(out);
+        if self.engine.leaving() && self.engine.idle(self.threads.len()) {
+            self.idle.send_replace(true);
+        }
+    }
+
+    fn flush(&mut self, out: Outbox) {
+        for line in &out.lines {
+            self.borders.journal.write(line);
+        }
+        for (recipient, notice) in out.notices {
+            self.notify(recipient, notice);
+        }
+        for (id, call) in out.calls {
+            self.borders.platform.call(id, call);
+        }
+        for post in out.posts {
+            self.borders.messenger.send(&post.vm, post.address, post.message);
+        }
+        for (id, answer) in out.answers {
+            if let Some(sender) = self.pending.remove(&id) {
+                // Whoever asked may have gone away.
+                let _ = sender.send(answer);
+            }
+        }
+    }
+
+    /// Tells traffic threads something; one that has ended needs to know nothing.
+    fn notify(&self, recipient: Recipient, notice: Notice) {
+        match recipient {
+            Recipient::All => {
+                for thread in &self.threads {
+                    let _ = thread.send(notice.clone());
+                }
+            }
+            Recipient::Thread(number) => {
+                if let Some(thread) = self.threads.get(usize::from(number)) {
+                    let _ = thread.send(notice);
+                }
+            }
+        }
+    }
+}
