--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -11,6 +11,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key(pub Uuid);
 
+impl Key {
+    /// The time of issue in milliseconds since the Unix epoch, or none if this
+    /// is no UUIDv7.
+    pub fn issued(&self) -> Option<u64> {
+        let bits = self.0.as_u128();
+        (self.0.get_version_num() == 7).then_some((bits >> 80) as u64)
+    }
+}
+
 /// The right that a VM asks for before it sends anything.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
