--- /dev/null
+++ b/crates/core/tests/claims/case.rs
@@ -0,0 +1,16 @@
+//! The macro that names each case.
+
+/// Makes a test of each named case: `cases! { name => expression; }`. The
+/// expression is the body of the test and asserts what must hold.
+#[macro_export]
+macro_rules! cases {
+    ($($(#[$meta:meta])* $name:ident => $body:expr;)*) => {
+        $(
+            $(#[$meta])*
+            #[test]
+            fn $name() {
+                $body
+            }
+        )*
+    };
+}
--- /dev/null
+++ b/crates/core/tests/claims/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the claims engine: several engines with stand-ins at the borders.
+
+#[macro_use]
+mod case;
+mod fault;
+mod oracle;
+mod rate;
+mod rule;
+mod store;
+mod world;
--- /dev/null
+++ b/crates/core/tests/claims/rule.rs
@@ -0,0 +1,223 @@
+//! Single rules of the claims engine.
+
+use std::time::Duration;
+
+use laburnum_core::{
+    claim::{Key, Outcome, Verdict},
+    claims::{
+        Count, Limits,
+        layout::{Bucket, FLOOR, Layout},
+        value::{Entry, Floor, Value},
+    },
+    digest::Fingerprint,
+    id::Query,
+};
+use uuid::Uuid;
+
+use crate::{
+    store::{Fate, Mode},
+    world::{EPOCH, Plan, World},
+};
+
+const LONG: Duration = Duration::from_millis(500);
+const SHORT: Duration = Duration::from_millis(100);
+
+fn world() -> World {
+    let limits = Limits {
+        window: Duration::from_secs(5),
+        sweep: Duration::from_secs(1),
+        ..Limits::default()
+    };
+    World::new(3, limits, 11)
+}
+
+fn plan() -> Plan {
+    Plan::Run { before: 100, run: 1_000 }
+}
+
+/// Runs one operation to its verdict.
+fn ask(world: &mut World, vm: usize, key: Key, plan: Plan) -> Verdict {
+    let operation = world.operate(vm, key, LONG, plan);
+    world.run(LONG + SHORT);
+    verdict(world, operation)
+}
+
+fn verdict(world: &World, operation: Query) -> Verdict {
+    world.operations[&operation].verdict.clone().expect("the operation has a verdict")
+}
+
+fn sample() -> Value {
+    let mut value = Value::default();
+    let outcomes = [None, Some(Outcome::NotRun), Some(Outcome::Done { result: "é".into() })];
+    for (at, outcome) in outcomes.into_iter().enumerate() {
+        let token = Uuid::from_u128(at as u128 + 9);
+        let entry = Entry { token, fingerprint: Fingerprint(at as u64), outcome };
+        value.insert(Key(Uuid::from_u128(at as u128)), entry);
+    }
+    value
+}
+
+cases! {
+    a_stored_value_reads_back => {
+        let bytes = sample().encode();
+        assert_eq!(bytes.len(), sample().size());
+        assert_eq!(Value::try_from(bytes.as_slice()), Ok(sample()));
+    };
+    a_cut_value_is_refused_unless_a_whole_claim_is_missing => {
+        let bytes = sample().encode();
+        let whole = [1, 1 + 41, 1 + 82];
+        for len in 0..bytes.len() {
+            let read = Value::try_from(&bytes[..len]);
+            assert_eq!(read.is_ok(), whole.contains(&len), "{len} bytes");
+        }
+    };
+    a_bucket_key_reads_back => {
+        let bucket = Bucket { slot: 1_800_000_000, part: 7 };
+        assert_eq!(Bucket::parse(&bucket.text()), Some(bucket));
+        assert_eq!(Bucket::parse(FLOOR), None);
+    };
+    a_key_without_a_time_of_issue_has_no_bucket => {
+        assert_eq!(Layout::V1.bucket(&Key(Uuid::nil())), None);
+        let mut world = world();
+        assert_eq!(ask(&mut world, 0, Key(Uuid::nil()), plan()), Verdict::Expired);
+    };
+    a_resend_gets_the_recorded_result => {
+        let mut world = world();
+        let key = world.key();
+        assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Granted);
+        assert!(matches!(ask(&mut world, 1, key, plan()), Verdict::Recorded { .. }));
+        assert!(matches!(ask(&mut world, 2, key, plan()), Verdict::Recorded { .. }));
+    };
+    a_resend_of_a_silent_run_is_unknown => {
+        let mut world = world();
+        let key = world.key();
+        assert_eq!(ask(&mut world, 0, key, Plan::Silent { before: 100 }), Verdict::Granted);
+        assert_eq!(ask(&mut world, 1, key, plan()), Verdict::Unknown);
+    };
+    two_at_once_get_one_grant => {
+        let mut world = world();
+        let key = world.key();
+        let one = world.operate(0, key, LONG, Plan::Silent { before: 100 });
+        let two = world.operate(1, key, LONG, Plan::Silent { before: 100 });
+        world.run(LONG);
+        let mut verdicts = [verdict(&world, one), verdict(&world, two)];
+        verdicts.sort_by_key(|verdict| *verdict != Verdict::Granted);
+        assert_eq!(verdicts, [Verdict::Granted, Verdict::Unknown]);
+    };
+    a_withdrawn_operation_may_be_claimed_again => {
+        let mut world = world();
+        let key = world.key();
+        assert_eq!(ask(&mut world, 0, key, Plan::Withdraw), Verdict::Granted);
+        assert_eq!(ask(&mut world, 1, key, plan()), Verdict::Granted);
+        assert!(matches!(ask(&mut world, 2, key, plan()), Verdict::Recorded { .. }));
+    };
+    a_claim_that_was_given_up_is_released => {
+        let mut world = world();
+        let key = world.key();
+        world.store.mode = Mode::LosingAnswers;
+        let given_up = world.operate(0, key, SHORT, plan());
+        world.run(SHORT * 2);
+        assert!(matches!(verdict(&world, given_up), Verdict::Unsettled { .. }));
+        world.heal();
+        world.run(Duration::from_secs(2));
+        assert_eq!(ask(&mut world, 1, key, plan()), Verdict::Granted);
+    };
+    a_lost_answer_is_settled_by_reading_back => {
+        let mut world = world();
+        world.run(SHORT);
+        world.store.next_writes.push_back(Fate::AnswerLost);
+        let key = world.key();
+        assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Granted);
+        assert_eq!(world.counts[&Count::Lost], 1);
+    };
+    nothing_is_granted_while_the_store_is_silent => {
+        let mut world = world();
+        world.store.mode = Mode::Silent;
+        let key = world.key();
+        assert!(matches!(ask(&mut world, 0, key, plan()), Verdict::Unsettled { .. }));
+        assert!(!world.oracle.ran(key));
+    };
+    a_key_from_the_future_is_refused => {
+        let mut world = world();
+        let millis = world.wall() + 60_000;
+        let key = world.key_at(millis);
+        assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Expired);
+    };
+    a_key_below_the_floor_is_refused_by_a_vm_that_never_read_it => {
+        let mut world = world();
+        let key = world.key_at(EPOCH);
+        let slot = EPOCH / 1000 + 100;
+        let floor = Floor { slot, swept: slot }.encode();
+        let version = laburnum_core::store::Version(1);
+        world.store.values.insert(FLOOR.to_owned(), (version, floor));
+        assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Expired);
+        assert!(!world.oracle.ran(key));
+        world.run(LONG);
+        assert_eq!(world.store.values.len(), 1, "the bucket below the floor is removed again");
+    };
+    slots_below_the_floor_are_removed => {
+        let mut world = world();
+        for _ in 0..20 {
+            let key = world.key();
+            ask(&mut world, 0, key, plan());
+        }
+        world.run(Duration::from_secs(30));
+        let left: Vec<&String> = world.store.values.keys().collect();
+        assert_eq!(left, [FLOOR]);
+    };
+    a_full_bucket_refuses => {
+        let limits = Limits { value: 100, ..Limits::default() };
+        let mut world = World::new(1, limits, 3);
+        let layout = Layout::V1;
+        let mut first = world.key();
+        let mut second = world.key();
+        while layout.bucket(&first) != layout.bucket(&second) {
+            first = world.key();
+            second = world.key();
+        }
+        assert_eq!(ask(&mut world, 0, first, Plan::Silent { before: 1 }), Verdict::Granted);
+        assert_eq!(ask(&mut world, 0, second, plan()), Verdict::Full);
+    };
+    another_request_under_the_same_key_is_told_apart => {
+        let mut world = world();
+        let key = world.key();
+        assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Granted);
+        let bucket = Layout::V1.bucket(&key).unwrap().text();
+        let (_, stored) = world.store.values.get_mut(&bucket).unwrap();
+        let mut value = Value::try_from(stored.as_slice()).unwrap();
+        let mut entry = value.get(&key).unwrap().clone();
+        entry.fingerprint = Fingerprint(8);
+        value.insert(key, entry);
+        *stored = value.encode();
+        (0..3).for_each(|vm| world.replace(vm));
+        assert_eq!(ask(&mut world, 1, key, plan()), Verdict::Reused);
+    };
+    unreadable_claims_grant_nothing => {
+        let mut world = world();
+        let key = world.key();
+        let bucket = Layout::V1.bucket(&key).unwrap().text();
+        let version = laburnum_core::store::Version(1);
+        world.store.values.insert(bucket, (version, vec![250]));
+        assert!(matches!(ask(&mut world, 0, key, plan()), Verdict::Unsettled { .. }));
+        assert!(!world.oracle.ran(key));
+    };
+    an_idle_engine_seldom_wakes => {
+        let mut world = world();
+        world.run(Duration::from_secs(2));
+        let before: u64 = world.machines.iter().map(|machine| machine.steps).sum();
+        world.run(Duration::from_secs(10));
+        let after: u64 = world.machines.iter().map(|machine| machine.steps).sum();
+        assert!(after - before < 300, "{} steps", after - before);
+    };
+    tables_stay_bounded_while_the_store_is_silent => {
+        let limits = Limits { operations: 100, reports: 100, queue: 100, ..Limits::default() };
+        let mut world = World::new(2, limits, 3);
+        world.store.mode = Mode::Silent;
+        for at in 0..5000 {
+            let key = world.key();
+            world.operate(at % 2, key, LONG, plan());
+            world.run(Duration::from_micros(200));
+            assert!(world.machines[at % 2].engine.rows() <= 2 * 100 + 2 * 100 + 64 + 100);
+        }
+    };
+}
--- /dev/null
+++ b/crates/core/tests/claims/store.rs
@@ -0,0 +1,131 @@
+//! A small stand-in for the platform's key-value service.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use laburnum_core::store::{Call, Entry, Reply, Version};
+
+/// What becomes of one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It takes effect and is answered.
+    Normal,
+    /// It is refused without effect.
+    Refused,
+    /// It has no effect and the answer is lost.
+    Dropped,
+    /// It takes effect and the answer is lost.
+    AnswerLost,
+    /// The answer is lost and the effect comes this many microseconds later.
+    EffectLater(u64),
+}
+
+/// The state of the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    Up,
+    Refusing,
+    Silent,
+    LosingAnswers,
+    /// Every call takes this many microseconds longer.
+    Slow(u64),
+}
+
+/// Counts of the calls that arrived.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Calls {
+    pub reads: u64,
+    pub writes: u64,
+    pub bytes: u64,
+}
+
+/// The service. A removed key starts over at version one, which is the worst
+/// that the interface allows.
+pub struct Store {
+    pub values: BTreeMap<String, (Version, Vec<u8>)>,
+    pub mode: Mode,
+    /// Fates of the next writes, ahead of the mode.
+    pub next_writes: VecDeque<Fate>,
+    /// Fates of the next reads, ahead of the mode.
+    pub next_reads: VecDeque<Fate>,
+    pub calls: Calls,
+}
+
+impl Store {
+    pub fn new() -> Store {
+        Store {
+            values: BTreeMap::new(),
+            mode: Mode::Up,
+            next_writes: VecDeque::new(),
+            next_reads: VecDeque::new(),
+            calls: Calls::default(),
+        }
+    }
+
+    /// Decides what becomes of a call that is made now.
+    pub fn fate(&mut self, call: &Call) -> Fate {
+        let next = if is_write(call) { &mut self.next_writes } else { &mut self.next_reads };
+        if let Some(fate) = next.pop_front() {
+            return fate;
+        }
+        match self.mode {
+            Mode::Up | Mode::Slow(_) => Fate::Normal,
+            Mode::Refusing => Fate::Refused,
+            Mode::Silent => Fate::Dropped,
+            Mode::LosingAnswers => Fate::AnswerLost,
+        }
+    }
+
+    pub fn count(&mut self, call: &Call) {
+        match call {
+            Call::Swap { value, .. } => {
+                self.calls.writes += 1;
+                self.calls.bytes += value.len() as u64;
+            }
+            Call::Remove { .. } => self.calls.writes += 1,
+            _ => self.calls.reads += 1,
+        }
+    }
+
+    /// Carries a call out.
+    pub fn apply(&mut self, call: Call) -> Reply {
+        match call {
+            Call::Get { key } => Reply::Value { entry: self.entry(&key), change: 0 },
+            Call::Scan { prefix } => {
+                let keys = self.values.keys().filter(|key| key.starts_with(&prefix));
+                let entries = keys.filter_map(|key| self.entry(key)).collect();
+                Reply::Entries { entries, change: 0 }
+            }
+            Call::Swap { key, expect, value, .. } => self.swap(key, expect, value),
+            Call::Remove { key, expect } => self.remove(&key, expect),
+            other => panic!("claims never make the call {other:?}"),
+        }
+    }
+
+    fn entry(&self, key: &str) -> Option<Entry> {
+        let (version, value) = self.values.get(key)?;
+        Some(Entry { key: key.to_owned(), version: *version, value: value.clone() })
+    }
+
+    fn swap(&mut self, key: String, expect: Option<Version>, value: Vec<u8>) -> Reply {
+        let current = self.entry(&key);
+        if current.as_ref().map(|entry| entry.version) != expect {
+            return Reply::Conflict { current };
+        }
+        let version = Version(expect.map_or(1, |version| version.0 + 1));
+        self.values.insert(key, (version, value));
+        Reply::Swapped { version }
+    }
+
+    fn remove(&mut self, key: &str, expect: Version) -> Reply {
+        let current = self.entry(key);
+        if current.as_ref().map(|entry| entry.version) != Some(expect) {
+            return Reply::Conflict { current };
+        }
+        self.values.remove(key);
+        Reply::Removed
+    }
+}
+
+pub fn is_write(call: &Call) -> bool {
+    matches!(call, Call::Swap { .. } | Call::Remove { .. })
+}
