Add the loop of the traffic threads

Cause: the systems need a thread that waits for the first of an event and the earliest timer, takes all that is ready, steps once and flushes. Ruled out: a task for each query, which would spread state over tasks.

--- a/crates/core/src/border.rs
+++ b/crates/core/src/border.rs
@@ -4,6 +4,8 @@
 //! event channel that it was given when it was made; it decides nothing. Tests
 //! put fakes here.
 
+use std::{collections::BTreeMap, net::SocketAddr};
+
 use crate::{
     message::Message,
     store::{Call, CallId},
@@ -28,6 +30,8 @@
 pub trait Peers {
     /// Sends a message, without a promise that it arrives.
     fn send(&mut self, lane: &Lane, message: Message);
+    /// Takes the addresses at which the lanes listen from now on.
+    fn update(&mut self, addresses: BTreeMap<Lane, SocketAddr>);
 }
 
 /// The clocks of this machine.
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -297,6 +297,15 @@
         self.tables.timers.first()
     }
 
+    /// Whether requests of callers can be answered: the view is ready and every
+    /// index that targets are listed for has a plan.
+    pub fn is_ready(&self) -> bool {
+        let view = &self.context.view;
+        let has_plan =
+            |index: &Name| self.tables.indexes.get(index).is_some_and(|index| index.best.is_some());
+        view.ready && !view.leaving && view.targets.values().all(|target| has_plan(&target.index))
+    }
+
     /// The rows, for metrics and tests.
     pub fn tables(&self) -> &Tables {
         &self.tables
--- a/crates/core/src/traffic/system/refresh.rs
+++ b/crates/core/src/traffic/system/refresh.rs
@@ -48,6 +48,7 @@
 }
 
 fn add_targets(tables: &mut Tables, cx: &Context) {
+    tables.listed = cx.view.targets.values().map(|listed| listed.index.clone()).collect();
     for (name, listed) in &cx.view.targets {
         let key = shard::Key { index: listed.index.clone(), shard: listed.shard.clone() };
         let leaving = listed.state == State::Leaving;
--- a/crates/core/src/traffic/table/mod.rs
+++ b/crates/core/src/traffic/table/mod.rs
@@ -40,6 +40,8 @@
     pub links: BTreeMap<Lane, Link>,
     /// What the shards of each index hold.
     pub indexes: BTreeMap<Name, Index>,
+    /// The indexes that targets are listed for.
+    pub listed: BTreeSet<Name>,
     /// Use of each profile.
     pub usages: BTreeMap<Name, Usage>,
     /// Claims of operations that were answered before their outcome was known.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! `docs/DESIGN.md`.
 
 pub mod settings;
+pub mod clock;
 pub mod log;
 pub mod metric;
 pub mod wire;
--- /dev/null
+++ b/src/traffic/thread.rs
@@ -0,0 +1,198 @@
+//! The loop of a traffic thread.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use laburnum_core::{
+    border::Clock,
+    notice::Notice,
+    target,
+    traffic::{Answer, Call, Engine, Event, Outbox},
+    view::{Lane, View},
+};
+use tokio::{
+    sync::{mpsc::UnboundedReceiver, oneshot, watch},
+    time::sleep,
+};
+
+use super::{Borders, handle::Input};
+
+/// The longest sleep when the engine has nothing to do.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// The most events that one step takes.
+const MAX_BATCH: usize = 4096;
+
+/// The receiving ends of the channels of a traffic thread.
+pub struct Inbox {
+    /// Calls of the front end.
+    pub inputs: UnboundedReceiver<Input>,
+    /// Messages of other traffic threads and their losses.
+    pub peers: UnboundedReceiver<Event>,
+    /// Reports of the client of the targets.
+    pub targets: UnboundedReceiver<target::Event>,
+    /// What the control thread tells.
+    pub notices: UnboundedReceiver<Notice>,
+}
+
+/// What a traffic thread is made from.
+pub struct Parts {
+    /// The tables and systems.
+    pub engine: Engine,
+    /// The ways into the thread.
+    pub inbox: Inbox,
+    /// The clocks.
+    pub clock: Box<dyn Clock>,
+    /// The ways out of the thread.
+    pub borders: Borders,
+    /// Becomes true when the thread can answer callers.
+    pub ready: watch::Sender<bool>,
+}
+
+/// Runs a traffic thread until the control thread has ended.
+///
+/// The thread waits for an event or for the earliest time at which the engine
+/// has something to do, takes all events that are ready, runs one step and
+/// carries out what the step left.
+pub async fn run(parts: Parts) {
+    let mut thread = Thread {
+        engine: parts.engine,
+        clock: parts.clock,
+        borders: parts.borders,
+        ready: parts.ready,
+        waiting: BTreeMap::new(),
+    };
+    let mut inbox = parts.inbox;
+    let mut batch = Batch::default();
+    loop {
+        let wake = thread.engine.wake();
+        let pause = wake.map_or(IDLE, |at| at.remaining(thread.clock.now()).min(IDLE));
+        let is_open = batch.fill(&mut inbox, pause).await;
+        if !is_open {
+            return;
+        }
+        thread.tick(&mut batch);
+    }
+}
+
+/// The events that are ready, by the channel that they came through.
+#[derive(Default)]
+struct Batch {
+    inputs: Vec<Input>,
+    peers: Vec<Event>,
+    targets: Vec<target::Event>,
+    notices: Vec<Notice>,
+}
+
+impl Batch {
+    /// Waits until a channel has events or the pause is over, then takes what
+    /// is ready. It returns false when the control thread has ended.
+    async fn fill(&mut self, inbox: &mut Inbox, pause: Duration) -> bool {
+        tokio::select! {
+            biased;
+            count = inbox.notices.recv_many(&mut self.notices, MAX_BATCH) => {
+                if count == 0 {
+                    return false;
+                }
+            }
+            _ = inbox.targets.recv_many(&mut self.targets, MAX_BATCH) => {}
+            _ = inbox.peers.recv_many(&mut self.peers, MAX_BATCH) => {}
+            _ = inbox.inputs.recv_many(&mut self.inputs, MAX_BATCH) => {}
+            () = sleep(pause) => {}
+        }
+        take_ready(&mut inbox.targets, &mut self.targets);
+        take_ready(&mut inbox.peers, &mut self.peers);
+        take_ready(&mut inbox.inputs, &mut self.inputs);
+        true
+    }
+}
+
+/// Takes what is ready in a channel without waiting.
+fn take_ready<T>(channel: &mut UnboundedReceiver<T>, into: &mut Vec<T>) {
+    while into.len() < MAX_BATCH {
+        match channel.try_recv() {
+            Ok(event) => into.push(event),
+            Err(_) => return,
+        }
+    }
+}
+
+struct Thread {
+    engine: Engine,
+    clock: Box<dyn Clock>,
+    borders: Borders,
+    ready: watch::Sender<bool>,
+    waiting: BTreeMap<Call, oneshot::Sender<Answer>>,
+}
+
+impl Thread {
+    fn tick(&mut self, batch: &mut Batch) {
+        let mut events = Vec::new();
+        for notice in batch.notices.drain(..) {
+            if let Notice::View(view) = &notice {
+                self.borders.peers.update(addresses(view));
+            }
+            events.push(Event::Notice(notice));
+        }
+        events.extend(batch.targets.drain(..).map(Event::Target));
+        events.append(&mut batch.peers);
+        for input in batch.inputs.drain(..) {
+            events.push(self.open(input));
+        }
+        let mut out = Outbox::default();
+        self.engine.step(self.clock.now(), events, &mut out);
+        self.flush(out);
+        self.ready
+            .send_if_modified(|ready| std::mem::replace(ready, self.engine.is_ready()) != *ready);
+    }
+
+    fn open(&mut self, input: Input) -> Event {
+        match input {
+            Input::Ask(ask) => {
+                self.waiting.insert(ask.call, ask.answer);
+                ask.event
+            }
+            Input::Abandoned(call) => {
+                self.waiting.remove(&call);
+                Event::Abandoned { call }
+            }
+        }
+    }
+
+    fn flush(&mut self, out: Outbox) {
+        for command in out.commands {
+            self.borders.targets.command(command);
+        }
+        for (lane, messages) in out.messages {
+            for message in messages {
+                self.borders.peers.send(&lane, message);
+            }
+        }
+        for report in out.reports {
+            self.borders.control.report(report);
+        }
+        for (call, answer) in out.answers {
+            self.borders.meter.answered(&answer);
+            if let Some(sender) = self.waiting.remove(&call) {
+                // The caller may have gone away.
+                let _ = sender.send(answer);
+            }
+        }
+        for line in &out.lines {
+            self.borders.journal.write(line);
+        }
+        self.borders.meter.count(&out.counts);
+        self.borders.meter.observe(&self.engine);
+    }
+}
+
+/// Where the traffic threads of a view listen.
+fn addresses(view: &View) -> BTreeMap<Lane, SocketAddr> {
+    let mut addresses = BTreeMap::new();
+    for vm in view.vms.values() {
+        for (thread, &address) in vm.traffic.iter().enumerate() {
+            let thread = u16::try_from(thread).unwrap_or(u16::MAX);
+            addresses.insert(Lane { vm: vm.name.clone(), thread }, address);
+        }
+    }
+    addresses
+}
