Let a team change only profiles of its own

A publication or a roll back replaces the whole document, so a token of one team could change the profiles of another. The check is a pure function and runs in the publication system against the document that was read from the platform's service, since a check at the front would race with other publications.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod limit;
 pub mod message;
 pub mod request;
+pub mod access;
 pub mod system;
 pub mod table;
 
--- a/crates/core/src/control/request.rs
+++ b/crates/core/src/control/request.rs
@@ -32,15 +32,18 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Request {
     /// Publishes profiles as a new revision if `expect` is in force, or if no
-    /// other publication comes between when `expect` is not given.
+    /// other publication comes between when `expect` is not given. Only
+    /// profiles of `team` may change.
     Publish {
         profiles: BTreeMap<Name, Profile>,
         expect: Option<Revision>,
         who: String,
+        team: Name,
         dry_run: bool,
     },
-    /// Publishes the profiles of an earlier revision as a new one.
-    Rollback { to: Revision, expect: Option<Revision>, who: String },
+    /// Publishes the profiles of an earlier revision as a new one. Only
+    /// profiles of `team` may change.
+    Rollback { to: Revision, expect: Option<Revision>, who: String, team: Name },
     /// Settles a publication that was answered by [`Answer::Unsettled`].
     Settle { token: Token },
     /// Reads the document in force at the platform's service, or on this VM
--- a/crates/core/src/control/system/publish.rs
+++ b/crates/core/src/control/system/publish.rs
@@ -9,7 +9,7 @@
 use super::{call, outcome, profiles};
 use crate::{
     control::{
-        Answer, Record, Request, RequestId,
+        Answer, Record, Request, RequestId, access,
         codec::{CURRENT, HISTORY, MAX_VALUE, history},
         engine::Step,
         request::{Token, difference},
@@ -159,8 +159,8 @@
         profiles::apply(tables, step, Arc::new(base.document.clone()));
     }
     match row.request.clone() {
-        Request::Publish { profiles, expect, who, dry_run } => {
-            let plan = Plan { profiles, expect, who, note: String::new(), dry_run };
+        Request::Publish { profiles, expect, who, team, dry_run } => {
+            let plan = Plan { profiles, expect, who, team, note: String::new(), dry_run };
             offer(tables, step, row, plan)
         }
         Request::Rollback { to, .. } if to != revision(row) => Next::Step(Stage::Fetch),
@@ -199,6 +199,7 @@
     profiles: std::collections::BTreeMap<crate::name::Name, crate::profile::Profile>,
     expect: Option<Revision>,
     who: String,
+    team: crate::name::Name,
     note: String,
     dry_run: bool,
 }
@@ -222,11 +223,11 @@
     row: &mut Publication,
     document: Document,
 ) -> Next {
-    let Request::Rollback { to, expect, who } = row.request.clone() else {
+    let Request::Rollback { to, expect, who, team } = row.request.clone() else {
         return Next::Done(internal("no roll back was asked for".to_owned()));
     };
     let note = format!("roll back to revision {}", to.0);
-    let plan = Plan { profiles: document.profiles, expect, who, note, dry_run: false };
+    let plan = Plan { profiles: document.profiles, expect, who, team, note, dry_run: false };
     offer(tables, step, row, plan)
 }
 
@@ -235,6 +236,9 @@
     if plan.expect.is_some_and(|expect| expect != base) {
         return Next::Done(outcome::conflict(row, &plan.profiles));
     }
+    if let Err(fault) = allowed(row, &plan) {
+        return Next::Done(Answer::Failed(fault));
+    }
     // The service may have lost a revision that is in force here; the next one
     // must be higher all the same.
     let highest = base.max(tables.in_force.document.revision);
@@ -256,6 +260,13 @@
     Next::Step(if row.base.is_some() { Stage::Keep } else { Stage::Swap })
 }
 
+/// Checks what the plan changes against the document in force at the service.
+fn allowed(row: &Publication, plan: &Plan) -> Result<(), Fault> {
+    let empty = Default::default();
+    let before = row.base.as_ref().map_or(&empty, |base| &base.document.profiles);
+    access::check(&plan.team, before, &plan.profiles)
+}
+
 fn scanned(step: &Step<'_>, row: &Publication, entries: &[Entry]) -> Next {
     let kept = entries.iter().filter_map(|entry| profiles::decode(step, entry).ok());
     let mut records: Vec<Record> = kept.collect();
