Add the HTTP front for callers

A body becomes a raw structure, then a checked one; a bad input is answered by malformed with the field, what was found and what is allowed. Fields are read as JSON values first, because serde's own type errors do not name the field. Status, title and retry come from the one table of faults. Checked by building.

--- /dev/null
+++ b/src/front/body.rs
@@ -0,0 +1,68 @@
+//! Reading the body of a request within limits, and writing that of a response.
+
+use std::time::Duration;
+
+use laburnum_core::fault::{Fault, Kind};
+use poem::{Body, Response, error::ReadBodyError, http::StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::timeout;
+
+use super::problem::Refusal;
+use crate::settings::traffic::Callers;
+
+/// The longest reason of a decoder that an error repeats, in characters.
+const MAX_REASON: usize = 300;
+
+/// Limits on the body of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The largest body in bytes.
+    pub size: usize,
+    /// The time in which the body must arrive.
+    pub read: Duration,
+}
+
+impl From<&Callers> for Limits {
+    fn from(callers: &Callers) -> Limits {
+        let size = usize::try_from(callers.body_limit).unwrap_or(usize::MAX);
+        Limits { size, read: callers.body_read }
+    }
+}
+
+/// Reads a whole body. The limit on its size holds whether or not the request
+/// states a length.
+pub async fn read(body: Body, limits: Limits) -> Result<Vec<u8>, Refusal> {
+    let read = timeout(limits.read, body.into_bytes_limit(limits.size)).await;
+    match read {
+        Ok(Ok(bytes)) => Ok(bytes.into()),
+        Ok(Err(ReadBodyError::PayloadTooLarge)) => {
+            let detail = format!("body: allowed are {} bytes", limits.size);
+            Err(Fault::not_run(Kind::TooLarge, detail).into())
+        }
+        Ok(Err(error)) => {
+            let detail = format!("body: it cannot be read: {error}");
+            Err(Fault::not_run(Kind::Malformed, detail).into())
+        }
+        Err(_) => {
+            let detail = format!("body: allowed are {} ms", limits.read.as_millis());
+            Err(Fault::not_run(Kind::SlowCaller, detail).into())
+        }
+    }
+}
+
+/// Reads a JSON document as a raw structure.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Fault> {
+    serde_json::from_slice(bytes).map_err(|e| {
+        let why: String = e.to_string().chars().take(MAX_REASON).collect();
+        Fault::not_run(Kind::Malformed, format!("body: {why}"))
+    })
+}
+
+/// Makes a response with a JSON document.
+pub fn json<T: Serialize>(status: StatusCode, document: &T) -> Result<Response, Refusal> {
+    let body = Body::from_json(document).map_err(|e| {
+        // Only the encoding failed; the request was carried out.
+        Fault::unknown(Kind::Internal, format!("the answer cannot be encoded: {e}"))
+    })?;
+    Ok(Response::builder().status(status).content_type("application/json").body(body))
+}
--- /dev/null
+++ b/src/front/field.rs
@@ -0,0 +1,97 @@
+//! Checked values of the fields of a JSON document.
+//!
+//! Every error names the field, what was found and what is allowed.
+
+use std::{ops::RangeInclusive, time::Duration};
+
+use laburnum_core::{
+    fault::{Fault, Kind},
+    name::{MAX_LENGTH, Name},
+    profile::MAX_DEADLINE,
+};
+use serde_json::Value;
+
+/// The longest piece of a value that an error repeats, in characters.
+const MAX_EXCERPT: usize = 40;
+
+/// A refusal that names the field, what was found and what is allowed.
+pub fn malformed(field: &str, found: &str, allowed: &str) -> Fault {
+    let detail = format!("{field}: found {found}, allowed is {allowed}");
+    Fault::not_run(Kind::Malformed, detail)
+}
+
+/// Reads a text.
+pub fn text(field: &str, value: Option<Value>) -> Result<String, Fault> {
+    match value {
+        Some(Value::String(text)) => Ok(text),
+        other => Err(malformed(field, &describe(other.as_ref()), "a text")),
+    }
+}
+
+/// Reads a name.
+pub fn name(field: &str, value: Option<Value>) -> Result<Name, Fault> {
+    let text = text(field, value)?;
+    Name::try_from(text.as_str()).map_err(|_| {
+        let allowed = format!("1 to {MAX_LENGTH} of the characters a-z, 0-9, '.', '_' and '-'");
+        malformed(field, &excerpt(&text), &allowed)
+    })
+}
+
+/// Reads a 64-bit number. Many clients lose digits of numbers above 2^53, so
+/// decimal digits in a text are read as well.
+pub fn number(field: &str, value: Option<Value>) -> Result<u64, Fault> {
+    let number = match &value {
+        Some(Value::Number(number)) => number.as_u64(),
+        Some(Value::String(text)) => digits(text),
+        _ => None,
+    };
+    let allowed = "a whole number from 0 to 2^64 - 1, as a number or as a text of digits";
+    number.ok_or_else(|| malformed(field, &describe(value.as_ref()), allowed))
+}
+
+fn digits(text: &str) -> Option<u64> {
+    let is_plain = text.bytes().all(|byte| byte.is_ascii_digit());
+    is_plain.then(|| text.parse().ok()).flatten()
+}
+
+/// Reads a whole number within `allowed`.
+pub fn whole(
+    field: &str,
+    value: Option<Value>,
+    allowed: RangeInclusive<u64>,
+) -> Result<u64, Fault> {
+    let number = value.as_ref().and_then(Value::as_u64);
+    number.filter(|number| allowed.contains(number)).ok_or_else(|| {
+        let range = format!("a whole number from {} to {}", allowed.start(), allowed.end());
+        malformed(field, &describe(value.as_ref()), &range)
+    })
+}
+
+/// Reads the optional deadline of a request.
+pub fn deadline(value: Option<Value>) -> Result<Option<Duration>, Fault> {
+    if value.is_none() {
+        return Ok(None);
+    }
+    let most = u64::try_from(MAX_DEADLINE.as_millis()).unwrap_or(u64::MAX);
+    whole("deadline_ms", value, 1..=most).map(|millis| Some(Duration::from_millis(millis)))
+}
+
+/// What a value is, for an error.
+pub fn describe(value: Option<&Value>) -> String {
+    match value {
+        None => "nothing".to_owned(),
+        Some(Value::Null) => "null".to_owned(),
+        Some(Value::Bool(flag)) => flag.to_string(),
+        Some(Value::Number(number)) => number.to_string(),
+        Some(Value::String(text)) => excerpt(text),
+        Some(Value::Array(_)) => "an array".to_owned(),
+        Some(Value::Object(_)) => "an object".to_owned(),
+    }
+}
+
+/// The start of a text, in quotes.
+pub fn excerpt(text: &str) -> String {
+    let start: String = text.chars().take(MAX_EXCERPT).collect();
+    let rest = if start.len() < text.len() { "..." } else { "" };
+    format!("{start:?}{rest}")
+}
--- /dev/null
+++ b/src/front/probe.rs
@@ -0,0 +1,58 @@
+//! What a balancer and a collector of metrics ask for.
+
+use std::sync::Arc;
+
+use laburnum_core::fault::{Fault, Kind};
+use poem::{Endpoint, EndpointExt, IntoResponse, Response, Route, get, handler, web::Data};
+use tokio::sync::watch;
+
+use super::problem::Refusal;
+
+/// The content type of the metrics.
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// The metrics of the VM.
+pub trait Metrics: Send + Sync {
+    /// Encodes all metrics as OpenMetrics text.
+    fn encode(&self) -> String;
+}
+
+/// What the probes show.
+#[derive(Clone)]
+pub struct Probe {
+    /// Whether the VM takes requests.
+    pub ready: watch::Receiver<bool>,
+    /// The metrics of the VM.
+    pub metrics: Arc<dyn Metrics>,
+}
+
+/// Adds the paths of the probes to `route`.
+pub fn routes(route: Route, probe: Probe) -> Route {
+    route
+        .at("/livez", get(live))
+        .at("/readyz", with(get(ready), probe.clone()))
+        .at("/metrics", with(get(metrics), probe))
+}
+
+fn with(endpoint: impl Endpoint + 'static, probe: Probe) -> impl Endpoint + 'static {
+    endpoint.data(probe)
+}
+
+#[handler]
+fn live() -> &'static str {
+    "live\n"
+}
+
+#[handler]
+fn ready(Data(probe): Data<&Probe>) -> Response {
+    if *probe.ready.borrow() {
+        return "ready\n".into_response();
+    }
+    let detail = "this VM is starting, leaving or out of touch with the others";
+    Refusal::from(Fault::not_run(Kind::NotReady, detail)).into_response()
+}
+
+#[handler]
+fn metrics(Data(probe): Data<&Probe>) -> Response {
+    Response::builder().content_type(CONTENT_TYPE).body(probe.metrics.encode())
+}
--- /dev/null
+++ b/src/front/problem.rs
@@ -0,0 +1,165 @@
+//! Faults as problem documents (RFC 9457).
+//!
+//! Status, title and retry come from the one table in [`laburnum_core::fault`].
+
+use laburnum_core::{
+    fault::{Fault, Kind, Ran, Retry},
+    id,
+};
+use poem::{
+    Body, Error, IntoResponse, Response,
+    http::{HeaderValue, StatusCode, header},
+};
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+/// The content type of a problem document.
+pub const CONTENT_TYPE: &str = "application/problem+json";
+
+/// The prefix of the `type` member; the text of the kind follows.
+const TYPE: &str = "urn:laburnumworks:fault:";
+
+/// A problem document.
+#[derive(Debug, Serialize)]
+struct Problem<'a> {
+    r#type: String,
+    title: &'static str,
+    status: u16,
+    detail: &'a str,
+    kind: Kind,
+    ran: Ran,
+    retry: Again,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    request: Option<String>,
+    #[serde(flatten)]
+    more: &'a Map<String, Value>,
+}
+
+/// Whether and when to send again, as it stands in a problem document.
+#[derive(Debug, Serialize)]
+struct Again {
+    allowed: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    after_ms: Option<u128>,
+}
+
+impl From<Retry> for Again {
+    fn from(retry: Retry) -> Again {
+        match retry {
+            Retry::Never => Again { allowed: false, after_ms: None },
+            Retry::After(pause) => Again { allowed: true, after_ms: Some(pause.as_millis()) },
+        }
+    }
+}
+
+/// A refusal with what its document says beyond the fault.
+#[derive(Debug)]
+pub struct Refusal {
+    fault: Fault,
+    request: Option<id::Query>,
+    more: Map<String, Value>,
+}
+
+impl From<Fault> for Refusal {
+    fn from(fault: Fault) -> Refusal {
+        Refusal { fault, request: None, more: Map::new() }
+    }
+}
+
+impl Refusal {
+    /// Adds the request id.
+    pub fn of(mut self, request: id::Query) -> Refusal {
+        self.request = Some(request);
+        self
+    }
+
+    /// Adds a member of its own to the document.
+    pub fn with(mut self, member: &str, value: Value) -> Refusal {
+        self.more.insert(member.to_owned(), value);
+        self
+    }
+
+    /// The problem document.
+    pub fn document(&self) -> Vec<u8> {
+        let answer = self.fault.kind.answer();
+        let problem = Problem {
+            r#type: format!("{TYPE}{}", self.fault.kind),
+            title: answer.title,
+            status: answer.status,
+            detail: &self.fault.detail,
+            kind: self.fault.kind,
+            ran: self.fault.ran,
+            retry: answer.retry.into(),
+            request: self.request.map(|query| query.to_string()),
+            more: &self.more,
+        };
+        // The members are texts and numbers, whose encoding does not fail.
+        serde_json::to_vec(&problem).unwrap_or_default()
+    }
+
+    /// The value of the `Retry-After` header in seconds, rounded up.
+    pub fn retry_after(&self) -> Option<u64> {
+        match self.fault.kind.answer().retry {
+            Retry::Never => None,
+            Retry::After(pause) => {
+                let millis = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+                Some(millis.div_ceil(1000))
+            }
+        }
+    }
+
+    /// Whether the rest of the request is not read, so that the connection
+    /// cannot carry another one.
+    pub fn is_last(&self) -> bool {
+        matches!(self.fault.kind, Kind::TooLarge | Kind::SlowCaller | Kind::TooManyOpen)
+    }
+
+    /// The status of the response.
+    pub fn status(&self) -> StatusCode {
+        // Every status in the table is valid.
+        StatusCode::from_u16(self.fault.kind.answer().status)
+            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+    }
+}
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> Response {
+        let mut response = Response::builder()
+            .status(self.status())
+            .content_type(CONTENT_TYPE)
+            .body(Body::from_vec(self.document()));
+        let headers = response.headers_mut();
+        if let Some(seconds) = self.retry_after() {
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        if self.fault.kind == Kind::Unauthorized {
+            headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
+        if self.is_last() {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+impl From<Refusal> for Error {
+    fn from(refusal: Refusal) -> Error {
+        Error::from_response(refusal.into_response())
+    }
+}
+
+/// The response to an error of a handler or of the router.
+pub async fn unrouted(error: Error) -> Response {
+    if error.is_from_response() {
+        return error.into_response();
+    }
+    let fault = match error.status() {
+        StatusCode::NOT_FOUND => Fault::not_run(Kind::NotFound, "path: nothing is here"),
+        StatusCode::METHOD_NOT_ALLOWED => {
+            Fault::not_run(Kind::NotFound, "method: nothing is here for this method")
+        }
+        status if status.is_client_error() => Fault::not_run(Kind::Malformed, error.to_string()),
+        _ => Fault::unknown(Kind::Internal, "the request could not be handled"),
+    };
+    Refusal::from(fault).into_response()
+}
