Add the HTTP front for operators

It checks the token and its role, reads documents to checked types and hands them to the control thread; which profiles a team may change is decided there. A publication that is not settled is answered with its token and the path to ask again. The inbox of the control thread can be answered by something else than the thread, for tests of the front. Checked by building and by the linter.

--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -44,6 +44,14 @@
     (Handle { events, asks, replies }, inbox)
 }
 
+impl Inbox {
+    /// Waits for the next request of an operator, for who answers in place of
+    /// the control thread. It answers none when all handles are gone.
+    pub async fn ask(&mut self) -> Option<Ask> {
+        self.asks.recv().await
+    }
+}
+
 impl Handle {
     /// Reports for the traffic thread with the number `thread`.
     pub fn report(&self, thread: u16, report: Report) {
--- a/src/front/field.rs
+++ b/src/front/field.rs
@@ -21,32 +21,32 @@
 }
 
 /// Reads a text.
-pub fn text(field: &str, value: Option<Value>) -> Result<String, Fault> {
+pub fn text<'a>(field: &str, value: Option<&'a Value>) -> Result<&'a str, Fault> {
     match value {
         Some(Value::String(text)) => Ok(text),
-        other => Err(malformed(field, &describe(other.as_ref()), "a text")),
+        other => Err(malformed(field, &describe(other), "a text")),
     }
 }
 
 /// Reads a name.
-pub fn name(field: &str, value: Option<Value>) -> Result<Name, Fault> {
+pub fn name(field: &str, value: Option<&Value>) -> Result<Name, Fault> {
     let text = text(field, value)?;
-    Name::try_from(text.as_str()).map_err(|_| {
+    Name::try_from(text).map_err(|_| {
         let allowed = format!("1 to {MAX_LENGTH} of the characters a-z, 0-9, '.', '_' and '-'");
-        malformed(field, &excerpt(&text), &allowed)
+        malformed(field, &excerpt(text), &allowed)
     })
 }
 
 /// Reads a 64-bit number. Many clients lose digits of numbers above 2^53, so
 /// decimal digits in a text are read as well.
-pub fn number(field: &str, value: Option<Value>) -> Result<u64, Fault> {
-    let number = match &value {
+pub fn number(field: &str, value: Option<&Value>) -> Result<u64, Fault> {
+    let number = match value {
         Some(Value::Number(number)) => number.as_u64(),
         Some(Value::String(text)) => digits(text),
         _ => None,
     };
     let allowed = "a whole number from 0 to 2^64 - 1, as a number or as a text of digits";
-    number.ok_or_else(|| malformed(field, &describe(value.as_ref()), allowed))
+    number.ok_or_else(|| malformed(field, &describe(value), allowed))
 }
 
 fn digits(text: &str) -> Option<u64> {
@@ -57,18 +57,18 @@
 /// Reads a whole number within `allowed`.
 pub fn whole(
     field: &str,
-    value: Option<Value>,
+    value: Option<&Value>,
     allowed: RangeInclusive<u64>,
 ) -> Result<u64, Fault> {
-    let number = value.as_ref().and_then(Value::as_u64);
+    let number = value.and_then(Value::as_u64);
     number.filter(|number| allowed.contains(number)).ok_or_else(|| {
         let range = format!("a whole number from {} to {}", allowed.start(), allowed.end());
-        malformed(field, &describe(value.as_ref()), &range)
+        malformed(field, &describe(value), &range)
     })
 }
 
 /// Reads the optional deadline of a request.
-pub fn deadline(value: Option<Value>) -> Result<Option<Duration>, Fault> {
+pub fn deadline(value: Option<&Value>) -> Result<Option<Duration>, Fault> {
     if value.is_none() {
         return Ok(None);
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -25,7 +25,7 @@
     probe::{Metrics, Probe},
     problem::Refusal,
 };
-use crate::{settings::traffic::Callers, traffic::handle::Handle};
+use crate::{settings::traffic::Callers, traffic::Handle};
 
 /// What a front is made from.
 pub struct Seed {
--- a/src/front/operation.rs
+++ b/src/front/operation.rs
@@ -52,12 +52,12 @@
 
     fn try_from(Keyed { key, raw }: Keyed) -> Result<Operate, Fault> {
         Ok(Operate {
-            profile: field::name("profile", raw.profile)?,
-            operation: field::name("operation", raw.operation)?,
-            subject: field::number("subject", raw.subject)?,
-            detail: field::text("detail", raw.detail)?.into(),
+            profile: field::name("profile", raw.profile.as_ref())?,
+            operation: field::name("operation", raw.operation.as_ref())?,
+            subject: field::number("subject", raw.subject.as_ref())?,
+            detail: field::text("detail", raw.detail.as_ref())?.into(),
             key,
-            deadline: field::deadline(raw.deadline_ms)?,
+            deadline: field::deadline(raw.deadline_ms.as_ref())?,
         })
     }
 }
--- a/src/front/search.rs
+++ b/src/front/search.rs
@@ -26,9 +26,9 @@
 
     fn try_from(raw: Raw) -> Result<Search, Fault> {
         Ok(Search {
-            profile: field::name("profile", raw.profile)?,
-            text: field::text("text", raw.text)?.into(),
-            deadline: field::deadline(raw.deadline_ms)?,
+            profile: field::name("profile", raw.profile.as_ref())?,
+            text: field::text("text", raw.text.as_ref())?.into(),
+            deadline: field::deadline(raw.deadline_ms.as_ref())?,
         })
     }
 }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,1 +1,169 @@
-//! The operators' interface over HTTP.
+//! The HTTP front for operators: bytes to typed requests, answers to bytes.
+//!
+//! Nothing is decided here but whether the token is known and carries the role
+//! of the path. Which profiles a team may change is decided by
+//! [`laburnum_core::control::access`], against the document in force.
+
+pub mod access;
+pub mod answer;
+pub mod document;
+
+use std::{io, net::TcpListener, sync::Arc, time::Duration};
+
+use laburnum_core::control::{Answer, Request as Ask};
+use poem::{
+    Body, EndpointExt, IntoEndpoint, Request, Response, Route, Server, get, handler,
+    listener::TcpAcceptor, post, web::Data,
+};
+use tokio::sync::watch;
+
+use crate::{
+    control::Handle,
+    front::{
+        body::{self, Limits},
+        probe::{self, Metrics, Probe},
+        problem::{self, Refusal},
+        turned,
+    },
+    settings::identity::{Operators, Role},
+};
+
+/// Limits on the body of a request: a document of profiles in JSON takes more
+/// than its stored form.
+const LIMITS: Limits = Limits { size: 4 * 1024 * 1024, read: Duration::from_secs(30) };
+
+/// What a front is made from.
+pub struct Seed {
+    /// Where operators connect.
+    pub listener: TcpListener,
+    /// Who may administer.
+    pub operators: Operators,
+    /// The way into the control thread.
+    pub handle: Handle,
+    /// Whether the VM takes requests of callers.
+    pub ready: watch::Receiver<bool>,
+    /// The metrics of the VM.
+    pub metrics: Arc<dyn Metrics>,
+    /// Turns true when the VM shuts down.
+    pub shutdown: watch::Receiver<bool>,
+}
+
+/// What the handlers share.
+struct Front {
+    operators: Operators,
+    handle: Handle,
+}
+
+type Shared = Arc<Front>;
+
+/// Serves operators until `shutdown` turns true and the open requests have
+/// finished.
+pub async fn serve(seed: Seed) -> io::Result<()> {
+    let Seed { listener, operators, handle, ready, metrics, shutdown } = seed;
+    listener.set_nonblocking(true)?;
+    let acceptor = TcpAcceptor::from_std(listener)?;
+    let routes = routes(Arc::new(Front { operators, handle }), Probe { ready, metrics });
+    Server::new_with_acceptor(acceptor)
+        .run_with_graceful_shutdown(routes, turned(shutdown), None)
+        .await
+}
+
+fn routes(front: Shared, probe: Probe) -> impl IntoEndpoint<Endpoint: 'static> {
+    probe::routes(Route::new(), probe)
+        .at("/v1/profiles", get(show).put(publish))
+        .at("/v1/profiles/diff", post(diff))
+        .at("/v1/profiles/history", get(history))
+        .at("/v1/profiles/rollback", post(roll_back))
+        .at("/v1/profiles/status", get(status))
+        .at("/v1/publications/settle", post(settle))
+        .at("/v1/vms", get(vms))
+        .at("/v1/targets", get(targets))
+        .data(front)
+        .catch_all_error(problem::unrouted)
+}
+
+impl Front {
+    /// Answers a request that changes nothing.
+    async fn read(&self, request: &Request, ask: Ask) -> Result<Response, Refusal> {
+        access::token(request.headers(), &self.operators, Role::Read)?;
+        self.ask(ask).await
+    }
+
+    async fn ask(&self, ask: Ask) -> Result<Response, Refusal> {
+        let answer: Option<Answer> = self.handle.ask(ask).await;
+        answer::respond(answer)
+    }
+}
+
+#[handler]
+async fn show(Data(front): Data<&Shared>, request: &Request) -> Result<Response, Refusal> {
+    front.read(request, Ask::Show).await
+}
+
+#[handler]
+async fn history(Data(front): Data<&Shared>, request: &Request) -> Result<Response, Refusal> {
+    front.read(request, Ask::History).await
+}
+
+#[handler]
+async fn status(Data(front): Data<&Shared>, request: &Request) -> Result<Response, Refusal> {
+    front.read(request, Ask::Status).await
+}
+
+#[handler]
+async fn vms(Data(front): Data<&Shared>, request: &Request) -> Result<Response, Refusal> {
+    front.read(request, Ask::Vms).await
+}
+
+#[handler]
+async fn targets(Data(front): Data<&Shared>, request: &Request) -> Result<Response, Refusal> {
+    front.read(request, Ask::Targets).await
+}
+
+#[handler]
+async fn diff(
+    Data(front): Data<&Shared>,
+    request: &Request,
+    body: Body,
+) -> Result<Response, Refusal> {
+    access::token(request.headers(), &front.operators, Role::Read)?;
+    let profiles = document::profiles(&body::read(body, LIMITS).await?)?;
+    front.ask(Ask::Diff { profiles }).await
+}
+
+#[handler]
+async fn publish(
+    Data(front): Data<&Shared>,
+    request: &Request,
+    body: Body,
+) -> Result<Response, Refusal> {
+    let token = access::token(request.headers(), &front.operators, Role::Publish)?;
+    let expect = document::expect(request.headers())?;
+    let dry_run = document::dry_run(request.uri().query())?;
+    let profiles = document::profiles(&body::read(body, LIMITS).await?)?;
+    let (who, team) = (token.name.to_string(), token.team.clone());
+    front.ask(Ask::Publish { profiles, expect, who, team, dry_run }).await
+}
+
+#[handler]
+async fn roll_back(
+    Data(front): Data<&Shared>,
+    request: &Request,
+    body: Body,
+) -> Result<Response, Refusal> {
+    let token = access::token(request.headers(), &front.operators, Role::Publish)?;
+    let document::Rollback { to, expect } = document::roll_back(&body::read(body, LIMITS).await?)?;
+    let (who, team) = (token.name.to_string(), token.team.clone());
+    front.ask(Ask::Rollback { to, expect, who, team }).await
+}
+
+#[handler]
+async fn settle(
+    Data(front): Data<&Shared>,
+    request: &Request,
+    body: Body,
+) -> Result<Response, Refusal> {
+    access::token(request.headers(), &front.operators, Role::Publish)?;
+    let token = document::token(&body::read(body, LIMITS).await?)?;
+    front.ask(Ask::Settle { token }).await
+}
