Bound the time and size of connections, heads and bodies

The HTTP library has an idle timeout only, which a caller that sends a byte at a time never meets. The stream now counts a head from its first byte to the handler and gives it up after header_read, answers in place of the library and reads what is left for a moment, since unread bytes make the system reset the connection and lose the answer. Bodies are read in one place before any handler, so that bytes that come after a response belong to a new head.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,22 +6,27 @@
 //! the traffic thread is malformed, too large or too slow, and nothing of it
 //! ran.
 
+pub mod accept;
 pub mod body;
+pub mod connection;
 pub mod field;
+pub mod head;
+pub mod intake;
 pub mod operation;
 pub mod probe;
 pub mod problem;
 pub mod search;
+pub mod stream;
 
 use std::{io, net::TcpListener, sync::Arc};
 
-use poem::{
-    Body, EndpointExt, IntoEndpoint, Request, Response, Route, Server, handler,
-    listener::TcpAcceptor, post, web::Data,
-};
+use poem::{EndpointExt, Request, Response, Route, Server, handler, post, web::Data};
 use tokio::sync::watch;
 
 use self::{
+    accept::Acceptor,
+    connection::Table,
+    intake::Intake,
     probe::{Metrics, Probe},
     problem::Refusal,
 };
@@ -43,56 +48,73 @@
     pub shutdown: watch::Receiver<bool>,
 }
 
-/// What the handlers share.
-struct Front {
-    limits: body::Limits,
-    handle: Handle,
-}
-
-type Shared = Arc<Front>;
-
 /// Serves callers until `shutdown` turns true and the open requests have
 /// finished.
 pub async fn serve(seed: Seed) -> io::Result<()> {
     let Seed { listener, limits, handle, ready, metrics, shutdown } = seed;
-    listener.set_nonblocking(true)?;
-    let acceptor = TcpAcceptor::from_std(listener)?;
-    let front = Front { limits: body::Limits::from(&limits), handle };
-    let routes = routes(Arc::new(front), Probe { ready, metrics });
-    Server::new_with_acceptor(acceptor)
-        .run_with_graceful_shutdown(routes, turned(shutdown), None)
-        .await
+    let probe = Probe { ready: ready.clone(), metrics };
+    let port = Port {
+        listener,
+        connections: accept::Limits::from(&limits),
+        bodies: body::Limits::from(&limits),
+        ready,
+        shutdown,
+    };
+    port.serve(routes(handle, probe)).await
+}
+
+/// An address on which a front serves within limits.
+pub(crate) struct Port {
+    /// Where connections come in.
+    pub listener: TcpListener,
+    /// The limits on connections.
+    pub connections: accept::Limits,
+    /// The limits on bodies.
+    pub bodies: body::Limits,
+    /// Whether the VM takes requests.
+    pub ready: watch::Receiver<bool>,
+    /// Turns true when the VM shuts down.
+    pub shutdown: watch::Receiver<bool>,
+}
+
+impl Port {
+    /// Serves `routes` until the VM shuts down and the open requests have
+    /// finished.
+    pub async fn serve(self, routes: Route) -> io::Result<()> {
+        let table = Arc::new(Table::default());
+        let acceptor = Acceptor::new(self.listener, self.connections, Arc::clone(&table))?;
+        let intake = Intake { limits: self.bodies, table, ready: self.ready };
+        Server::new_with_acceptor(acceptor)
+            .run_with_graceful_shutdown(intake::wrap(routes, intake), turned(self.shutdown), None)
+            .await
+    }
 }
 
 /// Waits until `signal` is true or its sender is gone.
-pub(crate) async fn turned(mut signal: watch::Receiver<bool>) {
+async fn turned(mut signal: watch::Receiver<bool>) {
     // An error says that the sender is gone, which ends the process as well.
     let _ = signal.wait_for(|on| *on).await;
 }
 
-fn routes(front: Shared, probe: Probe) -> impl IntoEndpoint<Endpoint: 'static> {
+fn routes(handle: Handle, probe: Probe) -> Route {
     probe::routes(Route::new(), probe)
-        .at("/v1/search", post(take_search))
-        .at("/v1/operations", post(take_operation))
-        .data(front)
-        .catch_all_error(problem::unrouted)
+        .at("/v1/search", post(take_search).data(handle.clone()))
+        .at("/v1/operations", post(take_operation).data(handle))
 }
 
 #[handler]
-async fn take_search(Data(front): Data<&Shared>, body: Body) -> Result<Response, Refusal> {
-    let bytes = body::read(body, front.limits).await?;
-    let search = search::parse(&bytes)?;
-    search::respond(front.handle.search(search).await)
+async fn take_search(Data(handle): Data<&Handle>, body: Vec<u8>) -> Result<Response, Refusal> {
+    let search = search::parse(&body)?;
+    search::respond(handle.search(search).await)
 }
 
 #[handler]
 async fn take_operation(
-    Data(front): Data<&Shared>,
+    Data(handle): Data<&Handle>,
     request: &Request,
-    body: Body,
+    body: Vec<u8>,
 ) -> Result<Response, Refusal> {
     let key = operation::key(request.headers())?;
-    let bytes = body::read(body, front.limits).await?;
-    let operate = operation::parse(&bytes, key)?;
-    operation::respond(front.handle.operate(operate).await)
+    let operate = operation::parse(&body, key)?;
+    operation::respond(handle.operate(operate).await)
 }
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -8,7 +8,7 @@
 };
 use poem::{
     Body, Error, IntoResponse, Response,
-    http::{HeaderValue, StatusCode, header},
+    http::{HeaderMap, HeaderValue, StatusCode, header},
 };
 use serde::Serialize;
 use serde_json::{Map, Value};
@@ -80,7 +80,7 @@
     }
 
     /// The problem document.
-    pub fn document(&self) -> Vec<u8> {
+    fn document(&self) -> Vec<u8> {
         let answer = self.fault.kind.answer();
         let problem = Problem {
             r#type: format!("{TYPE}{}", self.fault.kind),
@@ -98,7 +98,7 @@
     }
 
     /// The value of the `Retry-After` header in seconds, rounded up.
-    pub fn retry_after(&self) -> Option<u64> {
+    fn retry_after(&self) -> Option<u64> {
         match self.fault.kind.answer().retry {
             Retry::Never => None,
             Retry::After(pause) => {
@@ -110,25 +110,13 @@
 
     /// Whether the rest of the request is not read, so that the connection
     /// cannot carry another one.
-    pub fn is_last(&self) -> bool {
+    fn is_last(&self) -> bool {
         matches!(self.fault.kind, Kind::TooLarge | Kind::SlowCaller | Kind::TooManyOpen)
     }
 
-    /// The status of the response.
-    pub fn status(&self) -> StatusCode {
-        // Every status in the table is valid.
-        StatusCode::from_u16(self.fault.kind.answer().status)
-            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
-    }
-}
-
-impl IntoResponse for Refusal {
-    fn into_response(self) -> Response {
-        let mut response = Response::builder()
-            .status(self.status())
-            .content_type(CONTENT_TYPE)
-            .body(Body::from_vec(self.document()));
-        let headers = response.headers_mut();
+    fn headers(&self) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(CONTENT_TYPE));
         if let Some(seconds) = self.retry_after() {
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
         }
@@ -138,6 +126,38 @@
         if self.is_last() {
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
+        headers
+    }
+
+    /// The whole response as bytes of HTTP/1.1, for a connection that is closed
+    /// after it.
+    pub fn message(&self) -> Vec<u8> {
+        let document = self.document();
+        let mut headers = self.headers();
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(document.len()));
+        let mut message = format!("HTTP/1.1 {}\r\n", self.status()).into_bytes();
+        for (name, value) in &headers {
+            message.extend([name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"].concat());
+        }
+        message.extend(b"\r\n");
+        message.extend(document);
+        message
+    }
+
+    /// The status of the response.
+    fn status(&self) -> StatusCode {
+        // Every status in the table is valid.
+        StatusCode::from_u16(self.fault.kind.answer().status)
+            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+    }
+}
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> Response {
+        let mut response =
+            Response::builder().status(self.status()).body(Body::from_vec(self.document()));
+        response.headers_mut().extend(self.headers());
         response
     }
 }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -11,26 +11,30 @@
 use std::{io, net::TcpListener, sync::Arc, time::Duration};
 
 use laburnum_core::control::{Answer, Request as Ask};
-use poem::{
-    Body, EndpointExt, IntoEndpoint, Request, Response, Route, Server, get, handler,
-    listener::TcpAcceptor, post, web::Data,
-};
+use poem::{EndpointExt, Request, Response, Route, get, handler, post, web::Data};
 use tokio::sync::watch;
 
 use crate::{
     control::Handle,
     front::{
-        body::{self, Limits},
+        Port, accept, body,
         probe::{self, Metrics, Probe},
-        problem::{self, Refusal},
-        turned,
+        problem::Refusal,
     },
     settings::identity::{Operators, Role},
 };
 
 /// Limits on the body of a request: a document of profiles in JSON takes more
 /// than its stored form.
-const LIMITS: Limits = Limits { size: 4 * 1024 * 1024, read: Duration::from_secs(30) };
+const BODIES: body::Limits = body::Limits { size: 4 * 1024 * 1024, read: Duration::from_secs(30) };
+
+/// Limits on connections.
+const CONNECTIONS: accept::Limits = accept::Limits {
+    header_size: 16 * 1024,
+    header_read: Duration::from_secs(5),
+    idle: Duration::from_secs(60),
+    connections: 64,
+};
 
 /// What a front is made from.
 pub struct Seed {
@@ -60,26 +64,23 @@
 /// finished.
 pub async fn serve(seed: Seed) -> io::Result<()> {
     let Seed { listener, operators, handle, ready, metrics, shutdown } = seed;
-    listener.set_nonblocking(true)?;
-    let acceptor = TcpAcceptor::from_std(listener)?;
-    let routes = routes(Arc::new(Front { operators, handle }), Probe { ready, metrics });
-    Server::new_with_acceptor(acceptor)
-        .run_with_graceful_shutdown(routes, turned(shutdown), None)
-        .await
+    let probe = Probe { ready: ready.clone(), metrics };
+    let port = Port { listener, connections: CONNECTIONS, bodies: BODIES, ready, shutdown };
+    port.serve(routes(Arc::new(Front { operators, handle }), probe)).await
 }
 
-fn routes(front: Shared, probe: Probe) -> impl IntoEndpoint<Endpoint: 'static> {
-    probe::routes(Route::new(), probe)
-        .at("/v1/profiles", get(show).put(publish))
-        .at("/v1/profiles/diff", post(diff))
-        .at("/v1/profiles/history", get(history))
-        .at("/v1/profiles/rollback", post(roll_back))
-        .at("/v1/profiles/status", get(status))
-        .at("/v1/publications/settle", post(settle))
-        .at("/v1/vms", get(vms))
-        .at("/v1/targets", get(targets))
-        .data(front)
-        .catch_all_error(problem::unrouted)
+fn routes(front: Shared, probe: Probe) -> Route {
+    let paths = Route::new()
+        .at("/profiles", get(show).put(publish))
+        .at("/profiles/diff", post(diff))
+        .at("/profiles/history", get(history))
+        .at("/profiles/rollback", post(roll_back))
+        .at("/profiles/status", get(status))
+        .at("/publications/settle", post(settle))
+        .at("/vms", get(vms))
+        .at("/targets", get(targets))
+        .data(front);
+    probe::routes(Route::new(), probe).nest("/v1", paths)
 }
 
 impl Front {
@@ -124,10 +125,10 @@
 async fn diff(
     Data(front): Data<&Shared>,
     request: &Request,
-    body: Body,
+    body: Vec<u8>,
 ) -> Result<Response, Refusal> {
     access::token(request.headers(), &front.operators, Role::Read)?;
-    let profiles = document::profiles(&body::read(body, LIMITS).await?)?;
+    let profiles = document::profiles(&body)?;
     front.ask(Ask::Diff { profiles }).await
 }
 
@@ -135,12 +136,12 @@
 async fn publish(
     Data(front): Data<&Shared>,
     request: &Request,
-    body: Body,
+    body: Vec<u8>,
 ) -> Result<Response, Refusal> {
     let token = access::token(request.headers(), &front.operators, Role::Publish)?;
     let expect = document::expect(request.headers())?;
     let dry_run = document::dry_run(request.uri().query())?;
-    let profiles = document::profiles(&body::read(body, LIMITS).await?)?;
+    let profiles = document::profiles(&body)?;
     let (who, team) = (token.name.to_string(), token.team.clone());
     front.ask(Ask::Publish { profiles, expect, who, team, dry_run }).await
 }
@@ -149,10 +150,10 @@
 async fn roll_back(
     Data(front): Data<&Shared>,
     request: &Request,
-    body: Body,
+    body: Vec<u8>,
 ) -> Result<Response, Refusal> {
     let token = access::token(request.headers(), &front.operators, Role::Publish)?;
-    let document::Rollback { to, expect } = document::roll_back(&body::read(body, LIMITS).await?)?;
+    let document::Rollback { to, expect } = document::roll_back(&body)?;
     let (who, team) = (token.name.to_string(), token.team.clone());
     front.ask(Ask::Rollback { to, expect, who, team }).await
 }
@@ -161,9 +162,9 @@
 async fn settle(
     Data(front): Data<&Shared>,
     request: &Request,
-    body: Body,
+    body: Vec<u8>,
 ) -> Result<Response, Refusal> {
     access::token(request.headers(), &front.operators, Role::Publish)?;
-    let token = document::token(&body::read(body, LIMITS).await?)?;
+    let token = document::token(&body)?;
     front.ask(Ask::Settle { token }).await
 }
