--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -1,12 +1,11 @@
-//! The connections of a front, one row each.
+//! What the stream of a connection and the handlers of its requests share.
 //!
 //! A stream sees bytes and a handler sees requests; whether the next bytes
-//! belong to a new request is known only to both together. They share the row.
+//! belong to a new request is known only to both together.
 
 use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
+    task::Waker,
 };
 
 /// What the next bytes of a connection belong to.
@@ -32,78 +31,68 @@
     pub answered: u64,
 }
 
-/// The row of one connection.
 #[derive(Debug)]
-pub struct Connection(Mutex<State>);
+struct Row {
+    state: State,
+    reader: Option<Waker>,
+}
+
+/// The state of one connection.
+#[derive(Debug)]
+pub struct Connection(Mutex<Row>);
 
 impl Default for Connection {
     fn default() -> Connection {
-        Connection(Mutex::new(State { phase: Phase::Waiting, answered: 0 }))
+        let state = State { phase: Phase::Waiting, answered: 0 };
+        Connection(Mutex::new(Row { state, reader: None }))
     }
 }
 
 impl Connection {
     /// The state now.
     pub fn state(&self) -> State {
-        *self.lock()
+        self.lock().state
+    }
+
+    /// The state now; `reader` is woken when a wait for the next request begins,
+    /// since the HTTP library does not read again by itself.
+    pub fn watch(&self, reader: &Waker) -> State {
+        let mut row = self.lock();
+        if !row.reader.as_ref().is_some_and(|known| known.will_wake(reader)) {
+            row.reader = Some(reader.clone());
+        }
+        row.state
     }
 
     /// Notes that bytes have arrived.
     pub fn arrive(&self) {
-        let mut state = self.lock();
-        if state.phase == Phase::Waiting {
-            state.phase = Phase::Head;
+        let mut row = self.lock();
+        if row.state.phase == Phase::Waiting {
+            row.state.phase = Phase::Head;
         }
     }
 
     /// Notes that a request was handed to its handler.
     pub fn begin(&self) {
-        self.lock().phase = Phase::Request;
+        self.lock().state.phase = Phase::Request;
     }
 
     /// Notes that the whole request was read and is answered.
     pub fn finish(&self) {
-        let mut state = self.lock();
-        state.phase = Phase::Waiting;
-        state.answered += 1;
+        let mut row = self.lock();
+        row.state.phase = Phase::Waiting;
+        row.state.answered += 1;
+        if let Some(reader) = &row.reader {
+            reader.wake_by_ref();
+        }
     }
 
     /// Notes that the rest of the request is not read.
     pub fn end(&self) {
-        self.lock().phase = Phase::Last;
-    }
-
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// The open connections by the address of the caller.
-#[derive(Debug, Default)]
-pub struct Table(Mutex<BTreeMap<SocketAddr, Arc<Connection>>>);
-
-impl Table {
-    /// Adds a connection.
-    pub fn insert(&self, address: SocketAddr) -> Arc<Connection> {
-        let connection = Arc::new(Connection::default());
-        self.lock().insert(address, Arc::clone(&connection));
-        connection
-    }
-
-    /// The connection from `address`.
-    pub fn get(&self, address: SocketAddr) -> Option<Arc<Connection>> {
-        self.lock().get(&address).cloned()
-    }
-
-    /// Removes a connection, unless the address belongs to a later one.
-    pub fn remove(&self, address: SocketAddr, connection: &Arc<Connection>) {
-        let mut rows = self.lock();
-        if rows.get(&address).is_some_and(|row| Arc::ptr_eq(row, connection)) {
-            rows.remove(&address);
-        }
+        self.lock().state.phase = Phase::Last;
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Arc<Connection>>> {
+    fn lock(&self) -> MutexGuard<'_, Row> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,13 +6,13 @@
 //! the traffic thread is malformed, too large or too slow, and nothing of it
 //! ran.
 
-pub mod accept;
 pub mod body;
 pub mod connection;
 pub mod field;
 pub mod head;
 pub mod intake;
 pub mod operation;
+pub mod port;
 pub mod probe;
 pub mod problem;
 pub mod search;
@@ -20,13 +20,11 @@
 
 use std::{io, net::TcpListener, sync::Arc};
 
-use poem::{EndpointExt, Request, Response, Route, Server, handler, post, web::Data};
+use poem::{EndpointExt, Request, Response, Route, handler, post, web::Data};
 use tokio::sync::watch;
 
 use self::{
-    accept::Acceptor,
-    connection::Table,
-    intake::Intake,
+    port::Port,
     probe::{Metrics, Probe},
     problem::Refusal,
 };
@@ -55,7 +53,7 @@
     let probe = Probe { ready: ready.clone(), metrics };
     let port = Port {
         listener,
-        connections: accept::Limits::from(&limits),
+        limits: port::Limits::from(&limits),
         bodies: body::Limits::from(&limits),
         ready,
         shutdown,
@@ -63,39 +61,6 @@
     port.serve(routes(handle, probe)).await
 }
 
-/// An address on which a front serves within limits.
-pub(crate) struct Port {
-    /// Where connections come in.
-    pub listener: TcpListener,
-    /// The limits on connections.
-    pub connections: accept::Limits,
-    /// The limits on bodies.
-    pub bodies: body::Limits,
-    /// Whether the VM takes requests.
-    pub ready: watch::Receiver<bool>,
-    /// Turns true when the VM shuts down.
-    pub shutdown: watch::Receiver<bool>,
-}
-
-impl Port {
-    /// Serves `routes` until the VM shuts down and the open requests have
-    /// finished.
-    pub async fn serve(self, routes: Route) -> io::Result<()> {
-        let table = Arc::new(Table::default());
-        let acceptor = Acceptor::new(self.listener, self.connections, Arc::clone(&table))?;
-        let intake = Intake { limits: self.bodies, table, ready: self.ready };
-        Server::new_with_acceptor(acceptor)
-            .run_with_graceful_shutdown(intake::wrap(routes, intake), turned(self.shutdown), None)
-            .await
-    }
-}
-
-/// Waits until `signal` is true or its sender is gone.
-async fn turned(mut signal: watch::Receiver<bool>) {
-    // An error says that the sender is gone, which ends the process as well.
-    let _ = signal.wait_for(|on| *on).await;
-}
-
 fn routes(handle: Handle, probe: Probe) -> Route {
     probe::routes(Route::new(), probe)
         .at("/v1/search", post(take_search).data(handle.clone()))
--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -9,7 +9,6 @@
 
 use std::{
     io,
-    net::SocketAddr,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -20,14 +19,13 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    sync::OwnedSemaphorePermit,
     time::{Instant, Sleep, sleep},
 };
 
 use super::{
-    accept::Limits,
-    connection::{Connection, Phase, State, Table},
+    connection::{Connection, Phase, State},
     head::Head,
+    port::Limits,
     problem::Refusal,
 };
 
@@ -62,21 +60,10 @@
     }
 }
 
-/// The place of a stream among the open ones.
-pub struct Place {
-    /// The connections of the front.
-    pub table: Arc<Table>,
-    /// The address of the caller.
-    pub address: SocketAddr,
-    /// Is given back when the stream ends.
-    pub permit: OwnedSemaphorePermit,
-}
-
 /// The stream of one caller.
 pub struct Stream {
     socket: TcpStream,
     limits: Limits,
-    place: Place,
     connection: Arc<Connection>,
     head: Head,
     reading: Timer,
@@ -88,12 +75,10 @@
 
 impl Stream {
     /// Wraps the socket of a caller.
-    pub fn new(socket: TcpStream, limits: Limits, place: Place) -> Stream {
-        let connection = place.table.insert(place.address);
+    pub fn new(socket: TcpStream, limits: Limits, connection: Arc<Connection>) -> Stream {
         Stream {
             socket,
             limits,
-            place,
             connection,
             head: Head::default(),
             reading: Timer::new(),
@@ -133,7 +118,7 @@
 
     /// Waits for the time at which the missing bytes are given up.
     fn wait(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let state = self.connection.state();
+        let state = self.connection.watch(cx.waker());
         match state.phase {
             Phase::Request | Phase::Last => Poll::Pending,
             Phase::Waiting => {
@@ -175,12 +160,6 @@
     }
 }
 
-impl Drop for Stream {
-    fn drop(&mut self) {
-        self.place.table.remove(self.place.address, &self.connection);
-    }
-}
-
 impl AsyncRead for Stream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -17,7 +17,8 @@
 use crate::{
     control::Handle,
     front::{
-        Port, accept, body,
+        body,
+        port::{self, Port},
         probe::{self, Metrics, Probe},
         problem::Refusal,
     },
@@ -29,7 +30,7 @@
 const BODIES: body::Limits = body::Limits { size: 4 * 1024 * 1024, read: Duration::from_secs(30) };
 
 /// Limits on connections.
-const CONNECTIONS: accept::Limits = accept::Limits {
+const CONNECTIONS: port::Limits = port::Limits {
     header_size: 16 * 1024,
     header_read: Duration::from_secs(5),
     idle: Duration::from_secs(60),
@@ -65,7 +66,7 @@
 pub async fn serve(seed: Seed) -> io::Result<()> {
     let Seed { listener, operators, handle, ready, metrics, shutdown } = seed;
     let probe = Probe { ready: ready.clone(), metrics };
-    let port = Port { listener, connections: CONNECTIONS, bodies: BODIES, ready, shutdown };
+    let port = Port { listener, limits: CONNECTIONS, bodies: BODIES, ready, shutdown };
     port.serve(routes(Arc::new(Front { operators, handle }), probe)).await
 }
 
