--- a/tests/product/cli.rs
+++ b/tests/product/cli.rs
@@ -173,9 +173,9 @@
         assert_exit(&query(&entry, &["x"]), Exit::Unsettled);
     };
     a_vm_that_is_not_there_is_unreachable => {
+        // The port stays taken on another address, so that nobody else gets it.
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap().to_string();
-        drop(listener);
+        let address = format!("127.0.0.2:{}", listener.local_addr().unwrap().port());
         let output = run(&["query", "--entry", &address, "--profile", "renewal", "x"]);
         assert_exit(&output, Exit::Unreachable);
     };
--- a/tests/product/main.rs
+++ b/tests/product/main.rs
@@ -5,4 +5,5 @@
 mod case;
 mod cli;
 mod deployment;
+mod page;
 mod settings;
