Add the closed list of counts, the metrics and the writer of the log

Systems add to Counts without locks or labels made at run time; a thread hands them to the shared Metrics after a tick. Every counter of the list is there with zero from the start, so that a first refusal shows as a rise. Labels come from closed lists, the threads of a VM and at most 64 profiles.

The writer never blocks a thread: each event has a token bucket whose suppressed lines are reported later, and a line that the bounded queue has no room for is counted. slog-async's own report of dropped messages was ruled out, because it is a line without an event number and no metric can read it.

Checked by 18 cases in tests/product, among them a writer that stands still.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod control;
 pub mod claims;
 pub mod log;
+pub mod count;
--- /dev/null
+++ b/src/metric/gauge.rs
@@ -0,0 +1,81 @@
+//! The closed list of gauges.
+
+macro_rules! gauges {
+    ($($(#[$doc:meta])* $gauge:ident $name:literal $help:literal;)*) => {
+        /// Something that has a value at each moment.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Gauge {
+            $($(#[$doc])* $gauge,)*
+        }
+
+        impl Gauge {
+            /// Every gauge, in the order of the list.
+            pub const ALL: &[Gauge] = &[$(Gauge::$gauge),*];
+
+            /// The name of the gauge.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Gauge::$gauge => $name,)*
+                }
+            }
+
+            /// What the gauge says.
+            pub fn help(self) -> &'static str {
+                match self {
+                    $(Gauge::$gauge => $help,)*
+                }
+            }
+        }
+    };
+}
+
+gauges! {
+    /// The requests of callers that are open.
+    OpenRequests "open_requests" "Requests of callers that are open";
+    /// The free slots of the replicas whose home is here.
+    FreeSlots "free_slots" "Free slots of the replicas whose home is here";
+    /// The legs that wait here for a slot.
+    QueuedLegs "queued_legs" "Legs that wait here for a slot";
+    /// The shards whose home is here.
+    Homes "homes" "Shards whose home is here";
+    /// The connections to targets that are open.
+    TargetConnections "target_connections" "Connections to targets that are open";
+    /// What is left of the budget for attempts beyond the first.
+    RetryBudget "retry_budget" "Attempts beyond the first that the budget still allows";
+    /// The revision of the profiles in force.
+    Revision "revision_in_force" "Revision of the profiles in force";
+    /// The time since the view was confirmed against the platform's service.
+    ViewAge "view_age_milliseconds" "Time since the view was last confirmed";
+    /// The VMs that are live.
+    LiveVms "live_vms" "VMs that are live";
+    /// The targets that take work.
+    LiveTargets "live_targets" "Targets that take work";
+    /// The requests that are held back because they crashed targets.
+    Quarantined "quarantined_requests" "Requests that are held back";
+    /// Whether the VM takes requests.
+    Ready "ready" "Whether the VM takes requests, 1 or 0";
+    /// The log lines that were lost because the writer was behind.
+    LogLost "log_lines_lost" "Log lines that were lost since the start";
+}
+
+/// The part of a VM that sets a gauge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Part {
+    /// The control thread.
+    Control,
+    /// A traffic thread.
+    Traffic(u16),
+    /// The callers' interface.
+    Front,
+}
+
+impl Part {
+    /// The text of the label `part`.
+    pub fn label(self) -> String {
+        match self {
+            Part::Control => "control".to_owned(),
+            Part::Traffic(thread) => format!("traffic-{thread}"),
+            Part::Front => "front".to_owned(),
+        }
+    }
+}
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -1,1 +1,169 @@
-//! Counters and histograms of one VM.
+//! Counters, histograms and gauges of one VM.
+//!
+//! All threads share one [`Metrics`]. The labels come from closed lists, from
+//! the threads of the VM and from at most [`MAX_PROFILES`] profiles, so that no
+//! caller can make the number of series grow. docs/OPERATING.md says which to
+//! watch.
+
+pub mod gauge;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Mutex, PoisonError},
+};
+
+use laburnum_core::{
+    count::{Count, Counts, Sample},
+    name::Name,
+};
+use prometheus_client::{
+    encoding::text,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge as Cell,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+use self::gauge::{Gauge, Part};
+
+/// The profiles that have series of their own; others share [`OTHER`].
+pub const MAX_PROFILES: usize = 64;
+
+/// The label of the profiles beyond [`MAX_PROFILES`].
+pub const OTHER: &str = "other";
+
+/// The content type of [`Metrics::text`].
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// The prefix of every metric.
+const PREFIX: &str = "laburnum";
+
+/// The first bound of the latency histogram in seconds; each next one is
+/// [`LATENCY_FACTOR`] times as large.
+const LATENCY_START: f64 = 0.001;
+const LATENCY_FACTOR: f64 = 1.5;
+const LATENCY_BUCKETS: u16 = 28;
+
+/// The bounds of the coverage histogram, as parts of the whole.
+const COVERAGE_BOUNDS: [f64; 10] = [0.0, 0.5, 0.8, 0.9, 0.95, 0.98, 0.99, 0.999, 0.999_999, 1.0];
+
+type Labels = Vec<(&'static str, String)>;
+type Histograms = Family<Labels, Histogram, fn() -> Histogram>;
+
+/// The metrics of one VM.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    counters: BTreeMap<Count, Counter>,
+    latency: Histograms,
+    coverage: Histograms,
+    gauges: BTreeMap<Gauge, Family<Labels, Cell>>,
+    profiles: Mutex<BTreeSet<Name>>,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
+
+impl Metrics {
+    /// Registers every counter of the closed list, so that each is there with
+    /// zero before it counts for the first time.
+    pub fn new() -> Metrics {
+        let mut registry = Registry::with_prefix(PREFIX);
+        let counters = counters(&mut registry);
+        let gauges = gauges(&mut registry);
+        let latency: Histograms = Family::new_with_constructor(latency);
+        let coverage: Histograms = Family::new_with_constructor(coverage);
+        let help = "Time from a request to its answer in seconds";
+        registry.register("answer_seconds", help, latency.clone());
+        let help = "Covered part of the index in the answers to searches";
+        registry.register("answer_coverage", help, coverage.clone());
+        let profiles = Mutex::default();
+        Metrics { registry, counters, latency, coverage, gauges, profiles }
+    }
+
+    /// Adds what a thread has counted.
+    pub fn add(&self, counts: &Counts) {
+        for (count, times) in counts.totals() {
+            if let Some(counter) = self.counters.get(&count) {
+                counter.inc_by(times);
+            }
+        }
+        for sample in counts.samples() {
+            self.observe(sample);
+        }
+    }
+
+    /// Sets what `part` of this VM contributes to `gauge`.
+    pub fn set(&self, gauge: Gauge, part: Part, value: i64) {
+        if let Some(family) = self.gauges.get(&gauge) {
+            family.get_or_create(&vec![("part", part.label())]).set(value);
+        }
+    }
+
+    /// The metrics as the text that `GET /metrics` answers with.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = text::encode(&mut text, &self.registry);
+        text
+    }
+
+    fn observe(&self, sample: &Sample) {
+        let labels = vec![("profile", self.profile(&sample.profile))];
+        self.latency.get_or_create(&labels).observe(sample.took.as_secs_f64());
+        if let Some(parts) = sample.coverage {
+            let whole = f64::from(laburnum_core::profile::WHOLE);
+            self.coverage.get_or_create(&labels).observe(f64::from(parts) / whole);
+        }
+    }
+
+    /// The label of a profile.
+    fn profile(&self, name: &Name) -> String {
+        // A set of names is whole whatever happened to a thread that held it.
+        let mut profiles = self.profiles.lock().unwrap_or_else(PoisonError::into_inner);
+        if !profiles.contains(name) && profiles.len() >= MAX_PROFILES {
+            return OTHER.to_owned();
+        }
+        profiles.insert(name.clone());
+        name.to_string()
+    }
+}
+
+fn counters(registry: &mut Registry) -> BTreeMap<Count, Counter> {
+    let mut families: BTreeMap<&'static str, Family<Labels, Counter>> = BTreeMap::new();
+    let mut counters = BTreeMap::new();
+    for count in Count::all() {
+        let family = families.entry(count.name()).or_default();
+        let labels = count.reason().map(|reason| ("reason", reason.to_owned()));
+        let counter = family.get_or_create(&labels.into_iter().collect()).clone();
+        counters.insert(count, counter);
+    }
+    for (name, family) in families {
+        registry.register(name, name.replace('_', " "), family);
+    }
+    counters
+}
+
+fn gauges(registry: &mut Registry) -> BTreeMap<Gauge, Family<Labels, Cell>> {
+    let mut gauges = BTreeMap::new();
+    for &gauge in Gauge::ALL {
+        let family: Family<Labels, Cell> = Family::default();
+        registry.register(gauge.name(), gauge.help(), family.clone());
+        gauges.insert(gauge, family);
+    }
+    gauges
+}
+
+fn latency() -> Histogram {
+    Histogram::new(exponential_buckets(LATENCY_START, LATENCY_FACTOR, LATENCY_BUCKETS))
+}
+
+fn coverage() -> Histogram {
+    Histogram::new(COVERAGE_BOUNDS)
+}
--- /dev/null
+++ b/tests/product/log.rs
@@ -0,0 +1,159 @@
+//! The log: what a line holds, its rate and the loss of lines.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Barrier, Mutex},
+    time::Duration,
+};
+
+use laburnum_core::{
+    id::{Origin, Query},
+    log::{Event, Level, Line},
+    name::Name,
+    time::Instant,
+};
+use laburnumworks::{
+    log::{Writer, rate::Rate},
+    settings::control::{Format, Log},
+};
+
+/// Keeps what is written.
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Stands still at the first write until the test goes on.
+struct Stuck {
+    reached: Arc<Barrier>,
+    released: Arc<Barrier>,
+    is_first: bool,
+}
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if std::mem::take(&mut self.is_first) {
+            self.reached.wait();
+            self.released.wait();
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn settings(format: Format) -> Log {
+    Log { format, level: Level::Info, queue: 64, rate: 1 }
+}
+
+fn vm() -> Name {
+    Name::try_from("vm-1").unwrap()
+}
+
+/// What is written of `lines`, each with its time in milliseconds.
+fn written(format: Format, lines: &[(u64, Line)]) -> String {
+    let kept = Kept::default();
+    let (writer, guard) = Writer::new(&settings(format), &vm(), Box::new(kept.clone()));
+    for (millis, line) in lines {
+        writer.write(line, at(*millis));
+    }
+    drop(writer);
+    drop(guard);
+    String::from_utf8(kept.0.lock().unwrap().clone()).unwrap()
+}
+
+fn json(lines: &[(u64, Line)]) -> Vec<serde_json::Value> {
+    written(Format::Json, lines).lines().map(|line| serde_json::from_str(line).unwrap()).collect()
+}
+
+fn at(millis: u64) -> Instant {
+    Instant(millis * 1000)
+}
+
+fn line(event: Event) -> Line {
+    Line::new(event, vec![("target", "t-1".to_owned())])
+}
+
+cases! {
+    a_json_line_holds_number_text_and_fields => {
+        let query = Query { origin: Origin(1), sequence: 2 };
+        let line = Line { query: Some(query), ..line(Event::ConnectionLost) };
+        let found = &json(&[(0, line)])[0];
+        assert_eq!(found["event"], 302);
+        assert_eq!(found["msg"], "connection to target lost");
+        assert_eq!(found["level"], "WARN");
+        assert_eq!(found["vm"], "vm-1");
+        assert_eq!(found["target"], "t-1");
+        assert_eq!(found["request"], "0000000000000001-2");
+        assert!(found.get("suppressed").is_none());
+    };
+    a_text_line_is_for_people => {
+        let text = written(Format::Text, &[(0, line(Event::TargetDraining))]);
+        assert!(text.contains("target is draining"), "{text}");
+        assert!(text.contains("event: 304"), "{text}");
+        assert!(text.contains("target: t-1"), "{text}");
+    };
+    a_level_that_is_not_wanted_is_not_written => {
+        assert!(json(&[(0, line(Event::ConnectionOpened))]).is_empty());
+    };
+    a_flood_is_cut_and_counted => {
+        let flood = |millis| (millis, line(Event::ConnectionLost));
+        let found = json(&[flood(0), flood(1), flood(2), flood(3), flood(2000)]);
+        assert_eq!(found.len(), 3);
+        assert_eq!(found[2]["suppressed"], 2);
+    };
+    a_flood_of_one_event_leaves_others_alone => {
+        let mut rate = Rate::new(1);
+        while rate.admit(Event::ConnectionLost, at(0)).is_some() {}
+        assert_eq!(rate.admit(Event::TargetDraining, at(0)), Some(0));
+    };
+    the_end_of_a_flood_is_reported_once => {
+        let mut rate = Rate::new(1);
+        while rate.admit(Event::ConnectionLost, at(0)).is_some() {}
+        assert!(rate.due(at(0)).is_empty());
+        assert_eq!(rate.due(at(1000)), [(Event::ConnectionLost, 1)]);
+        assert!(rate.due(at(5000)).is_empty());
+    };
+    a_rate_does_not_save_up_without_end => {
+        let mut rate = Rate::new(10);
+        rate.admit(Event::ConnectionLost, at(0));
+        let later = Instant::default() + Duration::from_secs(3600);
+        let admitted = (0..100).filter(|_| rate.admit(Event::ConnectionLost, later).is_some());
+        assert_eq!(admitted.count(), 20);
+    };
+    a_clock_that_stands_still_admits_no_more => {
+        let mut rate = Rate::new(10);
+        let admitted = (0..100).filter(|_| rate.admit(Event::ConnectionLost, at(7)).is_some());
+        assert_eq!(admitted.count(), 20);
+    };
+    lines_beyond_the_queue_are_counted_and_block_nobody => {
+        let (reached, released) = (Arc::new(Barrier::new(2)), Arc::new(Barrier::new(2)));
+        let output = Stuck {
+            reached: Arc::clone(&reached),
+            released: Arc::clone(&released),
+            is_first: true,
+        };
+        let settings = Log { queue: 16, rate: 1000, ..settings(Format::Json) };
+        let (writer, guard) = Writer::new(&settings, &vm(), Box::new(output));
+        writer.write(&line(Event::ConnectionLost), at(0));
+        reached.wait();
+        for _ in 0..20 {
+            writer.write(&line(Event::ConnectionLost), at(0));
+        }
+        assert_eq!(writer.lost(), 4);
+        released.wait();
+        drop(writer);
+        drop(guard);
+    };
+}
--- a/tests/product/main.rs
+++ b/tests/product/main.rs
@@ -5,5 +5,7 @@
 mod case;
 mod cli;
 mod deployment;
+mod log;
+mod metric;
 mod page;
 mod settings;
--- /dev/null
+++ b/tests/product/metric.rs
@@ -0,0 +1,120 @@
+//! The metrics: every reason has its counter, and labels stay bounded.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use laburnum_core::{
+    count::{Count, Counts, Drop, Retry, Sample},
+    fault::Kind,
+    name::Name,
+    profile::WHOLE,
+};
+use laburnumworks::metric::{
+    MAX_PROFILES, Metrics, OTHER,
+    gauge::{Gauge, Part},
+};
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+fn sample(profile: &str) -> Sample {
+    Sample { profile: name(profile), took: Duration::from_millis(20), coverage: Some(999_999) }
+}
+
+/// The value of the series whose name and labels are `series`.
+fn value(metrics: &Metrics, series: &str) -> Option<f64> {
+    let text = metrics.text();
+    let line = text.lines().find(|line| line.split(' ').next() == Some(series))?;
+    line.split(' ').nth(1)?.parse().ok()
+}
+
+fn counted(counts: &[Count]) -> Metrics {
+    let metrics = Metrics::new();
+    let mut all = Counts::default();
+    counts.iter().for_each(|&count| all.add(count));
+    metrics.add(&all.take());
+    assert!(all.is_empty());
+    metrics
+}
+
+cases! {
+    every_refusal_has_a_counter_from_the_start => {
+        let metrics = Metrics::new();
+        for kind in Kind::ALL {
+            let series = format!("laburnum_refusals_total{{reason=\"{kind}\"}}");
+            assert_eq!(value(&metrics, &series), Some(0.0), "{series}");
+        }
+    };
+    every_retry_reason_has_a_counter_from_the_start => {
+        let metrics = Metrics::new();
+        for reason in Retry::ALL {
+            let series = format!("laburnum_retries_total{{reason=\"{}\"}}", reason.as_str());
+            assert_eq!(value(&metrics, &series), Some(0.0), "{series}");
+        }
+    };
+    every_count_has_a_series_of_its_own => {
+        let series = |count: &Count| (count.name(), count.reason());
+        let all = Count::all();
+        assert_eq!(all.iter().map(series).collect::<BTreeSet<_>>().len(), all.len());
+        let metrics = counted(&all);
+        let text = metrics.text();
+        let ones = text.lines().filter(|line| line.contains("_total") && line.ends_with(" 1"));
+        assert_eq!(ones.count(), all.len());
+    };
+    counts_add_up => {
+        let metrics = counted(&[Count::Dropped(Drop::Late), Count::Dropped(Drop::Late)]);
+        let series = "laburnum_replies_dropped_total{reason=\"late\"}";
+        assert_eq!(value(&metrics, series), Some(2.0));
+    };
+    an_answer_is_observed_under_its_profile => {
+        let metrics = Metrics::new();
+        let mut counts = Counts::default();
+        counts.sample(sample("renewal"));
+        metrics.add(&counts);
+        let series = "laburnum_answer_seconds_count{profile=\"renewal\"}";
+        assert_eq!(value(&metrics, series), Some(1.0));
+        let series = "laburnum_answer_coverage_count{profile=\"renewal\"}";
+        assert_eq!(value(&metrics, series), Some(1.0));
+    };
+    a_part_in_a_million_tells_partial_from_whole => {
+        let metrics = Metrics::new();
+        let mut counts = Counts::default();
+        counts.sample(sample("partial"));
+        counts.sample(Sample { coverage: Some(WHOLE), ..sample("whole") });
+        metrics.add(&counts);
+        let below_whole = |profile| {
+            let labels = format!("{{le=\"0.999999\",profile=\"{profile}\"}}");
+            value(&metrics, &format!("laburnum_answer_coverage_bucket{labels}"))
+        };
+        assert_eq!(below_whole("partial"), Some(1.0));
+        assert_eq!(below_whole("whole"), Some(0.0));
+    };
+    an_operation_has_no_coverage => {
+        let metrics = Metrics::new();
+        let mut counts = Counts::default();
+        counts.sample(Sample { coverage: None, ..sample("clearance") });
+        metrics.add(&counts);
+        assert!(!metrics.text().contains("laburnum_answer_coverage_count"));
+    };
+    profiles_beyond_the_bound_share_a_label => {
+        let metrics = Metrics::new();
+        let mut counts = Counts::default();
+        for index in 0..MAX_PROFILES + 10 {
+            counts.sample(sample(&format!("p{index}")));
+        }
+        metrics.add(&counts);
+        let text = metrics.text();
+        let series = text.lines().filter(|line| line.starts_with("laburnum_answer_seconds_count"));
+        assert_eq!(series.count(), MAX_PROFILES + 1);
+        let other = format!("laburnum_answer_seconds_count{{profile=\"{OTHER}\"}}");
+        assert_eq!(value(&metrics, &other), Some(10.0));
+    };
+    each_part_sets_its_own_gauge => {
+        let metrics = Metrics::new();
+        metrics.set(Gauge::FreeSlots, Part::Traffic(0), 3);
+        metrics.set(Gauge::FreeSlots, Part::Traffic(1), 4);
+        metrics.set(Gauge::FreeSlots, Part::Traffic(0), 2);
+        assert_eq!(value(&metrics, "laburnum_free_slots{part=\"traffic-0\"}"), Some(2.0));
+        assert_eq!(value(&metrics, "laburnum_free_slots{part=\"traffic-1\"}"), Some(4.0));
+    };
+}
