--- a/crates/core/src/count.rs
+++ b/crates/core/src/count.rs
@@ -32,70 +32,44 @@
 }
 
 reasons! {
-    /// Why a leg was tried again.
+    /// Why an attempt was followed by another.
     Retry {
-        /// The target had no free slot.
+        /// The target shed it.
         Shed "shed";
         /// The target is leaving.
         Draining "draining";
         /// The target no longer holds the version.
         VersionGone "version_gone";
-        /// The target does not hold the range.
+        /// The target no longer holds the range.
         RangeMoved "range_moved";
         /// The request could not be handed to the connection.
         Unsent "unsent";
-        /// No connection to the target could be opened.
-        OpenFailed "open_failed";
-        /// The connection was lost while the request ran.
+        /// The connection was lost.
         ConnectionLost "connection_lost";
-        /// The connection went silent while the request ran.
+        /// The connection went silent.
         ConnectionSilent "connection_silent";
-        /// The reply could not be read or failed its check.
+        /// The reply was cut, crossed or failed its check.
         Garbled "garbled";
-        /// The first attempt was slow, and another was sent next to it.
-        Hedged "hedged";
-        /// The home of the shard did not take the leg or did not answer.
+        /// The home of the shard is unreachable or silent.
         HomeUnreachable "home_unreachable";
-        /// The home of the shard is leaving or is no longer its home.
-        HomeMoved "home_moved";
     }
 }
 
 reasons! {
-    /// Why a retry or hedge that would have been of use was not made.
-    Withheld {
-        /// The budget for attempts beyond the first is spent.
-        Budget "budget";
-        /// The attempts of the leg are used up.
-        Attempts "attempts";
-        /// Too little time remains until the deadline.
-        Deadline "deadline";
-        /// No other replica can take it.
-        NoReplica "no_replica";
-        /// The request is suspected of crashing targets.
-        Suspect "suspect";
-        /// The request is not idempotent and may have run.
-        MayHaveRun "may_have_run";
-    }
-}
-
-reasons! {
-    /// Why a reply was thrown away.
+    /// Why a reply was dropped.
     Drop {
-        /// Its attempt was already given up.
+        /// Its attempt or leg is no longer waited for.
         Late "late";
-        /// It echoes the attempt of another request.
+        /// It carries the id of another attempt.
         Crossed "crossed";
-        /// It has fewer rows or another digest than it states.
+        /// It was cut or its digest does not match.
         Cut "cut";
-        /// It was read at another version than asked for.
+        /// It was read at another version.
         WrongVersion "wrong_version";
-        /// It holds rows outside the range that was asked for.
+        /// It holds rows outside the range.
         OutsideRange "outside_range";
-        /// Its attempt was already answered.
+        /// It holds a row twice.
         Doubled "doubled";
-        /// It echoes no attempt, or one that was never made here.
-        Unmatched "unmatched";
     }
 }
 
@@ -142,60 +116,32 @@
 
 counts! {
     with reason {
-        /// A request was refused.
+        /// Refusals by kind.
         Refused(Kind) "refusals";
-        /// A leg was tried again.
+        /// Attempts that followed another, by reason.
         Retried(Retry) "retries";
-        /// A retry or hedge was not made.
-        Withheld(Withheld) "retries_withheld";
-        /// A reply was thrown away.
+        /// Replies that were dropped, by reason.
         Dropped(Drop) "replies_dropped";
     }
     alone {
-        /// A search was taken in.
-        Searches "searches";
-        /// An operation was taken in.
-        Operations "operations";
-        /// A request was answered.
-        Answers "answers";
-        /// An answer covers less than the whole index.
-        PartialAnswers "partial_answers";
-        /// A query started over on another version.
-        Restarts "query_restarts";
-        /// A caller went away before its answer.
-        Abandoned "requests_abandoned";
-        /// A leg was sent to a home.
-        Legs "legs";
-        /// The first attempt of a leg was sent to a target.
+        /// Requests of callers.
+        Requests "requests";
+        /// Complete answers.
+        Complete "complete_answers";
+        /// Partial answers.
+        Partial "partial_answers";
+        /// First attempts.
         FirstAttempts "first_attempts";
-        /// An attempt was sent to a target, the first ones among them.
+        /// All attempts.
         Attempts "attempts";
-        /// A hedge was sent.
+        /// Attempts made beside another that was slow.
         Hedges "hedges";
-        /// A hedge answered before the attempt next to it.
-        HedgesWon "hedges_won";
-        /// An attempt was withdrawn.
-        Cancels "cancels";
-        /// A leg shared an attempt that was already in flight.
-        Shared "attempts_shared";
-        /// A connection to a target was opened.
-        ConnectionsOpened "target_connections_opened";
-        /// A connection to a target was lost or could not be opened.
-        ConnectionsLost "target_connections_lost";
-        /// A connection to a target went silent and was closed.
-        ConnectionsSilent "target_connections_silent";
-        /// A message to another VM was dropped because its queue was full.
-        MessagesDropped "messages_dropped";
-        /// A request crashed targets and was put into quarantine.
-        Condemned "requests_condemned";
-        /// A claim was granted.
-        ClaimsGranted "claims_granted";
-        /// A value of claims was written to the platform's service.
-        ClaimWrites "claim_writes";
-        /// A call of the platform's service was made.
-        StoreCalls "store_calls";
-        /// A call of the platform's service failed or was lost.
-        StoreFailures "store_failures";
+        /// Extra attempts that the budget did not allow.
+        BudgetSpent "extra_attempts_denied";
+        /// Queries that started over on another version.
+        Restarts "query_restarts";
+        /// Attempts that were withdrawn at the target.
+        Cancelled "attempts_cancelled";
     }
 }
 
@@ -241,7 +187,7 @@
     }
 
     /// What was counted at least once, with how often.
-    pub fn totals(&self) -> impl Iterator<Item = (Count, u64)> + '_ {
+    pub fn iter(&self) -> impl Iterator<Item = (Count, u64)> + '_ {
         self.totals.iter().map(|(&count, &times)| (count, times))
     }
 
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -5,6 +5,7 @@
 //! events are listed in docs/EVENTS.md.
 
 pub mod drain;
+pub mod journal;
 pub mod rate;
 
 use std::sync::{
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -13,6 +13,7 @@
 };
 
 use laburnum_core::{
+    claims,
     count::{Count, Counts, Sample},
     name::Name,
 };
@@ -58,6 +59,7 @@
 pub struct Metrics {
     registry: Registry,
     counters: BTreeMap<Count, Counter>,
+    claims: Family<Labels, Counter>,
     latency: Histograms,
     coverage: Histograms,
     gauges: BTreeMap<Gauge, Family<Labels, Cell>>,
@@ -76,6 +78,8 @@
     pub fn new() -> Metrics {
         let mut registry = Registry::with_prefix(PREFIX);
         let counters = counters(&mut registry);
+        let claims: Family<Labels, Counter> = Family::default();
+        registry.register("claims", "What became of claims", claims.clone());
         let gauges = gauges(&mut registry);
         let latency: Histograms = Family::new_with_constructor(latency);
         let coverage: Histograms = Family::new_with_constructor(coverage);
@@ -84,12 +88,12 @@
         let help = "Covered part of the index in the answers to searches";
         registry.register("answer_coverage", help, coverage.clone());
         let profiles = Mutex::default();
-        Metrics { registry, counters, latency, coverage, gauges, profiles }
+        Metrics { registry, counters, claims, latency, coverage, gauges, profiles }
     }
 
     /// Adds what a thread has counted.
     pub fn add(&self, counts: &Counts) {
-        for (count, times) in counts.totals() {
+        for (count, times) in counts.iter() {
             if let Some(counter) = self.counters.get(&count) {
                 counter.inc_by(times);
             }
@@ -99,6 +103,14 @@
         }
     }
 
+    /// Adds what the claims engine has counted.
+    pub fn add_claims(&self, counts: &BTreeMap<claims::Count, u64>) {
+        for (count, &times) in counts {
+            let labels = vec![("reason", count.as_str().to_owned())];
+            self.claims.get_or_create(&labels).inc_by(times);
+        }
+    }
+
     /// Sets what `part` of this VM contributes to `gauge`.
     pub fn set(&self, gauge: Gauge, part: Part, value: i64) {
         if let Some(family) = self.gauges.get(&gauge) {
--- a/tests/product/metric.rs
+++ b/tests/product/metric.rs
@@ -1,8 +1,12 @@
 //! The metrics: every reason has its counter, and labels stay bounded.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use laburnum_core::{
+    claims,
     count::{Count, Counts, Drop, Retry, Sample},
     fault::Kind,
     name::Name,
@@ -66,6 +70,11 @@
         let series = "laburnum_replies_dropped_total{reason=\"late\"}";
         assert_eq!(value(&metrics, series), Some(2.0));
     };
+    claims_are_counted_by_what_became_of_them => {
+        let metrics = Metrics::new();
+        metrics.add_claims(&BTreeMap::from([(claims::Count::Granted, 3)]));
+        assert_eq!(value(&metrics, "laburnum_claims_total{reason=\"granted\"}"), Some(3.0));
+    };
     an_answer_is_observed_under_its_profile => {
         let metrics = Metrics::new();
         let mut counts = Counts::default();
