--- /dev/null
+++ b/src/log/journal.rs
@@ -0,0 +1,20 @@
+//! The writer of the log behind the border of the control thread.
+
+use laburnum_core::{border::Clock, log::Line};
+
+use super::Writer;
+use crate::control;
+
+/// Writes the lines of one thread with the time of its clock.
+pub struct Journal {
+    /// The writer that all threads share.
+    pub writer: Writer,
+    /// The clock of the thread.
+    pub clock: Box<dyn Clock + Send>,
+}
+
+impl control::Journal for Journal {
+    fn write(&mut self, line: &Line) {
+        self.writer.write(line, self.clock.now());
+    }
+}
