Test the control engines of several VMs in virtual time

A harness steps real engines over a fake network and a fake platform's service, and asserts at each step that no VM's revision goes down and that no engine asks to be woken in the past. The order of the systems changed for the latter: expiry now runs before probe, since it makes a probe due.

--- a/crates/core/src/control/engine.rs
+++ b/crates/core/src/control/engine.rs
@@ -80,8 +80,8 @@
         system::pause::run(tables, step);
         system::intake::run(tables, step, events);
         system::call::run(tables, step);
-        system::probe::run(tables, step);
         system::expiry::run(tables, step);
+        system::probe::run(tables, step);
         system::reading::run(tables, step);
         system::publish::run(tables, step);
         system::compare::run(tables, step);
--- /dev/null
+++ b/crates/core/tests/control/fuzz.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- /dev/null
+++ b/crates/core/tests/control/main.rs
@@ -0,0 +1,14 @@
+//! Tests of the control engines of several VMs, without sockets and clocks.
+
+#[macro_use]
+#[path = "../rules/case.rs"]
+mod case;
+mod cost;
+mod drain;
+mod fuzz;
+mod membership;
+mod network;
+mod platform;
+mod publication;
+mod quarantine;
+mod world;
--- /dev/null
+++ b/crates/core/tests/control/platform.rs
@@ -0,0 +1,186 @@
+//! A small stand-in for the platform's service, with its faults.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use laburnum_core::{
+    name::Name,
+    store::{Call, CallId, Entry, Reply, Version},
+    time::Instant,
+    view,
+};
+
+/// How the service answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// As it should.
+    Up,
+    /// Not at all; the client says that nothing is known after a time.
+    Down,
+    /// Refuses; the client knows that nothing took effect.
+    Refusing,
+    /// Takes effect and loses the answer.
+    Deaf,
+}
+
+/// The time after which a client gives a call up.
+const GIVE_UP: Duration = Duration::from_millis(1000);
+
+/// A watch that waits.
+struct Watch {
+    vm: (Name, u64),
+    call: CallId,
+    prefix: String,
+    after: u64,
+}
+
+/// A reply on its way: when, to which start of which VM, to which call.
+pub type Answer = (Instant, (Name, u64), CallId, Reply);
+
+/// The platform's service.
+pub struct Platform {
+    /// How it answers.
+    pub mode: Mode,
+    /// How long an answer takes.
+    pub delay: Duration,
+    /// The VMs that it lists.
+    pub vms: BTreeMap<Name, view::Vm>,
+    /// The targets that it lists.
+    pub targets: BTreeMap<Name, view::Target>,
+    /// The values.
+    pub values: BTreeMap<String, Entry>,
+    /// The number of calls, a watch as one.
+    pub calls: u64,
+    /// The number of times that the document in force was written.
+    pub writes: u64,
+    change: u64,
+    changed: BTreeMap<String, u64>,
+    watches: Vec<Watch>,
+}
+
+impl Platform {
+    /// A service that is up and holds nothing.
+    pub fn new() -> Platform {
+        Platform {
+            mode: Mode::Up,
+            delay: Duration::from_millis(2),
+            vms: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            values: BTreeMap::new(),
+            calls: 0,
+            writes: 0,
+            change: 0,
+            changed: BTreeMap::new(),
+            watches: Vec::new(),
+        }
+    }
+
+    /// The number of watches that wait.
+    pub fn watches(&self) -> usize {
+        self.watches.len()
+    }
+
+    /// Takes a call of a VM and returns the replies that it causes.
+    pub fn call(&mut self, now: Instant, vm: (Name, u64), id: CallId, call: Call) -> Vec<Answer> {
+        self.calls += 1;
+        let lost = Reply::Lost { detail: "no answer".to_owned() };
+        match self.mode {
+            Mode::Down => return vec![(now + GIVE_UP, vm, id, lost)],
+            Mode::Refusing => {
+                let refused = Reply::Refused { detail: "no connection".to_owned() };
+                return vec![(now + self.delay, vm, id, refused)];
+            }
+            Mode::Up | Mode::Deaf => {}
+        }
+        if let Call::Watch { prefix, after, wait } = call {
+            return self.watch(now, Watch { vm, call: id, prefix, after }, wait);
+        }
+        let (reply, mut answers) = self.carry(now, call);
+        let answer = match self.mode {
+            Mode::Deaf => (now + GIVE_UP, vm, id, lost),
+            _ => (now + self.delay, vm, id, reply),
+        };
+        answers.push(answer);
+        answers
+    }
+
+    fn watch(&mut self, now: Instant, watch: Watch, wait: Duration) -> Vec<Answer> {
+        let due = self
+            .changed
+            .iter()
+            .any(|(key, &change)| key.starts_with(&watch.prefix) && change > watch.after);
+        let until = if due { now + self.delay } else { now + wait };
+        let reply = self.changes(&watch);
+        let answer = (until, watch.vm.clone(), watch.call, reply);
+        if !due {
+            self.watches.push(watch);
+        }
+        vec![answer]
+    }
+
+    fn changes(&self, watch: &Watch) -> Reply {
+        let keys = self
+            .changed
+            .iter()
+            .filter(|(key, change)| key.starts_with(&watch.prefix) && **change > watch.after);
+        let entries = keys.filter_map(|(key, _)| self.values.get(key).cloned()).collect();
+        Reply::Changed { entries, removed: Vec::new(), change: self.change }
+    }
+
+    /// Forgets a watch whose time is up.
+    pub fn end(&mut self, vm: &(Name, u64), call: CallId) {
+        self.watches.retain(|watch| watch.vm != *vm || watch.call != call);
+    }
+
+    fn carry(&mut self, now: Instant, call: Call) -> (Reply, Vec<Answer>) {
+        let change = self.change;
+        let reply = match call {
+            Call::Get { key } => Reply::Value { entry: self.values.get(&key).cloned(), change },
+            Call::Scan { prefix } => {
+                let rows = self.values.values().filter(|entry| entry.key.starts_with(&prefix));
+                Reply::Entries { entries: rows.cloned().collect(), change }
+            }
+            Call::Swap { key, expect, value, .. } => return self.swap(now, key, expect, value),
+            Call::Remove { key, .. } => {
+                self.values.remove(&key);
+                Reply::Removed
+            }
+            Call::List => Reply::Listed {
+                vms: self.vms.values().cloned().collect(),
+                targets: self.targets.values().cloned().collect(),
+            },
+            call => panic!("unexpected call {call:?}"),
+        };
+        (reply, Vec::new())
+    }
+
+    fn swap(
+        &mut self,
+        now: Instant,
+        key: String,
+        expect: Option<Version>,
+        value: Vec<u8>,
+    ) -> (Reply, Vec<Answer>) {
+        let current = self.values.get(&key).cloned();
+        if current.as_ref().map(|entry| entry.version) != expect {
+            return (Reply::Conflict { current }, Vec::new());
+        }
+        if key == laburnum_core::control::codec::CURRENT {
+            self.writes += 1;
+        }
+        let version = Version(expect.map_or(1, |version| version.0 + 1));
+        self.change += 1;
+        self.changed.insert(key.clone(), self.change);
+        self.values.insert(key.clone(), Entry { key, version, value });
+        (Reply::Swapped { version }, self.notify(now))
+    }
+
+    fn notify(&mut self, now: Instant) -> Vec<Answer> {
+        let watches = std::mem::take(&mut self.watches);
+        let (due, rest): (Vec<Watch>, Vec<Watch>) = watches.into_iter().partition(|watch| {
+            matches!(self.changes(watch), Reply::Changed { entries, .. } if !entries.is_empty())
+        });
+        self.watches = rest;
+        let at = now + self.delay;
+        due.iter().map(|w| (at, w.vm.clone(), w.call, self.changes(w))).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/control/world.rs
@@ -0,0 +1,405 @@
+//! Several VMs on a network with the platform's service, in virtual time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use laburnum_core::{
+    control::{
+        Answer, Codec, Engine, Event, Limits, Message, Outbox, Record, Request, RequestId, Setup,
+    },
+    log::Line,
+    name::Name,
+    notice::{Notice, Report},
+    profile::{Document, Profile, Raw, Revision},
+    store::{CallId, Reply},
+    time::{Instant, Wall},
+    view::{State, Target, View, Vm},
+};
+
+use crate::{network::Network, platform::Platform};
+
+/// The wall-clock time at which a world starts.
+const EPOCH: u64 = 1_700_000_000_000;
+
+/// Encodes stored documents as JSON.
+pub struct Json;
+
+impl Codec for Json {
+    fn encode(&self, record: &Record) -> Vec<u8> {
+        serde_json::to_vec(record).unwrap()
+    }
+
+    fn decode(&self, value: &[u8]) -> Result<Record, String> {
+        serde_json::from_slice(value).map_err(|e| e.to_string())
+    }
+}
+
+/// What is on its way.
+enum Delivery {
+    Message(Name, Box<Message>),
+    Reply((Name, u64), CallId, Reply),
+}
+
+/// One VM of the world.
+pub struct Node {
+    /// Its decisions.
+    pub engine: Engine,
+    /// The last view that it published.
+    pub view: Option<Arc<View>>,
+    /// The lines of its log.
+    pub lines: Vec<Line>,
+    /// The messages and bytes that it sent.
+    pub sent: (u64, u64),
+    start: u64,
+    wake: Instant,
+    paused: Option<Instant>,
+}
+
+/// The world.
+pub struct World {
+    /// The time.
+    pub now: Instant,
+    /// The VMs that run.
+    pub nodes: BTreeMap<Name, Node>,
+    /// The network between them.
+    pub network: Network,
+    /// The platform's service.
+    pub platform: Platform,
+    /// The answers to requests.
+    pub answers: BTreeMap<RequestId, Answer>,
+    /// The limits of every VM that starts.
+    pub limits: Limits,
+    /// The highest revision that was in force on each VM since it started.
+    pub highest: BTreeMap<Name, Revision>,
+    queue: BTreeMap<(Instant, u64), Delivery>,
+    wakes: BTreeSet<(Instant, Name)>,
+    sequence: u64,
+    starts: u64,
+    seed: u64,
+}
+
+/// The name of the VM with this number.
+pub fn vm(number: usize) -> Name {
+    Name::try_from(format!("vm-{number:03}")).unwrap()
+}
+
+/// A name.
+pub fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+/// The address of the VM with this name.
+fn address(vm: &Name, port: u16) -> SocketAddr {
+    let number: u16 = vm.as_str().trim_start_matches("vm-").parse().unwrap();
+    let [high, low] = number.to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], port))
+}
+
+/// A VM as it lists itself.
+pub fn row(vm: &Name) -> Vm {
+    Vm {
+        name: vm.clone(),
+        domain: name("zone-a"),
+        incarnation: 0,
+        state: State::Live,
+        control: address(vm, 7000),
+        traffic: vec![address(vm, 7001), address(vm, 7002)],
+    }
+}
+
+/// A target as the platform lists it.
+pub fn target(text: &str) -> Target {
+    Target {
+        name: name(text),
+        index: name("licences"),
+        shard: name("s1"),
+        domain: name("zone-a"),
+        address: "10.1.0.1:80".parse().unwrap(),
+        slots: 2,
+        connections: 55,
+        state: State::Live,
+    }
+}
+
+/// Profiles that differ by `mark`.
+pub fn profiles(mark: u32) -> BTreeMap<Name, Profile> {
+    let raw = Raw {
+        team: "field".to_owned(),
+        index: "licences".to_owned(),
+        coverage_ppm: 1_000_000,
+        deadline: Duration::from_millis(500),
+        tail: Duration::from_millis(100),
+        extra_load_ppm: 50_000,
+        concurrency: mark,
+        priority: 10,
+    };
+    BTreeMap::from([(name("clearance"), Profile::try_from(raw).unwrap())])
+}
+
+impl World {
+    /// A world of `count` VMs that start at the same time.
+    pub fn new(count: usize, seed: u64) -> World {
+        let mut world = World::empty(seed);
+        for number in 0..count {
+            world.start(&vm(number));
+        }
+        world
+    }
+
+    /// A world without VMs.
+    pub fn empty(seed: u64) -> World {
+        let mut platform = Platform::new();
+        platform.targets = BTreeMap::from([(name("r1"), target("r1")), (name("r2"), target("r2"))]);
+        World {
+            now: Instant(1_000_000),
+            nodes: BTreeMap::new(),
+            network: Network::new(),
+            platform,
+            answers: BTreeMap::new(),
+            limits: Limits::default(),
+            highest: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            wakes: BTreeSet::new(),
+            sequence: 0,
+            starts: 0,
+            seed,
+        }
+    }
+
+    /// Starts a VM, which the platform lists from now on.
+    pub fn start(&mut self, vm: &Name) {
+        self.platform.vms.insert(vm.clone(), row(vm));
+        self.start_with(vm, Vec::new());
+    }
+
+    /// Starts a VM that knows the control addresses of others from its settings.
+    pub fn start_with(&mut self, vm: &Name, seeds: Vec<Name>) {
+        self.kill(vm);
+        self.starts += 1;
+        let incarnation = EPOCH + self.now.0 / 1000;
+        let setup = Setup {
+            vm: Vm { incarnation, ..row(vm) },
+            seeds: seeds.iter().map(|vm| (vm.clone(), address(vm, 7000))).collect(),
+            limits: self.limits.clone(),
+            seed: self.seed * 1_000_003 + self.starts,
+            codec: Box::new(Json),
+        };
+        let node = Node {
+            engine: Engine::new(setup),
+            view: None,
+            lines: Vec::new(),
+            sent: (0, 0),
+            start: self.starts,
+            wake: self.now,
+            paused: None,
+        };
+        self.highest.remove(vm);
+        self.nodes.insert(vm.clone(), node);
+        self.wakes.insert((self.now, vm.clone()));
+    }
+
+    /// Kills a VM; the platform goes on listing it.
+    pub fn kill(&mut self, vm: &Name) {
+        if let Some(node) = self.nodes.remove(vm) {
+            self.wakes.remove(&(node.wake, vm.clone()));
+        }
+    }
+
+    /// Stops a VM for a time without its knowledge.
+    pub fn pause(&mut self, vm: &Name, span: Duration) {
+        let until = self.now + span;
+        let node = self.nodes.get_mut(vm).unwrap();
+        node.paused = Some(until);
+        self.wakes.remove(&(node.wake, vm.clone()));
+        node.wake = node.wake.max(until);
+        self.wakes.insert((node.wake, vm.clone()));
+    }
+
+    /// Cuts a VM off from every other one, both ways.
+    pub fn isolate(&mut self, vm: &Name) {
+        let others: Vec<Name> = self.nodes.keys().filter(|other| *other != vm).cloned().collect();
+        for other in others {
+            self.network.cut(vm, &other);
+            self.network.cut(&other, vm);
+        }
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(at) = self.next().filter(|&at| at <= end) {
+            self.now = self.now.max(at);
+            self.tick();
+        }
+        self.now = end;
+    }
+
+    /// Runs until `done`, at most for `limit`; returns the time that it took.
+    pub fn until(&mut self, limit: Duration, done: impl Fn(&World) -> bool) -> Option<Duration> {
+        let start = self.now;
+        while !done(self) {
+            let at = self.next().filter(|at| at.since(start) <= limit)?;
+            self.now = self.now.max(at);
+            self.tick();
+        }
+        Some(self.now.since(start))
+    }
+
+    fn next(&self) -> Option<Instant> {
+        let queued = self.queue.keys().next().map(|&(at, _)| at);
+        let wakes = self.wakes.first().map(|&(at, _)| at);
+        queued.into_iter().chain(wakes).min()
+    }
+
+    fn tick(&mut self) {
+        let mut events: BTreeMap<Name, Vec<Event>> = BTreeMap::new();
+        while let Some(entry) = self.queue.first_entry().filter(|e| e.key().0 <= self.now) {
+            let delivery = entry.remove();
+            self.deliver(delivery, &mut events);
+        }
+        for (at, vm) in self.wakes.iter().take_while(|(at, _)| *at <= self.now) {
+            debug_assert!(*at <= self.now);
+            events.entry(vm.clone()).or_default();
+        }
+        for (vm, events) in events {
+            self.step(&vm, events);
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery, events: &mut BTreeMap<Name, Vec<Event>>) {
+        let vm = match &delivery {
+            Delivery::Message(vm, _) | Delivery::Reply((vm, _), ..) => vm.clone(),
+        };
+        if let Delivery::Reply(start, call, _) = &delivery {
+            self.platform.end(start, *call);
+        }
+        let Some(node) = self.nodes.get(&vm) else { return };
+        if let Some(until) = node.paused.filter(|&until| until > self.now) {
+            return self.enqueue(until, delivery);
+        }
+        let event = match delivery {
+            Delivery::Message(_, message) => Event::Message(*message),
+            Delivery::Reply((_, start), ..) if start != node.start => return,
+            Delivery::Reply(_, call, reply) => Event::Reply { call, reply },
+        };
+        events.entry(vm).or_default().push(event);
+    }
+
+    fn enqueue(&mut self, at: Instant, delivery: Delivery) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), delivery);
+    }
+
+    /// Runs one step of a VM that is not paused.
+    pub fn step(&mut self, vm: &Name, events: Vec<Event>) {
+        let Some(node) = self.nodes.get_mut(vm) else { return };
+        if node.paused.is_some_and(|until| until > self.now) {
+            return;
+        }
+        node.paused = None;
+        let mut out = Outbox::default();
+        let wall = Wall(EPOCH + self.now.0 / 1000);
+        node.engine.step(self.now, wall, events, &mut out);
+        let wake = node.engine.wake().unwrap();
+        assert!(wake > self.now, "{vm} would spin at {:?}", self.now);
+        self.wakes.remove(&(node.wake, vm.clone()));
+        node.wake = wake;
+        self.wakes.insert((wake, vm.clone()));
+        self.flush(vm, out);
+    }
+
+    fn flush(&mut self, vm: &Name, out: Outbox) {
+        let node = self.nodes.get_mut(vm).unwrap();
+        node.lines.extend(out.lines);
+        for (_, notice) in out.notices {
+            if let Notice::View(view) = notice {
+                node.view = Some(view);
+            }
+        }
+        let start = (vm.clone(), node.start);
+        for post in &out.posts {
+            let config = bincode::config::standard();
+            let size = bincode::serde::encode_to_vec(&post.message, config).unwrap().len();
+            node.sent = (node.sent.0 + 1, node.sent.1 + size as u64);
+        }
+        self.watch_revision(vm);
+        for post in out.posts {
+            if self.network.carries(vm, &post.vm) {
+                let at = self.now + self.network.delay;
+                self.enqueue(at, Delivery::Message(post.vm, Box::new(post.message)));
+            }
+        }
+        for (id, call) in out.calls {
+            for (at, vm, id, reply) in self.platform.call(self.now, start.clone(), id, call) {
+                self.enqueue(at, Delivery::Reply(vm, id, reply));
+            }
+        }
+        self.answers.extend(out.answers);
+    }
+
+    /// What must hold at each step: the revision in force on a VM never goes down.
+    fn watch_revision(&mut self, vm: &Name) {
+        let revision = self.revision(vm);
+        let highest = self.highest.entry(vm.clone()).or_default();
+        assert!(revision >= *highest, "{vm} went back from {highest:?} to {revision:?}");
+        *highest = revision;
+    }
+
+    /// Hands a request of an operator to a VM.
+    pub fn ask(&mut self, vm: &Name, request: Request) -> RequestId {
+        self.sequence += 1;
+        let id = RequestId(self.sequence);
+        self.step(vm, vec![Event::Request { id, request }]);
+        id
+    }
+
+    /// Publishes profiles through a VM.
+    pub fn publish(&mut self, vm: &Name, mark: u32, expect: Option<Revision>) -> RequestId {
+        let who = format!("operator-{mark}");
+        let request = Request::Publish { profiles: profiles(mark), expect, who, dry_run: false };
+        self.ask(vm, request)
+    }
+
+    /// Waits for the answer to a request.
+    pub fn answer(&mut self, id: RequestId) -> Answer {
+        self.until(Duration::from_secs(20), |world| world.answers.contains_key(&id));
+        self.answers.get(&id).cloned().expect("every request is answered")
+    }
+
+    /// Hands the report of a traffic thread to a VM.
+    pub fn report(&mut self, vm: &Name, report: Report) {
+        self.step(vm, vec![Event::Report { thread: 0, report }]);
+    }
+
+    /// The view of a VM.
+    pub fn view(&self, vm: &Name) -> &View {
+        self.nodes[vm].view.as_deref().unwrap()
+    }
+
+    /// The document in force on a VM.
+    pub fn document(&self, vm: &Name) -> &Document {
+        &self.nodes[vm].engine.tables().in_force.document
+    }
+
+    /// The revision in force on a VM.
+    pub fn revision(&self, vm: &Name) -> Revision {
+        self.document(vm).revision
+    }
+
+    /// Whether every VM that runs satisfies `test`.
+    pub fn all(&self, test: impl Fn(&View) -> bool) -> bool {
+        self.nodes.values().all(|node| node.view.as_deref().is_some_and(&test))
+    }
+
+    /// Whether every VM that runs is ready and sees just those that run as live.
+    pub fn settled(&self) -> bool {
+        self.all(|view| {
+            let live = view.vms.values().filter(|vm| vm.state == State::Live);
+            view.ready && live.map(|vm| &vm.name).eq(self.nodes.keys())
+        })
+    }
+}
