Fuzz the claims engine; move the floor only by a majority of clocks

The fuzzing found that a VM that had just started moved the floor by its own clock, which was 9 s ahead of a window of 4 s, so that every new key was refused. The floor now needs a majority of the first five clocks and rises at most four times as fast as time. The deadline of a claim is a point on the process's clock, because a pause before the event was taken extended a time that remains. An outcome is dropped only after the bucket was read lately: a home that had not read it dropped the outcome of a claim stored by another.

--- a/crates/core/src/claims/collect.rs
+++ b/crates/core/src/claims/collect.rs
@@ -99,7 +99,8 @@
     match reply {
         Reply::Swapped { version } => {
             row.failures = 0;
-            row.hint = Hint::Known { version: Some(version), value: batch.value, read: scope.now };
+            row.hint =
+                Hint::Known { version: Some(version), value: batch.value, read: Some(scope.now) };
             let grants = batch.claims.into_iter().map(|pending| Grant { pending, bucket });
             tables.grants.extend(grants);
             let recorded = batch.records.into_iter();
@@ -131,10 +132,10 @@
 
 fn hint(entry: Option<Entry>, scope: &Scope<'_>) -> Hint {
     let Some(entry) = entry else {
-        return Hint::Known { version: None, value: Value::default(), read: scope.now };
+        return Hint::Known { version: None, value: Value::default(), read: Some(scope.now) };
     };
     match Value::try_from(entry.value.as_slice()) {
-        Ok(value) => Hint::Known { version: Some(entry.version), value, read: scope.now },
+        Ok(value) => Hint::Known { version: Some(entry.version), value, read: Some(scope.now) },
         Err(_) => Hint::Unreadable,
     }
 }
--- a/crates/core/src/claims/decide.rs
+++ b/crates/core/src/claims/decide.rs
@@ -116,8 +116,8 @@
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
-    let Hint::Known { value, read, .. } = &row.hint else { return };
-    let fresh = scope.now.since(*read) <= scope.limits.fresh;
+    let fresh = is_fresh(row, scope);
+    let Hint::Known { value, .. } = &row.hint else { return };
     let mut reread = false;
     let mut free = Vec::new();
     for pending in row.claims.drain(..) {
@@ -138,6 +138,13 @@
     }
 }
 
+/// Whether the remembered value was read lately, so that what it lacks may be
+/// taken as missing.
+fn is_fresh(row: &Row, scope: &Scope<'_>) -> bool {
+    let Hint::Known { read: Some(read), .. } = row.hint else { return false };
+    scope.now.since(read) <= scope.limits.fresh
+}
+
 fn settle(pending: &Pending, verdict: Verdict, replies: &mut Replies, out: &mut Outbox) {
     out.count(match verdict {
         Verdict::Granted => Count::Granted,
@@ -238,11 +245,17 @@
     out: &mut Outbox,
 ) -> Vec<Record> {
     let mut added = Vec::new();
-    let rest = row.records.split_off(row.records.len().min(scope.limits.group));
+    let fresh = is_fresh(row, scope);
+    let mut rest = row.records.split_off(row.records.len().min(scope.limits.group));
     for record in row.records.drain(..) {
         match apply(value, &record, scope) {
             Applied::Changed => added.push(record),
             Applied::Stored => replies.recorded.push((record.requester, record.request.token)),
+            // Another home may have stored the claim.
+            Applied::Refused if !fresh => {
+                row.hint = Hint::Stale;
+                rest.push(record);
+            }
             Applied::Refused => {
                 out.count(Count::OutcomeDropped);
                 replies.recorded.push((record.requester, record.request.token));
--- a/crates/core/src/claims/intake.rs
+++ b/crates/core/src/claims/intake.rs
@@ -9,7 +9,7 @@
     id,
     name::Name,
     store,
-    time::Wall,
+    time::{Instant, Wall},
 };
 
 use super::{
@@ -35,8 +35,8 @@
     let mut calls = Vec::new();
     for event in events {
         match event {
-            Event::Claim { operation, request, remaining } => {
-                operate(tables, scope, operation, request, remaining, out);
+            Event::Claim { operation, request, deadline } => {
+                operate(tables, scope, operation, request, deadline, out);
             }
             Event::Outcome { request, outcome } => report(tables, scope, request, outcome, out),
             Event::Message { from, message } => take(tables, scope, &from, message, replies, out),
@@ -67,7 +67,7 @@
     scope: &Scope<'_>,
     operation: id::Query,
     request: Request,
-    remaining: Duration,
+    deadline: Instant,
     out: &mut Outbox,
 ) {
     if let Some(verdict) = outside(tables, scope, &request) {
@@ -80,7 +80,6 @@
         out.claimed.push((operation, Verdict::Unsettled { detail }));
         return;
     }
-    let deadline = scope.now + remaining;
     let next = scope.now;
     let row = Operation { operation, request, deadline, home: None, tries: 0, next };
     tables.operations.insert(row.request.token, row);
@@ -266,7 +265,7 @@
 
 fn first_hint(scope: &Scope<'_>, start: u64) -> Hint {
     if scope.wall.0.saturating_sub(start) <= NEW_SLOT.as_millis() as u64 {
-        Hint::Known { version: None, value: Value::default(), read: scope.now }
+        Hint::Known { version: None, value: Value::default(), read: None }
     } else {
         Hint::Stale
     }
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -27,7 +27,7 @@
 mod sweep;
 mod wake;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use crate::{
     claim, id,
@@ -47,8 +47,10 @@
 /// What the control thread tells the engine.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// An operation of this VM asks for the right to run.
-    Claim { operation: id::Query, request: claim::Request, remaining: Duration },
+    /// An operation of this VM asks for the right to run. The deadline is a
+    /// point on this process's clock and not a time that remains, so that a
+    /// pause before the event is taken does not extend it.
+    Claim { operation: id::Query, request: claim::Request, deadline: Instant },
     /// An operation of this VM that was granted its claim has this outcome.
     Outcome { request: claim::Request, outcome: claim::Outcome },
     /// A message of another VM.
--- a/crates/core/src/claims/sweep.rs
+++ b/crates/core/src/claims/sweep.rs
@@ -22,6 +22,9 @@
 
 /// The VMs, by rank, whose clocks are heard before the floor moves.
 const CLOCKS: usize = 5;
+/// How many times faster than time the floor may rise, so that clocks which are
+/// far ahead do not refuse the keys of today at once.
+const MAX_RISE: u64 = 4;
 
 /// Runs the system.
 pub fn run(tables: &mut Tables, scope: &Scope<'_>, out: &mut Outbox) {
@@ -39,6 +42,7 @@
     tables.sweep.next = scope.now + scope.limits.sweep;
     let live = scope.vms.values().filter(|vm| vm.state == State::Live);
     let order = rank::order(layout::floor_seed(), live.map(|vm| &vm.name));
+    tables.sweep.most = tables.sweep.most.max(order.len());
     match order.iter().position(|vm| *vm == scope.vm) {
         Some(0) => {
             let get = Call::Get { key: FLOOR.to_owned() };
@@ -91,7 +95,11 @@
             Err(_) => return,
         },
     };
-    let target = target(tables, scope);
+    let Some(goal) = goal(tables, scope) else { return };
+    let target = match stored {
+        None => goal,
+        Some(floor) => goal.min(rise(tables, scope, floor.slot)),
+    };
     let current = stored.unwrap_or(Floor { slot: 0, swept: target });
     tables.floor = tables.floor.max(current.slot);
     tables.sweep.stored = Some((version, current));
@@ -107,18 +115,30 @@
     start(tables, scope, out, Purpose::FloorWrite { floor }, swap);
 }
 
+/// The highest slot to which the floor may rise from `stored` now. A VM that
+/// reads the floor for the first time only notes when it did.
+fn rise(tables: &mut Tables, scope: &Scope<'_>, stored: u64) -> u64 {
+    let Some(seen) = tables.sweep.seen.replace(scope.now) else { return stored };
+    let elapsed = millis(scope.now.since(seen)).saturating_mul(MAX_RISE);
+    stored + scope.limits.layout.slot_at(elapsed).max(1)
+}
+
 /// The slot that the floor should have: a window before the median of the
 /// clocks that were heard lately, so that one wrong clock does not move it.
-fn target(tables: &mut Tables, scope: &Scope<'_>) -> u64 {
+/// There is none while too few clocks were heard.
+fn goal(tables: &mut Tables, scope: &Scope<'_>) -> Option<u64> {
     let horizon = scope.limits.sweep * 3;
     let clocks = &mut tables.sweep.clocks;
     clocks
         .retain(|vm, (_, heard)| scope.now.since(*heard) <= horizon && scope.vms.contains_key(vm));
     let heard = clocks.values().map(|(wall, heard)| wall.0 + millis(scope.now.since(*heard)));
     let mut walls: Vec<u64> = heard.chain([scope.wall.0]).collect();
+    if walls.len() <= tables.sweep.most.min(CLOCKS) / 2 {
+        return None;
+    }
     walls.sort_unstable();
     let Wall(median) = Wall(walls[(walls.len() - 1) / 2]);
-    scope.limits.layout.slot_at(median.saturating_sub(millis(scope.limits.window)))
+    Some(scope.limits.layout.slot_at(median.saturating_sub(millis(scope.limits.window))))
 }
 
 fn millis(span: Duration) -> u64 {
--- a/crates/core/src/claims/table.rs
+++ b/crates/core/src/claims/table.rs
@@ -86,8 +86,9 @@
     Stale,
     /// The value could not be decoded; nothing is granted and nothing written.
     Unreadable,
-    /// The value as of `read`; no version means that there was none.
-    Known { version: Option<Version>, value: Value, read: Instant },
+    /// The value as of `read`; no version means that there was none. A value
+    /// that was never read is a guess.
+    Known { version: Option<Version>, value: Value, read: Option<Instant> },
 }
 
 /// A bucket with work at this home.
@@ -170,6 +171,10 @@
     pub slot: u64,
     /// The buckets of the slot that are still to be removed.
     pub entries: Vec<(Bucket, Version)>,
+    /// The most live VMs that were seen.
+    pub most: usize,
+    /// When the stored floor was last read in order to move it.
+    pub seen: Option<Instant>,
     /// The clocks of peers: what they said and when.
     pub clocks: BTreeMap<Name, (Wall, Instant)>,
 }
--- a/crates/core/tests/claims/main.rs
+++ b/crates/core/tests/claims/main.rs
@@ -3,6 +3,7 @@
 #[macro_use]
 mod case;
 mod fault;
+mod fuzz;
 mod oracle;
 mod rate;
 mod rule;
--- a/crates/core/tests/claims/world.rs
+++ b/crates/core/tests/claims/world.rs
@@ -215,7 +215,8 @@
         let row = Operation { vm, epoch, request, start: self.now, deadline, plan, verdict: None };
         let request = row.request.clone();
         self.operations.insert(operation, row);
-        self.event(vm, Event::Claim { operation, request, remaining });
+        let deadline = Instant(deadline);
+        self.event(vm, Event::Claim { operation, request, deadline });
         operation
     }
 
