Report what is in flight while leaving; test operations over several VMs

Cause: the control thread must know when nothing is in flight before the process ends, and a VM that is leaving must take requests until its listener closes, because the balancer learns of it late.

An operation whose claim was answered with anything but granted after its deadline stayed in the table of late outcomes; it is removed now.

--- a/crates/core/src/border.rs
+++ b/crates/core/src/border.rs
@@ -7,6 +7,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::{
+    log::Line,
     message::Message,
     store::{Call, CallId},
     target::Command,
@@ -34,6 +35,12 @@
     fn update(&mut self, addresses: BTreeMap<Lane, SocketAddr>);
 }
 
+/// The writer of the log.
+pub trait Journal {
+    /// Writes a line.
+    fn write(&mut self, line: &Line);
+}
+
 /// The clocks of this machine.
 pub trait Clock {
     /// The monotonic time since the start of the process.
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -310,11 +310,6 @@
     pub fn tables(&self) -> &Tables {
         &self.tables
     }
-
-    /// The number of requests and legs in flight.
-    pub fn in_flight(&self) -> usize {
-        self.tables.queries.len() + self.tables.jobs.len()
-    }
 }
 
 /// The fingerprint of a search.
--- a/crates/core/src/traffic/system/claim.rs
+++ b/crates/core/src/traffic/system/claim.rs
@@ -81,6 +81,7 @@
 /// Gives back a claim that was granted too late to be used.
 fn decline(tables: &mut Tables, id: id::Query, verdict: &Verdict, out: &mut Outbox) {
     if *verdict != Verdict::Granted {
+        tables.unsettled.remove(&id);
         return;
     }
     let request = match tables.queries.get_mut(&id) {
--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -97,14 +97,15 @@
     out.count(Count::Requests);
 }
 
-/// Checks what must hold before a request is taken.
+/// Checks what must hold before a request is taken. A VM that is leaving takes
+/// requests until its listener closes, because the balancer learns of it late.
 fn admit(
     tables: &Tables,
     cx: &Context,
     profile: &Name,
     fingerprint: impl FnOnce(&Profile) -> Fingerprint,
 ) -> Result<(Profile, Fingerprint), Fault> {
-    if !cx.view.ready || cx.view.leaving {
+    if !cx.view.ready {
         return Err(Fault::not_run(Kind::NotReady, format!("VM {} is not ready", cx.view.vm)));
     }
     if tables.queries.len() >= cx.limits.open_requests {
--- a/crates/core/src/traffic/system/leg.rs
+++ b/crates/core/src/traffic/system/leg.rs
@@ -92,6 +92,7 @@
 }
 
 fn settle_unknown(tables: &mut Tables, leg: &Leg) {
+    tables.unsettled.remove(&leg.query);
     let Some(query) = tables.queries.get_mut(&leg.query) else { return };
     if let Task::Operation(operation) = &mut query.task
         && operation.stage == Stage::Sent
--- a/crates/core/src/traffic/system/mod.rs
+++ b/crates/core/src/traffic/system/mod.rs
@@ -11,6 +11,7 @@
 pub mod dispatch;
 pub mod tell;
 pub mod answer;
+pub mod depart;
 pub mod connect;
 pub mod job;
 pub mod leg;
@@ -34,4 +35,5 @@
     dispatch::run(tables, cx, out);
     tell::run(tables, cx, out);
     answer::run(tables, cx, out);
+    depart::run(tables, cx, out);
 }
--- a/crates/core/src/traffic/table/mod.rs
+++ b/crates/core/src/traffic/table/mod.rs
@@ -58,6 +58,8 @@
     pub attempts: BTreeMap<id::Attempt, Attempt>,
     /// Requests that were running when a target was lost.
     pub suspects: BTreeMap<Fingerprint, Suspect>,
+    /// The number of rows in flight that was last reported while leaving.
+    pub reported: Option<usize>,
     /// Points in time at which a row is due.
     pub timers: Timers,
     /// Replies to legs of this thread that are yet to be merged.
@@ -75,6 +77,11 @@
 }
 
 impl Tables {
+    /// The number of requests and legs in flight.
+    pub fn in_flight(&self) -> usize {
+        self.queries.len() + self.jobs.len() + self.unsettled.len()
+    }
+
     /// Whether a system has work that is due at once.
     pub fn is_busy(&self) -> bool {
         !(self.replies.is_empty()
--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -6,3 +6,4 @@
 mod world;
 mod key;
 mod search;
+mod operation;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,7 +10,11 @@
 
 use std::net::SocketAddr;
 
-use laburnum_core::{border::Platform, control::Message, log::Line, name::Name};
+use laburnum_core::{
+    border::{Journal, Platform},
+    control::Message,
+    name::Name,
+};
 
 pub use self::{
     codec::Json,
@@ -24,12 +28,6 @@
     fn send(&mut self, vm: &Name, address: SocketAddr, message: Message);
 }
 
-/// The writer of the log.
-pub trait Journal {
-    /// Writes a line.
-    fn write(&mut self, line: &Line);
-}
-
 /// What the control thread works through. It is made on the thread itself, so
 /// that clients find its runtime.
 pub struct Borders {
--- a/src/log/journal.rs
+++ b/src/log/journal.rs
@@ -1,9 +1,11 @@
 //! The writer of the log behind the border of the control thread.
 
-use laburnum_core::{border::Clock, log::Line};
+use laburnum_core::{
+    border::{self, Clock},
+    log::Line,
+};
 
 use super::Writer;
-use crate::control;
 
 /// Writes the lines of one thread with the time of its clock.
 pub struct Journal {
@@ -13,7 +15,7 @@
     pub clock: Box<dyn Clock + Send>,
 }
 
-impl control::Journal for Journal {
+impl border::Journal for Journal {
     fn write(&mut self, line: &Line) {
         self.writer.write(line, self.clock.now());
     }
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -5,9 +5,8 @@
 mod thread;
 
 use laburnum_core::{
-    border::{Peers, Targets},
+    border::{Journal, Peers, Targets},
     count::Counts,
-    log::Line,
     notice::Report,
     traffic::{Answer, Engine},
 };
@@ -23,12 +22,6 @@
     fn report(&mut self, report: Report);
 }
 
-/// The writer of the log.
-pub trait Journal {
-    /// Writes a line.
-    fn write(&mut self, line: &Line);
-}
-
 /// The counters and histograms.
 pub trait Meter {
     /// Adds what a tick has counted.
