Run the whole path in one process: VM, entry command, stand-ins, demo

Cause: the parts were built apart. This joins them: src/vm makes the threads and their clients, src/local a deployment on loopback, and the demo runs it.

Not held yet: the clearance, because the control thread does not serve claims so far.

--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -1,14 +1,21 @@
 //! `stand-in`: small stand-ins for the platform and the targets.
 
-use std::net::SocketAddr;
+use std::{
+    fs,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+};
 
 use argh::FromArgs;
-use laburnum_core::name::Name;
+use error_stack::Report;
+use serde::de::DeserializeOwned;
 
 use super::{
+    exit::Exit,
     failure::{Failure, Outcome},
     value,
 };
+use crate::standin;
 
 /// Run a stand-in for the platform or for a target, for tests and trials.
 #[derive(FromArgs, Debug)]
@@ -35,6 +42,9 @@
     /// where it listens
     #[argh(option)]
     pub listen: SocketAddr,
+    /// a TOML file of the VMs and targets that are listed from the start
+    #[argh(option)]
+    pub list: Option<PathBuf>,
 }
 
 /// Run a stand-in for one target.
@@ -42,36 +52,62 @@
 #[argh(
     subcommand,
     name = "target",
-    example = "{command_name} --listen 127.0.0.1:9001 --name licences-0-a --index licences --shard s0 --domain gauteng-1"
+    example = "{command_name} --listen 127.0.0.1:9001 --admin 127.0.0.1:9101 --settings target.toml"
 )]
 pub struct Target {
-    /// where it listens
+    /// where it listens for VMs
     #[argh(option)]
     pub listen: SocketAddr,
-    /// the name of the replica
-    #[argh(option, from_str_fn(value::name))]
-    pub name: Name,
-    /// the index that it holds a part of
-    #[argh(option, from_str_fn(value::name))]
-    pub index: Name,
-    /// the shard that it is a replica of
-    #[argh(option, from_str_fn(value::name))]
-    pub shard: Name,
-    /// the failure domain that it runs in
-    #[argh(option, from_str_fn(value::name))]
-    pub domain: Name,
-    /// the requests that it runs at a time
-    #[argh(option, default = "2")]
-    pub slots: u32,
-    /// the connections that it takes
-    #[argh(option, default = "55")]
-    pub connections: u32,
+    /// where its faults are switched and its counts are read
+    #[argh(option)]
+    pub admin: SocketAddr,
+    /// a TOML file of what it holds and how fast it is
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
 }
 
 /// Runs the command.
 pub fn run(command: &Standin) -> Outcome {
     match &command.part {
-        Part::Platform(_) => Err(Failure::absent("stand-in platform")),
-        Part::Target(_) => Err(Failure::absent("stand-in target")),
+        Part::Platform(platform) => run_platform(platform),
+        Part::Target(target) => run_target(target),
     }
 }
+
+fn run_platform(command: &Platform) -> Outcome {
+    let list: standin::platform::List = read(command.list.as_deref())?;
+    let listener = listen(command.listen)?;
+    let ended = value::runtime()?.block_on(standin::platform::serve(listener, list));
+    Err(Failure::report(Exit::Failed, format!("the stand-in ended: {ended:?}"), ""))
+}
+
+fn run_target(command: &Target) -> Outcome {
+    let raw: standin::target::settings::Raw = read(command.settings.as_deref())?;
+    let settings = standin::target::Settings::try_from(raw)
+        .map_err(|e| Failure::report(Exit::Invalid, e.to_string(), "correct the file"))?;
+    let traffic = listen(command.listen)?;
+    let admin = listen(command.admin)?;
+    let ended = value::runtime()?.block_on(standin::target::serve(settings, traffic, admin));
+    Err(Failure::report(Exit::Failed, format!("the stand-in ended: {ended:?}"), ""))
+}
+
+/// Reads a TOML file, or takes the defaults where none is given.
+fn read<T: DeserializeOwned>(file: Option<&Path>) -> Result<T, Report<Failure>> {
+    let text = match file {
+        Some(file) => fs::read_to_string(file).map_err(|e| invalid(file, &e.to_string()))?,
+        None => String::new(),
+    };
+    let name = file.unwrap_or(Path::new("defaults"));
+    toml::from_str(&text).map_err(|e| invalid(name, &e.to_string()))
+}
+
+fn invalid(file: &Path, detail: &str) -> Report<Failure> {
+    Failure::report(Exit::Invalid, format!("{}: {detail}", file.display()), "correct the file")
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, Report<Failure>> {
+    TcpListener::bind(address).map_err(|e| {
+        let hint = "see whether another process listens there";
+        Failure::report(Exit::Failed, format!("cannot listen on {address}: {e}"), hint)
+    })
+}
--- a/src/cli/value.rs
+++ b/src/cli/value.rs
@@ -36,3 +36,11 @@
 fn invalid(errors: &Errors) -> Report<Failure> {
     Failure::report(Exit::Invalid, errors.to_string(), "correct the file and run `check` on it")
 }
+
+/// Makes the runtime of a command.
+pub fn runtime() -> Result<tokio::runtime::Runtime, Report<Failure>> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| Failure::report(Exit::Failed, format!("no runtime: {e}"), ""))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod settings;
 pub mod clock;
+pub mod vm;
+pub mod local;
 pub mod log;
 pub mod metric;
 pub mod wire;
--- /dev/null
+++ b/src/local/demo.rs
@@ -0,0 +1,274 @@
+//! The demo: a deployment of three VMs, searches, one clearance, a lost shard.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use error_stack::{Report, ResultExt};
+use serde_json::{Value, json};
+use uuid::Uuid;
+
+use super::{Caller, Deployment, INDEX, Plan, caller::Reply};
+use crate::standin::target::settings::Raw;
+
+/// The time within which the deployment must take requests.
+const START_LIMIT: Duration = Duration::from_secs(10);
+
+/// The time after a loss at which partial answers are expected.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// Why the demo ended early.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// What did not work.
+    pub detail: String,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.detail)
+    }
+}
+
+impl std::error::Error for Error {}
+
+fn step(detail: &str) -> Error {
+    Error { detail: detail.to_owned() }
+}
+
+/// One thing that the run showed, or did not.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// What must hold.
+    pub claim: String,
+    /// Whether it held.
+    pub held: bool,
+}
+
+/// A run of the demo: it prints each step and collects what held.
+struct Run<'a> {
+    deployment: &'a Deployment,
+    caller: Caller,
+    print: &'a dyn Fn(&str),
+    findings: Vec<Finding>,
+}
+
+/// Runs the demo, prints each step and returns what held.
+pub async fn run(print: &dyn Fn(&str)) -> Result<Vec<Finding>, Report<Error>> {
+    let plan = Plan { vms: 3, shards: 4, replicas: 2, target: Raw::default() };
+    let deployment =
+        super::start(&plan).change_context_lazy(|| step("the deployment did not start"))?;
+    print(&format!(
+        "started a platform, {} VMs and {} targets of the index {INDEX}",
+        plan.vms,
+        plan.shards * plan.replicas
+    ));
+    let caller = Caller::new().change_context_lazy(|| step("no HTTP client could be made"))?;
+    let mut run = Run { deployment: &deployment, caller, print, findings: Vec::new() };
+    run.publish().await?;
+    run.searches(&plan).await?;
+    run.clearance().await?;
+    run.lost_shard(&plan).await?;
+    Ok(run.findings)
+}
+
+impl Run<'_> {
+    fn find(&mut self, claim: &str, held: bool) {
+        (self.print)(&format!("  {}: {claim}", if held { "held" } else { "NOT HELD" }));
+        self.findings.push(Finding { claim: claim.to_owned(), held });
+    }
+
+    fn callers(&self) -> Vec<(String, SocketAddr)> {
+        let vms = self.deployment.vms.iter();
+        vms.map(|(place, _)| (place.name.to_string(), place.callers)).collect()
+    }
+
+    async fn publish(&mut self) -> Result<(), Report<Error>> {
+        let is_ready = self.deployment.ready(START_LIMIT).await;
+        self.find("every VM takes requests within 10 s", is_ready);
+        let whole = profile(1_000_000);
+        let part = profile(500_000);
+        let profiles = json!({ "clearance": whole, "browse": part });
+        let Some((place, _)) = self.deployment.vms.first() else {
+            return Err(Report::new(step("there is no VM")));
+        };
+        let reply = self
+            .caller
+            .publish(place.operators, &profiles)
+            .await
+            .change_context_lazy(|| step("the profiles could not be published"))?;
+        (self.print)(&format!("published profiles through {}: {}", place.name, reply.body));
+        self.find("the publication was accepted", reply.status.is_success());
+        let since = Instant::now();
+        let mut is_everywhere = false;
+        while !is_everywhere && since.elapsed() < Duration::from_secs(3) {
+            is_everywhere = self.in_force().await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        self.find("the profiles are in force on every VM within 3 s", is_everywhere);
+        Ok(())
+    }
+
+    async fn in_force(&self) -> bool {
+        for (_, address) in self.callers() {
+            let reply = self.caller.search(address, "clearance", "none").await;
+            if !reply.is_ok_and(|reply| reply.status.is_success()) {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn search(
+        &self,
+        vm: &(String, SocketAddr),
+        profile: &str,
+        text: &str,
+    ) -> Result<Reply, Report<Error>> {
+        let since = Instant::now();
+        let reply = self
+            .caller
+            .search(vm.1, profile, text)
+            .await
+            .change_context_lazy(|| step("a search was not answered"))?;
+        let took = since.elapsed();
+        let line = if reply.status.is_success() {
+            format!(
+                "search {text:?} through {}: snapshot {}, coverage {} of 1000000, {} rows, \
+                 {} attempts, {:.1} ms",
+                vm.0,
+                reply.body["snapshot"],
+                reply.body["coverage"]["parts_per_million"],
+                rows(&reply).len(),
+                reply.body["attempts"],
+                took.as_secs_f64() * 1e3
+            )
+        } else {
+            format!("search {text:?} through {}: {}", vm.0, reply.body)
+        };
+        (self.print)(&line);
+        Ok(reply)
+    }
+
+    async fn searches(&mut self, plan: &Plan) -> Result<(), Report<Error>> {
+        let index =
+            crate::standin::target::row::Index { seed: plan.target.seed, rows: plan.target.rows };
+        let all = laburnum_core::key::Range::ALL;
+        for vm in self.callers() {
+            for text in ["maritime", "uhf"] {
+                let reply = self.search(&vm, "clearance", text).await?;
+                let expected = index.read(laburnum_core::target::Version(1), all, text);
+                let found = rows(&reply);
+                let is_whole = found.len() == expected.len()
+                    && found
+                        .iter()
+                        .zip(&expected)
+                        .all(|(found, row)| found["body"].as_str() == Some(&*row.body));
+                self.find("the answer holds every row of one snapshot, once", is_whole);
+            }
+        }
+        Ok(())
+    }
+
+    async fn clearance(&mut self) -> Result<(), Report<Error>> {
+        let key = Uuid::now_v7().to_string();
+        let body = json!({
+            "profile": "clearance",
+            "operation": "clearance",
+            "subject": 42,
+            "detail": "mast 7, 460.0 MHz",
+        });
+        let mut results = Vec::new();
+        for (name, address) in self.callers() {
+            let reply = self
+                .caller
+                .operate(address, &key, &body)
+                .await
+                .change_context_lazy(|| step("a clearance was not answered"))?;
+            (self.print)(&format!("clearance through {name} with the same key: {}", reply.body));
+            results.push(reply);
+        }
+        let first_ran = results.first().is_some_and(|reply| {
+            reply.status.is_success() && reply.body["replayed"] == json!(false)
+        });
+        self.find("the clearance ran", first_ran);
+        let is_repeated = results.iter().skip(1).all(|reply| {
+            reply.status.is_success()
+                && reply.body["replayed"] == json!(true)
+                && reply.body["result"] == results[0].body["result"]
+        });
+        self.find("each resend got the recorded outcome", is_repeated);
+        let executions = self.executions().await?;
+        self.find("the targets ran it once", executions == 1);
+        Ok(())
+    }
+
+    /// The executions of operations that all targets recorded.
+    async fn executions(&self) -> Result<u64, Report<Error>> {
+        let mut sum = 0;
+        for target in &self.deployment.targets {
+            let reply = self
+                .caller
+                .read(target.admin, "/v1/executions")
+                .await
+                .change_context_lazy(|| step("a target's executions could not be read"))?;
+            let tokens = reply.body["tokens"].as_object().cloned().unwrap_or_default();
+            sum += tokens.values().filter_map(Value::as_u64).sum::<u64>();
+        }
+        Ok(sum)
+    }
+
+    async fn lost_shard(&mut self, plan: &Plan) -> Result<(), Report<Error>> {
+        let last = format!("shard-{}", plan.shards - 1);
+        for target in &self.deployment.targets {
+            if target.listed.shard.as_str() != last {
+                continue;
+            }
+            self.caller
+                .send(
+                    reqwest::Method::PUT,
+                    target.admin,
+                    "/v1/faults",
+                    &[],
+                    &json!({ "drain": true }),
+                )
+                .await
+                .change_context_lazy(|| step("a target could not be drained"))?;
+        }
+        (self.print)(&format!("drained both targets of {last}"));
+        tokio::time::sleep(SETTLE).await;
+        let Some(vm) = self.callers().into_iter().next() else { return Ok(()) };
+        let reply = self.search(&vm, "browse", "maritime").await?;
+        let coverage = reply.body["coverage"]["parts_per_million"].as_u64();
+        let missing = reply.body["coverage"]["missing"].as_array().map_or(0, Vec::len);
+        self.find(
+            "a profile that allows it gets a partial answer that names what is missing",
+            coverage.is_some_and(|parts| (740_000..1_000_000).contains(&parts)) && missing == 1,
+        );
+        let reply = self.search(&vm, "clearance", "maritime").await?;
+        self.find(
+            "a profile that needs the whole index is refused, and nothing ran",
+            reply.body["kind"] == "coverage_too_low" && reply.body["ran"] == "no",
+        );
+        Ok(())
+    }
+}
+
+fn profile(coverage: u32) -> Value {
+    json!({
+        "team": "local",
+        "index": INDEX,
+        "coverage_ppm": coverage,
+        "deadline_ms": 1000,
+        "tail_ms": 50,
+        "extra_load_ppm": 50_000,
+        "concurrency": 100,
+        "priority": 10,
+    })
+}
+
+fn rows(reply: &Reply) -> Vec<Value> {
+    reply.body["rows"].as_array().cloned().unwrap_or_default()
+}
--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -1,6 +1,6 @@
 //! The loop of a traffic thread.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use laburnum_core::{
     border::Clock,
@@ -10,11 +10,15 @@
     view::{Lane, View},
 };
 use tokio::{
-    sync::{mpsc::UnboundedReceiver, oneshot, watch},
+    sync::{
+        mpsc::{Receiver, UnboundedReceiver},
+        oneshot, watch,
+    },
     time::sleep,
 };
 
 use super::{Borders, handle::Input};
+use crate::wire::{self, Body};
 
 /// The longest sleep when the engine has nothing to do.
 const IDLE: Duration = Duration::from_secs(1);
@@ -26,12 +30,16 @@
 pub struct Inbox {
     /// Calls of the front end.
     pub inputs: UnboundedReceiver<Input>,
-    /// Messages of other traffic threads and their losses.
-    pub peers: UnboundedReceiver<Event>,
+    /// Messages of other traffic threads; a full channel holds them back.
+    pub frames: Receiver<wire::Frame>,
+    /// Losses of messages to other traffic threads.
+    pub losses: UnboundedReceiver<wire::Lost>,
     /// Reports of the client of the targets.
     pub targets: UnboundedReceiver<target::Event>,
     /// What the control thread tells.
     pub notices: UnboundedReceiver<Notice>,
+    /// Becomes true when the thread is to end.
+    pub stop: watch::Receiver<bool>,
 }
 
 /// What a traffic thread is made from.
@@ -45,10 +53,10 @@
     /// The ways out of the thread.
     pub borders: Borders,
     /// Becomes true when the thread can answer callers.
-    pub ready: watch::Sender<bool>,
+    pub ready: Arc<watch::Sender<bool>>,
 }
 
-/// Runs a traffic thread until the control thread has ended.
+/// Runs a traffic thread until it is stopped or the control thread has ended.
 ///
 /// The thread waits for an event or for the earliest time at which the engine
 /// has something to do, takes all events that are ready, runs one step and
@@ -78,14 +86,15 @@
 #[derive(Default)]
 struct Batch {
     inputs: Vec<Input>,
-    peers: Vec<Event>,
+    frames: Vec<wire::Frame>,
+    losses: Vec<wire::Lost>,
     targets: Vec<target::Event>,
     notices: Vec<Notice>,
 }
 
 impl Batch {
     /// Waits until a channel has events or the pause is over, then takes what
-    /// is ready. It returns false when the control thread has ended.
+    /// is ready. It returns false when the thread is to end.
     async fn fill(&mut self, inbox: &mut Inbox, pause: Duration) -> bool {
         tokio::select! {
             biased;
@@ -95,12 +104,18 @@
                 }
             }
             _ = inbox.targets.recv_many(&mut self.targets, MAX_BATCH) => {}
-            _ = inbox.peers.recv_many(&mut self.peers, MAX_BATCH) => {}
+            _ = inbox.frames.recv_many(&mut self.frames, MAX_BATCH) => {}
+            _ = inbox.losses.recv_many(&mut self.losses, MAX_BATCH) => {}
             _ = inbox.inputs.recv_many(&mut self.inputs, MAX_BATCH) => {}
+            _ = inbox.stop.wait_for(|stop| *stop) => return false,
             () = sleep(pause) => {}
         }
         take_ready(&mut inbox.targets, &mut self.targets);
-        take_ready(&mut inbox.peers, &mut self.peers);
+        take_ready(&mut inbox.losses, &mut self.losses);
+        while self.frames.len() < MAX_BATCH {
+            let Ok(frame) = inbox.frames.try_recv() else { break };
+            self.frames.push(frame);
+        }
         take_ready(&mut inbox.inputs, &mut self.inputs);
         true
     }
@@ -120,7 +135,7 @@
     engine: Engine,
     clock: Box<dyn Clock>,
     borders: Borders,
-    ready: watch::Sender<bool>,
+    ready: Arc<watch::Sender<bool>>,
     waiting: BTreeMap<Call, oneshot::Sender<Answer>>,
 }
 
@@ -134,7 +149,8 @@
             events.push(Event::Notice(notice));
         }
         events.extend(batch.targets.drain(..).map(Event::Target));
-        events.append(&mut batch.peers);
+        events.extend(batch.frames.drain(..).filter_map(message));
+        events.extend(batch.losses.drain(..).map(|lost| Event::Lost { lane: lost.to }));
         for input in batch.inputs.drain(..) {
             events.push(self.open(input));
         }
@@ -185,6 +201,14 @@
     }
 }
 
+/// The message of a traffic thread that a frame carries.
+fn message(frame: wire::Frame) -> Option<Event> {
+    match frame.body {
+        Body::Traffic(message) => Some(Event::Message { from: frame.from, message }),
+        Body::Control(_) => None,
+    }
+}
+
 /// Where the traffic threads of a view listen.
 fn addresses(view: &View) -> BTreeMap<Lane, SocketAddr> {
     let mut addresses = BTreeMap::new();
--- /dev/null
+++ b/src/vm/control.rs
@@ -0,0 +1,98 @@
+//! Starts the control thread with its clients and listeners.
+
+use std::{io, net, sync::Arc, thread};
+
+use laburnum_core::{control::Setup, notice::Notice, view::Lane};
+use tokio::sync::{mpsc, watch};
+
+use super::{CONTROL_THREAD, Shared, limits, messenger, meter};
+use crate::{
+    control::{self, Borders, Handle, Inbox, Json, Parts},
+    log::journal::Journal,
+    operator, platform,
+    settings::Settings,
+    wire::{self, Body, Dialer},
+};
+
+/// The frames that wait for the thread; more hold back their senders.
+const MAX_FRAMES: usize = 1024;
+
+/// What the control thread has for itself.
+pub struct Seed {
+    /// The receiving ends of its channels.
+    pub inbox: Inbox,
+    /// The ways to the traffic threads.
+    pub notices: Vec<mpsc::UnboundedSender<Notice>>,
+    /// Becomes true when the VM is leaving and has nothing in flight.
+    pub idle: watch::Sender<bool>,
+    /// The socket for the control threads of other VMs.
+    pub peers: net::TcpListener,
+    /// The socket for operators.
+    pub operators: net::TcpListener,
+}
+
+/// The key that the VMs of the deployment share.
+pub fn key(settings: &Settings) -> wire::Key {
+    wire::Key::from(&settings.deployment.key)
+}
+
+/// Starts the thread.
+pub fn spawn(shared: Shared, seed: Seed) -> io::Result<thread::JoinHandle<()>> {
+    let setup = Setup {
+        vm: shared.row.clone(),
+        seeds: Vec::new(),
+        limits: limits::control(&shared.settings),
+        seed: rand::random(),
+        codec: Box::new(Json),
+    };
+    let clock = Box::new(shared.clock);
+    let Seed { inbox, notices, idle, peers, operators } = seed;
+    let borders = Box::new(move || borders(&shared, peers, operators));
+    control::spawn(Parts { setup, inbox, threads: notices, clock, borders, idle })
+}
+
+fn borders(shared: &Shared, peers: net::TcpListener, operators: net::TcpListener) -> Borders {
+    let own = Lane { vm: shared.row.name.clone(), thread: CONTROL_THREAD };
+    let key = key(&shared.settings);
+    let wire_limits = limits::wire(&shared.settings);
+    let (frames, receiver) = mpsc::channel(MAX_FRAMES);
+    let guard = wire::Guard { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
+    tokio::spawn(wire::listen(peers, guard, frames));
+    tokio::spawn(forward(receiver, shared.control.clone()));
+    tokio::spawn(operator::serve(operator::Seed {
+        listener: operators,
+        operators: shared.settings.operators.clone(),
+        handle: shared.control.clone(),
+        ready: shared.ready.clone(),
+        metrics: Arc::new(meter::Text(Arc::clone(&shared.metrics))),
+        shutdown: shared.stop.clone(),
+    }));
+    // Probes find out what a lost connection would tell.
+    let (losses, _) = mpsc::unbounded_channel();
+    let dialer = Dialer::new(own, shared.row.incarnation, key, wire_limits, losses);
+    Borders {
+        platform: Box::new(platform(shared)),
+        messenger: Box::new(messenger::Wire::new(dialer)),
+        journal: Box::new(Journal { writer: shared.writer.clone(), clock: Box::new(shared.clock) }),
+    }
+}
+
+fn platform(shared: &Shared) -> platform::Client {
+    let settings = &shared.settings;
+    platform::Client::new(
+        settings.platform.address,
+        settings.vm.name.clone(),
+        settings.platform.call_limit,
+        shared.control.replies(),
+    )
+    .expect("a client without proxy and TLS can always be made")
+}
+
+/// Hands the messages of other VMs to the control thread.
+async fn forward(mut frames: mpsc::Receiver<wire::Frame>, control: Handle) {
+    while let Some(frame) = frames.recv().await {
+        if let Body::Control(message) = frame.body {
+            control.message(*message);
+        }
+    }
+}
--- /dev/null
+++ b/src/vm/listen.rs
@@ -0,0 +1,66 @@
+//! The listening sockets of a VM.
+
+use std::net::{SocketAddr, TcpListener};
+
+use error_stack::{Report, ResultExt};
+use socket2::{Domain, Socket, Type};
+
+use super::Error;
+use crate::settings::identity::Listen;
+
+/// The connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// The sockets of one traffic thread.
+pub struct Pair {
+    /// For callers; every thread has one on the same address.
+    pub callers: TcpListener,
+    /// For the traffic threads of other VMs.
+    pub peers: TcpListener,
+}
+
+/// The sockets of a VM.
+pub struct Listeners {
+    /// For the control threads of other VMs.
+    pub control: TcpListener,
+    /// For operators.
+    pub operators: TcpListener,
+    /// For each traffic thread.
+    pub traffic: Vec<Pair>,
+}
+
+/// Binds every address of the settings.
+pub fn bind(listen: &Listen) -> Result<Listeners, Report<Error>> {
+    let traffic = listen
+        .traffic
+        .iter()
+        .map(|&address| {
+            let callers = shared(listen.callers)?;
+            Ok(Pair { callers, peers: own(address)? })
+        })
+        .collect::<Result<Vec<Pair>, Report<Error>>>()?;
+    Ok(Listeners { control: own(listen.control)?, operators: own(listen.operators)?, traffic })
+}
+
+fn own(address: SocketAddr) -> Result<TcpListener, Report<Error>> {
+    open(address, false)
+}
+
+/// Binds an address that several threads listen on; the system spreads new
+/// connections over them.
+fn shared(address: SocketAddr) -> Result<TcpListener, Report<Error>> {
+    open(address, true)
+}
+
+fn open(address: SocketAddr, is_shared: bool) -> Result<TcpListener, Report<Error>> {
+    let error = || Error { detail: format!("cannot listen on {address}") };
+    let socket =
+        Socket::new(Domain::for_address(address), Type::STREAM, None).change_context_lazy(error)?;
+    socket.set_reuse_address(true).change_context_lazy(error)?;
+    if is_shared {
+        socket.set_reuse_port(true).change_context_lazy(error)?;
+    }
+    socket.bind(&address.into()).change_context_lazy(error)?;
+    socket.listen(BACKLOG).change_context_lazy(error)?;
+    Ok(socket.into())
+}
--- /dev/null
+++ b/src/vm/traffic.rs
@@ -0,0 +1,136 @@
+//! Starts a traffic thread with its front, its clients and its listeners.
+
+use std::{cell::RefCell, collections::BTreeMap, io, net, rc::Rc, sync::Arc, thread};
+
+use laburnum_core::{
+    border::Peers,
+    id::Origin,
+    message::Message,
+    notice::{Notice, Report},
+    traffic::{self as decisions, Engine, Policies},
+    view::Lane,
+};
+use tokio::sync::{mpsc, watch};
+
+use super::{Shared, limits, meter, runtime};
+use crate::{
+    control, front,
+    log::journal::Journal,
+    target,
+    traffic::{self, Borders, Handle, Inbox, Parts},
+    wire::{self, Dialer},
+};
+
+/// The frames that wait for a thread; more hold back their senders.
+const MAX_FRAMES: usize = 4096;
+
+/// What a traffic thread has for itself.
+pub struct Seed {
+    /// Its number.
+    pub number: u16,
+    /// Its socket for callers.
+    pub callers: net::TcpListener,
+    /// Its socket for other VMs.
+    pub peers: net::TcpListener,
+    /// What the control thread tells it.
+    pub notices: mpsc::UnboundedReceiver<Notice>,
+    /// Becomes true when it can answer callers.
+    pub ready: Arc<watch::Sender<bool>>,
+}
+
+/// Starts the thread. It ends when the VM stops.
+pub fn spawn(shared: Shared, seed: Seed) -> io::Result<thread::JoinHandle<()>> {
+    let runtime = runtime()?;
+    let name = format!("traffic-{}", seed.number);
+    thread::Builder::new().name(name).spawn(move || runtime.block_on(run(shared, seed)))
+}
+
+async fn run(shared: Shared, seed: Seed) {
+    let own = Lane { vm: shared.row.name.clone(), thread: seed.number };
+    let (inputs, input_receiver) = mpsc::unbounded_channel();
+    let (losses, loss_receiver) = mpsc::unbounded_channel();
+    let (frames, frame_receiver) = mpsc::channel(MAX_FRAMES);
+    let (events, event_receiver) = mpsc::unbounded_channel();
+    let wire_limits = limits::wire(&shared.settings);
+    let key = super::control::key(&shared.settings);
+    let guard = wire::Guard { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
+    let listener = tokio::spawn(wire::listen(seed.peers, guard, frames));
+    let front = tokio::spawn(front::serve(front::Seed {
+        listener: seed.callers,
+        limits: shared.settings.callers.clone(),
+        handle: Handle::new(inputs),
+        ready: shared.ready.clone(),
+        metrics: Arc::new(meter::Text(Arc::clone(&shared.metrics))),
+        shutdown: shared.shutdown.clone(),
+    }));
+    let dialer = Dialer::new(own.clone(), shared.row.incarnation, key, wire_limits, losses);
+    let dialer = Rc::new(RefCell::new(dialer));
+    let parts = Parts {
+        engine: engine(&shared, own),
+        inbox: Inbox {
+            inputs: input_receiver,
+            frames: frame_receiver,
+            losses: loss_receiver,
+            targets: event_receiver,
+            notices: seed.notices,
+            stop: shared.stop.clone(),
+        },
+        clock: Box::new(shared.clock),
+        borders: Borders {
+            targets: Box::new(target::Client::new(target::Limits::default(), events)),
+            peers: Box::new(Lanes(Rc::clone(&dialer))),
+            control: Box::new(Reports { number: seed.number, control: shared.control.clone() }),
+            journal: Box::new(Journal {
+                writer: shared.writer.clone(),
+                clock: Box::new(shared.clock),
+            }),
+            meter: Box::new(meter::Thread {
+                number: seed.number,
+                metrics: Arc::clone(&shared.metrics),
+            }),
+        },
+        ready: seed.ready,
+    };
+    traffic::run(parts).await;
+    // A front that failed to serve has no open request.
+    let _ = front.await;
+    listener.abort();
+    if let Some(dialer) = Rc::into_inner(dialer) {
+        dialer.into_inner().close().await;
+    }
+}
+
+fn engine(shared: &Shared, lane: Lane) -> Engine {
+    Engine::new(decisions::Seed {
+        lane,
+        domain: shared.row.domain.clone(),
+        origin: Origin(rand::random()),
+        limits: limits::traffic(&shared.settings),
+        policies: Policies::default(),
+    })
+}
+
+/// The dialer, shared with the code that closes it.
+struct Lanes(Rc<RefCell<Dialer>>);
+
+impl Peers for Lanes {
+    fn send(&mut self, lane: &Lane, message: Message) {
+        self.0.borrow_mut().send(lane, message);
+    }
+
+    fn update(&mut self, addresses: BTreeMap<Lane, net::SocketAddr>) {
+        self.0.borrow_mut().update(addresses);
+    }
+}
+
+/// The way of a traffic thread to the control thread.
+struct Reports {
+    number: u16,
+    control: control::Handle,
+}
+
+impl traffic::Control for Reports {
+    fn report(&mut self, report: Report) {
+        self.control.report(self.number, report);
+    }
+}
