Add the streams between VMs

Cause: entries and homes need ordered one-way streams whose queues, frames and silence are bounded.

Frames that wait are sent together: h2 0.4.21 closes a connection on which too many small DATA frames lie unread (seen as a stall in the order case with one DATA frame for each frame). Ruled out: waiting for poll_capacity when room is there already, which it does not tell; a reset right after a refusal, which takes the queued response with it.

--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,1 +1,104 @@
 //! Messages between VMs: h2 streams that carry bincode.
+//!
+//! Traffic between two lanes is two one-way streams, one for each direction,
+//! each over a TCP connection that its sender dials. A [`Dialer`] sends and
+//! [`listen()`] receives. Nothing is promised to arrive: what is lost with a
+//! connection is reported by [`Lost`] and the decisions cope with it.
+//!
+//! Queues and frames are bounded on both sides. A peer that takes no bytes or
+//! answers no ping for a limit loses its connection; see [`Limits`].
+
+use std::time::Duration;
+
+use laburnum_core::{message::Message, view::Lane};
+use serde::{Deserialize, Serialize};
+
+pub mod codec;
+pub mod key;
+mod backoff;
+mod dialer;
+mod hello;
+mod inbound;
+mod outbound;
+mod ping;
+
+pub use dialer::Dialer;
+pub use inbound::{Guard, listen};
+pub use key::{Digest, Key};
+
+/// What a frame carries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// A message between traffic threads.
+    Traffic(Message),
+    /// A message between control threads, in an encoding of its own.
+    Control(Vec<u8>),
+}
+
+/// A frame as it was received. The sender stands once at the head of a stream
+/// and is put to each frame by the receiver.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame {
+    /// The lane that sent it.
+    pub from: Lane,
+    /// The start of the VM that sent it.
+    pub incarnation: u64,
+    /// What it carries.
+    pub body: Body,
+}
+
+/// Reports that frames to a lane were lost, at least one or those in flight.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lost {
+    /// The lane that they were for.
+    pub to: Lane,
+    /// Why, for people.
+    pub detail: String,
+}
+
+/// Bounds of the connections between VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The longest frame, in bytes.
+    pub frame: usize,
+    /// The frames that wait for one peer.
+    pub queue: usize,
+    /// The bytes that wait for one peer, and on the receiving side the memory
+    /// that small DATA frames may take beside their content.
+    pub queue_bytes: usize,
+    /// The bytes that a receiver takes before it has handed them on.
+    pub window: u32,
+    /// The inbound connections of one listener.
+    pub connections: usize,
+    /// The time for a connection to be opened.
+    pub connect: Duration,
+    /// The time in which a peer must take some bytes while any wait.
+    pub write: Duration,
+    /// The time between pings.
+    pub ping_interval: Duration,
+    /// The time in which a ping must be answered.
+    pub ping_limit: Duration,
+    /// The pause before the first dial after a loss; it doubles with each dial
+    /// that fails.
+    pub backoff: Duration,
+    /// The longest pause before a dial.
+    pub backoff_highest: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            frame: 4 * 1024 * 1024,
+            queue: 4096,
+            queue_bytes: 16 * 1024 * 1024,
+            window: 1024 * 1024,
+            connections: 4096,
+            connect: Duration::from_secs(1),
+            write: Duration::from_secs(1),
+            ping_interval: Duration::from_secs(2),
+            ping_limit: Duration::from_secs(1),
+            backoff: Duration::from_millis(50),
+            backoff_highest: Duration::from_secs(2),
+        }
+    }
+}
--- /dev/null
+++ b/src/wire/ping.rs
@@ -0,0 +1,25 @@
+//! Finds a peer that has become silent, by pings.
+
+use h2::{Ping, PingPong};
+use tokio::time::{interval, timeout};
+
+use super::Limits;
+
+/// Pings until the peer leaves a ping unanswered, and returns why it stopped.
+pub async fn watch(pings: Option<PingPong>, limits: Limits) -> String {
+    let Some(mut pings) = pings else {
+        return "the connection has no pings".to_owned();
+    };
+    let mut ticks = interval(limits.ping_interval);
+    loop {
+        ticks.tick().await;
+        match timeout(limits.ping_limit, pings.ping(Ping::opaque())).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => return error.to_string(),
+            Err(_) => {
+                let limit = limits.ping_limit.as_millis();
+                return format!("the peer left a ping unanswered for {limit} ms");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/edge/codec.rs
@@ -0,0 +1,168 @@
+//! Frames between VMs as bytes.
+
+use std::{sync::Arc, time::Duration};
+
+use laburnum_core::{
+    digest::Fingerprint,
+    id::{self, Origin},
+    key,
+    message::{Leg, Message, Outcome, Reply},
+    name::Name,
+    target::{Row, Version, Work},
+};
+use laburnumworks::wire::{
+    Body, Key,
+    codec::{Decoder, Error, encode},
+    key as wire_key,
+};
+use proptest::{collection::vec, prelude::*};
+
+const LIMIT: usize = 1024 * 1024;
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).expect("it is a name")
+}
+
+fn leg(sequence: u64, text: &str) -> Leg {
+    let origin = Origin(3);
+    let range = key::Range::ALL;
+    Leg {
+        leg: id::Leg { origin, sequence },
+        query: id::Query { origin, sequence },
+        index: name("licences"),
+        shard: name("shard-1"),
+        profile: name("clearance"),
+        work: Work::Search { version: Version(sequence), range, text: Arc::from(text) },
+        fingerprint: Fingerprint(sequence),
+        remaining: Duration::from_millis(sequence % 1_000),
+    }
+}
+
+fn reply(sequence: u64, body: &str) -> Reply {
+    let rows = vec![Row { key: sequence, body: Arc::from(body) }];
+    let outcome =
+        Outcome::Rows { version: Version(1), range: key::Range::ALL, rows, digest: sequence };
+    Reply {
+        leg: id::Leg { origin: Origin(3), sequence },
+        outcome,
+        attempts: 1,
+        backlog: Duration::ZERO,
+    }
+}
+
+fn body() -> impl Strategy<Value = Body> {
+    prop_oneof![
+        vec(any::<u8>(), 0..200).prop_map(Body::Control),
+        vec((any::<u64>(), ".{0,20}"), 0..5).prop_map(|legs| {
+            let legs = legs.iter().map(|(sequence, text)| leg(*sequence, text)).collect();
+            Body::Traffic(Message::Legs(legs))
+        }),
+        vec((any::<u64>(), ".{0,20}"), 0..5).prop_map(|replies| {
+            let replies = replies.iter().map(|(sequence, text)| reply(*sequence, text)).collect();
+            Body::Traffic(Message::Replies(replies))
+        }),
+        Just(Body::Traffic(Message::AskHoldings)),
+    ]
+}
+
+/// Decodes until the input ends or is refused.
+fn decode_all(decoder: &mut Decoder) -> Result<Vec<Body>, Error> {
+    std::iter::from_fn(|| decoder.next_body().transpose()).collect()
+}
+
+fn pieces_make_the_same_bodies(bodies: &[Body], piece: usize) {
+    let frames = bodies.iter().map(|body| encode(body, LIMIT).expect("it fits"));
+    let stream: Vec<u8> = frames.flat_map(|frame| frame.to_vec()).collect();
+    let mut decoder = Decoder::new(LIMIT);
+    let mut decoded = Vec::new();
+    for piece in stream.chunks(piece) {
+        decoder.push(piece);
+        decoded.extend(decode_all(&mut decoder).expect("the stream is valid"));
+    }
+    assert_eq!(decoded, bodies);
+    assert!(decoder.is_empty());
+}
+
+fn framed(bytes: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(bytes.len()).expect("it is short");
+    [&length.to_be_bytes()[..], bytes].concat()
+}
+
+fn key_error(text: &str) -> Option<wire_key::Error> {
+    Key::try_from(text).err()
+}
+
+proptest! {
+    #[test]
+    fn bodies_survive_any_split(bodies in vec(body(), 0..6), piece in 1_usize..64) {
+        pieces_make_the_same_bodies(&bodies, piece);
+    }
+
+    #[test]
+    fn any_stream_decodes_or_is_refused(bytes in vec(any::<u8>(), 0..2000)) {
+        let mut decoder = Decoder::new(LIMIT);
+        decoder.push(&bytes);
+        let _ = decode_all(&mut decoder);
+    }
+
+    #[test]
+    fn any_body_decodes_or_is_refused(bytes in vec(any::<u8>(), 0..2000)) {
+        let mut decoder = Decoder::new(LIMIT);
+        decoder.push(&framed(&bytes));
+        let _ = decode_all(&mut decoder);
+    }
+
+    #[test]
+    fn a_changed_byte_decodes_or_is_refused(
+        body in body(),
+        place in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let mut frame = encode(&body, LIMIT).expect("it fits").to_vec();
+        let place = place.index(frame.len());
+        frame[place] = byte;
+        let mut decoder = Decoder::new(LIMIT);
+        decoder.push(&frame);
+        let _ = decode_all(&mut decoder);
+    }
+}
+
+cases! {
+    a_body_over_the_limit_is_not_encoded => async {
+        let error = encode(&Body::Control(vec![0; 100]), 50).expect_err("it is too long");
+        assert!(matches!(error, Error::TooLong { limit: 50, .. }), "{error}");
+    };
+    a_length_over_the_limit_is_refused_before_the_body_comes => async {
+        let mut decoder = Decoder::new(50);
+        decoder.push(&51_u32.to_be_bytes());
+        assert_eq!(decoder.next_body(), Err(Error::TooLong { length: 51, limit: 50 }));
+    };
+    bytes_left_over_in_a_frame_are_refused => async {
+        let frame = encode(&Body::Control(vec![1]), LIMIT).expect("it fits");
+        let mut decoder = Decoder::new(LIMIT);
+        decoder.push(&framed(&[&frame[4..], &[0]].concat()));
+        assert!(matches!(decoder.next_body(), Err(Error::Body { .. })));
+    };
+    a_length_that_claims_too_much_is_refused_without_allocation => async {
+        let claim = [1, 253, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f];
+        let mut decoder = Decoder::new(LIMIT);
+        decoder.push(&framed(&claim));
+        assert!(matches!(decoder.next_body(), Err(Error::Body { .. })));
+    };
+    a_short_key_is_refused => async {
+        assert_eq!(key_error("too short"), Some(wire_key::Error::Length));
+    };
+    a_key_with_a_space_is_refused => async {
+        assert_eq!(key_error("this key has spaces in it"), Some(wire_key::Error::Character));
+    };
+    a_digest_matches_its_key_only => async {
+        let digest = Key::try_from("0123456789abcdef").expect("it is a key").digest();
+        assert!(digest.matches(b"0123456789abcdef"));
+        assert!(!digest.matches(b"0123456789abcdeg"));
+        assert!(!digest.matches(b""));
+    };
+    a_key_is_not_shown => async {
+        let key = Key::try_from("0123456789abcdef").expect("it is a key");
+        assert_eq!(format!("{key:?}"), "Key(..)");
+    };
+}
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -8,3 +8,5 @@
 mod border;
 mod fault;
 mod limit;
+mod codec;
+mod wire;
