--- a/crates/core/src/border.rs
+++ b/crates/core/src/border.rs
@@ -4,7 +4,10 @@
 //! event channel that it was given when it was made; it decides nothing. Tests
 //! put fakes here.
 
+use std::{collections::BTreeMap, net::SocketAddr};
+
 use crate::{
+    log::Line,
     message::Message,
     store::{Call, CallId},
     target::Command,
@@ -28,6 +31,14 @@
 pub trait Peers {
     /// Sends a message, without a promise that it arrives.
     fn send(&mut self, lane: &Lane, message: Message);
+    /// Takes the addresses at which the lanes listen from now on.
+    fn update(&mut self, addresses: BTreeMap<Lane, SocketAddr>);
+}
+
+/// The writer of the log.
+pub trait Journal {
+    /// Writes a line.
+    fn write(&mut self, line: &Line);
 }
 
 /// The clocks of this machine.
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -297,15 +297,19 @@
         self.tables.timers.first()
     }
 
+    /// Whether requests of callers can be answered: the view is ready and every
+    /// index that targets are listed for has a plan.
+    pub fn is_ready(&self) -> bool {
+        let view = &self.context.view;
+        let has_plan =
+            |index: &Name| self.tables.indexes.get(index).is_some_and(|index| index.best.is_some());
+        view.ready && !view.leaving && view.targets.values().all(|target| has_plan(&target.index))
+    }
+
     /// The rows, for metrics and tests.
     pub fn tables(&self) -> &Tables {
         &self.tables
     }
-
-    /// The number of requests and legs in flight.
-    pub fn in_flight(&self) -> usize {
-        self.tables.queries.len() + self.tables.jobs.len()
-    }
 }
 
 /// The fingerprint of a search.
--- /dev/null
+++ b/src/log/journal.rs
@@ -0,0 +1,22 @@
+//! The writer of the log behind the border of the control thread.
+
+use laburnum_core::{
+    border::{self, Clock},
+    log::Line,
+};
+
+use super::Writer;
+
+/// Writes the lines of one thread with the time of its clock.
+pub struct Journal {
+    /// The writer that all threads share.
+    pub writer: Writer,
+    /// The clock of the thread.
+    pub clock: Box<dyn Clock + Send>,
+}
+
+impl border::Journal for Journal {
+    fn write(&mut self, line: &Line) {
+        self.writer.write(line, self.clock.now());
+    }
+}
