Test the codec and the streams with messages between threads

Cause: control frames carry a typed message now, so the tests that sent bytes there send messages of the same size instead. Nothing else is changed.

--- a/tests/edge/codec.rs
+++ b/tests/edge/codec.rs
@@ -50,9 +50,14 @@
     }
 }
 
+fn cancels(legs: &[u64]) -> Body {
+    let legs = legs.iter().map(|&sequence| id::Leg { origin: Origin(3), sequence }).collect();
+    Body::Traffic(Message::Cancels(legs))
+}
+
 fn body() -> impl Strategy<Value = Body> {
     prop_oneof![
-        vec(any::<u8>(), 0..200).prop_map(Body::Control),
+        vec(any::<u64>(), 0..200).prop_map(|legs| cancels(&legs)),
         vec((any::<u64>(), ".{0,20}"), 0..5).prop_map(|legs| {
             let legs = legs.iter().map(|(sequence, text)| leg(*sequence, text)).collect();
             Body::Traffic(Message::Legs(legs))
@@ -129,7 +134,7 @@
 
 cases! {
     a_body_over_the_limit_is_not_encoded => async {
-        let error = encode(&Body::Control(vec![0; 100]), 50).expect_err("it is too long");
+        let error = encode(&cancels(&[0; 100]), 50).expect_err("it is too long");
         assert!(matches!(error, Error::TooLong { limit: 50, .. }), "{error}");
     };
     a_length_over_the_limit_is_refused_before_the_body_comes => async {
@@ -138,7 +143,7 @@
         assert_eq!(decoder.next_body(), Err(Error::TooLong { length: 51, limit: 50 }));
     };
     bytes_left_over_in_a_frame_are_refused => async {
-        let frame = encode(&Body::Control(vec![1]), LIMIT).expect("it fits");
+        let frame = encode(&cancels(&[1]), LIMIT).expect("it fits");
         let mut decoder = Decoder::new(LIMIT);
         decoder.push(&framed(&[&frame[4..], &[0]].concat()));
         assert!(matches!(decoder.next_body(), Err(Error::Body { .. })));
--- a/tests/edge/wire.rs
+++ b/tests/edge/wire.rs
@@ -9,7 +9,7 @@
 use laburnum_core::{
     border::Peers,
     id::{Leg, Origin},
-    message::Message,
+    message::{Message, Outcome, Reply},
     name::Name,
     view::Lane,
 };
@@ -27,6 +27,16 @@
 /// The time after which a case gives up on an event.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// A message of about this many bytes.
+fn bulk(length: usize) -> Message {
+    Message::Replies(vec![Reply {
+        leg: Leg { origin: Origin(1), sequence: 1 },
+        outcome: Outcome::Done { result: "0".repeat(length).into() },
+        attempts: 1,
+        backlog: Duration::ZERO,
+    }])
+}
+
 /// The size of a body that fills queues soon, in bytes.
 const LARGE: usize = 64 * 1024;
 
@@ -97,7 +107,7 @@
     }
 
     fn send_large(&mut self, length: usize) {
-        self.dialer.send_body(&lane("b"), &Body::Control(vec![0; length]));
+        self.dialer.send(&lane("b"), bulk(length));
     }
 
     async fn lost(&mut self) -> String {
