--- a/crates/core/tests/rules/search.rs
+++ b/crates/core/tests/rules/search.rs
@@ -5,12 +5,13 @@
 use laburnum_core::{
     count::{Count, Drop},
     fault::{Kind, Ran},
+    notice::Report,
     target::Version,
     traffic::Body,
     view::State,
 };
 
-use crate::world::{ANY, WHOLE, World, name, targets::Fault};
+use crate::world::{ANY, WHOLE, World, targets::Fault};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -178,6 +179,79 @@
     world.check(&found);
 }
 
+fn home_cut_off(to_home: bool, from_home: bool) {
+    let mut world = World::new(3, 4, 2);
+    let home = world.home_of(1);
+    let entry = world.stranger_to(1);
+    if to_home {
+        world.network.cut(&entry, &home);
+    }
+    if from_home {
+        world.network.cut(&home, &entry);
+    }
+    let found = world.find(entry.as_str(), WHOLE, "");
+    world.check(&found);
+    assert!(found.missing.is_empty());
+    world.network.mend();
+    let found = world.find(entry.as_str(), WHOLE, "");
+    assert!(found.missing.is_empty());
+}
+
+fn home_that_is_reported_lost() {
+    let mut world = World::new(3, 4, 2);
+    let home = world.home_of(1);
+    let entry = world.stranger_to(1);
+    let call = world.search(entry.as_str(), WHOLE, "");
+    world.run(Duration::from_micros(600));
+    world.kill_vm(home.as_str());
+    world.lose_lane(&home);
+    world.run(60 * MS);
+    let found = world.found(call).clone();
+    world.check(&found);
+    world.forget_vm(home.as_str());
+    let found = world.find(entry.as_str(), WHOLE, "");
+    assert!(found.missing.is_empty());
+    world.start_vm(home.as_str());
+    world.run(500 * MS);
+    let found = world.find(home.as_str(), WHOLE, "");
+    world.check(&found);
+    assert!(found.missing.is_empty());
+}
+
+fn leaving_home_finishes_what_it_has() {
+    let mut world = World::new(3, 4, 2);
+    let home = world.home_of(1);
+    let entry = world.stranger_to(1);
+    for replica in 0..2 {
+        world.targets.get(1, replica).service = 100 * MS;
+    }
+    let call = world.search(entry.as_str(), WHOLE, "");
+    world.run(20 * MS);
+    world.leave_vm(home.as_str());
+    world.run(200 * MS);
+    let found = world.found(call).clone();
+    assert!(found.missing.is_empty());
+    let in_flight = world.reports.iter().rev().find_map(|report| match report {
+        Report::InFlight { count } => Some(*count),
+        _ => None,
+    });
+    assert_eq!(in_flight, Some(0));
+    assert_ne!(world.home_of(1), home);
+    let found = world.find(home.as_str(), WHOLE, "");
+    assert!(found.missing.is_empty());
+}
+
+fn restarted_target_takes_work_again() {
+    let mut world = World::new(3, 2, 1);
+    world.targets.get(1, 0).status.draining = true;
+    world.run(1000 * MS);
+    world.crash_target(1, 0);
+    world.targets.get(1, 0).restart();
+    world.run(2000 * MS);
+    let found = world.find("vm-1", WHOLE, "");
+    assert!(found.missing.is_empty());
+}
+
 fn drained_target_gets_no_work() {
     let mut world = World::new(3, 4, 2);
     world.targets.get(1, 0).status.draining = true;
@@ -235,8 +309,7 @@
         assert!(target.most_connections <= 2, "{} connections", target.most_connections);
         assert!(target.most_running <= 2, "{} attempts at a time", target.most_running);
     }
-    assert!(world.answers.len() == 19);
-    let _ = name("x");
+    assert_eq!(world.answers.len(), 19);
 }
 
 cases! {
@@ -259,6 +332,12 @@
     a_silent_connection_is_replaced => silent_connection_is_replaced();
     a_killed_home_is_replaced => home_killed_under_the_query();
     a_paused_home_is_replaced => home_paused_under_the_query();
+    a_home_that_hears_nothing_is_replaced => home_cut_off(true, false);
+    a_home_that_is_not_heard_is_replaced => home_cut_off(false, true);
+    a_home_that_is_cut_off_is_replaced => home_cut_off(true, true);
+    a_home_that_is_reported_lost_is_replaced_at_once => home_that_is_reported_lost();
+    a_leaving_home_finishes_what_it_has => leaving_home_finishes_what_it_has();
+    a_target_that_drained_and_restarted_takes_work => restarted_target_takes_work_again();
     a_target_that_says_it_drains_gets_no_work => drained_target_gets_no_work();
     a_target_listed_as_leaving_gets_no_work => listed_as_leaving_gets_no_work();
     a_poison_request_stops_after_two_targets => poison_stops_after_two_targets();
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -18,7 +18,6 @@
     name::Name,
     notice::{Notice, Report},
     profile::{Document, Profile, Raw, Revision},
-    target::Version,
     time::Instant,
     traffic::{Answer, Body, Call, Event, Found, Operate, Outbox, Search},
     view::{self, Lane, State},
@@ -148,7 +147,7 @@
         let lane = Lane { vm: vm.clone(), thread: 0 };
         let others: Vec<Name> = self.vms.keys().filter(|other| *other != vm).cloned().collect();
         for other in others {
-            self.to_vm(&other, Duration::ZERO, Event::Lost { lane: lane.clone() });
+            self.deliver(&other, Duration::ZERO, Event::Lost { lane: lane.clone() });
         }
     }
 
@@ -177,7 +176,7 @@
             view.quarantine = self.quarantine.iter().map(|&f| (f, Origin(0))).collect();
             view.ready = true;
             view.leaving = self.vms[&vm].listed == Some(State::Leaving);
-            self.to_vm(&vm, Duration::ZERO, Event::Notice(Notice::View(Arc::new(view))));
+            self.deliver(&vm, Duration::ZERO, Event::Notice(Notice::View(Arc::new(view))));
         }
     }
 
@@ -204,7 +203,7 @@
         self.calls += 1;
         let call = Call(self.calls);
         let search = Search { profile: name(profile), text: text.into(), deadline: None };
-        self.to_vm(&name(vm), Duration::ZERO, Event::Search { call, search });
+        self.deliver(&name(vm), Duration::ZERO, Event::Search { call, search });
         call
     }
 
@@ -220,7 +219,7 @@
             key: claim::Key(uuid::Uuid::from_u128(key)),
             deadline: None,
         };
-        self.to_vm(&name(vm), Duration::ZERO, Event::Operate { call, operate });
+        self.deliver(&name(vm), Duration::ZERO, Event::Operate { call, operate });
         call
     }
 
@@ -245,7 +244,7 @@
     }
 
     /// Delivers an event to a VM after a time.
-    pub fn to_vm(&mut self, vm: &Name, after: Duration, event: Event) {
+    pub fn deliver(&mut self, vm: &Name, after: Duration, event: Event) {
         let Some(start) = self.vms.get(vm).map(|vm| vm.start) else { return };
         self.schedule(self.now + after, Delivery::Vm { vm: vm.clone(), start, event });
     }
@@ -287,7 +286,7 @@
                 }
                 Delivery::Served { target, attempt } => {
                     for (after, vm, event) in self.targets.served(&target, attempt) {
-                        self.to_vm(&vm, after, event);
+                        self.deliver(&vm, after, event);
                     }
                 }
             }
@@ -309,17 +308,17 @@
             for message in messages {
                 if let Some(after) = self.network.delay(vm, &lane.vm) {
                     let from = Lane { vm: vm.clone(), thread: 0 };
-                    self.to_vm(&lane.vm, after, Event::Message { from, message });
+                    self.deliver(&lane.vm, after, Event::Message { from, message });
                 }
             }
         }
         for command in out.commands {
             let effect = self.targets.command(vm, command);
             for (after, event) in effect.events {
-                self.to_vm(vm, after, Event::Target(event));
+                self.deliver(vm, after, Event::Target(event));
             }
             for (after, vm, event) in effect.others {
-                self.to_vm(&vm, after, event);
+                self.deliver(&vm, after, event);
             }
             for (after, target, attempt) in effect.serves {
                 self.schedule(self.now + after, Delivery::Served { target, attempt });
@@ -338,7 +337,7 @@
                 }
                 let verdict = self.claim(request);
                 let notice = Notice::Claimed { operation, verdict };
-                self.to_vm(vm, Duration::from_millis(5), Event::Notice(notice));
+                self.deliver(vm, Duration::from_millis(5), Event::Notice(notice));
             }
             Report::Outcome { request, outcome } => {
                 if let Some((own, recorded)) = self.claims.get_mut(&request.key)
@@ -369,7 +368,7 @@
     pub fn crash_target(&mut self, shard: u64, replica: u64) {
         let effect = self.targets.get(shard, replica).crash();
         for (after, vm, event) in effect.others {
-            self.to_vm(&vm, after, event);
+            self.deliver(&vm, after, event);
         }
     }
 
@@ -402,8 +401,3 @@
 pub fn point(key: u64) -> Range {
     Range::try_from((key, key)).unwrap()
 }
-
-/// A version in a test.
-pub fn version(number: u64) -> Version {
-    Version(number)
-}
