Run the engine of the claims within the control engine

The control engine hands it the claims, outcomes and messages that concern it, runs it last in each step with the VMs of the view, and carries its calls under ids of their own, so that neither engine takes a reply of the other. A report of a claim now carries the deadline on the shared clock of the VM's threads: a time that remains was extended by a pause before the report was taken.

Cases were added where turning a mechanism off was not seen: a VM that learns the list but no revision, VMs that know no confirmed revision, a service that shows an earlier revision, a profile of another team. The bound on calls of the platform's service stays at 9 a second for membership and publication; the calls of the claims, which are new in this engine, are bounded apart.

--- a/crates/core/src/control/engine.rs
+++ b/crates/core/src/control/engine.rs
@@ -9,10 +9,11 @@
     table::{InForce, Tables, own::Own},
 };
 use crate::{
+    claims,
     name::Name,
     profile::Document,
     time::{Instant, Wall},
-    view,
+    view::{self, View},
 };
 
 /// What an engine is made from.
@@ -23,6 +24,8 @@
     pub seeds: Vec<(Name, SocketAddr)>,
     /// Time limits and bounds.
     pub limits: Limits,
+    /// Limits of the claims.
+    pub claims: claims::Limits,
     /// The seed of all chance.
     pub seed: u64,
     /// The encoding of stored values.
@@ -46,6 +49,7 @@
 /// The decisions of the control thread of one VM.
 pub struct Engine {
     tables: Tables,
+    claims: claims::Engine,
     limits: Limits,
     codec: Box<dyn Codec>,
 }
@@ -53,6 +57,7 @@
 impl Engine {
     /// Makes the engine of a VM that starts.
     pub fn new(setup: Setup) -> Engine {
+        let (name, domain) = (setup.vm.name.clone(), setup.vm.domain.clone());
         let mut tables = Tables {
             own: Own::new(setup.vm),
             vms: Default::default(),
@@ -66,11 +71,14 @@
             list: Default::default(),
             publications: Default::default(),
             rng: StdRng::seed_from_u64(setup.seed),
+            claims: Default::default(),
+            view: Arc::new(View::starting(name.clone(), domain)),
             changed: true,
         };
         tables.vms.seeds = setup.seeds;
         tables.vms.rerank = true;
-        Engine { tables, limits: setup.limits, codec: setup.codec }
+        let claims = claims::Engine::new(name, setup.claims);
+        Engine { tables, claims, limits: setup.limits, codec: setup.codec }
     }
 
     /// Runs every system once over the events that are ready.
@@ -87,11 +95,13 @@
         system::compare::run(tables, step);
         system::spread::run(tables, step);
         system::view::run(tables, step);
+        system::claims::run(tables, step, &mut self.claims);
     }
 
     /// The earliest time at which a step has something to do without an event.
     pub fn wake(&self) -> Option<Instant> {
-        system::wake::next(&self.tables, &self.limits)
+        let wakes = [system::wake::next(&self.tables, &self.limits), self.claims.wake()];
+        wakes.into_iter().flatten().min()
     }
 
     /// Whether every traffic thread that reported has nothing in flight. It has
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -1,9 +1,10 @@
 //! What the control thread takes in and puts out, as values.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use super::{Answer, Message, Request, RequestId};
 use crate::{
+    claims,
     log::Line,
     name::Name,
     notice::{Notice, Report},
@@ -56,6 +57,8 @@
     pub notices: Vec<(Recipient, Notice)>,
     /// Answers to operators.
     pub answers: Vec<(RequestId, Answer)>,
+    /// What happened to claims, and how often.
+    pub claims: BTreeMap<claims::Count, u64>,
     /// Lines of the log.
     pub lines: Vec<Line>,
 }
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    claims,
     digest::Fingerprint,
     id::Origin,
     name::Name,
@@ -101,6 +102,8 @@
     Ack { probe: u64 },
     /// Asks the receiver to ping `vm` on behalf of the sender.
     PingFor { probe: u64, vm: Name, address: SocketAddr },
+    /// Claims for the right to run operations, and what belongs to them.
+    Claims(claims::Message),
     /// Carries news only.
     News,
     /// Asks for the document.
--- a/crates/core/src/control/system/call.rs
+++ b/crates/core/src/control/system/call.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::{list, profiles, publish};
+use super::{claims, list, profiles, publish};
 use crate::{
     control::{
         engine::Step,
@@ -44,6 +44,7 @@
 
 /// Takes the reply to a call.
 pub fn take(tables: &mut Tables, step: &mut Step<'_>, id: CallId, reply: Reply) {
+    let Some(reply) = claims::take(tables, id, reply) else { return };
     let Some(row) = tables.calls.rows.remove(&id) else { return };
     note(tables, step, &reply);
     match row.purpose {
--- a/crates/core/src/control/system/intake.rs
+++ b/crates/core/src/control/system/intake.rs
@@ -1,6 +1,7 @@
 //! Hands each event to the system that it concerns.
 
 use super::{call, list, member, probe, profiles, report, request};
+use crate::claims;
 use crate::control::{
     Event, Message,
     engine::Step,
@@ -52,6 +53,10 @@
         Body::PingFor { probe, vm, address } => {
             probe::relay(tables, step, from, (probe, vm, address));
         }
+        Body::Claims(message) => {
+            let event = claims::Event::Message { from: from.clone(), message };
+            tables.claims.events.push(event);
+        }
         Body::News => {}
         Body::AskDocument => profiles::tell(tables, step, from),
         Body::Document(document) => profiles::apply(tables, step, document),
--- a/crates/core/src/control/system/mod.rs
+++ b/crates/core/src/control/system/mod.rs
@@ -17,5 +17,6 @@
 pub mod compare;
 pub mod spread;
 pub mod view;
+pub mod claims;
 pub mod status;
 pub mod wake;
--- a/crates/core/src/control/system/report.rs
+++ b/crates/core/src/control/system/report.rs
@@ -2,20 +2,21 @@
 
 use super::{list, quarantine};
 use crate::{
-    claim::Verdict,
-    control::{Recipient, engine::Step, table::Tables},
-    notice::{Notice, Report},
+    claims::Event,
+    control::{engine::Step, table::Tables},
+    notice::Report,
 };
 
 /// Takes the report of a traffic thread.
 pub fn take(tables: &mut Tables, step: &mut Step<'_>, thread: u16, report: Report) {
     match report {
-        Report::Claim { operation, .. } => {
-            let verdict = Verdict::Unsettled { detail: "claims are not served".to_owned() };
-            let notice = Notice::Claimed { operation, verdict };
-            step.out.notices.push((Recipient::Thread(thread), notice));
+        Report::Claim { operation, request, deadline } => {
+            tables.claims.threads.insert(operation, thread);
+            tables.claims.events.push(Event::Claim { operation, request, deadline });
+        }
+        Report::Outcome { request, outcome } => {
+            tables.claims.events.push(Event::Outcome { request, outcome });
         }
-        Report::Outcome { .. } => {}
         Report::Suspect { fingerprint, query, target } => {
             let remaining = step.limits.suspect_fingerprint;
             quarantine::suspect(tables, step, (fingerprint, target, query.origin), remaining);
@@ -30,7 +31,10 @@
         Report::Serving { target, incarnation } => {
             list::word(tables, step, &target, incarnation, false);
         }
-        Report::Unreachable { vm } => tables.vms.urgent.push(vm),
+        Report::Unreachable { vm } => {
+            tables.claims.events.push(Event::Unreachable { vm: vm.clone() });
+            tables.vms.urgent.push(vm);
+        }
         Report::InFlight { count } => {
             tables.own.in_flight.insert(thread, count);
         }
--- a/crates/core/src/control/system/view.rs
+++ b/crates/core/src/control/system/view.rs
@@ -19,7 +19,8 @@
         step.out.lines.push(Line::new(Event::Ready, Vec::new()));
     }
     tables.own.ready = ready;
-    let notice = Notice::View(Arc::new(make(tables)));
+    tables.view = Arc::new(make(tables));
+    let notice = Notice::View(Arc::clone(&tables.view));
     step.out.notices.push((Recipient::All, notice));
 }
 
--- a/crates/core/src/control/table/call.rs
+++ b/crates/core/src/control/table/call.rs
@@ -4,6 +4,9 @@
 
 use crate::{control::RequestId, store::CallId, time::Instant};
 
+/// The bit that marks the ids of calls of the claims.
+pub const CLAIMS: u64 = 1 << 63;
+
 /// What a call is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Purpose {
--- a/crates/core/src/control/table/mod.rs
+++ b/crates/core/src/control/table/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod age;
 pub mod call;
+pub mod claim;
 pub mod news;
 pub mod own;
 pub mod publication;
@@ -15,11 +16,15 @@
 use rand::rngs::StdRng;
 
 use self::{
-    age::Age, call::Calls, news::News, own::Own, publication::Publication, quarantine::Quarantine,
-    source::Reader, target::Targets, vm::Vms,
+    age::Age, call::Calls, claim::Claims, news::News, own::Own, publication::Publication,
+    quarantine::Quarantine, source::Reader, target::Targets, vm::Vms,
 };
 use super::RequestId;
-use crate::{name::Name, profile::Document, profile::Revision};
+use crate::{
+    name::Name,
+    profile::{Document, Revision},
+    view::View,
+};
 
 /// The document in force on this VM.
 #[derive(Debug)]
@@ -68,6 +73,10 @@
     pub publications: BTreeMap<RequestId, Publication>,
     /// The source of chance, seeded at the start.
     pub rng: StdRng,
+    /// What is handed to the engine of the claims.
+    pub claims: Claims,
+    /// The view that the traffic threads have.
+    pub view: Arc<View>,
     /// Whether the view must be made anew.
     pub changed: bool,
 }
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -1,12 +1,13 @@
 //! What the control thread and the traffic threads of one VM tell each other.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use crate::{
     claim,
     digest::Fingerprint,
     id::{self, Origin},
     name::Name,
+    time::Instant,
     view::View,
 };
 
@@ -14,8 +15,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Report {
     /// An operation asks for the right to run. It is answered by
-    /// [`Notice::Claimed`] within `remaining`, or counts as unsettled.
-    Claim { operation: id::Query, request: claim::Request, remaining: Duration },
+    /// [`Notice::Claimed`] until `deadline`, or counts as unsettled. The threads
+    /// of a VM share one clock, and a time that remains would be extended by a
+    /// pause before the report is taken.
+    Claim { operation: id::Query, request: claim::Request, deadline: Instant },
     /// A claim that was granted has this outcome, to be recorded.
     Outcome { request: claim::Request, outcome: claim::Outcome },
     /// A target was lost while it ran a request with this fingerprint. The
--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -93,7 +93,7 @@
     let asked = operate.deadline;
     let opening = Opening { call, id, profile: operate.profile, terms, asked, fingerprint };
     let remaining = open(tables, cx, opening, query::Task::Operation(operation));
-    out.reports.push(Report::Claim { operation: id, request, remaining });
+    out.reports.push(Report::Claim { operation: id, request, deadline: cx.now + remaining });
     out.count(Count::Requests);
 }
 
--- /dev/null
+++ b/crates/core/tests/control/claims.rs
@@ -0,0 +1,68 @@
+//! Claims through the control engine: the verdict comes back to the thread that
+//! asked, and a resend through another VM gets no second right to run.
+
+use std::time::Duration;
+
+use laburnum_core::{
+    claim::{Key, Request, Verdict},
+    digest::Fingerprint,
+    id::{Origin, Query},
+    name::Name,
+    notice::Report,
+};
+use uuid::Uuid;
+
+use crate::{
+    platform::Mode,
+    world::{EPOCH, World, vm},
+};
+
+fn settled(seed: u64) -> World {
+    let mut world = World::new(5, seed);
+    assert!(world.until(Duration::from_secs(3), World::settled).is_some());
+    world.run(Duration::from_secs(3));
+    world
+}
+
+fn query(origin: u64) -> Query {
+    Query { origin: Origin(origin), sequence: 1 }
+}
+
+/// The idempotency key of the requests, issued now.
+fn key(world: &World) -> Key {
+    let millis = EPOCH + world.now.0 / 1000;
+    Key(uuid::Builder::from_unix_timestamp_millis(millis, &[7; 10]).into_uuid())
+}
+
+fn claim(world: &mut World, at: &Name, origin: u64, key: Key) -> Option<Verdict> {
+    let request =
+        Request { key, fingerprint: Fingerprint(9), token: Uuid::from_u128(u128::from(origin)) };
+    let deadline = world.now + Duration::from_secs(2);
+    world.report(at, Report::Claim { operation: query(origin), request, deadline });
+    let done = |world: &World| world.verdicts.contains_key(&query(origin));
+    world.until(Duration::from_secs(5), done);
+    world.verdicts.get(&query(origin)).cloned()
+}
+
+cases! {
+    a_claim_is_granted_through_any_vm => {
+        for at in 0..5 {
+            let mut world = settled(1);
+            let key = key(&world);
+            assert_eq!(claim(&mut world, &vm(at), 1, key), Some(Verdict::Granted));
+        }
+    };
+    a_resend_through_another_vm_gets_no_second_right => {
+        let mut world = settled(2);
+        let key = key(&world);
+        assert_eq!(claim(&mut world, &vm(0), 1, key), Some(Verdict::Granted));
+        assert_eq!(claim(&mut world, &vm(3), 2, key), Some(Verdict::Unknown));
+    };
+    a_claim_while_the_platform_is_down_gets_no_right => {
+        let mut world = settled(3);
+        let key = key(&world);
+        world.platform.mode = Mode::Down;
+        let verdict = claim(&mut world, &vm(0), 1, key);
+        assert!(matches!(verdict, Some(Verdict::Unsettled { .. })), "{verdict:?}");
+    };
+}
--- a/crates/core/tests/control/cost.rs
+++ b/crates/core/tests/control/cost.rs
@@ -19,14 +19,16 @@
     messages: f64,
     bytes: f64,
     calls: f64,
+    claim_calls: f64,
     watches: usize,
 }
 
 /// The most that may be measured, at whatever number of VMs.
-const QUIET: Cost = Cost { messages: 4.5, bytes: 600.0, calls: 9.0, watches: 3 };
+const QUIET: Cost = Cost { messages: 4.5, bytes: 600.0, calls: 9.0, claim_calls: 2.5, watches: 3 };
 
 /// The same while profiles are published once a second.
-const BUSY: Cost = Cost { messages: 12.0, bytes: 1500.0, calls: 14.0, watches: 3 };
+const BUSY: Cost =
+    Cost { messages: 12.0, bytes: 1500.0, calls: 14.0, claim_calls: 2.5, watches: 3 };
 
 fn quiet(count: usize) -> World {
     let mut world = World::new(count, 1);
@@ -51,7 +53,7 @@
 /// Measures the messages and bytes that each VM sends a second and the calls
 /// of the service a second, while `change` is done once a second.
 fn measure(world: &mut World, change: impl Fn(&mut World, u32)) -> Cost {
-    let (before, calls) = (sent(world), world.platform.calls);
+    let (before, calls, claims) = (sent(world), world.platform.calls, world.claim_calls);
     let mut watches = 0;
     let start = world.now;
     for second in 0..SPAN.as_secs() {
@@ -65,7 +67,8 @@
     let cost = Cost {
         messages: (after.0 - before.0) as f64 / each,
         bytes: (after.1 - before.1) as f64 / each,
-        calls: (world.platform.calls - calls) as f64 / seconds,
+        calls: (world.platform.calls - calls - (world.claim_calls - claims)) as f64 / seconds,
+        claim_calls: (world.claim_calls - claims) as f64 / seconds,
         watches,
     };
     println!("{} VMs: {cost:.1?}", world.nodes.len());
@@ -76,6 +79,7 @@
     assert!(found.messages <= most.messages, "{found:?} is above {most:?}");
     assert!(found.bytes <= most.bytes, "{found:?} is above {most:?}");
     assert!(found.calls <= most.calls, "{found:?} is above {most:?}");
+    assert!(found.claim_calls <= most.claim_calls, "{found:?} is above {most:?}");
     assert!(found.watches <= most.watches, "{found:?} is above {most:?}");
 }
 
--- a/crates/core/tests/control/fuzz.rs
+++ b/crates/core/tests/control/fuzz.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     platform::Mode,
-    world::{Json, World, vm},
+    world::{Json, World, team, vm},
 };
 
 /// The number of VMs.
@@ -28,7 +28,7 @@
 const RUNS: &str = "LABURNUM_FUZZ_RUNS";
 
 /// One thing that happens.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Act {
     Publish { at: usize, expect: bool },
     Rollback { at: usize, to: u64 },
@@ -97,7 +97,7 @@
         Act::Rollback { at, to } => {
             let who = operators.who();
             let to = Revision(to);
-            let request = Request::Rollback { to, expect: None, who: who.clone() };
+            let request = Request::Rollback { to, expect: None, who: who.clone(), team: team() };
             let id = world.ask(&vm(at), request);
             operators.publications.insert(id, who);
         }
--- a/crates/core/tests/control/main.rs
+++ b/crates/core/tests/control/main.rs
@@ -3,6 +3,7 @@
 #[macro_use]
 #[path = "../rules/case.rs"]
 mod case;
+mod claims;
 mod cost;
 mod drain;
 mod fuzz;
--- a/crates/core/tests/control/membership.rs
+++ b/crates/core/tests/control/membership.rs
@@ -46,13 +46,13 @@
     a_vm_that_joins_while_the_platform_is_down_finds_the_others_by_its_settings => {
         let mut world = settled(5, 3);
         world.platform.mode = Mode::Down;
-        world.start_with(&vm(5), vec![vm(0), vm(1)]);
+        world.start_with(&vm(5), &[vm(0), vm(1)]);
         assert!(world.until(Duration::from_secs(10), World::settled).is_some());
     };
     a_vm_that_joins_and_reaches_nobody_is_not_ready => {
         let mut world = settled(5, 4);
         world.platform.mode = Mode::Down;
-        world.start_with(&vm(5), Vec::new());
+        world.start_with(&vm(5), &[]);
         world.run(Duration::from_secs(30));
         assert!(!world.view(&vm(5)).ready);
     };
--- a/crates/core/tests/control/platform.rs
+++ b/crates/core/tests/control/platform.rs
@@ -16,6 +16,8 @@
     Up,
     /// Not at all; the client says that nothing is known after a time.
     Down,
+    /// Only to reads of the list.
+    ListOnly,
     /// Refuses; the client knows that nothing took effect.
     Refusing,
     /// Takes effect and loses the answer.
@@ -90,11 +92,12 @@
         let lost = Reply::Lost { detail: "no answer".to_owned() };
         match self.mode {
             Mode::Down => return vec![(now + GIVE_UP, vm, id, lost)],
+            Mode::ListOnly if call != Call::List => return vec![(now + GIVE_UP, vm, id, lost)],
             Mode::Refusing => {
                 let refused = Reply::Refused { detail: "no connection".to_owned() };
                 return vec![(now + self.delay, vm, id, refused)];
             }
-            Mode::Up | Mode::Deaf | Mode::Late => {}
+            Mode::Up | Mode::ListOnly | Mode::Deaf | Mode::Late => {}
         }
         if let Call::Watch { prefix, after, wait } = call {
             return self.watch(now, Watch { vm, call: id, prefix, after }, wait);
--- a/crates/core/tests/control/publication.rs
+++ b/crates/core/tests/control/publication.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     platform::Mode,
-    world::{World, profiles, vm},
+    world::{World, name, profiles, team, vm},
 };
 
 /// The time within which an accepted revision is in force on every VM.
@@ -161,12 +161,30 @@
         world.run(IN_FORCE);
         assert_eq!(world.platform.writes, 0);
     };
+    a_vm_that_learns_the_list_but_no_revision_is_not_ready => {
+        let mut world = settled(5, 26);
+        publish(&mut world, &vm(0), 7);
+        world.platform.mode = Mode::ListOnly;
+        world.start(&vm(5));
+        world.isolate(&vm(5));
+        world.run(Duration::from_secs(30));
+        assert!(world.view(&vm(5)).targets.len() == 2 && !world.view(&vm(5)).ready);
+    };
+    vms_that_know_no_confirmed_revision_do_not_make_each_other_ready => {
+        let mut world = World::empty(27);
+        world.platform.mode = Mode::ListOnly;
+        (0..5).for_each(|number| world.start(&vm(number)));
+        world.run(Duration::from_secs(30));
+        assert!(world.all(|view| view.vms.len() == 5 && !view.ready));
+        world.platform.mode = Mode::Up;
+        assert!(world.until(Duration::from_secs(5), World::settled).is_some());
+    };
     a_vm_that_starts_while_the_platform_is_down_learns_the_highest_revision_first => {
         let mut world = settled(5, 12);
         let revision = publish(&mut world, &vm(0), 7);
         world.run(IN_FORCE);
         world.platform.mode = Mode::Down;
-        world.start_with(&vm(5), vec![vm(1), vm(2)]);
+        world.start_with(&vm(5), &[vm(1), vm(2)]);
         let ready = world.until(Duration::from_secs(20), |world| {
             world.nodes[&vm(5)].view.as_ref().is_some_and(|view| view.ready)
         });
@@ -216,11 +234,32 @@
         assert!(world.all(|view| view.document.revision == revision));
         assert_eq!(publish(&mut world, &vm(1), 9), Revision(3));
     };
+    a_service_that_shows_an_earlier_revision_does_not_take_a_later_one_back => {
+        let mut world = settled(5, 24);
+        publish(&mut world, &vm(0), 7);
+        let earlier = world.platform.values[codec::CURRENT].value.clone();
+        let revision = publish(&mut world, &vm(0), 8);
+        world.run(IN_FORCE);
+        world.platform.values.get_mut(codec::CURRENT).unwrap().value = earlier;
+        world.run(Duration::from_secs(30));
+        let id = world.ask(&vm(1), Request::Show);
+        world.answer(id);
+        assert!(world.all(|view| view.document.revision == revision));
+    };
+    a_profile_of_another_team_is_not_changed => {
+        let mut world = settled(5, 25);
+        publish(&mut world, &vm(0), 7);
+        let (profiles, who, team) = (profiles(8), "operator".to_owned(), name("billing"));
+        let request = Request::Publish { profiles, expect: None, who, team, dry_run: false };
+        let id = world.ask(&vm(1), request);
+        assert!(matches!(world.answer(id), Answer::Failed(_)));
+        assert_eq!(world.platform.writes, 1);
+    };
     a_dry_run_writes_nothing => {
         let mut world = settled(5, 17);
         let profiles = profiles(7);
         let who = "operator".to_owned();
-        let request = Request::Publish { profiles, expect: None, who, dry_run: true };
+        let request = Request::Publish { profiles, expect: None, who, team: team(), dry_run: true };
         let id = world.ask(&vm(0), request);
         assert!(matches!(world.answer(id), Answer::Planned { revision: Revision(1), .. }));
         assert_eq!(world.platform.writes, 0);
@@ -230,7 +269,7 @@
         publish(&mut world, &vm(0), 7);
         publish(&mut world, &vm(1), 8);
         let who = "operator".to_owned();
-        let id = world.ask(&vm(2), Request::Rollback { to: Revision(1), expect: None, who });
+        let id = world.ask(&vm(2), Request::Rollback { to: Revision(1), expect: None, who, team: team() });
         assert_eq!(accepted(&mut world, id), Revision(3));
         assert_eq!(world.document(&vm(2)).profiles, profiles(7));
     };
--- a/crates/core/tests/control/world.rs
+++ b/crates/core/tests/control/world.rs
@@ -8,9 +8,12 @@
 };
 
 use laburnum_core::{
+    claim::Verdict,
     control::{
         Answer, Codec, Engine, Event, Limits, Message, Outbox, Record, Request, RequestId, Setup,
+        table::call::CLAIMS,
     },
+    id::Query,
     log::Line,
     name::Name,
     notice::{Notice, Report},
@@ -26,7 +29,7 @@
 };
 
 /// The wall-clock time at which a world starts.
-const EPOCH: u64 = 1_700_000_000_000;
+pub const EPOCH: u64 = 1_700_000_000_000;
 
 /// The time after which a late write takes effect.
 const LATE: Duration = Duration::from_millis(3100);
@@ -77,6 +80,10 @@
     pub network: Network,
     /// The platform's service.
     pub platform: Platform,
+    /// The number of calls of the platform's service that are for claims.
+    pub claim_calls: u64,
+    /// The verdicts on claims.
+    pub verdicts: BTreeMap<Query, Verdict>,
     /// The answers to requests.
     pub answers: BTreeMap<RequestId, Answer>,
     /// The limits of every VM that starts.
@@ -134,6 +141,11 @@
     }
 }
 
+/// The team that owns the profiles of [`profiles`].
+pub fn team() -> Name {
+    name("field")
+}
+
 /// Profiles that differ by `mark`.
 pub fn profiles(mark: u32) -> BTreeMap<Name, Profile> {
     let raw = Raw {
@@ -168,6 +180,8 @@
             nodes: BTreeMap::new(),
             network: Network::new(),
             platform,
+            claim_calls: 0,
+            verdicts: BTreeMap::new(),
             answers: BTreeMap::new(),
             limits: Limits::default(),
             highest: BTreeMap::new(),
@@ -183,11 +197,11 @@
     /// Starts a VM, which the platform lists from now on.
     pub fn start(&mut self, vm: &Name) {
         self.platform.vms.insert(vm.clone(), row(vm));
-        self.start_with(vm, Vec::new());
+        self.start_with(vm, &[]);
     }
 
     /// Starts a VM that knows the control addresses of others from its settings.
-    pub fn start_with(&mut self, vm: &Name, seeds: Vec<Name>) {
+    pub fn start_with(&mut self, vm: &Name, seeds: &[Name]) {
         self.kill(vm);
         self.starts += 1;
         let incarnation = EPOCH + self.now.0 / 1000;
@@ -195,6 +209,7 @@
             vm: Vm { incarnation, ..row(vm) },
             seeds: seeds.iter().map(|vm| (vm.clone(), address(vm, 7000))).collect(),
             limits: self.limits.clone(),
+            claims: Default::default(),
             seed: self.seed * 1_000_003 + self.starts,
             codec: Box::new(Json),
         };
@@ -344,8 +359,11 @@
         let node = self.nodes.get_mut(vm).unwrap();
         node.lines.extend(out.lines);
         for (_, notice) in out.notices {
-            if let Notice::View(view) = notice {
-                node.view = Some(view);
+            match notice {
+                Notice::View(view) => node.view = Some(view),
+                Notice::Claimed { operation, verdict } => {
+                    self.verdicts.insert(operation, verdict);
+                }
             }
         }
         let start = (vm.clone(), node.start);
@@ -366,6 +384,9 @@
                 self.delay(start.clone(), id, call);
                 continue;
             }
+            if id.0 & CLAIMS != 0 {
+                self.claim_calls += 1;
+            }
             for (at, vm, id, reply) in self.platform.call(self.now, start.clone(), id, call) {
                 self.enqueue(at, Delivery::Reply(vm, id, reply));
             }
@@ -400,7 +421,13 @@
     /// Publishes profiles through a VM.
     pub fn publish(&mut self, vm: &Name, mark: u32, expect: Option<Revision>) -> RequestId {
         let who = format!("operator-{mark}");
-        let request = Request::Publish { profiles: profiles(mark), expect, who, dry_run: false };
+        let request = Request::Publish {
+            profiles: profiles(mark),
+            expect,
+            who,
+            team: team(),
+            dry_run: false,
+        };
         self.ask(vm, request)
     }
 
