--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -93,18 +93,19 @@
     let asked = operate.deadline;
     let opening = Opening { call, id, profile: operate.profile, terms, asked, fingerprint };
     let remaining = open(tables, cx, opening, query::Task::Operation(operation));
-    out.reports.push(Report::Claim { operation: id, request, remaining });
+    out.reports.push(Report::Claim { operation: id, request, deadline: cx.now + remaining });
     out.count(Count::Requests);
 }
 
-/// Checks what must hold before a request is taken.
+/// Checks what must hold before a request is taken. A VM that is leaving takes
+/// requests until its listener closes, because the balancer learns of it late.
 fn admit(
     tables: &Tables,
     cx: &Context,
     profile: &Name,
     fingerprint: impl FnOnce(&Profile) -> Fingerprint,
 ) -> Result<(Profile, Fingerprint), Fault> {
-    if !cx.view.ready || cx.view.leaving {
+    if !cx.view.ready {
         return Err(Fault::not_run(Kind::NotReady, format!("VM {} is not ready", cx.view.vm)));
     }
     if tables.queries.len() >= cx.limits.open_requests {
