Check token and stated length before a body is read

Sixty-four connections without a token could make the operator front keep four megabytes each, more than a VM gives to control. The token is now checked before the body, the documents are bounded by two megabytes, and a body whose stated length is over the limit is refused before any of it is sent, also with Expect: 100-continue. A path under /v1 that is not there is therefore answered like any other to who has no token; the case that expected 404 for /v1 itself now has a case of its own with both answers. The cases for operators are split by what they check.

--- a/src/front/body.rs
+++ b/src/front/body.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 use laburnum_core::fault::{Fault, Kind};
-use poem::{Body, Response, error::ReadBodyError, http::StatusCode};
+use poem::{
+    Body, Response,
+    error::ReadBodyError,
+    http::{HeaderMap, StatusCode, header},
+};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::timeout;
 
@@ -29,16 +33,29 @@
     }
 }
 
+/// Refuses a body whose stated length is over the limit, before any of it is
+/// read.
+pub fn announced(headers: &HeaderMap, limits: Limits) -> Result<(), Refusal> {
+    let length = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    match length.and_then(|length| length.parse::<u64>().ok()) {
+        Some(length) if usize::try_from(length).is_ok_and(|length| length <= limits.size) => Ok(()),
+        Some(length) => Err(too_large(&format!("found {length} bytes, "), limits)),
+        None => Ok(()),
+    }
+}
+
+fn too_large(found: &str, limits: Limits) -> Refusal {
+    let detail = format!("body: {found}allowed are {} bytes", limits.size);
+    Fault::not_run(Kind::TooLarge, detail).into()
+}
+
 /// Reads a whole body. The limit on its size holds whether or not the request
 /// states a length.
 pub async fn read(body: Body, limits: Limits) -> Result<Vec<u8>, Refusal> {
     let read = timeout(limits.read, body.into_bytes_limit(limits.size)).await;
     match read {
         Ok(Ok(bytes)) => Ok(bytes.into()),
-        Ok(Err(ReadBodyError::PayloadTooLarge)) => {
-            let detail = format!("body: allowed are {} bytes", limits.size);
-            Err(Fault::not_run(Kind::TooLarge, detail).into())
-        }
+        Ok(Err(ReadBodyError::PayloadTooLarge)) => Err(too_large("", limits)),
         Ok(Err(error)) => {
             let detail = format!("body: it cannot be read: {error}");
             Err(Fault::not_run(Kind::Malformed, detail).into())
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -3,20 +3,36 @@
 use poem::{
     Endpoint, EndpointExt, IntoResponse, Request, Response, Route,
     endpoint::BoxEndpoint,
-    http::{HeaderValue, header},
+    http::{HeaderMap, HeaderValue, header},
 };
 use tokio::sync::watch;
 
 use super::{
     body::{self, Limits},
     connection::Connection,
-    problem,
+    problem::{self, Refusal},
 };
 
+/// Who may send a body at all.
+pub trait Gate: Send + Sync {
+    /// Checks the path and headers of a request before its body is read.
+    fn check(&self, path: &str, headers: &HeaderMap) -> Result<(), Refusal>;
+}
+
+/// A gate that everyone passes.
+pub struct Open;
+
+impl Gate for Open {
+    fn check(&self, _: &str, _: &HeaderMap) -> Result<(), Refusal> {
+        Ok(())
+    }
+}
+
 /// Reads the body of every request within limits and keeps the phase of its
 /// connection.
 pub struct Intake {
     routes: BoxEndpoint<'static, Response>,
+    gate: Box<dyn Gate>,
     limits: Limits,
     /// While the VM takes no requests, connections are closed after their
     /// response, so that callers turn to other VMs.
@@ -24,26 +40,41 @@
 }
 
 impl Intake {
-    /// Puts limits before `routes`.
-    pub fn new(routes: Route, limits: Limits, ready: watch::Receiver<bool>) -> Intake {
-        Intake { routes: routes.catch_all_error(problem::unrouted).boxed(), limits, ready }
+    /// Puts `gate` and limits before `routes`.
+    pub fn new(
+        routes: Route,
+        gate: Box<dyn Gate>,
+        limits: Limits,
+        ready: watch::Receiver<bool>,
+    ) -> Intake {
+        let routes = routes.catch_all_error(problem::unrouted).boxed();
+        Intake { routes, gate, limits, ready }
     }
 
     /// Answers a request of `connection`.
     pub async fn take(&self, mut request: Request, connection: &Connection) -> Response {
         connection.begin();
-        match body::read(request.take_body(), self.limits).await {
-            Ok(bytes) => request.set_body(bytes),
-            Err(refusal) => {
-                connection.end();
-                return refusal.into_response();
-            }
-        }
-        let mut response = self.routes.get_response(request).await;
-        if !*self.ready.borrow() {
-            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        if let Err(refusal) = self.fill(&mut request).await {
+            connection.end();
+            return closing(refusal.into_response());
         }
+        let response = self.routes.get_response(request).await;
         connection.finish();
-        response
+        if *self.ready.borrow() { response } else { closing(response) }
+    }
+
+    /// Replaces the body of a request that is still arriving by a whole one.
+    async fn fill(&self, request: &mut Request) -> Result<(), Refusal> {
+        self.gate.check(request.uri().path(), request.headers())?;
+        body::announced(request.headers(), self.limits)?;
+        let bytes = body::read(request.take_body(), self.limits).await?;
+        request.set_body(bytes);
+        Ok(())
     }
 }
+
+/// Lets the connection be closed after the response.
+fn closing(mut response: Response) -> Response {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -55,6 +55,7 @@
         listener,
         limits: port::Limits::from(&limits),
         bodies: body::Limits::from(&limits),
+        gate: Box::new(intake::Open),
         ready,
         shutdown,
     };
--- a/src/front/port.rs
+++ b/src/front/port.rs
@@ -32,7 +32,7 @@
 use super::{
     body,
     connection::Connection,
-    intake::Intake,
+    intake::{Gate, Intake},
     problem::Refusal,
     stream::{LINGER, Stream, WASTE},
 };
@@ -79,6 +79,8 @@
     pub limits: Limits,
     /// The limits on bodies.
     pub bodies: body::Limits,
+    /// Who may send a body at all.
+    pub gate: Box<dyn Gate>,
     /// Whether the VM takes requests.
     pub ready: watch::Receiver<bool>,
     /// Turns true when the VM shuts down.
@@ -113,7 +115,7 @@
             local: self.listener.local_addr()?,
             listener: tokio::net::TcpListener::from_std(self.listener)?,
             limits: self.limits,
-            intake: Arc::new(Intake::new(routes, self.bodies, self.ready)),
+            intake: Arc::new(Intake::new(routes, self.gate, self.bodies, self.ready)),
             shutdown: self.shutdown,
             places: Arc::new(Semaphore::new(places)),
             refusals: Arc::new(Semaphore::new(REFUSALS)),
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -108,12 +108,6 @@
         }
     }
 
-    /// Whether the rest of the request is not read, so that the connection
-    /// cannot carry another one.
-    fn is_last(&self) -> bool {
-        matches!(self.fault.kind, Kind::TooLarge | Kind::SlowCaller | Kind::TooManyOpen)
-    }
-
     fn headers(&self) -> HeaderMap {
         let mut headers = HeaderMap::new();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(CONTENT_TYPE));
@@ -123,9 +117,6 @@
         if self.fault.kind == Kind::Unauthorized {
             headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
         }
-        if self.is_last() {
-            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
         headers
     }
 
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -27,7 +27,7 @@
 
 /// Limits on the body of a request: a document of profiles in JSON takes more
 /// than its stored form.
-const BODIES: body::Limits = body::Limits { size: 4 * 1024 * 1024, read: Duration::from_secs(30) };
+const BODIES: body::Limits = body::Limits { size: 2 * 1024 * 1024, read: Duration::from_secs(30) };
 
 /// Limits on connections.
 const CONNECTIONS: port::Limits = port::Limits {
@@ -55,7 +55,7 @@
 
 /// What the handlers share.
 struct Front {
-    operators: Operators,
+    operators: Arc<Operators>,
     handle: Handle,
 }
 
@@ -66,7 +66,15 @@
 pub async fn serve(seed: Seed) -> io::Result<()> {
     let Seed { listener, operators, handle, ready, metrics, shutdown } = seed;
     let probe = Probe { ready: ready.clone(), metrics };
-    let port = Port { listener, limits: CONNECTIONS, bodies: BODIES, ready, shutdown };
+    let operators = Arc::new(operators);
+    let port = Port {
+        listener,
+        limits: CONNECTIONS,
+        bodies: BODIES,
+        gate: Box::new(access::Holders(Arc::clone(&operators))),
+        ready,
+        shutdown,
+    };
     port.serve(routes(Arc::new(Front { operators, handle }), probe)).await
 }
 
@@ -81,7 +89,7 @@
         .at("/vms", get(vms))
         .at("/targets", get(targets))
         .data(front);
-    probe::routes(Route::new(), probe).nest("/v1", paths)
+    probe::routes(Route::new(), probe).nest(access::GUARDED, paths)
 }
 
 impl Front {
--- a/tests/fronts/limit.rs
+++ b/tests/fronts/limit.rs
@@ -274,6 +274,25 @@
     assert!(response.contains("HTTP/1.1"), "{response}");
 }
 
+/// A caller that waits for the front before it sends the body.
+async fn expected_body(length: usize) -> String {
+    let mut front = Front::start(|limits| limits.body_limit = 64 * 1024);
+    let mut wire = Wire::open(front.address).await;
+    wire.send(&format!(
+        "POST /v1/search HTTP/1.1\r\nhost: vm\r\nexpect: 100-continue\r\n\
+         content-length: {length}\r\n\r\n"
+    ))
+    .await;
+    let first = wire.next().await;
+    if first.starts_with("HTTP/1.1 100") {
+        wire.send(&format!("{SEARCH}{}", " ".repeat(length - SEARCH.len()))).await;
+        reply(front.ask().await, done());
+        return wire.next().await;
+    }
+    front.assert_nothing_ran();
+    first
+}
+
 async fn half_closed() {
     let mut front = Front::start(|_| {});
     let mut wire = Wire::open(front.address).await;
@@ -306,5 +325,9 @@
     too_many_connections => many_connections().await;
     a_response_that_is_not_taken => unread_response().await;
     http2_is_refused => http2().await;
+    an_expected_body => assert!(expected_body(60 * 1024).await.starts_with("HTTP/1.1 500"));
+    a_large_body_is_refused_before_it_is_sent => {
+        assert_refused(&expected_body(65 * 1024).await, 413, "too_large");
+    };
     a_cut_body => half_closed().await;
 }
--- a/tests/fronts/main.rs
+++ b/tests/fronts/main.rs
@@ -4,8 +4,11 @@
 #[macro_use]
 #[path = "../common/case.rs"]
 mod case;
+mod access;
 mod bed;
 mod callers;
+mod desk;
+mod document;
 mod input;
 mod limit;
 mod operators;
--- a/tests/fronts/random.rs
+++ b/tests/fronts/random.rs
@@ -9,7 +9,10 @@
 use proptest::{prelude::*, test_runner::TestRunner};
 use serde_json::{Value, json};
 
-use crate::bed::{BOTH, Desk, Front, reply};
+use crate::{
+    bed::{Front, reply},
+    desk::{BOTH, Desk},
+};
 
 /// The cases of one run.
 const CASES: u32 = 400;
