--- a/crates/core/src/control/engine.rs
+++ b/crates/core/src/control/engine.rs
@@ -64,6 +64,7 @@
             targets: Default::default(),
             in_force: InForce { document: Arc::new(Document::default()), confirmed: None },
             words: Default::default(),
+            cursor: None,
             quarantine: Default::default(),
             news: Default::default(),
             calls: Default::default(),
--- a/crates/core/src/control/system/expiry.rs
+++ b/crates/core/src/control/system/expiry.rs
@@ -2,7 +2,7 @@
 
 use super::{member, pause};
 use crate::{
-    control::{engine::Step, message::Health, table::Tables},
+    control::{engine::Step, table::Tables},
     name::Name,
 };
 
@@ -19,24 +19,23 @@
 }
 
 fn bury(tables: &mut Tables, step: &mut Step<'_>) {
-    let due: Vec<Name> = tables
-        .vms
-        .rows
-        .iter()
-        .filter(|(_, row)| row.member.health == Health::Suspect)
-        .filter(|(_, row)| row.gone_at.is_some_and(|at| at <= step.now))
-        .map(|(name, _)| name.clone())
-        .collect();
+    let vms = &tables.vms;
+    let due = |vm: &&Name| vms.rows[*vm].gone_at.is_some_and(|at| at <= step.now);
+    let due: Vec<Name> = vms.suspects.iter().filter(due).cloned().collect();
     due.iter().for_each(|vm| member::bury(tables, step, vm));
 }
 
 fn forget(tables: &mut Tables, step: &Step<'_>) {
-    let (now, limit) = (step.now, step.limits.forget);
-    let rows = &mut tables.vms.rows;
-    rows.retain(|_, row| row.present() || row.listed || now.since(row.since) < limit);
-    if tables.words.len() > rows.len() {
-        tables.words.retain(|name, _| rows.contains_key(name));
+    let vms = &tables.vms;
+    let due = |vm: &&Name| {
+        let row = &vms.rows[*vm];
+        !row.listed && step.now.since(row.since) >= step.limits.forget
+    };
+    let due: Vec<Name> = vms.gone.iter().filter(due).cloned().collect();
+    for vm in &due {
+        tables.words.remove(vm);
     }
+    tables.vms.forget(&due);
 }
 
 /// Stops being ready when neither a VM nor the service was heard for too long:
--- a/crates/core/src/control/system/intake.rs
+++ b/crates/core/src/control/system/intake.rs
@@ -41,6 +41,7 @@
         return;
     }
     tables.own.heard = step.now;
+    tables.vms.heard = Some(message.from.clone());
     for item in message.items {
         learn(tables, step, item, &message.from);
     }
--- a/crates/core/src/control/system/member.rs
+++ b/crates/core/src/control/system/member.rs
@@ -117,8 +117,9 @@
         row.source = source;
         note(step, &new);
     }
+    let health = new.health;
     row.member = new;
-    changed(tables);
+    changed(tables, &name, health);
     tables.news.add(Key::Member(name));
 }
 
@@ -131,12 +132,13 @@
         tables.news.add(Key::Member(name.clone()));
     }
     let row = Vm { member, listed: false, since: step.now, source, gone_at, introduced: 0 };
-    tables.vms.rows.insert(name, row);
-    changed(tables);
+    let health = row.member.health;
+    tables.vms.rows.insert(name.clone(), row);
+    changed(tables, &name, health);
 }
 
-fn changed(tables: &mut Tables) {
-    tables.vms.rerank = true;
+fn changed(tables: &mut Tables, vm: &Name, health: Health) {
+    tables.vms.index(vm, health);
     tables.changed = true;
 }
 
--- a/crates/core/src/control/system/probe.rs
+++ b/crates/core/src/control/system/probe.rs
@@ -69,16 +69,10 @@
 }
 
 fn revive(tables: &mut Tables, step: &mut Step<'_>) {
-    let gone: Vec<Name> = tables
-        .vms
-        .rows
-        .iter()
-        .filter(|(_, row)| !row.present())
-        .map(|(name, _)| name.clone())
-        .collect();
-    if !gone.is_empty() {
-        let vm = &gone[tables.rng.random_range(0..gone.len())];
-        start(tables, step, vm, Stage::Revival);
+    let Some(last) = tables.vms.gone.len().checked_sub(1) else { return };
+    let index = tables.rng.random_range(0..=last);
+    if let Some(vm) = tables.vms.gone.iter().nth(index).cloned() {
+        start(tables, step, &vm, Stage::Revival);
     }
 }
 
@@ -118,13 +112,21 @@
     let vm = probe.vm.clone();
     let until = step.now + step.limits.ack * 2;
     tables.vms.probes.insert(number, Probe { stage: Stage::Indirect, until, ..probe });
-    let helpers = spread::pick(tables, step.limits.indirect, Some(&vm));
-    for helper in helpers {
+    for helper in helpers(tables, step.limits.indirect, &vm) {
         let body = Body::PingFor { probe: number, vm: vm.clone(), address };
         spread::post(tables, step, &helper, body);
     }
 }
 
+/// Draws the VMs that are asked to probe `vm`. The one that was last heard is
+/// among them, so that a VM that reaches few others still hears from these.
+fn helpers(tables: &mut Tables, count: usize, vm: &Name) -> Vec<Name> {
+    let heard = tables.vms.heard.clone().filter(|heard| heard != vm);
+    let drawn = spread::pick(tables, count, Some(vm));
+    let others = drawn.into_iter().filter(|drawn| Some(drawn) != heard.as_ref());
+    heard.iter().cloned().chain(others).take(count).collect()
+}
+
 /// Answers a ping.
 pub fn ping(tables: &mut Tables, step: &mut Step<'_>, from: &Name, probe: u64) {
     spread::post(tables, step, from, Body::Ack { probe });
--- a/crates/core/src/control/system/quarantine.rs
+++ b/crates/core/src/control/system/quarantine.rs
@@ -70,7 +70,7 @@
         oldest.and_then(|key| rows.remove(&key));
     }
     tables.quarantine.suspects.remove(&fingerprint);
-    tables.news.sent.remove(&Key::Suspect(fingerprint));
+    tables.news.remove(&Key::Suspect(fingerprint));
     tables.news.add(Key::Condemned(fingerprint));
     tables.changed = true;
     let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
--- a/crates/core/src/control/system/reading.rs
+++ b/crates/core/src/control/system/reading.rs
@@ -14,6 +14,7 @@
         Limits,
         codec::CURRENT,
         engine::Step,
+        message::Health,
         table::{Tables, age::Age, call::Purpose, source::Reader},
     },
     name::Name,
@@ -58,7 +59,10 @@
     let others = tables.vms.rows.iter().filter(|(_, row)| row.steady()).map(|(name, _)| name);
     let all = others.chain((!tables.own.leaving()).then_some(own));
     let order: Vec<&Name> = rank::order(rank::seed(&["watchers"]), all);
+    let live = tables.vms.rows.iter().filter(|(_, row)| row.member.health == Health::Live);
+    let live = live.map(|(name, _)| name.clone()).collect();
     let watcher = order.iter().take(step.limits.watchers).any(|&name| name == own);
+    tables.vms.live = live;
     if watcher && !tables.vms.watcher {
         tables.profiles.next = step.now;
         tables.list.next = step.now;
--- a/crates/core/src/control/system/spread.rs
+++ b/crates/core/src/control/system/spread.rs
@@ -1,8 +1,8 @@
 //! Sends messages, each with the news that is to be passed on.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, ops::Bound};
 
-use rand::{RngExt, seq::IndexedRandom};
+use rand::seq::IndexedRandom;
 
 use crate::{
     control::{
@@ -34,14 +34,9 @@
 
 /// Draws up to `count` VMs that answer, without `but`.
 pub fn pick(tables: &mut Tables, count: usize, but: Option<&Name>) -> Vec<Name> {
-    let live: Vec<&Name> = tables
-        .vms
-        .rows
-        .iter()
-        .filter(|(name, row)| row.member.health == Health::Live && Some(*name) != but)
-        .map(|(name, _)| name)
-        .collect();
-    live.sample(&mut tables.rng, count).map(|&name| name.clone()).collect()
+    // One more than needed is drawn, in case `but` is among them.
+    let drawn = tables.vms.live.sample(&mut tables.rng, count + 1);
+    drawn.filter(|&vm| Some(vm) != but).take(count).cloned().collect()
 }
 
 /// Sends a message to a VM that is known.
@@ -100,20 +95,8 @@
 fn news(tables: &mut Tables, step: &Step<'_>) -> Vec<Item> {
     let doublings = usize::BITS - tables.vms.count().leading_zeros();
     let sends = SENDS_PER_DOUBLING * doublings;
-    let mut keys: Vec<(u32, Key)> =
-        tables.news.sent.iter().map(|(key, &sent)| (sent, key.clone())).collect();
-    keys.sort();
-    keys.truncate(step.limits.items);
-    let mut items = Vec::new();
-    for (sent, key) in keys {
-        items.extend(content(tables, step.now, &key));
-        if sent + 1 >= sends {
-            tables.news.sent.remove(&key);
-        } else {
-            tables.news.sent.insert(key, sent + 1);
-        }
-    }
-    items
+    let keys = tables.news.take(step.limits.items, sends);
+    keys.iter().flat_map(|key| content(tables, step.now, key)).collect()
 }
 
 /// The content of a piece of news as it is known now.
@@ -157,24 +140,25 @@
         .collect()
 }
 
-/// Takes some rows of revisions in force, at random, so that each is passed on
-/// now and then.
+/// Takes some rows of revisions in force, from where the last message ended, so
+/// that each is passed on now and then.
 fn rows(tables: &mut Tables, step: &Step<'_>) -> Vec<Row> {
-    let count = tables.words.len();
-    if count == 0 {
-        return Vec::new();
-    }
-    let first = tables.rng.random_range(0..count);
-    let words = tables.words.iter();
-    words
-        .cycle()
-        .skip(first)
-        .take(step.limits.rows.min(count))
+    let from = match tables.cursor.take() {
+        Some(vm) => Bound::Excluded(vm),
+        None => Bound::Unbounded,
+    };
+    let words = tables.words.range((from, Bound::Unbounded));
+    let rows: Vec<Row> = words
+        .take(step.limits.rows)
         .map(|(vm, word)| Row {
             vm: vm.clone(),
             revision: word.revision,
             heard: word.heard.at(step.now),
             confirmed: word.confirmed,
         })
-        .collect()
+        .collect();
+    if rows.len() == step.limits.rows {
+        tables.cursor = rows.last().map(|row| row.vm.clone());
+    }
+    rows
 }
--- a/crates/core/src/control/system/wake.rs
+++ b/crates/core/src/control/system/wake.rs
@@ -9,8 +9,7 @@
 /// The earliest time at which a system has something to do without an event.
 pub fn next(tables: &Tables, limits: &Limits) -> Option<Instant> {
     let vms = &tables.vms;
-    let gone = vms.rows.values().any(|row| !row.present());
-    let suspects = vms.rows.values().filter_map(|row| row.gone_at).min();
+    let suspects = vms.suspects.iter().filter_map(|vm| vms.rows[vm].gone_at).min();
     let isolation = tables.own.learnt && !vms.rows.is_empty();
     let publications = tables.publications.values().map(|row| match row.call {
         Some(_) => row.until,
@@ -20,7 +19,7 @@
     let times = [
         Some(vms.next),
         Some(vms.compare),
-        gone.then_some(vms.revive),
+        (!vms.gone.is_empty()).then_some(vms.revive),
         suspects,
         vms.probes.values().map(|probe| probe.until).min(),
         isolation.then(|| tables.own.heard + limits.isolation),
--- a/crates/core/src/control/table/mod.rs
+++ b/crates/core/src/control/table/mod.rs
@@ -59,6 +59,8 @@
     pub in_force: InForce,
     /// The revisions in force on other VMs.
     pub words: BTreeMap<Name, Word>,
+    /// The last VM of [`Tables::words`] that was passed on.
+    pub cursor: Option<Name>,
     /// Fingerprints of requests that crashed targets.
     pub quarantine: Quarantine,
     /// News to pass on.
--- a/crates/core/src/control/table/news.rs
+++ b/crates/core/src/control/table/news.rs
@@ -1,6 +1,6 @@
 //! News that is passed on a bounded number of times.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{digest::Fingerprint, name::Name, time::Instant};
 
@@ -21,8 +21,8 @@
 /// News that is passed on a bounded number of times.
 #[derive(Debug, Default)]
 pub struct News {
-    /// How often each piece was sent.
-    pub sent: BTreeMap<Key, u32>,
+    sent: BTreeMap<Key, u32>,
+    queue: BTreeSet<(u32, Key)>,
     /// Whether something was learnt that the next round tells at once.
     pub fresh: bool,
     /// The end of the pause between two rounds.
@@ -32,7 +32,35 @@
 impl News {
     /// Adds a piece, or starts to count anew if it is passed on already.
     pub fn add(&mut self, key: Key) {
+        self.remove(&key);
+        self.queue.insert((0, key.clone()));
         self.sent.insert(key, 0);
         self.fresh = true;
     }
+
+    /// Removes a piece.
+    pub fn remove(&mut self, key: &Key) {
+        if let Some(sent) = self.sent.remove(key) {
+            self.queue.remove(&(sent, key.clone()));
+        }
+    }
+
+    /// Takes up to `count` pieces that were sent least often, and removes those
+    /// that were then sent `sends` times.
+    pub fn take(&mut self, count: usize, sends: u32) -> Vec<Key> {
+        let taken: Vec<(u32, Key)> = self.queue.iter().take(count).cloned().collect();
+        for (sent, key) in &taken {
+            self.remove(key);
+            if sent + 1 < sends {
+                self.queue.insert((sent + 1, key.clone()));
+                self.sent.insert(key.clone(), sent + 1);
+            }
+        }
+        taken.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Whether nothing is passed on any more.
+    pub fn is_empty(&self) -> bool {
+        self.sent.is_empty()
+    }
 }
--- a/crates/core/src/control/table/vm.rs
+++ b/crates/core/src/control/table/vm.rs
@@ -1,6 +1,9 @@
 //! The other VMs and the probes of them.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use crate::{
     control::{
@@ -95,6 +98,12 @@
 pub struct Vms {
     /// The VMs by name.
     pub rows: BTreeMap<Name, Vm>,
+    /// The VMs that are suspect.
+    pub suspects: BTreeSet<Name>,
+    /// The VMs that are gone.
+    pub gone: BTreeSet<Name>,
+    /// The VMs that answer, as of the last ranking.
+    pub live: Vec<Name>,
     /// The probes by number.
     pub probes: BTreeMap<u64, Probe>,
     /// The last number given to a probe.
@@ -103,6 +112,8 @@
     pub order: Vec<Name>,
     /// VMs that are to be probed at once.
     pub urgent: Vec<Name>,
+    /// The VM that was last heard.
+    pub heard: Option<Name>,
     /// When the next VM is probed.
     pub next: Instant,
     /// When the next VM that is gone is probed.
@@ -120,6 +131,29 @@
 impl Vms {
     /// The number of VMs that are not gone, with this one.
     pub fn count(&self) -> usize {
-        1 + self.rows.values().filter(|row| row.present()).count()
+        1 + self.rows.len() - self.gone.len()
+    }
+
+    /// Notes the health of a VM that was added or changed.
+    pub fn index(&mut self, vm: &Name, health: Health) {
+        note(&mut self.suspects, vm, health == Health::Suspect);
+        note(&mut self.gone, vm, health == Health::Gone);
+        self.rerank = true;
+    }
+
+    /// Forgets VMs that are gone.
+    pub fn forget(&mut self, vms: &[Name]) {
+        for vm in vms {
+            self.rows.remove(vm);
+            self.gone.remove(vm);
+        }
+    }
+}
+
+fn note(names: &mut BTreeSet<Name>, vm: &Name, belongs: bool) {
+    if belongs {
+        names.insert(vm.clone());
+    } else {
+        names.remove(vm);
     }
 }
--- a/crates/core/tests/control/quarantine.rs
+++ b/crates/core/tests/control/quarantine.rs
@@ -8,7 +8,8 @@
     notice::Report,
 };
 
-use crate::world::{World, name, vm};
+use crate::fixture::{name, vm};
+use crate::world::{Node, World};
 
 const SHARED: Duration = Duration::from_secs(2);
 const POISON: Fingerprint = Fingerprint(7);
@@ -89,5 +90,13 @@
         }
         world.run(SHARED);
         assert!(world.all(|view| view.quarantine.len() == 4));
+        for fingerprint in 100..120 {
+            let query = Query { origin: Origin(1), sequence: 1 };
+            let (fingerprint, target) = (Fingerprint(fingerprint), name("r1"));
+            world.report(&vm(0), Report::Suspect { fingerprint, query, target });
+        }
+        world.run(SHARED);
+        let suspects = |node: &Node| node.engine.tables().quarantine.suspects.len();
+        assert!(world.nodes.values().all(|node| suspects(node) == 4));
     };
 }
