Let the commands of operators act on a running VM

`profile`, `target list` and `vm list` checked their arguments and then said that they were not built. They now ask the operators' address of a VM over HTTP. `profile rollback` and `profile settle` are new: the second takes the token that an unsettled publication ends with.

`query` read row keys as numbers, while the front writes 16 hexadecimal digits; the canned answer in the test had the same mistake and is replaced by the front's form. A second test asks a VM that runs.

Free ports of a local deployment were taken from the range that the system gives to outgoing connections, one of which took a port before the VM bound it: 2 of 86 cases failed with "Address already in use" in one of two runs. Ports below that range are tried now. Keeping the listeners until the VM starts was ruled out, because a VM that is replaced at its place binds anew.

Checked: 86 cases of tests/product, twice without a failure.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: flags to one checked struct, then one function for each
 //! command.
 
+pub mod answer;
 pub mod exit;
 pub mod failure;
 pub mod check;
@@ -8,6 +9,7 @@
 pub mod entry;
 pub mod list;
 pub mod load;
+pub mod operator;
 pub mod output;
 pub mod profile;
 pub mod query;
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -1,6 +1,10 @@
 //! The standard output.
 
-use std::io::{Write, stdout};
+use std::{
+    fmt,
+    io::{Write, stdout},
+    time::Duration,
+};
 
 /// Writes a line to the standard output. A reader that went away, such as
 /// `head`, is no error.
@@ -9,3 +13,51 @@
     let _ = writeln!(out, "{text}");
     let _ = out.flush();
 }
+
+/// How long ago something was, from milliseconds.
+pub fn ago(millis: u64) -> String {
+    let seconds = Duration::from_millis(millis).as_secs();
+    match seconds {
+        0 => format!("{millis} ms ago"),
+        1..60 => format!("{seconds} s ago"),
+        60..3600 => format!("{} min {} s ago", seconds / 60, seconds % 60),
+        _ => format!("{} h {} min ago", seconds / 3600, seconds % 3600 / 60),
+    }
+}
+
+/// A table with aligned columns.
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Makes a table with the names of its columns.
+    pub fn new(columns: &[&str]) -> Table {
+        let head = columns.iter().map(|&column| column.to_owned()).collect();
+        Table { rows: vec![head] }
+    }
+
+    /// Adds a row.
+    pub fn row(&mut self, cells: Vec<String>) {
+        self.rows.push(cells);
+    }
+
+    fn width(&self, column: usize) -> usize {
+        let cells = self.rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or_default()
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for row in &self.rows {
+            let mut text = String::new();
+            for (column, cell) in row.iter().enumerate() {
+                let width = self.width(column);
+                text.push_str(&format!("{cell:width$}  "));
+            }
+            writeln!(f, "{}", text.trim_end())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/cli/profile/publication.rs
@@ -0,0 +1,69 @@
+//! What became of a publication, and the token of one that is not settled.
+
+use laburnum_core::{
+    control::request::{Difference, Token},
+    profile::Revision,
+};
+use serde::Deserialize;
+use uuid::Uuid;
+
+use super::describe;
+use crate::cli::answer::Problem;
+
+/// What became of a publication.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Publication {
+    outcome: String,
+    revision: Revision,
+    #[serde(default)]
+    changes: Vec<Difference>,
+}
+
+/// Describes what became of a publication.
+pub fn describe(publication: &Publication) -> String {
+    let Revision(revision) = publication.revision;
+    let head = match publication.outcome.as_str() {
+        "accepted" => format!("published: revision {revision}"),
+        "planned" => format!("nothing was published; it would be revision {revision}"),
+        _ => format!("it was not published and never will be; revision {revision} is in force"),
+    };
+    format!("{head}\n{}", describe::differences(&publication.changes))
+}
+
+/// What to do after a refused publication.
+pub fn hint(problem: &Problem) -> String {
+    if let Some(token) = &problem.token {
+        let token = text(token);
+        return format!("find out what became of it: profile settle {token}");
+    }
+    match problem.winner {
+        Some(Revision(winner)) => {
+            let changes = describe::differences(problem.changes.as_deref().unwrap_or_default());
+            let compare =
+                format!("compare with profile diff, then publish with --expect {winner};");
+            format!("{compare} it would change:\n{changes}").trim_end().to_owned()
+        }
+        None => problem.hint(),
+    }
+}
+
+/// The token as the command line takes it.
+fn text(token: &Token) -> String {
+    format!("{}:{}:{}", token.base.0, token.revision.0, token.id)
+}
+
+/// Reads a token as `profile publish` printed it.
+pub fn token(text: &str) -> Result<Token, String> {
+    let mut parts = text.splitn(3, ':');
+    let base = revision(parts.next());
+    let next = revision(parts.next());
+    let id = parts.next().and_then(|id| Uuid::try_parse(id).ok());
+    match (base, next, id) {
+        (Some(base), Some(revision), Some(id)) => Ok(Token { base, revision, id }),
+        _ => Err(format!("found {text:?}, allowed is a token as profile publish printed it")),
+    }
+}
+
+fn revision(text: Option<&str>) -> Option<Revision> {
+    text?.parse().ok().map(Revision)
+}
--- a/src/cli/query.rs
+++ b/src/cli/query.rs
@@ -3,21 +3,19 @@
 use std::{fmt::Write, net::SocketAddr, time::Duration};
 
 use argh::FromArgs;
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use laburnum_core::name::Name;
-use reqwest::{Response, StatusCode};
+use reqwest::StatusCode;
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
 use super::{
+    answer::{self, Place},
     exit::Exit,
-    failure::{Cause, Failure, Outcome},
+    failure::{Failure, Outcome},
     output, value,
 };
 
-/// The time within which a connection to the VM must open.
-const CONNECT_LIMIT: Duration = Duration::from_secs(3);
-
 /// The time that is added to the longest deadline before an answer is given up.
 const GRACE: Duration = Duration::from_secs(5);
 
@@ -113,6 +111,7 @@
     #[serde(default)]
     rows: Vec<Row>,
     result: Option<String>,
+    replayed: Option<bool>,
 }
 
 #[derive(Deserialize)]
@@ -124,122 +123,45 @@
 
 #[derive(Deserialize)]
 struct Row {
-    key: u64,
+    key: String,
     body: String,
 }
 
-/// A refusal of a VM.
-#[derive(Deserialize)]
-struct Problem {
-    kind: String,
-    detail: String,
-    ran: String,
-    retry: Option<Retry>,
-}
-
-#[derive(Deserialize)]
-struct Retry {
-    allowed: bool,
-    after_ms: Option<u64>,
-}
-
 /// Runs the command.
 pub fn run(command: &Query) -> Outcome {
     let request = Request::try_from(command)?;
     if let (Request::Operation { key, .. }, None) = (&request, command.key) {
         eprintln!("idempotency key: {key}");
     }
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|e| Failure::report(Exit::Failed, format!("no runtime: {e}"), ""))?;
-    runtime.block_on(async {
-        let response = send(command.entry, &request).await?;
-        let status = response.status();
-        let body = response.bytes().await.map_err(|e| lost(command.entry, &e))?;
-        conclude(status, &body, command.json)
-    })
+    let lost = "send an operation again only with the same --key";
+    let place = Place { flag: "--entry", address: command.entry, lost };
+    let answer = value::runtime()?.block_on(send(place, &request))?;
+    let (answer::Answer::Done(body) | answer::Answer::Refused(body, _)) = &answer;
+    if command.json {
+        output::line(&body.text());
+    }
+    match &answer {
+        answer::Answer::Refused(_, problem) => Err(problem.report(problem.hint())),
+        answer::Answer::Done(_) if command.json => Ok(()),
+        answer::Answer::Done(body) => {
+            let answer: Answer = body.decode(StatusCode::OK, place)?;
+            output::line(describe(&answer).trim_end());
+            Ok(())
+        }
+    }
 }
 
-async fn send(entry: SocketAddr, request: &Request<'_>) -> Result<Response, Report<Failure>> {
-    let client = reqwest::Client::builder()
-        .connect_timeout(CONNECT_LIMIT)
-        .timeout(laburnum_core::profile::MAX_DEADLINE + GRACE)
-        .no_proxy()
-        .build()
-        .map_err(|e| Failure::report(Exit::Failed, format!("no client: {e}"), ""))?;
-    let request = match request {
+async fn send(place: Place, request: &Request<'_>) -> Result<answer::Answer, Report<Failure>> {
+    let entry = place.address;
+    let client = answer::client(laburnum_core::profile::MAX_DEADLINE + GRACE)?;
+    let builder = match request {
         Request::Search { .. } => client.post(format!("http://{entry}/v1/search")).json(request),
         Request::Operation { key, .. } => client
             .post(format!("http://{entry}/v1/operations"))
             .header("Idempotency-Key", key.to_string())
             .json(request),
     };
-    request.send().await.map_err(|e| lost(entry, &e))
-}
-
-/// The failure of a request that got no whole answer.
-fn lost(entry: SocketAddr, error: &reqwest::Error) -> Report<Failure> {
-    let (exit, detail, hint) = if error.is_connect() {
-        (Exit::Unreachable, "does not answer", "check --entry, or ask another VM")
-    } else {
-        (
-            Exit::Unsettled,
-            "gave no whole answer",
-            "send an operation again only with the same --key",
-        )
-    };
-    let failed =
-        Failure { exit, detail: format!("--entry {entry} {detail}"), hint: hint.to_owned() };
-    Report::new(Cause(deepest(error))).change_context(failed)
-}
-
-/// The text of the error that all others stem from.
-fn deepest(error: &dyn std::error::Error) -> String {
-    let mut error = error;
-    while let Some(source) = error.source() {
-        error = source;
-    }
-    error.to_string()
-}
-
-fn conclude(status: StatusCode, body: &[u8], json: bool) -> Outcome {
-    if json {
-        output::line(&String::from_utf8_lossy(body));
-    }
-    if !status.is_success() {
-        return Err(refusal(status, body));
-    }
-    let answer: Answer = serde_json::from_slice(body)
-        .map_err(|e| Cause(e.to_string()))
-        .change_context_lazy(|| unreadable(status))?;
-    if !json {
-        output::line(describe(&answer).trim_end());
-    }
-    Ok(())
-}
-
-fn unreadable(status: StatusCode) -> Failure {
-    Failure {
-        exit: Exit::Unsettled,
-        detail: format!("the answer with status {status} cannot be read"),
-        hint: "check that --entry is where a VM listens for callers".to_owned(),
-    }
-}
-
-fn refusal(status: StatusCode, body: &[u8]) -> Report<Failure> {
-    let Ok(problem) = serde_json::from_slice::<Problem>(body) else {
-        return Report::new(unreadable(status));
-    };
-    let exit = if problem.ran == "no" { Exit::Refused } else { Exit::Unsettled };
-    let detail = format!("{}: {} (ran: {})", problem.kind, problem.detail, problem.ran);
-    let hint = match problem.retry {
-        Some(Retry { allowed: true, after_ms }) => {
-            format!("send it again after {} ms", after_ms.unwrap_or_default())
-        }
-        _ => "the same request gets the same refusal".to_owned(),
-    };
-    Failure::report(exit, detail, hint)
+    answer::exchange(builder, place).await
 }
 
 fn describe(answer: &Answer) -> String {
@@ -264,8 +186,11 @@
     if let Some(result) = &answer.result {
         writeln!(text, "result: {result}")?;
     }
+    if answer.replayed == Some(true) {
+        writeln!(text, "replayed: it had run before, under the same key")?;
+    }
     for row in &answer.rows {
-        writeln!(text, "{:016x} {}", row.key, row.body)?;
+        writeln!(text, "{} {}", row.key, row.body)?;
     }
     Ok(())
 }
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -25,7 +25,7 @@
 pub const INDEX: &str = "licences";
 
 /// The token of the operator of the deployment.
-pub const TOKEN: &str = "local-operator";
+pub const TOKEN: &str = "local-operator-token";
 
 /// What a deployment is made of.
 #[derive(Clone, Debug)]
--- a/src/local/place.rs
+++ b/src/local/place.rs
@@ -1,13 +1,16 @@
 //! Where a VM of a local deployment listens.
 
-use std::net::{SocketAddr, TcpListener};
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    ops::RangeInclusive,
+};
 
 use error_stack::{Report, ResultExt};
 use laburnum_core::{
     name::Name,
     view::{State, Vm},
 };
-
+use rand::RngExt;
 use sha2::{Digest, Sha256};
 
 use super::{DOMAINS, TOKEN, failed, name};
@@ -30,6 +33,13 @@
     pub traffic: SocketAddr,
 }
 
+/// The ports that are tried. They lie below those that systems give to outgoing
+/// connections, one of which could take a free port before the VM does.
+const PORTS: RangeInclusive<u16> = 10_000..=32_000;
+
+/// The ports that are tried before it is given up to find a free one.
+const MAX_TRIES: usize = 1000;
+
 /// Finds free ports for the VM with this number.
 ///
 /// The ports are held until all four are known, so that they differ.
@@ -37,8 +47,7 @@
     let mut held = Vec::new();
     let mut addresses = Vec::new();
     for _ in 0..4 {
-        let listener =
-            TcpListener::bind("127.0.0.1:0").change_context_lazy(|| failed("a listener"))?;
+        let listener = listen()?;
         addresses.push(listener.local_addr().change_context_lazy(|| failed("a listener"))?);
         held.push(listener);
     }
@@ -52,6 +61,14 @@
     })
 }
 
+/// Listens on a port that is free now.
+fn listen() -> Result<TcpListener, Report<Error>> {
+    let mut rng = rand::rng();
+    let mut tries = (0..MAX_TRIES).map(|_| rng.random_range(PORTS));
+    let found = tries.find_map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok());
+    found.ok_or_else(|| Report::new(failed("a listener on a free port")))
+}
+
 impl Place {
     /// What the platform lists.
     pub fn row(&self) -> Vm {
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -42,6 +42,7 @@
         vm: shared.row.clone(),
         seeds: Vec::new(),
         limits: limits::control(&shared.settings),
+        claims: limits::claims(&shared.settings),
         seed: rand::random(),
         codec: Box::new(Json),
     };
--- /dev/null
+++ b/tests/product/bed.rs
@@ -0,0 +1,164 @@
+//! A local deployment and the command line against it.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Command, Output},
+    time::Duration,
+};
+
+use laburnumworks::{
+    cli::exit::Exit,
+    local::{self, Caller, Deployment, Plan},
+    standin::target::settings::Raw,
+};
+use reqwest::Method;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::runtime::Runtime;
+
+/// The time within which a deployment must take requests.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// Profiles of the team whose token the deployment has.
+pub const PROFILES: &str = r#"
+[profile.renewal]
+team = "local"
+index = "licences"
+coverage_ppm = 1000000
+deadline_ms = 2000
+tail_ms = 300
+extra_load_ppm = 50000
+concurrency = 10
+priority = 10
+"#;
+
+/// A deployment with its folder of files.
+pub struct Bed {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// The folder that holds the token.
+    pub folder: TempDir,
+    /// A runtime for the caller.
+    pub runtime: Runtime,
+    /// A caller.
+    pub caller: Caller,
+}
+
+/// Starts a deployment of `vms` VMs and waits until they take requests.
+pub fn start(vms: u32) -> Bed {
+    let plan = Plan { vms, shards: 2, replicas: 2, target: Raw::default() };
+    let deployment = local::start(&plan).unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    assert!(runtime.block_on(deployment.ready(START_LIMIT)), "the VMs are not ready");
+    let folder = tempfile::tempdir().unwrap();
+    fs::write(folder.path().join("token"), format!("{}\n", local::TOKEN)).unwrap();
+    Bed { deployment, folder, runtime, caller: Caller::new().unwrap() }
+}
+
+/// Runs the binary.
+pub fn run(arguments: &[&str]) -> Output {
+    let folder = env!("CARGO_MANIFEST_DIR");
+    let binary = env!("CARGO_BIN_EXE_laburnumworks");
+    Command::new(binary).args(arguments).current_dir(folder).output().unwrap()
+}
+
+pub fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+pub fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+#[track_caller]
+pub fn assert_exit(output: &Output, exit: Exit) {
+    let code = Some(i32::from(exit.code()));
+    assert_eq!(output.status.code(), code, "{}{}", stdout(output), stderr(output));
+}
+
+impl Bed {
+    /// Where the VM with this index listens for operators.
+    pub fn operators(&self, vm: usize) -> SocketAddr {
+        self.deployment.vms[vm].0.operators
+    }
+
+    /// Where the VM with this index listens for callers.
+    pub fn callers(&self, vm: usize) -> SocketAddr {
+        self.deployment.vms[vm].0.callers
+    }
+
+    /// Writes a file and returns its path.
+    pub fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.folder.path().join(name);
+        fs::write(&path, text).unwrap();
+        path
+    }
+
+    /// The arguments of a command of an operator at the first VM.
+    pub fn arguments(&self, words: &[&str]) -> Vec<String> {
+        let mut arguments: Vec<String> = words.iter().map(|&word| word.to_owned()).collect();
+        let token = self.folder.path().join("token");
+        arguments.extend(["--operator".to_owned(), self.operators(0).to_string()]);
+        arguments.extend(["--token-file".to_owned(), token.display().to_string()]);
+        arguments
+    }
+
+    /// Runs a command of an operator at the first VM.
+    pub fn operate(&self, words: &[&str]) -> Output {
+        let arguments = self.arguments(words);
+        run(&arguments.iter().map(String::as_str).collect::<Vec<_>>())
+    }
+
+    /// Runs a command that must succeed and returns its output.
+    #[track_caller]
+    pub fn shown(&self, words: &[&str]) -> String {
+        let output = self.operate(words);
+        assert_exit(&output, Exit::Done);
+        stdout(&output)
+    }
+
+    /// Runs a command that must succeed with `--json` and returns its document.
+    #[track_caller]
+    pub fn json(&self, words: &[&str]) -> Value {
+        let text = self.shown(&[words, &["--json"]].concat());
+        serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {text}"))
+    }
+
+    /// Publishes profiles through the command line.
+    #[track_caller]
+    pub fn publish(&self, text: &str) -> String {
+        let file = self.file("profiles.toml", text);
+        self.shown(&["profile", "publish", file.to_str().unwrap()])
+    }
+
+    /// Sets the faults of the platform's stand-in.
+    pub fn platform_faults(&self, faults: &Value) {
+        let platform = self.deployment.platform;
+        let sent = self.caller.send(Method::PUT, platform, "/v1/faults", &[], faults);
+        let reply = self.runtime.block_on(sent).unwrap();
+        assert!(reply.status.is_success(), "{reply:?}");
+    }
+
+    /// Reads a document of the platform's stand-in.
+    pub fn platform(&self, path: &str) -> Value {
+        self.runtime.block_on(self.caller.read(self.deployment.platform, path)).unwrap().body
+    }
+
+    /// Waits until every VM takes the profile `name`.
+    pub fn in_force(&self, name: &str) {
+        for vm in 0..self.deployment.vms.len() {
+            let known = (0..100).any(|_| {
+                let sent = self.caller.search(self.callers(vm), name, "none");
+                let body = self.runtime.block_on(sent).unwrap().body;
+                let is_known = body["kind"] != json!("unknown_profile");
+                if !is_known {
+                    std::thread::sleep(Duration::from_millis(50));
+                }
+                is_known
+            });
+            assert!(known, "{name} is not in force on VM {vm}");
+        }
+    }
+}
--- a/tests/product/main.rs
+++ b/tests/product/main.rs
@@ -3,9 +3,11 @@
 
 #[macro_use]
 mod case;
+mod bed;
 mod cli;
 mod deployment;
 mod log;
 mod metric;
+mod operator;
 mod page;
 mod settings;
