Give each traffic thread its policies at its start

Measurements compare ways to route and to limit in one run, so the policies become a field of the thread's seed and no setting of the product. A local deployment may now hold several indexes, runs its targets on a few threads in place of one each, and can be stopped.

--- a/crates/core/src/traffic/system/dispatch.rs
+++ b/crates/core/src/traffic/system/dispatch.rs
@@ -84,7 +84,7 @@
             continue;
         }
         may_come = true;
-        if !is_free(cx, target, job) || !has_connection(tables, target) {
+        if !is_free(cx, name, target, job) || !has_connection(tables, target) {
             continue;
         }
         let cost = cx.policies.choice.cost(target, cx.now);
@@ -118,7 +118,7 @@
 }
 
 /// Whether the target has a free slot for the job.
-fn is_free(cx: &Context, target: &Target, job: &Job) -> bool {
+fn is_free(cx: &Context, name: &Name, target: &Target, job: &Job) -> bool {
     if !target.takes_work(cx.now) || target.reserved {
         return false;
     }
@@ -126,7 +126,7 @@
         // It runs alone, so that a crash takes no other request with it.
         return target.in_use == 0;
     }
-    target.in_use < cx.policies.slots.limit(&cx.view, target)
+    target.in_use < cx.policies.slots.limit(&cx.view, name, target)
 }
 
 fn has_connection(tables: &Tables, target: &Target) -> bool {
@@ -259,7 +259,8 @@
         .iter()
         .filter(|name| !busy.contains(name) && !job.avoid.contains(*name))
         .filter_map(|name| tables.targets.get(name).map(|target| (name, target)))
-        .filter(|(_, target)| may_hold(target, &job.leg.work) && is_free(cx, target, job))
+        .filter(|(_, target)| may_hold(target, &job.leg.work))
+        .filter(|(name, target)| is_free(cx, name, target, job))
         .filter_map(|(name, target)| {
             let connection = open_connection(tables, target, &BTreeSet::new())?;
             Some((cx.policies.choice.cost(target, cx.now), name, connection))
--- a/src/local/demo.rs
+++ b/src/local/demo.rs
@@ -7,10 +7,11 @@
 };
 
 use error_stack::{Report, ResultExt};
+use laburnum_core::{name::Name, traffic::Policies};
 use serde_json::{Value, json};
 use uuid::Uuid;
 
-use super::{Caller, Deployment, INDEX, Plan, caller::Reply};
+use super::{Caller, Deployment, INDEX, Index, Plan, caller::Reply};
 use crate::standin::target::settings::Raw;
 
 /// The time within which the deployment must take requests.
@@ -57,20 +58,27 @@
 
 /// Runs the demo, prints each step and returns what held.
 pub async fn run(print: &dyn Fn(&str)) -> Result<Vec<Finding>, Report<Error>> {
-    let plan = Plan { vms: 3, shards: 4, replicas: 2, target: Raw::default() };
+    let name = Name::try_from(INDEX).change_context_lazy(|| step("the index has no name"))?;
+    let index = Index { name, shards: 4, replicas: 2, target: Raw::default() };
+    let plan = Plan {
+        vms: 3,
+        indexes: vec![index.clone()],
+        hosts: 1,
+        policies: Policies::default,
+    };
     let deployment =
         super::start(&plan).change_context_lazy(|| step("the deployment did not start"))?;
     print(&format!(
         "started a platform, {} VMs and {} targets of the index {INDEX}",
         plan.vms,
-        plan.shards * plan.replicas
+        index.shards * index.replicas
     ));
     let caller = Caller::new().change_context_lazy(|| step("no HTTP client could be made"))?;
     let mut run = Run { deployment: &deployment, caller, print, findings: Vec::new() };
     run.publish().await?;
-    run.searches(&plan).await?;
+    run.searches(&index).await?;
     run.clearance().await?;
-    run.lost_shard(&plan).await?;
+    run.lost_shard(&index).await?;
     Ok(run.findings)
 }
 
@@ -152,14 +160,14 @@
         Ok(reply)
     }
 
-    async fn searches(&mut self, plan: &Plan) -> Result<(), Report<Error>> {
-        let index =
-            crate::standin::target::row::Index { seed: plan.target.seed, rows: plan.target.rows };
+    async fn searches(&mut self, index: &Index) -> Result<(), Report<Error>> {
+        let contents =
+            crate::standin::target::row::Index { seed: index.target.seed, rows: index.target.rows };
         let all = laburnum_core::key::Range::ALL;
         for vm in self.callers() {
             for text in ["maritime", "uhf"] {
                 let reply = self.search(&vm, "clearance", text).await?;
-                let expected = index.read(laburnum_core::target::Version(1), all, text);
+                let expected = contents.read(laburnum_core::target::Version(1), all, text);
                 let found = rows(&reply);
                 let is_whole = found.len() == expected.len()
                     && found
@@ -220,8 +228,8 @@
         Ok(sum)
     }
 
-    async fn lost_shard(&mut self, plan: &Plan) -> Result<(), Report<Error>> {
-        let last = format!("shard-{}", plan.shards - 1);
+    async fn lost_shard(&mut self, index: &Index) -> Result<(), Report<Error>> {
+        let last = format!("shard-{}", index.shards - 1);
         for target in &self.deployment.targets {
             if target.listed.shard.as_str() != last {
                 continue;
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -5,13 +5,25 @@
 pub mod demo;
 pub mod place;
 
-use std::{io, net::TcpListener, path::Path, thread, time::Duration};
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    path::Path,
+    pin::Pin,
+    thread,
+    time::Duration,
+};
 
 use error_stack::{Report, ResultExt};
 use laburnum_core::{
     name::Name,
+    traffic::policy,
     view::{State, Target},
 };
+use tokio::{
+    sync::{oneshot, watch},
+    task::LocalSet,
+};
 
 use crate::{
     settings::{Settings, Source},
@@ -21,7 +33,7 @@
 
 pub use self::{caller::Caller, place::Place};
 
-/// The index that the targets hold.
+/// The index that the targets of the demo hold.
 pub const INDEX: &str = "licences";
 
 /// The token of the operator of the deployment.
@@ -32,6 +44,19 @@
 pub struct Plan {
     /// The number of VMs; each is in a failure domain of its own, up to four.
     pub vms: u32,
+    /// The indexes with their targets.
+    pub indexes: Vec<Index>,
+    /// The threads that the targets share.
+    pub hosts: usize,
+    /// The policies of the VMs.
+    pub policies: policy::Make,
+}
+
+/// An index and its targets.
+#[derive(Clone, Debug)]
+pub struct Index {
+    /// The name of the index.
+    pub name: Name,
     /// The number of shards.
     pub shards: u32,
     /// The targets of each shard.
@@ -46,17 +71,21 @@
     /// What the platform lists.
     pub listed: Target,
     /// Where its faults are switched.
-    pub admin: std::net::SocketAddr,
+    pub admin: SocketAddr,
 }
 
 /// A deployment that runs.
 pub struct Deployment {
     /// Where the platform listens.
-    pub platform: std::net::SocketAddr,
+    pub platform: SocketAddr,
     /// The targets.
     pub targets: Vec<Replica>,
     /// The VMs with their places.
     pub vms: Vec<(Place, Vm)>,
+    /// The policies of the VMs.
+    pub policies: policy::Make,
+    /// Ends the stand-ins.
+    stop: watch::Sender<bool>,
 }
 
 /// The failure domains over which VMs and targets are spread.
@@ -64,49 +93,91 @@
 
 /// Starts the platform, the targets and the VMs.
 pub fn start(plan: &Plan) -> Result<Deployment, Report<Error>> {
+    let (stop, stopped) = watch::channel(false);
     let (listener, platform) = listen()?;
+    let targets = start_targets(plan, &stopped)?;
     let mut list = standin::platform::list::Raw::default();
-    let mut targets = Vec::new();
-    for shard in 0..plan.shards {
-        for replica in 0..plan.replicas {
-            let target = start_target(plan, shard, replica)?;
-            list.targets.push(target.listed.clone());
-            targets.push(target);
-        }
-    }
+    list.targets = targets.iter().map(|target| target.listed.clone()).collect();
     let places = (1..=plan.vms).map(place::free).collect::<Result<Vec<Place>, _>>()?;
     list.vms = places.iter().map(Place::row).collect();
     let list = standin::platform::List::try_from(list).change_context(failed("the list"))?;
-    serve("platform", move || standin::platform::serve(listener, list))?;
+    serve("platform", stopped, move || {
+        vec![Box::pin(async move {
+            // A platform that ends is missed by the VMs, which say so.
+            let _ = standin::platform::serve(listener, list).await;
+        })]
+    })?;
     let mut vms = Vec::new();
     for place in places {
-        let vm = start_vm(&place, platform)?;
+        let vm = start_vm(&place, platform, plan.policies)?;
         vms.push((place, vm));
     }
-    Ok(Deployment { platform, targets, vms })
+    Ok(Deployment { platform, targets, vms, policies: plan.policies, stop })
 }
 
 /// Starts a VM at its place.
-pub fn start_vm(place: &Place, platform: std::net::SocketAddr) -> Result<Vm, Report<Error>> {
+pub fn start_vm(
+    place: &Place,
+    platform: SocketAddr,
+    policies: policy::Make,
+) -> Result<Vm, Report<Error>> {
     let text = place.settings(platform);
     let source = Source { file: Path::new("local.toml"), text: &text };
     let settings = Settings::try_from(source).map_err(|errors| {
         Report::new(Error { detail: format!("the settings of {}: {errors}", place.name) })
     })?;
-    vm::start(settings, Box::new(io::sink()))
+    vm::start_with(settings, Box::new(io::sink()), policies)
+}
+
+/// A target with its sockets, before it runs.
+struct Unstarted {
+    settings: standin::target::Settings,
+    traffic: TcpListener,
+    admin: TcpListener,
+}
+
+/// Starts the targets of every index on the threads of the plan.
+fn start_targets(
+    plan: &Plan,
+    stopped: &watch::Receiver<bool>,
+) -> Result<Vec<Replica>, Report<Error>> {
+    let hosts = plan.hosts.max(1);
+    let mut targets = Vec::new();
+    let mut groups: Vec<Vec<Unstarted>> = (0..hosts).map(|_| Vec::new()).collect();
+    for index in &plan.indexes {
+        for shard in 0..index.shards {
+            for replica in 0..index.replicas {
+                let (target, unstarted) = prepare(index, shard, replica)?;
+                groups[targets.len() % hosts].push(unstarted);
+                targets.push(target);
+            }
+        }
+    }
+    for group in groups {
+        serve("targets", stopped.clone(), move || group.into_iter().map(run_target).collect())?;
+    }
+    Ok(targets)
 }
 
-fn start_target(plan: &Plan, shard: u32, replica: u32) -> Result<Replica, Report<Error>> {
+fn run_target(target: Unstarted) -> Service {
+    Box::pin(async move {
+        let Unstarted { settings, traffic, admin } = target;
+        // A target that ends is missed by the VMs, which say so.
+        let _ = standin::target::serve(settings, traffic, admin).await;
+    })
+}
+
+fn prepare(index: &Index, shard: u32, replica: u32) -> Result<(Replica, Unstarted), Report<Error>> {
     let (traffic, address) = listen()?;
     let (admin_listener, admin) = listen()?;
-    let mut raw = plan.target.clone();
+    let mut raw = index.target.clone();
     raw.shard = shard;
-    raw.shards = plan.shards;
+    raw.shards = index.shards;
     raw.noise = u64::from(shard) << 32 | u64::from(replica);
     let settings = standin::target::Settings::try_from(raw).change_context(failed("a target"))?;
     let listed = Target {
-        name: name(&format!("target-{shard}-{replica}"))?,
-        index: name(INDEX)?,
+        name: name(&format!("{}-{shard}-{replica}", index.name))?,
+        index: index.name.clone(),
         shard: name(&format!("shard-{shard}"))?,
         domain: name(&format!("domain-{}", (shard + replica) % DOMAINS + 1))?,
         address,
@@ -114,15 +185,17 @@
         connections: settings.connections,
         state: State::Live,
     };
-    serve("target", move || standin::target::serve(settings, traffic, admin_listener))?;
-    Ok(Replica { listed, admin })
+    let unstarted = Unstarted { settings, traffic, admin: admin_listener };
+    Ok((Replica { listed, admin }, unstarted))
 }
 
-/// Runs a stand-in on a thread with a runtime of its own until the process ends.
-fn serve<F, S, T>(name: &str, make: F) -> Result<(), Report<Error>>
+/// What a thread serves.
+type Service = Pin<Box<dyn Future<Output = ()>>>;
+
+/// Serves on a thread with a runtime of its own until the deployment stops.
+fn serve<F>(name: &str, mut stopped: watch::Receiver<bool>, make: F) -> Result<(), Report<Error>>
 where
-    F: FnOnce() -> S + Send + 'static,
-    S: Future<Output = io::Result<T>>,
+    F: FnOnce() -> Vec<Service> + Send + 'static,
 {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -131,8 +204,12 @@
     thread::Builder::new()
         .name(name.to_owned())
         .spawn(move || {
-            // A stand-in that ends is missed by the VMs, which say so.
-            let _ = runtime.block_on(make());
+            let local = LocalSet::new();
+            for service in make() {
+                local.spawn_local(service);
+            }
+            // An error means that the deployment is gone, which stops it too.
+            let _ = local.block_on(&runtime, stopped.wait_for(|stop| *stop));
         })
         .change_context_lazy(|| failed(name))?;
     Ok(())
@@ -147,7 +224,7 @@
 }
 
 /// Listens on a free port of the loopback address.
-fn listen() -> Result<(TcpListener, std::net::SocketAddr), Report<Error>> {
+fn listen() -> Result<(TcpListener, SocketAddr), Report<Error>> {
     let listener = TcpListener::bind("127.0.0.1:0").change_context_lazy(|| failed("a listener"))?;
     let address = listener.local_addr().change_context_lazy(|| failed("a listener"))?;
     Ok((listener, address))
@@ -163,4 +240,27 @@
         }
         true
     }
+
+    /// Stops the VMs, each after what it has open, and then the stand-ins.
+    pub async fn stop(self) {
+        let leaving: Vec<_> = self.vms.into_iter().map(|(_, vm)| leave(vm)).collect();
+        for left in leaving {
+            // A VM whose thread could not be started goes with the process.
+            let _ = left.await;
+        }
+        self.stop.send_replace(true);
+    }
+}
+
+/// Lets a VM leave on a thread of its own, because it waits for its threads.
+pub fn leave(vm: Vm) -> oneshot::Receiver<bool> {
+    let (sender, left) = oneshot::channel();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        if let Ok(runtime) = runtime {
+            // Whoever started the leaving need not wait for it.
+            let _ = sender.send(runtime.block_on(vm.leave()));
+        }
+    });
+    left
 }
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -21,6 +21,7 @@
 use error_stack::{Report, ResultExt};
 use laburnum_core::{
     log::{Event, Line},
+    traffic::{Policies, policy},
     view,
 };
 use tokio::{
@@ -82,8 +83,18 @@
     _log: Guard,
 }
 
-/// Starts a VM: binds its addresses, then starts its threads.
+/// Starts a VM with the policies of the product.
 pub fn start(settings: Settings, output: Output) -> Result<Vm, Report<Error>> {
+    start_with(settings, output, Policies::default)
+}
+
+/// Starts a VM: binds its addresses, then starts its threads. `policies` is
+/// called once for each traffic thread; only measurements give other ones.
+pub fn start_with(
+    settings: Settings,
+    output: Output,
+    policies: policy::Make,
+) -> Result<Vm, Report<Error>> {
     let settings = Arc::new(settings);
     let clock = System::start();
     let (writer, log) = Writer::new(&settings.log, &settings.vm.name, output);
@@ -117,6 +128,7 @@
             peers: pair.peers,
             notices: receiver,
             ready: Arc::clone(&ready_sender),
+            policies,
         };
         threads.push(traffic::spawn(shared.clone(), seed).change_context(cannot_start("traffic"))?);
     }
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -7,7 +7,7 @@
     id::Origin,
     message::Message,
     notice::{Notice, Report},
-    traffic::{self as decisions, Engine, Policies},
+    traffic::{self as decisions, Engine, policy},
     view::Lane,
 };
 use tokio::sync::{mpsc, watch};
@@ -36,6 +36,8 @@
     pub notices: mpsc::UnboundedReceiver<Notice>,
     /// Becomes true when it can answer callers.
     pub ready: Arc<watch::Sender<bool>>,
+    /// Makes its policies.
+    pub policies: policy::Make,
 }
 
 /// Starts the thread. It ends when the VM stops.
@@ -66,7 +68,7 @@
     let dialer = Dialer::new(own.clone(), shared.row.incarnation, key, wire_limits, losses);
     let dialer = Rc::new(RefCell::new(dialer));
     let parts = Parts {
-        engine: engine(&shared, own),
+        engine: engine(&shared, own, seed.policies),
         inbox: Inbox {
             inputs: input_receiver,
             frames: frame_receiver,
@@ -100,13 +102,13 @@
     }
 }
 
-fn engine(shared: &Shared, lane: Lane) -> Engine {
+fn engine(shared: &Shared, lane: Lane, policies: policy::Make) -> Engine {
     Engine::new(decisions::Seed {
         lane,
         domain: shared.row.domain.clone(),
         origin: Origin(rand::random()),
         limits: limits::traffic(&shared.settings),
-        policies: Policies::default(),
+        policies: policies(),
     })
 }
 
