--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -96,8 +96,8 @@
     let (stop, stopped) = watch::channel(false);
     let (listener, platform) = listen()?;
     let targets = start_targets(plan, &stopped)?;
-    let mut list = standin::platform::list::Raw::default();
-    list.targets = targets.iter().map(|target| target.listed.clone()).collect();
+    let listed = targets.iter().map(|target| target.listed.clone()).collect();
+    let mut list = standin::platform::list::Raw { targets: listed, vms: Vec::new() };
     let places = (1..=plan.vms).map(place::free).collect::<Result<Vec<Place>, _>>()?;
     list.vms = places.iter().map(Place::row).collect();
     let list = standin::platform::List::try_from(list).change_context(failed("the list"))?;
