--- a/crates/core/tests/claims/rule.rs
+++ b/crates/core/tests/claims/rule.rs
@@ -88,6 +88,19 @@
         assert!(matches!(ask(&mut world, 1, key, plan()), Verdict::Recorded { .. }));
         assert!(matches!(ask(&mut world, 2, key, plan()), Verdict::Recorded { .. }));
     };
+    a_resend_gets_the_result_before_it_is_written => {
+        let mut world = world();
+        let (key, _) = world.remote_key();
+        world.operate(0, key, LONG, plan());
+        world.run(Duration::from_millis(30));
+        assert!(world.oracle.ran(key));
+        let resend = world.operate(2, key, LONG, plan());
+        world.run(Duration::from_millis(20));
+        assert!(matches!(verdict(&world, resend), Verdict::Recorded { .. }));
+        let bucket = Layout::V1.bucket(&key).unwrap().text();
+        let value = Value::try_from(world.store.values[&bucket].1.as_slice()).unwrap();
+        assert_eq!(value.get(&key).unwrap().outcome, None, "the outcome still waits");
+    };
     a_resend_of_a_silent_run_is_unknown => {
         let mut world = world();
         let key = world.key();
