--- a/tests/product/operator.rs
+++ b/tests/product/operator.rs
@@ -203,7 +203,7 @@
         ];
         let first = run(&operation);
         assert_exit(&first, Exit::Done);
-        assert!(!bed::stdout(&first).contains("replayed"), "{}", stdout(&first));
+        assert!(!stdout(&first).contains("replayed"), "{}", stdout(&first));
         let second = settled(&operation);
         assert_exit(&second, Exit::Done);
         assert!(stdout(&second).contains("replayed"), "{}", stdout(&second));
