--- a/tests/product/operator.rs
+++ b/tests/product/operator.rs
@@ -8,7 +8,7 @@
 };
 use serde_json::json;
 
-use crate::bed::{self, Bed, PROFILES, assert_exit, run, start, stderr, stdout};
+use crate::bed::{Bed, PROFILES, assert_exit, run, start, stderr, stdout};
 
 /// The profiles with another tail latency.
 fn faster() -> String {
