Give every setting an effect, and defaults from the decisions

Nothing read claims.slot_ms, claims.parts, claims.slot_limit_bytes, retry.budget_ppm, retry.attempts, retry.pause_ms, membership.gone_after_ms and callers.open_connections counted for each traffic thread in place of the VM. membership.suspect_after_ms set the time as suspect after which a VM is gone, and quarantine.hold_ms the time for which a suspicion lasts.

The layout of claims is part of the stored format and no setting. The engine has no limit on attempts, no pause and no budget but that of the profile, so those keys are gone. gone_after_ms, value_limit_bytes and the new suspect_ms are connected; spare_connections is now `connections`, as the engine counts them. Defaults come from the limits of the decisions, so that they cannot differ; the limit of a platform call stays one setting for both threads that make calls.

The check that stale_after_ms is below unready_after_ms is gone: it compared the age of a revision with the time without a word of anyone, and the engine's own values, both 5 s, contradict it. probe_limit_ms must be below gone_after_ms instead of the removed key.

--- a/src/local/place.rs
+++ b/src/local/place.rs
@@ -3,6 +3,10 @@
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
     ops::RangeInclusive,
+    sync::{
+        LazyLock,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 use error_stack::{Report, ResultExt};
@@ -10,7 +14,6 @@
     name::Name,
     view::{State, Vm},
 };
-use rand::RngExt;
 use sha2::{Digest, Sha256};
 
 use super::{DOMAINS, TOKEN, failed, name};
@@ -61,14 +64,22 @@
     })
 }
 
-/// Listens on a port that is free now.
+/// Listens on a port that is free now and that this process did not try before,
+/// so that no two VMs of it are given the same one.
 fn listen() -> Result<TcpListener, Report<Error>> {
-    let mut rng = rand::rng();
-    let mut tries = (0..MAX_TRIES).map(|_| rng.random_range(PORTS));
-    let found = tries.find_map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok());
+    let found = (0..MAX_TRIES).find_map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, next())).ok());
     found.ok_or_else(|| Report::new(failed("a listener on a free port")))
 }
 
+/// The next port to try. The first one is random, because other processes look
+/// for ports as well.
+fn next() -> u16 {
+    static TRIED: LazyLock<AtomicU32> = LazyLock::new(|| AtomicU32::new(rand::random()));
+    let count = u32::from(PORTS.end() - PORTS.start());
+    let tried = TRIED.fetch_add(1, Ordering::Relaxed) % count;
+    PORTS.start() + u16::try_from(tried).unwrap_or_default()
+}
+
 impl Place {
     /// What the platform lists.
     pub fn row(&self) -> Vm {
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -32,7 +32,7 @@
 }
 
 /// The times of which the first must be shorter than the second.
-fn pairs(settings: &Settings) -> [(Span, Span); 7] {
+fn pairs(settings: &Settings) -> [(Span, Span); 5] {
     let (peers, members) = (&settings.peers, &settings.membership);
     let (claims, shutdown) = (&settings.claims, &settings.shutdown);
     [
@@ -42,17 +42,12 @@
         ),
         (
             span("membership.probe_limit_ms", members.probe_limit),
-            span("membership.suspect_after_ms", members.suspect_after),
-        ),
-        (
-            span("membership.stale_after_ms", members.stale_after),
-            span("membership.unready_after_ms", members.unready_after),
+            span("membership.gone_after_ms", members.gone_after),
         ),
         (
             span("peers.ping_limit_ms", peers.ping_limit),
             span("peers.ping_interval_ms", peers.ping_interval),
         ),
-        (span("claims.slot_ms", claims.slot), span("claims.window_ms", claims.window)),
         (span("claims.future_ms", claims.future), span("claims.window_ms", claims.window)),
         (
             span("shutdown.announce_ms", shutdown.announce),
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -3,50 +3,13 @@
 
 use std::time::Duration;
 
-use super::{
-    document::Document,
-    section::up_to,
-    size::{KIB, MIB},
+use laburnum_core::{
+    claims,
+    control::{Limits, codec::MAX_VALUE},
+    traffic,
 };
 
-/// The default of [`Membership::probe_interval`].
-pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// The default of [`Membership::probe_limit`].
-pub const PROBE_LIMIT: Duration = Duration::from_millis(200);
-/// The default of [`Membership::indirect_probes`].
-pub const INDIRECT_PROBES: u32 = 3;
-/// The default of [`Membership::suspect_after`].
-pub const SUSPECT_AFTER: Duration = Duration::from_millis(1000);
-/// The default of [`Membership::gone_after`].
-pub const GONE_AFTER: Duration = Duration::from_secs(10);
-/// The default of [`Membership::list_interval`].
-pub const LIST_INTERVAL: Duration = Duration::from_secs(2);
-/// The default of [`Membership::watchers`].
-pub const WATCHERS: u32 = 3;
-/// The default of [`Membership::stale_after`].
-pub const STALE_AFTER: Duration = Duration::from_secs(3);
-/// The default of [`Membership::unready_after`].
-pub const UNREADY_AFTER: Duration = Duration::from_secs(10);
-
-/// The default of [`Claims::window`].
-pub const CLAIM_WINDOW: Duration = Duration::from_secs(600);
-/// The default of [`Claims::slot`].
-pub const CLAIM_SLOT: Duration = Duration::from_secs(1);
-/// The default of [`Claims::slot_limit`] in bytes.
-pub const CLAIM_SLOT_LIMIT: u64 = 256 * KIB;
-/// The default of [`Claims::parts`].
-pub const CLAIM_PARTS: u32 = 16;
-/// The default of [`Claims::future`].
-pub const CLAIM_FUTURE: Duration = Duration::from_secs(5);
-/// The default of [`Claims::gather`].
-pub const CLAIM_GATHER: Duration = Duration::from_millis(5);
-
-/// The default of [`Quarantine::capacity`].
-pub const QUARANTINE_CAPACITY: u32 = 1024;
-/// The default of [`Quarantine::hold`].
-pub const QUARANTINE_HOLD: Duration = Duration::from_secs(600);
-/// The default of [`Quarantine::lost_targets`].
-pub const QUARANTINE_LOST_TARGETS: u32 = 2;
+use super::{document::Document, section::up_to, size::KIB};
 
 /// The default of [`Shutdown::limit`].
 pub const SHUTDOWN_LIMIT: Duration = Duration::from_secs(65);
@@ -67,8 +30,6 @@
     pub probe_limit: Duration,
     /// The VMs that are asked to probe one that did not answer.
     pub indirect_probes: u32,
-    /// The time without an answer after which a VM is suspect.
-    pub suspect_after: Duration,
     /// The time as suspect after which a VM is gone.
     pub gone_after: Duration,
     /// The time between two readings of the platform's list by a watcher.
@@ -77,61 +38,59 @@
     pub watchers: u32,
     /// The age of the last confirmation after which a VM asks for itself.
     pub stale_after: Duration,
-    /// The age of the last confirmation after which a VM is not ready.
+    /// The time without a word of a VM or the service after which this VM is
+    /// not ready.
     pub unready_after: Duration,
 }
 
 impl Membership {
     pub(super) fn read(document: &mut Document<'_>) -> Membership {
+        let limits = Limits::default();
+        let (indirect, watchers) = (count(limits.indirect), count(limits.watchers));
         let mut section = document.section("membership");
         let membership = Membership {
-            probe_interval: section.millis("probe_interval_ms", PROBE_INTERVAL, up_to(60)),
-            probe_limit: section.millis("probe_limit_ms", PROBE_LIMIT, up_to(60)),
-            indirect_probes: section.count("indirect_probes", INDIRECT_PROBES, 0..=16),
-            suspect_after: section.millis("suspect_after_ms", SUSPECT_AFTER, up_to(600)),
-            gone_after: section.millis("gone_after_ms", GONE_AFTER, up_to(3600)),
-            list_interval: section.millis("list_interval_ms", LIST_INTERVAL, up_to(60)),
-            watchers: section.count("watchers", WATCHERS, 1..=16),
-            stale_after: section.millis("stale_after_ms", STALE_AFTER, up_to(600)),
-            unready_after: section.millis("unready_after_ms", UNREADY_AFTER, up_to(86_400)),
+            probe_interval: section.millis("probe_interval_ms", limits.probe, up_to(60)),
+            probe_limit: section.millis("probe_limit_ms", limits.ack, up_to(60)),
+            indirect_probes: section.count("indirect_probes", indirect, 0..=16),
+            gone_after: section.millis("gone_after_ms", limits.suspicion, up_to(3600)),
+            list_interval: section.millis("list_interval_ms", limits.list, up_to(60)),
+            watchers: section.count("watchers", watchers, 1..=16),
+            stale_after: section.millis("stale_after_ms", limits.stale, up_to(600)),
+            unready_after: section.millis("unready_after_ms", limits.isolation, up_to(86_400)),
         };
         section.finish();
         membership
     }
 }
 
-/// How operations are claimed. All VMs of a deployment have the same values of
-/// `window`, `slot` and `parts`, because they give a key its place.
+/// How operations are claimed. How keys are laid out over values is part of the
+/// stored format and no setting; see [`claims::layout::Layout`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Claims {
     /// The time for which a key is remembered after its issue.
     pub window: Duration,
-    /// The span of issue times that share a value in the platform's service.
-    pub slot: Duration,
-    /// The largest value of a slot in bytes.
-    pub slot_limit: u64,
-    /// The parts that the keys of a slot are spread over.
-    pub parts: u32,
+    /// The largest value of claims in the platform's service, in bytes.
+    pub value_limit: u64,
     /// How far ahead of this VM's clock a key's time of issue may lie.
     pub future: Duration,
-    /// The time in which claims for one write are gathered.
+    /// The time for which an outcome waits for others before it is written.
     pub gather: Duration,
 }
 
+/// The smallest value of claims in bytes that may be set.
+const MIN_VALUE: u64 = 64 * KIB;
+
 impl Claims {
     pub(super) fn read(document: &mut Document<'_>) -> Claims {
+        let limits = claims::Limits::default();
+        let value = MIN_VALUE..=MAX_VALUE as u64;
+        let gather = Duration::ZERO..=Duration::from_secs(1);
         let mut section = document.section("claims");
         let claims = Claims {
-            window: section.millis("window_ms", CLAIM_WINDOW, up_to(86_400)),
-            slot: section.millis("slot_ms", CLAIM_SLOT, up_to(3600)),
-            slot_limit: section.size("slot_limit_bytes", CLAIM_SLOT_LIMIT, KIB..=MIB),
-            parts: section.count("parts", CLAIM_PARTS, 1..=1024),
-            future: section.millis("future_ms", CLAIM_FUTURE, up_to(600)),
-            gather: section.millis(
-                "gather_ms",
-                CLAIM_GATHER,
-                Duration::ZERO..=Duration::from_secs(1),
-            ),
+            window: section.millis("window_ms", limits.window, up_to(86_400)),
+            value_limit: section.size("value_limit_bytes", limits.value as u64, value),
+            future: section.millis("future_ms", limits.skew, up_to(600)),
+            gather: section.millis("gather_ms", limits.gather, gather),
         };
         section.finish();
         claims
@@ -145,23 +104,34 @@
     pub capacity: u32,
     /// The time for which a request is held back.
     pub hold: Duration,
+    /// The time for which a request that crashed a target is remembered.
+    pub suspect: Duration,
     /// The number of lost targets after which a request is held back.
     pub lost_targets: u32,
 }
 
 impl Quarantine {
     pub(super) fn read(document: &mut Document<'_>) -> Quarantine {
+        let limits = Limits::default();
+        let (hold, suspect) = (limits.condemned_fingerprint, limits.suspect_fingerprint);
+        let lost_targets = count(traffic::Limits::default().lost_targets);
         let mut section = document.section("quarantine");
         let quarantine = Quarantine {
-            capacity: section.count("capacity", QUARANTINE_CAPACITY, 1..=100_000),
-            hold: section.millis("hold_ms", QUARANTINE_HOLD, up_to(86_400)),
-            lost_targets: section.count("lost_targets", QUARANTINE_LOST_TARGETS, 1..=2),
+            capacity: section.count("capacity", count(limits.fingerprints), 1..=100_000),
+            hold: section.millis("hold_ms", hold, up_to(86_400)),
+            suspect: section.millis("suspect_ms", suspect, up_to(3600)),
+            lost_targets: section.count("lost_targets", lost_targets, 1..=2),
         };
         section.finish();
         quarantine
     }
 }
 
+/// A default of the decisions as a whole number of the settings.
+fn count(default: usize) -> u32 {
+    u32::try_from(default).unwrap_or(u32::MAX)
+}
+
 /// How the VM shuts down.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Shutdown {
--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use laburnum_core::traffic::Limits;
+
 use super::{
     document::Document,
     section::up_to,
     size::{KIB, MIB},
 };
+use crate::wire;
 
 /// The default of [`Callers::body_limit`] in bytes.
 pub const BODY_LIMIT: u64 = 64 * KIB;
@@ -23,33 +26,6 @@
 /// The default of [`Callers::open_connections`].
 pub const OPEN_CONNECTIONS: u32 = 8192;
 
-/// The default of [`Targets::open_limit`].
-pub const OPEN_LIMIT: Duration = Duration::from_millis(250);
-/// The default of [`Targets::probe_interval`].
-pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// The default of [`Targets::silent_after`].
-pub const SILENT_AFTER: Duration = Duration::from_millis(1000);
-/// The default of [`Targets::spare_connections`].
-pub const SPARE_CONNECTIONS: u32 = 1;
-
-/// The default of [`Peers::ping_interval`].
-pub const PING_INTERVAL: Duration = Duration::from_millis(1000);
-/// The default of [`Peers::ping_limit`].
-pub const PING_LIMIT: Duration = Duration::from_millis(500);
-/// The default of [`Peers::frame_limit`] in bytes.
-pub const FRAME_LIMIT: u64 = 4 * MIB;
-/// The default of [`Peers::queue_limit`] in bytes.
-pub const QUEUE_LIMIT: u64 = 8 * MIB;
-
-/// The default of [`Retry::budget`] in parts per million of first attempts.
-pub const RETRY_BUDGET: u32 = 100_000;
-/// The default of [`Retry::burst`] in attempts.
-pub const RETRY_BURST: u32 = 10;
-/// The default of [`Retry::attempts`].
-pub const RETRY_ATTEMPTS: u32 = 3;
-/// The default of [`Retry::pause`].
-pub const RETRY_PAUSE: Duration = Duration::from_millis(2);
-
 /// Limits on callers; a slow or oversized caller harms no other.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Callers {
@@ -93,21 +69,22 @@
     pub open_limit: Duration,
     /// The time between two readings of a target's status.
     pub probe_interval: Duration,
-    /// The time without a byte after which a connection with work is suspected,
-    /// where no latency estimate gives a shorter one.
+    /// The time within which a target must answer a reading of its status on a
+    /// connection, or the connection counts as silent.
     pub silent_after: Duration,
-    /// The idle connections that are kept open to each target.
-    pub spare_connections: u32,
+    /// The connections that each traffic thread holds to a target.
+    pub connections: u32,
 }
 
 impl Targets {
     pub(super) fn read(document: &mut Document<'_>) -> Targets {
+        let Limits { open, poll, silent, connections, .. } = Limits::default();
         let mut section = document.section("targets");
         let targets = Targets {
-            open_limit: section.millis("open_limit_ms", OPEN_LIMIT, up_to(60)),
-            probe_interval: section.millis("probe_interval_ms", PROBE_INTERVAL, up_to(60)),
-            silent_after: section.millis("silent_after_ms", SILENT_AFTER, up_to(60)),
-            spare_connections: section.count("spare_connections", SPARE_CONNECTIONS, 0..=64),
+            open_limit: section.millis("open_limit_ms", open, up_to(60)),
+            probe_interval: section.millis("probe_interval_ms", poll, up_to(60)),
+            silent_after: section.millis("silent_after_ms", silent, up_to(60)),
+            connections: section.count("connections", connections, 1..=64),
         };
         section.finish();
         targets
@@ -129,42 +106,32 @@
 
 impl Peers {
     pub(super) fn read(document: &mut Document<'_>) -> Peers {
+        let limits = wire::Limits::default();
+        let (frame, queue) = (limits.frame as u64, limits.queue_bytes as u64);
         let mut section = document.section("peers");
         let peers = Peers {
-            ping_interval: section.millis("ping_interval_ms", PING_INTERVAL, up_to(60)),
-            ping_limit: section.millis("ping_limit_ms", PING_LIMIT, up_to(60)),
-            frame_limit: section.size("frame_limit_bytes", FRAME_LIMIT, 64 * KIB..=64 * MIB),
-            queue_limit: section.size("queue_limit_bytes", QUEUE_LIMIT, 64 * KIB..=256 * MIB),
+            ping_interval: section.millis("ping_interval_ms", limits.ping_interval, up_to(60)),
+            ping_limit: section.millis("ping_limit_ms", limits.ping_limit, up_to(60)),
+            frame_limit: section.size("frame_limit_bytes", frame, 64 * KIB..=64 * MIB),
+            queue_limit: section.size("queue_limit_bytes", queue, 64 * KIB..=256 * MIB),
         };
         section.finish();
         peers
     }
 }
 
-/// What retries and hedges may cost.
+/// What retries and hedges may cost. Each profile states its extra load itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Retry {
-    /// The attempts beyond the first, in parts per million of first attempts.
-    /// A profile may state less and not more.
-    pub budget: u32,
-    /// The attempts that may be saved up while none are needed.
+    /// The extra attempts that a profile may save up while it needs none.
     pub burst: u32,
-    /// The most attempts of one leg.
-    pub attempts: u32,
-    /// The longest random pause before a retry.
-    pub pause: Duration,
 }
 
 impl Retry {
     pub(super) fn read(document: &mut Document<'_>) -> Retry {
         let mut section = document.section("retry");
-        let retry = Retry {
-            budget: section.count("budget_ppm", RETRY_BUDGET, 0..=1_000_000),
-            burst: section.count("burst", RETRY_BURST, 0..=10_000),
-            attempts: section.count("attempts", RETRY_ATTEMPTS, 1..=10),
-            pause: section.millis("pause_ms", RETRY_PAUSE, Duration::ZERO..=Duration::from_secs(1)),
-        };
+        let burst = section.count("burst", Limits::default().budget, 0..=10_000);
         section.finish();
-        retry
+        Retry { burst }
     }
 }
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -2,40 +2,54 @@
 
 use laburnum_core::{claims, control, traffic};
 
-use crate::{settings::Settings, wire};
+use crate::{
+    settings::{Settings, traffic::Callers},
+    wire,
+};
 
 /// The limits of a traffic thread.
 pub fn traffic(settings: &Settings) -> traffic::Limits {
-    let threads = settings.listen.traffic.len().max(1);
-    let open = usize::try_from(settings.callers.open_requests).unwrap_or(usize::MAX);
     traffic::Limits {
-        open_requests: open.div_ceil(threads),
+        open_requests: size(share(settings, settings.callers.open_requests)),
         open: settings.targets.open_limit,
         poll: settings.targets.probe_interval,
         silent: settings.targets.silent_after,
-        connections: settings.targets.spare_connections + 1,
-        lost_targets: usize::try_from(settings.quarantine.lost_targets).unwrap_or(usize::MAX),
-        suspect: settings.quarantine.hold,
+        connections: settings.targets.connections,
+        lost_targets: size(settings.quarantine.lost_targets),
+        suspect: settings.quarantine.suspect,
         budget: settings.retry.burst,
         ..traffic::Limits::default()
     }
 }
 
+/// The limits on the callers of one traffic thread.
+pub fn callers(settings: &Settings) -> Callers {
+    let open_connections = share(settings, settings.callers.open_connections);
+    Callers { open_connections, ..settings.callers.clone() }
+}
+
+/// What each traffic thread has of a limit of the whole VM.
+fn share(settings: &Settings, limit: u32) -> u32 {
+    let threads = u32::try_from(settings.listen.traffic.len()).unwrap_or(u32::MAX);
+    limit.div_ceil(threads.max(1))
+}
+
 /// The limits of the control thread.
 pub fn control(settings: &Settings) -> control::Limits {
     let membership = &settings.membership;
     control::Limits {
         probe: membership.probe_interval,
         ack: membership.probe_limit,
-        indirect: usize::try_from(membership.indirect_probes).unwrap_or(usize::MAX),
-        suspicion: membership.suspect_after,
+        indirect: size(membership.indirect_probes),
+        suspicion: membership.gone_after,
         list: membership.list_interval,
-        watchers: usize::try_from(membership.watchers).unwrap_or(usize::MAX),
+        watchers: size(membership.watchers),
         stale: membership.stale_after,
         isolation: membership.unready_after,
         call: settings.platform.call_limit,
+        suspect_fingerprint: settings.quarantine.suspect,
         condemned_fingerprint: settings.quarantine.hold,
-        fingerprints: usize::try_from(settings.quarantine.capacity).unwrap_or(usize::MAX),
+        fingerprints: size(settings.quarantine.capacity),
         ..control::Limits::default()
     }
 }
@@ -47,6 +61,7 @@
         skew: settings.claims.future,
         call: settings.platform.call_limit,
         gather: settings.claims.gather,
+        value: bytes(settings.claims.value_limit),
         ..claims::Limits::default()
     }
 }
@@ -55,10 +70,18 @@
 pub fn wire(settings: &Settings) -> wire::Limits {
     let peers = &settings.peers;
     wire::Limits {
-        frame: usize::try_from(peers.frame_limit).unwrap_or(usize::MAX),
-        queue_bytes: usize::try_from(peers.queue_limit).unwrap_or(usize::MAX),
+        frame: bytes(peers.frame_limit),
+        queue_bytes: bytes(peers.queue_limit),
         ping_interval: peers.ping_interval,
         ping_limit: peers.ping_limit,
         ..wire::Limits::default()
     }
 }
+
+fn size(count: u32) -> usize {
+    usize::try_from(count).unwrap_or(usize::MAX)
+}
+
+fn bytes(count: u64) -> usize {
+    usize::try_from(count).unwrap_or(usize::MAX)
+}
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -5,7 +5,7 @@
 //! nothing. See `docs/DESIGN.md`.
 
 mod control;
-mod limits;
+pub mod limits;
 mod listen;
 mod messenger;
 mod meter;
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -57,7 +57,7 @@
     let listener = tokio::spawn(wire::listen(seed.peers, guard, frames));
     let front = tokio::spawn(front::serve(front::Seed {
         listener: seed.callers,
-        limits: shared.settings.callers.clone(),
+        limits: limits::callers(&shared.settings),
         handle: Handle::new(inputs),
         ready: shared.ready.clone(),
         metrics: Arc::new(meter::Text(Arc::clone(&shared.metrics))),
--- /dev/null
+++ b/tests/product/limits.rs
@@ -0,0 +1,227 @@
+//! Every key of a settings file has an effect on a part of the VM.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    path::Path,
+};
+
+use laburnum_core::{claims, control, traffic};
+use laburnumworks::{
+    front::{body, port},
+    settings::{Settings, Source},
+    vm::limits,
+    wire,
+};
+
+use crate::page;
+
+/// A settings file that gives every key that has no default.
+const WHOLE: &str = r#"
+vm.name = "a"
+vm.domain = "d"
+listen.callers = "127.0.0.1:1"
+listen.operators = "127.0.0.1:2"
+listen.control = "127.0.0.1:3"
+listen.traffic = ["127.0.0.1:4"]
+platform.address = "127.0.0.1:6"
+deployment.key = "0123456789abcdef"
+"#;
+
+/// The keys that are read, each with a value that is not its default and the
+/// part that takes it.
+const KEYS: &[(&str, &str, Part)] = &[
+    ("vm.name", "\"b\"", Part::Vm),
+    ("vm.domain", "\"e\"", Part::Vm),
+    ("listen.callers", "\"127.0.0.1:11\"", Part::Sockets),
+    ("listen.operators", "\"127.0.0.1:12\"", Part::Sockets),
+    ("listen.control", "\"127.0.0.1:13\"", Part::Sockets),
+    ("listen.traffic", "[\"127.0.0.1:14\", \"127.0.0.1:15\"]", Part::Sockets),
+    ("platform.address", "\"127.0.0.1:16\"", Part::Platform),
+    ("platform.call_limit_ms", "700", Part::Control),
+    ("platform.call_limit_ms", "700", Part::Claims),
+    ("platform.call_limit_ms", "700", Part::Platform),
+    ("deployment.key", "\"another-key-of-16\"", Part::Key),
+    ("deployment.key_file", "\"deployment.key\"", Part::Key),
+    (
+        "operators.tokens",
+        "[{ name = \"n\", team = \"t\", roles = [\"read\"], \
+         sha256 = \"2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b\" }]",
+        Part::Operators,
+    ),
+    ("callers.body_limit_bytes", "2048", Part::Bodies),
+    ("callers.header_limit_bytes", "8192", Part::Connections),
+    ("callers.header_read_ms", "7", Part::Connections),
+    ("callers.body_read_ms", "7", Part::Bodies),
+    ("callers.idle_ms", "7", Part::Connections),
+    ("callers.open_requests", "7", Part::Traffic),
+    ("callers.open_connections", "7", Part::Connections),
+    ("targets.open_limit_ms", "7", Part::Traffic),
+    ("targets.probe_interval_ms", "7", Part::Traffic),
+    ("targets.silent_after_ms", "7", Part::Traffic),
+    ("targets.connections", "7", Part::Traffic),
+    ("peers.ping_interval_ms", "3000", Part::Wire),
+    ("peers.ping_limit_ms", "7", Part::Wire),
+    ("peers.frame_limit_bytes", "\"1 MiB\"", Part::Wire),
+    ("peers.queue_limit_bytes", "\"1 MiB\"", Part::Wire),
+    ("membership.probe_interval_ms", "700", Part::Control),
+    ("membership.probe_limit_ms", "7", Part::Control),
+    ("membership.indirect_probes", "7", Part::Control),
+    ("membership.gone_after_ms", "7000", Part::Control),
+    ("membership.list_interval_ms", "7", Part::Control),
+    ("membership.watchers", "7", Part::Control),
+    ("membership.stale_after_ms", "7", Part::Control),
+    ("membership.unready_after_ms", "7000", Part::Control),
+    ("claims.window_ms", "70000", Part::Claims),
+    ("claims.value_limit_bytes", "\"128 KiB\"", Part::Claims),
+    ("claims.future_ms", "7", Part::Claims),
+    ("claims.gather_ms", "7", Part::Claims),
+    ("retry.burst", "7", Part::Traffic),
+    ("quarantine.capacity", "7", Part::Control),
+    ("quarantine.hold_ms", "7", Part::Control),
+    ("quarantine.suspect_ms", "7", Part::Control),
+    ("quarantine.suspect_ms", "7", Part::Traffic),
+    ("quarantine.lost_targets", "1", Part::Traffic),
+    ("shutdown.announce_ms", "7", Part::Shutdown),
+    ("shutdown.limit_ms", "7000", Part::Shutdown),
+    ("log.format", "\"text\"", Part::Log),
+    ("log.level", "\"debug\"", Part::Log),
+    ("log.queue", "70", Part::Log),
+    ("log.rate", "7", Part::Log),
+];
+
+/// A part of the VM that takes limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Part {
+    /// What other VMs are told and the label of the log.
+    Vm,
+    /// The sockets that are bound.
+    Sockets,
+    /// The client of the platform's service.
+    Platform,
+    /// The key between VMs.
+    Key,
+    /// Who may administer.
+    Operators,
+    /// Reading the bodies of requests.
+    Bodies,
+    /// The connections of callers.
+    Connections,
+    /// The decisions of a traffic thread.
+    Traffic,
+    /// The streams between VMs.
+    Wire,
+    /// The decisions of the control thread.
+    Control,
+    /// The decisions on claims.
+    Claims,
+    /// How the VM leaves.
+    Shutdown,
+    /// The writer of the log.
+    Log,
+}
+
+/// What `part` is given under `settings`.
+fn given(part: Part, settings: &Settings) -> String {
+    match part {
+        Part::Vm => format!("{:?}", settings.vm),
+        Part::Sockets => format!("{:?}", settings.listen),
+        Part::Platform => format!("{:?}", settings.platform),
+        Part::Key => settings.deployment.key.expose().to_owned(),
+        Part::Operators => format!("{:?}", settings.operators),
+        Part::Bodies => format!("{:?}", body::Limits::from(&limits::callers(settings))),
+        Part::Connections => format!("{:?}", port::Limits::from(&limits::callers(settings))),
+        Part::Traffic => format!("{:?}", limits::traffic(settings)),
+        Part::Wire => format!("{:?}", limits::wire(settings)),
+        Part::Control => format!("{:?}", limits::control(settings)),
+        Part::Claims => format!("{:?}", limits::claims(settings)),
+        Part::Shutdown => format!("{:?}", settings.shutdown),
+        Part::Log => format!("{:?}", settings.log),
+    }
+}
+
+fn read(text: &str) -> Settings {
+    let folder = tempfile::tempdir().unwrap();
+    fs::write(folder.path().join("deployment.key"), "a-key-in-a-file-16").unwrap();
+    let file = folder.path().join("vm.toml");
+    Settings::try_from(Source { file: &file, text }).unwrap_or_else(|e| panic!("{e}\n{text}"))
+}
+
+/// The whole file with `key` set to `value`.
+fn with(key: &str, value: &str) -> String {
+    let replaced = if key == "deployment.key_file" { "deployment.key" } else { key };
+    let kept = WHOLE.lines().filter(|line| !line.starts_with(&format!("{replaced} =")));
+    let kept: Vec<&str> = kept.collect();
+    format!("{}\n{key} = {value}\n", kept.join("\n"))
+}
+
+/// The names that an error lists as known after a name unlike any other.
+fn known(text: &str) -> BTreeSet<String> {
+    let source = Source { file: Path::new("vm.toml"), text };
+    let errors = Settings::try_from(source).unwrap_err().to_string();
+    let line = errors.lines().find(|line| line.contains("known are ")).unwrap();
+    line.split("known are ").nth(1).unwrap().split(", ").map(str::to_owned).collect()
+}
+
+/// Every key that the code reads.
+fn read_keys() -> BTreeSet<String> {
+    let unlike = "ffffffffffffffffffffffffffffffff";
+    let sections = known(&format!("{unlike} = {{}}"));
+    let keys = sections.iter().flat_map(|section| {
+        let keys = known(&format!("[{section}]\n{unlike} = 1"));
+        keys.into_iter().map(move |key| format!("{section}.{key}"))
+    });
+    keys.collect()
+}
+
+cases! {
+    the_table_names_every_key_that_is_read => {
+        let named: BTreeSet<String> = KEYS.iter().map(|(key, ..)| (*key).to_owned()).collect();
+        assert_eq!(named, read_keys());
+    };
+    every_key_changes_what_a_part_is_given => {
+        let whole = read(WHOLE);
+        for (key, value, part) in KEYS {
+            let changed = read(&with(key, value));
+            assert_ne!(given(*part, &changed), given(*part, &whole), "{key} has no effect");
+        }
+    };
+    the_defaults_are_those_of_the_decisions => {
+        let text = with("platform.call_limit_ms", "3000");
+        let settings = read(&text);
+        let control = control::Limits::default();
+        assert_eq!(limits::traffic(&settings), traffic::Limits::default());
+        assert_eq!(format!("{:?}", limits::control(&settings)), format!("{control:?}"));
+        assert_eq!(limits::wire(&settings), wire::Limits::default());
+        let claims = claims::Limits { call: settings.platform.call_limit, ..Default::default() };
+        assert_eq!(limits::claims(&settings), claims);
+    };
+    the_threads_share_what_a_vm_may_have_open => {
+        let two = with("listen.traffic", "[\"127.0.0.1:4\", \"127.0.0.1:5\"]");
+        let settings = read(&format!("{two}callers.open_requests = 5\ncallers.open_connections = 7\n"));
+        assert_eq!(limits::traffic(&settings).open_requests, 3);
+        assert_eq!(limits::callers(&settings).open_connections, 4);
+    };
+    the_operating_page_lists_every_key => {
+        let rows = page::table("OPERATING.md", "### Keys");
+        let listed: Vec<String> = rows.iter().map(|row| row[0].trim_matches('`').to_owned()).collect();
+        assert_eq!(listed.iter().cloned().collect::<BTreeSet<_>>(), read_keys());
+        assert_eq!(listed.len(), read_keys().len(), "a key stands twice");
+    };
+    the_operating_page_states_the_defaults => {
+        let whole = read(WHOLE);
+        let parts: BTreeMap<&str, Part> = KEYS.iter().map(|(key, _, part)| (*key, *part)).collect();
+        let mut stated = 0;
+        for row in page::table("OPERATING.md", "### Keys") {
+            let key = row[0].trim_matches('`');
+            if row[1] == "none" {
+                continue;
+            }
+            stated += 1;
+            let part = parts[key];
+            let settings = read(&with(key, row[1].trim_matches('`')));
+            assert_eq!(given(part, &settings), given(part, &whole), "{key}");
+        }
+        assert_eq!(stated, read_keys().len() - 9, "a key that has a default is without one");
+    };
+}
--- a/tests/product/main.rs
+++ b/tests/product/main.rs
@@ -6,6 +6,7 @@
 mod bed;
 mod cli;
 mod deployment;
+mod limits;
 mod log;
 mod metric;
 mod operator;
