--- a/tests/product/bed.rs
+++ b/tests/product/bed.rs
@@ -8,9 +8,10 @@
     time::Duration,
 };
 
+use laburnum_core::{name::Name, traffic::Policies};
 use laburnumworks::{
     cli::exit::Exit,
-    local::{self, Caller, Deployment, Plan},
+    local::{self, Caller, Deployment, Index, Plan},
     standin::target::settings::Raw,
 };
 use reqwest::Method;
@@ -48,7 +49,9 @@
 
 /// Starts a deployment of `vms` VMs and waits until they take requests.
 pub fn start(vms: u32) -> Bed {
-    let plan = Plan { vms, shards: 2, replicas: 2, target: Raw::default() };
+    let name = Name::try_from(local::INDEX).unwrap();
+    let index = Index { name, shards: 2, replicas: 2, target: Raw::default() };
+    let plan = Plan { vms, indexes: vec![index], hosts: 1, policies: Policies::default };
     let deployment = local::start(&plan).unwrap();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     assert!(runtime.block_on(deployment.ready(START_LIMIT)), "the VMs are not ready");
