--- a/tests/product/bed.rs
+++ b/tests/product/bed.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use laburnum_core::traffic::Policies;
+use laburnum_core::{name::Name, traffic::Policies};
 use laburnumworks::{
     cli::exit::Exit,
     local::{self, Caller, Deployment, Index, Plan},
@@ -49,12 +49,8 @@
 
 /// Starts a deployment of `vms` VMs and waits until they take requests.
 pub fn start(vms: u32) -> Bed {
-    let index = Index {
-        name: local::INDEX.try_into().unwrap(),
-        shards: 2,
-        replicas: 2,
-        target: Raw::default(),
-    };
+    let name = Name::try_from(local::INDEX).unwrap();
+    let index = Index { name, shards: 2, replicas: 2, target: Raw::default() };
     let plan = Plan { vms, indexes: vec![index], hosts: 1, policies: Policies::default };
     let deployment = local::start(&plan).unwrap();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
