Report that a target takes work in a new incarnation

Cause: a drain that this VM reported is spread and marks the target as leaving in every view; nothing took it back, so a target that restarted under the same name would never get work again.

Before: a_target_that_drained_and_restarted_takes_work failed (no report).

--- a/crates/core/src/traffic/system/connect.rs
+++ b/crates/core/src/traffic/system/connect.rs
@@ -8,6 +8,7 @@
     id,
     log::{Event, Line},
     name::Name,
+    notice::Report,
     target::{Command, Status},
     traffic::{
         Context, Outbox, Tables,
@@ -95,12 +96,14 @@
         status.draining = true;
     }
     if status.draining && !was_draining {
-        out.reports.push(crate::notice::Report::Draining {
-            target: name.clone(),
-            incarnation: status.incarnation,
-        });
+        let incarnation = status.incarnation;
+        out.reports.push(Report::Draining { target: name.clone(), incarnation });
         out.lines.push(Line::new(Event::TargetDraining, vec![("target", name.to_string())]));
     }
+    if !status.draining && (restarted || target.status.is_none()) {
+        let incarnation = status.incarnation;
+        out.reports.push(Report::Serving { target: name.clone(), incarnation });
+    }
     target.status = Some(status);
     tables.to_tell.insert(target.shard.clone());
     tables.to_dispatch.insert(target.shard.clone());
--- a/crates/core/tests/rules/search.rs
+++ b/crates/core/tests/rules/search.rs
@@ -11,7 +11,7 @@
     view::State,
 };
 
-use crate::world::{ANY, WHOLE, World, targets::Fault};
+use crate::world::{ANY, WHOLE, World, name, targets::Fault};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -250,6 +250,11 @@
     world.run(2000 * MS);
     let found = world.find("vm-1", WHOLE, "");
     assert!(found.missing.is_empty());
+    let target = name("target-1-0");
+    let serving = |incarnation| Report::Serving { target: target.clone(), incarnation };
+    let reported = |report: &Report| world.reports.iter().filter(|own| *own == report).count();
+    assert_eq!(reported(&serving(1)), 1);
+    assert_eq!(reported(&serving(2)), 1, "the drain is never taken back elsewhere");
 }
 
 fn drained_target_gets_no_work() {
