--- /dev/null
+++ b/src/vm/limits.rs
@@ -0,0 +1,87 @@
+//! The limits of the decisions, from the settings.
+
+use laburnum_core::{claims, control, traffic};
+
+use crate::{
+    settings::{Settings, traffic::Callers},
+    wire,
+};
+
+/// The limits of a traffic thread.
+pub fn traffic(settings: &Settings) -> traffic::Limits {
+    traffic::Limits {
+        open_requests: size(share(settings, settings.callers.open_requests)),
+        open: settings.targets.open_limit,
+        poll: settings.targets.probe_interval,
+        silent: settings.targets.silent_after,
+        connections: settings.targets.connections,
+        lost_targets: size(settings.quarantine.lost_targets),
+        suspect: settings.quarantine.suspect,
+        budget: settings.retry.burst,
+        ..traffic::Limits::default()
+    }
+}
+
+/// The limits on the callers of one traffic thread.
+pub fn callers(settings: &Settings) -> Callers {
+    let open_connections = share(settings, settings.callers.open_connections);
+    Callers { open_connections, ..settings.callers.clone() }
+}
+
+/// What each traffic thread has of a limit of the whole VM.
+fn share(settings: &Settings, limit: u32) -> u32 {
+    let threads = u32::try_from(settings.listen.traffic.len()).unwrap_or(u32::MAX);
+    limit.div_ceil(threads.max(1))
+}
+
+/// The limits of the control thread.
+pub fn control(settings: &Settings) -> control::Limits {
+    let membership = &settings.membership;
+    control::Limits {
+        probe: membership.probe_interval,
+        ack: membership.probe_limit,
+        indirect: size(membership.indirect_probes),
+        suspicion: membership.gone_after,
+        list: membership.list_interval,
+        watchers: size(membership.watchers),
+        stale: membership.stale_after,
+        isolation: membership.unready_after,
+        call: settings.platform.call_limit,
+        suspect_fingerprint: settings.quarantine.suspect,
+        condemned_fingerprint: settings.quarantine.hold,
+        fingerprints: size(settings.quarantine.capacity),
+        ..control::Limits::default()
+    }
+}
+
+/// The limits of the claims.
+pub fn claims(settings: &Settings) -> claims::Limits {
+    claims::Limits {
+        window: settings.claims.window,
+        skew: settings.claims.future,
+        call: settings.platform.call_limit,
+        gather: settings.claims.gather,
+        value: bytes(settings.claims.value_limit),
+        ..claims::Limits::default()
+    }
+}
+
+/// The limits of the connections between VMs.
+pub fn wire(settings: &Settings) -> wire::Limits {
+    let peers = &settings.peers;
+    wire::Limits {
+        frame: bytes(peers.frame_limit),
+        queue_bytes: bytes(peers.queue_limit),
+        ping_interval: peers.ping_interval,
+        ping_limit: peers.ping_limit,
+        ..wire::Limits::default()
+    }
+}
+
+fn size(count: u32) -> usize {
+    usize::try_from(count).unwrap_or(usize::MAX)
+}
+
+fn bytes(count: u64) -> usize {
+    usize::try_from(count).unwrap_or(usize::MAX)
+}
--- a/tests/product/main.rs
+++ b/tests/product/main.rs
@@ -3,9 +3,12 @@
 
 #[macro_use]
 mod case;
+mod bed;
 mod cli;
 mod deployment;
+mod limits;
 mod log;
 mod metric;
+mod operator;
 mod page;
 mod settings;
