--- /dev/null
+++ b/tests/process/bed.rs
@@ -0,0 +1,377 @@
+//! A deployment of processes on loopback, with the orders of a test: what it
+//! starts, asks, publishes, counts and breaks.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::{Duration, Instant},
+};
+
+use laburnum_core::name::Name;
+use laburnumworks::local::{Caller, INDEX, Place, TOKEN, caller::Reply};
+use reqwest::Method;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+use uuid::Uuid;
+
+use super::{child::Child, port};
+
+/// The time within which a process must take requests after its start.
+pub const START: Duration = Duration::from_secs(10);
+
+/// The time within which an accepted publication must be in force everywhere.
+pub const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// The time between two looks at something that is awaited.
+const POLL: Duration = Duration::from_millis(20);
+
+/// The profile that takes only whole answers.
+pub const WHOLE: &str = "clearance";
+
+/// The profile that takes partial answers.
+pub const PART: &str = "browse";
+
+/// What a deployment is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The number of VMs that are listed.
+    pub vms: u32,
+    /// The number of VMs that are started; they are the first ones.
+    pub started: u32,
+    /// The number of shards.
+    pub shards: u32,
+    /// The targets of each shard.
+    pub replicas: u32,
+    /// Settings of every target, as TOML.
+    pub target: &'static str,
+    /// Sections for the settings of every VM, as TOML.
+    pub vm: &'static str,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan { vms: 3, started: 3, shards: 4, replicas: 2, target: "", vm: "" }
+    }
+}
+
+/// The platform.
+pub struct Platform {
+    /// Where it listens.
+    pub address: SocketAddr,
+    _child: Child,
+}
+
+/// A VM, which may not have been started.
+pub struct Vm {
+    /// Its name and addresses.
+    pub place: Place,
+    /// Its process.
+    pub child: Option<Child>,
+}
+
+impl Vm {
+    /// The process of a VM that was started.
+    pub fn child(&mut self) -> &mut Child {
+        self.child.as_mut().expect("the VM was not started")
+    }
+}
+
+/// A target.
+pub struct Target {
+    /// Its name.
+    pub name: String,
+    /// Where VMs reach it.
+    pub address: SocketAddr,
+    /// Where its faults are switched and its counts are read.
+    pub admin: SocketAddr,
+    /// Its process.
+    pub child: Child,
+    listed: Value,
+}
+
+/// A deployment.
+pub struct Bed {
+    /// The platform.
+    pub platform: Platform,
+    /// The VMs.
+    pub vms: Vec<Vm>,
+    /// The targets, ordered by shard and replica.
+    pub targets: Vec<Target>,
+    /// The caller and operator.
+    pub caller: Caller,
+    folder: PathBuf,
+    plan: Plan,
+}
+
+impl Bed {
+    /// Starts a deployment, publishes its profiles and waits until they are in
+    /// force on every VM.
+    pub async fn start(folder: &Path, plan: Plan) -> Bed {
+        let targets = (0..plan.shards)
+            .flat_map(|shard| (0..plan.replicas).map(move |replica| (shard, replica)))
+            .map(|(shard, replica)| start_target(folder, &plan, shard, replica))
+            .collect();
+        let places: Vec<Place> = (1..=plan.vms).map(place).collect();
+        let platform = start_platform(folder, &places, &targets);
+        let vms = places.into_iter().map(|place| Vm { place, child: None }).collect();
+        let caller = Caller::new().unwrap();
+        let mut bed = Bed { platform, vms, targets, caller, folder: folder.to_owned(), plan };
+        bed.wait_for_stand_ins().await;
+        for number in 0..bed.plan.started as usize {
+            bed.start_vm(number);
+        }
+        for number in 0..bed.plan.started as usize {
+            bed.wait_ready(number).await;
+        }
+        bed.publish_first().await;
+        bed
+    }
+
+    /// Starts a VM, also one whose earlier process was killed.
+    pub fn start_vm(&mut self, number: usize) {
+        let place = &self.vms[number].place;
+        let file = format!("{}.toml", place.name);
+        let text = place.settings(self.platform.address) + self.plan.vm;
+        fs::write(self.folder.join(&file), text).unwrap();
+        let name = place.name.to_string();
+        let child = Child::start(&self.folder, &name, &["entry", "--settings", &file]);
+        self.vms[number].child = Some(child);
+    }
+
+    async fn wait_for_stand_ins(&self) {
+        let platform = (self.platform.address, "/readyz");
+        let targets = self.targets.iter().map(|target| (target.admin, "/v1/counts"));
+        for (address, path) in std::iter::once(platform).chain(targets) {
+            self.wait(path, START, async || self.is_success(address, path).await).await;
+        }
+    }
+
+    /// Waits until a VM says that it takes requests.
+    pub async fn wait_ready(&self, number: usize) {
+        let callers = self.vms[number].place.callers;
+        self.wait("readyz", START, async || self.is_success(callers, "/readyz").await).await;
+    }
+
+    /// Whether a path answers that all is well.
+    pub async fn is_success(&self, address: SocketAddr, path: &str) -> bool {
+        self.caller.read(address, path).await.is_ok_and(|reply| reply.status.is_success())
+    }
+
+    /// Waits until something holds.
+    pub async fn wait(&self, what: &str, limit: Duration, holds: impl AsyncFn() -> bool) {
+        let since = Instant::now();
+        while !holds().await {
+            assert!(since.elapsed() < limit, "{what}: not within {limit:?}");
+            sleep(POLL).await;
+        }
+    }
+
+    async fn publish_first(&self) {
+        let profiles = json!({ WHOLE: profile(1_000_000, 10), PART: profile(1, 10) });
+        let reply = self.caller.publish(self.vms[0].place.operators, &profiles).await.unwrap();
+        assert!(reply.status.is_success(), "publish: {}", reply.body);
+        self.wait_in_force(&self.started(), 1, IN_FORCE).await;
+        self.wait("searches are whole", START, async || self.is_whole_everywhere().await).await;
+    }
+
+    async fn is_whole_everywhere(&self) -> bool {
+        for number in self.started() {
+            if !self.search(number, WHOLE, "radar").await.is_ok_and(|r| r.status.is_success()) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// The numbers of the VMs that were started.
+    pub fn started(&self) -> Vec<usize> {
+        (0..self.vms.len()).filter(|&number| self.vms[number].child.is_some()).collect()
+    }
+
+    /// Waits until answers of each of the VMs state `revision` or a later one.
+    pub async fn wait_in_force(&self, vms: &[usize], revision: u64, limit: Duration) {
+        let is_in_force = async || {
+            for &number in vms {
+                if self.revision(number).await.is_none_or(|found| found < revision) {
+                    return false;
+                }
+            }
+            true
+        };
+        self.wait(&format!("revision {revision} in force"), limit, is_in_force).await;
+    }
+
+    /// The revision that an answer of a VM states.
+    pub async fn revision(&self, number: usize) -> Option<u64> {
+        self.search(number, PART, "none").await.ok()?.body["revision"].as_u64()
+    }
+
+    /// Sends a search through a VM.
+    pub async fn search(&self, number: usize, profile: &str, text: &str) -> reqwest::Result<Reply> {
+        self.caller.search(self.vms[number].place.callers, profile, text).await
+    }
+
+    /// Sends an operation through a VM.
+    pub async fn operate(&self, number: usize, operation: &Operation) -> reqwest::Result<Reply> {
+        let callers = self.vms[number].place.callers;
+        self.caller.operate(callers, &operation.key, &operation.body()).await
+    }
+
+    /// Publishes profiles through a VM if `expect` is in force.
+    pub async fn publish(&self, number: usize, expect: u64, profiles: &Value) -> Reply {
+        let authorization = format!("Bearer {TOKEN}");
+        let expect = format!("\"{expect}\"");
+        let headers = [("Authorization", authorization.as_str()), ("If-Match", expect.as_str())];
+        let body = json!({ "profiles": profiles });
+        let operators = self.vms[number].place.operators;
+        let sent = self.caller.send(Method::PUT, operators, "/v1/profiles", &headers, &body);
+        sent.await.unwrap()
+    }
+
+    /// Switches the faults of the platform.
+    pub async fn platform_faults(&self, faults: &Value) {
+        self.put(self.platform.address, "/v1/faults", faults).await;
+    }
+
+    /// Switches the faults of a target.
+    pub async fn target_faults(&self, number: usize, faults: &Value) {
+        self.put(self.targets[number].admin, "/v1/faults", faults).await;
+    }
+
+    /// Lists a target as leaving.
+    pub async fn list_leaving(&self, number: usize) {
+        let target = &self.targets[number];
+        let mut listed = target.listed.clone();
+        listed["state"] = json!("leaving");
+        let path = format!("/v1/list/targets/{}", target.name);
+        self.put(self.platform.address, &path, &listed).await;
+    }
+
+    async fn put(&self, address: SocketAddr, path: &str, body: &Value) {
+        let reply = self.caller.send(Method::PUT, address, path, &[], body).await.unwrap();
+        assert!(reply.status.is_success(), "PUT {path}: {}", reply.body);
+    }
+
+    /// One of the counts of a target.
+    pub async fn count(&self, number: usize, name: &str) -> u64 {
+        let reply = self.caller.read(self.targets[number].admin, "/v1/counts").await.unwrap();
+        reply.body[name].as_u64().unwrap_or_else(|| panic!("{name}: {}", reply.body))
+    }
+
+    /// The executions of operations that all targets recorded, by detail.
+    pub async fn executions(&self) -> BTreeMap<String, u64> {
+        let mut sums = BTreeMap::new();
+        for target in &self.targets {
+            let reply = self.caller.read(target.admin, "/v1/executions").await.unwrap();
+            for (detail, count) in reply.body["details"].as_object().unwrap() {
+                *sums.entry(detail.clone()).or_default() += count.as_u64().unwrap();
+            }
+        }
+        sums
+    }
+}
+
+/// A clearance with a key and a detail of its own.
+#[derive(Clone, Debug)]
+pub struct Operation {
+    /// The idempotency key.
+    pub key: String,
+    /// By which its executions are counted.
+    pub detail: String,
+    /// The record that it is about.
+    pub subject: u64,
+}
+
+impl Operation {
+    /// A new clearance. Subjects are spread over the key space.
+    pub fn new(number: u64) -> Operation {
+        let key = Uuid::now_v7().to_string();
+        let subject = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        Operation { detail: format!("clearance {key}"), key, subject }
+    }
+
+    /// The document that is sent.
+    pub fn body(&self) -> Value {
+        json!({
+            "profile": WHOLE,
+            "operation": "clearance",
+            "subject": self.subject,
+            "detail": self.detail,
+        })
+    }
+}
+
+/// A profile of the deployment.
+pub fn profile(coverage_ppm: u32, priority: u32) -> Value {
+    json!({
+        "team": "local",
+        "index": INDEX,
+        "coverage_ppm": coverage_ppm,
+        "deadline_ms": 1000,
+        "tail_ms": 50,
+        "extra_load_ppm": 50_000,
+        "concurrency": 100,
+        "priority": priority,
+    })
+}
+
+fn place(number: u32) -> Place {
+    Place {
+        name: Name::try_from(format!("vm-{number}")).unwrap(),
+        domain: Name::try_from(format!("domain-{number}")).unwrap(),
+        callers: port::free(),
+        operators: port::free(),
+        control: port::free(),
+        traffic: port::free(),
+    }
+}
+
+fn start_target(folder: &Path, plan: &Plan, shard: u32, replica: u32) -> Target {
+    let name = format!("target-{shard}-{replica}");
+    let (address, admin) = (port::free(), port::free());
+    let noise = shard * plan.replicas + replica;
+    let shards = plan.shards;
+    let file = format!("{name}.toml");
+    let settings = format!("shard = {shard}\nshards = {shards}\nnoise = {noise}\n{}", plan.target);
+    fs::write(folder.join(&file), settings).unwrap();
+    let (listen, admin_text) = (address.to_string(), admin.to_string());
+    let arguments =
+        ["stand-in", "target", "--listen", &listen, "--admin", &admin_text, "--settings", &file];
+    let child = Child::start(folder, &name, &arguments);
+    let listed = json!({
+        "name": name,
+        "index": INDEX,
+        "shard": format!("shard-{shard}"),
+        "domain": format!("domain-{}", replica + 1),
+        "address": address,
+        "slots": 2,
+        "connections": 55,
+        "state": "live",
+    });
+    Target { name, address, admin, child, listed }
+}
+
+fn start_platform(folder: &Path, places: &[Place], targets: &Vec<Target>) -> Platform {
+    let mut list = String::new();
+    for place in places {
+        let Place { name, domain, control, traffic, .. } = place;
+        list += &format!(
+            "[[vms]]\nname = \"{name}\"\ndomain = \"{domain}\"\nincarnation = 0\n\
+             state = \"live\"\ncontrol = \"{control}\"\ntraffic = [\"{traffic}\"]\n"
+        );
+    }
+    for target in targets {
+        list += "[[targets]]\n";
+        for (key, value) in target.listed.as_object().unwrap() {
+            // JSON texts and numbers are TOML as well.
+            list += &format!("{key} = {value}\n");
+        }
+    }
+    fs::write(folder.join("list.toml"), list).unwrap();
+    let address = port::free();
+    let listen = address.to_string();
+    let arguments = ["stand-in", "platform", "--listen", &listen, "--list", "list.toml"];
+    Platform { address, _child: Child::start(folder, "platform", &arguments) }
+}
--- /dev/null
+++ b/tests/process/child.rs
@@ -0,0 +1,67 @@
+//! A process of a deployment.
+
+use std::{
+    fs::File,
+    path::Path,
+    process::{Command, ExitStatus, Stdio},
+    time::{Duration, Instant},
+};
+
+pub use rustix::process::Signal;
+use rustix::process::{Pid, kill_process};
+use tokio::time::sleep;
+
+/// The time between two looks at whether a process has ended.
+const POLL: Duration = Duration::from_millis(20);
+
+/// The binary under test.
+pub const BINARY: &str = env!("CARGO_BIN_EXE_laburnumworks");
+
+/// A process that is killed when it is dropped.
+pub struct Child {
+    name: String,
+    process: std::process::Child,
+}
+
+impl Child {
+    /// Starts the binary; its output goes to a file in `folder`.
+    pub fn start(folder: &Path, name: &str, arguments: &[&str]) -> Child {
+        let log = folder.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(log).unwrap();
+        let process = Command::new(BINARY)
+            .args(arguments)
+            .current_dir(folder)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        Child { name: name.to_owned(), process }
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.process);
+        kill_process(pid, signal).unwrap_or_else(|e| panic!("{signal:?} to {}: {e}", self.name));
+    }
+
+    /// Waits until the process ends.
+    pub async fn exit(&mut self, limit: Duration) -> ExitStatus {
+        let since = Instant::now();
+        loop {
+            if let Some(status) = self.process.try_wait().unwrap() {
+                return status;
+            }
+            assert!(since.elapsed() < limit, "{} did not end within {limit:?}", self.name);
+            sleep(POLL).await;
+        }
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
--- /dev/null
+++ b/tests/process/main.rs
@@ -0,0 +1,13 @@
+//! Tests of whole deployments: the platform, the VMs and the targets are
+//! processes of their own, which get real signals.
+
+#[macro_use]
+#[path = "../common/case.rs"]
+mod case;
+mod answer;
+mod bed;
+mod child;
+mod port;
+mod run;
+
+mod path;
