Read the keys of rows as the texts that a VM sends

A VM writes row keys as hexadecimal texts, since JSON numbers lose digits above 2^53. The query command read them as numbers and ended with code 6 on every whole answer.

Checked: the command against a VM in its own process, and the cases of the command line.

--- a/src/cli/query.rs
+++ b/src/cli/query.rs
@@ -124,7 +124,7 @@
 
 #[derive(Deserialize)]
 struct Row {
-    key: u64,
+    key: String,
     body: String,
 }
 
@@ -265,7 +265,7 @@
         writeln!(text, "result: {result}")?;
     }
     for row in &answer.rows {
-        writeln!(text, "{:016x} {}", row.key, row.body)?;
+        writeln!(text, "{} {}", row.key, row.body)?;
     }
     Ok(())
 }
