Resend a clearance once more until its outcome is recorded

A resend right after the answer may find the claim without an outcome, which is answered by outcome_unknown and a time to send again; after that time the recorded outcome must come.

--- a/tests/process/path.rs
+++ b/tests/process/path.rs
@@ -1,9 +1,14 @@
 //! One request through separate processes: every VM gives whole answers and
 //! runs a clearance once.
 
-use std::process::{Command, Output};
+use std::{
+    process::{Command, Output},
+    time::Duration,
+};
 
+use laburnumworks::local::caller::Reply;
 use serde_json::{Value, json};
+use tokio::time::sleep;
 
 use super::{
     answer::assert_whole,
@@ -25,7 +30,7 @@
     let operation = Operation::new(42);
     let mut results = Vec::new();
     for number in bed.started() {
-        let reply = bed.operate(number, &operation).await.unwrap();
+        let reply = settled(&bed, number, &operation).await;
         assert!(reply.status.is_success(), "through VM {number}: {}", reply.body);
         assert_eq!(reply.body["replayed"], json!(number > 0));
         results.push(reply.body["result"].clone());
@@ -34,6 +39,19 @@
     assert_eq!(bed.executions().await.get(&operation.detail), Some(&1));
 }
 
+/// Sends an operation once more where the outcome of its run was not recorded
+/// yet.
+async fn settled(bed: &Bed, number: usize, operation: &Operation) -> Reply {
+    let reply = bed.operate(number, operation).await.unwrap();
+    if reply.body["kind"] != "outcome_unknown" {
+        return reply;
+    }
+    assert_eq!(reply.body["ran"], json!("unknown"), "{}", reply.body);
+    let after = reply.body["retry"]["after_ms"].as_u64().unwrap();
+    sleep(Duration::from_millis(after)).await;
+    bed.operate(number, operation).await.unwrap()
+}
+
 /// Runs `query` to its end on a thread of its own.
 async fn query(arguments: &[&str]) -> Output {
     let mut command = Command::new(BINARY);
