--- a/tests/process/bed.rs
+++ b/tests/process/bed.rs
@@ -13,7 +13,7 @@
 use laburnumworks::local::{Caller, INDEX, Place, TOKEN, caller::Reply};
 use reqwest::Method;
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::{task::JoinHandle, time::sleep};
 use uuid::Uuid;
 
 use super::{child::Child, port};
@@ -27,6 +27,12 @@
 /// The time between two looks at something that is awaited.
 const POLL: Duration = Duration::from_millis(20);
 
+/// The time between two operations that are sent in turn.
+const GAP: Duration = Duration::from_millis(3);
+
+/// The answer to a request, or why there was none.
+pub type Outcome = Result<Reply, String>;
+
 /// The profile that takes only whole answers.
 pub const WHOLE: &str = "clearance";
 
@@ -216,7 +222,30 @@
     /// Sends an operation through a VM.
     pub async fn operate(&self, number: usize, operation: &Operation) -> reqwest::Result<Reply> {
         let callers = self.vms[number].place.callers;
-        self.caller.operate(callers, &operation.key, &operation.body()).await
+        self.caller.operate(callers, &operation.key, &operation.body).await
+    }
+
+    /// Starts to send operations through a VM, a few milliseconds apart.
+    pub fn send_in_turn(
+        &self,
+        number: usize,
+        operations: &[Operation],
+    ) -> JoinHandle<Vec<Outcome>> {
+        let callers = self.vms[number].place.callers;
+        let (caller, operations) = (self.caller.clone(), operations.to_vec());
+        tokio::spawn(async move {
+            let mut sent = Vec::new();
+            for Operation { key, body, .. } in operations {
+                let caller = caller.clone();
+                sent.push(tokio::spawn(async move { caller.operate(callers, &key, &body).await }));
+                sleep(GAP).await;
+            }
+            let mut outcomes = Vec::new();
+            for task in sent {
+                outcomes.push(task.await.unwrap().map_err(|e| format!("no answer: {e:?}")));
+            }
+            outcomes
+        })
     }
 
     /// Publishes profiles through a VM if `expect` is in force.
@@ -273,6 +302,9 @@
     }
 }
 
+/// Spreads small numbers over the key space.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// A clearance with a key and a detail of its own.
 #[derive(Clone, Debug)]
 pub struct Operation {
@@ -280,26 +312,22 @@
     pub key: String,
     /// By which its executions are counted.
     pub detail: String,
-    /// The record that it is about.
-    pub subject: u64,
+    /// The document that is sent.
+    pub body: Value,
 }
 
 impl Operation {
     /// A new clearance. Subjects are spread over the key space.
     pub fn new(number: u64) -> Operation {
         let key = Uuid::now_v7().to_string();
-        let subject = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        Operation { detail: format!("clearance {key}"), key, subject }
-    }
-
-    /// The document that is sent.
-    pub fn body(&self) -> Value {
-        json!({
+        let detail = format!("clearance {key}");
+        let body = json!({
             "profile": WHOLE,
             "operation": "clearance",
-            "subject": self.subject,
-            "detail": self.detail,
-        })
+            "subject": number.wrapping_mul(SPREAD),
+            "detail": detail,
+        });
+        Operation { key, detail, body }
     }
 }
 
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -7,7 +7,10 @@
 mod answer;
 mod bed;
 mod child;
+mod load;
 mod port;
 mod run;
+mod verdict;
 
 mod path;
+mod vm;
