End a traffic thread whose front has ended, and do not spin

When the front ends, its channel into the traffic thread closes and is ready at all times, with nothing. The thread took that for events, ticked without a pause and never looked at the stop signal, which stands later in the order. A VM that was told to leave used a whole core and did not end when its front was done before the last leg.

Seen: a VM that had logged that it stopped was still running after 10 s, its traffic thread with 3.6 s of processor time. The stop signal is now looked at first and the channel only while it is open. Checked: the VM ends by itself in vms_leave_in_turn_under_load.

--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -96,8 +96,11 @@
     /// Waits until a channel has events or the pause is over, then takes what
     /// is ready. It returns false when the thread is to end.
     async fn fill(&mut self, inbox: &mut Inbox, pause: Duration) -> bool {
+        // After the front has ended, its channel would be ready at all times.
+        let has_front = !(inbox.inputs.is_closed() && inbox.inputs.is_empty());
         tokio::select! {
             biased;
+            _ = inbox.stop.wait_for(|stop| *stop) => return false,
             count = inbox.notices.recv_many(&mut self.notices, MAX_BATCH) => {
                 if count == 0 {
                     return false;
@@ -106,8 +109,7 @@
             _ = inbox.targets.recv_many(&mut self.targets, MAX_BATCH) => {}
             _ = inbox.frames.recv_many(&mut self.frames, MAX_BATCH) => {}
             _ = inbox.losses.recv_many(&mut self.losses, MAX_BATCH) => {}
-            _ = inbox.inputs.recv_many(&mut self.inputs, MAX_BATCH) => {}
-            _ = inbox.stop.wait_for(|stop| *stop) => return false,
+            _ = inbox.inputs.recv_many(&mut self.inputs, MAX_BATCH), if has_front => {}
             () = sleep(pause) => {}
         }
         take_ready(&mut inbox.targets, &mut self.targets);
