Become ready when every home has said what it holds

A VM that started was ready as soon as it knew one shard, and refused or cut the requests that needed the others. Seen: 500000 of a million parts right after the restart of a VM.

Checked: vm_replaced_under_load, and all cases of the workspace.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -297,13 +297,17 @@
         self.tables.timers.first()
     }
 
-    /// Whether requests of callers can be answered: the view is ready and every
-    /// index that targets are listed for has a plan.
+    /// Whether requests of callers can be answered: the view is ready, the homes
+    /// have said what they hold and every index that targets are listed for has
+    /// a plan.
     pub fn is_ready(&self) -> bool {
         let view = &self.context.view;
         let has_plan =
             |index: &Name| self.tables.indexes.get(index).is_some_and(|index| index.best.is_some());
-        view.ready && !view.leaving && view.targets.values().all(|target| has_plan(&target.index))
+        view.ready
+            && !view.leaving
+            && self.tables.informed
+            && view.targets.values().all(|target| has_plan(&target.index))
     }
 
     /// The rows, for metrics and tests.
--- a/crates/core/src/traffic/system/expire.rs
+++ b/crates/core/src/traffic/system/expire.rs
@@ -39,6 +39,8 @@
             Timer::Asked(connection) => check_silence(tables, cx, connection, out),
             Timer::Idle(key) => idle(tables, cx, &key, out),
             Timer::Tell => tell::again(tables, cx),
+            // The system that waits looks at the time itself.
+            Timer::Inform => {}
         }
     }
 }
--- a/crates/core/src/traffic/system/mod.rs
+++ b/crates/core/src/traffic/system/mod.rs
@@ -8,6 +8,7 @@
 pub mod claim;
 pub mod merge;
 pub mod plan;
+pub mod inform;
 pub mod dispatch;
 pub mod tell;
 pub mod answer;
@@ -32,6 +33,7 @@
     claim::run(tables, cx, inbox.claims, out);
     merge::run(tables, cx, out);
     plan::run(tables, cx, out);
+    inform::run(tables, cx);
     dispatch::run(tables, cx, out);
     tell::run(tables, cx, out);
     answer::run(tables, cx, out);
--- a/crates/core/src/traffic/table/mod.rs
+++ b/crates/core/src/traffic/table/mod.rs
@@ -16,7 +16,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{claim, digest::Fingerprint, id, message, name::Name, view::Lane};
+use crate::{claim, digest::Fingerprint, id, message, name::Name, time::Instant, view::Lane};
 
 pub use self::{
     attempt::Attempt, connection::Connection, index::Index, job::Job, latency::Latency, leg::Leg,
@@ -58,6 +58,11 @@
     pub attempts: BTreeMap<id::Attempt, Attempt>,
     /// Requests that were running when a target was lost.
     pub suspects: BTreeMap<Fingerprint, Suspect>,
+    /// Whether this VM has learnt what the listed shards hold, as far as their
+    /// homes say it in time.
+    pub informed: bool,
+    /// When the wait for that ends.
+    pub inform_by: Option<Instant>,
     /// The number of rows in flight that was last reported while leaving.
     pub reported: Option<usize>,
     /// Points in time at which a row is due.
--- a/crates/core/src/traffic/table/timer.rs
+++ b/crates/core/src/traffic/table/timer.rs
@@ -27,6 +27,8 @@
     Idle(shard::Key),
     /// The time to tell the holdings again.
     Tell,
+    /// The end of the wait for the first word of the homes.
+    Inform,
 }
 
 /// The points in time in ascending order.
