Take requests while leaving, and wait for all that were taken

A VM that is leaving was to take requests until its listener closes, since the balancer learns of it late. The view of a leaving VM is not ready, though, so every request of that time was refused by not_ready.

The sign that nothing is in flight also stayed on after a first moment of rest, so requests that came later did not count, and requests that a front had taken but not handed over were not waited for. The sign now follows the counts, and a VM waits first for its fronts and then for the sign.

--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -105,7 +105,8 @@
     profile: &Name,
     fingerprint: impl FnOnce(&Profile) -> Fingerprint,
 ) -> Result<(Profile, Fingerprint), Fault> {
-    if !cx.view.ready {
+    let is_serving = cx.view.ready || (cx.view.leaving && tables.informed);
+    if !is_serving {
         return Err(Fault::not_run(Kind::NotReady, format!("VM {} is not ready", cx.view.vm)));
     }
     if tables.queries.len() >= cx.limits.open_requests {
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -122,9 +122,8 @@
         let mut out = Outbox::default();
         self.engine.step(self.clock.now(), self.clock.wall(), events, &mut out);
         self.flush(out);
-        if self.engine.leaving() && self.engine.idle(self.threads.len()) {
-            self.idle.send_replace(true);
-        }
+        let is_idle = self.engine.leaving() && self.engine.idle(self.threads.len());
+        self.idle.send_if_modified(|idle| std::mem::replace(idle, is_idle) != is_idle);
     }
 
     fn flush(&mut self, out: Outbox) {
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -76,6 +76,7 @@
     settings: Arc<Settings>,
     ready: watch::Receiver<bool>,
     idle: watch::Receiver<bool>,
+    serving: mpsc::Receiver<()>,
     shutdown: watch::Sender<bool>,
     stop: watch::Sender<bool>,
     threads: Vec<thread::JoinHandle<()>>,
@@ -92,6 +93,7 @@
     let (stop, stop_seen) = watch::channel(false);
     let (ready_sender, ready) = watch::channel(false);
     let (idle_sender, idle) = watch::channel(false);
+    let (serving_sender, serving) = mpsc::channel(1);
     let shared = Shared {
         row: row(&settings),
         settings: Arc::clone(&settings),
@@ -117,9 +119,11 @@
             peers: pair.peers,
             notices: receiver,
             ready: Arc::clone(&ready_sender),
+            serving: serving_sender.clone(),
         };
         threads.push(traffic::spawn(shared.clone(), seed).change_context(cannot_start("traffic"))?);
     }
+    drop(serving_sender);
     let seed = control::Seed {
         inbox,
         notices,
@@ -130,7 +134,19 @@
     control::spawn(shared, seed).change_context(cannot_start("control"))?;
     let fields = vec![("callers", settings.listen.callers.to_string())];
     writer.write(&Line::new(Event::Started, fields), laburnum_core::border::Clock::now(&clock));
-    Ok(Vm { control, writer, clock, settings, ready, idle, shutdown, stop, threads, _log: log })
+    Ok(Vm {
+        control,
+        writer,
+        clock,
+        settings,
+        ready,
+        idle,
+        serving,
+        shutdown,
+        stop,
+        threads,
+        _log: log,
+    })
 }
 
 fn cannot_start(thread: &str) -> Error {
@@ -161,14 +177,13 @@
     /// ready and that it leaves, goes on taking requests until the balancer and
     /// the other VMs have had time to learn of it, then finishes what is open.
     /// It returns false if something was still open after the limit.
-    pub async fn leave(self) -> bool {
+    pub async fn leave(mut self) -> bool {
         self.log(Event::Leaving);
         self.control.leave();
         sleep(self.settings.shutdown.announce).await;
         self.shutdown.send_replace(true);
-        let mut idle = self.idle.clone();
         let limit = self.settings.shutdown.limit;
-        let is_idle = matches!(timeout(limit, idle.wait_for(|idle| *idle)).await, Ok(Ok(_)));
+        let is_idle = timeout(limit, self.finish()).await == Ok(true);
         self.stop.send_replace(true);
         self.log(Event::Stopped);
         for thread in self.threads {
@@ -178,6 +193,14 @@
         is_idle
     }
 
+    /// Waits until the fronts have answered what they took, then until no leg of
+    /// another VM is in flight either.
+    async fn finish(&mut self) -> bool {
+        // Nothing is ever sent; the channel closes with the last front.
+        let _ = self.serving.recv().await;
+        self.idle.wait_for(|idle| *idle).await.is_ok()
+    }
+
     fn log(&self, event: Event) {
         let now = laburnum_core::border::Clock::now(&self.clock);
         self.writer.write(&Line::new(event, Vec::new()), now);
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -36,6 +36,8 @@
     pub notices: mpsc::UnboundedReceiver<Notice>,
     /// Becomes true when it can answer callers.
     pub ready: Arc<watch::Sender<bool>>,
+    /// Dropped when its front has answered all that it took.
+    pub serving: mpsc::Sender<()>,
 }
 
 /// Starts the thread. It ends when the VM stops.
@@ -55,14 +57,15 @@
     let key = super::control::key(&shared.settings);
     let guard = wire::Guard { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
     let listener = tokio::spawn(wire::listen(seed.peers, guard, frames));
-    let front = tokio::spawn(front::serve(front::Seed {
+    let front = front::Seed {
         listener: seed.callers,
         limits: shared.settings.callers.clone(),
         handle: Handle::new(inputs),
         ready: shared.ready.clone(),
         metrics: Arc::new(meter::Text(Arc::clone(&shared.metrics))),
         shutdown: shared.shutdown.clone(),
-    }));
+    };
+    let front = tokio::spawn(serve(front, seed.serving));
     let dialer = Dialer::new(own.clone(), shared.row.incarnation, key, wire_limits, losses);
     let dialer = Rc::new(RefCell::new(dialer));
     let parts = Parts {
@@ -100,6 +103,12 @@
     }
 }
 
+async fn serve(front: front::Seed, serving: mpsc::Sender<()>) -> io::Result<()> {
+    let ended = front::serve(front).await;
+    drop(serving);
+    ended
+}
+
 fn engine(shared: &Shared, lane: Lane) -> Engine {
     Engine::new(decisions::Seed {
         lane,
