--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -303,11 +303,11 @@
     pub fn is_ready(&self) -> bool {
         let view = &self.context.view;
         let has_plan =
-            |index: &Name| self.tables.indexes.get(index).is_some_and(|index| index.best.is_some());
+            |index| self.tables.indexes.get(index).is_some_and(|index| index.best.is_some());
         view.ready
             && !view.leaving
             && self.tables.informed
-            && view.targets.values().all(|target| has_plan(&target.index))
+            && self.tables.listed.iter().all(has_plan)
     }
 
     /// The rows, for metrics and tests.
