Let the threads set their gauges and count the calls of the platform

Of 13 gauges only three were set, at every tick, each with a new label. The control thread had no meter at all, so claims and calls of the platform's service were not counted, and nothing ever reported the lines that the rate of the log had suppressed at the end of a flood.

Each thread now surveys its tables at most once a second, because free slots, queues and homes need a walk over rows; running counts in every system were ruled out as logic that stands twice. Lost log lines are read when the metrics are. Whether a traffic thread is ready is judged by the listed indexes in place of all targets, which was a walk over every target at each tick.

The event 103 was written twice when a VM left, by the VM and by the engine.

Checked: OPERATING.md lists every family with its type and label, and its alerts name families that exist; two VMs that served requests show every family; 96 cases of tests/product and all tests of the core pass.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -303,7 +303,7 @@
         let view = &self.context.view;
         let has_plan =
             |index: &Name| self.tables.indexes.get(index).is_some_and(|index| index.best.is_some());
-        view.ready && !view.leaving && view.targets.values().all(|target| has_plan(&target.index))
+        view.ready && !view.leaving && self.tables.listed.iter().all(has_plan)
     }
 
     /// The rows, for metrics and tests.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,7 +12,7 @@
 
 use laburnum_core::{
     border::{Journal, Platform},
-    control::Message,
+    control::{Engine, Message, Outbox},
     name::Name,
 };
 
@@ -28,6 +28,14 @@
     fn send(&mut self, vm: &Name, address: SocketAddr, message: Message);
 }
 
+/// The counters and gauges.
+pub trait Meter {
+    /// Adds what a step has left to be carried out.
+    fn count(&mut self, out: &Outbox);
+    /// Notes the state of the tables.
+    fn observe(&mut self, engine: &Engine);
+}
+
 /// What the control thread works through. It is made on the thread itself, so
 /// that clients find its runtime.
 pub struct Borders {
@@ -37,4 +45,6 @@
     pub messenger: Box<dyn Messenger>,
     /// The log.
     pub journal: Box<dyn Journal>,
+    /// The counters.
+    pub meter: Box<dyn Meter>,
 }
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -121,7 +121,9 @@
     fn step(&mut self, events: Vec<Event>) {
         let mut out = Outbox::default();
         self.engine.step(self.clock.now(), self.clock.wall(), events, &mut out);
+        self.borders.meter.count(&out);
         self.flush(out);
+        self.borders.meter.observe(&self.engine);
         if self.engine.leaving() && self.engine.idle(self.threads.len()) {
             self.idle.send_replace(true);
         }
--- a/src/metric/gauge.rs
+++ b/src/metric/gauge.rs
@@ -38,6 +38,8 @@
     QueuedLegs "queued_legs" "Legs that wait here for a slot";
     /// The shards whose home is here.
     Homes "homes" "Shards whose home is here";
+    /// The attempts that targets run for this VM.
+    AttemptsInFlight "attempts_in_flight" "Attempts that targets run for this VM";
     /// The connections to targets that are open.
     TargetConnections "target_connections" "Connections to targets that are open";
     /// What is left of the budget for attempts beyond the first.
@@ -65,8 +67,8 @@
     Control,
     /// A traffic thread.
     Traffic(u16),
-    /// The callers' interface.
-    Front,
+    /// The writer of the log.
+    Log,
 }
 
 impl Part {
@@ -75,7 +77,7 @@
         match self {
             Part::Control => "control".to_owned(),
             Part::Traffic(thread) => format!("traffic-{thread}"),
-            Part::Front => "front".to_owned(),
+            Part::Log => "log".to_owned(),
         }
     }
 }
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -5,6 +5,7 @@
 //! caller can make the number of series grow. docs/OPERATING.md says which to
 //! watch.
 
+pub mod call;
 pub mod gauge;
 
 use std::{
@@ -28,7 +29,10 @@
     registry::Registry,
 };
 
-use self::gauge::{Gauge, Part};
+use self::{
+    call::Call,
+    gauge::{Gauge, Part},
+};
 
 /// The profiles that have series of their own; others share [`OTHER`].
 pub const MAX_PROFILES: usize = 64;
@@ -60,6 +64,7 @@
     registry: Registry,
     counters: BTreeMap<Count, Counter>,
     claims: Family<Labels, Counter>,
+    calls: BTreeMap<Call, Counter>,
     latency: Histograms,
     coverage: Histograms,
     gauges: BTreeMap<Gauge, Family<Labels, Cell>>,
@@ -80,6 +85,7 @@
         let counters = counters(&mut registry);
         let claims: Family<Labels, Counter> = Family::default();
         registry.register("claims", "What became of claims", claims.clone());
+        let calls = calls(&mut registry);
         let gauges = gauges(&mut registry);
         let latency: Histograms = Family::new_with_constructor(latency);
         let coverage: Histograms = Family::new_with_constructor(coverage);
@@ -88,7 +94,7 @@
         let help = "Covered part of the index in the answers to searches";
         registry.register("answer_coverage", help, coverage.clone());
         let profiles = Mutex::default();
-        Metrics { registry, counters, claims, latency, coverage, gauges, profiles }
+        Metrics { registry, counters, claims, calls, latency, coverage, gauges, profiles }
     }
 
     /// Adds what a thread has counted.
@@ -111,6 +117,13 @@
         }
     }
 
+    /// Counts a call of the platform's service.
+    pub fn call(&self, call: Call) {
+        if let Some(counter) = self.calls.get(&call) {
+            counter.inc();
+        }
+    }
+
     /// Sets what `part` of this VM contributes to `gauge`.
     pub fn set(&self, gauge: Gauge, part: Part, value: i64) {
         if let Some(family) = self.gauges.get(&gauge) {
@@ -162,6 +175,15 @@
     counters
 }
 
+fn calls(registry: &mut Registry) -> BTreeMap<Call, Counter> {
+    let family: Family<Labels, Counter> = Family::default();
+    let counter =
+        |call: Call| family.get_or_create(&vec![("kind", call.as_str().to_owned())]).clone();
+    let calls = Call::ALL.iter().map(|&call| (call, counter(call))).collect();
+    registry.register("platform_calls", "Calls of the platform's service", family.clone());
+    calls
+}
+
 fn gauges(registry: &mut Registry) -> BTreeMap<Gauge, Family<Labels, Cell>> {
     let mut gauges = BTreeMap::new();
     for &gauge in Gauge::ALL {
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -65,7 +65,7 @@
         operators: shared.settings.operators.clone(),
         handle: shared.control.clone(),
         ready: shared.ready.clone(),
-        metrics: Arc::new(meter::Text(Arc::clone(&shared.metrics))),
+        metrics: Arc::new(shared.text()),
         shutdown: shared.stop.clone(),
     }));
     // Probes find out what a lost connection would tell.
@@ -75,6 +75,11 @@
         platform: Box::new(platform(shared)),
         messenger: Box::new(messenger::Wire::new(dialer)),
         journal: Box::new(Journal { writer: shared.writer.clone(), clock: Box::new(shared.clock) }),
+        meter: Box::new(meter::Control::new(
+            Arc::clone(&shared.metrics),
+            shared.writer.clone(),
+            shared.clock,
+        )),
     }
 }
 
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -1,27 +1,71 @@
 //! The metrics behind the borders of the threads.
+//!
+//! A gauge that needs a walk over rows is surveyed at most once in [`SURVEY`],
+//! so that no tick pays for it.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use laburnum_core::{
+    border::Clock,
+    control,
     count::{Counts, Sample},
-    traffic::{Answer, Body, Engine},
+    profile::WHOLE,
+    traffic::{Answer, Body, Engine, Tables},
+    view::State,
 };
 
 use crate::{
+    clock::System,
+    control::Meter as ControlMeter,
     front,
+    log::Writer,
     metric::{
         Metrics,
+        call::Call,
         gauge::{Gauge, Part},
     },
     traffic::Meter,
 };
 
+/// The least time between two surveys of the gauges of a thread.
+const SURVEY: Duration = Duration::from_secs(1);
+
+/// Tells when the gauges of a thread are due.
+#[derive(Default)]
+struct Survey {
+    last: Option<Instant>,
+}
+
+impl Survey {
+    fn is_due(&mut self) -> bool {
+        let now = Instant::now();
+        let is_due = self.last.is_none_or(|last| now.duration_since(last) >= SURVEY);
+        if is_due {
+            self.last = Some(now);
+        }
+        is_due
+    }
+}
+
 /// Adds what a traffic thread counts to the metrics of the VM.
 pub struct Thread {
-    /// The number of the thread.
-    pub number: u16,
-    /// The metrics of the VM.
-    pub metrics: Arc<Metrics>,
+    part: Part,
+    metrics: Arc<Metrics>,
+    survey: Survey,
+}
+
+impl Thread {
+    /// The meter of the traffic thread with this number.
+    pub fn new(number: u16, metrics: Arc<Metrics>) -> Thread {
+        Thread { part: Part::Traffic(number), metrics, survey: Survey::default() }
+    }
+
+    fn set(&self, gauge: Gauge, value: usize) {
+        self.metrics.set(gauge, self.part, signed(value));
+    }
 }
 
 impl Meter for Thread {
@@ -40,11 +84,85 @@
     }
 
     fn observe(&mut self, engine: &Engine) {
+        if !self.survey.is_due() {
+            return;
+        }
+        let tables = engine.tables();
+        self.set(Gauge::OpenRequests, tables.queries.len());
+        self.set(Gauge::AttemptsInFlight, tables.attempts.len());
+        self.set(Gauge::TargetConnections, tables.connections.len());
+        self.set(Gauge::QueuedLegs, queued(tables));
+        self.set(Gauge::Homes, tables.shards.values().filter(|shard| shard.home).count());
+        self.set(Gauge::FreeSlots, free_slots(tables));
+        self.set(Gauge::RetryBudget, budget(tables));
+        self.set(Gauge::Ready, usize::from(engine.is_ready()));
+    }
+}
+
+fn queued(tables: &Tables) -> usize {
+    tables.shards.values().map(|shard| shard.queue.len()).sum()
+}
+
+/// The free slots of the targets that take work.
+fn free_slots(tables: &Tables) -> usize {
+    let targets = tables.targets.values().filter(|target| !target.is_draining());
+    let free = targets.map(|target| target.slots.saturating_sub(target.in_use));
+    free.map(|slots| usize::try_from(slots).unwrap_or_default()).sum()
+}
+
+/// The extra attempts that the profiles have saved up.
+fn budget(tables: &Tables) -> usize {
+    let saved: u64 = tables.usages.values().map(|usage| usage.saved).sum();
+    usize::try_from(saved / u64::from(WHOLE)).unwrap_or(usize::MAX)
+}
+
+/// Adds what the control thread counts to the metrics of the VM.
+pub struct Control {
+    metrics: Arc<Metrics>,
+    writer: Writer,
+    clock: System,
+    survey: Survey,
+}
+
+impl Control {
+    /// The meter of the control thread.
+    pub fn new(metrics: Arc<Metrics>, writer: Writer, clock: System) -> Control {
+        Control { metrics, writer, clock, survey: Survey::default() }
+    }
+
+    fn set(&self, gauge: Gauge, value: usize) {
+        self.metrics.set(gauge, Part::Control, signed(value));
+    }
+}
+
+impl ControlMeter for Control {
+    fn count(&mut self, out: &control::Outbox) {
+        for (_, call) in &out.calls {
+            self.metrics.call(Call::from(call));
+        }
+        self.metrics.add_claims(&out.claims);
+    }
+
+    fn observe(&mut self, engine: &control::Engine) {
+        if !self.survey.is_due() {
+            return;
+        }
+        let now = self.clock.now();
+        self.writer.report(now);
         let tables = engine.tables();
-        let part = Part::Traffic(self.number);
-        self.metrics.set(Gauge::OpenRequests, part, signed(tables.queries.len()));
-        self.metrics.set(Gauge::TargetConnections, part, signed(tables.connections.len()));
-        self.metrics.set(Gauge::Ready, part, i64::from(engine.is_ready()));
+        let view = &tables.view;
+        let live = |state: State| state == State::Live;
+        let revision = usize::try_from(view.document.revision.0).unwrap_or(usize::MAX);
+        self.set(Gauge::Revision, revision);
+        self.set(Gauge::LiveVms, view.vms.values().filter(|vm| live(vm.state)).count());
+        let targets = view.targets.values().filter(|target| live(target.state));
+        self.set(Gauge::LiveTargets, targets.count());
+        self.set(Gauge::Quarantined, view.quarantine.len());
+        self.set(Gauge::Ready, usize::from(view.ready && !view.leaving));
+        if let Some(age) = tables.in_force.confirmed {
+            let age = usize::try_from(age.at(now).as_millis()).unwrap_or(usize::MAX);
+            self.set(Gauge::ViewAge, age);
+        }
     }
 }
 
@@ -53,10 +171,17 @@
 }
 
 /// Shows the metrics to the fronts.
-pub struct Text(pub Arc<Metrics>);
+pub struct Text {
+    /// The metrics of the VM.
+    pub metrics: Arc<Metrics>,
+    /// The writer of the log, which counts the lines that it lost.
+    pub writer: Writer,
+}
 
 impl front::probe::Metrics for Text {
     fn encode(&self) -> String {
-        self.0.text()
+        let lost = i64::try_from(self.writer.lost()).unwrap_or(i64::MAX);
+        self.metrics.set(Gauge::LogLost, Part::Log, lost);
+        self.metrics.text()
     }
 }
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -69,6 +69,13 @@
     ready: watch::Receiver<bool>,
 }
 
+impl Shared {
+    /// The metrics as the fronts show them.
+    fn text(&self) -> meter::Text {
+        meter::Text { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
+    }
+}
+
 /// A VM that runs.
 pub struct Vm {
     control: Handle,
@@ -174,7 +181,6 @@
     /// the other VMs have had time to learn of it, then finishes what is open.
     /// It returns false if something was still open after the limit.
     pub async fn leave(self) -> bool {
-        self.log(Event::Leaving);
         self.control.leave();
         sleep(self.settings.shutdown.announce).await;
         self.shutdown.send_replace(true);
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -62,7 +62,7 @@
         limits: limits::callers(&shared.settings),
         handle: Handle::new(inputs),
         ready: shared.ready.clone(),
-        metrics: Arc::new(meter::Text(Arc::clone(&shared.metrics))),
+        metrics: Arc::new(shared.text()),
         shutdown: shared.shutdown.clone(),
     }));
     let dialer = Dialer::new(own.clone(), shared.row.incarnation, key, wire_limits, losses);
@@ -86,10 +86,7 @@
                 writer: shared.writer.clone(),
                 clock: Box::new(shared.clock),
             }),
-            meter: Box::new(meter::Thread {
-                number: seed.number,
-                metrics: Arc::clone(&shared.metrics),
-            }),
+            meter: Box::new(meter::Thread::new(seed.number, Arc::clone(&shared.metrics))),
         },
         ready: seed.ready,
     };
--- a/tests/product/bed.rs
+++ b/tests/product/bed.rs
@@ -149,6 +149,13 @@
         self.runtime.block_on(self.caller.read(self.deployment.platform, path)).unwrap().body
     }
 
+    /// The metrics of the VM with this index.
+    pub fn metrics(&self, vm: usize) -> String {
+        let url = format!("http://{}/metrics", self.callers(vm));
+        let read = async { reqwest::get(url).await?.text().await };
+        self.runtime.block_on(read).unwrap()
+    }
+
     /// Waits until every VM takes the profile `name`.
     pub fn in_force(&self, name: &str) {
         for vm in 0..self.deployment.vms.len() {
--- a/tests/product/metric.rs
+++ b/tests/product/metric.rs
@@ -17,6 +17,8 @@
     gauge::{Gauge, Part},
 };
 
+use crate::{bed, page};
+
 fn name(text: &str) -> Name {
     Name::try_from(text).unwrap()
 }
@@ -41,7 +43,90 @@
     metrics
 }
 
+/// The families of a text of metrics, with their types.
+fn families(text: &str) -> BTreeSet<Vec<String>> {
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    types.map(|line| line.split(' ').map(str::to_owned).collect()).collect()
+}
+
+/// Metrics in which every family has a series.
+fn whole() -> Metrics {
+    let metrics = counted(&Count::all());
+    let mut counts = Counts::default();
+    counts.sample(sample("renewal"));
+    metrics.add(&counts);
+    metrics.add_claims(&BTreeMap::from([(claims::Count::Granted, 1)]));
+    Gauge::ALL.iter().for_each(|&gauge| metrics.set(gauge, Part::Control, 1));
+    metrics
+}
+
+/// The families that the operating page lists, with their types.
+fn listed() -> BTreeSet<Vec<String>> {
+    let row = |row: &Vec<String>| vec![row[0].trim_matches('`').to_owned(), row[1].clone()];
+    page::table("OPERATING.md", "## What to watch").iter().map(row).collect()
+}
+
+/// The metrics that an expression names, without the suffixes of series.
+fn named(expression: &str) -> BTreeSet<String> {
+    let is_part = |c: char| c.is_ascii_alphanumeric() || c == '_';
+    let words = expression.split(|c| !is_part(c)).filter(|word| word.starts_with("laburnum_"));
+    let suffixes = ["_total", "_bucket", "_count"];
+    let family = |word: &str| {
+        let found = suffixes.iter().find_map(|suffix| word.strip_suffix(suffix));
+        found.unwrap_or(word).to_owned()
+    };
+    words.map(family).collect()
+}
+
 cases! {
+    the_operating_page_lists_the_metrics => {
+        assert_eq!(listed(), families(&whole().text()));
+    };
+    the_operating_page_states_the_labels => {
+        let text = whole().text();
+        for row in page::table("OPERATING.md", "## What to watch") {
+            let (name, label) = (row[0].trim_matches('`'), row[2].trim_matches('`'));
+            let series = text.lines().filter(|line| line.starts_with(name));
+            let mut series = series.filter(|line| !label.is_empty() && line.contains('{'));
+            assert!(series.all(|line| line.contains(&format!("{label}=\""))), "{name}");
+        }
+    };
+    the_alerts_name_metrics_that_exist => {
+        let known: BTreeSet<String> = listed().into_iter().map(|row| row[0].clone()).collect();
+        let rows = page::table("OPERATING.md", "Alert on these");
+        assert!(rows.len() > 10);
+        for row in rows {
+            let found = named(&row[1]);
+            assert!(!found.is_empty() && found.is_subset(&known), "{found:?}");
+        }
+    };
+    a_vm_that_served_requests_shows_every_metric => {
+        let bed = bed::start(2);
+        bed.publish(bed::PROFILES);
+        bed.in_force("renewal");
+        let key = uuid::Uuid::now_v7().to_string();
+        let operation = serde_json::json!({
+            "profile": "renewal", "operation": "clearance", "subject": 7, "detail": "mast 12",
+        });
+        let mut shown: BTreeSet<Vec<String>> = BTreeSet::new();
+        for _ in 0..50 {
+            for vm in 0..2 {
+                let sent = bed.caller.operate(bed.callers(vm), &key, &operation);
+                bed.runtime.block_on(sent).unwrap();
+                shown.extend(families(&bed.metrics(vm)));
+            }
+            if shown == listed() {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        assert_eq!(shown, listed());
+        let text = bed.metrics(0);
+        assert!(text.contains("laburnum_ready{part=\"control\"} 1"), "{text}");
+        assert!(text.contains("laburnum_live_vms{part=\"control\"} 2"), "{text}");
+        assert!(text.contains("laburnum_live_targets{part=\"control\"} 4"), "{text}");
+        assert!(text.contains("laburnum_revision_in_force{part=\"control\"} 1"), "{text}");
+    };
     every_refusal_has_a_counter_from_the_start => {
         let metrics = Metrics::new();
         for kind in Kind::ALL {
--- a/tests/product/page.rs
+++ b/tests/product/page.rs
@@ -18,7 +18,8 @@
 }
 
 fn cells(line: &str) -> Vec<String> {
-    line.trim_matches('|').split(" | ").map(|cell| cell.trim().to_owned()).collect()
+    let line = line.trim().trim_start_matches('|').trim_end_matches('|').replace("\\|", "\u{0}");
+    line.split('|').map(|cell| cell.trim().replace('\u{0}', "|")).collect()
 }
 
 /// Holds the first columns of a table against what the code lists, both ways.
