Add the load tool: open loop, seeded arrivals, schemes side by side

Each VM of a local deployment has a loopback address of its own: with 16 VMs on one address, ports that were freed for one VM went to connections of another before it started, and the deployment did not start.

--- /dev/null
+++ b/src/load/cost.rs
@@ -0,0 +1,1 @@
+//! The cost of the tier itself: the real engine without sockets.
--- /dev/null
+++ b/src/load/scheme.rs
@@ -0,0 +1,54 @@
+//! The ways to route, limit and hedge that are compared.
+
+use laburnum_core::traffic::policy::{
+    self, Adaptive, Direct, Exact, HEDGE_QUANTILE, Hedge, Home, LeastExpected, Never, Policies,
+    Quantile, Route, Share, Slots,
+};
+
+/// A set of policies under a name.
+#[derive(Clone, Copy, Debug)]
+pub struct Scheme {
+    /// The name on the command line.
+    pub name: &'static str,
+    /// Makes the policies of a thread.
+    pub policies: policy::Make,
+}
+
+/// Every scheme; the first is the product.
+pub const SCHEMES: &[Scheme] = &[
+    Scheme { name: "homes", policies: Policies::default },
+    Scheme { name: "homes-no-hedge", policies: || make(Home, Exact, Never) },
+    Scheme { name: "share", policies: || make(Direct, Share, hedge()) },
+    Scheme { name: "share-no-hedge", policies: || make(Direct, Share, Never) },
+    Scheme { name: "adaptive", policies: || make(Direct, Adaptive::default(), hedge()) },
+    Scheme { name: "adaptive-no-hedge", policies: || make(Direct, Adaptive::default(), Never) },
+];
+
+fn hedge() -> Quantile {
+    Quantile { part: HEDGE_QUANTILE }
+}
+
+fn make(
+    route: impl Route + Send + 'static,
+    slots: impl Slots + Send + 'static,
+    hedge: impl Hedge + Send + 'static,
+) -> Policies {
+    Policies {
+        route: Box::new(route),
+        slots: Box::new(slots),
+        hedge: Box::new(hedge),
+        choice: Box::new(LeastExpected),
+    }
+}
+
+impl Scheme {
+    /// The scheme with this name.
+    pub fn named(name: &str) -> Option<Scheme> {
+        SCHEMES.iter().find(|scheme| scheme.name == name).copied()
+    }
+
+    /// Whether each VM goes to the targets on its own.
+    pub fn is_baseline(&self) -> bool {
+        !self.name.starts_with("homes")
+    }
+}
--- a/src/local/caller.rs
+++ b/src/local/caller.rs
@@ -80,6 +80,12 @@
         self.send(reqwest::Method::PUT, vm, "/v1/profiles", &headers, &body).await
     }
 
+    /// Reads a text of an operator's address.
+    pub async fn text(&self, address: SocketAddr, path: &str) -> reqwest::Result<String> {
+        let request = self.client.get(format!("http://{address}{path}")).bearer_auth(TOKEN);
+        request.send().await?.text().await
+    }
+
     /// Reads a document of an operator's or administration address.
     pub async fn read(&self, address: SocketAddr, path: &str) -> reqwest::Result<Reply> {
         let token = format!("Bearer {TOKEN}");
--- a/src/local/demo.rs
+++ b/src/local/demo.rs
@@ -60,12 +60,7 @@
 pub async fn run(print: &dyn Fn(&str)) -> Result<Vec<Finding>, Report<Error>> {
     let name = Name::try_from(INDEX).change_context_lazy(|| step("the index has no name"))?;
     let index = Index { name, shards: 4, replicas: 2, target: Raw::default() };
-    let plan = Plan {
-        vms: 3,
-        indexes: vec![index.clone()],
-        hosts: 1,
-        policies: Policies::default,
-    };
+    let plan = Plan { vms: 3, indexes: vec![index.clone()], hosts: 1, policies: Policies::default };
     let deployment =
         super::start(&plan).change_context_lazy(|| step("the deployment did not start"))?;
     print(&format!(
--- a/src/local/place.rs
+++ b/src/local/place.rs
@@ -1,6 +1,6 @@
 //! Where a VM of a local deployment listens.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 
 use error_stack::{Report, ResultExt};
 use laburnum_core::{
@@ -32,13 +32,17 @@
 
 /// Finds free ports for the VM with this number.
 ///
-/// The ports are held until all four are known, so that they differ.
+/// Each VM has a loopback address of its own, so that no connection of another
+/// one takes a port between this call and the start of the VM. The ports are
+/// held until all four are known, so that they differ.
 pub fn free(number: u32) -> Result<Place, Report<Error>> {
+    let [_, _, high, low] = number.to_be_bytes();
+    let [_, _, _, process] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, process | 1, high, low);
     let mut held = Vec::new();
     let mut addresses = Vec::new();
     for _ in 0..4 {
-        let listener =
-            TcpListener::bind("127.0.0.1:0").change_context_lazy(|| failed("a listener"))?;
+        let listener = TcpListener::bind((host, 0)).change_context_lazy(|| failed("a listener"))?;
         addresses.push(listener.local_addr().change_context_lazy(|| failed("a listener"))?);
         held.push(listener);
     }
