--- a/src/local/place.rs
+++ b/src/local/place.rs
@@ -1,13 +1,19 @@
 //! Where a VM of a local deployment listens.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    ops::RangeInclusive,
+    sync::{
+        LazyLock,
+        atomic::{AtomicU32, Ordering},
+    },
+};
 
 use error_stack::{Report, ResultExt};
 use laburnum_core::{
     name::Name,
     view::{State, Vm},
 };
-
 use sha2::{Digest, Sha256};
 
 use super::{DOMAINS, TOKEN, failed, name};
@@ -30,19 +36,21 @@
     pub traffic: SocketAddr,
 }
 
+/// The ports that are tried. They lie below those that systems give to outgoing
+/// connections, one of which could take a free port before the VM does.
+const PORTS: RangeInclusive<u16> = 10_000..=32_000;
+
+/// The ports that are tried before it is given up to find a free one.
+const MAX_TRIES: usize = 1000;
+
 /// Finds free ports for the VM with this number.
 ///
-/// Each VM has a loopback address of its own, so that no connection of another
-/// one takes a port between this call and the start of the VM. The ports are
-/// held until all four are known, so that they differ.
+/// The ports are held until all four are known, so that they differ.
 pub fn free(number: u32) -> Result<Place, Report<Error>> {
-    let [_, _, high, low] = number.to_be_bytes();
-    let [_, _, _, process] = std::process::id().to_be_bytes();
-    let host = Ipv4Addr::new(127, process | 1, high, low);
     let mut held = Vec::new();
     let mut addresses = Vec::new();
     for _ in 0..4 {
-        let listener = TcpListener::bind((host, 0)).change_context_lazy(|| failed("a listener"))?;
+        let listener = listen()?;
         addresses.push(listener.local_addr().change_context_lazy(|| failed("a listener"))?);
         held.push(listener);
     }
@@ -56,6 +64,22 @@
     })
 }
 
+/// Listens on a port that is free now and that this process did not try before,
+/// so that no two VMs of it are given the same one.
+fn listen() -> Result<TcpListener, Report<Error>> {
+    let found = (0..MAX_TRIES).find_map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, next())).ok());
+    found.ok_or_else(|| Report::new(failed("a listener on a free port")))
+}
+
+/// The next port to try. The first one is random, because other processes look
+/// for ports as well.
+fn next() -> u16 {
+    static TRIED: LazyLock<AtomicU32> = LazyLock::new(|| AtomicU32::new(rand::random()));
+    let count = u32::from(PORTS.end() - PORTS.start());
+    let tried = TRIED.fetch_add(1, Ordering::Relaxed) % count;
+    PORTS.start() + u16::try_from(tried).unwrap_or_default()
+}
+
 impl Place {
     /// What the platform lists.
     pub fn row(&self) -> Vm {
