Tie the age of a target's word to the interval of its reads

Cause: work is sent only to a target heard within a limit; with a longer interval in the settings no target would ever be fresh. The limit follows the interval, and the interval is at most a second, since a target that is leaving gets no new work after two.

--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -67,7 +67,8 @@
 pub struct Targets {
     /// The time in which a connection must open.
     pub open_limit: Duration,
-    /// The time between two readings of a target's status.
+    /// The time between two readings of a target's status, at most a second, so
+    /// that a target which is leaving gets no new work after two.
     pub probe_interval: Duration,
     /// The time within which a target must answer a reading of its status on a
     /// connection, or the connection counts as silent.
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -7,12 +7,17 @@
     wire,
 };
 
+/// The reads of a target's status that may go missing before its word that it
+/// takes work is too old to act on.
+const PROBES_MISSED: u32 = 2;
+
 /// The limits of a traffic thread.
 pub fn traffic(settings: &Settings) -> traffic::Limits {
     traffic::Limits {
         open_requests: size(share(settings, settings.callers.open_requests)),
         open: settings.targets.open_limit,
         poll: settings.targets.probe_interval,
+        fresh: settings.targets.probe_interval * PROBES_MISSED,
         silent: settings.targets.silent_after,
         connections: settings.targets.connections,
         lost_targets: size(settings.quarantine.lost_targets),
