Ask seeds from the settings at the start; pass over claim homes that are gone

Cause: a VM that starts while the platform's service is down knew no other VM, although the engine can ask seeds; the settings had none. And the engine of the claims learnt only from traffic threads that a VM is unreachable, so a claim or outcome sent to a home that probes found suspect waited for its own time limit.

--- a/crates/core/src/control/system/member.rs
+++ b/crates/core/src/control/system/member.rs
@@ -2,6 +2,7 @@
 
 use super::pause;
 use crate::{
+    claims,
     control::{
         engine::Step,
         message::{Contact, Health, Member},
@@ -138,6 +139,10 @@
 }
 
 fn changed(tables: &mut Tables, vm: &Name, health: Health) {
+    if health != Health::Live {
+        // What waits for its answer as home of a claim goes to the next one.
+        tables.claims.events.push(claims::Event::Unreachable { vm: vm.clone() });
+    }
     tables.vms.index(vm, health);
     tables.changed = true;
 }
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -1,15 +1,21 @@
 //! Settings of the control thread: membership, claims, quarantine, shutdown,
 //! log.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use laburnum_core::{
     claims,
     control::{Limits, codec::MAX_VALUE},
+    name::Name,
     traffic,
 };
+use toml::{Spanned, de::DeValue};
 
-use super::{document::Document, section::up_to, size::KIB};
+use super::{
+    document::Document,
+    section::{Section, up_to},
+    size::KIB,
+};
 
 /// The default of [`Shutdown::limit`].
 pub const SHUTDOWN_LIMIT: Duration = Duration::from_secs(65);
@@ -41,6 +47,31 @@
     /// The time without a word of a VM or the service after which this VM is
     /// not ready.
     pub unready_after: Duration,
+    /// VMs that are asked when the platform's list cannot be read, so that a VM
+    /// can start during an outage of the service.
+    pub seeds: Vec<Seed>,
+}
+
+/// A VM that is asked at the start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seed {
+    /// Its name.
+    pub name: Name,
+    /// Where its control thread listens.
+    pub control: SocketAddr,
+}
+
+fn seed<'i>(
+    document: &mut Document<'i>,
+    path: String,
+    line: usize,
+    item: Spanned<DeValue<'i>>,
+) -> Option<Seed> {
+    let mut section: Section<'_, 'i> = document.open(path, line, item);
+    let name = section.name("name");
+    let control = section.address("control");
+    section.finish();
+    Some(Seed { name: name?, control: control? })
 }
 
 impl Membership {
@@ -48,7 +79,8 @@
         let limits = Limits::default();
         let (indirect, watchers) = (count(limits.indirect), count(limits.watchers));
         let mut section = document.section("membership");
-        let membership = Membership {
+        let items = section.tables("seeds");
+        let mut membership = Membership {
             probe_interval: section.millis("probe_interval_ms", limits.probe, up_to(60)),
             probe_limit: section.millis("probe_limit_ms", limits.ack, up_to(60)),
             indirect_probes: section.count("indirect_probes", indirect, 0..=16),
@@ -57,8 +89,12 @@
             watchers: section.count("watchers", watchers, 1..=16),
             stale_after: section.millis("stale_after_ms", limits.stale, up_to(600)),
             unready_after: section.millis("unready_after_ms", limits.isolation, up_to(86_400)),
+            seeds: Vec::new(),
         };
         section.finish();
+        let seeds =
+            items.into_iter().filter_map(|(path, line, item)| seed(document, path, line, item));
+        membership.seeds = seeds.collect();
         membership
     }
 }
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -40,7 +40,7 @@
 pub fn spawn(shared: Shared, seed: Seed) -> io::Result<thread::JoinHandle<()>> {
     let setup = Setup {
         vm: shared.row.clone(),
-        seeds: Vec::new(),
+        seeds: limits::seeds(&shared.settings),
         limits: limits::control(&shared.settings),
         claims: limits::claims(&shared.settings),
         seed: rand::random(),
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -1,6 +1,8 @@
 //! The limits of the decisions, from the settings.
 
-use laburnum_core::{claims, control, traffic};
+use std::net::SocketAddr;
+
+use laburnum_core::{claims, control, name::Name, traffic};
 
 use crate::{
     settings::{Settings, traffic::Callers},
@@ -59,6 +61,12 @@
     }
 }
 
+/// The VMs that the control thread asks at the start.
+pub fn seeds(settings: &Settings) -> Vec<(Name, SocketAddr)> {
+    let seeds = settings.membership.seeds.iter();
+    seeds.map(|seed| (seed.name.clone(), seed.control)).collect()
+}
+
 /// The limits of the claims.
 pub fn claims(settings: &Settings) -> claims::Limits {
     claims::Limits {
--- a/tests/product/limits.rs
+++ b/tests/product/limits.rs
@@ -72,6 +72,7 @@
     ("membership.watchers", "7", Part::Control),
     ("membership.stale_after_ms", "7", Part::Control),
     ("membership.unready_after_ms", "7000", Part::Control),
+    ("membership.seeds", "[{ name = \"c\", control = \"127.0.0.1:17\" }]", Part::Seeds),
     ("claims.window_ms", "70000", Part::Claims),
     ("claims.value_limit_bytes", "\"128 KiB\"", Part::Claims),
     ("claims.future_ms", "7", Part::Claims),
@@ -113,6 +114,8 @@
     Wire,
     /// The decisions of the control thread.
     Control,
+    /// The VMs that are asked at the start.
+    Seeds,
     /// The decisions on claims.
     Claims,
     /// How the VM leaves.
@@ -134,6 +137,7 @@
         Part::Traffic => format!("{:?}", limits::traffic(settings)),
         Part::Wire => format!("{:?}", limits::wire(settings)),
         Part::Control => format!("{:?}", limits::control(settings)),
+        Part::Seeds => format!("{:?}", limits::seeds(settings)),
         Part::Claims => format!("{:?}", limits::claims(settings)),
         Part::Shutdown => format!("{:?}", settings.shutdown),
         Part::Log => format!("{:?}", settings.log),
