Test the service, the targets, crashing requests and publications

Each case breaks one thing under the steady load: the platform's service down in three ways or losing answers of writes, targets killed, draining or silent, requests that crash targets, publications that race or lose their answers.

--- a/tests/process/load.rs
+++ b/tests/process/load.rs
@@ -77,6 +77,11 @@
     }
 }
 
+/// The searches of a load.
+pub fn searches(records: &[Record]) -> Vec<Record> {
+    records.iter().filter(|record| record.operation().is_none()).cloned().collect()
+}
+
 /// The VMs that are ready, as a balancer sees them.
 type Ready = Arc<Mutex<BTreeSet<usize>>>;
 
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -14,3 +14,7 @@
 
 mod path;
 mod vm;
+mod store;
+mod target;
+mod poison;
+mod publish;
