--- a/crates/core/src/control/system/member.rs
+++ b/crates/core/src/control/system/member.rs
@@ -144,12 +144,13 @@
 
 fn note(step: &mut Step<'_>, member: &Member) {
     let event = match member.health {
+        Health::Live if member.leaving => Event::VmLeaving,
         Health::Live => Event::VmLive,
         Health::Suspect => Event::VmSuspect,
         Health::Gone => Event::VmGone,
     };
     let fields = vec![
-        ("vm", member.vm.to_string()),
+        ("peer", member.vm.to_string()),
         ("incarnation", member.incarnation.to_string()),
         ("leaving", member.leaving.to_string()),
     ];
--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -105,7 +105,8 @@
     profile: &Name,
     fingerprint: impl FnOnce(&Profile) -> Fingerprint,
 ) -> Result<(Profile, Fingerprint), Fault> {
-    if !cx.view.ready {
+    let is_serving = cx.view.ready || (cx.view.leaving && tables.informed);
+    if !is_serving {
         return Err(Fault::not_run(Kind::NotReady, format!("VM {} is not ready", cx.view.vm)));
     }
     if tables.queries.len() >= cx.limits.open_requests {
@@ -168,9 +169,8 @@
 fn refuse(call: Call, query: id::Query, profile: Name, fault: Fault, out: &mut Outbox) {
     out.count(Count::Requests);
     out.count(Count::Refused(fault.kind));
-    let mut line = Line::new(log::Event::Refused, vec![("kind", fault.kind.to_string())]);
-    line.query = Some(query);
-    out.lines.push(line);
+    let fields = vec![("kind", fault.kind.to_string())];
+    out.lines.push(Line::of(query, log::Event::Refused, fields));
     let took = Duration::ZERO;
     out.answers.push((call, Answer { query, body: Body::Refused(fault), profile, took }));
 }
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -124,9 +124,8 @@
         self.borders.meter.count(&out);
         self.flush(out);
         self.borders.meter.observe(&self.engine);
-        if self.engine.leaving() && self.engine.idle(self.threads.len()) {
-            self.idle.send_replace(true);
-        }
+        let is_idle = self.engine.leaving() && self.engine.idle(self.threads.len());
+        self.idle.send_if_modified(|idle| std::mem::replace(idle, is_idle) != is_idle);
     }
 
     fn flush(&mut self, out: Outbox) {
