--- a/crates/core/src/traffic/system/answer.rs
+++ b/crates/core/src/traffic/system/answer.rs
@@ -113,9 +113,8 @@
         Body::Done { .. } => out.count(Count::Complete),
         Body::Refused(fault) => {
             out.count(Count::Refused(fault.kind));
-            let mut line = Line::new(log::Event::Refused, vec![("kind", fault.kind.to_string())]);
-            line.query = Some(id);
-            out.lines.push(line);
+            let fields = vec![("kind", fault.kind.to_string())];
+            out.lines.push(Line::of(id, log::Event::Refused, fields));
         }
     }
 }
--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -249,9 +249,8 @@
     out.reports.push(Report::Suspect { fingerprint, query, target });
     if suspect.targets.len() == cx.limits.lost_targets {
         out.reports.push(Report::Condemned { fingerprint, origin: cx.ids.origin() });
-        let mut line = Line::new(Event::RequestCondemned, Vec::new());
-        line.query = Some(query);
-        out.lines.push(line);
+        let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
+        out.lines.push(Line::of(query, Event::RequestCondemned, fields));
     }
 }
 
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -6,6 +6,7 @@
     count::{Count, Retry},
     fault::{Kind, Ran},
     id,
+    log::{Event, Line},
     message::{self, Outcome},
     target::Command,
     traffic::{
@@ -157,6 +158,14 @@
 }
 
 fn reply(tables: &mut Tables, cx: &Context, job: &Job, outcome: Outcome, out: &mut Outbox) {
+    if let Outcome::Failed { kind, ran, .. } = &outcome {
+        let fields = vec![
+            ("shard", job.shard.shard.to_string()),
+            ("kind", kind.to_string()),
+            ("ran", ran.as_str().to_owned()),
+        ];
+        out.lines.push(Line::of(job.leg.query, Event::LegFailed, fields));
+    }
     let reply = message::Reply {
         leg: job.leg.leg,
         outcome,
@@ -221,6 +230,9 @@
     }
     out.count(Count::Retried(reason));
     let Some(job) = tables.jobs.get_mut(&id) else { return };
+    let fields =
+        vec![("shard", job.shard.shard.to_string()), ("reason", reason.as_str().to_owned())];
+    out.lines.push(Line::of(job.leg.query, Event::Retried, fields));
     if let Some(shard) = tables.shards.get_mut(&job.shard) {
         job.place = Some(shard.requeue(id));
         tables.to_dispatch.insert(job.shard.clone());
--- a/tests/product/main.rs
+++ b/tests/product/main.rs
@@ -6,6 +6,7 @@
 mod bed;
 mod cli;
 mod deployment;
+mod event;
 mod limits;
 mod log;
 mod metric;
