--- a/crates/core/src/control/system/compare.rs
+++ b/crates/core/src/control/system/compare.rs
@@ -1,6 +1,8 @@
 //! Compares soft state with another VM now and then, so that news which did not
 //! arrive while two VMs could not reach each other arrives later.
 
+use std::time::Duration;
+
 use xxhash_rust::xxh3::Xxh3;
 
 use super::spread;
@@ -16,12 +18,22 @@
 /// The most items of one sort in a message with soft state.
 const MAX_ITEMS: usize = 256;
 
+/// The time between two comparisons of a VM that is new or was paused.
+const FIRST: Duration = Duration::from_millis(100);
+
+/// The time for which a VM counts as new.
+const NEW: Duration = Duration::from_secs(3);
+
 /// Sends the digest of the soft state to one VM when it is due.
+///
+/// A VM that is new may be the home of a shard before it has heard which
+/// requests are held back, so it compares more often at first.
 pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
     if step.now < tables.vms.compare {
         return;
     }
-    tables.vms.compare = step.now + step.limits.sync;
+    let is_new = step.now.since(tables.own.since) < NEW;
+    tables.vms.compare = step.now + if is_new { FIRST } else { step.limits.sync };
     let digest = digest(tables);
     for vm in spread::pick(tables, 1, None) {
         spread::post(tables, step, &vm, Body::Compare { digest });
--- a/crates/core/src/control/system/pause.rs
+++ b/crates/core/src/control/system/pause.rs
@@ -30,7 +30,8 @@
 
 fn start(tables: &mut Tables, step: &mut Step<'_>) {
     tables.own.heard = step.now;
-    tables.vms.compare = step.now + step.limits.sync;
+    tables.own.since = step.now;
+    tables.vms.compare = step.now;
     tables.news.add(Key::Member(tables.own.vm.name.clone()));
 }
 
@@ -38,8 +39,10 @@
 /// not ready until the revision and the list are confirmed again.
 pub fn resume(tables: &mut Tables, step: &mut Step<'_>, cause: &str) {
     let own = &mut tables.own;
+    own.since = step.now;
     own.vm.incarnation = (own.vm.incarnation + 1).max(step.wall.0);
     unlearn(tables, step.now);
+    tables.vms.compare = step.now;
     tables.news.add(Key::Member(tables.own.vm.name.clone()));
     let incarnation = tables.own.vm.incarnation.to_string();
     let fields = vec![("cause", cause.to_owned()), ("incarnation", incarnation)];
--- a/crates/core/src/control/table/own.rs
+++ b/crates/core/src/control/table/own.rs
@@ -14,6 +14,8 @@
 pub struct Own {
     /// What other VMs are told.
     pub vm: view::Vm,
+    /// When it started, or went on after a pause.
+    pub since: Instant,
     /// When the last step was run.
     pub stepped: Option<(Instant, Wall)>,
     /// Whether the highest revision was learnt since the start or the last pause.
@@ -34,6 +36,7 @@
     pub fn new(vm: view::Vm) -> Own {
         Own {
             vm,
+            since: Instant::default(),
             stepped: None,
             learnt: false,
             witnesses: BTreeSet::new(),
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -69,7 +69,8 @@
         Some(Outcome::Failed { kind, ran: Ran::No, detail: detail.to_owned() })
     };
     if !tables.shards.contains_key(&job.shard) {
-        return refused(Kind::Unavailable, "the home knows no target of the shard");
+        // It may have started a moment ago; the next home is asked.
+        return refused(Kind::NotReady, "the home knows no target of the shard");
     }
     if cx.paused && !job.is_idempotent() {
         // The leg may have waited in a buffer for longer than its deadline.
--- a/crates/core/tests/rules/found.rs
+++ b/crates/core/tests/rules/found.rs
@@ -143,7 +143,40 @@
     assert_eq!(world.targets.started[" for one"], 1);
 }
 
+/// Seed 23 of the whole VMs: a home that has just started knows no target.
+fn search_beside_a_new_home() {
+    let mut world = World::whole(3, 3, 2);
+    let home = world.home_of(1);
+    let entry = world.stranger_to(1);
+    world.replace_vm(home.as_str());
+    let call = world.search(entry.as_str(), WHOLE, " for one");
+    world.run(1100 * MS);
+    assert!(world.found(call).missing.is_empty());
+}
+
+/// Seed 2 of the whole VMs: a home that has started anew crashed a third target.
+fn new_home_holds_back() {
+    let mut world = World::whole(4, 3, 3);
+    for replica in 0..3 {
+        world.targets.get(1, replica).poison = Some(POISON.into());
+    }
+    world.search("vm-1", ANY, POISON);
+    world.run(2000 * MS);
+    assert_eq!(crashed(&world), 2);
+    let home = world.home_of(1);
+    world.kill_vm(home.as_str());
+    world.run(4000 * MS);
+    world.replace_vm(home.as_str());
+    world.run(1000 * MS);
+    let call = world.search(home.as_str(), ANY, POISON);
+    world.run(1100 * MS);
+    assert_eq!(refusal(&world, call), (Kind::Quarantined, Ran::No));
+    assert_eq!(crashed(&world), 2);
+}
+
 cases! {
+    a_search_beside_a_home_that_just_started_is_whole => search_beside_a_new_home();
+    a_home_that_just_started_knows_what_is_held_back => new_home_holds_back();
     a_search_that_is_held_back_beside_legs_that_ran_ran => held_back_beside_legs_that_ran();
     copies_of_a_poison_request_in_flight_stop_after_two_targets => copies_in_flight();
     a_new_home_knows_of_targets_that_others_lost => next_home_knows_the_loss();
--- a/crates/core/tests/world/content.rs
+++ b/crates/core/tests/world/content.rs
@@ -5,6 +5,7 @@
 use laburnum_core::{
     digest,
     key::Range,
+    name::Name,
     target::{Outcome, Row, Version, Work},
 };
 
@@ -76,3 +77,8 @@
     let count = if fault == Some(Fault::Cut) { count } else { found.len() as u64 };
     Outcome::Rows { version: read, range, rows: found, count, digest }
 }
+
+/// The name of a target.
+pub fn target_name(shard: u64, replica: u64) -> Name {
+    super::name(&format!("target-{shard}-{replica}"))
+}
