--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -6,4 +6,5 @@
 mod world;
 mod key;
 mod search;
+mod traffic_load;
 mod operation;
