--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -2,9 +2,11 @@
 
 #[macro_use]
 mod case;
+#[allow(dead_code, reason = "each test crate uses a part of the world")]
 #[path = "../world/mod.rs"]
 mod world;
 mod key;
 mod search;
 mod traffic_load;
 mod operation;
+mod found;
