--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -7,5 +7,6 @@
 mod world;
 mod key;
 mod search;
+mod traffic_load;
 mod operation;
 mod found;
