--- a/crates/core/tests/rules/traffic_load.rs
+++ b/crates/core/tests/rules/traffic_load.rs
@@ -163,7 +163,7 @@
 fn legs_live_or_die_together() {
     let mut world = World::new(3, 4, 2);
     terms(&mut world, 0, 10);
-    for (_, target) in &mut world.targets.rows {
+    for target in world.targets.rows.values_mut() {
         target.sheds = target.shard == 1;
         target.service = 400 * MS;
     }
