Try a search at one shard before it goes to all

Cause: the legs of a search go to all shards at once, so a search that crashes every target took one target of each shard before anything could hold it back. Seen in search_that_crashes_every_target over separate processes: 3 or 4 targets crashed, 2 are allowed.

A search whose text was not answered lately at the pinned version is tried at one shard; a profile may turn that off. Ruled out: waiting for a first crash.

Before: a_search_that_crashes_every_target_stops_after_two failed, more than two targets crashed. A text that was answered is not tried again (a_search_that_was_answered_is_not_tried_again).

--- a/crates/core/src/control/request.rs
+++ b/crates/core/src/control/request.rs
@@ -215,7 +215,7 @@
     vec![Difference { profile: name.clone(), field: None, before, after }]
 }
 
-fn fields(profile: &Profile) -> [(&'static str, String); 8] {
+fn fields(profile: &Profile) -> [(&'static str, String); 9] {
     let raw = Raw::from(profile.clone());
     [
         ("team", raw.team),
@@ -226,5 +226,6 @@
         ("extra_load_ppm", raw.extra_load_ppm.to_string()),
         ("concurrency", raw.concurrency.to_string()),
         ("priority", raw.priority.to_string()),
+        ("canary", raw.canary.to_string()),
     ]
 }
--- a/crates/core/src/profile.rs
+++ b/crates/core/src/profile.rs
@@ -41,6 +41,9 @@
     pub concurrency: u32,
     /// Its share of the slots relative to other profiles under overload.
     pub priority: u32,
+    /// Whether a search that was not answered lately is tried at one shard
+    /// before it goes to all, so that one which crashes targets crashes few.
+    pub canary: bool,
 }
 
 /// A profile as it stands in a document, before it is checked.
@@ -68,6 +71,14 @@
     pub concurrency: u32,
     /// See [`Profile::priority`].
     pub priority: u32,
+    /// See [`Profile::canary`].
+    #[serde(default = "default_canary")]
+    pub canary: bool,
+}
+
+/// The value of [`Profile::canary`] where a profile states none.
+pub fn default_canary() -> bool {
+    true
 }
 
 /// Why a raw profile was refused: the key at fault and what is allowed.
@@ -109,6 +120,7 @@
             extra_load: raw.extra_load_ppm,
             concurrency: raw.concurrency,
             priority: raw.priority,
+            canary: raw.canary,
         })
     }
 }
@@ -124,6 +136,7 @@
             extra_load_ppm: profile.extra_load,
             concurrency: profile.concurrency,
             priority: profile.priority,
+            canary: profile.canary,
         }
     }
 }
--- a/crates/core/src/traffic/system/answer.rs
+++ b/crates/core/src/traffic/system/answer.rs
@@ -44,10 +44,16 @@
     let call = query.call;
     let profile = query.profile.clone();
     let took = cx.now.since(query.arrived);
+    let fingerprint = query.fingerprint;
     let body = match &query.task {
         Task::Search(_) => found(query, is_waiting, cx),
         Task::Operation(operation) => done(tables, id, &query, operation),
     };
+    if let Body::Found(found) = &body
+        && !is_waiting
+    {
+        tables.proven.insert(fingerprint, found.version);
+    }
     note(id, &body, out);
     out.answers.push((call, Answer { query: id, body, profile, took }));
 }
--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -54,6 +54,7 @@
         covered: Set::new(),
         rows: Vec::new(),
         plans: 0,
+        trial: None,
         fault: None,
     });
     let asked = search.deadline;
--- a/crates/core/src/traffic/system/merge.rs
+++ b/crates/core/src/traffic/system/merge.rs
@@ -12,11 +12,15 @@
         system::leg,
         table::{
             Leg,
-            query::{Settled, Stage, Task},
+            query::{Search, Settled, Stage, Task},
         },
     },
 };
 
+/// The trials of a search, before it goes to all shards, that may end without
+/// an answer though they ran.
+const MOST_TRIALS: u32 = 2;
+
 /// Merges the replies in the order in which they came.
 pub fn run(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
     for reply in std::mem::take(&mut tables.replies) {
@@ -79,6 +83,10 @@
             }
             search.covered.insert(range);
             search.rows.extend(rows);
+            if search.trial.take().is_some() {
+                // A target has answered it: now it goes to the rest.
+                tables.to_plan.insert(leg.query);
+            }
         }
         Outcome::Moved { .. } => {
             tables.to_plan.insert(leg.query);
@@ -87,8 +95,23 @@
             search.fault = Some(Fault { kind: Kind::Quarantined, ran, detail });
             tables.to_answer.insert(leg.query);
         }
-        Outcome::Failed { .. } | Outcome::Done { .. } => {}
+        Outcome::Failed { ran, .. } => {
+            if may_try_again(search, ran) {
+                tables.to_plan.insert(leg.query);
+            }
+        }
+        Outcome::Done { .. } => {}
+    }
+}
+
+/// Whether a search whose trial at one shard failed is tried at another. Each
+/// trial that ran may have cost a target.
+fn may_try_again(search: &mut Search, ran: Ran) -> bool {
+    let Some(trials) = &mut search.trial else { return false };
+    if ran != Ran::No {
+        *trials += 1;
     }
+    *trials < MOST_TRIALS
 }
 
 fn settle_operation(tables: &mut Tables, leg: &Leg, outcome: Outcome, out: &mut Outbox) {
--- a/crates/core/src/traffic/system/plan.rs
+++ b/crates/core/src/traffic/system/plan.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use rand::RngExt;
+
 use crate::{
     count::Count,
     fault::{Fault, Kind},
@@ -47,9 +49,11 @@
 fn begin(tables: &mut Tables, cx: &mut Context, id: id::Query, out: &mut Outbox) {
     match first_plan(tables, cx, id) {
         Ok((version, parts)) => {
-            if let Some(search) = search_mut(tables, id) {
-                search.version = Some(version);
-            }
+            let is_cautious = parts.len() > 1 && is_cautious(tables, id, version);
+            let Some(search) = search_mut(tables, id) else { return };
+            search.version = Some(version);
+            search.trial = is_cautious.then_some(0);
+            let parts = if is_cautious { canary(cx, parts) } else { parts };
             send(tables, cx, id, version, parts, out);
         }
         Err(fault) => {
@@ -61,6 +65,19 @@
     }
 }
 
+/// Whether a search has to be tried at one shard before it goes to all.
+fn is_cautious(tables: &Tables, id: id::Query, version: Version) -> bool {
+    tables.queries.get(&id).is_some_and(|query| {
+        query.terms.canary && !tables.proven.contains(query.fingerprint, version)
+    })
+}
+
+/// Picks the one part at which a search is tried.
+fn canary(cx: &mut Context, mut parts: Vec<Part>) -> Vec<Part> {
+    let chosen = cx.random.random_range(0..parts.len());
+    vec![parts.swap_remove(chosen)]
+}
+
 /// The parts of the best plan that can be answered in time.
 fn first_plan(tables: &Tables, cx: &Context, id: id::Query) -> Result<(Version, Vec<Part>), Fault> {
     let unavailable = |detail: String| Fault::not_run(Kind::Unavailable, detail);
@@ -129,7 +146,9 @@
     } else if plan.parts.is_empty() {
         answer_if_idle(tables, id);
     } else {
-        send(tables, cx, id, version, plan.parts, out);
+        let is_trial = search.trial.is_some();
+        let parts = if is_trial { canary(cx, plan.parts) } else { plan.parts };
+        send(tables, cx, id, version, parts, out);
     }
 }
 
--- a/crates/core/src/traffic/table/mod.rs
+++ b/crates/core/src/traffic/table/mod.rs
@@ -1,5 +1,6 @@
 //! The tables of a traffic thread: rows keyed by small typed ids.
 
+pub mod proven;
 pub mod query;
 pub mod leg;
 pub mod link;
@@ -20,8 +21,8 @@
 
 pub use self::{
     attempt::Attempt, connection::Connection, index::Index, job::Job, latency::Latency, leg::Leg,
-    link::Link, query::Query, shard::Shard, suspect::Suspect, target::Target, timer::Timers,
-    usage::Usage,
+    link::Link, proven::Proven, query::Query, shard::Shard, suspect::Suspect, target::Target,
+    timer::Timers, usage::Usage,
 };
 
 /// All rows of a traffic thread.
@@ -42,6 +43,8 @@
     pub indexes: BTreeMap<Name, Index>,
     /// The indexes that targets are listed for.
     pub listed: BTreeSet<Name>,
+    /// Searches that were answered lately.
+    pub proven: Proven,
     /// Use of each profile.
     pub usages: BTreeMap<Name, Usage>,
     /// Claims of operations that were answered before their outcome was known.
--- a/crates/core/src/traffic/table/query.rs
+++ b/crates/core/src/traffic/table/query.rs
@@ -66,6 +66,8 @@
     pub rows: Vec<Row>,
     /// How often legs were planned.
     pub plans: u32,
+    /// The shards at which it was tried alone, while it is not sent to all.
+    pub trial: Option<u32>,
     /// The fault that ends the whole search, if a leg met one.
     pub fault: Option<Fault>,
 }
--- a/crates/core/tests/control/fixture.rs
+++ b/crates/core/tests/control/fixture.rs
@@ -81,6 +81,7 @@
         extra_load_ppm: 50_000,
         concurrency: mark,
         priority: 10,
+        canary: true,
     };
     BTreeMap::from([(name("clearance"), Profile::try_from(raw).unwrap())])
 }
--- a/crates/core/tests/rules/search.rs
+++ b/crates/core/tests/rules/search.rs
@@ -11,7 +11,7 @@
     view::State,
 };
 
-use crate::world::{ANY, WHOLE, World, name, targets::Fault};
+use crate::world::{ANY, CAREFUL, WHOLE, World, name, targets::Fault};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -297,6 +297,40 @@
     assert!(found.missing.is_empty());
 }
 
+/// A search that crashes every target, of every shard, sent through every VM.
+fn poison_everywhere() {
+    let mut world = World::new(3, 6, 2);
+    for target in world.targets.rows.values_mut() {
+        target.poison = Some("poison".into());
+    }
+    for vm in ["vm-1", "vm-2", "vm-3", "vm-1"] {
+        let call = world.search(vm, CAREFUL, "poison");
+        world.run(1100 * MS);
+        assert_eq!(refusal(&world, call).0, Kind::Quarantined);
+        // The control threads pass on what is held back.
+        let condemned = world.reports.iter().filter_map(|report| match report {
+            Report::Condemned { fingerprint, .. } => Some(*fingerprint),
+            _ => None,
+        });
+        world.quarantine = condemned.collect();
+        world.publish();
+    }
+    let crashed = world.targets.rows.values().filter(|target| !target.alive).count();
+    assert_eq!(crashed, 2);
+}
+
+fn proven_search_is_not_tried_again() {
+    let mut world = World::new(3, 6, 2);
+    let mut times = Vec::new();
+    for _ in 0..2 {
+        let call = world.search("vm-1", CAREFUL, "again");
+        world.run(1100 * MS);
+        assert_eq!(world.found(call).attempts, 6);
+        times.push(world.answer(call).took);
+    }
+    assert!(times[1] < times[0], "{times:?}");
+}
+
 fn unknown_profile_is_refused() {
     let mut world = World::new(1, 1, 1);
     let call = world.search("vm-1", "none", "");
@@ -346,6 +380,8 @@
     a_target_that_says_it_drains_gets_no_work => drained_target_gets_no_work();
     a_target_listed_as_leaving_gets_no_work => listed_as_leaving_gets_no_work();
     a_poison_request_stops_after_two_targets => poison_stops_after_two_targets();
+    a_search_that_crashes_every_target_stops_after_two => poison_everywhere();
+    a_search_that_was_answered_is_not_tried_again => proven_search_is_not_tried_again();
     an_unknown_profile_is_refused => unknown_profile_is_refused();
     nineteen_vms_share_the_connections => homes_share_the_connections();
 }
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -45,6 +45,10 @@
 /// The profile that asks for all of the index.
 pub const WHOLE: &str = "whole";
 
+/// The profile that takes any part of the index and tries a search at one shard
+/// before it goes to all.
+pub const CAREFUL: &str = "careful";
+
 /// The profile that takes any part of the index.
 pub const ANY: &str = "any";
 
@@ -121,9 +125,13 @@
 
 /// The profiles of the tests, which differ by their concurrency.
 pub fn profiles(concurrency: u32) -> BTreeMap<Name, Profile> {
-    [(WHOLE, 1_000_000), (ANY, 0)]
-        .map(|(text, coverage)| (name(text), profile(coverage, concurrency)))
-        .into()
+    let careful = Profile { canary: true, ..profile(0, concurrency) };
+    [
+        (name(WHOLE), profile(1_000_000, concurrency)),
+        (name(ANY), profile(0, concurrency)),
+        (name(CAREFUL), careful),
+    ]
+    .into()
 }
 
 fn profile(coverage: u32, concurrency: u32) -> Profile {
@@ -136,6 +144,7 @@
         extra_load_ppm: 50_000,
         concurrency,
         priority: 10,
+        canary: false,
     })
     .unwrap()
 }
--- a/src/cli/profile/describe.rs
+++ b/src/cli/profile/describe.rs
@@ -75,7 +75,8 @@
     let raw = Raw::from(profile.clone());
     format!(
         "\n[profile.\"{name}\"]\nteam = \"{}\"\nindex = \"{}\"\ncoverage_ppm = {}\n\
-         deadline_ms = {}\ntail_ms = {}\nextra_load_ppm = {}\nconcurrency = {}\npriority = {}\n",
+         deadline_ms = {}\ntail_ms = {}\nextra_load_ppm = {}\nconcurrency = {}\npriority = {}\n\
+         canary = {}\n",
         raw.team,
         raw.index,
         raw.coverage_ppm,
@@ -84,6 +85,7 @@
         raw.extra_load_ppm,
         raw.concurrency,
         raw.priority,
+        raw.canary,
     )
 }
 
--- a/src/operator/document.rs
+++ b/src/operator/document.rs
@@ -69,6 +69,7 @@
         extra_load_ppm: 0,
         concurrency: 0,
         priority: 0,
+        canary: true,
     };
     match serde_json::to_value(profile) {
         Ok(Value::Object(fields)) => fields,
--- a/src/settings/profiles.rs
+++ b/src/settings/profiles.rs
@@ -71,6 +71,7 @@
     let extra_load_ppm = section.value("extra_load_ppm", COUNT);
     let concurrency = section.value("concurrency", COUNT);
     let priority = section.value("priority", COUNT);
+    let canary = section.flag("canary", laburnum_core::profile::default_canary());
     let raw = Raw {
         team: team?,
         index: index?,
@@ -80,6 +81,7 @@
         extra_load_ppm: extra_load_ppm?,
         concurrency: concurrency?,
         priority: priority?,
+        canary,
     };
     check(section, raw)
 }
--- a/src/settings/section.rs
+++ b/src/settings/section.rs
@@ -98,6 +98,14 @@
         }
     }
 
+    /// Yes or no.
+    pub fn flag(&mut self, key: &'static str, default: bool) -> bool {
+        match self.parsed(key, "true or false", Ok::<bool, String>) {
+            Found::Value(value) => value,
+            Found::Absent | Found::Invalid => default,
+        }
+    }
+
     /// A name that must be there.
     pub fn name(&mut self, key: &'static str) -> Option<Name> {
         let found = self.parsed(key, "a name of a-z, 0-9, '.', '_' and '-'", |text: String| {
--- a/tests/fronts/desk.rs
+++ b/tests/fronts/desk.rs
@@ -114,6 +114,7 @@
         extra_load_ppm: 20_000,
         concurrency,
         priority: 10,
+        canary: true,
     })
     .expect("a sound profile")
 }
