--- a/tests/fronts/operators.rs
+++ b/tests/fronts/operators.rs
@@ -38,6 +38,7 @@
         "profiles": { "portal": {
             "team": "desk", "index": "licences", "coverage_ppm": 990_000, "deadline_ms": 1000,
             "tail_ms": 1000, "extra_load_ppm": 20_000, "concurrency": 8, "priority": 10,
+            "canary": true,
         }},
     });
     assert_eq!(document, expected);
