--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -170,9 +170,8 @@
 fn refuse(call: Call, query: id::Query, profile: Name, fault: Fault, out: &mut Outbox) {
     out.count(Count::Requests);
     out.count(Count::Refused(fault.kind));
-    let mut line = Line::new(log::Event::Refused, vec![("kind", fault.kind.to_string())]);
-    line.query = Some(query);
-    out.lines.push(line);
+    let fields = vec![("kind", fault.kind.to_string())];
+    out.lines.push(Line::of(query, log::Event::Refused, fields));
     let took = Duration::ZERO;
     out.answers.push((call, Answer { query, body: Body::Refused(fault), profile, took }));
 }
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -6,6 +6,7 @@
     count::{Count, Retry},
     fault::{Kind, Ran},
     id,
+    log::{Event, Line},
     message::{self, Outcome},
     name::Name,
     target::Command,
@@ -65,7 +66,8 @@
         Some(Outcome::Failed { kind, ran: Ran::No, detail: detail.to_owned() })
     };
     if !tables.shards.contains_key(&job.shard) {
-        return refused(Kind::Unavailable, "the home knows no target of the shard");
+        // It may have started a moment ago; the next home is asked.
+        return refused(Kind::NotReady, "the home knows no target of the shard");
     }
     if cx.paused && !job.is_idempotent() {
         // The leg may have waited in a buffer for longer than its deadline.
@@ -175,6 +177,14 @@
 }
 
 fn reply(tables: &mut Tables, cx: &Context, job: &Job, outcome: Outcome, out: &mut Outbox) {
+    if let Outcome::Failed { kind, ran, .. } = &outcome {
+        let fields = vec![
+            ("shard", job.shard.shard.to_string()),
+            ("kind", kind.to_string()),
+            ("ran", ran.as_str().to_owned()),
+        ];
+        out.lines.push(Line::of(job.leg.query, Event::LegFailed, fields));
+    }
     let reply = message::Reply {
         leg: job.leg.leg,
         outcome,
@@ -239,6 +249,9 @@
     }
     out.count(Count::Retried(reason));
     let Some(job) = tables.jobs.get_mut(&id) else { return };
+    let fields =
+        vec![("shard", job.shard.shard.to_string()), ("reason", reason.as_str().to_owned())];
+    out.lines.push(Line::of(job.leg.query, Event::Retried, fields));
     if let Some(shard) = tables.shards.get_mut(&job.shard) {
         job.place = Some(shard.requeue(id));
         tables.to_dispatch.insert(job.shard.clone());
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -203,11 +203,12 @@
         let limit = self.settings.shutdown.limit;
         let is_idle = timeout(limit, self.finish()).await == Ok(true);
         self.stop.send_replace(true);
-        self.log(Event::Stopped);
-        for thread in self.threads {
+        for thread in self.threads.drain(..) {
             // A thread that panicked has nothing more to finish.
             let _ = thread.join();
         }
+        let finished = if is_idle { "all" } else { "not all" };
+        self.log(Event::Stopped, vec![("finished", finished.to_owned())]);
         is_idle
     }
 
@@ -219,9 +220,9 @@
         self.idle.wait_for(|idle| *idle).await.is_ok()
     }
 
-    fn log(&self, event: Event) {
+    fn log(&self, event: Event, fields: Vec<(&'static str, String)>) {
         let now = laburnum_core::border::Clock::now(&self.clock);
-        self.writer.write(&Line::new(event, Vec::new()), now);
+        self.writer.write(&Line::new(event, fields), now);
     }
 }
 
--- a/tests/product/bed.rs
+++ b/tests/product/bed.rs
@@ -2,17 +2,21 @@
 
 use std::{
     fs,
+    io::{self, Write},
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Command, Output},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
 use laburnum_core::{name::Name, traffic::Policies};
 use laburnumworks::{
     cli::exit::Exit,
-    local::{self, Caller, Deployment, Index, Plan},
+    local::{self, Caller, Deployment, Index, Place, Plan},
+    settings::{Settings, Source},
     standin::target::settings::Raw,
+    vm,
 };
 use reqwest::Method;
 use serde_json::{Value, json};
@@ -35,10 +39,41 @@
 priority = 10
 "#;
 
+/// Keeps what is written.
+#[derive(Clone, Default)]
+pub struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Kept {
+    /// What was written up to here.
+    pub fn text(&self) -> String {
+        String::from_utf8(self.0.lock().unwrap().clone()).unwrap()
+    }
+
+    /// The lines of a log that was written as JSON.
+    pub fn lines(&self) -> Vec<Value> {
+        let text = self.text();
+        let whole = &text[..text.rfind('\n').map_or(0, |end| end + 1)];
+        whole.lines().map(|line| serde_json::from_str(line).unwrap()).collect()
+    }
+}
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// A deployment with its folder of files.
 pub struct Bed {
     /// The deployment.
     pub deployment: Deployment,
+    /// What each VM logged.
+    pub logs: Vec<Kept>,
     /// The folder that holds the token.
     pub folder: TempDir,
     /// A runtime for the caller.
@@ -47,17 +82,32 @@
     pub caller: Caller,
 }
 
-/// Starts a deployment of `vms` VMs and waits until they take requests.
+/// Starts a deployment of `vms` VMs with two shards and waits until they take
+/// requests.
 pub fn start(vms: u32) -> Bed {
+    start_with(vms, 2)
+}
+
+/// Starts a deployment of `vms` VMs with `shards` shards and waits until they
+/// take requests. Its VMs log all levels.
+pub fn start_with(vms: u32, shards: u32) -> Bed {
     let name = Name::try_from(local::INDEX).unwrap();
-    let index = Index { name, shards: 2, replicas: 2, target: Raw::default() };
-    let plan = Plan { vms, indexes: vec![index], hosts: 1, policies: Policies::default };
-    let deployment = local::start(&plan).unwrap();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    assert!(runtime.block_on(deployment.ready(START_LIMIT)), "the VMs are not ready");
+    let index = Index { name, shards, replicas: 2, target: Raw::default() };
+    let plan = Plan { vms: 0, indexes: vec![index], hosts: 1, policies: Policies::default };
     let folder = tempfile::tempdir().unwrap();
     fs::write(folder.path().join("token"), format!("{}\n", local::TOKEN)).unwrap();
-    Bed { deployment, folder, runtime, caller: Caller::new().unwrap() }
+    let mut bed = Bed {
+        deployment: local::start(&plan).unwrap(),
+        logs: Vec::new(),
+        folder,
+        runtime: tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap(),
+        caller: Caller::new().unwrap(),
+    };
+    let places: Vec<Place> = (1..=vms).map(|number| local::place::free(number).unwrap()).collect();
+    places.iter().for_each(|place| bed.list(place));
+    places.into_iter().for_each(|place| bed.start_vm(place));
+    assert!(bed.runtime.block_on(bed.deployment.ready(START_LIMIT)), "the VMs are not ready");
+    bed
 }
 
 /// Runs the binary.
@@ -82,6 +132,34 @@
 }
 
 impl Bed {
+    /// Puts a VM on the platform's list.
+    fn list(&self, place: &Place) {
+        let path = format!("/v1/list/vms/{}", place.name);
+        let row = serde_json::to_value(place.row()).unwrap();
+        let sent = self.caller.send(Method::PUT, self.deployment.platform, &path, &[], &row);
+        assert!(self.runtime.block_on(sent).unwrap().status.is_success());
+    }
+
+    /// Starts a VM and keeps its log.
+    fn start_vm(&mut self, place: Place) {
+        let settings = place.settings(self.deployment.platform);
+        let text = format!("{settings}\n[log]\nlevel = \"debug\"\n");
+        let source = Source { file: Path::new("vm.toml"), text: &text };
+        let log = Kept::default();
+        let settings = Settings::try_from(source).unwrap();
+        let vm = vm::start(settings, Box::new(log.clone())).unwrap();
+        self.deployment.vms.push((place, vm));
+        self.logs.push(log);
+    }
+
+    /// Sets the faults of every target.
+    pub fn target_faults(&self, faults: &Value) {
+        for target in &self.deployment.targets {
+            let sent = self.caller.send(Method::PUT, target.admin, "/v1/faults", &[], faults);
+            assert!(self.runtime.block_on(sent).unwrap().status.is_success());
+        }
+    }
+
     /// Where the VM with this index listens for operators.
     pub fn operators(&self, vm: usize) -> SocketAddr {
         self.deployment.vms[vm].0.operators
--- a/tests/product/log.rs
+++ b/tests/product/log.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, Write},
-    sync::{Arc, Barrier, Mutex},
+    sync::{Arc, Barrier},
     time::Duration,
 };
 
@@ -17,20 +17,7 @@
     settings::control::{Format, Log},
 };
 
-/// Keeps what is written.
-#[derive(Clone, Default)]
-struct Kept(Arc<Mutex<Vec<u8>>>);
-
-impl Write for Kept {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
+use crate::bed::Kept;
 
 /// Stands still at the first write until the test goes on.
 struct Stuck {
@@ -70,7 +57,7 @@
     }
     drop(writer);
     drop(guard);
-    String::from_utf8(kept.0.lock().unwrap().clone()).unwrap()
+    kept.text()
 }
 
 fn json(lines: &[(u64, Line)]) -> Vec<serde_json::Value> {
