--- a/tests/process/bed.rs
+++ b/tests/process/bed.rs
@@ -3,20 +3,20 @@
 
 use std::{
     collections::BTreeMap,
-    fs,
     net::SocketAddr,
     path::{Path, PathBuf},
     time::{Duration, Instant},
 };
 
-use laburnum_core::name::Name;
-use laburnumworks::local::{Caller, INDEX, Place, TOKEN, caller::Reply};
+use laburnumworks::local::{Caller, INDEX, TOKEN, caller::Reply};
 use reqwest::Method;
 use serde_json::{Value, json};
 use tokio::{task::JoinHandle, time::sleep};
-use uuid::Uuid;
 
-use super::{child::Child, port};
+use super::{
+    operation::Operation,
+    part::{Plan, Platform, Target, Vm},
+};
 
 /// The time within which a process must take requests after its start.
 pub const START: Duration = Duration::from_secs(10);
@@ -39,60 +39,6 @@
 /// The profile that takes partial answers.
 pub const PART: &str = "browse";
 
-/// What a deployment is made of.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    /// The number of VMs that are listed.
-    pub vms: u32,
-    /// The number of VMs that are started; they are the first ones.
-    pub started: u32,
-    /// The number of shards.
-    pub shards: u32,
-    /// The targets of each shard.
-    pub replicas: u32,
-    /// The traffic threads of each VM.
-    pub threads: u32,
-}
-
-impl Default for Plan {
-    fn default() -> Plan {
-        Plan { vms: 3, started: 3, shards: 4, replicas: 2, threads: 1 }
-    }
-}
-
-/// The platform.
-pub struct Platform {
-    /// Where it listens.
-    pub address: SocketAddr,
-    _child: Child,
-}
-
-/// A VM, which may not have been started.
-pub struct Vm {
-    /// Its name and addresses.
-    pub place: Place,
-    /// Its process.
-    pub child: Option<Child>,
-}
-
-impl Vm {
-    /// The process of a VM that was started.
-    pub fn child(&mut self) -> &mut Child {
-        self.child.as_mut().expect("the VM was not started")
-    }
-}
-
-/// A target.
-pub struct Target {
-    /// Its name.
-    pub name: String,
-    /// Where its faults are switched and its counts are read.
-    pub admin: SocketAddr,
-    /// Its process.
-    pub child: Child,
-    listed: Value,
-}
-
 /// A deployment.
 pub struct Bed {
     /// The platform.
@@ -111,13 +57,9 @@
     /// Starts a deployment, publishes its profiles and waits until they are in
     /// force on every VM.
     pub async fn start(folder: &Path, plan: Plan) -> Bed {
-        let targets = (0..plan.shards)
-            .flat_map(|shard| (0..plan.replicas).map(move |replica| (shard, replica)))
-            .map(|(shard, replica)| start_target(folder, &plan, shard, replica))
-            .collect();
-        let places: Vec<Place> = (1..=plan.vms).map(place).collect();
-        let platform = start_platform(folder, &places, &targets);
-        let vms = places.into_iter().map(|place| Vm { place, child: None }).collect();
+        let targets = Target::start_all(folder, &plan);
+        let vms: Vec<Vm> = (1..=plan.vms).map(|number| Vm::new(number, plan.threads)).collect();
+        let platform = Platform::start(folder, &vms, &targets);
         let caller = Caller::new().unwrap();
         let mut bed = Bed { platform, vms, targets, caller, folder: folder.to_owned(), plan };
         bed.wait_for_stand_ins().await;
@@ -133,13 +75,7 @@
 
     /// Starts a VM, also one whose earlier process was killed.
     pub fn start_vm(&mut self, number: usize) {
-        let place = &self.vms[number].place;
-        let file = format!("{}.toml", place.name);
-        let text = place.settings(self.platform.address);
-        fs::write(self.folder.join(&file), text).unwrap();
-        let name = place.name.to_string();
-        let child = Child::start(&self.folder, &name, &["entry", "--settings", &file]);
-        self.vms[number].child = Some(child);
+        self.vms[number].start(&self.folder, self.platform.address);
     }
 
     async fn wait_for_stand_ins(&self) {
@@ -308,35 +244,6 @@
     }
 }
 
-/// Spreads small numbers over the key space.
-const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
-
-/// A clearance with a key and a detail of its own.
-#[derive(Clone, Debug)]
-pub struct Operation {
-    /// The idempotency key.
-    pub key: String,
-    /// By which its executions are counted.
-    pub detail: String,
-    /// The document that is sent.
-    pub body: Value,
-}
-
-impl Operation {
-    /// A new clearance. Subjects are spread over the key space.
-    pub fn new(number: u64) -> Operation {
-        let key = Uuid::now_v7().to_string();
-        let detail = format!("clearance {key}");
-        let body = json!({
-            "profile": WHOLE,
-            "operation": "clearance",
-            "subject": number.wrapping_mul(SPREAD),
-            "detail": detail,
-        });
-        Operation { key, detail, body }
-    }
-}
-
 /// A profile of the deployment.
 pub fn profile(coverage_ppm: u32, priority: u32) -> Value {
     json!({
@@ -350,62 +257,3 @@
         "priority": priority,
     })
 }
-
-fn place(number: u32) -> Place {
-    Place {
-        name: Name::try_from(format!("vm-{number}")).unwrap(),
-        domain: Name::try_from(format!("domain-{number}")).unwrap(),
-        callers: port::free(),
-        operators: port::free(),
-        control: port::free(),
-        traffic: port::free(),
-    }
-}
-
-fn start_target(folder: &Path, plan: &Plan, shard: u32, replica: u32) -> Target {
-    let name = format!("target-{shard}-{replica}");
-    let (address, admin) = (port::free(), port::free());
-    let noise = shard * plan.replicas + replica;
-    let shards = plan.shards;
-    let file = format!("{name}.toml");
-    let settings = format!("shard = {shard}\nshards = {shards}\nnoise = {noise}\n");
-    fs::write(folder.join(&file), settings).unwrap();
-    let (listen, admin_text) = (address.to_string(), admin.to_string());
-    let arguments =
-        ["stand-in", "target", "--listen", &listen, "--admin", &admin_text, "--settings", &file];
-    let child = Child::start(folder, &name, &arguments);
-    let listed = json!({
-        "name": name,
-        "index": INDEX,
-        "shard": format!("shard-{shard}"),
-        "domain": format!("domain-{}", replica + 1),
-        "address": address,
-        "slots": 2,
-        "connections": 55,
-        "state": "live",
-    });
-    Target { name, admin, child, listed }
-}
-
-fn start_platform(folder: &Path, places: &[Place], targets: &Vec<Target>) -> Platform {
-    let mut list = String::new();
-    for place in places {
-        let Place { name, domain, control, traffic, .. } = place;
-        list += &format!(
-            "[[vms]]\nname = \"{name}\"\ndomain = \"{domain}\"\nincarnation = 0\n\
-             state = \"live\"\ncontrol = \"{control}\"\ntraffic = [\"{traffic}\"]\n"
-        );
-    }
-    for target in targets {
-        list += "[[targets]]\n";
-        for (key, value) in target.listed.as_object().unwrap() {
-            // JSON texts and numbers are TOML as well.
-            list += &format!("{key} = {value}\n");
-        }
-    }
-    fs::write(folder.join("list.toml"), list).unwrap();
-    let address = port::free();
-    let listen = address.to_string();
-    let arguments = ["stand-in", "platform", "--listen", &listen, "--list", "list.toml"];
-    Platform { address, _child: Child::start(folder, "platform", &arguments) }
-}
--- a/tests/process/load.rs
+++ b/tests/process/load.rs
@@ -17,7 +17,8 @@
 
 use super::{
     answer,
-    bed::{Bed, Operation, Outcome},
+    bed::{Bed, Outcome},
+    operation::Operation,
 };
 
 /// The time between two looks at whether a VM is ready, and the limit of each.
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -8,6 +8,8 @@
 mod bed;
 mod child;
 mod load;
+mod operation;
+mod part;
 mod port;
 mod run;
 mod verdict;
--- /dev/null
+++ b/tests/process/part.rs
@@ -0,0 +1,175 @@
+//! The parts of a deployment: each starts a process with settings of its own.
+
+use std::{fs, net::SocketAddr, path::Path};
+
+use laburnum_core::name::Name;
+use laburnumworks::local::{INDEX, Place};
+use serde_json::{Value, json};
+
+use super::{child::Child, port};
+
+/// What a deployment is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The number of VMs that are listed.
+    pub vms: u32,
+    /// The number of VMs that are started; they are the first ones.
+    pub started: u32,
+    /// The number of shards.
+    pub shards: u32,
+    /// The targets of each shard.
+    pub replicas: u32,
+    /// The traffic threads of each VM.
+    pub threads: u32,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan { vms: 3, started: 3, shards: 4, replicas: 2, threads: 1 }
+    }
+}
+
+/// The platform.
+pub struct Platform {
+    /// Where it listens.
+    pub address: SocketAddr,
+    _child: Child,
+}
+
+impl Platform {
+    /// Starts the platform with a list of VMs and targets.
+    pub fn start(folder: &Path, vms: &[Vm], targets: &[Target]) -> Platform {
+        let mut list: String = vms.iter().map(Vm::row).collect();
+        list.extend(targets.iter().map(Target::row));
+        fs::write(folder.join("list.toml"), list).unwrap();
+        let address = port::free();
+        let listen = address.to_string();
+        let arguments = ["stand-in", "platform", "--listen", &listen, "--list", "list.toml"];
+        Platform { address, _child: Child::start(folder, "platform", &arguments) }
+    }
+}
+
+/// A VM, which may not have been started.
+pub struct Vm {
+    /// Its name and addresses.
+    pub place: Place,
+    /// Where its traffic threads listen for other VMs.
+    traffic: Vec<SocketAddr>,
+    /// Its process.
+    pub child: Option<Child>,
+}
+
+impl Vm {
+    /// A VM with addresses of its own, which is not started.
+    pub fn new(number: u32, threads: u32) -> Vm {
+        let traffic: Vec<SocketAddr> = (0..threads).map(|_| port::free()).collect();
+        let place = Place {
+            name: Name::try_from(format!("vm-{number}")).unwrap(),
+            domain: Name::try_from(format!("domain-{number}")).unwrap(),
+            callers: port::free(),
+            operators: port::free(),
+            control: port::free(),
+            traffic: traffic[0],
+        };
+        Vm { place, traffic, child: None }
+    }
+
+    /// Starts the process, also after an earlier one was killed.
+    pub fn start(&mut self, folder: &Path, platform: SocketAddr) {
+        let name = self.place.name.to_string();
+        let file = format!("{name}.toml");
+        fs::write(folder.join(&file), self.settings(platform)).unwrap();
+        self.child = Some(Child::start(folder, &name, &["entry", "--settings", &file]));
+    }
+
+    fn settings(&self, platform: SocketAddr) -> String {
+        let one = format!("traffic = [\"{}\"]", self.place.traffic);
+        let text = self.place.settings(platform);
+        assert!(text.contains(&one), "{text}");
+        text.replace(&one, &format!("traffic = {}", self.lanes()))
+    }
+
+    /// The addresses of the traffic threads as TOML.
+    fn lanes(&self) -> String {
+        let quoted: Vec<String> = self.traffic.iter().map(|own| format!("\"{own}\"")).collect();
+        format!("[{}]", quoted.join(", "))
+    }
+
+    /// The row of the platform's list as TOML.
+    fn row(&self) -> String {
+        let Place { name, domain, control, .. } = &self.place;
+        format!(
+            "[[vms]]\nname = \"{name}\"\ndomain = \"{domain}\"\nincarnation = 0\n\
+             state = \"live\"\ncontrol = \"{control}\"\ntraffic = {}\n",
+            self.lanes()
+        )
+    }
+
+    /// The process of a VM that was started.
+    pub fn child(&mut self) -> &mut Child {
+        self.child.as_mut().expect("the VM was not started")
+    }
+}
+
+/// A target.
+pub struct Target {
+    /// Its name.
+    pub name: String,
+    /// Where its faults are switched and its counts are read.
+    pub admin: SocketAddr,
+    /// Its process.
+    pub child: Child,
+    /// Its row of the platform's list.
+    pub listed: Value,
+}
+
+impl Target {
+    /// Starts every target of a plan, ordered by shard and replica.
+    pub fn start_all(folder: &Path, plan: &Plan) -> Vec<Target> {
+        (0..plan.shards)
+            .flat_map(|shard| (0..plan.replicas).map(move |replica| (shard, replica)))
+            .map(|(shard, replica)| Target::start(folder, plan, shard, replica))
+            .collect()
+    }
+
+    fn start(folder: &Path, plan: &Plan, shard: u32, replica: u32) -> Target {
+        let name = format!("target-{shard}-{replica}");
+        let (address, admin) = (port::free(), port::free());
+        let noise = shard * plan.replicas + replica;
+        let shards = plan.shards;
+        let file = format!("{name}.toml");
+        let settings = format!("shard = {shard}\nshards = {shards}\nnoise = {noise}\n");
+        fs::write(folder.join(&file), settings).unwrap();
+        let (listen, admin_text) = (address.to_string(), admin.to_string());
+        let arguments = [
+            "stand-in",
+            "target",
+            "--listen",
+            &listen,
+            "--admin",
+            &admin_text,
+            "--settings",
+            &file,
+        ];
+        let child = Child::start(folder, &name, &arguments);
+        let listed = json!({
+            "name": name,
+            "index": INDEX,
+            "shard": format!("shard-{shard}"),
+            "domain": format!("domain-{}", replica + 1),
+            "address": address,
+            "slots": 2,
+            "connections": 55,
+            "state": "live",
+        });
+        Target { name, admin, child, listed }
+    }
+
+    /// The row of the platform's list as TOML.
+    fn row(&self) -> String {
+        let fields = self.listed.as_object().unwrap().iter();
+        // JSON texts and numbers are TOML as well.
+        let lines = fields.map(|(key, value)| format!("{key} = {value}\n"));
+        std::iter::once("[[targets]]\n".to_owned()).chain(lines).collect()
+    }
+}
--- a/tests/process/path.rs
+++ b/tests/process/path.rs
@@ -12,8 +12,9 @@
 
 use super::{
     answer::assert_whole,
-    bed::{Bed, Operation, WHOLE},
+    bed::{Bed, WHOLE},
     child::BINARY,
+    operation::Operation,
     run::case,
 };
 
--- a/tests/process/poison.rs
+++ b/tests/process/poison.rs
@@ -6,8 +6,10 @@
 use tokio::time::sleep;
 
 use super::{
-    bed::{Bed, Operation, PART, Plan, WHOLE},
+    bed::{Bed, PART, WHOLE},
     load::{Load, searches},
+    operation::Operation,
+    part::Plan,
     run::case_of,
     verdict,
 };
--- a/tests/process/publish.rs
+++ b/tests/process/publish.rs
@@ -11,8 +11,9 @@
 
 use super::{
     answer::assert_whole,
-    bed::{Bed, IN_FORCE, PART, Plan, WHOLE, profile},
+    bed::{Bed, IN_FORCE, PART, WHOLE, profile},
     child::Signal,
+    part::Plan,
     run::{case, case_of},
 };
 
--- a/tests/process/run.rs
+++ b/tests/process/run.rs
@@ -10,7 +10,7 @@
 
 use tokio::{runtime::Builder, sync::Semaphore, time::timeout};
 
-use super::bed::{Bed, Plan};
+use super::{bed::Bed, part::Plan};
 
 /// The deployments that run at once; each has about ten processes.
 const MAX_DEPLOYMENTS: usize = 3;
--- a/tests/process/store.rs
+++ b/tests/process/store.rs
@@ -6,8 +6,9 @@
 use tokio::time::sleep;
 
 use super::{
-    bed::{Bed, Operation, WHOLE},
+    bed::{Bed, WHOLE},
     load::{Load, searches},
+    operation::Operation,
     run::case,
     verdict,
 };
--- a/tests/process/verdict.rs
+++ b/tests/process/verdict.rs
@@ -6,8 +6,9 @@
 };
 
 use super::{
-    bed::{Bed, Operation, Outcome},
+    bed::{Bed, Outcome},
     load::Record,
+    operation::Operation,
 };
 
 /// The requests that a load must have sent to prove anything.
--- a/tests/process/vm.rs
+++ b/tests/process/vm.rs
@@ -6,10 +6,12 @@
 use tokio::time::sleep;
 
 use super::{
-    bed::{Bed, Operation, PART, START, WHOLE},
+    bed::{Bed, PART, START, WHOLE},
     child::Signal,
     load::{Load, Record},
-    run::case,
+    operation::Operation,
+    part::Plan,
+    run::{case, case_of},
     verdict,
 };
 
@@ -130,10 +132,17 @@
     verdict::assert_run_once(&bed, &records, &[2], &[0]).await;
 }
 
+/// Every VM has two traffic threads, which share its address for callers.
+fn two_threads() -> Plan {
+    Plan { threads: 2, ..Plan::default() }
+}
+
 cases! {
     vm_killed_under_load => case(killed);
     vm_replaced_under_load => case(replaced);
     vm_paused_with_operations_in_flight => case(paused);
     vms_leave_in_turn_under_load => case(rolled);
+    vms_with_two_traffic_threads_leave_in_turn => case_of(two_threads(), rolled);
+    vm_with_two_traffic_threads_is_killed => case_of(two_threads(), killed);
     vm_leaves_while_another_is_killed => case(left_and_killed);
 }
