--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -63,7 +63,7 @@
     Ready 102 Info "VM is ready";
     /// The VM was told to shut down.
     Leaving 103 Info "VM is leaving";
-    /// The VM has finished all that was in flight and exits.
+    /// The VM exits; the line says whether all that was in flight is finished.
     Stopped 104 Info "VM stopped";
     /// A request was refused.
     Refused 201 Debug "request refused";
@@ -71,6 +71,10 @@
     Restarted 202 Debug "query restarted on another version";
     /// A reply matched no attempt or failed its check and was dropped.
     ReplyDropped 203 Warning "reply dropped";
+    /// A leg goes to another attempt at its home.
+    Retried 204 Debug "leg retried at its home";
+    /// The home of a leg gave it up.
+    LegFailed 205 Debug "leg failed at its home";
     /// A connection to a target was opened.
     ConnectionOpened 301 Debug "connection to target opened";
     /// A connection to a target was lost or could not be opened.
@@ -89,6 +93,8 @@
     VmGone 403 Info "VM is gone";
     /// This VM learnt that it was paused and takes a new incarnation.
     VmResumed 404 Warning "VM was paused and has a new incarnation";
+    /// Another VM is leaving and takes no new work.
+    VmLeaving 405 Info "another VM is leaving";
     /// A revision of the profiles is in force on this VM.
     RevisionApplied 501 Info "revision of the profiles is in force";
     /// A revision of the profiles was published through this VM.
@@ -119,4 +125,9 @@
     pub fn new(event: Event, fields: Vec<(&'static str, String)>) -> Line {
         Line { event, query: None, fields }
     }
+
+    /// Makes a line of the request `query`.
+    pub fn of(query: id::Query, event: Event, fields: Vec<(&'static str, String)>) -> Line {
+        Line { event, query: Some(query), fields }
+    }
 }
--- a/crates/core/src/traffic/system/plan.rs
+++ b/crates/core/src/traffic/system/plan.rs
@@ -157,9 +157,8 @@
     search.covered = Set::new();
     search.rows.clear();
     out.count(Count::Restarts);
-    let mut line = Line::new(Event::Restarted, vec![("version", best.version.0.to_string())]);
-    line.query = Some(id);
-    out.lines.push(line);
+    let fields = vec![("version", best.version.0.to_string())];
+    out.lines.push(Line::of(id, Event::Restarted, fields));
     send(tables, cx, id, best.version, best.parts.clone(), out);
 }
 
