--- a/crates/core/src/control/system/intake.rs
+++ b/crates/core/src/control/system/intake.rs
@@ -6,7 +6,8 @@
     Event, Message,
     engine::Step,
     message::{Body, Item},
-    table::{Tables, news::Key},
+    request::Source,
+    table::{Tables, news::Key, target::Word},
 };
 
 /// Hands each event to the system that it concerns, in the order of arrival.
@@ -77,7 +78,8 @@
     match item {
         Item::Member(member) => member::learn(tables, step, member, from),
         Item::Word { target, incarnation, draining } => {
-            list::word(tables, step, &target, incarnation, draining);
+            let word = Word { incarnation, draining };
+            list::word(tables, step, &target, word, Source::Peer(from.clone()));
         }
         Item::Suspect { fingerprint, target, origin, remaining } => {
             super::quarantine::suspect(tables, step, (fingerprint, target, origin), remaining);
--- a/crates/core/src/control/system/list.rs
+++ b/crates/core/src/control/system/list.rs
@@ -9,6 +9,7 @@
     control::{
         engine::Step,
         message::{Body, Digest},
+        request::Source,
         table::{
             Tables, age,
             age::Age,
@@ -102,8 +103,7 @@
             row.listed = true;
         }
     }
-    tables.targets.listed =
-        targets.into_iter().map(|target| (target.name.clone(), target)).collect();
+    tables.targets.list(targets, step.now);
     tables.targets.vms = vms;
     tables.targets.digest = digest;
     mark(tables);
@@ -128,20 +128,14 @@
 /// Takes the word of a target, heard by this VM or by another one. A newer
 /// incarnation replaces what was said in an older one; within an incarnation a
 /// target that drains does not return.
-pub fn word(
-    tables: &mut Tables,
-    step: &mut Step<'_>,
-    target: &Name,
-    incarnation: u64,
-    draining: bool,
-) {
-    let word = Word { incarnation, draining };
+pub fn word(tables: &mut Tables, step: &mut Step<'_>, target: &Name, word: Word, source: Source) {
+    let Word { incarnation, draining } = word;
     let old = tables.targets.words.get(target).map(|heard| heard.word);
     if old.is_some_and(|old| old >= word) {
         return;
     }
     let left = tables.targets.is_leaving(target);
-    tables.targets.words.insert(target.clone(), Heard { word, at: step.now });
+    tables.targets.words.insert(target.clone(), Heard { word, at: step.now, source });
     if let Some(listed) = tables.targets.leaving.get_mut(target) {
         listed.get_or_insert(incarnation);
     }
--- a/crates/core/src/control/system/report.rs
+++ b/crates/core/src/control/system/report.rs
@@ -3,7 +3,11 @@
 use super::{list, quarantine};
 use crate::{
     claims::Event,
-    control::{engine::Step, table::Tables},
+    control::{
+        engine::Step,
+        request::Source,
+        table::{Tables, target::Word},
+    },
     notice::Report,
 };
 
@@ -26,10 +30,12 @@
             quarantine::condemn(tables, step, fingerprint, origin, remaining);
         }
         Report::Draining { target, incarnation } => {
-            list::word(tables, step, &target, incarnation, true);
+            let word = Word { incarnation, draining: true };
+            list::word(tables, step, &target, word, Source::Own);
         }
         Report::Serving { target, incarnation } => {
-            list::word(tables, step, &target, incarnation, false);
+            let word = Word { incarnation, draining: false };
+            list::word(tables, step, &target, word, Source::Own);
         }
         Report::Unreachable { vm } => {
             tables.claims.events.push(Event::Unreachable { vm: vm.clone() });
--- a/crates/core/src/control/system/status.rs
+++ b/crates/core/src/control/system/status.rs
@@ -68,11 +68,10 @@
     let row = |(name, target): (Name, view::Target)| {
         let heard = targets.words.get(&name);
         let own = heard.filter(|heard| heard.word.draining);
-        TargetRow {
-            target,
-            since: own.map_or(Duration::ZERO, |heard| now.since(heard.at)),
-            source: if own.is_some() { Source::Own } else { Source::List },
-        }
+        let listed = targets.since.get(&name).copied();
+        let since = own.map(|heard| heard.at).or(listed).unwrap_or(now);
+        let source = own.map_or(Source::List, |heard| heard.source.clone());
+        TargetRow { target, since: now.since(since), source }
     };
     targets.shown().into_iter().map(row).collect()
 }
--- a/crates/core/src/control/table/target.rs
+++ b/crates/core/src/control/table/target.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::age::Age;
-use crate::{name::Name, time::Instant, view};
+use crate::{control::request::Source, name::Name, time::Instant, view};
 
 /// What a target last said of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -15,12 +15,14 @@
 }
 
 /// A word with the time at which it was heard.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Heard {
     /// The word.
     pub word: Word,
     /// When it was heard.
     pub at: Instant,
+    /// Who said it.
+    pub source: Source,
 }
 
 /// The platform's list and the words of the targets.
@@ -30,6 +32,8 @@
     pub vms: Vec<view::Vm>,
     /// The targets as listed.
     pub listed: BTreeMap<Name, view::Target>,
+    /// Since when each target is listed in its state.
+    pub since: BTreeMap<Name, Instant>,
     /// The digest of the list.
     pub digest: u64,
     /// How long ago the list was read.
@@ -46,6 +50,17 @@
 }
 
 impl Targets {
+    /// Replaces the targets as listed.
+    pub fn list(&mut self, targets: Vec<view::Target>, now: Instant) {
+        let since = |target: &view::Target| {
+            let old = self.listed.get(&target.name).filter(|old| old.state == target.state);
+            old.and_then(|old| self.since.get(&old.name)).copied().unwrap_or(now)
+        };
+        let since = targets.iter().map(|target| (target.name.clone(), since(target))).collect();
+        self.since = since;
+        self.listed = targets.into_iter().map(|target| (target.name.clone(), target)).collect();
+    }
+
     /// Whether `target` is leaving by its own word or by the list.
     pub fn is_leaving(&self, target: &Name) -> bool {
         let word = self.words.get(target).map(|heard| heard.word);
--- a/src/cli/failure.rs
+++ b/src/cli/failure.rs
@@ -29,15 +29,6 @@
     ) -> Report<Failure> {
         Report::new(Failure { exit, detail: detail.into(), hint: hint.into() })
     }
-
-    /// The failure of a command whose part does not exist yet.
-    pub fn absent(command: &str) -> Report<Failure> {
-        Failure::report(
-            Exit::Failed,
-            format!("{command} is not built yet"),
-            "docs/OPERATING.md says which commands are",
-        )
-    }
 }
 
 impl fmt::Display for Failure {
--- a/tests/product/main.rs
+++ b/tests/product/main.rs
@@ -13,3 +13,4 @@
 mod operator;
 mod page;
 mod settings;
+mod walk;
--- a/tests/product/operator.rs
+++ b/tests/product/operator.rs
@@ -6,7 +6,7 @@
     cli::exit::Exit,
     settings::{Source, profiles::Profiles},
 };
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::bed::{Bed, PROFILES, assert_exit, run, start, stderr, stdout};
 
@@ -146,6 +146,26 @@
         assert_eq!(targets["targets"][0]["source"], "list");
         let shown = bed.shown(&["target", "list"]);
         assert!(shown.contains("ago"), "{shown}");
+        let since = |list: &Value| list["targets"][0]["since_ms"].as_u64().unwrap();
+        thread::sleep(Duration::from_millis(20));
+        assert!(since(&bed.json(&["target", "list"])) >= since(&targets) + 20);
+    };
+    a_draining_target_is_listed_with_who_said_so => {
+        let bed = start(2);
+        bed.target_faults(&json!({ "drain": true }));
+        let is_said = |source: &str| (0..50).any(|_| {
+            let list = bed.json(&["target", "list"]);
+            let rows = list["targets"].as_array().unwrap();
+            let found = rows.iter().all(|row| {
+                let said = row["source"].as_str().unwrap();
+                row["state"] == "leaving" && (said == "own" || said.starts_with("peer vm-"))
+            });
+            if !found {
+                thread::sleep(Duration::from_millis(100));
+            }
+            found && rows.iter().any(|row| row["source"].as_str().unwrap().starts_with(source))
+        });
+        assert!(is_said("own") || is_said("peer"), "{}", bed.shown(&["target", "list"]));
     };
     a_wrong_token_is_refused_and_not_shown => {
         let bed = start(1);
