--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -1,18 +1,25 @@
 //! The limits of the decisions, from the settings.
 
-use laburnum_core::{claims, control, traffic};
+use std::net::SocketAddr;
+
+use laburnum_core::{claims, control, name::Name, traffic};
 
 use crate::{
     settings::{Settings, traffic::Callers},
     wire,
 };
 
+/// The reads of a target's status that may go missing before its word that it
+/// takes work is too old to act on.
+const PROBES_MISSED: u32 = 2;
+
 /// The limits of a traffic thread.
 pub fn traffic(settings: &Settings) -> traffic::Limits {
     traffic::Limits {
         open_requests: size(share(settings, settings.callers.open_requests)),
         open: settings.targets.open_limit,
         poll: settings.targets.probe_interval,
+        fresh: settings.targets.probe_interval * PROBES_MISSED,
         silent: settings.targets.silent_after,
         connections: settings.targets.connections,
         lost_targets: size(settings.quarantine.lost_targets),
@@ -54,6 +61,12 @@
     }
 }
 
+/// The VMs that the control thread asks at the start.
+pub fn seeds(settings: &Settings) -> Vec<(Name, SocketAddr)> {
+    let seeds = settings.membership.seeds.iter();
+    seeds.map(|seed| (seed.name.clone(), seed.control)).collect()
+}
+
 /// The limits of the claims.
 pub fn claims(settings: &Settings) -> claims::Limits {
     claims::Limits {
