--- a/tests/product/main.rs
+++ b/tests/product/main.rs
@@ -7,6 +7,7 @@
 mod cli;
 mod deployment;
 mod event;
+mod help;
 mod limits;
 mod log;
 mod metric;
