Count the refusals that the fronts make themselves

A request that was malformed, too large, too slow, without a token or beyond the limit of connections never reached a thread, and its refusal was counted nowhere. The intake counts what no thread has counted, told apart by the request id that threads give; the port and the streams count what they refuse before HTTP. Probes of readiness are not counted.

Checked: a case for malformed, not_found, unauthorized and too_large, each once, and unknown_profile, which a thread counts, not twice; 129 cases of tests/fronts and the metric cases of tests/product pass.

--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -1,5 +1,8 @@
 //! What every request of a front passes before its handler.
 
+use std::sync::Arc;
+
+use laburnum_core::fault::Kind;
 use poem::{
     Endpoint, EndpointExt, IntoResponse, Request, Response, Route,
     endpoint::BoxEndpoint,
@@ -10,6 +13,7 @@
 use super::{
     body::{self, Limits},
     connection::Connection,
+    probe::Metrics,
     problem::{self, Refusal},
 };
 
@@ -34,6 +38,7 @@
     routes: BoxEndpoint<'static, Response>,
     gate: Box<dyn Gate>,
     limits: Limits,
+    metrics: Arc<dyn Metrics>,
     /// While the VM takes no requests, connections are closed after their
     /// response, so that callers turn to other VMs.
     ready: watch::Receiver<bool>,
@@ -45,14 +50,24 @@
         routes: Route,
         gate: Box<dyn Gate>,
         limits: Limits,
+        metrics: Arc<dyn Metrics>,
         ready: watch::Receiver<bool>,
     ) -> Intake {
         let routes = routes.catch_all_error(problem::unrouted).boxed();
-        Intake { routes, gate, limits, ready }
+        Intake { routes, gate, limits, metrics, ready }
+    }
+
+    /// Answers a request of `connection` and counts a refusal that came from no
+    /// thread.
+    pub async fn take(&self, request: Request, connection: &Connection) -> Response {
+        let response = self.answer(request, connection).await;
+        if let Some(&kind) = response.extensions().get::<Kind>() {
+            self.metrics.refused(kind);
+        }
+        response
     }
 
-    /// Answers a request of `connection`.
-    pub async fn take(&self, mut request: Request, connection: &Connection) -> Response {
+    async fn answer(&self, mut request: Request, connection: &Connection) -> Response {
         connection.begin();
         if let Err(refusal) = self.fill(&mut request).await {
             connection.end();
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -50,12 +50,13 @@
 /// finished.
 pub async fn serve(seed: Seed) -> io::Result<()> {
     let Seed { listener, limits, handle, ready, metrics, shutdown } = seed;
-    let probe = Probe { ready: ready.clone(), metrics };
+    let probe = Probe { ready: ready.clone(), metrics: Arc::clone(&metrics) };
     let port = Port {
         listener,
         limits: port::Limits::from(&limits),
         bodies: body::Limits::from(&limits),
         gate: Box::new(intake::Open),
+        metrics,
         ready,
         shutdown,
     };
--- a/src/front/port.rs
+++ b/src/front/port.rs
@@ -33,6 +33,7 @@
     body,
     connection::Connection,
     intake::{Gate, Intake},
+    probe::Metrics,
     problem::Refusal,
     stream::{LINGER, Stream, WASTE},
 };
@@ -81,6 +82,8 @@
     pub bodies: body::Limits,
     /// Who may send a body at all.
     pub gate: Box<dyn Gate>,
+    /// Counts the refusals of the port itself.
+    pub metrics: Arc<dyn Metrics>,
     /// Whether the VM takes requests.
     pub ready: watch::Receiver<bool>,
     /// Turns true when the VM shuts down.
@@ -98,6 +101,7 @@
     listener: tokio::net::TcpListener,
     local: SocketAddr,
     limits: Limits,
+    metrics: Arc<dyn Metrics>,
     intake: Arc<Intake>,
     shutdown: watch::Receiver<bool>,
     places: Arc<Semaphore>,
@@ -111,11 +115,13 @@
     pub async fn serve(self, routes: Route) -> io::Result<()> {
         self.listener.set_nonblocking(true)?;
         let places = self.limits.connections.min(Semaphore::MAX_PERMITS);
+        let metrics = Arc::clone(&self.metrics);
         let server = Server {
+            metrics: self.metrics,
             local: self.listener.local_addr()?,
             listener: tokio::net::TcpListener::from_std(self.listener)?,
             limits: self.limits,
-            intake: Arc::new(Intake::new(routes, self.gate, self.bodies, self.ready)),
+            intake: Arc::new(Intake::new(routes, self.gate, self.bodies, metrics, self.ready)),
             shutdown: self.shutdown,
             places: Arc::new(Semaphore::new(places)),
             refusals: Arc::new(Semaphore::new(REFUSALS)),
@@ -148,6 +154,7 @@
         } else if let Ok(permit) = Arc::clone(&self.refusals).try_acquire_owned() {
             let detail = format!("connections: allowed are {} at a time", self.limits.connections);
             let refusal = Fault::not_run(Kind::TooManyOpen, detail).into();
+            self.metrics.refused(Kind::TooManyOpen);
             self.tasks.spawn(refuse(accepted.socket, refusal, permit));
         }
     }
@@ -157,7 +164,8 @@
         // Without it a response may wait for an acknowledgement.
         let _ = socket.set_nodelay(true);
         let connection = Arc::new(Connection::default());
-        let stream = Stream::new(socket, self.limits, Arc::clone(&connection));
+        let metrics = Arc::clone(&self.metrics);
+        let stream = Stream::new(socket, self.limits, metrics, Arc::clone(&connection));
         let peers =
             Peers { connection, intake: Arc::clone(&self.intake), local: self.local, address };
         self.tasks.spawn(serve(stream, peers, self.shutdown.clone(), permit));
--- a/src/front/probe.rs
+++ b/src/front/probe.rs
@@ -15,6 +15,9 @@
 pub trait Metrics: Send + Sync {
     /// Encodes all metrics as OpenMetrics text.
     fn encode(&self) -> String;
+    /// Counts a refusal that no thread has counted, because the request did not
+    /// come that far.
+    fn refused(&self, kind: Kind);
 }
 
 /// What the probes show.
@@ -49,7 +52,10 @@
         return "ready\n".into_response();
     }
     let detail = "this VM is starting, leaving or out of touch with the others";
-    Refusal::from(Fault::not_run(Kind::NotReady, detail)).into_response()
+    let mut response = Refusal::from(Fault::not_run(Kind::NotReady, detail)).into_response();
+    // A probe is no request that was refused.
+    response.extensions_mut().remove::<Kind>();
+    response
 }
 
 #[handler]
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -136,6 +136,12 @@
         message
     }
 
+    /// The kind of a refusal that no thread has counted, which the intake does;
+    /// a thread gives each request that it takes an id.
+    fn uncounted(&self) -> Option<Kind> {
+        self.request.is_none().then_some(self.fault.kind)
+    }
+
     /// The status of the response.
     fn status(&self) -> StatusCode {
         // Every status in the table is valid.
@@ -149,13 +155,22 @@
         let mut response =
             Response::builder().status(self.status()).body(Body::from_vec(self.document()));
         response.headers_mut().extend(self.headers());
+        if let Some(kind) = self.uncounted() {
+            response.extensions_mut().insert(kind);
+        }
         response
     }
 }
 
 impl From<Refusal> for Error {
     fn from(refusal: Refusal) -> Error {
-        Error::from_response(refusal.into_response())
+        let uncounted = refusal.uncounted();
+        let mut error = Error::from_response(refusal.into_response());
+        // The library replaces the extensions of the response by its own.
+        if let Some(kind) = uncounted {
+            error.set_data(kind);
+        }
+        error
     }
 }
 
--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -26,6 +26,7 @@
     connection::{Connection, Phase, State},
     head::Head,
     port::Limits,
+    probe::Metrics,
     problem::Refusal,
 };
 
@@ -64,6 +65,7 @@
 pub struct Stream {
     socket: TcpStream,
     limits: Limits,
+    metrics: Arc<dyn Metrics>,
     connection: Arc<Connection>,
     head: Head,
     reading: Timer,
@@ -75,10 +77,16 @@
 
 impl Stream {
     /// Wraps the socket of a caller.
-    pub fn new(socket: TcpStream, limits: Limits, connection: Arc<Connection>) -> Stream {
+    pub fn new(
+        socket: TcpStream,
+        limits: Limits,
+        metrics: Arc<dyn Metrics>,
+        connection: Arc<Connection>,
+    ) -> Stream {
         Stream {
             socket,
             limits,
+            metrics,
             connection,
             head: Head::default(),
             reading: Timer::new(),
@@ -138,6 +146,7 @@
     /// Answers in place of the HTTP library, which has seen no whole head.
     fn refuse(&mut self, cx: &mut Context<'_>, fault: Fault) {
         self.is_refused = true;
+        self.metrics.refused(fault.kind);
         if self.is_flushed {
             // A caller that does not take these few bytes gets no answer.
             let _ = self.socket.try_write(&Refusal::from(fault).message());
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -65,13 +65,14 @@
 /// finished.
 pub async fn serve(seed: Seed) -> io::Result<()> {
     let Seed { listener, operators, handle, ready, metrics, shutdown } = seed;
-    let probe = Probe { ready: ready.clone(), metrics };
+    let probe = Probe { ready: ready.clone(), metrics: Arc::clone(&metrics) };
     let operators = Arc::new(operators);
     let port = Port {
         listener,
         limits: CONNECTIONS,
         bodies: BODIES,
         gate: Box::new(access::Holders(Arc::clone(&operators))),
+        metrics,
         ready,
         shutdown,
     };
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -11,7 +11,8 @@
 use laburnum_core::{
     border::Clock,
     control,
-    count::{Counts, Sample},
+    count::{Count, Counts, Sample},
+    fault::Kind,
     profile::WHOLE,
     traffic::{Answer, Body, Engine, Tables},
     view::State,
@@ -184,4 +185,10 @@
         self.metrics.set(Gauge::LogLost, Part::Log, lost);
         self.metrics.text()
     }
+
+    fn refused(&self, kind: Kind) {
+        let mut counts = Counts::default();
+        counts.add(Count::Refused(kind));
+        self.metrics.add(&counts);
+    }
 }
--- a/tests/fronts/bed.rs
+++ b/tests/fronts/bed.rs
@@ -7,7 +7,7 @@
 };
 
 use laburnum_core::{
-    fault::Fault,
+    fault::{Fault, Kind},
     id::{self, Origin},
     name::Name,
     traffic::{Answer, Body, Event},
@@ -46,6 +46,8 @@
     fn encode(&self) -> String {
         "# EOF\n".to_owned()
     }
+
+    fn refused(&self, _: Kind) {}
 }
 
 /// Limits that no case meets by chance.
--- a/tests/product/metric.rs
+++ b/tests/product/metric.rs
@@ -127,6 +127,41 @@
         assert!(text.contains("laburnum_live_targets{part=\"control\"} 4"), "{text}");
         assert!(text.contains("laburnum_revision_in_force{part=\"control\"} 1"), "{text}");
     };
+    a_refusal_of_a_front_is_counted_once => {
+        let bed = bed::start(1);
+        let refused = |kind: Kind| {
+            let series = format!("laburnum_refusals_total{{reason=\"{kind}\"}} ");
+            let text = bed.metrics(0);
+            let line = text.lines().find_map(|line| line.strip_prefix(&series)).unwrap();
+            line.parse::<u64>().unwrap()
+        };
+        let send = |method: reqwest::Method, address, path: &str, body: &serde_json::Value| {
+            let sent = bed.caller.send(method, address, path, &[], body);
+            bed.runtime.block_on(sent).unwrap().status
+        };
+        let (post, get) = (reqwest::Method::POST, reqwest::Method::GET);
+        let nothing = serde_json::Value::Null;
+        let malformed = serde_json::json!({ "text": 7 });
+        send(post.clone(), bed.callers(0), "/v1/search", &malformed);
+        assert_eq!(refused(Kind::Malformed), 1);
+        send(get.clone(), bed.callers(0), "/v2", &nothing);
+        assert_eq!(refused(Kind::NotFound), 1);
+        send(get, bed.operators(0), "/v1/vms", &nothing);
+        assert_eq!(refused(Kind::Unauthorized), 1);
+        let large = serde_json::json!({ "text": "x".repeat(100_000) });
+        send(post.clone(), bed.callers(0), "/v1/search", &large);
+        assert_eq!(refused(Kind::TooLarge), 1);
+        let unknown = serde_json::json!({ "profile": "nobody", "text": "x" });
+        send(post, bed.callers(0), "/v1/search", &unknown);
+        for _ in 0..50 {
+            if refused(Kind::UnknownProfile) == 1 {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        assert_eq!(refused(Kind::UnknownProfile), 1);
+        assert_eq!(refused(Kind::NotReady), 0);
+    };
     every_refusal_has_a_counter_from_the_start => {
         let metrics = Metrics::new();
         for kind in Kind::ALL {
