Measure the slopes of cost of the tables and systems

Cause: docs/CAPACITY.md has to work out the planned size from slopes, and no command measured them. `laburnumworks slope` runs the real engines without a deployment and counts the processor time of its own thread, so that other load on the machine changes the spread and hardly the median.

Ruled out: criterion, which measures wall time and knows no memory and no bytes; a counting allocator, which needs unsafe code.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,6 +13,7 @@
 pub mod output;
 pub mod profile;
 pub mod query;
+pub mod slope;
 pub mod standin;
 pub mod value;
 
@@ -57,6 +58,7 @@
     Load(load::Load),
     Standin(standin::Standin),
     Demo(demo::Demo),
+    Slope(slope::Arguments),
 }
 
 /// Runs the command that the arguments of the process name.
@@ -104,6 +106,7 @@
         Some(Command::Load(command)) => load::run(&command),
         Some(Command::Standin(command)) => standin::run(&command),
         Some(Command::Demo(command)) => demo::run(&command),
+        Some(Command::Slope(command)) => slope::run(&command),
         None => Err(Failure::report(
             Exit::Usage,
             "no command was given",
--- a/src/cli/value.rs
+++ b/src/cli/value.rs
@@ -6,13 +6,21 @@
 use laburnum_core::name::Name;
 
 use super::{exit::Exit, failure::Failure};
-use crate::settings::{Settings, error::Errors, identity::Secret, profiles::Profiles};
+use crate::{
+    settings::{Settings, error::Errors, identity::Secret, profiles::Profiles},
+    slope::Part,
+};
 
 /// Reads a flag that is a name.
 pub fn name(text: &str) -> Result<Name, String> {
     Name::try_from(text).map_err(|e| e.to_string())
 }
 
+/// Reads a flag that is a part to measure.
+pub fn part(text: &str) -> Result<Part, String> {
+    Part::try_from(text).map_err(|e| e.to_string())
+}
+
 /// Loads a settings file for a command.
 pub fn settings(file: &Path) -> Result<Settings, Report<Failure>> {
     Settings::load(file).map_err(|errors| invalid(&errors))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod traffic;
 pub mod control;
 pub mod standin;
+pub mod slope;
 pub mod cli;
