Take a new view without ranking homes that cannot have moved

Cause: each new view walked all targets and ranked the homes of every shard by sorting all VMs, also when only a profile had changed, which is one view a second at the planned size. It is on the traffic thread.

Targets and homes are looked at only when the listed targets or the VMs differ, and the homes of a shard are found in one pass that keeps the best three in place of a sort.

--- a/crates/core/src/traffic/policy/route.rs
+++ b/crates/core/src/traffic/policy/route.rs
@@ -1,11 +1,11 @@
 //! Which traffic thread of which VM serves a shard.
 
-use std::fmt;
+use std::{cmp::Reverse, fmt};
 
 use crate::{
     rank,
     traffic::table::{leg::preference, shard},
-    view::{Lane, View},
+    view::{Lane, View, Vm},
 };
 
 /// Decides which traffic thread of which VM serves a shard.
@@ -21,12 +21,8 @@
 impl Route for Home {
     fn lanes(&self, view: &View, _own: &Lane, key: &shard::Key, most: usize) -> Vec<Lane> {
         let seed = rank::seed(&[key.index.as_str(), key.shard.as_str()]);
-        let mut ranked = rank::order(seed, view.vms.keys());
-        ranked.sort_by_key(|name| view.vms.get(*name).map(|vm| preference(vm.state)));
-        ranked
+        best(view, seed, most)
             .into_iter()
-            .take(most)
-            .filter_map(|name| view.vms.get(name))
             .map(|vm| {
                 let threads = vm.traffic.len().max(1) as u64;
                 let thread = u16::try_from(seed % threads).unwrap_or(0);
@@ -36,6 +32,22 @@
     }
 }
 
+/// The `most` VMs that come first by what is believed of them and then by
+/// weight. Only as many are kept, because every shard is ranked anew when a VM
+/// comes or goes.
+fn best(view: &View, seed: u64, most: usize) -> Vec<&Vm> {
+    let mut best = Vec::with_capacity(most + 1);
+    for (name, vm) in &view.vms {
+        let rank = (preference(vm.state), Reverse((rank::weight(seed, name), name)));
+        let place = best.partition_point(|(own, _)| *own < rank);
+        if place < most {
+            best.insert(place, (rank, vm));
+            best.truncate(most);
+        }
+    }
+    best.into_iter().map(|(_, vm)| vm).collect()
+}
+
 /// Each VM serves every shard for its own callers.
 #[derive(Clone, Copy, Debug)]
 pub struct Direct;
--- a/crates/core/src/traffic/system/refresh.rs
+++ b/crates/core/src/traffic/system/refresh.rs
@@ -15,13 +15,21 @@
 };
 
 /// Puts `view` into force.
+///
+/// Most views differ from the one before in the profiles only, so targets and
+/// homes are looked at only when those that they depend on have changed.
 pub fn run(tables: &mut Tables, cx: &mut Context, view: Option<Arc<View>>, out: &mut Outbox) {
     let Some(view) = view else { return };
     let old = std::mem::replace(&mut cx.view, view);
-    remove_targets(tables, cx, out);
-    add_targets(tables, cx);
-    move_homes(tables, cx, out);
-    forget_shards(tables, cx, out);
+    let has_new_targets = old.targets != cx.view.targets;
+    if has_new_targets {
+        remove_targets(tables, cx, out);
+        add_targets(tables, cx);
+    }
+    if has_new_targets || old.vms != cx.view.vms {
+        move_homes(tables, cx, out);
+        forget_shards(tables, cx, out);
+    }
     greet(cx, &old, out);
     if old.vms.is_empty() {
         tables.timers.set(cx.now + tell::INTERVAL, Timer::Tell);
