Find the ranges of a key set that meet a range by bisection

Cause: removing a range from a set and the part in common copied or walked the whole set, so that choosing a plan was quadratic in the shards; it is done for each change of what a shard holds.

--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -1,6 +1,6 @@
 //! Ranges of the key space and sets of disjoint ranges.
 
-use std::fmt;
+use std::{fmt, ops};
 
 use serde::{Deserialize, Serialize};
 
@@ -134,25 +134,28 @@
 
     /// Takes the keys of `range` out of the set.
     pub fn remove(&mut self, range: Range) {
-        let mut rest = Vec::with_capacity(self.0.len() + 1);
-        for own in self.0.drain(..) {
-            if own.common(range).is_none() {
-                rest.push(own);
-                continue;
-            }
-            if own.first < range.first {
-                rest.push(Range { first: own.first, last: range.first - 1 });
-            }
-            if range.last < own.last {
-                rest.push(Range { first: range.last + 1, last: own.last });
-            }
-        }
-        self.0 = rest;
+        let met = self.meeting(range);
+        let (Some(&start), Some(&end)) = (self.0[met.clone()].first(), self.0[met.clone()].last())
+        else {
+            return;
+        };
+        let before = (start.first < range.first)
+            .then(|| Range { first: start.first, last: range.first - 1 });
+        let after =
+            (range.last < end.last).then(|| Range { first: range.last + 1, last: end.last });
+        self.0.splice(met, before.into_iter().chain(after));
     }
 
     /// The keys of `range` that the set holds.
     pub fn common(&self, range: Range) -> Set {
-        Set(self.0.iter().filter_map(|own| own.common(range)).collect())
+        Set(self.0[self.meeting(range)].iter().filter_map(|own| own.common(range)).collect())
+    }
+
+    /// The places of the ranges that share a key with `range`.
+    fn meeting(&self, range: Range) -> ops::Range<usize> {
+        let start = self.0.partition_point(|own| own.last < range.first);
+        let end = self.0.partition_point(|own| own.first <= range.last);
+        start..end.max(start)
     }
 
     /// The keys of `range` that the set does not hold.
