Let the entry decide on a retry after a target was lost

A search that crashes targets runs on several shards at once. The home of each shard knew only its own lost target and tried the leg on a second one, before it heard of the others: 3 or 4 targets of 6 crashed where the search may take two. A home now hands a leg back whose target was lost while it ran, and the entry, which hears of all legs, waits for the last of them: one lost target lets the legs run once more, two condemn the request. It costs a search one more message after a lost target and no other search anything.

The first attempts of a search with more than two legs still go out together, so one that crashes the targets of every shard takes one of each.

--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -259,7 +259,11 @@
     let Some(attempt) = job::release(tables, id) else { return };
     ran(tables, attempt.job);
     avoid(tables, &attempt);
-    job::retry(tables, cx, attempt.job, reason, out);
+    if reason == Retry::ConnectionLost {
+        job::lost(tables, cx, attempt.job, attempt.target, out);
+    } else {
+        job::retry(tables, cx, attempt.job, reason, out);
+    }
 }
 
 /// Ends an attempt whose connection was closed because it went silent.
--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -54,6 +54,8 @@
         covered: Set::new(),
         rows: Vec::new(),
         plans: 0,
+        lost: BTreeSet::new(),
+        is_cut: false,
         fault: None,
     });
     let asked = search.deadline;
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -8,10 +8,11 @@
     id,
     log::{Event, Line},
     message::{self, Outcome},
+    name::Name,
     target::Command,
     traffic::{
         Context, Outbox, Tables,
-        table::{Attempt, Job, shard, timer::Timer},
+        table::{Attempt, Job, Suspect, shard, timer::Timer},
     },
     view::Lane,
 };
@@ -32,6 +33,7 @@
     }
     let shard = shard::Key { index: leg.index.clone(), shard: leg.shard.clone() };
     let deadline = cx.now + leg.remaining;
+    let suspect = tables.suspects.get(&leg.fingerprint);
     let mut job = Job {
         from,
         shard,
@@ -39,7 +41,7 @@
         place: None,
         attempts: BTreeSet::new(),
         tries: 0,
-        avoid: BTreeSet::new(),
+        avoid: suspect.map(lost_before).unwrap_or_default(),
         suspect: false,
         overdue: false,
         ran: false,
@@ -65,6 +67,11 @@
     tables.jobs.insert(id, job);
 }
 
+/// The targets that were lost with an earlier leg of the same request.
+fn lost_before(suspect: &Suspect) -> BTreeSet<Name> {
+    suspect.targets.iter().map(|(name, _)| name.clone()).collect()
+}
+
 fn refusal(tables: &Tables, cx: &Context, job: &Job) -> Option<Outcome> {
     let refused = |kind, detail: &str| {
         Some(Outcome::Failed { kind, ran: Ran::No, detail: detail.to_owned() })
@@ -207,37 +214,61 @@
 
 /// Puts a job back into the queue after an attempt ended without an answer.
 pub fn retry(tables: &mut Tables, cx: &mut Context, id: id::Leg, reason: Retry, out: &mut Outbox) {
-    let Some(job) = tables.jobs.get(&id) else { return };
-    if !job.attempts.is_empty() || job.place.is_some() {
+    if !may_retry(tables, cx, id, reason, out) {
         return;
     }
+    let Some(job) = tables.jobs.get_mut(&id) else { return };
+    if let Some(shard) = tables.shards.get_mut(&job.shard) {
+        job.place = Some(shard.requeue(id));
+        tables.to_dispatch.insert(job.shard.clone());
+    }
+}
+
+/// Hands a search back to its entry after `target` was lost while it ran it. A
+/// retry from here could crash another target, while the legs on other shards
+/// have crashed theirs.
+pub fn lost(tables: &mut Tables, cx: &mut Context, id: id::Leg, target: Name, out: &mut Outbox) {
+    if may_retry(tables, cx, id, Retry::ConnectionLost, out) {
+        finish(tables, cx, id, Outcome::Lost { target }, out);
+    }
+}
+
+/// Whether a job may be tried again. One that may not is ended.
+fn may_retry(
+    tables: &mut Tables,
+    cx: &mut Context,
+    id: id::Leg,
+    reason: Retry,
+    out: &mut Outbox,
+) -> bool {
+    let Some(job) = tables.jobs.get(&id) else { return false };
+    if !job.attempts.is_empty() || job.place.is_some() {
+        return false;
+    }
     if job.ran && !job.is_idempotent() {
         let detail = "the target was lost while it may have run the operation".to_owned();
         let failed = Outcome::Failed { kind: Kind::TargetFailed, ran: Ran::Unknown, detail };
         finish(tables, cx, id, failed, out);
-        return;
+        return false;
     }
     if is_condemned(tables, cx, job) {
         let detail = "the request was running when targets were lost".to_owned();
         let failed = Outcome::Failed { kind: Kind::Quarantined, ran: Ran::Yes, detail };
         finish(tables, cx, id, failed, out);
-        return;
+        return false;
     }
     let ran = if job.ran { Ran::Unknown } else { Ran::No };
     if costs_budget(reason) && !spend(tables, &job.leg.profile.clone()) {
         out.count(Count::BudgetSpent);
         finish(tables, cx, id, spent(reason, ran), out);
-        return;
+        return false;
     }
     out.count(Count::Retried(reason));
-    let Some(job) = tables.jobs.get_mut(&id) else { return };
+    let Some(job) = tables.jobs.get(&id) else { return false };
     let fields =
         vec![("shard", job.shard.shard.to_string()), ("reason", reason.as_str().to_owned())];
     out.lines.push(Line::of(job.leg.query, Event::Retried, fields));
-    if let Some(shard) = tables.shards.get_mut(&job.shard) {
-        job.place = Some(shard.requeue(id));
-        tables.to_dispatch.insert(job.shard.clone());
-    }
+    true
 }
 
 /// Whether a retry for this reason puts load on targets that the first attempt
@@ -253,7 +284,7 @@
 }
 
 /// Takes one extra attempt from the budget of a profile.
-pub fn spend(tables: &mut Tables, profile: &crate::name::Name) -> bool {
+pub fn spend(tables: &mut Tables, profile: &Name) -> bool {
     tables.usages.entry(profile.clone()).or_default().spend()
 }
 
--- a/crates/core/src/traffic/table/query.rs
+++ b/crates/core/src/traffic/table/query.rs
@@ -66,6 +66,10 @@
     pub rows: Vec<Row>,
     /// How often legs were planned.
     pub plans: u32,
+    /// The targets that were lost while they ran legs of the search.
+    pub lost: BTreeSet<Name>,
+    /// Whether a leg has ended with a lost target since the last plan.
+    pub is_cut: bool,
     /// The fault that ends the whole search, if a leg met one.
     pub fault: Option<Fault>,
 }
