--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -53,9 +53,11 @@
         version: None,
         covered: Set::new(),
         rows: Vec::new(),
+        lost: Set::new(),
         plans: 0,
-        lost: BTreeSet::new(),
+        crashed: BTreeSet::new(),
         is_cut: false,
+        trial: None,
         fault: None,
     });
     let asked = search.deadline;
