--- a/tests/process/poison.rs
+++ b/tests/process/poison.rs
@@ -91,6 +91,9 @@
     search_that_crashes_every_replica_of_a_shard => {
         case_of(plan(), async |bed| search(&bed, &[0, 1, 2]).await);
     };
+    search_that_crashes_every_target_of_four_shards => {
+        case_of(Plan::default(), async |bed| search(&bed, &[0, 1, 2, 3, 4, 5, 6, 7]).await);
+    };
     search_that_crashes_every_target => {
         case_of(plan(), async |bed| search(&bed, &[0, 1, 2, 3, 4, 5]).await);
     };
