Hold a request back for two lost targets of one shard, not of any

Cause: a rack that fails takes targets of many shards at once, and every search that ran then lost two targets and was held back for ten minutes. The first try at one shard (canary) makes it unneeded to count over shards: a search that crashes targets loses two of the shard at which it is tried.

The entry's decision on a retry after a lost target is taken out again. It made a search wait for its slowest leg before a lost target was replaced, and it counted targets of different shards. Equal searches are tried at the same shard, through whichever VM, so that their losses meet at one home.

--- a/crates/core/src/control/system/quarantine.rs
+++ b/crates/core/src/control/system/quarantine.rs
@@ -17,11 +17,15 @@
     name::Name,
 };
 
-/// The number of lost targets that condemns a fingerprint.
+/// The number of lost targets of one shard that condemns a fingerprint.
 const LOST_TARGETS: usize = 2;
 
-/// Notes that a target was lost with a fingerprint. The second target condemns
-/// it, through whichever VMs the two were reached.
+/// The number of targets that are remembered of a fingerprint.
+const MAX_TARGETS: usize = 8;
+
+/// Notes that a target was lost with a fingerprint. The second target of one
+/// shard condemns it, through whichever VMs the two were reached. Targets of
+/// different shards do not, because a rack that fails takes many at once.
 pub fn suspect(
     tables: &mut Tables,
     step: &mut Step<'_>,
@@ -38,10 +42,13 @@
         origin,
         until,
     });
-    if !row.targets.insert(target) {
+    if row.targets.len() >= MAX_TARGETS || !row.targets.insert(target.clone()) {
         return;
     }
-    if row.targets.len() >= LOST_TARGETS {
+    let listed = &tables.targets.listed;
+    let shard = |name: &Name| listed.get(name).map(|target| (&target.index, &target.shard));
+    let of_shard = row.targets.iter().filter(|name| shard(name) == shard(&target)).count();
+    if of_shard >= LOST_TARGETS {
         return condemn(tables, step, fingerprint, origin, step.limits.condemned_fingerprint);
     }
     if rows.len() > step.limits.fingerprints {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -45,9 +45,6 @@
     Done { result: Arc<str> },
     /// No target of the shard holds the range at the version any more.
     Moved { ran: Ran },
-    /// This target was lost while it ran the search. The entry, which hears of
-    /// all legs of the search, decides whether another target may run it.
-    Lost { target: Name },
     /// The leg was refused or failed.
     Failed { kind: Kind, ran: Ran, detail: String },
 }
--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -248,7 +248,8 @@
     }
     let target = attempt.target.clone();
     out.reports.push(Report::Suspect { fingerprint, query, target });
-    if suspect.targets.len() == cx.limits.lost_targets {
+    let shard = row.shard.clone();
+    if job::lost_here(tables, cx, fingerprint, &shard) == cx.limits.lost_targets {
         out.reports.push(Report::Condemned { fingerprint, origin: cx.ids.origin() });
         let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
         out.lines.push(Line::of(query, Event::RequestCondemned, fields));
@@ -260,11 +261,7 @@
     let Some(attempt) = job::release(tables, id) else { return };
     ran(tables, attempt.job);
     avoid(tables, &attempt);
-    if reason == Retry::ConnectionLost {
-        job::lost(tables, cx, attempt.job, attempt.target, out);
-    } else {
-        job::retry(tables, cx, attempt.job, reason, out);
-    }
+    job::retry(tables, cx, attempt.job, reason, out);
 }
 
 /// Ends an attempt whose connection was closed because it went silent.
--- a/crates/core/src/traffic/system/dispatch.rs
+++ b/crates/core/src/traffic/system/dispatch.rs
@@ -64,7 +64,7 @@
 
 /// Whether a target was lost while it ran the job's request.
 fn is_suspect(tables: &Tables, cx: &Context, job: &Job) -> bool {
-    job.suspect || job::lost_targets(tables, cx, job) > 0
+    job.suspect || job::is_suspect(tables, cx, job)
 }
 
 /// Whether a copy of the job's request, which its caller sent again, is in
--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -55,8 +55,6 @@
         rows: Vec::new(),
         lost: Set::new(),
         plans: 0,
-        crashed: BTreeSet::new(),
-        is_cut: false,
         trial: None,
         fault: None,
     });
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     count::{Count, Retry},
+    digest::Fingerprint,
     fault::{Kind, Ran},
     id,
     log::{Event, Line},
@@ -91,23 +92,41 @@
     None
 }
 
-/// Whether the job's request may not be sent to another target.
+/// Whether the job's request may not be sent to another target: it lost enough
+/// targets of this shard, or another VM holds it back.
+///
+/// Targets of other shards do not count here. A rack that fails takes targets of
+/// many shards at once, and every search that ran then would be held back.
 pub fn is_condemned(tables: &Tables, cx: &Context, job: &Job) -> bool {
-    lost_targets(tables, cx, job) >= cx.limits.lost_targets
+    lost_here(tables, cx, job.leg.fingerprint, &job.shard) >= cx.limits.lost_targets
         || cx.view.quarantine.contains_key(&job.leg.fingerprint)
 }
 
-/// The number of targets that were lost with the job's request, here or at
-/// other VMs.
-pub fn lost_targets(tables: &Tables, cx: &Context, job: &Job) -> usize {
+/// Whether any target was lost with the job's request, here or at another VM.
+pub fn is_suspect(tables: &Tables, cx: &Context, job: &Job) -> bool {
     let own = tables.suspects.get(&job.leg.fingerprint);
-    let own = own.filter(|suspect| suspect.until > cx.now).map(|suspect| &suspect.targets);
-    let others = cx.view.suspects.get(&job.leg.fingerprint);
-    let (Some(own), Some(others)) = (own, others) else {
-        return own.map_or(0, BTreeSet::len) + others.map_or(0, BTreeSet::len);
-    };
-    let elsewhere = others.iter().filter(|name| !own.iter().any(|(lost, _)| lost == *name));
-    own.len() + elsewhere.count()
+    own.is_some_and(|suspect| suspect.until > cx.now)
+        || cx.view.suspects.contains_key(&job.leg.fingerprint)
+}
+
+/// The number of targets of a shard that were lost with a request, here or at
+/// other VMs.
+pub fn lost_here(
+    tables: &Tables,
+    cx: &Context,
+    fingerprint: Fingerprint,
+    shard: &shard::Key,
+) -> usize {
+    let is_here =
+        |name: &Name| tables.targets.get(name).is_some_and(|target| target.shard == *shard);
+    let own = tables.suspects.get(&fingerprint).filter(|suspect| suspect.until > cx.now);
+    let own: Vec<&Name> = own
+        .into_iter()
+        .flat_map(|suspect| suspect.targets.iter().map(|(name, _)| name))
+        .filter(|name| is_here(name))
+        .collect();
+    let others = cx.view.suspects.get(&fingerprint).into_iter().flatten();
+    own.len() + others.filter(|name| is_here(name) && !own.contains(name)).count()
 }
 
 /// The time that a leg of a profile which arrives now is expected to wait for a
@@ -241,15 +260,6 @@
     }
 }
 
-/// Hands a search back to its entry after `target` was lost while it ran it. A
-/// retry from here could crash another target, while the legs on other shards
-/// have crashed theirs.
-pub fn lost(tables: &mut Tables, cx: &mut Context, id: id::Leg, target: Name, out: &mut Outbox) {
-    if may_retry(tables, cx, id, Retry::ConnectionLost, out) {
-        finish(tables, cx, id, Outcome::Lost { target }, out);
-    }
-}
-
 /// Whether a job may be tried again. One that may not is ended.
 fn may_retry(
     tables: &mut Tables,
--- a/crates/core/src/traffic/system/leg.rs
+++ b/crates/core/src/traffic/system/leg.rs
@@ -83,7 +83,7 @@
     if leg.lane().is_some() {
         send(tables, cx, leg, out);
     } else {
-        merge::ended(tables, cx, &leg, out);
+        merge::ended(tables, &leg);
     }
 }
 
--- a/crates/core/src/traffic/system/merge.rs
+++ b/crates/core/src/traffic/system/merge.rs
@@ -5,7 +5,6 @@
     count::{Count, Drop, Retry},
     digest,
     fault::{Fault, Kind, Ran},
-    id,
     key::Range,
     message::{Outcome, Reply},
     notice::Report,
@@ -52,14 +51,13 @@
     } else {
         settle_operation(tables, &leg, reply.outcome, out);
     }
-    ended(tables, cx, &leg, out);
+    ended(tables, &leg);
 }
 
 fn ran_of(outcome: &Outcome) -> Ran {
     match outcome {
         Outcome::Rows { .. } | Outcome::Done { .. } => Ran::Yes,
         Outcome::Moved { ran } | Outcome::Failed { ran, .. } => *ran,
-        Outcome::Lost { .. } => Ran::Unknown,
     }
 }
 
@@ -96,10 +94,6 @@
         Outcome::Moved { .. } => {
             tables.to_plan.insert(leg.query);
         }
-        Outcome::Lost { target } => {
-            search.crashed.insert(target);
-            search.is_cut = true;
-        }
         Outcome::Failed { kind: Kind::Quarantined, ran, detail } => {
             search.fault = Some(Fault { kind: Kind::Quarantined, ran, detail });
             tables.to_answer.insert(leg.query);
@@ -159,10 +153,6 @@
             let recorded = (ran == Ran::No).then_some(Recorded::NotRun);
             (recorded, Err(Fault { kind, ran, detail }))
         }
-        Outcome::Lost { .. } => {
-            let detail = "the target was lost while it may have run the operation";
-            (None, Err(Fault::unknown(Kind::TargetFailed, detail)))
-        }
         Outcome::Moved { .. } | Outcome::Rows { .. } => {
             let detail = "no target holds the subject of the operation";
             (Some(Recorded::NotRun), Err(Fault::not_run(Kind::Unavailable, detail)))
@@ -171,11 +161,13 @@
 }
 
 /// Answers a search that has no leg left, unless it is to be planned again.
-pub fn ended(tables: &mut Tables, cx: &Context, leg: &Leg, out: &mut Outbox) {
+pub fn ended(tables: &mut Tables, leg: &Leg) {
     let Some(query) = tables.queries.get(&leg.query) else { return };
     let is_idle = query.legs.is_empty() && !tables.to_plan.contains(&leg.query);
     match &query.task {
-        Task::Search(_) if is_idle => end_search(tables, cx, leg.query, out),
+        Task::Search(_) if is_idle => {
+            tables.to_answer.insert(leg.query);
+        }
         Task::Operation(operation) if is_idle && operation.stage == Stage::Sent => {
             settle_unreached(tables, leg);
         }
@@ -183,25 +175,6 @@
     }
 }
 
-/// Answers a search, or plans the legs again that were running when a target was
-/// lost. The legs that have ended by now tell whether this is the search's own
-/// doing: a second lost target condemns it.
-fn end_search(tables: &mut Tables, cx: &Context, id: id::Query, out: &mut Outbox) {
-    let Some(query) = tables.queries.get_mut(&id) else { return };
-    let Task::Search(search) = &mut query.task else { return };
-    if !std::mem::take(&mut search.is_cut) {
-        tables.to_answer.insert(id);
-    } else if search.crashed.len() >= cx.limits.lost_targets {
-        let detail = "the request was running when targets were lost";
-        search.fault = Some(Fault::unknown(Kind::Quarantined, detail));
-        let (fingerprint, origin) = (query.fingerprint, cx.ids.origin());
-        out.reports.push(Report::Condemned { fingerprint, origin });
-        tables.to_answer.insert(id);
-    } else {
-        tables.to_plan.insert(id);
-    }
-}
-
 /// Ends an operation that every home refused before it ran.
 fn settle_unreached(tables: &mut Tables, leg: &Leg) {
     let Some(query) = tables.queries.get_mut(&leg.query) else { return };
--- a/crates/core/src/traffic/system/plan.rs
+++ b/crates/core/src/traffic/system/plan.rs
@@ -2,10 +2,9 @@
 
 use std::sync::Arc;
 
-use rand::RngExt;
-
 use crate::{
     count::Count,
+    digest::Fingerprint,
     fault::{Fault, Kind},
     id,
     key::{Range, Set},
@@ -55,10 +54,12 @@
     match first_plan(tables, cx, id) {
         Ok((version, parts)) => {
             let is_cautious = parts.len() > 1 && is_cautious(tables, id, version);
+            let fingerprint = tables.queries.get(&id).map(|query| query.fingerprint);
+            let Some(fingerprint) = fingerprint else { return };
             let Some(search) = search_mut(tables, id) else { return };
             search.version = Some(version);
             search.trial = is_cautious.then_some(0);
-            let parts = if is_cautious { canary(cx, parts) } else { parts };
+            let parts = if is_cautious { canary(fingerprint, 0, parts) } else { parts };
             send(tables, cx, id, version, parts, out);
         }
         Err(fault) => {
@@ -77,10 +78,12 @@
     })
 }
 
-/// Picks the one part at which a search is tried.
-fn canary(cx: &mut Context, mut parts: Vec<Part>) -> Vec<Part> {
-    let chosen = cx.random.random_range(0..parts.len());
-    vec![parts.swap_remove(chosen)]
+/// Picks the one part at which a search is tried: the same for equal searches
+/// through any VM, so that their losses meet at one home. A trial that failed is
+/// followed by one at the next part.
+fn canary(fingerprint: Fingerprint, plans: u32, mut parts: Vec<Part>) -> Vec<Part> {
+    let number = fingerprint.0.wrapping_add(u64::from(plans)) % parts.len().max(1) as u64;
+    vec![parts.swap_remove(usize::try_from(number).unwrap_or(0))]
 }
 
 /// The parts of the best plan that can be answered in time.
@@ -150,7 +153,9 @@
         answer_if_idle(tables, id);
     } else {
         let is_trial = search.trial.is_some();
-        let parts = if is_trial { canary(cx, plan.parts) } else { plan.parts };
+        let fingerprint = query.fingerprint;
+        let plans = search.plans;
+        let parts = if is_trial { canary(fingerprint, plans, plan.parts) } else { plan.parts };
         send(tables, cx, id, version, parts, out);
     }
 }
--- a/crates/core/src/traffic/table/query.rs
+++ b/crates/core/src/traffic/table/query.rs
@@ -68,10 +68,6 @@
     pub lost: Set,
     /// How often legs were planned.
     pub plans: u32,
-    /// The targets that were lost while they ran legs of the search.
-    pub crashed: BTreeSet<Name>,
-    /// Whether a leg has ended with a lost target since the last plan.
-    pub is_cut: bool,
     /// The shards at which it was tried alone, while it is not sent to all.
     pub trial: Option<u32>,
     /// The fault that ends the whole search, if a leg met one.
--- a/crates/core/tests/rules/search.rs
+++ b/crates/core/tests/rules/search.rs
@@ -11,7 +11,10 @@
     view::State,
 };
 
-use crate::world::{ANY, CAREFUL, WHOLE, World, name, targets::Fault};
+use crate::world::{
+    ANY, CAREFUL, WHOLE, World, name,
+    targets::{Fault, Target},
+};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -319,6 +322,29 @@
     assert_eq!(crashed, 2);
 }
 
+/// A rack takes one target of each of several shards while a search runs.
+fn rack_that_fails() {
+    let mut world = World::new(1, 6, 2);
+    for target in world.targets.rows.values_mut() {
+        target.service = 50 * MS;
+    }
+    let call = world.search("vm-1", WHOLE, "");
+    world.run(20 * MS);
+    let busy = |target: &&mut Target| !target.running.is_empty();
+    let running: Vec<u64> =
+        world.targets.rows.values_mut().filter(busy).map(|target| target.shard).collect();
+    assert_eq!(running.len(), 6);
+    for shard in 0..3 {
+        let replica = u64::from(world.targets.get(shard, 0).running.is_empty());
+        world.crash_target(shard, replica);
+    }
+    world.run(1100 * MS);
+    let found = world.found(call).clone();
+    world.check(&found);
+    assert!(found.missing.is_empty());
+    assert!(!world.reports.iter().any(|report| matches!(report, Report::Condemned { .. })));
+}
+
 fn proven_search_is_not_tried_again() {
     let mut world = World::new(3, 6, 2);
     let mut times = Vec::new();
@@ -381,6 +407,7 @@
     a_target_listed_as_leaving_gets_no_work => listed_as_leaving_gets_no_work();
     a_poison_request_stops_after_two_targets => poison_stops_after_two_targets();
     a_search_that_crashes_every_target_stops_after_two => poison_everywhere();
+    a_rack_that_fails_condemns_no_search => rack_that_fails();
     a_search_that_was_answered_is_not_tried_again => proven_search_is_not_tried_again();
     an_unknown_profile_is_refused => unknown_profile_is_refused();
     nineteen_vms_share_the_connections => homes_share_the_connections();
