--- a/crates/core/src/claims/outbox.rs
+++ b/crates/core/src/claims/outbox.rs
@@ -6,56 +6,55 @@
 
 use super::{message::Message, table::CallId};
 
-/// What is counted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Count {
+macro_rules! counts {
+    ($($(#[$doc:meta])* $count:ident $text:literal;)*) => {
+        /// What is counted.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum Count {
+            $($(#[$doc])* $count,)*
+        }
+
+        impl Count {
+            /// Every count, in the order of the list.
+            pub const ALL: &[Count] = &[$(Count::$count),*];
+
+            /// The label of the counter.
+            pub fn as_str(self) -> &'static str {
+                match self {
+                    $(Count::$count => $text,)*
+                }
+            }
+        }
+    };
+}
+
+counts! {
     /// Claims granted at this home.
-    Granted,
+    Granted "granted";
     /// Claims answered with a recorded result.
-    Recorded,
+    Recorded "recorded";
     /// Claims answered as unknown.
-    Unknown,
+    Unknown "unknown";
     /// Keys that were used for another request.
-    Reused,
+    Reused "reused";
     /// Keys outside the window.
-    Expired,
+    Expired "expired";
     /// Claims refused because the bucket is full.
-    Full,
+    Full "full";
     /// Claims that could not be settled.
-    Unsettled,
+    Unsettled "unsettled";
     /// Claims refused because the queue is full.
-    QueueFull,
+    QueueFull "queue_full";
     /// Writes that lost the race.
-    Conflict,
+    Conflict "conflict";
     /// Calls whose effect is not known.
-    Lost,
+    Lost "lost";
     /// Outcomes that were not recorded.
-    OutcomeDropped,
+    OutcomeDropped "outcome_dropped";
     /// Verdicts that came after the operation had given up.
-    LateVerdict,
+    LateVerdict "late_verdict";
     /// Buckets removed below the floor.
-    Removed,
-}
-
-impl Count {
-    /// The label of the counter.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Count::Granted => "granted",
-            Count::Recorded => "recorded",
-            Count::Unknown => "unknown",
-            Count::Reused => "reused",
-            Count::Expired => "expired",
-            Count::Full => "full",
-            Count::Unsettled => "unsettled",
-            Count::QueueFull => "queue_full",
-            Count::Conflict => "conflict",
-            Count::Lost => "lost",
-            Count::OutcomeDropped => "outcome_dropped",
-            Count::LateVerdict => "late_verdict",
-            Count::Removed => "removed",
-        }
-    }
+    Removed "removed";
 }
 
 /// Orders to the control thread, in the order in which they were given.
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -63,7 +63,7 @@
 pub struct Metrics {
     registry: Registry,
     counters: BTreeMap<Count, Counter>,
-    claims: Family<Labels, Counter>,
+    claims: BTreeMap<claims::Count, Counter>,
     calls: BTreeMap<Call, Counter>,
     latency: Histograms,
     coverage: Histograms,
@@ -83,8 +83,7 @@
     pub fn new() -> Metrics {
         let mut registry = Registry::with_prefix(PREFIX);
         let counters = counters(&mut registry);
-        let claims: Family<Labels, Counter> = Family::default();
-        registry.register("claims", "What became of claims", claims.clone());
+        let claims = claims(&mut registry);
         let calls = calls(&mut registry);
         let gauges = gauges(&mut registry);
         let latency: Histograms = Family::new_with_constructor(latency);
@@ -112,8 +111,9 @@
     /// Adds what the claims engine has counted.
     pub fn add_claims(&self, counts: &BTreeMap<claims::Count, u64>) {
         for (count, &times) in counts {
-            let labels = vec![("reason", count.as_str().to_owned())];
-            self.claims.get_or_create(&labels).inc_by(times);
+            if let Some(counter) = self.claims.get(count) {
+                counter.inc_by(times);
+            }
         }
     }
 
@@ -175,6 +175,16 @@
     counters
 }
 
+fn claims(registry: &mut Registry) -> BTreeMap<claims::Count, Counter> {
+    let family: Family<Labels, Counter> = Family::default();
+    let counter = |count: claims::Count| {
+        family.get_or_create(&vec![("reason", count.as_str().to_owned())]).clone()
+    };
+    let counters = claims::Count::ALL.iter().map(|&count| (count, counter(count))).collect();
+    registry.register("claims", "What became of claims", family.clone());
+    counters
+}
+
 fn calls(registry: &mut Registry) -> BTreeMap<Call, Counter> {
     let family: Family<Labels, Counter> = Family::default();
     let counter =
--- a/tests/product/metric.rs
+++ b/tests/product/metric.rs
@@ -14,6 +14,7 @@
 };
 use laburnumworks::metric::{
     MAX_PROFILES, Metrics, OTHER,
+    call::Call,
     gauge::{Gauge, Part},
 };
 
@@ -176,6 +177,17 @@
             assert_eq!(value(&metrics, &series), Some(0.0), "{series}");
         }
     };
+    every_claim_and_call_has_a_counter_from_the_start => {
+        let metrics = Metrics::new();
+        for count in claims::Count::ALL {
+            let series = format!("laburnum_claims_total{{reason=\"{}\"}}", count.as_str());
+            assert_eq!(value(&metrics, &series), Some(0.0), "{series}");
+        }
+        for call in Call::ALL {
+            let series = format!("laburnum_platform_calls_total{{kind=\"{}\"}}", call.as_str());
+            assert_eq!(value(&metrics, &series), Some(0.0), "{series}");
+        }
+    };
     every_count_has_a_series_of_its_own => {
         let series = |count: &Count| (count.name(), count.reason());
         let all = Count::all();
