--- a/crates/core/tests/rules/traffic_load.rs
+++ b/crates/core/tests/rules/traffic_load.rs
@@ -38,7 +38,8 @@
     let mut calls = Vec::new();
     for number in 0..many {
         let vm = &vms[number % vms.len()];
-        calls.push(world.search(vm, profile, &format!("text {number}")));
+        let text = format!("text {number} at {}", world.now.0);
+        calls.push(world.search(vm, profile, &text));
         world.run(pause);
     }
     calls
