Take ports for local deployments from a block that one process holds

One of 114 cases failed with "Address already in use" while other processes looked for ports as well: a random start kept apart only the threads of one process. A process now holds the first port of a block, as the tests with processes do, and takes its ports from that block.

--- a/src/local/place.rs
+++ b/src/local/place.rs
@@ -2,10 +2,9 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
-    ops::RangeInclusive,
     sync::{
-        LazyLock,
-        atomic::{AtomicU32, Ordering},
+        OnceLock,
+        atomic::{AtomicU16, Ordering},
     },
 };
 
@@ -36,12 +35,20 @@
     pub traffic: SocketAddr,
 }
 
-/// The ports that are tried. They lie below those that systems give to outgoing
-/// connections, one of which could take a free port before the VM does.
-const PORTS: RangeInclusive<u16> = 10_000..=32_000;
+/// The first port that is tried.
+const FIRST_PORT: u16 = 10_000;
 
-/// The ports that are tried before it is given up to find a free one.
-const MAX_TRIES: usize = 1000;
+/// The ports of a block. A process takes one block.
+const BLOCK: u16 = 1_250;
+
+/// The number of blocks. The last ends below the range from which the system
+/// takes ports for outgoing connections, one of which could take a free port
+/// before the VM does.
+const BLOCKS: u16 = 16;
+
+/// The listener on the first port of the block that this process has taken,
+/// which keeps other processes from taking it.
+static TAKEN: OnceLock<Option<TcpListener>> = OnceLock::new();
 
 /// Finds free ports for the VM with this number.
 ///
@@ -64,20 +71,28 @@
     })
 }
 
-/// Listens on a port that is free now and that this process did not try before,
+/// Listens on a port that is free now and that this process did not try lately,
 /// so that no two VMs of it are given the same one.
 fn listen() -> Result<TcpListener, Report<Error>> {
-    let found = (0..MAX_TRIES).find_map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, next())).ok());
+    let first = TAKEN.get_or_init(take).as_ref().and_then(|taken| taken.local_addr().ok());
+    let first = first.ok_or_else(|| Report::new(failed("a listener in a free block of ports")))?;
+    let found = (1..BLOCK).find_map(|_| bind(first.port() + next()));
     found.ok_or_else(|| Report::new(failed("a listener on a free port")))
 }
 
-/// The next port to try. The first one is random, because other processes look
-/// for ports as well.
+/// Takes the first block that no other process has taken.
+fn take() -> Option<TcpListener> {
+    (0..BLOCKS).find_map(|block| bind(FIRST_PORT + block * BLOCK))
+}
+
+/// The next port to try, counted from the first one of the block.
 fn next() -> u16 {
-    static TRIED: LazyLock<AtomicU32> = LazyLock::new(|| AtomicU32::new(rand::random()));
-    let count = u32::from(PORTS.end() - PORTS.start());
-    let tried = TRIED.fetch_add(1, Ordering::Relaxed) % count;
-    PORTS.start() + u16::try_from(tried).unwrap_or_default()
+    static TRIED: AtomicU16 = AtomicU16::new(0);
+    1 + TRIED.fetch_add(1, Ordering::Relaxed) % (BLOCK - 1)
+}
+
+fn bind(port: u16) -> Option<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok()
 }
 
 impl Place {
