--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -55,6 +55,8 @@
         rows: Vec::new(),
         lost: Set::new(),
         plans: 0,
+        crashed: BTreeSet::new(),
+        is_cut: false,
         trial: None,
         fault: None,
     });
