--- a/crates/core/src/traffic/policy/choice.rs
+++ b/crates/core/src/traffic/policy/choice.rs
@@ -33,18 +33,14 @@
 impl Choice for LeastExpected {
     fn cost(&self, chance: Chance<'_>) -> Duration {
         let target = chance.target;
-        let slots = target.slots.max(1);
+        let slots = f64::from(target.slots.max(1));
         let answered = target.latency.mean();
         // One that has not answered yet is taken for a fast one, to find out.
         let mean = if answered.is_zero() { chance.usual / 2 } else { answered };
         match chance.ahead {
             // Among equal ones the one that runs less; always less than a wait.
-            None => mean + mean * target.in_use / (slots * (slots + 1)),
-            Some(ahead) => {
-                let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-                let wait = (mean / slots).saturating_mul(turns);
-                (mean + wait).saturating_mul(WAIT_GAIN)
-            }
+            None => mean.mul_f64(1.0 + f64::from(target.in_use) / (slots * (slots + 1.0))),
+            Some(ahead) => mean.mul_f64(1.0 + (ahead as f64 + 1.0) / slots) * WAIT_GAIN,
         }
     }
 }
--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -1,10 +1,16 @@
 //! `load`: sends queries at seeded times and reports what came of them.
 
-use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use argh::FromArgs;
 use error_stack::{Report, ResultExt};
 use laburnum_core::name::Name;
+use serde::Serialize;
 
 use super::{
     exit::Exit,
@@ -13,7 +19,7 @@
 };
 use crate::{
     load::{
-        arrival, check, drive, report, run, sample,
+        arrival, check, cost, drive, report, run, sample,
         scenario::{self, Scenario},
         scene::{SCENES, Scene},
         scheme::{SCHEMES, Scheme},
@@ -67,6 +73,10 @@
     /// hold the results against the targets; fail if one is not met
     #[argh(switch)]
     pub check: bool,
+    /// measure what queries of this many legs cost the engine, without sockets;
+    /// may be given more than once
+    #[argh(option)]
+    pub cost: Vec<u32>,
     /// write the results as JSON to this file
     #[argh(option)]
     pub out: Option<PathBuf>,
@@ -84,6 +94,9 @@
 
 /// Runs the command.
 pub fn run(command: &Load) -> Outcome {
+    if !command.cost.is_empty() {
+        return measure_cost(command);
+    }
     let runtime = value::runtime()?;
     if command.entry.is_empty() {
         runtime.block_on(measure(command))
@@ -112,6 +125,32 @@
     })
 }
 
+/// Measures the engine alone.
+fn measure_cost(command: &Load) -> Outcome {
+    output::line(cost::HEADING);
+    let mut costs = Vec::new();
+    for &legs in command.cost.iter().filter(|&&legs| legs > 0) {
+        let cost = cost::measure(legs);
+        output::line(&cost.line());
+        costs.push(cost);
+    }
+    match &command.out {
+        Some(file) => write(file, &costs),
+        None => Ok(()),
+    }
+}
+
+/// Writes results to a file as JSON.
+fn write(file: &Path, results: &impl Serialize) -> Outcome {
+    let failed = || Failure {
+        exit: Exit::Failed,
+        detail: format!("{} cannot be written", file.display()),
+        hint: String::new(),
+    };
+    let json = serde_json::to_string_pretty(results).change_context_lazy(failed)?;
+    fs::write(file, json).change_context_lazy(failed)
+}
+
 /// Measures every scheme under every scene that is asked for.
 async fn measure(command: &Load) -> Outcome {
     let scenario = read_scenario(command)?;
@@ -150,13 +189,7 @@
         document.findings.iter().for_each(|finding| output::line(&finding.line()));
     }
     if let Some(file) = &command.out {
-        let failed = || Failure {
-            exit: Exit::Failed,
-            detail: format!("{} cannot be written", file.display()),
-            hint: String::new(),
-        };
-        let json = serde_json::to_string_pretty(&document).change_context_lazy(failed)?;
-        fs::write(file, json).change_context_lazy(failed)?;
+        write(file, &document)?;
     }
     let failed = document.findings.iter().filter(|finding| !finding.met).count();
     if failed > 0 {
@@ -185,9 +218,8 @@
     let json = serde_json::to_string_pretty(&summary)
         .map_err(|e| Failure::report(Exit::Failed, e.to_string(), ""))?;
     output::line(&json);
-    if let Some(file) = &command.out {
-        fs::write(file, json)
-            .map_err(|e| Failure::report(Exit::Failed, format!("{}: {e}", file.display()), ""))?;
+    match &command.out {
+        Some(file) => write(file, &summary),
+        None => Ok(()),
     }
-    Ok(())
 }
--- a/src/load/processor.rs
+++ b/src/load/processor.rs
@@ -8,15 +8,25 @@
 /// The processor time that all threads have used, or zero where the kernel does
 /// not say.
 pub fn used() -> Duration {
-    let text = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    ticks(&fs::read_to_string("/proc/self/stat").unwrap_or_default())
+}
+
+/// The processor time of the threads that run now and whose names start with
+/// `prefix`.
+pub fn used_by(prefix: &str) -> Duration {
+    let threads = fs::read_dir("/proc/self/task").into_iter().flatten().flatten();
+    threads
+        .filter_map(|thread| fs::read_to_string(thread.path().join("stat")).ok())
+        .filter(|stat| stat.split_once('(').is_some_and(|(_, rest)| rest.starts_with(prefix)))
+        .map(|stat| ticks(&stat))
+        .sum()
+}
+
+/// The user and system time in a line of the kernel.
+fn ticks(stat: &str) -> Duration {
     // The second field is a name in parentheses that may hold spaces.
-    let fields = text.rsplit(')').next().unwrap_or_default();
-    let ticks: f64 = fields
-        .split_whitespace()
-        .skip(11)
-        .take(2)
-        .filter_map(|field| field.parse::<f64>().ok())
-        .sum();
+    let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+    let ticks: f64 = fields.skip(11).take(2).filter_map(|field| field.parse::<f64>().ok()).sum();
     Duration::from_secs_f64(ticks / TICKS_PER_SECOND)
 }
 
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -41,6 +41,9 @@
     pub platform_calls_per_second: f64,
     /// The processor time of the whole process over the wall time.
     pub processor_cores: f64,
+    /// The processor time of the traffic threads for each attempt, with HTTP to
+    /// callers and targets, in microseconds.
+    pub tier_micros_per_attempt: Option<f64>,
     /// What happened in a burst and after it.
     pub burst: Option<Burst>,
 }
@@ -76,9 +79,9 @@
     vec![
         "| scheme | scene | service | p50 ms | p99 ms | p99.9 ms | coverage | complete | sent/s \
          | goodput/s | slots/s | refused | lost | attempts/least | attempts/first | hedges \
-         | retries | connections | platform calls/s | cores |"
+         | retries | connections | platform calls/s | cores | tier µs/attempt |"
             .to_owned(),
-        "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
+        "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
             .to_owned(),
     ]
 }
@@ -91,7 +94,7 @@
         let part = |count: u64, of: u64| count as f64 / of.max(1) as f64;
         format!(
             "| {} | {} | {} | {:.1} | {:.1} | {:.1} | {:.4} | {:.4} | {:.1} | {:.1} | {:.1} \
-             | {:.4} | {} | {} | {} | {} | {} | {} of {} | {:.1} | {:.2} |",
+             | {:.4} | {} | {} | {} | {} | {} | {} of {} | {:.1} | {:.2} | {} |",
             self.scheme,
             self.scene,
             self.service,
@@ -113,6 +116,7 @@
             self.connection_limit,
             self.platform_calls_per_second,
             self.processor_cores,
+            optional(self.tier_micros_per_attempt),
         )
     }
 
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -23,6 +23,9 @@
 /// The time after the start of a burst from which its goodput counts.
 const BURST_SETTLE: Duration = Duration::from_millis(500);
 
+/// The first letters of the names of the traffic threads.
+const TRAFFIC_THREADS: &str = "traffic-";
+
 /// What is measured.
 #[derive(Clone, Copy, Debug)]
 pub struct Order<'a> {
@@ -40,13 +43,15 @@
 struct Mark {
     counters: Counters,
     processor: Duration,
+    tier: Duration,
     at: Instant,
 }
 
 impl Mark {
     async fn take(bed: &Bed) -> Result<Mark, Report<Error>> {
         let counters = bed.counters().await?;
-        Ok(Mark { counters, processor: processor::used(), at: Instant::now() })
+        let tier = processor::used_by(TRAFFIC_THREADS);
+        Ok(Mark { counters, processor: processor::used(), tier, at: Instant::now() })
     }
 }
 
@@ -148,6 +153,12 @@
         connection_limit: service.connections,
         platform_calls_per_second: (last.counters.platform - first.counters.platform) as f64 / span,
         processor_cores: (last.processor - first.processor).as_secs_f64() / span,
+        tier_micros_per_attempt: is_whole
+            .then(|| {
+                let micros = last.tier.saturating_sub(first.tier).as_secs_f64() * 1e6;
+                ratio(micros, grown("attempts"))
+            })
+            .flatten(),
         burst: (order.scene.fault == Fault::Burst).then(|| burst(order, service, &own)),
         summary,
     }
--- /dev/null
+++ b/tests/load/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the load tool: arrivals, figures and checks.
+
+#[macro_use]
+#[path = "../common/case.rs"]
+mod case;
+mod arrival;
+mod check;
+mod sample;
