--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -55,6 +55,7 @@
         rows: Vec::new(),
         lost: Set::new(),
         plans: 0,
+        trial: None,
         fault: None,
     });
     let asked = search.deadline;
