--- a/src/load/cost.rs
+++ b/src/load/cost.rs
@@ -275,6 +275,7 @@
         extra_load_ppm: 50_000,
         concurrency: laburnum_core::profile::MAX_CONCURRENCY,
         priority: 10,
+        canary: false,
     })
     .expect("the profile of the measurement is a constant");
     let profiles = BTreeMap::from([(name("cost"), profile)]);
