Share one attempt between equal searches in flight at a home

The first leads and the others follow: they take its rows and are never sent, so sharing adds no wait. Each keeps its own deadline; a leader that leaves hands its attempts or its place to its first follower. It is a policy, so that it can be measured with and without; the load tool names both. With each leg alone three of the four tests in tests/rules/traffic_share.rs fail: three attempts in place of one, and a search that arrives late is not answered in time. The scenario states whether new searches are tried at one shard first, because that adds the time of a leg to each; the comparison leaves it out.

--- /dev/null
+++ b/crates/core/src/traffic/policy/join.rs
@@ -0,0 +1,31 @@
+//! Which searches share one attempt at a home.
+
+use std::fmt;
+
+use crate::{message::Leg, target::Work};
+
+/// Decides whether a leg may share the attempt of an equal one in flight.
+pub trait Join: fmt::Debug {
+    /// Whether the leg may share.
+    fn allows(&self, leg: &Leg) -> bool;
+}
+
+/// Searches share; operations never do.
+#[derive(Clone, Copy, Debug)]
+pub struct Searches;
+
+impl Join for Searches {
+    fn allows(&self, leg: &Leg) -> bool {
+        matches!(leg.work, Work::Search { .. })
+    }
+}
+
+/// Each leg has an attempt of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Alone;
+
+impl Join for Alone {
+    fn allows(&self, _leg: &Leg) -> bool {
+        false
+    }
+}
--- a/crates/core/src/traffic/policy/mod.rs
+++ b/crates/core/src/traffic/policy/mod.rs
@@ -5,12 +5,14 @@
 pub mod slots;
 pub mod hedge;
 pub mod choice;
+pub mod join;
 
 use std::fmt;
 
 pub use self::{
     choice::{Chance, Choice, LeastExpected},
     hedge::{Hedge, Never, Quantile},
+    join::{Alone, Join, Searches},
     route::{Direct, Home, Route},
     slots::{Adaptive, Exact, Share, Slots},
 };
@@ -25,6 +27,8 @@
     pub hedge: Box<dyn Hedge + Send>,
     /// Which target gets a job.
     pub choice: Box<dyn Choice + Send>,
+    /// Which legs share an attempt.
+    pub join: Box<dyn Join + Send>,
 }
 
 /// Makes the policies of a thread; each thread has its own.
@@ -40,6 +44,7 @@
             .entry(&self.slots)
             .entry(&self.hedge)
             .entry(&self.choice)
+            .entry(&self.join)
             .finish()
     }
 }
@@ -51,6 +56,7 @@
             slots: Box::new(Exact),
             hedge: Box::new(Quantile { part: HEDGE_QUANTILE }),
             choice: Box::new(LeastExpected),
+            join: Box::new(Searches),
         }
     }
 }
--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -193,7 +193,7 @@
 /// Whether anything of a job may have run before this moment.
 pub fn ran_of(tables: &Tables, id: id::Leg) -> Ran {
     match tables.jobs.get(&id) {
-        Some(job) if job.ran || !job.attempts.is_empty() => Ran::Unknown,
+        Some(job) if job.ran || !job.attempts.is_empty() || job.follows.is_some() => Ran::Unknown,
         _ => Ran::No,
     }
 }
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -12,6 +12,7 @@
     target::Command,
     traffic::{
         Context, Outbox, Tables,
+        system::share,
         table::{Attempt, Job, shard, timer::Timer},
     },
     view::Lane,
@@ -44,12 +45,23 @@
         suspect: false,
         overdue: false,
         ran: false,
+        follows: None,
+        followers: BTreeSet::new(),
         leg,
     };
     if let Some(outcome) = refusal(tables, cx, &job) {
         reply(tables, cx, &job, outcome, out);
         return;
     }
+    job.follows = share::leader(tables, cx, &job);
+    if let Some(leader) = job.follows.and_then(|id| tables.jobs.get_mut(&id)) {
+        let id = job.leg.leg;
+        leader.followers.insert(id);
+        tables.timers.set(deadline, Timer::Job(id));
+        tables.jobs.insert(id, job);
+        return;
+    }
+    share::lead(tables, cx, &job);
     let priority = priority(cx, &job.leg.profile);
     let id = job.leg.leg;
     if let Some(row) = tables.shards.get_mut(&job.shard) {
@@ -139,6 +151,12 @@
     out: &mut Outbox,
 ) {
     note_slow(tables, cx, id);
+    for follower in share::take_followers(tables, id, &outcome) {
+        let Some(mut job) = tables.jobs.remove(&follower) else { continue };
+        tables.timers.cancel(job.deadline, Timer::Job(follower));
+        job.follows = None;
+        reply(tables, cx, &job, outcome.clone(), out);
+    }
     let Some(job) = remove(tables, id, out) else { return };
     reply(tables, cx, &job, outcome, out);
 }
@@ -163,7 +181,8 @@
 
 /// Ends a job without a reply.
 pub fn remove(tables: &mut Tables, id: id::Leg, out: &mut Outbox) -> Option<Job> {
-    let job = tables.jobs.remove(&id)?;
+    let mut job = tables.jobs.remove(&id)?;
+    share::leave(tables, &mut job);
     tables.timers.cancel(job.deadline, Timer::Job(id));
     if let (Some(place), Some(shard)) = (job.place, tables.shards.get_mut(&job.shard)) {
         shard.queue.remove(&place);
--- a/crates/core/src/traffic/system/mod.rs
+++ b/crates/core/src/traffic/system/mod.rs
@@ -15,6 +15,7 @@
 pub mod depart;
 pub mod connect;
 pub mod job;
+pub mod share;
 pub mod leg;
 
 use super::{Context, Inbox, Outbox, Tables};
--- a/crates/core/src/traffic/table/job.rs
+++ b/crates/core/src/traffic/table/job.rs
@@ -31,6 +31,10 @@
     pub overdue: bool,
     /// Whether any attempt may have run.
     pub ran: bool,
+    /// The job whose attempts it shares.
+    pub follows: Option<id::Leg>,
+    /// The jobs that share its attempts.
+    pub followers: BTreeSet<id::Leg>,
 }
 
 impl Job {
--- a/crates/core/src/traffic/table/mod.rs
+++ b/crates/core/src/traffic/table/mod.rs
@@ -6,6 +6,7 @@
 pub mod link;
 pub mod index;
 pub mod job;
+pub mod share;
 pub mod shard;
 pub mod target;
 pub mod connection;
@@ -51,6 +52,8 @@
     pub unsettled: BTreeMap<id::Query, claim::Request>,
     /// Legs that this VM serves as home.
     pub jobs: BTreeMap<id::Leg, Job>,
+    /// The jobs that equal ones follow.
+    pub leaders: BTreeMap<share::Key, id::Leg>,
     /// Shards that this VM serves as home.
     pub shards: BTreeMap<shard::Key, Shard>,
     /// Targets of those shards.
--- /dev/null
+++ b/crates/core/src/traffic/table/share.rs
@@ -0,0 +1,25 @@
+//! What two legs must have in common to share an attempt.
+
+use crate::{
+    digest::Fingerprint,
+    key::Range,
+    target::{Version, Work},
+    traffic::table::{Job, shard},
+};
+
+/// The shard, the request and the rows that are asked for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key {
+    shard: shard::Key,
+    fingerprint: Fingerprint,
+    version: Version,
+    range: Range,
+}
+
+impl Key {
+    /// The key of a search's job; an operation has none.
+    pub fn of(job: &Job) -> Option<Key> {
+        let Work::Search { version, range, .. } = job.leg.work else { return None };
+        Some(Key { shard: job.shard.clone(), fingerprint: job.leg.fingerprint, version, range })
+    }
+}
--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -8,5 +8,6 @@
 mod key;
 mod search;
 mod traffic_load;
+mod traffic_share;
 mod operation;
 mod found;
--- a/src/load/scenario.rs
+++ b/src/load/scenario.rs
@@ -65,6 +65,8 @@
     pub extra_load_ppm: u32,
     /// The share of the slots relative to other profiles.
     pub priority: u32,
+    /// Whether a new search is tried at one shard before it goes to all.
+    pub canary: bool,
 }
 
 impl TryFrom<&str> for Scenario {
@@ -120,6 +122,7 @@
             "extra_load_ppm": self.extra_load_ppm,
             "concurrency": 1000,
             "priority": self.priority,
+            "canary": self.canary,
         })
     }
 }
--- a/src/load/scheme.rs
+++ b/src/load/scheme.rs
@@ -1,8 +1,8 @@
 //! The ways to route, limit and hedge that are compared.
 
 use laburnum_core::traffic::policy::{
-    self, Adaptive, Direct, Exact, HEDGE_QUANTILE, Hedge, Home, LeastExpected, Never, Policies,
-    Quantile, Route, Share, Slots,
+    self, Adaptive, Alone, Direct, Exact, HEDGE_QUANTILE, Hedge, Home, LeastExpected, Never,
+    Policies, Quantile, Route, Share, Slots,
 };
 
 /// A set of policies under a name.
@@ -17,6 +17,7 @@
 /// Every scheme; the first is the product.
 pub const SCHEMES: &[Scheme] = &[
     Scheme { name: "homes", policies: Policies::default },
+    Scheme { name: "homes-no-sharing", policies: || make(Home, Exact, hedge()) },
     Scheme { name: "homes-no-hedge", policies: || make(Home, Exact, Never) },
     Scheme { name: "share", policies: || make(Direct, Share, hedge()) },
     Scheme { name: "share-no-hedge", policies: || make(Direct, Share, Never) },
@@ -38,6 +39,7 @@
         slots: Box::new(slots),
         hedge: Box::new(hedge),
         choice: Box::new(LeastExpected),
+        join: Box::new(Alone),
     }
 }
 
