--- a/crates/core/tests/rules/traffic_load.rs
+++ b/crates/core/tests/rules/traffic_load.rs
@@ -177,6 +177,18 @@
     assert_eq!(running, 0);
 }
 
+fn sheds_cause_no_storm() {
+    let mut world = World::new(3, 4, 2);
+    for target in world.targets.rows.values_mut() {
+        target.sheds = true;
+    }
+    send(&mut world, 500, 5 * MS, WHOLE);
+    world.run(1100 * MS);
+    let (first, all) = (sum(&world, Count::FirstAttempts), sum(&world, Count::Attempts));
+    assert!(first >= 1000, "{first} first attempts");
+    assert!(all * 10 <= first * 11, "{all} attempts for {first} first attempts");
+}
+
 fn profiles_share_by_priority() {
     let mut world = small_world();
     let mut other = world.document.profiles[&name(WHOLE)].clone();
@@ -205,5 +217,6 @@
     overload_is_refused_before_anything_runs => overload_is_refused_before_it_runs();
     latency_is_back_two_seconds_after_a_burst => latency_is_back_after_a_burst();
     the_legs_of_a_query_live_or_die_together => legs_live_or_die_together();
+    targets_that_shed_cause_no_retry_storm => sheds_cause_no_storm();
     profiles_share_the_slots_by_priority => profiles_share_by_priority();
 }
