--- a/crates/core/src/traffic/system/merge.rs
+++ b/crates/core/src/traffic/system/merge.rs
@@ -98,11 +98,10 @@
             search.fault = Some(Fault { kind: Kind::Quarantined, ran, detail });
             tables.to_answer.insert(leg.query);
         }
-        Outcome::Failed { ran, .. } => {
-            if may_try_again(search, ran) {
-                tables.to_plan.insert(leg.query);
-                return;
-            }
+        Outcome::Failed { ran, .. } if may_try_again(search, ran) => {
+            tables.to_plan.insert(leg.query);
+        }
+        Outcome::Failed { .. } | Outcome::Done { .. } => {
             // Once the rest cannot make the answer whole enough, it would only
             // take slots from queries that can still be answered.
             search.lost.insert(leg.range);
@@ -111,7 +110,6 @@
                 tables.to_answer.insert(leg.query);
             }
         }
-        Outcome::Done { .. } => {}
     }
 }
 
