--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -10,3 +10,4 @@
 mod traffic_load;
 mod operation;
 mod found;
+mod planted;
--- /dev/null
+++ b/crates/core/tests/rules/planted.rs
@@ -0,0 +1,81 @@
+//! Cases for faults that were planted by hand and that no case of their own
+//! caught at first. See `docs/PROOF.md`.
+
+use std::time::Duration;
+
+use laburnum_core::{fault::Ran, target::Version, traffic::Body, view::State};
+
+use crate::world::{WHOLE, World, name};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// The mark of the list outlives the connection on which work was sent.
+fn listed_as_leaving_and_reconnected() {
+    let mut world = World::new(3, 3, 2);
+    world.targets.get(1, 0).listed = Some(State::Leaving);
+    world.publish();
+    world.run(MS);
+    world.targets.get(1, 0).go_silent();
+    world.run(3000 * MS);
+    assert!(!world.targets.get(1, 0).connections.is_empty(), "no new connection");
+    let before = world.targets.get(1, 0).attempts;
+    for number in 0..4 {
+        world.find("vm-1", WHOLE, &format!(" for {number}"));
+    }
+    assert_eq!(world.targets.get(1, 0).attempts, before);
+}
+
+/// A leg waits for a slot beyond its deadline, and its entry cannot withdraw it.
+fn slot_frees_after_the_deadline() {
+    let mut world = World::new(3, 1, 1);
+    let home = world.home_of(0);
+    let entry = world.stranger_to(0);
+    world.targets.get(0, 0).service = 1500 * MS;
+    for number in 0..2 {
+        world.operate(home.as_str(), number, 1, &format!("before {number}"));
+    }
+    world.run(50 * MS);
+    world.search(entry.as_str(), WHOLE, " for one");
+    world.run(10 * MS);
+    world.network.cut(&entry, &home);
+    world.run(3000 * MS);
+    assert!(!world.targets.started.contains_key(" for one"));
+}
+
+/// A claim that is granted after its caller was refused is given back.
+fn granted_after_the_deadline() {
+    let mut world = World::new(3, 3, 2);
+    world.claim_delay = 1500 * MS;
+    let call = world.operate("vm-1", 1, 1, "one");
+    world.run(2000 * MS);
+    assert!(matches!(&world.answer(call).body, Body::Refused(fault) if fault.ran == Ran::No));
+    world.claim_delay = 5 * MS;
+    let again = world.operate("vm-2", 1, 1, "one");
+    world.run(1100 * MS);
+    assert!(matches!(world.answer(again).body, Body::Done { replayed: false, .. }));
+}
+
+/// A search that has read most of one version starts over on the next one.
+fn version_goes_when_most_is_read() {
+    let mut world = World::new(3, 3, 2);
+    let home = world.home_of(0);
+    assert!(home != name("vm-1") && home != world.home_of(1), "the leg has its own way");
+    world.network.slow(&name("vm-1"), &home, 30 * MS);
+    // The homes read the holdings of their targets soon after the change.
+    world.run(480 * MS);
+    let call = world.search("vm-1", WHOLE, " for one");
+    world.run(20 * MS);
+    world.change_version(Version(2));
+    world.run(1100 * MS);
+    let found = world.found(call);
+    assert_eq!((found.version, found.missing.is_empty()), (Version(2), true));
+}
+
+cases! {
+    a_target_listed_as_leaving_gets_no_work_after_a_reconnect =>
+        listed_as_leaving_and_reconnected();
+    a_leg_that_waits_beyond_its_deadline_is_not_sent => slot_frees_after_the_deadline();
+    a_claim_that_is_granted_too_late_is_given_back => granted_after_the_deadline();
+    a_search_that_starts_over_keeps_nothing_of_the_first_version =>
+        version_goes_when_most_is_read();
+}
--- a/crates/core/tests/world/claims.rs
+++ b/crates/core/tests/world/claims.rs
@@ -13,9 +13,6 @@
 
 use super::{Delivery, World};
 
-/// The time that a claim takes.
-const CLAIM: Duration = Duration::from_millis(5);
-
 /// The time after which every VM knows of a request that is held back.
 pub const SPREAD: Duration = Duration::from_millis(50);
 
@@ -39,7 +36,7 @@
                 }
                 let verdict = self.claim(request.clone());
                 let notice = Notice::Claimed { operation: *operation, verdict };
-                return self.deliver(vm, CLAIM, Event::Notice(notice));
+                return self.deliver(vm, self.claim_delay, Event::Notice(notice));
             }
             Report::Outcome { request, outcome } => {
                 if let Some((own, recorded)) = self.claims.get_mut(&request.key)
--- a/crates/core/tests/world/content.rs
+++ b/crates/core/tests/world/content.rs
@@ -9,6 +9,9 @@
     target::{Outcome, Row, Version, Work},
 };
 
+/// The text of the request whose reply a crossed one is.
+const CROSSED: &str = " of another";
+
 /// The rows of a whole version.
 const ROWS: u64 = 256;
 
@@ -19,7 +22,7 @@
     Cut,
     /// A row comes twice.
     Doubled,
-    /// The reply carries another attempt's id.
+    /// The reply is that to another attempt.
     Crossed,
     /// The rows are of another version than stated.
     WrongVersion,
@@ -60,6 +63,7 @@
 /// The outcome of a search, with its fault.
 pub fn search(fault: Option<Fault>, version: Version, range: Range, text: &str) -> Outcome {
     let read = if fault == Some(Fault::WrongVersion) { Version(version.0 + 1) } else { version };
+    let text = if fault == Some(Fault::Crossed) { CROSSED } else { text };
     let mut found = rows(read, text, |key| range.contains(key));
     let count = found.len() as u64;
     match fault {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -86,6 +86,8 @@
     pub claims: BTreeMap<claim::Key, (claim::Request, Option<claim::Outcome>)>,
     /// Whether claims are answered.
     pub claims_down: bool,
+    /// The time that a claim takes.
+    pub claim_delay: Duration,
     /// The answers that callers got.
     pub answers: BTreeMap<Call, Answer>,
     /// Reports of the traffic threads, but for claims.
@@ -175,6 +177,7 @@
             network: Network::default(),
             claims: BTreeMap::new(),
             claims_down: false,
+            claim_delay: Duration::from_millis(5),
             answers: BTreeMap::new(),
             reports: Vec::new(),
             document,
--- a/crates/core/tests/world/targets.rs
+++ b/crates/core/tests/world/targets.rs
@@ -102,6 +102,11 @@
     pub late_work: Vec<(Name, Instant)>,
     /// The targets that had more connections than they take.
     pub over_limit: Vec<(Name, usize)>,
+    /// The attempts that came after their deadline.
+    pub expired: Vec<(Name, Instant)>,
+    /// The requests that were lost with a target because one that was known to
+    /// crash targets ran beside them.
+    pub harmed: Vec<Arc<str>>,
     /// The time.
     pub now: Instant,
 }
@@ -138,6 +143,8 @@
             crashes: BTreeMap::new(),
             late_work: Vec::new(),
             over_limit: Vec::new(),
+            expired: Vec::new(),
+            harmed: Vec::new(),
             now: Instant::default(),
         }
     }
@@ -264,6 +271,9 @@
         if target.leaving.is_some_and(|since| self.now.since(since) > LEAVING) {
             self.late_work.push((target_name.clone(), self.now));
         }
+        if request.remaining.is_zero() {
+            self.expired.push((target_name.clone(), self.now));
+        }
         if let Some(refusal) = target.refuses(&request) {
             let reply = target.reply(attempt, Outcome::Refused(refusal));
             return Effect::event(HOP, Event::Reply { connection, attempt, reply });
@@ -273,7 +283,12 @@
             *self.tokens.entry(*token).or_default() += 1;
         }
         if let Some(poison) = target.poison.clone().filter(|p| **p == **text_of(&request.work)) {
-            self.crashes.entry(poison).or_default().insert(target_name.clone());
+            let crashed = self.crashes.entry(poison).or_default();
+            if !crashed.is_empty() {
+                let beside = target.running.values().map(|(_, other)| text_of(&other.work).clone());
+                self.harmed.extend(beside);
+            }
+            crashed.insert(target_name.clone());
             return target.crash();
         }
         target.running.insert(attempt, (connection, request));
