--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -53,7 +53,9 @@
         version: None,
         covered: Set::new(),
         rows: Vec::new(),
+        lost: Set::new(),
         plans: 0,
+        trial: None,
         fault: None,
     });
     let asked = search.deadline;
--- a/crates/core/src/traffic/system/merge.rs
+++ b/crates/core/src/traffic/system/merge.rs
@@ -5,18 +5,25 @@
     count::{Count, Drop, Retry},
     digest,
     fault::{Fault, Kind, Ran},
+    key::Range,
     message::{Outcome, Reply},
     notice::Report,
+    profile::WHOLE,
     traffic::{
         Context, Outbox, Tables,
         system::leg,
         table::{
             Leg,
-            query::{Settled, Stage, Task},
+            index::Backlog,
+            query::{Search, Settled, Stage, Task},
         },
     },
 };
 
+/// The trials of a search, before it goes to all shards, that may end without
+/// an answer though they ran.
+const MOST_TRIALS: u32 = 2;
+
 /// Merges the replies in the order in which they came.
 pub fn run(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
     for reply in std::mem::take(&mut tables.replies) {
@@ -57,8 +64,8 @@
 fn note_backlog(tables: &mut Tables, cx: &Context, leg: &Leg, reply: &Reply) {
     let index = tables.indexes.get_mut(&leg.message.index);
     if let Some(holding) = index.and_then(|index| index.shards.get_mut(&leg.shard)) {
-        holding.backlog = reply.backlog;
-        holding.heard = cx.now;
+        let backlog = Backlog { wait: reply.backlog, heard: cx.now };
+        holding.backlogs.insert(leg.message.profile.clone(), backlog);
     }
 }
 
@@ -79,6 +86,10 @@
             }
             search.covered.insert(range);
             search.rows.extend(rows);
+            if search.trial.take().is_some() {
+                // A target has answered it: now it goes to the rest.
+                tables.to_plan.insert(leg.query);
+            }
         }
         Outcome::Moved { .. } => {
             tables.to_plan.insert(leg.query);
@@ -87,8 +98,29 @@
             search.fault = Some(Fault { kind: Kind::Quarantined, ran, detail });
             tables.to_answer.insert(leg.query);
         }
-        Outcome::Failed { .. } | Outcome::Done { .. } => {}
+        Outcome::Failed { ran, .. } if may_try_again(search, ran) => {
+            tables.to_plan.insert(leg.query);
+        }
+        Outcome::Failed { .. } | Outcome::Done { .. } => {
+            // Once the rest cannot make the answer whole enough, it would only
+            // take slots from queries that can still be answered.
+            search.lost.insert(leg.range);
+            let reach = Range::ALL.size() - search.lost.size();
+            if reach * u128::from(WHOLE) < Range::ALL.size() * u128::from(query.terms.coverage) {
+                tables.to_answer.insert(leg.query);
+            }
+        }
+    }
+}
+
+/// Whether a search whose trial at one shard failed is tried at another. Each
+/// trial that ran may have cost a target.
+fn may_try_again(search: &mut Search, ran: Ran) -> bool {
+    let Some(trials) = &mut search.trial else { return false };
+    if ran != Ran::No {
+        *trials += 1;
     }
+    *trials < MOST_TRIALS
 }
 
 fn settle_operation(tables: &mut Tables, leg: &Leg, outcome: Outcome, out: &mut Outbox) {
--- a/crates/core/src/traffic/system/plan.rs
+++ b/crates/core/src/traffic/system/plan.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use rand::RngExt;
+
 use crate::{
     count::Count,
     fault::{Fault, Kind},
@@ -26,6 +28,11 @@
 /// about what they hold cannot keep it busy until its deadline.
 const MAX_PLANS: u32 = 8;
 
+/// The part of a query's time that its legs may be expected to wait for slots.
+/// The rest is for running and for waits that grow on the way; it also bounds
+/// what is left over when a burst ends.
+const WAIT_PART: u32 = 2;
+
 /// Plans the queries that need legs.
 pub fn run(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
     for name in std::mem::take(&mut tables.to_choose) {
@@ -47,9 +54,11 @@
 fn begin(tables: &mut Tables, cx: &mut Context, id: id::Query, out: &mut Outbox) {
     match first_plan(tables, cx, id) {
         Ok((version, parts)) => {
-            if let Some(search) = search_mut(tables, id) {
-                search.version = Some(version);
-            }
+            let is_cautious = parts.len() > 1 && is_cautious(tables, id, version);
+            let Some(search) = search_mut(tables, id) else { return };
+            search.version = Some(version);
+            search.trial = is_cautious.then_some(0);
+            let parts = if is_cautious { canary(cx, parts) } else { parts };
             send(tables, cx, id, version, parts, out);
         }
         Err(fault) => {
@@ -61,6 +70,19 @@
     }
 }
 
+/// Whether a search has to be tried at one shard before it goes to all.
+fn is_cautious(tables: &Tables, id: id::Query, version: Version) -> bool {
+    tables.queries.get(&id).is_some_and(|query| {
+        query.terms.canary && !tables.proven.contains(query.fingerprint, version)
+    })
+}
+
+/// Picks the one part at which a search is tried.
+fn canary(cx: &mut Context, mut parts: Vec<Part>) -> Vec<Part> {
+    let chosen = cx.random.random_range(0..parts.len());
+    vec![parts.swap_remove(chosen)]
+}
+
 /// The parts of the best plan that can be answered in time.
 fn first_plan(tables: &Tables, cx: &Context, id: id::Query) -> Result<(Version, Vec<Part>), Fault> {
     let unavailable = |detail: String| Fault::not_run(Kind::Unavailable, detail);
@@ -72,12 +94,10 @@
     let Some((index, best)) = index.and_then(|index| Some((index, index.best.clone()?))) else {
         return Err(unavailable(format!("no target of index {index_name} is known")));
     };
-    let remaining = query.deadline.remaining(cx.now);
+    let longest = query.deadline.remaining(cx.now) / WAIT_PART;
     let is_in_time = |part: &&Part| {
-        index
-            .shards
-            .get(&part.shard)
-            .is_none_or(|holding| holding.wait(cx.now) + cx.limits.margin < remaining)
+        let holding = index.shards.get(&part.shard);
+        holding.is_none_or(|holding| holding.wait(&query.profile, cx.now) <= longest)
     };
     let parts: Vec<Part> = best.parts.iter().filter(is_in_time).cloned().collect();
     let is_cut = parts.len() < best.parts.len();
@@ -129,7 +149,9 @@
     } else if plan.parts.is_empty() {
         answer_if_idle(tables, id);
     } else {
-        send(tables, cx, id, version, plan.parts, out);
+        let is_trial = search.trial.is_some();
+        let parts = if is_trial { canary(cx, plan.parts) } else { plan.parts };
+        send(tables, cx, id, version, parts, out);
     }
 }
 
@@ -156,6 +178,7 @@
     search.version = Some(best.version);
     search.covered = Set::new();
     search.rows.clear();
+    search.lost = Set::new();
     out.count(Count::Restarts);
     let fields = vec![("version", best.version.0.to_string())];
     out.lines.push(Line::of(id, Event::Restarted, fields));
@@ -173,6 +196,9 @@
 ) {
     let Some(search) = search_mut(tables, id) else { return };
     search.plans += 1;
+    for part in &parts {
+        search.lost.remove(part.range);
+    }
     let text = search.text.clone();
     for part in parts {
         let work = Work::Search { version, range: part.range, text: text.clone() };
