--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -11,3 +11,4 @@
 mod traffic_share;
 mod operation;
 mod found;
+mod planted;
