--- a/src/cli/slope.rs
+++ b/src/cli/slope.rs
@@ -17,6 +17,9 @@
     /// entry, home, holding, wire or control; all of them if not given
     #[argh(option, from_str_fn(value::part))]
     pub part: Option<Part>,
+    /// the largest fleet of control engines, of 5, 19, 60, 200 and 600 VMs
+    #[argh(option, default = "200")]
+    pub vms: usize,
     /// print the figures as JSON
     #[argh(switch)]
     pub json: bool,
@@ -25,7 +28,8 @@
 /// Runs the command.
 pub fn run(arguments: &Arguments) -> Outcome {
     let parts = arguments.part.map_or(Part::ALL.to_vec(), |part| vec![part]);
-    let slopes: Vec<Slope> = parts.into_iter().flat_map(Part::measure).collect();
+    let slopes: Vec<Slope> =
+        parts.into_iter().flat_map(|part| part.measure(arguments.vms)).collect();
     if arguments.json {
         let lines = slopes.iter().filter_map(|slope| serde_json::to_string(slope).ok());
         lines.for_each(|line| output::line(&line));
--- a/src/slope/control.rs
+++ b/src/slope/control.rs
@@ -11,6 +11,12 @@
 /// The VMs of a fleet.
 const VMS: [usize; 5] = [5, 19, 60, 200, 600];
 
+/// The targets of a long list.
+const TARGETS: [usize; 3] = [1000, 10_000, 75_000];
+
+/// The VMs that read a long list; all but two of them are watchers.
+const LIST_VMS: usize = 5;
+
 /// The time for which each state is measured.
 const SPAN: Duration = Duration::from_secs(20);
 
@@ -26,19 +32,39 @@
 /// The time for which the loss of a rack or a failure domain is measured.
 const LOSS: Duration = Duration::from_secs(60);
 
-/// Measures the part.
-pub fn measure() -> Vec<Slope> {
+/// Measures the part, with fleets of at most `most` VMs.
+pub fn measure(most: usize) -> Vec<Slope> {
     let mut slopes = Vec::new();
     let mut held = Vec::new();
-    for vms in VMS {
+    for vms in VMS.into_iter().filter(|&vms| vms <= most) {
         let (memory, mut fleet) = meter::growth(vms, || settle(vms, &mut slopes));
         slopes.push(slope("memory of a VM, views included", vms, "bytes", memory));
         states(&mut fleet, &mut slopes);
         held.push(fleet);
     }
+    TARGETS.into_iter().for_each(|targets| listed(targets, &mut slopes));
     slopes
 }
 
+/// Measures a few VMs whose list holds many targets.
+fn listed(targets: usize, slopes: &mut Vec<Slope>) {
+    let mut fleet = Fleet::new(LIST_VMS, targets);
+    fleet.publish(0);
+    fleet.until(LIMIT, |fleet| fleet.settled() && fleet.quiet());
+    fleet.cost = Cost::default();
+    let rest = spend(&mut fleet, SPAN, |_, _| ());
+    let changes = spend(&mut fleet, SPAN, |fleet, second| fleet.publish(second % LIST_VMS));
+    let mut add = |figure, unit, value: f64| {
+        let size = format!("{LIST_VMS} VMs, {targets} targets");
+        let sample = Sample::exact(value);
+        slopes.push(Slope { part: Part::Control, figure, size, unit, sample });
+    };
+    let each = |cost: Cost| millis(cost.used) / (LIST_VMS as f64 * SPAN.as_secs_f64());
+    add("processor time of a VM a second at rest", "ms", each(rest));
+    add("processor time of a VM a second with a change a second", "ms", each(changes));
+    add("longest step", "ms", millis(rest.longest.max(changes.longest)));
+}
+
 fn slope(figure: &'static str, vms: usize, unit: &'static str, sample: Sample) -> Slope {
     Slope { part: Part::Control, figure, size: format!("{vms} VMs"), unit, sample }
 }
@@ -66,6 +92,11 @@
 fn states(fleet: &mut Fleet, slopes: &mut Vec<Slope>) {
     let rest = spend(fleet, SPAN, |_, _| ());
     report(fleet, slopes, "at rest", SPAN, rest);
+    let before = fleet.lowest();
+    fleet.publish(1);
+    let took = fleet.until(SPAN, |fleet| fleet.lowest() > before).as_secs_f64();
+    let figure = "time until a change is in force everywhere";
+    slopes.push(slope(figure, fleet.size(), "s", Sample::exact(took)));
     let changes = spend(fleet, SPAN, |fleet, second| fleet.publish(second % fleet.size()));
     report(fleet, slopes, "one change of profiles a second", SPAN, changes);
     let churn = spend(fleet, SPAN, |fleet, second| {
--- a/src/slope/fleet.rs
+++ b/src/slope/fleet.rs
@@ -203,11 +203,9 @@
         self.nodes.values().all(|node| node.engine.tables().news.is_empty())
     }
 
-    /// Whether the same revision is in force on every VM.
-    pub fn agrees(&self) -> bool {
-        let mut revisions = self.nodes.values().map(|node| node.in_force);
-        let first = revisions.next();
-        revisions.all(|revision| Some(revision) == first)
+    /// The lowest revision in force on any VM.
+    pub fn lowest(&self) -> u64 {
+        self.nodes.values().map(|node| node.in_force).min().unwrap_or_default()
     }
 
     fn wall(&self) -> Wall {
--- a/src/slope/holding.rs
+++ b/src/slope/holding.rs
@@ -44,7 +44,19 @@
         slopes.push(slope("memory of a VM in the view", size, "bytes", sample));
         held.push(view);
     }
-    drop(held);
+    let mut engines = Vec::new();
+    for targets in [1000, 10_000, 75_000] {
+        let size = Size { vms: 19, shards: 1100, targets };
+        let (sample, engine) = meter::growth(targets, || bed::entry(size));
+        slopes.push(slope(
+            "memory of a target at a VM that is not its home",
+            size,
+            "bytes",
+            sample,
+        ));
+        engines.push(engine);
+    }
+    drop((held, engines));
     SIZES.into_iter().for_each(|size| slopes.extend(changes(size)));
     slopes
 }
--- a/src/slope/mod.rs
+++ b/src/slope/mod.rs
@@ -67,14 +67,14 @@
         }
     }
 
-    /// Measures the part.
-    pub fn measure(self) -> Vec<Slope> {
+    /// Measures the part, with fleets of at most `most` VMs.
+    pub fn measure(self, most: usize) -> Vec<Slope> {
         match self {
             Part::Entry => entry::measure(),
             Part::Home => home::measure(),
             Part::Holding => holding::measure(),
             Part::Wire => wire::measure(),
-            Part::Control => control::measure(),
+            Part::Control => control::measure(most),
         }
     }
 }
