--- a/crates/core/src/traffic/system/answer.rs
+++ b/crates/core/src/traffic/system/answer.rs
@@ -44,10 +44,16 @@
     let call = query.call;
     let profile = query.profile.clone();
     let took = cx.now.since(query.arrived);
+    let fingerprint = query.fingerprint;
     let body = match &query.task {
         Task::Search(_) => found(query, is_waiting, cx),
         Task::Operation(operation) => done(tables, id, &query, operation),
     };
+    if let Body::Found(found) = &body
+        && !is_waiting
+    {
+        tables.proven.insert(fingerprint, found.version);
+    }
     note(id, &body, out);
     out.answers.push((call, Answer { query: id, body, profile, took }));
 }
@@ -58,7 +64,9 @@
     let Task::Search(search) = query.task else {
         return Body::Refused(Fault::unknown(Kind::Internal, "a search has no task"));
     };
-    if let Some(fault) = search.fault {
+    if let Some(mut fault) = search.fault {
+        // Other legs may have run beside the one that met the fault.
+        fault.ran = fault.ran.max(ran);
         return Body::Refused(fault);
     }
     let Search { version, covered, mut rows, .. } = search;
@@ -111,9 +119,8 @@
         Body::Done { .. } => out.count(Count::Complete),
         Body::Refused(fault) => {
             out.count(Count::Refused(fault.kind));
-            let mut line = Line::new(log::Event::Refused, vec![("kind", fault.kind.to_string())]);
-            line.query = Some(id);
-            out.lines.push(line);
+            let fields = vec![("kind", fault.kind.to_string())];
+            out.lines.push(Line::of(id, log::Event::Refused, fields));
         }
     }
 }
--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -10,10 +10,11 @@
     name::Name,
     notice::Report,
     target::{self, Refusal, Reply, Row, Version, Work},
+    time::Instant,
     traffic::{
         Context, Outbox, Tables,
         system::{connect, job},
-        table::Attempt,
+        table::{Attempt, latency},
     },
 };
 
@@ -50,6 +51,13 @@
     connect::heard(tables, cx, connection);
     let Some(row) = tables.connections.get(&connection) else { return };
     let name = row.target.clone();
+    if let Some(target) = tables.targets.get_mut(&name) {
+        if cx.now.since(target.heard) > cx.limits.fresh {
+            // Work may have waited for this word.
+            tables.to_dispatch.insert(target.shard.clone());
+        }
+        target.heard = cx.now;
+    }
     connect::status(tables, &name, status, out);
 }
 
@@ -123,6 +131,7 @@
         }
         Err(reason) => {
             dropped(reason, id, out);
+            ran(tables, attempt.job);
             avoid(tables, attempt);
             job::retry(tables, cx, attempt.job, Retry::Garbled, out);
         }
@@ -232,16 +241,17 @@
     tables.suspects.retain(|_, suspect| suspect.until > cx.now);
     let suspect = tables.suspects.entry(fingerprint).or_default();
     suspect.until = cx.now + cx.limits.suspect;
-    if !suspect.targets.insert(attempt.target.clone()) {
+    let start = tables.targets.get(&attempt.target).and_then(|row| row.status.as_ref());
+    let incarnation = start.map_or(0, |status| status.incarnation);
+    if !suspect.targets.insert((attempt.target.clone(), incarnation)) {
         return;
     }
     let target = attempt.target.clone();
     out.reports.push(Report::Suspect { fingerprint, query, target });
     if suspect.targets.len() == cx.limits.lost_targets {
         out.reports.push(Report::Condemned { fingerprint, origin: cx.ids.origin() });
-        let mut line = Line::new(Event::RequestCondemned, Vec::new());
-        line.query = Some(query);
-        out.lines.push(line);
+        let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
+        out.lines.push(Line::of(query, Event::RequestCondemned, fields));
     }
 }
 
@@ -274,6 +284,10 @@
     let took = cx.now.since(attempt.sent);
     cx.policies.slots.answered(&attempt.target, took);
     let Some(target) = tables.targets.get_mut(&attempt.target) else { return };
+    if took * latency::DROP < target.latency.mean() {
+        // It may have recovered, so it is tried again without a pause.
+        target.used = Instant::default();
+    }
     target.latency.record(took);
     if let Some(index) = tables.indexes.get_mut(&target.shard.index) {
         index.latency.record(took);
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -6,7 +6,9 @@
     count::{Count, Retry},
     fault::{Kind, Ran},
     id,
+    log::{Event, Line},
     message::{self, Outcome},
+    name::Name,
     target::Command,
     traffic::{
         Context, Outbox, Tables,
@@ -39,7 +41,7 @@
         attempts: BTreeSet::new(),
         tries: 0,
         avoid: BTreeSet::new(),
-        suspect: tables.suspects.contains_key(&leg.fingerprint),
+        suspect: false,
         overdue: false,
         ran: false,
         leg,
@@ -48,12 +50,7 @@
         reply(tables, cx, &job, outcome, out);
         return;
     }
-    let priority = cx
-        .view
-        .document
-        .profiles
-        .get(&job.leg.profile)
-        .map_or(DEFAULT_PRIORITY, |profile| profile.priority);
+    let priority = priority(cx, &job.leg.profile);
     let id = job.leg.leg;
     if let Some(row) = tables.shards.get_mut(&job.shard) {
         row.used = cx.now;
@@ -69,7 +66,8 @@
         Some(Outcome::Failed { kind, ran: Ran::No, detail: detail.to_owned() })
     };
     if !tables.shards.contains_key(&job.shard) {
-        return refused(Kind::Unavailable, "the home knows no target of the shard");
+        // It may have started a moment ago; the next home is asked.
+        return refused(Kind::NotReady, "the home knows no target of the shard");
     }
     if cx.paused && !job.is_idempotent() {
         // The leg may have waited in a buffer for longer than its deadline.
@@ -81,38 +79,55 @@
     if is_condemned(tables, cx, job) {
         return refused(Kind::Quarantined, "the request crashed targets");
     }
+    if backlog(tables, cx, &job.shard, &job.leg.profile) >= job.leg.remaining {
+        return refused(Kind::Overloaded, "the wait for a slot is longer than the deadline");
+    }
     None
 }
 
 /// Whether the job's request may not be sent to another target.
 pub fn is_condemned(tables: &Tables, cx: &Context, job: &Job) -> bool {
-    let fingerprint = job.leg.fingerprint;
-    let lost = tables
-        .suspects
-        .get(&fingerprint)
-        .filter(|suspect| suspect.until > cx.now)
-        .map_or(0, |suspect| suspect.targets.len());
-    lost >= cx.limits.lost_targets || cx.view.quarantine.contains_key(&fingerprint)
+    lost_targets(tables, cx, job) >= cx.limits.lost_targets
+        || cx.view.quarantine.contains_key(&job.leg.fingerprint)
 }
 
-/// The time that a leg which arrives now is expected to wait for a slot.
-pub fn backlog(tables: &Tables, cx: &Context, key: &shard::Key) -> Duration {
+/// The number of targets that were lost with the job's request, here or at
+/// other VMs.
+pub fn lost_targets(tables: &Tables, cx: &Context, job: &Job) -> usize {
+    let own = tables.suspects.get(&job.leg.fingerprint);
+    let own = own.filter(|suspect| suspect.until > cx.now).map(|suspect| &suspect.targets);
+    let others = cx.view.suspects.get(&job.leg.fingerprint);
+    let (Some(own), Some(others)) = (own, others) else {
+        return own.map_or(0, BTreeSet::len) + others.map_or(0, BTreeSet::len);
+    };
+    let elsewhere = others.iter().filter(|name| !own.iter().any(|(lost, _)| lost == *name));
+    own.len() + elsewhere.count()
+}
+
+/// The time that a leg of a profile which arrives now is expected to wait for a
+/// slot.
+pub fn backlog(tables: &Tables, cx: &Context, key: &shard::Key, profile: &Name) -> Duration {
     let Some(shard) = tables.shards.get(key) else { return Duration::ZERO };
-    if shard.queue.is_empty() {
+    let ahead = shard.ahead(profile, priority(cx, profile));
+    if ahead == 0 {
         return Duration::ZERO;
     }
     let targets = shard.targets.iter().filter_map(|name| tables.targets.get(name));
     let mut rate = 0.0;
-    for target in targets.filter(|target| target.takes_work(cx.now)) {
-        let mean = target.latency.mean().as_secs_f64();
-        if mean > 0.0 {
-            rate += f64::from(target.slots) / mean;
-        }
+    for target in targets.filter(|target| target.takes_work(cx.now, cx.limits.fresh)) {
+        // The median, because one answer that waited for a process that was
+        // stopped must not make queries look hopeless.
+        let Some(median) = target.latency.quantile(500) else { return Duration::ZERO };
+        rate += f64::from(target.slots) / median.as_secs_f64();
     }
     if rate == 0.0 {
         return Duration::ZERO;
     }
-    Duration::from_secs_f64(shard.queue.len() as f64 / rate)
+    Duration::from_secs_f64(ahead as f64 / rate)
+}
+
+fn priority(cx: &Context, profile: &Name) -> u32 {
+    cx.view.document.profiles.get(profile).map_or(DEFAULT_PRIORITY, |profile| profile.priority)
 }
 
 /// Ends a job with `outcome`: its attempts are withdrawn and its lane is told.
@@ -123,10 +138,29 @@
     outcome: Outcome,
     out: &mut Outbox,
 ) {
+    note_slow(tables, cx, id);
     let Some(job) = remove(tables, id, out) else { return };
     reply(tables, cx, &job, outcome, out);
 }
 
+/// Ends a job that no target of its shard can answer.
+pub fn moved(tables: &mut Tables, cx: &mut Context, id: id::Leg, out: &mut Outbox) {
+    let ran = super::collect::ran_of(tables, id);
+    finish(tables, cx, id, Outcome::Moved { ran }, out);
+}
+
+/// Notes of the attempts that are no longer waited for how long they took at
+/// least. Without this a target that always loses against its hedge would never
+/// be known as slow.
+fn note_slow(tables: &mut Tables, cx: &Context, id: id::Leg) {
+    let Some(job) = tables.jobs.get(&id) else { return };
+    for attempt in job.attempts.iter().filter_map(|attempt| tables.attempts.get(attempt)) {
+        if let Some(target) = tables.targets.get_mut(&attempt.target) {
+            target.latency.exceeded(cx.now.since(attempt.sent));
+        }
+    }
+}
+
 /// Ends a job without a reply.
 pub fn remove(tables: &mut Tables, id: id::Leg, out: &mut Outbox) -> Option<Job> {
     let job = tables.jobs.remove(&id)?;
@@ -143,11 +177,19 @@
 }
 
 fn reply(tables: &mut Tables, cx: &Context, job: &Job, outcome: Outcome, out: &mut Outbox) {
+    if let Outcome::Failed { kind, ran, .. } = &outcome {
+        let fields = vec![
+            ("shard", job.shard.shard.to_string()),
+            ("kind", kind.to_string()),
+            ("ran", ran.as_str().to_owned()),
+        ];
+        out.lines.push(Line::of(job.leg.query, Event::LegFailed, fields));
+    }
     let reply = message::Reply {
         leg: job.leg.leg,
         outcome,
         attempts: job.tries,
-        backlog: backlog(tables, cx, &job.shard),
+        backlog: backlog(tables, cx, &job.shard, &job.leg.profile),
     };
     if job.from == cx.lane {
         tables.replies.push(reply);
@@ -173,6 +215,11 @@
     if let Some(job) = tables.jobs.get_mut(&attempt.job) {
         job.attempts.remove(&id);
     }
+    if !tables.suspects.is_empty() {
+        // A copy of a suspect request may have waited for the end of this one.
+        let waiting = tables.shards.iter().filter(|(_, shard)| !shard.queue.is_empty());
+        tables.to_dispatch.extend(waiting.map(|(key, _)| key.clone()));
+    }
     Some(attempt)
 }
 
@@ -194,13 +241,17 @@
         finish(tables, cx, id, failed, out);
         return;
     }
-    if costs_budget(reason) && !spend(tables, &job.leg.profile.clone()) {
+    let ran = if job.ran { Ran::Unknown } else { Ran::No };
+    if costs_budget(reason) && !spend(tables, cx, &job.leg.profile.clone()) {
         out.count(Count::BudgetSpent);
-        finish(tables, cx, id, spent(reason), out);
+        finish(tables, cx, id, spent(reason, ran), out);
         return;
     }
     out.count(Count::Retried(reason));
     let Some(job) = tables.jobs.get_mut(&id) else { return };
+    let fields =
+        vec![("shard", job.shard.shard.to_string()), ("reason", reason.as_str().to_owned())];
+    out.lines.push(Line::of(job.leg.query, Event::Retried, fields));
     if let Some(shard) = tables.shards.get_mut(&job.shard) {
         job.place = Some(shard.requeue(id));
         tables.to_dispatch.insert(job.shard.clone());
@@ -213,17 +264,18 @@
     !matches!(reason, Retry::Unsent | Retry::Draining | Retry::VersionGone | Retry::RangeMoved)
 }
 
-fn spent(reason: Retry) -> Outcome {
+fn spent(reason: Retry, ran: Ran) -> Outcome {
     let detail = "the budget of extra attempts is used up".to_owned();
-    match reason {
-        Retry::Shed => Outcome::Failed { kind: Kind::Overloaded, ran: Ran::No, detail },
-        _ => Outcome::Failed { kind: Kind::TargetFailed, ran: Ran::Unknown, detail },
-    }
+    let kind = if reason == Retry::Shed { Kind::Overloaded } else { Kind::TargetFailed };
+    Outcome::Failed { kind, ran, detail }
 }
 
-/// Takes one extra attempt from the budget of a profile.
-pub fn spend(tables: &mut Tables, profile: &crate::name::Name) -> bool {
-    tables.usages.entry(profile.clone()).or_default().spend()
+/// Takes one retry from the budget of a profile. One that allows no extra load
+/// gets none.
+fn spend(tables: &mut Tables, cx: &Context, profile: &Name) -> bool {
+    let extra = cx.view.document.profiles.get(profile).map_or(0, |profile| profile.extra_load);
+    let most = if extra == 0 { 0 } else { cx.limits.budget };
+    tables.usages.entry(profile.clone()).or_default().retry(most)
 }
 
 /// Ends the jobs that wait for a shard that has no target any more.
@@ -231,6 +283,6 @@
     let Some(shard) = tables.shards.get(key) else { return };
     let waiting: Vec<id::Leg> = shard.queue.iter().map(|&(_, id)| id).collect();
     for id in waiting {
-        finish(tables, cx, id, Outcome::Moved, out);
+        moved(tables, cx, id, out);
     }
 }
--- a/crates/core/src/traffic/system/refresh.rs
+++ b/crates/core/src/traffic/system/refresh.rs
@@ -86,6 +86,7 @@
         in_use: 0,
         reserved: false,
         status: None,
+        heard: Instant::default(),
         leaving: listed.state == State::Leaving,
         pause: Instant::default(),
         connections: BTreeSet::new(),
@@ -93,6 +94,7 @@
         polled: false,
         reopening: false,
         latency: Latency::default(),
+        used: Instant::default(),
     }
 }
 
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -69,6 +69,13 @@
     ready: watch::Receiver<bool>,
 }
 
+impl Shared {
+    /// The metrics as the fronts show them.
+    fn text(&self) -> meter::Text {
+        meter::Text { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
+    }
+}
+
 /// A VM that runs.
 pub struct Vm {
     control: Handle,
@@ -190,18 +197,18 @@
     /// the other VMs have had time to learn of it, then finishes what is open.
     /// It returns false if something was still open after the limit.
     pub async fn leave(mut self) -> bool {
-        self.log(Event::Leaving);
         self.control.leave();
         sleep(self.settings.shutdown.announce).await;
         self.shutdown.send_replace(true);
         let limit = self.settings.shutdown.limit;
         let is_idle = timeout(limit, self.finish()).await == Ok(true);
         self.stop.send_replace(true);
-        self.log(Event::Stopped);
-        for thread in self.threads {
+        for thread in self.threads.drain(..) {
             // A thread that panicked has nothing more to finish.
             let _ = thread.join();
         }
+        let finished = if is_idle { "all" } else { "not all" };
+        self.log(Event::Stopped, vec![("finished", finished.to_owned())]);
         is_idle
     }
 
@@ -213,9 +220,9 @@
         self.idle.wait_for(|idle| *idle).await.is_ok()
     }
 
-    fn log(&self, event: Event) {
+    fn log(&self, event: Event, fields: Vec<(&'static str, String)>) {
         let now = laburnum_core::border::Clock::now(&self.clock);
-        self.writer.write(&Line::new(event, Vec::new()), now);
+        self.writer.write(&Line::new(event, fields), now);
     }
 }
 
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -8,9 +8,15 @@
 mod bed;
 mod child;
 mod load;
+mod operation;
+mod part;
 mod port;
 mod run;
 mod verdict;
 
 mod path;
 mod vm;
+mod store;
+mod target;
+mod poison;
+mod publish;
