--- a/src/slope/bed.rs
+++ b/src/slope/bed.rs
@@ -108,6 +108,7 @@
         extra_load_ppm: 50_000,
         concurrency: 100_000,
         priority: 10,
+        canary: false,
     })
     .expect("the profile keeps to the limits");
     let profiles = BTreeMap::from([(name(PROFILE), profile)]);
--- a/src/slope/entry.rs
+++ b/src/slope/entry.rs
@@ -4,6 +4,7 @@
 
 use laburnum_core::{
     digest,
+    fault::Ran,
     message::{self, Message, Outcome},
     target::{Row, Work},
     traffic::{Call, Engine, Event, Outbox, Search},
@@ -125,7 +126,7 @@
             let digest = digest::rows(&rows);
             Outcome::Rows { version: *version, range: *range, rows, digest }
         }
-        Work::Operate { .. } => Outcome::Moved,
+        Work::Operate { .. } => Outcome::Moved { ran: Ran::No },
     };
     message::Reply { leg: leg.leg, outcome, attempts: 1, backlog: Duration::ZERO }
 }
