Hash the platform's list without putting its rows into text

Cause: a watcher reads the list twice a second and put every row into text for the digest. The digest is compared between VMs of one version only; a VM of another version would ask for the list once more often.

--- a/crates/core/src/control/system/list.rs
+++ b/crates/core/src/control/system/list.rs
@@ -1,6 +1,9 @@
 //! The platform's list of VMs and targets, and the words of the targets.
 
-use std::time::Duration;
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use xxhash_rust::xxh3::Xxh3;
 
@@ -154,19 +157,40 @@
 }
 
 /// The digest of a list, equal on all VMs that hold an equal list.
+///
+/// It is made for each read of the list, so no row is put into text.
 fn digest(vms: &[view::Vm], targets: &[view::Target]) -> u64 {
     let mut hash = Xxh3::new();
     for vm in vms {
-        let text =
-            format!("{}|{}|{:?}|{}|{:?};", vm.name, vm.domain, vm.state, vm.control, vm.traffic);
-        hash.update(text.as_bytes());
+        add_names(&mut hash, &[&vm.name, &vm.domain]);
+        hash.update(&[vm.state as u8]);
+        add_address(&mut hash, vm.control);
+        hash.update(&(vm.traffic.len() as u64).to_le_bytes());
+        vm.traffic.iter().for_each(|&address| add_address(&mut hash, address));
     }
     for target in targets {
-        let part = format!("{}|{}|{}|{}", target.name, target.index, target.shard, target.domain);
-        let rest = format!("|{}|{}|{}", target.address, target.slots, target.connections);
-        hash.update(part.as_bytes());
-        hash.update(rest.as_bytes());
+        add_names(&mut hash, &[&target.name, &target.index, &target.shard, &target.domain]);
+        add_address(&mut hash, target.address);
+        hash.update(&target.slots.to_le_bytes());
+        hash.update(&target.connections.to_le_bytes());
         hash.update(&[target.state as u8]);
     }
     hash.digest()
 }
+
+/// Adds names with an end that no name can hold.
+fn add_names(hash: &mut Xxh3, names: &[&Name]) {
+    for name in names {
+        hash.update(name.as_str().as_bytes());
+        hash.update(b"|");
+    }
+}
+
+fn add_address(hash: &mut Xxh3, address: SocketAddr) {
+    let octets = match address.ip() {
+        IpAddr::V4(ip) => ip.to_ipv6_mapped().octets(),
+        IpAddr::V6(ip) => ip.octets(),
+    };
+    hash.update(&octets);
+    hash.update(&address.port().to_le_bytes());
+}
