Try a search that lost a target at another shard next

Cause: the home of a shard tried a search on trial again at the second replica of the same shard, so a search that crashes targets took both replicas of one shard and other searches were partial until they came back.

A home hands such a search back to its entry, which tries it at a shard that lost no target; the second lost target holds it back. A home that lost a target with it answers so without running it again, through whichever VM it comes.

Ruled out: the same for legs that are no trial; they would wait for an answer of the entry where another replica can be asked at once.

Before: the last check of a_search_that_crashes_every_target_stops_after_two failed (a shard lost both replicas). After: it passes, as does the fuzzing.

--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -34,6 +34,8 @@
     pub fingerprint: Fingerprint,
     /// The time that remains until the deadline.
     pub remaining: Duration,
+    /// Whether the search is tried at this shard before it goes to the others.
+    pub trial: bool,
 }
 
 /// The result of a leg.
@@ -45,6 +47,9 @@
     Done { result: Arc<str> },
     /// No target of the shard holds the range at the version any more.
     Moved { ran: Ran },
+    /// This target was lost while it ran the search on trial. The entry decides
+    /// where it is tried next.
+    Lost { target: Name },
     /// The leg was refused or failed.
     Failed { kind: Kind, ran: Ran, detail: String },
 }
--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -249,7 +249,7 @@
     let target = attempt.target.clone();
     out.reports.push(Report::Suspect { fingerprint, query, target });
     let shard = row.shard.clone();
-    if job::lost_here(tables, cx, fingerprint, &shard) == cx.limits.lost_targets {
+    if job::lost_targets(tables, cx, fingerprint, &shard).len() == cx.limits.lost_targets {
         out.reports.push(Report::Condemned { fingerprint, origin: cx.ids.origin() });
         let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
         out.lines.push(Line::of(query, Event::RequestCondemned, fields));
@@ -261,7 +261,12 @@
     let Some(attempt) = job::release(tables, id) else { return };
     ran(tables, attempt.job);
     avoid(tables, &attempt);
-    job::retry(tables, cx, attempt.job, reason, out);
+    let on_trial = tables.jobs.get(&attempt.job).is_some_and(|job| job.leg.trial);
+    if reason == Retry::ConnectionLost && on_trial {
+        job::finish(tables, cx, attempt.job, Outcome::Lost { target: attempt.target }, out);
+    } else {
+        job::retry(tables, cx, attempt.job, reason, out);
+    }
 }
 
 /// Ends an attempt whose connection was closed because it went silent.
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -98,6 +98,12 @@
     if is_condemned(tables, cx, job) {
         return refused(Kind::Quarantined, "the request crashed targets");
     }
+    if job.leg.trial
+        && let Some(target) = lost_targets(tables, cx, job.leg.fingerprint, &job.shard).pop()
+    {
+        // The same search was tried here and lost this target.
+        return Some(Outcome::Lost { target });
+    }
     if backlog(tables, cx, &job.shard, &job.leg.profile) >= job.leg.remaining {
         return refused(Kind::Overloaded, "the wait for a slot is longer than the deadline");
     }
@@ -110,7 +116,7 @@
 /// Targets of other shards do not count here. A rack that fails takes targets of
 /// many shards at once, and every search that ran then would be held back.
 pub fn is_condemned(tables: &Tables, cx: &Context, job: &Job) -> bool {
-    lost_here(tables, cx, job.leg.fingerprint, &job.shard) >= cx.limits.lost_targets
+    lost_targets(tables, cx, job.leg.fingerprint, &job.shard).len() >= cx.limits.lost_targets
         || cx.view.quarantine.contains_key(&job.leg.fingerprint)
 }
 
@@ -121,24 +127,27 @@
         || cx.view.suspects.contains_key(&job.leg.fingerprint)
 }
 
-/// The number of targets of a shard that were lost with a request, here or at
-/// other VMs.
-pub fn lost_here(
+/// The targets of a shard that were lost with a request, here or at other VMs;
+/// one that was lost in two starts stands twice.
+pub fn lost_targets(
     tables: &Tables,
     cx: &Context,
     fingerprint: Fingerprint,
     shard: &shard::Key,
-) -> usize {
+) -> Vec<Name> {
     let is_here =
         |name: &Name| tables.targets.get(name).is_some_and(|target| target.shard == *shard);
     let own = tables.suspects.get(&fingerprint).filter(|suspect| suspect.until > cx.now);
-    let own: Vec<&Name> = own
+    let mut lost: Vec<Name> = own
         .into_iter()
         .flat_map(|suspect| suspect.targets.iter().map(|(name, _)| name))
         .filter(|name| is_here(name))
+        .cloned()
         .collect();
     let others = cx.view.suspects.get(&fingerprint).into_iter().flatten();
-    own.len() + others.filter(|name| is_here(name) && !own.contains(name)).count()
+    let new: Vec<&Name> = others.filter(|name| is_here(name) && !lost.contains(name)).collect();
+    lost.extend(new.into_iter().cloned());
+    lost
 }
 
 /// The time that a leg of a profile which arrives now is expected to wait for a
--- a/crates/core/src/traffic/system/merge.rs
+++ b/crates/core/src/traffic/system/merge.rs
@@ -47,7 +47,7 @@
         query.ran = query.ran.max(ran_of(&reply.outcome));
     }
     if leg.version.is_some() {
-        merge_search(tables, &leg, reply.outcome, out);
+        merge_search(tables, cx, &leg, reply.outcome, out);
     } else {
         settle_operation(tables, &leg, reply.outcome, out);
     }
@@ -58,6 +58,7 @@
     match outcome {
         Outcome::Rows { .. } | Outcome::Done { .. } => Ran::Yes,
         Outcome::Moved { ran } | Outcome::Failed { ran, .. } => *ran,
+        Outcome::Lost { .. } => Ran::Unknown,
     }
 }
 
@@ -69,7 +70,7 @@
     }
 }
 
-fn merge_search(tables: &mut Tables, leg: &Leg, outcome: Outcome, out: &mut Outbox) {
+fn merge_search(tables: &mut Tables, cx: &Context, leg: &Leg, outcome: Outcome, out: &mut Outbox) {
     let Some(query) = tables.queries.get_mut(&leg.query) else { return };
     let Task::Search(search) = &mut query.task else { return };
     if leg.version != search.version {
@@ -94,6 +95,18 @@
         Outcome::Moved { .. } => {
             tables.to_plan.insert(leg.query);
         }
+        Outcome::Lost { target } => {
+            search.crashed.insert(target, leg.shard.clone());
+            if search.crashed.len() < cx.limits.lost_targets {
+                tables.to_plan.insert(leg.query);
+                return;
+            }
+            let detail = "the search was running when targets were lost";
+            search.fault = Some(Fault::unknown(Kind::Quarantined, detail));
+            let (fingerprint, origin) = (query.fingerprint, cx.ids.origin());
+            out.reports.push(Report::Condemned { fingerprint, origin });
+            tables.to_answer.insert(leg.query);
+        }
         Outcome::Failed { kind: Kind::Quarantined, ran, detail } => {
             search.fault = Some(Fault { kind: Kind::Quarantined, ran, detail });
             tables.to_answer.insert(leg.query);
@@ -153,6 +166,10 @@
             let recorded = (ran == Ran::No).then_some(Recorded::NotRun);
             (recorded, Err(Fault { kind, ran, detail }))
         }
+        Outcome::Lost { .. } => {
+            let detail = "the target was lost while it may have run the operation";
+            (None, Err(Fault::unknown(Kind::TargetFailed, detail)))
+        }
         Outcome::Moved { .. } | Outcome::Rows { .. } => {
             let detail = "no target holds the subject of the operation";
             (Some(Recorded::NotRun), Err(Fault::not_run(Kind::Unavailable, detail)))
--- a/crates/core/src/traffic/system/plan.rs
+++ b/crates/core/src/traffic/system/plan.rs
@@ -86,6 +86,16 @@
     vec![parts.swap_remove(usize::try_from(number).unwrap_or(0))]
 }
 
+/// The parts of shards that lost no target to the search, so that a second lost
+/// target leaves every shard a replica; all parts where no other is left.
+fn spare(search: &Search, parts: Vec<Part>) -> Vec<Part> {
+    let has_lost = |part: &Part| search.crashed.values().any(|shard| *shard == part.shard);
+    if parts.iter().all(has_lost) {
+        return parts;
+    }
+    parts.into_iter().filter(|part| !has_lost(part)).collect()
+}
+
 /// The parts of the best plan that can be answered in time.
 fn first_plan(tables: &Tables, cx: &Context, id: id::Query) -> Result<(Version, Vec<Part>), Fault> {
     let unavailable = |detail: String| Fault::not_run(Kind::Unavailable, detail);
@@ -155,7 +165,11 @@
         let is_trial = search.trial.is_some();
         let fingerprint = query.fingerprint;
         let plans = search.plans;
-        let parts = if is_trial { canary(fingerprint, plans, plan.parts) } else { plan.parts };
+        let parts = if is_trial {
+            canary(fingerprint, plans, spare(search, plan.parts))
+        } else {
+            plan.parts
+        };
         send(tables, cx, id, version, parts, out);
     }
 }
@@ -233,6 +247,7 @@
         work: ask.work,
         fingerprint: query.fingerprint,
         remaining: query.deadline.remaining(cx.now),
+        trial: matches!(&query.task, Task::Search(search) if search.trial.is_some()),
     };
     let row = Leg {
         query: id,
--- a/crates/core/src/traffic/table/query.rs
+++ b/crates/core/src/traffic/table/query.rs
@@ -1,6 +1,9 @@
 //! Requests of callers at their entry.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use uuid::Uuid;
 
@@ -68,6 +71,8 @@
     pub lost: Set,
     /// How often legs were planned.
     pub plans: u32,
+    /// The targets that were lost while they ran it on trial, with their shards.
+    pub crashed: BTreeMap<Name, Name>,
     /// The shards at which it was tried alone, while it is not sent to all.
     pub trial: Option<u32>,
     /// The fault that ends the whole search, if a leg met one.
--- a/crates/core/tests/rules/search.rs
+++ b/crates/core/tests/rules/search.rs
@@ -320,6 +320,8 @@
     }
     let crashed = world.targets.rows.values().filter(|target| !target.alive).count();
     assert_eq!(crashed, 2);
+    let found = world.find("vm-2", WHOLE, "other");
+    assert!(found.missing.is_empty(), "a shard lost both replicas");
 }
 
 /// A rack takes one target of each of several shards while a search runs.
--- a/src/slope/home.rs
+++ b/src/slope/home.rs
@@ -90,6 +90,7 @@
             work: Work::Search { version: bed::VERSION, range, text: "band 7".into() },
             fingerprint: Fingerprint(7),
             remaining: Duration::from_secs(60),
+            trial: false,
         }
     }
 
--- a/src/slope/wire.rs
+++ b/src/slope/wire.rs
@@ -55,6 +55,7 @@
         },
         fingerprint: Fingerprint(u64::MAX),
         remaining: Duration::from_millis(120),
+        trial: false,
     };
     Message::Legs((0..legs).map(leg).collect())
 }
--- a/tests/edge/codec.rs
+++ b/tests/edge/codec.rs
@@ -35,6 +35,7 @@
         work: Work::Search { version: Version(sequence), range, text: Arc::from(text) },
         fingerprint: Fingerprint(sequence),
         remaining: Duration::from_millis(sequence % 1_000),
+        trial: sequence % 2 == 0,
     }
 }
 
