Tell of lost targets at once, and try a search elsewhere after one

A caller that sends a request again through another VM could overtake the news of it: the first lost target opened the pause of 100 ms between rounds of news, in which the second had to wait. News of lost targets and condemned requests now end the pause. They are few, since both tables are bounded.

--- a/crates/core/src/control/table/news.rs
+++ b/crates/core/src/control/table/news.rs
@@ -34,6 +34,10 @@
     pub fn add(&mut self, key: Key) {
         self.remove(&key);
         self.queue.insert((0, key.clone()));
+        if matches!(key, Key::Suspect(_) | Key::Condemned(_)) {
+            // The caller sends such a request again at once, through other VMs.
+            self.next = Instant::default();
+        }
         self.sent.insert(key, 0);
         self.fresh = true;
     }
--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -1,6 +1,9 @@
 //! Takes requests of callers, or refuses them before anything is sent.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use rand::RngExt;
 use uuid::Builder;
@@ -55,7 +58,7 @@
         rows: Vec::new(),
         lost: Set::new(),
         plans: 0,
-        crashed: BTreeSet::new(),
+        crashed: BTreeMap::new(),
         is_cut: false,
         trial: None,
         fault: None,
--- a/crates/core/src/traffic/system/merge.rs
+++ b/crates/core/src/traffic/system/merge.rs
@@ -97,7 +97,7 @@
             tables.to_plan.insert(leg.query);
         }
         Outcome::Lost { target } => {
-            search.crashed.insert(target);
+            search.crashed.insert(target, leg.shard.clone());
             search.is_cut = true;
         }
         Outcome::Failed { kind: Kind::Quarantined, ran, detail } => {
--- a/crates/core/src/traffic/system/plan.rs
+++ b/crates/core/src/traffic/system/plan.rs
@@ -83,6 +83,16 @@
     vec![parts.swap_remove(chosen)]
 }
 
+/// The parts of shards that lost no target to the search, so that a second lost
+/// target leaves every shard a replica; all parts where no other is left.
+fn spare(search: &Search, parts: Vec<Part>) -> Vec<Part> {
+    let has_lost = |part: &Part| search.crashed.values().any(|shard| *shard == part.shard);
+    if parts.iter().all(has_lost) {
+        return parts;
+    }
+    parts.into_iter().filter(|part| !has_lost(part)).collect()
+}
+
 /// The parts of the best plan that can be answered in time.
 fn first_plan(tables: &Tables, cx: &Context, id: id::Query) -> Result<(Version, Vec<Part>), Fault> {
     let unavailable = |detail: String| Fault::not_run(Kind::Unavailable, detail);
@@ -149,8 +159,8 @@
     } else if plan.parts.is_empty() {
         answer_if_idle(tables, id);
     } else {
-        let is_trial = search.trial.is_some();
-        let parts = if is_trial { canary(cx, plan.parts) } else { plan.parts };
+        let parts =
+            if search.trial.is_some() { canary(cx, spare(search, plan.parts)) } else { plan.parts };
         send(tables, cx, id, version, parts, out);
     }
 }
--- a/crates/core/src/traffic/table/query.rs
+++ b/crates/core/src/traffic/table/query.rs
@@ -1,6 +1,9 @@
 //! Requests of callers at their entry.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use uuid::Uuid;
 
@@ -68,8 +71,9 @@
     pub lost: Set,
     /// How often legs were planned.
     pub plans: u32,
-    /// The targets that were lost while they ran legs of the search.
-    pub crashed: BTreeSet<Name>,
+    /// The targets that were lost while they ran legs of the search, each with
+    /// its shard.
+    pub crashed: BTreeMap<Name, Name>,
     /// Whether a leg has ended with a lost target since the last plan.
     pub is_cut: bool,
     /// The shards at which it was tried alone, while it is not sent to all.
