Wait for the record of every outcome before a VM ends

A VM that was told to leave ended while the outcome of an operation that it had answered was still on its way to the claims: the VM that was to record it had been killed, and the next try was due after 1.5 s. A resend then got outcome_unknown in place of the result.

--- a/crates/core/src/control/engine.rs
+++ b/crates/core/src/control/engine.rs
@@ -105,11 +105,13 @@
         wakes.into_iter().flatten().min()
     }
 
-    /// Whether every traffic thread that reported has nothing in flight. It has
-    /// a meaning only while the VM is leaving.
+    /// Whether every traffic thread that reported has nothing in flight, and the
+    /// outcomes that this VM owes to the claims are recorded. It has a meaning
+    /// only while the VM is leaving.
     pub fn idle(&self, threads: usize) -> bool {
         let in_flight = &self.tables.own.in_flight;
-        in_flight.len() >= threads && in_flight.values().all(|&count| count == 0)
+        let is_at_rest = in_flight.len() >= threads && in_flight.values().all(|&count| count == 0);
+        is_at_rest && self.claims.pending() == 0
     }
 
     /// Whether this VM is shutting down.
--- a/tests/process/load.rs
+++ b/tests/process/load.rs
@@ -181,7 +181,7 @@
 }
 
 fn request(number: u64) -> Request {
-    if number % OPERATIONS == 0 {
+    if number.is_multiple_of(OPERATIONS) {
         return Request::Operate(Operation::new(number));
     }
     let word = usize::try_from(number).unwrap() % WORDS.len();
