Bound the wait that a search starts with at 750 ms

Half of a deadline of 3 s let queues of 1.5 s build up in a burst; at 60 % load they take 3.75 s to drain. With the bound a queue drains within 1.9 s. The case with a long deadline failed before.

--- a/crates/core/src/traffic/system/plan.rs
+++ b/crates/core/src/traffic/system/plan.rs
@@ -1,6 +1,6 @@
 //! Plans the legs of queries: pins a version and shares the key space out.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use rand::RngExt;
 
@@ -33,6 +33,11 @@
 /// what is left over when a burst ends.
 const WAIT_PART: u32 = 2;
 
+/// The longest wait for slots that a search starts with, however long its
+/// deadline. At 60 % load a queue drains in 2.5 times its wait, so that latency
+/// is back 2 seconds after a burst.
+const MAX_WAIT: Duration = Duration::from_millis(750);
+
 /// Plans the queries that need legs.
 pub fn run(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
     for name in std::mem::take(&mut tables.to_choose) {
@@ -94,7 +99,7 @@
     let Some((index, best)) = index.and_then(|index| Some((index, index.best.clone()?))) else {
         return Err(unavailable(format!("no target of index {index_name} is known")));
     };
-    let longest = query.deadline.remaining(cx.now) / WAIT_PART;
+    let longest = (query.deadline.remaining(cx.now) / WAIT_PART).min(MAX_WAIT);
     let is_in_time = |part: &&Part| {
         let holding = index.shards.get(&part.shard);
         holding.is_none_or(|holding| holding.wait(&query.profile, cx.now) <= longest)
--- a/crates/core/tests/rules/traffic_load.rs
+++ b/crates/core/tests/rules/traffic_load.rs
@@ -150,12 +150,16 @@
     assert!(late <= 6, "{late} of 600 queries were refused after they were started");
 }
 
-fn latency_is_back_after_a_burst() {
+fn latency_is_back_after_a_burst(deadline: Duration) {
     let mut world = small_world();
+    world.document.profiles.get_mut(&name(WHOLE)).unwrap().deadline = deadline;
+    world.publish();
+    world.run(10 * MS);
     send(&mut world, 200, 7 * MS, WHOLE);
-    let after = send(&mut world, 60, 35 * MS, WHOLE);
+    let after = send(&mut world, 80, 35 * MS, WHOLE);
     world.run(1100 * MS);
-    for &call in &after[40..] {
+    // From two seconds after the burst.
+    for &call in &after[58..] {
         let took = took(&world, call);
         assert!(took < 100 * MS, "took {took:?}");
     }
@@ -215,7 +219,8 @@
     a_target_that_recovered_is_used_again => recovered_target_is_used_again();
     a_new_target_gets_one_leg_at_a_time_at_first => new_target_gets_little_at_first();
     overload_is_refused_before_anything_runs => overload_is_refused_before_it_runs();
-    latency_is_back_two_seconds_after_a_burst => latency_is_back_after_a_burst();
+    latency_is_back_two_seconds_after_a_burst => latency_is_back_after_a_burst(1000 * MS);
+    latency_is_back_also_with_a_long_deadline => latency_is_back_after_a_burst(3000 * MS);
     the_legs_of_a_query_live_or_die_together => legs_live_or_die_together();
     targets_that_shed_cause_no_retry_storm => sheds_cause_no_storm();
     profiles_share_the_slots_by_priority => profiles_share_by_priority();
