--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     count::{Count, Retry},
+    digest::Fingerprint,
     fault::{Kind, Ran},
     id,
     log::{Event, Line},
@@ -13,7 +14,7 @@
     traffic::{
         Context, Outbox, Tables,
         system::share,
-        table::{Attempt, Job, shard, timer::Timer},
+        table::{Attempt, Job, Suspect, shard, timer::Timer},
     },
     view::Lane,
 };
@@ -34,6 +35,7 @@
     }
     let shard = shard::Key { index: leg.index.clone(), shard: leg.shard.clone() };
     let deadline = cx.now + leg.remaining;
+    let suspect = tables.suspects.get(&leg.fingerprint);
     let mut job = Job {
         from,
         shard,
@@ -41,7 +43,7 @@
         place: None,
         attempts: BTreeSet::new(),
         tries: 0,
-        avoid: BTreeSet::new(),
+        avoid: suspect.map(lost_before).unwrap_or_default(),
         suspect: false,
         overdue: false,
         ran: false,
@@ -73,6 +75,11 @@
     tables.jobs.insert(id, job);
 }
 
+/// The targets that were lost with an earlier leg of the same request.
+fn lost_before(suspect: &Suspect) -> BTreeSet<Name> {
+    suspect.targets.iter().map(|(name, _)| name.clone()).collect()
+}
+
 fn refusal(tables: &Tables, cx: &Context, job: &Job) -> Option<Outcome> {
     let refused = |kind, detail: &str| {
         Some(Outcome::Failed { kind, ran: Ran::No, detail: detail.to_owned() })
@@ -97,23 +104,41 @@
     None
 }
 
-/// Whether the job's request may not be sent to another target.
+/// Whether the job's request may not be sent to another target: it lost enough
+/// targets of this shard, or another VM holds it back.
+///
+/// Targets of other shards do not count here. A rack that fails takes targets of
+/// many shards at once, and every search that ran then would be held back.
 pub fn is_condemned(tables: &Tables, cx: &Context, job: &Job) -> bool {
-    lost_targets(tables, cx, job) >= cx.limits.lost_targets
+    lost_here(tables, cx, job.leg.fingerprint, &job.shard) >= cx.limits.lost_targets
         || cx.view.quarantine.contains_key(&job.leg.fingerprint)
 }
 
-/// The number of targets that were lost with the job's request, here or at
-/// other VMs.
-pub fn lost_targets(tables: &Tables, cx: &Context, job: &Job) -> usize {
+/// Whether any target was lost with the job's request, here or at another VM.
+pub fn is_suspect(tables: &Tables, cx: &Context, job: &Job) -> bool {
     let own = tables.suspects.get(&job.leg.fingerprint);
-    let own = own.filter(|suspect| suspect.until > cx.now).map(|suspect| &suspect.targets);
-    let others = cx.view.suspects.get(&job.leg.fingerprint);
-    let (Some(own), Some(others)) = (own, others) else {
-        return own.map_or(0, BTreeSet::len) + others.map_or(0, BTreeSet::len);
-    };
-    let elsewhere = others.iter().filter(|name| !own.iter().any(|(lost, _)| lost == *name));
-    own.len() + elsewhere.count()
+    own.is_some_and(|suspect| suspect.until > cx.now)
+        || cx.view.suspects.contains_key(&job.leg.fingerprint)
+}
+
+/// The number of targets of a shard that were lost with a request, here or at
+/// other VMs.
+pub fn lost_here(
+    tables: &Tables,
+    cx: &Context,
+    fingerprint: Fingerprint,
+    shard: &shard::Key,
+) -> usize {
+    let is_here =
+        |name: &Name| tables.targets.get(name).is_some_and(|target| target.shard == *shard);
+    let own = tables.suspects.get(&fingerprint).filter(|suspect| suspect.until > cx.now);
+    let own: Vec<&Name> = own
+        .into_iter()
+        .flat_map(|suspect| suspect.targets.iter().map(|(name, _)| name))
+        .filter(|name| is_here(name))
+        .collect();
+    let others = cx.view.suspects.get(&fingerprint).into_iter().flatten();
+    own.len() + others.filter(|name| is_here(name) && !own.contains(name)).count()
 }
 
 /// The time that a leg of a profile which arrives now is expected to wait for a
@@ -244,37 +269,52 @@
 
 /// Puts a job back into the queue after an attempt ended without an answer.
 pub fn retry(tables: &mut Tables, cx: &mut Context, id: id::Leg, reason: Retry, out: &mut Outbox) {
-    let Some(job) = tables.jobs.get(&id) else { return };
-    if !job.attempts.is_empty() || job.place.is_some() {
+    if !may_retry(tables, cx, id, reason, out) {
         return;
     }
+    let Some(job) = tables.jobs.get_mut(&id) else { return };
+    if let Some(shard) = tables.shards.get_mut(&job.shard) {
+        job.place = Some(shard.requeue(id));
+        tables.to_dispatch.insert(job.shard.clone());
+    }
+}
+
+/// Whether a job may be tried again. One that may not is ended.
+fn may_retry(
+    tables: &mut Tables,
+    cx: &mut Context,
+    id: id::Leg,
+    reason: Retry,
+    out: &mut Outbox,
+) -> bool {
+    let Some(job) = tables.jobs.get(&id) else { return false };
+    if !job.attempts.is_empty() || job.place.is_some() {
+        return false;
+    }
     if job.ran && !job.is_idempotent() {
         let detail = "the target was lost while it may have run the operation".to_owned();
         let failed = Outcome::Failed { kind: Kind::TargetFailed, ran: Ran::Unknown, detail };
         finish(tables, cx, id, failed, out);
-        return;
+        return false;
     }
     if is_condemned(tables, cx, job) {
         let detail = "the request was running when targets were lost".to_owned();
         let failed = Outcome::Failed { kind: Kind::Quarantined, ran: Ran::Yes, detail };
         finish(tables, cx, id, failed, out);
-        return;
+        return false;
     }
     let ran = if job.ran { Ran::Unknown } else { Ran::No };
     if costs_budget(reason) && !spend(tables, cx, &job.leg.profile.clone()) {
         out.count(Count::BudgetSpent);
         finish(tables, cx, id, spent(reason, ran), out);
-        return;
+        return false;
     }
     out.count(Count::Retried(reason));
-    let Some(job) = tables.jobs.get_mut(&id) else { return };
+    let Some(job) = tables.jobs.get(&id) else { return false };
     let fields =
         vec![("shard", job.shard.shard.to_string()), ("reason", reason.as_str().to_owned())];
     out.lines.push(Line::of(job.leg.query, Event::Retried, fields));
-    if let Some(shard) = tables.shards.get_mut(&job.shard) {
-        job.place = Some(shard.requeue(id));
-        tables.to_dispatch.insert(job.shard.clone());
-    }
+    true
 }
 
 /// Whether a retry for this reason puts load on targets that the first attempt
