--- a/src/slope/bed.rs
+++ b/src/slope/bed.rs
@@ -148,7 +148,13 @@
 
 /// An engine of the VM `own` without a view.
 pub fn engine(own: &Name) -> Engine {
-    let limits = Limits { open_requests: usize::MAX, jobs: usize::MAX, ..Limits::default() };
+    let limits = Limits {
+        open_requests: usize::MAX,
+        jobs: usize::MAX,
+        poll: NEVER,
+        fresh: NEVER,
+        ..Limits::default()
+    };
     Engine::new(Seed {
         lane: Lane { vm: own.clone(), thread: 0 },
         domain: name("domain-00"),
@@ -178,12 +184,20 @@
     engine
 }
 
-/// The time of every step. It stands still, so that no timer is due.
+/// A time that no measurement reaches.
+const NEVER: Duration = Duration::from_secs(1_000_000);
+
+/// The time of a step where time stands still, so that no timer is due.
 pub const NOW: Instant = Instant(1_000_000);
 
-/// Runs one step.
+/// Runs one step at [`NOW`].
 pub fn step(engine: &mut Engine, events: Vec<Event>) -> Outbox {
+    step_at(engine, NOW, events)
+}
+
+/// Runs one step.
+pub fn step_at(engine: &mut Engine, now: Instant, events: Vec<Event>) -> Outbox {
     let mut out = Outbox::default();
-    engine.step(NOW, events, &mut out);
+    engine.step(now, events, &mut out);
     out
 }
--- a/src/slope/home.rs
+++ b/src/slope/home.rs
@@ -7,6 +7,7 @@
     id,
     message::{self, Message},
     target::{self, Command, Outcome, Reply, Request, Row, Status, Work},
+    time::Instant,
     traffic::{Engine, Event, Outbox},
 };
 
@@ -28,6 +29,9 @@
 /// The legs that wait for one shard.
 const WAITING: [usize; 3] = [10, 100, 1000];
 
+/// The time that a target takes.
+const SERVICE: Duration = Duration::from_millis(4);
+
 /// The legs that wait while memory is measured.
 const MEMORY_LEGS: usize = 100_000;
 
@@ -59,6 +63,7 @@
     engine: Engine,
     shards: usize,
     ids: id::Source,
+    now: Instant,
 }
 
 impl Home {
@@ -69,14 +74,14 @@
         let out = bed::step(&mut engine, vec![bed::viewed(bed::view(&own, size))]);
         let opened = out.commands.into_iter().filter_map(|command| opened(command, shards));
         bed::step(&mut engine, opened.collect());
-        Home { engine, shards, ids: id::Source::new(id::Origin(u64::MAX)) }
+        Home { engine, shards, ids: id::Source::new(id::Origin(u64::MAX)), now: bed::NOW }
     }
 
     /// Takes a message of `count` legs, each for the next shard.
     fn take(&mut self, count: usize, shards: usize) -> (Duration, Outbox) {
         let legs = (0..count).map(|number| self.leg(number % shards)).collect();
         let event = Event::Message { from: bed::lane(1), message: Message::Legs(legs) };
-        meter::timed(|| bed::step(&mut self.engine, vec![event]))
+        meter::timed(|| bed::step_at(&mut self.engine, self.now, vec![event]))
     }
 
     fn leg(&mut self, shard: usize) -> message::Leg {
@@ -89,14 +94,15 @@
             profile: bed::name(bed::PROFILE),
             work: Work::Search { version: bed::VERSION, range, text: "band 7".into() },
             fingerprint: Fingerprint(7),
-            remaining: Duration::from_secs(60),
+            remaining: Duration::from_secs(3600),
         }
     }
 
-    /// Answers every attempt.
+    /// Answers every attempt after the time that a target takes.
     fn answer(&mut self, out: Outbox) -> (Duration, Outbox) {
+        self.now = self.now + SERVICE;
         let events: Vec<Event> = out.commands.into_iter().filter_map(served).collect();
-        meter::timed(|| bed::step(&mut self.engine, events))
+        meter::timed(|| bed::step_at(&mut self.engine, self.now, events))
     }
 }
 
