Compare sets of keys and homes with the plain way to compute them

Cause: both were made faster and only single cases tested them. Sets are compared key by key after random changes, homes with the order of all VMs.

--- a/crates/core/tests/rules/key.rs
+++ b/crates/core/tests/rules/key.rs
@@ -1,6 +1,9 @@
 //! Ranges and sets of keys.
 
+use std::collections::BTreeSet;
+
 use laburnum_core::key::{Range, Set};
+use proptest::{collection, prelude::any};
 
 fn range(first: u64, last: u64) -> Range {
     Range::try_from((first, last)).unwrap()
@@ -14,7 +17,39 @@
     set
 }
 
+/// The highest key of the sets that are compared key by key.
+const HIGHEST: u64 = 40;
+
+fn keys(set: &Set) -> BTreeSet<u64> {
+    set.ranges().iter().flat_map(|range| range.first()..=range.last()).collect()
+}
+
+/// Compares a set with one that holds each key by itself, after each of many
+/// random changes.
+fn compare_with_single_keys() {
+    let change = (any::<bool>(), 0..=HIGHEST, 0..=HIGHEST);
+    proptest::proptest!(|(changes in collection::vec(change, 1..40))| {
+        let (mut set, mut single) = (Set::new(), BTreeSet::new());
+        for (adds, a, b) in changes {
+            let changed = range(a.min(b), a.max(b));
+            let common: BTreeSet<u64> =
+                single.iter().copied().filter(|&key| changed.contains(key)).collect();
+            assert_eq!(keys(&set.common(changed)), common);
+            if adds {
+                set.insert(changed);
+                single.extend(changed.first()..=changed.last());
+            } else {
+                set.remove(changed);
+                single.retain(|&key| !changed.contains(key));
+            }
+            assert_eq!(keys(&set), single);
+            assert!(set.ranges().windows(2).all(|pair| pair[0].last() + 1 < pair[1].first()));
+        }
+    });
+}
+
 cases! {
+    a_set_holds_what_single_keys_would => compare_with_single_keys();
     a_reversed_range_is_refused => {
         assert!(Range::try_from((2, 1)).is_err());
     };
--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -6,6 +6,7 @@
 #[path = "../world/mod.rs"]
 mod world;
 mod key;
+mod route;
 mod search;
 mod traffic_load;
 mod operation;
--- a/src/slope/home.rs
+++ b/src/slope/home.rs
@@ -72,7 +72,7 @@
         let mut engine = bed::engine(&own);
         let size = Size { vms: 1, shards, targets: shards * replicas };
         let out = bed::step(&mut engine, vec![bed::viewed(bed::view(&own, size))]);
-        let opened = out.commands.into_iter().filter_map(|command| opened(command, shards));
+        let opened = out.commands.iter().filter_map(|command| opened(command, shards));
         bed::step(&mut engine, opened.collect());
         Home { engine, shards, ids: id::Source::new(id::Origin(u64::MAX)), now: bed::NOW }
     }
@@ -108,8 +108,8 @@
 
 /// Opens the connection. Targets are numbered through the shards, so that the
 /// address tells the shard.
-fn opened(command: Command, shards: usize) -> Option<Event> {
-    let Command::Open { connection, address, .. } = command else { return None };
+fn opened(command: &Command, shards: usize) -> Option<Event> {
+    let &Command::Open { connection, address, .. } = command else { return None };
     let std::net::IpAddr::V4(ip) = address.ip() else { return None };
     let number = (u32::from(ip) & 0x00ff_ffff) as usize;
     let status = status(bed::range(number % shards, shards));
--- a/tests/product/cli.rs
+++ b/tests/product/cli.rs
@@ -81,6 +81,11 @@
         assert_exit(&output, Exit::Done);
         assert_eq!(stdout(&output), format!("laburnumworks {}\n", env!("CARGO_PKG_VERSION")));
     };
+    an_unknown_part_to_measure_is_named => {
+        let output = run(&["slope", "--part", "fly"]);
+        assert_exit(&output, Exit::Usage);
+        assert!(stderr(&output).contains("\"fly\""), "{}", stderr(&output));
+    };
     check_without_a_file_is_a_usage_error => assert_exit(&run(&["check"]), Exit::Usage);
     check_takes_sound_profiles => {
         let output = run(&["check", "--profiles", "deploy/umgeni-profiles.toml"]);
