Be ready only when every traffic thread is; share the macro of the cases

Cause: each traffic thread wrote the one ready flag of its VM, so the last one won, while the system spreads connections over all of them. The flag now follows the set of threads that cannot answer yet.

Two copies of the macro that names cases are dropped for the shared ones.

--- a/crates/core/tests/claims/main.rs
+++ b/crates/core/tests/claims/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the claims engine: several engines with stand-ins at the borders.
 
 #[macro_use]
+#[path = "../rules/case.rs"]
 mod case;
 mod fault;
 mod fuzz;
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 //! it. A thread decides nothing; see `laburnum_core::traffic`.
 
 pub mod handle;
+mod ready;
 mod thread;
 
 use laburnum_core::{
@@ -13,6 +14,7 @@
 
 pub use self::{
     handle::{Handle, Input},
+    ready::Ready,
     thread::{Inbox, Parts, run},
 };
 
--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -1,6 +1,6 @@
 //! The loop of a traffic thread.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use laburnum_core::{
     border::Clock,
@@ -17,7 +17,7 @@
     time::sleep,
 };
 
-use super::{Borders, handle::Input};
+use super::{Borders, Ready, handle::Input};
 use crate::wire::{self, Body};
 
 /// The longest sleep when the engine has nothing to do.
@@ -52,8 +52,10 @@
     pub clock: Box<dyn Clock>,
     /// The ways out of the thread.
     pub borders: Borders,
-    /// Becomes true when the thread can answer callers.
-    pub ready: Arc<watch::Sender<bool>>,
+    /// The number of the thread.
+    pub number: u16,
+    /// Where the thread notes that it can answer callers.
+    pub ready: Ready,
 }
 
 /// Runs a traffic thread until it is stopped or the control thread has ended.
@@ -66,7 +68,9 @@
         engine: parts.engine,
         clock: parts.clock,
         borders: parts.borders,
+        number: parts.number,
         ready: parts.ready,
+        is_ready: false,
         waiting: BTreeMap::new(),
     };
     let mut inbox = parts.inbox;
@@ -137,7 +141,9 @@
     engine: Engine,
     clock: Box<dyn Clock>,
     borders: Borders,
-    ready: Arc<watch::Sender<bool>>,
+    number: u16,
+    ready: Ready,
+    is_ready: bool,
     waiting: BTreeMap<Call, oneshot::Sender<Answer>>,
 }
 
@@ -159,8 +165,10 @@
         let mut out = Outbox::default();
         self.engine.step(self.clock.now(), events, &mut out);
         self.flush(out);
-        self.ready
-            .send_if_modified(|ready| std::mem::replace(ready, self.engine.is_ready()) != *ready);
+        let is_ready = self.engine.is_ready();
+        if std::mem::replace(&mut self.is_ready, is_ready) != is_ready {
+            self.ready.set(self.number, is_ready);
+        }
     }
 
     fn open(&mut self, input: Input) -> Event {
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -35,6 +35,7 @@
     log::{Guard, Writer, drain::Output},
     metric::Metrics,
     settings::Settings,
+    traffic::Ready,
 };
 
 /// The thread number under which control threads send to each other.
@@ -109,7 +110,8 @@
     let (control, inbox) = crate::control::channel();
     let (shutdown, shutdown_seen) = watch::channel(false);
     let (stop, stop_seen) = watch::channel(false);
-    let (ready_sender, ready) = watch::channel(false);
+    let threads = u16::try_from(settings.listen.traffic.len()).unwrap_or(CONTROL_THREAD);
+    let (ready_sender, ready) = Ready::new(threads);
     let (idle_sender, idle) = watch::channel(false);
     let (serving_sender, serving) = mpsc::channel(1);
     let shared = Shared {
@@ -126,7 +128,6 @@
     let listeners = listen::bind(&settings.listen)?;
     let mut threads = Vec::new();
     let mut notices = Vec::new();
-    let ready_sender = Arc::new(ready_sender);
     for (number, pair) in listeners.traffic.into_iter().enumerate() {
         let (sender, receiver) = mpsc::unbounded_channel();
         notices.push(sender);
@@ -136,7 +137,7 @@
             callers: pair.callers,
             peers: pair.peers,
             notices: receiver,
-            ready: Arc::clone(&ready_sender),
+            ready: ready_sender.clone(),
             serving: serving_sender.clone(),
             policies,
         };
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -10,14 +10,14 @@
     traffic::{self as decisions, Engine, policy},
     view::Lane,
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
 use super::{Shared, limits, meter, runtime};
 use crate::{
     control, front,
     log::journal::Journal,
     target,
-    traffic::{self, Borders, Handle, Inbox, Parts},
+    traffic::{self, Borders, Handle, Inbox, Parts, Ready},
     wire::{self, Dialer},
 };
 
@@ -34,8 +34,8 @@
     pub peers: net::TcpListener,
     /// What the control thread tells it.
     pub notices: mpsc::UnboundedReceiver<Notice>,
-    /// Becomes true when it can answer callers.
-    pub ready: Arc<watch::Sender<bool>>,
+    /// Where it notes that it can answer callers.
+    pub ready: Ready,
     /// Dropped when its front has answered all that it took.
     pub serving: mpsc::Sender<()>,
     /// Makes its policies.
@@ -91,6 +91,7 @@
             }),
             meter: Box::new(meter::Thread::new(seed.number, Arc::clone(&shared.metrics))),
         },
+        number: seed.number,
         ready: seed.ready,
     };
     traffic::run(parts).await;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -10,3 +10,4 @@
 mod limit;
 mod codec;
 mod wire;
+mod ready;
--- a/tests/product/main.rs
+++ b/tests/product/main.rs
@@ -2,6 +2,7 @@
 //! line and the pages that list them.
 
 #[macro_use]
+#[path = "../common/case.rs"]
 mod case;
 mod bed;
 mod cli;
