--- a/crates/core/tests/rules/planted.rs
+++ b/crates/core/tests/rules/planted.rs
@@ -30,11 +30,16 @@
     let mut world = World::new(3, 1, 1);
     let home = world.home_of(0);
     let entry = world.stranger_to(0);
+    // A target gets all of its slots once it has answered some.
+    for number in 0..10 {
+        world.find(home.as_str(), WHOLE, &format!(" first {number}"));
+    }
     world.targets.get(0, 0).service = 1500 * MS;
     for number in 0..2 {
         world.operate(home.as_str(), number, 1, &format!("before {number}"));
     }
     world.run(50 * MS);
+    assert_eq!(world.targets.get(0, 0).running.len(), 2, "both slots are taken");
     world.search(entry.as_str(), WHOLE, " for one");
     world.run(10 * MS);
     world.network.cut(&entry, &home);
