--- a/crates/core/tests/rules/planted.rs
+++ b/crates/core/tests/rules/planted.rs
@@ -39,6 +39,7 @@
         world.operate(home.as_str(), number, 1, &format!("before {number}"));
     }
     world.run(50 * MS);
+    assert_eq!(world.targets.get(0, 0).running.len(), 2, "both slots are taken");
     world.search(entry.as_str(), WHOLE, " for one");
     world.run(10 * MS);
     world.network.cut(&entry, &home);
