--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     count::{Count, Retry},
+    digest::Fingerprint,
     fault::{Kind, Ran},
     id,
     log::{Event, Line},
@@ -12,7 +13,8 @@
     target::Command,
     traffic::{
         Context, Outbox, Tables,
-        table::{Attempt, Job, shard, timer::Timer},
+        system::share,
+        table::{Attempt, Job, Suspect, shard, timer::Timer},
     },
     view::Lane,
 };
@@ -33,6 +35,7 @@
     }
     let shard = shard::Key { index: leg.index.clone(), shard: leg.shard.clone() };
     let deadline = cx.now + leg.remaining;
+    let suspect = tables.suspects.get(&leg.fingerprint);
     let mut job = Job {
         from,
         shard,
@@ -40,16 +43,27 @@
         place: None,
         attempts: BTreeSet::new(),
         tries: 0,
-        avoid: BTreeSet::new(),
+        avoid: suspect.map(lost_before).unwrap_or_default(),
         suspect: false,
         overdue: false,
         ran: false,
+        follows: None,
+        followers: BTreeSet::new(),
         leg,
     };
     if let Some(outcome) = refusal(tables, cx, &job) {
         reply(tables, cx, &job, outcome, out);
         return;
     }
+    job.follows = share::leader(tables, cx, &job);
+    if let Some(leader) = job.follows.and_then(|id| tables.jobs.get_mut(&id)) {
+        let id = job.leg.leg;
+        leader.followers.insert(id);
+        tables.timers.set(deadline, Timer::Job(id));
+        tables.jobs.insert(id, job);
+        return;
+    }
+    share::lead(tables, cx, &job);
     let priority = priority(cx, &job.leg.profile);
     let id = job.leg.leg;
     if let Some(row) = tables.shards.get_mut(&job.shard) {
@@ -61,6 +75,11 @@
     tables.jobs.insert(id, job);
 }
 
+/// The targets that were lost with an earlier leg of the same request.
+fn lost_before(suspect: &Suspect) -> BTreeSet<Name> {
+    suspect.targets.iter().map(|(name, _)| name.clone()).collect()
+}
+
 fn refusal(tables: &Tables, cx: &Context, job: &Job) -> Option<Outcome> {
     let refused = |kind, detail: &str| {
         Some(Outcome::Failed { kind, ran: Ran::No, detail: detail.to_owned() })
@@ -79,29 +98,56 @@
     if is_condemned(tables, cx, job) {
         return refused(Kind::Quarantined, "the request crashed targets");
     }
+    if job.leg.trial
+        && let Some(target) = lost_targets(tables, cx, job.leg.fingerprint, &job.shard).pop()
+    {
+        // The same search was tried here and lost this target.
+        return Some(Outcome::Lost { target });
+    }
     if backlog(tables, cx, &job.shard, &job.leg.profile) >= job.leg.remaining {
         return refused(Kind::Overloaded, "the wait for a slot is longer than the deadline");
     }
     None
 }
 
-/// Whether the job's request may not be sent to another target.
+/// Whether the job's request may not be sent to another target: it lost enough
+/// targets of this shard, or another VM holds it back.
+///
+/// Targets of other shards do not count here. A rack that fails takes targets of
+/// many shards at once, and every search that ran then would be held back.
 pub fn is_condemned(tables: &Tables, cx: &Context, job: &Job) -> bool {
-    lost_targets(tables, cx, job) >= cx.limits.lost_targets
+    lost_targets(tables, cx, job.leg.fingerprint, &job.shard).len() >= cx.limits.lost_targets
         || cx.view.quarantine.contains_key(&job.leg.fingerprint)
 }
 
-/// The number of targets that were lost with the job's request, here or at
-/// other VMs.
-pub fn lost_targets(tables: &Tables, cx: &Context, job: &Job) -> usize {
+/// Whether any target was lost with the job's request, here or at another VM.
+pub fn is_suspect(tables: &Tables, cx: &Context, job: &Job) -> bool {
     let own = tables.suspects.get(&job.leg.fingerprint);
-    let own = own.filter(|suspect| suspect.until > cx.now).map(|suspect| &suspect.targets);
-    let others = cx.view.suspects.get(&job.leg.fingerprint);
-    let (Some(own), Some(others)) = (own, others) else {
-        return own.map_or(0, BTreeSet::len) + others.map_or(0, BTreeSet::len);
-    };
-    let elsewhere = others.iter().filter(|name| !own.iter().any(|(lost, _)| lost == *name));
-    own.len() + elsewhere.count()
+    own.is_some_and(|suspect| suspect.until > cx.now)
+        || cx.view.suspects.contains_key(&job.leg.fingerprint)
+}
+
+/// The targets of a shard that were lost with a request, here or at other VMs;
+/// one that was lost in two starts stands twice.
+pub fn lost_targets(
+    tables: &Tables,
+    cx: &Context,
+    fingerprint: Fingerprint,
+    shard: &shard::Key,
+) -> Vec<Name> {
+    let is_here =
+        |name: &Name| tables.targets.get(name).is_some_and(|target| target.shard == *shard);
+    let own = tables.suspects.get(&fingerprint).filter(|suspect| suspect.until > cx.now);
+    let mut lost: Vec<Name> = own
+        .into_iter()
+        .flat_map(|suspect| suspect.targets.iter().map(|(name, _)| name))
+        .filter(|name| is_here(name))
+        .cloned()
+        .collect();
+    let others = cx.view.suspects.get(&fingerprint).into_iter().flatten();
+    let new: Vec<&Name> = others.filter(|name| is_here(name) && !lost.contains(name)).collect();
+    lost.extend(new.into_iter().cloned());
+    lost
 }
 
 /// The time that a leg of a profile which arrives now is expected to wait for a
@@ -139,6 +185,12 @@
     out: &mut Outbox,
 ) {
     note_slow(tables, cx, id);
+    for follower in share::take_followers(tables, id, &outcome) {
+        let Some(mut job) = tables.jobs.remove(&follower) else { continue };
+        tables.timers.cancel(job.deadline, Timer::Job(follower));
+        job.follows = None;
+        reply(tables, cx, &job, outcome.clone(), out);
+    }
     let Some(job) = remove(tables, id, out) else { return };
     reply(tables, cx, &job, outcome, out);
 }
@@ -163,7 +215,8 @@
 
 /// Ends a job without a reply.
 pub fn remove(tables: &mut Tables, id: id::Leg, out: &mut Outbox) -> Option<Job> {
-    let job = tables.jobs.remove(&id)?;
+    let mut job = tables.jobs.remove(&id)?;
+    share::leave(tables, &mut job);
     tables.timers.cancel(job.deadline, Timer::Job(id));
     if let (Some(place), Some(shard)) = (job.place, tables.shards.get_mut(&job.shard)) {
         shard.queue.remove(&place);
@@ -225,37 +278,52 @@
 
 /// Puts a job back into the queue after an attempt ended without an answer.
 pub fn retry(tables: &mut Tables, cx: &mut Context, id: id::Leg, reason: Retry, out: &mut Outbox) {
-    let Some(job) = tables.jobs.get(&id) else { return };
-    if !job.attempts.is_empty() || job.place.is_some() {
+    if !may_retry(tables, cx, id, reason, out) {
         return;
     }
+    let Some(job) = tables.jobs.get_mut(&id) else { return };
+    if let Some(shard) = tables.shards.get_mut(&job.shard) {
+        job.place = Some(shard.requeue(id));
+        tables.to_dispatch.insert(job.shard.clone());
+    }
+}
+
+/// Whether a job may be tried again. One that may not is ended.
+fn may_retry(
+    tables: &mut Tables,
+    cx: &mut Context,
+    id: id::Leg,
+    reason: Retry,
+    out: &mut Outbox,
+) -> bool {
+    let Some(job) = tables.jobs.get(&id) else { return false };
+    if !job.attempts.is_empty() || job.place.is_some() {
+        return false;
+    }
     if job.ran && !job.is_idempotent() {
         let detail = "the target was lost while it may have run the operation".to_owned();
         let failed = Outcome::Failed { kind: Kind::TargetFailed, ran: Ran::Unknown, detail };
         finish(tables, cx, id, failed, out);
-        return;
+        return false;
     }
     if is_condemned(tables, cx, job) {
         let detail = "the request was running when targets were lost".to_owned();
         let failed = Outcome::Failed { kind: Kind::Quarantined, ran: Ran::Yes, detail };
         finish(tables, cx, id, failed, out);
-        return;
+        return false;
     }
     let ran = if job.ran { Ran::Unknown } else { Ran::No };
     if costs_budget(reason) && !spend(tables, cx, &job.leg.profile.clone()) {
         out.count(Count::BudgetSpent);
         finish(tables, cx, id, spent(reason, ran), out);
-        return;
+        return false;
     }
     out.count(Count::Retried(reason));
-    let Some(job) = tables.jobs.get_mut(&id) else { return };
+    let Some(job) = tables.jobs.get(&id) else { return false };
     let fields =
         vec![("shard", job.shard.shard.to_string()), ("reason", reason.as_str().to_owned())];
     out.lines.push(Line::of(job.leg.query, Event::Retried, fields));
-    if let Some(shard) = tables.shards.get_mut(&job.shard) {
-        job.place = Some(shard.requeue(id));
-        tables.to_dispatch.insert(job.shard.clone());
-    }
+    true
 }
 
 /// Whether a retry for this reason puts load on targets that the first attempt
--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -9,5 +9,7 @@
 mod route;
 mod search;
 mod traffic_load;
+mod traffic_share;
 mod operation;
 mod found;
+mod planted;
--- a/src/slope/home.rs
+++ b/src/slope/home.rs
@@ -86,15 +86,19 @@
 
     fn leg(&mut self, shard: usize) -> message::Leg {
         let range = bed::range(shard, self.shards);
+        let query = self.ids.query();
+        // Equal searches would share an attempt.
+        let text = format!("band {}", query.sequence).into();
         message::Leg {
             leg: self.ids.leg(),
-            query: self.ids.query(),
+            query,
             index: bed::name(bed::INDEX),
             shard: bed::shard_name(shard),
             profile: bed::name(bed::PROFILE),
-            work: Work::Search { version: bed::VERSION, range, text: "band 7".into() },
-            fingerprint: Fingerprint(7),
+            work: Work::Search { version: bed::VERSION, range, text },
+            fingerprint: Fingerprint(query.sequence),
             remaining: Duration::from_secs(3600),
+            trial: false,
         }
     }
 
