Stop the control thread with its VM, after its operators were answered

Cause: the control thread of a VM that had left went on answering probes until the process ended, so in one process with others it was never seen as gone; and the operators' front was cut at the end instead of finishing. Its front now ends with the callers' fronts, and the thread ends with the traffic threads.

The number of lost targets that holds a request back reaches the control thread too (it had a constant).

--- a/crates/core/src/control/limit.rs
+++ b/crates/core/src/control/limit.rs
@@ -53,6 +53,8 @@
     pub witnesses: usize,
     /// The age from which the word of a VM on its revision counts as silent.
     pub silence: Duration,
+    /// The lost targets of one shard that condemn a fingerprint.
+    pub lost_targets: usize,
     /// The time for which a fingerprint with one lost target is remembered.
     pub suspect_fingerprint: Duration,
     /// The time for which a fingerprint is held back.
@@ -87,6 +89,7 @@
             isolation: Duration::from_secs(5),
             witnesses: 2,
             silence: Duration::from_secs(30),
+            lost_targets: 2,
             suspect_fingerprint: Duration::from_secs(60),
             condemned_fingerprint: Duration::from_secs(600),
             fingerprints: 1024,
--- a/crates/core/src/control/system/quarantine.rs
+++ b/crates/core/src/control/system/quarantine.rs
@@ -17,14 +17,11 @@
     name::Name,
 };
 
-/// The number of lost targets of one shard that condemns a fingerprint.
-const LOST_TARGETS: usize = 2;
-
 /// The number of targets that are remembered of a fingerprint.
 const MAX_TARGETS: usize = 8;
 
-/// Notes that a target was lost with a fingerprint. The second target of one
-/// shard condemns it, through whichever VMs the two were reached. Targets of
+/// Notes that a target was lost with a fingerprint. Enough targets of one
+/// shard condemn it, through whichever VMs the two were reached. Targets of
 /// different shards do not, because a rack that fails takes many at once.
 pub fn suspect(
     tables: &mut Tables,
@@ -48,7 +45,7 @@
     let listed = &tables.targets.listed;
     let shard = |name: &Name| listed.get(name).map(|target| (&target.index, &target.shard));
     let of_shard = row.targets.iter().filter(|name| shard(name) == shard(&target)).count();
-    if of_shard >= LOST_TARGETS {
+    if of_shard >= step.limits.lost_targets {
         return condemn(tables, step, fingerprint, origin, step.limits.condemned_fingerprint);
     }
     if rows.len() > step.limits.fingerprints {
--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -130,7 +130,7 @@
     }
     let fingerprint = fingerprint(terms);
     if cx.view.quarantine.contains_key(&fingerprint) {
-        let detail = "the request was running when targets were lost";
+        let detail = "an equal request was running when targets were lost";
         return Err(Fault::not_run(Kind::Quarantined, detail));
     }
     Ok((terms.clone(), fingerprint))
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -35,9 +35,12 @@
     pub borders: Box<dyn FnOnce() -> Borders + Send>,
     /// Becomes true when the VM is leaving and has nothing in flight.
     pub idle: watch::Sender<bool>,
+    /// Becomes true when the thread is to end.
+    pub stop: watch::Receiver<bool>,
 }
 
-/// Starts the control thread. It ends when every [`super::Handle`] is dropped.
+/// Starts the control thread. It ends when it is told to stop or every
+/// [`super::Handle`] is dropped.
 pub fn spawn(parts: Parts) -> io::Result<thread::JoinHandle<()>> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     thread::Builder::new().name("control".to_owned()).spawn(move || run(&runtime, parts))
@@ -55,10 +58,15 @@
             last: 0,
         };
         let mut inbox = parts.inbox;
+        let mut stop = parts.stop;
         let mut events = Vec::new();
         loop {
             control.step(std::mem::take(&mut events));
-            if !control.wait(&mut inbox, &mut events).await {
+            let is_open = tokio::select! {
+                is_open = control.wait(&mut inbox, &mut events) => is_open,
+                _ = stop.wait_for(|stop| *stop) => false,
+            };
+            if !is_open {
                 return;
             }
         }
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -29,6 +29,8 @@
     pub peers: net::TcpListener,
     /// The socket for operators.
     pub operators: net::TcpListener,
+    /// Dropped when the front of the operators has answered all that it took.
+    pub serving: mpsc::Sender<()>,
 }
 
 /// The key that the VMs of the deployment share.
@@ -47,12 +49,33 @@
         codec: Box::new(Json),
     };
     let clock = Box::new(shared.clock);
-    let Seed { inbox, notices, idle, peers, operators } = seed;
-    let borders = Box::new(move || borders(&shared, peers, operators));
-    control::spawn(Parts { setup, inbox, threads: notices, clock, borders, idle })
+    let Seed { inbox, notices, idle, peers, operators, serving } = seed;
+    let stop = shared.stop.clone();
+    let borders = Box::new(move || {
+        tokio::spawn(serve(operator_seed(&shared, operators), serving));
+        borders(&shared, peers)
+    });
+    control::spawn(Parts { setup, inbox, threads: notices, clock, borders, idle, stop })
 }
 
-fn borders(shared: &Shared, peers: net::TcpListener, operators: net::TcpListener) -> Borders {
+fn operator_seed(shared: &Shared, listener: net::TcpListener) -> operator::Seed {
+    operator::Seed {
+        listener,
+        operators: shared.settings.operators.clone(),
+        handle: shared.control.clone(),
+        ready: shared.ready.clone(),
+        metrics: Arc::new(shared.text()),
+        shutdown: shared.shutdown.clone(),
+    }
+}
+
+async fn serve(front: operator::Seed, serving: mpsc::Sender<()>) -> io::Result<()> {
+    let ended = operator::serve(front).await;
+    drop(serving);
+    ended
+}
+
+fn borders(shared: &Shared, peers: net::TcpListener) -> Borders {
     let own = Lane { vm: shared.row.name.clone(), thread: CONTROL_THREAD };
     let key = key(&shared.settings);
     let wire_limits = limits::wire(&shared.settings);
@@ -60,14 +83,6 @@
     let guard = wire::Guard { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
     tokio::spawn(wire::listen(peers, guard, frames));
     tokio::spawn(forward(receiver, shared.control.clone()));
-    tokio::spawn(operator::serve(operator::Seed {
-        listener: operators,
-        operators: shared.settings.operators.clone(),
-        handle: shared.control.clone(),
-        ready: shared.ready.clone(),
-        metrics: Arc::new(shared.text()),
-        shutdown: shared.stop.clone(),
-    }));
     // Probes find out what a lost connection would tell.
     let (losses, _) = mpsc::unbounded_channel();
     let dialer = Dialer::new(own, shared.row.incarnation, key, wire_limits, losses);
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -55,6 +55,7 @@
         isolation: membership.unready_after,
         call: settings.platform.call_limit,
         suspect_fingerprint: settings.quarantine.suspect,
+        lost_targets: usize::try_from(settings.quarantine.lost_targets).unwrap_or(usize::MAX),
         condemned_fingerprint: settings.quarantine.hold,
         fingerprints: size(settings.quarantine.capacity),
         ..control::Limits::default()
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -143,15 +143,15 @@
         };
         threads.push(traffic::spawn(shared.clone(), seed).change_context(cannot_start("traffic"))?);
     }
-    drop(serving_sender);
     let seed = control::Seed {
         inbox,
         notices,
         idle: idle_sender,
         peers: listeners.control,
         operators: listeners.operators,
+        serving: serving_sender,
     };
-    control::spawn(shared, seed).change_context(cannot_start("control"))?;
+    threads.push(control::spawn(shared, seed).change_context(cannot_start("control"))?);
     let fields = vec![("callers", settings.listen.callers.to_string())];
     writer.write(&Line::new(Event::Started, fields), laburnum_core::border::Clock::now(&clock));
     Ok(Vm {
--- a/tests/product/limits.rs
+++ b/tests/product/limits.rs
@@ -83,6 +83,7 @@
     ("quarantine.suspect_ms", "7", Part::Control),
     ("quarantine.suspect_ms", "7", Part::Traffic),
     ("quarantine.lost_targets", "1", Part::Traffic),
+    ("quarantine.lost_targets", "1", Part::Control),
     ("shutdown.announce_ms", "7", Part::Shutdown),
     ("shutdown.limit_ms", "7000", Part::Shutdown),
     ("log.format", "\"text\"", Part::Log),
