Connect again to a target whose connection was closed for a crossed reply

Cause: the connection was closed and none was opened in its place, so that the target was not asked any more and its holdings stayed as they were. After a repartition the home told a range that no target held, and operations on it were refused.

--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -77,7 +77,12 @@
     if reply.attempt.is_some_and(|echoed| echoed != sent_as) {
         dropped(Drop::Crossed, sent_as, out);
         lose(tables, cx, sent_as, Retry::Garbled, out);
+        let target = tables.connections.get(&connection).map(|row| row.target.clone());
         connect::close(tables, cx, connection, out);
+        if let Some(target) = target {
+            // Without a connection its holdings would stay as they were.
+            connect::reopen(tables, cx, &target, out);
+        }
         return;
     }
     let Some(attempt) = job::release(tables, sent_as) else {
--- a/crates/core/tests/rules/found.rs
+++ b/crates/core/tests/rules/found.rs
@@ -174,7 +174,19 @@
     assert_eq!(crashed(&world), 2);
 }
 
+/// Seed 82: a target whose connection was closed for a crossed reply was not
+/// asked any more what it holds.
+fn crossed_target_is_connected_again() {
+    let mut world = World::new(3, 1, 1);
+    world.targets.get(0, 0).fault = Some(Fault::Crossed);
+    world.search("vm-1", ANY, " for one");
+    world.run(3000 * MS);
+    world.targets.get(0, 0).fault = None;
+    assert!(!world.targets.get(0, 0).connections.is_empty());
+}
+
 cases! {
+    a_target_that_crossed_a_reply_is_connected_again => crossed_target_is_connected_again();
     a_search_beside_a_home_that_just_started_is_whole => search_beside_a_new_home();
     a_home_that_just_started_knows_what_is_held_back => new_home_holds_back();
     a_search_that_is_held_back_beside_legs_that_ran_ran => held_back_beside_legs_that_ran();
