Start a VM and merge a leg in short steps

Cause: the two longest functions, of 69 and 55 lines, made a reader keep several matters in mind. Starting the traffic threads and what a search does after a leg has ended are functions of their own now; nothing else changed.

--- a/crates/core/src/traffic/system/merge.rs
+++ b/crates/core/src/traffic/system/merge.rs
@@ -3,12 +3,13 @@
 use crate::{
     claim::{self, Outcome as Recorded},
     count::{Count, Drop, Retry},
-    digest,
+    digest::{self, Fingerprint},
     fault::{Fault, Kind, Ran},
     key::Range,
     message::{Outcome, Reply},
     notice::Report,
     profile::WHOLE,
+    target::Row,
     traffic::{
         Context, Outbox, Tables,
         system::leg,
@@ -78,52 +79,83 @@
         out.count(Count::Dropped(Drop::WrongVersion));
         return;
     }
-    match outcome {
+    let next = match outcome {
         Outcome::Rows { version, range, rows, digest } => {
             let is_asked = Some(version) == search.version && range == leg.range;
-            if !is_asked || digest::rows(&rows) != digest {
-                out.count(Count::Dropped(Drop::Cut));
-                return;
-            }
-            search.covered.insert(range);
-            search.rows.extend(rows);
-            if search.trial.take().is_some() {
-                // A target has answered it: now it goes to the rest.
-                tables.to_plan.insert(leg.query);
-            }
-        }
-        Outcome::Moved { .. } => {
-            tables.to_plan.insert(leg.query);
+            let is_whole = is_asked && digest::rows(&rows) == digest;
+            take_rows(search, range, rows, is_whole, out)
         }
+        Outcome::Moved { .. } => Next::Plan,
         Outcome::Lost { target } => {
             search.crashed.insert(target, leg.shard.clone());
-            if search.crashed.len() < cx.limits.lost_targets {
-                tables.to_plan.insert(leg.query);
-                return;
-            }
-            let detail = "the search was running when targets were lost";
-            search.fault = Some(Fault::unknown(Kind::Quarantined, detail));
-            let (fingerprint, origin) = (query.fingerprint, cx.ids.origin());
-            out.reports.push(Report::Condemned { fingerprint, origin });
-            tables.to_answer.insert(leg.query);
+            lose_target(search, query.fingerprint, cx, out)
         }
         Outcome::Failed { kind: Kind::Quarantined, ran, detail } => {
             search.fault = Some(Fault { kind: Kind::Quarantined, ran, detail });
-            tables.to_answer.insert(leg.query);
-        }
-        Outcome::Failed { ran, .. } if may_try_again(search, ran) => {
-            tables.to_plan.insert(leg.query);
+            Next::Answer
         }
+        Outcome::Failed { ran, .. } if may_try_again(search, ran) => Next::Plan,
         Outcome::Failed { .. } | Outcome::Done { .. } => {
-            // Once the rest cannot make the answer whole enough, it would only
-            // take slots from queries that can still be answered.
             search.lost.insert(leg.range);
-            let reach = Range::ALL.size() - search.lost.size();
-            if reach * u128::from(WHOLE) < Range::ALL.size() * u128::from(query.terms.coverage) {
-                tables.to_answer.insert(leg.query);
-            }
+            lose_range(search, query.terms.coverage)
         }
+    };
+    match next {
+        Next::Wait => false,
+        Next::Plan => tables.to_plan.insert(leg.query),
+        Next::Answer => tables.to_answer.insert(leg.query),
+    };
+}
+
+/// What a search does after one of its legs has ended.
+enum Next {
+    /// It waits for its other legs.
+    Wait,
+    /// It is planned again.
+    Plan,
+    /// It is answered.
+    Answer,
+}
+
+fn take_rows(
+    search: &mut Search,
+    range: Range,
+    rows: Vec<Row>,
+    is_whole: bool,
+    out: &mut Outbox,
+) -> Next {
+    if !is_whole {
+        out.count(Count::Dropped(Drop::Cut));
+        return Next::Wait;
+    }
+    search.covered.insert(range);
+    search.rows.extend(rows);
+    // A trial that a target has answered goes to the other shards.
+    if search.trial.take().is_some() { Next::Plan } else { Next::Wait }
+}
+
+/// Tries a search that lost a target elsewhere, or holds it back.
+fn lose_target(
+    search: &mut Search,
+    fingerprint: Fingerprint,
+    cx: &Context,
+    out: &mut Outbox,
+) -> Next {
+    if search.crashed.len() < cx.limits.lost_targets {
+        return Next::Plan;
     }
+    let detail = "the search was running when targets were lost";
+    search.fault = Some(Fault::unknown(Kind::Quarantined, detail));
+    out.reports.push(Report::Condemned { fingerprint, origin: cx.ids.origin() });
+    Next::Answer
+}
+
+/// Ends a search whose other legs cannot make the answer whole enough any more.
+/// They would only take slots from queries that can still be answered.
+fn lose_range(search: &Search, coverage: u32) -> Next {
+    let reach = Range::ALL.size() - search.lost.size();
+    let is_enough = reach * u128::from(WHOLE) >= Range::ALL.size() * u128::from(coverage);
+    if is_enough { Next::Wait } else { Next::Answer }
 }
 
 /// Whether a search whose trial at one shard failed is tried at another. Each
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -20,7 +20,9 @@
 
 use error_stack::{Report, ResultExt};
 use laburnum_core::{
+    border::Clock,
     log::{Event, Line},
+    notice::Notice,
     traffic::{Policies, policy},
     view,
 };
@@ -75,15 +77,15 @@
     fn text(&self) -> meter::Text {
         meter::Text { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
     }
+
+    fn log(&self, event: Event, fields: Vec<(&'static str, String)>) {
+        self.writer.write(&Line::new(event, fields), self.clock.now());
+    }
 }
 
 /// A VM that runs.
 pub struct Vm {
-    control: Handle,
-    writer: Writer,
-    clock: System,
-    settings: Arc<Settings>,
-    ready: watch::Receiver<bool>,
+    shared: Shared,
     idle: watch::Receiver<bool>,
     serving: mpsc::Receiver<()>,
     shutdown: watch::Sender<bool>,
@@ -104,69 +106,81 @@
     output: Output,
     policies: policy::Make,
 ) -> Result<Vm, Report<Error>> {
-    let settings = Arc::new(settings);
-    let clock = System::start();
+    let listeners = listen::bind(&settings.listen)?;
     let (writer, log) = Writer::new(&settings.log, &settings.vm.name, output);
     let (control, inbox) = crate::control::channel();
     let (shutdown, shutdown_seen) = watch::channel(false);
     let (stop, stop_seen) = watch::channel(false);
-    let threads = u16::try_from(settings.listen.traffic.len()).unwrap_or(CONTROL_THREAD);
-    let (ready_sender, ready) = Ready::new(threads);
-    let (idle_sender, idle) = watch::channel(false);
-    let (serving_sender, serving) = mpsc::channel(1);
+    let (ready, ready_seen) = Ready::new(number(listeners.traffic.len()));
     let shared = Shared {
         row: row(&settings),
-        settings: Arc::clone(&settings),
-        clock,
-        writer: writer.clone(),
+        settings: Arc::new(settings),
+        clock: System::start(),
+        writer,
         metrics: Arc::new(Metrics::new()),
-        control: control.clone(),
+        control,
         shutdown: shutdown_seen,
         stop: stop_seen,
-        ready: ready.clone(),
+        ready: ready_seen,
     };
-    let listeners = listen::bind(&settings.listen)?;
+    let (serving_sender, serving) = mpsc::channel(1);
+    let common = Common { ready, serving: serving_sender.clone(), policies };
+    let (mut threads, notices) = start_traffic(&shared, listeners.traffic, &common)?;
+    drop(common);
+    let (idle_sender, idle) = watch::channel(false);
+    let seed = control::Seed {
+        inbox,
+        notices,
+        idle: idle_sender,
+        peers: listeners.control,
+        operators: listeners.operators,
+        serving: serving_sender,
+    };
+    let control = control::spawn(shared.clone(), seed);
+    threads.push(control.change_context_lazy(|| cannot_start("control"))?);
+    shared.log(Event::Started, vec![("callers", shared.settings.listen.callers.to_string())]);
+    Ok(Vm { shared, idle, serving, shutdown, stop, threads, _log: log })
+}
+
+/// What the traffic threads are given alike.
+struct Common {
+    ready: Ready,
+    serving: mpsc::Sender<()>,
+    policies: policy::Make,
+}
+
+/// The traffic threads and the ways to tell them something.
+type Traffic = (Vec<thread::JoinHandle<()>>, Vec<mpsc::UnboundedSender<Notice>>);
+
+/// Starts one traffic thread for each pair of sockets.
+fn start_traffic(
+    shared: &Shared,
+    sockets: Vec<listen::Pair>,
+    common: &Common,
+) -> Result<Traffic, Report<Error>> {
     let mut threads = Vec::new();
     let mut notices = Vec::new();
-    for (number, pair) in listeners.traffic.into_iter().enumerate() {
+    for (index, pair) in sockets.into_iter().enumerate() {
         let (sender, receiver) = mpsc::unbounded_channel();
-        notices.push(sender);
-        let number = u16::try_from(number).unwrap_or(CONTROL_THREAD);
         let seed = traffic::Seed {
-            number,
+            number: number(index),
             callers: pair.callers,
             peers: pair.peers,
             notices: receiver,
-            ready: ready_sender.clone(),
-            serving: serving_sender.clone(),
-            policies,
+            ready: common.ready.clone(),
+            serving: common.serving.clone(),
+            policies: common.policies,
         };
-        threads.push(traffic::spawn(shared.clone(), seed).change_context(cannot_start("traffic"))?);
+        let thread = traffic::spawn(shared.clone(), seed);
+        threads.push(thread.change_context_lazy(|| cannot_start("traffic"))?);
+        notices.push(sender);
     }
-    let seed = control::Seed {
-        inbox,
-        notices,
-        idle: idle_sender,
-        peers: listeners.control,
-        operators: listeners.operators,
-        serving: serving_sender,
-    };
-    threads.push(control::spawn(shared, seed).change_context(cannot_start("control"))?);
-    let fields = vec![("callers", settings.listen.callers.to_string())];
-    writer.write(&Line::new(Event::Started, fields), laburnum_core::border::Clock::now(&clock));
-    Ok(Vm {
-        control,
-        writer,
-        clock,
-        settings,
-        ready,
-        idle,
-        serving,
-        shutdown,
-        stop,
-        threads,
-        _log: log,
-    })
+    Ok((threads, notices))
+}
+
+/// The settings allow far fewer threads than the numbers reach.
+fn number(threads: usize) -> u16 {
+    u16::try_from(threads).unwrap_or(CONTROL_THREAD)
 }
 
 fn cannot_start(thread: &str) -> Error {
@@ -189,7 +203,7 @@
 impl Vm {
     /// Waits until the VM takes requests, or until `limit` has passed.
     pub async fn ready(&self, limit: Duration) -> bool {
-        let mut ready = self.ready.clone();
+        let mut ready = self.shared.ready.clone();
         matches!(timeout(limit, ready.wait_for(|ready| *ready)).await, Ok(Ok(_)))
     }
 
@@ -198,10 +212,10 @@
     /// the other VMs have had time to learn of it, then finishes what is open.
     /// It returns false if something was still open after the limit.
     pub async fn leave(mut self) -> bool {
-        self.control.leave();
-        sleep(self.settings.shutdown.announce).await;
+        self.shared.control.leave();
+        sleep(self.shared.settings.shutdown.announce).await;
         self.shutdown.send_replace(true);
-        let limit = self.settings.shutdown.limit;
+        let limit = self.shared.settings.shutdown.limit;
         let is_idle = timeout(limit, self.finish()).await == Ok(true);
         self.stop.send_replace(true);
         for thread in self.threads.drain(..) {
@@ -209,7 +223,7 @@
             let _ = thread.join();
         }
         let finished = if is_idle { "all" } else { "not all" };
-        self.log(Event::Stopped, vec![("finished", finished.to_owned())]);
+        self.shared.log(Event::Stopped, vec![("finished", finished.to_owned())]);
         is_idle
     }
 
@@ -220,11 +234,6 @@
         let _ = self.serving.recv().await;
         self.idle.wait_for(|idle| *idle).await.is_ok()
     }
-
-    fn log(&self, event: Event, fields: Vec<(&'static str, String)>) {
-        let now = laburnum_core::border::Clock::now(&self.clock);
-        self.writer.write(&Line::new(event, fields), now);
-    }
 }
 
 /// Makes a runtime for one thread.
