Name the rows that operators see by their module

Cause: VmRow and TargetRow were names of two nouns; they are listing::Vm and listing::Target now. Nothing else changed.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod event;
 pub mod limit;
+pub mod listing;
 pub mod message;
 pub mod request;
 pub mod access;
--- a/crates/core/src/control/request.rs
+++ b/crates/core/src/control/request.rs
@@ -6,11 +6,11 @@
 use uuid::Uuid;
 
 use crate::{
+    control::listing,
     fault::Fault,
     name::Name,
     profile::{Document, Profile, Raw, Revision},
     time::Wall,
-    view,
 };
 
 /// The id of a request, by which its answer is matched.
@@ -115,30 +115,6 @@
     pub vms: Vec<InForce>,
 }
 
-/// A VM as `vm list` shows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VmRow {
-    /// The VM.
-    pub vm: view::Vm,
-    /// Whether it is gone.
-    pub gone: bool,
-    /// How long it has been in its state.
-    pub since: Duration,
-    /// Who said so.
-    pub source: Source,
-}
-
-/// A target as `target list` shows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetRow {
-    /// The target.
-    pub target: view::Target,
-    /// How long it has been in its state.
-    pub since: Duration,
-    /// Who said so.
-    pub source: Source,
-}
-
 /// Who said that a VM or target is in its state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -174,9 +150,9 @@
     /// The answer to [`Request::Status`].
     Status(Status),
     /// The answer to [`Request::Vms`].
-    Vms(Vec<VmRow>),
+    Vms(Vec<listing::Vm>),
     /// The answer to [`Request::Targets`].
-    Targets(Vec<TargetRow>),
+    Targets(Vec<listing::Target>),
     /// The request was refused or failed, and changed nothing.
     Failed(Fault),
 }
--- a/crates/core/src/control/system/status.rs
+++ b/crates/core/src/control/system/status.rs
@@ -5,7 +5,8 @@
 use crate::{
     control::{
         engine::Step,
-        request::{InForce, Source, Status, TargetRow, VmRow},
+        listing,
+        request::{InForce, Source, Status},
         table::{Tables, Word},
     },
     name::Name,
@@ -46,14 +47,14 @@
 }
 
 /// Lists the VMs, this one among them.
-pub fn vms(tables: &Tables, now: Instant) -> Vec<VmRow> {
-    let own = VmRow {
+pub fn vms(tables: &Tables, now: Instant) -> Vec<listing::Vm> {
+    let own = listing::Vm {
         vm: tables.own.vm.clone(),
         gone: false,
         since: now.since(Instant::default()),
         source: Source::Own,
     };
-    let others = tables.vms.rows.values().map(|row| VmRow {
+    let others = tables.vms.rows.values().map(|row| listing::Vm {
         vm: row.shown().unwrap_or_else(|| row.named(view::State::Suspect)),
         gone: !row.present(),
         since: now.since(row.since),
@@ -63,7 +64,7 @@
 }
 
 /// Lists the targets.
-pub fn targets(tables: &Tables, now: Instant) -> Vec<TargetRow> {
+pub fn targets(tables: &Tables, now: Instant) -> Vec<listing::Target> {
     let targets = &tables.targets;
     let row = |(name, target): (Name, view::Target)| {
         let heard = targets.words.get(&name);
@@ -71,7 +72,7 @@
         let listed = targets.since.get(&name).copied();
         let since = own.map(|heard| heard.at).or(listed).unwrap_or(now);
         let source = own.map_or(Source::List, |heard| heard.source.clone());
-        TargetRow { target, since: now.since(since), source }
+        listing::Target { target, since: now.since(since), source }
     };
     targets.shown().into_iter().map(row).collect()
 }
--- a/src/operator/answer.rs
+++ b/src/operator/answer.rs
@@ -4,8 +4,8 @@
 
 use laburnum_core::{
     control::{
-        Answer,
-        request::{Audit, Difference, InForce, Source, Status, TargetRow, Token, VmRow},
+        Answer, listing,
+        request::{Audit, Difference, InForce, Source, Status, Token},
     },
     fault::{Fault, Kind},
     name::Name,
@@ -194,8 +194,8 @@
     traffic: Vec<SocketAddr>,
 }
 
-impl From<VmRow> for Vm {
-    fn from(row: VmRow) -> Vm {
+impl From<listing::Vm> for Vm {
+    fn from(row: listing::Vm) -> Vm {
         Vm {
             name: row.vm.name,
             domain: row.vm.domain,
@@ -232,8 +232,8 @@
     source: String,
 }
 
-impl From<TargetRow> for Target {
-    fn from(row: TargetRow) -> Target {
+impl From<listing::Target> for Target {
+    fn from(row: listing::Target) -> Target {
         let target = row.target;
         Target {
             name: target.name,
--- a/tests/fronts/operators.rs
+++ b/tests/fronts/operators.rs
@@ -4,8 +4,8 @@
 
 use laburnum_core::{
     control::{
-        Answer, Request,
-        request::{Audit, Difference, InForce, Source, Status, TargetRow, VmRow, difference},
+        Answer, Request, listing,
+        request::{Audit, Difference, InForce, Source, Status, difference},
     },
     fault::{Fault, Kind},
     profile::{Document, Revision},
@@ -179,7 +179,7 @@
         traffic: vec![address],
     };
     let since = Duration::from_millis(1500);
-    let row = VmRow { vm, gone: false, since, source: Source::Peer(name("vm-2")) };
+    let row = listing::Vm { vm, gone: false, since, source: Source::Peer(name("vm-2")) };
     let request = desk.request("GET", "/v1/vms", READ);
     let (asked, response) = desk.exchange(request, Answer::Vms(vec![row])).await;
     assert_eq!(asked, Request::Vms);
@@ -201,7 +201,7 @@
         connections: 55,
         state: view::State::Leaving,
     };
-    let row = TargetRow { target, since, source: Source::List };
+    let row = listing::Target { target, since, source: Source::List };
     let request = desk.request("GET", "/v1/targets", READ);
     let (asked, response) = desk.exchange(request, Answer::Targets(vec![row])).await;
     assert_eq!(asked, Request::Targets);
