Read a target's status at least every second, and wait on open channels only

And a traffic thread whose listener for other VMs had ended would have found its channel ready at all times and spun, as it once did for its front.

The bound is a second again, with a case that failed before. The spin was found by reading; no case makes a listener end.

--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -83,7 +83,7 @@
         let mut section = document.section("targets");
         let targets = Targets {
             open_limit: section.millis("open_limit_ms", open, up_to(60)),
-            probe_interval: section.millis("probe_interval_ms", poll, up_to(60)),
+            probe_interval: section.millis("probe_interval_ms", poll, up_to(1)),
             silent_after: section.millis("silent_after_ms", silent, up_to(60)),
             connections: section.count("connections", connections, 1..=64),
         };
--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -100,8 +100,9 @@
     /// Waits until a channel has events or the pause is over, then takes what
     /// is ready. It returns false when the thread is to end.
     async fn fill(&mut self, inbox: &mut Inbox, pause: Duration) -> bool {
-        // After the front has ended, its channel would be ready at all times.
+        // A channel whose senders have ended would be ready at all times.
         let has_front = !(inbox.inputs.is_closed() && inbox.inputs.is_empty());
+        let has_peers = !(inbox.frames.is_closed() && inbox.frames.is_empty());
         tokio::select! {
             biased;
             _ = inbox.stop.wait_for(|stop| *stop) => return false,
@@ -111,7 +112,7 @@
                 }
             }
             _ = inbox.targets.recv_many(&mut self.targets, MAX_BATCH) => {}
-            _ = inbox.frames.recv_many(&mut self.frames, MAX_BATCH) => {}
+            _ = inbox.frames.recv_many(&mut self.frames, MAX_BATCH), if has_peers => {}
             _ = inbox.losses.recv_many(&mut self.losses, MAX_BATCH) => {}
             _ = inbox.inputs.recv_many(&mut self.inputs, MAX_BATCH), if has_front => {}
             () = sleep(pause) => {}
--- a/tests/product/limits.rs
+++ b/tests/product/limits.rs
@@ -201,6 +201,11 @@
         let claims = claims::Limits { call: settings.platform.call_limit, ..Default::default() };
         assert_eq!(limits::claims(&settings), claims);
     };
+    a_target_is_read_often_enough_to_notice_in_two_seconds_that_it_leaves => {
+        let text = with("targets.probe_interval_ms", "1001");
+        let errors = Settings::try_from(Source { file: Path::new("vm.toml"), text: &text });
+        assert!(errors.unwrap_err().to_string().contains("targets.probe_interval_ms"));
+    };
     the_threads_share_what_a_vm_may_have_open => {
         let two = with("listen.traffic", "[\"127.0.0.1:4\", \"127.0.0.1:5\"]");
         let settings = read(&format!("{two}callers.open_requests = 5\ncallers.open_connections = 7\n"));
