--- a/crates/core/src/count.rs
+++ b/crates/core/src/count.rs
@@ -50,6 +50,8 @@
         ConnectionSilent "connection_silent";
         /// The reply was cut, crossed or failed its check.
         Garbled "garbled";
+        /// The target answered with a failure.
+        TargetFailed "target_failed";
         /// The home of the shard is unreachable or silent.
         HomeUnreachable "home_unreachable";
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod name;
 pub mod id;
 pub mod time;
+pub mod timer;
+pub mod latency;
 pub mod key;
 pub mod digest;
 pub mod rank;
@@ -23,6 +25,7 @@
 pub mod border;
 pub mod traffic;
 pub mod control;
+pub mod relay;
 pub mod claims;
 pub mod log;
 pub mod count;
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -65,6 +65,12 @@
     Leaving 103 Info "VM is leaving";
     /// The VM exits; the line says whether all that was in flight is finished.
     Stopped 104 Info "VM stopped";
+    /// The address for metrics cannot be used; requests are served all the same.
+    MetricsUnavailable 105 Warning "metrics cannot be served";
+    /// A listening socket could not be used.
+    PortFailed 106 Error "port cannot be served";
+    /// The settings file has changed; the next start reads it.
+    SettingsChanged 107 Info "settings file has changed";
     /// A request was refused.
     Refused 201 Debug "request refused";
     /// A query started over on another version of the index.
@@ -75,6 +81,16 @@
     Retried 204 Debug "leg retried at its home";
     /// The home of a leg gave it up.
     LegFailed 205 Debug "leg failed at its home";
+    /// A leg of a route goes to another target.
+    LegRetried 206 Debug "leg retried";
+    /// A leg of a route goes to a second target beside a slow one.
+    LegHedged 207 Debug "leg hedged";
+    /// A target answered an attempt with a failure.
+    AttemptFailed 208 Debug "attempt failed";
+    /// A search was answered without some of its shards.
+    PartialAnswer 209 Info "partial answer";
+    /// A caller left before its answer.
+    CallerLeft 210 Debug "caller left before its answer";
     /// A connection to a target was opened.
     ConnectionOpened 301 Debug "connection to target opened";
     /// A connection to a target was lost or could not be opened.
@@ -85,6 +101,12 @@
     TargetDraining 304 Info "target is draining";
     /// A request crashed targets and is held back from now on.
     RequestCondemned 305 Error "request crashed targets and is held back";
+    /// A target registered itself.
+    TargetListed 306 Info "target is listed";
+    /// A target is registered no more.
+    TargetUnlisted 307 Info "target is listed no more";
+    /// The registration of a target cannot be read.
+    TargetUnreadable 308 Warning "registration of a target cannot be read";
     /// A VM became live.
     VmLive 401 Info "VM is live";
     /// A VM does not answer probes.
@@ -101,6 +123,10 @@
     RevisionPublished 502 Info "revision of the profiles was published";
     /// A publication lost the race.
     RevisionLost 503 Info "publication lost the race";
+    /// A version of the routes is in force on this VM.
+    RoutesApplied 504 Info "version of the routes is in force";
+    /// A version of the routes cannot be read.
+    RoutesUnreadable 505 Error "version of the routes cannot be read";
     /// A claim could not be settled.
     ClaimUnsettled 601 Warning "claim could not be settled";
     /// The platform's service became unavailable.
--- /dev/null
+++ b/crates/core/src/relay/feed/mod.rs
@@ -0,0 +1,115 @@
+//! Keeps the configuration and the list of targets up to date: the decisions of
+//! the control thread of a VM that forwards requests.
+//!
+//! One reading at the start, then one watch over everything that matters, so
+//! that a VM costs the store a call only when something changes. What is known
+//! stays in use while the store is away. See `docs/design/platform.md`.
+
+pub mod table;
+pub mod system;
+
+use std::{sync::Arc, time::Duration};
+
+use rand::{SeedableRng, rngs::StdRng};
+
+use self::{system::Context, table::Tables};
+use super::{View, route::Config, view};
+use crate::{
+    log::Line,
+    name::Name,
+    store::{Call, CallId, Entry, Reply},
+    time::Instant,
+};
+
+/// Reads what others wrote to the store.
+pub trait Format: Send {
+    /// What the entry under a key is about.
+    fn subject(&self, key: &str) -> Subject;
+    /// The key of the configuration.
+    fn config_key(&self) -> &str;
+    /// The beginning of the keys of targets.
+    fn target_prefix(&self) -> &str;
+    /// The beginning of every key that is watched.
+    fn watch_prefix(&self) -> &str;
+    /// Reads a configuration.
+    fn config(&self, entry: &Entry) -> Result<Config, String>;
+    /// Reads the registration of a target.
+    fn target(&self, entry: &Entry) -> Result<view::Target, String>;
+}
+
+/// What an entry of the store is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// The configuration.
+    Config,
+    /// A target.
+    Target(Name),
+    /// Something else.
+    Other,
+}
+
+/// Times of the feed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The longest time that a watch waits.
+    pub watch: Duration,
+    /// The least time between two watches, in which changes gather.
+    pub gather: Duration,
+    /// The first pause after a failed call; each further one doubles it.
+    pub pause: Duration,
+    /// The longest pause after failed calls.
+    pub longest_pause: Duration,
+    /// The time for which entries that lapsed while the store was away may
+    /// still come back.
+    pub lapse: Duration,
+}
+
+/// What a step of the feed leaves to be done.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// Calls of the store.
+    pub calls: Vec<(CallId, Call)>,
+    /// A view that differs from the last one.
+    pub view: Option<Arc<View>>,
+    /// Lines for the log.
+    pub lines: Vec<Line>,
+}
+
+/// The tables and systems of the control thread.
+pub struct Feed {
+    tables: Tables,
+    limits: Limits,
+    format: Box<dyn Format>,
+    random: StdRng,
+}
+
+impl Feed {
+    /// Makes a feed that knows nothing yet.
+    pub fn new(limits: Limits, format: Box<dyn Format>, vms: u32, seed: u64) -> Feed {
+        let mut tables = Tables::default();
+        tables.view.vms = vms;
+        Feed { tables, limits, format, random: StdRng::seed_from_u64(seed) }
+    }
+
+    /// Takes replies of the store and runs every system once.
+    pub fn step(&mut self, now: Instant, replies: Vec<(CallId, Reply)>, out: &mut Outbox) {
+        let mut cx = Context {
+            now,
+            limits: &self.limits,
+            format: &*self.format,
+            random: &mut self.random,
+            out,
+        };
+        system::run(&mut self.tables, replies, &mut cx);
+    }
+
+    /// When the next row is due.
+    pub fn wake(&self) -> Option<Instant> {
+        self.tables.wake()
+    }
+
+    /// Whether requests can be served by what is known.
+    pub fn is_ready(&self) -> bool {
+        self.tables.view.config.is_some() && self.tables.change.is_some()
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/system/collect.rs
@@ -0,0 +1,186 @@
+//! Takes the reports of the client of the targets.
+
+use std::sync::Arc;
+
+use super::{Context, connect, leg};
+use crate::{
+    count::{Count, Drop, Retry},
+    log::{Event, Line},
+    relay::{
+        self, Loss, Tables,
+        message::Reply,
+        table::{attempt::Attempt, connection::State, leg::Key},
+    },
+};
+
+/// Notes that a connection is open.
+pub fn opened(tables: &mut Tables, connection: relay::Connection, cx: &mut Context<'_>) {
+    let Some(row) = tables.connections.get(&connection) else { return };
+    if row.state == State::Opening {
+        connect::release(tables, connection, cx);
+    }
+}
+
+/// Takes the reply to an attempt.
+pub fn replied(
+    tables: &mut Tables,
+    connection: relay::Connection,
+    attempt: relay::Attempt,
+    reply: Reply,
+    cx: &mut Context<'_>,
+) {
+    if !is_carried(tables, connection, attempt) {
+        cx.out.counts.add(Count::Dropped(Drop::Crossed));
+        connect::close(tables, connection, cx);
+        return;
+    }
+    let Some(row) = tables.attempts.remove(&attempt) else { return };
+    learn(tables, attempt, &row, &reply, cx);
+    if reply.reusable {
+        connect::release(tables, connection, cx);
+    } else {
+        connect::close(tables, connection, cx);
+    }
+    connect::prune(tables, &row.target);
+    match row.leg {
+        Some(key) => decide(tables, key, attempt, &row, reply, cx),
+        None => cx.out.counts.add(Count::Dropped(Drop::Late)),
+    }
+}
+
+fn is_carried(tables: &Tables, connection: relay::Connection, attempt: relay::Attempt) -> bool {
+    let row = tables.connections.get(&connection);
+    row.is_some_and(|row| row.state == State::Busy(attempt))
+}
+
+/// Notes what a reply tells about its target and its route.
+fn learn(
+    tables: &mut Tables,
+    attempt: relay::Attempt,
+    row: &Attempt,
+    reply: &Reply,
+    cx: &mut Context<'_>,
+) {
+    let took = cx.now.since(row.sent);
+    let pace = tables.pace(&row.route);
+    let usual = pace.latency.mean().as_secs_f64();
+    let ratio = if usual > 0.0 { took.as_secs_f64() / usual } else { 1.0 };
+    if reply.is_success() {
+        pace.latency.record(took);
+    }
+    let Some(target) = tables.targets.get_mut(&row.target) else { return };
+    target.running.remove(&(row.sent, attempt));
+    let ratio = if reply.is_success() { ratio } else { target.slowness(cx.now) };
+    target.replied(ratio, reply.is_success(), cx.now);
+    if let Some(load) = reply.load {
+        target.reported(load, cx.now);
+    }
+    if reply.misdirected {
+        target.is_usable = false;
+        let service = target.entry.service.clone();
+        if let Some(targets) = tables.services.get_mut(&service) {
+            targets.remove(&row.target);
+        }
+        connect::close_idle(tables, &row.target, cx);
+    }
+}
+
+/// Ends the leg of a reply or tries it elsewhere.
+fn decide(
+    tables: &mut Tables,
+    key: Key,
+    attempt: relay::Attempt,
+    row: &Attempt,
+    reply: Reply,
+    cx: &mut Context<'_>,
+) {
+    let Some(request) = tables.requests.get(&key.call) else { return };
+    let is_gather = request.legs > 1 || matches!(request.route.plan, relay::route::Plan::Gather(_));
+    let is_idempotent = request.route.idempotent;
+    let id = Arc::clone(&request.inquiry.id);
+    let Some(leg) = tables.legs.get_mut(&key) else { return };
+    leg.attempts.remove(&attempt);
+    if reply.is_success() {
+        leg::finish(tables, key, Arc::new(reply), cx);
+        return;
+    }
+    log_failure(&id, row, &reply, cx);
+    let Some(leg) = tables.legs.get_mut(&key) else { return };
+    if reply.refused {
+        let reason = if reply.misdirected { Retry::RangeMoved } else { Retry::Shed };
+        leg::retry(tables, key, reason, cx);
+        return;
+    }
+    leg.runs.maybe = true;
+    let reply = Arc::new(reply);
+    let is_final = !is_gather && (!is_idempotent || reply.status < 500);
+    if !is_gather {
+        leg.failure = Some(Arc::clone(&reply));
+    }
+    if is_final {
+        leg::finish(tables, key, reply, cx);
+    } else {
+        leg::retry(tables, key, Retry::TargetFailed, cx);
+    }
+}
+
+fn log_failure(id: &str, row: &Attempt, reply: &Reply, cx: &mut Context<'_>) {
+    let fields = vec![
+        ("id", id.to_owned()),
+        ("target", row.target.to_string()),
+        ("status", reply.status.to_string()),
+        ("refused", reply.refused.to_string()),
+        ("took_ms", leg::age(row.sent, cx.now)),
+    ];
+    cx.out.lines.push(Line::new(Event::AttemptFailed, fields));
+}
+
+/// Notes that a connection is closed and tries what it carried elsewhere.
+pub fn closed(
+    tables: &mut Tables,
+    connection: relay::Connection,
+    loss: &Loss,
+    cx: &mut Context<'_>,
+) {
+    let Some(row) = connect::remove(tables, connection) else { return };
+    if loss.idle && matches!(row.state, State::Idle { .. }) {
+        return;
+    }
+    log_loss(&row.target, loss, cx);
+    if let Some(target) = tables.targets.get_mut(&row.target) {
+        target.lost(cx.now);
+        let until = target.pause_until;
+        tables.timers.set(until, relay::table::timer::Timer::Pause(row.target.clone()));
+    }
+    if let State::Busy(attempt) = row.state {
+        lose(tables, attempt, loss, cx);
+    }
+    connect::prune(tables, &row.target);
+}
+
+/// Takes back an attempt whose connection is lost.
+fn lose(tables: &mut Tables, attempt: relay::Attempt, loss: &Loss, cx: &mut Context<'_>) {
+    let Some(row) = tables.attempts.remove(&attempt) else { return };
+    if let Some(target) = tables.targets.get_mut(&row.target) {
+        target.running.remove(&(row.sent, attempt));
+    }
+    let Some(key) = row.leg else { return };
+    let Some(leg) = tables.legs.get_mut(&key) else { return };
+    leg.attempts.remove(&attempt);
+    if loss.sent {
+        leg.runs.maybe = true;
+    } else {
+        leg.runs.arrived = leg.runs.arrived.saturating_sub(1);
+    }
+    let reason = if loss.sent { Retry::ConnectionLost } else { Retry::Unsent };
+    leg::retry(tables, key, reason, cx);
+}
+
+fn log_loss(target: &crate::name::Name, loss: &Loss, cx: &mut Context<'_>) {
+    let fields = vec![
+        ("target", target.to_string()),
+        ("sent", loss.sent.to_string()),
+        ("detail", loss.detail.clone()),
+    ];
+    cx.out.lines.push(Line::new(Event::ConnectionLost, fields));
+}
--- /dev/null
+++ b/crates/core/src/relay/system/connect.rs
@@ -0,0 +1,113 @@
+//! Opens, uses and closes connections to targets.
+
+use super::Context;
+use crate::{
+    name::Name,
+    relay::{
+        self, Command, Tables,
+        table::connection::{Connection, State},
+    },
+};
+
+/// The most connections that a VM holds to one target: more than a target has
+/// slots would only queue there.
+const MOST: u32 = 8;
+
+/// The connections that this VM may hold to a target of `service`: an equal
+/// share of what a target takes, and one at least.
+pub fn allowed(tables: &Tables, service: &Name) -> usize {
+    let config = tables.view.config.as_ref();
+    let known = config.and_then(|config| config.services.get(service));
+    let taken = known.map_or(0, |service| service.connections);
+    (taken / tables.view.vms.max(1)).clamp(1, MOST) as usize
+}
+
+/// Whether a target can be handed a request now.
+pub fn can_take(tables: &Tables, id: &Name, cx: &Context<'_>) -> bool {
+    let Some(target) = tables.targets.get(id) else { return false };
+    if !target.idle.is_empty() {
+        return true;
+    }
+    let is_paused = target.pause_until > cx.now;
+    !is_paused && target.connections.len() < allowed(tables, &target.entry.service)
+}
+
+/// Takes an idle connection of a target or opens one.
+pub fn take(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) -> Option<relay::Connection> {
+    let idle = tables.targets.get_mut(id)?.idle.pop();
+    match idle {
+        Some(connection) => Some(connection),
+        None => open(tables, id, cx),
+    }
+}
+
+/// Opens a connection to a target.
+pub fn open(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) -> Option<relay::Connection> {
+    let connection = relay::Connection(tables.next());
+    let target = tables.targets.get_mut(id)?;
+    target.connections.insert(connection);
+    let address = target.entry.address;
+    let row = Connection { target: id.clone(), state: State::Opening };
+    tables.connections.insert(connection, row);
+    cx.out.commands.push(Command::Open { connection, address });
+    Some(connection)
+}
+
+/// Gives a connection back after its request, or closes it if its target takes
+/// no new work.
+pub fn release(tables: &mut Tables, connection: relay::Connection, cx: &mut Context<'_>) {
+    let Some(row) = tables.connections.get_mut(&connection) else { return };
+    row.state = State::Idle { since: cx.now };
+    let id = row.target.clone();
+    let Some(target) = tables.targets.get_mut(&id) else { return };
+    if target.is_usable {
+        target.idle.push(connection);
+    } else {
+        close(tables, connection, cx);
+        prune(tables, &id);
+    }
+}
+
+/// Closes a connection and forgets it.
+pub fn close(tables: &mut Tables, connection: relay::Connection, cx: &mut Context<'_>) {
+    remove(tables, connection);
+    cx.out.commands.push(Command::Close { connection });
+}
+
+/// Forgets a connection that is closed.
+pub fn remove(tables: &mut Tables, connection: relay::Connection) -> Option<Connection> {
+    let row = tables.connections.remove(&connection)?;
+    if let Some(target) = tables.targets.get_mut(&row.target) {
+        target.connections.remove(&connection);
+        target.idle.retain(|idle| *idle != connection);
+    }
+    Some(row)
+}
+
+/// Closes the connections of a target that carry no request.
+pub fn close_idle(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
+    let Some(target) = tables.targets.get_mut(id) else { return };
+    for connection in std::mem::take(&mut target.idle) {
+        close(tables, connection, cx);
+    }
+}
+
+/// Forgets a target that is listed no more as soon as it carries nothing.
+pub fn prune(tables: &mut Tables, id: &Name) {
+    if tables.view.targets.contains_key(id) {
+        return;
+    }
+    if tables.targets.get(id).is_some_and(|target| target.running.is_empty()) {
+        tables.targets.remove(id);
+    }
+}
+
+/// Takes the connections of a target that started anew out of use. What they
+/// carry is reported when they close.
+pub fn forget(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
+    close_idle(tables, id, cx);
+    if let Some(target) = tables.targets.get_mut(id) {
+        target.connections.clear();
+        target.running.clear();
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/system/dispatch.rs
@@ -0,0 +1,211 @@
+//! Hands waiting legs to targets.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::RngExt;
+
+use super::{Context, connect, leg};
+use crate::{
+    count::Count,
+    log::{Event, Line},
+    name::Name,
+    relay::{
+        self, Command, Order, Tables,
+        policy::choice::Facts,
+        route::Plan,
+        table::{
+            attempt::Attempt,
+            connection::State,
+            leg::{Key, Place},
+            timer::Timer,
+        },
+    },
+};
+
+/// The largest random addition to a cost, so that VMs which know the same do
+/// not all pick the same target.
+const JITTER: f64 = 0.1;
+
+/// The time to the next try of a second attempt that could not be made.
+const HEDGE_AGAIN: Duration = Duration::from_millis(10);
+
+/// What a leg can do now.
+enum Way {
+    /// It goes to this target.
+    Go(Name),
+    /// It waits for a connection.
+    Wait,
+    /// No target can take it any more.
+    None,
+}
+
+/// Hands out what waits, in the order of each queue.
+pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
+    let waiting: Vec<Name> = tables
+        .waiting
+        .iter()
+        .filter(|(_, queue)| !queue.is_empty())
+        .map(|(s, _)| s.clone())
+        .collect();
+    for service in waiting {
+        let queue: Vec<Place> = tables.waiting[&service].iter().copied().collect();
+        for place in queue {
+            match way(tables, place.key, cx) {
+                Way::Go(target) => {
+                    leg::dequeue(tables, place.key);
+                    send(tables, place.key, &target, cx);
+                }
+                Way::Wait => {}
+                Way::None => {
+                    leg::dequeue(tables, place.key);
+                    leg::give_up(tables, place.key, cx);
+                }
+            }
+        }
+    }
+}
+
+/// Finds the target that a leg goes to.
+fn way(tables: &mut Tables, key: Key, cx: &mut Context<'_>) -> Way {
+    let Some(leg) = tables.legs.get(&key) else { return Way::None };
+    let Some(request) = tables.requests.get(&key.call) else { return Way::None };
+    let is_gather = matches!(request.route.plan, Plan::Gather(_));
+    let candidates = candidates(tables, key);
+    if candidates.is_empty() {
+        return if leg.attempts.is_empty() { Way::None } else { Way::Wait };
+    }
+    let healthy: Vec<Name> = candidates
+        .iter()
+        .filter(|id| tables.targets.get(*id).is_some_and(|target| !target.is_failing(cx.now)))
+        .cloned()
+        .collect();
+    if healthy.is_empty() && is_gather {
+        // An answer without this shard is worth more than one that is late.
+        return Way::None;
+    }
+    match best(tables, key, &healthy, cx) {
+        Some(target) => Way::Go(target),
+        None => Way::Wait,
+    }
+}
+
+/// The targets that a leg was not sent to yet.
+fn candidates(tables: &Tables, key: Key) -> Vec<Name> {
+    let Some(leg) = tables.legs.get(&key) else { return Vec::new() };
+    let Some(targets) = tables.services.get(&leg.service) else { return Vec::new() };
+    targets.iter().filter(|id| !leg.tried.contains(*id)).cloned().collect()
+}
+
+/// The target with the least cost among those that can take a request now.
+fn best(tables: &mut Tables, key: Key, ids: &[Name], cx: &mut Context<'_>) -> Option<Name> {
+    let request = tables.requests.get(&key.call)?;
+    let (route, goal) = (request.route.name.clone(), request.route.goal);
+    let mean = tables.pace(&route).latency.mean();
+    let pace = if mean.is_zero() { goal / 4 } else { mean };
+    let mut best: Option<(f64, &Name)> = None;
+    for id in ids {
+        if !connect::can_take(tables, id, cx) {
+            continue;
+        }
+        let Some(target) = tables.targets.get(id) else { continue };
+        let near = target.entry.domain == cx.limits.domain;
+        let cost = cx.policies.choice.cost(target, &Facts { now: cx.now, pace, near });
+        let cost = cost * (1.0 + JITTER * cx.random.random::<f64>());
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, id));
+        }
+    }
+    best.map(|(_, id)| id.clone())
+}
+
+/// Sends a leg to a target.
+fn send(tables: &mut Tables, key: Key, id: &Name, cx: &mut Context<'_>) {
+    let Some(connection) = connect::take(tables, id, cx) else { return };
+    let attempt = relay::Attempt(tables.next());
+    let Some(request) = tables.requests.get(&key.call) else { return };
+    let inquiry = Arc::clone(&request.inquiry);
+    let patience = request.deadline.remaining(cx.now);
+    let route = request.route.name.clone();
+    let row = Attempt { leg: Some(key), route, target: id.clone(), connection, sent: cx.now };
+    tables.attempts.insert(attempt, row);
+    if let Some(row) = tables.connections.get_mut(&connection) {
+        row.state = State::Busy(attempt);
+    }
+    if let Some(target) = tables.targets.get_mut(id) {
+        target.running.insert((cx.now, attempt));
+    }
+    let Some(leg) = tables.legs.get_mut(&key) else { return };
+    leg.attempts.insert(attempt);
+    leg.tried.insert(id.clone());
+    leg.runs.arrived += 1;
+    let is_first = leg.runs.arrived == 1;
+    cx.out.counts.add(Count::Attempts);
+    if is_first {
+        cx.out.counts.add(Count::FirstAttempts);
+        arm(tables, key, cx);
+    }
+    let order = Order { inquiry, target: id.clone(), patience };
+    cx.out.commands.push(Command::Send { connection, attempt, order });
+}
+
+/// Plans the attempt beside one that is slow.
+fn arm(tables: &mut Tables, key: Key, cx: &mut Context<'_>) {
+    let Some(request) = tables.requests.get(&key.call) else { return };
+    if !request.route.idempotent || request.route.attempts < 2 {
+        return;
+    }
+    let (route, goal) = (request.route.name.clone(), request.route.goal);
+    let delay = cx.policies.hedge.delay(&tables.pace(&route).latency, goal);
+    if let Some(delay) = delay {
+        set_hedge(tables, key, delay, cx);
+    }
+}
+
+fn set_hedge(tables: &mut Tables, key: Key, delay: Duration, cx: &mut Context<'_>) {
+    let at = cx.now + delay;
+    if let Some(leg) = tables.legs.get_mut(&key) {
+        leg.hedge = Some(at);
+        tables.timers.set(at, Timer::Hedge(key));
+    }
+}
+
+/// Makes an attempt beside one that is slow, if a target can take it now.
+pub fn hedge(tables: &mut Tables, key: Key, cx: &mut Context<'_>) {
+    let Some(leg) = tables.legs.get_mut(&key) else { return };
+    leg.hedge = None;
+    if !leg::is_single(leg) || leg.queued {
+        return;
+    }
+    let Some(request) = tables.requests.get(&key.call) else { return };
+    if leg.runs.arrived >= request.route.attempts || request.deadline <= cx.now {
+        return;
+    }
+    let candidates = candidates(tables, key);
+    let healthy: Vec<Name> = candidates
+        .into_iter()
+        .filter(|id| tables.targets.get(id).is_some_and(|target| !target.is_failing(cx.now)))
+        .collect();
+    if healthy.is_empty() {
+        return;
+    }
+    let Some(target) = best(tables, key, &healthy, cx) else {
+        set_hedge(tables, key, HEDGE_AGAIN, cx);
+        return;
+    };
+    if !leg::take_extra(tables, key, cx) {
+        return;
+    }
+    cx.out.counts.add(Count::Hedges);
+    log(tables, key, &target, cx);
+    send(tables, key, &target, cx);
+}
+
+fn log(tables: &Tables, key: Key, target: &Name, cx: &mut Context<'_>) {
+    let Some(request) = tables.requests.get(&key.call) else { return };
+    let fields = vec![
+        ("id", request.inquiry.id.to_string()),
+        ("target", target.to_string()),
+        ("age_ms", leg::age(request.arrived, cx.now)),
+    ];
+    cx.out.lines.push(Line::new(Event::LegHedged, fields));
+}
--- /dev/null
+++ b/crates/core/src/relay/system/expire.rs
@@ -0,0 +1,51 @@
+//! Runs what is due.
+
+use super::{Context, connect, dispatch};
+use crate::{
+    name::Name,
+    relay::{self, Tables, table::timer::Timer},
+};
+
+/// Takes every timer that is due.
+pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
+    while let Some(timer) = tables.timers.pop(cx.now) {
+        match timer {
+            Timer::Goal(call) | Timer::Deadline(call) => {
+                tables.changed.insert(call);
+            }
+            Timer::Hedge(key) => dispatch::hedge(tables, key, cx),
+            Timer::Orphan(attempt) => drop_attempt(tables, attempt, cx),
+            // Dispatch looks at every waiting leg in any case.
+            Timer::Pause(_) => {}
+            Timer::Warm(target) => warm(tables, &target, cx),
+        }
+    }
+}
+
+/// Closes the connection of an attempt that nobody waits for.
+fn drop_attempt(tables: &mut Tables, attempt: relay::Attempt, cx: &mut Context<'_>) {
+    let Some(row) = tables.attempts.get(&attempt) else { return };
+    if row.leg.is_some() {
+        return;
+    }
+    let row = row.clone();
+    tables.attempts.remove(&attempt);
+    let usual = tables.pace(&row.route).latency.mean().as_secs_f64();
+    if let Some(target) = tables.targets.get_mut(&row.target) {
+        target.running.remove(&(row.sent, attempt));
+        if usual > 0.0 {
+            target.overdue(cx.now.since(row.sent).as_secs_f64() / usual, cx.now);
+        }
+    }
+    connect::close(tables, row.connection, cx);
+    cx.out.counts.add(crate::count::Count::Cancelled);
+    connect::prune(tables, &row.target);
+}
+
+/// Opens the first connection to a target.
+fn warm(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
+    let Some(target) = tables.targets.get(id) else { return };
+    if target.is_usable && target.connections.is_empty() {
+        connect::open(tables, id, cx);
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/system/intake.rs
@@ -0,0 +1,141 @@
+//! Takes callers' requests: finds the route, plans the legs.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::RngExt;
+
+use super::{Context, leg};
+use crate::{
+    count::Count,
+    fault::{Fault, Kind},
+    log::{Event, Line},
+    name::Name,
+    relay::{
+        Tables,
+        message::{Answer, Call, Inquiry, Refusal},
+        route::{Config, Plan, Route},
+        table::{
+            leg::{Key, Leg},
+            request::Request,
+            timer::Timer,
+        },
+    },
+};
+
+/// What an answer needs on its way to the caller, together with the time that
+/// the request was under way: a goal counts on the caller's clock.
+const GOAL_MARGIN: Duration = Duration::from_millis(8);
+
+/// The same for the last answer, whose caller must not give up before it.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(12);
+
+/// When to come back to a VM that knows no configuration yet.
+const NOT_READY: Duration = Duration::from_millis(200);
+
+/// Takes the requests that came.
+pub fn run(tables: &mut Tables, arrivals: Vec<(Call, Inquiry)>, cx: &mut Context<'_>) {
+    for (call, inquiry) in arrivals {
+        cx.out.counts.add(Count::Requests);
+        let Some(config) = tables.view.config.clone() else {
+            let fault = Fault::not_run(Kind::NotReady, "this VM knows no configuration yet");
+            refuse(call, &inquiry, fault, Some(NOT_READY), cx);
+            continue;
+        };
+        match config.find(&inquiry.host, &inquiry.path) {
+            Some(route) => admit(tables, call, inquiry, &config, route, cx),
+            None => {
+                let detail = format!("no route at version {}", config.version);
+                refuse(call, &inquiry, Fault::not_run(Kind::NotFound, detail), None, cx);
+            }
+        }
+    }
+}
+
+/// Forgets the request of a caller that left.
+pub fn abandon(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
+    if let Some(request) = tables.requests.get(&call) {
+        let fields = vec![
+            ("id", request.inquiry.id.to_string()),
+            ("age_ms", leg::age(request.arrived, cx.now)),
+        ];
+        cx.out.lines.push(Line::new(Event::CallerLeft, fields));
+        leg::drop_request(tables, call, leg::End::Abandoned, cx);
+    }
+}
+
+fn refuse(
+    call: Call,
+    inquiry: &Inquiry,
+    fault: Fault,
+    retry: Option<Duration>,
+    cx: &mut Context<'_>,
+) {
+    cx.out.counts.add(Count::Refused(fault.kind));
+    let fields = vec![
+        ("id", inquiry.id.to_string()),
+        ("kind", fault.kind.to_string()),
+        ("ran", fault.ran.as_str().to_owned()),
+        ("detail", fault.detail.clone()),
+    ];
+    cx.out.lines.push(Line::new(Event::Refused, fields));
+    cx.out.answers.push((call, Answer::Refused(Refusal { fault, retry })));
+}
+
+fn admit(
+    tables: &mut Tables,
+    call: Call,
+    inquiry: Inquiry,
+    config: &Config,
+    route: &Arc<Route>,
+    cx: &mut Context<'_>,
+) {
+    let spent = spent(tables, route, inquiry.patience);
+    let wait = inquiry.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    let goal = cx.now + route.goal.saturating_sub(spent + GOAL_MARGIN);
+    let deadline = cx.now + wait.saturating_sub(DEADLINE_MARGIN);
+    let services = plan(tables, route, cx);
+    let legs = u32::try_from(services.len()).unwrap_or(u32::MAX);
+    let request = Request {
+        inquiry: Arc::new(inquiry),
+        route: Arc::clone(route),
+        version: config.version,
+        arrived: cx.now,
+        goal: goal.min(deadline),
+        deadline,
+        legs,
+    };
+    arm(tables, call, &request);
+    tables.requests.insert(call, request);
+    for (place, service) in (0..legs).zip(services) {
+        let key = Key { call, place };
+        tables.budget(&service).first(cx.now, cx.limits.retry_window);
+        tables.legs.insert(key, Leg::new(service));
+        leg::enqueue(tables, key);
+    }
+}
+
+fn arm(tables: &mut Tables, call: Call, request: &Request) {
+    tables.timers.set(request.goal, Timer::Goal(call));
+    tables.timers.set(request.deadline, Timer::Deadline(call));
+}
+
+/// The time that the caller spent on earlier tries: it waits that much less
+/// than others of the route do.
+fn spent(tables: &mut Tables, route: &Route, patience: Option<Duration>) -> Duration {
+    let Some(patience) = patience else { return Duration::ZERO };
+    let pace = tables.pace(&route.name);
+    pace.patience = pace.patience.max(patience);
+    pace.patience - patience
+}
+
+/// The services that get a leg of a request.
+fn plan(tables: &mut Tables, route: &Route, cx: &mut Context<'_>) -> Vec<Name> {
+    match &route.plan {
+        Plan::One(service) => vec![service.clone()],
+        Plan::Gather(gather) => gather.shards.clone(),
+        Plan::Split(parts) => {
+            let turn = tables.turns.entry(route.name.clone()).or_default();
+            turn.pick(parts, cx.random.random::<f64>()).into_iter().collect()
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/system/mod.rs
@@ -0,0 +1,51 @@
+//! The systems, in the order in which they run each tick.
+
+pub mod refresh;
+pub mod collect;
+pub mod expire;
+pub mod intake;
+pub mod dispatch;
+pub mod answer;
+pub mod connect;
+pub mod leg;
+pub mod merge;
+
+use rand::rngs::StdRng;
+
+use super::{Event, Limits, Outbox, Tables, policy::Policies};
+use crate::time::Instant;
+
+/// What every system works with.
+pub struct Context<'a> {
+    /// Now.
+    pub now: Instant,
+    /// The limits.
+    pub limits: &'a Limits,
+    /// The policies.
+    pub policies: &'a Policies,
+    /// The source of randomness.
+    pub random: &'a mut StdRng,
+    /// What is to be done.
+    pub out: &'a mut Outbox,
+}
+
+/// Runs every system once.
+pub fn run(tables: &mut Tables, events: Vec<Event>, cx: &mut Context<'_>) {
+    let mut arrivals = Vec::new();
+    for event in events {
+        match event {
+            Event::View(view) => refresh::run(tables, view, cx),
+            Event::Arrived { call, inquiry } => arrivals.push((call, inquiry)),
+            Event::Abandoned { call } => intake::abandon(tables, call, cx),
+            Event::Opened { connection } => collect::opened(tables, connection, cx),
+            Event::Replied { connection, attempt, reply } => {
+                collect::replied(tables, connection, attempt, *reply, cx);
+            }
+            Event::Closed { connection, loss } => collect::closed(tables, connection, &loss, cx),
+        }
+    }
+    expire::run(tables, cx);
+    intake::run(tables, arrivals, cx);
+    dispatch::run(tables, cx);
+    answer::run(tables, cx);
+}
--- /dev/null
+++ b/crates/core/src/relay/table/mod.rs
@@ -0,0 +1,73 @@
+//! The rows of a traffic thread that forwards requests.
+
+pub mod attempt;
+pub mod budget;
+pub mod connection;
+pub mod leg;
+pub mod pace;
+pub mod request;
+pub mod target;
+pub mod timer;
+pub mod turn;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use self::{
+    attempt::Attempt, budget::Budget, connection::Connection, leg::Leg, pace::Pace,
+    request::Request, target::Target, timer::Timer, turn::Turn,
+};
+use super::{message::Call, view::View};
+use crate::{name::Name, timer::Timers};
+
+/// All rows of a thread.
+#[derive(Debug, Default)]
+pub struct Tables {
+    /// The newest view of the control thread.
+    pub view: Arc<View>,
+    /// The requests that wait for an answer.
+    pub requests: BTreeMap<Call, Request>,
+    /// The legs of these requests.
+    pub legs: BTreeMap<leg::Key, Leg>,
+    /// The attempts that a connection carries, also those whose leg is gone.
+    pub attempts: BTreeMap<super::Attempt, Attempt>,
+    /// The targets that are registered or still carry an attempt.
+    pub targets: BTreeMap<Name, Target>,
+    /// The targets of each service that may get new work.
+    pub services: BTreeMap<Name, BTreeSet<Name>>,
+    /// The connections to targets.
+    pub connections: BTreeMap<super::Connection, Connection>,
+    /// The legs of each service that wait for a connection, in their order.
+    pub waiting: BTreeMap<Name, BTreeSet<leg::Place>>,
+    /// What each service was sent lately.
+    pub budgets: BTreeMap<Name, Budget>,
+    /// How long the legs of each route take.
+    pub paces: BTreeMap<Name, Pace>,
+    /// Whose turn it is in each route with several services.
+    pub turns: BTreeMap<Name, Turn>,
+    /// The points in time at which a row is due.
+    pub timers: Timers<Timer>,
+    /// The requests that a leg of has changed in this step.
+    pub changed: BTreeSet<Call>,
+    last: u64,
+}
+
+impl Tables {
+    /// A number that was not used before in this thread.
+    pub fn next(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+
+    /// The budget of a service.
+    pub fn budget(&mut self, service: &Name) -> &mut Budget {
+        self.budgets.entry(service.clone()).or_default()
+    }
+
+    /// The pace of a route.
+    pub fn pace(&mut self, route: &Name) -> &mut Pace {
+        self.paces.entry(route.clone()).or_default()
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/table/turn.rs
@@ -0,0 +1,33 @@
+//! Whose turn it is among weighted services.
+
+use std::collections::BTreeMap;
+
+use crate::{name::Name, relay::route::Part};
+
+/// The credit of each service of a route. The service with the most credit is
+/// next, which keeps the shares exact over any run of requests.
+#[derive(Clone, Debug, Default)]
+pub struct Turn {
+    credits: BTreeMap<Name, f64>,
+}
+
+impl Turn {
+    /// Picks the next of `parts`. `draw`, from 0 to 1, sets the phase of the
+    /// first pick, so that VMs which start together do not pick alike.
+    pub fn pick(&mut self, parts: &[Part], draw: f64) -> Option<Name> {
+        let total: f64 = parts.iter().map(|part| part.weight).sum();
+        let is_known = parts.iter().all(|part| self.credits.contains_key(&part.service));
+        if !is_known || self.credits.len() != parts.len() {
+            let start = |part: &Part| (part.service.clone(), part.weight * draw);
+            self.credits = parts.iter().map(start).collect();
+        }
+        for part in parts {
+            *self.credits.entry(part.service.clone()).or_default() += part.weight;
+        }
+        let best = parts
+            .iter()
+            .max_by(|a, b| self.credits[&a.service].total_cmp(&self.credits[&b.service]))?;
+        *self.credits.entry(best.service.clone()).or_default() -= total;
+        Some(best.service.clone())
+    }
+}
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -77,6 +77,8 @@
     /// The entries that changed, and the change number to go on from. A removed
     /// key is in `removed`.
     Changed { entries: Vec<Entry>, removed: Vec<String>, change: u64 },
+    /// The history after the change number is no longer known.
+    Outdated,
     /// The list of VMs and targets.
     Listed { vms: Vec<view::Vm>, targets: Vec<view::Target> },
     /// The call is known not to have taken effect.
--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -4,7 +4,7 @@
     count::{Count, Drop, Retry},
     digest,
     fault::{Kind, Ran},
-    id, key,
+    id, key, latency,
     log::{Event, Line},
     message::Outcome,
     name::Name,
@@ -14,7 +14,7 @@
     traffic::{
         Context, Outbox, Tables,
         system::{connect, job},
-        table::{Attempt, latency},
+        table::Attempt,
     },
 };
 
--- a/crates/core/src/traffic/table/mod.rs
+++ b/crates/core/src/traffic/table/mod.rs
@@ -13,18 +13,20 @@
 pub mod attempt;
 pub mod usage;
 pub mod suspect;
-pub mod latency;
 pub mod timer;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{claim, digest::Fingerprint, id, message, name::Name, time::Instant, view::Lane};
+use crate::{
+    claim, digest::Fingerprint, id, message, name::Name, time::Instant, timer::Timers, view::Lane,
+};
 
 pub use self::{
-    attempt::Attempt, connection::Connection, index::Index, job::Job, latency::Latency, leg::Leg,
-    link::Link, proven::Proven, query::Query, shard::Shard, suspect::Suspect, target::Target,
-    timer::Timers, usage::Usage,
+    attempt::Attempt, connection::Connection, index::Index, job::Job, leg::Leg, link::Link,
+    proven::Proven, query::Query, shard::Shard, suspect::Suspect, target::Target, timer::Timer,
+    usage::Usage,
 };
+pub use crate::latency::Latency;
 
 /// All rows of a traffic thread.
 ///
@@ -72,7 +74,7 @@
     /// The number of rows in flight that was last reported while leaving.
     pub reported: Option<usize>,
     /// Points in time at which a row is due.
-    pub timers: Timers,
+    pub timers: Timers<Timer>,
     /// Replies to legs of this thread that are yet to be merged.
     pub replies: Vec<message::Reply>,
     /// Indexes whose plan is to be chosen again.
--- a/crates/core/src/traffic/table/timer.rs
+++ b/crates/core/src/traffic/table/timer.rs
@@ -1,8 +1,6 @@
-//! Points in time at which a row is due.
+//! What a row may be due for.
 
-use std::collections::BTreeSet;
-
-use crate::{id, name::Name, time::Instant, traffic::table::shard, view::Lane};
+use crate::{id, name::Name, traffic::table::shard, view::Lane};
 
 /// What is due.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,32 +28,3 @@
     /// The end of the wait for the first word of the homes.
     Inform,
 }
-
-/// The points in time in ascending order.
-#[derive(Clone, Debug, Default)]
-pub struct Timers(BTreeSet<(Instant, Timer)>);
-
-impl Timers {
-    /// Adds a point in time.
-    pub fn set(&mut self, at: Instant, timer: Timer) {
-        self.0.insert((at, timer));
-    }
-
-    /// Takes a point in time back.
-    pub fn cancel(&mut self, at: Instant, timer: Timer) {
-        self.0.remove(&(at, timer));
-    }
-
-    /// The earliest point in time.
-    pub fn first(&self) -> Option<Instant> {
-        self.0.first().map(|(at, _)| *at)
-    }
-
-    /// Takes the earliest timer if it is due at `now`.
-    pub fn pop(&mut self, now: Instant) -> Option<Timer> {
-        if self.first()? > now {
-            return None;
-        }
-        self.0.pop_first().map(|(_, timer)| timer)
-    }
-}
--- a/src/cli/entry.rs
+++ b/src/cli/entry.rs
@@ -46,7 +46,8 @@
     })
 }
 
-fn no_signals() -> Failure {
+/// The failure to take signals.
+pub fn no_signals() -> Failure {
     let detail = "signals cannot be received".to_owned();
     Failure { exit: Exit::Failed, detail, hint: String::new() }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,6 +13,7 @@
 pub mod output;
 pub mod profile;
 pub mod query;
+pub mod relay;
 pub mod slope;
 pub mod standin;
 pub mod value;
@@ -50,6 +51,7 @@
 #[argh(subcommand)]
 enum Command {
     Entry(entry::Entry),
+    Relay(relay::Relay),
     Check(check::Check),
     Profile(profile::Profile),
     Target(list::Target),
@@ -98,6 +100,7 @@
     }
     match arguments.command {
         Some(Command::Entry(command)) => entry::run(&command),
+        Some(Command::Relay(command)) => relay::run(&command),
         Some(Command::Check(command)) => check::run(&command),
         Some(Command::Profile(command)) => profile::run(&command),
         Some(Command::Target(command)) => list::targets(&command),
--- a/src/cli/value.rs
+++ b/src/cli/value.rs
@@ -7,7 +7,7 @@
 
 use super::{exit::Exit, failure::Failure};
 use crate::{
-    settings::{Settings, error::Errors, identity::Secret, profiles::Profiles},
+    settings::{Settings, error::Errors, identity::Secret, profiles::Profiles, relay},
     slope::Part,
 };
 
@@ -26,6 +26,20 @@
     Settings::load(file).map_err(|errors| invalid(&errors))
 }
 
+/// The environment variable that names the settings file of a relay.
+const SETTINGS_VARIABLE: &str = "LABURNUMWORKS_CONFIG";
+
+/// Loads the settings of a relay from the file that was named, or else from the
+/// one that the environment names.
+pub fn relay(file: Option<&Path>) -> Result<relay::Settings, Report<Failure>> {
+    let named = std::env::var_os(SETTINGS_VARIABLE).map(std::path::PathBuf::from);
+    let Some(file) = file.map(Path::to_path_buf).or(named) else {
+        let hint = format!("give --settings, or set {SETTINGS_VARIABLE}");
+        return Err(Failure::report(Exit::Usage, "no settings file was named", hint));
+    };
+    relay::Settings::load(&file).map_err(|errors| invalid(&errors))
+}
+
 /// Loads a profiles file for a command.
 pub fn profiles(file: &Path) -> Result<Profiles, Report<Failure>> {
     Profiles::load(file).map_err(|errors| invalid(&errors))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod settings;
 pub mod clock;
 pub mod vm;
+pub mod relay;
 pub mod load;
 pub mod local;
 pub mod log;
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -203,7 +203,7 @@
             }
             store::Reply::Listed { vms, targets } => Reply::Listed { vms, targets },
             store::Reply::Refused { detail } => Reply::Refused { detail },
-            store::Reply::Lost { .. } => return Err(Unsendable),
+            store::Reply::Outdated | store::Reply::Lost { .. } => return Err(Unsendable),
         })
     }
 }
--- /dev/null
+++ b/src/relay/control.rs
@@ -0,0 +1,92 @@
+//! The control thread: the feed and the client of the store.
+
+use std::{sync::Arc, time::Duration};
+
+use laburnum_core::{
+    border::{Clock, Platform},
+    log::Event,
+    relay::{
+        View,
+        feed::{Feed, Limits, Outbox},
+    },
+};
+use laburnum_platform::{format::Format, store::Client};
+use tokio::{
+    sync::{mpsc, watch},
+    time::sleep,
+};
+
+use super::Shared;
+
+/// The longest sleep when the feed has nothing to do.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// The time for a call of the store, which answers in milliseconds and in
+/// hundreds of them while it is slow.
+const CALL: Duration = Duration::from_secs(2);
+
+/// Times of the feed: a change is in force within a second, a store that is
+/// away is asked about once a second by each VM.
+const LIMITS: Limits = Limits {
+    watch: Duration::from_secs(30),
+    gather: Duration::from_millis(500),
+    pause: Duration::from_millis(150),
+    longest_pause: Duration::from_millis(1200),
+    lapse: Duration::from_millis(2500),
+};
+
+/// The most replies that one step takes.
+const MAX_BATCH: usize = 64;
+
+/// What the control thread has for itself.
+pub struct Seed {
+    /// Where views go.
+    pub view: watch::Sender<Arc<View>>,
+    /// Where it notes whether the VM takes requests.
+    pub ready: watch::Sender<bool>,
+    /// Whether the VM is leaving.
+    pub leaving: watch::Receiver<bool>,
+}
+
+/// Runs the control thread until the VM stops.
+pub async fn run(shared: Shared, mut seed: Seed) {
+    let (replies, mut receiver) = mpsc::unbounded_channel();
+    let mut client: Box<dyn Platform> = Box::new(Client::new(shared.settings.store, CALL, replies));
+    let vms = shared.settings.retry.vms;
+    let mut feed = Feed::new(LIMITS, Box::new(Format), vms, rand::random());
+    let mut stop = shared.stop.clone();
+    let mut batch = Vec::new();
+    loop {
+        let mut out = Outbox::default();
+        feed.step(shared.clock.now(), std::mem::take(&mut batch), &mut out);
+        for (id, call) in out.calls {
+            client.call(id, call);
+        }
+        if let Some(view) = out.view {
+            seed.view.send_replace(view);
+        }
+        for line in &out.lines {
+            shared.writer.write(line, shared.clock.now());
+        }
+        note(&shared, &seed, feed.is_ready());
+        let wake = feed.wake();
+        let pause = wake.map_or(IDLE, |at| at.remaining(shared.clock.now()).min(IDLE));
+        tokio::select! {
+            biased;
+            _ = stop.wait_for(|stop| *stop) => return,
+            _ = seed.leaving.changed() => {}
+            _ = receiver.recv_many(&mut batch, MAX_BATCH) => {}
+            () = sleep(pause) => {}
+        }
+    }
+}
+
+/// Notes whether the VM takes requests.
+fn note(shared: &Shared, seed: &Seed, is_fed: bool) {
+    let is_ready = is_fed && !*seed.leaving.borrow();
+    let is_changed =
+        seed.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
+    if is_changed && is_ready {
+        shared.log(Event::Ready, Vec::new());
+    }
+}
--- /dev/null
+++ b/src/relay/probe.rs
@@ -0,0 +1,54 @@
+//! The ports for the balancer's probes and the collector of metrics.
+
+use std::{io, net::TcpListener, sync::Arc, time::Duration};
+
+use laburnum_platform::caller::READY_PATH;
+use poem::{EndpointExt, Response, Route, get, handler, http::StatusCode, web::Data};
+use tokio::sync::watch;
+
+use super::Shared;
+use crate::front::{
+    body,
+    intake::Open,
+    port::{Limits, Port},
+    probe::{self, Probe},
+};
+
+/// The limits on those who probe: few connections with small requests.
+const LIMITS: Limits = Limits {
+    header_size: 8 << 10,
+    header_read: Duration::from_secs(2),
+    idle: Duration::from_secs(30),
+    connections: 16,
+};
+
+/// Serves the balancer's probes until the VM stops.
+pub async fn ready(listener: TcpListener, shared: &Shared) -> io::Result<()> {
+    let state = shared.ready.clone();
+    let routes = Route::new().at(READY_PATH, get(answer).data(state));
+    port(listener, shared).serve(routes).await
+}
+
+/// Serves the collector of metrics until the VM stops.
+pub async fn metrics(listener: TcpListener, shared: &Shared) -> io::Result<()> {
+    let probe = Probe { ready: shared.ready.clone(), metrics: Arc::new(shared.text()) };
+    port(listener, shared).serve(probe::routes(Route::new(), probe)).await
+}
+
+fn port(listener: TcpListener, shared: &Shared) -> Port {
+    Port {
+        listener,
+        limits: LIMITS,
+        bodies: body::Limits { size: 1024, read: LIMITS.header_read },
+        gate: Box::new(Open),
+        metrics: Arc::new(shared.text()),
+        ready: shared.ready.clone(),
+        shutdown: shared.stop.clone(),
+    }
+}
+
+#[handler]
+fn answer(Data(ready): Data<&watch::Receiver<bool>>) -> Response {
+    let status = if *ready.borrow() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    Response::builder().status(status).finish()
+}
--- /dev/null
+++ b/src/relay/traffic.rs
@@ -0,0 +1,192 @@
+//! The traffic thread: the engine, the front and the client of the targets.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use laburnum_core::{
+    border::Clock,
+    relay::{Answer, Call, Engine, Event, Limits, Outbox, View, policy::Policies},
+};
+use tokio::{
+    sync::{
+        mpsc::{self, UnboundedReceiver, unbounded_channel},
+        oneshot, watch,
+    },
+    time::sleep,
+};
+
+use super::{
+    Listeners, Shared, front,
+    handle::{Handle, Input},
+    probe,
+    target::Client,
+};
+
+/// The longest sleep when the engine has nothing to do.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// The most events that one step takes.
+const MAX_BATCH: usize = 1024;
+
+/// What the traffic thread has for itself.
+pub struct Seed {
+    /// The sockets.
+    pub listeners: Listeners,
+    /// Dropped when the front has answered all that it took.
+    pub serving: mpsc::Sender<()>,
+}
+
+/// Runs the traffic thread until the VM stops.
+pub async fn run(shared: Shared, seed: Seed) {
+    let (inputs, input_receiver) = unbounded_channel();
+    let (events, event_receiver) = unbounded_channel();
+    serve(&shared, seed, Handle::new(inputs));
+    let engine = Engine::new(limits(&shared), Policies::default(), rand::random());
+    let thread = Thread { engine, targets: Client::new(events), waiting: BTreeMap::new(), shared };
+    let inbox = Inbox {
+        inputs: input_receiver,
+        events: event_receiver,
+        view: thread.shared.view.clone(),
+        stop: thread.shared.stop.clone(),
+    };
+    thread.run(inbox).await;
+}
+
+fn limits(shared: &Shared) -> Limits {
+    let settings = &shared.settings;
+    Limits {
+        domain: settings.vm.domain.clone(),
+        retry_ratio: settings.retry.ratio,
+        retry_slack: settings.retry.slack,
+        retry_window: settings.retry.window,
+    }
+}
+
+/// Starts the ports.
+fn serve(shared: &Shared, seed: Seed, handle: Handle) {
+    let Seed { listeners, serving } = seed;
+    let Listeners { callers, ready, metrics } = listeners;
+    let own = shared.clone();
+    tokio::spawn(async move {
+        let ended = front::serve(callers, handle, &own).await;
+        drop(serving);
+        report(&own, "callers", ended);
+    });
+    let own = shared.clone();
+    tokio::spawn(async move {
+        let ended = probe::ready(ready, &own).await;
+        report(&own, "ready", ended);
+    });
+    if let Some(metrics) = metrics {
+        let own = shared.clone();
+        tokio::spawn(async move {
+            let ended = probe::metrics(metrics, &own).await;
+            report(&own, "metrics", ended);
+        });
+    }
+}
+
+/// Logs that a port could not be served.
+fn report(shared: &Shared, port: &str, ended: std::io::Result<()>) {
+    if let Err(error) = ended {
+        let fields = vec![("port", port.to_owned()), ("detail", error.to_string())];
+        shared.log(laburnum_core::log::Event::PortFailed, fields);
+    }
+}
+
+/// The receiving ends of the channels of the thread.
+struct Inbox {
+    inputs: UnboundedReceiver<Input>,
+    events: UnboundedReceiver<Event>,
+    view: watch::Receiver<Arc<View>>,
+    stop: watch::Receiver<bool>,
+}
+
+struct Thread {
+    engine: Engine,
+    targets: Client,
+    waiting: BTreeMap<Call, oneshot::Sender<Answer>>,
+    shared: Shared,
+}
+
+impl Thread {
+    /// Waits for an event or the earliest timer, takes every event that is
+    /// ready, runs one step and carries out what it left.
+    async fn run(mut self, mut inbox: Inbox) {
+        let mut inputs = Vec::new();
+        let mut events = Vec::new();
+        loop {
+            let wake = self.engine.wake();
+            let pause = wake.map_or(IDLE, |at| at.remaining(self.shared.clock.now()).min(IDLE));
+            tokio::select! {
+                biased;
+                _ = inbox.stop.wait_for(|stop| *stop) => return,
+                changed = inbox.view.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let view = Arc::clone(&inbox.view.borrow_and_update());
+                    events.push(Event::View(view));
+                }
+                _ = inbox.events.recv_many(&mut events, MAX_BATCH) => {}
+                _ = inbox.inputs.recv_many(&mut inputs, MAX_BATCH) => {}
+                () = sleep(pause) => {}
+            }
+            take_ready(&mut inbox.events, &mut events);
+            take_ready(&mut inbox.inputs, &mut inputs);
+            self.tick(&mut inputs, &mut events);
+        }
+    }
+
+    fn tick(&mut self, inputs: &mut Vec<Input>, events: &mut Vec<Event>) {
+        for event in events.iter() {
+            if let Event::Closed { connection, .. } = event {
+                self.targets.forget(*connection);
+            }
+        }
+        let mut batch = std::mem::take(events);
+        batch.extend(inputs.drain(..).map(|input| self.open(input)));
+        let mut out = Outbox::default();
+        self.engine.step(self.shared.clock.now(), batch, &mut out);
+        self.flush(out);
+    }
+
+    fn open(&mut self, input: Input) -> Event {
+        match input {
+            Input::Ask { call, inquiry, answer } => {
+                self.waiting.insert(call, answer);
+                Event::Arrived { call, inquiry }
+            }
+            Input::Abandoned(call) => {
+                self.waiting.remove(&call);
+                Event::Abandoned { call }
+            }
+        }
+    }
+
+    fn flush(&mut self, out: Outbox) {
+        for command in out.commands {
+            self.targets.command(command);
+        }
+        for (call, answer) in out.answers {
+            if let Some(sender) = self.waiting.remove(&call) {
+                // The caller may have gone away.
+                let _ = sender.send(answer);
+            }
+        }
+        let now = self.shared.clock.now();
+        for line in &out.lines {
+            self.shared.writer.write(line, now);
+        }
+        self.shared.metrics.add(&out.counts);
+    }
+}
+
+/// Takes what is ready in a channel without waiting.
+fn take_ready<T>(channel: &mut UnboundedReceiver<T>, into: &mut Vec<T>) {
+    while into.len() < MAX_BATCH {
+        match channel.try_recv() {
+            Ok(event) => into.push(event),
+            Err(_) => return,
+        }
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -12,6 +12,7 @@
 pub mod traffic;
 pub mod control;
 pub mod profiles;
+pub mod relay;
 mod check;
 
 use std::{fs, path::Path};
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -8,7 +8,7 @@
 pub mod limits;
 mod listen;
 mod messenger;
-mod meter;
+pub mod meter;
 mod traffic;
 
 use std::{
