--- a/crates/core/src/relay/system/expire.rs
+++ b/crates/core/src/relay/system/expire.rs
@@ -15,9 +15,7 @@
             }
             Timer::Hedge(key) => dispatch::hedge(tables, key, cx),
             Timer::Orphan(attempt) => drop_attempt(tables, attempt, cx),
-            // Dispatch looks at every waiting leg in any case.
-            Timer::Pause(_) => {}
-            Timer::Warm(target) => warm(tables, &target, cx),
+            Timer::Pause(target) | Timer::Warm(target) => warm(tables, &target, cx),
         }
     }
 }
@@ -42,7 +40,8 @@
     connect::prune(tables, &row.target);
 }
 
-/// Opens the first connection to a target.
+/// Opens a connection to a target that has none: a choice that has to open one
+/// first would rarely fall on it, and the other targets would carry its load.
 fn warm(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
     let Some(target) = tables.targets.get(id) else { return };
     if target.is_usable && target.connections.is_empty() {
--- /dev/null
+++ b/crates/core/tests/relay/bed.rs
@@ -0,0 +1,328 @@
+//! An engine with targets that do what a test says, in virtual time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use laburnum_core::{
+    log::Line,
+    name::Name,
+    relay::{
+        Answer, Attempt, Call, Command, Connection, Engine, Event, Inquiry, Limits, Loss, Message,
+        Order, Outbox, Reply, View,
+        message::Header,
+        policy::Policies,
+        route::{Bounds, Config, Gather, Part, Plan, Route, Service},
+        view::Target,
+    },
+    time::Instant,
+};
+
+/// The host of every route.
+pub const HOST: &str = "register.example";
+
+/// A name.
+pub fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+/// A span in milliseconds.
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A route with a goal of 100 ms, a timeout of 600 ms and two attempts.
+pub fn route(label: &str, plan: Plan) -> Route {
+    Route {
+        name: name(label),
+        prefix: format!("/{label}/").into(),
+        idempotent: true,
+        timeout: ms(600),
+        goal: ms(100),
+        priority: 1,
+        attempts: 2,
+        plan,
+    }
+}
+
+/// A search over shards that takes `least` of them.
+pub fn search(shards: &[&str], least: f64) -> Route {
+    let shards = shards.iter().map(|shard| name(shard)).collect();
+    route("search", Plan::Gather(Gather { shards, top: 3, least }))
+}
+
+/// A route to one service.
+pub fn single(service: &str) -> Route {
+    route("fetch", Plan::One(name(service)))
+}
+
+/// A route to several services.
+pub fn split(parts: &[(&str, f64)]) -> Route {
+    let part = |(service, weight): &(&str, f64)| Part { service: name(service), weight: *weight };
+    route("split", Plan::Split(parts.iter().map(part).collect()))
+}
+
+/// A configuration of routes whose targets take `connections`.
+pub fn config(version: u64, routes: Vec<Route>, connections: u32) -> Config {
+    let services: BTreeSet<Name> =
+        routes.iter().flat_map(|route| route.services()).cloned().collect();
+    let row = Service { connections };
+    Config {
+        version,
+        hosts: Config::file(routes.into_iter().map(|route| (HOST.into(), route))),
+        services: services.into_iter().map(|service| (service, row)).collect(),
+        bounds: Bounds::default(),
+    }
+}
+
+/// A target of a service with two slots, under its id.
+pub fn target(id: &str, service: &str) -> (Name, Arc<Target>) {
+    let last = id.bytes().fold(1u8, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte));
+    let target = Target {
+        service: name(service),
+        address: format!("10.0.0.{last}:80").parse().unwrap(),
+        domain: name("near"),
+        slots: 2,
+        draining: false,
+        cold: Duration::ZERO,
+        born: 0,
+    };
+    (name(id), Arc::new(target))
+}
+
+/// A view with two targets, `X-1` and `X-2`, for each service `X`.
+pub fn view(config: Config) -> View {
+    let mut targets = BTreeMap::new();
+    for service in config.services.keys() {
+        targets.extend([
+            target(&format!("{service}-1"), service.as_str()),
+            target(&format!("{service}-2"), service.as_str()),
+        ]);
+    }
+    View { config: Some(Arc::new(config)), targets, vms: 1 }
+}
+
+/// A request of a caller that waits 600 ms.
+pub fn inquiry(path: &str) -> Inquiry {
+    let message = Message {
+        method: "GET".into(),
+        path: path.into(),
+        headers: Vec::new(),
+        body: Arc::from(&b""[..]),
+    };
+    Inquiry {
+        id: "c1".into(),
+        host: HOST.into(),
+        path: path.into(),
+        patience: Some(ms(600)),
+        message,
+    }
+}
+
+/// A success with one record of bytes `fill`.
+pub fn success(digest: &str, fill: u8) -> Reply {
+    Reply {
+        status: 200,
+        headers: Vec::<Header>::new(),
+        body: Arc::from(&[fill; 16][..]),
+        digest: Some(digest.into()),
+        refused: false,
+        misdirected: false,
+        load: None,
+        reusable: true,
+    }
+}
+
+/// A failure with a status and a digest.
+pub fn failure(status: u16) -> Reply {
+    Reply { status, ..success("failed", 0) }
+}
+
+/// A refusal of a target that did not run the request.
+pub fn refusal(status: u16) -> Reply {
+    Reply { refused: true, misdirected: status == 421, digest: None, ..failure(status) }
+}
+
+/// A request that a target was handed.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// The connection.
+    pub connection: Connection,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The request.
+    pub order: Order,
+    /// When it was handed over.
+    pub at: Instant,
+}
+
+impl Sent {
+    /// The id of the target.
+    pub fn target(&self) -> &str {
+        self.order.target.as_str()
+    }
+}
+
+/// The engine with what it left.
+pub struct Bed {
+    pub engine: Engine,
+    pub now: Instant,
+    pub sent: Vec<Sent>,
+    pub opened: Vec<Connection>,
+    pub closed: Vec<Connection>,
+    pub answers: BTreeMap<Call, Answer>,
+    pub answered_at: BTreeMap<Call, Instant>,
+    pub lines: Vec<Line>,
+    last: u64,
+}
+
+/// The limits of a test: a fifth of the first attempts and `slack`.
+pub fn limits(slack: f64) -> Limits {
+    Limits {
+        domain: name("near"),
+        retry_ratio: 0.2,
+        retry_slack: slack,
+        retry_window: Duration::from_secs(10),
+    }
+}
+
+impl Bed {
+    /// An engine that knows nothing yet, with room for retries.
+    pub fn empty() -> Bed {
+        Bed::with_slack(100.0)
+    }
+
+    /// An engine that knows nothing yet.
+    pub fn with_slack(slack: f64) -> Bed {
+        Bed {
+            engine: Engine::new(limits(slack), Policies::default(), 7),
+            now: Instant(1_000_000),
+            sent: Vec::new(),
+            opened: Vec::new(),
+            closed: Vec::new(),
+            answers: BTreeMap::new(),
+            answered_at: BTreeMap::new(),
+            lines: Vec::new(),
+            last: 0,
+        }
+    }
+
+    /// An engine with a view, whose first connections are open.
+    pub fn new(view: View) -> Bed {
+        let mut bed = Bed::empty();
+        bed.show(view);
+        bed.warm();
+        bed
+    }
+
+    /// An engine with one route and two targets of each of its services.
+    pub fn of(route: Route) -> Bed {
+        Bed::new(view(config(1, vec![route], 100)))
+    }
+
+    /// Runs one step with events.
+    pub fn step(&mut self, events: Vec<Event>) {
+        let mut out = Outbox::default();
+        self.engine.step(self.now, events, &mut out);
+        for command in out.commands {
+            match command {
+                Command::Open { connection, .. } => self.opened.push(connection),
+                Command::Send { connection, attempt, order } => {
+                    self.sent.push(Sent { connection, attempt, order, at: self.now });
+                }
+                Command::Close { connection } => self.closed.push(connection),
+            }
+        }
+        for (call, answer) in out.answers {
+            assert!(self.answers.insert(call, answer).is_none(), "answered twice");
+            self.answered_at.insert(call, self.now);
+        }
+        self.lines.extend(out.lines);
+    }
+
+    /// Gives the engine a newer view.
+    pub fn show(&mut self, view: View) {
+        self.step(vec![Event::View(Arc::new(view))]);
+    }
+
+    /// Lets time pass, with a step at every timer.
+    pub fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(wake) = self.engine.wake().filter(|wake| *wake <= end) {
+            self.now = self.now.max(wake);
+            self.step(Vec::new());
+        }
+        self.now = end;
+        self.step(Vec::new());
+    }
+
+    /// Opens the first connections to all targets.
+    pub fn warm(&mut self) {
+        self.pass(Duration::from_secs(2));
+        for connection in std::mem::take(&mut self.opened) {
+            self.step(vec![Event::Opened { connection }]);
+        }
+    }
+
+    /// A caller sends a request.
+    pub fn ask(&mut self, inquiry: Inquiry) -> Call {
+        self.last += 1;
+        let call = Call(self.last);
+        self.step(vec![Event::Arrived { call, inquiry }]);
+        call
+    }
+
+    /// A target answers.
+    pub fn reply(&mut self, sent: &Sent, reply: Reply) {
+        let (connection, attempt) = (sent.connection, sent.attempt);
+        self.step(vec![Event::Replied { connection, attempt, reply: Box::new(reply) }]);
+    }
+
+    /// A connection is lost.
+    pub fn lose(&mut self, sent: &Sent, was_sent: bool) {
+        let loss = Loss { sent: was_sent, idle: false, detail: "reset".to_owned() };
+        self.step(vec![Event::Closed { connection: sent.connection, loss }]);
+    }
+
+    /// Takes what targets were handed since the last time.
+    pub fn take(&mut self) -> Vec<Sent> {
+        std::mem::take(&mut self.sent)
+    }
+
+    /// Takes the only request that targets were handed.
+    pub fn take_one(&mut self) -> Sent {
+        let mut sent = self.take();
+        assert_eq!(sent.len(), 1, "{sent:?}");
+        sent.remove(0)
+    }
+
+    /// The status with which a request was refused.
+    pub fn refused(&self, call: Call) -> u16 {
+        match &self.answers[&call] {
+            Answer::Refused(refusal) => refusal.fault.kind.answer().status,
+            other => panic!("not refused: {other:?}"),
+        }
+    }
+
+    /// How long a request waited for its answer.
+    pub fn waited(&self, call: Call, since: Instant) -> Duration {
+        self.answered_at[&call].since(since)
+    }
+
+    /// Sends `count` requests that are answered after `span`, so that the engine
+    /// learns how long its targets take.
+    pub fn teach(&mut self, path: &str, count: usize, span: Duration) {
+        for _ in 0..count {
+            self.ask(inquiry(path));
+            let sent = self.take();
+            self.now = self.now + span;
+            for (index, sent) in sent.iter().enumerate() {
+                self.reply(sent, success(&format!("d{index}"), 1));
+            }
+            self.pass(ms(200));
+        }
+        self.sent.clear();
+    }
+}
--- /dev/null
+++ b/crates/core/tests/relay/feed.rs
@@ -0,0 +1,155 @@
+//! How a VM learns of configurations and targets.
+
+use laburnum_core::{log::Event, store::Call};
+
+use crate::{
+    bed::ms,
+    store::{LIMITS, World},
+};
+
+fn fed() -> World {
+    let mut world = World::new();
+    world.pass(ms(1000));
+    world
+}
+
+cases! {
+    a_vm_knows_everything_after_two_readings => {
+        let world = fed();
+        assert_eq!(world.version(), Some(3));
+        assert!(world.has("desk-1") && world.has("desk-2"));
+        assert!(world.feed.is_ready());
+        assert_eq!(world.calls.len(), 3, "two readings and a watch: {:?}", world.calls);
+    };
+    a_vm_is_not_ready_before_it_has_read => {
+        let mut world = World::new();
+        world.is_down = true;
+        world.pass(ms(3000));
+        assert!(!world.feed.is_ready());
+        world.is_down = false;
+        world.pass(ms(2000));
+        assert!(world.feed.is_ready());
+    };
+    nothing_is_asked_while_nothing_changes => {
+        let mut world = fed();
+        world.pass(ms(25_000));
+        assert_eq!(world.calls.len(), 3);
+    };
+    a_change_is_in_force_within_a_second => {
+        let mut world = fed();
+        for version in 4..12 {
+            world.put("config", &version.to_string());
+            world.pass(ms(800));
+            assert_eq!(world.version(), Some(version));
+        }
+    };
+    changes_in_quick_succession_share_calls => {
+        let mut world = fed();
+        for version in 4..104 {
+            world.put("config", &version.to_string());
+            world.pass(ms(20));
+        }
+        world.pass(ms(1000));
+        assert_eq!(world.version(), Some(103));
+        assert!(world.calls.len() < 12, "{}", world.calls.len());
+    };
+    an_older_version_is_never_taken => {
+        let mut world = fed();
+        world.put("config", "9");
+        world.pass(ms(1000));
+        world.put("config", "5");
+        world.pass(ms(1000));
+        assert_eq!(world.version(), Some(9));
+    };
+    a_version_that_cannot_be_read_changes_nothing => {
+        let mut world = fed();
+        world.put("config", "no number");
+        world.pass(ms(1000));
+        assert_eq!(world.version(), Some(3));
+        assert_eq!(world.logged(Event::RoutesUnreadable), 1);
+    };
+    a_registration_that_cannot_be_read_names_no_target => {
+        let mut world = fed();
+        world.put("target/odd", "Not A Name");
+        world.put("target/desk-3", "desk");
+        world.pass(ms(1000));
+        assert!(world.has("desk-3") && !world.has("odd"));
+        assert_eq!(world.logged(Event::TargetUnreadable), 1);
+    };
+    a_target_that_is_removed_is_gone => {
+        let mut world = fed();
+        world.remove("target/desk-1");
+        world.pass(ms(1000));
+        assert!(!world.has("desk-1") && world.has("desk-2"));
+    };
+    what_is_known_stays_in_use_while_the_store_is_away => {
+        let mut world = fed();
+        world.is_down = true;
+        world.put("config", "4");
+        world.pass(ms(40_000));
+        assert_eq!(world.version(), Some(3));
+        assert!(world.has("desk-1") && world.feed.is_ready());
+        assert_eq!(world.logged(Event::StoreDown), 1);
+        world.is_down = false;
+        world.pass(ms(2500));
+        assert_eq!(world.version(), Some(4));
+        assert_eq!(world.logged(Event::StoreUp), 1);
+    };
+    a_store_that_is_away_is_asked_about_once_a_second => {
+        let mut world = fed();
+        world.pass(ms(30_000));
+        world.is_down = true;
+        let before = world.calls.len();
+        world.pass(ms(20_000));
+        let calls = world.calls.len() - before;
+        assert!((15..40).contains(&calls), "{calls}");
+    };
+    an_entry_that_lapsed_during_an_outage_may_come_back => {
+        let mut world = fed();
+        world.is_down = true;
+        world.pass(ms(32_000));
+        world.remove("target/desk-1");
+        world.is_down = false;
+        world.pass(ms(1500));
+        assert!(world.has("desk-1"), "it counts as there for a moment");
+        world.put("target/desk-1", "desk");
+        world.pass(ms(5000));
+        assert!(world.has("desk-1"));
+        assert_eq!(world.logged(Event::TargetUnlisted), 0);
+    };
+    an_entry_that_stays_missing_after_an_outage_is_gone => {
+        let mut world = fed();
+        world.is_down = true;
+        world.pass(ms(32_000));
+        world.remove("target/desk-1");
+        world.is_down = false;
+        world.pass(ms(1500));
+        assert!(world.has("desk-1"));
+        world.pass(ms(LIMITS.lapse.as_millis() as u64 + 1200));
+        assert!(!world.has("desk-1"));
+    };
+    a_lost_history_is_read_again => {
+        let mut world = fed();
+        world.is_down = true;
+        world.pass(ms(31_000));
+        world.put("config", "8");
+        world.remove("target/desk-2");
+        world.put("target/desk-3", "desk");
+        world.compact();
+        world.is_down = false;
+        world.pass(ms(6000));
+        assert_eq!(world.version(), Some(8));
+        assert!(world.has("desk-3") && !world.has("desk-2"));
+    };
+    a_store_without_a_configuration_is_watched_for_one => {
+        let mut world = World::empty();
+        world.put("target/desk-1", "desk");
+        world.pass(ms(2000));
+        assert!(!world.feed.is_ready());
+        world.put("config", "1");
+        world.pass(ms(1000));
+        assert!(world.feed.is_ready());
+        let watches = world.calls.iter().filter(|(_, call)| matches!(call, Call::Watch { .. }));
+        assert!(watches.count() <= 3);
+    };
+}
--- /dev/null
+++ b/crates/core/tests/relay/hedges.rs
@@ -0,0 +1,90 @@
+//! Second attempts beside slow ones.
+
+use laburnum_core::{
+    latency::Latency,
+    relay::policy::hedge::{Hedge, Never, Tail},
+};
+
+use crate::bed::{Bed, config, inquiry, ms, search, single, success, view};
+
+fn taught(millis: &[u64]) -> Latency {
+    let mut latency = Latency::default();
+    millis.iter().for_each(|&millis| latency.record(ms(millis)));
+    latency
+}
+
+cases! {
+    the_delay_is_what_most_attempts_take => {
+        let latency = taught(&[10; 100]);
+        let delay = Tail::default().delay(&latency, ms(100)).unwrap();
+        assert!((10..14).contains(&delay.as_millis()), "{delay:?}");
+    };
+    the_second_attempt_can_still_be_in_time => {
+        let latency = taught(&[90; 100]);
+        assert_eq!(Tail::default().delay(&latency, ms(100)), Some(ms(40)));
+    };
+    without_history_a_part_of_the_goal_is_waited => {
+        assert_eq!(Tail::default().delay(&Latency::default(), ms(100)), Some(ms(30)));
+    };
+    never_is_never => {
+        assert_eq!(Never.delay(&taught(&[1; 20]), ms(100)), None);
+    };
+    a_paused_target_is_gone_round => {
+        let mut bed = Bed::of(search(&["s1", "s2"], 1.0));
+        bed.teach("/search/1", 20, ms(8));
+        let call = bed.ask(inquiry("/search/1"));
+        let sent = bed.take();
+        bed.now = bed.now + ms(8);
+        bed.reply(&sent[0], success("a", 1));
+        bed.pass(ms(20));
+        let second = bed.take_one();
+        assert_ne!(second.target(), sent[1].target());
+        bed.now = bed.now + ms(8);
+        bed.reply(&second, success("b", 1));
+        assert!(bed.answers.contains_key(&call));
+    };
+    a_leg_goes_to_as_many_targets_as_its_route_allows => {
+        let mut bed = Bed::of(single("desk"));
+        bed.teach("/fetch/1", 20, ms(5));
+        bed.ask(inquiry("/fetch/1"));
+        bed.pass(ms(500));
+        assert_eq!(bed.take().len(), 2);
+    };
+    the_budget_bounds_second_attempts => {
+        let mut bed = Bed::with_slack(1.0);
+        bed.show(view(config(1, vec![single("desk")], 100)));
+        bed.warm();
+        for _ in 0..40 {
+            bed.ask(inquiry("/fetch/1"));
+            bed.pass(ms(60));
+            for sent in bed.take() {
+                bed.reply(&sent, success("d", 1));
+            }
+        }
+        let counted = bed.lines.iter().filter(|l| l.event == laburnum_core::log::Event::LegHedged);
+        let hedges = counted.count();
+        assert!(hedges <= 9, "{hedges} beside 40 with a fifth and one allowed");
+        assert!(hedges >= 5, "{hedges}");
+    };
+    the_loser_of_a_hedge_keeps_its_connection_if_it_answers => {
+        let mut bed = Bed::of(single("desk"));
+        bed.teach("/fetch/1", 20, ms(5));
+        bed.ask(inquiry("/fetch/1"));
+        bed.pass(ms(45));
+        let sent = bed.take();
+        bed.reply(&sent[1], success("d", 1));
+        bed.now = bed.now + ms(100);
+        bed.reply(&sent[0], success("d", 1));
+        assert!(bed.closed.is_empty());
+    };
+    the_loser_of_a_hedge_is_withdrawn_in_the_end => {
+        let mut bed = Bed::of(single("desk"));
+        bed.teach("/fetch/1", 20, ms(5));
+        bed.ask(inquiry("/fetch/1"));
+        bed.pass(ms(45));
+        let sent = bed.take();
+        bed.reply(&sent[1], success("d", 1));
+        bed.pass(ms(600));
+        assert_eq!(bed.closed, [sent[0].connection]);
+    };
+}
--- /dev/null
+++ b/crates/core/tests/relay/main.rs
@@ -0,0 +1,17 @@
+//! Tests of the decisions that forward requests by route, in virtual time.
+
+#[macro_use]
+#[path = "../rules/case.rs"]
+mod case;
+mod bed;
+mod store;
+mod answers;
+mod budget;
+mod feed;
+mod gather;
+mod hedges;
+mod merge;
+mod once;
+mod routes;
+mod targets;
+mod waits;
--- /dev/null
+++ b/crates/core/tests/relay/routes.rs
@@ -0,0 +1,82 @@
+//! Finding the route of a request, and its version.
+
+use laburnum_core::relay::route::Route;
+
+use crate::bed::{Bed, HOST, config, inquiry, name, single, split, success, view};
+
+fn under(prefix: &str, service: &str) -> Route {
+    Route { prefix: prefix.into(), ..single(service) }
+}
+
+/// The service that a path leads to.
+fn service(path: &str) -> Option<String> {
+    let routes = vec![under("/a/", "one"), under("/a/b/", "two"), under("/", "rest")];
+    let config = config(1, routes, 10);
+    let route = config.find(HOST, path)?;
+    Some(route.services()[0].to_string())
+}
+
+cases! {
+    the_longest_prefix_wins => {
+        assert_eq!(service("/a/b/c").as_deref(), Some("two"));
+        assert_eq!(service("/a/bc").as_deref(), Some("one"));
+        assert_eq!(service("/x").as_deref(), Some("rest"));
+    };
+    a_path_without_a_route_is_not_found => {
+        let mut bed = Bed::of(single("one"));
+        let call = bed.ask(inquiry("/elsewhere/1"));
+        assert_eq!(bed.refused(call), 404);
+        assert!(bed.sent.is_empty());
+    };
+    another_host_is_not_found => {
+        let mut bed = Bed::of(single("one"));
+        let mut request = inquiry("/fetch/1");
+        request.host = "other.example".into();
+        let call = bed.ask(request);
+        assert_eq!(bed.refused(call), 404);
+    };
+    without_a_configuration_nothing_is_not_found => {
+        let mut bed = Bed::empty();
+        let call = bed.ask(inquiry("/fetch/1"));
+        assert_eq!(bed.refused(call), 503);
+    };
+    a_request_keeps_its_version_to_the_end => {
+        let mut bed = Bed::of(single("one"));
+        let call = bed.ask(inquiry("/fetch/1"));
+        let sent = bed.take_one();
+        let mut moved = single("two");
+        moved.name = name("fetch");
+        let mut newer = view(config(2, vec![moved], 100));
+        newer.targets.extend(view(config(1, vec![single("one")], 100)).targets);
+        bed.show(newer);
+        bed.lose(&sent, true);
+        let again = bed.take_one();
+        assert!(again.target().starts_with("one-"), "{}", again.target());
+        bed.reply(&again, success("d", 1));
+        assert!(bed.answers.contains_key(&call));
+        bed.ask(inquiry("/fetch/2"));
+        assert!(bed.take_one().target().starts_with("two-"));
+    };
+    shares_follow_the_weights_exactly => {
+        let mut bed = Bed::of(split(&[("one", 3.0), ("two", 1.0)]));
+        let mut ones = 0;
+        for _ in 0..400 {
+            bed.ask(inquiry("/split/1"));
+            let sent = bed.take_one();
+            ones += u32::from(sent.target().starts_with("one-"));
+            bed.reply(&sent, success("d", 1));
+        }
+        assert!((299..=301).contains(&ones), "{ones}");
+    };
+    changed_weights_hold_at_once => {
+        let mut bed = Bed::of(split(&[("one", 1.0), ("two", 0.0)]));
+        bed.show(view(config(2, vec![split(&[("one", 0.0), ("two", 1.0)])], 100)));
+        for turn in 0..20 {
+            bed.ask(inquiry("/split/1"));
+            let sent = bed.take_one();
+            // The credit of the version before may decide the first turn.
+            assert!(turn == 0 || sent.target().starts_with("two-"), "turn {turn}");
+            bed.reply(&sent, success("d", 1));
+        }
+    };
+}
--- /dev/null
+++ b/crates/core/tests/relay/store.rs
@@ -0,0 +1,203 @@
+//! A store in virtual time, with a feed that reads it.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use laburnum_core::{
+    log::{Event, Line},
+    name::Name,
+    relay::{
+        View,
+        feed::{Feed, Format, Limits, Outbox, Subject},
+        route::Config,
+        view::Target,
+    },
+    store::{Call, CallId, Entry, Reply, Version},
+    time::Instant,
+};
+
+use crate::bed;
+
+/// Entries hold the version of a configuration or the service of a target.
+struct Text;
+
+impl Format for Text {
+    fn subject(&self, key: &str) -> Subject {
+        match key.strip_prefix("target/") {
+            Some(id) => Subject::Target(bed::name(id)),
+            None if key == "config" => Subject::Config,
+            None => Subject::Other,
+        }
+    }
+
+    fn config_key(&self) -> &str {
+        "config"
+    }
+
+    fn target_prefix(&self) -> &str {
+        "target/"
+    }
+
+    fn watch_prefix(&self) -> &str {
+        ""
+    }
+
+    fn config(&self, entry: &Entry) -> Result<Config, String> {
+        let text = String::from_utf8(entry.value.clone()).map_err(|e| e.to_string())?;
+        let version = text.parse::<u64>().map_err(|e| e.to_string())?;
+        Ok(bed::config(version, vec![bed::single("desk")], 10))
+    }
+
+    fn target(&self, entry: &Entry) -> Result<Target, String> {
+        let text = String::from_utf8(entry.value.clone()).map_err(|e| e.to_string())?;
+        let service = Name::try_from(text.as_str()).map_err(|e| e.to_string())?;
+        Ok((*bed::target("any", service.as_str()).1).clone())
+    }
+}
+
+pub const LIMITS: Limits = Limits {
+    watch: Duration::from_secs(30),
+    gather: Duration::from_millis(500),
+    pause: Duration::from_millis(150),
+    longest_pause: Duration::from_millis(1200),
+    lapse: Duration::from_millis(2500),
+};
+
+/// A store with the feed of one VM.
+pub struct World {
+    pub now: Instant,
+    pub feed: Feed,
+    pub view: Arc<View>,
+    pub lines: Vec<Line>,
+    pub calls: Vec<(Instant, Call)>,
+    /// Whether calls fail.
+    pub is_down: bool,
+    /// The oldest change that is still known.
+    pub oldest: u64,
+    entries: BTreeMap<String, (u64, Vec<u8>)>,
+    changes: Vec<(u64, String)>,
+    revision: u64,
+    open: Option<(CallId, Call, Instant)>,
+}
+
+impl World {
+    /// A store with a configuration and two targets, before the first call.
+    pub fn new() -> World {
+        let mut world = World::empty();
+        world.put("config", "3");
+        world.put("target/desk-1", "desk");
+        world.put("target/desk-2", "desk");
+        world
+    }
+
+    /// A store without entries.
+    pub fn empty() -> World {
+        World {
+            now: Instant(1_000_000),
+            feed: Feed::new(LIMITS, Box::new(Text), 4, 3),
+            view: Arc::default(),
+            lines: Vec::new(),
+            calls: Vec::new(),
+            is_down: false,
+            oldest: 0,
+            entries: BTreeMap::new(),
+            changes: Vec::new(),
+            revision: 10,
+            open: None,
+        }
+    }
+
+    pub fn put(&mut self, key: &str, value: &str) {
+        self.revision += 1;
+        self.entries.insert(key.to_owned(), (self.revision, value.as_bytes().to_vec()));
+        self.changes.push((self.revision, key.to_owned()));
+    }
+
+    pub fn remove(&mut self, key: &str) {
+        self.revision += 1;
+        self.entries.remove(key);
+        self.changes.push((self.revision, key.to_owned()));
+    }
+
+    /// Forgets all changes so far, as a store does that discards its history.
+    pub fn compact(&mut self) {
+        self.oldest = self.revision;
+    }
+
+    /// Lets time pass in steps of a few milliseconds.
+    pub fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+            self.now = self.now + Duration::from_millis(5);
+        }
+    }
+
+    pub fn version(&self) -> Option<u64> {
+        self.view.config.as_ref().map(|config| config.version)
+    }
+
+    pub fn has(&self, id: &str) -> bool {
+        self.view.targets.contains_key(&bed::name(id))
+    }
+
+    pub fn logged(&self, event: Event) -> usize {
+        self.lines.iter().filter(|line| line.event == event).count()
+    }
+
+    fn step(&mut self) {
+        let replies: Vec<(CallId, Reply)> = self.answer().into_iter().collect();
+        let mut out = Outbox::default();
+        self.feed.step(self.now, replies, &mut out);
+        self.lines.extend(out.lines);
+        if let Some(view) = out.view {
+            self.view = view;
+        }
+        for (id, call) in out.calls {
+            self.calls.push((self.now, call.clone()));
+            assert!(self.open.is_none(), "two calls at a time");
+            self.open = Some((id, call, self.now));
+        }
+    }
+
+    fn answer(&mut self) -> Option<(CallId, Reply)> {
+        let (id, call, since) = self.open.clone()?;
+        let reply = if self.is_down {
+            Reply::Refused { detail: "down".to_owned() }
+        } else {
+            self.read(&call, since)?
+        };
+        self.open = None;
+        Some((id, reply))
+    }
+
+    fn read(&self, call: &Call, since: Instant) -> Option<Reply> {
+        let change = self.revision;
+        match call {
+            Call::Get { key } => Some(Reply::Value { entry: self.entry(key), change }),
+            Call::Scan { prefix } => {
+                let keys = self.entries.keys().filter(|key| key.starts_with(prefix));
+                let entries = keys.filter_map(|key| self.entry(key)).collect();
+                Some(Reply::Entries { entries, change })
+            }
+            Call::Watch { after, .. } if *after < self.oldest => Some(Reply::Outdated),
+            Call::Watch { after, wait, .. } => {
+                let is_over = self.now.since(since) >= *wait;
+                let later = self.changes.iter().filter(|(revision, _)| revision > after);
+                let keys: Vec<&String> = later.map(|(_, key)| key).collect();
+                if keys.is_empty() && !is_over {
+                    return None;
+                }
+                let entries = keys.iter().filter_map(|key| self.entry(key)).collect();
+                let removed =
+                    keys.into_iter().filter(|key| !self.entries.contains_key(*key)).cloned();
+                Some(Reply::Changed { entries, removed: removed.collect(), change })
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn entry(&self, key: &str) -> Option<Entry> {
+        let (revision, value) = self.entries.get(key)?;
+        Some(Entry { key: key.to_owned(), version: Version(*revision), value: value.clone() })
+    }
+}
--- /dev/null
+++ b/crates/core/tests/relay/targets.rs
@@ -0,0 +1,171 @@
+//! Which targets get new work, and on which connections.
+
+use std::sync::Arc;
+
+use laburnum_core::relay::{Attempt, Event};
+
+use crate::bed::{Bed, config, inquiry, ms, name, refusal, single, success, target, view};
+
+/// Sends `count` requests one after another and returns their targets.
+fn targets(bed: &mut Bed, count: usize) -> Vec<String> {
+    (0..count)
+        .map(|_| {
+            bed.ask(inquiry("/fetch/1"));
+            let sent = bed.take_one();
+            bed.now = bed.now + ms(5);
+            bed.reply(&sent, success("d", 1));
+            sent.target().to_owned()
+        })
+        .collect()
+}
+
+fn drain(bed: &mut Bed, id: &str) {
+    let mut view = (*bed.engine.tables().view).clone();
+    let mut entry = (*view.targets[&name(id)]).clone();
+    entry.draining = true;
+    view.targets.insert(name(id), Arc::new(entry));
+    bed.show(view);
+}
+
+cases! {
+    a_draining_target_gets_no_new_work => {
+        let mut bed = Bed::of(single("desk"));
+        drain(&mut bed, "desk-1");
+        assert!(targets(&mut bed, 20).iter().all(|id| id == "desk-2"));
+    };
+    a_draining_target_finishes_its_work => {
+        let mut bed = Bed::of(single("desk"));
+        let call = bed.ask(inquiry("/fetch/1"));
+        let sent = bed.take_one();
+        drain(&mut bed, sent.target());
+        bed.reply(&sent, success("d", 1));
+        assert!(bed.answers.contains_key(&call));
+        assert!(bed.closed.contains(&sent.connection));
+    };
+    a_target_that_is_gone_from_the_list_gets_no_new_work => {
+        let mut bed = Bed::of(single("desk"));
+        let mut view = (*bed.engine.tables().view).clone();
+        view.targets.remove(&name("desk-1"));
+        bed.show(view);
+        assert!(targets(&mut bed, 20).iter().all(|id| id == "desk-2"));
+    };
+    another_target_at_an_address_is_found_out_once => {
+        let mut bed = Bed::of(single("desk"));
+        bed.ask(inquiry("/fetch/1"));
+        let sent = bed.take_one();
+        bed.reply(&sent, refusal(421));
+        let again = bed.take_one();
+        bed.reply(&again, success("d", 1));
+        assert!(targets(&mut bed, 20).iter().all(|id| id == again.target()));
+    };
+    the_target_that_is_meant_is_named => {
+        let mut bed = Bed::of(single("desk"));
+        bed.ask(inquiry("/fetch/1"));
+        let sent = bed.take_one();
+        assert_eq!(sent.order.target, name(sent.target()));
+        assert!(sent.order.patience <= ms(600));
+    };
+    a_slow_target_gets_less_work => {
+        let mut bed = Bed::of(single("desk"));
+        let mut slow = 0;
+        for _ in 0..100 {
+            bed.ask(inquiry("/fetch/1"));
+            let sent = bed.take_one();
+            let is_slow = sent.target() == "desk-1";
+            slow += u32::from(is_slow);
+            bed.now = bed.now + if is_slow { ms(35) } else { ms(5) };
+            bed.reply(&sent, success("d", 1));
+            bed.pass(ms(50));
+            bed.sent.clear();
+        }
+        assert!(slow < 25, "{slow}");
+        assert!(slow > 0, "it is tried now and then");
+    };
+    a_failing_target_gets_less_work => {
+        let mut bed = Bed::of(single("desk"));
+        let mut failed = 0;
+        for turn in 0..200 {
+            bed.ask(inquiry("/fetch/1"));
+            while let Some(sent) = bed.take().pop() {
+                bed.now = bed.now + ms(5);
+                if sent.target() == "desk-1" && turn % 2 == 0 {
+                    failed += 1;
+                    bed.reply(&sent, crate::bed::failure(500));
+                } else {
+                    bed.reply(&sent, success("d", 1));
+                }
+            }
+        }
+        assert!(failed < 40, "{failed}");
+    };
+    a_target_that_lost_a_connection_is_left_alone_for_a_moment => {
+        let mut bed = Bed::of(single("desk"));
+        bed.ask(inquiry("/fetch/1"));
+        let lost = bed.take_one();
+        bed.lose(&lost, true);
+        let again = bed.take_one();
+        bed.reply(&again, success("d", 1));
+        assert!(targets(&mut bed, 20).iter().all(|id| id != lost.target()));
+        bed.warm();
+        bed.pass(ms(12_000));
+        let later = targets(&mut bed, 40);
+        assert!(later.iter().any(|id| id == lost.target()), "it is tried again");
+    };
+    a_near_target_is_taken_before_a_far_one => {
+        let mut bed = Bed::of(single("desk"));
+        let mut view = (*bed.engine.tables().view).clone();
+        let mut far = (*view.targets[&name("desk-1")]).clone();
+        far.domain = name("far");
+        view.targets.insert(name("desk-1"), Arc::new(far));
+        bed.show(view);
+        bed.teach("/fetch/1", 10, ms(5));
+        let near = targets(&mut bed, 100).iter().filter(|id| *id == "desk-2").count();
+        assert!(near > 60, "{near}");
+    };
+    a_target_that_started_anew_is_a_new_one => {
+        let mut bed = Bed::of(single("desk"));
+        let mut view = (*bed.engine.tables().view).clone();
+        let mut anew = (*view.targets[&name("desk-1")]).clone();
+        anew.born = 5;
+        view.targets.insert(name("desk-1"), Arc::new(anew));
+        bed.show(view);
+        assert_eq!(bed.closed.len(), 1, "the connection to the old start is closed");
+    };
+    connections_are_kept_within_the_share_of_a_vm => {
+        let mut view = view(config(1, vec![single("desk")], 20));
+        view.targets = [target("desk-1", "desk")].into();
+        view.vms = 10;
+        let mut bed = Bed::new(view);
+        for _ in 0..6 {
+            bed.ask(inquiry("/fetch/1"));
+        }
+        let sent = bed.take();
+        assert_eq!(sent.len(), 2, "two connections of twenty for each of ten VMs");
+        bed.reply(&sent[0], success("d", 1));
+        assert_eq!(bed.take().len(), 1, "the next one goes when a connection is free");
+    };
+    a_reply_that_no_attempt_waits_for_closes_its_connection => {
+        let mut bed = Bed::of(single("desk"));
+        let call = bed.ask(inquiry("/fetch/1"));
+        let sent = bed.take_one();
+        let reply = Box::new(success("x", 1));
+        let connection = sent.connection;
+        bed.step(vec![Event::Replied { connection, attempt: Attempt(9999), reply }]);
+        assert_eq!(bed.closed, [connection]);
+        assert!(!bed.answers.contains_key(&call));
+    };
+    a_connection_that_cannot_be_used_again_is_not => {
+        let mut bed = Bed::of(single("desk"));
+        bed.ask(inquiry("/fetch/1"));
+        let sent = bed.take_one();
+        let mut reply = success("d", 1);
+        reply.reusable = false;
+        bed.reply(&sent, reply);
+        for _ in 0..10 {
+            bed.ask(inquiry("/fetch/1"));
+            let next = bed.take_one();
+            assert_ne!(next.connection, sent.connection);
+            bed.reply(&next, success("d", 1));
+        }
+    };
+}
--- /dev/null
+++ b/crates/http/tests/channel.rs
@@ -0,0 +1,176 @@
+//! What a connection shows of a peer that breaks off, adds or mixes up bytes.
+
+#[macro_use]
+#[path = "../../../tests/common/case.rs"]
+mod case;
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, header};
+use http_body_util::Full;
+use laburnum_http::{Channel, Failure, Limits, Whole};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+const LIMITS: Limits =
+    Limits { connect: Duration::from_millis(500), silence: Duration::from_secs(1), body: 1000 };
+
+/// What the peer does with each request of its only connection.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    /// Sends these bytes.
+    Send(&'static str),
+    /// Sends these bytes and closes the connection.
+    Close(&'static str),
+    /// Sends these bytes and resets the connection.
+    Reset(&'static str),
+    /// Closes the connection before it reads a request.
+    Refuse,
+}
+
+async fn peer(acts: Vec<Act>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.unwrap();
+        for act in acts {
+            if !play(&mut socket, act).await {
+                return;
+            }
+        }
+        // It stays open until the test ends.
+        sleep(Duration::from_secs(60)).await;
+    });
+    address
+}
+
+/// Plays one act; it returns false when the connection is over.
+async fn play(socket: &mut TcpStream, act: Act) -> bool {
+    if matches!(act, Act::Refuse) {
+        return false;
+    }
+    read_head(socket).await;
+    let (Act::Send(text) | Act::Close(text) | Act::Reset(text)) = act else { return false };
+    socket.write_all(text.as_bytes()).await.unwrap();
+    if matches!(act, Act::Reset(_)) {
+        sleep(Duration::from_millis(20)).await;
+        socket2::SockRef::from(&*socket).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+    matches!(act, Act::Send(_))
+}
+
+async fn read_head(socket: &mut TcpStream) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(socket.read_u8().await.unwrap());
+    }
+}
+
+fn request() -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::default());
+    request.headers_mut().insert(header::HOST, HeaderValue::from_static("peer"));
+    request
+}
+
+async fn open(acts: Vec<Act>) -> Channel {
+    Channel::open(peer(acts).await, LIMITS).await.unwrap()
+}
+
+/// The outcome of the first request.
+async fn first(act: Act) -> Result<Whole, Failure> {
+    open(vec![act]).await.exchange(request()).await
+}
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+cases! {
+    async:
+    a_whole_response_leaves_the_connection_usable => {
+        let mut channel = open(vec![Act::Send(WHOLE), Act::Send(WHOLE)]).await;
+        for _ in 0..2 {
+            let whole = channel.exchange(request()).await.unwrap();
+            assert_eq!(&whole.response.body()[..], b"ok");
+            assert!(whole.reusable);
+        }
+    };
+    chunks_are_joined => {
+        let text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n";
+        assert_eq!(&first(Act::Send(text)).await.unwrap().response.body()[..], b"ok");
+    };
+    a_cut_body_is_no_response => {
+        let cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
+        let failure = first(Act::Close(cut)).await.unwrap_err();
+        assert!(failure.sent, "{failure}");
+    };
+    a_cut_chunk_is_no_response => {
+        let cut = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok";
+        assert!(first(Act::Close(cut)).await.unwrap_err().sent);
+    };
+    missing_last_chunk_is_no_response => {
+        let cut = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n";
+        assert!(first(Act::Close(cut)).await.unwrap_err().sent);
+    };
+    a_cut_head_is_no_response => {
+        assert!(first(Act::Close("HTTP/1.1 200 OK\r\nConte")).await.unwrap_err().sent);
+    };
+    bytes_of_no_protocol_are_no_response => {
+        assert!(first(Act::Send("garbage garbage\r\n\r\n")).await.unwrap_err().sent);
+    };
+    a_body_without_length_ends_with_its_connection => {
+        let whole = first(Act::Close("HTTP/1.1 200 OK\r\n\r\nok")).await.unwrap();
+        assert_eq!(&whole.response.body()[..], b"ok");
+        assert!(!whole.reusable);
+    };
+    a_body_without_length_that_is_reset_is_no_response => {
+        let failure = first(Act::Reset("HTTP/1.1 200 OK\r\n\r\nok")).await.unwrap_err();
+        assert!(failure.sent, "{failure}");
+    };
+    a_reset_before_the_response_may_have_run => {
+        assert!(first(Act::Reset("")).await.unwrap_err().sent);
+    };
+    a_connection_that_is_to_close_is_not_used_again => {
+        let text = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+        assert!(!first(Act::Send(text)).await.unwrap().reusable);
+    };
+    too_long_a_body_is_no_response => {
+        let text = "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n";
+        let text: &'static str = Box::leak(format!("{text}{}", "x".repeat(2000)).into());
+        assert!(first(Act::Send(text)).await.unwrap_err().sent);
+    };
+    a_second_response_is_never_the_next_one => {
+        let doubled = Box::leak(format!("{WHOLE}{}", WHOLE.replace("ok", "no")).into());
+        let mut channel = open(vec![Act::Send(doubled), Act::Send(WHOLE)]).await;
+        assert_eq!(&channel.exchange(request()).await.unwrap().response.body()[..], b"ok");
+        let next = channel.exchange(request()).await;
+        assert!(next.is_err(), "{next:?}");
+    };
+    a_second_response_ends_an_idle_connection => {
+        let doubled = Box::leak(format!("{WHOLE}{WHOLE}").into());
+        let mut channel = open(vec![Act::Send(doubled)]).await;
+        channel.exchange(request()).await.unwrap();
+        let end = tokio::time::timeout(Duration::from_secs(1), channel.end()).await;
+        assert!(end.is_ok());
+    };
+    an_idle_connection_tells_that_its_peer_closed_it => {
+        let mut channel = open(vec![Act::Close(WHOLE)]).await;
+        channel.exchange(request()).await.unwrap();
+        assert!(tokio::time::timeout(Duration::from_secs(1), channel.end()).await.is_ok());
+        assert!(!channel.exchange(request()).await.unwrap_err().sent);
+    };
+    a_peer_that_closes_at_once_got_nothing => {
+        let mut channel = open(vec![Act::Refuse]).await;
+        sleep(Duration::from_millis(50)).await;
+        assert!(!channel.exchange(request()).await.unwrap_err().sent);
+    };
+    a_port_without_a_listener_got_nothing => {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let failure = Channel::open(address, LIMITS).await.err().unwrap();
+        assert!(!failure.sent);
+    };
+}
