Hand requests of small VMs to larger ones, and share budgets by the number of VMs

Cause: on the grown site 90 legs cost a VM with 0.084 of a core more than its goal, each VM sees too little to hedge well, every VM paid for a watch, and the slack of the retry budget was shared by a fixed number of VMs.

Change: a VM reads the list of VMs first, for a tenth of a call; if one has three times its processor time it hands requests on over h2 (the product's frames) and reads nothing else. Otherwise it enters itself and reads everything at once; the number of entries shares slack and connections, and the slack comes back over one window after a start. Larger VMs enter themselves first.

Ruled out: a lease for the entry, which may lapse in an outage and would then let every VM take too much; gossip, which costs a small VM more than two cheap reads.

--- a/crates/core/src/count.rs
+++ b/crates/core/src/count.rs
@@ -140,6 +140,8 @@
         Hedges "hedges";
         /// Extra attempts that the budget did not allow.
         BudgetSpent "extra_attempts_denied";
+        /// Requests that were handed to a larger VM.
+        Handed "requests_handed";
         /// Queries that started over on another version.
         Restarts "query_restarts";
         /// Attempts that were withdrawn at the target.
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -123,6 +123,10 @@
     RevisionPublished 502 Info "revision of the profiles was published";
     /// A publication lost the race.
     RevisionLost 503 Info "publication lost the race";
+    /// The connection to a VM that requests are handed to is lost.
+    HopLost 406 Warning "VM that requests are handed to is lost";
+    /// How this VM serves requests.
+    PartTaken 407 Info "part of this VM is decided";
     /// A version of the routes is in force on this VM.
     RoutesApplied 504 Info "version of the routes is in force";
     /// A version of the routes cannot be read.
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -41,6 +41,11 @@
         self.tables.timers.first()
     }
 
+    /// Whether no larger VM is in reach, so that this one must know the routes.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        system::hop::is_alone(&self.tables, now)
+    }
+
     /// The tables, for gauges and tests.
     pub fn tables(&self) -> &Tables {
         &self.tables
--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -6,13 +6,17 @@
 //! stays in use while the store is away. See `docs/design/platform.md`.
 
 pub mod table;
+mod part;
 pub mod system;
 
 use std::{sync::Arc, time::Duration};
 
 use rand::{SeedableRng, rngs::StdRng};
 
-use self::{system::Context, table::Tables};
+use self::{
+    system::Context,
+    table::{Own, Part, Tables},
+};
 use super::{View, route::Config, view};
 use crate::{
     log::Line,
@@ -25,12 +29,16 @@
 pub trait Format: Send {
     /// What the entry under a key is about.
     fn subject(&self, key: &str) -> Subject;
-    /// The key of the configuration.
-    fn config_key(&self) -> &str;
-    /// The beginning of the keys of targets.
-    fn target_prefix(&self) -> &str;
-    /// The beginning of every key that is watched.
+    /// The beginning of every key that is read and watched.
     fn watch_prefix(&self) -> &str;
+    /// The beginning of the keys of VMs.
+    fn vm_prefix(&self) -> &str;
+    /// The key of a VM.
+    fn vm_key(&self, name: &Name) -> String;
+    /// Reads the entry of a VM.
+    fn vm(&self, entry: &Entry) -> Result<view::Vm, String>;
+    /// Writes the entry of a VM.
+    fn write_vm(&self, vm: &view::Vm) -> Vec<u8>;
     /// Reads a configuration.
     fn config(&self, entry: &Entry) -> Result<Config, String>;
     /// Reads the registration of a target.
@@ -44,6 +52,8 @@
     Config,
     /// A target.
     Target(Name),
+    /// A VM.
+    Vm(Name),
     /// Something else.
     Other,
 }
@@ -59,6 +69,9 @@
     pub pause: Duration,
     /// The longest pause after failed calls.
     pub longest_pause: Duration,
+    /// The time in which VMs enter themselves at a first start, the larger ones
+    /// first.
+    pub entry: Duration,
     /// The time for which entries that lapsed while the store was away may
     /// still come back.
     pub lapse: Duration,
@@ -84,13 +97,20 @@
 }
 
 impl Feed {
-    /// Makes a feed that knows nothing yet.
-    pub fn new(limits: Limits, format: Box<dyn Format>, vms: u32, seed: u64) -> Feed {
-        let mut tables = Tables::default();
-        tables.view.vms = vms;
+    /// Makes a feed that knows nothing yet but its own VM. `least` VMs are
+    /// counted on while none is known.
+    pub fn new(limits: Limits, format: Box<dyn Format>, own: Own, least: u32, seed: u64) -> Feed {
+        let mut tables = Tables::new(own);
+        tables.view.least_vms = least;
         Feed { tables, limits, format, random: StdRng::seed_from_u64(seed) }
     }
 
+    /// Notes whether no larger VM is in reach. From then on this one reads the
+    /// routes itself.
+    pub fn set_alone(&mut self, is_alone: bool) {
+        self.tables.is_alone |= is_alone;
+    }
+
     /// Takes replies of the store and runs every system once.
     pub fn step(&mut self, now: Instant, replies: Vec<(CallId, Reply)>, out: &mut Outbox) {
         let mut cx = Context {
@@ -110,6 +130,7 @@
 
     /// Whether requests can be served by what is known.
     pub fn is_ready(&self) -> bool {
-        self.tables.view.config.is_some() && self.tables.change.is_some()
+        let is_fed = self.tables.view.config.is_some() && self.tables.change.is_some();
+        is_fed || (self.tables.part == Part::Handing && !self.tables.is_alone)
     }
 }
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -5,8 +5,8 @@
 use rand::{RngExt, rngs::StdRng};
 
 use super::{
-    Format, Limits, Outbox, Subject,
-    table::{Purpose, Store, Tables},
+    Format, Limits, Outbox, Subject, part,
+    table::{Part, Purpose, Store, Tables},
 };
 use crate::{
     log::{Event, Line},
@@ -31,6 +31,7 @@
 
 /// Runs every system once.
 pub fn run(tables: &mut Tables, replies: Vec<(CallId, Reply)>, cx: &mut Context<'_>) {
+    tables.started.get_or_insert(cx.now);
     for (id, reply) in replies {
         collect(tables, id, reply, cx);
     }
@@ -43,21 +44,32 @@
 fn collect(tables: &mut Tables, id: CallId, reply: Reply, cx: &mut Context<'_>) {
     let Some((_, purpose)) = tables.call.take_if(|(open, _)| *open == id) else { return };
     match (purpose, reply) {
-        (Purpose::Config, Reply::Value { entry, change }) => {
+        (Purpose::Vms, Reply::Entries { entries, .. }) => {
             answered(tables, cx);
-            if let Some(entry) = entry {
-                apply_config(tables, &entry, cx);
-            }
-            tables.reading = Some(change);
-            tables.next = Some(Purpose::Targets);
+            replace_vms(tables, &entries, cx);
+            part::decide(tables, cx);
+        }
+        (Purpose::All, Reply::Entries { entries, change }) => {
+            answered(tables, cx);
+            replace_all(tables, &entries, cx);
+            tables.change = Some(change);
+            tables.next = Some(part::after_reading(tables));
         }
-        (Purpose::Targets, Reply::Entries { entries, change }) => {
+        (Purpose::Entry, Reply::Swapped { version }) => {
             answered(tables, cx);
-            replace_targets(tables, &entries, cx);
-            let read = tables.reading.take().unwrap_or(change);
-            tables.change = Some(read.min(change));
+            tables.entered = Some(version);
             tables.next = Some(Purpose::Watch);
         }
+        (Purpose::Entry, Reply::Conflict { current }) => {
+            // An answer that was lost, or an entry of an earlier start.
+            answered(tables, cx);
+            tables.entered = current.map(|entry| entry.version);
+            tables.next = Some(Purpose::Watch);
+        }
+        (Purpose::Entry, Reply::Refused { detail } | Reply::Lost { detail }) => {
+            // The others count one VM less until the next start.
+            failed(tables, Purpose::Watch, &detail, cx);
+        }
         (Purpose::Watch, Reply::Changed { entries, removed, change }) => {
             answered(tables, cx);
             for entry in &entries {
@@ -74,7 +86,8 @@
         }
         (Purpose::Watch, Reply::Outdated) => {
             answered(tables, cx);
-            tables.next = Some(Purpose::Config);
+            tables.next = Some(Purpose::All);
+            tables.not_before = cx.now + cx.limits.gather;
         }
         (_, Reply::Refused { detail } | Reply::Lost { detail }) => {
             failed(tables, purpose, &detail, cx);
@@ -119,6 +132,7 @@
     match cx.format.subject(&entry.key) {
         Subject::Config => apply_config(tables, entry, cx),
         Subject::Target(id) => apply_target(tables, &id, entry, cx),
+        Subject::Vm(name) => apply_vm(tables, name, entry, cx),
         Subject::Other => {}
     }
 }
@@ -172,12 +186,40 @@
     tables.is_changed = true;
 }
 
-/// Takes the whole list of targets.
-fn replace_targets(tables: &mut Tables, entries: &[Entry], cx: &mut Context<'_>) {
+/// Takes the entry of a VM.
+fn apply_vm(tables: &mut Tables, name: Name, entry: &Entry, cx: &mut Context<'_>) {
+    let vm = match cx.format.vm(entry) {
+        Ok(vm) => vm,
+        Err(detail) => {
+            let fields = vec![("key", entry.key.clone()), ("detail", detail)];
+            cx.out.lines.push(Line::new(Event::TargetUnreadable, fields));
+            return;
+        }
+    };
+    if name == tables.own.name && vm == tables.own.vm {
+        tables.entered = Some(entry.version);
+    }
+    if tables.view.vms.get(&name) != Some(&vm) {
+        tables.view.vms.insert(name, vm);
+        tables.is_changed = true;
+    }
+}
+
+/// Takes the whole list of VMs.
+fn replace_vms(tables: &mut Tables, entries: &[Entry], cx: &mut Context<'_>) {
+    for entry in entries {
+        if let Subject::Vm(name) = cx.format.subject(&entry.key) {
+            apply_vm(tables, name, entry, cx);
+        }
+    }
+}
+
+/// Takes everything that there is.
+fn replace_all(tables: &mut Tables, entries: &[Entry], cx: &mut Context<'_>) {
     let mut listed = BTreeSet::new();
     for entry in entries {
+        apply(tables, entry, cx);
         if let Subject::Target(id) = cx.format.subject(&entry.key) {
-            apply_target(tables, &id, entry, cx);
             listed.insert(id);
         }
     }
@@ -188,8 +230,12 @@
 }
 
 fn remove(tables: &mut Tables, key: &str, cx: &mut Context<'_>) {
-    if let Subject::Target(id) = cx.format.subject(key) {
-        miss(tables, id, cx);
+    match cx.format.subject(key) {
+        Subject::Target(id) => miss(tables, id, cx),
+        Subject::Vm(name) => {
+            tables.is_changed |= tables.view.vms.remove(&name).is_some();
+        }
+        Subject::Config | Subject::Other => {}
     }
 }
 
@@ -217,13 +263,20 @@
 
 /// Makes the next call, when it is due.
 fn call(tables: &mut Tables, cx: &mut Context<'_>) {
-    if tables.call.is_some() || tables.not_before > cx.now {
+    if tables.call.is_some() || tables.not_before > cx.now || tables.is_handing() {
         return;
     }
-    let purpose = tables.next.take().unwrap_or(Purpose::Config);
+    let first = if tables.part == Part::Open { Purpose::Vms } else { Purpose::All };
+    let purpose = tables.next.take().unwrap_or(first);
     let call = match purpose {
-        Purpose::Config => Call::Get { key: cx.format.config_key().to_owned() },
-        Purpose::Targets => Call::Scan { prefix: cx.format.target_prefix().to_owned() },
+        Purpose::Vms => Call::Peek { prefix: cx.format.vm_prefix().to_owned() },
+        Purpose::All => Call::Scan { prefix: cx.format.watch_prefix().to_owned() },
+        Purpose::Entry => Call::Swap {
+            key: cx.format.vm_key(&tables.own.name),
+            expect: tables.entered,
+            value: cx.format.write_vm(&tables.own.vm),
+            lease: None,
+        },
         Purpose::Watch => Call::Watch {
             prefix: cx.format.watch_prefix().to_owned(),
             after: tables.change.unwrap_or_default(),
@@ -238,6 +291,7 @@
 /// Tells the traffic threads what has changed.
 fn publish(tables: &mut Tables, cx: &mut Context<'_>) {
     if std::mem::replace(&mut tables.is_changed, false) {
+        tables.view.larger = part::larger(tables);
         cx.out.view = Some(Arc::new(tables.view.clone()));
     }
 }
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -2,19 +2,47 @@
 
 use std::collections::BTreeMap;
 
-use crate::{name::Name, relay::View, store::CallId, time::Instant};
+use crate::{
+    name::Name,
+    relay::{View, view::Vm},
+    store::{CallId, Version},
+    time::Instant,
+};
 
 /// What a call of the store is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
-    /// The configuration.
-    Config,
-    /// The list of targets.
-    Targets,
-    /// Changes of both.
+    /// The list of VMs.
+    Vms,
+    /// Everything.
+    All,
+    /// The entry of this VM.
+    Entry,
+    /// Changes of everything.
     Watch,
 }
 
+/// How this VM serves requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Part {
+    /// It is not known yet whether there are larger VMs.
+    #[default]
+    Open,
+    /// It hands requests to a larger VM.
+    Handing,
+    /// It forwards requests to targets itself.
+    Forwarding,
+}
+
+/// The VM of the feed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Own {
+    /// Its name.
+    pub name: Name,
+    /// Its entry.
+    pub vm: Vm,
+}
+
 /// Whether the store answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Store {
@@ -26,8 +54,18 @@
 }
 
 /// All rows of the feed.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Tables {
+    /// This VM.
+    pub own: Own,
+    /// How it serves requests.
+    pub part: Part,
+    /// Whether it hands requests on but reaches no larger VM.
+    pub is_alone: bool,
+    /// When the first step was.
+    pub started: Option<Instant>,
+    /// The version of the entry of this VM, if it has one.
+    pub entered: Option<Version>,
     /// What the traffic threads are told.
     pub view: View,
     /// Whether the view differs from the one that they were told last.
@@ -40,8 +78,6 @@
     pub not_before: Instant,
     /// The change number that the watch goes on from, once everything was read.
     pub change: Option<u64>,
-    /// The lowest change number of a reading that is under way.
-    pub reading: Option<u64>,
     /// Whether the store answers.
     pub store: Store,
     /// When entries that lapsed during an outage are gone for good.
@@ -52,6 +88,32 @@
 }
 
 impl Tables {
+    /// Empty tables of a VM.
+    pub fn new(own: Own) -> Tables {
+        Tables {
+            own,
+            part: Part::Open,
+            is_alone: false,
+            started: None,
+            entered: None,
+            view: View::default(),
+            is_changed: false,
+            call: None,
+            next: None,
+            not_before: Instant::default(),
+            change: None,
+            store: Store::Up,
+            lapse_until: Instant::default(),
+            missing: BTreeMap::new(),
+            last: 0,
+        }
+    }
+
+    /// Whether it needs nothing but the larger VMs.
+    pub fn is_handing(&self) -> bool {
+        self.part == Part::Handing && !self.is_alone
+    }
+
     /// The id of a new call.
     pub fn call_id(&mut self) -> CallId {
         self.last += 1;
@@ -60,7 +122,8 @@
 
     /// When the next row is due.
     pub fn wake(&self) -> Option<Instant> {
-        let call = self.call.is_none().then_some(self.not_before);
+        let is_calling = self.call.is_some() || self.is_handing();
+        let call = (!is_calling).then_some(self.not_before);
         let missing = self.missing.values().min().copied();
         match (call, missing) {
             (Some(call), Some(missing)) => Some(call.min(missing)),
--- /dev/null
+++ b/crates/core/src/relay/hop.rs
@@ -0,0 +1,25 @@
+//! What VMs tell each other about requests that one hands to another.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::message::{Answer, Call, Inquiry};
+
+/// A message between two VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Hop {
+    /// A request for the receiver to answer.
+    Ask {
+        /// The id at the sender.
+        call: Call,
+        /// The request.
+        inquiry: Box<Inquiry>,
+        /// Where the sender takes the answer.
+        reply_to: SocketAddr,
+    },
+    /// The answer to [`Hop::Ask`].
+    Answer { call: Call, answer: Answer },
+    /// The caller went away; no answer is waited for.
+    Withdraw { call: Call },
+}
--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -2,14 +2,16 @@
 
 use std::{sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use crate::fault::Fault;
 
 /// A caller's request that waits for its answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Call(pub u64);
 
 /// A header that is passed on.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Header {
     /// The name in lower case.
     pub name: Arc<str>,
@@ -18,7 +20,7 @@
 }
 
 /// What is passed on to a target unchanged.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
     /// The method.
     pub method: Arc<str>,
@@ -31,7 +33,7 @@
 }
 
 /// A request of a caller.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Inquiry {
     /// The caller's id of this try; targets echo it.
     pub id: Arc<str>,
@@ -41,6 +43,8 @@
     pub path: Arc<str>,
     /// The time that the caller waits, where it says so.
     pub patience: Option<Duration>,
+    /// The time that the way through another VM takes from the goal.
+    pub detour: Duration,
     /// What is passed on.
     pub message: Message,
 }
@@ -56,7 +60,7 @@
 }
 
 /// How busy a target says it is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// The requests that run.
     pub running: u32,
@@ -67,7 +71,7 @@
 }
 
 /// A whole reply of a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
     /// The status code.
     pub status: u16,
@@ -95,7 +99,7 @@
 }
 
 /// What a caller is answered.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// The reply of one target, unchanged.
     Forwarded(Box<Reply>),
@@ -106,7 +110,7 @@
 }
 
 /// The merged parts of several shards of one version of the configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gathered {
     /// The digest of each part that is in.
     pub digests: Vec<Arc<str>>,
@@ -117,7 +121,7 @@
 }
 
 /// A refusal with the time after which another try makes sense.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
     /// What went wrong.
     pub fault: Fault,
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! client of the targets carries out each [`Command`] and reports an [`Event`].
 //! See `docs/design/platform.md`.
 
+pub mod hop;
 pub mod message;
 pub mod route;
 pub mod view;
@@ -22,6 +23,7 @@
 
 pub use self::{
     engine::Engine,
+    hop::Hop,
     limits::Limits,
     message::{Answer, Call, Inquiry, Message, Reply},
     route::{Config, Route},
@@ -50,6 +52,10 @@
     Replied { connection: Connection, attempt: Attempt, reply: Box<Reply> },
     /// A connection can be used no more.
     Closed { connection: Connection, loss: Loss },
+    /// Another VM says something.
+    Hop { from: Name, hop: Hop },
+    /// What was sent to another VM may be lost.
+    HopLost { to: Name, detail: String },
     /// The control thread has a newer view.
     View(Arc<View>),
 }
@@ -74,6 +80,8 @@
     Send { connection: Connection, attempt: Attempt, order: Order },
     /// Closes a connection, whatever it carries.
     Close { connection: Connection },
+    /// Tells another VM something.
+    Hop { to: Name, address: SocketAddr, hop: Hop },
 }
 
 /// A request for one target.
--- a/crates/core/src/relay/system/connect.rs
+++ b/crates/core/src/relay/system/connect.rs
@@ -19,7 +19,7 @@
     let config = tables.view.config.as_ref();
     let known = config.and_then(|config| config.services.get(service));
     let taken = known.map_or(0, |service| service.connections);
-    (taken / tables.view.vms.max(1)).clamp(1, MOST) as usize
+    (taken / tables.view.sharers()).clamp(1, MOST) as usize
 }
 
 /// Whether a target can be handed a request now.
--- a/crates/core/src/relay/system/expire.rs
+++ b/crates/core/src/relay/system/expire.rs
@@ -1,6 +1,6 @@
 //! Runs what is due.
 
-use super::{Context, connect, dispatch};
+use super::{Context, connect, dispatch, hop};
 use crate::{
     name::Name,
     relay::{self, Tables, table::timer::Timer},
@@ -13,6 +13,7 @@
             Timer::Goal(call) | Timer::Deadline(call) => {
                 tables.changed.insert(call);
             }
+            Timer::Handed(call) => hop::expire(tables, call, cx),
             Timer::Hedge(key) => dispatch::hedge(tables, key, cx),
             Timer::Orphan(attempt) => drop_attempt(tables, attempt, cx),
             Timer::Pause(target) | Timer::Warm(target) => warm(tables, &target, cx),
--- /dev/null
+++ b/crates/core/src/relay/system/hop.rs
@@ -0,0 +1,190 @@
+//! Hands requests to larger VMs, and answers for smaller ones.
+//!
+//! A search over many shards costs more processor time than a small VM has
+//! within its goal, and a VM that sees few requests learns too little of the
+//! targets to choose and hedge well. So a VM hands its requests to one with
+//! several times its processor time, if there is any, and answers itself only
+//! while it reaches none.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use super::{Context, intake, leg};
+use crate::{
+    count::Count,
+    fault::{Fault, Kind},
+    log::{Event, Line},
+    name::Name,
+    rank,
+    relay::{
+        Command, Hop, Tables,
+        message::{Answer, Call, Inquiry, Refusal},
+        table::{
+            hop::{Handed, Taken},
+            timer::Timer,
+        },
+        view::Vm,
+    },
+    time::Instant,
+};
+
+/// The part of the goal that the way to the other VM and back takes, most of it
+/// on the small one.
+const DETOUR: Duration = Duration::from_millis(12);
+
+/// The time that a request without a stated wait is given.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// What the last answer needs on its way to the caller.
+const MARGIN: Duration = Duration::from_millis(20);
+
+/// The pause after a loss.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// The time without an answer or any other word after which requests go to
+/// another VM.
+const SILENCE: Duration = Duration::from_millis(400);
+
+/// Marks the ids of requests that other VMs handed to this one.
+const TAKEN: u64 = 1 << 63;
+
+/// The larger VM that gets the next request, if one is in reach.
+pub fn pick(tables: &Tables, cx: &Context<'_>) -> Option<(Name, SocketAddr)> {
+    let reachable = tables.view.larger.iter().filter(|(name, _)| is_heard(tables, name, cx.now));
+    let rank = |(name, vm): &(&Name, &Vm)| {
+        let is_near = vm.domain == cx.limits.domain;
+        (is_near, rank::weight(rank::seed(&[cx.limits.vm.as_str()]), name))
+    };
+    let (name, vm) = reachable.max_by_key(rank)?;
+    Some((name.clone(), vm.address))
+}
+
+fn is_heard(tables: &Tables, name: &Name, now: Instant) -> bool {
+    let Some(link) = tables.links.get(name) else { return true };
+    let waits_since = link.open.first().map_or(now, |(since, _)| (*since).max(link.heard));
+    link.pause_until <= now && now.since(waits_since) < SILENCE
+}
+
+/// Whether no larger VM is in reach, so that this one must know the routes.
+pub fn is_alone(tables: &Tables, now: Instant) -> bool {
+    let larger = &tables.view.larger;
+    !larger.is_empty() && !larger.keys().any(|name| is_heard(tables, name, now))
+}
+
+/// Hands a request to another VM.
+pub fn hand(
+    tables: &mut Tables,
+    call: Call,
+    inquiry: Inquiry,
+    (to, address): (Name, SocketAddr),
+    cx: &mut Context<'_>,
+) {
+    let wait = inquiry.patience.unwrap_or(PATIENCE);
+    let deadline = cx.now + wait.saturating_sub(MARGIN);
+    let mut asked = inquiry.clone();
+    asked.detour = DETOUR;
+    let reply_to = cx.limits.address;
+    let hop = Hop::Ask { call, inquiry: Box::new(asked), reply_to };
+    let row = Handed { to: to.clone(), inquiry: Arc::new(inquiry), arrived: cx.now, deadline };
+    tables.handed.insert(call, row);
+    tables.timers.set(deadline, Timer::Handed(call));
+    tables.links.entry(to.clone()).or_default().open.insert((cx.now, call));
+    cx.out.counts.add(Count::Handed);
+    cx.out.commands.push(Command::Hop { to, address, hop });
+}
+
+/// Takes what another VM says.
+pub fn take(tables: &mut Tables, from: Name, hop: Hop, cx: &mut Context<'_>) {
+    if let Some(link) = tables.links.get_mut(&from) {
+        link.heard = cx.now;
+        link.pause_until = Instant::default();
+    }
+    match hop {
+        Hop::Ask { call, inquiry, reply_to } => {
+            let own = Call(TAKEN | tables.next());
+            tables.taken.insert(own, Taken { from, reply_to, call });
+            intake::run(tables, vec![(own, *inquiry)], cx);
+        }
+        Hop::Answer { call, answer } => {
+            if forget(tables, call) {
+                cx.out.answers.push((call, answer));
+            }
+        }
+        Hop::Withdraw { call } => {
+            let is_it = |(_, taken): &(&Call, &Taken)| taken.from == from && taken.call == call;
+            let own = tables.taken.iter().find(is_it).map(|(own, _)| *own);
+            if let Some(own) = own {
+                tables.taken.remove(&own);
+                intake::abandon(tables, own, cx);
+            }
+        }
+    }
+}
+
+/// Forgets a request that was handed to another VM.
+fn forget(tables: &mut Tables, call: Call) -> bool {
+    let Some(row) = tables.handed.remove(&call) else { return false };
+    tables.timers.cancel(row.deadline, Timer::Handed(call));
+    if let Some(link) = tables.links.get_mut(&row.to) {
+        link.open.remove(&(row.arrived, call));
+    }
+    true
+}
+
+/// Takes a request back whose caller went away.
+pub fn withdraw(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
+    let Some(to) = tables.handed.get(&call).map(|row| row.to.clone()) else { return };
+    forget(tables, call);
+    if let Some(address) = tables.view.larger.get(&to).map(|vm| vm.address) {
+        cx.out.commands.push(Command::Hop { to, address, hop: Hop::Withdraw { call } });
+    }
+}
+
+/// Ends a request that was not answered in time.
+pub fn expire(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
+    refuse(tables, call, Kind::DeadlinePassed, "no answer in time", cx);
+}
+
+/// Ends the requests of a VM whose connection is lost.
+pub fn lost(tables: &mut Tables, to: &Name, detail: &str, cx: &mut Context<'_>) {
+    let Some(link) = tables.links.get_mut(to) else { return };
+    link.pause_until = cx.now + PAUSE;
+    let open: Vec<Call> = link.open.iter().map(|(_, call)| *call).collect();
+    let fields = vec![("peer", to.to_string()), ("detail", detail.to_owned())];
+    cx.out.lines.push(Line::new(Event::HopLost, fields));
+    for call in open {
+        refuse(tables, call, Kind::TargetFailed, "the VM that had it is lost", cx);
+    }
+}
+
+fn refuse(tables: &mut Tables, call: Call, kind: Kind, detail: &str, cx: &mut Context<'_>) {
+    let Some(row) = tables.handed.get(&call).cloned() else { return };
+    forget(tables, call);
+    cx.out.counts.add(Count::Refused(kind));
+    let fields = vec![
+        ("id", row.inquiry.id.to_string()),
+        ("kind", kind.to_string()),
+        ("peer", row.to.to_string()),
+        ("age_ms", leg::age(row.arrived, cx.now)),
+        ("detail", detail.to_owned()),
+    ];
+    cx.out.lines.push(Line::new(Event::Refused, fields));
+    let fault = Fault::unknown(kind, detail);
+    cx.out.answers.push((call, Answer::Refused(Refusal { fault, retry: None })));
+}
+
+/// Sends the answers for other VMs on their way.
+pub fn deliver(tables: &mut Tables, cx: &mut Context<'_>) {
+    if tables.taken.is_empty() {
+        return;
+    }
+    let answers = std::mem::take(&mut cx.out.answers);
+    for (call, answer) in answers {
+        match tables.taken.remove(&call) {
+            Some(Taken { from, reply_to, call }) => {
+                let hop = Hop::Answer { call, answer };
+                cx.out.commands.push(Command::Hop { to: from, address: reply_to, hop });
+            }
+            None => cx.out.answers.push((call, answer)),
+        }
+    }
+}
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::{Context, leg};
+use super::{Context, hop, leg};
 use crate::{
     count::Count,
     fault::{Fault, Kind},
@@ -36,6 +36,10 @@
 pub fn run(tables: &mut Tables, arrivals: Vec<(Call, Inquiry)>, cx: &mut Context<'_>) {
     for (call, inquiry) in arrivals {
         cx.out.counts.add(Count::Requests);
+        if let Some(larger) = hop::pick(tables, cx) {
+            hop::hand(tables, call, inquiry, larger, cx);
+            continue;
+        }
         let Some(config) = tables.view.config.clone() else {
             let fault = Fault::not_run(Kind::NotReady, "this VM knows no configuration yet");
             refuse(call, &inquiry, fault, Some(NOT_READY), cx);
@@ -89,7 +93,7 @@
     route: &Arc<Route>,
     cx: &mut Context<'_>,
 ) {
-    let spent = spent(tables, route, inquiry.patience);
+    let spent = spent(tables, route, inquiry.patience) + inquiry.detour;
     let wait = inquiry.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     let goal = cx.now + route.goal.saturating_sub(spent + GOAL_MARGIN);
     let deadline = cx.now + wait.saturating_sub(DEADLINE_MARGIN);
--- a/crates/core/src/relay/system/leg.rs
+++ b/crates/core/src/relay/system/leg.rs
@@ -38,7 +38,10 @@
 /// The bound on attempts beyond the first at this VM.
 pub fn bound(tables: &Tables, cx: &Context<'_>) -> Bound {
     let limits = cx.limits;
-    let slack = limits.retry_slack / f64::from(tables.view.vms.max(1));
+    // A VM that just started does not know what it spent before: its share comes
+    // back as the window fills.
+    let up = cx.now.since(tables.started).as_secs_f64() / limits.retry_window.as_secs_f64();
+    let slack = limits.retry_slack / f64::from(tables.view.sharers()) * up.min(1.0);
     Bound { window: limits.retry_window, ratio: limits.retry_ratio, slack }
 }
 
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -3,6 +3,7 @@
 pub mod refresh;
 pub mod collect;
 pub mod expire;
+pub mod hop;
 pub mod intake;
 pub mod dispatch;
 pub mod answer;
@@ -31,12 +32,20 @@
 
 /// Runs every system once.
 pub fn run(tables: &mut Tables, events: Vec<Event>, cx: &mut Context<'_>) {
+    if tables.started == Instant::default() {
+        tables.started = cx.now;
+    }
     let mut arrivals = Vec::new();
     for event in events {
         match event {
             Event::View(view) => refresh::run(tables, view, cx),
             Event::Arrived { call, inquiry } => arrivals.push((call, inquiry)),
-            Event::Abandoned { call } => intake::abandon(tables, call, cx),
+            Event::Abandoned { call } => {
+                hop::withdraw(tables, call, cx);
+                intake::abandon(tables, call, cx);
+            }
+            Event::Hop { from, hop } => hop::take(tables, from, hop, cx),
+            Event::HopLost { to, detail } => hop::lost(tables, &to, &detail, cx),
             Event::Opened { connection } => collect::opened(tables, connection, cx),
             Event::Replied { connection, attempt, reply } => {
                 collect::replied(tables, connection, attempt, *reply, cx);
@@ -48,4 +57,5 @@
     intake::run(tables, arrivals, cx);
     dispatch::run(tables, cx);
     answer::run(tables, cx);
+    hop::deliver(tables, cx);
 }
--- /dev/null
+++ b/crates/core/src/relay/table/hop.rs
@@ -0,0 +1,44 @@
+//! Requests on their way between VMs.
+
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+
+use crate::{
+    name::Name,
+    relay::message::{Call, Inquiry},
+    time::Instant,
+};
+
+/// A request that was handed to another VM.
+#[derive(Clone, Debug)]
+pub struct Handed {
+    /// The VM.
+    pub to: Name,
+    /// The request.
+    pub inquiry: Arc<Inquiry>,
+    /// When it came.
+    pub arrived: Instant,
+    /// When it ends.
+    pub deadline: Instant,
+}
+
+/// A request that another VM handed to this one.
+#[derive(Clone, Debug)]
+pub struct Taken {
+    /// The VM.
+    pub from: Name,
+    /// Where that VM takes the answer.
+    pub reply_to: SocketAddr,
+    /// The id of the request there.
+    pub call: Call,
+}
+
+/// A VM that requests are handed to.
+#[derive(Clone, Debug, Default)]
+pub struct Link {
+    /// The requests that it has not answered, with the time of each.
+    pub open: BTreeSet<(Instant, Call)>,
+    /// When it may be asked again after a loss.
+    pub pause_until: Instant,
+    /// When it last said something.
+    pub heard: Instant,
+}
--- a/crates/core/src/relay/table/mod.rs
+++ b/crates/core/src/relay/table/mod.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 pub mod budget;
 pub mod connection;
+pub mod hop;
 pub mod leg;
 pub mod pace;
 pub mod request;
@@ -20,7 +21,7 @@
     request::Request, target::Target, timer::Timer, turn::Turn,
 };
 use super::{message::Call, view::View};
-use crate::{name::Name, timer::Timers};
+use crate::{name::Name, time::Instant, timer::Timers};
 
 /// All rows of a thread.
 #[derive(Debug, Default)]
@@ -47,6 +48,14 @@
     pub paces: BTreeMap<Name, Pace>,
     /// Whose turn it is in each route with several services.
     pub turns: BTreeMap<Name, Turn>,
+    /// The requests that were handed to another VM.
+    pub handed: BTreeMap<Call, hop::Handed>,
+    /// The requests that other VMs handed to this one.
+    pub taken: BTreeMap<Call, hop::Taken>,
+    /// The VMs that requests are handed to.
+    pub links: BTreeMap<Name, hop::Link>,
+    /// When the first step was.
+    pub started: Instant,
     /// The points in time at which a row is due.
     pub timers: Timers<Timer>,
     /// The requests that a leg of has changed in this step.
--- a/crates/core/src/relay/table/timer.rs
+++ b/crates/core/src/relay/table/timer.rs
@@ -10,6 +10,8 @@
     Goal(Call),
     /// The end of a request.
     Deadline(Call),
+    /// The end of a request that was handed to another VM.
+    Handed(Call),
     /// An attempt beside a slow one.
     Hedge(leg::Key),
     /// The end of an attempt that nobody waits for.
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use super::route::Config;
 use crate::name::Name;
 
@@ -12,8 +14,34 @@
     pub config: Option<Arc<Config>>,
     /// The targets that registered themselves.
     pub targets: BTreeMap<Name, Arc<Target>>,
-    /// The VMs that share connections and retry budgets.
-    pub vms: u32,
+    /// The VMs that share the connections of targets and the retry budgets.
+    pub vms: BTreeMap<Name, Vm>,
+    /// The VMs to count on while none is known.
+    pub least_vms: u32,
+    /// The VMs with so much more processor time that requests are handed to them.
+    pub larger: BTreeMap<Name, Vm>,
+}
+
+impl View {
+    /// The number of VMs that share connections and retry budgets.
+    pub fn sharers(&self) -> u32 {
+        match u32::try_from(self.vms.len()) {
+            Ok(0) => self.least_vms.max(1),
+            Ok(count) => count,
+            Err(_) => u32::MAX,
+        }
+    }
+}
+
+/// A VM that forwards requests to targets itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where it takes requests of other VMs.
+    pub address: SocketAddr,
+    /// Its processor time in thousandths of a core.
+    pub share: u32,
 }
 
 /// A target as it registered itself.
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -41,6 +41,8 @@
     Get { key: String },
     /// Reads the keys that start with `prefix`, in ascending order.
     Scan { prefix: String },
+    /// Like [`Call::Scan`], for a tenth of its price; the reply may be seconds old.
+    Peek { prefix: String },
     /// Writes `value` if the key has the version `expect`, where `None` means
     /// that the key does not exist. A key under a lease goes with it.
     Swap { key: String, expect: Option<Version>, value: Vec<u8>, lease: Option<LeaseId> },
--- a/crates/core/tests/relay/hedges.rs
+++ b/crates/core/tests/relay/hedges.rs
@@ -54,6 +54,7 @@
         let mut bed = Bed::with_slack(1.0);
         bed.show(view(config(1, vec![single("desk")], 100)));
         bed.warm();
+        bed.pass(ms(10_000));
         for _ in 0..40 {
             bed.ask(inquiry("/fetch/1"));
             bed.pass(ms(60));
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod feed;
 mod gather;
 mod hedges;
+mod hops;
 mod merge;
 mod once;
 mod routes;
--- a/src/metric/call.rs
+++ b/src/metric/call.rs
@@ -35,6 +35,7 @@
 calls! {
     Get "get";
     Scan "scan";
+    Peek "peek";
     Swap "swap";
     Remove "remove";
     Grant "grant";
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -149,7 +149,9 @@
         let read = Form { writes: false, wait: Duration::ZERO, max_answer: MAX_ANSWER };
         match call {
             Call::Get { .. } => read,
-            Call::Scan { .. } | Call::List => Form { max_answer: MAX_LONG_ANSWER, ..read },
+            Call::Scan { .. } | Call::Peek { .. } | Call::List => {
+                Form { max_answer: MAX_LONG_ANSWER, ..read }
+            }
             Call::Watch { wait, .. } => Form { wait: *wait, max_answer: MAX_LONG_ANSWER, ..read },
             Call::Swap { .. } | Call::Remove { .. } | Call::Grant { .. } | Call::Keep { .. } => {
                 Form { writes: true, ..read }
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -109,7 +109,8 @@
     fn from(call: store::Call) -> Call {
         match call {
             store::Call::Get { key } => Call::Get { key },
-            store::Call::Scan { prefix } => Call::Scan { prefix },
+            // The service has no cheaper reading.
+            store::Call::Scan { prefix } | store::Call::Peek { prefix } => Call::Scan { prefix },
             store::Call::Swap { key, expect, value, lease } => {
                 Call::Swap { key, expect, value, lease }
             }
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -7,7 +7,8 @@
     log::Event,
     relay::{
         View,
-        feed::{Feed, Limits, Outbox},
+        feed::{Feed, Limits, Outbox, table::Own},
+        view::Vm,
     },
 };
 use laburnum_platform::{format::Format, store::Client};
@@ -32,6 +33,7 @@
     gather: Duration::from_millis(500),
     pause: Duration::from_millis(150),
     longest_pause: Duration::from_millis(1200),
+    entry: Duration::from_secs(2),
     lapse: Duration::from_millis(2500),
 };
 
@@ -46,6 +48,8 @@
     pub ready: watch::Sender<bool>,
     /// Whether the VM is leaving.
     pub leaving: watch::Receiver<bool>,
+    /// Whether no larger VM is in reach.
+    pub alone: watch::Receiver<bool>,
 }
 
 /// Runs the control thread until the VM stops.
@@ -53,11 +57,12 @@
     let (replies, mut receiver) = mpsc::unbounded_channel();
     let mut client: Box<dyn Platform> = Box::new(Client::new(shared.settings.store, CALL, replies));
     let vms = shared.settings.retry.vms;
-    let mut feed = Feed::new(LIMITS, Box::new(Format), vms, rand::random());
+    let mut feed = Feed::new(LIMITS, Box::new(Format), own(&shared), vms, rand::random());
     let mut stop = shared.stop.clone();
     let mut batch = Vec::new();
     loop {
         let mut out = Outbox::default();
+        feed.set_alone(*seed.alone.borrow_and_update());
         feed.step(shared.clock.now(), std::mem::take(&mut batch), &mut out);
         for (id, call) in out.calls {
             client.call(id, call);
@@ -75,12 +80,24 @@
             biased;
             _ = stop.wait_for(|stop| *stop) => return,
             _ = seed.leaving.changed() => {}
+            Ok(()) = seed.alone.changed() => {}
             _ = receiver.recv_many(&mut batch, MAX_BATCH) => {}
             () = sleep(pause) => {}
         }
     }
 }
 
+/// The VM as others know it.
+fn own(shared: &Shared) -> Own {
+    let settings = &shared.settings;
+    let vm = Vm {
+        domain: settings.vm.domain.clone(),
+        address: settings.listen.peers,
+        share: settings.vm.share,
+    };
+    Own { name: settings.vm.name.clone(), vm }
+}
+
 /// Notes whether the VM takes requests.
 fn note(shared: &Shared, seed: &Seed, is_fed: bool) {
     let is_ready = is_fed && !*seed.leaving.borrow();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod front;
 pub mod handle;
+pub mod peer;
 pub mod probe;
 pub mod target;
 pub mod traffic;
@@ -93,6 +94,7 @@
 pub struct Listeners {
     callers: TcpListener,
     ready: TcpListener,
+    peers: TcpListener,
     metrics: Option<TcpListener>,
 }
 
@@ -128,10 +130,12 @@
     };
     let listeners = bind(&shared)?;
     let (serving_sender, serving) = mpsc::channel(1);
-    let control = control::Seed { view: view_sender, ready: ready_sender, leaving: leaving_seen };
+    let (alone_sender, alone) = watch::channel(false);
+    let control =
+        control::Seed { view: view_sender, ready: ready_sender, leaving: leaving_seen, alone };
     let (for_control, for_traffic) = (shared.clone(), shared.clone());
     let control = spawn("control", move || control::run(for_control, control))?;
-    let seed = traffic::Seed { listeners, serving: serving_sender };
+    let seed = traffic::Seed { listeners, serving: serving_sender, alone: alone_sender };
     let traffic = spawn("traffic", move || traffic::run(for_traffic, seed))?;
     let address = shared.settings.listen.callers.to_string();
     shared.log(Event::Started, vec![("callers", address)]);
@@ -158,6 +162,7 @@
             .change_context_lazy(|| Error { detail: format!("cannot listen on {address}") })
     };
     let (callers, ready) = (open(listen.callers)?, open(listen.ready)?);
+    let peers = open(listen.peers)?;
     let metrics = match TcpListener::bind(listen.metrics) {
         Ok(listener) => Some(listener),
         Err(error) => {
@@ -168,7 +173,7 @@
             None
         }
     };
-    Ok(Listeners { callers, ready, metrics })
+    Ok(Listeners { callers, ready, peers, metrics })
 }
 
 impl Relay {
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -55,6 +55,8 @@
             Command::Close { connection } => {
                 self.connections.remove(&connection);
             }
+            // Other VMs are no targets.
+            Command::Hop { .. } => {}
         }
     }
 
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -4,7 +4,7 @@
 
 use laburnum_core::{
     border::Clock,
-    relay::{Answer, Call, Engine, Event, Limits, Outbox, View, policy::Policies},
+    relay::{Answer, Call, Command, Engine, Event, Limits, Outbox, View, policy::Policies},
 };
 use tokio::{
     sync::{
@@ -17,10 +17,13 @@
 use super::{
     Listeners, Shared, front,
     handle::{Handle, Input},
+    peer::{self, Peers},
     probe,
     target::Client,
 };
 
+use crate::wire::{self, Body};
+
 /// The longest sleep when the engine has nothing to do.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -33,18 +36,27 @@
     pub listeners: Listeners,
     /// Dropped when the front has answered all that it took.
     pub serving: mpsc::Sender<()>,
+    /// Where it notes whether no larger VM is in reach.
+    pub alone: watch::Sender<bool>,
 }
 
 /// Runs the traffic thread until the VM stops.
 pub async fn run(shared: Shared, seed: Seed) {
     let (inputs, input_receiver) = unbounded_channel();
     let (events, event_receiver) = unbounded_channel();
+    let (peers, peer_inbox) = match peer::start(&shared, &seed.listeners) {
+        Ok(started) => started,
+        Err(error) => return report(&shared, "peers", Err(error)),
+    };
+    let alone = seed.alone.clone();
     serve(&shared, seed, Handle::new(inputs));
     let engine = Engine::new(limits(&shared), Policies::default(), rand::random());
-    let thread = Thread { engine, targets: Client::new(events), waiting: BTreeMap::new(), shared };
+    let targets = Client::new(events);
+    let thread = Thread { engine, targets, peers, alone, waiting: BTreeMap::new(), shared };
     let inbox = Inbox {
         inputs: input_receiver,
         events: event_receiver,
+        peers: peer_inbox,
         view: thread.shared.view.clone(),
         stop: thread.shared.stop.clone(),
     };
@@ -54,6 +66,8 @@
 fn limits(shared: &Shared) -> Limits {
     let settings = &shared.settings;
     Limits {
+        vm: settings.vm.name.clone(),
+        address: settings.listen.peers,
         domain: settings.vm.domain.clone(),
         retry_ratio: settings.retry.ratio,
         retry_slack: settings.retry.slack,
@@ -63,8 +77,8 @@
 
 /// Starts the ports.
 fn serve(shared: &Shared, seed: Seed, handle: Handle) {
-    let Seed { listeners, serving } = seed;
-    let Listeners { callers, ready, metrics } = listeners;
+    let Seed { listeners, serving, .. } = seed;
+    let Listeners { callers, ready, metrics, .. } = listeners;
     let own = shared.clone();
     tokio::spawn(async move {
         let ended = front::serve(callers, handle, &own).await;
@@ -86,7 +100,7 @@
 }
 
 /// Logs that a port could not be served.
-fn report(shared: &Shared, port: &str, ended: std::io::Result<()>) {
+pub fn report(shared: &Shared, port: &str, ended: std::io::Result<()>) {
     if let Err(error) = ended {
         let fields = vec![("port", port.to_owned()), ("detail", error.to_string())];
         shared.log(laburnum_core::log::Event::PortFailed, fields);
@@ -97,6 +111,7 @@
 struct Inbox {
     inputs: UnboundedReceiver<Input>,
     events: UnboundedReceiver<Event>,
+    peers: peer::Inbox,
     view: watch::Receiver<Arc<View>>,
     stop: watch::Receiver<bool>,
 }
@@ -104,6 +119,8 @@
 struct Thread {
     engine: Engine,
     targets: Client,
+    peers: Peers,
+    alone: watch::Sender<bool>,
     waiting: BTreeMap<Call, oneshot::Sender<Answer>>,
     shared: Shared,
 }
@@ -127,6 +144,10 @@
                     let view = Arc::clone(&inbox.view.borrow_and_update());
                     events.push(Event::View(view));
                 }
+                Some(frame) = inbox.peers.frames.recv() => events.extend(said(frame)),
+                Some(lost) = inbox.peers.losses.recv() => {
+                    events.push(Event::HopLost { to: lost.to.vm, detail: lost.detail });
+                }
                 _ = inbox.events.recv_many(&mut events, MAX_BATCH) => {}
                 _ = inbox.inputs.recv_many(&mut inputs, MAX_BATCH) => {}
                 () = sleep(pause) => {}
@@ -148,6 +169,8 @@
         let mut out = Outbox::default();
         self.engine.step(self.shared.clock.now(), batch, &mut out);
         self.flush(out);
+        let is_alone = self.engine.is_alone(self.shared.clock.now());
+        self.alone.send_if_modified(|alone| std::mem::replace(alone, is_alone) != is_alone);
     }
 
     fn open(&mut self, input: Input) -> Event {
@@ -165,7 +188,12 @@
 
     fn flush(&mut self, out: Outbox) {
         for command in out.commands {
-            self.targets.command(command);
+            match command {
+                Command::Hop { to, address, hop } => self.peers.send(&to, address, hop),
+                Command::Open { .. } | Command::Send { .. } | Command::Close { .. } => {
+                    self.targets.command(command);
+                }
+            }
         }
         for (call, answer) in out.answers {
             if let Some(sender) = self.waiting.remove(&call) {
@@ -181,6 +209,14 @@
     }
 }
 
+/// What another VM says, if it is of this kind.
+fn said(frame: wire::Frame) -> Option<Event> {
+    match frame.body {
+        Body::Relay(hop) => Some(Event::Hop { from: frame.from.vm, hop: *hop }),
+        Body::Traffic(_) | Body::Control(_) => None,
+    }
+}
+
 /// Takes what is ready in a channel without waiting.
 fn take_ready<T>(channel: &mut UnboundedReceiver<T>, into: &mut Vec<T>) {
     while into.len() < MAX_BATCH {
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -48,6 +48,8 @@
     pub name: Name,
     /// Its failure domain.
     pub domain: Name,
+    /// Its processor time in thousandths of a core.
+    pub share: u32,
 }
 
 /// Where the VM listens.
@@ -59,6 +61,8 @@
     pub ready: SocketAddr,
     /// For the collector of metrics.
     pub metrics: SocketAddr,
+    /// For other VMs.
+    pub peers: SocketAddr,
 }
 
 /// Limits on callers.
@@ -135,8 +139,15 @@
 fn vm(document: &mut Document<'_>) -> Option<Vm> {
     let mut section = document.section("vm");
     let (name, domain) = (section.name("name"), section.name("domain"));
+    let cores = section.value::<f64>("cores", "a number of cores");
     section.finish();
-    Some(Vm { name: name?, domain: domain? })
+    Some(Vm { name: name?, domain: domain?, share: thousandths(cores?) })
+}
+
+/// Counts cores in thousandths, at least one.
+fn thousandths(cores: f64) -> u32 {
+    // Above 4 million cores it does not matter how many.
+    (cores * 1000.0).clamp(1.0, f64::from(u32::MAX)) as u32
 }
 
 fn listen(document: &mut Document<'_>) -> Option<Listen> {
@@ -144,8 +155,9 @@
     let callers = section.address("callers");
     let ready = section.address("ready");
     let metrics = section.address("metrics");
+    let peers = section.address("peers");
     section.finish();
-    Some(Listen { callers: callers?, ready: ready?, metrics: metrics? })
+    Some(Listen { callers: callers?, ready: ready?, metrics: metrics?, peers: peers? })
 }
 
 fn store(document: &mut Document<'_>) -> Option<SocketAddr> {
--- a/src/standin/platform/system/execute.rs
+++ b/src/standin/platform/system/execute.rs
@@ -36,7 +36,7 @@
         Call::Get { key } => {
             Reply::Value { entry: tables.keys.entry(&key), change: tables.keys.change() }
         }
-        Call::Scan { prefix } => {
+        Call::Scan { prefix } | Call::Peek { prefix } => {
             Reply::Entries { entries: tables.keys.scan(&prefix), change: tables.keys.change() }
         }
         Call::Swap { key, expect, value, lease } => {
--- a/src/standin/platform/table.rs
+++ b/src/standin/platform/table.rs
@@ -47,7 +47,7 @@
     fn from(call: &Call) -> Kind {
         match call {
             Call::Get { .. } => Kind::Get,
-            Call::Scan { .. } => Kind::Scan,
+            Call::Scan { .. } | Call::Peek { .. } => Kind::Scan,
             Call::Swap { .. } => Kind::Swap,
             Call::Remove { .. } => Kind::Remove,
             Call::Grant { .. } => Kind::Grant,
--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -216,7 +216,7 @@
 fn message(frame: wire::Frame) -> Option<Event> {
     match frame.body {
         Body::Traffic(message) => Some(Event::Message { from: frame.from, message }),
-        Body::Control(_) => None,
+        Body::Control(_) | Body::Relay(_) => None,
     }
 }
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use laburnum_core::{control, message::Message, view::Lane};
+use laburnum_core::{control, message::Message, relay::Hop, view::Lane};
 use serde::{Deserialize, Serialize};
 
 pub mod codec;
@@ -33,6 +33,8 @@
     Traffic(Message),
     /// A message between control threads.
     Control(Box<control::Message>),
+    /// A message between VMs that forward requests by route.
+    Relay(Box<Hop>),
 }
 
 /// A frame as it was received. The sender stands once at the head of a stream
