Find out routes that are old: lost history, silent watches, stale larger VMs

Change: answers between VMs say whether the sender hears from the store; a refusal by old routes of which nothing ran is asked again elsewhere; a VM is current only after a whole reading; VMs tell four others by datagram how far they have read, and one that stays behind for a second reads everything again.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -135,6 +135,8 @@
     ClaimUnsettled 601 Warning "claim could not be settled";
     /// The platform's service became unavailable.
     StoreDown 701 Warning "platform's service is unavailable";
+    /// Other VMs have read more of the store than this one, whose watch is silent.
+    StoreSilent 703 Warning "platform's service is silent";
     /// The platform's service is available again.
     StoreUp 702 Info "platform's service is available";
 }
--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -7,15 +7,17 @@
 
 pub mod table;
 mod part;
+pub mod word;
 pub mod system;
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{SeedableRng, rngs::StdRng};
 
 use self::{
     system::Context,
     table::{Own, Part, Tables},
+    word::Word,
 };
 use super::{View, route::Config, view};
 use crate::{
@@ -77,6 +79,15 @@
     pub lapse: Duration,
 }
 
+/// What a step of the feed takes.
+#[derive(Debug, Default)]
+pub struct Input {
+    /// Replies of the store.
+    pub replies: Vec<(CallId, Reply)>,
+    /// What other VMs say.
+    pub words: Vec<Word>,
+}
+
 /// What a step of the feed leaves to be done.
 #[derive(Debug, Default)]
 pub struct Outbox {
@@ -84,6 +95,8 @@
     pub calls: Vec<(CallId, Call)>,
     /// A view that differs from the last one.
     pub view: Option<Arc<View>>,
+    /// What other VMs are told.
+    pub words: Vec<(SocketAddr, Word)>,
     /// Lines for the log.
     pub lines: Vec<Line>,
 }
@@ -111,8 +124,9 @@
         self.tables.is_alone |= is_alone;
     }
 
-    /// Takes replies of the store and runs every system once.
-    pub fn step(&mut self, now: Instant, replies: Vec<(CallId, Reply)>, out: &mut Outbox) {
+    /// Takes replies of the store and words of other VMs and runs every system
+    /// once.
+    pub fn step(&mut self, now: Instant, input: Input, out: &mut Outbox) {
         let mut cx = Context {
             now,
             limits: &self.limits,
@@ -120,7 +134,7 @@
             random: &mut self.random,
             out,
         };
-        system::run(&mut self.tables, replies, &mut cx);
+        system::run(&mut self.tables, input, &mut cx);
     }
 
     /// When the next row is due.
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -5,8 +5,9 @@
 use rand::{RngExt, rngs::StdRng};
 
 use super::{
-    Format, Limits, Outbox, Subject, part,
+    Format, Input, Limits, Outbox, Subject, part,
     table::{Part, Purpose, Store, Tables},
+    word,
 };
 use crate::{
     log::{Event, Line},
@@ -30,11 +31,16 @@
 }
 
 /// Runs every system once.
-pub fn run(tables: &mut Tables, replies: Vec<(CallId, Reply)>, cx: &mut Context<'_>) {
+pub fn run(tables: &mut Tables, input: Input, cx: &mut Context<'_>) {
     tables.started.get_or_insert(cx.now);
-    for (id, reply) in replies {
+    for (id, reply) in input.replies {
         collect(tables, id, reply, cx);
     }
+    for heard in input.words {
+        word::hear(tables, heard, cx);
+    }
+    word::check(tables, cx);
+    word::tell(tables, cx);
     expire(tables, cx);
     call(tables, cx);
     publish(tables, cx);
@@ -52,6 +58,7 @@
         (Purpose::All, Reply::Entries { entries, change }) => {
             answered(tables, cx);
             replace_all(tables, &entries, cx);
+            set_current(tables, true);
             tables.change = Some(change);
             tables.next = Some(part::after_reading(tables));
         }
@@ -78,6 +85,7 @@
             for key in &removed {
                 remove(tables, key, cx);
             }
+            set_current(tables, true);
             tables.change = tables.change.max(Some(change));
             tables.next = Some(Purpose::Watch);
             if !(entries.is_empty() && removed.is_empty()) {
@@ -86,8 +94,9 @@
         }
         (Purpose::Watch, Reply::Outdated) => {
             answered(tables, cx);
+            // What changed since is not known before everything is read again.
+            set_current(tables, false);
             tables.next = Some(Purpose::All);
-            tables.not_before = cx.now + cx.limits.gather;
         }
         (_, Reply::Refused { detail } | Reply::Lost { detail }) => {
             failed(tables, purpose, &detail, cx);
@@ -96,6 +105,11 @@
     }
 }
 
+/// Notes whether what is known is the newest that the store has.
+pub fn set_current(tables: &mut Tables, is_current: bool) {
+    tables.is_changed |= std::mem::replace(&mut tables.view.is_current, is_current) != is_current;
+}
+
 /// Notes that the store answers.
 fn answered(tables: &mut Tables, cx: &mut Context<'_>) {
     if let Store::Down { failures } = std::mem::take(&mut tables.store) {
@@ -115,6 +129,7 @@
         }
         Store::Down { failures } => failures.saturating_add(1),
     };
+    set_current(tables, false);
     tables.store = Store::Down { failures };
     tables.next = Some(purpose);
     tables.not_before = cx.now + pause(failures, cx);
@@ -129,6 +144,7 @@
 
 /// Takes an entry that was written.
 fn apply(tables: &mut Tables, entry: &Entry, cx: &mut Context<'_>) {
+    tables.latest = tables.latest.max(entry.version.0);
     match cx.format.subject(&entry.key) {
         Subject::Config => apply_config(tables, entry, cx),
         Subject::Target(id) => apply_target(tables, &id, entry, cx),
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -70,6 +70,14 @@
     pub view: View,
     /// Whether the view differs from the one that they were told last.
     pub is_changed: bool,
+    /// The version of the newest entry that was read.
+    pub latest: u64,
+    /// The newest version that others were told of.
+    pub told: u64,
+    /// The newest version that others told of.
+    pub heard: u64,
+    /// When this VM has been behind for too long.
+    pub behind_at: Option<Instant>,
     /// The call that is under way.
     pub call: Option<(CallId, Purpose)>,
     /// What the next call is for.
@@ -98,6 +106,10 @@
             entered: None,
             view: View::default(),
             is_changed: false,
+            latest: 0,
+            told: 0,
+            heard: 0,
+            behind_at: None,
             call: None,
             next: None,
             not_before: Instant::default(),
@@ -125,9 +137,6 @@
         let is_calling = self.call.is_some() || self.is_handing();
         let call = (!is_calling).then_some(self.not_before);
         let missing = self.missing.values().min().copied();
-        match (call, missing) {
-            (Some(call), Some(missing)) => Some(call.min(missing)),
-            (call, missing) => call.or(missing),
-        }
+        [call, missing, self.behind_at].into_iter().flatten().min()
     }
 }
--- a/crates/core/src/relay/hop.rs
+++ b/crates/core/src/relay/hop.rs
@@ -18,8 +18,11 @@
         /// Where the sender takes the answer.
         reply_to: SocketAddr,
     },
-    /// The answer to [`Hop::Ask`].
-    Answer { call: Call, answer: Answer },
+    /// The answer to [`Hop::Ask`], and whether the sender hears from the store, so
+    /// that its routes are the newest.
+    Answer { call: Call, answer: Answer, is_current: bool },
+    /// Whether the sender hears from the store, told when it changes.
+    State { is_current: bool },
     /// The caller went away; no answer is waited for.
     Withdraw { call: Call },
 }
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -11,7 +11,7 @@
 use super::{Context, intake, leg};
 use crate::{
     count::Count,
-    fault::{Fault, Kind},
+    fault::{Fault, Kind, Ran},
     log::{Event, Line},
     name::Name,
     rank,
@@ -19,7 +19,7 @@
         Command, Hop, Tables,
         message::{Answer, Call, Inquiry, Refusal},
         table::{
-            hop::{Handed, Taken},
+            hop::{Asker, Handed, Taken},
             timer::Timer,
         },
         view::Vm,
@@ -44,12 +44,25 @@
 /// another VM.
 const SILENCE: Duration = Duration::from_millis(400);
 
+/// The time for which a VM that asked is told whether the store is heard from.
+const REMEMBERED: Duration = Duration::from_secs(120);
+
 /// Marks the ids of requests that other VMs handed to this one.
 const TAKEN: u64 = 1 << 63;
 
-/// The larger VM that gets the next request, if one is in reach.
+/// The larger VM that gets the next request, if there is one to prefer: one that
+/// hears from the store, or any while this VM does not hear from it either.
 pub fn pick(tables: &Tables, cx: &Context<'_>) -> Option<(Name, SocketAddr)> {
-    let reachable = tables.view.larger.iter().filter(|(name, _)| is_heard(tables, name, cx.now));
+    let is_own_current = tables.view.config.is_some() && tables.view.is_current;
+    best(tables, cx, true).or_else(|| if is_own_current { None } else { best(tables, cx, false) })
+}
+
+/// The nearest larger VM in reach.
+fn best(tables: &Tables, cx: &Context<'_>, is_current: bool) -> Option<(Name, SocketAddr)> {
+    let larger = tables.view.larger.iter();
+    let reachable = larger.filter(|(name, _)| {
+        is_heard(tables, name, cx.now) && !(is_current && is_stale(tables, name))
+    });
     let rank = |(name, vm): &(&Name, &Vm)| {
         let is_near = vm.domain == cx.limits.domain;
         (is_near, rank::weight(rank::seed(&[cx.limits.vm.as_str()]), name))
@@ -64,10 +77,16 @@
     link.pause_until <= now && now.since(waits_since) < SILENCE
 }
 
-/// Whether no larger VM is in reach, so that this one must know the routes.
+fn is_stale(tables: &Tables, name: &Name) -> bool {
+    tables.links.get(name).is_some_and(|link| link.is_stale)
+}
+
+/// Whether no larger VM that hears from the store is in reach, so that this one
+/// must know the routes.
 pub fn is_alone(tables: &Tables, now: Instant) -> bool {
     let larger = &tables.view.larger;
-    !larger.is_empty() && !larger.keys().any(|name| is_heard(tables, name, now))
+    let is_served = |name: &Name| is_heard(tables, name, now) && !is_stale(tables, name);
+    !larger.is_empty() && !larger.keys().any(is_served)
 }
 
 /// Hands a request to another VM.
@@ -101,14 +120,15 @@
     match hop {
         Hop::Ask { call, inquiry, reply_to } => {
             let own = Call(TAKEN | tables.next());
+            tables.askers.insert(from.clone(), Asker { reply_to, asked: cx.now });
             tables.taken.insert(own, Taken { from, reply_to, call });
             intake::run(tables, vec![(own, *inquiry)], cx);
         }
-        Hop::Answer { call, answer } => {
-            if forget(tables, call) {
-                cx.out.answers.push((call, answer));
-            }
+        Hop::Answer { call, answer, is_current } => {
+            set_stale(tables, &from, !is_current);
+            answered(tables, call, answer, is_current, cx);
         }
+        Hop::State { is_current } => set_stale(tables, &from, !is_current),
         Hop::Withdraw { call } => {
             let is_it = |(_, taken): &(&Call, &Taken)| taken.from == from && taken.call == call;
             let own = tables.taken.iter().find(is_it).map(|(own, _)| *own);
@@ -120,6 +140,43 @@
     }
 }
 
+fn set_stale(tables: &mut Tables, from: &Name, is_stale: bool) {
+    if let Some(link) = tables.links.get_mut(from) {
+        link.is_stale = is_stale;
+    }
+}
+
+/// Passes an answer on. A refusal of a VM whose routes may be old, of which
+/// nothing ran, is no last word while another VM can be asked.
+fn answered(
+    tables: &mut Tables,
+    call: Call,
+    answer: Answer,
+    is_current: bool,
+    cx: &mut Context<'_>,
+) {
+    let Some(row) = tables.handed.get(&call).cloned() else { return };
+    forget(tables, call);
+    let is_refused = matches!(&answer, Answer::Refused(refusal) if refusal.fault.ran == Ran::No);
+    if is_refused && !is_current {
+        if let Some(other) = best(tables, cx, true) {
+            hand(tables, call, Inquiry::clone(&row.inquiry), other, cx);
+            return;
+        }
+    }
+    cx.out.answers.push((call, answer));
+}
+
+/// Tells the VMs that hand requests to this one whether it hears from the store.
+pub fn tell(tables: &mut Tables, cx: &mut Context<'_>) {
+    let now = cx.now;
+    tables.askers.retain(|_, asker| now.since(asker.asked) < REMEMBERED);
+    for (to, asker) in &tables.askers {
+        let hop = Hop::State { is_current: tables.view.is_current };
+        cx.out.commands.push(Command::Hop { to: to.clone(), address: asker.reply_to, hop });
+    }
+}
+
 /// Forgets a request that was handed to another VM.
 fn forget(tables: &mut Tables, call: Call) -> bool {
     let Some(row) = tables.handed.remove(&call) else { return false };
@@ -181,7 +238,8 @@
     for (call, answer) in answers {
         match tables.taken.remove(&call) {
             Some(Taken { from, reply_to, call }) => {
-                let hop = Hop::Answer { call, answer };
+                let is_current = tables.view.is_current;
+                let hop = Hop::Answer { call, answer, is_current };
                 cx.out.commands.push(Command::Hop { to: from, address: reply_to, hop });
             }
             None => cx.out.answers.push((call, answer)),
--- a/crates/core/src/relay/system/refresh.rs
+++ b/crates/core/src/relay/system/refresh.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::{Context, connect};
+use super::{Context, connect, hop};
 use crate::{
     log::{Event, Line},
     name::Name,
@@ -22,7 +22,11 @@
 
 /// Replaces the view and brings the targets in line with it.
 pub fn run(tables: &mut Tables, view: Arc<View>, cx: &mut Context<'_>) {
+    let was_current = tables.view.is_current;
     tables.view = view;
+    if tables.view.is_current != was_current {
+        hop::tell(tables, cx);
+    }
     let view = Arc::clone(&tables.view);
     let named = services(&view);
     for (id, entry) in &view.targets {
--- a/crates/core/src/relay/table/hop.rs
+++ b/crates/core/src/relay/table/hop.rs
@@ -41,4 +41,15 @@
     pub pause_until: Instant,
     /// When it last said something.
     pub heard: Instant,
+    /// Whether it said that it does not hear from the store.
+    pub is_stale: bool,
+}
+
+/// A VM that handed requests to this one.
+#[derive(Clone, Copy, Debug)]
+pub struct Asker {
+    /// Where it takes answers.
+    pub reply_to: SocketAddr,
+    /// When it last asked.
+    pub asked: Instant,
 }
--- a/crates/core/src/relay/table/mod.rs
+++ b/crates/core/src/relay/table/mod.rs
@@ -52,6 +52,8 @@
     pub handed: BTreeMap<Call, hop::Handed>,
     /// The requests that other VMs handed to this one.
     pub taken: BTreeMap<Call, hop::Taken>,
+    /// The VMs that handed requests to this one lately.
+    pub askers: BTreeMap<Name, hop::Asker>,
     /// The VMs that requests are handed to.
     pub links: BTreeMap<Name, hop::Link>,
     /// When the first step was.
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -14,6 +14,8 @@
     pub config: Option<Arc<Config>>,
     /// The targets that registered themselves.
     pub targets: BTreeMap<Name, Arc<Target>>,
+    /// Whether the store answers, so that what is known of it is the newest.
+    pub is_current: bool,
     /// The VMs that share the connections of targets and the retry budgets.
     pub vms: BTreeMap<Name, Vm>,
     /// The VMs to count on while none is known.
--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -1,6 +1,6 @@
 //! How a VM learns of configurations and targets.
 
-use laburnum_core::{log::Event, store::Call};
+use laburnum_core::{log::Event, relay::feed::word::Word, store::Call};
 
 use crate::{
     bed::ms,
@@ -210,6 +210,54 @@
         assert_eq!(world.version(), Some(8));
         assert!(world.has("desk-3") && !world.has("desk-2"));
     };
+    routes_are_not_the_newest_before_a_lost_history_is_read => {
+        let mut world = fed();
+        assert!(world.view.is_current);
+        world.is_down = true;
+        world.pass(ms(32_000));
+        assert!(!world.view.is_current);
+        world.put("config", "8");
+        world.compact();
+        world.is_down = false;
+        for _ in 0..1000 {
+            world.pass(ms(5));
+            assert!(!world.view.is_current || world.version() == Some(8));
+        }
+        assert!(world.view.is_current);
+    };
+    a_change_is_told_to_a_few_others => {
+        let mut world = listed(170, &[("own", 170), ("a", 170), ("b", 170), ("p", 170), ("q", 170), ("z", 170)]);
+        world.pass(ms(1000));
+        world.told.clear();
+        world.put("config", "4");
+        world.pass(ms(1000));
+        assert_eq!(world.told.len(), 4);
+        assert!(world.told.iter().all(|(_, word)| word.latest == world.revision()));
+        world.pass(ms(20_000));
+        assert_eq!(world.told.len(), 4, "once for each change");
+    };
+    a_watch_that_is_never_answered_is_found_out => {
+        let mut world = fed();
+        world.is_silent = true;
+        world.put("config", "4");
+        world.heard = vec![Word { latest: world.revision() }];
+        world.pass(ms(1200));
+        assert!(!world.view.is_current);
+        assert_eq!(world.logged(Event::StoreSilent), 1);
+        world.is_silent = false;
+        world.pass(ms(3500));
+        assert_eq!(world.version(), Some(4));
+        assert!(world.view.is_current);
+    };
+    a_vm_that_reads_as_far_as_others_goes_on_watching => {
+        let mut world = fed();
+        world.put("config", "4");
+        world.heard = vec![Word { latest: world.revision() }];
+        let before = world.calls.len();
+        world.pass(ms(5000));
+        assert_eq!(world.logged(Event::StoreSilent), 0);
+        assert!(world.calls.len() - before <= 2);
+    };
     a_store_without_a_configuration_is_watched_for_one => {
         let mut world = World::empty();
         world.put("target/desk-1", "desk");
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -7,7 +7,7 @@
     log::Event,
     relay::{
         View,
-        feed::{Feed, Limits, Outbox, table::Own},
+        feed::{Feed, Input, Limits, Outbox, table::Own},
         view::Vm,
     },
 };
@@ -17,7 +17,7 @@
     time::sleep,
 };
 
-use super::Shared;
+use super::{Shared, mail::Mail};
 
 /// The longest sleep when the feed has nothing to do.
 const IDLE: Duration = Duration::from_secs(60);
@@ -60,13 +60,20 @@
     let mut feed = Feed::new(LIMITS, Box::new(Format), own(&shared), vms, rand::random());
     let mut stop = shared.stop.clone();
     let mut batch = Vec::new();
+    let mut words = Vec::new();
+    let mut mail = Mail::open(&shared).await;
     loop {
         let mut out = Outbox::default();
         feed.set_alone(*seed.alone.borrow_and_update());
-        feed.step(shared.clock.now(), std::mem::take(&mut batch), &mut out);
+        let input =
+            Input { replies: std::mem::take(&mut batch), words: std::mem::take(&mut words) };
+        feed.step(shared.clock.now(), input, &mut out);
         for (id, call) in out.calls {
             client.call(id, call);
         }
+        for (to, word) in out.words {
+            mail.send(to, word).await;
+        }
         if let Some(view) = out.view {
             seed.view.send_replace(view);
         }
@@ -81,6 +88,7 @@
             _ = stop.wait_for(|stop| *stop) => return,
             _ = seed.leaving.changed() => {}
             Ok(()) = seed.alone.changed() => {}
+            word = mail.receive() => words.extend(word),
             _ = receiver.recv_many(&mut batch, MAX_BATCH) => {}
             () = sleep(pause) => {}
         }
