--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -16,6 +16,10 @@
     time::Instant,
 };
 
+/// The number of changes in one reply from which on more are likely to follow at
+/// once: the store gives a long history in parts.
+const MANY: usize = 30;
+
 /// What every system works with.
 pub struct Context<'a> {
     /// Now.
@@ -88,7 +92,8 @@
             set_current(tables, true);
             tables.change = tables.change.max(Some(change));
             tables.next = Some(Purpose::Watch);
-            if !(entries.is_empty() && removed.is_empty()) {
+            let changes = entries.len() + removed.len();
+            if (1..MANY).contains(&changes) {
                 tables.not_before = cx.now + cx.limits.gather;
             }
         }
@@ -131,7 +136,8 @@
     };
     set_current(tables, false);
     tables.store = Store::Down { failures };
-    tables.next = Some(purpose);
+    // A watch would give what was missed in parts, the oldest first.
+    tables.next = Some(if purpose == Purpose::Watch { Purpose::All } else { purpose });
     tables.not_before = cx.now + pause(failures, cx);
 }
 
--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -258,6 +258,27 @@
         assert_eq!(world.logged(Event::StoreSilent), 0);
         assert!(world.calls.len() - before <= 2);
     };
+    what_was_missed_in_an_outage_is_read_at_once => {
+        let mut world = fed();
+        world.pass(ms(28_000));
+        world.is_down = true;
+        for version in 4..200 {
+            world.put("config", &version.to_string());
+        }
+        world.pass(ms(8000));
+        world.is_down = false;
+        for _ in 0..500 {
+            world.pass(ms(5));
+            assert!(!world.view.is_current || world.version() == Some(199));
+        }
+        assert_eq!(world.version(), Some(199));
+    };
+    a_long_history_is_read_without_pauses => {
+        let mut world = fed();
+        (0..300).for_each(|n| world.put(&format!("target/new-{n}"), "desk"));
+        world.pass(ms(700));
+        assert!(world.has("new-299"));
+    };
     a_store_without_a_configuration_is_watched_for_one => {
         let mut world = World::empty();
         world.put("target/desk-1", "desk");
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -69,6 +69,9 @@
     }
 }
 
+/// The changes that a reply to a watch holds at most.
+const PAGE: usize = 50;
+
 pub const LIMITS: Limits = Limits {
     watch: Duration::from_secs(30),
     gather: Duration::from_millis(500),
@@ -229,7 +232,9 @@
             Call::Watch { after, wait, .. } => {
                 let is_over = self.now.since(since) >= *wait;
                 let later = self.changes.iter().filter(|(revision, _)| revision > after);
-                let keys: Vec<&String> = later.map(|(_, key)| key).collect();
+                let later: Vec<&(u64, String)> = later.take(PAGE).collect();
+                let change = later.last().map_or(change, |(revision, _)| *revision);
+                let keys: Vec<&String> = later.into_iter().map(|(_, key)| key).collect();
                 if keys.is_empty() && !is_over {
                     return None;
                 }
