Hold as many connections to a target as a VM may fill of its slots

Cause: with two connections to a target of two slots, legs waited in the target's queue, where they cannot be taken back, while the other target was free.

Change: a VM fills four times its equal share of a target's slots at most.

Ruled out: one connection always, which would leave slots of a target unused where few VMs serve.

--- a/crates/core/src/relay/system/connect.rs
+++ b/crates/core/src/relay/system/connect.rs
@@ -6,20 +6,25 @@
     relay::{
         self, Command, Tables,
         table::connection::{Connection, State},
+        view,
     },
 };
 
-/// The most connections that a VM holds to one target: more than a target has
-/// slots would only queue there.
-const MOST: u32 = 8;
+/// How many times its equal share of the slots of a target a VM may fill. Legs
+/// beyond that go to another target instead of waiting in the queue of this one,
+/// where they cannot be taken back.
+const SPREAD: u32 = 4;
 
-/// The connections that this VM may hold to a target of `service`: an equal
-/// share of what a target takes, and one at least.
-pub fn allowed(tables: &Tables, service: &Name) -> usize {
+/// The connections that this VM may hold to a target: what it may fill of the
+/// slots, within its share of the connections that a target takes, and one at
+/// least.
+pub fn allowed(tables: &Tables, entry: &view::Target) -> usize {
     let config = tables.view.config.as_ref();
-    let known = config.and_then(|config| config.services.get(service));
+    let known = config.and_then(|config| config.services.get(&entry.service));
     let taken = known.map_or(0, |service| service.connections);
-    (taken / tables.view.sharers()).clamp(1, MOST) as usize
+    let vms = tables.view.sharers();
+    let slots = entry.slots.saturating_mul(SPREAD).div_ceil(vms).min(entry.slots);
+    slots.min(taken / vms).max(1) as usize
 }
 
 /// Whether a target can be handed a request now.
@@ -29,7 +34,7 @@
         return true;
     }
     let is_paused = target.pause_until > cx.now;
-    !is_paused && target.connections.len() < allowed(tables, &target.entry.service)
+    !is_paused && target.connections.len() < allowed(tables, &target.entry)
 }
 
 /// Takes an idle connection of a target or opens one.
--- a/crates/core/tests/relay/targets.rs
+++ b/crates/core/tests/relay/targets.rs
@@ -132,17 +132,27 @@
         assert_eq!(bed.closed.len(), 1, "the connection to the old start is closed");
     };
     connections_are_kept_within_the_share_of_a_vm => {
-        let mut view = view(config(1, vec![single("desk")], 20));
-        view.targets = [target("desk-1", "desk")].into();
-        view.least_vms = 10;
-        let mut bed = Bed::new(view);
-        for _ in 0..6 {
-            bed.ask(inquiry("/fetch/1"));
+        // VMs, connections of a target, and what one VM may open to its two slots.
+        for (vms, taken, most) in [(1, 20, 2), (1, 1, 1), (4, 20, 2), (5, 4, 1), (8, 97, 1), (19, 55, 1)] {
+            let mut view = view(config(1, vec![single("desk")], taken));
+            view.targets = [target("desk-1", "desk")].into();
+            view.least_vms = vms;
+            let mut bed = Bed::new(view);
+            (0..6).for_each(|_| { bed.ask(inquiry("/fetch/1")); });
+            let sent = bed.take();
+            assert_eq!(sent.len(), most, "{vms} VMs, {taken} connections");
+            bed.reply(&sent[0], success("d", 1));
+            assert_eq!(bed.take().len(), 1, "the next one goes when a connection is free");
         }
+    };
+    a_leg_goes_to_another_target_before_it_waits_at_a_busy_one => {
+        let mut view = view(config(1, vec![single("desk")], 55));
+        view.least_vms = 19;
+        let mut bed = Bed::new(view);
+        bed.ask(inquiry("/fetch/1"));
+        bed.ask(inquiry("/fetch/2"));
         let sent = bed.take();
-        assert_eq!(sent.len(), 2, "two connections of twenty for each of ten VMs");
-        bed.reply(&sent[0], success("d", 1));
-        assert_eq!(bed.take().len(), 1, "the next one goes when a connection is free");
+        assert_ne!(sent[0].target(), sent[1].target());
     };
     a_reply_that_no_attempt_waits_for_closes_its_connection => {
         let mut bed = Bed::of(single("desk"));
