--- /dev/null
+++ b/tests/relay/bed.rs
@@ -0,0 +1,180 @@
+//! A store, targets and relays that are ready to serve.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::{SocketAddr, TcpListener},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use reqwest::{Response, StatusCode};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+use crate::{store::Store, target::Target};
+
+/// The host of every route.
+pub const HOST: &str = "register.example";
+
+/// A relay that runs as a process and is killed at the end.
+pub struct Relay {
+    child: Child,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Relay {
+    /// Asks the process to end.
+    pub fn terminate(&self) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+    }
+
+    /// Waits for the end of the process and returns whether it was orderly.
+    pub async fn ended(&mut self) -> bool {
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// A store with two targets for each of three shards and of one service.
+pub struct Bed {
+    pub store: Store,
+    pub targets: BTreeMap<String, Target>,
+    store_address: SocketAddr,
+    folder: TempDir,
+    client: reqwest::Client,
+}
+
+/// The services of the bed.
+pub const SERVICES: [&str; 4] = ["one", "two", "three", "desk"];
+
+/// The configuration: a search over three shards and an operation.
+pub fn config(version: u64) -> Value {
+    let service = |name: &&str| json!({"name": name, "health_path": "/health", "max_conns": 50});
+    json!({
+        "version": version,
+        "routes": [
+            {"name": "search", "host": HOST, "prefix": "/search/", "kind": "idempotent",
+             "timeout_ms": 2000, "goal_ms": 400, "priority": 1, "attempts": 2,
+             "gather": ["one", "two", "three"], "top_k": 2, "min_fraction": 0.6},
+            {"name": "desk", "host": HOST, "prefix": "/desk/", "kind": "non_idempotent",
+             "timeout_ms": 2000, "goal_ms": 400, "priority": 1, "attempts": 2,
+             "backend": "desk"},
+        ],
+        "backends": SERVICES.iter().map(service).collect::<Vec<Value>>(),
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    })
+}
+
+impl Bed {
+    /// Starts the store and the targets.
+    pub async fn start() -> Bed {
+        let (store, store_address) = Store::start().await;
+        let mut targets = BTreeMap::new();
+        for (service, fill) in SERVICES.iter().zip(1u8..) {
+            for number in 1..=2 {
+                let id = format!("{service}-{number}");
+                let (target, address) = Target::start(&id, fill).await;
+                store.put(&format!("servers/{id}"), &entry(service, address, "ready"));
+                targets.insert(id, target);
+            }
+        }
+        store.put("op/config", &config(3));
+        let folder = TempDir::new().unwrap();
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        Bed { store, targets, store_address, folder, client }
+    }
+
+    /// Starts a relay with a number of cores and waits until it is ready.
+    pub async fn relay(&self, name: &str, cores: f64) -> Relay {
+        let ports: Vec<TcpListener> =
+            (0..4).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        let address: Vec<SocketAddr> = ports.iter().map(|p| p.local_addr().unwrap()).collect();
+        drop(ports);
+        let file = self.folder.path().join(format!("{name}.toml"));
+        fs::write(&file, settings(name, cores, &address, self.store_address)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_laburnumworks"))
+            .args(["relay", "--settings"])
+            .arg(&file)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let relay = Relay { child, callers: address[0], ready: address[1], metrics: address[2] };
+        while self.is_ready(&relay).await != Some(true) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        relay
+    }
+
+    /// What the relay answers to a probe, if it does.
+    pub async fn is_ready(&self, relay: &Relay) -> Option<bool> {
+        let url = format!("http://{}/v1/ready", relay.ready);
+        let response = self.client.get(url).send().await.ok()?;
+        Some(response.status() == StatusCode::OK)
+    }
+
+    /// Sends a request of a caller that waits a second.
+    pub async fn ask(&self, relay: &Relay, method: reqwest::Method, path: &str) -> Response {
+        let url = format!("http://{}{path}", relay.callers);
+        let request = self.client.request(method, url).header("host", HOST);
+        let request = request.header("attempt-id", "c1").header("deadline-ms", "1000");
+        request.send().await.unwrap()
+    }
+
+    /// Searches all shards.
+    pub async fn search(&self, relay: &Relay) -> Response {
+        self.ask(relay, reqwest::Method::GET, "/search/1").await
+    }
+
+    /// Runs an operation.
+    pub async fn operate(&self, relay: &Relay) -> Response {
+        self.ask(relay, reqwest::Method::POST, "/desk/1").await
+    }
+
+    /// The text of the metrics of a relay.
+    pub async fn metrics(&self, relay: &Relay) -> String {
+        let url = format!("http://{}/metrics", relay.metrics);
+        self.client.get(url).send().await.unwrap().text().await.unwrap()
+    }
+
+    /// The runs of all targets of a service.
+    pub fn runs(&self, service: &str) -> u64 {
+        let targets = self.targets.iter().filter(|(id, _)| id.starts_with(service));
+        targets.map(|(_, target)| target.runs()).sum()
+    }
+}
+
+/// The registration of a target.
+pub fn entry(service: &str, address: SocketAddr, state: &str) -> Value {
+    json!({"backend": service, "addr": address, "zone": "near", "version": "v1",
+           "max_concurrency": 2, "state": state, "cold_left_ms": 0, "sequence": 1})
+}
+
+/// The settings of a relay that listens on these addresses.
+pub fn settings(name: &str, cores: f64, address: &[SocketAddr], store: SocketAddr) -> String {
+    let [callers, ready, metrics, peers] = address else { panic!("four addresses") };
+    format!(
+        "[vm]\nname = \"{name}\"\ndomain = \"near\"\ncores = {cores}\n\
+         [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\nmetrics = \"{metrics}\"\n\
+         peers = \"{peers}\"\n[store]\naddress = \"{store}\"\n\
+         [retry]\nratio = 0.2\nslack = 100\nwindow_s = 10\n\
+         [shutdown]\nannounce_ms = 300\nlimit_ms = 3000\n"
+    )
+}
