--- a/crates/core/src/relay/system/collect.rs
+++ b/crates/core/src/relay/system/collect.rs
@@ -165,6 +165,7 @@
         target.running.remove(&(row.sent, attempt));
     }
     let Some(key) = row.leg else { return };
+    log_lost(tables, key, &row, loss, cx);
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     leg.attempts.remove(&attempt);
     if loss.sent {
@@ -176,6 +177,18 @@
     leg::retry(tables, key, reason, cx);
 }
 
+fn log_lost(tables: &Tables, key: Key, row: &Attempt, loss: &Loss, cx: &mut Context<'_>) {
+    let Some(request) = tables.requests.get(&key.call) else { return };
+    let fields = vec![
+        ("id", request.inquiry.id.to_string()),
+        ("target", row.target.to_string()),
+        ("sent", loss.sent.to_string()),
+        ("took_ms", leg::age(row.sent, cx.now)),
+        ("detail", loss.detail.clone()),
+    ];
+    cx.out.lines.push(Line::new(Event::AttemptFailed, fields));
+}
+
 fn log_loss(target: &crate::name::Name, loss: &Loss, cx: &mut Context<'_>) {
     let fields = vec![
         ("target", target.to_string()),
--- a/crates/core/src/relay/system/connect.rs
+++ b/crates/core/src/relay/system/connect.rs
@@ -48,7 +48,7 @@
 
 /// Opens a connection to a target.
 pub fn open(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) -> Option<relay::Connection> {
-    let connection = relay::Connection(tables.next());
+    let connection = relay::Connection(tables.number());
     let target = tables.targets.get_mut(id)?;
     target.connections.insert(connection);
     let address = target.entry.address;
--- a/crates/core/src/relay/system/dispatch.rs
+++ b/crates/core/src/relay/system/dispatch.rs
@@ -121,7 +121,7 @@
 /// Sends a leg to a target.
 fn send(tables: &mut Tables, key: Key, id: &Name, cx: &mut Context<'_>) {
     let Some(connection) = connect::take(tables, id, cx) else { return };
-    let attempt = relay::Attempt(tables.next());
+    let attempt = relay::Attempt(tables.number());
     let Some(request) = tables.requests.get(&key.call) else { return };
     let inquiry = Arc::clone(&request.inquiry);
     let patience = request.deadline.remaining(cx.now);
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -119,7 +119,7 @@
     }
     match hop {
         Hop::Ask { call, inquiry, reply_to } => {
-            let own = Call(TAKEN | tables.next());
+            let own = Call(TAKEN | tables.number());
             tables.askers.insert(from.clone(), Asker { reply_to, asked: cx.now });
             tables.taken.insert(own, Taken { from, reply_to, call });
             intake::run(tables, vec![(own, *inquiry)], cx);
@@ -158,11 +158,10 @@
     let Some(row) = tables.handed.get(&call).cloned() else { return };
     forget(tables, call);
     let is_refused = matches!(&answer, Answer::Refused(refusal) if refusal.fault.ran == Ran::No);
-    if is_refused && !is_current {
-        if let Some(other) = best(tables, cx, true) {
-            hand(tables, call, Inquiry::clone(&row.inquiry), other, cx);
-            return;
-        }
+    let other = if is_refused && !is_current { best(tables, cx, true) } else { None };
+    if let Some(other) = other {
+        hand(tables, call, Inquiry::clone(&row.inquiry), other, cx);
+        return;
     }
     cx.out.answers.push((call, answer));
 }
--- a/crates/core/src/relay/table/mod.rs
+++ b/crates/core/src/relay/table/mod.rs
@@ -67,7 +67,7 @@
 
 impl Tables {
     /// A number that was not used before in this thread.
-    pub fn next(&mut self) -> u64 {
+    pub fn number(&mut self) -> u64 {
         self.last += 1;
         self.last
     }
--- a/crates/core/tests/relay/answers.rs
+++ b/crates/core/tests/relay/answers.rs
@@ -56,6 +56,8 @@
         assert_eq!(bed.refused(call), 502);
         let line = bed.lines.iter().find(|l| l.event == laburnum_core::log::Event::Refused).unwrap();
         let field = |name: &str| line.fields.iter().find(|(n, _)| *n == name).map(|(_, v)| v.as_str());
+        let lost = bed.lines.iter().filter(|l| l.event == laburnum_core::log::Event::AttemptFailed);
+        assert_eq!(lost.count(), 2, "each lost attempt is found by the id of its request");
         assert_eq!(field("id"), Some("c1"));
         assert_eq!(field("ran"), Some("unknown"));
         assert!(field("missing").unwrap().contains("desk-1+desk-2"), "{:?}", line.fields);
--- a/tests/relay/bed.rs
+++ b/tests/relay/bed.rs
@@ -4,7 +4,6 @@
     collections::BTreeMap,
     fs,
     net::{SocketAddr, TcpListener},
-    process::{Child, Command, Stdio},
     time::Duration,
 };
 
@@ -13,12 +12,16 @@
 use tempfile::TempDir;
 use tokio::time::sleep;
 
-use crate::{store::Store, target::Target};
+use crate::{
+    child::{Child, Signal},
+    store::Store,
+    target::Target,
+};
 
 /// The host of every route.
 pub const HOST: &str = "register.example";
 
-/// A relay that runs as a process and is killed at the end.
+/// A relay that runs as a process.
 pub struct Relay {
     child: Child,
     pub callers: SocketAddr,
@@ -26,29 +29,15 @@
     pub metrics: SocketAddr,
 }
 
-impl Drop for Relay {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 impl Relay {
     /// Asks the process to end.
     pub fn terminate(&self) {
-        let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+        self.child.signal(Signal::TERM);
     }
 
     /// Waits for the end of the process and returns whether it was orderly.
     pub async fn ended(&mut self) -> bool {
-        loop {
-            if let Some(status) = self.child.try_wait().unwrap() {
-                return status.success();
-            }
-            sleep(Duration::from_millis(20)).await;
-        }
+        self.child.exit(Duration::from_secs(10)).await.success()
     }
 }
 
@@ -110,12 +99,8 @@
         drop(ports);
         let file = self.folder.path().join(format!("{name}.toml"));
         fs::write(&file, settings(name, cores, &address, self.store_address)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_laburnumworks"))
-            .args(["relay", "--settings"])
-            .arg(&file)
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
+        let file = file.display().to_string();
+        let child = Child::start(self.folder.path(), name, &["relay", "--settings", &file]);
         let relay = Relay { child, callers: address[0], ready: address[1], metrics: address[2] };
         while self.is_ready(&relay).await != Some(true) {
             sleep(Duration::from_millis(20)).await;
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -5,6 +5,8 @@
 #[path = "../common/case.rs"]
 mod case;
 mod bed;
+#[path = "../process/child.rs"]
+mod child;
 mod store;
 mod target;
 mod path;
--- a/tests/relay/store.rs
+++ b/tests/relay/store.rs
@@ -13,7 +13,7 @@
     http::StatusCode,
     listener::TcpAcceptor,
     post,
-    web::{Data, Query},
+    web::{Data, Json, Query},
 };
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -115,8 +115,7 @@
 }
 
 #[handler]
-fn change(body: Vec<u8>, Data(store): Data<&Store>) -> Response {
-    let change: Value = serde_json::from_slice(&body).unwrap();
+fn change(Json(change): Json<Value>, Data(store): Data<&Store>) -> Response {
     let put = &change["puts"][0];
     let key = put["key"].as_str().unwrap();
     let expected = change["expect_rev"][0]["revision"].as_u64().unwrap();
