--- a/crates/core/tests/matrix/page.rs
+++ b/crates/core/tests/matrix/page.rs
@@ -10,7 +10,7 @@
 /// What a cell may say in place of a case.
 const REASONS: [&str; 2] = ["cannot happen: ", "not proved: "];
 
-/// The names of all cases: of the matrix, and of every `cases!` of this crate.
+/// The names of all cases: of the matrix, and of every `cases!` of the project.
 fn cases() -> BTreeSet<String> {
     let mut names = BTreeSet::new();
     for (process, steps) in STEPS {
@@ -18,15 +18,25 @@
             names.extend(FAULTS.iter().map(|fault| format!("{process}::{step}::{fault}")));
         }
     }
-    let tests = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests");
-    for folder in fs::read_dir(tests).unwrap().map(|entry| entry.unwrap().path()) {
-        let Ok(files) = fs::read_dir(folder) else { continue };
-        for file in files.map(|entry| entry.unwrap().path()) {
-            let Ok(text) = fs::read_to_string(file) else { continue };
-            let Some((_, list)) = text.split_once("cases! {") else { continue };
-            let lines = list.lines().filter_map(|line| line.trim().split_once(" =>"));
-            names.extend(lines.map(|(name, _)| name.to_owned()));
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    for folder in ["tests", "platform/tests", "crates/core/tests", "crates/http/tests"] {
+        names.extend(cases_below(&root.join(folder)));
+    }
+    names
+}
+
+/// The names of every `cases!` in the files below a folder.
+fn cases_below(folder: &Path) -> BTreeSet<String> {
+    let mut names = BTreeSet::new();
+    for path in fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()) {
+        if path.is_dir() {
+            names.extend(cases_below(&path));
+            continue;
         }
+        let Ok(text) = fs::read_to_string(path) else { continue };
+        let Some((_, list)) = text.split_once("cases! {") else { continue };
+        let lines = list.lines().filter_map(|line| line.trim().split_once(" =>"));
+        names.extend(lines.map(|(name, _)| name.to_owned()));
     }
     names
 }
