--- a/crates/core/src/relay/system/dispatch.rs
+++ b/crates/core/src/relay/system/dispatch.rs
@@ -188,6 +188,9 @@
     if healthy.is_empty() {
         return;
     }
+    // Where every slot is taken, one more request makes all of them later.
+    let is_free = |id: &Name| tables.targets.get(id).is_some_and(|t| t.has_free_slot(cx.now));
+    let healthy: Vec<Name> = healthy.into_iter().filter(is_free).collect();
     let Some(target) = best(tables, key, &healthy, cx) else {
         set_hedge(tables, key, HEDGE_AGAIN, cx);
         return;
--- a/crates/core/src/relay/table/target.rs
+++ b/crates/core/src/relay/table/target.rs
@@ -145,6 +145,12 @@
         busy.max(0.0) * (1.0 - age)
     }
 
+    /// Whether it has a free slot, as far as this VM knows.
+    pub fn has_free_slot(&self, now: Instant) -> bool {
+        let busy = self.running.len() as f64 + self.others(now);
+        busy < f64::from(self.entry.slots)
+    }
+
     fn weight(&self, now: Instant) -> f64 {
         (-now.since(self.learnt).as_secs_f64() / MEMORY.as_secs_f64()).exp()
     }
--- a/crates/core/tests/relay/hedges.rs
+++ b/crates/core/tests/relay/hedges.rs
@@ -2,7 +2,10 @@
 
 use laburnum_core::{
     latency::Latency,
-    relay::policy::hedge::{Hedge, Never, Tail},
+    relay::{
+        message::Load,
+        policy::hedge::{Hedge, Never, Tail},
+    },
 };
 
 use crate::bed::{Bed, config, inquiry, ms, search, single, success, view};
@@ -50,6 +53,23 @@
         bed.pass(ms(500));
         assert_eq!(bed.take().len(), 2);
     };
+    a_target_without_a_free_slot_gets_no_second_attempt => {
+        let mut bed = Bed::of(single("desk"));
+        bed.teach("/fetch/1", 20, ms(5));
+        // One target says that others keep it busy; the next request goes to the
+        // other one, which is slow.
+        bed.ask(inquiry("/fetch/1"));
+        let told = bed.take_one();
+        let mut reply = success("d", 1);
+        reply.load = Some(Load { running: 6, waiting: 0, slots: 2 });
+        bed.reply(&told, reply);
+        bed.ask(inquiry("/fetch/2"));
+        assert_ne!(bed.take_one().target(), told.target());
+        bed.pass(ms(100));
+        assert!(bed.take().is_empty(), "it would only make all of its requests later");
+        bed.pass(ms(300));
+        assert_eq!(bed.take_one().target(), told.target(), "an old report says nothing");
+    };
     the_budget_bounds_second_attempts => {
         let mut bed = Bed::with_slack(1.0);
         bed.show(view(config(1, vec![single("desk")], 100)));
