--- a/tests/relay/bed.rs
+++ b/tests/relay/bed.rs
@@ -7,20 +7,20 @@
     time::Duration,
 };
 
+use laburnum_platform::caller::READY_PATH;
 use reqwest::{Response, StatusCode};
-use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::time::sleep;
 
 use crate::{
     child::{Child, Signal},
-    store::Store,
-    target::Target,
+    standin::{
+        entries::{self, SERVICES},
+        store::Store,
+        target::Target,
+    },
 };
 
-/// The host of every route.
-pub const HOST: &str = "register.example";
-
 /// A relay that runs as a process.
 pub struct Relay {
     child: Child,
@@ -50,28 +50,6 @@
     client: reqwest::Client,
 }
 
-/// The services of the bed.
-pub const SERVICES: [&str; 4] = ["one", "two", "three", "desk"];
-
-/// The configuration: a search over three shards and an operation.
-pub fn config(version: u64) -> Value {
-    let service = |name: &&str| json!({"name": name, "health_path": "/health", "max_conns": 50});
-    json!({
-        "version": version,
-        "routes": [
-            {"name": "search", "host": HOST, "prefix": "/search/", "kind": "idempotent",
-             "timeout_ms": 2000, "goal_ms": 400, "priority": 1, "attempts": 2,
-             "gather": ["one", "two", "three"], "top_k": 2, "min_fraction": 0.6},
-            {"name": "desk", "host": HOST, "prefix": "/desk/", "kind": "non_idempotent",
-             "timeout_ms": 2000, "goal_ms": 400, "priority": 1, "attempts": 2,
-             "backend": "desk"},
-        ],
-        "backends": SERVICES.iter().map(service).collect::<Vec<Value>>(),
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
-                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-    })
-}
-
 impl Bed {
     /// Starts the store and the targets.
     pub async fn start() -> Bed {
@@ -81,11 +59,11 @@
             for number in 1..=2 {
                 let id = format!("{service}-{number}");
                 let (target, address) = Target::start(&id, fill).await;
-                store.put(&format!("servers/{id}"), &entry(service, address, "ready"));
+                store.put(&entries::target_key(&id), &entries::target(service, address));
                 targets.insert(id, target);
             }
         }
-        store.put("op/config", &config(3));
+        store.put(entries::CONFIG, &entries::config(3));
         let folder = TempDir::new().unwrap();
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
         Bed { store, targets, store_address, folder, client }
@@ -110,16 +88,15 @@
 
     /// What the relay answers to a probe, if it does.
     pub async fn is_ready(&self, relay: &Relay) -> Option<bool> {
-        let url = format!("http://{}/v1/ready", relay.ready);
+        let url = format!("http://{}{READY_PATH}", relay.ready);
         let response = self.client.get(url).send().await.ok()?;
         Some(response.status() == StatusCode::OK)
     }
 
-    /// Sends a request of a caller that waits a second.
+    /// Sends a request of a caller.
     pub async fn ask(&self, relay: &Relay, method: reqwest::Method, path: &str) -> Response {
         let url = format!("http://{}{path}", relay.callers);
-        let request = self.client.request(method, url).header("host", HOST);
-        let request = request.header("attempt-id", "c1").header("deadline-ms", "1000");
+        let request = self.client.request(method, url).headers(entries::caller());
         request.send().await.unwrap()
     }
 
@@ -146,12 +123,6 @@
     }
 }
 
-/// The registration of a target.
-pub fn entry(service: &str, address: SocketAddr, state: &str) -> Value {
-    json!({"backend": service, "addr": address, "zone": "near", "version": "v1",
-           "max_concurrency": 2, "state": state, "cold_left_ms": 0, "sequence": 1})
-}
-
 /// The settings of a relay that listens on these addresses.
 pub fn settings(name: &str, cores: f64, address: &[SocketAddr], store: SocketAddr) -> String {
     let [callers, ready, metrics, peers] = address else { panic!("four addresses") };
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -7,7 +7,7 @@
 mod bed;
 #[path = "../process/child.rs"]
 mod child;
-mod store;
-mod target;
+#[path = "../../platform/tests/standin/mod.rs"]
+mod standin;
 mod path;
 mod settings;
--- a/tests/relay/path.rs
+++ b/tests/relay/path.rs
@@ -2,15 +2,20 @@
 
 use std::time::Duration;
 
+use http::{HeaderName, header};
+use laburnum_platform::header as names;
 use tokio::time::sleep;
 
 use crate::{
-    bed::{Bed, config},
-    target::Manner,
+    bed::Bed,
+    standin::{
+        entries::{CONFIG, config},
+        target::Manner,
+    },
 };
 
 /// The value of a header, or nothing.
-fn header(response: &reqwest::Response, name: &str) -> String {
+fn text(response: &reqwest::Response, name: &HeaderName) -> String {
     let value = response.headers().get(name);
     value.map(|value| value.to_str().unwrap().to_owned()).unwrap_or_default()
 }
@@ -22,8 +27,8 @@
         let relay = bed.relay("vm-1", 1.0).await;
         let response = bed.search(&relay).await;
         assert_eq!(response.status(), 200);
-        assert_eq!(header(&response, "parts-missing"), "0");
-        assert_eq!(header(&response, "part-seals").split(", ").count(), 3);
+        assert_eq!(text(&response, &names::MISSING), "0");
+        assert_eq!(text(&response, &names::DIGESTS).split(", ").count(), 3);
         let records = [[3; 16], [2; 16]].concat();
         assert_eq!(response.bytes().await.unwrap(), records);
     };
@@ -35,16 +40,16 @@
         }
         let response = bed.search(&relay).await;
         assert_eq!(response.status(), 200);
-        assert_eq!(header(&response, "parts-missing"), "1");
-        assert!(!header(&response, "part-seals").contains("two"));
+        assert_eq!(text(&response, &names::MISSING), "1");
+        assert!(!text(&response, &names::DIGESTS).contains("two"));
     };
     an_operation_runs_once_and_its_reply_is_passed_on => {
         let bed = Bed::start().await;
         let relay = bed.relay("vm-1", 1.0).await;
         let response = bed.operate(&relay).await;
         assert_eq!(response.status(), 200);
-        assert!(header(&response, "server-seal").starts_with("seal-desk"));
-        assert_eq!(header(&response, "attempt-id"), "c1");
+        assert!(text(&response, &names::DIGEST).starts_with("seal-desk"));
+        assert_eq!(text(&response, &names::ID), "c1");
         assert_eq!(bed.runs("desk"), 1);
     };
     an_operation_that_failed_is_not_run_again => {
@@ -64,7 +69,7 @@
         }
         let response = bed.operate(&relay).await;
         assert_eq!(response.status(), 503);
-        assert!(!header(&response, "retry-after").is_empty());
+        assert!(!text(&response, &header::RETRY_AFTER).is_empty());
         assert_eq!(bed.runs("desk"), 0);
     };
     a_reply_to_another_request_is_not_passed_on => {
@@ -75,7 +80,7 @@
         }
         let response = bed.operate(&relay).await;
         assert_eq!(response.status(), 502);
-        assert!(header(&response, "server-seal").is_empty());
+        assert!(text(&response, &names::DIGEST).is_empty());
         assert_eq!(bed.runs("desk"), 1);
     };
     a_route_that_is_added_is_found_within_a_second => {
@@ -88,7 +93,7 @@
         route["name"] = "added".into();
         route["prefix"] = "/added/".into();
         newer["routes"].as_array_mut().unwrap().push(route);
-        bed.store.put("op/config", &newer);
+        bed.store.put(CONFIG, &newer);
         sleep(Duration::from_millis(1000)).await;
         assert_eq!(bed.ask(&relay, reqwest::Method::GET, path).await.status(), 200);
     };
@@ -100,7 +105,7 @@
         }
         let since = std::time::Instant::now();
         let response = bed.search(&relay).await;
-        assert_eq!((response.status().as_u16(), header(&response, "parts-missing")), (200, "1".into()));
+        assert_eq!((response.status().as_u16(), text(&response, &names::MISSING)), (200, "1".into()));
         assert!(since.elapsed() < Duration::from_millis(900), "{:?}", since.elapsed());
     };
     a_vm_that_is_told_to_end_answers_what_it_took => {
@@ -118,7 +123,7 @@
         };
         let (response, ()) = tokio::join!(open, end);
         assert_eq!(response.status(), 200);
-        assert_eq!(header(&response, "connection"), "close");
+        assert_eq!(text(&response, &header::CONNECTION), "close");
         assert!(relay.ended().await, "the end is orderly");
     };
     a_small_vm_hands_its_requests_to_a_larger_one => {
