Read what a peer still sends before a connection between VMs is closed

Cause: the dialling side dropped its socket as soon as its own GOAWAY was sent. A PING, a window update or the peer's GOAWAY that arrived afterwards was answered by the kernel with a reset, so that the peer's next write ended with a broken pipe.

Ruled out: load alone.

Change: after the end of the HTTP/2 connection the socket is read until the peer closes too, within the limit for writes.

--- a/src/wire/outbound.rs
+++ b/src/wire/outbound.rs
@@ -3,7 +3,7 @@
 use std::{
     future::poll_fn,
     io,
-    net::SocketAddr,
+    net::{self, SocketAddr},
     sync::{
         Arc, OnceLock,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -94,11 +94,12 @@
     }
 }
 
-type Client = (SendRequest<Bytes>, Connection<TcpStream, Bytes>);
+/// A connection, with a second handle of its socket for [`finish`].
+type Client = (SendRequest<Bytes>, Connection<TcpStream, Bytes>, net::TcpStream);
 
 impl Outbound {
     async fn send_all(self, frames: &mut Receiver<Bytes>) -> Result<(), Loss> {
-        let (client, mut connection) =
+        let (client, mut connection, socket) =
             timeout(self.limits.connect, connect(self.address))
                 .await
                 .map_err(|_| Loss::new("the peer took no connection in time"))??;
@@ -110,11 +111,9 @@
             result = self.stream(client, frames) => result?,
         }
         // The stream is done, so that the connection says GOAWAY and ends.
-        match timeout(limits.write, connection).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(error)) => Err(error.into()),
-            Err(_) => Err(Loss::new("the peer did not close in time")),
-        }
+        timeout(limits.write, finish(connection, socket))
+            .await
+            .map_err(|_| Loss::new("the peer did not close in time"))?
     }
 
     /// Opens the stream, sends the frames and waits until the peer has taken
@@ -145,7 +144,25 @@
 async fn connect(address: SocketAddr) -> Result<Client, Loss> {
     let tcp = TcpStream::connect(address).await?;
     tcp.set_nodelay(true)?;
-    Ok(h2::client::Builder::new().enable_push(false).handshake(tcp).await?)
+    let socket = tcp.into_std()?;
+    let tcp = TcpStream::from_std(socket.try_clone()?)?;
+    let (client, connection) =
+        h2::client::Builder::new().enable_push(false).handshake(tcp).await?;
+    Ok((client, connection, socket))
+}
+
+/// Ends a connection and reads what the peer still sends until it closes too.
+///
+/// A socket that is closed with bytes unread, or that gets more afterwards,
+/// answers with a reset, by which the peer would lose what it has not read yet.
+async fn finish(
+    connection: Connection<TcpStream, Bytes>,
+    socket: net::TcpStream,
+) -> Result<(), Loss> {
+    connection.await?;
+    let mut rest = TcpStream::from_std(socket)?;
+    tokio::io::copy(&mut rest, &mut tokio::io::sink()).await?;
+    Ok(())
 }
 
 /// Waits for the peer's answer and the end of its body.
--- a/tests/edge/wire.rs
+++ b/tests/edge/wire.rs
@@ -368,6 +368,46 @@
     end.expect("it does not panic").expect("the connection ends without an error");
 }
 
+/// A PING of HTTP/2, which asks for an answer.
+const PING_FRAME: [u8; 17] = [0, 0, 8, 6, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
+
+/// Stands before a listener; once the dialling side has ended, it sends two
+/// frames more, with a pause that lets a reset arrive.
+async fn late_frames(front: TcpListener, behind: SocketAddr) -> std::io::Result<()> {
+    let (near, _) = front.accept().await?;
+    let far = TcpStream::connect(behind).await?;
+    let (mut near_read, mut near_write) = near.into_split();
+    let (mut far_read, mut far_write) = far.into_split();
+    let back = tokio::spawn(async move {
+        tokio::io::copy(&mut far_read, &mut near_write).await.map(|_| near_write)
+    });
+    tokio::io::copy(&mut near_read, &mut far_write).await?;
+    far_write.shutdown().await?;
+    let mut near_write = back.await.expect("it does not panic")?;
+    for _ in 0..2 {
+        near_write.write_all(&PING_FRAME).await?;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    near_write.shutdown().await
+}
+
+async fn close_with_late_frames() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
+    let front = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
+    let behind = listener.local_addr().expect("it is bound");
+    let address = front.local_addr().expect("it is bound");
+    let ending = tokio::spawn(end_of_connection(listener));
+    let late = tokio::spawn(late_frames(front, behind));
+    let mut sending = Sending::start(limits(), key(), address);
+    sending.send(1);
+    sending.dialer.close().await;
+    assert!(sending.losses.try_recv().is_err());
+    let late = timeout(PATIENCE, late).await.expect("it ends in time");
+    late.expect("it does not panic").expect("the late frames meet no reset");
+    let end = timeout(PATIENCE, ending).await.expect("it ends in time");
+    end.expect("it does not panic").expect("the connection ends without an error");
+}
+
 async fn moved_lane() {
     let (mut sending, mut old) = pair(limits(), 4);
     let mut new = Receiving::start(limits(), 4);
@@ -417,6 +457,7 @@
     a_slow_receiver_holds_back_and_loses_nothing => slow_receiver();
     a_close_sends_what_is_queued => close();
     a_close_ends_the_connection_without_an_error => close_is_clean();
+    a_close_takes_what_the_peer_still_sends => close_with_late_frames();
     a_lane_that_moves_gets_what_was_queued_at_its_old_address => moved_lane();
     noise_harms_no_other_connection => noise();
     a_connection_over_the_limit_is_refused => too_many_connections();
