Speak the published protocol of the store everywhere, with one client

The product's own interface had a client and a stand-in of its own, with a protocol that no platform speaks, beside the client for the users' platform.

Change: `entry` and `relay` use `platform/src/store.rs`; the stand-in moved to `platform/standin` and speaks the same protocol, with the shapes in one module. The list of VMs and targets is a range of the store. The tests of `relay` use this stand-in in place of their own. The client took over from the old one: a limit on open calls, a limit on values, and giving up the idle connections after a call without an answer.

Found on the way: a "cut" answer of the stand-in was a whole answer without content; the old client failed only since it could not be read. It now says more bytes than it sends. A removal whose answer cannot be read counts as lost.

Tests changed, none dropped: a 503 without a readable body promises that nothing was done in the published protocol, so the case that took it for a lost write now asks this of five other statuses, and a new case holds 429 and 503 to be refusals. A watch before forgotten changes is answered as outdated, where it was refused.

--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -9,7 +9,8 @@
 
 use crate::view;
 
-/// The version of a value: one more at each write of its key.
+/// The version of a value: the number of the change that wrote it, greater at
+/// each write of its key.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod wire;
 pub mod front;
 pub mod operator;
-pub mod platform;
 pub mod target;
 pub mod traffic;
 pub mod control;
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -55,7 +55,8 @@
 /// Runs the control thread until the VM stops.
 pub async fn run(shared: Shared, mut seed: Seed) {
     let (replies, mut receiver) = mpsc::unbounded_channel();
-    let mut client: Box<dyn Platform> = Box::new(Client::new(shared.settings.store, CALL, replies));
+    let (store, name) = (shared.settings.store, &shared.settings.vm.name);
+    let mut client: Box<dyn Platform> = Box::new(Client::new(store, name, CALL, replies));
     let vms = shared.settings.retry.vms;
     let mut feed = Feed::new(LIMITS, Box::new(Format), own(&shared), vms, rand::random());
     let mut stop = shared.stop.clone();
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,4 +1,5 @@
 //! Stand-ins for the platform and the targets, for tests and the demo.
 
-pub mod platform;
 pub mod target;
+
+pub use laburnum_standin as platform;
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -3,13 +3,14 @@
 use std::{io, net, sync::Arc, thread};
 
 use laburnum_core::{control::Setup, notice::Notice, view::Lane};
+use laburnum_platform::store::Client;
 use tokio::sync::{mpsc, watch};
 
 use super::{CONTROL_THREAD, Shared, limits, messenger, meter};
 use crate::{
     control::{self, Borders, Handle, Inbox, Json, Parts},
     log::journal::Journal,
-    operator, platform,
+    operator,
     settings::Settings,
     wire::{self, Body, Dialer},
 };
@@ -98,15 +99,10 @@
     }
 }
 
-fn platform(shared: &Shared) -> platform::Client {
+fn platform(shared: &Shared) -> Client {
     let settings = &shared.settings;
-    platform::Client::new(
-        settings.platform.address,
-        settings.vm.name.clone(),
-        settings.platform.call_limit,
-        shared.control.replies(),
-    )
-    .expect("a client without proxy and TLS can always be made")
+    let (address, limit) = (settings.platform.address, settings.platform.call_limit);
+    Client::new(address, &settings.vm.name, limit, shared.control.replies())
 }
 
 /// Hands the messages of other VMs to the control thread.
--- a/src/wire/outbound.rs
+++ b/src/wire/outbound.rs
@@ -99,10 +99,9 @@
 
 impl Outbound {
     async fn send_all(self, frames: &mut Receiver<Bytes>) -> Result<(), Loss> {
-        let (client, mut connection, socket) =
-            timeout(self.limits.connect, connect(self.address))
-                .await
-                .map_err(|_| Loss::new("the peer took no connection in time"))??;
+        let (client, mut connection, socket) = timeout(self.limits.connect, connect(self.address))
+            .await
+            .map_err(|_| Loss::new("the peer took no connection in time"))??;
         let silent = ping::watch(connection.ping_pong(), self.limits);
         let limits = self.limits;
         tokio::select! {
@@ -146,8 +145,7 @@
     tcp.set_nodelay(true)?;
     let socket = tcp.into_std()?;
     let tcp = TcpStream::from_std(socket.try_clone()?)?;
-    let (client, connection) =
-        h2::client::Builder::new().enable_push(false).handshake(tcp).await?;
+    let (client, connection) = h2::client::Builder::new().enable_push(false).handshake(tcp).await?;
     Ok((client, connection, socket))
 }
 
--- a/tests/border/platform.rs
+++ b/tests/border/platform.rs
@@ -6,10 +6,8 @@
     store::{Call, LeaseId, Reply, Version},
     view::State,
 };
-use laburnumworks::{
-    platform::wire::MAX_VALUE,
-    standin::platform::{List, list::Raw},
-};
+use laburnum_platform::store::MAX_VALUE;
+use laburnumworks::standin::platform::{List, list::Raw};
 use reqwest::StatusCode;
 use serde_json::json;
 
--- a/tests/border/platform_faults.rs
+++ b/tests/border/platform_faults.rs
@@ -11,7 +11,7 @@
     store::{Call, Reply},
     view::State,
 };
-use laburnumworks::platform::client::MAX_OPEN;
+use laburnum_platform::store::MAX_OPEN;
 use reqwest::StatusCode;
 use serde_json::json;
 
@@ -198,9 +198,20 @@
         assert!(is_lost(&reply), "{reply:?}");
     };
     an_error_without_a_refusal_is_a_lost_write => {
-        let address = answer_with(b"HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\r\nbusy", 1);
-        let reply = Caller::new(address, "vm-1").ask(swap("a", None, b"1")).await;
-        assert!(is_lost(&reply), "{reply:?}");
+        for status in [400, 403, 500, 502, 504] {
+            let head = format!("HTTP/1.1 {status} Busy\r\ncontent-length: 4\r\n\r\nbusy");
+            let address = answer_with(head.as_bytes(), 1);
+            let reply = Caller::new(address, "vm-1").ask(swap("a", None, b"1")).await;
+            assert!(is_lost(&reply), "{status}: {reply:?}");
+        }
+    };
+    a_refusal_needs_no_readable_body => {
+        for status in [429, 503] {
+            let head = format!("HTTP/1.1 {status} Busy\r\ncontent-length: 4\r\n\r\nbusy");
+            let address = answer_with(head.as_bytes(), 1);
+            let reply = Caller::new(address, "vm-1").ask(swap("a", None, b"1")).await;
+            assert!(is_refused(&reply), "{status}: {reply:?}");
+        }
     };
     an_answer_without_end_is_given_up => {
         let chunk = [b"10000\r\n".as_slice(), &[b'x'; 0x10000], b"\r\n"].concat();
@@ -274,7 +285,7 @@
 /// A service that answers the first call of each connection and is silent after
 /// it. The first answers come only when `together` connections are open.
 fn answer_once_each(together: usize) -> SocketAddr {
-    const ANSWER: &str = "{\"value\":{\"entry\":null,\"change\":0}}";
+    const ANSWER: &str = "{\"key\":\"a\",\"value\":\"\",\"revision\":1,\"at_rev\":1}";
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
--- a/tests/border/platform_system.rs
+++ b/tests/border/platform_system.rs
@@ -129,7 +129,7 @@
         assert!(matches!(reply, Some(Reply::Refused { .. })), "{reply:?}");
         assert_eq!(machine.tables.calls[&Kind::Get], 2);
     };
-    a_watch_before_a_forgotten_removal_is_refused => {
+    a_watch_before_a_forgotten_removal_is_outdated => {
         let mut machine = Machine::new(Faults::default());
         for round in 0..70_000_u64 {
             let key = format!("k/{round}");
@@ -138,8 +138,7 @@
         }
         let forgotten = machine.tables.keys.forgotten();
         assert!(forgotten > 0);
-        let reply = machine.call(watch("k/", 1, 0));
-        assert!(matches!(reply, Some(Reply::Refused { .. })), "{reply:?}");
+        assert_eq!(machine.call(watch("k/", 1, 0)), Some(Reply::Outdated));
         let reply = machine.call(watch("k/", 139_998, 0));
         let expected = Reply::Changed {
             entries: vec![], removed: vec!["k/69999".to_owned()], change: 140_000,
--- a/tests/border/service.rs
+++ b/tests/border/service.rs
@@ -12,10 +12,8 @@
     store::{Call, CallId, Entry, Reply, Version},
     view::{State, Vm},
 };
-use laburnumworks::{
-    platform::Client,
-    standin::platform::{List, serve},
-};
+use laburnum_platform::store::Client;
+use laburnumworks::standin::platform::{List, serve};
 use reqwest::StatusCode;
 use serde_json::Value;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -77,7 +75,7 @@
 impl Caller {
     pub fn new(address: SocketAddr, vm: &str) -> Caller {
         let (sender, replies) = unbounded_channel();
-        let client = Client::new(address, name(vm), LIMIT, sender).unwrap();
+        let client = Client::new(address, &name(vm), LIMIT, sender);
         Caller { client, replies, last: 0 }
     }
 
--- a/tests/relay/bed.rs
+++ b/tests/relay/bed.rs
@@ -16,9 +16,9 @@
     child::{Child, Signal},
     standin::{
         entries::{self, SERVICES},
-        store::Store,
         target::Target,
     },
+    store::Store,
 };
 
 /// A relay that runs as a process.
@@ -45,7 +45,6 @@
 pub struct Bed {
     pub store: Store,
     pub targets: BTreeMap<String, Target>,
-    store_address: SocketAddr,
     folder: TempDir,
     client: reqwest::Client,
 }
@@ -53,20 +52,21 @@
 impl Bed {
     /// Starts the store and the targets.
     pub async fn start() -> Bed {
-        let (store, store_address) = Store::start().await;
+        let store = Store::start();
         let mut targets = BTreeMap::new();
         for (service, fill) in SERVICES.iter().zip(1u8..) {
             for number in 1..=2 {
                 let id = format!("{service}-{number}");
                 let (target, address) = Target::start(&id, fill).await;
-                store.put(&entries::target_key(&id), &entries::target(service, address));
+                let entry = entries::target(service, address);
+                store.put(&entries::target_key(&id), &entry).await;
                 targets.insert(id, target);
             }
         }
-        store.put(entries::CONFIG, &entries::config(3));
+        store.put(entries::CONFIG, &entries::config(3)).await;
         let folder = TempDir::new().unwrap();
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
-        Bed { store, targets, store_address, folder, client }
+        Bed { store, targets, folder, client }
     }
 
     /// Starts a relay with a number of cores and waits until it is ready.
@@ -76,7 +76,7 @@
         let address: Vec<SocketAddr> = ports.iter().map(|p| p.local_addr().unwrap()).collect();
         drop(ports);
         let file = self.folder.path().join(format!("{name}.toml"));
-        fs::write(&file, settings(name, cores, &address, self.store_address)).unwrap();
+        fs::write(&file, settings(name, cores, &address, self.store.address)).unwrap();
         let file = file.display().to_string();
         let child = Child::start(self.folder.path(), name, &["relay", "--settings", &file]);
         let relay = Relay { child, callers: address[0], ready: address[1], metrics: address[2] };
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -9,5 +9,6 @@
 mod child;
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
+mod store;
 mod path;
 mod settings;
--- a/tests/relay/path.rs
+++ b/tests/relay/path.rs
@@ -93,7 +93,7 @@
         route["name"] = "added".into();
         route["prefix"] = "/added/".into();
         newer["routes"].as_array_mut().unwrap().push(route);
-        bed.store.put(CONFIG, &newer);
+        bed.store.put(CONFIG, &newer).await;
         sleep(Duration::from_millis(1000)).await;
         assert_eq!(bed.ask(&relay, reqwest::Method::GET, path).await.status(), 200);
     };
@@ -130,7 +130,7 @@
         let bed = Bed::start().await;
         let large = bed.relay("large", 1.0).await;
         let small = bed.relay("small", 0.1).await;
-        assert!(bed.store.has("vms/large") && !bed.store.has("vms/small"));
+        assert!(bed.store.has("vms/large").await && !bed.store.has("vms/small").await);
         assert_eq!(bed.search(&small).await.status(), 200);
         assert_eq!(bed.operate(&small).await.status(), 200);
         assert!(bed.metrics(&small).await.contains("laburnum_requests_handed_total 2"));
