Take the limits on callers from the configuration in force

Cause: `relay` held callers to the limits of its settings, so that a change by the operator had no effect and bodies over a megabyte were refused.

Change: a port asks a `Bound` for its limits at each connection and each body. For `relay` that is the configuration, or the settings while none is known.

Before: the five new cases of tests/relay/limit.rs fail when the configuration is left out.

--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -11,7 +11,8 @@
 use tokio::sync::watch;
 
 use super::{
-    body::{self, Limits},
+    body,
+    bound::Bound,
     connection::Connection,
     probe::Metrics,
     problem::{self, Refusal},
@@ -37,7 +38,7 @@
 pub struct Intake {
     routes: BoxEndpoint<'static, Response>,
     gate: Box<dyn Gate>,
-    limits: Limits,
+    bound: Arc<dyn Bound>,
     metrics: Arc<dyn Metrics>,
     /// While the VM takes no requests, connections are closed after their
     /// response, so that callers turn to other VMs.
@@ -49,12 +50,12 @@
     pub fn new(
         routes: Route,
         gate: Box<dyn Gate>,
-        limits: Limits,
+        bound: Arc<dyn Bound>,
         metrics: Arc<dyn Metrics>,
         ready: watch::Receiver<bool>,
     ) -> Intake {
         let routes = routes.catch_all_error(problem::unrouted).boxed();
-        Intake { routes, gate, limits, metrics, ready }
+        Intake { routes, gate, bound, metrics, ready }
     }
 
     /// Answers a request of `connection` and counts a refusal that came from no
@@ -81,8 +82,9 @@
     /// Replaces the body of a request that is still arriving by a whole one.
     async fn fill(&self, request: &mut Request) -> Result<(), Refusal> {
         self.gate.check(request.uri().path(), request.headers())?;
-        body::announced(request.headers(), self.limits)?;
-        let bytes = body::read(request.take_body(), self.limits).await?;
+        let limits = self.bound.body();
+        body::announced(request.headers(), limits)?;
+        let bytes = body::read(request.take_body(), limits).await?;
         request.set_body(bytes);
         Ok(())
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -7,6 +7,7 @@
 //! ran.
 
 pub mod body;
+pub mod bound;
 pub mod connection;
 pub mod field;
 pub mod head;
@@ -24,6 +25,7 @@
 use tokio::sync::watch;
 
 use self::{
+    bound::Fixed,
     port::Port,
     probe::{Metrics, Probe},
     problem::Refusal,
@@ -53,8 +55,10 @@
     let probe = Probe { ready: ready.clone(), metrics: Arc::clone(&metrics) };
     let port = Port {
         listener,
-        limits: port::Limits::from(&limits),
-        bodies: body::Limits::from(&limits),
+        bound: Arc::new(Fixed {
+            connection: bound::Limits::from(&limits),
+            body: body::Limits::from(&limits),
+        }),
         gate: Box::new(intake::Open),
         metrics,
         ready,
--- a/src/front/port.rs
+++ b/src/front/port.rs
@@ -30,14 +30,13 @@
 };
 
 use super::{
-    body,
+    bound::Bound,
     connection::Connection,
     intake::{Gate, Intake},
     probe::Metrics,
     problem::Refusal,
     stream::{LINGER, Stream, WASTE},
 };
-use crate::settings::traffic::Callers;
 
 /// The connections beyond the limit that are answered at a time; the rest are
 /// closed without an answer.
@@ -46,40 +45,12 @@
 /// The pause after the system could not accept a connection.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// Limits on connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
-    /// The largest head of a request in bytes.
-    pub header_size: usize,
-    /// The time in which the head must arrive, from its first byte.
-    pub header_read: Duration,
-    /// The time after which a connection without a request is closed, and one
-    /// whose caller does not take the response.
-    pub idle: Duration,
-    /// The number of connections that are open at a time.
-    pub connections: usize,
-}
-
-impl From<&Callers> for Limits {
-    fn from(callers: &Callers) -> Limits {
-        let size = |limit: u64| usize::try_from(limit).unwrap_or(usize::MAX);
-        Limits {
-            header_size: size(callers.header_limit),
-            header_read: callers.header_read,
-            idle: callers.idle,
-            connections: size(callers.open_connections.into()),
-        }
-    }
-}
-
 /// What a port is made from.
 pub struct Port {
     /// Where connections come in.
     pub listener: TcpListener,
-    /// The limits on connections.
-    pub limits: Limits,
-    /// The limits on bodies.
-    pub bodies: body::Limits,
+    /// The limits on connections and bodies.
+    pub bound: Arc<dyn Bound>,
     /// Who may send a body at all.
     pub gate: Box<dyn Gate>,
     /// Counts the refusals of the port itself.
@@ -100,7 +71,8 @@
 struct Server {
     listener: tokio::net::TcpListener,
     local: SocketAddr,
-    limits: Limits,
+    bound: Arc<dyn Bound>,
+    connections: usize,
     metrics: Arc<dyn Metrics>,
     intake: Arc<Intake>,
     shutdown: watch::Receiver<bool>,
@@ -114,14 +86,22 @@
     /// finished.
     pub async fn serve(self, routes: Route) -> io::Result<()> {
         self.listener.set_nonblocking(true)?;
-        let places = self.limits.connections.min(Semaphore::MAX_PERMITS);
+        let connections = self.bound.connection().connections;
+        let places = connections.min(Semaphore::MAX_PERMITS);
         let metrics = Arc::clone(&self.metrics);
         let server = Server {
             metrics: self.metrics,
             local: self.listener.local_addr()?,
             listener: tokio::net::TcpListener::from_std(self.listener)?,
-            limits: self.limits,
-            intake: Arc::new(Intake::new(routes, self.gate, self.bodies, metrics, self.ready)),
+            intake: Arc::new(Intake::new(
+                routes,
+                self.gate,
+                Arc::clone(&self.bound),
+                metrics,
+                self.ready,
+            )),
+            bound: self.bound,
+            connections,
             shutdown: self.shutdown,
             places: Arc::new(Semaphore::new(places)),
             refusals: Arc::new(Semaphore::new(REFUSALS)),
@@ -152,7 +132,7 @@
         if let Ok(permit) = Arc::clone(&self.places).try_acquire_owned() {
             self.open(accepted, permit);
         } else if let Ok(permit) = Arc::clone(&self.refusals).try_acquire_owned() {
-            let detail = format!("connections: allowed are {} at a time", self.limits.connections);
+            let detail = format!("connections: allowed are {} at a time", self.connections);
             let refusal = Fault::not_run(Kind::TooManyOpen, detail).into();
             self.metrics.refused(Kind::TooManyOpen);
             self.tasks.spawn(refuse(accepted.socket, refusal, permit));
@@ -165,7 +145,7 @@
         let _ = socket.set_nodelay(true);
         let connection = Arc::new(Connection::default());
         let metrics = Arc::clone(&self.metrics);
-        let stream = Stream::new(socket, self.limits, metrics, Arc::clone(&connection));
+        let stream = Stream::new(socket, self.bound.connection(), metrics, Arc::clone(&connection));
         let peers =
             Peers { connection, intake: Arc::clone(&self.intake), local: self.local, address };
         self.tasks.spawn(serve(stream, peers, self.shutdown.clone(), permit));
--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -23,9 +23,9 @@
 };
 
 use super::{
+    bound::Limits,
     connection::{Connection, Phase, State},
     head::Head,
-    port::Limits,
     probe::Metrics,
     problem::Refusal,
 };
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -18,7 +18,8 @@
     control::Handle,
     front::{
         body,
-        port::{self, Port},
+        bound::{self, Fixed},
+        port::Port,
         probe::{self, Metrics, Probe},
         problem::Refusal,
     },
@@ -30,7 +31,7 @@
 const BODIES: body::Limits = body::Limits { size: 2 * 1024 * 1024, read: Duration::from_secs(30) };
 
 /// Limits on connections.
-const CONNECTIONS: port::Limits = port::Limits {
+const CONNECTIONS: bound::Limits = bound::Limits {
     header_size: 16 * 1024,
     header_read: Duration::from_secs(5),
     idle: Duration::from_secs(60),
@@ -69,8 +70,7 @@
     let operators = Arc::new(operators);
     let port = Port {
         listener,
-        limits: CONNECTIONS,
-        bodies: BODIES,
+        bound: Arc::new(Fixed { connection: CONNECTIONS, body: BODIES }),
         gate: Box::new(access::Holders(Arc::clone(&operators))),
         metrics,
         ready,
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -4,42 +4,72 @@
 
 use laburnum_core::{
     fault::{Fault, Kind},
-    relay::message::{Answer, Refusal},
+    relay::{
+        View,
+        message::{Answer, Refusal},
+        route::Bounds,
+    },
 };
 use laburnum_platform::caller;
 use poem::{Body, Endpoint, Request, Response, Result, Route};
+use tokio::sync::watch;
 
 use super::{Shared, handle::Handle};
 use crate::{
     front::{
         body,
+        bound::{Bound, Limits, size},
         intake::Open,
-        port::{self, Port},
+        port::Port,
     },
     settings::relay::Callers,
 };
 
-/// The limits on connections.
-pub fn limits(callers: &Callers) -> port::Limits {
-    port::Limits {
-        header_size: size(callers.head),
-        header_read: callers.head_time,
-        idle: callers.idle,
-        connections: size(callers.connections.into()),
+/// The limits of the configuration in force, or those of the settings while
+/// none is known.
+struct Configured {
+    settings: Callers,
+    view: watch::Receiver<Arc<View>>,
+}
+
+impl Configured {
+    fn bounds(&self) -> Bounds {
+        let view = self.view.borrow();
+        let settings = &self.settings;
+        view.config.as_ref().map_or_else(
+            || Bounds {
+                head: size(settings.head),
+                body: size(settings.body),
+                head_time: settings.head_time,
+                idle: settings.idle,
+            },
+            |config| config.bounds,
+        )
     }
 }
 
-fn size(limit: u64) -> usize {
-    usize::try_from(limit).unwrap_or(usize::MAX)
+impl Bound for Configured {
+    fn connection(&self) -> Limits {
+        let bounds = self.bounds();
+        Limits {
+            header_size: bounds.head,
+            header_read: bounds.head_time,
+            idle: bounds.idle,
+            connections: size(self.settings.connections.into()),
+        }
+    }
+
+    fn body(&self) -> body::Limits {
+        body::Limits { size: self.bounds().body, read: self.settings.body_time }
+    }
 }
 
 /// Serves callers until the VM shuts down and the open requests have finished.
 pub async fn serve(listener: TcpListener, handle: Handle, shared: &Shared) -> io::Result<()> {
-    let callers = &shared.settings.callers;
+    let bound = Configured { settings: shared.settings.callers, view: shared.view.clone() };
     let port = Port {
         listener,
-        limits: limits(callers),
-        bodies: body::Limits { size: size(callers.body), read: callers.head_time },
+        bound: Arc::new(bound),
         gate: Box::new(Open),
         metrics: Arc::new(shared.text()),
         ready: shared.ready.clone(),
--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -9,8 +9,9 @@
 use super::Shared;
 use crate::front::{
     body,
+    bound::{Fixed, Limits},
     intake::Open,
-    port::{Limits, Port},
+    port::Port,
     probe::{self, Probe},
 };
 
@@ -38,8 +39,10 @@
 fn port(listener: TcpListener, shared: &Shared) -> Port {
     Port {
         listener,
-        limits: LIMITS,
-        bodies: body::Limits { size: 1024, read: LIMITS.header_read },
+        bound: Arc::new(Fixed {
+            connection: LIMITS,
+            body: body::Limits { size: 1024, read: LIMITS.header_read },
+        }),
         gate: Box::new(Open),
         metrics: Arc::new(shared.text()),
         ready: shared.ready.clone(),
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -18,6 +18,8 @@
 const IDLE: Duration = Duration::from_secs(75);
 /// The default of [`Callers::head_time`].
 const HEAD_TIME: Duration = Duration::from_secs(5);
+/// The default of [`Callers::body_time`].
+const BODY_TIME: Duration = Duration::from_secs(5);
 /// The default of [`Shutdown::announce`]: two probes of the balancer a second
 /// apart, and the time for the second to be missed.
 const ANNOUNCE: Duration = Duration::from_millis(2500);
@@ -65,7 +67,8 @@
     pub peers: SocketAddr,
 }
 
-/// Limits on callers.
+/// Limits on callers. Those on sizes and times hold until a configuration is
+/// known, which has its own; the time for a body holds always.
 #[derive(Clone, Copy, Debug)]
 pub struct Callers {
     /// The connections that are open at a time.
@@ -74,8 +77,10 @@
     pub head: u64,
     /// The largest body of a request in bytes.
     pub body: u64,
-    /// The time for a head or body to arrive.
+    /// The time for a head to arrive.
     pub head_time: Duration,
+    /// The time for a body to arrive.
+    pub body_time: Duration,
     /// The time that a connection may be idle.
     pub idle: Duration,
 }
@@ -174,6 +179,7 @@
         head: section.size("header_limit_bytes", 32 * KIB, KIB..=MIB),
         body: section.size("body_limit_bytes", MIB, KIB..=64 * MIB),
         head_time: section.millis("header_read_ms", HEAD_TIME, up_to(600)),
+        body_time: section.millis("body_read_ms", BODY_TIME, up_to(600)),
         idle: section.millis("idle_ms", IDLE, up_to(3600)),
     };
     section.finish();
--- /dev/null
+++ b/tests/relay/limit.rs
@@ -0,0 +1,100 @@
+//! The limits on callers are those of the configuration in force.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    bed::{Bed, Relay},
+    standin::entries::{CONFIG, HOST, config},
+};
+
+/// The time within which a change is in force.
+const CHANGE: Duration = Duration::from_millis(1000);
+
+/// A bed whose configuration has a limit changed.
+async fn changed(bed: &Bed, version: u64, field: &str, value: u64) {
+    let mut config = config(version);
+    config["limits"][field] = Value::from(value);
+    bed.store.put(CONFIG, &config).await;
+    sleep(CHANGE).await;
+}
+
+/// Sends bytes on a connection of their own and returns the status.
+async fn status(relay: &Relay, request: &str) -> u16 {
+    let mut socket = TcpStream::connect(relay.callers).await.unwrap();
+    socket.write_all(request.as_bytes()).await.unwrap();
+    let mut head = [0; 12];
+    timeout(Duration::from_secs(5), socket.read_exact(&mut head)).await.unwrap().unwrap();
+    String::from_utf8_lossy(&head[9..]).parse().unwrap()
+}
+
+fn operation(headers: &str, body: usize) -> String {
+    format!(
+        "POST /desk/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: c1\r\nDeadline-Ms: 1000\r\n\
+         Content-Length: {body}\r\n{headers}\r\n{}",
+        "x".repeat(body)
+    )
+}
+
+/// The time after which an idle connection is closed, if it is within a limit.
+async fn idle(address: SocketAddr, limit: Duration) -> Option<Duration> {
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let since = Instant::now();
+    let closed = timeout(limit, socket.read(&mut [0; 64])).await;
+    closed.is_ok().then(|| since.elapsed())
+}
+
+cases! {
+    async:
+    the_limit_on_bodies_changes_with_the_configuration => {
+        let bed = Bed::start().await;
+        let relay = bed.relay("vm-1", 1.0).await;
+        assert_eq!(status(&relay, &operation("", 200)).await, 200);
+        changed(&bed, 9, "max_body_bytes", 100).await;
+        assert_eq!(status(&relay, &operation("", 100)).await, 200);
+        assert_eq!(status(&relay, &operation("", 101)).await, 413);
+        changed(&bed, 10, "max_body_bytes", 200).await;
+        assert_eq!(status(&relay, &operation("", 200)).await, 200);
+        assert_eq!(bed.runs("desk"), 3);
+    };
+    a_body_over_the_default_size_is_taken_if_the_configuration_allows_it => {
+        let bed = Bed::start().await;
+        let relay = bed.relay("vm-1", 1.0).await;
+        changed(&bed, 9, "max_body_bytes", 3 << 20).await;
+        assert_eq!(status(&relay, &operation("", 2 << 20)).await, 200);
+    };
+    the_limit_on_heads_changes_with_the_configuration => {
+        let bed = Bed::start().await;
+        let relay = bed.relay("vm-1", 1.0).await;
+        let long = format!("X-Long: {}\r\n", "x".repeat(2000));
+        assert_eq!(status(&relay, &operation(&long, 0)).await, 200);
+        changed(&bed, 9, "max_header_bytes", 1024).await;
+        assert_eq!(status(&relay, &operation("", 0)).await, 200);
+        assert_eq!(status(&relay, &operation(&long, 0)).await, 413);
+    };
+    an_idle_connection_is_closed_at_the_limit_of_the_configuration => {
+        let bed = Bed::start().await;
+        let relay = bed.relay("vm-1", 1.0).await;
+        changed(&bed, 9, "idle_timeout_ms", 700).await;
+        let closed = idle(relay.callers, Duration::from_secs(3)).await.expect("it is closed");
+        assert!(closed >= Duration::from_millis(650), "{closed:?}");
+    };
+    a_head_that_does_not_arrive_is_answered_at_the_limit_of_the_configuration => {
+        let bed = Bed::start().await;
+        let relay = bed.relay("vm-1", 1.0).await;
+        changed(&bed, 9, "header_timeout_ms", 500).await;
+        let since = Instant::now();
+        assert_eq!(status(&relay, "GET /search/1 HTTP/1.1\r\n").await, 408);
+        let waited = since.elapsed();
+        assert!(waited >= Duration::from_millis(450) && waited < Duration::from_secs(3), "{waited:?}");
+    };
+}
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -10,5 +10,6 @@
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
 mod store;
+mod limit;
 mod path;
 mod settings;
