Do not use a connection again while its request is still being written

Cause: a target may answer before it has read a long body. The HTTP library then takes the exchange for finished, keeps the rest of the body in its buffer, and stalls with the next request: it is not woken for it once the rest is written.

Ruled out: a body cut short (the peer got all of it), the first exchange (it had ended), the end of the connection (it was open).

Change: the socket shows whether the library has written all that it holds; a connection whose request is still being written is closed after its response.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,8 @@
 //! belong to no request. [`Channel`] shows all three. It drives its connection
 //! while someone waits for it, so that no task of its own is needed.
 
+mod socket;
+
 use std::{fmt, io, net::SocketAddr, pin::Pin, time::Duration};
 
 use bytes::{Bytes, BytesMut};
@@ -14,11 +16,12 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
-use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
-type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+use self::socket::{Drained, Socket};
+
+type Driver = http1::Connection<Socket, Full<Bytes>>;
 
 /// Limits on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,6 +40,9 @@
 pub struct Failure {
     /// Whether some of the request may have reached the peer.
     pub sent: bool,
+    /// Whether the peer ended the connection under the request, or refused the
+    /// connection; a peer that is only silent does neither.
+    pub gone: bool,
     /// What happened, for people.
     pub detail: String,
 }
@@ -51,11 +57,11 @@
 
 impl Failure {
     fn unsent(detail: impl Into<String>) -> Failure {
-        Failure { sent: false, detail: detail.into() }
+        Failure { sent: false, gone: false, detail: detail.into() }
     }
 
     fn sent(detail: impl Into<String>) -> Failure {
-        Failure { sent: true, detail: detail.into() }
+        Failure { sent: true, gone: false, detail: detail.into() }
     }
 }
 
@@ -72,6 +78,7 @@
 pub struct Channel {
     sender: SendRequest<Full<Bytes>>,
     driver: Pin<Box<Driver>>,
+    drained: Drained,
     max_body: usize,
 }
 
@@ -81,16 +88,22 @@
         let opened = timeout(limits.connect, TcpStream::connect(address)).await;
         let socket = match opened {
             Ok(Ok(socket)) => socket,
-            Ok(Err(error)) => return Err(Failure::unsent(format!("connect: {error}"))),
+            Ok(Err(error)) => {
+                let gone = error.kind() == io::ErrorKind::ConnectionRefused;
+                let detail = format!("connect: {error}");
+                return Err(Failure { gone, ..Failure::unsent(detail) });
+            }
             Err(_) => {
                 let millis = limits.connect.as_millis();
                 return Err(Failure::unsent(format!("connect: no answer within {millis} ms")));
             }
         };
         prepare(&socket, limits).map_err(|e| Failure::unsent(format!("socket options: {e}")))?;
-        let handshake = http1::handshake(TokioIo::new(socket)).await;
+        let socket = Socket::new(socket);
+        let drained = socket.drained();
+        let handshake = http1::handshake(socket).await;
         let (sender, driver) = handshake.map_err(|e| Failure::unsent(describe(&e)))?;
-        Ok(Channel { sender, driver: Box::pin(driver), max_body: limits.body })
+        Ok(Channel { sender, driver: Box::pin(driver), drained, max_body: limits.body })
     }
 
     /// Sends a request and waits for the whole response.
@@ -100,7 +113,8 @@
         let keeps = keeps_open(response.headers());
         let (parts, body) = response.into_parts();
         let body = self.body(body).await?;
-        let reusable = keeps && !self.sender.is_closed();
+        // A peer may answer before it has read the whole request.
+        let reusable = keeps && self.drained.get() && !self.sender.is_closed();
         Ok(Whole { response: Response::from_parts(parts, body), reusable })
     }
 
@@ -132,7 +146,8 @@
         reply.map_err(|mut error| {
             // The library gives a request back of which it sent nothing.
             let sent = error.take_message().is_none();
-            Failure { sent, detail: describe(error.error()) }
+            let gone = sent && is_gone(error.error());
+            Failure { sent, gone, detail: describe(error.error()) }
         })
     }
 
@@ -151,7 +166,9 @@
             match frame {
                 None => return Ok(whole.freeze()),
                 Some(Err(error)) => {
-                    return Err(Failure::sent(format!("body: {}", describe(&error))));
+                    let gone = is_gone(&error);
+                    let detail = format!("body: {}", describe(&error));
+                    return Err(Failure { gone, ..Failure::sent(detail) });
                 }
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
@@ -190,6 +207,18 @@
     }
 }
 
+/// Whether an error tells that the peer ended the connection.
+fn is_gone(error: &hyper::Error) -> bool {
+    let mut cause = std::error::Error::source(error);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<io::Error>() {
+            return error.kind() != io::ErrorKind::TimedOut;
+        }
+        cause = error.source();
+    }
+    error.is_incomplete_message()
+}
+
 /// Joins an error and its causes, because the library prints only the former.
 pub fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/crates/http/tests/channel.rs
+++ b/crates/http/tests/channel.rs
@@ -80,6 +80,19 @@
     Channel::open(peer(acts).await, LIMITS).await.unwrap()
 }
 
+/// A peer that answers before it has read a body, and reads on after a while.
+/// It returns what it got after the head.
+async fn early(listener: TcpListener) -> Vec<u8> {
+    let (mut socket, _) = listener.accept().await.unwrap();
+    read_head(&mut socket).await;
+    socket.write_all(WHOLE.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    let mut rest = Vec::new();
+    // A connection that is cut in the middle of a body may be reset.
+    let _ = socket.read_to_end(&mut rest).await;
+    rest
+}
+
 /// The outcome of the first request.
 async fn first(act: Act) -> Result<Whole, Failure> {
     open(vec![act]).await.exchange(request()).await
@@ -132,6 +145,61 @@
     a_reset_before_the_response_may_have_run => {
         assert!(first(Act::Reset("")).await.unwrap_err().sent);
     };
+    an_early_response_ends_the_use_of_its_connection => {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let peer = tokio::spawn(early(listener));
+        let mut channel = Channel::open(address, LIMITS).await.unwrap();
+        let long = request().map(|_| Full::new(Bytes::from(vec![b'x'; 8 << 20])));
+        let whole = channel.exchange(long).await.unwrap();
+        assert_eq!(&whole.response.body()[..], b"ok");
+        assert!(!whole.reusable, "the rest of the body still waits");
+        drop(channel);
+        assert!(peer.await.unwrap().iter().all(|byte| *byte == b'x'));
+    };
+    a_response_after_a_long_body_leaves_the_connection_usable => {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            for _ in 0..2 {
+                read_head(&mut socket).await;
+                socket.read_exact(&mut vec![0; 8 << 20]).await.unwrap();
+                socket.write_all(WHOLE.as_bytes()).await.unwrap();
+            }
+            sleep(Duration::from_secs(60)).await;
+        });
+        let mut channel = Channel::open(address, LIMITS).await.unwrap();
+        for _ in 0..2 {
+            let long = request().map(|_| Full::new(Bytes::from(vec![b'x'; 8 << 20])));
+            assert!(channel.exchange(long).await.unwrap().reusable);
+        }
+    };
+    a_peer_that_ends_under_a_request_is_gone => {
+        for act in [Act::Reset(""), Act::Close(""), Act::Close("HTTP/1.1 200 OK\r\nConte")] {
+            let failure = first(act).await.unwrap_err();
+            assert!(failure.sent && failure.gone, "{act:?}: {failure}");
+        }
+        let cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
+        assert!(first(Act::Close(cut)).await.unwrap_err().gone);
+    };
+    a_peer_that_refuses_a_connection_is_gone => {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let failure = Channel::open(address, LIMITS).await.err().unwrap();
+        assert!(failure.gone && !failure.sent, "{failure}");
+    };
+    a_peer_that_closes_between_requests_is_not_gone => {
+        let mut channel = open(vec![Act::Refuse]).await;
+        sleep(Duration::from_millis(50)).await;
+        let failure = channel.exchange(request()).await.unwrap_err();
+        assert!(!failure.gone && !failure.sent, "{failure}");
+    };
+    a_peer_that_sends_no_protocol_is_not_gone => {
+        let failure = first(Act::Send("garbage garbage\r\n\r\n")).await.unwrap_err();
+        assert!(!failure.gone, "{failure}");
+    };
     a_connection_that_is_to_close_is_not_used_again => {
         let text = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
         assert!(!first(Act::Send(text)).await.unwrap().reusable);
