Hold back requests that crash the targets that run them

`relay` bounded such a request by the attempts of its route only; sent again, at any VM, it took more targets away each time.

Change: a target that ends the connection under a request and then refuses a new one counts as crashed with it. The VM writes one entry under a lease, and the watches tell the others. Silence, resets and targets that go down together prove nothing, a success clears a request.

Entries of VMs that cannot be read have an event of their own (408).

--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -1,5 +1,7 @@
 //! Digests that tie a reply to its content and a resend to its first request.
 
+use std::{fmt, num::ParseIntError, str::FromStr};
+
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::target::Row;
@@ -10,6 +12,20 @@
 )]
 pub struct Fingerprint(pub u64);
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Fingerprint, ParseIntError> {
+        u64::from_str_radix(text, 16).map(Fingerprint)
+    }
+}
+
 /// Computes the fingerprint of the parts of a request.
 ///
 /// Each part is preceded by its length, so that moving a byte from one part to
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -107,6 +107,10 @@
     TargetUnlisted 307 Info "target is listed no more";
     /// The registration of a target cannot be read.
     TargetUnreadable 308 Warning "registration of a target cannot be read";
+    /// Other VMs could not be told of a request that is held back.
+    ReportLost 309 Warning "other VMs are not told of a request that is held back";
+    /// The entry of a VM cannot be read.
+    VmUnreadable 408 Warning "entry of a VM cannot be read";
     /// A VM became live.
     VmLive 401 Info "VM is live";
     /// A VM does not answer probes.
--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod table;
 mod part;
+mod report;
 pub mod word;
 pub mod system;
 
@@ -21,6 +22,7 @@
 };
 use super::{View, route::Config, view};
 use crate::{
+    digest::Fingerprint,
     log::Line,
     name::Name,
     store::{Call, CallId, Entry, Reply},
@@ -43,6 +45,8 @@
     fn write_vm(&self, vm: &view::Vm) -> Vec<u8>;
     /// Reads a configuration.
     fn config(&self, entry: &Entry) -> Result<Config, String>;
+    /// The key that tells that a request is held back.
+    fn held_key(&self, request: Fingerprint) -> String;
     /// Reads the registration of a target.
     fn target(&self, entry: &Entry) -> Result<view::Target, String>;
 }
@@ -56,6 +60,8 @@
     Target(Name),
     /// A VM.
     Vm(Name),
+    /// A request that is held back.
+    Held(Fingerprint),
     /// Something else.
     Other,
 }
@@ -86,6 +92,8 @@
     pub replies: Vec<(CallId, Reply)>,
     /// What other VMs say.
     pub words: Vec<Word>,
+    /// The requests that this VM holds back from now on.
+    pub held: Vec<Fingerprint>,
 }
 
 /// What a step of the feed leaves to be done.
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, rngs::StdRng};
 
 use super::{
-    Format, Input, Limits, Outbox, Subject, part,
+    Format, Input, Limits, Outbox, Subject, part, report,
     table::{Part, Purpose, Store, Tables},
     word,
 };
@@ -38,8 +38,11 @@
 pub fn run(tables: &mut Tables, input: Input, cx: &mut Context<'_>) {
     tables.started.get_or_insert(cx.now);
     for (id, reply) in input.replies {
-        collect(tables, id, reply, cx);
+        if let Some(reply) = report::collect(tables, id, reply, cx) {
+            collect(tables, id, reply, cx);
+        }
     }
+    report::take(tables, input.held);
     for heard in input.words {
         word::hear(tables, heard, cx);
     }
@@ -47,6 +50,7 @@
     word::tell(tables, cx);
     expire(tables, cx);
     call(tables, cx);
+    report::run(tables, cx);
     publish(tables, cx);
 }
 
@@ -155,6 +159,7 @@
         Subject::Config => apply_config(tables, entry, cx),
         Subject::Target(id) => apply_target(tables, &id, entry, cx),
         Subject::Vm(name) => apply_vm(tables, name, entry, cx),
+        Subject::Held(request) => tables.is_changed |= tables.view.held.insert(request),
         Subject::Other => {}
     }
 }
@@ -214,7 +219,7 @@
         Ok(vm) => vm,
         Err(detail) => {
             let fields = vec![("key", entry.key.clone()), ("detail", detail)];
-            cx.out.lines.push(Line::new(Event::TargetUnreadable, fields));
+            cx.out.lines.push(Line::new(Event::VmUnreadable, fields));
             return;
         }
     };
@@ -239,6 +244,8 @@
 /// Takes everything that there is.
 fn replace_all(tables: &mut Tables, entries: &[Entry], cx: &mut Context<'_>) {
     let mut listed = BTreeSet::new();
+    tables.is_changed |= !tables.view.held.is_empty();
+    tables.view.held.clear();
     for entry in entries {
         apply(tables, entry, cx);
         if let Subject::Target(id) = cx.format.subject(&entry.key) {
@@ -257,6 +264,7 @@
         Subject::Vm(name) => {
             tables.is_changed |= tables.view.vms.remove(&name).is_some();
         }
+        Subject::Held(request) => tables.is_changed |= tables.view.held.remove(&request),
         Subject::Config | Subject::Other => {}
     }
 }
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -1,8 +1,9 @@
 //! The rows of the feed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::{
+    digest::Fingerprint,
     name::Name,
     relay::{View, view::Vm},
     store::{CallId, Version},
@@ -53,6 +54,24 @@
     Down { failures: u32 },
 }
 
+/// The step of a report that is under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// A lease is made.
+    Grant,
+    /// The entry is written.
+    Write,
+}
+
+/// What this VM tells others of requests that are held back.
+#[derive(Clone, Debug, Default)]
+pub struct Reports {
+    /// The requests that are to be told of; the first one is under way.
+    pub waiting: VecDeque<Fingerprint>,
+    /// The call that is under way.
+    pub open: Option<(CallId, Step)>,
+}
+
 /// All rows of the feed.
 #[derive(Clone, Debug)]
 pub struct Tables {
@@ -92,6 +111,8 @@
     pub lapse_until: Instant,
     /// Targets whose entry is missing, with the time at which they are gone.
     pub missing: BTreeMap<Name, Instant>,
+    /// The requests that others are told of.
+    pub reports: Reports,
     last: u64,
 }
 
@@ -117,6 +138,7 @@
             store: Store::Up,
             lapse_until: Instant::default(),
             missing: BTreeMap::new(),
+            reports: Reports::default(),
             last: 0,
         }
     }
--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::fault::Fault;
+use crate::{
+    digest::{self, Fingerprint},
+    fault::Fault,
+};
 
 /// A caller's request that waits for its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -50,12 +53,10 @@
 }
 
 impl Inquiry {
-    /// A hash that is equal for a request that is sent again.
-    pub fn fingerprint(&self) -> u64 {
-        let message = &self.message;
-        let mut seed = crate::rank::seed(&[&message.method, &self.host, &message.path]);
-        seed = xxhash_rust::xxh3::xxh3_64_with_seed(&message.body, seed);
-        seed
+    /// The fingerprint, equal for a request that is sent again.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let Message { method, path, body, .. } = &self.message;
+        digest::fingerprint(&[method.as_bytes(), self.host.as_bytes(), path.as_bytes(), body])
     }
 }
 
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -19,7 +19,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::{count::Counts, log::Line, name::Name};
+use crate::{count::Counts, digest::Fingerprint, log::Line, name::Name};
 
 pub use self::{
     engine::Engine,
@@ -67,6 +67,9 @@
     pub sent: bool,
     /// Whether the connection ended in an orderly way between two requests.
     pub idle: bool,
+    /// Whether the target ended the connection or refused it, as one does whose
+    /// process is gone; a target that is only silent does neither.
+    pub gone: bool,
     /// What happened, for people.
     pub detail: String,
 }
@@ -104,6 +107,8 @@
     pub answers: Vec<(Call, Answer)>,
     /// Lines for the log.
     pub lines: Vec<Line>,
+    /// The requests that this VM holds back from now on.
+    pub held: Vec<Fingerprint>,
     /// What was counted.
     pub counts: Counts,
 }
--- a/crates/core/src/relay/system/collect.rs
+++ b/crates/core/src/relay/system/collect.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Context, connect, leg};
+use super::{Context, connect, leg, suspect};
 use crate::{
     count::{Count, Drop, Retry},
     log::{Event, Line},
@@ -16,6 +16,7 @@
 /// Notes that a connection is open.
 pub fn opened(tables: &mut Tables, connection: relay::Connection, cx: &mut Context<'_>) {
     let Some(row) = tables.connections.get(&connection) else { return };
+    tables.suspects.clear_target(&row.target);
     if row.state == State::Opening {
         connect::release(tables, connection, cx);
     }
@@ -35,6 +36,7 @@
         return;
     }
     let Some(row) = tables.attempts.remove(&attempt) else { return };
+    tables.suspects.clear_target(&row.target);
     learn(tables, attempt, &row, &reply, cx);
     if reply.reusable {
         connect::release(tables, connection, cx);
@@ -98,9 +100,13 @@
     let is_gather = request.legs > 1 || matches!(request.route.plan, relay::route::Plan::Gather(_));
     let is_idempotent = request.route.idempotent;
     let id = Arc::clone(&request.inquiry.id);
+    let is_suspecting = !tables.suspects.rows.is_empty();
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     leg.attempts.remove(&attempt);
     if reply.is_success() {
+        if let Some(request) = tables.requests.get(&key.call).filter(|_| is_suspecting) {
+            tables.suspects.clear_request(request.inquiry.fingerprint());
+        }
         leg::finish(tables, key, Arc::new(reply), cx);
         return;
     }
@@ -152,6 +158,9 @@
         let until = target.pause_until;
         tables.timers.set(until, relay::table::timer::Timer::Pause(row.target.clone()));
     }
+    if loss.gone && !loss.sent {
+        suspect::confirm(tables, &row.target, cx);
+    }
     if let State::Busy(attempt) = row.state {
         lose(tables, attempt, loss, cx);
     }
@@ -165,6 +174,7 @@
         target.running.remove(&(row.sent, attempt));
     }
     let Some(key) = row.leg else { return };
+    suspect::note(tables, key.call, &row, loss, cx);
     log_lost(tables, key, &row, loss, cx);
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     leg.attempts.remove(&attempt);
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::{Context, hop, leg};
+use super::{Context, hop, leg, suspect};
 use crate::{
     count::Count,
     fault::{Fault, Kind},
@@ -46,6 +46,10 @@
             continue;
         };
         match config.find(&inquiry.host, &inquiry.path) {
+            Some(_) if suspect::is_held(tables, &inquiry, cx) => {
+                let fault = Fault::not_run(Kind::Quarantined, "it crashed targets");
+                refuse(call, &inquiry, fault, Some(suspect::HOLD), cx);
+            }
             Some(route) => admit(tables, call, inquiry, &config, route, cx),
             None => {
                 let detail = format!("no route at version {}", config.version);
--- a/crates/core/src/relay/system/leg.rs
+++ b/crates/core/src/relay/system/leg.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::Context;
+use super::{Context, suspect};
 use crate::{
     count::{Count, Retry},
     log::{Event, Line},
@@ -158,6 +158,9 @@
     let Some(leg) = tables.legs.get(&key) else { return false };
     let may_run_twice = request.route.idempotent || !leg.runs.maybe;
     let has_time = request.deadline > cx.now;
+    if suspect::holds(tables, &key, cx) {
+        return false;
+    }
     if leg.queued || !may_run_twice || !has_time || leg.runs.arrived >= request.route.attempts {
         return false;
     }
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 pub mod connect;
 pub mod leg;
+pub mod suspect;
 pub mod merge;
 
 use rand::rngs::StdRng;
@@ -54,6 +55,7 @@
         }
     }
     expire::run(tables, cx);
+    suspect::stop(tables, cx);
     intake::run(tables, arrivals, cx);
     dispatch::run(tables, cx);
     answer::run(tables, cx);
--- a/crates/core/src/relay/table/mod.rs
+++ b/crates/core/src/relay/table/mod.rs
@@ -7,6 +7,7 @@
 pub mod leg;
 pub mod pace;
 pub mod request;
+pub mod suspect;
 pub mod target;
 pub mod timer;
 pub mod turn;
@@ -18,7 +19,7 @@
 
 use self::{
     attempt::Attempt, budget::Budget, connection::Connection, leg::Leg, pace::Pace,
-    request::Request, target::Target, timer::Timer, turn::Turn,
+    request::Request, suspect::Suspects, target::Target, timer::Timer, turn::Turn,
 };
 use super::{message::Call, view::View};
 use crate::{name::Name, time::Instant, timer::Timers};
@@ -56,6 +57,8 @@
     pub askers: BTreeMap<Name, hop::Asker>,
     /// The VMs that requests are handed to.
     pub links: BTreeMap<Name, hop::Link>,
+    /// The requests with which targets were lost.
+    pub suspects: Suspects,
     /// When the first step was.
     pub started: Instant,
     /// The points in time at which a row is due.
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -1,11 +1,16 @@
 //! What the control thread tells the traffic threads.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
 use super::route::Config;
-use crate::name::Name;
+use crate::{digest::Fingerprint, name::Name};
 
 /// The configuration in force and the targets, replaced as a whole.
 #[derive(Clone, Debug, Default)]
@@ -20,6 +25,8 @@
     pub vms: BTreeMap<Name, Vm>,
     /// The VMs to count on while none is known.
     pub least_vms: u32,
+    /// The requests that are held back since they crashed targets.
+    pub held: BTreeSet<Fingerprint>,
     /// The VMs with so much more processor time that requests are handed to them.
     pub larger: BTreeMap<Name, Vm>,
 }
--- a/crates/core/tests/relay/bed.rs
+++ b/crates/core/tests/relay/bed.rs
@@ -7,6 +7,7 @@
 };
 
 use laburnum_core::{
+    digest::Fingerprint,
     log::Line,
     name::Name,
     relay::{
@@ -177,6 +178,7 @@
     pub answered_at: BTreeMap<Call, Instant>,
     pub lines: Vec<Line>,
     pub hops: Vec<(Name, Hop)>,
+    pub held: Vec<Fingerprint>,
     last: u64,
 }
 
@@ -210,6 +212,7 @@
             answered_at: BTreeMap::new(),
             lines: Vec::new(),
             hops: Vec::new(),
+            held: Vec::new(),
             last: 0,
         }
     }
@@ -246,6 +249,7 @@
             self.answered_at.insert(call, self.now);
         }
         self.lines.extend(out.lines);
+        self.held.extend(out.held);
     }
 
     /// Gives the engine a newer view.
@@ -288,10 +292,33 @@
 
     /// A connection is lost.
     pub fn lose(&mut self, sent: &Sent, was_sent: bool) {
-        let loss = Loss { sent: was_sent, idle: false, detail: "reset".to_owned() };
+        let loss = Loss { sent: was_sent, idle: false, gone: false, detail: "silent".to_owned() };
         self.step(vec![Event::Closed { connection: sent.connection, loss }]);
     }
 
+    /// A target resets a connection and goes on: it takes new ones.
+    pub fn reset(&mut self, sent: &Sent) {
+        let loss = Loss { sent: true, idle: false, gone: true, detail: "reset".to_owned() };
+        self.step(vec![Event::Closed { connection: sent.connection, loss }]);
+        self.pass(ms(250));
+        for connection in std::mem::take(&mut self.opened) {
+            self.step(vec![Event::Opened { connection }]);
+        }
+    }
+
+    /// A target ends: the connection that carries a request is reset, and no
+    /// connection can be opened.
+    pub fn crash(&mut self, sent: &Sent) {
+        let gone = |sent| Loss { sent, idle: false, gone: true, detail: "reset".to_owned() };
+        let connection = sent.connection;
+        self.opened.clear();
+        self.step(vec![Event::Closed { connection, loss: gone(true) }]);
+        self.pass(ms(250));
+        for connection in std::mem::take(&mut self.opened) {
+            self.step(vec![Event::Closed { connection, loss: gone(false) }]);
+        }
+    }
+
     /// Takes what targets were handed since the last time.
     pub fn take(&mut self) -> Vec<Sent> {
         std::mem::take(&mut self.sent)
--- a/crates/core/tests/relay/hedges.rs
+++ b/crates/core/tests/relay/hedges.rs
@@ -3,12 +3,13 @@
 use laburnum_core::{
     latency::Latency,
     relay::{
+        View,
         message::Load,
         policy::hedge::{Hedge, Never, Tail},
     },
 };
 
-use crate::bed::{Bed, config, inquiry, ms, search, single, success, view};
+use crate::bed::{Bed, config, inquiry, ms, search, single, success, target, view};
 
 fn taught(millis: &[u64]) -> Latency {
     let mut latency = Latency::default();
@@ -16,6 +17,13 @@
     latency
 }
 
+/// A view with four targets of one service, more than its route allows a leg.
+fn wide() -> View {
+    let mut view = view(config(1, vec![single("desk")], 100));
+    view.targets.extend([target("desk-3", "desk"), target("desk-4", "desk")]);
+    view
+}
+
 cases! {
     the_delay_is_what_most_attempts_take => {
         let latency = taught(&[10; 100]);
@@ -47,12 +55,33 @@
         assert!(bed.answers.contains_key(&call));
     };
     a_leg_goes_to_as_many_targets_as_its_route_allows => {
-        let mut bed = Bed::of(single("desk"));
+        let mut bed = Bed::new(wide());
         bed.teach("/fetch/1", 20, ms(5));
         bed.ask(inquiry("/fetch/1"));
         bed.pass(ms(500));
         assert_eq!(bed.take().len(), 2);
     };
+    a_lost_leg_goes_to_as_many_targets_as_its_route_allows => {
+        let mut bed = Bed::new(wide());
+        let call = bed.ask(inquiry("/fetch/1"));
+        let mut sent = 0;
+        while let Some(attempt) = bed.take().pop() {
+            bed.lose(&attempt, true);
+            sent += 1;
+        }
+        assert_eq!((sent, bed.refused(call)), (2, 502));
+    };
+    a_leg_that_was_retried_before_its_hedge_goes_to_no_third_target => {
+        let mut bed = Bed::new(wide());
+        bed.teach("/fetch/1", 20, ms(20));
+        bed.ask(inquiry("/fetch/1"));
+        bed.now = bed.now + ms(1);
+        let first = bed.take_one();
+        bed.lose(&first, true);
+        assert_eq!(bed.take().len(), 1);
+        bed.pass(ms(400));
+        assert!(bed.take().is_empty());
+    };
     a_target_without_a_free_slot_gets_no_second_attempt => {
         let mut bed = Bed::of(single("desk"));
         bed.teach("/fetch/1", 20, ms(5));
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -14,5 +14,6 @@
 mod merge;
 mod once;
 mod routes;
+mod suspects;
 mod targets;
 mod waits;
--- a/crates/core/tests/relay/routes.rs
+++ b/crates/core/tests/relay/routes.rs
@@ -1,8 +1,8 @@
 //! Finding the route of a request, and its version.
 
-use laburnum_core::relay::route::Route;
+use laburnum_core::relay::{Answer, route::Route};
 
-use crate::bed::{Bed, HOST, config, inquiry, name, single, split, success, view};
+use crate::bed::{Bed, HOST, config, inquiry, name, search, single, split, success, view};
 
 fn under(prefix: &str, service: &str) -> Route {
     Route { prefix: prefix.into(), ..single(service) }
@@ -57,6 +57,17 @@
         bed.ask(inquiry("/fetch/2"));
         assert!(bed.take_one().target().starts_with("two-"));
     };
+    a_search_keeps_the_shards_of_its_version => {
+        let mut bed = Bed::of(search(&["one", "two"], 0.5));
+        let call = bed.ask(inquiry("/search/1"));
+        let sent = bed.take();
+        bed.show(view(config(2, vec![search(&["one", "two", "three", "four"], 0.5)], 100)));
+        for (sent, digest) in sent.iter().zip(["a", "b"]) {
+            bed.reply(sent, success(digest, 1));
+        }
+        let Answer::Gathered(gathered) = &bed.answers[&call] else { panic!() };
+        assert_eq!((gathered.digests.len(), gathered.missing), (2, 0));
+    };
     shares_follow_the_weights_exactly => {
         let mut bed = Bed::of(split(&[("one", 3.0), ("two", 1.0)]));
         let mut ones = 0;
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use laburnum_core::{
+    digest::Fingerprint,
     log::{Event, Line},
     name::Name,
     relay::{
@@ -11,7 +12,7 @@
         route::Config,
         view::{Target, Vm},
     },
-    store::{Call, CallId, Entry, Reply, Version},
+    store::{Call, CallId, Entry, LeaseId, Reply, Version},
     time::Instant,
 };
 
@@ -30,6 +31,7 @@
         match key.split_once('/') {
             Some(("target", id)) => Subject::Target(bed::name(id)),
             Some(("vm", name)) => Subject::Vm(bed::name(name)),
+            Some(("held", request)) => Subject::Held(request.parse().unwrap()),
             None if key == "config" => Subject::Config,
             _ => Subject::Other,
         }
@@ -48,6 +50,10 @@
         text.parse().map(vm).map_err(|_| text)
     }
 
+    fn held_key(&self, request: Fingerprint) -> String {
+        format!("held/{request}")
+    }
+
     fn write_vm(&self, vm: &Vm) -> Vec<u8> {
         vm.share.to_string().into_bytes()
     }
@@ -96,6 +102,11 @@
     pub heard: Vec<Word>,
     /// What other VMs are told.
     pub told: Vec<(SocketAddr, Word)>,
+    /// The requests that the VM holds back from the next step on.
+    pub held: Vec<Fingerprint>,
+    /// The calls that report such requests, and the one that is open.
+    pub reports: Vec<Call>,
+    report: Option<(CallId, Call)>,
     /// The oldest change that is still known.
     pub oldest: u64,
     entries: BTreeMap<String, (u64, Vec<u8>)>,
@@ -132,6 +143,9 @@
             is_silent: false,
             heard: Vec::new(),
             told: Vec::new(),
+            held: Vec::new(),
+            reports: Vec::new(),
+            report: None,
             oldest: 0,
             entries: BTreeMap::new(),
             changes: Vec::new(),
@@ -184,16 +198,24 @@
     }
 
     fn step(&mut self) {
-        let replies: Vec<(CallId, Reply)> = self.answer().into_iter().collect();
+        let mut replies: Vec<(CallId, Reply)> = self.answer().into_iter().collect();
+        replies.extend(self.answer_report());
+        let held = std::mem::take(&mut self.held);
         let mut out = Outbox::default();
         let words = std::mem::take(&mut self.heard);
-        self.feed.step(self.now, Input { replies, words }, &mut out);
+        self.feed.step(self.now, Input { replies, words, held }, &mut out);
         self.told.extend(out.words);
         self.lines.extend(out.lines);
         if let Some(view) = out.view {
             self.view = view;
         }
         for (id, call) in out.calls {
+            if is_report(&call) {
+                assert!(self.report.is_none(), "two reports at a time");
+                self.reports.push(call.clone());
+                self.report = Some((id, call));
+                continue;
+            }
             self.calls.push((self.now, call.clone()));
             let is_given_up = self.logged(Event::StoreSilent) > 0;
             assert!(self.open.is_none() || is_given_up, "two calls at a time");
@@ -201,6 +223,18 @@
         }
     }
 
+    /// Reports are answered at once.
+    fn answer_report(&mut self) -> Option<(CallId, Reply)> {
+        let (id, call) = self.report.take()?;
+        let down = Reply::Refused { detail: "down".to_owned() };
+        let reply = match call {
+            _ if self.is_down => down,
+            Call::Grant { .. } => Reply::Leased { lease: LeaseId(9) },
+            call => self.read(&call, self.now)?,
+        };
+        Some((id, reply))
+    }
+
     fn answer(&mut self) -> Option<(CallId, Reply)> {
         let (id, call, since) = self.open.clone()?;
         if self.is_silent {
@@ -261,3 +295,12 @@
         Some(Entry { key: key.to_owned(), version: Version(*revision), value: value.clone() })
     }
 }
+
+/// Whether a call tells others of a request that is held back.
+fn is_report(call: &Call) -> bool {
+    match call {
+        Call::Grant { .. } => true,
+        Call::Swap { key, .. } => key.starts_with("held/"),
+        _ => false,
+    }
+}
--- a/crates/core/tests/relay/targets.rs
+++ b/crates/core/tests/relay/targets.rs
@@ -57,6 +57,8 @@
         let again = bed.take_one();
         bed.reply(&again, success("d", 1));
         assert!(targets(&mut bed, 20).iter().all(|id| id == again.target()));
+        bed.pass(ms(20_000));
+        assert!(targets(&mut bed, 20).iter().all(|id| id == again.target()), "also later");
     };
     the_target_that_is_meant_is_named => {
         let mut bed = Bed::of(single("desk"));
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -4,6 +4,7 @@
 
 use laburnum_core::{
     border::{Clock, Platform},
+    digest::Fingerprint,
     log::Event,
     relay::{
         View,
@@ -50,6 +51,8 @@
     pub leaving: watch::Receiver<bool>,
     /// Whether no larger VM is in reach.
     pub alone: watch::Receiver<bool>,
+    /// The requests that the traffic thread holds back.
+    pub held: mpsc::UnboundedReceiver<Fingerprint>,
 }
 
 /// Runs the control thread until the VM stops.
@@ -62,12 +65,16 @@
     let mut stop = shared.stop.clone();
     let mut batch = Vec::new();
     let mut words = Vec::new();
+    let mut held = Vec::new();
     let mut mail = Mail::open(&shared).await;
     loop {
         let mut out = Outbox::default();
         feed.set_alone(*seed.alone.borrow_and_update());
-        let input =
-            Input { replies: std::mem::take(&mut batch), words: std::mem::take(&mut words) };
+        let input = Input {
+            replies: std::mem::take(&mut batch),
+            words: std::mem::take(&mut words),
+            held: std::mem::take(&mut held),
+        };
         feed.step(shared.clock.now(), input, &mut out);
         for (id, call) in out.calls {
             client.call(id, call);
@@ -91,6 +98,7 @@
             Ok(()) = seed.alone.changed() => {}
             word = mail.receive() => words.extend(word),
             _ = receiver.recv_many(&mut batch, MAX_BATCH) => {}
+            Some(request) = seed.held.recv() => held.push(request),
             () = sleep(pause) => {}
         }
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -132,11 +132,22 @@
     let listeners = bind(&shared)?;
     let (serving_sender, serving) = mpsc::channel(1);
     let (alone_sender, alone) = watch::channel(false);
-    let control =
-        control::Seed { view: view_sender, ready: ready_sender, leaving: leaving_seen, alone };
+    let (held_sender, held) = mpsc::unbounded_channel();
+    let control = control::Seed {
+        view: view_sender,
+        ready: ready_sender,
+        leaving: leaving_seen,
+        alone,
+        held,
+    };
     let (for_control, for_traffic) = (shared.clone(), shared.clone());
     let control = spawn("control", move || control::run(for_control, control))?;
-    let seed = traffic::Seed { listeners, serving: serving_sender, alone: alone_sender };
+    let seed = traffic::Seed {
+        listeners,
+        serving: serving_sender,
+        alone: alone_sender,
+        held: held_sender,
+    };
     let traffic = spawn("traffic", move || traffic::run(for_traffic, seed))?;
     let address = shared.settings.listen.callers.to_string();
     shared.log(Event::Started, vec![("callers", address)]);
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use laburnum_core::relay::{Attempt, Command, Connection, Event, Loss, Order};
-use laburnum_http::{Channel, Limits};
+use laburnum_http::{Channel, Failure, Limits};
 use laburnum_platform::target as wire;
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -75,11 +75,18 @@
 }
 
 fn lost(sent: bool, detail: impl Into<String>) -> End {
-    End::Lost(Loss { sent, idle: false, detail: detail.into() })
+    End::Lost(Loss { sent, idle: false, gone: false, detail: detail.into() })
+}
+
+impl From<Failure> for End {
+    fn from(failure: Failure) -> End {
+        let Failure { sent, gone, detail } = failure;
+        End::Lost(Loss { sent, idle: false, gone, detail })
+    }
 }
 
 fn ended(detail: impl Into<String>) -> End {
-    End::Lost(Loss { sent: false, idle: true, detail: detail.into() })
+    End::Lost(Loss { sent: false, idle: true, gone: false, detail: detail.into() })
 }
 
 /// One connection with its tasks.
@@ -93,7 +100,7 @@
     async fn run(mut self, address: SocketAddr) {
         let end = match Channel::open(address, LIMITS).await {
             Ok(channel) => self.serve(channel).await,
-            Err(failure) => lost(false, failure.detail),
+            Err(failure) => End::from(failure),
         };
         if let End::Lost(loss) = end {
             self.report(Event::Closed { connection: self.connection, loss });
@@ -134,7 +141,7 @@
             // Nothing is sent while a request is under way: the client is gone.
             _ = self.tasks.recv() => return Err(End::Ordered),
         };
-        let whole = outcome.map_err(|failure| lost(failure.sent, failure.detail))?;
+        let whole = outcome.map_err(End::from)?;
         let keep = wire::keep_alive(&whole.response).unwrap_or(IDLE);
         let reply = match wire::read(order, whole) {
             Ok(reply) => reply,
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -4,6 +4,7 @@
 
 use laburnum_core::{
     border::Clock,
+    digest::Fingerprint,
     relay::{Answer, Call, Command, Engine, Event, Limits, Outbox, View, policy::Policies},
 };
 use tokio::{
@@ -38,6 +39,8 @@
     pub serving: mpsc::Sender<()>,
     /// Where it notes whether no larger VM is in reach.
     pub alone: watch::Sender<bool>,
+    /// Where it tells of requests that it holds back.
+    pub held: mpsc::UnboundedSender<Fingerprint>,
 }
 
 /// Runs the traffic thread until the VM stops.
@@ -48,11 +51,12 @@
         Ok(started) => started,
         Err(error) => return report(&shared, "peers", Err(error)),
     };
-    let alone = seed.alone.clone();
+    let (alone, held) = (seed.alone.clone(), seed.held.clone());
     serve(&shared, seed, Handle::new(inputs));
     let engine = Engine::new(limits(&shared), Policies::default(), rand::random());
     let targets = Client::new(events);
-    let thread = Thread { engine, targets, peers, alone, waiting: BTreeMap::new(), shared };
+    let waiting = BTreeMap::new();
+    let thread = Thread { engine, targets, peers, alone, held, waiting, shared };
     let inbox = Inbox {
         inputs: input_receiver,
         events: event_receiver,
@@ -121,6 +125,7 @@
     targets: Client,
     peers: Peers,
     alone: watch::Sender<bool>,
+    held: mpsc::UnboundedSender<Fingerprint>,
     waiting: BTreeMap<Call, oneshot::Sender<Answer>>,
     shared: Shared,
 }
@@ -201,6 +206,10 @@
                 let _ = sender.send(answer);
             }
         }
+        for request in out.held {
+            // The control thread is gone only when the VM is ending.
+            let _ = self.held.send(request);
+        }
         let now = self.shared.clock.now();
         for line in &out.lines {
             self.shared.writer.write(line, now);
