Send requests that a larger VM did not take another way

Cause: a request that was handed to a larger VM was answered as lost with it also when that VM could not be reached or refused the stream, in which case nothing of it was taken. The key between VMs was made of the address of the store in the settings: VMs that are given two addresses of it refused each other for good, and every half second some requests ended so.

Change: a loss tells whether the peer may have taken anything. What it did not take goes to another larger VM, or is served alone by routes that are known, or is refused as not run. The key is the same for all relays; that a stream is for a VM is checked by its name.

Also: one way of a front into the loop of a thread in place of two copies (src/inbox.rs); feed/word.rs is progress.rs and relay/mail.rs is datagram.rs.

--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -8,7 +8,7 @@
 pub mod table;
 mod part;
 mod report;
-pub mod word;
+pub mod progress;
 pub mod system;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -16,9 +16,9 @@
 use rand::{SeedableRng, rngs::StdRng};
 
 use self::{
+    progress::Progress,
     system::Context,
     table::{Own, Part, Tables},
-    word::Word,
 };
 use super::{View, route::Config, view};
 use crate::{
@@ -90,8 +90,8 @@
 pub struct Input {
     /// Replies of the store.
     pub replies: Vec<(CallId, Reply)>,
-    /// What other VMs say.
-    pub words: Vec<Word>,
+    /// How far other VMs say that they have read.
+    pub progress: Vec<Progress>,
     /// The requests that this VM holds back from now on.
     pub held: Vec<Fingerprint>,
 }
@@ -104,7 +104,7 @@
     /// A view that differs from the last one.
     pub view: Option<Arc<View>>,
     /// What other VMs are told.
-    pub words: Vec<(SocketAddr, Word)>,
+    pub progress: Vec<(SocketAddr, Progress)>,
     /// Lines for the log.
     pub lines: Vec<Line>,
 }
@@ -132,7 +132,7 @@
         self.tables.is_alone |= is_alone;
     }
 
-    /// Takes replies of the store and words of other VMs and runs every system
+    /// Takes replies of the store and progress of other VMs and runs every system
     /// once.
     pub fn step(&mut self, now: Instant, input: Input, out: &mut Outbox) {
         let mut cx = Context {
--- a/crates/core/src/relay/feed/word.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -26,15 +26,15 @@
 
 /// How far a VM has read the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
+pub struct Progress {
     /// The version of the newest entry.
     pub latest: u64,
 }
 
 /// Takes what another VM says.
-pub fn hear(tables: &mut Tables, word: Word, cx: &Context<'_>) {
-    if word.latest > tables.latest.max(tables.heard) {
-        tables.heard = word.latest;
+pub fn hear(tables: &mut Tables, progress: Progress, cx: &Context<'_>) {
+    if progress.latest > tables.latest.max(tables.heard) {
+        tables.heard = progress.latest;
         tables.behind_at.get_or_insert(cx.now + BEHIND);
     }
 }
@@ -45,8 +45,8 @@
         return;
     }
     tables.told = tables.latest;
-    let word = Word { latest: tables.latest };
-    cx.out.words.extend(listeners(tables).into_iter().map(|to| (to, word)));
+    let progress = Progress { latest: tables.latest };
+    cx.out.progress.extend(listeners(tables).into_iter().map(|to| (to, progress)));
 }
 
 fn listeners(tables: &Tables) -> Vec<SocketAddr> {
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -5,9 +5,8 @@
 use rand::{RngExt, rngs::StdRng};
 
 use super::{
-    Format, Input, Limits, Outbox, Subject, part, report,
+    Format, Input, Limits, Outbox, Subject, part, progress, report,
     table::{Part, Purpose, Store, Tables},
-    word,
 };
 use crate::{
     log::{Event, Line},
@@ -43,11 +42,11 @@
         }
     }
     report::take(tables, input.held);
-    for heard in input.words {
-        word::hear(tables, heard, cx);
+    for heard in input.progress {
+        progress::hear(tables, heard, cx);
     }
-    word::check(tables, cx);
-    word::tell(tables, cx);
+    progress::check(tables, cx);
+    progress::tell(tables, cx);
     expire(tables, cx);
     call(tables, cx);
     report::run(tables, cx);
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -54,8 +54,9 @@
     Closed { connection: Connection, loss: Loss },
     /// Another VM says something.
     Hop { from: Name, hop: Hop },
-    /// What was sent to another VM may be lost.
-    HopLost { to: Name, detail: String },
+    /// What was sent to another VM may be lost; `taken` tells whether that VM may
+    /// have taken any of it.
+    HopLost { to: Name, detail: String, taken: bool },
     /// The control thread has a newer view.
     View(Arc<View>),
 }
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -200,18 +200,34 @@
     refuse(tables, call, Kind::DeadlinePassed, "no answer in time", cx);
 }
 
-/// Ends the requests of a VM whose connection is lost.
-pub fn lost(tables: &mut Tables, to: &Name, detail: &str, cx: &mut Context<'_>) {
+/// Ends the requests of a VM whose connection is lost. Those that it did not
+/// take go another way.
+pub fn lost(tables: &mut Tables, to: &Name, detail: &str, taken: bool, cx: &mut Context<'_>) {
     let Some(link) = tables.links.get_mut(to) else { return };
     link.pause_until = cx.now + PAUSE;
     let open: Vec<Call> = link.open.iter().map(|(_, call)| *call).collect();
-    let fields = vec![("peer", to.to_string()), ("detail", detail.to_owned())];
+    let fields =
+        vec![("peer", to.to_string()), ("taken", taken.to_string()), ("detail", detail.to_owned())];
     cx.out.lines.push(Line::new(Event::HopLost, fields));
     for call in open {
-        refuse(tables, call, Kind::TargetFailed, "the VM that had it is lost", cx);
+        if taken {
+            refuse(tables, call, Kind::TargetFailed, "the VM that had it is lost", cx);
+        } else {
+            go_round(tables, call, cx);
+        }
     }
 }
 
+/// Takes a request that no VM took another way, with the time that is left.
+fn go_round(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
+    let Some(row) = tables.handed.get(&call).cloned() else { return };
+    forget(tables, call);
+    let mut inquiry = Inquiry::clone(&row.inquiry);
+    let age = cx.now.since(row.arrived);
+    inquiry.patience = inquiry.patience.map(|patience| patience.saturating_sub(age));
+    intake::route(tables, call, inquiry, cx);
+}
+
 fn refuse(tables: &mut Tables, call: Call, kind: Kind, detail: &str, cx: &mut Context<'_>) {
     let Some(row) = tables.handed.get(&call).cloned() else { return };
     forget(tables, call);
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -36,25 +36,28 @@
 pub fn run(tables: &mut Tables, arrivals: Vec<(Call, Inquiry)>, cx: &mut Context<'_>) {
     for (call, inquiry) in arrivals {
         cx.out.counts.add(Count::Requests);
-        if let Some(larger) = hop::pick(tables, cx) {
-            hop::hand(tables, call, inquiry, larger, cx);
-            continue;
+        route(tables, call, inquiry, cx);
+    }
+}
+
+/// Hands a request to a larger VM, admits or refuses it.
+pub fn route(tables: &mut Tables, call: Call, inquiry: Inquiry, cx: &mut Context<'_>) {
+    if let Some(larger) = hop::pick(tables, cx) {
+        return hop::hand(tables, call, inquiry, larger, cx);
+    }
+    let Some(config) = tables.view.config.clone() else {
+        let fault = Fault::not_run(Kind::NotReady, "this VM knows no configuration yet");
+        return refuse(call, &inquiry, fault, Some(NOT_READY), cx);
+    };
+    match config.find(&inquiry.host, &inquiry.path) {
+        Some(_) if suspect::is_held(tables, &inquiry, cx) => {
+            let fault = Fault::not_run(Kind::Quarantined, "it crashed targets");
+            refuse(call, &inquiry, fault, Some(suspect::HOLD), cx);
         }
-        let Some(config) = tables.view.config.clone() else {
-            let fault = Fault::not_run(Kind::NotReady, "this VM knows no configuration yet");
-            refuse(call, &inquiry, fault, Some(NOT_READY), cx);
-            continue;
-        };
-        match config.find(&inquiry.host, &inquiry.path) {
-            Some(_) if suspect::is_held(tables, &inquiry, cx) => {
-                let fault = Fault::not_run(Kind::Quarantined, "it crashed targets");
-                refuse(call, &inquiry, fault, Some(suspect::HOLD), cx);
-            }
-            Some(route) => admit(tables, call, inquiry, &config, route, cx),
-            None => {
-                let detail = format!("no route at version {}", config.version);
-                refuse(call, &inquiry, Fault::not_run(Kind::NotFound, detail), None, cx);
-            }
+        Some(route) => admit(tables, call, inquiry, &config, route, cx),
+        None => {
+            let detail = format!("no route at version {}", config.version);
+            refuse(call, &inquiry, Fault::not_run(Kind::NotFound, detail), None, cx);
         }
     }
 }
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -46,7 +46,7 @@
                 intake::abandon(tables, call, cx);
             }
             Event::Hop { from, hop } => hop::take(tables, from, hop, cx),
-            Event::HopLost { to, detail } => hop::lost(tables, &to, &detail, cx),
+            Event::HopLost { to, detail, taken } => hop::lost(tables, &to, &detail, taken, cx),
             Event::Opened { connection } => collect::opened(tables, connection, cx),
             Event::Replied { connection, attempt, reply } => {
                 collect::replied(tables, connection, attempt, *reply, cx);
--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -1,6 +1,6 @@
 //! How a VM learns of configurations and targets.
 
-use laburnum_core::{log::Event, relay::feed::word::Word, store::Call};
+use laburnum_core::{log::Event, relay::feed::progress::Progress, store::Call};
 
 use crate::{
     bed::ms,
@@ -232,7 +232,7 @@
         world.put("config", "4");
         world.pass(ms(1000));
         assert_eq!(world.told.len(), 4);
-        assert!(world.told.iter().all(|(_, word)| word.latest == world.revision()));
+        assert!(world.told.iter().all(|(_, progress)| progress.latest == world.revision()));
         world.pass(ms(20_000));
         assert_eq!(world.told.len(), 4, "once for each change");
     };
@@ -240,7 +240,7 @@
         let mut world = fed();
         world.is_silent = true;
         world.put("config", "4");
-        world.heard = vec![Word { latest: world.revision() }];
+        world.heard = vec![Progress { latest: world.revision() }];
         world.pass(ms(1200));
         assert!(!world.view.is_current);
         assert_eq!(world.logged(Event::StoreSilent), 1);
@@ -252,7 +252,7 @@
     a_vm_that_reads_as_far_as_others_goes_on_watching => {
         let mut world = fed();
         world.put("config", "4");
-        world.heard = vec![Word { latest: world.revision() }];
+        world.heard = vec![Progress { latest: world.revision() }];
         let before = world.calls.len();
         world.pass(ms(5000));
         assert_eq!(world.logged(Event::StoreSilent), 0);
--- a/crates/core/tests/relay/hops.rs
+++ b/crates/core/tests/relay/hops.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use laburnum_core::{
-    fault::{Fault, Kind},
+    fault::{Fault, Kind, Ran},
     relay::{
         Answer, Call, Event, Hop, View,
         message::{Inquiry, Refusal},
@@ -11,7 +11,7 @@
     },
 };
 
-use crate::bed::{Bed, inquiry, ms, name, search, single, success};
+use crate::bed::{Bed, config, inquiry, ms, name, search, single, success, view};
 
 fn vm(domain: &str, last: u8) -> Vm {
     let address = format!("10.1.0.{last}:7000").parse().unwrap();
@@ -51,6 +51,11 @@
     Event::Hop { from: name("small"), hop }
 }
 
+/// A VM could not be reached.
+fn unreached(vm: &str) -> Event {
+    Event::HopLost { to: name(vm), detail: "refused".into(), taken: false }
+}
+
 cases! {
     a_small_vm_hands_its_requests_on => {
         let mut bed = small(&[("large", "near")]);
@@ -70,11 +75,40 @@
         let mut bed = small(&[("a", "near"), ("b", "far")]);
         let call = bed.ask(inquiry("/fetch/1"));
         asked(&mut bed);
-        bed.step(vec![Event::HopLost { to: name("a"), detail: "reset".into() }]);
+        bed.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), taken: true }]);
         assert_eq!(bed.refused(call), 502);
         bed.ask(inquiry("/fetch/2"));
         assert_eq!(asked(&mut bed).0, "b");
     };
+    a_request_that_a_vm_did_not_take_goes_to_another_one => {
+        let mut bed = small(&[("a", "near"), ("b", "far")]);
+        let call = bed.ask(inquiry("/fetch/1"));
+        assert_eq!(asked(&mut bed).0, "a");
+        bed.now = bed.now + ms(100);
+        bed.step(vec![unreached("a")]);
+        assert!(!bed.answers.contains_key(&call));
+        let (to, again, asked) = asked(&mut bed);
+        assert_eq!((to.as_str(), asked.patience), ("b", Some(ms(500))));
+        answer(&mut bed, "b", again);
+        assert!(matches!(bed.answers[&call], Answer::Forwarded(_)));
+    };
+    a_request_that_no_vm_took_was_not_run => {
+        let mut bed = small(&[("a", "near"), ("b", "far")]);
+        let call = bed.ask(inquiry("/fetch/1"));
+        bed.step(vec![unreached("a"), unreached("b")]);
+        let Answer::Refused(refusal) = &bed.answers[&call] else { panic!() };
+        assert_eq!(refusal.fault.ran, Ran::No);
+    };
+    a_request_that_no_vm_took_is_served_alone_by_known_routes => {
+        let mut bed = small(&[("a", "near")]);
+        let mut own = view(config(1, vec![single("desk")], 100));
+        own.larger = bed.engine.tables().view.larger.clone();
+        own.is_current = true;
+        bed.show(own);
+        bed.ask(inquiry("/fetch/1"));
+        bed.step(vec![unreached("a")]);
+        assert!(bed.take_one().target().starts_with("desk-"));
+    };
     a_vm_that_says_nothing_is_gone_round => {
         let mut bed = small(&[("a", "near"), ("b", "far")]);
         bed.ask(inquiry("/fetch/1"));
@@ -103,7 +137,7 @@
         let mut bed = small(&[("a", "near")]);
         assert!(!bed.engine.is_alone(bed.now));
         bed.ask(inquiry("/fetch/1"));
-        bed.step(vec![Event::HopLost { to: name("a"), detail: "reset".into() }]);
+        bed.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), taken: true }]);
         assert!(bed.engine.is_alone(bed.now));
         let call = bed.ask(inquiry("/fetch/2"));
         assert_eq!(bed.refused(call), 503);
@@ -162,7 +196,7 @@
         bed.step(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: false } }]);
         bed.ask(inquiry("/fetch/2"));
         assert_eq!(asked(&mut bed).0, "b");
-        bed.step(vec![Event::HopLost { to: name("b"), detail: "reset".into() }]);
+        bed.step(vec![Event::HopLost { to: name("b"), detail: "reset".into(), taken: true }]);
         assert!(bed.engine.is_alone(bed.now), "it must read the routes itself");
         bed.ask(inquiry("/fetch/3"));
         assert_eq!(asked(&mut bed).0, "a", "old routes are better than none");
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -8,7 +8,7 @@
     name::Name,
     relay::{
         View,
-        feed::{Feed, Format, Input, Limits, Outbox, Subject, table::Own, word::Word},
+        feed::{Feed, Format, Input, Limits, Outbox, Subject, progress::Progress, table::Own},
         route::Config,
         view::{Target, Vm},
     },
@@ -99,9 +99,9 @@
     /// Whether calls are never answered.
     pub is_silent: bool,
     /// What other VMs say in the next step.
-    pub heard: Vec<Word>,
+    pub heard: Vec<Progress>,
     /// What other VMs are told.
-    pub told: Vec<(SocketAddr, Word)>,
+    pub told: Vec<(SocketAddr, Progress)>,
     /// The requests that the VM holds back from the next step on.
     pub held: Vec<Fingerprint>,
     /// The calls that report such requests, and the one that is open.
@@ -202,9 +202,9 @@
         replies.extend(self.answer_report());
         let held = std::mem::take(&mut self.held);
         let mut out = Outbox::default();
-        let words = std::mem::take(&mut self.heard);
-        self.feed.step(self.now, Input { replies, words, held }, &mut out);
-        self.told.extend(out.words);
+        let progress = std::mem::take(&mut self.heard);
+        self.feed.step(self.now, Input { replies, progress, held }, &mut out);
+        self.told.extend(out.progress);
         self.lines.extend(out.lines);
         if let Some(view) = out.view {
             self.view = view;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod settings;
 pub mod clock;
+pub mod inbox;
 pub mod vm;
 pub mod relay;
 pub mod load;
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -18,7 +18,7 @@
     time::sleep,
 };
 
-use super::{Shared, mail::Mail};
+use super::{Shared, datagram::Datagram};
 
 /// The longest sleep when the feed has nothing to do.
 const IDLE: Duration = Duration::from_secs(60);
@@ -64,23 +64,23 @@
     let mut feed = Feed::new(LIMITS, Box::new(Format), own(&shared), vms, rand::random());
     let mut stop = shared.stop.clone();
     let mut batch = Vec::new();
-    let mut words = Vec::new();
+    let mut progress = Vec::new();
     let mut held = Vec::new();
-    let mut mail = Mail::open(&shared).await;
+    let mut datagram = Datagram::open(&shared).await;
     loop {
         let mut out = Outbox::default();
         feed.set_alone(*seed.alone.borrow_and_update());
         let input = Input {
             replies: std::mem::take(&mut batch),
-            words: std::mem::take(&mut words),
+            progress: std::mem::take(&mut progress),
             held: std::mem::take(&mut held),
         };
         feed.step(shared.clock.now(), input, &mut out);
         for (id, call) in out.calls {
             client.call(id, call);
         }
-        for (to, word) in out.words {
-            mail.send(to, word).await;
+        for (to, progress) in out.progress {
+            datagram.send(to, progress).await;
         }
         if let Some(view) = out.view {
             seed.view.send_replace(view);
@@ -96,7 +96,7 @@
             _ = stop.wait_for(|stop| *stop) => return,
             _ = seed.leaving.changed() => {}
             Ok(()) = seed.alone.changed() => {}
-            word = mail.receive() => words.extend(word),
+            heard = datagram.receive() => progress.extend(heard),
             _ = receiver.recv_many(&mut batch, MAX_BATCH) => {}
             Some(request) = seed.held.recv() => held.push(request),
             () = sleep(pause) => {}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,7 +7,7 @@
 pub mod control;
 pub mod front;
 pub mod handle;
-pub mod mail;
+pub mod datagram;
 pub mod peer;
 pub mod probe;
 pub mod target;
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -44,15 +44,17 @@
     Lane { vm: vm.clone(), thread: 0 }
 }
 
-/// The key that keeps deployments apart. The port takes the same requests as
-/// the callers' one, so that it is no secret.
-fn key(shared: &Shared) -> Result<Key, wire::key::Error> {
-    Key::try_from(format!("laburnumworks-relay@{}", shared.settings.store).as_str())
+/// The key of every relay. The port takes the same requests as the callers' one,
+/// so that it is no secret; that a stream is for this VM is checked by its name.
+const KEY: &str = "laburnumworks-relay";
+
+fn key() -> Result<Key, wire::key::Error> {
+    Key::try_from(KEY)
 }
 
 /// Starts to listen to other VMs.
 pub fn start(shared: &Shared, listeners: &Listeners) -> io::Result<(Peers, Inbox)> {
-    let key = key(shared).map_err(|error| io::Error::other(error.to_string()))?;
+    let key = key().map_err(|error| io::Error::other(error.to_string()))?;
     let own = lane(&shared.settings.vm.name);
     let guard = Guard { own: own.clone(), keys: vec![key.digest()], limits: limits() };
     let listener = listeners.peers.try_clone()?;
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -22,8 +22,10 @@
     probe,
     target::Client,
 };
-
-use crate::wire::{self, Body};
+use crate::{
+    inbox::take_ready,
+    wire::{self, Body},
+};
 
 /// The longest sleep when the engine has nothing to do.
 const IDLE: Duration = Duration::from_secs(60);
@@ -151,14 +153,14 @@
                 }
                 Some(frame) = inbox.peers.frames.recv() => events.extend(said(frame)),
                 Some(lost) = inbox.peers.losses.recv() => {
-                    events.push(Event::HopLost { to: lost.to.vm, detail: lost.detail });
+                    events.push(Event::HopLost { to: lost.to.vm, detail: lost.detail, taken: lost.taken });
                 }
                 _ = inbox.events.recv_many(&mut events, MAX_BATCH) => {}
                 _ = inbox.inputs.recv_many(&mut inputs, MAX_BATCH) => {}
                 () = sleep(pause) => {}
             }
-            take_ready(&mut inbox.events, &mut events);
-            take_ready(&mut inbox.inputs, &mut inputs);
+            take_ready(&mut inbox.events, &mut events, MAX_BATCH);
+            take_ready(&mut inbox.inputs, &mut inputs, MAX_BATCH);
             self.tick(&mut inputs, &mut events);
         }
     }
@@ -180,9 +182,9 @@
 
     fn open(&mut self, input: Input) -> Event {
         match input {
-            Input::Ask { call, inquiry, answer } => {
-                self.waiting.insert(call, answer);
-                Event::Arrived { call, inquiry }
+            Input::Ask(ask) => {
+                self.waiting.insert(ask.call, ask.answer);
+                ask.event
             }
             Input::Abandoned(call) => {
                 self.waiting.remove(&call);
@@ -225,13 +227,3 @@
         Body::Traffic(_) | Body::Control(_) => None,
     }
 }
-
-/// Takes what is ready in a channel without waiting.
-fn take_ready<T>(channel: &mut UnboundedReceiver<T>, into: &mut Vec<T>) {
-    while into.len() < MAX_BATCH {
-        match channel.try_recv() {
-            Ok(event) => into.push(event),
-            Err(_) => return,
-        }
-    }
-}
--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -18,7 +18,10 @@
 };
 
 use super::{Borders, Ready, handle::Input};
-use crate::wire::{self, Body};
+use crate::{
+    inbox::take_ready,
+    wire::{self, Body},
+};
 
 /// The longest sleep when the engine has nothing to do.
 const IDLE: Duration = Duration::from_secs(1);
@@ -117,27 +120,17 @@
             _ = inbox.inputs.recv_many(&mut self.inputs, MAX_BATCH), if has_front => {}
             () = sleep(pause) => {}
         }
-        take_ready(&mut inbox.targets, &mut self.targets);
-        take_ready(&mut inbox.losses, &mut self.losses);
+        take_ready(&mut inbox.targets, &mut self.targets, MAX_BATCH);
+        take_ready(&mut inbox.losses, &mut self.losses, MAX_BATCH);
         while self.frames.len() < MAX_BATCH {
             let Ok(frame) = inbox.frames.try_recv() else { break };
             self.frames.push(frame);
         }
-        take_ready(&mut inbox.inputs, &mut self.inputs);
+        take_ready(&mut inbox.inputs, &mut self.inputs, MAX_BATCH);
         true
     }
 }
 
-/// Takes what is ready in a channel without waiting.
-fn take_ready<T>(channel: &mut UnboundedReceiver<T>, into: &mut Vec<T>) {
-    while into.len() < MAX_BATCH {
-        match channel.try_recv() {
-            Ok(event) => into.push(event),
-            Err(_) => return,
-        }
-    }
-}
-
 struct Thread {
     engine: Engine,
     clock: Box<dyn Clock>,
--- a/src/wire/dialer.rs
+++ b/src/wire/dialer.rs
@@ -79,11 +79,12 @@
     pub fn send_body(&mut self, to: &Lane, body: &Body) {
         let sent = match codec::encode(body, self.limits.frame) {
             Ok(frame) => self.enqueue(to, frame),
-            Err(error) => Err(error.to_string()),
+            // What was sent before it may be on its way.
+            Err(error) => Err(Lost { to: to.clone(), detail: error.to_string(), taken: true }),
         };
-        if let Err(detail) = sent {
+        if let Err(lost) = sent {
             // The receiver is gone only when the thread is ending.
-            let _ = self.losses.send(Lost { to: to.clone(), detail });
+            let _ = self.losses.send(lost);
         }
     }
 
@@ -93,12 +94,13 @@
         while self.tasks.join_next().await.is_some() {}
     }
 
-    fn enqueue(&mut self, to: &Lane, frame: Bytes) -> Result<(), String> {
-        self.forget_lost(to)?;
+    fn enqueue(&mut self, to: &Lane, frame: Bytes) -> Result<(), Lost> {
+        let unsent = |detail| Lost { to: to.clone(), detail, taken: false };
+        self.forget_lost(to).map_err(unsent)?;
         let most = self.limits.queue_bytes;
         let link = match self.peers.get(to) {
             Some(Peer { link: Some(link), .. }) => link,
-            _ => self.dial(to)?,
+            _ => self.dial(to).map_err(unsent)?,
         };
         let length = frame.len();
         let queued = link.shared.queued.fetch_add(length, Ordering::Relaxed) + length;
@@ -106,7 +108,8 @@
             return Ok(());
         }
         self.condemn(to);
-        Err("the queue of the peer is full".to_owned())
+        let detail = "the queue of the peer is full".to_owned();
+        Err(Lost { to: to.clone(), detail, taken: true })
     }
 
     /// Takes note of a connection whose task has ended.
@@ -149,7 +152,7 @@
             limits: self.limits,
             shared: Arc::clone(&shared),
         };
-        let lost = Lost { to: to.clone(), detail: String::new() };
+        let lost = Lost { to: to.clone(), detail: String::new(), taken: true };
         let run = outbound::run(outbound, queue, lost, self.losses.clone());
         let task = self.tasks.spawn(run);
         Ok(peer.link.insert(Link { frames, shared, task }))
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -56,6 +56,9 @@
     pub to: Lane,
     /// Why, for people.
     pub detail: String,
+    /// Whether the peer may have taken any of them. It took none if it could not
+    /// be reached or refused the stream.
+    pub taken: bool,
 }
 
 /// Bounds of the connections between VMs.
--- a/src/wire/outbound.rs
+++ b/src/wire/outbound.rs
@@ -61,12 +61,12 @@
     losses: UnboundedSender<Lost>,
 ) {
     let shared = Arc::clone(&outbound.shared);
-    if let Err(Loss { detail }) = outbound.send_all(&mut frames).await {
+    if let Err(Loss { detail, taken }) = outbound.send_all(&mut frames).await {
         // It is set once, here.
         let _ = shared.lost.set(Instant::now());
         frames.close();
         // The receiver is gone only when the thread is ending.
-        let _ = losses.send(Lost { detail, ..lost });
+        let _ = losses.send(Lost { detail, taken, ..lost });
     }
 }
 
@@ -74,23 +74,25 @@
 #[derive(Debug)]
 struct Loss {
     detail: String,
+    /// Whether the peer may have taken a frame.
+    taken: bool,
 }
 
 impl Loss {
     fn new(detail: &str) -> Loss {
-        Loss { detail: detail.to_owned() }
+        Loss { detail: detail.to_owned(), taken: true }
     }
 }
 
 impl From<io::Error> for Loss {
     fn from(error: io::Error) -> Loss {
-        Loss { detail: error.to_string() }
+        Loss::new(&error.to_string())
     }
 }
 
 impl From<h2::Error> for Loss {
     fn from(error: h2::Error) -> Loss {
-        Loss { detail: error.to_string() }
+        Loss::new(&error.to_string())
     }
 }
 
@@ -99,14 +101,16 @@
 
 impl Outbound {
     async fn send_all(self, frames: &mut Receiver<Bytes>) -> Result<(), Loss> {
-        let (client, mut connection, socket) = timeout(self.limits.connect, connect(self.address))
+        let opened = timeout(self.limits.connect, connect(self.address))
             .await
-            .map_err(|_| Loss::new("the peer took no connection in time"))??;
+            .unwrap_or_else(|_| Err(Loss::new("the peer took no connection in time")));
+        let (client, mut connection, socket) =
+            opened.map_err(|loss| Loss { taken: false, ..loss })?;
         let silent = ping::watch(connection.ping_pong(), self.limits);
         let limits = self.limits;
         tokio::select! {
             result = &mut connection => return Err(ended(result)),
-            detail = silent => return Err(Loss { detail }),
+            detail = silent => return Err(Loss { detail, taken: true }),
             result = self.stream(client, frames) => result?,
         }
         // The stream is done, so that the connection says GOAWAY and ends.
@@ -168,7 +172,7 @@
     let response = response.await?;
     if response.status() != StatusCode::OK {
         let detail = format!("the peer refused the stream with {}", response.status());
-        return Err(Loss { detail });
+        return Err(Loss { detail, taken: false });
     }
     shared.accepted.store(true, Ordering::Relaxed);
     let mut body = response.into_body();
