Add a fault soak of relays as processes

Three relays, one of them handing its requests on, run as processes against our own store and targets, behind proxies on loopback.

--- /dev/null
+++ b/tests/soak/proxy.rs
@@ -0,0 +1,135 @@
+//! A proxy on loopback that delays, resets, cuts and silences connections.
+
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+    time::sleep,
+};
+
+/// What a proxy does with bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Passes them on.
+    Pass,
+    /// Passes them on later.
+    Delay(Duration),
+    /// Holds both directions back.
+    Silent,
+    /// Holds back what comes from behind.
+    OneWay,
+}
+
+/// The state of a proxy: what it does, how often connections were reset, and how
+/// often those that were open were forgotten.
+#[derive(Clone, Copy, Debug)]
+struct State {
+    mode: Mode,
+    resets: u64,
+    lapses: u64,
+}
+
+/// A proxy before one address.
+pub struct Proxy {
+    pub address: SocketAddr,
+    state: watch::Sender<State>,
+}
+
+/// The two directions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Forth,
+    Back,
+}
+
+impl Proxy {
+    pub async fn start(behind: SocketAddr) -> Proxy {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (state, seen) = watch::channel(State { mode: Mode::Pass, resets: 0, lapses: 0 });
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                tokio::spawn(join(near, behind, seen.clone()));
+            }
+        });
+        Proxy { address, state }
+    }
+
+    pub fn set(&self, mode: Mode) {
+        self.state.send_modify(|state| state.mode = mode);
+    }
+
+    /// Resets every connection.
+    pub fn reset(&self) {
+        self.state.send_modify(|state| state.resets += 1);
+    }
+
+    /// Leaves every connection that is open silent for good.
+    pub fn forget(&self) {
+        self.state.send_modify(|state| state.lapses += 1);
+    }
+}
+
+async fn join(near: TcpStream, behind: SocketAddr, mut state: watch::Receiver<State>) {
+    let Ok(far) = TcpStream::connect(behind).await else {
+        // The peer is gone: the connection is refused as well as can be.
+        return abort(&near);
+    };
+    let opened = *state.borrow();
+    for socket in [&near, &far] {
+        let _ = socket.set_nodelay(true);
+    }
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let forth = pump(near_read, far_write, state.clone(), Way::Forth, opened.lapses);
+    let back = pump(far_read, near_write, state.clone(), Way::Back, opened.lapses);
+    tokio::pin!(forth, back);
+    let reset = state.wait_for(|state| state.resets > opened.resets);
+    tokio::select! {
+        () = async { tokio::join!(&mut forth, &mut back); } => {}
+        _ = reset => {}
+    }
+}
+
+/// Ends a connection with a reset.
+fn abort(socket: &TcpStream) {
+    let _ = socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO));
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut state: watch::Receiver<State>,
+    way: Way,
+    lapses: u64,
+) {
+    let mut bytes = vec![0; 16 << 10];
+    loop {
+        let Ok(count) = from.read(&mut bytes).await else {
+            return abort(to.as_ref());
+        };
+        let passes = |state: &State| match state.mode {
+            _ if state.lapses > lapses => false,
+            Mode::Pass | Mode::Delay(_) => true,
+            Mode::Silent => false,
+            Mode::OneWay => way == Way::Forth,
+        };
+        let Ok(now) = state.wait_for(passes).await.map(|state| *state) else { return };
+        if let Mode::Delay(span) = now.mode {
+            sleep(span).await;
+        }
+        if count == 0 {
+            // An end is passed on as one.
+            let _ = to.shutdown().await;
+            return;
+        }
+        if to.write_all(&bytes[..count]).await.is_err() {
+            return;
+        }
+    }
+}
