Drop rows of routes that are gone, and give the soak more faults at operations

Rows of routes and services that no configuration names any more were kept until the next start. They go with the change now; what a service was sent counts until the window of its budget is over.

--- a/crates/core/src/relay/system/refresh.rs
+++ b/crates/core/src/relay/system/refresh.rs
@@ -38,6 +38,7 @@
             retire(tables, &id, cx);
         }
     }
+    forget(tables, &named, cx);
     file(tables);
     for (id, entry) in &view.targets {
         if named.contains(&entry.service) {
@@ -91,6 +92,19 @@
     connect::prune(tables, id);
 }
 
+/// Drops what is known of routes and services that are named no more. What a
+/// service was sent counts until the window of its budget is over.
+fn forget(tables: &mut Tables, named: &BTreeSet<Name>, cx: &Context<'_>) {
+    let config = tables.view.config.clone();
+    let routes = config.iter().flat_map(|config| config.hosts.values()).flatten();
+    let routes: BTreeSet<&Name> = routes.map(|route| &route.name).collect();
+    tables.paces.retain(|route, _| routes.contains(route));
+    tables.turns.retain(|route, _| routes.contains(route));
+    let (now, window) = (cx.now, cx.limits.retry_window);
+    tables.budgets.retain(|service, row| named.contains(service) || row.is_used(now, window));
+    tables.waiting.retain(|_, queue| !queue.is_empty());
+}
+
 /// Files the usable targets under their services.
 fn file(tables: &mut Tables) {
     tables.services.clear();
--- a/crates/core/src/relay/table/budget.rs
+++ b/crates/core/src/relay/table/budget.rs
@@ -60,6 +60,12 @@
         bound.ratio * f64::from(first) + bound.slack - f64::from(extra)
     }
 
+    /// Whether anything was sent within the window.
+    pub fn is_used(&mut self, now: Instant, window: Duration) -> bool {
+        self.step(now, window);
+        self.sums() != (0, 0)
+    }
+
     fn sums(&self) -> (u32, u32) {
         let add = |(first, extra), step: &Step| (first + step.first, extra + step.extra);
         self.steps.iter().fold((0, 0), add)
--- a/crates/core/tests/relay/routes.rs
+++ b/crates/core/tests/relay/routes.rs
@@ -2,7 +2,7 @@
 
 use laburnum_core::relay::{Answer, route::Route};
 
-use crate::bed::{Bed, HOST, config, inquiry, name, search, single, split, success, view};
+use crate::bed::{Bed, HOST, config, inquiry, ms, name, search, single, split, success, view};
 
 fn under(prefix: &str, service: &str) -> Route {
     Route { prefix: prefix.into(), ..single(service) }
@@ -68,6 +68,22 @@
         let Answer::Gathered(gathered) = &bed.answers[&call] else { panic!() };
         assert_eq!((gathered.digests.len(), gathered.missing), (2, 0));
     };
+    rows_of_routes_that_are_gone_are_dropped => {
+        let mut bed = Bed::of(split(&[("one", 1.0), ("two", 1.0)]));
+        bed.ask(inquiry("/split/1"));
+        let sent = bed.take_one();
+        bed.reply(&sent, success("d", 1));
+        let rows = |bed: &Bed| {
+            let tables = bed.engine.tables();
+            (tables.paces.len(), tables.turns.len(), tables.budgets.len())
+        };
+        assert_eq!(rows(&bed), (1, 1, 1));
+        bed.show(view(config(2, vec![single("desk")], 100)));
+        assert_eq!(rows(&bed), (0, 0, 1), "what was sent counts for a window");
+        bed.pass(ms(11_000));
+        bed.show(view(config(3, vec![single("desk")], 100)));
+        assert_eq!(rows(&bed), (0, 0, 0));
+    };
     shares_follow_the_weights_exactly => {
         let mut bed = Bed::of(split(&[("one", 3.0), ("two", 1.0)]));
         let mut ones = 0;
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -43,6 +43,9 @@
     Poison,
 }
 
+/// The targets that run operations; they are the last ones.
+const OPERATING: usize = 4;
+
 /// The faults of the store that last.
 const STORE: [&str; 5] = [
     r#"{"down": "refuse"}"#,
@@ -67,7 +70,10 @@
 pub fn draw(random: &mut StdRng, relays: usize, targets: usize) -> Fault {
     let span = Duration::from_millis(random.random_range(200..2500));
     let short = Duration::from_millis(random.random_range(50..1500));
-    let (relay, target) = (random.random_range(0..relays), random.random_range(0..targets));
+    let relay = random.random_range(0..relays);
+    // The last targets run operations, whose promises are the strictest.
+    let first = if random.random::<bool>() { targets - OPERATING } else { 0 };
+    let target = random.random_range(first..targets);
     let modes = [Mode::Silent, Mode::OneWay, Mode::Delay(Duration::from_millis(80))];
     let mode = modes[random.random_range(0..modes.len())];
     match random.random_range(0..20) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -19,14 +19,23 @@
 mod check;
 mod play;
 
+use std::time::Duration;
+
+use crate::{fault::Fault, plan::Step};
+
+/// When the only fault of a case begins.
+const SOON: Duration = Duration::from_millis(500);
+
 cases! {
     seed_1 => play::seed(1);
     seed_2 => play::seed(2);
     // VMs refused each other's requests where their stores had two addresses.
-    seed_101 => play::seed(101);
+    nothing_fails_without_a_fault => play::steps("calm", &[]);
     // A target of the soak did not come back after the poison.
-    seed_115 => play::seed(115);
+    poison => play::steps("poison", &[Step { at: SOON, fault: Fault::Poison }]);
     // A VM that had stood still told targets the time of requests that had waited.
-    seed_123 => play::seed(123);
+    freeze => play::steps("freeze", &[
+        Step { at: SOON, fault: Fault::Freeze { relay: 2, span: Duration::from_millis(1460) } },
+    ]);
     fresh_seeds => play::fresh();
 }
--- a/tests/soak/play.rs
+++ b/tests/soak/play.rs
@@ -39,8 +39,13 @@
 
 /// Plays one seed and fails with what broke a promise.
 pub fn seed(seed: u64) {
-    let breaches = play(seed);
-    assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
+    steps(&seed.to_string(), &plan::draw(seed));
+}
+
+/// Plays faults of which a promise broke once.
+pub fn steps(name: &str, steps: &[Step]) {
+    let breaches = play(name, steps);
+    assert!(breaches.is_empty(), "{name}: {breaches:#?}");
 }
 
 /// Plays the seeds that the environment names, one after the other.
@@ -50,7 +55,7 @@
     let (first, last): (u64, u64) = (first.parse().unwrap(), last.parse().unwrap());
     let mut failed = Vec::new();
     for seed in first..=last {
-        let breaches = play(seed);
+        let breaches = play(&seed.to_string(), &plan::draw(seed));
         println!("seed {seed}: {} broken", breaches.len());
         for breach in breaches.iter().take(10) {
             println!("  {breach}");
@@ -62,26 +67,26 @@
     assert!(failed.is_empty(), "seeds {failed:?}");
 }
 
-/// The folder for the settings and logs of a seed, which stays.
-fn folder(seed: u64) -> PathBuf {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
-    // It is there only if the seed was played before.
+/// The folder for the settings and logs of a run, which stays.
+fn folder(name: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{name}"));
+    // It is there only if it was played before.
     let _ = fs::remove_dir_all(&folder);
     fs::create_dir_all(&folder).unwrap();
     folder
 }
 
-fn play(seed: u64) -> Vec<String> {
+fn play(name: &str, steps: &[Step]) -> Vec<String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let breaches = runtime.unwrap().block_on(soak(seed));
+    let breaches = runtime.unwrap().block_on(soak(name, steps.to_vec()));
     if !breaches.is_empty() {
-        println!("seed {seed}: {:#?}", plan::draw(seed));
+        println!("{name}: {steps:#?}");
     }
     breaches
 }
 
-async fn soak(seed: u64) -> Vec<String> {
-    let folder = folder(seed);
+async fn soak(name: &str, steps: Vec<Step>) -> Vec<String> {
+    let folder = folder(name);
     let bed = Bed::start(&folder).await;
     let stop = Arc::new(AtomicBool::new(false));
     let mut callers = JoinSet::new();
@@ -91,7 +96,7 @@
         callers.spawn(async move { Caller { relay, address, ledger }.run(&stop).await });
     }
     sleep(WARM).await;
-    disturb(&bed, plan::draw(seed)).await;
+    disturb(&bed, steps).await;
     bed.ready().await;
     sleep(plan::CALM).await;
     let end = Instant::now();
@@ -102,11 +107,7 @@
     }
     let rows = bed.ledger.rows();
     let served = rows.asks.iter().filter(|ask| ask.is_served()).count();
-    println!(
-        "seed {seed}: {} requests, {served} served, {} runs",
-        rows.asks.len(),
-        rows.runs.len()
-    );
+    println!("{name}: {} requests, {served} served, {} runs", rows.asks.len(), rows.runs.len());
     check::run(&rows, end)
 }
 
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -201,7 +201,8 @@
         if let Some(until) = paused {
             sleep(until.saturating_duration_since(Instant::now())).await;
         }
-        let span = if manner == Manner::Slow { 60 } else { rand::rng().random_range(1..5) };
+        let usual = if row.path.starts_with("/desk/") { 5..40 } else { 1..5 };
+        let span = if manner == Manner::Slow { 60 } else { rand::rng().random_range(usual) };
         sleep(Duration::from_millis(span)).await;
         if manner == Manner::Hangs {
             sleep(Duration::from_secs(5)).await;
