Put changed settings in force on SIGHUP

Cause: SIGHUP was only logged; a changed retry budget held from the next start on.

Change: the file is read again. Limits on callers, the retry budget and the times of a shutdown are in force at once; names, addresses and the log hold until the next start. A file that cannot be read changes nothing and is logged with the key (108).

Before: the two new cases over a process fail (no line 107 with values, no 108), and a traffic thread had no way to take other limits.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -69,8 +69,10 @@
     MetricsUnavailable 105 Warning "metrics cannot be served";
     /// A listening socket could not be used.
     PortFailed 106 Error "port cannot be served";
-    /// The settings file has changed; the next start reads it.
-    SettingsChanged 107 Info "settings file has changed";
+    /// The settings file was read again; the line says what of it is in force.
+    SettingsChanged 107 Info "settings file was read again";
+    /// The settings file cannot be read; what was read before stays in force.
+    SettingsUnreadable 108 Warning "settings file cannot be read";
     /// A request was refused.
     Refused 201 Debug "request refused";
     /// A query started over on another version of the index.
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -36,6 +36,11 @@
         system::run(&mut self.tables, events, &mut cx);
     }
 
+    /// Puts other limits in force.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// When the next row is due.
     pub fn wake(&self) -> Option<Instant> {
         self.tables.timers.first()
--- a/crates/core/tests/relay/hedges.rs
+++ b/crates/core/tests/relay/hedges.rs
@@ -9,7 +9,7 @@
     },
 };
 
-use crate::bed::{Bed, config, inquiry, ms, search, single, success, target, view};
+use crate::bed::{Bed, config, inquiry, limits, ms, search, single, success, target, view};
 
 fn taught(millis: &[u64]) -> Latency {
     let mut latency = Latency::default();
@@ -116,6 +116,19 @@
         assert!(hedges <= 9, "{hedges} beside 40 with a fifth and one allowed");
         assert!(hedges >= 5, "{hedges}");
     };
+    other_limits_hold_at_once => {
+        let mut bed = Bed::with_slack(0.0);
+        bed.show(view(config(1, vec![single("desk")], 100)));
+        bed.warm();
+        bed.ask(inquiry("/fetch/1"));
+        bed.pass(ms(300));
+        assert_eq!(bed.take().len(), 1, "the budget has nothing");
+        bed.engine.set_limits(limits(100.0));
+        bed.pass(ms(11_000));
+        bed.ask(inquiry("/fetch/2"));
+        bed.pass(ms(300));
+        assert_eq!(bed.take().len(), 2);
+    };
     the_loser_of_a_hedge_keeps_its_connection_if_it_answers => {
         let mut bed = Bed::of(single("desk"));
         bed.teach("/fetch/1", 20, ms(5));
--- a/src/cli/relay.rs
+++ b/src/cli/relay.rs
@@ -24,6 +24,14 @@
     pub settings: Option<PathBuf>,
 }
 
+/// Reads the settings again, which may be changing just now.
+fn reload(relay: &relay::Relay, command: &Relay) {
+    match value::relay(command.settings.as_deref()) {
+        Ok(settings) => relay.reload(settings),
+        Err(report) => relay.keep(report.current_context().to_string()),
+    }
+}
+
 /// Runs the command.
 pub fn run(command: &Relay) -> Outcome {
     let settings = value::relay(command.settings.as_deref())?;
@@ -41,7 +49,7 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hangup.recv() => relay.reload(),
+                _ = hangup.recv() => reload(&relay, command),
             }
         }
         if relay.leave().await {
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -22,20 +22,20 @@
         intake::Open,
         port::Port,
     },
-    settings::relay::Callers,
+    settings::relay::Settings,
 };
 
 /// The limits of the configuration in force, or those of the settings while
 /// none is known.
 struct Configured {
-    settings: Callers,
+    settings: watch::Receiver<Arc<Settings>>,
     view: watch::Receiver<Arc<View>>,
 }
 
 impl Configured {
     fn bounds(&self) -> Bounds {
         let view = self.view.borrow();
-        let settings = &self.settings;
+        let settings = self.settings.borrow().callers;
         view.config.as_ref().map_or_else(
             || Bounds {
                 head: size(settings.head),
@@ -55,18 +55,18 @@
             header_size: bounds.head,
             header_read: bounds.head_time,
             idle: bounds.idle,
-            connections: size(self.settings.connections.into()),
+            connections: size(self.settings.borrow().callers.connections.into()),
         }
     }
 
     fn body(&self) -> body::Limits {
-        body::Limits { size: self.bounds().body, read: self.settings.body_time }
+        body::Limits { size: self.bounds().body, read: self.settings.borrow().callers.body_time }
     }
 }
 
 /// Serves callers until the VM shuts down and the open requests have finished.
 pub async fn serve(listener: TcpListener, handle: Handle, shared: &Shared) -> io::Result<()> {
-    let bound = Configured { settings: shared.settings.callers, view: shared.view.clone() };
+    let bound = Configured { settings: shared.latest.clone(), view: shared.view.clone() };
     let port = Port {
         listener,
         bound: Arc::new(bound),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -61,8 +61,10 @@
 /// What the threads of the VM share.
 #[derive(Clone)]
 pub struct Shared {
-    /// The settings.
+    /// The settings of the start.
     pub settings: Arc<Settings>,
+    /// The settings as they were read last.
+    pub latest: watch::Receiver<Arc<Settings>>,
     /// The clocks.
     pub clock: System,
     /// The log.
@@ -102,6 +104,7 @@
 /// A VM that runs.
 pub struct Relay {
     shared: Shared,
+    latest: watch::Sender<Arc<Settings>>,
     serving: mpsc::Receiver<()>,
     leaving: watch::Sender<bool>,
     shutdown: watch::Sender<bool>,
@@ -119,8 +122,11 @@
     let (leaving, leaving_seen) = watch::channel(false);
     let (shutdown, shutdown_seen) = watch::channel(false);
     let (stop, stop_seen) = watch::channel(false);
+    let settings = Arc::new(settings);
+    let (latest, latest_seen) = watch::channel(Arc::clone(&settings));
     let shared = Shared {
-        settings: Arc::new(settings),
+        settings,
+        latest: latest_seen,
         clock,
         writer,
         metrics: Arc::new(Metrics::new()),
@@ -152,7 +158,7 @@
     let address = shared.settings.listen.callers.to_string();
     shared.log(Event::Started, vec![("callers", address)]);
     let threads = vec![control, traffic];
-    Ok(Relay { shared, serving, leaving, shutdown, stop, threads, _log: log })
+    Ok(Relay { shared, latest, serving, leaving, shutdown, stop, threads, _log: log })
 }
 
 /// Runs a task on a thread of its own, where it is made.
@@ -189,10 +195,23 @@
 }
 
 impl Relay {
-    /// Notes that the settings file has changed. What it holds is in use from
-    /// the next start on.
-    pub fn reload(&self) {
-        self.shared.log(Event::SettingsChanged, Vec::new());
+    /// Puts settings in force that were read again, as far as a VM that runs can
+    /// change: limits on callers, the retry budget and how it shuts down. Names,
+    /// addresses and the log hold until the next start.
+    pub fn reload(&self, settings: Settings) {
+        let fields = vec![
+            ("retry_ratio", settings.retry.ratio.to_string()),
+            ("retry_slack", settings.retry.slack.to_string()),
+            ("announce_ms", settings.shutdown.announce.as_millis().to_string()),
+            ("limit_ms", settings.shutdown.limit.as_millis().to_string()),
+        ];
+        self.latest.send_replace(Arc::new(settings));
+        self.shared.log(Event::SettingsChanged, fields);
+    }
+
+    /// Notes that the settings could not be read again.
+    pub fn keep(&self, detail: String) {
+        self.shared.log(Event::SettingsUnreadable, vec![("detail", detail)]);
     }
 
     /// Shuts the VM down without cutting a request: it says that it is not
@@ -202,7 +221,7 @@
     pub async fn leave(mut self) -> bool {
         self.shared.log(Event::Leaving, Vec::new());
         self.leaving.send_replace(true);
-        let limits = self.shared.settings.shutdown;
+        let limits = self.latest.borrow().shutdown;
         sleep(limits.announce).await;
         self.shutdown.send_replace(true);
         let rest = limits.limit.saturating_sub(limits.announce);
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -24,6 +24,7 @@
 };
 use crate::{
     inbox::take_ready,
+    settings::relay::Settings,
     wire::{self, Body},
 };
 
@@ -55,7 +56,7 @@
     };
     let (alone, held) = (seed.alone.clone(), seed.held.clone());
     serve(&shared, seed, Handle::new(inputs));
-    let engine = Engine::new(limits(&shared), Policies::default(), rand::random());
+    let engine = Engine::new(limits(&shared.settings), Policies::default(), rand::random());
     let targets = Client::new(events);
     let waiting = BTreeMap::new();
     let thread = Thread { engine, targets, peers, alone, held, waiting, shared };
@@ -64,13 +65,13 @@
         events: event_receiver,
         peers: peer_inbox,
         view: thread.shared.view.clone(),
+        settings: thread.shared.latest.clone(),
         stop: thread.shared.stop.clone(),
     };
     thread.run(inbox).await;
 }
 
-fn limits(shared: &Shared) -> Limits {
-    let settings = &shared.settings;
+fn limits(settings: &Settings) -> Limits {
     Limits {
         vm: settings.vm.name.clone(),
         address: settings.listen.peers,
@@ -119,6 +120,7 @@
     events: UnboundedReceiver<Event>,
     peers: peer::Inbox,
     view: watch::Receiver<Arc<View>>,
+    settings: watch::Receiver<Arc<Settings>>,
     stop: watch::Receiver<bool>,
 }
 
@@ -151,6 +153,9 @@
                     let view = Arc::clone(&inbox.view.borrow_and_update());
                     events.push(Event::View(view));
                 }
+                Ok(()) = inbox.settings.changed() => {
+                    self.engine.set_limits(limits(&inbox.settings.borrow_and_update()));
+                }
                 Some(frame) = inbox.peers.frames.recv() => events.extend(said(frame)),
                 Some(lost) = inbox.peers.losses.recv() => {
                     events.push(Event::HopLost { to: lost.to.vm, detail: lost.detail, taken: lost.taken });
--- a/tests/relay/bed.rs
+++ b/tests/relay/bed.rs
@@ -4,6 +4,7 @@
     collections::BTreeMap,
     fs,
     net::{SocketAddr, TcpListener},
+    path::PathBuf,
     time::Duration,
 };
 
@@ -24,6 +25,7 @@
 /// A relay that runs as a process.
 pub struct Relay {
     child: Child,
+    file: PathBuf,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
@@ -35,6 +37,27 @@
         self.child.signal(Signal::TERM);
     }
 
+    /// Changes the settings and tells the process.
+    pub fn reload(&self, change: impl FnOnce(String) -> String) {
+        let text = fs::read_to_string(&self.file).unwrap();
+        fs::write(&self.file, change(text)).unwrap();
+        self.child.signal(Signal::HUP);
+    }
+
+    /// Waits until the log has a line of an event.
+    pub async fn logged(&self, event: u16) -> String {
+        let log = self.file.with_extension("log");
+        let mark = format!("\"event\":{event},");
+        for _ in 0..200 {
+            let text = fs::read_to_string(&log).unwrap();
+            if let Some(line) = text.lines().find(|line| line.contains(&mark)) {
+                return line.to_owned();
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("event {event} is not logged");
+    }
+
     /// Waits for the end of the process and returns whether it was orderly.
     pub async fn ended(&mut self) -> bool {
         self.child.exit(Duration::from_secs(10)).await.success()
@@ -77,9 +100,10 @@
         drop(ports);
         let file = self.folder.path().join(format!("{name}.toml"));
         fs::write(&file, settings(name, cores, &address, self.store.address)).unwrap();
-        let file = file.display().to_string();
-        let child = Child::start(self.folder.path(), name, &["relay", "--settings", &file]);
-        let relay = Relay { child, callers: address[0], ready: address[1], metrics: address[2] };
+        let path = file.display().to_string();
+        let child = Child::start(self.folder.path(), name, &["relay", "--settings", &path]);
+        let relay =
+            Relay { child, file, callers: address[0], ready: address[1], metrics: address[2] };
         while self.is_ready(&relay).await != Some(true) {
             sleep(Duration::from_millis(20)).await;
         }
--- a/tests/relay/limit.rs
+++ b/tests/relay/limit.rs
@@ -88,6 +88,25 @@
         let closed = idle(relay.callers, Duration::from_secs(3)).await.expect("it is closed");
         assert!(closed >= Duration::from_millis(650), "{closed:?}");
     };
+    the_time_for_a_body_changes_with_the_settings => {
+        let bed = Bed::start().await;
+        let relay = bed.relay("vm-1", 1.0).await;
+        relay.reload(|text| format!("{text}[callers]\nbody_read_ms = 300\n"));
+        relay.logged(107).await;
+        let since = Instant::now();
+        let mut cut = operation("", 100);
+        cut.truncate(cut.len() - 50);
+        assert_eq!(status(&relay, &cut).await, 408);
+        assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
+    };
+    settings_that_cannot_be_read_change_nothing => {
+        let bed = Bed::start().await;
+        let relay = bed.relay("vm-1", 1.0).await;
+        relay.reload(|text| text.replace("ratio = 0.2", "ratio = \"much\""));
+        let line = relay.logged(108).await;
+        assert!(line.contains("retry.ratio"), "{line}");
+        assert_eq!(bed.search(&relay).await.status(), 200);
+    };
     a_head_that_does_not_arrive_is_answered_at_the_limit_of_the_configuration => {
         let bed = Bed::start().await;
         let relay = bed.relay("vm-1", 1.0).await;
