--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -21,11 +21,18 @@
 
 use std::time::Duration;
 
-use crate::{fault::Fault, plan::Step};
+use crate::{fault::Fault, plan::Step, target::Manner};
 
 /// When the only fault of a case begins.
 const SOON: Duration = Duration::from_millis(500);
 
+/// Most requests fail at the targets of every shard.
+fn failing() -> Vec<Step> {
+    let (manner, span) = (Manner::Fails, Duration::from_secs(5));
+    let fault = |target| Fault::Manner { target, manner, share: 0.8, span };
+    (0..6).map(|target| Step { at: SOON, fault: fault(target) }).collect()
+}
+
 cases! {
     seed_1 => play::seed(1);
     seed_2 => play::seed(2);
@@ -37,5 +44,16 @@
     freeze => play::steps("freeze", &[
         Step { at: SOON, fault: Fault::Freeze { relay: 2, span: Duration::from_millis(1460) } },
     ]);
+    a_target_leaves => play::steps("leaves", &[
+        Step { at: SOON, fault: Fault::Replace { target: 0 } },
+        Step { at: SOON, fault: Fault::Replace { target: 10 } },
+    ]);
+    most_targets_fail => play::steps("fail", &failing());
+    relays_end_in_turn => play::steps("turn", &[0, 1, 2].map(|relay| {
+        Step { at: SOON * (1 + 4 * relay as u32), fault: Fault::Restart { relay } }
+    }));
+    versions_follow_each_other => play::steps("versions", &[1, 3, 9].map(|n| {
+        Step { at: SOON * n, fault: Fault::Change }
+    }));
     fresh_seeds => play::fresh();
 }
