--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -33,6 +33,18 @@
     (0..6).map(|target| Step { at: SOON, fault: fault(target) }).collect()
 }
 
+/// Targets of shards and of operations spoil their answers, each in its way.
+fn spoilt() -> Vec<Step> {
+    let (share, span) = (0.4, Duration::from_secs(5));
+    let ways = [(0, Manner::Cuts), (2, Manner::Crosses), (4, Manner::Doubles)];
+    let operations = [(10, Manner::Cuts), (11, Manner::Unframed)];
+    let steps = ways.into_iter().chain(operations).map(|(target, manner)| {
+        let fault = Fault::Manner { target, manner, share, span };
+        Step { at: SOON, fault }
+    });
+    steps.collect()
+}
+
 cases! {
     seed_1 => play::seed(1);
     seed_2 => play::seed(2);
@@ -48,6 +60,7 @@
         Step { at: SOON, fault: Fault::Replace { target: 0 } },
         Step { at: SOON, fault: Fault::Replace { target: 10 } },
     ]);
+    answers_are_spoilt => play::steps("spoilt", &spoilt());
     most_targets_fail => play::steps("fail", &failing());
     relays_end_in_turn => play::steps("turn", &[0, 1, 2].map(|relay| {
         Step { at: SOON * (1 + 4 * relay as u32), fault: Fault::Restart { relay } }
--- a/tests/soak/play.rs
+++ b/tests/soak/play.rs
@@ -34,6 +34,10 @@
 /// The time in which the load runs before the first fault.
 const WARM: Duration = Duration::from_secs(1);
 
+/// The pause between two searches that crash targets: they go on until long
+/// after the third crash.
+const POISON_PAUSE: Duration = Duration::from_millis(900);
+
 /// The setting that names fresh seeds, as in `LABURNUM_SOAK=100-120`.
 const SEEDS: &str = "LABURNUM_SOAK";
 
@@ -163,7 +167,7 @@
         Fault::Poison => {
             for caller in bed.callers.iter().cycle().take(8) {
                 caller.poison().await;
-                sleep(Duration::from_millis(200)).await;
+                sleep(POISON_PAUSE).await;
             }
         }
     }
