--- a/tests/relay/bed.rs
+++ b/tests/relay/bed.rs
@@ -1,12 +1,6 @@
 //! A store, targets and relays that are ready to serve.
 
-use std::{
-    collections::BTreeMap,
-    fs,
-    net::{SocketAddr, TcpListener},
-    path::PathBuf,
-    time::Duration,
-};
+use std::{collections::BTreeMap, fs, net::SocketAddr, path::PathBuf, time::Duration};
 
 use laburnum_platform::caller::READY_PATH;
 use reqwest::{Response, StatusCode};
@@ -15,6 +9,7 @@
 
 use crate::{
     child::{Child, Signal},
+    port,
     standin::{
         entries::{self, SERVICES},
         target::Target,
@@ -94,10 +89,7 @@
 
     /// Starts a relay with a number of cores and waits until it is ready.
     pub async fn relay(&self, name: &str, cores: f64) -> Relay {
-        let ports: Vec<TcpListener> =
-            (0..4).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-        let address: Vec<SocketAddr> = ports.iter().map(|p| p.local_addr().unwrap()).collect();
-        drop(ports);
+        let address: Vec<SocketAddr> = (0..4).map(|_| port::free()).collect();
         let file = self.folder.path().join(format!("{name}.toml"));
         fs::write(&file, settings(name, cores, &address, self.store.address)).unwrap();
         let path = file.display().to_string();
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -7,6 +7,8 @@
 mod bed;
 #[path = "../process/child.rs"]
 mod child;
+#[path = "../process/port.rs"]
+mod port;
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
 mod store;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -6,6 +6,8 @@
 mod case;
 #[path = "../process/child.rs"]
 mod child;
+#[path = "../process/port.rs"]
+mod port;
 mod ledger;
 mod message;
 mod proxy;
--- a/tests/soak/relay.rs
+++ b/tests/soak/relay.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     time::{Duration, Instant},
 };
@@ -12,6 +12,7 @@
 use crate::{
     child::{Child, Signal},
     ledger::{Ledger, Subject},
+    port,
 };
 
 /// The time for which a VM is disturbed beyond the disturbance itself: it has to
@@ -41,10 +42,7 @@
         folder: &Path,
         ledger: &Ledger,
     ) -> Relay {
-        let ports: Vec<TcpListener> =
-            (0..4).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-        let address: Vec<SocketAddr> = ports.iter().map(|p| p.local_addr().unwrap()).collect();
-        drop(ports);
+        let address: Vec<SocketAddr> = (0..4).map(|_| port::free()).collect();
         let name = format!("vm-{number}");
         let text = settings(&name, cores, &address, store);
         fs::write(folder.join(format!("{name}.toml")), text).unwrap();
