Let the proxies of the soak refuse while their target is down

A proxy accepted connections for a target that was down and reset them; `relay` takes a target for crashed only if it refuses a connection, since a reset may have many causes.

Change: proxies stop listening while their target is down, by the same loop as the targets; the soak waits a second after a start before it sends SIGTERM. Checks and bounds are as they were.

--- a/tests/soak/bed.rs
+++ b/tests/soak/bed.rs
@@ -79,7 +79,7 @@
         store.configure(1, SHARDS[0], DESKS[0]).await;
         let (mut uplinks, mut relays, mut callers) = (Vec::new(), Vec::new(), Vec::new());
         for (number, cores) in RELAYS.into_iter().enumerate() {
-            let uplink = Proxy::start(store.address).await;
+            let uplink = Proxy::start(store.address, Arc::default()).await;
             let relay = Relay::start(number, cores, uplink.address, folder, &ledger);
             let address = relay.callers;
             callers.push(Caller { relay: number, address, ledger: ledger.clone() });
@@ -114,7 +114,7 @@
     ledger: &Ledger,
 ) -> Place {
     let target = Target::start(id, service, number, ledger.clone()).await;
-    let link = Proxy::start(target.address).await;
+    let link = Proxy::start(target.address, target.down()).await;
     store.register(&target, link.address, false).await;
     Place { target, link }
 }
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -1,6 +1,13 @@
 //! A proxy on loopback that delays, resets, cuts and silences connections.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -12,6 +19,9 @@
     time::sleep,
 };
 
+/// The time between two looks at what is down.
+const LOOK: Duration = Duration::from_millis(5);
+
 /// What a proxy does with bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -48,15 +58,14 @@
 }
 
 impl Proxy {
-    pub async fn start(behind: SocketAddr) -> Proxy {
+    /// Starts a proxy that takes no connections while what is behind it is down.
+    pub async fn start(behind: SocketAddr, down: Arc<AtomicBool>) -> Proxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (state, seen) = watch::channel(State { mode: Mode::Pass, resets: 0, lapses: 0 });
-        tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
-                tokio::spawn(join(near, behind, seen.clone()));
-            }
-        });
+        tokio::spawn(accept(listener, address, down, move |near| {
+            tokio::spawn(join(near, behind, seen.clone()));
+        }));
         Proxy { address, state }
     }
 
@@ -75,6 +84,39 @@
     }
 }
 
+/// Accepts connections at an address while nothing is down.
+pub async fn accept(
+    listener: TcpListener,
+    address: SocketAddr,
+    down: Arc<AtomicBool>,
+    mut take: impl FnMut(TcpStream),
+) {
+    let mut listener = Some(listener);
+    loop {
+        if down.load(Ordering::Relaxed) {
+            listener = None;
+            sleep(LOOK).await;
+            continue;
+        }
+        let open = match listener.take() {
+            Some(open) => open,
+            None => match TcpListener::bind(address).await {
+                Ok(open) => open,
+                // The port is in use by a connection that is ending.
+                Err(_) => {
+                    sleep(LOOK).await;
+                    continue;
+                }
+            },
+        };
+        tokio::select! {
+            Ok((socket, _)) = open.accept() => take(socket),
+            () = sleep(LOOK) => {}
+        }
+        listener = Some(open);
+    }
+}
+
 async fn join(near: TcpStream, behind: SocketAddr, mut state: watch::Receiver<State>) {
     let Ok(far) = TcpStream::connect(behind).await else {
         // The peer is gone: the connection is refused as well as can be.
--- a/tests/soak/relay.rs
+++ b/tests/soak/relay.rs
@@ -19,6 +19,9 @@
 /// come up, or to find out what it missed.
 pub const SETTLE: Duration = Duration::from_millis(3000);
 
+/// The time after its start in which a process listens to signals.
+const STARTING: Duration = Duration::from_millis(1000);
+
 /// The limit of an orderly end, in milliseconds.
 pub const LIMIT_MS: u64 = 4000;
 
@@ -31,6 +34,7 @@
     folder: PathBuf,
     ledger: Ledger,
     child: Option<Child>,
+    launched: Instant,
 }
 
 impl Relay {
@@ -54,6 +58,7 @@
             folder: folder.to_owned(),
             ledger: ledger.clone(),
             child: None,
+            launched: Instant::now(),
         };
         relay.launch();
         relay
@@ -63,6 +68,7 @@
         let file = format!("{}.toml", self.name);
         let arguments = ["relay", "--settings", &file];
         self.child = Some(Child::start(&self.folder, &self.name, &arguments));
+        self.launched = Instant::now();
     }
 
     /// Whether it says that it is ready.
@@ -96,6 +102,8 @@
 
     /// Tells it to end, waits for that and starts it again.
     pub async fn restart(&mut self) {
+        // A process that has not begun to listen ends by the signal itself.
+        sleep(STARTING.saturating_sub(self.launched.elapsed())).await;
         let from = Instant::now();
         self.signal(Signal::TERM);
         let limit = Duration::from_millis(LIMIT_MS) + Duration::from_secs(1);
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -21,6 +21,7 @@
 use crate::{
     ledger::{Ledger, Run},
     message::{self, Message},
+    proxy,
 };
 
 /// The requests that a target runs at a time.
@@ -98,43 +99,34 @@
         *self.state.paused.lock().unwrap() = Some(Instant::now() + span);
     }
 
+    /// Whether it is down.
+    pub fn down(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.state.down)
+    }
+
     /// Takes no connections and has none, or comes back.
     pub fn set_down(&self, is_down: bool) {
         self.state.down.store(is_down, Ordering::Relaxed);
     }
 }
 
-/// Accepts connections while the target is up.
+/// Accepts connections while the target is up, and ends them when it goes down.
 async fn serve(listener: TcpListener, address: SocketAddr, state: Arc<State>) {
-    let mut listener = Some(listener);
-    let mut connections = JoinSet::new();
-    loop {
-        if state.down.load(Ordering::Relaxed) {
-            listener = None;
-            connections.shutdown().await;
-            state.running.store(0, Ordering::Relaxed);
-            sleep(Duration::from_millis(5)).await;
-            continue;
-        }
-        let open = match listener.take() {
-            Some(open) => open,
-            None => match TcpListener::bind(address).await {
-                Ok(open) => open,
-                // The port is in use by a connection that is ending.
-                Err(_) => {
-                    sleep(Duration::from_millis(20)).await;
-                    continue;
-                }
-            },
-        };
-        tokio::select! {
-            Ok((socket, _)) = open.accept() => {
-                connections.spawn(connection(socket, Arc::clone(&state)));
+    let connections = Arc::new(Mutex::new(JoinSet::new()));
+    let (down, open, own) = (Arc::clone(&state.down), Arc::clone(&connections), Arc::clone(&state));
+    let accepting = proxy::accept(listener, address, down, move |socket| {
+        open.lock().unwrap().spawn(connection(socket, Arc::clone(&own)));
+    });
+    let ending = async {
+        loop {
+            if state.down.load(Ordering::Relaxed) {
+                connections.lock().unwrap().abort_all();
+                state.running.store(0, Ordering::Relaxed);
             }
-            () = sleep(Duration::from_millis(5)) => {}
+            sleep(Duration::from_millis(2)).await;
         }
-        listener = Some(open);
-    }
+    };
+    tokio::join!(accepting, ending);
 }
 
 async fn connection(mut socket: TcpStream, state: Arc<State>) {
