Tell on how far others have read the store

Cause: a VM told others only what it had read itself. Where the store left the watches of six of eight larger VMs unanswered, the two that read told the same five; two were told by nobody and served by old routes: 404 for a route 5 s after it was added.

Ruled out: the handing on of requests (the VMs that refused had version 3 themselves), the change of versions by the store (two VMs had version 5 within 0.1 s).

Change: what is heard is told on, once for each new change.

Before: the new case fails, no datagram leaves.

--- a/crates/core/src/relay/feed/progress.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -17,8 +17,8 @@
     name::Name,
 };
 
-/// The VMs that are told: with this many, one that the store ignores is told
-/// also if most of the others are ignored too.
+/// The VMs that are told, so that one that is gone or cut off does not end the
+/// chain.
 const LISTENERS: usize = 4;
 
 /// The time that a VM may be behind: its own watch gathers changes for a while.
@@ -39,13 +39,16 @@
     }
 }
 
-/// Tells the next few VMs in the order of their names how far this one has read.
+/// Tells the next few VMs in the order of their names how far this one has read,
+/// or has heard that others have: where the store ignores most VMs, the few that
+/// read do not reach all others themselves.
 pub fn tell(tables: &mut Tables, cx: &mut Context<'_>) {
-    if tables.told >= tables.latest || tables.part != Part::Forwarding {
+    let latest = tables.latest.max(tables.heard);
+    if tables.told >= latest || tables.part != Part::Forwarding {
         return;
     }
-    tables.told = tables.latest;
-    let progress = Progress { latest: tables.latest };
+    tables.told = latest;
+    let progress = Progress { latest };
     cx.out.progress.extend(listeners(tables).into_iter().map(|to| (to, progress)));
 }
 
--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -236,6 +236,21 @@
         world.pass(ms(20_000));
         assert_eq!(world.told.len(), 4, "once for each change");
     };
+    what_is_heard_is_told_on_by_a_vm_that_cannot_read_it => {
+        let mut world = fed();
+        (0..6).for_each(|n| world.put(&format!("vm/other-{n}"), "170"));
+        world.pass(ms(1000));
+        world.told.clear();
+        world.is_silent = true;
+        let heard = Progress { latest: world.revision() + 7 };
+        world.heard = vec![heard];
+        world.pass(ms(100));
+        assert_eq!(world.told.len(), 4);
+        assert!(world.told.iter().all(|(_, progress)| *progress == heard));
+        world.heard = vec![heard];
+        world.pass(ms(100));
+        assert_eq!(world.told.len(), 4, "once");
+    };
     a_watch_that_is_never_answered_is_found_out => {
         let mut world = fed();
         world.is_silent = true;
