Keep the platform's names in tests behind its folder, and one table of waiting calls

Found in one more reading of the change: tests of `relay` and the soak spelled headers, keys and documents of the platform themselves; both traffic threads kept their waiting callers by the same lines; `relay` and `vm` had the same error twice; the stand-ins of the soak looked every 2 to 5 ms whether they are down.

Change: documents and registrations come from platform/tests/standin, headers and paths from the adapter's constants; `inbox::Waiting` holds waiting callers for both threads; one error; a watch wakes the stand-ins, and a slot of a target is given back when its request ends in whatever way.

--- a/src/inbox.rs
+++ b/src/inbox.rs
@@ -1,8 +1,11 @@
 //! The way of a front into the loop of a thread.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use tokio::sync::{
@@ -65,6 +68,40 @@
     }
 }
 
+/// The calls of a thread that wait for their answers.
+#[derive(Debug)]
+pub struct Waiting<C, A>(BTreeMap<C, oneshot::Sender<A>>);
+
+impl<C, A> Default for Waiting<C, A> {
+    fn default() -> Self {
+        Waiting(BTreeMap::new())
+    }
+}
+
+impl<C: Copy + Ord, A> Waiting<C, A> {
+    /// Takes an input and returns its event; `abandoned` makes the one of a
+    /// caller that went away.
+    pub fn open<E>(&mut self, input: Input<C, E, A>, abandoned: impl FnOnce(C) -> E) -> E {
+        match input {
+            Input::Ask(ask) => {
+                self.0.insert(ask.call, ask.answer);
+                ask.event
+            }
+            Input::Abandoned(call) => {
+                self.0.remove(&call);
+                abandoned(call)
+            }
+        }
+    }
+
+    /// Hands an answer to its caller, who may have gone away.
+    pub fn answer(&mut self, call: C, answer: A) {
+        if let Some(sender) = self.0.remove(&call) {
+            let _ = sender.send(answer);
+        }
+    }
+}
+
 /// Tells the thread when the future of a call is dropped.
 struct Guard<'a, C: Copy, E, A> {
     call: C,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -14,7 +14,6 @@
 pub mod traffic;
 
 use std::{
-    fmt,
     net::{SocketAddr, TcpListener},
     sync::Arc,
     thread,
@@ -36,28 +35,13 @@
     log::{Guard, Writer, drain::Output},
     metric::Metrics,
     settings::relay::Settings,
-    vm::meter,
+    vm::{Error, meter},
 };
 
 /// The stack of a thread in bytes, which its depth of calls does not need half
 /// of.
 const STACK: usize = 512 << 10;
 
-/// The VM could not be started.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Error {
-    /// What could not be done.
-    pub detail: String,
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.detail)
-    }
-}
-
-impl std::error::Error for Error {}
-
 /// What the threads of the VM share.
 #[derive(Clone)]
 pub struct Shared {
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -1,6 +1,6 @@
 //! The traffic thread: the engine, the front and the client of the targets.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use laburnum_core::{
     border::Clock,
@@ -10,7 +10,7 @@
 use tokio::{
     sync::{
         mpsc::{self, UnboundedReceiver, unbounded_channel},
-        oneshot, watch,
+        watch,
     },
     time::sleep,
 };
@@ -23,7 +23,7 @@
     target::Client,
 };
 use crate::{
-    inbox::take_ready,
+    inbox::{Waiting, take_ready},
     settings::relay::Settings,
     wire::{self, Body},
 };
@@ -58,7 +58,7 @@
     serve(&shared, seed, Handle::new(inputs));
     let engine = Engine::new(limits(&shared.settings), Policies::default(), rand::random());
     let targets = Client::new(events);
-    let waiting = BTreeMap::new();
+    let waiting = Waiting::default();
     let thread = Thread { engine, targets, peers, alone, held, waiting, shared };
     let inbox = Inbox {
         inputs: input_receiver,
@@ -130,7 +130,7 @@
     peers: Peers,
     alone: watch::Sender<bool>,
     held: mpsc::UnboundedSender<Fingerprint>,
-    waiting: BTreeMap<Call, oneshot::Sender<Answer>>,
+    waiting: Waiting<Call, Answer>,
     shared: Shared,
 }
 
@@ -177,7 +177,8 @@
             }
         }
         let mut batch = std::mem::take(events);
-        batch.extend(inputs.drain(..).map(|input| self.open(input)));
+        let abandoned = |call| Event::Abandoned { call };
+        batch.extend(inputs.drain(..).map(|input| self.waiting.open(input, abandoned)));
         let mut out = Outbox::default();
         self.engine.step(self.shared.clock.now(), batch, &mut out);
         self.flush(out);
@@ -185,19 +186,6 @@
         self.alone.send_if_modified(|alone| std::mem::replace(alone, is_alone) != is_alone);
     }
 
-    fn open(&mut self, input: Input) -> Event {
-        match input {
-            Input::Ask(ask) => {
-                self.waiting.insert(ask.call, ask.answer);
-                ask.event
-            }
-            Input::Abandoned(call) => {
-                self.waiting.remove(&call);
-                Event::Abandoned { call }
-            }
-        }
-    }
-
     fn flush(&mut self, out: Outbox) {
         for command in out.commands {
             match command {
@@ -208,10 +196,7 @@
             }
         }
         for (call, answer) in out.answers {
-            if let Some(sender) = self.waiting.remove(&call) {
-                // The caller may have gone away.
-                let _ = sender.send(answer);
-            }
+            self.waiting.answer(call, answer);
         }
         for request in out.held {
             // The control thread is gone only when the VM is ending.
--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -12,14 +12,14 @@
 use tokio::{
     sync::{
         mpsc::{Receiver, UnboundedReceiver},
-        oneshot, watch,
+        watch,
     },
     time::sleep,
 };
 
 use super::{Borders, Ready, handle::Input};
 use crate::{
-    inbox::take_ready,
+    inbox::{Waiting, take_ready},
     wire::{self, Body},
 };
 
@@ -74,7 +74,7 @@
         number: parts.number,
         ready: parts.ready,
         is_ready: false,
-        waiting: BTreeMap::new(),
+        waiting: Waiting::default(),
     };
     let mut inbox = parts.inbox;
     let mut batch = Batch::default();
@@ -138,7 +138,7 @@
     number: u16,
     ready: Ready,
     is_ready: bool,
-    waiting: BTreeMap<Call, oneshot::Sender<Answer>>,
+    waiting: Waiting<Call, Answer>,
 }
 
 impl Thread {
@@ -154,7 +154,7 @@
         events.extend(batch.frames.drain(..).filter_map(message));
         events.extend(batch.losses.drain(..).map(|lost| Event::Lost { lane: lost.to }));
         for input in batch.inputs.drain(..) {
-            events.push(self.open(input));
+            events.push(self.waiting.open(input, |call| Event::Abandoned { call }));
         }
         let mut out = Outbox::default();
         self.engine.step(self.clock.now(), events, &mut out);
@@ -165,19 +165,6 @@
         }
     }
 
-    fn open(&mut self, input: Input) -> Event {
-        match input {
-            Input::Ask(ask) => {
-                self.waiting.insert(ask.call, ask.answer);
-                ask.event
-            }
-            Input::Abandoned(call) => {
-                self.waiting.remove(&call);
-                Event::Abandoned { call }
-            }
-        }
-    }
-
     fn flush(&mut self, out: Outbox) {
         for command in out.commands {
             self.borders.targets.command(command);
@@ -192,10 +179,7 @@
         }
         for (call, answer) in out.answers {
             self.borders.meter.answered(&answer);
-            if let Some(sender) = self.waiting.remove(&call) {
-                // The caller may have gone away.
-                let _ = sender.send(answer);
-            }
+            self.waiting.answer(call, answer);
         }
         for line in &out.lines {
             self.borders.journal.write(line);
--- a/tests/relay/bed.rs
+++ b/tests/relay/bed.rs
@@ -9,9 +9,10 @@
 
 use crate::{
     child::{Child, Signal},
+    entry::{self, SERVICES},
     port,
     standin::{
-        entries::{self, SERVICES},
+        entries::{self, CONFIG},
         target::Target,
     },
     store::Store,
@@ -76,12 +77,12 @@
             for number in 1..=2 {
                 let id = format!("{service}-{number}");
                 let (target, address) = Target::start(&id, fill).await;
-                let entry = entries::target(service, address);
+                let entry = entries::target(service, address, 2, false);
                 store.put(&entries::target_key(&id), &entry).await;
                 targets.insert(id, target);
             }
         }
-        store.put(entries::CONFIG, &entries::config(3)).await;
+        store.put(CONFIG, &entry::config(3)).await;
         let folder = TempDir::new().unwrap();
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
         Bed { store, targets, folder, client }
@@ -112,7 +113,7 @@
     /// Sends a request of a caller.
     pub async fn ask(&self, relay: &Relay, method: reqwest::Method, path: &str) -> Response {
         let url = format!("http://{}{path}", relay.callers);
-        let request = self.client.request(method, url).headers(entries::caller());
+        let request = self.client.request(method, url).headers(entry::caller());
         request.send().await.unwrap()
     }
 
--- /dev/null
+++ b/tests/relay/entry.rs
@@ -0,0 +1,38 @@
+//! What the store of the bed holds, and what its callers send.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, header};
+use laburnum_platform::header as names;
+use serde_json::Value;
+
+use crate::standin::entries::{Document, HOST, Route};
+
+/// The services of the bed.
+pub const SERVICES: [&str; 4] = ["one", "two", "three", "desk"];
+
+/// The configuration: a search over three shards and an operation.
+pub fn config(version: u64) -> Value {
+    let route = Route { timeout: Duration::from_secs(2), goal: Duration::from_millis(400) };
+    let document = Document {
+        version,
+        search: route,
+        shards: &SERVICES[..3],
+        top: 2,
+        least: 0.6,
+        operation: route,
+        desk: SERVICES[3],
+        services: &SERVICES,
+        connections: 50,
+    };
+    document.write()
+}
+
+/// The headers of a caller that waits a second.
+pub fn caller() -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(header::HOST, HeaderValue::from_static(HOST));
+    headers.insert(names::ID, HeaderValue::from_static("c1"));
+    headers.insert(names::PATIENCE, HeaderValue::from_static("1000"));
+    headers
+}
--- a/tests/relay/limit.rs
+++ b/tests/relay/limit.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use laburnum_platform::header::{ID, PATIENCE};
 use serde_json::Value;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -14,7 +15,8 @@
 
 use crate::{
     bed::{Bed, Relay},
-    standin::entries::{CONFIG, HOST, config},
+    entry::config,
+    standin::entries::{CONFIG, HOST},
 };
 
 /// The time within which a change is in force.
@@ -39,7 +41,7 @@
 
 fn operation(headers: &str, body: usize) -> String {
     format!(
-        "POST /desk/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: c1\r\nDeadline-Ms: 1000\r\n\
+        "POST /desk/1 HTTP/1.1\r\nHost: {HOST}\r\n{ID}: c1\r\n{PATIENCE}: 1000\r\n\
          Content-Length: {body}\r\n{headers}\r\n{}",
         "x".repeat(body)
     )
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -5,6 +5,7 @@
 #[path = "../common/case.rs"]
 mod case;
 mod bed;
+mod entry;
 #[path = "../process/child.rs"]
 mod child;
 #[path = "../process/port.rs"]
--- a/tests/relay/path.rs
+++ b/tests/relay/path.rs
@@ -8,10 +8,8 @@
 
 use crate::{
     bed::Bed,
-    standin::{
-        entries::{CONFIG, config},
-        target::Manner,
-    },
+    entry::config,
+    standin::{entries::CONFIG, target::Manner},
 };
 
 /// The value of a header, or nothing.
--- a/tests/relay/store.rs
+++ b/tests/relay/store.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 
+use laburnum_platform::store::shape::KEY_PATH;
 use laburnumworks::standin::platform::{List, serve};
 use reqwest::StatusCode;
 use serde_json::Value;
@@ -29,7 +30,7 @@
 
     /// Whether a key exists.
     pub async fn has(&self, key: &str) -> bool {
-        let url = format!("http://{}/v1/kv-key?key={key}", self.address);
+        let url = format!("http://{}{KEY_PATH}?key={key}", self.address);
         self.client.get(url).send().await.unwrap().status() == StatusCode::OK
     }
 }
--- a/tests/soak/bed.rs
+++ b/tests/soak/bed.rs
@@ -6,14 +6,16 @@
     time::{Duration, Instant},
 };
 
-use tokio::{sync::Mutex, time::sleep};
+use tokio::{
+    sync::{Mutex, watch},
+    time::sleep,
+};
 
 use crate::{
-    caller::Caller, ledger::Ledger, proxy::Proxy, relay::Relay, store::Store, target::Target,
+    caller::Caller, entries::Route, ledger::Ledger, proxy::Proxy, relay::Relay, store::Store,
+    target::Target,
 };
 
-/// The host of every route.
-pub const HOST: &str = "register.example";
 /// The sets of shards that a configuration may name.
 pub const SHARDS: [&[&str]; 2] = [&["one", "two", "three"], &["four", "five"]];
 /// The services that operations may go to.
@@ -22,12 +24,14 @@
 const REPLICAS: usize = 2;
 /// All targets.
 pub const TARGETS: usize = 7 * REPLICAS;
-/// The timeout of searches, in milliseconds.
-pub const SEARCH_MS: u64 = 700;
-/// The timeout of operations, in milliseconds.
-pub const DESK_MS: u64 = 1200;
-/// The targets of a service that one request may reach.
-pub const ATTEMPTS: usize = 2;
+/// The times of searches.
+pub const SEARCH: Route =
+    Route { timeout: Duration::from_millis(700), goal: Duration::from_millis(100) };
+/// The times of operations.
+pub const OPERATION: Route =
+    Route { timeout: Duration::from_millis(1200), goal: Duration::from_millis(400) };
+/// The connections that each target takes.
+pub const CONNECTIONS: u32 = 40;
 /// The records of a search's answer.
 pub const TOP: usize = 6;
 /// The least share of shards in an answer.
@@ -79,7 +83,7 @@
         store.configure(1, SHARDS[0], DESKS[0]).await;
         let (mut uplinks, mut relays, mut callers) = (Vec::new(), Vec::new(), Vec::new());
         for (number, cores) in RELAYS.into_iter().enumerate() {
-            let uplink = Proxy::start(store.address, Arc::default()).await;
+            let uplink = Proxy::start(store.address, up()).await;
             let relay = Relay::start(number, cores, uplink.address, folder, &ledger);
             let address = relay.callers;
             callers.push(Caller { relay: number, address, ledger: ledger.clone() });
@@ -105,6 +109,12 @@
     }
 }
 
+/// What never goes down.
+fn up() -> watch::Receiver<bool> {
+    // Without a sender the value stays as it is.
+    watch::channel(false).1
+}
+
 /// Starts a target behind a link and registers it.
 pub async fn place(
     id: &str,
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use laburnum_platform::header::{DIGEST, DIGESTS, ID, MISSING, PATIENCE};
 use rand::RngExt;
 use tokio::{
     io::AsyncWriteExt,
@@ -15,7 +16,7 @@
 };
 
 use crate::{
-    bed::HOST,
+    entries::HOST,
     ledger::{Answer, Ask, Kind, Ledger, Outcome},
     message::{self, Message},
 };
@@ -128,8 +129,8 @@
         Kind::Poison => ("GET", "/search/poison".to_owned()),
     };
     format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\n\
-         Deadline-Ms: {PATIENCE_MS}\r\nContent-Length: {length}\r\n\r\n"
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{ID}: {id}\r\n\
+         {PATIENCE}: {PATIENCE_MS}\r\nContent-Length: {length}\r\n\r\n"
     )
 }
 
@@ -137,12 +138,12 @@
     let Ok(status) = answer.second().parse() else {
         return Outcome::Stray(answer.first.clone());
     };
-    let named = answer.header("part-seals").map(|text| text.split(',').map(str::trim));
+    let named = answer.header(DIGESTS.as_str()).map(|text| text.split(',').map(str::trim));
     Outcome::Answer(Answer {
         status,
-        digest: answer.header("server-seal").map(str::to_owned),
+        digest: answer.header(DIGEST.as_str()).map(str::to_owned),
         digests: named.into_iter().flatten().map(str::to_owned).collect(),
-        missing: answer.header("parts-missing").and_then(|n| n.parse().ok()).unwrap_or(0),
+        missing: answer.header(MISSING.as_str()).and_then(|n| n.parse().ok()).unwrap_or(0),
         closes: answer.header("connection") == Some("close"),
         body: answer.body.clone(),
     })
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -8,10 +8,10 @@
 
 use crate::{
     bed::{
-        APPLY, ATTEMPTS, DESK_MS, DRAIN, LEAST, RELAYS, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW,
-        SEARCH_MS, TOP,
+        APPLY, DRAIN, LEAST, OPERATION, RELAYS, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, SEARCH, TOP,
     },
     caller::PATIENCE_MS,
+    entries::ATTEMPTS,
     ledger::{Answer, Ask, Kind, Outcome, Rows, Run, Subject, Version},
 };
 
@@ -317,8 +317,8 @@
 /// Every request ends in its time.
 fn deadlines(index: &Index<'_>) -> Vec<String> {
     let late = index.rows.asks.iter().filter(|ask| {
-        let timeout = if ask.kind == Kind::Operation { DESK_MS } else { SEARCH_MS };
-        let limit = Duration::from_millis(timeout) + LATE;
+        let route = if ask.kind == Kind::Operation { OPERATION } else { SEARCH };
+        let limit = route.timeout + LATE;
         ask.ended - ask.sent > limit && !index.is_disturbed(ask.relay, ask.sent, ask.ended)
     });
     late.map(|ask| format!("{}: took {:?}", ask.id, ask.ended - ask.sent)).collect()
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,6 +8,8 @@
 mod child;
 #[path = "../process/port.rs"]
 mod port;
+#[path = "../../platform/tests/standin/entries.rs"]
+mod entries;
 mod ledger;
 mod message;
 mod proxy;
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -1,13 +1,6 @@
 //! A proxy on loopback that delays, resets, cuts and silences connections.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{net::SocketAddr, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -19,8 +12,8 @@
     time::sleep,
 };
 
-/// The time between two looks at what is down.
-const LOOK: Duration = Duration::from_millis(5);
+/// The time to the next try to listen at an address that is still in use.
+const BIND_AGAIN: Duration = Duration::from_millis(5);
 
 /// What a proxy does with bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,7 +52,7 @@
 
 impl Proxy {
     /// Starts a proxy that takes no connections while what is behind it is down.
-    pub async fn start(behind: SocketAddr, down: Arc<AtomicBool>) -> Proxy {
+    pub async fn start(behind: SocketAddr, down: watch::Receiver<bool>) -> Proxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (state, seen) = watch::channel(State { mode: Mode::Pass, resets: 0, lapses: 0 });
@@ -88,32 +81,37 @@
 pub async fn accept(
     listener: TcpListener,
     address: SocketAddr,
-    down: Arc<AtomicBool>,
+    mut down: watch::Receiver<bool>,
     mut take: impl FnMut(TcpStream),
 ) {
     let mut listener = Some(listener);
     loop {
-        if down.load(Ordering::Relaxed) {
-            listener = None;
-            sleep(LOOK).await;
-            continue;
-        }
         let open = match listener.take() {
             Some(open) => open,
-            None => match TcpListener::bind(address).await {
-                Ok(open) => open,
-                // The port is in use by a connection that is ending.
-                Err(_) => {
-                    sleep(LOOK).await;
-                    continue;
-                }
-            },
+            None => bind(address).await,
         };
         tokio::select! {
-            Ok((socket, _)) = open.accept() => take(socket),
-            () = sleep(LOOK) => {}
+            Ok(_) = down.wait_for(|is_down| *is_down) => {}
+            Ok((socket, _)) = open.accept() => {
+                take(socket);
+                listener = Some(open);
+                continue;
+            }
+        }
+        drop(open);
+        if down.wait_for(|is_down| !is_down).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Listens at an address, which a connection that is ending may still have.
+async fn bind(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => sleep(BIND_AGAIN).await,
         }
-        listener = Some(open);
     }
 }
 
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -10,8 +10,9 @@
 
 use crate::{
     bed::{self, SHARDS},
+    entries::{self, CONFIG, Document, target_key},
     ledger::{Drain, Ledger, Version},
-    target::Target,
+    target::{SLOTS, Target},
 };
 
 /// The store.
@@ -47,11 +48,8 @@
 
     /// Registers a target at an address.
     pub async fn register(&self, target: &Target, address: SocketAddr, drains: bool) {
-        let state = if drains { "draining" } else { "ready" };
-        let entry = json!({"backend": target.service(), "addr": address, "zone": "near",
-            "version": "v1", "max_concurrency": 4, "state": state, "cold_left_ms": 0,
-            "sequence": 1, "born": 1});
-        self.put(&format!("/v1/entry?key=servers/{}", target.id()), &entry).await;
+        let entry = entries::target(target.service(), address, SLOTS, drains);
+        self.put(&entry_path(&target_key(target.id())), &entry).await;
         if drains {
             let row = Drain { target: target.id().to_owned(), acknowledged: Instant::now() };
             self.ledger.rows().drains.push(row);
@@ -61,7 +59,7 @@
     /// Writes a version of the configuration.
     pub async fn configure(&self, number: u64, shards: &[&'static str], desk: &'static str) {
         let written = Instant::now();
-        self.put("/v1/entry?key=op/config", &config(number, shards, desk)).await;
+        self.put(&entry_path(CONFIG), &config(number, shards, desk)).await;
         let acknowledged = Instant::now();
         let shards = shards.to_vec();
         let row = Version { number, shards, desk, written, acknowledged };
@@ -69,22 +67,23 @@
     }
 }
 
+/// Where an entry is written in the place of its writer.
+fn entry_path(key: &str) -> String {
+    format!("/v1/entry?key={key}")
+}
+
 fn config(number: u64, shards: &[&str], desk: &str) -> Value {
-    let services = SHARDS.iter().flat_map(|set| set.iter()).chain(bed::DESKS.iter());
-    let service = |name: &&str| json!({"name": name, "health_path": "/health", "max_conns": 40});
-    json!({
-        "version": number,
-        "routes": [
-            {"name": "search", "host": bed::HOST, "prefix": "/search/", "kind": "idempotent",
-             "timeout_ms": bed::SEARCH_MS, "goal_ms": 100, "priority": 1,
-             "attempts": bed::ATTEMPTS, "gather": shards, "top_k": bed::TOP,
-             "min_fraction": bed::LEAST},
-            {"name": "desk", "host": bed::HOST, "prefix": "/desk/", "kind": "non_idempotent",
-             "timeout_ms": bed::DESK_MS, "goal_ms": 400, "priority": 1,
-             "attempts": bed::ATTEMPTS, "backend": desk},
-        ],
-        "backends": services.map(service).collect::<Vec<Value>>(),
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262_144,
-                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-    })
+    let services: Vec<&str> = SHARDS.concat().into_iter().chain(bed::DESKS).collect();
+    let document = Document {
+        version: number,
+        search: bed::SEARCH,
+        shards,
+        top: bed::TOP,
+        least: bed::LEAST,
+        operation: bed::OPERATION,
+        desk,
+        services: &services,
+        connections: bed::CONNECTIONS,
+    };
+    document.write()
 }
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -5,15 +5,17 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
 
+use laburnum_platform::header::{DIGEST, ID, NOT_RUN, PATIENCE, TARGET};
 use rand::RngExt;
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
+    sync::watch,
     task::JoinSet,
     time::sleep,
 };
@@ -25,7 +27,7 @@
 };
 
 /// The requests that a target runs at a time.
-const SLOTS: u64 = 4;
+pub const SLOTS: u64 = 4;
 
 /// The time for which it is down after the poison.
 const CRASH: Duration = Duration::from_millis(1500);
@@ -52,7 +54,7 @@
     manner: Mutex<(Manner, f64)>,
     paused: Mutex<Option<Instant>>,
     running: AtomicU64,
-    down: Arc<AtomicBool>,
+    down: watch::Sender<bool>,
     ledger: Ledger,
 }
 
@@ -74,7 +76,7 @@
             manner: Mutex::new((Manner::Well, 0.0)),
             paused: Mutex::new(None),
             running: AtomicU64::new(0),
-            down: Arc::default(),
+            down: watch::Sender::new(false),
             ledger,
         });
         tokio::spawn(serve(listener, address, Arc::clone(&state)));
@@ -100,30 +102,30 @@
     }
 
     /// Whether it is down.
-    pub fn down(&self) -> Arc<AtomicBool> {
-        Arc::clone(&self.state.down)
+    pub fn down(&self) -> watch::Receiver<bool> {
+        self.state.down.subscribe()
     }
 
     /// Takes no connections and has none, or comes back.
     pub fn set_down(&self, is_down: bool) {
-        self.state.down.store(is_down, Ordering::Relaxed);
+        self.state.down.send_replace(is_down);
     }
 }
 
 /// Accepts connections while the target is up, and ends them when it goes down.
 async fn serve(listener: TcpListener, address: SocketAddr, state: Arc<State>) {
     let connections = Arc::new(Mutex::new(JoinSet::new()));
-    let (down, open, own) = (Arc::clone(&state.down), Arc::clone(&connections), Arc::clone(&state));
-    let accepting = proxy::accept(listener, address, down, move |socket| {
+    let (mut down, open, own) =
+        (state.down.subscribe(), Arc::clone(&connections), Arc::clone(&state));
+    let accepting = proxy::accept(listener, address, down.clone(), move |socket| {
         open.lock().unwrap().spawn(connection(socket, Arc::clone(&own)));
     });
     let ending = async {
-        loop {
-            if state.down.load(Ordering::Relaxed) {
-                connections.lock().unwrap().abort_all();
-                state.running.store(0, Ordering::Relaxed);
+        while down.wait_for(|is_down| *is_down).await.is_ok() {
+            connections.lock().unwrap().abort_all();
+            if down.wait_for(|is_down| !is_down).await.is_err() {
+                return;
             }
-            sleep(Duration::from_millis(2)).await;
         }
     };
     tokio::join!(accepting, ending);
@@ -139,11 +141,27 @@
     }
 }
 
+/// A request that runs, until it ends or its connection does.
+struct Slot<'a>(&'a AtomicU64);
+
+impl<'a> Slot<'a> {
+    fn take(running: &'a AtomicU64) -> Slot<'a> {
+        running.fetch_add(1, Ordering::Relaxed);
+        Slot(running)
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl State {
     /// Answers a request; it returns false if the connection is over.
     async fn answer(&self, socket: &mut TcpStream, request: &Message) -> bool {
         let row = self.row(request);
-        if request.header("target-instance") != Some(&self.id) {
+        if request.header(TARGET.as_str()) != Some(&self.id) {
             self.ledger.rows().runs.push(Run { refused: true, ..row });
             return send(socket, &refusal(421)).await;
         }
@@ -153,16 +171,14 @@
             self.ledger.rows().runs.push(Run { refused: true, ..row });
             return send(socket, &refusal(503)).await;
         }
-        self.running.fetch_add(1, Ordering::Relaxed);
-        let kept = self.run(socket, row, manner).await;
-        self.running.fetch_sub(1, Ordering::Relaxed);
-        kept
+        let _slot = Slot::take(&self.running);
+        self.run(socket, row, manner).await
     }
 
     fn row(&self, request: &Message) -> Run {
-        let number = request.header("deadline-ms").and_then(|text| text.parse().ok());
+        let number = request.header(PATIENCE.as_str()).and_then(|text| text.parse().ok());
         Run {
-            id: request.header("attempt-id").unwrap_or_default().to_owned(),
+            id: request.header(ID.as_str()).unwrap_or_default().to_owned(),
             target: self.id.clone(),
             place: self.place,
             service: self.service.to_owned(),
@@ -230,11 +246,11 @@
             rows.crashes.insert(name, row.at);
             rows.runs.push(row);
         }
-        self.down.store(true, Ordering::Relaxed);
-        let down = Arc::clone(&self.down);
+        self.down.send_replace(true);
+        let down = self.down.clone();
         tokio::spawn(async move {
             sleep(CRASH).await;
-            down.store(false, Ordering::Relaxed);
+            down.send_replace(false);
         });
         false
     }
@@ -261,22 +277,22 @@
 
 fn reply(id: &str, digest: &str, body: &[u8]) -> Vec<u8> {
     let head = format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: {digest}\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n{ID}: {id}\r\n{DIGEST}: {digest}\r\nContent-Length: {}\r\n\r\n",
         body.len()
     );
     [head.as_bytes(), body].concat()
 }
 
 fn unframed(id: &str, digest: &str, body: &[u8]) -> Vec<u8> {
-    let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: {digest}\r\n\r\n");
+    let head = format!("HTTP/1.1 200 OK\r\n{ID}: {id}\r\n{DIGEST}: {digest}\r\n\r\n");
     [head.as_bytes(), body].concat()
 }
 
 fn failure(id: &str) -> Vec<u8> {
-    let head = format!("HTTP/1.1 500 Failed\r\nAttempt-Id: {id}\r\nServer-Seal: failed.{id}\r\n");
+    let head = format!("HTTP/1.1 500 Failed\r\n{ID}: {id}\r\n{DIGEST}: failed.{id}\r\n");
     format!("{head}Content-Length: 0\r\n\r\n").into_bytes()
 }
 
 fn refusal(status: u16) -> Vec<u8> {
-    format!("HTTP/1.1 {status} No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n").into_bytes()
+    format!("HTTP/1.1 {status} No\r\n{NOT_RUN}: 1\r\nContent-Length: 0\r\n\r\n").into_bytes()
 }
