--- a/crates/core/src/relay/feed/report.rs
+++ b/crates/core/src/relay/feed/report.rs
@@ -10,7 +10,7 @@
 use crate::{
     digest::Fingerprint,
     log::{Event, Line},
-    relay::system::suspect::HOLD,
+    relay::system::suspect::QUARANTINE_DURATION,
     store::{Call, CallId, LeaseId, Reply},
 };
 
@@ -34,7 +34,7 @@
     if tables.reports.open.is_some() || tables.reports.waiting.is_empty() || tables.is_handing() {
         return;
     }
-    begin(tables, Step::Grant, Call::Grant { ttl: HOLD }, cx);
+    begin(tables, Step::Grant, Call::Grant { ttl: QUARANTINE_DURATION }, cx);
 }
 
 /// Takes the reply to a call of a report; returns it if it belongs to none.
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -52,7 +52,7 @@
     match config.find(&inquiry.host, &inquiry.path) {
         Some(_) if suspect::is_held(tables, &inquiry, cx) => {
             let fault = Fault::not_run(Kind::Quarantined, "it crashed targets");
-            refuse(call, &inquiry, fault, Some(suspect::HOLD), cx);
+            refuse(call, &inquiry, fault, Some(suspect::QUARANTINE_DURATION), cx);
         }
         Some(route) => admit(tables, call, inquiry, &config, route, cx),
         None => {
--- a/crates/core/src/relay/system/suspect.rs
+++ b/crates/core/src/relay/system/suspect.rs
@@ -19,7 +19,7 @@
 
 /// The time for which a request is held back. After it the next one is a trial:
 /// one more loss holds it back again.
-pub const HOLD: Duration = Duration::from_secs(60);
+pub const QUARANTINE_DURATION: Duration = Duration::from_secs(60);
 
 /// Notes an attempt whose target ended the connection.
 pub fn note(tables: &mut Tables, call: Call, attempt: &Attempt, loss: &Loss, cx: &Context<'_>) {
@@ -40,7 +40,7 @@
             continue;
         }
         tables.suspects.held.retain(|_, until| *until > cx.now);
-        tables.suspects.held.insert(fingerprint, cx.now + HOLD);
+        tables.suspects.held.insert(fingerprint, cx.now + QUARANTINE_DURATION);
         log(tables, fingerprint, cx);
         cx.out.held.push(fingerprint);
     }
@@ -55,7 +55,7 @@
         ("id", request.map(|request| request.inquiry.id.to_string()).unwrap_or_default()),
         ("fingerprint", fingerprint.to_string()),
         ("targets", targets.unwrap_or_default()),
-        ("hold_ms", HOLD.as_millis().to_string()),
+        ("hold_ms", QUARANTINE_DURATION.as_millis().to_string()),
     ];
     cx.out.lines.push(Line::new(Event::RequestCondemned, fields));
 }
--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -3,7 +3,7 @@
 use laburnum_core::{log::Event, relay::feed::progress::Progress, store::Call};
 
 use crate::{
-    bed::ms,
+    harness::ms,
     store::{LIMITS, World},
 };
 
--- a/crates/core/tests/relay/bed.rs
+++ b/crates/core/tests/relay/harness.rs
@@ -168,7 +168,7 @@
 }
 
 /// The engine with what it left.
-pub struct Bed {
+pub struct Harness {
     pub engine: Engine,
     pub now: Instant,
     pub sent: Vec<Sent>,
@@ -194,15 +194,15 @@
     }
 }
 
-impl Bed {
+impl Harness {
     /// An engine that knows nothing yet, with room for retries.
-    pub fn empty() -> Bed {
-        Bed::with_slack(100.0)
+    pub fn empty() -> Harness {
+        Harness::with_slack(100.0)
     }
 
     /// An engine that knows nothing yet.
-    pub fn with_slack(slack: f64) -> Bed {
-        Bed {
+    pub fn with_slack(slack: f64) -> Harness {
+        Harness {
             engine: Engine::new(limits(slack), Policies::default(), 7),
             now: Instant(1_000_000),
             sent: Vec::new(),
@@ -218,16 +218,16 @@
     }
 
     /// An engine with a view, whose first connections are open.
-    pub fn new(view: View) -> Bed {
-        let mut bed = Bed::empty();
-        bed.show(view);
-        bed.warm();
-        bed
+    pub fn with_view(view: View) -> Harness {
+        let mut harness = Harness::empty();
+        harness.set_view(view);
+        harness.open_first_connections();
+        harness
     }
 
     /// An engine with one route and two targets of each of its services.
-    pub fn of(route: Route) -> Bed {
-        Bed::new(view(config(1, vec![route], 100)))
+    pub fn with_route(route: Route) -> Harness {
+        Harness::with_view(view(config(1, vec![route], 100)))
     }
 
     /// Runs one step with events.
@@ -253,12 +253,12 @@
     }
 
     /// Gives the engine a newer view.
-    pub fn show(&mut self, view: View) {
+    pub fn set_view(&mut self, view: View) {
         self.step(vec![Event::View(Arc::new(view))]);
     }
 
     /// Lets time pass, with a step at every timer.
-    pub fn pass(&mut self, span: Duration) {
+    pub fn advance(&mut self, span: Duration) {
         let end = self.now + span;
         while let Some(wake) = self.engine.wake().filter(|wake| *wake <= end) {
             self.now = self.now.max(wake);
@@ -269,15 +269,15 @@
     }
 
     /// Opens the first connections to all targets.
-    pub fn warm(&mut self) {
-        self.pass(Duration::from_secs(2));
+    pub fn open_first_connections(&mut self) {
+        self.advance(Duration::from_secs(2));
         for connection in std::mem::take(&mut self.opened) {
             self.step(vec![Event::Opened { connection }]);
         }
     }
 
     /// A caller sends a request.
-    pub fn ask(&mut self, inquiry: Inquiry) -> Call {
+    pub fn submit(&mut self, inquiry: Inquiry) -> Call {
         self.last += 1;
         let call = Call(self.last);
         self.step(vec![Event::Arrived { call, inquiry }]);
@@ -291,23 +291,23 @@
     }
 
     /// A connection is lost.
-    pub fn lose(&mut self, sent: &Sent, was_sent: bool) {
+    pub fn lose_connection(&mut self, sent: &Sent, was_sent: bool) {
         let loss = Loss { sent: was_sent, idle: false, gone: false, detail: "silent".to_owned() };
         self.step(vec![Event::Closed { connection: sent.connection, loss }]);
     }
 
     /// A target resets a connection and goes on: it takes new ones.
-    pub fn reset(&mut self, sent: &Sent) {
+    pub fn reset_connection(&mut self, sent: &Sent) {
         let loss = Loss { sent: true, idle: false, gone: true, detail: "reset".to_owned() };
         self.step(vec![Event::Closed { connection: sent.connection, loss }]);
-        self.pass(ms(250));
+        self.advance(ms(250));
         for connection in std::mem::take(&mut self.opened) {
             self.step(vec![Event::Opened { connection }]);
         }
     }
 
     /// No connection that is being opened comes about: each one is refused.
-    pub fn refuse(&mut self) {
+    pub fn refuse_connections(&mut self) {
         for connection in std::mem::take(&mut self.opened) {
             let loss = Loss { sent: false, idle: false, gone: true, detail: "refused".to_owned() };
             self.step(vec![Event::Closed { connection, loss }]);
@@ -316,29 +316,29 @@
 
     /// A target ends: the connection that carries a request is reset, and no
     /// connection can be opened.
-    pub fn crash(&mut self, sent: &Sent) {
+    pub fn crash_target(&mut self, sent: &Sent) {
         let loss = Loss { sent: true, idle: false, gone: true, detail: "reset".to_owned() };
         let connection = sent.connection;
         self.opened.clear();
         self.step(vec![Event::Closed { connection, loss }]);
-        self.pass(ms(250));
-        self.refuse();
+        self.advance(ms(250));
+        self.refuse_connections();
     }
 
     /// Takes what targets were handed since the last time.
-    pub fn take(&mut self) -> Vec<Sent> {
+    pub fn take_sent(&mut self) -> Vec<Sent> {
         std::mem::take(&mut self.sent)
     }
 
     /// Takes the only request that targets were handed.
-    pub fn take_one(&mut self) -> Sent {
-        let mut sent = self.take();
+    pub fn take_one_sent(&mut self) -> Sent {
+        let mut sent = self.take_sent();
         assert_eq!(sent.len(), 1, "{sent:?}");
         sent.remove(0)
     }
 
     /// The status with which a request was refused.
-    pub fn refused(&self, call: Call) -> u16 {
+    pub fn refusal_status(&self, call: Call) -> u16 {
         match &self.answers[&call] {
             Answer::Refused(refusal) => refusal.fault.kind.answer().status,
             other => panic!("not refused: {other:?}"),
@@ -352,15 +352,15 @@
 
     /// Sends `count` requests that are answered after `span`, so that the engine
     /// learns how long its targets take.
-    pub fn teach(&mut self, path: &str, count: usize, span: Duration) {
+    pub fn train_latency(&mut self, path: &str, count: usize, span: Duration) {
         for _ in 0..count {
-            self.ask(inquiry(path));
-            let sent = self.take();
+            self.submit(inquiry(path));
+            let sent = self.take_sent();
             self.now = self.now + span;
             for (index, sent) in sent.iter().enumerate() {
                 self.reply(sent, success(&format!("d{index}"), 1));
             }
-            self.pass(ms(200));
+            self.advance(ms(200));
         }
         self.sent.clear();
     }
--- a/crates/core/tests/relay/hedges.rs
+++ b/crates/core/tests/relay/hedges.rs
@@ -9,7 +9,7 @@
     },
 };
 
-use crate::bed::{Bed, config, inquiry, limits, ms, search, single, success, target, view};
+use crate::harness::{Harness, config, inquiry, limits, ms, search, single, success, target, view};
 
 fn taught(millis: &[u64]) -> Latency {
     let mut latency = Latency::default();
@@ -41,113 +41,113 @@
         assert_eq!(Never.delay(&taught(&[1; 20]), ms(100)), None);
     };
     a_paused_target_is_gone_round => {
-        let mut bed = Bed::of(search(&["s1", "s2"], 1.0));
-        bed.teach("/search/1", 20, ms(8));
-        let call = bed.ask(inquiry("/search/1"));
-        let sent = bed.take();
-        bed.now = bed.now + ms(8);
-        bed.reply(&sent[0], success("a", 1));
-        bed.pass(ms(20));
-        let second = bed.take_one();
+        let mut harness = Harness::with_route(search(&["s1", "s2"], 1.0));
+        harness.train_latency("/search/1", 20, ms(8));
+        let call = harness.submit(inquiry("/search/1"));
+        let sent = harness.take_sent();
+        harness.now = harness.now + ms(8);
+        harness.reply(&sent[0], success("a", 1));
+        harness.advance(ms(20));
+        let second = harness.take_one_sent();
         assert_ne!(second.target(), sent[1].target());
-        bed.now = bed.now + ms(8);
-        bed.reply(&second, success("b", 1));
-        assert!(bed.answers.contains_key(&call));
+        harness.now = harness.now + ms(8);
+        harness.reply(&second, success("b", 1));
+        assert!(harness.answers.contains_key(&call));
     };
     a_leg_goes_to_as_many_targets_as_its_route_allows => {
-        let mut bed = Bed::new(wide());
-        bed.teach("/fetch/1", 20, ms(5));
-        bed.ask(inquiry("/fetch/1"));
-        bed.pass(ms(500));
-        assert_eq!(bed.take().len(), 2);
+        let mut harness = Harness::with_view(wide());
+        harness.train_latency("/fetch/1", 20, ms(5));
+        harness.submit(inquiry("/fetch/1"));
+        harness.advance(ms(500));
+        assert_eq!(harness.take_sent().len(), 2);
     };
     a_lost_leg_goes_to_as_many_targets_as_its_route_allows => {
-        let mut bed = Bed::new(wide());
-        let call = bed.ask(inquiry("/fetch/1"));
+        let mut harness = Harness::with_view(wide());
+        let call = harness.submit(inquiry("/fetch/1"));
         let mut sent = 0;
-        while let Some(attempt) = bed.take().pop() {
-            bed.lose(&attempt, true);
+        while let Some(attempt) = harness.take_sent().pop() {
+            harness.lose_connection(&attempt, true);
             sent += 1;
         }
-        assert_eq!((sent, bed.refused(call)), (2, 502));
+        assert_eq!((sent, harness.refusal_status(call)), (2, 502));
     };
     a_leg_that_was_retried_before_its_hedge_goes_to_no_third_target => {
-        let mut bed = Bed::new(wide());
-        bed.teach("/fetch/1", 20, ms(20));
-        bed.ask(inquiry("/fetch/1"));
-        bed.now = bed.now + ms(1);
-        let first = bed.take_one();
-        bed.lose(&first, true);
-        assert_eq!(bed.take().len(), 1);
-        bed.pass(ms(400));
-        assert!(bed.take().is_empty());
+        let mut harness = Harness::with_view(wide());
+        harness.train_latency("/fetch/1", 20, ms(20));
+        harness.submit(inquiry("/fetch/1"));
+        harness.now = harness.now + ms(1);
+        let first = harness.take_one_sent();
+        harness.lose_connection(&first, true);
+        assert_eq!(harness.take_sent().len(), 1);
+        harness.advance(ms(400));
+        assert!(harness.take_sent().is_empty());
     };
     a_target_without_a_free_slot_gets_no_second_attempt => {
-        let mut bed = Bed::of(single("desk"));
-        bed.teach("/fetch/1", 20, ms(5));
+        let mut harness = Harness::with_route(single("desk"));
+        harness.train_latency("/fetch/1", 20, ms(5));
         // One target says that others keep it busy; the next request goes to the
         // other one, which is slow.
-        bed.ask(inquiry("/fetch/1"));
-        let told = bed.take_one();
+        harness.submit(inquiry("/fetch/1"));
+        let told = harness.take_one_sent();
         let mut reply = success("d", 1);
         reply.load = Some(Load { running: 6, waiting: 0, slots: 2 });
-        bed.reply(&told, reply);
-        bed.ask(inquiry("/fetch/2"));
-        assert_ne!(bed.take_one().target(), told.target());
-        bed.pass(ms(100));
-        assert!(bed.take().is_empty(), "it would only make all of its requests later");
-        bed.pass(ms(300));
-        assert_eq!(bed.take_one().target(), told.target(), "an old report says nothing");
+        harness.reply(&told, reply);
+        harness.submit(inquiry("/fetch/2"));
+        assert_ne!(harness.take_one_sent().target(), told.target());
+        harness.advance(ms(100));
+        assert!(harness.take_sent().is_empty(), "it would only make all of its requests later");
+        harness.advance(ms(300));
+        assert_eq!(harness.take_one_sent().target(), told.target(), "an old report says nothing");
     };
     the_budget_bounds_second_attempts => {
-        let mut bed = Bed::with_slack(1.0);
-        bed.show(view(config(1, vec![single("desk")], 100)));
-        bed.warm();
-        bed.pass(ms(10_000));
+        let mut harness = Harness::with_slack(1.0);
+        harness.set_view(view(config(1, vec![single("desk")], 100)));
+        harness.open_first_connections();
+        harness.advance(ms(10_000));
         for _ in 0..40 {
-            bed.ask(inquiry("/fetch/1"));
-            bed.pass(ms(60));
-            for sent in bed.take() {
-                bed.reply(&sent, success("d", 1));
+            harness.submit(inquiry("/fetch/1"));
+            harness.advance(ms(60));
+            for sent in harness.take_sent() {
+                harness.reply(&sent, success("d", 1));
             }
         }
-        let counted = bed.lines.iter().filter(|l| l.event == laburnum_core::log::Event::LegHedged);
+        let counted = harness.lines.iter().filter(|l| l.event == laburnum_core::log::Event::LegHedged);
         let hedges = counted.count();
         assert!(hedges <= 9, "{hedges} beside 40 with a fifth and one allowed");
         assert!(hedges >= 5, "{hedges}");
     };
     other_limits_hold_at_once => {
-        let mut bed = Bed::with_slack(0.0);
-        bed.show(view(config(1, vec![single("desk")], 100)));
-        bed.warm();
-        bed.ask(inquiry("/fetch/1"));
-        bed.pass(ms(300));
-        assert_eq!(bed.take().len(), 1, "the budget has nothing");
-        bed.engine.set_limits(limits(100.0));
-        bed.pass(ms(11_000));
-        bed.ask(inquiry("/fetch/2"));
-        bed.pass(ms(300));
-        assert_eq!(bed.take().len(), 2);
+        let mut harness = Harness::with_slack(0.0);
+        harness.set_view(view(config(1, vec![single("desk")], 100)));
+        harness.open_first_connections();
+        harness.submit(inquiry("/fetch/1"));
+        harness.advance(ms(300));
+        assert_eq!(harness.take_sent().len(), 1, "the budget has nothing");
+        harness.engine.set_limits(limits(100.0));
+        harness.advance(ms(11_000));
+        harness.submit(inquiry("/fetch/2"));
+        harness.advance(ms(300));
+        assert_eq!(harness.take_sent().len(), 2);
     };
     the_loser_of_a_hedge_keeps_its_connection_if_it_answers => {
-        let mut bed = Bed::of(single("desk"));
-        bed.teach("/fetch/1", 20, ms(5));
-        bed.ask(inquiry("/fetch/1"));
-        bed.pass(ms(45));
-        let sent = bed.take();
-        bed.reply(&sent[1], success("d", 1));
-        bed.now = bed.now + ms(100);
-        bed.reply(&sent[0], success("d", 1));
-        assert!(bed.closed.is_empty());
+        let mut harness = Harness::with_route(single("desk"));
+        harness.train_latency("/fetch/1", 20, ms(5));
+        harness.submit(inquiry("/fetch/1"));
+        harness.advance(ms(45));
+        let sent = harness.take_sent();
+        harness.reply(&sent[1], success("d", 1));
+        harness.now = harness.now + ms(100);
+        harness.reply(&sent[0], success("d", 1));
+        assert!(harness.closed.is_empty());
     };
     the_loser_of_a_hedge_is_withdrawn_in_the_end => {
-        let mut bed = Bed::of(single("desk"));
-        bed.teach("/fetch/1", 20, ms(5));
-        bed.ask(inquiry("/fetch/1"));
-        bed.pass(ms(45));
-        let sent = bed.take();
-        bed.reply(&sent[1], success("d", 1));
-        bed.pass(ms(600));
-        assert_eq!(bed.closed, [sent[0].connection]);
+        let mut harness = Harness::with_route(single("desk"));
+        harness.train_latency("/fetch/1", 20, ms(5));
+        harness.submit(inquiry("/fetch/1"));
+        harness.advance(ms(45));
+        let sent = harness.take_sent();
+        harness.reply(&sent[1], success("d", 1));
+        harness.advance(ms(600));
+        assert_eq!(harness.closed, [sent[0].connection]);
     };
 }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -3,7 +3,7 @@
 #[macro_use]
 #[path = "../rules/case.rs"]
 mod case;
-mod bed;
+mod harness;
 mod store;
 mod answers;
 mod budget;
--- a/crates/core/tests/relay/routes.rs
+++ b/crates/core/tests/relay/routes.rs
@@ -2,7 +2,9 @@
 
 use laburnum_core::relay::{Answer, route::Route};
 
-use crate::bed::{Bed, HOST, config, inquiry, ms, name, search, single, split, success, view};
+use crate::harness::{
+    HOST, Harness, config, inquiry, ms, name, search, single, split, success, view,
+};
 
 fn under(prefix: &str, service: &str) -> Route {
     Route { prefix: prefix.into(), ..single(service) }
@@ -23,87 +25,87 @@
         assert_eq!(service("/x").as_deref(), Some("rest"));
     };
     a_path_without_a_route_is_not_found => {
-        let mut bed = Bed::of(single("one"));
-        let call = bed.ask(inquiry("/elsewhere/1"));
-        assert_eq!(bed.refused(call), 404);
-        assert!(bed.sent.is_empty());
+        let mut harness = Harness::with_route(single("one"));
+        let call = harness.submit(inquiry("/elsewhere/1"));
+        assert_eq!(harness.refusal_status(call), 404);
+        assert!(harness.sent.is_empty());
     };
     another_host_is_not_found => {
-        let mut bed = Bed::of(single("one"));
+        let mut harness = Harness::with_route(single("one"));
         let mut request = inquiry("/fetch/1");
         request.host = "other.example".into();
-        let call = bed.ask(request);
-        assert_eq!(bed.refused(call), 404);
+        let call = harness.submit(request);
+        assert_eq!(harness.refusal_status(call), 404);
     };
     without_a_configuration_nothing_is_not_found => {
-        let mut bed = Bed::empty();
-        let call = bed.ask(inquiry("/fetch/1"));
-        assert_eq!(bed.refused(call), 503);
+        let mut harness = Harness::empty();
+        let call = harness.submit(inquiry("/fetch/1"));
+        assert_eq!(harness.refusal_status(call), 503);
     };
     a_request_keeps_its_version_to_the_end => {
-        let mut bed = Bed::of(single("one"));
-        let call = bed.ask(inquiry("/fetch/1"));
-        let sent = bed.take_one();
+        let mut harness = Harness::with_route(single("one"));
+        let call = harness.submit(inquiry("/fetch/1"));
+        let sent = harness.take_one_sent();
         let mut moved = single("two");
         moved.name = name("fetch");
         let mut newer = view(config(2, vec![moved], 100));
         newer.targets.extend(view(config(1, vec![single("one")], 100)).targets);
-        bed.show(newer);
-        bed.lose(&sent, true);
-        let again = bed.take_one();
+        harness.set_view(newer);
+        harness.lose_connection(&sent, true);
+        let again = harness.take_one_sent();
         assert!(again.target().starts_with("one-"), "{}", again.target());
-        bed.reply(&again, success("d", 1));
-        assert!(bed.answers.contains_key(&call));
-        bed.ask(inquiry("/fetch/2"));
-        assert!(bed.take_one().target().starts_with("two-"));
+        harness.reply(&again, success("d", 1));
+        assert!(harness.answers.contains_key(&call));
+        harness.submit(inquiry("/fetch/2"));
+        assert!(harness.take_one_sent().target().starts_with("two-"));
     };
     a_search_keeps_the_shards_of_its_version => {
-        let mut bed = Bed::of(search(&["one", "two"], 0.5));
-        let call = bed.ask(inquiry("/search/1"));
-        let sent = bed.take();
-        bed.show(view(config(2, vec![search(&["one", "two", "three", "four"], 0.5)], 100)));
+        let mut harness = Harness::with_route(search(&["one", "two"], 0.5));
+        let call = harness.submit(inquiry("/search/1"));
+        let sent = harness.take_sent();
+        harness.set_view(view(config(2, vec![search(&["one", "two", "three", "four"], 0.5)], 100)));
         for (sent, digest) in sent.iter().zip(["a", "b"]) {
-            bed.reply(sent, success(digest, 1));
+            harness.reply(sent, success(digest, 1));
         }
-        let Answer::Gathered(gathered) = &bed.answers[&call] else { panic!() };
+        let Answer::Gathered(gathered) = &harness.answers[&call] else { panic!() };
         assert_eq!((gathered.digests.len(), gathered.missing), (2, 0));
     };
     rows_of_routes_that_are_gone_are_dropped => {
-        let mut bed = Bed::of(split(&[("one", 1.0), ("two", 1.0)]));
-        bed.ask(inquiry("/split/1"));
-        let sent = bed.take_one();
-        bed.reply(&sent, success("d", 1));
-        let rows = |bed: &Bed| {
-            let tables = bed.engine.tables();
+        let mut harness = Harness::with_route(split(&[("one", 1.0), ("two", 1.0)]));
+        harness.submit(inquiry("/split/1"));
+        let sent = harness.take_one_sent();
+        harness.reply(&sent, success("d", 1));
+        let rows = |harness: &Harness| {
+            let tables = harness.engine.tables();
             (tables.paces.len(), tables.turns.len(), tables.budgets.len())
         };
-        assert_eq!(rows(&bed), (1, 1, 1));
-        bed.show(view(config(2, vec![single("desk")], 100)));
-        assert_eq!(rows(&bed), (0, 0, 1), "what was sent counts for a window");
-        bed.pass(ms(11_000));
-        bed.show(view(config(3, vec![single("desk")], 100)));
-        assert_eq!(rows(&bed), (0, 0, 0));
+        assert_eq!(rows(&harness), (1, 1, 1));
+        harness.set_view(view(config(2, vec![single("desk")], 100)));
+        assert_eq!(rows(&harness), (0, 0, 1), "what was sent counts for a window");
+        harness.advance(ms(11_000));
+        harness.set_view(view(config(3, vec![single("desk")], 100)));
+        assert_eq!(rows(&harness), (0, 0, 0));
     };
     shares_follow_the_weights_exactly => {
-        let mut bed = Bed::of(split(&[("one", 3.0), ("two", 1.0)]));
+        let mut harness = Harness::with_route(split(&[("one", 3.0), ("two", 1.0)]));
         let mut ones = 0;
         for _ in 0..400 {
-            bed.ask(inquiry("/split/1"));
-            let sent = bed.take_one();
+            harness.submit(inquiry("/split/1"));
+            let sent = harness.take_one_sent();
             ones += u32::from(sent.target().starts_with("one-"));
-            bed.reply(&sent, success("d", 1));
+            harness.reply(&sent, success("d", 1));
         }
         assert!((299..=301).contains(&ones), "{ones}");
     };
     changed_weights_hold_at_once => {
-        let mut bed = Bed::of(split(&[("one", 1.0), ("two", 0.0)]));
-        bed.show(view(config(2, vec![split(&[("one", 0.0), ("two", 1.0)])], 100)));
+        let mut harness = Harness::with_route(split(&[("one", 1.0), ("two", 0.0)]));
+        harness.set_view(view(config(2, vec![split(&[("one", 0.0), ("two", 1.0)])], 100)));
         for turn in 0..20 {
-            bed.ask(inquiry("/split/1"));
-            let sent = bed.take_one();
+            harness.submit(inquiry("/split/1"));
+            let sent = harness.take_one_sent();
             // The credit of the version before may decide the first turn.
             assert!(turn == 0 || sent.target().starts_with("two-"), "turn {turn}");
-            bed.reply(&sent, success("d", 1));
+            harness.reply(&sent, success("d", 1));
         }
     };
 }
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -16,11 +16,11 @@
     time::Instant,
 };
 
-use crate::bed;
+use crate::harness;
 
 /// A VM with a share of a core in thousandths.
 pub fn vm(share: u32) -> Vm {
-    Vm { domain: bed::name("near"), address: "10.9.9.9:7000".parse().unwrap(), share }
+    Vm { domain: harness::name("near"), address: "10.9.9.9:7000".parse().unwrap(), share }
 }
 
 /// Entries hold the share of a VM, the version of a configuration or the service of a target.
@@ -29,8 +29,8 @@
 impl Format for Text {
     fn subject(&self, key: &str) -> Subject {
         match key.split_once('/') {
-            Some(("target", id)) => Subject::Target(bed::name(id)),
-            Some(("vm", name)) => Subject::Vm(bed::name(name)),
+            Some(("target", id)) => Subject::Target(harness::name(id)),
+            Some(("vm", name)) => Subject::Vm(harness::name(name)),
             Some(("held", request)) => Subject::Held(request.parse().unwrap()),
             None if key == "config" => Subject::Config,
             _ => Subject::Other,
@@ -65,13 +65,13 @@
     fn config(&self, entry: &Entry) -> Result<Config, String> {
         let text = String::from_utf8(entry.value.clone()).map_err(|e| e.to_string())?;
         let version = text.parse::<u64>().map_err(|e| e.to_string())?;
-        Ok(bed::config(version, vec![bed::single("desk")], 10))
+        Ok(harness::config(version, vec![harness::single("desk")], 10))
     }
 
     fn target(&self, entry: &Entry) -> Result<Target, String> {
         let text = String::from_utf8(entry.value.clone()).map_err(|e| e.to_string())?;
         let service = Name::try_from(text.as_str()).map_err(|e| e.to_string())?;
-        Ok((*bed::target("any", service.as_str()).1).clone())
+        Ok((*harness::target("any", service.as_str()).1).clone())
     }
 }
 
@@ -132,7 +132,7 @@
 
     /// A store without entries, for a VM with a share of a core in thousandths.
     pub fn of(share: u32) -> World {
-        let own = Own { name: bed::name("own"), vm: vm(share) };
+        let own = Own { name: harness::name("own"), vm: vm(share) };
         World {
             now: Instant(1_000_000),
             feed: Feed::new(LIMITS, Box::new(Text), own, 4, 3),
@@ -190,7 +190,7 @@
     }
 
     pub fn has(&self, id: &str) -> bool {
-        self.view.targets.contains_key(&bed::name(id))
+        self.view.targets.contains_key(&harness::name(id))
     }
 
     pub fn logged(&self, event: Event) -> usize {
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -14,7 +14,9 @@
 };
 
 use crate::{
-    bed::{Bed, Sent, config, failure, inquiry, ms, name, search, single, success, target, view},
+    harness::{
+        Harness, Sent, config, failure, inquiry, ms, name, search, single, success, target, view,
+    },
     store::World,
 };
 
@@ -26,16 +28,16 @@
 }
 
 /// Sends the request that crashes targets and lets it crash what it reaches.
-fn crash(bed: &mut Bed, path: &str) -> usize {
-    bed.ask(inquiry(path));
+fn crash(harness: &mut Harness, path: &str) -> usize {
+    harness.submit(inquiry(path));
     let mut crashed = 0;
     loop {
-        let sent = bed.take();
+        let sent = harness.take_sent();
         if sent.is_empty() {
             return crashed;
         }
         for sent in &sent {
-            bed.crash(sent);
+            harness.crash_target(sent);
             crashed += 1;
         }
     }
@@ -46,9 +48,9 @@
 }
 
 /// Sends a request and returns what a target got, if one did.
-fn ask(bed: &mut Bed, path: &str) -> Option<Sent> {
-    bed.ask(inquiry(path));
-    bed.take().pop()
+fn ask(harness: &mut Harness, path: &str) -> Option<Sent> {
+    harness.submit(inquiry(path));
+    harness.take_sent().pop()
 }
 
 fn fed() -> World {
@@ -59,54 +61,54 @@
 
 cases! {
     a_request_that_crashed_two_targets_is_held_back => {
-        let mut bed = Bed::new(wide(single("desk")));
-        assert_eq!(crash(&mut bed, "/fetch/bad"), 2);
-        assert_eq!(bed.held, [fingerprint("/fetch/bad")]);
-        let call = bed.ask(inquiry("/fetch/bad"));
-        assert!(bed.take().is_empty(), "it reaches no target");
-        assert_eq!(bed.refused(call), 422);
-        let Answer::Refused(refusal) = &bed.answers[&call] else { panic!() };
+        let mut harness = Harness::with_view(wide(single("desk")));
+        assert_eq!(crash(&mut harness, "/fetch/bad"), 2);
+        assert_eq!(harness.held, [fingerprint("/fetch/bad")]);
+        let call = harness.submit(inquiry("/fetch/bad"));
+        assert!(harness.take_sent().is_empty(), "it reaches no target");
+        assert_eq!(harness.refusal_status(call), 422);
+        let Answer::Refused(refusal) = &harness.answers[&call] else { panic!() };
         assert!(refusal.retry.is_some() && refusal.fault.ran == Ran::No);
     };
     other_requests_are_served_beside_one_that_is_held_back => {
-        let mut bed = Bed::new(wide(single("desk")));
-        crash(&mut bed, "/fetch/bad");
-        assert!(ask(&mut bed, "/fetch/good").is_some());
+        let mut harness = Harness::with_view(wide(single("desk")));
+        crash(&mut harness, "/fetch/bad");
+        assert!(ask(&mut harness, "/fetch/good").is_some());
     };
     a_request_is_let_go_after_its_time_and_held_back_at_the_next_loss => {
-        let mut bed = Bed::new(wide(Route { attempts: 1, ..single("desk") }));
-        crash(&mut bed, "/fetch/bad");
-        assert!(bed.held.is_empty(), "one loss proves nothing");
-        crash(&mut bed, "/fetch/bad");
-        assert_eq!(bed.held.len(), 1);
-        bed.pass(ms(59_000));
-        assert!(ask(&mut bed, "/fetch/bad").is_none());
-        bed.pass(ms(2_000));
-        assert!(ask(&mut bed, "/fetch/bad").is_some());
+        let mut harness = Harness::with_view(wide(Route { attempts: 1, ..single("desk") }));
+        crash(&mut harness, "/fetch/bad");
+        assert!(harness.held.is_empty(), "one loss proves nothing");
+        crash(&mut harness, "/fetch/bad");
+        assert_eq!(harness.held.len(), 1);
+        harness.advance(ms(59_000));
+        assert!(ask(&mut harness, "/fetch/bad").is_none());
+        harness.advance(ms(2_000));
+        assert!(ask(&mut harness, "/fetch/bad").is_some());
     };
     targets_that_go_down_together_prove_nothing => {
-        let mut bed = Bed::new(wide(single("desk")));
-        bed.ask(inquiry("/fetch/1"));
-        let first = bed.take_one();
-        bed.ask(inquiry("/fetch/1"));
-        let second = bed.take_one();
+        let mut harness = Harness::with_view(wide(single("desk")));
+        harness.submit(inquiry("/fetch/1"));
+        let first = harness.take_one_sent();
+        harness.submit(inquiry("/fetch/1"));
+        let second = harness.take_one_sent();
         assert_ne!(first.target(), second.target());
-        bed.now = bed.now + ms(1);
-        bed.crash(&first);
-        bed.crash(&second);
-        assert!(bed.held.is_empty());
+        harness.now = harness.now + ms(1);
+        harness.crash_target(&first);
+        harness.crash_target(&second);
+        assert!(harness.held.is_empty());
     };
     a_target_that_takes_connections_did_not_crash => {
-        let mut bed = Bed::new(wide(single("desk")));
-        bed.ask(inquiry("/fetch/1"));
+        let mut harness = Harness::with_view(wide(single("desk")));
+        harness.submit(inquiry("/fetch/1"));
         for _ in 0..2 {
-            let sent = bed.take_one();
-            bed.reset(&sent);
-            let rows = &bed.engine.tables().suspects.rows;
+            let sent = harness.take_one_sent();
+            harness.reset_connection(&sent);
+            let rows = &harness.engine.tables().suspects.rows;
             let open = rows.values().flat_map(|row| row.open.keys());
             assert!(!open.into_iter().any(|id| id.as_str() == sent.target()), "{rows:?}");
         }
-        assert!(bed.held.is_empty());
+        assert!(harness.held.is_empty());
     };
     a_target_that_refuses_connections_later_did_not_crash => {
         let (mut suspects, request) = (Suspects::default(), fingerprint("/fetch/1"));
@@ -121,57 +123,57 @@
         assert_eq!(suspects.confirm(&first), [request]);
     };
     a_silent_target_did_not_crash => {
-        let mut bed = Bed::new(wide(single("desk")));
-        bed.ask(inquiry("/fetch/1"));
+        let mut harness = Harness::with_view(wide(single("desk")));
+        harness.submit(inquiry("/fetch/1"));
         for _ in 0..2 {
-            let sent = bed.take_one();
-            bed.opened.clear();
-            bed.lose(&sent, true);
-            bed.pass(ms(250));
-            bed.refuse();
+            let sent = harness.take_one_sent();
+            harness.opened.clear();
+            harness.lose_connection(&sent, true);
+            harness.advance(ms(250));
+            harness.refuse_connections();
         }
-        assert!(bed.held.is_empty());
+        assert!(harness.held.is_empty());
     };
     a_request_that_a_target_answered_crashes_none => {
-        let mut bed = Bed::new(wide(Route { attempts: 1, ..single("desk") }));
-        crash(&mut bed, "/fetch/1");
-        let sent = ask(&mut bed, "/fetch/1").unwrap();
-        bed.reply(&sent, success("d", 1));
-        crash(&mut bed, "/fetch/1");
-        assert!(bed.held.is_empty());
+        let mut harness = Harness::with_view(wide(Route { attempts: 1, ..single("desk") }));
+        crash(&mut harness, "/fetch/1");
+        let sent = ask(&mut harness, "/fetch/1").unwrap();
+        harness.reply(&sent, success("d", 1));
+        crash(&mut harness, "/fetch/1");
+        assert!(harness.held.is_empty());
     };
     a_failure_does_not_clear_a_request => {
-        let mut bed = Bed::new(wide(Route { attempts: 1, ..single("desk") }));
-        crash(&mut bed, "/fetch/1");
-        let sent = ask(&mut bed, "/fetch/1").unwrap();
-        bed.reply(&sent, failure(500));
-        crash(&mut bed, "/fetch/1");
-        assert_eq!(bed.held.len(), 1);
+        let mut harness = Harness::with_view(wide(Route { attempts: 1, ..single("desk") }));
+        crash(&mut harness, "/fetch/1");
+        let sent = ask(&mut harness, "/fetch/1").unwrap();
+        harness.reply(&sent, failure(500));
+        crash(&mut harness, "/fetch/1");
+        assert_eq!(harness.held.len(), 1);
     };
     an_operation_that_crashes_targets_is_held_back => {
-        let mut bed = Bed::new(wide(Route { idempotent: false, ..single("desk") }));
-        assert_eq!(crash(&mut bed, "/fetch/bad"), 1);
-        assert_eq!(crash(&mut bed, "/fetch/bad"), 1);
-        assert!(ask(&mut bed, "/fetch/bad").is_none());
+        let mut harness = Harness::with_view(wide(Route { idempotent: false, ..single("desk") }));
+        assert_eq!(crash(&mut harness, "/fetch/bad"), 1);
+        assert_eq!(crash(&mut harness, "/fetch/bad"), 1);
+        assert!(ask(&mut harness, "/fetch/bad").is_none());
     };
     a_search_that_crashes_targets_is_not_retried_further => {
-        let mut bed = Bed::of(search(&["one", "two", "three"], 0.5));
-        crash(&mut bed, "/search/bad");
-        assert_eq!(bed.held.len(), 1);
-        assert!(ask(&mut bed, "/search/bad").is_none());
+        let mut harness = Harness::with_route(search(&["one", "two", "three"], 0.5));
+        crash(&mut harness, "/search/bad");
+        assert_eq!(harness.held.len(), 1);
+        assert!(ask(&mut harness, "/search/bad").is_none());
     };
     a_request_that_another_vm_holds_back_is_held_back_here => {
-        let mut bed = Bed::new(wide(single("desk")));
+        let mut harness = Harness::with_view(wide(single("desk")));
         let mut view = wide(single("desk"));
         view.held.insert(fingerprint("/fetch/bad"));
-        bed.show(view);
-        assert!(ask(&mut bed, "/fetch/bad").is_none());
-        assert!(ask(&mut bed, "/fetch/good").is_some());
+        harness.set_view(view);
+        assert!(ask(&mut harness, "/fetch/bad").is_none());
+        assert!(ask(&mut harness, "/fetch/good").is_some());
     };
     the_log_names_the_request_and_its_targets => {
-        let mut bed = Bed::new(wide(single("desk")));
-        crash(&mut bed, "/fetch/bad");
-        let line = bed.lines.iter().find(|line| line.event == Event::RequestCondemned).unwrap();
+        let mut harness = Harness::with_view(wide(single("desk")));
+        crash(&mut harness, "/fetch/bad");
+        let line = harness.lines.iter().find(|line| line.event == Event::RequestCondemned).unwrap();
         let field = |name| line.fields.iter().find(|(key, _)| *key == name).unwrap().1.clone();
         assert_eq!(field("fingerprint"), fingerprint("/fetch/bad").to_string());
         assert_eq!(field("targets").split(' ').count(), 2);
--- a/crates/core/tests/relay/targets.rs
+++ b/crates/core/tests/relay/targets.rs
@@ -4,174 +4,174 @@
 
 use laburnum_core::relay::{Attempt, Event};
 
-use crate::bed::{Bed, config, inquiry, ms, name, refusal, single, success, target, view};
+use crate::harness::{Harness, config, inquiry, ms, name, refusal, single, success, target, view};
 
 /// Sends `count` requests one after another and returns their targets.
-fn targets(bed: &mut Bed, count: usize) -> Vec<String> {
+fn targets(harness: &mut Harness, count: usize) -> Vec<String> {
     (0..count)
         .map(|_| {
-            bed.ask(inquiry("/fetch/1"));
-            let sent = bed.take_one();
-            bed.now = bed.now + ms(5);
-            bed.reply(&sent, success("d", 1));
+            harness.submit(inquiry("/fetch/1"));
+            let sent = harness.take_one_sent();
+            harness.now = harness.now + ms(5);
+            harness.reply(&sent, success("d", 1));
             sent.target().to_owned()
         })
         .collect()
 }
 
-fn drain(bed: &mut Bed, id: &str) {
-    let mut view = (*bed.engine.tables().view).clone();
+fn drain(harness: &mut Harness, id: &str) {
+    let mut view = (*harness.engine.tables().view).clone();
     let mut entry = (*view.targets[&name(id)]).clone();
     entry.draining = true;
     view.targets.insert(name(id), Arc::new(entry));
-    bed.show(view);
+    harness.set_view(view);
 }
 
 /// Two targets, of which the first one is in another failure domain.
-fn apart() -> Bed {
-    let mut bed = Bed::of(single("desk"));
-    let mut view = (*bed.engine.tables().view).clone();
+fn apart() -> Harness {
+    let mut harness = Harness::with_route(single("desk"));
+    let mut view = (*harness.engine.tables().view).clone();
     let mut far = (*view.targets[&name("desk-1")]).clone();
     far.domain = name("far");
     view.targets.insert(name("desk-1"), Arc::new(far));
-    bed.show(view);
-    bed
+    harness.set_view(view);
+    harness
 }
 
 cases! {
     a_draining_target_gets_no_new_work => {
-        let mut bed = Bed::of(single("desk"));
-        drain(&mut bed, "desk-1");
-        assert!(targets(&mut bed, 20).iter().all(|id| id == "desk-2"));
+        let mut harness = Harness::with_route(single("desk"));
+        drain(&mut harness, "desk-1");
+        assert!(targets(&mut harness, 20).iter().all(|id| id == "desk-2"));
     };
     a_draining_target_finishes_its_work => {
-        let mut bed = Bed::of(single("desk"));
-        let call = bed.ask(inquiry("/fetch/1"));
-        let sent = bed.take_one();
-        drain(&mut bed, sent.target());
-        bed.reply(&sent, success("d", 1));
-        assert!(bed.answers.contains_key(&call));
-        assert!(bed.closed.contains(&sent.connection));
+        let mut harness = Harness::with_route(single("desk"));
+        let call = harness.submit(inquiry("/fetch/1"));
+        let sent = harness.take_one_sent();
+        drain(&mut harness, sent.target());
+        harness.reply(&sent, success("d", 1));
+        assert!(harness.answers.contains_key(&call));
+        assert!(harness.closed.contains(&sent.connection));
     };
     a_target_that_is_gone_from_the_list_gets_no_new_work => {
-        let mut bed = Bed::of(single("desk"));
-        let mut view = (*bed.engine.tables().view).clone();
+        let mut harness = Harness::with_route(single("desk"));
+        let mut view = (*harness.engine.tables().view).clone();
         view.targets.remove(&name("desk-1"));
-        bed.show(view);
-        assert!(targets(&mut bed, 20).iter().all(|id| id == "desk-2"));
+        harness.set_view(view);
+        assert!(targets(&mut harness, 20).iter().all(|id| id == "desk-2"));
     };
     another_target_at_an_address_is_found_out_once => {
-        let mut bed = Bed::of(single("desk"));
-        bed.ask(inquiry("/fetch/1"));
-        let sent = bed.take_one();
-        bed.reply(&sent, refusal(421));
-        let again = bed.take_one();
-        bed.reply(&again, success("d", 1));
-        assert!(targets(&mut bed, 20).iter().all(|id| id == again.target()));
-        bed.pass(ms(20_000));
-        assert!(targets(&mut bed, 20).iter().all(|id| id == again.target()), "also later");
+        let mut harness = Harness::with_route(single("desk"));
+        harness.submit(inquiry("/fetch/1"));
+        let sent = harness.take_one_sent();
+        harness.reply(&sent, refusal(421));
+        let again = harness.take_one_sent();
+        harness.reply(&again, success("d", 1));
+        assert!(targets(&mut harness, 20).iter().all(|id| id == again.target()));
+        harness.advance(ms(20_000));
+        assert!(targets(&mut harness, 20).iter().all(|id| id == again.target()), "also later");
     };
     the_target_that_is_meant_is_named => {
-        let mut bed = Bed::of(single("desk"));
-        bed.ask(inquiry("/fetch/1"));
-        let sent = bed.take_one();
+        let mut harness = Harness::with_route(single("desk"));
+        harness.submit(inquiry("/fetch/1"));
+        let sent = harness.take_one_sent();
         assert_eq!(sent.order.target, name(sent.target()));
         assert!(sent.order.patience <= ms(600));
     };
     a_slow_target_gets_less_work => {
-        let mut bed = Bed::of(single("desk"));
+        let mut harness = Harness::with_route(single("desk"));
         let mut slow = 0;
         for _ in 0..100 {
-            bed.ask(inquiry("/fetch/1"));
-            let sent = bed.take_one();
+            harness.submit(inquiry("/fetch/1"));
+            let sent = harness.take_one_sent();
             let is_slow = sent.target() == "desk-1";
             slow += u32::from(is_slow);
-            bed.now = bed.now + if is_slow { ms(35) } else { ms(5) };
-            bed.reply(&sent, success("d", 1));
-            bed.pass(ms(50));
-            bed.sent.clear();
+            harness.now = harness.now + if is_slow { ms(35) } else { ms(5) };
+            harness.reply(&sent, success("d", 1));
+            harness.advance(ms(50));
+            harness.sent.clear();
         }
         assert!(slow < 25, "{slow}");
         assert!(slow > 0, "it is tried now and then");
     };
     a_failing_target_gets_less_work => {
-        let mut bed = Bed::of(single("desk"));
+        let mut harness = Harness::with_route(single("desk"));
         let mut failed = 0;
         for turn in 0..200 {
-            bed.ask(inquiry("/fetch/1"));
-            while let Some(sent) = bed.take().pop() {
-                bed.now = bed.now + ms(5);
+            harness.submit(inquiry("/fetch/1"));
+            while let Some(sent) = harness.take_sent().pop() {
+                harness.now = harness.now + ms(5);
                 if sent.target() == "desk-1" && turn % 2 == 0 {
                     failed += 1;
-                    bed.reply(&sent, crate::bed::failure(500));
+                    harness.reply(&sent, crate::harness::failure(500));
                 } else {
-                    bed.reply(&sent, success("d", 1));
+                    harness.reply(&sent, success("d", 1));
                 }
             }
         }
         assert!(failed < 40, "{failed}");
     };
     a_target_that_lost_a_connection_is_left_alone_for_a_moment => {
-        let mut bed = Bed::of(single("desk"));
-        bed.ask(inquiry("/fetch/1"));
-        let lost = bed.take_one();
-        bed.lose(&lost, true);
-        let again = bed.take_one();
-        bed.reply(&again, success("d", 1));
-        assert!(targets(&mut bed, 20).iter().all(|id| id != lost.target()));
-        bed.warm();
-        bed.pass(ms(12_000));
-        let later = targets(&mut bed, 40);
+        let mut harness = Harness::with_route(single("desk"));
+        harness.submit(inquiry("/fetch/1"));
+        let lost = harness.take_one_sent();
+        harness.lose_connection(&lost, true);
+        let again = harness.take_one_sent();
+        harness.reply(&again, success("d", 1));
+        assert!(targets(&mut harness, 20).iter().all(|id| id != lost.target()));
+        harness.open_first_connections();
+        harness.advance(ms(12_000));
+        let later = targets(&mut harness, 40);
         assert!(later.iter().any(|id| id == lost.target()), "it is tried again");
     };
     a_near_target_is_taken_before_a_far_one => {
-        let mut bed = apart();
-        bed.teach("/fetch/1", 10, ms(5));
-        let near = targets(&mut bed, 100).iter().filter(|id| *id == "desk-2").count();
+        let mut harness = apart();
+        harness.train_latency("/fetch/1", 10, ms(5));
+        let near = targets(&mut harness, 100).iter().filter(|id| *id == "desk-2").count();
         assert!(near > 95, "{near}");
     };
     a_near_target_is_taken_though_a_far_one_is_a_little_faster => {
-        let mut bed = apart();
-        bed.teach("/fetch/1", 10, ms(5));
+        let mut harness = apart();
+        harness.train_latency("/fetch/1", 10, ms(5));
         let mut near = 0;
         for _ in 0..100 {
-            bed.ask(inquiry("/fetch/1"));
-            let sent = bed.take_one();
+            harness.submit(inquiry("/fetch/1"));
+            let sent = harness.take_one_sent();
             let is_near = sent.target() == "desk-2";
             near += usize::from(is_near);
-            bed.now = bed.now + ms(if is_near { 8 } else { 4 });
-            bed.reply(&sent, success("d", 1));
+            harness.now = harness.now + ms(if is_near { 8 } else { 4 });
+            harness.reply(&sent, success("d", 1));
         }
         assert!(near > 95, "{near}");
     };
     a_far_target_gets_what_a_near_one_has_no_slots_for => {
-        let mut bed = apart();
-        bed.teach("/fetch/1", 10, ms(5));
+        let mut harness = apart();
+        harness.train_latency("/fetch/1", 10, ms(5));
         let asked = ["/fetch/1", "/fetch/2", "/fetch/3"].map(|path| {
-            bed.ask(inquiry(path));
-            bed.take_one().target().to_owned()
+            harness.submit(inquiry(path));
+            harness.take_one_sent().target().to_owned()
         });
         assert_eq!(asked, ["desk-2", "desk-2", "desk-1"]);
     };
     a_near_target_that_pauses_is_gone_round => {
-        let mut bed = apart();
-        bed.teach("/fetch/1", 10, ms(5));
-        bed.ask(inquiry("/fetch/1"));
-        assert_eq!(bed.take_one().target(), "desk-2");
-        bed.now = bed.now + ms(40);
-        bed.ask(inquiry("/fetch/2"));
+        let mut harness = apart();
+        harness.train_latency("/fetch/1", 10, ms(5));
+        harness.submit(inquiry("/fetch/1"));
+        assert_eq!(harness.take_one_sent().target(), "desk-2");
+        harness.now = harness.now + ms(40);
+        harness.submit(inquiry("/fetch/2"));
         // The hedge of the first request goes there too.
-        let sent = bed.take();
+        let sent = harness.take_sent();
         assert!(sent.len() == 2 && sent.iter().all(|sent| sent.target() == "desk-1"), "{sent:?}");
     };
     a_target_that_started_anew_is_a_new_one => {
-        let mut bed = Bed::of(single("desk"));
-        let mut view = (*bed.engine.tables().view).clone();
+        let mut harness = Harness::with_route(single("desk"));
+        let mut view = (*harness.engine.tables().view).clone();
         let mut anew = (*view.targets[&name("desk-1")]).clone();
         anew.born = 5;
         view.targets.insert(name("desk-1"), Arc::new(anew));
-        bed.show(view);
-        assert_eq!(bed.closed.len(), 1, "the connection to the old start is closed");
+        harness.set_view(view);
+        assert_eq!(harness.closed.len(), 1, "the connection to the old start is closed");
     };
     connections_are_kept_within_the_share_of_a_vm => {
         // VMs, connections of a target, and what one VM may open to its two slots.
@@ -179,45 +179,45 @@
             let mut view = view(config(1, vec![single("desk")], taken));
             view.targets = [target("desk-1", "desk")].into();
             view.least_vms = vms;
-            let mut bed = Bed::new(view);
-            (0..6).for_each(|_| { bed.ask(inquiry("/fetch/1")); });
-            let sent = bed.take();
+            let mut harness = Harness::with_view(view);
+            (0..6).for_each(|_| { harness.submit(inquiry("/fetch/1")); });
+            let sent = harness.take_sent();
             assert_eq!(sent.len(), most, "{vms} VMs, {taken} connections");
-            bed.reply(&sent[0], success("d", 1));
-            assert_eq!(bed.take().len(), 1, "the next one goes when a connection is free");
+            harness.reply(&sent[0], success("d", 1));
+            assert_eq!(harness.take_sent().len(), 1, "the next one goes when a connection is free");
         }
     };
     a_leg_goes_to_another_target_before_it_waits_at_a_busy_one => {
         let mut view = view(config(1, vec![single("desk")], 55));
         view.least_vms = 19;
-        let mut bed = Bed::new(view);
-        bed.ask(inquiry("/fetch/1"));
-        bed.ask(inquiry("/fetch/2"));
-        let sent = bed.take();
+        let mut harness = Harness::with_view(view);
+        harness.submit(inquiry("/fetch/1"));
+        harness.submit(inquiry("/fetch/2"));
+        let sent = harness.take_sent();
         assert_ne!(sent[0].target(), sent[1].target());
     };
     a_reply_that_no_attempt_waits_for_closes_its_connection => {
-        let mut bed = Bed::of(single("desk"));
-        let call = bed.ask(inquiry("/fetch/1"));
-        let sent = bed.take_one();
+        let mut harness = Harness::with_route(single("desk"));
+        let call = harness.submit(inquiry("/fetch/1"));
+        let sent = harness.take_one_sent();
         let reply = Box::new(success("x", 1));
         let connection = sent.connection;
-        bed.step(vec![Event::Replied { connection, attempt: Attempt(9999), reply }]);
-        assert_eq!(bed.closed, [connection]);
-        assert!(!bed.answers.contains_key(&call));
+        harness.step(vec![Event::Replied { connection, attempt: Attempt(9999), reply }]);
+        assert_eq!(harness.closed, [connection]);
+        assert!(!harness.answers.contains_key(&call));
     };
     a_connection_that_cannot_be_used_again_is_not => {
-        let mut bed = Bed::of(single("desk"));
-        bed.ask(inquiry("/fetch/1"));
-        let sent = bed.take_one();
+        let mut harness = Harness::with_route(single("desk"));
+        harness.submit(inquiry("/fetch/1"));
+        let sent = harness.take_one_sent();
         let mut reply = success("d", 1);
         reply.reusable = false;
-        bed.reply(&sent, reply);
+        harness.reply(&sent, reply);
         for _ in 0..10 {
-            bed.ask(inquiry("/fetch/1"));
-            let next = bed.take_one();
+            harness.submit(inquiry("/fetch/1"));
+            let next = harness.take_one_sent();
             assert_ne!(next.connection, sent.connection);
-            bed.reply(&next, success("d", 1));
+            harness.reply(&next, success("d", 1));
         }
     };
 }
--- a/crates/core/tests/relay/waits.rs
+++ b/crates/core/tests/relay/waits.rs
@@ -2,12 +2,12 @@
 
 use laburnum_core::relay::{View, route::Route};
 
-use crate::bed::{Bed, config, inquiry, ms, search, single, success, target, view};
+use crate::harness::{Harness, config, inquiry, ms, search, single, success, target, view};
 
 /// Two routes to one target that takes one connection of this VM.
 fn narrow() -> View {
     let urgent = Route {
-        name: crate::bed::name("urgent"),
+        name: crate::harness::name("urgent"),
         priority: 0,
         prefix: "/urgent/".into(),
         ..single("desk")
@@ -19,59 +19,59 @@
 
 cases! {
     the_urgent_request_goes_first => {
-        let mut bed = Bed::new(narrow());
-        bed.ask(inquiry("/fetch/1"));
-        bed.ask(inquiry("/fetch/2"));
-        bed.ask(inquiry("/urgent/3"));
-        let first = bed.take_one();
-        bed.reply(&first, success("d", 1));
-        assert_eq!(&*bed.take_one().order.inquiry.path, "/urgent/3");
+        let mut harness = Harness::with_view(narrow());
+        harness.submit(inquiry("/fetch/1"));
+        harness.submit(inquiry("/fetch/2"));
+        harness.submit(inquiry("/urgent/3"));
+        let first = harness.take_one_sent();
+        harness.reply(&first, success("d", 1));
+        assert_eq!(&*harness.take_one_sent().order.inquiry.path, "/urgent/3");
     };
     equal_requests_go_in_their_order => {
-        let mut bed = Bed::new(narrow());
-        (1..=3).for_each(|n| { bed.ask(inquiry(&format!("/fetch/{n}"))); });
+        let mut harness = Harness::with_view(narrow());
+        (1..=3).for_each(|n| { harness.submit(inquiry(&format!("/fetch/{n}"))); });
         for n in 1..=3 {
-            let sent = bed.take_one();
+            let sent = harness.take_one_sent();
             assert_eq!(&*sent.order.inquiry.path, format!("/fetch/{n}"));
-            bed.reply(&sent, success("d", 1));
+            harness.reply(&sent, success("d", 1));
         }
     };
     a_request_that_never_got_a_connection_was_not_run => {
-        let mut bed = Bed::new(narrow());
-        bed.ask(inquiry("/fetch/1"));
-        let waiting = bed.ask(inquiry("/fetch/2"));
-        bed.pass(ms(700));
-        assert_eq!(bed.refused(waiting), 503);
+        let mut harness = Harness::with_view(narrow());
+        harness.submit(inquiry("/fetch/1"));
+        let waiting = harness.submit(inquiry("/fetch/2"));
+        harness.advance(ms(700));
+        assert_eq!(harness.refusal_status(waiting), 503);
     };
     the_time_for_a_target_is_what_is_left => {
-        let mut bed = Bed::new(narrow());
-        bed.ask(inquiry("/fetch/1"));
-        bed.ask(inquiry("/fetch/2"));
-        let first = bed.take_one();
-        bed.now = bed.now + ms(250);
-        bed.reply(&first, success("d", 1));
-        let second = bed.take_one();
+        let mut harness = Harness::with_view(narrow());
+        harness.submit(inquiry("/fetch/1"));
+        harness.submit(inquiry("/fetch/2"));
+        let first = harness.take_one_sent();
+        harness.now = harness.now + ms(250);
+        harness.reply(&first, success("d", 1));
+        let second = harness.take_one_sent();
         assert!(second.order.patience <= ms(350), "{:?}", second.order.patience);
     };
     a_caller_that_waited_elsewhere_gets_its_answer_sooner => {
-        let mut bed = Bed::of(search(&["s1", "s2"], 0.5));
-        bed.teach("/search/1", 3, ms(5));
+        let mut harness = Harness::with_route(search(&["s1", "s2"], 0.5));
+        harness.train_latency("/search/1", 3, ms(5));
         let mut again = inquiry("/search/1");
         again.patience = Some(ms(560));
-        let since = bed.now;
-        let call = bed.ask(again);
-        let sent = bed.take();
-        bed.reply(&sent[0], success("a", 1));
-        bed.pass(ms(100));
-        assert!(bed.waited(call, since) <= ms(60), "40 ms of the goal are gone");
+        let since = harness.now;
+        let call = harness.submit(again);
+        let sent = harness.take_sent();
+        harness.reply(&sent[0], success("a", 1));
+        harness.advance(ms(100));
+        assert!(harness.waited(call, since) <= ms(60), "40 ms of the goal are gone");
     };
     a_caller_is_answered_before_it_gives_up => {
-        let mut bed = Bed::of(single("desk"));
+        let mut harness = Harness::with_route(single("desk"));
         let mut short = inquiry("/fetch/1");
         short.patience = Some(ms(200));
-        let since = bed.now;
-        let call = bed.ask(short);
-        bed.pass(ms(300));
-        assert!(bed.waited(call, since) < ms(200));
+        let since = harness.now;
+        let call = harness.submit(short);
+        harness.advance(ms(300));
+        assert!(harness.waited(call, since) < ms(200));
     };
 }
