--- a/crates/core/src/relay/system/answer.rs
+++ b/crates/core/src/relay/system/answer.rs
@@ -1,4 +1,4 @@
-//! Answers the requests whose legs or times allow it.
+//! Answers the requests whose legs have ended or whose timers are due.
 
 use std::{sync::Arc, time::Duration};
 
@@ -20,11 +20,11 @@
     },
 };
 
-/// When to come back after no target could take a request.
-const COME_BACK: Duration = Duration::from_millis(100);
+/// Retry-after time that callers are told if no target could take a request.
+const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Looks at every request that changed.
-pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
+/// Answers every request that changed in this tick and can be answered.
+pub fn answer_changed(tables: &mut Tables, cx: &mut Context<'_>) {
     for call in std::mem::take(&mut tables.changed) {
         let Some(request) = tables.requests.get(&call) else { continue };
         let answer = match &request.route.plan {
@@ -32,63 +32,66 @@
             Plan::One(_) | Plan::Split(_) => forwarded(tables, call, request, cx),
         };
         if let Some(answer) = answer {
-            close(tables, call, answer, cx);
+            finish(tables, call, answer, cx);
         }
     }
 }
 
-/// What is known of the runs of all legs of a request.
+/// What is known about the execution of a request over all of its legs.
 #[derive(Clone, Copy, Debug, Default)]
-struct Runs {
-    maybe: bool,
-    under_way: bool,
+struct Execution {
+    /// Whether a target may have run a leg.
+    maybe_ran: bool,
+    /// Whether an attempt of a leg is in flight.
+    in_flight: bool,
 }
 
-fn runs(tables: &Tables, call: Call, request: &Request) -> Runs {
-    let mut runs = Runs::default();
+fn execution(tables: &Tables, call: Call, request: &Request) -> Execution {
+    let mut execution = Execution::default();
     for place in 0..request.legs {
         if let Some(leg) = tables.legs.get(&Key { call, place }) {
-            runs.maybe |= leg.runs.maybe || matches!(leg.state, State::Done(_));
-            runs.under_way |= !leg.attempts.is_empty();
+            execution.maybe_ran |= leg.runs.maybe || matches!(leg.state, State::Done(_));
+            execution.in_flight |= !leg.attempts.is_empty();
         }
     }
-    runs
+    execution
 }
 
 fn forwarded(tables: &Tables, call: Call, request: &Request, cx: &Context<'_>) -> Option<Answer> {
     let Some(leg) = tables.legs.get(&Key { call, place: 0 }) else {
         let fault = Fault::not_run(Kind::Unavailable, "the route names no service");
-        return Some(Answer::Refused(Refusal { fault, retry: Some(COME_BACK) }));
+        return Some(Answer::Refused(Refusal { fault, retry: Some(UNAVAILABLE_RETRY_AFTER) }));
     };
-    let runs = runs(tables, call, request);
+    let execution = execution(tables, call, request);
     match &leg.state {
-        State::Done(reply) if promises(reply) => Some(Answer::Refused(Refusal {
+        State::Done(reply) if implies_not_run(reply) => Some(Answer::Refused(Refusal {
             fault: Fault::unknown(Kind::TargetFailed, format!("status {}", reply.status)),
             retry: None,
         })),
         State::Done(reply) => Some(Answer::Forwarded(Box::new(Reply::clone(reply)))),
-        State::Failed => Some(refused(runs, Kind::TargetFailed, "no target answered")),
+        State::Failed => Some(refused(execution, Kind::TargetFailed, "no target answered")),
         State::Open if request.deadline <= cx.now => {
-            Some(refused(runs, Kind::DeadlinePassed, "no target answered in time"))
+            Some(refused(execution, Kind::DeadlinePassed, "no target answered in time"))
         }
         State::Open => None,
     }
 }
 
-/// Whether a status says that the request was not run, which holds only if the
-/// target says so in its own way too.
-fn promises(reply: &Reply) -> bool {
+/// Whether a status tells the caller that the request was not run. That holds only
+/// if the target also marks the reply as a refusal, so that other replies with
+/// such a status are not passed on.
+fn implies_not_run(reply: &Reply) -> bool {
     matches!(reply.status, 408 | 421 | 429 | 503)
 }
 
-/// A refusal of `kind` if a target may have run the request; otherwise it says
-/// that nothing ran.
-fn refused(runs: Runs, kind: Kind, detail: &str) -> Answer {
-    if runs.maybe || runs.under_way {
+/// Returns a refusal of `kind` if a target may have run the request, and one that
+/// says that it was not run otherwise.
+fn refused(execution: Execution, kind: Kind, detail: &str) -> Answer {
+    if execution.maybe_ran || execution.in_flight {
         return Answer::Refused(Refusal { fault: Fault::unknown(kind, detail), retry: None });
     }
     let fault = Fault::not_run(Kind::Unavailable, detail);
-    Answer::Refused(Refusal { fault, retry: Some(COME_BACK) })
+    Answer::Refused(Refusal { fault, retry: Some(UNAVAILABLE_RETRY_AFTER) })
 }
 
 fn gathered(
@@ -99,7 +102,7 @@
     cx: &Context<'_>,
 ) -> Option<Answer> {
     let parts = parts(tables, call, request);
-    let open = open(tables, call, request);
+    let open = open_legs(tables, call, request);
     let progress = Progress {
         shards: gather.shards.len(),
         parts: parts.len(),
@@ -111,11 +114,11 @@
         Verdict::Answer => Some(merged(gather, &parts)),
         Verdict::Refuse => {
             let detail = format!("{} of {} shards answered", parts.len(), gather.shards.len());
-            Some(refused(runs(tables, call, request), Kind::TargetFailed, &detail))
+            Some(refused(execution(tables, call, request), Kind::TargetFailed, &detail))
         }
         Verdict::Wait if request.deadline <= cx.now => {
             let detail = format!("{} of {} shards answered", parts.len(), gather.shards.len());
-            Some(refused(runs(tables, call, request), Kind::DeadlinePassed, &detail))
+            Some(refused(execution(tables, call, request), Kind::DeadlinePassed, &detail))
         }
         Verdict::Wait => None,
     }
@@ -130,7 +133,7 @@
     .collect()
 }
 
-fn open(tables: &Tables, call: Call, request: &Request) -> usize {
+fn open_legs(tables: &Tables, call: Call, request: &Request) -> usize {
     let legs = (0..request.legs).filter_map(|place| tables.legs.get(&Key { call, place }));
     legs.filter(|leg| leg.is_open()).count()
 }
@@ -143,16 +146,22 @@
     })
 }
 
-/// Hands out an answer and forgets its request.
-fn close(tables: &mut Tables, call: Call, answer: Answer, cx: &mut Context<'_>) {
+/// Puts the answer of a request into the outbox and drops the request.
+fn finish(tables: &mut Tables, call: Call, answer: Answer, cx: &mut Context<'_>) {
     let Some(request) = tables.requests.get(&call).cloned() else { return };
-    note(tables, call, &request, &answer, cx);
+    record_answer(tables, call, &request, &answer, cx);
     leg::drop_request(tables, call, leg::End::Answered, cx);
     cx.out.answers.push((call, answer));
 }
 
-/// Counts and logs an answer.
-fn note(tables: &Tables, call: Call, request: &Request, answer: &Answer, cx: &mut Context<'_>) {
+/// Counts an answer, and logs it if it is partial or a refusal.
+fn record_answer(
+    tables: &Tables,
+    call: Call,
+    request: &Request,
+    answer: &Answer,
+    cx: &mut Context<'_>,
+) {
     let took = cx.now.since(request.arrived);
     let coverage = match answer {
         Answer::Gathered(gathered) => {
@@ -180,11 +189,11 @@
             fields.push(("kind", refusal.fault.kind.to_string()));
             fields.push(("ran", refusal.fault.ran.as_str().to_owned()));
             fields.push(("detail", refusal.fault.detail.clone()));
-            fields.push(("missing", missing(tables, call, request)));
+            fields.push(("missing", missing_services(tables, call, request)));
             Event::Refused
         }
         Answer::Gathered(gathered) if gathered.missing > 0 => {
-            fields.push(("missing", missing(tables, call, request)));
+            fields.push(("missing", missing_services(tables, call, request)));
             Event::PartialAnswer
         }
         Answer::Gathered(_) | Answer::Forwarded(_) => return,
@@ -192,8 +201,9 @@
     cx.out.lines.push(Line::new(event, fields));
 }
 
-/// The services whose part is missing, with the targets that were asked.
-fn missing(tables: &Tables, call: Call, request: &Request) -> String {
+/// Formats the services whose legs have no reply for a log line, each with the
+/// targets that it was sent to.
+fn missing_services(tables: &Tables, call: Call, request: &Request) -> String {
     let mut texts = Vec::new();
     for place in 0..request.legs {
         let Some(leg) = tables.legs.get(&Key { call, place }) else { continue };
--- a/crates/core/src/relay/system/collect.rs
+++ b/crates/core/src/relay/system/collect.rs
@@ -1,4 +1,4 @@
-//! Takes the reports of the client of the targets.
+//! Handles the events of the client that connects to targets.
 
 use std::sync::Arc;
 
@@ -13,7 +13,9 @@
     },
 };
 
-/// Notes that a connection is open.
+/// Marks a newly opened connection as idle, unless an attempt already uses it. A
+/// target that accepts connections has not crashed, so its earlier losses no
+/// longer count as possible crashes.
 pub fn opened(tables: &mut Tables, connection: relay::Connection, cx: &mut Context<'_>) {
     let Some(row) = tables.connections.get(&connection) else { return };
     tables.suspects.clear_target(&row.target);
@@ -22,7 +24,8 @@
     }
 }
 
-/// Takes the reply to an attempt.
+/// Handles the reply to an attempt. A reply on a connection that does not carry
+/// this attempt closes the connection.
 pub fn replied(
     tables: &mut Tables,
     connection: relay::Connection,
@@ -30,14 +33,14 @@
     reply: Reply,
     cx: &mut Context<'_>,
 ) {
-    if !is_carried(tables, connection, attempt) {
+    if !is_busy_with(tables, connection, attempt) {
         cx.out.counts.add(Count::Dropped(Drop::Crossed));
         connect::close(tables, connection, cx);
         return;
     }
     let Some(row) = tables.attempts.remove(&attempt) else { return };
     tables.suspects.clear_target(&row.target);
-    learn(tables, attempt, &row, &reply, cx);
+    record_reply(tables, attempt, &row, &reply, cx);
     if reply.reusable {
         connect::release(tables, connection, cx);
     } else {
@@ -45,18 +48,19 @@
     }
     connect::prune(tables, &row.target);
     match row.leg {
-        Some(key) => decide(tables, key, attempt, &row, reply, cx),
+        Some(key) => finish_or_retry(tables, key, attempt, &row, reply, cx),
         None => cx.out.counts.add(Count::Dropped(Drop::Late)),
     }
 }
 
-fn is_carried(tables: &Tables, connection: relay::Connection, attempt: relay::Attempt) -> bool {
+fn is_busy_with(tables: &Tables, connection: relay::Connection, attempt: relay::Attempt) -> bool {
     let row = tables.connections.get(&connection);
     row.is_some_and(|row| row.state == State::Busy(attempt))
 }
 
-/// Notes what a reply tells about its target and its route.
-fn learn(
+/// Updates the statistics of the target and the route of a reply. A target that
+/// does not serve the requested range gets no new work.
+fn record_reply(
     tables: &mut Tables,
     attempt: relay::Attempt,
     row: &Attempt,
@@ -87,8 +91,8 @@
     }
 }
 
-/// Ends the leg of a reply or tries it elsewhere.
-fn decide(
+/// Ends the leg of a reply, or retries it at another target.
+fn finish_or_retry(
     tables: &mut Tables,
     key: Key,
     attempt: relay::Attempt,
@@ -110,7 +114,7 @@
         leg::finish(tables, key, Arc::new(reply), cx);
         return;
     }
-    log_failure(&id, row, &reply, cx);
+    log_failed_attempt(&id, row, &reply, cx);
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     if reply.refused {
         let reason = if reply.misdirected { Retry::RangeMoved } else { Retry::Shed };
@@ -130,18 +134,18 @@
     }
 }
 
-fn log_failure(id: &str, row: &Attempt, reply: &Reply, cx: &mut Context<'_>) {
+fn log_failed_attempt(id: &str, row: &Attempt, reply: &Reply, cx: &mut Context<'_>) {
     let fields = vec![
         ("id", id.to_owned()),
         ("target", row.target.to_string()),
         ("status", reply.status.to_string()),
         ("refused", reply.refused.to_string()),
-        ("took_ms", leg::age(row.sent, cx.now)),
+        ("took_ms", leg::age_ms(row.sent, cx.now)),
     ];
     cx.out.lines.push(Line::new(Event::AttemptFailed, fields));
 }
 
-/// Notes that a connection is closed and tries what it carried elsewhere.
+/// Removes a connection that was closed and retries the leg that it carried.
 pub fn closed(
     tables: &mut Tables,
     connection: relay::Connection,
@@ -152,30 +156,30 @@
     if loss.idle && matches!(row.state, State::Idle { .. }) {
         return;
     }
-    log_loss(&row.target, loss, cx);
+    log_lost_connection(&row.target, loss, cx);
     if let Some(target) = tables.targets.get_mut(&row.target) {
         target.lost(cx.now);
         let until = target.pause_until;
         tables.timers.set(until, relay::table::timer::Timer::Pause(row.target.clone()));
     }
     if loss.gone && !loss.sent {
-        suspect::confirm(tables, &row.target, cx);
+        suspect::confirm_crash(tables, &row.target, cx);
     }
     if let State::Busy(attempt) = row.state {
-        lose(tables, attempt, loss, cx);
+        lose_attempt(tables, attempt, loss, cx);
     }
     connect::prune(tables, &row.target);
 }
 
-/// Takes back an attempt whose connection is lost.
-fn lose(tables: &mut Tables, attempt: relay::Attempt, loss: &Loss, cx: &mut Context<'_>) {
+/// Ends an attempt whose connection is lost and retries its leg.
+fn lose_attempt(tables: &mut Tables, attempt: relay::Attempt, loss: &Loss, cx: &mut Context<'_>) {
     let Some(row) = tables.attempts.remove(&attempt) else { return };
     if let Some(target) = tables.targets.get_mut(&row.target) {
         target.running.remove(&(row.sent, attempt));
     }
     let Some(key) = row.leg else { return };
-    suspect::note(tables, key.call, &row, loss, cx);
-    log_lost(tables, key, &row, loss, cx);
+    suspect::record_loss(tables, key.call, &row, loss, cx);
+    log_lost_attempt(tables, key, &row, loss, cx);
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     leg.attempts.remove(&attempt);
     if loss.sent {
@@ -187,19 +191,19 @@
     leg::retry(tables, key, reason, cx);
 }
 
-fn log_lost(tables: &Tables, key: Key, row: &Attempt, loss: &Loss, cx: &mut Context<'_>) {
+fn log_lost_attempt(tables: &Tables, key: Key, row: &Attempt, loss: &Loss, cx: &mut Context<'_>) {
     let Some(request) = tables.requests.get(&key.call) else { return };
     let fields = vec![
         ("id", request.inquiry.id.to_string()),
         ("target", row.target.to_string()),
         ("sent", loss.sent.to_string()),
-        ("took_ms", leg::age(row.sent, cx.now)),
+        ("took_ms", leg::age_ms(row.sent, cx.now)),
         ("detail", loss.detail.clone()),
     ];
     cx.out.lines.push(Line::new(Event::AttemptFailed, fields));
 }
 
-fn log_loss(target: &crate::name::Name, loss: &Loss, cx: &mut Context<'_>) {
+fn log_lost_connection(target: &crate::name::Name, loss: &Loss, cx: &mut Context<'_>) {
     let fields = vec![
         ("target", target.to_string()),
         ("sent", loss.sent.to_string()),
--- a/crates/core/src/relay/system/connect.rs
+++ b/crates/core/src/relay/system/connect.rs
@@ -10,34 +10,34 @@
     },
 };
 
-/// How many times its equal share of the slots of a target a VM may fill. Legs
-/// beyond that go to another target instead of waiting in the queue of this one,
-/// where they cannot be taken back.
-const SPREAD: u32 = 4;
+/// Multiple of its equal share of a target's slots that one VM may occupy. Legs
+/// beyond that go to another target, because a leg that waits in the queue of a
+/// target cannot be taken back.
+const SLOT_SHARE_FACTOR: u32 = 4;
 
-/// The connections that this VM may hold to a target: what it may fill of the
-/// slots, within its share of the connections that a target takes, and one at
-/// least.
-pub fn allowed(tables: &Tables, entry: &view::Target) -> usize {
+/// Returns the number of connections that this VM may hold to a target: the slots
+/// that it may occupy, at most its share of the connections that the target
+/// accepts, and at least one.
+pub fn connection_limit(tables: &Tables, entry: &view::Target) -> usize {
     let config = tables.view.config.as_ref();
-    let known = config.and_then(|config| config.services.get(&entry.service));
-    let taken = known.map_or(0, |service| service.connections);
+    let service = config.and_then(|config| config.services.get(&entry.service));
+    let accepted = service.map_or(0, |service| service.connections);
     let vms = tables.view.sharers();
-    let slots = entry.slots.saturating_mul(SPREAD).div_ceil(vms).min(entry.slots);
-    slots.min(taken / vms).max(1) as usize
+    let slots = entry.slots.saturating_mul(SLOT_SHARE_FACTOR).div_ceil(vms).min(entry.slots);
+    slots.min(accepted / vms).max(1) as usize
 }
 
-/// Whether a target can be handed a request now.
+/// Whether a request can be sent to a target now.
 pub fn can_take(tables: &Tables, id: &Name, cx: &Context<'_>) -> bool {
     let Some(target) = tables.targets.get(id) else { return false };
     if !target.idle.is_empty() {
         return true;
     }
     let is_paused = target.pause_until > cx.now;
-    !is_paused && target.connections.len() < allowed(tables, &target.entry)
+    !is_paused && target.connections.len() < connection_limit(tables, &target.entry)
 }
 
-/// Takes an idle connection of a target or opens one.
+/// Takes an idle connection to a target, or opens one.
 pub fn take(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) -> Option<relay::Connection> {
     let idle = tables.targets.get_mut(id)?.idle.pop();
     match idle {
@@ -58,8 +58,7 @@
     Some(connection)
 }
 
-/// Gives a connection back after its request, or closes it if its target takes
-/// no new work.
+/// Marks a connection as idle, or closes it if its target gets no new work.
 pub fn release(tables: &mut Tables, connection: relay::Connection, cx: &mut Context<'_>) {
     let Some(row) = tables.connections.get_mut(&connection) else { return };
     row.state = State::Idle { since: cx.now };
@@ -73,13 +72,13 @@
     }
 }
 
-/// Closes a connection and forgets it.
+/// Closes a connection and removes its row.
 pub fn close(tables: &mut Tables, connection: relay::Connection, cx: &mut Context<'_>) {
     remove(tables, connection);
     cx.out.commands.push(Command::Close { connection });
 }
 
-/// Forgets a connection that is closed.
+/// Removes the row of a connection that is closed.
 pub fn remove(tables: &mut Tables, connection: relay::Connection) -> Option<Connection> {
     let row = tables.connections.remove(&connection)?;
     if let Some(target) = tables.targets.get_mut(&row.target) {
@@ -97,7 +96,8 @@
     }
 }
 
-/// Forgets a target that is listed no more as soon as it carries nothing.
+/// Removes a target that is no longer registered once none of its attempts is
+/// running.
 pub fn prune(tables: &mut Tables, id: &Name) {
     if tables.view.targets.contains_key(id) {
         return;
@@ -107,9 +107,9 @@
     }
 }
 
-/// Takes the connections of a target that started anew out of use. What they
-/// carry is reported when they close.
-pub fn forget(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
+/// Closes the idle connections to a target that restarted and removes all others
+/// from its row. The attempts on those end when the connections close.
+pub fn discard_all(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
     close_idle(tables, id, cx);
     if let Some(target) = tables.targets.get_mut(id) {
         target.connections.clear();
--- a/crates/core/src/relay/system/dispatch.rs
+++ b/crates/core/src/relay/system/dispatch.rs
@@ -1,4 +1,4 @@
-//! Hands waiting legs to targets.
+//! Sends queued legs to targets, and hedges legs that are slow.
 
 use std::{sync::Arc, time::Duration};
 
@@ -22,25 +22,26 @@
     },
 };
 
-/// The largest random addition to a cost, so that VMs which know the same do
-/// not all pick the same target.
-const JITTER: f64 = 0.1;
+/// Largest random addition to the cost of a target, as a fraction of the cost, so
+/// that VMs with equal knowledge do not all pick the same target.
+const MAX_COST_JITTER: f64 = 0.1;
 
-/// The time to the next try of a second attempt that could not be made.
-const HEDGE_AGAIN: Duration = Duration::from_millis(10);
+/// Delay before a hedge that no target could take is tried again.
+const HEDGE_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// What a leg can do now.
-enum Way {
-    /// It goes to this target.
-    Go(Name),
-    /// It waits for a connection.
+/// What to do with a queued leg in this tick.
+enum Decision {
+    /// Send it to this target.
+    Send(Name),
+    /// Keep it queued: its targets are busy, paused or failing, or an attempt is
+    /// in flight.
     Wait,
-    /// No target can take it any more.
-    None,
+    /// End it, because no target is left for it.
+    GiveUp,
 }
 
-/// Hands out what waits, in the order of each queue.
-pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
+/// Sends the queued legs that a target can take, in the order of each queue.
+pub fn dispatch_queued(tables: &mut Tables, cx: &mut Context<'_>) {
     let waiting: Vec<Name> = tables
         .waiting
         .iter()
@@ -50,13 +51,13 @@
     for service in waiting {
         let queue: Vec<Place> = tables.waiting[&service].iter().copied().collect();
         for place in queue {
-            match way(tables, place.key, cx) {
-                Way::Go(target) => {
+            match decide(tables, place.key, cx) {
+                Decision::Send(target) => {
                     leg::dequeue(tables, place.key);
                     send(tables, place.key, &target, cx);
                 }
-                Way::Wait => {}
-                Way::None => {
+                Decision::Wait => {}
+                Decision::GiveUp => {
                     leg::dequeue(tables, place.key);
                     leg::give_up(tables, place.key, cx);
                 }
@@ -65,14 +66,14 @@
     }
 }
 
-/// Finds the target that a leg goes to.
-fn way(tables: &mut Tables, key: Key, cx: &mut Context<'_>) -> Way {
-    let Some(leg) = tables.legs.get(&key) else { return Way::None };
-    let Some(request) = tables.requests.get(&key.call) else { return Way::None };
+/// Decides what to do with a queued leg.
+fn decide(tables: &mut Tables, key: Key, cx: &mut Context<'_>) -> Decision {
+    let Some(leg) = tables.legs.get(&key) else { return Decision::GiveUp };
+    let Some(request) = tables.requests.get(&key.call) else { return Decision::GiveUp };
     let is_gather = matches!(request.route.plan, Plan::Gather(_));
     let candidates = candidates(tables, key);
     if candidates.is_empty() {
-        return if leg.attempts.is_empty() { Way::None } else { Way::Wait };
+        return if leg.attempts.is_empty() { Decision::GiveUp } else { Decision::Wait };
     }
     let healthy: Vec<Name> = candidates
         .iter()
@@ -80,24 +81,24 @@
         .cloned()
         .collect();
     if healthy.is_empty() && is_gather {
-        // An answer without this shard is worth more than one that is late.
-        return Way::None;
+        // A partial answer without this shard is better than a late one.
+        return Decision::GiveUp;
     }
-    match best(tables, key, &healthy, cx) {
-        Some(target) => Way::Go(target),
-        None => Way::Wait,
+    match cheapest(tables, key, &healthy, cx) {
+        Some(target) => Decision::Send(target),
+        None => Decision::Wait,
     }
 }
 
-/// The targets that a leg was not sent to yet.
+/// Returns the usable targets of a leg's service that it was not sent to yet.
 fn candidates(tables: &Tables, key: Key) -> Vec<Name> {
     let Some(leg) = tables.legs.get(&key) else { return Vec::new() };
     let Some(targets) = tables.services.get(&leg.service) else { return Vec::new() };
     targets.iter().filter(|id| !leg.tried.contains(*id)).cloned().collect()
 }
 
-/// The target with the least cost among those that can take a request now.
-fn best(tables: &mut Tables, key: Key, ids: &[Name], cx: &mut Context<'_>) -> Option<Name> {
+/// Returns the target with the least cost among those that can take a request now.
+fn cheapest(tables: &mut Tables, key: Key, ids: &[Name], cx: &mut Context<'_>) -> Option<Name> {
     let request = tables.requests.get(&key.call)?;
     let (route, goal) = (request.route.name.clone(), request.route.goal);
     let mean = tables.pace(&route).latency.mean();
@@ -110,7 +111,7 @@
         let Some(target) = tables.targets.get(id) else { continue };
         let near = target.entry.domain == cx.limits.domain;
         let cost = cx.policies.choice.cost(target, &Facts { now: cx.now, pace, near });
-        let cost = cost * (1.0 + JITTER * cx.random.random::<f64>());
+        let cost = cost * (1.0 + MAX_COST_JITTER * cx.random.random::<f64>());
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, id));
         }
@@ -142,14 +143,14 @@
     cx.out.counts.add(Count::Attempts);
     if is_first {
         cx.out.counts.add(Count::FirstAttempts);
-        arm(tables, key, cx);
+        schedule_hedge(tables, key, cx);
     }
     let order = Order { inquiry, target: id.clone(), patience };
     cx.out.commands.push(Command::Send { connection, attempt, order });
 }
 
-/// Plans the attempt beside one that is slow.
-fn arm(tables: &mut Tables, key: Key, cx: &mut Context<'_>) {
+/// Sets the hedge timer of a leg, if its route and the hedge policy allow one.
+fn schedule_hedge(tables: &mut Tables, key: Key, cx: &mut Context<'_>) {
     let Some(request) = tables.requests.get(&key.call) else { return };
     if !request.route.idempotent || request.route.attempts < 2 {
         return;
@@ -157,11 +158,11 @@
     let (route, goal) = (request.route.name.clone(), request.route.goal);
     let delay = cx.policies.hedge.delay(&tables.pace(&route).latency, goal);
     if let Some(delay) = delay {
-        set_hedge(tables, key, delay, cx);
+        set_hedge_timer(tables, key, delay, cx);
     }
 }
 
-fn set_hedge(tables: &mut Tables, key: Key, delay: Duration, cx: &mut Context<'_>) {
+fn set_hedge_timer(tables: &mut Tables, key: Key, delay: Duration, cx: &mut Context<'_>) {
     let at = cx.now + delay;
     if let Some(leg) = tables.legs.get_mut(&key) {
         leg.hedge = Some(at);
@@ -169,11 +170,12 @@
     }
 }
 
-/// Makes an attempt beside one that is slow, if a target can take it now.
+/// Hedges a leg whose only attempt is slow, if a target can take it now and the
+/// retry budget allows it.
 pub fn hedge(tables: &mut Tables, key: Key, cx: &mut Context<'_>) {
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     leg.hedge = None;
-    if !leg::is_single(leg) || leg.queued {
+    if !leg::has_one_attempt(leg) || leg.queued {
         return;
     }
     let Some(request) = tables.requests.get(&key.call) else { return };
@@ -188,27 +190,27 @@
     if healthy.is_empty() {
         return;
     }
-    // Where every slot is taken, one more request makes all of them later.
+    // On a target without a free slot, one more request delays all of its requests.
     let is_free = |id: &Name| tables.targets.get(id).is_some_and(|t| t.has_free_slot(cx.now));
     let healthy: Vec<Name> = healthy.into_iter().filter(is_free).collect();
-    let Some(target) = best(tables, key, &healthy, cx) else {
-        set_hedge(tables, key, HEDGE_AGAIN, cx);
+    let Some(target) = cheapest(tables, key, &healthy, cx) else {
+        set_hedge_timer(tables, key, HEDGE_RETRY_DELAY, cx);
         return;
     };
-    if !leg::take_extra(tables, key, cx) {
+    if !leg::charge_budget(tables, key, cx) {
         return;
     }
     cx.out.counts.add(Count::Hedges);
-    log(tables, key, &target, cx);
+    log_hedge(tables, key, &target, cx);
     send(tables, key, &target, cx);
 }
 
-fn log(tables: &Tables, key: Key, target: &Name, cx: &mut Context<'_>) {
+fn log_hedge(tables: &Tables, key: Key, target: &Name, cx: &mut Context<'_>) {
     let Some(request) = tables.requests.get(&key.call) else { return };
     let fields = vec![
         ("id", request.inquiry.id.to_string()),
         ("target", target.to_string()),
-        ("age_ms", leg::age(request.arrived, cx.now)),
+        ("age_ms", leg::age_ms(request.arrived, cx.now)),
     ];
     cx.out.lines.push(Line::new(Event::LegHedged, fields));
 }
--- a/crates/core/src/relay/system/expire.rs
+++ b/crates/core/src/relay/system/expire.rs
@@ -1,4 +1,4 @@
-//! Runs what is due.
+//! Handles the timers that are due.
 
 use super::{Context, connect, dispatch, hop};
 use crate::{
@@ -6,8 +6,8 @@
     relay::{self, Tables, table::timer::Timer},
 };
 
-/// Takes every timer that is due.
-pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
+/// Removes every timer that is due and runs its action.
+pub fn run_due_timers(tables: &mut Tables, cx: &mut Context<'_>) {
     while let Some(timer) = tables.timers.pop(cx.now) {
         match timer {
             Timer::Goal(call) | Timer::Deadline(call) => {
@@ -15,14 +15,16 @@
             }
             Timer::Handed(call) => hop::expire(tables, call, cx),
             Timer::Hedge(key) => dispatch::hedge(tables, key, cx),
-            Timer::Orphan(attempt) => drop_attempt(tables, attempt, cx),
-            Timer::Pause(target) | Timer::Warm(target) => warm(tables, &target, cx),
+            Timer::Orphan(attempt) => close_orphan(tables, attempt, cx),
+            Timer::Pause(target) | Timer::Warm(target) => {
+                open_first_connection(tables, &target, cx)
+            }
         }
     }
 }
 
-/// Closes the connection of an attempt that nobody waits for.
-fn drop_attempt(tables: &mut Tables, attempt: relay::Attempt, cx: &mut Context<'_>) {
+/// Closes the connection of an attempt whose reply no leg needs any more.
+fn close_orphan(tables: &mut Tables, attempt: relay::Attempt, cx: &mut Context<'_>) {
     let Some(row) = tables.attempts.get(&attempt) else { return };
     if row.leg.is_some() {
         return;
@@ -41,9 +43,10 @@
     connect::prune(tables, &row.target);
 }
 
-/// Opens a connection to a target that has none: a choice that has to open one
-/// first would rarely fall on it, and the other targets would carry its load.
-fn warm(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
+/// Opens a connection to a target that has none. The cost of a target without an
+/// open connection includes the time to open one, so it would rarely be chosen
+/// and the other targets would carry its load.
+fn open_first_connection(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
     let Some(target) = tables.targets.get(id) else { return };
     if target.is_usable && target.connections.is_empty() {
         connect::open(tables, id, cx);
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -1,10 +1,10 @@
-//! Hands requests to larger VMs, and answers for smaller ones.
+//! Hands requests over to larger VMs, and answers requests of smaller ones.
 //!
 //! A search over many shards costs more processor time than a small VM has
-//! within its goal, and a VM that sees few requests learns too little of the
-//! targets to choose and hedge well. So a VM hands its requests to one with
-//! several times its processor time, if there is any, and answers itself only
-//! while it reaches none.
+//! within its goal, and a VM that sees few requests learns too little about the
+//! targets to choose and hedge well. So a VM hands its requests over to one with
+//! several times its processor time, if there is one, and answers requests itself
+//! only while it reaches none.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -27,41 +27,47 @@
     time::Instant,
 };
 
-/// The part of the goal that the way to the other VM and back takes, most of it
-/// on the small one.
-const DETOUR: Duration = Duration::from_millis(12);
+/// Part of the goal that the round trip to the larger VM takes, most of it on the
+/// small VM.
+const ROUND_TRIP_ALLOWANCE: Duration = Duration::from_millis(12);
 
-/// The time that a request without a stated wait is given.
-const PATIENCE: Duration = Duration::from_secs(60);
+/// Timeout of a request whose caller states none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// What the last answer needs on its way to the caller.
-const MARGIN: Duration = Duration::from_millis(20);
+/// Time reserved before the deadline for the last possible answer to reach the
+/// caller.
+const HANDED_DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 
-/// The pause after a loss.
-const PAUSE: Duration = Duration::from_millis(500);
+/// Time for which no requests go to a VM after its connection was lost.
+const LOSS_PAUSE: Duration = Duration::from_millis(500);
 
-/// The time without an answer or any other word after which requests go to
-/// another VM.
-const SILENCE: Duration = Duration::from_millis(400);
+/// Time without any message from a VM that has unanswered requests, after which
+/// new requests go to another VM.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// The time for which a VM that asked is told whether the store is heard from.
-const REMEMBERED: Duration = Duration::from_secs(120);
+/// Time after the last request of another VM for which it is sent [`Hop::State`].
+const STATE_UPDATE_PERIOD: Duration = Duration::from_secs(120);
 
-/// Marks the ids of requests that other VMs handed to this one.
-const TAKEN: u64 = 1 << 63;
+/// Bit that is set in the ids of requests that other VMs handed to this one, so
+/// that they differ from the ids of its own callers' requests.
+const HANDED_CALL_BIT: u64 = 1 << 63;
 
-/// The larger VM that gets the next request, if there is one to prefer: one that
-/// hears from the store, or any while this VM does not hear from it either.
-pub fn pick(tables: &Tables, cx: &Context<'_>) -> Option<(Name, SocketAddr)> {
+/// Returns the larger VM that gets the next request, if there is one: a VM that
+/// hears from the store, or any reachable one while this VM has no current
+/// configuration itself.
+pub fn pick_vm(tables: &Tables, cx: &Context<'_>) -> Option<(Name, SocketAddr)> {
     let is_own_current = tables.view.config.is_some() && tables.view.is_current;
-    best(tables, cx, true).or_else(|| if is_own_current { None } else { best(tables, cx, false) })
+    best_vm(tables, cx, true)
+        .or_else(|| if is_own_current { None } else { best_vm(tables, cx, false) })
 }
 
-/// The nearest larger VM in reach.
-fn best(tables: &Tables, cx: &Context<'_>, is_current: bool) -> Option<(Name, SocketAddr)> {
+/// Returns the reachable larger VM with the highest rank: those in the same failure
+/// domain come first, and rendezvous hashing picks one of them. With `is_current`
+/// it skips VMs that do not hear from the store.
+fn best_vm(tables: &Tables, cx: &Context<'_>, is_current: bool) -> Option<(Name, SocketAddr)> {
     let larger = tables.view.larger.iter();
     let reachable = larger.filter(|(name, _)| {
-        is_heard(tables, name, cx.now) && !(is_current && is_stale(tables, name))
+        is_reachable(tables, name, cx.now) && !(is_current && is_stale(tables, name))
     });
     let rank = |(name, vm): &(&Name, &Vm)| {
         let is_near = vm.domain == cx.limits.domain;
@@ -71,38 +77,38 @@
     Some((name.clone(), vm.address))
 }
 
-fn is_heard(tables: &Tables, name: &Name, now: Instant) -> bool {
+fn is_reachable(tables: &Tables, name: &Name, now: Instant) -> bool {
     let Some(link) = tables.links.get(name) else { return true };
     let waits_since = link.open.first().map_or(now, |(since, _)| (*since).max(link.heard));
-    link.pause_until <= now && now.since(waits_since) < SILENCE
+    link.pause_until <= now && now.since(waits_since) < SILENCE_TIMEOUT
 }
 
 fn is_stale(tables: &Tables, name: &Name) -> bool {
     tables.links.get(name).is_some_and(|link| link.is_stale)
 }
 
-/// Whether no larger VM that hears from the store is in reach, so that this one
-/// must know the routes.
+/// Whether there are larger VMs but none is reachable and hears from the store, so
+/// that this VM must know the routes.
 pub fn is_alone(tables: &Tables, now: Instant) -> bool {
     let larger = &tables.view.larger;
-    let is_served = |name: &Name| is_heard(tables, name, now) && !is_stale(tables, name);
+    let is_served = |name: &Name| is_reachable(tables, name, now) && !is_stale(tables, name);
     !larger.is_empty() && !larger.keys().any(is_served)
 }
 
-/// Hands a request to another VM.
-pub fn hand(
+/// Hands a request over to another VM.
+pub fn hand_over(
     tables: &mut Tables,
     call: Call,
     inquiry: Inquiry,
     (to, address): (Name, SocketAddr),
     cx: &mut Context<'_>,
 ) {
-    let wait = inquiry.patience.unwrap_or(PATIENCE);
-    let deadline = cx.now + wait.saturating_sub(MARGIN);
-    let mut asked = inquiry.clone();
-    asked.detour = DETOUR;
+    let timeout = inquiry.patience.unwrap_or(DEFAULT_TIMEOUT);
+    let deadline = cx.now + timeout.saturating_sub(HANDED_DEADLINE_MARGIN);
+    let mut sent = inquiry.clone();
+    sent.detour = ROUND_TRIP_ALLOWANCE;
     let reply_to = cx.limits.address;
-    let hop = Hop::Ask { call, inquiry: Box::new(asked), reply_to };
+    let hop = Hop::Ask { call, inquiry: Box::new(sent), reply_to };
     let row = Handed { to: to.clone(), inquiry: Arc::new(inquiry), arrived: cx.now, deadline };
     tables.handed.insert(call, row);
     tables.timers.set(deadline, Timer::Handed(call));
@@ -111,22 +117,22 @@
     cx.out.commands.push(Command::Hop { to, address, hop });
 }
 
-/// Takes what another VM says.
-pub fn take(tables: &mut Tables, from: Name, hop: Hop, cx: &mut Context<'_>) {
+/// Handles a message of another VM.
+pub fn receive(tables: &mut Tables, from: Name, hop: Hop, cx: &mut Context<'_>) {
     if let Some(link) = tables.links.get_mut(&from) {
         link.heard = cx.now;
         link.pause_until = Instant::default();
     }
     match hop {
         Hop::Ask { call, inquiry, reply_to } => {
-            let own = Call(TAKEN | tables.number());
+            let own = Call(HANDED_CALL_BIT | tables.number());
             tables.askers.insert(from.clone(), Asker { reply_to, asked: cx.now });
             tables.taken.insert(own, Taken { from, reply_to, call });
-            intake::run(tables, vec![(own, *inquiry)], cx);
+            intake::accept(tables, vec![(own, *inquiry)], cx);
         }
         Hop::Answer { call, answer, is_current } => {
             set_stale(tables, &from, !is_current);
-            answered(tables, call, answer, is_current, cx);
+            handle_answer(tables, call, answer, is_current, cx);
         }
         Hop::State { is_current } => set_stale(tables, &from, !is_current),
         Hop::Withdraw { call } => {
@@ -146,9 +152,10 @@
     }
 }
 
-/// Passes an answer on. A refusal of a VM whose routes may be old, of which
-/// nothing ran, is no last word while another VM can be asked.
-fn answered(
+/// Passes an answer on to the caller. A refusal of a request that was not run is
+/// not final if the routes of that VM may be outdated: then the request goes to
+/// another VM, if one is reachable.
+fn handle_answer(
     tables: &mut Tables,
     call: Call,
     answer: Answer,
@@ -156,28 +163,30 @@
     cx: &mut Context<'_>,
 ) {
     let Some(row) = tables.handed.get(&call).cloned() else { return };
-    forget(tables, call);
+    remove_handed(tables, call);
     let is_refused = matches!(&answer, Answer::Refused(refusal) if refusal.fault.ran == Ran::No);
-    let other = if is_refused && !is_current { best(tables, cx, true) } else { None };
+    let other = if is_refused && !is_current { best_vm(tables, cx, true) } else { None };
     if let Some(other) = other {
-        hand(tables, call, Inquiry::clone(&row.inquiry), other, cx);
+        hand_over(tables, call, Inquiry::clone(&row.inquiry), other, cx);
         return;
     }
     cx.out.answers.push((call, answer));
 }
 
-/// Tells the VMs that hand requests to this one whether it hears from the store.
-pub fn tell(tables: &mut Tables, cx: &mut Context<'_>) {
+/// Tells the VMs that recently handed requests to this one whether it hears from
+/// the store.
+pub fn send_state(tables: &mut Tables, cx: &mut Context<'_>) {
     let now = cx.now;
-    tables.askers.retain(|_, asker| now.since(asker.asked) < REMEMBERED);
+    tables.askers.retain(|_, asker| now.since(asker.asked) < STATE_UPDATE_PERIOD);
     for (to, asker) in &tables.askers {
         let hop = Hop::State { is_current: tables.view.is_current };
         cx.out.commands.push(Command::Hop { to: to.clone(), address: asker.reply_to, hop });
     }
 }
 
-/// Forgets a request that was handed to another VM.
-fn forget(tables: &mut Tables, call: Call) -> bool {
+/// Removes the row of a request that was handed to another VM, with its timer;
+/// returns false if there is none.
+fn remove_handed(tables: &mut Tables, call: Call) -> bool {
     let Some(row) = tables.handed.remove(&call) else { return false };
     tables.timers.cancel(row.deadline, Timer::Handed(call));
     if let Some(link) = tables.links.get_mut(&row.to) {
@@ -186,42 +195,54 @@
     true
 }
 
-/// Takes a request back whose caller went away.
+/// Withdraws a request from the VM that has it, because its caller left.
 pub fn withdraw(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
     let Some(to) = tables.handed.get(&call).map(|row| row.to.clone()) else { return };
-    forget(tables, call);
+    remove_handed(tables, call);
     if let Some(address) = tables.view.larger.get(&to).map(|vm| vm.address) {
         cx.out.commands.push(Command::Hop { to, address, hop: Hop::Withdraw { call } });
     }
 }
 
-/// Ends a request that was not answered in time.
+/// Refuses a request that another VM did not answer before its deadline.
 pub fn expire(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
-    refuse(tables, call, Kind::DeadlinePassed, "no answer in time", cx);
+    refuse(tables, call, Kind::DeadlinePassed, "no answer before the deadline", cx);
 }
 
-/// Ends the requests of a VM whose connection is lost. Those that it did not
-/// take go another way.
-pub fn lost(tables: &mut Tables, to: &Name, detail: &str, taken: bool, cx: &mut Context<'_>) {
+/// Ends the requests that a VM has when the connection to it is lost. If it cannot
+/// have taken any of them (`taken` is false), they are routed again instead.
+pub fn connection_lost(
+    tables: &mut Tables,
+    to: &Name,
+    detail: &str,
+    taken: bool,
+    cx: &mut Context<'_>,
+) {
     let Some(link) = tables.links.get_mut(to) else { return };
-    link.pause_until = cx.now + PAUSE;
+    link.pause_until = cx.now + LOSS_PAUSE;
     let open: Vec<Call> = link.open.iter().map(|(_, call)| *call).collect();
     let fields =
         vec![("peer", to.to_string()), ("taken", taken.to_string()), ("detail", detail.to_owned())];
     cx.out.lines.push(Line::new(Event::HopLost, fields));
     for call in open {
         if taken {
-            refuse(tables, call, Kind::TargetFailed, "the VM that had it is lost", cx);
+            refuse(
+                tables,
+                call,
+                Kind::TargetFailed,
+                "the connection to the VM that had the request was lost",
+                cx,
+            );
         } else {
-            go_round(tables, call, cx);
+            reroute(tables, call, cx);
         }
     }
 }
 
-/// Takes a request that no VM took another way, with the time that is left.
-fn go_round(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
+/// Routes a request again that its VM did not take, with the time that is left.
+fn reroute(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
     let Some(row) = tables.handed.get(&call).cloned() else { return };
-    forget(tables, call);
+    remove_handed(tables, call);
     let mut inquiry = Inquiry::clone(&row.inquiry);
     let age = cx.now.since(row.arrived);
     inquiry.patience = inquiry.patience.map(|patience| patience.saturating_sub(age));
@@ -230,13 +251,13 @@
 
 fn refuse(tables: &mut Tables, call: Call, kind: Kind, detail: &str, cx: &mut Context<'_>) {
     let Some(row) = tables.handed.get(&call).cloned() else { return };
-    forget(tables, call);
+    remove_handed(tables, call);
     cx.out.counts.add(Count::Refused(kind));
     let fields = vec![
         ("id", row.inquiry.id.to_string()),
         ("kind", kind.to_string()),
         ("peer", row.to.to_string()),
-        ("age_ms", leg::age(row.arrived, cx.now)),
+        ("age_ms", leg::age_ms(row.arrived, cx.now)),
         ("detail", detail.to_owned()),
     ];
     cx.out.lines.push(Line::new(Event::Refused, fields));
@@ -244,8 +265,8 @@
     cx.out.answers.push((call, Answer::Refused(Refusal { fault, retry: None })));
 }
 
-/// Sends the answers for other VMs on their way.
-pub fn deliver(tables: &mut Tables, cx: &mut Context<'_>) {
+/// Sends the answers to requests that other VMs handed to this one.
+pub fn send_answers(tables: &mut Tables, cx: &mut Context<'_>) {
     if tables.taken.is_empty() {
         return;
     }
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -1,4 +1,4 @@
-//! Takes callers' requests: finds the route, plans the legs.
+//! Accepts callers' requests: finds the route and creates the legs.
 
 use std::{sync::Arc, time::Duration};
 
@@ -22,36 +22,40 @@
     },
 };
 
-/// What an answer needs on its way to the caller, together with the time that
-/// the request was under way: a goal counts on the caller's clock.
+/// Time reserved for the network on both ways between the caller and this VM. The
+/// goal is measured at the caller.
 const GOAL_MARGIN: Duration = Duration::from_millis(8);
 
-/// The same for the last answer, whose caller must not give up before it.
+/// Time reserved in the same way before the deadline, so that the last possible
+/// answer arrives before the caller gives up.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(12);
 
-/// When to come back to a VM that knows no configuration yet.
-const NOT_READY: Duration = Duration::from_millis(200);
+/// Retry-after time that a VM without a configuration tells its callers.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Takes the requests that came.
-pub fn run(tables: &mut Tables, arrivals: Vec<(Call, Inquiry)>, cx: &mut Context<'_>) {
+/// Counts and routes the requests that arrived in this tick.
+pub fn accept(tables: &mut Tables, arrivals: Vec<(Call, Inquiry)>, cx: &mut Context<'_>) {
     for (call, inquiry) in arrivals {
         cx.out.counts.add(Count::Requests);
         route(tables, call, inquiry, cx);
     }
 }
 
-/// Hands a request to a larger VM, admits or refuses it.
+/// Hands a request to a larger VM, admits it or refuses it.
 pub fn route(tables: &mut Tables, call: Call, inquiry: Inquiry, cx: &mut Context<'_>) {
-    if let Some(larger) = hop::pick(tables, cx) {
-        return hop::hand(tables, call, inquiry, larger, cx);
+    if let Some(larger) = hop::pick_vm(tables, cx) {
+        return hop::hand_over(tables, call, inquiry, larger, cx);
     }
     let Some(config) = tables.view.config.clone() else {
         let fault = Fault::not_run(Kind::NotReady, "this VM knows no configuration yet");
-        return refuse(call, &inquiry, fault, Some(NOT_READY), cx);
+        return refuse(call, &inquiry, fault, Some(NOT_READY_RETRY_AFTER), cx);
     };
     match config.find(&inquiry.host, &inquiry.path) {
-        Some(_) if suspect::is_held(tables, &inquiry, cx) => {
-            let fault = Fault::not_run(Kind::Quarantined, "it crashed targets");
+        Some(_) if suspect::is_quarantined(tables, &inquiry, cx) => {
+            let fault = Fault::not_run(
+                Kind::Quarantined,
+                "the request is quarantined because it crashed targets",
+            );
             refuse(call, &inquiry, fault, Some(suspect::QUARANTINE_DURATION), cx);
         }
         Some(route) => admit(tables, call, inquiry, &config, route, cx),
@@ -62,12 +66,12 @@
     }
 }
 
-/// Forgets the request of a caller that left.
+/// Drops the request of a caller that disconnected before its answer.
 pub fn abandon(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
     if let Some(request) = tables.requests.get(&call) {
         let fields = vec![
             ("id", request.inquiry.id.to_string()),
-            ("age_ms", leg::age(request.arrived, cx.now)),
+            ("age_ms", leg::age_ms(request.arrived, cx.now)),
         ];
         cx.out.lines.push(Line::new(Event::CallerLeft, fields));
         leg::drop_request(tables, call, leg::End::Abandoned, cx);
@@ -100,11 +104,11 @@
     route: &Arc<Route>,
     cx: &mut Context<'_>,
 ) {
-    let spent = spent(tables, route, inquiry.patience) + inquiry.detour;
-    let wait = inquiry.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
-    let goal = cx.now + route.goal.saturating_sub(spent + GOAL_MARGIN);
-    let deadline = cx.now + wait.saturating_sub(DEADLINE_MARGIN);
-    let services = plan(tables, route, cx);
+    let elapsed = elapsed_at_caller(tables, route, inquiry.patience) + inquiry.detour;
+    let timeout = inquiry.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    let goal = cx.now + route.goal.saturating_sub(elapsed + GOAL_MARGIN);
+    let deadline = cx.now + timeout.saturating_sub(DEADLINE_MARGIN);
+    let services = pick_services(tables, route, cx);
     let legs = u32::try_from(services.len()).unwrap_or(u32::MAX);
     let request = Request {
         inquiry: Arc::new(inquiry),
@@ -115,7 +119,7 @@
         deadline,
         legs,
     };
-    arm(tables, call, &request);
+    set_timers(tables, call, &request);
     tables.requests.insert(call, request);
     for (place, service) in (0..legs).zip(services) {
         let key = Key { call, place };
@@ -125,22 +129,22 @@
     }
 }
 
-fn arm(tables: &mut Tables, call: Call, request: &Request) {
+fn set_timers(tables: &mut Tables, call: Call, request: &Request) {
     tables.timers.set(request.goal, Timer::Goal(call));
     tables.timers.set(request.deadline, Timer::Deadline(call));
 }
 
-/// The time that the caller spent on earlier tries: it waits that much less
-/// than others of the route do.
-fn spent(tables: &mut Tables, route: &Route, patience: Option<Duration>) -> Duration {
+/// Estimates the time that the caller spent on earlier tries: the difference
+/// between the longest wait that any caller of the route stated and its own.
+fn elapsed_at_caller(tables: &mut Tables, route: &Route, patience: Option<Duration>) -> Duration {
     let Some(patience) = patience else { return Duration::ZERO };
     let pace = tables.pace(&route.name);
     pace.patience = pace.patience.max(patience);
     pace.patience - patience
 }
 
-/// The services that get a leg of a request.
-fn plan(tables: &mut Tables, route: &Route, cx: &mut Context<'_>) -> Vec<Name> {
+/// Returns the services that get a leg of a request, one per leg.
+fn pick_services(tables: &mut Tables, route: &Route, cx: &mut Context<'_>) -> Vec<Name> {
     match &route.plan {
         Plan::One(service) => vec![service.clone()],
         Plan::Gather(gather) => gather.shards.clone(),
--- a/crates/core/src/relay/system/leg.rs
+++ b/crates/core/src/relay/system/leg.rs
@@ -1,4 +1,4 @@
-//! What becomes of a leg after a reply or a loss.
+//! Queues, retries and ends the legs of requests.
 
 use std::sync::Arc;
 
@@ -19,29 +19,30 @@
     time::Instant,
 };
 
-/// The time for which an attempt goes on that nobody waits for. Closing its
-/// connection at once would cost a new one for each reply that is only late.
-const ORPHAN: std::time::Duration = std::time::Duration::from_millis(500);
+/// Time for which an attempt goes on after its reply is no longer needed. Closing
+/// its connection at once would cost a new connection for each late reply.
+const ORPHAN_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(500);
 
-/// The same after the caller left, whose request must not go on.
-const ABANDONED: std::time::Duration = std::time::Duration::from_millis(150);
+/// The same time after the caller left: shorter, because a request that nobody
+/// waits for must not go on.
+const ABANDONED_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(150);
 
-/// Whether anyone still waits for the replies of a request.
+/// Why a request is dropped, which decides how long its attempts go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
-    /// It was answered.
     Answered,
-    /// Its caller left.
+    /// The caller left before the answer.
     Abandoned,
 }
 
-/// The bound on attempts beyond the first at this VM.
+/// Returns the bound on attempts beyond the first at this VM.
 pub fn bound(tables: &Tables, cx: &Context<'_>) -> Bound {
     let limits = cx.limits;
-    // A VM that just started does not know what it spent before: its share comes
-    // back as the window fills.
-    let up = cx.now.since(tables.started).as_secs_f64() / limits.retry_window.as_secs_f64();
-    let slack = limits.retry_slack / f64::from(tables.view.sharers()) * up.min(1.0);
+    // A VM that just restarted does not know how much of its slack it spent before
+    // the restart, so the slack grows from zero over the first window.
+    let window_fraction =
+        cx.now.since(tables.started).as_secs_f64() / limits.retry_window.as_secs_f64();
+    let slack = limits.retry_slack / f64::from(tables.view.sharers()) * window_fraction.min(1.0);
     Bound { window: limits.retry_window, ratio: limits.retry_ratio, slack }
 }
 
@@ -54,12 +55,12 @@
     tables.waiting.entry(leg.service.clone()).or_default().insert(place);
 }
 
-/// Notes the reply that a leg ends with.
+/// Ends a leg with a reply.
 pub fn finish(tables: &mut Tables, key: Key, reply: Arc<Reply>, cx: &mut Context<'_>) {
     settle(tables, key, State::Done(reply), cx);
 }
 
-/// Notes that a leg can have no reply any more.
+/// Ends a leg without a reply.
 pub fn fail(tables: &mut Tables, key: Key, cx: &mut Context<'_>) {
     settle(tables, key, State::Failed, cx);
 }
@@ -68,13 +69,13 @@
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     leg.state = state;
     let attempts = std::mem::take(&mut leg.attempts);
-    disarm(tables, key);
+    cancel_hedge(tables, key);
     dequeue(tables, key);
     orphan(tables, attempts, End::Answered, cx);
     tables.changed.insert(key.call);
 }
 
-/// Takes a leg out of the queue of its service.
+/// Removes a leg from the queue of its service, if it is queued.
 pub fn dequeue(tables: &mut Tables, key: Key) {
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     if !std::mem::replace(&mut leg.queued, false) {
@@ -87,36 +88,36 @@
     }
 }
 
-/// Takes the plan for a second attempt back.
-fn disarm(tables: &mut Tables, key: Key) {
+/// Cancels the hedge timer of a leg.
+fn cancel_hedge(tables: &mut Tables, key: Key) {
     let hedge = tables.legs.get_mut(&key).and_then(|leg| leg.hedge.take());
     if let Some(at) = hedge {
         tables.timers.cancel(at, Timer::Hedge(key));
     }
 }
 
-/// Lets attempts go on for a moment without anyone who waits for them.
+/// Detaches attempts from their leg and lets them go on until a timeout.
 fn orphan(
     tables: &mut Tables,
     attempts: std::collections::BTreeSet<relay::Attempt>,
     end: End,
     cx: &mut Context<'_>,
 ) {
-    let span = if end == End::Abandoned { ABANDONED } else { ORPHAN };
+    let timeout = if end == End::Abandoned { ABANDONED_TIMEOUT } else { ORPHAN_TIMEOUT };
     for attempt in attempts {
         if let Some(row) = tables.attempts.get_mut(&attempt) {
             row.leg = None;
-            tables.timers.set(cx.now + span, Timer::Orphan(attempt));
+            tables.timers.set(cx.now + timeout, Timer::Orphan(attempt));
         }
     }
 }
 
-/// Forgets a request with its legs.
+/// Removes a request with its legs and timers.
 pub fn drop_request(tables: &mut Tables, call: Call, end: End, cx: &mut Context<'_>) {
     let Some(legs) = tables.requests.get(&call).map(|request| request.legs) else { return };
     for place in 0..legs {
         let key = Key { call, place };
-        disarm(tables, key);
+        cancel_hedge(tables, key);
         dequeue(tables, key);
         if let Some(leg) = tables.legs.remove(&key) {
             orphan(tables, leg.attempts, end, cx);
@@ -129,7 +130,8 @@
     tables.changed.remove(&call);
 }
 
-/// Tries a leg at another target, or ends it if it may go nowhere else.
+/// Queues a leg for another target. If it may not be retried, it ends as soon as
+/// it has no attempt in flight.
 pub fn retry(tables: &mut Tables, key: Key, reason: Retry, cx: &mut Context<'_>) {
     if !may_retry(tables, key, cx) {
         let is_over = tables.legs.get(&key).is_some_and(|leg| leg.attempts.is_empty());
@@ -139,11 +141,12 @@
         return;
     }
     cx.out.counts.add(Count::Retried(reason));
-    log(tables, key, reason, cx);
+    log_retry(tables, key, reason, cx);
     enqueue(tables, key);
 }
 
-/// Ends a leg with the failure of a target, if one answered.
+/// Ends a leg with the last failure that a target returned, or without a reply if
+/// there is none.
 pub fn give_up(tables: &mut Tables, key: Key, cx: &mut Context<'_>) {
     let failure = tables.legs.get(&key).and_then(|leg| leg.failure.clone());
     match failure {
@@ -152,13 +155,14 @@
     }
 }
 
-/// Whether a leg may be sent once more; if so, the budget is charged.
+/// Whether a leg may be sent once more. Charges the retry budget if so, unless no
+/// attempt of the leg has reached a target.
 fn may_retry(tables: &mut Tables, key: Key, cx: &mut Context<'_>) -> bool {
     let Some(request) = tables.requests.get(&key.call) else { return false };
     let Some(leg) = tables.legs.get(&key) else { return false };
     let may_run_twice = request.route.idempotent || !leg.runs.maybe;
     let has_time = request.deadline > cx.now;
-    if suspect::holds(tables, &key, cx) {
+    if suspect::is_leg_quarantined(tables, &key, cx) {
         return false;
     }
     if leg.queued || !may_run_twice || !has_time || leg.runs.arrived >= request.route.attempts {
@@ -167,22 +171,23 @@
     if leg.runs.arrived == 0 {
         return true;
     }
-    take_extra(tables, key, cx)
+    charge_budget(tables, key, cx)
 }
 
-/// Takes an attempt beyond the first from the budget of a leg's service.
-pub fn take_extra(tables: &mut Tables, key: Key, cx: &mut Context<'_>) -> bool {
+/// Charges one attempt beyond the first to the retry budget of a leg's service;
+/// returns false if the budget is spent.
+pub fn charge_budget(tables: &mut Tables, key: Key, cx: &mut Context<'_>) -> bool {
     let bound = bound(tables, cx);
     let Some(leg) = tables.legs.get(&key) else { return false };
     let service: Name = leg.service.clone();
-    let is_taken = tables.budget(&service).take(cx.now, bound);
-    if !is_taken {
+    let is_allowed = tables.budget(&service).take(cx.now, bound);
+    if !is_allowed {
         cx.out.counts.add(Count::BudgetSpent);
     }
-    is_taken
+    is_allowed
 }
 
-fn log(tables: &Tables, key: Key, reason: Retry, cx: &mut Context<'_>) {
+fn log_retry(tables: &Tables, key: Key, reason: Retry, cx: &mut Context<'_>) {
     let Some(request) = tables.requests.get(&key.call) else { return };
     let Some(leg) = tables.legs.get(&key) else { return };
     let fields = vec![
@@ -190,17 +195,18 @@
         ("service", leg.service.to_string()),
         ("reason", reason.as_str().to_owned()),
         ("arrived", leg.runs.arrived.to_string()),
-        ("age_ms", age(request.arrived, cx.now)),
+        ("age_ms", age_ms(request.arrived, cx.now)),
     ];
     cx.out.lines.push(Line::new(Event::LegRetried, fields));
 }
 
-/// The time since `from` in milliseconds, for a line of the log.
-pub fn age(from: Instant, now: Instant) -> String {
+/// Formats the time since `from` in whole milliseconds for a log line.
+pub fn age_ms(from: Instant, now: Instant) -> String {
     now.since(from).as_millis().to_string()
 }
 
-/// Whether a leg waits for a second attempt beside a slow one.
-pub fn is_single(leg: &Leg) -> bool {
+/// Whether a leg is open with exactly one attempt in flight, so that a hedge is
+/// allowed.
+pub fn has_one_attempt(leg: &Leg) -> bool {
     leg.is_open() && leg.attempts.len() == 1
 }
--- a/crates/core/src/relay/system/merge.rs
+++ b/crates/core/src/relay/system/merge.rs
@@ -1,12 +1,13 @@
-//! Merges the records of several parts.
+//! Merges the result records of several shards.
 
-/// The size of a record in bytes.
-pub const RECORD: usize = 16;
+/// Length of a record; a reply body is a sequence of records without separators.
+pub const RECORD_BYTES: usize = 16;
 
-/// The `top` greatest records of `parts`, greatest first, compared byte by
-/// byte. A remainder shorter than a record is none; equal records all count.
+/// Returns the `top` greatest records of `parts`, greatest first, compared byte
+/// by byte. Trailing bytes of a part that do not fill a record are ignored, and
+/// duplicates are kept.
 pub fn greatest<'a>(parts: impl Iterator<Item = &'a [u8]>, top: usize) -> Vec<u8> {
-    let mut records: Vec<&[u8]> = parts.flat_map(|part| part.chunks_exact(RECORD)).collect();
+    let mut records: Vec<&[u8]> = parts.flat_map(|part| part.chunks_exact(RECORD_BYTES)).collect();
     if records.len() > top && top > 0 {
         records.select_nth_unstable_by(top - 1, |a, b| b.cmp(a));
     }
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -1,4 +1,6 @@
-//! The systems, in the order in which they run each tick.
+//! The systems of a traffic thread that forwards requests.
+//!
+//! Each tick they run over the tables in the order of [`run`].
 
 pub mod refresh;
 pub mod collect;
@@ -17,21 +19,19 @@
 use super::{Event, Limits, Outbox, Tables, policy::Policies};
 use crate::time::Instant;
 
-/// What every system works with.
+/// The inputs and the outbox that every system shares within one tick.
 pub struct Context<'a> {
-    /// Now.
+    /// The time of this tick, the same for all systems.
     pub now: Instant,
-    /// The limits.
     pub limits: &'a Limits,
-    /// The policies.
     pub policies: &'a Policies,
-    /// The source of randomness.
+    /// The seeded random number generator of the thread.
     pub random: &'a mut StdRng,
-    /// What is to be done.
+    /// Collects commands, answers, log lines and counts for the caller to carry out.
     pub out: &'a mut Outbox,
 }
 
-/// Runs every system once.
+/// Runs one tick: applies the events, then runs every system once.
 pub fn run(tables: &mut Tables, events: Vec<Event>, cx: &mut Context<'_>) {
     if tables.started == Instant::default() {
         tables.started = cx.now;
@@ -39,14 +39,16 @@
     let mut arrivals = Vec::new();
     for event in events {
         match event {
-            Event::View(view) => refresh::run(tables, view, cx),
+            Event::View(view) => refresh::apply_view(tables, view, cx),
             Event::Arrived { call, inquiry } => arrivals.push((call, inquiry)),
             Event::Abandoned { call } => {
                 hop::withdraw(tables, call, cx);
                 intake::abandon(tables, call, cx);
             }
-            Event::Hop { from, hop } => hop::take(tables, from, hop, cx),
-            Event::HopLost { to, detail, taken } => hop::lost(tables, &to, &detail, taken, cx),
+            Event::Hop { from, hop } => hop::receive(tables, from, hop, cx),
+            Event::HopLost { to, detail, taken } => {
+                hop::connection_lost(tables, &to, &detail, taken, cx)
+            }
             Event::Opened { connection } => collect::opened(tables, connection, cx),
             Event::Replied { connection, attempt, reply } => {
                 collect::replied(tables, connection, attempt, *reply, cx);
@@ -54,10 +56,10 @@
             Event::Closed { connection, loss } => collect::closed(tables, connection, &loss, cx),
         }
     }
-    expire::run(tables, cx);
-    suspect::stop(tables, cx);
-    intake::run(tables, arrivals, cx);
-    dispatch::run(tables, cx);
-    answer::run(tables, cx);
-    hop::deliver(tables, cx);
+    expire::run_due_timers(tables, cx);
+    suspect::end_quarantined_legs(tables, cx);
+    intake::accept(tables, arrivals, cx);
+    dispatch::dispatch_queued(tables, cx);
+    answer::answer_changed(tables, cx);
+    hop::send_answers(tables, cx);
 }
--- a/crates/core/src/relay/system/refresh.rs
+++ b/crates/core/src/relay/system/refresh.rs
@@ -1,4 +1,4 @@
-//! Takes a newer view of the control thread.
+//! Applies a newer view from the control thread.
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
@@ -16,19 +16,19 @@
     time::Instant,
 };
 
-/// The time over which VMs spread their first connections to a new target,
-/// each of which holds a slot for a moment.
-const WARM_UP: Duration = Duration::from_millis(1500);
+/// Period over which VMs spread their first connections to a new target, because
+/// each connection occupies a slot of the target for a moment.
+const WARM_UP_SPREAD: Duration = Duration::from_millis(1500);
 
-/// Replaces the view and brings the targets in line with it.
-pub fn run(tables: &mut Tables, view: Arc<View>, cx: &mut Context<'_>) {
+/// Replaces the view and updates the targets to match it.
+pub fn apply_view(tables: &mut Tables, view: Arc<View>, cx: &mut Context<'_>) {
     let was_current = tables.view.is_current;
     tables.view = view;
     if tables.view.is_current != was_current {
-        hop::tell(tables, cx);
+        hop::send_state(tables, cx);
     }
     let view = Arc::clone(&tables.view);
-    let named = services(&view);
+    let named = named_services(&view);
     for (id, entry) in &view.targets {
         update(tables, id, entry, cx);
     }
@@ -38,26 +38,26 @@
             retire(tables, &id, cx);
         }
     }
-    forget(tables, &named, cx);
-    file(tables);
+    prune_unnamed(tables, &named, cx);
+    index_by_service(tables);
     for (id, entry) in &view.targets {
         if named.contains(&entry.service) {
-            warm(tables, id, cx);
+            schedule_first_connection(tables, id, cx);
         }
     }
 }
 
-/// The services that the routes of the configuration name.
-fn services(view: &View) -> BTreeSet<Name> {
+/// Returns the services that the routes of the configuration name.
+fn named_services(view: &View) -> BTreeSet<Name> {
     let routes = view.config.iter().flat_map(|config| config.hosts.values()).flatten();
     routes.flat_map(|route| route.services()).cloned().collect()
 }
 
 fn update(tables: &mut Tables, id: &Name, entry: &Arc<view::Target>, cx: &mut Context<'_>) {
     match tables.targets.get_mut(id) {
-        Some(target) if is_same(&target.entry, entry) => {
+        Some(target) if is_same_incarnation(&target.entry, entry) => {
             if entry.draining && target.is_usable {
-                log(id, Event::TargetDraining, cx);
+                log_target(id, Event::TargetDraining, cx);
                 target.is_usable = false;
             }
             target.entry = Arc::clone(entry);
@@ -66,15 +66,15 @@
             }
         }
         Some(_) => {
-            // It started anew: nothing that was known of it holds.
-            connect::forget(tables, id, cx);
+            // The target restarted, so all that was recorded about it is obsolete.
+            connect::discard_all(tables, id, cx);
             add(tables, id, entry, cx.now);
         }
         None => add(tables, id, entry, cx.now),
     }
 }
 
-fn is_same(old: &view::Target, new: &view::Target) -> bool {
+fn is_same_incarnation(old: &view::Target, new: &view::Target) -> bool {
     (old.address, old.born, &old.service) == (new.address, new.born, &new.service)
 }
 
@@ -84,7 +84,8 @@
     tables.targets.insert(id.clone(), target);
 }
 
-/// Takes a target out that is listed no more; what it runs is waited for.
+/// Stops sending to a target that is no longer registered. Its row stays until
+/// the attempts that it still runs have ended.
 fn retire(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
     let Some(target) = tables.targets.get_mut(id) else { return };
     target.is_usable = false;
@@ -92,9 +93,10 @@
     connect::prune(tables, id);
 }
 
-/// Drops what is known of routes and services that are named no more. What a
-/// service was sent counts until the window of its budget is over.
-fn forget(tables: &mut Tables, named: &BTreeSet<Name>, cx: &Context<'_>) {
+/// Removes the rows of routes and services that the configuration no longer
+/// names. The budget of a service stays until the attempts that it counts have
+/// left its window.
+fn prune_unnamed(tables: &mut Tables, named: &BTreeSet<Name>, cx: &Context<'_>) {
     let config = tables.view.config.clone();
     let routes = config.iter().flat_map(|config| config.hosts.values()).flatten();
     let routes: BTreeSet<&Name> = routes.map(|route| &route.name).collect();
@@ -105,8 +107,8 @@
     tables.waiting.retain(|_, queue| !queue.is_empty());
 }
 
-/// Files the usable targets under their services.
-fn file(tables: &mut Tables) {
+/// Rebuilds the index of usable targets by service.
+fn index_by_service(tables: &mut Tables) {
     tables.services.clear();
     for (id, target) in &tables.targets {
         if target.is_usable {
@@ -116,18 +118,18 @@
     }
 }
 
-/// Plans the first connection to a target that has none.
-fn warm(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
+/// Schedules the first connection to a target that has none, after a random delay.
+fn schedule_first_connection(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
     let Some(target) = tables.targets.get_mut(id) else { return };
     if !target.is_usable || target.is_warmed || !target.connections.is_empty() {
         return;
     }
     target.is_warmed = true;
-    let delay = WARM_UP.mul_f64(cx.random.random::<f64>());
+    let delay = WARM_UP_SPREAD.mul_f64(cx.random.random::<f64>());
     tables.timers.set(cx.now + delay, Timer::Warm(id.clone()));
 }
 
-fn log(id: &Name, event: Event, cx: &mut Context<'_>) {
+fn log_target(id: &Name, event: Event, cx: &mut Context<'_>) {
     let fields = vec![("target", id.to_string()), ("source", "list".to_owned())];
     cx.out.lines.push(Line::new(event, fields));
 }
--- a/crates/core/src/relay/system/suspect.rs
+++ b/crates/core/src/relay/system/suspect.rs
@@ -1,7 +1,7 @@
-//! Holds back requests that crash the targets that run them.
+//! Quarantines requests that crash the targets that run them.
 //!
-//! The load pattern that it answers: a request that no target survives comes
-//! again and again, at any VM, and takes a target of its service away each time.
+//! Without this, a request that crashes every target that runs it, repeated by
+//! its callers at any VM, would take down one target of its service each time.
 
 use std::time::Duration;
 
@@ -17,12 +17,18 @@
     },
 };
 
-/// The time for which a request is held back. After it the next one is a trial:
-/// one more loss holds it back again.
+/// Time for which a request is quarantined. Afterwards it is let through, and one
+/// more loss quarantines it again.
 pub const QUARANTINE_DURATION: Duration = Duration::from_secs(60);
 
-/// Notes an attempt whose target ended the connection.
-pub fn note(tables: &mut Tables, call: Call, attempt: &Attempt, loss: &Loss, cx: &Context<'_>) {
+/// Records an attempt that was lost because its target ended the connection.
+pub fn record_loss(
+    tables: &mut Tables,
+    call: Call,
+    attempt: &Attempt,
+    loss: &Loss,
+    cx: &Context<'_>,
+) {
     if !(loss.sent && loss.gone) {
         return;
     }
@@ -32,21 +38,21 @@
     tables.suspects.note(fingerprint, &attempt.target, row);
 }
 
-/// Notes that a target refuses connections, and holds back the requests that
-/// are proven by it to crash targets.
-pub fn confirm(tables: &mut Tables, target: &Name, cx: &mut Context<'_>) {
+/// Records that a target refuses connections, and quarantines the requests that
+/// this proves to crash targets.
+pub fn confirm_crash(tables: &mut Tables, target: &Name, cx: &mut Context<'_>) {
     for fingerprint in tables.suspects.confirm(target) {
         if tables.suspects.is_held(fingerprint, cx.now) {
             continue;
         }
         tables.suspects.held.retain(|_, until| *until > cx.now);
         tables.suspects.held.insert(fingerprint, cx.now + QUARANTINE_DURATION);
-        log(tables, fingerprint, cx);
+        log_quarantine(tables, fingerprint, cx);
         cx.out.held.push(fingerprint);
     }
 }
 
-fn log(tables: &Tables, fingerprint: Fingerprint, cx: &mut Context<'_>) {
+fn log_quarantine(tables: &Tables, fingerprint: Fingerprint, cx: &mut Context<'_>) {
     let row = tables.suspects.rows.get(&fingerprint);
     let targets = row.map(|row| row.down.keys().map(Name::as_str).collect::<Vec<_>>().join(" "));
     let same = |inquiry: &Inquiry| inquiry.fingerprint() == fingerprint;
@@ -60,8 +66,8 @@
     cx.out.lines.push(Line::new(Event::RequestCondemned, fields));
 }
 
-/// Whether a request is held back, by this VM or by another one.
-pub fn is_held(tables: &Tables, inquiry: &Inquiry, cx: &Context<'_>) -> bool {
+/// Whether a request is quarantined, by this VM or by another one.
+pub fn is_quarantined(tables: &Tables, inquiry: &Inquiry, cx: &Context<'_>) -> bool {
     let (own, others) = (&tables.suspects, &tables.view.held);
     if own.held.is_empty() && others.is_empty() {
         return false;
@@ -70,21 +76,25 @@
     own.is_held(fingerprint, cx.now) || others.contains(&fingerprint)
 }
 
-/// Whether a leg belongs to a request that is held back.
-pub fn holds(tables: &Tables, key: &crate::relay::table::leg::Key, cx: &Context<'_>) -> bool {
+/// Whether a leg belongs to a quarantined request.
+pub fn is_leg_quarantined(
+    tables: &Tables,
+    key: &crate::relay::table::leg::Key,
+    cx: &Context<'_>,
+) -> bool {
     let request = tables.requests.get(&key.call);
-    request.is_some_and(|request| is_held(tables, &request.inquiry, cx))
+    request.is_some_and(|request| is_quarantined(tables, &request.inquiry, cx))
 }
 
-/// Ends the legs that wait although their request is held back by now.
-pub fn stop(tables: &mut Tables, cx: &mut Context<'_>) {
+/// Ends the queued legs of requests that were quarantined since they were queued.
+pub fn end_quarantined_legs(tables: &mut Tables, cx: &mut Context<'_>) {
     if cx.out.held.is_empty() {
         return;
     }
     let queued = tables.legs.iter().filter(|(_, leg)| leg.queued).map(|(key, _)| *key);
     let queued: Vec<_> = queued.collect();
     for key in queued {
-        if holds(tables, &key, cx) {
+        if is_leg_quarantined(tables, &key, cx) {
             leg::give_up(tables, key, cx);
         }
     }
--- a/crates/core/tests/relay/merge.rs
+++ b/crates/core/tests/relay/merge.rs
@@ -1,10 +1,10 @@
 //! Merging the records of parts.
 
-use laburnum_core::relay::system::merge::{RECORD, greatest};
+use laburnum_core::relay::system::merge::{RECORD_BYTES, greatest};
 use proptest::{collection::vec, prelude::*};
 
-fn record(byte: u8) -> [u8; RECORD] {
-    [byte; RECORD]
+fn record(byte: u8) -> [u8; RECORD_BYTES] {
+    [byte; RECORD_BYTES]
 }
 
 fn merged(parts: &[Vec<u8>], top: usize) -> Vec<u8> {
@@ -43,10 +43,10 @@
     /// Sorting everything is the plain way to the same records.
     #[test]
     fn the_same_as_sorting_everything(
-        parts in vec(vec(any::<[u8; RECORD]>(), 0..20), 0..6),
+        parts in vec(vec(any::<[u8; RECORD_BYTES]>(), 0..20), 0..6),
         top in 0usize..30,
     ) {
-        let mut all: Vec<[u8; RECORD]> = parts.concat();
+        let mut all: Vec<[u8; RECORD_BYTES]> = parts.concat();
         all.sort_by(|a, b| b.cmp(a));
         all.truncate(top);
         let parts: Vec<Vec<u8>> = parts.iter().map(|part| part.concat()).collect();
