--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -136,8 +136,9 @@
         }
         Hop::State { is_current } => set_stale(tables, &from, !is_current),
         Hop::Withdraw { call } => {
-            let is_it = |(_, taken): &(&Call, &Taken)| taken.from == from && taken.call == call;
-            let own = tables.taken.iter().find(is_it).map(|(own, _)| *own);
+            let is_withdrawn =
+                |(_, taken): &(&Call, &Taken)| taken.from == from && taken.call == call;
+            let own = tables.taken.iter().find(is_withdrawn).map(|(own, _)| *own);
             if let Some(own) = own {
                 tables.taken.remove(&own);
                 intake::abandon(tables, own, cx);
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -33,7 +33,7 @@
 /// Retry-after time that a VM without a configuration tells its callers.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Counts and routes the requests that arrived in this tick.
+/// Counts and routes requests that arrived from callers or other VMs.
 pub fn accept(tables: &mut Tables, arrivals: Vec<(Call, Inquiry)>, cx: &mut Context<'_>) {
     for (call, inquiry) in arrivals {
         cx.out.counts.add(Count::Requests);
--- a/crates/core/tests/relay/answers.rs
+++ b/crates/core/tests/relay/answers.rs
@@ -1,4 +1,4 @@
-//! Replies of one target, passed on as they are.
+//! Replies of a single target: which are passed on, which are retried.
 
 use laburnum_core::relay::Answer;
 
@@ -21,7 +21,7 @@
         harness.reply(&second, failure(500));
         assert_eq!(harness.answers[&call], Answer::Forwarded(Box::new(failure(500))));
     };
-    what_the_caller_did_wrong_is_not_tried_elsewhere => {
+    a_client_error_is_not_retried => {
         let mut harness = Harness::with_route(single("desk"));
         let call = harness.submit(inquiry("/fetch/1"));
         let sent = harness.take_one_sent();
@@ -54,10 +54,12 @@
         let sent = harness.take_one_sent();
         harness.lose_connection(&sent, true);
         assert_eq!(harness.refusal_status(call), 502);
-        let line = harness.lines.iter().find(|l| l.event == laburnum_core::log::Event::Refused).unwrap();
+        let line =
+            harness.lines.iter().find(|l| l.event == laburnum_core::log::Event::Refused).unwrap();
         let field = |name: &str| line.fields.iter().find(|(n, _)| *n == name).map(|(_, v)| v.as_str());
-        let lost = harness.lines.iter().filter(|l| l.event == laburnum_core::log::Event::AttemptFailed);
-        assert_eq!(lost.count(), 2, "each lost attempt is found by the id of its request");
+        let lost =
+            harness.lines.iter().filter(|l| l.event == laburnum_core::log::Event::AttemptFailed);
+        assert_eq!(lost.count(), 2, "each lost attempt is logged with the id of its request");
         assert_eq!(field("id"), Some("c1"));
         assert_eq!(field("ran"), Some("unknown"));
         assert!(field("missing").unwrap().contains("desk-1+desk-2"), "{:?}", line.fields);
--- a/crates/core/tests/relay/gather.rs
+++ b/crates/core/tests/relay/gather.rs
@@ -1,4 +1,5 @@
-//! Searches over shards: whole, partial at the goal, or refused.
+//! Searches over shards: complete answers, partial answers at the goal, and
+//! refusals.
 
 use laburnum_core::relay::{Answer, message::Gathered};
 
@@ -13,15 +14,15 @@
     }
 }
 
-/// The request that the target of a shard was handed.
-fn of<'a>(sent: &'a [Sent], shard: &str) -> &'a Sent {
+/// The request that was sent to a target of a shard.
+fn sent_to<'a>(sent: &'a [Sent], shard: &str) -> &'a Sent {
     sent.iter().find(|sent| sent.target().starts_with(shard)).unwrap()
 }
 
-/// Answers every shard but `without`.
-fn reply_all(harness: &mut Harness, sent: &[Sent], without: &[&str]) {
+/// Replies for every shard except those in `without`.
+fn reply_except(harness: &mut Harness, sent: &[Sent], without: &[&str]) {
     for shard in SHARDS.iter().filter(|shard| !without.contains(shard)) {
-        harness.reply(of(sent, shard), success(shard, 1));
+        harness.reply(sent_to(sent, shard), success(shard, 1));
     }
 }
 
@@ -31,15 +32,15 @@
         harness.submit(inquiry("/search/1"));
         let sent = harness.take_sent();
         assert_eq!(sent.len(), 4);
-        assert!(SHARDS.iter().all(|shard| of(&sent, shard).at == harness.now));
+        assert!(SHARDS.iter().all(|shard| sent_to(&sent, shard).at == harness.now));
     };
     a_whole_answer_goes_out_with_the_last_part => {
         let mut harness = Harness::with_route(search(&SHARDS, 0.75));
         let call = harness.submit(inquiry("/search/1"));
         let sent = harness.take_sent();
-        reply_all(&mut harness, &sent, &["s4"]);
+        reply_except(&mut harness, &sent, &["s4"]);
         assert!(!harness.answers.contains_key(&call));
-        harness.reply(of(&sent, "s4"), success("s4", 9));
+        harness.reply(sent_to(&sent, "s4"), success("s4", 9));
         let answer = gathered(&harness, call);
         assert_eq!((answer.missing, answer.digests.len()), (0, 4));
         assert_eq!(answer.body, [[9; 16], [1; 16], [1; 16]].concat());
@@ -49,7 +50,7 @@
         let since = harness.now;
         let call = harness.submit(inquiry("/search/1"));
         let sent = harness.take_sent();
-        reply_all(&mut harness, &sent, &["s4"]);
+        reply_except(&mut harness, &sent, &["s4"]);
         harness.advance(ms(100));
         assert_eq!(gathered(&harness, call).missing, 1);
         assert!((80..100).contains(&harness.waited(call, since).as_millis()));
@@ -58,10 +59,10 @@
         let mut harness = Harness::with_route(search(&SHARDS, 0.75));
         let call = harness.submit(inquiry("/search/1"));
         let sent = harness.take_sent();
-        reply_all(&mut harness, &sent, &["s3", "s4"]);
+        reply_except(&mut harness, &sent, &["s3", "s4"]);
         harness.advance(ms(150));
         assert!(!harness.answers.contains_key(&call));
-        harness.reply(of(&sent, "s3"), success("s3", 1));
+        harness.reply(sent_to(&sent, "s3"), success("s3", 1));
         assert_eq!(gathered(&harness, call).missing, 1);
     };
     a_search_that_cannot_become_complete_enough_is_refused_at_once => {
@@ -74,7 +75,7 @@
                 }
             }
         }
-        // A target ran it, so it is no refusal that promises the contrary.
+        // A target ran the search, so the refusal must not say that it was not run.
         assert_eq!(harness.refusal_status(call), 502);
     };
     a_search_that_no_target_ran_says_so => {
@@ -112,7 +113,7 @@
         harness.set_view(view);
         let call = harness.submit(inquiry("/search/1"));
         let sent = harness.take_sent();
-        reply_all(&mut harness, &sent, &["s2"]);
+        reply_except(&mut harness, &sent, &["s2"]);
         assert_eq!(gathered(&harness, call).missing, 1);
     };
     a_hedged_shard_counts_once => {
--- a/crates/core/tests/relay/harness.rs
+++ b/crates/core/tests/relay/harness.rs
@@ -1,4 +1,5 @@
-//! An engine with targets that do what a test says, in virtual time.
+//! An engine of a traffic thread in virtual time, whose callers, targets and other
+//! VMs are played by the test.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -24,12 +25,10 @@
 /// The host of every route.
 pub const HOST: &str = "register.example";
 
-/// A name.
 pub fn name(text: &str) -> Name {
     Name::try_from(text).unwrap()
 }
 
-/// A span in milliseconds.
 pub fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -48,7 +47,7 @@
     }
 }
 
-/// A search over shards that takes `least` of them.
+/// A search over shards that answers with at least the fraction `least` of them.
 pub fn search(shards: &[&str], least: f64) -> Route {
     let shards = shards.iter().map(|shard| name(shard)).collect();
     route("search", Plan::Gather(Gather { shards, top: 3, least }))
@@ -59,13 +58,13 @@
     route("fetch", Plan::One(name(service)))
 }
 
-/// A route to several services.
+/// A route that splits its requests between services, each with its weight.
 pub fn split(parts: &[(&str, f64)]) -> Route {
     let part = |(service, weight): &(&str, f64)| Part { service: name(service), weight: *weight };
     route("split", Plan::Split(parts.iter().map(part).collect()))
 }
 
-/// A configuration of routes whose targets take `connections`.
+/// A configuration of routes whose targets accept `connections` connections each.
 pub fn config(version: u64, routes: Vec<Route>, connections: u32) -> Config {
     let services: BTreeSet<Name> =
         routes.iter().flat_map(|route| route.services()).cloned().collect();
@@ -78,7 +77,7 @@
     }
 }
 
-/// A target of a service with two slots, under its id.
+/// The id and the registration of a target with two slots.
 pub fn target(id: &str, service: &str) -> (Name, Arc<Target>) {
     let last = id.bytes().fold(1u8, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte));
     let target = Target {
@@ -123,7 +122,7 @@
     }
 }
 
-/// A success with one record of bytes `fill`.
+/// A success with one record that consists of the byte `fill`.
 pub fn success(digest: &str, fill: u8) -> Reply {
     Reply {
         status: 200,
@@ -137,26 +136,23 @@
     }
 }
 
-/// A failure with a status and a digest.
+/// A failure with a status, and with a digest as a success has it.
 pub fn failure(status: u16) -> Reply {
     Reply { status, ..success("failed", 0) }
 }
 
-/// A refusal of a target that did not run the request.
+/// A reply of a target that refused the request without running it.
 pub fn refusal(status: u16) -> Reply {
     Reply { refused: true, misdirected: status == 421, digest: None, ..failure(status) }
 }
 
-/// A request that a target was handed.
+/// A request that the engine sent to a target.
 #[derive(Clone, Debug)]
 pub struct Sent {
-    /// The connection.
     pub connection: Connection,
-    /// The attempt.
     pub attempt: Attempt,
-    /// The request.
     pub order: Order,
-    /// When it was handed over.
+    /// When the engine sent it.
     pub at: Instant,
 }
 
@@ -167,7 +163,7 @@
     }
 }
 
-/// The engine with what it left.
+/// The engine with all commands and answers that it has given so far.
 pub struct Harness {
     pub engine: Engine,
     pub now: Instant,
@@ -179,10 +175,10 @@
     pub lines: Vec<Line>,
     pub hops: Vec<(Name, Hop)>,
     pub held: Vec<Fingerprint>,
-    last: u64,
+    last_call: u64,
 }
 
-/// The limits of a test: a fifth of the first attempts and `slack`.
+/// Limits that allow retries for a fifth of the first attempts, and `slack` more.
 pub fn limits(slack: f64) -> Limits {
     Limits {
         vm: name("own"),
@@ -195,12 +191,12 @@
 }
 
 impl Harness {
-    /// An engine that knows nothing yet, with room for retries.
+    /// An engine without a view, with enough retry budget for any test.
     pub fn empty() -> Harness {
         Harness::with_slack(100.0)
     }
 
-    /// An engine that knows nothing yet.
+    /// An engine without a view whose limits are [`limits`] of `slack`.
     pub fn with_slack(slack: f64) -> Harness {
         Harness {
             engine: Engine::new(limits(slack), Policies::default(), 7),
@@ -213,11 +209,11 @@
             lines: Vec::new(),
             hops: Vec::new(),
             held: Vec::new(),
-            last: 0,
+            last_call: 0,
         }
     }
 
-    /// An engine with a view, whose first connections are open.
+    /// An engine with a view and with a first connection open to every target.
     pub fn with_view(view: View) -> Harness {
         let mut harness = Harness::empty();
         harness.set_view(view);
@@ -225,12 +221,12 @@
         harness
     }
 
-    /// An engine with one route and two targets of each of its services.
+    /// An engine with one route and two targets for each of its services.
     pub fn with_route(route: Route) -> Harness {
         Harness::with_view(view(config(1, vec![route], 100)))
     }
 
-    /// Runs one step with events.
+    /// Runs one tick with events and collects what the engine leaves in its outbox.
     pub fn step(&mut self, events: Vec<Event>) {
         let mut out = Outbox::default();
         self.engine.step(self.now, events, &mut out);
@@ -257,7 +253,7 @@
         self.step(vec![Event::View(Arc::new(view))]);
     }
 
-    /// Lets time pass, with a step at every timer.
+    /// Advances the clock by `span`, with a tick at every timer that falls due.
     pub fn advance(&mut self, span: Duration) {
         let end = self.now + span;
         while let Some(wake) = self.engine.wake().filter(|wake| *wake <= end) {
@@ -268,7 +264,8 @@
         self.step(Vec::new());
     }
 
-    /// Opens the first connections to all targets.
+    /// Waits until the engine has asked for the first connection to every target and
+    /// opens them.
     pub fn open_first_connections(&mut self) {
         self.advance(Duration::from_secs(2));
         for connection in std::mem::take(&mut self.opened) {
@@ -276,27 +273,28 @@
         }
     }
 
-    /// A caller sends a request.
+    /// Lets a caller send a request.
     pub fn submit(&mut self, inquiry: Inquiry) -> Call {
-        self.last += 1;
-        let call = Call(self.last);
+        self.last_call += 1;
+        let call = Call(self.last_call);
         self.step(vec![Event::Arrived { call, inquiry }]);
         call
     }
 
-    /// A target answers.
+    /// Lets a target reply to a request.
     pub fn reply(&mut self, sent: &Sent, reply: Reply) {
         let (connection, attempt) = (sent.connection, sent.attempt);
         self.step(vec![Event::Replied { connection, attempt, reply: Box::new(reply) }]);
     }
 
-    /// A connection is lost.
+    /// Loses the connection of a request without a sign from the target; `was_sent`
+    /// tells whether some of the request may have reached it.
     pub fn lose_connection(&mut self, sent: &Sent, was_sent: bool) {
         let loss = Loss { sent: was_sent, idle: false, gone: false, detail: "silent".to_owned() };
         self.step(vec![Event::Closed { connection: sent.connection, loss }]);
     }
 
-    /// A target resets a connection and goes on: it takes new ones.
+    /// Lets a target reset the connection of a request and accept new connections.
     pub fn reset_connection(&mut self, sent: &Sent) {
         let loss = Loss { sent: true, idle: false, gone: true, detail: "reset".to_owned() };
         self.step(vec![Event::Closed { connection: sent.connection, loss }]);
@@ -306,7 +304,7 @@
         }
     }
 
-    /// No connection that is being opened comes about: each one is refused.
+    /// Refuses every connection that is being opened.
     pub fn refuse_connections(&mut self) {
         for connection in std::mem::take(&mut self.opened) {
             let loss = Loss { sent: false, idle: false, gone: true, detail: "refused".to_owned() };
@@ -314,8 +312,8 @@
         }
     }
 
-    /// A target ends: the connection that carries a request is reset, and no
-    /// connection can be opened.
+    /// Crashes a target: the connection of a request is reset, and new connections
+    /// are refused.
     pub fn crash_target(&mut self, sent: &Sent) {
         let loss = Loss { sent: true, idle: false, gone: true, detail: "reset".to_owned() };
         let connection = sent.connection;
@@ -325,19 +323,19 @@
         self.refuse_connections();
     }
 
-    /// Takes what targets were handed since the last time.
+    /// Takes the requests that were sent to targets since the last call.
     pub fn take_sent(&mut self) -> Vec<Sent> {
         std::mem::take(&mut self.sent)
     }
 
-    /// Takes the only request that targets were handed.
+    /// Takes the only request that was sent to a target since the last call.
     pub fn take_one_sent(&mut self) -> Sent {
         let mut sent = self.take_sent();
         assert_eq!(sent.len(), 1, "{sent:?}");
         sent.remove(0)
     }
 
-    /// The status with which a request was refused.
+    /// The HTTP status with which a request was refused.
     pub fn refusal_status(&self, call: Call) -> u16 {
         match &self.answers[&call] {
             Answer::Refused(refusal) => refusal.fault.kind.answer().status,
@@ -345,13 +343,13 @@
         }
     }
 
-    /// How long a request waited for its answer.
+    /// The time from `since` to the answer of a request.
     pub fn waited(&self, call: Call, since: Instant) -> Duration {
         self.answered_at[&call].since(since)
     }
 
-    /// Sends `count` requests that are answered after `span`, so that the engine
-    /// learns how long its targets take.
+    /// Sends `count` requests that are answered after `span`, so that the engine has
+    /// latency statistics for the route.
     pub fn train_latency(&mut self, path: &str, count: usize, span: Duration) {
         for _ in 0..count {
             self.submit(inquiry(path));
--- a/crates/core/tests/relay/hops.rs
+++ b/crates/core/tests/relay/hops.rs
@@ -1,4 +1,4 @@
-//! Requests that a small VM hands to a larger one.
+//! Requests that a small VM hands over to a larger one.
 
 use std::collections::BTreeMap;
 
@@ -18,7 +18,8 @@
     Vm { domain: name(domain), address, share: 500 }
 }
 
-/// A small VM beside larger ones that knows no routes.
+/// A small VM without routes that knows the given larger VMs, each with its failure
+/// domain.
 fn small(larger: &[(&str, &str)]) -> Harness {
     let vms = larger.iter().zip(1u8..).map(|((id, domain), last)| (name(id), vm(domain, last)));
     let larger: BTreeMap<_, _> = vms.collect();
@@ -27,31 +28,34 @@
     harness
 }
 
-/// Takes the only message to another VM, which is a request.
-fn asked(harness: &mut Harness) -> (String, Call, Inquiry) {
+/// Takes the only message to another VM, which must be a request.
+fn take_request(harness: &mut Harness) -> (String, Call, Inquiry) {
     let hops = std::mem::take(&mut harness.hops);
     let [(to, Hop::Ask { call, inquiry, .. })] = &hops[..] else { panic!("{hops:?}") };
     (to.to_string(), *call, (**inquiry).clone())
 }
 
+/// Sends an answer of another VM to the engine.
 fn answer(harness: &mut Harness, from: &str, call: Call) {
     let answer = Answer::Forwarded(Box::new(success("d", 1)));
     let hop = Hop::Answer { call, answer, is_current: true };
     harness.step(vec![Event::Hop { from: name(from), hop }]);
 }
 
-fn answer_of(harness: &mut Harness, from: &str, call: Call, at_caller: Call) {
+/// Sends an answer of another VM and checks that the caller gets it.
+fn answer_and_check(harness: &mut Harness, from: &str, call: Call, at_caller: Call) {
     answer(harness, from, call);
     assert!(matches!(harness.answers[&at_caller], Answer::Forwarded(_)));
 }
 
-fn ask_of(call: u64, inquiry: Inquiry) -> Event {
+/// A request that the VM `small` hands over.
+fn request_of(call: u64, inquiry: Inquiry) -> Event {
     let reply_to = "10.2.0.1:7000".parse().unwrap();
     let hop = Hop::Ask { call: Call(call), inquiry: Box::new(inquiry), reply_to };
     Event::Hop { from: name("small"), hop }
 }
 
-/// A VM could not be reached.
+/// The event that a VM could not be reached, so that it took no request.
 fn unreached(vm: &str) -> Event {
     Event::HopLost { to: name(vm), detail: "refused".into(), taken: false }
 }
@@ -60,34 +64,34 @@
     a_small_vm_hands_its_requests_on => {
         let mut harness = small(&[("large", "near")]);
         let call = harness.submit(inquiry("/fetch/1"));
-        let (to, asked, inquiry) = asked(&mut harness);
+        let (to, asked, inquiry) = take_request(&mut harness);
         assert_eq!((to.as_str(), &*inquiry.id), ("large", "c1"));
-        assert!(inquiry.detour > ms(0), "the way takes a part of the goal");
+        assert!(inquiry.detour > ms(0), "the round trip takes a part of the goal");
         answer(&mut harness, "large", asked);
         assert!(matches!(harness.answers[&call], Answer::Forwarded(_)));
     };
     a_larger_vm_of_the_same_failure_domain_comes_first => {
         let mut harness = small(&[("a", "far"), ("b", "near"), ("c", "far")]);
         harness.submit(inquiry("/fetch/1"));
-        assert_eq!(asked(&mut harness).0, "b");
+        assert_eq!(take_request(&mut harness).0, "b");
     };
     a_vm_that_is_lost_ends_its_requests_and_is_left_alone => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
         let call = harness.submit(inquiry("/fetch/1"));
-        asked(&mut harness);
+        take_request(&mut harness);
         harness.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), taken: true }]);
         assert_eq!(harness.refusal_status(call), 502);
         harness.submit(inquiry("/fetch/2"));
-        assert_eq!(asked(&mut harness).0, "b");
+        assert_eq!(take_request(&mut harness).0, "b");
     };
     a_request_that_a_vm_did_not_take_goes_to_another_one => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
         let call = harness.submit(inquiry("/fetch/1"));
-        assert_eq!(asked(&mut harness).0, "a");
+        assert_eq!(take_request(&mut harness).0, "a");
         harness.now = harness.now + ms(100);
         harness.step(vec![unreached("a")]);
         assert!(!harness.answers.contains_key(&call));
-        let (to, again, asked) = asked(&mut harness);
+        let (to, again, asked) = take_request(&mut harness);
         assert_eq!((to.as_str(), asked.patience), ("b", Some(ms(500))));
         answer(&mut harness, "b", again);
         assert!(matches!(harness.answers[&call], Answer::Forwarded(_)));
@@ -109,13 +113,13 @@
         harness.step(vec![unreached("a")]);
         assert!(harness.take_one_sent().target().starts_with("desk-"));
     };
-    a_vm_that_says_nothing_is_gone_round => {
+    a_silent_vm_gets_no_new_requests => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
         harness.submit(inquiry("/fetch/1"));
-        asked(&mut harness);
+        take_request(&mut harness);
         harness.advance(ms(450));
         harness.submit(inquiry("/fetch/2"));
-        assert_eq!(asked(&mut harness).0, "b");
+        assert_eq!(take_request(&mut harness).0, "b");
     };
     a_request_without_an_answer_ends_in_time => {
         let mut harness = small(&[("a", "near")]);
@@ -128,12 +132,12 @@
     an_answer_that_comes_too_late_is_dropped => {
         let mut harness = small(&[("a", "near")]);
         let call = harness.submit(inquiry("/fetch/1"));
-        let (_, asked, _) = asked(&mut harness);
+        let (_, asked, _) = take_request(&mut harness);
         harness.advance(ms(700));
         answer(&mut harness, "a", asked);
         assert_eq!(harness.refusal_status(call), 504);
     };
-    a_vm_that_reaches_none_knows_it => {
+    a_vm_that_reaches_no_larger_one_is_alone => {
         let mut harness = small(&[("a", "near")]);
         assert!(!harness.engine.is_alone(harness.now));
         harness.submit(inquiry("/fetch/1"));
@@ -148,7 +152,7 @@
     };
     a_large_vm_answers_for_a_small_one => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.step(vec![ask_of(5, inquiry("/fetch/1"))]);
+        harness.step(vec![request_of(5, inquiry("/fetch/1"))]);
         let sent = harness.take_one_sent();
         harness.reply(&sent, success("d", 1));
         let [(to, Hop::Answer { call, answer, .. })] = &harness.hops[..] else { panic!() };
@@ -158,7 +162,7 @@
     };
     a_large_vm_refuses_for_a_small_one => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.step(vec![ask_of(5, inquiry("/nowhere/1"))]);
+        harness.step(vec![request_of(5, inquiry("/nowhere/1"))]);
         let [(_, Hop::Answer { answer, .. })] = &harness.hops[..] else { panic!() };
         let Answer::Refused(Refusal { fault: Fault { kind, .. }, .. }) = answer else { panic!() };
         assert_eq!(*kind, Kind::NotFound);
@@ -168,7 +172,7 @@
         let mut detour = inquiry("/search/1");
         detour.detour = ms(30);
         let since = harness.now;
-        harness.step(vec![ask_of(5, detour)]);
+        harness.step(vec![request_of(5, detour)]);
         let sent = harness.take_sent();
         harness.reply(&sent[0], success("a", 1));
         while harness.hops.is_empty() {
@@ -179,33 +183,33 @@
     a_refusal_by_old_routes_is_asked_again_elsewhere => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
         let call = harness.submit(inquiry("/fetch/1"));
-        let (_, first, _) = asked(&mut harness);
+        let (_, first, _) = take_request(&mut harness);
         let fault = Fault::not_run(Kind::NotFound, "no route");
         let answer = Answer::Refused(Refusal { fault, retry: None });
         let hop = Hop::Answer { call: first, answer, is_current: false };
         harness.step(vec![Event::Hop { from: name("a"), hop }]);
-        let (to, again, _) = asked(&mut harness);
+        let (to, again, _) = take_request(&mut harness);
         assert_eq!(to, "b");
-        answer_of(&mut harness, "b", again, call);
+        answer_and_check(&mut harness, "b", again, call);
     };
     a_vm_with_old_routes_is_asked_last => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
         harness.submit(inquiry("/fetch/1"));
-        let (_, first, _) = asked(&mut harness);
+        let (_, first, _) = take_request(&mut harness);
         answer(&mut harness, "a", first);
         harness.step(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: false } }]);
         harness.submit(inquiry("/fetch/2"));
-        assert_eq!(asked(&mut harness).0, "b");
+        assert_eq!(take_request(&mut harness).0, "b");
         harness.step(vec![Event::HopLost { to: name("b"), detail: "reset".into(), taken: true }]);
-        assert!(harness.engine.is_alone(harness.now), "it must read the routes itself");
+        assert!(harness.engine.is_alone(harness.now), "the VM must read the routes itself");
         harness.submit(inquiry("/fetch/3"));
-        assert_eq!(asked(&mut harness).0, "a", "old routes are better than none");
+        assert_eq!(take_request(&mut harness).0, "a", "outdated routes are better than none");
         harness.step(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: true } }]);
         assert!(!harness.engine.is_alone(harness.now));
     };
     a_large_vm_tells_that_it_lost_the_store => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.step(vec![ask_of(5, inquiry("/fetch/1"))]);
+        harness.step(vec![request_of(5, inquiry("/fetch/1"))]);
         let mut view = (*harness.engine.tables().view).clone();
         view.is_current = !view.is_current;
         let is_current = view.is_current;
@@ -216,11 +220,11 @@
     a_caller_that_leaves_a_small_vm_leaves_the_large_one => {
         let mut harness = small(&[("a", "near")]);
         let call = harness.submit(inquiry("/fetch/1"));
-        asked(&mut harness);
+        take_request(&mut harness);
         harness.step(vec![Event::Abandoned { call }]);
         assert!(matches!(&harness.hops[..], [(_, Hop::Withdraw { .. })]));
         let mut large = Harness::with_route(single("desk"));
-        large.step(vec![ask_of(5, inquiry("/fetch/1"))]);
+        large.step(vec![request_of(5, inquiry("/fetch/1"))]);
         let sent = large.take_one_sent();
         let hop = Hop::Withdraw { call: Call(5) };
         large.step(vec![Event::Hop { from: name("small"), hop }]);
--- a/crates/core/tests/relay/merge.rs
+++ b/crates/core/tests/relay/merge.rs
@@ -1,4 +1,4 @@
-//! Merging the records of parts.
+//! Merging the result records of shards.
 
 use laburnum_core::relay::system::merge::{RECORD_BYTES, greatest};
 use proptest::{collection::vec, prelude::*};
@@ -40,7 +40,7 @@
 }
 
 proptest! {
-    /// Sorting everything is the plain way to the same records.
+    /// Compares with a plain reference: sort all records and keep the first ones.
     #[test]
     fn the_same_as_sorting_everything(
         parts in vec(vec(any::<[u8; RECORD_BYTES]>(), 0..20), 0..6),
--- a/crates/core/tests/relay/once.rs
+++ b/crates/core/tests/relay/once.rs
@@ -1,9 +1,11 @@
-//! Requests that may run once, and refusals that are true.
+//! Requests that must not run twice, and refusals that say truthfully whether a
+//! request may have run.
 
 use laburnum_core::relay::{Answer, route::Route};
 
 use crate::harness::{Harness, failure, inquiry, ms, refusal, single, success};
 
+/// A route whose requests must not run twice.
 fn operation() -> Route {
     Route { idempotent: false, attempts: 3, ..single("desk") }
 }
@@ -50,7 +52,7 @@
         let Answer::Forwarded(reply) = &harness.answers[&call] else { panic!() };
         assert_eq!(reply.status, 500);
     };
-    a_status_that_promises_too_much_is_not_passed_on => {
+    a_status_that_wrongly_implies_not_run_is_not_passed_on => {
         for status in [408, 429, 503] {
             let mut harness = Harness::with_route(operation());
             let call = harness.submit(inquiry("/fetch/1"));
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -1,4 +1,5 @@
-//! Requests that crash the targets that run them, and those that only look so.
+//! Quarantine of requests that crash the targets that run them, and similar
+//! losses that must not lead to it.
 
 use laburnum_core::{
     digest::Fingerprint,
@@ -20,14 +21,16 @@
     store::World,
 };
 
-/// A view with four targets of a service, so that one is left.
-fn wide(route: Route) -> View {
+/// A view with four targets of a service, so that some are left after a request
+/// has crashed two.
+fn four_targets(route: Route) -> View {
     let mut view = view(config(1, vec![route], 100));
     view.targets.extend([target("desk-3", "desk"), target("desk-4", "desk")]);
     view
 }
 
-/// Sends the request that crashes targets and lets it crash what it reaches.
+/// Sends a request that crashes every target that it reaches, and returns how many
+/// it crashed.
 fn crash(harness: &mut Harness, path: &str) -> usize {
     harness.submit(inquiry(path));
     let mut crashed = 0;
@@ -47,13 +50,14 @@
     inquiry(path).fingerprint()
 }
 
-/// Sends a request and returns what a target got, if one did.
-fn ask(harness: &mut Harness, path: &str) -> Option<Sent> {
+/// Sends a request and returns the attempt that reached a target, if there is one.
+fn send(harness: &mut Harness, path: &str) -> Option<Sent> {
     harness.submit(inquiry(path));
     harness.take_sent().pop()
 }
 
-fn fed() -> World {
+/// The feed of a VM that has run for 4 s with a store that answers.
+fn running_feed() -> World {
     let mut world = World::new();
     world.pass(ms(4000));
     world
@@ -61,33 +65,33 @@
 
 cases! {
     a_request_that_crashed_two_targets_is_held_back => {
-        let mut harness = Harness::with_view(wide(single("desk")));
+        let mut harness = Harness::with_view(four_targets(single("desk")));
         assert_eq!(crash(&mut harness, "/fetch/bad"), 2);
         assert_eq!(harness.held, [fingerprint("/fetch/bad")]);
         let call = harness.submit(inquiry("/fetch/bad"));
-        assert!(harness.take_sent().is_empty(), "it reaches no target");
+        assert!(harness.take_sent().is_empty(), "a quarantined request reaches no target");
         assert_eq!(harness.refusal_status(call), 422);
         let Answer::Refused(refusal) = &harness.answers[&call] else { panic!() };
         assert!(refusal.retry.is_some() && refusal.fault.ran == Ran::No);
     };
     other_requests_are_served_beside_one_that_is_held_back => {
-        let mut harness = Harness::with_view(wide(single("desk")));
+        let mut harness = Harness::with_view(four_targets(single("desk")));
         crash(&mut harness, "/fetch/bad");
-        assert!(ask(&mut harness, "/fetch/good").is_some());
+        assert!(send(&mut harness, "/fetch/good").is_some());
     };
     a_request_is_let_go_after_its_time_and_held_back_at_the_next_loss => {
-        let mut harness = Harness::with_view(wide(Route { attempts: 1, ..single("desk") }));
+        let mut harness = Harness::with_view(four_targets(Route { attempts: 1, ..single("desk") }));
         crash(&mut harness, "/fetch/bad");
-        assert!(harness.held.is_empty(), "one loss proves nothing");
+        assert!(harness.held.is_empty(), "one loss is not enough for quarantine");
         crash(&mut harness, "/fetch/bad");
         assert_eq!(harness.held.len(), 1);
         harness.advance(ms(59_000));
-        assert!(ask(&mut harness, "/fetch/bad").is_none());
+        assert!(send(&mut harness, "/fetch/bad").is_none());
         harness.advance(ms(2_000));
-        assert!(ask(&mut harness, "/fetch/bad").is_some());
+        assert!(send(&mut harness, "/fetch/bad").is_some());
     };
     targets_that_go_down_together_prove_nothing => {
-        let mut harness = Harness::with_view(wide(single("desk")));
+        let mut harness = Harness::with_view(four_targets(single("desk")));
         harness.submit(inquiry("/fetch/1"));
         let first = harness.take_one_sent();
         harness.submit(inquiry("/fetch/1"));
@@ -99,7 +103,7 @@
         assert!(harness.held.is_empty());
     };
     a_target_that_takes_connections_did_not_crash => {
-        let mut harness = Harness::with_view(wide(single("desk")));
+        let mut harness = Harness::with_view(four_targets(single("desk")));
         harness.submit(inquiry("/fetch/1"));
         for _ in 0..2 {
             let sent = harness.take_one_sent();
@@ -123,7 +127,7 @@
         assert_eq!(suspects.confirm(&first), [request]);
     };
     a_silent_target_did_not_crash => {
-        let mut harness = Harness::with_view(wide(single("desk")));
+        let mut harness = Harness::with_view(four_targets(single("desk")));
         harness.submit(inquiry("/fetch/1"));
         for _ in 0..2 {
             let sent = harness.take_one_sent();
@@ -135,61 +139,62 @@
         assert!(harness.held.is_empty());
     };
     a_request_that_a_target_answered_crashes_none => {
-        let mut harness = Harness::with_view(wide(Route { attempts: 1, ..single("desk") }));
+        let mut harness = Harness::with_view(four_targets(Route { attempts: 1, ..single("desk") }));
         crash(&mut harness, "/fetch/1");
-        let sent = ask(&mut harness, "/fetch/1").unwrap();
+        let sent = send(&mut harness, "/fetch/1").unwrap();
         harness.reply(&sent, success("d", 1));
         crash(&mut harness, "/fetch/1");
         assert!(harness.held.is_empty());
     };
     a_failure_does_not_clear_a_request => {
-        let mut harness = Harness::with_view(wide(Route { attempts: 1, ..single("desk") }));
+        let mut harness = Harness::with_view(four_targets(Route { attempts: 1, ..single("desk") }));
         crash(&mut harness, "/fetch/1");
-        let sent = ask(&mut harness, "/fetch/1").unwrap();
+        let sent = send(&mut harness, "/fetch/1").unwrap();
         harness.reply(&sent, failure(500));
         crash(&mut harness, "/fetch/1");
         assert_eq!(harness.held.len(), 1);
     };
     an_operation_that_crashes_targets_is_held_back => {
-        let mut harness = Harness::with_view(wide(Route { idempotent: false, ..single("desk") }));
+        let mut harness =
+            Harness::with_view(four_targets(Route { idempotent: false, ..single("desk") }));
         assert_eq!(crash(&mut harness, "/fetch/bad"), 1);
         assert_eq!(crash(&mut harness, "/fetch/bad"), 1);
-        assert!(ask(&mut harness, "/fetch/bad").is_none());
+        assert!(send(&mut harness, "/fetch/bad").is_none());
     };
     a_search_that_crashes_targets_is_not_retried_further => {
         let mut harness = Harness::with_route(search(&["one", "two", "three"], 0.5));
         crash(&mut harness, "/search/bad");
         assert_eq!(harness.held.len(), 1);
-        assert!(ask(&mut harness, "/search/bad").is_none());
+        assert!(send(&mut harness, "/search/bad").is_none());
     };
     a_request_that_another_vm_holds_back_is_held_back_here => {
-        let mut harness = Harness::with_view(wide(single("desk")));
-        let mut view = wide(single("desk"));
+        let mut harness = Harness::with_view(four_targets(single("desk")));
+        let mut view = four_targets(single("desk"));
         view.held.insert(fingerprint("/fetch/bad"));
         harness.set_view(view);
-        assert!(ask(&mut harness, "/fetch/bad").is_none());
-        assert!(ask(&mut harness, "/fetch/good").is_some());
+        assert!(send(&mut harness, "/fetch/bad").is_none());
+        assert!(send(&mut harness, "/fetch/good").is_some());
     };
     the_log_names_the_request_and_its_targets => {
-        let mut harness = Harness::with_view(wide(single("desk")));
+        let mut harness = Harness::with_view(four_targets(single("desk")));
         crash(&mut harness, "/fetch/bad");
         let line = harness.lines.iter().find(|line| line.event == Event::RequestCondemned).unwrap();
         let field = |name| line.fields.iter().find(|(key, _)| *key == name).unwrap().1.clone();
         assert_eq!(field("fingerprint"), fingerprint("/fetch/bad").to_string());
         assert_eq!(field("targets").split(' ').count(), 2);
     };
-    a_request_that_is_held_back_is_told_once => {
-        let mut world = fed();
+    a_quarantined_request_is_reported_once => {
+        let mut world = running_feed();
         world.held = vec![Fingerprint(7), Fingerprint(7)];
         world.pass(ms(3000));
         assert!(matches!(&world.reports[..], [Call::Grant { .. }, Call::Swap { .. }]));
-        assert!(world.view.held.contains(&Fingerprint(7)), "it comes back by the watch");
+        assert!(world.view.held.contains(&Fingerprint(7)), "the watch returns the entry");
         world.held = vec![Fingerprint(7)];
         world.pass(ms(3000));
         assert_eq!(world.reports.len(), 2);
     };
     what_others_hold_back_is_known_and_goes_with_its_entry => {
-        let mut world = fed();
+        let mut world = running_feed();
         world.put("held/000000000000000a", "other");
         world.pass(ms(1000));
         assert!(world.view.held.contains(&Fingerprint(10)));
@@ -198,7 +203,7 @@
         assert!(world.view.held.is_empty());
     };
     a_report_that_the_store_refuses_is_not_repeated => {
-        let mut world = fed();
+        let mut world = running_feed();
         world.is_down = true;
         world.held = vec![Fingerprint(7)];
         world.pass(ms(3000));
--- a/crates/core/tests/relay/waits.rs
+++ b/crates/core/tests/relay/waits.rs
@@ -1,11 +1,12 @@
-//! How work waits and is turned away when load is at its worst.
+//! Queues and deadlines under overload: the order of waiting requests, refusals
+//! and the time that is left.
 
 use laburnum_core::relay::{View, route::Route};
 
 use crate::harness::{Harness, config, inquiry, ms, search, single, success, target, view};
 
-/// Two routes to one target that takes one connection of this VM.
-fn narrow() -> View {
+/// Two routes to one target that accepts a single connection from this VM.
+fn one_connection() -> View {
     let urgent = Route {
         name: crate::harness::name("urgent"),
         priority: 0,
@@ -19,7 +20,7 @@
 
 cases! {
     the_urgent_request_goes_first => {
-        let mut harness = Harness::with_view(narrow());
+        let mut harness = Harness::with_view(one_connection());
         harness.submit(inquiry("/fetch/1"));
         harness.submit(inquiry("/fetch/2"));
         harness.submit(inquiry("/urgent/3"));
@@ -28,7 +29,7 @@
         assert_eq!(&*harness.take_one_sent().order.inquiry.path, "/urgent/3");
     };
     equal_requests_go_in_their_order => {
-        let mut harness = Harness::with_view(narrow());
+        let mut harness = Harness::with_view(one_connection());
         (1..=3).for_each(|n| { harness.submit(inquiry(&format!("/fetch/{n}"))); });
         for n in 1..=3 {
             let sent = harness.take_one_sent();
@@ -37,14 +38,14 @@
         }
     };
     a_request_that_never_got_a_connection_was_not_run => {
-        let mut harness = Harness::with_view(narrow());
+        let mut harness = Harness::with_view(one_connection());
         harness.submit(inquiry("/fetch/1"));
         let waiting = harness.submit(inquiry("/fetch/2"));
         harness.advance(ms(700));
         assert_eq!(harness.refusal_status(waiting), 503);
     };
     the_time_for_a_target_is_what_is_left => {
-        let mut harness = Harness::with_view(narrow());
+        let mut harness = Harness::with_view(one_connection());
         harness.submit(inquiry("/fetch/1"));
         harness.submit(inquiry("/fetch/2"));
         let first = harness.take_one_sent();
@@ -63,7 +64,7 @@
         let sent = harness.take_sent();
         harness.reply(&sent[0], success("a", 1));
         harness.advance(ms(100));
-        assert!(harness.waited(call, since) <= ms(60), "40 ms of the goal are gone");
+        assert!(harness.waited(call, since) <= ms(60), "40 ms of the goal have passed");
     };
     a_caller_is_answered_before_it_gives_up => {
         let mut harness = Harness::with_route(single("desk"));
