--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -18,7 +18,7 @@
 use self::{
     progress::Progress,
     system::Context,
-    table::{Own, Part, Tables},
+    table::{OwnVm, Part, Tables},
 };
 use super::{View, route::Config, view};
 use crate::{
@@ -70,19 +70,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// The longest time that a watch waits.
-    pub watch: Duration,
+    pub watch_wait: Duration,
     /// The least time between two watches, in which changes gather.
-    pub gather: Duration,
+    pub watch_gap: Duration,
     /// The first pause after a failed call; each further one doubles it.
-    pub pause: Duration,
+    pub first_pause: Duration,
     /// The longest pause after failed calls.
     pub longest_pause: Duration,
     /// The time in which VMs enter themselves at a first start, the larger ones
     /// first.
-    pub entry: Duration,
+    pub registration_window: Duration,
     /// The time for which entries that lapsed while the store was away may
     /// still come back.
-    pub lapse: Duration,
+    pub lapse_grace: Duration,
 }
 
 /// What a step of the feed takes.
@@ -120,9 +120,9 @@
 impl Feed {
     /// Makes a feed that knows nothing yet but its own VM. `least` VMs are
     /// counted on while none is known.
-    pub fn new(limits: Limits, format: Box<dyn Format>, own: Own, least: u32, seed: u64) -> Feed {
+    pub fn new(limits: Limits, format: Box<dyn Format>, own: OwnVm, least: u32, seed: u64) -> Feed {
         let mut tables = Tables::new(own);
-        tables.view.least_vms = least;
+        tables.view.assumed_vms = least;
         Feed { tables, limits, format, random: StdRng::seed_from_u64(seed) }
     }
 
--- a/crates/core/src/relay/feed/part.rs
+++ b/crates/core/src/relay/feed/part.rs
@@ -46,7 +46,7 @@
 fn turn(tables: &Tables, cx: &Context<'_>) -> Instant {
     let share = Duration::from_secs(1).mul_f64(f64::from(tables.own.vm.share.min(1000)) / 1000.0);
     let part = Duration::from_secs(1).saturating_sub(share).as_secs_f64();
-    tables.started.unwrap_or(cx.now) + cx.limits.entry.mul_f64(part)
+    tables.started.unwrap_or(cx.now) + cx.limits.registration_window.mul_f64(part)
 }
 
 fn take(tables: &mut Tables, part: Part, cx: &mut Context<'_>) {
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -97,7 +97,7 @@
             tables.next = Some(Purpose::Watch);
             let changes = entries.len() + removed.len();
             if (1..MANY).contains(&changes) {
-                tables.not_before = cx.now + cx.limits.gather;
+                tables.not_before = cx.now + cx.limits.watch_gap;
             }
         }
         (Purpose::Watch, Reply::Outdated) => {
@@ -121,7 +121,7 @@
 /// Notes that the store answers.
 fn answered(tables: &mut Tables, cx: &mut Context<'_>) {
     if let Store::Down { failures } = std::mem::take(&mut tables.store) {
-        tables.lapse_until = cx.now + cx.limits.lapse;
+        tables.lapse_until = cx.now + cx.limits.lapse_grace;
         let fields = vec![("failures", failures.to_string())];
         cx.out.lines.push(Line::new(Event::StoreUp, fields));
     }
@@ -147,7 +147,7 @@
 /// The pause before a call after a number of failures, half of it random.
 fn pause(failures: u32, cx: &mut Context<'_>) -> Duration {
     let doublings = failures.saturating_sub(1).min(16);
-    let span = cx.limits.pause.saturating_mul(1 << doublings).min(cx.limits.longest_pause);
+    let span = cx.limits.first_pause.saturating_mul(1 << doublings).min(cx.limits.longest_pause);
     span.mul_f64(0.5 + 0.5 * cx.random.random::<f64>())
 }
 
@@ -309,7 +309,7 @@
         Purpose::Watch => Call::Watch {
             prefix: cx.format.watch_prefix().to_owned(),
             after: tables.change.unwrap_or_default(),
-            wait: cx.limits.watch,
+            wait: cx.limits.watch_wait,
         },
     };
     let id = tables.call_id();
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -37,7 +37,7 @@
 
 /// The VM of the feed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Own {
+pub struct OwnVm {
     /// Its name.
     pub name: Name,
     /// Its entry.
@@ -76,7 +76,7 @@
 #[derive(Clone, Debug)]
 pub struct Tables {
     /// This VM.
-    pub own: Own,
+    pub own: OwnVm,
     /// How it serves requests.
     pub part: Part,
     /// Whether it hands requests on but reaches no larger VM.
@@ -118,7 +118,7 @@
 
 impl Tables {
     /// Empty tables of a VM.
-    pub fn new(own: Own) -> Tables {
+    pub fn new(own: OwnVm) -> Tables {
         Tables {
             own,
             part: Part::Open,
--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -37,7 +37,7 @@
 
 /// A request of a caller.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Inquiry {
+pub struct CallerRequest {
     /// The caller's id of this try; targets echo it.
     pub id: Arc<str>,
     /// The host that the caller addressed, in lower case and without a port.
@@ -45,14 +45,14 @@
     /// The path without its query, by which the route is found.
     pub path: Arc<str>,
     /// The time that the caller waits, where it says so.
-    pub patience: Option<Duration>,
+    pub caller_timeout: Option<Duration>,
     /// The time that the way through another VM takes from the goal.
-    pub detour: Duration,
+    pub peer_delay: Duration,
     /// What is passed on.
     pub message: Message,
 }
 
-impl Inquiry {
+impl CallerRequest {
     /// The fingerprint, equal for a request that is sent again.
     pub fn fingerprint(&self) -> Fingerprint {
         let Message { method, path, body, .. } = &self.message;
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Tables hold requests, legs, attempts, targets and connections; the systems
 //! run over them in the order of [`system`]. Nothing here knows a protocol: a
-//! front end hands in an [`message::Inquiry`] and gets an [`message::Answer`], a
+//! front end hands in an [`message::CallerRequest`] and gets an [`message::Answer`], a
 //! client of the targets carries out each [`Command`] and reports an [`Event`].
 //! See `docs/design/platform.md`.
 
@@ -25,7 +25,7 @@
     engine::Engine,
     hop::Hop,
     limits::Limits,
-    message::{Answer, Call, Inquiry, Message, Reply},
+    message::{Answer, Call, CallerRequest, Message, Reply},
     route::{Config, Route},
     table::Tables,
     view::View,
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A caller's request.
-    Arrived { call: Call, inquiry: Inquiry },
+    Arrived { call: Call, caller_request: CallerRequest },
     /// A caller went away before its answer.
     Abandoned { call: Call },
     /// A connection is open.
@@ -54,9 +54,9 @@
     Closed { connection: Connection, loss: Loss },
     /// Another VM says something.
     Hop { from: Name, hop: Hop },
-    /// What was sent to another VM may be lost; `taken` tells whether that VM may
+    /// What was sent to another VM may be lost; `maybe_received` tells whether that VM may
     /// have taken any of it.
-    HopLost { to: Name, detail: String, taken: bool },
+    HopLost { to: Name, detail: String, maybe_received: bool },
     /// The control thread has a newer view.
     View(Arc<View>),
 }
@@ -81,7 +81,7 @@
     /// Opens a connection.
     Open { connection: Connection, address: SocketAddr },
     /// Sends a request as soon as the connection is open.
-    Send { connection: Connection, attempt: Attempt, order: Order },
+    Send { connection: Connection, attempt: Attempt, target_request: TargetRequest },
     /// Closes a connection, whatever it carries.
     Close { connection: Connection },
     /// Tells another VM something.
@@ -90,13 +90,13 @@
 
 /// A request for one target.
 #[derive(Clone, Debug)]
-pub struct Order {
+pub struct TargetRequest {
     /// The request as the caller sent it.
-    pub inquiry: Arc<Inquiry>,
+    pub caller_request: Arc<CallerRequest>,
     /// The target that is meant; any other one must refuse.
     pub target: Name,
     /// The time that is left for the run.
-    pub patience: Duration,
+    pub time_left: Duration,
 }
 
 /// What a step leaves to be done.
--- a/crates/core/src/relay/policy/choice.rs
+++ b/crates/core/src/relay/policy/choice.rs
@@ -31,19 +31,19 @@
 
 /// What a choice may look at beside the target.
 #[derive(Clone, Copy, Debug)]
-pub struct Facts {
+pub struct CostContext {
     /// Now.
     pub now: Instant,
     /// The usual time of an attempt.
-    pub pace: Duration,
+    pub usual_latency: Duration,
     /// Whether the target is in the failure domain of this VM.
-    pub near: bool,
+    pub is_same_domain: bool,
 }
 
 /// The choice of a target: the one with the least cost gets the leg.
 pub trait Choice {
     /// The cost of a target, in seconds.
-    fn cost(&self, target: &Target, facts: &Facts) -> f64;
+    fn cost(&self, target: &Target, facts: &CostContext) -> f64;
 }
 
 /// The time that an answer is expected to take.
@@ -51,16 +51,16 @@
 pub struct Expected;
 
 impl Choice for Expected {
-    fn cost(&self, target: &Target, facts: &Facts) -> f64 {
+    fn cost(&self, target: &Target, facts: &CostContext) -> f64 {
         let now = facts.now;
         let cold = if target.cold_until > now { COLD } else { 1.0 };
-        let run = facts.pace.as_secs_f64() * target.slowness(now) * cold;
+        let run = facts.usual_latency.as_secs_f64() * target.slowness(now) * cold;
         let busy = target.running.len() as f64 + target.others(now);
         let slots = f64::from(target.entry.slots.max(1));
         let queued = (busy + 1.0 - slots).max(0.0) / slots;
         let shared = SHARING * busy.min(slots);
         let mut cost = run * (1.0 + queued + shared) * (1.0 + ERRORS * target.errors(now));
-        if !facts.near {
+        if !facts.is_same_domain {
             cost += FAR.as_secs_f64();
         }
         if target.idle.is_empty() {
@@ -72,9 +72,9 @@
 
 /// For how long a target has been silent beyond what is usual, which is the
 /// least that its pause will still seem to last.
-fn silence(target: &Target, facts: &Facts) -> Duration {
+fn silence(target: &Target, facts: &CostContext) -> Duration {
     let Some((oldest, _)) = target.running.first() else { return Duration::ZERO };
     let age = facts.now.since(*oldest);
-    let usual = (facts.pace * PAUSED).max(LEAST_PAUSE);
+    let usual = (facts.usual_latency * PAUSED).max(LEAST_PAUSE);
     if age > usual { age } else { Duration::ZERO }
 }
--- a/crates/core/src/relay/policy/patience.rs
+++ b/crates/core/src/relay/policy/completion.rs
@@ -10,7 +10,7 @@
     /// The shards that may still answer.
     pub open: usize,
     /// The parts that an answer must have.
-    pub least: usize,
+    pub min_parts: usize,
     /// Whether the goal of the route has passed.
     pub is_late: bool,
 }
@@ -27,7 +27,7 @@
 }
 
 /// When an answer is given that could still become more complete.
-pub trait Patience {
+pub trait Completion {
     /// What to do now.
     fn verdict(&self, progress: &Progress) -> Verdict;
 }
@@ -38,12 +38,12 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Goal;
 
-impl Patience for Goal {
+impl Completion for Goal {
     fn verdict(&self, progress: &Progress) -> Verdict {
-        if progress.parts + progress.open < progress.least {
+        if progress.parts + progress.open < progress.min_parts {
             return Verdict::Refuse;
         }
-        let is_enough = progress.parts >= progress.least;
+        let is_enough = progress.parts >= progress.min_parts;
         if is_enough && (progress.open == 0 || progress.is_late) {
             return Verdict::Answer;
         }
--- a/crates/core/src/relay/policy/mod.rs
+++ b/crates/core/src/relay/policy/mod.rs
@@ -2,9 +2,9 @@
 
 pub mod choice;
 pub mod hedge;
-pub mod patience;
+pub mod completion;
 
-pub use self::{choice::Choice, hedge::Hedge, patience::Patience};
+pub use self::{choice::Choice, completion::Completion, hedge::Hedge};
 
 /// The policies of a traffic thread.
 pub struct Policies {
@@ -13,7 +13,7 @@
     /// When a slow attempt gets another one beside it.
     pub hedge: Box<dyn Hedge>,
     /// When an answer is given that could still become more complete.
-    pub patience: Box<dyn Patience>,
+    pub completion: Box<dyn Completion>,
 }
 
 impl Default for Policies {
@@ -21,7 +21,7 @@
         Policies {
             choice: Box::new(choice::Expected),
             hedge: Box::new(hedge::Tail::default()),
-            patience: Box::new(patience::Goal),
+            completion: Box::new(completion::Goal),
         }
     }
 }
--- a/crates/core/src/relay/route.rs
+++ b/crates/core/src/relay/route.rs
@@ -62,16 +62,16 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Plan {
     /// To one target of a service.
-    One(Name),
+    Single(Name),
     /// To one target of one of several services, by weight.
-    Split(Vec<Part>),
+    Split(Vec<WeightedService>),
     /// To one target of each shard.
     Gather(Gather),
 }
 
 /// A service with its share of a route's requests.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Part {
+pub struct WeightedService {
     /// The service.
     pub service: Name,
     /// Its share, relative to the other parts.
@@ -84,9 +84,9 @@
     /// The services that hold the shards.
     pub shards: Vec<Name>,
     /// The number of records in an answer.
-    pub top: usize,
+    pub top_k: usize,
     /// The least share of the shards in an answer.
-    pub least: f64,
+    pub min_coverage: f64,
 }
 
 impl Config {
@@ -97,7 +97,7 @@
     }
 
     /// Files routes under their hosts, those with the longest prefix first.
-    pub fn file(
+    pub fn group_by_host(
         routes: impl Iterator<Item = (Arc<str>, Route)>,
     ) -> BTreeMap<Arc<str>, Vec<Arc<Route>>> {
         let mut hosts: BTreeMap<Arc<str>, Vec<Arc<Route>>> = BTreeMap::new();
@@ -113,10 +113,10 @@
 
 impl Gather {
     /// The parts that an answer must have.
-    pub fn least_parts(&self) -> usize {
+    pub fn min_parts(&self) -> usize {
         let shards = self.shards.len();
         // A share times a count may lie a rounding error above a whole number.
-        let least = (self.least * shards as f64 - 1e-9).ceil().max(1.0);
+        let least = (self.min_coverage * shards as f64 - 1e-9).ceil().max(1.0);
         (least as usize).min(shards)
     }
 }
@@ -125,7 +125,7 @@
     /// The services that requests of the route may go to.
     pub fn services(&self) -> Vec<&Name> {
         match &self.plan {
-            Plan::One(service) => vec![service],
+            Plan::Single(service) => vec![service],
             Plan::Split(parts) => parts.iter().map(|part| &part.service).collect(),
             Plan::Gather(gather) => gather.shards.iter().collect(),
         }
--- a/crates/core/src/relay/system/answer.rs
+++ b/crates/core/src/relay/system/answer.rs
@@ -11,7 +11,7 @@
     relay::{
         Tables,
         message::{Answer, Call, Gathered, Refusal, Reply},
-        policy::patience::{Progress, Verdict},
+        policy::completion::{Progress, Verdict},
         route::{Gather, Plan},
         table::{
             leg::{Key, State},
@@ -29,7 +29,7 @@
         let Some(request) = tables.requests.get(&call) else { continue };
         let answer = match &request.route.plan {
             Plan::Gather(gather) => gathered(tables, call, request, gather, cx),
-            Plan::One(_) | Plan::Split(_) => forwarded(tables, call, request, cx),
+            Plan::Single(_) | Plan::Split(_) => forwarded(tables, call, request, cx),
         };
         if let Some(answer) = answer {
             close(tables, call, answer, cx);
@@ -46,9 +46,9 @@
 
 fn runs(tables: &Tables, call: Call, request: &Request) -> Runs {
     let mut runs = Runs::default();
-    for place in 0..request.legs {
-        if let Some(leg) = tables.legs.get(&Key { call, place }) {
-            runs.maybe |= leg.runs.maybe || matches!(leg.state, State::Done(_));
+    for index in 0..request.legs {
+        if let Some(leg) = tables.legs.get(&Key { call, index }) {
+            runs.maybe |= leg.runs.may_have_run || matches!(leg.state, State::Done(_));
             runs.under_way |= !leg.attempts.is_empty();
         }
     }
@@ -56,7 +56,7 @@
 }
 
 fn forwarded(tables: &Tables, call: Call, request: &Request, cx: &Context<'_>) -> Option<Answer> {
-    let Some(leg) = tables.legs.get(&Key { call, place: 0 }) else {
+    let Some(leg) = tables.legs.get(&Key { call, index: 0 }) else {
         let fault = Fault::not_run(Kind::Unavailable, "the route names no service");
         return Some(Answer::Refused(Refusal { fault, retry: Some(COME_BACK) }));
     };
@@ -104,10 +104,10 @@
         shards: gather.shards.len(),
         parts: parts.len(),
         open,
-        least: gather.least_parts(),
+        min_parts: gather.min_parts(),
         is_late: request.goal <= cx.now,
     };
-    match cx.policies.patience.verdict(&progress) {
+    match cx.policies.completion.verdict(&progress) {
         Verdict::Answer => Some(merged(gather, &parts)),
         Verdict::Refuse => {
             let detail = format!("{} of {} shards answered", parts.len(), gather.shards.len());
@@ -122,7 +122,7 @@
 }
 
 fn parts(tables: &Tables, call: Call, request: &Request) -> Vec<Arc<Reply>> {
-    let legs = (0..request.legs).filter_map(|place| tables.legs.get(&Key { call, place }));
+    let legs = (0..request.legs).filter_map(|index| tables.legs.get(&Key { call, index }));
     legs.filter_map(|leg| match &leg.state {
         State::Done(reply) => Some(Arc::clone(reply)),
         State::Open | State::Failed => None,
@@ -131,7 +131,7 @@
 }
 
 fn open(tables: &Tables, call: Call, request: &Request) -> usize {
-    let legs = (0..request.legs).filter_map(|place| tables.legs.get(&Key { call, place }));
+    let legs = (0..request.legs).filter_map(|index| tables.legs.get(&Key { call, index }));
     legs.filter(|leg| leg.is_open()).count()
 }
 
@@ -139,7 +139,7 @@
     Answer::Gathered(Gathered {
         digests: parts.iter().filter_map(|part| part.digest.clone()).collect(),
         missing: gather.shards.len() - parts.len(),
-        body: merge::greatest(parts.iter().map(|part| &*part.body), gather.top),
+        body: merge::greatest(parts.iter().map(|part| &*part.body), gather.top_k),
     })
 }
 
@@ -169,7 +169,7 @@
         cx.out.counts.sample(Sample { profile, took, coverage });
     }
     let mut fields = vec![
-        ("id", request.inquiry.id.to_string()),
+        ("id", request.caller_request.id.to_string()),
         ("route", request.route.name.to_string()),
         ("version", request.version.to_string()),
         ("took_ms", took.as_millis().to_string()),
@@ -195,8 +195,8 @@
 /// The services whose part is missing, with the targets that were asked.
 fn missing(tables: &Tables, call: Call, request: &Request) -> String {
     let mut texts = Vec::new();
-    for place in 0..request.legs {
-        let Some(leg) = tables.legs.get(&Key { call, place }) else { continue };
+    for index in 0..request.legs {
+        let Some(leg) = tables.legs.get(&Key { call, index }) else { continue };
         if !matches!(leg.state, State::Done(_)) {
             let tried: Vec<&str> = leg.tried.iter().map(|target| target.as_str()).collect();
             texts.push(format!("{}({})", leg.service, tried.join("+")));
--- a/crates/core/src/relay/system/collect.rs
+++ b/crates/core/src/relay/system/collect.rs
@@ -64,7 +64,7 @@
     cx: &mut Context<'_>,
 ) {
     let took = cx.now.since(row.sent);
-    let pace = tables.pace(&row.route);
+    let pace = tables.stats_of(&row.route);
     let usual = pace.latency.mean().as_secs_f64();
     let ratio = if usual > 0.0 { took.as_secs_f64() / usual } else { 1.0 };
     if reply.is_success() {
@@ -73,9 +73,9 @@
     let Some(target) = tables.targets.get_mut(&row.target) else { return };
     target.running.remove(&(row.sent, attempt));
     let ratio = if reply.is_success() { ratio } else { target.slowness(cx.now) };
-    target.replied(ratio, reply.is_success(), cx.now);
+    target.record_reply(ratio, reply.is_success(), cx.now);
     if let Some(load) = reply.load {
-        target.reported(load, cx.now);
+        target.record_load(load, cx.now);
     }
     if reply.misdirected {
         target.is_usable = false;
@@ -99,13 +99,13 @@
     let Some(request) = tables.requests.get(&key.call) else { return };
     let is_gather = request.legs > 1 || matches!(request.route.plan, relay::route::Plan::Gather(_));
     let is_idempotent = request.route.idempotent;
-    let id = Arc::clone(&request.inquiry.id);
+    let id = Arc::clone(&request.caller_request.id);
     let is_suspecting = !tables.suspects.rows.is_empty();
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     leg.attempts.remove(&attempt);
     if reply.is_success() {
         if let Some(request) = tables.requests.get(&key.call).filter(|_| is_suspecting) {
-            tables.suspects.clear_request(request.inquiry.fingerprint());
+            tables.suspects.clear_request(request.caller_request.fingerprint());
         }
         leg::finish(tables, key, Arc::new(reply), cx);
         return;
@@ -117,7 +117,7 @@
         leg::retry(tables, key, reason, cx);
         return;
     }
-    leg.runs.maybe = true;
+    leg.runs.may_have_run = true;
     let reply = Arc::new(reply);
     let is_final = !is_gather && (!is_idempotent || reply.status < 500);
     if !is_gather {
@@ -154,7 +154,7 @@
     }
     log_loss(&row.target, loss, cx);
     if let Some(target) = tables.targets.get_mut(&row.target) {
-        target.lost(cx.now);
+        target.record_loss(cx.now);
         let until = target.pause_until;
         tables.timers.set(until, relay::table::timer::Timer::Pause(row.target.clone()));
     }
@@ -179,7 +179,7 @@
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     leg.attempts.remove(&attempt);
     if loss.sent {
-        leg.runs.maybe = true;
+        leg.runs.may_have_run = true;
     } else {
         leg.runs.arrived = leg.runs.arrived.saturating_sub(1);
     }
@@ -190,7 +190,7 @@
 fn log_lost(tables: &Tables, key: Key, row: &Attempt, loss: &Loss, cx: &mut Context<'_>) {
     let Some(request) = tables.requests.get(&key.call) else { return };
     let fields = vec![
-        ("id", request.inquiry.id.to_string()),
+        ("id", request.caller_request.id.to_string()),
         ("target", row.target.to_string()),
         ("sent", loss.sent.to_string()),
         ("took_ms", leg::age(row.sent, cx.now)),
--- a/crates/core/src/relay/system/connect.rs
+++ b/crates/core/src/relay/system/connect.rs
@@ -22,7 +22,7 @@
     let config = tables.view.config.as_ref();
     let known = config.and_then(|config| config.services.get(&entry.service));
     let taken = known.map_or(0, |service| service.connections);
-    let vms = tables.view.sharers();
+    let vms = tables.view.sharing_vms();
     let slots = entry.slots.saturating_mul(SPREAD).div_ceil(vms).min(entry.slots);
     slots.min(taken / vms).max(1) as usize
 }
@@ -48,7 +48,7 @@
 
 /// Opens a connection to a target.
 pub fn open(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) -> Option<relay::Connection> {
-    let connection = relay::Connection(tables.number());
+    let connection = relay::Connection(tables.next_id());
     let target = tables.targets.get_mut(id)?;
     target.connections.insert(connection);
     let address = target.entry.address;
--- a/crates/core/src/relay/system/dispatch.rs
+++ b/crates/core/src/relay/system/dispatch.rs
@@ -10,13 +10,13 @@
     log::{Event, Line},
     name::Name,
     relay::{
-        self, Command, Order, Tables,
-        policy::choice::Facts,
+        self, Command, Tables, TargetRequest,
+        policy::choice::CostContext,
         route::Plan,
         table::{
             attempt::Attempt,
             connection::State,
-            leg::{Key, Place},
+            leg::{Key, QueuePosition},
             timer::Timer,
         },
     },
@@ -48,7 +48,7 @@
         .map(|(s, _)| s.clone())
         .collect();
     for service in waiting {
-        let queue: Vec<Place> = tables.waiting[&service].iter().copied().collect();
+        let queue: Vec<QueuePosition> = tables.waiting[&service].iter().copied().collect();
         for place in queue {
             match way(tables, place.key, cx) {
                 Way::Go(target) => {
@@ -100,16 +100,19 @@
 fn best(tables: &mut Tables, key: Key, ids: &[Name], cx: &mut Context<'_>) -> Option<Name> {
     let request = tables.requests.get(&key.call)?;
     let (route, goal) = (request.route.name.clone(), request.route.goal);
-    let mean = tables.pace(&route).latency.mean();
-    let pace = if mean.is_zero() { goal / 4 } else { mean };
+    let mean = tables.stats_of(&route).latency.mean();
+    let usual_latency = if mean.is_zero() { goal / 4 } else { mean };
     let mut best: Option<(f64, &Name)> = None;
     for id in ids {
         if !connect::can_take(tables, id, cx) {
             continue;
         }
         let Some(target) = tables.targets.get(id) else { continue };
-        let near = target.entry.domain == cx.limits.domain;
-        let cost = cx.policies.choice.cost(target, &Facts { now: cx.now, pace, near });
+        let is_same_domain = target.entry.domain == cx.limits.domain;
+        let cost = cx
+            .policies
+            .choice
+            .cost(target, &CostContext { now: cx.now, usual_latency, is_same_domain });
         let cost = cost * (1.0 + JITTER * cx.random.random::<f64>());
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, id));
@@ -121,10 +124,10 @@
 /// Sends a leg to a target.
 fn send(tables: &mut Tables, key: Key, id: &Name, cx: &mut Context<'_>) {
     let Some(connection) = connect::take(tables, id, cx) else { return };
-    let attempt = relay::Attempt(tables.number());
+    let attempt = relay::Attempt(tables.next_id());
     let Some(request) = tables.requests.get(&key.call) else { return };
-    let inquiry = Arc::clone(&request.inquiry);
-    let patience = request.deadline.remaining(cx.now);
+    let caller_request = Arc::clone(&request.caller_request);
+    let time_left = request.deadline.remaining(cx.now);
     let route = request.route.name.clone();
     let row = Attempt { leg: Some(key), route, target: id.clone(), connection, sent: cx.now };
     tables.attempts.insert(attempt, row);
@@ -144,8 +147,8 @@
         cx.out.counts.add(Count::FirstAttempts);
         arm(tables, key, cx);
     }
-    let order = Order { inquiry, target: id.clone(), patience };
-    cx.out.commands.push(Command::Send { connection, attempt, order });
+    let target_request = TargetRequest { caller_request, target: id.clone(), time_left };
+    cx.out.commands.push(Command::Send { connection, attempt, target_request });
 }
 
 /// Plans the attempt beside one that is slow.
@@ -155,7 +158,7 @@
         return;
     }
     let (route, goal) = (request.route.name.clone(), request.route.goal);
-    let delay = cx.policies.hedge.delay(&tables.pace(&route).latency, goal);
+    let delay = cx.policies.hedge.delay(&tables.stats_of(&route).latency, goal);
     if let Some(delay) = delay {
         set_hedge(tables, key, delay, cx);
     }
@@ -164,7 +167,7 @@
 fn set_hedge(tables: &mut Tables, key: Key, delay: Duration, cx: &mut Context<'_>) {
     let at = cx.now + delay;
     if let Some(leg) = tables.legs.get_mut(&key) {
-        leg.hedge = Some(at);
+        leg.hedge_at = Some(at);
         tables.timers.set(at, Timer::Hedge(key));
     }
 }
@@ -172,7 +175,7 @@
 /// Makes an attempt beside one that is slow, if a target can take it now.
 pub fn hedge(tables: &mut Tables, key: Key, cx: &mut Context<'_>) {
     let Some(leg) = tables.legs.get_mut(&key) else { return };
-    leg.hedge = None;
+    leg.hedge_at = None;
     if !leg::is_single(leg) || leg.queued {
         return;
     }
@@ -206,7 +209,7 @@
 fn log(tables: &Tables, key: Key, target: &Name, cx: &mut Context<'_>) {
     let Some(request) = tables.requests.get(&key.call) else { return };
     let fields = vec![
-        ("id", request.inquiry.id.to_string()),
+        ("id", request.caller_request.id.to_string()),
         ("target", target.to_string()),
         ("age_ms", leg::age(request.arrived, cx.now)),
     ];
--- a/crates/core/src/relay/system/expire.rs
+++ b/crates/core/src/relay/system/expire.rs
@@ -13,7 +13,7 @@
             Timer::Goal(call) | Timer::Deadline(call) => {
                 tables.changed.insert(call);
             }
-            Timer::Handed(call) => hop::expire(tables, call, cx),
+            Timer::HandedDeadline(call) => hop::expire(tables, call, cx),
             Timer::Hedge(key) => dispatch::hedge(tables, key, cx),
             Timer::Orphan(attempt) => drop_attempt(tables, attempt, cx),
             Timer::Pause(target) | Timer::Warm(target) => warm(tables, &target, cx),
@@ -29,11 +29,11 @@
     }
     let row = row.clone();
     tables.attempts.remove(&attempt);
-    let usual = tables.pace(&row.route).latency.mean().as_secs_f64();
+    let usual = tables.stats_of(&row.route).latency.mean().as_secs_f64();
     if let Some(target) = tables.targets.get_mut(&row.target) {
         target.running.remove(&(row.sent, attempt));
         if usual > 0.0 {
-            target.overdue(cx.now.since(row.sent).as_secs_f64() / usual, cx.now);
+            target.record_overdue(cx.now.since(row.sent).as_secs_f64() / usual, cx.now);
         }
     }
     connect::close(tables, row.connection, cx);
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -17,9 +17,9 @@
     rank,
     relay::{
         Command, Hop, Tables,
-        message::{Answer, Call, Inquiry, Refusal},
+        message::{Answer, Call, CallerRequest, Refusal},
         table::{
-            hop::{Asker, Handed, Taken},
+            hop::{AcceptedRequest, HandedRequest, Sender},
             timer::Timer,
         },
         view::Vm,
@@ -93,19 +93,24 @@
 pub fn hand(
     tables: &mut Tables,
     call: Call,
-    inquiry: Inquiry,
+    caller_request: CallerRequest,
     (to, address): (Name, SocketAddr),
     cx: &mut Context<'_>,
 ) {
-    let wait = inquiry.patience.unwrap_or(PATIENCE);
+    let wait = caller_request.caller_timeout.unwrap_or(PATIENCE);
     let deadline = cx.now + wait.saturating_sub(MARGIN);
-    let mut asked = inquiry.clone();
-    asked.detour = DETOUR;
+    let mut asked = caller_request.clone();
+    asked.peer_delay = DETOUR;
     let reply_to = cx.limits.address;
-    let hop = Hop::Ask { call, inquiry: Box::new(asked), reply_to };
-    let row = Handed { to: to.clone(), inquiry: Arc::new(inquiry), arrived: cx.now, deadline };
+    let hop = Hop::Request { call, caller_request: Box::new(asked), reply_to };
+    let row = HandedRequest {
+        to: to.clone(),
+        caller_request: Arc::new(caller_request),
+        arrived: cx.now,
+        deadline,
+    };
     tables.handed.insert(call, row);
-    tables.timers.set(deadline, Timer::Handed(call));
+    tables.timers.set(deadline, Timer::HandedDeadline(call));
     tables.links.entry(to.clone()).or_default().open.insert((cx.now, call));
     cx.out.counts.add(Count::Handed);
     cx.out.commands.push(Command::Hop { to, address, hop });
@@ -118,22 +123,23 @@
         link.pause_until = Instant::default();
     }
     match hop {
-        Hop::Ask { call, inquiry, reply_to } => {
-            let own = Call(TAKEN | tables.number());
-            tables.askers.insert(from.clone(), Asker { reply_to, asked: cx.now });
-            tables.taken.insert(own, Taken { from, reply_to, call });
-            intake::run(tables, vec![(own, *inquiry)], cx);
+        Hop::Request { call, caller_request, reply_to } => {
+            let own = Call(TAKEN | tables.next_id());
+            tables.senders.insert(from.clone(), Sender { reply_to, last_request: cx.now });
+            tables.accepted.insert(own, AcceptedRequest { from, reply_to, call });
+            intake::run(tables, vec![(own, *caller_request)], cx);
         }
         Hop::Answer { call, answer, is_current } => {
             set_stale(tables, &from, !is_current);
             answered(tables, call, answer, is_current, cx);
         }
         Hop::State { is_current } => set_stale(tables, &from, !is_current),
-        Hop::Withdraw { call } => {
-            let is_it = |(_, taken): &(&Call, &Taken)| taken.from == from && taken.call == call;
-            let own = tables.taken.iter().find(is_it).map(|(own, _)| *own);
+        Hop::Cancel { call } => {
+            let is_it =
+                |(_, taken): &(&Call, &AcceptedRequest)| taken.from == from && taken.call == call;
+            let own = tables.accepted.iter().find(is_it).map(|(own, _)| *own);
             if let Some(own) = own {
-                tables.taken.remove(&own);
+                tables.accepted.remove(&own);
                 intake::abandon(tables, own, cx);
             }
         }
@@ -160,7 +166,7 @@
     let is_refused = matches!(&answer, Answer::Refused(refusal) if refusal.fault.ran == Ran::No);
     let other = if is_refused && !is_current { best(tables, cx, true) } else { None };
     if let Some(other) = other {
-        hand(tables, call, Inquiry::clone(&row.inquiry), other, cx);
+        hand(tables, call, CallerRequest::clone(&row.caller_request), other, cx);
         return;
     }
     cx.out.answers.push((call, answer));
@@ -169,8 +175,8 @@
 /// Tells the VMs that hand requests to this one whether it hears from the store.
 pub fn tell(tables: &mut Tables, cx: &mut Context<'_>) {
     let now = cx.now;
-    tables.askers.retain(|_, asker| now.since(asker.asked) < REMEMBERED);
-    for (to, asker) in &tables.askers {
+    tables.senders.retain(|_, asker| now.since(asker.last_request) < REMEMBERED);
+    for (to, asker) in &tables.senders {
         let hop = Hop::State { is_current: tables.view.is_current };
         cx.out.commands.push(Command::Hop { to: to.clone(), address: asker.reply_to, hop });
     }
@@ -179,7 +185,7 @@
 /// Forgets a request that was handed to another VM.
 fn forget(tables: &mut Tables, call: Call) -> bool {
     let Some(row) = tables.handed.remove(&call) else { return false };
-    tables.timers.cancel(row.deadline, Timer::Handed(call));
+    tables.timers.cancel(row.deadline, Timer::HandedDeadline(call));
     if let Some(link) = tables.links.get_mut(&row.to) {
         link.open.remove(&(row.arrived, call));
     }
@@ -191,7 +197,7 @@
     let Some(to) = tables.handed.get(&call).map(|row| row.to.clone()) else { return };
     forget(tables, call);
     if let Some(address) = tables.view.larger.get(&to).map(|vm| vm.address) {
-        cx.out.commands.push(Command::Hop { to, address, hop: Hop::Withdraw { call } });
+        cx.out.commands.push(Command::Hop { to, address, hop: Hop::Cancel { call } });
     }
 }
 
@@ -222,10 +228,11 @@
 fn go_round(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
     let Some(row) = tables.handed.get(&call).cloned() else { return };
     forget(tables, call);
-    let mut inquiry = Inquiry::clone(&row.inquiry);
+    let mut caller_request = CallerRequest::clone(&row.caller_request);
     let age = cx.now.since(row.arrived);
-    inquiry.patience = inquiry.patience.map(|patience| patience.saturating_sub(age));
-    intake::route(tables, call, inquiry, cx);
+    caller_request.caller_timeout =
+        caller_request.caller_timeout.map(|patience| patience.saturating_sub(age));
+    intake::route(tables, call, caller_request, cx);
 }
 
 fn refuse(tables: &mut Tables, call: Call, kind: Kind, detail: &str, cx: &mut Context<'_>) {
@@ -233,7 +240,7 @@
     forget(tables, call);
     cx.out.counts.add(Count::Refused(kind));
     let fields = vec![
-        ("id", row.inquiry.id.to_string()),
+        ("id", row.caller_request.id.to_string()),
         ("kind", kind.to_string()),
         ("peer", row.to.to_string()),
         ("age_ms", leg::age(row.arrived, cx.now)),
@@ -246,13 +253,13 @@
 
 /// Sends the answers for other VMs on their way.
 pub fn deliver(tables: &mut Tables, cx: &mut Context<'_>) {
-    if tables.taken.is_empty() {
+    if tables.accepted.is_empty() {
         return;
     }
     let answers = std::mem::take(&mut cx.out.answers);
     for (call, answer) in answers {
-        match tables.taken.remove(&call) {
-            Some(Taken { from, reply_to, call }) => {
+        match tables.accepted.remove(&call) {
+            Some(AcceptedRequest { from, reply_to, call }) => {
                 let is_current = tables.view.is_current;
                 let hop = Hop::Answer { call, answer, is_current };
                 cx.out.commands.push(Command::Hop { to: from, address: reply_to, hop });
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -12,7 +12,7 @@
     name::Name,
     relay::{
         Tables,
-        message::{Answer, Call, Inquiry, Refusal},
+        message::{Answer, Call, CallerRequest, Refusal},
         route::{Config, Plan, Route},
         table::{
             leg::{Key, Leg},
@@ -33,31 +33,31 @@
 const NOT_READY: Duration = Duration::from_millis(200);
 
 /// Takes the requests that came.
-pub fn run(tables: &mut Tables, arrivals: Vec<(Call, Inquiry)>, cx: &mut Context<'_>) {
-    for (call, inquiry) in arrivals {
+pub fn run(tables: &mut Tables, arrivals: Vec<(Call, CallerRequest)>, cx: &mut Context<'_>) {
+    for (call, caller_request) in arrivals {
         cx.out.counts.add(Count::Requests);
-        route(tables, call, inquiry, cx);
+        route(tables, call, caller_request, cx);
     }
 }
 
 /// Hands a request to a larger VM, admits or refuses it.
-pub fn route(tables: &mut Tables, call: Call, inquiry: Inquiry, cx: &mut Context<'_>) {
+pub fn route(tables: &mut Tables, call: Call, caller_request: CallerRequest, cx: &mut Context<'_>) {
     if let Some(larger) = hop::pick(tables, cx) {
-        return hop::hand(tables, call, inquiry, larger, cx);
+        return hop::hand(tables, call, caller_request, larger, cx);
     }
     let Some(config) = tables.view.config.clone() else {
         let fault = Fault::not_run(Kind::NotReady, "this VM knows no configuration yet");
-        return refuse(call, &inquiry, fault, Some(NOT_READY), cx);
+        return refuse(call, &caller_request, fault, Some(NOT_READY), cx);
     };
-    match config.find(&inquiry.host, &inquiry.path) {
-        Some(_) if suspect::is_held(tables, &inquiry, cx) => {
+    match config.find(&caller_request.host, &caller_request.path) {
+        Some(_) if suspect::is_held(tables, &caller_request, cx) => {
             let fault = Fault::not_run(Kind::Quarantined, "it crashed targets");
-            refuse(call, &inquiry, fault, Some(suspect::HOLD), cx);
+            refuse(call, &caller_request, fault, Some(suspect::HOLD), cx);
         }
-        Some(route) => admit(tables, call, inquiry, &config, route, cx),
+        Some(route) => admit(tables, call, caller_request, &config, route, cx),
         None => {
             let detail = format!("no route at version {}", config.version);
-            refuse(call, &inquiry, Fault::not_run(Kind::NotFound, detail), None, cx);
+            refuse(call, &caller_request, Fault::not_run(Kind::NotFound, detail), None, cx);
         }
     }
 }
@@ -66,7 +66,7 @@
 pub fn abandon(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
     if let Some(request) = tables.requests.get(&call) {
         let fields = vec![
-            ("id", request.inquiry.id.to_string()),
+            ("id", request.caller_request.id.to_string()),
             ("age_ms", leg::age(request.arrived, cx.now)),
         ];
         cx.out.lines.push(Line::new(Event::CallerLeft, fields));
@@ -76,14 +76,14 @@
 
 fn refuse(
     call: Call,
-    inquiry: &Inquiry,
+    caller_request: &CallerRequest,
     fault: Fault,
     retry: Option<Duration>,
     cx: &mut Context<'_>,
 ) {
     cx.out.counts.add(Count::Refused(fault.kind));
     let fields = vec![
-        ("id", inquiry.id.to_string()),
+        ("id", caller_request.id.to_string()),
         ("kind", fault.kind.to_string()),
         ("ran", fault.ran.as_str().to_owned()),
         ("detail", fault.detail.clone()),
@@ -95,19 +95,20 @@
 fn admit(
     tables: &mut Tables,
     call: Call,
-    inquiry: Inquiry,
+    caller_request: CallerRequest,
     config: &Config,
     route: &Arc<Route>,
     cx: &mut Context<'_>,
 ) {
-    let spent = spent(tables, route, inquiry.patience) + inquiry.detour;
-    let wait = inquiry.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    let spent = spent(tables, route, caller_request.caller_timeout) + caller_request.peer_delay;
+    let wait =
+        caller_request.caller_timeout.map_or(route.timeout, |patience| patience.min(route.timeout));
     let goal = cx.now + route.goal.saturating_sub(spent + GOAL_MARGIN);
     let deadline = cx.now + wait.saturating_sub(DEADLINE_MARGIN);
     let services = plan(tables, route, cx);
     let legs = u32::try_from(services.len()).unwrap_or(u32::MAX);
     let request = Request {
-        inquiry: Arc::new(inquiry),
+        caller_request: Arc::new(caller_request),
         route: Arc::clone(route),
         version: config.version,
         arrived: cx.now,
@@ -117,9 +118,9 @@
     };
     arm(tables, call, &request);
     tables.requests.insert(call, request);
-    for (place, service) in (0..legs).zip(services) {
-        let key = Key { call, place };
-        tables.budget(&service).first(cx.now, cx.limits.retry_window);
+    for (index, service) in (0..legs).zip(services) {
+        let key = Key { call, index };
+        tables.budget(&service).record_first(cx.now, cx.limits.retry_window);
         tables.legs.insert(key, Leg::new(service));
         leg::enqueue(tables, key);
     }
@@ -134,18 +135,18 @@
 /// than others of the route do.
 fn spent(tables: &mut Tables, route: &Route, patience: Option<Duration>) -> Duration {
     let Some(patience) = patience else { return Duration::ZERO };
-    let pace = tables.pace(&route.name);
-    pace.patience = pace.patience.max(patience);
-    pace.patience - patience
+    let pace = tables.stats_of(&route.name);
+    pace.longest_timeout = pace.longest_timeout.max(patience);
+    pace.longest_timeout - patience
 }
 
 /// The services that get a leg of a request.
 fn plan(tables: &mut Tables, route: &Route, cx: &mut Context<'_>) -> Vec<Name> {
     match &route.plan {
-        Plan::One(service) => vec![service.clone()],
+        Plan::Single(service) => vec![service.clone()],
         Plan::Gather(gather) => gather.shards.clone(),
         Plan::Split(parts) => {
-            let turn = tables.turns.entry(route.name.clone()).or_default();
+            let turn = tables.round_robins.entry(route.name.clone()).or_default();
             turn.pick(parts, cx.random.random::<f64>()).into_iter().collect()
         }
     }
--- a/crates/core/src/relay/system/leg.rs
+++ b/crates/core/src/relay/system/leg.rs
@@ -12,7 +12,7 @@
         message::{Call, Reply},
         table::{
             budget::Bound,
-            leg::{Key, Leg, Place, State},
+            leg::{Key, Leg, QueuePosition, State},
             timer::Timer,
         },
     },
@@ -41,14 +41,14 @@
     // A VM that just started does not know what it spent before: its share comes
     // back as the window fills.
     let up = cx.now.since(tables.started).as_secs_f64() / limits.retry_window.as_secs_f64();
-    let slack = limits.retry_slack / f64::from(tables.view.sharers()) * up.min(1.0);
+    let slack = limits.retry_slack / f64::from(tables.view.sharing_vms()) * up.min(1.0);
     Bound { window: limits.retry_window, ratio: limits.retry_ratio, slack }
 }
 
 /// Puts a leg into the queue of its service.
 pub fn enqueue(tables: &mut Tables, key: Key) {
     let Some(request) = tables.requests.get(&key.call) else { return };
-    let place = Place { priority: request.route.priority, arrived: request.arrived, key };
+    let place = QueuePosition { priority: request.route.priority, arrived: request.arrived, key };
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     leg.queued = true;
     tables.waiting.entry(leg.service.clone()).or_default().insert(place);
@@ -81,7 +81,7 @@
         return;
     }
     let Some(request) = tables.requests.get(&key.call) else { return };
-    let place = Place { priority: request.route.priority, arrived: request.arrived, key };
+    let place = QueuePosition { priority: request.route.priority, arrived: request.arrived, key };
     if let Some(queue) = tables.waiting.get_mut(&leg.service) {
         queue.remove(&place);
     }
@@ -89,7 +89,7 @@
 
 /// Takes the plan for a second attempt back.
 fn disarm(tables: &mut Tables, key: Key) {
-    let hedge = tables.legs.get_mut(&key).and_then(|leg| leg.hedge.take());
+    let hedge = tables.legs.get_mut(&key).and_then(|leg| leg.hedge_at.take());
     if let Some(at) = hedge {
         tables.timers.cancel(at, Timer::Hedge(key));
     }
@@ -114,8 +114,8 @@
 /// Forgets a request with its legs.
 pub fn drop_request(tables: &mut Tables, call: Call, end: End, cx: &mut Context<'_>) {
     let Some(legs) = tables.requests.get(&call).map(|request| request.legs) else { return };
-    for place in 0..legs {
-        let key = Key { call, place };
+    for index in 0..legs {
+        let key = Key { call, index };
         disarm(tables, key);
         dequeue(tables, key);
         if let Some(leg) = tables.legs.remove(&key) {
@@ -156,7 +156,7 @@
 fn may_retry(tables: &mut Tables, key: Key, cx: &mut Context<'_>) -> bool {
     let Some(request) = tables.requests.get(&key.call) else { return false };
     let Some(leg) = tables.legs.get(&key) else { return false };
-    let may_run_twice = request.route.idempotent || !leg.runs.maybe;
+    let may_run_twice = request.route.idempotent || !leg.runs.may_have_run;
     let has_time = request.deadline > cx.now;
     if suspect::holds(tables, &key, cx) {
         return false;
@@ -186,7 +186,7 @@
     let Some(request) = tables.requests.get(&key.call) else { return };
     let Some(leg) = tables.legs.get(&key) else { return };
     let fields = vec![
-        ("id", request.inquiry.id.to_string()),
+        ("id", request.caller_request.id.to_string()),
         ("service", leg.service.to_string()),
         ("reason", reason.as_str().to_owned()),
         ("arrived", leg.runs.arrived.to_string()),
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -40,13 +40,15 @@
     for event in events {
         match event {
             Event::View(view) => refresh::run(tables, view, cx),
-            Event::Arrived { call, inquiry } => arrivals.push((call, inquiry)),
+            Event::Arrived { call, caller_request } => arrivals.push((call, caller_request)),
             Event::Abandoned { call } => {
                 hop::withdraw(tables, call, cx);
                 intake::abandon(tables, call, cx);
             }
             Event::Hop { from, hop } => hop::take(tables, from, hop, cx),
-            Event::HopLost { to, detail, taken } => hop::lost(tables, &to, &detail, taken, cx),
+            Event::HopLost { to, detail, maybe_received } => {
+                hop::lost(tables, &to, &detail, maybe_received, cx)
+            }
             Event::Opened { connection } => collect::opened(tables, connection, cx),
             Event::Replied { connection, attempt, reply } => {
                 collect::replied(tables, connection, attempt, *reply, cx);
--- a/crates/core/src/relay/system/refresh.rs
+++ b/crates/core/src/relay/system/refresh.rs
@@ -98,8 +98,8 @@
     let config = tables.view.config.clone();
     let routes = config.iter().flat_map(|config| config.hosts.values()).flatten();
     let routes: BTreeSet<&Name> = routes.map(|route| &route.name).collect();
-    tables.paces.retain(|route, _| routes.contains(route));
-    tables.turns.retain(|route, _| routes.contains(route));
+    tables.route_stats.retain(|route, _| routes.contains(route));
+    tables.round_robins.retain(|route, _| routes.contains(route));
     let (now, window) = (cx.now, cx.limits.retry_window);
     tables.budgets.retain(|service, row| named.contains(service) || row.is_used(now, window));
     tables.waiting.retain(|_, queue| !queue.is_empty());
--- a/crates/core/src/relay/system/suspect.rs
+++ b/crates/core/src/relay/system/suspect.rs
@@ -12,7 +12,7 @@
     name::Name,
     relay::{
         Loss, Tables,
-        message::{Call, Inquiry},
+        message::{Call, CallerRequest},
         table::{attempt::Attempt, suspect},
     },
 };
@@ -27,15 +27,15 @@
         return;
     }
     let Some(request) = tables.requests.get(&call) else { return };
-    let fingerprint = request.inquiry.fingerprint();
+    let fingerprint = request.caller_request.fingerprint();
     let row = suspect::Loss { sent: attempt.sent, lost: cx.now };
-    tables.suspects.note(fingerprint, &attempt.target, row);
+    tables.suspects.record_loss(fingerprint, &attempt.target, row);
 }
 
 /// Notes that a target refuses connections, and holds back the requests that
 /// are proven by it to crash targets.
 pub fn confirm(tables: &mut Tables, target: &Name, cx: &mut Context<'_>) {
-    for fingerprint in tables.suspects.confirm(target) {
+    for fingerprint in tables.suspects.confirm_down(target) {
         if tables.suspects.is_held(fingerprint, cx.now) {
             continue;
         }
@@ -49,10 +49,10 @@
 fn log(tables: &Tables, fingerprint: Fingerprint, cx: &mut Context<'_>) {
     let row = tables.suspects.rows.get(&fingerprint);
     let targets = row.map(|row| row.down.keys().map(Name::as_str).collect::<Vec<_>>().join(" "));
-    let same = |inquiry: &Inquiry| inquiry.fingerprint() == fingerprint;
-    let request = tables.requests.values().find(|request| same(&request.inquiry));
+    let same = |caller_request: &CallerRequest| caller_request.fingerprint() == fingerprint;
+    let request = tables.requests.values().find(|request| same(&request.caller_request));
     let fields = vec![
-        ("id", request.map(|request| request.inquiry.id.to_string()).unwrap_or_default()),
+        ("id", request.map(|request| request.caller_request.id.to_string()).unwrap_or_default()),
         ("fingerprint", fingerprint.to_string()),
         ("targets", targets.unwrap_or_default()),
         ("hold_ms", HOLD.as_millis().to_string()),
@@ -61,19 +61,19 @@
 }
 
 /// Whether a request is held back, by this VM or by another one.
-pub fn is_held(tables: &Tables, inquiry: &Inquiry, cx: &Context<'_>) -> bool {
+pub fn is_held(tables: &Tables, caller_request: &CallerRequest, cx: &Context<'_>) -> bool {
     let (own, others) = (&tables.suspects, &tables.view.held);
     if own.held.is_empty() && others.is_empty() {
         return false;
     }
-    let fingerprint = inquiry.fingerprint();
+    let fingerprint = caller_request.fingerprint();
     own.is_held(fingerprint, cx.now) || others.contains(&fingerprint)
 }
 
 /// Whether a leg belongs to a request that is held back.
 pub fn holds(tables: &Tables, key: &crate::relay::table::leg::Key, cx: &Context<'_>) -> bool {
     let request = tables.requests.get(&key.call);
-    request.is_some_and(|request| is_held(tables, &request.inquiry, cx))
+    request.is_some_and(|request| is_held(tables, &request.caller_request, cx))
 }
 
 /// Ends the legs that wait although their request is held back by now.
--- a/crates/core/src/relay/table/budget.rs
+++ b/crates/core/src/relay/table/budget.rs
@@ -38,7 +38,7 @@
 
 impl Budget {
     /// Notes a first attempt.
-    pub fn first(&mut self, now: Instant, window: Duration) {
+    pub fn record_first(&mut self, now: Instant, window: Duration) {
         self.step(now, window).first += 1;
     }
 
@@ -54,7 +54,7 @@
     }
 
     /// The attempts that are left.
-    pub fn left(&mut self, now: Instant, bound: Bound) -> f64 {
+    pub fn remaining(&mut self, now: Instant, bound: Bound) -> f64 {
         self.step(now, bound.window);
         let (first, extra) = self.sums();
         bound.ratio * f64::from(first) + bound.slack - f64::from(extra)
--- a/crates/core/src/relay/table/hop.rs
+++ b/crates/core/src/relay/table/hop.rs
@@ -4,17 +4,17 @@
 
 use crate::{
     name::Name,
-    relay::message::{Call, Inquiry},
+    relay::message::{Call, CallerRequest},
     time::Instant,
 };
 
 /// A request that was handed to another VM.
 #[derive(Clone, Debug)]
-pub struct Handed {
+pub struct HandedRequest {
     /// The VM.
     pub to: Name,
     /// The request.
-    pub inquiry: Arc<Inquiry>,
+    pub caller_request: Arc<CallerRequest>,
     /// When it came.
     pub arrived: Instant,
     /// When it ends.
@@ -23,7 +23,7 @@
 
 /// A request that another VM handed to this one.
 #[derive(Clone, Debug)]
-pub struct Taken {
+pub struct AcceptedRequest {
     /// The VM.
     pub from: Name,
     /// Where that VM takes the answer.
@@ -47,9 +47,9 @@
 
 /// A VM that handed requests to this one.
 #[derive(Clone, Copy, Debug)]
-pub struct Asker {
+pub struct Sender {
     /// Where it takes answers.
     pub reply_to: SocketAddr,
     /// When it last asked.
-    pub asked: Instant,
+    pub last_request: Instant,
 }
--- a/crates/core/src/relay/table/leg.rs
+++ b/crates/core/src/relay/table/leg.rs
@@ -17,12 +17,12 @@
     /// The request.
     pub call: Call,
     /// The place of the service in the plan.
-    pub place: u32,
+    pub index: u32,
 }
 
 /// The place of a leg in the queue of its service: by priority, then by age.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Place {
+pub struct QueuePosition {
     /// The rank of its route, where zero comes first.
     pub priority: u32,
     /// When its request came.
@@ -48,7 +48,7 @@
     /// The attempts that reached a target, those that it refused among them.
     pub arrived: u32,
     /// Whether a target may have run it.
-    pub maybe: bool,
+    pub may_have_run: bool,
 }
 
 /// The part of a request that goes to one service.
@@ -67,7 +67,7 @@
     /// Whether it waits for a connection.
     pub queued: bool,
     /// When the next attempt beside a slow one is due.
-    pub hedge: Option<Instant>,
+    pub hedge_at: Option<Instant>,
     /// The last failure of a target, which is passed on if no success comes.
     pub failure: Option<Arc<Reply>>,
 }
@@ -82,7 +82,7 @@
             tried: BTreeSet::new(),
             runs: Runs::default(),
             queued: false,
-            hedge: None,
+            hedge_at: None,
             failure: None,
         }
     }
--- a/crates/core/src/relay/table/mod.rs
+++ b/crates/core/src/relay/table/mod.rs
@@ -5,12 +5,12 @@
 pub mod connection;
 pub mod hop;
 pub mod leg;
-pub mod pace;
+pub mod route_stats;
 pub mod request;
 pub mod suspect;
 pub mod target;
 pub mod timer;
-pub mod turn;
+pub mod round_robin;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -18,8 +18,9 @@
 };
 
 use self::{
-    attempt::Attempt, budget::Budget, connection::Connection, leg::Leg, pace::Pace,
-    request::Request, suspect::Suspects, target::Target, timer::Timer, turn::Turn,
+    attempt::Attempt, budget::Budget, connection::Connection, leg::Leg, request::Request,
+    round_robin::RoundRobin, route_stats::RouteStats, suspect::Suspects, target::Target,
+    timer::Timer,
 };
 use super::{message::Call, view::View};
 use crate::{name::Name, time::Instant, timer::Timers};
@@ -42,19 +43,19 @@
     /// The connections to targets.
     pub connections: BTreeMap<super::Connection, Connection>,
     /// The legs of each service that wait for a connection, in their order.
-    pub waiting: BTreeMap<Name, BTreeSet<leg::Place>>,
+    pub waiting: BTreeMap<Name, BTreeSet<leg::QueuePosition>>,
     /// What each service was sent lately.
     pub budgets: BTreeMap<Name, Budget>,
     /// How long the legs of each route take.
-    pub paces: BTreeMap<Name, Pace>,
+    pub route_stats: BTreeMap<Name, RouteStats>,
     /// Whose turn it is in each route with several services.
-    pub turns: BTreeMap<Name, Turn>,
+    pub round_robins: BTreeMap<Name, RoundRobin>,
     /// The requests that were handed to another VM.
-    pub handed: BTreeMap<Call, hop::Handed>,
+    pub handed: BTreeMap<Call, hop::HandedRequest>,
     /// The requests that other VMs handed to this one.
-    pub taken: BTreeMap<Call, hop::Taken>,
+    pub accepted: BTreeMap<Call, hop::AcceptedRequest>,
     /// The VMs that handed requests to this one lately.
-    pub askers: BTreeMap<Name, hop::Asker>,
+    pub senders: BTreeMap<Name, hop::Sender>,
     /// The VMs that requests are handed to.
     pub links: BTreeMap<Name, hop::Link>,
     /// The requests with which targets were lost.
@@ -70,7 +71,7 @@
 
 impl Tables {
     /// A number that was not used before in this thread.
-    pub fn number(&mut self) -> u64 {
+    pub fn next_id(&mut self) -> u64 {
         self.last += 1;
         self.last
     }
@@ -81,7 +82,7 @@
     }
 
     /// The pace of a route.
-    pub fn pace(&mut self, route: &Name) -> &mut Pace {
-        self.paces.entry(route.clone()).or_default()
+    pub fn stats_of(&mut self, route: &Name) -> &mut RouteStats {
+        self.route_stats.entry(route.clone()).or_default()
     }
 }
--- a/crates/core/src/relay/table/request.rs
+++ b/crates/core/src/relay/table/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    relay::{Inquiry, Route},
+    relay::{CallerRequest, Route},
     time::Instant,
 };
 
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug)]
 pub struct Request {
     /// What the caller sent.
-    pub inquiry: Arc<Inquiry>,
+    pub caller_request: Arc<CallerRequest>,
     /// The route of the version that was in force when the request came.
     pub route: Arc<Route>,
     /// That version.
--- a/crates/core/src/relay/table/turn.rs
+++ b/crates/core/src/relay/table/round_robin.rs
@@ -2,23 +2,23 @@
 
 use std::collections::BTreeMap;
 
-use crate::{name::Name, relay::route::Part};
+use crate::{name::Name, relay::route::WeightedService};
 
 /// The credit of each service of a route. The service with the most credit is
 /// next, which keeps the shares exact over any run of requests.
 #[derive(Clone, Debug, Default)]
-pub struct Turn {
+pub struct RoundRobin {
     credits: BTreeMap<Name, f64>,
 }
 
-impl Turn {
+impl RoundRobin {
     /// Picks the next of `parts`. `draw`, from 0 to 1, sets the phase of the
     /// first pick, so that VMs which start together do not pick alike.
-    pub fn pick(&mut self, parts: &[Part], draw: f64) -> Option<Name> {
+    pub fn pick(&mut self, parts: &[WeightedService], draw: f64) -> Option<Name> {
         let total: f64 = parts.iter().map(|part| part.weight).sum();
         let is_known = parts.iter().all(|part| self.credits.contains_key(&part.service));
         if !is_known || self.credits.len() != parts.len() {
-            let start = |part: &Part| (part.service.clone(), part.weight * draw);
+            let start = |part: &WeightedService| (part.service.clone(), part.weight * draw);
             self.credits = parts.iter().map(start).collect();
         }
         for part in parts {
--- a/crates/core/src/relay/table/pace.rs
+++ b/crates/core/src/relay/table/route_stats.rs
@@ -6,9 +6,9 @@
 
 /// What is known of the requests of a route.
 #[derive(Clone, Debug, Default)]
-pub struct Pace {
+pub struct RouteStats {
     /// The time of an attempt.
     pub latency: Latency,
     /// The longest time that a caller said it waits.
-    pub patience: Duration,
+    pub longest_timeout: Duration,
 }
--- a/crates/core/src/relay/table/suspect.rs
+++ b/crates/core/src/relay/table/suspect.rs
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Suspect {
     /// Those that ended the connection, before it is known whether they run.
-    pub open: BTreeMap<Name, Loss>,
+    pub unconfirmed: BTreeMap<Name, Loss>,
     /// Those that took no connection after it.
     pub down: BTreeMap<Name, Loss>,
 }
@@ -41,7 +41,7 @@
     }
 
     fn is_over(&self, now: Instant) -> bool {
-        let losses = self.open.values().chain(self.down.values());
+        let losses = self.unconfirmed.values().chain(self.down.values());
         losses.map(|loss| loss.lost).max().is_none_or(|last| now.since(last) > MEMORY)
     }
 }
@@ -57,26 +57,26 @@
 
 impl Suspects {
     /// Notes that an attempt was lost in a way in which targets end that crash.
-    pub fn note(&mut self, request: Fingerprint, target: &Name, loss: Loss) {
+    pub fn record_loss(&mut self, request: Fingerprint, target: &Name, loss: Loss) {
         self.rows.retain(|_, row| !row.is_over(loss.lost));
         if self.rows.len() < MAX_ROWS {
-            self.rows.entry(request).or_default().open.insert(target.clone(), loss);
+            self.rows.entry(request).or_default().unconfirmed.insert(target.clone(), loss);
         }
     }
 
     /// Notes that a target takes connections: it did not crash.
     pub fn clear_target(&mut self, target: &Name) {
         for row in self.rows.values_mut() {
-            row.open.remove(target);
+            row.unconfirmed.remove(target);
         }
     }
 
     /// Notes that a target takes no connections, and returns the requests that
     /// are proven by it.
-    pub fn confirm(&mut self, target: &Name) -> Vec<Fingerprint> {
+    pub fn confirm_down(&mut self, target: &Name) -> Vec<Fingerprint> {
         let mut proven = Vec::new();
         for (request, row) in &mut self.rows {
-            let Some(loss) = row.open.remove(target) else { continue };
+            let Some(loss) = row.unconfirmed.remove(target) else { continue };
             row.down.insert(target.clone(), loss);
             if row.is_proven() {
                 proven.push(*request);
--- a/crates/core/src/relay/table/target.rs
+++ b/crates/core/src/relay/table/target.rs
@@ -77,7 +77,7 @@
     }
 
     /// Notes a reply that took `ratio` times as long as usual.
-    pub fn replied(&mut self, ratio: f64, is_success: bool, now: Instant) {
+    pub fn record_reply(&mut self, ratio: f64, is_success: bool, now: Instant) {
         let (slowness, errors) = (self.slowness(now), self.errors(now));
         self.slowness = slowness + (ratio.clamp(0.2, 20.0) - slowness) * WEIGHT;
         let error = if is_success { 0.0 } else { 1.0 };
@@ -91,7 +91,7 @@
 
     /// Notes that a reply would have taken longer than `ratio` times as long as
     /// usual.
-    pub fn overdue(&mut self, ratio: f64, now: Instant) {
+    pub fn record_overdue(&mut self, ratio: f64, now: Instant) {
         if ratio > self.slowness(now) {
             self.replied_slowly(ratio, now);
         }
@@ -104,7 +104,7 @@
     }
 
     /// Notes a lost connection and pauses before the next one.
-    pub fn lost(&mut self, now: Instant) {
+    pub fn record_loss(&mut self, now: Instant) {
         let errors = self.errors(now);
         self.errors = errors + (1.0 - errors) * WEIGHT;
         self.learnt = now;
@@ -119,7 +119,7 @@
     }
 
     /// Notes the load that it reported.
-    pub fn reported(&mut self, load: Load, now: Instant) {
+    pub fn record_load(&mut self, load: Load, now: Instant) {
         self.report = Some(Report { load, at: now });
     }
 
--- a/crates/core/src/relay/table/timer.rs
+++ b/crates/core/src/relay/table/timer.rs
@@ -11,7 +11,7 @@
     /// The end of a request.
     Deadline(Call),
     /// The end of a request that was handed to another VM.
-    Handed(Call),
+    HandedDeadline(Call),
     /// An attempt beside a slow one.
     Hedge(leg::Key),
     /// The end of an attempt that nobody waits for.
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -24,7 +24,7 @@
     /// The VMs that share the connections of targets and the retry budgets.
     pub vms: BTreeMap<Name, Vm>,
     /// The VMs to count on while none is known.
-    pub least_vms: u32,
+    pub assumed_vms: u32,
     /// The requests that are held back since they crashed targets.
     pub held: BTreeSet<Fingerprint>,
     /// The VMs with so much more processor time that requests are handed to them.
@@ -33,9 +33,9 @@
 
 impl View {
     /// The number of VMs that share connections and retry budgets.
-    pub fn sharers(&self) -> u32 {
+    pub fn sharing_vms(&self) -> u32 {
         match u32::try_from(self.vms.len()) {
-            Ok(0) => self.least_vms.max(1),
+            Ok(0) => self.assumed_vms.max(1),
             Ok(count) => count,
             Err(_) => u32::MAX,
         }
--- a/crates/core/tests/relay/bed.rs
+++ b/crates/core/tests/relay/bed.rs
@@ -11,11 +11,11 @@
     log::Line,
     name::Name,
     relay::{
-        Answer, Attempt, Call, Command, Connection, Engine, Event, Hop, Inquiry, Limits, Loss,
-        Message, Order, Outbox, Reply, View,
+        Answer, Attempt, Call, CallerRequest, Command, Connection, Engine, Event, Hop, Limits,
+        Loss, Message, Outbox, Reply, TargetRequest, View,
         message::Header,
         policy::Policies,
-        route::{Bounds, Config, Gather, Part, Plan, Route, Service},
+        route::{Bounds, Config, Gather, Plan, Route, Service, WeightedService},
         view::Target,
     },
     time::Instant,
@@ -48,20 +48,23 @@
     }
 }
 
-/// A search over shards that takes `least` of them.
-pub fn search(shards: &[&str], least: f64) -> Route {
+/// A search over shards that takes `min_coverage` of them.
+pub fn search(shards: &[&str], min_coverage: f64) -> Route {
     let shards = shards.iter().map(|shard| name(shard)).collect();
-    route("search", Plan::Gather(Gather { shards, top: 3, least }))
+    route("search", Plan::Gather(Gather { shards, top_k: 3, min_coverage }))
 }
 
 /// A route to one service.
 pub fn single(service: &str) -> Route {
-    route("fetch", Plan::One(name(service)))
+    route("fetch", Plan::Single(name(service)))
 }
 
 /// A route to several services.
 pub fn split(parts: &[(&str, f64)]) -> Route {
-    let part = |(service, weight): &(&str, f64)| Part { service: name(service), weight: *weight };
+    let part = |(service, weight): &(&str, f64)| WeightedService {
+        service: name(service),
+        weight: *weight,
+    };
     route("split", Plan::Split(parts.iter().map(part).collect()))
 }
 
@@ -72,7 +75,7 @@
     let row = Service { connections };
     Config {
         version,
-        hosts: Config::file(routes.into_iter().map(|route| (HOST.into(), route))),
+        hosts: Config::group_by_host(routes.into_iter().map(|route| (HOST.into(), route))),
         services: services.into_iter().map(|service| (service, row)).collect(),
         bounds: Bounds::default(),
     }
@@ -102,23 +105,23 @@
             target(&format!("{service}-2"), service.as_str()),
         ]);
     }
-    View { config: Some(Arc::new(config)), targets, least_vms: 1, ..View::default() }
+    View { config: Some(Arc::new(config)), targets, assumed_vms: 1, ..View::default() }
 }
 
 /// A request of a caller that waits 600 ms.
-pub fn inquiry(path: &str) -> Inquiry {
+pub fn inquiry(path: &str) -> CallerRequest {
     let message = Message {
         method: "GET".into(),
         path: path.into(),
         headers: Vec::new(),
         body: Arc::from(&b""[..]),
     };
-    Inquiry {
+    CallerRequest {
         id: "c1".into(),
         host: HOST.into(),
         path: path.into(),
-        patience: Some(ms(600)),
-        detour: Duration::ZERO,
+        caller_timeout: Some(ms(600)),
+        peer_delay: Duration::ZERO,
         message,
     }
 }
@@ -155,7 +158,7 @@
     /// The attempt.
     pub attempt: Attempt,
     /// The request.
-    pub order: Order,
+    pub target_request: TargetRequest,
     /// When it was handed over.
     pub at: Instant,
 }
@@ -163,7 +166,7 @@
 impl Sent {
     /// The id of the target.
     pub fn target(&self) -> &str {
-        self.order.target.as_str()
+        self.target_request.target.as_str()
     }
 }
 
@@ -237,8 +240,8 @@
         for command in out.commands {
             match command {
                 Command::Open { connection, .. } => self.opened.push(connection),
-                Command::Send { connection, attempt, order } => {
-                    self.sent.push(Sent { connection, attempt, order, at: self.now });
+                Command::Send { connection, attempt, target_request } => {
+                    self.sent.push(Sent { connection, attempt, target_request, at: self.now });
                 }
                 Command::Close { connection } => self.closed.push(connection),
                 Command::Hop { to, hop, .. } => self.hops.push((to, hop)),
@@ -277,10 +280,10 @@
     }
 
     /// A caller sends a request.
-    pub fn ask(&mut self, inquiry: Inquiry) -> Call {
+    pub fn ask(&mut self, caller_request: CallerRequest) -> Call {
         self.last += 1;
         let call = Call(self.last);
-        self.step(vec![Event::Arrived { call, inquiry }]);
+        self.step(vec![Event::Arrived { call, caller_request }]);
         call
     }
 
--- a/crates/core/tests/relay/budget.rs
+++ b/crates/core/tests/relay/budget.rs
@@ -20,7 +20,7 @@
     };
     first_attempts_earn_their_part => {
         let mut budget = Budget::default();
-        (0..50).for_each(|_| budget.first(Instant(0), WINDOW));
+        (0..50).for_each(|_| budget.record_first(Instant(0), WINDOW));
         let taken = (0..30).filter(|_| budget.take(Instant(0), BOUND)).count();
         assert_eq!(taken, 13);
     };
@@ -32,8 +32,8 @@
     };
     what_is_left_is_told => {
         let mut budget = Budget::default();
-        budget.first(Instant(0), WINDOW);
-        assert!((budget.left(Instant(0), BOUND) - 3.2).abs() < 1e-9);
+        budget.record_first(Instant(0), WINDOW);
+        assert!((budget.remaining(Instant(0), BOUND) - 3.2).abs() < 1e-9);
     };
 }
 
@@ -48,7 +48,7 @@
         for (pause, is_first) in steps {
             now = now + Duration::from_millis(pause);
             if is_first {
-                budget.first(now, WINDOW);
+                budget.record_first(now, WINDOW);
                 first.push(now);
             } else if budget.take(now, BOUND) {
                 extra.push(now);
--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -37,12 +37,12 @@
         let mut world = listed(170, &[("own", 170), ("other", 170)]);
         world.pass(ms(100));
         assert!(world.feed.is_ready());
-        assert_eq!(world.view.sharers(), 2);
+        assert_eq!(world.view.sharing_vms(), 2);
     };
     a_vm_enters_itself_once => {
         let mut world = listed(170, &[("other", 170)]);
         world.pass(ms(4000));
-        assert_eq!(world.view.sharers(), 2);
+        assert_eq!(world.view.sharing_vms(), 2);
         let writes = world.calls.iter().filter(|(_, call)| matches!(call, Call::Swap { .. }));
         assert_eq!(writes.count(), 1);
     };
@@ -51,10 +51,10 @@
         world.pass(ms(1000));
         world.put("vm/new", "170");
         world.pass(ms(1000));
-        assert_eq!(world.view.sharers(), 2);
+        assert_eq!(world.view.sharing_vms(), 2);
         world.remove("vm/new");
         world.pass(ms(1000));
-        assert_eq!(world.view.sharers(), 1);
+        assert_eq!(world.view.sharing_vms(), 1);
     };
     a_small_vm_asks_for_the_list_of_vms_only => {
         let mut world = listed(84, &[("large", 500)]);
@@ -194,7 +194,7 @@
         world.is_down = false;
         world.pass(ms(1500));
         assert!(world.has("desk-1"));
-        world.pass(ms(LIMITS.lapse.as_millis() as u64 + 1200));
+        world.pass(ms(LIMITS.lapse_grace.as_millis() as u64 + 1200));
         assert!(!world.has("desk-1"));
     };
     a_lost_history_is_read_again => {
--- a/crates/core/tests/relay/gather.rs
+++ b/crates/core/tests/relay/gather.rs
@@ -128,14 +128,14 @@
         assert_eq!(gathered(&bed, call).digests.len(), 1);
     };
     the_least_share_is_rounded_up => {
-        let gather = |count: usize, least: f64| laburnum_core::relay::route::Gather {
+        let gather = |count: usize, min_coverage: f64| laburnum_core::relay::route::Gather {
             shards: (0..count).map(|n| crate::bed::name(&format!("s{n}"))).collect(),
-            top: 1,
-            least,
+            top_k: 1,
+            min_coverage,
         };
-        assert_eq!(gather(20, 0.89).least_parts(), 18);
-        assert_eq!(gather(20, 0.75).least_parts(), 15);
-        assert_eq!(gather(90, 0.95).least_parts(), 86);
-        assert_eq!(gather(4, 0.0).least_parts(), 1);
+        assert_eq!(gather(20, 0.89).min_parts(), 18);
+        assert_eq!(gather(20, 0.75).min_parts(), 15);
+        assert_eq!(gather(90, 0.95).min_parts(), 86);
+        assert_eq!(gather(4, 0.0).min_parts(), 1);
     };
 }
--- a/crates/core/tests/relay/hops.rs
+++ b/crates/core/tests/relay/hops.rs
@@ -6,7 +6,7 @@
     fault::{Fault, Kind, Ran},
     relay::{
         Answer, Call, Event, Hop, View,
-        message::{Inquiry, Refusal},
+        message::{CallerRequest, Refusal},
         view::Vm,
     },
 };
@@ -28,10 +28,10 @@
 }
 
 /// Takes the only message to another VM, which is a request.
-fn asked(bed: &mut Bed) -> (String, Call, Inquiry) {
+fn asked(bed: &mut Bed) -> (String, Call, CallerRequest) {
     let hops = std::mem::take(&mut bed.hops);
-    let [(to, Hop::Ask { call, inquiry, .. })] = &hops[..] else { panic!("{hops:?}") };
-    (to.to_string(), *call, (**inquiry).clone())
+    let [(to, Hop::Request { call, caller_request, .. })] = &hops[..] else { panic!("{hops:?}") };
+    (to.to_string(), *call, (**caller_request).clone())
 }
 
 fn answer(bed: &mut Bed, from: &str, call: Call) {
@@ -45,24 +45,24 @@
     assert!(matches!(bed.answers[&at_caller], Answer::Forwarded(_)));
 }
 
-fn ask_of(call: u64, inquiry: Inquiry) -> Event {
+fn ask_of(call: u64, caller_request: CallerRequest) -> Event {
     let reply_to = "10.2.0.1:7000".parse().unwrap();
-    let hop = Hop::Ask { call: Call(call), inquiry: Box::new(inquiry), reply_to };
+    let hop = Hop::Request { call: Call(call), caller_request: Box::new(caller_request), reply_to };
     Event::Hop { from: name("small"), hop }
 }
 
 /// A VM could not be reached.
 fn unreached(vm: &str) -> Event {
-    Event::HopLost { to: name(vm), detail: "refused".into(), taken: false }
+    Event::HopLost { to: name(vm), detail: "refused".into(), maybe_received: false }
 }
 
 cases! {
     a_small_vm_hands_its_requests_on => {
         let mut bed = small(&[("large", "near")]);
         let call = bed.ask(inquiry("/fetch/1"));
-        let (to, asked, inquiry) = asked(&mut bed);
-        assert_eq!((to.as_str(), &*inquiry.id), ("large", "c1"));
-        assert!(inquiry.detour > ms(0), "the way takes a part of the goal");
+        let (to, asked, caller_request) = asked(&mut bed);
+        assert_eq!((to.as_str(), &*caller_request.id), ("large", "c1"));
+        assert!(caller_request.peer_delay > ms(0), "the way takes a part of the goal");
         answer(&mut bed, "large", asked);
         assert!(matches!(bed.answers[&call], Answer::Forwarded(_)));
     };
@@ -75,7 +75,7 @@
         let mut bed = small(&[("a", "near"), ("b", "far")]);
         let call = bed.ask(inquiry("/fetch/1"));
         asked(&mut bed);
-        bed.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), taken: true }]);
+        bed.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true }]);
         assert_eq!(bed.refused(call), 502);
         bed.ask(inquiry("/fetch/2"));
         assert_eq!(asked(&mut bed).0, "b");
@@ -88,7 +88,7 @@
         bed.step(vec![unreached("a")]);
         assert!(!bed.answers.contains_key(&call));
         let (to, again, asked) = asked(&mut bed);
-        assert_eq!((to.as_str(), asked.patience), ("b", Some(ms(500))));
+        assert_eq!((to.as_str(), asked.caller_timeout), ("b", Some(ms(500))));
         answer(&mut bed, "b", again);
         assert!(matches!(bed.answers[&call], Answer::Forwarded(_)));
     };
@@ -137,7 +137,7 @@
         let mut bed = small(&[("a", "near")]);
         assert!(!bed.engine.is_alone(bed.now));
         bed.ask(inquiry("/fetch/1"));
-        bed.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), taken: true }]);
+        bed.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true }]);
         assert!(bed.engine.is_alone(bed.now));
         let call = bed.ask(inquiry("/fetch/2"));
         assert_eq!(bed.refused(call), 503);
@@ -166,7 +166,7 @@
     a_large_vm_answers_sooner_by_the_way_back => {
         let mut bed = Bed::of(search(&["s1", "s2"], 0.5));
         let mut detour = inquiry("/search/1");
-        detour.detour = ms(30);
+        detour.peer_delay = ms(30);
         let since = bed.now;
         bed.step(vec![ask_of(5, detour)]);
         let sent = bed.take();
@@ -196,7 +196,7 @@
         bed.step(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: false } }]);
         bed.ask(inquiry("/fetch/2"));
         assert_eq!(asked(&mut bed).0, "b");
-        bed.step(vec![Event::HopLost { to: name("b"), detail: "reset".into(), taken: true }]);
+        bed.step(vec![Event::HopLost { to: name("b"), detail: "reset".into(), maybe_received: true }]);
         assert!(bed.engine.is_alone(bed.now), "it must read the routes itself");
         bed.ask(inquiry("/fetch/3"));
         assert_eq!(asked(&mut bed).0, "a", "old routes are better than none");
@@ -218,11 +218,11 @@
         let call = bed.ask(inquiry("/fetch/1"));
         asked(&mut bed);
         bed.step(vec![Event::Abandoned { call }]);
-        assert!(matches!(&bed.hops[..], [(_, Hop::Withdraw { .. })]));
+        assert!(matches!(&bed.hops[..], [(_, Hop::Cancel { .. })]));
         let mut large = Bed::of(single("desk"));
         large.step(vec![ask_of(5, inquiry("/fetch/1"))]);
         let sent = large.take_one();
-        let hop = Hop::Withdraw { call: Call(5) };
+        let hop = Hop::Cancel { call: Call(5) };
         large.step(vec![Event::Hop { from: name("small"), hop }]);
         large.pass(ms(400));
         assert_eq!(large.closed, [sent.connection]);
--- a/crates/core/tests/relay/routes.rs
+++ b/crates/core/tests/relay/routes.rs
@@ -75,7 +75,7 @@
         bed.reply(&sent, success("d", 1));
         let rows = |bed: &Bed| {
             let tables = bed.engine.tables();
-            (tables.paces.len(), tables.turns.len(), tables.budgets.len())
+            (tables.route_stats.len(), tables.round_robins.len(), tables.budgets.len())
         };
         assert_eq!(rows(&bed), (1, 1, 1));
         bed.show(view(config(2, vec![single("desk")], 100)));
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -8,7 +8,7 @@
     name::Name,
     relay::{
         View,
-        feed::{Feed, Format, Input, Limits, Outbox, Subject, progress::Progress, table::Own},
+        feed::{Feed, Format, Input, Limits, Outbox, Subject, progress::Progress, table::OwnVm},
         route::Config,
         view::{Target, Vm},
     },
@@ -79,12 +79,12 @@
 const PAGE: usize = 50;
 
 pub const LIMITS: Limits = Limits {
-    watch: Duration::from_secs(30),
-    gather: Duration::from_millis(500),
-    pause: Duration::from_millis(150),
+    watch_wait: Duration::from_secs(30),
+    watch_gap: Duration::from_millis(500),
+    first_pause: Duration::from_millis(150),
     longest_pause: Duration::from_millis(1200),
-    entry: Duration::from_secs(2),
-    lapse: Duration::from_millis(2500),
+    registration_window: Duration::from_secs(2),
+    lapse_grace: Duration::from_millis(2500),
 };
 
 /// A store with the feed of one VM.
@@ -132,7 +132,7 @@
 
     /// A store without entries, for a VM with a share of a core in thousandths.
     pub fn of(share: u32) -> World {
-        let own = Own { name: bed::name("own"), vm: vm(share) };
+        let own = OwnVm { name: bed::name("own"), vm: vm(share) };
         World {
             now: Instant(1_000_000),
             feed: Feed::new(LIMITS, Box::new(Text), own, 4, 3),
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -103,7 +103,7 @@
             let sent = bed.take_one();
             bed.reset(&sent);
             let rows = &bed.engine.tables().suspects.rows;
-            let open = rows.values().flat_map(|row| row.open.keys());
+            let open = rows.values().flat_map(|row| row.unconfirmed.keys());
             assert!(!open.into_iter().any(|id| id.as_str() == sent.target()), "{rows:?}");
         }
         assert!(bed.held.is_empty());
@@ -112,13 +112,13 @@
         let (mut suspects, request) = (Suspects::default(), fingerprint("/fetch/1"));
         let (first, second) = (name("desk-1"), name("desk-2"));
         let loss = |at| Loss { sent: Instant(at), lost: Instant(at + 10) };
-        suspects.note(request, &first, loss(0));
-        suspects.note(request, &second, loss(10));
+        suspects.record_loss(request, &first, loss(0));
+        suspects.record_loss(request, &second, loss(10));
         suspects.clear_target(&first);
-        assert!(suspects.confirm(&first).is_empty());
-        assert!(suspects.confirm(&second).is_empty());
-        suspects.note(request, &first, loss(20));
-        assert_eq!(suspects.confirm(&first), [request]);
+        assert!(suspects.confirm_down(&first).is_empty());
+        assert!(suspects.confirm_down(&second).is_empty());
+        suspects.record_loss(request, &first, loss(20));
+        assert_eq!(suspects.confirm_down(&first), [request]);
     };
     a_silent_target_did_not_crash => {
         let mut bed = Bed::new(wide(single("desk")));
--- a/crates/core/tests/relay/targets.rs
+++ b/crates/core/tests/relay/targets.rs
@@ -75,8 +75,8 @@
         let mut bed = Bed::of(single("desk"));
         bed.ask(inquiry("/fetch/1"));
         let sent = bed.take_one();
-        assert_eq!(sent.order.target, name(sent.target()));
-        assert!(sent.order.patience <= ms(600));
+        assert_eq!(sent.target_request.target, name(sent.target()));
+        assert!(sent.target_request.time_left <= ms(600));
     };
     a_slow_target_gets_less_work => {
         let mut bed = Bed::of(single("desk"));
@@ -178,7 +178,7 @@
         for (vms, taken, most) in [(1, 20, 2), (1, 1, 1), (4, 20, 2), (5, 4, 1), (8, 97, 1), (19, 55, 1)] {
             let mut view = view(config(1, vec![single("desk")], taken));
             view.targets = [target("desk-1", "desk")].into();
-            view.least_vms = vms;
+            view.assumed_vms = vms;
             let mut bed = Bed::new(view);
             (0..6).for_each(|_| { bed.ask(inquiry("/fetch/1")); });
             let sent = bed.take();
@@ -189,7 +189,7 @@
     };
     a_leg_goes_to_another_target_before_it_waits_at_a_busy_one => {
         let mut view = view(config(1, vec![single("desk")], 55));
-        view.least_vms = 19;
+        view.assumed_vms = 19;
         let mut bed = Bed::new(view);
         bed.ask(inquiry("/fetch/1"));
         bed.ask(inquiry("/fetch/2"));
--- a/crates/core/tests/relay/waits.rs
+++ b/crates/core/tests/relay/waits.rs
@@ -25,14 +25,14 @@
         bed.ask(inquiry("/urgent/3"));
         let first = bed.take_one();
         bed.reply(&first, success("d", 1));
-        assert_eq!(&*bed.take_one().order.inquiry.path, "/urgent/3");
+        assert_eq!(&*bed.take_one().target_request.caller_request.path, "/urgent/3");
     };
     equal_requests_go_in_their_order => {
         let mut bed = Bed::new(narrow());
         (1..=3).for_each(|n| { bed.ask(inquiry(&format!("/fetch/{n}"))); });
         for n in 1..=3 {
             let sent = bed.take_one();
-            assert_eq!(&*sent.order.inquiry.path, format!("/fetch/{n}"));
+            assert_eq!(&*sent.target_request.caller_request.path, format!("/fetch/{n}"));
             bed.reply(&sent, success("d", 1));
         }
     };
@@ -51,13 +51,13 @@
         bed.now = bed.now + ms(250);
         bed.reply(&first, success("d", 1));
         let second = bed.take_one();
-        assert!(second.order.patience <= ms(350), "{:?}", second.order.patience);
+        assert!(second.target_request.time_left <= ms(350), "{:?}", second.target_request.time_left);
     };
     a_caller_that_waited_elsewhere_gets_its_answer_sooner => {
         let mut bed = Bed::of(search(&["s1", "s2"], 0.5));
         bed.teach("/search/1", 3, ms(5));
         let mut again = inquiry("/search/1");
-        again.patience = Some(ms(560));
+        again.caller_timeout = Some(ms(560));
         let since = bed.now;
         let call = bed.ask(again);
         let sent = bed.take();
@@ -68,7 +68,7 @@
     a_caller_is_answered_before_it_gives_up => {
         let mut bed = Bed::of(single("desk"));
         let mut short = inquiry("/fetch/1");
-        short.patience = Some(ms(200));
+        short.caller_timeout = Some(ms(200));
         let since = bed.now;
         let call = bed.ask(short);
         bed.pass(ms(300));
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -8,7 +8,7 @@
     log::Event,
     relay::{
         View,
-        feed::{Feed, Input, Limits, Outbox, table::Own},
+        feed::{Feed, Input, Limits, Outbox, table::OwnVm},
         view::Vm,
     },
 };
@@ -30,12 +30,12 @@
 /// Times of the feed: a change is in force within a second, a store that is
 /// away is asked about once a second by each VM.
 const LIMITS: Limits = Limits {
-    watch: Duration::from_secs(30),
-    gather: Duration::from_millis(500),
-    pause: Duration::from_millis(150),
+    watch_wait: Duration::from_secs(30),
+    watch_gap: Duration::from_millis(500),
+    first_pause: Duration::from_millis(150),
     longest_pause: Duration::from_millis(1200),
-    entry: Duration::from_secs(2),
-    lapse: Duration::from_millis(2500),
+    registration_window: Duration::from_secs(2),
+    lapse_grace: Duration::from_millis(2500),
 };
 
 /// The most replies that one step takes.
@@ -105,14 +105,14 @@
 }
 
 /// The VM as others know it.
-fn own(shared: &Shared) -> Own {
+fn own(shared: &Shared) -> OwnVm {
     let settings = &shared.settings;
     let vm = Vm {
         domain: settings.vm.domain.clone(),
         address: settings.listen.peers,
         share: settings.vm.share,
     };
-    Own { name: settings.vm.name.clone(), vm }
+    OwnVm { name: settings.vm.name.clone(), vm }
 }
 
 /// Notes whether the VM takes requests.
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -1,6 +1,6 @@
 //! The way of the front into the traffic thread.
 
-use laburnum_core::relay::{Answer, Call, Event, Inquiry};
+use laburnum_core::relay::{Answer, Call, CallerRequest, Event};
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::inbox;
@@ -19,7 +19,7 @@
     }
 
     /// Asks for an answer; see [`inbox::Handle::ask`].
-    pub async fn ask(&self, inquiry: Inquiry) -> Option<Answer> {
-        self.0.ask(|call| Event::Arrived { call, inquiry }).await
+    pub async fn ask(&self, caller_request: CallerRequest) -> Option<Answer> {
+        self.0.ask(|call| Event::Arrived { call, caller_request }).await
     }
 }
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use laburnum_core::relay::{Attempt, Command, Connection, Event, Loss, Order};
+use laburnum_core::relay::{Attempt, Command, Connection, Event, Loss, TargetRequest};
 use laburnum_http::{Channel, Failure, Limits};
 use laburnum_platform::target as wire;
 use tokio::{
@@ -22,7 +22,7 @@
 const IDLE: Duration = Duration::from_secs(60);
 
 /// A request that waits for its connection.
-type Task = (Attempt, Order);
+type Task = (Attempt, TargetRequest);
 
 /// The client of the targets.
 pub struct Client {
@@ -45,9 +45,9 @@
                 let link = Link { connection, events: self.events.clone(), tasks };
                 tokio::spawn(link.run(address));
             }
-            Command::Send { connection, attempt, order } => {
+            Command::Send { connection, attempt, target_request } => {
                 let sender = self.connections.get(&connection);
-                if sender.is_none_or(|sender| sender.send((attempt, order)).is_err()) {
+                if sender.is_none_or(|sender| sender.send((attempt, target_request)).is_err()) {
                     // Its task has reported the end or is about to.
                     self.connections.remove(&connection);
                 }
@@ -131,7 +131,7 @@
         &mut self,
         channel: &mut Channel,
         attempt: Attempt,
-        order: &Order,
+        order: &TargetRequest,
     ) -> Result<Duration, End> {
         let request =
             wire::write(order).map_err(|error| lost(false, format!("request: {error}")))?;
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -158,7 +158,7 @@
                 }
                 Some(frame) = inbox.peers.frames.recv() => events.extend(said(frame)),
                 Some(lost) = inbox.peers.losses.recv() => {
-                    events.push(Event::HopLost { to: lost.to.vm, detail: lost.detail, taken: lost.taken });
+                    events.push(Event::HopLost { to: lost.to.vm, detail: lost.detail, maybe_received: lost.taken });
                 }
                 _ = inbox.events.recv_many(&mut events, MAX_BATCH) => {}
                 _ = inbox.inputs.recv_many(&mut inputs, MAX_BATCH) => {}
