Reword the tables and policies of the relay

Comments now say what a field or function is in plain terms, with each reason kept, and constants and private fields have descriptive names. Comments that only repeated a name are gone. Two public methods of a target row got clearer names: errors -> error_rate, others -> load_from_others; both are used in these folders only. Behaviour is unchanged.

--- a/crates/core/src/relay/policy/completion.rs
+++ b/crates/core/src/relay/policy/completion.rs
@@ -1,40 +1,39 @@
-//! When an answer is given that could still become more complete.
+//! Decides when a search is answered although legs are still open.
 
-/// How far a search over shards is.
+/// The state of a search over shards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Progress {
-    /// The shards.
+    /// The number of shards that are searched.
     pub shards: usize,
-    /// The parts that are in.
+    /// The number of parts received.
     pub parts: usize,
-    /// The shards that may still answer.
+    /// The number of shards that may still answer.
     pub open: usize,
-    /// The parts that an answer must have.
+    /// The number of parts that an answer needs.
     pub min_parts: usize,
     /// Whether the goal of the route has passed.
     pub is_late: bool,
 }
 
-/// What to do with a search.
+/// The decision on a search.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// Wait for more parts.
     Wait,
-    /// Answer with the parts that are in.
+    /// Answer with the parts received.
     Answer,
-    /// Give it up, because it can no longer become complete enough.
+    /// Refuse the request, because too few shards can still answer.
     Refuse,
 }
 
-/// When an answer is given that could still become more complete.
+/// Decides when a search is answered although legs are still open.
 pub trait Completion {
-    /// What to do now.
     fn verdict(&self, progress: &Progress) -> Verdict;
 }
 
-/// Whole answers until the goal, and from then on the first one that is
-/// complete enough: past the goal an answer loses most of its worth, and more
-/// parts gain less than the caller's wait costs.
+/// Waits for all shards until the goal of the route, and from then on answers as
+/// soon as there are enough parts. Past the goal an answer loses most of its
+/// value, and more parts gain less than the caller's wait costs.
 #[derive(Clone, Copy, Debug)]
 pub struct Goal;
 
--- a/crates/core/src/relay/policy/hedge.rs
+++ b/crates/core/src/relay/policy/hedge.rs
@@ -1,46 +1,47 @@
-//! When a slow attempt gets another one beside it.
+//! Decides when a slow attempt is hedged by a second one.
 
 use std::time::Duration;
 
 use crate::latency::Latency;
 
-/// The part of a thousand of attempts that are quicker than the delay.
-const QUANTILE: u32 = 900;
+/// The per mille of attempts that are faster than the hedge delay.
+const DELAY_QUANTILE_PER_MILLE: u32 = 900;
 
-/// The largest part of the goal that is waited, so that the second attempt can
-/// still be in time.
-const MOST: f64 = 0.4;
+/// The largest share of the goal to wait, so that the second attempt can still
+/// answer before the goal.
+const MAX_DELAY_GOAL_SHARE: f64 = 0.4;
 
-/// The part of the goal that is waited while too little is known.
-const UNKNOWN: f64 = 0.3;
+/// The share of the goal to wait while there are too few latency samples.
+const DEFAULT_DELAY_GOAL_SHARE: f64 = 0.3;
 
-/// When a slow attempt gets another one beside it.
+/// Decides when a slow attempt is hedged by a second one.
 pub trait Hedge {
-    /// The time to wait, or none for no second attempt.
+    /// Returns the time to wait before the second attempt, or `None` for no hedge.
     fn delay(&self, latency: &Latency, goal: Duration) -> Option<Duration>;
 }
 
-/// After the time that most attempts take.
+/// Hedges after a high quantile of the latency of the route.
 #[derive(Clone, Copy, Debug)]
 pub struct Tail {
-    /// The part of a thousand of attempts that are quicker.
+    /// The per mille of attempts that are faster than the delay.
     pub quantile: u32,
 }
 
 impl Default for Tail {
     fn default() -> Tail {
-        Tail { quantile: QUANTILE }
+        Tail { quantile: DELAY_QUANTILE_PER_MILLE }
     }
 }
 
 impl Hedge for Tail {
     fn delay(&self, latency: &Latency, goal: Duration) -> Option<Duration> {
-        let usual = latency.quantile(self.quantile).unwrap_or(goal.mul_f64(UNKNOWN));
-        Some(usual.min(goal.mul_f64(MOST)))
+        let usual =
+            latency.quantile(self.quantile).unwrap_or(goal.mul_f64(DEFAULT_DELAY_GOAL_SHARE));
+        Some(usual.min(goal.mul_f64(MAX_DELAY_GOAL_SHARE)))
     }
 }
 
-/// Never.
+/// Never hedges.
 #[derive(Clone, Copy, Debug)]
 pub struct Never;
 
--- a/crates/core/src/relay/policy/mod.rs
+++ b/crates/core/src/relay/policy/mod.rs
@@ -1,4 +1,4 @@
-//! Decisions that are compared with others, behind traits.
+//! Replaceable decisions, behind traits so that alternatives can be compared.
 
 pub mod choice;
 pub mod hedge;
@@ -8,11 +8,11 @@
 
 /// The policies of a traffic thread.
 pub struct Policies {
-    /// Which target a leg goes to.
+    /// Chooses the target that a leg is sent to.
     pub choice: Box<dyn Choice>,
-    /// When a slow attempt gets another one beside it.
+    /// Decides when a slow attempt is hedged.
     pub hedge: Box<dyn Hedge>,
-    /// When an answer is given that could still become more complete.
+    /// Decides when a search is answered although legs are still open.
     pub completion: Box<dyn Completion>,
 }
 
--- a/crates/core/src/relay/table/budget.rs
+++ b/crates/core/src/relay/table/budget.rs
@@ -1,17 +1,18 @@
 //! The retry budget of a service at this VM.
 //!
-//! The bound holds for all VMs together in every window. Each VM keeps it for
-//! its own requests and an equal share of the slack, so that the sum holds
-//! however requests are spread and however many VMs start anew.
+//! The bound holds for all VMs together in every window. Each VM applies it to
+//! its own requests with an equal share of the slack, so that the sum stays
+//! within the bound however requests are distributed and however many VMs
+//! restart.
 
 use std::{collections::VecDeque, time::Duration};
 
 use crate::time::Instant;
 
-/// The steps into which a window is divided.
-const STEPS: u32 = 20;
+/// The number of steps that a window is divided into.
+const STEPS_PER_WINDOW: u32 = 20;
 
-/// What was sent in one step of time.
+/// The attempts sent in one step.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Step {
     number: u64,
@@ -19,7 +20,7 @@
     extra: u32,
 }
 
-/// What a service was sent within a window.
+/// The attempts sent to a service within a window.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
     steps: VecDeque<Step>,
@@ -28,21 +29,19 @@
 /// The bound on attempts beyond the first.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bound {
-    /// The window.
     pub window: Duration,
-    /// The attempts allowed for each first one in the window.
+    /// The extra attempts allowed for each first attempt in the window.
     pub ratio: f64,
-    /// The attempts allowed without any first one.
+    /// The extra attempts allowed in a window without a first attempt.
     pub slack: f64,
 }
 
 impl Budget {
-    /// Notes a first attempt.
     pub fn record_first(&mut self, now: Instant, window: Duration) {
         self.step(now, window).first += 1;
     }
 
-    /// Takes one attempt beyond the first from the budget, or returns false.
+    /// Spends one extra attempt, or returns false if the budget has none left.
     pub fn take(&mut self, now: Instant, bound: Bound) -> bool {
         self.step(now, bound.window);
         let (first, extra) = self.sums();
@@ -53,14 +52,14 @@
         true
     }
 
-    /// The attempts that are left.
+    /// Returns the number of extra attempts that are left.
     pub fn remaining(&mut self, now: Instant, bound: Bound) -> f64 {
         self.step(now, bound.window);
         let (first, extra) = self.sums();
         bound.ratio * f64::from(first) + bound.slack - f64::from(extra)
     }
 
-    /// Whether anything was sent within the window.
+    /// Returns whether any attempt was sent within the window.
     pub fn is_used(&mut self, now: Instant, window: Duration) -> bool {
         self.step(now, window);
         self.sums() != (0, 0)
@@ -71,11 +70,15 @@
         self.steps.iter().fold((0, 0), add)
     }
 
-    /// The step of `now`, after the steps that left the window were dropped.
+    /// Drops the steps that have left the window and returns the step of `now`.
     fn step(&mut self, now: Instant, window: Duration) -> &mut Step {
-        let width = (window / STEPS).max(Duration::from_millis(1));
+        let width = (window / STEPS_PER_WINDOW).max(Duration::from_millis(1));
         let number = now.0 / u64::try_from(width.as_micros()).unwrap_or(u64::MAX);
-        while self.steps.front().is_some_and(|step| step.number + u64::from(STEPS) < number) {
+        while self
+            .steps
+            .front()
+            .is_some_and(|step| step.number + u64::from(STEPS_PER_WINDOW) < number)
+        {
             self.steps.pop_front();
         }
         if self.steps.back().is_none_or(|step| step.number < number) {
--- a/crates/core/src/relay/table/hop.rs
+++ b/crates/core/src/relay/table/hop.rs
@@ -1,4 +1,4 @@
-//! Requests on their way between VMs.
+//! Requests that VMs hand to each other, and the VMs at the other end.
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
@@ -11,45 +11,41 @@
 /// A request that was handed to another VM.
 #[derive(Clone, Debug)]
 pub struct HandedRequest {
-    /// The VM.
     pub to: Name,
-    /// The request.
     pub caller_request: Arc<CallerRequest>,
-    /// When it came.
+    /// When the request arrived at this VM.
     pub arrived: Instant,
-    /// When it ends.
     pub deadline: Instant,
 }
 
 /// A request that another VM handed to this one.
 #[derive(Clone, Debug)]
 pub struct AcceptedRequest {
-    /// The VM.
     pub from: Name,
-    /// Where that VM takes the answer.
+    /// The address at which that VM takes the answer.
     pub reply_to: SocketAddr,
-    /// The id of the request there.
+    /// The id of the request at that VM.
     pub call: Call,
 }
 
 /// A VM that requests are handed to.
 #[derive(Clone, Debug, Default)]
 pub struct Link {
-    /// The requests that it has not answered, with the time of each.
+    /// The requests that it has not answered, with the time each was handed over.
     pub open: BTreeSet<(Instant, Call)>,
-    /// When it may be asked again after a loss.
+    /// When requests may be handed to it again after a loss.
     pub pause_until: Instant,
-    /// When it last said something.
+    /// When the last message from it arrived.
     pub heard: Instant,
-    /// Whether it said that it does not hear from the store.
+    /// Whether it reported that the store does not answer it.
     pub is_stale: bool,
 }
 
 /// A VM that handed requests to this one.
 #[derive(Clone, Copy, Debug)]
 pub struct Sender {
-    /// Where it takes answers.
+    /// The address at which it takes answers.
     pub reply_to: SocketAddr,
-    /// When it last asked.
+    /// When it last handed over a request.
     pub last_request: Instant,
 }
--- a/crates/core/src/relay/table/leg.rs
+++ b/crates/core/src/relay/table/leg.rs
@@ -11,69 +11,63 @@
     time::Instant,
 };
 
-/// The id of a leg: its request and its place in the plan.
+/// The id of a leg: its request and its index in the plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key {
-    /// The request.
     pub call: Call,
-    /// The place of the service in the plan.
+    /// The index of the service in the plan.
     pub index: u32,
 }
 
-/// The place of a leg in the queue of its service: by priority, then by age.
+/// The position of a leg in the queue of its service: by priority, then by age.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueuePosition {
-    /// The rank of its route, where zero comes first.
+    /// The priority of its route; zero is served first.
     pub priority: u32,
-    /// When its request came.
+    /// When its request arrived.
     pub arrived: Instant,
-    /// The leg.
     pub key: Key,
 }
 
-/// How far a leg is.
+/// The state of a leg.
 #[derive(Clone, Debug)]
 pub enum State {
-    /// It waits for a target or its reply.
+    /// Waits for a target or for a reply.
     Open,
-    /// A target answered it.
+    /// Answered by a target.
     Done(Arc<Reply>),
-    /// It can have no reply any more.
+    /// Can no longer get a reply.
     Failed,
 }
 
-/// What is known of the runs of a leg.
+/// What is known about whether targets ran a leg.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Runs {
-    /// The attempts that reached a target, those that it refused among them.
+    /// The number of attempts that reached a target, including refused ones.
     pub arrived: u32,
-    /// Whether a target may have run it.
     pub may_have_run: bool,
 }
 
 /// The part of a request that goes to one service.
 #[derive(Clone, Debug)]
 pub struct Leg {
-    /// The service.
     pub service: Name,
-    /// How far it is.
     pub state: State,
-    /// The attempts that are under way.
+    /// The attempts in flight.
     pub attempts: BTreeSet<relay::Attempt>,
-    /// The targets that it was sent to.
+    /// The targets that the leg was sent to.
     pub tried: BTreeSet<Name>,
-    /// What is known of its runs.
     pub runs: Runs,
-    /// Whether it waits for a connection.
+    /// Whether the leg is queued for a connection.
     pub queued: bool,
-    /// When the next attempt beside a slow one is due.
+    /// When the next hedge is due.
     pub hedge_at: Option<Instant>,
-    /// The last failure of a target, which is passed on if no success comes.
+    /// The last failure reply, forwarded to the caller if no attempt succeeds.
     pub failure: Option<Arc<Reply>>,
 }
 
 impl Leg {
-    /// A leg that was sent nowhere yet.
+    /// Creates a leg without attempts.
     pub fn new(service: Name) -> Leg {
         Leg {
             service,
@@ -87,7 +81,7 @@
         }
     }
 
-    /// Whether it waits for a target or its reply.
+    /// Returns whether the leg waits for a target or for a reply.
     pub fn is_open(&self) -> bool {
         matches!(self.state, State::Open)
     }
--- a/crates/core/src/relay/table/mod.rs
+++ b/crates/core/src/relay/table/mod.rs
@@ -1,4 +1,4 @@
-//! The rows of a traffic thread that forwards requests.
+//! The tables of a traffic thread that forwards requests.
 
 pub mod attempt;
 pub mod budget;
@@ -25,63 +25,61 @@
 use super::{message::Call, view::View};
 use crate::{name::Name, time::Instant, timer::Timers};
 
-/// All rows of a thread.
+/// All tables of a thread.
 #[derive(Debug, Default)]
 pub struct Tables {
-    /// The newest view of the control thread.
+    /// The newest view from the control thread.
     pub view: Arc<View>,
-    /// The requests that wait for an answer.
+    /// The requests that have not been answered.
     pub requests: BTreeMap<Call, Request>,
-    /// The legs of these requests.
+    /// The legs of the requests in `requests`.
     pub legs: BTreeMap<leg::Key, Leg>,
-    /// The attempts that a connection carries, also those whose leg is gone.
+    /// The attempts that a connection carries, including those whose leg is gone.
     pub attempts: BTreeMap<super::Attempt, Attempt>,
     /// The targets that are registered or still carry an attempt.
     pub targets: BTreeMap<Name, Target>,
     /// The targets of each service that may get new work.
     pub services: BTreeMap<Name, BTreeSet<Name>>,
-    /// The connections to targets.
     pub connections: BTreeMap<super::Connection, Connection>,
-    /// The legs of each service that wait for a connection, in their order.
+    /// The legs of each service that wait for a connection, in the order of service.
     pub waiting: BTreeMap<Name, BTreeSet<leg::QueuePosition>>,
-    /// What each service was sent lately.
+    /// The retry budget of each service.
     pub budgets: BTreeMap<Name, Budget>,
-    /// How long the legs of each route take.
+    /// The attempt latencies and caller timeouts of each route.
     pub route_stats: BTreeMap<Name, RouteStats>,
-    /// Whose turn it is in each route with several services.
+    /// The weighted round robin of each route that is split over services.
     pub round_robins: BTreeMap<Name, RoundRobin>,
-    /// The requests that were handed to another VM.
+    /// The requests that this VM handed to another one.
     pub handed: BTreeMap<Call, hop::HandedRequest>,
     /// The requests that other VMs handed to this one.
     pub accepted: BTreeMap<Call, hop::AcceptedRequest>,
-    /// The VMs that handed requests to this one lately.
+    /// The VMs that recently handed requests to this one.
     pub senders: BTreeMap<Name, hop::Sender>,
-    /// The VMs that requests are handed to.
+    /// The VMs that this one hands requests to.
     pub links: BTreeMap<Name, hop::Link>,
-    /// The requests with which targets were lost.
+    /// The requests suspected of crashing targets.
     pub suspects: Suspects,
-    /// When the first step was.
+    /// The time of the first tick.
     pub started: Instant,
-    /// The points in time at which a row is due.
     pub timers: Timers<Timer>,
-    /// The requests that a leg of has changed in this step.
+    /// The requests with a leg that changed in this tick.
     pub changed: BTreeSet<Call>,
-    last: u64,
+    last_id: u64,
 }
 
 impl Tables {
-    /// A number that was not used before in this thread.
+    /// Returns an id that was not used before in this thread.
     pub fn next_id(&mut self) -> u64 {
-        self.last += 1;
-        self.last
+        self.last_id += 1;
+        self.last_id
     }
 
-    /// The budget of a service.
+    /// Returns the budget of a service, created on first use.
     pub fn budget(&mut self, service: &Name) -> &mut Budget {
         self.budgets.entry(service.clone()).or_default()
     }
 
-    /// The pace of a route.
+    /// Returns the statistics of a route, created on first use.
     pub fn stats_of(&mut self, route: &Name) -> &mut RouteStats {
         self.route_stats.entry(route.clone()).or_default()
     }
--- a/crates/core/src/relay/table/request.rs
+++ b/crates/core/src/relay/table/request.rs
@@ -1,4 +1,4 @@
-//! A caller's request that waits for its answer.
+//! A caller's request that has not been answered.
 
 use std::sync::Arc;
 
@@ -7,21 +7,20 @@
     time::Instant,
 };
 
-/// A request with the route that it keeps to its end.
+/// A request with its route, which stays the same until the request ends.
 #[derive(Clone, Debug)]
 pub struct Request {
-    /// What the caller sent.
     pub caller_request: Arc<CallerRequest>,
-    /// The route of the version that was in force when the request came.
+    /// The route in the configuration that was in force when the request arrived.
     pub route: Arc<Route>,
-    /// That version.
+    /// The version of that configuration.
     pub version: u64,
-    /// When it came.
+    /// When the request arrived.
     pub arrived: Instant,
-    /// When an answer that is complete enough is given, whole or not.
+    /// When an answer with enough parts is given, even if it is not complete.
     pub goal: Instant,
-    /// When the request ends.
+    /// When the request is refused if it has no answer.
     pub deadline: Instant,
-    /// The number of its legs.
+    /// The number of legs.
     pub legs: u32,
 }
--- a/crates/core/src/relay/table/round_robin.rs
+++ b/crates/core/src/relay/table/round_robin.rs
@@ -1,19 +1,19 @@
-//! Whose turn it is among weighted services.
+//! Weighted round robin over the services of a route.
 
 use std::collections::BTreeMap;
 
 use crate::{name::Name, relay::route::WeightedService};
 
 /// The credit of each service of a route. The service with the most credit is
-/// next, which keeps the shares exact over any run of requests.
+/// picked next, which keeps the shares exact over any sequence of requests.
 #[derive(Clone, Debug, Default)]
 pub struct RoundRobin {
     credits: BTreeMap<Name, f64>,
 }
 
 impl RoundRobin {
-    /// Picks the next of `parts`. `draw`, from 0 to 1, sets the phase of the
-    /// first pick, so that VMs which start together do not pick alike.
+    /// Picks the next service of `parts`. `draw`, from 0 to 1, is random and sets the
+    /// phase of the first pick, so that VMs that start together pick differently.
     pub fn pick(&mut self, parts: &[WeightedService], draw: f64) -> Option<Name> {
         let total: f64 = parts.iter().map(|part| part.weight).sum();
         let is_known = parts.iter().all(|part| self.credits.contains_key(&part.service));
--- a/crates/core/src/relay/table/route_stats.rs
+++ b/crates/core/src/relay/table/route_stats.rs
@@ -1,14 +1,14 @@
-//! How long the legs of a route take, and how long its callers wait.
+//! The attempt latencies and caller timeouts of a route.
 
 use std::time::Duration;
 
 use crate::latency::Latency;
 
-/// What is known of the requests of a route.
+/// The statistics of a route.
 #[derive(Clone, Debug, Default)]
 pub struct RouteStats {
-    /// The time of an attempt.
+    /// The latency of attempts.
     pub latency: Latency,
-    /// The longest time that a caller said it waits.
+    /// The longest timeout that a caller stated.
     pub longest_timeout: Duration,
 }
--- a/crates/core/src/relay/table/suspect.rs
+++ b/crates/core/src/relay/table/suspect.rs
@@ -1,38 +1,36 @@
-//! Requests with which targets were lost.
+//! Requests suspected of crashing targets.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{digest::Fingerprint, name::Name, time::Instant};
 
-/// The time for which a loss counts: a target is back after some seconds, and a
-/// request that crashes targets may come again after that.
-const MEMORY: Duration = Duration::from_secs(60);
+/// How long a loss counts. A target is back after some seconds, and a request
+/// that crashes targets may be sent again after that.
+const LOSS_RETENTION: Duration = Duration::from_secs(60);
 
-/// The losses that are remembered of all requests.
-const MAX_ROWS: usize = 1024;
+/// The number of suspected requests from which on further losses are not recorded.
+const MAX_SUSPECTS: usize = 1024;
 
-/// When an attempt was sent and lost.
+/// When an attempt was sent, and when its connection was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Loss {
-    /// When it was sent.
     pub sent: Instant,
-    /// When its connection was lost.
     pub lost: Instant,
 }
 
-/// The targets that were lost with one request.
+/// The targets that were lost while they ran one request.
 #[derive(Clone, Debug, Default)]
 pub struct Suspect {
-    /// Those that ended the connection, before it is known whether they run.
+    /// The targets that ended the connection, until it is known whether they still run.
     pub unconfirmed: BTreeMap<Name, Loss>,
-    /// Those that took no connection after it.
+    /// The targets that took no connection afterwards.
     pub down: BTreeMap<Name, Loss>,
 }
 
 impl Suspect {
-    /// Whether two targets went down one after the other: the second one got
-    /// the request after it had taken the first. Targets that go down together
-    /// do so for another reason than the requests that they run.
+    /// Returns whether two targets went down one after the other, where the second
+    /// got the request after the first was lost. Targets that go down together do
+    /// so for another reason than the requests that they run.
     pub fn is_proven(&self) -> bool {
         self.down.iter().any(|(second, later)| {
             let mut others = self.down.iter().filter(|(first, _)| *first != second);
@@ -40,39 +38,40 @@
         })
     }
 
-    fn is_over(&self, now: Instant) -> bool {
+    fn is_expired(&self, now: Instant) -> bool {
         let losses = self.unconfirmed.values().chain(self.down.values());
-        losses.map(|loss| loss.lost).max().is_none_or(|last| now.since(last) > MEMORY)
+        losses.map(|loss| loss.lost).max().is_none_or(|last| now.since(last) > LOSS_RETENTION)
     }
 }
 
-/// Everything that is suspected or held back.
+/// The requests that are suspected of crashing targets or held back for it.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
-    /// The requests with which targets were lost.
+    /// The suspected requests with their losses.
     pub rows: BTreeMap<Fingerprint, Suspect>,
-    /// The requests that are held back, with the end of that.
+    /// The requests that this VM holds back, with the time at which that ends.
     pub held: BTreeMap<Fingerprint, Instant>,
 }
 
 impl Suspects {
-    /// Notes that an attempt was lost in a way in which targets end that crash.
+    /// Records that the connection of an attempt ended as it does when a target crashes.
     pub fn record_loss(&mut self, request: Fingerprint, target: &Name, loss: Loss) {
-        self.rows.retain(|_, row| !row.is_over(loss.lost));
-        if self.rows.len() < MAX_ROWS {
+        self.rows.retain(|_, row| !row.is_expired(loss.lost));
+        if self.rows.len() < MAX_SUSPECTS {
             self.rows.entry(request).or_default().unconfirmed.insert(target.clone(), loss);
         }
     }
 
-    /// Notes that a target takes connections: it did not crash.
+    /// Drops the unconfirmed losses of a target that takes connections: it did not
+    /// crash.
     pub fn clear_target(&mut self, target: &Name) {
         for row in self.rows.values_mut() {
             row.unconfirmed.remove(target);
         }
     }
 
-    /// Notes that a target takes no connections, and returns the requests that
-    /// are proven by it.
+    /// Records that a target takes no connections, and returns the requests that
+    /// this proves to crash targets.
     pub fn confirm_down(&mut self, target: &Name) -> Vec<Fingerprint> {
         let mut proven = Vec::new();
         for (request, row) in &mut self.rows {
@@ -85,12 +84,12 @@
         proven
     }
 
-    /// Notes that a target answered a request, which therefore crashes none.
+    /// Drops a request that a target answered, as it does not crash targets.
     pub fn clear_request(&mut self, request: Fingerprint) {
         self.rows.remove(&request);
     }
 
-    /// Whether a request is held back by this VM.
+    /// Returns whether this VM holds a request back.
     pub fn is_held(&self, request: Fingerprint, now: Instant) -> bool {
         self.held.get(&request).is_some_and(|until| *until > now)
     }
--- a/crates/core/src/relay/table/target.rs
+++ b/crates/core/src/relay/table/target.rs
@@ -1,4 +1,4 @@
-//! A target, as this VM has seen it.
+//! A target, as observed by this VM.
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
@@ -7,21 +7,21 @@
     time::Instant,
 };
 
-/// The weight of a new reply in the slowness of a target.
-const WEIGHT: f64 = 0.25;
+/// The weight of a new sample in the slowness and the error rate of a target.
+const SAMPLE_WEIGHT: f64 = 0.25;
 
-/// The time after which an estimate has lost two thirds of its weight, so that
-/// a target that recovered is tried again.
-const MEMORY: Duration = Duration::from_secs(4);
+/// The time in which the weight of an estimate falls by a factor of e, to about a
+/// third, so that a target that recovered is tried again.
+const ESTIMATE_DECAY: Duration = Duration::from_secs(4);
 
-/// The time for which a reported load says something.
-const LOAD_AGE: Duration = Duration::from_millis(300);
+/// The time in which the weight of a reported load falls to zero.
+const LOAD_REPORT_LIFETIME: Duration = Duration::from_millis(300);
 
-/// The first pause after a loss; each further one doubles it.
+/// The pause after a first loss; each further loss doubles it.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 
 /// The longest pause after losses.
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+const MAX_PAUSE: Duration = Duration::from_secs(2);
 
 /// A load with the time of its report.
 #[derive(Clone, Copy, Debug)]
@@ -30,34 +30,34 @@
     at: Instant,
 }
 
-/// A target and what this VM knows of it.
+/// A target with its connections and the estimates that this VM has of it.
 #[derive(Clone, Debug)]
 pub struct Target {
-    /// How it registered itself.
+    /// The registration of the target.
     pub entry: Arc<view::Target>,
-    /// Whether it may get new work.
+    /// Whether the target may get new work.
     pub is_usable: bool,
-    /// When its slow start ends.
+    /// When the target no longer counts as slow from its start.
     pub cold_until: Instant,
-    /// Every connection to it.
+    /// All connections to the target.
     pub connections: BTreeSet<Connection>,
-    /// The connections that wait for a request; the last one was used last.
+    /// The connections without an attempt; the last one was used most recently.
     pub idle: Vec<Connection>,
-    /// The attempts that it runs for this VM, with the time of each.
+    /// The attempts that the target runs for this VM, with the time each was sent.
     pub running: BTreeSet<(Instant, crate::relay::Attempt)>,
-    /// Whether its first connection was planned.
+    /// Whether the first connection was scheduled.
     pub is_warmed: bool,
     /// When a connection may be opened again after a loss.
     pub pause_until: Instant,
     losses: u32,
     slowness: f64,
-    errors: f64,
-    learnt: Instant,
+    error_rate: f64,
+    last_sample: Instant,
     report: Option<Report>,
 }
 
 impl Target {
-    /// A target of which nothing but its entry is known.
+    /// Creates a target of which only the registration is known.
     pub fn new(entry: Arc<view::Target>, now: Instant) -> Target {
         Target {
             cold_until: now + entry.cold,
@@ -70,73 +70,75 @@
             pause_until: Instant::default(),
             losses: 0,
             slowness: 1.0,
-            errors: 0.0,
-            learnt: now,
+            error_rate: 0.0,
+            last_sample: now,
             report: None,
         }
     }
 
-    /// Notes a reply that took `ratio` times as long as usual.
+    /// Records a reply that took `ratio` times as long as usual.
     pub fn record_reply(&mut self, ratio: f64, is_success: bool, now: Instant) {
-        let (slowness, errors) = (self.slowness(now), self.errors(now));
-        self.slowness = slowness + (ratio.clamp(0.2, 20.0) - slowness) * WEIGHT;
+        let (slowness, error_rate) = (self.slowness(now), self.error_rate(now));
+        self.slowness = slowness + (ratio.clamp(0.2, 20.0) - slowness) * SAMPLE_WEIGHT;
         let error = if is_success { 0.0 } else { 1.0 };
-        self.errors = errors + (error - errors) * WEIGHT;
-        self.learnt = now;
+        self.error_rate = error_rate + (error - error_rate) * SAMPLE_WEIGHT;
+        self.last_sample = now;
         self.losses = 0;
         if is_success {
             self.pause_until = Instant::default();
         }
     }
 
-    /// Notes that a reply would have taken longer than `ratio` times as long as
-    /// usual.
+    /// Records an attempt that was given up after `ratio` times the usual latency:
+    /// its reply would have taken longer.
     pub fn record_overdue(&mut self, ratio: f64, now: Instant) {
         if ratio > self.slowness(now) {
-            self.replied_slowly(ratio, now);
+            self.record_slow_reply(ratio, now);
         }
     }
 
-    fn replied_slowly(&mut self, ratio: f64, now: Instant) {
+    fn record_slow_reply(&mut self, ratio: f64, now: Instant) {
         let slowness = self.slowness(now);
-        self.slowness = slowness + (ratio.clamp(0.2, 20.0) - slowness) * WEIGHT;
-        self.learnt = now;
+        self.slowness = slowness + (ratio.clamp(0.2, 20.0) - slowness) * SAMPLE_WEIGHT;
+        self.last_sample = now;
     }
 
-    /// Notes a lost connection and pauses before the next one.
+    /// Records a lost connection and sets a pause before the next one.
     pub fn record_loss(&mut self, now: Instant) {
-        let errors = self.errors(now);
-        self.errors = errors + (1.0 - errors) * WEIGHT;
-        self.learnt = now;
+        let error_rate = self.error_rate(now);
+        self.error_rate = error_rate + (1.0 - error_rate) * SAMPLE_WEIGHT;
+        self.last_sample = now;
         let pause = FIRST_PAUSE.saturating_mul(1 << self.losses.min(8));
         self.losses += 1;
-        self.pause_until = now + pause.min(LONGEST_PAUSE);
+        self.pause_until = now + pause.min(MAX_PAUSE);
     }
 
-    /// Whether it lost connections and did not answer since.
+    /// Returns whether connections were lost since the last reply and the pause after
+    /// them has not ended.
     pub fn is_failing(&self, now: Instant) -> bool {
         self.losses > 0 && self.pause_until > now
     }
 
-    /// Notes the load that it reported.
+    /// Records the load that the target reported.
     pub fn record_load(&mut self, load: Load, now: Instant) {
         self.report = Some(Report { load, at: now });
     }
 
-    /// How much longer than usual its replies take.
+    /// Returns the factor by which replies take longer than usual.
     pub fn slowness(&self, now: Instant) -> f64 {
         1.0 + (self.slowness - 1.0) * self.weight(now)
     }
 
-    /// The share of its replies that are failures.
-    pub fn errors(&self, now: Instant) -> f64 {
-        self.errors * self.weight(now)
+    /// Returns the share of replies and connections that failed.
+    pub fn error_rate(&self, now: Instant) -> f64 {
+        self.error_rate * self.weight(now)
     }
 
-    /// The requests that others run there, as far as its last report says.
-    pub fn others(&self, now: Instant) -> f64 {
+    /// Returns the number of requests from other VMs at the target by its last load
+    /// report, which counts for less as it ages.
+    pub fn load_from_others(&self, now: Instant) -> f64 {
         let Some(report) = self.report else { return 0.0 };
-        let age = now.since(report.at).as_secs_f64() / LOAD_AGE.as_secs_f64();
+        let age = now.since(report.at).as_secs_f64() / LOAD_REPORT_LIFETIME.as_secs_f64();
         if age >= 1.0 {
             return 0.0;
         }
@@ -145,13 +147,13 @@
         busy.max(0.0) * (1.0 - age)
     }
 
-    /// Whether it has a free slot, as far as this VM knows.
+    /// Returns whether the target has a free slot, as far as this VM knows.
     pub fn has_free_slot(&self, now: Instant) -> bool {
-        let busy = self.running.len() as f64 + self.others(now);
+        let busy = self.running.len() as f64 + self.load_from_others(now);
         busy < f64::from(self.entry.slots)
     }
 
     fn weight(&self, now: Instant) -> f64 {
-        (-now.since(self.learnt).as_secs_f64() / MEMORY.as_secs_f64()).exp()
+        (-now.since(self.last_sample).as_secs_f64() / ESTIMATE_DECAY.as_secs_f64()).exp()
     }
 }
--- a/crates/core/src/relay/table/timer.rs
+++ b/crates/core/src/relay/table/timer.rs
@@ -1,23 +1,23 @@
-//! What a row may be due for.
+//! The timers of a traffic thread.
 
 use super::leg;
 use crate::{name::Name, relay, relay::message::Call};
 
-/// What is due.
+/// What is due when a timer expires.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
-    /// The moment at which an answer that is complete enough is given.
+    /// The goal of a request: an answer with enough parts is given from here on.
     Goal(Call),
-    /// The end of a request.
+    /// The deadline of a request.
     Deadline(Call),
-    /// The end of a request that was handed to another VM.
+    /// The deadline of a request that was handed to another VM.
     HandedDeadline(Call),
-    /// An attempt beside a slow one.
+    /// A hedge of a slow leg.
     Hedge(leg::Key),
-    /// The end of an attempt that nobody waits for.
+    /// The end of an attempt whose reply nothing waits for.
     Orphan(relay::Attempt),
-    /// The end of a pause of a target.
+    /// The end of the pause after a target was lost.
     Pause(Name),
-    /// The first connection to a target.
+    /// The opening of the first connection to a target.
     Warm(Name),
 }
