Reword the core types of the relay

The comments on requests, routes, views and messages between VMs used everyday phrases ("says something", "told", "comes back") or repeated the field's name. They now state the meaning, unit or condition in plain terms. Behaviour is unchanged.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -1,4 +1,4 @@
-//! The tables and systems of a traffic thread as one value.
+//! The tables and systems of a traffic thread behind one type.
 
 use rand::{SeedableRng, rngs::StdRng};
 
@@ -9,7 +9,7 @@
 };
 use crate::time::Instant;
 
-/// The tables and systems of a traffic thread.
+/// The tables of a traffic thread with what its systems need to run over them.
 pub struct Engine {
     tables: Tables,
     limits: Limits,
@@ -18,13 +18,13 @@
 }
 
 impl Engine {
-    /// Makes an engine with empty tables.
+    /// Creates an engine with empty tables.
     pub fn new(limits: Limits, policies: Policies, seed: u64) -> Engine {
         let random = StdRng::seed_from_u64(seed);
         Engine { tables: Tables::default(), limits, policies, random }
     }
 
-    /// Runs every system once.
+    /// Takes events, runs every system once and puts its output into `out`.
     pub fn step(&mut self, now: Instant, events: Vec<Event>, out: &mut Outbox) {
         let mut cx = Context {
             now,
@@ -36,22 +36,23 @@
         system::run(&mut self.tables, events, &mut cx);
     }
 
-    /// Puts other limits in force.
+    /// Replaces the limits from the next tick on.
     pub fn set_limits(&mut self, limits: Limits) {
         self.limits = limits;
     }
 
-    /// When the next row is due.
+    /// Returns when the next timer is due.
     pub fn wake(&self) -> Option<Instant> {
         self.tables.timers.first()
     }
 
-    /// Whether no larger VM is in reach, so that this one must know the routes.
+    /// Returns whether this VM must read the routes itself, because there are larger VMs
+    /// but none that can be reached and has current routes.
     pub fn is_alone(&self, now: Instant) -> bool {
         system::hop::is_alone(&self.tables, now)
     }
 
-    /// The tables, for gauges and tests.
+    /// Returns the tables, for gauges and tests.
     pub fn tables(&self) -> &Tables {
         &self.tables
     }
--- a/crates/core/src/relay/hop.rs
+++ b/crates/core/src/relay/hop.rs
@@ -1,4 +1,4 @@
-//! What VMs tell each other about requests that one hands to another.
+//! Messages between VMs about requests that one hands to another.
 
 use std::net::SocketAddr;
 
@@ -11,18 +11,17 @@
 pub enum Hop {
     /// A request for the receiver to answer.
     Request {
-        /// The id at the sender.
+        /// The id of the request at the sender.
         call: Call,
-        /// The request.
         caller_request: Box<CallerRequest>,
-        /// Where the sender takes the answer.
+        /// The address at which the sender takes the answer.
         reply_to: SocketAddr,
     },
-    /// The answer to [`Hop::Request`], and whether the sender hears from the store, so
-    /// that its routes are the newest.
+    /// The answer to [`Hop::Request`], and whether the store answers the sender, so
+    /// that its routes are current.
     Answer { call: Call, answer: Answer, is_current: bool },
-    /// Whether the sender hears from the store, told when it changes.
+    /// Whether the store answers the sender, sent when that changes.
     State { is_current: bool },
-    /// The caller went away; no answer is waited for.
+    /// The caller disconnected and the answer is no longer needed.
     Cancel { call: Call },
 }
--- a/crates/core/src/relay/limits.rs
+++ b/crates/core/src/relay/limits.rs
@@ -1,22 +1,21 @@
-//! Limits and times of a traffic thread.
+//! The limits of a traffic thread.
 
 use std::{net::SocketAddr, time::Duration};
 
 use crate::name::Name;
 
-/// What a deployment allows.
+/// The limits of a deployment, with the identity of this VM.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
-    /// The name of this VM.
     pub vm: Name,
-    /// Where this VM takes requests and answers of other VMs.
+    /// The address at which this VM takes requests and answers from other VMs.
     pub address: SocketAddr,
     /// The failure domain of this VM.
     pub domain: Name,
-    /// The attempts beyond the first that are allowed for each first one.
+    /// The extra attempts allowed for each first attempt.
     pub retry_ratio: f64,
-    /// The attempts beyond the first that all VMs together may make in a window
-    /// without any first one.
+    /// The extra attempts that all VMs together may make in a window without a
+    /// first attempt.
     pub retry_slack: f64,
     /// The window of the retry budget.
     pub retry_window: Duration,
--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -1,4 +1,4 @@
-//! Requests, replies and answers as the systems see them.
+//! Requests, replies and answers, independent of any protocol.
 
 use std::{sync::Arc, time::Duration};
 
@@ -9,123 +9,116 @@
     fault::Fault,
 };
 
-/// A caller's request that waits for its answer.
+/// The id of a caller's request that has not been answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Call(pub u64);
 
-/// A header that is passed on.
+/// A header that is forwarded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Header {
-    /// The name in lower case.
+    /// The name, in lower case.
     pub name: Arc<str>,
-    /// The value, which need not be text.
+    /// The value, which may not be valid UTF-8.
     pub value: Arc<[u8]>,
 }
 
-/// What is passed on to a target unchanged.
+/// The part of a request that is forwarded to a target unchanged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
-    /// The method.
     pub method: Arc<str>,
-    /// The path with its query.
+    /// The path with its query string.
     pub path: Arc<str>,
-    /// The headers, without those that concern one connection.
+    /// The headers, without those that apply to a single connection.
     pub headers: Vec<Header>,
-    /// The whole body.
     pub body: Arc<[u8]>,
 }
 
 /// A request of a caller.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerRequest {
-    /// The caller's id of this try; targets echo it.
+    /// The caller's id of this attempt; targets echo it.
     pub id: Arc<str>,
-    /// The host that the caller addressed, in lower case and without a port.
+    /// The host that the caller addressed, in lower case and without the port.
     pub host: Arc<str>,
-    /// The path without its query, by which the route is found.
+    /// The path without its query string, which selects the route.
     pub path: Arc<str>,
-    /// The time that the caller waits, where it says so.
+    /// How long the caller waits for an answer, if it states that.
     pub caller_timeout: Option<Duration>,
-    /// The time that the way through another VM takes from the goal.
+    /// The part of the goal that is spent on the way through another VM.
     pub peer_delay: Duration,
-    /// What is passed on.
     pub message: Message,
 }
 
 impl CallerRequest {
-    /// The fingerprint, equal for a request that is sent again.
+    /// Returns the fingerprint, which is the same when a request is sent again.
     pub fn fingerprint(&self) -> Fingerprint {
         let Message { method, path, body, .. } = &self.message;
         digest::fingerprint(&[method.as_bytes(), self.host.as_bytes(), path.as_bytes(), body])
     }
 }
 
-/// How busy a target says it is.
+/// The load that a target reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// The requests that run.
+    /// The number of requests that it runs.
     pub running: u32,
-    /// The requests that wait.
+    /// The number of requests in its queue.
     pub waiting: u32,
-    /// The requests that may run at a time.
+    /// The number of requests that it can run at a time.
     pub slots: u32,
 }
 
-/// A whole reply of a target.
+/// A complete reply of a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
-    /// The status code.
     pub status: u16,
-    /// The headers, without those that concern one connection.
+    /// The headers, without those that apply to a single connection.
     pub headers: Vec<Header>,
-    /// The whole body.
     pub body: Arc<[u8]>,
-    /// The digest by which the caller checks the body.
+    /// The digest with which the caller checks the body.
     pub digest: Option<Arc<str>>,
-    /// Whether the target says that it did not run the request.
+    /// Whether the target states that it did not run the request.
     pub refused: bool,
-    /// Whether the target says that it is another one than the one meant.
+    /// Whether the target states that it is not the one the request was meant for.
     pub misdirected: bool,
-    /// How busy the target is.
     pub load: Option<Load>,
     /// Whether the connection may carry another request.
     pub reusable: bool,
 }
 
 impl Reply {
-    /// Whether the reply is a success that the caller can check.
+    /// Returns whether the reply is a success with a digest for the caller to check.
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status) && self.digest.is_some()
     }
 }
 
-/// What a caller is answered.
+/// The answer to a caller.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// The reply of one target, unchanged.
     Forwarded(Box<Reply>),
     /// The merged parts of several shards.
     Gathered(Gathered),
-    /// No reply.
+    /// A refusal by this tier, without a reply of a target.
     Refused(Refusal),
 }
 
 /// The merged parts of several shards of one version of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gathered {
-    /// The digest of each part that is in.
+    /// The digest of each part in the answer.
     pub digests: Vec<Arc<str>>,
-    /// The shards that are left out.
+    /// The number of shards without a part in the answer.
     pub missing: usize,
-    /// The greatest records of the parts, falling.
+    /// The greatest records of all parts, in descending order.
     pub body: Vec<u8>,
 }
 
-/// A refusal with the time after which another try makes sense.
+/// A refusal, with the time after which the caller may retry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
-    /// What went wrong.
     pub fault: Fault,
-    /// When to come back, for a request that was not run.
+    /// The time to wait before a retry, for a request that was not run.
     pub retry: Option<Duration>,
 }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -1,7 +1,8 @@
-//! Forwards callers' requests by route, to one target or to one of each shard.
+//! Forwards callers' requests by route, to one target or to one target of each
+//! shard.
 //!
 //! Tables hold requests, legs, attempts, targets and connections; the systems
-//! run over them in the order of [`system`]. Nothing here knows a protocol: a
+//! run over them in the order given in [`system`]. Nothing here knows a protocol: a
 //! front end hands in an [`message::CallerRequest`] and gets an [`message::Answer`], a
 //! client of the targets carries out each [`Command`] and reports an [`Event`].
 //! See `docs/design/platform.md`.
@@ -39,77 +40,74 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Connection(pub u64);
 
-/// What a traffic thread learns.
+/// The input of a traffic thread.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// A caller's request.
+    /// A caller's request arrived.
     Arrived { call: Call, caller_request: CallerRequest },
-    /// A caller went away before its answer.
+    /// A caller disconnected before its answer.
     Abandoned { call: Call },
-    /// A connection is open.
+    /// A connection was opened.
     Opened { connection: Connection },
     /// A target answered an attempt.
     Replied { connection: Connection, attempt: Attempt, reply: Box<Reply> },
-    /// A connection can be used no more.
+    /// A connection was closed or lost.
     Closed { connection: Connection, loss: Loss },
-    /// Another VM says something.
+    /// A message from another VM arrived.
     Hop { from: Name, hop: Hop },
-    /// What was sent to another VM may be lost; `maybe_received` tells whether that VM may
-    /// have taken any of it.
+    /// Messages to another VM may be lost; `maybe_received` is false if that VM
+    /// cannot have received any of them.
     HopLost { to: Name, detail: String, maybe_received: bool },
-    /// The control thread has a newer view.
+    /// The control thread published a newer view.
     View(Arc<View>),
 }
 
-/// What became of the request that a lost connection carried.
+/// How a connection ended, and what that means for the request on it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Loss {
-    /// Whether some of a request may have reached the target.
+    /// Whether a part of a request may have reached the target.
     pub sent: bool,
-    /// Whether the connection ended in an orderly way between two requests.
+    /// Whether the connection was closed in an orderly way between two requests.
     pub idle: bool,
-    /// Whether the target ended the connection or refused it, as one does whose
-    /// process is gone; a target that is only silent does neither.
+    /// Whether the target closed or refused the connection, as happens when its
+    /// process is gone. A target that merely does not answer does neither.
     pub gone: bool,
-    /// What happened, for people.
+    /// A description of the cause, for the log.
     pub detail: String,
 }
 
-/// What a traffic thread asks of the client of the targets.
+/// An order of a traffic thread to the client of the targets.
 #[derive(Clone, Debug)]
 pub enum Command {
     /// Opens a connection.
     Open { connection: Connection, address: SocketAddr },
     /// Sends a request as soon as the connection is open.
     Send { connection: Connection, attempt: Attempt, target_request: TargetRequest },
-    /// Closes a connection, whatever it carries.
+    /// Closes a connection, even if it carries an attempt.
     Close { connection: Connection },
-    /// Tells another VM something.
+    /// Sends a message to another VM.
     Hop { to: Name, address: SocketAddr, hop: Hop },
 }
 
 /// A request for one target.
 #[derive(Clone, Debug)]
 pub struct TargetRequest {
-    /// The request as the caller sent it.
     pub caller_request: Arc<CallerRequest>,
-    /// The target that is meant; any other one must refuse.
+    /// The target that the request is meant for; any other one must refuse it.
     pub target: Name,
-    /// The time that is left for the run.
+    /// The time that the target has to answer.
     pub time_left: Duration,
 }
 
-/// What a step leaves to be done.
+/// The output of a tick.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    /// Orders for the client of the targets.
+    /// Commands for the client of the targets.
     pub commands: Vec<Command>,
     /// Answers to callers.
     pub answers: Vec<(Call, Answer)>,
-    /// Lines for the log.
     pub lines: Vec<Line>,
-    /// The requests that this VM holds back from now on.
+    /// The requests that this VM holds back from this tick on.
     pub held: Vec<Fingerprint>,
-    /// What was counted.
     pub counts: Counts,
 }
--- a/crates/core/src/relay/route.rs
+++ b/crates/core/src/relay/route.rs
@@ -4,57 +4,56 @@
 
 use crate::name::Name;
 
-/// One version of the configuration, which is never changed.
+/// A version of the configuration, which is immutable.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
-    /// The version; a greater one is newer.
+    /// The version number; a greater one is newer.
     pub version: u64,
-    /// The routes of each host, those with the longest prefix first.
+    /// The routes of each host, sorted by the length of their prefix, longest first.
     pub hosts: BTreeMap<Arc<str>, Vec<Arc<Route>>>,
     /// The services that routes may name.
     pub services: BTreeMap<Name, Service>,
-    /// What callers may send.
+    /// The limits for requests of callers.
     pub bounds: Bounds,
 }
 
-/// A group of targets that answer alike.
+/// A group of interchangeable targets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Service {
-    /// The connections that each target takes from all VMs together.
+    /// The number of connections that each target accepts from all VMs together.
     pub connections: u32,
 }
 
-/// What a caller may send and how long it may take.
+/// The limits for the requests and connections of callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Bounds {
-    /// The largest head of a request in bytes.
+    /// The largest request head, in bytes.
     pub head: usize,
-    /// The largest body of a request in bytes.
+    /// The largest request body, in bytes.
     pub body: usize,
-    /// The time for the head to arrive.
+    /// The time within which the head must arrive.
     pub head_time: Duration,
-    /// The time that a connection may be idle.
+    /// The time for which a connection may be idle.
     pub idle: Duration,
 }
 
-/// What an operator promises for a group of requests.
+/// Where the requests under a path prefix go, and what holds for them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
-    /// The name of the route, for logs.
+    /// The name, for logs and as the key of the statistics of the route.
     pub name: Name,
-    /// The beginning of the paths of the route.
+    /// The prefix of the paths that the route applies to.
     pub prefix: Arc<str>,
-    /// Whether a request may run more than once.
+    /// Whether targets may run a request more than once.
     pub idempotent: bool,
-    /// The longest time that a caller is kept waiting.
+    /// The longest time until a caller is answered.
     pub timeout: Duration,
-    /// The time within which an answer has its full worth.
+    /// The time within which an answer has its full value.
     pub goal: Duration,
-    /// The rank of the requests, where zero comes first.
+    /// The priority of the requests; zero is served first.
     pub priority: u32,
-    /// The targets of a service that one request may be sent to.
+    /// The number of targets of a service that a request may be sent to.
     pub attempts: u32,
-    /// Where requests go.
     pub plan: Plan,
 }
 
@@ -63,40 +62,40 @@
 pub enum Plan {
     /// To one target of a service.
     Single(Name),
-    /// To one target of one of several services, by weight.
+    /// To one target of one of several services, chosen by weight.
     Split(Vec<WeightedService>),
     /// To one target of each shard.
     Gather(Gather),
 }
 
-/// A service with its share of a route's requests.
+/// A service with its share of the requests of a route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WeightedService {
-    /// The service.
     pub service: Name,
-    /// Its share, relative to the other parts.
+    /// The share, relative to the other services of the route.
     pub weight: f64,
 }
 
 /// A search over shards.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Gather {
-    /// The services that hold the shards.
+    /// The service of each shard.
     pub shards: Vec<Name>,
-    /// The number of records in an answer.
+    /// The largest number of records in an answer.
     pub top_k: usize,
-    /// The least share of the shards in an answer.
+    /// The share of the shards, from 0 to 1, that an answer needs at least.
     pub min_coverage: f64,
 }
 
 impl Config {
-    /// The route with the longest prefix of `path` at `host`.
+    /// Returns the route of `host` with the longest prefix that `path` starts with.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.hosts.get(host)?;
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
-    /// Files routes under their hosts, those with the longest prefix first.
+    /// Groups routes by host and sorts those of a host by the length of their prefix,
+    /// longest first.
     pub fn group_by_host(
         routes: impl Iterator<Item = (Arc<str>, Route)>,
     ) -> BTreeMap<Arc<str>, Vec<Arc<Route>>> {
@@ -112,17 +111,19 @@
 }
 
 impl Gather {
-    /// The parts that an answer must have.
+    /// Returns the number of parts that an answer needs, at least one if there are
+    /// shards.
     pub fn min_parts(&self) -> usize {
         let shards = self.shards.len();
-        // A share times a count may lie a rounding error above a whole number.
-        let least = (self.min_coverage * shards as f64 - 1e-9).ceil().max(1.0);
-        (least as usize).min(shards)
+        // The product may exceed a whole number by a rounding error, which `ceil` would
+        // round up.
+        let parts = (self.min_coverage * shards as f64 - 1e-9).ceil().max(1.0);
+        (parts as usize).min(shards)
     }
 }
 
 impl Route {
-    /// The services that requests of the route may go to.
+    /// Returns the services that requests of the route may go to.
     pub fn services(&self) -> Vec<&Name> {
         match &self.plan {
             Plan::Single(service) => vec![service],
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -1,4 +1,4 @@
-//! What the control thread tells the traffic threads.
+//! What the control thread publishes to the traffic threads.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -12,27 +12,28 @@
 use super::route::Config;
 use crate::{digest::Fingerprint, name::Name};
 
-/// The configuration in force and the targets, replaced as a whole.
+/// The configuration in force with the targets and VMs, replaced as a whole.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     /// The newest configuration, if any is known.
     pub config: Option<Arc<Config>>,
-    /// The targets that registered themselves.
+    /// The registered targets.
     pub targets: BTreeMap<Name, Arc<Target>>,
-    /// Whether the store answers, so that what is known of it is the newest.
+    /// Whether the store answers, so that this view is current.
     pub is_current: bool,
-    /// The VMs that share the connections of targets and the retry budgets.
+    /// The VMs among which connections to targets and retry budgets are divided.
     pub vms: BTreeMap<Name, Vm>,
-    /// The VMs to count on while none is known.
+    /// The number of VMs to assume while none is known.
     pub assumed_vms: u32,
-    /// The requests that are held back since they crashed targets.
+    /// The requests that are held back because they crashed targets.
     pub held: BTreeSet<Fingerprint>,
-    /// The VMs with so much more processor time that requests are handed to them.
+    /// The VMs that have so much more processor time that this one hands them its
+    /// requests.
     pub larger: BTreeMap<Name, Vm>,
 }
 
 impl View {
-    /// The number of VMs that share connections and retry budgets.
+    /// Returns the number of VMs among which connections and retry budgets are divided.
     pub fn sharing_vms(&self) -> u32 {
         match u32::try_from(self.vms.len()) {
             Ok(0) => self.assumed_vms.max(1),
@@ -45,29 +46,25 @@
 /// A VM that forwards requests to targets itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vm {
-    /// Its failure domain.
     pub domain: Name,
-    /// Where it takes requests of other VMs.
+    /// The address at which it takes requests of other VMs.
     pub address: SocketAddr,
-    /// Its processor time in thousandths of a core.
+    /// The processor time, in thousandths of a core.
     pub share: u32,
 }
 
-/// A target as it registered itself.
+/// The registration of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
-    /// Its service.
     pub service: Name,
-    /// Where it listens.
     pub address: SocketAddr,
-    /// Its failure domain.
     pub domain: Name,
-    /// The requests that it runs at a time.
+    /// The number of requests that it can run at a time.
     pub slots: u32,
-    /// Whether it is leaving and must get no new work.
+    /// Whether it is draining and must get no new work.
     pub draining: bool,
-    /// The time after its registration for which it is slow.
+    /// How long it is slow after its registration.
     pub cold: Duration,
-    /// Tells one start of the target from another.
+    /// Distinguishes one start of the target from another.
     pub born: u64,
 }
