Reword the feed of the relay

The feed's systems had names of everyday speech (hear, tell, take, miss, give_up) and its comments spoke of telling and hearing. Functions are named by what they do to the tables, the constants by what they bound (MANY -> LONG_HISTORY_CHANGES, LISTENERS -> ANNOUNCE_FANOUT, BEHIND -> MAX_LAG, LARGER -> LARGER_VM_FACTOR), and the part of a VM is its role (part.rs -> role.rs, Part -> Role). The log keys "part" and "heard" stay as they are.

The error text "the reply does not fit the call", which no test matches, is now "unexpected type of reply". Behaviour is unchanged.

--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -1,12 +1,12 @@
-//! Keeps the configuration and the list of targets up to date: the decisions of
-//! the control thread of a VM that forwards requests.
+//! Keeps the configuration and the list of targets up to date from the store: the
+//! decisions of the control thread of a VM that forwards requests.
 //!
-//! One reading at the start, then one watch over everything that matters, so
-//! that a VM costs the store a call only when something changes. What is known
-//! stays in use while the store is away. See `docs/design/platform.md`.
+//! A VM scans the store once at the start and then keeps one watch over all keys
+//! that it needs, so that it costs the store a call only when something changes.
+//! The last known state stays in use while the store is unavailable. See `docs/design/platform.md`.
 
 pub mod table;
-mod part;
+mod role;
 mod report;
 pub mod progress;
 pub mod system;
@@ -18,7 +18,7 @@
 use self::{
     progress::Progress,
     system::Context,
-    table::{OwnVm, Part, Tables},
+    table::{OwnVm, Role, Tables},
 };
 use super::{View, route::Config, view};
 use crate::{
@@ -29,87 +29,83 @@
     time::Instant,
 };
 
-/// Reads what others wrote to the store.
+/// The format of keys and entries in the store.
 pub trait Format: Send {
-    /// What the entry under a key is about.
+    /// Returns what the entry under a key describes.
     fn subject(&self, key: &str) -> Subject;
-    /// The beginning of every key that is read and watched.
+    /// Returns the prefix of all keys that are read and watched.
     fn watch_prefix(&self) -> &str;
-    /// The beginning of the keys of VMs.
+    /// Returns the prefix of the keys of VMs.
     fn vm_prefix(&self) -> &str;
-    /// The key of a VM.
+    /// Returns the key of a VM.
     fn vm_key(&self, name: &Name) -> String;
-    /// Reads the entry of a VM.
+    /// Decodes the entry of a VM.
     fn vm(&self, entry: &Entry) -> Result<view::Vm, String>;
-    /// Writes the entry of a VM.
+    /// Encodes the entry of a VM.
     fn write_vm(&self, vm: &view::Vm) -> Vec<u8>;
-    /// Reads a configuration.
+    /// Decodes a configuration.
     fn config(&self, entry: &Entry) -> Result<Config, String>;
-    /// The key that tells that a request is held back.
+    /// Returns the key whose presence means that a request is held back.
     fn held_key(&self, request: Fingerprint) -> String;
-    /// Reads the registration of a target.
+    /// Decodes the registration of a target.
     fn target(&self, entry: &Entry) -> Result<view::Target, String>;
 }
 
-/// What an entry of the store is about.
+/// What an entry of the store describes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Subject {
-    /// The configuration.
     Config,
-    /// A target.
     Target(Name),
-    /// A VM.
     Vm(Name),
     /// A request that is held back.
     Held(Fingerprint),
-    /// Something else.
+    /// Anything else; the feed ignores the entry.
     Other,
 }
 
-/// Times of the feed.
+/// The time limits of the feed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// The longest time that a watch waits.
+    /// The longest time that a watch waits for a change.
     pub watch_wait: Duration,
-    /// The least time between two watches, in which changes gather.
+    /// The pause between a watch that found changes and the next one, in which further
+    /// changes accumulate.
     pub watch_gap: Duration,
     /// The first pause after a failed call; each further one doubles it.
     pub first_pause: Duration,
     /// The longest pause after failed calls.
     pub longest_pause: Duration,
-    /// The time in which VMs enter themselves at a first start, the larger ones
-    /// first.
+    /// The time over which VMs that start for the first time spread their
+    /// registrations, the larger VMs first.
     pub registration_window: Duration,
-    /// The time for which entries that lapsed while the store was away may
-    /// still come back.
+    /// How long after an outage of the store a target stays in use although its entry
+    /// lapsed, as targets write lapsed entries again.
     pub lapse_grace: Duration,
 }
 
-/// What a step of the feed takes.
+/// The input of a tick of the feed.
 #[derive(Debug, Default)]
 pub struct Input {
-    /// Replies of the store.
     pub replies: Vec<(CallId, Reply)>,
-    /// How far other VMs say that they have read.
+    /// How far other VMs have read the store.
     pub progress: Vec<Progress>,
-    /// The requests that this VM holds back from now on.
+    /// The requests that this VM holds back from this tick on.
     pub held: Vec<Fingerprint>,
 }
 
-/// What a step of the feed leaves to be done.
+/// The output of a tick of the feed.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    /// Calls of the store.
+    /// Calls to the store.
     pub calls: Vec<(CallId, Call)>,
-    /// A view that differs from the last one.
+    /// The new view, if it differs from the last one.
     pub view: Option<Arc<View>>,
-    /// What other VMs are told.
+    /// The announcements to other VMs.
     pub progress: Vec<(SocketAddr, Progress)>,
-    /// Lines for the log.
     pub lines: Vec<Line>,
 }
 
-/// The tables and systems of the control thread.
+/// The tables of the control thread with what its systems need to run over them.
 pub struct Feed {
     tables: Tables,
     limits: Limits,
@@ -118,21 +114,27 @@
 }
 
 impl Feed {
-    /// Makes a feed that knows nothing yet but its own VM. `least` VMs are
-    /// counted on while none is known.
-    pub fn new(limits: Limits, format: Box<dyn Format>, own: OwnVm, least: u32, seed: u64) -> Feed {
+    /// Creates a feed that knows only its own VM. While no VM is known, retry budgets
+    /// and connections are divided among `assumed_vms`.
+    pub fn new(
+        limits: Limits,
+        format: Box<dyn Format>,
+        own: OwnVm,
+        assumed_vms: u32,
+        seed: u64,
+    ) -> Feed {
         let mut tables = Tables::new(own);
-        tables.view.assumed_vms = least;
+        tables.view.assumed_vms = assumed_vms;
         Feed { tables, limits, format, random: StdRng::seed_from_u64(seed) }
     }
 
-    /// Notes whether no larger VM is in reach. From then on this one reads the
-    /// routes itself.
+    /// Records whether this VM has larger VMs but reaches none with current routes. Once
+    /// this was true, the VM reads the routes itself from then on.
     pub fn set_alone(&mut self, is_alone: bool) {
         self.tables.is_alone |= is_alone;
     }
 
-    /// Takes replies of the store and progress of other VMs and runs every system
+    /// Takes replies of the store and announcements of other VMs, and runs every system
     /// once.
     pub fn step(&mut self, now: Instant, input: Input, out: &mut Outbox) {
         let mut cx = Context {
@@ -145,14 +147,14 @@
         system::run(&mut self.tables, input, &mut cx);
     }
 
-    /// When the next row is due.
+    /// Returns when the next tick is due, if one is.
     pub fn wake(&self) -> Option<Instant> {
         self.tables.wake()
     }
 
-    /// Whether requests can be served by what is known.
+    /// Returns whether enough is known to serve requests.
     pub fn is_ready(&self) -> bool {
         let is_fed = self.tables.view.config.is_some() && self.tables.change.is_some();
-        is_fed || (self.tables.part == Part::Handing && !self.tables.is_alone)
+        is_fed || (self.tables.role == Role::Handing && !self.tables.is_alone)
     }
 }
--- a/crates/core/src/relay/feed/progress.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -1,8 +1,9 @@
-//! What VMs tell each other about the store.
+//! Messages between VMs about how far each has read the store.
 //!
-//! A watch that is never answered looks like one for which nothing changed. So a
-//! VM that learns of a change tells a few others how far it has read; one that
-//! stays behind reads everything again, and is not current until it has.
+//! A watch that is never answered looks the same as one for which nothing
+//! changed. A VM that learns of a change therefore announces to a few others how
+//! far it has read. A VM that stays behind reads everything again, and does not
+//! count as current until it has.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -10,19 +11,20 @@
 
 use super::{
     system::{Context, set_current},
-    table::{Part, Purpose, Tables},
+    table::{Purpose, Role, Tables},
 };
 use crate::{
     log::{Event, Line},
     name::Name,
 };
 
-/// The VMs that are told, so that one that is gone or cut off does not end the
-/// chain.
-const LISTENERS: usize = 4;
+/// The number of VMs that an announcement goes to: more than one, so that a VM
+/// that is gone or cut off does not end its propagation.
+const ANNOUNCE_FANOUT: usize = 4;
 
-/// The time that a VM may be behind: its own watch gathers changes for a while.
-const BEHIND: Duration = Duration::from_millis(1000);
+/// How long a VM may be behind others. It must exceed the time for which a VM lets
+/// changes accumulate between two watches.
+const MAX_LAG: Duration = Duration::from_millis(1000);
 
 /// How far a VM has read the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,53 +33,56 @@
     pub latest: u64,
 }
 
-/// Takes what another VM says.
-pub fn hear(tables: &mut Tables, progress: Progress, cx: &Context<'_>) {
-    if progress.latest > tables.latest.max(tables.heard) {
-        tables.heard = progress.latest;
-        tables.behind_at.get_or_insert(cx.now + BEHIND);
+/// Records how far another VM has read, and starts the time limit for catching up.
+pub fn receive(tables: &mut Tables, progress: Progress, cx: &Context<'_>) {
+    if progress.latest > tables.latest.max(tables.latest_of_others) {
+        tables.latest_of_others = progress.latest;
+        tables.lag_deadline.get_or_insert(cx.now + MAX_LAG);
     }
 }
 
-/// Tells the next few VMs in the order of their names how far this one has read,
-/// or has heard that others have: where the store ignores most VMs, the few that
-/// read do not reach all others themselves.
-pub fn tell(tables: &mut Tables, cx: &mut Context<'_>) {
-    let latest = tables.latest.max(tables.heard);
-    if tables.told >= latest || tables.part != Part::Forwarding {
+/// Announces to the next few VMs, in the order of their names, how far this one or
+/// any VM that it has heard from has read. VMs pass announcements on because,
+/// where the store does not answer most VMs, the few that it answers do not reach
+/// all others themselves.
+pub fn announce(tables: &mut Tables, cx: &mut Context<'_>) {
+    let latest = tables.latest.max(tables.latest_of_others);
+    if tables.announced >= latest || tables.role != Role::Forwarding {
         return;
     }
-    tables.told = latest;
+    tables.announced = latest;
     let progress = Progress { latest };
-    cx.out.progress.extend(listeners(tables).into_iter().map(|to| (to, progress)));
+    cx.out.progress.extend(recipients(tables).into_iter().map(|to| (to, progress)));
 }
 
-fn listeners(tables: &Tables) -> Vec<SocketAddr> {
+fn recipients(tables: &Tables) -> Vec<SocketAddr> {
     let own = &tables.own.name;
     let is_after = |name: &Name| name > own;
     let after = tables.view.vms.iter().filter(|(name, _)| is_after(name));
     let before = tables.view.vms.iter().filter(|(name, _)| *name < own);
-    after.chain(before).take(LISTENERS).map(|(_, vm)| vm.address).collect()
+    after.chain(before).take(ANNOUNCE_FANOUT).map(|(_, vm)| vm.address).collect()
 }
 
-/// Reads everything again if this VM stayed behind.
-pub fn check(tables: &mut Tables, cx: &mut Context<'_>) {
-    if tables.heard <= tables.latest {
-        tables.behind_at = None;
+/// Schedules a new scan of the store if this VM has stayed behind others for too
+/// long.
+pub fn rescan_if_behind(tables: &mut Tables, cx: &mut Context<'_>) {
+    if tables.latest_of_others <= tables.latest {
+        tables.lag_deadline = None;
         return;
     }
-    if tables.behind_at.is_none_or(|at| at > cx.now) {
+    if tables.lag_deadline.is_none_or(|at| at > cx.now) {
         return;
     }
-    tables.behind_at = Some(cx.now + BEHIND);
+    tables.lag_deadline = Some(cx.now + MAX_LAG);
     if !matches!(tables.call, Some((_, Purpose::Watch))) {
         return;
     }
-    let fields = vec![("own", tables.latest.to_string()), ("heard", tables.heard.to_string())];
+    let fields =
+        vec![("own", tables.latest.to_string()), ("heard", tables.latest_of_others.to_string())];
     cx.out.lines.push(Line::new(Event::StoreSilent, fields));
-    // A reply that still comes belongs to no call any more.
+    // A late reply to this watch matches no call and is dropped.
     tables.call = None;
-    tables.next = Some(Purpose::All);
+    tables.next_purpose = Some(Purpose::Scan);
     tables.not_before = cx.now;
     set_current(tables, false);
 }
--- a/crates/core/src/relay/feed/report.rs
+++ b/crates/core/src/relay/feed/report.rs
@@ -1,7 +1,7 @@
-//! Tells the other VMs through the store which requests are held back.
+//! Reports to the other VMs through the store which requests are held back.
 //!
-//! An entry goes with its lease, so that nobody has to remove it. It is written
-//! once: a VM that does not hear of it finds out by itself.
+//! An entry is removed with its lease, so that no VM has to delete it. It is
+//! written only once: a VM that misses it finds the request by itself.
 
 use super::{
     system::Context,
@@ -14,57 +14,61 @@
     store::{Call, CallId, LeaseId, Reply},
 };
 
-/// The reports that wait; a VM that finds more crashing requests at a time tells
-/// of these only.
-const MAX_WAITING: usize = 16;
+/// The most reports that wait. If a VM finds more crashing requests at a time, it
+/// does not report the rest.
+const MAX_WAITING_REPORTS: usize = 16;
 
-/// Takes requests that this VM holds back.
-pub fn take(tables: &mut Tables, held: Vec<Fingerprint>) {
+/// Queues reports of requests that this VM holds back.
+pub fn enqueue(tables: &mut Tables, held: Vec<Fingerprint>) {
     for fingerprint in held {
         let is_known = tables.view.held.contains(&fingerprint);
         let waiting = &mut tables.reports.waiting;
-        if !is_known && waiting.len() < MAX_WAITING && !waiting.contains(&fingerprint) {
+        if !is_known && waiting.len() < MAX_WAITING_REPORTS && !waiting.contains(&fingerprint) {
             waiting.push_back(fingerprint);
         }
     }
 }
 
-/// Makes the next call. A VM that does not read the store has nobody to tell.
-pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
-    if tables.reports.open.is_some() || tables.reports.waiting.is_empty() || tables.is_handing() {
+/// Starts the next report. A VM that hands its requests to others does not use the
+/// store and makes no reports.
+pub fn start_next(tables: &mut Tables, cx: &mut Context<'_>) {
+    if tables.reports.in_flight.is_some()
+        || tables.reports.waiting.is_empty()
+        || tables.is_handing()
+    {
         return;
     }
-    begin(tables, Step::Grant, Call::Grant { ttl: HOLD }, cx);
+    start_call(tables, Step::Grant, Call::Grant { ttl: HOLD }, cx);
 }
 
-/// Takes the reply to a call of a report; returns it if it belongs to none.
-pub fn collect(
+/// Handles the reply to a call of a report. Returns the reply if it belongs to none.
+pub fn handle_reply(
     tables: &mut Tables,
     id: CallId,
     reply: Reply,
     cx: &mut Context<'_>,
 ) -> Option<Reply> {
-    let Some((_, step)) = tables.reports.open.take_if(|(open, _)| *open == id) else {
+    let Some((_, step)) = tables.reports.in_flight.take_if(|(open, _)| *open == id) else {
         return Some(reply);
     };
     match (step, reply) {
-        (Step::Grant, Reply::Leased { lease }) => write(tables, lease, cx),
-        // A conflict tells that another VM was first.
+        (Step::Grant, Reply::Leased { lease }) => start_write(tables, lease, cx),
+        // A conflict means that another VM has already written the report.
         (Step::Write, Reply::Swapped { .. } | Reply::Conflict { .. }) => {
             tables.reports.waiting.pop_front();
         }
-        (_, reply) => give_up(tables, &reply, cx),
+        (_, reply) => discard(tables, &reply, cx),
     }
     None
 }
 
-fn begin(tables: &mut Tables, step: Step, call: Call, cx: &mut Context<'_>) {
+fn start_call(tables: &mut Tables, step: Step, call: Call, cx: &mut Context<'_>) {
     let id = tables.call_id();
-    tables.reports.open = Some((id, step));
+    tables.reports.in_flight = Some((id, step));
     cx.out.calls.push((id, call));
 }
 
-fn write(tables: &mut Tables, lease: LeaseId, cx: &mut Context<'_>) {
+fn start_write(tables: &mut Tables, lease: LeaseId, cx: &mut Context<'_>) {
     let Some(fingerprint) = tables.reports.waiting.front() else { return };
     let call = Call::Swap {
         key: cx.format.held_key(*fingerprint),
@@ -72,14 +76,14 @@
         value: tables.own.name.as_str().into(),
         lease: Some(lease),
     };
-    begin(tables, Step::Write, call, cx);
+    start_call(tables, Step::Write, call, cx);
 }
 
-fn give_up(tables: &mut Tables, reply: &Reply, cx: &mut Context<'_>) {
+fn discard(tables: &mut Tables, reply: &Reply, cx: &mut Context<'_>) {
     let Some(fingerprint) = tables.reports.waiting.pop_front() else { return };
     let detail = match reply {
         Reply::Refused { detail } | Reply::Lost { detail } => detail.clone(),
-        _ => "the reply does not fit the call".to_owned(),
+        _ => "unexpected type of reply".to_owned(),
     };
     let fields = vec![("fingerprint", fingerprint.to_string()), ("detail", detail)];
     cx.out.lines.push(Line::new(Event::ReportLost, fields));
--- /dev/null
+++ b/crates/core/src/relay/feed/role.rs
@@ -0,0 +1,68 @@
+//! The role of a VM: whether it forwards requests itself or hands them to larger VMs.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use super::{
+    system::Context,
+    table::{Purpose, Role, Tables},
+};
+use crate::{
+    log::{Event, Line},
+    name::Name,
+    relay::view::Vm,
+    time::Instant,
+};
+
+/// A VM hands its requests only to VMs with at least this many times its processor
+/// time, as the gain must be worth the extra round trip.
+const LARGER_VM_FACTOR: u32 = 3;
+
+/// Returns the VMs that have enough processor time to be handed requests by this one.
+pub fn larger_vms(tables: &Tables) -> BTreeMap<Name, Vm> {
+    let min_share = tables.own.vm.share.saturating_mul(LARGER_VM_FACTOR);
+    let vms = tables.view.vms.iter().filter(|(_, vm)| vm.share >= min_share);
+    vms.map(|(name, vm)| (name.clone(), vm.clone())).collect()
+}
+
+/// Chooses the role after the list of VMs was read, or schedules another reading.
+pub fn choose_role(tables: &mut Tables, cx: &mut Context<'_>) {
+    if !larger_vms(tables).is_empty() {
+        set_role(tables, Role::Handing, cx);
+        return;
+    }
+    let register_at = registration_time(tables, cx);
+    if tables.own_entry.is_some() || register_at <= cx.now {
+        set_role(tables, Role::Forwarding, cx);
+        tables.next_purpose = Some(Purpose::Scan);
+    } else {
+        tables.next_purpose = Some(Purpose::ListVms);
+        tables.not_before = register_at;
+    }
+}
+
+/// Returns when this VM may register itself. VMs that start together for the first
+/// time find an empty list. The larger ones register first, so that the smaller
+/// ones find them and need no registration.
+fn registration_time(tables: &Tables, cx: &Context<'_>) -> Instant {
+    let share = Duration::from_secs(1).mul_f64(f64::from(tables.own.vm.share.min(1000)) / 1000.0);
+    let delay_share = Duration::from_secs(1).saturating_sub(share).as_secs_f64();
+    tables.started.unwrap_or(cx.now) + cx.limits.registration_window.mul_f64(delay_share)
+}
+
+fn set_role(tables: &mut Tables, role: Role, cx: &mut Context<'_>) {
+    tables.role = role;
+    tables.is_changed = true;
+    let text = if role == Role::Handing { "hands requests on" } else { "forwards requests" };
+    let fields = vec![
+        ("part", text.to_owned()),
+        ("larger", larger_vms(tables).len().to_string()),
+        ("vms", tables.view.vms.len().to_string()),
+    ];
+    cx.out.lines.push(Line::new(Event::PartTaken, fields));
+}
+
+/// Returns the purpose of the call that follows a scan.
+pub fn after_scan(tables: &Tables) -> Purpose {
+    let is_listed = tables.view.vms.get(&tables.own.name) == Some(&tables.own.vm);
+    if is_listed || tables.role != Role::Forwarding { Purpose::Watch } else { Purpose::Register }
+}
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -5,8 +5,8 @@
 use rand::{RngExt, rngs::StdRng};
 
 use super::{
-    Format, Input, Limits, Outbox, Subject, part, progress, report,
-    table::{Part, Purpose, Store, Tables},
+    Format, Input, Limits, Outbox, Subject, progress, report, role,
+    table::{Purpose, Role, Store, Tables},
 };
 use crate::{
     log::{Event, Line},
@@ -15,77 +15,73 @@
     time::Instant,
 };
 
-/// The number of changes in one reply from which on more are likely to follow at
-/// once: the store gives a long history in parts.
-const MANY: usize = 30;
+/// The number of changes in a reply from which on the next watch is sent without a
+/// pause: the store returns a long history in parts, so more changes are likely to
+/// be waiting.
+const LONG_HISTORY_CHANGES: usize = 30;
 
-/// What every system works with.
+/// The arguments that all systems share.
 pub struct Context<'a> {
-    /// Now.
     pub now: Instant,
-    /// The times.
     pub limits: &'a Limits,
-    /// How entries are read.
     pub format: &'a dyn Format,
-    /// The source of randomness.
     pub random: &'a mut StdRng,
-    /// What is to be done.
     pub out: &'a mut Outbox,
 }
 
-/// Runs every system once.
+/// Handles the input and runs every system once.
 pub fn run(tables: &mut Tables, input: Input, cx: &mut Context<'_>) {
     tables.started.get_or_insert(cx.now);
     for (id, reply) in input.replies {
-        if let Some(reply) = report::collect(tables, id, reply, cx) {
-            collect(tables, id, reply, cx);
+        if let Some(reply) = report::handle_reply(tables, id, reply, cx) {
+            handle_reply(tables, id, reply, cx);
         }
     }
-    report::take(tables, input.held);
-    for heard in input.progress {
-        progress::hear(tables, heard, cx);
+    report::enqueue(tables, input.held);
+    for progress in input.progress {
+        progress::receive(tables, progress, cx);
     }
-    progress::check(tables, cx);
-    progress::tell(tables, cx);
+    progress::rescan_if_behind(tables, cx);
+    progress::announce(tables, cx);
     expire(tables, cx);
-    call(tables, cx);
-    report::run(tables, cx);
+    start_call(tables, cx);
+    report::start_next(tables, cx);
     publish(tables, cx);
 }
 
-/// Takes the reply to the call that is under way.
-fn collect(tables: &mut Tables, id: CallId, reply: Reply, cx: &mut Context<'_>) {
+/// Handles the reply to the call in flight; any other reply is dropped.
+fn handle_reply(tables: &mut Tables, id: CallId, reply: Reply, cx: &mut Context<'_>) {
     let Some((_, purpose)) = tables.call.take_if(|(open, _)| *open == id) else { return };
     match (purpose, reply) {
-        (Purpose::Vms, Reply::Entries { entries, .. }) => {
-            answered(tables, cx);
+        (Purpose::ListVms, Reply::Entries { entries, .. }) => {
+            mark_store_up(tables, cx);
             replace_vms(tables, &entries, cx);
-            part::decide(tables, cx);
+            role::choose_role(tables, cx);
         }
-        (Purpose::All, Reply::Entries { entries, change }) => {
-            answered(tables, cx);
+        (Purpose::Scan, Reply::Entries { entries, change }) => {
+            mark_store_up(tables, cx);
             replace_all(tables, &entries, cx);
             set_current(tables, true);
             tables.change = Some(change);
-            tables.next = Some(part::after_reading(tables));
+            tables.next_purpose = Some(role::after_scan(tables));
         }
-        (Purpose::Entry, Reply::Swapped { version }) => {
-            answered(tables, cx);
-            tables.entered = Some(version);
-            tables.next = Some(Purpose::Watch);
+        (Purpose::Register, Reply::Swapped { version }) => {
+            mark_store_up(tables, cx);
+            tables.own_entry = Some(version);
+            tables.next_purpose = Some(Purpose::Watch);
         }
-        (Purpose::Entry, Reply::Conflict { current }) => {
-            // An answer that was lost, or an entry of an earlier start.
-            answered(tables, cx);
-            tables.entered = current.map(|entry| entry.version);
-            tables.next = Some(Purpose::Watch);
+        (Purpose::Register, Reply::Conflict { current }) => {
+            // The reply to an earlier write was lost, or the entry is from an earlier start.
+            mark_store_up(tables, cx);
+            tables.own_entry = current.map(|entry| entry.version);
+            tables.next_purpose = Some(Purpose::Watch);
         }
-        (Purpose::Entry, Reply::Refused { detail } | Reply::Lost { detail }) => {
-            // The others count one VM less until the next start.
-            failed(tables, Purpose::Watch, &detail, cx);
+        (Purpose::Register, Reply::Refused { detail } | Reply::Lost { detail }) => {
+            // Without the entry, other VMs count one VM less until the next start.
+            mark_store_down(tables, Purpose::Watch, &detail, cx);
         }
         (Purpose::Watch, Reply::Changed { entries, removed, change }) => {
-            answered(tables, cx);
+            mark_store_up(tables, cx);
             for entry in &entries {
                 apply(tables, entry, cx);
             }
@@ -94,32 +90,32 @@
             }
             set_current(tables, true);
             tables.change = tables.change.max(Some(change));
-            tables.next = Some(Purpose::Watch);
+            tables.next_purpose = Some(Purpose::Watch);
             let changes = entries.len() + removed.len();
-            if (1..MANY).contains(&changes) {
+            if (1..LONG_HISTORY_CHANGES).contains(&changes) {
                 tables.not_before = cx.now + cx.limits.watch_gap;
             }
         }
         (Purpose::Watch, Reply::Outdated) => {
-            answered(tables, cx);
-            // What changed since is not known before everything is read again.
+            mark_store_up(tables, cx);
+            // The changes since the last reply are unknown until the next scan.
             set_current(tables, false);
-            tables.next = Some(Purpose::All);
+            tables.next_purpose = Some(Purpose::Scan);
         }
         (_, Reply::Refused { detail } | Reply::Lost { detail }) => {
-            failed(tables, purpose, &detail, cx);
+            mark_store_down(tables, purpose, &detail, cx);
         }
-        (_, _) => failed(tables, purpose, "the reply does not fit the call", cx),
+        (_, _) => mark_store_down(tables, purpose, "unexpected type of reply", cx),
     }
 }
 
-/// Notes whether what is known is the newest that the store has.
+/// Sets whether the view is current, that is, has the newest state of the store.
 pub fn set_current(tables: &mut Tables, is_current: bool) {
     tables.is_changed |= std::mem::replace(&mut tables.view.is_current, is_current) != is_current;
 }
 
-/// Notes that the store answers.
-fn answered(tables: &mut Tables, cx: &mut Context<'_>) {
+/// Records that the store answers.
+fn mark_store_up(tables: &mut Tables, cx: &mut Context<'_>) {
     if let Store::Down { failures } = std::mem::take(&mut tables.store) {
         tables.lapse_until = cx.now + cx.limits.lapse_grace;
         let fields = vec![("failures", failures.to_string())];
@@ -127,8 +123,8 @@
     }
 }
 
-/// Plans to call the store again after a pause.
-fn failed(tables: &mut Tables, purpose: Purpose, detail: &str, cx: &mut Context<'_>) {
+/// Records that a call failed, and schedules the next one after a pause.
+fn mark_store_down(tables: &mut Tables, purpose: Purpose, detail: &str, cx: &mut Context<'_>) {
     let failures = match tables.store {
         Store::Up => {
             let fields = vec![("detail", detail.to_owned())];
@@ -139,19 +135,21 @@
     };
     set_current(tables, false);
     tables.store = Store::Down { failures };
-    // A watch would give what was missed in parts, the oldest first.
-    tables.next = Some(if purpose == Purpose::Watch { Purpose::All } else { purpose });
-    tables.not_before = cx.now + pause(failures, cx);
+    // A watch would return the missed changes in parts, the oldest first; a scan
+    // returns the newest state at once.
+    tables.next_purpose = Some(if purpose == Purpose::Watch { Purpose::Scan } else { purpose });
+    tables.not_before = cx.now + retry_pause(failures, cx);
 }
 
-/// The pause before a call after a number of failures, half of it random.
-fn pause(failures: u32, cx: &mut Context<'_>) -> Duration {
+/// Returns the pause after a number of failures in a row. It doubles with each
+/// failure up to the limit, and half of it is random.
+fn retry_pause(failures: u32, cx: &mut Context<'_>) -> Duration {
     let doublings = failures.saturating_sub(1).min(16);
     let span = cx.limits.first_pause.saturating_mul(1 << doublings).min(cx.limits.longest_pause);
     span.mul_f64(0.5 + 0.5 * cx.random.random::<f64>())
 }
 
-/// Takes an entry that was written.
+/// Applies an entry that was read.
 fn apply(tables: &mut Tables, entry: &Entry, cx: &mut Context<'_>) {
     tables.latest = tables.latest.max(entry.version.0);
     match cx.format.subject(&entry.key) {
@@ -163,7 +161,7 @@
     }
 }
 
-/// Takes a configuration, if it is newer than the one that is known.
+/// Applies a configuration if it is newer than the current one.
 fn apply_config(tables: &mut Tables, entry: &Entry, cx: &mut Context<'_>) {
     let config = match cx.format.config(entry) {
         Ok(config) => config,
@@ -212,7 +210,7 @@
     tables.is_changed = true;
 }
 
-/// Takes the entry of a VM.
+/// Applies the entry of a VM.
 fn apply_vm(tables: &mut Tables, name: Name, entry: &Entry, cx: &mut Context<'_>) {
     let vm = match cx.format.vm(entry) {
         Ok(vm) => vm,
@@ -223,7 +221,7 @@
         }
     };
     if name == tables.own.name && vm == tables.own.vm {
-        tables.entered = Some(entry.version);
+        tables.own_entry = Some(entry.version);
     }
     if tables.view.vms.get(&name) != Some(&vm) {
         tables.view.vms.insert(name, vm);
@@ -231,7 +229,7 @@
     }
 }
 
-/// Takes the whole list of VMs.
+/// Applies the entries of all VMs.
 fn replace_vms(tables: &mut Tables, entries: &[Entry], cx: &mut Context<'_>) {
     for entry in entries {
         if let Subject::Vm(name) = cx.format.subject(&entry.key) {
@@ -240,7 +238,7 @@
     }
 }
 
-/// Takes everything that there is.
+/// Applies the result of a scan, and marks the targets that it lacks as missing.
 fn replace_all(tables: &mut Tables, entries: &[Entry], cx: &mut Context<'_>) {
     let mut listed = BTreeSet::new();
     tables.is_changed |= !tables.view.held.is_empty();
@@ -253,13 +251,13 @@
     }
     let known: Vec<Name> = tables.view.targets.keys().cloned().collect();
     for id in known.into_iter().filter(|id| !listed.contains(id)) {
-        miss(tables, id, cx);
+        mark_missing(tables, id, cx);
     }
 }
 
 fn remove(tables: &mut Tables, key: &str, cx: &mut Context<'_>) {
     match cx.format.subject(key) {
-        Subject::Target(id) => miss(tables, id, cx),
+        Subject::Target(id) => mark_missing(tables, id, cx),
         Subject::Vm(name) => {
             tables.is_changed |= tables.view.vms.remove(&name).is_some();
         }
@@ -268,16 +266,16 @@
     }
 }
 
-/// Notes that the entry of a target is missing. Entries lapse while the store
-/// is away, and come back when their targets reach it again.
-fn miss(tables: &mut Tables, id: Name, cx: &mut Context<'_>) {
+/// Records that the entry of a target is missing. Entries lapse while the store is
+/// unavailable, and targets write them again when they reach it.
+fn mark_missing(tables: &mut Tables, id: Name, cx: &mut Context<'_>) {
     if tables.view.targets.contains_key(&id) {
         let gone_at = tables.lapse_until.max(cx.now);
         tables.missing.entry(id).or_insert(gone_at);
     }
 }
 
-/// Takes out the targets whose entries did not come back.
+/// Removes the targets whose entries were not written again in time.
 fn expire(tables: &mut Tables, cx: &mut Context<'_>) {
     let gone: Vec<Name> =
         tables.missing.iter().filter(|(_, at)| **at <= cx.now).map(|(id, _)| id.clone()).collect();
@@ -290,19 +288,19 @@
     }
 }
 
-/// Makes the next call, when it is due.
-fn call(tables: &mut Tables, cx: &mut Context<'_>) {
+/// Starts the next call if it is due.
+fn start_call(tables: &mut Tables, cx: &mut Context<'_>) {
     if tables.call.is_some() || tables.not_before > cx.now || tables.is_handing() {
         return;
     }
-    let first = if tables.part == Part::Open { Purpose::Vms } else { Purpose::All };
-    let purpose = tables.next.take().unwrap_or(first);
+    let first = if tables.role == Role::Undecided { Purpose::ListVms } else { Purpose::Scan };
+    let purpose = tables.next_purpose.take().unwrap_or(first);
     let call = match purpose {
-        Purpose::Vms => Call::Peek { prefix: cx.format.vm_prefix().to_owned() },
-        Purpose::All => Call::Scan { prefix: cx.format.watch_prefix().to_owned() },
-        Purpose::Entry => Call::Swap {
+        Purpose::ListVms => Call::Peek { prefix: cx.format.vm_prefix().to_owned() },
+        Purpose::Scan => Call::Scan { prefix: cx.format.watch_prefix().to_owned() },
+        Purpose::Register => Call::Swap {
             key: cx.format.vm_key(&tables.own.name),
-            expect: tables.entered,
+            expect: tables.own_entry,
             value: cx.format.write_vm(&tables.own.vm),
             lease: None,
         },
@@ -317,10 +315,10 @@
     cx.out.calls.push((id, call));
 }
 
-/// Tells the traffic threads what has changed.
+/// Publishes the view to the traffic threads if it changed.
 fn publish(tables: &mut Tables, cx: &mut Context<'_>) {
     if std::mem::replace(&mut tables.is_changed, false) {
-        tables.view.larger = part::larger(tables);
+        tables.view.larger = role::larger_vms(tables);
         cx.out.view = Some(Arc::new(tables.view.clone()));
     }
 }
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -1,4 +1,4 @@
-//! The rows of the feed.
+//! The tables of the feed.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -10,155 +10,150 @@
     time::Instant,
 };
 
-/// What a call of the store is for.
+/// The purpose of a call to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
-    /// The list of VMs.
-    Vms,
-    /// Everything.
-    All,
-    /// The entry of this VM.
-    Entry,
-    /// Changes of everything.
+    /// Read the entries of all VMs, which decides the role.
+    ListVms,
+    /// Read all entries.
+    Scan,
+    /// Write the entry of this VM.
+    Register,
+    /// Wait for changes of any entry.
     Watch,
 }
 
-/// How this VM serves requests.
+/// How a VM serves requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Part {
-    /// It is not known yet whether there are larger VMs.
+pub enum Role {
+    /// Not decided, as the VM does not know yet whether there are larger ones.
     #[default]
-    Open,
-    /// It hands requests to a larger VM.
+    Undecided,
+    /// Hands requests to a larger VM.
     Handing,
-    /// It forwards requests to targets itself.
+    /// Forwards requests to targets itself.
     Forwarding,
 }
 
-/// The VM of the feed.
+/// The VM that the feed runs on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnVm {
-    /// Its name.
     pub name: Name,
-    /// Its entry.
+    /// The entry that it writes to the store.
     pub vm: Vm,
 }
 
 /// Whether the store answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Store {
-    /// It answered the last call.
+    /// The last call was answered.
     #[default]
     Up,
-    /// The last calls failed.
+    /// The last `failures` calls failed.
     Down { failures: u32 },
 }
 
-/// The step of a report that is under way.
+/// A step of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// A lease is made.
+    /// Create a lease.
     Grant,
-    /// The entry is written.
+    /// Write the entry under the lease.
     Write,
 }
 
-/// What this VM tells others of requests that are held back.
+/// The reports to other VMs of requests that this VM holds back.
 #[derive(Clone, Debug, Default)]
 pub struct Reports {
-    /// The requests that are to be told of; the first one is under way.
+    /// The requests to report. A call in flight is for the first one.
     pub waiting: VecDeque<Fingerprint>,
-    /// The call that is under way.
-    pub open: Option<(CallId, Step)>,
+    pub in_flight: Option<(CallId, Step)>,
 }
 
-/// All rows of the feed.
+/// All tables of the feed.
 #[derive(Clone, Debug)]
 pub struct Tables {
-    /// This VM.
     pub own: OwnVm,
-    /// How it serves requests.
-    pub part: Part,
-    /// Whether it hands requests on but reaches no larger VM.
+    pub role: Role,
+    /// Whether this VM had larger VMs but reached none with current routes, and so reads
+    /// the routes itself.
     pub is_alone: bool,
-    /// When the first step was.
+    /// The time of the first tick.
     pub started: Option<Instant>,
-    /// The version of the entry of this VM, if it has one.
-    pub entered: Option<Version>,
-    /// What the traffic threads are told.
+    /// The version of the entry of this VM, if the store has one.
+    pub own_entry: Option<Version>,
+    /// The view that is published to the traffic threads.
     pub view: View,
-    /// Whether the view differs from the one that they were told last.
+    /// Whether the view changed since it was last published.
     pub is_changed: bool,
     /// The version of the newest entry that was read.
     pub latest: u64,
-    /// The newest version that others were told of.
-    pub told: u64,
-    /// The newest version that others told of.
-    pub heard: u64,
-    /// When this VM has been behind for too long.
-    pub behind_at: Option<Instant>,
-    /// The call that is under way.
+    /// The newest version that was announced to other VMs.
+    pub announced: u64,
+    /// The newest version that other VMs announced.
+    pub latest_of_others: u64,
+    /// When this VM scans the store again if it is still behind other VMs.
+    pub lag_deadline: Option<Instant>,
+    /// The call in flight.
     pub call: Option<(CallId, Purpose)>,
-    /// What the next call is for.
-    pub next: Option<Purpose>,
-    /// When the next call may be made.
+    pub next_purpose: Option<Purpose>,
+    /// The earliest time of the next call.
     pub not_before: Instant,
-    /// The change number that the watch goes on from, once everything was read.
+    /// The change number from which the watch continues, set by the first scan.
     pub change: Option<u64>,
-    /// Whether the store answers.
     pub store: Store,
-    /// When entries that lapsed during an outage are gone for good.
+    /// Until when targets whose entries lapsed during an outage stay in use.
     pub lapse_until: Instant,
-    /// Targets whose entry is missing, with the time at which they are gone.
+    /// Targets whose entry is missing, with the time at which they are removed.
     pub missing: BTreeMap<Name, Instant>,
-    /// The requests that others are told of.
     pub reports: Reports,
-    last: u64,
+    last_call_id: u64,
 }
 
 impl Tables {
-    /// Empty tables of a VM.
+    /// Creates empty tables for a VM.
     pub fn new(own: OwnVm) -> Tables {
         Tables {
             own,
-            part: Part::Open,
+            role: Role::Undecided,
             is_alone: false,
             started: None,
-            entered: None,
+            own_entry: None,
             view: View::default(),
             is_changed: false,
             latest: 0,
-            told: 0,
-            heard: 0,
-            behind_at: None,
+            announced: 0,
+            latest_of_others: 0,
+            lag_deadline: None,
             call: None,
-            next: None,
+            next_purpose: None,
             not_before: Instant::default(),
             change: None,
             store: Store::Up,
             lapse_until: Instant::default(),
             missing: BTreeMap::new(),
             reports: Reports::default(),
-            last: 0,
+            last_call_id: 0,
         }
     }
 
-    /// Whether it needs nothing but the larger VMs.
+    /// Returns whether this VM hands its requests to larger VMs, so that it does not call
+    /// the store.
     pub fn is_handing(&self) -> bool {
-        self.part == Part::Handing && !self.is_alone
+        self.role == Role::Handing && !self.is_alone
     }
 
-    /// The id of a new call.
+    /// Returns the id for a new call.
     pub fn call_id(&mut self) -> CallId {
-        self.last += 1;
-        CallId(self.last)
+        self.last_call_id += 1;
+        CallId(self.last_call_id)
     }
 
-    /// When the next row is due.
+    /// Returns when the next call or deadline is due.
     pub fn wake(&self) -> Option<Instant> {
         let is_calling = self.call.is_some() || self.is_handing();
         let call = (!is_calling).then_some(self.not_before);
         let missing = self.missing.values().min().copied();
-        [call, missing, self.behind_at].into_iter().flatten().min()
+        [call, missing, self.lag_deadline].into_iter().flatten().min()
     }
 }
