Make some comments of the relay more exact

The time in a row of a handed request is when the request was handed over, not when it came from the caller: it is set anew when the request is handed to another VM. The change number of the watch is set by every scan.

--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! A VM scans the store once at the start and then keeps one watch over all keys
 //! that it needs, so that it costs the store a call only when something changes.
-//! The last known state stays in use while the store is unavailable. See `docs/design/platform.md`.
+//! The last known state stays in use while the store is unavailable. See
+//! `docs/design/platform.md`.
 
 pub mod table;
 mod role;
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -99,7 +99,7 @@
     pub next_purpose: Option<Purpose>,
     /// The earliest time of the next call.
     pub not_before: Instant,
-    /// The change number from which the watch continues, set by the first scan.
+    /// The change number from which the watch continues; `None` until the first scan.
     pub change: Option<u64>,
     pub store: Store,
     /// Until when targets whose entries lapsed during an outage stay in use.
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! Tables hold requests, legs, attempts, targets and connections; the systems
 //! run over them in the order given in [`system`]. Nothing here knows a protocol: a
-//! front end hands in an [`message::CallerRequest`] and gets an [`message::Answer`], a
-//! client of the targets carries out each [`Command`] and reports an [`Event`].
+//! front end hands in a [`message::CallerRequest`] and gets an [`message::Answer`], and the
+//! client of the targets carries out each [`Command`] and reports each [`Event`].
 //! See `docs/design/platform.md`.
 
 pub mod hop;
@@ -76,7 +76,7 @@
     pub detail: String,
 }
 
-/// An order of a traffic thread to the client of the targets.
+/// A command of a traffic thread to the client of the targets.
 #[derive(Clone, Debug)]
 pub enum Command {
     /// Opens a connection.
--- a/crates/core/src/relay/table/hop.rs
+++ b/crates/core/src/relay/table/hop.rs
@@ -13,7 +13,7 @@
 pub struct HandedRequest {
     pub to: Name,
     pub caller_request: Arc<CallerRequest>,
-    /// When the request arrived at this VM.
+    /// When this VM handed the request over.
     pub arrived: Instant,
     pub deadline: Instant,
 }
--- a/crates/core/src/relay/table/mod.rs
+++ b/crates/core/src/relay/table/mod.rs
@@ -41,7 +41,7 @@
     /// The targets of each service that may get new work.
     pub services: BTreeMap<Name, BTreeSet<Name>>,
     pub connections: BTreeMap<super::Connection, Connection>,
-    /// The legs of each service that wait for a connection, in the order of service.
+    /// The legs of each service that wait for a connection, in queue order.
     pub waiting: BTreeMap<Name, BTreeSet<leg::QueuePosition>>,
     /// The retry budget of each service.
     pub budgets: BTreeMap<Name, Budget>,
