Reword the relay tests of store, feed, budget, routes and targets

They now say what they set up or what the check guards. The cases, bounds and inputs are the same, and the number of cases stays the same.

Renamed cases: budget::what_is_left_is_told -> budget::the_remaining_budget_is_returned targets::a_near_target_that_pauses_is_gone_round -> targets::a_near_target_that_pauses_is_avoided

--- a/crates/core/tests/relay/budget.rs
+++ b/crates/core/tests/relay/budget.rs
@@ -1,4 +1,4 @@
-//! The retry budget in every window.
+//! Tests of the bound of the retry budget in every window.
 
 use std::time::Duration;
 
@@ -30,7 +30,7 @@
         assert!(!budget.take(Instant(9_000_000), BOUND));
         assert!(budget.take(Instant(11_000_000), BOUND));
     };
-    what_is_left_is_told => {
+    the_remaining_budget_is_returned => {
         let mut budget = Budget::default();
         budget.record_first(Instant(0), WINDOW);
         assert!((budget.remaining(Instant(0), BOUND) - 3.2).abs() < 1e-9);
@@ -38,8 +38,8 @@
 }
 
 proptest! {
-    /// In every window the extra attempts stay within the bound of the first
-    /// ones of that window and the one before it.
+    /// In every window, the extra attempts stay within the bound that follows from the
+    /// first attempts of that window and the one before it.
     #[test]
     fn no_window_goes_beyond_the_bound(steps in vec((0u64..400, any::<bool>()), 1..600)) {
         let mut budget = Budget::default();
--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -1,4 +1,4 @@
-//! How a VM learns of configurations and targets.
+//! Tests of how a VM keeps its configuration and targets up to date from the store.
 
 use laburnum_core::{log::Event, relay::feed::progress::Progress, store::Call};
 
@@ -7,16 +7,17 @@
     store::{LIMITS, World},
 };
 
-fn fed() -> World {
+fn synced_world() -> World {
     let mut world = World::new();
     world.pass(ms(3000));
     assert!(world.feed.is_ready());
     world
 }
 
-/// A VM that is listed already, beside others.
-fn listed(own: u32, others: &[(&str, u32)]) -> World {
-    let mut world = World::of(own);
+/// Returns a store with a configuration, a target and the entries of `others`, for a
+/// VM with the share `own`.
+fn world_with_vms(own: u32, others: &[(&str, u32)]) -> World {
+    let mut world = World::with_share(own);
     world.put("config", "3");
     world.put("target/desk-1", "desk");
     for (name, share) in others {
@@ -27,27 +28,27 @@
 
 cases! {
     a_vm_knows_everything_after_one_reading => {
-        let world = fed();
+        let world = synced_world();
         assert_eq!(world.version(), Some(3));
-        assert!(world.has("desk-1") && world.has("desk-2"));
-        let dear = world.calls.iter().filter(|(_, call)| !matches!(call, Call::Peek { .. }));
-        assert_eq!(dear.count(), 4, "a reading, an entry and two watches: {:?}", world.calls);
+        assert!(world.has_target("desk-1") && world.has_target("desk-2"));
+        let full_price = world.calls.iter().filter(|(_, call)| !matches!(call, Call::Peek { .. }));
+        assert_eq!(full_price.count(), 4, "a scan, a registration and two watches: {:?}", world.calls);
     };
     a_vm_that_is_listed_starts_at_once => {
-        let mut world = listed(170, &[("own", 170), ("other", 170)]);
+        let mut world = world_with_vms(170, &[("own", 170), ("other", 170)]);
         world.pass(ms(100));
         assert!(world.feed.is_ready());
         assert_eq!(world.view.sharing_vms(), 2);
     };
     a_vm_enters_itself_once => {
-        let mut world = listed(170, &[("other", 170)]);
+        let mut world = world_with_vms(170, &[("other", 170)]);
         world.pass(ms(4000));
         assert_eq!(world.view.sharing_vms(), 2);
         let writes = world.calls.iter().filter(|(_, call)| matches!(call, Call::Swap { .. }));
         assert_eq!(writes.count(), 1);
     };
     vms_that_come_and_go_are_counted => {
-        let mut world = listed(170, &[("own", 170)]);
+        let mut world = world_with_vms(170, &[("own", 170)]);
         world.pass(ms(1000));
         world.put("vm/new", "170");
         world.pass(ms(1000));
@@ -57,14 +58,14 @@
         assert_eq!(world.view.sharing_vms(), 1);
     };
     a_small_vm_asks_for_the_list_of_vms_only => {
-        let mut world = listed(84, &[("large", 500)]);
+        let mut world = world_with_vms(84, &[("large", 500)]);
         world.pass(ms(30_000));
         assert!(world.feed.is_ready());
         assert_eq!(world.view.larger.len(), 1);
         assert!(matches!(&world.calls[..], [(_, Call::Peek { .. })]), "{:?}", world.calls);
     };
     a_small_vm_finds_larger_ones_that_start_with_it => {
-        let mut world = listed(84, &[]);
+        let mut world = world_with_vms(84, &[]);
         world.pass(ms(1100));
         world.put("vm/large", "500");
         world.pass(ms(5000));
@@ -73,7 +74,7 @@
     };
     a_large_vm_enters_itself_before_a_small_one_looks_again => {
         let entered = |share| {
-            let mut world = listed(share, &[]);
+            let mut world = world_with_vms(share, &[]);
             world.pass(ms(4000));
             let is_write = |(_, call): &&(_, Call)| matches!(call, Call::Swap { .. });
             world.calls.iter().find(is_write).unwrap().0
@@ -81,7 +82,7 @@
         assert!(entered(84).since(entered(500)) > ms(500));
     };
     a_small_vm_that_reaches_no_larger_one_reads_the_routes => {
-        let mut world = listed(84, &[("large", 500)]);
+        let mut world = world_with_vms(84, &[("large", 500)]);
         world.pass(ms(1000));
         world.feed.set_alone(true);
         world.pass(ms(1000));
@@ -99,13 +100,13 @@
         assert!(world.feed.is_ready());
     };
     nothing_is_asked_while_nothing_changes => {
-        let mut world = fed();
+        let mut world = synced_world();
         let before = world.calls.len();
         world.pass(ms(25_000));
         assert_eq!(world.calls.len(), before);
     };
     a_change_is_in_force_within_a_second => {
-        let mut world = fed();
+        let mut world = synced_world();
         for version in 4..12 {
             world.put("config", &version.to_string());
             world.pass(ms(800));
@@ -113,7 +114,7 @@
         }
     };
     changes_in_quick_succession_share_calls => {
-        let mut world = fed();
+        let mut world = synced_world();
         for version in 4..104 {
             world.put("config", &version.to_string());
             world.pass(ms(20));
@@ -123,7 +124,7 @@
         assert!(world.calls.len() < 15, "{}", world.calls.len());
     };
     an_older_version_is_never_taken => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.put("config", "9");
         world.pass(ms(1000));
         world.put("config", "5");
@@ -131,33 +132,33 @@
         assert_eq!(world.version(), Some(9));
     };
     a_version_that_cannot_be_read_changes_nothing => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.put("config", "no number");
         world.pass(ms(1000));
         assert_eq!(world.version(), Some(3));
         assert_eq!(world.logged(Event::RoutesUnreadable), 1);
     };
     a_registration_that_cannot_be_read_names_no_target => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.put("target/odd", "Not A Name");
         world.put("target/desk-3", "desk");
         world.pass(ms(1000));
-        assert!(world.has("desk-3") && !world.has("odd"));
+        assert!(world.has_target("desk-3") && !world.has_target("odd"));
         assert_eq!(world.logged(Event::TargetUnreadable), 1);
     };
     a_target_that_is_removed_is_gone => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.remove("target/desk-1");
         world.pass(ms(1000));
-        assert!(!world.has("desk-1") && world.has("desk-2"));
+        assert!(!world.has_target("desk-1") && world.has_target("desk-2"));
     };
     what_is_known_stays_in_use_while_the_store_is_away => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.is_down = true;
         world.put("config", "4");
         world.pass(ms(40_000));
         assert_eq!(world.version(), Some(3));
-        assert!(world.has("desk-1") && world.feed.is_ready());
+        assert!(world.has_target("desk-1") && world.feed.is_ready());
         assert_eq!(world.logged(Event::StoreDown), 1);
         world.is_down = false;
         world.pass(ms(2500));
@@ -165,7 +166,7 @@
         assert_eq!(world.logged(Event::StoreUp), 1);
     };
     a_store_that_is_away_is_asked_about_once_a_second => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.pass(ms(30_000));
         world.is_down = true;
         let before = world.calls.len();
@@ -174,31 +175,31 @@
         assert!((15..40).contains(&calls), "{calls}");
     };
     an_entry_that_lapsed_during_an_outage_may_come_back => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.is_down = true;
         world.pass(ms(32_000));
         world.remove("target/desk-1");
         world.is_down = false;
         world.pass(ms(1500));
-        assert!(world.has("desk-1"), "it counts as there for a moment");
+        assert!(world.has_target("desk-1"), "it is kept for the grace period");
         world.put("target/desk-1", "desk");
         world.pass(ms(5000));
-        assert!(world.has("desk-1"));
+        assert!(world.has_target("desk-1"));
         assert_eq!(world.logged(Event::TargetUnlisted), 0);
     };
     an_entry_that_stays_missing_after_an_outage_is_gone => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.is_down = true;
         world.pass(ms(32_000));
         world.remove("target/desk-1");
         world.is_down = false;
         world.pass(ms(1500));
-        assert!(world.has("desk-1"));
+        assert!(world.has_target("desk-1"));
         world.pass(ms(LIMITS.lapse_grace.as_millis() as u64 + 1200));
-        assert!(!world.has("desk-1"));
+        assert!(!world.has_target("desk-1"));
     };
     a_lost_history_is_read_again => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.is_down = true;
         world.pass(ms(31_000));
         world.put("config", "8");
@@ -208,10 +209,10 @@
         world.is_down = false;
         world.pass(ms(6000));
         assert_eq!(world.version(), Some(8));
-        assert!(world.has("desk-3") && !world.has("desk-2"));
+        assert!(world.has_target("desk-3") && !world.has_target("desk-2"));
     };
     routes_are_not_the_newest_before_a_lost_history_is_read => {
-        let mut world = fed();
+        let mut world = synced_world();
         assert!(world.view.is_current);
         world.is_down = true;
         world.pass(ms(32_000));
@@ -226,36 +227,36 @@
         assert!(world.view.is_current);
     };
     a_change_is_told_to_a_few_others => {
-        let mut world = listed(170, &[("own", 170), ("a", 170), ("b", 170), ("p", 170), ("q", 170), ("z", 170)]);
+        let mut world = world_with_vms(170, &[("own", 170), ("a", 170), ("b", 170), ("p", 170), ("q", 170), ("z", 170)]);
         world.pass(ms(1000));
-        world.told.clear();
+        world.announced.clear();
         world.put("config", "4");
         world.pass(ms(1000));
-        assert_eq!(world.told.len(), 4);
-        assert!(world.told.iter().all(|(_, progress)| progress.latest == world.revision()));
+        assert_eq!(world.announced.len(), 4);
+        assert!(world.announced.iter().all(|(_, progress)| progress.latest == world.revision()));
         world.pass(ms(20_000));
-        assert_eq!(world.told.len(), 4, "once for each change");
+        assert_eq!(world.announced.len(), 4, "announced once for each change");
     };
     what_is_heard_is_told_on_by_a_vm_that_cannot_read_it => {
-        let mut world = fed();
+        let mut world = synced_world();
         (0..6).for_each(|n| world.put(&format!("vm/other-{n}"), "170"));
         world.pass(ms(1000));
-        world.told.clear();
+        world.announced.clear();
         world.is_silent = true;
-        let heard = Progress { latest: world.revision() + 7 };
-        world.heard = vec![heard];
+        let announcement = Progress { latest: world.revision() + 7 };
+        world.incoming = vec![announcement];
         world.pass(ms(100));
-        assert_eq!(world.told.len(), 4);
-        assert!(world.told.iter().all(|(_, progress)| *progress == heard));
-        world.heard = vec![heard];
+        assert_eq!(world.announced.len(), 4);
+        assert!(world.announced.iter().all(|(_, progress)| *progress == announcement));
+        world.incoming = vec![announcement];
         world.pass(ms(100));
-        assert_eq!(world.told.len(), 4, "once");
+        assert_eq!(world.announced.len(), 4, "announced once");
     };
     a_watch_that_is_never_answered_is_found_out => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.is_silent = true;
         world.put("config", "4");
-        world.heard = vec![Progress { latest: world.revision() }];
+        world.incoming = vec![Progress { latest: world.revision() }];
         world.pass(ms(1200));
         assert!(!world.view.is_current);
         assert_eq!(world.logged(Event::StoreSilent), 1);
@@ -265,16 +266,16 @@
         assert!(world.view.is_current);
     };
     a_vm_that_reads_as_far_as_others_goes_on_watching => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.put("config", "4");
-        world.heard = vec![Progress { latest: world.revision() }];
+        world.incoming = vec![Progress { latest: world.revision() }];
         let before = world.calls.len();
         world.pass(ms(5000));
         assert_eq!(world.logged(Event::StoreSilent), 0);
         assert!(world.calls.len() - before <= 2);
     };
     what_was_missed_in_an_outage_is_read_at_once => {
-        let mut world = fed();
+        let mut world = synced_world();
         world.pass(ms(28_000));
         world.is_down = true;
         for version in 4..200 {
@@ -289,10 +290,10 @@
         assert_eq!(world.version(), Some(199));
     };
     a_long_history_is_read_without_pauses => {
-        let mut world = fed();
+        let mut world = synced_world();
         (0..300).for_each(|n| world.put(&format!("target/new-{n}"), "desk"));
         world.pass(ms(700));
-        assert!(world.has("new-299"));
+        assert!(world.has_target("new-299"));
     };
     a_store_without_a_configuration_is_watched_for_one => {
         let mut world = World::empty();
--- a/crates/core/tests/relay/routes.rs
+++ b/crates/core/tests/relay/routes.rs
@@ -1,16 +1,17 @@
-//! Finding the route of a request, and its version.
+//! Tests of which route a request takes, and of the configuration version that it keeps.
 
 use laburnum_core::relay::{Answer, route::Route};
 
 use crate::bed::{Bed, HOST, config, inquiry, ms, name, search, single, split, success, view};
 
-fn under(prefix: &str, service: &str) -> Route {
+fn prefix_route(prefix: &str, service: &str) -> Route {
     Route { prefix: prefix.into(), ..single(service) }
 }
 
-/// The service that a path leads to.
-fn service(path: &str) -> Option<String> {
-    let routes = vec![under("/a/", "one"), under("/a/b/", "two"), under("/", "rest")];
+/// Returns the service that a path is routed to.
+fn service_of(path: &str) -> Option<String> {
+    let routes =
+        vec![prefix_route("/a/", "one"), prefix_route("/a/b/", "two"), prefix_route("/", "rest")];
     let config = config(1, routes, 10);
     let route = config.find(HOST, path)?;
     Some(route.services()[0].to_string())
@@ -18,9 +19,9 @@
 
 cases! {
     the_longest_prefix_wins => {
-        assert_eq!(service("/a/b/c").as_deref(), Some("two"));
-        assert_eq!(service("/a/bc").as_deref(), Some("one"));
-        assert_eq!(service("/x").as_deref(), Some("rest"));
+        assert_eq!(service_of("/a/b/c").as_deref(), Some("two"));
+        assert_eq!(service_of("/a/bc").as_deref(), Some("one"));
+        assert_eq!(service_of("/x").as_deref(), Some("rest"));
     };
     a_path_without_a_route_is_not_found => {
         let mut bed = Bed::of(single("one"));
@@ -79,7 +80,7 @@
         };
         assert_eq!(rows(&bed), (1, 1, 1));
         bed.show(view(config(2, vec![single("desk")], 100)));
-        assert_eq!(rows(&bed), (0, 0, 1), "what was sent counts for a window");
+        assert_eq!(rows(&bed), (0, 0, 1), "the budget counts what was sent within a window");
         bed.pass(ms(11_000));
         bed.show(view(config(3, vec![single("desk")], 100)));
         assert_eq!(rows(&bed), (0, 0, 0));
@@ -101,7 +102,7 @@
         for turn in 0..20 {
             bed.ask(inquiry("/split/1"));
             let sent = bed.take_one();
-            // The credit of the version before may decide the first turn.
+            // The credit from the previous version may decide the first pick.
             assert!(turn == 0 || sent.target().starts_with("two-"), "turn {turn}");
             bed.reply(&sent, success("d", 1));
         }
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -1,4 +1,4 @@
-//! A store in virtual time, with a feed that reads it.
+//! A simulated store in virtual time, with the feed of one VM that reads it.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -18,15 +18,16 @@
 
 use crate::bed;
 
-/// A VM with a share of a core in thousandths.
+/// Returns a VM with `share` thousandths of a core.
 pub fn vm(share: u32) -> Vm {
     Vm { domain: bed::name("near"), address: "10.9.9.9:7000".parse().unwrap(), share }
 }
 
-/// Entries hold the share of a VM, the version of a configuration or the service of a target.
-struct Text;
+/// A format with plain text entries: the share of a VM, the version of a
+/// configuration, or the service of a target.
+struct TextFormat;
 
-impl Format for Text {
+impl Format for TextFormat {
     fn subject(&self, key: &str) -> Subject {
         match key.split_once('/') {
             Some(("target", id)) => Subject::Target(bed::name(id)),
@@ -75,8 +76,8 @@
     }
 }
 
-/// The changes that a reply to a watch holds at most.
-const PAGE: usize = 50;
+/// The most changes in a reply to a watch.
+const MAX_CHANGES_PER_REPLY: usize = 50;
 
 pub const LIMITS: Limits = Limits {
     watch_wait: Duration::from_secs(30),
@@ -87,36 +88,36 @@
     lapse_grace: Duration::from_millis(2500),
 };
 
-/// A store with the feed of one VM.
+/// A simulated store with the feed of one VM.
 pub struct World {
     pub now: Instant,
     pub feed: Feed,
     pub view: Arc<View>,
     pub lines: Vec<Line>,
     pub calls: Vec<(Instant, Call)>,
-    /// Whether calls fail.
+    /// Whether calls are refused.
     pub is_down: bool,
     /// Whether calls are never answered.
     pub is_silent: bool,
-    /// What other VMs say in the next step.
-    pub heard: Vec<Progress>,
-    /// What other VMs are told.
-    pub told: Vec<(SocketAddr, Progress)>,
-    /// The requests that the VM holds back from the next step on.
+    /// The announcements of other VMs that the feed gets in the next step.
+    pub incoming: Vec<Progress>,
+    /// The announcements that the feed has sent to other VMs.
+    pub announced: Vec<(SocketAddr, Progress)>,
+    /// The requests that the VM starts to hold back in the next step.
     pub held: Vec<Fingerprint>,
-    /// The calls that report such requests, and the one that is open.
+    /// The calls that report requests that are held back.
     pub reports: Vec<Call>,
-    report: Option<(CallId, Call)>,
-    /// The oldest change that is still known.
+    open_report: Option<(CallId, Call)>,
+    /// The revision before which the store has discarded its history.
     pub oldest: u64,
     entries: BTreeMap<String, (u64, Vec<u8>)>,
     changes: Vec<(u64, String)>,
     revision: u64,
-    open: Option<(CallId, Call, Instant)>,
+    open_call: Option<(CallId, Call, Instant)>,
 }
 
 impl World {
-    /// A store with a configuration and two targets, before the first call.
+    /// Creates a store with a configuration and two targets, before the first call.
     pub fn new() -> World {
         let mut world = World::empty();
         world.put("config", "3");
@@ -125,32 +126,32 @@
         world
     }
 
-    /// A store without entries.
+    /// Creates a store without entries.
     pub fn empty() -> World {
-        World::of(170)
+        World::with_share(170)
     }
 
-    /// A store without entries, for a VM with a share of a core in thousandths.
-    pub fn of(share: u32) -> World {
+    /// Creates a store without entries, for a VM with `share` thousandths of a core.
+    pub fn with_share(share: u32) -> World {
         let own = OwnVm { name: bed::name("own"), vm: vm(share) };
         World {
             now: Instant(1_000_000),
-            feed: Feed::new(LIMITS, Box::new(Text), own, 4, 3),
+            feed: Feed::new(LIMITS, Box::new(TextFormat), own, 4, 3),
             view: Arc::default(),
             lines: Vec::new(),
             calls: Vec::new(),
             is_down: false,
             is_silent: false,
-            heard: Vec::new(),
-            told: Vec::new(),
+            incoming: Vec::new(),
+            announced: Vec::new(),
             held: Vec::new(),
             reports: Vec::new(),
-            report: None,
+            open_report: None,
             oldest: 0,
             entries: BTreeMap::new(),
             changes: Vec::new(),
             revision: 10,
-            open: None,
+            open_call: None,
         }
     }
 
@@ -166,12 +167,12 @@
         self.changes.push((self.revision, key.to_owned()));
     }
 
-    /// Forgets all changes so far, as a store does that discards its history.
+    /// Discards the history of all changes so far.
     pub fn compact(&mut self) {
         self.oldest = self.revision;
     }
 
-    /// Lets time pass in steps of a few milliseconds.
+    /// Advances time by `span`, with a step every 5 ms.
     pub fn pass(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
@@ -180,7 +181,7 @@
         }
     }
 
-    /// The newest change.
+    /// Returns the revision of the newest change.
     pub fn revision(&self) -> u64 {
         self.revision
     }
@@ -189,43 +190,44 @@
         self.view.config.as_ref().map(|config| config.version)
     }
 
-    pub fn has(&self, id: &str) -> bool {
+    pub fn has_target(&self, id: &str) -> bool {
         self.view.targets.contains_key(&bed::name(id))
     }
 
+    /// Returns how many log lines of `event` there are.
     pub fn logged(&self, event: Event) -> usize {
         self.lines.iter().filter(|line| line.event == event).count()
     }
 
     fn step(&mut self) {
-        let mut replies: Vec<(CallId, Reply)> = self.answer().into_iter().collect();
+        let mut replies: Vec<(CallId, Reply)> = self.answer_call().into_iter().collect();
         replies.extend(self.answer_report());
         let held = std::mem::take(&mut self.held);
         let mut out = Outbox::default();
-        let progress = std::mem::take(&mut self.heard);
+        let progress = std::mem::take(&mut self.incoming);
         self.feed.step(self.now, Input { replies, progress, held }, &mut out);
-        self.told.extend(out.progress);
+        self.announced.extend(out.progress);
         self.lines.extend(out.lines);
         if let Some(view) = out.view {
             self.view = view;
         }
         for (id, call) in out.calls {
             if is_report(&call) {
-                assert!(self.report.is_none(), "two reports at a time");
+                assert!(self.open_report.is_none(), "two reports at a time");
                 self.reports.push(call.clone());
-                self.report = Some((id, call));
+                self.open_report = Some((id, call));
                 continue;
             }
             self.calls.push((self.now, call.clone()));
             let is_given_up = self.logged(Event::StoreSilent) > 0;
-            assert!(self.open.is_none() || is_given_up, "two calls at a time");
-            self.open = Some((id, call, self.now));
+            assert!(self.open_call.is_none() || is_given_up, "two calls at a time");
+            self.open_call = Some((id, call, self.now));
         }
     }
 
-    /// Reports are answered at once.
+    /// Answers the open call of a report, without delay.
     fn answer_report(&mut self) -> Option<(CallId, Reply)> {
-        let (id, call) = self.report.take()?;
+        let (id, call) = self.open_report.take()?;
         let down = Reply::Refused { detail: "down".to_owned() };
         let reply = match call {
             _ if self.is_down => down,
@@ -235,10 +237,10 @@
         Some((id, reply))
     }
 
-    fn answer(&mut self) -> Option<(CallId, Reply)> {
-        let (id, call, since) = self.open.clone()?;
+    fn answer_call(&mut self) -> Option<(CallId, Reply)> {
+        let (id, call, since) = self.open_call.clone()?;
         if self.is_silent {
-            // The client gives a call up after two seconds, a watch after its wait.
+            // The client gives up a call after 2 s, and a watch 2 s after its wait.
             let wait = if let Call::Watch { wait, .. } = call { wait } else { Duration::ZERO };
             if self.now.since(since) < wait + Duration::from_secs(2) {
                 return None;
@@ -249,7 +251,7 @@
         } else {
             self.read(&call, since)?
         };
-        self.open = None;
+        self.open_call = None;
         Some((id, reply))
     }
 
@@ -266,7 +268,7 @@
             Call::Watch { after, wait, .. } => {
                 let is_over = self.now.since(since) >= *wait;
                 let later = self.changes.iter().filter(|(revision, _)| revision > after);
-                let later: Vec<&(u64, String)> = later.take(PAGE).collect();
+                let later: Vec<&(u64, String)> = later.take(MAX_CHANGES_PER_REPLY).collect();
                 let change = later.last().map_or(change, |(revision, _)| *revision);
                 let keys: Vec<&String> = later.into_iter().map(|(_, key)| key).collect();
                 if keys.is_empty() && !is_over {
@@ -296,7 +298,7 @@
     }
 }
 
-/// Whether a call tells others of a request that is held back.
+/// Returns whether a call belongs to the report of a request that is held back.
 fn is_report(call: &Call) -> bool {
     match call {
         Call::Grant { .. } => true,
--- a/crates/core/tests/relay/targets.rs
+++ b/crates/core/tests/relay/targets.rs
@@ -1,4 +1,4 @@
-//! Which targets get new work, and on which connections.
+//! Tests of which targets get new work, and on which connections.
 
 use std::sync::Arc;
 
@@ -7,7 +7,7 @@
 use crate::bed::{Bed, config, inquiry, ms, name, refusal, single, success, target, view};
 
 /// Sends `count` requests one after another and returns their targets.
-fn targets(bed: &mut Bed, count: usize) -> Vec<String> {
+fn send_in_turn(bed: &mut Bed, count: usize) -> Vec<String> {
     (0..count)
         .map(|_| {
             bed.ask(inquiry("/fetch/1"));
@@ -27,8 +27,8 @@
     bed.show(view);
 }
 
-/// Two targets, of which the first one is in another failure domain.
-fn apart() -> Bed {
+/// Returns an engine with two targets, the first in another failure domain.
+fn bed_with_remote_target() -> Bed {
     let mut bed = Bed::of(single("desk"));
     let mut view = (*bed.engine.tables().view).clone();
     let mut far = (*view.targets[&name("desk-1")]).clone();
@@ -42,7 +42,7 @@
     a_draining_target_gets_no_new_work => {
         let mut bed = Bed::of(single("desk"));
         drain(&mut bed, "desk-1");
-        assert!(targets(&mut bed, 20).iter().all(|id| id == "desk-2"));
+        assert!(send_in_turn(&mut bed, 20).iter().all(|id| id == "desk-2"));
     };
     a_draining_target_finishes_its_work => {
         let mut bed = Bed::of(single("desk"));
@@ -58,7 +58,7 @@
         let mut view = (*bed.engine.tables().view).clone();
         view.targets.remove(&name("desk-1"));
         bed.show(view);
-        assert!(targets(&mut bed, 20).iter().all(|id| id == "desk-2"));
+        assert!(send_in_turn(&mut bed, 20).iter().all(|id| id == "desk-2"));
     };
     another_target_at_an_address_is_found_out_once => {
         let mut bed = Bed::of(single("desk"));
@@ -67,9 +67,9 @@
         bed.reply(&sent, refusal(421));
         let again = bed.take_one();
         bed.reply(&again, success("d", 1));
-        assert!(targets(&mut bed, 20).iter().all(|id| id == again.target()));
+        assert!(send_in_turn(&mut bed, 20).iter().all(|id| id == again.target()));
         bed.pass(ms(20_000));
-        assert!(targets(&mut bed, 20).iter().all(|id| id == again.target()), "also later");
+        assert!(send_in_turn(&mut bed, 20).iter().all(|id| id == again.target()), "it stays out of use");
     };
     the_target_that_is_meant_is_named => {
         let mut bed = Bed::of(single("desk"));
@@ -92,7 +92,7 @@
             bed.sent.clear();
         }
         assert!(slow < 25, "{slow}");
-        assert!(slow > 0, "it is tried now and then");
+        assert!(slow > 0, "it is still tried from time to time");
     };
     a_failing_target_gets_less_work => {
         let mut bed = Bed::of(single("desk"));
@@ -118,20 +118,20 @@
         bed.lose(&lost, true);
         let again = bed.take_one();
         bed.reply(&again, success("d", 1));
-        assert!(targets(&mut bed, 20).iter().all(|id| id != lost.target()));
+        assert!(send_in_turn(&mut bed, 20).iter().all(|id| id != lost.target()));
         bed.warm();
         bed.pass(ms(12_000));
-        let later = targets(&mut bed, 40);
+        let later = send_in_turn(&mut bed, 40);
         assert!(later.iter().any(|id| id == lost.target()), "it is tried again");
     };
     a_near_target_is_taken_before_a_far_one => {
-        let mut bed = apart();
+        let mut bed = bed_with_remote_target();
         bed.teach("/fetch/1", 10, ms(5));
-        let near = targets(&mut bed, 100).iter().filter(|id| *id == "desk-2").count();
+        let near = send_in_turn(&mut bed, 100).iter().filter(|id| *id == "desk-2").count();
         assert!(near > 95, "{near}");
     };
     a_near_target_is_taken_though_a_far_one_is_a_little_faster => {
-        let mut bed = apart();
+        let mut bed = bed_with_remote_target();
         bed.teach("/fetch/1", 10, ms(5));
         let mut near = 0;
         for _ in 0..100 {
@@ -145,7 +145,7 @@
         assert!(near > 95, "{near}");
     };
     a_far_target_gets_what_a_near_one_has_no_slots_for => {
-        let mut bed = apart();
+        let mut bed = bed_with_remote_target();
         bed.teach("/fetch/1", 10, ms(5));
         let asked = ["/fetch/1", "/fetch/2", "/fetch/3"].map(|path| {
             bed.ask(inquiry(path));
@@ -153,14 +153,14 @@
         });
         assert_eq!(asked, ["desk-2", "desk-2", "desk-1"]);
     };
-    a_near_target_that_pauses_is_gone_round => {
-        let mut bed = apart();
+    a_near_target_that_pauses_is_avoided => {
+        let mut bed = bed_with_remote_target();
         bed.teach("/fetch/1", 10, ms(5));
         bed.ask(inquiry("/fetch/1"));
         assert_eq!(bed.take_one().target(), "desk-2");
         bed.now = bed.now + ms(40);
         bed.ask(inquiry("/fetch/2"));
-        // The hedge of the first request goes there too.
+        // The hedge of the first request also goes to the remote target.
         let sent = bed.take();
         assert!(sent.len() == 2 && sent.iter().all(|sent| sent.target() == "desk-1"), "{sent:?}");
     };
@@ -171,20 +171,21 @@
         anew.born = 5;
         view.targets.insert(name("desk-1"), Arc::new(anew));
         bed.show(view);
-        assert_eq!(bed.closed.len(), 1, "the connection to the old start is closed");
+        assert_eq!(bed.closed.len(), 1, "the connection to the previous start is closed");
     };
     connections_are_kept_within_the_share_of_a_vm => {
-        // VMs, connections of a target, and what one VM may open to its two slots.
-        for (vms, taken, most) in [(1, 20, 2), (1, 1, 1), (4, 20, 2), (5, 4, 1), (8, 97, 1), (19, 55, 1)] {
-            let mut view = view(config(1, vec![single("desk")], taken));
+        // Number of VMs, connections that the target accepts, and connections that one VM may
+        // open to its two slots.
+        for (vms, accepted, allowed) in [(1, 20, 2), (1, 1, 1), (4, 20, 2), (5, 4, 1), (8, 97, 1), (19, 55, 1)] {
+            let mut view = view(config(1, vec![single("desk")], accepted));
             view.targets = [target("desk-1", "desk")].into();
             view.assumed_vms = vms;
             let mut bed = Bed::new(view);
             (0..6).for_each(|_| { bed.ask(inquiry("/fetch/1")); });
             let sent = bed.take();
-            assert_eq!(sent.len(), most, "{vms} VMs, {taken} connections");
+            assert_eq!(sent.len(), allowed, "{vms} VMs, {accepted} connections");
             bed.reply(&sent[0], success("d", 1));
-            assert_eq!(bed.take().len(), 1, "the next one goes when a connection is free");
+            assert_eq!(bed.take().len(), 1, "the next request is sent when a connection is free");
         }
     };
     a_leg_goes_to_another_target_before_it_waits_at_a_busy_one => {
