Name what makes a feed ready

The local is_fed was a play on the name of the module; is_loaded says that a configuration and the result of a scan are there. Behaviour is unchanged.

--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -155,7 +155,7 @@
 
     /// Returns whether enough is known to serve requests.
     pub fn is_ready(&self) -> bool {
-        let is_fed = self.tables.view.config.is_some() && self.tables.change.is_some();
-        is_fed || (self.tables.role == Role::Handing && !self.tables.is_alone)
+        let is_loaded = self.tables.view.config.is_some() && self.tables.change.is_some();
+        is_loaded || (self.tables.role == Role::Handing && !self.tables.is_alone)
     }
 }
