--- a/crates/core/src/relay/hop.rs
+++ b/crates/core/src/relay/hop.rs
@@ -1,28 +1,27 @@
-//! What VMs tell each other about requests that one hands to another.
+//! Messages between VMs about requests that one hands to another.
 
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-use super::message::{Answer, Call, Inquiry};
+use super::message::{Answer, Call, CallerRequest};
 
 /// A message between two VMs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Hop {
     /// A request for the receiver to answer.
-    Ask {
-        /// The id at the sender.
+    Request {
+        /// The id of the request at the sender.
         call: Call,
-        /// The request.
-        inquiry: Box<Inquiry>,
-        /// Where the sender takes the answer.
+        caller_request: Box<CallerRequest>,
+        /// The address at which the sender takes the answer.
         reply_to: SocketAddr,
     },
-    /// The answer to [`Hop::Ask`], and whether the sender hears from the store, so
-    /// that its routes are the newest.
+    /// The answer to [`Hop::Request`], and whether the store answers the sender, so
+    /// that its routes are current.
     Answer { call: Call, answer: Answer, is_current: bool },
-    /// Whether the sender hears from the store, told when it changes.
+    /// Whether the store answers the sender, sent when that changes.
     State { is_current: bool },
-    /// The caller went away; no answer is waited for.
-    Withdraw { call: Call },
+    /// The caller disconnected and the answer is no longer needed.
+    Cancel { call: Call },
 }
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -17,9 +17,9 @@
     rank,
     relay::{
         Command, Hop, Tables,
-        message::{Answer, Call, Inquiry, Refusal},
+        message::{Answer, Call, CallerRequest, Refusal},
         table::{
-            hop::{Asker, Handed, Taken},
+            hop::{AcceptedRequest, HandedRequest, Sender},
             timer::Timer,
         },
         view::Vm,
@@ -99,19 +99,24 @@
 pub fn hand_over(
     tables: &mut Tables,
     call: Call,
-    inquiry: Inquiry,
+    caller_request: CallerRequest,
     (to, address): (Name, SocketAddr),
     cx: &mut Context<'_>,
 ) {
-    let timeout = inquiry.patience.unwrap_or(DEFAULT_TIMEOUT);
+    let timeout = caller_request.caller_timeout.unwrap_or(DEFAULT_TIMEOUT);
     let deadline = cx.now + timeout.saturating_sub(HANDED_DEADLINE_MARGIN);
-    let mut sent = inquiry.clone();
-    sent.detour = ROUND_TRIP_ALLOWANCE;
+    let mut sent = caller_request.clone();
+    sent.peer_delay = ROUND_TRIP_ALLOWANCE;
     let reply_to = cx.limits.address;
-    let hop = Hop::Ask { call, inquiry: Box::new(sent), reply_to };
-    let row = Handed { to: to.clone(), inquiry: Arc::new(inquiry), arrived: cx.now, deadline };
+    let hop = Hop::Request { call, caller_request: Box::new(sent), reply_to };
+    let row = HandedRequest {
+        to: to.clone(),
+        caller_request: Arc::new(caller_request),
+        arrived: cx.now,
+        deadline,
+    };
     tables.handed.insert(call, row);
-    tables.timers.set(deadline, Timer::Handed(call));
+    tables.timers.set(deadline, Timer::HandedDeadline(call));
     tables.links.entry(to.clone()).or_default().open.insert((cx.now, call));
     cx.out.counts.add(Count::Handed);
     cx.out.commands.push(Command::Hop { to, address, hop });
@@ -124,23 +129,23 @@
         link.pause_until = Instant::default();
     }
     match hop {
-        Hop::Ask { call, inquiry, reply_to } => {
-            let own = Call(HANDED_CALL_BIT | tables.number());
-            tables.askers.insert(from.clone(), Asker { reply_to, asked: cx.now });
-            tables.taken.insert(own, Taken { from, reply_to, call });
-            intake::accept(tables, vec![(own, *inquiry)], cx);
+        Hop::Request { call, caller_request, reply_to } => {
+            let own = Call(HANDED_CALL_BIT | tables.next_id());
+            tables.senders.insert(from.clone(), Sender { reply_to, last_request: cx.now });
+            tables.accepted.insert(own, AcceptedRequest { from, reply_to, call });
+            intake::accept(tables, vec![(own, *caller_request)], cx);
         }
         Hop::Answer { call, answer, is_current } => {
             set_stale(tables, &from, !is_current);
             handle_answer(tables, call, answer, is_current, cx);
         }
         Hop::State { is_current } => set_stale(tables, &from, !is_current),
-        Hop::Withdraw { call } => {
+        Hop::Cancel { call } => {
             let is_withdrawn =
-                |(_, taken): &(&Call, &Taken)| taken.from == from && taken.call == call;
-            let own = tables.taken.iter().find(is_withdrawn).map(|(own, _)| *own);
+                |(_, taken): &(&Call, &AcceptedRequest)| taken.from == from && taken.call == call;
+            let own = tables.accepted.iter().find(is_withdrawn).map(|(own, _)| *own);
             if let Some(own) = own {
-                tables.taken.remove(&own);
+                tables.accepted.remove(&own);
                 intake::abandon(tables, own, cx);
             }
         }
@@ -168,7 +173,7 @@
     let is_refused = matches!(&answer, Answer::Refused(refusal) if refusal.fault.ran == Ran::No);
     let other = if is_refused && !is_current { best_vm(tables, cx, true) } else { None };
     if let Some(other) = other {
-        hand_over(tables, call, Inquiry::clone(&row.inquiry), other, cx);
+        hand_over(tables, call, CallerRequest::clone(&row.caller_request), other, cx);
         return;
     }
     cx.out.answers.push((call, answer));
@@ -178,8 +183,8 @@
 /// the store.
 pub fn send_state(tables: &mut Tables, cx: &mut Context<'_>) {
     let now = cx.now;
-    tables.askers.retain(|_, asker| now.since(asker.asked) < STATE_UPDATE_PERIOD);
-    for (to, asker) in &tables.askers {
+    tables.senders.retain(|_, asker| now.since(asker.last_request) < STATE_UPDATE_PERIOD);
+    for (to, asker) in &tables.senders {
         let hop = Hop::State { is_current: tables.view.is_current };
         cx.out.commands.push(Command::Hop { to: to.clone(), address: asker.reply_to, hop });
     }
@@ -189,7 +194,7 @@
 /// returns false if there is none.
 fn remove_handed(tables: &mut Tables, call: Call) -> bool {
     let Some(row) = tables.handed.remove(&call) else { return false };
-    tables.timers.cancel(row.deadline, Timer::Handed(call));
+    tables.timers.cancel(row.deadline, Timer::HandedDeadline(call));
     if let Some(link) = tables.links.get_mut(&row.to) {
         link.open.remove(&(row.arrived, call));
     }
@@ -201,7 +206,7 @@
     let Some(to) = tables.handed.get(&call).map(|row| row.to.clone()) else { return };
     remove_handed(tables, call);
     if let Some(address) = tables.view.larger.get(&to).map(|vm| vm.address) {
-        cx.out.commands.push(Command::Hop { to, address, hop: Hop::Withdraw { call } });
+        cx.out.commands.push(Command::Hop { to, address, hop: Hop::Cancel { call } });
     }
 }
 
@@ -244,10 +249,11 @@
 fn reroute(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
     let Some(row) = tables.handed.get(&call).cloned() else { return };
     remove_handed(tables, call);
-    let mut inquiry = Inquiry::clone(&row.inquiry);
+    let mut caller_request = CallerRequest::clone(&row.caller_request);
     let age = cx.now.since(row.arrived);
-    inquiry.patience = inquiry.patience.map(|patience| patience.saturating_sub(age));
-    intake::route(tables, call, inquiry, cx);
+    caller_request.caller_timeout =
+        caller_request.caller_timeout.map(|patience| patience.saturating_sub(age));
+    intake::route(tables, call, caller_request, cx);
 }
 
 fn refuse(tables: &mut Tables, call: Call, kind: Kind, detail: &str, cx: &mut Context<'_>) {
@@ -255,7 +261,7 @@
     remove_handed(tables, call);
     cx.out.counts.add(Count::Refused(kind));
     let fields = vec![
-        ("id", row.inquiry.id.to_string()),
+        ("id", row.caller_request.id.to_string()),
         ("kind", kind.to_string()),
         ("peer", row.to.to_string()),
         ("age_ms", leg::age_ms(row.arrived, cx.now)),
@@ -268,13 +274,13 @@
 
 /// Sends the answers to requests that other VMs handed to this one.
 pub fn send_answers(tables: &mut Tables, cx: &mut Context<'_>) {
-    if tables.taken.is_empty() {
+    if tables.accepted.is_empty() {
         return;
     }
     let answers = std::mem::take(&mut cx.out.answers);
     for (call, answer) in answers {
-        match tables.taken.remove(&call) {
-            Some(Taken { from, reply_to, call }) => {
+        match tables.accepted.remove(&call) {
+            Some(AcceptedRequest { from, reply_to, call }) => {
                 let is_current = tables.view.is_current;
                 let hop = Hop::Answer { call, answer, is_current };
                 cx.out.commands.push(Command::Hop { to: from, address: reply_to, hop });
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -40,14 +40,14 @@
     for event in events {
         match event {
             Event::View(view) => refresh::apply_view(tables, view, cx),
-            Event::Arrived { call, inquiry } => arrivals.push((call, inquiry)),
+            Event::Arrived { call, caller_request } => arrivals.push((call, caller_request)),
             Event::Abandoned { call } => {
                 hop::withdraw(tables, call, cx);
                 intake::abandon(tables, call, cx);
             }
             Event::Hop { from, hop } => hop::receive(tables, from, hop, cx),
-            Event::HopLost { to, detail, taken } => {
-                hop::connection_lost(tables, &to, &detail, taken, cx)
+            Event::HopLost { to, detail, maybe_received } => {
+                hop::connection_lost(tables, &to, &detail, maybe_received, cx)
             }
             Event::Opened { connection } => collect::opened(tables, connection, cx),
             Event::Replied { connection, attempt, reply } => {
--- a/crates/core/tests/relay/budget.rs
+++ b/crates/core/tests/relay/budget.rs
@@ -1,4 +1,4 @@
-//! The retry budget in every window.
+//! Tests of the bound of the retry budget in every window.
 
 use std::time::Duration;
 
@@ -20,7 +20,7 @@
     };
     first_attempts_earn_their_part => {
         let mut budget = Budget::default();
-        (0..50).for_each(|_| budget.first(Instant(0), WINDOW));
+        (0..50).for_each(|_| budget.record_first(Instant(0), WINDOW));
         let taken = (0..30).filter(|_| budget.take(Instant(0), BOUND)).count();
         assert_eq!(taken, 13);
     };
@@ -30,16 +30,16 @@
         assert!(!budget.take(Instant(9_000_000), BOUND));
         assert!(budget.take(Instant(11_000_000), BOUND));
     };
-    what_is_left_is_told => {
+    the_remaining_budget_is_returned => {
         let mut budget = Budget::default();
-        budget.first(Instant(0), WINDOW);
-        assert!((budget.left(Instant(0), BOUND) - 3.2).abs() < 1e-9);
+        budget.record_first(Instant(0), WINDOW);
+        assert!((budget.remaining(Instant(0), BOUND) - 3.2).abs() < 1e-9);
     };
 }
 
 proptest! {
-    /// In every window the extra attempts stay within the bound of the first
-    /// ones of that window and the one before it.
+    /// In every window, the extra attempts stay within the bound that follows from the
+    /// first attempts of that window and the one before it.
     #[test]
     fn no_window_goes_beyond_the_bound(steps in vec((0u64..400, any::<bool>()), 1..600)) {
         let mut budget = Budget::default();
@@ -48,7 +48,7 @@
         for (pause, is_first) in steps {
             now = now + Duration::from_millis(pause);
             if is_first {
-                budget.first(now, WINDOW);
+                budget.record_first(now, WINDOW);
                 first.push(now);
             } else if budget.take(now, BOUND) {
                 extra.push(now);
--- a/crates/core/tests/relay/hops.rs
+++ b/crates/core/tests/relay/hops.rs
@@ -6,7 +6,7 @@
     fault::{Fault, Kind, Ran},
     relay::{
         Answer, Call, Event, Hop, View,
-        message::{Inquiry, Refusal},
+        message::{CallerRequest, Refusal},
         view::Vm,
     },
 };
@@ -29,10 +29,10 @@
 }
 
 /// Takes the only message to another VM, which must be a request.
-fn take_request(harness: &mut Harness) -> (String, Call, Inquiry) {
+fn take_request(harness: &mut Harness) -> (String, Call, CallerRequest) {
     let hops = std::mem::take(&mut harness.hops);
-    let [(to, Hop::Ask { call, inquiry, .. })] = &hops[..] else { panic!("{hops:?}") };
-    (to.to_string(), *call, (**inquiry).clone())
+    let [(to, Hop::Request { call, caller_request, .. })] = &hops[..] else { panic!("{hops:?}") };
+    (to.to_string(), *call, (**caller_request).clone())
 }
 
 /// Sends an answer of another VM to the engine.
@@ -49,24 +49,24 @@
 }
 
 /// A request that the VM `small` hands over.
-fn request_of(call: u64, inquiry: Inquiry) -> Event {
+fn request_of(call: u64, caller_request: CallerRequest) -> Event {
     let reply_to = "10.2.0.1:7000".parse().unwrap();
-    let hop = Hop::Ask { call: Call(call), inquiry: Box::new(inquiry), reply_to };
+    let hop = Hop::Request { call: Call(call), caller_request: Box::new(caller_request), reply_to };
     Event::Hop { from: name("small"), hop }
 }
 
 /// The event that a VM could not be reached, so that it took no request.
 fn unreached(vm: &str) -> Event {
-    Event::HopLost { to: name(vm), detail: "refused".into(), taken: false }
+    Event::HopLost { to: name(vm), detail: "refused".into(), maybe_received: false }
 }
 
 cases! {
     a_small_vm_hands_its_requests_on => {
         let mut harness = small(&[("large", "near")]);
         let call = harness.submit(inquiry("/fetch/1"));
-        let (to, asked, inquiry) = take_request(&mut harness);
-        assert_eq!((to.as_str(), &*inquiry.id), ("large", "c1"));
-        assert!(inquiry.detour > ms(0), "the round trip takes a part of the goal");
+        let (to, asked, caller_request) = take_request(&mut harness);
+        assert_eq!((to.as_str(), &*caller_request.id), ("large", "c1"));
+        assert!(caller_request.peer_delay > ms(0), "the round trip takes a part of the goal");
         answer(&mut harness, "large", asked);
         assert!(matches!(harness.answers[&call], Answer::Forwarded(_)));
     };
@@ -79,7 +79,7 @@
         let mut harness = small(&[("a", "near"), ("b", "far")]);
         let call = harness.submit(inquiry("/fetch/1"));
         take_request(&mut harness);
-        harness.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), taken: true }]);
+        harness.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true }]);
         assert_eq!(harness.refusal_status(call), 502);
         harness.submit(inquiry("/fetch/2"));
         assert_eq!(take_request(&mut harness).0, "b");
@@ -92,7 +92,7 @@
         harness.step(vec![unreached("a")]);
         assert!(!harness.answers.contains_key(&call));
         let (to, again, asked) = take_request(&mut harness);
-        assert_eq!((to.as_str(), asked.patience), ("b", Some(ms(500))));
+        assert_eq!((to.as_str(), asked.caller_timeout), ("b", Some(ms(500))));
         answer(&mut harness, "b", again);
         assert!(matches!(harness.answers[&call], Answer::Forwarded(_)));
     };
@@ -141,7 +141,7 @@
         let mut harness = small(&[("a", "near")]);
         assert!(!harness.engine.is_alone(harness.now));
         harness.submit(inquiry("/fetch/1"));
-        harness.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), taken: true }]);
+        harness.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true }]);
         assert!(harness.engine.is_alone(harness.now));
         let call = harness.submit(inquiry("/fetch/2"));
         assert_eq!(harness.refusal_status(call), 503);
@@ -170,7 +170,7 @@
     a_large_vm_answers_sooner_by_the_way_back => {
         let mut harness = Harness::with_route(search(&["s1", "s2"], 0.5));
         let mut detour = inquiry("/search/1");
-        detour.detour = ms(30);
+        detour.peer_delay = ms(30);
         let since = harness.now;
         harness.step(vec![request_of(5, detour)]);
         let sent = harness.take_sent();
@@ -200,7 +200,7 @@
         harness.step(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: false } }]);
         harness.submit(inquiry("/fetch/2"));
         assert_eq!(take_request(&mut harness).0, "b");
-        harness.step(vec![Event::HopLost { to: name("b"), detail: "reset".into(), taken: true }]);
+        harness.step(vec![Event::HopLost { to: name("b"), detail: "reset".into(), maybe_received: true }]);
         assert!(harness.engine.is_alone(harness.now), "the VM must read the routes itself");
         harness.submit(inquiry("/fetch/3"));
         assert_eq!(take_request(&mut harness).0, "a", "outdated routes are better than none");
@@ -222,11 +222,11 @@
         let call = harness.submit(inquiry("/fetch/1"));
         take_request(&mut harness);
         harness.step(vec![Event::Abandoned { call }]);
-        assert!(matches!(&harness.hops[..], [(_, Hop::Withdraw { .. })]));
+        assert!(matches!(&harness.hops[..], [(_, Hop::Cancel { .. })]));
         let mut large = Harness::with_route(single("desk"));
         large.step(vec![request_of(5, inquiry("/fetch/1"))]);
         let sent = large.take_one_sent();
-        let hop = Hop::Withdraw { call: Call(5) };
+        let hop = Hop::Cancel { call: Call(5) };
         large.step(vec![Event::Hop { from: name("small"), hop }]);
         large.advance(ms(400));
         assert_eq!(large.closed, [sent.connection]);
--- a/crates/core/tests/relay/targets.rs
+++ b/crates/core/tests/relay/targets.rs
@@ -1,4 +1,4 @@
-//! Which targets get new work, and on which connections.
+//! Tests of which targets get new work, and on which connections.
 
 use std::sync::Arc;
 
@@ -7,7 +7,7 @@
 use crate::harness::{Harness, config, inquiry, ms, name, refusal, single, success, target, view};
 
 /// Sends `count` requests one after another and returns their targets.
-fn targets(harness: &mut Harness, count: usize) -> Vec<String> {
+fn send_in_turn(harness: &mut Harness, count: usize) -> Vec<String> {
     (0..count)
         .map(|_| {
             harness.submit(inquiry("/fetch/1"));
@@ -27,8 +27,8 @@
     harness.set_view(view);
 }
 
-/// Two targets, of which the first one is in another failure domain.
-fn apart() -> Harness {
+/// Returns an engine with two targets, the first in another failure domain.
+fn bed_with_remote_target() -> Harness {
     let mut harness = Harness::with_route(single("desk"));
     let mut view = (*harness.engine.tables().view).clone();
     let mut far = (*view.targets[&name("desk-1")]).clone();
@@ -42,7 +42,7 @@
     a_draining_target_gets_no_new_work => {
         let mut harness = Harness::with_route(single("desk"));
         drain(&mut harness, "desk-1");
-        assert!(targets(&mut harness, 20).iter().all(|id| id == "desk-2"));
+        assert!(send_in_turn(&mut harness, 20).iter().all(|id| id == "desk-2"));
     };
     a_draining_target_finishes_its_work => {
         let mut harness = Harness::with_route(single("desk"));
@@ -58,7 +58,7 @@
         let mut view = (*harness.engine.tables().view).clone();
         view.targets.remove(&name("desk-1"));
         harness.set_view(view);
-        assert!(targets(&mut harness, 20).iter().all(|id| id == "desk-2"));
+        assert!(send_in_turn(&mut harness, 20).iter().all(|id| id == "desk-2"));
     };
     another_target_at_an_address_is_found_out_once => {
         let mut harness = Harness::with_route(single("desk"));
@@ -67,16 +67,16 @@
         harness.reply(&sent, refusal(421));
         let again = harness.take_one_sent();
         harness.reply(&again, success("d", 1));
-        assert!(targets(&mut harness, 20).iter().all(|id| id == again.target()));
+        assert!(send_in_turn(&mut harness, 20).iter().all(|id| id == again.target()));
         harness.advance(ms(20_000));
-        assert!(targets(&mut harness, 20).iter().all(|id| id == again.target()), "also later");
+        assert!(send_in_turn(&mut harness, 20).iter().all(|id| id == again.target()), "it stays out of use");
     };
     the_target_that_is_meant_is_named => {
         let mut harness = Harness::with_route(single("desk"));
         harness.submit(inquiry("/fetch/1"));
         let sent = harness.take_one_sent();
-        assert_eq!(sent.order.target, name(sent.target()));
-        assert!(sent.order.patience <= ms(600));
+        assert_eq!(sent.target_request.target, name(sent.target()));
+        assert!(sent.target_request.time_left <= ms(600));
     };
     a_slow_target_gets_less_work => {
         let mut harness = Harness::with_route(single("desk"));
@@ -92,7 +92,7 @@
             harness.sent.clear();
         }
         assert!(slow < 25, "{slow}");
-        assert!(slow > 0, "it is tried now and then");
+        assert!(slow > 0, "it is still tried from time to time");
     };
     a_failing_target_gets_less_work => {
         let mut harness = Harness::with_route(single("desk"));
@@ -118,20 +118,20 @@
         harness.lose_connection(&lost, true);
         let again = harness.take_one_sent();
         harness.reply(&again, success("d", 1));
-        assert!(targets(&mut harness, 20).iter().all(|id| id != lost.target()));
+        assert!(send_in_turn(&mut harness, 20).iter().all(|id| id != lost.target()));
         harness.open_first_connections();
         harness.advance(ms(12_000));
-        let later = targets(&mut harness, 40);
+        let later = send_in_turn(&mut harness, 40);
         assert!(later.iter().any(|id| id == lost.target()), "it is tried again");
     };
     a_near_target_is_taken_before_a_far_one => {
-        let mut harness = apart();
+        let mut harness = bed_with_remote_target();
         harness.train_latency("/fetch/1", 10, ms(5));
-        let near = targets(&mut harness, 100).iter().filter(|id| *id == "desk-2").count();
+        let near = send_in_turn(&mut harness, 100).iter().filter(|id| *id == "desk-2").count();
         assert!(near > 95, "{near}");
     };
     a_near_target_is_taken_though_a_far_one_is_a_little_faster => {
-        let mut harness = apart();
+        let mut harness = bed_with_remote_target();
         harness.train_latency("/fetch/1", 10, ms(5));
         let mut near = 0;
         for _ in 0..100 {
@@ -145,7 +145,7 @@
         assert!(near > 95, "{near}");
     };
     a_far_target_gets_what_a_near_one_has_no_slots_for => {
-        let mut harness = apart();
+        let mut harness = bed_with_remote_target();
         harness.train_latency("/fetch/1", 10, ms(5));
         let asked = ["/fetch/1", "/fetch/2", "/fetch/3"].map(|path| {
             harness.submit(inquiry(path));
@@ -153,14 +153,14 @@
         });
         assert_eq!(asked, ["desk-2", "desk-2", "desk-1"]);
     };
-    a_near_target_that_pauses_is_gone_round => {
-        let mut harness = apart();
+    a_near_target_that_pauses_is_avoided => {
+        let mut harness = bed_with_remote_target();
         harness.train_latency("/fetch/1", 10, ms(5));
         harness.submit(inquiry("/fetch/1"));
         assert_eq!(harness.take_one_sent().target(), "desk-2");
         harness.now = harness.now + ms(40);
         harness.submit(inquiry("/fetch/2"));
-        // The hedge of the first request goes there too.
+        // The hedge of the first request also goes to the remote target.
         let sent = harness.take_sent();
         assert!(sent.len() == 2 && sent.iter().all(|sent| sent.target() == "desk-1"), "{sent:?}");
     };
@@ -171,25 +171,26 @@
         anew.born = 5;
         view.targets.insert(name("desk-1"), Arc::new(anew));
         harness.set_view(view);
-        assert_eq!(harness.closed.len(), 1, "the connection to the old start is closed");
+        assert_eq!(harness.closed.len(), 1, "the connection to the previous start is closed");
     };
     connections_are_kept_within_the_share_of_a_vm => {
-        // VMs, connections of a target, and what one VM may open to its two slots.
-        for (vms, taken, most) in [(1, 20, 2), (1, 1, 1), (4, 20, 2), (5, 4, 1), (8, 97, 1), (19, 55, 1)] {
-            let mut view = view(config(1, vec![single("desk")], taken));
+        // Number of VMs, connections that the target accepts, and connections that one VM may
+        // open to its two slots.
+        for (vms, accepted, allowed) in [(1, 20, 2), (1, 1, 1), (4, 20, 2), (5, 4, 1), (8, 97, 1), (19, 55, 1)] {
+            let mut view = view(config(1, vec![single("desk")], accepted));
             view.targets = [target("desk-1", "desk")].into();
-            view.least_vms = vms;
+            view.assumed_vms = vms;
             let mut harness = Harness::with_view(view);
             (0..6).for_each(|_| { harness.submit(inquiry("/fetch/1")); });
             let sent = harness.take_sent();
-            assert_eq!(sent.len(), most, "{vms} VMs, {taken} connections");
+            assert_eq!(sent.len(), allowed, "{vms} VMs, {accepted} connections");
             harness.reply(&sent[0], success("d", 1));
-            assert_eq!(harness.take_sent().len(), 1, "the next one goes when a connection is free");
+            assert_eq!(harness.take_sent().len(), 1, "the next request is sent when a connection is free");
         }
     };
     a_leg_goes_to_another_target_before_it_waits_at_a_busy_one => {
         let mut view = view(config(1, vec![single("desk")], 55));
-        view.least_vms = 19;
+        view.assumed_vms = 19;
         let mut harness = Harness::with_view(view);
         harness.submit(inquiry("/fetch/1"));
         harness.submit(inquiry("/fetch/2"));
--- a/crates/core/tests/relay/waits.rs
+++ b/crates/core/tests/relay/waits.rs
@@ -26,14 +26,14 @@
         harness.submit(inquiry("/urgent/3"));
         let first = harness.take_one_sent();
         harness.reply(&first, success("d", 1));
-        assert_eq!(&*harness.take_one_sent().order.inquiry.path, "/urgent/3");
+        assert_eq!(&*harness.take_one_sent().target_request.caller_request.path, "/urgent/3");
     };
     equal_requests_go_in_their_order => {
         let mut harness = Harness::with_view(one_connection());
         (1..=3).for_each(|n| { harness.submit(inquiry(&format!("/fetch/{n}"))); });
         for n in 1..=3 {
             let sent = harness.take_one_sent();
-            assert_eq!(&*sent.order.inquiry.path, format!("/fetch/{n}"));
+            assert_eq!(&*sent.target_request.caller_request.path, format!("/fetch/{n}"));
             harness.reply(&sent, success("d", 1));
         }
     };
@@ -52,13 +52,13 @@
         harness.now = harness.now + ms(250);
         harness.reply(&first, success("d", 1));
         let second = harness.take_one_sent();
-        assert!(second.order.patience <= ms(350), "{:?}", second.order.patience);
+        assert!(second.target_request.time_left <= ms(350), "{:?}", second.target_request.time_left);
     };
     a_caller_that_waited_elsewhere_gets_its_answer_sooner => {
         let mut harness = Harness::with_route(search(&["s1", "s2"], 0.5));
         harness.train_latency("/search/1", 3, ms(5));
         let mut again = inquiry("/search/1");
-        again.patience = Some(ms(560));
+        again.caller_timeout = Some(ms(560));
         let since = harness.now;
         let call = harness.submit(again);
         let sent = harness.take_sent();
@@ -69,7 +69,7 @@
     a_caller_is_answered_before_it_gives_up => {
         let mut harness = Harness::with_route(single("desk"));
         let mut short = inquiry("/fetch/1");
-        short.patience = Some(ms(200));
+        short.caller_timeout = Some(ms(200));
         let since = harness.now;
         let call = harness.submit(short);
         harness.advance(ms(300));
