Rename the public items of the traffic decisions that are used elsewhere

The names said too little where they are used, away from their module: a `Seed` that is no random seed, limits named by an adjective, policies such as `Alone` or `Exact`. Renames only, in the order old -> new:

laburnum_core::traffic::Seed -> Setup laburnum_core::traffic::Limits::open -> connect_timeout laburnum_core::traffic::Limits::poll -> status_interval laburnum_core::traffic::Limits::fresh -> status_max_age laburnum_core::traffic::Limits::silent -> status_timeout laburnum_core::traffic::Limits::suspect -> suspect_ttl laburnum_core::traffic::Limits::budget -> retry_burst laburnum_core::traffic::policy::Make -> Factory laburnum_core::traffic::policy::HEDGE_QUANTILE -> HEDGE_QUANTILE_PERMILLE laburnum_core::traffic::policy::join (module) -> coalesce laburnum_core::traffic::policy::join::Join -> coalesce::Coalesce laburnum_core::traffic::policy::join::Searches -> coalesce::CoalesceSearches laburnum_core::traffic::policy::join::Alone -> coalesce::NeverCoalesce laburnum_core::traffic::policy::Policies::join -> coalesce laburnum_core::traffic::policy::slots::Exact -> AllSlots laburnum_core::traffic::policy::slots::Share -> EqualShare laburnum_core::traffic::policy::hedge::Quantile::part -> permille laburnum_core::traffic::table::usage::Usage::saved -> saved_millionths

--- a/crates/core/src/traffic/limits.rs
+++ b/crates/core/src/traffic/limits.rs
@@ -10,15 +10,15 @@
     /// Legs of other VMs that wait or run here at a time.
     pub jobs: usize,
     /// Time within which a connection to a target must open.
-    pub open: Duration,
+    pub connect_timeout: Duration,
     /// Time between two reads of a target's status.
-    pub poll: Duration,
+    pub status_interval: Duration,
     /// Time for which a target's word that it takes work holds. A VM that was
     /// paused asks anew before it sends anything.
-    pub fresh: Duration,
+    pub status_max_age: Duration,
     /// Time within which a target must answer a read of its status on a
     /// connection, or the connection counts as silent.
-    pub silent: Duration,
+    pub status_timeout: Duration,
     /// Connections that this thread holds to one target.
     pub connections: u32,
     /// Time after which connections to a target are closed that this VM is no
@@ -40,11 +40,11 @@
     /// Targets that a request may crash before it is held back.
     pub lost_targets: usize,
     /// Time for which a request that crashed a target is remembered.
-    pub suspect: Duration,
+    pub suspect_ttl: Duration,
     /// Time for which the outcome of an operation is awaited after its deadline.
     pub overdue: Duration,
     /// Extra attempts that a profile may save up.
-    pub budget: u32,
+    pub retry_burst: u32,
 }
 
 impl Default for Limits {
@@ -52,10 +52,10 @@
         Limits {
             open_requests: 4096,
             jobs: 65_536,
-            open: Duration::from_millis(500),
-            poll: Duration::from_millis(500),
-            fresh: Duration::from_secs(1),
-            silent: Duration::from_millis(250),
+            connect_timeout: Duration::from_millis(500),
+            status_interval: Duration::from_millis(500),
+            status_max_age: Duration::from_secs(1),
+            status_timeout: Duration::from_millis(250),
             connections: 2,
             idle: Duration::from_secs(5),
             shed_pause: Duration::from_millis(5),
@@ -65,9 +65,9 @@
             homes: 3,
             pause: Duration::from_secs(2),
             lost_targets: 2,
-            suspect: Duration::from_secs(60),
+            suspect_ttl: Duration::from_secs(60),
             overdue: Duration::from_secs(5),
-            budget: 20,
+            retry_burst: 20,
         }
     }
 }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -246,7 +246,7 @@
 
 /// What an engine is made from.
 #[derive(Debug)]
-pub struct Seed {
+pub struct Setup {
     /// The lane of the thread.
     pub lane: Lane,
     /// The failure domain of the VM.
@@ -261,18 +261,18 @@
 
 impl Engine {
     /// Makes an engine with empty tables.
-    pub fn new(seed: Seed) -> Engine {
-        let view = View::starting(seed.lane.vm.clone(), seed.domain);
+    pub fn new(setup: Setup) -> Engine {
+        let view = View::starting(setup.lane.vm.clone(), setup.domain);
         Engine {
             tables: Tables::default(),
             context: Context {
                 now: Instant::default(),
                 view: Arc::new(view),
-                lane: seed.lane,
-                limits: seed.limits,
-                policies: seed.policies,
-                ids: id::Source::new(seed.origin),
-                random: StdRng::seed_from_u64(seed.origin.0),
+                lane: setup.lane,
+                limits: setup.limits,
+                policies: setup.policies,
+                ids: id::Source::new(setup.origin),
+                random: StdRng::seed_from_u64(setup.origin.0),
                 paused: false,
             },
             woken: Instant::default(),
--- a/crates/core/src/traffic/policy/join.rs
+++ b/crates/core/src/traffic/policy/coalesce.rs
@@ -5,16 +5,16 @@
 use crate::{message::Leg, target::Work};
 
 /// Decides whether a leg may share the attempt of an equal one in flight.
-pub trait Join: fmt::Debug {
+pub trait Coalesce: fmt::Debug {
     /// Whether the leg may share.
     fn allows(&self, leg: &Leg) -> bool;
 }
 
 /// Searches share; operations never do.
 #[derive(Clone, Copy, Debug)]
-pub struct Searches;
+pub struct CoalesceSearches;
 
-impl Join for Searches {
+impl Coalesce for CoalesceSearches {
     fn allows(&self, leg: &Leg) -> bool {
         matches!(leg.work, Work::Search { .. })
     }
@@ -22,9 +22,9 @@
 
 /// Each leg has an attempt of its own.
 #[derive(Clone, Copy, Debug)]
-pub struct Alone;
+pub struct NeverCoalesce;
 
-impl Join for Alone {
+impl Coalesce for NeverCoalesce {
     fn allows(&self, _leg: &Leg) -> bool {
         false
     }
--- a/crates/core/src/traffic/policy/hedge.rs
+++ b/crates/core/src/traffic/policy/hedge.rs
@@ -15,12 +15,12 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Quantile {
     /// The quantile, in thousandths.
-    pub part: u32,
+    pub permille: u32,
 }
 
 impl Hedge for Quantile {
     fn delay(&self, latency: &Latency, tail: Duration) -> Option<Duration> {
-        Some(latency.quantile(self.part).unwrap_or(tail).min(tail))
+        Some(latency.quantile(self.permille).unwrap_or(tail).min(tail))
     }
 }
 
--- a/crates/core/src/traffic/policy/mod.rs
+++ b/crates/core/src/traffic/policy/mod.rs
@@ -5,16 +5,16 @@
 pub mod slots;
 pub mod hedge;
 pub mod choice;
-pub mod join;
+pub mod coalesce;
 
 use std::fmt;
 
 pub use self::{
     choice::{Chance, Choice, LeastExpected},
+    coalesce::{Coalesce, CoalesceSearches, NeverCoalesce},
     hedge::{Hedge, Never, Quantile},
-    join::{Alone, Join, Searches},
     route::{Direct, Home, Route},
-    slots::{Adaptive, Exact, Share, Slots},
+    slots::{Adaptive, AllSlots, EqualShare, Slots},
 };
 
 /// The policies of a traffic thread.
@@ -28,14 +28,14 @@
     /// Which target gets a job.
     pub choice: Box<dyn Choice + Send>,
     /// Which legs share an attempt.
-    pub join: Box<dyn Join + Send>,
+    pub coalesce: Box<dyn Coalesce + Send>,
 }
 
 /// Makes the policies of a thread; each thread has its own.
-pub type Make = fn() -> Policies;
+pub type Factory = fn() -> Policies;
 
 /// The quantile beyond which an attempt is hedged, in thousandths.
-pub const HEDGE_QUANTILE: u32 = 970;
+pub const HEDGE_QUANTILE_PERMILLE: u32 = 970;
 
 impl fmt::Debug for Policies {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -44,7 +44,7 @@
             .entry(&self.slots)
             .entry(&self.hedge)
             .entry(&self.choice)
-            .entry(&self.join)
+            .entry(&self.coalesce)
             .finish()
     }
 }
@@ -53,10 +53,10 @@
     fn default() -> Policies {
         Policies {
             route: Box::new(Home),
-            slots: Box::new(Exact),
-            hedge: Box::new(Quantile { part: HEDGE_QUANTILE }),
+            slots: Box::new(AllSlots),
+            hedge: Box::new(Quantile { permille: HEDGE_QUANTILE_PERMILLE }),
             choice: Box::new(LeastExpected),
-            join: Box::new(Searches),
+            coalesce: Box::new(CoalesceSearches),
         }
     }
 }
--- a/crates/core/src/traffic/policy/slots.rs
+++ b/crates/core/src/traffic/policy/slots.rs
@@ -16,9 +16,9 @@
 
 /// All slots of the target: right for the one home of its shard.
 #[derive(Clone, Copy, Debug)]
-pub struct Exact;
+pub struct AllSlots;
 
-impl Slots for Exact {
+impl Slots for AllSlots {
     fn limit(&self, _view: &View, _name: &Name, target: &Target) -> u32 {
         target.slots
     }
@@ -26,9 +26,9 @@
 
 /// An equal share of the slots for each VM, and at least one.
 #[derive(Clone, Copy, Debug)]
-pub struct Share;
+pub struct EqualShare;
 
-impl Slots for Share {
+impl Slots for EqualShare {
     fn limit(&self, view: &View, _name: &Name, target: &Target) -> u32 {
         let vms = u32::try_from(view.vms.len()).unwrap_or(u32::MAX).max(1);
         (target.slots / vms).max(1)
--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -52,7 +52,7 @@
     let Some(row) = tables.connections.get(&connection) else { return };
     let name = row.target.clone();
     if let Some(target) = tables.targets.get_mut(&name) {
-        if cx.now.since(target.heard) > cx.limits.fresh {
+        if cx.now.since(target.heard) > cx.limits.status_max_age {
             // Work may have waited for this word.
             tables.to_dispatch.insert(target.shard.clone());
         }
@@ -245,7 +245,7 @@
     let query = row.leg.query;
     tables.suspects.retain(|_, suspect| suspect.until > cx.now);
     let suspect = tables.suspects.entry(fingerprint).or_default();
-    suspect.until = cx.now + cx.limits.suspect;
+    suspect.until = cx.now + cx.limits.suspect_ttl;
     let start = tables.targets.get(&attempt.target).and_then(|row| row.status.as_ref());
     let incarnation = start.map_or(0, |status| status.incarnation);
     if !suspect.targets.insert((attempt.target.clone(), incarnation)) {
--- a/crates/core/src/traffic/system/connect.rs
+++ b/crates/core/src/traffic/system/connect.rs
@@ -48,8 +48,12 @@
         heard: cx.now,
     };
     tables.connections.insert(connection, row);
-    tables.timers.set(cx.now + cx.limits.open, Timer::Asked(connection));
-    out.commands.push(Command::Open { connection, address: target.address, limit: cx.limits.open });
+    tables.timers.set(cx.now + cx.limits.connect_timeout, Timer::Asked(connection));
+    out.commands.push(Command::Open {
+        connection,
+        address: target.address,
+        limit: cx.limits.connect_timeout,
+    });
 }
 
 /// Notes that a connection is open.
@@ -63,7 +67,7 @@
         tables.to_dispatch.insert(target.shard.clone());
         if !target.polled {
             target.polled = true;
-            tables.timers.set(cx.now + cx.limits.poll, Timer::Poll(name.clone()));
+            tables.timers.set(cx.now + cx.limits.status_interval, Timer::Poll(name.clone()));
         }
     }
     out.lines.push(Line::new(Event::ConnectionOpened, vec![("target", name.to_string())]));
@@ -116,9 +120,9 @@
         return;
     }
     row.asked = Some(cx.now);
-    tables.timers.set(cx.now + cx.limits.silent, Timer::Asked(connection));
+    tables.timers.set(cx.now + cx.limits.status_timeout, Timer::Asked(connection));
     // The timer comes first, so that silence is not taken for a loss.
-    out.commands.push(Command::Ask { connection, limit: cx.limits.silent * 2 });
+    out.commands.push(Command::Ask { connection, limit: cx.limits.status_timeout * 2 });
 }
 
 /// Asks on every connection of a target and comes back after the interval.
@@ -132,7 +136,7 @@
     for connection in connections {
         ask(tables, cx, connection, out);
     }
-    tables.timers.set(cx.now + cx.limits.poll, Timer::Poll(name.clone()));
+    tables.timers.set(cx.now + cx.limits.status_interval, Timer::Poll(name.clone()));
 }
 
 /// Removes the row of a connection and returns it.
--- a/crates/core/src/traffic/system/dispatch.rs
+++ b/crates/core/src/traffic/system/dispatch.rs
@@ -118,7 +118,7 @@
             continue;
         }
         may_come = true;
-        if !target.takes_work(cx.now, cx.limits.fresh) || !has_connection(tables, target) {
+        if !target.takes_work(cx.now, cx.limits.status_max_age) || !has_connection(tables, target) {
             continue;
         }
         let is_free = is_free(cx, name, target, job);
@@ -186,7 +186,7 @@
 
 /// Whether the target has a free slot for the job.
 fn is_free(cx: &Context, name: &Name, target: &Target, job: &Job) -> bool {
-    if !target.takes_work(cx.now, cx.limits.fresh) || target.reserved {
+    if !target.takes_work(cx.now, cx.limits.status_max_age) || target.reserved {
         return false;
     }
     if job.suspect {
@@ -248,7 +248,7 @@
     let Some(row) = tables.jobs.get(&id) else { return };
     let name = row.leg.profile.clone();
     let extra = cx.view.document.profiles.get(&name).map_or(0, |profile| profile.extra_load);
-    tables.usages.entry(name).or_default().earn(extra, cx.limits.budget);
+    tables.usages.entry(name).or_default().earn(extra, cx.limits.retry_burst);
 }
 
 fn attempt(
@@ -287,7 +287,7 @@
 fn hedge_at(tables: &Tables, cx: &Context, id: id::Leg) -> crate::time::Instant {
     let Some(row) = tables.jobs.get(&id) else { return cx.now };
     let profile = cx.view.document.profiles.get(&row.leg.profile);
-    let tail = profile.map_or(cx.limits.silent, |profile| profile.tail);
+    let tail = profile.map_or(cx.limits.status_timeout, |profile| profile.tail);
     let latency = tables.indexes.get(&row.leg.index).map(|index| &index.latency);
     let delay = latency.and_then(|latency| cx.policies.hedge.delay(latency, tail));
     cx.now + delay.unwrap_or(tail)
--- a/crates/core/src/traffic/system/expire.rs
+++ b/crates/core/src/traffic/system/expire.rs
@@ -81,7 +81,7 @@
 fn check_silence(tables: &mut Tables, cx: &mut Context, id: id::Connection, out: &mut Outbox) {
     let Some(row) = tables.connections.get(&id) else { return };
     let Some(asked) = row.asked else { return };
-    let limit = if row.open { cx.limits.silent } else { cx.limits.open };
+    let limit = if row.open { cx.limits.status_timeout } else { cx.limits.connect_timeout };
     if cx.now.since(asked) < limit {
         return;
     }
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -160,7 +160,7 @@
     }
     let targets = shard.targets.iter().filter_map(|name| tables.targets.get(name));
     let mut rate = 0.0;
-    for target in targets.filter(|target| target.takes_work(cx.now, cx.limits.fresh)) {
+    for target in targets.filter(|target| target.takes_work(cx.now, cx.limits.status_max_age)) {
         // The median, because one answer that waited for a process that was
         // stopped must not make queries look hopeless.
         let Some(median) = target.latency.quantile(500) else { return Duration::ZERO };
@@ -342,7 +342,7 @@
 /// gets none.
 pub fn spend(tables: &mut Tables, cx: &Context, profile: &Name) -> bool {
     let extra = cx.view.document.profiles.get(profile).map_or(0, |profile| profile.extra_load);
-    let most = if extra == 0 { 0 } else { cx.limits.budget };
+    let most = if extra == 0 { 0 } else { cx.limits.retry_burst };
     tables.usages.entry(profile.clone()).or_default().retry(most)
 }
 
--- a/crates/core/src/traffic/system/share.rs
+++ b/crates/core/src/traffic/system/share.rs
@@ -17,7 +17,7 @@
 
 /// The leader that a new job may follow.
 pub fn leader(tables: &Tables, cx: &Context, job: &Job) -> Option<id::Leg> {
-    if !cx.policies.join.allows(&job.leg) || job.suspect {
+    if !cx.policies.coalesce.allows(&job.leg) || job.suspect {
         return None;
     }
     let id = *tables.leaders.get(&Key::of(job)?)?;
@@ -29,7 +29,7 @@
 
 /// Notes that a job may be followed.
 pub fn lead(tables: &mut Tables, cx: &Context, job: &Job) {
-    if cx.policies.join.allows(&job.leg)
+    if cx.policies.coalesce.allows(&job.leg)
         && let Some(key) = Key::of(job)
     {
         tables.leaders.insert(key, job.leg.leg);
--- a/crates/core/src/traffic/table/usage.rs
+++ b/crates/core/src/traffic/table/usage.rs
@@ -9,7 +9,7 @@
     pub open: u32,
     /// The extra attempts that its first attempts allow, in millionths of an
     /// attempt.
-    pub saved: u64,
+    pub saved_millionths: u64,
     /// The retries that were made before first attempts allowed them.
     pub advanced: u32,
 }
@@ -19,15 +19,15 @@
     /// one, up to `most` attempts in all.
     pub fn earn(&mut self, extra_load: u32, most: u32) {
         let most = u64::from(most) * u64::from(WHOLE);
-        self.saved = (self.saved + u64::from(extra_load)).min(most);
+        self.saved_millionths = (self.saved_millionths + u64::from(extra_load)).min(most);
     }
 
     /// Takes one hedge from what first attempts allow, or says that there is
     /// none.
     pub fn hedge(&mut self) -> bool {
-        let rest = self.saved.checked_sub(u64::from(WHOLE));
+        let rest = self.saved_millionths.checked_sub(u64::from(WHOLE));
         if let Some(rest) = rest {
-            self.saved = rest;
+            self.saved_millionths = rest;
         }
         rest.is_some()
     }
--- a/crates/core/tests/world/vm.rs
+++ b/crates/core/tests/world/vm.rs
@@ -4,7 +4,7 @@
     id::Origin,
     name::Name,
     time::Instant,
-    traffic::{Engine, Event, Limits, Outbox, Policies, Seed},
+    traffic::{Engine, Event, Limits, Outbox, Policies, Setup},
     view::{Lane, State},
 };
 
@@ -39,7 +39,7 @@
 impl Vm {
     /// Starts a VM.
     pub fn new(name: Name, start: u64, origin: Origin) -> Vm {
-        let engine = Engine::new(Seed {
+        let engine = Engine::new(Setup {
             lane: Lane { vm: name.clone(), thread: 0 },
             domain: Name::try_from("domain-1").unwrap(),
             origin,
--- a/src/load/cost.rs
+++ b/src/load/cost.rs
@@ -131,7 +131,7 @@
             .zip(0..)
             .map(|(target, number)| (target.address, part(number, legs)))
             .collect();
-        let engine = Engine::new(traffic::Seed {
+        let engine = Engine::new(traffic::Setup {
             lane: Lane { vm: view.vm.clone(), thread: 0 },
             domain: view.domain.clone(),
             origin: Origin(1),
--- a/src/load/scheme.rs
+++ b/src/load/scheme.rs
@@ -1,8 +1,8 @@
 //! The ways to route, limit and hedge that are compared.
 
 use laburnum_core::traffic::policy::{
-    self, Adaptive, Alone, Direct, Exact, HEDGE_QUANTILE, Hedge, Home, LeastExpected, Never,
-    Policies, Quantile, Route, Share, Slots,
+    self, Adaptive, AllSlots, Direct, EqualShare, HEDGE_QUANTILE_PERMILLE, Hedge, Home,
+    LeastExpected, Never, NeverCoalesce, Policies, Quantile, Route, Slots,
 };
 
 /// A set of policies under a name.
@@ -11,22 +11,22 @@
     /// The name on the command line.
     pub name: &'static str,
     /// Makes the policies of a thread.
-    pub policies: policy::Make,
+    pub policies: policy::Factory,
 }
 
 /// Every scheme; the first is the product.
 pub const SCHEMES: &[Scheme] = &[
     Scheme { name: "homes", policies: Policies::default },
-    Scheme { name: "homes-no-sharing", policies: || make(Home, Exact, hedge()) },
-    Scheme { name: "homes-no-hedge", policies: || make(Home, Exact, Never) },
-    Scheme { name: "share", policies: || make(Direct, Share, hedge()) },
-    Scheme { name: "share-no-hedge", policies: || make(Direct, Share, Never) },
+    Scheme { name: "homes-no-sharing", policies: || make(Home, AllSlots, hedge()) },
+    Scheme { name: "homes-no-hedge", policies: || make(Home, AllSlots, Never) },
+    Scheme { name: "share", policies: || make(Direct, EqualShare, hedge()) },
+    Scheme { name: "share-no-hedge", policies: || make(Direct, EqualShare, Never) },
     Scheme { name: "adaptive", policies: || make(Direct, Adaptive::default(), hedge()) },
     Scheme { name: "adaptive-no-hedge", policies: || make(Direct, Adaptive::default(), Never) },
 ];
 
 fn hedge() -> Quantile {
-    Quantile { part: HEDGE_QUANTILE }
+    Quantile { permille: HEDGE_QUANTILE_PERMILLE }
 }
 
 fn make(
@@ -39,7 +39,7 @@
         slots: Box::new(slots),
         hedge: Box::new(hedge),
         choice: Box::new(LeastExpected),
-        join: Box::new(Alone),
+        coalesce: Box::new(NeverCoalesce),
     }
 }
 
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -49,7 +49,7 @@
     /// The threads that the targets share.
     pub hosts: usize,
     /// The policies of the VMs.
-    pub policies: policy::Make,
+    pub policies: policy::Factory,
 }
 
 /// An index and its targets.
@@ -83,7 +83,7 @@
     /// The VMs with their places.
     pub vms: Vec<(Place, Vm)>,
     /// The policies of the VMs.
-    pub policies: policy::Make,
+    pub policies: policy::Factory,
     /// Ends the stand-ins.
     stop: watch::Sender<bool>,
 }
@@ -119,7 +119,7 @@
 pub fn start_vm(
     place: &Place,
     platform: SocketAddr,
-    policies: policy::Make,
+    policies: policy::Factory,
 ) -> Result<Vm, Report<Error>> {
     let text = place.settings(platform);
     let source = Source { file: Path::new("local.toml"), text: &text };
--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -79,12 +79,13 @@
 
 impl Targets {
     pub(super) fn read(document: &mut Document<'_>) -> Targets {
-        let Limits { open, poll, silent, connections, .. } = Limits::default();
+        let Limits { connect_timeout, status_interval, status_timeout, connections, .. } =
+            Limits::default();
         let mut section = document.section("targets");
         let targets = Targets {
-            open_limit: section.millis("open_limit_ms", open, up_to(60)),
-            probe_interval: section.millis("probe_interval_ms", poll, up_to(1)),
-            silent_after: section.millis("silent_after_ms", silent, up_to(60)),
+            open_limit: section.millis("open_limit_ms", connect_timeout, up_to(60)),
+            probe_interval: section.millis("probe_interval_ms", status_interval, up_to(1)),
+            silent_after: section.millis("silent_after_ms", status_timeout, up_to(60)),
             connections: section.count("connections", connections, 1..=64),
         };
         section.finish();
@@ -131,7 +132,7 @@
 impl Retry {
     pub(super) fn read(document: &mut Document<'_>) -> Retry {
         let mut section = document.section("retry");
-        let burst = section.count("burst", Limits::default().budget, 0..=10_000);
+        let burst = section.count("burst", Limits::default().retry_burst, 0..=10_000);
         section.finish();
         Retry { burst }
     }
--- a/src/slope/bed.rs
+++ b/src/slope/bed.rs
@@ -11,7 +11,7 @@
     profile::{Document, Profile, Raw, Revision},
     target::Version,
     time::Instant,
-    traffic::{Engine, Event, Limits, Outbox, Policies, Seed},
+    traffic::{Engine, Event, Limits, Outbox, Policies, Setup},
     view::{Lane, State, Target, View, Vm},
 };
 
@@ -151,11 +151,11 @@
     let limits = Limits {
         open_requests: usize::MAX,
         jobs: usize::MAX,
-        poll: NEVER,
-        fresh: NEVER,
+        status_interval: NEVER,
+        status_max_age: NEVER,
         ..Limits::default()
     };
-    Engine::new(Seed {
+    Engine::new(Setup {
         lane: Lane { vm: own.clone(), thread: 0 },
         domain: name("domain-00"),
         origin: Origin(7),
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -17,14 +17,14 @@
 pub fn traffic(settings: &Settings) -> traffic::Limits {
     traffic::Limits {
         open_requests: size(share(settings, settings.callers.open_requests)),
-        open: settings.targets.open_limit,
-        poll: settings.targets.probe_interval,
-        fresh: settings.targets.probe_interval * PROBES_MISSED,
-        silent: settings.targets.silent_after,
+        connect_timeout: settings.targets.open_limit,
+        status_interval: settings.targets.probe_interval,
+        status_max_age: settings.targets.probe_interval * PROBES_MISSED,
+        status_timeout: settings.targets.silent_after,
         connections: settings.targets.connections,
         lost_targets: size(settings.quarantine.lost_targets),
-        suspect: settings.quarantine.suspect,
-        budget: settings.retry.burst,
+        suspect_ttl: settings.quarantine.suspect,
+        retry_burst: settings.retry.burst,
         ..traffic::Limits::default()
     }
 }
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -113,7 +113,7 @@
 
 /// The extra attempts that the profiles have saved up.
 fn budget(tables: &Tables) -> usize {
-    let saved: u64 = tables.usages.values().map(|usage| usage.saved).sum();
+    let saved: u64 = tables.usages.values().map(|usage| usage.saved_millionths).sum();
     usize::try_from(saved / u64::from(WHOLE)).unwrap_or(usize::MAX)
 }
 
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -104,7 +104,7 @@
 pub fn start_with(
     settings: Settings,
     output: Output,
-    policies: policy::Make,
+    policies: policy::Factory,
 ) -> Result<Vm, Report<Error>> {
     let listeners = listen::bind(&settings.listen)?;
     let (writer, log) = Writer::new(&settings.log, &settings.vm.name, output);
@@ -146,7 +146,7 @@
 struct Common {
     ready: Ready,
     serving: mpsc::Sender<()>,
-    policies: policy::Make,
+    policies: policy::Factory,
 }
 
 /// The traffic threads and the ways to tell them something.
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -39,7 +39,7 @@
     /// Dropped when its front has answered all that it took.
     pub serving: mpsc::Sender<()>,
     /// Makes its policies.
-    pub policies: policy::Make,
+    pub policies: policy::Factory,
 }
 
 /// Starts the thread. It ends when the VM stops.
@@ -109,8 +109,8 @@
     ended
 }
 
-fn engine(shared: &Shared, lane: Lane, policies: policy::Make) -> Engine {
-    Engine::new(decisions::Seed {
+fn engine(shared: &Shared, lane: Lane, policies: policy::Factory) -> Engine {
+    Engine::new(decisions::Setup {
         lane,
         domain: shared.row.domain.clone(),
         origin: Origin(rand::random()),
