--- a/crates/core/src/traffic/limits.rs
+++ b/crates/core/src/traffic/limits.rs
@@ -1,49 +1,56 @@
-//! The limits that the settings give to a traffic thread.
+//! Limits of a traffic thread, which are partly taken from the settings.
 
 use std::time::Duration;
 
-/// Limits of one traffic thread.
+/// The limits of one traffic thread.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Requests of callers that are open at a time.
+    /// The requests of callers that may be open at a time.
     pub open_requests: usize,
-    /// Legs of other VMs that wait or run here at a time.
+    /// The jobs that may wait or run at a time.
     pub jobs: usize,
-    /// Time within which a connection to a target must open.
+    /// The time within which a connection to a target must open.
     pub connect_timeout: Duration,
-    /// Time between two reads of a target's status.
+    /// The interval at which the status of a target is read.
     pub status_interval: Duration,
-    /// Time for which a target's word that it takes work holds. A VM that was
-    /// paused asks anew before it sends anything.
+    /// The age up to which a status of a target is acted on. A VM that was
+    /// paused for longer reads the status again before it sends work.
     pub status_max_age: Duration,
-    /// Time within which a target must answer a read of its status on a
-    /// connection, or the connection counts as silent.
+    /// The time within which a target must answer a status read; after that the
+    /// connection counts as silent and is closed.
     pub status_timeout: Duration,
-    /// Connections that this thread holds to one target.
+    /// The connections that this thread opens to one target.
     pub connections: u32,
-    /// Time after which connections to a target are closed that this VM is no
-    /// longer home of.
-    pub idle: Duration,
-    /// Time for which a target that shed is given no work.
+    /// The time without work after which the connections to the targets of a
+    /// shard are closed if this thread is not its first home.
+    pub idle_timeout: Duration,
+    /// The least time for which a target gets no work after it shed an attempt.
+    /// Jitter lengthens it to at most twice this time.
     pub shed_pause: Duration,
-    /// Time to wait before a connection that could not be opened is tried
-    /// again.
-    pub reopen: Duration,
-    /// Part of a query's time that the entry keeps for merging and answering.
-    pub margin: Duration,
-    /// Time without a word of a home after which a leg goes to the next one.
-    pub home_silent: Duration,
-    /// Homes of a shard that an entry tries.
-    pub homes: usize,
-    /// Gap between two ticks that shows that the process was paused.
-    pub pause: Duration,
-    /// Targets that a request may crash before it is held back.
+    /// The longest delay before a connection is opened again after two failures
+    /// in a row. It doubles with each further failure.
+    pub reconnect_delay: Duration,
+    /// The part of a query's deadline that the entry keeps for merging the
+    /// replies and answering.
+    pub merge_margin: Duration,
+    /// The time without a message from a home after which its legs are sent to
+    /// their next homes.
+    pub home_timeout: Duration,
+    /// The homes of a shard that an entry tries for one leg.
+    pub max_homes: usize,
+    /// The delay of a tick beyond which the process counts as having been
+    /// paused.
+    pub pause_threshold: Duration,
+    /// The targets of a shard that are lost with a request before the request
+    /// is quarantined.
     pub lost_targets: usize,
-    /// Time for which a request that crashed a target is remembered.
+    /// The time for which a request that may have crashed a target is
+    /// remembered.
     pub suspect_ttl: Duration,
-    /// Time for which the outcome of an operation is awaited after its deadline.
-    pub overdue: Duration,
-    /// Extra attempts that a profile may save up.
+    /// The time after its deadline for which the outcome of a running operation
+    /// is awaited.
+    pub outcome_grace: Duration,
+    /// The extra attempts that a profile may save up.
     pub retry_burst: u32,
 }
 
@@ -57,16 +64,16 @@
             status_max_age: Duration::from_secs(1),
             status_timeout: Duration::from_millis(250),
             connections: 2,
-            idle: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(5),
             shed_pause: Duration::from_millis(5),
-            reopen: Duration::from_millis(100),
-            margin: Duration::from_millis(2),
-            home_silent: Duration::from_millis(200),
-            homes: 3,
-            pause: Duration::from_secs(2),
+            reconnect_delay: Duration::from_millis(100),
+            merge_margin: Duration::from_millis(2),
+            home_timeout: Duration::from_millis(200),
+            max_homes: 3,
+            pause_threshold: Duration::from_secs(2),
             lost_targets: 2,
             suspect_ttl: Duration::from_secs(60),
-            overdue: Duration::from_secs(5),
+            outcome_grace: Duration::from_secs(5),
             retry_burst: 20,
         }
     }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -1,9 +1,9 @@
-//! The decisions of a traffic thread: queries, legs, attempts, targets.
+//! The decisions of a traffic thread on queries, legs, attempts and targets.
 //!
-//! A traffic thread plays two parts at once. As entry it takes requests of
-//! callers, plans their legs and merges the replies; as home of some shards it
-//! keeps the queue, the slots and the connections of their targets. See
-//! `docs/DESIGN.md`.
+//! A traffic thread has two roles at once. As an entry it takes requests of
+//! callers, plans their legs and merges the replies. As the home of some shards
+//! it queues their legs and manages the slots of and the connections to their
+//! targets. See `docs/DESIGN.md`.
 
 pub mod limits;
 pub mod policy;
@@ -32,65 +32,65 @@
 
 pub use self::{limits::Limits, policy::Policies, table::Tables};
 
-/// A call of a front end that waits for an answer.
+/// Identifies a call of a front end that waits for an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Call(pub u64);
 
-/// A search as a front end read it.
+/// The request for a search, as a front end decoded it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Search {
-    /// The profile.
     pub profile: Name,
     /// The text to match.
     pub text: Arc<str>,
-    /// The time that the caller allows, if less than the profile does.
+    /// The deadline that the caller asks for; the profile's deadline applies if
+    /// it is shorter.
     pub deadline: Option<Duration>,
 }
 
-/// An operation as a front end read it.
+/// The request for an operation, as a front end decoded it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Operate {
-    /// The profile.
     pub profile: Name,
-    /// What is done.
+    /// The name of the operation.
     pub operation: Name,
-    /// The key that is changed.
+    /// The key in the index that the operation changes.
     pub subject: u64,
-    /// The content.
+    /// The content of the operation.
     pub detail: Arc<str>,
     /// The caller's idempotency key.
     pub key: claim::Key,
-    /// The time that the caller allows, if less than the profile does.
+    /// The deadline that the caller asks for; the profile's deadline applies if
+    /// it is shorter.
     pub deadline: Option<Duration>,
 }
 
-/// What happens to a traffic thread.
+/// An input to a traffic thread.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// A caller asks for rows.
+    /// A caller requested a search.
     Search { call: Call, search: Search },
-    /// A caller asks for an operation.
+    /// A caller requested an operation.
     Operate { call: Call, operate: Operate },
-    /// A caller no longer waits.
+    /// A caller no longer waits for its answer.
     Abandoned { call: Call },
     /// Another traffic thread sent a message.
     Message { from: Lane, message: Message },
-    /// Messages to a lane may have been lost since the last that it answered.
+    /// Messages to a lane may have been lost since the last one that it
+    /// answered.
     Lost { lane: Lane },
-    /// The client of the targets reports.
+    /// The client of the targets reported an event.
     Target(target::Event),
-    /// The control thread tells something.
+    /// The control thread sent a notice.
     Notice(Notice),
 }
 
 /// The answer to a call.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
-    /// The request id.
+    /// The id of the request.
     pub query: id::Query,
-    /// What is answered.
     pub body: Body,
-    /// The name of the profile, for the histograms.
+    /// The profile of the request, by which the histograms are labelled.
     pub profile: Name,
     /// The time from the arrival to the answer.
     pub took: Duration,
@@ -107,42 +107,45 @@
     Refused(Fault),
 }
 
-/// The rows of a search with what they cover.
+/// The rows of a search, and what part of the key space they cover.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Found {
-    /// The version that every row comes from.
+    /// The version that every row was read at.
     pub version: Version,
-    /// The covered part of the key space, in parts per million.
+    /// The part of the key space that was read, in parts per million.
     pub coverage: u32,
-    /// The keys that were not answered.
+    /// The keys that were not read.
     pub missing: Set,
-    /// The revision of the profiles under which the answer was made.
+    /// The revision of the profiles that was in force when the request arrived.
     pub revision: u64,
     /// The rows in ascending order.
     pub rows: Vec<Row>,
-    /// The attempts at targets that it took.
+    /// The attempts at targets that the search took.
     pub attempts: u32,
 }
 
-/// What a tick of a traffic thread leaves to be carried out, in order.
+/// The effects of a tick of a traffic thread, which its caller carries out in
+/// order.
 #[derive(Debug, Default)]
 pub struct Outbox {
     /// Answers to calls.
     pub answers: Vec<(Call, Answer)>,
-    /// Messages by lane; legs and replies for one lane are already batched.
+    /// Messages by lane; legs, replies and withdrawals that follow one another
+    /// are batched.
     pub messages: BTreeMap<Lane, Vec<Message>>,
-    /// Orders to the client of the targets.
+    /// Commands to the client of the targets.
     pub commands: Vec<target::Command>,
     /// Reports to the control thread.
     pub reports: Vec<Report>,
-    /// Lines of the log.
+    /// Log lines.
     pub lines: Vec<Line>,
-    /// What was counted.
+    /// Increments of the counters.
     pub counts: Counts,
 }
 
 impl Outbox {
-    /// Adds a leg to the message for its lane.
+    /// Adds a leg to the last message for the lane if that holds legs, or to a
+    /// new one.
     pub fn leg(&mut self, lane: Lane, leg: message::Leg) {
         let queue = self.messages.entry(lane).or_default();
         match queue.last_mut() {
@@ -151,7 +154,8 @@
         }
     }
 
-    /// Adds a reply to the message for its lane.
+    /// Adds a reply to the last message for the lane if that holds replies, or
+    /// to a new one.
     pub fn reply(&mut self, lane: Lane, reply: message::Reply) {
         let queue = self.messages.entry(lane).or_default();
         match queue.last_mut() {
@@ -160,7 +164,8 @@
         }
     }
 
-    /// Adds a withdrawal to the message for its lane.
+    /// Adds the withdrawal of a leg to the last message for the lane if that
+    /// holds withdrawals, or to a new one.
     pub fn cancel(&mut self, lane: Lane, leg: id::Leg) {
         let queue = self.messages.entry(lane).or_default();
         match queue.last_mut() {
@@ -169,18 +174,18 @@
         }
     }
 
-    /// Adds a message of another kind.
+    /// Adds a message that is not batched.
     pub fn send(&mut self, lane: Lane, message: Message) {
         self.messages.entry(lane).or_default().push(message);
     }
 
-    /// Counts one.
+    /// Increments a counter by one.
     pub fn count(&mut self, count: Count) {
         self.counts.add(count);
     }
 }
 
-/// What every system of a tick sees beside the tables.
+/// What the systems use in a tick besides the tables.
 #[derive(Debug)]
 pub struct Context {
     /// The time of the tick.
@@ -189,30 +194,28 @@
     pub view: Arc<View>,
     /// The lane of this thread.
     pub lane: Lane,
-    /// The limits from the settings.
     pub limits: Limits,
-    /// The policies.
     pub policies: Policies,
-    /// Makes the ids of new rows.
+    /// The source of the ids of new rows.
     pub ids: id::Source,
-    /// The randomness of the decisions, from a seed.
+    /// The random numbers for jitter and tokens, which a seed makes repeatable.
     pub random: StdRng,
-    /// Whether the process was paused before this tick.
+    /// Whether the process seems to have been paused before this tick.
     pub paused: bool,
 }
 
-/// The events of a tick, sorted by the system that takes them.
+/// The events of a tick, grouped by the system that handles them.
 #[derive(Debug, Default)]
 pub struct Inbox {
-    /// Requests of callers and withdrawals.
+    /// Requests of callers, and calls that were abandoned.
     pub calls: Vec<Event>,
-    /// Messages of other traffic threads and their losses.
+    /// Messages of other traffic threads, and lanes that may have lost some.
     pub peers: Vec<Event>,
-    /// Reports of the client of the targets.
+    /// Events of the client of the targets.
     pub targets: Vec<target::Event>,
-    /// Claims that were answered.
+    /// Verdicts on the claims of operations.
     pub claims: Vec<(id::Query, claim::Verdict)>,
-    /// The newest view.
+    /// The newest view, if a new one came.
     pub view: Option<Arc<View>>,
 }
 
@@ -241,26 +244,25 @@
 pub struct Engine {
     tables: Tables,
     context: Context,
-    woken: Instant,
+    last_step: Instant,
 }
 
-/// What an engine is made from.
+/// The parameters of an [`Engine`].
 #[derive(Debug)]
 pub struct Setup {
     /// The lane of the thread.
     pub lane: Lane,
     /// The failure domain of the VM.
     pub domain: Name,
-    /// The start of the thread, drawn at random.
+    /// Identifies this start of the thread. It is drawn at random and also
+    /// seeds the random numbers.
     pub origin: id::Origin,
-    /// The limits from the settings.
     pub limits: Limits,
-    /// The policies.
     pub policies: Policies,
 }
 
 impl Engine {
-    /// Makes an engine with empty tables.
+    /// Creates an engine with empty tables.
     pub fn new(setup: Setup) -> Engine {
         let view = View::starting(setup.lane.vm.clone(), setup.domain);
         Engine {
@@ -275,21 +277,23 @@
                 random: StdRng::seed_from_u64(setup.origin.0),
                 paused: false,
             },
-            woken: Instant::default(),
+            last_step: Instant::default(),
         }
     }
 
-    /// Runs every system once, in the order that `system` gives.
+    /// Runs a tick: every system once, in the order of [`system::run`].
     pub fn step(&mut self, now: Instant, events: Vec<Event>, out: &mut Outbox) {
         let due = self.wake().unwrap_or(now);
-        self.context.paused = now.since(due.max(self.woken)) > self.context.limits.pause;
+        self.context.paused =
+            now.since(due.max(self.last_step)) > self.context.limits.pause_threshold;
         self.context.now = now;
-        self.woken = now;
+        self.last_step = now;
         let inbox = Inbox::sort(events);
         system::run(&mut self.tables, &mut self.context, inbox, out);
     }
 
-    /// When the next step is due without an event.
+    /// When the next step is due if no event comes before, or none if only an
+    /// event makes one due.
     pub fn wake(&self) -> Option<Instant> {
         if self.tables.is_busy() {
             return Some(self.context.now);
@@ -297,31 +301,32 @@
         self.tables.timers.first()
     }
 
-    /// Whether requests of callers can be answered: the view is ready, the homes
-    /// have said what they hold and every index that targets are listed for has
-    /// a plan.
+    /// Whether requests of callers can be answered: the view is ready, the VM
+    /// is not leaving, the homes have advertised what they hold, and every
+    /// index that targets are listed for has a plan.
     pub fn is_ready(&self) -> bool {
         let view = &self.context.view;
         let has_plan =
             |index| self.tables.indexes.get(index).is_some_and(|index| index.best.is_some());
         view.ready
             && !view.leaving
-            && self.tables.informed
+            && self.tables.has_holdings
             && self.tables.listed.iter().all(has_plan)
     }
 
-    /// The rows, for metrics and tests.
+    /// The tables, for metrics and tests.
     pub fn tables(&self) -> &Tables {
         &self.tables
     }
 }
 
-/// The fingerprint of a search.
+/// The fingerprint of a search, which is equal for equal texts on an index.
 pub fn search_fingerprint(index: &Name, text: &str) -> Fingerprint {
     crate::digest::fingerprint(&[b"search", index.as_str().as_bytes(), text.as_bytes()])
 }
 
-/// The fingerprint of an operation.
+/// The fingerprint of an operation, which covers its name, subject and content
+/// but not its idempotency key.
 pub fn operation_fingerprint(index: &Name, operate: &Operate) -> Fingerprint {
     crate::digest::fingerprint(&[
         b"operate",
--- a/crates/core/src/traffic/policy/coalesce.rs
+++ b/crates/core/src/traffic/policy/coalesce.rs
@@ -1,16 +1,16 @@
-//! Which searches share one attempt at a home.
+//! Whether equal legs at a home are coalesced into one attempt.
 
 use std::fmt;
 
 use crate::{message::Leg, target::Work};
 
-/// Decides whether a leg may share the attempt of an equal one in flight.
+/// Decides whether a leg may share the attempt of an equal leg in flight.
 pub trait Coalesce: fmt::Debug {
-    /// Whether the leg may share.
+    /// Whether the leg may share an attempt.
     fn allows(&self, leg: &Leg) -> bool;
 }
 
-/// Searches share; operations never do.
+/// Coalesces searches, but not operations.
 #[derive(Clone, Copy, Debug)]
 pub struct CoalesceSearches;
 
@@ -20,7 +20,7 @@
     }
 }
 
-/// Each leg has an attempt of its own.
+/// Gives each leg an attempt of its own.
 #[derive(Clone, Copy, Debug)]
 pub struct NeverCoalesce;
 
--- a/crates/core/src/traffic/policy/hedge.rs
+++ b/crates/core/src/traffic/policy/hedge.rs
@@ -1,17 +1,19 @@
-//! When a second target is tried beside a slow one.
+//! When a slow attempt is hedged at a second target.
 
 use std::{fmt, time::Duration};
 
 use crate::traffic::table::Latency;
 
-/// Decides when a second target is tried beside a slow one.
+/// Decides when a slow attempt is hedged at a second target.
 pub trait Hedge: fmt::Debug {
-    /// The time after which an attempt is hedged, given the latencies of the
-    /// whole index and the tail that the profile aims at.
+    /// The time after which an attempt is hedged, or none if it never is, given
+    /// the latencies of the whole index and the tail latency that the profile
+    /// aims at.
     fn delay(&self, latency: &Latency, tail: Duration) -> Option<Duration>;
 }
 
-/// Hedges what takes longer than nearly all answers.
+/// Hedges an attempt that takes longer than a quantile of the latencies, or
+/// than the tail of the profile if that is shorter.
 #[derive(Clone, Copy, Debug)]
 pub struct Quantile {
     /// The quantile, in thousandths.
--- a/crates/core/src/traffic/policy/mod.rs
+++ b/crates/core/src/traffic/policy/mod.rs
@@ -1,5 +1,6 @@
-//! Policies of the traffic threads, as trait objects, so that ways to route and
-//! to limit can be compared in one run. See `docs/design/homes.md`.
+//! The policies of a traffic thread: routing, limits on targets, hedging,
+//! choice of targets and coalescing. They are trait objects, so that
+//! alternatives can be compared in one run. See `docs/design/homes.md`.
 
 pub mod route;
 pub mod slots;
@@ -10,7 +11,7 @@
 use std::fmt;
 
 pub use self::{
-    choice::{Chance, Choice, LeastExpected},
+    choice::{Candidate, Choice, LeastExpected},
     coalesce::{Coalesce, CoalesceSearches, NeverCoalesce},
     hedge::{Hedge, Never, Quantile},
     route::{Direct, Home, Route},
@@ -19,9 +20,9 @@
 
 /// The policies of a traffic thread.
 pub struct Policies {
-    /// Where a shard is served.
+    /// Which VMs serve a shard.
     pub route: Box<dyn Route + Send>,
-    /// How many attempts run at a target.
+    /// How many attempts run at a target at a time.
     pub slots: Box<dyn Slots + Send>,
     /// When a slow attempt is hedged.
     pub hedge: Box<dyn Hedge + Send>,
@@ -31,10 +32,12 @@
     pub coalesce: Box<dyn Coalesce + Send>,
 }
 
-/// Makes the policies of a thread; each thread has its own.
+/// Creates the policies of one thread. Each thread has its own, because
+/// policies may hold state.
 pub type Factory = fn() -> Policies;
 
-/// The quantile beyond which an attempt is hedged, in thousandths.
+/// The quantile of the latencies beyond which an attempt is hedged by default,
+/// in thousandths.
 pub const HEDGE_QUANTILE_PERMILLE: u32 = 970;
 
 impl fmt::Debug for Policies {
--- a/crates/core/src/traffic/policy/route.rs
+++ b/crates/core/src/traffic/policy/route.rs
@@ -1,4 +1,4 @@
-//! Which traffic thread of which VM serves a shard.
+//! Routing: which traffic thread of which VM serves a shard.
 
 use std::{cmp::Reverse, fmt};
 
@@ -10,18 +10,20 @@
 
 /// Decides which traffic thread of which VM serves a shard.
 pub trait Route: fmt::Debug {
-    /// The lanes that may serve the shard, best first, at most `most`.
-    fn lanes(&self, view: &View, own: &Lane, key: &shard::Key, most: usize) -> Vec<Lane>;
+    /// The lanes that may serve the shard, in order of preference, at most
+    /// `max`.
+    fn lanes(&self, view: &View, own: &Lane, key: &shard::Key, max: usize) -> Vec<Lane>;
 }
 
-/// One home for each shard, by rendezvous hashing over the VMs.
+/// Routes each shard to its homes, which rendezvous hashing picks among the
+/// VMs.
 #[derive(Clone, Copy, Debug)]
 pub struct Home;
 
 impl Route for Home {
-    fn lanes(&self, view: &View, _own: &Lane, key: &shard::Key, most: usize) -> Vec<Lane> {
+    fn lanes(&self, view: &View, _own: &Lane, key: &shard::Key, max: usize) -> Vec<Lane> {
         let seed = rank::seed(&[key.index.as_str(), key.shard.as_str()]);
-        best(view, seed, most)
+        best_vms(view, seed, max)
             .into_iter()
             .map(|vm| {
                 let threads = vm.traffic.len().max(1) as u64;
@@ -32,28 +34,28 @@
     }
 }
 
-/// The `most` VMs that come first by what is believed of them and then by
-/// weight. Only as many are kept, because every shard is ranked anew when a VM
-/// comes or goes.
-fn best(view: &View, seed: u64, most: usize) -> Vec<&Vm> {
-    let mut best = Vec::with_capacity(most + 1);
+/// The first `max` VMs by state and then by rendezvous weight. The others are
+/// not sorted, because every shard is ranked again whenever a VM comes or goes.
+fn best_vms(view: &View, seed: u64, max: usize) -> Vec<&Vm> {
+    let mut best = Vec::with_capacity(max + 1);
     for (name, vm) in &view.vms {
         let rank = (preference(vm.state), Reverse((rank::weight(seed, name), name)));
         let place = best.partition_point(|(own, _)| *own < rank);
-        if place < most {
+        if place < max {
             best.insert(place, (rank, vm));
-            best.truncate(most);
+            best.truncate(max);
         }
     }
     best.into_iter().map(|(_, vm)| vm).collect()
 }
 
-/// Each VM serves every shard for its own callers.
+/// Routes every shard to the entry itself, so that each VM serves its own
+/// callers.
 #[derive(Clone, Copy, Debug)]
 pub struct Direct;
 
 impl Route for Direct {
-    fn lanes(&self, _view: &View, own: &Lane, _key: &shard::Key, _most: usize) -> Vec<Lane> {
+    fn lanes(&self, _view: &View, own: &Lane, _key: &shard::Key, _max: usize) -> Vec<Lane> {
         vec![own.clone()]
     }
 }
--- a/crates/core/src/traffic/policy/slots.rs
+++ b/crates/core/src/traffic/policy/slots.rs
@@ -1,20 +1,20 @@
-//! How many attempts a traffic thread runs at a target.
+//! Limits on the attempts that a traffic thread runs at a target at a time.
 
 use std::{collections::BTreeMap, fmt, time::Duration};
 
 use crate::{name::Name, traffic::table::Target, view::View};
 
-/// Decides how many attempts this thread runs at a target.
+/// Decides how many attempts this thread runs at a target at a time.
 pub trait Slots: fmt::Debug {
-    /// The attempts that may run at the target now.
+    /// The number of attempts that may run at the target now.
     fn limit(&self, view: &View, name: &Name, target: &Target) -> u32;
-    /// Notes that the target shed an attempt.
+    /// Records that the target shed an attempt.
     fn shed(&mut self, _name: &Name) {}
-    /// Notes that the target answered an attempt after this time.
+    /// Records that the target answered an attempt after the time `after`.
     fn answered(&mut self, _name: &Name, _after: Duration) {}
 }
 
-/// All slots of the target: right for the one home of its shard.
+/// Uses all slots of a target, which only the single home of its shard may do.
 #[derive(Clone, Copy, Debug)]
 pub struct AllSlots;
 
@@ -24,7 +24,8 @@
     }
 }
 
-/// An equal share of the slots for each VM, and at least one.
+/// Uses an equal share of the slots of a target for each VM, and at least one
+/// slot.
 #[derive(Clone, Copy, Debug)]
 pub struct EqualShare;
 
@@ -35,23 +36,23 @@
     }
 }
 
-/// The factor by which a limit falls when the target sheds.
+/// The factor by which a limit is lowered when the target sheds.
 const SHED_FACTOR: f64 = 0.5;
 
-/// The factor by which a limit falls with each answer that was slow.
+/// The factor by which a limit is lowered for each slow answer.
 const SLOW_FACTOR: f64 = 0.9;
 
-/// The multiple of the least latency from which an answer counts as slow.
-const SLOW: u32 = 3;
+/// The multiple of the minimum latency above which an answer counts as slow.
+const SLOW_RATIO: u32 = 3;
 
-/// The highest limit.
 const MAX_LIMIT: f64 = 64.0;
 
-/// The number of answers after which the least latency is taken anew.
-const EPOCH: u32 = 1000;
+/// The number of answers after which the minimum latency is measured again.
+const MIN_LATENCY_ANSWERS: u32 = 1000;
 
-/// A limit for each target that grows by one for each round of answers and
-/// falls when the target sheds or becomes slow.
+/// Keeps a limit for each target that is raised by about one for as many fast
+/// answers as the limit allows at a time, and lowered when the target sheds or
+/// becomes slow (AIMD).
 #[derive(Clone, Debug, Default)]
 pub struct Adaptive {
     windows: BTreeMap<Name, Window>,
@@ -60,13 +61,13 @@
 #[derive(Clone, Copy, Debug)]
 struct Window {
     limit: f64,
-    least: Duration,
+    min_latency: Duration,
     answers: u32,
 }
 
 impl Default for Window {
     fn default() -> Window {
-        Window { limit: 1.0, least: Duration::MAX, answers: 0 }
+        Window { limit: 1.0, min_latency: Duration::MAX, answers: 0 }
     }
 }
 
@@ -83,12 +84,12 @@
     fn answered(&mut self, name: &Name, after: Duration) {
         let window = self.windows.entry(name.clone()).or_default();
         window.answers += 1;
-        if window.answers >= EPOCH {
+        if window.answers >= MIN_LATENCY_ANSWERS {
             window.answers = 0;
-            window.least = after;
+            window.min_latency = after;
         }
-        window.least = window.least.min(after);
-        if after > window.least * SLOW {
+        window.min_latency = window.min_latency.min(after);
+        if after > window.min_latency * SLOW_RATIO {
             window.limit = (window.limit * SLOW_FACTOR).max(1.0);
         } else {
             window.limit = (window.limit + 1.0 / window.limit).min(MAX_LIMIT);
--- a/crates/core/src/traffic/system/tell.rs
+++ b/crates/core/src/traffic/system/advertise.rs
@@ -1,4 +1,4 @@
-//! Tells entries what the shards of this home hold.
+//! Advertises to entries what the shards of this home hold.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -12,44 +12,46 @@
     view::Lane,
 };
 
-/// Time after which all holdings are told again, for entries that missed them.
+/// The interval at which all holdings are advertised again, for entries that
+/// missed an advertisement.
 pub const INTERVAL: Duration = Duration::from_secs(2);
 
-/// Tells the holdings that have changed.
+/// Advertises the holdings that have changed.
 pub fn run(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
     let mut changed = Vec::new();
-    for key in std::mem::take(&mut tables.to_tell) {
-        let Some(ranges) = holds(tables, &key) else { continue };
+    for key in std::mem::take(&mut tables.to_advertise) {
+        let Some(ranges) = holdings_of(tables, &key) else { continue };
         let Some(shard) = tables.shards.get_mut(&key) else { continue };
-        if shard.told == ranges {
+        if shard.advertised == ranges {
             continue;
         }
-        shard.told = ranges.clone();
+        shard.advertised = ranges.clone();
         changed.push(Holding { index: key.index, shard: key.shard, ranges });
     }
     if !changed.is_empty() {
-        spread(tables, cx, changed, out);
+        broadcast(tables, cx, changed, out);
     }
 }
 
-/// Forgets what was told, so that all is told again, and sets the next time.
-pub fn again(tables: &mut Tables, cx: &Context) {
+/// Makes the next run advertise all holdings again, and sets the timer for the
+/// next repeat.
+pub fn repeat(tables: &mut Tables, cx: &Context) {
     for (key, shard) in &mut tables.shards {
         if shard.home {
-            shard.told.clear();
-            tables.to_tell.insert(key.clone());
+            shard.advertised.clear();
+            tables.to_advertise.insert(key.clone());
         }
     }
-    tables.timers.set(cx.now + INTERVAL, Timer::Tell);
+    tables.timers.set(cx.now + INTERVAL, Timer::Advertise);
 }
 
-/// Tells one lane all that the shards of this home hold.
-pub fn all(tables: &Tables, lane: &Lane, out: &mut Outbox) {
+/// Sends one lane all that the shards of this home hold.
+pub fn send_all(tables: &Tables, lane: &Lane, out: &mut Outbox) {
     let holdings: Vec<Holding> = tables
         .shards
         .keys()
         .filter_map(|key| {
-            let ranges = holds(tables, key)?;
+            let ranges = holdings_of(tables, key)?;
             Some(Holding { index: key.index.clone(), shard: key.shard.clone(), ranges })
         })
         .collect();
@@ -58,9 +60,9 @@
     }
 }
 
-/// What the targets of a shard hold, or none if this VM is not its home or no
-/// target has said anything yet.
-fn holds(tables: &Tables, key: &shard::Key) -> Option<Vec<Held>> {
+/// What the targets of a shard hold, or none if this thread is not its first
+/// home or nothing is known of its targets yet.
+fn holdings_of(tables: &Tables, key: &shard::Key) -> Option<Vec<Held>> {
     let shard = tables.shards.get(key)?;
     if !shard.home {
         return None;
@@ -81,7 +83,7 @@
     is_known.then(|| ranges.collect())
 }
 
-fn spread(tables: &mut Tables, cx: &mut Context, changed: Vec<Holding>, out: &mut Outbox) {
+fn broadcast(tables: &mut Tables, cx: &mut Context, changed: Vec<Holding>, out: &mut Outbox) {
     let lanes: Vec<Lane> = cx.view.vms.values().flat_map(lanes_of).collect();
     for lane in lanes {
         if lane != cx.lane {
@@ -89,6 +91,6 @@
         }
     }
     for holding in changed {
-        receive::hold(tables, cx, holding);
+        receive::apply_holding(tables, cx, holding);
     }
 }
--- a/crates/core/src/traffic/system/answer.rs
+++ b/crates/core/src/traffic/system/answer.rs
@@ -1,4 +1,4 @@
-//! Answers queries whose legs have ended or whose deadline has come.
+//! Answers queries whose legs have all ended or whose deadline has passed.
 
 use crate::{
     count::Count,
@@ -20,11 +20,11 @@
 /// Answers the queries whose answer is due.
 pub fn run(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
     for id in std::mem::take(&mut tables.to_answer) {
-        close(tables, cx, id, out);
+        answer_query(tables, cx, id, out);
     }
 }
 
-fn close(tables: &mut Tables, cx: &mut Context, id: id::Query, out: &mut Outbox) {
+fn answer_query(tables: &mut Tables, cx: &mut Context, id: id::Query, out: &mut Outbox) {
     let Some(query) = tables.queries.get(&id) else { return };
     let open_legs = query.legs.clone();
     let is_search = matches!(query.task, Task::Search(_));
@@ -46,33 +46,38 @@
     let took = cx.now.since(query.arrived);
     let fingerprint = query.fingerprint;
     let body = match &query.task {
-        Task::Search(_) => found(query, is_waiting, cx),
-        Task::Operation(operation) => done(tables, id, &query, operation),
+        Task::Search(_) => search_body(query, is_waiting, cx),
+        Task::Operation(operation) => operation_body(tables, id, &query, operation),
     };
     if let Body::Found(found) = &body
         && !is_waiting
     {
-        tables.proven.insert(fingerprint, found.version);
+        tables.answered.insert(fingerprint, found.version);
     }
-    note(id, &body, out);
+    count_answer(id, &body, out);
     out.answers.push((call, Answer { query: id, body, profile, took }));
 }
 
-fn found(query: Query, is_waiting: bool, cx: &Context) -> Body {
+fn search_body(query: Query, is_waiting: bool, cx: &Context) -> Body {
     let ran = if is_waiting { query.ran.max(Ran::Unknown) } else { query.ran };
-    let terms = query.terms;
+    let pinned_profile = query.pinned_profile;
     let Task::Search(search) = query.task else {
-        return Body::Refused(Fault::unknown(Kind::Internal, "a search has no task"));
+        return Body::Refused(Fault::unknown(Kind::Internal, "the request is not a search"));
     };
     if let Some(mut fault) = search.fault {
-        // Other legs may have run beside the one that met the fault.
+        // Other legs of the search may have run.
         fault.ran = fault.ran.max(ran);
         return Body::Refused(fault);
     }
     let Search { version, covered, mut rows, .. } = search;
     let coverage = covered.parts_per_million(Range::ALL);
-    let Some(version) = version.filter(|_| coverage >= terms.coverage) else {
-        return Body::Refused(incomplete(coverage, terms.coverage, ran, query.deadline <= cx.now));
+    let Some(version) = version.filter(|_| coverage >= pinned_profile.coverage) else {
+        return Body::Refused(incomplete(
+            coverage,
+            pinned_profile.coverage,
+            ran,
+            query.deadline <= cx.now,
+        ));
     };
     rows.sort();
     Body::Found(Found {
@@ -85,13 +90,19 @@
     })
 }
 
-fn incomplete(coverage: u32, asked: u32, ran: Ran, is_late: bool) -> Fault {
+fn incomplete(coverage: u32, required: u32, ran: Ran, is_late: bool) -> Fault {
     let kind = if is_late { Kind::DeadlinePassed } else { Kind::CoverageTooLow };
-    let detail = format!("{coverage} of a million parts were read, {asked} are asked for");
+    let detail =
+        format!("{coverage} ppm of the key space were read, the profile requires {required} ppm");
     Fault { kind, ran, detail }
 }
 
-fn done(tables: &mut Tables, id: id::Query, query: &Query, operation: &Operation) -> Body {
+fn operation_body(
+    tables: &mut Tables,
+    id: id::Query,
+    query: &Query,
+    operation: &Operation,
+) -> Body {
     match &operation.stage {
         Stage::Settled(Ok(settled)) => Body::Done {
             result: settled.result.clone(),
@@ -106,13 +117,14 @@
         }
         Stage::Sent => {
             claim::await_outcome(tables, id, operation.claim(query.fingerprint));
-            let detail = "the operation was sent and its outcome is not known yet";
+            let detail =
+                "the operation was sent, but its outcome was not known before the deadline";
             Body::Refused(Fault::unknown(Kind::DeadlinePassed, detail))
         }
     }
 }
 
-fn note(id: id::Query, body: &Body, out: &mut Outbox) {
+fn count_answer(id: id::Query, body: &Body, out: &mut Outbox) {
     match body {
         Body::Found(found) if found.missing.is_empty() => out.count(Count::Complete),
         Body::Found(_) => out.count(Count::Partial),
--- a/crates/core/src/traffic/system/claim.rs
+++ b/crates/core/src/traffic/system/claim.rs
@@ -1,4 +1,5 @@
-//! Takes the answers to claims: an operation that was granted may be sent.
+//! Handles the verdicts on claims. An operation whose claim is granted may be
+//! sent.
 
 use crate::{
     claim::{Outcome, Request, Verdict},
@@ -11,10 +12,12 @@
     },
 };
 
-/// The number of operations whose late outcome is awaited.
+/// The number of operations whose outcome is awaited after their caller was
+/// answered. Beyond it the oldest one is dropped.
 const MAX_UNSETTLED: usize = 4096;
 
-/// Takes the verdicts in the order in which they came.
+/// Handles the verdicts in the order of their arrival. A verdict that comes
+/// after the deadline of its request must not start the operation.
 pub fn run(
     tables: &mut Tables,
     cx: &mut Context,
@@ -24,14 +27,14 @@
     for (id, verdict) in verdicts {
         let is_waiting = tables.queries.get(&id).is_some_and(|query| query.deadline > cx.now);
         if is_waiting {
-            take(tables, id, verdict);
+            apply_verdict(tables, id, verdict);
         } else {
-            decline(tables, id, &verdict, out);
+            release_late_claim(tables, id, &verdict, out);
         }
     }
 }
 
-fn take(tables: &mut Tables, id: id::Query, verdict: Verdict) {
+fn apply_verdict(tables: &mut Tables, id: id::Query, verdict: Verdict) {
     let Some(query) = tables.queries.get_mut(&id) else { return };
     let Task::Operation(operation) = &mut query.task else { return };
     if operation.stage != Stage::Claiming {
@@ -57,36 +60,38 @@
     match verdict {
         Verdict::Unknown => Fault::unknown(
             Kind::OutcomeUnknown,
-            "the idempotency key was claimed by an earlier request without a known outcome",
+            "an earlier request with the same idempotency key has no known outcome",
         ),
         Verdict::Reused => Fault::not_run(
             Kind::KeyReused,
-            "the idempotency key was used with other content; make a new key",
+            "the idempotency key was used with other content; use a new key",
         ),
         Verdict::Expired => Fault::not_run(
             Kind::KeyExpired,
-            "the time of issue of the idempotency key lies outside the window",
+            "the time of issue of the idempotency key is outside the accepted window",
         ),
         Verdict::Full => Fault::not_run(
             Kind::ClaimFull,
-            "the time slot of the idempotency key is full; make a new key",
+            "the time slot of the idempotency key is full; use a new key",
         ),
         Verdict::Unsettled { detail } => Fault::not_run(Kind::ClaimUnsettled, detail),
         Verdict::Granted | Verdict::Recorded { .. } => {
-            Fault::not_run(Kind::Internal, "a claim was answered out of turn")
+            Fault::not_run(Kind::Internal, "a verdict that is no refusal was handled as one")
         }
     }
 }
 
-/// Gives back a claim that was granted too late to be used.
-fn decline(tables: &mut Tables, id: id::Query, verdict: &Verdict, out: &mut Outbox) {
+/// Reports a claim that was granted too late to be used as not run, so that the
+/// caller can send the operation again with the same key.
+fn release_late_claim(tables: &mut Tables, id: id::Query, verdict: &Verdict, out: &mut Outbox) {
     if *verdict != Verdict::Granted {
         tables.unsettled.remove(&id);
         return;
     }
     let request = match tables.queries.get_mut(&id) {
         Some(query) => {
-            // The answer is due in this tick; it must not find the claim open.
+            // The query is answered in this tick. Its answer must not count the
+            // claim as still open.
             let Task::Operation(operation) = &mut query.task else { return };
             if operation.stage != Stage::Claiming {
                 return;
@@ -103,7 +108,7 @@
     out.reports.push(Report::Outcome { request, outcome: Outcome::NotRun });
 }
 
-/// Remembers a claim whose verdict or outcome is still to come.
+/// Remembers a claim whose verdict or outcome is still awaited.
 pub fn await_outcome(tables: &mut Tables, id: id::Query, request: Request) {
     if tables.unsettled.len() >= MAX_UNSETTLED {
         tables.unsettled.pop_first();
--- a/crates/core/src/traffic/system/share.rs
+++ b/crates/core/src/traffic/system/coalesce.rs
@@ -1,9 +1,10 @@
-//! Shares one attempt between equal searches in flight at a home.
+//! Coalesces equal searches in flight at a home into one attempt.
 //!
-//! The first one leads and the others follow: they take its rows and are never
-//! sent themselves, so sharing adds no wait. Each has a deadline of its own. A
-//! leader that leaves hands its attempts to its first follower. The idea is that
-//! of "req-batching: RL-driven request coalescing"; see `docs/design/homes.md`.
+//! The first search is the leader and the others follow it: they get its rows
+//! and are never sent themselves, so that sharing adds no wait. Each keeps its
+//! own deadline. A leader that ends early hands its attempts to its first
+//! follower. The idea is that of "req-batching: RL-driven request coalescing";
+//! see `docs/design/homes.md`.
 
 use crate::{
     fault::Kind,
@@ -11,24 +12,24 @@
     message::Outcome,
     traffic::{
         Context, Tables,
-        table::{Job, share::Key},
+        table::{Job, coalesce::Key},
     },
 };
 
-/// The leader that a new job may follow.
+/// The leader that a new job may follow, if any.
 pub fn leader(tables: &Tables, cx: &Context, job: &Job) -> Option<id::Leg> {
     if !cx.policies.coalesce.allows(&job.leg) || job.suspect {
         return None;
     }
     let id = *tables.leaders.get(&Key::of(job)?)?;
     let leader = tables.jobs.get(&id)?;
-    // The key holds a fingerprint of the text only.
+    // The key holds only a fingerprint of the text, which may collide.
     let is_equal = leader.leg.work == job.leg.work && !leader.suspect;
     is_equal.then_some(id)
 }
 
-/// Notes that a job may be followed.
-pub fn lead(tables: &mut Tables, cx: &Context, job: &Job) {
+/// Registers a job as the leader of equal jobs that arrive later.
+pub fn register_leader(tables: &mut Tables, cx: &Context, job: &Job) {
     if cx.policies.coalesce.allows(&job.leg)
         && let Some(key) = Key::of(job)
     {
@@ -36,8 +37,8 @@
     }
 }
 
-/// Takes the followers that end as their leader does. Only its deadline is its
-/// own.
+/// Takes the followers that end with the outcome of their leader. The passing
+/// of the leader's deadline ends none, because each follower has its own.
 pub fn take_followers(tables: &mut Tables, id: id::Leg, outcome: &Outcome) -> Vec<id::Leg> {
     if matches!(outcome, Outcome::Failed { kind: Kind::DeadlinePassed, .. }) {
         return Vec::new();
@@ -46,8 +47,8 @@
     std::mem::take(&mut job.followers).into_iter().collect()
 }
 
-/// Takes a job that ends out of its group. If it led others, the first of them
-/// takes over its attempts or its place in the queue.
+/// Removes a job that ends from its group. If it was a leader, its first
+/// follower takes over its attempts or its place in the queue.
 pub fn leave(tables: &mut Tables, job: &mut Job) {
     let id = job.leg.leg;
     if let Some(leader) = job.follows.and_then(|leader| tables.jobs.get_mut(&leader)) {
--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -1,4 +1,4 @@
-//! Takes the reports of the client of the targets.
+//! Handles the events of the client of the targets.
 
 use crate::{
     count::{Count, Drop, Retry},
@@ -18,16 +18,16 @@
     },
 };
 
-/// Takes the reports in the order in which they came.
+/// Handles the events in the order of their arrival.
 pub fn run(tables: &mut Tables, cx: &mut Context, events: Vec<target::Event>, out: &mut Outbox) {
     for event in events {
         match event {
             target::Event::Opened { connection, status } => {
                 connect::opened(tables, cx, connection, out);
-                word(tables, cx, connection, status, out);
+                take_status(tables, cx, connection, status, out);
             }
             target::Event::Status { connection, status } => {
-                word(tables, cx, connection, status, out);
+                take_status(tables, cx, connection, status, out);
             }
             target::Event::Reply { connection, attempt, reply } => {
                 replied(tables, cx, connection, attempt, reply, out);
@@ -40,25 +40,25 @@
     }
 }
 
-/// Takes a target's word on itself over a connection.
-fn word(
+/// Handles a status that a target sent over a connection.
+fn take_status(
     tables: &mut Tables,
     cx: &Context,
     connection: id::Connection,
     status: target::Status,
     out: &mut Outbox,
 ) {
-    connect::heard(tables, cx, connection);
+    connect::note_activity(tables, cx, connection);
     let Some(row) = tables.connections.get(&connection) else { return };
     let name = row.target.clone();
     if let Some(target) = tables.targets.get_mut(&name) {
-        if cx.now.since(target.heard) > cx.limits.status_max_age {
-            // Work may have waited for this word.
+        if cx.now.since(target.status_at) > cx.limits.status_max_age {
+            // Jobs may have waited for a status that is recent enough.
             tables.to_dispatch.insert(target.shard.clone());
         }
-        target.heard = cx.now;
+        target.status_at = cx.now;
     }
-    connect::status(tables, &name, status, out);
+    connect::apply_status(tables, &name, status, out);
 }
 
 fn replied(
@@ -70,17 +70,18 @@
     out: &mut Outbox,
 ) {
     if let Some(status) = reply.status {
-        word(tables, cx, connection, status, out);
+        take_status(tables, cx, connection, status, out);
     } else {
-        connect::heard(tables, cx, connection);
+        connect::note_activity(tables, cx, connection);
     }
     if reply.attempt.is_some_and(|echoed| echoed != sent_as) {
-        dropped(Drop::Crossed, sent_as, out);
-        lose(tables, cx, sent_as, Retry::Garbled, out);
+        note_dropped(Drop::Crossed, sent_as, out);
+        fail_attempt(tables, cx, sent_as, Retry::Garbled, out);
         let target = tables.connections.get(&connection).map(|row| row.target.clone());
         connect::close(tables, cx, connection, out);
         if let Some(target) = target {
-            // Without a connection its holdings would stay as they were.
+            // Without a connection the status of the target would not be read
+            // any more.
             connect::reopen(tables, cx, &target, out);
         }
         return;
@@ -92,24 +93,24 @@
     match reply.outcome {
         target::Outcome::Refused(refusal) => refused(tables, cx, &attempt, refusal, out),
         target::Outcome::Garbled { .. } => {
-            dropped(Drop::Cut, sent_as, out);
-            ran(tables, attempt.job);
-            avoid(tables, &attempt);
+            note_dropped(Drop::Cut, sent_as, out);
+            mark_ran(tables, attempt.job);
+            mark_avoided(tables, &attempt);
             job::retry(tables, cx, attempt.job, Retry::Garbled, out);
         }
         target::Outcome::Done { result } => {
-            time(tables, cx, &attempt);
+            record_latency(tables, cx, &attempt);
             job::finish(tables, cx, attempt.job, Outcome::Done { result }, out);
         }
         target::Outcome::Rows { version, range, rows, count, digest } => {
-            let read = Read { version, range, rows, count, digest };
+            let read = UncheckedRows { version, range, rows, count, digest };
             rows_read(tables, cx, sent_as, &attempt, read, out);
         }
     }
 }
 
-/// The rows of a reply that are yet to be checked.
-struct Read {
+/// The rows of a reply before they are checked.
+struct UncheckedRows {
     version: Version,
     range: key::Range,
     rows: Vec<Row>,
@@ -122,30 +123,30 @@
     cx: &mut Context,
     id: id::Attempt,
     attempt: &Attempt,
-    read: Read,
+    read: UncheckedRows,
     out: &mut Outbox,
 ) {
     let Some(row) = tables.jobs.get(&attempt.job) else {
         out.count(Count::Dropped(Drop::Late));
         return;
     };
-    match check(&row.leg.work, read) {
+    match check_rows(&row.leg.work, read) {
         Ok(outcome) => {
-            time(tables, cx, attempt);
+            record_latency(tables, cx, attempt);
             job::finish(tables, cx, attempt.job, outcome, out);
         }
         Err(reason) => {
-            dropped(reason, id, out);
-            ran(tables, attempt.job);
-            avoid(tables, attempt);
+            note_dropped(reason, id, out);
+            mark_ran(tables, attempt.job);
+            mark_avoided(tables, attempt);
             job::retry(tables, cx, attempt.job, Retry::Garbled, out);
         }
     }
 }
 
 /// Checks that the rows are the whole answer to what was asked and nothing
-/// else.
-fn check(work: &Work, read: Read) -> Result<Outcome, Drop> {
+/// else, and sorts them. The error says why the reply is dropped.
+fn check_rows(work: &Work, read: UncheckedRows) -> Result<Outcome, Drop> {
     let Work::Search { version, range, .. } = work else { return Err(Drop::Crossed) };
     if read.version != *version {
         return Err(Drop::WrongVersion);
@@ -175,7 +176,7 @@
 ) {
     let reason = match refusal {
         Refusal::Shed => {
-            pause(tables, cx, &attempt.target);
+            pause_target(tables, cx, &attempt.target);
             cx.policies.slots.shed(&attempt.target);
             Retry::Shed
         }
@@ -183,7 +184,7 @@
         Refusal::VersionGone => Retry::VersionGone,
         Refusal::RangeMoved => Retry::RangeMoved,
         Refusal::DeadlinePassed => {
-            let detail = "the deadline passed before the target had a slot".to_owned();
+            let detail = "the deadline passed before the target had a free slot".to_owned();
             let ran = ran_of(tables, attempt.job);
             let failed = Outcome::Failed { kind: Kind::DeadlinePassed, ran, detail };
             job::finish(tables, cx, attempt.job, failed, out);
@@ -191,11 +192,11 @@
         }
         Refusal::Cancelled => Retry::Unsent,
     };
-    avoid(tables, attempt);
+    mark_avoided(tables, attempt);
     job::retry(tables, cx, attempt.job, reason, out);
 }
 
-/// Whether anything of a job may have run before this moment.
+/// Whether a job may have run at a target so far.
 pub fn ran_of(tables: &Tables, id: id::Leg) -> Ran {
     match tables.jobs.get(&id) {
         Some(job) if job.ran || !job.attempts.is_empty() || job.follows.is_some() => Ran::Unknown,
@@ -203,13 +204,13 @@
     }
 }
 
-/// Gives the target no work for a moment after it shed.
-fn pause(tables: &mut Tables, cx: &mut Context, name: &Name) {
+/// Pauses a target that shed an attempt, with jitter.
+fn pause_target(tables: &mut Tables, cx: &mut Context, name: &Name) {
     use rand::RngExt;
     let Some(target) = tables.targets.get_mut(name) else { return };
     let jitter = cx.random.random_range(1.0..2.0);
-    target.pause = cx.now + cx.limits.shed_pause.mul_f64(jitter);
-    let due = target.pause;
+    target.paused_until = cx.now + cx.limits.shed_pause.mul_f64(jitter);
+    let due = target.paused_until;
     let shard = target.shard.clone();
     tables.timers.set(due, crate::traffic::table::timer::Timer::Shard(shard));
 }
@@ -230,14 +231,15 @@
     let fields = vec![("target", row.target.to_string()), ("detail", detail.to_owned())];
     out.lines.push(Line::new(Event::ConnectionLost, fields));
     for attempt in row.attempts {
-        suspect(tables, cx, attempt, out);
-        lose(tables, cx, attempt, Retry::ConnectionLost, out);
+        note_suspect(tables, cx, attempt, out);
+        fail_attempt(tables, cx, attempt, Retry::ConnectionLost, out);
     }
     connect::reopen(tables, cx, &row.target, out);
 }
 
-/// Remembers that a target was lost while it ran a request.
-fn suspect(tables: &mut Tables, cx: &Context, id: id::Attempt, out: &mut Outbox) {
+/// Records that a target was lost while it ran a request, and reports the
+/// request for quarantine once it has lost as many targets as the limit allows.
+fn note_suspect(tables: &mut Tables, cx: &Context, id: id::Attempt, out: &mut Outbox) {
     let Some(attempt) = tables.attempts.get(&id) else { return };
     let Some(row) = tables.jobs.get_mut(&attempt.job) else { return };
     row.suspect = true;
@@ -261,11 +263,18 @@
     }
 }
 
-/// Ends an attempt that may have run and tries its job elsewhere.
-fn lose(tables: &mut Tables, cx: &mut Context, id: id::Attempt, reason: Retry, out: &mut Outbox) {
+/// Ends an attempt that may have run and retries its job elsewhere. A job on
+/// trial is not retried here; its entry decides where it is tried next.
+fn fail_attempt(
+    tables: &mut Tables,
+    cx: &mut Context,
+    id: id::Attempt,
+    reason: Retry,
+    out: &mut Outbox,
+) {
     let Some(attempt) = job::release(tables, id) else { return };
-    ran(tables, attempt.job);
-    avoid(tables, &attempt);
+    mark_ran(tables, attempt.job);
+    mark_avoided(tables, &attempt);
     let on_trial = tables.jobs.get(&attempt.job).is_some_and(|job| job.leg.trial);
     if reason == Retry::ConnectionLost && on_trial {
         job::finish(tables, cx, attempt.job, Outcome::Lost { target: attempt.target }, out);
@@ -274,30 +283,31 @@
     }
 }
 
-/// Ends an attempt whose connection was closed because it went silent.
-pub fn silent(tables: &mut Tables, cx: &mut Context, id: id::Attempt, out: &mut Outbox) {
-    lose(tables, cx, id, Retry::ConnectionSilent, out);
+/// Ends an attempt whose connection this thread has closed. It is counted as
+/// lost with a silent connection.
+pub fn fail_silent(tables: &mut Tables, cx: &mut Context, id: id::Attempt, out: &mut Outbox) {
+    fail_attempt(tables, cx, id, Retry::ConnectionSilent, out);
 }
 
-fn ran(tables: &mut Tables, id: id::Leg) {
+fn mark_ran(tables: &mut Tables, id: id::Leg) {
     if let Some(job) = tables.jobs.get_mut(&id) {
         job.ran = true;
     }
 }
 
-fn avoid(tables: &mut Tables, attempt: &Attempt) {
+fn mark_avoided(tables: &mut Tables, attempt: &Attempt) {
     if let Some(job) = tables.jobs.get_mut(&attempt.job) {
         job.avoid.insert(attempt.target.clone());
     }
 }
 
-fn time(tables: &mut Tables, cx: &mut Context, attempt: &Attempt) {
+fn record_latency(tables: &mut Tables, cx: &mut Context, attempt: &Attempt) {
     let took = cx.now.since(attempt.sent);
     cx.policies.slots.answered(&attempt.target, took);
     let Some(target) = tables.targets.get_mut(&attempt.target) else { return };
     if took * latency::DROP < target.latency.mean() {
-        // It may have recovered, so it is tried again without a pause.
-        target.used = Instant::default();
+        // The target may have recovered, so the next probe is due at once.
+        target.last_used = Instant::default();
     }
     target.latency.record(took);
     if let Some(index) = tables.indexes.get_mut(&target.shard.index) {
@@ -305,7 +315,7 @@
     }
 }
 
-fn dropped(reason: Drop, id: id::Attempt, out: &mut Outbox) {
+fn note_dropped(reason: Drop, id: id::Attempt, out: &mut Outbox) {
     out.count(Count::Dropped(reason));
     let fields = vec![("attempt", id.to_string()), ("reason", format!("{reason:?}"))];
     out.lines.push(Line::new(Event::ReplyDropped, fields));
--- a/crates/core/src/traffic/system/connect.rs
+++ b/crates/core/src/traffic/system/connect.rs
@@ -1,4 +1,4 @@
-//! Opens, watches and closes connections to targets.
+//! Opens, monitors and closes connections to targets.
 
 use std::collections::BTreeSet;
 
@@ -16,14 +16,15 @@
     },
 };
 
-/// The failures to open after which a target no longer counts as holding its
-/// ranges.
+/// The number of consecutive failures from which on a target counts as lost, so
+/// that its ranges are no longer advertised.
 pub const LOST_FAILURES: u32 = 2;
 
-/// The greatest factor by which the time between tries to open grows.
-const MAX_BACKOFF: u32 = 32;
+/// The largest factor on the reconnect delay; a power of two.
+const MAX_BACKOFF_FACTOR: u32 = 32;
 
-/// Opens a connection to the target unless one is open, opening or due later.
+/// Opens a connection to the target unless one is open, being opened or
+/// scheduled.
 pub fn ensure(tables: &mut Tables, cx: &mut Context, name: &Name, out: &mut Outbox) {
     let Some(target) = tables.targets.get_mut(name) else { return };
     if target.reopening || !target.connections.is_empty() || target.connection_limit == 0 {
@@ -34,8 +35,8 @@
 
 fn open(tables: &mut Tables, cx: &mut Context, name: &Name, out: &mut Outbox) {
     let Some(target) = tables.targets.get_mut(name) else { return };
-    let most = cx.limits.connections.min(target.connection_limit);
-    if u32::try_from(target.connections.len()).unwrap_or(u32::MAX) >= most {
+    let max = cx.limits.connections.min(target.connection_limit);
+    if u32::try_from(target.connections.len()).unwrap_or(u32::MAX) >= max {
         return;
     }
     let connection = cx.ids.connection();
@@ -44,11 +45,11 @@
         target: name.clone(),
         open: false,
         attempts: BTreeSet::new(),
-        asked: Some(cx.now),
-        heard: cx.now,
+        status_requested: Some(cx.now),
+        last_received: cx.now,
     };
     tables.connections.insert(connection, row);
-    tables.timers.set(cx.now + cx.limits.connect_timeout, Timer::Asked(connection));
+    tables.timers.set(cx.now + cx.limits.connect_timeout, Timer::Connection(connection));
     out.commands.push(Command::Open {
         connection,
         address: target.address,
@@ -56,14 +57,14 @@
     });
 }
 
-/// Notes that a connection is open.
+/// Records that a connection is open.
 pub fn opened(tables: &mut Tables, cx: &mut Context, connection: id::Connection, out: &mut Outbox) {
     let Some(row) = tables.connections.get_mut(&connection) else { return };
     row.open = true;
     let name = row.target.clone();
     if let Some(target) = tables.targets.get_mut(&name) {
         target.failures = 0;
-        tables.to_tell.insert(target.shard.clone());
+        tables.to_advertise.insert(target.shard.clone());
         tables.to_dispatch.insert(target.shard.clone());
         if !target.polled {
             target.polled = true;
@@ -73,16 +74,18 @@
     out.lines.push(Line::new(Event::ConnectionOpened, vec![("target", name.to_string())]));
 }
 
-/// Notes a sign of life on a connection.
-pub fn heard(tables: &mut Tables, cx: &Context, connection: id::Connection) {
+/// Records that something was received on a connection, which also answers a
+/// status read.
+pub fn note_activity(tables: &mut Tables, cx: &Context, connection: id::Connection) {
     if let Some(row) = tables.connections.get_mut(&connection) {
-        row.heard = cx.now;
-        row.asked = None;
+        row.last_received = cx.now;
+        row.status_requested = None;
     }
 }
 
-/// Takes what a target says of itself.
-pub fn status(tables: &mut Tables, name: &Name, status: Status, out: &mut Outbox) {
+/// Applies the status that a target reported, unless it is from an older
+/// incarnation of the target.
+pub fn apply_status(tables: &mut Tables, name: &Name, status: Status, out: &mut Outbox) {
     let Some(target) = tables.targets.get_mut(name) else { return };
     if target.status.as_ref() == Some(&status) {
         return;
@@ -95,8 +98,8 @@
     let restarted = target.status.as_ref().is_some_and(|own| own.incarnation < status.incarnation);
     let mut status = status;
     if was_draining && !restarted {
-        // Only a newer start takes a drain back; a reply that was made before
-        // the drain may arrive after it.
+        // Only a newer incarnation ends a drain, because a reply that was sent
+        // before the drain may arrive after it.
         status.draining = true;
     }
     if status.draining && !was_draining {
@@ -109,23 +112,31 @@
         out.reports.push(Report::Serving { target: name.clone(), incarnation });
     }
     target.status = Some(status);
-    tables.to_tell.insert(target.shard.clone());
+    tables.to_advertise.insert(target.shard.clone());
     tables.to_dispatch.insert(target.shard.clone());
 }
 
-/// Asks for the target's status on a connection, unless an answer is awaited.
-pub fn ask(tables: &mut Tables, cx: &Context, connection: id::Connection, out: &mut Outbox) {
+/// Requests the target's status over a connection, unless a request is still
+/// unanswered.
+pub fn request_status(
+    tables: &mut Tables,
+    cx: &Context,
+    connection: id::Connection,
+    out: &mut Outbox,
+) {
     let Some(row) = tables.connections.get_mut(&connection) else { return };
-    if !row.open || row.asked.is_some() {
+    if !row.open || row.status_requested.is_some() {
         return;
     }
-    row.asked = Some(cx.now);
-    tables.timers.set(cx.now + cx.limits.status_timeout, Timer::Asked(connection));
-    // The timer comes first, so that silence is not taken for a loss.
+    row.status_requested = Some(cx.now);
+    tables.timers.set(cx.now + cx.limits.status_timeout, Timer::Connection(connection));
+    // The limit of the command is longer, so that the timer fires first and
+    // silence does not count as a lost connection.
     out.commands.push(Command::Ask { connection, limit: cx.limits.status_timeout * 2 });
 }
 
-/// Asks on every connection of a target and comes back after the interval.
+/// Requests the status over every connection of a target and schedules the next
+/// poll.
 pub fn poll(tables: &mut Tables, cx: &mut Context, name: &Name, out: &mut Outbox) {
     let Some(target) = tables.targets.get_mut(name) else { return };
     let connections: Vec<id::Connection> = target.connections.iter().copied().collect();
@@ -134,12 +145,12 @@
         return;
     }
     for connection in connections {
-        ask(tables, cx, connection, out);
+        request_status(tables, cx, connection, out);
     }
     tables.timers.set(cx.now + cx.limits.status_interval, Timer::Poll(name.clone()));
 }
 
-/// Removes the row of a connection and returns it.
+/// Removes a connection from the tables and returns its row.
 pub fn remove(tables: &mut Tables, connection: id::Connection) -> Option<Connection> {
     let row = tables.connections.remove(&connection)?;
     if let Some(target) = tables.targets.get_mut(&row.target) {
@@ -148,8 +159,9 @@
     Some(row)
 }
 
-/// Opens a new connection after one was lost: at once the first time, then
-/// after a growing time with jitter.
+/// Opens a new connection after one was lost: at once after the first failure,
+/// then with exponential backoff and jitter. Nothing is opened while the target
+/// is not needed.
 pub fn reopen(tables: &mut Tables, cx: &mut Context, name: &Name, out: &mut Outbox) {
     let Some(target) = tables.targets.get_mut(name) else { return };
     let wanted =
@@ -159,7 +171,7 @@
     }
     target.failures += 1;
     if target.failures == LOST_FAILURES {
-        tables.to_tell.insert(target.shard.clone());
+        tables.to_advertise.insert(target.shard.clone());
         tables.to_dispatch.insert(target.shard.clone());
     }
     if target.failures == 1 {
@@ -167,13 +179,13 @@
         return;
     }
     target.reopening = true;
-    let factor = 1_u32 << (target.failures - LOST_FAILURES).min(MAX_BACKOFF.ilog2());
-    let pause = cx.limits.reopen * factor;
+    let factor = 1_u32 << (target.failures - LOST_FAILURES).min(MAX_BACKOFF_FACTOR.ilog2());
+    let pause = cx.limits.reconnect_delay * factor;
     let pause = pause.mul_f64(cx.random.random_range(0.5..1.0));
     tables.timers.set(cx.now + pause, Timer::Reopen(name.clone()));
 }
 
-/// Closes every connection of a target; what ran on them is retried elsewhere.
+/// Closes every connection of a target; attempts on them are retried elsewhere.
 pub fn close_all(tables: &mut Tables, cx: &mut Context, name: &Name, out: &mut Outbox) {
     let Some(target) = tables.targets.get(name) else { return };
     let connections: Vec<id::Connection> = target.connections.iter().copied().collect();
@@ -182,11 +194,11 @@
     }
 }
 
-/// Closes a connection; what ran on it is retried elsewhere.
+/// Closes a connection; attempts on it are retried elsewhere.
 pub fn close(tables: &mut Tables, cx: &mut Context, connection: id::Connection, out: &mut Outbox) {
     let Some(row) = remove(tables, connection) else { return };
     out.commands.push(Command::Close { connection });
     for attempt in row.attempts {
-        super::collect::silent(tables, cx, attempt, out);
+        super::collect::fail_silent(tables, cx, attempt, out);
     }
 }
--- a/crates/core/src/traffic/system/expire.rs
+++ b/crates/core/src/traffic/system/expire.rs
@@ -1,4 +1,4 @@
-//! Acts on the points in time that have come.
+//! Handles timers that are due.
 
 use crate::{
     count::{Count, Retry},
@@ -10,13 +10,13 @@
     notice::Report,
     traffic::{
         Context, Outbox, Tables,
-        system::{collect, connect, dispatch, job, leg, tell},
+        system::{advertise, collect, connect, dispatch, job, leg},
         table::{shard, timer::Timer},
     },
     view::Lane,
 };
 
-/// Takes every timer that is due.
+/// Handles every timer that is due.
 pub fn run(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
     while let Some(timer) = tables.timers.pop(cx.now) {
         match timer {
@@ -36,17 +36,17 @@
                 }
                 connect::ensure(tables, cx, &name, out);
             }
-            Timer::Asked(connection) => check_silence(tables, cx, connection, out),
-            Timer::Idle(key) => idle(tables, cx, &key, out),
-            Timer::Tell => tell::again(tables, cx),
-            // The system that waits looks at the time itself.
-            Timer::Inform => {}
+            Timer::Connection(connection) => check_silence(tables, cx, connection, out),
+            Timer::Idle(key) => close_idle(tables, cx, &key, out),
+            Timer::Advertise => advertise::repeat(tables, cx),
+            // The timer only causes a tick; the `ready` system checks the time.
+            Timer::Holdings => {}
         }
     }
 }
 
-/// Ends a job whose reply is due. An operation that runs is awaited a little
-/// longer, so that its outcome can be recorded.
+/// Ends a job whose reply is due. A running operation is kept for a grace time,
+/// so that its outcome can be recorded.
 fn end_job(tables: &mut Tables, cx: &mut Context, id: id::Leg, out: &mut Outbox) {
     if let Some(row) = tables.jobs.get_mut(&id)
         && !row.is_idempotent()
@@ -54,7 +54,7 @@
         && !row.overdue
     {
         row.overdue = true;
-        row.deadline = cx.now + cx.limits.overdue;
+        row.deadline = cx.now + cx.limits.outcome_grace;
         tables.timers.set(row.deadline, Timer::Job(id));
         return;
     }
@@ -63,26 +63,29 @@
     job::finish(tables, cx, id, Outcome::Failed { kind: Kind::DeadlinePassed, ran, detail }, out);
 }
 
-/// Sends a slow attempt's job to a second target and makes sure that the
-/// connection of the first is alive.
+/// Hedges a slow attempt, and checks its connection if nothing was received on
+/// it since the attempt was sent.
 fn hedge(tables: &mut Tables, cx: &mut Context, id: id::Attempt, out: &mut Outbox) {
     let Some(attempt) = tables.attempts.get(&id) else { return };
     let connection = attempt.connection;
     let sent = attempt.sent;
-    let is_quiet =
-        tables.connections.get(&connection).is_some_and(|connection| connection.heard <= sent);
+    let is_quiet = tables
+        .connections
+        .get(&connection)
+        .is_some_and(|connection| connection.last_received <= sent);
     if is_quiet {
-        connect::ask(tables, cx, connection, out);
+        connect::request_status(tables, cx, connection, out);
     }
     dispatch::hedge(tables, cx, id, out);
 }
 
-/// Closes a connection on which the target did not answer in time.
+/// Closes a connection that did not open, or on which the target did not
+/// answer, in time.
 fn check_silence(tables: &mut Tables, cx: &mut Context, id: id::Connection, out: &mut Outbox) {
     let Some(row) = tables.connections.get(&id) else { return };
-    let Some(asked) = row.asked else { return };
+    let Some(requested) = row.status_requested else { return };
     let limit = if row.open { cx.limits.status_timeout } else { cx.limits.connect_timeout };
-    if cx.now.since(asked) < limit {
+    if cx.now.since(requested) < limit {
         return;
     }
     let target = row.target.clone();
@@ -92,51 +95,53 @@
     connect::reopen(tables, cx, &target, out);
 }
 
-/// Looks for a sign of life of a lane with legs in flight; a lane that gives
-/// none in time loses them to the next homes.
+/// Pings a lane with legs in flight from which nothing was received for a
+/// while. If it does not answer in time, its legs are sent to their next homes,
+/// unless it was this process that was paused.
 fn check_link(tables: &mut Tables, cx: &mut Context, lane: &Lane, out: &mut Outbox) {
-    let interval = cx.limits.home_silent / 2;
+    let interval = cx.limits.home_timeout / 2;
     let Some(link) = tables.links.get_mut(lane) else { return };
     if link.legs.is_empty() {
         link.watched = false;
         return;
     }
-    if link.asked.is_some_and(|asked| cx.now.since(asked) >= interval) && !cx.paused {
+    if link.pinged.is_some_and(|pinged| cx.now.since(pinged) >= interval) && !cx.paused {
         link.watched = false;
-        link.asked = None;
+        link.pinged = None;
         let legs = std::mem::take(&mut link.legs);
         out.reports.push(Report::Unreachable { vm: lane.vm.clone() });
         for id in legs {
             out.count(Count::Retried(Retry::HomeUnreachable));
-            leg::advance(tables, cx, id, out);
+            leg::home_lost(tables, cx, id, out);
         }
         return;
     }
-    if link.asked.is_none() && cx.now.since(link.heard) >= interval {
-        link.asked = Some(cx.now);
+    if link.pinged.is_none() && cx.now.since(link.last_received) >= interval {
+        link.pinged = Some(cx.now);
         out.send(lane.clone(), Message::Ping);
     }
     tables.timers.set(cx.now + interval, Timer::Link(lane.clone()));
 }
 
-/// Closes the connections to the targets of a shard that another VM serves.
-fn idle(tables: &mut Tables, cx: &mut Context, key: &shard::Key, out: &mut Outbox) {
+/// Closes the connections to the targets of a shard that another thread serves,
+/// once they are idle.
+fn close_idle(tables: &mut Tables, cx: &mut Context, key: &shard::Key, out: &mut Outbox) {
     let Some(shard) = tables.shards.get(key) else { return };
     if shard.home {
         return;
     }
-    let is_used = !shard.queue.is_empty() || cx.now.since(shard.used) < cx.limits.idle;
+    let is_used = !shard.queue.is_empty() || cx.now.since(shard.last_used) < cx.limits.idle_timeout;
     let names: Vec<Name> = shard.targets.iter().cloned().collect();
     let is_busy =
         names.iter().filter_map(|name| tables.targets.get(name)).any(|target| target.in_use > 0);
     if is_used || is_busy {
-        tables.timers.set(cx.now + cx.limits.idle, Timer::Idle(key.clone()));
+        tables.timers.set(cx.now + cx.limits.idle_timeout, Timer::Idle(key.clone()));
         return;
     }
     for name in names {
         connect::close_all(tables, cx, &name, out);
         if let Some(target) = tables.targets.get_mut(&name) {
-            // What it holds may change unseen from now on.
+            // Without a connection, changes of the status are not noticed.
             target.status = None;
             target.failures = 0;
         }
--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -1,4 +1,4 @@
-//! Takes requests of callers, or refuses them before anything is sent.
+//! Admits requests of callers, or refuses them before anything is sent.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -25,7 +25,7 @@
     },
 };
 
-/// Takes the requests in the order in which they came.
+/// Handles the requests in the order of their arrival.
 pub fn run(tables: &mut Tables, cx: &mut Context, events: Vec<Event>, out: &mut Outbox) {
     for event in events {
         match event {
@@ -45,9 +45,10 @@
     out: &mut Outbox,
 ) {
     let id = cx.ids.query();
-    let admitted =
-        admit(tables, cx, &search.profile, |terms| search_fingerprint(&terms.index, &search.text));
-    let (terms, fingerprint) = match admitted {
+    let admitted = admit(tables, cx, &search.profile, |pinned_profile| {
+        search_fingerprint(&pinned_profile.index, &search.text)
+    });
+    let (pinned_profile, fingerprint) = match admitted {
         Ok(admitted) => admitted,
         Err(fault) => return refuse(call, id, search.profile, fault, out),
     };
@@ -56,17 +57,17 @@
         version: None,
         covered: Set::new(),
         rows: Vec::new(),
-        lost: Set::new(),
+        failed_keys: Set::new(),
         plans: 0,
         crashed: BTreeMap::new(),
         trial: None,
         fault: None,
     });
-    let asked = search.deadline;
-    open(
+    let requested = search.deadline;
+    open_query(
         tables,
         cx,
-        Opening { call, id, profile: search.profile, terms, asked, fingerprint },
+        NewQuery { call, id, profile: search.profile, pinned_profile, requested, fingerprint },
         task,
     );
     tables.to_plan.insert(id);
@@ -81,9 +82,10 @@
     out: &mut Outbox,
 ) {
     let id = cx.ids.query();
-    let admitted =
-        admit(tables, cx, &operate.profile, |terms| operation_fingerprint(&terms.index, &operate));
-    let (terms, fingerprint) = match admitted {
+    let admitted = admit(tables, cx, &operate.profile, |pinned_profile| {
+        operation_fingerprint(&pinned_profile.index, &operate)
+    });
+    let (pinned_profile, fingerprint) = match admitted {
         Ok(admitted) => admitted,
         Err(fault) => return refuse(call, id, operate.profile, fault, out),
     };
@@ -96,22 +98,24 @@
         stage: query::Stage::Claiming,
     };
     let request = operation.claim(fingerprint);
-    let asked = operate.deadline;
-    let opening = Opening { call, id, profile: operate.profile, terms, asked, fingerprint };
-    let remaining = open(tables, cx, opening, query::Task::Operation(operation));
+    let requested = operate.deadline;
+    let new =
+        NewQuery { call, id, profile: operate.profile, pinned_profile, requested, fingerprint };
+    let remaining = open_query(tables, cx, new, query::Task::Operation(operation));
     out.reports.push(Report::Claim { operation: id, request, deadline: cx.now + remaining });
     out.count(Count::Requests);
 }
 
-/// Checks what must hold before a request is taken. A VM that is leaving takes
-/// requests until its listener closes, because the balancer learns of it late.
+/// Checks whether a request is admitted, and returns its profile and
+/// fingerprint. A VM that is leaving admits requests until its listener closes,
+/// because the load balancer learns late that it leaves.
 fn admit(
     tables: &Tables,
     cx: &Context,
     profile: &Name,
     fingerprint: impl FnOnce(&Profile) -> Fingerprint,
 ) -> Result<(Profile, Fingerprint), Fault> {
-    let is_serving = cx.view.ready || (cx.view.leaving && tables.informed);
+    let is_serving = cx.view.ready || (cx.view.leaving && tables.has_holdings);
     if !is_serving {
         return Err(Fault::not_run(Kind::NotReady, format!("VM {} is not ready", cx.view.vm)));
     }
@@ -119,59 +123,59 @@
         let detail = format!("{} requests are open at VM {}", tables.queries.len(), cx.view.vm);
         return Err(Fault::not_run(Kind::TooManyOpen, detail));
     }
-    let Some(terms) = cx.view.document.profiles.get(profile) else {
+    let Some(pinned_profile) = cx.view.document.profiles.get(profile) else {
         let detail = format!("profile {:?} is not in force", profile.as_str());
         return Err(Fault::not_run(Kind::UnknownProfile, detail));
     };
     let open = tables.usages.get(profile).map_or(0, |usage| usage.open);
-    if open >= terms.concurrency {
+    if open >= pinned_profile.concurrency {
         let detail = format!("profile {profile} has {open} requests open at VM {}", cx.view.vm);
         return Err(Fault::not_run(Kind::ProfileLimit, detail));
     }
-    let fingerprint = fingerprint(terms);
+    let fingerprint = fingerprint(pinned_profile);
     if cx.view.quarantine.contains_key(&fingerprint) {
         let detail = "an equal request was running when targets were lost";
         return Err(Fault::not_run(Kind::Quarantined, detail));
     }
-    Ok((terms.clone(), fingerprint))
+    Ok((pinned_profile.clone(), fingerprint))
 }
 
-/// What a query row is made from.
-struct Opening {
+/// The parameters of a new query.
+struct NewQuery {
     call: Call,
     id: id::Query,
     profile: Name,
-    terms: Profile,
-    asked: Option<Duration>,
+    pinned_profile: Profile,
+    requested: Option<Duration>,
     fingerprint: Fingerprint,
 }
 
-/// Makes the row of a query and returns the time until its answer is due.
-fn open(tables: &mut Tables, cx: &Context, opening: Opening, task: query::Task) -> Duration {
-    let allowed = opening.terms.deadline;
-    let remaining = opening.asked.map_or(allowed, |asked| asked.min(allowed));
+/// Adds a query to the tables and returns the time until its answer is due.
+fn open_query(tables: &mut Tables, cx: &Context, new: NewQuery, task: query::Task) -> Duration {
+    let allowed = new.pinned_profile.deadline;
+    let remaining = new.requested.map_or(allowed, |requested| requested.min(allowed));
     let deadline = cx.now + remaining;
-    tables.usages.entry(opening.profile.clone()).or_default().open += 1;
-    tables.timers.set(deadline, Timer::Query(opening.id));
-    tables.calls.insert(opening.call, opening.id);
+    tables.usages.entry(new.profile.clone()).or_default().open += 1;
+    tables.timers.set(deadline, Timer::Query(new.id));
+    tables.calls.insert(new.call, new.id);
     let row = Query {
-        call: opening.call,
-        profile: opening.profile,
-        terms: opening.terms,
+        call: new.call,
+        profile: new.profile,
+        pinned_profile: new.pinned_profile,
         revision: cx.view.document.revision.0,
         task,
-        fingerprint: opening.fingerprint,
+        fingerprint: new.fingerprint,
         arrived: cx.now,
         deadline,
         legs: BTreeSet::new(),
         attempts: 0,
         ran: Ran::No,
     };
-    tables.queries.insert(opening.id, row);
+    tables.queries.insert(new.id, row);
     remaining
 }
 
-/// Refuses a request that has no row.
+/// Refuses a request that was not admitted.
 fn refuse(call: Call, query: id::Query, profile: Name, fault: Fault, out: &mut Outbox) {
     out.count(Count::Requests);
     out.count(Count::Refused(fault.kind));
@@ -181,7 +185,8 @@
     out.answers.push((call, Answer { query, body: Body::Refused(fault), profile, took }));
 }
 
-/// Ends a search whose caller left. An operation goes on to its outcome.
+/// Ends a search whose caller no longer waits. An operation continues, so that
+/// its outcome is recorded.
 fn abandon(tables: &mut Tables, call: Call) {
     let Some(&id) = tables.calls.get(&call) else { return };
     let is_search =
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -1,4 +1,4 @@
-//! The life of a job: accepted, attempted, finished.
+//! The lifecycle of a job: it is accepted, retried and finished.
 
 use std::{collections::BTreeSet, time::Duration};
 
@@ -13,16 +13,17 @@
     target::Command,
     traffic::{
         Context, Outbox, Tables,
-        system::share,
+        system::coalesce,
         table::{Attempt, Job, Suspect, shard, timer::Timer},
     },
     view::Lane,
 };
 
-/// The priority of a profile that is not in force here yet.
+/// The priority of a profile that this VM does not know yet.
 const DEFAULT_PRIORITY: u32 = 10;
 
-/// Takes a leg for a shard of this VM.
+/// Accepts a leg as a job: it follows an equal job, or is queued. A leg that
+/// must not run is refused with a reply.
 pub fn accept(
     tables: &mut Tables,
     cx: &mut Context,
@@ -43,7 +44,7 @@
         place: None,
         attempts: BTreeSet::new(),
         tries: 0,
-        avoid: suspect.map(lost_before).unwrap_or_default(),
+        avoid: suspect.map(targets_to_avoid).unwrap_or_default(),
         suspect: false,
         overdue: false,
         ran: false,
@@ -55,7 +56,7 @@
         reply(tables, cx, &job, outcome, out);
         return;
     }
-    job.follows = share::leader(tables, cx, &job);
+    job.follows = coalesce::leader(tables, cx, &job);
     if let Some(leader) = job.follows.and_then(|id| tables.jobs.get_mut(&id)) {
         let id = job.leg.leg;
         leader.followers.insert(id);
@@ -63,11 +64,11 @@
         tables.jobs.insert(id, job);
         return;
     }
-    share::lead(tables, cx, &job);
+    coalesce::register_leader(tables, cx, &job);
     let priority = priority(cx, &job.leg.profile);
     let id = job.leg.leg;
     if let Some(row) = tables.shards.get_mut(&job.shard) {
-        row.used = cx.now;
+        row.last_used = cx.now;
         job.place = Some(row.enqueue(id, &job.leg.profile, priority));
     }
     tables.to_dispatch.insert(job.shard.clone());
@@ -75,8 +76,8 @@
     tables.jobs.insert(id, job);
 }
 
-/// The targets that were lost with an earlier leg of the same request.
-fn lost_before(suspect: &Suspect) -> BTreeSet<Name> {
+/// The targets that were lost while they ran the same request before.
+fn targets_to_avoid(suspect: &Suspect) -> BTreeSet<Name> {
     suspect.targets.iter().map(|(name, _)| name.clone()).collect()
 }
 
@@ -85,7 +86,8 @@
         Some(Outcome::Failed { kind, ran: Ran::No, detail: detail.to_owned() })
     };
     if !tables.shards.contains_key(&job.shard) {
-        // It may have started a moment ago; the next home is asked.
+        // This VM may have started only just now. The entry tries the next
+        // home.
         return refused(Kind::NotReady, "the home knows no target of the shard");
     }
     if cx.paused && !job.is_idempotent() {
@@ -95,13 +97,13 @@
     if tables.jobs.len() >= cx.limits.jobs {
         return refused(Kind::Overloaded, "too many legs wait at the home");
     }
-    if is_condemned(tables, cx, job) {
-        return refused(Kind::Quarantined, "the request crashed targets");
+    if is_quarantined(tables, cx, job) {
+        return refused(Kind::Quarantined, "the request is quarantined because it crashed targets");
     }
     if job.leg.trial
         && let Some(target) = lost_targets(tables, cx, job.leg.fingerprint, &job.shard).pop()
     {
-        // The same search was tried here and lost this target.
+        // This target was lost while it ran the same search on trial.
         return Some(Outcome::Lost { target });
     }
     if backlog(tables, cx, &job.shard, &job.leg.profile) >= job.leg.remaining {
@@ -110,25 +112,28 @@
     None
 }
 
-/// Whether the job's request may not be sent to another target: it lost enough
-/// targets of this shard, or another VM holds it back.
+/// Whether the job's request must not be sent to another target, because too
+/// many targets of this shard were lost with it or the view lists it as
+/// quarantined.
 ///
-/// Targets of other shards do not count here. A rack that fails takes targets of
-/// many shards at once, and every search that ran then would be held back.
-pub fn is_condemned(tables: &Tables, cx: &Context, job: &Job) -> bool {
+/// Targets of other shards do not count. A rack failure takes targets of many
+/// shards at once, and would quarantine every search that was running.
+pub fn is_quarantined(tables: &Tables, cx: &Context, job: &Job) -> bool {
     lost_targets(tables, cx, job.leg.fingerprint, &job.shard).len() >= cx.limits.lost_targets
         || cx.view.quarantine.contains_key(&job.leg.fingerprint)
 }
 
-/// Whether any target was lost with the job's request, here or at another VM.
+/// Whether any target was recently lost while it ran the job's request, for
+/// this thread or another VM.
 pub fn is_suspect(tables: &Tables, cx: &Context, job: &Job) -> bool {
     let own = tables.suspects.get(&job.leg.fingerprint);
     own.is_some_and(|suspect| suspect.until > cx.now)
         || cx.view.suspects.contains_key(&job.leg.fingerprint)
 }
 
-/// The targets of a shard that were lost with a request, here or at other VMs;
-/// one that was lost in two starts stands twice.
+/// The targets of a shard that were lost while they ran a request, for this
+/// thread or other VMs. A target that was lost in two incarnations is listed
+/// twice.
 pub fn lost_targets(
     tables: &Tables,
     cx: &Context,
@@ -151,7 +156,7 @@
 }
 
 /// The time that a leg of a profile which arrives now is expected to wait for a
-/// slot.
+/// slot, or zero while the latency of a target is not known yet.
 pub fn backlog(tables: &Tables, cx: &Context, key: &shard::Key, profile: &Name) -> Duration {
     let Some(shard) = tables.shards.get(key) else { return Duration::ZERO };
     let ahead = shard.ahead(profile, priority(cx, profile));
@@ -161,8 +166,8 @@
     let targets = shard.targets.iter().filter_map(|name| tables.targets.get(name));
     let mut rate = 0.0;
     for target in targets.filter(|target| target.takes_work(cx.now, cx.limits.status_max_age)) {
-        // The median, because one answer that waited for a process that was
-        // stopped must not make queries look hopeless.
+        // The median, because a single answer that was held up by a paused
+        // process must not make the deadline of queries seem out of reach.
         let Some(median) = target.latency.quantile(500) else { return Duration::ZERO };
         rate += f64::from(target.slots) / median.as_secs_f64();
     }
@@ -176,7 +181,8 @@
     cx.view.document.profiles.get(profile).map_or(DEFAULT_PRIORITY, |profile| profile.priority)
 }
 
-/// Ends a job with `outcome`: its attempts are withdrawn and its lane is told.
+/// Ends a job: replies with `outcome` to it and its followers, and cancels its
+/// attempts.
 pub fn finish(
     tables: &mut Tables,
     cx: &mut Context,
@@ -185,7 +191,7 @@
     out: &mut Outbox,
 ) {
     note_slow(tables, cx, id);
-    for follower in share::take_followers(tables, id, &outcome) {
+    for follower in coalesce::take_followers(tables, id, &outcome) {
         let Some(mut job) = tables.jobs.remove(&follower) else { continue };
         tables.timers.cancel(job.deadline, Timer::Job(follower));
         job.follows = None;
@@ -195,15 +201,15 @@
     reply(tables, cx, &job, outcome, out);
 }
 
-/// Ends a job that no target of its shard can answer.
+/// Ends a job because no target of its shard holds what it asks for.
 pub fn moved(tables: &mut Tables, cx: &mut Context, id: id::Leg, out: &mut Outbox) {
     let ran = super::collect::ran_of(tables, id);
     finish(tables, cx, id, Outcome::Moved { ran }, out);
 }
 
-/// Notes of the attempts that are no longer waited for how long they took at
-/// least. Without this a target that always loses against its hedge would never
-/// be known as slow.
+/// Records for the attempts that are no longer awaited how long they have taken
+/// at least. Without this, a target that always loses against its hedge would
+/// never count as slow.
 fn note_slow(tables: &mut Tables, cx: &Context, id: id::Leg) {
     let Some(job) = tables.jobs.get(&id) else { return };
     for attempt in job.attempts.iter().filter_map(|attempt| tables.attempts.get(attempt)) {
@@ -213,10 +219,11 @@
     }
 }
 
-/// Ends a job without a reply.
+/// Ends a job without a reply: cancels its attempts, or hands them to its first
+/// follower.
 pub fn remove(tables: &mut Tables, id: id::Leg, out: &mut Outbox) -> Option<Job> {
     let mut job = tables.jobs.remove(&id)?;
-    share::leave(tables, &mut job);
+    coalesce::leave(tables, &mut job);
     tables.timers.cancel(job.deadline, Timer::Job(id));
     if let (Some(place), Some(shard)) = (job.place, tables.shards.get_mut(&job.shard)) {
         shard.queue.remove(&place);
@@ -251,10 +258,10 @@
     }
 }
 
-/// Removes the row of an attempt and frees its slot.
+/// Removes an attempt from the tables and frees its slot.
 pub fn release(tables: &mut Tables, id: id::Attempt) -> Option<Attempt> {
     let attempt = tables.attempts.remove(&id)?;
-    tables.timers.cancel(attempt.hedge, Timer::Hedge(id));
+    tables.timers.cancel(attempt.hedge_at, Timer::Hedge(id));
     if let Some(connection) = tables.connections.get_mut(&attempt.connection) {
         connection.attempts.remove(&id);
     }
@@ -269,14 +276,15 @@
         job.attempts.remove(&id);
     }
     if !tables.suspects.is_empty() {
-        // A copy of a suspect request may have waited for the end of this one.
+        // A copy of a suspect request may have waited for this attempt to end.
         let waiting = tables.shards.iter().filter(|(_, shard)| !shard.queue.is_empty());
         tables.to_dispatch.extend(waiting.map(|(key, _)| key.clone()));
     }
     Some(attempt)
 }
 
-/// Puts a job back into the queue after an attempt ended without an answer.
+/// Queues a job again after an attempt ended without an answer, or ends the job
+/// if it may not be retried.
 pub fn retry(tables: &mut Tables, cx: &mut Context, id: id::Leg, reason: Retry, out: &mut Outbox) {
     if !may_retry(tables, cx, id, reason, out) {
         return;
@@ -288,7 +296,8 @@
     }
 }
 
-/// Whether a job may be tried again. One that may not is ended.
+/// Whether a job may be retried. If not, the job is ended, unless it has
+/// another attempt in flight or is queued already.
 fn may_retry(
     tables: &mut Tables,
     cx: &mut Context,
@@ -306,16 +315,16 @@
         finish(tables, cx, id, failed, out);
         return false;
     }
-    if is_condemned(tables, cx, job) {
+    if is_quarantined(tables, cx, job) {
         let detail = "the request was running when targets were lost".to_owned();
         let failed = Outcome::Failed { kind: Kind::Quarantined, ran: Ran::Yes, detail };
         finish(tables, cx, id, failed, out);
         return false;
     }
     let ran = if job.ran { Ran::Unknown } else { Ran::No };
-    if costs_budget(reason) && !spend(tables, cx, &job.leg.profile.clone()) {
+    if costs_budget(reason) && !take_retry(tables, cx, &job.leg.profile.clone()) {
         out.count(Count::BudgetSpent);
-        finish(tables, cx, id, spent(reason, ran), out);
+        finish(tables, cx, id, budget_exhausted(reason, ran), out);
         return false;
     }
     out.count(Count::Retried(reason));
@@ -326,27 +335,29 @@
     true
 }
 
-/// Whether a retry for this reason puts load on targets that the first attempt
-/// did not need. A target that moved or leaves refuses each job at most once.
+/// Whether a retry for this reason counts against the budget, because it puts
+/// load on targets that the first attempt did not need. Attempts that were not
+/// sent do not count, nor do refusals of a target that moved or leaves, because
+/// it refuses each job at most once.
 fn costs_budget(reason: Retry) -> bool {
     !matches!(reason, Retry::Unsent | Retry::Draining | Retry::VersionGone | Retry::RangeMoved)
 }
 
-fn spent(reason: Retry, ran: Ran) -> Outcome {
-    let detail = "the budget of extra attempts is used up".to_owned();
+fn budget_exhausted(reason: Retry, ran: Ran) -> Outcome {
+    let detail = "the retry budget of the profile is used up".to_owned();
     let kind = if reason == Retry::Shed { Kind::Overloaded } else { Kind::TargetFailed };
     Outcome::Failed { kind, ran, detail }
 }
 
-/// Takes one retry from the budget of a profile. One that allows no extra load
-/// gets none.
-pub fn spend(tables: &mut Tables, cx: &Context, profile: &Name) -> bool {
+/// Takes one retry from the budget of a profile and returns whether it is
+/// allowed. A profile that allows no extra load gets none.
+pub fn take_retry(tables: &mut Tables, cx: &Context, profile: &Name) -> bool {
     let extra = cx.view.document.profiles.get(profile).map_or(0, |profile| profile.extra_load);
-    let most = if extra == 0 { 0 } else { cx.limits.retry_burst };
-    tables.usages.entry(profile.clone()).or_default().retry(most)
+    let max = if extra == 0 { 0 } else { cx.limits.retry_burst };
+    tables.usages.entry(profile.clone()).or_default().take_retry(max)
 }
 
-/// Ends the jobs that wait for a shard that has no target any more.
+/// Ends all waiting jobs of a shard that has no targets any more.
 pub fn fail_queue(tables: &mut Tables, cx: &mut Context, key: &shard::Key, out: &mut Outbox) {
     let Some(shard) = tables.shards.get(key) else { return };
     let waiting: Vec<id::Leg> = shard.queue.iter().map(|&(_, id)| id).collect();
--- a/crates/core/src/traffic/system/leg.rs
+++ b/crates/core/src/traffic/system/leg.rs
@@ -1,4 +1,5 @@
-//! The life of a leg at its entry: sent, sent to the next home, ended.
+//! The lifecycle of a leg at its entry: it is sent, sent to the next home, and
+//! ended.
 
 use crate::{
     fault::{Fault, Kind, Ran},
@@ -18,14 +19,15 @@
     view::Lane,
 };
 
-/// Sends a leg to the best home that it was not sent to yet.
+/// Sends a leg to the home at its `lane_index`. A leg for this thread is
+/// accepted as a job at once.
 pub fn send(tables: &mut Tables, cx: &mut Context, leg: Leg, out: &mut Outbox) {
     let id = leg.message.leg;
     let Some(lane) = leg.lane().cloned() else { return };
     let mut message = leg.message.clone();
     if let Some(query) = tables.queries.get_mut(&leg.query) {
         query.legs.insert(id);
-        message.remaining = query.deadline.remaining(cx.now).saturating_sub(cx.limits.margin);
+        message.remaining = query.deadline.remaining(cx.now).saturating_sub(cx.limits.merge_margin);
     }
     tables.legs.insert(id, leg);
     if lane == cx.lane {
@@ -36,28 +38,28 @@
     out.leg(lane, message);
 }
 
-/// Notes that a leg is in flight to a lane, and looks for signs of life of it.
+/// Records that a leg is in flight to a lane, and starts to monitor the lane.
 fn watch(tables: &mut Tables, cx: &Context, lane: &Lane, id: id::Leg) {
     let link = tables.links.entry(lane.clone()).or_default();
     link.legs.insert(id);
     if !link.watched {
         link.watched = true;
-        link.heard = cx.now;
-        link.asked = None;
-        tables.timers.set(cx.now + cx.limits.home_silent / 2, Timer::Link(lane.clone()));
+        link.last_received = cx.now;
+        link.pinged = None;
+        tables.timers.set(cx.now + cx.limits.home_timeout / 2, Timer::Link(lane.clone()));
     }
 }
 
-/// Sends a search's leg, whose home was lost and may have run it, to its next
-/// home; an operation's leg ends as unknown.
+/// Handles the loss of the home of a leg, which may have run it. A leg of a
+/// search is sent to the next home; the outcome of an operation is unknown.
 ///
-/// The lost home is told to drop the leg, because it may only have been slow
-/// and would run it beside the next one.
-pub fn advance(tables: &mut Tables, cx: &mut Context, id: id::Leg, out: &mut Outbox) {
+/// The leg is also withdrawn at the lost home, which may only have been slow
+/// and would otherwise run it as well.
+pub fn home_lost(tables: &mut Tables, cx: &mut Context, id: id::Leg, out: &mut Outbox) {
     let Some(leg) = tables.legs.get(&id) else { return };
     let (query, is_search) = (leg.query, leg.version.is_some());
     let lane = leg.lane().filter(|lane| **lane != cx.lane).cloned();
-    may_have_run(tables, query);
+    mark_may_have_run(tables, query);
     if is_search {
         if let Some(lane) = lane {
             out.cancel(lane, id);
@@ -68,41 +70,44 @@
     }
 }
 
-/// Notes that a part of a query was handed on and its end will not be known.
-pub fn may_have_run(tables: &mut Tables, id: id::Query) {
+/// Records that a part of a query was sent and it will not be known whether it
+/// ran.
+pub fn mark_may_have_run(tables: &mut Tables, id: id::Query) {
     if let Some(query) = tables.queries.get_mut(&id) {
         query.ran = query.ran.max(Ran::Unknown);
     }
 }
 
-/// Sends a leg that surely did not run, or may run twice, to its next home.
+/// Sends a leg to its next home, or ends it if none is left. The leg must not
+/// have run, or must be one that may run twice.
 pub fn resend(tables: &mut Tables, cx: &mut Context, id: id::Leg, out: &mut Outbox) {
     let Some(mut leg) = remove(tables, id) else { return };
-    leg.tries += 1;
+    leg.lane_index += 1;
     refresh_lanes(tables, cx, &mut leg);
     if leg.lane().is_some() {
         send(tables, cx, leg, out);
     } else {
-        merge::ended(tables, &leg);
+        merge::finish_if_idle(tables, &leg);
     }
 }
 
-/// Takes the homes as they are known now, without those that were tried.
+/// Replaces the homes that were not tried yet by the homes as they are known
+/// now.
 fn refresh_lanes(tables: &Tables, cx: &Context, leg: &mut Leg) {
-    let tried = leg.lanes.get(..leg.tries).unwrap_or_default().to_vec();
+    let tried = leg.lanes.get(..leg.lane_index).unwrap_or_default().to_vec();
     let current = lanes(tables, cx, &leg.message.index, &leg.shard);
     let rest = current.into_iter().filter(|lane| !tried.contains(lane));
     leg.lanes = tried.iter().cloned().chain(rest).collect();
 }
 
-/// The lanes of the homes of a shard, best first.
+/// The lanes of the homes of a shard, in order of preference.
 pub fn lanes(tables: &Tables, cx: &Context, index: &Name, shard: &Name) -> Vec<Lane> {
     let known = tables.indexes.get(index).and_then(|index| index.shards.get(shard));
     match known {
         Some(holding) if !holding.lanes.is_empty() => holding.lanes.clone(),
         _ => {
             let key = shard::Key { index: index.clone(), shard: shard.clone() };
-            cx.policies.route.lanes(&cx.view, &cx.lane, &key, cx.limits.homes)
+            cx.policies.route.lanes(&cx.view, &cx.lane, &key, cx.limits.max_homes)
         }
     }
 }
@@ -113,13 +118,14 @@
     if let Task::Operation(operation) = &mut query.task
         && operation.stage == Stage::Sent
     {
-        let detail = "the VM that served the target was lost";
+        let detail = "the VM that the operation was sent to was lost";
         operation.stage = Stage::Settled(Err(Fault::unknown(Kind::TargetFailed, detail)));
         tables.to_answer.insert(leg.query);
     }
 }
 
-/// Takes a leg out of the tables, because it was answered or is not wanted.
+/// Removes a leg from the tables, because it was answered or is no longer
+/// needed.
 pub fn remove(tables: &mut Tables, id: id::Leg) -> Option<Leg> {
     let leg = tables.legs.remove(&id)?;
     if let Some(link) = leg.lane().and_then(|lane| tables.links.get_mut(lane)) {
@@ -131,10 +137,10 @@
     Some(leg)
 }
 
-/// Withdraws a leg at its home.
+/// Removes a leg and withdraws it at its home.
 pub fn withdraw(tables: &mut Tables, cx: &Context, id: id::Leg, out: &mut Outbox) {
     let Some(leg) = remove(tables, id) else { return };
-    may_have_run(tables, leg.query);
+    mark_may_have_run(tables, leg.query);
     match leg.lane() {
         Some(lane) if *lane == cx.lane => {
             job::remove(tables, id, out);
@@ -144,7 +150,8 @@
     }
 }
 
-/// The reply that is taken for a leg whose home could not run it.
+/// Whether the home refused the leg because it cannot serve it, so that the
+/// next home is tried.
 pub fn is_home_refusal(reply: &message::Reply) -> bool {
     matches!(reply.outcome, Outcome::Failed { kind: Kind::NotReady, .. })
 }
--- a/crates/core/src/traffic/system/merge.rs
+++ b/crates/core/src/traffic/system/merge.rs
@@ -1,4 +1,4 @@
-//! Merges the replies of homes into their queries.
+//! Merges the replies of homes into the queries.
 
 use crate::{
     claim::{self, Outcome as Recorded},
@@ -21,18 +21,18 @@
     },
 };
 
-/// The trials of a search, before it goes to all shards, that may end without
-/// an answer though they ran.
-const MOST_TRIALS: u32 = 2;
+/// The number of trials that ran and failed after which a search is not tried
+/// at another shard.
+const MAX_RUN_TRIALS: u32 = 2;
 
-/// Merges the replies in the order in which they came.
+/// Merges the replies in the order of their arrival.
 pub fn run(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
     for reply in std::mem::take(&mut tables.replies) {
-        take(tables, cx, reply, out);
+        merge_reply(tables, cx, reply, out);
     }
 }
 
-fn take(tables: &mut Tables, cx: &mut Context, reply: Reply, out: &mut Outbox) {
+fn merge_reply(tables: &mut Tables, cx: &mut Context, reply: Reply, out: &mut Outbox) {
     if leg::is_home_refusal(&reply) {
         out.count(Count::Retried(Retry::HomeUnreachable));
         leg::resend(tables, cx, reply.leg, out);
@@ -52,7 +52,7 @@
     } else {
         settle_operation(tables, &leg, reply.outcome, out);
     }
-    ended(tables, &leg);
+    finish_if_idle(tables, &leg);
 }
 
 fn ran_of(outcome: &Outcome) -> Ran {
@@ -66,7 +66,7 @@
 fn note_backlog(tables: &mut Tables, cx: &Context, leg: &Leg, reply: &Reply) {
     let index = tables.indexes.get_mut(&leg.message.index);
     if let Some(holding) = index.and_then(|index| index.shards.get_mut(&leg.shard)) {
-        let backlog = Backlog { wait: reply.backlog, heard: cx.now };
+        let backlog = Backlog { wait: reply.backlog, received: cx.now };
         holding.backlogs.insert(leg.message.profile.clone(), backlog);
     }
 }
@@ -75,7 +75,7 @@
     let Some(query) = tables.queries.get_mut(&leg.query) else { return };
     let Task::Search(search) = &mut query.task else { return };
     if leg.version != search.version {
-        // The search has started over since the leg was sent.
+        // The search was restarted at another version after the leg was sent.
         out.count(Count::Dropped(Drop::WrongVersion));
         return;
     }
@@ -88,16 +88,16 @@
         Outcome::Moved { .. } => Next::Plan,
         Outcome::Lost { target } => {
             search.crashed.insert(target, leg.shard.clone());
-            lose_target(search, query.fingerprint, cx, out)
+            target_lost(search, query.fingerprint, cx, out)
         }
         Outcome::Failed { kind: Kind::Quarantined, ran, detail } => {
             search.fault = Some(Fault { kind: Kind::Quarantined, ran, detail });
             Next::Answer
         }
-        Outcome::Failed { ran, .. } if may_try_again(search, ran) => Next::Plan,
+        Outcome::Failed { ran, .. } if may_retry_trial(search, ran) => Next::Plan,
         Outcome::Failed { .. } | Outcome::Done { .. } => {
-            search.lost.insert(leg.range);
-            lose_range(search, query.terms.coverage)
+            search.failed_keys.insert(leg.range);
+            range_failed(search, query.pinned_profile.coverage)
         }
     };
     match next {
@@ -107,13 +107,13 @@
     };
 }
 
-/// What a search does after one of its legs has ended.
+/// The next step of a search after one of its legs has ended.
 enum Next {
-    /// It waits for its other legs.
+    /// Wait for the other legs.
     Wait,
-    /// It is planned again.
+    /// Plan the keys that were not read yet.
     Plan,
-    /// It is answered.
+    /// Answer the caller.
     Answer,
 }
 
@@ -130,12 +130,13 @@
     }
     search.covered.insert(range);
     search.rows.extend(rows);
-    // A trial that a target has answered goes to the other shards.
+    // After a successful trial, the search goes to the other shards.
     if search.trial.take().is_some() { Next::Plan } else { Next::Wait }
 }
 
-/// Tries a search that lost a target elsewhere, or holds it back.
-fn lose_target(
+/// Handles the loss of a target that ran a search on trial: the search is tried
+/// elsewhere, or quarantined if it has lost too many targets.
+fn target_lost(
     search: &mut Search,
     fingerprint: Fingerprint,
     cx: &Context,
@@ -150,45 +151,47 @@
     Next::Answer
 }
 
-/// Ends a search whose other legs cannot make the answer whole enough any more.
-/// They would only take slots from queries that can still be answered.
-fn lose_range(search: &Search, coverage: u32) -> Next {
-    let reach = Range::ALL.size() - search.lost.size();
-    let is_enough = reach * u128::from(WHOLE) >= Range::ALL.size() * u128::from(coverage);
+/// Ends a search that cannot reach the required coverage any more. Its other
+/// legs would only take slots from queries that can still be answered.
+fn range_failed(search: &Search, coverage: u32) -> Next {
+    let reachable = Range::ALL.size() - search.failed_keys.size();
+    let is_enough = reachable * u128::from(WHOLE) >= Range::ALL.size() * u128::from(coverage);
     if is_enough { Next::Wait } else { Next::Answer }
 }
 
-/// Whether a search whose trial at one shard failed is tried at another. Each
-/// trial that ran may have cost a target.
-fn may_try_again(search: &mut Search, ran: Ran) -> bool {
+/// Whether a search whose trial at one shard failed is tried at another. Only
+/// trials that may have run are counted, because they may have crashed a
+/// target.
+fn may_retry_trial(search: &mut Search, ran: Ran) -> bool {
     let Some(trials) = &mut search.trial else { return false };
     if ran != Ran::No {
         *trials += 1;
     }
-    *trials < MOST_TRIALS
+    *trials < MAX_RUN_TRIALS
 }
 
 fn settle_operation(tables: &mut Tables, leg: &Leg, outcome: Outcome, out: &mut Outbox) {
-    let (recorded, settled) = read_operation(outcome);
+    let (recorded, settled) = split_outcome(outcome);
     if let Some(query) = tables.queries.get_mut(&leg.query) {
         let Task::Operation(operation) = &mut query.task else { return };
         let request = operation.claim(query.fingerprint);
         operation.stage = Stage::Settled(settled);
         tables.to_answer.insert(leg.query);
-        record(request, recorded, out);
+        report_outcome(request, recorded, out);
     } else if let Some(request) = tables.unsettled.remove(&leg.query) {
-        record(request, recorded, out);
+        report_outcome(request, recorded, out);
     }
 }
 
-fn record(request: claim::Request, recorded: Option<Recorded>, out: &mut Outbox) {
+fn report_outcome(request: claim::Request, recorded: Option<Recorded>, out: &mut Outbox) {
     if let Some(outcome) = recorded {
         out.reports.push(Report::Outcome { request, outcome });
     }
 }
 
-/// What is recorded of an operation's outcome and what its caller is told.
-fn read_operation(outcome: Outcome) -> (Option<Recorded>, Result<Settled, Fault>) {
+/// Splits the outcome of an operation into what is recorded with its claim, if
+/// anything, and the answer for its caller.
+fn split_outcome(outcome: Outcome) -> (Option<Recorded>, Result<Settled, Fault>) {
     match outcome {
         Outcome::Done { result } => {
             let recorded = Recorded::Done { result: result.clone() };
@@ -209,8 +212,8 @@
     }
 }
 
-/// Answers a search that has no leg left, unless it is to be planned again.
-pub fn ended(tables: &mut Tables, leg: &Leg) {
+/// Answers a query that has no leg left, unless it is planned again.
+pub fn finish_if_idle(tables: &mut Tables, leg: &Leg) {
     let Some(query) = tables.queries.get(&leg.query) else { return };
     let is_idle = query.legs.is_empty() && !tables.to_plan.contains(&leg.query);
     match &query.task {
@@ -224,11 +227,11 @@
     }
 }
 
-/// Ends an operation that every home refused before it ran.
+/// Ends an operation that every home refused, so that it did not run.
 fn settle_unreached(tables: &mut Tables, leg: &Leg) {
     let Some(query) = tables.queries.get_mut(&leg.query) else { return };
     if let Task::Operation(operation) = &mut query.task {
-        let detail = "no VM that serves the target takes requests";
+        let detail = "no VM that serves the shard accepts requests";
         operation.stage = Stage::Settled(Err(Fault::not_run(Kind::Unavailable, detail)));
         tables.to_answer.insert(leg.query);
     }
--- a/crates/core/src/traffic/system/mod.rs
+++ b/crates/core/src/traffic/system/mod.rs
@@ -8,23 +8,23 @@
 pub mod claim;
 pub mod merge;
 pub mod plan;
-pub mod inform;
+pub mod ready;
 pub mod dispatch;
-pub mod tell;
+pub mod advertise;
 pub mod answer;
-pub mod depart;
+pub mod leaving;
 pub mod connect;
 pub mod job;
-pub mod share;
+pub mod coalesce;
 pub mod leg;
 
 use super::{Context, Inbox, Outbox, Tables};
 
 /// Runs every system once.
 ///
-/// What may end a wait comes first and what starts work comes last, so that a
-/// slot freed in a tick is used in the same tick and a row whose deadline has
-/// passed is never sent.
+/// Systems that can end a wait run before those that start work, so that a slot
+/// that is freed in a tick is used in the same tick and a row whose deadline
+/// has passed is never sent.
 pub fn run(tables: &mut Tables, cx: &mut Context, inbox: Inbox, out: &mut Outbox) {
     refresh::run(tables, cx, inbox.view, out);
     collect::run(tables, cx, inbox.targets, out);
@@ -34,9 +34,9 @@
     claim::run(tables, cx, inbox.claims, out);
     merge::run(tables, cx, out);
     plan::run(tables, cx, out);
-    inform::run(tables, cx);
+    ready::run(tables, cx);
     dispatch::run(tables, cx, out);
-    tell::run(tables, cx, out);
+    advertise::run(tables, cx, out);
     answer::run(tables, cx, out);
-    depart::run(tables, cx, out);
+    leaving::run(tables, cx, out);
 }
--- a/crates/core/src/traffic/system/refresh.rs
+++ b/crates/core/src/traffic/system/refresh.rs
@@ -1,4 +1,5 @@
-//! Takes a new view: targets that came, changed or went, and homes that moved.
+//! Applies a new view: targets that were added, changed or removed, and homes
+//! that moved.
 
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -8,7 +9,7 @@
     time::Instant,
     traffic::{
         Context, Outbox, Tables,
-        system::{connect, job, tell},
+        system::{advertise, connect, job},
         table::{Latency, Shard, Target, shard, timer::Timer},
     },
     view::{self, Lane, State, View},
@@ -16,8 +17,8 @@
 
 /// Puts `view` into force.
 ///
-/// Most views differ from the one before in the profiles only, so targets and
-/// homes are looked at only when those that they depend on have changed.
+/// Most views differ from the one before only in the profiles, so targets and
+/// homes are updated only when what they depend on has changed.
 pub fn run(tables: &mut Tables, cx: &mut Context, view: Option<Arc<View>>, out: &mut Outbox) {
     let Some(view) = view else { return };
     let old = std::mem::replace(&mut cx.view, view);
@@ -27,12 +28,12 @@
         add_targets(tables, cx);
     }
     if has_new_targets || old.vms != cx.view.vms {
-        move_homes(tables, cx, out);
-        forget_shards(tables, cx, out);
+        update_homes(tables, cx, out);
+        remove_empty_shards(tables, cx, out);
     }
-    greet(cx, &old, out);
+    request_holdings(cx, &old, out);
     if old.vms.is_empty() {
-        tables.timers.set(cx.now + tell::INTERVAL, Timer::Tell);
+        tables.timers.set(cx.now + advertise::INTERVAL, Timer::Advertise);
     }
 }
 
@@ -49,7 +50,7 @@
             if let Some(shard) = tables.shards.get_mut(&target.shard) {
                 shard.targets.remove(&name);
             }
-            tables.to_tell.insert(target.shard.clone());
+            tables.to_advertise.insert(target.shard.clone());
             tables.to_dispatch.insert(target.shard);
         }
     }
@@ -64,7 +65,7 @@
             Some(target) if target.address == listed.address => {
                 if target.leaving != leaving {
                     target.leaving = leaving;
-                    tables.to_tell.insert(key.clone());
+                    tables.to_advertise.insert(key.clone());
                     tables.to_dispatch.insert(key);
                 }
             }
@@ -86,22 +87,22 @@
         in_use: 0,
         reserved: false,
         status: None,
-        heard: Instant::default(),
+        status_at: Instant::default(),
         leaving: listed.state == State::Leaving,
-        pause: Instant::default(),
+        paused_until: Instant::default(),
         connections: BTreeSet::new(),
         failures: 0,
         polled: false,
         reopening: false,
         latency: Latency::default(),
-        used: Instant::default(),
+        last_used: Instant::default(),
     }
 }
 
-fn move_homes(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
+fn update_homes(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
     let keys: Vec<shard::Key> = tables.shards.keys().cloned().collect();
     for key in keys {
-        let lanes = cx.policies.route.lanes(&cx.view, &cx.lane, &key, cx.limits.homes);
+        let lanes = cx.policies.route.lanes(&cx.view, &cx.lane, &key, cx.limits.max_homes);
         let is_home = lanes.first() == Some(&cx.lane);
         if let Some(index) = tables.indexes.get_mut(&key.index)
             && let Some(holding) = index.shards.get_mut(&key.shard)
@@ -111,15 +112,15 @@
         let Some(shard) = tables.shards.get_mut(&key) else { continue };
         let was_home = std::mem::replace(&mut shard.home, is_home);
         if is_home {
-            take_up(tables, cx, &key, out);
+            connect_home(tables, cx, &key, out);
         } else if was_home {
-            tables.timers.set(cx.now + cx.limits.idle, Timer::Idle(key));
+            tables.timers.set(cx.now + cx.limits.idle_timeout, Timer::Idle(key));
         }
     }
 }
 
-/// Opens connections to the targets of a shard that this VM is home of.
-fn take_up(tables: &mut Tables, cx: &mut Context, key: &shard::Key, out: &mut Outbox) {
+/// Opens connections to the targets of a shard that this thread is the home of.
+fn connect_home(tables: &mut Tables, cx: &mut Context, key: &shard::Key, out: &mut Outbox) {
     let names: Vec<Name> = tables
         .shards
         .get(key)
@@ -128,11 +129,12 @@
     for name in names {
         connect::ensure(tables, cx, &name, out);
     }
-    tables.to_tell.insert(key.clone());
+    tables.to_advertise.insert(key.clone());
 }
 
-/// Drops shards that no target is listed for, here and in the plans.
-fn forget_shards(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
+/// Removes shards that no target is listed for, also from the indexes that
+/// plans are made from.
+fn remove_empty_shards(tables: &mut Tables, cx: &mut Context, out: &mut Outbox) {
     let empty: Vec<shard::Key> = tables
         .shards
         .iter()
@@ -150,8 +152,9 @@
     }
 }
 
-/// Asks VMs that are new in the view what they hold.
-fn greet(cx: &Context, old: &View, out: &mut Outbox) {
+/// Asks VMs that are new in the view, or were restarted, what their shards
+/// hold.
+fn request_holdings(cx: &Context, old: &View, out: &mut Outbox) {
     for (name, vm) in &cx.view.vms {
         let known = old.vms.get(name).is_some_and(|before| before.incarnation == vm.incarnation);
         if known {
@@ -165,7 +168,7 @@
     }
 }
 
-/// The lanes of a VM.
+/// The lanes of all traffic threads of a VM.
 pub fn lanes_of(vm: &view::Vm) -> impl Iterator<Item = Lane> + '_ {
     (0..vm.traffic.len()).map(|thread| Lane {
         vm: vm.name.clone(),
--- a/crates/core/src/traffic/table/attempt.rs
+++ b/crates/core/src/traffic/table/attempt.rs
@@ -2,19 +2,17 @@
 
 use crate::{id, name::Name, time::Instant};
 
-/// An attempt.
+/// An attempt to run a job at a target.
 #[derive(Clone, Debug)]
 pub struct Attempt {
-    /// The leg that it is made for.
+    /// The job that the attempt runs.
     pub job: id::Leg,
-    /// The target.
     pub target: Name,
-    /// The connection that it was sent over.
     pub connection: id::Connection,
-    /// When it was sent.
     pub sent: Instant,
-    /// When another target is tried beside it.
-    pub hedge: Instant,
-    /// Whether that was put off once, for want of budget or of a free slot.
-    pub put_off: bool,
+    /// When the attempt counts as slow and its job is hedged at another target.
+    pub hedge_at: Instant,
+    /// Whether the hedge was deferred, which happens at most once, because the
+    /// budget or a free slot was missing.
+    pub hedge_deferred: bool,
 }
--- a/crates/core/src/traffic/table/share.rs
+++ b/crates/core/src/traffic/table/coalesce.rs
@@ -1,4 +1,4 @@
-//! What two legs must have in common to share an attempt.
+//! The key under which equal searches share an attempt.
 
 use crate::{
     digest::Fingerprint,
@@ -7,7 +7,8 @@
     traffic::table::{Job, shard},
 };
 
-/// The shard, the request and the rows that are asked for.
+/// What two legs must have in common to share an attempt: the shard, the
+/// request, the version and the range.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key {
     shard: shard::Key,
@@ -17,7 +18,8 @@
 }
 
 impl Key {
-    /// The key of a search's job; an operation has none.
+    /// The key of a search's job, or none for an operation, which never shares
+    /// an attempt.
     pub fn of(job: &Job) -> Option<Key> {
         let Work::Search { version, range, .. } = job.leg.work else { return None };
         Some(Key { shard: job.shard.clone(), fingerprint: job.leg.fingerprint, version, range })
--- a/crates/core/src/traffic/table/connection.rs
+++ b/crates/core/src/traffic/table/connection.rs
@@ -4,17 +4,17 @@
 
 use crate::{id, name::Name, time::Instant};
 
-/// A connection.
+/// A connection to a target.
 #[derive(Clone, Debug)]
 pub struct Connection {
-    /// The target that it leads to.
     pub target: Name,
-    /// Whether it is open, as opposed to opening.
+    /// False while the connection is being opened.
     pub open: bool,
-    /// The attempts in flight on it.
+    /// The attempts in flight on the connection.
     pub attempts: BTreeSet<id::Attempt>,
-    /// When the status was asked for that is not answered yet.
-    pub asked: Option<Instant>,
-    /// When the target was last heard on it.
-    pub heard: Instant,
+    /// When the status read that is still unanswered was sent; while the
+    /// connection is being opened, when that started.
+    pub status_requested: Option<Instant>,
+    /// When anything was last received on the connection.
+    pub last_received: Instant,
 }
--- a/crates/core/src/traffic/table/index.rs
+++ b/crates/core/src/traffic/table/index.rs
@@ -1,4 +1,5 @@
-//! What the shards of an index hold, as their homes told this entry.
+//! What the shards of each index hold, as their homes advertise it to this
+//! entry.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -12,76 +13,73 @@
     view::Lane,
 };
 
-/// The number of replicas beyond which more do not make a version preferable.
+/// The number of replicas from which on more do not make a version preferable.
 const ENOUGH_REPLICAS: u32 = 2;
 
-/// An index.
+/// The shards of an index and the plan that new queries use.
 #[derive(Clone, Debug, Default)]
 pub struct Index {
-    /// The shards by name.
     pub shards: BTreeMap<Name, Holding>,
-    /// How long the answers of all its targets take that this thread asks.
+    /// The latency of attempts of this thread over all targets of the index.
     pub latency: Latency,
     /// The plan for new queries, or none while no shard holds anything.
     pub best: Option<Arc<Plan>>,
 }
 
-/// What a shard holds and where its homes are.
+/// What a shard holds, and the homes that serve it.
 #[derive(Clone, Debug, Default)]
 pub struct Holding {
-    /// The ranges by version.
     pub ranges: Vec<Held>,
-    /// The lanes of its homes, best first.
+    /// The lanes of the homes, in order of preference.
     pub lanes: Vec<Lane>,
-    /// What was last heard of the wait of each profile.
+    /// The last reported wait for a slot, by profile.
     pub backlogs: BTreeMap<Name, Backlog>,
 }
 
-/// The wait for a slot as a home told it.
+/// The wait for a slot as a home last reported it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Backlog {
-    /// The wait at `heard`.
+    /// The expected wait at the time `received`.
     pub wait: Duration,
-    /// When it was heard of.
-    pub heard: Instant,
+    pub received: Instant,
 }
 
 impl Holding {
-    /// The wait for a slot that a leg of a profile is expected to have at `now`.
+    /// The time that a leg of a profile which is sent at `now` is expected to
+    /// wait for a slot: the last reported wait less the time since then.
     pub fn wait(&self, profile: &Name, now: Instant) -> Duration {
         let backlog = self.backlogs.get(profile).copied().unwrap_or_default();
-        backlog.wait.saturating_sub(now.since(backlog.heard))
+        backlog.wait.saturating_sub(now.since(backlog.received))
     }
 }
 
-/// Disjoint parts of the key space at one version.
+/// How to read the key space at one version: disjoint ranges, each with the
+/// shard to read it from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
-    /// The version.
     pub version: Version,
-    /// The parts, in the order of the shards.
+    /// The parts, ordered by shard name.
     pub parts: Vec<Part>,
-    /// The keys that the parts cover.
+    /// The union of the ranges of all parts.
     pub covered: Set,
 }
 
-/// A part of a plan: a range to ask of a shard.
+/// A part of a plan: a range to read from a shard.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Part {
-    /// The shard.
     pub shard: Name,
-    /// The range.
     pub range: Range,
 }
 
 impl Index {
-    /// Computes the plan for new queries again.
+    /// Recomputes the plan for new queries.
     ///
-    /// A version is better the more of the key space it covers, then if each of
-    /// its ranges is held by enough replicas, then if it is newer. Coverage goes
-    /// first because a newer version that is not loaded everywhere would make
-    /// answers partial without need.
-    pub fn choose(&mut self) {
+    /// Versions are ranked by the share of the key space that they cover, then
+    /// by the replicas of their least replicated range, of which only the first
+    /// `ENOUGH_REPLICAS` count, then newest first. Coverage comes first because
+    /// a newer version that is not loaded everywhere would make answers partial
+    /// without need.
+    pub fn choose_plan(&mut self) {
         let mut versions: BTreeMap<Version, u32> = BTreeMap::new();
         for held in self.shards.values().flat_map(|holding| &holding.ranges) {
             let least = versions.entry(held.version).or_insert(ENOUGH_REPLICAS);
@@ -95,7 +93,8 @@
             .map(|(plan, _)| Arc::new(plan));
     }
 
-    /// Plans how to read the keys of `wanted` at `version`.
+    /// Plans how to read the keys of `wanted` at `version`. Keys that no shard
+    /// holds at this version are left out.
     pub fn plan(&self, version: Version, wanted: &Set) -> Plan {
         let mut rest = wanted.clone();
         let mut plan = Plan { version, parts: Vec::new(), covered: Set::new() };
@@ -111,7 +110,7 @@
         plan
     }
 
-    /// The shard that holds `key` at the version that new queries use.
+    /// The shard that holds `key` at the version that new queries use, if any.
     pub fn shard_of(&self, key: u64) -> Option<&Name> {
         let plan = self.best.as_ref()?;
         plan.parts.iter().find(|part| part.range.contains(key)).map(|part| &part.shard)
--- a/crates/core/src/traffic/table/job.rs
+++ b/crates/core/src/traffic/table/job.rs
@@ -1,44 +1,43 @@
-//! Legs that this VM serves as home of their shard.
+//! Jobs: legs that this VM serves as the home of their shard.
 
 use std::collections::BTreeSet;
 
 use crate::{id, message, name::Name, time::Instant, traffic::table::shard, view::Lane};
 
-/// A leg at its home.
+/// A leg at its home, from its arrival until it is answered.
 #[derive(Clone, Debug)]
 pub struct Job {
-    /// The leg.
     pub leg: message::Leg,
-    /// The lane that waits for the reply.
+    /// The lane that gets the reply.
     pub from: Lane,
-    /// The shard.
     pub shard: shard::Key,
     /// When the reply is due.
     pub deadline: Instant,
-    /// Its place in the queue of the shard, while it waits.
+    /// The place in the queue of the shard, while the job waits for a slot.
     pub place: Option<shard::Place>,
-    /// Its attempts in flight.
+    /// The attempts in flight.
     pub attempts: BTreeSet<id::Attempt>,
     /// The number of attempts so far.
     pub tries: u32,
-    /// The targets that refused it or lost it, which are asked last.
+    /// The targets that refused the job or were lost while they ran it; they
+    /// are chosen only when no other target is left.
     pub avoid: BTreeSet<Name>,
-    /// Whether a target was lost while it ran. It then runs alone on its target,
-    /// so that it takes no other request with it.
+    /// Whether a target was lost while it ran the job. The job then gets a
+    /// target to itself, so that a crash fails no other request.
     pub suspect: bool,
-    /// Whether the deadline has passed while an operation runs, whose outcome is
-    /// still awaited.
+    /// Whether the job is an operation that still runs after its deadline. Its
+    /// outcome is awaited so that it can be recorded.
     pub overdue: bool,
-    /// Whether any attempt may have run.
+    /// Whether any attempt may have run at a target.
     pub ran: bool,
-    /// The job whose attempts it shares.
+    /// The leader whose attempts this job shares, if it is a follower.
     pub follows: Option<id::Leg>,
-    /// The jobs that share its attempts.
+    /// The followers that share the attempts of this job.
     pub followers: BTreeSet<id::Leg>,
 }
 
 impl Job {
-    /// Whether the job may be tried more than once after it was sent.
+    /// Whether the job may run more than once, which holds for searches.
     pub fn is_idempotent(&self) -> bool {
         matches!(self.leg.work, crate::target::Work::Search { .. })
     }
--- a/crates/core/src/traffic/table/leg.rs
+++ b/crates/core/src/traffic/table/leg.rs
@@ -1,4 +1,4 @@
-//! Legs of queries, in flight to their homes.
+//! Legs of this entry's queries, in flight to their homes.
 
 use crate::{
     id, key, message,
@@ -7,33 +7,32 @@
     view::{Lane, State},
 };
 
-/// A leg in flight.
+/// A leg in flight to a home.
 #[derive(Clone, Debug)]
 pub struct Leg {
-    /// The query that it belongs to.
     pub query: id::Query,
-    /// The shard that it goes to.
     pub shard: Name,
-    /// The range that it asks for; for an operation, its subject alone.
+    /// The range to read; for an operation, only the key of its subject.
     pub range: key::Range,
-    /// The version that it asks for; none for an operation.
+    /// The version to read; none for an operation.
     pub version: Option<Version>,
-    /// The lanes of the homes of the shard, best first.
+    /// The lanes of the homes of the shard, in order of preference.
     pub lanes: Vec<Lane>,
-    /// The position in `lanes` that it was sent to.
-    pub tries: usize,
-    /// The message, kept for the next home.
+    /// The position in `lanes` of the home that the leg was sent to.
+    pub lane_index: usize,
+    /// The message, kept so that it can be sent to the next home.
     pub message: message::Leg,
 }
 
 impl Leg {
-    /// The lane that the leg was sent to.
+    /// The lane that the leg was sent to, or none when all homes were tried.
     pub fn lane(&self) -> Option<&Lane> {
-        self.lanes.get(self.tries)
+        self.lanes.get(self.lane_index)
     }
 }
 
-/// Orders a VM among the possible homes by what is believed of it.
+/// The rank of a VM among the possible homes of a shard; a lower rank is
+/// preferred.
 pub fn preference(state: State) -> u8 {
     match state {
         State::Live => 0,
--- a/crates/core/src/traffic/table/link.rs
+++ b/crates/core/src/traffic/table/link.rs
@@ -1,4 +1,4 @@
-//! Lanes that legs are in flight to.
+//! Liveness of the lanes that legs are in flight to.
 
 use std::collections::BTreeSet;
 
@@ -7,12 +7,11 @@
 /// A lane with legs in flight.
 #[derive(Clone, Debug, Default)]
 pub struct Link {
-    /// The legs.
     pub legs: BTreeSet<id::Leg>,
-    /// When a message of the lane was last received.
-    pub heard: Instant,
-    /// When a sign of life was asked for that has not come yet.
-    pub asked: Option<Instant>,
-    /// Whether a timer for the lane is set.
+    /// When a message from the lane was last received.
+    pub last_received: Instant,
+    /// When the ping that is still unanswered was sent.
+    pub pinged: Option<Instant>,
+    /// Whether a [`Timer::Link`](super::Timer::Link) is set for the lane.
     pub watched: bool,
 }
--- a/crates/core/src/traffic/table/query.rs
+++ b/crates/core/src/traffic/table/query.rs
@@ -1,4 +1,4 @@
-//! Requests of callers at their entry.
+//! Open requests of callers at their entry.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -20,39 +20,36 @@
     traffic::Call,
 };
 
-/// A request of a caller.
+/// An open request of a caller.
 #[derive(Clone, Debug)]
 pub struct Query {
     /// The call of the front end that waits for the answer.
     pub call: Call,
-    /// The name of its profile.
+    /// The name of the profile.
     pub profile: Name,
-    /// The profile as it was in force at the start.
-    pub terms: Profile,
-    /// The revision of the profile.
+    /// The content of the profile as it was in force when the request arrived.
+    pub pinned_profile: Profile,
+    /// The revision of the profiles that `pinned_profile` was taken from.
     pub revision: u64,
-    /// What is asked.
     pub task: Task,
-    /// The fingerprint of the request.
     pub fingerprint: Fingerprint,
-    /// When it arrived.
     pub arrived: Instant,
-    /// When its answer is due.
+    /// When the answer is due.
     pub deadline: Instant,
-    /// Its legs in flight.
+    /// The legs in flight.
     pub legs: BTreeSet<id::Leg>,
-    /// The attempts at targets so far.
+    /// The attempts at targets that the replies have reported so far.
     pub attempts: u32,
-    /// Whether any part of it ran, as far as its replies tell.
+    /// Whether any part of the request ran, as far as the replies tell.
     pub ran: Ran,
 }
 
-/// What a caller asks.
+/// What a caller asks for, and how far it has got.
 #[derive(Clone, Debug)]
 pub enum Task {
-    /// Read the rows that match.
+    /// Reads the rows that match a text.
     Search(Search),
-    /// Run an operation once.
+    /// Runs an operation at most once.
     Operation(Operation),
 }
 
@@ -61,19 +58,21 @@
 pub struct Search {
     /// The text to match.
     pub text: Arc<str>,
-    /// The version that every row comes from, once it is pinned.
+    /// The version that every row is read at, or none until it is pinned.
     pub version: Option<Version>,
-    /// The keys that were answered at that version.
+    /// The keys that were read at that version.
     pub covered: Set,
-    /// The rows that were answered.
+    /// The rows that were read at that version.
     pub rows: Vec<Row>,
     /// The keys whose legs failed and were not sent again.
-    pub lost: Set,
+    pub failed_keys: Set,
     /// How often legs were planned.
     pub plans: u32,
-    /// The targets that were lost while they ran it on trial, with their shards.
+    /// The targets that were lost while they ran the search on trial, each with
+    /// its shard.
     pub crashed: BTreeMap<Name, Name>,
-    /// The shards at which it was tried alone, while it is not sent to all.
+    /// The trials that ran and failed so far, while the search is tried at one
+    /// shard at a time; none once it goes to all shards.
     pub trial: Option<u32>,
     /// The fault that ends the whole search, if a leg met one.
     pub fault: Option<Fault>,
@@ -82,39 +81,39 @@
 /// The state of an operation.
 #[derive(Clone, Debug)]
 pub struct Operation {
-    /// The key that is changed.
+    /// The key in the index that the operation changes.
     pub subject: u64,
-    /// What is done to it.
+    /// The name of the operation.
     pub operation: Name,
     /// The content of the operation.
     pub detail: Arc<str>,
     /// The caller's idempotency key.
     pub key: claim::Key,
-    /// Names this one run.
+    /// Identifies this run among all runs with the same idempotency key.
     pub token: Uuid,
-    /// How far it is.
     pub stage: Stage,
 }
 
-/// How far an operation is.
+/// The progress of an operation.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// The claim was asked for; nothing may be sent.
+    /// The claim is requested; nothing may be sent yet.
     Claiming,
-    /// The claim was granted and nothing was sent yet.
+    /// The claim was granted, and nothing is sent yet.
     Granted,
-    /// The operation was handed to a home.
+    /// The operation was sent to a home and may run.
     Sent,
-    /// The operation has an answer.
+    /// The answer for the caller is known.
     Settled(Result<Settled, Fault>),
 }
 
-/// The result of an operation that ran.
+/// The result of an operation that has run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settled {
-    /// What the target returned.
+    /// The text that the target returned.
     pub result: Arc<str>,
-    /// Whether it was recorded by an earlier request with the same key.
+    /// Whether the result was recorded by an earlier request with the same
+    /// idempotency key.
     pub replayed: bool,
 }
 
--- a/crates/core/src/traffic/table/shard.rs
+++ b/crates/core/src/traffic/table/shard.rs
@@ -1,45 +1,44 @@
-//! Shards that this VM serves as home, with their queues.
+//! Shards with their targets, and the queues of those that this thread serves
+//! as home.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{id, message::Held, name::Name, time::Instant};
 
-/// The advance of a profile's virtual time for one job at priority one.
+/// By how much a job of priority one advances the virtual time of its profile.
 const STRIDE: u64 = 1 << 20;
 
-/// The key of a shard.
+/// Identifies a shard among all indexes.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key {
-    /// The index.
     pub index: Name,
-    /// The shard within the index.
+    /// The name of the shard within the index.
     pub shard: Name,
 }
 
-/// A place in the queue: virtual time first, then order of arrival.
+/// A place in the queue, ordered by virtual time and then by leg id.
 pub type Place = (u64, id::Leg);
 
 /// A shard and the jobs that wait for one of its targets.
 #[derive(Clone, Debug, Default)]
 pub struct Shard {
-    /// Its targets.
     pub targets: BTreeSet<Name>,
-    /// Whether this VM is the first home of the shard.
+    /// Whether this thread is the first home of the shard.
     pub home: bool,
-    /// The jobs that wait, in the order in which they are started.
+    /// The waiting jobs, in the order in which they are started.
     pub queue: BTreeSet<Place>,
-    /// The virtual time of the job that was started last.
-    pub clock: u64,
-    /// The virtual time of the last job of each profile.
+    /// The highest virtual time of a job that was started.
+    pub virtual_time: u64,
+    /// The virtual time of the last queued job of each profile.
     pub tags: BTreeMap<Name, u64>,
-    /// What was last told of its holdings.
-    pub told: Vec<Held>,
-    /// When this VM last served a leg of it.
-    pub used: Instant,
+    /// The holdings that were last advertised.
+    pub advertised: Vec<Held>,
+    /// When this thread last queued a leg for the shard.
+    pub last_used: Instant,
 }
 
 impl Shard {
-    /// Puts a job into the queue and returns its place.
+    /// Queues a job and returns its place.
     ///
     /// Each profile's jobs are spaced by the inverse of its priority, so that
     /// profiles share the slots in the ratio of their priorities and one with
@@ -52,7 +51,7 @@
         place
     }
 
-    /// The jobs that would be started before a new one of a profile.
+    /// The number of waiting jobs that are ahead of a new job of a profile.
     pub fn ahead(&self, profile: &Name, priority: u32) -> usize {
         if self.queue.is_empty() {
             return 0;
@@ -61,23 +60,23 @@
         self.queue.iter().take_while(|(own, _)| *own <= tag).count()
     }
 
-    /// The virtual time of a new job of a profile.
+    /// The virtual time at which a new job of a profile is queued.
     fn tag(&self, profile: &Name, priority: u32) -> u64 {
         let last = self.tags.get(profile).copied().unwrap_or(0);
-        last.max(self.clock) + STRIDE / u64::from(priority.max(1))
+        last.max(self.virtual_time) + STRIDE / u64::from(priority.max(1))
     }
 
-    /// Puts a job back to the head of the queue, because it was there before.
+    /// Puts a job that was started before back at the head of the queue.
     pub fn requeue(&mut self, leg: id::Leg) -> Place {
-        let place = (self.clock, leg);
+        let place = (self.virtual_time, leg);
         self.queue.insert(place);
         place
     }
 
-    /// Takes a job out of the queue.
+    /// Removes a job that is started from the queue.
     pub fn dequeue(&mut self, place: Place) {
         self.queue.remove(&place);
-        self.clock = self.clock.max(place.0);
+        self.virtual_time = self.virtual_time.max(place.0);
         if self.queue.is_empty() {
             self.tags.clear();
         }
--- a/crates/core/src/traffic/table/suspect.rs
+++ b/crates/core/src/traffic/table/suspect.rs
@@ -4,12 +4,13 @@
 
 use crate::{name::Name, time::Instant};
 
-/// A request that may crash targets.
+/// A request that may have crashed targets.
 #[derive(Clone, Debug, Default)]
 pub struct Suspect {
-    /// The targets that were lost while they ran it, each with its start: one
-    /// that was lost, started again and lost again counts twice.
+    /// The targets that were lost while they ran the request, each with its
+    /// incarnation: a target that was lost, restarted and lost again counts
+    /// twice.
     pub targets: BTreeSet<(Name, u64)>,
-    /// When it is forgotten.
+    /// When the row expires.
     pub until: Instant,
 }
--- a/crates/core/src/traffic/table/timer.rs
+++ b/crates/core/src/traffic/table/timer.rs
@@ -1,30 +1,31 @@
-//! What a row may be due for.
+//! What a timer of a traffic thread is set for.
 
 use crate::{id, name::Name, traffic::table::shard, view::Lane};
 
-/// What is due.
+/// What is due when a timer fires.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
     /// The answer of a query.
     Query(id::Query),
-    /// A sign of life of a lane with legs in flight.
+    /// A check whether a lane with legs in flight is alive.
     Link(Lane),
     /// The reply of a job.
     Job(id::Leg),
-    /// A hedge beside an attempt.
+    /// A hedge for an attempt that is slow.
     Hedge(id::Attempt),
-    /// The end of a pause of a shard's target.
+    /// The end of the pause of a target of a shard.
     Shard(shard::Key),
     /// The next read of a target's status.
     Poll(Name),
     /// The next try to open a connection to a target.
     Reopen(Name),
-    /// The answer to a read of the status over a connection.
-    Asked(id::Connection),
-    /// The end of the use of a shard that this VM is no longer home of.
+    /// The limit for opening a connection, or for a status read over it.
+    Connection(id::Connection),
+    /// A check whether a shard that this thread is not the first home of is
+    /// idle, so that its connections can be closed.
     Idle(shard::Key),
-    /// The time to tell the holdings again.
-    Tell,
-    /// The end of the wait for the first word of the homes.
-    Inform,
+    /// The next repeat of all advertisements.
+    Advertise,
+    /// The end of the wait for the first advertisements of the homes.
+    Holdings,
 }
