--- a/crates/core/tests/rules/case.rs
+++ b/crates/core/tests/rules/case.rs
@@ -1,6 +1,6 @@
-//! The macro that names each case.
+//! The macro that turns named cases into tests.
 
-/// Makes a test of each named case: `cases! { name => expression; }`. The
+/// Declares a test for each named case: `cases! { name => expression; }`. The
 /// expression is the body of the test and asserts what must hold.
 #[macro_export]
 macro_rules! cases {
--- a/crates/core/tests/rules/key.rs
+++ b/crates/core/tests/rules/key.rs
@@ -1,4 +1,4 @@
-//! Ranges and sets of keys.
+//! Ranges and sets of keys: union, removal, intersection and coverage.
 
 use std::collections::BTreeSet;
 
@@ -17,17 +17,17 @@
     set
 }
 
-/// The highest key of the sets that are compared key by key.
-const HIGHEST: u64 = 40;
+/// The highest key in the sets that are compared key by key.
+const MAX_KEY: u64 = 40;
 
 fn keys(set: &Set) -> BTreeSet<u64> {
     set.ranges().iter().flat_map(|range| range.first()..=range.last()).collect()
 }
 
-/// Compares a set with one that holds each key by itself, after each of many
-/// random changes.
+/// Compares a `Set` with a set of single keys after each of many random
+/// changes.
 fn compare_with_single_keys() {
-    let change = (any::<bool>(), 0..=HIGHEST, 0..=HIGHEST);
+    let change = (any::<bool>(), 0..=MAX_KEY, 0..=MAX_KEY);
     proptest::proptest!(|(changes in collection::vec(change, 1..40))| {
         let (mut set, mut single) = (Set::new(), BTreeSet::new());
         for (adds, a, b) in changes {
--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -1,4 +1,5 @@
-//! Tests of the decisions, without sockets and clocks.
+//! Tests of key sets and of the traffic decisions, in a simulated deployment
+//! without sockets and clocks.
 
 #[macro_use]
 mod case;
--- a/crates/core/tests/rules/operation.rs
+++ b/crates/core/tests/rules/operation.rs
@@ -1,4 +1,5 @@
-//! Operations: at most once, and "not run" is true.
+//! Operations run at most once, and one that is reported as not run did not
+//! run.
 
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// A subject that the shard with the number zero holds.
+/// A key that shard zero holds.
 const SUBJECT: u64 = 1;
 
 fn refusal(world: &World, call: Call) -> (Kind, Ran) {
@@ -22,7 +23,7 @@
     }
 }
 
-fn done(world: &World, call: Call) -> (String, bool) {
+fn result(world: &World, call: Call) -> (String, bool) {
     match &world.answer(call).body {
         Body::Done { result, replayed, .. } => (result.to_string(), *replayed),
         other => panic!("not done: {other:?}"),
@@ -37,14 +38,14 @@
     let mut world = World::new(3, 4, 2);
     let first = world.operate("vm-1", 1, SUBJECT, "a");
     world.run(1100 * MS);
-    assert_eq!(done(&world, first), ("granted a".to_owned(), false));
+    assert_eq!(result(&world, first), ("granted a".to_owned(), false));
     let second = world.operate("vm-2", 1, SUBJECT, "a");
     world.run(1100 * MS);
-    assert_eq!(done(&world, second), ("granted a".to_owned(), true));
+    assert_eq!(result(&world, second), ("granted a".to_owned(), true));
     assert_eq!(executions(&world, "a"), 1);
 }
 
-fn sent_twice_at_once() {
+fn sent_three_times_at_once() {
     let mut world = World::new(3, 4, 2);
     let calls: Vec<Call> =
         ["vm-1", "vm-2", "vm-3"].map(|vm| world.operate(vm, 1, SUBJECT, "a")).to_vec();
@@ -92,7 +93,7 @@
     world.targets.get(0, 0).sheds = true;
     let call = world.operate("vm-1", 1, SUBJECT, "a");
     world.run(1100 * MS);
-    assert_eq!(done(&world, call).0, "granted a");
+    assert_eq!(result(&world, call).0, "granted a");
     assert_eq!(executions(&world, "a"), 1);
 }
 
@@ -109,7 +110,7 @@
     }
     let again = world.operate("vm-2", 1, SUBJECT, "a");
     world.run(1100 * MS);
-    assert_eq!(done(&world, again), ("granted a".to_owned(), false));
+    assert_eq!(result(&world, again), ("granted a".to_owned(), false));
     assert_eq!(executions(&world, "a"), 1);
 }
 
@@ -118,7 +119,7 @@
     let home = world.home_of(0);
     let entry = world.stranger_to(0);
     let call = world.operate(entry.as_str(), 1, SUBJECT, "a");
-    // The claim takes 5 ms and the leg half a millisecond.
+    // The claim takes 5 ms and the leg 0.5 ms, so the leg is on its way.
     world.run(Duration::from_micros(5300));
     match pause {
         Some(span) => world.pause_vm(home.as_str(), span),
@@ -145,7 +146,7 @@
     assert_eq!(recorded, Some(Outcome::Done { result: "granted a".into() }));
     let again = world.operate("vm-2", 1, SUBJECT, "a");
     world.run(1100 * MS);
-    assert_eq!(done(&world, again), ("granted a".to_owned(), true));
+    assert_eq!(result(&world, again), ("granted a".to_owned(), true));
     assert_eq!(executions(&world, "a"), 1);
 }
 
@@ -167,7 +168,7 @@
     let mut world = World::new(3, 4, 2);
     let first = world.operate("vm-1", 1, SUBJECT, "a");
     world.run(1100 * MS);
-    let _ = done(&world, first);
+    let _ = result(&world, first);
     let second = world.operate("vm-1", 1, SUBJECT, "b");
     world.run(1100 * MS);
     assert_eq!(refusal(&world, second), (Kind::KeyReused, Ran::No));
@@ -176,7 +177,7 @@
 
 cases! {
     an_operation_runs_once => runs_once();
-    an_operation_that_is_sent_three_times_at_once_runs_once => sent_twice_at_once();
+    an_operation_that_is_sent_three_times_at_once_runs_once => sent_three_times_at_once();
     an_operation_without_a_claim_is_not_run => claims_unanswered();
     an_operation_whose_target_is_lost_is_never_retried => target_lost_while_it_runs();
     an_operation_that_one_target_shed_goes_to_another => shed_by_one_target();
--- a/crates/core/tests/rules/planted.rs
+++ b/crates/core/tests/rules/planted.rs
@@ -1,5 +1,5 @@
-//! Cases for faults that were planted by hand and that no case of their own
-//! caught at first. See `docs/PROOF.md`.
+//! Mutation tests: cases for faults that were put into the code on purpose and
+//! that no other case caught at first. See `docs/PROOF.md`.
 
 use std::time::Duration;
 
@@ -9,7 +9,8 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// The mark of the list outlives the connection on which work was sent.
+/// A target that the list marks as leaving stays marked after its connection
+/// was lost and opened again.
 fn listed_as_leaving_and_reconnected() {
     let mut world = World::new(3, 3, 2);
     world.targets.get(1, 0).listed = Some(State::Leaving);
@@ -25,7 +26,8 @@
     assert_eq!(world.targets.get(1, 0).attempts, before);
 }
 
-/// A leg waits for a slot beyond its deadline, and its entry cannot withdraw it.
+/// A leg waits for a slot until after its deadline, and its entry is cut off
+/// and cannot withdraw it.
 fn slot_frees_after_the_deadline() {
     let mut world = World::new(3, 1, 1);
     let home = world.home_of(0);
@@ -47,7 +49,8 @@
     assert!(!world.targets.started.contains_key(" for one"));
 }
 
-/// A claim that is granted after its caller was refused is given back.
+/// A claim that is granted after its caller was refused is released, so that
+/// the same key can be used again.
 fn granted_after_the_deadline() {
     let mut world = World::new(3, 3, 2);
     world.claim_delay = 1500 * MS;
@@ -60,13 +63,15 @@
     assert!(matches!(world.answer(again).body, Body::Done { replayed: false, .. }));
 }
 
-/// A search that has read most of one version starts over on the next one.
-fn version_goes_when_most_is_read() {
+/// A search that has read most of one version when that is removed is restarted
+/// at the next one, and keeps no rows of the first.
+fn version_removed_when_most_is_read() {
     let mut world = World::new(3, 3, 2);
     let home = world.home_of(0);
-    assert!(home != name("vm-1") && home != world.home_of(1), "the leg has its own way");
+    assert!(home != name("vm-1") && home != world.home_of(1), "the leg needs a lane of its own");
     world.network.slow(&name("vm-1"), &home, 30 * MS);
-    // The homes read the holdings of their targets soon after the change.
+    // After this wait, the homes read the status of their targets soon after
+    // the change.
     world.run(480 * MS);
     let call = world.search("vm-1", WHOLE, " for one");
     world.run(20 * MS);
@@ -77,7 +82,7 @@
 }
 
 /// A request that crashed a target waits until its next target is idle, so that
-/// no other request is lost with it.
+/// no other request fails with it.
 fn suspect_waits_for_an_idle_target() {
     let mut world = World::new(3, 3, 2);
     // A target gets one leg at a time until it has answered some.
@@ -107,5 +112,5 @@
     a_leg_that_waits_beyond_its_deadline_is_not_sent => slot_frees_after_the_deadline();
     a_claim_that_is_granted_too_late_is_given_back => granted_after_the_deadline();
     a_search_that_starts_over_keeps_nothing_of_the_first_version =>
-        version_goes_when_most_is_read();
+        version_removed_when_most_is_read();
 }
--- a/crates/core/tests/rules/route.rs
+++ b/crates/core/tests/rules/route.rs
@@ -1,4 +1,4 @@
-//! Which VMs serve a shard.
+//! The choice of the VMs that serve a shard.
 
 use std::collections::BTreeMap;
 
@@ -11,10 +11,8 @@
 
 use crate::world::name;
 
-/// The VMs of the view.
 const VMS: u64 = 25;
 
-/// The shards that are looked at.
 const SHARDS: u64 = 200;
 
 fn vm(number: u64) -> Vm {
@@ -36,9 +34,9 @@
     view
 }
 
-/// The first VMs in the order of all: live ones first, then suspect, then
-/// leaving ones, each by weight.
-fn expected(view: &View, key: &shard::Key, most: usize) -> Vec<Name> {
+/// The first VMs of a full sort: live VMs first, then suspect and then leaving
+/// ones, each by weight.
+fn expected(view: &View, key: &shard::Key, max: usize) -> Vec<Name> {
     let seed = rank::seed(&[key.index.as_str(), key.shard.as_str()]);
     let mut all = rank::order(seed, view.vms.keys());
     all.sort_by_key(|name| match view.vms[*name].state {
@@ -46,22 +44,22 @@
         State::Suspect => 1,
         State::Leaving => 2,
     });
-    all.into_iter().take(most).cloned().collect()
+    all.into_iter().take(max).cloned().collect()
 }
 
-fn compare(most: usize) {
+fn compare(max: usize) {
     let view = view();
     let own = Lane { vm: name("vm-0"), thread: 0 };
     for shard in 0..SHARDS {
         let key = shard::Key { index: name("register"), shard: name(&format!("shard-{shard}")) };
-        let lanes = Home.lanes(&view, &own, &key, most);
+        let lanes = Home.lanes(&view, &own, &key, max);
         let found: Vec<Name> = lanes.into_iter().map(|lane| lane.vm).collect();
-        assert_eq!(found, expected(&view, &key, most), "{key:?}");
+        assert_eq!(found, expected(&view, &key, max), "{key:?}");
     }
 }
 
 cases! {
     the_first_homes_are_those_of_the_whole_order => compare(3);
     more_homes_than_vms_are_all_of_them => compare(100);
-    no_home_is_none => compare(0);
+    a_limit_of_zero_homes_gives_none => compare(0);
 }
--- a/crates/core/tests/rules/search.rs
+++ b/crates/core/tests/rules/search.rs
@@ -1,4 +1,5 @@
-//! Searches: one snapshot, true coverage, the whole answer to one's own request.
+//! Searches: all rows come from one snapshot version, the reported coverage is
+//! true, and an answer belongs to its request and is whole in what it covers.
 
 use std::time::Duration;
 
@@ -35,7 +36,7 @@
     }
 }
 
-/// Every reply of one replica has the fault; the answer is still whole.
+/// Every reply of one replica has the fault; the answer is still complete.
 fn bad_replies_are_dropped(fault: Fault, reason: Drop) {
     let mut world = World::new(3, 4, 2);
     world.targets.get(1, 0).fault = Some(fault);
@@ -48,7 +49,7 @@
     assert!(dropped > 0, "no reply was dropped as {reason:?}");
 }
 
-/// Every reply of a whole shard has the fault; the answer leaves it out.
+/// Every reply of a shard has the fault; the answer leaves the shard out.
 fn bad_shards_are_missing(fault: Fault) {
     let mut world = World::new(3, 4, 2);
     world.targets.get(1, 0).fault = Some(fault);
@@ -83,7 +84,7 @@
     assert_eq!(found.coverage, 750_000);
 }
 
-fn replica_lost_under_the_query() {
+fn replica_lost_during_the_query() {
     let mut world = World::new(3, 4, 2);
     let call = world.search("vm-1", WHOLE, "");
     world.run(2 * MS);
@@ -110,7 +111,7 @@
     }
 }
 
-fn version_goes_under_the_query() {
+fn version_removed_during_the_query() {
     let mut world = World::new(3, 4, 2);
     for shard in 0..4 {
         for replica in 0..2 {
@@ -127,12 +128,12 @@
     assert!(found.missing.is_empty());
 }
 
-fn repartition_under_the_query() {
+fn repartition_during_the_query() {
     let mut world = World::new(3, 4, 2);
     let slow = world.targets.get(0, 0);
     slow.service = 100 * MS;
     let call = world.search("vm-1", WHOLE, "");
-    // Shards two and three change places at the same version.
+    // Shards two and three swap their ranges at the same version.
     for replica in 0..2 {
         let two = world.targets.get(2, replica).status.holds.clone();
         let three = std::mem::replace(&mut world.targets.get(3, replica).status.holds, two);
@@ -154,7 +155,7 @@
     assert!(found.missing.is_empty());
 }
 
-fn home_killed_under_the_query() {
+fn home_killed_during_the_query() {
     let mut world = World::new(3, 4, 2);
     let home = world.home_of(1);
     let entry = world.stranger_to(1);
@@ -167,7 +168,7 @@
     assert!(found.missing.is_empty());
 }
 
-fn home_paused_under_the_query() {
+fn home_paused_during_the_query() {
     let mut world = World::new(3, 4, 2);
     let home = world.home_of(1);
     let entry = world.stranger_to(1);
@@ -200,7 +201,7 @@
     assert!(found.missing.is_empty());
 }
 
-fn home_that_is_reported_lost() {
+fn home_reported_lost() {
     let mut world = World::new(3, 4, 2);
     let home = world.home_of(1);
     let entry = world.stranger_to(1);
@@ -257,7 +258,7 @@
     let serving = |incarnation| Report::Serving { target: target.clone(), incarnation };
     let reported = |report: &Report| world.reports.iter().filter(|own| *own == report).count();
     assert_eq!(reported(&serving(1)), 1);
-    assert_eq!(reported(&serving(2)), 1, "the drain is never taken back elsewhere");
+    assert_eq!(reported(&serving(2)), 1, "other VMs must learn that the drain has ended");
 }
 
 fn drained_target_gets_no_work() {
@@ -300,7 +301,7 @@
     assert!(found.missing.is_empty());
 }
 
-/// A search that crashes every target, of every shard, sent through every VM.
+/// A search that crashes the targets of all shards, sent through every VM.
 fn poison_everywhere() {
     let mut world = World::new(3, 6, 2);
     for target in world.targets.rows.values_mut() {
@@ -310,7 +311,7 @@
         let call = world.search(vm, CAREFUL, "poison");
         world.run(1100 * MS);
         assert_eq!(refusal(&world, call).0, Kind::Quarantined);
-        // The control threads pass on what is held back.
+        // The control threads would publish the quarantine.
         let condemned = world.reports.iter().filter_map(|report| match report {
             Report::Condemned { fingerprint, .. } => Some(*fingerprint),
             _ => None,
@@ -324,8 +325,9 @@
     assert!(found.missing.is_empty(), "a shard lost both replicas");
 }
 
-/// A rack takes one target of each of several shards while a search runs.
-fn rack_that_fails() {
+/// A rack failure takes one target of each of several shards while a search
+/// runs.
+fn rack_failure() {
     let mut world = World::new(1, 6, 2);
     for target in world.targets.rows.values_mut() {
         target.service = 50 * MS;
@@ -347,7 +349,7 @@
     assert!(!world.reports.iter().any(|report| matches!(report, Report::Condemned { .. })));
 }
 
-fn proven_search_is_not_tried_again() {
+fn answered_search_is_not_tried_again() {
     let mut world = World::new(3, 6, 2);
     let mut times = Vec::new();
     for _ in 0..2 {
@@ -392,25 +394,25 @@
     a_shard_of_another_version_is_missing => bad_shards_are_missing(Fault::WrongVersion);
     a_lost_shard_is_named => lost_shard_is_named();
     a_shard_that_no_list_names_is_missing => unlisted_shard_is_missing();
-    a_replica_lost_under_the_query_is_replaced => replica_lost_under_the_query();
+    a_replica_lost_during_the_query_is_replaced => replica_lost_during_the_query();
     a_newer_version_is_read_once_it_is_everywhere => newer_version_is_read_once_it_is_everywhere();
-    a_version_that_goes_restarts_the_query => version_goes_under_the_query();
-    a_repartition_is_planned_again => repartition_under_the_query();
+    a_version_that_goes_restarts_the_query => version_removed_during_the_query();
+    a_repartition_is_planned_again => repartition_during_the_query();
     a_silent_connection_is_replaced => silent_connection_is_replaced();
-    a_killed_home_is_replaced => home_killed_under_the_query();
-    a_paused_home_is_replaced => home_paused_under_the_query();
+    a_killed_home_is_replaced => home_killed_during_the_query();
+    a_paused_home_is_replaced => home_paused_during_the_query();
     a_home_that_hears_nothing_is_replaced => home_cut_off(true, false);
     a_home_that_is_not_heard_is_replaced => home_cut_off(false, true);
     a_home_that_is_cut_off_is_replaced => home_cut_off(true, true);
-    a_home_that_is_reported_lost_is_replaced_at_once => home_that_is_reported_lost();
+    a_home_that_is_reported_lost_is_replaced_at_once => home_reported_lost();
     a_leaving_home_finishes_what_it_has => leaving_home_finishes_what_it_has();
     a_target_that_drained_and_restarted_takes_work => restarted_target_takes_work_again();
     a_target_that_says_it_drains_gets_no_work => drained_target_gets_no_work();
     a_target_listed_as_leaving_gets_no_work => listed_as_leaving_gets_no_work();
     a_poison_request_stops_after_two_targets => poison_stops_after_two_targets();
     a_search_that_crashes_every_target_stops_after_two => poison_everywhere();
-    a_rack_that_fails_condemns_no_search => rack_that_fails();
-    a_search_that_was_answered_is_not_tried_again => proven_search_is_not_tried_again();
+    a_rack_failure_quarantines_no_search => rack_failure();
+    a_search_that_was_answered_is_not_tried_again => answered_search_is_not_tried_again();
     an_unknown_profile_is_refused => unknown_profile_is_refused();
     nineteen_vms_share_the_connections => homes_share_the_connections();
 }
--- a/crates/core/tests/rules/traffic_load.rs
+++ b/crates/core/tests/rules/traffic_load.rs
@@ -1,4 +1,5 @@
-//! Behaviour under load: budgets, choice of targets, admission, recovery.
+//! Behaviour under load: retry budget, choice of targets, admission and
+//! recovery.
 
 use std::time::Duration;
 
@@ -14,8 +15,8 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// Changes the profile that asks for all of the index.
-fn terms(world: &mut World, extra_load: u32, priority: u32) {
+/// Changes the profile that requires full coverage.
+fn set_profile(world: &mut World, extra_load: u32, priority: u32) {
     let profile = world.document.profiles.get_mut(&name(WHOLE)).unwrap();
     profile.extra_load = extra_load;
     profile.priority = priority;
@@ -23,7 +24,7 @@
     world.run(10 * MS);
 }
 
-fn sum(world: &World, count: Count) -> u64 {
+fn total(world: &World, count: Count) -> u64 {
     world.vms.values().map(|vm| vm.counts.get(count)).sum()
 }
 
@@ -32,11 +33,11 @@
     world.answer(call).took
 }
 
-/// Sends a search every `pause`, through the VMs in turn.
-fn send(world: &mut World, many: usize, pause: Duration, profile: &str) -> Vec<Call> {
+/// Sends `count` searches, one every `pause`, to each VM in turn.
+fn send(world: &mut World, count: usize, pause: Duration, profile: &str) -> Vec<Call> {
     let vms: Vec<String> = world.vms.keys().map(ToString::to_string).collect();
     let mut calls = Vec::new();
-    for number in 0..many {
+    for number in 0..count {
         let vm = &vms[number % vms.len()];
         let text = format!("text {number} at {}", world.now.0);
         calls.push(world.search(vm, profile, &text));
@@ -45,29 +46,30 @@
     calls
 }
 
-fn answered(world: &World, calls: &[Call]) -> usize {
+fn count_answered(world: &World, calls: &[Call]) -> usize {
     calls.iter().filter(|&&call| matches!(world.answer(call).body, Body::Found(_))).count()
 }
 
 fn hedges_keep_the_budget() {
     let mut world = World::new(3, 4, 2);
-    let before = sum(&world, Count::FirstAttempts);
+    let before = total(&world, Count::FirstAttempts);
     for target in world.targets.rows.values_mut() {
         target.service = 100 * MS;
     }
     send(&mut world, 40, 300 * MS, WHOLE);
-    let first = sum(&world, Count::FirstAttempts) - before;
-    let hedges = sum(&world, Count::Hedges);
+    let first = total(&world, Count::FirstAttempts) - before;
+    let hedges = total(&world, Count::Hedges);
     assert_eq!(first, 160);
     let allowed = first * 50_000 / u64::from(MILLION);
     assert!(hedges <= allowed, "{hedges} hedges, {allowed} are allowed");
     assert!(hedges > 0, "nothing was hedged");
 }
 
-/// One VM, one shard of two targets of which the first is slow, without hedges.
+/// One VM and one shard of two targets, of which the first is known to be slow.
+/// The profile allows no hedges.
 fn slow_target() -> World {
     let mut world = World::new(1, 1, 2);
-    terms(&mut world, 0, 10);
+    set_profile(&mut world, 0, 10);
     world.targets.get(0, 0).service = 400 * MS;
     send(&mut world, 40, 450 * MS, WHOLE);
     world
@@ -125,8 +127,8 @@
     assert_eq!(world.targets.get(0, 0).most_running, 1);
 }
 
-/// Two shards of one target with two slots; a request takes 42 ms with its way,
-/// so the slots allow 47 queries a second.
+/// Two shards of one target with two slots each. A request takes 42 ms with its
+/// network delay, so the slots allow 47 queries a second.
 fn small_world() -> World {
     let mut world = World::new(2, 2, 1);
     for target in world.targets.rows.values_mut() {
@@ -140,14 +142,14 @@
     let mut world = small_world();
     let calls = send(&mut world, 600, 5 * MS, WHOLE);
     world.run(1100 * MS);
-    let answered = answered(&world, &calls);
+    let answered = count_answered(&world, &calls);
     assert!(answered >= 140, "{answered} of 141 that the slots allow were answered");
     let refused = calls.iter().filter_map(|&call| match &world.answer(call).body {
         Body::Refused(fault) => Some((fault.kind, fault.ran)),
         _ => None,
     });
     let late = refused.filter(|refusal| *refusal != (Kind::Overloaded, Ran::No)).count();
-    assert!(late <= 6, "{late} of 600 queries were refused after they were started");
+    assert!(late <= 6, "{late} of 600 queries were not refused as overloaded before they ran");
 }
 
 fn latency_is_back_after_a_burst(deadline: Duration) {
@@ -158,16 +160,16 @@
     send(&mut world, 200, 7 * MS, WHOLE);
     let after = send(&mut world, 80, 35 * MS, WHOLE);
     world.run(1100 * MS);
-    // From two seconds after the burst.
+    // The searches from two seconds after the burst on.
     for &call in &after[58..] {
         let took = took(&world, call);
         assert!(took < 100 * MS, "took {took:?}");
     }
 }
 
-fn legs_live_or_die_together() {
+fn unanswerable_query_ends_its_legs() {
     let mut world = World::new(3, 4, 2);
-    terms(&mut world, 0, 10);
+    set_profile(&mut world, 0, 10);
     for target in world.targets.rows.values_mut() {
         target.sheds = target.shard == 1;
         target.service = 400 * MS;
@@ -188,7 +190,7 @@
     }
     send(&mut world, 500, 5 * MS, WHOLE);
     world.run(1100 * MS);
-    let (first, all) = (sum(&world, Count::FirstAttempts), sum(&world, Count::Attempts));
+    let (first, all) = (total(&world, Count::FirstAttempts), total(&world, Count::Attempts));
     assert!(first >= 1000, "{first} first attempts");
     assert!(all * 10 <= first * 11, "{all} attempts for {first} first attempts");
 }
@@ -207,7 +209,7 @@
         urgent.extend(send(&mut world, 1, 5 * MS, "urgent"));
     }
     world.run(1100 * MS);
-    let (plain, urgent) = (answered(&world, &plain), answered(&world, &urgent));
+    let (plain, urgent) = (count_answered(&world, &plain), count_answered(&world, &urgent));
     assert!(urgent >= 2 * plain, "{urgent} urgent answers, {plain} others");
     assert!(plain >= 20, "{plain} others");
 }
@@ -221,7 +223,7 @@
     overload_is_refused_before_anything_runs => overload_is_refused_before_it_runs();
     latency_is_back_two_seconds_after_a_burst => latency_is_back_after_a_burst(1000 * MS);
     latency_is_back_also_with_a_long_deadline => latency_is_back_after_a_burst(3000 * MS);
-    the_legs_of_a_query_live_or_die_together => legs_live_or_die_together();
+    a_query_that_cannot_be_answered_ends_all_its_legs => unanswerable_query_ends_its_legs();
     targets_that_shed_cause_no_retry_storm => sheds_cause_no_storm();
     profiles_share_the_slots_by_priority => profiles_share_by_priority();
 }
--- a/crates/core/tests/rules/traffic_share.rs
+++ b/crates/core/tests/rules/traffic_share.rs
@@ -11,7 +11,8 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// One shard of one target that takes 100 ms.
+/// Two VMs and one shard of one target, which takes 100 ms after some faster
+/// answers.
 fn slow_world() -> World {
     let mut world = World::new(2, 1, 1);
     world.document.profiles.get_mut(&name(WHOLE)).unwrap().canary = false;
@@ -25,7 +26,8 @@
     world
 }
 
-fn same(world: &mut World, vms: &[&str]) -> Vec<Call> {
+/// Sends equal searches to `vms`, 10 ms apart.
+fn equal_searches(world: &mut World, vms: &[&str]) -> Vec<Call> {
     let mut calls = vec![world.search(vms[0], WHOLE, "same")];
     for vm in &vms[1..] {
         world.run(10 * MS);
@@ -34,9 +36,9 @@
     calls
 }
 
-fn equal_searches_share() {
+fn searches_share() {
     let mut world = slow_world();
-    let calls = same(&mut world, &["vm-1", "vm-2", "vm-1"]);
+    let calls = equal_searches(&mut world, &["vm-1", "vm-2", "vm-1"]);
     world.run(200 * MS);
     for call in calls {
         let found = world.found(call).clone();
@@ -56,7 +58,7 @@
 
 fn one_that_leaves_cancels_nothing() {
     let mut world = slow_world();
-    let calls = same(&mut world, &["vm-1", "vm-2", "vm-1"]);
+    let calls = equal_searches(&mut world, &["vm-1", "vm-2", "vm-1"]);
     world.run(10 * MS);
     let call = calls[0];
     world.deliver(&name("vm-1"), Duration::ZERO, Event::Abandoned { call });
@@ -70,7 +72,7 @@
 fn each_keeps_its_deadline() {
     let mut world = slow_world();
     world.targets.get(0, 0).service = 1050 * MS;
-    let mut calls = same(&mut world, &["vm-1", "vm-2"]);
+    let mut calls = equal_searches(&mut world, &["vm-1", "vm-2"]);
     world.run(500 * MS);
     calls.push(world.search("vm-2", WHOLE, "same"));
     world.run(1600 * MS);
@@ -84,7 +86,7 @@
 }
 
 cases! {
-    equal_searches_in_flight_share_one_attempt => equal_searches_share();
+    equal_searches_in_flight_share_one_attempt => searches_share();
     other_searches_have_attempts_of_their_own => other_searches_do_not();
     a_sharer_that_leaves_cancels_nothing_for_others => one_that_leaves_cancels_nothing();
     each_sharer_keeps_its_own_deadline => each_keeps_its_deadline();
