--- a/crates/core/src/traffic/policy/mod.rs
+++ b/crates/core/src/traffic/policy/mod.rs
@@ -1,41 +1,44 @@
-//! Policies of the traffic threads, as trait objects, so that ways to route and
-//! to limit can be compared in one run. See `docs/design/homes.md`.
+//! The policies of a traffic thread: routing, limits on targets, hedging,
+//! choice of targets and coalescing. They are trait objects, so that
+//! alternatives can be compared in one run. See `docs/design/homes.md`.
 
 pub mod route;
 pub mod slots;
 pub mod hedge;
 pub mod choice;
-pub mod join;
+pub mod coalesce;
 
 use std::fmt;
 
 pub use self::{
-    choice::{Chance, Choice, LeastExpected},
+    choice::{Candidate, Choice, LeastExpected},
+    coalesce::{Coalesce, CoalesceSearches, NeverCoalesce},
     hedge::{Hedge, Never, Quantile},
-    join::{Alone, Join, Searches},
     route::{Direct, Home, Route},
-    slots::{Adaptive, Exact, Share, Slots},
+    slots::{Adaptive, AllSlots, EqualShare, Slots},
 };
 
 /// The policies of a traffic thread.
 pub struct Policies {
-    /// Where a shard is served.
+    /// Which VMs serve a shard.
     pub route: Box<dyn Route + Send>,
-    /// How many attempts run at a target.
+    /// How many attempts run at a target at a time.
     pub slots: Box<dyn Slots + Send>,
     /// When a slow attempt is hedged.
     pub hedge: Box<dyn Hedge + Send>,
     /// Which target gets a job.
     pub choice: Box<dyn Choice + Send>,
     /// Which legs share an attempt.
-    pub join: Box<dyn Join + Send>,
+    pub coalesce: Box<dyn Coalesce + Send>,
 }
 
-/// Makes the policies of a thread; each thread has its own.
-pub type Make = fn() -> Policies;
+/// Creates the policies of one thread. Each thread has its own, because
+/// policies may hold state.
+pub type Factory = fn() -> Policies;
 
-/// The quantile beyond which an attempt is hedged, in thousandths.
-pub const HEDGE_QUANTILE: u32 = 970;
+/// The quantile of the latencies beyond which an attempt is hedged by default,
+/// in thousandths.
+pub const HEDGE_QUANTILE_PERMILLE: u32 = 970;
 
 impl fmt::Debug for Policies {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -44,7 +47,7 @@
             .entry(&self.slots)
             .entry(&self.hedge)
             .entry(&self.choice)
-            .entry(&self.join)
+            .entry(&self.coalesce)
             .finish()
     }
 }
@@ -53,10 +56,10 @@
     fn default() -> Policies {
         Policies {
             route: Box::new(Home),
-            slots: Box::new(Exact),
-            hedge: Box::new(Quantile { part: HEDGE_QUANTILE }),
+            slots: Box::new(AllSlots),
+            hedge: Box::new(Quantile { permille: HEDGE_QUANTILE_PERMILLE }),
             choice: Box::new(LeastExpected),
-            join: Box::new(Searches),
+            coalesce: Box::new(CoalesceSearches),
         }
     }
 }
