Name the limits of claims, the floor's key and the verdicts plainly

These names are used outside the claims folders, so the rename stands alone. Only identifiers change:

- claims::layout::FLOOR -> FLOOR_KEY
- claims::Limits::call -> call_timeout
- claims::Limits::gather -> batch_delay
- claims::Limits::value -> bucket_bytes
- claims::outbox::Outbox::claimed -> verdicts

--- a/crates/core/src/claims/confirm.rs
+++ b/crates/core/src/claims/confirm.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Outbox, Scope, call,
-    layout::FLOOR,
+    layout::FLOOR_KEY,
     table::{Purpose, Tables},
 };
 
@@ -19,6 +19,6 @@
         return;
     }
     let grants = std::mem::take(&mut tables.grants);
-    let get = Call::Get { key: FLOOR.to_owned() };
+    let get = Call::Get { key: FLOOR_KEY.to_owned() };
     call(tables, scope, out, Purpose::Confirm { grants }, get);
 }
--- a/crates/core/src/claims/decide.rs
+++ b/crates/core/src/claims/decide.rs
@@ -183,7 +183,7 @@
     if !row.claims.is_empty() || row.records.len() >= limits.group {
         return Some(Instant::default());
     }
-    row.records.iter().map(|record| record.since + limits.gather).min()
+    row.records.iter().map(|record| record.since + limits.batch_delay).min()
 }
 
 fn is_due(row: &Row, scope: &Scope<'_>) -> bool {
@@ -243,7 +243,7 @@
         let free = matches!(examine(value, &pending.request), Match::Free);
         if !free || added.len() >= scope.limits.group {
             left.push(pending);
-        } else if value.size() + CLAIM_SIZE > scope.limits.value / 2 {
+        } else if value.size() + CLAIM_SIZE > scope.limits.bucket_bytes / 2 {
             settle(&pending, Verdict::Full, replies, out);
         } else {
             let Request { key, token, fingerprint } = pending.request;
@@ -316,7 +316,7 @@
         Outcome::Done { result } => result.len() + 4,
         Outcome::NotRun => CLAIM_SIZE,
     };
-    if !allowed || value.size() + grows > scope.limits.value {
+    if !allowed || value.size() + grows > scope.limits.bucket_bytes {
         return Applied::Refused;
     }
     value.insert(key, Entry { token, fingerprint, outcome });
--- a/crates/core/src/claims/expire.rs
+++ b/crates/core/src/claims/expire.rs
@@ -35,7 +35,7 @@
             intake::report(tables, scope, request, Outcome::NotRun, out);
         }
         let detail = "the claim was not settled before the deadline".to_owned();
-        out.claimed.push((operation, Verdict::Unsettled { detail }));
+        out.verdicts.push((operation, Verdict::Unsettled { detail }));
     }
 }
 
--- a/crates/core/src/claims/intake.rs
+++ b/crates/core/src/claims/intake.rs
@@ -71,13 +71,13 @@
     out: &mut Outbox,
 ) {
     if let Some(verdict) = outside(tables, scope, &request) {
-        out.claimed.push((operation, verdict));
+        out.verdicts.push((operation, verdict));
         return;
     }
     if tables.operations.len() >= scope.limits.operations {
         out.count(Count::QueueFull);
         let detail = "too many operations wait for a claim at this VM".to_owned();
-        out.claimed.push((operation, Verdict::Unsettled { detail }));
+        out.verdicts.push((operation, Verdict::Unsettled { detail }));
         return;
     }
     let next = scope.now;
@@ -178,7 +178,7 @@
     if open && held {
         report(tables, scope, row.request, Outcome::NotRun, out);
     }
-    out.claimed.push((row.operation, answer.verdict));
+    out.verdicts.push((row.operation, answer.verdict));
 }
 
 /// Puts a claim into the queue of its bucket.
--- a/crates/core/src/claims/layout.rs
+++ b/crates/core/src/claims/layout.rs
@@ -7,7 +7,7 @@
 use crate::{claim::Key, rank};
 
 /// The key of the floor in the platform's service.
-pub const FLOOR: &str = "claims/floor";
+pub const FLOOR_KEY: &str = "claims/floor";
 
 /// How keys are laid out over buckets.
 ///
@@ -83,5 +83,5 @@
 
 /// The seed by which the VM that moves the floor is ranked.
 pub fn floor_seed() -> u64 {
-    rank::seed(&[FLOOR])
+    rank::seed(&[FLOOR_KEY])
 }
--- a/crates/core/src/claims/limits.rs
+++ b/crates/core/src/claims/limits.rs
@@ -15,7 +15,7 @@
     /// How far ahead of this VM's clock a key may have been issued.
     pub skew: Duration,
     /// How long a call may take before its effect counts as unknown.
-    pub call: Duration,
+    pub call_timeout: Duration,
     /// How long a remembered value may answer a resend without a new read.
     pub fresh: Duration,
     /// The writes a second that all VMs together spend on claims.
@@ -25,9 +25,9 @@
     /// The claims and outcomes in one write.
     pub group: usize,
     /// How long an outcome waits for others before it is written alone.
-    pub gather: Duration,
+    pub batch_delay: Duration,
     /// The bytes of a stored bucket; claims may take half of it.
-    pub value: usize,
+    pub bucket_bytes: usize,
     /// The bytes of a result; a longer one is not recorded.
     pub result: usize,
     /// The claims, and again the outcomes, that may wait at this home.
@@ -56,13 +56,13 @@
             layout: Layout::V1,
             window: Duration::from_secs(3600),
             skew: Duration::from_secs(10),
-            call: Duration::from_secs(1),
+            call_timeout: Duration::from_secs(1),
             fresh: Duration::from_millis(100),
             writes: 240,
             burst: 4,
             group: 1000,
-            gather: Duration::from_millis(250),
-            value: 512 * 1024,
+            batch_delay: Duration::from_millis(250),
+            bucket_bytes: 512 * 1024,
             result: 4096,
             queue: 4096,
             operations: 4096,
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -142,7 +142,7 @@
 ) -> CallId {
     tables.last_call += 1;
     let id = CallId(tables.last_call);
-    tables.calls.insert(id, Flight { purpose, deadline: scope.now + scope.limits.call });
+    tables.calls.insert(id, Flight { purpose, deadline: scope.now + scope.limits.call_timeout });
     out.calls.push((id, call));
     id
 }
--- a/crates/core/src/claims/outbox.rs
+++ b/crates/core/src/claims/outbox.rs
@@ -65,7 +65,7 @@
     /// Messages to the control threads of other VMs.
     pub messages: Vec<(Name, Message)>,
     /// Verdicts for operations of this VM.
-    pub claimed: Vec<(id::Query, Verdict)>,
+    pub verdicts: Vec<(id::Query, Verdict)>,
     /// What happened how often in this tick.
     pub counts: BTreeMap<Count, u64>,
     /// Lines for the log.
--- a/crates/core/src/claims/sweep.rs
+++ b/crates/core/src/claims/sweep.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Count, Message, Outbox, Scope, call,
-    layout::{self, Bucket, FLOOR},
+    layout::{self, Bucket, FLOOR_KEY},
     table::{Purpose, Tables},
     value::Floor,
 };
@@ -45,7 +45,7 @@
     tables.sweep.most = tables.sweep.most.max(order.len());
     match order.iter().position(|vm| *vm == scope.vm) {
         Some(0) => {
-            let get = Call::Get { key: FLOOR.to_owned() };
+            let get = Call::Get { key: FLOOR_KEY.to_owned() };
             start(tables, scope, out, Purpose::FloorRead, get);
         }
         Some(rank) if rank < CLOCKS => {
@@ -110,7 +110,7 @@
         return;
     }
     let floor = Floor { slot: target, swept: tables.sweep.slot };
-    let key = FLOOR.to_owned();
+    let key = FLOOR_KEY.to_owned();
     let swap = Call::Swap { key, expect: version, value: floor.encode(), lease: None };
     start(tables, scope, out, Purpose::FloorWrite { floor }, swap);
 }
--- a/crates/core/src/control/system/claims.rs
+++ b/crates/core/src/control/system/claims.rs
@@ -25,7 +25,7 @@
     for (vm, message) in out.messages {
         spread::post(tables, step, &vm, Body::Claims(message));
     }
-    for (operation, verdict) in out.claimed {
+    for (operation, verdict) in out.verdicts {
         if let Some(thread) = tables.claims.threads.remove(&operation) {
             let notice = Notice::Claimed { operation, verdict };
             step.out.notices.push((Recipient::Thread(thread), notice));
--- a/crates/core/tests/claims/fault.rs
+++ b/crates/core/tests/claims/fault.rs
@@ -66,7 +66,7 @@
 }
 
 fn is_bucket_write(item: &Item) -> bool {
-    matches!(item, Item::Arrive { call: Call::Swap { key, .. }, .. } if key != layout::FLOOR)
+    matches!(item, Item::Arrive { call: Call::Swap { key, .. }, .. } if key != layout::FLOOR_KEY)
 }
 
 fn waits(world: &World, found: impl Fn(&Item) -> bool) -> bool {
@@ -74,7 +74,7 @@
 }
 
 fn is_stored(world: &World) -> bool {
-    world.store.values.keys().any(|key| key != layout::FLOOR)
+    world.store.values.keys().any(|key| key != layout::FLOOR_KEY)
 }
 
 /// Starts the operation and runs until the step.
--- a/crates/core/tests/claims/fuzz.rs
+++ b/crates/core/tests/claims/fuzz.rs
@@ -195,7 +195,7 @@
         let limits = Limits {
             window: WINDOW,
             sweep: Duration::from_millis(500),
-            call: Duration::from_millis(500),
+            call_timeout: Duration::from_millis(500),
             report: Duration::from_secs(10),
             ..Limits::default()
         };
--- a/crates/core/tests/claims/rule.rs
+++ b/crates/core/tests/claims/rule.rs
@@ -6,7 +6,7 @@
     claim::{Key, Outcome, Verdict},
     claims::{
         Count, Limits,
-        layout::{Bucket, FLOOR, Layout, floor_seed},
+        layout::{Bucket, FLOOR_KEY, Layout, floor_seed},
         value::{Entry, Floor, Value},
     },
     digest::Fingerprint,
@@ -74,7 +74,7 @@
     a_bucket_key_reads_back => {
         let bucket = Bucket { slot: 1_800_000_000, part: 7 };
         assert_eq!(Bucket::parse(&bucket.text()), Some(bucket));
-        assert_eq!(Bucket::parse(FLOOR), None);
+        assert_eq!(Bucket::parse(FLOOR_KEY), None);
     };
     a_key_without_a_time_of_issue_has_no_bucket => {
         assert_eq!(Layout::V1.bucket(&Key(Uuid::nil())), None);
@@ -185,7 +185,7 @@
         let slot = EPOCH / 1000 + 100;
         let floor = Floor { slot, swept: slot }.encode();
         let version = laburnum_core::store::Version(1);
-        world.store.values.insert(FLOOR.to_owned(), (version, floor));
+        world.store.values.insert(FLOOR_KEY.to_owned(), (version, floor));
         assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Expired);
         assert!(!world.oracle.ran(key));
         world.run(LONG);
@@ -199,7 +199,7 @@
         }
         world.run(Duration::from_secs(30));
         let left: Vec<&String> = world.store.values.keys().collect();
-        assert_eq!(left, [FLOOR]);
+        assert_eq!(left, [FLOOR_KEY]);
     };
     the_floor_stays_while_its_mover_hears_no_clock => {
         let mut world = world();
@@ -212,7 +212,7 @@
         assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Granted);
     };
     a_full_bucket_refuses => {
-        let limits = Limits { value: 100, ..Limits::default() };
+        let limits = Limits { bucket_bytes: 100, ..Limits::default() };
         let mut world = World::new(1, limits, 3);
         let layout = Layout::V1;
         let mut first = world.key();
--- a/crates/core/tests/claims/world/carry.rs
+++ b/crates/core/tests/claims/world/carry.rs
@@ -68,7 +68,7 @@
         for (to, message) in out.messages {
             self.post(vm, &to, &message);
         }
-        for (operation, verdict) in out.claimed {
+        for (operation, verdict) in out.verdicts {
             self.claimed(operation, &verdict);
         }
     }
--- a/crates/core/tests/matrix/step.rs
+++ b/crates/core/tests/matrix/step.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use laburnum_core::{
-    claims::layout::FLOOR,
+    claims::layout::FLOOR_KEY,
     control::RequestId,
     fault::Kind,
     traffic::{Body, Call},
@@ -190,7 +190,7 @@
 }
 
 fn is_claim(key: &str) -> bool {
-    key.starts_with("claims/") && key != FLOOR
+    key.starts_with("claims/") && key != FLOOR_KEY
 }
 
 fn is_running(world: &World) -> bool {
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -124,9 +124,9 @@
         let mut section = document.section("claims");
         let claims = Claims {
             window: section.millis("window_ms", limits.window, up_to(86_400)),
-            value_limit: section.size("value_limit_bytes", limits.value as u64, value),
+            value_limit: section.size("value_limit_bytes", limits.bucket_bytes as u64, value),
             future: section.millis("future_ms", limits.skew, up_to(600)),
-            gather: section.millis("gather_ms", limits.gather, gather),
+            gather: section.millis("gather_ms", limits.batch_delay, gather),
         };
         section.finish();
         claims
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -73,9 +73,9 @@
     claims::Limits {
         window: settings.claims.window,
         skew: settings.claims.future,
-        call: settings.platform.call_limit,
-        gather: settings.claims.gather,
-        value: bytes(settings.claims.value_limit),
+        call_timeout: settings.platform.call_limit,
+        batch_delay: settings.claims.gather,
+        bucket_bytes: bytes(settings.claims.value_limit),
         ..claims::Limits::default()
     }
 }
