--- a/crates/core/src/claims/collect.rs
+++ b/crates/core/src/claims/collect.rs
@@ -1,4 +1,4 @@
-//! Takes the answers to store calls, and the calls that got none, into the
+//! Applies the replies to store calls, and the calls that timed out, to the
 //! tables.
 
 use std::time::Duration;
@@ -9,85 +9,92 @@
 };
 
 use super::{
-    Count, Outbox, Replies, Scope, call, intake,
+    Context, Count, Outbox, Replies, intake,
     layout::Bucket,
-    sweep,
-    table::{CallId, Grant, Hint, Pending, Purpose, Record, Row, Tables},
+    start_call, sweep,
+    table::{Cache, CallId, Grant, Pending, Purpose, Record, Row, Tables},
     value::{Floor, Value},
 };
 
-/// The wait after the first failed call of a bucket; it doubles with each.
-const FIRST_RETRY: Duration = Duration::from_millis(20);
-/// The doublings after which the wait stays the same.
-const MAX_DOUBLINGS: u32 = 5;
+/// The wait before a bucket is retried after one failed call. It doubles with
+/// each further failure in a row.
+const INITIAL_BACKOFF: Duration = Duration::from_millis(20);
+/// The number of doublings after which the wait no longer grows.
+const MAX_BACKOFF_DOUBLINGS: u32 = 5;
 
-/// Runs the system.
+/// Handles `calls`, and treats every call past its deadline as lost.
 pub fn run(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     calls: Vec<(CallId, Reply)>,
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
     for (id, reply) in calls {
-        take(tables, scope, id, reply, replies, out);
+        handle_reply(tables, context, id, reply, replies, out);
     }
-    for id in overdue(tables, scope) {
+    for id in timed_out(tables, context) {
         let detail = "the call got no answer in time".to_owned();
-        take(tables, scope, id, Reply::Lost { detail }, replies, out);
+        handle_reply(tables, context, id, Reply::Lost { detail }, replies, out);
     }
 }
 
-fn overdue(tables: &Tables, scope: &Scope<'_>) -> Vec<CallId> {
-    let due = tables.calls.iter().filter(|(_, flight)| flight.deadline <= scope.now);
+fn timed_out(tables: &Tables, context: &Context<'_>) -> Vec<CallId> {
+    let due = tables.calls.iter().filter(|(_, call)| call.deadline <= context.now);
     due.map(|(&id, _)| id).collect()
 }
 
-fn take(
+fn handle_reply(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     id: CallId,
     reply: Reply,
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
-    let Some(flight) = tables.calls.remove(&id) else { return };
+    let Some(call) = tables.calls.remove(&id) else { return };
     if matches!(reply, Reply::Lost { .. }) {
         out.count(Count::Lost);
     }
-    match flight.purpose {
-        Purpose::Read { bucket } => read(tables, scope, bucket, reply),
+    match call.purpose {
+        Purpose::Read { bucket } => handle_read(tables, context, bucket, reply),
         Purpose::Write { bucket, value, claims, records } => {
             let batch = Batch { value, claims, records };
-            written(tables, scope, bucket, batch, reply, replies, out);
+            handle_write(tables, context, bucket, batch, reply, replies, out);
+        }
+        Purpose::Confirm { grants } => {
+            handle_confirm(tables, context, grants, &reply, replies, out)
         }
-        Purpose::Confirm { grants } => confirmed(tables, scope, grants, &reply, replies, out),
         Purpose::Undo => {}
-        purpose => sweep::collect(tables, scope, purpose, reply, out),
+        purpose => sweep::handle_reply(tables, context, purpose, reply, out),
     }
 }
 
-fn read(tables: &mut Tables, scope: &Scope<'_>, bucket: Bucket, reply: Reply) {
+/// Caches the value that was read.
+fn handle_read(tables: &mut Tables, context: &Context<'_>, bucket: Bucket, reply: Reply) {
     let Some(row) = tables.buckets.get_mut(&bucket) else { return };
     row.call = None;
     match reply {
         Reply::Value { entry, .. } => {
             row.failures = 0;
-            row.hint = hint(entry, scope);
+            row.cache = decode(entry, context);
         }
-        _ => fail(row, scope),
+        _ => back_off(row, context),
     }
 }
 
+/// The claims and outcomes that were put into one write, and the value written.
 struct Batch {
     value: Value,
     claims: Vec<Pending>,
     records: Vec<Record>,
 }
 
-fn written(
+/// Moves written claims on to the read of the floor and acknowledges written
+/// outcomes. After a failure all of them return to the front of their queues.
+fn handle_write(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     bucket: Bucket,
     batch: Batch,
     reply: Reply,
@@ -99,8 +106,11 @@
     match reply {
         Reply::Swapped { version } => {
             row.failures = 0;
-            row.hint =
-                Hint::Known { version: Some(version), value: batch.value, read: Some(scope.now) };
+            row.cache = Cache::Known {
+                version: Some(version),
+                value: batch.value,
+                read_at: Some(context.now),
+            };
             let grants = batch.claims.into_iter().map(|pending| Grant { pending, bucket });
             tables.grants.extend(grants);
             let recorded = batch.records.into_iter();
@@ -110,47 +120,52 @@
         Reply::Conflict { current } => {
             out.count(Count::Conflict);
             row.failures = 0;
-            row.hint = hint(current, scope);
+            row.cache = decode(current, context);
         }
-        Reply::Refused { .. } => fail(row, scope),
+        Reply::Refused { .. } => back_off(row, context),
         _ => {
-            // The write may have taken effect, or may still do so: only a new
-            // read shows the tokens that are stored.
-            row.hint = Hint::Stale;
-            fail(row, scope);
+            // The write may have taken effect or may still do so, so only a new
+            // read shows which tokens are stored.
+            row.cache = Cache::Stale;
+            back_off(row, context);
         }
     }
     row.claims.splice(0..0, batch.claims);
     row.records.splice(0..0, batch.records);
 }
 
-fn fail(row: &mut Row, scope: &Scope<'_>) {
-    let doublings = row.failures.min(MAX_DOUBLINGS);
+/// Delays the next call of a bucket after a failure.
+fn back_off(row: &mut Row, context: &Context<'_>) {
+    let doublings = row.failures.min(MAX_BACKOFF_DOUBLINGS);
     row.failures += 1;
-    row.retry = scope.now + FIRST_RETRY * 2u32.pow(doublings);
+    row.retry_at = context.now + INITIAL_BACKOFF * 2u32.pow(doublings);
 }
 
-fn hint(entry: Option<Entry>, scope: &Scope<'_>) -> Hint {
+fn decode(entry: Option<Entry>, context: &Context<'_>) -> Cache {
     let Some(entry) = entry else {
-        return Hint::Known { version: None, value: Value::default(), read: Some(scope.now) };
+        return Cache::Known { version: None, value: Value::default(), read_at: Some(context.now) };
     };
     match Value::try_from(entry.value.as_slice()) {
-        Ok(value) => Hint::Known { version: Some(entry.version), value, read: Some(scope.now) },
-        Err(_) => Hint::Unreadable,
+        Ok(value) => {
+            Cache::Known { version: Some(entry.version), value, read_at: Some(context.now) }
+        }
+        Err(_) => Cache::Unreadable,
     }
 }
 
-fn confirmed(
+/// Answers stored claims once the floor was read. A claim whose slot is below
+/// the floor has expired, and its bucket is removed again.
+fn handle_confirm(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     grants: Vec<Grant>,
     reply: &Reply,
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
-    let Some(floor) = floor(reply) else {
+    let Some(floor) = decode_floor(reply) else {
         tables.grants.extend(grants);
-        tables.confirm = scope.now + FIRST_RETRY;
+        tables.next_confirm = context.now + INITIAL_BACKOFF;
         return;
     };
     tables.floor = tables.floor.max(floor);
@@ -159,16 +174,16 @@
         let verdict = if below { Verdict::Expired } else { Verdict::Granted };
         out.count(if below { Count::Expired } else { Count::Granted });
         if below {
-            undo(tables, scope, grant.bucket, out);
+            undo_write(tables, context, grant.bucket, out);
         }
         let pending = grant.pending;
-        intake::answer(replies, &pending.requester, pending.request.token, verdict, false);
+        intake::push_answer(replies, &pending.requester, pending.request.token, verdict, false);
     }
 }
 
-/// Reads the slot of the floor from the answer to a read, or none if there was
-/// no usable answer. A floor that was never written is zero.
-fn floor(reply: &Reply) -> Option<u64> {
+/// Returns the slot of the floor, or `None` if the read failed or its value
+/// cannot be decoded. A floor that was never written is zero.
+fn decode_floor(reply: &Reply) -> Option<u64> {
     match reply {
         Reply::Value { entry: None, .. } => Some(0),
         Reply::Value { entry: Some(entry), .. } => {
@@ -178,21 +193,21 @@
     }
 }
 
-/// Removes a bucket that this home wrote below the floor.
-fn undo(tables: &mut Tables, scope: &Scope<'_>, bucket: Bucket, out: &mut Outbox) {
+/// Removes a bucket that this home wrote although its slot is below the floor.
+fn undo_write(tables: &mut Tables, context: &Context<'_>, bucket: Bucket, out: &mut Outbox) {
     let Some(row) = tables.buckets.get_mut(&bucket) else { return };
-    let Hint::Known { version: Some(expect), .. } = row.hint else { return };
-    row.hint = Hint::Stale;
-    remove(tables, scope, bucket, expect, out);
+    let Cache::Known { version: Some(expect), .. } = row.cache else { return };
+    row.cache = Cache::Stale;
+    start_removal(tables, context, bucket, expect, out);
 }
 
-fn remove(
+fn start_removal(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     bucket: Bucket,
     expect: Version,
     out: &mut Outbox,
 ) {
-    let key = bucket.text();
-    call(tables, scope, out, Purpose::Undo, Call::Remove { key, expect });
+    let key = bucket.key();
+    start_call(tables, context, out, Purpose::Undo, Call::Remove { key, expect });
 }
--- a/crates/core/src/claims/decide.rs
+++ b/crates/core/src/claims/decide.rs
@@ -1,5 +1,5 @@
-//! Answers claims from what is stored and starts the reads and writes of the
-//! buckets, one at a time for each.
+//! Answers claims from the cached values and starts the reads and writes of
+//! buckets, with at most one call in flight for each bucket.
 
 use crate::{
     claim::{Outcome, Request, Verdict},
@@ -8,86 +8,99 @@
 };
 
 use super::{
-    Count, Limits, Outbox, Replies, Scope, call, intake,
+    Context, Count, Limits, Outbox, Replies, intake,
     layout::Bucket,
-    table::{Grant, Hint, Pace, Pending, Purpose, Record, Row, Tables},
-    value::{CLAIM_SIZE, Entry, Value},
+    start_call,
+    table::{Cache, Grant, Limiter, Pending, Purpose, Record, Row, Tables},
+    value::{CLAIM_BYTES, Entry, Value},
 };
 
-/// Runs the system.
-pub fn run(tables: &mut Tables, scope: &Scope<'_>, replies: &mut Replies, out: &mut Outbox) {
-    let ready: Vec<Bucket> = ready(tables, scope).collect();
+/// Processes every bucket that has work, no call in flight and no back-off.
+pub fn run(tables: &mut Tables, context: &Context<'_>, replies: &mut Replies, out: &mut Outbox) {
+    let ready: Vec<Bucket> = ready_buckets(tables, context).collect();
     for bucket in ready {
-        // The row stays out of the table while the system works on it.
+        // The row is taken out of the table so that it can be changed together
+        // with the other tables.
         let Some(mut row) = tables.buckets.remove(&bucket) else { continue };
-        step(tables, scope, bucket, &mut row, replies, out);
+        advance(tables, context, bucket, &mut row, replies, out);
         tables.buckets.insert(bucket, row);
     }
-    prune(tables, scope);
+    evict_idle(tables, context);
 }
 
-fn ready<'a>(tables: &'a Tables, scope: &'a Scope<'_>) -> impl Iterator<Item = Bucket> + 'a {
+fn ready_buckets<'a>(
+    tables: &'a Tables,
+    context: &'a Context<'_>,
+) -> impl Iterator<Item = Bucket> + 'a {
     let rows = tables.buckets.iter();
-    let idle = rows.filter(|(_, row)| row.call.is_none() && row.retry <= scope.now);
-    idle.filter(|(_, row)| !is_empty(row)).map(|(&bucket, _)| bucket)
+    let idle = rows.filter(|(_, row)| row.call.is_none() && row.retry_at <= context.now);
+    idle.filter(|(_, row)| !has_no_work(row)).map(|(&bucket, _)| bucket)
 }
 
-fn is_empty(row: &Row) -> bool {
+fn has_no_work(row: &Row) -> bool {
     row.claims.is_empty() && row.records.is_empty()
 }
 
-fn step(
+fn advance(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     bucket: Bucket,
     row: &mut Row,
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
-    match row.hint {
-        Hint::Unreadable => refuse(row, replies, out),
-        Hint::Stale => read(tables, scope, bucket, row, out),
-        Hint::Known { .. } => {
-            answer(tables, scope, bucket, row, replies, out);
-            if matches!(row.hint, Hint::Stale) {
-                read(tables, scope, bucket, row, out);
-            } else if is_due(row, scope) && pace(tables, scope, bucket.part) {
-                write(tables, scope, bucket, row, replies, out);
+    match row.cache {
+        Cache::Unreadable => refuse_all(row, replies, out),
+        Cache::Stale => start_read(tables, context, bucket, row, out),
+        Cache::Known { .. } => {
+            answer_claims(tables, context, bucket, row, replies, out);
+            if matches!(row.cache, Cache::Stale) {
+                start_read(tables, context, bucket, row, out);
+            } else if is_due(row, context) && acquire_write(tables, context, bucket.partition) {
+                start_write(tables, context, bucket, row, replies, out);
             }
         }
     }
 }
 
-fn refuse(row: &mut Row, replies: &mut Replies, out: &mut Outbox) {
+/// Answers all work of a bucket whose stored value cannot be decoded. The value
+/// is read again when the next claim or outcome arrives.
+fn refuse_all(row: &mut Row, replies: &mut Replies, out: &mut Outbox) {
     for pending in row.claims.drain(..) {
         out.count(Count::Unsettled);
         let detail = "the stored claims cannot be read".to_owned();
         let verdict = Verdict::Unsettled { detail };
-        intake::answer(replies, &pending.requester, pending.request.token, verdict, false);
+        intake::push_answer(replies, &pending.requester, pending.request.token, verdict, false);
     }
     for record in row.records.drain(..) {
         out.count(Count::OutcomeDropped);
         replies.recorded.push((record.requester, record.request.token));
     }
-    row.hint = Hint::Stale;
+    row.cache = Cache::Stale;
 }
 
-fn read(tables: &mut Tables, scope: &Scope<'_>, bucket: Bucket, row: &mut Row, out: &mut Outbox) {
-    let get = Call::Get { key: bucket.text() };
-    row.call = Some(call(tables, scope, out, Purpose::Read { bucket }, get));
+fn start_read(
+    tables: &mut Tables,
+    context: &Context<'_>,
+    bucket: Bucket,
+    row: &mut Row,
+    out: &mut Outbox,
+) {
+    let get = Call::Get { key: bucket.key() };
+    row.call = Some(start_call(tables, context, out, Purpose::Read { bucket }, get));
 }
 
-/// What a stored entry means for a claim.
+/// How a claim compares with the stored entry of its key.
 enum Match {
-    /// The key is free: the claim has to be written.
+    /// No other claim holds the key, so the claim can be written.
     Free,
-    /// The claim itself is stored.
+    /// The stored entry is this claim.
     Own,
-    /// The claim is answered.
+    /// The stored entry decides the verdict.
     Verdict(Verdict),
 }
 
-fn examine(value: &Value, request: &Request) -> Match {
+fn match_claim(value: &Value, request: &Request) -> Match {
     let Some(entry) = value.get(&request.key) else { return Match::Free };
     if entry.fingerprint != request.fingerprint {
         return Match::Verdict(Verdict::Reused);
@@ -107,64 +120,68 @@
     }
 }
 
-/// Answers the claims whose keys are stored.
-fn answer(
+/// Answers the claims that the cached value decides and keeps those that have
+/// to be written.
+fn answer_claims(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     bucket: Bucket,
     row: &mut Row,
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
-    let fresh = is_fresh(row, scope);
-    let Hint::Known { value, .. } = &row.hint else { return };
-    let mut reread = false;
+    let fresh = is_fresh(row, context);
+    let Cache::Known { value, .. } = &row.cache else { return };
+    let mut needs_read = false;
     let mut free = Vec::new();
     for pending in row.claims.drain(..) {
-        match examine(value, &pending.request) {
+        match match_claim(value, &pending.request) {
             Match::Free => free.push(pending),
             Match::Own => tables.grants.push(Grant { pending, bucket }),
-            Match::Verdict(Verdict::Unknown) => match told(value, &row.records, &pending.request) {
-                Some(verdict) => settle(&pending, verdict, replies, out),
-                // Another home may have stored the outcome meanwhile.
-                None if !fresh => {
-                    reread = true;
-                    free.push(pending);
+            Match::Verdict(Verdict::Unknown) => {
+                match reported_result(value, &row.records, &pending.request) {
+                    Some(verdict) => finish_claim(&pending, verdict, replies, out),
+                    // Another home may have stored the outcome since the read.
+                    None if !fresh => {
+                        needs_read = true;
+                        free.push(pending);
+                    }
+                    None => finish_claim(&pending, Verdict::Unknown, replies, out),
                 }
-                None => settle(&pending, Verdict::Unknown, replies, out),
-            },
-            Match::Verdict(verdict) => settle(&pending, verdict, replies, out),
+            }
+            Match::Verdict(verdict) => finish_claim(&pending, verdict, replies, out),
         }
     }
     row.claims = free;
-    if reread {
-        row.hint = Hint::Stale;
+    if needs_read {
+        row.cache = Cache::Stale;
     }
 }
 
-/// The result of the run that holds the key, if it was reported to this home
-/// and only waits to be written.
+/// Returns the result of the request that holds the key, if it was reported to
+/// this home and is not written yet.
 ///
-/// The report comes from the VM that ran the operation, so the result is true
-/// whether or not it is written later.
-fn told(value: &Value, records: &[Record], request: &Request) -> Option<Verdict> {
+/// The report comes from the VM that sent the operation, so the result is
+/// correct whether or not it is written later.
+fn reported_result(value: &Value, records: &[Record], request: &Request) -> Option<Verdict> {
     let entry = value.get(&request.key)?;
-    let is_of_run =
+    let holds_key =
         |record: &&Record| record.request.key == request.key && record.request.token == entry.token;
-    match &records.iter().find(is_of_run)?.outcome {
+    match &records.iter().find(holds_key)?.outcome {
         Outcome::Done { result } => Some(Verdict::Recorded { result: result.clone() }),
         Outcome::NotRun => None,
     }
 }
 
-/// Whether the remembered value was read lately, so that what it lacks may be
-/// taken as missing.
-fn is_fresh(row: &Row, scope: &Scope<'_>) -> bool {
-    let Hint::Known { read: Some(read), .. } = row.hint else { return false };
-    scope.now.since(read) <= scope.limits.fresh
+/// Whether the cached value was read within `cache_ttl`, so that an entry or
+/// outcome that it lacks counts as not stored.
+fn is_fresh(row: &Row, context: &Context<'_>) -> bool {
+    let Cache::Known { read_at: Some(read_at), .. } = row.cache else { return false };
+    context.now.since(read_at) <= context.limits.cache_ttl
 }
 
-fn settle(pending: &Pending, verdict: Verdict, replies: &mut Replies, out: &mut Outbox) {
+/// Counts the verdict and queues it for the requester.
+fn finish_claim(pending: &Pending, verdict: Verdict, replies: &mut Replies, out: &mut Outbox) {
     out.count(match verdict {
         Verdict::Granted => Count::Granted,
         Verdict::Recorded { .. } => Count::Recorded,
@@ -174,77 +191,83 @@
         Verdict::Full => Count::Full,
         Verdict::Unsettled { .. } => Count::Unsettled,
     });
-    intake::answer(replies, &pending.requester, pending.request.token, verdict, false);
+    intake::push_answer(replies, &pending.requester, pending.request.token, verdict, false);
 }
 
-/// When the waiting claims and outcomes of a bucket are due to be written,
-/// leaving the pace aside.
-pub fn due(row: &Row, limits: &Limits) -> Option<Instant> {
-    if !row.claims.is_empty() || row.records.len() >= limits.group {
+/// When the waiting claims and outcomes of a bucket are due to be written, apart
+/// from the rate limit. Claims and full batches are due at once; outcomes wait
+/// for `batch_delay`.
+pub fn write_due(row: &Row, limits: &Limits) -> Option<Instant> {
+    if !row.claims.is_empty() || row.records.len() >= limits.batch_size {
         return Some(Instant::default());
     }
-    row.records.iter().map(|record| record.since + limits.batch_delay).min()
+    row.records.iter().map(|record| record.queued_at + limits.batch_delay).min()
 }
 
-fn is_due(row: &Row, scope: &Scope<'_>) -> bool {
-    due(row, scope.limits).is_some_and(|due| due <= scope.now)
+fn is_due(row: &Row, context: &Context<'_>) -> bool {
+    write_due(row, context.limits).is_some_and(|due| due <= context.now)
 }
 
-/// When the pace allows the next write of a part.
-pub fn paced(pace: Pace, limits: &Limits) -> Instant {
-    let early = limits.interval() * limits.burst.saturating_sub(1);
-    Instant(pace.next.0.saturating_sub(early.as_micros() as u64))
+/// The earliest time at which the rate limit allows the next write of a
+/// partition.
+pub fn next_write(limiter: Limiter, limits: &Limits) -> Instant {
+    let burst_allowance = limits.write_interval() * limits.burst.saturating_sub(1);
+    Instant(limiter.next_write.0.saturating_sub(burst_allowance.as_micros() as u64))
 }
 
-/// Takes one write of the part's pace, if it allows one now.
-fn pace(tables: &mut Tables, scope: &Scope<'_>, part: u16) -> bool {
-    let pace = tables.paces.entry(part).or_default();
-    if paced(*pace, scope.limits) > scope.now {
+/// Counts one write against the rate limit of a partition; returns false if the
+/// limit does not allow a write now.
+fn acquire_write(tables: &mut Tables, context: &Context<'_>, partition: u16) -> bool {
+    let limiter = tables.limiters.entry(partition).or_default();
+    if next_write(*limiter, context.limits) > context.now {
         return false;
     }
-    pace.next = pace.next.max(scope.now) + scope.limits.interval();
+    limiter.next_write = limiter.next_write.max(context.now) + context.limits.write_interval();
     true
 }
 
-fn write(
+/// Starts a compare-and-swap that adds the waiting claims and outcomes to the
+/// cached value.
+fn start_write(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     bucket: Bucket,
     row: &mut Row,
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
-    let Hint::Known { version, value, .. } = &row.hint else { return };
+    let Cache::Known { version, value, .. } = &row.cache else { return };
     let expect = *version;
     let mut value = value.clone();
-    let claims = add_claims(&mut value, row, scope, replies, out);
-    let records = add_records(&mut value, row, scope, replies, out);
+    let claims = add_claims(&mut value, row, context, replies, out);
+    let records = add_records(&mut value, row, context, replies, out);
     if claims.is_empty() && records.is_empty() {
         return;
     }
-    let key = bucket.text();
+    let key = bucket.key();
     let swap = Call::Swap { key, expect, value: value.encode(), lease: None };
     let purpose = Purpose::Write { bucket, value, claims, records };
-    row.call = Some(call(tables, scope, out, purpose, swap));
+    row.call = Some(start_call(tables, context, out, purpose, swap));
 }
 
-/// Adds the waiting claims to `value` and returns those that it holds now. A
-/// claim whose key another claim took in this same write waits for its result.
+/// Adds the waiting claims to `value` and returns those that were added. A claim
+/// whose key another claim of the same write holds stays queued until the write
+/// is done.
 fn add_claims(
     value: &mut Value,
     row: &mut Row,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     replies: &mut Replies,
     out: &mut Outbox,
 ) -> Vec<Pending> {
     let mut added = Vec::new();
     let mut left = Vec::new();
     for pending in row.claims.drain(..) {
-        let free = matches!(examine(value, &pending.request), Match::Free);
-        if !free || added.len() >= scope.limits.group {
+        let free = matches!(match_claim(value, &pending.request), Match::Free);
+        if !free || added.len() >= context.limits.batch_size {
             left.push(pending);
-        } else if value.size() + CLAIM_SIZE > scope.limits.bucket_bytes / 2 {
-            settle(&pending, Verdict::Full, replies, out);
+        } else if value.encoded_len() + CLAIM_BYTES > context.limits.bucket_bytes / 2 {
+            finish_claim(&pending, Verdict::Full, replies, out);
         } else {
             let Request { key, token, fingerprint } = pending.request;
             value.insert(key, Entry { token, fingerprint, outcome: None });
@@ -255,27 +278,27 @@
     added
 }
 
-/// Adds the waiting outcomes to `value` and returns those that it holds now.
+/// Adds the waiting outcomes to `value` and returns those that changed it.
 fn add_records(
     value: &mut Value,
     row: &mut Row,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     replies: &mut Replies,
     out: &mut Outbox,
 ) -> Vec<Record> {
     let mut added = Vec::new();
-    let fresh = is_fresh(row, scope);
-    let mut rest = row.records.split_off(row.records.len().min(scope.limits.group));
+    let fresh = is_fresh(row, context);
+    let mut rest = row.records.split_off(row.records.len().min(context.limits.batch_size));
     for record in row.records.drain(..) {
-        match apply(value, &record, scope) {
-            Applied::Changed => added.push(record),
-            Applied::Stored => replies.recorded.push((record.requester, record.request.token)),
-            // Another home may have stored the claim.
-            Applied::Refused if !fresh => {
-                row.hint = Hint::Stale;
+        match insert_outcome(value, &record, context) {
+            Insertion::Changed => added.push(record),
+            Insertion::Present => replies.recorded.push((record.requester, record.request.token)),
+            // Another home may have stored the claim since the read.
+            Insertion::Refused if !fresh => {
+                row.cache = Cache::Stale;
                 rest.push(record);
             }
-            Applied::Refused => {
+            Insertion::Refused => {
                 out.count(Count::OutcomeDropped);
                 replies.recorded.push((record.requester, record.request.token));
             }
@@ -285,50 +308,51 @@
     added
 }
 
-/// What became of an outcome.
-enum Applied {
-    /// The value holds it now and has to be written.
+/// The result of inserting an outcome into a value.
+enum Insertion {
+    /// The value was changed and has to be written.
     Changed,
-    /// The value held it already.
-    Stored,
-    /// The value does not take it.
+    /// The value already held the outcome.
+    Present,
+    /// The key is held by another token or has a result, or the value is full.
     Refused,
 }
 
-/// Puts an outcome into `value`. Only the token that holds the key may do so;
-/// what ran is never changed to what did not run.
-fn apply(value: &mut Value, record: &Record, scope: &Scope<'_>) -> Applied {
+/// Inserts an outcome into `value`. Only the token that holds the key may set an
+/// outcome, and a stored result is never replaced.
+fn insert_outcome(value: &mut Value, record: &Record, context: &Context<'_>) -> Insertion {
     let Request { key, token, fingerprint } = record.request;
     let outcome = Some(record.outcome.clone());
     let stored = value.get(&key);
     if stored.is_some_and(|entry| entry.outcome == outcome && entry.token == token) {
-        return Applied::Stored;
+        return Insertion::Present;
     }
     let allowed = match (stored, &record.outcome) {
-        // A release may overtake its claim, which then finds itself released.
+        // A release may arrive before its claim; the claim is then answered as
+        // released.
         (None, Outcome::NotRun) => true,
         (None, Outcome::Done { .. }) => false,
         (Some(entry), _) => {
             entry.token == token && !matches!(entry.outcome, Some(Outcome::Done { .. }))
         }
     };
-    let grows = match &record.outcome {
+    let growth = match &record.outcome {
         Outcome::Done { result } => result.len() + 4,
-        Outcome::NotRun => CLAIM_SIZE,
+        Outcome::NotRun => CLAIM_BYTES,
     };
-    if !allowed || value.size() + grows > scope.limits.bucket_bytes {
-        return Applied::Refused;
+    if !allowed || value.encoded_len() + growth > context.limits.bucket_bytes {
+        return Insertion::Refused;
     }
     value.insert(key, Entry { token, fingerprint, outcome });
-    Applied::Changed
+    Insertion::Changed
 }
 
-/// Forgets the least recently used buckets that have no work. The stored value
-/// is read again when it is needed.
-fn prune(tables: &mut Tables, scope: &Scope<'_>) {
-    while tables.buckets.len() > scope.limits.buckets {
-        let idle = tables.buckets.iter().filter(|(_, row)| row.call.is_none() && is_empty(row));
-        let Some((&bucket, _)) = idle.min_by_key(|(_, row)| row.used) else { return };
+/// Evicts the least recently used buckets without work once more than
+/// `cached_buckets` are held. Their values are read again when needed.
+fn evict_idle(tables: &mut Tables, context: &Context<'_>) {
+    while tables.buckets.len() > context.limits.cached_buckets {
+        let idle = tables.buckets.iter().filter(|(_, row)| row.call.is_none() && has_no_work(row));
+        let Some((&bucket, _)) = idle.min_by_key(|(_, row)| row.last_used) else { return };
         tables.buckets.remove(&bucket);
     }
 }
--- a/crates/core/src/claims/intake.rs
+++ b/crates/core/src/claims/intake.rs
@@ -1,4 +1,4 @@
-//! Takes events into the tables.
+//! Applies events to the tables.
 
 use std::time::Duration;
 
@@ -13,21 +13,21 @@
 };
 
 use super::{
-    Count, Event, Message, Outbox, Replies, Scope,
+    Context, Count, Event, Message, Outbox, Replies,
     layout::Bucket,
     message::{Answer, Claim, Record},
-    table::{self, CallId, Hint, Operation, Pending, Report, Row, Tables},
+    table::{self, Cache, CallId, Operation, Pending, Report, Row, Tables},
     value::Value,
 };
 
-/// How long after its start a slot that this home has not seen counts as new,
-/// so that its first write may try to create it without a read.
-const NEW_SLOT: Duration = Duration::from_secs(2);
+/// The age up to which a slot without a cached value counts as new, so that its
+/// first write tries to create the bucket without reading it.
+const NEW_SLOT_AGE: Duration = Duration::from_secs(2);
 
-/// Runs the system; returns the answers to store calls.
+/// Handles all events but the replies to store calls, which it returns.
 pub fn run(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     events: Vec<Event>,
     replies: &mut Replies,
     out: &mut Outbox,
@@ -36,92 +36,99 @@
     for event in events {
         match event {
             Event::Claim { operation, request, deadline } => {
-                operate(tables, scope, operation, request, deadline, out);
+                add_operation(tables, context, operation, request, deadline, out);
+            }
+            Event::Outcome { request, outcome } => {
+                add_report(tables, context, request, outcome, out)
+            }
+            Event::Message { from, message } => {
+                handle_message(tables, context, &from, message, replies, out)
             }
-            Event::Outcome { request, outcome } => report(tables, scope, request, outcome, out),
-            Event::Message { from, message } => take(tables, scope, &from, message, replies, out),
             Event::Reply { id, reply } => calls.push((id, reply)),
             Event::Unreachable { vm } => {
-                tables.unreachable.insert(vm.clone(), scope.now + scope.limits.avoid);
-                resend(tables, scope, &vm);
+                tables.unreachable.insert(vm.clone(), context.now + context.limits.unreachable_for);
+                reroute(tables, context, &vm);
             }
         }
     }
     calls
 }
 
-/// Sends what `vm` was to decide to another home.
-fn resend(tables: &mut Tables, scope: &Scope<'_>, vm: &Name) {
+/// Makes claims and outcomes that were last sent to `vm` due now, so that they
+/// go to another home.
+fn reroute(tables: &mut Tables, context: &Context<'_>, vm: &Name) {
     for row in tables.operations.values_mut().filter(|row| row.home.as_ref() == Some(vm)) {
-        if row.tries < scope.limits.tries {
-            row.next = scope.now;
+        if row.tries < context.limits.tries {
+            row.next_send = context.now;
         }
     }
     for row in tables.reports.values_mut().filter(|row| row.home.as_ref() == Some(vm)) {
-        row.next = scope.now;
+        row.next_send = context.now;
     }
 }
 
-fn operate(
+fn add_operation(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     operation: id::Query,
     request: Request,
     deadline: Instant,
     out: &mut Outbox,
 ) {
-    if let Some(verdict) = outside(tables, scope, &request) {
+    if let Some(verdict) = refusal(tables, context, &request) {
         out.verdicts.push((operation, verdict));
         return;
     }
-    if tables.operations.len() >= scope.limits.operations {
+    if tables.operations.len() >= context.limits.operations {
         out.count(Count::QueueFull);
         let detail = "too many operations wait for a claim at this VM".to_owned();
         out.verdicts.push((operation, Verdict::Unsettled { detail }));
         return;
     }
-    let next = scope.now;
-    let row = Operation { operation, request, deadline, home: None, tries: 0, next };
+    let next_send = context.now;
+    let row = Operation { operation, request, deadline, home: None, tries: 0, next_send };
     tables.operations.insert(row.request.token, row);
 }
 
-/// Adds an outcome of this VM that is to be recorded.
-pub fn report(
+/// Queues an outcome of this VM for sending to its home. An outcome whose result
+/// is too long, or that finds the table full, is dropped.
+pub fn add_report(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     request: Request,
     mut outcome: Outcome,
     out: &mut Outbox,
 ) {
     if let Outcome::Done { result } = &mut outcome
-        && result.len() > scope.limits.result
+        && result.len() > context.limits.result_bytes
     {
         out.count(Count::OutcomeDropped);
         return;
     }
-    if tables.reports.len() >= scope.limits.reports {
+    if tables.reports.len() >= context.limits.reports {
         out.count(Count::OutcomeDropped);
         return;
     }
-    let deadline = scope.now + scope.limits.report;
+    let deadline = context.now + context.limits.report_timeout;
     let token = request.token;
     tables
         .reports
-        .insert(token, Report { request, outcome, home: None, next: scope.now, deadline });
+        .insert(token, Report { request, outcome, home: None, next_send: context.now, deadline });
 }
 
-/// The verdict for a key that no bucket may hold.
-pub fn outside(tables: &Tables, scope: &Scope<'_>, request: &Request) -> Option<Verdict> {
-    let layout = scope.limits.layout;
+/// Returns the verdict for a key that lies below the floor, lies too far ahead
+/// or holds no time of issue, and `None` for a key that may be claimed.
+pub fn refusal(tables: &Tables, context: &Context<'_>, request: &Request) -> Option<Verdict> {
+    let layout = context.limits.layout;
     let Some(bucket) = layout.bucket(&request.key) else { return Some(Verdict::Expired) };
-    let latest = scope.wall.0.saturating_add(scope.limits.skew.as_millis() as u64);
-    let outside = bucket.slot < tables.floor || layout.start(bucket.slot) > latest;
+    let latest = context.wall.0.saturating_add(context.limits.skew.as_millis() as u64);
+    let outside = bucket.slot < tables.floor || layout.slot_start(bucket.slot) > latest;
     outside.then_some(Verdict::Expired)
 }
 
-fn take(
+fn handle_message(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     from: &Name,
     message: Message,
     replies: &mut Replies,
@@ -131,17 +138,17 @@
     match message {
         Message::Claims(claims) => {
             for claim in claims {
-                enqueue_claim(tables, scope, from, claim, replies, out);
+                enqueue_claim(tables, context, from, claim, replies, out);
             }
         }
         Message::Answers(answers) => {
             for answer in answers {
-                finish(tables, scope, answer, out);
+                finish_operation(tables, context, answer, out);
             }
         }
         Message::Records(records) => {
             for record in records {
-                enqueue_record(tables, scope, from, record, out);
+                enqueue_record(tables, context, from, record, out);
             }
         }
         Message::Recorded(tokens) => {
@@ -149,124 +156,140 @@
                 tables.reports.remove(&token);
             }
         }
-        Message::Clock { wall } => clock(tables, scope, from, wall),
+        Message::Clock { wall } => record_clock(tables, context, from, wall),
     }
 }
 
-fn clock(tables: &mut Tables, scope: &Scope<'_>, from: &Name, wall: Wall) {
-    if scope.vms.contains_key(from) {
-        tables.sweep.clocks.insert(from.clone(), (wall, scope.now));
+fn record_clock(tables: &mut Tables, context: &Context<'_>, from: &Name, wall: Wall) {
+    if context.vms.contains_key(from) {
+        tables.sweep.clocks.insert(from.clone(), (wall, context.now));
     }
 }
 
-/// Gives a verdict to the operation that waits for it. An operation that gave
-/// up has no row any more, so that a late verdict reaches nobody.
-pub fn finish(tables: &mut Tables, scope: &Scope<'_>, answer: Answer, out: &mut Outbox) {
+/// Passes a verdict to the operation that waits for it. An operation that
+/// expired has no row any more, so a late verdict is only counted.
+pub fn finish_operation(
+    tables: &mut Tables,
+    context: &Context<'_>,
+    answer: Answer,
+    out: &mut Outbox,
+) {
     let Some(row) = tables.operations.remove(&answer.token) else {
         out.count(Count::LateVerdict);
         return;
     };
-    if scope.now >= row.deadline {
+    if context.now >= row.deadline {
         out.count(Count::LateVerdict);
         tables.operations.insert(answer.token, row);
         return;
     }
-    // A claim that was sent more than once may still wait at another home.
-    let held = answer.held || row.tries > 1;
-    let open =
+    // A claim that was sent more than once may still be queued at another home,
+    // which may store it later.
+    let maybe_stored = answer.maybe_stored || row.tries > 1;
+    let unsettled =
         matches!(answer.verdict, Verdict::Unsettled { .. } | Verdict::Full | Verdict::Unknown);
-    if open && held {
-        report(tables, scope, row.request, Outcome::NotRun, out);
+    if unsettled && maybe_stored {
+        add_report(tables, context, row.request, Outcome::NotRun, out);
     }
     out.verdicts.push((row.operation, answer.verdict));
 }
 
-/// Puts a claim into the queue of its bucket.
+/// Queues a claim at this home. A claim whose token is queued already is ignored,
+/// because requesters send claims again.
 pub fn enqueue_claim(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     from: &Name,
     claim: Claim,
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
     let Claim { request, remaining } = claim;
-    let bucket = scope.limits.layout.bucket(&request.key);
-    let (Some(bucket), None) = (bucket, outside(tables, scope, &request)) else {
-        answer(replies, from, request.token, Verdict::Expired, false);
+    let bucket = context.limits.layout.bucket(&request.key);
+    let (Some(bucket), None) = (bucket, refusal(tables, context, &request)) else {
+        push_answer(replies, from, request.token, Verdict::Expired, false);
         out.count(Count::Expired);
         return;
     };
     if remaining.is_zero() || tables.waiting.contains(&request.token) {
         return;
     }
-    if tables.waiting.len() >= scope.limits.queue {
+    if tables.waiting.len() >= context.limits.queue {
         out.count(Count::QueueFull);
         let detail = "too many claims wait at the home of the bucket".to_owned();
-        answer(replies, from, request.token, Verdict::Unsettled { detail }, false);
+        push_answer(replies, from, request.token, Verdict::Unsettled { detail }, false);
         return;
     }
-    let deadline = scope.now + remaining;
+    let deadline = context.now + remaining;
     let token = request.token;
-    let row = open(tables, scope, bucket);
+    let row = bucket_row(tables, context, bucket);
     row.claims.push(Pending { request, requester: from.clone(), deadline });
     tables.waiting.insert(token);
 }
 
-/// Puts an outcome into the queue of its bucket.
+/// Queues an outcome at this home. It is dropped without an answer if it cannot
+/// be queued; the requester sends it again until it expires.
 pub fn enqueue_record(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     from: &Name,
     record: Record,
     out: &mut Outbox,
 ) {
     let Record { request, outcome } = record;
-    let Some(bucket) = scope.limits.layout.bucket(&request.key) else { return };
+    let Some(bucket) = context.limits.layout.bucket(&request.key) else { return };
     if bucket.slot < tables.floor {
         return;
     }
-    if records(tables) >= scope.limits.queue {
+    if queued_records(tables) >= context.limits.queue {
         out.count(Count::QueueFull);
         return;
     }
-    let since = scope.now;
-    let row = open(tables, scope, bucket);
+    let queued_at = context.now;
+    let row = bucket_row(tables, context, bucket);
     if row.records.iter().any(|known| known.request.token == request.token) {
         return;
     }
-    row.records.push(table::Record { request, outcome, requester: from.clone(), since });
+    row.records.push(table::Record { request, outcome, requester: from.clone(), queued_at });
 }
 
-fn records(tables: &Tables) -> usize {
+fn queued_records(tables: &Tables) -> usize {
     tables.buckets.values().map(|row| row.records.len()).sum()
 }
 
-/// Gives an answer to a requester at the end of the tick.
-pub fn answer(replies: &mut Replies, to: &Name, token: Uuid, verdict: Verdict, held: bool) {
-    replies.answers.push((to.clone(), Answer { token, verdict, held }));
+/// Queues an answer that is sent at the end of the tick. `maybe_stored` says that
+/// the claim may be stored although it was not granted.
+pub fn push_answer(
+    replies: &mut Replies,
+    to: &Name,
+    token: Uuid,
+    verdict: Verdict,
+    maybe_stored: bool,
+) {
+    replies.answers.push((to.clone(), Answer { token, verdict, maybe_stored }));
 }
 
-fn open<'a>(tables: &'a mut Tables, scope: &Scope<'_>, bucket: Bucket) -> &'a mut Row {
-    let now = scope.now;
-    let start = scope.limits.layout.start(bucket.slot);
+/// Returns the row of a bucket, which is created if there is none.
+fn bucket_row<'a>(tables: &'a mut Tables, context: &Context<'_>, bucket: Bucket) -> &'a mut Row {
+    let now = context.now;
+    let start = context.limits.layout.slot_start(bucket.slot);
     let row = tables.buckets.entry(bucket).or_insert_with(|| Row {
-        hint: first_hint(scope, start),
+        cache: initial_cache(context, start),
         claims: Vec::new(),
         records: Vec::new(),
         call: None,
-        retry: now,
+        retry_at: now,
         failures: 0,
-        used: now,
+        last_used: now,
     });
-    row.used = now;
+    row.last_used = now;
     row
 }
 
-fn first_hint(scope: &Scope<'_>, start: u64) -> Hint {
-    if scope.wall.0.saturating_sub(start) <= NEW_SLOT.as_millis() as u64 {
-        Hint::Known { version: None, value: Value::default(), read: None }
+fn initial_cache(context: &Context<'_>, start: u64) -> Cache {
+    if context.wall.0.saturating_sub(start) <= NEW_SLOT_AGE.as_millis() as u64 {
+        Cache::Known { version: None, value: Value::default(), read_at: None }
     } else {
-        Hint::Stale
+        Cache::Stale
     }
 }
--- a/crates/core/src/claims/limits.rs
+++ b/crates/core/src/claims/limits.rs
@@ -1,53 +1,56 @@
-//! The limits under which the claims engine works.
+//! Limits of the claims engine.
 
 use std::time::Duration;
 
 use super::layout::Layout;
 
-/// Limits of the claims engine. The layout is the same on every VM; the others
-/// may differ between VMs without harm to what must hold.
+/// Limits of the claims engine. The layout must be the same on every VM. The
+/// other limits may differ between VMs; operations still run at most once.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// How keys are laid out over buckets.
+    /// How idempotency keys are distributed over buckets.
     pub layout: Layout,
-    /// How long a claim is remembered at least.
+    /// The shortest time for which a claim is kept after its key was issued.
     pub window: Duration,
-    /// How far ahead of this VM's clock a key may have been issued.
+    /// How far ahead of this VM's clock the time of issue of a key may lie.
     pub skew: Duration,
-    /// How long a call may take before its effect counts as unknown.
+    /// How long a store call may take before its effect counts as unknown.
     pub call_timeout: Duration,
-    /// How long a remembered value may answer a resend without a new read.
-    pub fresh: Duration,
-    /// The writes a second that all VMs together spend on claims.
-    pub writes: u32,
-    /// The writes of one part that may follow each other at once after a pause.
+    /// How long after its read a cached value may answer a resend.
+    pub cache_ttl: Duration,
+    /// The rate of store writes for claims, summed over all VMs.
+    pub writes_per_second: u32,
+    /// The writes of one partition that may follow without delay after an idle
+    /// period.
     pub burst: u32,
-    /// The claims and outcomes in one write.
-    pub group: usize,
-    /// How long an outcome waits for others before it is written alone.
+    /// The most claims, and also the most outcomes, in one write.
+    pub batch_size: usize,
+    /// How long an outcome waits for others to share its write.
     pub batch_delay: Duration,
-    /// The bytes of a stored bucket; claims may take half of it.
+    /// The largest encoded bucket. New claims are refused beyond half of it; the
+    /// rest is left for results.
     pub bucket_bytes: usize,
-    /// The bytes of a result; a longer one is not recorded.
-    pub result: usize,
-    /// The claims, and again the outcomes, that may wait at this home.
+    /// The longest result that is recorded.
+    pub result_bytes: usize,
+    /// The most claims, and also the most outcomes, that may wait at this home.
     pub queue: usize,
-    /// The operations of this VM that may wait for a verdict.
+    /// The most operations of this VM that may wait for a verdict.
     pub operations: usize,
-    /// The outcomes of this VM that may wait to be recorded.
+    /// The most outcomes of this VM that may wait to be recorded.
     pub reports: usize,
-    /// The buckets that are remembered.
-    pub buckets: usize,
-    /// How often a claim is sent to a home before it waits for its deadline.
+    /// The number of buckets above which those without work are evicted.
+    pub cached_buckets: usize,
+    /// How often a claim is sent. After the last time the operation waits for a
+    /// verdict until its deadline.
     pub tries: usize,
-    /// How long an outcome is sent again before it is given up.
-    pub report: Duration,
-    /// How long a VM that did not answer is passed over.
-    pub avoid: Duration,
-    /// How often the floor is looked at.
-    pub sweep: Duration,
-    /// The buckets below the floor that are removed a second.
-    pub removals: u32,
+    /// How long an outcome is sent again before it is dropped.
+    pub report_timeout: Duration,
+    /// How long a VM that did not answer is not used as a home.
+    pub unreachable_for: Duration,
+    /// The time between two checks of the floor.
+    pub sweep_interval: Duration,
+    /// The rate at which buckets below the floor are removed.
+    pub removals_per_second: u32,
 }
 
 impl Default for Limits {
@@ -57,30 +60,31 @@
             window: Duration::from_secs(3600),
             skew: Duration::from_secs(10),
             call_timeout: Duration::from_secs(1),
-            fresh: Duration::from_millis(100),
-            writes: 240,
+            cache_ttl: Duration::from_millis(100),
+            writes_per_second: 240,
             burst: 4,
-            group: 1000,
+            batch_size: 1000,
             batch_delay: Duration::from_millis(250),
             bucket_bytes: 512 * 1024,
-            result: 4096,
+            result_bytes: 4096,
             queue: 4096,
             operations: 4096,
             reports: 8192,
-            buckets: 64,
+            cached_buckets: 64,
             tries: 3,
-            report: Duration::from_secs(30),
-            avoid: Duration::from_secs(2),
-            sweep: Duration::from_secs(10),
-            removals: 20,
+            report_timeout: Duration::from_secs(30),
+            unreachable_for: Duration::from_secs(2),
+            sweep_interval: Duration::from_secs(10),
+            removals_per_second: 20,
         }
     }
 }
 
 impl Limits {
-    /// The time between two writes of a part at the full rate.
-    pub fn interval(&self) -> Duration {
-        let micros = 1_000_000 * u64::from(self.layout.parts) / u64::from(self.writes.max(1));
+    /// The time between two writes of a partition at the full rate.
+    pub fn write_interval(&self) -> Duration {
+        let micros = 1_000_000 * u64::from(self.layout.partitions)
+            / u64::from(self.writes_per_second.max(1));
         Duration::from_micros(micros)
     }
 }
--- a/crates/core/src/claims/message.rs
+++ b/crates/core/src/claims/message.rs
@@ -10,37 +10,33 @@
     time::Wall,
 };
 
-/// A request for the right to run, sent to the home of its bucket.
+/// A claim, sent to the home of its bucket.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
-    /// What is claimed.
     pub request: Request,
-    /// The time that remains until the deadline.
+    /// The time until the deadline of the operation.
     pub remaining: Duration,
 }
 
 /// The answer of a home to a [`Claim`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
-    /// The token of the claim.
+    /// The token of the answered claim.
     pub token: Uuid,
-    /// The answer.
     pub verdict: Verdict,
-    /// Whether the claim may be stored although it was not granted, so that the
-    /// requester has to release it.
-    pub held: bool,
+    /// Whether the claim may be stored although it was not granted. The requester
+    /// then releases it.
+    pub maybe_stored: bool,
 }
 
 /// An outcome to be recorded for a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// What was claimed.
     pub request: Request,
-    /// The outcome.
     pub outcome: Outcome,
 }
 
-/// A message from one control thread to another.
+/// A message about claims from one control thread to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Claims for buckets whose home is the receiver.
@@ -49,8 +45,8 @@
     Answers(Vec<Answer>),
     /// Outcomes for buckets whose home is the receiver.
     Records(Vec<Record>),
-    /// The tokens of the receiver whose outcomes need not be sent again.
+    /// Tokens of outcomes of the receiver that need not be sent again.
     Recorded(Vec<Uuid>),
-    /// The wall clock of the sender, for the VM that moves the floor.
+    /// The wall clock of the sender, for the VM that advances the floor.
     Clock { wall: Wall },
 }
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -1,11 +1,12 @@
-//! The decisions that let an operation run at most once: claims in the
-//! platform's service.
+//! Claims, which ensure that a non-idempotent operation runs at most once.
 //!
-//! An operation runs only after its key was claimed by compare-and-swap. The
-//! home of a bucket gathers claims into one write; after the write took effect
-//! it reads the floor, and only if the floor is not above the key's slot is the
-//! claim granted. Which VM believes that it is home decides how many writes are
-//! needed and nothing else. See `docs/design/claims.md`.
+//! An operation runs only after its key was claimed by a compare-and-swap in the
+//! platform's key-value store. Keys are grouped into buckets by their time of
+//! issue. The home of a bucket combines claims into one write and reads the
+//! floor, the lowest slot that is still kept, after the write took effect. A
+//! claim is granted only if its slot is not below the floor. Several VMs may act
+//! as home of the same bucket; this costs additional writes but does not affect
+//! correctness. See `docs/design/claims.md`.
 //!
 //! [`Engine::step`] runs the systems in this order: intake, collect, expire,
 //! route, decide, confirm, sweep, reply.
@@ -42,26 +43,27 @@
 pub use outbox::{Count, Outbox};
 pub use table::CallId;
 
-use table::{Flight, Purpose, Tables};
+use table::{Purpose, Tables};
 
-/// What the control thread tells the engine.
+/// An input of the engine from the control thread.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// An operation of this VM asks for the right to run. The deadline is a
-    /// point on this process's clock and not a time that remains, so that a
-    /// pause before the event is taken does not extend it.
+    /// An operation of this VM claims its key. The deadline is a time on this
+    /// process's clock rather than a remaining duration, so that a pause before
+    /// the event is handled does not extend it.
     Claim { operation: id::Query, request: claim::Request, deadline: Instant },
-    /// An operation of this VM that was granted its claim has this outcome.
+    /// The outcome of an operation of this VM whose claim was granted.
     Outcome { request: claim::Request, outcome: claim::Outcome },
-    /// A message of another VM.
+    /// A message from another VM.
     Message { from: Name, message: Message },
-    /// A call of this engine was answered.
+    /// The reply to a store call of this engine.
     Reply { id: CallId, reply: store::Reply },
-    /// A VM did not take messages or did not answer in time.
+    /// A VM that did not accept messages or did not answer in time.
     Unreachable { vm: Name },
 }
 
-/// The claims of one VM, as requester and as home.
+/// The claims engine of one VM, which acts as requester for the VM's own
+/// operations and as home of buckets.
 #[derive(Clone, Debug)]
 pub struct Engine {
     vm: Name,
@@ -69,8 +71,8 @@
     tables: Tables,
 }
 
-/// What a system may read.
-struct Scope<'a> {
+/// The inputs of a step that every system reads.
+struct Context<'a> {
     vm: &'a Name,
     limits: &'a Limits,
     now: Instant,
@@ -78,7 +80,8 @@
     vms: &'a BTreeMap<Name, view::Vm>,
 }
 
-/// What a home has to say to requesters at the end of a tick.
+/// Answers and acknowledgements of this home, which are sent at the end of the
+/// tick.
 #[derive(Default)]
 struct Replies {
     answers: Vec<(Name, message::Answer)>,
@@ -86,12 +89,13 @@
 }
 
 impl Engine {
-    /// Makes the engine of `vm`, which knows nothing yet.
+    /// Creates the engine of `vm` with empty tables.
     pub fn new(vm: Name, limits: Limits) -> Engine {
         Engine { vm, limits, tables: Tables::default() }
     }
 
-    /// Takes `events` in, decides, and puts what is to be done into `out`.
+    /// Applies `events`, runs the systems and adds the resulting calls, messages
+    /// and verdicts to `out`.
     pub fn step(
         &mut self,
         now: Instant,
@@ -100,25 +104,26 @@
         events: Vec<Event>,
         out: &mut Outbox,
     ) {
-        let scope = Scope { vm: &self.vm, limits: &self.limits, now, wall, vms };
+        let context = Context { vm: &self.vm, limits: &self.limits, now, wall, vms };
         let tables = &mut self.tables;
         let mut replies = Replies::default();
-        let calls = intake::run(tables, &scope, events, &mut replies, out);
-        collect::run(tables, &scope, calls, &mut replies, out);
-        expire::run(tables, &scope, &mut replies, out);
-        route::run(tables, &scope, &mut replies, out);
-        decide::run(tables, &scope, &mut replies, out);
-        confirm::run(tables, &scope, out);
-        sweep::run(tables, &scope, out);
-        reply::run(tables, &scope, replies, out);
+        let calls = intake::run(tables, &context, events, &mut replies, out);
+        collect::run(tables, &context, calls, &mut replies, out);
+        expire::run(tables, &context, &mut replies, out);
+        route::run(tables, &context, &mut replies, out);
+        decide::run(tables, &context, &mut replies, out);
+        confirm::run(tables, &context, out);
+        sweep::run(tables, &context, out);
+        reply::run(tables, &context, replies, out);
     }
 
-    /// The earliest time at which a step has something to do without an event.
+    /// Returns the time of the next step that is needed without an event, if any.
     pub fn wake(&self) -> Option<Instant> {
-        wake::run(&self.tables, &self.limits)
+        wake::earliest(&self.tables, &self.limits)
     }
 
-    /// The rows of all tables, for metrics and for tests of their bounds.
+    /// Returns the number of operations, reports, buckets, and queued claims and
+    /// outcomes, for metrics and for tests of their bounds.
     pub fn rows(&self) -> usize {
         let tables = &self.tables;
         let waiting: usize =
@@ -126,23 +131,26 @@
         tables.operations.len() + tables.reports.len() + tables.buckets.len() + waiting
     }
 
-    /// The operations and outcomes of this VM that are not finished.
+    /// Returns the number of operations without a verdict and of outcomes of this
+    /// VM that are not recorded.
     pub fn pending(&self) -> usize {
         self.tables.operations.len() + self.tables.reports.len()
     }
 }
 
-/// Starts a store call.
-fn call(
+/// Starts a store call and records why it was made.
+fn start_call(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     out: &mut Outbox,
     purpose: Purpose,
     call: store::Call,
 ) -> CallId {
     tables.last_call += 1;
     let id = CallId(tables.last_call);
-    tables.calls.insert(id, Flight { purpose, deadline: scope.now + scope.limits.call_timeout });
+    tables
+        .calls
+        .insert(id, table::Call { purpose, deadline: context.now + context.limits.call_timeout });
     out.calls.push((id, call));
     id
 }
--- a/crates/core/src/claims/outbox.rs
+++ b/crates/core/src/claims/outbox.rs
@@ -1,4 +1,4 @@
-//! What the claims engine wants done after a tick.
+//! Outputs of the claims engine for one tick.
 
 use std::collections::BTreeMap;
 
@@ -8,17 +8,17 @@
 
 macro_rules! counts {
     ($($(#[$doc:meta])* $count:ident $text:literal;)*) => {
-        /// What is counted.
+        /// An event of the claims engine that a metric counts.
         #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
         pub enum Count {
             $($(#[$doc])* $count,)*
         }
 
         impl Count {
-            /// Every count, in the order of the list.
+            /// All counts, in the order of declaration.
             pub const ALL: &[Count] = &[$(Count::$count),*];
 
-            /// The label of the counter.
+            /// Returns the value of the metric's label.
             pub fn as_str(self) -> &'static str {
                 match self {
                     $(Count::$count => $text,)*
@@ -29,51 +29,50 @@
 }
 
 counts! {
-    /// Claims granted at this home.
+    /// Claims that this home granted.
     Granted "granted";
     /// Claims answered with a recorded result.
     Recorded "recorded";
-    /// Claims answered as unknown.
+    /// Claims whose key is held by another request without a known outcome.
     Unknown "unknown";
-    /// Keys that were used for another request.
+    /// Claims whose key was used with a different fingerprint.
     Reused "reused";
-    /// Keys outside the window.
+    /// Claims whose key is too old or too far ahead.
     Expired "expired";
     /// Claims refused because the bucket is full.
     Full "full";
-    /// Claims that could not be settled.
+    /// Claims that were not decided in time, or whose bucket cannot be decoded.
     Unsettled "unsettled";
-    /// Claims refused because the queue is full.
+    /// Operations, claims and outcomes refused because a queue is full.
     QueueFull "queue_full";
-    /// Writes that lost the race.
+    /// Writes that failed because the value had changed.
     Conflict "conflict";
-    /// Calls whose effect is not known.
+    /// Store calls whose effect is not known.
     Lost "lost";
     /// Outcomes that were not recorded.
     OutcomeDropped "outcome_dropped";
-    /// Verdicts that came after the operation had given up.
+    /// Verdicts that arrived when no operation waited for them any more.
     LateVerdict "late_verdict";
-    /// Buckets removed below the floor.
+    /// Buckets below the floor that the sweep removed.
     Removed "removed";
 }
 
-/// Orders to the control thread, in the order in which they were given.
+/// Actions for the control thread, each list in the order of its additions.
 #[derive(Clone, Debug, Default)]
 pub struct Outbox {
-    /// Calls of the platform's service.
+    /// Calls to start in the store.
     pub calls: Vec<(CallId, store::Call)>,
     /// Messages to the control threads of other VMs.
     pub messages: Vec<(Name, Message)>,
     /// Verdicts for operations of this VM.
     pub verdicts: Vec<(id::Query, Verdict)>,
-    /// What happened how often in this tick.
+    /// How often each counted event happened in this tick.
     pub counts: BTreeMap<Count, u64>,
-    /// Lines for the log.
     pub lines: Vec<log::Line>,
 }
 
 impl Outbox {
-    /// Counts one occurrence.
+    /// Counts one occurrence of `count`.
     pub fn count(&mut self, count: Count) {
         *self.counts.entry(count).or_default() += 1;
     }
--- a/crates/core/src/claims/reply.rs
+++ b/crates/core/src/claims/reply.rs
@@ -1,4 +1,4 @@
-//! Sends the answers of this home to the VMs that asked.
+//! Sends the answers and acknowledgements of this home to the requesters.
 
 use std::collections::BTreeMap;
 
@@ -6,10 +6,11 @@
 
 use crate::name::Name;
 
-use super::{Message, Outbox, Replies, Scope, intake, message::Answer, table::Tables};
+use super::{Context, Message, Outbox, Replies, intake, message::Answer, table::Tables};
 
-/// Runs the system.
-pub fn run(tables: &mut Tables, scope: &Scope<'_>, replies: Replies, out: &mut Outbox) {
+/// Sends one message of each kind to each requester. Those for this VM are
+/// applied directly.
+pub fn run(tables: &mut Tables, context: &Context<'_>, replies: Replies, out: &mut Outbox) {
     let mut answers: BTreeMap<Name, Vec<Answer>> = BTreeMap::new();
     for (requester, answer) in replies.answers {
         tables.waiting.remove(&answer.token);
@@ -20,16 +21,16 @@
         recorded.entry(requester).or_default().push(token);
     }
     for (requester, answers) in answers {
-        if requester != *scope.vm {
+        if requester != *context.vm {
             out.messages.push((requester, Message::Answers(answers)));
             continue;
         }
         for answer in answers {
-            intake::finish(tables, scope, answer, out);
+            intake::finish_operation(tables, context, answer, out);
         }
     }
     for (requester, tokens) in recorded {
-        if requester != *scope.vm {
+        if requester != *context.vm {
             out.messages.push((requester, Message::Recorded(tokens)));
             continue;
         }
--- a/crates/core/src/claims/sweep.rs
+++ b/crates/core/src/claims/sweep.rs
@@ -1,8 +1,8 @@
-//! Moves the floor and removes the buckets below it.
+//! Advances the floor and removes the buckets below it.
 //!
-//! One VM does this; two at once are harmless, because the floor moves only
-//! upwards by compare-and-swap and a slot is removed only after a floor above
-//! it was stored.
+//! The VM that is first in rank does this. Two VMs at once are harmless, because
+//! a compare-and-swap only ever raises the floor, and a slot is removed only
+//! after a floor above it was stored.
 
 use std::time::Duration;
 
@@ -14,79 +14,95 @@
 };
 
 use super::{
-    Count, Message, Outbox, Scope, call,
+    Context, Count, Message, Outbox,
     layout::{self, Bucket, FLOOR_KEY},
+    start_call,
     table::{Purpose, Tables},
     value::Floor,
 };
 
-/// The VMs, by rank, whose clocks are heard before the floor moves.
-const CLOCKS: usize = 5;
-/// How many times faster than time the floor may rise, so that clocks which are
-/// far ahead do not refuse the keys of today at once.
-const MAX_RISE: u64 = 4;
+/// How many VMs, the first in rank, contribute their clocks to the floor.
+const CLOCK_VMS: usize = 5;
+/// How many times faster than real time the floor may advance, so that clocks
+/// that are far ahead do not expire current keys at once.
+const MAX_ADVANCE_RATE: u64 = 4;
 
-/// Runs the system.
-pub fn run(tables: &mut Tables, scope: &Scope<'_>, out: &mut Outbox) {
+/// Starts the next call of the sweep unless one is in flight.
+pub fn run(tables: &mut Tables, context: &Context<'_>, out: &mut Outbox) {
     if tables.sweep.busy {
         return;
     }
     if !tables.sweep.entries.is_empty() {
-        remove(tables, scope, out);
-    } else if tables.sweep.next <= scope.now {
-        look(tables, scope, out);
+        remove_next(tables, context, out);
+    } else if tables.sweep.next_check <= context.now {
+        check_floor(tables, context, out);
     }
 }
 
-fn look(tables: &mut Tables, scope: &Scope<'_>, out: &mut Outbox) {
-    tables.sweep.next = scope.now + scope.limits.sweep;
-    let live = scope.vms.values().filter(|vm| vm.state == State::Live);
-    let order = rank::order(layout::floor_seed(), live.map(|vm| &vm.name));
-    tables.sweep.most = tables.sweep.most.max(order.len());
-    match order.iter().position(|vm| *vm == scope.vm) {
+/// Reads the floor if this VM is first in rank; the VMs next in rank send it
+/// their clocks.
+fn check_floor(tables: &mut Tables, context: &Context<'_>, out: &mut Outbox) {
+    tables.sweep.next_check = context.now + context.limits.sweep_interval;
+    let live = context.vms.values().filter(|vm| vm.state == State::Live);
+    let ranked = rank::order(layout::floor_seed(), live.map(|vm| &vm.name));
+    tables.sweep.max_live = tables.sweep.max_live.max(ranked.len());
+    match ranked.iter().position(|vm| *vm == context.vm) {
         Some(0) => {
             let get = Call::Get { key: FLOOR_KEY.to_owned() };
-            start(tables, scope, out, Purpose::FloorRead, get);
+            start_sweep_call(tables, context, out, Purpose::FloorRead, get);
         }
-        Some(rank) if rank < CLOCKS => {
-            out.messages.push((order[0].clone(), Message::Clock { wall: scope.wall }));
+        Some(rank) if rank < CLOCK_VMS => {
+            out.messages.push((ranked[0].clone(), Message::Clock { wall: context.wall }));
         }
         _ => {}
     }
 }
 
-fn start(tables: &mut Tables, scope: &Scope<'_>, out: &mut Outbox, purpose: Purpose, order: Call) {
+fn start_sweep_call(
+    tables: &mut Tables,
+    context: &Context<'_>,
+    out: &mut Outbox,
+    purpose: Purpose,
+    store_call: Call,
+) {
     tables.sweep.busy = true;
-    call(tables, scope, out, purpose, order);
+    start_call(tables, context, out, purpose, store_call);
 }
 
-/// Takes the answer to a call of the sweep.
-pub fn collect(
+/// Handles the reply to a call of the sweep.
+pub fn handle_reply(
     tables: &mut Tables,
-    scope: &Scope<'_>,
+    context: &Context<'_>,
     purpose: Purpose,
     reply: Reply,
     out: &mut Outbox,
 ) {
     tables.sweep.busy = false;
     match (purpose, reply) {
-        (Purpose::FloorRead, Reply::Value { entry, .. }) => floor_read(tables, scope, entry, out),
+        (Purpose::FloorRead, Reply::Value { entry, .. }) => {
+            handle_floor_read(tables, context, entry, out)
+        }
         (Purpose::FloorWrite { floor }, Reply::Swapped { version }) => {
             tables.floor = tables.floor.max(floor.slot);
             tables.sweep.stored = Some((Some(version), floor));
             tables.sweep.slot = tables.sweep.slot.max(floor.swept);
-            scan(tables, scope, out);
+            start_scan(tables, context, out);
         }
         (Purpose::SweepScan { slot }, Reply::Entries { entries, .. }) => {
-            scanned(tables, scope, slot, &entries);
+            handle_scan(tables, context, slot, &entries);
         }
-        (Purpose::SweepRemove { bucket }, reply) => removed(tables, bucket, &reply, out),
-        // Whatever else was answered, the sweep starts over at its next look.
+        (Purpose::SweepRemove { bucket }, reply) => handle_removal(tables, bucket, &reply, out),
+        // After any other reply the sweep starts over at the next check.
         _ => {}
     }
 }
 
-fn floor_read(tables: &mut Tables, scope: &Scope<'_>, entry: Option<Entry>, out: &mut Outbox) {
+fn handle_floor_read(
+    tables: &mut Tables,
+    context: &Context<'_>,
+    entry: Option<Entry>,
+    out: &mut Outbox,
+) {
     let version = entry.as_ref().map(|entry| entry.version);
     let stored = match entry {
         None => None,
@@ -95,68 +111,72 @@
             Err(_) => return,
         },
     };
-    let Some(goal) = goal(tables, scope) else { return };
-    let target = match stored {
-        None => goal,
-        Some(floor) => goal.min(rise(tables, scope, floor.slot)),
+    let Some(target) = target_slot(tables, context) else { return };
+    let next = match stored {
+        None => target,
+        Some(floor) => target.min(max_slot(tables, context, floor.slot)),
     };
-    let current = stored.unwrap_or(Floor { slot: 0, swept: target });
+    let current = stored.unwrap_or(Floor { slot: 0, swept: next });
     tables.floor = tables.floor.max(current.slot);
     tables.sweep.stored = Some((version, current));
-    // A slot that another VM still swept is swept again, which does no harm.
+    // A slot that another VM has swept as well is swept again, which is harmless.
     tables.sweep.slot = tables.sweep.slot.clamp(current.swept, current.slot.max(current.swept));
-    if target <= current.slot {
-        scan(tables, scope, out);
+    if next <= current.slot {
+        start_scan(tables, context, out);
         return;
     }
-    let floor = Floor { slot: target, swept: tables.sweep.slot };
+    let floor = Floor { slot: next, swept: tables.sweep.slot };
     let key = FLOOR_KEY.to_owned();
     let swap = Call::Swap { key, expect: version, value: floor.encode(), lease: None };
-    start(tables, scope, out, Purpose::FloorWrite { floor }, swap);
+    start_sweep_call(tables, context, out, Purpose::FloorWrite { floor }, swap);
 }
 
-/// The highest slot to which the floor may rise from `stored` now. A VM that
-/// reads the floor for the first time only notes when it did.
-fn rise(tables: &mut Tables, scope: &Scope<'_>, stored: u64) -> u64 {
-    let Some(seen) = tables.sweep.seen.replace(scope.now) else { return stored };
-    let elapsed = millis(scope.now.since(seen)).saturating_mul(MAX_RISE);
-    stored + scope.limits.layout.slot_at(elapsed).max(1)
+/// Returns the highest slot to which the floor may advance from `stored` now. It
+/// does not advance at the first read by a VM, which only records its time.
+fn max_slot(tables: &mut Tables, context: &Context<'_>, stored: u64) -> u64 {
+    let Some(last_read) = tables.sweep.last_read.replace(context.now) else { return stored };
+    let elapsed = millis(context.now.since(last_read)).saturating_mul(MAX_ADVANCE_RATE);
+    stored + context.limits.layout.slot_at(elapsed).max(1)
 }
 
-/// The slot that the floor should have: a window before the median of the
-/// clocks that were heard lately, so that one wrong clock does not move it.
-/// There is none while too few clocks were heard.
-fn goal(tables: &mut Tables, scope: &Scope<'_>) -> Option<u64> {
-    let horizon = scope.limits.sweep * 3;
+/// Returns the slot that the floor should have: one window before the median of
+/// the recently received clocks and this VM's own, so that a single wrong clock
+/// does not move it. Returns `None` while too few clocks are known.
+fn target_slot(tables: &mut Tables, context: &Context<'_>) -> Option<u64> {
+    let max_age = context.limits.sweep_interval * 3;
     let clocks = &mut tables.sweep.clocks;
-    clocks
-        .retain(|vm, (_, heard)| scope.now.since(*heard) <= horizon && scope.vms.contains_key(vm));
-    let heard = clocks.values().map(|(wall, heard)| wall.0 + millis(scope.now.since(*heard)));
-    let mut walls: Vec<u64> = heard.chain([scope.wall.0]).collect();
-    if walls.len() <= tables.sweep.most.min(CLOCKS) / 2 {
+    clocks.retain(|vm, (_, received)| {
+        context.now.since(*received) <= max_age && context.vms.contains_key(vm)
+    });
+    let received =
+        clocks.values().map(|(wall, received)| wall.0 + millis(context.now.since(*received)));
+    let mut walls: Vec<u64> = received.chain([context.wall.0]).collect();
+    if walls.len() <= tables.sweep.max_live.min(CLOCK_VMS) / 2 {
         return None;
     }
     walls.sort_unstable();
     let Wall(median) = Wall(walls[(walls.len() - 1) / 2]);
-    Some(scope.limits.layout.slot_at(median.saturating_sub(millis(scope.limits.window))))
+    Some(context.limits.layout.slot_at(median.saturating_sub(millis(context.limits.window))))
 }
 
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Lists the next slot below the floor, if there is one.
-fn scan(tables: &mut Tables, scope: &Scope<'_>, out: &mut Outbox) {
+/// Lists the buckets of the next slot to remove, if one is below the floor.
+fn start_scan(tables: &mut Tables, context: &Context<'_>, out: &mut Outbox) {
     let Some((_, floor)) = tables.sweep.stored else { return };
     let slot = tables.sweep.slot;
     if slot >= floor.slot {
         return;
     }
-    let prefix = layout::prefix(slot);
-    start(tables, scope, out, Purpose::SweepScan { slot }, Call::Scan { prefix });
+    let prefix = layout::slot_prefix(slot);
+    start_sweep_call(tables, context, out, Purpose::SweepScan { slot }, Call::Scan { prefix });
 }
 
-fn scanned(tables: &mut Tables, scope: &Scope<'_>, slot: u64, entries: &[Entry]) {
+/// Stores the buckets that are to be removed. If there are none, the slot is
+/// done.
+fn handle_scan(tables: &mut Tables, context: &Context<'_>, slot: u64, entries: &[Entry]) {
     let found = entries
         .iter()
         .filter_map(|entry| Bucket::parse(&entry.key).map(|bucket| (bucket, entry.version)));
@@ -165,32 +185,38 @@
         tables.sweep.slot = slot + 1;
         let floor = tables.sweep.stored.map_or(0, |(_, floor)| floor.slot);
         if tables.sweep.slot < floor {
-            tables.sweep.next = scope.now + interval(scope);
+            tables.sweep.next_check = context.now + removal_interval(context);
         }
     }
 }
 
-/// Removes the next bucket of the slot.
-fn remove(tables: &mut Tables, scope: &Scope<'_>, out: &mut Outbox) {
-    if tables.sweep.remove > scope.now {
+/// Removes the next bucket of the slot, at the rate limit of removals.
+fn remove_next(tables: &mut Tables, context: &Context<'_>, out: &mut Outbox) {
+    if tables.sweep.next_removal > context.now {
         return;
     }
     let Some((bucket, expect)) = tables.sweep.entries.pop() else { return };
-    tables.sweep.remove = scope.now + interval(scope);
-    // After the last bucket the slot is listed once more, which shows whether
-    // all of them are gone.
+    tables.sweep.next_removal = context.now + removal_interval(context);
+    // The slot is listed again after its last bucket, to check that all buckets
+    // are gone.
     if tables.sweep.entries.is_empty() {
-        tables.sweep.next = tables.sweep.remove;
+        tables.sweep.next_check = tables.sweep.next_removal;
     }
-    let key = bucket.text();
-    start(tables, scope, out, Purpose::SweepRemove { bucket }, Call::Remove { key, expect });
+    let key = bucket.key();
+    start_sweep_call(
+        tables,
+        context,
+        out,
+        Purpose::SweepRemove { bucket },
+        Call::Remove { key, expect },
+    );
 }
 
-fn interval(scope: &Scope<'_>) -> Duration {
-    Duration::from_secs(1) / scope.limits.removals.max(1)
+fn removal_interval(context: &Context<'_>) -> Duration {
+    Duration::from_secs(1) / context.limits.removals_per_second.max(1)
 }
 
-fn removed(tables: &mut Tables, bucket: Bucket, reply: &Reply, out: &mut Outbox) {
+fn handle_removal(tables: &mut Tables, bucket: Bucket, reply: &Reply, out: &mut Outbox) {
     match reply {
         Reply::Removed => out.count(Count::Removed),
         Reply::Conflict { current: Some(Entry { version, .. }) } => {
--- a/crates/core/src/claims/table.rs
+++ b/crates/core/src/claims/table.rs
@@ -17,122 +17,112 @@
     value::{Floor, Value},
 };
 
-/// The id of a store call of this engine. It shares no space with other users
-/// of the store; whoever carries the calls out maps it.
+/// The id of a store call of this engine. It is unique only within the engine;
+/// the control thread maps it to an id that is unique within the VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId(pub u64);
 
 /// An operation of this VM that waits for a verdict.
 #[derive(Clone, Debug)]
 pub struct Operation {
-    /// The operation that the verdict is for.
     pub operation: id::Query,
-    /// What it claims.
     pub request: Request,
-    /// When the operation gives up.
+    /// When the operation ends as unsettled.
     pub deadline: Instant,
     /// The VM that the claim was last sent to.
     pub home: Option<Name>,
     /// How often the claim was sent.
     pub tries: usize,
-    /// When the claim is sent again.
-    pub next: Instant,
+    /// When the claim is sent next.
+    pub next_send: Instant,
 }
 
 /// An outcome of this VM that is not yet recorded.
 #[derive(Clone, Debug)]
 pub struct Report {
-    /// What was claimed.
     pub request: Request,
-    /// The outcome.
     pub outcome: Outcome,
-    /// The VM that it was last sent to.
+    /// The VM that the outcome was last sent to.
     pub home: Option<Name>,
-    /// When it is sent again.
-    pub next: Instant,
-    /// When it is given up.
+    /// When the outcome is sent next.
+    pub next_send: Instant,
+    /// When the outcome is dropped.
     pub deadline: Instant,
 }
 
 /// A claim that waits at this home.
 #[derive(Clone, Debug)]
 pub struct Pending {
-    /// What is claimed.
     pub request: Request,
-    /// The VM that asks.
+    /// The VM that sent the claim.
     pub requester: Name,
-    /// When the requester gives up.
+    /// When the operation ends at the requester.
     pub deadline: Instant,
 }
 
 /// An outcome that waits at this home.
 #[derive(Clone, Debug)]
 pub struct Record {
-    /// What was claimed.
     pub request: Request,
-    /// The outcome.
     pub outcome: Outcome,
-    /// The VM that reports.
+    /// The VM that sent the outcome.
     pub requester: Name,
-    /// When it came.
-    pub since: Instant,
+    pub queued_at: Instant,
 }
 
-/// What this home remembers of a bucket's stored value. It is a hint: a
-/// compare-and-swap shows whether it is still so.
+/// The cached value of a bucket. It may be out of date, which the next
+/// compare-and-swap detects.
 #[derive(Clone, Debug)]
-pub enum Hint {
+pub enum Cache {
     /// The value must be read before it can be used.
     Stale,
     /// The value could not be decoded; nothing is granted and nothing written.
     Unreadable,
-    /// The value as of `read`; no version means that there was none. A value
-    /// that was never read is a guess.
-    Known { version: Option<Version>, value: Value, read: Option<Instant> },
+    /// The value as read or written at `read_at`. Without a version the bucket
+    /// did not exist. Without `read_at` the bucket was not read but is assumed
+    /// not to exist.
+    Known { version: Option<Version>, value: Value, read_at: Option<Instant> },
 }
 
-/// A bucket with work at this home.
+/// A bucket at this home, with its cached value and its work.
 #[derive(Clone, Debug)]
 pub struct Row {
-    /// The remembered value.
-    pub hint: Hint,
-    /// Claims without an answer.
+    pub cache: Cache,
+    /// Claims that wait for a verdict or a write.
     pub claims: Vec<Pending>,
-    /// Outcomes without an acknowledgement.
+    /// Outcomes that wait to be written.
     pub records: Vec<Record>,
     /// The one call in flight for this bucket.
     pub call: Option<CallId>,
-    /// No call starts before this time.
-    pub retry: Instant,
-    /// Calls that failed in a row.
+    /// The time before which no call starts.
+    pub retry_at: Instant,
+    /// The number of failed calls in a row.
     pub failures: u32,
-    /// When the bucket was last used.
-    pub used: Instant,
+    /// When a claim or outcome last arrived for the bucket.
+    pub last_used: Instant,
 }
 
 /// A claim that is stored and waits for the read of the floor.
 #[derive(Clone, Debug)]
 pub struct Grant {
-    /// The claim.
     pub pending: Pending,
-    /// Its bucket.
     pub bucket: Bucket,
 }
 
-/// What a call was made for.
+/// Why a store call was made, with the data that its reply needs.
 #[derive(Clone, Debug)]
 pub enum Purpose {
     /// Reads a bucket.
     Read { bucket: Bucket },
     /// Writes a bucket with these claims and outcomes in it.
     Write { bucket: Bucket, value: Value, claims: Vec<Pending>, records: Vec<Record> },
-    /// Reads the floor for these grants.
+    /// Reads the floor to confirm these claims.
     Confirm { grants: Vec<Grant> },
-    /// Removes a bucket that was created below the floor.
+    /// Removes a bucket that was written below the floor.
     Undo,
-    /// Reads the floor in order to move it.
+    /// Reads the floor in order to advance it.
     FloorRead,
-    /// Moves the floor.
+    /// Advances the floor.
     FloorWrite { floor: Floor },
     /// Lists the buckets of a slot below the floor.
     SweepScan { slot: u64 },
@@ -140,70 +130,69 @@
     SweepRemove { bucket: Bucket },
 }
 
-/// A call in flight.
+/// A store call in flight.
 #[derive(Clone, Debug)]
-pub struct Flight {
-    /// What it is for.
+pub struct Call {
     pub purpose: Purpose,
-    /// When it counts as lost.
+    /// When the call counts as lost.
     pub deadline: Instant,
 }
 
-/// The pace of the writes of one part.
+/// The rate limiter for the writes of one partition.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Pace {
-    /// When the next write is due if every write takes its full interval.
-    pub next: Instant,
+pub struct Limiter {
+    /// When the next write is allowed without use of the burst.
+    pub next_write: Instant,
 }
 
-/// The state of the VM that moves the floor.
+/// The state of advancing the floor and of removing the buckets below it.
 #[derive(Clone, Debug, Default)]
 pub struct Sweep {
-    /// The stored floor with its version.
+    /// The floor that was last read or written, with its version in the store.
     pub stored: Option<(Option<Version>, Floor)>,
-    /// When the floor is looked at next.
-    pub next: Instant,
+    /// When the floor is checked next.
+    pub next_check: Instant,
     /// When the next bucket may be removed.
-    pub remove: Instant,
+    pub next_removal: Instant,
     /// Whether a call of the sweep is in flight.
     pub busy: bool,
     /// The slot that is being removed.
     pub slot: u64,
-    /// The buckets of the slot that are still to be removed.
+    /// The buckets of the slot that remain to be removed.
     pub entries: Vec<(Bucket, Version)>,
-    /// The most live VMs that were seen.
-    pub most: usize,
-    /// When the stored floor was last read in order to move it.
-    pub seen: Option<Instant>,
-    /// The clocks of peers: what they said and when.
+    /// The largest number of live VMs at any check. The clocks of a majority of
+    /// them, or of `CLOCK_VMS` if there are more, are needed to advance the floor.
+    pub max_live: usize,
+    /// When the stored floor was last read in order to advance it.
+    pub last_read: Option<Instant>,
+    /// The last wall clock that each peer sent, and when it arrived.
     pub clocks: BTreeMap<Name, (Wall, Instant)>,
 }
 
-/// All tables.
+/// All tables of the engine of one VM.
 #[derive(Clone, Debug, Default)]
 pub struct Tables {
-    /// Operations of this VM by token.
+    /// Operations of this VM that wait for a verdict, by token.
     pub operations: BTreeMap<Uuid, Operation>,
-    /// Outcomes of this VM by token.
+    /// Outcomes of this VM that are not yet recorded, by token.
     pub reports: BTreeMap<Uuid, Report>,
-    /// Buckets with work at this home.
+    /// Buckets with work or a cached value at this home.
     pub buckets: BTreeMap<Bucket, Row>,
     /// Stored claims that wait for the read of the floor.
     pub grants: Vec<Grant>,
-    /// No read of the floor for grants starts before this time.
-    pub confirm: Instant,
-    /// The tokens of all claims at this home that have no answer yet.
+    /// The time before which no read of the floor for grants starts.
+    pub next_confirm: Instant,
+    /// The tokens of all claims at this home without an answer, so that a claim
+    /// that is sent again is not queued twice.
     pub waiting: BTreeSet<Uuid>,
-    /// Calls in flight.
-    pub calls: BTreeMap<CallId, Flight>,
-    /// The pace of each part.
-    pub paces: BTreeMap<u16, Pace>,
-    /// VMs that did not answer, and until when they are passed over.
+    pub calls: BTreeMap<CallId, Call>,
+    /// The write rate limiter of each partition.
+    pub limiters: BTreeMap<u16, Limiter>,
+    /// VMs that did not answer, and until when they are not used as homes.
     pub unreachable: BTreeMap<Name, Instant>,
-    /// The highest floor that was read.
+    /// The slot of the highest floor that was read or written.
     pub floor: u64,
-    /// The state of the sweep.
     pub sweep: Sweep,
-    /// The last id of a call.
+    /// The id of the last call that was started.
     pub last_call: u64,
 }
--- a/crates/core/src/claims/value.rs
+++ b/crates/core/src/claims/value.rs
@@ -1,8 +1,9 @@
-//! The stored form of a bucket and of the floor.
+//! The stored format of buckets and of the floor.
 //!
-//! The layout is fixed by hand: 41 bytes for each claim and the bytes of its
-//! result. It outlives a release, so it must not follow a library's format or
-//! the order of a Rust enum. See `docs/design/claims.md`.
+//! A bucket takes 41 bytes for each claim and the bytes of its result. The format
+//! is encoded by hand because stored values outlive a release, so it must not
+//! depend on a library's format or on the order of a Rust enum. See
+//! `docs/design/claims.md`.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -14,22 +15,24 @@
 };
 
 /// The first byte of a stored bucket.
-const FORMAT: u8 = 1;
-/// The bytes of a claim without a result.
-pub const CLAIM_SIZE: usize = 16 + 16 + 8 + 1;
-/// The bytes of the length of a result.
-const LENGTH_SIZE: usize = 4;
-
-const CLAIMED: u8 = 0;
-const NOT_RUN: u8 = 1;
-const DONE: u8 = 2;
-
-/// What is stored for a key.
+const FORMAT_VERSION: u8 = 1;
+/// The encoded size of a claim without a result: key, token, fingerprint and tag.
+pub const CLAIM_BYTES: usize = 16 + 16 + 8 + 1;
+/// The encoded size of the length of a result.
+const LENGTH_BYTES: usize = 4;
+
+/// The tag of a claim without an outcome.
+const TAG_CLAIMED: u8 = 0;
+/// The tag of a claim that was released without running.
+const TAG_NOT_RUN: u8 = 1;
+/// The tag of a claim with a result.
+const TAG_DONE: u8 = 2;
+
+/// The stored claim of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
-    /// The run that holds the key.
+    /// The token of the request that holds the key.
     pub token: Uuid,
-    /// The fingerprint of the request.
     pub fingerprint: Fingerprint,
     /// The outcome, if one is recorded.
     pub outcome: Option<Outcome>,
@@ -39,58 +42,57 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Value {
     entries: BTreeMap<Key, Entry>,
-    results: usize,
+    result_bytes: usize,
 }
 
-/// Why a stored value cannot be read.
+/// The error of a stored value that cannot be decoded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unreadable {
-    /// The offset of the byte at fault.
+    /// The offset in bytes at which decoding failed.
     pub offset: usize,
 }
 
 impl Value {
-    /// The entry of `key`.
     pub fn get(&self, key: &Key) -> Option<&Entry> {
         self.entries.get(key)
     }
 
-    /// Stores the entry of `key` in place of an earlier one.
+    /// Inserts the entry of `key`, or replaces an earlier one.
     pub fn insert(&mut self, key: Key, entry: Entry) {
-        self.results += result_size(&entry);
+        self.result_bytes += encoded_result_len(&entry);
         if let Some(old) = self.entries.insert(key, entry) {
-            self.results -= result_size(&old);
+            self.result_bytes -= encoded_result_len(&old);
         }
     }
 
-    /// The number of claims.
+    /// Returns the number of claims.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
-    /// Whether no claim is stored.
+    /// Whether the bucket holds no claims.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
-    /// The bytes of the stored form.
-    pub fn size(&self) -> usize {
-        1 + self.entries.len() * CLAIM_SIZE + self.results
+    /// Returns the length of the stored format in bytes.
+    pub fn encoded_len(&self) -> usize {
+        1 + self.entries.len() * CLAIM_BYTES + self.result_bytes
     }
 
-    /// Writes the stored form.
+    /// Encodes the stored format.
     pub fn encode(&self) -> Vec<u8> {
-        let mut out = Vec::with_capacity(self.size());
-        out.push(FORMAT);
+        let mut out = Vec::with_capacity(self.encoded_len());
+        out.push(FORMAT_VERSION);
         for (key, entry) in &self.entries {
             out.extend_from_slice(key.0.as_bytes());
             out.extend_from_slice(entry.token.as_bytes());
             out.extend_from_slice(&entry.fingerprint.0.to_le_bytes());
             match &entry.outcome {
-                None => out.push(CLAIMED),
-                Some(Outcome::NotRun) => out.push(NOT_RUN),
+                None => out.push(TAG_CLAIMED),
+                Some(Outcome::NotRun) => out.push(TAG_NOT_RUN),
                 Some(Outcome::Done { result }) => {
-                    out.push(DONE);
+                    out.push(TAG_DONE);
                     out.extend_from_slice(&(result.len() as u32).to_le_bytes());
                     out.extend_from_slice(result.as_bytes());
                 }
@@ -105,7 +107,7 @@
 
     fn try_from(bytes: &[u8]) -> Result<Value, Unreadable> {
         let mut reader = Reader { bytes, offset: 0 };
-        if reader.array::<1>()? != [FORMAT] {
+        if reader.array::<1>()? != [FORMAT_VERSION] {
             return Err(Unreadable { offset: 0 });
         }
         let mut value = Value::default();
@@ -120,9 +122,9 @@
     }
 }
 
-fn result_size(entry: &Entry) -> usize {
+fn encoded_result_len(entry: &Entry) -> usize {
     match &entry.outcome {
-        Some(Outcome::Done { result }) => LENGTH_SIZE + result.len(),
+        Some(Outcome::Done { result }) => LENGTH_BYTES + result.len(),
         _ => 0,
     }
 }
@@ -150,9 +152,9 @@
     fn outcome(&mut self) -> Result<Option<Outcome>, Unreadable> {
         let at = Unreadable { offset: self.offset };
         match self.array::<1>()? {
-            [CLAIMED] => Ok(None),
-            [NOT_RUN] => Ok(Some(Outcome::NotRun)),
-            [DONE] => {
+            [TAG_CLAIMED] => Ok(None),
+            [TAG_NOT_RUN] => Ok(Some(Outcome::NotRun)),
+            [TAG_DONE] => {
                 let len = u32::from_le_bytes(self.array()?) as usize;
                 let text = std::str::from_utf8(self.take(len)?).map_err(|_| at)?;
                 Ok(Some(Outcome::Done { result: Arc::from(text) }))
@@ -162,17 +164,18 @@
     }
 }
 
-/// The stored floor: what lies below it is forgotten and refused.
+/// The stored floor. Keys of slots below it are expired, and their claims are
+/// removed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Floor {
-    /// The lowest slot whose claims are remembered.
+    /// The lowest slot whose claims are kept.
     pub slot: u64,
-    /// Every slot below this one has been removed.
+    /// The slot below which all buckets have been removed.
     pub swept: u64,
 }
 
 impl Floor {
-    /// Writes the stored form.
+    /// Encodes the stored format.
     pub fn encode(&self) -> Vec<u8> {
         [self.slot.to_le_bytes(), self.swept.to_le_bytes()].concat()
     }
--- a/crates/core/src/claims/wake.rs
+++ b/crates/core/src/claims/wake.rs
@@ -1,42 +1,46 @@
-//! The earliest time at which a step has something to do without an event.
+//! Computes when the next step is needed without an event.
 
 use crate::time::Instant;
 
 use super::{
     Limits, decide,
     layout::Bucket,
-    table::{Hint, Row, Tables},
+    table::{Cache, Row, Tables},
 };
 
-/// Computes the time.
-pub fn run(tables: &Tables, limits: &Limits) -> Option<Instant> {
-    let operations = tables.operations.values().map(|row| row.deadline.min(row.next));
-    let reports = tables.reports.values().map(|row| row.deadline.min(row.next));
-    let calls = tables.calls.values().map(|flight| flight.deadline);
-    let buckets = tables.buckets.iter().filter_map(|(bucket, row)| of(tables, limits, bucket, row));
+/// Returns the earliest deadline, retry, due write or check in the tables.
+pub fn earliest(tables: &Tables, limits: &Limits) -> Option<Instant> {
+    let operations = tables.operations.values().map(|row| row.deadline.min(row.next_send));
+    let reports = tables.reports.values().map(|row| row.deadline.min(row.next_send));
+    let calls = tables.calls.values().map(|call| call.deadline);
+    let buckets =
+        tables.buckets.iter().filter_map(|(bucket, row)| bucket_wake(tables, limits, bucket, row));
     let sweep = if tables.sweep.busy {
         None
     } else if tables.sweep.entries.is_empty() {
-        Some(tables.sweep.next)
+        Some(tables.sweep.next_check)
     } else {
-        Some(tables.sweep.remove)
+        Some(tables.sweep.next_removal)
     };
-    let confirm = (!tables.grants.is_empty()).then_some(tables.confirm);
+    let confirm = (!tables.grants.is_empty()).then_some(tables.next_confirm);
     let confirm = confirm.into_iter().chain(tables.grants.iter().map(|g| g.pending.deadline));
     operations.chain(confirm).chain(reports).chain(calls).chain(buckets).chain(sweep).min()
 }
 
-fn of(tables: &Tables, limits: &Limits, bucket: &Bucket, row: &Row) -> Option<Instant> {
+/// Returns the earliest time at which a claim of the bucket expires or the next
+/// call of the bucket can start.
+fn bucket_wake(tables: &Tables, limits: &Limits, bucket: &Bucket, row: &Row) -> Option<Instant> {
     let expiry = row.claims.iter().map(|pending| pending.deadline).min();
     if row.call.is_some() {
         return expiry;
     }
-    let start = match row.hint {
-        Hint::Known { .. } => {
-            let pace = tables.paces.get(&bucket.part).copied().unwrap_or_default();
-            decide::due(row, limits).map(|due| due.max(decide::paced(pace, limits)).max(row.retry))
+    let start = match row.cache {
+        Cache::Known { .. } => {
+            let limiter = tables.limiters.get(&bucket.partition).copied().unwrap_or_default();
+            decide::write_due(row, limits)
+                .map(|due| due.max(decide::next_write(limiter, limits)).max(row.retry_at))
         }
-        _ => (!row.claims.is_empty() || !row.records.is_empty()).then_some(row.retry),
+        _ => (!row.claims.is_empty() || !row.records.is_empty()).then_some(row.retry_at),
     };
     expiry.into_iter().chain(start).min()
 }
--- a/crates/core/tests/claims/fault.rs
+++ b/crates/core/tests/claims/fault.rs
@@ -61,8 +61,8 @@
 }
 
 fn limits() -> Limits {
-    let sweep = Duration::from_secs(1);
-    Limits { window: WINDOW, sweep, ..Limits::default() }
+    let sweep_interval = Duration::from_secs(1);
+    Limits { window: WINDOW, sweep_interval, ..Limits::default() }
 }
 
 fn is_bucket_write(item: &Item) -> bool {
--- a/crates/core/tests/claims/fuzz.rs
+++ b/crates/core/tests/claims/fuzz.rs
@@ -194,9 +194,9 @@
     fn init_test(_: &usize) -> Fleet {
         let limits = Limits {
             window: WINDOW,
-            sweep: Duration::from_millis(500),
+            sweep_interval: Duration::from_millis(500),
             call_timeout: Duration::from_millis(500),
-            report: Duration::from_secs(10),
+            report_timeout: Duration::from_secs(10),
             ..Limits::default()
         };
         Fleet { world: World::new(VMS, limits, 1), keys: Vec::new(), wrong_clocks: false }
--- a/crates/core/tests/claims/rate.rs
+++ b/crates/core/tests/claims/rate.rs
@@ -84,8 +84,8 @@
     };
     removals_fit_beside_five_thousand_operations_a_second => {
         let window = Duration::from_secs(1);
-        let sweep = Duration::from_secs(1);
-        report(5000, Limits { window, sweep, ..Limits::default() });
+        let sweep_interval = Duration::from_secs(1);
+        report(5000, Limits { window, sweep_interval, ..Limits::default() });
     };
     five_thousand_operations_a_second_stay_within_the_calls => {
         let cost = report(5000, Limits::default());
--- a/crates/core/tests/claims/rule.rs
+++ b/crates/core/tests/claims/rule.rs
@@ -25,7 +25,7 @@
 fn world() -> World {
     let limits = Limits {
         window: Duration::from_secs(5),
-        sweep: Duration::from_secs(1),
+        sweep_interval: Duration::from_secs(1),
         ..Limits::default()
     };
     World::new(3, limits, 11)
@@ -60,7 +60,7 @@
 cases! {
     a_stored_value_reads_back => {
         let bytes = sample().encode();
-        assert_eq!(bytes.len(), sample().size());
+        assert_eq!(bytes.len(), sample().encoded_len());
         assert_eq!(Value::try_from(bytes.as_slice()), Ok(sample()));
     };
     a_cut_value_is_refused_unless_a_whole_claim_is_missing => {
@@ -72,8 +72,8 @@
         }
     };
     a_bucket_key_reads_back => {
-        let bucket = Bucket { slot: 1_800_000_000, part: 7 };
-        assert_eq!(Bucket::parse(&bucket.text()), Some(bucket));
+        let bucket = Bucket { slot: 1_800_000_000, partition: 7 };
+        assert_eq!(Bucket::parse(&bucket.key()), Some(bucket));
         assert_eq!(Bucket::parse(FLOOR_KEY), None);
     };
     a_key_without_a_time_of_issue_has_no_bucket => {
@@ -97,7 +97,7 @@
         let resend = world.operate(2, key, LONG, plan());
         world.run(Duration::from_millis(20));
         assert!(matches!(verdict(&world, resend), Verdict::Recorded { .. }));
-        let bucket = Layout::V1.bucket(&key).unwrap().text();
+        let bucket = Layout::V1.bucket(&key).unwrap().key();
         let value = Value::try_from(world.store.values[&bucket].1.as_slice()).unwrap();
         assert_eq!(value.get(&key).unwrap().outcome, None, "the outcome still waits");
     };
@@ -228,7 +228,7 @@
         let mut world = world();
         let key = world.key();
         assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Granted);
-        let bucket = Layout::V1.bucket(&key).unwrap().text();
+        let bucket = Layout::V1.bucket(&key).unwrap().key();
         let (_, stored) = world.store.values.get_mut(&bucket).unwrap();
         let mut value = Value::try_from(stored.as_slice()).unwrap();
         let mut entry = value.get(&key).unwrap().clone();
@@ -241,7 +241,7 @@
     unreadable_claims_grant_nothing => {
         let mut world = world();
         let key = world.key();
-        let bucket = Layout::V1.bucket(&key).unwrap().text();
+        let bucket = Layout::V1.bucket(&key).unwrap().key();
         let version = laburnum_core::store::Version(1);
         world.store.values.insert(bucket, (version, vec![250]));
         assert!(matches!(ask(&mut world, 0, key, plan()), Verdict::Unsettled { .. }));
--- a/crates/core/tests/claims/world/mod.rs
+++ b/crates/core/tests/claims/world/mod.rs
@@ -198,8 +198,8 @@
     pub fn remote_key(&mut self) -> (Key, usize) {
         loop {
             let key = self.key();
-            let part = self.limits.layout.bucket(&key).unwrap().part;
-            let home = self.first(layout::part_seed(part));
+            let partition = self.limits.layout.bucket(&key).unwrap().partition;
+            let home = self.first(layout::partition_seed(partition));
             if home != 0 {
                 return (key, home);
             }
