Reword the tests of claims in the terms of the field

The tests used figurative or vague words (fate, move, item, stir, ask, told) and constants without a unit. They become the usual terms of a simulation and of state machine tests: handling, transition, action, schedule, submit, record; constants and fields name their unit. Comments say which fault or rule a test covers, and a comment on the counts of store calls now says which calls are counted. No case, case name, seed, bound or check changes.

--- a/crates/core/tests/claims/fuzz.rs
+++ b/crates/core/tests/claims/fuzz.rs
@@ -1,7 +1,8 @@
 //! Stateful fuzzing of several engines against the oracle.
 //!
-//! The seeds are fixed, so that the verdict is the same in each run.
-//! `CLAIMS_FUZZ_CASES` sets the number of cases and takes new seeds.
+//! The seed is fixed, so that every run gives the same result. If
+//! `CLAIMS_FUZZ_CASES` is set, it gives the number of cases and the seed is
+//! random.
 
 use std::time::Duration;
 
@@ -13,38 +14,40 @@
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 use crate::{
-    store::{Fate, Mode},
+    store::{Handling, Mode},
     world::{Network, Plan, World},
 };
 
 const VMS: usize = 4;
+/// How long claims are kept; short, so that a case can outlast it.
 const WINDOW: Duration = Duration::from_secs(4);
-const CASES: u32 = 400;
+const DEFAULT_CASES: u32 = 400;
 const SEED: u64 = 20_261_204;
-const MOVES: usize = 60;
+const MAX_TRANSITIONS: usize = 60;
 
-/// One move of the callers, of the time or of the faults.
+/// One transition: an action of a caller, the passing of time, or a fault that
+/// begins or ends.
 #[derive(Clone, Debug)]
-enum Move {
-    /// A caller sends a new key.
+enum Transition {
+    /// A caller sends an operation with a new key.
     Operate {
         vm: usize,
         remaining: u64,
         plan: Plan,
     },
-    /// A caller sends an earlier key again.
+    /// A caller sends the operation of an earlier key again.
     Resend {
         vm: usize,
         key: usize,
         remaining: u64,
         plan: Plan,
     },
-    /// Time passes, in microseconds.
+    /// Time passes.
     Run {
         micros: u64,
     },
-    /// More time passes than claims are remembered.
-    Outlast,
+    /// Time passes until all earlier claims have expired.
+    PassWindow,
     Pause {
         vm: usize,
     },
@@ -58,10 +61,10 @@
         mode: Mode,
     },
     NextWrite {
-        fate: Fate,
+        handling: Handling,
     },
     NextRead {
-        fate: Fate,
+        handling: Handling,
     },
     Split {
         a: usize,
@@ -71,7 +74,7 @@
         from: usize,
         to: usize,
     },
-    Net {
+    Network {
         network: Network,
     },
     Skew {
@@ -87,18 +90,19 @@
 
 fn plan() -> impl Strategy<Value = Plan> {
     prop_oneof![
-        6 => (0..50_000u64, 0..100_000u64).prop_map(|(before, run)| Plan::Run { before, run }),
-        1 => (0..50_000u64).prop_map(|before| Plan::Silent { before }),
+        6 => (0..50_000u64, 0..100_000u64)
+            .prop_map(|(delay, duration)| Plan::Run { delay, duration }),
+        1 => (0..50_000u64).prop_map(|delay| Plan::Silent { delay }),
         2 => Just(Plan::Withdraw),
     ]
 }
 
-fn fate() -> impl Strategy<Value = Fate> {
+fn handling() -> impl Strategy<Value = Handling> {
     prop_oneof![
-        1 => Just(Fate::Refused),
-        1 => Just(Fate::Dropped),
-        3 => Just(Fate::AnswerLost),
-        2 => (0..3_000_000u64).prop_map(Fate::EffectLater),
+        1 => Just(Handling::Refused),
+        1 => Just(Handling::Dropped),
+        3 => Just(Handling::AnswerLost),
+        2 => (0..3_000_000u64).prop_map(Handling::EffectLater),
     ]
 }
 
@@ -117,79 +121,81 @@
 }
 
 fn network() -> impl Strategy<Value = Network> {
-    (0..60u64, 0..60u64, 0..400_000u64).prop_map(|(loss, double, jitter)| Network {
-        loss,
-        double,
-        jitter,
-    })
+    (0..60u64, 0..60u64, 0..400_000u64).prop_map(
+        |(loss_percent, duplicate_percent, jitter_micros)| Network {
+            loss_percent,
+            duplicate_percent,
+            jitter_micros,
+        },
+    )
 }
 
-fn fault() -> impl Strategy<Value = Move> {
+fn fault() -> impl Strategy<Value = Transition> {
     prop_oneof![
-        1 => vm().prop_map(|vm| Move::Pause { vm }),
-        2 => vm().prop_map(|vm| Move::Resume { vm }),
-        1 => vm().prop_map(|vm| Move::Replace { vm }),
-        1 => mode().prop_map(|mode| Move::Store { mode }),
-        2 => fate().prop_map(|fate| Move::NextWrite { fate }),
-        1 => fate().prop_map(|fate| Move::NextRead { fate }),
-        1 => (vm(), vm()).prop_map(|(a, b)| Move::Split { a, b }),
-        1 => (vm(), vm()).prop_map(|(from, to)| Move::Cut { from, to }),
-        1 => network().prop_map(|network| Move::Net { network }),
-        1 => (vm(), -20..20i64).prop_map(|(vm, seconds)| Move::Skew { vm, seconds }),
-        1 => Just(Move::Heal),
+        1 => vm().prop_map(|vm| Transition::Pause { vm }),
+        2 => vm().prop_map(|vm| Transition::Resume { vm }),
+        1 => vm().prop_map(|vm| Transition::Replace { vm }),
+        1 => mode().prop_map(|mode| Transition::Store { mode }),
+        2 => handling().prop_map(|handling| Transition::NextWrite { handling }),
+        1 => handling().prop_map(|handling| Transition::NextRead { handling }),
+        1 => (vm(), vm()).prop_map(|(a, b)| Transition::Split { a, b }),
+        1 => (vm(), vm()).prop_map(|(from, to)| Transition::Cut { from, to }),
+        1 => network().prop_map(|network| Transition::Network { network }),
+        1 => (vm(), -20..20i64).prop_map(|(vm, seconds)| Transition::Skew { vm, seconds }),
+        1 => Just(Transition::Heal),
     ]
 }
 
-/// What the moves may refer to: the number of keys that callers made.
-struct Callers;
+/// The reference state: the number of keys that callers have made.
+struct Model;
 
-impl ReferenceStateMachine for Callers {
+impl ReferenceStateMachine for Model {
     type State = usize;
-    type Transition = Move;
+    type Transition = Transition;
 
     fn init_state() -> BoxedStrategy<usize> {
         Just(0).boxed()
     }
 
-    fn transitions(_: &usize) -> BoxedStrategy<Move> {
+    fn transitions(_: &usize) -> BoxedStrategy<Transition> {
         prop_oneof![
             3 => (vm(), remaining(), plan())
-                .prop_map(|(vm, remaining, plan)| Move::Operate { vm, remaining, plan }),
+                .prop_map(|(vm, remaining, plan)| Transition::Operate { vm, remaining, plan }),
             5 => (vm(), 0..4usize, remaining(), plan()).prop_map(|(vm, key, remaining, plan)| {
-                Move::Resend { vm, key, remaining, plan }
+                Transition::Resend { vm, key, remaining, plan }
             }),
-            6 => (100..40_000u64).prop_map(|micros| Move::Run { micros }),
-            2 => (40_000..2_000_000u64).prop_map(|micros| Move::Run { micros }),
-            1 => Just(Move::Outlast),
+            6 => (100..40_000u64).prop_map(|micros| Transition::Run { micros }),
+            2 => (40_000..2_000_000u64).prop_map(|micros| Transition::Run { micros }),
+            1 => Just(Transition::PassWindow),
             6 => fault(),
         ]
         .boxed()
     }
 
-    fn apply(keys: usize, step: &Move) -> usize {
-        keys + usize::from(matches!(step, Move::Operate { .. }))
+    fn apply(keys: usize, transition: &Transition) -> usize {
+        keys + usize::from(matches!(transition, Transition::Operate { .. }))
     }
 }
 
-/// The engines and the keys that callers made, the latest last.
+/// The engines under test, and the keys that callers have made.
 struct Fleet {
     world: World,
     keys: Vec<Key>,
-    /// Whether more than one clock was wrong at the same time. The floor is
-    /// then not promised to stay below the keys of today, so that new keys may
-    /// be refused; that they run at most once still holds.
-    wrong_clocks: bool,
+    /// Whether more than one clock was wrong at the same time. The floor may then
+    /// rise above current keys, so that new keys may be refused. Operations must
+    /// still run at most once.
+    several_wrong_clocks: bool,
 }
 
 impl Fleet {
     fn operate(&mut self, vm: usize, key: Key, remaining: u64, plan: Plan) {
-        self.world.operate(vm, key, Duration::from_micros(remaining), plan);
+        self.world.submit(vm, key, Duration::from_micros(remaining), plan);
     }
 }
 
 impl StateMachineTest for Fleet {
     type SystemUnderTest = Fleet;
-    type Reference = Callers;
+    type Reference = Model;
 
     fn init_test(_: &usize) -> Fleet {
         let limits = Limits {
@@ -199,61 +205,67 @@
             report_timeout: Duration::from_secs(10),
             ..Limits::default()
         };
-        Fleet { world: World::new(VMS, limits, 1), keys: Vec::new(), wrong_clocks: false }
+        Fleet { world: World::new(VMS, limits, 1), keys: Vec::new(), several_wrong_clocks: false }
     }
 
-    fn apply(mut fleet: Fleet, _: &usize, step: Move) -> Fleet {
+    fn apply(mut fleet: Fleet, _: &usize, transition: Transition) -> Fleet {
         let world = &mut fleet.world;
-        match step {
-            Move::Operate { vm, remaining, plan } => {
+        match transition {
+            Transition::Operate { vm, remaining, plan } => {
                 let key = world.key();
                 fleet.keys.push(key);
                 fleet.operate(vm, key, remaining, plan);
             }
-            Move::Resend { vm, key, remaining, plan } => {
-                if let Some(at) = fleet.keys.len().checked_sub(key + 1) {
-                    fleet.operate(vm, fleet.keys[at], remaining, plan);
+            Transition::Resend { vm, key, remaining, plan } => {
+                if let Some(index) = fleet.keys.len().checked_sub(key + 1) {
+                    fleet.operate(vm, fleet.keys[index], remaining, plan);
                 }
             }
-            Move::Run { micros } => world.run(Duration::from_micros(micros)),
-            Move::Outlast => world.run(WINDOW + Duration::from_secs(3)),
-            Move::Pause { vm } => world.pause(vm),
-            Move::Resume { vm } => world.resume(vm),
-            Move::Replace { vm } => world.replace(vm),
-            Move::Store { mode } => world.store.mode = mode,
-            Move::NextWrite { fate } => world.store.next_writes.push_back(fate),
-            Move::NextRead { fate } => world.store.next_reads.push_back(fate),
-            Move::Split { a, b } => world.split(a, b),
-            Move::Cut { from, to } => world.cut.push((from, to)),
-            Move::Net { network } => world.network = network,
-            Move::Skew { vm, seconds } => {
-                world.machines[vm].skew = seconds;
-                let wrong = world.machines.iter().filter(|machine| machine.skew != 0).count();
-                fleet.wrong_clocks |= wrong > 1;
+            Transition::Run { micros } => world.run(Duration::from_micros(micros)),
+            Transition::PassWindow => world.run(WINDOW + Duration::from_secs(3)),
+            Transition::Pause { vm } => world.pause(vm),
+            Transition::Resume { vm } => world.resume(vm),
+            Transition::Replace { vm } => world.replace(vm),
+            Transition::Store { mode } => world.store.mode = mode,
+            Transition::NextWrite { handling } => world.store.next_writes.push_back(handling),
+            Transition::NextRead { handling } => world.store.next_reads.push_back(handling),
+            Transition::Split { a, b } => world.split(a, b),
+            Transition::Cut { from, to } => world.blocked_links.push((from, to)),
+            Transition::Network { network } => world.network = network,
+            Transition::Skew { vm, seconds } => {
+                world.machines[vm].skew_secs = seconds;
+                let wrong = world.machines.iter().filter(|machine| machine.skew_secs != 0).count();
+                fleet.several_wrong_clocks |= wrong > 1;
             }
-            Move::Heal => world.heal(),
+            Transition::Heal => world.heal(),
         }
         fleet
     }
 
-    /// Once the faults end, everything is answered and a new key is granted.
+    /// Checks that after the end of all faults every operation is answered and a
+    /// new key is granted.
     fn teardown(mut fleet: Fleet, _: usize) {
         let world = &mut fleet.world;
         world.heal();
         world.run(Duration::from_secs(3));
         world.assert_answered();
-        for at in 0..fleet.keys.len() {
-            fleet.operate(at % VMS, fleet.keys[at], 500_000, Plan::Run { before: 10, run: 10 });
+        for index in 0..fleet.keys.len() {
+            fleet.operate(
+                index % VMS,
+                fleet.keys[index],
+                500_000,
+                Plan::Run { delay: 10, duration: 10 },
+            );
         }
         let world = &mut fleet.world;
         world.run(Duration::from_secs(1));
         world.assert_answered();
         let key = world.key();
-        let plan = Plan::Run { before: 10, run: 10 };
-        world.operate(0, key, Duration::from_millis(500), plan);
+        let plan = Plan::Run { delay: 10, duration: 10 };
+        world.submit(0, key, Duration::from_millis(500), plan);
         world.run(Duration::from_secs(1));
         assert!(
-            fleet.wrong_clocks || world.oracle.ran(key),
+            fleet.several_wrong_clocks || world.oracle.ran(key),
             "a new key does not run once the faults have ended"
         );
     }
@@ -263,7 +275,7 @@
     let cases = std::env::var("CLAIMS_FUZZ_CASES").ok().and_then(|text| text.parse().ok());
     let seed = if cases.is_some() { RngSeed::Random } else { RngSeed::Fixed(SEED) };
     Config {
-        cases: cases.unwrap_or(CASES),
+        cases: cases.unwrap_or(DEFAULT_CASES),
         rng_seed: seed,
         failure_persistence: None,
         max_shrink_iters: 2_000,
@@ -275,5 +287,5 @@
     #![proptest_config(config())]
 
     #[test]
-    fn operations_run_at_most_once(sequential 1..MOVES => Fleet);
+    fn operations_run_at_most_once(sequential 1..MAX_TRANSITIONS => Fleet);
 }
--- a/crates/core/tests/claims/main.rs
+++ b/crates/core/tests/claims/main.rs
@@ -1,4 +1,5 @@
-//! Tests of the claims engine: several engines with stand-ins at the borders.
+//! Tests of the claims engine. Several engines run with stand-ins for the store,
+//! the network, the clock and the targets.
 
 #[macro_use]
 #[path = "../rules/case.rs"]
--- a/crates/core/tests/claims/oracle.rs
+++ b/crates/core/tests/claims/oracle.rs
@@ -1,11 +1,12 @@
-//! The oracle: it knows only what is promised of operations.
+//! The oracle, which checks executions and verdicts against the guarantees for
+//! operations and knows nothing of their implementation.
 
 use std::{collections::BTreeMap, sync::Arc};
 
 use laburnum_core::claim::{Key, Verdict};
 use uuid::Uuid;
 
-/// What the targets ran and what the callers were told.
+/// The executions by targets and the verdicts that callers received.
 #[derive(Default)]
 pub struct Oracle {
     executions: BTreeMap<Key, Vec<Uuid>>,
@@ -13,21 +14,21 @@
     pub verdicts: BTreeMap<&'static str, u64>,
 }
 
-/// The result that a run returns, which differs for each run.
+/// Returns the result of an execution, which differs for each token.
 pub fn result(token: Uuid) -> Arc<str> {
     Arc::from(token.to_string())
 }
 
 impl Oracle {
-    /// A target ran the operation of `key`.
-    pub fn executed(&mut self, key: Key, token: Uuid) {
+    /// Records that a target ran the operation of `key`, which may happen once.
+    pub fn record_execution(&mut self, key: Key, token: Uuid) {
         let runs = self.executions.entry(key).or_default();
         runs.push(token);
         assert!(runs.len() == 1, "{key:?} ran twice: {runs:?}");
     }
 
-    /// An operation got a verdict.
-    pub fn told(&mut self, key: Key, token: Uuid, verdict: &Verdict) {
+    /// Records a verdict and checks it against the executions.
+    pub fn record_verdict(&mut self, key: Key, token: Uuid, verdict: &Verdict) {
         *self.verdicts.entry(label(verdict)).or_default() += 1;
         match verdict {
             Verdict::Granted => {
@@ -36,12 +37,12 @@
                 assert!(*times == 1, "{token} was granted {times} times");
                 assert!(!self.ran(key), "{key:?} was granted after it ran");
             }
-            Verdict::Recorded { result: told } => {
+            Verdict::Recorded { result: recorded } => {
                 let runs = self.executions.get(&key).cloned().unwrap_or_default();
                 let expected: Vec<Arc<str>> = runs.into_iter().map(result).collect();
                 assert_eq!(
                     expected,
-                    std::slice::from_ref(told),
+                    std::slice::from_ref(recorded),
                     "the recorded result of {key:?} is wrong"
                 );
             }
--- a/crates/core/tests/claims/rule.rs
+++ b/crates/core/tests/claims/rule.rs
@@ -1,4 +1,4 @@
-//! Single rules of the claims engine.
+//! Tests of single rules of the claims engine.
 
 use std::time::Duration;
 
@@ -15,12 +15,12 @@
 use uuid::Uuid;
 
 use crate::{
-    store::{Fate, Mode},
-    world::{EPOCH, Plan, World},
+    store::{Handling, Mode},
+    world::{Plan, START_MILLIS, World},
 };
 
-const LONG: Duration = Duration::from_millis(500);
-const SHORT: Duration = Duration::from_millis(100);
+const OPERATION_TIMEOUT: Duration = Duration::from_millis(500);
+const SHORT_TIMEOUT: Duration = Duration::from_millis(100);
 
 fn world() -> World {
     let limits = Limits {
@@ -32,13 +32,13 @@
 }
 
 fn plan() -> Plan {
-    Plan::Run { before: 100, run: 1_000 }
+    Plan::Run { delay: 100, duration: 1_000 }
 }
 
-/// Runs one operation to its verdict.
-fn ask(world: &mut World, vm: usize, key: Key, plan: Plan) -> Verdict {
-    let operation = world.operate(vm, key, LONG, plan);
-    world.run(LONG + SHORT);
+/// Runs one operation and returns its verdict.
+fn operate(world: &mut World, vm: usize, key: Key, plan: Plan) -> Verdict {
+    let operation = world.submit(vm, key, OPERATION_TIMEOUT, plan);
+    world.run(OPERATION_TIMEOUT + SHORT_TIMEOUT);
     verdict(world, operation)
 }
 
@@ -79,22 +79,22 @@
     a_key_without_a_time_of_issue_has_no_bucket => {
         assert_eq!(Layout::V1.bucket(&Key(Uuid::nil())), None);
         let mut world = world();
-        assert_eq!(ask(&mut world, 0, Key(Uuid::nil()), plan()), Verdict::Expired);
+        assert_eq!(operate(&mut world, 0, Key(Uuid::nil()), plan()), Verdict::Expired);
     };
     a_resend_gets_the_recorded_result => {
         let mut world = world();
         let key = world.key();
-        assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Granted);
-        assert!(matches!(ask(&mut world, 1, key, plan()), Verdict::Recorded { .. }));
-        assert!(matches!(ask(&mut world, 2, key, plan()), Verdict::Recorded { .. }));
+        assert_eq!(operate(&mut world, 0, key, plan()), Verdict::Granted);
+        assert!(matches!(operate(&mut world, 1, key, plan()), Verdict::Recorded { .. }));
+        assert!(matches!(operate(&mut world, 2, key, plan()), Verdict::Recorded { .. }));
     };
     a_resend_gets_the_result_before_it_is_written => {
         let mut world = world();
         let (key, _) = world.remote_key();
-        world.operate(0, key, LONG, plan());
+        world.submit(0, key, OPERATION_TIMEOUT, plan());
         world.run(Duration::from_millis(30));
         assert!(world.oracle.ran(key));
-        let resend = world.operate(2, key, LONG, plan());
+        let resend = world.submit(2, key, OPERATION_TIMEOUT, plan());
         world.run(Duration::from_millis(20));
         assert!(matches!(verdict(&world, resend), Verdict::Recorded { .. }));
         let bucket = Layout::V1.bucket(&key).unwrap().key();
@@ -104,15 +104,15 @@
     a_resend_of_a_silent_run_is_unknown => {
         let mut world = world();
         let key = world.key();
-        assert_eq!(ask(&mut world, 0, key, Plan::Silent { before: 100 }), Verdict::Granted);
-        assert_eq!(ask(&mut world, 1, key, plan()), Verdict::Unknown);
+        assert_eq!(operate(&mut world, 0, key, Plan::Silent { delay: 100 }), Verdict::Granted);
+        assert_eq!(operate(&mut world, 1, key, plan()), Verdict::Unknown);
     };
     two_at_once_get_one_grant => {
         let mut world = world();
         let key = world.key();
-        let one = world.operate(0, key, LONG, Plan::Silent { before: 100 });
-        let two = world.operate(1, key, LONG, Plan::Silent { before: 100 });
-        world.run(LONG);
+        let one = world.submit(0, key, OPERATION_TIMEOUT, Plan::Silent { delay: 100 });
+        let two = world.submit(1, key, OPERATION_TIMEOUT, Plan::Silent { delay: 100 });
+        world.run(OPERATION_TIMEOUT);
         let mut verdicts = [verdict(&world, one), verdict(&world, two)];
         verdicts.sort_by_key(|verdict| *verdict != Verdict::Granted);
         assert_eq!(verdicts, [Verdict::Granted, Verdict::Unknown]);
@@ -120,82 +120,82 @@
     a_withdrawn_operation_may_be_claimed_again => {
         let mut world = world();
         let key = world.key();
-        assert_eq!(ask(&mut world, 0, key, Plan::Withdraw), Verdict::Granted);
-        assert_eq!(ask(&mut world, 1, key, plan()), Verdict::Granted);
-        assert!(matches!(ask(&mut world, 2, key, plan()), Verdict::Recorded { .. }));
+        assert_eq!(operate(&mut world, 0, key, Plan::Withdraw), Verdict::Granted);
+        assert_eq!(operate(&mut world, 1, key, plan()), Verdict::Granted);
+        assert!(matches!(operate(&mut world, 2, key, plan()), Verdict::Recorded { .. }));
     };
     a_claim_that_was_given_up_is_released => {
         let mut world = world();
         let key = world.key();
         world.store.mode = Mode::LosingAnswers;
-        let given_up = world.operate(0, key, SHORT, plan());
-        world.run(SHORT * 2);
+        let given_up = world.submit(0, key, SHORT_TIMEOUT, plan());
+        world.run(SHORT_TIMEOUT * 2);
         assert!(matches!(verdict(&world, given_up), Verdict::Unsettled { .. }));
         world.heal();
         world.run(Duration::from_secs(2));
-        assert_eq!(ask(&mut world, 1, key, plan()), Verdict::Granted);
+        assert_eq!(operate(&mut world, 1, key, plan()), Verdict::Granted);
     };
     what_ran_is_never_changed_to_what_did_not => {
         let mut world = world();
         let key = world.key();
-        let first = world.operate(0, key, LONG, plan());
-        world.run(LONG + SHORT);
-        world.outcome(first, Outcome::NotRun);
-        world.run(LONG + SHORT);
+        let first = world.submit(0, key, OPERATION_TIMEOUT, plan());
+        world.run(OPERATION_TIMEOUT + SHORT_TIMEOUT);
+        world.report_outcome(first, Outcome::NotRun);
+        world.run(OPERATION_TIMEOUT + SHORT_TIMEOUT);
         for vm in 0..3 {
             world.replace(vm);
         }
-        assert!(matches!(ask(&mut world, 1, key, plan()), Verdict::Recorded { .. }));
+        assert!(matches!(operate(&mut world, 1, key, plan()), Verdict::Recorded { .. }));
     };
     an_outcome_is_recorded_by_a_home_that_did_not_store_the_claim => {
         let mut world = world();
         let (key, _) = world.remote_key();
-        world.operate(0, key, LONG, Plan::Run { before: 100, run: 100_000 });
-        world.run(SHORT);
+        world.submit(0, key, OPERATION_TIMEOUT, Plan::Run { delay: 100, duration: 100_000 });
+        world.run(SHORT_TIMEOUT);
         assert!(world.oracle.ran(key));
         world.split(0, 1);
         world.split(0, 2);
-        world.run(LONG * 2);
-        assert!(matches!(ask(&mut world, 1, key, plan()), Verdict::Recorded { .. }));
+        world.run(OPERATION_TIMEOUT * 2);
+        assert!(matches!(operate(&mut world, 1, key, plan()), Verdict::Recorded { .. }));
     };
     a_lost_answer_is_settled_by_reading_back => {
         let mut world = world();
-        world.run(SHORT);
-        world.store.next_writes.push_back(Fate::AnswerLost);
+        world.run(SHORT_TIMEOUT);
+        world.store.next_writes.push_back(Handling::AnswerLost);
         let key = world.key();
-        assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Granted);
+        assert_eq!(operate(&mut world, 0, key, plan()), Verdict::Granted);
         assert_eq!(world.counts[&Count::Lost], 1);
     };
     nothing_is_granted_while_the_store_is_silent => {
         let mut world = world();
         world.store.mode = Mode::Silent;
         let key = world.key();
-        assert!(matches!(ask(&mut world, 0, key, plan()), Verdict::Unsettled { .. }));
+        assert!(matches!(operate(&mut world, 0, key, plan()), Verdict::Unsettled { .. }));
         assert!(!world.oracle.ran(key));
     };
     a_key_from_the_future_is_refused => {
         let mut world = world();
         let millis = world.wall() + 60_000;
         let key = world.key_at(millis);
-        assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Expired);
+        assert_eq!(operate(&mut world, 0, key, plan()), Verdict::Expired);
     };
     a_key_below_the_floor_is_refused_by_a_vm_that_never_read_it => {
         let mut world = world();
-        let key = world.key_at(EPOCH);
-        let slot = EPOCH / 1000 + 100;
+        let key = world.key_at(START_MILLIS);
+        let slot = START_MILLIS / 1000 + 100;
         let floor = Floor { slot, swept: slot }.encode();
         let version = laburnum_core::store::Version(1);
         world.store.values.insert(FLOOR_KEY.to_owned(), (version, floor));
-        assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Expired);
+        assert_eq!(operate(&mut world, 0, key, plan()), Verdict::Expired);
         assert!(!world.oracle.ran(key));
-        world.run(LONG);
+        world.run(OPERATION_TIMEOUT);
         assert_eq!(world.store.values.len(), 1, "the bucket below the floor is removed again");
     };
     slots_below_the_floor_are_removed => {
         let mut world = world();
         for _ in 0..20 {
             let key = world.key();
-            ask(&mut world, 0, key, plan());
+            operate(&mut world, 0, key, plan());
         }
         world.run(Duration::from_secs(30));
         let left: Vec<&String> = world.store.values.keys().collect();
@@ -203,13 +203,13 @@
     };
     the_floor_stays_while_its_mover_hears_no_clock => {
         let mut world = world();
-        let mover = world.first(floor_seed());
-        world.machines[mover].skew = 3600;
-        world.cut = (0..3).map(|vm| (vm, mover)).collect();
+        let mover = world.first_ranked(floor_seed());
+        world.machines[mover].skew_secs = 3600;
+        world.blocked_links = (0..3).map(|vm| (vm, mover)).collect();
         world.run(Duration::from_secs(10));
         world.heal();
         let key = world.key();
-        assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Granted);
+        assert_eq!(operate(&mut world, 0, key, plan()), Verdict::Granted);
     };
     a_full_bucket_refuses => {
         let limits = Limits { bucket_bytes: 100, ..Limits::default() };
@@ -221,13 +221,13 @@
             first = world.key();
             second = world.key();
         }
-        assert_eq!(ask(&mut world, 0, first, Plan::Silent { before: 1 }), Verdict::Granted);
-        assert_eq!(ask(&mut world, 0, second, plan()), Verdict::Full);
+        assert_eq!(operate(&mut world, 0, first, Plan::Silent { delay: 1 }), Verdict::Granted);
+        assert_eq!(operate(&mut world, 0, second, plan()), Verdict::Full);
     };
     another_request_under_the_same_key_is_told_apart => {
         let mut world = world();
         let key = world.key();
-        assert_eq!(ask(&mut world, 0, key, plan()), Verdict::Granted);
+        assert_eq!(operate(&mut world, 0, key, plan()), Verdict::Granted);
         let bucket = Layout::V1.bucket(&key).unwrap().key();
         let (_, stored) = world.store.values.get_mut(&bucket).unwrap();
         let mut value = Value::try_from(stored.as_slice()).unwrap();
@@ -236,7 +236,7 @@
         value.insert(key, entry);
         *stored = value.encode();
         (0..3).for_each(|vm| world.replace(vm));
-        assert_eq!(ask(&mut world, 1, key, plan()), Verdict::Reused);
+        assert_eq!(operate(&mut world, 1, key, plan()), Verdict::Reused);
     };
     unreadable_claims_grant_nothing => {
         let mut world = world();
@@ -244,7 +244,7 @@
         let bucket = Layout::V1.bucket(&key).unwrap().key();
         let version = laburnum_core::store::Version(1);
         world.store.values.insert(bucket, (version, vec![250]));
-        assert!(matches!(ask(&mut world, 0, key, plan()), Verdict::Unsettled { .. }));
+        assert!(matches!(operate(&mut world, 0, key, plan()), Verdict::Unsettled { .. }));
         assert!(!world.oracle.ran(key));
     };
     an_idle_engine_seldom_wakes => {
@@ -261,7 +261,7 @@
         world.store.mode = Mode::Silent;
         for at in 0..5000 {
             let key = world.key();
-            world.operate(at % 2, key, LONG, plan());
+            world.submit(at % 2, key, OPERATION_TIMEOUT, plan());
             world.run(Duration::from_micros(200));
             assert!(world.machines[at % 2].engine.rows() <= 2 * 100 + 2 * 100 + 64 + 100);
         }
--- a/crates/core/tests/claims/store.rs
+++ b/crates/core/tests/claims/store.rs
@@ -1,36 +1,37 @@
-//! A small stand-in for the platform's key-value service.
+//! An in-memory stand-in for the platform's key-value store.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use laburnum_core::store::{Call, Entry, Reply, Version};
 
-/// What becomes of one call.
+/// How the store handles one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
-    /// It takes effect and is answered.
+pub enum Handling {
+    /// The call takes effect and is answered.
     Normal,
-    /// It is refused without effect.
+    /// The call is refused without effect.
     Refused,
-    /// It has no effect and the answer is lost.
+    /// The call has no effect and is not answered.
     Dropped,
-    /// It takes effect and the answer is lost.
+    /// The call takes effect but the answer is lost.
     AnswerLost,
-    /// The answer is lost and the effect comes this many microseconds later.
+    /// The answer is lost, and the call takes effect this many microseconds later.
     EffectLater(u64),
 }
 
-/// The state of the service.
+/// How the store handles calls that have no handling of their own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
     Up,
     Refusing,
     Silent,
     LosingAnswers,
-    /// Every call takes this many microseconds longer.
+    /// Every call takes this many additional microseconds.
     Slow(u64),
 }
 
-/// Counts of the calls that arrived.
+/// Counts of the calls that were handled as `Normal`, and of the bytes in their
+/// writes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Calls {
     pub reads: u64,
@@ -38,15 +39,15 @@
     pub bytes: u64,
 }
 
-/// The service. A removed key starts over at version one, which is the worst
-/// that the interface allows.
+/// The store. A removed key starts over at version one, which is the hardest
+/// case that the interface allows: an old version may match again.
 pub struct Store {
     pub values: BTreeMap<String, (Version, Vec<u8>)>,
     pub mode: Mode,
-    /// Fates of the next writes, ahead of the mode.
-    pub next_writes: VecDeque<Fate>,
-    /// Fates of the next reads, ahead of the mode.
-    pub next_reads: VecDeque<Fate>,
+    /// How the next writes are handled, which overrides `mode`.
+    pub next_writes: VecDeque<Handling>,
+    /// How the next reads are handled, which overrides `mode`.
+    pub next_reads: VecDeque<Handling>,
     pub calls: Calls,
 }
 
@@ -61,17 +62,17 @@
         }
     }
 
-    /// Decides what becomes of a call that is made now.
-    pub fn fate(&mut self, call: &Call) -> Fate {
+    /// Returns how a call that is made now is handled.
+    pub fn handling(&mut self, call: &Call) -> Handling {
         let next = if is_write(call) { &mut self.next_writes } else { &mut self.next_reads };
-        if let Some(fate) = next.pop_front() {
-            return fate;
+        if let Some(handling) = next.pop_front() {
+            return handling;
         }
         match self.mode {
-            Mode::Up | Mode::Slow(_) => Fate::Normal,
-            Mode::Refusing => Fate::Refused,
-            Mode::Silent => Fate::Dropped,
-            Mode::LosingAnswers => Fate::AnswerLost,
+            Mode::Up | Mode::Slow(_) => Handling::Normal,
+            Mode::Refusing => Handling::Refused,
+            Mode::Silent => Handling::Dropped,
+            Mode::LosingAnswers => Handling::AnswerLost,
         }
     }
 
@@ -86,7 +87,7 @@
         }
     }
 
-    /// Carries a call out.
+    /// Applies a call and returns the reply.
     pub fn apply(&mut self, call: Call) -> Reply {
         match call {
             Call::Get { key } => Reply::Value { entry: self.entry(&key), change: 0 },
--- a/crates/core/tests/claims/world/carry.rs
+++ b/crates/core/tests/claims/world/carry.rs
@@ -1,4 +1,5 @@
-//! Carries out what the engines order: calls, messages and verdicts.
+//! Performs scheduled actions and carries out the calls, messages and verdicts
+//! of the engines.
 
 use laburnum_core::{
     claim::{Outcome, Request, Verdict},
@@ -9,122 +10,129 @@
     time::{Instant, Wall},
 };
 
-use super::{Item, Plan, TICK, World};
+use super::{Action, Plan, TICK_MICROS, World};
 use crate::{
     oracle,
-    store::{Fate, Mode},
+    store::{Handling, Mode},
 };
 
 impl World {
-    pub(super) fn take(&mut self, item: Item) {
-        match item {
-            Item::Step { vm } => self.step(vm),
-            Item::Wake { vm, at } => {
+    pub(super) fn perform(&mut self, action: Action) {
+        match action {
+            Action::Step { vm } => self.step(vm),
+            Action::Wake { vm, at } => {
                 if self.machines[vm].wake == at {
-                    self.stir(vm);
+                    self.schedule_step(vm);
                 }
             }
-            Item::Deliver { vm, from, message } => {
-                self.event(vm, Event::Message { from, message });
+            Action::Deliver { vm, from, message } => {
+                self.push_event(vm, Event::Message { from, message });
             }
-            Item::Arrive { vm, epoch, id, call, fate } => self.arrive(vm, epoch, id, call, fate),
-            Item::Answer { vm, epoch, id, reply } => {
+            Action::Arrive { vm, epoch, id, call, handling } => {
+                self.handle_call(vm, epoch, id, call, handling)
+            }
+            Action::Answer { vm, epoch, id, reply } => {
                 if self.machines[vm].epoch == epoch {
-                    self.event(vm, Event::Reply { id, reply });
+                    self.push_event(vm, Event::Reply { id, reply });
                 }
             }
-            Item::Send { operation } => self.send(operation),
-            Item::Finish { operation } => self.finish(operation),
+            Action::Send { operation } => self.send_to_target(operation),
+            Action::Finish { operation } => self.report_result(operation),
         }
     }
 
     fn step(&mut self, vm: usize) {
-        let wall = Wall((self.wall() as i64 + self.machines[vm].skew * 1000) as u64);
+        let wall = Wall((self.wall() as i64 + self.machines[vm].skew_secs * 1000) as u64);
         let machine = &mut self.machines[vm];
-        if machine.paused || !machine.stepping {
+        if machine.paused || !machine.step_scheduled {
             return;
         }
-        machine.stepping = false;
+        machine.step_scheduled = false;
         machine.steps += 1;
         let events = std::mem::take(&mut machine.inbox);
         let mut out = Outbox::default();
         let now = Instant(self.now);
         machine.engine.step(now, wall, &machine.view, events, &mut out);
-        let wake = machine.engine.wake().map_or(u64::MAX, |at| at.0.max(self.now + TICK));
+        let wake = machine.engine.wake().map_or(u64::MAX, |at| at.0.max(self.now + TICK_MICROS));
         machine.wake = wake;
         if wake != u64::MAX {
-            self.put(wake, Item::Wake { vm, at: wake });
+            self.schedule(wake, Action::Wake { vm, at: wake });
         }
         self.flush(vm, out);
     }
 
+    /// Carries out the outputs of one step of an engine.
     fn flush(&mut self, vm: usize, out: Outbox) {
         for (count, times) in out.counts {
             *self.counts.entry(count).or_default() += times;
         }
         for (id, call) in out.calls {
-            self.call(vm, id, call);
+            self.start_call(vm, id, call);
         }
         for (to, message) in out.messages {
-            self.post(vm, &to, &message);
+            self.send_message(vm, &to, &message);
         }
         for (operation, verdict) in out.verdicts {
-            self.claimed(operation, &verdict);
+            self.handle_verdict(operation, &verdict);
         }
     }
 
-    fn call(&mut self, vm: usize, id: CallId, call: Call) {
-        let fate = self.store.fate(&call);
-        let slow = if let Mode::Slow(by) = self.store.mode { by } else { 0 };
-        let at = self.now + 1000 + self.random.below(1500) + slow;
+    fn start_call(&mut self, vm: usize, id: CallId, call: Call) {
+        let handling = self.store.handling(&call);
+        let extra_delay = if let Mode::Slow(by) = self.store.mode { by } else { 0 };
+        let at = self.now + 1000 + self.random.below(1500) + extra_delay;
         let epoch = self.machines[vm].epoch;
-        self.put(at, Item::Arrive { vm, epoch, id, call, fate });
+        self.schedule(at, Action::Arrive { vm, epoch, id, call, handling });
     }
 
-    fn arrive(&mut self, vm: usize, epoch: u64, id: CallId, call: Call, fate: Fate) {
+    /// Applies a call to the store as its handling says, and schedules the reply.
+    fn handle_call(&mut self, vm: usize, epoch: u64, id: CallId, call: Call, handling: Handling) {
         let lost = || Reply::Lost { detail: String::new() };
-        let reply = match fate {
-            Fate::Normal => {
+        let reply = match handling {
+            Handling::Normal => {
                 self.store.count(&call);
                 self.store.apply(call)
             }
-            Fate::Refused => Reply::Refused { detail: String::new() },
-            Fate::Dropped => lost(),
-            Fate::AnswerLost => {
+            Handling::Refused => Reply::Refused { detail: String::new() },
+            Handling::Dropped => lost(),
+            Handling::AnswerLost => {
                 self.store.apply(call);
                 lost()
             }
-            Fate::EffectLater(by) => {
-                let fate = Fate::AnswerLost;
-                self.put(self.now + by, Item::Arrive { vm, epoch: 0, id, call, fate });
+            Handling::EffectLater(by) => {
+                let handling = Handling::AnswerLost;
+                self.schedule(self.now + by, Action::Arrive { vm, epoch: 0, id, call, handling });
                 lost()
             }
         };
         let at = self.now + 1000 + self.random.below(1500);
-        self.put(at, Item::Answer { vm, epoch, id, reply });
+        self.schedule(at, Action::Answer { vm, epoch, id, reply });
     }
 
-    fn post(&mut self, from: usize, to: &Name, message: &Message) {
+    /// Sends a message, which the network may lose, duplicate or delay.
+    fn send_message(&mut self, from: usize, to: &Name, message: &Message) {
         let Some(vm) = self.machines.iter().position(|machine| machine.name == *to) else {
             return;
         };
-        if self.cut.contains(&(from, vm)) || self.random.chance(self.network.loss) {
+        if self.blocked_links.contains(&(from, vm)) || self.random.chance(self.network.loss_percent)
+        {
             return;
         }
-        let copies = 1 + u64::from(self.random.chance(self.network.double));
+        let copies = 1 + u64::from(self.random.chance(self.network.duplicate_percent));
         for _ in 0..copies {
-            let at = self.now + 500 + self.random.below(self.network.jitter + 1);
+            let at = self.now + 500 + self.random.below(self.network.jitter_micros + 1);
             let from = self.machines[from].name.clone();
-            self.put(at, Item::Deliver { vm, from, message: message.clone() });
+            self.schedule(at, Action::Deliver { vm, from, message: message.clone() });
         }
     }
 
-    fn claimed(&mut self, operation: Query, verdict: &Verdict) {
+    /// Checks a verdict and starts what the plan of the operation says.
+    fn handle_verdict(&mut self, operation: Query, verdict: &Verdict) {
         let row = self.operations.get_mut(&operation).unwrap();
         assert!(row.verdict.is_none(), "{operation} got two verdicts");
         row.verdict = Some(verdict.clone());
         let Request { key, token, .. } = row.request;
-        self.oracle.told(key, token, verdict);
+        self.oracle.record_verdict(key, token, verdict);
         if *verdict != Verdict::Granted {
             return;
         }
@@ -133,44 +141,45 @@
         match row.plan {
             Plan::Withdraw => {
                 let (vm, request) = (row.vm, row.request.clone());
-                self.event(vm, Event::Outcome { request, outcome: Outcome::NotRun });
+                self.push_event(vm, Event::Outcome { request, outcome: Outcome::NotRun });
             }
-            Plan::Run { before, .. } | Plan::Silent { before } => {
-                self.put(self.now + before, Item::Send { operation });
+            Plan::Run { delay, .. } | Plan::Silent { delay } => {
+                self.schedule(self.now + delay, Action::Send { operation });
             }
         }
     }
 
-    /// The traffic thread sends the operation to a target, unless it died, or
-    /// its deadline passed while it was paused.
-    fn send(&mut self, operation: Query) {
+    /// Sends the operation to a target as the traffic thread does. Nothing is sent
+    /// if the VM was replaced or if the deadline passed while it was paused.
+    fn send_to_target(&mut self, operation: Query) {
         let row = &self.operations[&operation];
         let machine = &self.machines[row.vm];
         if machine.epoch != row.epoch {
             return;
         }
         if machine.paused {
-            self.put(self.now + 1000, Item::Send { operation });
+            self.schedule(self.now + 1000, Action::Send { operation });
             return;
         }
         let (vm, request) = (row.vm, row.request.clone());
         if self.now >= row.deadline {
-            self.event(vm, Event::Outcome { request, outcome: Outcome::NotRun });
+            self.push_event(vm, Event::Outcome { request, outcome: Outcome::NotRun });
             return;
         }
-        self.oracle.executed(request.key, request.token);
-        if let Plan::Run { run, .. } = row.plan {
-            self.put(self.now + run, Item::Finish { operation });
+        self.oracle.record_execution(request.key, request.token);
+        if let Plan::Run { duration, .. } = row.plan {
+            self.schedule(self.now + duration, Action::Finish { operation });
         }
     }
 
-    fn finish(&mut self, operation: Query) {
+    /// Reports the result of a target to the engine.
+    fn report_result(&mut self, operation: Query) {
         let row = &self.operations[&operation];
         if self.machines[row.vm].epoch != row.epoch {
             return;
         }
         let (vm, request) = (row.vm, row.request.clone());
         let outcome = Outcome::Done { result: oracle::result(request.token) };
-        self.event(vm, Event::Outcome { request, outcome });
+        self.push_event(vm, Event::Outcome { request, outcome });
     }
 }
--- a/crates/core/tests/claims/world/mod.rs
+++ b/crates/core/tests/claims/world/mod.rs
@@ -1,5 +1,6 @@
-//! Several engines with a stand-in store, network, clock and executor, under
-//! virtual time. The same seed gives the same run.
+//! A simulation of several engines in virtual time, with stand-ins for the
+//! store, the network, the clocks and the targets. Runs are deterministic: the
+//! same seed gives the same run.
 
 mod carry;
 
@@ -20,15 +21,17 @@
 
 use crate::{
     oracle::Oracle,
-    store::{Fate, Mode, Store},
+    store::{Handling, Mode, Store},
 };
 
-/// The wall-clock time of the start, in milliseconds.
-pub const EPOCH: u64 = 1_800_000_000_000;
-/// A tick gathers what comes within this time, in microseconds.
-const TICK: u64 = 100;
+/// The wall-clock time at virtual time zero, in milliseconds since the Unix
+/// epoch.
+pub const START_MILLIS: u64 = 1_800_000_000_000;
+/// The time between the first event for a machine and the step that handles it,
+/// together with all events that arrive in between.
+const TICK_MICROS: u64 = 100;
 
-/// A small generator, so that a run depends on its seed only.
+/// A pseudo-random number generator, so that a run depends only on its seed.
 pub struct Random(pub u64);
 
 impl Random {
@@ -49,39 +52,44 @@
     }
 }
 
-/// What the traffic thread does with a grant.
+/// What the traffic thread does once a claim is granted. Times are in
+/// microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Plan {
-    /// Sends after the first time, runs for the second, reports the result.
-    Run { before: u64, run: u64 },
-    /// Sends, and the target is lost: no outcome.
-    Silent { before: u64 },
-    /// Finds no target and reports that nothing ran.
+    /// Sends the operation after `delay`; the target runs for `duration`, and its
+    /// result is reported.
+    Run { delay: u64, duration: u64 },
+    /// Sends the operation after `delay`; the target fails without an outcome.
+    Silent { delay: u64 },
+    /// Finds no target and reports that the operation did not run.
     Withdraw,
 }
 
 /// The network between VMs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Network {
-    pub loss: u64,
-    pub double: u64,
-    /// The longest further delay, in microseconds.
-    pub jitter: u64,
+    pub loss_percent: u64,
+    pub duplicate_percent: u64,
+    /// The largest additional delay of a message.
+    pub jitter_micros: u64,
 }
 
+/// A scheduled action of the simulation.
 #[derive(Clone, Debug)]
-pub enum Item {
+pub enum Action {
     Step { vm: usize },
     Wake { vm: usize, at: u64 },
     Deliver { vm: usize, from: Name, message: Message },
-    Arrive { vm: usize, epoch: u64, id: CallId, call: Call, fate: Fate },
+    Arrive { vm: usize, epoch: u64, id: CallId, call: Call, handling: Handling },
     Answer { vm: usize, epoch: u64, id: CallId, reply: Reply },
     Send { operation: Query },
     Finish { operation: Query },
 }
 
+/// An operation of a caller, with times in virtual microseconds.
 pub struct Operation {
     pub vm: usize,
+    /// The epoch of the machine when the operation arrived.
     epoch: u64,
     pub request: Request,
     start: u64,
@@ -90,34 +98,40 @@
     pub verdict: Option<Verdict>,
 }
 
+/// A VM with its engine.
 pub struct Machine {
     pub name: Name,
     pub engine: Engine,
     pub view: BTreeMap<Name, Vm>,
-    /// Seconds by which the wall clock is ahead.
-    pub skew: i64,
+    /// By how much the wall clock is ahead.
+    pub skew_secs: i64,
     pub paused: bool,
+    /// Counts replacements, so that what belongs to an earlier VM is ignored.
     pub epoch: u64,
+    /// The number of steps that the engine ran.
     pub steps: u64,
     inbox: Vec<Event>,
-    stepping: bool,
+    step_scheduled: bool,
     wake: u64,
 }
 
+/// The simulation.
 pub struct World {
+    /// The virtual time in microseconds.
     pub now: u64,
     pub machines: Vec<Machine>,
     pub store: Store,
     pub network: Network,
-    /// Pairs of sender and receiver between which nothing passes.
-    pub cut: Vec<(usize, usize)>,
+    /// Pairs of sender and receiver between which all messages are lost.
+    pub blocked_links: Vec<(usize, usize)>,
     pub random: Random,
     pub oracle: Oracle,
     pub operations: BTreeMap<Query, Operation>,
     pub counts: BTreeMap<Count, u64>,
-    /// The waits of granted claims, in microseconds.
+    /// The time from submission to grant of each granted claim, in microseconds.
     pub latencies: Vec<u64>,
-    pub queue: BTreeMap<(u64, u64), Item>,
+    /// Scheduled actions by time and order of scheduling.
+    pub queue: BTreeMap<(u64, u64), Action>,
     limits: Limits,
     sequence: u64,
 }
@@ -144,12 +158,12 @@
             name: name(i),
             engine: Engine::new(name(i), limits.clone()),
             view: view.clone(),
-            skew: 0,
+            skew_secs: 0,
             paused: false,
             epoch: 1,
             steps: 0,
             inbox: Vec::new(),
-            stepping: false,
+            step_scheduled: false,
             wake: u64::MAX,
         });
         let mut world = World {
@@ -157,7 +171,7 @@
             machines: machines.collect(),
             store: Store::new(),
             network: Network::default(),
-            cut: Vec::new(),
+            blocked_links: Vec::new(),
             random: Random(seed),
             oracle: Oracle::default(),
             operations: BTreeMap::new(),
@@ -167,20 +181,21 @@
             limits,
             sequence: 0,
         };
-        (0..size).for_each(|vm| world.stir(vm));
+        (0..size).for_each(|vm| world.schedule_step(vm));
         world
     }
 
-    /// The true wall-clock time in milliseconds.
+    /// Returns the wall-clock time without skew, in milliseconds.
     pub fn wall(&self) -> u64 {
-        EPOCH + self.now / 1000
+        START_MILLIS + self.now / 1000
     }
 
-    /// Makes a key that was issued now.
+    /// Creates a key that was issued now.
     pub fn key(&mut self) -> Key {
         self.key_at(self.wall())
     }
 
+    /// Creates a key with the given time of issue, as a UUIDv7.
     pub fn key_at(&mut self, millis: u64) -> Key {
         let low = (u128::from(self.random.next()) << 64) | u128::from(self.random.next());
         let bits = (u128::from(millis) << 80) | (low >> 48);
@@ -188,45 +203,46 @@
         Key(Uuid::from_u128((versioned & !(3 << 62)) | (2 << 62)))
     }
 
-    /// The number of the VM that is first in rank.
-    pub fn first(&self, seed: u64) -> usize {
+    /// Returns the index of the VM that is first in rank for `seed`.
+    pub fn first_ranked(&self, seed: u64) -> usize {
         let first = rank::first(seed, self.machines.iter().map(|machine| &machine.name));
         self.machines.iter().position(|machine| Some(&machine.name) == first).unwrap()
     }
 
-    /// Makes a key whose home is not VM 0, and names the home.
+    /// Creates a key whose home is not VM 0, and returns it with the index of its
+    /// home.
     pub fn remote_key(&mut self) -> (Key, usize) {
         loop {
             let key = self.key();
             let partition = self.limits.layout.bucket(&key).unwrap().partition;
-            let home = self.first(layout::partition_seed(partition));
+            let home = self.first_ranked(layout::partition_seed(partition));
             if home != 0 {
                 return (key, home);
             }
         }
     }
 
-    fn put(&mut self, at: u64, item: Item) {
+    fn schedule(&mut self, at: u64, action: Action) {
         self.sequence += 1;
-        self.queue.insert((at, self.sequence), item);
+        self.queue.insert((at, self.sequence), action);
     }
 
-    /// Lets a machine run its systems soon.
-    fn stir(&mut self, vm: usize) {
+    /// Schedules a step of a machine unless one is scheduled or it is paused.
+    fn schedule_step(&mut self, vm: usize) {
         let machine = &mut self.machines[vm];
-        if !machine.stepping && !machine.paused {
-            machine.stepping = true;
-            self.put(self.now + TICK, Item::Step { vm });
+        if !machine.step_scheduled && !machine.paused {
+            machine.step_scheduled = true;
+            self.schedule(self.now + TICK_MICROS, Action::Step { vm });
         }
     }
 
-    fn event(&mut self, vm: usize, event: Event) {
+    fn push_event(&mut self, vm: usize, event: Event) {
         self.machines[vm].inbox.push(event);
-        self.stir(vm);
+        self.schedule_step(vm);
     }
 
-    /// A caller's operation reaches a VM.
-    pub fn operate(&mut self, vm: usize, key: Key, remaining: Duration, plan: Plan) -> Query {
+    /// Submits an operation of a caller to a VM. Each has a new token.
+    pub fn submit(&mut self, vm: usize, key: Key, remaining: Duration, plan: Plan) -> Query {
         self.sequence += 1;
         let operation = Query { origin: Origin(vm as u64), sequence: self.sequence };
         let token = Uuid::from_u64_pair(self.random.next(), self.random.next());
@@ -237,15 +253,15 @@
         let request = row.request.clone();
         self.operations.insert(operation, row);
         let deadline = Instant(deadline);
-        self.event(vm, Event::Claim { operation, request, deadline });
+        self.push_event(vm, Event::Claim { operation, request, deadline });
         operation
     }
 
-    /// A traffic thread reports an outcome that its plan does not foresee.
-    pub fn outcome(&mut self, operation: Query, outcome: Outcome) {
+    /// Reports an outcome in addition to what the plan of the operation reports.
+    pub fn report_outcome(&mut self, operation: Query, outcome: Outcome) {
         let row = &self.operations[&operation];
         let (vm, request) = (row.vm, row.request.clone());
-        self.event(vm, Event::Outcome { request, outcome });
+        self.push_event(vm, Event::Outcome { request, outcome });
     }
 
     pub fn pause(&mut self, vm: usize) {
@@ -254,23 +270,23 @@
 
     pub fn resume(&mut self, vm: usize) {
         self.machines[vm].paused = false;
-        self.machines[vm].stepping = false;
-        self.stir(vm);
+        self.machines[vm].step_scheduled = false;
+        self.schedule_step(vm);
     }
 
-    /// Ends a VM; a new one takes its name.
+    /// Replaces a VM with a new one of the same name and with empty tables.
     pub fn replace(&mut self, vm: usize) {
         let machine = &mut self.machines[vm];
         machine.epoch += 1;
         machine.engine = Engine::new(machine.name.clone(), self.limits.clone());
         machine.inbox.clear();
         machine.paused = false;
-        machine.stepping = false;
+        machine.step_scheduled = false;
         machine.wake = u64::MAX;
-        self.stir(vm);
+        self.schedule_step(vm);
     }
 
-    /// Makes each of two VMs believe that the other is gone.
+    /// Removes two VMs from each other's view.
     pub fn split(&mut self, a: usize, b: usize) {
         let (left, right) = (name(a), name(b));
         self.machines[a].view.remove(&right);
@@ -283,10 +299,10 @@
         self.store.next_writes.clear();
         self.store.next_reads.clear();
         self.network = Network::default();
-        self.cut.clear();
+        self.blocked_links.clear();
         let size = self.machines.len();
         for index in 0..size {
-            self.machines[index].skew = 0;
+            self.machines[index].skew_secs = 0;
             self.machines[index].view = (0..size).map(|i| (name(i), vm(i))).collect();
             if self.machines[index].paused {
                 self.resume(index);
@@ -294,23 +310,23 @@
         }
     }
 
-    /// Runs for a time.
+    /// Runs the simulation for `span` of virtual time.
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span.as_micros() as u64;
         self.run_until(end, |_| false);
     }
 
-    /// Runs until `found` holds after an item or `end` is reached, and says
-    /// whether it was found.
-    pub fn run_until(&mut self, end: u64, found: impl Fn(&World) -> bool) -> bool {
+    /// Runs until `condition` holds after an action or `end` is reached. Returns
+    /// whether the condition held.
+    pub fn run_until(&mut self, end: u64, condition: impl Fn(&World) -> bool) -> bool {
         while let Some((&(at, sequence), _)) = self.queue.first_key_value() {
             if at > end {
                 break;
             }
             self.now = self.now.max(at);
-            let item = self.queue.remove(&(at, sequence)).unwrap();
-            self.take(item);
-            if found(self) {
+            let action = self.queue.remove(&(at, sequence)).unwrap();
+            self.perform(action);
+            if condition(self) {
                 return true;
             }
         }
@@ -318,13 +334,17 @@
         false
     }
 
-    /// Asserts that every operation of a VM that still runs was answered.
+    /// Asserts that every operation has a verdict 10 ms after its deadline, unless
+    /// its VM was replaced or is paused.
     pub fn assert_answered(&self) {
         for (operation, row) in &self.operations {
             let machine = &self.machines[row.vm];
-            let lives = machine.epoch == row.epoch && !machine.paused;
-            let due = self.now > row.deadline + 10_000;
-            assert!(!lives || !due || row.verdict.is_some(), "{operation} got no verdict");
+            let is_running = machine.epoch == row.epoch && !machine.paused;
+            let past_deadline = self.now > row.deadline + 10_000;
+            assert!(
+                !is_running || !past_deadline || row.verdict.is_some(),
+                "{operation} got no verdict"
+            );
         }
     }
 }
