Give two names in the claims engine that were shared by different items

The function that applies the rate limit had the name of the limiter's field, and the total length of results in a bucket had the name of the limit for one result. They become claims::decide::earliest_write and results_len.

--- a/crates/core/src/claims/decide.rs
+++ b/crates/core/src/claims/decide.rs
@@ -210,7 +210,7 @@
 
 /// The earliest time at which the rate limit allows the next write of a
 /// partition.
-pub fn next_write(limiter: Limiter, limits: &Limits) -> Instant {
+pub fn earliest_write(limiter: Limiter, limits: &Limits) -> Instant {
     let burst_allowance = limits.write_interval() * limits.burst.saturating_sub(1);
     Instant(limiter.next_write.0.saturating_sub(burst_allowance.as_micros() as u64))
 }
@@ -219,7 +219,7 @@
 /// limit does not allow a write now.
 fn acquire_write(tables: &mut Tables, context: &Context<'_>, partition: u16) -> bool {
     let limiter = tables.limiters.entry(partition).or_default();
-    if next_write(*limiter, context.limits) > context.now {
+    if earliest_write(*limiter, context.limits) > context.now {
         return false;
     }
     limiter.next_write = limiter.next_write.max(context.now) + context.limits.write_interval();
--- a/crates/core/src/claims/value.rs
+++ b/crates/core/src/claims/value.rs
@@ -42,7 +42,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Value {
     entries: BTreeMap<Key, Entry>,
-    result_bytes: usize,
+    /// The encoded length of all results in bytes.
+    results_len: usize,
 }
 
 /// The error of a stored value that cannot be decoded.
@@ -59,9 +60,9 @@
 
     /// Inserts the entry of `key`, or replaces an earlier one.
     pub fn insert(&mut self, key: Key, entry: Entry) {
-        self.result_bytes += encoded_result_len(&entry);
+        self.results_len += encoded_result_len(&entry);
         if let Some(old) = self.entries.insert(key, entry) {
-            self.result_bytes -= encoded_result_len(&old);
+            self.results_len -= encoded_result_len(&old);
         }
     }
 
@@ -77,7 +78,7 @@
 
     /// Returns the length of the stored format in bytes.
     pub fn encoded_len(&self) -> usize {
-        1 + self.entries.len() * CLAIM_BYTES + self.result_bytes
+        1 + self.entries.len() * CLAIM_BYTES + self.results_len
     }
 
     /// Encodes the stored format.
--- a/crates/core/src/claims/wake.rs
+++ b/crates/core/src/claims/wake.rs
@@ -38,7 +38,7 @@
         Cache::Known { .. } => {
             let limiter = tables.limiters.get(&bucket.partition).copied().unwrap_or_default();
             decide::write_due(row, limits)
-                .map(|due| due.max(decide::next_write(limiter, limits)).max(row.retry_at))
+                .map(|due| due.max(decide::earliest_write(limiter, limits)).max(row.retry_at))
         }
         _ => (!row.claims.is_empty() || !row.records.is_empty()).then_some(row.retry_at),
     };
