Name the limits of the control thread by what they bound

Limits were named by a single everyday word (probe, round, silence), so a use told neither that the value is a timeout nor what it bounds.

laburnum_core::control::limit::Limits: probe -> probe_interval ack -> ack_timeout indirect -> indirect_probes suspicion -> suspicion_timeout revive -> reconnect_interval forget -> retention pause -> pause_threshold list -> list_interval watch -> watch_timeout stale -> stale_after call -> call_timeout retry -> retry_delay publish -> publish_timeout history -> max_history round -> gossip_interval items -> max_items rows -> max_revisions sync -> sync_interval isolation -> isolation_timeout witnesses -> required_confirmations silence -> silent_after suspect_fingerprint -> suspect_duration condemned_fingerprint -> quarantine_duration fingerprints -> max_fingerprints laburnum_core::control::codec::MAX_VALUE -> MAX_VALUE_BYTES laburnum_core::control::event::Post -> Envelope laburnum_core::control::event::Outbox::posts -> messages laburnum_core::control::table::Tables::news -> gossip laburnum_core::control::table::target::Targets::read -> list_age

--- a/crates/core/src/control/codec.rs
+++ b/crates/core/src/control/codec.rs
@@ -12,7 +12,7 @@
 pub const HISTORY: &str = "profiles/history/";
 
 /// The size of the largest value that the service keeps, in bytes.
-pub const MAX_VALUE: usize = 1_000_000;
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
 
 /// Makes the key of a replaced document; keys sort by revision.
 pub fn history(revision: u64) -> String {
--- a/crates/core/src/control/engine.rs
+++ b/crates/core/src/control/engine.rs
@@ -66,7 +66,7 @@
             words: Default::default(),
             cursor: None,
             quarantine: Default::default(),
-            news: Default::default(),
+            gossip: Default::default(),
             calls: Default::default(),
             profiles: Default::default(),
             list: Default::default(),
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -37,7 +37,7 @@
 
 /// A message on its way to another VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Post {
+pub struct Envelope {
     /// The receiver.
     pub vm: Name,
     /// Where its control thread listens.
@@ -52,7 +52,7 @@
     /// Calls of the platform's service.
     pub calls: Vec<(CallId, Call)>,
     /// Messages to other VMs.
-    pub posts: Vec<Post>,
+    pub messages: Vec<Envelope>,
     /// Notices to the traffic threads.
     pub notices: Vec<(Recipient, Notice)>,
     /// Answers to operators.
--- a/crates/core/src/control/limit.rs
+++ b/crates/core/src/control/limit.rs
@@ -6,93 +6,93 @@
 #[derive(Clone, Debug)]
 pub struct Limits {
     /// The time between two probes of a VM.
-    pub probe: Duration,
+    pub probe_interval: Duration,
     /// The time within which a probe is answered directly.
-    pub ack: Duration,
+    pub ack_timeout: Duration,
     /// The number of VMs that are asked to probe another one indirectly.
-    pub indirect: usize,
+    pub indirect_probes: usize,
     /// The time after which a suspect VM is gone.
-    pub suspicion: Duration,
+    pub suspicion_timeout: Duration,
     /// The time between two probes of a VM that is gone.
-    pub revive: Duration,
+    pub reconnect_interval: Duration,
     /// The time for which a VM that is gone and not listed is remembered.
-    pub forget: Duration,
+    pub retention: Duration,
     /// The gap between two steps that counts as a pause of this VM.
-    pub pause: Duration,
+    pub pause_threshold: Duration,
     /// The number of VMs that read the platform's list and hold watches.
     pub watchers: usize,
     /// The time between two reads of the list by a watcher.
-    pub list: Duration,
+    pub list_interval: Duration,
     /// The time for which a watch waits.
-    pub watch: Duration,
+    pub watch_timeout: Duration,
     /// The age from which a VM reads from the service itself.
-    pub stale: Duration,
+    pub stale_after: Duration,
     /// The time within which a call of the service is answered.
-    pub call: Duration,
+    pub call_timeout: Duration,
     /// The least time between two tries of a call that failed.
-    pub retry: Duration,
+    pub retry_delay: Duration,
     /// The time within which a publication is answered.
-    pub publish: Duration,
+    pub publish_timeout: Duration,
     /// The number of replaced documents that are kept.
-    pub history: u64,
+    pub max_history: u64,
     /// The number of VMs to which news is sent at once.
     pub fanout: usize,
     /// The least time between two rounds of news.
-    pub round: Duration,
+    pub gossip_interval: Duration,
     /// The most items of news in a message.
-    pub items: usize,
+    pub max_items: usize,
     /// The most rows of revisions in force in a message.
-    pub rows: usize,
+    pub max_revisions: usize,
     /// The time between two comparisons of soft state with another VM.
-    pub sync: Duration,
+    pub sync_interval: Duration,
     /// The time without a word of any VM or the service after which this VM is
     /// not ready.
-    pub isolation: Duration,
+    pub isolation_timeout: Duration,
     /// The number of VMs whose word on the revision makes this VM ready when the
     /// service cannot be reached.
-    pub witnesses: usize,
+    pub required_confirmations: usize,
     /// The age from which the word of a VM on its revision counts as silent.
-    pub silence: Duration,
+    pub silent_after: Duration,
     /// The lost targets of one shard that condemn a fingerprint.
     pub lost_targets: usize,
     /// The time for which a fingerprint with one lost target is remembered.
-    pub suspect_fingerprint: Duration,
+    pub suspect_duration: Duration,
     /// The time for which a fingerprint is held back.
-    pub condemned_fingerprint: Duration,
+    pub quarantine_duration: Duration,
     /// The most fingerprints that are remembered of either sort.
-    pub fingerprints: usize,
+    pub max_fingerprints: usize,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
-            probe: Duration::from_millis(500),
-            ack: Duration::from_millis(200),
-            indirect: 2,
-            suspicion: Duration::from_secs(2),
-            revive: Duration::from_secs(2),
-            forget: Duration::from_secs(600),
-            pause: Duration::from_secs(2),
+            probe_interval: Duration::from_millis(500),
+            ack_timeout: Duration::from_millis(200),
+            indirect_probes: 2,
+            suspicion_timeout: Duration::from_secs(2),
+            reconnect_interval: Duration::from_secs(2),
+            retention: Duration::from_secs(600),
+            pause_threshold: Duration::from_secs(2),
             watchers: 3,
-            list: Duration::from_millis(500),
-            watch: Duration::from_secs(2),
-            stale: Duration::from_secs(5),
-            call: Duration::from_secs(3),
-            retry: Duration::from_millis(200),
-            publish: Duration::from_secs(5),
-            history: 100,
+            list_interval: Duration::from_millis(500),
+            watch_timeout: Duration::from_secs(2),
+            stale_after: Duration::from_secs(5),
+            call_timeout: Duration::from_secs(3),
+            retry_delay: Duration::from_millis(200),
+            publish_timeout: Duration::from_secs(5),
+            max_history: 100,
             fanout: 4,
-            round: Duration::from_millis(100),
-            items: 8,
-            rows: 4,
-            sync: Duration::from_secs(10),
-            isolation: Duration::from_secs(5),
-            witnesses: 2,
-            silence: Duration::from_secs(30),
+            gossip_interval: Duration::from_millis(100),
+            max_items: 8,
+            max_revisions: 4,
+            sync_interval: Duration::from_secs(10),
+            isolation_timeout: Duration::from_secs(5),
+            required_confirmations: 2,
+            silent_after: Duration::from_secs(30),
             lost_targets: 2,
-            suspect_fingerprint: Duration::from_secs(60),
-            condemned_fingerprint: Duration::from_secs(600),
-            fingerprints: 1024,
+            suspect_duration: Duration::from_secs(60),
+            quarantine_duration: Duration::from_secs(600),
+            max_fingerprints: 1024,
         }
     }
 }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -19,7 +19,7 @@
 pub use self::{
     codec::{Codec, Record},
     engine::{Engine, Setup},
-    event::{Event, Outbox, Post, Recipient},
+    event::{Envelope, Event, Outbox, Recipient},
     limit::Limits,
     message::Message,
     request::{Answer, Request, RequestId},
--- a/crates/core/src/control/system/call.rs
+++ b/crates/core/src/control/system/call.rs
@@ -36,7 +36,7 @@
 ) -> CallId {
     tables.calls.last += 1;
     let id = CallId(tables.calls.last);
-    let until = step.now + step.limits.call + wait;
+    let until = step.now + step.limits.call_timeout + wait;
     tables.calls.rows.insert(id, Row { purpose, made: step.now, until });
     step.out.calls.push((id, call));
     id
--- a/crates/core/src/control/system/compare.rs
+++ b/crates/core/src/control/system/compare.rs
@@ -33,7 +33,7 @@
         return;
     }
     let is_new = step.now.since(tables.own.since) < NEW;
-    tables.vms.compare = step.now + if is_new { FIRST } else { step.limits.sync };
+    tables.vms.compare = step.now + if is_new { FIRST } else { step.limits.sync_interval };
     let digest = digest(tables);
     for vm in spread::pick(tables, 1, None) {
         spread::post(tables, step, &vm, Body::Compare { digest });
--- a/crates/core/src/control/system/expiry.rs
+++ b/crates/core/src/control/system/expiry.rs
@@ -29,7 +29,7 @@
     let vms = &tables.vms;
     let due = |vm: &&Name| {
         let row = &vms.rows[*vm];
-        !row.listed && step.now.since(row.since) >= step.limits.forget
+        !row.listed && step.now.since(row.since) >= step.limits.retention
     };
     let due: Vec<Name> = vms.gone.iter().filter(due).cloned().collect();
     for vm in &due {
@@ -42,7 +42,7 @@
 /// a revision may be in force elsewhere that this VM cannot learn of.
 fn isolate(tables: &mut Tables, step: &Step<'_>) {
     let alone = tables.vms.rows.is_empty();
-    let silent = step.now.since(tables.own.heard) >= step.limits.isolation;
+    let silent = step.now.since(tables.own.heard) >= step.limits.isolation_timeout;
     if tables.own.learnt && silent && !alone {
         pause::unlearn(tables, step.now);
     }
@@ -60,7 +60,7 @@
 fn words(tables: &mut Tables, step: &Step<'_>) {
     let targets = &mut tables.targets;
     if targets.words.len() > MAX_WORDS {
-        let (now, limit, listed) = (step.now, step.limits.forget, &targets.listed);
+        let (now, limit, listed) = (step.now, step.limits.retention, &targets.listed);
         targets
             .words
             .retain(|name, heard| listed.contains_key(name) || now.since(heard.at) < limit);
--- a/crates/core/src/control/system/intake.rs
+++ b/crates/core/src/control/system/intake.rs
@@ -29,7 +29,7 @@
     }
     tables.own.vm.state = crate::view::State::Leaving;
     tables.own.in_flight.clear();
-    tables.news.add(Key::Member(tables.own.vm.name.clone()));
+    tables.gossip.add(Key::Member(tables.own.vm.name.clone()));
     tables.vms.rerank = true;
     tables.changed = true;
     step.out.lines.push(crate::log::Line::new(crate::log::Event::Leaving, Vec::new()));
--- a/crates/core/src/control/system/list.rs
+++ b/crates/core/src/control/system/list.rs
@@ -41,7 +41,7 @@
         return;
     };
     tables.list.failures = 0;
-    let pause = reading::pause(tables, step.limits.list, step.limits.stale);
+    let pause = reading::pause(tables, step.limits.list_interval, step.limits.stale_after);
     tables.list.next = step.now + pause;
     replace(tables, step, (vms, targets), Age::new(Duration::ZERO, made));
 }
@@ -55,7 +55,7 @@
     digest: &Digest,
 ) {
     let Some(listed) = digest.listed else { return };
-    let own = tables.targets.read.map(|age| age.at(step.now));
+    let own = tables.targets.list_age.map(|age| age.at(step.now));
     if own.is_none_or(|own| listed < own) {
         replace(tables, step, (vms, targets), Age::new(listed, step.now));
     }
@@ -71,15 +71,15 @@
 /// Compares the list of another VM with the own one.
 pub fn compare(tables: &mut Tables, step: &mut Step<'_>, from: &Name, digest: &Digest) {
     let Some(listed) = digest.listed else { return };
-    let own = tables.targets.read;
+    let own = tables.targets.list_age;
     if own.is_some() && digest.list == tables.targets.digest {
         let age = Age::new(listed, step.now);
-        tables.targets.read = age::younger(own, Some(age), step.now);
+        tables.targets.list_age = age::younger(own, Some(age), step.now);
         return;
     }
     let later = own.is_none_or(|own| listed + SLACK < own.at(step.now));
     if later && step.now >= tables.targets.ask {
-        tables.targets.ask = step.now + step.limits.ack;
+        tables.targets.ask = step.now + step.limits.ack_timeout;
         spread::post(tables, step, from, Body::AskList);
     }
 }
@@ -90,7 +90,7 @@
     (vms, targets): (Vec<view::Vm>, Vec<view::Target>),
     age: Age,
 ) {
-    let first = tables.targets.read.replace(age).is_none();
+    let first = tables.targets.list_age.replace(age).is_none();
     let digest = digest(&vms, &targets);
     if !first && digest == tables.targets.digest {
         return;
@@ -110,7 +110,7 @@
     tables.targets.vms = vms;
     tables.targets.digest = digest;
     mark(tables);
-    tables.news.fresh = true;
+    tables.gossip.fresh = true;
     tables.changed = true;
 }
 
@@ -148,7 +148,7 @@
         tables.changed = true;
     }
     if draining || overrides || left != leaves {
-        tables.news.add(Key::Word(target.clone()));
+        tables.gossip.add(Key::Word(target.clone()));
     }
     if leaves && !left {
         let fields = vec![("target", target.to_string())];
--- a/crates/core/src/control/system/member.rs
+++ b/crates/core/src/control/system/member.rs
@@ -76,7 +76,7 @@
     } else {
         return;
     }
-    tables.news.add(Key::Member(tables.own.vm.name.clone()));
+    tables.gossip.add(Key::Member(tables.own.vm.name.clone()));
     tables.changed = true;
 }
 
@@ -107,7 +107,7 @@
         Health::Suspect if old.incarnation == new.incarnation && old.health == new.health => {
             row.gone_at
         }
-        Health::Suspect => Some(step.now + step.limits.suspicion),
+        Health::Suspect => Some(step.now + step.limits.suspicion_timeout),
         Health::Live | Health::Gone => None,
     };
     if old.incarnation != new.incarnation {
@@ -121,16 +121,17 @@
     let health = new.health;
     row.member = new;
     changed(tables, &name, health);
-    tables.news.add(Key::Member(name));
+    tables.gossip.add(Key::Member(name));
 }
 
 fn insert(tables: &mut Tables, step: &mut Step<'_>, member: Member, source: Source) {
     let name = member.vm.clone();
-    let gone_at = (member.health == Health::Suspect).then_some(step.now + step.limits.suspicion);
+    let gone_at =
+        (member.health == Health::Suspect).then_some(step.now + step.limits.suspicion_timeout);
     note(step, &member);
     // Every VM has the platform's list, so what it says is no news.
     if source != Source::List {
-        tables.news.add(Key::Member(name.clone()));
+        tables.gossip.add(Key::Member(name.clone()));
     }
     let row = Vm { member, listed: false, since: step.now, source, gone_at, introduced: 0 };
     let health = row.member.health;
--- a/crates/core/src/control/system/outcome.rs
+++ b/crates/core/src/control/system/outcome.rs
@@ -32,7 +32,7 @@
     let revision = offer.document.revision;
     let fields = vec![("revision", revision.0.to_string()), ("who", offer.who.clone())];
     step.out.lines.push(Line::new(Event::RevisionPublished, fields));
-    if let Some(old) = revision.0.checked_sub(step.limits.history + 1) {
+    if let Some(old) = revision.0.checked_sub(step.limits.max_history + 1) {
         let call = Call::Get { key: history(old) };
         call::make(tables, step, Purpose::Find, call, Duration::ZERO);
     }
@@ -96,7 +96,7 @@
     let Some(token) = row.token else { return Next::Again };
     let Some(entry) = entry else {
         // Half of the limit is left for publications since the document was read.
-        let removed = revision(row).0 > token.revision.0 + step.limits.history / 2;
+        let removed = revision(row).0 > token.revision.0 + step.limits.max_history / 2;
         return Next::Done(if removed { Answer::Unsettled { token } } else { lost(step, row) });
     };
     match profiles::decode(step, &entry) {
--- a/crates/core/src/control/system/pause.rs
+++ b/crates/core/src/control/system/pause.rs
@@ -18,7 +18,7 @@
     let last = tables.own.stepped.replace((step.now, step.wall));
     match last {
         None => start(tables, step),
-        Some(last) if gap(last, step) > step.limits.pause => resume(tables, step, "gap"),
+        Some(last) if gap(last, step) > step.limits.pause_threshold => resume(tables, step, "gap"),
         Some(_) => {}
     }
 }
@@ -32,7 +32,7 @@
     tables.own.heard = step.now;
     tables.own.since = step.now;
     tables.vms.compare = step.now;
-    tables.news.add(Key::Member(tables.own.vm.name.clone()));
+    tables.gossip.add(Key::Member(tables.own.vm.name.clone()));
 }
 
 /// Takes a new incarnation and forgets what was confirmed, so that this VM is
@@ -43,7 +43,7 @@
     own.vm.incarnation = (own.vm.incarnation + 1).max(step.wall.0);
     unlearn(tables, step.now);
     tables.vms.compare = step.now;
-    tables.news.add(Key::Member(tables.own.vm.name.clone()));
+    tables.gossip.add(Key::Member(tables.own.vm.name.clone()));
     let incarnation = tables.own.vm.incarnation.to_string();
     let fields = vec![("cause", cause.to_owned()), ("incarnation", incarnation)];
     step.out.lines.push(Line::new(Event::VmResumed, fields));
@@ -55,7 +55,7 @@
     tables.own.witnesses.clear();
     tables.own.heard = now;
     tables.in_force.confirmed = None;
-    tables.targets.read = None;
+    tables.targets.list_age = None;
     // A reply to a call from before the pause confirms nothing.
     tables.calls.rows.retain(|_, call| !matches!(call.purpose, Purpose::Profiles | Purpose::List));
     tables.profiles = Reader { next: now, ..Reader::default() };
--- a/crates/core/src/control/system/probe.rs
+++ b/crates/core/src/control/system/probe.rs
@@ -27,14 +27,14 @@
         }
     }
     if step.now >= tables.vms.next {
-        tables.vms.next = step.now + step.limits.probe;
+        tables.vms.next = step.now + step.limits.probe_interval;
         match next(tables) {
             Some(vm) => start(tables, step, &vm, Stage::Direct),
             None => seed(tables, step),
         }
     }
     if step.now >= tables.vms.revive {
-        tables.vms.revive = step.now + step.limits.revive;
+        tables.vms.revive = step.now + step.limits.reconnect_interval;
         revive(tables, step);
     }
 }
@@ -63,7 +63,7 @@
     let index = tables.rng.random_range(0..tables.vms.seeds.len());
     let (vm, address) = tables.vms.seeds[index].clone();
     if vm != tables.own.vm.name {
-        let probe = open(tables, &vm, Stage::Revival, step.now + step.limits.ack);
+        let probe = open(tables, &vm, Stage::Revival, step.now + step.limits.ack_timeout);
         spread::post_to(tables, step, &vm, address, Body::Ping { probe });
     }
 }
@@ -83,7 +83,7 @@
 }
 
 fn start(tables: &mut Tables, step: &mut Step<'_>, vm: &Name, stage: Stage) {
-    let probe = open(tables, vm, stage, step.now + step.limits.ack);
+    let probe = open(tables, vm, stage, step.now + step.limits.ack_timeout);
     spread::post(tables, step, vm, Body::Ping { probe });
 }
 
@@ -110,9 +110,9 @@
     row.introduced = 0;
     let address = row.member.contact.control;
     let vm = probe.vm.clone();
-    let until = step.now + step.limits.ack * 2;
+    let until = step.now + step.limits.ack_timeout * 2;
     tables.vms.probes.insert(number, Probe { stage: Stage::Indirect, until, ..probe });
-    for helper in helpers(tables, step.limits.indirect, &vm) {
+    for helper in helpers(tables, step.limits.indirect_probes, &vm) {
         let body = Body::PingFor { probe: number, vm: vm.clone(), address };
         spread::post(tables, step, &helper, body);
     }
@@ -160,6 +160,6 @@
     (probe, vm, address): (u64, Name, SocketAddr),
 ) {
     let stage = Stage::Relayed { asker: from.clone(), probe };
-    let number = open(tables, &vm, stage, step.now + step.limits.ack);
+    let number = open(tables, &vm, stage, step.now + step.limits.ack_timeout);
     spread::post_to(tables, step, &vm, address, Body::Ping { probe: number });
 }
--- a/crates/core/src/control/system/profiles.rs
+++ b/crates/core/src/control/system/profiles.rs
@@ -37,7 +37,8 @@
     }
     tables.profiles.change = Some(change);
     tables.profiles.failures = 0;
-    tables.profiles.next = step.now + reading::pause(tables, Duration::ZERO, step.limits.stale);
+    tables.profiles.next =
+        step.now + reading::pause(tables, Duration::ZERO, step.limits.stale_after);
     confirm(tables, step.now, made);
 }
 
@@ -76,7 +77,7 @@
     let fields = vec![("revision", document.revision.0.to_string())];
     step.out.lines.push(Line::new(Event::RevisionApplied, fields));
     tables.in_force.document = document;
-    tables.news.fresh = true;
+    tables.gossip.fresh = true;
     tables.changed = true;
 }
 
@@ -92,7 +93,7 @@
     let own = tables.in_force.document.revision;
     if digest.revision > own {
         if step.now >= tables.targets.ask_document {
-            tables.targets.ask_document = step.now + step.limits.ack;
+            tables.targets.ask_document = step.now + step.limits.ack_timeout;
             spread::post(tables, step, from, Body::AskDocument);
         }
         return;
@@ -113,7 +114,7 @@
     }
     tables.own.witnesses.insert(from.clone());
     let others = tables.vms.count() - 1;
-    if tables.own.witnesses.len() >= step.limits.witnesses.min(others.max(1)) {
+    if tables.own.witnesses.len() >= step.limits.required_confirmations.min(others.max(1)) {
         learnt(tables);
     }
 }
--- a/crates/core/src/control/system/publish.rs
+++ b/crates/core/src/control/system/publish.rs
@@ -10,7 +10,7 @@
 use crate::{
     control::{
         Answer, Record, Request, RequestId, access,
-        codec::{CURRENT, HISTORY, MAX_VALUE, history},
+        codec::{CURRENT, HISTORY, MAX_VALUE_BYTES, history},
         engine::Step,
         request::{Token, difference},
         table::{
@@ -99,7 +99,7 @@
     row.call = None;
     match advance(tables, step, &mut row, reply) {
         Next::Done(answer) => return step.out.answers.push((id, answer)),
-        Next::Again => row.next = step.now + step.limits.retry,
+        Next::Again => row.next = step.now + step.limits.retry_delay,
         Next::Step(stage) => {
             row.stage = stage;
             row.next = step.now;
@@ -251,8 +251,8 @@
     let document = Document { revision: next, profiles: plan.profiles };
     let record = Record { document, token: id, who: plan.who, at: step.wall, note: plan.note };
     let size = step.codec.encode(&record).len();
-    if size > MAX_VALUE {
-        let detail = format!("the profiles take {size} bytes, allowed are {MAX_VALUE}");
+    if size > MAX_VALUE_BYTES {
+        let detail = format!("the profiles take {size} bytes, allowed are {MAX_VALUE_BYTES}");
         return Next::Done(Answer::Failed(Fault::not_run(Kind::TooLarge, detail)));
     }
     row.token = Some(Token { base, revision: next, id });
--- a/crates/core/src/control/system/quarantine.rs
+++ b/crates/core/src/control/system/quarantine.rs
@@ -32,7 +32,7 @@
     if tables.quarantine.condemned.contains_key(&fingerprint) {
         return;
     }
-    let until = step.now + remaining.min(step.limits.suspect_fingerprint);
+    let until = step.now + remaining.min(step.limits.suspect_duration);
     let rows = &mut tables.quarantine.suspects;
     let row = rows.entry(fingerprint).or_insert_with(|| Suspicion {
         targets: BTreeSet::new(),
@@ -46,13 +46,13 @@
     let shard = |name: &Name| listed.get(name).map(|target| (&target.index, &target.shard));
     let of_shard = row.targets.iter().filter(|name| shard(name) == shard(&target)).count();
     if of_shard >= step.limits.lost_targets {
-        return condemn(tables, step, fingerprint, origin, step.limits.condemned_fingerprint);
+        return condemn(tables, step, fingerprint, origin, step.limits.quarantine_duration);
     }
-    if rows.len() > step.limits.fingerprints {
+    if rows.len() > step.limits.max_fingerprints {
         let oldest = rows.iter().min_by_key(|(_, row)| row.until).map(|(&key, _)| key);
         oldest.and_then(|key| rows.remove(&key));
     }
-    tables.news.add(Key::Suspect(fingerprint));
+    tables.gossip.add(Key::Suspect(fingerprint));
     tables.changed = true;
 }
 
@@ -68,15 +68,15 @@
     if rows.contains_key(&fingerprint) {
         return;
     }
-    let until = step.now + remaining.min(step.limits.condemned_fingerprint);
+    let until = step.now + remaining.min(step.limits.quarantine_duration);
     rows.insert(fingerprint, Condemned { origin, until });
-    if rows.len() > step.limits.fingerprints {
+    if rows.len() > step.limits.max_fingerprints {
         let oldest = rows.iter().min_by_key(|(_, row)| row.until).map(|(&key, _)| key);
         oldest.and_then(|key| rows.remove(&key));
     }
     tables.quarantine.suspects.remove(&fingerprint);
-    tables.news.remove(&Key::Suspect(fingerprint));
-    tables.news.add(Key::Condemned(fingerprint));
+    tables.gossip.remove(&Key::Suspect(fingerprint));
+    tables.gossip.add(Key::Condemned(fingerprint));
     tables.changed = true;
     let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
     step.out.lines.push(Line::new(Event::RequestCondemned, fields));
--- a/crates/core/src/control/system/reading.rs
+++ b/crates/core/src/control/system/reading.rs
@@ -51,7 +51,7 @@
 /// The age from which a VM reads itself: what the watchers read takes longer to
 /// come round among more VMs, and must not count as stale before that.
 pub fn stale(tables: &Tables, limits: &Limits) -> Duration {
-    limits.stale + DOUBLING * tables.vms.count().ilog2()
+    limits.stale_after + DOUBLING * tables.vms.count().ilog2()
 }
 
 fn rank(tables: &mut Tables, step: &Step<'_>) {
@@ -74,7 +74,7 @@
     let watch = tables.profiles.change.filter(|_| tables.vms.watcher && tables.own.learnt);
     let (call, wait) = match watch {
         Some(after) => {
-            let wait = step.limits.watch;
+            let wait = step.limits.watch_timeout;
             (Call::Watch { prefix: CURRENT.to_owned(), after, wait }, wait)
         }
         None => (Call::Get { key: CURRENT.to_owned() }, Duration::ZERO),
@@ -90,7 +90,7 @@
 
 /// When the list is next read from the service.
 pub fn list_due(tables: &Tables, stale: Duration) -> Option<Instant> {
-    due(&tables.list, tables.vms.watcher, tables.targets.read, stale)
+    due(&tables.list, tables.vms.watcher, tables.targets.list_age, stale)
 }
 
 fn due(reader: &Reader, now: bool, age: Option<Age>, stale: Duration) -> Option<Instant> {
@@ -109,7 +109,7 @@
 /// The pause after a read that failed; it grows with each failure and has a
 /// random part, so that VMs do not come back all at once.
 pub fn back_off(tables: &mut Tables, step: &Step<'_>, failures: u32) -> Duration {
-    let most = (step.limits.retry * 2u32.pow(failures.min(6))).min(MAX_RETRY);
+    let most = (step.limits.retry_delay * 2u32.pow(failures.min(6))).min(MAX_RETRY);
     let most = if tables.vms.watcher { most } else { most.max(share(tables)) };
     most / 2 + most.mul_f64(tables.rng.random_range(0.0..0.5))
 }
--- a/crates/core/src/control/system/report.rs
+++ b/crates/core/src/control/system/report.rs
@@ -22,11 +22,11 @@
             tables.claims.events.push(Event::Outcome { request, outcome });
         }
         Report::Suspect { fingerprint, query, target } => {
-            let remaining = step.limits.suspect_fingerprint;
+            let remaining = step.limits.suspect_duration;
             quarantine::suspect(tables, step, (fingerprint, target, query.origin), remaining);
         }
         Report::Condemned { fingerprint, origin } => {
-            let remaining = step.limits.condemned_fingerprint;
+            let remaining = step.limits.quarantine_duration;
             quarantine::condemn(tables, step, fingerprint, origin, remaining);
         }
         Report::Draining { target, incarnation } => {
--- a/crates/core/src/control/system/request.rs
+++ b/crates/core/src/control/system/request.rs
@@ -15,7 +15,7 @@
         Request::Vms => Answer::Vms(status::vms(tables, step.now)),
         Request::Targets => Answer::Targets(status::targets(tables, step.now)),
         request => {
-            let until = step.now + step.limits.publish;
+            let until = step.now + step.limits.publish_timeout;
             tables.publications.insert(id, Publication::new(request, step.now, until));
             return;
         }
--- a/crates/core/src/control/system/spread.rs
+++ b/crates/core/src/control/system/spread.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     control::{
-        Message, Post,
+        Envelope, Message,
         engine::Step,
         message::{Body, Digest, Health, Item, Row},
         table::{Tables, news::Key},
@@ -22,11 +22,11 @@
 /// Tells a few VMs at once what was learnt since the last round. The pause
 /// between rounds bounds what a flood of news costs.
 pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
-    if !tables.news.fresh || step.now < tables.news.next {
+    if !tables.gossip.fresh || step.now < tables.gossip.next {
         return;
     }
-    tables.news.fresh = false;
-    tables.news.next = step.now + step.limits.round;
+    tables.gossip.fresh = false;
+    tables.gossip.next = step.now + step.limits.gossip_interval;
     for vm in pick(tables, step.limits.fanout, None) {
         post(tables, step, &vm, Body::News);
     }
@@ -65,7 +65,7 @@
         rows: rows(tables, step),
         body,
     };
-    step.out.posts.push(Post { vm: vm.clone(), address, message });
+    step.out.messages.push(Envelope { vm: vm.clone(), address, message });
 }
 
 /// What the receiver must be told in any case: where this VM is reached until
@@ -87,7 +87,7 @@
         revision: tables.in_force.document.revision,
         confirmed: tables.in_force.confirmed.map(|age| age.at(now)),
         list: tables.targets.digest,
-        listed: tables.targets.read.map(|age| age.at(now)),
+        listed: tables.targets.list_age.map(|age| age.at(now)),
     }
 }
 
@@ -95,7 +95,7 @@
 fn news(tables: &mut Tables, step: &Step<'_>) -> Vec<Item> {
     let doublings = usize::BITS - tables.vms.count().leading_zeros();
     let sends = SENDS_PER_DOUBLING * doublings;
-    let keys = tables.news.take(step.limits.items, sends);
+    let keys = tables.gossip.take(step.limits.max_items, sends);
     keys.iter().flat_map(|key| content(tables, step.now, key)).collect()
 }
 
@@ -149,7 +149,7 @@
     };
     let words = tables.words.range((from, Bound::Unbounded));
     let rows: Vec<Row> = words
-        .take(step.limits.rows)
+        .take(step.limits.max_revisions)
         .map(|(vm, word)| Row {
             vm: vm.clone(),
             revision: word.revision,
@@ -157,7 +157,7 @@
             confirmed: word.confirmed,
         })
         .collect();
-    if rows.len() == step.limits.rows {
+    if rows.len() == step.limits.max_revisions {
         tables.cursor = rows.last().map(|row| row.vm.clone());
     }
     rows
--- a/crates/core/src/control/system/status.rs
+++ b/crates/core/src/control/system/status.rs
@@ -42,7 +42,7 @@
         revision: word.map(|word| word.revision),
         heard,
         confirmed: word.and_then(|word| Some(word.confirmed? + word.heard.at(step.now))),
-        silent: heard.is_none_or(|heard| heard > step.limits.silence),
+        silent: heard.is_none_or(|heard| heard > step.limits.silent_after),
     }
 }
 
--- a/crates/core/src/control/system/view.rs
+++ b/crates/core/src/control/system/view.rs
@@ -25,7 +25,7 @@
 }
 
 fn is_ready(tables: &Tables) -> bool {
-    tables.own.learnt && tables.targets.read.is_some() && !tables.own.leaving()
+    tables.own.learnt && tables.targets.list_age.is_some() && !tables.own.leaving()
 }
 
 fn make(tables: &Tables) -> View {
--- a/crates/core/src/control/table/mod.rs
+++ b/crates/core/src/control/table/mod.rs
@@ -64,7 +64,7 @@
     /// Fingerprints of requests that crashed targets.
     pub quarantine: Quarantine,
     /// News to pass on.
-    pub news: News,
+    pub gossip: News,
     /// Calls of the platform's service that are under way.
     pub calls: Calls,
     /// The state of reading the profiles from the service.
--- a/crates/core/src/control/table/target.rs
+++ b/crates/core/src/control/table/target.rs
@@ -37,7 +37,7 @@
     /// The digest of the list.
     pub digest: u64,
     /// How long ago the list was read.
-    pub read: Option<Age>,
+    pub list_age: Option<Age>,
     /// When the list may be asked of another VM again.
     pub ask: Instant,
     /// The words of the targets.
--- a/crates/core/tests/control/cost.rs
+++ b/crates/core/tests/control/cost.rs
@@ -36,7 +36,7 @@
     assert!(world.until(Duration::from_secs(10), World::settled).is_some());
     // The news that every VM has started is passed on for a while.
     let told =
-        |world: &World| world.nodes.values().all(|node| node.engine.tables().news.is_empty());
+        |world: &World| world.nodes.values().all(|node| node.engine.tables().gossip.is_empty());
     let took = world.until(Duration::from_secs(600), told).unwrap();
     let (messages, bytes) = sent(&world);
     let count = count as u64;
--- a/crates/core/tests/control/publication.rs
+++ b/crates/core/tests/control/publication.rs
@@ -176,7 +176,7 @@
         world.isolate(&vm(3));
         world.pause(&vm(3), Duration::from_millis(2500));
         world.run(Duration::from_secs(4));
-        assert!(world.nodes[&vm(3)].engine.tables().targets.read.is_some());
+        assert!(world.nodes[&vm(3)].engine.tables().targets.list_age.is_some());
         assert!(!world.view(&vm(3)).ready);
     };
     a_publication_that_never_arrived_is_ruled_out_before_it_is_called_lost => {
@@ -319,7 +319,7 @@
     };
     the_history_is_kept_within_its_limit => {
         let mut world = World::empty(20);
-        world.limits.history = 3;
+        world.limits.max_history = 3;
         (0..3).for_each(|number| world.start(&vm(number)));
         world.run(Duration::from_secs(3));
         for mark in 1..10 {
--- a/crates/core/tests/control/quarantine.rs
+++ b/crates/core/tests/control/quarantine.rs
@@ -63,7 +63,7 @@
     };
     a_request_is_let_go_when_its_time_is_up => {
         let mut world = settled(5);
-        let limit = world.limits.condemned_fingerprint;
+        let limit = world.limits.quarantine_duration;
         world.report(&vm(3), Report::Condemned { fingerprint: POISON, origin: Origin(1) });
         world.run(limit - Duration::from_secs(1));
         assert!(held(&world));
@@ -74,14 +74,14 @@
     a_first_loss_is_forgotten_when_its_time_is_up => {
         let mut world = settled(6);
         world.report(&vm(3), lost("r1"));
-        world.run(world.limits.suspect_fingerprint + Duration::from_secs(5));
+        world.run(world.limits.suspect_duration + Duration::from_secs(5));
         world.report(&vm(9), lost("r2"));
         world.run(SHARED);
         assert!(free(&world));
     };
     the_table_keeps_within_its_limit => {
         let mut world = World::empty(7);
-        world.limits.fingerprints = 4;
+        world.limits.max_fingerprints = 4;
         (0..3).for_each(|number| world.start(&vm(number)));
         world.run(Duration::from_secs(3));
         for fingerprint in 0..20 {
--- a/crates/core/tests/control/world.rs
+++ b/crates/core/tests/control/world.rs
@@ -290,13 +290,13 @@
             }
         }
         let start = (vm.clone(), node.start);
-        for post in &out.posts {
+        for post in &out.messages {
             let config = bincode::config::standard();
             let size = bincode::serde::encode_to_vec(&post.message, config).unwrap().len();
             node.sent = (node.sent.0 + 1, node.sent.1 + size as u64);
         }
         self.watch_revision(vm);
-        for post in out.posts {
+        for post in out.messages {
             if self.network.carries(vm, &post.vm) {
                 let at = self.now + self.network.delay;
                 self.enqueue(at, Delivery::Message(post.vm, Box::new(post.message)));
--- a/crates/core/tests/matrix/step.rs
+++ b/crates/core/tests/matrix/step.rs
@@ -176,7 +176,7 @@
             };
             world.written().len() > 1 && world.vms.values().any(has)
         }
-        Step::ListRead => control.engine.tables().targets.read.is_some(),
+        Step::ListRead => control.engine.tables().targets.list_age.is_some(),
         Step::DocumentRead => revision.0 > 0,
         Step::JoinReady => control.view.as_ref().is_some_and(|view| view.ready),
         Step::LeaveAnnounced => world.vms.values().any(|other| {
--- a/crates/core/tests/world/control.rs
+++ b/crates/core/tests/world/control.rs
@@ -153,7 +153,7 @@
             }
             self.deliver(vm, Duration::ZERO, traffic::Event::Notice(notice));
         }
-        for post in out.posts {
+        for post in out.messages {
             if let Some(after) = self.network.delay(vm, &post.vm) {
                 self.inform(&post.vm, after, Event::Message(post.message));
             }
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -146,7 +146,7 @@
         for (id, call) in out.calls {
             self.borders.platform.call(id, call);
         }
-        for post in out.posts {
+        for post in out.messages {
             self.borders.messenger.send(&post.vm, post.address, post.message);
         }
         for (id, answer) in out.answers {
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -5,7 +5,7 @@
 
 use laburnum_core::{
     claims,
-    control::{Limits, codec::MAX_VALUE},
+    control::{Limits, codec::MAX_VALUE_BYTES},
     name::Name,
     traffic,
 };
@@ -77,18 +77,22 @@
 impl Membership {
     pub(super) fn read(document: &mut Document<'_>) -> Membership {
         let limits = Limits::default();
-        let (indirect, watchers) = (count(limits.indirect), count(limits.watchers));
+        let (indirect, watchers) = (count(limits.indirect_probes), count(limits.watchers));
         let mut section = document.section("membership");
         let items = section.tables("seeds");
         let mut membership = Membership {
-            probe_interval: section.millis("probe_interval_ms", limits.probe, up_to(60)),
-            probe_limit: section.millis("probe_limit_ms", limits.ack, up_to(60)),
+            probe_interval: section.millis("probe_interval_ms", limits.probe_interval, up_to(60)),
+            probe_limit: section.millis("probe_limit_ms", limits.ack_timeout, up_to(60)),
             indirect_probes: section.count("indirect_probes", indirect, 0..=16),
-            gone_after: section.millis("gone_after_ms", limits.suspicion, up_to(3600)),
-            list_interval: section.millis("list_interval_ms", limits.list, up_to(60)),
+            gone_after: section.millis("gone_after_ms", limits.suspicion_timeout, up_to(3600)),
+            list_interval: section.millis("list_interval_ms", limits.list_interval, up_to(60)),
             watchers: section.count("watchers", watchers, 1..=16),
-            stale_after: section.millis("stale_after_ms", limits.stale, up_to(600)),
-            unready_after: section.millis("unready_after_ms", limits.isolation, up_to(86_400)),
+            stale_after: section.millis("stale_after_ms", limits.stale_after, up_to(600)),
+            unready_after: section.millis(
+                "unready_after_ms",
+                limits.isolation_timeout,
+                up_to(86_400),
+            ),
             seeds: Vec::new(),
         };
         section.finish();
@@ -119,7 +123,7 @@
 impl Claims {
     pub(super) fn read(document: &mut Document<'_>) -> Claims {
         let limits = claims::Limits::default();
-        let value = MIN_VALUE..=MAX_VALUE as u64;
+        let value = MIN_VALUE..=MAX_VALUE_BYTES as u64;
         let gather = Duration::ZERO..=Duration::from_secs(1);
         let mut section = document.section("claims");
         let claims = Claims {
@@ -149,11 +153,11 @@
 impl Quarantine {
     pub(super) fn read(document: &mut Document<'_>) -> Quarantine {
         let limits = Limits::default();
-        let (hold, suspect) = (limits.condemned_fingerprint, limits.suspect_fingerprint);
+        let (hold, suspect) = (limits.quarantine_duration, limits.suspect_duration);
         let lost_targets = count(traffic::Limits::default().lost_targets);
         let mut section = document.section("quarantine");
         let quarantine = Quarantine {
-            capacity: section.count("capacity", count(limits.fingerprints), 1..=100_000),
+            capacity: section.count("capacity", count(limits.max_fingerprints), 1..=100_000),
             hold: section.millis("hold_ms", hold, up_to(86_400)),
             suspect: section.millis("suspect_ms", suspect, up_to(3600)),
             lost_targets: section.count("lost_targets", lost_targets, 1..=2),
--- a/src/slope/fleet.rs
+++ b/src/slope/fleet.rs
@@ -200,7 +200,7 @@
 
     /// Whether no VM has news to pass on.
     pub fn quiet(&self) -> bool {
-        self.nodes.values().all(|node| node.engine.tables().news.is_empty())
+        self.nodes.values().all(|node| node.engine.tables().gossip.is_empty())
     }
 
     /// The lowest revision in force on any VM.
@@ -276,7 +276,7 @@
             }
         }
         let start = node.start;
-        for post in out.posts {
+        for post in out.messages {
             let (took, bytes) = meter::timed(|| encode(&post.message));
             self.cost.used += took;
             self.cost.messages += 1;
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -45,19 +45,19 @@
 pub fn control(settings: &Settings) -> control::Limits {
     let membership = &settings.membership;
     control::Limits {
-        probe: membership.probe_interval,
-        ack: membership.probe_limit,
-        indirect: size(membership.indirect_probes),
-        suspicion: membership.gone_after,
-        list: membership.list_interval,
+        probe_interval: membership.probe_interval,
+        ack_timeout: membership.probe_limit,
+        indirect_probes: size(membership.indirect_probes),
+        suspicion_timeout: membership.gone_after,
+        list_interval: membership.list_interval,
         watchers: size(membership.watchers),
-        stale: membership.stale_after,
-        isolation: membership.unready_after,
-        call: settings.platform.call_limit,
-        suspect_fingerprint: settings.quarantine.suspect,
+        stale_after: membership.stale_after,
+        isolation_timeout: membership.unready_after,
+        call_timeout: settings.platform.call_limit,
+        suspect_duration: settings.quarantine.suspect,
         lost_targets: usize::try_from(settings.quarantine.lost_targets).unwrap_or(usize::MAX),
-        condemned_fingerprint: settings.quarantine.hold,
-        fingerprints: size(settings.quarantine.capacity),
+        quarantine_duration: settings.quarantine.hold,
+        max_fingerprints: size(settings.quarantine.capacity),
         ..control::Limits::default()
     }
 }
