--- a/crates/core/src/control/access.rs
+++ b/crates/core/src/control/access.rs
@@ -1,4 +1,4 @@
-//! Which team may change which profile.
+//! Access control: which team may change which profile.
 
 use std::collections::BTreeMap;
 
@@ -8,9 +8,9 @@
     profile::Profile,
 };
 
-/// Refuses a change from the profiles `before` to the profiles `after` unless
-/// every profile that it adds, alters or removes belongs to `team`, both before
-/// and after.
+/// Checks that every profile that differs between `before` and `after` belongs
+/// to `team` in both, where it exists. Otherwise the change is refused as
+/// forbidden.
 pub fn check(
     team: &Name,
     before: &BTreeMap<Name, Profile>,
--- a/crates/core/src/control/engine.rs
+++ b/crates/core/src/control/engine.rs
@@ -16,33 +16,29 @@
     view::{self, View},
 };
 
-/// What an engine is made from.
+/// The inputs from which an [`Engine`] is built.
 pub struct Setup {
-    /// This VM; its incarnation is the wall-clock time of the start.
+    /// This VM. Its incarnation is the wall-clock time of the start.
     pub vm: view::Vm,
-    /// VMs that are asked when the platform's list cannot be read.
+    /// VMs from the settings that are pinged while no other VM is known, such as
+    /// when the platform's list cannot be read.
     pub seeds: Vec<(Name, SocketAddr)>,
-    /// Time limits and bounds.
     pub limits: Limits,
-    /// Limits of the claims.
+    /// The limits of the claims engine.
     pub claims: claims::Limits,
-    /// The seed of all chance.
+    /// The seed of the random number generator.
     pub seed: u64,
-    /// The encoding of stored values.
+    /// Encodes and decodes the values stored in the platform's service.
     pub codec: Box<dyn Codec>,
 }
 
-/// What the systems of one step share.
+/// The inputs and the outbox that the systems of one step share.
 pub struct Step<'a> {
-    /// The monotonic time.
     pub now: Instant,
-    /// The wall-clock time.
     pub wall: Wall,
-    /// Time limits and bounds.
     pub limits: &'a Limits,
-    /// The encoding of stored values.
+    /// Encodes and decodes the values stored in the platform's service.
     pub codec: &'a dyn Codec,
-    /// What is to be carried out.
     pub out: &'a mut Outbox,
 }
 
@@ -55,7 +51,7 @@
 }
 
 impl Engine {
-    /// Makes the engine of a VM that starts.
+    /// Creates the engine of a VM that starts.
     pub fn new(setup: Setup) -> Engine {
         let (name, domain) = (setup.vm.name.clone(), setup.vm.domain.clone());
         let mut tables = Tables {
@@ -63,8 +59,8 @@
             vms: Default::default(),
             targets: Default::default(),
             in_force: InForce { document: Arc::new(Document::default()), confirmed: None },
-            words: Default::default(),
-            cursor: None,
+            peer_revisions: Default::default(),
+            revision_cursor: None,
             quarantine: Default::default(),
             gossip: Default::default(),
             calls: Default::default(),
@@ -74,7 +70,7 @@
             rng: StdRng::seed_from_u64(setup.seed),
             claims: Default::default(),
             view: Arc::new(View::starting(name.clone(), domain)),
-            changed: true,
+            view_changed: true,
         };
         tables.vms.seeds = setup.seeds;
         tables.vms.rerank = true;
@@ -82,7 +78,8 @@
         Engine { tables, claims, limits: setup.limits, codec: setup.codec }
     }
 
-    /// Runs every system once over the events that are ready.
+    /// Applies `events`, runs every system once and adds the resulting calls,
+    /// messages, notices and answers to `out`.
     pub fn step(&mut self, now: Instant, wall: Wall, events: Vec<Event>, out: &mut Outbox) {
         let tables = &mut self.tables;
         let step = &mut Step { now, wall, limits: &self.limits, codec: &*self.codec, out };
@@ -93,21 +90,22 @@
         system::probe::run(tables, step);
         system::reading::run(tables, step);
         system::publish::run(tables, step);
-        system::compare::run(tables, step);
-        system::spread::run(tables, step);
+        system::sync::run(tables, step);
+        system::gossip::run(tables, step);
         system::view::run(tables, step);
         system::claims::run(tables, step, &mut self.claims);
     }
 
-    /// The earliest time at which a step has something to do without an event.
+    /// The earliest time at which a step is due even if no event arrives.
     pub fn wake(&self) -> Option<Instant> {
         let wakes = [system::wake::next(&self.tables, &self.limits), self.claims.wake()];
         wakes.into_iter().flatten().min()
     }
 
-    /// Whether every traffic thread that reported has nothing in flight, and the
-    /// outcomes that this VM owes to the claims are recorded. It has a meaning
-    /// only while the VM is leaving.
+    /// Whether all `threads` traffic threads reported that nothing is in
+    /// flight, and the claims engine has recorded all outcomes. It is
+    /// meaningful only while the VM is leaving, because the threads report only
+    /// then.
     pub fn idle(&self, threads: usize) -> bool {
         let in_flight = &self.tables.own.in_flight;
         let is_at_rest = in_flight.len() >= threads && in_flight.values().all(|&count| count == 0);
@@ -119,7 +117,7 @@
         self.tables.own.leaving()
     }
 
-    /// The tables, to be read.
+    /// Read access to the tables.
     pub fn tables(&self) -> &Tables {
         &self.tables
     }
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -1,4 +1,4 @@
-//! What the control thread takes in and puts out, as values.
+//! The inputs and outputs of the control thread, as values.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -11,54 +11,49 @@
     store::{Call, CallId, Reply},
 };
 
-/// Something that happened outside of the control thread.
+/// An input of the control thread.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
-    /// A traffic thread reports.
+    /// A traffic thread sent a report.
     Report { thread: u16, report: Report },
-    /// Another VM's control thread sent a message.
+    /// The control thread of another VM sent a message.
     Message(Message),
     /// The platform's service answered a call.
     Reply { call: CallId, reply: Reply },
-    /// An operator asks for something.
+    /// An operator sent a request.
     Request { id: RequestId, request: Request },
     /// The process was asked to shut down.
     Leave,
 }
 
-/// The traffic threads that a notice is for.
+/// The traffic threads to which a notice is delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Recipient {
-    /// All of them.
     All,
-    /// The one with this number.
+    /// The traffic thread with this number.
     Thread(u16),
 }
 
-/// A message on its way to another VM.
+/// A message with the VM and the address to which it is sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Envelope {
-    /// The receiver.
     pub vm: Name,
-    /// Where its control thread listens.
+    /// The address of the receiver's control thread.
     pub address: SocketAddr,
-    /// The message.
     pub message: Message,
 }
 
-/// What a step leaves to be carried out.
+/// The outputs of a step, to be carried out by the thread that runs it.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    /// Calls of the platform's service.
+    /// Calls to make to the platform's service.
     pub calls: Vec<(CallId, Call)>,
-    /// Messages to other VMs.
     pub messages: Vec<Envelope>,
-    /// Notices to the traffic threads.
     pub notices: Vec<(Recipient, Notice)>,
-    /// Answers to operators.
+    /// Answers to requests of operators.
     pub answers: Vec<(RequestId, Answer)>,
-    /// What happened to claims, and how often.
+    /// Counts of the claims engine to add to the metrics.
     pub claims: BTreeMap<claims::Count, u64>,
-    /// Lines of the log.
+    /// Lines to write to the log.
     pub lines: Vec<Line>,
 }
--- a/crates/core/src/control/limit.rs
+++ b/crates/core/src/control/limit.rs
@@ -1,65 +1,77 @@
-//! The time limits and bounds of the control thread.
+//! Timeouts, intervals and bounds of the control thread.
 
 use std::time::Duration;
 
-/// The time limits and bounds of the control thread.
+/// Timeouts, intervals and bounds of the control thread.
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// The time between two probes of a VM.
+    /// The time between two probes that this VM starts; each goes to the next
+    /// VM of the round.
     pub probe_interval: Duration,
-    /// The time within which a probe is answered directly.
+    /// The time within which a ping is answered. It is also the least time
+    /// between two requests to other VMs for the document or the list.
     pub ack_timeout: Duration,
-    /// The number of VMs that are asked to probe another one indirectly.
+    /// The number of VMs that are asked to ping a VM that did not answer
+    /// directly.
     pub indirect_probes: usize,
-    /// The time after which a suspect VM is gone.
+    /// The time after which a suspect VM that does not refute it counts as gone.
     pub suspicion_timeout: Duration,
-    /// The time between two probes of a VM that is gone.
+    /// The time between two pings to VMs that are gone, in case one is back.
     pub reconnect_interval: Duration,
-    /// The time for which a VM that is gone and not listed is remembered.
+    /// The time for which a VM that is gone and not listed is remembered. Once
+    /// the table of announcements is full, it also bounds the age of those from
+    /// targets that are not listed.
     pub retention: Duration,
-    /// The gap between two steps that counts as a pause of this VM.
+    /// The gap between two steps above which this VM counts as paused.
     pub pause_threshold: Duration,
-    /// The number of VMs that read the platform's list and hold watches.
+    /// The number of VMs that read the list and watch the profiles at the
+    /// platform's service on behalf of all.
     pub watchers: usize,
     /// The time between two reads of the list by a watcher.
     pub list_interval: Duration,
-    /// The time for which a watch waits.
+    /// The time after which a watch without a change is answered.
     pub watch_timeout: Duration,
-    /// The age from which a VM reads from the service itself.
+    /// The age of the list or of the confirmation of the revision from which a
+    /// VM that is no watcher reads from the service itself. It grows with the
+    /// number of VMs.
     pub stale_after: Duration,
-    /// The time within which a call of the service is answered.
+    /// The time after which a call of the service counts as lost; a watch has
+    /// `watch_timeout` in addition.
     pub call_timeout: Duration,
-    /// The least time between two tries of a call that failed.
+    /// The time between two tries of a failed step of an operator's request, and
+    /// the base of the back-off after a failed read.
     pub retry_delay: Duration,
-    /// The time within which a publication is answered.
+    /// The time within which a request of an operator is answered.
     pub publish_timeout: Duration,
-    /// The number of replaced documents that are kept.
+    /// The number of replaced documents that are kept in the history.
     pub max_history: u64,
-    /// The number of VMs to which news is sent at once.
+    /// The number of VMs to which a round of gossip is sent.
     pub fanout: usize,
-    /// The least time between two rounds of news.
+    /// The least time between two rounds of gossip.
     pub gossip_interval: Duration,
-    /// The most items of news in a message.
+    /// The most gossip items in a message.
     pub max_items: usize,
-    /// The most rows of revisions in force in a message.
+    /// The most revisions of other VMs in a message.
     pub max_revisions: usize,
     /// The time between two comparisons of soft state with another VM.
     pub sync_interval: Duration,
-    /// The time without a word of any VM or the service after which this VM is
-    /// not ready.
+    /// The time without a message of any VM or a reply of the service after
+    /// which this VM is no longer ready.
     pub isolation_timeout: Duration,
-    /// The number of VMs whose word on the revision makes this VM ready when the
-    /// service cannot be reached.
+    /// The number of VMs that must report a confirmed revision no higher than
+    /// that of this VM before it is ready, if the service cannot be reached.
     pub required_confirmations: usize,
-    /// The age from which the word of a VM on its revision counts as silent.
+    /// The age of the last report of a VM's revision above which the VM is
+    /// shown as silent.
     pub silent_after: Duration,
-    /// The lost targets of one shard that condemn a fingerprint.
+    /// The number of lost targets of one shard that quarantines a fingerprint.
     pub lost_targets: usize,
     /// The time for which a fingerprint with one lost target is remembered.
     pub suspect_duration: Duration,
-    /// The time for which a fingerprint is held back.
+    /// The time for which a fingerprint is quarantined.
     pub quarantine_duration: Duration,
-    /// The most fingerprints that are remembered of either sort.
+    /// The most suspect fingerprints and the most quarantined fingerprints that
+    /// are remembered.
     pub max_fingerprints: usize,
 }
 
--- a/crates/core/src/control/listing.rs
+++ b/crates/core/src/control/listing.rs
@@ -1,5 +1,5 @@
-//! VMs and targets as operators see them: their state, since when, and who said
-//! so.
+//! VMs and targets as operators see them: their state, how long they have had
+//! it, and where it was learnt.
 
 use std::time::Duration;
 
@@ -11,23 +11,21 @@
 /// A VM as `vm list` shows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vm {
-    /// The VM.
     pub vm: view::Vm,
-    /// Whether it is gone.
+    /// Whether the VM is gone; `vm` then shows it as suspect.
     pub gone: bool,
     /// How long it has been in its state.
     pub since: Duration,
-    /// Who said so.
+    /// Where its state was learnt.
     pub source: Source,
 }
 
 /// A target as `target list` shows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
-    /// The target.
     pub target: view::Target,
     /// How long it has been in its state.
     pub since: Duration,
-    /// Who said so.
+    /// Where its state was learnt.
     pub source: Source,
 }
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -16,123 +16,121 @@
     view::{Target, Vm},
 };
 
-/// Whether a VM answers probes; a later variant overrides an earlier one of the
-/// same incarnation.
+/// Whether a VM answers probes.
+///
+/// Within one incarnation, a later variant overrides an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Health {
-    /// It answers.
     Live,
-    /// It did not answer and may be gone.
+    /// The VM did not answer a probe, and is gone unless it refutes this in
+    /// time.
     Suspect,
-    /// It did not answer for too long.
+    /// The VM stayed suspect for longer than the suspicion timeout.
     Gone,
 }
 
-/// Where a VM is reached.
+/// The failure domain and the addresses of a VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contact {
-    /// Its failure domain.
     pub domain: Name,
-    /// The address of its control thread.
     pub control: SocketAddr,
-    /// The addresses of its traffic threads.
+    /// One address for each traffic thread.
     pub traffic: Vec<SocketAddr>,
 }
 
-/// What is said of a VM.
+/// The state of a VM, as one VM reports it to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
-    /// The VM.
     pub vm: Name,
-    /// The start that this is said of.
+    /// The start of the VM to which the state applies.
     pub incarnation: u64,
-    /// Whether it answers.
     pub health: Health,
-    /// Whether it is leaving.
+    /// Whether the VM is shutting down.
     pub leaving: bool,
-    /// Where it is reached.
     pub contact: Contact,
 }
 
-/// A piece of news that is passed on a bounded number of times.
+/// A state change that VMs pass on to each other by gossip.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Item {
-    /// A VM changed.
+    /// The state of a VM changed.
     Member(Member),
-    /// A target said in this incarnation whether it is draining.
-    Word { target: Name, incarnation: u64, draining: bool },
-    /// A target was lost while it ran a request of this fingerprint.
+    /// A target announced in this incarnation whether it is draining.
+    Announcement { target: Name, incarnation: u64, draining: bool },
+    /// A target was lost while it ran a request with this fingerprint. The fact
+    /// is forgotten after `remaining`.
     Suspect { fingerprint: Fingerprint, target: Name, origin: Origin, remaining: Duration },
-    /// A fingerprint is held back for the time that remains.
-    Condemned { fingerprint: Fingerprint, origin: Origin, remaining: Duration },
+    /// Requests with this fingerprint are refused for the `remaining` time.
+    Quarantined { fingerprint: Fingerprint, origin: Origin, remaining: Duration },
 }
 
-/// The revision in force on a VM, as heard this long ago.
+/// The revision in force on a VM, as the sender last heard of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Row {
-    /// The VM.
+pub struct RevisionReport {
     pub vm: Name,
-    /// The revision.
     pub revision: Revision,
-    /// How long ago this was so.
+    /// How long ago the revision was reported by the VM itself.
     pub heard: Duration,
-    /// How long before that it was confirmed against the service, if ever.
+    /// How long before `heard` the VM had confirmed the revision against the
+    /// platform's service, if ever.
     pub confirmed: Option<Duration>,
 }
 
-/// What the sender holds, by which the receiver knows whether to ask for more.
+/// A summary of the document and the list that the sender holds. The receiver
+/// asks for either one if its own is older.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
-    /// The revision in force.
     pub revision: Revision,
-    /// How long ago it was confirmed against the service, if ever.
+    /// How long ago the revision was confirmed against the platform's service,
+    /// if ever.
     pub confirmed: Option<Duration>,
-    /// The digest of the platform's list.
+    /// The hash of the platform's list.
     pub list: u64,
-    /// How long ago the list was read, if ever.
+    /// How long ago the list was read from the service, if ever.
     pub listed: Option<Duration>,
 }
 
-/// What a message is for.
+/// The purpose of a message and the data that only this purpose needs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
-    /// Asks for an [`Body::Ack`].
+    /// Is answered by [`Body::Ack`] with the same probe number.
     Ping { probe: u64 },
     /// Answers a ping.
     Ack { probe: u64 },
     /// Asks the receiver to ping `vm` on behalf of the sender.
     PingFor { probe: u64, vm: Name, address: SocketAddr },
-    /// Claims for the right to run operations, and what belongs to them.
+    /// A message of the claims engine, passed on as it is.
     Claims(claims::Message),
-    /// Carries news only.
-    News,
-    /// Asks for the document.
+    /// Has no purpose of its own: every message carries gossip in its `items`.
+    Gossip,
+    /// Asks for the document in force.
     AskDocument,
-    /// The document in force.
+    /// Answers [`Body::AskDocument`].
     Document(Arc<Document>),
-    /// Asks for the platform's list.
+    /// Asks for the platform's list of VMs and targets.
     AskList,
-    /// The platform's list.
+    /// Answers [`Body::AskList`]. The digest of the message has the age of the
+    /// list.
     List { vms: Vec<Vm>, targets: Vec<Target> },
-    /// Asks for all soft state if that of the sender has another digest.
+    /// Is answered by [`Body::State`] if the soft state of the receiver has
+    /// another hash than that of the sender.
     Compare { digest: u64 },
-    /// Soft state; `back` asks for that of the receiver.
-    State { items: Vec<Item>, back: bool },
+    /// The soft state of the sender: draining targets and quarantined or suspect
+    /// fingerprints. The receiver answers with its own if `wants_reply` is set.
+    State { items: Vec<Item>, wants_reply: bool },
 }
 
 /// A message from one control thread to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
-    /// The sender.
     pub from: Name,
     /// The start of the sender.
     pub incarnation: u64,
-    /// What the sender holds.
     pub digest: Digest,
-    /// News.
+    /// State changes passed on by gossip.
     pub items: Vec<Item>,
-    /// Some of the revisions in force.
-    pub rows: Vec<Row>,
-    /// What the message is for.
+    /// Some of the revisions in force on other VMs; successive messages go
+    /// through all of them.
+    pub revisions: Vec<RevisionReport>,
     pub body: Body,
 }
--- a/crates/core/src/control/request.rs
+++ b/crates/core/src/control/request.rs
@@ -1,4 +1,4 @@
-//! What operators ask of the control thread, and its answers.
+//! Requests of operators to the control thread, and the answers.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -13,18 +13,19 @@
     time::Wall,
 };
 
-/// The id of a request, by which its answer is matched.
+/// Matches an answer to its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
-/// Names a publication whose outcome is not settled.
+/// Identifies a publication whose outcome is not known, so that an operator can
+/// ask for it again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Token {
     /// The revision that the publication replaces.
     pub base: Revision,
-    /// The revision that it would have.
+    /// The revision that the publication gets if it takes effect.
     pub revision: Revision,
-    /// The token that stands in the stored value.
+    /// The token in the stored record.
     pub id: Uuid,
 }
 
@@ -44,86 +45,86 @@
     /// Publishes the profiles of an earlier revision as a new one. Only
     /// profiles of `team` may change.
     Rollback { to: Revision, expect: Option<Revision>, who: String, team: Name },
-    /// Settles a publication that was answered by [`Answer::Unsettled`].
+    /// Finds out whether a publication that was answered by
+    /// [`Answer::Unsettled`] took effect, and prevents it from doing so later
+    /// if it did not.
     Settle { token: Token },
     /// Reads the document in force at the platform's service, or on this VM
     /// when the service cannot be reached.
     Show,
-    /// Compares profiles with those in force.
+    /// Compares profiles with those in force, without a change.
     Diff { profiles: BTreeMap<Name, Profile> },
-    /// Reads the audit records.
+    /// Reads the audit records of all publications that are kept.
     History,
-    /// Tells which revision is in force on which VM.
+    /// Reads which revision is in force on which VM.
     Status,
-    /// Reads the VMs as this one knows them.
+    /// Lists the VMs that this VM knows.
     Vms,
-    /// Reads the targets as this VM knows them.
+    /// Lists the targets that this VM knows.
     Targets,
 }
 
 /// One difference between two documents.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Difference {
-    /// The profile.
     pub profile: Name,
-    /// The field, or nothing if the profile stands in one document only.
+    /// The field that differs, or `None` if only one document has the profile.
     pub field: Option<String>,
-    /// The value in the first document.
     pub before: Option<String>,
-    /// The value in the second document.
     pub after: Option<String>,
 }
 
-/// An audit record.
+/// The audit record of a publication, with the changes that it made.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Audit {
-    /// The revision.
     pub revision: Revision,
-    /// Who published it.
+    /// The operator who published the revision.
     pub who: String,
-    /// When it was published.
+    /// The time of publication by the clock of the publishing VM.
     pub at: Wall,
-    /// What it was made for.
+    /// The purpose of the publication, such as a rollback.
     pub note: String,
-    /// What changed against the record before it, if that is still kept.
+    /// The differences from the previous revision, if that is still kept.
     pub changes: Option<Vec<Difference>>,
 }
 
-/// The revision in force on a VM, as this one last heard.
+/// The revision in force on a VM, as far as the VM that answers has heard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InForce {
-    /// The VM.
     pub vm: Name,
-    /// The revision, or none if nothing was heard.
+    /// The revision, or `None` if the VM has not reported any.
     pub revision: Option<Revision>,
-    /// How long ago this was so.
+    /// How long ago the VM reported the revision.
     pub heard: Option<Duration>,
-    /// How long ago the VM's revision was confirmed against the service.
+    /// How long ago the VM's revision was confirmed against the platform's
+    /// service.
     pub confirmed: Option<Duration>,
-    /// Whether the word is older than the limit for silence.
+    /// Whether there is no report or the last one is older than
+    /// [`Limits::silent_after`](super::Limits::silent_after).
     pub silent: bool,
 }
 
-/// Where a revision is in force.
+/// How far the revision of the VM that answers is in force on other VMs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
     /// The revision in force on this VM.
     pub revision: Revision,
-    /// The number of VMs that are known to have it or a higher one.
+    /// The number of VMs, with this one, that are known to have this revision
+    /// or a higher one.
     pub in_force: usize,
-    /// One row for each VM.
+    /// One entry for each VM.
     pub vms: Vec<InForce>,
 }
 
-/// Who said that a VM or target is in its state.
+/// Where the state of a VM or target was learnt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Source {
-    /// The platform's list.
+    /// From the platform's list.
     List,
-    /// A message of another VM.
+    /// From a message of this VM.
     Peer(Name),
-    /// A traffic thread or a probe of this VM.
+    /// From a traffic thread or a probe of the VM that answers.
     Own,
 }
 
@@ -132,16 +133,20 @@
 pub enum Answer {
     /// The publication took effect under this revision.
     Accepted { revision: Revision, changes: Vec<Difference> },
-    /// The publication took no effect and never will: another one is in force.
-    /// `changes` lead from it to what was to be published.
+    /// The publication took no effect and never will, because another one is in
+    /// force. `changes` are the differences from that one to the profiles of the
+    /// request.
     Conflict { winner: Revision, who: String, changes: Vec<Difference> },
     /// It is not known whether the publication took or will take effect.
     Unsettled { token: Token },
-    /// The publication that was asked for took no effect and never will.
+    /// The publication named by the token of the request took no effect and
+    /// never will.
     NotPublished { current: Revision },
-    /// A dry run: what a publication would do.
+    /// The answer to a dry run: the revision and the changes of the publication
+    /// that would follow.
     Planned { revision: Revision, changes: Vec<Difference> },
-    /// The document in force, and whether the service confirmed it just now.
+    /// The document in force. `confirmed` tells whether it was read from the
+    /// platform's service for this request.
     Document { document: Arc<Document>, confirmed: bool },
     /// The answer to [`Request::Diff`].
     Changes { revision: Revision, changes: Vec<Difference> },
@@ -153,11 +158,12 @@
     Vms(Vec<listing::Vm>),
     /// The answer to [`Request::Targets`].
     Targets(Vec<listing::Target>),
-    /// The request was refused or failed, and changed nothing.
+    /// The request was refused or failed without any change.
     Failed(Fault),
 }
 
-/// Lists what leads from the profiles `before` to the profiles `after`.
+/// Lists the differences from the profiles `before` to the profiles `after`,
+/// sorted by profile.
 pub fn difference(
     before: &BTreeMap<Name, Profile>,
     after: &BTreeMap<Name, Profile>,
@@ -165,12 +171,19 @@
     let mut names: Vec<&Name> = before.keys().chain(after.keys()).collect();
     names.sort();
     names.dedup();
-    names.into_iter().flat_map(|name| one(name, before.get(name), after.get(name))).collect()
+    names
+        .into_iter()
+        .flat_map(|name| profile_difference(name, before.get(name), after.get(name)))
+        .collect()
 }
 
-fn one(name: &Name, before: Option<&Profile>, after: Option<&Profile>) -> Vec<Difference> {
+fn profile_difference(
+    name: &Name,
+    before: Option<&Profile>,
+    after: Option<&Profile>,
+) -> Vec<Difference> {
     let (Some(old), Some(new)) = (before, after) else {
-        return whole(name, before.is_some(), after.is_some());
+        return presence_difference(name, before.is_some(), after.is_some());
     };
     fields(old)
         .into_iter()
@@ -185,7 +198,7 @@
         .collect()
 }
 
-fn whole(name: &Name, before: bool, after: bool) -> Vec<Difference> {
+fn presence_difference(name: &Name, before: bool, after: bool) -> Vec<Difference> {
     let text = |present: bool| present.then(|| "present".to_owned());
     let (before, after) = (text(before), text(after));
     vec![Difference { profile: name.clone(), field: None, before, after }]
--- a/crates/core/src/control/system/call.rs
+++ b/crates/core/src/control/system/call.rs
@@ -1,5 +1,5 @@
-//! Calls of the platform's service: makes them, matches their replies and ends
-//! those that stay without one.
+//! Calls of the platform's service: makes them, passes on their replies, and
+//! counts calls without a reply as lost.
 
 use std::time::Duration;
 
@@ -16,17 +16,18 @@
     store::{Call, CallId, Entry, Reply},
 };
 
-/// Counts calls that stayed without a reply as lost.
+/// Counts calls as lost whose reply did not arrive in time.
 pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
     let rows = &tables.calls.rows;
     let due: Vec<CallId> =
         rows.iter().filter(|(_, row)| row.until <= step.now).map(|(&id, _)| id).collect();
     for id in due {
-        take(tables, step, id, Reply::Lost { detail: "no reply in time".to_owned() });
+        handle(tables, step, id, Reply::Lost { detail: "no reply in time".to_owned() });
     }
 }
 
-/// Makes a call whose reply takes up to `wait` in addition to the usual time.
+/// Makes a call. It counts as lost if no reply arrives within the call timeout
+/// and `wait`, the time for which the service may hold the call back.
 pub fn make(
     tables: &mut Tables,
     step: &mut Step<'_>,
@@ -42,32 +43,35 @@
     id
 }
 
-/// Takes the reply to a call.
-pub fn take(tables: &mut Tables, step: &mut Step<'_>, id: CallId, reply: Reply) {
-    let Some(reply) = claims::take(tables, id, reply) else { return };
+/// Passes the reply to a call on to the system that made it. A reply to a call
+/// that is no longer in the table is ignored.
+pub fn handle(tables: &mut Tables, step: &mut Step<'_>, id: CallId, reply: Reply) {
+    let Some(reply) = claims::intercept(tables, id, reply) else { return };
     let Some(row) = tables.calls.rows.remove(&id) else { return };
-    note(tables, step, &reply);
+    track_availability(tables, step, &reply);
     match row.purpose {
-        Purpose::Profiles => profiles::read(tables, step, row.made, reply),
-        Purpose::List => list::read(tables, step, row.made, reply),
-        Purpose::Request(request) => publish::reply(tables, step, request, reply),
-        Purpose::Find => {
+        Purpose::Profiles => profiles::handle_reply(tables, step, row.made, reply),
+        Purpose::List => list::handle_reply(tables, step, row.made, reply),
+        Purpose::Request(request) => publish::handle_reply(tables, step, request, reply),
+        Purpose::ReadExpired => {
             if let Reply::Value { entry: Some(Entry { key, version, .. }), .. } = reply {
                 let call = Call::Remove { key, expect: version };
-                make(tables, step, Purpose::Prune, call, Duration::ZERO);
+                make(tables, step, Purpose::RemoveExpired, call, Duration::ZERO);
             }
         }
-        Purpose::Prune => {}
+        Purpose::RemoveExpired => {}
     }
 }
 
-fn note(tables: &mut Tables, step: &mut Step<'_>, reply: &Reply) {
+/// Logs when the service becomes unavailable or available again. A refused or
+/// lost call counts as unavailable, any other reply as available.
+fn track_availability(tables: &mut Tables, step: &mut Step<'_>, reply: &Reply) {
     let (down, detail) = match reply {
         Reply::Refused { detail } | Reply::Lost { detail } => (true, detail.clone()),
         _ => (false, String::new()),
     };
     if !down {
-        tables.own.heard = step.now;
+        tables.own.last_heard = step.now;
     }
     if down != tables.calls.down {
         tables.calls.down = down;
--- a/crates/core/src/control/system/claims.rs
+++ b/crates/core/src/control/system/claims.rs
@@ -1,29 +1,29 @@
-//! Runs the engine of the claims with what concerns it, and carries what it
-//! leaves: calls, messages and verdicts.
+//! Runs the claims engine with the events that concern it, and passes on its
+//! outputs: calls, messages and verdicts.
 
-use super::spread;
+use super::gossip;
 use crate::{
     claims::{self, CallId, Engine, Event},
     control::{
         Recipient,
         engine::Step,
         message::Body,
-        table::{Tables, call::CLAIMS},
+        table::{Tables, call::CLAIMS_CALL_BIT},
     },
     notice::Notice,
     store,
 };
 
-/// Runs the engine of the claims once.
+/// Runs one step of the claims engine.
 pub fn run(tables: &mut Tables, step: &mut Step<'_>, engine: &mut Engine) {
     let events = std::mem::take(&mut tables.claims.events);
     let mut out = claims::Outbox::default();
     engine.step(step.now, step.wall, &tables.view.vms, events, &mut out);
     for (id, call) in out.calls {
-        step.out.calls.push((store::CallId(id.0 | CLAIMS), call));
+        step.out.calls.push((store::CallId(id.0 | CLAIMS_CALL_BIT), call));
     }
     for (vm, message) in out.messages {
-        spread::post(tables, step, &vm, Body::Claims(message));
+        gossip::send(tables, step, &vm, Body::Claims(message));
     }
     for (operation, verdict) in out.claimed {
         if let Some(thread) = tables.claims.threads.remove(&operation) {
@@ -35,11 +35,16 @@
     step.out.lines.extend(out.lines);
 }
 
-/// Hands over the reply to a call if it is one of the claims' calls.
-pub fn take(tables: &mut Tables, id: store::CallId, reply: store::Reply) -> Option<store::Reply> {
-    if id.0 & CLAIMS == 0 {
+/// Passes a reply on to the claims engine if that made the call; returns it
+/// otherwise.
+pub fn intercept(
+    tables: &mut Tables,
+    id: store::CallId,
+    reply: store::Reply,
+) -> Option<store::Reply> {
+    if id.0 & CLAIMS_CALL_BIT == 0 {
         return Some(reply);
     }
-    tables.claims.events.push(Event::Reply { id: CallId(id.0 & !CLAIMS), reply });
+    tables.claims.events.push(Event::Reply { id: CallId(id.0 & !CLAIMS_CALL_BIT), reply });
     None
 }
--- a/crates/core/src/control/system/expiry.rs
+++ b/crates/core/src/control/system/expiry.rs
@@ -1,4 +1,4 @@
-//! Ends what lasts for a limited time.
+//! Removes or downgrades rows whose time has passed.
 
 use super::{member, pause};
 use crate::{
@@ -6,26 +6,27 @@
     name::Name,
 };
 
-/// The most words of targets that are kept.
-const MAX_WORDS: usize = 4096;
+/// The number of announcements above which old ones of unlisted targets are
+/// removed.
+const MAX_ANNOUNCEMENTS: usize = 4096;
 
-/// Ends what lasts for a limited time.
+/// Removes or downgrades the rows whose time has passed.
 pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
-    bury(tables, step);
-    forget(tables, step);
-    isolate(tables, step);
-    quarantine(tables, step);
-    words(tables, step);
+    expire_suspects(tables, step);
+    forget_gone(tables, step);
+    check_isolation(tables, step);
+    expire_quarantine(tables, step);
+    expire_announcements(tables, step);
 }
 
-fn bury(tables: &mut Tables, step: &mut Step<'_>) {
+fn expire_suspects(tables: &mut Tables, step: &mut Step<'_>) {
     let vms = &tables.vms;
     let due = |vm: &&Name| vms.rows[*vm].gone_at.is_some_and(|at| at <= step.now);
     let due: Vec<Name> = vms.suspects.iter().filter(due).cloned().collect();
-    due.iter().for_each(|vm| member::bury(tables, step, vm));
+    due.iter().for_each(|vm| member::mark_gone(tables, step, vm));
 }
 
-fn forget(tables: &mut Tables, step: &Step<'_>) {
+fn forget_gone(tables: &mut Tables, step: &Step<'_>) {
     let vms = &tables.vms;
     let due = |vm: &&Name| {
         let row = &vms.rows[*vm];
@@ -33,36 +34,36 @@
     };
     let due: Vec<Name> = vms.gone.iter().filter(due).cloned().collect();
     for vm in &due {
-        tables.words.remove(vm);
+        tables.peer_revisions.remove(vm);
     }
     tables.vms.forget(&due);
 }
 
-/// Stops being ready when neither a VM nor the service was heard for too long:
-/// a revision may be in force elsewhere that this VM cannot learn of.
-fn isolate(tables: &mut Tables, step: &Step<'_>) {
+/// Makes this VM not ready when it has heard neither a VM nor the service for
+/// too long: a revision may be in force elsewhere that this VM cannot learn of.
+fn check_isolation(tables: &mut Tables, step: &Step<'_>) {
     let alone = tables.vms.rows.is_empty();
-    let silent = step.now.since(tables.own.heard) >= step.limits.isolation_timeout;
+    let silent = step.now.since(tables.own.last_heard) >= step.limits.isolation_timeout;
     if tables.own.learnt && silent && !alone {
-        pause::unlearn(tables, step.now);
+        pause::reset_confirmations(tables, step.now);
     }
 }
 
-fn quarantine(tables: &mut Tables, step: &Step<'_>) {
+fn expire_quarantine(tables: &mut Tables, step: &Step<'_>) {
     if tables.quarantine.next().is_none_or(|next| next > step.now) {
         return;
     }
     tables.quarantine.suspects.retain(|_, row| row.until > step.now);
-    tables.quarantine.condemned.retain(|_, row| row.until > step.now);
-    tables.changed = true;
+    tables.quarantine.quarantined.retain(|_, row| row.until > step.now);
+    tables.view_changed = true;
 }
 
-fn words(tables: &mut Tables, step: &Step<'_>) {
+fn expire_announcements(tables: &mut Tables, step: &Step<'_>) {
     let targets = &mut tables.targets;
-    if targets.words.len() > MAX_WORDS {
+    if targets.announcements.len() > MAX_ANNOUNCEMENTS {
         let (now, limit, listed) = (step.now, step.limits.retention, &targets.listed);
         targets
-            .words
-            .retain(|name, heard| listed.contains_key(name) || now.since(heard.at) < limit);
+            .announcements
+            .retain(|name, received| listed.contains_key(name) || now.since(received.at) < limit);
     }
 }
--- a/crates/core/src/control/system/intake.rs
+++ b/crates/core/src/control/system/intake.rs
@@ -1,4 +1,4 @@
-//! Hands each event to the system that it concerns.
+//! Passes each event to the system that handles it.
 
 use super::{call, list, member, probe, profiles, report, request};
 use crate::claims;
@@ -7,17 +7,17 @@
     engine::Step,
     message::{Body, Item},
     request::Source,
-    table::{Tables, news::Key, target::Word},
+    table::{Tables, gossip::Key, target::Announcement},
 };
 
-/// Hands each event to the system that it concerns, in the order of arrival.
+/// Passes each event to the system that handles it, in the order of arrival.
 pub fn run(tables: &mut Tables, step: &mut Step<'_>, events: Vec<Event>) {
     for event in events {
         match event {
-            Event::Report { thread, report } => report::take(tables, step, thread, report),
-            Event::Message(message) => hear(tables, step, message),
-            Event::Reply { call, reply } => call::take(tables, step, call, reply),
-            Event::Request { id, request } => request::take(tables, step, id, request),
+            Event::Report { thread, report } => report::handle(tables, step, thread, report),
+            Event::Message(message) => handle_message(tables, step, message),
+            Event::Reply { call, reply } => call::handle(tables, step, call, reply),
+            Event::Request { id, request } => request::handle(tables, step, id, request),
             Event::Leave => leave(tables, step),
         }
     }
@@ -31,61 +31,67 @@
     tables.own.in_flight.clear();
     tables.gossip.add(Key::Member(tables.own.vm.name.clone()));
     tables.vms.rerank = true;
-    tables.changed = true;
+    tables.view_changed = true;
     step.out.lines.push(crate::log::Line::new(crate::log::Event::Leaving, Vec::new()));
 }
 
-/// Takes the message of another VM. What it holds is compared last, because the
-/// body may bring just that.
-fn hear(tables: &mut Tables, step: &mut Step<'_>, message: Message) {
+/// Handles a message of another VM. The digest is compared last, because the
+/// body may carry the very document or list that the digest announces.
+fn handle_message(tables: &mut Tables, step: &mut Step<'_>, message: Message) {
     if message.from == tables.own.vm.name {
         return;
     }
-    tables.own.heard = step.now;
-    tables.vms.heard = Some(message.from.clone());
+    tables.own.last_heard = step.now;
+    tables.vms.last_sender = Some(message.from.clone());
     for item in message.items {
-        learn(tables, step, item, &message.from);
+        apply_item(tables, step, item, &message.from);
     }
-    member::speak(tables, step, &message.from, message.incarnation);
-    profiles::rows(tables, step, message.rows);
+    member::confirm_running(tables, step, &message.from, message.incarnation);
+    profiles::merge_revisions(tables, step, message.revisions);
     let from = &message.from;
     match message.body {
-        Body::Ping { probe } => probe::ping(tables, step, from, probe),
-        Body::Ack { probe } => probe::ack(tables, step, from, probe),
+        Body::Ping { probe } => probe::answer_ping(tables, step, from, probe),
+        Body::Ack { probe } => probe::handle_ack(tables, step, from, probe),
         Body::PingFor { probe, vm, address } => {
-            probe::relay(tables, step, from, (probe, vm, address));
+            probe::ping_for(tables, step, from, (probe, vm, address));
         }
         Body::Claims(message) => {
             let event = claims::Event::Message { from: from.clone(), message };
             tables.claims.events.push(event);
         }
-        Body::News => {}
-        Body::AskDocument => profiles::tell(tables, step, from),
+        Body::Gossip => {}
+        Body::AskDocument => profiles::send(tables, step, from),
         Body::Document(document) => profiles::apply(tables, step, document),
-        Body::AskList => list::tell(tables, step, from),
+        Body::AskList => list::send(tables, step, from),
         Body::List { vms, targets } => list::adopt(tables, step, vms, targets, &message.digest),
-        Body::Compare { digest } => super::compare::answer(tables, step, from, digest),
-        Body::State { items, back } => {
-            items.into_iter().for_each(|item| learn(tables, step, item, from));
-            super::compare::complete(tables, step, from, back);
+        Body::Compare { digest } => super::sync::answer_digest(tables, step, from, digest),
+        Body::State { items, wants_reply } => {
+            items.into_iter().for_each(|item| apply_item(tables, step, item, from));
+            super::sync::answer_state(tables, step, from, wants_reply);
         }
     }
     profiles::compare(tables, step, from, &message.digest);
     list::compare(tables, step, from, &message.digest);
 }
 
-fn learn(tables: &mut Tables, step: &mut Step<'_>, item: Item, from: &crate::name::Name) {
+fn apply_item(tables: &mut Tables, step: &mut Step<'_>, item: Item, from: &crate::name::Name) {
     match item {
-        Item::Member(member) => member::learn(tables, step, member, from),
-        Item::Word { target, incarnation, draining } => {
-            let word = Word { incarnation, draining };
-            list::word(tables, step, &target, word, Source::Peer(from.clone()));
+        Item::Member(member) => member::apply(tables, step, member, from),
+        Item::Announcement { target, incarnation, draining } => {
+            let announcement = Announcement { incarnation, draining };
+            list::apply_announcement(
+                tables,
+                step,
+                &target,
+                announcement,
+                Source::Peer(from.clone()),
+            );
         }
         Item::Suspect { fingerprint, target, origin, remaining } => {
-            super::quarantine::suspect(tables, step, (fingerprint, target, origin), remaining);
+            super::quarantine::record_loss(tables, step, (fingerprint, target, origin), remaining);
         }
-        Item::Condemned { fingerprint, origin, remaining } => {
-            super::quarantine::condemn(tables, step, fingerprint, origin, remaining);
+        Item::Quarantined { fingerprint, origin, remaining } => {
+            super::quarantine::add(tables, step, fingerprint, origin, remaining);
         }
     }
 }
--- a/crates/core/src/control/system/list.rs
+++ b/crates/core/src/control/system/list.rs
@@ -1,4 +1,4 @@
-//! The platform's list of VMs and targets, and the words of the targets.
+//! The platform's list of VMs and targets, and the announcements of the targets.
 
 use std::{
     net::{IpAddr, SocketAddr},
@@ -7,7 +7,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use super::{member, reading, spread};
+use super::{gossip, member, reading};
 use crate::{
     control::{
         engine::Step,
@@ -16,8 +16,8 @@
         table::{
             Tables, age,
             age::Age,
-            news::Key,
-            target::{Heard, Word},
+            gossip::Key,
+            target::{Announcement, Received},
         },
     },
     log::{Event, Line},
@@ -27,12 +27,12 @@
     view,
 };
 
-/// The difference in age from which a list of another VM counts as read later;
-/// it covers the time that the message took.
-const SLACK: Duration = Duration::from_millis(100);
+/// The difference in age above which the list of another VM counts as read
+/// later. It covers the time that the message took.
+const AGE_TOLERANCE: Duration = Duration::from_millis(100);
 
-/// Takes the reply to a read that was made at `made`.
-pub fn read(tables: &mut Tables, step: &mut Step<'_>, made: Instant, reply: Reply) {
+/// Handles the reply to a read that was started at `made`.
+pub fn handle_reply(tables: &mut Tables, step: &mut Step<'_>, made: Instant, reply: Reply) {
     tables.list.call = None;
     let Reply::Listed { vms, targets } = reply else {
         tables.list.failures += 1;
@@ -41,12 +41,12 @@
         return;
     };
     tables.list.failures = 0;
-    let pause = reading::pause(tables, step.limits.list_interval, step.limits.stale_after);
+    let pause = reading::read_delay(tables, step.limits.list_interval, step.limits.stale_after);
     tables.list.next = step.now + pause;
     replace(tables, step, (vms, targets), Age::new(Duration::ZERO, made));
 }
 
-/// Takes the list of another VM if it was read later than the own one.
+/// Takes over the list of another VM if it was read later than that of this VM.
 pub fn adopt(
     tables: &mut Tables,
     step: &mut Step<'_>,
@@ -61,14 +61,15 @@
     }
 }
 
-/// Sends the list.
-pub fn tell(tables: &mut Tables, step: &mut Step<'_>, to: &Name) {
+/// Sends the list to another VM.
+pub fn send(tables: &mut Tables, step: &mut Step<'_>, to: &Name) {
     let vms = tables.targets.vms.clone();
     let targets = tables.targets.listed.values().cloned().collect();
-    spread::post(tables, step, to, Body::List { vms, targets });
+    gossip::send(tables, step, to, Body::List { vms, targets });
 }
 
-/// Compares the list of another VM with the own one.
+/// Compares the list of another VM with that of this one: takes over the age of
+/// an equal list, and asks for a different one that was read later.
 pub fn compare(tables: &mut Tables, step: &mut Step<'_>, from: &Name, digest: &Digest) {
     let Some(listed) = digest.listed else { return };
     let own = tables.targets.list_age;
@@ -77,10 +78,10 @@
         tables.targets.list_age = age::younger(own, Some(age), step.now);
         return;
     }
-    let later = own.is_none_or(|own| listed + SLACK < own.at(step.now));
-    if later && step.now >= tables.targets.ask {
-        tables.targets.ask = step.now + step.limits.ack_timeout;
-        spread::post(tables, step, from, Body::AskList);
+    let later = own.is_none_or(|own| listed + AGE_TOLERANCE < own.at(step.now));
+    if later && step.now >= tables.targets.next_list_request {
+        tables.targets.next_list_request = step.now + step.limits.ack_timeout;
+        gossip::send(tables, step, from, Body::AskList);
     }
 }
 
@@ -96,7 +97,7 @@
         return;
     }
     for vm in &vms {
-        member::listed(tables, step, vm);
+        member::add_listed(tables, step, vm);
     }
     for row in tables.vms.rows.values_mut() {
         row.listed = false;
@@ -106,49 +107,59 @@
             row.listed = true;
         }
     }
-    tables.targets.list(targets, step.now);
+    tables.targets.set_listed(targets, step.now);
     tables.targets.vms = vms;
     tables.targets.digest = digest;
-    mark(tables);
-    tables.gossip.fresh = true;
-    tables.changed = true;
+    mark_leaving(tables);
+    tables.gossip.has_new = true;
+    tables.view_changed = true;
 }
 
-/// Notes which targets are listed as leaving, with the incarnation in which
-/// they were first listed so.
-fn mark(tables: &mut Tables) {
+/// Records which targets are listed as leaving, with the incarnation of the
+/// target that was known when it was first listed so.
+fn mark_leaving(tables: &mut Tables) {
     let targets = &mut tables.targets;
     let listed = &targets.listed;
     let leaving =
         |name: &Name| listed.get(name).is_some_and(|target| target.state == view::State::Leaving);
     targets.leaving.retain(|name, _| leaving(name));
     for name in listed.keys().filter(|name| leaving(name)) {
-        let incarnation = targets.words.get(name).map(|heard| heard.word.incarnation);
+        let incarnation =
+            targets.announcements.get(name).map(|received| received.announcement.incarnation);
         targets.leaving.entry(name.clone()).or_insert(incarnation);
     }
 }
 
-/// Takes the word of a target, heard by this VM or by another one. A newer
-/// incarnation replaces what was said in an older one; within an incarnation a
-/// target that drains does not return.
-pub fn word(tables: &mut Tables, step: &mut Step<'_>, target: &Name, word: Word, source: Source) {
-    let Word { incarnation, draining } = word;
-    let old = tables.targets.words.get(target).map(|heard| heard.word);
-    if old.is_some_and(|old| old >= word) {
+/// Applies an announcement of a target that this VM or another one received. A
+/// newer incarnation replaces an older one; within an incarnation a target that
+/// drains does not return.
+pub fn apply_announcement(
+    tables: &mut Tables,
+    step: &mut Step<'_>,
+    target: &Name,
+    announcement: Announcement,
+    source: Source,
+) {
+    let Announcement { incarnation, draining } = announcement;
+    let old = tables.targets.announcements.get(target).map(|received| received.announcement);
+    if old.is_some_and(|old| old >= announcement) {
         return;
     }
     let left = tables.targets.is_leaving(target);
-    tables.targets.words.insert(target.clone(), Heard { word, at: step.now, source });
+    tables
+        .targets
+        .announcements
+        .insert(target.clone(), Received { announcement, at: step.now, source });
     if let Some(listed) = tables.targets.leaving.get_mut(target) {
         listed.get_or_insert(incarnation);
     }
     let leaves = tables.targets.is_leaving(target);
     let overrides = old.is_some_and(|old| old.draining);
     if left != leaves {
-        tables.changed = true;
+        tables.view_changed = true;
     }
     if draining || overrides || left != leaves {
-        tables.gossip.add(Key::Word(target.clone()));
+        tables.gossip.add(Key::Announcement(target.clone()));
     }
     if leaves && !left {
         let fields = vec![("target", target.to_string())];
@@ -156,9 +167,9 @@
     }
 }
 
-/// The digest of a list, equal on all VMs that hold an equal list.
+/// The hash of a list, equal on all VMs that hold an equal list.
 ///
-/// It is made for each read of the list, so no row is put into text.
+/// It is computed for each read of the list, so no row is formatted as text.
 fn digest(vms: &[view::Vm], targets: &[view::Target]) -> u64 {
     let mut hash = Xxh3::new();
     for vm in vms {
@@ -178,7 +189,7 @@
     hash.digest()
 }
 
-/// Adds names with an end that no name can hold.
+/// Hashes names, each followed by a separator that no name can contain.
 fn add_names(hash: &mut Xxh3, names: &[&Name]) {
     for name in names {
         hash.update(name.as_str().as_bytes());
--- a/crates/core/src/control/system/member.rs
+++ b/crates/core/src/control/system/member.rs
@@ -1,4 +1,4 @@
-//! What is believed of VMs, merged from all that is said of them.
+//! The states of VMs, merged from all reports.
 
 use super::pause;
 use crate::{
@@ -7,15 +7,15 @@
         engine::Step,
         message::{Contact, Health, Member},
         request::Source,
-        table::{Tables, news::Key, vm::Vm},
+        table::{Tables, gossip::Key, vm::Vm},
     },
     log::{Event, Line},
     name::Name,
     view,
 };
 
-/// Takes what `from` says of a VM.
-pub fn learn(tables: &mut Tables, step: &mut Step<'_>, member: Member, from: &Name) {
+/// Merges the state of a VM as `from` reported it.
+pub fn apply(tables: &mut Tables, step: &mut Step<'_>, member: Member, from: &Name) {
     if member.vm == tables.own.vm.name {
         return refute(tables, step, &member);
     }
@@ -23,8 +23,9 @@
     merge(tables, step, member, source);
 }
 
-/// Takes the word of a VM itself, which shows that it runs in `incarnation`.
-pub fn speak(tables: &mut Tables, step: &mut Step<'_>, from: &Name, incarnation: u64) {
+/// Notes that the VM `from` runs in `incarnation`, as a message of its own
+/// shows.
+pub fn confirm_running(tables: &mut Tables, step: &mut Step<'_>, from: &Name, incarnation: u64) {
     let Some(row) = tables.vms.rows.get(from) else { return };
     if incarnation <= row.member.incarnation {
         return;
@@ -33,9 +34,10 @@
     merge(tables, step, member, Source::Peer(from.clone()));
 }
 
-/// Takes a VM from the platform's list, which lags and does not know when the
-/// VM started; whatever the VM says itself goes before it.
-pub fn listed(tables: &mut Tables, step: &mut Step<'_>, vm: &view::Vm) {
+/// Adds a VM from the platform's list unless it is known. The list lags and
+/// does not tell when the VM started, so anything that the VM reports itself
+/// takes precedence.
+pub fn add_listed(tables: &mut Tables, step: &mut Step<'_>, vm: &view::Vm) {
     if vm.name == tables.own.vm.name || tables.vms.rows.contains_key(&vm.name) {
         return;
     }
@@ -47,8 +49,8 @@
     merge(tables, step, member, Source::List);
 }
 
-/// Marks a VM that did not answer.
-pub fn suspect(tables: &mut Tables, step: &mut Step<'_>, vm: &Name) {
+/// Marks a live VM that did not answer as suspect.
+pub fn mark_suspect(tables: &mut Tables, step: &mut Step<'_>, vm: &Name) {
     let Some(row) = tables.vms.rows.get(vm) else { return };
     if row.member.health == Health::Live {
         let member = Member { health: Health::Suspect, ..row.member.clone() };
@@ -56,49 +58,49 @@
     }
 }
 
-/// Marks a VM that did not answer for too long.
-pub fn bury(tables: &mut Tables, step: &mut Step<'_>, vm: &Name) {
+/// Marks a VM as gone that was suspect for too long.
+pub fn mark_gone(tables: &mut Tables, step: &mut Step<'_>, vm: &Name) {
     let Some(row) = tables.vms.rows.get(vm) else { return };
     let member = Member { health: Health::Gone, ..row.member.clone() };
     merge(tables, step, member, Source::Own);
 }
 
-/// Answers what is wrongly said of this VM by a higher incarnation.
-fn refute(tables: &mut Tables, step: &mut Step<'_>, said: &Member) {
+/// Overrides a wrong report about this VM by taking a higher incarnation.
+fn refute(tables: &mut Tables, step: &mut Step<'_>, update: &Member) {
     let own = &mut tables.own;
-    let current = said.incarnation == own.vm.incarnation;
-    if said.incarnation > own.vm.incarnation {
-        own.vm.incarnation = said.incarnation + 1;
-    } else if current && said.health == Health::Suspect {
+    let current = update.incarnation == own.vm.incarnation;
+    if update.incarnation > own.vm.incarnation {
+        own.vm.incarnation = update.incarnation + 1;
+    } else if current && update.health == Health::Suspect {
         own.vm.incarnation += 1;
-    } else if current && said.health == Health::Gone {
+    } else if current && update.health == Health::Gone {
         return pause::resume(tables, step, "called gone");
     } else {
         return;
     }
     tables.gossip.add(Key::Member(tables.own.vm.name.clone()));
-    tables.changed = true;
+    tables.view_changed = true;
 }
 
-/// Merges what is said into the row. A higher incarnation replaces all; within
-/// one incarnation the worse health counts and leaving stays. The order in
-/// which news arrives therefore makes no difference.
-fn merge(tables: &mut Tables, step: &mut Step<'_>, said: Member, source: Source) {
-    let name = said.vm.clone();
+/// Merges a report into the row of its VM. A higher incarnation replaces the
+/// state; within one incarnation the worse health wins and a VM that is leaving
+/// stays so. The order in which reports arrive therefore makes no difference.
+fn merge(tables: &mut Tables, step: &mut Step<'_>, update: Member, source: Source) {
+    let name = update.vm.clone();
     let Some(row) = tables.vms.rows.get_mut(&name) else {
-        if said.health != Health::Gone {
-            insert(tables, step, said, source);
+        if update.health != Health::Gone {
+            insert(tables, step, update, source);
         }
         return;
     };
     let old = row.member.clone();
-    let new = if said.incarnation > old.incarnation {
-        said
-    } else if said.incarnation < old.incarnation {
+    let new = if update.incarnation > old.incarnation {
+        update
+    } else if update.incarnation < old.incarnation {
         return;
     } else {
-        let health = old.health.max(said.health);
-        Member { health, leaving: old.leaving || said.leaving, ..old.clone() }
+        let health = old.health.max(update.health);
+        Member { health, leaving: old.leaving || update.leaving, ..old.clone() }
     };
     if new == old {
         return;
@@ -111,12 +113,12 @@
         Health::Live | Health::Gone => None,
     };
     if old.incarnation != new.incarnation {
-        row.introduced = 0;
+        row.acked_incarnation = 0;
     }
     if (old.health, old.leaving) != (new.health, new.leaving) {
         row.since = step.now;
         row.source = source;
-        note(step, &new);
+        log_change(step, &new);
     }
     let health = new.health;
     row.member = new;
@@ -128,12 +130,12 @@
     let name = member.vm.clone();
     let gone_at =
         (member.health == Health::Suspect).then_some(step.now + step.limits.suspicion_timeout);
-    note(step, &member);
-    // Every VM has the platform's list, so what it says is no news.
+    log_change(step, &member);
+    // Every VM reads the platform's list, so a listed VM need not be gossiped.
     if source != Source::List {
         tables.gossip.add(Key::Member(name.clone()));
     }
-    let row = Vm { member, listed: false, since: step.now, source, gone_at, introduced: 0 };
+    let row = Vm { member, listed: false, since: step.now, source, gone_at, acked_incarnation: 0 };
     let health = row.member.health;
     tables.vms.rows.insert(name.clone(), row);
     changed(tables, &name, health);
@@ -141,14 +143,15 @@
 
 fn changed(tables: &mut Tables, vm: &Name, health: Health) {
     if health != Health::Live {
-        // What waits for its answer as home of a claim goes to the next one.
+        // Claims that wait for an answer of this VM as their home go to the
+        // next home.
         tables.claims.events.push(claims::Event::Unreachable { vm: vm.clone() });
     }
-    tables.vms.index(vm, health);
-    tables.changed = true;
+    tables.vms.update_index(vm, health);
+    tables.view_changed = true;
 }
 
-fn note(step: &mut Step<'_>, member: &Member) {
+fn log_change(step: &mut Step<'_>, member: &Member) {
     let event = match member.health {
         Health::Live if member.leaving => Event::VmLeaving,
         Health::Live => Event::VmLive,
--- a/crates/core/src/control/system/mod.rs
+++ b/crates/core/src/control/system/mod.rs
@@ -1,4 +1,5 @@
-//! The systems of the control thread, in the order in which a step runs them.
+//! The systems of the control thread. [`Engine::step`](super::Engine::step)
+//! gives the order in which they run.
 
 pub mod pause;
 pub mod intake;
@@ -14,8 +15,8 @@
 pub mod publish;
 pub mod outcome;
 pub mod quarantine;
-pub mod compare;
-pub mod spread;
+pub mod sync;
+pub mod gossip;
 pub mod view;
 pub mod claims;
 pub mod status;
--- a/crates/core/src/control/system/outcome.rs
+++ b/crates/core/src/control/system/outcome.rs
@@ -1,4 +1,5 @@
-//! The outcome of a publication: accepted, lost, or not settled; never a guess.
+//! The outcome of a publication: accepted, lost to another one, or not settled
+//! if it cannot be known.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -9,7 +10,7 @@
 use crate::{
     control::{
         Answer, Record, Request,
-        codec::history,
+        codec::history_key,
         engine::Step,
         request::{Audit, difference},
         table::{
@@ -25,28 +26,31 @@
     store::{Call, Entry},
 };
 
-/// The publication is in force, or was: puts it in force here as well.
+/// Handles a publication that took effect: puts it in force here as well, and
+/// removes from the history the document that is now beyond the limit.
 pub fn accepted(tables: &mut Tables, step: &mut Step<'_>, row: &Publication) -> Next {
-    let Some(offer) = &row.offer else { return Next::Again };
-    profiles::apply(tables, step, Arc::new(offer.document.clone()));
-    let revision = offer.document.revision;
-    let fields = vec![("revision", revision.0.to_string()), ("who", offer.who.clone())];
+    let Some(proposal) = &row.proposal else { return Next::Retry };
+    profiles::apply(tables, step, Arc::new(proposal.document.clone()));
+    let revision = proposal.document.revision;
+    let fields = vec![("revision", revision.0.to_string()), ("who", proposal.who.clone())];
     step.out.lines.push(Line::new(Event::RevisionPublished, fields));
     if let Some(old) = revision.0.checked_sub(step.limits.max_history + 1) {
-        let call = Call::Get { key: history(old) };
-        call::make(tables, step, Purpose::Find, call, Duration::ZERO);
+        let call = Call::Get { key: history_key(old) };
+        call::make(tables, step, Purpose::ReadExpired, call, Duration::ZERO);
     }
-    Next::Done(Answer::Accepted { revision, changes: changes(row, &offer.document.profiles) })
+    Next::Done(Answer::Accepted { revision, changes: changes(row, &proposal.document.profiles) })
 }
 
-/// Judges a publication by what the service holds now.
+/// Decides the outcome of a publication by the document that the service holds
+/// now.
 ///
-/// The own token settles it. Another one settles it as well if no answer to the
-/// own write was lost. Otherwise the own write may have been in force and
-/// replaced since, which the history shows, or, as long as the version that it
-/// expects is unchanged, may still take effect, which a fence rules out.
-pub fn judge(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication) -> Next {
-    let Some(token) = row.token else { return Next::Again };
+/// If the document carries the token of the publication, it took effect. If it
+/// carries another token and no reply to the write was lost, the publication
+/// lost. Otherwise the write may have taken effect and been replaced since,
+/// which the history shows; or, as long as the version that it expects is
+/// unchanged, it may still take effect, which a fence rules out.
+pub fn resolve(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication) -> Next {
+    let Some(token) = row.token else { return Next::Retry };
     if row.base.as_ref().is_some_and(|base| base.token == token.id) {
         return confirmed(tables, step, row);
     }
@@ -57,16 +61,16 @@
     if current <= token.base && matches!(row.request, Request::Settle { .. }) {
         return Next::Step(Stage::Fence);
     }
-    if row.lost && current > token.revision {
+    if row.reply_lost && current > token.revision {
         return Next::Step(Stage::Trace);
     }
     Next::Done(lost(step, row))
 }
 
-/// The service holds the own publication.
+/// Handles the case that the service holds the document of the publication.
 fn confirmed(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication) -> Next {
-    if row.offer.is_none() {
-        row.offer.clone_from(&row.base);
+    if row.proposal.is_none() {
+        row.proposal.clone_from(&row.base);
         row.base = None;
         return settled(tables, step, row);
     }
@@ -76,8 +80,8 @@
     next
 }
 
-/// A publication that was asked for by its token is accepted; what it changed
-/// is told by the history.
+/// Accepts a publication that was asked for by its token. The answer lists no
+/// changes; the history shows them.
 fn settled(tables: &mut Tables, step: &mut Step<'_>, row: &Publication) -> Next {
     match accepted(tables, step, row) {
         Next::Done(Answer::Accepted { revision, .. }) => {
@@ -87,15 +91,16 @@
     }
 }
 
-/// Takes the entry of the history under the revision of the publication.
+/// Handles the entry of the history for the revision of the publication.
 ///
-/// Whoever replaces a document keeps it there first, so an entry with another
-/// token, or none where none was removed yet, shows that the own write never
-/// took effect.
+/// A document is written to the history before it is replaced. An entry with
+/// another token therefore shows that the write never took effect, and so does
+/// a missing entry as long as the history is too short for it to have been
+/// removed.
 pub fn traced(step: &mut Step<'_>, row: &Publication, entry: Option<Entry>) -> Next {
-    let Some(token) = row.token else { return Next::Again };
+    let Some(token) = row.token else { return Next::Retry };
     let Some(entry) = entry else {
-        // Half of the limit is left for publications since the document was read.
+        // Half of the limit allows for publications since the document was read.
         let removed = revision(row).0 > token.revision.0 + step.limits.max_history / 2;
         return Next::Done(if removed { Answer::Unsettled { token } } else { lost(step, row) });
     };
@@ -113,25 +118,25 @@
     let winner = revision(row);
     let fields = vec![("winner", winner.0.to_string())];
     step.out.lines.push(Line::new(Event::RevisionLost, fields));
-    match &row.offer {
-        Some(offer) => conflict(row, &offer.document.profiles),
+    match &row.proposal {
+        Some(proposal) => conflict(row, &proposal.document.profiles),
         None => Answer::NotPublished { current: winner },
     }
 }
 
-/// Another publication is in force.
+/// The answer to a request whose publication lost to the one in force.
 pub fn conflict(row: &Publication, profiles: &BTreeMap<Name, Profile>) -> Answer {
     let who = row.base.as_ref().map_or_else(String::new, |base| base.who.clone());
     Answer::Conflict { winner: revision(row), who, changes: changes(row, profiles) }
 }
 
-/// The answer to a request whose time is up.
-pub fn late(tables: &Tables, row: &Publication) -> Answer {
+/// The answer to a request that has timed out.
+pub fn timed_out(tables: &Tables, row: &Publication) -> Answer {
     let writing = row.stage == Stage::Swap && row.call.is_some();
     let asked = matches!(row.request, Request::Settle { .. });
     match (&row.request, row.token) {
         (Request::Settle { token }, _) => Answer::Unsettled { token: *token },
-        (_, Some(token)) if row.lost || writing || asked => Answer::Unsettled { token },
+        (_, Some(token)) if row.reply_lost || writing || asked => Answer::Unsettled { token },
         (Request::Show, _) if tables.own.learnt => {
             let document = Arc::clone(&tables.in_force.document);
             Answer::Document { document, confirmed: false }
@@ -148,7 +153,7 @@
     }
 }
 
-/// Makes the audit records of `records`, which are sorted by revision.
+/// The audit records for `records`, which must be sorted by revision.
 pub fn audits(records: &[Record]) -> Vec<Audit> {
     let before = std::iter::once(None).chain(records.iter().map(Some));
     records
--- a/crates/core/src/control/system/profiles.rs
+++ b/crates/core/src/control/system/profiles.rs
@@ -1,16 +1,16 @@
-//! The document in force: learnt from the service or from other VMs, and only
-//! ever replaced by one of a higher revision.
+//! The document in force, which is learnt from the platform's service or from
+//! other VMs, and only ever replaced by one of a higher revision.
 
 use std::{sync::Arc, time::Duration};
 
-use super::{reading, spread};
+use super::{gossip, reading};
 use crate::{
     control::{
         Record,
         codec::CURRENT,
         engine::Step,
-        message::{Body, Digest, Row},
-        table::{Tables, Word, age, age::Age},
+        message::{Body, Digest, RevisionReport},
+        table::{PeerRevision, Tables, age, age::Age},
     },
     log::{Event, Line},
     name::Name,
@@ -19,8 +19,8 @@
     time::Instant,
 };
 
-/// Takes the reply to a read that was made at `made`.
-pub fn read(tables: &mut Tables, step: &mut Step<'_>, made: Instant, reply: Reply) {
+/// Handles the reply to a read or watch that was started at `made`.
+pub fn handle_reply(tables: &mut Tables, step: &mut Step<'_>, made: Instant, reply: Reply) {
     tables.profiles.call = None;
     let (entry, change) = match reply {
         Reply::Value { entry, change } => (entry, change),
@@ -38,21 +38,21 @@
     tables.profiles.change = Some(change);
     tables.profiles.failures = 0;
     tables.profiles.next =
-        step.now + reading::pause(tables, Duration::ZERO, step.limits.stale_after);
+        step.now + reading::read_delay(tables, Duration::ZERO, step.limits.stale_after);
     confirm(tables, step.now, made);
 }
 
-/// Notes that the service was read at `made` and holds no higher revision.
+/// Records that the service was read at `made` and holds no higher revision.
 fn confirm(tables: &mut Tables, now: Instant, made: Instant) {
     let age = Age::new(Duration::ZERO, made);
     tables.in_force.confirmed = age::younger(tables.in_force.confirmed, Some(age), now);
-    learnt(tables);
+    mark_learnt(tables);
 }
 
-fn learnt(tables: &mut Tables) {
+fn mark_learnt(tables: &mut Tables) {
     if !tables.own.learnt {
         tables.own.learnt = true;
-        tables.changed = true;
+        tables.view_changed = true;
     }
 }
 
@@ -68,7 +68,7 @@
     step.codec.decode(&entry.value)
 }
 
-/// Puts a document in force if its revision is higher than that of the present
+/// Puts a document in force if its revision is higher than that of the current
 /// one. Nothing else ever replaces the document.
 pub fn apply(tables: &mut Tables, step: &mut Step<'_>, document: Arc<Document>) {
     if document.revision <= tables.in_force.document.revision {
@@ -77,24 +77,25 @@
     let fields = vec![("revision", document.revision.0.to_string())];
     step.out.lines.push(Line::new(Event::RevisionApplied, fields));
     tables.in_force.document = document;
-    tables.gossip.fresh = true;
-    tables.changed = true;
+    tables.gossip.has_new = true;
+    tables.view_changed = true;
 }
 
-/// Sends the document in force.
-pub fn tell(tables: &mut Tables, step: &mut Step<'_>, to: &Name) {
+/// Sends the document in force to another VM.
+pub fn send(tables: &mut Tables, step: &mut Step<'_>, to: &Name) {
     let document = Arc::clone(&tables.in_force.document);
-    spread::post(tables, step, to, Body::Document(document));
+    gossip::send(tables, step, to, Body::Document(document));
 }
 
-/// Compares the revision of another VM with the own one.
+/// Compares the revision of another VM with that of this one: asks for a higher
+/// one, and takes over the confirmation of an equal one.
 pub fn compare(tables: &mut Tables, step: &mut Step<'_>, from: &Name, digest: &Digest) {
-    hear(tables, step, from, digest);
+    record_revision(tables, step, from, digest);
     let own = tables.in_force.document.revision;
     if digest.revision > own {
-        if step.now >= tables.targets.ask_document {
-            tables.targets.ask_document = step.now + step.limits.ack_timeout;
-            spread::post(tables, step, from, Body::AskDocument);
+        if step.now >= tables.targets.next_document_request {
+            tables.targets.next_document_request = step.now + step.limits.ack_timeout;
+            gossip::send(tables, step, from, Body::AskDocument);
         }
         return;
     }
@@ -103,37 +104,39 @@
         let age = Age::new(confirmed, step.now);
         tables.in_force.confirmed = age::younger(tables.in_force.confirmed, Some(age), step.now);
     }
-    witness(tables, step, from);
+    count_confirmation(tables, step, from);
 }
 
-/// Counts the VMs whose confirmed revision is not above the own one, until there
-/// are enough of them.
-fn witness(tables: &mut Tables, step: &Step<'_>, from: &Name) {
+/// Counts the VMs whose confirmed revision is not above that of this VM, until
+/// there are enough of them for this VM to count its revision as the highest.
+fn count_confirmation(tables: &mut Tables, step: &Step<'_>, from: &Name) {
     if tables.own.learnt {
         return;
     }
-    tables.own.witnesses.insert(from.clone());
+    tables.own.confirmed_by.insert(from.clone());
     let others = tables.vms.count() - 1;
-    if tables.own.witnesses.len() >= step.limits.required_confirmations.min(others.max(1)) {
-        learnt(tables);
+    if tables.own.confirmed_by.len() >= step.limits.required_confirmations.min(others.max(1)) {
+        mark_learnt(tables);
     }
 }
 
-fn hear(tables: &mut Tables, step: &Step<'_>, from: &Name, digest: &Digest) {
+fn record_revision(tables: &mut Tables, step: &Step<'_>, from: &Name, digest: &Digest) {
     let heard = Age::new(Duration::ZERO, step.now);
-    let word = Word { revision: digest.revision, heard, confirmed: digest.confirmed };
-    tables.words.insert(from.clone(), word);
+    let row = PeerRevision { revision: digest.revision, heard, confirmed: digest.confirmed };
+    tables.peer_revisions.insert(from.clone(), row);
 }
 
-/// Takes what another VM heard of the revisions in force.
-pub fn rows(tables: &mut Tables, step: &Step<'_>, rows: Vec<Row>) {
-    for row in rows {
-        let age = tables.words.get(&row.vm).map(|word| word.heard.at(step.now));
-        let known = tables.vms.rows.contains_key(&row.vm);
-        if known && age.is_none_or(|age| row.heard < age) {
-            let heard = Age::new(row.heard, step.now);
-            let word = Word { revision: row.revision, heard, confirmed: row.confirmed };
-            tables.words.insert(row.vm, word);
+/// Merges what another VM has heard of the revisions in force. Only younger
+/// reports replace those that are known.
+pub fn merge_revisions(tables: &mut Tables, step: &Step<'_>, reports: Vec<RevisionReport>) {
+    for report in reports {
+        let age = tables.peer_revisions.get(&report.vm).map(|known| known.heard.at(step.now));
+        let is_known = tables.vms.rows.contains_key(&report.vm);
+        if is_known && age.is_none_or(|age| report.heard < age) {
+            let heard = Age::new(report.heard, step.now);
+            let known =
+                PeerRevision { revision: report.revision, heard, confirmed: report.confirmed };
+            tables.peer_revisions.insert(report.vm, known);
         }
     }
 }
--- a/crates/core/src/control/system/publish.rs
+++ b/crates/core/src/control/system/publish.rs
@@ -1,6 +1,6 @@
-//! Requests of operators that need the platform's service, step by step.
+//! Requests of operators that need the platform's service, stage by stage.
 //!
-//! Each step is one call that may be repeated: reads change nothing, an entry
+//! Each stage is one call that may be repeated: reads change nothing, an entry
 //! of the history is only ever created, and the write of a document expects the
 //! version that was read and carries its own token.
 
@@ -10,7 +10,7 @@
 use crate::{
     control::{
         Answer, Record, Request, RequestId, access,
-        codec::{CURRENT, HISTORY, MAX_VALUE_BYTES, history},
+        codec::{CURRENT, HISTORY, MAX_VALUE_BYTES, history_key},
         engine::Step,
         request::{Token, difference},
         table::{
@@ -24,23 +24,22 @@
     store::{Call, Entry, Reply},
 };
 
-/// What becomes of a request after a step.
+/// How a request goes on after the reply to a call.
 pub enum Next {
-    /// It goes on with this step.
+    /// The request goes on with this stage.
     Step(Stage),
-    /// The step is tried again after a pause.
-    Again,
-    /// It is answered.
+    /// The stage is tried again after a delay.
+    Retry,
     Done(Answer),
 }
 
-/// Makes the calls that are due and answers requests whose time is up.
+/// Makes the calls that are due, and answers requests that have timed out.
 pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
     let ids: Vec<RequestId> = tables.publications.keys().copied().collect();
     for id in ids {
         let Some(mut row) = tables.publications.remove(&id) else { continue };
         if row.until <= step.now {
-            let answer = outcome::late(tables, &row);
+            let answer = outcome::timed_out(tables, &row);
             step.out.answers.push((id, answer));
             continue;
         }
@@ -61,11 +60,11 @@
     };
     match &row.stage {
         Stage::Read => get(CURRENT.to_owned()),
-        Stage::Fetch => get(history(rollback(row).0)),
-        Stage::Trace => get(history(row.token.map_or(0, |token| token.revision.0))),
+        Stage::Fetch => get(history_key(rollback(row).0)),
+        Stage::Trace => get(history_key(row.token.map_or(0, |token| token.revision.0))),
         Stage::Scan => Call::Scan { prefix: HISTORY.to_owned() },
-        Stage::Keep => swap(history(revision(row).0), None, row.base.as_ref()),
-        Stage::Swap => swap(CURRENT.to_owned(), row.version, row.offer.as_ref()),
+        Stage::Archive => swap(history_key(revision(row).0), None, row.base.as_ref()),
+        Stage::Swap => swap(CURRENT.to_owned(), row.version, row.proposal.as_ref()),
         Stage::Fence => swap(CURRENT.to_owned(), row.version, Some(&fence(row))),
     }
 }
@@ -77,12 +76,13 @@
     }
 }
 
-/// The revision in force at the service when it was read.
+/// The revision in force at the service when it was last read.
 pub fn revision(row: &Publication) -> Revision {
     row.base.as_ref().map_or_else(Revision::default, |base| base.document.revision)
 }
 
-/// The record in force as it is, or an empty one if there is none.
+/// The record to write for [`Stage::Fence`]: the record in force unchanged, or
+/// an empty one if there is none.
 fn fence(row: &Publication) -> Record {
     row.base.clone().unwrap_or_else(|| Record {
         document: Document::default(),
@@ -93,13 +93,13 @@
     })
 }
 
-/// Takes the reply to the call of a step.
-pub fn reply(tables: &mut Tables, step: &mut Step<'_>, id: RequestId, reply: Reply) {
+/// Handles the reply to the call of a stage.
+pub fn handle_reply(tables: &mut Tables, step: &mut Step<'_>, id: RequestId, reply: Reply) {
     let Some(mut row) = tables.publications.remove(&id) else { return };
     row.call = None;
     match advance(tables, step, &mut row, reply) {
         Next::Done(answer) => return step.out.answers.push((id, answer)),
-        Next::Again => row.next = step.now + step.limits.retry_delay,
+        Next::Retry => row.next = step.now + step.limits.retry_delay,
         Next::Step(stage) => {
             row.stage = stage;
             row.next = step.now;
@@ -110,25 +110,25 @@
 
 fn advance(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication, reply: Reply) -> Next {
     if let Reply::Lost { .. } = reply {
-        row.lost |= row.stage == Stage::Swap;
-        return Next::Again;
+        row.reply_lost |= row.stage == Stage::Swap;
+        return Next::Retry;
     }
     if let Reply::Refused { .. } = reply {
-        return Next::Again;
+        return Next::Retry;
     }
     match (row.stage.clone(), reply) {
         (Stage::Read, Reply::Value { entry, .. }) => read(tables, step, row, entry),
         (Stage::Fetch, Reply::Value { entry, .. }) => fetched(tables, step, row, entry),
         (Stage::Scan, Reply::Entries { entries, .. }) => scanned(step, row, &entries),
         (Stage::Trace, Reply::Value { entry, .. }) => outcome::traced(step, row, entry),
-        (Stage::Keep, Reply::Swapped { .. } | Reply::Conflict { .. }) => Next::Step(Stage::Swap),
+        (Stage::Archive, Reply::Swapped { .. } | Reply::Conflict { .. }) => Next::Step(Stage::Swap),
         (Stage::Swap, Reply::Swapped { .. }) => outcome::accepted(tables, step, row),
         (Stage::Fence, Reply::Swapped { .. }) => {
             Next::Done(Answer::NotPublished { current: revision(row) })
         }
         (Stage::Swap | Stage::Fence, Reply::Conflict { current }) => {
             match load(step, row, current) {
-                Ok(()) => outcome::judge(tables, step, row),
+                Ok(()) => outcome::resolve(tables, step, row),
                 Err(answer) => Next::Done(answer),
             }
         }
@@ -136,7 +136,8 @@
     }
 }
 
-/// Notes what the service holds under the key of the document in force.
+/// Stores the version and the record that the service holds under the key of the
+/// document in force.
 fn load(step: &Step<'_>, row: &mut Publication, entry: Option<Entry>) -> Result<(), Answer> {
     row.version = entry.as_ref().map(|entry| entry.version);
     row.base = entry
@@ -161,7 +162,7 @@
     match row.request.clone() {
         Request::Publish { profiles, expect, who, team, dry_run } => {
             let plan = Plan { profiles, expect, who, team, note: String::new(), dry_run };
-            offer(tables, step, row, plan)
+            propose(tables, step, row, plan)
         }
         Request::Rollback { to, .. } if to != revision(row) => Next::Step(Stage::Fetch),
         Request::Rollback { .. } => match row.base.clone() {
@@ -170,8 +171,8 @@
         },
         Request::Settle { token } => {
             row.token = Some(token);
-            row.lost = true;
-            outcome::judge(tables, step, row)
+            row.reply_lost = true;
+            outcome::resolve(tables, step, row)
         }
         Request::Diff { profiles } => Next::Done(Answer::Changes {
             revision: revision(row),
@@ -185,7 +186,7 @@
     }
 }
 
-/// What leads from the document in force at the service to `profiles`.
+/// The differences from the document in force at the service to `profiles`.
 pub fn changes(
     row: &Publication,
     profiles: &std::collections::BTreeMap<crate::name::Name, crate::profile::Profile>,
@@ -195,6 +196,7 @@
     difference(before, profiles)
 }
 
+/// The profiles to publish, and the conditions for it.
 struct Plan {
     profiles: std::collections::BTreeMap<crate::name::Name, crate::profile::Profile>,
     expect: Option<Revision>,
@@ -228,10 +230,10 @@
     };
     let note = format!("roll back to revision {}", to.0);
     let plan = Plan { profiles: document.profiles, expect, who, team, note, dry_run: false };
-    offer(tables, step, row, plan)
+    propose(tables, step, row, plan)
 }
 
-fn offer(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication, plan: Plan) -> Next {
+fn propose(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication, plan: Plan) -> Next {
     let base = revision(row);
     if plan.expect.is_some_and(|expect| expect != base) {
         return Next::Done(outcome::conflict(row, &plan.profiles));
@@ -239,8 +241,8 @@
     if let Err(fault) = allowed(row, &plan) {
         return Next::Done(Answer::Failed(fault));
     }
-    // The service may have lost a revision that is in force here; the next one
-    // must be higher all the same.
+    // The new revision must be higher than the one in force here, even if the
+    // service has lost that one.
     let highest = base.max(tables.in_force.document.revision);
     let next = Revision(highest.0 + 1);
     if plan.dry_run {
@@ -256,11 +258,12 @@
         return Next::Done(Answer::Failed(Fault::not_run(Kind::TooLarge, detail)));
     }
     row.token = Some(Token { base, revision: next, id });
-    row.offer = Some(record);
-    Next::Step(if row.base.is_some() { Stage::Keep } else { Stage::Swap })
+    row.proposal = Some(record);
+    Next::Step(if row.base.is_some() { Stage::Archive } else { Stage::Swap })
 }
 
-/// Checks what the plan changes against the document in force at the service.
+/// Checks that the team of the plan may make its changes to the document in
+/// force at the service.
 fn allowed(row: &Publication, plan: &Plan) -> Result<(), Fault> {
     let empty = Default::default();
     let before = row.base.as_ref().map_or(&empty, |base| &base.document.profiles);
--- a/crates/core/src/control/system/quarantine.rs
+++ b/crates/core/src/control/system/quarantine.rs
@@ -1,4 +1,4 @@
-//! Fingerprints of requests that crashed targets.
+//! Quarantines the fingerprints of requests that crashed targets.
 
 use std::{collections::BTreeSet, time::Duration};
 
@@ -7,8 +7,8 @@
         engine::Step,
         table::{
             Tables,
-            news::Key,
-            quarantine::{Condemned, Suspicion},
+            gossip::Key,
+            quarantine::{Quarantined, Suspicion},
         },
     },
     digest::Fingerprint,
@@ -17,19 +17,21 @@
     name::Name,
 };
 
-/// The number of targets that are remembered of a fingerprint.
+/// The most lost targets that are remembered for a fingerprint.
 const MAX_TARGETS: usize = 8;
 
-/// Notes that a target was lost with a fingerprint. Enough targets of one
-/// shard condemn it, through whichever VMs the two were reached. Targets of
-/// different shards do not, because a rack that fails takes many at once.
-pub fn suspect(
+/// Records that a target was lost while it ran a request with a fingerprint.
+///
+/// Enough lost targets of one shard quarantine the fingerprint, through
+/// whichever VMs the targets were reached. Targets of different shards do not
+/// add up, because a rack that fails takes down many at once.
+pub fn record_loss(
     tables: &mut Tables,
     step: &mut Step<'_>,
     (fingerprint, target, origin): (Fingerprint, Name, Origin),
     remaining: Duration,
 ) {
-    if tables.quarantine.condemned.contains_key(&fingerprint) {
+    if tables.quarantine.quarantined.contains_key(&fingerprint) {
         return;
     }
     let until = step.now + remaining.min(step.limits.suspect_duration);
@@ -46,38 +48,39 @@
     let shard = |name: &Name| listed.get(name).map(|target| (&target.index, &target.shard));
     let of_shard = row.targets.iter().filter(|name| shard(name) == shard(&target)).count();
     if of_shard >= step.limits.lost_targets {
-        return condemn(tables, step, fingerprint, origin, step.limits.quarantine_duration);
+        return add(tables, step, fingerprint, origin, step.limits.quarantine_duration);
     }
     if rows.len() > step.limits.max_fingerprints {
         let oldest = rows.iter().min_by_key(|(_, row)| row.until).map(|(&key, _)| key);
         oldest.and_then(|key| rows.remove(&key));
     }
     tables.gossip.add(Key::Suspect(fingerprint));
-    tables.changed = true;
+    tables.view_changed = true;
 }
 
-/// Holds a fingerprint back from now on.
-pub fn condemn(
+/// Quarantines a fingerprint for `remaining`, at most for the quarantine
+/// duration. If the table is full, the entry that expires first is removed.
+pub fn add(
     tables: &mut Tables,
     step: &mut Step<'_>,
     fingerprint: Fingerprint,
     origin: Origin,
     remaining: Duration,
 ) {
-    let rows = &mut tables.quarantine.condemned;
+    let rows = &mut tables.quarantine.quarantined;
     if rows.contains_key(&fingerprint) {
         return;
     }
     let until = step.now + remaining.min(step.limits.quarantine_duration);
-    rows.insert(fingerprint, Condemned { origin, until });
+    rows.insert(fingerprint, Quarantined { origin, until });
     if rows.len() > step.limits.max_fingerprints {
         let oldest = rows.iter().min_by_key(|(_, row)| row.until).map(|(&key, _)| key);
         oldest.and_then(|key| rows.remove(&key));
     }
     tables.quarantine.suspects.remove(&fingerprint);
     tables.gossip.remove(&Key::Suspect(fingerprint));
-    tables.gossip.add(Key::Condemned(fingerprint));
-    tables.changed = true;
+    tables.gossip.add(Key::Quarantined(fingerprint));
+    tables.view_changed = true;
     let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
     step.out.lines.push(Line::new(Event::RequestCondemned, fields));
 }
--- a/crates/core/src/control/system/reading.rs
+++ b/crates/core/src/control/system/reading.rs
@@ -1,8 +1,8 @@
-//! Decides which VMs read from the platform's service, and when.
+//! Decides when this VM reads from the platform's service.
 //!
-//! A few watchers read for all, so that the number of calls does not grow with
-//! the number of VMs. Every other VM reads at its start and when what it heard
-//! from VMs is too old.
+//! A few VMs, the watchers, read on behalf of all, so that the number of calls
+//! does not grow with the number of VMs. Every other VM reads at its start, and
+//! when what it heard from other VMs is too old.
 
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
         codec::CURRENT,
         engine::Step,
         message::Health,
-        table::{Tables, age::Age, call::Purpose, source::Reader},
+        table::{Tables, age::Age, call::Purpose, reader::Reader},
     },
     name::Name,
     rank,
@@ -23,22 +23,24 @@
     time::Instant,
 };
 
-/// The longest pause between two tries of a watcher.
-const MAX_RETRY: Duration = Duration::from_secs(2);
+/// The longest delay between two tries of a watcher.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
-/// The share of the service's reads that each VM takes when all must read
-/// themselves: the pause between two reads for each VM that there is.
-const PAUSE_PER_VM: Duration = Duration::from_millis(20);
+/// The least time between two reads of a VM that is no watcher, for each VM that
+/// there is, so that the total rate stays bounded when all VMs must read for
+/// themselves.
+const READ_INTERVAL_PER_VM: Duration = Duration::from_millis(20);
 
-/// The time that a change takes to reach twice as many VMs by probes alone.
-const DOUBLING: Duration = Duration::from_millis(500);
+/// The additional time that a change takes to reach twice as many VMs if only
+/// probes carry it.
+const SPREAD_TIME_PER_DOUBLING: Duration = Duration::from_millis(500);
 
-/// Reads what is due.
+/// Starts the reads that are due.
 pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
     if std::mem::take(&mut tables.vms.rerank) {
         rank(tables, step);
     }
-    let stale = stale(tables, step.limits);
+    let stale = stale_age(tables, step.limits);
     if profiles_due(tables, stale).is_some_and(|at| at <= step.now) {
         read_profiles(tables, step);
     }
@@ -48,15 +50,16 @@
     }
 }
 
-/// The age from which a VM reads itself: what the watchers read takes longer to
-/// come round among more VMs, and must not count as stale before that.
-pub fn stale(tables: &Tables, limits: &Limits) -> Duration {
-    limits.stale_after + DOUBLING * tables.vms.count().ilog2()
+/// The age from which a VM reads for itself. It grows with the number of VMs:
+/// what the watchers read takes longer to reach all of them, and must not count
+/// as stale before.
+pub fn stale_age(tables: &Tables, limits: &Limits) -> Duration {
+    limits.stale_after + SPREAD_TIME_PER_DOUBLING * tables.vms.count().ilog2()
 }
 
 fn rank(tables: &mut Tables, step: &Step<'_>) {
     let own = &tables.own.vm.name;
-    let others = tables.vms.rows.iter().filter(|(_, row)| row.steady()).map(|(name, _)| name);
+    let others = tables.vms.rows.iter().filter(|(_, row)| row.is_active()).map(|(name, _)| name);
     let all = others.chain((!tables.own.leaving()).then_some(own));
     let order: Vec<&Name> = rank::order(rank::seed(&["watchers"]), all);
     let live = tables.vms.rows.iter().filter(|(_, row)| row.member.health == Health::Live);
@@ -82,38 +85,41 @@
     tables.profiles.call = Some(call::make(tables, step, Purpose::Profiles, call, wait));
 }
 
-/// When the profiles are next read from the service.
+/// When the profiles are next read from the service; `None` while a read is
+/// under way.
 pub fn profiles_due(tables: &Tables, stale: Duration) -> Option<Instant> {
-    let now = tables.vms.watcher || !tables.own.learnt;
-    due(&tables.profiles, now, tables.in_force.confirmed, stale)
+    let always = tables.vms.watcher || !tables.own.learnt;
+    due(&tables.profiles, always, tables.in_force.confirmed, stale)
 }
 
-/// When the list is next read from the service.
+/// When the list is next read from the service; `None` while a read is under
+/// way.
 pub fn list_due(tables: &Tables, stale: Duration) -> Option<Instant> {
     due(&tables.list, tables.vms.watcher, tables.targets.list_age, stale)
 }
 
-fn due(reader: &Reader, now: bool, age: Option<Age>, stale: Duration) -> Option<Instant> {
+fn due(reader: &Reader, always: bool, age: Option<Age>, stale: Duration) -> Option<Instant> {
     match (reader.call, age) {
         (Some(_), _) => None,
-        (None, Some(age)) if !now => Some(age.reaches(stale).max(reader.next)),
+        (None, Some(age)) if !always => Some(age.reaches(stale).max(reader.next)),
         _ => Some(reader.next),
     }
 }
 
-/// The pause after a read that succeeded.
-pub fn pause(tables: &Tables, watcher: Duration, stale: Duration) -> Duration {
-    if tables.vms.watcher { watcher } else { stale.max(share(tables)) }
+/// The delay after a successful read: `watcher` for a watcher, at least `stale`
+/// for any other VM.
+pub fn read_delay(tables: &Tables, watcher: Duration, stale: Duration) -> Duration {
+    if tables.vms.watcher { watcher } else { stale.max(read_interval(tables)) }
 }
 
-/// The pause after a read that failed; it grows with each failure and has a
-/// random part, so that VMs do not come back all at once.
+/// The delay after a failed read. It grows with each failure and has a random
+/// part, so that not all VMs retry at the same time.
 pub fn back_off(tables: &mut Tables, step: &Step<'_>, failures: u32) -> Duration {
-    let most = (step.limits.retry_delay * 2u32.pow(failures.min(6))).min(MAX_RETRY);
-    let most = if tables.vms.watcher { most } else { most.max(share(tables)) };
-    most / 2 + most.mul_f64(tables.rng.random_range(0.0..0.5))
+    let delay = (step.limits.retry_delay * 2u32.pow(failures.min(6))).min(MAX_RETRY_DELAY);
+    let delay = if tables.vms.watcher { delay } else { delay.max(read_interval(tables)) };
+    delay / 2 + delay.mul_f64(tables.rng.random_range(0.0..0.5))
 }
 
-fn share(tables: &Tables) -> Duration {
-    PAUSE_PER_VM * u32::try_from(tables.vms.count()).unwrap_or(u32::MAX)
+fn read_interval(tables: &Tables) -> Duration {
+    READ_INTERVAL_PER_VM * u32::try_from(tables.vms.count()).unwrap_or(u32::MAX)
 }
--- a/crates/core/src/control/system/report.rs
+++ b/crates/core/src/control/system/report.rs
@@ -1,4 +1,4 @@
-//! Takes the reports of the traffic threads.
+//! Handles the reports of the traffic threads.
 
 use super::{list, quarantine};
 use crate::{
@@ -6,13 +6,13 @@
     control::{
         engine::Step,
         request::Source,
-        table::{Tables, target::Word},
+        table::{Tables, target::Announcement},
     },
     notice::Report,
 };
 
-/// Takes the report of a traffic thread.
-pub fn take(tables: &mut Tables, step: &mut Step<'_>, thread: u16, report: Report) {
+/// Handles a report of the traffic thread with the number `thread`.
+pub fn handle(tables: &mut Tables, step: &mut Step<'_>, thread: u16, report: Report) {
     match report {
         Report::Claim { operation, request, deadline } => {
             tables.claims.threads.insert(operation, thread);
@@ -23,23 +23,23 @@
         }
         Report::Suspect { fingerprint, query, target } => {
             let remaining = step.limits.suspect_duration;
-            quarantine::suspect(tables, step, (fingerprint, target, query.origin), remaining);
+            quarantine::record_loss(tables, step, (fingerprint, target, query.origin), remaining);
         }
         Report::Condemned { fingerprint, origin } => {
             let remaining = step.limits.quarantine_duration;
-            quarantine::condemn(tables, step, fingerprint, origin, remaining);
+            quarantine::add(tables, step, fingerprint, origin, remaining);
         }
         Report::Draining { target, incarnation } => {
-            let word = Word { incarnation, draining: true };
-            list::word(tables, step, &target, word, Source::Own);
+            let announcement = Announcement { incarnation, draining: true };
+            list::apply_announcement(tables, step, &target, announcement, Source::Own);
         }
         Report::Serving { target, incarnation } => {
-            let word = Word { incarnation, draining: false };
-            list::word(tables, step, &target, word, Source::Own);
+            let announcement = Announcement { incarnation, draining: false };
+            list::apply_announcement(tables, step, &target, announcement, Source::Own);
         }
         Report::Unreachable { vm } => {
             tables.claims.events.push(Event::Unreachable { vm: vm.clone() });
-            tables.vms.urgent.push(vm);
+            tables.vms.urgent_probes.push(vm);
         }
         Report::InFlight { count } => {
             tables.own.in_flight.insert(thread, count);
--- a/crates/core/src/control/system/request.rs
+++ b/crates/core/src/control/system/request.rs
@@ -1,4 +1,4 @@
-//! Takes the requests of operators.
+//! Handles the requests of operators.
 
 use super::status;
 use crate::control::{
@@ -7,9 +7,9 @@
     table::{Tables, publication::Publication},
 };
 
-/// Answers a request from the tables, or opens a row for one that needs the
+/// Answers a request from the tables, or adds a row for a request that needs the
 /// platform's service.
-pub fn take(tables: &mut Tables, step: &mut Step<'_>, id: RequestId, request: Request) {
+pub fn handle(tables: &mut Tables, step: &mut Step<'_>, id: RequestId, request: Request) {
     let answer = match request {
         Request::Status => Answer::Status(status::revisions(tables, step)),
         Request::Vms => Answer::Vms(status::vms(tables, step.now)),
--- a/crates/core/src/control/system/status.rs
+++ b/crates/core/src/control/system/status.rs
@@ -1,4 +1,4 @@
-//! What operators are shown of the tables.
+//! Answers to operators that are read from the tables.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
         engine::Step,
         listing,
         request::{InForce, Source, Status},
-        table::{Tables, Word},
+        table::{PeerRevision, Tables},
     },
     name::Name,
     profile::Revision,
@@ -15,11 +15,11 @@
     view,
 };
 
-/// Tells which revision is in force on which VM.
+/// The revision in force on each VM that is not gone, this one first.
 pub fn revisions(tables: &Tables, step: &Step<'_>) -> Status {
     let revision = tables.in_force.document.revision;
     let present = tables.vms.rows.iter().filter(|(_, row)| row.present());
-    let others = present.map(|(name, _)| other(name, tables.words.get(name), step));
+    let others = present.map(|(name, _)| other(name, tables.peer_revisions.get(name), step));
     let vms: Vec<InForce> = std::iter::once(own(tables, step)).chain(others).collect();
     let has = |row: &&InForce| row.revision.is_some_and(|found: Revision| found >= revision);
     Status { revision, in_force: vms.iter().filter(has).count(), vms }
@@ -35,18 +35,18 @@
     }
 }
 
-fn other(name: &Name, word: Option<&Word>, step: &Step<'_>) -> InForce {
-    let heard = word.map(|word| word.heard.at(step.now));
+fn other(name: &Name, known: Option<&PeerRevision>, step: &Step<'_>) -> InForce {
+    let heard = known.map(|known| known.heard.at(step.now));
     InForce {
         vm: name.clone(),
-        revision: word.map(|word| word.revision),
+        revision: known.map(|known| known.revision),
         heard,
-        confirmed: word.and_then(|word| Some(word.confirmed? + word.heard.at(step.now))),
+        confirmed: known.and_then(|known| Some(known.confirmed? + known.heard.at(step.now))),
         silent: heard.is_none_or(|heard| heard > step.limits.silent_after),
     }
 }
 
-/// Lists the VMs, this one among them.
+/// All VMs in the table, this one first.
 pub fn vms(tables: &Tables, now: Instant) -> Vec<listing::Vm> {
     let own = listing::Vm {
         vm: tables.own.vm.clone(),
@@ -55,7 +55,7 @@
         source: Source::Own,
     };
     let others = tables.vms.rows.values().map(|row| listing::Vm {
-        vm: row.shown().unwrap_or_else(|| row.named(view::State::Suspect)),
+        vm: row.to_view().unwrap_or_else(|| row.with_state(view::State::Suspect)),
         gone: !row.present(),
         since: now.since(row.since),
         source: row.source.clone(),
@@ -63,16 +63,16 @@
     std::iter::once(own).chain(others).collect()
 }
 
-/// Lists the targets.
+/// All listed targets.
 pub fn targets(tables: &Tables, now: Instant) -> Vec<listing::Target> {
     let targets = &tables.targets;
     let row = |(name, target): (Name, view::Target)| {
-        let heard = targets.words.get(&name);
-        let own = heard.filter(|heard| heard.word.draining);
+        let received = targets.announcements.get(&name);
+        let own = received.filter(|received| received.announcement.draining);
         let listed = targets.since.get(&name).copied();
-        let since = own.map(|heard| heard.at).or(listed).unwrap_or(now);
-        let source = own.map_or(Source::List, |heard| heard.source.clone());
+        let since = own.map(|received| received.at).or(listed).unwrap_or(now);
+        let source = own.map_or(Source::List, |received| received.source.clone());
         listing::Target { target, since: now.since(since), source }
     };
-    targets.shown().into_iter().map(row).collect()
+    targets.to_view().into_iter().map(row).collect()
 }
--- a/crates/core/src/control/system/view.rs
+++ b/crates/core/src/control/system/view.rs
@@ -1,4 +1,4 @@
-//! Makes the view for the traffic threads when something changed.
+//! Builds the view for the traffic threads.
 
 use std::sync::Arc;
 
@@ -9,9 +9,10 @@
     view::View,
 };
 
-/// Publishes a new view when something changed that the traffic threads use.
+/// Sends a new view to the traffic threads if something that it shows has
+/// changed.
 pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
-    if !std::mem::take(&mut tables.changed) {
+    if !std::mem::take(&mut tables.view_changed) {
         return;
     }
     let ready = is_ready(tables);
@@ -31,17 +32,17 @@
 fn make(tables: &Tables) -> View {
     let own = &tables.own.vm;
     let others = tables.vms.rows.iter();
-    let shown = others.filter_map(|(name, row)| Some((name.clone(), row.shown()?)));
-    let condemned = tables.quarantine.condemned.iter();
+    let shown = others.filter_map(|(name, row)| Some((name.clone(), row.to_view()?)));
+    let quarantined = tables.quarantine.quarantined.iter();
     let suspects = tables.quarantine.suspects.iter();
     View {
         vm: own.name.clone(),
         domain: own.domain.clone(),
         vms: shown.chain([(own.name.clone(), own.clone())]).collect(),
-        targets: tables.targets.shown(),
+        targets: tables.targets.to_view(),
         document: Arc::clone(&tables.in_force.document),
         suspects: suspects.map(|(&key, row)| (key, row.targets.clone())).collect(),
-        quarantine: condemned.map(|(&key, row)| (key, row.origin)).collect(),
+        quarantine: quarantined.map(|(&key, row)| (key, row.origin)).collect(),
         ready: tables.own.ready,
         leaving: tables.own.leaving(),
     }
--- a/crates/core/src/control/system/wake.rs
+++ b/crates/core/src/control/system/wake.rs
@@ -1,4 +1,4 @@
-//! The earliest time at which a system has something to do.
+//! The earliest time at which a system is due.
 
 use super::reading;
 use crate::{
@@ -6,7 +6,7 @@
     time::Instant,
 };
 
-/// The earliest time at which a system has something to do without an event.
+/// The earliest time at which a system is due even if no event arrives.
 pub fn next(tables: &Tables, limits: &Limits) -> Option<Instant> {
     let vms = &tables.vms;
     let suspects = vms.suspects.iter().filter_map(|vm| vms.rows[vm].gone_at).min();
@@ -15,15 +15,15 @@
         Some(_) => row.until,
         None => row.until.min(row.next),
     });
-    let stale = reading::stale(tables, limits);
+    let stale = reading::stale_age(tables, limits);
     let times = [
-        Some(vms.next),
-        Some(vms.compare),
-        (!vms.gone.is_empty()).then_some(vms.revive),
+        Some(vms.next_probe),
+        Some(vms.next_sync),
+        (!vms.gone.is_empty()).then_some(vms.next_reconnect),
         suspects,
         vms.probes.values().map(|probe| probe.until).min(),
-        isolation.then(|| tables.own.heard + limits.isolation_timeout),
-        tables.gossip.fresh.then_some(tables.gossip.next),
+        isolation.then(|| tables.own.last_heard + limits.isolation_timeout),
+        tables.gossip.has_new.then_some(tables.gossip.next_round),
         tables.calls.rows.values().map(|row| row.until).min(),
         reading::profiles_due(tables, stale),
         reading::list_due(tables, stale),
--- a/crates/core/src/control/table/age.rs
+++ b/crates/core/src/control/table/age.rs
@@ -1,11 +1,13 @@
-//! An age that is passed on between VMs as a duration.
+//! Ages, which are passed on between VMs as durations.
 
 use std::time::Duration;
 
 use crate::time::Instant;
 
-/// How old something was at some time of this process's clock. It may be older
-/// than the process, so that an instant cannot express it.
+/// How old something was at an instant of this process's clock.
+///
+/// The thing may be older than the process, in which case no [`Instant`] can
+/// express when it was made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Age {
     span: Duration,
@@ -13,7 +15,7 @@
 }
 
 impl Age {
-    /// Something that was `span` old at `at`.
+    /// The age of something that was `span` old at `at`.
     pub fn new(span: Duration, at: Instant) -> Age {
         Age { span, at }
     }
@@ -29,7 +31,7 @@
     }
 }
 
-/// The younger of two ages, where none is older than any.
+/// The younger of two ages; `None` counts as older than any age.
 pub fn younger(a: Option<Age>, b: Option<Age>, now: Instant) -> Option<Age> {
     match (a, b) {
         (Some(a), Some(b)) => Some(if b.at(now) < a.at(now) { b } else { a }),
--- a/crates/core/src/control/table/call.rs
+++ b/crates/core/src/control/table/call.rs
@@ -1,45 +1,43 @@
-//! Calls of the platform's service that are under way.
+//! Calls of the platform's service that have no reply yet.
 
 use std::collections::BTreeMap;
 
 use crate::{control::RequestId, store::CallId, time::Instant};
 
-/// The bit that marks the ids of calls of the claims.
-pub const CLAIMS: u64 = 1 << 63;
+/// The bit set in the ids of calls that the claims engine makes.
+pub const CLAIMS_CALL_BIT: u64 = 1 << 63;
 
-/// What a call is for.
+/// The purpose of a call, which decides what handles the reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Purpose {
-    /// Learning the document in force.
+    /// Reads or watches the document in force.
     Profiles,
-    /// Learning the VMs and targets.
+    /// Reads the list of VMs and targets.
     List,
-    /// A step of an operator's request.
+    /// Carries out a stage of an operator's request.
     Request(RequestId),
-    /// Reading a replaced document that is no longer kept.
-    Find,
-    /// Removing a replaced document that is no longer kept.
-    Prune,
+    /// Reads a replaced document beyond the history limit, for its version.
+    ReadExpired,
+    /// Removes a replaced document beyond the history limit.
+    RemoveExpired,
 }
 
-/// A call that is under way.
+/// A call that has no reply yet.
 #[derive(Clone, Debug)]
 pub struct Call {
-    /// What it is for.
     pub purpose: Purpose,
-    /// When it was made.
+    /// When the call was made.
     pub made: Instant,
-    /// When it counts as lost.
+    /// When the call counts as lost.
     pub until: Instant,
 }
 
-/// Calls of the platform's service that are under way.
+/// The calls of the platform's service that have no reply yet.
 #[derive(Debug, Default)]
 pub struct Calls {
-    /// The calls by id.
     pub rows: BTreeMap<CallId, Call>,
-    /// The last id that was given.
+    /// The last id that was assigned.
     pub last: u64,
-    /// Whether the last reply showed that the service is down.
+    /// Whether the last call was refused or lost.
     pub down: bool,
 }
--- a/crates/core/src/control/table/claim.rs
+++ b/crates/core/src/control/table/claim.rs
@@ -1,14 +1,13 @@
-//! What is handed to the engine of the claims.
+//! The inputs of the claims engine.
 
 use std::collections::BTreeMap;
 
 use crate::{claims::Event, id};
 
-/// What is handed to the engine of the claims.
+/// The inputs of the claims engine, collected during a step.
 #[derive(Debug, Default)]
 pub struct Claims {
-    /// The events of this step.
     pub events: Vec<Event>,
-    /// The traffic threads whose operations wait for a verdict.
+    /// The traffic thread of each operation that waits for a verdict.
     pub threads: BTreeMap<id::Query, u16>,
 }
--- a/crates/core/src/control/table/mod.rs
+++ b/crates/core/src/control/table/mod.rs
@@ -3,11 +3,11 @@
 pub mod age;
 pub mod call;
 pub mod claim;
-pub mod news;
+pub mod gossip;
 pub mod own;
 pub mod publication;
 pub mod quarantine;
-pub mod source;
+pub mod reader;
 pub mod target;
 pub mod vm;
 
@@ -16,8 +16,8 @@
 use rand::rngs::StdRng;
 
 use self::{
-    age::Age, call::Calls, claim::Claims, news::News, own::Own, publication::Publication,
-    quarantine::Quarantine, source::Reader, target::Targets, vm::Vms,
+    age::Age, call::Calls, claim::Claims, gossip::Gossip, own::Own, publication::Publication,
+    quarantine::Quarantine, reader::Reader, target::Targets, vm::Vms,
 };
 use super::RequestId;
 use crate::{
@@ -26,59 +26,57 @@
     view::View,
 };
 
-/// The document in force on this VM.
+/// The document in force on this VM, with the age of its confirmation.
 #[derive(Debug)]
 pub struct InForce {
-    /// The document.
     pub document: Arc<Document>,
-    /// How long ago its revision was confirmed against the service.
+    /// How long ago the revision was confirmed against the platform's service.
     pub confirmed: Option<Age>,
 }
 
 /// The revision in force on another VM.
 #[derive(Clone, Debug)]
-pub struct Word {
-    /// The revision.
+pub struct PeerRevision {
     pub revision: Revision,
-    /// How long ago this was so.
+    /// How long ago the VM reported the revision.
     pub heard: Age,
-    /// How long before that it was confirmed against the service.
+    /// How long before `heard` the VM had confirmed the revision against the
+    /// platform's service.
     pub confirmed: Option<std::time::Duration>,
 }
 
-/// All tables of the control thread of one VM.
+/// The tables of the control thread of one VM.
 #[derive(Debug)]
 pub struct Tables {
     /// This VM.
     pub own: Own,
-    /// The other VMs and the probes of them.
+    /// The other VMs, and the probes that check whether they answer.
     pub vms: Vms,
-    /// The platform's list of targets and the words of the targets.
+    /// The platform's list, and the announcements of the targets.
     pub targets: Targets,
-    /// The document in force.
     pub in_force: InForce,
     /// The revisions in force on other VMs.
-    pub words: BTreeMap<Name, Word>,
-    /// The last VM of [`Tables::words`] that was passed on.
-    pub cursor: Option<Name>,
-    /// Fingerprints of requests that crashed targets.
+    pub peer_revisions: BTreeMap<Name, PeerRevision>,
+    /// The VM of [`Tables::peer_revisions`] with which the last message ended.
+    pub revision_cursor: Option<Name>,
+    /// The fingerprints of requests that crashed targets.
     pub quarantine: Quarantine,
-    /// News to pass on.
-    pub gossip: News,
-    /// Calls of the platform's service that are under way.
+    /// The state changes to pass on to other VMs.
+    pub gossip: Gossip,
+    /// The calls of the platform's service that have no reply yet.
     pub calls: Calls,
     /// The state of reading the profiles from the service.
     pub profiles: Reader,
     /// The state of reading the platform's list from the service.
     pub list: Reader,
-    /// Requests of operators that wait for the service.
+    /// The requests of operators that wait for the service.
     pub publications: BTreeMap<RequestId, Publication>,
-    /// The source of chance, seeded at the start.
+    /// Seeded at the start, so that a run can be repeated.
     pub rng: StdRng,
-    /// What is handed to the engine of the claims.
+    /// The inputs of the claims engine.
     pub claims: Claims,
-    /// The view that the traffic threads have.
+    /// The view that was last sent to the traffic threads.
     pub view: Arc<View>,
-    /// Whether the view must be made anew.
-    pub changed: bool,
+    /// Whether the view must be built again and sent.
+    pub view_changed: bool,
 }
--- a/crates/core/src/control/table/own.rs
+++ b/crates/core/src/control/table/own.rs
@@ -1,4 +1,4 @@
-//! This VM itself.
+//! The state of this VM itself.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,38 +9,40 @@
     view,
 };
 
-/// This VM itself.
+/// The state of this VM itself.
 #[derive(Debug)]
 pub struct Own {
-    /// What other VMs are told.
+    /// The row of this VM in the view.
     pub vm: view::Vm,
-    /// When it started, or went on after a pause.
+    /// When the VM started or last resumed after a pause.
     pub since: Instant,
-    /// When the last step was run.
-    pub stepped: Option<(Instant, Wall)>,
-    /// Whether the highest revision was learnt since the start or the last pause.
+    /// The monotonic and the wall-clock time of the last step.
+    pub last_step: Option<(Instant, Wall)>,
+    /// Whether the highest revision was learnt since the start, the last pause
+    /// or the last isolation.
     pub learnt: bool,
-    /// The VMs whose confirmed revision is in force here, counted until the
-    /// revision is learnt.
-    pub witnesses: BTreeSet<Name>,
-    /// When a VM or the service was last heard.
-    pub heard: Instant,
-    /// Whether the view says ready.
+    /// The VMs that reported a confirmed revision no higher than that of this
+    /// VM, collected until `learnt` is set.
+    pub confirmed_by: BTreeSet<Name>,
+    /// When the last message of a VM or reply of the service arrived.
+    pub last_heard: Instant,
+    /// Whether the last view says that this VM is ready.
     pub ready: bool,
-    /// The requests and legs in flight by traffic thread, while leaving.
+    /// The number of requests and legs in flight by traffic thread, reported
+    /// while this VM is leaving.
     pub in_flight: BTreeMap<u16, usize>,
 }
 
 impl Own {
-    /// This VM at its start.
+    /// The state of a VM at its start.
     pub fn new(vm: view::Vm) -> Own {
         Own {
             vm,
             since: Instant::default(),
-            stepped: None,
+            last_step: None,
             learnt: false,
-            witnesses: BTreeSet::new(),
-            heard: Instant::default(),
+            confirmed_by: BTreeSet::new(),
+            last_heard: Instant::default(),
             ready: false,
             in_flight: BTreeMap::new(),
         }
@@ -51,7 +53,7 @@
         self.vm.state == view::State::Leaving
     }
 
-    /// What other VMs are told of this one.
+    /// The state of this VM as it is sent to other VMs.
     pub fn member(&self) -> Member {
         Member {
             vm: self.vm.name.clone(),
--- a/crates/core/src/control/table/publication.rs
+++ b/crates/core/src/control/table/publication.rs
@@ -6,56 +6,55 @@
     time::Instant,
 };
 
-/// The step that a request has reached; each step is one call of the service
+/// The stage that a request has reached. Each stage is one call of the service
 /// that may be repeated.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// Read the document in force.
+    /// Reads the document in force.
     Read,
-    /// Read the replaced document to which to roll back.
+    /// Reads the replaced document to which to roll back.
     Fetch,
-    /// Keep the document in force in the history before it is replaced.
-    Keep,
-    /// Replace the document in force.
+    /// Writes the document in force to the history before it is replaced.
+    Archive,
+    /// Replaces the document in force.
     Swap,
-    /// Look in the history for a publication that may have been replaced since.
+    /// Looks in the history for a publication that may have been replaced since.
     Trace,
-    /// Write the document in force again, so that an earlier write that expects
-    /// its version can no longer take effect.
+    /// Writes the document in force again, so that an earlier write that
+    /// expects its version can no longer take effect.
     Fence,
-    /// Read the history.
+    /// Reads the whole history.
     Scan,
 }
 
 /// A request of an operator that waits for the platform's service.
 #[derive(Clone, Debug)]
 pub struct Publication {
-    /// What was asked.
     pub request: Request,
-    /// The step that it has reached.
     pub stage: Stage,
-    /// When it must be answered.
+    /// When the request must be answered.
     pub until: Instant,
-    /// The call that is under way.
+    /// The call of this stage that has no reply yet.
     pub call: Option<CallId>,
-    /// When the step is next tried.
+    /// When the call of this stage may be made.
     pub next: Instant,
-    /// The version of the document in force, or none if there is none.
+    /// The stored version of the document in force, or `None` if the service
+    /// holds no document.
     pub version: Option<Version>,
-    /// The document in force.
+    /// The document in force at the service when it was last read.
     pub base: Option<Record>,
-    /// What is to be published.
-    pub offer: Option<Record>,
-    /// Names the publication.
+    /// The document to publish.
+    pub proposal: Option<Record>,
+    /// Identifies the publication once it has been proposed.
     pub token: Option<Token>,
-    /// Whether an answer to a write of the offer was lost.
-    pub lost: bool,
-    /// The entries of the history.
+    /// Whether the reply to a write of the proposal was lost, so that it may
+    /// have taken effect.
+    pub reply_lost: bool,
     pub entries: Vec<Entry>,
 }
 
 impl Publication {
-    /// A request that has just come in.
+    /// Creates the row of a request that has just arrived.
     pub fn new(request: Request, now: Instant, until: Instant) -> Publication {
         Publication {
             request,
@@ -65,9 +64,9 @@
             next: now,
             version: None,
             base: None,
-            offer: None,
+            proposal: None,
             token: None,
-            lost: false,
+            reply_lost: false,
             entries: Vec::new(),
         }
     }
--- a/crates/core/src/control/table/quarantine.rs
+++ b/crates/core/src/control/table/quarantine.rs
@@ -1,42 +1,41 @@
-//! Fingerprints of requests that crashed targets.
+//! The fingerprints of requests that crashed targets.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{digest::Fingerprint, id::Origin, name::Name, time::Instant};
 
-/// A fingerprint whose request was lost with a target.
+/// A fingerprint whose request was running on one or more targets when they were
+/// lost.
 #[derive(Clone, Debug)]
 pub struct Suspicion {
-    /// The targets that were lost.
     pub targets: BTreeSet<Name>,
-    /// The thread that reported the first one.
+    /// The traffic thread that reported the first lost target.
     pub origin: Origin,
-    /// When it is forgotten.
+    /// When the row expires.
     pub until: Instant,
 }
 
-/// A fingerprint that is held back.
+/// A fingerprint whose requests are refused.
 #[derive(Clone, Copy, Debug)]
-pub struct Condemned {
-    /// The thread that reported it.
+pub struct Quarantined {
+    /// The traffic thread whose report quarantined the fingerprint.
     pub origin: Origin,
-    /// When it is forgotten.
+    /// When the row expires.
     pub until: Instant,
 }
 
-/// Fingerprints of requests that crashed targets.
+/// The fingerprints of requests that crashed targets.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    /// Fingerprints with one lost target.
+    /// Fingerprints with too few lost targets for a quarantine.
     pub suspects: BTreeMap<Fingerprint, Suspicion>,
-    /// Fingerprints that are held back.
-    pub condemned: BTreeMap<Fingerprint, Condemned>,
+    pub quarantined: BTreeMap<Fingerprint, Quarantined>,
 }
 
 impl Quarantine {
-    /// The earliest time at which a row is forgotten.
+    /// The earliest time at which a row expires.
     pub fn next(&self) -> Option<Instant> {
         let suspects = self.suspects.values().map(|row| row.until);
-        suspects.chain(self.condemned.values().map(|row| row.until)).min()
+        suspects.chain(self.quarantined.values().map(|row| row.until)).min()
     }
 }
--- a/crates/core/src/control/table/target.rs
+++ b/crates/core/src/control/table/target.rs
@@ -1,31 +1,32 @@
-//! The platform's list and the words of the targets.
+//! The platform's list, and the announcements of the targets.
 
 use std::collections::BTreeMap;
 
 use super::age::Age;
 use crate::{control::request::Source, name::Name, time::Instant, view};
 
-/// What a target last said of itself.
+/// The state that a target reported of itself.
+///
+/// The order of the fields makes a later announcement compare greater: a higher
+/// incarnation first, then draining, because a target that drains does not
+/// return within its incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Word {
+pub struct Announcement {
     /// The start of the target.
     pub incarnation: u64,
-    /// Whether it is leaving. Within one incarnation a target does not return.
     pub draining: bool,
 }
 
-/// A word with the time at which it was heard.
+/// An announcement as it was received.
 #[derive(Clone, Debug)]
-pub struct Heard {
-    /// The word.
-    pub word: Word,
-    /// When it was heard.
+pub struct Received {
+    pub announcement: Announcement,
     pub at: Instant,
-    /// Who said it.
+    /// Who passed the announcement on.
     pub source: Source,
 }
 
-/// The platform's list and the words of the targets.
+/// The platform's list, and the announcements of the targets.
 #[derive(Debug, Default)]
 pub struct Targets {
     /// The VMs as listed.
@@ -34,24 +35,26 @@
     pub listed: BTreeMap<Name, view::Target>,
     /// Since when each target is listed in its state.
     pub since: BTreeMap<Name, Instant>,
-    /// The digest of the list.
+    /// The hash of the list.
     pub digest: u64,
-    /// How long ago the list was read.
+    /// How long ago the list was read from the service.
     pub list_age: Option<Age>,
-    /// When the list may be asked of another VM again.
-    pub ask: Instant,
-    /// The words of the targets.
-    pub words: BTreeMap<Name, Heard>,
-    /// The targets that are listed as leaving, with the incarnation in which
-    /// they were first seen so, if it is known. Only a newer one overrules it.
+    /// When another VM may be asked for its list again.
+    pub next_list_request: Instant,
+    /// The last announcement of each target.
+    pub announcements: BTreeMap<Name, Received>,
+    /// The targets that are listed as leaving, with the incarnation that was
+    /// first known for each, if any. Only an announcement of a newer
+    /// incarnation overrules the list.
     pub leaving: BTreeMap<Name, Option<u64>>,
-    /// When the documents may be asked of another VM again.
-    pub ask_document: Instant,
+    /// When another VM may be asked for its document again.
+    pub next_document_request: Instant,
 }
 
 impl Targets {
-    /// Replaces the targets as listed.
-    pub fn list(&mut self, targets: Vec<view::Target>, now: Instant) {
+    /// Replaces the listed targets. A target whose state is unchanged keeps the
+    /// time since when it has been in it.
+    pub fn set_listed(&mut self, targets: Vec<view::Target>, now: Instant) {
         let since = |target: &view::Target| {
             let old = self.listed.get(&target.name).filter(|old| old.state == target.state);
             old.and_then(|old| self.since.get(&old.name)).copied().unwrap_or(now)
@@ -61,25 +64,27 @@
         self.listed = targets.into_iter().map(|target| (target.name.clone(), target)).collect();
     }
 
-    /// Whether `target` is leaving by its own word or by the list.
+    /// Whether `target` is leaving according to its announcement or the list.
     pub fn is_leaving(&self, target: &Name) -> bool {
-        let word = self.words.get(target).map(|heard| heard.word);
-        if word.is_some_and(|word| word.draining) {
+        let announcement = self.announcements.get(target).map(|received| received.announcement);
+        if announcement.is_some_and(|announcement| announcement.draining) {
             return true;
         }
-        match (self.leaving.get(target), word) {
+        match (self.leaving.get(target), announcement) {
             (None, _) => false,
-            (Some(Some(incarnation)), Some(word)) => word.incarnation <= *incarnation,
+            (Some(Some(incarnation)), Some(announcement)) => {
+                announcement.incarnation <= *incarnation
+            }
             (Some(_), _) => true,
         }
     }
 
-    /// The targets as the view shows them.
-    pub fn shown(&self) -> BTreeMap<Name, view::Target> {
-        self.listed.iter().map(|(name, target)| (name.clone(), self.show(target))).collect()
+    /// The targets as they appear in the view.
+    pub fn to_view(&self) -> BTreeMap<Name, view::Target> {
+        self.listed.iter().map(|(name, target)| (name.clone(), self.row_to_view(target))).collect()
     }
 
-    fn show(&self, target: &view::Target) -> view::Target {
+    fn row_to_view(&self, target: &view::Target) -> view::Target {
         let state = match target.state {
             _ if self.is_leaving(&target.name) => view::State::Leaving,
             view::State::Leaving => view::State::Live,
--- a/crates/core/src/control/table/vm.rs
+++ b/crates/core/src/control/table/vm.rs
@@ -1,4 +1,4 @@
-//! The other VMs and the probes of them.
+//! The other VMs, and the probes that check whether they answer.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -15,27 +15,27 @@
     view,
 };
 
-/// Another VM.
+/// The row of another VM.
 #[derive(Clone, Debug)]
 pub struct Vm {
-    /// What is believed of it.
+    /// The state of the VM, merged from all reports.
     pub member: Member,
-    /// Whether the platform lists it.
+    /// Whether the platform lists the VM.
     pub listed: bool,
-    /// Since when it has been in its state.
+    /// Since when the VM has been in its state.
     pub since: Instant,
-    /// Who said so.
+    /// Who reported the state.
     pub source: Source,
-    /// When it is gone if it is suspect and does not refute it.
+    /// When a suspect VM counts as gone unless it refutes the suspicion.
     pub gone_at: Option<Instant>,
-    /// The incarnation of this VM that it has acknowledged; it then knows where
-    /// to reach this VM.
-    pub introduced: u64,
+    /// The incarnation of the own VM that the other one has acknowledged, and
+    /// for which it therefore knows the addresses. Zero if there is none.
+    pub acked_incarnation: u64,
 }
 
 impl Vm {
-    /// The row as the view shows it, or none if the VM is gone.
-    pub fn shown(&self) -> Option<view::Vm> {
+    /// The VM as it appears in the view, or `None` if it is gone.
+    pub fn to_view(&self) -> Option<view::Vm> {
         let member = &self.member;
         let state = match member.health {
             Health::Gone => return None,
@@ -43,11 +43,11 @@
             Health::Suspect => view::State::Suspect,
             Health::Live => view::State::Live,
         };
-        Some(self.named(state))
+        Some(self.with_state(state))
     }
 
-    /// The row with the state `state`.
-    pub fn named(&self, state: view::State) -> view::Vm {
+    /// The VM in the form of the view, with the given state.
+    pub fn with_state(&self, state: view::State) -> view::Vm {
         view::Vm {
             name: self.member.vm.clone(),
             domain: self.member.contact.domain.clone(),
@@ -58,90 +58,93 @@
         }
     }
 
-    /// Whether it is not known to be gone.
+    /// Whether the VM is live or suspect.
     pub fn present(&self) -> bool {
         self.member.health != Health::Gone
     }
 
-    /// Whether it answers and stays.
-    pub fn steady(&self) -> bool {
+    /// Whether the VM is live and not leaving.
+    pub fn is_active(&self) -> bool {
         self.member.health == Health::Live && !self.member.leaving
     }
 }
 
-/// How far a probe has come.
+/// The stage of a probe, which decides what follows if no answer arrives.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// The VM was pinged.
+    /// This VM pinged the VM. Without an answer, the indirect stage follows.
     Direct,
-    /// Other VMs were asked to ping it.
+    /// Other VMs were asked to ping the VM. Without an answer, the VM is
+    /// suspect.
     Indirect,
-    /// The VM was pinged on behalf of another one.
-    Relayed { asker: Name, probe: u64 },
-    /// A VM that is gone was pinged in case it is back.
-    Revival,
+    /// This VM pinged the VM on behalf of `requester`, to which the answer is
+    /// passed on under the number `probe`.
+    Delegated { requester: Name, probe: u64 },
+    /// This VM pinged a VM that is gone, or one from the settings, in case it
+    /// answers.
+    Reconnect,
 }
 
-/// A probe that is not answered yet.
+/// A probe without an answer so far.
 #[derive(Clone, Debug)]
 pub struct Probe {
-    /// The VM.
+    /// The VM that is probed.
     pub vm: Name,
-    /// How far it has come.
     pub stage: Stage,
     /// When the stage ends.
     pub until: Instant,
 }
 
-/// The other VMs and the probes of them.
+/// The other VMs, and the probes that check whether they answer.
 #[derive(Debug, Default)]
 pub struct Vms {
-    /// The VMs by name.
     pub rows: BTreeMap<Name, Vm>,
-    /// The VMs that are suspect.
     pub suspects: BTreeSet<Name>,
-    /// The VMs that are gone.
     pub gone: BTreeSet<Name>,
-    /// The VMs that answer, as of the last ranking.
+    /// The VMs that were live, leaving ones included, when the VMs were last
+    /// ranked.
     pub live: Vec<Name>,
     /// The probes by number.
     pub probes: BTreeMap<u64, Probe>,
-    /// The last number given to a probe.
-    pub last: u64,
+    /// The last number that was assigned to a probe.
+    pub last_probe: u64,
     /// The VMs that are still to be probed in this round, in random order.
-    pub order: Vec<Name>,
-    /// VMs that are to be probed at once.
-    pub urgent: Vec<Name>,
-    /// The VM that was last heard.
-    pub heard: Option<Name>,
-    /// When the next VM is probed.
-    pub next: Instant,
-    /// When the next VM that is gone is probed.
-    pub revive: Instant,
+    pub probe_order: Vec<Name>,
+    /// VMs to probe in the next step, because a traffic thread could not reach
+    /// them.
+    pub urgent_probes: Vec<Name>,
+    /// The VM whose message was handled last.
+    pub last_sender: Option<Name>,
+    /// When the next VM of the round is probed.
+    pub next_probe: Instant,
+    /// When the next VM that is gone is pinged.
+    pub next_reconnect: Instant,
     /// When soft state is next compared with another VM.
-    pub compare: Instant,
-    /// VMs from the settings, used until others are known.
+    pub next_sync: Instant,
+    /// VMs from the settings, which are pinged while no other VM is known.
     pub seeds: Vec<(Name, SocketAddr)>,
-    /// Whether this VM is one of those that read from the service for all.
+    /// Whether this VM is one of those that read from the platform's service on
+    /// behalf of all.
     pub watcher: bool,
-    /// Whether the rank of the VMs must be computed anew.
+    /// Whether the watchers and the live VMs must be determined again.
     pub rerank: bool,
 }
 
 impl Vms {
-    /// The number of VMs that are not gone, with this one.
+    /// The number of VMs that are not gone, including this one.
     pub fn count(&self) -> usize {
         1 + self.rows.len() - self.gone.len()
     }
 
-    /// Notes the health of a VM that was added or changed.
-    pub fn index(&mut self, vm: &Name, health: Health) {
-        note(&mut self.suspects, vm, health == Health::Suspect);
-        note(&mut self.gone, vm, health == Health::Gone);
+    /// Updates the sets of suspect and gone VMs for a VM that was added or
+    /// changed.
+    pub fn update_index(&mut self, vm: &Name, health: Health) {
+        set_contains(&mut self.suspects, vm, health == Health::Suspect);
+        set_contains(&mut self.gone, vm, health == Health::Gone);
         self.rerank = true;
     }
 
-    /// Forgets VMs that are gone.
+    /// Removes VMs that are gone.
     pub fn forget(&mut self, vms: &[Name]) {
         for vm in vms {
             self.rows.remove(vm);
@@ -150,8 +153,8 @@
     }
 }
 
-fn note(names: &mut BTreeSet<Name>, vm: &Name, belongs: bool) {
-    if belongs {
+fn set_contains(names: &mut BTreeSet<Name>, vm: &Name, contained: bool) {
+    if contained {
         names.insert(vm.clone());
     } else {
         names.remove(vm);
--- a/crates/core/tests/control/publication.rs
+++ b/crates/core/tests/control/publication.rs
@@ -121,7 +121,7 @@
         publish(&mut world, &vm(0), 7);
         let id = world.publish(&vm(1), 8, None);
         world.until(Duration::from_secs(1), |world| {
-            world.platform.values.contains_key(&codec::history(1))
+            world.platform.values.contains_key(&codec::history_key(1))
         });
         world.platform.mode = Mode::Deaf;
         world.run(Duration::from_millis(500));
@@ -135,7 +135,7 @@
         publish(&mut world, &vm(0), 7);
         let id = world.publish(&vm(1), 8, None);
         world.until(Duration::from_secs(1), |world| {
-            world.platform.values.contains_key(&codec::history(1))
+            world.platform.values.contains_key(&codec::history_key(1))
         });
         world.platform.mode = Mode::Deaf;
         world.run(Duration::from_millis(500));
@@ -149,7 +149,7 @@
         publish(&mut world, &vm(0), 7);
         let id = world.publish(&vm(1), 8, None);
         world.until(Duration::from_secs(1), |world| {
-            world.platform.values.contains_key(&codec::history(1))
+            world.platform.values.contains_key(&codec::history_key(1))
         });
         world.platform.mode = Mode::Deaf;
         let Answer::Unsettled { token } = world.answer(id) else { panic!() };
@@ -162,7 +162,7 @@
         publish(&mut world, &vm(0), 7);
         let id = world.publish(&vm(1), 8, None);
         world.until(Duration::from_secs(1), |world| {
-            world.platform.values.contains_key(&codec::history(1))
+            world.platform.values.contains_key(&codec::history_key(1))
         });
         world.platform.mode = Mode::Deaf;
         world.run(Duration::from_millis(500));
@@ -184,7 +184,7 @@
         publish(&mut world, &vm(0), 7);
         let id = world.publish(&vm(1), 8, None);
         world.until(Duration::from_secs(1), |world| {
-            world.platform.values.contains_key(&codec::history(1))
+            world.platform.values.contains_key(&codec::history_key(1))
         });
         world.platform.mode = Mode::Down;
         let Answer::Unsettled { token } = world.answer(id) else { panic!() };
--- a/crates/core/tests/control/world.rs
+++ b/crates/core/tests/control/world.rs
@@ -10,7 +10,7 @@
     claim::Verdict,
     control::{
         Answer, Engine, Event, Limits, Message, Outbox, Request, RequestId, Setup,
-        table::call::CLAIMS,
+        table::call::CLAIMS_CALL_BIT,
     },
     id::Query,
     log::Line,
@@ -307,7 +307,7 @@
                 self.delay(start.clone(), id, call);
                 continue;
             }
-            if id.0 & CLAIMS != 0 {
+            if id.0 & CLAIMS_CALL_BIT != 0 {
                 self.claim_calls += 1;
             }
             for (at, vm, id, reply) in self.platform.call(self.now, start.clone(), id, call) {
