Name the faults of the simulated platform service by what happens

The simulated service of the control tests is also used by the tests in crates/core/tests/world, fuzz and matrix, so this commit only renames the items that are used there. No behaviour changes.

crates/core/tests/control/platform.rs: GIVE_UP -> CALL_TIMEOUT Mode::Deaf -> Mode::ReplyLost Platform::late -> Platform::apply_late Platform::end -> Platform::end_watch

--- a/crates/core/tests/control/fuzz.rs
+++ b/crates/core/tests/control/fuzz.rs
@@ -48,7 +48,7 @@
         3 => Just(Mode::Up),
         1 => Just(Mode::Down),
         1 => Just(Mode::Refusing),
-        2 => Just(Mode::Deaf),
+        2 => Just(Mode::ReplyLost),
         2 => Just(Mode::Late),
     ];
     prop_oneof![
--- a/crates/core/tests/control/platform.rs
+++ b/crates/core/tests/control/platform.rs
@@ -21,13 +21,13 @@
     /// Refuses; the client knows that nothing took effect.
     Refusing,
     /// Takes effect and loses the answer.
-    Deaf,
+    ReplyLost,
     /// Writes take effect long after the client has given them up.
     Late,
 }
 
 /// The time after which a client gives a call up.
-pub const GIVE_UP: Duration = Duration::from_millis(1000);
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// A watch that waits.
 struct Watch {
@@ -91,20 +91,22 @@
         self.calls += 1;
         let lost = Reply::Lost { detail: "no answer".to_owned() };
         match self.mode {
-            Mode::Down => return vec![(now + GIVE_UP, vm, id, lost)],
-            Mode::ListOnly if call != Call::List => return vec![(now + GIVE_UP, vm, id, lost)],
+            Mode::Down => return vec![(now + CALL_TIMEOUT, vm, id, lost)],
+            Mode::ListOnly if call != Call::List => {
+                return vec![(now + CALL_TIMEOUT, vm, id, lost)];
+            }
             Mode::Refusing => {
                 let refused = Reply::Refused { detail: "no connection".to_owned() };
                 return vec![(now + self.delay, vm, id, refused)];
             }
-            Mode::Up | Mode::ListOnly | Mode::Deaf | Mode::Late => {}
+            Mode::Up | Mode::ListOnly | Mode::ReplyLost | Mode::Late => {}
         }
         if let Call::Watch { prefix, after, wait } = call {
             return self.watch(now, Watch { vm, call: id, prefix, after }, wait);
         }
         let (reply, mut answers) = self.carry(now, call);
         let answer = match self.mode {
-            Mode::Deaf => (now + GIVE_UP, vm, id, lost),
+            Mode::ReplyLost => (now + CALL_TIMEOUT, vm, id, lost),
             _ => (now + self.delay, vm, id, reply),
         };
         answers.push(answer);
@@ -112,7 +114,7 @@
     }
 
     /// Takes a write whose client has given it up.
-    pub fn late(&mut self, now: Instant, call: Call) -> Vec<Answer> {
+    pub fn apply_late(&mut self, now: Instant, call: Call) -> Vec<Answer> {
         self.carry(now, call).1
     }
 
@@ -140,7 +142,7 @@
     }
 
     /// Forgets a watch whose time is up.
-    pub fn end(&mut self, vm: &(Name, u64), call: CallId) {
+    pub fn end_watch(&mut self, vm: &(Name, u64), call: CallId) {
         self.watches.retain(|watch| watch.vm != *vm || watch.call != call);
     }
 
--- a/crates/core/tests/control/publication.rs
+++ b/crates/core/tests/control/publication.rs
@@ -110,7 +110,7 @@
     a_lost_answer_is_settled_by_the_own_token => {
         let mut world = settled(5, 6);
         publish(&mut world, &vm(0), 7);
-        world.platform.mode = Mode::Deaf;
+        world.platform.mode = Mode::ReplyLost;
         let id = world.publish(&vm(1), 8, None);
         world.run(Duration::from_millis(10));
         world.platform.mode = Mode::Up;
@@ -123,7 +123,7 @@
         world.until(Duration::from_secs(1), |world| {
             world.platform.values.contains_key(&codec::history_key(1))
         });
-        world.platform.mode = Mode::Deaf;
+        world.platform.mode = Mode::ReplyLost;
         world.run(Duration::from_millis(500));
         assert_eq!(world.platform.writes, 2);
         world.platform.mode = Mode::Up;
@@ -137,7 +137,7 @@
         world.until(Duration::from_secs(1), |world| {
             world.platform.values.contains_key(&codec::history_key(1))
         });
-        world.platform.mode = Mode::Deaf;
+        world.platform.mode = Mode::ReplyLost;
         world.run(Duration::from_millis(500));
         world.platform.mode = Mode::Up;
         let winner = publish(&mut world, &vm(2), 9);
@@ -151,7 +151,7 @@
         world.until(Duration::from_secs(1), |world| {
             world.platform.values.contains_key(&codec::history_key(1))
         });
-        world.platform.mode = Mode::Deaf;
+        world.platform.mode = Mode::ReplyLost;
         let Answer::Unsettled { token } = world.answer(id) else { panic!() };
         world.platform.mode = Mode::Up;
         let id = world.ask(&vm(4), Request::Settle { token });
@@ -164,7 +164,7 @@
         world.until(Duration::from_secs(1), |world| {
             world.platform.values.contains_key(&codec::history_key(1))
         });
-        world.platform.mode = Mode::Deaf;
+        world.platform.mode = Mode::ReplyLost;
         world.run(Duration::from_millis(500));
         world.platform.mode = Mode::Refusing;
         let answer = world.answer(id);
--- a/crates/core/tests/control/world.rs
+++ b/crates/core/tests/control/world.rs
@@ -25,7 +25,7 @@
 use crate::{
     fixture::{Json, address, name, profiles, row, target, team, vm},
     network::Network,
-    platform::{GIVE_UP, Mode, Platform},
+    platform::{CALL_TIMEOUT, Mode, Platform},
 };
 
 /// The wall-clock time at which a world starts.
@@ -224,14 +224,14 @@
             | Delivery::Reply((vm, _), ..)
             | Delivery::Event((vm, _), _) => vm.clone(),
             Delivery::Late(call) => {
-                for (at, vm, id, reply) in self.platform.late(self.now, call.clone()) {
+                for (at, vm, id, reply) in self.platform.apply_late(self.now, call.clone()) {
                     self.enqueue(at, Delivery::Reply(vm, id, reply));
                 }
                 return;
             }
         };
         if let Delivery::Reply(start, call, _) = &delivery {
-            self.platform.end(start, *call);
+            self.platform.end_watch(start, *call);
         }
         let Some(node) = self.nodes.get(&vm) else { return };
         if let Some(until) = node.paused.filter(|&until| until > self.now) {
@@ -320,7 +320,7 @@
     /// Lets a write take effect only after its client has given it up.
     fn delay(&mut self, start: (Name, u64), id: CallId, call: Call) {
         let lost = Reply::Lost { detail: "no answer".to_owned() };
-        self.enqueue(self.now + GIVE_UP, Delivery::Reply(start, id, lost));
+        self.enqueue(self.now + CALL_TIMEOUT, Delivery::Reply(start, id, lost));
         self.enqueue(self.now + LATE, Delivery::Late(call));
     }
 
--- a/crates/core/tests/fuzz/reference.rs
+++ b/crates/core/tests/fuzz/reference.rs
@@ -269,7 +269,7 @@
         4 => Just(Mode::Up),
         1 => Just(Mode::Down),
         1 => Just(Mode::Refusing),
-        2 => Just(Mode::Deaf),
+        2 => Just(Mode::ReplyLost),
         2 => Just(Mode::Late),
     ];
     prop_oneof![
--- a/crates/core/tests/matrix/fault.rs
+++ b/crates/core/tests/matrix/fault.rs
@@ -75,7 +75,7 @@
     match fault {
         Fault::StoreDown => world.platform().mode = Mode::Down,
         Fault::StoreSlow => world.platform().delay = 400 * MS,
-        Fault::AnswerLost => world.platform().mode = Mode::Deaf,
+        Fault::AnswerLost => world.platform().mode = Mode::ReplyLost,
         Fault::OperatorsRacing => {
             world.publish_profiles(&parties.other, None);
             world.publish_profiles(&parties.actor, None);
--- a/crates/core/tests/world/control.rs
+++ b/crates/core/tests/world/control.rs
@@ -19,7 +19,7 @@
 
 use super::{
     Delivery, World, name,
-    platform::{GIVE_UP, Mode, Platform},
+    platform::{CALL_TIMEOUT, Mode, Platform},
 };
 
 /// The wall-clock time at which a world starts, in milliseconds.
@@ -176,7 +176,7 @@
         let caller = (vm.clone(), start);
         if platform.mode == Mode::Late && matches!(call, Call::Swap { .. }) {
             let lost = Reply::Lost { detail: "no answer".to_owned() };
-            self.schedule(self.now + GIVE_UP, Delivery::Stored(caller, id, lost));
+            self.schedule(self.now + CALL_TIMEOUT, Delivery::Stored(caller, id, lost));
             self.schedule(self.now + LATE, Delivery::Late(call));
             return;
         }
@@ -187,7 +187,7 @@
 
     /// Takes a write whose client has given it up.
     pub(super) fn write_late(&mut self, call: Call) {
-        let answers = self.platform.as_mut().unwrap().late(self.now, call);
+        let answers = self.platform.as_mut().unwrap().apply_late(self.now, call);
         for (at, vm, id, reply) in answers {
             self.schedule(at, Delivery::Stored(vm, id, reply));
         }
@@ -195,7 +195,7 @@
 
     /// Takes an answer of the platform's service.
     pub(super) fn stored(&mut self, caller: &(Name, u64), call: CallId, reply: Reply) {
-        self.platform.as_mut().unwrap().end(caller, call);
+        self.platform.as_mut().unwrap().end_watch(caller, call);
         if self.vms.get(&caller.0).is_some_and(|vm| vm.start == caller.1) {
             self.inform(&caller.0, Duration::ZERO, Event::Reply { call, reply });
         }
