Reword the tests of the control engines

Test names, cases, bounds and seeds are unchanged.

One printed line of the cost test is reworded; nothing matches it.

--- a/crates/core/tests/control/claims.rs
+++ b/crates/core/tests/control/claims.rs
@@ -1,5 +1,6 @@
-//! Claims through the control engine: the verdict comes back to the thread that
-//! asked, and a resend through another VM gets no second right to run.
+//! Claims through the control engine: the verdict is returned to the thread
+//! that asked, and a resend through another VM does not get the right to run
+//! again.
 
 use std::time::Duration;
 
@@ -15,13 +16,13 @@
 use crate::{
     fixture::vm,
     platform::Mode,
-    world::{EPOCH, World},
+    world::{EPOCH_MS, World},
 };
 
 fn settled(seed: u64) -> World {
     let mut world = World::new(5, seed);
-    assert!(world.until(Duration::from_secs(3), World::settled).is_some());
-    world.run(Duration::from_secs(3));
+    assert!(world.run_until(Duration::from_secs(3), World::settled).is_some());
+    world.run_for(Duration::from_secs(3));
     world
 }
 
@@ -31,7 +32,7 @@
 
 /// The idempotency key of the requests, issued now.
 fn key(world: &World) -> Key {
-    let millis = EPOCH + world.now.0 / 1000;
+    let millis = EPOCH_MS + world.now.0 / 1000;
     Key(uuid::Builder::from_unix_timestamp_millis(millis, &[7; 10]).into_uuid())
 }
 
@@ -41,7 +42,7 @@
     let deadline = world.now + Duration::from_secs(2);
     world.report(at, Report::Claim { operation: query(origin), request, deadline });
     let done = |world: &World| world.verdicts.contains_key(&query(origin));
-    world.until(Duration::from_secs(5), done);
+    world.run_until(Duration::from_secs(5), done);
     world.verdicts.get(&query(origin)).cloned()
 }
 
--- a/crates/core/tests/control/cost.rs
+++ b/crates/core/tests/control/cost.rs
@@ -1,5 +1,5 @@
-//! What control costs: calls of the platform's service must not grow with the
-//! number of VMs, and neither must the messages of a VM.
+//! The cost of the control thread: neither the calls of the platform's service
+//! nor the messages of a VM may grow with the number of VMs.
 
 use std::time::Duration;
 
@@ -8,13 +8,13 @@
 use crate::fixture::vm;
 use crate::world::World;
 
-/// The time over which a cost is measured.
-const SPAN: Duration = Duration::from_secs(20);
+const MEASUREMENT_PERIOD: Duration = Duration::from_secs(20);
 
 /// The time within which an accepted revision is in force on every VM.
-const IN_FORCE: Duration = Duration::from_secs(3);
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(3);
 
-/// What was measured.
+/// The messages and bytes that each VM sends a second, the calls that all VMs
+/// make a second, and the highest number of watches.
 #[derive(Clone, Copy, Debug)]
 struct Cost {
     messages: f64,
@@ -24,25 +24,26 @@
     watches: usize,
 }
 
-/// The most that may be measured, at whatever number of VMs.
-const QUIET: Cost = Cost { messages: 4.5, bytes: 600.0, calls: 9.0, claim_calls: 2.5, watches: 3 };
+/// The highest cost allowed without changes, for any number of VMs.
+const IDLE_LIMITS: Cost =
+    Cost { messages: 4.5, bytes: 600.0, calls: 9.0, claim_calls: 2.5, watches: 3 };
 
-/// The same while profiles are published once a second.
-const BUSY: Cost =
+/// The highest cost allowed while profiles are published once a second.
+const PUBLISHING_LIMITS: Cost =
     Cost { messages: 12.0, bytes: 1500.0, calls: 14.0, claim_calls: 2.5, watches: 3 };
 
-fn quiet(count: usize) -> World {
+fn idle_world(count: usize) -> World {
     let mut world = World::new(count, 1);
-    assert!(world.until(Duration::from_secs(10), World::settled).is_some());
-    // The news that every VM has started is passed on for a while.
-    let told =
+    assert!(world.run_until(Duration::from_secs(10), World::settled).is_some());
+    // The VMs gossip about the start of every VM for a while.
+    let is_passed_on =
         |world: &World| world.nodes.values().all(|node| node.engine.tables().gossip.is_empty());
-    let took = world.until(Duration::from_secs(600), told).unwrap();
+    let took = world.run_until(Duration::from_secs(600), is_passed_on).unwrap();
     let (messages, bytes) = sent(&world);
     let count = count as u64;
     let (messages, bytes) = (messages / count, bytes / count);
-    println!("{count} VMs: start of all told in {took:?}, {messages} messages, {bytes} bytes each");
-    world.run(Duration::from_secs(20));
+    println!("{count} VMs: starts gossiped for {took:?}, {messages} messages, {bytes} bytes each");
+    world.run_for(Duration::from_secs(20));
     world
 }
 
@@ -51,15 +52,14 @@
     each.fold((0, 0), |sum, sent| (sum.0 + sent.0, sum.1 + sent.1))
 }
 
-/// Measures the messages and bytes that each VM sends a second and the calls
-/// of the service a second, while `change` is done once a second.
+/// Measures the cost while `change` is applied once a second.
 fn measure(world: &mut World, change: impl Fn(&mut World, u32)) -> Cost {
     let (before, calls, claims) = (sent(world), world.platform.calls, world.claim_calls);
     let mut watches = 0;
     let start = world.now;
-    for second in 0..SPAN.as_secs() {
+    for second in 0..MEASUREMENT_PERIOD.as_secs() {
         change(world, u32::try_from(second).unwrap() + 1);
-        world.run(Duration::from_secs(1));
+        world.run_for(Duration::from_secs(1));
         watches = watches.max(world.platform.watches());
     }
     let after = sent(world);
@@ -76,7 +76,7 @@
     cost
 }
 
-fn within(found: Cost, most: Cost) {
+fn assert_within(found: Cost, most: Cost) {
     assert!(found.messages <= most.messages, "{found:?} is above {most:?}");
     assert!(found.bytes <= most.bytes, "{found:?} is above {most:?}");
     assert!(found.calls <= most.calls, "{found:?} is above {most:?}");
@@ -87,19 +87,20 @@
 fn publish(world: &mut World, mark: u32) {
     let id = world.publish(&vm(1), mark, None);
     let Answer::Accepted { revision, .. } = world.answer(id) else { panic!() };
-    let took = world.until(IN_FORCE, |world| world.all(|view| view.document.revision == revision));
+    let took = world
+        .run_until(IN_FORCE_LIMIT, |world| world.all(|view| view.document.revision == revision));
     println!("{} VMs: in force everywhere after {:?}", world.nodes.len(), took.unwrap());
 }
 
-fn check(count: usize) {
-    let mut world = quiet(count);
-    within(measure(&mut world, |_, _| ()), QUIET);
-    within(measure(&mut world, publish), BUSY);
+fn check_cost(count: usize) {
+    let mut world = idle_world(count);
+    assert_within(measure(&mut world, |_, _| ()), IDLE_LIMITS);
+    assert_within(measure(&mut world, publish), PUBLISHING_LIMITS);
 }
 
 cases! {
-    control_of_5_vms_keeps_within_its_cost => check(5);
-    control_of_19_vms_keeps_within_its_cost => check(19);
-    control_of_60_vms_keeps_within_its_cost => check(60);
-    control_of_200_vms_keeps_within_its_cost => check(200);
+    control_of_5_vms_keeps_within_its_cost => check_cost(5);
+    control_of_19_vms_keeps_within_its_cost => check_cost(19);
+    control_of_60_vms_keeps_within_its_cost => check_cost(60);
+    control_of_200_vms_keeps_within_its_cost => check_cost(200);
 }
--- a/crates/core/tests/control/drain.rs
+++ b/crates/core/tests/control/drain.rs
@@ -1,4 +1,5 @@
-//! A target that is leaving gets no new work, whoever says so first.
+//! A target that is leaving gets no new work, whether the target itself,
+//! another VM or the platform's list reports it first.
 
 use std::time::Duration;
 
@@ -11,12 +12,12 @@
 use crate::world::World;
 
 /// The time within which a leaving target is known to every VM.
-const IN_FORCE: Duration = Duration::from_secs(2);
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 
 fn settled(seed: u64) -> World {
     let mut world = World::new(19, seed);
-    assert!(world.until(Duration::from_secs(3), World::settled).is_some());
-    world.run(Duration::from_secs(3));
+    assert!(world.run_until(Duration::from_secs(3), World::settled).is_some());
+    world.run_for(Duration::from_secs(3));
     world
 }
 
@@ -32,19 +33,19 @@
     Report::Serving { target: name("r1"), incarnation }
 }
 
-fn list(world: &mut World, state: State) {
+fn set_listed_state(world: &mut World, state: State) {
     world.platform.targets.get_mut(&name("r1")).unwrap().state = state;
 }
 
-fn reaches_a_vm_that_hears_one_other_only(seed: u64) {
+fn check_vm_that_hears_one_other_only(seed: u64) {
     let mut world = settled(seed);
     for other in (0..19).filter(|&other| other != 7 && other != 8) {
         world.network.cut(&vm(other), &vm(7));
         world.network.cut(&vm(7), &vm(other));
     }
-    world.run(Duration::from_secs(20));
+    world.run_for(Duration::from_secs(20));
     world.report(&vm(3), draining(5));
-    assert!(world.until(IN_FORCE, |world| world.all(leaving)).is_some(), "seed {seed}");
+    assert!(world.run_until(DRAIN_LIMIT, |world| world.all(leaving)).is_some(), "seed {seed}");
 }
 
 cases! {
@@ -52,58 +53,58 @@
         let mut world = settled(1);
         world.report(&vm(3), draining(5));
         assert!(leaving(world.view(&vm(3))));
-        assert!(world.until(IN_FORCE, |world| world.all(leaving)).is_some());
+        assert!(world.run_until(DRAIN_LIMIT, |world| world.all(leaving)).is_some());
     };
     the_list_alone_is_enough => {
         let mut world = settled(2);
-        list(&mut world, State::Leaving);
-        assert!(world.until(IN_FORCE, |world| world.all(leaving)).is_some());
+        set_listed_state(&mut world, State::Leaving);
+        assert!(world.run_until(DRAIN_LIMIT, |world| world.all(leaving)).is_some());
     };
     the_word_of_a_peer_reaches_a_vm_that_hears_one_other_only => {
-        (100..110).for_each(reaches_a_vm_that_hears_one_other_only);
+        (100..110).for_each(check_vm_that_hears_one_other_only);
     };
     a_list_that_lags_does_not_take_the_word_of_a_target_back => {
         let mut world = settled(4);
         world.report(&vm(3), draining(5));
-        world.run(Duration::from_secs(30));
+        world.run_for(Duration::from_secs(30));
         assert!(world.all(leaving));
     };
     the_word_of_the_same_or_an_earlier_incarnation_takes_nothing_back => {
         let mut world = settled(5);
         world.report(&vm(3), draining(5));
-        world.run(IN_FORCE);
+        world.run_for(DRAIN_LIMIT);
         world.report(&vm(4), serving(5));
         world.report(&vm(5), serving(4));
-        world.run(IN_FORCE);
+        world.run_for(DRAIN_LIMIT);
         assert!(world.all(leaving));
     };
     the_word_of_a_newer_incarnation_takes_it_back_everywhere => {
         let mut world = settled(6);
         world.report(&vm(3), draining(5));
-        world.run(IN_FORCE);
+        world.run_for(DRAIN_LIMIT);
         world.report(&vm(4), serving(6));
-        assert!(world.until(IN_FORCE, |world| world.all(|view| !leaving(view))).is_some());
+        assert!(world.run_until(DRAIN_LIMIT, |world| world.all(|view| !leaving(view))).is_some());
     };
     the_word_of_a_newer_incarnation_overrules_a_list_that_lags => {
         let mut world = settled(7);
         world.report(&vm(3), serving(5));
-        list(&mut world, State::Leaving);
-        world.run(IN_FORCE);
+        set_listed_state(&mut world, State::Leaving);
+        world.run_for(DRAIN_LIMIT);
         assert!(world.all(leaving));
         world.report(&vm(3), serving(6));
         assert!(!leaving(world.view(&vm(3))));
     };
     the_word_of_the_listed_incarnation_does_not_overrule_the_list => {
         let mut world = settled(8);
-        list(&mut world, State::Leaving);
-        world.run(IN_FORCE);
+        set_listed_state(&mut world, State::Leaving);
+        world.run_for(DRAIN_LIMIT);
         world.report(&vm(3), serving(5));
         assert!(leaving(world.view(&vm(3))));
     };
     a_newer_incarnation_than_the_first_heard_overrules_a_list_that_lags => {
         let mut world = settled(10);
-        list(&mut world, State::Leaving);
-        world.run(IN_FORCE);
+        set_listed_state(&mut world, State::Leaving);
+        world.run_for(DRAIN_LIMIT);
         world.report(&vm(3), serving(5));
         world.report(&vm(3), serving(6));
         assert!(!leaving(world.view(&vm(3))));
@@ -112,9 +113,9 @@
         let mut world = settled(9);
         world.isolate(&vm(7));
         world.report(&vm(3), draining(5));
-        world.run(Duration::from_secs(60));
+        world.run_for(Duration::from_secs(60));
         world.network.heal();
-        let took = world.until(Duration::from_secs(30), |world| leaving(world.view(&vm(7))));
+        let took = world.run_until(Duration::from_secs(30), |world| leaving(world.view(&vm(7))));
         assert!(took.is_some());
     };
 }
--- a/crates/core/tests/control/fixture.rs
+++ b/crates/core/tests/control/fixture.rs
@@ -27,19 +27,18 @@
     Name::try_from(format!("vm-{number:03}")).unwrap()
 }
 
-/// A name.
 pub fn name(text: &str) -> Name {
     Name::try_from(text).unwrap()
 }
 
-/// The address of the VM with this name.
+/// The address at `port` of the VM with this name.
 pub fn address(vm: &Name, port: u16) -> SocketAddr {
     let number: u16 = vm.as_str().trim_start_matches("vm-").parse().unwrap();
     let [high, low] = number.to_be_bytes();
     SocketAddr::from(([10, 0, high, low], port))
 }
 
-/// A VM as it lists itself.
+/// A VM as the platform lists it.
 pub fn row(vm: &Name) -> Vm {
     Vm {
         name: vm.clone(),
@@ -70,7 +69,7 @@
     name("field")
 }
 
-/// Profiles that differ by `mark`.
+/// Profiles with the concurrency limit `mark`, which tells publications apart.
 pub fn profiles(mark: u32) -> BTreeMap<Name, Profile> {
     let raw = Raw {
         team: "field".to_owned(),
--- a/crates/core/tests/control/network.rs
+++ b/crates/core/tests/control/network.rs
@@ -1,33 +1,33 @@
-//! A network whose paths can be cut, each way for itself.
+//! A simulated network whose paths can be cut, each direction separately.
 
 use std::{collections::BTreeSet, time::Duration};
 
 use laburnum_core::name::Name;
 
-/// A network whose paths can be cut.
+/// A simulated network whose paths can be cut, each direction separately.
 pub struct Network {
-    /// The time that a message takes.
+    /// The time that a message takes to arrive.
     pub delay: Duration,
     cut: BTreeSet<(Name, Name)>,
 }
 
 impl Network {
-    /// A network that carries every message within a millisecond.
+    /// A network without cuts that delivers every message after a millisecond.
     pub fn new() -> Network {
         Network { delay: Duration::from_millis(1), cut: BTreeSet::new() }
     }
 
-    /// Cuts the way from one VM to another.
+    /// Drops messages from one VM to another from now on.
     pub fn cut(&mut self, from: &Name, to: &Name) {
         self.cut.insert((from.clone(), to.clone()));
     }
 
-    /// Opens every way.
+    /// Removes all cuts.
     pub fn heal(&mut self) {
         self.cut.clear();
     }
 
-    /// Whether a message gets through.
+    /// Whether a message from one VM to another is delivered.
     pub fn carries(&self, from: &Name, to: &Name) -> bool {
         !self.cut.contains(&(from.clone(), to.clone()))
     }
--- a/crates/core/tests/control/platform.rs
+++ b/crates/core/tests/control/platform.rs
@@ -1,4 +1,4 @@
-//! A small stand-in for the platform's service, with its faults.
+//! A simulation of the platform's service and its faults.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -9,27 +9,27 @@
     view,
 };
 
-/// How the service answers.
+/// How the service handles calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
-    /// As it should.
+    /// Calls are carried out and answered.
     Up,
-    /// Not at all; the client says that nothing is known after a time.
+    /// No call is carried out. The client reports it as lost after a timeout.
     Down,
-    /// Only to reads of the list.
+    /// Only reads of the list are answered; other calls are lost.
     ListOnly,
-    /// Refuses; the client knows that nothing took effect.
+    /// Calls are refused, so the client knows that nothing took effect.
     Refusing,
-    /// Takes effect and loses the answer.
+    /// Calls take effect, but the reply is lost.
     ReplyLost,
-    /// Writes take effect long after the client has given them up.
+    /// Writes take effect long after the client has reported them as lost.
     Late,
 }
 
-/// The time after which a client gives a call up.
+/// The time after which a client reports a call as lost.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// A watch that waits.
+/// A watch that waits for a change.
 struct Watch {
     vm: (Name, u64),
     call: CallId,
@@ -37,26 +37,26 @@
     after: u64,
 }
 
-/// A reply on its way: when, to which start of which VM, to which call.
+/// A reply with the time of its arrival, the VM and its start number, and the
+/// call.
 pub type Answer = (Instant, (Name, u64), CallId, Reply);
 
-/// The platform's service.
+/// The simulated service.
 pub struct Platform {
-    /// How it answers.
     pub mode: Mode,
-    /// How long an answer takes.
+    /// The time from a call to its reply.
     pub delay: Duration,
-    /// The VMs that it lists.
+    /// The VMs that the service lists.
     pub vms: BTreeMap<Name, view::Vm>,
-    /// The targets that it lists.
+    /// The targets that the service lists.
     pub targets: BTreeMap<Name, view::Target>,
-    /// The values.
+    /// The stored values by key.
     pub values: BTreeMap<String, Entry>,
-    /// The number of calls, a watch as one.
+    /// The number of calls; a watch counts as one.
     pub calls: u64,
     /// The number of times that the document in force was written.
     pub writes: u64,
-    /// What was written as the document in force, in order.
+    /// The values that were written as the document in force, in order.
     pub written: Vec<Vec<u8>>,
     change: u64,
     changed: BTreeMap<String, u64>,
@@ -64,7 +64,7 @@
 }
 
 impl Platform {
-    /// A service that is up and holds nothing.
+    /// A service that works and is empty.
     pub fn new() -> Platform {
         Platform {
             mode: Mode::Up,
@@ -81,12 +81,13 @@
         }
     }
 
-    /// The number of watches that wait.
+    /// The number of watches that wait for a change.
     pub fn watches(&self) -> usize {
         self.watches.len()
     }
 
-    /// Takes a call of a VM and returns the replies that it causes.
+    /// Handles a call of a VM. Returns its reply, and those to watches that the
+    /// call ends.
     pub fn call(&mut self, now: Instant, vm: (Name, u64), id: CallId, call: Call) -> Vec<Answer> {
         self.calls += 1;
         let lost = Reply::Lost { detail: "no answer".to_owned() };
@@ -104,7 +105,7 @@
         if let Call::Watch { prefix, after, wait } = call {
             return self.watch(now, Watch { vm, call: id, prefix, after }, wait);
         }
-        let (reply, mut answers) = self.carry(now, call);
+        let (reply, mut answers) = self.apply(now, call);
         let answer = match self.mode {
             Mode::ReplyLost => (now + CALL_TIMEOUT, vm, id, lost),
             _ => (now + self.delay, vm, id, reply),
@@ -113,9 +114,10 @@
         answers
     }
 
-    /// Takes a write whose client has given it up.
+    /// Carries out a write that the client has reported as lost. Returns the
+    /// replies to watches that the write ends.
     pub fn apply_late(&mut self, now: Instant, call: Call) -> Vec<Answer> {
-        self.carry(now, call).1
+        self.apply(now, call).1
     }
 
     fn watch(&mut self, now: Instant, watch: Watch, wait: Duration) -> Vec<Answer> {
@@ -141,12 +143,12 @@
         Reply::Changed { entries, removed: Vec::new(), change: self.change }
     }
 
-    /// Forgets a watch whose time is up.
+    /// Removes a watch that has been answered.
     pub fn end_watch(&mut self, vm: &(Name, u64), call: CallId) {
         self.watches.retain(|watch| watch.vm != *vm || watch.call != call);
     }
 
-    fn carry(&mut self, now: Instant, call: Call) -> (Reply, Vec<Answer>) {
+    fn apply(&mut self, now: Instant, call: Call) -> (Reply, Vec<Answer>) {
         let change = self.change;
         let reply = match call {
             Call::Get { key } => Reply::Value { entry: self.values.get(&key).cloned(), change },
--- a/crates/core/tests/control/quarantine.rs
+++ b/crates/core/tests/control/quarantine.rs
@@ -1,4 +1,4 @@
-//! A request that crashed targets is held back on every VM.
+//! A request that crashed targets is quarantined on every VM.
 
 use std::time::Duration;
 
@@ -11,91 +11,92 @@
 use crate::fixture::{name, vm};
 use crate::world::{Node, World};
 
-const SHARED: Duration = Duration::from_secs(2);
-const POISON: Fingerprint = Fingerprint(7);
+/// The time within which all VMs learn of a lost target or a quarantine.
+const SHARE_LIMIT: Duration = Duration::from_secs(2);
+const CRASHING: Fingerprint = Fingerprint(7);
 
 fn settled(seed: u64) -> World {
     let mut world = World::new(19, seed);
-    assert!(world.until(Duration::from_secs(3), World::settled).is_some());
-    world.run(Duration::from_secs(3));
+    assert!(world.run_until(Duration::from_secs(3), World::settled).is_some());
+    world.run_for(Duration::from_secs(3));
     world
 }
 
-fn lost(target: &str) -> Report {
+fn target_lost(target: &str) -> Report {
     let query = Query { origin: Origin(1), sequence: 1 };
-    Report::Suspect { fingerprint: POISON, query, target: name(target) }
+    Report::Suspect { fingerprint: CRASHING, query, target: name(target) }
 }
 
-fn held(world: &World) -> bool {
-    world.all(|view| view.quarantine.contains_key(&POISON))
+fn is_quarantined(world: &World) -> bool {
+    world.all(|view| view.quarantine.contains_key(&CRASHING))
 }
 
-fn free(world: &World) -> bool {
+fn is_empty(world: &World) -> bool {
     world.all(|view| view.quarantine.is_empty())
 }
 
 cases! {
     two_targets_lost_through_two_vms_hold_a_request_back_everywhere => {
         let mut world = settled(1);
-        world.report(&vm(3), lost("r1"));
-        world.run(SHARED);
-        world.report(&vm(9), lost("r2"));
-        assert!(world.until(SHARED, held).is_some());
+        world.report(&vm(3), target_lost("r1"));
+        world.run_for(SHARE_LIMIT);
+        world.report(&vm(9), target_lost("r2"));
+        assert!(world.run_until(SHARE_LIMIT, is_quarantined).is_some());
     };
     two_targets_lost_at_the_same_time_hold_a_request_back_everywhere => {
         let mut world = settled(2);
-        world.report(&vm(3), lost("r1"));
-        world.report(&vm(9), lost("r2"));
-        assert!(world.until(SHARED, held).is_some());
+        world.report(&vm(3), target_lost("r1"));
+        world.report(&vm(9), target_lost("r2"));
+        assert!(world.run_until(SHARE_LIMIT, is_quarantined).is_some());
     };
     one_target_lost_twice_holds_nothing_back => {
         let mut world = settled(3);
-        world.report(&vm(3), lost("r1"));
-        world.run(SHARED);
-        world.report(&vm(9), lost("r1"));
-        world.run(SHARED);
-        assert!(free(&world));
+        world.report(&vm(3), target_lost("r1"));
+        world.run_for(SHARE_LIMIT);
+        world.report(&vm(9), target_lost("r1"));
+        world.run_for(SHARE_LIMIT);
+        assert!(is_empty(&world));
     };
     a_condemned_request_is_held_back_everywhere => {
         let mut world = settled(4);
-        world.report(&vm(3), Report::Condemned { fingerprint: POISON, origin: Origin(1) });
-        assert!(world.until(SHARED, held).is_some());
+        world.report(&vm(3), Report::Condemned { fingerprint: CRASHING, origin: Origin(1) });
+        assert!(world.run_until(SHARE_LIMIT, is_quarantined).is_some());
     };
     a_request_is_let_go_when_its_time_is_up => {
         let mut world = settled(5);
         let limit = world.limits.quarantine_duration;
-        world.report(&vm(3), Report::Condemned { fingerprint: POISON, origin: Origin(1) });
-        world.run(limit - Duration::from_secs(1));
-        assert!(held(&world));
-        assert!(world.until(Duration::from_secs(5), free).is_some());
-        world.run(Duration::from_secs(30));
-        assert!(free(&world));
+        world.report(&vm(3), Report::Condemned { fingerprint: CRASHING, origin: Origin(1) });
+        world.run_for(limit - Duration::from_secs(1));
+        assert!(is_quarantined(&world));
+        assert!(world.run_until(Duration::from_secs(5), is_empty).is_some());
+        world.run_for(Duration::from_secs(30));
+        assert!(is_empty(&world));
     };
     a_first_loss_is_forgotten_when_its_time_is_up => {
         let mut world = settled(6);
-        world.report(&vm(3), lost("r1"));
-        world.run(world.limits.suspect_duration + Duration::from_secs(5));
-        world.report(&vm(9), lost("r2"));
-        world.run(SHARED);
-        assert!(free(&world));
+        world.report(&vm(3), target_lost("r1"));
+        world.run_for(world.limits.suspect_duration + Duration::from_secs(5));
+        world.report(&vm(9), target_lost("r2"));
+        world.run_for(SHARE_LIMIT);
+        assert!(is_empty(&world));
     };
     the_table_keeps_within_its_limit => {
         let mut world = World::empty(7);
         world.limits.max_fingerprints = 4;
         (0..3).for_each(|number| world.start(&vm(number)));
-        world.run(Duration::from_secs(3));
+        world.run_for(Duration::from_secs(3));
         for fingerprint in 0..20 {
             let report = Report::Condemned { fingerprint: Fingerprint(fingerprint), origin: Origin(1) };
             world.report(&vm(0), report);
         }
-        world.run(SHARED);
+        world.run_for(SHARE_LIMIT);
         assert!(world.all(|view| view.quarantine.len() == 4));
         for fingerprint in 100..120 {
             let query = Query { origin: Origin(1), sequence: 1 };
             let (fingerprint, target) = (Fingerprint(fingerprint), name("r1"));
             world.report(&vm(0), Report::Suspect { fingerprint, query, target });
         }
-        world.run(SHARED);
+        world.run_for(SHARE_LIMIT);
         let suspects = |node: &Node| node.engine.tables().quarantine.suspects.len();
         assert!(world.nodes.values().all(|node| suspects(node) == 4));
     };
--- a/crates/core/tests/control/world.rs
+++ b/crates/core/tests/control/world.rs
@@ -1,4 +1,5 @@
-//! Several VMs on a network with the platform's service, in virtual time.
+//! A simulation of several VMs with a network and the platform's service, in
+//! virtual time.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -28,13 +29,13 @@
     platform::{CALL_TIMEOUT, Mode, Platform},
 };
 
-/// The wall-clock time at which a world starts.
-pub const EPOCH: u64 = 1_700_000_000_000;
+/// The wall-clock time at virtual time zero.
+pub const EPOCH_MS: u64 = 1_700_000_000_000;
 
-/// The time after which a late write takes effect.
-const LATE: Duration = Duration::from_secs(8);
+/// The time after which a write takes effect in [`Mode::Late`].
+const LATE_WRITE_DELAY: Duration = Duration::from_secs(8);
 
-/// What is on its way.
+/// Something that arrives at a later time.
 enum Delivery {
     Message(Name, Box<Message>),
     Reply((Name, u64), CallId, Reply),
@@ -42,38 +43,35 @@
     Late(Call),
 }
 
-/// One VM of the world.
+/// A VM of the simulation.
 pub struct Node {
-    /// Its decisions.
     pub engine: Engine,
-    /// The last view that it published.
+    /// The last view that the engine published.
     pub view: Option<Arc<View>>,
-    /// The lines of its log.
+    /// The log lines of this start.
     pub lines: Vec<Line>,
-    /// The messages and bytes that it sent.
+    /// The number of messages that the VM sent, and their bytes.
     pub sent: (u64, u64),
     start: u64,
     wake: Instant,
     paused: Option<Instant>,
 }
 
-/// The world.
+/// The simulation.
 pub struct World {
-    /// The time.
+    /// The virtual time.
     pub now: Instant,
     /// The VMs that run.
     pub nodes: BTreeMap<Name, Node>,
-    /// The network between them.
     pub network: Network,
-    /// The platform's service.
     pub platform: Platform,
-    /// The number of calls of the platform's service that are for claims.
+    /// The number of calls of the platform's service that claims engines made.
     pub claim_calls: u64,
-    /// The verdicts on claims.
+    /// The verdict on the claim of each operation.
     pub verdicts: BTreeMap<Query, Verdict>,
-    /// The answers to requests.
+    /// The answers to requests of operators.
     pub answers: BTreeMap<RequestId, Answer>,
-    /// The limits of every VM that starts.
+    /// The limits for VMs that start from now on.
     pub limits: Limits,
     /// The highest revision that was in force on each VM since it started.
     pub highest: BTreeMap<Name, Revision>,
@@ -86,7 +84,7 @@
 }
 
 impl World {
-    /// A world of `count` VMs that start at the same time.
+    /// A simulation of `count` VMs that start at the same time.
     pub fn new(count: usize, seed: u64) -> World {
         let mut world = World::empty(seed);
         for number in 0..count {
@@ -95,7 +93,7 @@
         world
     }
 
-    /// A world without VMs.
+    /// A simulation without VMs, with two targets.
     pub fn empty(seed: u64) -> World {
         let mut platform = Platform::new();
         platform.targets = BTreeMap::from([(name("r1"), target("r1")), (name("r2"), target("r2"))]);
@@ -118,17 +116,18 @@
         }
     }
 
-    /// Starts a VM, which the platform lists from now on.
+    /// Starts or restarts a VM, which the platform lists from now on.
     pub fn start(&mut self, vm: &Name) {
         self.platform.vms.insert(vm.clone(), row(vm));
         self.start_with(vm, &[]);
     }
 
-    /// Starts a VM that knows the control addresses of others from its settings.
+    /// Starts or restarts a VM with the control addresses of `seeds` in its
+    /// settings.
     pub fn start_with(&mut self, vm: &Name, seeds: &[Name]) {
         self.kill(vm);
         self.starts += 1;
-        let incarnation = EPOCH + self.now.0 / 1000;
+        let incarnation = EPOCH_MS + self.now.0 / 1000;
         let setup = Setup {
             vm: Vm { incarnation, ..row(vm) },
             seeds: seeds.iter().map(|vm| (vm.clone(), address(vm, 7000))).collect(),
@@ -151,14 +150,15 @@
         self.wakes.insert((self.now, vm.clone()));
     }
 
-    /// Kills a VM; the platform goes on listing it.
+    /// Stops a VM for good without notice. The platform still lists it.
     pub fn kill(&mut self, vm: &Name) {
         if let Some(node) = self.nodes.remove(vm) {
             self.wakes.remove(&(node.wake, vm.clone()));
         }
     }
 
-    /// Stops a VM for a time without its knowledge.
+    /// Pauses a VM for a time. Events that arrive meanwhile are delivered
+    /// afterwards.
     pub fn pause(&mut self, vm: &Name, span: Duration) {
         let until = self.now + span;
         let node = self.nodes.get_mut(vm).unwrap();
@@ -168,7 +168,7 @@
         self.wakes.insert((node.wake, vm.clone()));
     }
 
-    /// Cuts a VM off from every other one, both ways.
+    /// Cuts a VM off from every other one, in both directions.
     pub fn isolate(&mut self, vm: &Name) {
         let others: Vec<Name> = self.nodes.keys().filter(|other| *other != vm).cloned().collect();
         for other in others {
@@ -177,8 +177,8 @@
         }
     }
 
-    /// Runs for a time.
-    pub fn run(&mut self, span: Duration) {
+    /// Runs the simulation for a time.
+    pub fn run_for(&mut self, span: Duration) {
         let end = self.now + span;
         while let Some(at) = self.next().filter(|&at| at <= end) {
             self.now = self.now.max(at);
@@ -187,8 +187,13 @@
         self.now = end;
     }
 
-    /// Runs until `done`, at most for `limit`; returns the time that it took.
-    pub fn until(&mut self, limit: Duration, done: impl Fn(&World) -> bool) -> Option<Duration> {
+    /// Runs until `done` holds and returns the time that this took, or `None`
+    /// if it took longer than `limit`.
+    pub fn run_until(
+        &mut self,
+        limit: Duration,
+        done: impl Fn(&World) -> bool,
+    ) -> Option<Duration> {
         let start = self.now;
         while !done(self) {
             let at = self.next().filter(|at| at.since(start) <= limit)?;
@@ -256,7 +261,8 @@
         self.queue.insert((at, self.sequence), delivery);
     }
 
-    /// Runs one step of a VM; one that is paused takes the events when it goes on.
+    /// Runs one step of a VM. If it is paused, the events are queued until it
+    /// resumes.
     pub fn step(&mut self, vm: &Name, events: Vec<Event>) {
         let Some(node) = self.nodes.get_mut(vm) else { return };
         if let Some(until) = node.paused.filter(|&until| until > self.now) {
@@ -268,7 +274,7 @@
         }
         node.paused = None;
         let mut out = Outbox::default();
-        let wall = Wall(EPOCH + self.now.0 / 1000);
+        let wall = Wall(EPOCH_MS + self.now.0 / 1000);
         node.engine.step(self.now, wall, events, &mut out);
         let wake = node.engine.wake().unwrap();
         assert!(wake > self.now, "{vm} would spin at {:?}", self.now);
@@ -295,7 +301,7 @@
             let size = bincode::serde::encode_to_vec(&post.message, config).unwrap().len();
             node.sent = (node.sent.0 + 1, node.sent.1 + size as u64);
         }
-        self.watch_revision(vm);
+        self.check_revision(vm);
         for post in out.messages {
             if self.network.carries(vm, &post.vm) {
                 let at = self.now + self.network.delay;
@@ -304,7 +310,7 @@
         }
         for (id, call) in out.calls {
             if self.platform.mode == Mode::Late && matches!(call, Call::Swap { .. }) {
-                self.delay(start.clone(), id, call);
+                self.delay_write(start.clone(), id, call);
                 continue;
             }
             if id.0 & CLAIMS_CALL_BIT != 0 {
@@ -317,22 +323,23 @@
         self.answers.extend(out.answers);
     }
 
-    /// Lets a write take effect only after its client has given it up.
-    fn delay(&mut self, start: (Name, u64), id: CallId, call: Call) {
+    /// Reports a write as lost, and lets it take effect only after that.
+    fn delay_write(&mut self, start: (Name, u64), id: CallId, call: Call) {
         let lost = Reply::Lost { detail: "no answer".to_owned() };
         self.enqueue(self.now + CALL_TIMEOUT, Delivery::Reply(start, id, lost));
-        self.enqueue(self.now + LATE, Delivery::Late(call));
+        self.enqueue(self.now + LATE_WRITE_DELAY, Delivery::Late(call));
     }
 
-    /// What must hold at each step: the revision in force on a VM never goes down.
-    fn watch_revision(&mut self, vm: &Name) {
+    /// Checks after each step that the revision in force on a VM never goes
+    /// down.
+    fn check_revision(&mut self, vm: &Name) {
         let revision = self.revision(vm);
         let highest = self.highest.entry(vm.clone()).or_default();
         assert!(revision >= *highest, "{vm} went back from {highest:?} to {revision:?}");
         *highest = revision;
     }
 
-    /// Hands a request of an operator to a VM.
+    /// Sends a request of an operator to a VM.
     pub fn ask(&mut self, vm: &Name, request: Request) -> RequestId {
         self.sequence += 1;
         let id = RequestId(self.sequence);
@@ -341,7 +348,7 @@
         id
     }
 
-    /// Publishes profiles through a VM.
+    /// Publishes [`profiles`] with the given mark through a VM.
     pub fn publish(&mut self, vm: &Name, mark: u32, expect: Option<Revision>) -> RequestId {
         let who = format!("operator-{mark}");
         let request = Request::Publish {
@@ -354,24 +361,24 @@
         self.ask(vm, request)
     }
 
-    /// Waits for the answer to a request.
+    /// Runs until a request is answered, and returns the answer.
     pub fn answer(&mut self, id: RequestId) -> Answer {
-        self.until(Duration::from_secs(20), |world| world.answers.contains_key(&id));
+        self.run_until(Duration::from_secs(20), |world| world.answers.contains_key(&id));
         self.answers.get(&id).cloned().expect("every request is answered")
     }
 
-    /// Whether the VM that took a request was started anew since.
+    /// Whether the VM that received a request was stopped or restarted since.
     pub fn restarted(&self, id: RequestId) -> bool {
         let (vm, start) = &self.asked[&id];
         self.nodes.get(vm).is_none_or(|node| node.start != *start)
     }
 
-    /// Hands the report of a traffic thread to a VM.
+    /// Sends a report of a traffic thread to the control engine of a VM.
     pub fn report(&mut self, vm: &Name, report: Report) {
         self.step(vm, vec![Event::Report { thread: 0, report }]);
     }
 
-    /// The view of a VM.
+    /// The last view that a VM published.
     pub fn view(&self, vm: &Name) -> &View {
         self.nodes[vm].view.as_deref().unwrap()
     }
@@ -386,12 +393,13 @@
         self.document(vm).revision
     }
 
-    /// Whether every VM that runs satisfies `test`.
+    /// Whether the view of every VM that runs satisfies `test`.
     pub fn all(&self, test: impl Fn(&View) -> bool) -> bool {
         self.nodes.values().all(|node| node.view.as_deref().is_some_and(&test))
     }
 
-    /// Whether every VM that runs is ready and sees just those that run as live.
+    /// Whether every VM that runs is ready, and its live VMs are exactly those
+    /// that run.
     pub fn settled(&self) -> bool {
         self.all(|view| {
             let live = view.vms.values().filter(|vm| vm.state == State::Live);
