Name the key of the document in force as a key

CURRENT did not say at its uses that it is a key of the platform's service; it is now CURRENT_KEY (laburnum_core::control::codec). Two local names of the answer to a timed-out request say what they test. No behaviour changes.

--- a/crates/core/src/control/codec.rs
+++ b/crates/core/src/control/codec.rs
@@ -6,7 +6,7 @@
 use crate::{profile::Document, time::Wall};
 
 /// The key under which the document in force is stored.
-pub const CURRENT: &str = "profiles/current";
+pub const CURRENT_KEY: &str = "profiles/current";
 
 /// The prefix of the keys under which replaced documents are stored.
 pub const HISTORY: &str = "profiles/history/";
--- a/crates/core/src/control/system/outcome.rs
+++ b/crates/core/src/control/system/outcome.rs
@@ -114,6 +114,7 @@
     }
 }
 
+/// Logs that the publication lost to the one in force, and makes the answer.
 fn lost(step: &mut Step<'_>, row: &Publication) -> Answer {
     let winner = revision(row);
     let fields = vec![("winner", winner.0.to_string())];
@@ -132,11 +133,13 @@
 
 /// The answer to a request that has timed out.
 pub fn timed_out(tables: &Tables, row: &Publication) -> Answer {
-    let writing = row.stage == Stage::Swap && row.call.is_some();
-    let asked = matches!(row.request, Request::Settle { .. });
+    let is_writing = row.stage == Stage::Swap && row.call.is_some();
+    let is_settle = matches!(row.request, Request::Settle { .. });
     match (&row.request, row.token) {
         (Request::Settle { token }, _) => Answer::Unsettled { token: *token },
-        (_, Some(token)) if row.reply_lost || writing || asked => Answer::Unsettled { token },
+        (_, Some(token)) if row.reply_lost || is_writing || is_settle => {
+            Answer::Unsettled { token }
+        }
         (Request::Show, _) if tables.own.learnt => {
             let document = Arc::clone(&tables.in_force.document);
             Answer::Document { document, confirmed: false }
--- a/crates/core/src/control/system/profiles.rs
+++ b/crates/core/src/control/system/profiles.rs
@@ -7,7 +7,7 @@
 use crate::{
     control::{
         Record,
-        codec::CURRENT,
+        codec::CURRENT_KEY,
         engine::Step,
         message::{Body, Digest, RevisionReport},
         table::{PeerRevision, Tables, age, age::Age},
@@ -25,7 +25,7 @@
     let (entry, change) = match reply {
         Reply::Value { entry, change } => (entry, change),
         Reply::Changed { entries, change, .. } => {
-            (entries.into_iter().rev().find(|entry| entry.key == CURRENT), change)
+            (entries.into_iter().rev().find(|entry| entry.key == CURRENT_KEY), change)
         }
         _ => return failed(tables, step),
     };
--- a/crates/core/src/control/system/publish.rs
+++ b/crates/core/src/control/system/publish.rs
@@ -10,7 +10,7 @@
 use crate::{
     control::{
         Answer, Record, Request, RequestId, access,
-        codec::{CURRENT, HISTORY, MAX_VALUE_BYTES, history_key},
+        codec::{CURRENT_KEY, HISTORY, MAX_VALUE_BYTES, history_key},
         engine::Step,
         request::{Token, difference},
         table::{
@@ -59,13 +59,13 @@
         Call::Swap { key, expect, value, lease: None }
     };
     match &row.stage {
-        Stage::Read => get(CURRENT.to_owned()),
+        Stage::Read => get(CURRENT_KEY.to_owned()),
         Stage::Fetch => get(history_key(rollback(row).0)),
         Stage::Trace => get(history_key(row.token.map_or(0, |token| token.revision.0))),
         Stage::Scan => Call::Scan { prefix: HISTORY.to_owned() },
         Stage::Archive => swap(history_key(revision(row).0), None, row.base.as_ref()),
-        Stage::Swap => swap(CURRENT.to_owned(), row.version, row.proposal.as_ref()),
-        Stage::Fence => swap(CURRENT.to_owned(), row.version, Some(&fence(row))),
+        Stage::Swap => swap(CURRENT_KEY.to_owned(), row.version, row.proposal.as_ref()),
+        Stage::Fence => swap(CURRENT_KEY.to_owned(), row.version, Some(&fence(row))),
     }
 }
 
@@ -143,7 +143,7 @@
     row.base = entry
         .map(|entry| profiles::decode(step, &entry))
         .transpose()
-        .map_err(|e| internal(format!("{CURRENT} cannot be decoded: {e}")))?;
+        .map_err(|e| internal(format!("{CURRENT_KEY} cannot be decoded: {e}")))?;
     Ok(())
 }
 
--- a/crates/core/src/control/system/reading.rs
+++ b/crates/core/src/control/system/reading.rs
@@ -12,7 +12,7 @@
 use crate::{
     control::{
         Limits,
-        codec::CURRENT,
+        codec::CURRENT_KEY,
         engine::Step,
         message::Health,
         table::{Tables, age::Age, call::Purpose, reader::Reader},
@@ -78,9 +78,9 @@
     let (call, wait) = match watch {
         Some(after) => {
             let wait = step.limits.watch_timeout;
-            (Call::Watch { prefix: CURRENT.to_owned(), after, wait }, wait)
+            (Call::Watch { prefix: CURRENT_KEY.to_owned(), after, wait }, wait)
         }
-        None => (Call::Get { key: CURRENT.to_owned() }, Duration::ZERO),
+        None => (Call::Get { key: CURRENT_KEY.to_owned() }, Duration::ZERO),
     };
     tables.profiles.call = Some(call::make(tables, step, Purpose::Profiles, call, wait));
 }
--- a/crates/core/tests/control/platform.rs
+++ b/crates/core/tests/control/platform.rs
@@ -181,7 +181,7 @@
         if current.as_ref().map(|entry| entry.version) != expect {
             return (Reply::Conflict { current }, Vec::new());
         }
-        if key == laburnum_core::control::codec::CURRENT {
+        if key == laburnum_core::control::codec::CURRENT_KEY {
             self.writes += 1;
             self.written.push(value.clone());
         }
--- a/crates/core/tests/control/publication.rs
+++ b/crates/core/tests/control/publication.rs
@@ -189,10 +189,10 @@
         world.platform.mode = Mode::Down;
         let Answer::Unsettled { token } = world.answer(id) else { panic!() };
         world.platform.mode = Mode::Up;
-        let before = world.platform.values[codec::CURRENT].version;
+        let before = world.platform.values[codec::CURRENT_KEY].version;
         let id = world.ask(&vm(4), Request::Settle { token });
         assert_eq!(world.answer(id), Answer::NotPublished { current: Revision(1) });
-        assert!(world.platform.values[codec::CURRENT].version > before);
+        assert!(world.platform.values[codec::CURRENT_KEY].version > before);
     };
     a_publication_while_the_platform_is_down_is_refused_and_changes_nothing => {
         let mut world = settled(5, 11);
@@ -263,7 +263,7 @@
         publish(&mut world, &vm(0), 7);
         let revision = publish(&mut world, &vm(0), 8);
         world.run_for(IN_FORCE_LIMIT);
-        world.platform.values.remove(codec::CURRENT);
+        world.platform.values.remove(codec::CURRENT_KEY);
         world.run_for(Duration::from_secs(10));
         assert!(world.all(|view| view.document.revision == revision));
         assert_eq!(publish(&mut world, &vm(1), 9), Revision(3));
@@ -271,10 +271,10 @@
     a_service_that_shows_an_earlier_revision_does_not_take_a_later_one_back => {
         let mut world = settled(5, 24);
         publish(&mut world, &vm(0), 7);
-        let earlier = world.platform.values[codec::CURRENT].value.clone();
+        let earlier = world.platform.values[codec::CURRENT_KEY].value.clone();
         let revision = publish(&mut world, &vm(0), 8);
         world.run_for(IN_FORCE_LIMIT);
-        world.platform.values.get_mut(codec::CURRENT).unwrap().value = earlier;
+        world.platform.values.get_mut(codec::CURRENT_KEY).unwrap().value = earlier;
         world.run_for(Duration::from_secs(30));
         let id = world.ask(&vm(1), Request::Show);
         world.answer(id);
