Rename core and http items whose names were unclear at their uses

Names that were figurative or carried no unit are replaced; all uses follow and nothing else changes. old -> new:

profile::WHOLE -> profile::WHOLE_PPM latency::DROP -> latency::RECOVERY_FACTOR latency::Latency::exceeded -> record_lower_bound latency::Latency::is_settled -> has_enough_values key::Range::common, key::Set::common -> intersection target::Command::Ask -> ReadStatus notice::Report::Condemned -> Quarantined log::Event::RequestCondemned -> RequestQuarantined log::Event::PartTaken -> RoleDecided log::Line::of -> for_query claim::Key::issued -> issued_millis message::Held -> HeldRange laburnum_http::Whole -> CompleteResponse laburnum_http::Channel::end -> closed

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -14,7 +14,7 @@
 impl Key {
     /// The time of issue in milliseconds since the Unix epoch, or none if this
     /// is no UUIDv7.
-    pub fn issued(&self) -> Option<u64> {
+    pub fn issued_millis(&self) -> Option<u64> {
         let bits = self.0.as_u128();
         (self.0.get_version_num() == 7).then_some((bits >> 80) as u64)
     }
--- a/crates/core/src/claims/expire.rs
+++ b/crates/core/src/claims/expire.rs
@@ -30,7 +30,7 @@
         let Operation { operation, request, tries, .. } = row;
         out.count(Count::Unsettled);
         let fields = vec![("key", request.key.0.to_string())];
-        out.lines.push(log::Line::of(operation, log::Event::ClaimUnsettled, fields));
+        out.lines.push(log::Line::for_query(operation, log::Event::ClaimUnsettled, fields));
         if tries > 0 {
             intake::report(tables, scope, request, Outcome::NotRun, out);
         }
--- a/crates/core/src/claims/layout.rs
+++ b/crates/core/src/claims/layout.rs
@@ -28,7 +28,7 @@
 
     /// The bucket of `key`, or none if the key holds no time of issue.
     pub fn bucket(&self, key: &Key) -> Option<Bucket> {
-        let slot = self.slot_at(key.issued()?);
+        let slot = self.slot_at(key.issued_millis()?);
         let part = xxh3_64(key.0.as_bytes()) % u64::from(self.parts);
         Some(Bucket { slot, part: part as u16 })
     }
--- a/crates/core/src/control/system/quarantine.rs
+++ b/crates/core/src/control/system/quarantine.rs
@@ -79,5 +79,5 @@
     tables.news.add(Key::Condemned(fingerprint));
     tables.changed = true;
     let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
-    step.out.lines.push(Line::new(Event::RequestCondemned, fields));
+    step.out.lines.push(Line::new(Event::RequestQuarantined, fields));
 }
--- a/crates/core/src/control/system/report.rs
+++ b/crates/core/src/control/system/report.rs
@@ -25,7 +25,7 @@
             let remaining = step.limits.suspect_fingerprint;
             quarantine::suspect(tables, step, (fingerprint, target, query.origin), remaining);
         }
-        Report::Condemned { fingerprint, origin } => {
+        Report::Quarantined { fingerprint, origin } => {
             let remaining = step.limits.condemned_fingerprint;
             quarantine::condemn(tables, step, fingerprint, origin, remaining);
         }
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -72,7 +72,7 @@
     }
 
     /// The keys that both ranges hold.
-    pub fn common(self, other: Range) -> Option<Range> {
+    pub fn intersection(self, other: Range) -> Option<Range> {
         let first = self.first.max(other.first);
         let last = self.last.min(other.last);
         (first <= last).then_some(Range { first, last })
@@ -147,8 +147,8 @@
     }
 
     /// The keys of `range` that the set holds.
-    pub fn common(&self, range: Range) -> Set {
-        Set(self.0[self.meeting(range)].iter().filter_map(|own| own.common(range)).collect())
+    pub fn intersection(&self, range: Range) -> Set {
+        Set(self.0[self.meeting(range)].iter().filter_map(|own| own.intersection(range)).collect())
     }
 
     /// The places of the ranges that share a key with `range`.
@@ -177,7 +177,7 @@
     /// It is rounded down, so that a million is stated only for a set that
     /// misses no key.
     pub fn parts_per_million(&self, range: Range) -> u32 {
-        let held = self.common(range).size();
+        let held = self.intersection(range).size();
         let parts = held * MILLION / range.size();
         u32::try_from(parts).unwrap_or(u32::MAX)
     }
--- a/crates/core/src/latency.rs
+++ b/crates/core/src/latency.rs
@@ -40,7 +40,7 @@
 const DROP_WEIGHT: f64 = 0.5;
 
 /// The factor between the mean and a value that counts as far below it.
-pub const DROP: u32 = 2;
+pub const RECOVERY_FACTOR: u32 = 2;
 
 impl Latency {
     /// Adds a value.
@@ -52,7 +52,7 @@
         let bucket = (micros / FIRST_MICROS).max(1.0).log(RATIO).ceil() as usize;
         self.counts[bucket.min(BUCKETS - 1)] += 1;
         self.total += 1;
-        let is_drop = micros * f64::from(DROP) < self.mean_micros;
+        let is_drop = micros * f64::from(RECOVERY_FACTOR) < self.mean_micros;
         let weight = match self.total {
             total if total <= LEAST => 1.0 / f64::from(total),
             _ if is_drop => DROP_WEIGHT,
@@ -68,7 +68,7 @@
 
     /// Notes that an answer would have taken longer than `value`, at which it
     /// was no longer waited for.
-    pub fn exceeded(&mut self, value: Duration) {
+    pub fn record_lower_bound(&mut self, value: Duration) {
         let micros = value.as_secs_f64() * 1e6;
         if micros > self.mean_micros {
             self.mean_micros += (micros - self.mean_micros) * MEAN_WEIGHT;
@@ -76,7 +76,7 @@
     }
 
     /// Whether there are enough values to rely on.
-    pub fn is_settled(&self) -> bool {
+    pub fn has_enough_values(&self) -> bool {
         self.total >= LEAST
     }
 
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -102,7 +102,7 @@
     /// A target is leaving.
     TargetDraining 304 Info "target is draining";
     /// A request crashed targets and is held back from now on.
-    RequestCondemned 305 Error "request crashed targets and is held back";
+    RequestQuarantined 305 Error "request crashed targets and is held back";
     /// A target registered itself.
     TargetListed 306 Info "target is listed";
     /// A target is registered no more.
@@ -132,7 +132,7 @@
     /// The connection to a VM that requests are handed to is lost.
     HopLost 406 Warning "VM that requests are handed to is lost";
     /// How this VM serves requests.
-    PartTaken 407 Info "part of this VM is decided";
+    RoleDecided 407 Info "part of this VM is decided";
     /// A version of the routes is in force on this VM.
     RoutesApplied 504 Info "version of the routes is in force";
     /// A version of the routes cannot be read.
@@ -165,7 +165,7 @@
     }
 
     /// Makes a line of the request `query`.
-    pub fn of(query: id::Query, event: Event, fields: Vec<(&'static str, String)>) -> Line {
+    pub fn for_query(query: id::Query, event: Event, fields: Vec<(&'static str, String)>) -> Line {
         Line { event, query: Some(query), fields }
     }
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -75,12 +75,12 @@
     /// The shard.
     pub shard: Name,
     /// The ranges by version that targets which take work hold.
-    pub ranges: Vec<Held>,
+    pub ranges: Vec<HeldRange>,
 }
 
 /// A range that targets of a shard hold at a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Held {
+pub struct HeldRange {
     /// The version.
     pub version: Version,
     /// The range.
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -26,7 +26,7 @@
     Suspect { fingerprint: Fingerprint, query: id::Query, target: Name },
     /// A request with this fingerprint was lost with two targets and is held
     /// back from now on.
-    Condemned { fingerprint: Fingerprint, origin: Origin },
+    Quarantined { fingerprint: Fingerprint, origin: Origin },
     /// A target said itself that it is leaving, in this incarnation.
     Draining { target: Name, incarnation: u64 },
     /// A target said itself that it takes work, in this incarnation. The report
--- a/crates/core/src/profile.rs
+++ b/crates/core/src/profile.rs
@@ -8,7 +8,7 @@
 use crate::name::Name;
 
 /// A whole, in parts per million.
-pub const WHOLE: u32 = 1_000_000;
+pub const WHOLE_PPM: u32 = 1_000_000;
 
 /// The longest deadline that a profile may state.
 pub const MAX_DEADLINE: Duration = Duration::from_secs(60);
@@ -105,10 +105,10 @@
         let name = |key, text: String| {
             Name::try_from(text).map_err(|e| Error { key, detail: e.to_string() })
         };
-        within("coverage_ppm", u128::from(raw.coverage_ppm), 0, u128::from(WHOLE))?;
+        within("coverage_ppm", u128::from(raw.coverage_ppm), 0, u128::from(WHOLE_PPM))?;
         within("deadline_ms", raw.deadline.as_millis(), 1, MAX_DEADLINE.as_millis())?;
         within("tail_ms", raw.tail.as_millis(), 1, raw.deadline.as_millis())?;
-        within("extra_load_ppm", u128::from(raw.extra_load_ppm), 0, u128::from(WHOLE))?;
+        within("extra_load_ppm", u128::from(raw.extra_load_ppm), 0, u128::from(WHOLE_PPM))?;
         within("concurrency", u128::from(raw.concurrency), 1, u128::from(MAX_CONCURRENCY))?;
         within("priority", u128::from(raw.priority), 1, u128::from(MAX_PRIORITY))?;
         Ok(Profile {
--- a/crates/core/src/relay/feed/part.rs
+++ b/crates/core/src/relay/feed/part.rs
@@ -58,7 +58,7 @@
         ("larger", larger(tables).len().to_string()),
         ("vms", tables.view.vms.len().to_string()),
     ];
-    cx.out.lines.push(Line::new(Event::PartTaken, fields));
+    cx.out.lines.push(Line::new(Event::RoleDecided, fields));
 }
 
 /// What follows a reading of everything.
--- a/crates/core/src/relay/system/answer.rs
+++ b/crates/core/src/relay/system/answer.rs
@@ -7,7 +7,7 @@
     count::{Count, Sample},
     fault::{Fault, Kind},
     log::{Event, Line},
-    profile::WHOLE,
+    profile::WHOLE_PPM,
     relay::{
         Tables,
         message::{Answer, Call, Gathered, Refusal, Reply},
@@ -157,13 +157,15 @@
     let coverage = match answer {
         Answer::Gathered(gathered) => {
             let shards = gathered.missing + gathered.digests.len();
-            u32::try_from(u64::from(WHOLE) * gathered.digests.len() as u64 / shards.max(1) as u64)
-                .ok()
+            u32::try_from(
+                u64::from(WHOLE_PPM) * gathered.digests.len() as u64 / shards.max(1) as u64,
+            )
+            .ok()
         }
         Answer::Forwarded(_) | Answer::Refused(_) => None,
     };
     if !matches!(answer, Answer::Refused(_)) {
-        let is_whole = coverage.is_none_or(|coverage| coverage == WHOLE);
+        let is_whole = coverage.is_none_or(|coverage| coverage == WHOLE_PPM);
         cx.out.counts.add(if is_whole { Count::Complete } else { Count::Partial });
         let profile = request.route.name.clone();
         cx.out.counts.sample(Sample { profile, took, coverage });
--- a/crates/core/src/relay/system/suspect.rs
+++ b/crates/core/src/relay/system/suspect.rs
@@ -57,7 +57,7 @@
         ("targets", targets.unwrap_or_default()),
         ("hold_ms", HOLD.as_millis().to_string()),
     ];
-    cx.out.lines.push(Line::new(Event::RequestCondemned, fields));
+    cx.out.lines.push(Line::new(Event::RequestQuarantined, fields));
 }
 
 /// Whether a request is held back, by this VM or by another one.
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -105,7 +105,7 @@
     /// Withdraw a request; its reply is of no more use.
     Cancel { connection: id::Connection, attempt: id::Attempt },
     /// Read the target's status over an open connection.
-    Ask { connection: id::Connection, limit: Duration },
+    ReadStatus { connection: id::Connection, limit: Duration },
     /// Close a connection with all that runs on it.
     Close { connection: id::Connection },
 }
@@ -115,7 +115,7 @@
 pub enum Event {
     /// The connection is open and the target said this of itself.
     Opened { connection: id::Connection, status: Status },
-    /// The target answered [`Command::Ask`].
+    /// The target answered [`Command::ReadStatus`].
     Status { connection: id::Connection, status: Status },
     /// The target answered the request that was sent as `attempt`.
     Reply { connection: id::Connection, attempt: id::Attempt, reply: Reply },
--- a/crates/core/src/traffic/system/answer.rs
+++ b/crates/core/src/traffic/system/answer.rs
@@ -120,7 +120,7 @@
         Body::Refused(fault) => {
             out.count(Count::Refused(fault.kind));
             let fields = vec![("kind", fault.kind.to_string())];
-            out.lines.push(Line::of(id, log::Event::Refused, fields));
+            out.lines.push(Line::for_query(id, log::Event::Refused, fields));
         }
     }
 }
--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -255,9 +255,9 @@
     out.reports.push(Report::Suspect { fingerprint, query, target });
     let shard = row.shard.clone();
     if job::lost_targets(tables, cx, fingerprint, &shard).len() == cx.limits.lost_targets {
-        out.reports.push(Report::Condemned { fingerprint, origin: cx.ids.origin() });
+        out.reports.push(Report::Quarantined { fingerprint, origin: cx.ids.origin() });
         let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
-        out.lines.push(Line::of(query, Event::RequestCondemned, fields));
+        out.lines.push(Line::for_query(query, Event::RequestQuarantined, fields));
     }
 }
 
@@ -295,7 +295,7 @@
     let took = cx.now.since(attempt.sent);
     cx.policies.slots.answered(&attempt.target, took);
     let Some(target) = tables.targets.get_mut(&attempt.target) else { return };
-    if took * latency::DROP < target.latency.mean() {
+    if took * latency::RECOVERY_FACTOR < target.latency.mean() {
         // It may have recovered, so it is tried again without a pause.
         target.used = Instant::default();
     }
--- a/crates/core/src/traffic/system/connect.rs
+++ b/crates/core/src/traffic/system/connect.rs
@@ -118,7 +118,7 @@
     row.asked = Some(cx.now);
     tables.timers.set(cx.now + cx.limits.silent, Timer::Asked(connection));
     // The timer comes first, so that silence is not taken for a loss.
-    out.commands.push(Command::Ask { connection, limit: cx.limits.silent * 2 });
+    out.commands.push(Command::ReadStatus { connection, limit: cx.limits.silent * 2 });
 }
 
 /// Asks on every connection of a target and comes back after the interval.
--- a/crates/core/src/traffic/system/dispatch.rs
+++ b/crates/core/src/traffic/system/dispatch.rs
@@ -194,7 +194,7 @@
         return target.in_use == 0;
     }
     // A target that has just come is slow at first and not known yet.
-    let most = if target.latency.is_settled() { u32::MAX } else { NEW_SLOTS };
+    let most = if target.latency.has_enough_values() { u32::MAX } else { NEW_SLOTS };
     target.in_use < cx.policies.slots.limit(&cx.view, name, target).min(most)
 }
 
--- a/crates/core/src/traffic/system/intake.rs
+++ b/crates/core/src/traffic/system/intake.rs
@@ -176,7 +176,7 @@
     out.count(Count::Requests);
     out.count(Count::Refused(fault.kind));
     let fields = vec![("kind", fault.kind.to_string())];
-    out.lines.push(Line::of(query, log::Event::Refused, fields));
+    out.lines.push(Line::for_query(query, log::Event::Refused, fields));
     let took = Duration::ZERO;
     out.answers.push((call, Answer { query, body: Body::Refused(fault), profile, took }));
 }
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -208,7 +208,7 @@
     let Some(job) = tables.jobs.get(&id) else { return };
     for attempt in job.attempts.iter().filter_map(|attempt| tables.attempts.get(attempt)) {
         if let Some(target) = tables.targets.get_mut(&attempt.target) {
-            target.latency.exceeded(cx.now.since(attempt.sent));
+            target.latency.record_lower_bound(cx.now.since(attempt.sent));
         }
     }
 }
@@ -236,7 +236,7 @@
             ("kind", kind.to_string()),
             ("ran", ran.as_str().to_owned()),
         ];
-        out.lines.push(Line::of(job.leg.query, Event::LegFailed, fields));
+        out.lines.push(Line::for_query(job.leg.query, Event::LegFailed, fields));
     }
     let reply = message::Reply {
         leg: job.leg.leg,
@@ -322,7 +322,7 @@
     let Some(job) = tables.jobs.get(&id) else { return false };
     let fields =
         vec![("shard", job.shard.shard.to_string()), ("reason", reason.as_str().to_owned())];
-    out.lines.push(Line::of(job.leg.query, Event::Retried, fields));
+    out.lines.push(Line::for_query(job.leg.query, Event::Retried, fields));
     true
 }
 
--- a/crates/core/src/traffic/system/merge.rs
+++ b/crates/core/src/traffic/system/merge.rs
@@ -8,7 +8,7 @@
     key::Range,
     message::{Outcome, Reply},
     notice::Report,
-    profile::WHOLE,
+    profile::WHOLE_PPM,
     target::Row,
     traffic::{
         Context, Outbox, Tables,
@@ -146,7 +146,7 @@
     }
     let detail = "the search was running when targets were lost";
     search.fault = Some(Fault::unknown(Kind::Quarantined, detail));
-    out.reports.push(Report::Condemned { fingerprint, origin: cx.ids.origin() });
+    out.reports.push(Report::Quarantined { fingerprint, origin: cx.ids.origin() });
     Next::Answer
 }
 
@@ -154,7 +154,7 @@
 /// They would only take slots from queries that can still be answered.
 fn lose_range(search: &Search, coverage: u32) -> Next {
     let reach = Range::ALL.size() - search.lost.size();
-    let is_enough = reach * u128::from(WHOLE) >= Range::ALL.size() * u128::from(coverage);
+    let is_enough = reach * u128::from(WHOLE_PPM) >= Range::ALL.size() * u128::from(coverage);
     if is_enough { Next::Wait } else { Next::Answer }
 }
 
--- a/crates/core/src/traffic/system/plan.rs
+++ b/crates/core/src/traffic/system/plan.rs
@@ -205,7 +205,7 @@
     search.lost = Set::new();
     out.count(Count::Restarts);
     let fields = vec![("version", best.version.0.to_string())];
-    out.lines.push(Line::of(id, Event::Restarted, fields));
+    out.lines.push(Line::for_query(id, Event::Restarted, fields));
     send(tables, cx, id, best.version, best.parts.clone(), out);
 }
 
--- a/crates/core/src/traffic/system/tell.rs
+++ b/crates/core/src/traffic/system/tell.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
-    message::{Held, Holding, Message},
+    message::{HeldRange, Holding, Message},
     traffic::{
         Context, Outbox, Tables,
         system::{connect, receive, refresh::lanes_of},
@@ -60,7 +60,7 @@
 
 /// What the targets of a shard hold, or none if this VM is not its home or no
 /// target has said anything yet.
-fn holds(tables: &Tables, key: &shard::Key) -> Option<Vec<Held>> {
+fn holds(tables: &Tables, key: &shard::Key) -> Option<Vec<HeldRange>> {
     let shard = tables.shards.get(key)?;
     if !shard.home {
         return None;
@@ -76,8 +76,11 @@
             *replicas.entry((version, range)).or_insert(0) += 1;
         }
     }
-    let ranges =
-        replicas.into_iter().map(|((version, range), replicas)| Held { version, range, replicas });
+    let ranges = replicas.into_iter().map(|((version, range), replicas)| HeldRange {
+        version,
+        range,
+        replicas,
+    });
     is_known.then(|| ranges.collect())
 }
 
--- a/crates/core/src/traffic/table/index.rs
+++ b/crates/core/src/traffic/table/index.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     key::{Range, Set},
-    message::Held,
+    message::HeldRange,
     name::Name,
     target::Version,
     time::Instant,
@@ -30,7 +30,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Holding {
     /// The ranges by version.
-    pub ranges: Vec<Held>,
+    pub ranges: Vec<HeldRange>,
     /// The lanes of its homes, best first.
     pub lanes: Vec<Lane>,
     /// What was last heard of the wait of each profile.
@@ -101,7 +101,7 @@
         let mut plan = Plan { version, parts: Vec::new(), covered: Set::new() };
         for (shard, holding) in &self.shards {
             for held in holding.ranges.iter().filter(|held| held.version == version) {
-                for &range in rest.common(held.range).ranges() {
+                for &range in rest.intersection(held.range).ranges() {
                     plan.parts.push(Part { shard: shard.clone(), range });
                     plan.covered.insert(range);
                     rest.remove(range);
--- a/crates/core/src/traffic/table/shard.rs
+++ b/crates/core/src/traffic/table/shard.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{id, message::Held, name::Name, time::Instant};
+use crate::{id, message::HeldRange, name::Name, time::Instant};
 
 /// The advance of a profile's virtual time for one job at priority one.
 const STRIDE: u64 = 1 << 20;
@@ -33,7 +33,7 @@
     /// The virtual time of the last job of each profile.
     pub tags: BTreeMap<Name, u64>,
     /// What was last told of its holdings.
-    pub told: Vec<Held>,
+    pub told: Vec<HeldRange>,
     /// When this VM last served a leg of it.
     pub used: Instant,
 }
--- a/crates/core/src/traffic/table/usage.rs
+++ b/crates/core/src/traffic/table/usage.rs
@@ -1,6 +1,6 @@
 //! Use of a profile: open requests and the budget of extra attempts.
 
-use crate::profile::WHOLE;
+use crate::profile::WHOLE_PPM;
 
 /// Use of a profile on this thread.
 #[derive(Clone, Debug, Default)]
@@ -18,14 +18,14 @@
     /// Notes a first attempt, which allows `extra_load` millionths of an extra
     /// one, up to `most` attempts in all.
     pub fn earn(&mut self, extra_load: u32, most: u32) {
-        let most = u64::from(most) * u64::from(WHOLE);
+        let most = u64::from(most) * u64::from(WHOLE_PPM);
         self.saved = (self.saved + u64::from(extra_load)).min(most);
     }
 
     /// Takes one hedge from what first attempts allow, or says that there is
     /// none.
     pub fn hedge(&mut self) -> bool {
-        let rest = self.saved.checked_sub(u64::from(WHOLE));
+        let rest = self.saved.checked_sub(u64::from(WHOLE_PPM));
         if let Some(rest) = rest {
             self.saved = rest;
         }
--- a/crates/core/tests/control/quarantine.rs
+++ b/crates/core/tests/control/quarantine.rs
@@ -58,13 +58,13 @@
     };
     a_condemned_request_is_held_back_everywhere => {
         let mut world = settled(4);
-        world.report(&vm(3), Report::Condemned { fingerprint: POISON, origin: Origin(1) });
+        world.report(&vm(3), Report::Quarantined { fingerprint: POISON, origin: Origin(1) });
         assert!(world.until(SHARED, held).is_some());
     };
     a_request_is_let_go_when_its_time_is_up => {
         let mut world = settled(5);
         let limit = world.limits.condemned_fingerprint;
-        world.report(&vm(3), Report::Condemned { fingerprint: POISON, origin: Origin(1) });
+        world.report(&vm(3), Report::Quarantined { fingerprint: POISON, origin: Origin(1) });
         world.run(limit - Duration::from_secs(1));
         assert!(held(&world));
         assert!(world.until(Duration::from_secs(5), free).is_some());
@@ -85,7 +85,7 @@
         (0..3).for_each(|number| world.start(&vm(number)));
         world.run(Duration::from_secs(3));
         for fingerprint in 0..20 {
-            let report = Report::Condemned { fingerprint: Fingerprint(fingerprint), origin: Origin(1) };
+            let report = Report::Quarantined { fingerprint: Fingerprint(fingerprint), origin: Origin(1) };
             world.report(&vm(0), report);
         }
         world.run(SHARED);
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -171,7 +171,7 @@
     the_log_names_the_request_and_its_targets => {
         let mut bed = Bed::new(wide(single("desk")));
         crash(&mut bed, "/fetch/bad");
-        let line = bed.lines.iter().find(|line| line.event == Event::RequestCondemned).unwrap();
+        let line = bed.lines.iter().find(|line| line.event == Event::RequestQuarantined).unwrap();
         let field = |name| line.fields.iter().find(|(key, _)| *key == name).unwrap().1.clone();
         assert_eq!(field("fingerprint"), fingerprint("/fetch/bad").to_string());
         assert_eq!(field("targets").split(' ').count(), 2);
--- a/crates/core/tests/rules/key.rs
+++ b/crates/core/tests/rules/key.rs
@@ -34,7 +34,7 @@
             let changed = range(a.min(b), a.max(b));
             let common: BTreeSet<u64> =
                 single.iter().copied().filter(|&key| changed.contains(key)).collect();
-            assert_eq!(keys(&set.common(changed)), common);
+            assert_eq!(keys(&set.intersection(changed)), common);
             if adds {
                 set.insert(changed);
                 single.extend(changed.first()..=changed.last());
--- a/crates/core/tests/rules/search.rs
+++ b/crates/core/tests/rules/search.rs
@@ -312,7 +312,7 @@
         assert_eq!(refusal(&world, call).0, Kind::Quarantined);
         // The control threads pass on what is held back.
         let condemned = world.reports.iter().filter_map(|report| match report {
-            Report::Condemned { fingerprint, .. } => Some(*fingerprint),
+            Report::Quarantined { fingerprint, .. } => Some(*fingerprint),
             _ => None,
         });
         world.quarantine = condemned.collect();
@@ -344,7 +344,7 @@
     let found = world.found(call).clone();
     world.check(&found);
     assert!(found.missing.is_empty());
-    assert!(!world.reports.iter().any(|report| matches!(report, Report::Condemned { .. })));
+    assert!(!world.reports.iter().any(|report| matches!(report, Report::Quarantined { .. })));
 }
 
 fn proven_search_is_not_tried_again() {
--- a/crates/core/tests/rules/traffic_load.rs
+++ b/crates/core/tests/rules/traffic_load.rs
@@ -5,7 +5,7 @@
 use laburnum_core::{
     count::Count,
     fault::{Kind, Ran},
-    profile::WHOLE as MILLION,
+    profile::WHOLE_PPM as MILLION,
     traffic::{Body, Call},
     view::State,
 };
--- a/crates/core/tests/world/targets.rs
+++ b/crates/core/tests/world/targets.rs
@@ -167,7 +167,7 @@
         match command {
             Command::Open { connection, address, .. } => self.open(vm, connection, address),
             Command::Send { connection, request } => self.send(connection, request),
-            Command::Ask { connection, .. } => self.ask(connection),
+            Command::ReadStatus { connection, .. } => self.ask(connection),
             Command::Cancel { connection, attempt } => self.cancel(connection, attempt),
             Command::Close { connection } => {
                 if let Some(target) = self.by_connection(connection) {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -67,7 +67,7 @@
 
 /// A whole response, with what its connection can still be used for.
 #[derive(Debug)]
-pub struct Whole {
+pub struct CompleteResponse {
     /// The response.
     pub response: Response<Bytes>,
     /// Whether the connection may carry another request.
@@ -107,7 +107,10 @@
     }
 
     /// Sends a request and waits for the whole response.
-    pub async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Whole, Failure> {
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<CompleteResponse, Failure> {
         self.ready().await?;
         let response = self.head(request).await?;
         let keeps = keeps_open(response.headers());
@@ -115,12 +118,12 @@
         let body = self.body(body).await?;
         // A peer may answer before it has read the whole request.
         let reusable = keeps && self.drained.get() && !self.sender.is_closed();
-        Ok(Whole { response: Response::from_parts(parts, body), reusable })
+        Ok(CompleteResponse { response: Response::from_parts(parts, body), reusable })
     }
 
     /// Waits until the peer closes the connection or sends bytes that nobody
     /// asked for. It returns what happened.
-    pub async fn end(&mut self) -> String {
+    pub async fn closed(&mut self) -> String {
         ending(self.driver.as_mut().await)
     }
 
--- a/crates/http/tests/channel.rs
+++ b/crates/http/tests/channel.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, header};
 use http_body_util::Full;
-use laburnum_http::{Channel, Failure, Limits, Whole};
+use laburnum_http::{Channel, CompleteResponse, Failure, Limits};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -94,7 +94,7 @@
 }
 
 /// The outcome of the first request.
-async fn first(act: Act) -> Result<Whole, Failure> {
+async fn first(act: Act) -> Result<CompleteResponse, Failure> {
     open(vec![act]).await.exchange(request()).await
 }
 
@@ -220,13 +220,13 @@
         let doubled = Box::leak(format!("{WHOLE}{WHOLE}").into());
         let mut channel = open(vec![Act::Send(doubled)]).await;
         channel.exchange(request()).await.unwrap();
-        let end = tokio::time::timeout(Duration::from_secs(1), channel.end()).await;
+        let end = tokio::time::timeout(Duration::from_secs(1), channel.closed()).await;
         assert!(end.is_ok());
     };
     an_idle_connection_tells_that_its_peer_closed_it => {
         let mut channel = open(vec![Act::Close(WHOLE)]).await;
         channel.exchange(request()).await.unwrap();
-        assert!(tokio::time::timeout(Duration::from_secs(1), channel.end()).await.is_ok());
+        assert!(tokio::time::timeout(Duration::from_secs(1), channel.closed()).await.is_ok());
         assert!(!channel.exchange(request()).await.unwrap_err().sent);
     };
     a_peer_that_closes_at_once_got_nothing => {
--- a/src/front/operation.rs
+++ b/src/front/operation.rs
@@ -69,7 +69,7 @@
     if values.next().is_some() {
         return Err(field::malformed(KEY_HEADER, "more than one", KEY));
     }
-    let key = uuid(value).map(claim::Key).filter(|key| key.issued().is_some());
+    let key = uuid(value).map(claim::Key).filter(|key| key.issued_millis().is_some());
     key.ok_or_else(|| {
         let found = field::excerpt(&String::from_utf8_lossy(value.as_bytes()));
         field::malformed(KEY_HEADER, &found, KEY)
--- a/src/load/cost.rs
+++ b/src/load/cost.rs
@@ -9,7 +9,7 @@
     key::Range,
     name::Name,
     notice::Notice,
-    profile::{Document, Profile, Raw, Revision, WHOLE},
+    profile::{Document, Profile, Raw, Revision, WHOLE_PPM},
     target::{self, Command, Outcome, Reply, Request, Status, Version, Work},
     time::Instant,
     traffic::{self, Call, Engine, Event, Limits, Outbox, Policies, Search},
@@ -197,7 +197,7 @@
             Command::Send { connection, request } if !self.is_holding => {
                 Some(answer(connection, &request, *self.connections.get(&connection)?))
             }
-            Command::Ask { connection, .. } => {
+            Command::ReadStatus { connection, .. } => {
                 let status = status(*self.connections.get(&connection)?);
                 Some(target::Event::Status { connection, status })
             }
@@ -269,7 +269,7 @@
     let profile = Profile::try_from(Raw {
         team: "local".to_owned(),
         index: "licences".to_owned(),
-        coverage_ppm: WHOLE,
+        coverage_ppm: WHOLE_PPM,
         deadline: Duration::from_secs(60),
         tail: Duration::from_secs(30),
         extra_load_ppm: 50_000,
--- a/src/load/sample.rs
+++ b/src/load/sample.rs
@@ -76,8 +76,8 @@
                 let micros = u64::try_from(sample.took.as_micros()).unwrap_or(u64::MAX);
                 histogram.saturating_record(micros);
                 summary.answered += 1;
-                summary.complete += u64::from(*parts >= laburnum_core::profile::WHOLE);
-                coverage += f64::from(*parts) / f64::from(laburnum_core::profile::WHOLE);
+                summary.complete += u64::from(*parts >= laburnum_core::profile::WHOLE_PPM);
+                coverage += f64::from(*parts) / f64::from(laburnum_core::profile::WHOLE_PPM);
             }
             Outcome::Refused { kind, is_not_run } => {
                 *summary.refusals.entry(kind.clone()).or_default() += 1;
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -143,7 +143,7 @@
         let labels = vec![("profile", self.profile(&sample.profile))];
         self.latency.get_or_create(&labels).observe(sample.took.as_secs_f64());
         if let Some(parts) = sample.coverage {
-            let whole = f64::from(laburnum_core::profile::WHOLE);
+            let whole = f64::from(laburnum_core::profile::WHOLE_PPM);
             self.coverage.get_or_create(&labels).observe(f64::from(parts) / whole);
         }
     }
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -114,7 +114,7 @@
             let task = tokio::select! {
                 biased;
                 task = self.tasks.recv() => task,
-                detail = channel.end() => return ended(detail),
+                detail = channel.closed() => return ended(detail),
                 () = sleep(idle) => return ended("idle for too long"),
             };
             let Some((attempt, order)) = task else { return End::Ordered };
--- a/src/slope/bed.rs
+++ b/src/slope/bed.rs
@@ -5,7 +5,7 @@
 use laburnum_core::{
     id::Origin,
     key::Range,
-    message::{Held, Holding, Message},
+    message::{HeldRange, Holding, Message},
     name::Name,
     notice::Notice,
     profile::{Document, Profile, Raw, Revision},
@@ -140,7 +140,7 @@
 /// What the homes of all shards say that they hold.
 pub fn holdings(shards: usize) -> Vec<Holding> {
     let one = |shard| {
-        let held = Held { version: VERSION, range: range(shard, shards), replicas: 2 };
+        let held = HeldRange { version: VERSION, range: range(shard, shards), replicas: 2 };
         Holding { index: name(INDEX), shard: shard_name(shard), ranges: vec![held] }
     };
     (0..shards).map(one).collect()
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -95,7 +95,7 @@
                 // The reply of a lost connection needs no withdrawal.
                 let _ = self.order(connection, Order::Cancel(attempt));
             }
-            Command::Ask { connection, limit } => {
+            Command::ReadStatus { connection, limit } => {
                 // The loss of the connection has been reported already.
                 let _ = self.order(connection, Order::Ask(limit));
             }
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -13,7 +13,7 @@
     control,
     count::{Count, Counts, Sample},
     fault::Kind,
-    profile::WHOLE,
+    profile::WHOLE_PPM,
     traffic::{Answer, Body, Engine, Tables},
     view::State,
 };
@@ -114,7 +114,7 @@
 /// The extra attempts that the profiles have saved up.
 fn budget(tables: &Tables) -> usize {
     let saved: u64 = tables.usages.values().map(|usage| usage.saved).sum();
-    usize::try_from(saved / u64::from(WHOLE)).unwrap_or(usize::MAX)
+    usize::try_from(saved / u64::from(WHOLE_PPM)).unwrap_or(usize::MAX)
 }
 
 /// Adds what the control thread counts to the metrics of the VM.
--- a/tests/edge/border.rs
+++ b/tests/edge/border.rs
@@ -190,7 +190,7 @@
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
     target.put(&Faults { drain: true, ..Faults::default() }).await;
-    caller.command(Command::Ask { connection, limit: LIMIT });
+    caller.command(Command::ReadStatus { connection, limit: LIMIT });
     match caller.event().await {
         Event::Status { status, .. } => assert!(status.draining),
         event => panic!("{event:?}"),
--- a/tests/edge/fault.rs
+++ b/tests/edge/fault.rs
@@ -139,7 +139,7 @@
     caller.quiet().await;
     let new = caller.open(&target).await;
     assert!(matches!(caller.outcome(new, search("")).await, Outcome::Rows { .. }));
-    caller.command(Command::Ask { connection: old, limit: Duration::from_millis(100) });
+    caller.command(Command::ReadStatus { connection: old, limit: Duration::from_millis(100) });
     assert!(matches!(caller.event().await, Event::Closed { connection, .. } if connection == old));
     assert_eq!(target.counts().await.attempts, 1);
 }
--- a/tests/product/deployment.rs
+++ b/tests/product/deployment.rs
@@ -50,6 +50,6 @@
     clearances_ask_for_whole_coverage => {
         let profiles = profiles("umgeni-profiles.toml").0;
         let clearance = profiles.iter().find(|(name, _)| name.as_str() == "clearance").unwrap().1;
-        assert_eq!(clearance.coverage, laburnum_core::profile::WHOLE);
+        assert_eq!(clearance.coverage, laburnum_core::profile::WHOLE_PPM);
     };
 }
--- a/tests/product/metric.rs
+++ b/tests/product/metric.rs
@@ -10,7 +10,7 @@
     count::{Count, Counts, Drop, Retry, Sample},
     fault::Kind,
     name::Name,
-    profile::WHOLE,
+    profile::WHOLE_PPM,
 };
 use laburnumworks::metric::{
     MAX_PROFILES, Metrics, OTHER,
@@ -221,7 +221,7 @@
         let metrics = Metrics::new();
         let mut counts = Counts::default();
         counts.sample(sample("partial"));
-        counts.sample(Sample { coverage: Some(WHOLE), ..sample("whole") });
+        counts.sample(Sample { coverage: Some(WHOLE_PPM), ..sample("whole") });
         metrics.add(&counts);
         let below_whole = |profile| {
             let labels = format!("{{le=\"0.999999\",profile=\"{profile}\"}}");
