Rename items of the simulated world that read oddly in its tests

Constants for the profiles said nothing away from their file, and some methods had names of everyday speech. All uses in fuzz, matrix and rules follow and nothing else changes. old -> new, all in crates/core/tests/world:

WHOLE -> FULL_COVERAGE ANY -> ANY_COVERAGE CAREFUL -> CANARY World::whole -> with_control World::stranger_to -> other_than_home_of World::report_lost_lane was lose_lane World::forget_vm -> unlist_vm network::Network::mend -> heal targets::Target::most_connections -> peak_connections targets::Target::most_running -> peak_running targets::Targets::harmed -> lost_beside_suspect

--- a/crates/core/tests/fuzz/fleet.rs
+++ b/crates/core/tests/fuzz/fleet.rs
@@ -12,7 +12,7 @@
 use crate::{
     reference::{self, Act, REPLICAS, Reference, SHARDS, Step, VMS},
     runner,
-    world::{ANY, WHOLE, World, name, platform::Mode, targets},
+    world::{ANY_COVERAGE, FULL_COVERAGE, World, name, platform::Mode, targets},
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -80,7 +80,7 @@
     type Reference = reference::Whole;
 
     fn init_test(_: &Reference) -> Fleet {
-        Fleet::new(World::whole(VMS, SHARDS, REPLICAS))
+        Fleet::new(World::with_control(VMS, SHARDS, REPLICAS))
     }
 
     fn apply(fleet: Fleet, reference: &Reference, step: Step) -> Fleet {
@@ -115,7 +115,7 @@
             Act::Search { vm: at, whole } => {
                 self.texts += 1;
                 let text = format!(" for {}", self.texts);
-                world.search(&vm(at), if whole { WHOLE } else { ANY }, &text);
+                world.search(&vm(at), if whole { FULL_COVERAGE } else { ANY_COVERAGE }, &text);
             }
             Act::Operate { vm: at, subject } => {
                 self.operations.push(subject);
@@ -131,7 +131,7 @@
                 // Its caller sends it again once it was answered.
                 let is_over = self.poison.is_none_or(|call| world.answers.contains_key(&call));
                 if is_over && world.is_calm() {
-                    self.poison = Some(world.search(&vm(at), ANY, POISON));
+                    self.poison = Some(world.search(&vm(at), ANY_COVERAGE, POISON));
                 }
             }
             Act::Kill { .. }
@@ -178,7 +178,7 @@
             Act::Kill { vm: at, noticed } => {
                 world.kill_vm(&vm(at));
                 if noticed {
-                    world.lose_lane(&name(&vm(at)));
+                    world.report_lost_lane(&name(&vm(at)));
                 }
             }
             Act::Start { vm: at } => {
@@ -191,8 +191,8 @@
                 let by = Duration::from_millis(by);
                 world.network.slow(&name(&vm(from)), &name(&vm(to)), by);
             }
-            Act::Break { vm: at } => world.lose_lane(&name(&vm(at))),
-            _ => world.network.mend(),
+            Act::Break { vm: at } => world.report_lost_lane(&name(&vm(at))),
+            _ => world.network.heal(),
         }
     }
 
@@ -249,7 +249,7 @@
     /// Ends every fault.
     fn heal(&mut self, version: u64) {
         let world = &mut self.world;
-        world.network.mend();
+        world.network.heal();
         world.claims_down = false;
         if let Some(platform) = &mut world.platform {
             platform.mode = Mode::Up;
@@ -281,7 +281,7 @@
         for at in 0..VMS {
             self.texts += 1;
             let text = format!(" for {}", self.texts);
-            calls.insert(self.world.search(&vm(at), WHOLE, &text), at);
+            calls.insert(self.world.search(&vm(at), FULL_COVERAGE, &text), at);
         }
         let first = self.operations.len();
         for at in 0..VMS {
--- a/crates/core/tests/matrix/fault.rs
+++ b/crates/core/tests/matrix/fault.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::world::{ANY, World, name, platform::Mode};
+use crate::world::{ANY_COVERAGE, World, name, platform::Mode};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -81,12 +81,12 @@
             world.publish_profiles(&parties.actor, None);
         }
         Fault::Poison => {
-            world.search(&parties.other, ANY, POISON);
+            world.search(&parties.other, ANY_COVERAGE, POISON);
         }
         Fault::LeaseLapsed => world.pause_vm(&parties.actor, LONG_PAUSE),
         Fault::VmKilled => {
             world.kill_vm(&parties.struck);
-            world.lose_lane(&name(&parties.struck));
+            world.report_lost_lane(&name(&parties.struck));
         }
         Fault::VmPaused => world.pause_vm(&parties.struck, 1500 * MS),
         Fault::VmReplaced => world.replace_vm(&parties.struck),
--- a/crates/core/tests/matrix/scene.rs
+++ b/crates/core/tests/matrix/scene.rs
@@ -8,7 +8,7 @@
 use crate::{
     fault::{self, Fault, POISON, Parties, REPLICAS, SHARDS},
     step::{self, Started, Step},
-    world::{ANY, WHOLE, World, name, platform::Mode, targets},
+    world::{ANY_COVERAGE, FULL_COVERAGE, World, name, platform::Mode, targets},
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -27,7 +27,7 @@
 
 /// Plays a cell. The oracle of the world checks the safety at every moment.
 pub fn run(step: Step, fault: Fault) {
-    let mut world = World::whole(VMS, SHARDS, REPLICAS);
+    let mut world = World::with_control(VMS, SHARDS, REPLICAS);
     for replica in 0..REPLICAS {
         world.targets.get(1, replica).poison = Some(POISON.to_owned());
     }
@@ -37,7 +37,7 @@
     fault::inject(&mut world, fault, &parties);
     world.run(FAULT / 2);
     if fault == Fault::Poison {
-        world.search(&parties.actor, ANY, POISON);
+        world.search(&parties.actor, ANY_COVERAGE, POISON);
     }
     world.run(FAULT / 2);
     heal(&mut world);
@@ -50,7 +50,7 @@
 /// home has served, so that one which has served none does not hedge.
 fn serve(world: &mut World, actor: &str) {
     for number in 0..SERVED {
-        world.search(actor, WHOLE, &format!(" served {number}"));
+        world.search(actor, FULL_COVERAGE, &format!(" served {number}"));
         world.run(20 * MS);
     }
 }
@@ -59,7 +59,7 @@
 /// strikes; other processes are struck at the VM that acts.
 fn parties(world: &World, step: Step) -> Parties {
     let home = world.home_of(0).to_string();
-    let entry = world.stranger_to(0).to_string();
+    let entry = world.other_than_home_of(0).to_string();
     if step <= Step::OperationRecorded {
         return Parties { actor: entry, struck: home.clone(), other: home };
     }
@@ -67,7 +67,7 @@
 }
 
 fn heal(world: &mut World) {
-    world.network.mend();
+    world.network.heal();
     world.platform().mode = Mode::Up;
     world.platform().delay = 2 * MS;
     let gone: Vec<String> = world
@@ -162,7 +162,7 @@
     let vms: Vec<String> = world.vms.keys().map(ToString::to_string).collect();
     let mut calls = Vec::new();
     for (number, vm) in vms.iter().enumerate() {
-        calls.push(world.search(vm, WHOLE, &format!(" after {number}")));
+        calls.push(world.search(vm, FULL_COVERAGE, &format!(" after {number}")));
         let subject = u64::MAX / 5 * number as u64;
         calls.push(world.operate(vm, 100 + number as u128, subject, &format!("after {number}")));
     }
--- a/crates/core/tests/matrix/step.rs
+++ b/crates/core/tests/matrix/step.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     fault::SHARDS,
-    world::{WHOLE, World, name},
+    world::{FULL_COVERAGE, World, name},
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -103,9 +103,11 @@
     match step {
         Step::SearchWaiting => {
             occupy(world, actor);
-            Started::Call(world.search(actor, WHOLE, " for one"))
+            Started::Call(world.search(actor, FULL_COVERAGE, " for one"))
+        }
+        step if step <= Step::SearchMerged => {
+            Started::Call(world.search(actor, FULL_COVERAGE, " for one"))
         }
-        step if step <= Step::SearchMerged => Started::Call(world.search(actor, WHOLE, " for one")),
         step if step <= Step::OperationRecorded => {
             Started::Call(world.operate(actor, 1, SUBJECT, "one"))
         }
@@ -117,7 +119,7 @@
             Started::Join
         }
         _ => {
-            let call = world.search(actor, WHOLE, " for one");
+            let call = world.search(actor, FULL_COVERAGE, " for one");
             world.run(MS / 2);
             world.leave_vm(actor);
             Started::Leave(call)
@@ -131,7 +133,7 @@
         target.service = 60 * MS;
     }
     for number in 0..2 * crate::fault::REPLICAS {
-        world.search(actor, WHOLE, &format!(" before {number}"));
+        world.search(actor, FULL_COVERAGE, &format!(" before {number}"));
     }
     world.run(5 * MS);
     for target in world.targets.rows.values_mut() {
--- a/crates/core/tests/rules/found.rs
+++ b/crates/core/tests/rules/found.rs
@@ -7,7 +7,7 @@
     traffic::{Body, Call},
 };
 
-use crate::world::{ANY, WHOLE, World, targets::Fault};
+use crate::world::{ANY_COVERAGE, FULL_COVERAGE, World, targets::Fault};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -37,7 +37,7 @@
 fn held_back_beside_legs_that_ran() {
     let mut world = poisoned(4, 4);
     for vm in ["vm-1", "vm-2"] {
-        let call = world.search(vm, ANY, POISON);
+        let call = world.search(vm, ANY_COVERAGE, POISON);
         world.run(1100 * MS);
         assert_ne!(refusal(&world, call).1, Ran::No, "through {vm}");
     }
@@ -46,9 +46,9 @@
 /// Seed 1: two copies, sent a millisecond apart, each lost targets.
 fn copies_in_flight() {
     let mut world = poisoned(4, 3);
-    world.search("vm-3", ANY, POISON);
+    world.search("vm-3", ANY_COVERAGE, POISON);
     world.run(Duration::from_micros(1108));
-    world.search("vm-2", ANY, POISON);
+    world.search("vm-2", ANY_COVERAGE, POISON);
     world.run(1100 * MS);
     assert_eq!(crashed(&world), 2);
 }
@@ -59,17 +59,17 @@
     world.shares_suspects = true;
     world.targets.get(1, 0).sheds = true;
     world.targets.get(1, 1).sheds = true;
-    world.search("vm-1", ANY, POISON);
+    world.search("vm-1", ANY_COVERAGE, POISON);
     world.run(1100 * MS);
     assert_eq!(crashed(&world), 1);
     let home = world.home_of(1);
     world.kill_vm(home.as_str());
-    world.forget_vm(home.as_str());
+    world.unlist_vm(home.as_str());
     world.targets.get(1, 0).sheds = false;
     world.targets.get(1, 1).sheds = false;
     let next = world.home_of(1);
     world.run(100 * MS);
-    world.search(next.as_str(), ANY, POISON);
+    world.search(next.as_str(), ANY_COVERAGE, POISON);
     world.run(1100 * MS);
     assert_eq!(crashed(&world), 2);
 }
@@ -78,12 +78,12 @@
 fn lost_twice_counts_twice() {
     let mut world = poisoned(3, 1);
     for _ in 0..2 {
-        world.search("vm-1", ANY, POISON);
+        world.search("vm-1", ANY_COVERAGE, POISON);
         world.run(500 * MS);
         world.restart_target(1, 0);
         world.run(1100 * MS);
     }
-    let call = world.search("vm-2", ANY, POISON);
+    let call = world.search("vm-2", ANY_COVERAGE, POISON);
     world.run(1100 * MS);
     assert_eq!(refusal(&world, call).0, Kind::Quarantined);
     assert!(world.targets.get(1, 0).alive);
@@ -93,14 +93,14 @@
 fn home_lost_with_the_reply() {
     let mut world = World::new(3, 1, 2);
     let home = world.home_of(0);
-    let entry = world.stranger_to(0);
-    let call = world.search(entry.as_str(), WHOLE, " for one");
+    let entry = world.other_than_home_of(0);
+    let call = world.search(entry.as_str(), FULL_COVERAGE, " for one");
     world.run(MS);
     for replica in 0..2 {
         world.targets.get(0, replica).status.draining = true;
     }
     world.kill_vm(home.as_str());
-    world.forget_vm(home.as_str());
+    world.unlist_vm(home.as_str());
     world.run(1100 * MS);
     assert!(world.targets.started.contains_key(" for one"));
     assert_ne!(refusal(&world, call).1, Ran::No);
@@ -110,7 +110,7 @@
 fn wrong_replies_ran(fault: Fault) {
     let mut world = World::new(3, 1, 1);
     world.targets.get(0, 0).fault = Some(fault);
-    let call = world.search("vm-1", WHOLE, " for one");
+    let call = world.search("vm-1", FULL_COVERAGE, " for one");
     world.run(3 * MS);
     world.targets.get(0, 0).status.draining = true;
     world.run(1100 * MS);
@@ -125,8 +125,8 @@
     world.pause_vm(home.as_str(), 5000 * MS);
     world.targets.get(1, 0).status.draining = true;
     world.run(4999 * MS);
-    let entry = world.stranger_to(1);
-    world.search(entry.as_str(), WHOLE, " for one");
+    let entry = world.other_than_home_of(1);
+    world.search(entry.as_str(), FULL_COVERAGE, " for one");
     world.run(1100 * MS);
     assert_eq!(world.targets.late_work, []);
 }
@@ -135,9 +135,9 @@
 fn slow_home_drops_the_leg() {
     let mut world = World::new(3, 1, 2);
     let home = world.home_of(0);
-    let entry = world.stranger_to(0);
+    let entry = world.other_than_home_of(0);
     world.pause_vm(home.as_str(), 600 * MS);
-    let call = world.search(entry.as_str(), WHOLE, " for one");
+    let call = world.search(entry.as_str(), FULL_COVERAGE, " for one");
     world.run(1100 * MS);
     assert!(world.found(call).missing.is_empty());
     assert_eq!(world.targets.started[" for one"], 1);
@@ -145,22 +145,22 @@
 
 /// Seed 23 of the whole VMs: a home that has just started knows no target.
 fn search_beside_a_new_home() {
-    let mut world = World::whole(3, 3, 2);
+    let mut world = World::with_control(3, 3, 2);
     let home = world.home_of(1);
-    let entry = world.stranger_to(1);
+    let entry = world.other_than_home_of(1);
     world.replace_vm(home.as_str());
-    let call = world.search(entry.as_str(), WHOLE, " for one");
+    let call = world.search(entry.as_str(), FULL_COVERAGE, " for one");
     world.run(1100 * MS);
     assert!(world.found(call).missing.is_empty());
 }
 
 /// Seed 2 of the whole VMs: a home that has started anew crashed a third target.
 fn new_home_holds_back() {
-    let mut world = World::whole(4, 3, 3);
+    let mut world = World::with_control(4, 3, 3);
     for replica in 0..3 {
         world.targets.get(1, replica).poison = Some(POISON.into());
     }
-    world.search("vm-1", ANY, POISON);
+    world.search("vm-1", ANY_COVERAGE, POISON);
     world.run(2000 * MS);
     assert_eq!(crashed(&world), 2);
     let home = world.home_of(1);
@@ -168,7 +168,7 @@
     world.run(4000 * MS);
     world.replace_vm(home.as_str());
     world.run(1000 * MS);
-    let call = world.search(home.as_str(), ANY, POISON);
+    let call = world.search(home.as_str(), ANY_COVERAGE, POISON);
     world.run(1100 * MS);
     assert_eq!(refusal(&world, call), (Kind::Quarantined, Ran::No));
     assert_eq!(crashed(&world), 2);
@@ -179,7 +179,7 @@
 fn crossed_target_is_connected_again() {
     let mut world = World::new(3, 1, 1);
     world.targets.get(0, 0).fault = Some(Fault::Crossed);
-    world.search("vm-1", ANY, " for one");
+    world.search("vm-1", ANY_COVERAGE, " for one");
     world.run(3000 * MS);
     world.targets.get(0, 0).fault = None;
     assert!(!world.targets.get(0, 0).connections.is_empty());
@@ -192,7 +192,7 @@
     for shard in 0..3 {
         world.targets.get(shard, 0).service = 5000 * MS;
     }
-    let found = world.find("vm-1", WHOLE, "");
+    let found = world.find("vm-1", FULL_COVERAGE, "");
     world.check(&found);
     assert!(found.missing.is_empty());
 }
--- a/crates/core/tests/rules/operation.rs
+++ b/crates/core/tests/rules/operation.rs
@@ -116,7 +116,7 @@
 fn home_lost(pause: Option<Duration>) {
     let mut world = World::new(3, 4, 2);
     let home = world.home_of(0);
-    let entry = world.stranger_to(0);
+    let entry = world.other_than_home_of(0);
     let call = world.operate(entry.as_str(), 1, SUBJECT, "a");
     // The claim takes 5 ms and the leg half a millisecond.
     world.run(Duration::from_micros(5300));
@@ -151,7 +151,7 @@
 
 fn entry_killed_after_it_sent() {
     let mut world = World::new(3, 4, 2);
-    let entry = world.stranger_to(0);
+    let entry = world.other_than_home_of(0);
     let _ = world.operate(entry.as_str(), 1, SUBJECT, "a");
     world.run(Duration::from_micros(5300));
     world.kill_vm(entry.as_str());
--- a/crates/core/tests/rules/planted.rs
+++ b/crates/core/tests/rules/planted.rs
@@ -5,7 +5,7 @@
 
 use laburnum_core::{fault::Ran, target::Version, traffic::Body, view::State};
 
-use crate::world::{ANY, WHOLE, World, name};
+use crate::world::{ANY_COVERAGE, FULL_COVERAGE, World, name};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -20,7 +20,7 @@
     assert!(!world.targets.get(1, 0).connections.is_empty(), "no new connection");
     let before = world.targets.get(1, 0).attempts;
     for number in 0..4 {
-        world.find("vm-1", WHOLE, &format!(" for {number}"));
+        world.find("vm-1", FULL_COVERAGE, &format!(" for {number}"));
     }
     assert_eq!(world.targets.get(1, 0).attempts, before);
 }
@@ -29,10 +29,10 @@
 fn slot_frees_after_the_deadline() {
     let mut world = World::new(3, 1, 1);
     let home = world.home_of(0);
-    let entry = world.stranger_to(0);
+    let entry = world.other_than_home_of(0);
     // A target gets one leg at a time until it has answered some.
     for number in 0..8 {
-        world.find(home.as_str(), WHOLE, &format!(" first {number}"));
+        world.find(home.as_str(), FULL_COVERAGE, &format!(" first {number}"));
     }
     world.targets.get(0, 0).service = 1500 * MS;
     for number in 0..2 {
@@ -40,7 +40,7 @@
     }
     world.run(50 * MS);
     assert_eq!(world.targets.get(0, 0).running.len(), 2, "both slots are taken");
-    world.search(entry.as_str(), WHOLE, " for one");
+    world.search(entry.as_str(), FULL_COVERAGE, " for one");
     world.run(10 * MS);
     world.network.cut(&entry, &home);
     world.run(3000 * MS);
@@ -68,7 +68,7 @@
     world.network.slow(&name("vm-1"), &home, 30 * MS);
     // The homes read the holdings of their targets soon after the change.
     world.run(480 * MS);
-    let call = world.search("vm-1", WHOLE, " for one");
+    let call = world.search("vm-1", FULL_COVERAGE, " for one");
     world.run(20 * MS);
     world.change_version(Version(2));
     world.run(1100 * MS);
@@ -82,7 +82,7 @@
     let mut world = World::new(3, 3, 2);
     // A target gets one leg at a time until it has answered some.
     for number in 0..40 {
-        world.search("vm-1", WHOLE, &format!(" first {number}"));
+        world.search("vm-1", FULL_COVERAGE, &format!(" first {number}"));
         world.run(if number % 2 == 0 { MS / 10 } else { 20 * MS });
     }
     for replica in 0..2 {
@@ -90,11 +90,11 @@
     }
     world.targets.get(1, 1).service = 100 * MS;
     world.targets.get(1, 0).sheds = true;
-    let call = world.search("vm-1", WHOLE, " for one");
+    let call = world.search("vm-1", FULL_COVERAGE, " for one");
     world.run(30 * MS);
     assert_eq!(world.targets.get(1, 1).running.len(), 1, "the other request does not run");
     world.targets.get(1, 0).sheds = false;
-    world.search("vm-2", ANY, "poison");
+    world.search("vm-2", ANY_COVERAGE, "poison");
     world.run(1100 * MS);
     assert_eq!(world.targets.crashes["poison"].len(), 2);
     assert!(world.found(call).missing.is_empty());
--- a/crates/core/tests/rules/search.rs
+++ b/crates/core/tests/rules/search.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::world::{
-    ANY, CAREFUL, WHOLE, World, name,
+    ANY_COVERAGE, CANARY, FULL_COVERAGE, World, name,
     targets::{Fault, Target},
 };
 
@@ -28,7 +28,7 @@
 fn complete_through_each_vm() {
     let mut world = World::new(3, 6, 2);
     for vm in ["vm-1", "vm-2", "vm-3"] {
-        let found = world.find(vm, WHOLE, "");
+        let found = world.find(vm, FULL_COVERAGE, "");
         world.check(&found);
         assert!(found.missing.is_empty());
         assert_eq!(found.attempts, 6);
@@ -40,7 +40,7 @@
     let mut world = World::new(3, 4, 2);
     world.targets.get(1, 0).fault = Some(fault);
     for _ in 0..4 {
-        let found = world.find("vm-1", WHOLE, "");
+        let found = world.find("vm-1", FULL_COVERAGE, "");
         world.check(&found);
         assert!(found.missing.is_empty());
     }
@@ -53,7 +53,7 @@
     let mut world = World::new(3, 4, 2);
     world.targets.get(1, 0).fault = Some(fault);
     world.targets.get(1, 1).fault = Some(fault);
-    let found = world.find("vm-1", ANY, "");
+    let found = world.find("vm-1", ANY_COVERAGE, "");
     world.check(&found);
     assert_eq!(found.coverage, 750_000);
 }
@@ -63,10 +63,10 @@
     world.crash_target(2, 0);
     world.crash_target(2, 1);
     world.run(2000 * MS);
-    let found = world.find("vm-1", ANY, "");
+    let found = world.find("vm-1", ANY_COVERAGE, "");
     world.check(&found);
     assert_eq!(found.coverage, 750_000);
-    let call = world.search("vm-2", WHOLE, "");
+    let call = world.search("vm-2", FULL_COVERAGE, "");
     world.run(1100 * MS);
     assert_eq!(refusal(&world, call), (Kind::CoverageTooLow, Ran::No));
 }
@@ -78,14 +78,14 @@
     }
     world.publish();
     world.run(10 * MS);
-    let found = world.find("vm-1", ANY, "");
+    let found = world.find("vm-1", ANY_COVERAGE, "");
     world.check(&found);
     assert_eq!(found.coverage, 750_000);
 }
 
 fn replica_lost_under_the_query() {
     let mut world = World::new(3, 4, 2);
-    let call = world.search("vm-1", WHOLE, "");
+    let call = world.search("vm-1", FULL_COVERAGE, "");
     world.run(2 * MS);
     world.crash_target(0, 0);
     world.run(1100 * MS);
@@ -103,7 +103,7 @@
             target.status.holds.insert(Version(2), range);
         }
         world.run(1000 * MS);
-        let found = world.find("vm-1", WHOLE, "");
+        let found = world.find("vm-1", FULL_COVERAGE, "");
         world.check(&found);
         let expected = if shard == 3 { 2 } else { 1 };
         assert_eq!(found.version, Version(expected));
@@ -119,7 +119,7 @@
             target.status.holds = [(Version(2), range)].into();
         }
     }
-    let call = world.search("vm-1", WHOLE, "");
+    let call = world.search("vm-1", FULL_COVERAGE, "");
     world.run(1100 * MS);
     let found = world.found(call).clone();
     world.check(&found);
@@ -131,7 +131,7 @@
     let mut world = World::new(3, 4, 2);
     let slow = world.targets.get(0, 0);
     slow.service = 100 * MS;
-    let call = world.search("vm-1", WHOLE, "");
+    let call = world.search("vm-1", FULL_COVERAGE, "");
     // Shards two and three change places at the same version.
     for replica in 0..2 {
         let two = world.targets.get(2, replica).status.holds.clone();
@@ -149,7 +149,7 @@
     for replica in 0..2 {
         world.targets.get(1, replica).go_silent();
     }
-    let found = world.find("vm-1", WHOLE, "");
+    let found = world.find("vm-1", FULL_COVERAGE, "");
     world.check(&found);
     assert!(found.missing.is_empty());
 }
@@ -157,8 +157,8 @@
 fn home_killed_under_the_query() {
     let mut world = World::new(3, 4, 2);
     let home = world.home_of(1);
-    let entry = world.stranger_to(1);
-    let call = world.search(entry.as_str(), WHOLE, "");
+    let entry = world.other_than_home_of(1);
+    let call = world.search(entry.as_str(), FULL_COVERAGE, "");
     world.run(Duration::from_micros(600));
     world.kill_vm(home.as_str());
     world.run(1100 * MS);
@@ -170,53 +170,53 @@
 fn home_paused_under_the_query() {
     let mut world = World::new(3, 4, 2);
     let home = world.home_of(1);
-    let entry = world.stranger_to(1);
-    let call = world.search(entry.as_str(), WHOLE, "");
+    let entry = world.other_than_home_of(1);
+    let call = world.search(entry.as_str(), FULL_COVERAGE, "");
     world.pause_vm(home.as_str(), 10_000 * MS);
     world.run(1100 * MS);
     let found = world.found(call).clone();
     world.check(&found);
     assert!(found.missing.is_empty());
     world.run(11_000 * MS);
-    let found = world.find(home.as_str(), WHOLE, "");
+    let found = world.find(home.as_str(), FULL_COVERAGE, "");
     world.check(&found);
 }
 
 fn home_cut_off(to_home: bool, from_home: bool) {
     let mut world = World::new(3, 4, 2);
     let home = world.home_of(1);
-    let entry = world.stranger_to(1);
+    let entry = world.other_than_home_of(1);
     if to_home {
         world.network.cut(&entry, &home);
     }
     if from_home {
         world.network.cut(&home, &entry);
     }
-    let found = world.find(entry.as_str(), WHOLE, "");
+    let found = world.find(entry.as_str(), FULL_COVERAGE, "");
     world.check(&found);
     assert!(found.missing.is_empty());
-    world.network.mend();
-    let found = world.find(entry.as_str(), WHOLE, "");
+    world.network.heal();
+    let found = world.find(entry.as_str(), FULL_COVERAGE, "");
     assert!(found.missing.is_empty());
 }
 
 fn home_that_is_reported_lost() {
     let mut world = World::new(3, 4, 2);
     let home = world.home_of(1);
-    let entry = world.stranger_to(1);
-    let call = world.search(entry.as_str(), WHOLE, "");
+    let entry = world.other_than_home_of(1);
+    let call = world.search(entry.as_str(), FULL_COVERAGE, "");
     world.run(Duration::from_micros(600));
     world.kill_vm(home.as_str());
-    world.lose_lane(&home);
+    world.report_lost_lane(&home);
     world.run(60 * MS);
     let found = world.found(call).clone();
     world.check(&found);
-    world.forget_vm(home.as_str());
-    let found = world.find(entry.as_str(), WHOLE, "");
+    world.unlist_vm(home.as_str());
+    let found = world.find(entry.as_str(), FULL_COVERAGE, "");
     assert!(found.missing.is_empty());
     world.start_vm(home.as_str());
     world.run(500 * MS);
-    let found = world.find(home.as_str(), WHOLE, "");
+    let found = world.find(home.as_str(), FULL_COVERAGE, "");
     world.check(&found);
     assert!(found.missing.is_empty());
 }
@@ -224,11 +224,11 @@
 fn leaving_home_finishes_what_it_has() {
     let mut world = World::new(3, 4, 2);
     let home = world.home_of(1);
-    let entry = world.stranger_to(1);
+    let entry = world.other_than_home_of(1);
     for replica in 0..2 {
         world.targets.get(1, replica).service = 100 * MS;
     }
-    let call = world.search(entry.as_str(), WHOLE, "");
+    let call = world.search(entry.as_str(), FULL_COVERAGE, "");
     world.run(20 * MS);
     world.leave_vm(home.as_str());
     world.run(200 * MS);
@@ -240,7 +240,7 @@
     });
     assert_eq!(in_flight, Some(0));
     assert_ne!(world.home_of(1), home);
-    let found = world.find(home.as_str(), WHOLE, "");
+    let found = world.find(home.as_str(), FULL_COVERAGE, "");
     assert!(found.missing.is_empty());
 }
 
@@ -251,7 +251,7 @@
     world.crash_target(1, 0);
     world.targets.get(1, 0).restart();
     world.run(2000 * MS);
-    let found = world.find("vm-1", WHOLE, "");
+    let found = world.find("vm-1", FULL_COVERAGE, "");
     assert!(found.missing.is_empty());
     let target = name("target-1-0");
     let serving = |incarnation| Report::Serving { target: target.clone(), incarnation };
@@ -266,7 +266,7 @@
     world.run(2000 * MS);
     let before = world.targets.get(1, 0).attempts;
     for _ in 0..3 {
-        let found = world.find("vm-1", WHOLE, "");
+        let found = world.find("vm-1", FULL_COVERAGE, "");
         assert!(found.missing.is_empty());
     }
     assert_eq!(world.targets.get(1, 0).attempts, before);
@@ -278,7 +278,7 @@
     world.publish();
     world.run(MS);
     let before = world.targets.get(1, 0).attempts;
-    let found = world.find("vm-1", WHOLE, "");
+    let found = world.find("vm-1", FULL_COVERAGE, "");
     assert!(found.missing.is_empty());
     assert_eq!(world.targets.get(1, 0).attempts, before);
 }
@@ -289,13 +289,13 @@
         world.targets.get(1, replica).poison = Some("poison".into());
     }
     for vm in ["vm-1", "vm-2", "vm-3", "vm-1"] {
-        let call = world.search(vm, ANY, "poison");
+        let call = world.search(vm, ANY_COVERAGE, "poison");
         world.run(1100 * MS);
         assert_eq!(refusal(&world, call).0, Kind::Quarantined);
     }
     let crashed = (0..4).filter(|&replica| !world.targets.get(1, replica).alive).count();
     assert_eq!(crashed, 2);
-    let found = world.find("vm-2", WHOLE, "other");
+    let found = world.find("vm-2", FULL_COVERAGE, "other");
     world.check(&found);
     assert!(found.missing.is_empty());
 }
@@ -307,7 +307,7 @@
         target.poison = Some("poison".into());
     }
     for vm in ["vm-1", "vm-2", "vm-3", "vm-1"] {
-        let call = world.search(vm, CAREFUL, "poison");
+        let call = world.search(vm, CANARY, "poison");
         world.run(1100 * MS);
         assert_eq!(refusal(&world, call).0, Kind::Quarantined);
         // The control threads pass on what is held back.
@@ -320,7 +320,7 @@
     }
     let crashed = world.targets.rows.values().filter(|target| !target.alive).count();
     assert_eq!(crashed, 2);
-    let found = world.find("vm-2", WHOLE, "other");
+    let found = world.find("vm-2", FULL_COVERAGE, "other");
     assert!(found.missing.is_empty(), "a shard lost both replicas");
 }
 
@@ -330,7 +330,7 @@
     for target in world.targets.rows.values_mut() {
         target.service = 50 * MS;
     }
-    let call = world.search("vm-1", WHOLE, "");
+    let call = world.search("vm-1", FULL_COVERAGE, "");
     world.run(20 * MS);
     let busy = |target: &&mut Target| !target.running.is_empty();
     let running: Vec<u64> =
@@ -351,7 +351,7 @@
     let mut world = World::new(3, 6, 2);
     let mut times = Vec::new();
     for _ in 0..2 {
-        let call = world.search("vm-1", CAREFUL, "again");
+        let call = world.search("vm-1", CANARY, "again");
         world.run(1100 * MS);
         assert_eq!(world.found(call).attempts, 6);
         times.push(world.answer(call).took);
@@ -369,12 +369,12 @@
 fn homes_share_the_connections() {
     let mut world = World::new(19, 4, 2);
     for vm in 1..=19 {
-        world.search(&format!("vm-{vm}"), WHOLE, "");
+        world.search(&format!("vm-{vm}"), FULL_COVERAGE, "");
     }
     world.run(1100 * MS);
     for target in world.targets.rows.values() {
-        assert!(target.most_connections <= 2, "{} connections", target.most_connections);
-        assert!(target.most_running <= 2, "{} attempts at a time", target.most_running);
+        assert!(target.peak_connections <= 2, "{} connections", target.peak_connections);
+        assert!(target.peak_running <= 2, "{} attempts at a time", target.peak_running);
     }
     assert_eq!(world.answers.len(), 19);
 }
--- a/crates/core/tests/rules/traffic_load.rs
+++ b/crates/core/tests/rules/traffic_load.rs
@@ -10,13 +10,13 @@
     view::State,
 };
 
-use crate::world::{WHOLE, World, name};
+use crate::world::{FULL_COVERAGE, World, name};
 
 const MS: Duration = Duration::from_millis(1);
 
 /// Changes the profile that asks for all of the index.
 fn terms(world: &mut World, extra_load: u32, priority: u32) {
-    let profile = world.document.profiles.get_mut(&name(WHOLE)).unwrap();
+    let profile = world.document.profiles.get_mut(&name(FULL_COVERAGE)).unwrap();
     profile.extra_load = extra_load;
     profile.priority = priority;
     world.publish();
@@ -55,7 +55,7 @@
     for target in world.targets.rows.values_mut() {
         target.service = 100 * MS;
     }
-    send(&mut world, 40, 300 * MS, WHOLE);
+    send(&mut world, 40, 300 * MS, FULL_COVERAGE);
     let first = sum(&world, Count::FirstAttempts) - before;
     let hedges = sum(&world, Count::Hedges);
     assert_eq!(first, 160);
@@ -69,13 +69,14 @@
     let mut world = World::new(1, 1, 2);
     terms(&mut world, 0, 10);
     world.targets.get(0, 0).service = 400 * MS;
-    send(&mut world, 40, 450 * MS, WHOLE);
+    send(&mut world, 40, 450 * MS, FULL_COVERAGE);
     world
 }
 
 fn leg_waits_for_the_fast_target() {
     let mut world = slow_target();
-    let calls: Vec<Call> = (0..4).map(|n| world.search("vm-1", WHOLE, &n.to_string())).collect();
+    let calls: Vec<Call> =
+        (0..4).map(|n| world.search("vm-1", FULL_COVERAGE, &n.to_string())).collect();
     world.run(1100 * MS);
     for call in calls {
         let took = took(&world, call);
@@ -89,7 +90,7 @@
         target.service = 300 * MS;
     }
     let before = world.targets.get(0, 0).attempts;
-    send(&mut world, 60, 30 * MS, WHOLE);
+    send(&mut world, 60, 30 * MS, FULL_COVERAGE);
     world.run(1100 * MS);
     assert!(world.targets.get(0, 0).attempts > before + 4);
 }
@@ -97,11 +98,11 @@
 fn recovered_target_is_used_again() {
     let mut world = slow_target();
     world.targets.get(0, 0).service = 4 * MS;
-    send(&mut world, 200, 50 * MS, WHOLE);
+    send(&mut world, 200, 50 * MS, FULL_COVERAGE);
     let before = world.targets.get(0, 0).attempts;
     for _ in 0..20 {
         for number in 0..4 {
-            world.search("vm-1", WHOLE, &number.to_string());
+            world.search("vm-1", FULL_COVERAGE, &number.to_string());
         }
         world.run(50 * MS);
     }
@@ -113,16 +114,16 @@
     let mut world = World::new(1, 1, 2);
     world.targets.get(0, 0).listed = None;
     world.publish();
-    send(&mut world, 20, 20 * MS, WHOLE);
+    send(&mut world, 20, 20 * MS, FULL_COVERAGE);
     world.targets.get(0, 0).listed = Some(State::Live);
-    world.targets.get(0, 0).most_running = 0;
+    world.targets.get(0, 0).peak_running = 0;
     world.publish();
     world.run(50 * MS);
     for number in 0..8 {
-        world.search("vm-1", WHOLE, &number.to_string());
+        world.search("vm-1", FULL_COVERAGE, &number.to_string());
     }
     world.run(6 * MS);
-    assert_eq!(world.targets.get(0, 0).most_running, 1);
+    assert_eq!(world.targets.get(0, 0).peak_running, 1);
 }
 
 /// Two shards of one target with two slots; a request takes 42 ms with its way,
@@ -132,13 +133,13 @@
     for target in world.targets.rows.values_mut() {
         target.service = 40 * MS;
     }
-    send(&mut world, 10, 100 * MS, WHOLE);
+    send(&mut world, 10, 100 * MS, FULL_COVERAGE);
     world
 }
 
 fn overload_is_refused_before_it_runs() {
     let mut world = small_world();
-    let calls = send(&mut world, 600, 5 * MS, WHOLE);
+    let calls = send(&mut world, 600, 5 * MS, FULL_COVERAGE);
     world.run(1100 * MS);
     let answered = answered(&world, &calls);
     assert!(answered >= 140, "{answered} of 141 that the slots allow were answered");
@@ -152,11 +153,11 @@
 
 fn latency_is_back_after_a_burst(deadline: Duration) {
     let mut world = small_world();
-    world.document.profiles.get_mut(&name(WHOLE)).unwrap().deadline = deadline;
+    world.document.profiles.get_mut(&name(FULL_COVERAGE)).unwrap().deadline = deadline;
     world.publish();
     world.run(10 * MS);
-    send(&mut world, 200, 7 * MS, WHOLE);
-    let after = send(&mut world, 80, 35 * MS, WHOLE);
+    send(&mut world, 200, 7 * MS, FULL_COVERAGE);
+    let after = send(&mut world, 80, 35 * MS, FULL_COVERAGE);
     world.run(1100 * MS);
     // From two seconds after the burst.
     for &call in &after[58..] {
@@ -172,7 +173,7 @@
         target.sheds = target.shard == 1;
         target.service = 400 * MS;
     }
-    let call = world.search("vm-1", WHOLE, "");
+    let call = world.search("vm-1", FULL_COVERAGE, "");
     world.run(1100 * MS);
     let answer = world.answer(call);
     assert!(matches!(answer.body, Body::Refused(_)));
@@ -186,7 +187,7 @@
     for target in world.targets.rows.values_mut() {
         target.sheds = true;
     }
-    send(&mut world, 500, 5 * MS, WHOLE);
+    send(&mut world, 500, 5 * MS, FULL_COVERAGE);
     world.run(1100 * MS);
     let (first, all) = (sum(&world, Count::FirstAttempts), sum(&world, Count::Attempts));
     assert!(first >= 1000, "{first} first attempts");
@@ -195,7 +196,7 @@
 
 fn profiles_share_by_priority() {
     let mut world = small_world();
-    let mut other = world.document.profiles[&name(WHOLE)].clone();
+    let mut other = world.document.profiles[&name(FULL_COVERAGE)].clone();
     other.priority = 30;
     world.document.profiles.insert(name("urgent"), other);
     world.publish();
@@ -203,7 +204,7 @@
     let mut plain = Vec::new();
     let mut urgent = Vec::new();
     for _ in 0..300 {
-        plain.extend(send(&mut world, 1, 5 * MS, WHOLE));
+        plain.extend(send(&mut world, 1, 5 * MS, FULL_COVERAGE));
         urgent.extend(send(&mut world, 1, 5 * MS, "urgent"));
     }
     world.run(1100 * MS);
--- a/crates/core/tests/rules/traffic_share.rs
+++ b/crates/core/tests/rules/traffic_share.rs
@@ -7,17 +7,17 @@
     traffic::{Body, Call, Event},
 };
 
-use crate::world::{WHOLE, World, name};
+use crate::world::{FULL_COVERAGE, World, name};
 
 const MS: Duration = Duration::from_millis(1);
 
 /// One shard of one target that takes 100 ms.
 fn slow_world() -> World {
     let mut world = World::new(2, 1, 1);
-    world.document.profiles.get_mut(&name(WHOLE)).unwrap().canary = false;
+    world.document.profiles.get_mut(&name(FULL_COVERAGE)).unwrap().canary = false;
     world.publish();
     for number in 0..10 {
-        world.search("vm-1", WHOLE, &format!("warm {number}"));
+        world.search("vm-1", FULL_COVERAGE, &format!("warm {number}"));
         world.run(20 * MS);
     }
     world.targets.get(0, 0).service = 100 * MS;
@@ -26,10 +26,10 @@
 }
 
 fn same(world: &mut World, vms: &[&str]) -> Vec<Call> {
-    let mut calls = vec![world.search(vms[0], WHOLE, "same")];
+    let mut calls = vec![world.search(vms[0], FULL_COVERAGE, "same")];
     for vm in &vms[1..] {
         world.run(10 * MS);
-        calls.push(world.search(vm, WHOLE, "same"));
+        calls.push(world.search(vm, FULL_COVERAGE, "same"));
     }
     calls
 }
@@ -48,8 +48,8 @@
 
 fn other_searches_do_not() {
     let mut world = slow_world();
-    world.search("vm-1", WHOLE, "one");
-    world.search("vm-2", WHOLE, "other");
+    world.search("vm-1", FULL_COVERAGE, "one");
+    world.search("vm-2", FULL_COVERAGE, "other");
     world.run(200 * MS);
     assert_eq!(world.targets.get(0, 0).attempts, 2);
 }
@@ -72,7 +72,7 @@
     world.targets.get(0, 0).service = 1050 * MS;
     let mut calls = same(&mut world, &["vm-1", "vm-2"]);
     world.run(500 * MS);
-    calls.push(world.search("vm-2", WHOLE, "same"));
+    calls.push(world.search("vm-2", FULL_COVERAGE, "same"));
     world.run(1600 * MS);
     for &call in &calls[..2] {
         let answer = world.answer(call);
--- a/crates/core/tests/world/claims.rs
+++ b/crates/core/tests/world/claims.rs
@@ -88,6 +88,6 @@
         vm.listed = None;
         self.targets.forget(name);
         self.publish();
-        self.lose_lane(name);
+        self.report_lost_lane(name);
     }
 }
--- a/crates/core/tests/world/fault.rs
+++ b/crates/core/tests/world/fault.rs
@@ -34,7 +34,7 @@
     }
 
     /// Ends a VM without a word; the other VMs' views keep it until
-    /// [`World::forget_vm`].
+    /// [`World::unlist_vm`].
     pub fn kill_vm(&mut self, vm: &str) {
         let vm = name(vm);
         self.vms.get_mut(&vm).unwrap().alive = false;
@@ -44,20 +44,20 @@
     /// Ends a VM and starts another one under its name.
     pub fn replace_vm(&mut self, vm: &str) {
         self.kill_vm(vm);
-        self.lose_lane(&name(vm));
+        self.report_lost_lane(&name(vm));
         self.start_vm(vm);
     }
 
     /// Takes a VM out of every view and reports the lost connections.
-    pub fn forget_vm(&mut self, vm: &str) {
+    pub fn unlist_vm(&mut self, vm: &str) {
         let gone = name(vm);
         self.vms.get_mut(&gone).unwrap().listed = None;
         self.publish();
-        self.lose_lane(&gone);
+        self.report_lost_lane(&gone);
     }
 
     /// Tells every VM that messages to `vm` are lost.
-    pub fn lose_lane(&mut self, vm: &Name) {
+    pub fn report_lost_lane(&mut self, vm: &Name) {
         let lane = Lane { vm: vm.clone(), thread: 0 };
         let others: Vec<Name> = self.vms.keys().filter(|other| *other != vm).cloned().collect();
         for other in others {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -44,14 +44,14 @@
 pub const INDEX: &str = "register";
 
 /// The profile that asks for all of the index.
-pub const WHOLE: &str = "whole";
+pub const FULL_COVERAGE: &str = "whole";
 
 /// The profile that takes any part of the index and tries a search at one shard
 /// before it goes to all.
-pub const CAREFUL: &str = "careful";
+pub const CANARY: &str = "careful";
 
 /// The profile that takes any part of the index.
-pub const ANY: &str = "any";
+pub const ANY_COVERAGE: &str = "any";
 
 /// The deadline of both profiles.
 pub const DEADLINE: Duration = Duration::from_secs(1);
@@ -130,9 +130,9 @@
 pub fn profiles(concurrency: u32) -> BTreeMap<Name, Profile> {
     let careful = Profile { canary: true, ..profile(0, concurrency) };
     [
-        (name(WHOLE), profile(1_000_000, concurrency)),
-        (name(ANY), profile(0, concurrency)),
-        (name(CAREFUL), careful),
+        (name(FULL_COVERAGE), profile(1_000_000, concurrency)),
+        (name(ANY_COVERAGE), profile(0, concurrency)),
+        (name(CANARY), careful),
     ]
     .into()
 }
@@ -165,7 +165,7 @@
     }
 
     /// As [`World::new`], with the control threads and the platform's service.
-    pub fn whole(vms: usize, shards: u64, replicas: u64) -> World {
+    pub fn with_control(vms: usize, shards: u64, replicas: u64) -> World {
         let mut world = World::empty(shards, replicas);
         world.platform = Some(Platform::new());
         for number in 1..=vms {
@@ -372,7 +372,7 @@
     }
 
     /// The name of a VM that is not the home of the shard.
-    pub fn stranger_to(&self, shard: u64) -> Name {
+    pub fn other_than_home_of(&self, shard: u64) -> Name {
         let home = self.home_of(shard);
         self.vms.keys().find(|vm| **vm != home).unwrap().clone()
     }
--- a/crates/core/tests/world/network.rs
+++ b/crates/core/tests/world/network.rs
@@ -29,7 +29,7 @@
     }
 
     /// Mends every cut and every slow way.
-    pub fn mend(&mut self) {
+    pub fn heal(&mut self) {
         self.cuts.clear();
         self.delays.clear();
     }
--- a/crates/core/tests/world/oracle.rs
+++ b/crates/core/tests/world/oracle.rs
@@ -117,7 +117,11 @@
         assert_eq!(targets.late_work, [], "work for a target long after it was leaving");
         assert_eq!(targets.over_limit, [], "more connections than the target takes");
         assert_eq!(targets.expired, [], "work for a target after its deadline");
-        assert!(targets.harmed.is_empty(), "lost beside a suspect: {:?}", targets.harmed);
+        assert!(
+            targets.lost_beside_suspect.is_empty(),
+            "lost beside a suspect: {:?}",
+            targets.lost_beside_suspect
+        );
         for (call, request) in &self.open {
             let is_late = now > request.due + TICK && runs(request);
             assert!(!is_late, "{call:?} has no answer at {now:?}: {request:?}");
--- a/crates/core/tests/world/request.rs
+++ b/crates/core/tests/world/request.rs
@@ -34,7 +34,7 @@
     pub fn operate(&mut self, vm: &str, key: u128, subject: u64, detail: &str) -> Call {
         let call = self.next_call();
         let operate = Operate {
-            profile: name(super::WHOLE),
+            profile: name(super::FULL_COVERAGE),
             operation: name("clearance"),
             subject,
             detail: detail.into(),
--- a/crates/core/tests/world/targets.rs
+++ b/crates/core/tests/world/targets.rs
@@ -72,11 +72,11 @@
     /// Its connections with the VMs they lead to.
     pub connections: BTreeMap<id::Connection, Name>,
     /// The most connections that it ever had.
-    pub most_connections: usize,
+    pub peak_connections: usize,
     /// Attempts that run, with their connections.
     pub running: BTreeMap<id::Attempt, (id::Connection, Request)>,
     /// The most attempts that ever ran at a time.
-    pub most_running: usize,
+    pub peak_running: usize,
     /// Attempts that it got.
     pub attempts: u64,
     /// When it was started again.
@@ -108,7 +108,7 @@
     pub expired: Vec<(Name, Instant)>,
     /// The requests that were lost with a target because one that was known to
     /// crash targets ran beside them.
-    pub harmed: Vec<Arc<str>>,
+    pub lost_beside_suspect: Vec<Arc<str>>,
     /// The time.
     pub now: Instant,
 }
@@ -132,7 +132,7 @@
             late_work: Vec::new(),
             over_limit: Vec::new(),
             expired: Vec::new(),
-            harmed: Vec::new(),
+            lost_beside_suspect: Vec::new(),
             now: Instant::default(),
         }
     }
@@ -220,7 +220,7 @@
             return Effect::event(HOP, Event::Closed { connection, detail });
         };
         target.connections.insert(connection, vm.clone());
-        target.most_connections = target.most_connections.max(target.connections.len());
+        target.peak_connections = target.peak_connections.max(target.connections.len());
         if target.connections.len() > CONNECTIONS as usize {
             self.over_limit.push((target_name(target.shard, 0), target.connections.len()));
         }
@@ -274,13 +274,13 @@
             let crashed = self.crashes.entry(poison).or_default();
             if !crashed.is_empty() {
                 let beside = target.running.values().map(|(_, other)| text_of(&other.work).clone());
-                self.harmed.extend(beside);
+                self.lost_beside_suspect.extend(beside);
             }
             crashed.insert(target_name.clone());
             return target.crash();
         }
         target.running.insert(attempt, (connection, request));
-        target.most_running = target.most_running.max(target.running.len());
+        target.peak_running = target.peak_running.max(target.running.len());
         let served = (HOP / 2 + target.service_time(), target_name.clone(), attempt);
         Effect { serves: vec![served], ..Effect::default() }
     }
@@ -386,9 +386,9 @@
         fault: None,
         silent: BTreeSet::new(),
         connections: BTreeMap::new(),
-        most_connections: 0,
+        peak_connections: 0,
         running: BTreeMap::new(),
-        most_running: 0,
+        peak_running: 0,
         attempts: 0,
         restarted: Instant::default(),
         leaving: None,
