--- a/crates/core/src/border.rs
+++ b/crates/core/src/border.rs
@@ -1,8 +1,8 @@
-//! The borders of the decisions, as traits whose implementations vary.
+//! Traits at the borders between the decisions and the rest of the process.
 //!
-//! A client behind a border carries orders out and reports back through the
-//! event channel that it was given when it was made; it decides nothing. Tests
-//! put fakes here.
+//! An implementation carries out commands and reports back through the event
+//! channel that it receives when it is created; it makes no decisions. Tests
+//! implement the traits with fakes.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -15,29 +15,29 @@
     view::Lane,
 };
 
-/// The platform's key-value service and list.
+/// The client of the platform's key-value service and of its list.
 pub trait Platform {
     /// Starts a call; its [`crate::store::Reply`] is reported under `id`.
     fn call(&mut self, id: CallId, call: Call);
 }
 
-/// The targets.
+/// The client of the targets.
 pub trait Targets {
-    /// Starts to carry out an order; [`crate::target::Event`]s report on it.
+    /// Starts a command; [`crate::target::Event`]s report its result.
     fn command(&mut self, command: Command);
 }
 
-/// The traffic threads of other VMs and the siblings of this one.
+/// The connections to traffic threads of other VMs and to the other traffic
+/// threads of this VM.
 pub trait Peers {
-    /// Sends a message, without a promise that it arrives.
+    /// Sends a message without a guarantee of delivery.
     fn send(&mut self, lane: &Lane, message: Message);
-    /// Takes the addresses at which the lanes listen from now on.
+    /// Replaces the addresses at which the lanes listen.
     fn update(&mut self, addresses: BTreeMap<Lane, SocketAddr>);
 }
 
 /// The writer of the log.
 pub trait Journal {
-    /// Writes a line.
     fn write(&mut self, line: &Line);
 }
 
--- a/crates/core/src/count.rs
+++ b/crates/core/src/count.rs
@@ -1,9 +1,9 @@
-//! The closed list of what is counted.
+//! The fixed set of counters.
 //!
-//! Systems add to [`Counts`], which the thread hands to the metrics at the end
-//! of a tick. Every refusal has its [`Kind`], every retry its [`Retry`] and
-//! every reply that is thrown away its [`Drop`]; nothing is counted under a
-//! text that is made at run time, so the number of series is bounded.
+//! Systems add to [`Counts`], which the thread passes to the metrics at the end
+//! of each tick. Refusals are labelled by their [`Kind`], retries by their
+//! [`Retry`] reason and dropped replies by their [`Drop`] reason. No label is
+//! built at run time, so the number of time series is bounded.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -18,10 +18,10 @@
         }
 
         impl $name {
-            /// Every reason, in the order of the list.
+            /// Every reason in order of declaration.
             pub const ALL: &[$name] = &[$($name::$reason),*];
 
-            /// The stable text of the reason, as in the label of the counter.
+            /// The value of the counter's `reason` label.
             pub fn as_str(self) -> &'static str {
                 match self {
                     $($name::$reason => $text,)*
@@ -32,11 +32,11 @@
 }
 
 reasons! {
-    /// Why an attempt was followed by another.
+    /// Why an attempt was followed by another one.
     Retry {
-        /// The target shed it.
+        /// The target shed the attempt.
         Shed "shed";
-        /// The target is leaving.
+        /// The target is draining.
         Draining "draining";
         /// The target no longer holds the version.
         VersionGone "version_gone";
@@ -46,13 +46,13 @@
         Unsent "unsent";
         /// The connection was lost.
         ConnectionLost "connection_lost";
-        /// The connection went silent.
+        /// The peer stopped responding on the connection.
         ConnectionSilent "connection_silent";
-        /// The reply was cut, crossed or failed its check.
+        /// The reply was truncated, belonged to another attempt or failed its check.
         Garbled "garbled";
         /// The target answered with a failure.
         TargetFailed "target_failed";
-        /// The home of the shard is unreachable or silent.
+        /// The home of the shard is unreachable or does not answer.
         HomeUnreachable "home_unreachable";
     }
 }
@@ -60,28 +60,28 @@
 reasons! {
     /// Why a reply was dropped.
     Drop {
-        /// Its attempt or leg is no longer waited for.
+        /// The attempt or leg is no longer pending.
         Late "late";
-        /// It carries the id of another attempt.
+        /// The reply carries the id of another attempt.
         Crossed "crossed";
-        /// It was cut or its digest does not match.
+        /// The reply is truncated or its digest does not match.
         Cut "cut";
-        /// It was read at another version.
+        /// The rows were read at another version of the index.
         WrongVersion "wrong_version";
-        /// It holds rows outside the range.
+        /// The reply contains rows outside the requested range.
         OutsideRange "outside_range";
-        /// It holds a row twice.
+        /// The reply contains a row twice.
         Doubled "doubled";
     }
 }
 
-/// Makes [`Count`] from the counts with a reason and those without.
+/// Defines [`Count`] from the counters with a reason and those without.
 macro_rules! counts {
     (
         with reason { $($(#[$rdoc:meta])* $rcount:ident($reason:ident) $rname:literal;)* }
         alone { $($(#[$doc:meta])* $count:ident $name:literal;)* }
     ) => {
-        /// Something that is counted; the list is closed.
+        /// A counter, with its reason where it has one.
         #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub enum Count {
             $($(#[$rdoc])* $rcount($reason),)*
@@ -89,7 +89,7 @@
         }
 
         impl Count {
-            /// Every count, those with a reason once for each reason.
+            /// Every counter, those with a reason once for each reason.
             pub fn all() -> Vec<Count> {
                 let mut all = Vec::new();
                 $(all.extend($reason::ALL.iter().map(|&reason| Count::$rcount(reason)));)*
@@ -97,7 +97,6 @@
                 all
             }
 
-            /// The name of the counter.
             pub fn name(self) -> &'static str {
                 match self {
                     $(Count::$rcount(_) => $rname,)*
@@ -105,7 +104,7 @@
                 }
             }
 
-            /// The reason, for counters that have one.
+            /// The value of the `reason` label, for counters that have one.
             pub fn reason(self) -> Option<&'static str> {
                 match self {
                     $(Count::$rcount(reason) => Some(reason.as_str()),)*
@@ -118,49 +117,48 @@
 
 counts! {
     with reason {
-        /// Refusals by kind.
+        /// Refused requests by kind.
         Refused(Kind) "refusals";
-        /// Attempts that followed another, by reason.
+        /// Retried attempts by reason.
         Retried(Retry) "retries";
-        /// Replies that were dropped, by reason.
+        /// Dropped replies by reason.
         Dropped(Drop) "replies_dropped";
     }
     alone {
-        /// Requests of callers.
+        /// Requests received from callers.
         Requests "requests";
-        /// Complete answers.
         Complete "complete_answers";
-        /// Partial answers.
+        /// Answers that do not cover the whole index.
         Partial "partial_answers";
-        /// First attempts.
+        /// First attempts of legs.
         FirstAttempts "first_attempts";
-        /// All attempts.
+        /// All attempts, with hedges and retries.
         Attempts "attempts";
-        /// Attempts made beside another that was slow.
+        /// Attempts sent in parallel to a slow one.
         Hedges "hedges";
-        /// Extra attempts that the budget did not allow.
+        /// Hedges and retries that the retry budget did not allow.
         BudgetSpent "extra_attempts_denied";
-        /// Requests that were handed to a larger VM.
+        /// Requests passed to a larger VM.
         Handed "requests_handed";
-        /// Queries that started over on another version.
+        /// Queries restarted on another version of the index.
         Restarts "query_restarts";
-        /// Attempts that were withdrawn at the target.
+        /// Attempts cancelled at the target.
         Cancelled "attempts_cancelled";
     }
 }
 
-/// One answer, for the histograms.
+/// The measurements of one answer, for the histograms.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Sample {
     /// The profile of the request.
     pub profile: Name,
-    /// The time from the request to its answer.
+    /// The time from the arrival of the request to its answer.
     pub took: Duration,
-    /// The coverage in parts per million; an operation has none.
+    /// The coverage in parts per million, or none for an operation.
     pub coverage: Option<u32>,
 }
 
-/// What was counted since it was last taken.
+/// The counters and samples since the last [`Counts::take`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
     totals: BTreeMap<Count, u64>,
@@ -168,44 +166,44 @@
 }
 
 impl Counts {
-    /// Counts `count` once.
+    /// Increments `count`.
     pub fn add(&mut self, count: Count) {
         self.add_many(count, 1);
     }
 
-    /// Counts `count` as often as `times`.
+    /// Increments `count` by `times`.
     pub fn add_many(&mut self, count: Count, times: u64) {
         if times > 0 {
             *self.totals.entry(count).or_default() += times;
         }
     }
 
-    /// Keeps `sample` for the histograms.
+    /// Adds a sample for the histograms.
     pub fn sample(&mut self, sample: Sample) {
         self.samples.push(sample);
     }
 
-    /// How often `count` was counted.
+    /// Returns the value of `count`.
     pub fn get(&self, count: Count) -> u64 {
         self.totals.get(&count).copied().unwrap_or_default()
     }
 
-    /// What was counted at least once, with how often.
+    /// Iterates over the counters that are not zero.
     pub fn iter(&self) -> impl Iterator<Item = (Count, u64)> + '_ {
         self.totals.iter().map(|(&count, &times)| (count, times))
     }
 
-    /// The answers.
+    /// Returns the samples in the order in which they were added.
     pub fn samples(&self) -> &[Sample] {
         &self.samples
     }
 
-    /// Tells whether there is nothing to hand on.
+    /// Returns whether there are neither counts nor samples.
     pub fn is_empty(&self) -> bool {
         self.totals.is_empty() && self.samples.is_empty()
     }
 
-    /// Hands on what was counted and starts anew.
+    /// Returns all counts and samples and resets them.
     pub fn take(&mut self) -> Counts {
         std::mem::take(self)
     }
--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -1,4 +1,4 @@
-//! Digests that tie a reply to its content and a resend to its first request.
+//! Digests that detect altered replies and recognize resent requests.
 
 use std::{fmt, num::ParseIntError, str::FromStr};
 
@@ -6,7 +6,7 @@
 
 use crate::target::Row;
 
-/// The fingerprint of a request: equal for a request that is sent again.
+/// The fingerprint of a request. A request that is sent again has the same one.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
 )]
@@ -28,7 +28,7 @@
 
 /// Computes the fingerprint of the parts of a request.
 ///
-/// Each part is preceded by its length, so that moving a byte from one part to
+/// Each part is hashed with its length, so that moving a byte from one part to
 /// the next changes the fingerprint.
 pub fn fingerprint(parts: &[&[u8]]) -> Fingerprint {
     let mut hash = Xxh3::new();
@@ -39,7 +39,8 @@
     Fingerprint(hash.digest())
 }
 
-/// Computes the digest of the rows of a reply, which shows a cut reply.
+/// Computes the digest of the rows of a reply, by which a truncated reply is
+/// detected.
 pub fn rows(rows: &[Row]) -> u64 {
     let mut hash = Xxh3::new();
     for row in rows {
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -1,13 +1,13 @@
-//! Small typed ids that key the rows of the tables.
+//! Typed ids, the keys of the tables' rows.
 
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
-/// One start of one thread of one VM.
+/// Identifies one start of one thread of a VM.
 ///
-/// It is drawn at random at each start, so that ids which carry it are never
-/// used twice, not even by a VM that restarts under the same name.
+/// It is drawn at random at each start, so that ids which contain it are never
+/// reused, not even by a VM that restarts under the same name.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -20,9 +20,9 @@
             Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
         )]
         pub struct $name {
-            /// The start of the thread that made the id.
+            /// The start of the thread that created the id.
             pub origin: Origin,
-            /// Counts up from one within the origin.
+            /// The number of the id within the origin, from one.
             pub sequence: u64,
         }
 
@@ -35,25 +35,26 @@
 }
 
 sequenced! {
-    /// A caller's request at the entry VM that took it. It is the request id in
-    /// the logs of every VM.
+    /// Identifies a caller's request at the entry VM that received it. It is the
+    /// request id in the logs of every VM.
     Query
 }
 sequenced! {
-    /// The part of a query that goes to one shard.
+    /// Identifies the part of a query for one shard.
     Leg
 }
 sequenced! {
-    /// One try of a leg at one target. The target echoes it in the reply, so
-    /// that a late, crossed or doubled reply matches no other try.
+    /// Identifies one attempt of a leg at a target. The target echoes it in the
+    /// reply, so that a late, misdirected or repeated reply matches no other
+    /// attempt.
     Attempt
 }
 sequenced! {
-    /// A connection to a target.
+    /// Identifies a connection to a target.
     Connection
 }
 
-/// Hands out the sequence numbers of one origin.
+/// Generates the ids of one origin.
 #[derive(Clone, Debug)]
 pub struct Source {
     origin: Origin,
@@ -61,38 +62,33 @@
 }
 
 impl Source {
-    /// Starts counting for `origin`.
     pub fn new(origin: Origin) -> Source {
         Source { origin, last: 0 }
     }
 
-    /// The origin that every id of this source carries.
+    /// Returns the origin of every id that this source generates.
     pub fn origin(&self) -> Origin {
         self.origin
     }
 
-    fn step(&mut self) -> u64 {
+    fn next_sequence(&mut self) -> u64 {
         self.last += 1;
         self.last
     }
 
-    /// Makes the id of a new query.
     pub fn query(&mut self) -> Query {
-        Query { origin: self.origin, sequence: self.step() }
+        Query { origin: self.origin, sequence: self.next_sequence() }
     }
 
-    /// Makes the id of a new leg.
     pub fn leg(&mut self) -> Leg {
-        Leg { origin: self.origin, sequence: self.step() }
+        Leg { origin: self.origin, sequence: self.next_sequence() }
     }
 
-    /// Makes the id of a new attempt.
     pub fn attempt(&mut self) -> Attempt {
-        Attempt { origin: self.origin, sequence: self.step() }
+        Attempt { origin: self.origin, sequence: self.next_sequence() }
     }
 
-    /// Makes the id of a new connection.
     pub fn connection(&mut self) -> Connection {
-        Connection { origin: self.origin, sequence: self.step() }
+        Connection { origin: self.origin, sequence: self.next_sequence() }
     }
 }
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -4,11 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-/// A million parts, the unit of a stated coverage.
-const MILLION: u128 = 1_000_000;
+const PARTS_PER_WHOLE: u128 = 1_000_000;
 
-/// A range of keys with both ends included, so that the whole key space has a
-/// representation.
+/// A range of keys. Both ends are inclusive, because an exclusive end could not
+/// express the whole key space.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "(u64, u64)", into = "(u64, u64)")]
 pub struct Range {
@@ -16,12 +15,10 @@
     last: u64,
 }
 
-/// The error of a range whose first key lies behind its last.
+/// The error for a range whose first key is greater than its last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reversed {
-    /// The first key that was given.
     pub first: u64,
-    /// The last key that was given.
     pub last: u64,
 }
 
@@ -51,34 +48,32 @@
     /// The whole key space.
     pub const ALL: Range = Range { first: 0, last: u64::MAX };
 
-    /// The first key of the range.
     pub fn first(self) -> u64 {
         self.first
     }
 
-    /// The last key of the range.
     pub fn last(self) -> u64 {
         self.last
     }
 
-    /// Tells whether `key` lies in the range.
+    /// Returns whether `key` lies in the range.
     pub fn contains(self, key: u64) -> bool {
         self.first <= key && key <= self.last
     }
 
-    /// Tells whether all of `other` lies in the range.
+    /// Returns whether the range contains all of `other`.
     pub fn covers(self, other: Range) -> bool {
         self.first <= other.first && other.last <= self.last
     }
 
-    /// The keys that both ranges hold.
+    /// Returns the keys that both ranges contain.
     pub fn intersection(self, other: Range) -> Option<Range> {
         let first = self.first.max(other.first);
         let last = self.last.min(other.last);
         (first <= last).then_some(Range { first, last })
     }
 
-    /// The number of keys in the range.
+    /// Returns the number of keys; the whole key space has one more than `u64::MAX`.
     pub fn size(self) -> u128 {
         u128::from(self.last) - u128::from(self.first) + 1
     }
@@ -90,37 +85,36 @@
     }
 }
 
-/// A set of keys, kept as disjoint ranges in ascending order.
+/// A set of keys, stored as disjoint ranges in ascending order.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Set(Vec<Range>);
 
 impl Set {
-    /// The set of no keys.
+    /// Creates the empty set.
     pub fn new() -> Set {
         Set::default()
     }
 
-    /// The set of all keys in `range`.
+    /// Creates the set of all keys in `range`.
     pub fn from_range(range: Range) -> Set {
         Set(vec![range])
     }
 
-    /// The disjoint ranges of the set in ascending order.
+    /// Returns the disjoint ranges of the set in ascending order.
     pub fn ranges(&self) -> &[Range] {
         &self.0
     }
 
-    /// Tells whether the set holds no key.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
 
-    /// Tells whether the set holds all of `range`.
+    /// Returns whether the set contains all of `range`.
     pub fn covers(&self, range: Range) -> bool {
         self.0.iter().any(|own| own.covers(range))
     }
 
-    /// Adds the keys of `range`; neighbours are joined.
+    /// Adds the keys of `range` and merges adjacent ranges.
     pub fn insert(&mut self, range: Range) {
         let start = self.0.partition_point(|own| own.last < range.first && !touches(*own, range));
         let end = self.0.partition_point(|own| own.first <= range.last || touches(*own, range));
@@ -132,10 +126,11 @@
         self.0.splice(start..end, [joined]);
     }
 
-    /// Takes the keys of `range` out of the set.
+    /// Removes the keys of `range` from the set.
     pub fn remove(&mut self, range: Range) {
-        let met = self.meeting(range);
-        let (Some(&start), Some(&end)) = (self.0[met.clone()].first(), self.0[met.clone()].last())
+        let overlap = self.overlapping(range);
+        let (Some(&start), Some(&end)) =
+            (self.0[overlap.clone()].first(), self.0[overlap.clone()].last())
         else {
             return;
         };
@@ -143,22 +138,25 @@
             .then(|| Range { first: start.first, last: range.first - 1 });
         let after =
             (range.last < end.last).then(|| Range { first: range.last + 1, last: end.last });
-        self.0.splice(met, before.into_iter().chain(after));
+        self.0.splice(overlap, before.into_iter().chain(after));
     }
 
-    /// The keys of `range` that the set holds.
+    /// Returns the keys of `range` that the set contains.
     pub fn intersection(&self, range: Range) -> Set {
-        Set(self.0[self.meeting(range)].iter().filter_map(|own| own.intersection(range)).collect())
+        Set(self.0[self.overlapping(range)]
+            .iter()
+            .filter_map(|own| own.intersection(range))
+            .collect())
     }
 
-    /// The places of the ranges that share a key with `range`.
-    fn meeting(&self, range: Range) -> ops::Range<usize> {
+    /// Returns the indices of the ranges that overlap `range`.
+    fn overlapping(&self, range: Range) -> ops::Range<usize> {
         let start = self.0.partition_point(|own| own.last < range.first);
         let end = self.0.partition_point(|own| own.first <= range.last);
         start..end.max(start)
     }
 
-    /// The keys of `range` that the set does not hold.
+    /// Returns the keys of `range` that the set does not contain.
     pub fn missing(&self, range: Range) -> Set {
         let mut missing = Set::from_range(range);
         for &own in &self.0 {
@@ -167,22 +165,24 @@
         missing
     }
 
-    /// The number of keys in the set.
+    /// Returns the number of keys.
     pub fn size(&self) -> u128 {
         self.0.iter().map(|own| own.size()).sum()
     }
 
-    /// The part of `range` that the set holds, in parts per million.
+    /// Returns the fraction of `range` that the set contains, in parts per
+    /// million.
     ///
-    /// It is rounded down, so that a million is stated only for a set that
-    /// misses no key.
+    /// It is rounded down, so that only a set which contains all of `range`
+    /// yields a million.
     pub fn parts_per_million(&self, range: Range) -> u32 {
         let held = self.intersection(range).size();
-        let parts = held * MILLION / range.size();
+        let parts = held * PARTS_PER_WHOLE / range.size();
         u32::try_from(parts).unwrap_or(u32::MAX)
     }
 }
 
+/// Returns whether the ranges overlap or are adjacent.
 fn touches(a: Range, b: Range) -> bool {
     let a_before_b = a.last < b.first && b.first - a.last > 1;
     let b_before_a = b.last < a.first && a.first - b.last > 1;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,10 +1,10 @@
-//! The decisions of laburnumworks.
+//! The decision logic of laburnumworks.
 //!
-//! This crate holds tables (rows keyed by small typed ids) and systems (plain
-//! functions that run over the tables in a fixed order each tick). It has no
-//! socket, no clock and no thread: time is an argument, input arrives as typed
-//! events and output leaves in an outbox. The same code therefore runs behind
-//! any front end and inside a test. See `docs/DESIGN.md`.
+//! This crate consists of tables (rows keyed by small typed ids) and systems
+//! (plain functions that run over the tables in a fixed order each tick). It
+//! uses no sockets, clocks or threads: time is an argument, input arrives as
+//! typed events and output is collected in an outbox. The same code therefore
+//! runs behind any front end and in tests. See `docs/DESIGN.md`.
 
 pub mod name;
 pub mod id;
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -1,50 +1,48 @@
-//! The closed list of numbered log events.
+//! The numbered log events.
 //!
-//! Systems put lines into their outbox; the threads write them. The catalogue
-//! is `docs/EVENTS.md`, which a test holds against this module.
+//! Systems put lines into their outbox, and the threads write them.
+//! `docs/EVENTS.md` lists the events; a test compares it with this module.
 
 use crate::id;
 
-/// How grave an event is.
+/// The severity of an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Level {
-    /// Something that an operator must act on.
+    /// A problem that an operator must act on.
     Error,
-    /// Something that the program copes with, at a cost.
+    /// A problem that the program handles, at a cost.
     Warning,
-    /// A change of state that an operator wants to find later.
+    /// A change of state that an operator may look up later.
     Info,
-    /// A detail for those who search for a cause.
+    /// A detail for the analysis of a problem.
     Debug,
 }
 
 macro_rules! events {
     ($($(#[$doc:meta])* $event:ident $number:literal $level:ident $text:literal;)*) => {
-        /// A numbered event; a number is never given to another event.
+        /// A numbered event. The number of a removed event is never reused.
         #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
         pub enum Event {
             $($(#[$doc])* $event,)*
         }
 
         impl Event {
-            /// Every event, in the order of the list.
+            /// Every event in order of declaration.
             pub const ALL: &[Event] = &[$(Event::$event),*];
 
-            /// The number of the event.
             pub fn number(self) -> u16 {
                 match self {
                     $(Event::$event => $number,)*
                 }
             }
 
-            /// How grave the event is.
             pub fn level(self) -> Level {
                 match self {
                     $(Event::$event => Level::$level,)*
                 }
             }
 
-            /// The text of the event, which is the same each time.
+            /// Returns the text of the event, the same for each line.
             pub fn text(self) -> &'static str {
                 match self {
                     $(Event::$event => $text,)*
@@ -57,59 +55,59 @@
 // 1xx process, 2xx callers and queries, 3xx targets, 4xx VMs, 5xx profiles,
 // 6xx claims, 7xx platform.
 events! {
-    /// The process has checked its settings and starts.
+    /// The process starts after it has checked its settings.
     Started 101 Info "VM started";
-    /// The VM takes requests of callers from now on.
+    /// The VM begins to accept requests from callers.
     Ready 102 Info "VM is ready";
     /// The VM was told to shut down.
     Leaving 103 Info "VM is leaving";
-    /// The VM exits; the line says whether all that was in flight is finished.
+    /// The VM exits. The line tells whether all requests in flight have finished.
     Stopped 104 Info "VM stopped";
-    /// The address for metrics cannot be used; requests are served all the same.
+    /// The address for metrics cannot be used. Requests are served nevertheless.
     MetricsUnavailable 105 Warning "metrics cannot be served";
     /// A listening socket could not be used.
     PortFailed 106 Error "port cannot be served";
-    /// The settings file was read again; the line says what of it is in force.
+    /// The settings file was reloaded. The line tells which settings took effect.
     SettingsChanged 107 Info "settings file was read again";
-    /// The settings file cannot be read; what was read before stays in force.
+    /// The settings file cannot be read. The earlier settings stay in force.
     SettingsUnreadable 108 Warning "settings file cannot be read";
     /// A request was refused.
     Refused 201 Debug "request refused";
-    /// A query started over on another version of the index.
+    /// A query was restarted on another version of the index.
     Restarted 202 Debug "query restarted on another version";
     /// A reply matched no attempt or failed its check and was dropped.
     ReplyDropped 203 Warning "reply dropped";
-    /// A leg goes to another attempt at its home.
+    /// The home of a leg sends another attempt.
     Retried 204 Debug "leg retried at its home";
-    /// The home of a leg gave it up.
+    /// A leg failed at its home.
     LegFailed 205 Debug "leg failed at its home";
-    /// A leg of a route goes to another target.
+    /// A relay sends a leg to another target.
     LegRetried 206 Debug "leg retried";
-    /// A leg of a route goes to a second target beside a slow one.
+    /// A relay sends a leg to a second target in parallel to a slow one.
     LegHedged 207 Debug "leg hedged";
     /// A target answered an attempt with a failure.
     AttemptFailed 208 Debug "attempt failed";
-    /// A search was answered without some of its shards.
+    /// A search was answered without the rows of some shards.
     PartialAnswer 209 Info "partial answer";
-    /// A caller left before its answer.
+    /// A caller disconnected before it was answered.
     CallerLeft 210 Debug "caller left before its answer";
     /// A connection to a target was opened.
     ConnectionOpened 301 Debug "connection to target opened";
     /// A connection to a target was lost or could not be opened.
     ConnectionLost 302 Warning "connection to target lost";
-    /// A connection to a target went silent and was closed.
+    /// A connection was closed because the target stopped responding on it.
     ConnectionSilent 303 Warning "connection to target went silent";
-    /// A target is leaving.
+    /// A target finishes its work and takes no new requests.
     TargetDraining 304 Info "target is draining";
-    /// A request crashed targets and is held back from now on.
+    /// A request crashed targets and is put into quarantine.
     RequestQuarantined 305 Error "request crashed targets and is held back";
     /// A target registered itself.
     TargetListed 306 Info "target is listed";
-    /// A target is registered no more.
+    /// The registration of a target was removed.
     TargetUnlisted 307 Info "target is listed no more";
     /// The registration of a target cannot be read.
     TargetUnreadable 308 Warning "registration of a target cannot be read";
-    /// Other VMs could not be told of a request that is held back.
+    /// A request in quarantine could not be reported to the other VMs.
     ReportLost 309 Warning "other VMs are not told of a request that is held back";
     /// The entry of a VM cannot be read.
     VmUnreadable 408 Warning "entry of a VM cannot be read";
@@ -119,29 +117,30 @@
     VmSuspect 402 Warning "VM does not answer";
     /// A VM is gone.
     VmGone 403 Info "VM is gone";
-    /// This VM learnt that it was paused and takes a new incarnation.
+    /// This VM found that it had been paused and takes a new incarnation.
     VmResumed 404 Warning "VM was paused and has a new incarnation";
     /// Another VM is leaving and takes no new work.
     VmLeaving 405 Info "another VM is leaving";
-    /// A revision of the profiles is in force on this VM.
+    /// A revision of the profiles took effect on this VM.
     RevisionApplied 501 Info "revision of the profiles is in force";
     /// A revision of the profiles was published through this VM.
     RevisionPublished 502 Info "revision of the profiles was published";
-    /// A publication lost the race.
+    /// A publication was refused because another one came first.
     RevisionLost 503 Info "publication lost the race";
-    /// The connection to a VM that requests are handed to is lost.
+    /// The connection to a VM to which requests are passed was lost.
     HopLost 406 Warning "VM that requests are handed to is lost";
-    /// How this VM serves requests.
+    /// This VM has decided whether it serves requests itself or passes them on.
     RoleDecided 407 Info "part of this VM is decided";
-    /// A version of the routes is in force on this VM.
+    /// A version of the routes took effect on this VM.
     RoutesApplied 504 Info "version of the routes is in force";
     /// A version of the routes cannot be read.
     RoutesUnreadable 505 Error "version of the routes cannot be read";
-    /// A claim could not be settled.
+    /// It could not be determined whether a claim was written.
     ClaimUnsettled 601 Warning "claim could not be settled";
     /// The platform's service became unavailable.
     StoreDown 701 Warning "platform's service is unavailable";
-    /// Other VMs have read more of the store than this one, whose watch is silent.
+    /// The watch of this VM delivers nothing although other VMs have read newer
+    /// changes of the store.
     StoreSilent 703 Warning "platform's service is silent";
     /// The platform's service is available again.
     StoreUp 702 Info "platform's service is available";
@@ -150,21 +149,20 @@
 /// One line of the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Line {
-    /// What happened.
     pub event: Event,
-    /// The request that it happened to, if any.
+    /// The request that the event concerns, if any.
     pub query: Option<id::Query>,
-    /// What it happened to, by name.
+    /// The details of the event, as pairs of key and value.
     pub fields: Vec<(&'static str, String)>,
 }
 
 impl Line {
-    /// Makes a line without a request.
+    /// Creates a line that concerns no single request.
     pub fn new(event: Event, fields: Vec<(&'static str, String)>) -> Line {
         Line { event, query: None, fields }
     }
 
-    /// Makes a line of the request `query`.
+    /// Creates a line that concerns the request `query`.
     pub fn for_query(query: id::Query, event: Event, fields: Vec<(&'static str, String)>) -> Line {
         Line { event, query: Some(query), fields }
     }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between the traffic threads of VMs.
 //!
-//! They are typed here and encoded elsewhere, so that another codec or
-//! transport can carry them.
+//! This module defines only their types; they are encoded elsewhere, so that
+//! the codec and the transport can be replaced.
 
 use std::{sync::Arc, time::Duration};
 
@@ -15,26 +15,25 @@
     target::{Row, Version, Work},
 };
 
-/// A leg that an entry hands to the home of its shard.
+/// A leg that the entry VM of a query sends to the home of its shard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Leg {
-    /// The id of the leg, echoed in the reply.
+    /// The id of the leg, which the reply repeats.
     pub leg: id::Leg,
-    /// The query that it belongs to, for the logs.
+    /// The query of the leg, for the logs.
     pub query: id::Query,
     /// The index of the shard.
     pub index: Name,
-    /// The shard.
     pub shard: Name,
-    /// The profile under which it runs.
+    /// The profile of the request.
     pub profile: Name,
-    /// What is asked of a target.
+    /// The work for a target.
     pub work: Work,
     /// The fingerprint of the request.
     pub fingerprint: Fingerprint,
     /// The time that remains until the deadline.
     pub remaining: Duration,
-    /// Whether the search is tried at this shard before it goes to the others.
+    /// Whether this shard tries the search before it is sent to the others.
     pub trial: bool,
 }
 
@@ -43,12 +42,12 @@
 pub enum Outcome {
     /// The rows of `range` at `version`.
     Rows { version: Version, range: key::Range, rows: Vec<Row>, digest: u64 },
-    /// The operation ran and returned this.
+    /// The operation ran and returned `result`.
     Done { result: Arc<str> },
-    /// No target of the shard holds the range at the version any more.
+    /// No target of the shard still holds the range at the version.
     Moved { ran: Ran },
-    /// This target was lost while it ran the search on trial. The entry decides
-    /// where it is tried next.
+    /// The connection to `target` was lost while it ran a search on trial. The
+    /// entry VM decides where the search is tried next.
     Lost { target: Name },
     /// The leg was refused or failed.
     Failed { kind: Kind, ran: Ran, detail: String },
@@ -59,51 +58,48 @@
 pub struct Reply {
     /// The id of the leg.
     pub leg: id::Leg,
-    /// Its result.
     pub outcome: Outcome,
-    /// The attempts at targets that the leg took.
+    /// The number of attempts at targets.
     pub attempts: u32,
-    /// The time that a leg which arrives now is expected to wait for a slot.
+    /// The expected time that a leg which arrives now waits for a slot.
     pub backlog: Duration,
 }
 
-/// What a shard holds, as its home knows it from the targets.
+/// The ranges that a shard holds, as its home knows them from the targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
     /// The index of the shard.
     pub index: Name,
-    /// The shard.
     pub shard: Name,
-    /// The ranges by version that targets which take work hold.
+    /// The ranges by version that targets hold which accept work.
     pub ranges: Vec<HeldRange>,
 }
 
 /// A range that targets of a shard hold at a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct HeldRange {
-    /// The version.
     pub version: Version,
-    /// The range.
     pub range: key::Range,
-    /// The number of targets that hold it.
+    /// The number of targets that hold the range.
     pub replicas: u32,
 }
 
 /// A message from one traffic thread to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// Legs of any number of queries for shards whose home is the receiver.
+    /// Legs for shards whose home is the receiver; they may belong to several
+    /// queries.
     Legs(Vec<Leg>),
-    /// Legs whose replies are of no more use.
+    /// Cancels legs whose replies are no longer needed.
     Cancels(Vec<id::Leg>),
-    /// Replies to legs of the receiver.
+    /// Replies to legs that the receiver sent.
     Replies(Vec<Reply>),
-    /// What the shards hold whose home is the sender.
+    /// The holdings of the shards whose home is the sender.
     Holdings(Vec<Holding>),
-    /// Asks for the holdings of all shards whose home is the receiver.
+    /// Requests the holdings of all shards whose home is the receiver.
     AskHoldings,
-    /// Asks for a sign of life.
+    /// Checks that the connection and the receiver respond.
     Ping,
-    /// The sign of life.
+    /// The answer to [`Message::Ping`].
     Pong,
 }
--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -4,19 +4,18 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The longest name that is accepted, in bytes.
+/// The maximum length of a name in bytes.
 pub const MAX_LENGTH: usize = 96;
 
 /// The name of a VM, failure domain, target, index, shard, team or profile.
 ///
-/// A name is compared and cloned far more often than it is made, so it is one
-/// shared allocation that is never changed.
+/// Names are compared and cloned far more often than they are created, so each
+/// is a shared immutable allocation.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Name(Arc<str>);
 
 impl Name {
-    /// Returns the name as text.
     pub fn as_str(&self) -> &str {
         &self.0
     }
@@ -34,14 +33,14 @@
     }
 }
 
-/// Why a text is not a name.
+/// The error for a text that is not a valid name.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Error {
     /// The text is empty.
     Empty,
     /// The text is longer than [`MAX_LENGTH`] bytes.
     TooLong { text: String },
-    /// The text holds a character outside `a-z 0-9 . _ -`.
+    /// The text contains a character other than `a-z 0-9 . _ -`.
     Character { text: String, found: char },
 }
 
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -1,4 +1,4 @@
-//! What the control thread and the traffic threads of one VM tell each other.
+//! Messages between the control thread and the traffic threads of one VM.
 
 use std::sync::Arc;
 
@@ -11,38 +11,38 @@
     view::View,
 };
 
-/// A small report of a traffic thread to the control thread.
+/// A message from a traffic thread to the control thread.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Report {
-    /// An operation asks for the right to run. It is answered by
-    /// [`Notice::Claimed`] until `deadline`, or counts as unsettled. The threads
-    /// of a VM share one clock, and a time that remains would be extended by a
-    /// pause before the report is taken.
+    /// Requests the claim of an operation. [`Notice::Claimed`] answers it before
+    /// `deadline`; otherwise the claim counts as unsettled. The deadline is a
+    /// point in time because the threads of a VM share one clock; a remaining
+    /// time would be extended by a pause before the report is read.
     Claim { operation: id::Query, request: claim::Request, deadline: Instant },
-    /// A claim that was granted has this outcome, to be recorded.
+    /// The outcome of an operation whose claim was granted, to be recorded.
     Outcome { request: claim::Request, outcome: claim::Outcome },
-    /// A target was lost while it ran a request with this fingerprint. The
-    /// report is made once for each target of a request.
+    /// A target was lost while it ran a request with this fingerprint. It is
+    /// reported once for each target of a request.
     Suspect { fingerprint: Fingerprint, query: id::Query, target: Name },
-    /// A request with this fingerprint was lost with two targets and is held
-    /// back from now on.
+    /// Two targets were lost while they ran requests with this fingerprint,
+    /// which goes into quarantine.
     Quarantined { fingerprint: Fingerprint, origin: Origin },
-    /// A target said itself that it is leaving, in this incarnation.
+    /// A target reported that it is draining, in this incarnation.
     Draining { target: Name, incarnation: u64 },
-    /// A target said itself that it takes work, in this incarnation. The report
-    /// is made once for each incarnation that the thread learns of.
+    /// A target reported that it accepts work, in this incarnation. It is
+    /// reported once for each incarnation that the thread learns of.
     Serving { target: Name, incarnation: u64 },
-    /// A VM did not take messages or did not answer in time.
+    /// A VM did not accept messages or did not answer in time.
     Unreachable { vm: Name },
-    /// The number of requests and legs that the thread still has in flight,
-    /// sent while the VM is leaving.
+    /// The number of requests and legs that the thread has in flight, sent while
+    /// the VM is leaving.
     InFlight { count: usize },
 }
 
-/// What the control thread tells a traffic thread.
+/// A message from the control thread to a traffic thread.
 #[derive(Clone, Debug)]
 pub enum Notice {
-    /// A new view is in force.
+    /// Replaces the view of the traffic thread.
     View(Arc<View>),
     /// The answer to [`Report::Claim`].
     Claimed { operation: id::Query, verdict: claim::Verdict },
--- a/crates/core/src/profile.rs
+++ b/crates/core/src/profile.rs
@@ -1,4 +1,4 @@
-//! Profiles: how complete, how fast and how costly an answer may be.
+//! Profiles: the required coverage and latency of answers and their limits.
 
 use std::{collections::BTreeMap, fmt, time::Duration};
 
@@ -7,19 +7,19 @@
 
 use crate::name::Name;
 
-/// A whole, in parts per million.
+/// The whole of a quantity that is stated in parts per million.
 pub const WHOLE_PPM: u32 = 1_000_000;
 
-/// The longest deadline that a profile may state.
+/// The longest deadline that a profile may set.
 pub const MAX_DEADLINE: Duration = Duration::from_secs(60);
 
-/// The highest concurrency that a profile may state for one VM.
+/// The highest concurrency per VM that a profile may set.
 pub const MAX_CONCURRENCY: u32 = 100_000;
 
-/// The highest priority; a larger number is served more.
+/// The highest priority; a larger number gets a larger share of the slots.
 pub const MAX_PRIORITY: u32 = 100;
 
-/// A checked profile.
+/// A validated profile.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "Raw", into = "Raw")]
 pub struct Profile {
@@ -27,26 +27,25 @@
     pub team: Name,
     /// The index that its queries search.
     pub index: Name,
-    /// The least coverage of an answer, in parts per million of the key space.
+    /// The minimum coverage of an answer, in parts per million of the key space.
     pub coverage: u32,
-    /// The time within which an answer is given.
+    /// The time within which a request is answered or refused.
     pub deadline: Duration,
-    /// The time within which 99 of 100 answers should be given; hedging aims at
-    /// it.
+    /// The target for the 99th percentile of the latency; hedging is tuned to it.
     pub tail: Duration,
-    /// The attempts allowed beyond the first, in parts per million of first
-    /// attempts.
+    /// The allowed hedges and retries, in parts per million of first attempts.
     pub extra_load: u32,
-    /// The number of its requests that one VM has open at a time.
+    /// The maximum number of its requests that are open at one VM.
     pub concurrency: u32,
-    /// Its share of the slots relative to other profiles under overload.
+    /// The weight of its share of the slots under overload.
     pub priority: u32,
-    /// Whether a search that was not answered lately is tried at one shard
-    /// before it goes to all, so that one which crashes targets crashes few.
+    /// Whether a search that was not answered recently is tried at one shard
+    /// before it is sent to all, so that a search which crashes targets crashes
+    /// only a few.
     pub canary: bool,
 }
 
-/// A profile as it stands in a document, before it is checked.
+/// A profile as written in a document, before it is validated.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -76,17 +75,17 @@
     pub canary: bool,
 }
 
-/// The value of [`Profile::canary`] where a profile states none.
+/// The default of [`Profile::canary`].
 pub fn default_canary() -> bool {
     true
 }
 
-/// Why a raw profile was refused: the key at fault and what is allowed.
+/// The error for an invalid value in a profile.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error {
     /// The key at fault.
     pub key: &'static str,
-    /// What was found and what is allowed.
+    /// The value that was found and the allowed values.
     pub detail: String,
 }
 
@@ -105,12 +104,12 @@
         let name = |key, text: String| {
             Name::try_from(text).map_err(|e| Error { key, detail: e.to_string() })
         };
-        within("coverage_ppm", u128::from(raw.coverage_ppm), 0, u128::from(WHOLE_PPM))?;
-        within("deadline_ms", raw.deadline.as_millis(), 1, MAX_DEADLINE.as_millis())?;
-        within("tail_ms", raw.tail.as_millis(), 1, raw.deadline.as_millis())?;
-        within("extra_load_ppm", u128::from(raw.extra_load_ppm), 0, u128::from(WHOLE_PPM))?;
-        within("concurrency", u128::from(raw.concurrency), 1, u128::from(MAX_CONCURRENCY))?;
-        within("priority", u128::from(raw.priority), 1, u128::from(MAX_PRIORITY))?;
+        check_range("coverage_ppm", u128::from(raw.coverage_ppm), 0, u128::from(WHOLE_PPM))?;
+        check_range("deadline_ms", raw.deadline.as_millis(), 1, MAX_DEADLINE.as_millis())?;
+        check_range("tail_ms", raw.tail.as_millis(), 1, raw.deadline.as_millis())?;
+        check_range("extra_load_ppm", u128::from(raw.extra_load_ppm), 0, u128::from(WHOLE_PPM))?;
+        check_range("concurrency", u128::from(raw.concurrency), 1, u128::from(MAX_CONCURRENCY))?;
+        check_range("priority", u128::from(raw.priority), 1, u128::from(MAX_PRIORITY))?;
         Ok(Profile {
             team: name("team", raw.team)?,
             index: name("index", raw.index)?,
@@ -141,14 +140,14 @@
     }
 }
 
-fn within(key: &'static str, found: u128, least: u128, most: u128) -> Result<(), Error> {
+fn check_range(key: &'static str, found: u128, least: u128, most: u128) -> Result<(), Error> {
     if (least..=most).contains(&found) {
         return Ok(());
     }
     Err(Error { key, detail: format!("found {found}, allowed are {least} to {most}") })
 }
 
-/// The number of a published configuration; a higher one replaces a lower one.
+/// The number of a published document; a higher one replaces a lower one.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -157,8 +156,7 @@
 /// All profiles of a deployment under one revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
-    /// The revision of the document; zero means that none was published yet.
+    /// The revision, or zero if no document has been published.
     pub revision: Revision,
-    /// The profiles by name.
     pub profiles: BTreeMap<Name, Profile>,
 }
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -1,4 +1,4 @@
-//! The border to the targets, as typed requests and replies.
+//! Typed requests to targets and their replies.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -6,7 +6,7 @@
 
 use crate::{id, key, name::Name};
 
-/// The version of an index; a greater one is newer.
+/// The version of an index; a greater number is newer.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -15,50 +15,48 @@
 /// One row of an answer.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Row {
-    /// The place of the row in the key space.
+    /// The position of the row in the key space.
     pub key: u64,
-    /// The content.
     pub body: Arc<str>,
 }
 
-/// What is asked of a target.
+/// The work that a request asks of a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Work {
     /// Read the rows of `range` that match `text` at `version`.
     Search { version: Version, range: key::Range, text: Arc<str> },
-    /// Run a non-idempotent operation once. `token` names this one run.
+    /// Run a non-idempotent operation once. `token` identifies this run.
     Operate { subject: u64, operation: Name, detail: Arc<str>, token: uuid::Uuid },
 }
 
 /// A request to a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
-    /// The id that the target echoes.
+    /// The id that the target echoes in its reply.
     pub attempt: id::Attempt,
-    /// What is asked.
     pub work: Work,
     /// The time that remains until the deadline.
     pub remaining: Duration,
 }
 
-/// What a target says of itself with each reply.
+/// The state that a target reports with each reply.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
-    /// The start of the target; a later start has a greater number.
+    /// The incarnation of the target; a later start has a greater number.
     pub incarnation: u64,
-    /// Whether it is leaving and takes no new work.
+    /// Whether the target is leaving and accepts no new work.
     pub draining: bool,
-    /// The ranges that it holds, by version.
+    /// The range that the target holds at each version.
     pub holds: BTreeMap<Version, key::Range>,
 }
 
-/// Why a target did not run a request. In each case it was not started.
+/// Why a target refused a request. A refused request was not started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Refusal {
-    /// All slots are taken.
+    /// All slots are in use.
     Shed,
-    /// The target is leaving.
+    /// The target is leaving and accepts no new work.
     Draining,
     /// The target no longer holds the version.
     VersionGone,
@@ -66,7 +64,7 @@
     RangeMoved,
     /// The deadline had passed when the request reached a slot.
     DeadlinePassed,
-    /// The request was withdrawn before it reached a slot.
+    /// The request was cancelled before it reached a slot.
     Cancelled,
 }
 
@@ -75,53 +73,52 @@
 pub enum Outcome {
     /// The rows of a search, with the version and range that were read.
     Rows { version: Version, range: key::Range, rows: Vec<Row>, count: u64, digest: u64 },
-    /// The operation ran; this is what it returned.
+    /// The operation ran and returned `result`.
     Done { result: Arc<str> },
     /// The request was not started.
     Refused(Refusal),
-    /// The target answered what the client could not read, or cut it. The
-    /// request may have run.
+    /// The reply was truncated or could not be decoded. The request may have
+    /// run.
     Garbled { detail: String },
 }
 
 /// A reply of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
-    /// The id that the target echoed, if it echoed one.
+    /// The id that the target echoed, if any.
     pub attempt: Option<id::Attempt>,
-    /// The result.
     pub outcome: Outcome,
-    /// What the target says of itself.
+    /// The state that the target reported, if any.
     pub status: Option<Status>,
 }
 
-/// An order to the client of the targets.
+/// A command to the client of the targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
     /// Open a connection and read the target's status over it.
     Open { connection: id::Connection, address: SocketAddr, limit: Duration },
     /// Send a request over an open connection.
     Send { connection: id::Connection, request: Request },
-    /// Withdraw a request; its reply is of no more use.
+    /// Cancel a request whose reply is no longer needed.
     Cancel { connection: id::Connection, attempt: id::Attempt },
     /// Read the target's status over an open connection.
     ReadStatus { connection: id::Connection, limit: Duration },
-    /// Close a connection with all that runs on it.
+    /// Close a connection and abandon the requests on it.
     Close { connection: id::Connection },
 }
 
-/// What the client of the targets reports.
+/// A report of the client of the targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
-    /// The connection is open and the target said this of itself.
+    /// The connection is open and the target reported its status.
     Opened { connection: id::Connection, status: Status },
     /// The target answered [`Command::ReadStatus`].
     Status { connection: id::Connection, status: Status },
     /// The target answered the request that was sent as `attempt`.
     Reply { connection: id::Connection, attempt: id::Attempt, reply: Reply },
-    /// The request could not be handed to the connection; it did not run.
+    /// The request was not sent on the connection, so it did not run.
     Unsent { connection: id::Connection, attempt: id::Attempt },
-    /// The connection was lost or could not be opened; what ran on it may have
-    /// run.
+    /// The connection was lost or could not be opened. Requests sent on it may
+    /// have run.
     Closed { connection: id::Connection, detail: String },
 }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -1,4 +1,5 @@
-//! Monotonic time as the systems see it: an argument, never a clock reading.
+//! Points in time, which the systems receive as arguments and never read from a
+//! clock.
 
 use std::{ops::Add, time::Duration};
 
@@ -6,20 +7,20 @@
 
 /// A point on the monotonic clock of one process, in microseconds.
 ///
-/// It never leaves the process: between VMs a deadline travels as the time that
-/// remains, because clocks of two machines do not agree.
+/// It is never sent to another process. Messages between VMs state a deadline as
+/// the remaining time, because the clocks of two machines differ.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Instant(pub u64);
 
 impl Instant {
-    /// The time from `earlier` to `self`, or zero if `earlier` is later.
+    /// Returns the time from `earlier` to `self`, or zero if `earlier` is later.
     pub fn since(self, earlier: Instant) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
-    /// The time that remains from `now` until `self`, or zero if it has passed.
+    /// Returns the time from `now` until `self`, or zero if `self` has passed.
     pub fn remaining(self, now: Instant) -> Duration {
         self.since(now)
     }
@@ -36,7 +37,7 @@
 
 /// Wall-clock time in milliseconds since the Unix epoch.
 ///
-/// It is used only where a time must outlive a process: the time of issue of
+/// It is used only for times that must outlive a process: the time of issue of
 /// an idempotency key and the entries of the audit trail.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/core/src/timer.rs
+++ b/crates/core/src/timer.rs
@@ -1,10 +1,10 @@
-//! Points in time at which a row is due.
+//! Timers of the rows, ordered by the time at which they are due.
 
 use std::collections::BTreeSet;
 
 use crate::time::Instant;
 
-/// The points in time in ascending order.
+/// A set of timers in ascending order of time.
 #[derive(Clone, Debug)]
 pub struct Timers<T>(BTreeSet<(Instant, T)>);
 
@@ -15,22 +15,22 @@
 }
 
 impl<T: Ord> Timers<T> {
-    /// Adds a point in time.
+    /// Adds a timer that is due at `at`.
     pub fn set(&mut self, at: Instant, timer: T) {
         self.0.insert((at, timer));
     }
 
-    /// Takes a point in time back.
+    /// Removes the timer that was set for `at`.
     pub fn cancel(&mut self, at: Instant, timer: T) {
         self.0.remove(&(at, timer));
     }
 
-    /// The earliest point in time.
+    /// Returns the time at which the earliest timer is due.
     pub fn first(&self) -> Option<Instant> {
         self.0.first().map(|(at, _)| *at)
     }
 
-    /// Takes the earliest timer if it is due at `now`.
+    /// Removes and returns the earliest timer if it is due at `now`.
     pub fn pop(&mut self, now: Instant) -> Option<T> {
         if self.first()? > now {
             return None;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -10,32 +10,32 @@
 
 use crate::{digest::Fingerprint, id::Origin, name::Name, profile::Document};
 
-/// What is believed of a VM or a target.
+/// The state of a VM or a target as this VM knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
-    /// It takes new work.
+    /// It accepts new work.
     Live,
-    /// It finishes what it has and takes no new work.
+    /// It finishes its work in flight and accepts no new work.
     Leaving,
-    /// It did not answer probes; it is used last.
+    /// It did not answer probes, so it is used only as a last resort.
     Suspect,
 }
 
-/// A VM as others know it.
+/// A VM as the other VMs know it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vm {
     /// The name from its settings.
     pub name: Name,
     /// The failure domain from its settings.
     pub domain: Name,
-    /// The start of the VM; a later start has a greater number.
+    /// The incarnation of the VM; a later start has a greater number.
     pub incarnation: u64,
-    /// What is believed of it.
     pub state: State,
-    /// Where its control thread listens for other VMs.
+    /// The address at which its control thread listens for other VMs.
     pub control: SocketAddr,
-    /// Where its traffic threads listen for other VMs, one address each.
+    /// The addresses at which its traffic threads listen for other VMs, one for
+    /// each thread.
     pub traffic: Vec<SocketAddr>,
 }
 
@@ -44,58 +44,54 @@
 pub struct Target {
     /// The name of the replica.
     pub name: Name,
-    /// The index that it holds a part of.
+    /// The index of which it holds a part.
     pub index: Name,
     /// The shard that it is a replica of.
     pub shard: Name,
     /// The failure domain that it runs in.
     pub domain: Name,
-    /// Where it listens.
     pub address: SocketAddr,
-    /// The number of requests that it runs at a time.
+    /// The number of requests that it runs concurrently.
     pub slots: u32,
-    /// The number of connections that it takes over all VMs.
+    /// The number of connections that it accepts, from all VMs together.
     pub connections: u32,
-    /// What is believed of it.
     pub state: State,
 }
 
-/// One traffic thread of one VM, the address of every message between VMs.
+/// A traffic thread of a VM, the sender or receiver of messages between VMs.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Lane {
-    /// The VM.
     pub vm: Name,
-    /// The number of the traffic thread within the VM.
+    /// The index of the traffic thread within the VM.
     pub thread: u16,
 }
 
-/// What traffic threads know of the world during a tick. It is replaced as a
-/// whole and never changed.
+/// The state of the deployment that the traffic threads use during a tick. It is
+/// immutable and replaced as a whole.
 #[derive(Clone, Debug)]
 pub struct View {
     /// The name of this VM.
     pub vm: Name,
     /// The failure domain of this VM.
     pub domain: Name,
-    /// The VMs by name, this one among them.
+    /// The VMs by name, including this one.
     pub vms: BTreeMap<Name, Vm>,
-    /// The targets by name.
     pub targets: BTreeMap<Name, Target>,
-    /// The profiles in force.
+    /// The published profiles in force.
     pub document: Arc<Document>,
-    /// The targets that were lost with each request that may crash targets, as
-    /// far as other VMs have told.
+    /// The targets that were lost while they ran each request that may crash
+    /// targets, as reported by other VMs.
     pub suspects: BTreeMap<Fingerprint, BTreeSet<Name>>,
-    /// The fingerprints that are held back because they crashed targets.
+    /// The fingerprints in quarantine because their requests crashed targets.
     pub quarantine: BTreeMap<Fingerprint, Origin>,
-    /// Whether this VM takes requests of callers.
+    /// Whether this VM accepts requests from callers.
     pub ready: bool,
     /// Whether this VM is shutting down.
     pub leaving: bool,
 }
 
 impl View {
-    /// The view of a VM that knows only itself and is not ready.
+    /// Creates the view of a VM that is not ready and knows no other VM.
     pub fn starting(vm: Name, domain: Name) -> View {
         View {
             vm,
