Reword the HTTP connection and its tests

The comments name hyper, the operating system and keep-alive probes instead of "the library", "the system" and "a sign of life". The flag that tells whether hyper has flushed its output is FlushFlag (was Drained, which elsewhere means a leaving VM or target); private functions say what they do (send, read_body, set_options, describe_end). In the tests the peer performs an Action (was Act), and the constants name what they hold.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,9 +1,9 @@
-//! One HTTP/1.1 connection of a client, which carries one request at a time.
+//! A client connection over HTTP/1.1 that carries one request at a time.
 //!
-//! A pooling client hides what matters here: whether a request left before its
-//! connection broke, whether the connection may be used again, and bytes that
-//! belong to no request. [`Channel`] shows all three. It drives its connection
-//! while someone waits for it, so that no task of its own is needed.
+//! A pooling client does not report whether a request was sent before its
+//! connection broke, whether the connection can be reused, or that the peer sent
+//! bytes which belong to no request. [`Channel`] reports all three. It drives its
+//! connection inside the caller's future, so that it needs no task of its own.
 
 mod socket;
 
@@ -19,31 +19,32 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
-use self::socket::{Drained, Socket};
+use self::socket::{FlushFlag, Socket};
 
 type Driver = http1::Connection<Socket, Full<Bytes>>;
 
-/// Limits on a connection.
+/// The limits of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// The time for the connection to open.
+    /// The time in which the connection must open.
     pub connect: Duration,
-    /// The time without an acknowledgement after which the system gives the
-    /// connection up, and after which it asks a silent peer for a sign of life.
+    /// The time without an acknowledgement after which the operating system
+    /// closes the connection, and the idle time after which it sends a keep-alive
+    /// probe.
     pub silence: Duration,
-    /// The largest body of a response in bytes.
+    /// The maximum size of a response body in bytes.
     pub body: usize,
 }
 
-/// Why there is no response.
+/// The error of an exchange without a complete response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Failure {
-    /// Whether some of the request may have reached the peer.
+    /// Whether the peer may have received a part of the request.
     pub sent: bool,
-    /// Whether the peer ended the connection under the request, or refused the
-    /// connection; a peer that is only silent does neither.
+    /// Whether the peer closed the connection during the request or refused the
+    /// connection, in contrast to a peer that does not answer.
     pub gone: bool,
-    /// What happened, for people.
+    /// A human-readable description.
     pub detail: String,
 }
 
@@ -65,25 +66,24 @@
     }
 }
 
-/// A whole response, with what its connection can still be used for.
+/// A response that was received completely.
 #[derive(Debug)]
 pub struct CompleteResponse {
-    /// The response.
     pub response: Response<Bytes>,
     /// Whether the connection may carry another request.
     pub reusable: bool,
 }
 
-/// One connection.
+/// A connection to one peer.
 pub struct Channel {
     sender: SendRequest<Full<Bytes>>,
     driver: Pin<Box<Driver>>,
-    drained: Drained,
+    flush_flag: FlushFlag,
     max_body: usize,
 }
 
 impl Channel {
-    /// Opens a connection.
+    /// Connects to `address`.
     pub async fn open(address: SocketAddr, limits: Limits) -> Result<Channel, Failure> {
         let opened = timeout(limits.connect, TcpStream::connect(address)).await;
         let socket = match opened {
@@ -98,44 +98,46 @@
                 return Err(Failure::unsent(format!("connect: no answer within {millis} ms")));
             }
         };
-        prepare(&socket, limits).map_err(|e| Failure::unsent(format!("socket options: {e}")))?;
+        set_options(&socket, limits)
+            .map_err(|e| Failure::unsent(format!("socket options: {e}")))?;
         let socket = Socket::new(socket);
-        let drained = socket.drained();
+        let flush_flag = socket.flush_flag();
         let handshake = http1::handshake(socket).await;
         let (sender, driver) = handshake.map_err(|e| Failure::unsent(describe(&e)))?;
-        Ok(Channel { sender, driver: Box::pin(driver), drained, max_body: limits.body })
+        Ok(Channel { sender, driver: Box::pin(driver), flush_flag, max_body: limits.body })
     }
 
-    /// Sends a request and waits for the whole response.
+    /// Sends a request and waits for the complete response.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<CompleteResponse, Failure> {
         self.ready().await?;
-        let response = self.head(request).await?;
+        let response = self.send(request).await?;
         let keeps = keeps_open(response.headers());
         let (parts, body) = response.into_parts();
-        let body = self.body(body).await?;
+        let body = self.read_body(body).await?;
         // A peer may answer before it has read the whole request.
-        let reusable = keeps && self.drained.get() && !self.sender.is_closed();
+        let reusable = keeps && self.flush_flag.is_set() && !self.sender.is_closed();
         Ok(CompleteResponse { response: Response::from_parts(parts, body), reusable })
     }
 
-    /// Waits until the peer closes the connection or sends bytes that nobody
-    /// asked for. It returns what happened.
+    /// Waits until the peer closes the connection or sends unsolicited bytes, and
+    /// returns a description of what happened.
     pub async fn closed(&mut self) -> String {
-        ending(self.driver.as_mut().await)
+        describe_end(self.driver.as_mut().await)
     }
 
     async fn ready(&mut self) -> Result<(), Failure> {
         tokio::select! {
             biased;
-            ended = self.driver.as_mut() => Err(Failure::unsent(ending(ended))),
+            ended = self.driver.as_mut() => Err(Failure::unsent(describe_end(ended))),
             ready = self.sender.ready() => ready.map_err(|e| Failure::unsent(describe(&e))),
         }
     }
 
-    async fn head(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+    /// Sends a request and waits for the head of its response.
+    async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
         let reply = self.sender.try_send_request(request);
         tokio::pin!(reply);
         let mut ended = None;
@@ -143,18 +145,18 @@
             tokio::select! {
                 biased;
                 reply = &mut reply => break reply,
-                end = self.driver.as_mut(), if ended.is_none() => ended = Some(ending(end)),
+                end = self.driver.as_mut(), if ended.is_none() => ended = Some(describe_end(end)),
             }
         };
         reply.map_err(|mut error| {
-            // The library gives a request back of which it sent nothing.
+            // hyper returns a request of which it has sent nothing.
             let sent = error.take_message().is_none();
             let gone = sent && is_gone(error.error());
             Failure { sent, gone, detail: describe(error.error()) }
         })
     }
 
-    async fn body(&mut self, mut body: Incoming) -> Result<Bytes, Failure> {
+    async fn read_body(&mut self, mut body: Incoming) -> Result<Bytes, Failure> {
         let mut whole = BytesMut::new();
         let mut is_driven = !self.sender.is_closed();
         loop {
@@ -186,31 +188,31 @@
     }
 }
 
-fn prepare(socket: &TcpStream, limits: Limits) -> io::Result<()> {
+fn set_options(socket: &TcpStream, limits: Limits) -> io::Result<()> {
     socket.set_nodelay(true)?;
     let socket = SockRef::from(socket);
     socket.set_tcp_user_timeout(Some(limits.silence))?;
-    // The system counts keep-alive times in whole seconds.
-    let second = Duration::from_secs(limits.silence.as_secs().max(1));
-    let probes = TcpKeepalive::new().with_time(second).with_interval(second).with_retries(2);
+    // The operating system takes keep-alive times in whole seconds.
+    let interval = Duration::from_secs(limits.silence.as_secs().max(1));
+    let probes = TcpKeepalive::new().with_time(interval).with_interval(interval).with_retries(2);
     socket.set_tcp_keepalive(&probes)
 }
 
-/// Whether the headers of a response leave its connection open.
+/// Returns whether the headers of a response keep its connection open.
 fn keeps_open(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
     let mut tokens = values.filter_map(|value| value.to_str().ok()).flat_map(|v| v.split(','));
     !tokens.any(|token| token.trim().eq_ignore_ascii_case("close"))
 }
 
-fn ending(end: Result<(), hyper::Error>) -> String {
+fn describe_end(end: Result<(), hyper::Error>) -> String {
     match end {
         Ok(()) => "closed by the peer".to_owned(),
         Err(error) => describe(&error),
     }
 }
 
-/// Whether an error tells that the peer ended the connection.
+/// Returns whether the error means that the peer closed the connection.
 fn is_gone(error: &hyper::Error) -> bool {
     let mut cause = std::error::Error::source(error);
     while let Some(error) = cause {
@@ -222,7 +224,8 @@
     error.is_incomplete_message()
 }
 
-/// Joins an error and its causes, because the library prints only the former.
+/// Returns the text of an error and its causes; the `Display` of a hyper error
+/// omits the causes.
 pub fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut cause = error.source();
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -1,4 +1,4 @@
-//! A socket that shows whether all that was to be written has left.
+//! A socket that records whether hyper has written all of its output.
 
 use std::{
     io,
@@ -14,40 +14,41 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-/// A socket for the HTTP library.
+/// A TCP socket for hyper with a [`FlushFlag`].
 ///
-/// The library takes a response for the end of its exchange even while the body
-/// of the request still waits to be written, and then stalls with the next
-/// request (hyper 1). Whoever reuses the connection must see that.
+/// hyper 1 regards an exchange as finished when the response is complete, even if
+/// the body of the request is not yet fully written; the next request on the
+/// connection then stalls. Before the connection is reused, the flag must be
+/// checked.
 pub struct Socket {
     tcp: TokioIo<TcpStream>,
-    drained: Drained,
+    flush_flag: FlushFlag,
 }
 
-/// Whether the library has written everything.
+/// Tells whether hyper has written and flushed all of its output. Clones share the
+/// flag.
 #[derive(Clone, Debug, Default)]
-pub struct Drained(Arc<AtomicBool>);
+pub struct FlushFlag(Arc<AtomicBool>);
 
-impl Drained {
-    /// Whether nothing waits to be written.
-    pub fn get(&self) -> bool {
+impl FlushFlag {
+    /// Returns whether no output is pending.
+    pub fn is_set(&self) -> bool {
         self.0.load(Ordering::Relaxed)
     }
 
-    fn set(&self, is_drained: bool) {
-        self.0.store(is_drained, Ordering::Relaxed);
+    fn set(&self, is_flushed: bool) {
+        self.0.store(is_flushed, Ordering::Relaxed);
     }
 }
 
 impl Socket {
-    /// Wraps a socket.
     pub fn new(tcp: TcpStream) -> Socket {
-        Socket { tcp: TokioIo::new(tcp), drained: Drained::default() }
+        Socket { tcp: TokioIo::new(tcp), flush_flag: FlushFlag::default() }
     }
 
-    /// Tells of the bytes that wait, while the library owns the socket.
-    pub fn drained(&self) -> Drained {
-        self.drained.clone()
+    /// Returns the flag, which can be read while hyper owns the socket.
+    pub fn flush_flag(&self) -> FlushFlag {
+        self.flush_flag.clone()
     }
 }
 
@@ -67,7 +68,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.drained.set(false);
+        self.flush_flag.set(false);
         Pin::new(&mut self.tcp).poll_write(cx, bytes)
     }
 
@@ -76,7 +77,7 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.drained.set(false);
+        self.flush_flag.set(false);
         Pin::new(&mut self.tcp).poll_write_vectored(cx, parts)
     }
 
@@ -84,9 +85,9 @@
         self.tcp.is_write_vectored()
     }
 
-    /// The library flushes once it has written all that it holds.
+    /// hyper flushes when it has written all buffered output.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.drained.set(true);
+        self.flush_flag.set(true);
         Pin::new(&mut self.tcp).poll_flush(cx)
     }
 
--- a/crates/http/tests/channel.rs
+++ b/crates/http/tests/channel.rs
@@ -1,4 +1,5 @@
-//! What a connection shows of a peer that breaks off, adds or mixes up bytes.
+//! A connection to a peer that closes early or sends malformed or additional
+//! bytes.
 
 #[macro_use]
 #[path = "../../../tests/common/case.rs"]
@@ -19,9 +20,9 @@
 const LIMITS: Limits =
     Limits { connect: Duration::from_millis(500), silence: Duration::from_secs(1), body: 1000 };
 
-/// What the peer does with each request of its only connection.
+/// What the peer does with one request on its only connection.
 #[derive(Clone, Copy, Debug)]
-enum Act {
+enum Action {
     /// Sends these bytes.
     Send(&'static str),
     /// Sends these bytes and closes the connection.
@@ -29,38 +30,42 @@
     /// Sends these bytes and resets the connection.
     Reset(&'static str),
     /// Closes the connection before it reads a request.
-    Refuse,
+    CloseUnread,
 }
 
-async fn peer(acts: Vec<Act>) -> SocketAddr {
+/// Starts a peer that accepts one connection and performs an action for each
+/// request.
+async fn peer(actions: Vec<Action>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         let (mut socket, _) = listener.accept().await.unwrap();
-        for act in acts {
-            if !play(&mut socket, act).await {
+        for action in actions {
+            if !perform(&mut socket, action).await {
                 return;
             }
         }
-        // It stays open until the test ends.
+        // Keeps the connection open until the test ends.
         sleep(Duration::from_secs(60)).await;
     });
     address
 }
 
-/// Plays one act; it returns false when the connection is over.
-async fn play(socket: &mut TcpStream, act: Act) -> bool {
-    if matches!(act, Act::Refuse) {
+/// Performs an action; returns false when the connection must be closed.
+async fn perform(socket: &mut TcpStream, action: Action) -> bool {
+    if matches!(action, Action::CloseUnread) {
         return false;
     }
     read_head(socket).await;
-    let (Act::Send(text) | Act::Close(text) | Act::Reset(text)) = act else { return false };
+    let (Action::Send(text) | Action::Close(text) | Action::Reset(text)) = action else {
+        return false;
+    };
     socket.write_all(text.as_bytes()).await.unwrap();
-    if matches!(act, Act::Reset(_)) {
+    if matches!(action, Action::Reset(_)) {
         sleep(Duration::from_millis(20)).await;
         socket2::SockRef::from(&*socket).set_linger(Some(Duration::ZERO)).unwrap();
     }
-    matches!(act, Act::Send(_))
+    matches!(action, Action::Send(_))
 }
 
 async fn read_head(socket: &mut TcpStream) {
@@ -76,34 +81,34 @@
     request
 }
 
-async fn open(acts: Vec<Act>) -> Channel {
-    Channel::open(peer(acts).await, LIMITS).await.unwrap()
+async fn open(actions: Vec<Action>) -> Channel {
+    Channel::open(peer(actions).await, LIMITS).await.unwrap()
 }
 
-/// A peer that answers before it has read a body, and reads on after a while.
-/// It returns what it got after the head.
-async fn early(listener: TcpListener) -> Vec<u8> {
+/// Acts as a peer that answers before it reads the body of the request. It
+/// continues to read after a pause and returns the bytes after the head.
+async fn respond_early(listener: TcpListener) -> Vec<u8> {
     let (mut socket, _) = listener.accept().await.unwrap();
     read_head(&mut socket).await;
-    socket.write_all(WHOLE.as_bytes()).await.unwrap();
+    socket.write_all(OK_RESPONSE.as_bytes()).await.unwrap();
     sleep(Duration::from_millis(100)).await;
     let mut rest = Vec::new();
-    // A connection that is cut in the middle of a body may be reset.
+    // A connection that is closed in the middle of a body may be reset.
     let _ = socket.read_to_end(&mut rest).await;
     rest
 }
 
-/// The outcome of the first request.
-async fn first(act: Act) -> Result<CompleteResponse, Failure> {
-    open(vec![act]).await.exchange(request()).await
+/// Returns the outcome of one request to a peer that performs `action`.
+async fn exchange_once(action: Action) -> Result<CompleteResponse, Failure> {
+    open(vec![action]).await.exchange(request()).await
 }
 
-const WHOLE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 cases! {
     async:
     a_whole_response_leaves_the_connection_usable => {
-        let mut channel = open(vec![Act::Send(WHOLE), Act::Send(WHOLE)]).await;
+        let mut channel = open(vec![Action::Send(OK_RESPONSE), Action::Send(OK_RESPONSE)]).await;
         for _ in 0..2 {
             let whole = channel.exchange(request()).await.unwrap();
             assert_eq!(&whole.response.body()[..], b"ok");
@@ -112,43 +117,43 @@
     };
     chunks_are_joined => {
         let text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n";
-        assert_eq!(&first(Act::Send(text)).await.unwrap().response.body()[..], b"ok");
+        assert_eq!(&exchange_once(Action::Send(text)).await.unwrap().response.body()[..], b"ok");
     };
     a_cut_body_is_no_response => {
         let cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
-        let failure = first(Act::Close(cut)).await.unwrap_err();
+        let failure = exchange_once(Action::Close(cut)).await.unwrap_err();
         assert!(failure.sent, "{failure}");
     };
     a_cut_chunk_is_no_response => {
         let cut = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok";
-        assert!(first(Act::Close(cut)).await.unwrap_err().sent);
+        assert!(exchange_once(Action::Close(cut)).await.unwrap_err().sent);
     };
     missing_last_chunk_is_no_response => {
         let cut = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n";
-        assert!(first(Act::Close(cut)).await.unwrap_err().sent);
+        assert!(exchange_once(Action::Close(cut)).await.unwrap_err().sent);
     };
     a_cut_head_is_no_response => {
-        assert!(first(Act::Close("HTTP/1.1 200 OK\r\nConte")).await.unwrap_err().sent);
+        assert!(exchange_once(Action::Close("HTTP/1.1 200 OK\r\nConte")).await.unwrap_err().sent);
     };
     bytes_of_no_protocol_are_no_response => {
-        assert!(first(Act::Send("garbage garbage\r\n\r\n")).await.unwrap_err().sent);
+        assert!(exchange_once(Action::Send("garbage garbage\r\n\r\n")).await.unwrap_err().sent);
     };
     a_body_without_length_ends_with_its_connection => {
-        let whole = first(Act::Close("HTTP/1.1 200 OK\r\n\r\nok")).await.unwrap();
+        let whole = exchange_once(Action::Close("HTTP/1.1 200 OK\r\n\r\nok")).await.unwrap();
         assert_eq!(&whole.response.body()[..], b"ok");
         assert!(!whole.reusable);
     };
     a_body_without_length_that_is_reset_is_no_response => {
-        let failure = first(Act::Reset("HTTP/1.1 200 OK\r\n\r\nok")).await.unwrap_err();
+        let failure = exchange_once(Action::Reset("HTTP/1.1 200 OK\r\n\r\nok")).await.unwrap_err();
         assert!(failure.sent, "{failure}");
     };
     a_reset_before_the_response_may_have_run => {
-        assert!(first(Act::Reset("")).await.unwrap_err().sent);
+        assert!(exchange_once(Action::Reset("")).await.unwrap_err().sent);
     };
     an_early_response_ends_the_use_of_its_connection => {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let peer = tokio::spawn(early(listener));
+        let peer = tokio::spawn(respond_early(listener));
         let mut channel = Channel::open(address, LIMITS).await.unwrap();
         let long = request().map(|_| Full::new(Bytes::from(vec![b'x'; 8 << 20])));
         let whole = channel.exchange(long).await.unwrap();
@@ -165,7 +170,7 @@
             for _ in 0..2 {
                 read_head(&mut socket).await;
                 socket.read_exact(&mut vec![0; 8 << 20]).await.unwrap();
-                socket.write_all(WHOLE.as_bytes()).await.unwrap();
+                socket.write_all(OK_RESPONSE.as_bytes()).await.unwrap();
             }
             sleep(Duration::from_secs(60)).await;
         });
@@ -176,12 +181,12 @@
         }
     };
     a_peer_that_ends_under_a_request_is_gone => {
-        for act in [Act::Reset(""), Act::Close(""), Act::Close("HTTP/1.1 200 OK\r\nConte")] {
-            let failure = first(act).await.unwrap_err();
-            assert!(failure.sent && failure.gone, "{act:?}: {failure}");
+        for action in [Action::Reset(""), Action::Close(""), Action::Close("HTTP/1.1 200 OK\r\nConte")] {
+            let failure = exchange_once(action).await.unwrap_err();
+            assert!(failure.sent && failure.gone, "{action:?}: {failure}");
         }
         let cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
-        assert!(first(Act::Close(cut)).await.unwrap_err().gone);
+        assert!(exchange_once(Action::Close(cut)).await.unwrap_err().gone);
     };
     a_peer_that_refuses_a_connection_is_gone => {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -191,46 +196,46 @@
         assert!(failure.gone && !failure.sent, "{failure}");
     };
     a_peer_that_closes_between_requests_is_not_gone => {
-        let mut channel = open(vec![Act::Refuse]).await;
+        let mut channel = open(vec![Action::CloseUnread]).await;
         sleep(Duration::from_millis(50)).await;
         let failure = channel.exchange(request()).await.unwrap_err();
         assert!(!failure.gone && !failure.sent, "{failure}");
     };
     a_peer_that_sends_no_protocol_is_not_gone => {
-        let failure = first(Act::Send("garbage garbage\r\n\r\n")).await.unwrap_err();
+        let failure = exchange_once(Action::Send("garbage garbage\r\n\r\n")).await.unwrap_err();
         assert!(!failure.gone, "{failure}");
     };
     a_connection_that_is_to_close_is_not_used_again => {
         let text = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
-        assert!(!first(Act::Send(text)).await.unwrap().reusable);
+        assert!(!exchange_once(Action::Send(text)).await.unwrap().reusable);
     };
     too_long_a_body_is_no_response => {
         let text = "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n";
         let text: &'static str = Box::leak(format!("{text}{}", "x".repeat(2000)).into());
-        assert!(first(Act::Send(text)).await.unwrap_err().sent);
+        assert!(exchange_once(Action::Send(text)).await.unwrap_err().sent);
     };
     a_second_response_is_never_the_next_one => {
-        let doubled = Box::leak(format!("{WHOLE}{}", WHOLE.replace("ok", "no")).into());
-        let mut channel = open(vec![Act::Send(doubled), Act::Send(WHOLE)]).await;
+        let doubled = Box::leak(format!("{OK_RESPONSE}{}", OK_RESPONSE.replace("ok", "no")).into());
+        let mut channel = open(vec![Action::Send(doubled), Action::Send(OK_RESPONSE)]).await;
         assert_eq!(&channel.exchange(request()).await.unwrap().response.body()[..], b"ok");
         let next = channel.exchange(request()).await;
         assert!(next.is_err(), "{next:?}");
     };
     a_second_response_ends_an_idle_connection => {
-        let doubled = Box::leak(format!("{WHOLE}{WHOLE}").into());
-        let mut channel = open(vec![Act::Send(doubled)]).await;
+        let doubled = Box::leak(format!("{OK_RESPONSE}{OK_RESPONSE}").into());
+        let mut channel = open(vec![Action::Send(doubled)]).await;
         channel.exchange(request()).await.unwrap();
         let end = tokio::time::timeout(Duration::from_secs(1), channel.closed()).await;
         assert!(end.is_ok());
     };
     an_idle_connection_tells_that_its_peer_closed_it => {
-        let mut channel = open(vec![Act::Close(WHOLE)]).await;
+        let mut channel = open(vec![Action::Close(OK_RESPONSE)]).await;
         channel.exchange(request()).await.unwrap();
         assert!(tokio::time::timeout(Duration::from_secs(1), channel.closed()).await.is_ok());
         assert!(!channel.exchange(request()).await.unwrap_err().sent);
     };
     a_peer_that_closes_at_once_got_nothing => {
-        let mut channel = open(vec![Act::Refuse]).await;
+        let mut channel = open(vec![Action::CloseUnread]).await;
         sleep(Duration::from_millis(50)).await;
         assert!(!channel.exchange(request()).await.unwrap_err().sent);
     };
