--- a/crates/core/tests/fuzz/fleet.rs
+++ b/crates/core/tests/fuzz/fleet.rs
@@ -130,7 +130,7 @@
             Act::Poison { vm: at } => {
                 // Its caller sends it again once it was answered.
                 let is_over = self.poison.is_none_or(|call| world.answers.contains_key(&call));
-                if is_over && world.is_calm() {
+                if is_over && world.is_stable() {
                     self.poison = Some(world.search(&vm(at), ANY_COVERAGE, POISON));
                 }
             }
@@ -211,7 +211,7 @@
             }
             Act::Store(mode) => world.platform().mode = mode,
             Act::StoreSlow { by } => world.platform().delay = Duration::from_millis(by),
-            Act::Skew { vm: at, by } => world.vms.get_mut(&name(&vm(at))).unwrap().skew = by,
+            Act::Skew { vm: at, by } => world.vms.get_mut(&name(&vm(at))).unwrap().skew_millis = by,
             act => panic!("{act:?} does not concern the control threads"),
         }
     }
@@ -266,7 +266,7 @@
         }
         for vm in world.vms.values_mut() {
             vm.paused_until = vm.paused_until.min(world.now);
-            vm.skew = 0;
+            vm.skew_millis = 0;
         }
         world.change_version(Version(version));
         for shard in 0..SHARDS {
@@ -309,7 +309,7 @@
             let own = control.engine.tables().in_force.document.revision;
             assert_eq!(Some(own), last, "the revision in force on {}", vm.name);
         }
-        for (id, (who, vm, start)) in &self.world.operators.asked {
+        for (id, (who, vm, start)) in &self.world.operators.requests {
             let is_answered = self.world.operators.answers.contains_key(id);
             assert!(is_answered || self.world.vms[vm].start != *start, "{who} got no answer");
         }
@@ -332,7 +332,7 @@
     let target = world.targets.get(shard, replica);
     target.sheds = false;
     target.fault = None;
-    target.cold = 0;
+    target.cold_requests = 0;
     target.service = Duration::from_millis(4);
     target.status.holds = [(Version(version), targets::range_of(shard, SHARDS))].into();
 }
--- a/crates/core/tests/matrix/scene.rs
+++ b/crates/core/tests/matrix/scene.rs
@@ -97,7 +97,7 @@
     }
     let target = world.targets.get(shard, replica);
     target.sheds = false;
-    target.cold = 0;
+    target.cold_requests = 0;
     target.service = 4 * MS;
     for range in target.status.holds.values_mut() {
         *range = targets::range_of(shard, SHARDS);
--- a/crates/core/tests/world/claims.rs
+++ b/crates/core/tests/world/claims.rs
@@ -1,5 +1,5 @@
-//! A stand-in for the control thread: claims, held-back requests and the end of
-//! a VM that is leaving.
+//! A replacement for the control threads in worlds without them: claims,
+//! quarantine and the exit of a VM that is leaving.
 
 use std::time::Duration;
 
@@ -13,17 +13,17 @@
 
 use super::{Delivery, World};
 
-/// The time after which every VM knows of a request that is held back.
-pub const SPREAD: Duration = Duration::from_millis(50);
+/// The time until every VM knows of a request in quarantine.
+pub const SPREAD_DELAY: Duration = Duration::from_millis(50);
 
-/// The time for which a VM that has nothing in flight still runs.
-const LINGER: Duration = Duration::from_millis(500);
+/// The time from the report that nothing is in flight to the exit of the VM.
+const EXIT_DELAY: Duration = Duration::from_millis(500);
 
-/// The targets that a request may crash before it is held back.
-const LOST_TARGETS: usize = 2;
+/// The number of lost targets at which a request goes into quarantine.
+const QUARANTINE_THRESHOLD: usize = 2;
 
 impl World {
-    /// Takes a report of a traffic thread.
+    /// Handles a report of a traffic thread.
     pub(super) fn report(&mut self, vm: &Name, report: Report) {
         if self.platform.is_some() {
             return self.report_to_control(vm, report);
@@ -49,13 +49,13 @@
             Report::Suspect { fingerprint, target, .. } if self.shares_suspects => {
                 let targets = self.suspects.entry(*fingerprint).or_default();
                 targets.insert(target.clone());
-                if targets.len() >= LOST_TARGETS {
+                if targets.len() >= QUARANTINE_THRESHOLD {
                     self.quarantine.insert(*fingerprint);
                 }
-                self.schedule(self.now + SPREAD, Delivery::Publish);
+                self.schedule(self.now + SPREAD_DELAY, Delivery::Publish);
             }
             Report::InFlight { count: 0 } if self.exits_when_idle => {
-                self.schedule(self.now + LINGER, Delivery::Exit { vm: vm.clone() });
+                self.schedule(self.now + EXIT_DELAY, Delivery::Exit { vm: vm.clone() });
             }
             _ => {}
         }
@@ -86,7 +86,7 @@
         }
         vm.alive = false;
         vm.listed = None;
-        self.targets.forget(name);
+        self.targets.close_connections_of(name);
         self.publish();
         self.report_lost_lane(name);
     }
--- a/crates/core/tests/world/content.rs
+++ b/crates/core/tests/world/content.rs
@@ -1,4 +1,4 @@
-//! What targets hold and answer.
+//! The rows that the targets hold and their replies.
 
 use std::sync::Arc;
 
@@ -9,42 +9,44 @@
     target::{Outcome, Row, Version, Work},
 };
 
-/// The text of the request whose reply a crossed one is.
-const CROSSED: &str = " of another";
+/// The text in the rows of a reply that belongs to another request.
+const CROSSED_TEXT: &str = " of another";
 
-/// The rows of a whole version.
-const ROWS: u64 = 256;
+/// The number of rows in a version of the index.
+const ROW_COUNT: u64 = 256;
 
-/// A fault of a target's replies.
+/// A fault in the replies of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fault {
     /// The last row is missing.
     Cut,
-    /// A row comes twice.
+    /// A row is repeated.
     Doubled,
-    /// The reply is that to another attempt.
+    /// The reply belongs to another attempt.
     Crossed,
-    /// The rows are of another version than stated.
+    /// The rows are those of the next version.
     WrongVersion,
-    /// A row lies outside the range.
+    /// The reply also contains rows outside the range.
     Outside,
 }
 
-/// What the execution of an operation returns.
+/// Returns the result of an operation.
 pub fn result(detail: &str) -> String {
     format!("granted {detail}")
 }
 
-/// The rows of a version that match `text` and whose keys satisfy `is_wanted`.
+/// Returns the rows of a version that match `text` and whose keys satisfy
+/// `is_wanted`.
 pub fn rows(version: Version, text: &str, is_wanted: impl Fn(u64) -> bool) -> Vec<Row> {
-    (0..ROWS)
-        .map(|number| number * (u64::MAX / ROWS))
+    (0..ROW_COUNT)
+        .map(|number| number * (u64::MAX / ROW_COUNT))
         .filter(|&key| is_wanted(key))
         .map(|key| Row { key, body: format!("{key:x} at {}{text}", version.0).into() })
         .collect()
 }
 
-/// The range of a shard when the key space is cut into `shards` equal parts.
+/// Returns the range of a shard when the key space is divided into `shards` equal
+/// ranges.
 pub fn range_of(shard: u64, shards: u64) -> Range {
     let bound = |number: u64| (u128::from(number) << 64) / u128::from(shards);
     let first = u64::try_from(bound(shard)).unwrap();
@@ -52,7 +54,7 @@
     Range::try_from((first, last)).unwrap()
 }
 
-/// The text of a search or the detail of an operation.
+/// Returns the text of a search or the detail of an operation.
 pub fn text_of(work: &Work) -> &Arc<str> {
     match work {
         Work::Search { text, .. } => text,
@@ -60,10 +62,10 @@
     }
 }
 
-/// The outcome of a search, with its fault.
+/// Returns the outcome of a search, altered by `fault`.
 pub fn search(fault: Option<Fault>, version: Version, range: Range, text: &str) -> Outcome {
     let read = if fault == Some(Fault::WrongVersion) { Version(version.0 + 1) } else { version };
-    let text = if fault == Some(Fault::Crossed) { CROSSED } else { text };
+    let text = if fault == Some(Fault::Crossed) { CROSSED_TEXT } else { text };
     let mut found = rows(read, text, |key| range.contains(key));
     let count = found.len() as u64;
     match fault {
@@ -82,7 +84,6 @@
     Outcome::Rows { version: read, range, rows: found, count, digest }
 }
 
-/// The name of a target.
 pub fn target_name(shard: u64, replica: u64) -> Name {
     super::name(&format!("target-{shard}-{replica}"))
 }
--- a/crates/core/tests/world/control.rs
+++ b/crates/core/tests/world/control.rs
@@ -1,4 +1,4 @@
-//! The real control engine of a VM, with the platform's service and operators.
+//! The real control engines of the VMs, with the platform's service and operators.
 
 use std::{sync::Arc, time::Duration};
 
@@ -22,14 +22,14 @@
     platform::{GIVE_UP, Mode, Platform},
 };
 
-/// The wall-clock time at which a world starts, in milliseconds.
-pub const EPOCH: u64 = 1_700_000_000_000;
+/// The wall-clock time in milliseconds at the virtual time zero.
+pub const START_MILLIS: u64 = 1_700_000_000_000;
 
-/// The time by which the platform's list is behind.
-const LAG: Duration = Duration::from_millis(300);
+/// The time by which the platform's list lags behind.
+const LIST_LAG: Duration = Duration::from_millis(300);
 
 /// The time after which a late write takes effect.
-const LATE: Duration = Duration::from_millis(3100);
+const LATE_WRITE_DELAY: Duration = Duration::from_millis(3100);
 
 /// Encodes stored documents as JSON.
 pub struct Json;
@@ -46,17 +46,17 @@
 
 /// The control thread of a VM.
 pub struct Control {
-    /// Its decisions.
     pub engine: Engine,
-    /// The events that it has not seen yet.
+    /// The events that it has not processed yet.
     pub inbox: Vec<Event>,
     /// The last view that it published.
     pub view: Option<Arc<View>>,
+    /// The highest revision that was in force.
     highest: Revision,
 }
 
 impl Control {
-    /// The control thread of a VM that starts.
+    /// Creates the control thread of a VM that starts.
     pub fn new(vm: view::Vm, seed: u64) -> Control {
         let setup = Setup {
             vm,
@@ -74,56 +74,56 @@
         }
     }
 
-    /// When it has something to do next.
+    /// Returns when the thread next has work.
     pub fn wake(&self) -> Option<Instant> {
         if self.inbox.is_empty() { self.engine.wake() } else { Some(Instant::default()) }
     }
 }
 
-/// What the operators asked and were told.
+/// The operators' requests and the answers.
 #[derive(Default)]
 pub struct Operators {
-    /// Who asked for each publication, through which start of which VM.
-    pub asked: std::collections::BTreeMap<RequestId, (String, Name, u64)>,
-    /// What they were told.
+    /// The operator of each request, with the VM that received it and its start.
+    pub requests: std::collections::BTreeMap<RequestId, (String, Name, u64)>,
     pub answers: std::collections::BTreeMap<RequestId, Answer>,
-    /// The number of publications.
-    pub marks: u32,
-    last: u64,
+    /// The number of publications so far.
+    pub publications: u32,
+    /// The number of answers at the last check.
+    checked: u64,
 }
 
 impl World {
-    /// The wall-clock time of a VM.
+    /// Returns the wall-clock time of a VM.
     fn wall(&self, vm: &Name) -> Wall {
-        let skew = self.vms.get(vm).map_or(0, |row| row.skew);
-        Wall((EPOCH + self.now.0 / 1000).saturating_add_signed(skew))
+        let skew_millis = self.vms.get(vm).map_or(0, |row| row.skew_millis);
+        Wall((START_MILLIS + self.now.0 / 1000).saturating_add_signed(skew_millis))
     }
 
-    /// A new control thread, if this world has them.
+    /// Creates a control thread, if this world has them.
     pub(super) fn new_control(&self, vm: &Name) -> Option<Control> {
         self.platform.as_ref()?;
         let row = view::Vm { incarnation: self.wall(vm).0, ..listed(vm, State::Live) };
         Some(Control::new(row, self.starts))
     }
 
-    /// Lets the platform list what is so now, after a time.
-    pub(super) fn relist(&mut self) {
+    /// Updates the platform's list to the current state, after its lag.
+    pub(super) fn update_list(&mut self) {
         let vms = self.vms.values().filter_map(|vm| {
             let row = listed(&vm.name, vm.listed?);
             Some((vm.name.clone(), view::Vm { incarnation: 0, ..row }))
         });
         let list = Box::new((vms.collect(), self.targets.listed()));
-        self.schedule(self.now + LAG, Delivery::List(list));
+        self.schedule(self.now + LIST_LAG, Delivery::ListUpdate(list));
     }
 
-    /// Whether every VM can learn in time what the platform lists.
-    pub(super) fn is_list_read(&self) -> bool {
+    /// Returns whether every VM can read the platform's list in time.
+    pub(super) fn is_list_readable(&self) -> bool {
         let Some(platform) = &self.platform else { return true };
         let is_up = matches!(platform.mode, Mode::Up | Mode::ListOnly | Mode::Late);
-        is_up && platform.delay <= LAG && self.is_calm()
+        is_up && platform.delay <= LIST_LAG && self.is_stable()
     }
 
-    /// Runs a step of the control thread of a VM.
+    /// Runs a tick of the control thread of a VM, if it has work.
     pub(super) fn step_control(&mut self, vm: &Name) {
         let wall = self.wall(vm);
         let now = self.now;
@@ -140,13 +140,13 @@
         control.highest = revision;
         let is_over = control.engine.leaving() && control.engine.idle(1);
         let start = row.start;
-        self.carry_control(vm, start, out);
+        self.apply_control_outbox(vm, start, out);
         if is_over {
             self.schedule(self.now, Delivery::Exit { vm: vm.clone() });
         }
     }
 
-    fn carry_control(&mut self, vm: &Name, start: u64, out: Outbox) {
+    fn apply_control_outbox(&mut self, vm: &Name, start: u64, out: Outbox) {
         for (_, notice) in out.notices {
             if let (Notice::View(view), Some(row)) = (&notice, self.vms.get_mut(vm)) {
                 row.control.as_mut().unwrap().view = Some(view.clone());
@@ -155,7 +155,7 @@
         }
         for post in out.posts {
             if let Some(after) = self.network.delay(vm, &post.vm) {
-                self.inform(&post.vm, after, Event::Message(post.message));
+                self.deliver_to_control(&post.vm, after, Event::Message(post.message));
             }
         }
         for (id, call) in out.calls {
@@ -165,8 +165,8 @@
             let before = self.operators.answers.insert(id, answer);
             assert!(before.is_none(), "{id:?} was answered twice");
         }
-        if self.operators.answers.len() > self.operators.last as usize {
-            self.operators.last = self.operators.answers.len() as u64;
+        if self.operators.answers.len() > self.operators.checked as usize {
+            self.operators.checked = self.operators.answers.len() as u64;
             self.check_operators();
         }
     }
@@ -176,52 +176,52 @@
         let caller = (vm.clone(), start);
         if platform.mode == Mode::Late && matches!(call, Call::Swap { .. }) {
             let lost = Reply::Lost { detail: "no answer".to_owned() };
-            self.schedule(self.now + GIVE_UP, Delivery::Stored(caller, id, lost));
-            self.schedule(self.now + LATE, Delivery::Late(call));
+            self.schedule(self.now + GIVE_UP, Delivery::StoreReply(caller, id, lost));
+            self.schedule(self.now + LATE_WRITE_DELAY, Delivery::LateWrite(call));
             return;
         }
         for (at, vm, id, reply) in platform.call(self.now, caller, id, call) {
-            self.schedule(at, Delivery::Stored(vm, id, reply));
+            self.schedule(at, Delivery::StoreReply(vm, id, reply));
         }
     }
 
-    /// Takes a write whose client has given it up.
+    /// Executes a write whose client has given up.
     pub(super) fn write_late(&mut self, call: Call) {
         let answers = self.platform.as_mut().unwrap().late(self.now, call);
         for (at, vm, id, reply) in answers {
-            self.schedule(at, Delivery::Stored(vm, id, reply));
+            self.schedule(at, Delivery::StoreReply(vm, id, reply));
         }
     }
 
-    /// Takes an answer of the platform's service.
-    pub(super) fn stored(&mut self, caller: &(Name, u64), call: CallId, reply: Reply) {
+    /// Hands a reply of the platform's service to the VM, unless it has restarted.
+    pub(super) fn take_store_reply(&mut self, caller: &(Name, u64), call: CallId, reply: Reply) {
         self.platform.as_mut().unwrap().end(caller, call);
         if self.vms.get(&caller.0).is_some_and(|vm| vm.start == caller.1) {
-            self.inform(&caller.0, Duration::ZERO, Event::Reply { call, reply });
+            self.deliver_to_control(&caller.0, Duration::ZERO, Event::Reply { call, reply });
         }
     }
 
-    /// Delivers an event to a control thread after a time.
-    pub fn inform(&mut self, vm: &Name, after: Duration, event: Event) {
+    /// Delivers an event to the control thread of a VM after a delay.
+    pub fn deliver_to_control(&mut self, vm: &Name, after: Duration, event: Event) {
         let Some(start) = self.vms.get(vm).map(|vm| vm.start) else { return };
         let delivery = Delivery::Control { vm: vm.clone(), start, event };
         self.schedule(self.now + after, delivery);
     }
 
-    /// Hands the report of a traffic thread to its control thread.
+    /// Delivers the report of a traffic thread to the control thread of its VM.
     pub(super) fn report_to_control(&mut self, vm: &Name, report: Report) {
         if let Report::Claim { operation, request, .. } = &report {
             self.oracle.tokens.insert(*operation, request.token);
         }
-        self.inform(vm, Duration::ZERO, Event::Report { thread: 0, report });
+        self.deliver_to_control(vm, Duration::ZERO, Event::Report { thread: 0, report });
     }
 
-    /// An operator publishes profiles through a VM.
+    /// Publishes profiles through a VM, as a new operator.
     pub fn publish_profiles(&mut self, vm: &str, expect: Option<Revision>) -> RequestId {
-        self.operators.marks += 1;
-        let who = format!("operator-{}", self.operators.marks);
+        self.operators.publications += 1;
+        let who = format!("operator-{}", self.operators.publications);
         let request = Request::Publish {
-            profiles: super::profiles(1000 + self.operators.marks),
+            profiles: super::profiles(1000 + self.operators.publications),
             expect,
             who: who.clone(),
             team: name("tests"),
@@ -230,28 +230,28 @@
         self.ask_operator(vm, who, request)
     }
 
-    /// An operator asks through a VM what became of a publication.
+    /// Asks through a VM for the outcome of a publication.
     pub fn settle(&mut self, vm: &str, token: Token, who: String) -> RequestId {
         self.ask_operator(vm, who, Request::Settle { token })
     }
 
     fn ask_operator(&mut self, vm: &str, who: String, request: Request) -> RequestId {
-        let id = RequestId(self.operators.asked.len() as u64 + 1);
+        let id = RequestId(self.operators.requests.len() as u64 + 1);
         let vm = name(vm);
-        self.operators.asked.insert(id, (who, vm.clone(), self.vms[&vm].start));
-        self.inform(&vm, Duration::ZERO, Event::Request { id, request });
+        self.operators.requests.insert(id, (who, vm.clone(), self.vms[&vm].start));
+        self.deliver_to_control(&vm, Duration::ZERO, Event::Request { id, request });
         id
     }
 
-    /// The publications that are not settled, with who asked for them.
+    /// Returns the latest publication whose outcome was not known, with its operator.
     pub fn unsettled(&self) -> Option<(Token, String)> {
         self.operators.answers.iter().rev().find_map(|(id, answer)| match answer {
-            Answer::Unsettled { token } => Some((*token, self.operators.asked[id].0.clone())),
+            Answer::Unsettled { token } => Some((*token, self.operators.requests[id].0.clone())),
             _ => None,
         })
     }
 
-    /// What was written as the document in force, in order.
+    /// Returns the records written as the document in force, in order.
     pub fn written(&self) -> Vec<Record> {
         let values = &self.platform.as_ref().unwrap().written;
         let mut records: Vec<Record> =
@@ -260,14 +260,14 @@
         records
     }
 
-    /// Checks that no operator was told a wrong thing and no revision went back.
+    /// Checks that each operator got the right answer and revisions only grew.
     pub fn check_operators(&self) {
         let records = self.written();
         for pair in records.windows(2) {
             assert!(pair[0].document.revision < pair[1].document.revision, "{pair:?}");
         }
         for (id, answer) in &self.operators.answers {
-            let who = &self.operators.asked[id].0;
+            let who = &self.operators.requests[id].0;
             let mut found = records.iter().filter(|record| record.who == *who);
             let revision = found.next().map(|record| record.document.revision);
             assert!(found.next().is_none(), "{who} was written twice");
@@ -279,13 +279,13 @@
         }
     }
 
-    /// The platform's service.
+    /// Returns the platform's service, which this world must have.
     pub fn platform(&mut self) -> &mut Platform {
         self.platform.as_mut().expect("this world has control threads")
     }
 }
 
-/// A VM as the platform lists it.
+/// Returns a VM as the platform lists it.
 fn listed(vm: &Name, state: State) -> view::Vm {
     let address = "127.0.0.1:1".parse().unwrap();
     view::Vm {
--- a/crates/core/tests/world/effect.rs
+++ b/crates/core/tests/world/effect.rs
@@ -1,25 +1,25 @@
-//! What a command to a target leads to.
+//! The effects of a command to a target.
 
 use std::time::Duration;
 
 use laburnum_core::{id, name::Name, target::Event, traffic};
 
-/// A report to a VM after a time.
+/// An event for a VM after a delay.
 pub type Report = (Duration, Name, traffic::Event);
 
-/// What a command leads to.
+/// The events that a command causes, each after a delay.
 #[derive(Debug, Default)]
 pub struct Effect {
-    /// Reports to the VM that gave the command.
+    /// Events for the VM that sent the command.
     pub events: Vec<(Duration, Event)>,
-    /// Reports to any VM.
-    pub others: Vec<Report>,
-    /// Ends of service times.
-    pub serves: Vec<(Duration, Name, id::Attempt)>,
+    /// Events for any VM.
+    pub reports: Vec<Report>,
+    /// Ends of the service times of attempts.
+    pub service_ends: Vec<(Duration, Name, id::Attempt)>,
 }
 
 impl Effect {
-    /// One report to the VM that gave the command.
+    /// Creates the effect of one event for the VM that sent the command.
     pub fn event(after: Duration, event: Event) -> Effect {
         Effect { events: vec![(after, event)], ..Effect::default() }
     }
--- a/crates/core/tests/world/fault.rs
+++ b/crates/core/tests/world/fault.rs
@@ -13,42 +13,42 @@
 
 use super::{World, name, vm::Vm};
 
-/// The time within which a VM that starts or goes on learns what others know.
-const NEW: Duration = Duration::from_secs(1);
+/// The time within which a VM that starts or resumes learns what the others know.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(1);
 
 impl World {
-    /// Starts a VM, or starts it again after it was killed.
+    /// Starts a VM, or restarts it after it was killed.
     pub fn start_vm(&mut self, vm: &str) {
         let vm = name(vm);
         let start = self.vms.get(&vm).map_or(1, |old| old.start + 1);
         self.starts += 1;
         let origin = Origin(self.starts);
         let control = self.new_control(&vm);
-        let skew = self.vms.get(&vm).map_or(0, |old| old.skew);
+        let skew_millis = self.vms.get(&vm).map_or(0, |old| old.skew_millis);
         self.vms.insert(
             vm.clone(),
-            Vm { control, skew, started: self.now, ..Vm::new(vm.clone(), start, origin) },
+            Vm { control, skew_millis, started: self.now, ..Vm::new(vm.clone(), start, origin) },
         );
-        self.targets.forget(&vm);
+        self.targets.close_connections_of(&vm);
         self.publish();
     }
 
-    /// Ends a VM without a word; the other VMs' views keep it until
+    /// Kills a VM without notice. It stays in the views of the other VMs until
     /// [`World::unlist_vm`].
     pub fn kill_vm(&mut self, vm: &str) {
         let vm = name(vm);
         self.vms.get_mut(&vm).unwrap().alive = false;
-        self.targets.forget(&vm);
+        self.targets.close_connections_of(&vm);
     }
 
-    /// Ends a VM and starts another one under its name.
+    /// Kills a VM and starts another one under its name.
     pub fn replace_vm(&mut self, vm: &str) {
         self.kill_vm(vm);
         self.report_lost_lane(&name(vm));
         self.start_vm(vm);
     }
 
-    /// Takes a VM out of every view and reports the lost connections.
+    /// Removes a VM from every view and reports the lost connections to it.
     pub fn unlist_vm(&mut self, vm: &str) {
         let gone = name(vm);
         self.vms.get_mut(&gone).unwrap().listed = None;
@@ -56,7 +56,7 @@
         self.report_lost_lane(&gone);
     }
 
-    /// Tells every VM that messages to `vm` are lost.
+    /// Reports to every other VM that the connection to `vm` was lost.
     pub fn report_lost_lane(&mut self, vm: &Name) {
         let lane = Lane { vm: vm.clone(), thread: 0 };
         let others: Vec<Name> = self.vms.keys().filter(|other| *other != vm).cloned().collect();
@@ -68,37 +68,37 @@
     /// Marks a VM as leaving in every view.
     pub fn leave_vm(&mut self, vm: &str) {
         self.vms.get_mut(&name(vm)).unwrap().listed = Some(State::Leaving);
-        self.inform(&name(vm), Duration::ZERO, control::Event::Leave);
+        self.deliver_to_control(&name(vm), Duration::ZERO, control::Event::Leave);
         self.publish();
     }
 
-    /// Stops a VM for a time, as a signal would; what arrives waits.
+    /// Pauses a VM, as `SIGSTOP` would; events that arrive are queued.
     pub fn pause_vm(&mut self, vm: &str, span: Duration) {
         let until = self.now + span;
         let vm = name(vm);
         let row = self.vms.get_mut(&vm).unwrap();
         let more = until.since(row.paused_until.max(self.now));
         row.paused_until = row.paused_until.max(until);
-        self.oracle.excuse(&vm, more);
+        self.oracle.extend_deadlines(&vm, more);
     }
 
-    /// Whether every VM that is listed has run for a while and reaches every
-    /// other one.
-    pub fn is_calm(&self) -> bool {
+    /// Returns whether every listed VM has run long enough to learn what the others
+    /// know and can reach every other one.
+    pub fn is_stable(&self) -> bool {
         let since = |vm: &Vm| self.now.since(vm.started.max(vm.paused_until));
-        let runs = |vm: &Vm| vm.listed.is_none() || (vm.alive && since(vm) >= NEW);
-        self.network.is_whole() && self.vms.values().all(runs)
+        let runs = |vm: &Vm| vm.listed.is_none() || (vm.alive && since(vm) >= CATCH_UP_LIMIT);
+        self.network.is_healthy() && self.vms.values().all(runs)
     }
 
-    /// Ends the process of a target.
+    /// Crashes the process of a target.
     pub fn crash_target(&mut self, shard: u64, replica: u64) {
         let effect = self.targets.get(shard, replica).crash();
-        for (after, vm, event) in effect.others {
+        for (after, vm, event) in effect.reports {
             self.deliver(&vm, after, event);
         }
     }
 
-    /// Starts the process of a target again, cold.
+    /// Restarts the process of a target with a cold cache.
     pub fn restart_target(&mut self, shard: u64, replica: u64) {
         self.crash_target(shard, replica);
         let now = self.now;
@@ -106,11 +106,11 @@
         target.restart();
         target.restarted = now;
         target.listed = Some(State::Live);
-        target.cold = 2;
+        target.cold_requests = 2;
         self.publish();
     }
 
-    /// Makes every target hold `version` instead of what it held.
+    /// Replaces the versions that the targets hold by `version`.
     pub fn change_version(&mut self, version: Version) {
         for target in self.targets.rows.values_mut() {
             if let Some(range) = target.status.holds.values().next().copied() {
@@ -119,7 +119,7 @@
         }
     }
 
-    /// Lets two shards change their ranges at every version.
+    /// Exchanges the ranges of two shards at every version.
     pub fn swap_shards(&mut self, one: u64, two: u64) {
         let replicas = self.targets.rows.values().filter(|row| row.shard == one).count() as u64;
         for replica in 0..replicas {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -1,5 +1,5 @@
-//! Several VMs with the real tables and systems, and fakes at the borders, in
-//! virtual time.
+//! A simulated deployment in virtual time: several VMs with the real tables and
+//! systems, and fakes of everything else.
 
 pub mod claims;
 pub mod content;
@@ -40,79 +40,73 @@
     vm::Vm,
 };
 
-/// The index that every test searches.
+/// The index of all searches.
 pub const INDEX: &str = "register";
 
-/// The profile that asks for all of the index.
+/// The profile that requires the whole index to be covered.
 pub const FULL_COVERAGE: &str = "whole";
 
-/// The profile that takes any part of the index and tries a search at one shard
-/// before it goes to all.
+/// The profile that accepts any coverage and tries a search at one shard before it
+/// is sent to all.
 pub const CANARY: &str = "careful";
 
-/// The profile that takes any part of the index.
+/// The profile that accepts any coverage.
 pub const ANY_COVERAGE: &str = "any";
 
-/// The deadline of both profiles.
+/// The deadline of all profiles.
 pub const DEADLINE: Duration = Duration::from_secs(1);
 
-/// Where an event goes.
+/// A scheduled event and its receiver.
 #[derive(Clone, Debug)]
 pub enum Delivery {
-    /// To a VM, if it is still in the same start.
+    /// An event for a traffic thread, dropped if the VM has restarted since.
     Vm { vm: Name, start: u64, event: Event },
-    /// To a target: the end of an attempt's service time.
-    Served { target: Name, attempt: id::Attempt },
-    /// To the control thread of a VM, if it is still in the same start.
+    /// The end of an attempt's service time at a target.
+    ServiceEnd { target: Name, attempt: id::Attempt },
+    /// An event for a control thread, dropped if the VM has restarted since.
     Control { vm: Name, start: u64, event: core_control::Event },
-    /// To a start of a VM: an answer of the platform's service.
-    Stored((Name, u64), CallId, Reply),
-    /// To the platform's service: a write whose client has given it up.
-    Late(store::Call),
-    /// To the platform: what it lists from now on.
-    List(Box<(BTreeMap<Name, view::Vm>, BTreeMap<Name, view::Target>)>),
-    /// To every VM: a view of what is listed now.
+    /// A reply of the platform's service to one start of a VM.
+    StoreReply((Name, u64), CallId, Reply),
+    /// A write that reaches the platform's service after its client gave up.
+    LateWrite(store::Call),
+    /// The new content of the platform's list.
+    ListUpdate(Box<(BTreeMap<Name, view::Vm>, BTreeMap<Name, view::Target>)>),
+    /// Publishes a view of the listed VMs and targets to every VM.
     Publish,
-    /// To a VM that is leaving: the end of its process, if it is idle.
+    /// Ends the process of a VM that is leaving, if it is idle.
     Exit { vm: Name },
 }
 
-/// A deployment in virtual time.
+/// The simulated deployment.
 pub struct World {
-    /// The time.
     pub now: Instant,
-    /// The VMs by name.
     pub vms: BTreeMap<Name, Vm>,
-    /// The targets.
     pub targets: Targets,
-    /// The network between VMs.
     pub network: Network,
-    /// The claims that were granted, by key.
+    /// The granted claims with their outcomes, by key.
     pub claims: BTreeMap<claim::Key, (claim::Request, Option<claim::Outcome>)>,
-    /// Whether claims are answered.
+    /// Whether claims get no answer.
     pub claims_down: bool,
-    /// The time that a claim takes.
+    /// The time until a claim is answered.
     pub claim_delay: Duration,
-    /// The answers that callers got.
+    /// The answers that callers received.
     pub answers: BTreeMap<Call, Answer>,
-    /// Reports of the traffic threads, but for claims.
+    /// The reports of the traffic threads, except claims and their outcomes.
     pub reports: Vec<Report>,
     /// The profiles in force.
     pub document: Document,
-    /// The fingerprints that are held back.
+    /// The fingerprints in quarantine.
     pub quarantine: BTreeSet<Fingerprint>,
-    /// Whether VMs tell each other which requests were lost with targets.
+    /// Whether VMs share which targets were lost while they ran a request.
     pub shares_suspects: bool,
-    /// Whether a VM that is leaving ends when it has nothing in flight.
+    /// Whether a VM that is leaving exits when it has nothing in flight.
     pub exits_when_idle: bool,
-    /// What was sent and what was promised.
     pub oracle: Oracle,
-    /// What the operators asked and were told.
     pub operators: Operators,
     /// The platform's service, if the VMs have control threads.
     pub platform: Option<Platform>,
     keys: BTreeMap<u128, claim::Key>,
-    /// The texts that were searched for.
+    /// The texts of all searches.
     texts: BTreeSet<Arc<str>>,
     suspects: BTreeMap<Fingerprint, BTreeSet<Name>>,
     pending: BTreeMap<(Instant, u64), Delivery>,
@@ -121,12 +115,11 @@
     starts: u64,
 }
 
-/// Makes a name in a test.
 pub fn name(text: &str) -> Name {
     Name::try_from(text).unwrap()
 }
 
-/// The profiles of the tests, which differ by their concurrency.
+/// Returns the profiles, with `concurrency` as the limit of each.
 pub fn profiles(concurrency: u32) -> BTreeMap<Name, Profile> {
     let careful = Profile { canary: true, ..profile(0, concurrency) };
     [
@@ -153,8 +146,9 @@
 }
 
 impl World {
-    /// A deployment with `vms` VMs, `shards` shards of `replicas` targets each,
-    /// which hold version one, after it has settled.
+    /// Creates a deployment of `vms` VMs and `shards` shards with `replicas`
+    /// targets each, which hold version 1, and lets it start up. The VMs have only
+    /// traffic threads.
     pub fn new(vms: usize, shards: u64, replicas: u64) -> World {
         let mut world = World::empty(shards, replicas);
         for number in 1..=vms {
@@ -164,7 +158,7 @@
         world
     }
 
-    /// As [`World::new`], with the control threads and the platform's service.
+    /// Like [`World::new`], with control threads and the platform's service.
     pub fn with_control(vms: usize, shards: u64, replicas: u64) -> World {
         let mut world = World::empty(shards, replicas);
         world.platform = Some(Platform::new());
@@ -207,10 +201,11 @@
         }
     }
 
-    /// Gives every VM a view of what is listed now.
+    /// Publishes a view of the listed VMs and targets to every VM, or updates the
+    /// platform's list if the VMs have control threads.
     pub fn publish(&mut self) {
         if self.platform.is_some() {
-            return self.relist();
+            return self.update_list();
         }
         let vms = self.listed_vms();
         let targets = self.targets.listed();
@@ -246,7 +241,7 @@
             .collect()
     }
 
-    /// Delivers an event to a VM after a time.
+    /// Delivers an event to the traffic thread of a VM after a delay.
     pub fn deliver(&mut self, vm: &Name, after: Duration, event: Event) {
         let Some(start) = self.vms.get(vm).map(|vm| vm.start) else { return };
         self.schedule(self.now + after, Delivery::Vm { vm: vm.clone(), start, event });
@@ -257,36 +252,38 @@
         self.pending.insert((at, self.sequence), delivery);
     }
 
-    /// Lets time pass.
+    /// Advances the time by `span`.
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
-        while let Some(at) = self.next_moment().filter(|&at| at <= end) {
+        while let Some(at) = self.next_due().filter(|&at| at <= end) {
             self.now = self.now.max(at);
-            self.moment();
+            self.process_due();
         }
         self.now = end;
     }
 
-    fn next_moment(&self) -> Option<Instant> {
+    fn next_due(&self) -> Option<Instant> {
         let delivery = self.pending.keys().next().map(|(at, _)| *at);
         let wake = self.vms.values().filter_map(Vm::wake).min();
         [delivery, wake].into_iter().flatten().min()
     }
 
-    /// Runs until `reached` holds, at most for `span`, and says whether it does.
+    /// Runs until `reached` returns true, for at most `span`, and returns whether it
+    /// did.
     pub fn run_until(&mut self, span: Duration, reached: impl Fn(&World) -> bool) -> bool {
         let end = self.now + span;
         while !reached(self) {
-            let Some(at) = self.next_moment().filter(|&at| at <= end) else { return false };
+            let Some(at) = self.next_due().filter(|&at| at <= end) else { return false };
             self.now = self.now.max(at);
-            self.moment();
+            self.process_due();
         }
         true
     }
 
-    /// Delivers what is due and steps the VMs that have something to do.
-    fn moment(&mut self) {
-        self.targets.tick(self.now, self.is_list_read());
+    /// Delivers the due events, then runs the VMs that have work and checks the
+    /// guarantees.
+    fn process_due(&mut self) {
+        self.targets.tick(self.now, self.is_list_readable());
         while let Some(entry) = self.pending.first_entry() {
             if entry.key().0 > self.now {
                 break;
@@ -306,16 +303,18 @@
                         control.inbox.push(event);
                     }
                 }
-                Delivery::Stored(caller, call, reply) => self.stored(&caller, call, reply),
-                Delivery::Late(call) => self.write_late(call),
-                Delivery::List(list) => {
+                Delivery::StoreReply(caller, call, reply) => {
+                    self.take_store_reply(&caller, call, reply)
+                }
+                Delivery::LateWrite(call) => self.write_late(call),
+                Delivery::ListUpdate(list) => {
                     let platform = self.platform();
                     (platform.vms, platform.targets) = *list;
                 }
                 Delivery::Publish => self.publish(),
                 Delivery::Exit { vm } => self.exit(&vm),
-                Delivery::Served { target, attempt } => {
-                    for (after, vm, event) in self.targets.served(&target, attempt) {
+                Delivery::ServiceEnd { target, attempt } => {
+                    for (after, vm, event) in self.targets.end_service(&target, attempt) {
                         self.deliver(&vm, after, event);
                     }
                 }
@@ -326,7 +325,7 @@
         for vm in due {
             self.step_control(&vm);
             let out = self.vms.get_mut(&vm).unwrap().step(self.now);
-            self.carry_out(&vm, out);
+            self.apply_outbox(&vm, out);
         }
         self.oracle.check(self.now, &self.targets, |request| {
             let vm = &self.vms[&request.vm];
@@ -334,7 +333,7 @@
         });
     }
 
-    fn carry_out(&mut self, vm: &Name, out: Outbox) {
+    fn apply_outbox(&mut self, vm: &Name, out: Outbox) {
         for report in out.reports {
             self.report(vm, report);
         }
@@ -355,35 +354,34 @@
             for (after, event) in effect.events {
                 self.deliver(vm, after, Event::Target(event));
             }
-            for (after, vm, event) in effect.others {
+            for (after, vm, event) in effect.reports {
                 self.deliver(&vm, after, event);
             }
-            for (after, target, attempt) in effect.serves {
-                self.schedule(self.now + after, Delivery::Served { target, attempt });
+            for (after, target, attempt) in effect.service_ends {
+                self.schedule(self.now + after, Delivery::ServiceEnd { target, attempt });
             }
         }
     }
 
-    /// The name of the home of a shard.
+    /// Returns the home of a shard.
     pub fn home_of(&self, shard: u64) -> Name {
         let seed = laburnum_core::rank::seed(&[INDEX, &format!("shard-{shard}")]);
         let live = self.vms.values().filter(|vm| vm.listed == Some(State::Live));
         laburnum_core::rank::first(seed, live.map(|vm| &vm.name)).unwrap().clone()
     }
 
-    /// The name of a VM that is not the home of the shard.
+    /// Returns a VM that is not the home of the shard.
     pub fn other_than_home_of(&self, shard: u64) -> Name {
         let home = self.home_of(shard);
         self.vms.keys().find(|vm| **vm != home).unwrap().clone()
     }
 }
 
-/// A version in a test.
 pub fn version(number: u64) -> Version {
     Version(number)
 }
 
-/// The range of one key.
+/// Returns the range of a single key.
 pub fn point(key: u64) -> Range {
     Range::try_from((key, key)).unwrap()
 }
--- a/crates/core/tests/world/network.rs
+++ b/crates/core/tests/world/network.rs
@@ -1,4 +1,4 @@
-//! The network between VMs.
+//! The simulated network between VMs.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -7,10 +7,10 @@
 
 use laburnum_core::name::Name;
 
-/// The time that a message takes.
-const DELAY: Duration = Duration::from_micros(500);
+/// The time that a message takes without faults.
+const MESSAGE_DELAY: Duration = Duration::from_micros(500);
 
-/// Which VMs reach which.
+/// The faults of the links between VMs.
 #[derive(Debug, Default)]
 pub struct Network {
     cuts: BTreeSet<(Name, Name)>,
@@ -18,31 +18,31 @@
 }
 
 impl Network {
-    /// Cuts the way from one VM to another; the way back stays.
+    /// Cuts the link from one VM to another, in this direction only.
     pub fn cut(&mut self, from: &Name, to: &Name) {
         self.cuts.insert((from.clone(), to.clone()));
     }
 
-    /// Makes the way from one VM to another slower.
+    /// Adds a delay to the link from one VM to another.
     pub fn slow(&mut self, from: &Name, to: &Name, by: Duration) {
         self.delays.insert((from.clone(), to.clone()), by);
     }
 
-    /// Mends every cut and every slow way.
+    /// Ends all faults.
     pub fn heal(&mut self) {
         self.cuts.clear();
         self.delays.clear();
     }
 
-    /// Whether no way is cut or slow.
-    pub fn is_whole(&self) -> bool {
+    /// Returns whether no link has a fault.
+    pub fn is_healthy(&self) -> bool {
         self.cuts.is_empty() && self.delays.is_empty()
     }
 
-    /// The time that a message takes, or none if it is lost.
+    /// Returns the time that a message takes, or none if it is lost.
     pub fn delay(&self, from: &Name, to: &Name) -> Option<Duration> {
-        let way = (from.clone(), to.clone());
-        let more = self.delays.get(&way).copied().unwrap_or_default();
-        (!self.cuts.contains(&way)).then_some(DELAY + more)
+        let link = (from.clone(), to.clone());
+        let more = self.delays.get(&link).copied().unwrap_or_default();
+        (!self.cuts.contains(&link)).then_some(MESSAGE_DELAY + more)
     }
 }
--- a/crates/core/tests/world/oracle.rs
+++ b/crates/core/tests/world/oracle.rs
@@ -1,7 +1,7 @@
-//! The oracle: what was sent, and whether what was answered keeps the promises.
+//! The oracle, which checks the answers against the guarantees.
 //!
-//! It knows only the promises of the brief: it sees requests, answers and what
-//! targets did, and nothing of how an answer is made.
+//! It is independent of the implementation: it sees only the requests, the answers
+//! and what the targets did. The guarantees are listed in `docs/PROOF.md`.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -27,41 +27,40 @@
 /// The time by which an answer may be later than its deadline: one tick.
 const TICK: Duration = Duration::from_millis(1);
 
-/// The targets that one request may crash.
-const MOST_CRASHES: usize = 2;
+/// The number of targets that one request may crash.
+const MAX_CRASHED_TARGETS: usize = 2;
 
-/// What was asked.
+/// The content of a request.
 #[derive(Clone, Debug)]
 pub enum Task {
-    /// A search for a text, which no other request carries unless it is sent
-    /// `again`.
-    Search { text: Arc<str>, coverage: u32, again: bool },
-    /// An operation, known by its detail.
+    /// A search. No other request has the same text unless `is_resend` is set.
+    Search { text: Arc<str>, coverage: u32, is_resend: bool },
+    /// An operation, identified by its detail.
     Operation { detail: Arc<str> },
 }
 
-/// A request of a caller.
+/// A caller's request.
 #[derive(Clone, Debug)]
 pub struct Request {
-    /// The VM that took it.
+    /// The VM that received it.
     pub vm: Name,
-    /// The start of that VM.
+    /// The start of that VM at which it was received.
     pub start: u64,
-    /// What was asked.
     pub task: Task,
-    /// When the answer is due.
+    /// The time by which it must be answered.
     pub due: Instant,
 }
 
-/// What was sent and answered so far.
+/// The requests and answers so far.
 #[derive(Debug, Default)]
 pub struct Oracle {
-    /// The requests that wait for an answer.
+    /// The requests without an answer.
     pub open: BTreeMap<Call, Request>,
-    /// The tokens under which operations claimed, by query.
+    /// The claim tokens of the operations, by query.
     pub tokens: BTreeMap<id::Query, Uuid>,
-    /// How many answers there were of each sort.
-    pub seen: BTreeMap<String, u64>,
+    /// The number of answers by outcome.
+    pub outcomes: BTreeMap<String, u64>,
+    /// The tokens and texts of requests that were answered as not run.
     tokens_not_run: BTreeSet<Uuid>,
     texts_not_run: BTreeSet<Arc<str>>,
 }
@@ -72,27 +71,27 @@
         let request = self.open.remove(&call);
         let Some(request) = request else { panic!("{call:?} was answered twice or never asked") };
         assert!(now <= request.due + TICK, "{call:?} was answered at {now:?}: {request:?}");
-        *self.seen.entry(label(&answer.body)).or_default() += 1;
+        *self.outcomes.entry(outcome_label(&answer.body)).or_default() += 1;
         match (&request.task, &answer.body) {
             (Task::Search { text, coverage, .. }, Body::Found(found)) => {
                 assert!(found.coverage >= *coverage, "{call:?} covers {}", found.coverage);
-                check(found, text);
+                check_rows(found, text);
             }
             (Task::Operation { detail }, Body::Done { result, .. }) => {
                 assert_eq!(**result, *targets::result(detail), "the result of {call:?}");
                 assert_eq!(targets.executions.get(detail), Some(&1), "executions of {call:?}");
             }
             (task, Body::Refused(fault)) if fault.ran == Ran::No => {
-                self.refused(task, answer.query);
+                self.record_not_run(task, answer.query);
             }
             (_, Body::Refused(_)) => {}
             (task, body) => panic!("{task:?} was answered by {body:?}"),
         }
     }
 
-    fn refused(&mut self, task: &Task, query: id::Query) {
+    fn record_not_run(&mut self, task: &Task, query: id::Query) {
         match task {
-            Task::Search { text, again: false, .. } => {
+            Task::Search { text, is_resend: false, .. } => {
                 self.texts_not_run.insert(text.clone());
             }
             Task::Search { .. } => {}
@@ -100,7 +99,8 @@
         }
     }
 
-    /// Checks what must hold at every moment.
+    /// Checks the guarantees that must hold at any time. `runs` tells whether the VM
+    /// that received a request still runs.
     pub fn check(&self, now: Instant, targets: &Targets, runs: impl Fn(&Request) -> bool) {
         for (detail, &times) in &targets.executions {
             assert!(times <= 1, "{detail} ran {times} times");
@@ -112,7 +112,7 @@
             assert!(!targets.tokens.contains_key(token), "{token} ran although it was denied");
         }
         for (text, crashed) in &targets.crashes {
-            assert!(crashed.len() <= MOST_CRASHES, "{text} crashed {crashed:?}");
+            assert!(crashed.len() <= MAX_CRASHED_TARGETS, "{text} crashed {crashed:?}");
         }
         assert_eq!(targets.late_work, [], "work for a target long after it was leaving");
         assert_eq!(targets.over_limit, [], "more connections than the target takes");
@@ -128,15 +128,15 @@
         }
     }
 
-    /// Allows the answers of a VM that is stopped for `span` to come later.
-    pub fn excuse(&mut self, vm: &Name, span: Duration) {
+    /// Extends the deadlines of the open requests at a VM that is paused for `span`.
+    pub fn extend_deadlines(&mut self, vm: &Name, span: Duration) {
         for request in self.open.values_mut().filter(|request| request.vm == *vm) {
             request.due = request.due + span;
         }
     }
 }
 
-fn label(body: &Body) -> String {
+fn outcome_label(body: &Body) -> String {
     match body {
         Body::Found(found) if found.missing.is_empty() => "complete".to_owned(),
         Body::Found(_) => "partial".to_owned(),
@@ -145,9 +145,9 @@
     }
 }
 
-/// An answer holds all rows of its version in what it covers and no other, and
-/// states what it covers.
-pub fn check(found: &Found, text: &str) {
+/// Checks that an answer contains exactly the rows of its version in the ranges that
+/// it covers, and states its coverage correctly.
+pub fn check_rows(found: &Found, text: &str) {
     let mut covered = Set::from_range(Range::ALL);
     for &range in found.missing.ranges() {
         covered.remove(range);
--- a/crates/core/tests/world/request.rs
+++ b/crates/core/tests/world/request.rs
@@ -1,4 +1,4 @@
-//! Requests of callers and their answers.
+//! The callers' requests and their answers.
 
 use std::{sync::Arc, time::Duration};
 
@@ -11,7 +11,7 @@
 
 use super::{
     World,
-    control::EPOCH,
+    control::START_MILLIS,
     name,
     oracle::{self, Request, Task},
 };
@@ -22,10 +22,10 @@
         let call = self.next_call();
         let search = Search { profile: name(profile), text: text.into(), deadline: None };
         let text: Arc<str> = text.into();
-        let again = !self.texts.insert(text.clone()) || self.targets.is_poison(&text);
-        let terms = self.document.profiles.get(&name(profile));
-        let coverage = terms.map_or(0, |terms| terms.coverage);
-        self.ask(vm, call, Task::Search { text, coverage, again });
+        let is_resend = !self.texts.insert(text.clone()) || self.targets.is_poison(&text);
+        let profile = self.document.profiles.get(&name(profile));
+        let coverage = profile.map_or(0, |profile| profile.coverage);
+        self.register(vm, call, Task::Search { text, coverage, is_resend });
         self.deliver(&name(vm), Duration::ZERO, Event::Search { call, search });
         call
     }
@@ -41,14 +41,15 @@
             key: self.key(key),
             deadline: None,
         };
-        self.ask(vm, call, Task::Operation { detail: detail.into() });
+        self.register(vm, call, Task::Operation { detail: detail.into() });
         self.deliver(&name(vm), Duration::ZERO, Event::Operate { call, operate });
         call
     }
 
-    /// The idempotency key with this number, issued when it is first used.
+    /// Returns the idempotency key with this number; its time of issue is that of its
+    /// first use.
     fn key(&mut self, number: u128) -> claim::Key {
-        let millis = EPOCH + self.now.0 / 1000;
+        let millis = START_MILLIS + self.now.0 / 1000;
         let bytes = number.to_le_bytes().first_chunk::<10>().copied().unwrap_or_default();
         let new = || claim::Key(Builder::from_unix_timestamp_millis(millis, &bytes).into_uuid());
         *self.keys.entry(number).or_insert_with(new)
@@ -59,19 +60,20 @@
         Call(self.calls)
     }
 
-    fn ask(&mut self, vm: &str, call: Call, task: Task) {
+    /// Registers a request with the oracle.
+    fn register(&mut self, vm: &str, call: Call, task: Task) {
         let row = &self.vms[&name(vm)];
         let due = self.now.max(row.paused_until) + super::DEADLINE;
         let request = Request { vm: name(vm), start: row.start, task, due };
         self.oracle.open.insert(call, request);
     }
 
-    /// The answer that a call got.
+    /// Returns the answer to a call, which must have one.
     pub fn answer(&self, call: Call) -> &Answer {
         self.answers.get(&call).unwrap_or_else(|| panic!("{call:?} was not answered"))
     }
 
-    /// The rows that a call got.
+    /// Returns the rows of the answer to a search, which must have one.
     pub fn found(&self, call: Call) -> &Found {
         match &self.answer(call).body {
             Body::Found(found) => found,
@@ -79,19 +81,19 @@
         }
     }
 
-    /// Sends a search, waits for its answer and returns its rows.
+    /// Sends a search, runs past its deadline and returns the rows of its answer.
     pub fn find(&mut self, vm: &str, profile: &str, text: &str) -> Found {
         let call = self.search(vm, profile, text);
         self.run(Duration::from_millis(1100));
         self.found(call).clone()
     }
 
-    /// The rows that an answer must hold: all of its version in what it covers.
-    /// That they belong to the text that was asked for was checked when the
-    /// answer came.
+    /// Checks that an answer contains all rows of its version in the ranges that it
+    /// covers. The text is inferred from the rows: the oracle has already checked
+    /// that they match the text of the search.
     pub fn check(&self, found: &Found) {
         let body = found.rows.first().map_or("", |row| &row.body);
         let text = self.texts.iter().rev().find(|text| body.ends_with(&***text));
-        oracle::check(found, text.map_or("", |text| text));
+        oracle::check_rows(found, text.map_or("", |text| text));
     }
 }
--- a/crates/core/tests/world/targets.rs
+++ b/crates/core/tests/world/targets.rs
@@ -1,4 +1,4 @@
-//! Fake targets behind the border.
+//! Simulated targets.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -28,93 +28,89 @@
 
 pub use super::content::{Fault, range_of, result, rows, target_name};
 
-/// The slots of a target.
+/// The number of slots of a target.
 const SLOTS: u32 = 2;
 
-/// The connections that a target takes.
-const CONNECTIONS: u32 = 55;
+/// The number of connections that a target accepts.
+const CONNECTION_LIMIT: u32 = 55;
 
-/// The time that a new connection costs.
-const OPEN: Duration = Duration::from_millis(6);
+/// The time that it takes to open a connection.
+const OPEN_DELAY: Duration = Duration::from_millis(6);
 
-/// The further time that a request takes while the target is cold.
-const COLD: Duration = Duration::from_millis(200);
+/// The additional service time of a request while the target is cold.
+const COLD_DELAY: Duration = Duration::from_millis(200);
 
-/// The time after which a target that is leaving gets no new work.
-const LEAVING: Duration = Duration::from_secs(2);
+/// The time after which a target that is leaving must get no new work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(2);
 
-/// The time that a request and its reply take on the way.
-const HOP: Duration = Duration::from_millis(1);
+/// The time that a request and its reply take on the network together.
+const ROUND_TRIP: Duration = Duration::from_millis(1);
 
-/// A target.
 #[derive(Debug)]
 pub struct Target {
     /// The number of its shard.
     pub shard: u64,
-    /// Where it listens.
     pub address: SocketAddr,
-    /// What it says of itself.
+    /// The state that it reports with its replies.
     pub status: Status,
-    /// What the list says of it, or none if it is not listed.
+    /// Its state in the list, or none if it is not listed.
     pub listed: Option<State>,
-    /// Whether it runs.
+    /// Whether its process runs.
     pub alive: bool,
-    /// The time that a request takes in a slot.
+    /// The service time of a request while the target is warm.
     pub service: Duration,
-    /// Whether it sheds everything.
+    /// Whether it sheds all requests.
     pub sheds: bool,
-    /// A text that crashes it.
+    /// The text of the request that crashes it.
     pub poison: Option<String>,
-    /// What is wrong with its replies.
+    /// The fault in its replies.
     pub fault: Option<Fault>,
-    /// Connections on which it says nothing any more.
+    /// The connections on which it no longer responds.
     pub silent: BTreeSet<id::Connection>,
-    /// Its connections with the VMs they lead to.
+    /// Its connections with the VMs that opened them.
     pub connections: BTreeMap<id::Connection, Name>,
-    /// The most connections that it ever had.
+    /// The highest number of connections at any time.
     pub peak_connections: usize,
-    /// Attempts that run, with their connections.
+    /// The running attempts with their connections.
     pub running: BTreeMap<id::Attempt, (id::Connection, Request)>,
-    /// The most attempts that ever ran at a time.
+    /// The highest number of concurrent attempts.
     pub peak_running: usize,
-    /// Attempts that it got.
+    /// The number of attempts that it received.
     pub attempts: u64,
-    /// When it was started again.
+    /// The time of its last restart.
     pub restarted: Instant,
-    /// Since when it says, or its list says, that it is leaving.
+    /// The time since which it reports, or every VM can read in the list, that it is
+    /// leaving.
     pub leaving: Option<Instant>,
-    /// The requests that still find it cold.
-    pub cold: u32,
+    /// The number of further requests for which it is cold.
+    pub cold_requests: u32,
 }
 
-/// All targets.
 #[derive(Debug)]
 pub struct Targets {
-    /// The targets by name.
     pub rows: BTreeMap<Name, Target>,
-    /// The executions of operations by detail.
+    /// The number of executions of each operation, by detail.
     pub executions: BTreeMap<Arc<str>, u32>,
-    /// The attempts that reached a slot, by text or detail.
+    /// The number of attempts that reached a slot, by text or detail.
     pub started: BTreeMap<Arc<str>, u32>,
-    /// The attempts of operations that reached a slot, by token.
+    /// The number of attempts of operations that reached a slot, by token.
     pub tokens: BTreeMap<Uuid, u32>,
-    /// The targets that each text has crashed.
+    /// The targets that each text crashed.
     pub crashes: BTreeMap<String, BTreeSet<Name>>,
-    /// The attempts that came too long after their target was known as leaving.
+    /// The attempts that arrived later than [`LEAVING_LIMIT`] allows.
     pub late_work: Vec<(Name, Instant)>,
-    /// The targets that had more connections than they take.
+    /// The targets that had more connections than they accept.
     pub over_limit: Vec<(Name, usize)>,
-    /// The attempts that came after their deadline.
+    /// The attempts that arrived after their deadline.
     pub expired: Vec<(Name, Instant)>,
-    /// The requests that were lost with a target because one that was known to
-    /// crash targets ran beside them.
+    /// The requests that were lost in the crash of a target because a request that
+    /// had already crashed a target ran beside them.
     pub lost_beside_suspect: Vec<Arc<str>>,
-    /// The time.
     pub now: Instant,
 }
 
 impl Targets {
-    /// Makes the targets of all shards.
+    /// Creates the targets of all shards, which hold version 1.
     pub fn new(shards: u64, replicas: u64) -> Targets {
         let mut rows = BTreeMap::new();
         for shard in 0..shards {
@@ -137,12 +133,11 @@
         }
     }
 
-    /// A target.
     pub fn get(&mut self, shard: u64, replica: u64) -> &mut Target {
         self.rows.get_mut(&target_name(shard, replica)).unwrap()
     }
 
-    /// What the list says.
+    /// Returns the listed targets.
     pub fn listed(&self) -> BTreeMap<Name, view::Target> {
         self.rows
             .iter()
@@ -154,7 +149,7 @@
                     domain: name("domain-1"),
                     address: row.address,
                     slots: SLOTS,
-                    connections: CONNECTIONS,
+                    connections: CONNECTION_LIMIT,
                     state: row.listed?,
                 };
                 Some((target.clone(), entry))
@@ -162,7 +157,7 @@
             .collect()
     }
 
-    /// Carries out a command of a VM.
+    /// Executes a command of a VM.
     pub fn command(&mut self, vm: &Name, command: Command) -> Effect {
         match command {
             Command::Open { connection, address, .. } => self.open(vm, connection, address),
@@ -178,24 +173,25 @@
         }
     }
 
-    /// Whether a text crashes any target, so that it may be sent more than once.
+    /// Returns whether a text crashes any target; such a text may be sent more than
+    /// once.
     pub fn is_poison(&self, text: &str) -> bool {
         self.rows.values().any(|row| row.poison.as_deref() == Some(text))
     }
 
-    /// Takes the time and notes since when targets are leaving: since they say
-    /// so, or since every VM can learn it from the list.
-    pub fn tick(&mut self, now: Instant, is_list_read: bool) {
+    /// Sets the time and updates since when targets are leaving: since they report
+    /// it, or since every VM can read it in the list.
+    pub fn tick(&mut self, now: Instant, is_list_readable: bool) {
         self.now = now;
         for target in self.rows.values_mut() {
-            let is_listed = is_list_read && target.listed == Some(State::Leaving);
+            let is_listed = is_list_readable && target.listed == Some(State::Leaving);
             let is_leaving = target.status.draining || is_listed;
             target.leaving = is_leaving.then(|| target.leaving.unwrap_or(now));
         }
     }
 
-    /// Ends the connections of a VM whose process ended.
-    pub fn forget(&mut self, vm: &Name) {
+    /// Closes the connections of a VM whose process ended.
+    pub fn close_connections_of(&mut self, vm: &Name) {
         for target in self.rows.values_mut() {
             let lost: Vec<id::Connection> = target
                 .connections
@@ -217,15 +213,15 @@
         let target = self.rows.values_mut().find(|target| target.address == address);
         let Some(target) = target.filter(|target| target.alive) else {
             let detail = "refused".to_owned();
-            return Effect::event(HOP, Event::Closed { connection, detail });
+            return Effect::event(ROUND_TRIP, Event::Closed { connection, detail });
         };
         target.connections.insert(connection, vm.clone());
         target.peak_connections = target.peak_connections.max(target.connections.len());
-        if target.connections.len() > CONNECTIONS as usize {
+        if target.connections.len() > CONNECTION_LIMIT as usize {
             self.over_limit.push((target_name(target.shard, 0), target.connections.len()));
         }
         let status = target.status.clone();
-        Effect::event(OPEN, Event::Opened { connection, status })
+        Effect::event(OPEN_DELAY, Event::Opened { connection, status })
     }
 
     fn ask(&mut self, connection: id::Connection) -> Effect {
@@ -234,7 +230,7 @@
             return Effect::default();
         }
         let status = target.status.clone();
-        Effect::event(HOP, Event::Status { connection, status })
+        Effect::event(ROUND_TRIP, Event::Status { connection, status })
     }
 
     fn cancel(&mut self, connection: id::Connection, attempt: id::Attempt) -> Effect {
@@ -250,21 +246,21 @@
         let attempt = request.attempt;
         let found = self.rows.iter_mut().find(|(_, row)| row.connections.contains_key(&connection));
         let Some((target_name, target)) = found else {
-            return Effect::event(HOP, Event::Unsent { connection, attempt });
+            return Effect::event(ROUND_TRIP, Event::Unsent { connection, attempt });
         };
         if target.silent.contains(&connection) {
             return Effect::default();
         }
         target.attempts += 1;
-        if target.leaving.is_some_and(|since| self.now.since(since) > LEAVING) {
+        if target.leaving.is_some_and(|since| self.now.since(since) > LEAVING_LIMIT) {
             self.late_work.push((target_name.clone(), self.now));
         }
         if request.remaining.is_zero() {
             self.expired.push((target_name.clone(), self.now));
         }
-        if let Some(refusal) = target.refuses(&request) {
+        if let Some(refusal) = target.refusal(&request) {
             let reply = target.reply(attempt, Outcome::Refused(refusal));
-            return Effect::event(HOP, Event::Reply { connection, attempt, reply });
+            return Effect::event(ROUND_TRIP, Event::Reply { connection, attempt, reply });
         }
         *self.started.entry(text_of(&request.work).clone()).or_default() += 1;
         if let Work::Operate { token, .. } = &request.work {
@@ -281,12 +277,12 @@
         }
         target.running.insert(attempt, (connection, request));
         target.peak_running = target.peak_running.max(target.running.len());
-        let served = (HOP / 2 + target.service_time(), target_name.clone(), attempt);
-        Effect { serves: vec![served], ..Effect::default() }
+        let service_end = (ROUND_TRIP / 2 + target.service_time(), target_name.clone(), attempt);
+        Effect { service_ends: vec![service_end], ..Effect::default() }
     }
 
-    /// Ends an attempt's service time and replies to the VM that waits.
-    pub fn served(&mut self, name: &Name, attempt: id::Attempt) -> Vec<Report> {
+    /// Ends the service time of an attempt and returns the reply.
+    pub fn end_service(&mut self, name: &Name, attempt: id::Attempt) -> Vec<Report> {
         let Some(target) = self.rows.get_mut(name).filter(|target| target.alive) else {
             return Vec::new();
         };
@@ -307,28 +303,28 @@
         let is_silent = target.silent.contains(&connection);
         let vm = target.connections.get(&connection).filter(|_| !is_silent).cloned();
         let event = traffic::Event::Target(Event::Reply { connection, attempt, reply });
-        vm.map(|vm| (HOP / 2, vm, event)).into_iter().collect()
+        vm.map(|vm| (ROUND_TRIP / 2, vm, event)).into_iter().collect()
     }
 }
 
 impl Target {
-    /// Ends the process; every VM loses its connections.
+    /// Crashes the process; every VM loses its connections.
     pub fn crash(&mut self) -> Effect {
         self.alive = false;
         self.running.clear();
         let lost = std::mem::take(&mut self.connections);
-        let others = lost
+        let reports = lost
             .into_iter()
             .map(|(connection, vm)| {
                 let detail = "lost".to_owned();
                 let event = traffic::Event::Target(Event::Closed { connection, detail });
-                (HOP / 2, vm, event)
+                (ROUND_TRIP / 2, vm, event)
             })
             .collect();
-        Effect { others, ..Effect::default() }
+        Effect { reports, ..Effect::default() }
     }
 
-    /// Starts the process again.
+    /// Restarts the process.
     pub fn restart(&mut self) {
         self.alive = true;
         self.silent.clear();
@@ -336,23 +332,23 @@
         self.status.draining = false;
     }
 
-    /// Says nothing more on the connections that are open now.
+    /// Stops responding on the connections that are open now.
     pub fn go_silent(&mut self) {
         self.silent.extend(self.connections.keys().copied());
     }
 
-    /// The time that the next request takes in a slot.
+    /// Returns the service time of the next request.
     fn service_time(&mut self) -> Duration {
-        let is_cold = self.cold > 0;
-        self.cold = self.cold.saturating_sub(1);
-        if is_cold { self.service + COLD } else { self.service }
+        let is_cold = self.cold_requests > 0;
+        self.cold_requests = self.cold_requests.saturating_sub(1);
+        if is_cold { self.service + COLD_DELAY } else { self.service }
     }
 
-    fn refuses(&self, request: &Request) -> Option<Refusal> {
+    fn refusal(&self, request: &Request) -> Option<Refusal> {
         if self.status.draining {
             return Some(Refusal::Draining);
         }
-        if request.remaining < HOP / 2 {
+        if request.remaining < ROUND_TRIP / 2 {
             return Some(Refusal::DeadlinePassed);
         }
         if let Work::Search { version, range, .. } = &request.work {
@@ -392,6 +388,6 @@
         attempts: 0,
         restarted: Instant::default(),
         leaving: None,
-        cold: 0,
+        cold_requests: 0,
     }
 }
--- a/crates/core/tests/world/vm.rs
+++ b/crates/core/tests/world/vm.rs
@@ -1,4 +1,4 @@
-//! One VM with the real engine.
+//! A simulated VM with the real engines.
 
 use laburnum_core::{
     id::Origin,
@@ -10,34 +10,32 @@
 
 use super::control::Control;
 
-/// A VM.
 pub struct Vm {
-    /// Its name.
     pub name: Name,
-    /// The number of its start.
+    /// The number of the current start, which grows with each restart.
     pub start: u64,
-    /// When it started.
+    /// The time of the current start.
     pub started: Instant,
-    /// What the list says of it, or none if it is not listed.
+    /// Its state in the list, or none if it is not listed.
     pub listed: Option<State>,
     /// Whether its process runs.
     pub alive: bool,
-    /// Until when it is stopped.
+    /// The time until which its process is paused.
     pub paused_until: Instant,
-    /// The events that it has not seen yet.
+    /// The events that its traffic thread has not processed yet.
     pub inbox: Vec<Event>,
-    /// Its traffic thread.
+    /// The engine of its traffic thread.
     pub engine: Engine,
     /// Its control thread, if the world has them.
     pub control: Option<Control>,
-    /// The milliseconds by which its clock is ahead.
-    pub skew: i64,
-    /// What it has counted.
+    /// The number of milliseconds by which its wall clock is ahead.
+    pub skew_millis: i64,
+    /// The sum of its counters over all ticks.
     pub counts: laburnum_core::count::Counts,
 }
 
 impl Vm {
-    /// Starts a VM.
+    /// Creates a VM that is live and has no control thread.
     pub fn new(name: Name, start: u64, origin: Origin) -> Vm {
         let engine = Engine::new(Seed {
             lane: Lane { vm: name.clone(), thread: 0 },
@@ -56,12 +54,12 @@
             inbox: Vec::new(),
             engine,
             control: None,
-            skew: 0,
+            skew_millis: 0,
             counts: Default::default(),
         }
     }
 
-    /// When it has something to do next.
+    /// Returns when the VM next has work, or none if it waits for events.
     pub fn wake(&self) -> Option<Instant> {
         if !self.alive {
             return None;
@@ -73,18 +71,17 @@
         first.map(|at| at.max(self.paused_until))
     }
 
-    /// Whether it has something to do now.
     pub fn is_due(&self, now: Instant) -> bool {
         self.wake().is_some_and(|at| at <= now)
     }
 
-    /// Runs a tick.
+    /// Runs a tick of the traffic thread.
     pub fn step(&mut self, now: Instant) -> Outbox {
         let mut out = Outbox::default();
         let events = std::mem::take(&mut self.inbox);
         self.engine.step(now, events, &mut out);
-        for (count, many) in out.counts.iter() {
-            self.counts.add_many(count, many);
+        for (count, times) in out.counts.iter() {
+            self.counts.add_many(count, times);
         }
         out
     }
