Reword the stateful fuzz test of the core

The steps are Actions (was Act) whose fields carry their units, the constants of the gaps and limits say what they bound, and the functions that generate actions are named after what they generate. runner::run_cases and run_from_env replace run and run_longer. Case names, seeds and weights are unchanged.

--- a/crates/core/tests/fuzz/fleet.rs
+++ b/crates/core/tests/fuzz/fleet.rs
@@ -1,4 +1,4 @@
-//! Several VMs under any faults.
+//! The tests, which apply the steps to a simulated deployment.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -10,55 +10,60 @@
 use proptest_state_machine::StateMachineTest;
 
 use crate::{
-    reference::{self, Act, REPLICAS, Reference, SHARDS, Step, VMS},
+    reference::{self, Action, REPLICA_COUNT, Reference, SHARD_COUNT, Step, VM_COUNT},
     runner,
     world::{ANY_COVERAGE, FULL_COVERAGE, World, name, platform::Mode, targets},
 };
 
 const MS: Duration = Duration::from_millis(1);
 
-/// The time within which every request is answered whole after the last fault.
-const SETTLE: Duration = Duration::from_secs(4);
+/// The time after the last fault from which every search must be answered
+/// completely, for VMs with traffic threads only.
+const TRAFFIC_RECOVERY_LIMIT: Duration = Duration::from_secs(4);
 
-/// As [`SETTLE`], with the control threads: they have to find each other again.
-const SETTLE_WHOLE: Duration = Duration::from_secs(10);
+/// Like [`TRAFFIC_RECOVERY_LIMIT`] for VMs with control threads, which must first
+/// find each other again.
+const WHOLE_VM_RECOVERY_LIMIT: Duration = Duration::from_secs(10);
 
-/// The time within which every VM knows that a target has started again.
-const KNOWN: Duration = Duration::from_secs(3);
+/// The time within which every VM learns that a target has restarted.
+const RESTART_KNOWN_LIMIT: Duration = Duration::from_secs(3);
 
-/// The time within which every VM knows which requests are held back.
-const SPREAD: Duration = Duration::from_millis(500);
+/// The time within which every VM learns which requests are in quarantine.
+const QUARANTINE_KNOWN_LIMIT: Duration = Duration::from_millis(500);
 
 /// The text that crashes the targets of one shard.
 const POISON: &str = "poison";
 
-/// The shard whose targets the text crashes.
-const POISONED: u64 = 1;
+/// The shard whose targets [`POISON`] crashes.
+const POISONED_SHARD: u64 = 1;
 
-/// The deployment and what was sent to it.
+/// The deployment and the requests sent to it.
 pub struct Fleet {
     pub world: World,
-    texts: u64,
+    /// The number of texts searched for.
+    text_count: u64,
+    /// The latest search that crashes targets.
     poison: Option<Call>,
+    /// The subjects of the operations sent.
     operations: Vec<u64>,
 }
 
-fn vm(number: usize) -> String {
-    format!("vm-{}", number + 1)
+fn vm_name(index: usize) -> String {
+    format!("vm-{}", index + 1)
 }
 
-/// A test of the traffic threads.
+/// The test of VMs with traffic threads only.
 pub struct Traffic;
 
-/// A test of whole VMs.
-pub struct Whole;
+/// The test of VMs with traffic and control threads.
+pub struct WholeVm;
 
 impl StateMachineTest for Traffic {
     type SystemUnderTest = Fleet;
     type Reference = reference::Traffic;
 
     fn init_test(_: &Reference) -> Fleet {
-        let mut world = World::new(VMS, SHARDS, REPLICAS);
+        let mut world = World::new(VM_COUNT, SHARD_COUNT, REPLICA_COUNT);
         world.shares_suspects = true;
         world.exits_when_idle = true;
         Fleet::new(world)
@@ -70,17 +75,17 @@
 
     fn teardown(mut fleet: Fleet, reference: Reference) {
         fleet.heal(reference.version);
-        fleet.world.run(SETTLE);
+        fleet.world.run(TRAFFIC_RECOVERY_LIMIT);
         fleet.check_liveness();
     }
 }
 
-impl StateMachineTest for Whole {
+impl StateMachineTest for WholeVm {
     type SystemUnderTest = Fleet;
-    type Reference = reference::Whole;
+    type Reference = reference::WholeVm;
 
     fn init_test(_: &Reference) -> Fleet {
-        Fleet::new(World::with_control(VMS, SHARDS, REPLICAS))
+        Fleet::new(World::with_control(VM_COUNT, SHARD_COUNT, REPLICA_COUNT))
     }
 
     fn apply(fleet: Fleet, reference: &Reference, step: Step) -> Fleet {
@@ -89,7 +94,7 @@
 
     fn teardown(mut fleet: Fleet, reference: Reference) {
         fleet.heal(reference.version);
-        fleet.world.run(SETTLE_WHOLE);
+        fleet.world.run(WHOLE_VM_RECOVERY_LIMIT);
         fleet.check_liveness();
         fleet.check_revisions();
     }
@@ -97,152 +102,167 @@
 
 impl Fleet {
     fn new(mut world: World) -> Fleet {
-        for replica in 0..REPLICAS {
-            world.targets.get(POISONED, replica).poison = Some(POISON.to_owned());
+        for replica in 0..REPLICA_COUNT {
+            world.targets.get(POISONED_SHARD, replica).poison = Some(POISON.to_owned());
         }
-        Fleet { world, texts: 0, poison: None, operations: Vec::new() }
+        Fleet { world, text_count: 0, poison: None, operations: Vec::new() }
     }
 
-    fn apply(mut self, reference: &Reference, (act, gap): Step) -> Fleet {
-        self.act(act, reference);
+    fn apply(mut self, reference: &Reference, (action, gap): Step) -> Fleet {
+        self.apply_action(action, reference);
         self.world.run(Duration::from_micros(gap));
         self
     }
 
-    fn act(&mut self, act: Act, reference: &Reference) {
+    fn apply_action(&mut self, action: Action, reference: &Reference) {
         let world = &mut self.world;
-        match act {
-            Act::Search { vm: at, whole } => {
-                self.texts += 1;
-                let text = format!(" for {}", self.texts);
-                world.search(&vm(at), if whole { FULL_COVERAGE } else { ANY_COVERAGE }, &text);
+        match action {
+            Action::Search { vm: at, is_full_coverage } => {
+                self.text_count += 1;
+                let text = format!(" for {}", self.text_count);
+                world.search(
+                    &vm_name(at),
+                    if is_full_coverage { FULL_COVERAGE } else { ANY_COVERAGE },
+                    &text,
+                );
             }
-            Act::Operate { vm: at, subject } => {
+            Action::Operate { vm: at, subject } => {
                 self.operations.push(subject);
                 self.operate(at, self.operations.len() - 1);
             }
-            Act::Resend { vm: at, operation } => {
-                // Shrinking may have taken the operation away.
+            Action::Resend { vm: at, operation } => {
+                // Shrinking may have removed the operation.
                 if operation < self.operations.len() {
                     self.operate(at, operation);
                 }
             }
-            Act::Poison { vm: at } => {
-                // Its caller sends it again once it was answered.
+            Action::Poison { vm: at } => {
+                // The caller resends the request only after it was answered.
                 let is_over = self.poison.is_none_or(|call| world.answers.contains_key(&call));
                 if is_over && world.is_stable() {
-                    self.poison = Some(world.search(&vm(at), ANY_COVERAGE, POISON));
+                    self.poison = Some(world.search(&vm_name(at), ANY_COVERAGE, POISON));
                 }
             }
-            Act::Kill { .. }
-            | Act::Start { .. }
-            | Act::Pause { .. }
-            | Act::Leave { .. }
-            | Act::Cut { .. }
-            | Act::Slow { .. }
-            | Act::Break { .. }
-            | Act::Mend => self.change_vm(&act),
-            Act::NextVersion => world.change_version(Version(reference.version)),
-            Act::LoadVersion((shard, replica)) => {
+            Action::Kill { .. }
+            | Action::Start { .. }
+            | Action::Pause { .. }
+            | Action::Leave { .. }
+            | Action::Cut { .. }
+            | Action::Slow { .. }
+            | Action::LoseConnections { .. }
+            | Action::HealLinks => self.change_vm(&action),
+            Action::NextVersion => world.change_version(Version(reference.version)),
+            Action::LoadVersion((shard, replica)) => {
                 let held = &mut world.targets.get(shard, replica).status.holds;
                 if let Some(range) = held.values().next_back().copied() {
                     held.insert(Version(reference.version), range);
                 }
             }
-            Act::Repartition { one, two } => world.swap_shards(one, two),
-            Act::Claims { down } => world.claims_down = down,
-            Act::Publish { .. }
-            | Act::Settle { .. }
-            | Act::Store(_)
-            | Act::StoreSlow { .. }
-            | Act::Skew { .. } => self.change_control(act),
-            act => self.change_target(act),
+            Action::Repartition { one, two } => world.swap_shards(one, two),
+            Action::Claims { down } => world.claims_down = down,
+            Action::Publish { .. }
+            | Action::Settle { .. }
+            | Action::Store(_)
+            | Action::StoreSlow { .. }
+            | Action::Skew { .. } => self.change_control(action),
+            action => self.change_target(action),
         }
     }
 
     fn operate(&mut self, at: usize, operation: usize) {
         let subject = self.operations[operation];
         let detail = format!("operation {operation}");
-        self.world.operate(&vm(at), operation as u128 + 1, subject, &detail);
+        self.world.operate(&vm_name(at), operation as u128 + 1, subject, &detail);
     }
 
-    fn change_vm(&mut self, act: &Act) {
+    fn change_vm(&mut self, action: &Action) {
         let world = &mut self.world;
         if let Some(call) = self.poison {
-            // What a home learns of a request that crashes targets is lost with
-            // it unless it was told to others; see docs/PROOF.md.
+            // What a home knows of a request that crashes targets is lost with the
+            // home unless it has already told the others; see docs/PROOF.md.
             world.run_until(2000 * MS, |world| world.answers.contains_key(&call));
-            world.run(SPREAD);
+            world.run(QUARANTINE_KNOWN_LIMIT);
         }
-        match *act {
-            Act::Kill { vm: at, noticed } => {
-                world.kill_vm(&vm(at));
+        match *action {
+            Action::Kill { vm: at, noticed } => {
+                world.kill_vm(&vm_name(at));
                 if noticed {
-                    world.report_lost_lane(&name(&vm(at)));
+                    world.report_lost_lane(&name(&vm_name(at)));
                 }
             }
-            Act::Start { vm: at } => {
-                world.replace_vm(&vm(at));
+            Action::Start { vm: at } => {
+                world.replace_vm(&vm_name(at));
             }
-            Act::Pause { vm: at, span } => world.pause_vm(&vm(at), Duration::from_millis(span)),
-            Act::Leave { vm: at } => world.leave_vm(&vm(at)),
-            Act::Cut { from, to } => world.network.cut(&name(&vm(from)), &name(&vm(to))),
-            Act::Slow { from, to, by } => {
-                let by = Duration::from_millis(by);
-                world.network.slow(&name(&vm(from)), &name(&vm(to)), by);
+            Action::Pause { vm: at, span_millis } => {
+                world.pause_vm(&vm_name(at), Duration::from_millis(span_millis))
             }
-            Act::Break { vm: at } => world.report_lost_lane(&name(&vm(at))),
+            Action::Leave { vm: at } => world.leave_vm(&vm_name(at)),
+            Action::Cut { from, to } => {
+                world.network.cut(&name(&vm_name(from)), &name(&vm_name(to)))
+            }
+            Action::Slow { from, to, delay_millis } => {
+                let delay = Duration::from_millis(delay_millis);
+                world.network.slow(&name(&vm_name(from)), &name(&vm_name(to)), delay);
+            }
+            Action::LoseConnections { vm: at } => world.report_lost_lane(&name(&vm_name(at))),
             _ => world.network.heal(),
         }
     }
 
-    fn change_control(&mut self, act: Act) {
+    fn change_control(&mut self, action: Action) {
         let world = &mut self.world;
-        match act {
-            Act::Publish { vm: at, expect } => {
-                let view = world.vms[&name(&vm(at))].control.as_ref();
+        match action {
+            Action::Publish { vm: at, expect } => {
+                let view = world.vms[&name(&vm_name(at))].control.as_ref();
                 let known = view.map(|row| row.engine.tables().in_force.document.revision);
-                world.publish_profiles(&vm(at), known.filter(|_| expect));
+                world.publish_profiles(&vm_name(at), known.filter(|_| expect));
             }
-            Act::Settle { vm: at } => {
+            Action::Settle { vm: at } => {
                 if let Some((token, who)) = world.unsettled() {
-                    world.settle(&vm(at), token, who);
+                    world.settle(&vm_name(at), token, who);
                 }
             }
-            Act::Store(mode) => world.platform().mode = mode,
-            Act::StoreSlow { by } => world.platform().delay = Duration::from_millis(by),
-            Act::Skew { vm: at, by } => world.vms.get_mut(&name(&vm(at))).unwrap().skew_millis = by,
-            act => panic!("{act:?} does not concern the control threads"),
+            Action::Store(mode) => world.platform().mode = mode,
+            Action::StoreSlow { delay_millis } => {
+                world.platform().delay = Duration::from_millis(delay_millis)
+            }
+            Action::Skew { vm: at, skew_millis } => {
+                world.vms.get_mut(&name(&vm_name(at))).unwrap().skew_millis = skew_millis
+            }
+            action => panic!("{action:?} does not concern the control threads"),
         }
     }
 
-    fn change_target(&mut self, act: Act) {
+    fn change_target(&mut self, action: Action) {
         let world = &mut self.world;
-        match act {
-            Act::Crash((shard, replica)) => world.crash_target(shard, replica),
-            Act::Restart((shard, replica)) => world.restart_target(shard, replica),
-            Act::Silence((shard, replica)) => world.targets.get(shard, replica).go_silent(),
-            Act::Straggle { target: (shard, replica), span } => {
-                world.targets.get(shard, replica).service = Duration::from_millis(span);
+        match action {
+            Action::Crash((shard, replica)) => world.crash_target(shard, replica),
+            Action::Restart((shard, replica)) => world.restart_target(shard, replica),
+            Action::Silence((shard, replica)) => world.targets.get(shard, replica).go_silent(),
+            Action::Straggle { target: (shard, replica), service_millis } => {
+                world.targets.get(shard, replica).service = Duration::from_millis(service_millis);
             }
-            Act::Shed { target: (shard, replica), sheds } => {
+            Action::Shed { target: (shard, replica), sheds } => {
                 world.targets.get(shard, replica).sheds = sheds;
             }
-            Act::Drain((shard, replica)) => {
+            Action::Drain((shard, replica)) => {
                 world.targets.get(shard, replica).status.draining = true;
             }
-            Act::ListLeaving((shard, replica)) => {
-                // The list does not tell the start of a target that it means.
-                if world.now.since(world.targets.get(shard, replica).restarted) < KNOWN {
+            Action::ListLeaving((shard, replica)) => {
+                // The list does not state the incarnation of a target: shortly after
+                // a restart, the entry could mean the previous one.
+                if world.now.since(world.targets.get(shard, replica).restarted)
+                    < RESTART_KNOWN_LIMIT
+                {
                     return;
                 }
                 world.targets.get(shard, replica).listed = Some(State::Leaving);
                 world.publish();
             }
-            Act::Reply { target: (shard, replica), fault } => {
+            Action::Reply { target: (shard, replica), fault } => {
                 world.targets.get(shard, replica).fault = fault;
             }
-            act => panic!("{act:?} does not concern a target"),
+            action => panic!("{action:?} does not concern a target"),
         }
     }
 
@@ -269,38 +289,43 @@
             vm.skew_millis = 0;
         }
         world.change_version(Version(version));
-        for shard in 0..SHARDS {
-            for replica in 0..REPLICAS {
+        for shard in 0..SHARD_COUNT {
+            for replica in 0..REPLICA_COUNT {
                 heal_target(world, shard, replica, version);
             }
         }
     }
 
+    /// Checks that every VM answers searches with all rows and runs operations.
     fn check_liveness(&mut self) {
         let mut calls = BTreeMap::new();
-        for at in 0..VMS {
-            self.texts += 1;
-            let text = format!(" for {}", self.texts);
-            calls.insert(self.world.search(&vm(at), FULL_COVERAGE, &text), at);
+        for at in 0..VM_COUNT {
+            self.text_count += 1;
+            let text = format!(" for {}", self.text_count);
+            calls.insert(self.world.search(&vm_name(at), FULL_COVERAGE, &text), at);
         }
-        let first = self.operations.len();
-        for at in 0..VMS {
+        let first_operation = self.operations.len();
+        for at in 0..VM_COUNT {
             self.operations.push(u64::MAX / 7 * at as u64);
-            self.operate(at, first + at);
+            self.operate(at, first_operation + at);
         }
         self.world.run(1100 * MS);
         for (call, at) in calls {
             let found = self.world.found(call);
             assert!(found.missing.is_empty(), "vm-{at} missed {:?}", found.missing);
         }
-        assert!(self.world.oracle.open.is_empty() || self.only_dead_wait(), "unanswered");
-        for call in self.world.answers.iter().rev().take(VMS) {
+        assert!(
+            self.world.oracle.open.is_empty() || self.only_lost_requests_are_open(),
+            "unanswered"
+        );
+        for call in self.world.answers.iter().rev().take(VM_COUNT) {
             let done = matches!(call.1.body, Body::Done { replayed: false, .. });
             assert!(done, "{:?} after all faults had ended", call.1.body);
         }
     }
 
-    /// Every VM has the revision that was published last.
+    /// Checks that the last published revision is in force on every VM, and that each
+    /// operator was answered unless the VM has restarted.
     fn check_revisions(&self) {
         self.world.check_operators();
         let last = self.world.written().last().map(|record| record.document.revision);
@@ -315,7 +340,8 @@
         }
     }
 
-    fn only_dead_wait(&self) -> bool {
+    /// Returns whether all open requests were sent to a VM that has ended since.
+    fn only_lost_requests_are_open(&self) -> bool {
         self.world.oracle.open.values().all(|request| {
             let vm = &self.world.vms[&request.vm];
             !vm.alive || vm.start != request.start
@@ -334,16 +360,16 @@
     target.fault = None;
     target.cold_requests = 0;
     target.service = Duration::from_millis(4);
-    target.status.holds = [(Version(version), targets::range_of(shard, SHARDS))].into();
+    target.status.holds = [(Version(version), targets::range_of(shard, SHARD_COUNT))].into();
 }
 
 cases! {
-    traffic_keeps_the_promises_on_seed_1 => runner::run::<Traffic>(1, 150);
-    traffic_keeps_the_promises_on_seed_2 => runner::run::<Traffic>(2, 150);
-    traffic_keeps_the_promises_on_seed_3 => runner::run::<Traffic>(3, 150);
-    whole_vms_keep_the_promises_on_seed_1 => runner::run::<Whole>(1, 50);
-    whole_vms_keep_the_promises_on_seed_2 => runner::run::<Whole>(2, 50);
-    whole_vms_keep_the_promises_on_seed_3 => runner::run::<Whole>(3, 50);
-    whole_vms_keep_the_promises_on_new_seeds_when_asked_for => runner::run_longer::<Whole>();
-    traffic_keeps_the_promises_on_new_seeds_when_asked_for => runner::run_longer::<Traffic>();
+    traffic_keeps_the_promises_on_seed_1 => runner::run_cases::<Traffic>(1, 150);
+    traffic_keeps_the_promises_on_seed_2 => runner::run_cases::<Traffic>(2, 150);
+    traffic_keeps_the_promises_on_seed_3 => runner::run_cases::<Traffic>(3, 150);
+    whole_vms_keep_the_promises_on_seed_1 => runner::run_cases::<WholeVm>(1, 50);
+    whole_vms_keep_the_promises_on_seed_2 => runner::run_cases::<WholeVm>(2, 50);
+    whole_vms_keep_the_promises_on_seed_3 => runner::run_cases::<WholeVm>(3, 50);
+    whole_vms_keep_the_promises_on_new_seeds_when_asked_for => runner::run_from_env::<WholeVm>();
+    traffic_keeps_the_promises_on_new_seeds_when_asked_for => runner::run_from_env::<Traffic>();
 }
--- a/crates/core/tests/fuzz/main.rs
+++ b/crates/core/tests/fuzz/main.rs
@@ -1,5 +1,5 @@
-//! Stateful fuzzing of several VMs against an oracle that knows only the
-//! promises. See `docs/PROOF.md`.
+//! Stateful fuzzing of a simulated deployment, checked by an oracle that is
+//! independent of the implementation. See `docs/PROOF.md`.
 
 #[macro_use]
 #[path = "../rules/case.rs"]
--- a/crates/core/tests/fuzz/reference.rs
+++ b/crates/core/tests/fuzz/reference.rs
@@ -1,116 +1,117 @@
-//! The reference state machine: what was sent and which faults are on.
+//! The reference state machine, which generates the steps.
 
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 
 use crate::world::{platform::Mode, targets::Fault};
 
-/// The number of VMs.
-pub const VMS: usize = 4;
+pub const VM_COUNT: usize = 4;
 
-/// The number of shards.
-pub const SHARDS: u64 = 3;
+pub const SHARD_COUNT: u64 = 3;
 
 /// The number of replicas of each shard.
-pub const REPLICAS: u64 = 3;
+pub const REPLICA_COUNT: u64 = 3;
 
-/// The longest time between two steps, in microseconds.
-const LONG_GAP: u64 = 400_000;
+/// The upper bound of a long gap between steps.
+const LONG_GAP_MICROS: u64 = 400_000;
 
-/// A gap within which the platform's list and the membership change, in
-/// microseconds.
-const LONGEST_GAP: u64 = 5_000_000;
+/// The upper bound of a gap between steps in which the platform's list and the
+/// membership may change.
+const LONGEST_GAP_MICROS: u64 = 5_000_000;
 
-/// A gap within which a request moves by a step or two, in microseconds.
-const SHORT_GAP: u64 = 4_000;
+/// The upper bound of a gap between steps in which a request advances by one or two
+/// of its own steps.
+const SHORT_GAP_MICROS: u64 = 4_000;
 
-/// A target by shard and replica.
+/// A target, identified by its shard and replica.
 pub type Target = (u64, u64);
 
-/// One thing that happens.
+/// A request, a fault or the end of a fault.
 #[derive(Clone, Debug)]
-pub enum Act {
-    /// A caller searches.
-    Search { vm: usize, whole: bool },
+pub enum Action {
+    /// A caller sends a search for the whole index or for any part of it.
+    Search { vm: usize, is_full_coverage: bool },
     /// A caller sends a new operation.
     Operate { vm: usize, subject: u64 },
     /// A caller sends an earlier operation again.
     Resend { vm: usize, operation: usize },
     /// A caller sends the request that crashes the targets of one shard.
     Poison { vm: usize },
-    /// A VM ends; others may or may not notice their lost connections at once.
+    /// A VM is killed; the others may or may not notice the lost connections at
+    /// once.
     Kill { vm: usize, noticed: bool },
-    /// A VM starts, in place of the old one if that still runs.
+    /// A VM starts and replaces the old one if that still runs.
     Start { vm: usize },
-    /// A VM is stopped for some milliseconds.
-    Pause { vm: usize, span: u64 },
+    /// A VM is paused.
+    Pause { vm: usize, span_millis: u64 },
     /// A VM shuts down.
     Leave { vm: usize },
-    /// Nothing passes from one VM to another.
+    /// The link from one VM to another is cut, in this direction only.
     Cut { from: usize, to: usize },
-    /// Messages from one VM to another take some milliseconds.
-    Slow { from: usize, to: usize, by: u64 },
-    /// Connections to a VM break.
-    Break { vm: usize },
-    /// Every way between VMs is whole again.
-    Mend,
-    /// A target ends.
+    /// The link from one VM to another gets a delay.
+    Slow { from: usize, to: usize, delay_millis: u64 },
+    /// The connections of the other VMs to a VM are lost.
+    LoseConnections { vm: usize },
+    /// The faults of all links end.
+    HealLinks,
+    /// A target crashes.
     Crash(Target),
-    /// A target starts, cold.
+    /// A target restarts with a cold cache.
     Restart(Target),
-    /// The connections of a target go silent.
+    /// A target stops responding on its open connections.
     Silence(Target),
-    /// A target takes some milliseconds for a request.
-    Straggle { target: Target, span: u64 },
-    /// A target sheds all work, or takes it again.
+    /// The service time of a target changes.
+    Straggle { target: Target, service_millis: u64 },
+    /// A target starts or stops to shed all work.
     Shed { target: Target, sheds: bool },
-    /// A target says that it is leaving.
+    /// A target reports that it is leaving.
     Drain(Target),
-    /// The list says that a target is leaving.
+    /// The list states that a target is leaving.
     ListLeaving(Target),
-    /// A target's replies are wrong, or right again.
+    /// A fault in the replies of a target starts or ends.
     Reply { target: Target, fault: Option<Fault> },
-    /// Every target moves to the next version.
+    /// Every target replaces its version by the next one.
     NextVersion,
-    /// One target takes the next version beside what it holds.
+    /// One target loads the next version and keeps those that it holds.
     LoadVersion(Target),
-    /// Two shards change their ranges.
+    /// Two shards exchange their ranges.
     Repartition { one: u64, two: u64 },
-    /// Claims are answered or not.
+    /// Claims start or stop to be answered.
     Claims { down: bool },
-    /// An operator publishes, as a replacement of what the VM knows or not.
+    /// An operator publishes profiles, with or without the VM's revision as the
+    /// expected one.
     Publish { vm: usize, expect: bool },
-    /// An operator asks what became of a publication.
+    /// An operator asks for the outcome of a publication.
     Settle { vm: usize },
-    /// The platform's service answers in another way.
+    /// The platform's service changes how it answers.
     Store(Mode),
-    /// The platform's service takes some milliseconds.
-    StoreSlow { by: u64 },
-    /// The clock of a VM is off by some milliseconds.
-    Skew { vm: usize, by: i64 },
+    /// The delay of the platform's service changes.
+    StoreSlow { delay_millis: u64 },
+    /// The wall clock of a VM changes its skew.
+    Skew { vm: usize, skew_millis: i64 },
 }
 
-/// An act and the time that passes after it, in microseconds.
-pub type Step = (Act, u64);
+/// An action and the time in microseconds that passes after it.
+pub type Step = (Action, u64);
 
-/// What was sent and which faults are on.
+/// The state on which the possible steps depend.
 #[derive(Clone, Debug)]
 pub struct Reference {
-    /// Whether each VM takes requests.
+    /// Whether each VM accepts requests.
     pub serving: Vec<bool>,
-    /// The operations that were sent, by their subjects.
+    /// The subjects of the operations so far.
     pub operations: Vec<u64>,
-    /// The newest version that a target holds.
+    /// The newest version of the index.
     pub version: u64,
 }
 
-/// Steps of traffic threads, with a stand-in for the control threads.
+/// Steps for VMs with traffic threads only.
 #[derive(Debug)]
 pub struct Traffic;
 
-/// Steps of whole VMs.
+/// Steps for VMs with traffic and control threads.
 #[derive(Debug)]
-pub struct Whole;
+pub struct WholeVm;
 
 impl ReferenceStateMachine for Traffic {
     type State = Reference;
@@ -121,9 +122,9 @@
     }
 
     fn transitions(state: &Reference) -> BoxedStrategy<Step> {
-        let gap = prop_oneof![4 => 0..SHORT_GAP, 3 => 0..LONG_GAP];
-        let claims = any::<bool>().prop_map(|down| Act::Claims { down });
-        (prop_oneof![30 => act(state), 1 => claims], gap).boxed()
+        let gap = prop_oneof![4 => 0..SHORT_GAP_MICROS, 3 => 0..LONG_GAP_MICROS];
+        let claims = any::<bool>().prop_map(|down| Action::Claims { down });
+        (prop_oneof![30 => any_action(state), 1 => claims], gap).boxed()
     }
 
     fn apply(state: Reference, step: &Step) -> Reference {
@@ -135,7 +136,7 @@
     }
 }
 
-impl ReferenceStateMachine for Whole {
+impl ReferenceStateMachine for WholeVm {
     type State = Reference;
     type Transition = Step;
 
@@ -144,8 +145,8 @@
     }
 
     fn transitions(state: &Reference) -> BoxedStrategy<Step> {
-        let gap = prop_oneof![4 => 0..SHORT_GAP, 3 => 0..LONG_GAP, 1 => 0..LONGEST_GAP];
-        (prop_oneof![3 => act(state), 1 => of_control()], gap).boxed()
+        let gap = prop_oneof![4 => 0..SHORT_GAP_MICROS, 3 => 0..LONG_GAP_MICROS, 1 => 0..LONGEST_GAP_MICROS];
+        (prop_oneof![3 => any_action(state), 1 => control_action()], gap).boxed()
     }
 
     fn apply(state: Reference, step: &Step) -> Reference {
@@ -157,79 +158,79 @@
     }
 }
 
-fn act(state: &Reference) -> BoxedStrategy<Act> {
+fn any_action(state: &Reference) -> BoxedStrategy<Action> {
     let operations = state.operations.len();
-    prop_oneof![10 => request(operations), 4 => of_vm(), 6 => of_target(), 2 => of_index()].boxed()
+    prop_oneof![10 => request_action(operations), 4 => vm_action(), 6 => target_action(), 2 => index_action()].boxed()
 }
 
 impl Reference {
     fn new() -> Reference {
-        Reference { serving: vec![true; VMS], operations: Vec::new(), version: 1 }
+        Reference { serving: vec![true; VM_COUNT], operations: Vec::new(), version: 1 }
     }
 
-    fn apply(mut self, (act, _): &Step) -> Reference {
-        match act {
-            Act::Operate { subject, .. } => self.operations.push(*subject),
-            Act::Kill { vm, .. } | Act::Leave { vm } => self.serving[*vm] = false,
-            Act::Start { vm } => self.serving[*vm] = true,
-            Act::NextVersion | Act::LoadVersion(_) => self.version += 1,
+    fn apply(mut self, (action, _): &Step) -> Reference {
+        match action {
+            Action::Operate { subject, .. } => self.operations.push(*subject),
+            Action::Kill { vm, .. } | Action::Leave { vm } => self.serving[*vm] = false,
+            Action::Start { vm } => self.serving[*vm] = true,
+            Action::NextVersion | Action::LoadVersion(_) => self.version += 1,
             _ => {}
         }
         self
     }
 
-    fn allows(&self, (act, _): &Step) -> bool {
-        match act {
-            Act::Search { vm, .. } | Act::Operate { vm, .. } | Act::Poison { vm } => {
+    fn allows(&self, (action, _): &Step) -> bool {
+        match action {
+            Action::Search { vm, .. } | Action::Operate { vm, .. } | Action::Poison { vm } => {
                 self.serving[*vm]
             }
-            Act::Resend { vm, operation } => {
+            Action::Resend { vm, operation } => {
                 self.serving[*vm] && *operation < self.operations.len()
             }
-            Act::Kill { vm, .. } | Act::Leave { vm } => {
+            Action::Kill { vm, .. } | Action::Leave { vm } => {
                 self.serving[*vm] && self.serving.iter().filter(|serves| **serves).count() > 1
             }
-            Act::Pause { vm, .. } | Act::Publish { vm, .. } | Act::Settle { vm } => {
+            Action::Pause { vm, .. } | Action::Publish { vm, .. } | Action::Settle { vm } => {
                 self.serving[*vm]
             }
-            Act::Cut { from, to } | Act::Slow { from, to, .. } => from != to,
-            Act::Repartition { one, two } => one != two,
+            Action::Cut { from, to } | Action::Slow { from, to, .. } => from != to,
+            Action::Repartition { one, two } => one != two,
             _ => true,
         }
     }
 }
 
-fn request(operations: usize) -> BoxedStrategy<Act> {
-    let vm = 0..VMS;
-    let again = 0..operations.max(1);
+fn request_action(operations: usize) -> BoxedStrategy<Action> {
+    let vm = 0..VM_COUNT;
+    let resent = 0..operations.max(1);
     prop_oneof![
-        5 => (vm.clone(), any::<bool>()).prop_map(|(vm, whole)| Act::Search { vm, whole }),
-        3 => (vm.clone(), any::<u64>()).prop_map(|(vm, subject)| Act::Operate { vm, subject }),
-        3 => (vm.clone(), again).prop_map(|(vm, operation)| Act::Resend { vm, operation }),
-        1 => vm.prop_map(|vm| Act::Poison { vm }),
+        5 => (vm.clone(), any::<bool>()).prop_map(|(vm, is_full_coverage)| Action::Search { vm, is_full_coverage }),
+        3 => (vm.clone(), any::<u64>()).prop_map(|(vm, subject)| Action::Operate { vm, subject }),
+        3 => (vm.clone(), resent).prop_map(|(vm, operation)| Action::Resend { vm, operation }),
+        1 => vm.prop_map(|vm| Action::Poison { vm }),
     ]
     .boxed()
 }
 
-fn of_vm() -> BoxedStrategy<Act> {
-    let vm = 0..VMS;
-    let pair = (0..VMS, 0..VMS);
-    let span = prop_oneof![3 => 1..300u64, 1 => 300..6000u64];
+fn vm_action() -> BoxedStrategy<Action> {
+    let vm = 0..VM_COUNT;
+    let pair = (0..VM_COUNT, 0..VM_COUNT);
+    let span_millis = prop_oneof![3 => 1..300u64, 1 => 300..6000u64];
     prop_oneof![
-        2 => (vm.clone(), any::<bool>()).prop_map(|(vm, noticed)| Act::Kill { vm, noticed }),
-        3 => vm.clone().prop_map(|vm| Act::Start { vm }),
-        3 => (vm.clone(), span).prop_map(|(vm, span)| Act::Pause { vm, span }),
-        1 => vm.clone().prop_map(|vm| Act::Leave { vm }),
-        3 => pair.clone().prop_map(|(from, to)| Act::Cut { from, to }),
-        1 => (pair, 1..400u64).prop_map(|((from, to), by)| Act::Slow { from, to, by }),
-        2 => vm.prop_map(|vm| Act::Break { vm }),
-        2 => Just(Act::Mend),
+        2 => (vm.clone(), any::<bool>()).prop_map(|(vm, noticed)| Action::Kill { vm, noticed }),
+        3 => vm.clone().prop_map(|vm| Action::Start { vm }),
+        3 => (vm.clone(), span_millis).prop_map(|(vm, span_millis)| Action::Pause { vm, span_millis }),
+        1 => vm.clone().prop_map(|vm| Action::Leave { vm }),
+        3 => pair.clone().prop_map(|(from, to)| Action::Cut { from, to }),
+        1 => (pair, 1..400u64).prop_map(|((from, to), delay_millis)| Action::Slow { from, to, delay_millis }),
+        2 => vm.prop_map(|vm| Action::LoseConnections { vm }),
+        2 => Just(Action::HealLinks),
     ]
     .boxed()
 }
 
-fn of_target() -> BoxedStrategy<Act> {
-    let target = (0..SHARDS, 0..REPLICAS);
+fn target_action() -> BoxedStrategy<Action> {
+    let target = (0..SHARD_COUNT, 0..REPLICA_COUNT);
     let fault = prop_oneof![
         3 => Just(None),
         1 => Just(Some(Fault::Cut)),
@@ -239,32 +240,32 @@
         1 => Just(Some(Fault::Outside)),
     ];
     prop_oneof![
-        3 => target.clone().prop_map(Act::Crash),
-        3 => target.clone().prop_map(Act::Restart),
-        2 => target.clone().prop_map(Act::Silence),
+        3 => target.clone().prop_map(Action::Crash),
+        3 => target.clone().prop_map(Action::Restart),
+        2 => target.clone().prop_map(Action::Silence),
         2 => (target.clone(), 1..1500u64)
-            .prop_map(|(target, span)| Act::Straggle { target, span }),
+            .prop_map(|(target, service_millis)| Action::Straggle { target, service_millis }),
         2 => (target.clone(), any::<bool>())
-            .prop_map(|(target, sheds)| Act::Shed { target, sheds }),
-        2 => target.clone().prop_map(Act::Drain),
-        1 => target.clone().prop_map(Act::ListLeaving),
-        3 => (target, fault).prop_map(|(target, fault)| Act::Reply { target, fault }),
+            .prop_map(|(target, sheds)| Action::Shed { target, sheds }),
+        2 => target.clone().prop_map(Action::Drain),
+        1 => target.clone().prop_map(Action::ListLeaving),
+        3 => (target, fault).prop_map(|(target, fault)| Action::Reply { target, fault }),
     ]
     .boxed()
 }
 
-fn of_index() -> BoxedStrategy<Act> {
-    let target = (0..SHARDS, 0..REPLICAS);
+fn index_action() -> BoxedStrategy<Action> {
+    let target = (0..SHARD_COUNT, 0..REPLICA_COUNT);
     prop_oneof![
-        2 => Just(Act::NextVersion),
-        3 => target.prop_map(Act::LoadVersion),
-        3 => (0..SHARDS, 0..SHARDS).prop_map(|(one, two)| Act::Repartition { one, two }),
+        2 => Just(Action::NextVersion),
+        3 => target.prop_map(Action::LoadVersion),
+        3 => (0..SHARD_COUNT, 0..SHARD_COUNT).prop_map(|(one, two)| Action::Repartition { one, two }),
     ]
     .boxed()
 }
 
-fn of_control() -> BoxedStrategy<Act> {
-    let vm = 0..VMS;
+fn control_action() -> BoxedStrategy<Action> {
+    let vm = 0..VM_COUNT;
     let mode = prop_oneof![
         4 => Just(Mode::Up),
         1 => Just(Mode::Down),
@@ -273,11 +274,11 @@
         2 => Just(Mode::Late),
     ];
     prop_oneof![
-        3 => (vm.clone(), any::<bool>()).prop_map(|(vm, expect)| Act::Publish { vm, expect }),
-        1 => vm.clone().prop_map(|vm| Act::Settle { vm }),
-        4 => mode.prop_map(Act::Store),
-        1 => (2..900u64).prop_map(|by| Act::StoreSlow { by }),
-        1 => (vm, -4000..4000i64).prop_map(|(vm, by)| Act::Skew { vm, by }),
+        3 => (vm.clone(), any::<bool>()).prop_map(|(vm, expect)| Action::Publish { vm, expect }),
+        1 => vm.clone().prop_map(|vm| Action::Settle { vm }),
+        4 => mode.prop_map(Action::Store),
+        1 => (2..900u64).prop_map(|delay_millis| Action::StoreSlow { delay_millis }),
+        1 => (vm, -4000..4000i64).prop_map(|(vm, skew_millis)| Action::Skew { vm, skew_millis }),
     ]
     .boxed()
 }
