Reword the fault matrix of the core's tests

A scene is now a cell, as in the page that the matrix is checked against, and cell::run_cell runs it. The VMs of a cell are Roles with an actor, a faulty VM and another one (were Parties, struck). The constants say what they limit or count, and the doc comments of the steps and faults are whole sentences. Case names and the number of cases are unchanged.

--- a/crates/core/tests/matrix/scene.rs
+++ b/crates/core/tests/matrix/cell.rs
@@ -1,12 +1,12 @@
-//! A cell of the matrix: a process is brought to a step, the fault comes, and
-//! the promises are checked while it lasts and after it ends.
+//! Runs a cell of the matrix: brings a process to a step, injects a fault, and
+//! checks the guarantees while the fault lasts and after it ends.
 
 use std::time::Duration;
 
 use laburnum_core::{control::Answer, traffic::Body, view::State};
 
 use crate::{
-    fault::{self, Fault, POISON, Parties, REPLICAS, SHARDS},
+    fault::{self, Fault, POISON, REPLICA_COUNT, Roles, SHARD_COUNT},
     step::{self, Started, Step},
     world::{ANY_COVERAGE, FULL_COVERAGE, World, name, platform::Mode, targets},
 };
@@ -14,56 +14,56 @@
 const MS: Duration = Duration::from_millis(1);
 
 /// The time for which the fault lasts.
-const FAULT: Duration = Duration::from_secs(4);
+const FAULT_DURATION: Duration = Duration::from_secs(4);
 
-/// The time within which all is as before after the fault.
-const SETTLE: Duration = Duration::from_secs(10);
+/// The time within which the deployment recovers after the fault.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(10);
 
-/// The number of searches that are served before the process starts.
-const SERVED: u32 = 60;
+/// The number of searches that run before the process starts.
+const WARM_UP_SEARCHES: u32 = 60;
 
-/// The number of VMs.
-const VMS: usize = 4;
+const VM_COUNT: usize = 4;
 
-/// Plays a cell. The oracle of the world checks the safety at every moment.
-pub fn run(step: Step, fault: Fault) {
-    let mut world = World::with_control(VMS, SHARDS, REPLICAS);
-    for replica in 0..REPLICAS {
+/// Runs a cell. The oracle of the world checks safety throughout.
+pub fn run_cell(step: Step, fault: Fault) {
+    let mut world = World::with_control(VM_COUNT, SHARD_COUNT, REPLICA_COUNT);
+    for replica in 0..REPLICA_COUNT {
         world.targets.get(1, replica).poison = Some(POISON.to_owned());
     }
-    let parties = parties(&world, step);
-    serve(&mut world, &parties.actor);
-    let started = step::reach(&mut world, step, &parties.actor);
-    fault::inject(&mut world, fault, &parties);
-    world.run(FAULT / 2);
+    let roles = roles(&world, step);
+    warm_up(&mut world, &roles.actor);
+    let started = step::reach(&mut world, step, &roles.actor);
+    fault::inject(&mut world, fault, &roles);
+    world.run(FAULT_DURATION / 2);
     if fault == Fault::Poison {
-        world.search(&parties.actor, ANY_COVERAGE, POISON);
+        world.search(&roles.actor, ANY_COVERAGE, POISON);
     }
-    world.run(FAULT / 2);
+    world.run(FAULT_DURATION / 2);
     heal(&mut world);
-    world.run(SETTLE);
-    check_started(&mut world, (step, fault), &parties, started);
-    check_after(&mut world);
+    world.run(RECOVERY_LIMIT);
+    check_process(&mut world, (step, fault), &roles, started);
+    check_recovery(&mut world);
 }
 
-/// Serves some searches first: hedges are allowed as a part of the legs that a
-/// home has served, so that one which has served none does not hedge.
-fn serve(world: &mut World, actor: &str) {
-    for number in 0..SERVED {
+/// Runs some searches first, because the hedges of a home are limited to a fraction of
+/// the legs that it has served: a home that has served none does not hedge.
+fn warm_up(world: &mut World, actor: &str) {
+    for number in 0..WARM_UP_SEARCHES {
         world.search(actor, FULL_COVERAGE, &format!(" served {number}"));
         world.run(20 * MS);
     }
 }
 
-/// The entry of requests is not the home of the first shard, which a fault
-/// strikes; other processes are struck at the VM that acts.
-fn parties(world: &World, step: Step) -> Parties {
+/// Chooses the VMs. For searches and operations the faulty VM is the home of the first
+/// shard and the request enters through another VM; for the other processes the faulty
+/// VM is the acting one.
+fn roles(world: &World, step: Step) -> Roles {
     let home = world.home_of(0).to_string();
     let entry = world.other_than_home_of(0).to_string();
     if step <= Step::OperationRecorded {
-        return Parties { actor: entry, struck: home.clone(), other: home };
+        return Roles { actor: entry, faulty: home.clone(), other: home };
     }
-    Parties { actor: home.clone(), struck: home, other: entry }
+    Roles { actor: home.clone(), faulty: home, other: entry }
 }
 
 fn heal(world: &mut World) {
@@ -78,13 +78,13 @@
         .collect();
     for vm in gone {
         if world.vms[&name(&vm)].alive {
-            // It leaves, and may take as long as it was stopped.
-            world.run(20 * FAULT / 4);
+            // A VM that is leaving may take as long as it was paused.
+            world.run(20 * FAULT_DURATION / 4);
         }
         world.replace_vm(&vm);
     }
-    for shard in 0..SHARDS {
-        for replica in 0..REPLICAS {
+    for shard in 0..SHARD_COUNT {
+        for replica in 0..REPLICA_COUNT {
             heal_target(world, shard, replica);
         }
     }
@@ -100,12 +100,12 @@
     target.cold_requests = 0;
     target.service = 4 * MS;
     for range in target.status.holds.values_mut() {
-        *range = targets::range_of(shard, SHARDS);
+        *range = targets::range_of(shard, SHARD_COUNT);
     }
 }
 
-/// Checks what became of the process itself.
-fn check_started(world: &mut World, cell: (Step, Fault), parties: &Parties, started: Started) {
+/// Checks the outcome of the process.
+fn check_process(world: &mut World, cell: (Step, Fault), roles: &Roles, started: Started) {
     let (_, fault) = cell;
     match started {
         Started::Call(call) | Started::Leave(call) => {
@@ -114,31 +114,32 @@
                 && matches!(fault, Fault::VmKilled | Fault::VmReplaced);
             assert!(!is_lost || actor_died, "{call:?} has no answer");
             if let Some(answer) = world.answers.get(&call).cloned() {
-                check_answer(world, cell, parties, &answer.body);
+                check_answer(world, cell, roles, &answer.body);
             }
         }
         Started::Publication(id) => {
             let died = matches!(fault, Fault::VmKilled | Fault::VmReplaced);
             let answer = world.operators.answers.get(&id);
             assert!(answer.is_some() || died, "the operator has no answer");
-            let is_told =
+            let is_accepted_or_unsettled =
                 matches!(answer, Some(Answer::Accepted { .. } | Answer::Unsettled { .. }));
             let may_fail = died
                 || matches!(fault, Fault::OperatorsRacing | Fault::StoreDown | Fault::LeaseLapsed);
-            assert!(is_told || may_fail, "the operator was told {answer:?}");
+            assert!(is_accepted_or_unsettled || may_fail, "the operator was told {answer:?}");
         }
         Started::Join => {}
     }
 }
 
-/// A search is whole in spite of any one fault; an operation ran at most once,
-/// and a resend gets what was recorded, or that it is not known.
-fn check_answer(world: &mut World, cell: (Step, Fault), parties: &Parties, body: &Body) {
+/// Checks that a search is answered completely in spite of the fault, or that an
+/// operation ran at most once and a resend gets the recorded outcome or is told that
+/// the outcome is unknown.
+fn check_answer(world: &mut World, cell: (Step, Fault), roles: &Roles, body: &Body) {
     if world.oracle.tokens.is_empty() {
         assert!(may_be_partial(cell) || step::is_whole(body), "the search got {body:?}");
         return;
     }
-    let again = world.operate(&parties.other, 1, 1, "one");
+    let again = world.operate(&roles.other, 1, 1, "one");
     world.run(1100 * MS);
     let ran = world.targets.executions.get("one").copied().unwrap_or(0);
     match (&world.answer(again).body, body) {
@@ -149,16 +150,17 @@
     }
 }
 
-/// Whether a search may be refused or partial: its own VM was stopped until
-/// after the deadline, or every slot is taken by legs of a home that is gone, so
-/// that the budget of retries is used up.
+/// Returns whether a search may be refused or answered partially: its entry VM was
+/// paused until after the deadline, or the legs of a home that is gone occupy every slot,
+/// so that the retry budget is used up.
 fn may_be_partial((step, fault): (Step, Fault)) -> bool {
     let is_home_gone = matches!(fault, Fault::VmKilled | Fault::VmReplaced);
     fault == Fault::LeaseLapsed || (step == Step::SearchWaiting && is_home_gone)
 }
 
-/// Every VM answers wholly, runs operations and has the last revision.
-fn check_after(world: &mut World) {
+/// Checks that every VM answers completely, runs operations and has the last published
+/// revision in force.
+fn check_recovery(world: &mut World) {
     let vms: Vec<String> = world.vms.keys().map(ToString::to_string).collect();
     let mut calls = Vec::new();
     for (number, vm) in vms.iter().enumerate() {
--- a/crates/core/tests/matrix/fault.rs
+++ b/crates/core/tests/matrix/fault.rs
@@ -1,4 +1,4 @@
-//! The faults: how each is put into the world.
+//! The faults and how they are injected into the simulated world.
 
 use std::time::Duration;
 
@@ -6,109 +6,108 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// The number of shards.
-pub const SHARDS: u64 = 3;
+pub const SHARD_COUNT: u64 = 3;
 
 /// The number of replicas of each shard.
-pub const REPLICAS: u64 = 3;
+pub const REPLICA_COUNT: u64 = 3;
 
-/// The text that crashes the targets of one shard.
+/// The text of the search that crashes the targets of one shard.
 pub const POISON: &str = "poison";
 
-/// A pause that is longer than any time limit.
+/// The length of a pause that exceeds all time limits.
 const LONG_PAUSE: Duration = Duration::from_secs(12);
 
-/// A fault, in the words of the brief.
+/// A fault, a row of the matrix.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// One replica of each shard is slower than the deadline.
+    /// One replica of each shard takes longer than the deadline.
     Straggler,
-    /// One replica of each shard ends.
+    /// One replica of each shard crashes.
     ReplicaLost,
-    /// Two shards change their ranges.
+    /// Two shards exchange their ranges.
     Repartition,
     /// The platform's service does not answer.
     StoreDown,
-    /// The platform's service takes long.
+    /// The platform's service answers slowly.
     StoreSlow,
-    /// Writes take effect and their answers are lost.
+    /// Writes to the platform's service take effect, but their replies are lost.
     AnswerLost,
-    /// The VM that acts is stopped for longer than any lease.
+    /// The acting VM is paused for longer than any lease.
     LeaseLapsed,
-    /// Two operators publish through two VMs.
+    /// Two operators publish through two VMs at the same time.
     OperatorsRacing,
-    /// A request crashes its targets and is sent again.
+    /// A search crashes its targets and is sent again.
     Poison,
-    /// The connections of one replica of each shard go silent.
+    /// One replica of each shard stops responding on its connections.
     SilentConnection,
-    /// A VM ends.
+    /// A VM is killed.
     VmKilled,
-    /// A VM is stopped for a while.
+    /// A VM is paused.
     VmPaused,
-    /// A VM ends and another takes its name.
+    /// A VM is killed and another one starts under its name.
     VmReplaced,
     /// One replica of each shard drains.
     TargetDraining,
     /// One replica of each shard sheds all work.
     TargetShedding,
-    /// One replica of each shard starts anew, cold.
+    /// One replica of each shard restarts with a cold cache.
     ColdStart,
-    /// Two VMs do not reach each other.
+    /// Two VMs cannot reach each other.
     CutBothWays,
-    /// One VM does not reach another one, which reaches it.
+    /// One VM cannot reach another one, which still reaches it.
     CutOneWay,
 }
 
-/// The VMs that a fault concerns.
+/// The VMs that take part in a cell.
 #[derive(Clone, Debug)]
-pub struct Parties {
-    /// The VM that acts: it took the request or joins or leaves.
+pub struct Roles {
+    /// The VM that received the request, or that joins or leaves.
     pub actor: String,
-    /// The VM that a fault of VMs strikes.
-    pub struck: String,
-    /// A VM at the other end of a cut.
+    /// The VM that a fault of a VM affects.
+    pub faulty: String,
+    /// The VM at the other end of a cut.
     pub other: String,
 }
 
-/// Puts a fault into the world.
-pub fn inject(world: &mut World, fault: Fault, parties: &Parties) {
+/// Injects a fault into the world.
+pub fn inject(world: &mut World, fault: Fault, roles: &Roles) {
     match fault {
         Fault::StoreDown => world.platform().mode = Mode::Down,
         Fault::StoreSlow => world.platform().delay = 400 * MS,
         Fault::AnswerLost => world.platform().mode = Mode::Deaf,
         Fault::OperatorsRacing => {
-            world.publish_profiles(&parties.other, None);
-            world.publish_profiles(&parties.actor, None);
+            world.publish_profiles(&roles.other, None);
+            world.publish_profiles(&roles.actor, None);
         }
         Fault::Poison => {
-            world.search(&parties.other, ANY_COVERAGE, POISON);
+            world.search(&roles.other, ANY_COVERAGE, POISON);
         }
-        Fault::LeaseLapsed => world.pause_vm(&parties.actor, LONG_PAUSE),
+        Fault::LeaseLapsed => world.pause_vm(&roles.actor, LONG_PAUSE),
         Fault::VmKilled => {
-            world.kill_vm(&parties.struck);
-            world.report_lost_lane(&name(&parties.struck));
+            world.kill_vm(&roles.faulty);
+            world.report_lost_lane(&name(&roles.faulty));
         }
-        Fault::VmPaused => world.pause_vm(&parties.struck, 1500 * MS),
-        Fault::VmReplaced => world.replace_vm(&parties.struck),
+        Fault::VmPaused => world.pause_vm(&roles.faulty, 1500 * MS),
+        Fault::VmReplaced => world.replace_vm(&roles.faulty),
         Fault::CutBothWays => {
-            let (actor, other) = (name(&parties.actor), name(&parties.other));
+            let (actor, other) = (name(&roles.actor), name(&roles.other));
             world.network.cut(&actor, &other);
             world.network.cut(&other, &actor);
         }
         Fault::CutOneWay => {
-            world.network.cut(&name(&parties.other), &name(&parties.actor));
+            world.network.cut(&name(&roles.other), &name(&roles.actor));
         }
         Fault::Repartition => world.swap_shards(0, 1),
-        fault => (0..SHARDS).for_each(|shard| strike(world, fault, shard)),
+        fault => (0..SHARD_COUNT).for_each(|shard| inject_into_shard(world, fault, shard)),
     }
 }
 
-/// Puts a fault of targets into the first replica of a shard that is at work,
-/// or the first of all.
-fn strike(world: &mut World, fault: Fault, shard: u64) {
+/// Injects a fault of a target into the first replica of a shard that runs an attempt,
+/// or into the first replica if none does.
+fn inject_into_shard(world: &mut World, fault: Fault, shard: u64) {
     let is_busy =
         |world: &mut World, replica| !world.targets.get(shard, replica).running.is_empty();
-    let replica = (0..REPLICAS).find(|&replica| is_busy(world, replica)).unwrap_or(0);
+    let replica = (0..REPLICA_COUNT).find(|&replica| is_busy(world, replica)).unwrap_or(0);
     let target = world.targets.get(shard, replica);
     match fault {
         Fault::Straggler => target.service = 5000 * MS,
--- a/crates/core/tests/matrix/main.rs
+++ b/crates/core/tests/matrix/main.rs
@@ -6,9 +6,9 @@
 mod world;
 #[macro_use]
 mod table;
+mod cell;
 mod fault;
 mod page;
-mod scene;
 mod step;
 
 use fault::Fault;
--- a/crates/core/tests/matrix/page.rs
+++ b/crates/core/tests/matrix/page.rs
@@ -1,16 +1,17 @@
-//! Holds `docs/PROOF.md` against the cases that exist.
+//! Checks that `docs/PROOF.md` and the existing cases agree.
 
 use std::{collections::BTreeSet, fs, path::Path};
 
 use crate::{FAULTS, STEPS};
 
-/// The page, which is compiled in so that a change of it runs the test again.
+/// The page. It is included at compile time so that a change of it rebuilds the test.
 const PAGE: &str = include_str!("../../../../docs/PROOF.md");
 
-/// What a cell may say in place of a case.
-const REASONS: [&str; 2] = ["cannot happen: ", "not proved: "];
+/// The prefixes of a cell that has a reason instead of a case.
+const REASON_PREFIXES: [&str; 2] = ["cannot happen: ", "not proved: "];
 
-/// The names of all cases: of the matrix, and of every `cases!` of the project.
+/// Returns the names of all cases: those of the matrix and of every `cases!` in the
+/// project.
 fn cases() -> BTreeSet<String> {
     let mut names = BTreeSet::new();
     for (process, steps) in STEPS {
@@ -25,7 +26,7 @@
     names
 }
 
-/// The names of every `cases!` in the files below a folder.
+/// Returns the names of the cases of every `cases!` in the files below a folder.
 fn cases_below(folder: &Path) -> BTreeSet<String> {
     let mut names = BTreeSet::new();
     for path in fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()) {
@@ -41,7 +42,7 @@
     names
 }
 
-/// The cells of the rows of the tables under a heading, without the heads.
+/// Returns the cells of each row of the tables under a heading.
 fn rows(heading: &str) -> Vec<Vec<String>> {
     let (_, rest) = PAGE.split_once(&format!("\n## {heading}\n")).expect(heading);
     let part = rest.split("\n## ").next().unwrap();
@@ -65,7 +66,7 @@
             for (step, cell) in steps.iter().zip(&found[0][1..]) {
                 let name = cell.trim_matches('`');
                 let own = format!("{process}::{step}::{fault}");
-                let has_reason = REASONS
+                let has_reason = REASON_PREFIXES
                     .iter()
                     .any(|reason| cell.strip_prefix(reason).is_some_and(|rest| !rest.is_empty()));
                 let is_case = names.contains(name) && (name == own || !name.contains("::"));
--- a/crates/core/tests/matrix/step.rs
+++ b/crates/core/tests/matrix/step.rs
@@ -1,4 +1,4 @@
-//! The steps: how each is reached, by watching the world.
+//! The steps of the processes and how the world is brought to them.
 
 use std::time::Duration;
 
@@ -11,26 +11,26 @@
 };
 
 use crate::{
-    fault::SHARDS,
+    fault::SHARD_COUNT,
     world::{FULL_COVERAGE, World, name},
 };
 
 const MS: Duration = Duration::from_millis(1);
 
-/// The time within which a step is reached.
-const REACH: Duration = Duration::from_secs(5);
+/// The time within which a step must be reached.
+const STEP_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// A key that the shard with the number zero holds.
-const SUBJECT: u64 = 1;
+/// The subject of the operation, a key of shard 0.
+const SUBJECT_KEY: u64 = 1;
 
-/// A step of a process.
+/// A step of a process, a column of the matrix.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Step {
-    /// The entry was handed a search.
+    /// The entry VM received a search.
     SearchTaken,
-    /// Its legs were sent.
+    /// The legs of the search were sent.
     SearchSent,
-    /// A leg waits at its home.
+    /// A leg waits for a slot at its home.
     SearchWaiting,
     /// A target runs a leg.
     SearchRunning,
@@ -42,59 +42,59 @@
     ClaimSent,
     /// The claim was written.
     ClaimWritten,
-    /// The claim was granted and the operation leaves the entry.
+    /// The claim was granted and the entry VM sends the operation.
     Granted,
     /// The operation is at the home of its shard.
     OperationSent,
-    /// A target runs it.
+    /// A target runs the operation.
     OperationRunning,
-    /// It ran and its outcome is on its way.
+    /// The operation ran and its outcome is on its way.
     OperationReplied,
-    /// Its caller was answered and the outcome is recorded.
+    /// The caller was answered and the outcome is recorded.
     OperationRecorded,
-    /// A VM was handed a publication.
+    /// A VM received a publication.
     PublicationSent,
-    /// It was written.
+    /// The publication was written.
     PublicationWritten,
-    /// Its operator was answered.
+    /// The operator was answered.
     PublicationAnswered,
-    /// Some VMs have it in force.
+    /// The publication is in force on some VMs.
     PublicationSpreading,
     /// A VM starts.
     JoinStarted,
-    /// It has read the list.
+    /// The starting VM has read the list.
     ListRead,
-    /// It has the document.
+    /// The starting VM has read the document.
     DocumentRead,
-    /// It is ready.
+    /// The starting VM is ready.
     JoinReady,
-    /// A VM was asked to leave.
+    /// A VM was told to leave.
     LeaveAsked,
-    /// Another VM knows that it leaves.
+    /// Another VM knows that the VM is leaving.
     LeaveAnnounced,
-    /// It has requests and legs in flight.
+    /// The leaving VM still has requests and legs in flight.
     LeaveDraining,
-    /// It has ended.
+    /// The process of the leaving VM has ended.
     LeaveEnded,
 }
 
-/// What was started.
+/// A process that was started.
 #[derive(Clone, Copy, Debug)]
 pub enum Started {
-    /// A request of a caller.
+    /// A caller's request.
     Call(Call),
-    /// A publication.
+    /// A publication of an operator.
     Publication(RequestId),
-    /// A VM joins.
+    /// The start of a VM.
     Join,
-    /// A VM leaves with a search in flight.
+    /// The shutdown of a VM with a search in flight.
     Leave(Call),
 }
 
-/// Starts the process of a step through `actor` and runs until it is reached.
+/// Starts the process of a step at `actor` and runs until the step is reached.
 pub fn reach(world: &mut World, step: Step, actor: &str) -> Started {
     let started = start(world, step, actor);
-    let is_reached = world.run_until(REACH, |world| is_at(world, step, actor, started));
+    let is_reached = world.run_until(STEP_TIMEOUT, |world| is_at(world, step, actor, started));
     assert!(is_reached, "{step:?} is not reached");
     started
 }
@@ -102,14 +102,14 @@
 fn start(world: &mut World, step: Step, actor: &str) -> Started {
     match step {
         Step::SearchWaiting => {
-            occupy(world, actor);
+            fill_slots(world, actor);
             Started::Call(world.search(actor, FULL_COVERAGE, " for one"))
         }
         step if step <= Step::SearchMerged => {
             Started::Call(world.search(actor, FULL_COVERAGE, " for one"))
         }
         step if step <= Step::OperationRecorded => {
-            Started::Call(world.operate(actor, 1, SUBJECT, "one"))
+            Started::Call(world.operate(actor, 1, SUBJECT_KEY, "one"))
         }
         step if step <= Step::PublicationSpreading => {
             Started::Publication(world.publish_profiles(actor, None))
@@ -128,11 +128,11 @@
 }
 
 /// Fills every slot of every target.
-fn occupy(world: &mut World, actor: &str) {
+fn fill_slots(world: &mut World, actor: &str) {
     for target in world.targets.rows.values_mut() {
         target.service = 60 * MS;
     }
-    for number in 0..2 * crate::fault::REPLICAS {
+    for number in 0..2 * crate::fault::REPLICA_COUNT {
         world.search(actor, FULL_COVERAGE, &format!(" before {number}"));
     }
     world.run(5 * MS);
@@ -145,38 +145,38 @@
     let vm = &world.vms[&name(actor)];
     let control = vm.control.as_ref().expect("whole VMs");
     let tables = vm.engine.tables();
-    let runs = |text: &str| world.targets.started.contains_key(text);
+    let was_started = |text: &str| world.targets.started.contains_key(text);
     let is_answered = match started {
         Started::Call(call) | Started::Leave(call) => world.answers.contains_key(&call),
         Started::Publication(id) => world.operators.answers.contains_key(&id),
         Started::Join => false,
     };
     let revision = control.engine.tables().in_force.document.revision;
-    let claims = || world.platform.as_ref().unwrap().values.keys().any(|key| is_claim(key));
+    let has_claim = || world.platform.as_ref().unwrap().values.keys().any(|key| is_claim(key));
     match step {
         Step::SearchTaken | Step::PublicationSent | Step::JoinStarted | Step::LeaveAsked => true,
-        Step::SearchSent => tables.legs.len() == SHARDS as usize,
+        Step::SearchSent => tables.legs.len() == SHARD_COUNT as usize,
         Step::SearchWaiting => world.vms.values().any(|vm| {
             let mut jobs = vm.engine.tables().jobs.values();
             jobs.any(|job| job.place.is_some())
         }),
-        Step::SearchRunning => runs(" for one"),
-        Step::SearchReplied => runs(" for one") && !is_running(world),
+        Step::SearchRunning => was_started(" for one"),
+        Step::SearchReplied => was_started(" for one") && !is_running(world),
         Step::SearchMerged | Step::OperationRecorded | Step::PublicationAnswered => is_answered,
         Step::ClaimSent => !world.oracle.tokens.is_empty(),
-        Step::ClaimWritten => claims(),
+        Step::ClaimWritten => has_claim(),
         Step::Granted => !tables.legs.is_empty(),
         Step::OperationSent => world.vms.values().any(|vm| !vm.engine.tables().jobs.is_empty()),
-        Step::OperationRunning => runs("one"),
+        Step::OperationRunning => was_started("one"),
         Step::OperationReplied => world.targets.executions.contains_key("one"),
         Step::PublicationWritten => world.written().len() > 1,
         Step::PublicationSpreading => {
             let last = world.written().last().unwrap().document.revision;
-            let has = |vm: &crate::world::vm::Vm| {
+            let is_in_force = |vm: &crate::world::vm::Vm| {
                 let tables = vm.control.as_ref().unwrap().engine.tables();
                 tables.in_force.document.revision == last
             };
-            world.written().len() > 1 && world.vms.values().any(has)
+            world.written().len() > 1 && world.vms.values().any(is_in_force)
         }
         Step::ListRead => control.engine.tables().targets.read.is_some(),
         Step::DocumentRead => revision.0 > 0,
@@ -199,7 +199,7 @@
     world.targets.rows.values().any(|row| !row.running.is_empty())
 }
 
-/// Whether an answer says that nothing ran, or holds all that was asked.
+/// Returns whether an answer is complete, or a refusal because of quarantine.
 pub fn is_whole(body: &Body) -> bool {
     match body {
         Body::Found(found) => found.missing.is_empty(),
--- a/crates/core/tests/matrix/table.rs
+++ b/crates/core/tests/matrix/table.rs
@@ -1,9 +1,9 @@
-//! The macros that make a case of each cell.
+//! The macros that define a test for each cell.
 
-/// Lists the faults, and defines the macro that makes a case of each at a step.
+/// Lists the faults and defines a macro that creates a test for each at a step.
 macro_rules! faults {
     ($($name:ident $fault:ident;)*) => {
-        /// The names of the rows.
+        /// The names of the faults, the rows of the matrix.
         pub const FAULTS: &[&str] = &[$(stringify!($name)),*];
 
         macro_rules! cells {
@@ -11,7 +11,7 @@
                 $(
                     #[test]
                     fn $name() {
-                        crate::scene::run($step, crate::Fault::$fault);
+                        crate::cell::run_cell($step, crate::Fault::$fault);
                     }
                 )*
             };
@@ -19,11 +19,11 @@
     };
 }
 
-/// Makes a module of each process with a module of each step, which holds a
-/// case of each fault: `search::taken::straggler`.
+/// Creates a module for each process with a module for each step, which contains a test
+/// for each fault: `search::taken::straggler`.
 macro_rules! steps {
     ($($process:ident { $($name:ident $step:ident;)* })*) => {
-        /// The names of the columns by process.
+        /// The names of the steps by process, the columns of the matrix.
         pub const STEPS: &[(&str, &[&str])] =
             &[$((stringify!($process), &[$(stringify!($name)),*])),*];
 
