--- a/crates/core/tests/fuzz/reference.rs
+++ b/crates/core/tests/fuzz/reference.rs
@@ -145,7 +145,11 @@
     }
 
     fn transitions(state: &Reference) -> BoxedStrategy<Step> {
-        let gap = prop_oneof![4 => 0..SHORT_GAP_MICROS, 3 => 0..LONG_GAP_MICROS, 1 => 0..LONGEST_GAP_MICROS];
+        let gap = prop_oneof![
+            4 => 0..SHORT_GAP_MICROS,
+            3 => 0..LONG_GAP_MICROS,
+            1 => 0..LONGEST_GAP_MICROS,
+        ];
         (prop_oneof![3 => any_action(state), 1 => control_action()], gap).boxed()
     }
 
@@ -160,7 +164,13 @@
 
 fn any_action(state: &Reference) -> BoxedStrategy<Action> {
     let operations = state.operations.len();
-    prop_oneof![10 => request_action(operations), 4 => vm_action(), 6 => target_action(), 2 => index_action()].boxed()
+    prop_oneof![
+        10 => request_action(operations),
+        4 => vm_action(),
+        6 => target_action(),
+        2 => index_action(),
+    ]
+    .boxed()
 }
 
 impl Reference {
@@ -204,7 +214,8 @@
     let vm = 0..VM_COUNT;
     let resent = 0..operations.max(1);
     prop_oneof![
-        5 => (vm.clone(), any::<bool>()).prop_map(|(vm, is_full_coverage)| Action::Search { vm, is_full_coverage }),
+        5 => (vm.clone(), any::<bool>())
+            .prop_map(|(vm, is_full_coverage)| Action::Search { vm, is_full_coverage }),
         3 => (vm.clone(), any::<u64>()).prop_map(|(vm, subject)| Action::Operate { vm, subject }),
         3 => (vm.clone(), resent).prop_map(|(vm, operation)| Action::Resend { vm, operation }),
         1 => vm.prop_map(|vm| Action::Poison { vm }),
@@ -219,10 +230,12 @@
     prop_oneof![
         2 => (vm.clone(), any::<bool>()).prop_map(|(vm, noticed)| Action::Kill { vm, noticed }),
         3 => vm.clone().prop_map(|vm| Action::Start { vm }),
-        3 => (vm.clone(), span_millis).prop_map(|(vm, span_millis)| Action::Pause { vm, span_millis }),
+        3 => (vm.clone(), span_millis)
+            .prop_map(|(vm, span_millis)| Action::Pause { vm, span_millis }),
         1 => vm.clone().prop_map(|vm| Action::Leave { vm }),
         3 => pair.clone().prop_map(|(from, to)| Action::Cut { from, to }),
-        1 => (pair, 1..400u64).prop_map(|((from, to), delay_millis)| Action::Slow { from, to, delay_millis }),
+        1 => (pair, 1..400u64)
+            .prop_map(|((from, to), delay_millis)| Action::Slow { from, to, delay_millis }),
         2 => vm.prop_map(|vm| Action::LoseConnections { vm }),
         2 => Just(Action::HealLinks),
     ]
@@ -259,7 +272,8 @@
     prop_oneof![
         2 => Just(Action::NextVersion),
         3 => target.prop_map(Action::LoadVersion),
-        3 => (0..SHARD_COUNT, 0..SHARD_COUNT).prop_map(|(one, two)| Action::Repartition { one, two }),
+        3 => (0..SHARD_COUNT, 0..SHARD_COUNT)
+            .prop_map(|(one, two)| Action::Repartition { one, two }),
     ]
     .boxed()
 }
--- a/crates/http/tests/channel.rs
+++ b/crates/http/tests/channel.rs
@@ -181,7 +181,9 @@
         }
     };
     a_peer_that_ends_under_a_request_is_gone => {
-        for action in [Action::Reset(""), Action::Close(""), Action::Close("HTTP/1.1 200 OK\r\nConte")] {
+        for action in
+            [Action::Reset(""), Action::Close(""), Action::Close("HTTP/1.1 200 OK\r\nConte")]
+        {
             let failure = exchange_once(action).await.unwrap_err();
             assert!(failure.sent && failure.gone, "{action:?}: {failure}");
         }
