--- a/crates/core/src/count.rs
+++ b/crates/core/src/count.rs
@@ -42,7 +42,7 @@
         VersionGone "version_gone";
         /// The target no longer holds the range.
         RangeMoved "range_moved";
-        /// The request could not be handed to the connection.
+        /// The request was not sent on the connection.
         Unsent "unsent";
         /// The connection was lost.
         ConnectionLost "connection_lost";
--- a/crates/core/src/profile.rs
+++ b/crates/core/src/profile.rs
@@ -31,7 +31,7 @@
     pub coverage: u32,
     /// The time within which a request is answered or refused.
     pub deadline: Duration,
-    /// The target for the 99th percentile of the latency; hedging is tuned to it.
+    /// The time within which 99 of 100 answers should be given; hedging aims at it.
     pub tail: Duration,
     /// The allowed hedges and retries, in parts per million of first attempts.
     pub extra_load: u32,
--- a/crates/core/tests/fuzz/reference.rs
+++ b/crates/core/tests/fuzz/reference.rs
@@ -62,7 +62,7 @@
     Silence(Target),
     /// The service time of a target changes.
     Straggle { target: Target, service_millis: u64 },
-    /// A target starts or stops to shed all work.
+    /// A target starts or stops shedding all work.
     Shed { target: Target, sheds: bool },
     /// A target reports that it is leaving.
     Drain(Target),
@@ -76,7 +76,7 @@
     LoadVersion(Target),
     /// Two shards exchange their ranges.
     Repartition { one: u64, two: u64 },
-    /// Claims start or stop to be answered.
+    /// Claims stop or resume being answered.
     Claims { down: bool },
     /// An operator publishes profiles, with or without the VM's revision as the
     /// expected one.
--- a/crates/core/tests/world/targets.rs
+++ b/crates/core/tests/world/targets.rs
@@ -97,11 +97,11 @@
     pub tokens: BTreeMap<Uuid, u32>,
     /// The targets that each text crashed.
     pub crashes: BTreeMap<String, BTreeSet<Name>>,
-    /// The attempts that arrived later than [`LEAVING_LIMIT`] allows.
+    /// The attempts that arrived after [`LEAVING_LIMIT`], as target and time.
     pub late_work: Vec<(Name, Instant)>,
-    /// The targets that had more connections than they accept.
+    /// The targets that had more connections than they accept, with their number.
     pub over_limit: Vec<(Name, usize)>,
-    /// The attempts that arrived after their deadline.
+    /// The attempts that arrived after their deadline, as target and time.
     pub expired: Vec<(Name, Instant)>,
     /// The requests that were lost in the crash of a target because a request that
     /// had already crashed a target ran beside them.
