--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -121,11 +121,11 @@
 
 /// Returns the profiles, with `concurrency` as the limit of each.
 pub fn profiles(concurrency: u32) -> BTreeMap<Name, Profile> {
-    let careful = Profile { canary: true, ..profile(0, concurrency) };
+    let canary = Profile { canary: true, ..profile(0, concurrency) };
     [
         (name(FULL_COVERAGE), profile(1_000_000, concurrency)),
         (name(ANY_COVERAGE), profile(0, concurrency)),
-        (name(CANARY), careful),
+        (name(CANARY), canary),
     ]
     .into()
 }
--- a/crates/core/tests/world/oracle.rs
+++ b/crates/core/tests/world/oracle.rs
@@ -44,7 +44,7 @@
 pub struct Request {
     /// The VM that received it.
     pub vm: Name,
-    /// The start of that VM at which it was received.
+    /// The start of that VM when it received the request.
     pub start: u64,
     pub task: Task,
     /// The time by which it must be answered.
