--- a/crates/core/src/claims/expire.rs
+++ b/crates/core/src/claims/expire.rs
@@ -30,7 +30,7 @@
         let Operation { operation, request, tries, .. } = row;
         out.count(Count::Unsettled);
         let fields = vec![("key", request.key.0.to_string())];
-        out.lines.push(log::Line::of(operation, log::Event::ClaimUnsettled, fields));
+        out.lines.push(log::Line::for_query(operation, log::Event::ClaimUnsettled, fields));
         if tries > 0 {
             intake::add_report(tables, context, request, Outcome::NotRun, out);
         }
--- a/crates/core/src/claims/layout.rs
+++ b/crates/core/src/claims/layout.rs
@@ -28,7 +28,7 @@
 
     /// Returns the bucket of `key`, or `None` if the key holds no time of issue.
     pub fn bucket(&self, key: &Key) -> Option<Bucket> {
-        let slot = self.slot_at(key.issued()?);
+        let slot = self.slot_at(key.issued_millis()?);
         let partition = xxh3_64(key.0.as_bytes()) % u64::from(self.partitions);
         Some(Bucket { slot, partition: partition as u16 })
     }
--- a/crates/core/src/control/system/quarantine.rs
+++ b/crates/core/src/control/system/quarantine.rs
@@ -82,5 +82,5 @@
     tables.gossip.add(Key::Quarantined(fingerprint));
     tables.view_changed = true;
     let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
-    step.out.lines.push(Line::new(Event::RequestCondemned, fields));
+    step.out.lines.push(Line::new(Event::RequestQuarantined, fields));
 }
--- a/crates/core/src/control/system/report.rs
+++ b/crates/core/src/control/system/report.rs
@@ -25,7 +25,7 @@
             let remaining = step.limits.suspect_duration;
             quarantine::record_loss(tables, step, (fingerprint, target, query.origin), remaining);
         }
-        Report::Condemned { fingerprint, origin } => {
+        Report::Quarantined { fingerprint, origin } => {
             let remaining = step.limits.quarantine_duration;
             quarantine::add(tables, step, fingerprint, origin, remaining);
         }
--- a/crates/core/src/relay/feed/role.rs
+++ b/crates/core/src/relay/feed/role.rs
@@ -58,7 +58,7 @@
         ("larger", larger_vms(tables).len().to_string()),
         ("vms", tables.view.vms.len().to_string()),
     ];
-    cx.out.lines.push(Line::new(Event::PartTaken, fields));
+    cx.out.lines.push(Line::new(Event::RoleDecided, fields));
 }
 
 /// Returns the purpose of the call that follows a scan.
--- a/crates/core/src/relay/system/suspect.rs
+++ b/crates/core/src/relay/system/suspect.rs
@@ -63,7 +63,7 @@
         ("targets", targets.unwrap_or_default()),
         ("hold_ms", QUARANTINE_DURATION.as_millis().to_string()),
     ];
-    cx.out.lines.push(Line::new(Event::RequestCondemned, fields));
+    cx.out.lines.push(Line::new(Event::RequestQuarantined, fields));
 }
 
 /// Whether a request is quarantined, by this VM or by another one.
--- a/crates/core/src/traffic/system/connect.rs
+++ b/crates/core/src/traffic/system/connect.rs
@@ -132,7 +132,7 @@
     tables.timers.set(cx.now + cx.limits.status_timeout, Timer::Connection(connection));
     // The limit of the command is longer, so that the timer fires first and
     // silence does not count as a lost connection.
-    out.commands.push(Command::Ask { connection, limit: cx.limits.status_timeout * 2 });
+    out.commands.push(Command::ReadStatus { connection, limit: cx.limits.status_timeout * 2 });
 }
 
 /// Requests the status over every connection of a target and schedules the next
--- a/crates/core/src/traffic/system/dispatch.rs
+++ b/crates/core/src/traffic/system/dispatch.rs
@@ -201,7 +201,7 @@
         return target.in_use == 0;
     }
     // A new target is slow at first, and its latency is not known yet.
-    let max = if target.latency.is_settled() { u32::MAX } else { NEW_TARGET_SLOTS };
+    let max = if target.latency.has_enough_values() { u32::MAX } else { NEW_TARGET_SLOTS };
     target.in_use < cx.policies.slots.limit(&cx.view, name, target).min(max)
 }
 
--- a/crates/core/src/traffic/system/merge.rs
+++ b/crates/core/src/traffic/system/merge.rs
@@ -8,7 +8,7 @@
     key::Range,
     message::{Outcome, Reply},
     notice::Report,
-    profile::WHOLE,
+    profile::WHOLE_PPM,
     target::Row,
     traffic::{
         Context, Outbox, Tables,
@@ -147,7 +147,7 @@
     }
     let detail = "the search was running when targets were lost";
     search.fault = Some(Fault::unknown(Kind::Quarantined, detail));
-    out.reports.push(Report::Condemned { fingerprint, origin: cx.ids.origin() });
+    out.reports.push(Report::Quarantined { fingerprint, origin: cx.ids.origin() });
     Next::Answer
 }
 
@@ -155,7 +155,7 @@
 /// legs would only take slots from queries that can still be answered.
 fn range_failed(search: &Search, coverage: u32) -> Next {
     let reachable = Range::ALL.size() - search.failed_keys.size();
-    let is_enough = reachable * u128::from(WHOLE) >= Range::ALL.size() * u128::from(coverage);
+    let is_enough = reachable * u128::from(WHOLE_PPM) >= Range::ALL.size() * u128::from(coverage);
     if is_enough { Next::Wait } else { Next::Answer }
 }
 
--- a/crates/core/src/traffic/table/index.rs
+++ b/crates/core/src/traffic/table/index.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     key::{Range, Set},
-    message::Held,
+    message::HeldRange,
     name::Name,
     target::Version,
     time::Instant,
@@ -29,7 +29,7 @@
 /// What a shard holds, and the homes that serve it.
 #[derive(Clone, Debug, Default)]
 pub struct Holding {
-    pub ranges: Vec<Held>,
+    pub ranges: Vec<HeldRange>,
     /// The lanes of the homes, in order of preference.
     pub lanes: Vec<Lane>,
     /// The last reported wait for a slot, by profile.
@@ -100,7 +100,7 @@
         let mut plan = Plan { version, parts: Vec::new(), covered: Set::new() };
         for (shard, holding) in &self.shards {
             for held in holding.ranges.iter().filter(|held| held.version == version) {
-                for &range in rest.common(held.range).ranges() {
+                for &range in rest.intersection(held.range).ranges() {
                     plan.parts.push(Part { shard: shard.clone(), range });
                     plan.covered.insert(range);
                     rest.remove(range);
--- a/crates/core/src/traffic/table/shard.rs
+++ b/crates/core/src/traffic/table/shard.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{id, message::Held, name::Name, time::Instant};
+use crate::{id, message::HeldRange, name::Name, time::Instant};
 
 /// By how much a job of priority one advances the virtual time of its profile.
 const STRIDE: u64 = 1 << 20;
@@ -32,7 +32,7 @@
     /// The virtual time of the last queued job of each profile.
     pub tags: BTreeMap<Name, u64>,
     /// The holdings that were last advertised.
-    pub advertised: Vec<Held>,
+    pub advertised: Vec<HeldRange>,
     /// When this thread last queued a leg for the shard.
     pub last_used: Instant,
 }
--- a/crates/core/src/traffic/table/usage.rs
+++ b/crates/core/src/traffic/table/usage.rs
@@ -1,6 +1,6 @@
 //! Use of a profile: its open requests and its retry budget.
 
-use crate::profile::WHOLE;
+use crate::profile::WHOLE_PPM;
 
 /// The use of a profile on this thread.
 #[derive(Clone, Debug, Default)]
@@ -20,14 +20,14 @@
     /// millionths of an extra attempt. At most `max` extra attempts are saved
     /// up.
     pub fn deposit(&mut self, extra_load: u32, max: u32) {
-        let max = u64::from(max) * u64::from(WHOLE);
+        let max = u64::from(max) * u64::from(WHOLE_PPM);
         self.saved_millionths = (self.saved_millionths + u64::from(extra_load)).min(max);
     }
 
     /// Takes one hedge from what first attempts allow. Returns whether the
     /// budget had one.
     pub fn take_hedge(&mut self) -> bool {
-        let rest = self.saved_millionths.checked_sub(u64::from(WHOLE));
+        let rest = self.saved_millionths.checked_sub(u64::from(WHOLE_PPM));
         if let Some(rest) = rest {
             self.saved_millionths = rest;
         }
--- a/crates/core/tests/control/quarantine.rs
+++ b/crates/core/tests/control/quarantine.rs
@@ -59,13 +59,13 @@
     };
     a_condemned_request_is_held_back_everywhere => {
         let mut world = settled(4);
-        world.report(&vm(3), Report::Condemned { fingerprint: CRASHING, origin: Origin(1) });
+        world.report(&vm(3), Report::Quarantined { fingerprint: CRASHING, origin: Origin(1) });
         assert!(world.run_until(SHARE_LIMIT, is_quarantined).is_some());
     };
     a_request_is_let_go_when_its_time_is_up => {
         let mut world = settled(5);
         let limit = world.limits.quarantine_duration;
-        world.report(&vm(3), Report::Condemned { fingerprint: CRASHING, origin: Origin(1) });
+        world.report(&vm(3), Report::Quarantined { fingerprint: CRASHING, origin: Origin(1) });
         world.run_for(limit - Duration::from_secs(1));
         assert!(is_quarantined(&world));
         assert!(world.run_until(Duration::from_secs(5), is_empty).is_some());
@@ -86,7 +86,7 @@
         (0..3).for_each(|number| world.start(&vm(number)));
         world.run_for(Duration::from_secs(3));
         for fingerprint in 0..20 {
-            let report = Report::Condemned { fingerprint: Fingerprint(fingerprint), origin: Origin(1) };
+            let report = Report::Quarantined { fingerprint: Fingerprint(fingerprint), origin: Origin(1) };
             world.report(&vm(0), report);
         }
         world.run_for(SHARE_LIMIT);
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -178,7 +178,7 @@
     the_log_names_the_request_and_its_targets => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
         crash(&mut harness, "/fetch/bad");
-        let line = harness.lines.iter().find(|line| line.event == Event::RequestCondemned).unwrap();
+        let line = harness.lines.iter().find(|line| line.event == Event::RequestQuarantined).unwrap();
         let field = |name| line.fields.iter().find(|(key, _)| *key == name).unwrap().1.clone();
         assert_eq!(field("fingerprint"), fingerprint("/fetch/bad").to_string());
         assert_eq!(field("targets").split(' ').count(), 2);
--- a/crates/core/tests/rules/found.rs
+++ b/crates/core/tests/rules/found.rs
@@ -9,7 +9,7 @@
     traffic::{Body, Call},
 };
 
-use crate::world::{ANY, WHOLE, World, targets::Fault};
+use crate::world::{ANY_COVERAGE, FULL_COVERAGE, World, targets::Fault};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -40,7 +40,7 @@
 fn quarantined_with_legs_that_ran() {
     let mut world = poisoned_world(4, 4);
     for vm in ["vm-1", "vm-2"] {
-        let call = world.search(vm, ANY, POISON);
+        let call = world.search(vm, ANY_COVERAGE, POISON);
         world.run(1100 * MS);
         assert_ne!(refusal(&world, call).1, Ran::No, "through {vm}");
     }
@@ -50,9 +50,9 @@
 /// targets.
 fn copies_in_flight() {
     let mut world = poisoned_world(4, 3);
-    world.search("vm-3", ANY, POISON);
+    world.search("vm-3", ANY_COVERAGE, POISON);
     world.run(Duration::from_micros(1108));
-    world.search("vm-2", ANY, POISON);
+    world.search("vm-2", ANY_COVERAGE, POISON);
     world.run(1100 * MS);
     assert_eq!(crashed_targets(&world), 2);
 }
@@ -64,17 +64,17 @@
     world.shares_suspects = true;
     world.targets.get(1, 0).sheds = true;
     world.targets.get(1, 1).sheds = true;
-    world.search("vm-1", ANY, POISON);
+    world.search("vm-1", ANY_COVERAGE, POISON);
     world.run(1100 * MS);
     assert_eq!(crashed_targets(&world), 1);
     let home = world.home_of(1);
     world.kill_vm(home.as_str());
-    world.forget_vm(home.as_str());
+    world.unlist_vm(home.as_str());
     world.targets.get(1, 0).sheds = false;
     world.targets.get(1, 1).sheds = false;
     let next = world.home_of(1);
     world.run(100 * MS);
-    world.search(next.as_str(), ANY, POISON);
+    world.search(next.as_str(), ANY_COVERAGE, POISON);
     world.run(1100 * MS);
     assert_eq!(crashed_targets(&world), 2);
 }
@@ -84,12 +84,12 @@
 fn lost_twice_counts_twice() {
     let mut world = poisoned_world(3, 1);
     for _ in 0..2 {
-        world.search("vm-1", ANY, POISON);
+        world.search("vm-1", ANY_COVERAGE, POISON);
         world.run(500 * MS);
         world.restart_target(1, 0);
         world.run(1100 * MS);
     }
-    let call = world.search("vm-2", ANY, POISON);
+    let call = world.search("vm-2", ANY_COVERAGE, POISON);
     world.run(1100 * MS);
     assert_eq!(refusal(&world, call).0, Kind::Quarantined);
     assert!(world.targets.get(1, 0).alive);
@@ -99,14 +99,14 @@
 fn home_lost_with_the_reply() {
     let mut world = World::new(3, 1, 2);
     let home = world.home_of(0);
-    let entry = world.stranger_to(0);
-    let call = world.search(entry.as_str(), WHOLE, " for one");
+    let entry = world.other_than_home_of(0);
+    let call = world.search(entry.as_str(), FULL_COVERAGE, " for one");
     world.run(MS);
     for replica in 0..2 {
         world.targets.get(0, replica).status.draining = true;
     }
     world.kill_vm(home.as_str());
-    world.forget_vm(home.as_str());
+    world.unlist_vm(home.as_str());
     world.run(1100 * MS);
     assert!(world.targets.started.contains_key(" for one"));
     assert_ne!(refusal(&world, call).1, Ran::No);
@@ -116,7 +116,7 @@
 fn invalid_replies_ran(fault: Fault) {
     let mut world = World::new(3, 1, 1);
     world.targets.get(0, 0).fault = Some(fault);
-    let call = world.search("vm-1", WHOLE, " for one");
+    let call = world.search("vm-1", FULL_COVERAGE, " for one");
     world.run(3 * MS);
     world.targets.get(0, 0).status.draining = true;
     world.run(1100 * MS);
@@ -132,8 +132,8 @@
     world.pause_vm(home.as_str(), 5000 * MS);
     world.targets.get(1, 0).status.draining = true;
     world.run(4999 * MS);
-    let entry = world.stranger_to(1);
-    world.search(entry.as_str(), WHOLE, " for one");
+    let entry = world.other_than_home_of(1);
+    world.search(entry.as_str(), FULL_COVERAGE, " for one");
     world.run(1100 * MS);
     assert_eq!(world.targets.late_work, []);
 }
@@ -143,9 +143,9 @@
 fn slow_home_drops_the_leg() {
     let mut world = World::new(3, 1, 2);
     let home = world.home_of(0);
-    let entry = world.stranger_to(0);
+    let entry = world.other_than_home_of(0);
     world.pause_vm(home.as_str(), 600 * MS);
-    let call = world.search(entry.as_str(), WHOLE, " for one");
+    let call = world.search(entry.as_str(), FULL_COVERAGE, " for one");
     world.run(1100 * MS);
     assert!(world.found(call).missing.is_empty());
     assert_eq!(world.targets.started[" for one"], 1);
@@ -154,11 +154,11 @@
 /// Seed 23 of the fuzzing with control threads: a home that has just started
 /// knows no targets yet.
 fn search_beside_a_new_home() {
-    let mut world = World::whole(3, 3, 2);
+    let mut world = World::with_control(3, 3, 2);
     let home = world.home_of(1);
-    let entry = world.stranger_to(1);
+    let entry = world.other_than_home_of(1);
     world.replace_vm(home.as_str());
-    let call = world.search(entry.as_str(), WHOLE, " for one");
+    let call = world.search(entry.as_str(), FULL_COVERAGE, " for one");
     world.run(1100 * MS);
     assert!(world.found(call).missing.is_empty());
 }
@@ -166,11 +166,11 @@
 /// Seed 2 of the fuzzing with control threads: a home that was restarted did
 /// not know of the quarantine and crashed a third target.
 fn restarted_home_knows_the_quarantine() {
-    let mut world = World::whole(4, 3, 3);
+    let mut world = World::with_control(4, 3, 3);
     for replica in 0..3 {
         world.targets.get(1, replica).poison = Some(POISON.into());
     }
-    world.search("vm-1", ANY, POISON);
+    world.search("vm-1", ANY_COVERAGE, POISON);
     world.run(2000 * MS);
     assert_eq!(crashed_targets(&world), 2);
     let home = world.home_of(1);
@@ -178,7 +178,7 @@
     world.run(4000 * MS);
     world.replace_vm(home.as_str());
     world.run(1000 * MS);
-    let call = world.search(home.as_str(), ANY, POISON);
+    let call = world.search(home.as_str(), ANY_COVERAGE, POISON);
     world.run(1100 * MS);
     assert_eq!(refusal(&world, call), (Kind::Quarantined, Ran::No));
     assert_eq!(crashed_targets(&world), 2);
@@ -189,7 +189,7 @@
 fn crossed_target_is_connected_again() {
     let mut world = World::new(3, 1, 1);
     world.targets.get(0, 0).fault = Some(Fault::Crossed);
-    world.search("vm-1", ANY, " for one");
+    world.search("vm-1", ANY_COVERAGE, " for one");
     world.run(3000 * MS);
     world.targets.get(0, 0).fault = None;
     assert!(!world.targets.get(0, 0).connections.is_empty());
@@ -202,7 +202,7 @@
     for shard in 0..3 {
         world.targets.get(shard, 0).service = 5000 * MS;
     }
-    let found = world.find("vm-1", WHOLE, "");
+    let found = world.find("vm-1", FULL_COVERAGE, "");
     world.check(&found);
     assert!(found.missing.is_empty());
 }
