Rename items of the platform and the relay that other folders use

The names meant little away from their files or were everyday words. Only identifiers change, with those in the format strings that name a constant.

laburnum_platform::header::ID -> ATTEMPT_ID laburnum_platform::header::PATIENCE -> DEADLINE_MS laburnum_platform::store::MAX_VALUE -> MAX_VALUE_BYTES laburnum_platform::store::MAX_OPEN -> MAX_OPEN_CALLS laburnum_standin::table::Keys::forgotten (method) -> last_discarded laburnumworks::relay::Relay::keep -> log_unreadable_settings laburnumworks::relay::Relay::leave -> shut_down platform/tests/standin/entries.rs: field Document::top -> top_k platform/tests/standin/entries.rs: field Document::least -> min_coverage

--- a/src/cli/relay.rs
+++ b/src/cli/relay.rs
@@ -28,7 +28,7 @@
 fn reload(relay: &relay::Relay, command: &Relay) {
     match value::relay(command.settings.as_deref()) {
         Ok(settings) => relay.reload(settings),
-        Err(report) => relay.keep(report.current_context().to_string()),
+        Err(report) => relay.log_unreadable_settings(report.current_context().to_string()),
     }
 }
 
@@ -52,7 +52,7 @@
                 _ = hangup.recv() => reload(&relay, command),
             }
         }
-        if relay.leave().await {
+        if relay.shut_down().await {
             return Ok(());
         }
         let hint = "raise shutdown.limit_ms above the longest timeout of a route";
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -194,7 +194,7 @@
     }
 
     /// Notes that the settings could not be read again.
-    pub fn keep(&self, detail: String) {
+    pub fn log_unreadable_settings(&self, detail: String) {
         self.shared.log(Event::SettingsUnreadable, vec![("detail", detail)]);
     }
 
@@ -202,7 +202,7 @@
     /// ready, goes on taking requests until the balancer has learnt of it, then
     /// finishes what is open. It returns false if something was still open after
     /// the limit.
-    pub async fn leave(mut self) -> bool {
+    pub async fn shut_down(mut self) -> bool {
         self.shared.log(Event::Leaving, Vec::new());
         self.leaving.send_replace(true);
         let limits = self.latest.borrow().shutdown;
--- a/tests/border/platform.rs
+++ b/tests/border/platform.rs
@@ -6,7 +6,7 @@
     store::{Call, LeaseId, Reply, Version},
     view::State,
 };
-use laburnum_platform::store::MAX_VALUE;
+use laburnum_platform::store::MAX_VALUE_BYTES;
 use laburnumworks::standin::platform::{List, list::Raw};
 use reqwest::StatusCode;
 use serde_json::json;
@@ -74,20 +74,20 @@
     };
     a_value_of_a_megabyte_is_kept => {
         let mut caller = Service::start().caller("vm-1");
-        let value = vec![0xa5; MAX_VALUE];
+        let value = vec![0xa5; MAX_VALUE_BYTES];
         caller.write("a", None, &value).await;
         assert!(caller.read("a").await.unwrap().value == value);
     };
     a_larger_value_is_refused => {
         let mut caller = Service::start().caller("vm-1");
-        let reply = caller.ask(swap("a", None, &vec![0; MAX_VALUE + 1])).await;
+        let reply = caller.ask(swap("a", None, &vec![0; MAX_VALUE_BYTES + 1])).await;
         assert!(is_refused(&reply), "{reply:?}");
         assert_eq!(caller.read("a").await, None);
     };
     a_value_beyond_the_call_size_is_refused_without_a_call => {
         let service = Service::start();
         let mut caller = service.caller("vm-1");
-        let reply = caller.ask(swap("a", None, &vec![0; 4 * MAX_VALUE])).await;
+        let reply = caller.ask(swap("a", None, &vec![0; 4 * MAX_VALUE_BYTES])).await;
         assert!(is_refused(&reply), "{reply:?}");
         assert!(service.calls().await.is_empty());
     };
--- a/tests/border/platform_faults.rs
+++ b/tests/border/platform_faults.rs
@@ -11,7 +11,7 @@
     store::{Call, Reply},
     view::State,
 };
-use laburnum_platform::store::MAX_OPEN;
+use laburnum_platform::store::MAX_OPEN_CALLS;
 use reqwest::StatusCode;
 use serde_json::json;
 
@@ -180,7 +180,7 @@
     calls_beyond_the_open_limit_are_refused_at_once => {
         let service = Service::start();
         let mut caller = service.caller("vm-1");
-        for _ in 0..MAX_OPEN {
+        for _ in 0..MAX_OPEN_CALLS {
             caller.start(watch("a", 0, LONG_MS));
         }
         let last = caller.start(get("a"));
--- a/tests/border/platform_system.rs
+++ b/tests/border/platform_system.rs
@@ -136,7 +136,7 @@
             machine.tables.keys.put(key.clone(), Vec::new(), None);
             machine.tables.keys.remove(&key);
         }
-        let forgotten = machine.tables.keys.forgotten();
+        let forgotten = machine.tables.keys.last_discarded();
         assert!(forgotten > 0);
         assert_eq!(machine.call(watch("k/", 1, 0)), Some(Reply::Outdated));
         let reply = machine.call(watch("k/", 139_998, 0));
--- a/tests/relay/entry.rs
+++ b/tests/relay/entry.rs
@@ -18,8 +18,8 @@
         version,
         search: route,
         shards: &SERVICES[..3],
-        top: 2,
-        least: 0.6,
+        top_k: 2,
+        min_coverage: 0.6,
         operation: route,
         desk: SERVICES[3],
         services: &SERVICES,
@@ -32,7 +32,7 @@
 pub fn caller() -> HeaderMap {
     let mut headers = HeaderMap::new();
     headers.insert(header::HOST, HeaderValue::from_static(HOST));
-    headers.insert(names::ID, HeaderValue::from_static("c1"));
-    headers.insert(names::PATIENCE, HeaderValue::from_static("1000"));
+    headers.insert(names::ATTEMPT_ID, HeaderValue::from_static("c1"));
+    headers.insert(names::DEADLINE_MS, HeaderValue::from_static("1000"));
     headers
 }
--- a/tests/relay/limit.rs
+++ b/tests/relay/limit.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use laburnum_platform::header::{ID, PATIENCE};
+use laburnum_platform::header::{ATTEMPT_ID, DEADLINE_MS};
 use serde_json::Value;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -41,7 +41,7 @@
 
 fn operation(headers: &str, body: usize) -> String {
     format!(
-        "POST /desk/1 HTTP/1.1\r\nHost: {HOST}\r\n{ID}: c1\r\n{PATIENCE}: 1000\r\n\
+        "POST /desk/1 HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: c1\r\n{DEADLINE_MS}: 1000\r\n\
          Content-Length: {body}\r\n{headers}\r\n{}",
         "x".repeat(body)
     )
--- a/tests/relay/path.rs
+++ b/tests/relay/path.rs
@@ -47,7 +47,7 @@
         let response = bed.operate(&relay).await;
         assert_eq!(response.status(), 200);
         assert!(text(&response, &names::DIGEST).starts_with("seal-desk"));
-        assert_eq!(text(&response, &names::ID), "c1");
+        assert_eq!(text(&response, &names::ATTEMPT_ID), "c1");
         assert_eq!(bed.runs("desk"), 1);
     };
     an_operation_that_failed_is_not_run_again => {
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use laburnum_platform::header::{DIGEST, DIGESTS, ID, MISSING, PATIENCE};
+use laburnum_platform::header::{ATTEMPT_ID, DEADLINE_MS, DIGEST, DIGESTS, MISSING};
 use rand::RngExt;
 use tokio::{
     io::AsyncWriteExt,
@@ -129,8 +129,8 @@
         Kind::Poison => ("GET", "/search/poison".to_owned()),
     };
     format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{ID}: {id}\r\n\
-         {PATIENCE}: {PATIENCE_MS}\r\nContent-Length: {length}\r\n\r\n"
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: {id}\r\n\
+         {DEADLINE_MS}: {PATIENCE_MS}\r\nContent-Length: {length}\r\n\r\n"
     )
 }
 
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use laburnum_platform::header::{DIGEST, ID, NOT_RUN, PATIENCE, TARGET};
+use laburnum_platform::header::{ATTEMPT_ID, DEADLINE_MS, DIGEST, NOT_RUN, TARGET};
 use rand::RngExt;
 use tokio::{
     io::AsyncWriteExt,
@@ -176,9 +176,9 @@
     }
 
     fn row(&self, request: &Message) -> Run {
-        let number = request.header(PATIENCE.as_str()).and_then(|text| text.parse().ok());
+        let number = request.header(DEADLINE_MS.as_str()).and_then(|text| text.parse().ok());
         Run {
-            id: request.header(ID.as_str()).unwrap_or_default().to_owned(),
+            id: request.header(ATTEMPT_ID.as_str()).unwrap_or_default().to_owned(),
             target: self.id.clone(),
             place: self.place,
             service: self.service.to_owned(),
@@ -277,19 +277,19 @@
 
 fn reply(id: &str, digest: &str, body: &[u8]) -> Vec<u8> {
     let head = format!(
-        "HTTP/1.1 200 OK\r\n{ID}: {id}\r\n{DIGEST}: {digest}\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\n{DIGEST}: {digest}\r\nContent-Length: {}\r\n\r\n",
         body.len()
     );
     [head.as_bytes(), body].concat()
 }
 
 fn unframed(id: &str, digest: &str, body: &[u8]) -> Vec<u8> {
-    let head = format!("HTTP/1.1 200 OK\r\n{ID}: {id}\r\n{DIGEST}: {digest}\r\n\r\n");
+    let head = format!("HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\n{DIGEST}: {digest}\r\n\r\n");
     [head.as_bytes(), body].concat()
 }
 
 fn failure(id: &str) -> Vec<u8> {
-    let head = format!("HTTP/1.1 500 Failed\r\n{ID}: {id}\r\n{DIGEST}: failed.{id}\r\n");
+    let head = format!("HTTP/1.1 500 Failed\r\n{ATTEMPT_ID}: {id}\r\n{DIGEST}: failed.{id}\r\n");
     format!("{head}Content-Length: 0\r\n\r\n").into_bytes()
 }
 
