Reword the threads and clients of the relay

Constants such as IDLE, CALL and STACK named neither what they bound nor a unit, functions were words of everyday speech (said, note, own, report), and the channel ends that a thread owns were called its seed. Comments spoke of noting, telling and taking. Names now say what is bounded or done, and the comments keep every reason. Behaviour and log texts are unchanged.

Items that only this folder uses: - relay::control::Seed -> Resources, relay::traffic::Seed -> Resources - relay::traffic::report -> log_port_failure - relay::target::Client::forget -> remove - relay::Shared::text -> metrics_text

--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -1,4 +1,4 @@
-//! The control thread: the feed and the client of the store.
+//! The control thread, which runs the feed and the client of the store.
 
 use std::{sync::Arc, time::Duration};
 
@@ -20,16 +20,16 @@
 
 use super::{Shared, datagram::Datagram};
 
-/// The longest sleep when the feed has nothing to do.
-const IDLE: Duration = Duration::from_secs(60);
+/// The longest sleep while no timer of the feed is set.
+const MAX_SLEEP: Duration = Duration::from_secs(60);
 
-/// The time for a call of the store, which answers in milliseconds and in
-/// hundreds of them while it is slow.
-const CALL: Duration = Duration::from_secs(2);
+/// The time limit for a call of the store, which answers within milliseconds, and
+/// within hundreds of them while it is slow.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Times of the feed: a change is in force within a second, a store that is
-/// away is asked about once a second by each VM.
-const LIMITS: Limits = Limits {
+/// The time limits of the feed. A change is in force within a second, and while the
+/// store is unavailable each VM calls it about once a second.
+const FEED_LIMITS: Limits = Limits {
     watch_wait: Duration::from_secs(30),
     watch_gap: Duration::from_millis(500),
     first_pause: Duration::from_millis(150),
@@ -38,30 +38,29 @@
     lapse_grace: Duration::from_millis(2500),
 };
 
-/// The most replies that one step takes.
+/// The largest number of replies that one step takes.
 const MAX_BATCH: usize = 64;
 
-/// What the control thread has for itself.
-pub struct Seed {
-    /// Where views go.
+/// The channel ends that the control thread owns.
+pub struct Resources {
     pub view: watch::Sender<Arc<View>>,
-    /// Where it notes whether the VM takes requests.
+    /// Publishes whether the VM accepts requests.
     pub ready: watch::Sender<bool>,
     /// Whether the VM is leaving.
     pub leaving: watch::Receiver<bool>,
     /// Whether no larger VM is in reach.
     pub alone: watch::Receiver<bool>,
-    /// The requests that the traffic thread holds back.
+    /// The requests that the traffic thread has begun to hold back.
     pub held: mpsc::UnboundedReceiver<Fingerprint>,
 }
 
 /// Runs the control thread until the VM stops.
-pub async fn run(shared: Shared, mut seed: Seed) {
+pub async fn run(shared: Shared, mut resources: Resources) {
     let (replies, mut receiver) = mpsc::unbounded_channel();
     let (store, name) = (shared.settings.store, &shared.settings.vm.name);
-    let mut client: Box<dyn Platform> = Box::new(Client::new(store, name, CALL, replies));
+    let mut client: Box<dyn Platform> = Box::new(Client::new(store, name, CALL_TIMEOUT, replies));
     let vms = shared.settings.retry.vms;
-    let mut feed = Feed::new(LIMITS, Box::new(Format), own(&shared), vms, rand::random());
+    let mut feed = Feed::new(FEED_LIMITS, Box::new(Format), own_vm(&shared), vms, rand::random());
     let mut stop = shared.stop.clone();
     let mut batch = Vec::new();
     let mut progress = Vec::new();
@@ -69,7 +68,7 @@
     let mut datagram = Datagram::open(&shared).await;
     loop {
         let mut out = Outbox::default();
-        feed.set_alone(*seed.alone.borrow_and_update());
+        feed.set_alone(*resources.alone.borrow_and_update());
         let input = Input {
             replies: std::mem::take(&mut batch),
             progress: std::mem::take(&mut progress),
@@ -83,29 +82,29 @@
             datagram.send(to, progress).await;
         }
         if let Some(view) = out.view {
-            seed.view.send_replace(view);
+            resources.view.send_replace(view);
         }
         for line in &out.lines {
             shared.writer.write(line, shared.clock.now());
         }
-        note(&shared, &seed, feed.is_ready());
+        update_ready(&shared, &resources, feed.is_ready());
         let wake = feed.wake();
-        let pause = wake.map_or(IDLE, |at| at.remaining(shared.clock.now()).min(IDLE));
+        let pause = wake.map_or(MAX_SLEEP, |at| at.remaining(shared.clock.now()).min(MAX_SLEEP));
         tokio::select! {
             biased;
             _ = stop.wait_for(|stop| *stop) => return,
-            _ = seed.leaving.changed() => {}
-            Ok(()) = seed.alone.changed() => {}
-            heard = datagram.receive() => progress.extend(heard),
+            _ = resources.leaving.changed() => {}
+            Ok(()) = resources.alone.changed() => {}
+            received = datagram.receive() => progress.extend(received),
             _ = receiver.recv_many(&mut batch, MAX_BATCH) => {}
-            Some(request) = seed.held.recv() => held.push(request),
+            Some(request) = resources.held.recv() => held.push(request),
             () = sleep(pause) => {}
         }
     }
 }
 
-/// The VM as others know it.
-fn own(shared: &Shared) -> OwnVm {
+/// Returns the entry of this VM, as other VMs read it.
+fn own_vm(shared: &Shared) -> OwnVm {
     let settings = &shared.settings;
     let vm = Vm {
         domain: settings.vm.domain.clone(),
@@ -115,11 +114,11 @@
     OwnVm { name: settings.vm.name.clone(), vm }
 }
 
-/// Notes whether the VM takes requests.
-fn note(shared: &Shared, seed: &Seed, is_fed: bool) {
-    let is_ready = is_fed && !*seed.leaving.borrow();
+/// Publishes whether the VM accepts requests, and logs when it begins to.
+fn update_ready(shared: &Shared, resources: &Resources, is_feed_ready: bool) {
+    let is_ready = is_feed_ready && !*resources.leaving.borrow();
     let is_changed =
-        seed.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
+        resources.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
     if is_changed && is_ready {
         shared.log(Event::Ready, Vec::new());
     }
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -1,4 +1,5 @@
-//! The front for callers: requests to inquiries, answers to responses.
+//! The front for callers: passes their requests to the traffic thread and returns
+//! its answers.
 
 use std::{io, net::TcpListener, sync::Arc};
 
@@ -25,8 +26,8 @@
     settings::relay::Settings,
 };
 
-/// The limits of the configuration in force, or those of the settings while
-/// none is known.
+/// The limits of the configuration in force, or those of the settings while no
+/// configuration is known.
 struct Configured {
     settings: watch::Receiver<Arc<Settings>>,
     view: watch::Receiver<Arc<View>>,
@@ -64,21 +65,21 @@
     }
 }
 
-/// Serves callers until the VM shuts down and the open requests have finished.
+/// Serves callers until the VM shuts down and all open requests have finished.
 pub async fn serve(listener: TcpListener, handle: Handle, shared: &Shared) -> io::Result<()> {
     let bound = Configured { settings: shared.latest.clone(), view: shared.view.clone() };
     let port = Port {
         listener,
         bound: Arc::new(bound),
         gate: Box::new(Open),
-        metrics: Arc::new(shared.text()),
+        metrics: Arc::new(shared.metrics_text()),
         ready: shared.ready.clone(),
         shutdown: shared.shutdown.clone(),
     };
     port.serve(Route::new().nest_no_strip("/", Forward { handle })).await
 }
 
-/// Hands every request to the traffic thread.
+/// Passes every request to the traffic thread.
 struct Forward {
     handle: Handle,
 }
@@ -93,7 +94,7 @@
             Ok(caller_request) => self.handle.ask(caller_request).await,
             Err(fault) => Some(Answer::Refused(Refusal { fault, retry: None })),
         };
-        // The thread ends only after the front; without it nothing was run.
+        // The thread ends only after the front; without it, no request was run.
         let answer = answer.unwrap_or_else(|| {
             let fault = Fault::not_run(Kind::NotReady, "this VM is leaving");
             Answer::Refused(Refusal { fault, retry: None })
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -1,7 +1,7 @@
 //! A VM that forwards requests by route: its threads, sockets and clients.
 //!
-//! One control thread keeps the configuration and the list of targets; one
-//! traffic thread serves callers and targets. Neither decides anything; see
+//! One control thread keeps the configuration and the list of targets up to date;
+//! one traffic thread serves callers and calls targets. The decisions are made in
 //! `laburnum_core::relay`.
 
 pub mod control;
@@ -38,46 +38,42 @@
     vm::{Error, meter},
 };
 
-/// The stack of a thread in bytes, which its depth of calls does not need half
-/// of.
-const STACK: usize = 512 << 10;
+/// The stack size of a thread; the deepest chain of calls needs less than half of it.
+const STACK_BYTES: usize = 512 << 10;
 
 /// What the threads of the VM share.
 #[derive(Clone)]
 pub struct Shared {
-    /// The settings of the start.
+    /// The settings at the start.
     pub settings: Arc<Settings>,
-    /// The settings as they were read last.
+    /// The settings as they were last read.
     pub latest: watch::Receiver<Arc<Settings>>,
-    /// The clocks.
     pub clock: System,
-    /// The log.
     pub writer: Writer,
-    /// The metrics.
     pub metrics: Arc<Metrics>,
-    /// What the control thread knows.
+    /// The view that the control thread published last.
     pub view: watch::Receiver<Arc<View>>,
-    /// Whether the VM takes requests.
+    /// Whether the VM accepts requests.
     pub ready: watch::Receiver<bool>,
-    /// Turns true when the VM takes no new connections.
+    /// Becomes true when the VM accepts no further connections.
     pub shutdown: watch::Receiver<bool>,
-    /// Turns true when the threads are to end.
+    /// Becomes true when the threads are to end.
     pub stop: watch::Receiver<bool>,
 }
 
 impl Shared {
-    /// The metrics as text.
-    pub fn text(&self) -> meter::Text {
+    /// Returns the source of the metrics in text form.
+    pub fn metrics_text(&self) -> meter::Text {
         meter::Text { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
     }
 
-    /// Writes a line of the log.
+    /// Writes a line to the log.
     pub fn log(&self, event: Event, fields: Vec<(&'static str, String)>) {
         self.writer.write(&Line::new(event, fields), self.clock.now());
     }
 }
 
-/// The listening sockets.
+/// The listening sockets; the one for metrics may be missing.
 pub struct Listeners {
     callers: TcpListener,
     ready: TcpListener,
@@ -85,7 +81,7 @@
     metrics: Option<TcpListener>,
 }
 
-/// A VM that runs.
+/// A running VM.
 pub struct Relay {
     shared: Shared,
     latest: watch::Sender<Arc<Settings>>,
@@ -97,7 +93,8 @@
     _log: Guard,
 }
 
-/// Starts a VM: binds its addresses, then starts its threads.
+/// Starts a VM: binds its addresses, then starts its threads. An error says which
+/// address or thread failed.
 pub fn start(settings: Settings, output: Output) -> Result<Relay, Report<Error>> {
     let (writer, log) = Writer::new(&settings.log, &settings.vm.name, output);
     let clock = System::start();
@@ -123,7 +120,7 @@
     let (serving_sender, serving) = mpsc::channel(1);
     let (alone_sender, alone) = watch::channel(false);
     let (held_sender, held) = mpsc::unbounded_channel();
-    let control = control::Seed {
+    let control = control::Resources {
         view: view_sender,
         ready: ready_sender,
         leaving: leaving_seen,
@@ -132,20 +129,20 @@
     };
     let (for_control, for_traffic) = (shared.clone(), shared.clone());
     let control = spawn("control", move || control::run(for_control, control))?;
-    let seed = traffic::Seed {
+    let resources = traffic::Resources {
         listeners,
         serving: serving_sender,
         alone: alone_sender,
         held: held_sender,
     };
-    let traffic = spawn("traffic", move || traffic::run(for_traffic, seed))?;
+    let traffic = spawn("traffic", move || traffic::run(for_traffic, resources))?;
     let address = shared.settings.listen.callers.to_string();
     shared.log(Event::Started, vec![("callers", address)]);
     let threads = vec![control, traffic];
     Ok(Relay { shared, latest, serving, leaving, shutdown, stop, threads, _log: log })
 }
 
-/// Runs a task on a thread of its own, where it is made.
+/// Starts a thread that makes a task and runs it.
 fn spawn<T: Future<Output = ()>>(
     name: &str,
     task: impl FnOnce() -> T + Send + 'static,
@@ -153,10 +150,12 @@
     let error = || Error { detail: format!("the {name} thread could not be started") };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.change_context_lazy(error)?;
-    let builder = thread::Builder::new().name(name.to_owned()).stack_size(STACK);
+    let builder = thread::Builder::new().name(name.to_owned()).stack_size(STACK_BYTES);
     builder.spawn(move || runtime.block_on(task())).change_context_lazy(error)
 }
 
+/// Binds the addresses of the settings. A failure to bind the one for metrics is
+/// only logged.
 fn bind(shared: &Shared) -> Result<Listeners, Report<Error>> {
     let listen = &shared.settings.listen;
     let open = |address: SocketAddr| {
@@ -168,7 +167,7 @@
     let metrics = match TcpListener::bind(listen.metrics) {
         Ok(listener) => Some(listener),
         Err(error) => {
-            // Requests are served without a collector.
+            // Requests can be served without metrics.
             let fields =
                 vec![("address", listen.metrics.to_string()), ("detail", error.to_string())];
             shared.log(Event::MetricsUnavailable, fields);
@@ -179,9 +178,9 @@
 }
 
 impl Relay {
-    /// Puts settings in force that were read again, as far as a VM that runs can
-    /// change: limits on callers, the retry budget and how it shuts down. Names,
-    /// addresses and the log hold until the next start.
+    /// Puts settings in force that were read again. Only the limits on callers, the
+    /// retry budget and the times of the shutdown change in a running VM; changes to
+    /// names, addresses and the log need a restart.
     pub fn reload(&self, settings: Settings) {
         let fields = vec![
             ("retry_ratio", settings.retry.ratio.to_string()),
@@ -193,15 +192,14 @@
         self.shared.log(Event::SettingsChanged, fields);
     }
 
-    /// Notes that the settings could not be read again.
+    /// Logs that the settings could not be read again; the earlier ones stay in force.
     pub fn log_unreadable_settings(&self, detail: String) {
         self.shared.log(Event::SettingsUnreadable, vec![("detail", detail)]);
     }
 
-    /// Shuts the VM down without cutting a request: it says that it is not
-    /// ready, goes on taking requests until the balancer has learnt of it, then
-    /// finishes what is open. It returns false if something was still open after
-    /// the limit.
+    /// Shuts the VM down without interrupting a request. The VM reports that it is
+    /// not ready, accepts requests until the balancer has noticed that, then
+    /// finishes the open ones. Returns false if some were still open at the limit.
     pub async fn shut_down(mut self) -> bool {
         self.shared.log(Event::Leaving, Vec::new());
         self.leaving.send_replace(true);
@@ -209,13 +207,13 @@
         sleep(limits.announce).await;
         self.shutdown.send_replace(true);
         let rest = limits.limit.saturating_sub(limits.announce);
-        // Nothing is ever sent; the channel closes with the front.
+        // Nothing is ever sent: the channel closes when the front has finished.
         let is_idle = timeout(rest, self.serving.recv()).await.is_ok();
         let finished = if is_idle { "all" } else { "not all" };
         self.shared.log(Event::Stopped, vec![("finished", finished.to_owned())]);
         self.stop.send_replace(true);
         for thread in self.threads.drain(..) {
-            // A thread that panicked has nothing more to finish.
+            // A thread that panicked has no work left.
             let _ = thread.join();
         }
         is_idle
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -1,4 +1,5 @@
-//! The way to other VMs: frames over h2, as between the VMs of the product.
+//! The connections to other VMs, which carry frames over h2 as those between the
+//! VMs of the product do.
 
 use std::{collections::BTreeMap, io, net::SocketAddr, time::Duration};
 
@@ -8,11 +9,12 @@
 use super::{Listeners, Shared};
 use crate::wire::{self, Body, Dialer, Guard, Key};
 
-/// The frames that wait for the thread; more hold back their senders.
-const MAX_FRAMES: usize = 1024;
+/// The number of frames that may wait for the thread; when it is reached, the
+/// senders have to wait.
+const MAX_WAITING_FRAMES: usize = 1024;
 
-/// Bounds on the connections to other VMs. A VM that answers no ping is found
-/// out within a second and a half.
+/// Returns the limits on connections to other VMs. A VM that does not answer
+/// pings is detected within 1.5 s.
 fn limits() -> wire::Limits {
     wire::Limits {
         queue: 256,
@@ -25,45 +27,44 @@
     }
 }
 
-/// The other VMs.
+/// Sends frames to the other VMs.
 pub struct Peers {
     dialer: Dialer,
     addresses: BTreeMap<Lane, SocketAddr>,
 }
 
-/// What comes from the other VMs.
+/// Receives frames of the other VMs and losses of connections.
 pub struct Inbox {
-    /// What they say.
     pub frames: Receiver<wire::Frame>,
-    /// Connections that were lost.
     pub losses: UnboundedReceiver<wire::Lost>,
 }
 
-/// The lane of a VM, which has one traffic thread.
+/// Returns the lane of a VM; each relay has one traffic thread.
 fn lane(vm: &Name) -> Lane {
     Lane { vm: vm.clone(), thread: 0 }
 }
 
-/// The key of every relay. The port takes the same requests as the callers' one,
-/// so that it is no secret; that a stream is for this VM is checked by its name.
+/// The key of all relays. It is no secret, as the port accepts the same requests
+/// as the one for callers. Whether a stream is meant for this VM is checked by the
+/// VM's name.
 const KEY: &str = "laburnumworks-relay";
 
 fn key() -> Result<Key, wire::key::Error> {
     Key::try_from(KEY)
 }
 
-/// Starts to listen to other VMs.
+/// Starts to listen for other VMs.
 pub fn start(shared: &Shared, listeners: &Listeners) -> io::Result<(Peers, Inbox)> {
     let key = key().map_err(|error| io::Error::other(error.to_string()))?;
     let own = lane(&shared.settings.vm.name);
     let guard = Guard { own: own.clone(), keys: vec![key.digest()], limits: limits() };
     let listener = listeners.peers.try_clone()?;
-    let (frames, frame_receiver) = channel(MAX_FRAMES);
+    let (frames, frame_receiver) = channel(MAX_WAITING_FRAMES);
     let (losses, loss_receiver) = unbounded_channel();
     let log = shared.clone();
     tokio::spawn(async move {
         let ended = wire::listen(listener, guard, frames).await;
-        super::traffic::report(&log, "peers", ended);
+        super::traffic::log_port_failure(&log, "peers", ended);
     });
     let dialer = Dialer::new(own, rand::random(), key, limits(), losses);
     let peers = Peers { dialer, addresses: BTreeMap::new() };
@@ -71,7 +72,7 @@
 }
 
 impl Peers {
-    /// Says something to another VM.
+    /// Sends a message to another VM, which listens at `address`.
     pub fn send(&mut self, to: &Name, address: SocketAddr, hop: Hop) {
         let lane = lane(to);
         if self.addresses.get(&lane) != Some(&address) {
--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -15,7 +15,8 @@
     probe::{self, Probe},
 };
 
-/// The limits on those who probe: few connections with small requests.
+/// The limits on probes and the collector, which need few connections and send
+/// small requests.
 const LIMITS: Limits = Limits {
     header_size: 8 << 10,
     header_read: Duration::from_secs(2),
@@ -32,7 +33,7 @@
 
 /// Serves the collector of metrics until the VM stops.
 pub async fn metrics(listener: TcpListener, shared: &Shared) -> io::Result<()> {
-    let probe = Probe { ready: shared.ready.clone(), metrics: Arc::new(shared.text()) };
+    let probe = Probe { ready: shared.ready.clone(), metrics: Arc::new(shared.metrics_text()) };
     port(listener, shared).serve(probe::routes(Route::new(), probe)).await
 }
 
@@ -44,7 +45,7 @@
             body: body::Limits { size: 1024, read: LIMITS.header_read },
         }),
         gate: Box::new(Open),
-        metrics: Arc::new(shared.text()),
+        metrics: Arc::new(shared.metrics_text()),
         ready: shared.ready.clone(),
         shutdown: shared.stop.clone(),
     }
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -1,4 +1,4 @@
-//! The client of the targets: one task for each connection.
+//! The client of the targets, which runs one task for each connection.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -10,16 +10,17 @@
     time::sleep,
 };
 
-/// Limits on a connection to a target. A target in reach accepts within a few
+/// The limits on a connection to a target. A target in reach accepts within a few
 /// milliseconds.
 const LIMITS: Limits =
     Limits { connect: Duration::from_millis(400), silence: Duration::from_secs(1), body: 16 << 20 };
 
-/// How long before the target would close an idle connection it is closed here.
-const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// How long before the target's own time limit an idle connection is closed, so
+/// that no request is sent on a connection that the target is closing.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
 
-/// The time that a connection is kept idle if the target states none.
-const IDLE: Duration = Duration::from_secs(60);
+/// The time for which an idle connection is kept if the target states none.
+const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(60);
 
 /// A request that waits for its connection.
 type Task = (Attempt, TargetRequest);
@@ -36,7 +37,7 @@
         Client { events, connections: BTreeMap::new() }
     }
 
-    /// Starts to carry out a command.
+    /// Starts to execute a command.
     pub fn command(&mut self, command: Command) {
         match command {
             Command::Open { connection, address } => {
@@ -48,32 +49,34 @@
             Command::Send { connection, attempt, target_request } => {
                 let sender = self.connections.get(&connection);
                 if sender.is_none_or(|sender| sender.send((attempt, target_request)).is_err()) {
-                    // Its task has reported the end or is about to.
+                    // The connection's task has reported its end or is about to.
                     self.connections.remove(&connection);
                 }
             }
             Command::Close { connection } => {
                 self.connections.remove(&connection);
             }
-            // Other VMs are no targets.
+            // Messages to other VMs are not for this client.
             Command::Hop { .. } => {}
         }
     }
 
-    /// Forgets a connection that reported its end.
-    pub fn forget(&mut self, connection: Connection) {
+    /// Removes a connection that reported its end.
+    pub fn remove(&mut self, connection: Connection) {
         self.connections.remove(&connection);
     }
 }
 
 /// Why a connection ends.
 enum End {
-    /// It was closed by a command.
-    Ordered,
-    /// It can be used no more.
+    /// The client closes it: a command said so, or it is not reusable.
+    Closed,
+    /// It failed, the target closed it, or it was idle for too long.
     Lost(Loss),
 }
 
+/// Returns the end of a connection that fails during a request; `sent` says whether
+/// the target may have received some of the request.
 fn lost(sent: bool, detail: impl Into<String>) -> End {
     End::Lost(Loss { sent, idle: false, gone: false, detail: detail.into() })
 }
@@ -85,11 +88,12 @@
     }
 }
 
-fn ended(detail: impl Into<String>) -> End {
+/// Returns the end of an idle connection.
+fn idle(detail: impl Into<String>) -> End {
     End::Lost(Loss { sent: false, idle: true, gone: false, detail: detail.into() })
 }
 
-/// One connection with its tasks.
+/// One connection with the requests that wait for it.
 struct Link {
     connection: Connection,
     events: UnboundedSender<Event>,
@@ -97,6 +101,7 @@
 }
 
 impl Link {
+    /// Opens the connection, serves it and reports its loss.
     async fn run(mut self, address: SocketAddr) {
         let end = match Channel::open(address, LIMITS).await {
             Ok(channel) => self.serve(channel).await,
@@ -107,43 +112,45 @@
         }
     }
 
+    /// Sends the requests one after the other until the connection ends.
     async fn serve(&mut self, mut channel: Channel) -> End {
         self.report(Event::Opened { connection: self.connection });
-        let mut idle = IDLE;
+        let mut keep_alive = DEFAULT_KEEP_ALIVE;
         loop {
             let task = tokio::select! {
                 biased;
                 task = self.tasks.recv() => task,
-                detail = channel.end() => return ended(detail),
-                () = sleep(idle) => return ended("idle for too long"),
+                detail = channel.end() => return idle(detail),
+                () = sleep(keep_alive) => return idle("idle for too long"),
             };
-            let Some((attempt, order)) = task else { return End::Ordered };
-            match self.exchange(&mut channel, attempt, &order).await {
-                Ok(keep) => idle = keep,
+            let Some((attempt, target_request)) = task else { return End::Closed };
+            match self.exchange(&mut channel, attempt, &target_request).await {
+                Ok(next) => keep_alive = next,
                 Err(end) => return end,
             }
         }
     }
 
-    /// Carries one request and returns the time that the connection may be idle
-    /// after it.
+    /// Sends one request, reports its reply and returns the time for which the
+    /// connection may then be idle.
     async fn exchange(
         &mut self,
         channel: &mut Channel,
         attempt: Attempt,
-        order: &TargetRequest,
+        target_request: &TargetRequest,
     ) -> Result<Duration, End> {
-        let request =
-            wire::write(order).map_err(|error| lost(false, format!("request: {error}")))?;
+        let request = wire::write(target_request)
+            .map_err(|error| lost(false, format!("request: {error}")))?;
         let outcome = tokio::select! {
             biased;
             outcome = channel.exchange(request) => outcome,
-            // Nothing is sent while a request is under way: the client is gone.
-            _ = self.tasks.recv() => return Err(End::Ordered),
+            // No request is queued while one is in flight: the client has closed the
+            // connection.
+            _ = self.tasks.recv() => return Err(End::Closed),
         };
         let whole = outcome.map_err(End::from)?;
-        let keep = wire::keep_alive(&whole.response).unwrap_or(IDLE);
-        let reply = match wire::read(order, whole) {
+        let keep_alive = wire::keep_alive(&whole.response).unwrap_or(DEFAULT_KEEP_ALIVE);
+        let reply = match wire::read(target_request, whole) {
             Ok(reply) => reply,
             Err(wire::Error::Crossed) => return Err(lost(true, "reply to another request")),
             Err(wire::Error::Encoded) => return Err(lost(true, "reply with an encoded body")),
@@ -151,11 +158,11 @@
         let reusable = reply.reusable;
         let connection = self.connection;
         self.report(Event::Replied { connection, attempt, reply: Box::new(reply) });
-        if reusable { Ok(keep.saturating_sub(IDLE_MARGIN)) } else { Err(End::Ordered) }
+        if reusable { Ok(keep_alive.saturating_sub(KEEP_ALIVE_MARGIN)) } else { Err(End::Closed) }
     }
 
     fn report(&self, event: Event) {
-        // The receiver is gone only when the thread is ending.
+        // The receiver is dropped only when the thread ends.
         let _ = self.events.send(event);
     }
 }
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -1,4 +1,5 @@
-//! The traffic thread: the engine, the front and the client of the targets.
+//! The traffic thread, which runs the engine, the front for callers and the client
+//! of the targets.
 
 use std::{sync::Arc, time::Duration};
 
@@ -28,34 +29,33 @@
     wire::{self, Body},
 };
 
-/// The longest sleep when the engine has nothing to do.
-const IDLE: Duration = Duration::from_secs(60);
+/// The longest sleep while no timer of the engine is set.
+const MAX_SLEEP: Duration = Duration::from_secs(60);
 
-/// The most events that one step takes.
+/// The largest number of events, and of inputs, that one tick takes.
 const MAX_BATCH: usize = 1024;
 
-/// What the traffic thread has for itself.
-pub struct Seed {
-    /// The sockets.
+/// The sockets and channel ends that the traffic thread owns.
+pub struct Resources {
     pub listeners: Listeners,
-    /// Dropped when the front has answered all that it took.
+    /// Dropped when the front has answered all requests that it accepted.
     pub serving: mpsc::Sender<()>,
-    /// Where it notes whether no larger VM is in reach.
+    /// Publishes whether no larger VM is in reach.
     pub alone: watch::Sender<bool>,
-    /// Where it tells of requests that it holds back.
+    /// Reports the requests that the thread holds back from then on.
     pub held: mpsc::UnboundedSender<Fingerprint>,
 }
 
 /// Runs the traffic thread until the VM stops.
-pub async fn run(shared: Shared, seed: Seed) {
+pub async fn run(shared: Shared, resources: Resources) {
     let (inputs, input_receiver) = unbounded_channel();
     let (events, event_receiver) = unbounded_channel();
-    let (peers, peer_inbox) = match peer::start(&shared, &seed.listeners) {
+    let (peers, peer_inbox) = match peer::start(&shared, &resources.listeners) {
         Ok(started) => started,
-        Err(error) => return report(&shared, "peers", Err(error)),
+        Err(error) => return log_port_failure(&shared, "peers", Err(error)),
     };
-    let (alone, held) = (seed.alone.clone(), seed.held.clone());
-    serve(&shared, seed, Handle::new(inputs));
+    let (alone, held) = (resources.alone.clone(), resources.held.clone());
+    serve_ports(&shared, resources, Handle::new(inputs));
     let engine = Engine::new(limits(&shared.settings), Policies::default(), rand::random());
     let targets = Client::new(events);
     let waiting = Waiting::default();
@@ -82,39 +82,39 @@
     }
 }
 
-/// Starts the ports.
-fn serve(shared: &Shared, seed: Seed, handle: Handle) {
-    let Seed { listeners, serving, .. } = seed;
+/// Starts to serve callers, probes and the collector of metrics.
+fn serve_ports(shared: &Shared, resources: Resources, handle: Handle) {
+    let Resources { listeners, serving, .. } = resources;
     let Listeners { callers, ready, metrics, .. } = listeners;
     let own = shared.clone();
     tokio::spawn(async move {
         let ended = front::serve(callers, handle, &own).await;
         drop(serving);
-        report(&own, "callers", ended);
+        log_port_failure(&own, "callers", ended);
     });
     let own = shared.clone();
     tokio::spawn(async move {
         let ended = probe::ready(ready, &own).await;
-        report(&own, "ready", ended);
+        log_port_failure(&own, "ready", ended);
     });
     if let Some(metrics) = metrics {
         let own = shared.clone();
         tokio::spawn(async move {
             let ended = probe::metrics(metrics, &own).await;
-            report(&own, "metrics", ended);
+            log_port_failure(&own, "metrics", ended);
         });
     }
 }
 
-/// Logs that a port could not be served.
-pub fn report(shared: &Shared, port: &str, ended: std::io::Result<()>) {
+/// Logs the error with which the service of a port ended, if it did.
+pub fn log_port_failure(shared: &Shared, port: &str, ended: std::io::Result<()>) {
     if let Err(error) = ended {
         let fields = vec![("port", port.to_owned()), ("detail", error.to_string())];
         shared.log(laburnum_core::log::Event::PortFailed, fields);
     }
 }
 
-/// The receiving ends of the channels of the thread.
+/// The receiving ends of the thread's channels.
 struct Inbox {
     inputs: UnboundedReceiver<Input>,
     events: UnboundedReceiver<Event>,
@@ -124,6 +124,7 @@
     stop: watch::Receiver<bool>,
 }
 
+/// The state of the thread.
 struct Thread {
     engine: Engine,
     targets: Client,
@@ -135,14 +136,15 @@
 }
 
 impl Thread {
-    /// Waits for an event or the earliest timer, takes every event that is
-    /// ready, runs one step and carries out what it left.
+    /// Waits for an event or the earliest timer, takes every event that is ready
+    /// and runs one tick, until the VM stops.
     async fn run(mut self, mut inbox: Inbox) {
         let mut inputs = Vec::new();
         let mut events = Vec::new();
         loop {
             let wake = self.engine.wake();
-            let pause = wake.map_or(IDLE, |at| at.remaining(self.shared.clock.now()).min(IDLE));
+            let pause =
+                wake.map_or(MAX_SLEEP, |at| at.remaining(self.shared.clock.now()).min(MAX_SLEEP));
             tokio::select! {
                 biased;
                 _ = inbox.stop.wait_for(|stop| *stop) => return,
@@ -156,7 +158,7 @@
                 Ok(()) = inbox.settings.changed() => {
                     self.engine.set_limits(limits(&inbox.settings.borrow_and_update()));
                 }
-                Some(frame) = inbox.peers.frames.recv() => events.extend(said(frame)),
+                Some(frame) = inbox.peers.frames.recv() => events.extend(hop_event(frame)),
                 Some(lost) = inbox.peers.losses.recv() => {
                     events.push(Event::HopLost { to: lost.to.vm, detail: lost.detail, maybe_received: lost.taken });
                 }
@@ -170,10 +172,11 @@
         }
     }
 
+    /// Runs one step of the engine over the inputs and events.
     fn tick(&mut self, inputs: &mut Vec<Input>, events: &mut Vec<Event>) {
         for event in events.iter() {
             if let Event::Closed { connection, .. } = event {
-                self.targets.forget(*connection);
+                self.targets.remove(*connection);
             }
         }
         let mut batch = std::mem::take(events);
@@ -186,6 +189,7 @@
         self.alone.send_if_modified(|alone| std::mem::replace(alone, is_alone) != is_alone);
     }
 
+    /// Passes the output of a step on to its receivers.
     fn flush(&mut self, out: Outbox) {
         for command in out.commands {
             match command {
@@ -199,7 +203,7 @@
             self.waiting.answer(call, answer);
         }
         for request in out.held {
-            // The control thread is gone only when the VM is ending.
+            // The receiver is dropped only when the VM stops.
             let _ = self.held.send(request);
         }
         let now = self.shared.clock.now();
@@ -210,8 +214,8 @@
     }
 }
 
-/// What another VM says, if it is of this kind.
-fn said(frame: wire::Frame) -> Option<Event> {
+/// Returns the event for a frame of another VM; the relay ignores other frames.
+fn hop_event(frame: wire::Frame) -> Option<Event> {
     match frame.body {
         Body::Relay(hop) => Some(Event::Hop { from: frame.from.vm, hop: *hop }),
         Body::Traffic(_) | Body::Control(_) => None,
