--- a/tests/relay/entry.rs
+++ b/tests/relay/entry.rs
@@ -1,4 +1,4 @@
-//! What the store of the bed holds, and what its callers send.
+//! The configuration in the store of the harness, and the headers of its callers.
 
 use std::time::Duration;
 
@@ -8,10 +8,10 @@
 
 use crate::standin::entries::{Document, HOST, Route};
 
-/// The services of the bed.
+/// The services of the harness: three shards and the service of the operation.
 pub const SERVICES: [&str; 4] = ["one", "two", "three", "desk"];
 
-/// The configuration: a search over three shards and an operation.
+/// Returns a configuration with a search over three shards and an operation.
 pub fn config(version: u64) -> Value {
     let route = Route { timeout: Duration::from_secs(2), goal: Duration::from_millis(400) };
     let document = Document {
@@ -28,7 +28,7 @@
     document.write()
 }
 
-/// The headers of a caller that waits a second.
+/// Returns the headers of a caller that waits for a second.
 pub fn caller() -> HeaderMap {
     let mut headers = HeaderMap::new();
     headers.insert(header::HOST, HeaderValue::from_static(HOST));
--- a/tests/relay/bed.rs
+++ b/tests/relay/harness.rs
@@ -1,4 +1,4 @@
-//! A store, targets and relays that are ready to serve.
+//! A harness with a store, targets and relays that are ready to serve.
 
 use std::{collections::BTreeMap, fs, net::SocketAddr, path::PathBuf, time::Duration};
 
@@ -18,7 +18,7 @@
     store::Store,
 };
 
-/// A relay that runs as a process.
+/// A relay that runs as a process of its own.
 pub struct Relay {
     child: Child,
     file: PathBuf,
@@ -28,25 +28,25 @@
 }
 
 impl Relay {
-    /// Asks the process to end.
+    /// Sends the process a signal to terminate.
     pub fn terminate(&self) {
         self.child.signal(Signal::TERM);
     }
 
-    /// Changes the settings and tells the process.
+    /// Changes the file of the settings and signals the process to read it.
     pub fn reload(&self, change: impl FnOnce(String) -> String) {
         let text = fs::read_to_string(&self.file).unwrap();
         fs::write(&self.file, change(text)).unwrap();
         self.child.signal(Signal::HUP);
     }
 
-    /// Waits until the log has a line of an event.
+    /// Waits until the log has a line of an event and returns the line.
     pub async fn logged(&self, event: u16) -> String {
         let log = self.file.with_extension("log");
-        let mark = format!("\"event\":{event},");
+        let pattern = format!("\"event\":{event},");
         for _ in 0..200 {
             let text = fs::read_to_string(&log).unwrap();
-            if let Some(line) = text.lines().find(|line| line.contains(&mark)) {
+            if let Some(line) = text.lines().find(|line| line.contains(&pattern)) {
                 return line.to_owned();
             }
             sleep(Duration::from_millis(20)).await;
@@ -54,23 +54,24 @@
         panic!("event {event} is not logged");
     }
 
-    /// Waits for the end of the process and returns whether it was orderly.
-    pub async fn ended(&mut self) -> bool {
+    /// Waits until the process ends and returns whether it exited successfully.
+    pub async fn exits_successfully(&mut self) -> bool {
         self.child.exit(Duration::from_secs(10)).await.success()
     }
 }
 
-/// A store with two targets for each of three shards and of one service.
-pub struct Bed {
+/// A store with two targets for each of three shards and for the service of an
+/// operation.
+pub struct Harness {
     pub store: Store,
     pub targets: BTreeMap<String, Target>,
     folder: TempDir,
     client: reqwest::Client,
 }
 
-impl Bed {
+impl Harness {
     /// Starts the store and the targets.
-    pub async fn start() -> Bed {
+    pub async fn start() -> Harness {
         let store = Store::start();
         let mut targets = BTreeMap::new();
         for (service, fill) in SERVICES.iter().zip(1u8..) {
@@ -85,7 +86,7 @@
         store.put(CONFIG, &entry::config(3)).await;
         let folder = TempDir::new().unwrap();
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
-        Bed { store, targets, folder, client }
+        Harness { store, targets, folder, client }
     }
 
     /// Starts a relay with a number of cores and waits until it is ready.
@@ -103,7 +104,8 @@
         relay
     }
 
-    /// What the relay answers to a probe, if it does.
+    /// Returns whether the relay answers a probe that it is ready, or none if it does
+    /// not answer.
     pub async fn is_ready(&self, relay: &Relay) -> Option<bool> {
         let url = format!("http://{}{READY_PATH}", relay.ready);
         let response = self.client.get(url).send().await.ok()?;
@@ -111,36 +113,36 @@
     }
 
     /// Sends a request of a caller.
-    pub async fn ask(&self, relay: &Relay, method: reqwest::Method, path: &str) -> Response {
+    pub async fn send(&self, relay: &Relay, method: reqwest::Method, path: &str) -> Response {
         let url = format!("http://{}{path}", relay.callers);
         let request = self.client.request(method, url).headers(entry::caller());
         request.send().await.unwrap()
     }
 
-    /// Searches all shards.
+    /// Sends a search over all shards.
     pub async fn search(&self, relay: &Relay) -> Response {
-        self.ask(relay, reqwest::Method::GET, "/search/1").await
+        self.send(relay, reqwest::Method::GET, "/search/1").await
     }
 
-    /// Runs an operation.
+    /// Sends an operation.
     pub async fn operate(&self, relay: &Relay) -> Response {
-        self.ask(relay, reqwest::Method::POST, "/desk/1").await
+        self.send(relay, reqwest::Method::POST, "/desk/1").await
     }
 
-    /// The text of the metrics of a relay.
+    /// Returns the metrics of a relay as text.
     pub async fn metrics(&self, relay: &Relay) -> String {
         let url = format!("http://{}/metrics", relay.metrics);
         self.client.get(url).send().await.unwrap().text().await.unwrap()
     }
 
-    /// The runs of all targets of a service.
+    /// Returns the number of requests that the targets of a service ran.
     pub fn runs(&self, service: &str) -> u64 {
         let targets = self.targets.iter().filter(|(id, _)| id.starts_with(service));
         targets.map(|(_, target)| target.runs()).sum()
     }
 }
 
-/// The settings of a relay that listens on these addresses.
+/// Returns the settings of a relay that listens on these addresses.
 pub fn settings(name: &str, cores: f64, address: &[SocketAddr], store: SocketAddr) -> String {
     let [callers, ready, metrics, peers] = address else { panic!("four addresses") };
     format!(
--- a/tests/relay/limit.rs
+++ b/tests/relay/limit.rs
@@ -1,4 +1,4 @@
-//! The limits on callers are those of the configuration in force.
+//! Tests that the limits on callers are those of the configuration in force.
 
 use std::{
     net::SocketAddr,
@@ -14,23 +14,23 @@
 };
 
 use crate::{
-    bed::{Bed, Relay},
     entry::config,
+    harness::{Harness, Relay},
     standin::entries::{CONFIG, HOST},
 };
 
-/// The time within which a change is in force.
-const CHANGE: Duration = Duration::from_millis(1000);
+/// The time within which a change of the configuration is in force.
+const CHANGE_TIME: Duration = Duration::from_millis(1000);
 
-/// A bed whose configuration has a limit changed.
-async fn changed(bed: &Bed, version: u64, field: &str, value: u64) {
+/// Writes a configuration with one limit changed and waits until it is in force.
+async fn change_limit(harness: &Harness, version: u64, field: &str, value: u64) {
     let mut config = config(version);
     config["limits"][field] = Value::from(value);
-    bed.store.put(CONFIG, &config).await;
-    sleep(CHANGE).await;
+    harness.store.put(CONFIG, &config).await;
+    sleep(CHANGE_TIME).await;
 }
 
-/// Sends bytes on a connection of their own and returns the status.
+/// Sends the bytes of a request on a new connection and returns the status.
 async fn status(relay: &Relay, request: &str) -> u16 {
     let mut socket = TcpStream::connect(relay.callers).await.unwrap();
     socket.write_all(request.as_bytes()).await.unwrap();
@@ -39,6 +39,7 @@
     String::from_utf8_lossy(&head[9..]).parse().unwrap()
 }
 
+/// Returns the bytes of an operation with a body of `body` bytes.
 fn operation(headers: &str, body: usize) -> String {
     format!(
         "POST /desk/1 HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: c1\r\n{DEADLINE_MS}: 1000\r\n\
@@ -47,8 +48,9 @@
     )
 }
 
-/// The time after which an idle connection is closed, if it is within a limit.
-async fn idle(address: SocketAddr, limit: Duration) -> Option<Duration> {
+/// Returns the time after which an idle connection is closed, if that is within
+/// `limit`.
+async fn idle_time(address: SocketAddr, limit: Duration) -> Option<Duration> {
     let mut socket = TcpStream::connect(address).await.unwrap();
     let since = Instant::now();
     let closed = timeout(limit, socket.read(&mut [0; 64])).await;
@@ -58,41 +60,41 @@
 cases! {
     async:
     the_limit_on_bodies_changes_with_the_configuration => {
-        let bed = Bed::start().await;
-        let relay = bed.relay("vm-1", 1.0).await;
+        let harness = Harness::start().await;
+        let relay = harness.relay("vm-1", 1.0).await;
         assert_eq!(status(&relay, &operation("", 200)).await, 200);
-        changed(&bed, 9, "max_body_bytes", 100).await;
+        change_limit(&harness, 9, "max_body_bytes", 100).await;
         assert_eq!(status(&relay, &operation("", 100)).await, 200);
         assert_eq!(status(&relay, &operation("", 101)).await, 413);
-        changed(&bed, 10, "max_body_bytes", 200).await;
+        change_limit(&harness, 10, "max_body_bytes", 200).await;
         assert_eq!(status(&relay, &operation("", 200)).await, 200);
-        assert_eq!(bed.runs("desk"), 3);
+        assert_eq!(harness.runs("desk"), 3);
     };
     a_body_over_the_default_size_is_taken_if_the_configuration_allows_it => {
-        let bed = Bed::start().await;
-        let relay = bed.relay("vm-1", 1.0).await;
-        changed(&bed, 9, "max_body_bytes", 3 << 20).await;
+        let harness = Harness::start().await;
+        let relay = harness.relay("vm-1", 1.0).await;
+        change_limit(&harness, 9, "max_body_bytes", 3 << 20).await;
         assert_eq!(status(&relay, &operation("", 2 << 20)).await, 200);
     };
     the_limit_on_heads_changes_with_the_configuration => {
-        let bed = Bed::start().await;
-        let relay = bed.relay("vm-1", 1.0).await;
+        let harness = Harness::start().await;
+        let relay = harness.relay("vm-1", 1.0).await;
         let long = format!("X-Long: {}\r\n", "x".repeat(2000));
         assert_eq!(status(&relay, &operation(&long, 0)).await, 200);
-        changed(&bed, 9, "max_header_bytes", 1024).await;
+        change_limit(&harness, 9, "max_header_bytes", 1024).await;
         assert_eq!(status(&relay, &operation("", 0)).await, 200);
         assert_eq!(status(&relay, &operation(&long, 0)).await, 413);
     };
     an_idle_connection_is_closed_at_the_limit_of_the_configuration => {
-        let bed = Bed::start().await;
-        let relay = bed.relay("vm-1", 1.0).await;
-        changed(&bed, 9, "idle_timeout_ms", 700).await;
-        let closed = idle(relay.callers, Duration::from_secs(3)).await.expect("it is closed");
+        let harness = Harness::start().await;
+        let relay = harness.relay("vm-1", 1.0).await;
+        change_limit(&harness, 9, "idle_timeout_ms", 700).await;
+        let closed = idle_time(relay.callers, Duration::from_secs(3)).await.expect("the connection was not closed");
         assert!(closed >= Duration::from_millis(650), "{closed:?}");
     };
     the_time_for_a_body_changes_with_the_settings => {
-        let bed = Bed::start().await;
-        let relay = bed.relay("vm-1", 1.0).await;
+        let harness = Harness::start().await;
+        let relay = harness.relay("vm-1", 1.0).await;
         relay.reload(|text| format!("{text}[callers]\nbody_read_ms = 300\n"));
         relay.logged(107).await;
         let since = Instant::now();
@@ -102,17 +104,17 @@
         assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
     };
     settings_that_cannot_be_read_change_nothing => {
-        let bed = Bed::start().await;
-        let relay = bed.relay("vm-1", 1.0).await;
+        let harness = Harness::start().await;
+        let relay = harness.relay("vm-1", 1.0).await;
         relay.reload(|text| text.replace("ratio = 0.2", "ratio = \"much\""));
         let line = relay.logged(108).await;
         assert!(line.contains("retry.ratio"), "{line}");
-        assert_eq!(bed.search(&relay).await.status(), 200);
+        assert_eq!(harness.search(&relay).await.status(), 200);
     };
     a_head_that_does_not_arrive_is_answered_at_the_limit_of_the_configuration => {
-        let bed = Bed::start().await;
-        let relay = bed.relay("vm-1", 1.0).await;
-        changed(&bed, 9, "header_timeout_ms", 500).await;
+        let harness = Harness::start().await;
+        let relay = harness.relay("vm-1", 1.0).await;
+        change_limit(&harness, 9, "header_timeout_ms", 500).await;
         let since = Instant::now();
         assert_eq!(status(&relay, "GET /search/1 HTTP/1.1\r\n").await, 408);
         let waited = since.elapsed();
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -1,10 +1,10 @@
-//! The relay as a process of its own, against a store and targets that speak
-//! the platform's protocol.
+//! Tests of the relay as a process of its own, against a store and targets that
+//! speak the platform's protocol.
 
 #[macro_use]
 #[path = "../common/case.rs"]
 mod case;
-mod bed;
+mod harness;
 mod entry;
 #[path = "../process/child.rs"]
 mod child;
--- a/tests/relay/settings.rs
+++ b/tests/relay/settings.rs
@@ -1,23 +1,24 @@
-//! The settings of a relay, and the errors in them.
+//! Tests of the settings of a relay and of the errors in them.
 
 use std::path::Path;
 
 use laburnumworks::settings::{Source, relay::Settings};
 
-use crate::bed;
+use crate::harness;
 
+/// Returns valid settings.
 fn text() -> String {
     let address: Vec<_> = (1..=4).map(|n| format!("10.0.0.1:{n}").parse().unwrap()).collect();
-    bed::settings("vm-1", 0.17, &address, "10.0.0.9:80".parse().unwrap())
+    harness::settings("vm-1", 0.17, &address, "10.0.0.9:80".parse().unwrap())
 }
 
-/// The error in a text, which must have one.
+/// Returns the error in settings, which must have one.
 fn error(text: &str) -> String {
     let source = Source { file: Path::new("relay.toml"), text };
     Settings::try_from(source).unwrap_err().to_string()
 }
 
-/// The template of the platform with every place filled in.
+/// Returns the platform's template with every placeholder filled in.
 fn rendered() -> String {
     let template = include_str!("../../platform/settings.toml");
     let values = [
@@ -37,7 +38,7 @@
 }
 
 cases! {
-    the_template_gives_settings_that_hold => {
+    the_rendered_template_is_valid => {
         let text = rendered();
         assert!(!text.contains("{{"), "{text}");
         let source = Source { file: Path::new("relay.toml"), text: &text };
--- a/tests/relay/store.rs
+++ b/tests/relay/store.rs
@@ -1,4 +1,4 @@
-//! The stand-in of the store, and what others than the relay write there.
+//! The stand-in for the store, and the entries that others than the relay write.
 
 use std::net::{SocketAddr, TcpListener};
 
@@ -7,7 +7,7 @@
 use reqwest::StatusCode;
 use serde_json::Value;
 
-/// A store that runs until the runtime of the test ends.
+/// A store that runs in the runtime of the test until the test ends.
 pub struct Store {
     pub address: SocketAddr,
     client: reqwest::Client,
@@ -21,14 +21,14 @@
         Store { address, client: reqwest::Client::builder().no_proxy().build().unwrap() }
     }
 
-    /// Writes a key in the place of operators and targets.
+    /// Writes a key, as operators and targets do.
     pub async fn put(&self, key: &str, value: &Value) {
         let url = format!("http://{}/v1/entry?key={key}", self.address);
         let response = self.client.put(url).body(value.to_string()).send().await.unwrap();
         assert_eq!(response.status(), StatusCode::NO_CONTENT);
     }
 
-    /// Whether a key exists.
+    /// Returns whether a key exists.
     pub async fn has(&self, key: &str) -> bool {
         let url = format!("http://{}{KEY_PATH}?key={key}", self.address);
         self.client.get(url).send().await.unwrap().status() == StatusCode::OK
