Rename three shared items of the process tests

`exit`, `ended` and `free` read like commands or say too little: the first two wait for a process or give its exit status, the third finds an address on which nothing listens. The soak and relay tests use the same files, so their uses follow. Nothing else changes.

tests/process/child.rs: Child::exit -> Child::wait_exit tests/process/child.rs: Child::ended -> Child::exit_status tests/process/port.rs: free -> unused_address

--- a/tests/process/child.rs
+++ b/tests/process/child.rs
@@ -46,15 +46,15 @@
     }
 
     /// How the process ended, if it has.
-    pub fn ended(&mut self) -> Option<ExitStatus> {
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.process.try_wait().unwrap()
     }
 
     /// Waits until the process ends.
-    pub async fn exit(&mut self, limit: Duration) -> ExitStatus {
+    pub async fn wait_exit(&mut self, limit: Duration) -> ExitStatus {
         let since = Instant::now();
         loop {
-            if let Some(status) = self.ended() {
+            if let Some(status) = self.exit_status() {
                 return status;
             }
             assert!(since.elapsed() < limit, "{} did not end within {limit:?}", self.name);
--- a/tests/process/part.rs
+++ b/tests/process/part.rs
@@ -42,7 +42,7 @@
         let mut list: String = vms.iter().map(Vm::row).collect();
         list.extend(targets.iter().map(Target::row));
         fs::write(folder.join("list.toml"), list).unwrap();
-        let address = port::free();
+        let address = port::unused_address();
         let listen = address.to_string();
         let arguments = ["stand-in", "platform", "--listen", &listen, "--list", "list.toml"];
         Platform { address, _child: Child::start(folder, "platform", &arguments) }
@@ -62,13 +62,13 @@
 impl Vm {
     /// A VM with addresses of its own, which is not started.
     pub fn new(number: u32, threads: u32) -> Vm {
-        let traffic: Vec<SocketAddr> = (0..threads).map(|_| port::free()).collect();
+        let traffic: Vec<SocketAddr> = (0..threads).map(|_| port::unused_address()).collect();
         let place = Place {
             name: Name::try_from(format!("vm-{number}")).unwrap(),
             domain: Name::try_from(format!("domain-{number}")).unwrap(),
-            callers: port::free(),
-            operators: port::free(),
-            control: port::free(),
+            callers: port::unused_address(),
+            operators: port::unused_address(),
+            control: port::unused_address(),
             traffic: traffic[0],
         };
         Vm { place, traffic, child: None }
@@ -134,7 +134,7 @@
 
     fn start(folder: &Path, plan: &Plan, shard: u32, replica: u32) -> Target {
         let name = format!("target-{shard}-{replica}");
-        let (address, admin) = (port::free(), port::free());
+        let (address, admin) = (port::unused_address(), port::unused_address());
         let noise = shard * plan.replicas + replica;
         let shards = plan.shards;
         let file = format!("{name}.toml");
--- a/tests/process/port.rs
+++ b/tests/process/port.rs
@@ -26,7 +26,7 @@
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
 /// An address on which nothing listens and which is not given out again soon.
-pub fn free() -> SocketAddr {
+pub fn unused_address() -> SocketAddr {
     let taken = TAKEN.get_or_init(take).local_addr().unwrap();
     for _ in 0..BLOCK {
         let offset = 1 + NEXT.fetch_add(1, Ordering::Relaxed) % (BLOCK - 1);
--- a/tests/process/vm.rs
+++ b/tests/process/vm.rs
@@ -55,7 +55,7 @@
     sleep(STEADY).await;
     bed.vms[0].child().signal(Signal::KILL);
     let lost = Instant::now();
-    bed.vms[0].child().exit(START).await;
+    bed.vms[0].child().wait_exit(START).await;
     bed.start_vm(0);
     bed.wait_ready(0).await;
     let reply = bed.search(0, WHOLE, "radar").await.unwrap();
@@ -105,7 +105,7 @@
     sleep(STEADY).await;
     for number in [0, 1] {
         bed.vms[number].child().signal(Signal::TERM);
-        let status = bed.vms[number].child().exit(LEAVE).await;
+        let status = bed.vms[number].child().wait_exit(LEAVE).await;
         assert!(status.success(), "VM {number} ended with {status}");
         bed.start_vm(number);
         bed.wait_ready(number).await;
@@ -124,7 +124,7 @@
     sleep(RECOVERY / 4).await;
     bed.vms[0].child().signal(Signal::KILL);
     let lost = Instant::now();
-    let status = bed.vms[1].child().exit(LEAVE).await;
+    let status = bed.vms[1].child().wait_exit(LEAVE).await;
     assert!(status.success(), "VM 1 ended with {status}");
     sleep(STEADY).await;
     let records = load.finish().await;
--- a/tests/relay/bed.rs
+++ b/tests/relay/bed.rs
@@ -56,7 +56,7 @@
 
     /// Waits for the end of the process and returns whether it was orderly.
     pub async fn ended(&mut self) -> bool {
-        self.child.exit(Duration::from_secs(10)).await.success()
+        self.child.wait_exit(Duration::from_secs(10)).await.success()
     }
 }
 
@@ -90,7 +90,7 @@
 
     /// Starts a relay with a number of cores and waits until it is ready.
     pub async fn relay(&self, name: &str, cores: f64) -> Relay {
-        let address: Vec<SocketAddr> = (0..4).map(|_| port::free()).collect();
+        let address: Vec<SocketAddr> = (0..4).map(|_| port::unused_address()).collect();
         let file = self.folder.path().join(format!("{name}.toml"));
         fs::write(&file, settings(name, cores, &address, self.store.address)).unwrap();
         let path = file.display().to_string();
--- a/tests/soak/relay.rs
+++ b/tests/soak/relay.rs
@@ -46,7 +46,7 @@
         folder: &Path,
         ledger: &Ledger,
     ) -> Relay {
-        let address: Vec<SocketAddr> = (0..4).map(|_| port::free()).collect();
+        let address: Vec<SocketAddr> = (0..4).map(|_| port::unused_address()).collect();
         let name = format!("vm-{number}");
         let text = settings(&name, cores, &address, store);
         fs::write(folder.join(format!("{name}.toml")), text).unwrap();
@@ -107,7 +107,7 @@
         let from = Instant::now();
         self.signal(Signal::TERM);
         let limit = Duration::from_millis(LIMIT_MS) + Duration::from_secs(1);
-        let status = self.child.as_mut().unwrap().exit(limit).await;
+        let status = self.child.as_mut().unwrap().wait_exit(limit).await;
         if !status.success() {
             let breach = format!("{}: its orderly end gave {status}", self.name);
             self.ledger.rows().breaches.push(breach);
@@ -125,7 +125,7 @@
     /// Notes if the process ended by itself.
     pub fn look(&mut self) {
         let name = self.name.clone();
-        if let Some(status) = self.child.as_mut().and_then(Child::ended) {
+        if let Some(status) = self.child.as_mut().and_then(Child::exit_status) {
             self.ledger.rows().breaches.push(format!("{name}: ended by itself: {status}"));
         }
     }
