--- a/tests/common/case.rs
+++ b/tests/common/case.rs
@@ -1,9 +1,8 @@
-//! The macro that names each case.
+//! The macro that defines named test cases.
 
-/// Makes a test of each named case: `cases! { name => expression; }`. The
-/// expression is the body of the test and asserts what must hold. After
-/// `async:` the bodies may wait; each runs on a runtime of its own and fails
-/// when it takes too long.
+/// Defines a test for each named case: `cases! { name => expression; }`. The
+/// expression is the body of the test and makes the assertions. After `async:`
+/// the bodies may await; each runs on its own runtime and fails after 30 s.
 #[macro_export]
 macro_rules! cases {
     (async: $($(#[$meta:meta])* $name:ident => $body:expr;)*) => {
--- a/tests/process/answer.rs
+++ b/tests/process/answer.rs
@@ -1,4 +1,4 @@
-//! Answers, held against the rows that the stand-ins of the targets compute.
+//! Checks of answers against the rows that the stand-ins of the targets compute.
 
 use laburnum_core::{key, target::Version};
 use laburnumworks::{
@@ -6,16 +6,16 @@
     standin::target::{row::Index, settings::Raw},
 };
 
-/// The index of the targets, which all start from the default seed.
+/// The index of the targets, all of which use the default seed.
 fn index() -> Index {
     let target = Raw::default();
     Index { seed: target.seed, rows: target.rows }
 }
 
-/// Whether an answer covers the whole index, or why the answer is wrong.
+/// Returns whether an answer covers the whole index, or why the answer is wrong.
 ///
-/// The rows must be exactly those of the one snapshot that the answer states,
-/// without those of the ranges that it states as missing.
+/// The rows must be exactly those of the snapshot that the answer states, except
+/// those in the ranges that it states as missing.
 pub fn check(reply: &Reply, text: &str) -> Result<bool, String> {
     if !reply.status.is_success() {
         return Err(format!("refused: {}", reply.body));
@@ -31,13 +31,14 @@
         .collect();
     let found = found(reply)?;
     if found != expected {
-        let counts = format!("{} rows where {} are", found.len(), expected.len());
+        let counts = format!("{} rows instead of {}", found.len(), expected.len());
         return Err(format!("{counts}, snapshot {snapshot}: {}", reply.body["coverage"]));
     }
     Ok(covered.covers(key::Range::ALL))
 }
 
-/// The key ranges that an answer covers, after a check of what it states.
+/// Returns the key ranges that an answer covers. Fails if the members of its
+/// coverage contradict each other.
 fn covered(reply: &Reply) -> Result<key::Set, String> {
     let coverage = &reply.body["coverage"];
     let mut covered = key::Set::from_range(key::Range::ALL);
@@ -63,7 +64,7 @@
         .ok_or_else(|| "a row without key and body".to_owned())
 }
 
-/// Asserts that an answer holds every row of one snapshot.
-pub fn assert_whole(reply: &Reply, text: &str) {
+/// Asserts that an answer has every matching row of one snapshot.
+pub fn assert_complete(reply: &Reply, text: &str) {
     assert_eq!(check(reply, text), Ok(true), "search {text:?}: {}", reply.body["coverage"]);
 }
--- a/tests/process/child.rs
+++ b/tests/process/child.rs
@@ -11,8 +11,8 @@
 use rustix::process::{Pid, kill_process};
 use tokio::time::sleep;
 
-/// The time between two looks at whether a process has ended.
-const POLL: Duration = Duration::from_millis(20);
+/// The interval between checks of whether a process has exited.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The binary under test.
 pub const BINARY: &str = env!("CARGO_BIN_EXE_laburnumworks");
@@ -24,7 +24,7 @@
 }
 
 impl Child {
-    /// Starts the binary; its output goes to a file in `folder`.
+    /// Starts the binary; its output is appended to `name`.log in `folder`.
     pub fn start(folder: &Path, name: &str, arguments: &[&str]) -> Child {
         let log = folder.join(format!("{name}.log"));
         let log = File::options().create(true).append(true).open(log).unwrap();
@@ -39,33 +39,32 @@
         Child { name: name.to_owned(), process }
     }
 
-    /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.process);
         kill_process(pid, signal).unwrap_or_else(|e| panic!("{signal:?} to {}: {e}", self.name));
     }
 
-    /// How the process ended, if it has.
+    /// Returns the exit status, or `None` while the process runs.
     pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.process.try_wait().unwrap()
     }
 
-    /// Waits until the process ends.
+    /// Waits until the process exits and panics if that takes longer than `limit`.
     pub async fn wait_exit(&mut self, limit: Duration) -> ExitStatus {
         let since = Instant::now();
         loop {
             if let Some(status) = self.exit_status() {
                 return status;
             }
-            assert!(since.elapsed() < limit, "{} did not end within {limit:?}", self.name);
-            sleep(POLL).await;
+            assert!(since.elapsed() < limit, "{} did not exit within {limit:?}", self.name);
+            sleep(POLL_INTERVAL).await;
         }
     }
 }
 
 impl Drop for Child {
     fn drop(&mut self) {
-        // It may have ended already.
+        // The process may have exited already, so that errors are expected.
         let _ = self.process.kill();
         let _ = self.process.wait();
     }
--- a/tests/process/bed.rs
+++ b/tests/process/deployment.rs
@@ -1,5 +1,5 @@
-//! A deployment of processes on loopback, with the orders of a test: what it
-//! starts, asks, publishes, counts and breaks.
+//! A deployment of processes on the loopback interface, with methods to start
+//! VMs, send requests, publish profiles, set faults and read counts.
 
 use std::{
     collections::BTreeMap,
@@ -18,62 +18,61 @@
     part::{Plan, Platform, Target, Vm},
 };
 
-/// The time within which a process must take requests after its start.
-pub const START: Duration = Duration::from_secs(10);
+/// The time within which a process must accept requests after its start.
+pub const START_LIMIT: Duration = Duration::from_secs(10);
 
-/// The time within which an accepted publication must be in force everywhere.
-pub const IN_FORCE: Duration = Duration::from_secs(3);
+/// The time within which an accepted publication must be in force on every VM.
+pub const IN_FORCE_LIMIT: Duration = Duration::from_secs(3);
 
-/// The time between two looks at something that is awaited.
-const POLL: Duration = Duration::from_millis(20);
+/// The interval between checks of a condition that is waited for.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The time between two operations that are sent in turn.
-const GAP: Duration = Duration::from_millis(3);
+/// The interval at which [`Deployment::send_spaced`] sends operations.
+const SEND_INTERVAL: Duration = Duration::from_millis(3);
 
-/// The answer to a request, or why there was none.
+/// The answer to a request, or the reason why there was none.
 pub type Outcome = Result<Reply, String>;
 
-/// The profile that takes only whole answers.
-pub const WHOLE: &str = "clearance";
+/// A profile that accepts only complete answers.
+pub const COMPLETE_PROFILE: &str = "clearance";
 
-/// The profile that takes partial answers.
-pub const PART: &str = "browse";
+/// A profile that accepts partial answers.
+pub const PARTIAL_PROFILE: &str = "browse";
 
-/// A deployment.
-pub struct Bed {
-    /// The platform.
+/// A running deployment; its processes are killed when it is dropped.
+pub struct Deployment {
     pub platform: Platform,
-    /// The VMs.
     pub vms: Vec<Vm>,
-    /// The targets, ordered by shard and replica.
+    /// Ordered by shard, then by replica.
     pub targets: Vec<Target>,
-    /// The caller and operator.
+    /// The client that sends the requests of callers and operators.
     pub caller: Caller,
     folder: PathBuf,
     plan: Plan,
 }
 
-impl Bed {
+impl Deployment {
     /// Starts a deployment, publishes its profiles and waits until they are in
     /// force on every VM.
-    pub async fn start(folder: &Path, plan: Plan) -> Bed {
+    pub async fn start(folder: &Path, plan: Plan) -> Deployment {
         let targets = Target::start_all(folder, &plan);
         let vms: Vec<Vm> = (1..=plan.vms).map(|number| Vm::new(number, plan.threads)).collect();
         let platform = Platform::start(folder, &vms, &targets);
         let caller = Caller::new().unwrap();
-        let mut bed = Bed { platform, vms, targets, caller, folder: folder.to_owned(), plan };
-        bed.wait_for_stand_ins().await;
-        for number in 0..bed.plan.started as usize {
-            bed.start_vm(number);
+        let mut deployment =
+            Deployment { platform, vms, targets, caller, folder: folder.to_owned(), plan };
+        deployment.wait_for_stand_ins().await;
+        for number in 0..deployment.plan.started as usize {
+            deployment.start_vm(number);
         }
-        for number in 0..bed.plan.started as usize {
-            bed.wait_ready(number).await;
+        for number in 0..deployment.plan.started as usize {
+            deployment.wait_ready(number).await;
         }
-        bed.publish_first().await;
-        bed
+        deployment.publish_initial_profiles().await;
+        deployment
     }
 
-    /// Starts a VM, also one whose earlier process was killed.
+    /// Starts the process of a VM; one that was killed can be started again.
     pub fn start_vm(&mut self, number: usize) {
         self.vms[number].start(&self.folder, self.platform.address);
     }
@@ -82,41 +81,50 @@
         let platform = (self.platform.address, "/readyz");
         let targets = self.targets.iter().map(|target| (target.admin, "/v1/counts"));
         for (address, path) in std::iter::once(platform).chain(targets) {
-            self.wait(path, START, async || self.is_success(address, path).await).await;
+            self.wait(path, START_LIMIT, async || self.is_success(address, path).await).await;
         }
     }
 
-    /// Waits until a VM says that it takes requests.
+    /// Waits until a VM reports that it is ready.
     pub async fn wait_ready(&self, number: usize) {
         let callers = self.vms[number].place.callers;
-        self.wait("readyz", START, async || self.is_success(callers, "/readyz").await).await;
+        self.wait("readyz", START_LIMIT, async || self.is_success(callers, "/readyz").await).await;
     }
 
-    /// Whether a path answers that all is well.
+    /// Returns whether a GET of the path is answered with a success status.
     pub async fn is_success(&self, address: SocketAddr, path: &str) -> bool {
         self.caller.read(address, path).await.is_ok_and(|reply| reply.status.is_success())
     }
 
-    /// Waits until something holds.
+    /// Waits until `holds` returns true and panics if that takes longer than
+    /// `limit`.
     pub async fn wait(&self, what: &str, limit: Duration, holds: impl AsyncFn() -> bool) {
         let since = Instant::now();
         while !holds().await {
             assert!(since.elapsed() < limit, "{what}: not within {limit:?}");
-            sleep(POLL).await;
+            sleep(POLL_INTERVAL).await;
         }
     }
 
-    async fn publish_first(&self) {
-        let profiles = json!({ WHOLE: profile(1_000_000, 10), PART: profile(1, 10) });
+    async fn publish_initial_profiles(&self) {
+        let profiles =
+            json!({ COMPLETE_PROFILE: profile(1_000_000, 10), PARTIAL_PROFILE: profile(1, 10) });
         let reply = self.caller.publish(self.vms[0].place.operators, &profiles).await.unwrap();
         assert!(reply.status.is_success(), "publish: {}", reply.body);
-        self.wait_in_force(&self.started(), 1, IN_FORCE).await;
-        self.wait("searches are whole", START, async || self.is_whole_everywhere().await).await;
+        self.wait_in_force(&self.started(), 1, IN_FORCE_LIMIT).await;
+        self.wait("searches are complete", START_LIMIT, async || {
+            self.is_complete_everywhere().await
+        })
+        .await;
     }
 
-    async fn is_whole_everywhere(&self) -> bool {
+    async fn is_complete_everywhere(&self) -> bool {
         for number in self.started() {
-            if !self.search(number, WHOLE, "radar").await.is_ok_and(|r| r.status.is_success()) {
+            if !self
+                .search(number, COMPLETE_PROFILE, "radar")
+                .await
+                .is_ok_and(|r| r.status.is_success())
+            {
                 return false;
             }
         }
@@ -128,7 +136,7 @@
         (0..self.vms.len()).filter(|&number| self.vms[number].child.is_some()).collect()
     }
 
-    /// Waits until answers of each of the VMs state `revision` or a later one.
+    /// Waits until each of the VMs answers with `revision` or a later one.
     pub async fn wait_in_force(&self, vms: &[usize], revision: u64, limit: Duration) {
         let is_in_force = async || {
             for &number in vms {
@@ -141,28 +149,23 @@
         self.wait(&format!("revision {revision} in force"), limit, is_in_force).await;
     }
 
-    /// The revision that an answer of a VM states.
+    /// Returns the revision stated by a VM's answer to a search.
     pub async fn revision(&self, number: usize) -> Option<u64> {
-        self.search(number, PART, "none").await.ok()?.body["revision"].as_u64()
+        self.search(number, PARTIAL_PROFILE, "none").await.ok()?.body["revision"].as_u64()
     }
 
-    /// Sends a search through a VM.
     pub async fn search(&self, number: usize, profile: &str, text: &str) -> reqwest::Result<Reply> {
         self.caller.search(self.vms[number].place.callers, profile, text).await
     }
 
-    /// Sends an operation through a VM.
     pub async fn operate(&self, number: usize, operation: &Operation) -> reqwest::Result<Reply> {
         let callers = self.vms[number].place.callers;
         self.caller.operate(callers, &operation.key, &operation.body).await
     }
 
-    /// Starts to send operations through a VM, a few milliseconds apart.
-    pub fn send_in_turn(
-        &self,
-        number: usize,
-        operations: &[Operation],
-    ) -> JoinHandle<Vec<Outcome>> {
+    /// Sends operations through a VM at intervals of [`SEND_INTERVAL`] without
+    /// waiting for the answers in between. The task returns the outcomes in order.
+    pub fn send_spaced(&self, number: usize, operations: &[Operation]) -> JoinHandle<Vec<Outcome>> {
         let callers = self.vms[number].place.callers;
         let (caller, operations) = (self.caller.clone(), operations.to_vec());
         tokio::spawn(async move {
@@ -170,7 +173,7 @@
             for Operation { key, body, .. } in operations {
                 let caller = caller.clone();
                 sent.push(tokio::spawn(async move { caller.operate(callers, &key, &body).await }));
-                sleep(GAP).await;
+                sleep(SEND_INTERVAL).await;
             }
             let mut outcomes = Vec::new();
             for task in sent {
@@ -180,7 +183,8 @@
         })
     }
 
-    /// Publishes profiles through a VM if `expect` is in force.
+    /// Publishes profiles through a VM on condition that the current revision is
+    /// `expect`.
     pub async fn publish(&self, number: usize, expect: u64, profiles: &Value) -> Reply {
         let authorization = format!("Bearer {TOKEN}");
         let expect = format!("\"{expect}\"");
@@ -191,7 +195,7 @@
         sent.await.unwrap()
     }
 
-    /// Asks through a VM what became of a publication.
+    /// Settles an unsettled publication through a VM.
     pub async fn settle(&self, number: usize, token: &Value) -> Reply {
         let authorization = format!("Bearer {TOKEN}");
         let headers = [("Authorization", authorization.as_str())];
@@ -201,17 +205,15 @@
         self.caller.send(Method::POST, operators, path, &headers, &body).await.unwrap()
     }
 
-    /// Switches the faults of the platform.
-    pub async fn platform_faults(&self, faults: &Value) {
+    pub async fn set_platform_faults(&self, faults: &Value) {
         self.put(self.platform.address, "/v1/faults", faults).await;
     }
 
-    /// Switches the faults of a target.
-    pub async fn target_faults(&self, number: usize, faults: &Value) {
+    pub async fn set_target_faults(&self, number: usize, faults: &Value) {
         self.put(self.targets[number].admin, "/v1/faults", faults).await;
     }
 
-    /// Lists a target as leaving.
+    /// Sets the state of a target to leaving in the platform's list.
     pub async fn list_leaving(&self, number: usize) {
         let target = &self.targets[number];
         let mut listed = target.listed.clone();
@@ -225,13 +227,13 @@
         assert!(reply.status.is_success(), "PUT {path}: {}", reply.body);
     }
 
-    /// One of the counts of a target.
+    /// Reads one of the counts of a target by its name.
     pub async fn count(&self, number: usize, name: &str) -> u64 {
         let reply = self.caller.read(self.targets[number].admin, "/v1/counts").await.unwrap();
         reply.body[name].as_u64().unwrap_or_else(|| panic!("{name}: {}", reply.body))
     }
 
-    /// The executions of operations that all targets recorded, by detail.
+    /// Returns how often the targets executed each operation, by its detail.
     pub async fn executions(&self) -> BTreeMap<String, u64> {
         let mut sums = BTreeMap::new();
         for target in &self.targets {
@@ -244,7 +246,7 @@
     }
 }
 
-/// A profile of the deployment.
+/// A profile with the given coverage and priority, as a JSON document.
 pub fn profile(coverage_ppm: u32, priority: u32) -> Value {
     json!({
         "team": "local",
--- a/tests/process/load.rs
+++ b/tests/process/load.rs
@@ -1,5 +1,5 @@
-//! A steady load on several VMs: requests go out at fixed times, however long
-//! the answers take, and to the VMs that say that they are ready.
+//! A steady load on several VMs: requests are sent at fixed intervals, however
+//! long the answers take, and only to VMs that report that they are ready.
 
 use std::{
     collections::BTreeSet,
@@ -17,49 +17,44 @@
 
 use super::{
     answer,
-    bed::{Bed, Outcome},
+    deployment::{Deployment, Outcome},
     operation::Operation,
 };
 
-/// The time between two looks at whether a VM is ready, and the limit of each.
-const PROBE: Duration = Duration::from_millis(100);
+/// The pause between readiness probes of a VM, and the time limit of each probe.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The time between two requests.
-const GAP: Duration = Duration::from_millis(40);
+/// The interval at which requests are sent.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 
-/// The most requests of one load.
+/// The maximum number of requests of a load.
 const MAX_REQUESTS: u64 = 2_000;
 
-/// One request in this many is an operation.
-const OPERATIONS: u64 = 5;
+/// One in this many requests is an operation; the others are searches.
+const REQUESTS_PER_OPERATION: u64 = 5;
 
-/// What was sent.
 #[derive(Clone, Debug)]
 pub enum Request {
-    /// A search for a text.
+    /// A search for this text.
     Search(&'static str),
-    /// An operation.
     Operate(Operation),
 }
 
-/// A request with its answer.
+/// A request and its outcome.
 #[derive(Clone, Debug)]
 pub struct Record {
-    /// The number of the VM.
+    /// The number of the VM that the request was sent to.
     pub vm: usize,
-    /// When it was sent.
     pub sent: Instant,
-    /// The time until its answer.
+    /// The time from sending until the outcome was known.
     pub took: Duration,
-    /// What was sent.
     pub request: Request,
-    /// The answer, or why there was none.
     pub outcome: Outcome,
 }
 
 impl Record {
-    /// Whether the answer is whole, or why it is wrong or none. The result of an
-    /// operation is whole.
+    /// Returns whether the answer is complete, or why it is wrong or missing. The
+    /// result of an operation is always complete.
     pub fn check(&self) -> Result<bool, String> {
         let reply = self.outcome.as_ref().map_err(Clone::clone)?;
         match &self.request {
@@ -69,7 +64,7 @@
         }
     }
 
-    /// The operation that was sent, if it was one.
+    /// Returns the operation, or `None` if the request was a search.
     pub fn operation(&self) -> Option<&Operation> {
         match &self.request {
             Request::Operate(operation) => Some(operation),
@@ -78,48 +73,49 @@
     }
 }
 
-/// The searches of a load.
+/// Returns the searches among `records`.
 pub fn searches(records: &[Record]) -> Vec<Record> {
     records.iter().filter(|record| record.operation().is_none()).cloned().collect()
 }
 
-/// The VMs that are ready, as a balancer sees them.
+/// The numbers of the VMs that are ready, as a load balancer would see them.
 type Ready = Arc<Mutex<BTreeSet<usize>>>;
 
-/// A load that runs.
+/// A load that runs in the background until it is finished.
 pub struct Load {
     stop: watch::Sender<bool>,
     task: JoinHandle<Vec<Record>>,
 }
 
 impl Load {
-    /// Starts a load on the VMs, under a profile.
-    pub fn start(bed: &Bed, vms: &[usize], profile: &'static str) -> Load {
+    /// Starts a load on the VMs; all its requests use `profile`.
+    pub fn start(deployment: &Deployment, vms: &[usize], profile: &'static str) -> Load {
         let (stop, stopped) = watch::channel(false);
         let vms: Vec<(usize, SocketAddr)> =
-            vms.iter().map(|&vm| (vm, bed.vms[vm].place.callers)).collect();
+            vms.iter().map(|&vm| (vm, deployment.vms[vm].place.callers)).collect();
         let ready = Ready::default();
         for &(vm, address) in &vms {
             tokio::spawn(probe(
-                bed.caller.clone(),
+                deployment.caller.clone(),
                 vm,
                 address,
                 Arc::clone(&ready),
                 stopped.clone(),
             ));
         }
-        let sender = Sender { caller: bed.caller.clone(), vms, ready, profile };
+        let sender = Sender { caller: deployment.caller.clone(), vms, ready, profile };
         Load { stop, task: tokio::spawn(sender.run(stopped)) }
     }
 
-    /// Sends no more and waits for the answers that are outstanding.
+    /// Stops sending, waits for the outstanding answers and returns all records in
+    /// the order in which the requests were sent.
     pub async fn finish(self) -> Vec<Record> {
         self.stop.send_replace(true);
         self.task.await.unwrap()
     }
 }
 
-/// Asks a VM again and again whether it is ready.
+/// Probes the readiness of a VM until the load stops.
 async fn probe(
     caller: Caller,
     vm: usize,
@@ -128,14 +124,14 @@
     stopped: watch::Receiver<bool>,
 ) {
     while !*stopped.borrow() {
-        let reply = timeout(PROBE, caller.read(address, "/readyz")).await;
+        let reply = timeout(PROBE_INTERVAL, caller.read(address, "/readyz")).await;
         let is_ready = matches!(reply, Ok(Ok(reply)) if reply.status.is_success());
-        note(&ready, vm, is_ready);
-        sleep(PROBE).await;
+        set_ready(&ready, vm, is_ready);
+        sleep(PROBE_INTERVAL).await;
     }
 }
 
-fn note(ready: &Ready, vm: usize, is_ready: bool) {
+fn set_ready(ready: &Ready, vm: usize, is_ready: bool) {
     let mut ready = ready.lock().unwrap();
     if is_ready {
         ready.insert(vm);
@@ -153,8 +149,8 @@
 
 impl Sender {
     async fn run(self, stopped: watch::Receiver<bool>) -> Vec<Record> {
-        let mut open = JoinSet::new();
-        let mut ticks = interval(GAP);
+        let mut in_flight = JoinSet::new();
+        let mut ticks = interval(REQUEST_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
         for number in 0..MAX_REQUESTS {
             ticks.tick().await;
@@ -163,15 +159,15 @@
             }
             if let Some((vm, address)) = self.pick(number) {
                 let request = request(number);
-                open.spawn(send(self.caller.clone(), vm, address, self.profile, request));
+                in_flight.spawn(send(self.caller.clone(), vm, address, self.profile, request));
             }
         }
-        let mut records = open.join_all().await;
+        let mut records = in_flight.join_all().await;
         records.sort_by_key(|record| record.sent);
         records
     }
 
-    /// The ready VMs take turns.
+    /// Picks a ready VM in round-robin order, or none if no VM is ready.
     fn pick(&self, number: u64) -> Option<(usize, SocketAddr)> {
         let ready = self.ready.lock().unwrap();
         let vms: Vec<_> = self.vms.iter().filter(|(vm, _)| ready.contains(vm)).collect();
@@ -181,7 +177,7 @@
 }
 
 fn request(number: u64) -> Request {
-    if number.is_multiple_of(OPERATIONS) {
+    if number.is_multiple_of(REQUESTS_PER_OPERATION) {
         return Request::Operate(Operation::new(number));
     }
     let word = usize::try_from(number).unwrap() % WORDS.len();
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,18 +1,18 @@
-//! Tests of whole deployments: the platform, the VMs and the targets are
-//! processes of their own, which get real signals.
+//! Tests of whole deployments: the platform, the VMs and the targets each run as
+//! a separate process and receive real signals.
 
 #[macro_use]
 #[path = "../common/case.rs"]
 mod case;
 mod answer;
-mod bed;
+mod deployment;
 mod child;
 mod load;
 mod operation;
 mod part;
 mod port;
-mod run;
-mod verdict;
+mod runner;
+mod invariant;
 
 mod path;
 mod vm;
--- a/tests/process/part.rs
+++ b/tests/process/part.rs
@@ -1,4 +1,4 @@
-//! The parts of a deployment: each starts a process with settings of its own.
+//! The parts of a deployment, each a process with its own settings.
 
 use std::{fs, net::SocketAddr, path::Path};
 
@@ -8,18 +8,17 @@
 
 use super::{child::Child, port};
 
-/// What a deployment is made of.
+/// The size of a deployment.
 #[derive(Clone, Debug)]
 pub struct Plan {
-    /// The number of VMs that are listed.
+    /// The number of VMs in the platform's list.
     pub vms: u32,
-    /// The number of VMs that are started; they are the first ones.
+    /// How many of the listed VMs are started, counted from the first.
     pub started: u32,
-    /// The number of shards.
     pub shards: u32,
-    /// The targets of each shard.
+    /// The number of targets per shard.
     pub replicas: u32,
-    /// The traffic threads of each VM.
+    /// The number of traffic threads per VM.
     pub threads: u32,
 }
 
@@ -29,15 +28,14 @@
     }
 }
 
-/// The platform.
+/// The process of the platform's stand-in.
 pub struct Platform {
-    /// Where it listens.
     pub address: SocketAddr,
     _child: Child,
 }
 
 impl Platform {
-    /// Starts the platform with a list of VMs and targets.
+    /// Starts the platform with these VMs and targets in its list.
     pub fn start(folder: &Path, vms: &[Vm], targets: &[Target]) -> Platform {
         let mut list: String = vms.iter().map(Vm::row).collect();
         list.extend(targets.iter().map(Target::row));
@@ -49,18 +47,17 @@
     }
 }
 
-/// A VM, which may not have been started.
+/// A VM, whose process may not have been started.
 pub struct Vm {
-    /// Its name and addresses.
     pub place: Place,
-    /// Where its traffic threads listen for other VMs.
+    /// The address on which each traffic thread listens for other VMs.
     traffic: Vec<SocketAddr>,
-    /// Its process.
+    /// `None` until the first start.
     pub child: Option<Child>,
 }
 
 impl Vm {
-    /// A VM with addresses of its own, which is not started.
+    /// Chooses the addresses of a VM without starting it.
     pub fn new(number: u32, threads: u32) -> Vm {
         let traffic: Vec<SocketAddr> = (0..threads).map(|_| port::unused_address()).collect();
         let place = Place {
@@ -83,43 +80,41 @@
     }
 
     fn settings(&self, platform: SocketAddr) -> String {
-        let one = format!("traffic = [\"{}\"]", self.place.traffic);
+        let single = format!("traffic = [\"{}\"]", self.place.traffic);
         let text = self.place.settings(platform);
-        assert!(text.contains(&one), "{text}");
-        text.replace(&one, &format!("traffic = {}", self.lanes()))
+        assert!(text.contains(&single), "{text}");
+        text.replace(&single, &format!("traffic = {}", self.traffic_toml()))
     }
 
-    /// The addresses of the traffic threads as TOML.
-    fn lanes(&self) -> String {
+    /// The addresses of the traffic threads as a TOML array.
+    fn traffic_toml(&self) -> String {
         let quoted: Vec<String> = self.traffic.iter().map(|own| format!("\"{own}\"")).collect();
         format!("[{}]", quoted.join(", "))
     }
 
-    /// The row of the platform's list as TOML.
+    /// The row of this VM in the platform's list, as TOML.
     fn row(&self) -> String {
         let Place { name, domain, control, .. } = &self.place;
         format!(
             "[[vms]]\nname = \"{name}\"\ndomain = \"{domain}\"\nincarnation = 0\n\
              state = \"live\"\ncontrol = \"{control}\"\ntraffic = {}\n",
-            self.lanes()
+            self.traffic_toml()
         )
     }
 
-    /// The process of a VM that was started.
+    /// Returns the process and panics if the VM was never started.
     pub fn child(&mut self) -> &mut Child {
-        self.child.as_mut().expect("the VM was not started")
+        self.child.as_mut().expect("the VM was started")
     }
 }
 
-/// A target.
+/// The process of a target's stand-in.
 pub struct Target {
-    /// Its name.
     pub name: String,
-    /// Where its faults are switched and its counts are read.
+    /// The address at which tests set its faults and read its counts.
     pub admin: SocketAddr,
-    /// Its process.
     pub child: Child,
-    /// Its row of the platform's list.
+    /// The fields of its row in the platform's list.
     pub listed: Value,
 }
 
@@ -165,10 +160,10 @@
         Target { name, admin, child, listed }
     }
 
-    /// The row of the platform's list as TOML.
+    /// The row of this target in the platform's list, as TOML.
     fn row(&self) -> String {
         let fields = self.listed.as_object().unwrap().iter();
-        // JSON texts and numbers are TOML as well.
+        // JSON strings and numbers are valid TOML values as well.
         let lines = fields.map(|(key, value)| format!("{key} = {value}\n"));
         std::iter::once("[[targets]]\n".to_owned()).chain(lines).collect()
     }
--- a/tests/process/port.rs
+++ b/tests/process/port.rs
@@ -8,40 +8,43 @@
     },
 };
 
-/// The first port that is given out.
-const FIRST: u16 = 10_000;
+/// The first port of the first block.
+const FIRST_PORT: u16 = 10_000;
 
-/// The ports of a block. One run of the tests takes one block.
-const BLOCK: u16 = 1_250;
+/// The number of ports in a block. Each run of the tests reserves one block.
+const PORTS_PER_BLOCK: u16 = 1_250;
 
-/// The number of blocks. The last ends below the range from which the system
-/// takes ports for outgoing connections, so that none is taken between the
-/// choice and the start of the process that listens on it.
-const BLOCKS: u16 = 16;
+/// The number of blocks. The last one ends below the ephemeral port range, so
+/// that no outgoing connection takes a port between its choice and the start of
+/// the process that listens on it.
+const BLOCK_COUNT: u16 = 16;
 
-/// The listener on the first port of the block that this run has taken, which
-/// keeps other runs from taking it.
-static TAKEN: OnceLock<TcpListener> = OnceLock::new();
+/// A listener on the first port of the block that this run has reserved, which
+/// keeps other runs from reserving it.
+static RESERVATION: OnceLock<TcpListener> = OnceLock::new();
 
-static NEXT: AtomicU16 = AtomicU16::new(0);
+static NEXT_OFFSET: AtomicU16 = AtomicU16::new(0);
 
-/// An address on which nothing listens and which is not given out again soon.
+/// Returns an address on which nothing listens. It is not returned again until
+/// all other ports of the block have been tried.
 pub fn unused_address() -> SocketAddr {
-    let taken = TAKEN.get_or_init(take).local_addr().unwrap();
-    for _ in 0..BLOCK {
-        let offset = 1 + NEXT.fetch_add(1, Ordering::Relaxed) % (BLOCK - 1);
-        let address = loopback(taken.port() + offset);
+    let first = RESERVATION.get_or_init(reserve_block).local_addr().unwrap();
+    for _ in 0..PORTS_PER_BLOCK {
+        let offset = 1 + NEXT_OFFSET.fetch_add(1, Ordering::Relaxed) % (PORTS_PER_BLOCK - 1);
+        let address = loopback(first.port() + offset);
         if TcpListener::bind(address).is_ok() {
             return address;
         }
     }
-    panic!("no port is free");
+    panic!("every port of the block is in use");
 }
 
-/// Takes the first block that no other run has taken.
-fn take() -> TcpListener {
-    let mut firsts = (0..BLOCKS).map(|block| loopback(FIRST + block * BLOCK));
-    firsts.find_map(|first| TcpListener::bind(first).ok()).expect("a block of ports is free")
+/// Reserves the first block that no other run has reserved.
+fn reserve_block() -> TcpListener {
+    let mut firsts = (0..BLOCK_COUNT).map(|block| loopback(FIRST_PORT + block * PORTS_PER_BLOCK));
+    firsts
+        .find_map(|first| TcpListener::bind(first).ok())
+        .expect("every block of ports is reserved by another run")
 }
 
 fn loopback(port: u16) -> SocketAddr {
--- a/tests/process/publish.rs
+++ b/tests/process/publish.rs
@@ -1,5 +1,5 @@
 //! Profiles that are published while operators race, VMs pause and start, and
-//! the service is down.
+//! the platform's service is down.
 
 use std::{
     sync::{Arc, Mutex},
@@ -10,59 +10,61 @@
 use tokio::{sync::watch, task::JoinHandle, time::sleep};
 
 use super::{
-    answer::assert_whole,
-    bed::{Bed, IN_FORCE, PART, WHOLE, profile},
+    answer::assert_complete,
     child::Signal,
+    deployment::{COMPLETE_PROFILE, Deployment, IN_FORCE_LIMIT, PARTIAL_PROFILE, profile},
     part::Plan,
-    run::{case, case_of},
+    runner::{with_deployment, with_plan},
 };
 
-/// The time of a pause, longer than the time after which a VM is given up.
-const PAUSE: Duration = Duration::from_secs(4);
+/// How long a VM is paused: longer than the time after which a silent VM is given
+/// up.
+const PAUSE_DURATION: Duration = Duration::from_secs(4);
 
-/// The time between two looks at the revision of each VM.
-const LOOK: Duration = Duration::from_millis(30);
+/// The interval between reads of the revision of each VM.
+const POLL_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Profiles that differ from others by their priority.
+/// Both profiles with the given priority, by which publications differ.
 fn profiles(priority: u32) -> Value {
-    json!({ WHOLE: profile(1_000_000, priority), PART: profile(1, priority) })
+    json!({ COMPLETE_PROFILE: profile(1_000_000, priority), PARTIAL_PROFILE: profile(1, priority) })
 }
 
-/// Watches that no VM goes back to an earlier revision.
-struct Observer {
+/// Reads the revision of VMs continuously to detect one that goes back to an
+/// earlier revision.
+struct RevisionMonitor {
     stop: watch::Sender<bool>,
     tasks: Vec<JoinHandle<()>>,
-    reverted: Arc<Mutex<Vec<String>>>,
+    regressions: Arc<Mutex<Vec<String>>>,
 }
 
-impl Observer {
-    fn start(bed: &Bed, vms: &[usize]) -> Observer {
+impl RevisionMonitor {
+    fn start(deployment: &Deployment, vms: &[usize]) -> RevisionMonitor {
         let (stop, stopped) = watch::channel(false);
-        let reverted = Arc::new(Mutex::new(Vec::new()));
+        let regressions = Arc::new(Mutex::new(Vec::new()));
         let tasks = vms
             .iter()
             .map(|&number| {
-                let callers = bed.vms[number].place.callers;
-                let (caller, stopped) = (bed.caller.clone(), stopped.clone());
-                let reverted = Arc::clone(&reverted);
+                let callers = deployment.vms[number].place.callers;
+                let (caller, stopped) = (deployment.caller.clone(), stopped.clone());
+                let regressions = Arc::clone(&regressions);
                 tokio::spawn(async move {
                     let mut highest = 0;
                     while !*stopped.borrow() {
-                        let reply = caller.search(callers, PART, "none").await;
+                        let reply = caller.search(callers, PARTIAL_PROFILE, "none").await;
                         let found = reply.ok().and_then(|reply| reply.body["revision"].as_u64());
                         if let Some(found) = found {
                             if found < highest {
                                 let text = format!("VM {number}: {highest} to {found}");
-                                reverted.lock().unwrap().push(text);
+                                regressions.lock().unwrap().push(text);
                             }
                             highest = highest.max(found);
                         }
-                        sleep(LOOK).await;
+                        sleep(POLL_INTERVAL).await;
                     }
                 })
             })
             .collect();
-        Observer { stop, tasks, reverted }
+        RevisionMonitor { stop, tasks, regressions }
     }
 
     async fn finish(self) {
@@ -70,20 +72,27 @@
         for task in self.tasks {
             task.await.unwrap();
         }
-        let reverted = self.reverted.lock().unwrap();
-        assert!(reverted.is_empty(), "revisions went back: {reverted:?}");
+        let regressions = self.regressions.lock().unwrap();
+        assert!(regressions.is_empty(), "revisions went back: {regressions:?}");
     }
 }
 
-/// Two operators publish against the same revision through two VMs. One wins;
-/// the other is told which revision won, by whom and what differs. Returns the
-/// revision that won.
-async fn race(bed: &Bed, base: u64, through: [usize; 2]) -> u64 {
+/// Publishes two documents on the same base revision through two VMs. One wins;
+/// the refusal of the other states the winning revision and what differs. Returns
+/// the winning revision.
+async fn race(deployment: &Deployment, base: u64, through: [usize; 2]) -> u64 {
     let (ours, theirs) = (profiles(20), profiles(30));
-    let (first, second) =
-        tokio::join!(bed.publish(through[0], base, &ours), bed.publish(through[1], base, &theirs));
+    let (first, second) = tokio::join!(
+        deployment.publish(through[0], base, &ours),
+        deployment.publish(through[1], base, &theirs)
+    );
     let (winner, loser) = if first.status.is_success() { (first, second) } else { (second, first) };
-    assert!(winner.status.is_success(), "nobody won: {} and {}", winner.body, loser.body);
+    assert!(
+        winner.status.is_success(),
+        "both publications failed: {} and {}",
+        winner.body,
+        loser.body
+    );
     assert_eq!(winner.body["outcome"], json!("accepted"));
     assert_eq!(winner.body["revision"], json!(base + 1));
     assert_eq!(loser.body["kind"], json!("revision_conflict"), "{}", loser.body);
@@ -93,83 +102,88 @@
     base + 1
 }
 
-async fn raced(bed: Bed) {
-    let observer = Observer::start(&bed, &[0, 1, 2]);
+async fn race_in_turn(deployment: Deployment) {
+    let monitor = RevisionMonitor::start(&deployment, &[0, 1, 2]);
     for (base, through) in [(1, [0, 1]), (2, [1, 2]), (3, [2, 0])] {
-        let revision = race(&bed, base, through).await;
-        bed.wait_in_force(&[0, 1, 2], revision, IN_FORCE).await;
+        let revision = race(&deployment, base, through).await;
+        deployment.wait_in_force(&[0, 1, 2], revision, IN_FORCE_LIMIT).await;
     }
-    observer.finish().await;
+    monitor.finish().await;
 }
 
 /// Publishes while one VM is stopped; the VM has the revision in force within
-/// [`IN_FORCE`] after it continues and never goes back.
-async fn paused(mut bed: Bed) {
-    let observer = Observer::start(&bed, &[0, 1, 2]);
-    bed.vms[2].child().signal(Signal::STOP);
-    sleep(PAUSE / 2).await;
-    let revision = race(&bed, 1, [0, 1]).await;
-    bed.wait_in_force(&[0, 1], revision, IN_FORCE).await;
-    sleep(PAUSE / 2).await;
-    let revision = race(&bed, revision, [1, 0]).await;
-    bed.wait_in_force(&[0, 1], revision, IN_FORCE).await;
-    bed.vms[2].child().signal(Signal::CONT);
-    bed.wait_in_force(&[0, 1, 2], revision, IN_FORCE).await;
-    observer.finish().await;
+/// [`IN_FORCE_LIMIT`] after it continues and never goes back.
+async fn race_while_vm_is_paused(mut deployment: Deployment) {
+    let monitor = RevisionMonitor::start(&deployment, &[0, 1, 2]);
+    deployment.vms[2].child().signal(Signal::STOP);
+    sleep(PAUSE_DURATION / 2).await;
+    let revision = race(&deployment, 1, [0, 1]).await;
+    deployment.wait_in_force(&[0, 1], revision, IN_FORCE_LIMIT).await;
+    sleep(PAUSE_DURATION / 2).await;
+    let revision = race(&deployment, revision, [1, 0]).await;
+    deployment.wait_in_force(&[0, 1], revision, IN_FORCE_LIMIT).await;
+    deployment.vms[2].child().signal(Signal::CONT);
+    deployment.wait_in_force(&[0, 1, 2], revision, IN_FORCE_LIMIT).await;
+    monitor.finish().await;
 }
 
-/// Publishes while the service loses the answers of writes. What the operator
-/// is told is true: accepted and in force, or unsettled with a token that
-/// settles it.
-async fn answers_lost(bed: Bed) {
-    let observer = Observer::start(&bed, &[0, 1, 2]);
+/// Publishes while the platform's service loses the answers of writes. The
+/// operator gets a correct answer: either accepted, or unsettled with a token that
+/// settles the publication.
+async fn publish_with_lost_answers(deployment: Deployment) {
+    let monitor = RevisionMonitor::start(&deployment, &[0, 1, 2]);
     for (base, fault) in [(1, "cut"), (2, "hang")] {
-        bed.platform_faults(&json!({ "lose_after": 1, "lose_by": fault })).await;
-        let reply = bed.publish(0, base, &profiles(40 + u32::try_from(base).unwrap())).await;
+        deployment.set_platform_faults(&json!({ "lose_after": 1, "lose_by": fault })).await;
+        let reply = deployment.publish(0, base, &profiles(40 + u32::try_from(base).unwrap())).await;
         let reply = if reply.body["kind"] == json!("revision_unsettled") {
-            bed.settle(1, &reply.body["token"]).await
+            deployment.settle(1, &reply.body["token"]).await
         } else {
             reply
         };
         assert!(reply.status.is_success(), "{}", reply.body);
         assert_eq!(reply.body["outcome"], json!("accepted"), "{}", reply.body);
         assert_eq!(reply.body["revision"], json!(base + 1), "{}", reply.body);
-        bed.wait_in_force(&[0, 1, 2], base + 1, IN_FORCE).await;
-        bed.platform_faults(&json!({})).await;
+        deployment.wait_in_force(&[0, 1, 2], base + 1, IN_FORCE_LIMIT).await;
+        deployment.set_platform_faults(&json!({})).await;
     }
-    observer.finish().await;
+    monitor.finish().await;
 }
 
-/// Starts a VM while the service is down: it learns the revision, the VMs and
-/// the targets from its peers and takes requests.
-async fn joined(mut bed: Bed, number: usize) {
-    let reply = bed.publish(0, 1, &profiles(50)).await;
+/// Starts a VM while the platform's service is down: the VM learns the revision,
+/// the VMs and the targets from its peers and accepts requests.
+async fn start_vm_during_outage(mut deployment: Deployment, number: usize) {
+    let reply = deployment.publish(0, 1, &profiles(50)).await;
     assert!(reply.status.is_success(), "{}", reply.body);
-    let others: Vec<usize> = bed.started().into_iter().filter(|&own| own != number).collect();
-    bed.wait_in_force(&others, 2, IN_FORCE).await;
-    bed.platform_faults(&json!({ "down": "cut" })).await;
-    if others.len() < bed.started().len() {
-        bed.vms[number].child().signal(Signal::KILL);
+    let others: Vec<usize> =
+        deployment.started().into_iter().filter(|&own| own != number).collect();
+    deployment.wait_in_force(&others, 2, IN_FORCE_LIMIT).await;
+    deployment.set_platform_faults(&json!({ "down": "cut" })).await;
+    if others.len() < deployment.started().len() {
+        deployment.vms[number].child().signal(Signal::KILL);
     }
     sleep(Duration::from_secs(1)).await;
-    bed.start_vm(number);
-    bed.wait_ready(number).await;
-    let reply = bed.search(number, WHOLE, "radar").await.unwrap();
-    assert_whole(&reply, "radar");
+    deployment.start_vm(number);
+    deployment.wait_ready(number).await;
+    let reply = deployment.search(number, COMPLETE_PROFILE, "radar").await.unwrap();
+    assert_complete(&reply, "radar");
     assert_eq!(reply.body["revision"], json!(2));
 }
 
-/// The first two of three listed VMs are started.
-fn without_last() -> Plan {
+/// Three listed VMs, of which the first two are started.
+fn last_vm_not_started() -> Plan {
     Plan { started: 2, ..Plan::default() }
 }
 
 cases! {
-    operators_race => case(raced);
-    operators_race_while_a_vm_is_paused => case(paused);
-    answers_to_a_publication_are_lost => case(answers_lost);
-    vm_restarts_while_the_service_is_down => case(async |bed| joined(bed, 2).await);
+    operators_race => with_deployment(race_in_turn);
+    operators_race_while_a_vm_is_paused => with_deployment(race_while_vm_is_paused);
+    answers_to_a_publication_are_lost => with_deployment(publish_with_lost_answers);
+    vm_restarts_while_the_service_is_down => with_deployment(async |deployment| {
+        start_vm_during_outage(deployment, 2).await
+    });
     vm_starts_first_while_the_service_is_down => {
-        case_of(without_last(), async |bed| joined(bed, 2).await);
+        with_plan(last_vm_not_started(), async |deployment| {
+            start_vm_during_outage(deployment, 2).await
+        });
     };
 }
--- a/tests/process/store.rs
+++ b/tests/process/store.rs
@@ -1,4 +1,5 @@
-//! The platform's service down, or losing its answers, while requests run.
+//! Outages of the platform's service, and lost answers and writes, while requests
+//! run.
 
 use std::time::Duration;
 
@@ -6,93 +7,99 @@
 use tokio::time::sleep;
 
 use super::{
-    bed::{Bed, WHOLE},
+    deployment::{COMPLETE_PROFILE, Deployment},
+    invariant,
     load::{Load, searches},
     operation::Operation,
-    run::case,
-    verdict,
+    runner::with_deployment,
 };
 
 /// The time for which the load runs before and after a fault.
-const STEADY: Duration = Duration::from_secs(1);
+const STEADY_PERIOD: Duration = Duration::from_secs(1);
 
-/// The time for which the service is down.
-const OUTAGE: Duration = Duration::from_secs(3);
+/// The approximate time for which the service is down.
+const OUTAGE_DURATION: Duration = Duration::from_secs(3);
 
 /// The time after the end of an outage within which operations run again.
-const RECOVERY: Duration = Duration::from_secs(1);
+const RECOVERY_LIMIT: Duration = Duration::from_secs(1);
 
-/// The tries of each operation whose writes are lost.
+/// How often an operation is sent while writes are lost.
 const MAX_TRIES: usize = 4;
 
-/// Takes the service away for a time. Searches go on wholly; operations are
-/// refused, nothing of them runs, and they run once when it is back.
-async fn outage(bed: &Bed, failure: &str) {
-    let load = Load::start(bed, &[0, 1, 2], WHOLE);
-    sleep(STEADY).await;
-    bed.platform_faults(&json!({ "down": failure })).await;
-    sleep(STEADY).await;
+/// Stops the service for a time. Searches stay complete; operations are refused
+/// without running, and run once when the service is up again.
+async fn stop_store(deployment: &Deployment, mode: &str) {
+    let load = Load::start(deployment, &[0, 1, 2], COMPLETE_PROFILE);
+    sleep(STEADY_PERIOD).await;
+    deployment.set_platform_faults(&json!({ "down": mode })).await;
+    sleep(STEADY_PERIOD).await;
     let operations: Vec<Operation> = (0..12).map(Operation::new).collect();
-    let refused = bed.send_in_turn(1, &operations).await.unwrap();
+    let refused = deployment.send_spaced(1, &operations).await.unwrap();
     for (operation, outcome) in operations.iter().zip(&refused) {
-        verdict::assert_not_run(operation, outcome);
+        invariant::assert_not_run(operation, outcome);
     }
-    let executions = bed.executions().await;
+    let executions = deployment.executions().await;
     assert!(operations.iter().all(|own| !executions.contains_key(&own.detail)), "{executions:?}");
-    sleep(OUTAGE.saturating_sub(STEADY)).await;
-    bed.platform_faults(&json!({})).await;
-    sleep(RECOVERY).await;
-    let ran = bed.send_in_turn(2, &operations).await.unwrap();
-    verdict::assert_ran(bed, &operations, &ran).await;
-    sleep(STEADY).await;
+    sleep(OUTAGE_DURATION.saturating_sub(STEADY_PERIOD)).await;
+    deployment.set_platform_faults(&json!({})).await;
+    sleep(RECOVERY_LIMIT).await;
+    let ran = deployment.send_spaced(2, &operations).await.unwrap();
+    invariant::assert_ran(deployment, &operations, &ran).await;
+    sleep(STEADY_PERIOD).await;
     let records = load.finish().await;
-    verdict::assert_whole(&searches(&records));
-    verdict::assert_run_once(bed, &records, &[0, 1, 2], &[]).await;
+    invariant::assert_complete(&searches(&records));
+    invariant::assert_run_once(deployment, &records, &[0, 1, 2], &[]).await;
 }
 
-/// Loses the answers of writes that took effect, or the writes. Each operation
-/// is sent again with its key until it is done, through each VM in turn, and
-/// runs once.
-async fn lost(bed: &Bed, faults: &Value) {
-    let load = Load::start(bed, &[0, 1, 2], WHOLE);
-    sleep(STEADY).await;
-    bed.platform_faults(faults).await;
+/// Loses writes or, after they took effect, only their answers. Each operation is
+/// sent again with its key, through each VM in turn, until it succeeds, and runs
+/// once.
+async fn lose_writes(deployment: &Deployment, faults: &Value) {
+    let load = Load::start(deployment, &[0, 1, 2], COMPLETE_PROFILE);
+    sleep(STEADY_PERIOD).await;
+    deployment.set_platform_faults(faults).await;
     let operations: Vec<Operation> = (0..24).map(Operation::new).collect();
-    let mut waiting = operations.clone();
+    let mut unfinished = operations.clone();
     for attempt in 0..MAX_TRIES {
-        let outcomes = bed.send_in_turn(attempt % 3, &waiting).await.unwrap();
-        verdict::assert_true(bed, &waiting, &outcomes).await;
-        waiting = waiting
+        let outcomes = deployment.send_spaced(attempt % 3, &unfinished).await.unwrap();
+        invariant::assert_consistent(deployment, &unfinished, &outcomes).await;
+        unfinished = unfinished
             .into_iter()
             .zip(&outcomes)
             .filter(|(_, outcome)| !outcome.as_ref().is_ok_and(|reply| reply.status.is_success()))
             .map(|(operation, _)| operation)
             .collect();
-        sleep(STEADY).await;
+        sleep(STEADY_PERIOD).await;
     }
-    bed.platform_faults(&json!({})).await;
-    sleep(RECOVERY).await;
-    let ran = bed.send_in_turn(0, &operations).await.unwrap();
-    verdict::assert_ran(bed, &operations, &ran).await;
+    deployment.set_platform_faults(&json!({})).await;
+    sleep(RECOVERY_LIMIT).await;
+    let ran = deployment.send_spaced(0, &operations).await.unwrap();
+    invariant::assert_ran(deployment, &operations, &ran).await;
     let records = load.finish().await;
-    verdict::assert_whole(&searches(&records));
-    verdict::assert_run_once(bed, &records, &[0, 1, 2], &[]).await;
+    invariant::assert_complete(&searches(&records));
+    invariant::assert_run_once(deployment, &records, &[0, 1, 2], &[]).await;
 }
 
 cases! {
-    store_down_and_cutting_connections => case(async |bed| outage(&bed, "cut").await);
-    store_down_and_silent => case(async |bed| outage(&bed, "hang").await);
-    store_refusing_every_call => case(async |bed| outage(&bed, "refuse").await);
+    store_down_and_cutting_connections => with_deployment(async |deployment| {
+        stop_store(&deployment, "cut").await
+    });
+    store_down_and_silent => with_deployment(async |deployment| {
+        stop_store(&deployment, "hang").await
+    });
+    store_refusing_every_call => with_deployment(async |deployment| {
+        stop_store(&deployment, "refuse").await
+    });
     store_answers_lost_after_effect => {
         let faults = json!({ "lose_after": 12, "lose_by": "cut" });
-        case(async |bed| lost(&bed, &faults).await);
+        with_deployment(async |deployment| lose_writes(&deployment, &faults).await);
     };
     store_answers_lost_in_silence => {
         let faults = json!({ "lose_after": 6, "lose_by": "hang" });
-        case(async |bed| lost(&bed, &faults).await);
+        with_deployment(async |deployment| lose_writes(&deployment, &faults).await);
     };
     store_writes_lost_before_and_after_effect => {
         let faults = json!({ "lose_before": 6, "lose_after": 6, "lose_by": "cut" });
-        case(async |bed| lost(&bed, &faults).await);
+        with_deployment(async |deployment| lose_writes(&deployment, &faults).await);
     };
 }
--- a/tests/process/target.rs
+++ b/tests/process/target.rs
@@ -1,4 +1,4 @@
-//! Targets that are killed, leave or stop answering on open connections.
+//! Targets that are killed, drained, stopped or silent on open connections.
 
 use std::time::{Duration, Instant};
 
@@ -6,105 +6,116 @@
 use tokio::time::sleep;
 
 use super::{
-    bed::{Bed, PART, WHOLE},
     child::Signal,
+    deployment::{COMPLETE_PROFILE, Deployment, PARTIAL_PROFILE},
+    invariant,
     load::{Load, searches},
-    run::case,
-    verdict,
+    runner::with_deployment,
 };
 
 /// The time for which the load runs before and after a fault.
-const STEADY: Duration = Duration::from_millis(1500);
+const STEADY_PERIOD: Duration = Duration::from_millis(1500);
 
-/// The time after which a leaving target gets no new work.
-const DRAINED: Duration = Duration::from_secs(2);
+/// The time after which a leaving target must get no new requests.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 
-/// The time after the loss of a target within which answers must be whole again.
-const RECOVERY: Duration = Duration::from_secs(1);
+/// The time after the loss of a target within which answers must be complete
+/// again.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(1);
 
-/// Kills one target of a shard and, later, one of another.
-async fn killed(bed: Bed) {
-    let load = Load::start(&bed, &[0, 1, 2], PART);
-    sleep(STEADY).await;
+/// Kills a target of one shard and, once answers are complete again, a target of
+/// another shard.
+async fn kill_targets(deployment: Deployment) {
+    let load = Load::start(&deployment, &[0, 1, 2], PARTIAL_PROFILE);
+    sleep(STEADY_PERIOD).await;
     let mut losses = Vec::new();
     for number in [0, 3] {
-        bed.targets[number].child.signal(Signal::KILL);
+        deployment.targets[number].child.signal(Signal::KILL);
         losses.push(Instant::now());
-        sleep(RECOVERY + STEADY).await;
+        sleep(RECOVERY_LIMIT + STEADY_PERIOD).await;
     }
     let records = load.finish().await;
-    verdict::assert_whole_except(&records, &losses, RECOVERY);
+    invariant::assert_complete_except(&records, &losses, RECOVERY_LIMIT);
 }
 
-/// Tells the targets by their own word or by the list that they leave: no
-/// request fails and after [`DRAINED`] none gets there.
-async fn drained(bed: &Bed, number: usize, by_list: bool) {
-    let load = Load::start(bed, &[0, 1, 2], WHOLE);
-    sleep(STEADY).await;
+/// Drains a target, either through the platform's list or by the target's own
+/// announcement. No request fails, and none reaches the target after
+/// [`DRAIN_LIMIT`].
+async fn drain_target(deployment: &Deployment, number: usize, by_list: bool) {
+    let load = Load::start(deployment, &[0, 1, 2], COMPLETE_PROFILE);
+    sleep(STEADY_PERIOD).await;
     if by_list {
-        bed.list_leaving(number).await;
+        deployment.list_leaving(number).await;
     } else {
-        bed.target_faults(number, &json!({ "drain": true })).await;
+        deployment.set_target_faults(number, &json!({ "drain": true })).await;
     }
-    sleep(DRAINED).await;
-    let before = bed.count(number, "attempts").await;
-    let other = bed.count(number ^ 1, "attempts").await;
-    assert!(before > 0, "the target had no work before");
-    sleep(STEADY).await;
-    let after = bed.count(number, "attempts").await;
-    assert_eq!(after - before, 0, "{} requests came after {DRAINED:?}", after - before);
-    assert!(bed.count(number ^ 1, "attempts").await > other, "the load had ended");
+    sleep(DRAIN_LIMIT).await;
+    let before = deployment.count(number, "attempts").await;
+    let other_before = deployment.count(number ^ 1, "attempts").await;
+    assert!(before > 0, "the target got no requests before the drain");
+    sleep(STEADY_PERIOD).await;
+    let after = deployment.count(number, "attempts").await;
+    assert_eq!(after - before, 0, "{} requests came after {DRAIN_LIMIT:?}", after - before);
+    assert!(deployment.count(number ^ 1, "attempts").await > other_before, "the load had stopped");
     let records = load.finish().await;
-    verdict::assert_whole(&records);
-    verdict::assert_run_once(bed, &records, &[0, 1, 2], &[]).await;
+    invariant::assert_complete(&records);
+    invariant::assert_run_once(deployment, &records, &[0, 1, 2], &[]).await;
 }
 
-/// Makes the open connections to some targets silent for good, again and again.
-/// Every search is answered wholly within its deadline.
-async fn silent(bed: &Bed, targets: &[usize]) {
-    let load = Load::start(bed, &[0, 1, 2], WHOLE);
-    sleep(STEADY).await;
+/// Makes the open connections to some targets permanently silent, twice. Every
+/// search is answered completely within its deadline.
+async fn silence_connections(deployment: &Deployment, targets: &[usize]) {
+    let load = Load::start(deployment, &[0, 1, 2], COMPLETE_PROFILE);
+    sleep(STEADY_PERIOD).await;
     for _ in 0..2 {
         for &number in targets {
-            bed.target_faults(number, &json!({ "silence": true })).await;
+            deployment.set_target_faults(number, &json!({ "silence": true })).await;
         }
-        sleep(STEADY).await;
+        sleep(STEADY_PERIOD).await;
     }
     let records = load.finish().await;
-    verdict::assert_whole(&searches(&records));
-    verdict::assert_run_once(bed, &records, &[0, 1, 2], &[]).await;
+    invariant::assert_complete(&searches(&records));
+    invariant::assert_run_once(deployment, &records, &[0, 1, 2], &[]).await;
 }
 
-/// Both replicas of a shard are down and come back: answers are truthfully
-/// partial meanwhile, and whole again afterwards.
-async fn shard_down(bed: Bed) {
-    let load = Load::start(&bed, &[0, 1, 2], PART);
-    sleep(STEADY).await;
+/// Stops both replicas of a shard and continues them: meanwhile answers are
+/// partial and state what is missing; afterwards they are complete again.
+async fn stop_shard(deployment: Deployment) {
+    let load = Load::start(&deployment, &[0, 1, 2], PARTIAL_PROFILE);
+    sleep(STEADY_PERIOD).await;
     for number in [2, 3] {
-        bed.targets[number].child.signal(Signal::STOP);
+        deployment.targets[number].child.signal(Signal::STOP);
     }
     let lost = Instant::now();
-    sleep(STEADY).await;
-    let reply = bed.search(0, WHOLE, "radar").await.unwrap();
-    assert!(!reply.status.is_success(), "a whole answer without a shard: {}", reply.body);
+    sleep(STEADY_PERIOD).await;
+    let reply = deployment.search(0, COMPLETE_PROFILE, "radar").await.unwrap();
+    assert!(!reply.status.is_success(), "a complete answer without a shard: {}", reply.body);
     for number in [2, 3] {
-        bed.targets[number].child.signal(Signal::CONT);
+        deployment.targets[number].child.signal(Signal::CONT);
     }
-    let back = Instant::now();
-    sleep(RECOVERY + STEADY).await;
+    let continued = Instant::now();
+    sleep(RECOVERY_LIMIT + STEADY_PERIOD).await;
     let records = load.finish().await;
-    let window = back.duration_since(lost) + RECOVERY;
-    verdict::assert_whole_except(&searches(&records), &[lost], window);
-    verdict::assert_run_once(&bed, &records, &[0, 1, 2], &[]).await;
+    let window = continued.duration_since(lost) + RECOVERY_LIMIT;
+    invariant::assert_complete_except(&searches(&records), &[lost], window);
+    invariant::assert_run_once(&deployment, &records, &[0, 1, 2], &[]).await;
 }
 
 cases! {
-    targets_killed_under_load => case(killed);
-    target_drains_by_its_own_word => case(async |bed| drained(&bed, 0, false).await);
-    target_drains_by_the_list => case(async |bed| drained(&bed, 2, true).await);
-    connections_to_a_target_go_silent => case(async |bed| silent(&bed, &[0]).await);
+    targets_killed_under_load => with_deployment(kill_targets);
+    target_drains_by_its_own_announcement => with_deployment(async |deployment| {
+        drain_target(&deployment, 0, false).await
+    });
+    target_drains_by_the_list => with_deployment(async |deployment| {
+        drain_target(&deployment, 2, true).await
+    });
+    connections_to_a_target_go_silent => with_deployment(async |deployment| {
+        silence_connections(&deployment, &[0]).await
+    });
     connections_to_every_target_go_silent => {
-        case(async |bed| silent(&bed, &[0, 1, 2, 3, 4, 5, 6, 7]).await);
+        with_deployment(async |deployment| {
+            silence_connections(&deployment, &[0, 1, 2, 3, 4, 5, 6, 7]).await
+        });
     };
-    shard_stopped_and_continued => case(shard_down);
+    shard_stopped_and_continued => with_deployment(stop_shard);
 }
--- a/tests/process/vm.rs
+++ b/tests/process/vm.rs
@@ -1,4 +1,4 @@
-//! VMs that are killed, paused or told to leave while requests run.
+//! VMs that are killed, paused or shut down while requests run.
 
 use std::time::{Duration, Instant};
 
@@ -6,143 +6,145 @@
 use tokio::time::sleep;
 
 use super::{
-    bed::{Bed, PART, START, WHOLE},
     child::Signal,
+    deployment::{COMPLETE_PROFILE, Deployment, PARTIAL_PROFILE, START_LIMIT},
+    invariant,
     load::{Load, Record},
     operation::Operation,
     part::Plan,
-    run::{case, case_of},
-    verdict,
+    runner::{with_deployment, with_plan},
 };
 
-/// The time after the loss of a VM within which answers must be whole again.
-const RECOVERY: Duration = Duration::from_secs(1);
+/// The time after the loss of a VM within which answers must be complete again.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(1);
 
 /// The time for which the load runs before and after a fault.
-const STEADY: Duration = Duration::from_millis(1500);
-
-/// The time of a pause: longer than every limit after which a silent VM or a
-/// waiting operation is given up, which are 5 s at most.
-const PAUSE: Duration = Duration::from_secs(7);
-
-/// The time within which a VM that is told to leave must have ended: the time
-/// that it announces its leaving, and the longest deadline.
-const LEAVE: Duration = Duration::from_secs(10);
-
-/// Kills a VM under load. Every request through the others is answered, with
-/// the rows of one snapshot, and wholly again within [`RECOVERY`].
-async fn killed(mut bed: Bed) {
-    let load = Load::start(&bed, &[0, 1, 2], PART);
-    sleep(STEADY).await;
-    bed.vms[0].child().signal(Signal::KILL);
+const STEADY_PERIOD: Duration = Duration::from_millis(1500);
+
+/// How long a VM is paused: longer than every limit after which a silent VM or a
+/// waiting operation is given up. The longest of these limits is 5 s.
+const PAUSE_DURATION: Duration = Duration::from_secs(7);
+
+/// The time within which a VM must exit after SIGTERM: the time for which it
+/// announces that it leaves, plus the longest deadline.
+const LEAVE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Kills a VM under load. Every request through the others is answered with the
+/// rows of one snapshot, and completely again after [`RECOVERY_LIMIT`].
+async fn kill_vm(mut deployment: Deployment) {
+    let load = Load::start(&deployment, &[0, 1, 2], PARTIAL_PROFILE);
+    sleep(STEADY_PERIOD).await;
+    deployment.vms[0].child().signal(Signal::KILL);
     let lost = Instant::now();
-    sleep(RECOVERY + STEADY).await;
+    sleep(RECOVERY_LIMIT + STEADY_PERIOD).await;
     let records = load.finish().await;
     assert_recovered(&records, 0, lost);
-    verdict::assert_run_once(&bed, &records, &[1, 2], &[0]).await;
+    invariant::assert_run_once(&deployment, &records, &[1, 2], &[0]).await;
 }
 
 /// Asserts that each request through the VMs other than `vm` was answered, and
-/// wholly unless it was sent within [`RECOVERY`] after the loss of that VM.
+/// completely unless it was in flight when that VM was lost or sent within
+/// [`RECOVERY_LIMIT`] after that.
 fn assert_recovered(records: &[Record], vm: usize, lost: Instant) {
     let others: Vec<Record> = records.iter().filter(|record| record.vm != vm).cloned().collect();
-    verdict::assert_whole_except(&others, &[lost], RECOVERY);
+    invariant::assert_complete_except(&others, &[lost], RECOVERY_LIMIT);
 }
 
-/// Kills a VM and starts it again at its place.
-async fn replaced(mut bed: Bed) {
-    let load = Load::start(&bed, &[1, 2], PART);
-    sleep(STEADY).await;
-    bed.vms[0].child().signal(Signal::KILL);
+/// Kills a VM and starts it again with the same name and addresses.
+async fn replace_vm(mut deployment: Deployment) {
+    let load = Load::start(&deployment, &[1, 2], PARTIAL_PROFILE);
+    sleep(STEADY_PERIOD).await;
+    deployment.vms[0].child().signal(Signal::KILL);
     let lost = Instant::now();
-    bed.vms[0].child().wait_exit(START).await;
-    bed.start_vm(0);
-    bed.wait_ready(0).await;
-    let reply = bed.search(0, WHOLE, "radar").await.unwrap();
-    super::answer::assert_whole(&reply, "radar");
+    deployment.vms[0].child().wait_exit(START_LIMIT).await;
+    deployment.start_vm(0);
+    deployment.wait_ready(0).await;
+    let reply = deployment.search(0, COMPLETE_PROFILE, "radar").await.unwrap();
+    super::answer::assert_complete(&reply, "radar");
     assert_eq!(reply.body["revision"], json!(1));
-    sleep(RECOVERY + STEADY).await;
+    sleep(RECOVERY_LIMIT + STEADY_PERIOD).await;
     let records = load.finish().await;
     assert_recovered(&records, 0, lost);
-    verdict::assert_run_once(&bed, &records, &[0, 1, 2], &[]).await;
+    invariant::assert_run_once(&deployment, &records, &[0, 1, 2], &[]).await;
 }
 
-/// Stops a VM for longer than any limit while it holds operations, sends them
-/// again through the others, and continues it.
-async fn paused(mut bed: Bed) {
-    slow_down(&bed).await;
-    let load = Load::start(&bed, &[1, 2], PART);
-    sleep(STEADY).await;
+/// Pauses a VM for longer than any limit while operations are in flight on it,
+/// sends them again through the others, and continues the VM.
+async fn pause_vm(mut deployment: Deployment) {
+    slow_targets_down(&deployment).await;
+    let load = Load::start(&deployment, &[1, 2], PARTIAL_PROFILE);
+    sleep(STEADY_PERIOD).await;
     let operations: Vec<Operation> = (0..48).map(Operation::new).collect();
-    let first = bed.send_in_turn(0, &operations);
+    let first = deployment.send_spaced(0, &operations);
     sleep(Duration::from_millis(100)).await;
-    bed.vms[0].child().signal(Signal::STOP);
+    deployment.vms[0].child().signal(Signal::STOP);
     let lost = Instant::now();
-    verdict::assert_resent(&bed, &[1, 2], &operations).await;
-    sleep((lost + PAUSE).saturating_duration_since(Instant::now())).await;
-    bed.vms[0].child().signal(Signal::CONT);
+    invariant::assert_resent(&deployment, &[1, 2], &operations).await;
+    sleep((lost + PAUSE_DURATION).saturating_duration_since(Instant::now())).await;
+    deployment.vms[0].child().signal(Signal::CONT);
     let answers = first.await.unwrap();
-    verdict::assert_true(&bed, &operations, &answers).await;
-    bed.wait_ready(0).await;
+    invariant::assert_consistent(&deployment, &operations, &answers).await;
+    deployment.wait_ready(0).await;
     let records = load.finish().await;
     assert_recovered(&records, 0, lost);
-    verdict::assert_resent(&bed, &[0, 1, 2], &operations).await;
-    verdict::assert_run_once(&bed, &records, &[0, 1, 2], &[]).await;
+    invariant::assert_resent(&deployment, &[0, 1, 2], &operations).await;
+    invariant::assert_run_once(&deployment, &records, &[0, 1, 2], &[]).await;
 }
 
-/// Slows the targets down, so that requests are in flight at any moment.
-async fn slow_down(bed: &Bed) {
-    for number in 0..bed.targets.len() {
-        bed.target_faults(number, &json!({ "slow_factor": 10.0 })).await;
+/// Slows the targets down so that requests are in flight at any time.
+async fn slow_targets_down(deployment: &Deployment) {
+    for number in 0..deployment.targets.len() {
+        deployment.set_target_faults(number, &json!({ "slow_factor": 10.0 })).await;
     }
 }
 
-/// Tells one VM after the other to leave, under load, and starts each again.
-/// No request fails and each VM ends by itself.
-async fn rolled(mut bed: Bed) {
-    slow_down(&bed).await;
-    let load = Load::start(&bed, &[0, 1, 2], WHOLE);
-    sleep(STEADY).await;
+/// Shuts two VMs down one after the other under load and starts each again. No
+/// request fails and each VM exits with success.
+async fn rolling_restart(mut deployment: Deployment) {
+    slow_targets_down(&deployment).await;
+    let load = Load::start(&deployment, &[0, 1, 2], COMPLETE_PROFILE);
+    sleep(STEADY_PERIOD).await;
     for number in [0, 1] {
-        bed.vms[number].child().signal(Signal::TERM);
-        let status = bed.vms[number].child().wait_exit(LEAVE).await;
-        assert!(status.success(), "VM {number} ended with {status}");
-        bed.start_vm(number);
-        bed.wait_ready(number).await;
+        deployment.vms[number].child().signal(Signal::TERM);
+        let status = deployment.vms[number].child().wait_exit(LEAVE_LIMIT).await;
+        assert!(status.success(), "VM {number} exited with {status}");
+        deployment.start_vm(number);
+        deployment.wait_ready(number).await;
     }
-    sleep(STEADY).await;
+    sleep(STEADY_PERIOD).await;
     let records = load.finish().await;
-    verdict::assert_whole(&records);
-    verdict::assert_run_once(&bed, &records, &[0, 1, 2], &[]).await;
+    invariant::assert_complete(&records);
+    invariant::assert_run_once(&deployment, &records, &[0, 1, 2], &[]).await;
 }
 
-/// Tells a VM to leave while another one is killed.
-async fn left_and_killed(mut bed: Bed) {
-    let load = Load::start(&bed, &[1, 2], PART);
-    sleep(STEADY).await;
-    bed.vms[1].child().signal(Signal::TERM);
-    sleep(RECOVERY / 4).await;
-    bed.vms[0].child().signal(Signal::KILL);
+/// Kills a VM while another one shuts down.
+async fn kill_vm_while_another_leaves(mut deployment: Deployment) {
+    let load = Load::start(&deployment, &[1, 2], PARTIAL_PROFILE);
+    sleep(STEADY_PERIOD).await;
+    deployment.vms[1].child().signal(Signal::TERM);
+    sleep(RECOVERY_LIMIT / 4).await;
+    deployment.vms[0].child().signal(Signal::KILL);
     let lost = Instant::now();
-    let status = bed.vms[1].child().wait_exit(LEAVE).await;
-    assert!(status.success(), "VM 1 ended with {status}");
-    sleep(STEADY).await;
+    let status = deployment.vms[1].child().wait_exit(LEAVE_LIMIT).await;
+    assert!(status.success(), "VM 1 exited with {status}");
+    sleep(STEADY_PERIOD).await;
     let records = load.finish().await;
     assert_recovered(&records, 0, lost);
-    verdict::assert_run_once(&bed, &records, &[2], &[0]).await;
+    invariant::assert_run_once(&deployment, &records, &[2], &[0]).await;
 }
 
-/// Every VM has two traffic threads, which share its address for callers.
+/// A deployment whose VMs have two traffic threads each, which share the VM's
+/// address for callers.
 fn two_threads() -> Plan {
     Plan { threads: 2, ..Plan::default() }
 }
 
 cases! {
-    vm_killed_under_load => case(killed);
-    vm_replaced_under_load => case(replaced);
-    vm_paused_with_operations_in_flight => case(paused);
-    vms_leave_in_turn_under_load => case(rolled);
-    vms_with_two_traffic_threads_leave_in_turn => case_of(two_threads(), rolled);
-    vm_with_two_traffic_threads_is_killed => case_of(two_threads(), killed);
-    vm_leaves_while_another_is_killed => case(left_and_killed);
+    vm_killed_under_load => with_deployment(kill_vm);
+    vm_replaced_under_load => with_deployment(replace_vm);
+    vm_paused_with_operations_in_flight => with_deployment(pause_vm);
+    vms_leave_in_turn_under_load => with_deployment(rolling_restart);
+    vms_with_two_traffic_threads_leave_in_turn => with_plan(two_threads(), rolling_restart);
+    vm_with_two_traffic_threads_is_killed => with_plan(two_threads(), kill_vm);
+    vm_leaves_while_another_is_killed => with_deployment(kill_vm_while_another_leaves);
 }
