--- a/tests/border/main.rs
+++ b/tests/border/main.rs
@@ -1,4 +1,5 @@
-//! Tests of the borders: each client against the stand-in of its service.
+//! Tests of the client of the platform's service against the service's stand-in,
+//! and of the decisions of the stand-in.
 
 #[macro_use]
 #[path = "../common/case.rs"]
--- a/tests/border/service.rs
+++ b/tests/border/service.rs
@@ -1,4 +1,5 @@
-//! The stand-in of the platform and its client, in the runtime of a test.
+//! The stand-in of the platform's service and a client of it, both on the runtime
+//! of a test.
 
 use std::{
     collections::BTreeMap,
@@ -18,10 +19,11 @@
 use serde_json::Value;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
-/// The limit of each call.
-pub const LIMIT: Duration = Duration::from_millis(400);
+/// The client's time limit per call; a watch has its own wait in addition.
+pub const CALL_LIMIT: Duration = Duration::from_millis(400);
 
-/// A stand-in that runs until the runtime of the test ends.
+/// The stand-in of the platform's service; runs until the test's runtime is
+/// dropped.
 pub struct Service {
     pub address: SocketAddr,
     http: reqwest::Client,
@@ -39,11 +41,11 @@
         Service { address, http: reqwest::Client::builder().no_proxy().build().unwrap() }
     }
 
-    pub fn caller(&self, vm: &str) -> Caller {
-        Caller::new(self.address, vm)
+    pub fn client(&self, vm: &str) -> TestClient {
+        TestClient::new(self.address, vm)
     }
 
-    /// Sends an order of the test or the deployer.
+    /// Sends a PUT, as a deployer does to change the list and a test to set faults.
     pub async fn put(&self, path: &str, body: Value) -> StatusCode {
         let url = format!("http://{}{path}", self.address);
         self.http.put(url).json(&body).send().await.unwrap().status()
@@ -54,70 +56,70 @@
         self.http.delete(url).send().await.unwrap().status()
     }
 
-    pub async fn faults(&self, faults: Value) {
+    pub async fn set_faults(&self, faults: Value) {
         assert_eq!(self.put("/v1/faults", faults).await, StatusCode::NO_CONTENT);
     }
 
-    /// The number of calls by kind.
-    pub async fn calls(&self) -> BTreeMap<String, u64> {
+    /// Returns the number of calls that the stand-in has received, by kind.
+    pub async fn call_counts(&self) -> BTreeMap<String, u64> {
         let url = format!("http://{}/v1/calls", self.address);
         self.http.get(url).send().await.unwrap().json().await.unwrap()
     }
 }
 
-/// A client with the replies that it reports.
-pub struct Caller {
+/// A client of the platform's service that collects its replies.
+pub struct TestClient {
     client: Client,
     replies: UnboundedReceiver<(CallId, Reply)>,
-    last: u64,
+    last_id: u64,
 }
 
-impl Caller {
-    pub fn new(address: SocketAddr, vm: &str) -> Caller {
+impl TestClient {
+    pub fn new(address: SocketAddr, vm: &str) -> TestClient {
         let (sender, replies) = unbounded_channel();
-        let client = Client::new(address, &name(vm), LIMIT, sender);
-        Caller { client, replies, last: 0 }
+        let client = Client::new(address, &name(vm), CALL_LIMIT, sender);
+        TestClient { client, replies, last_id: 0 }
     }
 
     /// Starts a call without waiting for its reply.
     pub fn start(&mut self, call: Call) -> CallId {
-        self.last += 1;
-        self.client.call(CallId(self.last), call);
-        CallId(self.last)
+        self.last_id += 1;
+        self.client.call(CallId(self.last_id), call);
+        CallId(self.last_id)
     }
 
-    /// The next reply of any call.
+    /// Waits for the next reply to any call.
     pub async fn next(&mut self) -> (CallId, Reply) {
         self.replies.recv().await.unwrap()
     }
 
-    /// Makes a call and waits for its reply; no other call is open.
-    pub async fn ask(&mut self, call: Call) -> Reply {
+    /// Makes a call and waits for its reply. No other call may be outstanding.
+    pub async fn call(&mut self, call: Call) -> Reply {
         let id = self.start(call);
         let (found, reply) = self.next().await;
         assert_eq!(found, id);
         reply
     }
 
-    /// Writes a key that must not have changed meanwhile.
+    /// Writes a key and panics unless its version is `expect`.
     pub async fn write(&mut self, key: &str, expect: Option<Version>, value: &[u8]) -> Version {
-        match self.ask(swap(key, expect, value)).await {
+        match self.call(swap(key, expect, value)).await {
             Reply::Swapped { version } => version,
             other => panic!("{other:?}"),
         }
     }
 
-    /// Reads a key.
+    /// Returns the entry of a key, or `None` if the key does not exist.
     pub async fn read(&mut self, key: &str) -> Option<Entry> {
-        match self.ask(get(key)).await {
+        match self.call(get(key)).await {
             Reply::Value { entry, .. } => entry,
             other => panic!("{other:?}"),
         }
     }
 
-    /// The names and states of the listed VMs.
+    /// Returns the names and states of the listed VMs.
     pub async fn vms(&mut self) -> Vec<(String, State)> {
-        match self.ask(Call::List).await {
+        match self.call(Call::List).await {
             Reply::Listed { vms, .. } => {
                 vms.into_iter().map(|vm| (vm.name.to_string(), vm.state)).collect()
             }
@@ -153,12 +155,12 @@
     }
 }
 
-/// Tells whether a reply says that nothing is known of the call's effect.
+/// Returns whether a reply states that the effect of the call is unknown.
 pub fn is_lost(reply: &Reply) -> bool {
     matches!(reply, Reply::Lost { .. })
 }
 
-/// Tells whether a reply says that the call had no effect.
+/// Returns whether a reply states that the call had no effect.
 pub fn is_refused(reply: &Reply) -> bool {
     matches!(reply, Reply::Refused { .. })
 }
