--- a/tests/fronts/callers.rs
+++ b/tests/fronts/callers.rs
@@ -1,4 +1,5 @@
-//! Paths for callers: what reaches the traffic thread and what comes back.
+//! Paths for callers: which events reach the traffic thread and how its answers are
+//! returned.
 
 use std::time::Duration;
 
@@ -12,9 +13,11 @@
 use serde_json::{Value, json};
 use uuid::Uuid;
 
-use crate::bed::{Front, QUERY, Wire, assert_not_run, name, post, problem, refused, reply};
+use crate::fixture::{
+    Connection, Front, QUERY_ID, assert_not_run, name, raw_post, read_problem, refusal, reply,
+};
 
-const SEARCH: &str = r#"{"profile":"portal","text":"146 MHz","deadline_ms":80}"#;
+const SEARCH_BODY: &str = r#"{"profile":"portal","text":"146 MHz","deadline_ms":80}"#;
 
 fn found(missing: Set, coverage: u32) -> Body {
     Body::Found(Found {
@@ -40,8 +43,8 @@
 
 async fn search_whole() {
     let mut front = Front::start(|_| {});
-    let sent = tokio::spawn(front.post("/v1/search", SEARCH).send());
-    let ask = front.ask().await;
+    let sent = tokio::spawn(front.post("/v1/search", SEARCH_BODY).send());
+    let ask = front.next_call().await;
     let Event::Search { search, .. } = &ask.event else { panic!("{:?}", ask.event) };
     let expected = Search {
         profile: name("portal"),
@@ -53,7 +56,7 @@
     let response = sent.await.unwrap().unwrap();
     assert_eq!(response.status(), 200);
     let expected = json!({
-        "request": QUERY.to_string(),
+        "request": QUERY_ID.to_string(),
         "snapshot": 7,
         "coverage": { "parts_per_million": 1_000_000, "complete": true, "missing": [] },
         "revision": 3,
@@ -66,8 +69,8 @@
 async fn search_partial() {
     let mut front = Front::start(|_| {});
     let missing = Set::from_range(range(16, 255));
-    let request = front.post("/v1/search", SEARCH);
-    // The part that is missing is smaller than a millionth.
+    let request = front.post("/v1/search", SEARCH_BODY);
+    // The missing range is less than one part per million.
     let response = front.exchange(request, found(missing, 1_000_000)).await;
     let document: Value = response.json().await.unwrap();
     let expected = json!({
@@ -81,10 +84,10 @@
 async fn operation_done() {
     let mut front = Front::start(|_| {});
     let key = Uuid::now_v7();
-    // Above 2^53, where many clients lose digits.
+    // Above 2^53, where clients that store numbers as doubles lose digits.
     let request = operation(&front, &key.to_string(), r#""9007199254740993""#);
     let sent = tokio::spawn(request.send());
-    let ask = front.ask().await;
+    let ask = front.next_call().await;
     let Event::Operate { operate, .. } = &ask.event else { panic!("{:?}", ask.event) };
     let expected = Operate {
         profile: name("clearance"),
@@ -98,7 +101,7 @@
     reply(ask, Body::Done { result: "assigned".into(), replayed: true, revision: 3 });
     let document: Value = sent.await.unwrap().unwrap().json().await.unwrap();
     let expected = json!({
-        "request": QUERY.to_string(),
+        "request": QUERY_ID.to_string(),
         "result": "assigned",
         "replayed": true,
         "revision": 3,
@@ -109,35 +112,35 @@
 async fn every_kind() {
     let mut front = Front::start(|_| {});
     for &kind in Kind::ALL {
-        let request = front.post("/v1/search", SEARCH);
+        let request = front.post("/v1/search", SEARCH_BODY);
         let fault = Fault::unknown(kind, "why it was refused");
-        let response = front.exchange(request, refused(fault)).await;
+        let response = front.exchange(request, refusal(fault)).await;
         assert_eq!(response.status(), kind.answer().status);
-        let document = problem(response).await;
+        let document = read_problem(response).await;
         assert_eq!(document["kind"], kind.as_str());
         assert_eq!(document["title"], kind.answer().title);
         assert_eq!(document["detail"], "why it was refused");
         assert_eq!(document["ran"], "unknown");
-        assert_eq!(document["request"], QUERY.to_string());
+        assert_eq!(document["request"], QUERY_ID.to_string());
     }
 }
 
 async fn retry_rounded_up() {
     let mut front = Front::start(|_| {});
-    let request = front.post("/v1/search", SEARCH);
+    let request = front.post("/v1/search", SEARCH_BODY);
     let fault = Fault::not_run(Kind::Overloaded, "full");
-    let response = front.exchange(request, refused(fault)).await;
+    let response = front.exchange(request, refusal(fault)).await;
     assert_eq!(response.headers()["retry-after"], "1");
-    let document = problem(response).await;
+    let document = read_problem(response).await;
     assert_not_run(&document, "overloaded");
     assert_eq!(document["retry"], json!({ "allowed": true, "after_ms": 100 }));
 }
 
 async fn thread_ended() {
     let mut front = Front::start(|_| {});
-    let sent = tokio::spawn(front.post("/v1/search", SEARCH).send());
-    drop(front.ask().await);
-    let document = problem(sent.await.unwrap().unwrap()).await;
+    let sent = tokio::spawn(front.post("/v1/search", SEARCH_BODY).send());
+    drop(front.next_call().await);
+    let document = read_problem(sent.await.unwrap().unwrap()).await;
     assert_eq!(document["kind"], "internal");
     assert_eq!(document["ran"], "unknown");
 }
@@ -153,28 +156,28 @@
     assert_eq!(front.get("/livez").await.status(), 200);
     let response = front.get("/readyz").await;
     assert_eq!(response.status(), 503);
-    assert_not_run(&problem(response).await, "not_ready");
+    assert_not_run(&read_problem(response).await, "not_ready");
 }
 
 async fn caller_gone() {
     let mut front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
-    wire.send(&post("/v1/search", SEARCH)).await;
-    let ask = front.ask().await;
-    drop(wire);
-    let Input::Abandoned(call) = front.input().await else { panic!("another call") };
+    let mut connection = Connection::open(front.address).await;
+    connection.send(&raw_post("/v1/search", SEARCH_BODY)).await;
+    let ask = front.next_call().await;
+    drop(connection);
+    let Input::Abandoned(call) = front.next_input().await else { panic!("another call") };
     assert_eq!(call, ask.call);
 }
 
 async fn caller_gone_harms_no_other() {
     let mut front = Front::start(|_| {});
-    let mut gone = Wire::open(front.address).await;
-    gone.send(&post("/v1/search", SEARCH)).await;
-    let first = front.ask().await;
-    let stays = tokio::spawn(front.post("/v1/search", SEARCH).send());
-    let second = front.ask().await;
+    let mut gone = Connection::open(front.address).await;
+    gone.send(&raw_post("/v1/search", SEARCH_BODY)).await;
+    let first = front.next_call().await;
+    let stays = tokio::spawn(front.post("/v1/search", SEARCH_BODY).send());
+    let second = front.next_call().await;
     drop(gone);
-    let Input::Abandoned(call) = front.input().await else { panic!("another call") };
+    let Input::Abandoned(call) = front.next_input().await else { panic!("another call") };
     assert_eq!(call, first.call);
     reply(second, found(Set::new(), 1_000_000));
     assert_eq!(stays.await.unwrap().unwrap().status(), 200);
@@ -182,9 +185,9 @@
 
 async fn shutdown_finishes_open_request() {
     let mut front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
-    wire.send(&post("/v1/search", SEARCH)).await;
-    let ask = front.ask().await;
+    let mut connection = Connection::open(front.address).await;
+    connection.send(&raw_post("/v1/search", SEARCH_BODY)).await;
+    let ask = front.next_call().await;
     front.signals.shutdown.send_replace(true);
     // The listener is closed before the request is answered.
     while tokio::net::TcpStream::connect(front.address).await.is_ok() {
@@ -192,7 +195,7 @@
     }
     assert!(!front.task.is_finished());
     reply(ask, found(Set::new(), 1_000_000));
-    let response = wire.rest().await;
+    let response = connection.read_to_end().await;
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     assert!(response.contains("connection: close"), "{response}");
     assert!(response.ends_with('}'), "{response}");
@@ -201,43 +204,43 @@
 
 async fn shutdown_closes_idle_connection() {
     let mut front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
-    wire.send(&post("/v1/search", SEARCH)).await;
-    reply(front.ask().await, found(Set::new(), 1_000_000));
-    assert!(wire.next().await.starts_with("HTTP/1.1 200"));
+    let mut connection = Connection::open(front.address).await;
+    connection.send(&raw_post("/v1/search", SEARCH_BODY)).await;
+    reply(front.next_call().await, found(Set::new(), 1_000_000));
+    assert!(connection.read_some().await.starts_with("HTTP/1.1 200"));
     front.signals.shutdown.send_replace(true);
-    assert_eq!(wire.rest().await, "");
+    assert_eq!(connection.read_to_end().await, "");
     front.task.await.unwrap().unwrap();
 }
 
 async fn unready_closes_after_response() {
     let mut front = Front::start(|_| {});
     front.signals.ready.send_replace(false);
-    let mut wire = Wire::open(front.address).await;
-    wire.send(&post("/v1/search", SEARCH)).await;
-    reply(front.ask().await, found(Set::new(), 1_000_000));
-    let response = wire.rest().await;
+    let mut connection = Connection::open(front.address).await;
+    connection.send(&raw_post("/v1/search", SEARCH_BODY)).await;
+    reply(front.next_call().await, found(Set::new(), 1_000_000));
+    let response = connection.read_to_end().await;
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     assert!(response.contains("connection: close"), "{response}");
 }
 
 async fn requests_share_connection() {
     let mut front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
+    let mut connection = Connection::open(front.address).await;
     for _ in 0..20 {
-        wire.send(&post("/v1/search", SEARCH)).await;
-        reply(front.ask().await, found(Set::new(), 1_000_000));
-        assert!(wire.next().await.starts_with("HTTP/1.1 200"));
+        connection.send(&raw_post("/v1/search", SEARCH_BODY)).await;
+        reply(front.next_call().await, found(Set::new(), 1_000_000));
+        assert!(connection.read_some().await.starts_with("HTTP/1.1 200"));
     }
 }
 
 async fn requests_at_once() {
     let mut front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
-    wire.send(&post("/v1/search", SEARCH).repeat(3)).await;
+    let mut connection = Connection::open(front.address).await;
+    connection.send(&raw_post("/v1/search", SEARCH_BODY).repeat(3)).await;
     for _ in 0..3 {
-        reply(front.ask().await, found(Set::new(), 1_000_000));
-        assert!(wire.next().await.starts_with("HTTP/1.1 200"));
+        reply(front.next_call().await, found(Set::new(), 1_000_000));
+        assert!(connection.read_some().await.starts_with("HTTP/1.1 200"));
     }
 }
 
--- a/tests/fronts/bed.rs
+++ b/tests/fronts/fixture.rs
@@ -1,4 +1,5 @@
-//! What the cases share: a front with a fake thread behind it, and clients.
+//! The fixture that the cases share: a front for callers whose traffic thread is
+//! played by the case, and clients.
 
 use std::{
     net::{SocketAddr, TcpListener},
@@ -30,19 +31,19 @@
     time::timeout,
 };
 
-/// The time after which a case gives up on an event.
-pub const PATIENCE: Duration = Duration::from_secs(10);
+/// The time after which a case that waits for an event fails.
+pub const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The time in which nothing must happen.
-pub const QUIET: Duration = Duration::from_millis(150);
+/// How long a case waits to assert that no event occurs.
+pub const QUIET_PERIOD: Duration = Duration::from_millis(150);
 
-/// The id of every request in the answers.
-pub const QUERY: id::Query = id::Query { origin: Origin(0xab), sequence: 1 };
+/// The query id in every answer.
+pub const QUERY_ID: id::Query = id::Query { origin: Origin(0xab), sequence: 1 };
 
-/// Metrics without any.
-pub struct Text;
+/// An implementation of [`Metrics`] without any metric.
+pub struct NoMetrics;
 
-impl Metrics for Text {
+impl Metrics for NoMetrics {
     fn encode(&self) -> String {
         "# EOF\n".to_owned()
     }
@@ -50,7 +51,7 @@
     fn refused(&self, _: Kind) {}
 }
 
-/// Limits that no case meets by chance.
+/// Limits large enough that only cases which exceed them on purpose reach them.
 pub fn limits() -> Callers {
     Callers {
         body_limit: 2048,
@@ -63,7 +64,7 @@
     }
 }
 
-/// The signals that a front waits for.
+/// The senders of the signals that a front watches.
 pub struct Signals {
     pub ready: watch::Sender<bool>,
     pub shutdown: watch::Sender<bool>,
@@ -79,7 +80,7 @@
 }
 
 impl Front {
-    /// Starts a front with the limits that `change` leaves.
+    /// Starts a front with the default [`limits`] after `change` has modified them.
     pub fn start(change: impl FnOnce(&mut Callers)) -> Front {
         let mut limits = limits();
         change(&mut limits);
@@ -92,7 +93,7 @@
             limits,
             handle: Handle::new(inputs),
             ready: is_ready,
-            metrics: Arc::new(Text),
+            metrics: Arc::new(NoMetrics),
             shutdown: is_shut,
         };
         Front {
@@ -104,79 +105,81 @@
         }
     }
 
-    /// The next input of the traffic thread.
-    pub async fn input(&mut self) -> Input {
-        timeout(PATIENCE, self.inputs.recv()).await.expect("no input came").expect("it has ended")
+    /// Waits for the next input to the traffic thread.
+    pub async fn next_input(&mut self) -> Input {
+        timeout(EVENT_TIMEOUT, self.inputs.recv())
+            .await
+            .expect("no input within the limit")
+            .expect("the front runs")
     }
 
-    /// The next call of the traffic thread.
-    pub async fn ask(&mut self) -> Ask {
-        match self.input().await {
+    /// Waits for the next call to the traffic thread; panics on any other input.
+    pub async fn next_call(&mut self) -> Ask {
+        match self.next_input().await {
             Input::Ask(ask) => ask,
             Input::Abandoned(call) => panic!("{call:?} was abandoned"),
         }
     }
 
-    /// Checks that nothing reached the traffic thread.
+    /// Asserts that no input has reached the traffic thread.
     pub fn assert_nothing_ran(&mut self) {
         assert!(self.inputs.try_recv().is_err(), "an input reached the traffic thread");
     }
 
-    /// Posts `body` to `path` and answers the call.
+    /// Sends `request`, answers the call with `body` and returns the response.
     pub async fn exchange(&mut self, request: reqwest::RequestBuilder, body: Body) -> Response {
         let sent = tokio::spawn(request.send());
-        let ask = self.ask().await;
+        let ask = self.next_call().await;
         reply(ask, body);
         sent.await.expect("the client does not panic").expect("an answer comes")
     }
 
-    /// A POST of a JSON text.
+    /// Builds a POST of a JSON text.
     pub fn post(&self, path: &str, body: &str) -> reqwest::RequestBuilder {
         self.http.post(format!("http://{}{path}", self.address)).body(body.to_owned())
     }
 
-    /// A GET.
+    /// Sends a GET and returns the response.
     pub async fn get(&self, path: &str) -> Response {
         let request = self.http.get(format!("http://{}{path}", self.address));
         request.send().await.expect("an answer comes")
     }
 }
 
-/// Answers a call.
+/// Answers a call with `body`.
 pub fn reply(ask: Ask, body: Body) {
     let profile = match ask.event {
         Event::Search { search, .. } => search.profile,
         Event::Operate { operate, .. } => operate.profile,
-        other => panic!("{other:?} is no call"),
+        other => panic!("{other:?} is not a call"),
     };
-    let answer = Answer { query: QUERY, body, profile, took: Duration::ZERO };
+    let answer = Answer { query: QUERY_ID, body, profile, took: Duration::ZERO };
     let _ = ask.answer.send(answer);
 }
 
-/// A refusal as an answer.
-pub fn refused(fault: Fault) -> Body {
+pub fn refusal(fault: Fault) -> Body {
     Body::Refused(fault)
 }
 
-/// A name.
 pub fn name(text: &str) -> Name {
-    Name::try_from(text).expect("a name")
+    Name::try_from(text).expect("a valid name")
 }
 
-/// A listener on a free port of the loopback interface.
+/// Listens on an unused port of the loopback interface.
 pub fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
     let address = listener.local_addr().expect("it is bound");
     (listener, address)
 }
 
-/// A client that opens its own connections.
+/// Builds an HTTP client with its own connection pool.
 pub fn client() -> reqwest::Client {
-    reqwest::Client::builder().no_proxy().timeout(PATIENCE).build().expect("a client")
+    reqwest::Client::builder().no_proxy().timeout(EVENT_TIMEOUT).build().expect("a client")
 }
 
-/// A problem document with the checks that hold for all of them.
-pub async fn problem(response: Response) -> Value {
+/// Reads the problem document of a response and asserts what holds for all problem
+/// documents.
+pub async fn read_problem(response: Response) -> Value {
     let status = response.status().as_u16();
     assert_eq!(response.headers()["content-type"], "application/problem+json");
     let after = response.headers().get("retry-after").cloned();
@@ -188,50 +191,52 @@
     document
 }
 
-/// Checks that `document` is a refusal of `kind` of which nothing ran.
+/// Asserts that `document` is a refusal of `kind` which states that nothing ran.
 pub fn assert_not_run(document: &Value, kind: &str) {
     assert_eq!(document["kind"], kind, "{document}");
     assert_eq!(document["ran"], "no", "{document}");
 }
 
-/// A connection that a case writes byte by byte.
-pub struct Wire(pub TcpStream);
+/// A raw TCP connection to a front, on which the case writes the bytes itself.
+pub struct Connection(pub TcpStream);
 
-impl Wire {
-    /// Connects to a front.
-    pub async fn open(address: SocketAddr) -> Wire {
-        Wire(TcpStream::connect(address).await.expect("the front accepts"))
+impl Connection {
+    pub async fn open(address: SocketAddr) -> Connection {
+        Connection(TcpStream::connect(address).await.expect("the front accepts"))
     }
 
-    /// Sends `text`; the front may have closed already.
+    /// Sends `text` and returns whether the write succeeded; the front may have
+    /// closed the connection already.
     pub async fn send(&mut self, text: &str) -> bool {
         self.0.write_all(text.as_bytes()).await.is_ok()
     }
 
-    /// All that the front sends until it closes.
-    pub async fn rest(&mut self) -> String {
+    /// Reads until the front closes the connection.
+    pub async fn read_to_end(&mut self) -> String {
         let mut bytes = Vec::new();
-        let read = timeout(PATIENCE, self.0.read_to_end(&mut bytes)).await;
+        let read = timeout(EVENT_TIMEOUT, self.0.read_to_end(&mut bytes)).await;
         read.expect("the front closes in time").expect("the connection is not reset");
         String::from_utf8(bytes).expect("the answer is text")
     }
 
-    /// What the front sends next.
-    pub async fn next(&mut self) -> String {
+    /// Reads the bytes that arrive next, at most 4096.
+    pub async fn read_some(&mut self) -> String {
         let mut bytes = [0; 4096];
-        let read = timeout(PATIENCE, self.0.read(&mut bytes)).await.expect("something comes");
+        let read = timeout(EVENT_TIMEOUT, self.0.read(&mut bytes))
+            .await
+            .expect("the front sends within the limit");
         let size = read.expect("the connection is not reset");
         String::from_utf8(bytes[..size].to_vec()).expect("the answer is text")
     }
 }
 
-/// The problem document of a response that was read as text.
-pub fn document(response: &str) -> Value {
+/// Parses the JSON document in a raw HTTP response.
+pub fn parse_document(response: &str) -> Value {
     let (_, body) = response.split_once("\r\n\r\n").expect("a head and a body");
     serde_json::from_str(body).expect("a JSON document")
 }
 
-/// A POST of `body` as text.
-pub fn post(path: &str, body: &str) -> String {
+/// Returns the bytes of an HTTP/1.1 POST of `body` as text.
+pub fn raw_post(path: &str, body: &str) -> String {
     format!("POST {path} HTTP/1.1\r\nhost: vm\r\ncontent-length: {}\r\n\r\n{body}", body.len())
 }
--- a/tests/fronts/limit.rs
+++ b/tests/fronts/limit.rs
@@ -1,35 +1,37 @@
-//! Slow and oversized callers, who harm no other.
+//! Callers that are slow or send too much are refused and don't affect others.
 
 use std::time::{Duration, Instant};
 
 use laburnum_core::traffic::Body;
 use tokio::{io::AsyncWriteExt, time::sleep};
 
-use crate::bed::{Front, PATIENCE, Wire, assert_not_run, document, post, problem, reply};
+use crate::fixture::{
+    Connection, EVENT_TIMEOUT, Front, assert_not_run, parse_document, raw_post, read_problem, reply,
+};
 
-/// The limit on the time of a head or body in these cases.
-const SHORT: Duration = Duration::from_millis(300);
+/// A limit short enough for a case to exceed it.
+const SHORT_LIMIT: Duration = Duration::from_millis(300);
 
-const SEARCH: &str = r#"{"profile":"portal","text":"x"}"#;
+const SEARCH_BODY: &str = r#"{"profile":"portal","text":"x"}"#;
 
 fn done() -> Body {
     Body::Done { result: "done".into(), replayed: false, revision: 1 }
 }
 
-/// Checks that another caller is served while `front` deals with a bad one.
-async fn assert_serves(front: &mut Front) {
+/// Asserts that `front` serves another caller.
+async fn assert_serves_others(front: &mut Front) {
     let request = front
         .post("/v1/operations", r#"{"profile":"a","operation":"o","subject":1,"detail":"x"}"#)
         .header("Idempotency-Key", "0190163d-8694-739b-aea5-966c26f8ad91");
     assert_eq!(front.exchange(request, done()).await.status(), 200);
 }
 
-/// Checks that `response` is a refusal of `kind` after which the connection is
+/// Asserts that `response` is a refusal of `kind` after which the connection is
 /// closed.
 fn assert_refused(response: &str, status: u16, kind: &str) {
     assert!(response.starts_with(&format!("HTTP/1.1 {status} ")), "{response}");
     assert!(response.contains("connection: close\r\n"), "{response}");
-    assert_not_run(&document(response), kind);
+    assert_not_run(&parse_document(response), kind);
 }
 
 async fn large_with_length() {
@@ -37,257 +39,273 @@
     let body = "x".repeat(2049);
     let response = front.post("/v1/search", &body).send().await.unwrap();
     assert_eq!(response.status(), 413);
-    let document = problem(response).await;
+    let document = read_problem(response).await;
     assert_not_run(&document, "too_large");
     assert!(document["detail"].as_str().unwrap().contains("2048 bytes"), "{document}");
     front.assert_nothing_ran();
-    assert_serves(&mut front).await;
+    assert_serves_others(&mut front).await;
 }
 
-async fn largest() {
+async fn largest_allowed() {
     let mut front = Front::start(|_| {});
-    let body = format!("{SEARCH}{}", " ".repeat(2048 - SEARCH.len()));
+    let body = format!("{SEARCH_BODY}{}", " ".repeat(2048 - SEARCH_BODY.len()));
     let sent = tokio::spawn(front.post("/v1/search", &body).send());
-    reply(front.ask().await, done());
-    // The fake thread answers a search with something else.
+    reply(front.next_call().await, done());
+    // The body reached the traffic thread. The front answers 500 because `done` is
+    // not an answer to a search.
     assert_eq!(sent.await.unwrap().unwrap().status(), 500);
 }
 
-/// A body far beyond the limit, all of it sent before the answer is read.
+/// A body far larger than the limit, all of which is sent before the answer is read.
 async fn very_large_with_length() {
     let mut front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
-    wire.send(&post("/v1/search", &"x".repeat(1 << 20))).await;
-    assert_refused(&wire.rest().await, 413, "too_large");
+    let mut connection = Connection::open(front.address).await;
+    connection.send(&raw_post("/v1/search", &"x".repeat(1 << 20))).await;
+    assert_refused(&connection.read_to_end().await, 413, "too_large");
     front.assert_nothing_ran();
-    assert_serves(&mut front).await;
+    assert_serves_others(&mut front).await;
 }
 
 async fn large_without_length() {
     let mut front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
-    wire.send("POST /v1/search HTTP/1.1\r\nhost: vm\r\ntransfer-encoding: chunked\r\n\r\n").await;
+    let mut connection = Connection::open(front.address).await;
+    connection
+        .send("POST /v1/search HTTP/1.1\r\nhost: vm\r\ntransfer-encoding: chunked\r\n\r\n")
+        .await;
     for _ in 0..100 {
-        wire.send(&format!("400\r\n{}\r\n", "x".repeat(1024))).await;
+        connection.send(&format!("400\r\n{}\r\n", "x".repeat(1024))).await;
     }
-    assert_refused(&wire.rest().await, 413, "too_large");
+    assert_refused(&connection.read_to_end().await, 413, "too_large");
     front.assert_nothing_ran();
-    assert_serves(&mut front).await;
+    assert_serves_others(&mut front).await;
 }
 
 async fn endless_body() {
     let mut front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
-    wire.send("POST /v1/search HTTP/1.1\r\nhost: vm\r\ntransfer-encoding: chunked\r\n\r\n").await;
+    let mut connection = Connection::open(front.address).await;
+    connection
+        .send("POST /v1/search HTTP/1.1\r\nhost: vm\r\ntransfer-encoding: chunked\r\n\r\n")
+        .await;
     let chunk = format!("400\r\n{}\r\n", "x".repeat(1024));
-    let endless = async { while wire.send(&chunk).await {} };
-    tokio::time::timeout(PATIENCE, endless).await.expect("the front closes");
+    let endless = async { while connection.send(&chunk).await {} };
+    tokio::time::timeout(EVENT_TIMEOUT, endless).await.expect("the front closes");
     front.assert_nothing_ran();
-    assert_serves(&mut front).await;
+    assert_serves_others(&mut front).await;
 }
 
 async fn large_head() {
     let mut front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
+    let mut connection = Connection::open(front.address).await;
     let filler = "x".repeat(9000);
-    wire.send(&format!("GET /livez HTTP/1.1\r\nhost: vm\r\nfiller: {filler}\r\n\r\n")).await;
-    let response = wire.rest().await;
+    connection.send(&format!("GET /livez HTTP/1.1\r\nhost: vm\r\nfiller: {filler}\r\n\r\n")).await;
+    let response = connection.read_to_end().await;
     assert_refused(&response, 413, "too_large");
     assert!(response.contains("8192 bytes"), "{response}");
-    assert_serves(&mut front).await;
+    assert_serves_others(&mut front).await;
 }
 
 async fn endless_head() {
     let mut front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
-    wire.send("GET /livez HTTP/1.1\r\nhost: vm\r\n").await;
+    let mut connection = Connection::open(front.address).await;
+    connection.send("GET /livez HTTP/1.1\r\nhost: vm\r\n").await;
     for number in 0..500 {
-        wire.send(&format!("filler-{number}: {}\r\n", "x".repeat(50))).await;
+        connection.send(&format!("filler-{number}: {}\r\n", "x".repeat(50))).await;
     }
-    assert_refused(&wire.rest().await, 413, "too_large");
-    assert_serves(&mut front).await;
+    assert_refused(&connection.read_to_end().await, 413, "too_large");
+    assert_serves_others(&mut front).await;
 }
 
 async fn large_second_head() {
     let front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
-    wire.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
-    assert!(wire.next().await.starts_with("HTTP/1.1 200"));
+    let mut connection = Connection::open(front.address).await;
+    connection.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
+    assert!(connection.read_some().await.starts_with("HTTP/1.1 200"));
     let filler = "x".repeat(9000);
-    wire.send(&format!("GET /livez HTTP/1.1\r\nhost: vm\r\nfiller: {filler}\r\n\r\n")).await;
-    assert_refused(&wire.rest().await, 413, "too_large");
+    connection.send(&format!("GET /livez HTTP/1.1\r\nhost: vm\r\nfiller: {filler}\r\n\r\n")).await;
+    assert_refused(&connection.read_to_end().await, 413, "too_large");
 }
 
-/// A body larger than the limit of heads is no head.
+/// The limit on heads does not apply to bodies.
 async fn body_beyond_head_limit() {
     let mut front = Front::start(|limits| limits.body_limit = 64 * 1024);
     for _ in 0..3 {
-        let body = format!("{SEARCH}{}", " ".repeat(60 * 1024));
+        let body = format!("{SEARCH_BODY}{}", " ".repeat(60 * 1024));
         let sent = tokio::spawn(front.post("/v1/search", &body).send());
-        drop(front.ask().await);
+        drop(front.next_call().await);
         assert_eq!(sent.await.unwrap().unwrap().status(), 500);
     }
 }
 
 async fn slow_head() {
-    let mut front = Front::start(|limits| limits.header_read = SHORT);
-    let mut wire = Wire::open(front.address).await;
+    let mut front = Front::start(|limits| limits.header_read = SHORT_LIMIT);
+    let mut connection = Connection::open(front.address).await;
     let start = Instant::now();
-    wire.send("POST /v1/search HTTP/1.1\r\nhost: v").await;
-    assert_serves(&mut front).await;
-    assert_refused(&wire.rest().await, 408, "slow_caller");
-    assert!(start.elapsed() >= SHORT);
+    connection.send("POST /v1/search HTTP/1.1\r\nhost: v").await;
+    assert_serves_others(&mut front).await;
+    assert_refused(&connection.read_to_end().await, 408, "slow_caller");
+    assert!(start.elapsed() >= SHORT_LIMIT);
     front.assert_nothing_ran();
 }
 
 async fn dripping_head() {
-    let mut front = Front::start(|limits| limits.header_read = SHORT);
-    let mut wire = Wire::open(front.address).await;
+    let mut front = Front::start(|limits| limits.header_read = SHORT_LIMIT);
+    let mut connection = Connection::open(front.address).await;
     let start = Instant::now();
     let drip = async {
-        wire.send("POST /v1/search HTTP/1.1\r\nfiller: ").await;
-        while wire.send("x").await && start.elapsed() < 4 * SHORT {
+        connection.send("POST /v1/search HTTP/1.1\r\nfiller: ").await;
+        while connection.send("x").await && start.elapsed() < 4 * SHORT_LIMIT {
             sleep(Duration::from_millis(20)).await;
         }
-        wire.rest().await
+        connection.read_to_end().await
     };
-    let response = tokio::time::timeout(PATIENCE, drip).await.expect("the front closes");
+    let response = tokio::time::timeout(EVENT_TIMEOUT, drip).await.expect("the front closes");
     assert_refused(&response, 408, "slow_caller");
     front.assert_nothing_ran();
-    assert_serves(&mut front).await;
+    assert_serves_others(&mut front).await;
 }
 
 async fn slow_second_head() {
-    let mut front = Front::start(|limits| limits.header_read = SHORT);
-    let mut wire = Wire::open(front.address).await;
-    wire.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
-    assert!(wire.next().await.starts_with("HTTP/1.1 200"));
-    // The time between two requests is no time of a head.
-    sleep(2 * SHORT).await;
-    wire.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
-    assert!(wire.next().await.starts_with("HTTP/1.1 200"));
-    wire.send("GET /livez HTTP/1.1\r\n").await;
-    assert_refused(&wire.rest().await, 408, "slow_caller");
-    assert_serves(&mut front).await;
+    let mut front = Front::start(|limits| limits.header_read = SHORT_LIMIT);
+    let mut connection = Connection::open(front.address).await;
+    connection.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
+    assert!(connection.read_some().await.starts_with("HTTP/1.1 200"));
+    // The time between two requests does not count as time to read a head.
+    sleep(2 * SHORT_LIMIT).await;
+    connection.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
+    assert!(connection.read_some().await.starts_with("HTTP/1.1 200"));
+    connection.send("GET /livez HTTP/1.1\r\n").await;
+    assert_refused(&connection.read_to_end().await, 408, "slow_caller");
+    assert_serves_others(&mut front).await;
 }
 
 async fn slow_body(head: &str, pieces: &str) {
-    let mut front = Front::start(|limits| limits.body_read = SHORT);
-    let mut wire = Wire::open(front.address).await;
+    let mut front = Front::start(|limits| limits.body_read = SHORT_LIMIT);
+    let mut connection = Connection::open(front.address).await;
     let start = Instant::now();
     let drip = async {
-        wire.send(head).await;
-        while wire.send(pieces).await && start.elapsed() < 4 * SHORT {
+        connection.send(head).await;
+        while connection.send(pieces).await && start.elapsed() < 4 * SHORT_LIMIT {
             sleep(Duration::from_millis(20)).await;
         }
-        wire.rest().await
+        connection.read_to_end().await
     };
-    let response = tokio::time::timeout(PATIENCE, drip).await.expect("the front closes");
+    let response = tokio::time::timeout(EVENT_TIMEOUT, drip).await.expect("the front closes");
     assert_refused(&response, 408, "slow_caller");
-    assert!(start.elapsed() >= SHORT);
+    assert!(start.elapsed() >= SHORT_LIMIT);
     front.assert_nothing_ran();
-    assert_serves(&mut front).await;
+    assert_serves_others(&mut front).await;
 }
 
-const CHUNKED: &str = "POST /v1/search HTTP/1.1\r\nhost: vm\r\ntransfer-encoding: chunked\r\n\r\n";
-const LENGTH: &str = "POST /v1/search HTTP/1.1\r\nhost: vm\r\ncontent-length: 2000\r\n\r\n";
+const CHUNKED_HEAD: &str =
+    "POST /v1/search HTTP/1.1\r\nhost: vm\r\ntransfer-encoding: chunked\r\n\r\n";
+const LENGTH_HEAD: &str = "POST /v1/search HTTP/1.1\r\nhost: vm\r\ncontent-length: 2000\r\n\r\n";
 
-async fn slow_engine() {
+async fn slow_thread() {
     let mut front = Front::start(|limits| {
-        limits.header_read = SHORT;
-        limits.body_read = SHORT;
-        limits.idle = SHORT;
+        limits.header_read = SHORT_LIMIT;
+        limits.body_read = SHORT_LIMIT;
+        limits.idle = SHORT_LIMIT;
     });
-    let sent = tokio::spawn(front.post("/v1/search", SEARCH).send());
-    let ask = front.ask().await;
-    sleep(3 * SHORT).await;
+    let sent = tokio::spawn(front.post("/v1/search", SEARCH_BODY).send());
+    let ask = front.next_call().await;
+    sleep(3 * SHORT_LIMIT).await;
     reply(ask, done());
     assert_eq!(sent.await.unwrap().unwrap().status(), 500);
 }
 
-async fn idle() {
-    let front = Front::start(|limits| limits.idle = SHORT);
-    let mut silent = Wire::open(front.address).await;
-    let mut used = Wire::open(front.address).await;
+async fn idle_connections() {
+    let front = Front::start(|limits| limits.idle = SHORT_LIMIT);
+    let mut unused = Connection::open(front.address).await;
+    let mut used = Connection::open(front.address).await;
     let start = Instant::now();
     used.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
-    assert!(used.next().await.starts_with("HTTP/1.1 200"));
-    assert_eq!(silent.rest().await, "");
-    assert_eq!(used.rest().await, "");
-    assert!(start.elapsed() >= SHORT);
+    assert!(used.read_some().await.starts_with("HTTP/1.1 200"));
+    assert_eq!(unused.read_to_end().await, "");
+    assert_eq!(used.read_to_end().await, "");
+    assert!(start.elapsed() >= SHORT_LIMIT);
 }
 
 async fn many_connections() {
     let mut front = Front::start(|limits| limits.open_connections = 2);
-    let mut first = Wire::open(front.address).await;
-    first.send(&post("/v1/search", SEARCH)).await;
-    let ask = front.ask().await;
-    let mut second = Wire::open(front.address).await;
+    let mut first = Connection::open(front.address).await;
+    first.send(&raw_post("/v1/search", SEARCH_BODY)).await;
+    let ask = front.next_call().await;
+    let mut second = Connection::open(front.address).await;
     second.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
-    assert!(second.next().await.starts_with("HTTP/1.1 200"));
-    let mut third = Wire::open(front.address).await;
+    assert!(second.read_some().await.starts_with("HTTP/1.1 200"));
+    let mut third = Connection::open(front.address).await;
     third.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
-    assert_refused(&third.rest().await, 503, "too_many_open");
+    assert_refused(&third.read_to_end().await, 503, "too_many_open");
     reply(ask, done());
-    assert!(first.next().await.starts_with("HTTP/1.1 500"));
+    assert!(first.read_some().await.starts_with("HTTP/1.1 500"));
     drop(second);
     drop(first);
-    // Its place is free as soon as the front has seen the end.
+    // The front accepts another connection once it has noticed that these are closed.
     for _ in 0..100 {
-        let mut next = Wire::open(front.address).await;
+        let mut next = Connection::open(front.address).await;
         next.send("GET /livez HTTP/1.1\r\nhost: vm\r\nconnection: close\r\n\r\n").await;
-        if next.rest().await.starts_with("HTTP/1.1 200") {
+        if next.read_to_end().await.starts_with("HTTP/1.1 200") {
             return;
         }
         sleep(Duration::from_millis(10)).await;
     }
-    panic!("no place became free");
+    panic!("no connection was accepted after others were closed");
 }
 
 async fn unread_response() {
-    let mut front = Front::start(|limits| limits.idle = SHORT);
-    let mut wire = Wire::open(front.address).await;
-    wire.send(
-        &post("/v1/operations", r#"{"profile":"a","operation":"o","subject":1,"detail":"x"}"#)
+    let mut front = Front::start(|limits| limits.idle = SHORT_LIMIT);
+    let mut connection = Connection::open(front.address).await;
+    connection
+        .send(
+            &raw_post(
+                "/v1/operations",
+                r#"{"profile":"a","operation":"o","subject":1,"detail":"x"}"#,
+            )
             .replace(
                 "host: vm",
                 "host: vm\r\nidempotency-key: 0190163d-8694-739b-aea5-966c26f8ad91",
             ),
-    )
-    .await;
+        )
+        .await;
     let result = "x".repeat(32 << 20);
-    reply(front.ask().await, Body::Done { result: result.into(), replayed: false, revision: 1 });
-    // Nothing is read, so that the response does not fit the buffers.
-    sleep(4 * SHORT).await;
+    reply(
+        front.next_call().await,
+        Body::Done { result: result.into(), replayed: false, revision: 1 },
+    );
+    // The response is not read and is larger than the socket buffers, so that the
+    // front cannot write all of it.
+    sleep(4 * SHORT_LIMIT).await;
     front.signals.shutdown.send_replace(true);
-    let ended = tokio::time::timeout(PATIENCE, front.task).await;
-    ended.expect("the connection is given up").unwrap().unwrap();
-    drop(wire);
+    let ended = tokio::time::timeout(EVENT_TIMEOUT, front.task).await;
+    ended.expect("the front closes the connection").unwrap().unwrap();
+    drop(connection);
 }
 
 async fn http2() {
     let front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
-    wire.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n").await;
-    let response = wire.rest().await;
+    let mut connection = Connection::open(front.address).await;
+    connection.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n").await;
+    let response = connection.read_to_end().await;
     assert_refused(&response, 400, "malformed");
     assert!(response.contains("HTTP/1.1"), "{response}");
 }
 
-/// A caller that waits for the front before it sends the body.
-async fn expected_body(length: usize) -> String {
+/// Sends a head with `expect: 100-continue` and, only if the front asks for the
+/// body, the body. Returns the final response.
+async fn post_with_expect_continue(length: usize) -> String {
     let mut front = Front::start(|limits| limits.body_limit = 64 * 1024);
-    let mut wire = Wire::open(front.address).await;
-    wire.send(&format!(
-        "POST /v1/search HTTP/1.1\r\nhost: vm\r\nexpect: 100-continue\r\n\
+    let mut connection = Connection::open(front.address).await;
+    connection
+        .send(&format!(
+            "POST /v1/search HTTP/1.1\r\nhost: vm\r\nexpect: 100-continue\r\n\
          content-length: {length}\r\n\r\n"
-    ))
-    .await;
-    let first = wire.next().await;
+        ))
+        .await;
+    let first = connection.read_some().await;
     if first.starts_with("HTTP/1.1 100") {
-        wire.send(&format!("{SEARCH}{}", " ".repeat(length - SEARCH.len()))).await;
-        reply(front.ask().await, done());
-        return wire.next().await;
+        connection.send(&format!("{SEARCH_BODY}{}", " ".repeat(length - SEARCH_BODY.len()))).await;
+        reply(front.next_call().await, done());
+        return connection.read_some().await;
     }
     front.assert_nothing_ran();
     first
@@ -295,12 +313,12 @@
 
 async fn half_closed() {
     let mut front = Front::start(|_| {});
-    let mut wire = Wire::open(front.address).await;
-    wire.send("POST /v1/search HTTP/1.1\r\nhost: vm\r\ncontent-length: 100\r\n\r\n{").await;
-    wire.0.shutdown().await.unwrap();
-    wire.rest().await;
+    let mut connection = Connection::open(front.address).await;
+    connection.send("POST /v1/search HTTP/1.1\r\nhost: vm\r\ncontent-length: 100\r\n\r\n{").await;
+    connection.0.shutdown().await.unwrap();
+    connection.read_to_end().await;
     front.assert_nothing_ran();
-    assert_serves(&mut front).await;
+    assert_serves_others(&mut front).await;
 }
 
 cases! {
@@ -309,7 +327,7 @@
     a_very_large_body_with_a_length => very_large_with_length().await;
     a_large_body_without_a_length => large_without_length().await;
     an_endless_body => endless_body().await;
-    the_largest_allowed_body => largest().await;
+    the_largest_allowed_body => largest_allowed().await;
     a_large_head => large_head().await;
     an_endless_head => endless_head().await;
     a_large_second_head => large_second_head().await;
@@ -317,17 +335,19 @@
     a_slow_head => slow_head().await;
     a_dripping_head => dripping_head().await;
     a_slow_second_head => slow_second_head().await;
-    a_stopped_body => slow_body(LENGTH, "").await;
-    a_dripping_body => slow_body(LENGTH, "x").await;
-    a_dripping_chunked_body => slow_body(CHUNKED, "1\r\nx\r\n").await;
-    a_slow_thread_is_no_slow_caller => slow_engine().await;
-    an_idle_connection => idle().await;
+    a_stopped_body => slow_body(LENGTH_HEAD, "").await;
+    a_dripping_body => slow_body(LENGTH_HEAD, "x").await;
+    a_dripping_chunked_body => slow_body(CHUNKED_HEAD, "1\r\nx\r\n").await;
+    a_slow_thread_is_no_slow_caller => slow_thread().await;
+    an_idle_connection => idle_connections().await;
     too_many_connections => many_connections().await;
     a_response_that_is_not_taken => unread_response().await;
     http2_is_refused => http2().await;
-    an_expected_body => assert!(expected_body(60 * 1024).await.starts_with("HTTP/1.1 500"));
+    an_expected_body => assert!(
+        post_with_expect_continue(60 * 1024).await.starts_with("HTTP/1.1 500")
+    );
     a_large_body_is_refused_before_it_is_sent => {
-        assert_refused(&expected_body(65 * 1024).await, 413, "too_large");
+        assert_refused(&post_with_expect_continue(65 * 1024).await, 413, "too_large");
     };
     a_cut_body => half_closed().await;
 }
--- a/tests/fronts/main.rs
+++ b/tests/fronts/main.rs
@@ -1,13 +1,13 @@
-//! Tests of the HTTP fronts over loopback sockets, with the threads behind them
-//! answered by the cases.
+//! Tests of the HTTP fronts over loopback sockets. The cases act as the traffic and
+//! control threads behind the fronts.
 
 #[macro_use]
 #[path = "../common/case.rs"]
 mod case;
 mod access;
-mod bed;
+mod fixture;
 mod callers;
-mod desk;
+mod operator_front;
 mod document;
 mod input;
 mod limit;
--- a/tests/fronts/desk.rs
+++ b/tests/fronts/operator_front.rs
@@ -1,9 +1,9 @@
-//! A front for operators with a fake control thread behind it.
+//! A front for operators whose control thread is played by the case.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use laburnum_core::{
-    control::{Answer, Request, request::Token as Publication},
+    control::{Answer, Request, request::Token as PublicationToken},
     name::Name,
     profile::{Profile, Raw, Revision},
 };
@@ -17,74 +17,81 @@
 use tokio::{sync::watch, time::timeout};
 use uuid::Uuid;
 
-use crate::bed::{PATIENCE, QUIET, Signals, Text, assert_not_run, client, listen, name, problem};
+use crate::fixture::{
+    EVENT_TIMEOUT, NoMetrics, QUIET_PERIOD, Signals, assert_not_run, client, listen, name,
+    read_problem,
+};
 
-/// A front for operators.
-pub struct Desk {
+/// A front for operators and the inbox of its control thread.
+pub struct OperatorFront {
     pub address: SocketAddr,
     pub signals: Signals,
     pub http: reqwest::Client,
     inbox: Inbox,
 }
 
-/// The text of the token that carries both roles for the team `desk`.
-pub const BOTH: &str = "a-token-that-may-do-everything";
-/// The text of the token that may only read.
-pub const READ: &str = "a-token-that-may-only-read";
+/// A token with both roles for the team `desk`.
+pub const BOTH_ROLES_TOKEN: &str = "a-token-that-may-do-everything";
+/// A token with only the role `read`.
+pub const READ_TOKEN: &str = "a-token-that-may-only-read";
 
-impl Desk {
-    /// Starts a front with the tokens [`BOTH`] and [`READ`].
-    pub fn start() -> Desk {
+impl OperatorFront {
+    /// Starts a front with the tokens [`BOTH_ROLES_TOKEN`] and [`READ_TOKEN`].
+    pub fn start() -> OperatorFront {
         let (listener, address) = listen();
         let (handle, inbox) = control::channel();
         let (ready, is_ready) = watch::channel(true);
         let (shutdown, is_shut) = watch::channel(false);
         let tokens = vec![
-            token("lead", BOTH, vec![Role::Read, Role::Publish]),
-            token("viewer", READ, vec![Role::Read]),
+            token("lead", BOTH_ROLES_TOKEN, vec![Role::Read, Role::Publish]),
+            token("viewer", READ_TOKEN, vec![Role::Read]),
         ];
         let seed = operator::Seed {
             listener,
             operators: Operators { tokens },
             handle,
             ready: is_ready,
-            metrics: Arc::new(Text),
+            metrics: Arc::new(NoMetrics),
             shutdown: is_shut,
         };
         tokio::spawn(operator::serve(seed));
-        Desk { address, signals: Signals { ready, shutdown }, http: client(), inbox }
+        OperatorFront { address, signals: Signals { ready, shutdown }, http: client(), inbox }
     }
 
-    /// A request with the token `token`.
+    /// Builds a request with a bearer token.
     pub fn request(&self, method: &str, path: &str, token: &str) -> reqwest::RequestBuilder {
         let method = method.parse().expect("a method");
         let url = format!("http://{}{path}", self.address);
         self.http.request(method, url).bearer_auth(token)
     }
 
-    /// Sends `request`, answers it, and tells what was asked.
+    /// Sends `request`, answers it with `answer`, and returns what the control thread
+    /// was asked and the response.
     pub async fn exchange(
         &mut self,
         request: reqwest::RequestBuilder,
         answer: Answer,
     ) -> (Request, Response) {
         let sent = tokio::spawn(request.send());
-        let ask = timeout(PATIENCE, self.inbox.ask()).await.expect("it is asked").expect("open");
+        let ask = timeout(EVENT_TIMEOUT, self.inbox.ask())
+            .await
+            .expect("a request within the limit")
+            .expect("the front runs");
         let _ = ask.answer.send(answer);
         let response = sent.await.expect("the client does not panic").expect("an answer comes");
         (ask.request, response)
     }
 
-    /// Answers whatever is asked.
+    /// Answers every request to the control thread with the same answer.
     pub async fn answer_all(&mut self) {
         while let Some(ask) = self.inbox.ask().await {
             let _ = ask.answer.send(control_answer());
         }
     }
 
-    /// Checks that nothing is asked of the control thread.
+    /// Asserts that no request reaches the control thread.
     pub async fn assert_nothing_asked(&mut self) {
-        let asked = timeout(QUIET, self.inbox.ask()).await;
+        let asked = timeout(QUIET_PERIOD, self.inbox.ask()).await;
         assert!(asked.is_err(), "a request reached the control thread");
     }
 }
@@ -95,14 +102,14 @@
 
 fn token(name: &str, text: &str, roles: Vec<Role>) -> Token {
     Token {
-        name: crate::bed::name(name),
-        team: crate::bed::name("desk"),
+        name: crate::fixture::name(name),
+        team: crate::fixture::name("desk"),
         roles,
         hash: Hash::of(text.as_bytes()),
     }
 }
 
-/// A profile of `team`.
+/// A valid profile of `team`.
 pub fn profile(team: &str, concurrency: u32) -> Profile {
     let second = Duration::from_secs(1);
     Profile::try_from(Raw {
@@ -116,46 +123,47 @@
         priority: 10,
         canary: true,
     })
-    .expect("a sound profile")
+    .expect("a valid profile")
 }
 
-/// Profiles by name, each with its team and concurrency.
+/// Makes profiles from rows of name, team and concurrency.
 pub fn profiles(rows: &[(&str, &str, u32)]) -> BTreeMap<Name, Profile> {
     rows.iter().map(|&(key, team, level)| (name(key), profile(team, level))).collect()
 }
 
 /// The profiles that the cases publish.
-pub fn own() -> BTreeMap<Name, Profile> {
+pub fn own_profiles() -> BTreeMap<Name, Profile> {
     profiles(&[("portal", "desk", 8)])
 }
 
-/// The document of [`own`].
-pub fn body() -> String {
-    json!({ "profiles": own() }).to_string()
+/// The JSON body that publishes [`own_profiles`].
+pub fn profiles_body() -> String {
+    json!({ "profiles": own_profiles() }).to_string()
 }
 
-/// Checks that `request` is refused with `status` and asks nothing.
-pub async fn refused(
-    desk: &mut Desk,
+/// Sends `request`, asserts that it is refused with `status` and `kind` without
+/// reaching the control thread, and returns the problem document.
+pub async fn expect_refusal(
+    front: &mut OperatorFront,
     request: reqwest::RequestBuilder,
     status: u16,
     kind: &str,
 ) -> Value {
     let response = request.send().await.unwrap();
     assert_eq!(response.status(), status);
-    let document = problem(response).await;
+    let document = read_problem(response).await;
     assert_not_run(&document, kind);
-    desk.assert_nothing_asked().await;
+    front.assert_nothing_asked().await;
     document
 }
 
-/// Every path with a body that it takes.
+/// Every method and path for operators, with a valid body.
 pub fn paths() -> Vec<(&'static str, &'static str, String)> {
     let empty = String::new;
     vec![
         ("GET", "/v1/profiles", empty()),
-        ("PUT", "/v1/profiles", body()),
-        ("POST", "/v1/profiles/diff", body()),
+        ("PUT", "/v1/profiles", profiles_body()),
+        ("POST", "/v1/profiles/diff", profiles_body()),
         ("GET", "/v1/profiles/history", empty()),
         ("POST", "/v1/profiles/rollback", r#"{"to":1}"#.to_owned()),
         ("GET", "/v1/profiles/status", empty()),
@@ -165,7 +173,6 @@
     ]
 }
 
-/// The token of an unsettled publication.
-pub fn unsettled_token() -> Publication {
-    Publication { base: Revision(4), revision: Revision(5), id: Uuid::from_u128(0xfeed) }
+pub fn unsettled_token() -> PublicationToken {
+    PublicationToken { base: Revision(4), revision: Revision(5), id: Uuid::from_u128(0xfeed) }
 }
--- a/tests/fronts/operators.rs
+++ b/tests/fronts/operators.rs
@@ -1,4 +1,5 @@
-//! Paths for operators: what is asked of the control thread, and the answers.
+//! Paths for operators: which requests reach the control thread and how its answers
+//! are returned.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -15,20 +16,22 @@
 use serde_json::{Value, json};
 
 use crate::{
-    bed::{assert_not_run, name, problem},
-    desk::{BOTH, Desk, READ, body, own, unsettled_token},
+    fixture::{assert_not_run, name, read_problem},
+    operator_front::{
+        BOTH_ROLES_TOKEN, OperatorFront, READ_TOKEN, own_profiles, profiles_body, unsettled_token,
+    },
 };
 
 fn changes() -> Vec<Difference> {
-    difference(&BTreeMap::new(), &own())
+    difference(&BTreeMap::new(), &own_profiles())
 }
 
 async fn show() {
-    let mut desk = Desk::start();
-    let document = Document { revision: Revision(4), profiles: own() };
+    let mut front = OperatorFront::start();
+    let document = Document { revision: Revision(4), profiles: own_profiles() };
     let answer = Answer::Document { document: Arc::new(document), confirmed: true };
-    let request = desk.request("GET", "/v1/profiles", READ);
-    let (asked, response) = desk.exchange(request, answer).await;
+    let request = front.request("GET", "/v1/profiles", READ_TOKEN);
+    let (asked, response) = front.exchange(request, answer).await;
     assert_eq!(asked, Request::Show);
     assert_eq!(response.headers()["etag"], "\"4\"");
     let document: Value = response.json().await.unwrap();
@@ -45,8 +48,10 @@
 }
 
 async fn publish(query: &str, tag: Option<&str>, expect: Option<u64>, dry_run: bool) {
-    let mut desk = Desk::start();
-    let mut request = desk.request("PUT", &format!("/v1/profiles{query}"), BOTH).body(body());
+    let mut front = OperatorFront::start();
+    let mut request = front
+        .request("PUT", &format!("/v1/profiles{query}"), BOTH_ROLES_TOKEN)
+        .body(profiles_body());
     if let Some(tag) = tag {
         request = request.header("If-Match", tag);
     }
@@ -56,9 +61,9 @@
     } else {
         Answer::Accepted { revision, changes: changes() }
     };
-    let (asked, response) = desk.exchange(request, answer).await;
+    let (asked, response) = front.exchange(request, answer).await;
     let expected = Request::Publish {
-        profiles: own(),
+        profiles: own_profiles(),
         expect: expect.map(Revision),
         who: "lead".to_owned(),
         team: name("desk"),
@@ -73,45 +78,48 @@
 }
 
 async fn conflict() {
-    let mut desk = Desk::start();
-    let request =
-        desk.request("PUT", "/v1/profiles", BOTH).body(body()).header("If-Match", "\"3\"");
+    let mut front = OperatorFront::start();
+    let request = front
+        .request("PUT", "/v1/profiles", BOTH_ROLES_TOKEN)
+        .body(profiles_body())
+        .header("If-Match", "\"3\"");
     let answer =
         Answer::Conflict { winner: Revision(4), who: "other".to_owned(), changes: changes() };
-    let (_, response) = desk.exchange(request, answer).await;
+    let (_, response) = front.exchange(request, answer).await;
     assert_eq!(response.status(), 412);
-    let document = problem(response).await;
+    let document = read_problem(response).await;
     assert_not_run(&document, "revision_conflict");
     assert_eq!(document["winner"], 4);
     assert_eq!(document["who"], "other");
     assert_eq!(document["changes"], json!(changes()));
 }
 
-/// An unsettled publication is asked for again with what its answer holds.
+/// An unsettled publication is settled with the path and the token from its answer.
 async fn unsettled() {
-    let mut desk = Desk::start();
-    let request = desk.request("PUT", "/v1/profiles", BOTH).body(body());
+    let mut front = OperatorFront::start();
+    let request = front.request("PUT", "/v1/profiles", BOTH_ROLES_TOKEN).body(profiles_body());
     let (_, response) =
-        desk.exchange(request, Answer::Unsettled { token: unsettled_token() }).await;
+        front.exchange(request, Answer::Unsettled { token: unsettled_token() }).await;
     assert_eq!(response.status(), 504);
-    let document = problem(response).await;
+    let document = read_problem(response).await;
     assert_eq!(document["kind"], "revision_unsettled");
     assert_eq!(document["ran"], "unknown");
     let path = document["settle"].as_str().unwrap();
     let again = json!({ "token": document["token"] }).to_string();
-    let request = desk.request("POST", path, BOTH).body(again);
+    let request = front.request("POST", path, BOTH_ROLES_TOKEN).body(again);
     let answer = Answer::NotPublished { current: Revision(6) };
-    let (asked, response) = desk.exchange(request, answer).await;
+    let (asked, response) = front.exchange(request, answer).await;
     assert_eq!(asked, Request::Settle { token: unsettled_token() });
     let document: Value = response.json().await.unwrap();
     assert_eq!(document, json!({ "outcome": "not_published", "revision": 6 }));
 }
 
 async fn roll_back(body: &str, to: u64, expect: Option<u64>) {
-    let mut desk = Desk::start();
-    let request = desk.request("POST", "/v1/profiles/rollback", BOTH).body(body.to_owned());
+    let mut front = OperatorFront::start();
+    let request =
+        front.request("POST", "/v1/profiles/rollback", BOTH_ROLES_TOKEN).body(body.to_owned());
     let answer = Answer::Accepted { revision: Revision(9), changes: Vec::new() };
-    let (asked, response) = desk.exchange(request, answer).await;
+    let (asked, response) = front.exchange(request, answer).await;
     let (who, team) = ("lead".to_owned(), name("desk"));
     let expect = expect.map(Revision);
     assert_eq!(asked, Request::Rollback { to: Revision(to), expect, who, team });
@@ -119,18 +127,18 @@
 }
 
 async fn diff() {
-    let mut desk = Desk::start();
-    let request = desk.request("POST", "/v1/profiles/diff", READ).body(body());
+    let mut front = OperatorFront::start();
+    let request = front.request("POST", "/v1/profiles/diff", READ_TOKEN).body(profiles_body());
     let answer = Answer::Changes { revision: Revision(4), changes: changes() };
-    let (asked, response) = desk.exchange(request, answer).await;
-    assert_eq!(asked, Request::Diff { profiles: own() });
+    let (asked, response) = front.exchange(request, answer).await;
+    assert_eq!(asked, Request::Diff { profiles: own_profiles() });
     let document: Value = response.json().await.unwrap();
     assert_eq!(document, json!({ "revision": 4, "changes": changes() }));
 }
 
 async fn history() {
-    let mut desk = Desk::start();
-    let request = desk.request("GET", "/v1/profiles/history", READ);
+    let mut front = OperatorFront::start();
+    let request = front.request("GET", "/v1/profiles/history", READ_TOKEN);
     let audit = Audit {
         revision: Revision(4),
         who: "lead".to_owned(),
@@ -138,7 +146,7 @@
         note: String::new(),
         changes: None,
     };
-    let (asked, response) = desk.exchange(request, Answer::History(vec![audit])).await;
+    let (asked, response) = front.exchange(request, Answer::History(vec![audit])).await;
     assert_eq!(asked, Request::History);
     let document: Value = response.json().await.unwrap();
     let record = json!({
@@ -148,8 +156,8 @@
 }
 
 async fn status() {
-    let mut desk = Desk::start();
-    let request = desk.request("GET", "/v1/profiles/status", READ);
+    let mut front = OperatorFront::start();
+    let request = front.request("GET", "/v1/profiles/status", READ_TOKEN);
     let row = InForce {
         vm: name("vm-1"),
         revision: Some(Revision(4)),
@@ -158,7 +166,7 @@
         silent: true,
     };
     let status = Status { revision: Revision(4), in_force: 1, vms: vec![row] };
-    let (asked, response) = desk.exchange(request, Answer::Status(status)).await;
+    let (asked, response) = front.exchange(request, Answer::Status(status)).await;
     assert_eq!(asked, Request::Status);
     let document: Value = response.json().await.unwrap();
     let row = json!({
@@ -168,7 +176,7 @@
 }
 
 async fn lists() {
-    let mut desk = Desk::start();
+    let mut front = OperatorFront::start();
     let address = "127.0.0.1:1".parse().unwrap();
     let vm = view::Vm {
         name: name("vm-1"),
@@ -180,8 +188,8 @@
     };
     let since = Duration::from_millis(1500);
     let row = listing::Vm { vm, gone: false, since, source: Source::Peer(name("vm-2")) };
-    let request = desk.request("GET", "/v1/vms", READ);
-    let (asked, response) = desk.exchange(request, Answer::Vms(vec![row])).await;
+    let request = front.request("GET", "/v1/vms", READ_TOKEN);
+    let (asked, response) = front.exchange(request, Answer::Vms(vec![row])).await;
     assert_eq!(asked, Request::Vms);
     let document: Value = response.json().await.unwrap();
     let row = json!({
@@ -202,8 +210,8 @@
         state: view::State::Leaving,
     };
     let row = listing::Target { target, since, source: Source::List };
-    let request = desk.request("GET", "/v1/targets", READ);
-    let (asked, response) = desk.exchange(request, Answer::Targets(vec![row])).await;
+    let request = front.request("GET", "/v1/targets", READ_TOKEN);
+    let (asked, response) = front.exchange(request, Answer::Targets(vec![row])).await;
     assert_eq!(asked, Request::Targets);
     let document: Value = response.json().await.unwrap();
     let row = json!({
@@ -215,25 +223,25 @@
 }
 
 async fn failed() {
-    let mut desk = Desk::start();
-    let request = desk.request("GET", "/v1/profiles", READ);
+    let mut front = OperatorFront::start();
+    let request = front.request("GET", "/v1/profiles", READ_TOKEN);
     let fault = Fault::not_run(Kind::StoreUnavailable, "no answer");
-    let (_, response) = desk.exchange(request, Answer::Failed(fault)).await;
+    let (_, response) = front.exchange(request, Answer::Failed(fault)).await;
     assert_eq!(response.status(), 503);
-    assert_not_run(&problem(response).await, "store_unavailable");
+    assert_not_run(&read_problem(response).await, "store_unavailable");
 }
 
 async fn probes() {
-    let desk = Desk::start();
+    let front = OperatorFront::start();
     for (path, status) in [("/livez", 200), ("/readyz", 200), ("/metrics", 200), ("/nothing", 404)]
     {
-        let request = desk.http.get(format!("http://{}{path}", desk.address));
+        let request = front.http.get(format!("http://{}{path}", front.address));
         assert_eq!(request.send().await.unwrap().status(), status, "{path}");
     }
-    desk.signals.ready.send_replace(false);
-    let request = desk.http.get(format!("http://{}/readyz", desk.address));
+    front.signals.ready.send_replace(false);
+    let request = front.http.get(format!("http://{}/readyz", front.address));
     assert_eq!(request.send().await.unwrap().status(), 503);
-    desk.signals.shutdown.send_replace(true);
+    front.signals.shutdown.send_replace(true);
 }
 
 cases! {
--- a/tests/fronts/random.rs
+++ b/tests/fronts/random.rs
@@ -1,4 +1,5 @@
-//! Arbitrary bodies never make a front fail.
+//! Property tests: arbitrary bodies get the status 200 or 400 and never make a
+//! front fail.
 
 use std::time::Duration;
 
@@ -10,14 +11,14 @@
 use serde_json::{Value, json};
 
 use crate::{
-    bed::{Front, reply},
-    desk::{BOTH, Desk},
+    fixture::{Front, reply},
+    operator_front::{BOTH_ROLES_TOKEN, OperatorFront},
 };
 
-/// The cases of one run.
-const CASES: u32 = 400;
+/// The number of bodies that each test generates.
+const BODIES_PER_TEST: u32 = 400;
 
-fn value() -> impl Strategy<Value = Value> {
+fn arbitrary_value() -> impl Strategy<Value = Value> {
     let leaf = prop_oneof![
         Just(Value::Null),
         any::<bool>().prop_map(Value::from),
@@ -30,13 +31,13 @@
     leaf.prop_recursive(3, 24, 6, |inner| {
         prop_oneof![
             prop::collection::vec(inner.clone(), 0..6).prop_map(Value::from),
-            prop::collection::btree_map(field(), inner, 0..6).prop_map(|fields| json!(fields)),
+            prop::collection::btree_map(field_name(), inner, 0..6).prop_map(|fields| json!(fields)),
         ]
     })
 }
 
-/// The names of known fields and others.
-fn field() -> impl Strategy<Value = String> {
+/// Mostly names of known fields, and some arbitrary names.
+fn field_name() -> impl Strategy<Value = String> {
     prop_oneof![
         6 => prop::sample::select(vec![
             "profile", "text", "deadline_ms", "operation", "subject", "detail", "profiles",
@@ -47,14 +48,14 @@
     ]
 }
 
-fn body() -> impl Strategy<Value = Vec<u8>> {
+fn arbitrary_body() -> impl Strategy<Value = Vec<u8>> {
     prop_oneof![
-        4 => value().prop_map(|value| value.to_string().into_bytes()),
+        4 => arbitrary_value().prop_map(|value| value.to_string().into_bytes()),
         1 => prop::collection::vec(any::<u8>(), 0..200),
     ]
 }
 
-fn found() -> Body {
+fn empty_result() -> Body {
     Body::Found(Found {
         version: Version(1),
         coverage: 0,
@@ -65,15 +66,15 @@
     })
 }
 
-/// Answers every call as a target would.
-async fn answer(mut front: Front) {
+/// Answers every call with an empty success.
+async fn answer_calls(mut front: Front) {
     loop {
-        let ask = front.ask().await;
+        let ask = front.next_call().await;
         let body = match ask.event {
             Event::Operate { .. } => {
                 Body::Done { result: "done".into(), replayed: false, revision: 1 }
             }
-            _ => found(),
+            _ => empty_result(),
         };
         reply(ask, body);
     }
@@ -91,11 +92,12 @@
             limits.idle = Duration::from_secs(60);
         });
         let parts = (front.address, front.http.clone());
-        tokio::spawn(answer(front));
+        tokio::spawn(answer_calls(front));
         parts
     });
-    let strategy = (prop::sample::select(vec!["search", "operations"]), body());
-    let mut runner = TestRunner::new(ProptestConfig { cases: CASES, ..Default::default() });
+    let strategy = (prop::sample::select(vec!["search", "operations"]), arbitrary_body());
+    let mut runner =
+        TestRunner::new(ProptestConfig { cases: BODIES_PER_TEST, ..Default::default() });
     let outcome = runner.run(&strategy, |(path, body)| {
         let request = http
             .post(format!("http://{address}/v1/{path}"))
@@ -112,9 +114,9 @@
 fn operators() {
     let runtime = runtime();
     let (address, http) = runtime.block_on(async {
-        let mut desk = Desk::start();
-        let parts = (desk.address, desk.http.clone());
-        tokio::spawn(async move { desk.answer_all().await });
+        let mut front = OperatorFront::start();
+        let parts = (front.address, front.http.clone());
+        tokio::spawn(async move { front.answer_all().await });
         parts
     });
     let paths = vec![
@@ -123,12 +125,13 @@
         ("POST", "/v1/profiles/rollback"),
         ("POST", "/v1/publications/settle"),
     ];
-    let strategy = (prop::sample::select(paths), body());
-    let mut runner = TestRunner::new(ProptestConfig { cases: CASES, ..Default::default() });
+    let strategy = (prop::sample::select(paths), arbitrary_body());
+    let mut runner =
+        TestRunner::new(ProptestConfig { cases: BODIES_PER_TEST, ..Default::default() });
     let outcome = runner.run(&strategy, |((method, path), body)| {
         let request = http
             .request(method.parse().unwrap(), format!("http://{address}{path}"))
-            .bearer_auth(BOTH)
+            .bearer_auth(BOTH_ROLES_TOKEN)
             .body(body);
         let response = runtime.block_on(async { request.send().await }).unwrap();
         let status = response.status();
