Reword the remaining names of the front and border tests

Change: names only, and one line break.

Renamed test: callers::an_ended_thread_is_not_called_not_run -> callers::an_ended_thread_leaves_the_outcome_unknown

Other names: assert_nothing_asked -> assert_nothing_received and, in callers.rs, found -> search_result.

--- a/tests/border/platform.rs
+++ b/tests/border/platform.rs
@@ -100,8 +100,8 @@
         let reply = client.call(call).await;
         assert!(matches!(reply, Reply::Swapped { .. }), "{reply:?}");
         let reply = client.call(watch("a", 1, LONG_MS)).await;
-        let gone = Reply::Changed { entries: vec![], removed: vec!["a".to_owned()], change: 2 };
-        assert_eq!(reply, gone);
+        let expected = Reply::Changed { entries: vec![], removed: vec!["a".to_owned()], change: 2 };
+        assert_eq!(reply, expected);
         assert_eq!(client.call(Call::Keep { lease }).await, Reply::Lapsed);
     };
     a_lease_is_kept => {
@@ -200,7 +200,8 @@
         assert!(toml::from_str::<List>(&toml::to_string(&raw).unwrap()).is_err());
     };
     a_list_is_read_from_toml => {
-        let list = List::try_from(Raw { vms: vec![vm("vm-1", State::Live)], targets: vec![] }).unwrap();
+        let list =
+            List::try_from(Raw { vms: vec![vm("vm-1", State::Live)], targets: vec![] }).unwrap();
         let text = toml::to_string(&list).unwrap();
         assert_eq!(toml::from_str::<List>(&text).unwrap(), list);
     };
--- a/tests/fronts/callers.rs
+++ b/tests/fronts/callers.rs
@@ -19,7 +19,7 @@
 
 const SEARCH_BODY: &str = r#"{"profile":"portal","text":"146 MHz","deadline_ms":80}"#;
 
-fn found(missing: Set, coverage: u32) -> Body {
+fn search_result(missing: Set, coverage: u32) -> Body {
     Body::Found(Found {
         version: Version(7),
         coverage,
@@ -52,7 +52,7 @@
         deadline: Some(Duration::from_millis(80)),
     };
     assert_eq!(search, &expected);
-    reply(ask, found(Set::new(), 1_000_000));
+    reply(ask, search_result(Set::new(), 1_000_000));
     let response = sent.await.unwrap().unwrap();
     assert_eq!(response.status(), 200);
     let expected = json!({
@@ -71,7 +71,7 @@
     let missing = Set::from_range(range(16, 255));
     let request = front.post("/v1/search", SEARCH_BODY);
     // The missing range is less than one part per million.
-    let response = front.exchange(request, found(missing, 1_000_000)).await;
+    let response = front.exchange(request, search_result(missing, 1_000_000)).await;
     let document: Value = response.json().await.unwrap();
     let expected = json!({
         "parts_per_million": 1_000_000,
@@ -179,7 +179,7 @@
     drop(gone);
     let Input::Abandoned(call) = front.next_input().await else { panic!("another call") };
     assert_eq!(call, first.call);
-    reply(second, found(Set::new(), 1_000_000));
+    reply(second, search_result(Set::new(), 1_000_000));
     assert_eq!(stays.await.unwrap().unwrap().status(), 200);
 }
 
@@ -194,7 +194,7 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     assert!(!front.task.is_finished());
-    reply(ask, found(Set::new(), 1_000_000));
+    reply(ask, search_result(Set::new(), 1_000_000));
     let response = connection.read_to_end().await;
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     assert!(response.contains("connection: close"), "{response}");
@@ -206,7 +206,7 @@
     let mut front = Front::start(|_| {});
     let mut connection = Connection::open(front.address).await;
     connection.send(&raw_post("/v1/search", SEARCH_BODY)).await;
-    reply(front.next_call().await, found(Set::new(), 1_000_000));
+    reply(front.next_call().await, search_result(Set::new(), 1_000_000));
     assert!(connection.read_some().await.starts_with("HTTP/1.1 200"));
     front.signals.shutdown.send_replace(true);
     assert_eq!(connection.read_to_end().await, "");
@@ -218,7 +218,7 @@
     front.signals.ready.send_replace(false);
     let mut connection = Connection::open(front.address).await;
     connection.send(&raw_post("/v1/search", SEARCH_BODY)).await;
-    reply(front.next_call().await, found(Set::new(), 1_000_000));
+    reply(front.next_call().await, search_result(Set::new(), 1_000_000));
     let response = connection.read_to_end().await;
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     assert!(response.contains("connection: close"), "{response}");
@@ -229,7 +229,7 @@
     let mut connection = Connection::open(front.address).await;
     for _ in 0..20 {
         connection.send(&raw_post("/v1/search", SEARCH_BODY)).await;
-        reply(front.next_call().await, found(Set::new(), 1_000_000));
+        reply(front.next_call().await, search_result(Set::new(), 1_000_000));
         assert!(connection.read_some().await.starts_with("HTTP/1.1 200"));
     }
 }
@@ -239,7 +239,7 @@
     let mut connection = Connection::open(front.address).await;
     connection.send(&raw_post("/v1/search", SEARCH_BODY).repeat(3)).await;
     for _ in 0..3 {
-        reply(front.next_call().await, found(Set::new(), 1_000_000));
+        reply(front.next_call().await, search_result(Set::new(), 1_000_000));
         assert!(connection.read_some().await.starts_with("HTTP/1.1 200"));
     }
 }
@@ -251,7 +251,7 @@
     an_operation_keeps_every_digit => operation_done().await;
     every_kind_is_answered_by_the_table => every_kind().await;
     retry_after_is_rounded_up => retry_rounded_up().await;
-    an_ended_thread_is_not_called_not_run => thread_ended().await;
+    an_ended_thread_leaves_the_outcome_unknown => thread_ended().await;
     probes_follow_readiness => probes().await;
     a_caller_that_goes_away_is_reported => caller_gone().await;
     a_caller_that_goes_away_harms_no_other => caller_gone_harms_no_other().await;
--- a/tests/fronts/operator_front.rs
+++ b/tests/fronts/operator_front.rs
@@ -66,7 +66,7 @@
     }
 
     /// Sends `request`, answers it with `answer`, and returns what the control thread
-    /// was asked and the response.
+    /// received and the response.
     pub async fn exchange(
         &mut self,
         request: reqwest::RequestBuilder,
@@ -90,9 +90,9 @@
     }
 
     /// Asserts that no request reaches the control thread.
-    pub async fn assert_nothing_asked(&mut self) {
-        let asked = timeout(QUIET_PERIOD, self.inbox.ask()).await;
-        assert!(asked.is_err(), "a request reached the control thread");
+    pub async fn assert_nothing_received(&mut self) {
+        let received = timeout(QUIET_PERIOD, self.inbox.ask()).await;
+        assert!(received.is_err(), "a request reached the control thread");
     }
 }
 
@@ -153,7 +153,7 @@
     assert_eq!(response.status(), status);
     let document = read_problem(response).await;
     assert_not_run(&document, kind);
-    front.assert_nothing_asked().await;
+    front.assert_nothing_received().await;
     document
 }
 
--- a/tests/fronts/operators.rs
+++ b/tests/fronts/operators.rs
@@ -31,8 +31,8 @@
     let document = Document { revision: Revision(4), profiles: own_profiles() };
     let answer = Answer::Document { document: Arc::new(document), confirmed: true };
     let request = front.request("GET", "/v1/profiles", READ_TOKEN);
-    let (asked, response) = front.exchange(request, answer).await;
-    assert_eq!(asked, Request::Show);
+    let (received, response) = front.exchange(request, answer).await;
+    assert_eq!(received, Request::Show);
     assert_eq!(response.headers()["etag"], "\"4\"");
     let document: Value = response.json().await.unwrap();
     let expected = json!({
@@ -61,7 +61,7 @@
     } else {
         Answer::Accepted { revision, changes: changes() }
     };
-    let (asked, response) = front.exchange(request, answer).await;
+    let (received, response) = front.exchange(request, answer).await;
     let expected = Request::Publish {
         profiles: own_profiles(),
         expect: expect.map(Revision),
@@ -69,7 +69,7 @@
         team: name("desk"),
         dry_run,
     };
-    assert_eq!(asked, expected);
+    assert_eq!(received, expected);
     assert_eq!(response.status(), 200);
     let document: Value = response.json().await.unwrap();
     let outcome = if dry_run { "planned" } else { "accepted" };
@@ -108,8 +108,8 @@
     let again = json!({ "token": document["token"] }).to_string();
     let request = front.request("POST", path, BOTH_ROLES_TOKEN).body(again);
     let answer = Answer::NotPublished { current: Revision(6) };
-    let (asked, response) = front.exchange(request, answer).await;
-    assert_eq!(asked, Request::Settle { token: unsettled_token() });
+    let (received, response) = front.exchange(request, answer).await;
+    assert_eq!(received, Request::Settle { token: unsettled_token() });
     let document: Value = response.json().await.unwrap();
     assert_eq!(document, json!({ "outcome": "not_published", "revision": 6 }));
 }
@@ -119,10 +119,10 @@
     let request =
         front.request("POST", "/v1/profiles/rollback", BOTH_ROLES_TOKEN).body(body.to_owned());
     let answer = Answer::Accepted { revision: Revision(9), changes: Vec::new() };
-    let (asked, response) = front.exchange(request, answer).await;
+    let (received, response) = front.exchange(request, answer).await;
     let (who, team) = ("lead".to_owned(), name("desk"));
     let expect = expect.map(Revision);
-    assert_eq!(asked, Request::Rollback { to: Revision(to), expect, who, team });
+    assert_eq!(received, Request::Rollback { to: Revision(to), expect, who, team });
     assert_eq!(response.status(), 200);
 }
 
@@ -130,8 +130,8 @@
     let mut front = OperatorFront::start();
     let request = front.request("POST", "/v1/profiles/diff", READ_TOKEN).body(profiles_body());
     let answer = Answer::Changes { revision: Revision(4), changes: changes() };
-    let (asked, response) = front.exchange(request, answer).await;
-    assert_eq!(asked, Request::Diff { profiles: own_profiles() });
+    let (received, response) = front.exchange(request, answer).await;
+    assert_eq!(received, Request::Diff { profiles: own_profiles() });
     let document: Value = response.json().await.unwrap();
     assert_eq!(document, json!({ "revision": 4, "changes": changes() }));
 }
@@ -146,8 +146,8 @@
         note: String::new(),
         changes: None,
     };
-    let (asked, response) = front.exchange(request, Answer::History(vec![audit])).await;
-    assert_eq!(asked, Request::History);
+    let (received, response) = front.exchange(request, Answer::History(vec![audit])).await;
+    assert_eq!(received, Request::History);
     let document: Value = response.json().await.unwrap();
     let record = json!({
         "revision": 4, "who": "lead", "at_ms": 1_700_000_000_000_u64, "note": "", "changes": null,
@@ -166,8 +166,8 @@
         silent: true,
     };
     let status = Status { revision: Revision(4), in_force: 1, vms: vec![row] };
-    let (asked, response) = front.exchange(request, Answer::Status(status)).await;
-    assert_eq!(asked, Request::Status);
+    let (received, response) = front.exchange(request, Answer::Status(status)).await;
+    assert_eq!(received, Request::Status);
     let document: Value = response.json().await.unwrap();
     let row = json!({
         "vm": "vm-1", "revision": 4, "heard_ms": 1500, "confirmed_ms": null, "silent": true,
@@ -189,8 +189,8 @@
     let since = Duration::from_millis(1500);
     let row = listing::Vm { vm, gone: false, since, source: Source::Peer(name("vm-2")) };
     let request = front.request("GET", "/v1/vms", READ_TOKEN);
-    let (asked, response) = front.exchange(request, Answer::Vms(vec![row])).await;
-    assert_eq!(asked, Request::Vms);
+    let (received, response) = front.exchange(request, Answer::Vms(vec![row])).await;
+    assert_eq!(received, Request::Vms);
     let document: Value = response.json().await.unwrap();
     let row = json!({
         "name": "vm-1", "domain": "north", "incarnation": "ffffffffffffffff",
@@ -211,8 +211,8 @@
     };
     let row = listing::Target { target, since, source: Source::List };
     let request = front.request("GET", "/v1/targets", READ_TOKEN);
-    let (asked, response) = front.exchange(request, Answer::Targets(vec![row])).await;
-    assert_eq!(asked, Request::Targets);
+    let (received, response) = front.exchange(request, Answer::Targets(vec![row])).await;
+    assert_eq!(received, Request::Targets);
     let document: Value = response.json().await.unwrap();
     let row = json!({
         "name": "t-1", "index": "licences", "shard": "s-1", "domain": "north",
