--- a/tests/relay/harness.rs
+++ b/tests/relay/harness.rs
@@ -56,7 +56,7 @@
 
     /// Waits until the process ends and returns whether it exited successfully.
     pub async fn exits_successfully(&mut self) -> bool {
-        self.child.exit(Duration::from_secs(10)).await.success()
+        self.child.wait_exit(Duration::from_secs(10)).await.success()
     }
 }
 
@@ -91,7 +91,7 @@
 
     /// Starts a relay with a number of cores and waits until it is ready.
     pub async fn relay(&self, name: &str, cores: f64) -> Relay {
-        let address: Vec<SocketAddr> = (0..4).map(|_| port::free()).collect();
+        let address: Vec<SocketAddr> = (0..4).map(|_| port::unused_address()).collect();
         let file = self.folder.path().join(format!("{name}.toml"));
         fs::write(&file, settings(name, cores, &address, self.store.address)).unwrap();
         let path = file.display().to_string();
