--- a/src/front/body.rs
+++ b/src/front/body.rs
@@ -28,8 +28,8 @@
 
 impl From<&Callers> for Limits {
     fn from(callers: &Callers) -> Limits {
-        let size = usize::try_from(callers.body_limit).unwrap_or(usize::MAX);
-        Limits { size, read: callers.body_read }
+        let size = usize::try_from(callers.body_limit_bytes).unwrap_or(usize::MAX);
+        Limits { size, read: callers.body_read_timeout }
     }
 }
 
--- a/src/front/bound.rs
+++ b/src/front/bound.rs
@@ -22,9 +22,9 @@
 impl From<&Callers> for Limits {
     fn from(callers: &Callers) -> Limits {
         Limits {
-            header_size: size(callers.header_limit),
-            header_read: callers.header_read,
-            idle: callers.idle,
+            header_size: size(callers.header_limit_bytes),
+            header_read: callers.header_read_timeout,
+            idle: callers.idle_timeout,
             connections: size(callers.open_connections.into()),
         }
     }
--- a/src/load/bed.rs
+++ b/src/load/bed.rs
@@ -9,7 +9,7 @@
 
 use super::{Error, drive::Entries, scenario::Scenario, scheme::Scheme};
 use crate::{
-    local::{self, Caller, Deployment, Plan, place},
+    local::{self, Caller, Deployment, Plan, endpoints},
     standin::target::table,
 };
 
@@ -78,7 +78,7 @@
         let plan = Plan {
             vms: scenario.vms,
             indexes: scenario.services.iter().map(super::scenario::Service::index).collect(),
-            hosts: HOSTS,
+            target_threads: HOSTS,
             policies: scheme.policies,
         };
         let failed = || Error::new("the deployment did not start");
@@ -204,9 +204,9 @@
         // Nobody waits for the one that leaves; the queries tell if one is cut.
         drop(local::leave(vm));
         self.last_vm += 1;
-        let place = place::free(self.last_vm).change_context_lazy(failed)?;
+        let place = endpoints::allocate(self.last_vm).change_context_lazy(failed)?;
         let path = format!("/v1/list/vms/{}", place.name);
-        let row = serde_json::to_value(place.row()).change_context_lazy(failed)?;
+        let row = serde_json::to_value(place.list_entry()).change_context_lazy(failed)?;
         self.change_list(Method::PUT, &path, &row).await?;
         let new = local::start_vm(&place, self.deployment.platform, self.deployment.policies)
             .change_context_lazy(failed)?;
--- a/src/local/caller.rs
+++ b/src/local/caller.rs
@@ -5,7 +5,7 @@
 use reqwest::{Client, StatusCode};
 use serde_json::Value;
 
-use super::TOKEN;
+use super::OPERATOR_TOKEN;
 
 /// The time after which a request is given up.
 const LIMIT: Duration = Duration::from_secs(10);
@@ -74,7 +74,7 @@
 
     /// Publishes profiles through a VM.
     pub async fn publish(&self, vm: SocketAddr, profiles: &Value) -> reqwest::Result<Reply> {
-        let token = format!("Bearer {TOKEN}");
+        let token = format!("Bearer {OPERATOR_TOKEN}");
         let headers = [("Authorization", token.as_str())];
         let body = serde_json::json!({ "profiles": profiles });
         self.send(reqwest::Method::PUT, vm, "/v1/profiles", &headers, &body).await
@@ -82,13 +82,14 @@
 
     /// Reads a text of an operator's address.
     pub async fn text(&self, address: SocketAddr, path: &str) -> reqwest::Result<String> {
-        let request = self.client.get(format!("http://{address}{path}")).bearer_auth(TOKEN);
+        let request =
+            self.client.get(format!("http://{address}{path}")).bearer_auth(OPERATOR_TOKEN);
         request.send().await?.text().await
     }
 
     /// Reads a document of an operator's or administration address.
     pub async fn read(&self, address: SocketAddr, path: &str) -> reqwest::Result<Reply> {
-        let token = format!("Bearer {TOKEN}");
+        let token = format!("Bearer {OPERATOR_TOKEN}");
         let headers = [("Authorization", token.as_str())];
         self.send(reqwest::Method::GET, address, path, &headers, &Value::Null).await
     }
--- a/src/local/demo.rs
+++ b/src/local/demo.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use uuid::Uuid;
 
-use super::{Caller, Deployment, INDEX, Index, Plan, caller::Reply};
+use super::{Caller, DEMO_INDEX, Deployment, Index, Plan, caller::Reply};
 use crate::standin::target::settings::Raw;
 
 /// The time within which the deployment must take requests.
@@ -58,13 +58,18 @@
 
 /// Runs the demo, prints each step and returns what held.
 pub async fn run(print: &dyn Fn(&str)) -> Result<Vec<Finding>, Report<Error>> {
-    let name = Name::try_from(INDEX).change_context_lazy(|| step("the index has no name"))?;
+    let name = Name::try_from(DEMO_INDEX).change_context_lazy(|| step("the index has no name"))?;
     let index = Index { name, shards: 4, replicas: 2, target: Raw::default() };
-    let plan = Plan { vms: 3, indexes: vec![index.clone()], hosts: 1, policies: Policies::default };
+    let plan = Plan {
+        vms: 3,
+        indexes: vec![index.clone()],
+        target_threads: 1,
+        policies: Policies::default,
+    };
     let deployment =
         super::start(&plan).change_context_lazy(|| step("the deployment did not start"))?;
     print(&format!(
-        "started a platform, {} VMs and {} targets of the index {INDEX}",
+        "started a platform, {} VMs and {} targets of the index {DEMO_INDEX}",
         plan.vms,
         index.shards * index.replicas
     ));
@@ -262,7 +267,7 @@
 fn profile(coverage: u32) -> Value {
     json!({
         "team": "local",
-        "index": INDEX,
+        "index": DEMO_INDEX,
         "coverage_ppm": coverage,
         "deadline_ms": 1000,
         "tail_ms": 50,
--- a/src/local/place.rs
+++ b/src/local/endpoints.rs
@@ -15,12 +15,12 @@
 };
 use sha2::{Digest, Sha256};
 
-use super::{DOMAINS, TOKEN, failed, name};
+use super::{DOMAINS, OPERATOR_TOKEN, failed, name};
 use crate::vm::Error;
 
 /// The addresses of a VM.
 #[derive(Clone, Debug)]
-pub struct Place {
+pub struct Endpoints {
     /// The name of the VM.
     pub name: Name,
     /// Its failure domain.
@@ -53,7 +53,7 @@
 /// Finds free ports for the VM with this number.
 ///
 /// The ports are held until all four are known, so that they differ.
-pub fn free(number: u32) -> Result<Place, Report<Error>> {
+pub fn allocate(number: u32) -> Result<Endpoints, Report<Error>> {
     let mut held = Vec::new();
     let mut addresses = Vec::new();
     for _ in 0..4 {
@@ -61,7 +61,7 @@
         addresses.push(listener.local_addr().change_context_lazy(|| failed("a listener"))?);
         held.push(listener);
     }
-    Ok(Place {
+    Ok(Endpoints {
         name: name(&format!("vm-{number}"))?,
         domain: name(&format!("domain-{}", (number - 1) % DOMAINS + 1))?,
         callers: addresses[0],
@@ -95,9 +95,9 @@
     TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok()
 }
 
-impl Place {
+impl Endpoints {
     /// What the platform lists.
-    pub fn row(&self) -> Vm {
+    pub fn list_entry(&self) -> Vm {
         Vm {
             name: self.name.clone(),
             domain: self.domain.clone(),
@@ -110,7 +110,7 @@
 
     /// The settings of the VM in TOML.
     pub fn settings(&self, platform: SocketAddr) -> String {
-        let digest = Sha256::digest(TOKEN.as_bytes());
+        let digest = Sha256::digest(OPERATOR_TOKEN.as_bytes());
         let hash: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
         format!(
             r#"
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod caller;
 pub mod demo;
-pub mod place;
+pub mod endpoints;
 
 use std::{
     io,
@@ -31,13 +31,13 @@
     vm::{self, Error, Vm},
 };
 
-pub use self::{caller::Caller, place::Place};
+pub use self::{caller::Caller, endpoints::Endpoints};
 
 /// The index that the targets of the demo hold.
-pub const INDEX: &str = "licences";
+pub const DEMO_INDEX: &str = "licences";
 
 /// The token of the operator of the deployment.
-pub const TOKEN: &str = "local-operator-token";
+pub const OPERATOR_TOKEN: &str = "local-operator-token";
 
 /// What a deployment is made of.
 #[derive(Clone, Debug)]
@@ -47,7 +47,7 @@
     /// The indexes with their targets.
     pub indexes: Vec<Index>,
     /// The threads that the targets share.
-    pub hosts: usize,
+    pub target_threads: usize,
     /// The policies of the VMs.
     pub policies: policy::Factory,
 }
@@ -81,7 +81,7 @@
     /// The targets.
     pub targets: Vec<Replica>,
     /// The VMs with their places.
-    pub vms: Vec<(Place, Vm)>,
+    pub vms: Vec<(Endpoints, Vm)>,
     /// The policies of the VMs.
     pub policies: policy::Factory,
     /// Ends the stand-ins.
@@ -98,8 +98,8 @@
     let targets = start_targets(plan, &stopped)?;
     let listed = targets.iter().map(|target| target.listed.clone()).collect();
     let mut list = standin::platform::list::Raw { targets: listed, vms: Vec::new() };
-    let places = (1..=plan.vms).map(place::free).collect::<Result<Vec<Place>, _>>()?;
-    list.vms = places.iter().map(Place::row).collect();
+    let places = (1..=plan.vms).map(endpoints::allocate).collect::<Result<Vec<Endpoints>, _>>()?;
+    list.vms = places.iter().map(Endpoints::list_entry).collect();
     let list = standin::platform::List::try_from(list).change_context(failed("the list"))?;
     serve("platform", stopped, move || {
         vec![Box::pin(async move {
@@ -117,7 +117,7 @@
 
 /// Starts a VM at its place.
 pub fn start_vm(
-    place: &Place,
+    place: &Endpoints,
     platform: SocketAddr,
     policies: policy::Factory,
 ) -> Result<Vm, Report<Error>> {
@@ -141,14 +141,14 @@
     plan: &Plan,
     stopped: &watch::Receiver<bool>,
 ) -> Result<Vec<Replica>, Report<Error>> {
-    let hosts = plan.hosts.max(1);
+    let threads = plan.target_threads.max(1);
     let mut targets = Vec::new();
-    let mut groups: Vec<Vec<Unstarted>> = (0..hosts).map(|_| Vec::new()).collect();
+    let mut groups: Vec<Vec<Unstarted>> = (0..threads).map(|_| Vec::new()).collect();
     for index in &plan.indexes {
         for shard in 0..index.shards {
             for replica in 0..index.replicas {
                 let (target, unstarted) = prepare(index, shard, replica)?;
-                groups[targets.len() % hosts].push(unstarted);
+                groups[targets.len() % threads].push(unstarted);
                 targets.push(target);
             }
         }
--- a/src/log/drain.rs
+++ b/src/log/drain.rs
@@ -80,7 +80,7 @@
 where
     D: Drain<Ok = (), Err = Never> + Send + 'static,
 {
-    let room = usize::try_from(settings.queue).unwrap_or(usize::MAX);
+    let room = usize::try_from(settings.queue_lines).unwrap_or(usize::MAX);
     let builder = AsyncCore::custom(drain).chan_size(room).blocking(false);
     let (queue, guard) = builder.thread_name("log".to_owned()).build_with_guard();
     (Bounded { queue, lost }, guard)
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -22,7 +22,7 @@
 
 use self::{
     drain::{Fields, Output},
-    rate::Rate,
+    rate::Limiter,
 };
 use crate::settings::control::Log;
 
@@ -31,7 +31,7 @@
 pub struct Writer {
     logger: Logger,
     level: Level,
-    rate: Arc<Mutex<Rate>>,
+    rate: Arc<Mutex<Limiter>>,
     lost: Arc<AtomicU64>,
 }
 
@@ -46,7 +46,7 @@
         let lost = Arc::new(AtomicU64::new(0));
         let (drain, guard) = drain::start(settings, output, Arc::clone(&lost));
         let logger = Logger::root(drain, o!("vm" => vm.to_string()));
-        let rate = Arc::new(Mutex::new(Rate::new(settings.rate)));
+        let rate = Arc::new(Mutex::new(Limiter::new(settings.lines_per_second)));
         (Writer { logger, level: settings.level, rate, lost }, Guard(guard))
     }
 
@@ -65,7 +65,7 @@
     /// Writes for each event how many of its lines were suppressed, as soon as
     /// its rate allows. The control thread calls it now and then, so that the
     /// end of a flood is seen as well.
-    pub fn report(&self, now: Instant) {
+    pub fn report_suppressed(&self, now: Instant) {
         let due = self.rate().due(now);
         for (event, suppressed) in due {
             self.emit(&Line::new(event, Vec::new()), suppressed);
@@ -77,7 +77,7 @@
         self.lost.load(Ordering::Relaxed)
     }
 
-    fn rate(&self) -> std::sync::MutexGuard<'_, Rate> {
+    fn rate(&self) -> std::sync::MutexGuard<'_, Limiter> {
         // The counts are whole whatever happened to a thread that held them.
         self.rate.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/log/rate.rs
+++ b/src/log/rate.rs
@@ -12,7 +12,7 @@
 
 /// The buckets of all events.
 #[derive(Clone, Debug)]
-pub struct Rate {
+pub struct Limiter {
     per_second: u64,
     buckets: BTreeMap<Event, Bucket>,
 }
@@ -24,10 +24,10 @@
     suppressed: u64,
 }
 
-impl Rate {
+impl Limiter {
     /// Allows `per_second` lines a second for each event.
-    pub fn new(per_second: u32) -> Rate {
-        Rate { per_second: u64::from(per_second), buckets: BTreeMap::new() }
+    pub fn new(per_second: u32) -> Limiter {
+        Limiter { per_second: u64::from(per_second), buckets: BTreeMap::new() }
     }
 
     /// Tells whether a line of `event` may be written, with the number of lines
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -34,11 +34,11 @@
     gauge::{Gauge, Part},
 };
 
-/// The profiles that have series of their own; others share [`OTHER`].
+/// The profiles that have series of their own; others share [`OTHER_PROFILES`].
 pub const MAX_PROFILES: usize = 64;
 
 /// The label of the profiles beyond [`MAX_PROFILES`].
-pub const OTHER: &str = "other";
+pub const OTHER_PROFILES: &str = "other";
 
 /// The content type of [`Metrics::text`].
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -118,7 +118,7 @@
     }
 
     /// Counts a call of the platform's service.
-    pub fn call(&self, call: Call) {
+    pub fn count_call(&self, call: Call) {
         if let Some(counter) = self.calls.get(&call) {
             counter.inc();
         }
@@ -153,7 +153,7 @@
         // A set of names is whole whatever happened to a thread that held it.
         let mut profiles = self.profiles.lock().unwrap_or_else(PoisonError::into_inner);
         if !profiles.contains(name) && profiles.len() >= MAX_PROFILES {
-            return OTHER.to_owned();
+            return OTHER_PROFILES.to_owned();
         }
         profiles.insert(name.clone());
         name.to_string()
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -110,7 +110,7 @@
     let vm = Vm {
         domain: settings.vm.domain.clone(),
         address: settings.listen.peers,
-        share: settings.vm.share,
+        share: settings.vm.millicores,
     };
     OwnVm { name: settings.vm.name.clone(), vm }
 }
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -38,10 +38,10 @@
         let settings = self.settings.borrow().callers;
         view.config.as_ref().map_or_else(
             || Bounds {
-                head: size(settings.head),
-                body: size(settings.body),
-                head_time: settings.head_time,
-                idle: settings.idle,
+                head: size(settings.header_limit_bytes),
+                body: size(settings.body_limit_bytes),
+                head_time: settings.header_read_timeout,
+                idle: settings.idle_timeout,
             },
             |config| config.bounds,
         )
@@ -55,12 +55,15 @@
             header_size: bounds.head,
             header_read: bounds.head_time,
             idle: bounds.idle,
-            connections: size(self.settings.borrow().callers.connections.into()),
+            connections: size(self.settings.borrow().callers.open_connections.into()),
         }
     }
 
     fn body(&self) -> body::Limits {
-        body::Limits { size: self.bounds().body, read: self.settings.borrow().callers.body_time }
+        body::Limits {
+            size: self.bounds().body,
+            read: self.settings.borrow().callers.body_read_timeout,
+        }
     }
 }
 
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -5,7 +5,7 @@
 use super::{
     Settings,
     document::Document,
-    identity::{Listen, MAX_THREADS},
+    identity::{Listen, MAX_TRAFFIC_THREADS},
 };
 
 /// Reports the keys of `settings` that contradict each other.
@@ -37,18 +37,18 @@
     let (claims, shutdown) = (&settings.claims, &settings.shutdown);
     [
         (
-            span("membership.probe_limit_ms", members.probe_limit),
+            span("membership.probe_limit_ms", members.probe_timeout),
             span("membership.probe_interval_ms", members.probe_interval),
         ),
         (
-            span("membership.probe_limit_ms", members.probe_limit),
+            span("membership.probe_limit_ms", members.probe_timeout),
             span("membership.gone_after_ms", members.gone_after),
         ),
         (
-            span("peers.ping_limit_ms", peers.ping_limit),
+            span("peers.ping_limit_ms", peers.ping_timeout),
             span("peers.ping_interval_ms", peers.ping_interval),
         ),
-        (span("claims.future_ms", claims.future), span("claims.window_ms", claims.window)),
+        (span("claims.future_ms", claims.clock_skew), span("claims.window_ms", claims.window)),
         (
             span("shutdown.announce_ms", shutdown.announce),
             span("shutdown.limit_ms", shutdown.limit),
@@ -73,9 +73,9 @@
             document.report_key(key, format!("found {address}, which {other} has as well"));
         }
     }
-    if listen.traffic.len() > MAX_THREADS {
+    if listen.traffic.len() > MAX_TRAFFIC_THREADS {
         let found = listen.traffic.len();
-        let detail = format!("found {found} addresses, allowed are 1 to {MAX_THREADS}");
+        let detail = format!("found {found} addresses, allowed are 1 to {MAX_TRAFFIC_THREADS}");
         document.report_key("listen.traffic", detail);
     }
 }
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -18,14 +18,14 @@
 };
 
 /// The default of [`Shutdown::limit`].
-pub const SHUTDOWN_LIMIT: Duration = Duration::from_secs(65);
+pub const DEFAULT_SHUTDOWN_LIMIT: Duration = Duration::from_secs(65);
 /// The default of [`Shutdown::announce`].
-pub const SHUTDOWN_ANNOUNCE: Duration = Duration::from_secs(2);
+pub const DEFAULT_SHUTDOWN_ANNOUNCE: Duration = Duration::from_secs(2);
 
-/// The default of [`Log::queue`] in lines.
-pub const LOG_QUEUE: u32 = 4096;
-/// The default of [`Log::rate`] in lines a second for each event.
-pub const LOG_RATE: u32 = 50;
+/// The default of [`Log::queue_lines`] in lines.
+pub const DEFAULT_LOG_QUEUE_LINES: u32 = 4096;
+/// The default of [`Log::lines_per_second`] in lines a second for each event.
+pub const DEFAULT_LOG_LINES_PER_SECOND: u32 = 50;
 
 /// How VMs learn of each other and of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,7 +33,7 @@
     /// The time between two probes of other VMs.
     pub probe_interval: Duration,
     /// The time after which a probe without an answer has failed.
-    pub probe_limit: Duration,
+    pub probe_timeout: Duration,
     /// The VMs that are asked to probe one that did not answer.
     pub indirect_probes: u32,
     /// The time as suspect after which a VM is gone.
@@ -82,7 +82,7 @@
         let items = section.tables("seeds");
         let mut membership = Membership {
             probe_interval: section.millis("probe_interval_ms", limits.probe, up_to(60)),
-            probe_limit: section.millis("probe_limit_ms", limits.ack, up_to(60)),
+            probe_timeout: section.millis("probe_limit_ms", limits.ack, up_to(60)),
             indirect_probes: section.count("indirect_probes", indirect, 0..=16),
             gone_after: section.millis("gone_after_ms", limits.suspicion, up_to(3600)),
             list_interval: section.millis("list_interval_ms", limits.list, up_to(60)),
@@ -106,11 +106,11 @@
     /// The time for which a key is remembered after its issue.
     pub window: Duration,
     /// The largest value of claims in the platform's service, in bytes.
-    pub value_limit: u64,
+    pub value_limit_bytes: u64,
     /// How far ahead of this VM's clock a key's time of issue may lie.
-    pub future: Duration,
+    pub clock_skew: Duration,
     /// The time for which an outcome waits for others before it is written.
-    pub gather: Duration,
+    pub batch_delay: Duration,
 }
 
 /// The smallest value of claims in bytes that may be set.
@@ -124,9 +124,9 @@
         let mut section = document.section("claims");
         let claims = Claims {
             window: section.millis("window_ms", limits.window, up_to(86_400)),
-            value_limit: section.size("value_limit_bytes", limits.bucket_bytes as u64, value),
-            future: section.millis("future_ms", limits.skew, up_to(600)),
-            gather: section.millis("gather_ms", limits.batch_delay, gather),
+            value_limit_bytes: section.size("value_limit_bytes", limits.bucket_bytes as u64, value),
+            clock_skew: section.millis("future_ms", limits.skew, up_to(600)),
+            batch_delay: section.millis("gather_ms", limits.batch_delay, gather),
         };
         section.finish();
         claims
@@ -139,9 +139,9 @@
     /// The number of requests that are held back at a time.
     pub capacity: u32,
     /// The time for which a request is held back.
-    pub hold: Duration,
+    pub hold_time: Duration,
     /// The time for which a request that crashed a target is remembered.
-    pub suspect: Duration,
+    pub suspect_time: Duration,
     /// The number of lost targets after which a request is held back.
     pub lost_targets: u32,
 }
@@ -154,8 +154,8 @@
         let mut section = document.section("quarantine");
         let quarantine = Quarantine {
             capacity: section.count("capacity", count(limits.fingerprints), 1..=100_000),
-            hold: section.millis("hold_ms", hold, up_to(86_400)),
-            suspect: section.millis("suspect_ms", suspect, up_to(3600)),
+            hold_time: section.millis("hold_ms", hold, up_to(86_400)),
+            suspect_time: section.millis("suspect_ms", suspect, up_to(3600)),
             lost_targets: section.count("lost_targets", lost_targets, 1..=2),
         };
         section.finish();
@@ -183,8 +183,8 @@
         let mut section = document.section("shutdown");
         let announce = Duration::ZERO..=Duration::from_secs(60);
         let shutdown = Shutdown {
-            announce: section.millis("announce_ms", SHUTDOWN_ANNOUNCE, announce),
-            limit: section.millis("limit_ms", SHUTDOWN_LIMIT, up_to(3600)),
+            announce: section.millis("announce_ms", DEFAULT_SHUTDOWN_ANNOUNCE, announce),
+            limit: section.millis("limit_ms", DEFAULT_SHUTDOWN_LIMIT, up_to(3600)),
         };
         section.finish();
         shutdown
@@ -208,9 +208,9 @@
     /// The least level that is written.
     pub level: laburnum_core::log::Level,
     /// The lines that may wait to be written; what goes beyond is counted.
-    pub queue: u32,
+    pub queue_lines: u32,
     /// The lines a second for each event; what goes beyond is counted.
-    pub rate: u32,
+    pub lines_per_second: u32,
 }
 
 impl Log {
@@ -227,8 +227,8 @@
         let log = Log {
             format: section.choice("format", Format::Json, &formats),
             level: section.choice("level", Level::Info, &levels),
-            queue: section.count("queue", LOG_QUEUE, 16..=1_000_000),
-            rate: section.count("rate", LOG_RATE, 1..=100_000),
+            queue_lines: section.count("queue", DEFAULT_LOG_QUEUE_LINES, 16..=1_000_000),
+            lines_per_second: section.count("rate", DEFAULT_LOG_LINES_PER_SECOND, 1..=100_000),
         };
         section.finish();
         log
--- a/src/settings/identity.rs
+++ b/src/settings/identity.rs
@@ -9,14 +9,14 @@
 
 use super::{document::Document, section::Section};
 
-/// The default of [`Platform::call_limit`].
-pub const CALL_LIMIT: Duration = Duration::from_millis(500);
+/// The default of [`Platform::call_timeout`].
+pub const DEFAULT_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The least length of the deployment's key in bytes.
-pub const MIN_KEY: usize = 16;
+pub const MIN_KEY_BYTES: usize = 16;
 
 /// The most traffic threads of one VM.
-pub const MAX_THREADS: usize = 64;
+pub const MAX_TRAFFIC_THREADS: usize = 64;
 
 /// Which VM this is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -73,7 +73,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     /// The time after which a call without an answer counts as lost.
-    pub call_limit: Duration,
+    pub call_timeout: Duration,
 }
 
 impl Platform {
@@ -81,9 +81,9 @@
         let mut section = document.section("platform");
         let address = section.address("address");
         let allowed = Duration::from_millis(10)..=Duration::from_secs(30);
-        let call_limit = section.millis("call_limit_ms", CALL_LIMIT, allowed);
+        let call_timeout = section.millis("call_limit_ms", DEFAULT_CALL_TIMEOUT, allowed);
         section.finish();
-        Some(Platform { address: address?, call_limit })
+        Some(Platform { address: address?, call_timeout })
     }
 }
 
@@ -159,8 +159,8 @@
 
     fn try_from(text: &str) -> Result<Secret, String> {
         let is_plain = text.bytes().all(|byte| byte.is_ascii_graphic());
-        if text.len() < MIN_KEY || !is_plain {
-            return Err(format!("allowed are {MIN_KEY} or more visible ASCII characters"));
+        if text.len() < MIN_KEY_BYTES || !is_plain {
+            return Err(format!("allowed are {MIN_KEY_BYTES} or more visible ASCII characters"));
         }
         Ok(Secret(Arc::from(text)))
     }
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -14,11 +14,11 @@
     size::{KIB, MIB},
 };
 
-/// The default of [`Callers::idle`]: above what the routes allow callers.
+/// The default of [`Callers::idle_timeout`]: above what the routes allow callers.
 const IDLE: Duration = Duration::from_secs(75);
-/// The default of [`Callers::head_time`].
+/// The default of [`Callers::header_read_timeout`].
 const HEAD_TIME: Duration = Duration::from_secs(5);
-/// The default of [`Callers::body_time`].
+/// The default of [`Callers::body_read_timeout`].
 const BODY_TIME: Duration = Duration::from_secs(5);
 /// The default of [`Shutdown::announce`]: two probes of the balancer a second
 /// apart, and the time for the second to be missed.
@@ -51,7 +51,7 @@
     /// Its failure domain.
     pub domain: Name,
     /// Its processor time in thousandths of a core.
-    pub share: u32,
+    pub millicores: u32,
 }
 
 /// Where the VM listens.
@@ -72,17 +72,17 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Callers {
     /// The connections that are open at a time.
-    pub connections: u32,
+    pub open_connections: u32,
     /// The largest head of a request in bytes.
-    pub head: u64,
+    pub header_limit_bytes: u64,
     /// The largest body of a request in bytes.
-    pub body: u64,
+    pub body_limit_bytes: u64,
     /// The time for a head to arrive.
-    pub head_time: Duration,
+    pub header_read_timeout: Duration,
     /// The time for a body to arrive.
-    pub body_time: Duration,
+    pub body_read_timeout: Duration,
     /// The time that a connection may be idle.
-    pub idle: Duration,
+    pub idle_timeout: Duration,
 }
 
 /// What retries and hedges may cost all VMs together.
@@ -146,7 +146,7 @@
     let (name, domain) = (section.name("name"), section.name("domain"));
     let cores = section.value::<f64>("cores", "a number of cores");
     section.finish();
-    Some(Vm { name: name?, domain: domain?, share: thousandths(cores?) })
+    Some(Vm { name: name?, domain: domain?, millicores: thousandths(cores?) })
 }
 
 /// Counts cores in thousandths, at least one.
@@ -175,12 +175,12 @@
 fn callers(document: &mut Document<'_>) -> Callers {
     let mut section = document.section("callers");
     let callers = Callers {
-        connections: section.count("open_connections", 512, 1..=1_000_000),
-        head: section.size("header_limit_bytes", 32 * KIB, KIB..=MIB),
-        body: section.size("body_limit_bytes", MIB, KIB..=64 * MIB),
-        head_time: section.millis("header_read_ms", HEAD_TIME, up_to(600)),
-        body_time: section.millis("body_read_ms", BODY_TIME, up_to(600)),
-        idle: section.millis("idle_ms", IDLE, up_to(3600)),
+        open_connections: section.count("open_connections", 512, 1..=1_000_000),
+        header_limit_bytes: section.size("header_limit_bytes", 32 * KIB, KIB..=MIB),
+        body_limit_bytes: section.size("body_limit_bytes", MIB, KIB..=64 * MIB),
+        header_read_timeout: section.millis("header_read_ms", HEAD_TIME, up_to(600)),
+        body_read_timeout: section.millis("body_read_ms", BODY_TIME, up_to(600)),
+        idle_timeout: section.millis("idle_ms", IDLE, up_to(3600)),
     };
     section.finish();
     callers
--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -11,34 +11,34 @@
 };
 use crate::wire;
 
-/// The default of [`Callers::body_limit`] in bytes.
-pub const BODY_LIMIT: u64 = 64 * KIB;
-/// The default of [`Callers::header_limit`] in bytes.
-pub const HEADER_LIMIT: u64 = 16 * KIB;
-/// The default of [`Callers::header_read`].
-pub const HEADER_READ: Duration = Duration::from_secs(5);
-/// The default of [`Callers::body_read`].
-pub const BODY_READ: Duration = Duration::from_secs(10);
-/// The default of [`Callers::idle`].
-pub const IDLE: Duration = Duration::from_secs(60);
+/// The default of [`Callers::body_limit_bytes`] in bytes.
+pub const DEFAULT_BODY_LIMIT_BYTES: u64 = 64 * KIB;
+/// The default of [`Callers::header_limit_bytes`] in bytes.
+pub const DEFAULT_HEADER_LIMIT_BYTES: u64 = 16 * KIB;
+/// The default of [`Callers::header_read_timeout`].
+pub const DEFAULT_HEADER_READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// The default of [`Callers::body_read_timeout`].
+pub const DEFAULT_BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// The default of [`Callers::idle_timeout`].
+pub const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// The default of [`Callers::open_requests`].
-pub const OPEN_REQUESTS: u32 = 4096;
+pub const DEFAULT_OPEN_REQUESTS: u32 = 4096;
 /// The default of [`Callers::open_connections`].
-pub const OPEN_CONNECTIONS: u32 = 8192;
+pub const DEFAULT_OPEN_CONNECTIONS: u32 = 8192;
 
 /// Limits on callers; a slow or oversized caller harms no other.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Callers {
     /// The largest body of a request in bytes.
-    pub body_limit: u64,
+    pub body_limit_bytes: u64,
     /// The largest headers of a request in bytes.
-    pub header_limit: u64,
+    pub header_limit_bytes: u64,
     /// The time in which the headers must arrive.
-    pub header_read: Duration,
+    pub header_read_timeout: Duration,
     /// The time in which the body must arrive.
-    pub body_read: Duration,
+    pub body_read_timeout: Duration,
     /// The time after which a connection without a request is closed.
-    pub idle: Duration,
+    pub idle_timeout: Duration,
     /// The number of requests that are open at a time.
     pub open_requests: u32,
     /// The number of connections that are open at a time.
@@ -49,13 +49,29 @@
     pub(super) fn read(document: &mut Document<'_>) -> Callers {
         let mut section = document.section("callers");
         let callers = Callers {
-            body_limit: section.size("body_limit_bytes", BODY_LIMIT, KIB..=16 * MIB),
-            header_limit: section.size("header_limit_bytes", HEADER_LIMIT, 8 * KIB..=MIB),
-            header_read: section.millis("header_read_ms", HEADER_READ, up_to(60)),
-            body_read: section.millis("body_read_ms", BODY_READ, up_to(60)),
-            idle: section.millis("idle_ms", IDLE, up_to(3600)),
-            open_requests: section.count("open_requests", OPEN_REQUESTS, 1..=1_000_000),
-            open_connections: section.count("open_connections", OPEN_CONNECTIONS, 1..=1_000_000),
+            body_limit_bytes: section.size(
+                "body_limit_bytes",
+                DEFAULT_BODY_LIMIT_BYTES,
+                KIB..=16 * MIB,
+            ),
+            header_limit_bytes: section.size(
+                "header_limit_bytes",
+                DEFAULT_HEADER_LIMIT_BYTES,
+                8 * KIB..=MIB,
+            ),
+            header_read_timeout: section.millis(
+                "header_read_ms",
+                DEFAULT_HEADER_READ_TIMEOUT,
+                up_to(60),
+            ),
+            body_read_timeout: section.millis("body_read_ms", DEFAULT_BODY_READ_TIMEOUT, up_to(60)),
+            idle_timeout: section.millis("idle_ms", DEFAULT_IDLE_TIMEOUT, up_to(3600)),
+            open_requests: section.count("open_requests", DEFAULT_OPEN_REQUESTS, 1..=1_000_000),
+            open_connections: section.count(
+                "open_connections",
+                DEFAULT_OPEN_CONNECTIONS,
+                1..=1_000_000,
+            ),
         };
         section.finish();
         callers
@@ -66,13 +82,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Targets {
     /// The time in which a connection must open.
-    pub open_limit: Duration,
+    pub connect_timeout: Duration,
     /// The time between two readings of a target's status, at most a second, so
     /// that a target which is leaving gets no new work after two.
-    pub probe_interval: Duration,
+    pub status_interval: Duration,
     /// The time within which a target must answer a reading of its status on a
     /// connection, or the connection counts as silent.
-    pub silent_after: Duration,
+    pub status_timeout: Duration,
     /// The connections that each traffic thread holds to a target.
     pub connections: u32,
 }
@@ -83,9 +99,9 @@
             Limits::default();
         let mut section = document.section("targets");
         let targets = Targets {
-            open_limit: section.millis("open_limit_ms", connect_timeout, up_to(60)),
-            probe_interval: section.millis("probe_interval_ms", status_interval, up_to(1)),
-            silent_after: section.millis("silent_after_ms", status_timeout, up_to(60)),
+            connect_timeout: section.millis("open_limit_ms", connect_timeout, up_to(60)),
+            status_interval: section.millis("probe_interval_ms", status_interval, up_to(1)),
+            status_timeout: section.millis("silent_after_ms", status_timeout, up_to(60)),
             connections: section.count("connections", connections, 1..=64),
         };
         section.finish();
@@ -99,11 +115,11 @@
     /// The time between two pings on a connection.
     pub ping_interval: Duration,
     /// The time after which a ping without an answer condemns the connection.
-    pub ping_limit: Duration,
+    pub ping_timeout: Duration,
     /// The largest frame in bytes.
-    pub frame_limit: u64,
+    pub frame_limit_bytes: u64,
     /// The bytes that may wait for one VM; what goes beyond is dropped.
-    pub queue_limit: u64,
+    pub queue_limit_bytes: u64,
 }
 
 impl Peers {
@@ -113,9 +129,9 @@
         let mut section = document.section("peers");
         let peers = Peers {
             ping_interval: section.millis("ping_interval_ms", limits.ping_interval, up_to(60)),
-            ping_limit: section.millis("ping_limit_ms", limits.ping_limit, up_to(60)),
-            frame_limit: section.size("frame_limit_bytes", frame, 64 * KIB..=64 * MIB),
-            queue_limit: section.size("queue_limit_bytes", queue, 64 * KIB..=256 * MIB),
+            ping_timeout: section.millis("ping_limit_ms", limits.ping_limit, up_to(60)),
+            frame_limit_bytes: section.size("frame_limit_bytes", frame, 64 * KIB..=64 * MIB),
+            queue_limit_bytes: section.size("queue_limit_bytes", queue, 64 * KIB..=256 * MIB),
         };
         section.finish();
         peers
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -101,7 +101,7 @@
 
 fn platform(shared: &Shared) -> Client {
     let settings = &shared.settings;
-    let (address, limit) = (settings.platform.address, settings.platform.call_limit);
+    let (address, limit) = (settings.platform.address, settings.platform.call_timeout);
     Client::new(address, &settings.vm.name, limit, shared.control.replies())
 }
 
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -17,13 +17,13 @@
 pub fn traffic(settings: &Settings) -> traffic::Limits {
     traffic::Limits {
         open_requests: size(share(settings, settings.callers.open_requests)),
-        connect_timeout: settings.targets.open_limit,
-        status_interval: settings.targets.probe_interval,
-        status_max_age: settings.targets.probe_interval * PROBES_MISSED,
-        status_timeout: settings.targets.silent_after,
+        connect_timeout: settings.targets.connect_timeout,
+        status_interval: settings.targets.status_interval,
+        status_max_age: settings.targets.status_interval * PROBES_MISSED,
+        status_timeout: settings.targets.status_timeout,
         connections: settings.targets.connections,
         lost_targets: size(settings.quarantine.lost_targets),
-        suspect_ttl: settings.quarantine.suspect,
+        suspect_ttl: settings.quarantine.suspect_time,
         retry_burst: settings.retry.burst,
         ..traffic::Limits::default()
     }
@@ -46,17 +46,17 @@
     let membership = &settings.membership;
     control::Limits {
         probe: membership.probe_interval,
-        ack: membership.probe_limit,
+        ack: membership.probe_timeout,
         indirect: size(membership.indirect_probes),
         suspicion: membership.gone_after,
         list: membership.list_interval,
         watchers: size(membership.watchers),
         stale: membership.stale_after,
         isolation: membership.unready_after,
-        call: settings.platform.call_limit,
-        suspect_fingerprint: settings.quarantine.suspect,
+        call: settings.platform.call_timeout,
+        suspect_fingerprint: settings.quarantine.suspect_time,
         lost_targets: usize::try_from(settings.quarantine.lost_targets).unwrap_or(usize::MAX),
-        condemned_fingerprint: settings.quarantine.hold,
+        condemned_fingerprint: settings.quarantine.hold_time,
         fingerprints: size(settings.quarantine.capacity),
         ..control::Limits::default()
     }
@@ -72,10 +72,10 @@
 pub fn claims(settings: &Settings) -> claims::Limits {
     claims::Limits {
         window: settings.claims.window,
-        skew: settings.claims.future,
-        call_timeout: settings.platform.call_limit,
-        batch_delay: settings.claims.gather,
-        bucket_bytes: bytes(settings.claims.value_limit),
+        skew: settings.claims.clock_skew,
+        call_timeout: settings.platform.call_timeout,
+        batch_delay: settings.claims.batch_delay,
+        bucket_bytes: bytes(settings.claims.value_limit_bytes),
         ..claims::Limits::default()
     }
 }
@@ -84,10 +84,10 @@
 pub fn wire(settings: &Settings) -> wire::Limits {
     let peers = &settings.peers;
     wire::Limits {
-        frame: bytes(peers.frame_limit),
-        queue_bytes: bytes(peers.queue_limit),
+        frame: bytes(peers.frame_limit_bytes),
+        queue_bytes: bytes(peers.queue_limit_bytes),
         ping_interval: peers.ping_interval,
-        ping_limit: peers.ping_limit,
+        ping_limit: peers.ping_timeout,
         ..wire::Limits::default()
     }
 }
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -139,7 +139,7 @@
 impl ControlMeter for Control {
     fn count(&mut self, out: &control::Outbox) {
         for (_, call) in &out.calls {
-            self.metrics.call(Call::from(call));
+            self.metrics.count_call(Call::from(call));
         }
         self.metrics.add_claims(&out.claims);
     }
@@ -149,7 +149,7 @@
             return;
         }
         let now = self.clock.now();
-        self.writer.report(now);
+        self.writer.report_suppressed(now);
         let tables = engine.tables();
         let view = &tables.view;
         let live = |state: State| state == State::Live;
--- a/tests/fronts/bed.rs
+++ b/tests/fronts/bed.rs
@@ -53,11 +53,11 @@
 /// Limits that no case meets by chance.
 pub fn limits() -> Callers {
     Callers {
-        body_limit: 2048,
-        header_limit: 8192,
-        header_read: Duration::from_secs(20),
-        body_read: Duration::from_secs(20),
-        idle: Duration::from_secs(20),
+        body_limit_bytes: 2048,
+        header_limit_bytes: 8192,
+        header_read_timeout: Duration::from_secs(20),
+        body_read_timeout: Duration::from_secs(20),
+        idle_timeout: Duration::from_secs(20),
         open_requests: 16,
         open_connections: 16,
     }
--- a/tests/fronts/limit.rs
+++ b/tests/fronts/limit.rs
@@ -120,7 +120,7 @@
 
 /// A body larger than the limit of heads is no head.
 async fn body_beyond_head_limit() {
-    let mut front = Front::start(|limits| limits.body_limit = 64 * 1024);
+    let mut front = Front::start(|limits| limits.body_limit_bytes = 64 * 1024);
     for _ in 0..3 {
         let body = format!("{SEARCH}{}", " ".repeat(60 * 1024));
         let sent = tokio::spawn(front.post("/v1/search", &body).send());
@@ -130,7 +130,7 @@
 }
 
 async fn slow_head() {
-    let mut front = Front::start(|limits| limits.header_read = SHORT);
+    let mut front = Front::start(|limits| limits.header_read_timeout = SHORT);
     let mut wire = Wire::open(front.address).await;
     let start = Instant::now();
     wire.send("POST /v1/search HTTP/1.1\r\nhost: v").await;
@@ -141,7 +141,7 @@
 }
 
 async fn dripping_head() {
-    let mut front = Front::start(|limits| limits.header_read = SHORT);
+    let mut front = Front::start(|limits| limits.header_read_timeout = SHORT);
     let mut wire = Wire::open(front.address).await;
     let start = Instant::now();
     let drip = async {
@@ -158,7 +158,7 @@
 }
 
 async fn slow_second_head() {
-    let mut front = Front::start(|limits| limits.header_read = SHORT);
+    let mut front = Front::start(|limits| limits.header_read_timeout = SHORT);
     let mut wire = Wire::open(front.address).await;
     wire.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
     assert!(wire.next().await.starts_with("HTTP/1.1 200"));
@@ -172,7 +172,7 @@
 }
 
 async fn slow_body(head: &str, pieces: &str) {
-    let mut front = Front::start(|limits| limits.body_read = SHORT);
+    let mut front = Front::start(|limits| limits.body_read_timeout = SHORT);
     let mut wire = Wire::open(front.address).await;
     let start = Instant::now();
     let drip = async {
@@ -194,9 +194,9 @@
 
 async fn slow_engine() {
     let mut front = Front::start(|limits| {
-        limits.header_read = SHORT;
-        limits.body_read = SHORT;
-        limits.idle = SHORT;
+        limits.header_read_timeout = SHORT;
+        limits.body_read_timeout = SHORT;
+        limits.idle_timeout = SHORT;
     });
     let sent = tokio::spawn(front.post("/v1/search", SEARCH).send());
     let ask = front.ask().await;
@@ -206,7 +206,7 @@
 }
 
 async fn idle() {
-    let front = Front::start(|limits| limits.idle = SHORT);
+    let front = Front::start(|limits| limits.idle_timeout = SHORT);
     let mut silent = Wire::open(front.address).await;
     let mut used = Wire::open(front.address).await;
     let start = Instant::now();
@@ -245,7 +245,7 @@
 }
 
 async fn unread_response() {
-    let mut front = Front::start(|limits| limits.idle = SHORT);
+    let mut front = Front::start(|limits| limits.idle_timeout = SHORT);
     let mut wire = Wire::open(front.address).await;
     wire.send(
         &post("/v1/operations", r#"{"profile":"a","operation":"o","subject":1,"detail":"x"}"#)
@@ -276,7 +276,7 @@
 
 /// A caller that waits for the front before it sends the body.
 async fn expected_body(length: usize) -> String {
-    let mut front = Front::start(|limits| limits.body_limit = 64 * 1024);
+    let mut front = Front::start(|limits| limits.body_limit_bytes = 64 * 1024);
     let mut wire = Wire::open(front.address).await;
     wire.send(&format!(
         "POST /v1/search HTTP/1.1\r\nhost: vm\r\nexpect: 100-continue\r\n\
--- a/tests/fronts/random.rs
+++ b/tests/fronts/random.rs
@@ -87,8 +87,8 @@
     let runtime = runtime();
     let (address, http) = runtime.block_on(async {
         let front = Front::start(|limits| {
-            limits.body_limit = 1 << 20;
-            limits.idle = Duration::from_secs(60);
+            limits.body_limit_bytes = 1 << 20;
+            limits.idle_timeout = Duration::from_secs(60);
         });
         let parts = (front.address, front.http.clone());
         tokio::spawn(answer(front));
--- a/tests/process/bed.rs
+++ b/tests/process/bed.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use laburnumworks::local::{Caller, INDEX, TOKEN, caller::Reply};
+use laburnumworks::local::{Caller, DEMO_INDEX, OPERATOR_TOKEN, caller::Reply};
 use reqwest::Method;
 use serde_json::{Value, json};
 use tokio::{task::JoinHandle, time::sleep};
@@ -182,7 +182,7 @@
 
     /// Publishes profiles through a VM if `expect` is in force.
     pub async fn publish(&self, number: usize, expect: u64, profiles: &Value) -> Reply {
-        let authorization = format!("Bearer {TOKEN}");
+        let authorization = format!("Bearer {OPERATOR_TOKEN}");
         let expect = format!("\"{expect}\"");
         let headers = [("Authorization", authorization.as_str()), ("If-Match", expect.as_str())];
         let body = json!({ "profiles": profiles });
@@ -193,7 +193,7 @@
 
     /// Asks through a VM what became of a publication.
     pub async fn settle(&self, number: usize, token: &Value) -> Reply {
-        let authorization = format!("Bearer {TOKEN}");
+        let authorization = format!("Bearer {OPERATOR_TOKEN}");
         let headers = [("Authorization", authorization.as_str())];
         let operators = self.vms[number].place.operators;
         let path = "/v1/publications/settle";
@@ -248,7 +248,7 @@
 pub fn profile(coverage_ppm: u32, priority: u32) -> Value {
     json!({
         "team": "local",
-        "index": INDEX,
+        "index": DEMO_INDEX,
         "coverage_ppm": coverage_ppm,
         "deadline_ms": 1000,
         "tail_ms": 50,
--- a/tests/process/part.rs
+++ b/tests/process/part.rs
@@ -3,7 +3,7 @@
 use std::{fs, net::SocketAddr, path::Path};
 
 use laburnum_core::name::Name;
-use laburnumworks::local::{INDEX, Place};
+use laburnumworks::local::{DEMO_INDEX, Endpoints};
 use serde_json::{Value, json};
 
 use super::{child::Child, port};
@@ -52,7 +52,7 @@
 /// A VM, which may not have been started.
 pub struct Vm {
     /// Its name and addresses.
-    pub place: Place,
+    pub place: Endpoints,
     /// Where its traffic threads listen for other VMs.
     traffic: Vec<SocketAddr>,
     /// Its process.
@@ -63,7 +63,7 @@
     /// A VM with addresses of its own, which is not started.
     pub fn new(number: u32, threads: u32) -> Vm {
         let traffic: Vec<SocketAddr> = (0..threads).map(|_| port::free()).collect();
-        let place = Place {
+        let place = Endpoints {
             name: Name::try_from(format!("vm-{number}")).unwrap(),
             domain: Name::try_from(format!("domain-{number}")).unwrap(),
             callers: port::free(),
@@ -97,7 +97,7 @@
 
     /// The row of the platform's list as TOML.
     fn row(&self) -> String {
-        let Place { name, domain, control, .. } = &self.place;
+        let Endpoints { name, domain, control, .. } = &self.place;
         format!(
             "[[vms]]\nname = \"{name}\"\ndomain = \"{domain}\"\nincarnation = 0\n\
              state = \"live\"\ncontrol = \"{control}\"\ntraffic = {}\n",
@@ -154,7 +154,7 @@
         let child = Child::start(folder, &name, &arguments);
         let listed = json!({
             "name": name,
-            "index": INDEX,
+            "index": DEMO_INDEX,
             "shard": format!("shard-{shard}"),
             "domain": format!("domain-{}", replica + 1),
             "address": address,
--- a/tests/product/bed.rs
+++ b/tests/product/bed.rs
@@ -13,7 +13,7 @@
 use laburnum_core::{name::Name, traffic::Policies};
 use laburnumworks::{
     cli::exit::Exit,
-    local::{self, Caller, Deployment, Index, Place, Plan},
+    local::{self, Caller, Deployment, Endpoints, Index, Plan},
     settings::{Settings, Source},
     standin::target::settings::Raw,
     vm,
@@ -91,11 +91,12 @@
 /// Starts a deployment of `vms` VMs with `shards` shards and waits until they
 /// take requests. Its VMs log all levels.
 pub fn start_with(vms: u32, shards: u32) -> Bed {
-    let name = Name::try_from(local::INDEX).unwrap();
+    let name = Name::try_from(local::DEMO_INDEX).unwrap();
     let index = Index { name, shards, replicas: 2, target: Raw::default() };
-    let plan = Plan { vms: 0, indexes: vec![index], hosts: 1, policies: Policies::default };
+    let plan =
+        Plan { vms: 0, indexes: vec![index], target_threads: 1, policies: Policies::default };
     let folder = tempfile::tempdir().unwrap();
-    fs::write(folder.path().join("token"), format!("{}\n", local::TOKEN)).unwrap();
+    fs::write(folder.path().join("token"), format!("{}\n", local::OPERATOR_TOKEN)).unwrap();
     let mut bed = Bed {
         deployment: local::start(&plan).unwrap(),
         logs: Vec::new(),
@@ -103,7 +104,8 @@
         runtime: tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap(),
         caller: Caller::new().unwrap(),
     };
-    let places: Vec<Place> = (1..=vms).map(|number| local::place::free(number).unwrap()).collect();
+    let places: Vec<Endpoints> =
+        (1..=vms).map(|number| local::endpoints::allocate(number).unwrap()).collect();
     places.iter().for_each(|place| bed.list(place));
     places.into_iter().for_each(|place| bed.start_vm(place));
     assert!(bed.runtime.block_on(bed.deployment.ready(START_LIMIT)), "the VMs are not ready");
@@ -133,15 +135,15 @@
 
 impl Bed {
     /// Puts a VM on the platform's list.
-    fn list(&self, place: &Place) {
+    fn list(&self, place: &Endpoints) {
         let path = format!("/v1/list/vms/{}", place.name);
-        let row = serde_json::to_value(place.row()).unwrap();
+        let row = serde_json::to_value(place.list_entry()).unwrap();
         let sent = self.caller.send(Method::PUT, self.deployment.platform, &path, &[], &row);
         assert!(self.runtime.block_on(sent).unwrap().status.is_success());
     }
 
     /// Starts a VM and keeps its log.
-    fn start_vm(&mut self, place: Place) {
+    fn start_vm(&mut self, place: Endpoints) {
         let settings = place.settings(self.deployment.platform);
         let text = format!("{settings}\n[log]\nlevel = \"debug\"\n");
         let source = Source { file: Path::new("vm.toml"), text: &text };
--- a/tests/product/limits.rs
+++ b/tests/product/limits.rs
@@ -198,7 +198,7 @@
         assert_eq!(limits::traffic(&settings), traffic::Limits::default());
         assert_eq!(format!("{:?}", limits::control(&settings)), format!("{control:?}"));
         assert_eq!(limits::wire(&settings), wire::Limits::default());
-        let claims = claims::Limits { call_timeout: settings.platform.call_limit, ..Default::default() };
+        let claims = claims::Limits { call_timeout: settings.platform.call_timeout, ..Default::default() };
         assert_eq!(limits::claims(&settings), claims);
     };
     a_target_is_read_often_enough_to_notice_in_two_seconds_that_it_leaves => {
--- a/tests/product/log.rs
+++ b/tests/product/log.rs
@@ -13,7 +13,7 @@
     time::Instant,
 };
 use laburnumworks::{
-    log::{Writer, rate::Rate},
+    log::{Writer, rate::Limiter},
     settings::control::{Format, Log},
 };
 
@@ -41,7 +41,7 @@
 }
 
 fn settings(format: Format) -> Log {
-    Log { format, level: Level::Info, queue: 64, rate: 1 }
+    Log { format, level: Level::Info, queue_lines: 64, lines_per_second: 1 }
 }
 
 fn vm() -> Name {
@@ -101,26 +101,26 @@
         assert_eq!(found[2]["suppressed"], 2);
     };
     a_flood_of_one_event_leaves_others_alone => {
-        let mut rate = Rate::new(1);
+        let mut rate = Limiter::new(1);
         while rate.admit(Event::ConnectionLost, at(0)).is_some() {}
         assert_eq!(rate.admit(Event::TargetDraining, at(0)), Some(0));
     };
     the_end_of_a_flood_is_reported_once => {
-        let mut rate = Rate::new(1);
+        let mut rate = Limiter::new(1);
         while rate.admit(Event::ConnectionLost, at(0)).is_some() {}
         assert!(rate.due(at(0)).is_empty());
         assert_eq!(rate.due(at(1000)), [(Event::ConnectionLost, 1)]);
         assert!(rate.due(at(5000)).is_empty());
     };
     a_rate_does_not_save_up_without_end => {
-        let mut rate = Rate::new(10);
+        let mut rate = Limiter::new(10);
         rate.admit(Event::ConnectionLost, at(0));
         let later = Instant::default() + Duration::from_secs(3600);
         let admitted = (0..100).filter(|_| rate.admit(Event::ConnectionLost, later).is_some());
         assert_eq!(admitted.count(), 20);
     };
     a_clock_that_stands_still_admits_no_more => {
-        let mut rate = Rate::new(10);
+        let mut rate = Limiter::new(10);
         let admitted = (0..100).filter(|_| rate.admit(Event::ConnectionLost, at(7)).is_some());
         assert_eq!(admitted.count(), 20);
     };
@@ -131,7 +131,7 @@
             released: Arc::clone(&released),
             is_first: true,
         };
-        let settings = Log { queue: 16, rate: 1000, ..settings(Format::Json) };
+        let settings = Log { queue_lines: 16, lines_per_second: 1000, ..settings(Format::Json) };
         let (writer, guard) = Writer::new(&settings, &vm(), Box::new(output));
         writer.write(&line(Event::ConnectionLost), at(0));
         reached.wait();
--- a/tests/product/metric.rs
+++ b/tests/product/metric.rs
@@ -13,7 +13,7 @@
     profile::WHOLE,
 };
 use laburnumworks::metric::{
-    MAX_PROFILES, Metrics, OTHER,
+    MAX_PROFILES, Metrics, OTHER_PROFILES,
     call::Call,
     gauge::{Gauge, Part},
 };
@@ -247,7 +247,7 @@
         let text = metrics.text();
         let series = text.lines().filter(|line| line.starts_with("laburnum_answer_seconds_count"));
         assert_eq!(series.count(), MAX_PROFILES + 1);
-        let other = format!("laburnum_answer_seconds_count{{profile=\"{OTHER}\"}}");
+        let other = format!("laburnum_answer_seconds_count{{profile=\"{OTHER_PROFILES}\"}}");
         assert_eq!(value(&metrics, &other), Some(10.0));
     };
     each_part_sets_its_own_gauge => {
--- a/tests/product/settings.rs
+++ b/tests/product/settings.rs
@@ -55,7 +55,7 @@
     names_and_addresses_are_enough => {
         let settings = parse(WHOLE).unwrap();
         assert_eq!(settings.listen.traffic.len(), 2);
-        assert_eq!(settings.callers.body_limit, traffic::BODY_LIMIT);
+        assert_eq!(settings.callers.body_limit_bytes, traffic::DEFAULT_BODY_LIMIT_BYTES);
     };
     an_empty_file_misses_every_key_without_a_default => {
         let text = parse("").unwrap_err();
@@ -65,13 +65,13 @@
     };
     a_size_is_a_number_or_has_a_unit => {
         let text = format!("{WHOLE}[callers]\nbody_limit_bytes = \"2 KiB\"\n");
-        assert_eq!(parse(&text).unwrap().callers.body_limit, 2048);
+        assert_eq!(parse(&text).unwrap().callers.body_limit_bytes, 2048);
         let text = format!("{WHOLE}[callers]\nbody_limit_bytes = 3000\n");
-        assert_eq!(parse(&text).unwrap().callers.body_limit, 3000);
+        assert_eq!(parse(&text).unwrap().callers.body_limit_bytes, 3000);
     };
     a_time_is_in_milliseconds => {
         let text = format!("{WHOLE}[claims]\ngather_ms = 7\n");
-        assert_eq!(parse(&text).unwrap().claims.gather, Duration::from_millis(7));
+        assert_eq!(parse(&text).unwrap().claims.batch_delay, Duration::from_millis(7));
     };
     an_error_names_file_line_key_found_and_allowed => {
         assert_eq!(
--- a/tests/relay/settings.rs
+++ b/tests/relay/settings.rs
@@ -42,7 +42,7 @@
         assert!(!text.contains("{{"), "{text}");
         let source = Source { file: Path::new("relay.toml"), text: &text };
         let settings = Settings::try_from(source).unwrap();
-        assert_eq!(settings.vm.share, 170);
+        assert_eq!(settings.vm.millicores, 170);
         assert_eq!(settings.listen.peers.to_string(), "10.1.0.9:7380");
         assert_eq!(settings.retry.window.as_secs(), 10);
     };
