Reword the settings

Comments described fields by riddle ("What stands under a key", "For whom") or repeated the name, and private names such as `keyed`, `refuse` and `run` did not say what the function does. One error text that no user sees ("a size is not negative") is corrected.

--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -1,4 +1,4 @@
-//! Checks that need more than one key.
+//! Checks that compare several keys.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -9,66 +9,73 @@
 };
 
 /// Reports the keys of `settings` that contradict each other.
-pub fn run(settings: &Settings, document: &mut Document<'_>) {
-    addresses(&settings.listen, document);
-    announced(&settings.listen, document);
-    for (less, more) in pairs(settings) {
-        if less.span >= more.span {
-            let (found, bound) = (less.span.as_millis(), more.span.as_millis());
-            let detail = format!("found {found}, allowed is less than {} = {bound}", more.key);
-            document.report_key(less.key, detail);
+pub fn report_conflicts(settings: &Settings, document: &mut Document<'_>) {
+    check_addresses(&settings.listen, document);
+    check_reachable(&settings.listen, document);
+    for (shorter, longer) in ordered_pairs(settings) {
+        if shorter.duration >= longer.duration {
+            let (found, bound) = (shorter.duration.as_millis(), longer.duration.as_millis());
+            let detail = format!("found {found}, allowed is less than {} = {bound}", longer.key);
+            document.report_key(shorter.key, detail);
         }
     }
-    names(settings, document);
+    check_token_names(settings, document);
 }
 
-struct Span {
+/// A duration with the key that sets it.
+struct Setting {
     key: &'static str,
-    span: Duration,
+    duration: Duration,
 }
 
-fn span(key: &'static str, span: Duration) -> Span {
-    Span { key, span }
+fn setting(key: &'static str, duration: Duration) -> Setting {
+    Setting { key, duration }
 }
 
-/// The times of which the first must be shorter than the second.
-fn pairs(settings: &Settings) -> [(Span, Span); 5] {
+/// Pairs of durations of which the first must be shorter than the second.
+fn ordered_pairs(settings: &Settings) -> [(Setting, Setting); 5] {
     let (peers, members) = (&settings.peers, &settings.membership);
     let (claims, shutdown) = (&settings.claims, &settings.shutdown);
     [
         (
-            span("membership.probe_limit_ms", members.probe_timeout),
-            span("membership.probe_interval_ms", members.probe_interval),
+            setting("membership.probe_limit_ms", members.probe_timeout),
+            setting("membership.probe_interval_ms", members.probe_interval),
         ),
         (
-            span("membership.probe_limit_ms", members.probe_timeout),
-            span("membership.gone_after_ms", members.gone_after),
+            setting("membership.probe_limit_ms", members.probe_timeout),
+            setting("membership.gone_after_ms", members.gone_after),
         ),
         (
-            span("peers.ping_limit_ms", peers.ping_timeout),
-            span("peers.ping_interval_ms", peers.ping_interval),
+            setting("peers.ping_limit_ms", peers.ping_timeout),
+            setting("peers.ping_interval_ms", peers.ping_interval),
         ),
-        (span("claims.future_ms", claims.clock_skew), span("claims.window_ms", claims.window)),
         (
-            span("shutdown.announce_ms", shutdown.announce),
-            span("shutdown.limit_ms", shutdown.limit),
+            setting("claims.future_ms", claims.clock_skew),
+            setting("claims.window_ms", claims.window),
+        ),
+        (
+            setting("shutdown.announce_ms", shutdown.announce),
+            setting("shutdown.limit_ms", shutdown.limit),
         ),
     ]
 }
 
-fn keyed(listen: &Listen) -> Vec<(&'static str, SocketAddr)> {
-    let mut keyed = vec![
+/// All addresses with their keys. The addresses for other VMs come after the
+/// first two, which are for callers and operators.
+fn keyed_addresses(listen: &Listen) -> Vec<(&'static str, SocketAddr)> {
+    let mut addresses = vec![
         ("listen.callers", listen.callers),
         ("listen.operators", listen.operators),
         ("listen.control", listen.control),
     ];
-    keyed.extend(listen.traffic.iter().map(|&address| ("listen.traffic", address)));
-    keyed
+    addresses.extend(listen.traffic.iter().map(|&address| ("listen.traffic", address)));
+    addresses
 }
 
-fn addresses(listen: &Listen, document: &mut Document<'_>) {
+/// Reports addresses that are given twice, and too many traffic threads.
+fn check_addresses(listen: &Listen, document: &mut Document<'_>) {
     let mut seen = BTreeMap::new();
-    for (key, address) in keyed(listen) {
+    for (key, address) in keyed_addresses(listen) {
         if let Some(other) = seen.insert(address, key) {
             document.report_key(key, format!("found {address}, which {other} has as well"));
         }
@@ -80,9 +87,11 @@
     }
 }
 
-/// Other VMs are told these addresses, so each must name one machine and port.
-fn announced(listen: &Listen, document: &mut Document<'_>) {
-    for (key, address) in keyed(listen).into_iter().skip(2) {
+/// Reports addresses that other VMs cannot connect to. The VM announces those
+/// of its control and traffic threads, so each needs a specific IP address and
+/// port.
+fn check_reachable(listen: &Listen, document: &mut Document<'_>) {
+    for (key, address) in keyed_addresses(listen).into_iter().skip(2) {
         if address.ip().is_unspecified() || address.port() == 0 {
             let detail = format!("found {address}, allowed is an address that other VMs can reach");
             document.report_key(key, detail);
@@ -90,7 +99,8 @@
     }
 }
 
-fn names(settings: &Settings, document: &mut Document<'_>) {
+/// Reports operator tokens that share a name.
+fn check_token_names(settings: &Settings, document: &mut Document<'_>) {
     let mut seen = BTreeMap::new();
     for (index, token) in settings.operators.tokens.iter().enumerate() {
         if let Some(first) = seen.insert(&token.name, index) {
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -13,7 +13,7 @@
 
 use super::{
     document::Document,
-    section::{Section, up_to},
+    section::{Section, up_to_secs},
     size::KIB,
 };
 
@@ -22,42 +22,42 @@
 /// The default of [`Shutdown::announce`].
 pub const DEFAULT_SHUTDOWN_ANNOUNCE: Duration = Duration::from_secs(2);
 
-/// The default of [`Log::queue_lines`] in lines.
+/// The default of [`Log::queue_lines`].
 pub const DEFAULT_LOG_QUEUE_LINES: u32 = 4096;
-/// The default of [`Log::lines_per_second`] in lines a second for each event.
+/// The default of [`Log::lines_per_second`].
 pub const DEFAULT_LOG_LINES_PER_SECOND: u32 = 50;
 
 /// How VMs learn of each other and of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Membership {
-    /// The time between two probes of other VMs.
+    /// The time between two rounds of probes of other VMs.
     pub probe_interval: Duration,
     /// The time after which a probe without an answer has failed.
     pub probe_timeout: Duration,
-    /// The VMs that are asked to probe one that did not answer.
+    /// The number of VMs that are asked to probe one that did not answer.
     pub indirect_probes: u32,
-    /// The time as suspect after which a VM is gone.
+    /// The time for which a VM is suspect before it counts as gone.
     pub gone_after: Duration,
-    /// The time between two readings of the platform's list by a watcher.
+    /// The time between two reads of the platform's list by a watcher.
     pub list_interval: Duration,
     /// The number of VMs that hold watches on the platform's service.
     pub watchers: u32,
-    /// The age of the last confirmation after which a VM asks for itself.
+    /// The age of the last confirmation after which a VM reads the platform's
+    /// service itself.
     pub stale_after: Duration,
-    /// The time without a word of a VM or the service after which this VM is
-    /// not ready.
+    /// The time without contact to any VM or the platform's service after which
+    /// this VM is not ready.
     pub unready_after: Duration,
-    /// VMs that are asked when the platform's list cannot be read, so that a VM
-    /// can start during an outage of the service.
+    /// VMs that are contacted when the platform's list cannot be read, so that
+    /// a VM can start during an outage of the service.
     pub seeds: Vec<Seed>,
 }
 
-/// A VM that is asked at the start.
+/// A VM that another one contacts when it starts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seed {
-    /// Its name.
     pub name: Name,
-    /// Where its control thread listens.
+    /// The address of its control thread.
     pub control: SocketAddr,
 }
 
@@ -81,14 +81,14 @@
         let mut section = document.section("membership");
         let items = section.tables("seeds");
         let mut membership = Membership {
-            probe_interval: section.millis("probe_interval_ms", limits.probe, up_to(60)),
-            probe_timeout: section.millis("probe_limit_ms", limits.ack, up_to(60)),
+            probe_interval: section.millis("probe_interval_ms", limits.probe, up_to_secs(60)),
+            probe_timeout: section.millis("probe_limit_ms", limits.ack, up_to_secs(60)),
             indirect_probes: section.count("indirect_probes", indirect, 0..=16),
-            gone_after: section.millis("gone_after_ms", limits.suspicion, up_to(3600)),
-            list_interval: section.millis("list_interval_ms", limits.list, up_to(60)),
+            gone_after: section.millis("gone_after_ms", limits.suspicion, up_to_secs(3600)),
+            list_interval: section.millis("list_interval_ms", limits.list, up_to_secs(60)),
             watchers: section.count("watchers", watchers, 1..=16),
-            stale_after: section.millis("stale_after_ms", limits.stale, up_to(600)),
-            unready_after: section.millis("unready_after_ms", limits.isolation, up_to(86_400)),
+            stale_after: section.millis("stale_after_ms", limits.stale, up_to_secs(600)),
+            unready_after: section.millis("unready_after_ms", limits.isolation, up_to_secs(86_400)),
             seeds: Vec::new(),
         };
         section.finish();
@@ -99,33 +99,33 @@
     }
 }
 
-/// How operations are claimed. How keys are laid out over values is part of the
-/// stored format and no setting; see [`claims::layout::Layout`].
+/// How operations are claimed. The layout of keys over values is part of the
+/// stored format and cannot be set; see [`claims::layout::Layout`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Claims {
-    /// The time for which a key is remembered after its issue.
+    /// The time for which an idempotency key is remembered after its issue.
     pub window: Duration,
-    /// The largest value of claims in the platform's service, in bytes.
+    /// The largest value that holds claims in the platform's service, in bytes.
     pub value_limit_bytes: u64,
-    /// How far ahead of this VM's clock a key's time of issue may lie.
+    /// The time by which the issue of a key may lie ahead of this VM's clock.
     pub clock_skew: Duration,
-    /// The time for which an outcome waits for others before it is written.
+    /// The time for which an outcome waits for others, to be written with them.
     pub batch_delay: Duration,
 }
 
-/// The smallest value of claims in bytes that may be set.
-const MIN_VALUE: u64 = 64 * KIB;
+/// The least allowed [`Claims::value_limit_bytes`].
+const MIN_VALUE_LIMIT_BYTES: u64 = 64 * KIB;
 
 impl Claims {
     pub(super) fn read(document: &mut Document<'_>) -> Claims {
         let limits = claims::Limits::default();
-        let value = MIN_VALUE..=MAX_VALUE as u64;
+        let value = MIN_VALUE_LIMIT_BYTES..=MAX_VALUE as u64;
         let gather = Duration::ZERO..=Duration::from_secs(1);
         let mut section = document.section("claims");
         let claims = Claims {
-            window: section.millis("window_ms", limits.window, up_to(86_400)),
+            window: section.millis("window_ms", limits.window, up_to_secs(86_400)),
             value_limit_bytes: section.size("value_limit_bytes", limits.bucket_bytes as u64, value),
-            clock_skew: section.millis("future_ms", limits.skew, up_to(600)),
+            clock_skew: section.millis("future_ms", limits.skew, up_to_secs(600)),
             batch_delay: section.millis("gather_ms", limits.batch_delay, gather),
         };
         section.finish();
@@ -136,7 +136,7 @@
 /// How requests that crash targets are held back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Quarantine {
-    /// The number of requests that are held back at a time.
+    /// The most requests that are held back at a time.
     pub capacity: u32,
     /// The time for which a request is held back.
     pub hold_time: Duration,
@@ -154,8 +154,8 @@
         let mut section = document.section("quarantine");
         let quarantine = Quarantine {
             capacity: section.count("capacity", count(limits.fingerprints), 1..=100_000),
-            hold_time: section.millis("hold_ms", hold, up_to(86_400)),
-            suspect_time: section.millis("suspect_ms", suspect, up_to(3600)),
+            hold_time: section.millis("hold_ms", hold, up_to_secs(86_400)),
+            suspect_time: section.millis("suspect_ms", suspect, up_to_secs(3600)),
             lost_targets: section.count("lost_targets", lost_targets, 1..=2),
         };
         section.finish();
@@ -163,7 +163,7 @@
     }
 }
 
-/// A default of the decisions as a whole number of the settings.
+/// Converts a default of the core's limits to the type of the settings.
 fn count(default: usize) -> u32 {
     u32::try_from(default).unwrap_or(u32::MAX)
 }
@@ -171,10 +171,10 @@
 /// How the VM shuts down.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Shutdown {
-    /// The time for which the VM says that it is not ready and still takes
-    /// requests, so that the balancer can turn away from it.
+    /// The time for which the VM reports that it is not ready and still takes
+    /// requests, so that the balancer can stop sending to it.
     pub announce: Duration,
-    /// The time after which the VM exits, whatever is in flight.
+    /// The time after which the VM exits even if requests are in flight.
     pub limit: Duration,
 }
 
@@ -184,32 +184,33 @@
         let announce = Duration::ZERO..=Duration::from_secs(60);
         let shutdown = Shutdown {
             announce: section.millis("announce_ms", DEFAULT_SHUTDOWN_ANNOUNCE, announce),
-            limit: section.millis("limit_ms", DEFAULT_SHUTDOWN_LIMIT, up_to(3600)),
+            limit: section.millis("limit_ms", DEFAULT_SHUTDOWN_LIMIT, up_to_secs(3600)),
         };
         section.finish();
         shutdown
     }
 }
 
-/// For whom the log is written.
+/// The format of log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Format {
-    /// One JSON document a line.
+    /// One JSON document for each line.
     Json,
-    /// Lines for people.
+    /// Plain text.
     Text,
 }
 
-/// How the log is written.
+/// The format, level and limits of the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Log {
-    /// For whom.
     pub format: Format,
-    /// The least level that is written.
+    /// The least severe level that is written.
     pub level: laburnum_core::log::Level,
-    /// The lines that may wait to be written; what goes beyond is counted.
+    /// The lines that may wait to be written. Lines beyond it are dropped and
+    /// counted.
     pub queue_lines: u32,
-    /// The lines a second for each event; what goes beyond is counted.
+    /// The lines written each second for each event. Lines beyond it are
+    /// suppressed and counted.
     pub lines_per_second: u32,
 }
 
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -1,5 +1,5 @@
-//! A TOML text that is read key by key, so that every error is found with its
-//! line.
+//! A TOML document that is read key by key, so that all errors are found in one
+//! pass, each with its line.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -13,8 +13,8 @@
     section::Section,
 };
 
-/// The longest piece of a file that an error repeats, in characters.
-const MAX_EXCERPT: usize = 60;
+/// The characters of a value that an error message quotes at most.
+const MAX_EXCERPT_CHARS: usize = 60;
 
 /// A TOML text while it is read.
 pub struct Document<'i> {
@@ -27,7 +27,7 @@
 }
 
 impl<'i> Document<'i> {
-    /// Parses `text`; what is not TOML is kept as errors.
+    /// Parses `text` and collects its syntax errors.
     pub fn new(file: &str, text: &'i str) -> Document<'i> {
         let (root, faults) = DeTable::parse_recoverable(text);
         let mut document = Document {
@@ -39,24 +39,25 @@
             errors: Vec::new(),
         };
         for fault in faults {
-            let line = fault.span().map_or(1, |span| document.line(span.start));
+            let line = fault.span().map_or(1, |span| document.line_at(span.start));
             document.report(line, String::new(), fault.message().to_owned());
         }
         document
     }
 
-    /// Takes the section `name` out of the document; a section that is not
-    /// there is read as an empty one.
+    /// Takes the section `name` out of the document. An absent section is read
+    /// as an empty one, so that its required keys are reported.
     pub fn section(&mut self, name: &'static str) -> Section<'_, 'i> {
         self.known.push(name);
         let Some((key, value)) = self.root.remove_entry(name) else {
             return Section::new(self, name.to_owned(), 1, DeTable::new());
         };
-        let line = self.line(key.span().start);
+        let line = self.line_at(key.span().start);
         self.open(name.to_owned(), line, value)
     }
 
-    /// Takes all subsections of the section `name`, such as `[profile.portal]`.
+    /// Takes all subsections of the section `name`, such as `[profile.portal]`,
+    /// each with its name and line.
     pub fn subsections(
         &mut self,
         name: &'static str,
@@ -65,7 +66,7 @@
         let Some((key, value)) = self.root.remove_entry(name) else {
             return Vec::new();
         };
-        let line = self.line(key.span().start);
+        let line = self.line_at(key.span().start);
         self.entries(name, line, value)
     }
 
@@ -98,7 +99,7 @@
             DeValue::Table(table) => table
                 .into_iter()
                 .map(|(key, value)| {
-                    let line = self.line(key.span().start);
+                    let line = self.line_at(key.span().start);
                     (key.into_inner().into_owned(), line, value)
                 })
                 .collect(),
@@ -110,8 +111,8 @@
         }
     }
 
-    /// Reports an error at the line of `key`, or at the nearest section above
-    /// it that the file holds.
+    /// Reports an error at the line of `key`, or of the nearest enclosing
+    /// section that the file holds.
     pub fn report_key(&mut self, key: &str, detail: String) {
         let mut path = key;
         let line = loop {
@@ -126,16 +127,17 @@
         self.report(line, key.to_owned(), detail);
     }
 
-    /// The number of errors found up to here.
+    /// The number of errors found so far.
     pub fn error_count(&self) -> usize {
         self.errors.len()
     }
 
-    /// Reports the sections that nobody asked for and ends the reading.
+    /// Reports the sections that were never read, which are unknown ones, and
+    /// returns all errors by line.
     pub fn finish(mut self) -> Result<(), Errors> {
         let unknown: Vec<(String, usize)> = std::mem::take(&mut self.root)
             .into_iter()
-            .map(|(key, _)| (key.get_ref().clone().into_owned(), self.line(key.span().start)))
+            .map(|(key, _)| (key.get_ref().clone().into_owned(), self.line_at(key.span().start)))
             .collect();
         for (key, line) in unknown {
             let detail = unknown_key("section", &key, &self.known);
@@ -152,29 +154,30 @@
         self.errors.push(Error { file: self.file.clone(), line, key, detail });
     }
 
-    pub(super) fn record(&mut self, path: String, line: usize) {
+    pub(super) fn record_line(&mut self, path: String, line: usize) {
         self.lines.insert(path, line);
     }
 
-    pub(super) fn line(&self, offset: usize) -> usize {
+    pub(super) fn line_at(&self, offset: usize) -> usize {
         let before = self.text.as_bytes().iter().take(offset);
         before.filter(|&&byte| byte == b'\n').count() + 1
     }
 
-    /// The text of `value` as it stands in the file, shortened.
+    /// The source text of `value`, cut to its first line and
+    /// [`MAX_EXCERPT_CHARS`].
     pub(super) fn excerpt(&self, value: &Spanned<DeValue<'i>>) -> String {
         let text = self.text.get(value.span()).unwrap_or_default();
         let line = text.lines().next().unwrap_or_default();
-        if line.len() == text.len() && line.chars().count() <= MAX_EXCERPT {
+        if line.len() == text.len() && line.chars().count() <= MAX_EXCERPT_CHARS {
             return line.to_owned();
         }
-        let short: String = line.chars().take(MAX_EXCERPT).collect();
+        let short: String = line.chars().take(MAX_EXCERPT_CHARS).collect();
         format!("{short}...")
     }
 }
 
-/// The detail for a key or section that is not known, with the nearest one
-/// that is.
+/// The error detail for an unknown key or section. It suggests a known name of
+/// similar spelling, or else lists all known ones.
 pub(super) fn unknown_key(what: &str, key: &str, known: &[&str]) -> String {
     let nearest = known.iter().map(|&name| (strsim::osa_distance(key, name), name)).min();
     match nearest {
--- a/src/settings/error.rs
+++ b/src/settings/error.rs
@@ -1,4 +1,5 @@
-//! What is wrong with a settings or profiles file: all errors at once.
+//! The errors of a settings or profiles file, collected so that all are
+//! reported at once.
 
 use std::{fmt, sync::Arc};
 
@@ -7,10 +8,10 @@
 pub struct Error {
     /// The file as it was named on the command line.
     pub file: Arc<str>,
-    /// The line, counted from one; zero stands for the file as a whole.
+    /// The line, counted from one. Zero means the whole file.
     pub line: usize,
-    /// The full key, such as `callers.body_limit_bytes`, or nothing where the
-    /// text is not TOML.
+    /// The full key, such as `callers.body_limit_bytes`. It is empty for a
+    /// syntax error and for a file that cannot be read.
     pub key: String,
     /// What was found and what is allowed.
     pub detail: String,
--- a/src/settings/identity.rs
+++ b/src/settings/identity.rs
@@ -1,4 +1,4 @@
-//! Who a VM is, where it listens and whom it trusts.
+//! The identity of a VM, its addresses, and the secrets that it accepts.
 
 use std::{fmt, fs, net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
@@ -12,18 +12,18 @@
 /// The default of [`Platform::call_timeout`].
 pub const DEFAULT_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The least length of the deployment's key in bytes.
+/// The least length of a [`Secret`], such as the deployment's key.
 pub const MIN_KEY_BYTES: usize = 16;
 
-/// The most traffic threads of one VM.
+/// The most traffic threads that one VM may run.
 pub const MAX_TRAFFIC_THREADS: usize = 64;
 
-/// Which VM this is.
+/// The identity of a VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Vm {
-    /// The name of the VM, unique in its deployment.
+    /// The name, unique in the deployment.
     pub name: Name,
-    /// The failure domain that it runs in.
+    /// The failure domain in which the VM runs.
     pub domain: Name,
 }
 
@@ -37,16 +37,17 @@
     }
 }
 
-/// Where a VM listens.
+/// The addresses on which a VM listens.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listen {
     /// HTTP for callers.
     pub callers: SocketAddr,
     /// HTTP for operators.
     pub operators: SocketAddr,
-    /// The control thread, for other VMs; they are told this address.
+    /// The control thread, for other VMs. The VM announces this address to
+    /// them.
     pub control: SocketAddr,
-    /// The traffic threads, for other VMs; one address for each thread.
+    /// The traffic threads, for other VMs, with one address for each thread.
     pub traffic: Vec<SocketAddr>,
 }
 
@@ -70,7 +71,6 @@
 /// The platform's service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Platform {
-    /// Where it listens.
     pub address: SocketAddr,
     /// The time after which a call without an answer counts as lost.
     pub call_timeout: Duration,
@@ -97,8 +97,8 @@
         Hash(Sha256::digest(secret).into())
     }
 
-    /// Tells whether `secret` has this hash, in a time that does not depend on
-    /// where they differ.
+    /// Returns whether `secret` has this hash. The time taken does not depend
+    /// on where they differ.
     pub fn matches(&self, secret: &[u8]) -> bool {
         *self == Hash::of(secret)
     }
@@ -119,11 +119,11 @@
         let mut bytes = [0; 32];
         let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
         if !is_hex || text.len() != 2 * bytes.len() {
-            return Err(HASH);
+            return Err(HASH_FORMAT);
         }
         for (index, byte) in bytes.iter_mut().enumerate() {
             let digits = &text[2 * index..2 * index + 2];
-            *byte = u8::from_str_radix(digits, 16).map_err(|_| HASH)?;
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| HASH_FORMAT)?;
         }
         Ok(Hash(bytes))
     }
@@ -135,14 +135,15 @@
     }
 }
 
-const HASH: &str = "a SHA-256 hash as 64 hexadecimal digits";
+const HASH_FORMAT: &str = "a SHA-256 hash as 64 hexadecimal digits";
 
-/// A secret text, which no log or error shows.
+/// A secret text. Its `Debug` output hides it, so that no log or error shows
+/// it.
 #[derive(Clone)]
 pub struct Secret(Arc<str>);
 
 impl Secret {
-    /// The secret itself, to be sent and not to be written.
+    /// The secret itself. Send it, but never write it to a log or an error.
     pub fn expose(&self) -> &str {
         &self.0
     }
@@ -166,12 +167,12 @@
     }
 }
 
-/// What the VMs of one deployment share.
+/// The key that the VMs of one deployment share.
 #[derive(Clone, Debug)]
 pub struct Deployment {
-    /// The key that a VM shows to another one.
+    /// The key that a VM presents to another one.
     pub key: Secret,
-    /// Its hash, against which a VM checks the key that it is shown.
+    /// The hash of the key, against which a VM checks the key of a peer.
     pub hash: Hash,
 }
 
@@ -180,7 +181,8 @@
         let mut section = document.section("deployment").secret();
         let errors = section.error_count();
         let key = section.optional("key", "a text", |text: String| Secret::try_from(text.as_str()));
-        let from_file = section.optional("key_file", "a path", |path: String| key_in(file, &path));
+        let from_file =
+            section.optional("key_file", "a path", |path: String| read_key_file(file, &path));
         let is_given_once = key.is_some() != from_file.is_some();
         if !is_given_once && section.error_count() == errors {
             section.report("key", "give either key or key_file".to_owned());
@@ -192,53 +194,53 @@
     }
 }
 
-/// Reads a key from a path that is relative to the settings file.
-fn key_in(settings: &Path, path: &str) -> Result<Secret, String> {
+/// Reads a key from a file. A relative `path` starts at the folder of
+/// `settings`, the settings file.
+fn read_key_file(settings: &Path, path: &str) -> Result<Secret, String> {
     let path = settings.parent().unwrap_or(Path::new("")).join(path);
     let text =
         fs::read_to_string(&path).map_err(|e| format!("{} cannot be read: {e}", path.display()))?;
     Secret::try_from(text.trim()).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-/// What a token allows.
+/// A permission of an operator's token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Role {
-    /// Read profiles, states and the audit trail.
+    /// To read profiles, states and the audit trail.
     Read,
-    /// Publish the profiles of the token's team.
+    /// To publish the profiles of the token's team.
     Publish,
 }
 
-/// A token of an operator.
+/// The token of an operator.
 #[derive(Clone, Debug)]
 pub struct Token {
-    /// Who holds it, for the audit trail.
+    /// The holder, as the audit trail names them.
     pub name: Name,
-    /// The team whose profiles it may publish.
+    /// The team whose profiles the holder may publish.
     pub team: Name,
-    /// What it allows.
     pub roles: Vec<Role>,
-    /// The hash of the token.
+    /// The hash of the token's text. The text itself is not in the settings.
     pub hash: Hash,
 }
 
 impl Token {
-    /// Tells whether the token carries `role`.
+    /// Returns whether the token grants `role`.
     pub fn allows(&self, role: Role) -> bool {
         self.roles.contains(&role)
     }
 }
 
-/// Who may administer.
+/// The operators who may administer the deployment.
 #[derive(Clone, Debug, Default)]
 pub struct Operators {
-    /// The tokens, in the order of the file.
+    /// The tokens in the order of the settings file.
     pub tokens: Vec<Token>,
 }
 
 impl Operators {
-    /// The token whose text is `text`. Every token is compared, each in constant
-    /// time, so that the time of a refusal tells nothing.
+    /// Finds the token whose text is `text`. All tokens are compared, each in
+    /// constant time, so that the time taken reveals nothing about them.
     pub fn token(&self, text: &str) -> Option<&Token> {
         let given = Hash::of(text.as_bytes());
         let mut found = None;
@@ -269,20 +271,20 @@
     let mut section: Section<'_, 'i> = document.open(path, line, item).secret();
     let name = section.name("name");
     let team = section.name("team");
-    let roles = section.checked("roles", ROLES, |texts: Vec<String>| roles(&texts));
-    let hash = section.checked("sha256", HASH, |text: String| Hash::try_from(text.as_str()));
+    let roles = section.checked("roles", ROLES_FORMAT, |texts: Vec<String>| roles(&texts));
+    let hash = section.checked("sha256", HASH_FORMAT, |text: String| Hash::try_from(text.as_str()));
     section.finish();
     Some(Token { name: name?, team: team?, roles: roles?, hash: hash? })
 }
 
-const ROLES: &str = "a list of \"read\" and \"publish\"";
+const ROLES_FORMAT: &str = "a list of \"read\" and \"publish\"";
 
 fn roles(texts: &[String]) -> Result<Vec<Role>, &'static str> {
     let role = |text: &String| match text.as_str() {
         "read" => Ok(Role::Read),
         "publish" => Ok(Role::Publish),
-        _ => Err(ROLES),
+        _ => Err(ROLES_FORMAT),
     };
     let roles: Vec<Role> = texts.iter().map(role).collect::<Result<_, _>>()?;
-    if roles.is_empty() { Err(ROLES) } else { Ok(roles) }
+    if roles.is_empty() { Err(ROLES_FORMAT) } else { Ok(roles) }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,8 +1,8 @@
-//! Settings of one VM: TOML to checked types.
+//! Settings of one VM: reads a TOML file into checked types.
 //!
-//! A file is read key by key and every error in it is reported at once. What
-//! has no default are names, addresses and the deployment's key; see
-//! `deploy/` for a whole file for each deployment.
+//! A file is read key by key and every error in it is reported at once. Names,
+//! addresses and the deployment's key have no default. `deploy/` holds a
+//! complete file for each deployment.
 
 pub mod error;
 pub mod size;
@@ -28,42 +28,41 @@
 /// The checked settings of one VM.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Which VM this is.
+    /// The identity of the VM.
     pub vm: Vm,
-    /// Where it listens.
+    /// The addresses on which the VM listens.
     pub listen: Listen,
     /// The platform's service.
     pub platform: Platform,
-    /// What the VMs of one deployment share.
+    /// The key that the VMs of one deployment share.
     pub deployment: Deployment,
-    /// Who may administer.
+    /// The tokens of operators.
     pub operators: Operators,
     /// Limits on callers.
     pub callers: Callers,
-    /// How targets are handled.
+    /// Connections to targets and the probes of their status.
     pub targets: Targets,
-    /// How messages between VMs are handled.
+    /// Connections between VMs.
     pub peers: Peers,
     /// How VMs learn of each other.
     pub membership: Membership,
     /// How operations are claimed.
     pub claims: Claims,
-    /// What retries and hedges may cost.
+    /// The budget for retries and hedges.
     pub retry: Retry,
     /// How requests that crash targets are held back.
     pub quarantine: Quarantine,
     /// How the VM shuts down.
     pub shutdown: Shutdown,
-    /// How the log is written.
+    /// The format, level and limits of the log.
     pub log: Log,
 }
 
-/// A settings text with the name of its file.
+/// The text of a settings file with the path of the file.
 #[derive(Clone, Copy, Debug)]
 pub struct Source<'a> {
-    /// The file, as errors name it. Paths in the text are relative to it.
+    /// The path that errors name. Paths in the text are relative to its folder.
     pub file: &'a Path,
-    /// The TOML text.
     pub text: &'a str,
 }
 
@@ -92,7 +91,7 @@
         let mut document = Document::new(&name, source.text);
         let settings = settings(&mut document, source.file);
         if let Some(settings) = &settings {
-            check::run(settings, &mut document);
+            check::report_conflicts(settings, &mut document);
         }
         document.finish()?;
         // A section is absent only after an error was reported for it.
--- a/src/settings/profiles.rs
+++ b/src/settings/profiles.rs
@@ -1,4 +1,4 @@
-//! Profile documents: `[profile.NAME]` tables to checked profiles.
+//! Profile documents: reads `[profile.NAME]` tables into checked profiles.
 
 use std::{collections::BTreeMap, path::Path, time::Duration};
 
@@ -10,7 +10,7 @@
 
 use super::{Source, document::Document, error::Errors, read, section::Section};
 
-/// The profiles of a file, which have no revision until they are published.
+/// The profiles of a file. They have no revision until they are published.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Profiles(pub BTreeMap<Name, Profile>);
 
@@ -21,7 +21,7 @@
         Profiles::try_from(Source { file, text: &text })
     }
 
-    /// The document that the profiles make under `revision`.
+    /// Makes a published document of the profiles, with `revision`.
     pub fn document(self, revision: Revision) -> Published {
         Published { revision, profiles: self.0 }
     }
@@ -50,8 +50,8 @@
 ) -> Option<(Name, Profile)> {
     let path = format!("profile.{text}");
     let name = Name::try_from(text);
-    if let Err(why) = &name {
-        document.report(line, path.clone(), why.to_string());
+    if let Err(error) = &name {
+        document.report(line, path.clone(), error.to_string());
     }
     let mut section = document.open(path, line, table);
     let profile = profile(&mut section);
@@ -86,17 +86,17 @@
     check(section, raw)
 }
 
-/// Checks `raw` and reports each key at fault. After a report the key takes a
-/// value that is allowed, so that the check goes on to the next one.
+/// Checks `raw` and reports each invalid key. A reported key is set to an
+/// allowed value, so that the next check finds the next invalid key.
 fn check(section: &mut Section<'_, '_>, mut raw: Raw) -> Option<Profile> {
-    let mut is_sound = true;
+    let mut is_valid = true;
     loop {
         let error = match Profile::try_from(raw.clone()) {
-            Ok(profile) => return is_sound.then_some(profile),
+            Ok(profile) => return is_valid.then_some(profile),
             Err(error) => error,
         };
         section.report(error.key, error.detail);
-        is_sound = false;
+        is_valid = false;
         match error.key {
             "team" => raw.team = "any".to_owned(),
             "index" => raw.index = "any".to_owned(),
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -1,4 +1,4 @@
-//! Settings of a VM that forwards requests by route.
+//! Settings of a relay, a VM that forwards requests by route.
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
@@ -10,101 +10,104 @@
     document::Document,
     error::Errors,
     read,
-    section::up_to,
+    section::up_to_secs,
     size::{KIB, MIB},
 };
 
-/// The default of [`Callers::idle_timeout`]: above what the routes allow callers.
-const IDLE: Duration = Duration::from_secs(75);
+/// The default of [`Callers::idle_timeout`], longer than the idle time that
+/// routes allow callers.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 /// The default of [`Callers::header_read_timeout`].
-const HEAD_TIME: Duration = Duration::from_secs(5);
+const DEFAULT_HEADER_READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// The default of [`Callers::body_read_timeout`].
-const BODY_TIME: Duration = Duration::from_secs(5);
-/// The default of [`Shutdown::announce`]: two probes of the balancer a second
-/// apart, and the time for the second to be missed.
-const ANNOUNCE: Duration = Duration::from_millis(2500);
+const DEFAULT_BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// The default of [`Shutdown::announce`]: time for two probes of the balancer,
+/// one second apart, and for the second one to fail.
+const DEFAULT_SHUTDOWN_ANNOUNCE: Duration = Duration::from_millis(2500);
 
-/// The checked settings of a VM that forwards requests by route.
+/// The checked settings of a relay.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Which VM this is.
+    /// The identity and size of the VM.
     pub vm: Vm,
-    /// Where it listens.
+    /// The addresses on which the VM listens.
     pub listen: Listen,
-    /// The store of the platform.
+    /// The address of the platform's store.
     pub store: SocketAddr,
     /// Limits on callers.
     pub callers: Callers,
-    /// What retries and hedges may cost all VMs together.
+    /// The budget for retries and hedges of all VMs together.
     pub retry: Retry,
     /// How the VM shuts down.
     pub shutdown: Shutdown,
-    /// How the log is written.
+    /// The format, level and limits of the log.
     pub log: Log,
 }
 
-/// Which VM this is.
+/// The identity and size of a VM.
 #[derive(Clone, Debug)]
 pub struct Vm {
-    /// Its name.
+    /// The name, unique in the deployment.
     pub name: Name,
-    /// Its failure domain.
+    /// The failure domain in which the VM runs.
     pub domain: Name,
-    /// Its processor time in thousandths of a core.
+    /// The processor time of the VM in thousandths of a core.
     pub millicores: u32,
 }
 
-/// Where the VM listens.
+/// The addresses on which the VM listens.
 #[derive(Clone, Copy, Debug)]
 pub struct Listen {
-    /// For callers.
+    /// HTTP for callers.
     pub callers: SocketAddr,
-    /// For the balancer's probes.
+    /// HTTP for the readiness probes of the balancer.
     pub ready: SocketAddr,
-    /// For the collector of metrics.
+    /// HTTP for the collector of metrics.
     pub metrics: SocketAddr,
-    /// For other VMs.
+    /// Datagrams from other VMs.
     pub peers: SocketAddr,
 }
 
-/// Limits on callers. Those on sizes and times hold until a configuration is
-/// known, which has its own; the time for a body holds always.
+/// Limits on callers. Those on sizes and times apply until the VM has read a
+/// configuration, which has its own; `body_read_timeout` applies after that
+/// too.
 #[derive(Clone, Copy, Debug)]
 pub struct Callers {
-    /// The connections that are open at a time.
+    /// The most connections that may be open at a time.
     pub open_connections: u32,
-    /// The largest head of a request in bytes.
+    /// The largest total size of the headers of a request in bytes.
     pub header_limit_bytes: u64,
-    /// The largest body of a request in bytes.
+    /// The largest request body in bytes.
     pub body_limit_bytes: u64,
-    /// The time for a head to arrive.
+    /// The time within which all headers of a request must arrive.
     pub header_read_timeout: Duration,
-    /// The time for a body to arrive.
+    /// The time within which the whole body of a request must arrive.
     pub body_read_timeout: Duration,
-    /// The time that a connection may be idle.
+    /// The time after which a connection without a request is closed.
     pub idle_timeout: Duration,
 }
 
-/// What retries and hedges may cost all VMs together.
+/// The budget for retries and hedges of all VMs together.
 #[derive(Clone, Copy, Debug)]
 pub struct Retry {
-    /// The extra attempts for each first one.
+    /// The extra attempts allowed for each first attempt.
     pub ratio: f64,
-    /// The extra attempts in a window beyond these.
+    /// The extra attempts allowed in each window beyond those of `ratio`.
     pub slack: f64,
-    /// The window.
+    /// The window over which attempts are counted.
     pub window: Duration,
-    /// The VMs that share the slack and the connections of targets, while their
-    /// number is not known.
+    /// The assumed number of VMs that share `slack` and the connections of
+    /// targets, until the actual number is known.
     pub vms: u32,
 }
 
 /// How the VM shuts down.
 #[derive(Clone, Copy, Debug)]
 pub struct Shutdown {
-    /// The time in which the balancer learns that the VM leaves.
+    /// The time for which the VM reports that it is not ready and still takes
+    /// requests, so that the balancer can stop sending to it.
     pub announce: Duration,
-    /// The time after which the VM ends with requests open.
+    /// The time after which the VM exits even if requests are open.
     pub limit: Duration,
 }
 
@@ -146,12 +149,13 @@
     let (name, domain) = (section.name("name"), section.name("domain"));
     let cores = section.value::<f64>("cores", "a number of cores");
     section.finish();
-    Some(Vm { name: name?, domain: domain?, millicores: thousandths(cores?) })
+    Some(Vm { name: name?, domain: domain?, millicores: millicores(cores?) })
 }
 
-/// Counts cores in thousandths, at least one.
-fn thousandths(cores: f64) -> u32 {
-    // Above 4 million cores it does not matter how many.
+/// Converts cores to thousandths of a core, at least one.
+fn millicores(cores: f64) -> u32 {
+    // The upper bound only keeps the conversion in range; it is 4 million
+    // cores.
     (cores * 1000.0).clamp(1.0, f64::from(u32::MAX)) as u32
 }
 
@@ -178,9 +182,17 @@
         open_connections: section.count("open_connections", 512, 1..=1_000_000),
         header_limit_bytes: section.size("header_limit_bytes", 32 * KIB, KIB..=MIB),
         body_limit_bytes: section.size("body_limit_bytes", MIB, KIB..=64 * MIB),
-        header_read_timeout: section.millis("header_read_ms", HEAD_TIME, up_to(600)),
-        body_read_timeout: section.millis("body_read_ms", BODY_TIME, up_to(600)),
-        idle_timeout: section.millis("idle_ms", IDLE, up_to(3600)),
+        header_read_timeout: section.millis(
+            "header_read_ms",
+            DEFAULT_HEADER_READ_TIMEOUT,
+            up_to_secs(600),
+        ),
+        body_read_timeout: section.millis(
+            "body_read_ms",
+            DEFAULT_BODY_READ_TIMEOUT,
+            up_to_secs(600),
+        ),
+        idle_timeout: section.millis("idle_ms", DEFAULT_IDLE_TIMEOUT, up_to_secs(3600)),
     };
     section.finish();
     callers
@@ -200,8 +212,8 @@
 fn shutdown(document: &mut Document<'_>) -> Shutdown {
     let mut section = document.section("shutdown");
     let shutdown = Shutdown {
-        announce: section.millis("announce_ms", ANNOUNCE, up_to(600)),
-        limit: section.millis("limit_ms", Duration::from_millis(5500), up_to(600)),
+        announce: section.millis("announce_ms", DEFAULT_SHUTDOWN_ANNOUNCE, up_to_secs(600)),
+        limit: section.millis("limit_ms", Duration::from_millis(5500), up_to_secs(600)),
     };
     section.finish();
     shutdown
--- a/src/settings/size.rs
+++ b/src/settings/size.rs
@@ -1,4 +1,4 @@
-//! Sizes with units.
+//! Sizes in bytes, written with or without a unit.
 
 use std::fmt;
 
@@ -8,10 +8,8 @@
 };
 use serde_with::DeserializeAs;
 
-/// The number of bytes in a KiB.
 pub const KIB: u64 = 1024;
 
-/// The number of bytes in a MiB.
 pub const MIB: u64 = 1024 * KIB;
 
 /// A `serde_with` adapter that reads a size as a number of bytes or as a text
@@ -38,7 +36,7 @@
     }
 
     fn visit_i64<E: Error>(self, bytes: i64) -> Result<u64, E> {
-        u64::try_from(bytes).map_err(|_| E::custom("a size is not negative"))
+        u64::try_from(bytes).map_err(|_| E::custom("a size cannot be negative"))
     }
 
     fn visit_str<E: Error>(self, text: &str) -> Result<u64, E> {
--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -1,4 +1,4 @@
-//! Limits of the traffic threads: callers, targets, other VMs and retries.
+//! Settings of the traffic threads: callers, targets, other VMs and retries.
 
 use std::time::Duration;
 
@@ -6,14 +6,14 @@
 
 use super::{
     document::Document,
-    section::up_to,
+    section::up_to_secs,
     size::{KIB, MIB},
 };
 use crate::wire;
 
-/// The default of [`Callers::body_limit_bytes`] in bytes.
+/// The default of [`Callers::body_limit_bytes`].
 pub const DEFAULT_BODY_LIMIT_BYTES: u64 = 64 * KIB;
-/// The default of [`Callers::header_limit_bytes`] in bytes.
+/// The default of [`Callers::header_limit_bytes`].
 pub const DEFAULT_HEADER_LIMIT_BYTES: u64 = 16 * KIB;
 /// The default of [`Callers::header_read_timeout`].
 pub const DEFAULT_HEADER_READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -26,22 +26,23 @@
 /// The default of [`Callers::open_connections`].
 pub const DEFAULT_OPEN_CONNECTIONS: u32 = 8192;
 
-/// Limits on callers; a slow or oversized caller harms no other.
+/// Limits on callers, so that a slow caller or a large request harms no other.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Callers {
-    /// The largest body of a request in bytes.
+    /// The largest request body in bytes.
     pub body_limit_bytes: u64,
-    /// The largest headers of a request in bytes.
+    /// The largest total size of the headers of a request in bytes.
     pub header_limit_bytes: u64,
-    /// The time in which the headers must arrive.
+    /// The time within which all headers of a request must arrive.
     pub header_read_timeout: Duration,
-    /// The time in which the body must arrive.
+    /// The time within which the whole body of a request must arrive.
     pub body_read_timeout: Duration,
     /// The time after which a connection without a request is closed.
     pub idle_timeout: Duration,
-    /// The number of requests that are open at a time.
+    /// The most requests that may be open at a time, over all traffic threads.
     pub open_requests: u32,
-    /// The number of connections that are open at a time.
+    /// The most connections that may be open at a time, over all traffic
+    /// threads.
     pub open_connections: u32,
 }
 
@@ -62,10 +63,14 @@
             header_read_timeout: section.millis(
                 "header_read_ms",
                 DEFAULT_HEADER_READ_TIMEOUT,
-                up_to(60),
+                up_to_secs(60),
             ),
-            body_read_timeout: section.millis("body_read_ms", DEFAULT_BODY_READ_TIMEOUT, up_to(60)),
-            idle_timeout: section.millis("idle_ms", DEFAULT_IDLE_TIMEOUT, up_to(3600)),
+            body_read_timeout: section.millis(
+                "body_read_ms",
+                DEFAULT_BODY_READ_TIMEOUT,
+                up_to_secs(60),
+            ),
+            idle_timeout: section.millis("idle_ms", DEFAULT_IDLE_TIMEOUT, up_to_secs(3600)),
             open_requests: section.count("open_requests", DEFAULT_OPEN_REQUESTS, 1..=1_000_000),
             open_connections: section.count(
                 "open_connections",
@@ -78,18 +83,19 @@
     }
 }
 
-/// How targets are handled.
+/// Connections to targets and the probes of their status.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Targets {
-    /// The time in which a connection must open.
+    /// The time within which a connection to a target must open.
     pub connect_timeout: Duration,
-    /// The time between two readings of a target's status, at most a second, so
-    /// that a target which is leaving gets no new work after two.
+    /// The time between two status probes of a target. At most one second is
+    /// allowed, so that a target that is leaving gets no new work after two
+    /// seconds.
     pub status_interval: Duration,
-    /// The time within which a target must answer a reading of its status on a
-    /// connection, or the connection counts as silent.
+    /// The time within which a target must answer a status probe on a
+    /// connection. After it the connection counts as silent.
     pub status_timeout: Duration,
-    /// The connections that each traffic thread holds to a target.
+    /// The number of connections that each traffic thread holds to a target.
     pub connections: u32,
 }
 
@@ -99,9 +105,9 @@
             Limits::default();
         let mut section = document.section("targets");
         let targets = Targets {
-            connect_timeout: section.millis("open_limit_ms", connect_timeout, up_to(60)),
-            status_interval: section.millis("probe_interval_ms", status_interval, up_to(1)),
-            status_timeout: section.millis("silent_after_ms", status_timeout, up_to(60)),
+            connect_timeout: section.millis("open_limit_ms", connect_timeout, up_to_secs(60)),
+            status_interval: section.millis("probe_interval_ms", status_interval, up_to_secs(1)),
+            status_timeout: section.millis("silent_after_ms", status_timeout, up_to_secs(60)),
             connections: section.count("connections", connections, 1..=64),
         };
         section.finish();
@@ -109,16 +115,16 @@
     }
 }
 
-/// How messages between VMs are handled.
+/// Connections between VMs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peers {
     /// The time between two pings on a connection.
     pub ping_interval: Duration,
-    /// The time after which a ping without an answer condemns the connection.
+    /// The time after which a connection is closed if a ping got no answer.
     pub ping_timeout: Duration,
-    /// The largest frame in bytes.
     pub frame_limit_bytes: u64,
-    /// The bytes that may wait for one VM; what goes beyond is dropped.
+    /// The bytes of frames that may wait to be sent to one VM. Frames beyond it
+    /// are dropped.
     pub queue_limit_bytes: u64,
 }
 
@@ -128,8 +134,8 @@
         let (frame, queue) = (limits.frame as u64, limits.queue_bytes as u64);
         let mut section = document.section("peers");
         let peers = Peers {
-            ping_interval: section.millis("ping_interval_ms", limits.ping_interval, up_to(60)),
-            ping_timeout: section.millis("ping_limit_ms", limits.ping_limit, up_to(60)),
+            ping_interval: section.millis("ping_interval_ms", limits.ping_interval, up_to_secs(60)),
+            ping_timeout: section.millis("ping_limit_ms", limits.ping_limit, up_to_secs(60)),
             frame_limit_bytes: section.size("frame_limit_bytes", frame, 64 * KIB..=64 * MIB),
             queue_limit_bytes: section.size("queue_limit_bytes", queue, 64 * KIB..=256 * MIB),
         };
@@ -138,10 +144,11 @@
     }
 }
 
-/// What retries and hedges may cost. Each profile states its extra load itself.
+/// The budget for retries and hedges. Each profile sets its own share of extra
+/// load.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Retry {
-    /// The extra attempts that a profile may save up while it needs none.
+    /// The most unused extra attempts that a profile may accumulate.
     pub burst: u32,
 }
 
