Reword the log and the metrics

Constants such as `TOKEN`, `BURST` and `LATENCY_START` carried no unit, and private functions had the name of a noun that several items share (`counters`, `latency`, `rate`). They are renamed to what they do. Comments now describe the queue, the rate limit and the labels in the usual terms; help texts, names and labels of metrics are unchanged.

--- a/src/log/drain.rs
+++ b/src/log/drain.rs
@@ -1,4 +1,4 @@
-//! The way of a line to its output: a bounded queue and a thread that writes.
+//! Hands log lines to a writer thread through a bounded queue.
 
 use std::{
     io::Write,
@@ -16,14 +16,14 @@
 
 use crate::settings::control::{Format, Log};
 
-/// Where the log goes.
+/// The stream to which log lines are written.
 pub type Output = Box<dyn Write + Send>;
 
-/// The fields of a line, as slog asks for them.
+/// Passes the fields of a line to slog.
 pub struct Fields<'a> {
-    /// The line.
     pub line: &'a Line,
-    /// The lines of the event that were suppressed before this one.
+    /// The number of lines of the same event that were suppressed before this
+    /// one.
     pub suppressed: u64,
 }
 
@@ -43,7 +43,8 @@
     }
 }
 
-/// A drain that never blocks and counts what it loses.
+/// A drain that never blocks. A line that cannot be queued is dropped and
+/// counted.
 pub struct Bounded {
     queue: AsyncCore,
     lost: Arc<AtomicU64>,
@@ -61,7 +62,8 @@
     }
 }
 
-/// Starts the thread that writes to `output`.
+/// Starts the thread that writes to `output`. `lost` counts the lines that
+/// could not be queued.
 pub fn start(settings: &Log, output: Output, lost: Arc<AtomicU64>) -> (Bounded, AsyncGuard) {
     match settings.format {
         Format::Json => {
@@ -80,8 +82,8 @@
 where
     D: Drain<Ok = (), Err = Never> + Send + 'static,
 {
-    let room = usize::try_from(settings.queue_lines).unwrap_or(usize::MAX);
-    let builder = AsyncCore::custom(drain).chan_size(room).blocking(false);
+    let capacity = usize::try_from(settings.queue_lines).unwrap_or(usize::MAX);
+    let builder = AsyncCore::custom(drain).chan_size(capacity).blocking(false);
     let (queue, guard) = builder.thread_name("log".to_owned()).build_with_guard();
     (Bounded { queue, lost }, guard)
 }
--- a/src/log/journal.rs
+++ b/src/log/journal.rs
@@ -1,4 +1,4 @@
-//! The writer of the log behind the border of the control thread.
+//! The log writer as the journal of the control thread.
 
 use laburnum_core::{
     border::{self, Clock},
@@ -7,11 +7,12 @@
 
 use super::Writer;
 
-/// Writes the lines of one thread with the time of its clock.
+/// Writes the log lines of one thread. The rate limit uses the time of that
+/// thread's clock.
 pub struct Journal {
     /// The writer that all threads share.
     pub writer: Writer,
-    /// The clock of the thread.
+    /// The clock of the thread, from which the rate limit takes the time.
     pub clock: Box<dyn Clock + Send>,
 }
 
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -1,8 +1,8 @@
-//! The log: numbered events, written by a thread of its own.
+//! The log: numbered events, written by a thread of their own.
 //!
-//! Threads hand [`Line`]s to a [`Writer`], which never blocks: each event has a
-//! rate, and a line that the writer has no room for is counted and dropped. The
-//! events are listed in docs/EVENTS.md.
+//! Threads hand [`Line`]s to a [`Writer`], which never blocks. The rate of each
+//! event is limited, and a line for which the queue has no room is dropped and
+//! counted. docs/EVENTS.md lists the events.
 
 pub mod drain;
 pub mod journal;
@@ -26,60 +26,61 @@
 };
 use crate::settings::control::Log;
 
-/// Writes lines from any thread.
+/// Writes log lines from any thread without blocking.
 #[derive(Clone, Debug)]
 pub struct Writer {
     logger: Logger,
     level: Level,
-    rate: Arc<Mutex<Limiter>>,
+    limiter: Arc<Mutex<Limiter>>,
     lost: Arc<AtomicU64>,
 }
 
-/// Waits at its end until all lines are written.
+/// Waits when it is dropped until all queued lines are written.
 pub struct Guard(
     #[expect(dead_code, reason = "it acts when it is dropped")] slog_async::AsyncGuard,
 );
 
 impl Writer {
-    /// Starts to write the log of `vm` to `output`.
+    /// Starts the thread that writes the log of `vm` to `output`.
     pub fn new(settings: &Log, vm: &Name, output: Output) -> (Writer, Guard) {
         let lost = Arc::new(AtomicU64::new(0));
         let (drain, guard) = drain::start(settings, output, Arc::clone(&lost));
         let logger = Logger::root(drain, o!("vm" => vm.to_string()));
-        let rate = Arc::new(Mutex::new(Limiter::new(settings.lines_per_second)));
-        (Writer { logger, level: settings.level, rate, lost }, Guard(guard))
+        let limiter = Arc::new(Mutex::new(Limiter::new(settings.lines_per_second)));
+        (Writer { logger, level: settings.level, limiter, lost }, Guard(guard))
     }
 
-    /// Writes `line`, unless its level is not wanted or its event comes too
-    /// often.
+    /// Writes `line`, unless its level is less severe than the configured one
+    /// or its event exceeds the rate limit.
     pub fn write(&self, line: &Line, now: Instant) {
         if line.event.level() > self.level {
             return;
         }
-        let admitted = self.rate().admit(line.event, now);
+        let admitted = self.limiter().admit(line.event, now);
         if let Some(suppressed) = admitted {
             self.emit(line, suppressed);
         }
     }
 
-    /// Writes for each event how many of its lines were suppressed, as soon as
-    /// its rate allows. The control thread calls it now and then, so that the
-    /// end of a flood is seen as well.
+    /// Writes how many lines of each event were suppressed, once the rate of
+    /// the event allows a line. The control thread calls it regularly, so that
+    /// suppressed lines are reported even if no further line of the event
+    /// follows.
     pub fn report_suppressed(&self, now: Instant) {
-        let due = self.rate().due(now);
+        let due = self.limiter().due(now);
         for (event, suppressed) in due {
             self.emit(&Line::new(event, Vec::new()), suppressed);
         }
     }
 
-    /// The lines that were lost because the writer was behind.
+    /// The number of lines that were lost because they could not be queued.
     pub fn lost(&self) -> u64 {
         self.lost.load(Ordering::Relaxed)
     }
 
-    fn rate(&self) -> std::sync::MutexGuard<'_, Limiter> {
-        // The counts are whole whatever happened to a thread that held them.
-        self.rate.lock().unwrap_or_else(PoisonError::into_inner)
+    fn limiter(&self) -> std::sync::MutexGuard<'_, Limiter> {
+        // A thread that panicked with the lock held leaves the counts valid.
+        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn emit(&self, line: &Line, suppressed: u64) {
--- a/src/log/rate.rs
+++ b/src/log/rate.rs
@@ -1,16 +1,17 @@
-//! The rate limit of the log: one token bucket for each event.
+//! The rate limit of the log, with one token bucket for each event.
 
 use std::collections::BTreeMap;
 
 use laburnum_core::{log::Event, time::Instant};
 
-/// A token in millionths, so that a bucket fills without rounding.
-const TOKEN: u64 = 1_000_000;
+/// One token in millionths, so that a bucket filled by the microsecond needs no
+/// rounding.
+const TOKEN_MILLIONTHS: u64 = 1_000_000;
 
-/// The seconds of lines that a bucket saves up.
-const BURST: u64 = 2;
+/// The capacity of a bucket, in seconds of lines at the configured rate.
+const BURST_SECONDS: u64 = 2;
 
-/// The buckets of all events.
+/// Limits the rate of lines for each event separately.
 #[derive(Clone, Debug)]
 pub struct Limiter {
     per_second: u64,
@@ -19,8 +20,9 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
+    /// The tokens in the bucket, in millionths.
     tokens: u64,
-    filled: Instant,
+    last_filled: Instant,
     suppressed: u64,
 }
 
@@ -30,47 +32,48 @@
         Limiter { per_second: u64::from(per_second), buckets: BTreeMap::new() }
     }
 
-    /// Tells whether a line of `event` may be written, with the number of lines
-    /// that were suppressed before it.
+    /// Takes a token for a line of `event`. Returns the number of lines that
+    /// were suppressed before it, or none if this line is to be suppressed as
+    /// well.
     pub fn admit(&mut self, event: Event, now: Instant) -> Option<u64> {
         let bucket = self.fill(event, now);
-        if bucket.tokens < TOKEN {
+        if bucket.tokens < TOKEN_MILLIONTHS {
             bucket.suppressed += 1;
             return None;
         }
-        bucket.tokens -= TOKEN;
+        bucket.tokens -= TOKEN_MILLIONTHS;
         Some(std::mem::take(&mut bucket.suppressed))
     }
 
-    /// The events that have suppressed lines and may be written again, with the
-    /// number of lines; each counts as one written line.
+    /// Takes a token for each event that has suppressed lines and may be
+    /// written again. Returns these events with the number of suppressed lines.
     pub fn due(&mut self, now: Instant) -> Vec<(Event, u64)> {
         let waiting = self.buckets.iter().filter(|(_, bucket)| bucket.suppressed > 0);
         let events: Vec<Event> = waiting.map(|(&event, _)| event).collect();
-        let admitted = events.into_iter().filter_map(|event| self.settle(event, now));
+        let admitted = events.into_iter().filter_map(|event| self.take_suppressed(event, now));
         admitted.collect()
     }
 
-    fn settle(&mut self, event: Event, now: Instant) -> Option<(Event, u64)> {
+    fn take_suppressed(&mut self, event: Event, now: Instant) -> Option<(Event, u64)> {
         let bucket = self.fill(event, now);
-        if bucket.tokens < TOKEN {
+        if bucket.tokens < TOKEN_MILLIONTHS {
             return None;
         }
-        bucket.tokens -= TOKEN;
+        bucket.tokens -= TOKEN_MILLIONTHS;
         Some((event, std::mem::take(&mut bucket.suppressed)))
     }
 
     fn fill(&mut self, event: Event, now: Instant) -> &mut Bucket {
-        let most = BURST * self.per_second * TOKEN;
+        let capacity = BURST_SECONDS * self.per_second * TOKEN_MILLIONTHS;
         let bucket = self.buckets.entry(event).or_insert(Bucket {
-            tokens: most,
-            filled: now,
+            tokens: capacity,
+            last_filled: now,
             suppressed: 0,
         });
-        let micros = u64::try_from(now.since(bucket.filled).as_micros()).unwrap_or(u64::MAX);
+        let micros = u64::try_from(now.since(bucket.last_filled).as_micros()).unwrap_or(u64::MAX);
         bucket.tokens =
-            bucket.tokens.saturating_add(micros.saturating_mul(self.per_second)).min(most);
-        bucket.filled = bucket.filled.max(now);
+            bucket.tokens.saturating_add(micros.saturating_mul(self.per_second)).min(capacity);
+        bucket.last_filled = bucket.last_filled.max(now);
         bucket
     }
 }
--- a/src/metric/call.rs
+++ b/src/metric/call.rs
@@ -1,10 +1,11 @@
-//! The closed list of calls of the platform's service.
+//! The closed list of calls to the platform's service, by which they are
+//! counted.
 
 use laburnum_core::store;
 
 macro_rules! calls {
     ($($call:ident $text:literal;)*) => {
-        /// A kind of call of the platform's service.
+        /// A kind of call to the platform's service.
         #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
         pub enum Call {
             $(#[doc = concat!("See [`store::Call::", stringify!($call), "`].")] $call,)*
@@ -14,7 +15,7 @@
             /// Every kind, in the order of the list.
             pub const ALL: &[Call] = &[$(Call::$call),*];
 
-            /// The text of the label `kind`.
+            /// The value of the label `kind`.
             pub fn as_str(self) -> &'static str {
                 match self {
                     $(Call::$call => $text,)*
--- a/src/metric/gauge.rs
+++ b/src/metric/gauge.rs
@@ -2,7 +2,7 @@
 
 macro_rules! gauges {
     ($($(#[$doc:meta])* $gauge:ident $name:literal $help:literal;)*) => {
-        /// Something that has a value at each moment.
+        /// A metric that shows the current value of a quantity.
         #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub enum Gauge {
             $($(#[$doc])* $gauge,)*
@@ -12,14 +12,15 @@
             /// Every gauge, in the order of the list.
             pub const ALL: &[Gauge] = &[$(Gauge::$gauge),*];
 
-            /// The name of the gauge.
+            /// The name of the metric, without the prefix that all metrics
+            /// share.
             pub fn name(self) -> &'static str {
                 match self {
                     $(Gauge::$gauge => $name,)*
                 }
             }
 
-            /// What the gauge says.
+            /// The help text of the metric.
             pub fn help(self) -> &'static str {
                 match self {
                     $(Gauge::$gauge => $help,)*
@@ -42,11 +43,12 @@
     AttemptsInFlight "attempts_in_flight" "Attempts that targets run for this VM";
     /// The connections to targets that are open.
     TargetConnections "target_connections" "Connections to targets that are open";
-    /// What is left of the budget for attempts beyond the first.
+    /// The attempts beyond the first that the budget still allows.
     RetryBudget "retry_budget" "Attempts beyond the first that the budget still allows";
     /// The revision of the profiles in force.
     Revision "revision_in_force" "Revision of the profiles in force";
-    /// The time since the view was confirmed against the platform's service.
+    /// The time in milliseconds since the view was last confirmed by the
+    /// platform's service.
     ViewAge "view_age_milliseconds" "Time since the view was last confirmed";
     /// The VMs that are live.
     LiveVms "live_vms" "VMs that are live";
@@ -54,25 +56,25 @@
     LiveTargets "live_targets" "Targets that take work";
     /// The requests that are held back because they crashed targets.
     Quarantined "quarantined_requests" "Requests that are held back";
-    /// Whether the VM takes requests.
+    /// Whether the VM takes requests, as 1 or 0.
     Ready "ready" "Whether the VM takes requests, 1 or 0";
-    /// The log lines that were lost because the writer was behind.
+    /// The log lines that were lost because the queue of the writer was full.
     LogLost "log_lines_lost" "Log lines that were lost since the start";
 }
 
-/// The part of a VM that sets a gauge.
+/// The part of a VM that sets a gauge. Each part has a series of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Part {
     /// The control thread.
     Control,
-    /// A traffic thread.
+    /// A traffic thread, by its number.
     Traffic(u16),
     /// The writer of the log.
     Log,
 }
 
 impl Part {
-    /// The text of the label `part`.
+    /// The value of the label `part`.
     pub fn label(self) -> String {
         match self {
             Part::Control => "control".to_owned(),
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! All threads share one [`Metrics`]. The labels come from closed lists, from
 //! the threads of the VM and from at most [`MAX_PROFILES`] profiles, so that no
-//! caller can make the number of series grow. docs/OPERATING.md says which to
-//! watch.
+//! caller can increase the number of series without limit. docs/OPERATING.md
+//! says which metrics to watch.
 
 pub mod call;
 pub mod gauge;
@@ -34,25 +34,26 @@
     gauge::{Gauge, Part},
 };
 
-/// The profiles that have series of their own; others share [`OTHER_PROFILES`].
+/// The number of profiles that have series of their own. Further ones share
+/// [`OTHER_PROFILES`].
 pub const MAX_PROFILES: usize = 64;
 
-/// The label of the profiles beyond [`MAX_PROFILES`].
+/// The value of the label `profile` for profiles beyond [`MAX_PROFILES`].
 pub const OTHER_PROFILES: &str = "other";
 
 /// The content type of [`Metrics::text`].
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
-/// The prefix of every metric.
+/// The prefix of the name of every metric.
 const PREFIX: &str = "laburnum";
 
-/// The first bound of the latency histogram in seconds; each next one is
-/// [`LATENCY_FACTOR`] times as large.
-const LATENCY_START: f64 = 0.001;
-const LATENCY_FACTOR: f64 = 1.5;
+/// The first bound of the latency histogram. Each further bound is
+/// [`LATENCY_BOUND_FACTOR`] times as large as the one before.
+const LATENCY_FIRST_BOUND_SECONDS: f64 = 0.001;
+const LATENCY_BOUND_FACTOR: f64 = 1.5;
 const LATENCY_BUCKETS: u16 = 28;
 
-/// The bounds of the coverage histogram, as parts of the whole.
+/// The bounds of the coverage histogram, as fractions of the index.
 const COVERAGE_BOUNDS: [f64; 10] = [0.0, 0.5, 0.8, 0.9, 0.95, 0.98, 0.99, 0.999, 0.999_999, 1.0];
 
 type Labels = Vec<(&'static str, String)>;
@@ -78,16 +79,16 @@
 }
 
 impl Metrics {
-    /// Registers every counter of the closed list, so that each is there with
-    /// zero before it counts for the first time.
+    /// Registers every metric. Each counter starts at zero, so that it is shown
+    /// before it counts for the first time.
     pub fn new() -> Metrics {
         let mut registry = Registry::with_prefix(PREFIX);
-        let counters = counters(&mut registry);
-        let claims = claims(&mut registry);
-        let calls = calls(&mut registry);
-        let gauges = gauges(&mut registry);
-        let latency: Histograms = Family::new_with_constructor(latency);
-        let coverage: Histograms = Family::new_with_constructor(coverage);
+        let counters = register_counters(&mut registry);
+        let claims = register_claims(&mut registry);
+        let calls = register_calls(&mut registry);
+        let gauges = register_gauges(&mut registry);
+        let latency: Histograms = Family::new_with_constructor(latency_histogram);
+        let coverage: Histograms = Family::new_with_constructor(coverage_histogram);
         let help = "Time from a request to its answer in seconds";
         registry.register("answer_seconds", help, latency.clone());
         let help = "Covered part of the index in the answers to searches";
@@ -96,7 +97,7 @@
         Metrics { registry, counters, claims, calls, latency, coverage, gauges, profiles }
     }
 
-    /// Adds what a thread has counted.
+    /// Adds the counts and samples of a thread.
     pub fn add(&self, counts: &Counts) {
         for (count, times) in counts.iter() {
             if let Some(counter) = self.counters.get(&count) {
@@ -108,7 +109,7 @@
         }
     }
 
-    /// Adds what the claims engine has counted.
+    /// Adds the counts of the claims engine.
     pub fn add_claims(&self, counts: &BTreeMap<claims::Count, u64>) {
         for (count, &times) in counts {
             if let Some(counter) = self.claims.get(count) {
@@ -117,21 +118,22 @@
         }
     }
 
-    /// Counts a call of the platform's service.
+    /// Counts a call to the platform's service.
     pub fn count_call(&self, call: Call) {
         if let Some(counter) = self.calls.get(&call) {
             counter.inc();
         }
     }
 
-    /// Sets what `part` of this VM contributes to `gauge`.
+    /// Sets the value that `part` of this VM contributes to `gauge`.
     pub fn set(&self, gauge: Gauge, part: Part, value: i64) {
         if let Some(family) = self.gauges.get(&gauge) {
             family.get_or_create(&vec![("part", part.label())]).set(value);
         }
     }
 
-    /// The metrics as the text that `GET /metrics` answers with.
+    /// The metrics in the OpenMetrics text format, as `GET /metrics` returns
+    /// them.
     pub fn text(&self) -> String {
         let mut text = String::new();
         // Writing to a string does not fail.
@@ -140,7 +142,7 @@
     }
 
     fn observe(&self, sample: &Sample) {
-        let labels = vec![("profile", self.profile(&sample.profile))];
+        let labels = vec![("profile", self.profile_label(&sample.profile))];
         self.latency.get_or_create(&labels).observe(sample.took.as_secs_f64());
         if let Some(parts) = sample.coverage {
             let whole = f64::from(laburnum_core::profile::WHOLE);
@@ -148,9 +150,9 @@
         }
     }
 
-    /// The label of a profile.
-    fn profile(&self, name: &Name) -> String {
-        // A set of names is whole whatever happened to a thread that held it.
+    /// The value of the label `profile` for a profile.
+    fn profile_label(&self, name: &Name) -> String {
+        // A thread that panicked with the lock held leaves the set valid.
         let mut profiles = self.profiles.lock().unwrap_or_else(PoisonError::into_inner);
         if !profiles.contains(name) && profiles.len() >= MAX_PROFILES {
             return OTHER_PROFILES.to_owned();
@@ -160,7 +162,7 @@
     }
 }
 
-fn counters(registry: &mut Registry) -> BTreeMap<Count, Counter> {
+fn register_counters(registry: &mut Registry) -> BTreeMap<Count, Counter> {
     let mut families: BTreeMap<&'static str, Family<Labels, Counter>> = BTreeMap::new();
     let mut counters = BTreeMap::new();
     for count in Count::all() {
@@ -175,7 +177,7 @@
     counters
 }
 
-fn claims(registry: &mut Registry) -> BTreeMap<claims::Count, Counter> {
+fn register_claims(registry: &mut Registry) -> BTreeMap<claims::Count, Counter> {
     let family: Family<Labels, Counter> = Family::default();
     let counter = |count: claims::Count| {
         family.get_or_create(&vec![("reason", count.as_str().to_owned())]).clone()
@@ -185,7 +187,7 @@
     counters
 }
 
-fn calls(registry: &mut Registry) -> BTreeMap<Call, Counter> {
+fn register_calls(registry: &mut Registry) -> BTreeMap<Call, Counter> {
     let family: Family<Labels, Counter> = Family::default();
     let counter =
         |call: Call| family.get_or_create(&vec![("kind", call.as_str().to_owned())]).clone();
@@ -194,7 +196,7 @@
     calls
 }
 
-fn gauges(registry: &mut Registry) -> BTreeMap<Gauge, Family<Labels, Cell>> {
+fn register_gauges(registry: &mut Registry) -> BTreeMap<Gauge, Family<Labels, Cell>> {
     let mut gauges = BTreeMap::new();
     for &gauge in Gauge::ALL {
         let family: Family<Labels, Cell> = Family::default();
@@ -204,10 +206,14 @@
     gauges
 }
 
-fn latency() -> Histogram {
-    Histogram::new(exponential_buckets(LATENCY_START, LATENCY_FACTOR, LATENCY_BUCKETS))
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(
+        LATENCY_FIRST_BOUND_SECONDS,
+        LATENCY_BOUND_FACTOR,
+        LATENCY_BUCKETS,
+    ))
 }
 
-fn coverage() -> Histogram {
+fn coverage_histogram() -> Histogram {
     Histogram::new(COVERAGE_BOUNDS)
 }
