Reword the local deployment and the demo

The port blocks, the shutdown thread and the demo's findings were described by everyday words (`take`, `BLOCK`, `SETTLE`, `find`, "a target that ends is missed"). Private names now say what they hold or do, and comments say who binds, reserves, starts and stops what. What the demo prints is unchanged.

--- a/src/local/caller.rs
+++ b/src/local/caller.rs
@@ -1,4 +1,4 @@
-//! A caller and operator of a local deployment, over HTTP.
+//! An HTTP client for callers and operators of a local deployment.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -7,31 +7,34 @@
 
 use super::OPERATOR_TOKEN;
 
-/// The time after which a request is given up.
-const LIMIT: Duration = Duration::from_secs(10);
+/// The time after which a request fails without an answer.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// An HTTP client for callers and operators.
+/// Sends the requests of callers and operators.
 #[derive(Clone, Debug)]
 pub struct Caller {
     client: Client,
 }
 
-/// An answer: the status code and the document.
+/// The answer to a request.
 #[derive(Clone, Debug)]
 pub struct Reply {
-    /// The status code.
     pub status: StatusCode,
-    /// The document, or null if it was none.
+    /// The JSON document, or null if the body is not JSON.
     pub body: Value,
 }
 
 impl Caller {
-    /// Makes a caller.
+    /// Makes a client that uses no proxy.
     pub fn new() -> reqwest::Result<Caller> {
-        Client::builder().no_proxy().timeout(LIMIT).build().map(|client| Caller { client })
+        Client::builder()
+            .no_proxy()
+            .timeout(REQUEST_TIMEOUT)
+            .build()
+            .map(|client| Caller { client })
     }
 
-    /// Sends a document with a method to a path.
+    /// Sends a request to `path` at `address`. A null `body` sends no document.
     pub async fn send(
         &self,
         method: reqwest::Method,
@@ -55,7 +58,7 @@
         Ok(Reply { status, body })
     }
 
-    /// Sends a search to a VM.
+    /// Sends a search to `vm`, an address for callers.
     pub async fn search(
         &self,
         vm: SocketAddr,
@@ -66,13 +69,14 @@
         self.send(reqwest::Method::POST, vm, "/v1/search", &[], &body).await
     }
 
-    /// Sends an operation to a VM.
+    /// Sends an operation with the idempotency key `key` to `vm`, an address
+    /// for callers.
     pub async fn operate(&self, vm: SocketAddr, key: &str, body: &Value) -> reqwest::Result<Reply> {
         let headers = [("Idempotency-Key", key)];
         self.send(reqwest::Method::POST, vm, "/v1/operations", &headers, body).await
     }
 
-    /// Publishes profiles through a VM.
+    /// Publishes `profiles` through `vm`, an address for operators.
     pub async fn publish(&self, vm: SocketAddr, profiles: &Value) -> reqwest::Result<Reply> {
         let token = format!("Bearer {OPERATOR_TOKEN}");
         let headers = [("Authorization", token.as_str())];
@@ -80,14 +84,15 @@
         self.send(reqwest::Method::PUT, vm, "/v1/profiles", &headers, &body).await
     }
 
-    /// Reads a text of an operator's address.
+    /// Reads `path` as a text from an address for operators.
     pub async fn text(&self, address: SocketAddr, path: &str) -> reqwest::Result<String> {
         let request =
             self.client.get(format!("http://{address}{path}")).bearer_auth(OPERATOR_TOKEN);
         request.send().await?.text().await
     }
 
-    /// Reads a document of an operator's or administration address.
+    /// Reads `path` as a document from an address for operators or from the
+    /// administration address of a target.
     pub async fn read(&self, address: SocketAddr, path: &str) -> reqwest::Result<Reply> {
         let token = format!("Bearer {OPERATOR_TOKEN}");
         let headers = [("Authorization", token.as_str())];
--- a/src/local/demo.rs
+++ b/src/local/demo.rs
@@ -1,4 +1,5 @@
-//! The demo: a deployment of three VMs, searches, one clearance, a lost shard.
+//! The demo: starts a deployment of three VMs, sends searches and one
+//! clearance, then takes a shard away.
 
 use std::{
     fmt,
@@ -14,16 +15,17 @@
 use super::{Caller, DEMO_INDEX, Deployment, Index, Plan, caller::Reply};
 use crate::standin::target::settings::Raw;
 
-/// The time within which the deployment must take requests.
-const START_LIMIT: Duration = Duration::from_secs(10);
+/// The time within which every VM must take requests.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The time after a loss at which partial answers are expected.
-const SETTLE: Duration = Duration::from_secs(2);
+/// The time after the targets of a shard are drained until answers are expected
+/// to be partial.
+const DRAIN_WAIT: Duration = Duration::from_secs(2);
 
-/// Why the demo ended early.
+/// The error that ended the demo early.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error {
-    /// What did not work.
+    /// The step that failed.
     pub detail: String,
 }
 
@@ -35,20 +37,20 @@
 
 impl std::error::Error for Error {}
 
-fn step(detail: &str) -> Error {
+fn error(detail: &str) -> Error {
     Error { detail: detail.to_owned() }
 }
 
-/// One thing that the run showed, or did not.
+/// One expectation that the demo checked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Finding {
-    /// What must hold.
-    pub claim: String,
-    /// Whether it held.
+    /// The behaviour that is expected.
+    pub expectation: String,
+    /// Whether the expectation was met.
     pub held: bool,
 }
 
-/// A run of the demo: it prints each step and collects what held.
+/// One run of the demo. It prints each step and collects the findings.
 struct Run<'a> {
     deployment: &'a Deployment,
     caller: Caller,
@@ -56,9 +58,9 @@
     findings: Vec<Finding>,
 }
 
-/// Runs the demo, prints each step and returns what held.
+/// Runs the demo, prints each step and returns the findings.
 pub async fn run(print: &dyn Fn(&str)) -> Result<Vec<Finding>, Report<Error>> {
-    let name = Name::try_from(DEMO_INDEX).change_context_lazy(|| step("the index has no name"))?;
+    let name = Name::try_from(DEMO_INDEX).change_context_lazy(|| error("the index has no name"))?;
     let index = Index { name, shards: 4, replicas: 2, target: Raw::default() };
     let plan = Plan {
         vms: 3,
@@ -67,60 +69,62 @@
         policies: Policies::default,
     };
     let deployment =
-        super::start(&plan).change_context_lazy(|| step("the deployment did not start"))?;
+        super::start(&plan).change_context_lazy(|| error("the deployment did not start"))?;
     print(&format!(
         "started a platform, {} VMs and {} targets of the index {DEMO_INDEX}",
         plan.vms,
         index.shards * index.replicas
     ));
-    let caller = Caller::new().change_context_lazy(|| step("no HTTP client could be made"))?;
+    let caller = Caller::new().change_context_lazy(|| error("no HTTP client could be made"))?;
     let mut run = Run { deployment: &deployment, caller, print, findings: Vec::new() };
     run.publish().await?;
-    run.searches(&index).await?;
-    run.clearance().await?;
-    run.lost_shard(&index).await?;
+    run.send_searches(&index).await?;
+    run.send_clearance().await?;
+    run.drain_shard(&index).await?;
     Ok(run.findings)
 }
 
 impl Run<'_> {
-    fn find(&mut self, claim: &str, held: bool) {
-        (self.print)(&format!("  {}: {claim}", if held { "held" } else { "NOT HELD" }));
-        self.findings.push(Finding { claim: claim.to_owned(), held });
+    fn record(&mut self, expectation: &str, held: bool) {
+        (self.print)(&format!("  {}: {expectation}", if held { "held" } else { "NOT HELD" }));
+        self.findings.push(Finding { expectation: expectation.to_owned(), held });
     }
 
-    fn callers(&self) -> Vec<(String, SocketAddr)> {
+    /// The names of the VMs with their addresses for callers.
+    fn caller_addresses(&self) -> Vec<(String, SocketAddr)> {
         let vms = self.deployment.vms.iter();
-        vms.map(|(place, _)| (place.name.to_string(), place.callers)).collect()
+        vms.map(|(endpoints, _)| (endpoints.name.to_string(), endpoints.callers)).collect()
     }
 
     async fn publish(&mut self) -> Result<(), Report<Error>> {
-        let is_ready = self.deployment.ready(START_LIMIT).await;
-        self.find("every VM takes requests within 10 s", is_ready);
+        let is_ready = self.deployment.ready(START_TIMEOUT).await;
+        self.record("every VM takes requests within 10 s", is_ready);
         let whole = profile(1_000_000);
         let part = profile(500_000);
         let profiles = json!({ "clearance": whole, "browse": part });
-        let Some((place, _)) = self.deployment.vms.first() else {
-            return Err(Report::new(step("there is no VM")));
+        let Some((endpoints, _)) = self.deployment.vms.first() else {
+            return Err(Report::new(error("there is no VM")));
         };
         let reply = self
             .caller
-            .publish(place.operators, &profiles)
+            .publish(endpoints.operators, &profiles)
             .await
-            .change_context_lazy(|| step("the profiles could not be published"))?;
-        (self.print)(&format!("published profiles through {}: {}", place.name, reply.body));
-        self.find("the publication was accepted", reply.status.is_success());
+            .change_context_lazy(|| error("the profiles could not be published"))?;
+        (self.print)(&format!("published profiles through {}: {}", endpoints.name, reply.body));
+        self.record("the publication was accepted", reply.status.is_success());
         let since = Instant::now();
         let mut is_everywhere = false;
         while !is_everywhere && since.elapsed() < Duration::from_secs(3) {
             is_everywhere = self.in_force().await;
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        self.find("the profiles are in force on every VM within 3 s", is_everywhere);
+        self.record("the profiles are in force on every VM within 3 s", is_everywhere);
         Ok(())
     }
 
+    /// Returns whether every VM serves the published profiles.
     async fn in_force(&self) -> bool {
-        for (_, address) in self.callers() {
+        for (_, address) in self.caller_addresses() {
             let reply = self.caller.search(address, "clearance", "none").await;
             if !reply.is_ok_and(|reply| reply.status.is_success()) {
                 return false;
@@ -140,7 +144,7 @@
             .caller
             .search(vm.1, profile, text)
             .await
-            .change_context_lazy(|| step("a search was not answered"))?;
+            .change_context_lazy(|| error("a search was not answered"))?;
         let took = since.elapsed();
         let line = if reply.status.is_success() {
             format!(
@@ -160,11 +164,11 @@
         Ok(reply)
     }
 
-    async fn searches(&mut self, index: &Index) -> Result<(), Report<Error>> {
+    async fn send_searches(&mut self, index: &Index) -> Result<(), Report<Error>> {
         let contents =
             crate::standin::target::row::Index { seed: index.target.seed, rows: index.target.rows };
         let all = laburnum_core::key::Range::ALL;
-        for vm in self.callers() {
+        for vm in self.caller_addresses() {
             for text in ["maritime", "uhf"] {
                 let reply = self.search(&vm, "clearance", text).await?;
                 let expected = contents.read(laburnum_core::target::Version(1), all, text);
@@ -174,13 +178,13 @@
                         .iter()
                         .zip(&expected)
                         .all(|(found, row)| found["body"].as_str() == Some(&*row.body));
-                self.find("the answer holds every row of one snapshot, once", is_whole);
+                self.record("the answer holds every row of one snapshot, once", is_whole);
             }
         }
         Ok(())
     }
 
-    async fn clearance(&mut self) -> Result<(), Report<Error>> {
+    async fn send_clearance(&mut self) -> Result<(), Report<Error>> {
         let key = Uuid::now_v7().to_string();
         let body = json!({
             "profile": "clearance",
@@ -189,31 +193,32 @@
             "detail": "mast 7, 460.0 MHz",
         });
         let mut results = Vec::new();
-        for (name, address) in self.callers() {
+        for (name, address) in self.caller_addresses() {
             let reply = self
                 .caller
                 .operate(address, &key, &body)
                 .await
-                .change_context_lazy(|| step("a clearance was not answered"))?;
+                .change_context_lazy(|| error("a clearance was not answered"))?;
             (self.print)(&format!("clearance through {name} with the same key: {}", reply.body));
             results.push(reply);
         }
         let first_ran = results.first().is_some_and(|reply| {
             reply.status.is_success() && reply.body["replayed"] == json!(false)
         });
-        self.find("the clearance ran", first_ran);
+        self.record("the clearance ran", first_ran);
         let is_repeated = results.iter().skip(1).all(|reply| {
             reply.status.is_success()
                 && reply.body["replayed"] == json!(true)
                 && reply.body["result"] == results[0].body["result"]
         });
-        self.find("each resend got the recorded outcome", is_repeated);
+        self.record("each resend got the recorded outcome", is_repeated);
         let executions = self.executions().await?;
-        self.find("the targets ran it once", executions == 1);
+        self.record("the targets ran it once", executions == 1);
         Ok(())
     }
 
-    /// The executions of operations that all targets recorded.
+    /// The number of executions of operations that all targets recorded
+    /// together.
     async fn executions(&self) -> Result<u64, Report<Error>> {
         let mut sum = 0;
         for target in &self.deployment.targets {
@@ -221,14 +226,14 @@
                 .caller
                 .read(target.admin, "/v1/executions")
                 .await
-                .change_context_lazy(|| step("a target's executions could not be read"))?;
+                .change_context_lazy(|| error("a target's executions could not be read"))?;
             let tokens = reply.body["tokens"].as_object().cloned().unwrap_or_default();
             sum += tokens.values().filter_map(Value::as_u64).sum::<u64>();
         }
         Ok(sum)
     }
 
-    async fn lost_shard(&mut self, index: &Index) -> Result<(), Report<Error>> {
+    async fn drain_shard(&mut self, index: &Index) -> Result<(), Report<Error>> {
         let last = format!("shard-{}", index.shards - 1);
         for target in &self.deployment.targets {
             if target.listed.shard.as_str() != last {
@@ -243,20 +248,20 @@
                     &json!({ "drain": true }),
                 )
                 .await
-                .change_context_lazy(|| step("a target could not be drained"))?;
+                .change_context_lazy(|| error("a target could not be drained"))?;
         }
         (self.print)(&format!("drained both targets of {last}"));
-        tokio::time::sleep(SETTLE).await;
-        let Some(vm) = self.callers().into_iter().next() else { return Ok(()) };
+        tokio::time::sleep(DRAIN_WAIT).await;
+        let Some(vm) = self.caller_addresses().into_iter().next() else { return Ok(()) };
         let reply = self.search(&vm, "browse", "maritime").await?;
         let coverage = reply.body["coverage"]["parts_per_million"].as_u64();
         let missing = reply.body["coverage"]["missing"].as_array().map_or(0, Vec::len);
-        self.find(
+        self.record(
             "a profile that allows it gets a partial answer that names what is missing",
             coverage.is_some_and(|parts| (740_000..1_000_000).contains(&parts)) && missing == 1,
         );
         let reply = self.search(&vm, "clearance", "maritime").await?;
-        self.find(
+        self.record(
             "a profile that needs the whole index is refused, and nothing ran",
             reply.body["kind"] == "coverage_too_low" && reply.body["ran"] == "no",
         );
--- a/src/local/endpoints.rs
+++ b/src/local/endpoints.rs
@@ -1,4 +1,4 @@
-//! Where a VM of a local deployment listens.
+//! The addresses of the VMs of a local deployment.
 
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
@@ -18,48 +18,47 @@
 use super::{DOMAINS, OPERATOR_TOKEN, failed, name};
 use crate::vm::Error;
 
-/// The addresses of a VM.
+/// The identity and addresses of a VM.
 #[derive(Clone, Debug)]
 pub struct Endpoints {
-    /// The name of the VM.
     pub name: Name,
-    /// Its failure domain.
+    /// The failure domain of the VM.
     pub domain: Name,
-    /// For callers.
+    /// HTTP for callers.
     pub callers: SocketAddr,
-    /// For operators.
+    /// HTTP for operators.
     pub operators: SocketAddr,
-    /// For control threads.
+    /// The control thread, for other VMs.
     pub control: SocketAddr,
-    /// For traffic threads.
+    /// The one traffic thread, for other VMs.
     pub traffic: SocketAddr,
 }
 
-/// The first port that is tried.
+/// The first port of the first block.
 const FIRST_PORT: u16 = 10_000;
 
-/// The ports of a block. A process takes one block.
-const BLOCK: u16 = 1_250;
+/// The number of ports in a block. Each process reserves one block.
+const BLOCK_PORTS: u16 = 1_250;
 
-/// The number of blocks. The last ends below the range from which the system
-/// takes ports for outgoing connections, one of which could take a free port
-/// before the VM does.
-const BLOCKS: u16 = 16;
+/// The number of blocks. The last one ends below the range from which the
+/// system picks ports for outgoing connections, because such a connection could
+/// take a free port before the VM binds it.
+const BLOCK_COUNT: u16 = 16;
 
-/// The listener on the first port of the block that this process has taken,
-/// which keeps other processes from taking it.
-static TAKEN: OnceLock<Option<TcpListener>> = OnceLock::new();
+/// The listener on the first port of the block that this process has reserved.
+/// It keeps other processes from reserving the same block.
+static RESERVED_BLOCK: OnceLock<Option<TcpListener>> = OnceLock::new();
 
-/// Finds free ports for the VM with this number.
+/// Finds free ports for VM `number`, counted from one.
 ///
-/// The ports are held until all four are known, so that they differ.
+/// All four ports stay bound until the last one is found, so that they differ.
 pub fn allocate(number: u32) -> Result<Endpoints, Report<Error>> {
-    let mut held = Vec::new();
+    let mut listeners = Vec::new();
     let mut addresses = Vec::new();
     for _ in 0..4 {
         let listener = listen()?;
         addresses.push(listener.local_addr().change_context_lazy(|| failed("a listener"))?);
-        held.push(listener);
+        listeners.push(listener);
     }
     Ok(Endpoints {
         name: name(&format!("vm-{number}"))?,
@@ -71,24 +70,27 @@
     })
 }
 
-/// Listens on a port that is free now and that this process did not try lately,
-/// so that no two VMs of it are given the same one.
+/// Listens on a free port of this process's block. The search goes on after the
+/// last port tried, so that no two VMs of this process get the same port.
 fn listen() -> Result<TcpListener, Report<Error>> {
-    let first = TAKEN.get_or_init(take).as_ref().and_then(|taken| taken.local_addr().ok());
+    let first = RESERVED_BLOCK
+        .get_or_init(reserve_block)
+        .as_ref()
+        .and_then(|block| block.local_addr().ok());
     let first = first.ok_or_else(|| Report::new(failed("a listener in a free block of ports")))?;
-    let found = (1..BLOCK).find_map(|_| bind(first.port() + next()));
+    let found = (1..BLOCK_PORTS).find_map(|_| bind(first.port() + next_offset()));
     found.ok_or_else(|| Report::new(failed("a listener on a free port")))
 }
 
-/// Takes the first block that no other process has taken.
-fn take() -> Option<TcpListener> {
-    (0..BLOCKS).find_map(|block| bind(FIRST_PORT + block * BLOCK))
+/// Reserves the first block that no other process has reserved.
+fn reserve_block() -> Option<TcpListener> {
+    (0..BLOCK_COUNT).find_map(|block| bind(FIRST_PORT + block * BLOCK_PORTS))
 }
 
-/// The next port to try, counted from the first one of the block.
-fn next() -> u16 {
+/// The offset of the next port to try from the first port of the block.
+fn next_offset() -> u16 {
     static TRIED: AtomicU16 = AtomicU16::new(0);
-    1 + TRIED.fetch_add(1, Ordering::Relaxed) % (BLOCK - 1)
+    1 + TRIED.fetch_add(1, Ordering::Relaxed) % (BLOCK_PORTS - 1)
 }
 
 fn bind(port: u16) -> Option<TcpListener> {
@@ -96,7 +98,7 @@
 }
 
 impl Endpoints {
-    /// What the platform lists.
+    /// The VM as the platform lists it.
     pub fn list_entry(&self) -> Vm {
         Vm {
             name: self.name.clone(),
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -1,5 +1,5 @@
-//! A whole deployment in one process, on loopback and free ports: the platform's
-//! stand-in, target stand-ins and VMs. The demo and the load tool use it.
+//! A whole deployment in one process, on free loopback ports: stand-ins for the
+//! platform and the targets, and VMs. The demo and the load tool use it.
 
 pub mod caller;
 pub mod demo;
@@ -36,59 +36,58 @@
 /// The index that the targets of the demo hold.
 pub const DEMO_INDEX: &str = "licences";
 
-/// The token of the operator of the deployment.
+/// The token of the one operator of a local deployment.
 pub const OPERATOR_TOKEN: &str = "local-operator-token";
 
-/// What a deployment is made of.
+/// The size and policies of a deployment.
 #[derive(Clone, Debug)]
 pub struct Plan {
-    /// The number of VMs; each is in a failure domain of its own, up to four.
+    /// The number of VMs. They are spread over four failure domains.
     pub vms: u32,
-    /// The indexes with their targets.
+    /// The indexes, each with its targets.
     pub indexes: Vec<Index>,
-    /// The threads that the targets share.
+    /// The number of threads that the targets share.
     pub target_threads: usize,
-    /// The policies of the VMs.
+    /// Makes the policies of each VM.
     pub policies: policy::Factory,
 }
 
 /// An index and its targets.
 #[derive(Clone, Debug)]
 pub struct Index {
-    /// The name of the index.
     pub name: Name,
     /// The number of shards.
     pub shards: u32,
-    /// The targets of each shard.
+    /// The number of targets of each shard.
     pub replicas: u32,
-    /// What the targets have in common.
+    /// The settings that all targets of the index share.
     pub target: standin::target::settings::Raw,
 }
 
-/// A target that runs.
+/// A running target.
 #[derive(Clone, Debug)]
 pub struct Replica {
-    /// What the platform lists.
+    /// The target as the platform lists it.
     pub listed: Target,
-    /// Where its faults are switched.
+    /// The administration address, where faults are switched and counts are
+    /// read.
     pub admin: SocketAddr,
 }
 
-/// A deployment that runs.
+/// A running deployment.
 pub struct Deployment {
-    /// Where the platform listens.
+    /// The address of the platform.
     pub platform: SocketAddr,
-    /// The targets.
     pub targets: Vec<Replica>,
-    /// The VMs with their places.
+    /// The VMs with their addresses.
     pub vms: Vec<(Endpoints, Vm)>,
-    /// The policies of the VMs.
+    /// Makes the policies of each VM.
     pub policies: policy::Factory,
-    /// Ends the stand-ins.
+    /// Stops the stand-ins when it is set.
     stop: watch::Sender<bool>,
 }
 
-/// The failure domains over which VMs and targets are spread.
+/// The number of failure domains over which VMs and targets are spread.
 const DOMAINS: u32 = 4;
 
 /// Starts the platform, the targets and the VMs.
@@ -98,45 +97,47 @@
     let targets = start_targets(plan, &stopped)?;
     let listed = targets.iter().map(|target| target.listed.clone()).collect();
     let mut list = standin::platform::list::Raw { targets: listed, vms: Vec::new() };
-    let places = (1..=plan.vms).map(endpoints::allocate).collect::<Result<Vec<Endpoints>, _>>()?;
-    list.vms = places.iter().map(Endpoints::list_entry).collect();
+    let all_endpoints =
+        (1..=plan.vms).map(endpoints::allocate).collect::<Result<Vec<Endpoints>, _>>()?;
+    list.vms = all_endpoints.iter().map(Endpoints::list_entry).collect();
     let list = standin::platform::List::try_from(list).change_context(failed("the list"))?;
     serve("platform", stopped, move || {
         vec![Box::pin(async move {
-            // A platform that ends is missed by the VMs, which say so.
+            // An error needs no report here: the VMs report that they cannot
+            // reach the platform.
             let _ = standin::platform::serve(listener, list).await;
         })]
     })?;
     let mut vms = Vec::new();
-    for place in places {
-        let vm = start_vm(&place, platform, plan.policies)?;
-        vms.push((place, vm));
+    for endpoints in all_endpoints {
+        let vm = start_vm(&endpoints, platform, plan.policies)?;
+        vms.push((endpoints, vm));
     }
     Ok(Deployment { platform, targets, vms, policies: plan.policies, stop })
 }
 
-/// Starts a VM at its place.
+/// Starts a VM at its addresses.
 pub fn start_vm(
-    place: &Endpoints,
+    endpoints: &Endpoints,
     platform: SocketAddr,
     policies: policy::Factory,
 ) -> Result<Vm, Report<Error>> {
-    let text = place.settings(platform);
+    let text = endpoints.settings(platform);
     let source = Source { file: Path::new("local.toml"), text: &text };
     let settings = Settings::try_from(source).map_err(|errors| {
-        Report::new(Error { detail: format!("the settings of {}: {errors}", place.name) })
+        Report::new(Error { detail: format!("the settings of {}: {errors}", endpoints.name) })
     })?;
     vm::start_with(settings, Box::new(io::sink()), policies)
 }
 
-/// A target with its sockets, before it runs.
+/// A target with its sockets, before it is started.
 struct Unstarted {
     settings: standin::target::Settings,
     traffic: TcpListener,
     admin: TcpListener,
 }
 
-/// Starts the targets of every index on the threads of the plan.
+/// Starts the targets of all indexes, spread over the threads of the plan.
 fn start_targets(
     plan: &Plan,
     stopped: &watch::Receiver<bool>,
@@ -162,11 +163,13 @@
 fn run_target(target: Unstarted) -> Service {
     Box::pin(async move {
         let Unstarted { settings, traffic, admin } = target;
-        // A target that ends is missed by the VMs, which say so.
+        // An error needs no report here: the VMs report that they cannot reach
+        // the target.
         let _ = standin::target::serve(settings, traffic, admin).await;
     })
 }
 
+/// Binds the sockets of a target on free ports and makes its settings.
 fn prepare(index: &Index, shard: u32, replica: u32) -> Result<(Replica, Unstarted), Report<Error>> {
     let (traffic, address) = listen()?;
     let (admin_listener, admin) = listen()?;
@@ -189,11 +192,16 @@
     Ok((Replica { listed, admin }, unstarted))
 }
 
-/// What a thread serves.
+/// A server that runs on a thread of [`serve`].
 type Service = Pin<Box<dyn Future<Output = ()>>>;
 
-/// Serves on a thread with a runtime of its own until the deployment stops.
-fn serve<F>(name: &str, mut stopped: watch::Receiver<bool>, make: F) -> Result<(), Report<Error>>
+/// Runs the servers that `make_services` returns on a new thread with its own
+/// runtime, until the deployment stops.
+fn serve<F>(
+    name: &str,
+    mut stopped: watch::Receiver<bool>,
+    make_services: F,
+) -> Result<(), Report<Error>>
 where
     F: FnOnce() -> Vec<Service> + Send + 'static,
 {
@@ -205,10 +213,11 @@
         .name(name.to_owned())
         .spawn(move || {
             let local = LocalSet::new();
-            for service in make() {
+            for service in make_services() {
                 local.spawn_local(service);
             }
-            // An error means that the deployment is gone, which stops it too.
+            // An error means that the deployment was dropped, which ends the
+            // servers as well.
             let _ = local.block_on(&runtime, stopped.wait_for(|stop| *stop));
         })
         .change_context_lazy(|| failed(name))?;
@@ -241,24 +250,25 @@
         true
     }
 
-    /// Stops the VMs, each after what it has open, and then the stand-ins.
+    /// Stops the VMs, each after its open requests, and then the stand-ins.
     pub async fn stop(self) {
         let leaving: Vec<_> = self.vms.into_iter().map(|(_, vm)| leave(vm)).collect();
         for left in leaving {
-            // A VM whose thread could not be started goes with the process.
+            // A VM for which no runtime could be started ends with the process.
             let _ = left.await;
         }
         self.stop.send_replace(true);
     }
 }
 
-/// Lets a VM leave on a thread of its own, because it waits for its threads.
+/// Shuts a VM down on a new thread, because the shutdown blocks until the
+/// threads of the VM end. The receiver gets the result of [`Vm::leave`].
 pub fn leave(vm: Vm) -> oneshot::Receiver<bool> {
     let (sender, left) = oneshot::channel();
     thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         if let Ok(runtime) = runtime {
-            // Whoever started the leaving need not wait for it.
+            // The receiver may be dropped, because the caller need not wait.
             let _ = sender.send(runtime.block_on(vm.leave()));
         }
     });
