Reword the command line

`Place`, `lost`, `Word`, `deepest`, `LIMIT` and `GRACE` meant nothing away from their file, and every command had the comment "Runs the command". Names and comments now say what a command does and when it fails. Flags, their descriptions and what commands print stay, but for three error texts that no test or page matches: "no client", "no runtime" and "gave no whole answer" say what could not be made or was not complete.

--- a/src/cli/answer.rs
+++ b/src/cli/answer.rs
@@ -1,4 +1,4 @@
-//! Answers of a VM over HTTP: the client, what became of a request, refusals.
+//! The HTTP exchange with a VM: the client, answers and refusals.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -16,39 +16,39 @@
 };
 
 /// The time within which a connection to the VM must open.
-const CONNECT_LIMIT: Duration = Duration::from_secs(3);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// A flag that names the address of a VM, for errors.
+/// The VM to which a request goes, as errors describe it.
 #[derive(Clone, Copy, Debug)]
-pub struct Place {
-    /// The flag.
+pub struct Destination {
+    /// The flag that gave the address.
     pub flag: &'static str,
-    /// The address that it gave.
     pub address: SocketAddr,
-    /// What is to be done when a request got no whole answer.
-    pub lost: &'static str,
+    /// The hint for a request that may have been sent but got no complete
+    /// answer.
+    pub incomplete_hint: &'static str,
 }
 
-/// The body of an answer that is no refusal.
+/// The body of an answer as the VM sent it.
 #[derive(Clone, Debug)]
 pub struct Body(pub Vec<u8>);
 
-/// A refusal of a VM.
+/// The document with which a VM refuses a request.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Problem {
     /// The kind of the fault.
     pub kind: String,
-    /// What exactly was wrong.
+    /// What was wrong, in words.
     pub detail: String,
-    /// Whether anything ran.
+    /// Whether anything ran: `no` if nothing did.
     pub ran: String,
     /// Whether and when to send again.
     pub retry: Option<Retry>,
-    /// The revision that won a race.
+    /// The revision that was published first, if two publications raced.
     pub winner: Option<Revision>,
-    /// What leads from the winner to what was to be published.
+    /// The changes from the winner to the refused document.
     pub changes: Option<Vec<Difference>>,
-    /// The token of a publication that is not settled.
+    /// The token of a publication whose outcome is unknown.
     pub token: Option<Token>,
 }
 
@@ -59,17 +59,14 @@
     after_ms: Option<u64>,
 }
 
-/// Makes a client that gives up after `limit`.
-pub fn client(limit: Duration) -> Result<Client, Report<Failure>> {
-    Client::builder()
-        .connect_timeout(CONNECT_LIMIT)
-        .timeout(limit)
-        .no_proxy()
-        .build()
-        .map_err(|e| Failure::report(Exit::Failed, format!("no client: {e}"), ""))
+/// Makes an HTTP client whose requests fail after `timeout`.
+pub fn client(timeout: Duration) -> Result<Client, Report<Failure>> {
+    Client::builder().connect_timeout(CONNECT_TIMEOUT).timeout(timeout).no_proxy().build().map_err(
+        |e| Failure::report(Exit::Failed, format!("no HTTP client could be made: {e}"), ""),
+    )
 }
 
-/// What a VM answered: a body or a refusal, each with its text.
+/// The answer of a VM, with its body.
 pub enum Answer {
     /// The request was carried out.
     Done(Body),
@@ -78,52 +75,56 @@
 }
 
 /// Sends a request and reads its whole answer.
-pub async fn exchange(request: RequestBuilder, place: Place) -> Result<Answer, Report<Failure>> {
-    let response = request.send().await.map_err(|e| lost(place, &e))?;
+pub async fn exchange(
+    request: RequestBuilder,
+    destination: Destination,
+) -> Result<Answer, Report<Failure>> {
+    let response = request.send().await.map_err(|e| incomplete_answer(destination, &e))?;
     let status = response.status();
-    let body = Body(response.bytes().await.map_err(|e| lost(place, &e))?.to_vec());
+    let body =
+        Body(response.bytes().await.map_err(|e| incomplete_answer(destination, &e))?.to_vec());
     if status.is_success() {
         return Ok(Answer::Done(body));
     }
-    let problem = body.decode(status, place)?;
+    let problem = body.decode(status, destination)?;
     Ok(Answer::Refused(body, problem))
 }
 
 impl Body {
-    /// The text as the VM sent it.
+    /// The body as text, as the VM sent it.
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.0).into_owned()
     }
 
-    /// Reads the document of an answer with `status`.
+    /// Decodes the JSON document of an answer with `status`.
     pub fn decode<T: DeserializeOwned>(
         &self,
         status: StatusCode,
-        place: Place,
+        destination: Destination,
     ) -> Result<T, Report<Failure>> {
         serde_json::from_slice(&self.0).map_err(|e| Cause(e.to_string())).change_context_lazy(
             || Failure {
                 exit: Exit::Unsettled,
                 detail: format!("the answer with status {status} cannot be read"),
-                hint: format!("check that {} is the right address of a VM", place.flag),
+                hint: format!("check that {} is the right address of a VM", destination.flag),
             },
         )
     }
 }
 
 impl Problem {
-    /// The exit code that tells whether anything ran.
+    /// The exit of the command, which says whether anything may have run.
     pub fn exit(&self) -> Exit {
         if self.ran == "no" { Exit::Refused } else { Exit::Unsettled }
     }
 
-    /// The failure of a command, with what to do next.
+    /// The failure of the command, with `hint` as what to do next.
     pub fn report(&self, hint: impl Into<String>) -> Report<Failure> {
         let detail = format!("{}: {} (ran: {})", self.kind, self.detail, self.ran);
         Failure::report(self.exit(), detail, hint)
     }
 
-    /// What to do next, from whether the request may be sent again.
+    /// The hint whether and when to send the request again.
     pub fn hint(&self) -> String {
         match self.retry {
             Some(Retry { allowed: true, after_ms }) => {
@@ -134,9 +135,9 @@
     }
 }
 
-/// The failure of a request that got no whole answer.
-fn lost(place: Place, error: &reqwest::Error) -> Report<Failure> {
-    let Place { flag, address, lost } = place;
+/// The failure of a request that got no complete answer.
+fn incomplete_answer(destination: Destination, error: &reqwest::Error) -> Report<Failure> {
+    let Destination { flag, address, incomplete_hint } = destination;
     let failed = if error.is_connect() {
         Failure {
             exit: Exit::Unreachable,
@@ -146,15 +147,15 @@
     } else {
         Failure {
             exit: Exit::Unsettled,
-            detail: format!("{flag} {address} gave no whole answer"),
-            hint: lost.to_owned(),
+            detail: format!("{flag} {address} gave no complete answer"),
+            hint: incomplete_hint.to_owned(),
         }
     };
-    Report::new(Cause(deepest(error))).change_context(failed)
+    Report::new(Cause(root_cause(error))).change_context(failed)
 }
 
-/// The text of the error that all others stem from.
-fn deepest(error: &dyn std::error::Error) -> String {
+/// The text of the innermost error, which caused the others.
+fn root_cause(error: &dyn std::error::Error) -> String {
     let mut error = error;
     while let Some(source) = error.source() {
         error = source;
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -1,4 +1,4 @@
-//! `check`: checks settings and profiles without running anything.
+//! `check`: checks settings and profiles files without running anything.
 
 use std::path::{Path, PathBuf};
 
@@ -40,7 +40,7 @@
     detail: &'a str,
 }
 
-/// Runs the command.
+/// Runs `check`. It fails if a file has an error.
 pub fn run(command: &Check) -> Outcome {
     let count = command.settings.len() + command.profiles.len();
     if count == 0 {
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -1,4 +1,4 @@
-//! `demo`: a whole deployment in one process.
+//! `demo`: runs a whole deployment in one process.
 
 use argh::FromArgs;
 use error_stack::ResultExt;
@@ -16,7 +16,7 @@
 #[argh(subcommand, name = "demo", example = "{command_name}")]
 pub struct Demo {}
 
-/// Runs the command.
+/// Runs `demo`. It fails if a finding does not hold.
 pub fn run(_command: &Demo) -> Outcome {
     let findings = value::runtime()?
         .block_on(demo::run(&output::line))
--- a/src/cli/entry.rs
+++ b/src/cli/entry.rs
@@ -1,4 +1,4 @@
-//! `entry`: runs one VM.
+//! `entry`: runs one VM until it is told to shut down.
 
 use std::{io, path::PathBuf};
 
@@ -22,13 +22,14 @@
     pub settings: PathBuf,
 }
 
-/// Runs the command.
+/// Runs `entry`. The VM shuts down on SIGTERM or SIGINT, and the command fails
+/// if requests are still open at the limit.
 pub fn run(command: &Entry) -> Outcome {
     let settings = value::settings(&command.settings)?;
     let runtime = value::runtime()?;
     runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate()).change_context_lazy(no_signals)?;
-        let mut interrupt = signal(SignalKind::interrupt()).change_context_lazy(no_signals)?;
+        let mut terminate = signal(SignalKind::terminate()).change_context_lazy(signal_failure)?;
+        let mut interrupt = signal(SignalKind::interrupt()).change_context_lazy(signal_failure)?;
         let vm = vm::start(settings, Box::new(io::stderr())).map_err(|report| {
             let detail = report.current_context().to_string();
             let hint = "see whether another process listens there";
@@ -46,8 +47,8 @@
     })
 }
 
-/// The failure to take signals.
-pub fn no_signals() -> Failure {
+/// The failure to install a signal handler.
+pub fn signal_failure() -> Failure {
     let detail = "signals cannot be received".to_owned();
     Failure { exit: Exit::Failed, detail, hint: String::new() }
 }
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -1,5 +1,5 @@
-//! The exit codes of every command. The table in docs/OPERATING.md is held
-//! against this list by a test.
+//! The exit codes of all commands. A test compares the table in
+//! docs/OPERATING.md with this list.
 
 use std::process::ExitCode;
 
@@ -12,7 +12,7 @@
         }
 
         impl Exit {
-            /// Every exit, in the order of their codes.
+            /// Every exit, in the order of the codes.
             pub const ALL: &[Exit] = &[$(Exit::$exit),*];
 
             /// The exit code of the process.
@@ -22,7 +22,7 @@
                 }
             }
 
-            /// What the code means, as in the docs.
+            /// What the code means, in the words of docs/OPERATING.md.
             pub fn meaning(self) -> &'static str {
                 match self {
                     $(Exit::$exit => $meaning,)*
@@ -33,13 +33,13 @@
 }
 
 exits! {
-    /// All went well.
+    /// The command succeeded.
     Done 0 "the command did what it was asked";
-    /// The command could not be carried out.
+    /// The command failed for a reason that no other code covers.
     Failed 1 "the operation failed";
-    /// The arguments are at fault.
+    /// The arguments are invalid.
     Usage 2 "the arguments are wrong";
-    /// A settings or profiles file is at fault.
+    /// A settings or profiles file is invalid.
     Invalid 3 "a settings or profiles file is invalid";
     /// A VM refused the request and nothing ran.
     Refused 4 "the request was refused and nothing of it ran";
--- a/src/cli/failure.rs
+++ b/src/cli/failure.rs
@@ -1,4 +1,4 @@
-//! Why a command did not do what it was asked.
+//! The failure of a command, with its exit code, and how it is printed.
 
 use std::fmt;
 
@@ -12,16 +12,15 @@
 /// The failure of a command: its exit code, what went wrong and what to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Failure {
-    /// The exit code.
     pub exit: Exit,
-    /// What went wrong; it names the input at fault.
+    /// What went wrong, with the name of the invalid input.
     pub detail: String,
-    /// What to do next, or nothing where the detail says it.
+    /// What to do next. It is empty where the detail already says so.
     pub hint: String,
 }
 
 impl Failure {
-    /// Makes a report of a failure.
+    /// Makes a report of a failure without a cause.
     pub fn report(
         exit: Exit,
         detail: impl Into<String>,
@@ -39,7 +38,7 @@
 
 impl std::error::Error for Failure {}
 
-/// Writes `report` for people to the standard error.
+/// Writes the failure, its causes and its hint to the standard error.
 pub fn print(report: &Report<Failure>) {
     let failure = report.current_context();
     eprintln!("error: {failure}");
@@ -51,7 +50,7 @@
     }
 }
 
-/// The text of an error of a library below a failure.
+/// The text of a library error that caused a failure.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Cause(pub String);
 
--- a/src/cli/list.rs
+++ b/src/cli/list.rs
@@ -1,4 +1,4 @@
-//! `target list` and `vm list`: states, since when and who said so.
+//! `target list` and `vm list`: the state of each, since when, and its source.
 
 use std::{net::SocketAddr, path::PathBuf};
 
@@ -106,7 +106,7 @@
     }
 }
 
-fn state(state: State) -> &'static str {
+fn state_text(state: State) -> &'static str {
     match state {
         State::Live => "live",
         State::Suspect => "suspect",
@@ -124,7 +124,7 @@
             row.shard.clone(),
             row.domain.clone(),
             row.address.to_string(),
-            state(row.state).to_owned(),
+            state_text(row.state).to_owned(),
             output::ago(row.since_ms),
             row.source.clone(),
         ]);
@@ -138,7 +138,7 @@
         table.row(vec![
             row.name.clone(),
             row.domain.clone(),
-            if row.gone { "gone" } else { state(row.state) }.to_owned(),
+            if row.gone { "gone" } else { state_text(row.state) }.to_owned(),
             output::ago(row.since_ms),
             row.source.clone(),
         ]);
--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -1,4 +1,4 @@
-//! `load`: sends queries at seeded times and reports what came of them.
+//! `load`: sends queries at seeded times and reports the results.
 
 use std::{
     fs,
@@ -62,10 +62,10 @@
     #[argh(option)]
     pub scenario: Option<PathBuf>,
     /// the load and fault to measure; may be given more than once; all if absent
-    #[argh(option, from_str_fn(scene))]
+    #[argh(option, from_str_fn(parse_scene))]
     pub scene: Vec<Scene>,
     /// the policies to measure; may be given more than once
-    #[argh(option, from_str_fn(scheme))]
+    #[argh(option, from_str_fn(parse_scheme))]
     pub scheme: Vec<Scheme>,
     /// measure every set of policies, side by side
     #[argh(switch)]
@@ -82,17 +82,18 @@
     pub out: Option<PathBuf>,
 }
 
-fn scene(text: &str) -> Result<Scene, String> {
+fn parse_scene(text: &str) -> Result<Scene, String> {
     let names: Vec<&str> = SCENES.iter().map(|scene| scene.name).collect();
     Scene::named(text).ok_or_else(|| format!("allowed are {}", names.join(", ")))
 }
 
-fn scheme(text: &str) -> Result<Scheme, String> {
+fn parse_scheme(text: &str) -> Result<Scheme, String> {
     let names: Vec<&str> = SCHEMES.iter().map(|scheme| scheme.name).collect();
     Scheme::named(text).ok_or_else(|| format!("allowed are {}", names.join(", ")))
 }
 
-/// Runs the command.
+/// Runs `load`. Without `--entry` and `--cost` it measures a deployment that it
+/// starts itself.
 pub fn run(command: &Load) -> Outcome {
     if !command.cost.is_empty() {
         return measure_cost(command);
@@ -101,7 +102,7 @@
     if command.entry.is_empty() {
         runtime.block_on(measure(command))
     } else {
-        runtime.block_on(drive_running(command))
+        runtime.block_on(measure_running(command))
     }
 }
 
@@ -125,7 +126,7 @@
     })
 }
 
-/// Measures the engine alone.
+/// Measures the engine alone, without sockets.
 fn measure_cost(command: &Load) -> Outcome {
     output::line(cost::HEADING);
     let mut costs = Vec::new();
@@ -135,13 +136,13 @@
         costs.push(cost);
     }
     match &command.out {
-        Some(file) => write(file, &costs),
+        Some(file) => write_json(file, &costs),
         None => Ok(()),
     }
 }
 
 /// Writes results to a file as JSON.
-fn write(file: &Path, results: &impl Serialize) -> Outcome {
+fn write_json(file: &Path, results: &impl Serialize) -> Outcome {
     let failed = || Failure {
         exit: Exit::Failed,
         detail: format!("{} cannot be written", file.display()),
@@ -151,14 +152,15 @@
     fs::write(file, json).change_context_lazy(failed)
 }
 
-/// Measures every scheme under every scene that is asked for.
+/// Measures every requested scheme under every requested scene. Without
+/// `--scheme` it measures the first scheme, that of the product.
 async fn measure(command: &Load) -> Outcome {
     let scenario = read_scenario(command)?;
     let scenes = if command.scene.is_empty() { SCENES } else { &command.scene };
-    let product = SCHEMES.get(..1).unwrap_or_default();
+    let default_schemes = SCHEMES.get(..1).unwrap_or_default();
     let schemes = match (command.compare, command.scheme.is_empty()) {
         (true, _) => SCHEMES,
-        (false, true) => product,
+        (false, true) => default_schemes,
         (false, false) => &command.scheme,
     };
     let mut document = report::Document {
@@ -182,14 +184,15 @@
     finish(command, document)
 }
 
-/// Checks the targets, prints what they say and writes the file.
+/// Checks the results with `--check`, prints the findings and writes the file.
+/// It fails if a finding is not met.
 fn finish(command: &Load, mut document: report::Document) -> Outcome {
     if command.check {
         document.findings = check::check(&document.rows);
         document.findings.iter().for_each(|finding| output::line(&finding.line()));
     }
     if let Some(file) = &command.out {
-        write(file, &document)?;
+        write_json(file, &document)?;
     }
     let failed = document.findings.iter().filter(|finding| !finding.met).count();
     if failed > 0 {
@@ -199,8 +202,8 @@
     Ok(())
 }
 
-/// Sends searches to a running deployment and sums up what came of them.
-async fn drive_running(command: &Load) -> Outcome {
+/// Sends searches to a running deployment and prints a summary of the answers.
+async fn measure_running(command: &Load) -> Outcome {
     let Some(profile) = command.profile.clone() else {
         return Err(Failure::report(
             Exit::Usage,
@@ -219,7 +222,7 @@
         .map_err(|e| Failure::report(Exit::Failed, e.to_string(), ""))?;
     output::line(&json);
     match &command.out {
-        Some(file) => write(file, &summary),
+        Some(file) => write_json(file, &summary),
         None => Ok(()),
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,5 @@
-//! The command line: flags to one checked struct, then one function for each
-//! command.
+//! The command line: parses the arguments into one struct and runs the command
+//! that they name.
 
 pub mod answer;
 pub mod exit;
@@ -27,7 +27,7 @@
     failure::{Failure, Outcome},
 };
 
-/// The name of the binary in usage texts.
+/// The name of the binary as usage texts show it.
 const BINARY: &str = "laburnumworks";
 
 /// Query tier over many shards: searches and operations from callers, through
@@ -69,12 +69,12 @@
     let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
     match Arguments::from_args(&[BINARY], &arguments) {
         Ok(arguments) => finish(dispatch(arguments)),
-        Err(early) => leave(&early).into(),
+        Err(early) => exit_early(&early).into(),
     }
 }
 
-/// Prints the help that was asked for, or what is wrong with the arguments.
-fn leave(early: &EarlyExit) -> Exit {
+/// Prints the requested help, or the error in the arguments.
+fn exit_early(early: &EarlyExit) -> Exit {
     if early.status.is_ok() {
         output::line(&early.output);
         return Exit::Done;
@@ -83,6 +83,7 @@
     Exit::Usage
 }
 
+/// Prints the failure, if any, and returns the exit code.
 fn finish(outcome: Outcome) -> ExitCode {
     match outcome {
         Ok(()) => Exit::Done.into(),
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -1,4 +1,4 @@
-//! A client of the operators' address of a VM.
+//! A client for the address of a VM on which it serves operators.
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
@@ -8,61 +8,67 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::{
-    answer::{self, Answer, Body, Place, Problem},
+    answer::{self, Answer, Body, Destination, Problem},
     failure::{Failure, Outcome},
     output, value,
 };
 use crate::settings::identity::Secret;
 
-/// The time within which a VM answers an operator. A publication is settled or
-/// given up well before.
-const LIMIT: Duration = Duration::from_secs(30);
+/// The time within which a VM must answer an operator. It is well above the
+/// time after which a VM settles a publication or gives it up.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Where to ask, as whom, and how to print.
+/// Sends requests to one VM with the token of an operator and prints the
+/// answers.
 #[derive(Clone, Debug)]
 pub struct Operator {
-    place: Place,
+    destination: Destination,
     token: Secret,
     json: bool,
 }
 
-/// What is sent.
+/// A request to a VM.
 #[derive(Clone, Debug)]
 pub struct Request<T> {
-    /// The method.
     pub method: Method,
-    /// The path with its query.
+    /// The path, with its query string if it has one.
     pub path: &'static str,
-    /// The revision that must be in force.
+    /// The revision that must be in force, or else the VM refuses the request.
     pub expect: Option<Revision>,
-    /// The document, if the method takes one.
+    /// The JSON document, if the request has one.
     pub body: Option<T>,
 }
 
-/// A request that reads `path`.
+/// Makes a request that reads `path`.
 pub fn get(path: &'static str) -> Request<()> {
     Request { method: Method::GET, path, expect: None, body: None }
 }
 
-/// A request that posts `body` to `path`.
+/// Makes a request that posts `body` to `path`.
 pub fn post<T>(path: &'static str, body: T) -> Request<T> {
     Request { method: Method::POST, path, expect: None, body: Some(body) }
 }
 
 impl Operator {
-    /// Reads the token of an operator from `token_file`.
+    /// Makes a client for the VM at `address` with the token in `token_file`.
     pub fn new(
         address: SocketAddr,
         token_file: &Path,
         json: bool,
     ) -> Result<Operator, Report<Failure>> {
         let token = value::token(token_file)?;
-        let lost = "look at `profile status` and `profile history` before you send it again";
-        Ok(Operator { place: Place { flag: "--operator", address, lost }, token, json })
+        let incomplete_hint =
+            "look at `profile status` and `profile history` before you send it again";
+        Ok(Operator {
+            destination: Destination { flag: "--operator", address, incomplete_hint },
+            token,
+            json,
+        })
     }
 
-    /// Sends `request` and prints its answer: as the VM sent it with `--json`,
-    /// or as `describe` puts it. `hint` says what to do after a refusal.
+    /// Sends `request` and prints the answer, with `--json` as the VM sent it
+    /// and otherwise as `describe` formats it. `hint` gives what to do after a
+    /// refusal.
     pub fn run<T: Serialize, D: DeserializeOwned>(
         &self,
         request: &Request<T>,
@@ -82,7 +88,7 @@
             output::line(&body.text());
             return Ok(());
         }
-        let document: D = body.decode(StatusCode::OK, self.place)?;
+        let document: D = body.decode(StatusCode::OK, self.destination)?;
         output::line(describe(&document).trim_end());
         Ok(())
     }
@@ -100,8 +106,8 @@
     }
 
     async fn send<T: Serialize>(&self, request: &Request<T>) -> Result<Answer, Report<Failure>> {
-        let client = answer::client(LIMIT)?;
-        let url = format!("http://{}{}", self.place.address, request.path);
+        let client = answer::client(ANSWER_TIMEOUT)?;
+        let url = format!("http://{}{}", self.destination.address, request.path);
         let mut builder: RequestBuilder =
             client.request(request.method.clone(), url).bearer_auth(self.token.expose());
         if let Some(revision) = request.expect {
@@ -110,6 +116,6 @@
         if let Some(body) = &request.body {
             builder = builder.json(body);
         }
-        answer::exchange(builder, self.place).await
+        answer::exchange(builder, self.destination).await
     }
 }
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -1,4 +1,4 @@
-//! The standard output.
+//! Lines and tables on the standard output.
 
 use std::{
     fmt,
@@ -6,15 +6,15 @@
     time::Duration,
 };
 
-/// Writes a line to the standard output. A reader that went away, such as
-/// `head`, is no error.
+/// Writes a line to the standard output. It ignores errors, so that a reader
+/// that closes the pipe early, such as `head`, causes no failure.
 pub fn line(text: &str) {
     let mut out = stdout().lock();
     let _ = writeln!(out, "{text}");
     let _ = out.flush();
 }
 
-/// How long ago something was, from milliseconds.
+/// Formats a time `millis` milliseconds in the past, such as `5 s ago`.
 pub fn ago(millis: u64) -> String {
     let seconds = Duration::from_millis(millis).as_secs();
     match seconds {
@@ -31,10 +31,10 @@
 }
 
 impl Table {
-    /// Makes a table with the names of its columns.
+    /// Makes a table with a heading for each column.
     pub fn new(columns: &[&str]) -> Table {
-        let head = columns.iter().map(|&column| column.to_owned()).collect();
-        Table { rows: vec![head] }
+        let headings = columns.iter().map(|&column| column.to_owned()).collect();
+        Table { rows: vec![headings] }
     }
 
     /// Adds a row.
--- a/src/cli/profile/arguments.rs
+++ b/src/cli/profile/arguments.rs
@@ -130,8 +130,8 @@
     pub json: bool,
 }
 
-macro_rules! readings {
-    ($($(#[$doc:meta])* $reading:ident $name:tt;)*) => {
+macro_rules! read_commands {
+    ($($(#[$doc:meta])* $command:ident $name:tt;)*) => {
         $(
             $(#[$doc])*
             #[derive(FromArgs, Debug)]
@@ -140,7 +140,7 @@
                 name = $name,
                 example = "{command_name} --operator 127.0.0.1:8081 --token-file token"
             )]
-            pub struct $reading {
+            pub struct $command {
                 /// where a VM listens for operators
                 #[argh(option)]
                 pub operator: SocketAddr,
@@ -155,7 +155,7 @@
     };
 }
 
-readings! {
+read_commands! {
     /// Show the profiles in force, as a file that can be published.
     Show "show";
     /// Show who published which revision when, and what changed.
@@ -164,11 +164,11 @@
     Status "status";
 }
 
-macro_rules! operators {
+macro_rules! operator_clients {
     ($($command:ident)*) => {
         $(
             impl $command {
-                /// The client that the arguments ask for.
+                /// Makes the client that the arguments describe.
                 pub(super) fn operator(&self) -> Result<Operator, Report<Failure>> {
                     Operator::new(self.operator, &self.token_file, self.json)
                 }
@@ -177,4 +177,4 @@
     };
 }
 
-operators! { Publish Diff Rollback Settle Show History Status }
+operator_clients! { Publish Diff Rollback Settle Show History Status }
--- a/src/cli/profile/describe.rs
+++ b/src/cli/profile/describe.rs
@@ -1,4 +1,4 @@
-//! Profiles, changes and revisions, for people.
+//! Formats profiles, changes and revisions as text.
 
 use std::collections::BTreeMap;
 
@@ -12,7 +12,7 @@
 
 use crate::cli::output::{self, Table};
 
-/// The profiles in force.
+/// The answer to `profile show`: the profiles in force.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Show {
     revision: Revision,
@@ -20,14 +20,14 @@
     profiles: BTreeMap<Name, Profile>,
 }
 
-/// What a document would change.
+/// The answer to `profile diff`: the changes that a document would make.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Changes {
     revision: Revision,
     changes: Vec<Difference>,
 }
 
-/// The audit trail.
+/// The answer to `profile history`: the audit trail.
 #[derive(Clone, Debug, Deserialize)]
 pub struct History {
     records: Vec<Record>,
@@ -42,16 +42,16 @@
     changes: Option<Vec<Difference>>,
 }
 
-/// Where a revision is in force.
+/// The answer to `profile status`: on which VMs a revision is in force.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Status {
     revision: Revision,
     in_force: usize,
-    vms: Vec<Word>,
+    vms: Vec<VmStatus>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
-struct Word {
+struct VmStatus {
     vm: Name,
     revision: Option<Revision>,
     heard_ms: Option<u64>,
@@ -62,13 +62,13 @@
 /// Describes the profiles as a file that can be published.
 pub fn show(show: &Show) -> String {
     let Revision(revision) = show.revision;
-    let word = if show.confirmed {
+    let confirmation = if show.confirmed {
         "confirmed by the platform's service"
     } else {
         "as this VM knows it; the platform's service did not confirm it"
     };
     let tables = show.profiles.iter().map(|(name, profile)| table(name, profile));
-    format!("# revision {revision}, {word}\n{}", tables.collect::<String>())
+    format!("# revision {revision}, {confirmation}\n{}", tables.collect::<String>())
 }
 
 fn table(name: &Name, profile: &Profile) -> String {
@@ -89,14 +89,14 @@
     )
 }
 
-/// Describes what a document would change.
+/// Describes the changes that a document would make.
 pub fn changes(changes: &Changes) -> String {
     let Revision(revision) = changes.revision;
-    let head = format!("compared with revision {revision}:");
-    format!("{head}\n{}", differences(&changes.changes))
+    let heading = format!("compared with revision {revision}:");
+    format!("{heading}\n{}", differences(&changes.changes))
 }
 
-/// Describes changes, one on a line.
+/// Describes changes, one on each line.
 pub fn differences(changes: &[Difference]) -> String {
     if changes.is_empty() {
         return "no changes\n".to_owned();
@@ -125,7 +125,7 @@
 }
 
 fn record(record: &Record) -> String {
-    let at = instant(record.at_ms);
+    let at = timestamp(record.at_ms);
     let mut text = format!("revision {} by {} at {at}", record.revision.0, record.who);
     if !record.note.is_empty() {
         text.push_str(&format!(" ({})", record.note));
@@ -138,14 +138,14 @@
     text
 }
 
-/// A time of the wall clock in RFC 3339.
-fn instant(millis: u64) -> String {
+/// Formats milliseconds since the Unix epoch in RFC 3339.
+fn timestamp(millis: u64) -> String {
     let nanos = i128::from(millis) * 1_000_000;
     let at = OffsetDateTime::from_unix_timestamp_nanos(nanos).ok();
     at.and_then(|at| at.format(&Rfc3339).ok()).unwrap_or_else(|| format!("{millis} ms"))
 }
 
-/// Describes where a revision is in force.
+/// Describes on which VMs a revision is in force.
 pub fn status(status: &Status) -> String {
     let silent: Vec<&str> =
         status.vms.iter().filter(|row| row.silent).map(|row| row.vm.as_str()).collect();
--- a/src/cli/profile/mod.rs
+++ b/src/cli/profile/mod.rs
@@ -1,4 +1,4 @@
-//! `profile`: publishes profiles and shows what is in force.
+//! `profile`: publishes profiles and shows those in force.
 
 mod arguments;
 mod describe;
@@ -18,7 +18,7 @@
     value,
 };
 
-/// Runs the command.
+/// Runs the subcommand of `profile` that the arguments name.
 pub fn run(command: &Profile) -> Outcome {
     match &command.action {
         Action::Publish(publish) => run_publish(publish),
--- a/src/cli/profile/publication.rs
+++ b/src/cli/profile/publication.rs
@@ -1,4 +1,4 @@
-//! What became of a publication, and the token of one that is not settled.
+//! The outcome of a publication, and the token of one whose outcome is unknown.
 
 use laburnum_core::{
     control::request::{Difference, Token},
@@ -10,7 +10,7 @@
 use super::describe;
 use crate::cli::answer::Problem;
 
-/// What became of a publication.
+/// The outcome of a publication.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Publication {
     outcome: String,
@@ -19,21 +19,22 @@
     changes: Vec<Difference>,
 }
 
-/// Describes what became of a publication.
+/// Describes the outcome of a publication.
 pub fn describe(publication: &Publication) -> String {
     let Revision(revision) = publication.revision;
-    let head = match publication.outcome.as_str() {
+    let heading = match publication.outcome.as_str() {
         "accepted" => format!("published: revision {revision}"),
         "planned" => format!("nothing was published; it would be revision {revision}"),
         _ => format!("it was not published and never will be; revision {revision} is in force"),
     };
-    format!("{head}\n{}", describe::differences(&publication.changes))
+    format!("{heading}\n{}", describe::differences(&publication.changes))
 }
 
-/// What to do after a refused publication.
+/// The hint for a refused publication. It names the token to settle, or the
+/// winner to compare with.
 pub fn hint(problem: &Problem) -> String {
     if let Some(token) = &problem.token {
-        let token = text(token);
+        let token = token_text(token);
         return format!("find out what became of it: profile settle {token}");
     }
     match problem.winner {
@@ -47,12 +48,12 @@
     }
 }
 
-/// The token as the command line takes it.
-fn text(token: &Token) -> String {
+/// Formats a token as the command line takes it.
+fn token_text(token: &Token) -> String {
     format!("{}:{}:{}", token.base.0, token.revision.0, token.id)
 }
 
-/// Reads a token as `profile publish` printed it.
+/// Parses a token as `profile publish` printed it.
 pub fn token(text: &str) -> Result<Token, String> {
     let mut parts = text.splitn(3, ':');
     let base = revision(parts.next());
--- a/src/cli/query.rs
+++ b/src/cli/query.rs
@@ -1,4 +1,4 @@
-//! `query`: a caller on the command line.
+//! `query`: sends one search or operation as a caller.
 
 use std::{fmt::Write, net::SocketAddr, time::Duration};
 
@@ -10,14 +10,15 @@
 use uuid::Uuid;
 
 use super::{
-    answer::{self, Place},
+    answer::{self, Destination},
     exit::Exit,
     failure::{Failure, Outcome},
     output, value,
 };
 
-/// The time that is added to the longest deadline before an answer is given up.
-const GRACE: Duration = Duration::from_secs(5);
+/// The time beyond the longest deadline after which a request fails without an
+/// answer.
+const ANSWER_GRACE: Duration = Duration::from_secs(5);
 
 /// Send one search, or one operation, to a VM and print the answer.
 #[derive(FromArgs, Debug)]
@@ -55,7 +56,7 @@
     pub text: String,
 }
 
-/// What is sent, checked.
+/// The request to send, after the flags were checked against each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 #[serde(untagged)]
 enum Request<'a> {
@@ -81,7 +82,8 @@
     type Error = Report<Failure>;
 
     fn try_from(query: &'a Query) -> Result<Request<'a>, Report<Failure>> {
-        let usage = |detail: &str, hint: &str| Err(Failure::report(Exit::Usage, detail, hint));
+        let usage_error =
+            |detail: &str, hint: &str| Err(Failure::report(Exit::Usage, detail, hint));
         let (profile, deadline_ms) = (&query.profile, query.deadline);
         match (&query.operation, query.subject) {
             (Some(operation), Some(subject)) => Ok(Request::Operation {
@@ -92,17 +94,21 @@
                 deadline_ms,
                 key: query.key.unwrap_or_else(Uuid::now_v7),
             }),
-            (Some(_), None) => usage("--operation needs --subject", "say which record it is about"),
-            (None, Some(_)) => usage("--subject needs --operation", "say which operation it is"),
+            (Some(_), None) => {
+                usage_error("--operation needs --subject", "say which record it is about")
+            }
+            (None, Some(_)) => {
+                usage_error("--subject needs --operation", "say which operation it is")
+            }
             (None, None) if query.key.is_some() => {
-                usage("--key needs --operation", "a search needs no key")
+                usage_error("--key needs --operation", "a search needs no key")
             }
             (None, None) => Ok(Request::Search { profile, text: &query.text, deadline_ms }),
         }
     }
 }
 
-/// An answer of a VM.
+/// The document of an answer to a search or an operation.
 #[derive(Deserialize)]
 struct Answer {
     snapshot: Option<u64>,
@@ -127,15 +133,15 @@
     body: String,
 }
 
-/// Runs the command.
+/// Sends the request and prints the answer.
 pub fn run(command: &Query) -> Outcome {
     let request = Request::try_from(command)?;
     if let (Request::Operation { key, .. }, None) = (&request, command.key) {
         eprintln!("idempotency key: {key}");
     }
-    let lost = "send an operation again only with the same --key";
-    let place = Place { flag: "--entry", address: command.entry, lost };
-    let answer = value::runtime()?.block_on(send(place, &request))?;
+    let incomplete_hint = "send an operation again only with the same --key";
+    let destination = Destination { flag: "--entry", address: command.entry, incomplete_hint };
+    let answer = value::runtime()?.block_on(send(destination, &request))?;
     let (answer::Answer::Done(body) | answer::Answer::Refused(body, _)) = &answer;
     if command.json {
         output::line(&body.text());
@@ -144,16 +150,19 @@
         answer::Answer::Refused(_, problem) => Err(problem.report(problem.hint())),
         answer::Answer::Done(_) if command.json => Ok(()),
         answer::Answer::Done(body) => {
-            let answer: Answer = body.decode(StatusCode::OK, place)?;
+            let answer: Answer = body.decode(StatusCode::OK, destination)?;
             output::line(describe(&answer).trim_end());
             Ok(())
         }
     }
 }
 
-async fn send(place: Place, request: &Request<'_>) -> Result<answer::Answer, Report<Failure>> {
-    let entry = place.address;
-    let client = answer::client(laburnum_core::profile::MAX_DEADLINE + GRACE)?;
+async fn send(
+    destination: Destination,
+    request: &Request<'_>,
+) -> Result<answer::Answer, Report<Failure>> {
+    let entry = destination.address;
+    let client = answer::client(laburnum_core::profile::MAX_DEADLINE + ANSWER_GRACE)?;
     let builder = match request {
         Request::Search { .. } => client.post(format!("http://{entry}/v1/search")).json(request),
         Request::Operation { key, .. } => client
@@ -161,7 +170,7 @@
             .header("Idempotency-Key", key.to_string())
             .json(request),
     };
-    answer::exchange(builder, place).await
+    answer::exchange(builder, destination).await
 }
 
 fn describe(answer: &Answer) -> String {
--- a/src/cli/relay.rs
+++ b/src/cli/relay.rs
@@ -7,7 +7,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::{
-    entry::no_signals,
+    entry::signal_failure,
     exit::Exit,
     failure::{Failure, Outcome},
     value,
@@ -24,7 +24,8 @@
     pub settings: Option<PathBuf>,
 }
 
-/// Reads the settings again, which may be changing just now.
+/// Reads the settings again. If they are invalid, perhaps because the file is
+/// being written, the VM keeps those in force.
 fn reload(relay: &relay::Relay, command: &Relay) {
     match value::relay(command.settings.as_deref()) {
         Ok(settings) => relay.reload(settings),
@@ -32,14 +33,15 @@
     }
 }
 
-/// Runs the command.
+/// Runs `relay`. The VM reads its settings again on SIGHUP and shuts down on
+/// SIGTERM or SIGINT.
 pub fn run(command: &Relay) -> Outcome {
     let settings = value::relay(command.settings.as_deref())?;
     let runtime = value::runtime()?;
     runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate()).change_context_lazy(no_signals)?;
-        let mut interrupt = signal(SignalKind::interrupt()).change_context_lazy(no_signals)?;
-        let mut hangup = signal(SignalKind::hangup()).change_context_lazy(no_signals)?;
+        let mut terminate = signal(SignalKind::terminate()).change_context_lazy(signal_failure)?;
+        let mut interrupt = signal(SignalKind::interrupt()).change_context_lazy(signal_failure)?;
+        let mut hangup = signal(SignalKind::hangup()).change_context_lazy(signal_failure)?;
         let relay = relay::start(settings, Box::new(io::stdout())).map_err(|report| {
             let detail = report.current_context().to_string();
             let hint = "see whether another process listens there";
--- a/src/cli/slope.rs
+++ b/src/cli/slope.rs
@@ -1,4 +1,4 @@
-//! `slope`: measures what the tier costs at several sizes.
+//! `slope`: measures the resource use of the tier at several sizes.
 
 use argh::FromArgs;
 
@@ -25,7 +25,7 @@
     pub json: bool,
 }
 
-/// Runs the command.
+/// Measures the requested parts and prints a table, or JSON lines with `--json`.
 pub fn run(arguments: &Arguments) -> Outcome {
     let parts = arguments.part.map_or(Part::ALL.to_vec(), |part| vec![part]);
     let slopes: Vec<Slope> =
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -1,4 +1,4 @@
-//! `stand-in`: small stand-ins for the platform and the targets.
+//! `stand-in`: runs a small stand-in for the platform or for a target.
 
 use std::{
     fs,
@@ -25,7 +25,7 @@
     pub part: Part,
 }
 
-/// What the stand-in takes the place of.
+/// The system that the stand-in replaces.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand)]
 pub enum Part {
@@ -66,7 +66,7 @@
     pub settings: Option<PathBuf>,
 }
 
-/// Runs the command.
+/// Runs `stand-in` until it fails; it has no other end.
 pub fn run(command: &Standin) -> Outcome {
     match &command.part {
         Part::Platform(platform) => run_platform(platform),
@@ -91,7 +91,7 @@
     Err(Failure::report(Exit::Failed, format!("the stand-in ended: {ended:?}"), ""))
 }
 
-/// Reads a TOML file, or takes the defaults where none is given.
+/// Reads a TOML file, or the defaults where no file is given.
 fn read<T: DeserializeOwned>(file: Option<&Path>) -> Result<T, Report<Failure>> {
     let text = match file {
         Some(file) => fs::read_to_string(file).map_err(|e| invalid(file, &e.to_string()))?,
--- a/src/cli/value.rs
+++ b/src/cli/value.rs
@@ -1,4 +1,4 @@
-//! Checked values of flags.
+//! Parses the values of flags and loads the files that they name.
 
 use std::{fs, path::Path};
 
@@ -11,17 +11,17 @@
     slope::Part,
 };
 
-/// Reads a flag that is a name.
+/// Parses a flag whose value is a name.
 pub fn name(text: &str) -> Result<Name, String> {
     Name::try_from(text).map_err(|e| e.to_string())
 }
 
-/// Reads a flag that is a part to measure.
+/// Parses a flag whose value is a part of the tier to measure.
 pub fn part(text: &str) -> Result<Part, String> {
     Part::try_from(text).map_err(|e| e.to_string())
 }
 
-/// Loads a settings file for a command.
+/// Loads and checks a settings file.
 pub fn settings(file: &Path) -> Result<Settings, Report<Failure>> {
     Settings::load(file).map_err(|errors| invalid(&errors))
 }
@@ -29,8 +29,8 @@
 /// The environment variable that names the settings file of a relay.
 const SETTINGS_VARIABLE: &str = "LABURNUMWORKS_CONFIG";
 
-/// Loads the settings of a relay from the file that was named, or else from the
-/// one that the environment names.
+/// Loads the settings of a relay from `file`, or else from the file that the
+/// environment variable names.
 pub fn relay(file: Option<&Path>) -> Result<relay::Settings, Report<Failure>> {
     let named = std::env::var_os(SETTINGS_VARIABLE).map(std::path::PathBuf::from);
     let Some(file) = file.map(Path::to_path_buf).or(named) else {
@@ -40,12 +40,13 @@
     relay::Settings::load(&file).map_err(|errors| invalid(&errors))
 }
 
-/// Loads a profiles file for a command.
+/// Loads and checks a profiles file.
 pub fn profiles(file: &Path) -> Result<Profiles, Report<Failure>> {
     Profiles::load(file).map_err(|errors| invalid(&errors))
 }
 
-/// Reads the token of an operator from a file.
+/// Reads the token of an operator from `file`. The token may be surrounded by
+/// white space.
 pub fn token(file: &Path) -> Result<Secret, Report<Failure>> {
     let hint = "the file holds the token alone, on one line";
     let failed = |detail: String| {
@@ -59,10 +60,9 @@
     Failure::report(Exit::Invalid, errors.to_string(), "correct the file and run `check` on it")
 }
 
-/// Makes the runtime of a command.
+/// Makes the single-threaded runtime on which a command runs.
 pub fn runtime() -> Result<tokio::runtime::Runtime, Report<Failure>> {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|e| Failure::report(Exit::Failed, format!("no runtime: {e}"), ""))
+    tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| {
+        Failure::report(Exit::Failed, format!("the async runtime could not be started: {e}"), "")
+    })
 }
