Make some comments of the settings exact

A probe interval lies between two probes, not between rounds, and the clock skew is the most that a key's time of issue may lie ahead. `DOMAINS` of the local deployment is a number and is called `DOMAIN_COUNT`.

--- a/src/local/endpoints.rs
+++ b/src/local/endpoints.rs
@@ -15,7 +15,7 @@
 };
 use sha2::{Digest, Sha256};
 
-use super::{DOMAINS, OPERATOR_TOKEN, failed, name};
+use super::{DOMAIN_COUNT, OPERATOR_TOKEN, failed, name};
 use crate::vm::Error;
 
 /// The identity and addresses of a VM.
@@ -62,7 +62,7 @@
     }
     Ok(Endpoints {
         name: name(&format!("vm-{number}"))?,
-        domain: name(&format!("domain-{}", (number - 1) % DOMAINS + 1))?,
+        domain: name(&format!("domain-{}", (number - 1) % DOMAIN_COUNT + 1))?,
         callers: addresses[0],
         operators: addresses[1],
         control: addresses[2],
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -88,7 +88,7 @@
 }
 
 /// The number of failure domains over which VMs and targets are spread.
-const DOMAINS: u32 = 4;
+const DOMAIN_COUNT: u32 = 4;
 
 /// Starts the platform, the targets and the VMs.
 pub fn start(plan: &Plan) -> Result<Deployment, Report<Error>> {
@@ -182,7 +182,7 @@
         name: name(&format!("{}-{shard}-{replica}", index.name))?,
         index: index.name.clone(),
         shard: name(&format!("shard-{shard}"))?,
-        domain: name(&format!("domain-{}", (shard + replica) % DOMAINS + 1))?,
+        domain: name(&format!("domain-{}", (shard + replica) % DOMAIN_COUNT + 1))?,
         address,
         slots: settings.slots,
         connections: settings.connections,
--- a/src/log/journal.rs
+++ b/src/log/journal.rs
@@ -12,7 +12,7 @@
 pub struct Journal {
     /// The writer that all threads share.
     pub writer: Writer,
-    /// The clock of the thread, from which the rate limit takes the time.
+    /// The clock of the thread.
     pub clock: Box<dyn Clock + Send>,
 }
 
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -30,7 +30,7 @@
 /// How VMs learn of each other and of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Membership {
-    /// The time between two rounds of probes of other VMs.
+    /// The time between two probes of other VMs.
     pub probe_interval: Duration,
     /// The time after which a probe without an answer has failed.
     pub probe_timeout: Duration,
@@ -45,8 +45,8 @@
     /// The age of the last confirmation after which a VM reads the platform's
     /// service itself.
     pub stale_after: Duration,
-    /// The time without contact to any VM or the platform's service after which
-    /// this VM is not ready.
+    /// The time without contact with any VM or the platform's service after
+    /// which this VM is not ready.
     pub unready_after: Duration,
     /// VMs that are contacted when the platform's list cannot be read, so that
     /// a VM can start during an outage of the service.
@@ -107,7 +107,8 @@
     pub window: Duration,
     /// The largest value that holds claims in the platform's service, in bytes.
     pub value_limit_bytes: u64,
-    /// The time by which the issue of a key may lie ahead of this VM's clock.
+    /// The most by which the time of issue of a key may lie ahead of this VM's
+    /// clock.
     pub clock_skew: Duration,
     /// The time for which an outcome waits for others, to be written with them.
     pub batch_delay: Duration,
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -13,7 +13,7 @@
     section::Section,
 };
 
-/// The characters of a value that an error message quotes at most.
+/// The most characters of a value that an error message quotes.
 const MAX_EXCERPT_CHARS: usize = 60;
 
 /// A TOML text while it is read.
--- a/src/settings/identity.rs
+++ b/src/settings/identity.rs
@@ -194,8 +194,7 @@
     }
 }
 
-/// Reads a key from a file. A relative `path` starts at the folder of
-/// `settings`, the settings file.
+/// Reads a key from `path`, relative to the folder of the settings file.
 fn read_key_file(settings: &Path, path: &str) -> Result<Secret, String> {
     let path = settings.parent().unwrap_or(Path::new("")).join(path);
     let text =
