--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -109,7 +109,7 @@
     let vm = Vm {
         domain: settings.vm.domain.clone(),
         address: settings.listen.peers,
-        share: settings.vm.share,
+        share: settings.vm.millicores,
     };
     OwnVm { name: settings.vm.name.clone(), vm }
 }
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -17,13 +17,13 @@
 pub fn traffic(settings: &Settings) -> traffic::Limits {
     traffic::Limits {
         open_requests: size(share(settings, settings.callers.open_requests)),
-        connect_timeout: settings.targets.open_limit,
-        status_interval: settings.targets.probe_interval,
-        status_max_age: settings.targets.probe_interval * PROBES_MISSED,
-        status_timeout: settings.targets.silent_after,
+        connect_timeout: settings.targets.connect_timeout,
+        status_interval: settings.targets.status_interval,
+        status_max_age: settings.targets.status_interval * PROBES_MISSED,
+        status_timeout: settings.targets.status_timeout,
         connections: settings.targets.connections,
         lost_targets: size(settings.quarantine.lost_targets),
-        suspect_ttl: settings.quarantine.suspect,
+        suspect_ttl: settings.quarantine.suspect_time,
         retry_burst: settings.retry.burst,
         ..traffic::Limits::default()
     }
@@ -46,17 +46,17 @@
     let membership = &settings.membership;
     control::Limits {
         probe_interval: membership.probe_interval,
-        ack_timeout: membership.probe_limit,
+        ack_timeout: membership.probe_timeout,
         indirect_probes: size(membership.indirect_probes),
         suspicion_timeout: membership.gone_after,
         list_interval: membership.list_interval,
         watchers: size(membership.watchers),
         stale_after: membership.stale_after,
         isolation_timeout: membership.unready_after,
-        call_timeout: settings.platform.call_limit,
-        suspect_duration: settings.quarantine.suspect,
+        call_timeout: settings.platform.call_timeout,
+        suspect_duration: settings.quarantine.suspect_time,
         lost_targets: usize::try_from(settings.quarantine.lost_targets).unwrap_or(usize::MAX),
-        quarantine_duration: settings.quarantine.hold,
+        quarantine_duration: settings.quarantine.hold_time,
         max_fingerprints: size(settings.quarantine.capacity),
         ..control::Limits::default()
     }
@@ -72,10 +72,10 @@
 pub fn claims(settings: &Settings) -> claims::Limits {
     claims::Limits {
         window: settings.claims.window,
-        skew: settings.claims.future,
-        call_timeout: settings.platform.call_limit,
-        batch_delay: settings.claims.gather,
-        bucket_bytes: bytes(settings.claims.value_limit),
+        skew: settings.claims.clock_skew,
+        call_timeout: settings.platform.call_timeout,
+        batch_delay: settings.claims.batch_delay,
+        bucket_bytes: bytes(settings.claims.value_limit_bytes),
         ..claims::Limits::default()
     }
 }
@@ -84,10 +84,10 @@
 pub fn wire(settings: &Settings) -> wire::Limits {
     let peers = &settings.peers;
     wire::Limits {
-        frame: bytes(peers.frame_limit),
-        queue_bytes: bytes(peers.queue_limit),
+        frame: bytes(peers.frame_limit_bytes),
+        queue_bytes: bytes(peers.queue_limit_bytes),
         ping_interval: peers.ping_interval,
-        ping_limit: peers.ping_limit,
+        ping_limit: peers.ping_timeout,
         ..wire::Limits::default()
     }
 }
--- a/tests/fronts/limit.rs
+++ b/tests/fronts/limit.rs
@@ -127,7 +127,7 @@
 
 /// The limit on heads does not apply to bodies.
 async fn body_beyond_head_limit() {
-    let mut front = Front::start(|limits| limits.body_limit = 64 * 1024);
+    let mut front = Front::start(|limits| limits.body_limit_bytes = 64 * 1024);
     for _ in 0..3 {
         let body = format!("{SEARCH_BODY}{}", " ".repeat(60 * 1024));
         let sent = tokio::spawn(front.post("/v1/search", &body).send());
@@ -137,7 +137,7 @@
 }
 
 async fn slow_head() {
-    let mut front = Front::start(|limits| limits.header_read = SHORT_LIMIT);
+    let mut front = Front::start(|limits| limits.header_read_timeout = SHORT_LIMIT);
     let mut connection = Connection::open(front.address).await;
     let start = Instant::now();
     connection.send("POST /v1/search HTTP/1.1\r\nhost: v").await;
@@ -148,7 +148,7 @@
 }
 
 async fn dripping_head() {
-    let mut front = Front::start(|limits| limits.header_read = SHORT_LIMIT);
+    let mut front = Front::start(|limits| limits.header_read_timeout = SHORT_LIMIT);
     let mut connection = Connection::open(front.address).await;
     let start = Instant::now();
     let drip = async {
@@ -165,7 +165,7 @@
 }
 
 async fn slow_second_head() {
-    let mut front = Front::start(|limits| limits.header_read = SHORT_LIMIT);
+    let mut front = Front::start(|limits| limits.header_read_timeout = SHORT_LIMIT);
     let mut connection = Connection::open(front.address).await;
     connection.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
     assert!(connection.read_some().await.starts_with("HTTP/1.1 200"));
@@ -179,7 +179,7 @@
 }
 
 async fn slow_body(head: &str, pieces: &str) {
-    let mut front = Front::start(|limits| limits.body_read = SHORT_LIMIT);
+    let mut front = Front::start(|limits| limits.body_read_timeout = SHORT_LIMIT);
     let mut connection = Connection::open(front.address).await;
     let start = Instant::now();
     let drip = async {
@@ -202,9 +202,9 @@
 
 async fn slow_thread() {
     let mut front = Front::start(|limits| {
-        limits.header_read = SHORT_LIMIT;
-        limits.body_read = SHORT_LIMIT;
-        limits.idle = SHORT_LIMIT;
+        limits.header_read_timeout = SHORT_LIMIT;
+        limits.body_read_timeout = SHORT_LIMIT;
+        limits.idle_timeout = SHORT_LIMIT;
     });
     let sent = tokio::spawn(front.post("/v1/search", SEARCH_BODY).send());
     let ask = front.next_call().await;
@@ -214,7 +214,7 @@
 }
 
 async fn idle_connections() {
-    let front = Front::start(|limits| limits.idle = SHORT_LIMIT);
+    let front = Front::start(|limits| limits.idle_timeout = SHORT_LIMIT);
     let mut unused = Connection::open(front.address).await;
     let mut used = Connection::open(front.address).await;
     let start = Instant::now();
@@ -253,7 +253,7 @@
 }
 
 async fn unread_response() {
-    let mut front = Front::start(|limits| limits.idle = SHORT_LIMIT);
+    let mut front = Front::start(|limits| limits.idle_timeout = SHORT_LIMIT);
     let mut connection = Connection::open(front.address).await;
     connection
         .send(
@@ -293,7 +293,7 @@
 /// Sends a head with `expect: 100-continue` and, only if the front asks for the
 /// body, the body. Returns the final response.
 async fn post_with_expect_continue(length: usize) -> String {
-    let mut front = Front::start(|limits| limits.body_limit = 64 * 1024);
+    let mut front = Front::start(|limits| limits.body_limit_bytes = 64 * 1024);
     let mut connection = Connection::open(front.address).await;
     connection
         .send(&format!(
--- a/tests/process/part.rs
+++ b/tests/process/part.rs
@@ -3,7 +3,7 @@
 use std::{fs, net::SocketAddr, path::Path};
 
 use laburnum_core::name::Name;
-use laburnumworks::local::{INDEX, Place};
+use laburnumworks::local::{DEMO_INDEX, Endpoints};
 use serde_json::{Value, json};
 
 use super::{child::Child, port};
@@ -49,7 +49,7 @@
 
 /// A VM, whose process may not have been started.
 pub struct Vm {
-    pub place: Place,
+    pub place: Endpoints,
     /// The address on which each traffic thread listens for other VMs.
     traffic: Vec<SocketAddr>,
     /// `None` until the first start.
@@ -60,7 +60,7 @@
     /// Chooses the addresses of a VM without starting it.
     pub fn new(number: u32, threads: u32) -> Vm {
         let traffic: Vec<SocketAddr> = (0..threads).map(|_| port::unused_address()).collect();
-        let place = Place {
+        let place = Endpoints {
             name: Name::try_from(format!("vm-{number}")).unwrap(),
             domain: Name::try_from(format!("domain-{number}")).unwrap(),
             callers: port::unused_address(),
@@ -94,7 +94,7 @@
 
     /// The row of this VM in the platform's list, as TOML.
     fn row(&self) -> String {
-        let Place { name, domain, control, .. } = &self.place;
+        let Endpoints { name, domain, control, .. } = &self.place;
         format!(
             "[[vms]]\nname = \"{name}\"\ndomain = \"{domain}\"\nincarnation = 0\n\
              state = \"live\"\ncontrol = \"{control}\"\ntraffic = {}\n",
@@ -149,7 +149,7 @@
         let child = Child::start(folder, &name, &arguments);
         let listed = json!({
             "name": name,
-            "index": INDEX,
+            "index": DEMO_INDEX,
             "shard": format!("shard-{shard}"),
             "domain": format!("domain-{}", replica + 1),
             "address": address,
