--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -12,7 +12,7 @@
 
 /// A request of an operator with the place for its answer.
 #[derive(Debug)]
-pub struct Ask {
+pub struct Submission {
     /// The request.
     pub request: Request,
     /// Where the answer goes.
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug)]
 pub struct Handle {
     events: UnboundedSender<Event>,
-    asks: UnboundedSender<Ask>,
+    submissions: UnboundedSender<Submission>,
     replies: UnboundedSender<(CallId, Reply)>,
 }
 
@@ -31,24 +31,25 @@
 #[derive(Debug)]
 pub struct Inbox {
     pub(super) events: UnboundedReceiver<Event>,
-    pub(super) asks: UnboundedReceiver<Ask>,
+    pub(super) submissions: UnboundedReceiver<Submission>,
     pub(super) replies: UnboundedReceiver<(CallId, Reply)>,
 }
 
 /// Makes the channels of the control thread.
 pub fn channel() -> (Handle, Inbox) {
     let (events, event_receiver) = unbounded_channel();
-    let (asks, ask_receiver) = unbounded_channel();
+    let (submissions, submission_receiver) = unbounded_channel();
     let (replies, reply_receiver) = unbounded_channel();
-    let inbox = Inbox { events: event_receiver, asks: ask_receiver, replies: reply_receiver };
-    (Handle { events, asks, replies }, inbox)
+    let inbox =
+        Inbox { events: event_receiver, submissions: submission_receiver, replies: reply_receiver };
+    (Handle { events, submissions, replies }, inbox)
 }
 
 impl Inbox {
     /// Waits for the next request of an operator, for who answers in place of
     /// the control thread. It answers none when all handles are gone.
-    pub async fn ask(&mut self) -> Option<Ask> {
-        self.asks.recv().await
+    pub async fn next(&mut self) -> Option<Submission> {
+        self.submissions.recv().await
     }
 }
 
@@ -80,9 +81,9 @@
 
     /// Asks for something on behalf of an operator. It answers none when the
     /// control thread has ended.
-    pub async fn ask(&self, request: Request) -> Option<Answer> {
+    pub async fn request(&self, request: Request) -> Option<Answer> {
         let (answer, receiver) = oneshot::channel();
-        self.asks.send(Ask { request, answer }).ok()?;
+        self.submissions.send(Submission { request, answer }).ok()?;
         receiver.await.ok()
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,7 +18,7 @@
 
 pub use self::{
     codec::Json,
-    handle::{Ask, Handle, Inbox, channel},
+    handle::{Handle, Inbox, Submission, channel},
     thread::{Parts, spawn},
 };
 
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -13,7 +13,7 @@
     time::sleep,
 };
 
-use super::{Ask, Borders, Inbox};
+use super::{Borders, Inbox, Submission};
 
 /// The longest sleep when the engine has nothing to do.
 const IDLE: Duration = Duration::from_secs(1);
@@ -95,7 +95,7 @@
                 Some(event) => events.push(event),
                 None => return false,
             },
-            Some(ask) = inbox.asks.recv() => events.push(self.open(ask)),
+            Some(submission) = inbox.submissions.recv() => events.push(self.register(submission)),
             Some((call, reply)) = inbox.replies.recv() => {
                 events.push(Event::Reply { call, reply });
             }
@@ -111,19 +111,19 @@
                 events.push(Event::Reply { call, reply });
             } else if let Ok(event) = inbox.events.try_recv() {
                 events.push(event);
-            } else if let Ok(ask) = inbox.asks.try_recv() {
-                events.push(self.open(ask));
+            } else if let Ok(submission) = inbox.submissions.try_recv() {
+                events.push(self.register(submission));
             } else {
                 return;
             }
         }
     }
 
-    fn open(&mut self, ask: Ask) -> Event {
+    fn register(&mut self, submission: Submission) -> Event {
         self.last += 1;
         let id = RequestId(self.last);
-        self.pending.insert(id, ask.answer);
-        Event::Request { id, request: ask.request }
+        self.pending.insert(id, submission.answer);
+        Event::Request { id, request: submission.request }
     }
 
     fn step(&mut self, events: Vec<Event>) {
--- a/src/front/body.rs
+++ b/src/front/body.rs
@@ -23,13 +23,13 @@
     /// The largest body in bytes.
     pub size: usize,
     /// The time in which the body must arrive.
-    pub read: Duration,
+    pub read_timeout: Duration,
 }
 
 impl From<&Callers> for Limits {
     fn from(callers: &Callers) -> Limits {
         let size = usize::try_from(callers.body_limit).unwrap_or(usize::MAX);
-        Limits { size, read: callers.body_read }
+        Limits { size, read_timeout: callers.body_read }
     }
 }
 
@@ -52,7 +52,7 @@
 /// Reads a whole body. The limit on its size holds whether or not the request
 /// states a length.
 pub async fn read(body: Body, limits: Limits) -> Result<Vec<u8>, Refusal> {
-    let read = timeout(limits.read, body.into_bytes_limit(limits.size)).await;
+    let read = timeout(limits.read_timeout, body.into_bytes_limit(limits.size)).await;
     match read {
         Ok(Ok(bytes)) => Ok(bytes.into()),
         Ok(Err(ReadBodyError::PayloadTooLarge)) => Err(too_large("", limits)),
@@ -61,7 +61,7 @@
             Err(Fault::not_run(Kind::Malformed, detail).into())
         }
         Err(_) => {
-            let detail = format!("body: allowed are {} ms", limits.read.as_millis());
+            let detail = format!("body: allowed are {} ms", limits.read_timeout.as_millis());
             Err(Fault::not_run(Kind::SlowCaller, detail).into())
         }
     }
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -12,8 +12,8 @@
 
 use super::{
     body,
-    bound::Bound,
     connection::Connection,
+    limit::Provider,
     probe::Metrics,
     problem::{self, Refusal},
 };
@@ -25,9 +25,9 @@
 }
 
 /// A gate that everyone passes.
-pub struct Open;
+pub struct AllowAll;
 
-impl Gate for Open {
+impl Gate for AllowAll {
     fn check(&self, _: &str, _: &HeaderMap) -> Result<(), Refusal> {
         Ok(())
     }
@@ -38,7 +38,7 @@
 pub struct Intake {
     routes: BoxEndpoint<'static, Response>,
     gate: Box<dyn Gate>,
-    bound: Arc<dyn Bound>,
+    limits: Arc<dyn Provider>,
     metrics: Arc<dyn Metrics>,
     /// While the VM takes no requests, connections are closed after their
     /// response, so that callers turn to other VMs.
@@ -50,12 +50,12 @@
     pub fn new(
         routes: Route,
         gate: Box<dyn Gate>,
-        bound: Arc<dyn Bound>,
+        limits: Arc<dyn Provider>,
         metrics: Arc<dyn Metrics>,
         ready: watch::Receiver<bool>,
     ) -> Intake {
         let routes = routes.catch_all_error(problem::unrouted).boxed();
-        Intake { routes, gate, bound, metrics, ready }
+        Intake { routes, gate, limits, metrics, ready }
     }
 
     /// Answers a request of `connection` and counts a refusal that came from no
@@ -82,7 +82,7 @@
     /// Replaces the body of a request that is still arriving by a whole one.
     async fn fill(&self, request: &mut Request) -> Result<(), Refusal> {
         self.gate.check(request.uri().path(), request.headers())?;
-        let limits = self.bound.body();
+        let limits = self.limits.body();
         body::announced(request.headers(), limits)?;
         let bytes = body::read(request.take_body(), limits).await?;
         request.set_body(bytes);
--- a/src/front/bound.rs
+++ b/src/front/limit.rs
@@ -11,10 +11,10 @@
     /// The largest head of a request in bytes.
     pub header_size: usize,
     /// The time in which the head must arrive, from its first byte.
-    pub header_read: Duration,
+    pub header_timeout: Duration,
     /// The time after which a connection without a request is closed, and one
     /// whose caller does not take the response.
-    pub idle: Duration,
+    pub idle_timeout: Duration,
     /// The number of connections that are open at a time.
     pub connections: usize,
 }
@@ -22,21 +22,21 @@
 impl From<&Callers> for Limits {
     fn from(callers: &Callers) -> Limits {
         Limits {
-            header_size: size(callers.header_limit),
-            header_read: callers.header_read,
-            idle: callers.idle,
-            connections: size(callers.open_connections.into()),
+            header_size: to_usize(callers.header_limit),
+            header_timeout: callers.header_read,
+            idle_timeout: callers.idle,
+            connections: to_usize(callers.open_connections.into()),
         }
     }
 }
 
 /// A number of bytes or connections, which the memory of the VM bounds anyway.
-pub fn size(limit: u64) -> usize {
+pub fn to_usize(limit: u64) -> usize {
     usize::try_from(limit).unwrap_or(usize::MAX)
 }
 
 /// Tells the limits, which may change while the VM runs.
-pub trait Bound: Send + Sync {
+pub trait Provider: Send + Sync {
     /// The limits on a connection that opens now.
     fn connection(&self) -> Limits;
     /// The limits on a body that begins to arrive now.
@@ -52,7 +52,7 @@
     pub body: body::Limits,
 }
 
-impl Bound for Fixed {
+impl Provider for Fixed {
     fn connection(&self) -> Limits {
         self.connection
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -7,11 +7,11 @@
 //! ran.
 
 pub mod body;
-pub mod bound;
 pub mod connection;
 pub mod field;
 pub mod head;
 pub mod intake;
+pub mod limit;
 pub mod operation;
 pub mod port;
 pub mod probe;
@@ -25,7 +25,7 @@
 use tokio::sync::watch;
 
 use self::{
-    bound::Fixed,
+    limit::Fixed,
     port::Port,
     probe::{Metrics, Probe},
     problem::Refusal,
@@ -33,7 +33,7 @@
 use crate::{settings::traffic::Callers, traffic::Handle};
 
 /// What a front is made from.
-pub struct Seed {
+pub struct Parts {
     /// Where callers connect.
     pub listener: TcpListener,
     /// The limits on them.
@@ -50,16 +50,16 @@
 
 /// Serves callers until `shutdown` turns true and the open requests have
 /// finished.
-pub async fn serve(seed: Seed) -> io::Result<()> {
-    let Seed { listener, limits, handle, ready, metrics, shutdown } = seed;
+pub async fn serve(seed: Parts) -> io::Result<()> {
+    let Parts { listener, limits, handle, ready, metrics, shutdown } = seed;
     let probe = Probe { ready: ready.clone(), metrics: Arc::clone(&metrics) };
     let port = Port {
         listener,
-        bound: Arc::new(Fixed {
-            connection: bound::Limits::from(&limits),
+        limits: Arc::new(Fixed {
+            connection: limit::Limits::from(&limits),
             body: body::Limits::from(&limits),
         }),
-        gate: Box::new(intake::Open),
+        gate: Box::new(intake::AllowAll),
         metrics,
         ready,
         shutdown,
--- a/src/front/port.rs
+++ b/src/front/port.rs
@@ -30,9 +30,9 @@
 };
 
 use super::{
-    bound::Bound,
     connection::Connection,
     intake::{Gate, Intake},
+    limit::Provider,
     probe::Metrics,
     problem::Refusal,
     stream::{LINGER, Stream, WASTE},
@@ -50,7 +50,7 @@
     /// Where connections come in.
     pub listener: TcpListener,
     /// The limits on connections and bodies.
-    pub bound: Arc<dyn Bound>,
+    pub limits: Arc<dyn Provider>,
     /// Who may send a body at all.
     pub gate: Box<dyn Gate>,
     /// Counts the refusals of the port itself.
@@ -71,7 +71,7 @@
 struct Server {
     listener: tokio::net::TcpListener,
     local: SocketAddr,
-    bound: Arc<dyn Bound>,
+    limits: Arc<dyn Provider>,
     connections: usize,
     metrics: Arc<dyn Metrics>,
     intake: Arc<Intake>,
@@ -86,7 +86,7 @@
     /// finished.
     pub async fn serve(self, routes: Route) -> io::Result<()> {
         self.listener.set_nonblocking(true)?;
-        let connections = self.bound.connection().connections;
+        let connections = self.limits.connection().connections;
         let places = connections.min(Semaphore::MAX_PERMITS);
         let metrics = Arc::clone(&self.metrics);
         let server = Server {
@@ -96,11 +96,11 @@
             intake: Arc::new(Intake::new(
                 routes,
                 self.gate,
-                Arc::clone(&self.bound),
+                Arc::clone(&self.limits),
                 metrics,
                 self.ready,
             )),
-            bound: self.bound,
+            limits: self.limits,
             connections,
             shutdown: self.shutdown,
             places: Arc::new(Semaphore::new(places)),
@@ -145,7 +145,8 @@
         let _ = socket.set_nodelay(true);
         let connection = Arc::new(Connection::default());
         let metrics = Arc::clone(&self.metrics);
-        let stream = Stream::new(socket, self.bound.connection(), metrics, Arc::clone(&connection));
+        let stream =
+            Stream::new(socket, self.limits.connection(), metrics, Arc::clone(&connection));
         let peers =
             Peers { connection, intake: Arc::clone(&self.intake), local: self.local, address };
         self.tasks.spawn(serve(stream, peers, self.shutdown.clone(), permit));
--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -23,9 +23,9 @@
 };
 
 use super::{
-    bound::Limits,
     connection::{Connection, Phase, State},
     head::Head,
+    limit::Limits,
     probe::Metrics,
     problem::Refusal,
 };
@@ -130,11 +130,11 @@
         match state.phase {
             Phase::Request | Phase::Last => Poll::Pending,
             Phase::Waiting => {
-                ready!(self.reading.poll(cx, state, self.limits.idle));
+                ready!(self.reading.poll(cx, state, self.limits.idle_timeout));
                 Poll::Ready(Ok(()))
             }
             Phase::Head => {
-                let limit = self.limits.header_read;
+                let limit = self.limits.header_timeout;
                 ready!(self.reading.poll(cx, state, limit));
                 let detail = format!("headers: allowed are {} ms", limit.as_millis());
                 self.refuse(cx, Fault::not_run(Kind::SlowCaller, detail));
@@ -208,7 +208,7 @@
             return Poll::Ready(written);
         }
         let state = stream.connection.state();
-        ready!(stream.writing.poll(cx, state, stream.limits.idle));
+        ready!(stream.writing.poll(cx, state, stream.limits.idle_timeout));
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
--- a/src/inbox.rs
+++ b/src/inbox.rs
@@ -15,7 +15,7 @@
 
 /// A call with the place for its answer.
 #[derive(Debug)]
-pub struct Ask<C, E, A> {
+pub struct Submission<C, E, A> {
     /// What the call asks for.
     pub event: E,
     /// The call.
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub enum Input<C, E, A> {
     /// A call that waits for an answer.
-    Ask(Ask<C, E, A>),
+    Call(Submission<C, E, A>),
     /// A caller went away before its answer.
     Abandoned(C),
 }
@@ -57,11 +57,11 @@
 
     /// Asks for an answer. It is none when the thread has ended. Dropping the
     /// future tells the thread that the caller went away.
-    pub async fn ask(&self, event: impl FnOnce(C) -> E) -> Option<A> {
+    pub async fn request(&self, event: impl FnOnce(C) -> E) -> Option<A> {
         let call = (self.number)(self.last.fetch_add(1, Ordering::Relaxed));
         let (answer, receiver) = oneshot::channel();
         let guard = Guard { call, inputs: &self.inputs };
-        self.inputs.send(Input::Ask(Ask { call, event: event(call), answer })).ok()?;
+        self.inputs.send(Input::Call(Submission { call, event: event(call), answer })).ok()?;
         let answer = receiver.await.ok();
         std::mem::forget(guard);
         answer
@@ -70,22 +70,22 @@
 
 /// The calls of a thread that wait for their answers.
 #[derive(Debug)]
-pub struct Waiting<C, A>(BTreeMap<C, oneshot::Sender<A>>);
+pub struct Pending<C, A>(BTreeMap<C, oneshot::Sender<A>>);
 
-impl<C, A> Default for Waiting<C, A> {
+impl<C, A> Default for Pending<C, A> {
     fn default() -> Self {
-        Waiting(BTreeMap::new())
+        Pending(BTreeMap::new())
     }
 }
 
-impl<C: Copy + Ord, A> Waiting<C, A> {
+impl<C: Copy + Ord, A> Pending<C, A> {
     /// Takes an input and returns its event; `abandoned` makes the one of a
     /// caller that went away.
-    pub fn open<E>(&mut self, input: Input<C, E, A>, abandoned: impl FnOnce(C) -> E) -> E {
+    pub fn register<E>(&mut self, input: Input<C, E, A>, abandoned: impl FnOnce(C) -> E) -> E {
         match input {
-            Input::Ask(ask) => {
-                self.0.insert(ask.call, ask.answer);
-                ask.event
+            Input::Call(submission) => {
+                self.0.insert(submission.call, submission.answer);
+                submission.event
             }
             Input::Abandoned(call) => {
                 self.0.remove(&call);
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -18,7 +18,7 @@
     control::Handle,
     front::{
         body,
-        bound::{self, Fixed},
+        limit::{self, Fixed},
         port::Port,
         probe::{self, Metrics, Probe},
         problem::Refusal,
@@ -28,18 +28,19 @@
 
 /// Limits on the body of a request: a document of profiles in JSON takes more
 /// than its stored form.
-const BODIES: body::Limits = body::Limits { size: 2 * 1024 * 1024, read: Duration::from_secs(30) };
+const BODIES: body::Limits =
+    body::Limits { size: 2 * 1024 * 1024, read_timeout: Duration::from_secs(30) };
 
 /// Limits on connections.
-const CONNECTIONS: bound::Limits = bound::Limits {
+const CONNECTIONS: limit::Limits = limit::Limits {
     header_size: 16 * 1024,
-    header_read: Duration::from_secs(5),
-    idle: Duration::from_secs(60),
+    header_timeout: Duration::from_secs(5),
+    idle_timeout: Duration::from_secs(60),
     connections: 64,
 };
 
 /// What a front is made from.
-pub struct Seed {
+pub struct Parts {
     /// Where operators connect.
     pub listener: TcpListener,
     /// Who may administer.
@@ -64,13 +65,13 @@
 
 /// Serves operators until `shutdown` turns true and the open requests have
 /// finished.
-pub async fn serve(seed: Seed) -> io::Result<()> {
-    let Seed { listener, operators, handle, ready, metrics, shutdown } = seed;
+pub async fn serve(seed: Parts) -> io::Result<()> {
+    let Parts { listener, operators, handle, ready, metrics, shutdown } = seed;
     let probe = Probe { ready: ready.clone(), metrics: Arc::clone(&metrics) };
     let operators = Arc::new(operators);
     let port = Port {
         listener,
-        bound: Arc::new(Fixed { connection: CONNECTIONS, body: BODIES }),
+        limits: Arc::new(Fixed { connection: CONNECTIONS, body: BODIES }),
         gate: Box::new(access::Holders(Arc::clone(&operators))),
         metrics,
         ready,
@@ -101,7 +102,7 @@
     }
 
     async fn ask(&self, ask: Ask) -> Result<Response, Refusal> {
-        let answer: Option<Answer> = self.handle.ask(ask).await;
+        let answer: Option<Answer> = self.handle.request(ask).await;
         answer::respond(answer)
     }
 }
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -18,8 +18,8 @@
 use crate::{
     front::{
         body,
-        bound::{Bound, Limits, size},
-        intake::Open,
+        intake::AllowAll,
+        limit::{Limits, Provider, to_usize},
         port::Port,
     },
     settings::relay::Settings,
@@ -38,8 +38,8 @@
         let settings = self.settings.borrow().callers;
         view.config.as_ref().map_or_else(
             || Bounds {
-                head: size(settings.head),
-                body: size(settings.body),
+                head: to_usize(settings.head),
+                body: to_usize(settings.body),
                 head_time: settings.head_time,
                 idle: settings.idle,
             },
@@ -48,19 +48,22 @@
     }
 }
 
-impl Bound for Configured {
+impl Provider for Configured {
     fn connection(&self) -> Limits {
         let bounds = self.bounds();
         Limits {
             header_size: bounds.head,
-            header_read: bounds.head_time,
-            idle: bounds.idle,
-            connections: size(self.settings.borrow().callers.connections.into()),
+            header_timeout: bounds.head_time,
+            idle_timeout: bounds.idle,
+            connections: to_usize(self.settings.borrow().callers.connections.into()),
         }
     }
 
     fn body(&self) -> body::Limits {
-        body::Limits { size: self.bounds().body, read: self.settings.borrow().callers.body_time }
+        body::Limits {
+            size: self.bounds().body,
+            read_timeout: self.settings.borrow().callers.body_time,
+        }
     }
 }
 
@@ -69,8 +72,8 @@
     let bound = Configured { settings: shared.latest.clone(), view: shared.view.clone() };
     let port = Port {
         listener,
-        bound: Arc::new(bound),
-        gate: Box::new(Open),
+        limits: Arc::new(bound),
+        gate: Box::new(AllowAll),
         metrics: Arc::new(shared.text()),
         ready: shared.ready.clone(),
         shutdown: shared.shutdown.clone(),
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -18,8 +18,8 @@
         Handle(inbox::Handle::new(inputs, Call))
     }
 
-    /// Asks for an answer; see [`inbox::Handle::ask`].
+    /// Asks for an answer; see [`inbox::Handle::request`].
     pub async fn ask(&self, caller_request: CallerRequest) -> Option<Answer> {
-        self.0.ask(|call| Event::Arrived { call, caller_request }).await
+        self.0.request(|call| Event::Arrived { call, caller_request }).await
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -67,8 +67,8 @@
 
 impl Shared {
     /// The metrics as text.
-    pub fn text(&self) -> meter::Text {
-        meter::Text { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
+    pub fn text(&self) -> meter::Exporter {
+        meter::Exporter { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
     }
 
     /// Writes a line of the log.
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver, channel, unbounded_channel};
 
 use super::{Listeners, Shared};
-use crate::wire::{self, Body, Dialer, Guard, Key};
+use crate::wire::{self, Admission, Body, Dialer, Key};
 
 /// The frames that wait for the thread; more hold back their senders.
 const MAX_FRAMES: usize = 1024;
@@ -15,12 +15,12 @@
 /// out within a second and a half.
 fn limits() -> wire::Limits {
     wire::Limits {
-        queue: 256,
+        queue_frames: 256,
         queue_bytes: 4 << 20,
-        window: 256 << 10,
-        connect: Duration::from_millis(400),
+        window_bytes: 256 << 10,
+        connect_timeout: Duration::from_millis(400),
         ping_interval: Duration::from_secs(1),
-        ping_limit: Duration::from_millis(500),
+        ping_timeout: Duration::from_millis(500),
         ..wire::Limits::default()
     }
 }
@@ -56,7 +56,7 @@
 pub fn start(shared: &Shared, listeners: &Listeners) -> io::Result<(Peers, Inbox)> {
     let key = key().map_err(|error| io::Error::other(error.to_string()))?;
     let own = lane(&shared.settings.vm.name);
-    let guard = Guard { own: own.clone(), keys: vec![key.digest()], limits: limits() };
+    let guard = Admission { own: own.clone(), keys: vec![key.digest()], limits: limits() };
     let listener = listeners.peers.try_clone()?;
     let (frames, frame_receiver) = channel(MAX_FRAMES);
     let (losses, loss_receiver) = unbounded_channel();
--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -9,8 +9,8 @@
 use super::Shared;
 use crate::front::{
     body,
-    bound::{Fixed, Limits},
-    intake::Open,
+    intake::AllowAll,
+    limit::{Fixed, Limits},
     port::Port,
     probe::{self, Probe},
 };
@@ -18,8 +18,8 @@
 /// The limits on those who probe: few connections with small requests.
 const LIMITS: Limits = Limits {
     header_size: 8 << 10,
-    header_read: Duration::from_secs(2),
-    idle: Duration::from_secs(30),
+    header_timeout: Duration::from_secs(2),
+    idle_timeout: Duration::from_secs(30),
     connections: 16,
 };
 
@@ -39,11 +39,11 @@
 fn port(listener: TcpListener, shared: &Shared) -> Port {
     Port {
         listener,
-        bound: Arc::new(Fixed {
+        limits: Arc::new(Fixed {
             connection: LIMITS,
-            body: body::Limits { size: 1024, read: LIMITS.header_read },
+            body: body::Limits { size: 1024, read_timeout: LIMITS.header_timeout },
         }),
-        gate: Box::new(Open),
+        gate: Box::new(AllowAll),
         metrics: Arc::new(shared.text()),
         ready: shared.ready.clone(),
         shutdown: shared.stop.clone(),
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -23,7 +23,7 @@
     target::Client,
 };
 use crate::{
-    inbox::{Waiting, take_ready},
+    inbox::{Pending, take_ready},
     settings::relay::Settings,
     wire::{self, Body},
 };
@@ -58,7 +58,7 @@
     serve(&shared, seed, Handle::new(inputs));
     let engine = Engine::new(limits(&shared.settings), Policies::default(), rand::random());
     let targets = Client::new(events);
-    let waiting = Waiting::default();
+    let waiting = Pending::default();
     let thread = Thread { engine, targets, peers, alone, held, waiting, shared };
     let inbox = Inbox {
         inputs: input_receiver,
@@ -130,7 +130,7 @@
     peers: Peers,
     alone: watch::Sender<bool>,
     held: mpsc::UnboundedSender<Fingerprint>,
-    waiting: Waiting<Call, Answer>,
+    waiting: Pending<Call, Answer>,
     shared: Shared,
 }
 
@@ -158,7 +158,7 @@
                 }
                 Some(frame) = inbox.peers.frames.recv() => events.extend(said(frame)),
                 Some(lost) = inbox.peers.losses.recv() => {
-                    events.push(Event::HopLost { to: lost.to.vm, detail: lost.detail, maybe_received: lost.taken });
+                    events.push(Event::HopLost { to: lost.to.vm, detail: lost.detail, maybe_received: lost.maybe_received });
                 }
                 _ = inbox.events.recv_many(&mut events, MAX_BATCH) => {}
                 _ = inbox.inputs.recv_many(&mut inputs, MAX_BATCH) => {}
@@ -178,7 +178,7 @@
         }
         let mut batch = std::mem::take(events);
         let abandoned = |call| Event::Abandoned { call };
-        batch.extend(inputs.drain(..).map(|input| self.waiting.open(input, abandoned)));
+        batch.extend(inputs.drain(..).map(|input| self.waiting.register(input, abandoned)));
         let mut out = Outbox::default();
         self.engine.step(self.shared.clock.now(), batch, &mut out);
         self.flush(out);
--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -109,11 +109,11 @@
 impl Peers {
     pub(super) fn read(document: &mut Document<'_>) -> Peers {
         let limits = wire::Limits::default();
-        let (frame, queue) = (limits.frame as u64, limits.queue_bytes as u64);
+        let (frame, queue) = (limits.frame_bytes as u64, limits.queue_bytes as u64);
         let mut section = document.section("peers");
         let peers = Peers {
             ping_interval: section.millis("ping_interval_ms", limits.ping_interval, up_to(60)),
-            ping_limit: section.millis("ping_limit_ms", limits.ping_limit, up_to(60)),
+            ping_limit: section.millis("ping_limit_ms", limits.ping_timeout, up_to(60)),
             frame_limit: section.size("frame_limit_bytes", frame, 64 * KIB..=64 * MIB),
             queue_limit: section.size("queue_limit_bytes", queue, 64 * KIB..=256 * MIB),
         };
--- a/src/slope/wire.rs
+++ b/src/slope/wire.rs
@@ -15,7 +15,7 @@
     Part, Slope, bed,
     meter::{self, Sample},
 };
-use crate::wire::{self, Body, Dialer, Guard, Key, Limits, codec, listen};
+use crate::wire::{self, Admission, Body, Dialer, Key, Limits, codec, listen};
 
 /// The legs of one frame.
 const LEGS: [usize; 3] = [1, 8, 64];
@@ -63,7 +63,7 @@
 /// Measures frames of `legs` legs that come in bursts, and one at a time.
 async fn frames(legs: usize) -> Vec<Slope> {
     let message = message(legs);
-    let limit = Limits::default().frame;
+    let limit = Limits::default().frame_bytes;
     let bytes = codec::encode(&Body::Traffic(message.clone()), limit).map_or(0, |b| b.len());
     let mut link = Link::open();
     let burst = link.measure(&message, BURST).await;
@@ -96,7 +96,7 @@
         let address = listener.local_addr().expect("the listener is bound");
         let key = Key::try_from("the-key-of-a-measurement").expect("the text is a key");
         let limits = Limits::default();
-        let guard = Guard { own: bed::lane(1), keys: vec![key.digest()], limits };
+        let guard = Admission { own: bed::lane(1), keys: vec![key.digest()], limits };
         let (sink, frames) = mpsc::channel(FRAMES);
         tokio::spawn(listen(listener, guard, sink));
         let (losses, lost) = mpsc::unbounded_channel();
--- a/src/traffic/handle.rs
+++ b/src/traffic/handle.rs
@@ -6,7 +6,7 @@
 use crate::inbox;
 
 /// A call with the place for its answer.
-pub type Ask = inbox::Ask<Call, Event, Answer>;
+pub type Submission = inbox::Submission<Call, Event, Answer>;
 
 /// What a front end hands to the thread.
 pub type Input = inbox::Input<Call, Event, Answer>;
@@ -21,13 +21,13 @@
         Handle(inbox::Handle::new(inputs, Call))
     }
 
-    /// Asks for rows; see [`inbox::Handle::ask`].
+    /// Asks for rows; see [`inbox::Handle::request`].
     pub async fn search(&self, search: Search) -> Option<Answer> {
-        self.0.ask(|call| Event::Search { call, search }).await
+        self.0.request(|call| Event::Search { call, search }).await
     }
 
-    /// Asks for an operation; see [`inbox::Handle::ask`].
+    /// Asks for an operation; see [`inbox::Handle::request`].
     pub async fn operate(&self, operate: Operate) -> Option<Answer> {
-        self.0.ask(|call| Event::Operate { call, operate }).await
+        self.0.request(|call| Event::Operate { call, operate }).await
     }
 }
--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -19,7 +19,7 @@
 
 use super::{Borders, Ready, handle::Input};
 use crate::{
-    inbox::{Waiting, take_ready},
+    inbox::{Pending, take_ready},
     wire::{self, Body},
 };
 
@@ -74,7 +74,7 @@
         number: parts.number,
         ready: parts.ready,
         is_ready: false,
-        waiting: Waiting::default(),
+        pending: Pending::default(),
     };
     let mut inbox = parts.inbox;
     let mut batch = Batch::default();
@@ -138,7 +138,7 @@
     number: u16,
     ready: Ready,
     is_ready: bool,
-    waiting: Waiting<Call, Answer>,
+    pending: Pending<Call, Answer>,
 }
 
 impl Thread {
@@ -154,7 +154,7 @@
         events.extend(batch.frames.drain(..).filter_map(message));
         events.extend(batch.losses.drain(..).map(|lost| Event::Lost { lane: lost.to }));
         for input in batch.inputs.drain(..) {
-            events.push(self.waiting.open(input, |call| Event::Abandoned { call }));
+            events.push(self.pending.register(input, |call| Event::Abandoned { call }));
         }
         let mut out = Outbox::default();
         self.engine.step(self.clock.now(), events, &mut out);
@@ -179,7 +179,7 @@
         }
         for (call, answer) in out.answers {
             self.borders.meter.answered(&answer);
-            self.waiting.answer(call, answer);
+            self.pending.answer(call, answer);
         }
         for line in &out.lines {
             self.borders.journal.write(line);
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -19,7 +19,7 @@
 const MAX_FRAMES: usize = 1024;
 
 /// What the control thread has for itself.
-pub struct Seed {
+pub struct Resources {
     /// The receiving ends of its channels.
     pub inbox: Inbox,
     /// The ways to the traffic threads.
@@ -40,7 +40,7 @@
 }
 
 /// Starts the thread.
-pub fn spawn(shared: Shared, seed: Seed) -> io::Result<thread::JoinHandle<()>> {
+pub fn spawn(shared: Shared, seed: Resources) -> io::Result<thread::JoinHandle<()>> {
     let setup = Setup {
         vm: shared.row.clone(),
         seeds: limits::seeds(&shared.settings),
@@ -50,17 +50,17 @@
         codec: Box::new(Json),
     };
     let clock = Box::new(shared.clock);
-    let Seed { inbox, notices, idle, peers, operators, serving } = seed;
+    let Resources { inbox, notices, idle, peers, operators, serving } = seed;
     let stop = shared.stop.clone();
     let borders = Box::new(move || {
-        tokio::spawn(serve(operator_seed(&shared, operators), serving));
+        tokio::spawn(serve(operator_parts(&shared, operators), serving));
         borders(&shared, peers)
     });
     control::spawn(Parts { setup, inbox, threads: notices, clock, borders, idle, stop })
 }
 
-fn operator_seed(shared: &Shared, listener: net::TcpListener) -> operator::Seed {
-    operator::Seed {
+fn operator_parts(shared: &Shared, listener: net::TcpListener) -> operator::Parts {
+    operator::Parts {
         listener,
         operators: shared.settings.operators.clone(),
         handle: shared.control.clone(),
@@ -70,7 +70,7 @@
     }
 }
 
-async fn serve(front: operator::Seed, serving: mpsc::Sender<()>) -> io::Result<()> {
+async fn serve(front: operator::Parts, serving: mpsc::Sender<()>) -> io::Result<()> {
     let ended = operator::serve(front).await;
     drop(serving);
     ended
@@ -81,7 +81,7 @@
     let key = key(&shared.settings);
     let wire_limits = limits::wire(&shared.settings);
     let (frames, receiver) = mpsc::channel(MAX_FRAMES);
-    let guard = wire::Guard { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
+    let guard = wire::Admission { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
     tokio::spawn(wire::listen(peers, guard, frames));
     tokio::spawn(forward(receiver, shared.control.clone()));
     // Probes find out what a lost connection would tell.
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -84,10 +84,10 @@
 pub fn wire(settings: &Settings) -> wire::Limits {
     let peers = &settings.peers;
     wire::Limits {
-        frame: bytes(peers.frame_limit),
+        frame_bytes: bytes(peers.frame_limit),
         queue_bytes: bytes(peers.queue_limit),
         ping_interval: peers.ping_interval,
-        ping_limit: peers.ping_limit,
+        ping_timeout: peers.ping_limit,
         ..wire::Limits::default()
     }
 }
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -172,14 +172,14 @@
 }
 
 /// Shows the metrics to the fronts.
-pub struct Text {
+pub struct Exporter {
     /// The metrics of the VM.
     pub metrics: Arc<Metrics>,
     /// The writer of the log, which counts the lines that it lost.
     pub writer: Writer,
 }
 
-impl front::probe::Metrics for Text {
+impl front::probe::Metrics for Exporter {
     fn encode(&self) -> String {
         let lost = i64::try_from(self.writer.lost()).unwrap_or(i64::MAX);
         self.metrics.set(Gauge::LogLost, Part::Log, lost);
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -74,8 +74,8 @@
 
 impl Shared {
     /// The metrics as the fronts show them.
-    fn text(&self) -> meter::Text {
-        meter::Text { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
+    fn text(&self) -> meter::Exporter {
+        meter::Exporter { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
     }
 
     fn log(&self, event: Event, fields: Vec<(&'static str, String)>) {
@@ -128,7 +128,7 @@
     let (mut threads, notices) = start_traffic(&shared, listeners.traffic, &common)?;
     drop(common);
     let (idle_sender, idle) = watch::channel(false);
-    let seed = control::Seed {
+    let seed = control::Resources {
         inbox,
         notices,
         idle: idle_sender,
@@ -162,7 +162,7 @@
     let mut notices = Vec::new();
     for (index, pair) in sockets.into_iter().enumerate() {
         let (sender, receiver) = mpsc::unbounded_channel();
-        let seed = traffic::Seed {
+        let seed = traffic::Resources {
             number: number(index),
             callers: pair.callers,
             peers: pair.peers,
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -25,7 +25,7 @@
 const MAX_FRAMES: usize = 4096;
 
 /// What a traffic thread has for itself.
-pub struct Seed {
+pub struct Resources {
     /// Its number.
     pub number: u16,
     /// Its socket for callers.
@@ -43,13 +43,13 @@
 }
 
 /// Starts the thread. It ends when the VM stops.
-pub fn spawn(shared: Shared, seed: Seed) -> io::Result<thread::JoinHandle<()>> {
+pub fn spawn(shared: Shared, seed: Resources) -> io::Result<thread::JoinHandle<()>> {
     let runtime = runtime()?;
     let name = format!("traffic-{}", seed.number);
     thread::Builder::new().name(name).spawn(move || runtime.block_on(run(shared, seed)))
 }
 
-async fn run(shared: Shared, seed: Seed) {
+async fn run(shared: Shared, seed: Resources) {
     let own = Lane { vm: shared.row.name.clone(), thread: seed.number };
     let (inputs, input_receiver) = mpsc::unbounded_channel();
     let (losses, loss_receiver) = mpsc::unbounded_channel();
@@ -57,9 +57,9 @@
     let (events, event_receiver) = mpsc::unbounded_channel();
     let wire_limits = limits::wire(&shared.settings);
     let key = super::control::key(&shared.settings);
-    let guard = wire::Guard { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
+    let guard = wire::Admission { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
     let listener = tokio::spawn(wire::listen(seed.peers, guard, frames));
-    let front = front::Seed {
+    let front = front::Parts {
         listener: seed.callers,
         limits: limits::callers(&shared.settings),
         handle: Handle::new(inputs),
@@ -103,7 +103,7 @@
     }
 }
 
-async fn serve(front: front::Seed, serving: mpsc::Sender<()>) -> io::Result<()> {
+async fn serve(front: front::Parts, serving: mpsc::Sender<()>) -> io::Result<()> {
     let ended = front::serve(front).await;
     drop(serving);
     ended
--- a/src/wire/backoff.rs
+++ b/src/wire/backoff.rs
@@ -17,8 +17,8 @@
     /// Notes that a connection was lost at a time. One that the peer had
     /// accepted starts the pause over.
     pub fn lose(&mut self, at: Instant, accepted: bool, limits: &Limits) {
-        let longer = if accepted { limits.backoff } else { self.pause * 2 };
-        self.pause = longer.clamp(limits.backoff, limits.backoff_highest);
+        let longer = if accepted { limits.backoff_min } else { self.pause * 2 };
+        self.pause = longer.clamp(limits.backoff_min, limits.backoff_max);
         self.until = Some(at + self.pause);
     }
 
--- a/src/wire/dialer.rs
+++ b/src/wire/dialer.rs
@@ -77,10 +77,12 @@
 
     /// Sends a body to a lane, without a promise that it arrives.
     pub fn send_body(&mut self, to: &Lane, body: &Body) {
-        let sent = match codec::encode(body, self.limits.frame) {
+        let sent = match codec::encode(body, self.limits.frame_bytes) {
             Ok(frame) => self.enqueue(to, frame),
             // What was sent before it may be on its way.
-            Err(error) => Err(Lost { to: to.clone(), detail: error.to_string(), taken: true }),
+            Err(error) => {
+                Err(Lost { to: to.clone(), detail: error.to_string(), maybe_received: true })
+            }
         };
         if let Err(lost) = sent {
             // The receiver is gone only when the thread is ending.
@@ -95,7 +97,7 @@
     }
 
     fn enqueue(&mut self, to: &Lane, frame: Bytes) -> Result<(), Lost> {
-        let unsent = |detail| Lost { to: to.clone(), detail, taken: false };
+        let unsent = |detail| Lost { to: to.clone(), detail, maybe_received: false };
         self.forget_lost(to).map_err(unsent)?;
         let most = self.limits.queue_bytes;
         let link = match self.peers.get(to) {
@@ -109,7 +111,7 @@
         }
         self.condemn(to);
         let detail = "the queue of the peer is full".to_owned();
-        Err(Lost { to: to.clone(), detail, taken: true })
+        Err(Lost { to: to.clone(), detail, maybe_received: true })
     }
 
     /// Takes note of a connection whose task has ended.
@@ -144,7 +146,7 @@
         let (from, incarnation) = (self.own.clone(), self.incarnation);
         let request = hello::request(&Hello { from, incarnation, to: to.clone() }, &self.key)
             .ok_or("the head of the stream cannot be made")?;
-        let (frames, queue) = mpsc::channel(self.limits.queue);
+        let (frames, queue) = mpsc::channel(self.limits.queue_frames);
         let shared = Arc::new(Shared::default());
         let outbound = Outbound {
             address: peer.address,
@@ -152,7 +154,7 @@
             limits: self.limits,
             shared: Arc::clone(&shared),
         };
-        let lost = Lost { to: to.clone(), detail: String::new(), taken: true };
+        let lost = Lost { to: to.clone(), detail: String::new(), maybe_received: true };
         let run = outbound::run(outbound, queue, lost, self.losses.clone());
         let task = self.tasks.spawn(run);
         Ok(peer.link.insert(Link { frames, shared, task }))
--- a/src/wire/inbound.rs
+++ b/src/wire/inbound.rs
@@ -33,7 +33,7 @@
 
 /// Which streams a listener takes.
 #[derive(Clone, Debug)]
-pub struct Guard {
+pub struct Admission {
     /// The lane that listens.
     pub own: Lane,
     /// The digests of the keys that are accepted: one, or two while the key is
@@ -48,7 +48,7 @@
 /// A full `sink` holds back the senders, whose queues are bounded.
 pub async fn listen(
     listener: net::TcpListener,
-    guard: Guard,
+    guard: Admission,
     sink: Sender<Frame>,
 ) -> io::Result<()> {
     listener.set_nonblocking(true)?;
@@ -69,11 +69,11 @@
     }
 }
 
-async fn serve(tcp: TcpStream, guard: Arc<Guard>, sink: Sender<Frame>) {
+async fn serve(tcp: TcpStream, guard: Arc<Admission>, sink: Sender<Frame>) {
     // Without it the sender is slower but not wrong.
     let _ = tcp.set_nodelay(true);
     let handshake = handshake(tcp, &guard.limits);
-    let Ok(Ok(mut connection)) = timeout(guard.limits.connect, handshake).await else {
+    let Ok(Ok(mut connection)) = timeout(guard.limits.connect_timeout, handshake).await else {
         return;
     };
     let silent = ping::watch(connection.ping_pong(), guard.limits);
@@ -100,8 +100,8 @@
     h2::server::Builder::new()
         .max_concurrent_streams(1)
         .max_header_list_size(MAX_HEAD)
-        .initial_window_size(limits.window)
-        .initial_connection_window_size(limits.window)
+        .initial_window_size(limits.window_bytes)
+        .initial_connection_window_size(limits.window_bytes)
         .data_frame_budget(limits.queue_bytes)
         .handshake(tcp)
         .await
@@ -111,7 +111,7 @@
 async fn take(
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
-    guard: Arc<Guard>,
+    guard: Arc<Admission>,
     sink: Sender<Frame>,
 ) {
     let (head, body) = request.into_parts();
@@ -122,14 +122,14 @@
     let Ok(mut answer) = respond.send_response(Response::new(()), false) else {
         return;
     };
-    match receive(body, hello, guard.limits.frame, sink).await {
+    match receive(body, hello, guard.limits.frame_bytes, sink).await {
         // The end of the answer tells the sender that all was taken.
         Ok(()) => drop(answer.send_data(Bytes::new(), true)),
         Err(reason) => answer.send_reset(reason),
     }
 }
 
-fn check(headers: &HeaderMap, guard: &Guard) -> Result<Hello, StatusCode> {
+fn check(headers: &HeaderMap, guard: &Admission) -> Result<Hello, StatusCode> {
     let shown = hello::shown_key(headers).unwrap_or_default();
     // Every key is compared, so that the time does not tell which one matched.
     let matching = guard.keys.iter().filter(|key| key.matches(shown)).count();
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -23,7 +23,7 @@
 mod ping;
 
 pub use dialer::Dialer;
-pub use inbound::{Guard, listen};
+pub use inbound::{Admission, listen};
 pub use key::{Digest, Key};
 
 /// What a frame carries.
@@ -58,52 +58,52 @@
     pub detail: String,
     /// Whether the peer may have taken any of them. It took none if it could not
     /// be reached or refused the stream.
-    pub taken: bool,
+    pub maybe_received: bool,
 }
 
 /// Bounds of the connections between VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// The longest frame, in bytes.
-    pub frame: usize,
+    pub frame_bytes: usize,
     /// The frames that wait for one peer.
-    pub queue: usize,
+    pub queue_frames: usize,
     /// The bytes that wait for one peer, and on the receiving side the memory
     /// that small DATA frames may take beside their content.
     pub queue_bytes: usize,
     /// The bytes that a receiver takes before it has handed them on.
-    pub window: u32,
+    pub window_bytes: u32,
     /// The inbound connections of one listener.
     pub connections: usize,
     /// The time for a connection to be opened.
-    pub connect: Duration,
+    pub connect_timeout: Duration,
     /// The time in which a peer must take some bytes while any wait.
-    pub write: Duration,
+    pub write_timeout: Duration,
     /// The time between pings.
     pub ping_interval: Duration,
     /// The time in which a ping must be answered.
-    pub ping_limit: Duration,
+    pub ping_timeout: Duration,
     /// The pause before the first dial after a loss; it doubles with each dial
     /// that fails.
-    pub backoff: Duration,
+    pub backoff_min: Duration,
     /// The longest pause before a dial.
-    pub backoff_highest: Duration,
+    pub backoff_max: Duration,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
-            frame: 4 * 1024 * 1024,
-            queue: 4096,
+            frame_bytes: 4 * 1024 * 1024,
+            queue_frames: 4096,
             queue_bytes: 16 * 1024 * 1024,
-            window: 1024 * 1024,
+            window_bytes: 1024 * 1024,
             connections: 4096,
-            connect: Duration::from_secs(1),
-            write: Duration::from_secs(1),
+            connect_timeout: Duration::from_secs(1),
+            write_timeout: Duration::from_secs(1),
             ping_interval: Duration::from_secs(2),
-            ping_limit: Duration::from_secs(1),
-            backoff: Duration::from_millis(50),
-            backoff_highest: Duration::from_secs(2),
+            ping_timeout: Duration::from_secs(1),
+            backoff_min: Duration::from_millis(50),
+            backoff_max: Duration::from_secs(2),
         }
     }
 }
--- a/src/wire/outbound.rs
+++ b/src/wire/outbound.rs
@@ -61,12 +61,12 @@
     losses: UnboundedSender<Lost>,
 ) {
     let shared = Arc::clone(&outbound.shared);
-    if let Err(Loss { detail, taken }) = outbound.send_all(&mut frames).await {
+    if let Err(Loss { detail, maybe_received }) = outbound.send_all(&mut frames).await {
         // It is set once, here.
         let _ = shared.lost.set(Instant::now());
         frames.close();
         // The receiver is gone only when the thread is ending.
-        let _ = losses.send(Lost { detail, taken, ..lost });
+        let _ = losses.send(Lost { detail, maybe_received, ..lost });
     }
 }
 
@@ -75,12 +75,12 @@
 struct Loss {
     detail: String,
     /// Whether the peer may have taken a frame.
-    taken: bool,
+    maybe_received: bool,
 }
 
 impl Loss {
     fn new(detail: &str) -> Loss {
-        Loss { detail: detail.to_owned(), taken: true }
+        Loss { detail: detail.to_owned(), maybe_received: true }
     }
 }
 
@@ -101,20 +101,20 @@
 
 impl Outbound {
     async fn send_all(self, frames: &mut Receiver<Bytes>) -> Result<(), Loss> {
-        let opened = timeout(self.limits.connect, connect(self.address))
+        let opened = timeout(self.limits.connect_timeout, connect(self.address))
             .await
             .unwrap_or_else(|_| Err(Loss::new("the peer took no connection in time")));
         let (client, mut connection, socket) =
-            opened.map_err(|loss| Loss { taken: false, ..loss })?;
+            opened.map_err(|loss| Loss { maybe_received: false, ..loss })?;
         let silent = ping::watch(connection.ping_pong(), self.limits);
         let limits = self.limits;
         tokio::select! {
             result = &mut connection => return Err(ended(result)),
-            detail = silent => return Err(Loss { detail, taken: true }),
+            detail = silent => return Err(Loss { detail, maybe_received: true }),
             result = self.stream(client, frames) => result?,
         }
         // The stream is done, so that the connection says GOAWAY and ends.
-        timeout(limits.write, finish(connection, socket))
+        timeout(limits.write_timeout, finish(connection, socket))
             .await
             .map_err(|_| Loss::new("the peer did not close in time"))?
     }
@@ -138,7 +138,7 @@
             }
             result = pump(&mut stream, frames, &self.shared, &self.limits) => result?,
         }
-        timeout(self.limits.write, verdict)
+        timeout(self.limits.write_timeout, verdict)
             .await
             .map_err(|_| Loss::new("the peer did not confirm the end of the stream"))?
     }
@@ -172,7 +172,7 @@
     let response = response.await?;
     if response.status() != StatusCode::OK {
         let detail = format!("the peer refused the stream with {}", response.status());
-        return Err(Loss { detail, taken: false });
+        return Err(Loss { detail, maybe_received: false });
     }
     shared.accepted.store(true, Ordering::Relaxed);
     let mut body = response.into_body();
@@ -224,7 +224,7 @@
 ) -> Result<(), Loss> {
     while !batch.is_empty() {
         stream.reserve_capacity(batch.len());
-        let room = timeout(limits.write, room(stream))
+        let room = timeout(limits.write_timeout, room(stream))
             .await
             .map_err(|_| Loss::new("the peer takes no bytes"))??;
         let piece = batch.split_to(room.min(batch.len()));
--- a/src/wire/ping.rs
+++ b/src/wire/ping.rs
@@ -13,11 +13,11 @@
     let mut ticks = interval(limits.ping_interval);
     loop {
         ticks.tick().await;
-        match timeout(limits.ping_limit, pings.ping(Ping::opaque())).await {
+        match timeout(limits.ping_timeout, pings.ping(Ping::opaque())).await {
             Ok(Ok(_)) => {}
             Ok(Err(error)) => return error.to_string(),
             Err(_) => {
-                let limit = limits.ping_limit.as_millis();
+                let limit = limits.ping_timeout.as_millis();
                 return format!("the peer left a ping unanswered for {limit} ms");
             }
         }
--- a/tests/edge/wire.rs
+++ b/tests/edge/wire.rs
@@ -13,7 +13,7 @@
     name::Name,
     view::Lane,
 };
-use laburnumworks::wire::{Body, Dialer, Frame, Guard, Key, Limits, Lost, listen};
+use laburnumworks::wire::{Admission, Body, Dialer, Frame, Key, Limits, Lost, listen};
 use tokio::{
     io::{AsyncWriteExt, copy_bidirectional},
     net::{TcpListener, TcpStream},
@@ -50,15 +50,15 @@
 
 fn limits() -> Limits {
     Limits {
-        frame: 1024 * 1024,
-        queue: 10_000,
+        frame_bytes: 1024 * 1024,
+        queue_frames: 10_000,
         queue_bytes: 1024 * 1024,
-        window: 64 * 1024,
-        write: Duration::from_millis(500),
+        window_bytes: 64 * 1024,
+        write_timeout: Duration::from_millis(500),
         ping_interval: Duration::from_millis(50),
-        ping_limit: Duration::from_millis(200),
-        backoff: Duration::from_millis(100),
-        backoff_highest: Duration::from_millis(400),
+        ping_timeout: Duration::from_millis(200),
+        backoff_min: Duration::from_millis(100),
+        backoff_max: Duration::from_millis(400),
         ..Limits::default()
     }
 }
@@ -77,7 +77,7 @@
 
     fn start_on(listener: std::net::TcpListener, limits: Limits, room: usize) -> Receiving {
         let address = listener.local_addr().expect("it is bound");
-        let guard = Guard { own: lane("b"), keys: vec![key().digest()], limits };
+        let guard = Admission { own: lane("b"), keys: vec![key().digest()], limits };
         let (sink, frames) = mpsc::channel(room);
         Receiving { address, frames, task: tokio::spawn(listen(listener, guard, sink)) }
     }
@@ -162,14 +162,14 @@
 
 async fn large_frame_at_the_sender() {
     let (mut sending, mut receiving) = pair(limits(), 4);
-    sending.send_large(limits().frame + 1);
+    sending.send_large(limits().frame_bytes + 1);
     assert!(sending.lost().await.contains("longer than"));
     sending.send(1);
     assert_eq!(receiving.next().await.body, Body::Traffic(message(1)));
 }
 
 async fn large_frame_at_the_receiver() {
-    let mut receiving = Receiving::start(Limits { frame: 1_000, ..limits() }, 4);
+    let mut receiving = Receiving::start(Limits { frame_bytes: 1_000, ..limits() }, 4);
     let mut sending = Sending::start(limits(), key(), receiving.address);
     sending.send_large(1_001);
     sending.lost().await;
@@ -192,7 +192,7 @@
     let new = Key::try_from("the-next-key-of-this-deployment").expect("it is a key");
     let keys = vec![key().digest(), new.digest()];
     let (sink, mut frames) = mpsc::channel(4);
-    tokio::spawn(listen(listener, Guard { own: lane("b"), keys, limits: limits() }, sink));
+    tokio::spawn(listen(listener, Admission { own: lane("b"), keys, limits: limits() }, sink));
     for key in [key(), new] {
         let mut sending = Sending::start(limits(), key, address);
         sending.send(1);
@@ -248,7 +248,7 @@
     let since = Instant::now();
     let detail = sending.lost().await;
     assert!(detail.contains("ping"), "{detail}");
-    let bound = limits().ping_interval + limits().ping_limit;
+    let bound = limits().ping_interval + limits().ping_timeout;
     assert!(since.elapsed() < bound * 3, "{:?}", since.elapsed());
 }
 
@@ -259,7 +259,7 @@
     let since = Instant::now();
     sending.send(1);
     sending.lost().await;
-    assert!(since.elapsed() < limits().ping_limit * 3, "{:?}", since.elapsed());
+    assert!(since.elapsed() < limits().ping_timeout * 3, "{:?}", since.elapsed());
 }
 
 async fn restart() {
@@ -271,7 +271,7 @@
     sending.lost().await;
     sending.send(2);
     assert!(sending.lost().await.contains("a moment ago"));
-    tokio::time::sleep(limits().backoff).await;
+    tokio::time::sleep(limits().backoff_min).await;
     let listener = std::net::TcpListener::bind(address).expect("the port is free again");
     let mut receiving = Receiving::start_on(listener, limits(), 4);
     sending.send(3);
@@ -308,7 +308,7 @@
     let since = Instant::now();
     let detail = sending.lost().await;
     assert!(detail.contains("takes no bytes"), "{detail}");
-    assert!(since.elapsed() < limits().write * 3, "{:?}", since.elapsed());
+    assert!(since.elapsed() < limits().write_timeout * 3, "{:?}", since.elapsed());
     assert_eq!(receiving.frames.len(), 1);
 }
 
--- a/tests/fronts/bed.rs
+++ b/tests/fronts/bed.rs
@@ -15,7 +15,7 @@
 use laburnumworks::{
     front::{self, probe::Metrics},
     settings::traffic::Callers,
-    traffic::{Handle, Input, handle::Ask},
+    traffic::{Handle, Input, handle::Submission},
 };
 use reqwest::Response;
 use serde_json::Value;
@@ -87,7 +87,7 @@
         let (inputs, receiver) = unbounded_channel();
         let (ready, is_ready) = watch::channel(true);
         let (shutdown, is_shut) = watch::channel(false);
-        let seed = front::Seed {
+        let seed = front::Parts {
             listener,
             limits,
             handle: Handle::new(inputs),
@@ -110,9 +110,9 @@
     }
 
     /// The next call of the traffic thread.
-    pub async fn ask(&mut self) -> Ask {
+    pub async fn ask(&mut self) -> Submission {
         match self.input().await {
-            Input::Ask(ask) => ask,
+            Input::Call(ask) => ask,
             Input::Abandoned(call) => panic!("{call:?} was abandoned"),
         }
     }
@@ -143,7 +143,7 @@
 }
 
 /// Answers a call.
-pub fn reply(ask: Ask, body: Body) {
+pub fn reply(ask: Submission, body: Body) {
     let profile = match ask.event {
         Event::Search { search, .. } => search.profile,
         Event::Operate { operate, .. } => operate.profile,
--- a/tests/fronts/desk.rs
+++ b/tests/fronts/desk.rs
@@ -43,7 +43,7 @@
             token("lead", BOTH, vec![Role::Read, Role::Publish]),
             token("viewer", READ, vec![Role::Read]),
         ];
-        let seed = operator::Seed {
+        let seed = operator::Parts {
             listener,
             operators: Operators { tokens },
             handle,
@@ -69,7 +69,7 @@
         answer: Answer,
     ) -> (Request, Response) {
         let sent = tokio::spawn(request.send());
-        let ask = timeout(PATIENCE, self.inbox.ask()).await.expect("it is asked").expect("open");
+        let ask = timeout(PATIENCE, self.inbox.next()).await.expect("it is asked").expect("open");
         let _ = ask.answer.send(answer);
         let response = sent.await.expect("the client does not panic").expect("an answer comes");
         (ask.request, response)
@@ -77,14 +77,14 @@
 
     /// Answers whatever is asked.
     pub async fn answer_all(&mut self) {
-        while let Some(ask) = self.inbox.ask().await {
+        while let Some(ask) = self.inbox.next().await {
             let _ = ask.answer.send(control_answer());
         }
     }
 
     /// Checks that nothing is asked of the control thread.
     pub async fn assert_nothing_asked(&mut self) {
-        let asked = timeout(QUIET, self.inbox.ask()).await;
+        let asked = timeout(QUIET, self.inbox.next()).await;
         assert!(asked.is_err(), "a request reached the control thread");
     }
 }
--- a/tests/product/limits.rs
+++ b/tests/product/limits.rs
@@ -8,7 +8,7 @@
 
 use laburnum_core::{claims, control, traffic};
 use laburnumworks::{
-    front::{body, bound},
+    front::{body, limit},
     settings::{Settings, Source},
     vm::limits,
     wire,
@@ -134,7 +134,7 @@
         Part::Key => settings.deployment.key.expose().to_owned(),
         Part::Operators => format!("{:?}", settings.operators),
         Part::Bodies => format!("{:?}", body::Limits::from(&limits::callers(settings))),
-        Part::Connections => format!("{:?}", bound::Limits::from(&limits::callers(settings))),
+        Part::Connections => format!("{:?}", limit::Limits::from(&limits::callers(settings))),
         Part::Traffic => format!("{:?}", limits::traffic(settings)),
         Part::Wire => format!("{:?}", limits::wire(settings)),
         Part::Control => format!("{:?}", limits::control(settings)),
