Reword the front for callers

Cause: comments were told as riddles or repeated the name, constants had no unit, and names such as of, take, turned or unrouted did not say what they do. Change: comments and names inside src/front; the uses in src/operator follow.

--- a/src/front/body.rs
+++ b/src/front/body.rs
@@ -1,4 +1,4 @@
-//! Reading the body of a request within limits, and writing that of a response.
+//! Reads request bodies within limits and writes response bodies.
 
 use std::time::Duration;
 
@@ -14,15 +14,15 @@
 use super::problem::Refusal;
 use crate::settings::traffic::Callers;
 
-/// The longest reason of a decoder that an error repeats, in characters.
-const MAX_REASON: usize = 300;
+/// The most characters of a decoder's message that a fault repeats.
+const MAX_REASON_CHARS: usize = 300;
 
 /// Limits on the body of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// The largest body in bytes.
     pub size: usize,
-    /// The time in which the body must arrive.
+    /// The time within which the whole body must arrive.
     pub read_timeout: Duration,
 }
 
@@ -33,9 +33,9 @@
     }
 }
 
-/// Refuses a body whose stated length is over the limit, before any of it is
+/// Refuses a body whose `Content-Length` is over the limit, before any of it is
 /// read.
-pub fn announced(headers: &HeaderMap, limits: Limits) -> Result<(), Refusal> {
+pub fn check_content_length(headers: &HeaderMap, limits: Limits) -> Result<(), Refusal> {
     let length = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
     match length.and_then(|length| length.parse::<u64>().ok()) {
         Some(length) if usize::try_from(length).is_ok_and(|length| length <= limits.size) => Ok(()),
@@ -49,15 +49,15 @@
     Fault::not_run(Kind::TooLarge, detail).into()
 }
 
-/// Reads a whole body. The limit on its size holds whether or not the request
-/// states a length.
+/// Reads a whole body. The limit on its size also holds for a request without
+/// `Content-Length`.
 pub async fn read(body: Body, limits: Limits) -> Result<Vec<u8>, Refusal> {
     let read = timeout(limits.read_timeout, body.into_bytes_limit(limits.size)).await;
     match read {
         Ok(Ok(bytes)) => Ok(bytes.into()),
         Ok(Err(ReadBodyError::PayloadTooLarge)) => Err(too_large("", limits)),
         Ok(Err(error)) => {
-            let detail = format!("body: it cannot be read: {error}");
+            let detail = format!("body: cannot be read: {error}");
             Err(Fault::not_run(Kind::Malformed, detail).into())
         }
         Err(_) => {
@@ -67,18 +67,18 @@
     }
 }
 
-/// Reads a JSON document as a raw structure.
+/// Decodes a JSON document into a structure whose values are not checked yet.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Fault> {
     serde_json::from_slice(bytes).map_err(|e| {
-        let why: String = e.to_string().chars().take(MAX_REASON).collect();
-        Fault::not_run(Kind::Malformed, format!("body: {why}"))
+        let reason: String = e.to_string().chars().take(MAX_REASON_CHARS).collect();
+        Fault::not_run(Kind::Malformed, format!("body: {reason}"))
     })
 }
 
-/// Makes a response with a JSON document.
+/// Makes a response whose body is `document` as JSON.
 pub fn json<T: Serialize>(status: StatusCode, document: &T) -> Result<Response, Refusal> {
     let body = Body::from_json(document).map_err(|e| {
-        // Only the encoding failed; the request was carried out.
+        // Only the encoding failed; the request itself may have run.
         Fault::unknown(Kind::Internal, format!("the answer cannot be encoded: {e}"))
     })?;
     Ok(Response::builder().status(status).content_type("application/json").body(body))
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -1,7 +1,8 @@
-//! What the stream of a connection and the handlers of its requests share.
+//! The state that the stream of a connection shares with the handlers of its
+//! requests.
 //!
-//! A stream sees bytes and a handler sees requests; whether the next bytes
-//! belong to a new request is known only to both together.
+//! The stream sees only bytes and a handler only its request; it takes both to
+//! know whether the next bytes belong to a new request.
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
@@ -17,82 +18,83 @@
     Head,
     /// A request was handed to its handler, which reads the body.
     Request,
-    /// The rest of the request is not read and no other one follows.
-    Last,
+    /// The rest of the request is discarded, and no other request follows.
+    Closing,
 }
 
-/// The phase of a connection and the number of requests before it, which tells
-/// one wait from the next.
+/// The phase of a connection, with the number of requests answered before it.
+/// The number tells one wait for a request from the next, so that each gets a
+/// time limit of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct State {
-    /// What the next bytes belong to.
     pub phase: Phase,
-    /// The requests that were answered.
+    /// The number of requests answered so far.
     pub answered: u64,
 }
 
 #[derive(Debug)]
-struct Row {
+struct Inner {
     state: State,
     reader: Option<Waker>,
 }
 
-/// The state of one connection.
+/// The shared state of one connection.
 #[derive(Debug)]
-pub struct Connection(Mutex<Row>);
+pub struct Connection(Mutex<Inner>);
 
 impl Default for Connection {
     fn default() -> Connection {
         let state = State { phase: Phase::Waiting, answered: 0 };
-        Connection(Mutex::new(Row { state, reader: None }))
+        Connection(Mutex::new(Inner { state, reader: None }))
     }
 }
 
 impl Connection {
-    /// The state now.
+    /// Returns the current state.
     pub fn state(&self) -> State {
         self.lock().state
     }
 
-    /// The state now; `reader` is woken when a wait for the next request begins,
-    /// since the HTTP library does not read again by itself.
+    /// Returns the current state and registers `reader`, which is woken when the
+    /// connection begins to wait for its next request. The HTTP library does not
+    /// poll the stream again by itself at that point.
     pub fn watch(&self, reader: &Waker) -> State {
-        let mut row = self.lock();
-        if !row.reader.as_ref().is_some_and(|known| known.will_wake(reader)) {
-            row.reader = Some(reader.clone());
+        let mut inner = self.lock();
+        if !inner.reader.as_ref().is_some_and(|registered| registered.will_wake(reader)) {
+            inner.reader = Some(reader.clone());
         }
-        row.state
+        inner.state
     }
 
-    /// Notes that bytes have arrived.
-    pub fn arrive(&self) {
-        let mut row = self.lock();
-        if row.state.phase == Phase::Waiting {
-            row.state.phase = Phase::Head;
+    /// Records that bytes have arrived, which starts a head if none has started.
+    pub fn receive_bytes(&self) {
+        let mut inner = self.lock();
+        if inner.state.phase == Phase::Waiting {
+            inner.state.phase = Phase::Head;
         }
     }
 
-    /// Notes that a request was handed to its handler.
-    pub fn begin(&self) {
+    /// Records that a request was handed to its handler.
+    pub fn begin_request(&self) {
         self.lock().state.phase = Phase::Request;
     }
 
-    /// Notes that the whole request was read and is answered.
-    pub fn finish(&self) {
-        let mut row = self.lock();
-        row.state.phase = Phase::Waiting;
-        row.state.answered += 1;
-        if let Some(reader) = &row.reader {
+    /// Records that a request was read whole and has been answered.
+    pub fn finish_request(&self) {
+        let mut inner = self.lock();
+        inner.state.phase = Phase::Waiting;
+        inner.state.answered += 1;
+        if let Some(reader) = &inner.reader {
             reader.wake_by_ref();
         }
     }
 
-    /// Notes that the rest of the request is not read.
-    pub fn end(&self) {
-        self.lock().state.phase = Phase::Last;
+    /// Records that the rest of the request is discarded.
+    pub fn close(&self) {
+        self.lock().state.phase = Phase::Closing;
     }
 
-    fn lock(&self) -> MutexGuard<'_, Row> {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/front/field.rs
+++ b/src/front/field.rs
@@ -1,4 +1,4 @@
-//! Checked values of the fields of a JSON document.
+//! Reads the fields of a JSON document into checked values.
 //!
 //! Every error names the field, what was found and what is allowed.
 
@@ -11,16 +11,16 @@
 };
 use serde_json::Value;
 
-/// The longest piece of a value that an error repeats, in characters.
-const MAX_EXCERPT: usize = 40;
+/// The most characters of a value that an error repeats.
+const MAX_EXCERPT_CHARS: usize = 40;
 
-/// A refusal that names the field, what was found and what is allowed.
+/// Makes a fault that names the field, what was found and what is allowed.
 pub fn malformed(field: &str, found: &str, allowed: &str) -> Fault {
     let detail = format!("{field}: found {found}, allowed is {allowed}");
     Fault::not_run(Kind::Malformed, detail)
 }
 
-/// Reads a text.
+/// Reads a string.
 pub fn text<'a>(field: &str, value: Option<&'a Value>) -> Result<&'a str, Fault> {
     match value {
         Some(Value::String(text)) => Ok(text),
@@ -37,8 +37,8 @@
     })
 }
 
-/// Reads a 64-bit number. Many clients lose digits of numbers above 2^53, so
-/// decimal digits in a text are read as well.
+/// Reads a 64-bit number. Many clients lose digits of JSON numbers above 2^53,
+/// so a string of decimal digits is accepted as well.
 pub fn number(field: &str, value: Option<&Value>) -> Result<u64, Fault> {
     let number = match value {
         Some(Value::Number(number)) => number.as_u64(),
@@ -67,16 +67,16 @@
     })
 }
 
-/// Reads the optional deadline of a request.
+/// Reads the optional field `deadline_ms`, from 1 ms to [`MAX_DEADLINE`].
 pub fn deadline(value: Option<&Value>) -> Result<Option<Duration>, Fault> {
     if value.is_none() {
         return Ok(None);
     }
-    let most = u64::try_from(MAX_DEADLINE.as_millis()).unwrap_or(u64::MAX);
-    whole("deadline_ms", value, 1..=most).map(|millis| Some(Duration::from_millis(millis)))
+    let max_ms = u64::try_from(MAX_DEADLINE.as_millis()).unwrap_or(u64::MAX);
+    whole("deadline_ms", value, 1..=max_ms).map(|millis| Some(Duration::from_millis(millis)))
 }
 
-/// What a value is, for an error.
+/// Describes a value for an error message.
 pub fn describe(value: Option<&Value>) -> String {
     match value {
         None => "nothing".to_owned(),
@@ -89,9 +89,9 @@
     }
 }
 
-/// The start of a text, in quotes.
+/// Quotes the start of a text, with dots if characters were cut off.
 pub fn excerpt(text: &str) -> String {
-    let start: String = text.chars().take(MAX_EXCERPT).collect();
+    let start: String = text.chars().take(MAX_EXCERPT_CHARS).collect();
     let rest = if start.len() < text.len() { "..." } else { "" };
     format!("{start:?}{rest}")
 }
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -1,4 +1,5 @@
-//! What every request of a front passes before its handler.
+//! The steps that every request of a front passes before its handler: the gate,
+//! the limits and the reading of its body.
 
 use std::sync::Arc;
 
@@ -18,13 +19,13 @@
     problem::{self, Refusal},
 };
 
-/// Who may send a body at all.
+/// Decides which requests may send a body.
 pub trait Gate: Send + Sync {
     /// Checks the path and headers of a request before its body is read.
     fn check(&self, path: &str, headers: &HeaderMap) -> Result<(), Refusal>;
 }
 
-/// A gate that everyone passes.
+/// A gate that every request passes.
 pub struct AllowAll;
 
 impl Gate for AllowAll {
@@ -33,20 +34,20 @@
     }
 }
 
-/// Reads the body of every request within limits and keeps the phase of its
-/// connection.
+/// Reads the body of every request within limits, and keeps the phase of its
+/// connection up to date.
 pub struct Intake {
     routes: BoxEndpoint<'static, Response>,
     gate: Box<dyn Gate>,
     limits: Arc<dyn Provider>,
     metrics: Arc<dyn Metrics>,
-    /// While the VM takes no requests, connections are closed after their
-    /// response, so that callers turn to other VMs.
+    /// Whether the VM takes requests. While it takes none, each connection is
+    /// closed after its response, so that callers turn to other VMs.
     ready: watch::Receiver<bool>,
 }
 
 impl Intake {
-    /// Puts `gate` and limits before `routes`.
+    /// Makes an intake that checks `gate` and the limits before `routes`.
     pub fn new(
         routes: Route,
         gate: Box<dyn Gate>,
@@ -54,13 +55,13 @@
         metrics: Arc<dyn Metrics>,
         ready: watch::Receiver<bool>,
     ) -> Intake {
-        let routes = routes.catch_all_error(problem::unrouted).boxed();
+        let routes = routes.catch_all_error(problem::error_response).boxed();
         Intake { routes, gate, limits, metrics, ready }
     }
 
-    /// Answers a request of `connection` and counts a refusal that came from no
-    /// thread.
-    pub async fn take(&self, request: Request, connection: &Connection) -> Response {
+    /// Answers a request of `connection`. A refusal that no thread has counted is
+    /// counted here.
+    pub async fn handle(&self, request: Request, connection: &Connection) -> Response {
         let response = self.answer(request, connection).await;
         if let Some(&kind) = response.extensions().get::<Kind>() {
             self.metrics.refused(kind);
@@ -69,29 +70,30 @@
     }
 
     async fn answer(&self, mut request: Request, connection: &Connection) -> Response {
-        connection.begin();
-        if let Err(refusal) = self.fill(&mut request).await {
-            connection.end();
-            return closing(refusal.into_response());
+        connection.begin_request();
+        if let Err(refusal) = self.read_body(&mut request).await {
+            connection.close();
+            return close_after(refusal.into_response());
         }
         let response = self.routes.get_response(request).await;
-        connection.finish();
-        if *self.ready.borrow() { response } else { closing(response) }
+        connection.finish_request();
+        if *self.ready.borrow() { response } else { close_after(response) }
     }
 
-    /// Replaces the body of a request that is still arriving by a whole one.
-    async fn fill(&self, request: &mut Request) -> Result<(), Refusal> {
+    /// Replaces the body that is still arriving with the whole body, read within
+    /// limits.
+    async fn read_body(&self, request: &mut Request) -> Result<(), Refusal> {
         self.gate.check(request.uri().path(), request.headers())?;
         let limits = self.limits.body();
-        body::announced(request.headers(), limits)?;
+        body::check_content_length(request.headers(), limits)?;
         let bytes = body::read(request.take_body(), limits).await?;
         request.set_body(bytes);
         Ok(())
     }
 }
 
-/// Lets the connection be closed after the response.
-fn closing(mut response: Response) -> Response {
+/// Sets `Connection: close`, which closes the connection after the response.
+fn close_after(mut response: Response) -> Response {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
--- a/src/front/limit.rs
+++ b/src/front/limit.rs
@@ -1,4 +1,4 @@
-//! What callers may send, and how long they may take.
+//! Limits on the connections and bodies of a front.
 
 use std::time::Duration;
 
@@ -8,14 +8,14 @@
 /// Limits on connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// The largest head of a request in bytes.
+    /// The largest request head (request line and headers) in bytes.
     pub header_size: usize,
-    /// The time in which the head must arrive, from its first byte.
+    /// The time within which a whole head must arrive, counted from its first byte.
     pub header_timeout: Duration,
-    /// The time after which a connection without a request is closed, and one
-    /// whose caller does not take the response.
+    /// The time after which a connection is closed that has no request, or whose
+    /// caller does not read the response.
     pub idle_timeout: Duration,
-    /// The number of connections that are open at a time.
+    /// The most connections that are open at a time.
     pub connections: usize,
 }
 
@@ -30,25 +30,24 @@
     }
 }
 
-/// A number of bytes or connections, which the memory of the VM bounds anyway.
+/// Converts a limit, capped at the largest `usize`. Memory runs out before a
+/// number of bytes or connections gets there.
 pub fn to_usize(limit: u64) -> usize {
     usize::try_from(limit).unwrap_or(usize::MAX)
 }
 
-/// Tells the limits, which may change while the VM runs.
+/// Provides the limits in force, which may change while the VM runs.
 pub trait Provider: Send + Sync {
-    /// The limits on a connection that opens now.
+    /// Returns the limits on a connection that opens now.
     fn connection(&self) -> Limits;
-    /// The limits on a body that begins to arrive now.
+    /// Returns the limits on a body that begins to arrive now.
     fn body(&self) -> body::Limits;
 }
 
 /// Limits that never change.
 #[derive(Clone, Copy, Debug)]
 pub struct Fixed {
-    /// The limits on connections.
     pub connection: Limits,
-    /// The limits on bodies.
     pub body: body::Limits,
 }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,10 +1,11 @@
-//! The HTTP front for callers: bytes to typed events, answers to bytes.
+//! The HTTP front for callers: decodes requests into typed events and encodes the
+//! answers.
 //!
-//! Nothing is decided here. A body becomes a raw structure, that becomes a
-//! checked one by `TryFrom`, and the traffic thread does the rest, so that
-//! another front can use the same decisions. What is refused before it reaches
-//! the traffic thread is malformed, too large or too slow, and nothing of it
-//! ran.
+//! Nothing is decided here. A body is decoded into a raw structure, which
+//! `TryFrom` turns into a checked one; the traffic thread does the rest, so that
+//! another front can use the same decisions. A request that is refused before it
+//! reaches the traffic thread is malformed, too large or too slow, and nothing of
+//! it has run.
 
 pub mod body;
 pub mod connection;
@@ -32,23 +33,22 @@
 };
 use crate::{settings::traffic::Callers, traffic::Handle};
 
-/// What a front is made from.
+/// The sockets, limits and channels that a front is made from.
 pub struct Parts {
-    /// Where callers connect.
+    /// The socket on which callers connect.
     pub listener: TcpListener,
-    /// The limits on them.
+    /// The limits on callers.
     pub limits: Callers,
-    /// The way into the traffic thread.
+    /// Hands calls to the traffic thread.
     pub handle: Handle,
     /// Whether the VM takes requests.
     pub ready: watch::Receiver<bool>,
-    /// The metrics of the VM.
     pub metrics: Arc<dyn Metrics>,
-    /// Turns true when the VM shuts down.
+    /// Becomes true when the VM shuts down.
     pub shutdown: watch::Receiver<bool>,
 }
 
-/// Serves callers until `shutdown` turns true and the open requests have
+/// Serves callers until `shutdown` becomes true and the open requests have
 /// finished.
 pub async fn serve(seed: Parts) -> io::Result<()> {
     let Parts { listener, limits, handle, ready, metrics, shutdown } = seed;
@@ -69,18 +69,18 @@
 
 fn routes(handle: Handle, probe: Probe) -> Route {
     probe::routes(Route::new(), probe)
-        .at("/v1/search", post(take_search).data(handle.clone()))
-        .at("/v1/operations", post(take_operation).data(handle))
+        .at("/v1/search", post(handle_search).data(handle.clone()))
+        .at("/v1/operations", post(handle_operation).data(handle))
 }
 
 #[handler]
-async fn take_search(Data(handle): Data<&Handle>, body: Vec<u8>) -> Result<Response, Refusal> {
+async fn handle_search(Data(handle): Data<&Handle>, body: Vec<u8>) -> Result<Response, Refusal> {
     let search = search::parse(&body)?;
     search::respond(handle.search(search).await)
 }
 
 #[handler]
-async fn take_operation(
+async fn handle_operation(
     Data(handle): Data<&Handle>,
     request: &Request,
     body: Vec<u8>,
--- a/src/front/operation.rs
+++ b/src/front/operation.rs
@@ -1,4 +1,4 @@
-//! `POST /v1/operations`.
+//! Decodes requests to `POST /v1/operations` and encodes their responses.
 
 use std::sync::Arc;
 
@@ -18,14 +18,14 @@
 use super::{
     body, field,
     problem::Refusal,
-    search::{crossed, ended},
+    search::{mismatched, thread_ended},
 };
 
 /// The header that holds the idempotency key.
 pub const KEY_HEADER: &str = "Idempotency-Key";
 
-/// What [`KEY_HEADER`] must hold.
-const KEY: &str = "one UUIDv7";
+/// The allowed content of [`KEY_HEADER`], for error messages.
+const ALLOWED_KEY: &str = "one UUIDv7";
 
 /// The body of a request before it is checked.
 #[derive(Debug, Deserialize)]
@@ -41,7 +41,7 @@
     deadline_ms: Option<Value>,
 }
 
-/// A raw request with its key.
+/// A request before it is checked, with its idempotency key.
 struct Keyed {
     key: claim::Key,
     raw: Raw,
@@ -62,17 +62,18 @@
     }
 }
 
-/// Reads the idempotency key.
+/// Reads the idempotency key, which must be a single UUIDv7.
 pub fn key(headers: &HeaderMap) -> Result<claim::Key, Fault> {
     let mut values = headers.get_all(KEY_HEADER).iter();
-    let value = values.next().ok_or_else(|| field::malformed(KEY_HEADER, "nothing", KEY))?;
+    let value =
+        values.next().ok_or_else(|| field::malformed(KEY_HEADER, "nothing", ALLOWED_KEY))?;
     if values.next().is_some() {
-        return Err(field::malformed(KEY_HEADER, "more than one", KEY));
+        return Err(field::malformed(KEY_HEADER, "more than one", ALLOWED_KEY));
     }
     let key = uuid(value).map(claim::Key).filter(|key| key.issued().is_some());
     key.ok_or_else(|| {
         let found = field::excerpt(&String::from_utf8_lossy(value.as_bytes()));
-        field::malformed(KEY_HEADER, &found, KEY)
+        field::malformed(KEY_HEADER, &found, ALLOWED_KEY)
     })
 }
 
@@ -80,7 +81,7 @@
     Uuid::try_parse(value.to_str().ok()?.trim()).ok()
 }
 
-/// Reads the body of a request.
+/// Decodes and checks the body of a request.
 pub fn parse(bytes: &[u8], key: claim::Key) -> Result<Operate, Fault> {
     Operate::try_from(Keyed { key, raw: body::decode(bytes)? })
 }
@@ -94,15 +95,16 @@
     revision: u64,
 }
 
-/// Makes the response to an operation.
+/// Makes the response to an operation; `answer` is none when the traffic thread
+/// has ended.
 pub fn respond(answer: Option<Answer>) -> Result<Response, Refusal> {
-    let Answer { query, body, .. } = answer.ok_or_else(ended)?;
+    let Answer { query, body, .. } = answer.ok_or_else(thread_ended)?;
     match body {
         Body::Done { result, replayed, revision } => {
             let document = Document { request: query.to_string(), result, replayed, revision };
             body::json(StatusCode::OK, &document)
         }
-        Body::Refused(fault) => Err(Refusal::from(fault).of(query)),
-        Body::Found(_) => Err(crossed().of(query)),
+        Body::Refused(fault) => Err(Refusal::from(fault).with_request(query)),
+        Body::Found(_) => Err(mismatched().with_request(query)),
     }
 }
--- a/src/front/port.rs
+++ b/src/front/port.rs
@@ -1,9 +1,9 @@
-//! An address on which a front serves, within limits on its connections.
+//! Serves the routes of a front on one address, within limits on its connections.
 //!
-//! The routes are poem's; the loop that accepts is not, because poem's server
-//! polls a connection again after it has ended and thereby keeps the handler of
-//! a caller that went away. Here a connection that ends drops its handler, which
-//! tells the traffic thread that the caller went away.
+//! The routes are poem's, but the accept loop is not: poem's server polls a
+//! connection again after it has ended, which keeps the handler of a caller that
+//! went away. Here a connection that ends drops its handler, which tells the
+//! traffic thread that the caller went away.
 
 use std::{
     convert::Infallible,
@@ -35,29 +35,28 @@
     limit::Provider,
     probe::Metrics,
     problem::Refusal,
-    stream::{LINGER, Stream, WASTE},
+    stream::{DISCARD_BUFFER_BYTES, LINGER_TIMEOUT, Stream},
 };
 
-/// The connections beyond the limit that are answered at a time; the rest are
-/// closed without an answer.
-const REFUSALS: usize = 64;
+/// The most connections beyond the limit that are answered with a refusal at a
+/// time; the rest are closed without an answer.
+const MAX_REFUSALS: usize = 64;
 
-/// The pause after the system could not accept a connection.
-const PAUSE: Duration = Duration::from_millis(50);
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// What a port is made from.
+/// The parts of a port that does not serve yet.
 pub struct Port {
-    /// Where connections come in.
+    /// The socket that accepts connections.
     pub listener: TcpListener,
-    /// The limits on connections and bodies.
     pub limits: Arc<dyn Provider>,
-    /// Who may send a body at all.
+    /// Decides which requests may send a body.
     pub gate: Box<dyn Gate>,
-    /// Counts the refusals of the port itself.
+    /// Counts the refusals that reach no thread.
     pub metrics: Arc<dyn Metrics>,
     /// Whether the VM takes requests.
     pub ready: watch::Receiver<bool>,
-    /// Turns true when the VM shuts down.
+    /// Becomes true when the VM shuts down.
     pub shutdown: watch::Receiver<bool>,
 }
 
@@ -67,17 +66,17 @@
     address: SocketAddr,
 }
 
-/// A port while it serves.
+/// A port that serves.
 struct Server {
     listener: tokio::net::TcpListener,
     local: SocketAddr,
     limits: Arc<dyn Provider>,
-    connections: usize,
+    max_connections: usize,
     metrics: Arc<dyn Metrics>,
     intake: Arc<Intake>,
     shutdown: watch::Receiver<bool>,
-    places: Arc<Semaphore>,
-    refusals: Arc<Semaphore>,
+    connection_permits: Arc<Semaphore>,
+    refusal_permits: Arc<Semaphore>,
     tasks: JoinSet<()>,
 }
 
@@ -86,8 +85,8 @@
     /// finished.
     pub async fn serve(self, routes: Route) -> io::Result<()> {
         self.listener.set_nonblocking(true)?;
-        let connections = self.limits.connection().connections;
-        let places = connections.min(Semaphore::MAX_PERMITS);
+        let max_connections = self.limits.connection().connections;
+        let permits = max_connections.min(Semaphore::MAX_PERMITS);
         let metrics = Arc::clone(&self.metrics);
         let server = Server {
             metrics: self.metrics,
@@ -101,20 +100,20 @@
                 self.ready,
             )),
             limits: self.limits,
-            connections,
+            max_connections,
             shutdown: self.shutdown,
-            places: Arc::new(Semaphore::new(places)),
-            refusals: Arc::new(Semaphore::new(REFUSALS)),
+            connection_permits: Arc::new(Semaphore::new(permits)),
+            refusal_permits: Arc::new(Semaphore::new(MAX_REFUSALS)),
             tasks: JoinSet::new(),
         };
-        server.run().await;
+        server.accept_loop().await;
         Ok(())
     }
 }
 
 impl Server {
-    async fn run(mut self) {
-        let stop = turned(self.shutdown.clone());
+    async fn accept_loop(mut self) {
+        let stop = wait_until_true(self.shutdown.clone());
         tokio::pin!(stop);
         loop {
             tokio::select! {
@@ -129,10 +128,10 @@
     }
 
     fn admit(&mut self, accepted: Accepted) {
-        if let Ok(permit) = Arc::clone(&self.places).try_acquire_owned() {
+        if let Ok(permit) = Arc::clone(&self.connection_permits).try_acquire_owned() {
             self.open(accepted, permit);
-        } else if let Ok(permit) = Arc::clone(&self.refusals).try_acquire_owned() {
-            let detail = format!("connections: allowed are {} at a time", self.connections);
+        } else if let Ok(permit) = Arc::clone(&self.refusal_permits).try_acquire_owned() {
+            let detail = format!("connections: allowed are {} at a time", self.max_connections);
             let refusal = Fault::not_run(Kind::TooManyOpen, detail).into();
             self.metrics.refused(Kind::TooManyOpen);
             self.tasks.spawn(refuse(accepted.socket, refusal, permit));
@@ -141,38 +140,39 @@
 
     fn open(&mut self, accepted: Accepted, permit: OwnedSemaphorePermit) {
         let Accepted { socket, address } = accepted;
-        // Without it a response may wait for an acknowledgement.
+        // Without `TCP_NODELAY` a response may wait for an acknowledgement. A
+        // failure only makes the connection slower.
         let _ = socket.set_nodelay(true);
         let connection = Arc::new(Connection::default());
         let metrics = Arc::clone(&self.metrics);
         let stream =
             Stream::new(socket, self.limits.connection(), metrics, Arc::clone(&connection));
-        let peers =
-            Peers { connection, intake: Arc::clone(&self.intake), local: self.local, address };
-        self.tasks.spawn(serve(stream, peers, self.shutdown.clone(), permit));
+        let context =
+            Context { connection, intake: Arc::clone(&self.intake), local: self.local, address };
+        self.tasks.spawn(serve(stream, context, self.shutdown.clone(), permit));
     }
 }
 
-/// The next connection.
+/// Waits for the next connection.
 async fn accept(listener: &tokio::net::TcpListener) -> Accepted {
     loop {
         match listener.accept().await {
             Ok((socket, address)) => return Accepted { socket, address },
-            // The system is out of descriptors or the caller is gone.
-            Err(_) => sleep(PAUSE).await,
+            // The process is out of file descriptors, or the caller is gone.
+            Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-/// What the requests of one connection have in common.
-struct Peers {
+/// What the requests of one connection share.
+struct Context {
     connection: Arc<Connection>,
     intake: Arc<Intake>,
     local: SocketAddr,
     address: SocketAddr,
 }
 
-impl Peers {
+impl Context {
     fn request(&self, request: http::Request<Incoming>) -> Request {
         let local = LocalAddr(self.local.into());
         let remote = RemoteAddr(self.address.into());
@@ -183,41 +183,41 @@
 /// Serves one connection until it ends.
 async fn serve(
     stream: Stream,
-    peers: Peers,
+    context: Context,
     shutdown: watch::Receiver<bool>,
     _permit: OwnedSemaphorePermit,
 ) {
     let service = service_fn(|request| {
-        let request = peers.request(request);
-        let (intake, connection) = (&peers.intake, &peers.connection);
-        async move { Ok::<_, Infallible>(intake.take(request, connection).await.into()) }
+        let request = context.request(request);
+        let (intake, connection) = (&context.intake, &context.connection);
+        async move { Ok::<_, Infallible>(intake.handle(request, connection).await.into()) }
     });
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
         biased;
-        // An error says that the caller went away or sent no HTTP.
+        // An error means that the caller went away or did not send HTTP.
         _ = connection.as_mut() => return,
-        () = turned(shutdown) => connection.as_mut().graceful_shutdown(),
+        () = wait_until_true(shutdown) => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
 }
 
-/// Answers a connection beyond the limit and closes it.
+/// Answers a connection beyond the limit with `refusal` and closes it.
 async fn refuse(mut socket: TcpStream, refusal: Refusal, _permit: OwnedSemaphorePermit) {
-    let mut waste = [0; WASTE];
+    let mut discarded = [0; DISCARD_BUFFER_BYTES];
     let exchange = async {
-        socket.write_all(&refusal.message()).await?;
+        socket.write_all(&refusal.to_http()).await?;
         socket.shutdown().await?;
-        while socket.read(&mut waste).await? > 0 {}
+        while socket.read(&mut discarded).await? > 0 {}
         io::Result::Ok(())
     };
-    // The caller may be gone or slow; it is given up after the time.
-    let _ = timeout(LINGER, exchange).await;
+    // The caller may be gone or slow; it is closed after the timeout.
+    let _ = timeout(LINGER_TIMEOUT, exchange).await;
 }
 
 /// Waits until `signal` is true or its sender is gone.
-async fn turned(mut signal: watch::Receiver<bool>) {
-    // An error says that the sender is gone, which ends the process as well.
+async fn wait_until_true(mut signal: watch::Receiver<bool>) {
+    // An error means that the sender is gone, which happens only when the VM ends.
     let _ = signal.wait_for(|on| *on).await;
 }
--- a/src/front/probe.rs
+++ b/src/front/probe.rs
@@ -1,4 +1,4 @@
-//! What a balancer and a collector of metrics ask for.
+//! The endpoints of load balancers and metrics collectors.
 
 use std::sync::Arc;
 
@@ -8,36 +8,35 @@
 
 use super::problem::Refusal;
 
-/// The content type of the metrics.
+/// The content type of the response to `/metrics`.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// The metrics of the VM.
 pub trait Metrics: Send + Sync {
     /// Encodes all metrics as OpenMetrics text.
     fn encode(&self) -> String;
-    /// Counts a refusal that no thread has counted, because the request did not
-    /// come that far.
+    /// Counts a refusal of a request that reached no thread, so that no thread has
+    /// counted it.
     fn refused(&self, kind: Kind);
 }
 
-/// What the probes show.
+/// What the endpoints report.
 #[derive(Clone)]
 pub struct Probe {
     /// Whether the VM takes requests.
     pub ready: watch::Receiver<bool>,
-    /// The metrics of the VM.
     pub metrics: Arc<dyn Metrics>,
 }
 
-/// Adds the paths of the probes to `route`.
+/// Adds `/livez`, `/readyz` and `/metrics` to `route`.
 pub fn routes(route: Route, probe: Probe) -> Route {
     route
         .at("/livez", get(live))
-        .at("/readyz", with(get(ready), probe.clone()))
-        .at("/metrics", with(get(metrics), probe))
+        .at("/readyz", with_probe(get(ready), probe.clone()))
+        .at("/metrics", with_probe(get(metrics), probe))
 }
 
-fn with(endpoint: impl Endpoint + 'static, probe: Probe) -> impl Endpoint + 'static {
+fn with_probe(endpoint: impl Endpoint + 'static, probe: Probe) -> impl Endpoint + 'static {
     endpoint.data(probe)
 }
 
@@ -53,7 +52,7 @@
     }
     let detail = "this VM is starting, leaving or out of touch with the others";
     let mut response = Refusal::from(Fault::not_run(Kind::NotReady, detail)).into_response();
-    // A probe is no request that was refused.
+    // Without a kind the response is not counted as a refused request.
     response.extensions_mut().remove::<Kind>();
     response
 }
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -1,6 +1,6 @@
 //! Faults as problem documents (RFC 9457).
 //!
-//! Status, title and retry come from the one table in [`laburnum_core::fault`].
+//! Status, title and retry advice come from the table in [`laburnum_core::fault`].
 
 use laburnum_core::{
     fault::{Fault, Kind, Ran, Retry},
@@ -16,10 +16,10 @@
 /// The content type of a problem document.
 pub const CONTENT_TYPE: &str = "application/problem+json";
 
-/// The prefix of the `type` member; the text of the kind follows.
+/// The prefix of the `type` member; the kind of the fault follows.
 const TYPE: &str = "urn:laburnumworks:fault:";
 
-/// A problem document.
+/// The members of a problem document.
 #[derive(Debug, Serialize)]
 struct Problem<'a> {
     r#type: String,
@@ -28,31 +28,32 @@
     detail: &'a str,
     kind: Kind,
     ran: Ran,
-    retry: Again,
+    retry: RetryAdvice,
     #[serde(skip_serializing_if = "Option::is_none")]
     request: Option<String>,
     #[serde(flatten)]
     more: &'a Map<String, Value>,
 }
 
-/// Whether and when to send again, as it stands in a problem document.
+/// Whether the request may be sent again, and after how long, as the `retry`
+/// member.
 #[derive(Debug, Serialize)]
-struct Again {
+struct RetryAdvice {
     allowed: bool,
     #[serde(skip_serializing_if = "Option::is_none")]
     after_ms: Option<u128>,
 }
 
-impl From<Retry> for Again {
-    fn from(retry: Retry) -> Again {
+impl From<Retry> for RetryAdvice {
+    fn from(retry: Retry) -> RetryAdvice {
         match retry {
-            Retry::Never => Again { allowed: false, after_ms: None },
-            Retry::After(pause) => Again { allowed: true, after_ms: Some(pause.as_millis()) },
+            Retry::Never => RetryAdvice { allowed: false, after_ms: None },
+            Retry::After(pause) => RetryAdvice { allowed: true, after_ms: Some(pause.as_millis()) },
         }
     }
 }
 
-/// A refusal with what its document says beyond the fault.
+/// A refused request: its fault and the other members of its problem document.
 #[derive(Debug)]
 pub struct Refusal {
     fault: Fault,
@@ -67,19 +68,19 @@
 }
 
 impl Refusal {
-    /// Adds the request id.
-    pub fn of(mut self, request: id::Query) -> Refusal {
+    /// Adds the id of the request.
+    pub fn with_request(mut self, request: id::Query) -> Refusal {
         self.request = Some(request);
         self
     }
 
-    /// Adds a member of its own to the document.
-    pub fn with(mut self, member: &str, value: Value) -> Refusal {
+    /// Adds an extension member to the document.
+    pub fn with_member(mut self, member: &str, value: Value) -> Refusal {
         self.more.insert(member.to_owned(), value);
         self
     }
 
-    /// The problem document.
+    /// Encodes the problem document.
     fn document(&self) -> Vec<u8> {
         let answer = self.fault.kind.answer();
         let problem = Problem {
@@ -93,11 +94,11 @@
             request: self.request.map(|query| query.to_string()),
             more: &self.more,
         };
-        // The members are texts and numbers, whose encoding does not fail.
+        // The members are strings and numbers, whose encoding does not fail.
         serde_json::to_vec(&problem).unwrap_or_default()
     }
 
-    /// The value of the `Retry-After` header in seconds, rounded up.
+    /// Returns the value of the `Retry-After` header in seconds, rounded up.
     fn retry_after(&self) -> Option<u64> {
         match self.fault.kind.answer().retry {
             Retry::Never => None,
@@ -120,9 +121,9 @@
         headers
     }
 
-    /// The whole response as bytes of HTTP/1.1, for a connection that is closed
+    /// Encodes the whole response as HTTP/1.1, for a connection that is closed
     /// after it.
-    pub fn message(&self) -> Vec<u8> {
+    pub fn to_http(&self) -> Vec<u8> {
         let document = self.document();
         let mut headers = self.headers();
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -136,15 +137,15 @@
         message
     }
 
-    /// The kind of a refusal that no thread has counted, which the intake does;
-    /// a thread gives each request that it takes an id.
-    fn uncounted(&self) -> Option<Kind> {
+    /// Returns the kind of a refusal that no thread has counted and that the
+    /// intake counts instead. A refusal with a request id was counted, since a
+    /// thread gives an id to each request that it takes.
+    fn uncounted_kind(&self) -> Option<Kind> {
         self.request.is_none().then_some(self.fault.kind)
     }
 
-    /// The status of the response.
     fn status(&self) -> StatusCode {
-        // Every status in the table is valid.
+        // Every status in the table of faults is valid.
         StatusCode::from_u16(self.fault.kind.answer().status)
             .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
     }
@@ -155,7 +156,7 @@
         let mut response =
             Response::builder().status(self.status()).body(Body::from_vec(self.document()));
         response.headers_mut().extend(self.headers());
-        if let Some(kind) = self.uncounted() {
+        if let Some(kind) = self.uncounted_kind() {
             response.extensions_mut().insert(kind);
         }
         response
@@ -164,9 +165,9 @@
 
 impl From<Refusal> for Error {
     fn from(refusal: Refusal) -> Error {
-        let uncounted = refusal.uncounted();
+        let uncounted = refusal.uncounted_kind();
         let mut error = Error::from_response(refusal.into_response());
-        // The library replaces the extensions of the response by its own.
+        // poem replaces the extensions of the response by those of the error.
         if let Some(kind) = uncounted {
             error.set_data(kind);
         }
@@ -174,15 +175,15 @@
     }
 }
 
-/// The response to an error of a handler or of the router.
-pub async fn unrouted(error: Error) -> Response {
+/// Makes the response to an error of a handler or of the router.
+pub async fn error_response(error: Error) -> Response {
     if error.is_from_response() {
         return error.into_response();
     }
     let fault = match error.status() {
-        StatusCode::NOT_FOUND => Fault::not_run(Kind::NotFound, "path: nothing is here"),
+        StatusCode::NOT_FOUND => Fault::not_run(Kind::NotFound, "path: no such resource"),
         StatusCode::METHOD_NOT_ALLOWED => {
-            Fault::not_run(Kind::NotFound, "method: nothing is here for this method")
+            Fault::not_run(Kind::NotFound, "method: the resource does not support this method")
         }
         status if status.is_client_error() => Fault::not_run(Kind::Malformed, error.to_string()),
         _ => Fault::unknown(Kind::Internal, "the request could not be handled"),
--- a/src/front/search.rs
+++ b/src/front/search.rs
@@ -1,4 +1,4 @@
-//! `POST /v1/search`.
+//! Decodes requests to `POST /v1/search` and encodes their responses.
 
 use laburnum_core::{
     fault::{Fault, Kind},
@@ -33,7 +33,7 @@
     }
 }
 
-/// Reads the body of a request.
+/// Decodes and checks the body of a request.
 pub fn parse(bytes: &[u8]) -> Result<Search, Fault> {
     Search::try_from(body::decode::<Raw>(bytes)?)
 }
@@ -46,7 +46,7 @@
     coverage: Coverage,
     revision: u64,
     attempts: u32,
-    rows: Vec<Line>,
+    rows: Vec<Entry>,
 }
 
 #[derive(Debug, Serialize)]
@@ -57,14 +57,14 @@
 }
 
 #[derive(Debug, Serialize)]
-struct Line {
+struct Entry {
     key: String,
     body: std::sync::Arc<str>,
 }
 
-impl From<Row> for Line {
-    fn from(row: Row) -> Line {
-        Line { key: hex(row.key), body: row.body }
+impl From<Row> for Entry {
+    fn from(row: Row) -> Entry {
+        Entry { key: hex(row.key), body: row.body }
     }
 }
 
@@ -87,32 +87,36 @@
             coverage: Coverage::new(found.coverage, &found.missing),
             revision: found.revision,
             attempts: found.attempts,
-            rows: found.rows.into_iter().map(Line::from).collect(),
+            rows: found.rows.into_iter().map(Entry::from).collect(),
         }
     }
 }
 
-/// A key as texts show it, since JSON numbers lose digits above 2^53.
+/// Formats a key as hexadecimal text, since many clients lose digits of JSON
+/// numbers above 2^53.
 fn hex(key: u64) -> String {
     format!("{key:016x}")
 }
 
-/// Makes the response to a search.
+/// Makes the response to a search; `answer` is none when the traffic thread has
+/// ended.
 pub fn respond(answer: Option<Answer>) -> Result<Response, Refusal> {
-    let Answer { query, body, .. } = answer.ok_or_else(ended)?;
+    let Answer { query, body, .. } = answer.ok_or_else(thread_ended)?;
     match body {
         Body::Found(found) => body::json(StatusCode::OK, &Document::new(query.to_string(), found)),
-        Body::Refused(fault) => Err(Refusal::from(fault).of(query)),
-        Body::Done { .. } => Err(crossed().of(query)),
+        Body::Refused(fault) => Err(Refusal::from(fault).with_request(query)),
+        Body::Done { .. } => Err(mismatched().with_request(query)),
     }
 }
 
-/// The refusal when the traffic thread ended before it answered.
-pub fn ended() -> Refusal {
-    Fault::unknown(Kind::Internal, "the VM ended before it had an answer").into()
+/// Makes the refusal of a request that the traffic thread did not answer before
+/// it ended.
+pub fn thread_ended() -> Refusal {
+    Fault::unknown(Kind::Internal, "the VM stopped before it answered the request").into()
 }
 
-/// The refusal when the answer is not to what was asked.
-pub fn crossed() -> Refusal {
+/// Makes the refusal for an answer to another kind of request, such as the rows
+/// of a search for an operation.
+pub fn mismatched() -> Refusal {
     Fault::unknown(Kind::Internal, "the answer belongs to another kind of request").into()
 }
--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -1,11 +1,11 @@
-//! The stream of one caller, with limits on time and size.
+//! The byte stream of one caller, with limits on time and size.
 //!
 //! The HTTP library reads as long as bytes come. This stream ends a connection
-//! whose head is too large or does not arrive in time, also if it comes byte by
-//! byte, and one that stays idle or does not take its response. A refused
-//! caller is answered, and the rest of what it sends is read for a moment,
-//! because unread bytes would make the system reset the connection and lose the
-//! answer.
+//! whose head is too large or does not arrive in time, even if it trickles in byte
+//! by byte, and a connection that stays idle or does not take its response. A
+//! refused caller is answered, and what it still sends is read and discarded for
+//! up to [`LINGER_TIMEOUT`], because unread bytes would make the operating system
+//! reset the connection and lose the answer.
 
 use std::{
     io,
@@ -30,53 +30,54 @@
     problem::Refusal,
 };
 
-/// The time for which a refused caller is read.
-pub const LINGER: Duration = Duration::from_secs(1);
+/// The longest time for which the bytes of a refused caller are read and
+/// discarded.
+pub const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The bytes that are thrown away at a time.
-pub const WASTE: usize = 4096;
+/// The most bytes that are discarded at a time.
+pub const DISCARD_BUFFER_BYTES: usize = 4096;
 
-/// A deadline that is set anew when what it belongs to changes.
+/// A timer that restarts when the state of the connection changes.
 struct Timer {
     sleep: Pin<Box<Sleep>>,
-    of: Option<State>,
+    state: Option<State>,
 }
 
 impl Timer {
     fn new() -> Timer {
-        Timer { sleep: Box::pin(sleep(Duration::ZERO)), of: None }
+        Timer { sleep: Box::pin(sleep(Duration::ZERO)), state: None }
     }
 
-    /// Waits until `span` has passed since the first poll for `of`.
-    fn poll(&mut self, cx: &mut Context<'_>, of: State, span: Duration) -> Poll<()> {
-        if self.of != Some(of) {
-            self.of = Some(of);
+    /// Waits until `span` has passed since the first poll with this `state`.
+    fn poll(&mut self, cx: &mut Context<'_>, state: State, span: Duration) -> Poll<()> {
+        if self.state != Some(state) {
+            self.state = Some(state);
             self.sleep.as_mut().reset(Instant::now() + span);
         }
         self.sleep.as_mut().poll(cx)
     }
 
     fn clear(&mut self) {
-        self.of = None;
+        self.state = None;
     }
 }
 
-/// The stream of one caller.
+/// The byte stream of one caller.
 pub struct Stream {
     socket: TcpStream,
     limits: Limits,
     metrics: Arc<dyn Metrics>,
     connection: Arc<Connection>,
     head: Head,
-    reading: Timer,
-    writing: Timer,
-    lingering: Timer,
+    read_timer: Timer,
+    write_timer: Timer,
+    linger_timer: Timer,
     is_flushed: bool,
     is_refused: bool,
 }
 
 impl Stream {
-    /// Wraps the socket of a caller.
+    /// Wraps the socket of a caller with `limits`.
     pub fn new(
         socket: TcpStream,
         limits: Limits,
@@ -89,29 +90,29 @@
             metrics,
             connection,
             head: Head::default(),
-            reading: Timer::new(),
-            writing: Timer::new(),
-            lingering: Timer::new(),
+            read_timer: Timer::new(),
+            write_timer: Timer::new(),
+            linger_timer: Timer::new(),
             is_flushed: true,
             is_refused: false,
         }
     }
 
-    /// Counts bytes that have arrived.
-    fn take(&mut self, bytes: &[u8]) -> Result<(), Fault> {
+    /// Adds bytes that have arrived to the head and checks it.
+    fn receive(&mut self, bytes: &[u8]) -> Result<(), Fault> {
         match self.connection.state().phase {
             Phase::Waiting => {
-                self.connection.arrive();
+                self.connection.receive_bytes();
                 self.head = Head::default();
             }
             Phase::Head => {}
-            Phase::Request | Phase::Last => return Ok(()),
+            Phase::Request | Phase::Closing => return Ok(()),
         }
-        self.head.take(bytes);
-        self.check()
+        self.head.push(bytes);
+        self.check_head()
     }
 
-    fn check(&self) -> Result<(), Fault> {
+    fn check_head(&self) -> Result<(), Fault> {
         if self.head.is_http2() {
             let detail = "version: found HTTP/2, allowed is HTTP/1.1";
             return Err(Fault::not_run(Kind::Malformed, detail));
@@ -124,42 +125,43 @@
         Ok(())
     }
 
-    /// Waits for the time at which the missing bytes are given up.
-    fn wait(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    /// Polls the time limit of the current phase. A connection that stays idle is
+    /// closed, and one whose head is late is refused.
+    fn poll_read_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let state = self.connection.watch(cx.waker());
         match state.phase {
-            Phase::Request | Phase::Last => Poll::Pending,
+            Phase::Request | Phase::Closing => Poll::Pending,
             Phase::Waiting => {
-                ready!(self.reading.poll(cx, state, self.limits.idle_timeout));
+                ready!(self.read_timer.poll(cx, state, self.limits.idle_timeout));
                 Poll::Ready(Ok(()))
             }
             Phase::Head => {
                 let limit = self.limits.header_timeout;
-                ready!(self.reading.poll(cx, state, limit));
+                ready!(self.read_timer.poll(cx, state, limit));
                 let detail = format!("headers: allowed are {} ms", limit.as_millis());
                 self.refuse(cx, Fault::not_run(Kind::SlowCaller, detail));
-                self.linger(cx)
+                self.poll_linger(cx)
             }
         }
     }
 
-    /// Answers in place of the HTTP library, which has seen no whole head.
+    /// Answers in place of the HTTP library, which has not seen a whole head.
     fn refuse(&mut self, cx: &mut Context<'_>, fault: Fault) {
         self.is_refused = true;
         self.metrics.refused(fault.kind);
         if self.is_flushed {
-            // A caller that does not take these few bytes gets no answer.
-            let _ = self.socket.try_write(&Refusal::from(fault).message());
+            // A caller whose socket has no room for this short response gets none.
+            let _ = self.socket.try_write(&Refusal::from(fault).to_http());
         }
         let _ = Pin::new(&mut self.socket).poll_shutdown(cx);
     }
 
-    /// Throws away what arrives until the caller closes or the time is up.
-    fn linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    /// Discards what arrives until the caller closes or [`LINGER_TIMEOUT`] is over.
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let state = self.connection.state();
-        let mut waste = [0; WASTE];
-        while self.lingering.poll(cx, state, LINGER).is_pending() {
-            let mut buffer = ReadBuf::new(&mut waste);
+        let mut discarded = [0; DISCARD_BUFFER_BYTES];
+        while self.linger_timer.poll(cx, state, LINGER_TIMEOUT).is_pending() {
+            let mut buffer = ReadBuf::new(&mut discarded);
             let read = ready!(Pin::new(&mut self.socket).poll_read(cx, &mut buffer));
             if read.is_err() || buffer.filled().is_empty() {
                 break;
@@ -177,18 +179,18 @@
     ) -> Poll<io::Result<()>> {
         let stream = self.get_mut();
         if stream.is_refused {
-            return stream.linger(cx);
+            return stream.poll_linger(cx);
         }
         let before = buf.filled().len();
         match Pin::new(&mut stream.socket).poll_read(cx, buf) {
-            Poll::Pending => stream.wait(cx),
+            Poll::Pending => stream.poll_read_timeout(cx),
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Ready(Ok(())) => match stream.take(&buf.filled()[before..]) {
+            Poll::Ready(Ok(())) => match stream.receive(&buf.filled()[before..]) {
                 Ok(()) => Poll::Ready(Ok(())),
                 Err(fault) => {
                     buf.set_filled(before);
                     stream.refuse(cx, fault);
-                    stream.linger(cx)
+                    stream.poll_linger(cx)
                 }
             },
         }
@@ -204,11 +206,11 @@
         let stream = self.get_mut();
         stream.is_flushed = false;
         if let Poll::Ready(written) = Pin::new(&mut stream.socket).poll_write(cx, buf) {
-            stream.writing.clear();
+            stream.write_timer.clear();
             return Poll::Ready(written);
         }
         let state = stream.connection.state();
-        ready!(stream.writing.poll(cx, state, stream.limits.idle_timeout));
+        ready!(stream.write_timer.poll(cx, state, stream.limits.idle_timeout));
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
@@ -222,8 +224,8 @@
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let stream = self.get_mut();
         ready!(Pin::new(&mut stream.socket).poll_shutdown(cx))?;
-        if stream.connection.state().phase == Phase::Last {
-            return stream.linger(cx);
+        if stream.connection.state().phase == Phase::Closing {
+            return stream.poll_linger(cx);
         }
         Poll::Ready(Ok(()))
     }
--- a/src/operator/answer.rs
+++ b/src/operator/answer.rs
@@ -67,16 +67,16 @@
 fn conflict(winner: Revision, who: &str, changes: &[Difference]) -> Refusal {
     let detail = format!("revision {} is in force, published by {who}", winner.0);
     Refusal::from(Fault::not_run(Kind::RevisionConflict, detail))
-        .with("winner", json!(winner))
-        .with("who", json!(who))
-        .with("changes", json!(changes))
+        .with_member("winner", json!(winner))
+        .with_member("who", json!(who))
+        .with_member("changes", json!(changes))
 }
 
 fn unsettled(token: &Token) -> Refusal {
     let detail = format!("ask again by POST {SETTLE} with the token of this document");
     Refusal::from(Fault::unknown(Kind::RevisionUnsettled, detail))
-        .with("token", json!(token))
-        .with("settle", Value::from(SETTLE))
+        .with_member("token", json!(token))
+        .with_member("settle", Value::from(SETTLE))
 }
 
 /// What became of a publication.
