Reword the front for operators

Cause: names such as Holders, known, given, undecoded, sound, Word and Show and constants such as BODIES did not say what they are. Change: comments and private names in src/operator.

--- a/src/operator/access.rs
+++ b/src/operator/access.rs
@@ -1,4 +1,5 @@
-//! Who asks, and whether the token carries the role that a path needs.
+//! Authentication and authorization of operators: finds the token of a request
+//! and checks that it carries the role that the path needs.
 
 use std::sync::Arc;
 
@@ -10,32 +11,34 @@
     settings::identity::{Operators, Role, Token},
 };
 
-/// The paths that need a token.
-pub const GUARDED: &str = "/v1";
+/// The prefix of the paths that need a token.
+pub const GUARDED_PREFIX: &str = "/v1";
 
-/// The scheme of the `Authorization` header.
+/// The authentication scheme in the `Authorization` header, with the space that
+/// follows it.
 const SCHEME: &str = "Bearer ";
 
-/// Lets only those send a body to a guarded path who hold a known token, since
-/// the documents of operators are large.
-pub struct Holders(pub Arc<Operators>);
+/// Refuses a request to a guarded path without a known token before its body is
+/// read, since the documents of operators are large.
+pub struct TokenGate(pub Arc<Operators>);
 
-impl Gate for Holders {
+impl Gate for TokenGate {
     fn check(&self, path: &str, headers: &HeaderMap) -> Result<(), Refusal> {
-        if path.starts_with(GUARDED) {
-            known(headers, &self.0)?;
+        if path.starts_with(GUARDED_PREFIX) {
+            authenticate(headers, &self.0)?;
         }
         Ok(())
     }
 }
 
-/// The token of a request, if it carries `role`.
-pub fn token<'a>(
+/// Returns the token of a request, or a fault if the token is not known or does
+/// not carry `role`.
+pub fn authorize<'a>(
     headers: &HeaderMap,
     operators: &'a Operators,
     role: Role,
 ) -> Result<&'a Token, Fault> {
-    let found = known(headers, operators)?;
+    let found = authenticate(headers, operators)?;
     if found.allows(role) {
         return Ok(found);
     }
@@ -47,21 +50,23 @@
     Err(Fault::not_run(Kind::Forbidden, detail))
 }
 
-/// The token of a request.
+/// Returns the token of a request, or a fault if it is not known.
 ///
 /// A missing, a malformed and an unknown token get the same answer after the
-/// same work, so that a refusal tells nothing about the known ones.
-fn known<'a>(headers: &HeaderMap, operators: &'a Operators) -> Result<&'a Token, Fault> {
-    operators.token(given(headers).unwrap_or_default()).ok_or_else(|| {
+/// same work, so that a refusal reveals nothing about the known tokens.
+fn authenticate<'a>(headers: &HeaderMap, operators: &'a Operators) -> Result<&'a Token, Fault> {
+    operators.token(bearer_token(headers).unwrap_or_default()).ok_or_else(|| {
         let detail = "Authorization: allowed is a bearer token from the settings of this VM";
         Fault::not_run(Kind::Unauthorized, detail)
     })
 }
 
-fn given(headers: &HeaderMap) -> Option<&str> {
+/// Returns the text of the bearer token, if there is exactly one `Authorization`
+/// header and it has the scheme [`SCHEME`].
+fn bearer_token(headers: &HeaderMap) -> Option<&str> {
     let mut values = headers.get_all(header::AUTHORIZATION).iter();
     let value = values.next()?.to_str().ok()?;
     let (scheme, token) = value.split_at_checked(SCHEME.len())?;
-    let is_alone = values.next().is_none();
-    (is_alone && scheme.eq_ignore_ascii_case(SCHEME)).then_some(token)
+    let is_single = values.next().is_none();
+    (is_single && scheme.eq_ignore_ascii_case(SCHEME)).then_some(token)
 }
--- a/src/operator/answer.rs
+++ b/src/operator/answer.rs
@@ -1,4 +1,4 @@
-//! Answers of the control thread as responses.
+//! Encodes answers of the control thread as responses.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -22,23 +22,24 @@
 
 use crate::front::{body, problem::Refusal};
 
-/// Where an unsettled publication is asked for again.
-pub const SETTLE: &str = "/v1/publications/settle";
+/// The path at which the outcome of an unsettled publication is requested again.
+pub const SETTLE_PATH: &str = "/v1/publications/settle";
 
-/// Makes the response to an answer of the control thread.
+/// Makes the response for an answer of the control thread; `answer` is none when
+/// the thread has ended.
 pub fn respond(answer: Option<Answer>) -> Result<Response, Refusal> {
-    match answer.ok_or_else(ended)? {
+    match answer.ok_or_else(thread_ended)? {
         Answer::Accepted { revision, changes } => outcome("accepted", revision, Some(changes)),
         Answer::Planned { revision, changes } => outcome("planned", revision, Some(changes)),
         Answer::NotPublished { current } => outcome("not_published", current, None),
         Answer::Conflict { winner, who, changes } => Err(conflict(winner, &who, &changes)),
         Answer::Unsettled { token } => Err(unsettled(&token)),
-        Answer::Document { document, confirmed } => show(&document, confirmed),
+        Answer::Document { document, confirmed } => profiles_in_force(&document, confirmed),
         Answer::Changes { revision, changes } => ok(&Changes { revision, changes }),
         Answer::History(audits) => {
             ok(&History { records: audits.into_iter().map(Record::from).collect() })
         }
-        Answer::Status(status) => ok(&InForceOn::from(status)),
+        Answer::Status(status) => ok(&RevisionStatus::from(status)),
         Answer::Vms(rows) => ok(&Vms { vms: rows.into_iter().map(Vm::from).collect() }),
         Answer::Targets(rows) => {
             ok(&Targets { targets: rows.into_iter().map(Target::from).collect() })
@@ -51,8 +52,8 @@
     body::json(StatusCode::OK, document)
 }
 
-/// A response whose entity tag is the revision, for `If-Match`.
-fn tagged<T: Serialize>(revision: Revision, document: &T) -> Result<Response, Refusal> {
+/// Makes a response whose entity tag is the revision, for a later `If-Match`.
+fn with_etag<T: Serialize>(revision: Revision, document: &T) -> Result<Response, Refusal> {
     let mut response = ok(document)?;
     if let Ok(tag) = HeaderValue::from_str(&format!("\"{}\"", revision.0)) {
         response.headers_mut().insert(header::ETAG, tag);
@@ -60,8 +61,8 @@
     Ok(response)
 }
 
-fn ended() -> Refusal {
-    Fault::unknown(Kind::Internal, "the VM ended before it had an answer").into()
+fn thread_ended() -> Refusal {
+    Fault::unknown(Kind::Internal, "the VM stopped before it answered the request").into()
 }
 
 fn conflict(winner: Revision, who: &str, changes: &[Difference]) -> Refusal {
@@ -73,13 +74,13 @@
 }
 
 fn unsettled(token: &Token) -> Refusal {
-    let detail = format!("ask again by POST {SETTLE} with the token of this document");
+    let detail = format!("ask again by POST {SETTLE_PATH} with the token of this document");
     Refusal::from(Fault::unknown(Kind::RevisionUnsettled, detail))
         .with_member("token", json!(token))
-        .with_member("settle", Value::from(SETTLE))
+        .with_member("settle", Value::from(SETTLE_PATH))
 }
 
-/// What became of a publication.
+/// The outcome of a publication, of a dry run or of settling one.
 #[derive(Debug, Serialize)]
 struct Outcome {
     outcome: &'static str,
@@ -96,17 +97,17 @@
     ok(&Outcome { outcome, revision, changes })
 }
 
-/// The profiles in force.
+/// The profiles in force, and whether their revision is confirmed.
 #[derive(Debug, Serialize)]
-struct Show<'a> {
+struct ProfilesInForce<'a> {
     revision: Revision,
     confirmed: bool,
     profiles: &'a BTreeMap<Name, Profile>,
 }
 
-fn show(document: &Document, confirmed: bool) -> Result<Response, Refusal> {
+fn profiles_in_force(document: &Document, confirmed: bool) -> Result<Response, Refusal> {
     let Document { revision, profiles } = document;
-    tagged(*revision, &Show { revision: *revision, confirmed, profiles })
+    with_etag(*revision, &ProfilesInForce { revision: *revision, confirmed, profiles })
 }
 
 #[derive(Debug, Serialize)]
@@ -136,25 +137,25 @@
     }
 }
 
-/// Where a revision is in force.
+/// How many VMs have a revision in force, and the status of each VM.
 #[derive(Debug, Serialize)]
-struct InForceOn {
+struct RevisionStatus {
     revision: Revision,
     in_force: usize,
-    vms: Vec<Word>,
+    vms: Vec<VmStatus>,
 }
 
-impl From<Status> for InForceOn {
-    fn from(status: Status) -> InForceOn {
-        let vms = status.vms.into_iter().map(Word::from).collect();
-        InForceOn { revision: status.revision, in_force: status.in_force, vms }
+impl From<Status> for RevisionStatus {
+    fn from(status: Status) -> RevisionStatus {
+        let vms = status.vms.into_iter().map(VmStatus::from).collect();
+        RevisionStatus { revision: status.revision, in_force: status.in_force, vms }
     }
 }
 
-/// What was last heard of one VM.
+/// The last report from one VM.
 #[serde_as]
 #[derive(Debug, Serialize)]
-struct Word {
+struct VmStatus {
     vm: Name,
     revision: Option<Revision>,
     #[serde(rename = "heard_ms")]
@@ -166,10 +167,10 @@
     silent: bool,
 }
 
-impl From<InForce> for Word {
-    fn from(row: InForce) -> Word {
+impl From<InForce> for VmStatus {
+    fn from(row: InForce) -> VmStatus {
         let InForce { vm, revision, heard, confirmed, silent } = row;
-        Word { vm, revision, heard, confirmed, silent }
+        VmStatus { vm, revision, heard, confirmed, silent }
     }
 }
 
@@ -250,7 +251,8 @@
     }
 }
 
-/// Who said it: `list`, `own`, or `peer` with the name of the VM.
+/// Formats where a row comes from: `list`, `own`, or `peer` with the name of the
+/// VM.
 fn source(source: &Source) -> String {
     match source {
         Source::List => "list".to_owned(),
--- a/src/operator/document.rs
+++ b/src/operator/document.rs
@@ -1,4 +1,4 @@
-//! Requests of operators: raw documents to checked types.
+//! Decodes the requests of operators into checked types.
 
 use std::collections::BTreeMap;
 
@@ -22,7 +22,7 @@
     profiles: Option<Value>,
 }
 
-/// Reads the profiles of a body.
+/// Decodes and checks the profiles in a body.
 pub fn profiles(bytes: &[u8]) -> Result<BTreeMap<Name, Profile>, Fault> {
     let raw: Raw = body::decode(bytes)?;
     let Some(Value::Object(entries)) = raw.profiles else {
@@ -36,30 +36,31 @@
     let path = format!("profiles.{}", field::excerpt(&name));
     let name = field::name(&path, Some(&Value::String(name)))?;
     let raw = serde_json::from_value::<RawProfile>(value.clone())
-        .map_err(|e| undecoded(&path, &value, &e))?;
+        .map_err(|e| decode_fault(&path, &value, &e))?;
     let profile = Profile::try_from(raw)
         .map_err(|e| Fault::not_run(Kind::Malformed, format!("{path}.{e}")))?;
     Ok((name, profile))
 }
 
-/// The refusal of a profile that does not have the right fields. The decoder
-/// does not name a field of the wrong type, so each is tried on its own.
-fn undecoded(path: &str, value: &Value, error: &serde_json::Error) -> Fault {
+/// Makes the fault for a profile that cannot be decoded. The decoder does not
+/// name a field of the wrong type, so each field is tried on its own.
+fn decode_fault(path: &str, value: &Value, error: &serde_json::Error) -> Fault {
     let fields = value.as_object().into_iter().flatten();
-    let culprit = fields.map(|(key, _)| key).find(|key| !is_decoded(key, value));
-    let place = culprit.map_or(path.to_owned(), |key| format!("{path}.{key}"));
+    let wrong_field = fields.map(|(key, _)| key).find(|key| !is_decodable(key, value));
+    let place = wrong_field.map_or(path.to_owned(), |key| format!("{path}.{key}"));
     Fault::not_run(Kind::Malformed, format!("{place}: {error}"))
 }
 
-/// Whether a sound profile whose field `key` comes from `value` is decoded.
-fn is_decoded(key: &str, value: &Value) -> bool {
-    let mut fields = sound();
+/// Returns whether a valid profile can still be decoded when its field `key` is
+/// taken from `value`.
+fn is_decodable(key: &str, value: &Value) -> bool {
+    let mut fields = decodable_fields();
     fields.insert(key.to_owned(), value[key].clone());
     serde_json::from_value::<RawProfile>(Value::Object(fields)).is_ok()
 }
 
-/// The fields of a profile that is decoded.
-fn sound() -> Map<String, Value> {
+/// Returns the fields of a profile that can be decoded.
+fn decodable_fields() -> Map<String, Value> {
     let profile = RawProfile {
         team: String::new(),
         index: String::new(),
@@ -73,13 +74,14 @@
     };
     match serde_json::to_value(profile) {
         Ok(Value::Object(fields)) => fields,
-        // A structure of named fields is encoded as an object.
+        // A structure with named fields is always encoded as an object.
         _ => Map::new(),
     }
 }
 
-/// Reads the revision that must be in force from the `If-Match` header.
-pub fn expect(headers: &HeaderMap) -> Result<Option<Revision>, Fault> {
+/// Reads the revision that must be in force from the `If-Match` header, if there
+/// is one.
+pub fn expected_revision(headers: &HeaderMap) -> Result<Option<Revision>, Fault> {
     let Some(value) = headers.get(header::IF_MATCH) else { return Ok(None) };
     let text = String::from_utf8_lossy(value.as_bytes());
     let digits = text.trim().strip_prefix('"').and_then(|rest| rest.strip_suffix('"'));
@@ -88,7 +90,8 @@
     revision.map(Some).ok_or_else(refusal)
 }
 
-/// Reads whether a publication is only compared, from the query of the path.
+/// Reads from the query of the URI whether a publication is a dry run, which only
+/// compares.
 pub fn dry_run(query: Option<&str>) -> Result<bool, Fault> {
     match query.unwrap_or_default() {
         "" | "dry_run=false" => Ok(false),
@@ -100,12 +103,12 @@
     }
 }
 
-/// A roll back.
+/// A request to publish the profiles of an earlier revision again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rollback {
     /// The revision whose profiles are published again.
     pub to: Revision,
-    /// The revision that must be in force.
+    /// The revision that must be in force, if the operator named one.
     pub expect: Option<Revision>,
 }
 
@@ -128,8 +131,8 @@
     }
 }
 
-/// Reads a roll back from a body.
-pub fn roll_back(bytes: &[u8]) -> Result<Rollback, Fault> {
+/// Decodes and checks a rollback in a body.
+pub fn rollback(bytes: &[u8]) -> Result<Rollback, Fault> {
     Rollback::try_from(body::decode::<RawRollback>(bytes)?)
 }
 
@@ -165,7 +168,7 @@
         .map_err(|_| field::malformed(name, &field::excerpt(text), "the id of a token"))
 }
 
-/// Reads the token of a publication that is to be settled.
+/// Decodes and checks the token of the publication to settle.
 pub fn token(bytes: &[u8]) -> Result<Token, Fault> {
     let raw: RawSettle = body::decode(bytes)?;
     let token = raw.token.ok_or_else(|| {
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,7 +1,8 @@
-//! The HTTP front for operators: bytes to typed requests, answers to bytes.
+//! The HTTP front for operators: decodes requests into typed ones and encodes the
+//! answers.
 //!
-//! Nothing is decided here but whether the token is known and carries the role
-//! of the path. Which profiles a team may change is decided by
+//! The only decision here is whether the token is known and carries the role that
+//! the path needs. Which profiles a team may change is decided by
 //! [`laburnum_core::control::access`], against the document in force.
 
 pub mod access;
@@ -10,7 +11,7 @@
 
 use std::{io, net::TcpListener, sync::Arc, time::Duration};
 
-use laburnum_core::control::{Answer, Request as Ask};
+use laburnum_core::control::{Answer, Request as ControlRequest};
 use poem::{EndpointExt, Request, Response, Route, get, handler, post, web::Data};
 use tokio::sync::watch;
 
@@ -26,44 +27,43 @@
     settings::identity::{Operators, Role},
 };
 
-/// Limits on the body of a request: a document of profiles in JSON takes more
-/// than its stored form.
-const BODIES: body::Limits =
+/// Limits on the body of a request. A document of profiles takes more bytes in a
+/// request than in its stored form.
+const BODY_LIMITS: body::Limits =
     body::Limits { size: 2 * 1024 * 1024, read_timeout: Duration::from_secs(30) };
 
-/// Limits on connections.
-const CONNECTIONS: limit::Limits = limit::Limits {
+/// Limits on the connections of operators.
+const CONNECTION_LIMITS: limit::Limits = limit::Limits {
     header_size: 16 * 1024,
     header_timeout: Duration::from_secs(5),
     idle_timeout: Duration::from_secs(60),
     connections: 64,
 };
 
-/// What a front is made from.
+/// The sockets, tokens and channels that a front is made from.
 pub struct Parts {
-    /// Where operators connect.
+    /// The socket on which operators connect.
     pub listener: TcpListener,
-    /// Who may administer.
+    /// The tokens that are accepted.
     pub operators: Operators,
-    /// The way into the control thread.
+    /// Hands requests to the control thread.
     pub handle: Handle,
     /// Whether the VM takes requests of callers.
     pub ready: watch::Receiver<bool>,
-    /// The metrics of the VM.
     pub metrics: Arc<dyn Metrics>,
-    /// Turns true when the VM shuts down.
+    /// Becomes true when the VM shuts down.
     pub shutdown: watch::Receiver<bool>,
 }
 
-/// What the handlers share.
+/// What the handlers need: the accepted tokens and the control thread.
 struct Front {
     operators: Arc<Operators>,
     handle: Handle,
 }
 
-type Shared = Arc<Front>;
+type SharedFront = Arc<Front>;
 
-/// Serves operators until `shutdown` turns true and the open requests have
+/// Serves operators until `shutdown` becomes true and the open requests have
 /// finished.
 pub async fn serve(seed: Parts) -> io::Result<()> {
     let Parts { listener, operators, handle, ready, metrics, shutdown } = seed;
@@ -71,8 +71,8 @@
     let operators = Arc::new(operators);
     let port = Port {
         listener,
-        limits: Arc::new(Fixed { connection: CONNECTIONS, body: BODIES }),
-        gate: Box::new(access::Holders(Arc::clone(&operators))),
+        limits: Arc::new(Fixed { connection: CONNECTION_LIMITS, body: BODY_LIMITS }),
+        gate: Box::new(access::TokenGate(Arc::clone(&operators))),
         metrics,
         ready,
         shutdown,
@@ -80,102 +80,106 @@
     port.serve(routes(Arc::new(Front { operators, handle }), probe)).await
 }
 
-fn routes(front: Shared, probe: Probe) -> Route {
+fn routes(front: SharedFront, probe: Probe) -> Route {
     let paths = Route::new()
         .at("/profiles", get(show).put(publish))
         .at("/profiles/diff", post(diff))
         .at("/profiles/history", get(history))
-        .at("/profiles/rollback", post(roll_back))
+        .at("/profiles/rollback", post(rollback))
         .at("/profiles/status", get(status))
         .at("/publications/settle", post(settle))
         .at("/vms", get(vms))
         .at("/targets", get(targets))
         .data(front);
-    probe::routes(Route::new(), probe).nest(access::GUARDED, paths)
+    probe::routes(Route::new(), probe).nest(access::GUARDED_PREFIX, paths)
 }
 
 impl Front {
-    /// Answers a request that changes nothing.
-    async fn read(&self, request: &Request, ask: Ask) -> Result<Response, Refusal> {
-        access::token(request.headers(), &self.operators, Role::Read)?;
-        self.ask(ask).await
+    /// Answers a request that changes nothing, which needs [`Role::Read`].
+    async fn read(
+        &self,
+        request: &Request,
+        control_request: ControlRequest,
+    ) -> Result<Response, Refusal> {
+        access::authorize(request.headers(), &self.operators, Role::Read)?;
+        self.send(control_request).await
     }
 
-    async fn ask(&self, ask: Ask) -> Result<Response, Refusal> {
-        let answer: Option<Answer> = self.handle.request(ask).await;
+    async fn send(&self, control_request: ControlRequest) -> Result<Response, Refusal> {
+        let answer: Option<Answer> = self.handle.request(control_request).await;
         answer::respond(answer)
     }
 }
 
 #[handler]
-async fn show(Data(front): Data<&Shared>, request: &Request) -> Result<Response, Refusal> {
-    front.read(request, Ask::Show).await
+async fn show(Data(front): Data<&SharedFront>, request: &Request) -> Result<Response, Refusal> {
+    front.read(request, ControlRequest::Show).await
 }
 
 #[handler]
-async fn history(Data(front): Data<&Shared>, request: &Request) -> Result<Response, Refusal> {
-    front.read(request, Ask::History).await
+async fn history(Data(front): Data<&SharedFront>, request: &Request) -> Result<Response, Refusal> {
+    front.read(request, ControlRequest::History).await
 }
 
 #[handler]
-async fn status(Data(front): Data<&Shared>, request: &Request) -> Result<Response, Refusal> {
-    front.read(request, Ask::Status).await
+async fn status(Data(front): Data<&SharedFront>, request: &Request) -> Result<Response, Refusal> {
+    front.read(request, ControlRequest::Status).await
 }
 
 #[handler]
-async fn vms(Data(front): Data<&Shared>, request: &Request) -> Result<Response, Refusal> {
-    front.read(request, Ask::Vms).await
+async fn vms(Data(front): Data<&SharedFront>, request: &Request) -> Result<Response, Refusal> {
+    front.read(request, ControlRequest::Vms).await
 }
 
 #[handler]
-async fn targets(Data(front): Data<&Shared>, request: &Request) -> Result<Response, Refusal> {
-    front.read(request, Ask::Targets).await
+async fn targets(Data(front): Data<&SharedFront>, request: &Request) -> Result<Response, Refusal> {
+    front.read(request, ControlRequest::Targets).await
 }
 
 #[handler]
 async fn diff(
-    Data(front): Data<&Shared>,
+    Data(front): Data<&SharedFront>,
     request: &Request,
     body: Vec<u8>,
 ) -> Result<Response, Refusal> {
-    access::token(request.headers(), &front.operators, Role::Read)?;
+    access::authorize(request.headers(), &front.operators, Role::Read)?;
     let profiles = document::profiles(&body)?;
-    front.ask(Ask::Diff { profiles }).await
+    front.send(ControlRequest::Diff { profiles }).await
 }
 
 #[handler]
 async fn publish(
-    Data(front): Data<&Shared>,
+    Data(front): Data<&SharedFront>,
     request: &Request,
     body: Vec<u8>,
 ) -> Result<Response, Refusal> {
-    let token = access::token(request.headers(), &front.operators, Role::Publish)?;
-    let expect = document::expect(request.headers())?;
+    let token = access::authorize(request.headers(), &front.operators, Role::Publish)?;
+    let expect = document::expected_revision(request.headers())?;
     let dry_run = document::dry_run(request.uri().query())?;
     let profiles = document::profiles(&body)?;
     let (who, team) = (token.name.to_string(), token.team.clone());
-    front.ask(Ask::Publish { profiles, expect, who, team, dry_run }).await
+    front.send(ControlRequest::Publish { profiles, expect, who, team, dry_run }).await
 }
 
 #[handler]
-async fn roll_back(
-    Data(front): Data<&Shared>,
+async fn rollback(
+    Data(front): Data<&SharedFront>,
     request: &Request,
     body: Vec<u8>,
 ) -> Result<Response, Refusal> {
-    let token = access::token(request.headers(), &front.operators, Role::Publish)?;
-    let document::Rollback { to, expect } = document::roll_back(&body)?;
+    let token = access::authorize(request.headers(), &front.operators, Role::Publish)?;
+    let document::Rollback { to, expect } = document::rollback(&body)?;
     let (who, team) = (token.name.to_string(), token.team.clone());
-    front.ask(Ask::Rollback { to, expect, who, team }).await
+    front.send(ControlRequest::Rollback { to, expect, who, team }).await
 }
 
 #[handler]
 async fn settle(
-    Data(front): Data<&Shared>,
+    Data(front): Data<&SharedFront>,
     request: &Request,
     body: Vec<u8>,
 ) -> Result<Response, Refusal> {
-    access::token(request.headers(), &front.operators, Role::Publish)?;
+    access::authorize(request.headers(), &front.operators, Role::Publish)?;
     let token = document::token(&body)?;
-    front.ask(Ask::Settle { token }).await
+    front.send(ControlRequest::Settle { token }).await
 }
