Reword the traffic and control threads, the inboxes and the clock

Cause: comments spoke of ways in, of what is heard and told, and constants such as IDLE did not say what they bound. Change: comments and private names in src/traffic, src/control and the files directly in src. traffic::run -> traffic::run_loop (used in src/vm only).

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,4 +1,4 @@
-//! The clocks of this machine.
+//! The clocks of the operating system.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -7,15 +7,15 @@
     time::{Instant, Wall},
 };
 
-/// The clocks of the operating system. Threads of one VM share one start, so
-/// that their times compare.
+/// Reads the clocks of the operating system. All threads of a VM use copies of one
+/// clock, so that their monotonic times have the same zero and compare.
 #[derive(Clone, Copy, Debug)]
 pub struct System {
     start: std::time::Instant,
 }
 
 impl System {
-    /// Starts the monotonic time at zero.
+    /// Makes a clock whose monotonic time is zero now.
     pub fn start() -> System {
         System { start: std::time::Instant::now() }
     }
--- a/src/control/codec.rs
+++ b/src/control/codec.rs
@@ -1,15 +1,16 @@
-//! Stored documents as JSON, which operators can read in the service itself.
+//! Encodes stored documents as JSON, which operators can read in the platform's
+//! store directly.
 
 use laburnum_core::control::{Codec, Record};
 
-/// Encodes stored documents as JSON.
+/// Encodes and decodes stored documents as JSON.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Json;
 
 impl Codec for Json {
     fn encode(&self, record: &Record) -> Vec<u8> {
-        // A record holds no map with keys other than text, and no value that
-        // JSON cannot express.
+        // The keys of all maps in a record are strings, and JSON can express every
+        // value in it.
         serde_json::to_vec(record).expect("a record is always expressible as JSON")
     }
 
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -1,4 +1,4 @@
-//! The ways into the control thread.
+//! The channels into the control thread.
 
 use laburnum_core::{
     control::{Answer, Event, Message, Request},
@@ -10,12 +10,11 @@
     oneshot,
 };
 
-/// A request of an operator with the place for its answer.
+/// A request of an operator, with the channel for its answer.
 #[derive(Debug)]
 pub struct Submission {
-    /// The request.
     pub request: Request,
-    /// Where the answer goes.
+    /// Sends the answer back.
     pub answer: oneshot::Sender<Answer>,
 }
 
@@ -46,41 +45,41 @@
 }
 
 impl Inbox {
-    /// Waits for the next request of an operator, for who answers in place of
-    /// the control thread. It answers none when all handles are gone.
+    /// Waits for the next request of an operator. This is for code that answers in
+    /// place of the control thread. Returns none when all handles are gone.
     pub async fn next(&mut self) -> Option<Submission> {
         self.submissions.recv().await
     }
 }
 
 impl Handle {
-    /// Reports for the traffic thread with the number `thread`.
+    /// Sends a report of the traffic thread with the number `thread`.
     pub fn report(&self, thread: u16, report: Report) {
-        self.event(Event::Report { thread, report });
+        self.send(Event::Report { thread, report });
     }
 
-    /// Hands over a message of another VM.
+    /// Passes on a message from another VM.
     pub fn message(&self, message: Message) {
-        self.event(Event::Message(message));
+        self.send(Event::Message(message));
     }
 
     /// Asks the VM to shut down.
     pub fn leave(&self) {
-        self.event(Event::Leave);
+        self.send(Event::Leave);
     }
 
-    fn event(&self, event: Event) {
-        // The receiver is gone only when the process is shutting down.
+    fn send(&self, event: Event) {
+        // The receiver is dropped only when the process shuts down.
         let _ = self.events.send(event);
     }
 
-    /// The channel through which the client of the platform's service replies.
+    /// Returns the channel for the replies of the client of the platform's service.
     pub fn replies(&self) -> UnboundedSender<(CallId, Reply)> {
         self.replies.clone()
     }
 
-    /// Asks for something on behalf of an operator. It answers none when the
-    /// control thread has ended.
+    /// Submits a request of an operator and waits for its answer, which is none when
+    /// the control thread has ended.
     pub async fn request(&self, request: Request) -> Option<Answer> {
         let (answer, receiver) = oneshot::channel();
         self.submissions.send(Submission { request, answer }).ok()?;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,8 +1,8 @@
 //! The control thread: one runtime, one engine, and the borders around it.
 //!
 //! The thread waits for events or for the earliest time at which the engine has
-//! something to do, takes all events that are ready, runs one step and carries
-//! out what the step left. It decides nothing.
+//! something to do, takes the events that are ready, runs one step of the engine
+//! and carries out the outbox of the step. It decides nothing.
 
 mod codec;
 mod handle;
@@ -22,29 +22,26 @@
     thread::{Parts, spawn},
 };
 
-/// The control threads of other VMs.
+/// Sends messages to the control threads of other VMs.
 pub trait Messenger {
-    /// Sends a message, without a promise that it arrives.
+    /// Sends a message, which may get lost on the way.
     fn send(&mut self, vm: &Name, address: SocketAddr, message: Message);
 }
 
-/// The counters and gauges.
+/// Counts what the control thread does, in counters and gauges.
 pub trait Meter {
-    /// Adds what a step has left to be carried out.
+    /// Adds the calls and claim counts in the outbox of a step.
     fn count(&mut self, out: &Outbox);
-    /// Notes the state of the tables.
+    /// Updates the gauges from the tables.
     fn observe(&mut self, engine: &Engine);
 }
 
-/// What the control thread works through. It is made on the thread itself, so
-/// that clients find its runtime.
+/// The borders through which the control thread acts. They are made on the thread
+/// itself, because the clients behind them need its runtime.
 pub struct Borders {
-    /// The platform's service.
     pub platform: Box<dyn Platform>,
-    /// The other VMs.
+    /// The control threads of other VMs.
     pub messenger: Box<dyn Messenger>,
-    /// The log.
     pub journal: Box<dyn Journal>,
-    /// The counters.
     pub meter: Box<dyn Meter>,
 }
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -15,38 +15,37 @@
 
 use super::{Borders, Inbox, Submission};
 
-/// The longest sleep when the engine has nothing to do.
-const IDLE: Duration = Duration::from_secs(1);
+/// The longest sleep between two steps when no event comes.
+const MAX_SLEEP: Duration = Duration::from_secs(1);
 
 /// The most events that one step takes.
 const MAX_BATCH: usize = 1024;
 
-/// What the control thread is made from.
+/// The parts that the control thread is made from.
 pub struct Parts {
-    /// What the engine is made from.
+    /// The identity, limits and codec that the engine starts with.
     pub setup: Setup,
-    /// The ways into the thread.
+    /// The channels into the thread.
     pub inbox: Inbox,
-    /// The traffic threads, by number.
+    /// The channels for notices to the traffic threads, by thread number.
     pub threads: Vec<UnboundedSender<Notice>>,
-    /// The clocks.
     pub clock: Box<dyn Clock + Send>,
-    /// Makes the borders on the thread.
+    /// Makes the borders. It is called on the thread.
     pub borders: Box<dyn FnOnce() -> Borders + Send>,
     /// Becomes true when the VM is leaving and has nothing in flight.
     pub idle: watch::Sender<bool>,
-    /// Becomes true when the thread is to end.
+    /// Becomes true when the thread must end.
     pub stop: watch::Receiver<bool>,
 }
 
-/// Starts the control thread. It ends when it is told to stop or every
+/// Starts the control thread. It ends when `stop` becomes true or every
 /// [`super::Handle`] is dropped.
 pub fn spawn(parts: Parts) -> io::Result<thread::JoinHandle<()>> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    thread::Builder::new().name("control".to_owned()).spawn(move || run(&runtime, parts))
+    thread::Builder::new().name("control".to_owned()).spawn(move || run_loop(&runtime, parts))
 }
 
-fn run(runtime: &Runtime, parts: Parts) {
+fn run_loop(runtime: &Runtime, parts: Parts) {
     runtime.block_on(async move {
         let mut control = Control {
             borders: (parts.borders)(),
@@ -55,7 +54,7 @@
             threads: parts.threads,
             idle: parts.idle,
             pending: BTreeMap::new(),
-            last: 0,
+            last_id: 0,
         };
         let mut inbox = parts.inbox;
         let mut stop = parts.stop;
@@ -80,16 +79,16 @@
     threads: Vec<UnboundedSender<Notice>>,
     idle: watch::Sender<bool>,
     pending: BTreeMap<RequestId, oneshot::Sender<Answer>>,
-    last: u64,
+    last_id: u64,
 }
 
 impl Control {
     /// Waits for the first event or the earliest time at which the engine has
-    /// something to do, then takes all events that are ready. It returns false
-    /// when no more events can come.
+    /// something to do, then takes the events that are ready. Returns false when
+    /// every handle is dropped, so that no more events can come.
     async fn wait(&mut self, inbox: &mut Inbox, events: &mut Vec<Event>) -> bool {
         let now = self.clock.now();
-        let pause = self.engine.wake().map_or(IDLE, |wake| wake.remaining(now).min(IDLE));
+        let pause = self.engine.wake().map_or(MAX_SLEEP, |wake| wake.remaining(now).min(MAX_SLEEP));
         tokio::select! {
             event = inbox.events.recv() => match event {
                 Some(event) => events.push(event),
@@ -101,11 +100,11 @@
             }
             () = sleep(pause) => {}
         }
-        self.drain(inbox, events);
+        self.take_ready(inbox, events);
         true
     }
 
-    fn drain(&mut self, inbox: &mut Inbox, events: &mut Vec<Event>) {
+    fn take_ready(&mut self, inbox: &mut Inbox, events: &mut Vec<Event>) {
         while events.len() < MAX_BATCH {
             if let Ok((call, reply)) = inbox.replies.try_recv() {
                 events.push(Event::Reply { call, reply });
@@ -120,8 +119,8 @@
     }
 
     fn register(&mut self, submission: Submission) -> Event {
-        self.last += 1;
-        let id = RequestId(self.last);
+        self.last_id += 1;
+        let id = RequestId(self.last_id);
         self.pending.insert(id, submission.answer);
         Event::Request { id, request: submission.request }
     }
@@ -130,13 +129,13 @@
         let mut out = Outbox::default();
         self.engine.step(self.clock.now(), self.clock.wall(), events, &mut out);
         self.borders.meter.count(&out);
-        self.flush(out);
+        self.carry_out(out);
         self.borders.meter.observe(&self.engine);
         let is_idle = self.engine.leaving() && self.engine.idle(self.threads.len());
         self.idle.send_if_modified(|idle| std::mem::replace(idle, is_idle) != is_idle);
     }
 
-    fn flush(&mut self, out: Outbox) {
+    fn carry_out(&mut self, out: Outbox) {
         for line in &out.lines {
             self.borders.journal.write(line);
         }
@@ -151,13 +150,13 @@
         }
         for (id, answer) in out.answers {
             if let Some(sender) = self.pending.remove(&id) {
-                // Whoever asked may have gone away.
+                // The operator may have gone away.
                 let _ = sender.send(answer);
             }
         }
     }
 
-    /// Tells traffic threads something; one that has ended needs to know nothing.
+    /// Sends a notice to traffic threads. A thread that has ended does not need it.
     fn notify(&self, recipient: Recipient, notice: Notice) {
         match recipient {
             Recipient::All => {
--- a/src/inbox.rs
+++ b/src/inbox.rs
@@ -1,4 +1,4 @@
-//! The way of a front into the loop of a thread.
+//! Hands the calls of a front to the loop of a thread and the answers back.
 
 use std::{
     collections::BTreeMap,
@@ -13,52 +13,52 @@
     oneshot,
 };
 
-/// A call with the place for its answer.
+/// A call that was submitted to a thread, with the channel for its answer.
 #[derive(Debug)]
 pub struct Submission<C, E, A> {
-    /// What the call asks for.
+    /// The event that the call is for the engine of the thread.
     pub event: E,
-    /// The call.
+    /// The id of the call.
     pub call: C,
-    /// Where the answer goes.
+    /// Sends the answer back.
     pub answer: oneshot::Sender<A>,
 }
 
-/// What a front hands to a thread.
+/// An input of a thread from its front.
 #[derive(Debug)]
 pub enum Input<C, E, A> {
     /// A call that waits for an answer.
     Call(Submission<C, E, A>),
-    /// A caller went away before its answer.
+    /// The caller went away before the answer to this call.
     Abandoned(C),
 }
 
-/// Makes calls and hands them to a thread.
+/// Numbers calls and hands them to a thread.
 #[derive(Debug)]
 pub struct Handle<C, E, A> {
     inputs: UnboundedSender<Input<C, E, A>>,
-    number: fn(u64) -> C,
-    last: Arc<AtomicU64>,
+    make_call: fn(u64) -> C,
+    next_number: Arc<AtomicU64>,
 }
 
 impl<C, E, A> Clone for Handle<C, E, A> {
     fn clone(&self) -> Self {
-        let (inputs, last) = (self.inputs.clone(), Arc::clone(&self.last));
-        Handle { inputs, number: self.number, last }
+        let (inputs, next_number) = (self.inputs.clone(), Arc::clone(&self.next_number));
+        Handle { inputs, make_call: self.make_call, next_number }
     }
 }
 
 impl<C: Copy, E, A> Handle<C, E, A> {
-    /// Makes a handle that hands calls to `inputs`; `number` makes a call of its
-    /// number.
-    pub fn new(inputs: UnboundedSender<Input<C, E, A>>, number: fn(u64) -> C) -> Self {
-        Handle { inputs, number, last: Arc::new(AtomicU64::new(0)) }
+    /// Makes a handle that hands calls to `inputs`; `make_call` makes the id of a
+    /// call from its number.
+    pub fn new(inputs: UnboundedSender<Input<C, E, A>>, make_call: fn(u64) -> C) -> Self {
+        Handle { inputs, make_call, next_number: Arc::new(AtomicU64::new(0)) }
     }
 
-    /// Asks for an answer. It is none when the thread has ended. Dropping the
-    /// future tells the thread that the caller went away.
+    /// Submits a call and waits for its answer, which is none when the thread has
+    /// ended. Dropping the future tells the thread that the caller went away.
     pub async fn request(&self, event: impl FnOnce(C) -> E) -> Option<A> {
-        let call = (self.number)(self.last.fetch_add(1, Ordering::Relaxed));
+        let call = (self.make_call)(self.next_number.fetch_add(1, Ordering::Relaxed));
         let (answer, receiver) = oneshot::channel();
         let guard = Guard { call, inputs: &self.inputs };
         self.inputs.send(Input::Call(Submission { call, event: event(call), answer })).ok()?;
@@ -68,7 +68,7 @@
     }
 }
 
-/// The calls of a thread that wait for their answers.
+/// The calls of a thread that wait for their answers, by id.
 #[derive(Debug)]
 pub struct Pending<C, A>(BTreeMap<C, oneshot::Sender<A>>);
 
@@ -79,8 +79,9 @@
 }
 
 impl<C: Copy + Ord, A> Pending<C, A> {
-    /// Takes an input and returns its event; `abandoned` makes the one of a
-    /// caller that went away.
+    /// Registers the call of an input, or removes one whose caller went away, and
+    /// returns the event for the engine; `abandoned` makes the event for a caller
+    /// that went away.
     pub fn register<E>(&mut self, input: Input<C, E, A>, abandoned: impl FnOnce(C) -> E) -> E {
         match input {
             Input::Call(submission) => {
@@ -94,7 +95,7 @@
         }
     }
 
-    /// Hands an answer to its caller, who may have gone away.
+    /// Sends an answer to its caller, which may have gone away.
     pub fn answer(&mut self, call: C, answer: A) {
         if let Some(sender) = self.0.remove(&call) {
             let _ = sender.send(answer);
@@ -102,7 +103,8 @@
     }
 }
 
-/// Tells the thread when the future of a call is dropped.
+/// Tells the thread that the caller went away, if the future of a call is dropped
+/// before its answer.
 struct Guard<'a, C: Copy, E, A> {
     call: C,
     inputs: &'a UnboundedSender<Input<C, E, A>>,
@@ -115,9 +117,10 @@
     }
 }
 
-/// Takes what is ready in a channel without waiting, until `into` holds `most`.
-pub fn take_ready<T>(channel: &mut UnboundedReceiver<T>, into: &mut Vec<T>, most: usize) {
-    while into.len() < most {
+/// Moves what is ready in `channel` to `into` without waiting, until `into` holds
+/// `limit` items.
+pub fn take_ready<T>(channel: &mut UnboundedReceiver<T>, into: &mut Vec<T>, limit: usize) {
+    while into.len() < limit {
         match channel.try_recv() {
             Ok(event) => into.push(event),
             Err(_) => return,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,8 @@
-//! laburnumworks, a query tier over many shards: everything that stands between
-//! callers and targets.
+//! laburnumworks, a query tier over many shards, which stands between callers and
+//! targets.
 //!
-//! The decisions are in the crate `laburnum-core`. This crate holds what
-//! surrounds them: threads, sockets, codecs, settings and the command line. See
+//! The crate `laburnum-core` makes the decisions. This crate holds what they run
+//! in: threads, sockets, codecs, settings and the command line. See
 //! `docs/DESIGN.md`.
 
 pub mod settings;
--- a/src/traffic/handle.rs
+++ b/src/traffic/handle.rs
@@ -1,17 +1,17 @@
-//! The ways into a traffic thread.
+//! Submits calls to a traffic thread.
 
 use laburnum_core::traffic::{Answer, Call, Event, Operate, Search};
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::inbox;
 
-/// A call with the place for its answer.
+/// A call that was submitted to a traffic thread, with the channel for its answer.
 pub type Submission = inbox::Submission<Call, Event, Answer>;
 
-/// What a front end hands to the thread.
+/// An input of a traffic thread from its front.
 pub type Input = inbox::Input<Call, Event, Answer>;
 
-/// The way of a front end into a traffic thread.
+/// Submits calls to a traffic thread on behalf of a front.
 #[derive(Clone, Debug)]
 pub struct Handle(inbox::Handle<Call, Event, Answer>);
 
@@ -21,12 +21,12 @@
         Handle(inbox::Handle::new(inputs, Call))
     }
 
-    /// Asks for rows; see [`inbox::Handle::request`].
+    /// Submits a search; see [`inbox::Handle::request`].
     pub async fn search(&self, search: Search) -> Option<Answer> {
         self.0.request(|call| Event::Search { call, search }).await
     }
 
-    /// Asks for an operation; see [`inbox::Handle::request`].
+    /// Submits an operation; see [`inbox::Handle::request`].
     pub async fn operate(&self, operate: Operate) -> Option<Answer> {
         self.0.request(|call| Event::Operate { call, operate }).await
     }
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -1,4 +1,4 @@
-//! The traffic threads: one runtime and one engine each, and the borders around
+//! The traffic threads: each has one runtime, one engine and the borders around
 //! it. A thread decides nothing; see `laburnum_core::traffic`.
 
 pub mod handle;
@@ -15,36 +15,33 @@
 pub use self::{
     handle::{Handle, Input},
     ready::Ready,
-    thread::{Inbox, Parts, run},
+    thread::{Inbox, Parts, run_loop},
 };
 
-/// The control thread, as a traffic thread sees it.
+/// Sends reports to the control thread of this VM.
 pub trait Control {
-    /// Hands over a report.
+    /// Sends a report, without a wait for the control thread to take it.
     fn report(&mut self, report: Report);
 }
 
-/// The counters and histograms.
+/// Counts what a traffic thread does, in counters, histograms and gauges.
 pub trait Meter {
-    /// Adds what a tick has counted.
+    /// Adds the counts of a tick.
     fn count(&mut self, counts: &Counts);
-    /// Notes an answer to a caller.
+    /// Records the latency and coverage of an answer to a caller.
     fn answered(&mut self, answer: &Answer);
-    /// Notes the state of the tables.
+    /// Updates the gauges from the tables.
     fn observe(&mut self, engine: &Engine);
 }
 
-/// What a traffic thread works through. It is made on the thread itself, so
-/// that clients find its runtime.
+/// The borders through which a traffic thread acts. They are made on the thread
+/// itself, because the clients behind them need its runtime.
 pub struct Borders {
-    /// The targets.
     pub targets: Box<dyn Targets>,
-    /// The other traffic threads.
+    /// The other traffic threads, of this VM and of others.
     pub peers: Box<dyn Peers>,
     /// The control thread of this VM.
     pub control: Box<dyn Control>,
-    /// The log.
     pub journal: Box<dyn Journal>,
-    /// The counters.
     pub meter: Box<dyn Meter>,
 }
--- a/src/traffic/ready.rs
+++ b/src/traffic/ready.rs
@@ -1,4 +1,4 @@
-//! Whether all traffic threads of a VM can answer callers.
+//! Tracks whether all traffic threads of a VM can answer callers.
 
 use std::{
     collections::BTreeSet,
@@ -13,27 +13,28 @@
 /// over them, so the VM is ready only when each of them is.
 #[derive(Clone, Debug)]
 pub struct Ready {
-    waiting: Arc<Mutex<BTreeSet<u16>>>,
+    not_ready: Arc<Mutex<BTreeSet<u16>>>,
     sender: Arc<watch::Sender<bool>>,
 }
 
 impl Ready {
-    /// Waits for `threads` threads; the receiver is true while all are ready.
+    /// Makes the set of the threads 0 to `threads - 1`, none of which is ready yet.
+    /// The receiver is true while all are ready.
     pub fn new(threads: u16) -> (Ready, watch::Receiver<bool>) {
         let (sender, receiver) = watch::channel(false);
-        let waiting = Arc::new(Mutex::new((0..threads).collect()));
-        (Ready { waiting, sender: Arc::new(sender) }, receiver)
+        let not_ready = Arc::new(Mutex::new((0..threads).collect()));
+        (Ready { not_ready, sender: Arc::new(sender) }, receiver)
     }
 
-    /// Notes whether a thread can answer callers.
+    /// Records whether a thread can answer callers.
     pub fn set(&self, thread: u16, is_ready: bool) {
-        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut not_ready = self.not_ready.lock().unwrap_or_else(PoisonError::into_inner);
         if is_ready {
-            waiting.remove(&thread);
+            not_ready.remove(&thread);
         } else {
-            waiting.insert(thread);
+            not_ready.insert(thread);
         }
-        let all = waiting.is_empty();
+        let all = not_ready.is_empty();
         self.sender.send_if_modified(|ready| std::mem::replace(ready, all) != all);
     }
 }
--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -23,50 +23,50 @@
     wire::{self, Body},
 };
 
-/// The longest sleep when the engine has nothing to do.
-const IDLE: Duration = Duration::from_secs(1);
+/// The longest sleep between two steps when no event comes.
+const MAX_SLEEP: Duration = Duration::from_secs(1);
 
-/// The most events that one step takes.
+/// The most events of each channel that one step takes.
 const MAX_BATCH: usize = 4096;
 
 /// The receiving ends of the channels of a traffic thread.
 pub struct Inbox {
-    /// Calls of the front end.
+    /// Calls from the front.
     pub inputs: UnboundedReceiver<Input>,
-    /// Messages of other traffic threads; a full channel holds them back.
+    /// Messages from other traffic threads, whose sending waits while the channel is
+    /// full.
     pub frames: Receiver<wire::Frame>,
     /// Losses of messages to other traffic threads.
     pub losses: UnboundedReceiver<wire::Lost>,
-    /// Reports of the client of the targets.
+    /// Events from the client of the targets.
     pub targets: UnboundedReceiver<target::Event>,
-    /// What the control thread tells.
+    /// Notices from the control thread.
     pub notices: UnboundedReceiver<Notice>,
-    /// Becomes true when the thread is to end.
+    /// Becomes true when the thread must end.
     pub stop: watch::Receiver<bool>,
 }
 
-/// What a traffic thread is made from.
+/// The parts that a traffic thread is made from.
 pub struct Parts {
-    /// The tables and systems.
+    /// The engine, which holds the tables and systems.
     pub engine: Engine,
-    /// The ways into the thread.
+    /// The channels into the thread.
     pub inbox: Inbox,
-    /// The clocks.
     pub clock: Box<dyn Clock>,
-    /// The ways out of the thread.
+    /// The borders through which the thread acts.
     pub borders: Borders,
-    /// The number of the thread.
+    /// The number of the thread among the traffic threads of the VM.
     pub number: u16,
-    /// Where the thread notes that it can answer callers.
+    /// Records whether the thread can answer callers.
     pub ready: Ready,
 }
 
 /// Runs a traffic thread until it is stopped or the control thread has ended.
 ///
 /// The thread waits for an event or for the earliest time at which the engine
-/// has something to do, takes all events that are ready, runs one step and
-/// carries out what the step left.
-pub async fn run(parts: Parts) {
+/// has something to do, takes the events that are ready, runs one step of the
+/// engine and carries out the outbox of the step.
+pub async fn run_loop(parts: Parts) {
     let mut thread = Thread {
         engine: parts.engine,
         clock: parts.clock,
@@ -80,7 +80,7 @@
     let mut batch = Batch::default();
     loop {
         let wake = thread.engine.wake();
-        let pause = wake.map_or(IDLE, |at| at.remaining(thread.clock.now()).min(IDLE));
+        let pause = wake.map_or(MAX_SLEEP, |at| at.remaining(thread.clock.now()).min(MAX_SLEEP));
         let is_open = batch.fill(&mut inbox, pause).await;
         if !is_open {
             return;
@@ -89,7 +89,7 @@
     }
 }
 
-/// The events that are ready, by the channel that they came through.
+/// The events of one step, by the channel that they came through.
 #[derive(Default)]
 struct Batch {
     inputs: Vec<Input>,
@@ -100,10 +100,11 @@
 }
 
 impl Batch {
-    /// Waits until a channel has events or the pause is over, then takes what
-    /// is ready. It returns false when the thread is to end.
+    /// Waits until a channel has events or `pause` is over, then takes the events
+    /// that are ready. Returns false when the thread must end.
     async fn fill(&mut self, inbox: &mut Inbox, pause: Duration) -> bool {
-        // A channel whose senders have ended would be ready at all times.
+        // A channel whose senders are all gone is always ready, so waiting for it
+        // would spin.
         let has_front = !(inbox.inputs.is_closed() && inbox.inputs.is_empty());
         let has_peers = !(inbox.frames.is_closed() && inbox.frames.is_empty());
         tokio::select! {
@@ -146,26 +147,26 @@
         let mut events = Vec::new();
         for notice in batch.notices.drain(..) {
             if let Notice::View(view) = &notice {
-                self.borders.peers.update(addresses(view));
+                self.borders.peers.update(traffic_addresses(view));
             }
             events.push(Event::Notice(notice));
         }
         events.extend(batch.targets.drain(..).map(Event::Target));
-        events.extend(batch.frames.drain(..).filter_map(message));
+        events.extend(batch.frames.drain(..).filter_map(message_event));
         events.extend(batch.losses.drain(..).map(|lost| Event::Lost { lane: lost.to }));
         for input in batch.inputs.drain(..) {
             events.push(self.pending.register(input, |call| Event::Abandoned { call }));
         }
         let mut out = Outbox::default();
         self.engine.step(self.clock.now(), events, &mut out);
-        self.flush(out);
+        self.carry_out(out);
         let is_ready = self.engine.is_ready();
         if std::mem::replace(&mut self.is_ready, is_ready) != is_ready {
             self.ready.set(self.number, is_ready);
         }
     }
 
-    fn flush(&mut self, out: Outbox) {
+    fn carry_out(&mut self, out: Outbox) {
         for command in out.commands {
             self.borders.targets.command(command);
         }
@@ -189,16 +190,16 @@
     }
 }
 
-/// The message of a traffic thread that a frame carries.
-fn message(frame: wire::Frame) -> Option<Event> {
+/// Returns the event for a frame from a traffic thread, and none for other frames.
+fn message_event(frame: wire::Frame) -> Option<Event> {
     match frame.body {
         Body::Traffic(message) => Some(Event::Message { from: frame.from, message }),
         Body::Control(_) | Body::Relay(_) => None,
     }
 }
 
-/// Where the traffic threads of a view listen.
-fn addresses(view: &View) -> BTreeMap<Lane, SocketAddr> {
+/// Returns the addresses of the traffic threads of the VMs in a view.
+fn traffic_addresses(view: &View) -> BTreeMap<Lane, SocketAddr> {
     let mut addresses = BTreeMap::new();
     for vm in view.vms.values() {
         for (thread, &address) in vm.traffic.iter().enumerate() {
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -94,7 +94,7 @@
         number: seed.number,
         ready: seed.ready,
     };
-    traffic::run(parts).await;
+    traffic::run_loop(parts).await;
     // A front that failed to serve has no open request.
     let _ = front.await;
     listener.abort();
