Reword the VM: its threads, limits, sockets and meters

Cause: comments spoke of ways, words and tellings, and names such as SURVEY, Pair, own, size or text did not say what they are. Change: comments and private names in src/vm; vm::control::key -> vm::control::deployment_key and vm::listen::Pair -> vm::listen::Traffic, both used in src/vm only.

--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -15,14 +15,15 @@
     wire::{self, Body, Dialer},
 };
 
-/// The frames that wait for the thread; more hold back their senders.
+/// The most frames that wait for the control thread. When the channel is full,
+/// the senders are held back.
 const MAX_FRAMES: usize = 1024;
 
-/// What the control thread has for itself.
+/// The channels and sockets that only the control thread uses.
 pub struct Resources {
-    /// The receiving ends of its channels.
+    /// The receiving ends of the channels of the thread.
     pub inbox: Inbox,
-    /// The ways to the traffic threads.
+    /// The channels for notices to the traffic threads, by thread number.
     pub notices: Vec<mpsc::UnboundedSender<Notice>>,
     /// Becomes true when the VM is leaving and has nothing in flight.
     pub idle: watch::Sender<bool>,
@@ -30,17 +31,18 @@
     pub peers: net::TcpListener,
     /// The socket for operators.
     pub operators: net::TcpListener,
-    /// Dropped when the front of the operators has answered all that it took.
+    /// Dropped when the front of the operators has answered all requests that it
+    /// took.
     pub serving: mpsc::Sender<()>,
 }
 
-/// The key that the VMs of the deployment share.
-pub fn key(settings: &Settings) -> wire::Key {
+/// Returns the key that all VMs of the deployment share.
+pub fn deployment_key(settings: &Settings) -> wire::Key {
     wire::Key::from(&settings.deployment.key)
 }
 
-/// Starts the thread.
-pub fn spawn(shared: Shared, seed: Resources) -> io::Result<thread::JoinHandle<()>> {
+/// Starts the control thread with its clients and listeners.
+pub fn spawn(shared: Shared, resources: Resources) -> io::Result<thread::JoinHandle<()>> {
     let setup = Setup {
         vm: shared.row.clone(),
         seeds: limits::seeds(&shared.settings),
@@ -50,7 +52,7 @@
         codec: Box::new(Json),
     };
     let clock = Box::new(shared.clock);
-    let Resources { inbox, notices, idle, peers, operators, serving } = seed;
+    let Resources { inbox, notices, idle, peers, operators, serving } = resources;
     let stop = shared.stop.clone();
     let borders = Box::new(move || {
         tokio::spawn(serve(operator_parts(&shared, operators), serving));
@@ -65,7 +67,7 @@
         operators: shared.settings.operators.clone(),
         handle: shared.control.clone(),
         ready: shared.ready.clone(),
-        metrics: Arc::new(shared.text()),
+        metrics: Arc::new(shared.exporter()),
         shutdown: shared.shutdown.clone(),
     }
 }
@@ -78,17 +80,18 @@
 
 fn borders(shared: &Shared, peers: net::TcpListener) -> Borders {
     let own = Lane { vm: shared.row.name.clone(), thread: CONTROL_THREAD };
-    let key = key(&shared.settings);
+    let key = deployment_key(&shared.settings);
     let wire_limits = limits::wire(&shared.settings);
     let (frames, receiver) = mpsc::channel(MAX_FRAMES);
     let guard = wire::Admission { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
     tokio::spawn(wire::listen(peers, guard, frames));
-    tokio::spawn(forward(receiver, shared.control.clone()));
-    // Probes find out what a lost connection would tell.
+    tokio::spawn(forward_messages(receiver, shared.control.clone()));
+    // The receiver is dropped, so that losses are ignored: the probes of the
+    // membership find a peer that is gone.
     let (losses, _) = mpsc::unbounded_channel();
     let dialer = Dialer::new(own, shared.row.incarnation, key, wire_limits, losses);
     Borders {
-        platform: Box::new(platform(shared)),
+        platform: Box::new(platform_client(shared)),
         messenger: Box::new(messenger::Wire::new(dialer)),
         journal: Box::new(Journal { writer: shared.writer.clone(), clock: Box::new(shared.clock) }),
         meter: Box::new(meter::Control::new(
@@ -99,14 +102,14 @@
     }
 }
 
-fn platform(shared: &Shared) -> Client {
+fn platform_client(shared: &Shared) -> Client {
     let settings = &shared.settings;
     let (address, limit) = (settings.platform.address, settings.platform.call_limit);
     Client::new(address, &settings.vm.name, limit, shared.control.replies())
 }
 
-/// Hands the messages of other VMs to the control thread.
-async fn forward(mut frames: mpsc::Receiver<wire::Frame>, control: Handle) {
+/// Passes the messages of other VMs on to the control thread.
+async fn forward_messages(mut frames: mpsc::Receiver<wire::Frame>, control: Handle) {
     while let Some(frame) = frames.recv().await {
         if let Body::Control(message) = frame.body {
             control.message(*message);
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -1,4 +1,4 @@
-//! The limits of the decisions, from the settings.
+//! Makes the limits of the decisions and of the wire from the settings.
 
 use std::net::SocketAddr;
 
@@ -9,93 +9,94 @@
     wire,
 };
 
-/// The reads of a target's status that may go missing before its word that it
-/// takes work is too old to act on.
-const PROBES_MISSED: u32 = 2;
+/// The number of status reads of a target that may be missed before its last known
+/// status is too old to act on.
+const MAX_MISSED_STATUS_READS: u32 = 2;
 
-/// The limits of a traffic thread.
+/// Returns the limits of one traffic thread.
 pub fn traffic(settings: &Settings) -> traffic::Limits {
     traffic::Limits {
-        open_requests: size(share(settings, settings.callers.open_requests)),
+        open_requests: count_to_usize(share(settings, settings.callers.open_requests)),
         connect_timeout: settings.targets.open_limit,
         status_interval: settings.targets.probe_interval,
-        status_max_age: settings.targets.probe_interval * PROBES_MISSED,
+        status_max_age: settings.targets.probe_interval * MAX_MISSED_STATUS_READS,
         status_timeout: settings.targets.silent_after,
         connections: settings.targets.connections,
-        lost_targets: size(settings.quarantine.lost_targets),
+        lost_targets: count_to_usize(settings.quarantine.lost_targets),
         suspect_ttl: settings.quarantine.suspect,
         retry_burst: settings.retry.burst,
         ..traffic::Limits::default()
     }
 }
 
-/// The limits on the callers of one traffic thread.
+/// Returns the limits on the callers of one traffic thread.
 pub fn callers(settings: &Settings) -> Callers {
     let open_connections = share(settings, settings.callers.open_connections);
     Callers { open_connections, ..settings.callers.clone() }
 }
 
-/// What each traffic thread has of a limit of the whole VM.
+/// Divides a limit of the whole VM evenly over its traffic threads, rounded up.
 fn share(settings: &Settings, limit: u32) -> u32 {
     let threads = u32::try_from(settings.listen.traffic.len()).unwrap_or(u32::MAX);
     limit.div_ceil(threads.max(1))
 }
 
-/// The limits of the control thread.
+/// Returns the limits of the control thread.
 pub fn control(settings: &Settings) -> control::Limits {
     let membership = &settings.membership;
     control::Limits {
         probe: membership.probe_interval,
         ack: membership.probe_limit,
-        indirect: size(membership.indirect_probes),
+        indirect: count_to_usize(membership.indirect_probes),
         suspicion: membership.gone_after,
         list: membership.list_interval,
-        watchers: size(membership.watchers),
+        watchers: count_to_usize(membership.watchers),
         stale: membership.stale_after,
         isolation: membership.unready_after,
         call: settings.platform.call_limit,
         suspect_fingerprint: settings.quarantine.suspect,
         lost_targets: usize::try_from(settings.quarantine.lost_targets).unwrap_or(usize::MAX),
         condemned_fingerprint: settings.quarantine.hold,
-        fingerprints: size(settings.quarantine.capacity),
+        fingerprints: count_to_usize(settings.quarantine.capacity),
         ..control::Limits::default()
     }
 }
 
-/// The VMs that the control thread asks at the start.
+/// Returns the VMs that the control thread asks when the platform's list cannot be
+/// read.
 pub fn seeds(settings: &Settings) -> Vec<(Name, SocketAddr)> {
     let seeds = settings.membership.seeds.iter();
     seeds.map(|seed| (seed.name.clone(), seed.control)).collect()
 }
 
-/// The limits of the claims.
+/// Returns the limits of the claims.
 pub fn claims(settings: &Settings) -> claims::Limits {
     claims::Limits {
         window: settings.claims.window,
         skew: settings.claims.future,
         call: settings.platform.call_limit,
         gather: settings.claims.gather,
-        value: bytes(settings.claims.value_limit),
+        value: bytes_to_usize(settings.claims.value_limit),
         ..claims::Limits::default()
     }
 }
 
-/// The limits of the connections between VMs.
+/// Returns the limits of the connections between VMs.
 pub fn wire(settings: &Settings) -> wire::Limits {
     let peers = &settings.peers;
     wire::Limits {
-        frame_bytes: bytes(peers.frame_limit),
-        queue_bytes: bytes(peers.queue_limit),
+        frame_bytes: bytes_to_usize(peers.frame_limit),
+        queue_bytes: bytes_to_usize(peers.queue_limit),
         ping_interval: peers.ping_interval,
         ping_timeout: peers.ping_limit,
         ..wire::Limits::default()
     }
 }
 
-fn size(count: u32) -> usize {
+fn count_to_usize(count: u32) -> usize {
     usize::try_from(count).unwrap_or(usize::MAX)
 }
 
-fn bytes(count: u64) -> usize {
+fn bytes_to_usize(count: u64) -> usize {
     usize::try_from(count).unwrap_or(usize::MAX)
 }
--- a/src/vm/listen.rs
+++ b/src/vm/listen.rs
@@ -8,12 +8,12 @@
 use super::Error;
 use crate::settings::identity::Listen;
 
-/// The connections that may wait to be accepted.
+/// The most connections of a socket that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
 /// The sockets of one traffic thread.
-pub struct Pair {
-    /// For callers; every thread has one on the same address.
+pub struct Traffic {
+    /// For callers; every traffic thread has one on the same address.
     pub callers: TcpListener,
     /// For the traffic threads of other VMs.
     pub peers: TcpListener,
@@ -25,8 +25,8 @@
     pub control: TcpListener,
     /// For operators.
     pub operators: TcpListener,
-    /// For each traffic thread.
-    pub traffic: Vec<Pair>,
+    /// For the traffic threads, by thread number.
+    pub traffic: Vec<Traffic>,
 }
 
 /// Binds every address of the settings.
@@ -35,20 +35,24 @@
         .traffic
         .iter()
         .map(|&address| {
-            let callers = shared(listen.callers)?;
-            Ok(Pair { callers, peers: own(address)? })
+            let callers = bind_shared(listen.callers)?;
+            Ok(Traffic { callers, peers: bind_exclusive(address)? })
         })
-        .collect::<Result<Vec<Pair>, Report<Error>>>()?;
-    Ok(Listeners { control: own(listen.control)?, operators: own(listen.operators)?, traffic })
+        .collect::<Result<Vec<Traffic>, Report<Error>>>()?;
+    Ok(Listeners {
+        control: bind_exclusive(listen.control)?,
+        operators: bind_exclusive(listen.operators)?,
+        traffic,
+    })
 }
 
-fn own(address: SocketAddr) -> Result<TcpListener, Report<Error>> {
+fn bind_exclusive(address: SocketAddr) -> Result<TcpListener, Report<Error>> {
     open(address, false)
 }
 
-/// Binds an address that several threads listen on; the system spreads new
-/// connections over them.
-fn shared(address: SocketAddr) -> Result<TcpListener, Report<Error>> {
+/// Binds an address that several threads listen on; the operating system spreads
+/// new connections over their sockets.
+fn bind_shared(address: SocketAddr) -> Result<TcpListener, Report<Error>> {
     open(address, true)
 }
 
--- a/src/vm/messenger.rs
+++ b/src/vm/messenger.rs
@@ -1,4 +1,4 @@
-//! Control messages over the wire.
+//! Sends control messages over the wire.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -10,14 +10,14 @@
     wire::{Body, Dialer},
 };
 
-/// Sends control messages to the lanes on which control threads listen.
+/// Sends control messages to the lanes of the control threads of other VMs.
 pub struct Wire {
     dialer: Dialer,
     addresses: BTreeMap<Lane, SocketAddr>,
 }
 
 impl Wire {
-    /// Makes a messenger that dials through `dialer`.
+    /// Makes a messenger that sends through `dialer`.
     pub fn new(dialer: Dialer) -> Wire {
         Wire { dialer, addresses: BTreeMap::new() }
     }
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -1,7 +1,7 @@
-//! The metrics behind the borders of the threads.
+//! Adds what the threads count to the metrics of the VM.
 //!
-//! A gauge that needs a walk over rows is surveyed at most once in [`SURVEY`],
-//! so that no tick pays for it.
+//! The gauges of a thread need walks over its tables, so they are updated at most
+//! once in [`GAUGE_INTERVAL`] and not in each tick.
 
 use std::{
     sync::Arc,
@@ -31,19 +31,20 @@
     traffic::Meter,
 };
 
-/// The least time between two surveys of the gauges of a thread.
-const SURVEY: Duration = Duration::from_secs(1);
+/// The least time between two updates of the gauges of a thread.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Tells when the gauges of a thread are due.
+/// Tracks when the gauges of a thread are due for an update.
 #[derive(Default)]
-struct Survey {
+struct Schedule {
     last: Option<Instant>,
 }
 
-impl Survey {
+impl Schedule {
+    /// Returns whether an update is due now, and if so records it as made.
     fn is_due(&mut self) -> bool {
         let now = Instant::now();
-        let is_due = self.last.is_none_or(|last| now.duration_since(last) >= SURVEY);
+        let is_due = self.last.is_none_or(|last| now.duration_since(last) >= GAUGE_INTERVAL);
         if is_due {
             self.last = Some(now);
         }
@@ -55,17 +56,17 @@
 pub struct Thread {
     part: Part,
     metrics: Arc<Metrics>,
-    survey: Survey,
+    schedule: Schedule,
 }
 
 impl Thread {
-    /// The meter of the traffic thread with this number.
+    /// Makes the meter of the traffic thread with this number.
     pub fn new(number: u16, metrics: Arc<Metrics>) -> Thread {
-        Thread { part: Part::Traffic(number), metrics, survey: Survey::default() }
+        Thread { part: Part::Traffic(number), metrics, schedule: Schedule::default() }
     }
 
     fn set(&self, gauge: Gauge, value: usize) {
-        self.metrics.set(gauge, self.part, signed(value));
+        self.metrics.set(gauge, self.part, to_i64(value));
     }
 }
 
@@ -85,34 +86,34 @@
     }
 
     fn observe(&mut self, engine: &Engine) {
-        if !self.survey.is_due() {
+        if !self.schedule.is_due() {
             return;
         }
         let tables = engine.tables();
         self.set(Gauge::OpenRequests, tables.queries.len());
         self.set(Gauge::AttemptsInFlight, tables.attempts.len());
         self.set(Gauge::TargetConnections, tables.connections.len());
-        self.set(Gauge::QueuedLegs, queued(tables));
+        self.set(Gauge::QueuedLegs, queued_legs(tables));
         self.set(Gauge::Homes, tables.shards.values().filter(|shard| shard.home).count());
         self.set(Gauge::FreeSlots, free_slots(tables));
-        self.set(Gauge::RetryBudget, budget(tables));
+        self.set(Gauge::RetryBudget, retry_budget(tables));
         self.set(Gauge::Ready, usize::from(engine.is_ready()));
     }
 }
 
-fn queued(tables: &Tables) -> usize {
+fn queued_legs(tables: &Tables) -> usize {
     tables.shards.values().map(|shard| shard.queue.len()).sum()
 }
 
-/// The free slots of the targets that take work.
+/// Sums the free slots of the targets that take work.
 fn free_slots(tables: &Tables) -> usize {
     let targets = tables.targets.values().filter(|target| !target.is_draining());
     let free = targets.map(|target| target.slots.saturating_sub(target.in_use));
     free.map(|slots| usize::try_from(slots).unwrap_or_default()).sum()
 }
 
-/// The extra attempts that the profiles have saved up.
-fn budget(tables: &Tables) -> usize {
+/// Sums the extra attempts that the profiles have saved up, in whole attempts.
+fn retry_budget(tables: &Tables) -> usize {
     let saved: u64 = tables.usages.values().map(|usage| usage.saved_millionths).sum();
     usize::try_from(saved / u64::from(WHOLE)).unwrap_or(usize::MAX)
 }
@@ -122,17 +123,17 @@
     metrics: Arc<Metrics>,
     writer: Writer,
     clock: System,
-    survey: Survey,
+    schedule: Schedule,
 }
 
 impl Control {
-    /// The meter of the control thread.
+    /// Makes the meter of the control thread.
     pub fn new(metrics: Arc<Metrics>, writer: Writer, clock: System) -> Control {
-        Control { metrics, writer, clock, survey: Survey::default() }
+        Control { metrics, writer, clock, schedule: Schedule::default() }
     }
 
     fn set(&self, gauge: Gauge, value: usize) {
-        self.metrics.set(gauge, Part::Control, signed(value));
+        self.metrics.set(gauge, Part::Control, to_i64(value));
     }
 }
 
@@ -145,7 +146,7 @@
     }
 
     fn observe(&mut self, engine: &control::Engine) {
-        if !self.survey.is_due() {
+        if !self.schedule.is_due() {
             return;
         }
         let now = self.clock.now();
@@ -167,13 +168,12 @@
     }
 }
 
-fn signed(number: usize) -> i64 {
+fn to_i64(number: usize) -> i64 {
     i64::try_from(number).unwrap_or(i64::MAX)
 }
 
-/// Shows the metrics to the fronts.
+/// Encodes the metrics of the VM for the fronts.
 pub struct Exporter {
-    /// The metrics of the VM.
     pub metrics: Arc<Metrics>,
     /// The writer of the log, which counts the lines that it lost.
     pub writer: Writer,
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -1,8 +1,8 @@
-//! One VM: its settings, its threads and what joins them.
+//! Starts and shuts down one VM: its threads, and the channels between them.
 //!
-//! The control thread and the traffic threads have a runtime each; this module
-//! makes the channels between them and the clients on them, and decides
-//! nothing. See `docs/DESIGN.md`.
+//! The control thread and each traffic thread have a runtime of their own. This
+//! module makes the channels between the threads and the clients on them, and
+//! decides nothing. See `docs/DESIGN.md`.
 
 mod control;
 pub mod limits;
@@ -40,13 +40,13 @@
     traffic::Ready,
 };
 
-/// The thread number under which control threads send to each other.
+/// The thread number in the lanes of control threads.
 const CONTROL_THREAD: u16 = u16::MAX;
 
 /// Why a VM could not be started.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error {
-    /// What could not be done.
+    /// The operation that failed.
     pub detail: String,
 }
 
@@ -58,7 +58,7 @@
 
 impl std::error::Error for Error {}
 
-/// What the threads of a VM share.
+/// The settings, clients and signals that all threads of a VM share.
 #[derive(Clone)]
 struct Shared {
     settings: Arc<Settings>,
@@ -73,8 +73,8 @@
 }
 
 impl Shared {
-    /// The metrics as the fronts show them.
-    fn text(&self) -> meter::Exporter {
+    /// Returns the encoder of the metrics for the fronts.
+    fn exporter(&self) -> meter::Exporter {
         meter::Exporter { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
     }
 
@@ -83,7 +83,7 @@
     }
 }
 
-/// A VM that runs.
+/// A running VM.
 pub struct Vm {
     shared: Shared,
     idle: watch::Receiver<bool>,
@@ -94,13 +94,14 @@
     _log: Guard,
 }
 
-/// Starts a VM with the policies of the product.
+/// Starts a VM with the default policies.
 pub fn start(settings: Settings, output: Output) -> Result<Vm, Report<Error>> {
     start_with(settings, output, Policies::default)
 }
 
 /// Starts a VM: binds its addresses, then starts its threads. `policies` is
-/// called once for each traffic thread; only measurements give other ones.
+/// called once for each traffic thread; only measurements pass other policies than
+/// the default ones.
 pub fn start_with(
     settings: Settings,
     output: Output,
@@ -111,9 +112,9 @@
     let (control, inbox) = crate::control::channel();
     let (shutdown, shutdown_seen) = watch::channel(false);
     let (stop, stop_seen) = watch::channel(false);
-    let (ready, ready_seen) = Ready::new(number(listeners.traffic.len()));
+    let (ready, ready_seen) = Ready::new(thread_number(listeners.traffic.len()));
     let shared = Shared {
-        row: row(&settings),
+        row: view_row(&settings),
         settings: Arc::new(settings),
         clock: System::start(),
         writer,
@@ -128,7 +129,7 @@
     let (mut threads, notices) = start_traffic(&shared, listeners.traffic, &common)?;
     drop(common);
     let (idle_sender, idle) = watch::channel(false);
-    let seed = control::Resources {
+    let resources = control::Resources {
         inbox,
         notices,
         idle: idle_sender,
@@ -136,59 +137,61 @@
         operators: listeners.operators,
         serving: serving_sender,
     };
-    let control = control::spawn(shared.clone(), seed);
+    let control = control::spawn(shared.clone(), resources);
     threads.push(control.change_context_lazy(|| cannot_start("control"))?);
     shared.log(Event::Started, vec![("callers", shared.settings.listen.callers.to_string())]);
     Ok(Vm { shared, idle, serving, shutdown, stop, threads, _log: log })
 }
 
-/// What the traffic threads are given alike.
+/// What each traffic thread gets a copy of, beyond [`Shared`].
 struct Common {
     ready: Ready,
     serving: mpsc::Sender<()>,
     policies: policy::Factory,
 }
 
-/// The traffic threads and the ways to tell them something.
+/// The traffic threads and the channels for notices to them, by thread number.
 type Traffic = (Vec<thread::JoinHandle<()>>, Vec<mpsc::UnboundedSender<Notice>>);
 
-/// Starts one traffic thread for each pair of sockets.
+/// Starts one traffic thread for each item of `sockets`.
 fn start_traffic(
     shared: &Shared,
-    sockets: Vec<listen::Pair>,
+    sockets: Vec<listen::Traffic>,
     common: &Common,
 ) -> Result<Traffic, Report<Error>> {
     let mut threads = Vec::new();
     let mut notices = Vec::new();
-    for (index, pair) in sockets.into_iter().enumerate() {
+    for (index, own) in sockets.into_iter().enumerate() {
         let (sender, receiver) = mpsc::unbounded_channel();
-        let seed = traffic::Resources {
-            number: number(index),
-            callers: pair.callers,
-            peers: pair.peers,
+        let resources = traffic::Resources {
+            number: thread_number(index),
+            callers: own.callers,
+            peers: own.peers,
             notices: receiver,
             ready: common.ready.clone(),
             serving: common.serving.clone(),
             policies: common.policies,
         };
-        let thread = traffic::spawn(shared.clone(), seed);
+        let thread = traffic::spawn(shared.clone(), resources);
         threads.push(thread.change_context_lazy(|| cannot_start("traffic"))?);
         notices.push(sender);
     }
     Ok((threads, notices))
 }
 
-/// The settings allow far fewer threads than the numbers reach.
-fn number(threads: usize) -> u16 {
-    u16::try_from(threads).unwrap_or(CONTROL_THREAD)
+/// Converts an index or a count of threads. The settings allow far fewer threads
+/// than `u16` holds.
+fn thread_number(index: usize) -> u16 {
+    u16::try_from(index).unwrap_or(CONTROL_THREAD)
 }
 
 fn cannot_start(thread: &str) -> Error {
     Error { detail: format!("the {thread} thread could not be started") }
 }
 
-/// The VM as others know it. Its incarnation is the time of its start.
-fn row(settings: &Settings) -> view::Vm {
+/// Makes the row of this VM in the view. Its incarnation is the wall-clock time of
+/// its start in milliseconds.
+fn view_row(settings: &Settings) -> view::Vm {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     view::Vm {
         name: settings.vm.name.clone(),
@@ -207,10 +210,10 @@
         matches!(timeout(limit, ready.wait_for(|ready| *ready)).await, Ok(Ok(_)))
     }
 
-    /// Shuts the VM down without cutting a request: it says that it is not
-    /// ready and that it leaves, goes on taking requests until the balancer and
-    /// the other VMs have had time to learn of it, then finishes what is open.
-    /// It returns false if something was still open after the limit.
+    /// Shuts the VM down without cutting a request. The VM reports that it is not
+    /// ready and that it is leaving, goes on taking requests until the balancer and
+    /// the other VMs have had time to learn of it, and then finishes what is open.
+    /// Returns false if something was still open after the limit.
     pub async fn leave(mut self) -> bool {
         self.shared.control.leave();
         sleep(self.shared.settings.shutdown.announce).await;
@@ -219,7 +222,7 @@
         let is_idle = timeout(limit, self.finish()).await == Ok(true);
         self.stop.send_replace(true);
         for thread in self.threads.drain(..) {
-            // A thread that panicked has nothing more to finish.
+            // A thread that panicked has nothing left to finish.
             let _ = thread.join();
         }
         let finished = if is_idle { "all" } else { "not all" };
@@ -227,10 +230,10 @@
         is_idle
     }
 
-    /// Waits until the fronts have answered what they took, then until no leg of
-    /// another VM is in flight either.
+    /// Waits until the fronts have answered the requests that they took, then until
+    /// no leg of another VM's query is in flight here.
     async fn finish(&mut self) -> bool {
-        // Nothing is ever sent; the channel closes with the last front.
+        // Nothing is ever sent; the channel closes when the last front has ended.
         let _ = self.serving.recv().await;
         self.idle.wait_for(|idle| *idle).await.is_ok()
     }
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -21,81 +21,86 @@
     wire::{self, Dialer},
 };
 
-/// The frames that wait for a thread; more hold back their senders.
+/// The most frames that wait for a traffic thread. When the channel is full, the
+/// senders are held back.
 const MAX_FRAMES: usize = 4096;
 
-/// What a traffic thread has for itself.
+/// The channels, sockets and policies that only one traffic thread uses.
 pub struct Resources {
-    /// Its number.
+    /// The number of the thread.
     pub number: u16,
-    /// Its socket for callers.
+    /// The socket for callers.
     pub callers: net::TcpListener,
-    /// Its socket for other VMs.
+    /// The socket for other traffic threads.
     pub peers: net::TcpListener,
-    /// What the control thread tells it.
+    /// Notices from the control thread.
     pub notices: mpsc::UnboundedReceiver<Notice>,
-    /// Where it notes that it can answer callers.
+    /// Records whether the thread can answer callers.
     pub ready: Ready,
-    /// Dropped when its front has answered all that it took.
+    /// Dropped when the front has answered all requests that it took.
     pub serving: mpsc::Sender<()>,
-    /// Makes its policies.
+    /// Makes the policies of the thread.
     pub policies: policy::Factory,
 }
 
-/// Starts the thread. It ends when the VM stops.
-pub fn spawn(shared: Shared, seed: Resources) -> io::Result<thread::JoinHandle<()>> {
+/// Starts a traffic thread with its front, clients and listeners. It ends when the
+/// VM stops.
+pub fn spawn(shared: Shared, resources: Resources) -> io::Result<thread::JoinHandle<()>> {
     let runtime = runtime()?;
-    let name = format!("traffic-{}", seed.number);
-    thread::Builder::new().name(name).spawn(move || runtime.block_on(run(shared, seed)))
+    let name = format!("traffic-{}", resources.number);
+    thread::Builder::new().name(name).spawn(move || runtime.block_on(run_thread(shared, resources)))
 }
 
-async fn run(shared: Shared, seed: Resources) {
-    let own = Lane { vm: shared.row.name.clone(), thread: seed.number };
+async fn run_thread(shared: Shared, resources: Resources) {
+    let own = Lane { vm: shared.row.name.clone(), thread: resources.number };
     let (inputs, input_receiver) = mpsc::unbounded_channel();
     let (losses, loss_receiver) = mpsc::unbounded_channel();
     let (frames, frame_receiver) = mpsc::channel(MAX_FRAMES);
     let (events, event_receiver) = mpsc::unbounded_channel();
     let wire_limits = limits::wire(&shared.settings);
-    let key = super::control::key(&shared.settings);
+    let key = super::control::deployment_key(&shared.settings);
     let guard = wire::Admission { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
-    let listener = tokio::spawn(wire::listen(seed.peers, guard, frames));
+    let listener = tokio::spawn(wire::listen(resources.peers, guard, frames));
     let front = front::Parts {
-        listener: seed.callers,
+        listener: resources.callers,
         limits: limits::callers(&shared.settings),
         handle: Handle::new(inputs),
         ready: shared.ready.clone(),
-        metrics: Arc::new(shared.text()),
+        metrics: Arc::new(shared.exporter()),
         shutdown: shared.shutdown.clone(),
     };
-    let front = tokio::spawn(serve(front, seed.serving));
+    let front = tokio::spawn(serve(front, resources.serving));
     let dialer = Dialer::new(own.clone(), shared.row.incarnation, key, wire_limits, losses);
     let dialer = Rc::new(RefCell::new(dialer));
     let parts = Parts {
-        engine: engine(&shared, own, seed.policies),
+        engine: engine(&shared, own, resources.policies),
         inbox: Inbox {
             inputs: input_receiver,
             frames: frame_receiver,
             losses: loss_receiver,
             targets: event_receiver,
-            notices: seed.notices,
+            notices: resources.notices,
             stop: shared.stop.clone(),
         },
         clock: Box::new(shared.clock),
         borders: Borders {
             targets: Box::new(target::Client::new(target::Limits::default(), events)),
             peers: Box::new(Lanes(Rc::clone(&dialer))),
-            control: Box::new(Reports { number: seed.number, control: shared.control.clone() }),
+            control: Box::new(Reports {
+                number: resources.number,
+                control: shared.control.clone(),
+            }),
             journal: Box::new(Journal {
                 writer: shared.writer.clone(),
                 clock: Box::new(shared.clock),
             }),
-            meter: Box::new(meter::Thread::new(seed.number, Arc::clone(&shared.metrics))),
+            meter: Box::new(meter::Thread::new(resources.number, Arc::clone(&shared.metrics))),
         },
-        number: seed.number,
-        ready: seed.ready,
+        number: resources.number,
+        ready: resources.ready,
     };
     traffic::run_loop(parts).await;
-    // A front that failed to serve has no open request.
+    // A front that could not serve has no open request.
     let _ = front.await;
     listener.abort();
     if let Some(dialer) = Rc::into_inner(dialer) {
@@ -119,7 +124,8 @@
     })
 }
 
-/// The dialer, shared with the code that closes it.
+/// Sends to other traffic threads through the dialer, which is shared with the code
+/// that closes it.
 struct Lanes(Rc<RefCell<Dialer>>);
 
 impl Peers for Lanes {
@@ -132,7 +138,7 @@
     }
 }
 
-/// The way of a traffic thread to the control thread.
+/// Sends the reports of one traffic thread to the control thread.
 struct Reports {
     number: u16,
     control: control::Handle,
