Reword the wire between VMs

Cause: names such as condemn, pump, verdict, room, HEAD and BATCH, and comments such as "The bounds" or "What the dialer sees", did not say what they are. Change: comments and private names in src/wire; key::MIN_LENGTH and MAX_LENGTH -> MIN_BYTES and MAX_BYTES, used in src/wire only. Loss texts are worded plainly; those that a test matches keep the matched words.

--- a/src/wire/backoff.rs
+++ b/src/wire/backoff.rs
@@ -6,7 +6,7 @@
 
 use super::Limits;
 
-/// The pause of one peer.
+/// The pause before the next dial of one peer.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Backoff {
     pause: Duration,
@@ -14,15 +14,16 @@
 }
 
 impl Backoff {
-    /// Notes that a connection was lost at a time. One that the peer had
-    /// accepted starts the pause over.
-    pub fn lose(&mut self, at: Instant, accepted: bool, limits: &Limits) {
-        let longer = if accepted { limits.backoff_min } else { self.pause * 2 };
-        self.pause = longer.clamp(limits.backoff_min, limits.backoff_max);
+    /// Records that a connection was lost at the time `at`. The pause starts
+    /// over at its minimum if the peer had accepted the connection, and doubles
+    /// otherwise.
+    pub fn record_loss(&mut self, at: Instant, accepted: bool, limits: &Limits) {
+        let next = if accepted { limits.backoff_min } else { self.pause * 2 };
+        self.pause = next.clamp(limits.backoff_min, limits.backoff_max);
         self.until = Some(at + self.pause);
     }
 
-    /// Tells whether the peer may be dialled.
+    /// Returns whether the peer may be dialled again.
     pub fn is_over(&self, now: Instant) -> bool {
         self.until.is_none_or(|until| until <= now)
     }
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -1,4 +1,5 @@
-//! Frames on a stream: a length of four bytes, then a body in bincode.
+//! The encoding of frames: the length of the body in four bytes, big-endian,
+//! then the body in bincode.
 
 use std::fmt;
 
@@ -7,18 +8,19 @@
 
 use super::Body;
 
-/// The size of the length before each body, in bytes.
-const HEAD: usize = 4;
+/// The size of the length prefix of each body, in bytes.
+const PREFIX_BYTES: usize = 4;
 
 /// The most bytes that decoding one body may allocate at a time.
-const MAX_ALLOCATION: usize = 64 * 1024 * 1024;
+const MAX_ALLOCATION_BYTES: usize = 64 * 1024 * 1024;
 
-/// Why a frame was refused.
+/// Why a frame cannot be encoded or decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Error {
     /// The body is longer than the limit.
     TooLong { length: usize, limit: usize },
-    /// The body is not a message.
+    /// The body cannot be encoded as bincode, or is not the bincode of a
+    /// message.
     Body { detail: String },
 }
 
@@ -36,17 +38,19 @@
 impl std::error::Error for Error {}
 
 fn format() -> impl Config {
-    config::standard().with_limit::<MAX_ALLOCATION>()
+    config::standard().with_limit::<MAX_ALLOCATION_BYTES>()
 }
 
-/// Encodes a frame whose body has at most `limit` bytes.
+/// Encodes `body` as a frame, or fails if it takes more than `limit` bytes.
 pub fn encode(body: &Body, limit: usize) -> Result<Bytes, Error> {
-    let mut frame = vec![0; HEAD];
+    let mut frame = vec![0; PREFIX_BYTES];
     bincode::serde::encode_into_std_write(body, &mut frame, format())
         .map_err(|error| Error::Body { detail: error.to_string() })?;
-    let length = frame.len() - HEAD;
+    let length = frame.len() - PREFIX_BYTES;
     match u32::try_from(length) {
-        Ok(head) if length <= limit => frame[..HEAD].copy_from_slice(&head.to_be_bytes()),
+        Ok(prefix) if length <= limit => {
+            frame[..PREFIX_BYTES].copy_from_slice(&prefix.to_be_bytes())
+        }
         _ => return Err(Error::TooLong { length, limit }),
     }
     Ok(Bytes::from(frame))
@@ -54,7 +58,7 @@
 
 /// Splits a stream of bytes into bodies.
 ///
-/// It holds at most one incomplete frame and what was pushed after it.
+/// The decoder buffers the bytes that were pushed but not taken as a body yet.
 #[derive(Debug)]
 pub struct Decoder {
     limit: usize,
@@ -72,25 +76,25 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Tells whether no part of a frame is left.
+    /// Returns whether no bytes are buffered, so that the stream may end here.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
     }
 
     /// Takes the next body, or none while it is incomplete. After an error the
-    /// stream is of no more use.
+    /// rest of the stream cannot be decoded.
     pub fn next_body(&mut self) -> Result<Option<Body>, Error> {
-        let Some(head) = self.buffer.first_chunk::<HEAD>() else {
+        let Some(prefix) = self.buffer.first_chunk::<PREFIX_BYTES>() else {
             return Ok(None);
         };
-        let length = u32::from_be_bytes(*head) as usize;
+        let length = u32::from_be_bytes(*prefix) as usize;
         if length > self.limit {
             return Err(Error::TooLong { length, limit: self.limit });
         }
-        if self.buffer.len() < HEAD + length {
+        if self.buffer.len() < PREFIX_BYTES + length {
             return Ok(None);
         }
-        self.buffer.advance(HEAD);
+        self.buffer.advance(PREFIX_BYTES);
         decode(&self.buffer.split_to(length)).map(Some)
     }
 }
@@ -99,7 +103,7 @@
     let (body, read) = bincode::serde::decode_from_slice(bytes, format())
         .map_err(|error| Error::Body { detail: error.to_string() })?;
     if read < bytes.len() {
-        let detail = format!("{} bytes are left over", bytes.len() - read);
+        let detail = format!("{} bytes follow the message", bytes.len() - read);
         return Err(Error::Body { detail });
     }
     Ok(body)
--- a/src/wire/dialer.rs
+++ b/src/wire/dialer.rs
@@ -1,5 +1,4 @@
-//! The sending side: one connection for each peer that there is something to
-//! send to.
+//! The sending side: keeps a connection to each peer to which frames are sent.
 
 use std::{
     collections::BTreeMap,
@@ -23,14 +22,14 @@
     outbound::{self, Outbound, Shared},
 };
 
-/// The connection to a peer.
+/// An open connection to a peer, or one that is being opened.
 struct Link {
     frames: mpsc::Sender<Bytes>,
     shared: Arc<Shared>,
     task: AbortHandle,
 }
 
-/// What is known of a peer.
+/// The address of a peer and the state of the connection to it.
 struct Peer {
     address: SocketAddr,
     link: Option<Link>,
@@ -39,9 +38,9 @@
 
 /// Sends frames to the lanes of other VMs.
 ///
-/// A peer is dialled when there is something to send to it. Each frame that is
-/// not handed to a connection, and each connection that is lost, is reported by
-/// [`Lost`]. It must be used inside a tokio runtime.
+/// A peer is dialled when there is a frame to send to it. Each frame that
+/// cannot be handed to a connection, and each connection that is lost, is
+/// reported as [`Lost`]. The dialer must be used inside a tokio runtime.
 pub struct Dialer {
     own: Lane,
     incarnation: u64,
@@ -53,7 +52,7 @@
 }
 
 impl Dialer {
-    /// Makes a dialer for a lane that knows no peer yet.
+    /// Makes a dialer that sends for the lane `own` and knows no peer yet.
     pub fn new(
         own: Lane,
         incarnation: u64,
@@ -65,8 +64,8 @@
         Dialer { own, incarnation, key, limits, losses, peers, tasks }
     }
 
-    /// Replaces the addresses of the lanes. The connection to a lane that is
-    /// gone or has moved sends what is queued and closes.
+    /// Replaces the addresses of the lanes. The connection to a lane that has
+    /// gone or moved sends the frames in its queue and closes.
     pub fn update(&mut self, addresses: BTreeMap<Lane, SocketAddr>) {
         self.peers.retain(|lane, peer| addresses.get(lane) == Some(&peer.address));
         for (lane, address) in addresses {
@@ -75,22 +74,24 @@
         }
     }
 
-    /// Sends a body to a lane, without a promise that it arrives.
+    /// Sends a body to a lane. The body may get lost, which is reported as
+    /// [`Lost`].
     pub fn send_body(&mut self, to: &Lane, body: &Body) {
         let sent = match codec::encode(body, self.limits.frame_bytes) {
             Ok(frame) => self.enqueue(to, frame),
-            // What was sent before it may be on its way.
+            // Earlier frames on the connection may still arrive.
             Err(error) => {
                 Err(Lost { to: to.clone(), detail: error.to_string(), maybe_received: true })
             }
         };
         if let Err(lost) = sent {
-            // The receiver is gone only when the thread is ending.
+            // The receiver is dropped only when the thread ends.
             let _ = self.losses.send(lost);
         }
     }
 
-    /// Sends what is queued, closes all connections and waits for their end.
+    /// Sends the frames in the queues, closes all connections and waits for
+    /// their tasks to end.
     pub async fn close(mut self) {
         self.peers.clear();
         while self.tasks.join_next().await.is_some() {}
@@ -98,42 +99,44 @@
 
     fn enqueue(&mut self, to: &Lane, frame: Bytes) -> Result<(), Lost> {
         let unsent = |detail| Lost { to: to.clone(), detail, maybe_received: false };
-        self.forget_lost(to).map_err(unsent)?;
-        let most = self.limits.queue_bytes;
+        self.remove_lost_link(to).map_err(unsent)?;
+        let limit = self.limits.queue_bytes;
         let link = match self.peers.get(to) {
             Some(Peer { link: Some(link), .. }) => link,
             _ => self.dial(to).map_err(unsent)?,
         };
         let length = frame.len();
         let queued = link.shared.queued.fetch_add(length, Ordering::Relaxed) + length;
-        if queued <= most && link.frames.try_send(frame).is_ok() {
+        if queued <= limit && link.frames.try_send(frame).is_ok() {
             return Ok(());
         }
-        self.condemn(to);
+        self.disconnect(to);
         let detail = "the queue of the peer is full".to_owned();
         Err(Lost { to: to.clone(), detail, maybe_received: true })
     }
 
-    /// Takes note of a connection whose task has ended.
-    fn forget_lost(&mut self, to: &Lane) -> Result<(), String> {
+    /// Removes the connection to a peer if its task has ended, and starts the
+    /// pause before the next dial. Fails if the address of the peer is not
+    /// known.
+    fn remove_lost_link(&mut self, to: &Lane) -> Result<(), String> {
         let peer = self.peers.get_mut(to).ok_or("the address of the peer is not known")?;
         if let Some(link) = peer.link.take_if(|link| link.frames.is_closed()) {
             let at = link.shared.lost.get().copied().unwrap_or_else(Instant::now);
             let accepted = link.shared.accepted.load(Ordering::Relaxed);
-            peer.backoff.lose(at, accepted, &self.limits);
+            peer.backoff.record_loss(at, accepted, &self.limits);
         }
         Ok(())
     }
 
-    /// Cuts the connection to a peer that does not keep up.
-    fn condemn(&mut self, to: &Lane) {
+    /// Aborts the connection to a peer that does not keep up.
+    fn disconnect(&mut self, to: &Lane) {
         let Some(peer) = self.peers.get_mut(to) else {
             return;
         };
         if let Some(link) = peer.link.take() {
             link.task.abort();
             let accepted = link.shared.accepted.load(Ordering::Relaxed);
-            peer.backoff.lose(Instant::now(), accepted, &self.limits);
+            peer.backoff.record_loss(Instant::now(), accepted, &self.limits);
         }
     }
 
@@ -141,11 +144,11 @@
         while self.tasks.try_join_next().is_some() {}
         let peer = self.peers.get_mut(to).ok_or("the address of the peer is not known")?;
         if !peer.backoff.is_over(Instant::now()) {
-            return Err("the peer was lost a moment ago".to_owned());
+            return Err("the connection to the peer was lost a moment ago".to_owned());
         }
         let (from, incarnation) = (self.own.clone(), self.incarnation);
         let request = hello::request(&Hello { from, incarnation, to: to.clone() }, &self.key)
-            .ok_or("the head of the stream cannot be made")?;
+            .ok_or("the request that opens the stream cannot be made")?;
         let (frames, queue) = mpsc::channel(self.limits.queue_frames);
         let shared = Arc::new(Shared::default());
         let outbound = Outbound {
@@ -155,8 +158,8 @@
             shared: Arc::clone(&shared),
         };
         let lost = Lost { to: to.clone(), detail: String::new(), maybe_received: true };
-        let run = outbound::run(outbound, queue, lost, self.losses.clone());
-        let task = self.tasks.spawn(run);
+        let sending = outbound::send_frames(outbound, queue, lost, self.losses.clone());
+        let task = self.tasks.spawn(sending);
         Ok(peer.link.insert(Link { frames, shared, task }))
     }
 }
--- a/src/wire/hello.rs
+++ b/src/wire/hello.rs
@@ -1,4 +1,5 @@
-//! The head of a stream: who sends to whom.
+//! The request that opens a stream: it names the sender and the receiver and
+//! shows the key.
 
 use std::{fmt, num::ParseIntError};
 
@@ -10,30 +11,29 @@
 
 use super::Key;
 
-const PATH: &str = "/v1/frames";
-const KEY: &str = "laburnum-key";
-const FROM_VM: &str = "laburnum-from-vm";
-const FROM_THREAD: &str = "laburnum-from-thread";
-const INCARNATION: &str = "laburnum-incarnation";
-const TO_VM: &str = "laburnum-to-vm";
-const TO_THREAD: &str = "laburnum-to-thread";
+const FRAMES_PATH: &str = "/v1/frames";
+const KEY_HEADER: &str = "laburnum-key";
+const FROM_VM_HEADER: &str = "laburnum-from-vm";
+const FROM_THREAD_HEADER: &str = "laburnum-from-thread";
+const INCARNATION_HEADER: &str = "laburnum-incarnation";
+const TO_VM_HEADER: &str = "laburnum-to-vm";
+const TO_THREAD_HEADER: &str = "laburnum-to-thread";
 
-/// Who sends to whom on a stream.
+/// The sender and the receiver of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Hello {
-    /// The lane that sends.
     pub from: Lane,
-    /// The start of the VM that sends.
+    /// The incarnation of the VM that sends.
     pub incarnation: u64,
-    /// The lane that the sender believes to talk to. Addresses are used again
-    /// by other VMs, so that the receiver checks it.
+    /// The lane that the sender expects at the address. The receiver checks it,
+    /// since other VMs may reuse the address.
     pub to: Lane,
 }
 
-/// Why the head of a stream was refused.
+/// Why the headers of a stream were refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Error {
-    /// A header is missing or is not text.
+    /// A header is missing or is not ASCII text.
     Missing(&'static str),
     /// A header is not a name.
     Name(name::Error),
@@ -70,9 +70,9 @@
 
     fn try_from(headers: &HeaderMap) -> Result<Hello, Error> {
         Ok(Hello {
-            from: lane(headers, FROM_VM, FROM_THREAD)?,
-            incarnation: text(headers, INCARNATION)?.parse()?,
-            to: lane(headers, TO_VM, TO_THREAD)?,
+            from: lane(headers, FROM_VM_HEADER, FROM_THREAD_HEADER)?,
+            incarnation: text(headers, INCARNATION_HEADER)?.parse()?,
+            to: lane(headers, TO_VM_HEADER, TO_THREAD_HEADER)?,
         })
     }
 }
@@ -87,23 +87,23 @@
     value.ok_or(Error::Missing(header))
 }
 
-/// The key that was shown, if any.
-pub fn shown_key(headers: &HeaderMap) -> Option<&[u8]> {
-    headers.get(KEY).map(HeaderValue::as_bytes)
+/// Returns the key in the headers, if there is one.
+pub fn key(headers: &HeaderMap) -> Option<&[u8]> {
+    headers.get(KEY_HEADER).map(HeaderValue::as_bytes)
 }
 
-/// Makes the request that opens a stream; none if a value fits in no header.
+/// Makes the request that opens a stream; none if a value cannot be a header.
 pub fn request(hello: &Hello, key: &Key) -> Option<Request<()>> {
     Request::builder()
         .method(Method::POST)
         .version(Version::HTTP_2)
-        .uri(format!("http://laburnum{PATH}"))
-        .header(KEY, key.header()?)
-        .header(FROM_VM, hello.from.vm.as_str())
-        .header(FROM_THREAD, hello.from.thread)
-        .header(INCARNATION, hello.incarnation)
-        .header(TO_VM, hello.to.vm.as_str())
-        .header(TO_THREAD, hello.to.thread)
+        .uri(format!("http://laburnum{FRAMES_PATH}"))
+        .header(KEY_HEADER, key.header()?)
+        .header(FROM_VM_HEADER, hello.from.vm.as_str())
+        .header(FROM_THREAD_HEADER, hello.from.thread)
+        .header(INCARNATION_HEADER, hello.incarnation)
+        .header(TO_VM_HEADER, hello.to.vm.as_str())
+        .header(TO_THREAD_HEADER, hello.to.thread)
         .body(())
         .ok()
 }
--- a/src/wire/inbound.rs
+++ b/src/wire/inbound.rs
@@ -1,4 +1,4 @@
-//! The receiving side: a listener and its connections.
+//! The receiving side: accepts connections and takes frames from their streams.
 
 use std::{io, net, sync::Arc, time::Duration};
 
@@ -28,38 +28,38 @@
 /// process has no more file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// The longest head of a stream, in bytes.
-const MAX_HEAD: u32 = 8 * 1024;
+/// The largest header list of the request that opens a stream, in bytes.
+const MAX_HEADER_BYTES: u32 = 8 * 1024;
 
-/// Which streams a listener takes.
+/// The rules by which a listener accepts streams.
 #[derive(Clone, Debug)]
 pub struct Admission {
-    /// The lane that listens.
+    /// The lane that listens. A stream for another lane is refused.
     pub own: Lane,
     /// The digests of the keys that are accepted: one, or two while the key is
     /// being replaced.
     pub keys: Vec<Digest>,
-    /// The bounds.
     pub limits: Limits,
 }
 
-/// Receives frames until the future is dropped, which cuts its connections.
+/// Accepts connections and hands their frames to `sink`, until the future is
+/// dropped, which aborts the connections.
 ///
 /// A full `sink` holds back the senders, whose queues are bounded.
 pub async fn listen(
     listener: net::TcpListener,
-    guard: Admission,
+    admission: Admission,
     sink: Sender<Frame>,
 ) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
-    let guard = Arc::new(guard);
+    let admission = Arc::new(admission);
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((tcp, _)) if connections.len() < guard.limits.connections => {
-                    connections.spawn(serve(tcp, Arc::clone(&guard), sink.clone()));
+                Ok((tcp, _)) if connections.len() < admission.limits.connections => {
+                    connections.spawn(serve(tcp, Arc::clone(&admission), sink.clone()));
                 }
                 Ok(_) => {}
                 Err(_) => sleep(ACCEPT_PAUSE).await,
@@ -69,21 +69,26 @@
     }
 }
 
-async fn serve(tcp: TcpStream, guard: Arc<Admission>, sink: Sender<Frame>) {
-    // Without it the sender is slower but not wrong.
+async fn serve(tcp: TcpStream, admission: Arc<Admission>, sink: Sender<Frame>) {
+    // Without `TCP_NODELAY` the connection is slower but correct.
     let _ = tcp.set_nodelay(true);
-    let handshake = handshake(tcp, &guard.limits);
-    let Ok(Ok(mut connection)) = timeout(guard.limits.connect_timeout, handshake).await else {
+    let handshake = handshake(tcp, &admission.limits);
+    let Ok(Ok(mut connection)) = timeout(admission.limits.connect_timeout, handshake).await else {
         return;
     };
-    let silent = ping::watch(connection.ping_pong(), guard.limits);
+    let silent = ping::watch(connection.ping_pong(), admission.limits);
     tokio::pin!(silent);
     let mut streams = JoinSet::new();
     loop {
         tokio::select! {
             accepted = connection.accept() => match accepted {
                 Some(Ok((request, respond))) => {
-                    streams.spawn(take(request, respond, Arc::clone(&guard), sink.clone()));
+                    streams.spawn(serve_stream(
+                        request,
+                        respond,
+                        Arc::clone(&admission),
+                        sink.clone(),
+                    ));
                 }
                 Some(Err(_)) | None => return,
             },
@@ -99,7 +104,7 @@
 ) -> Result<Connection<TcpStream, Bytes>, h2::Error> {
     h2::server::Builder::new()
         .max_concurrent_streams(1)
-        .max_header_list_size(MAX_HEAD)
+        .max_header_list_size(MAX_HEADER_BYTES)
         .initial_window_size(limits.window_bytes)
         .initial_connection_window_size(limits.window_bytes)
         .data_frame_budget(limits.queue_bytes)
@@ -107,37 +112,38 @@
         .await
 }
 
-/// Takes one stream or refuses it.
-async fn take(
+/// Checks one stream, then receives its frames or refuses it.
+async fn serve_stream(
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
-    guard: Arc<Admission>,
+    admission: Arc<Admission>,
     sink: Sender<Frame>,
 ) {
     let (head, body) = request.into_parts();
-    let hello = match check(&head.headers, &guard) {
+    let hello = match check(&head.headers, &admission) {
         Ok(hello) => hello,
         Err(status) => return refuse(&mut respond, status),
     };
-    let Ok(mut answer) = respond.send_response(Response::new(()), false) else {
+    let Ok(mut response) = respond.send_response(Response::new(()), false) else {
         return;
     };
-    match receive(body, hello, guard.limits.frame_bytes, sink).await {
-        // The end of the answer tells the sender that all was taken.
-        Ok(()) => drop(answer.send_data(Bytes::new(), true)),
-        Err(reason) => answer.send_reset(reason),
+    match receive(body, hello, admission.limits.frame_bytes, sink).await {
+        // The end of the response tells the sender that all frames were taken.
+        Ok(()) => drop(response.send_data(Bytes::new(), true)),
+        Err(reason) => response.send_reset(reason),
     }
 }
 
-fn check(headers: &HeaderMap, guard: &Admission) -> Result<Hello, StatusCode> {
-    let shown = hello::shown_key(headers).unwrap_or_default();
-    // Every key is compared, so that the time does not tell which one matched.
-    let matching = guard.keys.iter().filter(|key| key.matches(shown)).count();
+fn check(headers: &HeaderMap, admission: &Admission) -> Result<Hello, StatusCode> {
+    let key = hello::key(headers).unwrap_or_default();
+    // Every key is compared, so that the time does not reveal which one
+    // matched.
+    let matching = admission.keys.iter().filter(|known| known.matches(key)).count();
     if matching == 0 {
         return Err(StatusCode::UNAUTHORIZED);
     }
     let hello = Hello::try_from(headers).map_err(|_| StatusCode::BAD_REQUEST)?;
-    if hello.to != guard.own {
+    if hello.to != admission.own {
         return Err(StatusCode::MISDIRECTED_REQUEST);
     }
     Ok(hello)
@@ -146,12 +152,13 @@
 fn refuse(respond: &mut SendResponse<Bytes>, status: StatusCode) {
     let mut response = Response::new(());
     *response.status_mut() = status;
-    // Dropping the request resets the stream once the response is sent; the
-    // sender has gone if it cannot be.
+    // Dropping the request resets the stream once the response is sent. If the
+    // response cannot be sent, the sender has gone.
     let _ = respond.send_response(response, true);
 }
 
-/// Hands the frames of a stream to the sink, in their order.
+/// Hands the frames of a stream to the sink, in their order. Fails with the
+/// reason for a reset of the stream.
 async fn receive(
     mut body: RecvStream,
     hello: Hello,
--- a/src/wire/key.rs
+++ b/src/wire/key.rs
@@ -1,4 +1,5 @@
-//! The key of a deployment, which a VM shows to its peers.
+//! The key of a deployment, which a VM shows to its peers to authenticate
+//! itself.
 
 use std::{fmt, sync::Arc};
 
@@ -8,12 +9,12 @@
 use subtle::ConstantTimeEq;
 
 /// The shortest key, in bytes.
-pub const MIN_LENGTH: usize = 16;
+pub const MIN_BYTES: usize = 16;
 
 /// The longest key, in bytes.
-pub const MAX_LENGTH: usize = 512;
+pub const MAX_BYTES: usize = 512;
 
-/// The key itself. It is shown in no log.
+/// A key in plain text. Its `Debug` form hides it, so that it reaches no log.
 #[derive(Clone)]
 pub struct Key(Arc<str>);
 
@@ -35,7 +36,7 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Error::Length => write!(f, "a key must have {MIN_LENGTH} to {MAX_LENGTH} bytes"),
+            Error::Length => write!(f, "a key must have {MIN_BYTES} to {MAX_BYTES} bytes"),
             Error::Character => f.write_str("a key must hold visible ASCII characters only"),
         }
     }
@@ -47,7 +48,7 @@
     type Error = Error;
 
     fn try_from(text: &str) -> Result<Key, Error> {
-        if !(MIN_LENGTH..=MAX_LENGTH).contains(&text.len()) {
+        if !(MIN_BYTES..=MAX_BYTES).contains(&text.len()) {
             return Err(Error::Length);
         }
         if !text.bytes().all(|byte| byte.is_ascii_graphic()) {
@@ -58,21 +59,22 @@
 }
 
 impl From<&Secret> for Key {
-    /// A secret is made of visible ASCII characters and long enough; one that is
-    /// too long is shortened by every VM alike.
+    /// Takes a secret as the key. A secret consists of visible ASCII characters
+    /// and is long enough; one that is too long is cut off at the same length
+    /// by every VM.
     fn from(secret: &Secret) -> Key {
         let text = secret.expose();
-        Key(Arc::from(text.get(..MAX_LENGTH).unwrap_or(text)))
+        Key(Arc::from(text.get(..MAX_BYTES).unwrap_or(text)))
     }
 }
 
 impl Key {
-    /// The digest by which a receiver knows the key.
+    /// Returns the digest by which a receiver recognizes the key.
     pub fn digest(&self) -> Digest {
         Digest::of(self.0.as_bytes())
     }
 
-    /// The key as the value of a header.
+    /// Returns the key as the value of a header that is marked as sensitive.
     pub(super) fn header(&self) -> Option<HeaderValue> {
         let mut value = HeaderValue::from_str(&self.0).ok()?;
         value.set_sensitive(true);
@@ -80,12 +82,13 @@
     }
 }
 
-/// The SHA-256 digest of a key. A receiver keeps no key.
+/// The SHA-256 digest of a key. A receiver holds only digests of the keys that
+/// it accepts.
 #[derive(Clone, Copy, Debug)]
 pub struct Digest([u8; 32]);
 
 impl Digest {
-    /// Wraps a digest that was computed elsewhere.
+    /// Wraps a SHA-256 digest that was computed elsewhere.
     pub fn new(digest: [u8; 32]) -> Digest {
         Digest(digest)
     }
@@ -94,7 +97,7 @@
         Digest(Sha256::digest(key).into())
     }
 
-    /// Tells in constant time whether this is the digest of `key`.
+    /// Returns in constant time whether this is the digest of `key`.
     pub fn matches(&self, key: &[u8]) -> bool {
         self.0.ct_eq(&Digest::of(key).0).into()
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,12 +1,13 @@
-//! Messages between VMs: h2 streams that carry bincode.
+//! Messages between VMs, as bincode in HTTP/2 streams.
 //!
-//! Traffic between two lanes is two one-way streams, one for each direction,
-//! each over a TCP connection that its sender dials. A [`Dialer`] sends and
-//! [`listen()`] receives. Nothing is promised to arrive: what is lost with a
-//! connection is reported by [`Lost`] and the decisions cope with it.
+//! Two lanes exchange messages over two one-way streams, one for each
+//! direction, each over a TCP connection that its sender dials. A [`Dialer`]
+//! sends and [`listen()`] receives. Delivery is not guaranteed: frames that are
+//! lost with a connection are reported as [`Lost`], and the decisions cope with
+//! the loss.
 //!
-//! Queues and frames are bounded on both sides. A peer that takes no bytes or
-//! answers no ping for a limit loses its connection; see [`Limits`].
+//! Queues and frames are bounded on both sides. The connection to a peer that
+//! does not take bytes or answer a ping in time is closed; see [`Limits`].
 
 use std::time::Duration;
 
@@ -26,7 +27,7 @@
 pub use inbound::{Admission, listen};
 pub use key::{Digest, Key};
 
-/// What a frame carries.
+/// The message in a frame.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
     /// A message between traffic threads.
@@ -37,51 +38,52 @@
     Relay(Box<Hop>),
 }
 
-/// A frame as it was received. The sender stands once at the head of a stream
-/// and is put to each frame by the receiver.
+/// A frame as it was received. A stream names its sender once, in the request
+/// that opens it, and the receiver adds the sender to each frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Frame {
-    /// The lane that sent it.
+    /// The lane that sent the frame.
     pub from: Lane,
-    /// The start of the VM that sent it.
+    /// The incarnation of the VM that sent the frame.
     pub incarnation: u64,
-    /// What it carries.
     pub body: Body,
 }
 
-/// Reports that frames to a lane were lost, at least one or those in flight.
+/// Reports that frames to a lane were lost: at least the one that could not be
+/// sent, or those that were queued or in flight on a lost connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Lost {
-    /// The lane that they were for.
+    /// The lane that the frames were for.
     pub to: Lane,
-    /// Why, for people.
+    /// The reason, for people.
     pub detail: String,
-    /// Whether the peer may have taken any of them. It took none if it could not
-    /// be reached or refused the stream.
+    /// Whether the peer may have received any of the frames. It received none
+    /// if it could not be reached or refused the stream.
     pub maybe_received: bool,
 }
 
-/// Bounds of the connections between VMs.
+/// Limits on the connections between VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// The longest frame, in bytes.
+    /// The longest body of a frame.
     pub frame_bytes: usize,
-    /// The frames that wait for one peer.
+    /// The most frames that wait for one peer.
     pub queue_frames: usize,
-    /// The bytes that wait for one peer, and on the receiving side the memory
-    /// that small DATA frames may take beside their content.
+    /// The most bytes that wait for one peer, and on the receiving side the
+    /// most memory that small DATA frames may take beside their content.
     pub queue_bytes: usize,
-    /// The bytes that a receiver takes before it has handed them on.
+    /// The HTTP/2 flow-control window: the most bytes that a receiver takes
+    /// before it has handed them on.
     pub window_bytes: u32,
-    /// The inbound connections of one listener.
+    /// The most inbound connections of one listener.
     pub connections: usize,
-    /// The time for a connection to be opened.
+    /// The time within which a connection must be open.
     pub connect_timeout: Duration,
-    /// The time in which a peer must take some bytes while any wait.
+    /// The time within which a peer must take some bytes while any wait.
     pub write_timeout: Duration,
     /// The time between pings.
     pub ping_interval: Duration,
-    /// The time in which a ping must be answered.
+    /// The time within which a ping must be answered.
     pub ping_timeout: Duration,
     /// The pause before the first dial after a loss; it doubles with each dial
     /// that fails.
--- a/src/wire/outbound.rs
+++ b/src/wire/outbound.rs
@@ -1,4 +1,5 @@
-//! The task of one outbound connection.
+//! The task of one outbound connection: opens it, sends the queued frames and
+//! closes it.
 
 use std::{
     future::poll_fn,
@@ -24,29 +25,28 @@
 
 use super::{Limits, Lost, ping};
 
-/// The size up to which frames are sent together, in bytes.
-const BATCH: usize = 16 * 1024;
+/// The size up to which small frames are joined and sent together.
+const BATCH_BYTES: usize = 16 * 1024;
 
-/// What the dialer and the task of a connection both see.
+/// The state of a connection that the dialer shares with its task.
 #[derive(Debug, Default)]
 pub struct Shared {
-    /// The bytes that wait in the queue.
+    /// The bytes that were queued and not written yet.
     pub queued: AtomicUsize,
     /// Whether the peer accepted the stream.
     pub accepted: AtomicBool,
-    /// When the connection was lost.
+    /// The time at which the connection was lost.
     pub lost: OnceLock<Instant>,
 }
 
-/// What a connection is made of.
+/// The parameters of a connection.
 pub struct Outbound {
-    /// Where the peer listens.
+    /// The address on which the peer listens.
     pub address: SocketAddr,
     /// The request that opens the stream.
     pub request: Request<()>,
-    /// The bounds.
     pub limits: Limits,
-    /// What the dialer sees.
+    /// The state that the dialer reads.
     pub shared: Arc<Shared>,
 }
 
@@ -54,7 +54,7 @@
 ///
 /// The queue is closed before the loss is reported, so that each frame is
 /// either covered by the report or refused by the queue.
-pub async fn run(
+pub async fn send_frames(
     outbound: Outbound,
     mut frames: Receiver<Bytes>,
     lost: Lost,
@@ -62,19 +62,19 @@
 ) {
     let shared = Arc::clone(&outbound.shared);
     if let Err(Loss { detail, maybe_received }) = outbound.send_all(&mut frames).await {
-        // It is set once, here.
+        // This is the only place that sets it, so it is not set yet.
         let _ = shared.lost.set(Instant::now());
         frames.close();
-        // The receiver is gone only when the thread is ending.
+        // The receiver is dropped only when the thread ends.
         let _ = losses.send(Lost { detail, maybe_received, ..lost });
     }
 }
 
-/// Why a connection is lost.
+/// Why a connection was lost.
 #[derive(Debug)]
 struct Loss {
     detail: String,
-    /// Whether the peer may have taken a frame.
+    /// Whether the peer may have received a frame.
     maybe_received: bool,
 }
 
@@ -96,49 +96,50 @@
     }
 }
 
-/// A connection, with a second handle of its socket for [`finish`].
+/// A connection, with a second handle of its socket for [`close`].
 type Client = (SendRequest<Bytes>, Connection<TcpStream, Bytes>, net::TcpStream);
 
 impl Outbound {
     async fn send_all(self, frames: &mut Receiver<Bytes>) -> Result<(), Loss> {
         let opened = timeout(self.limits.connect_timeout, connect(self.address))
             .await
-            .unwrap_or_else(|_| Err(Loss::new("the peer took no connection in time")));
+            .unwrap_or_else(|_| Err(Loss::new("the peer did not accept the connection in time")));
         let (client, mut connection, socket) =
             opened.map_err(|loss| Loss { maybe_received: false, ..loss })?;
         let silent = ping::watch(connection.ping_pong(), self.limits);
         let limits = self.limits;
         tokio::select! {
-            result = &mut connection => return Err(ended(result)),
+            result = &mut connection => return Err(connection_loss(result)),
             detail = silent => return Err(Loss { detail, maybe_received: true }),
-            result = self.stream(client, frames) => result?,
+            result = self.send_stream(client, frames) => result?,
         }
-        // The stream is done, so that the connection says GOAWAY and ends.
-        timeout(limits.write_timeout, finish(connection, socket))
+        // The stream is done, so the connection sends GOAWAY and ends.
+        timeout(limits.write_timeout, close(connection, socket))
             .await
             .map_err(|_| Loss::new("the peer did not close in time"))?
     }
 
     /// Opens the stream, sends the frames and waits until the peer has taken
     /// them all.
-    async fn stream(
+    async fn send_stream(
         self,
         client: SendRequest<Bytes>,
         frames: &mut Receiver<Bytes>,
     ) -> Result<(), Loss> {
         let mut client = client.ready().await?;
         let (response, mut stream) = client.send_request(self.request, false)?;
-        let verdict = verdict(response, &self.shared);
-        tokio::pin!(verdict);
+        let response = read_response(response, &self.shared);
+        tokio::pin!(response);
         tokio::select! {
-            // A refusal comes with a reset, of which it gives the reason.
+            // The peer resets the stream when it refuses it. The response is
+            // polled first, since it tells why.
             biased;
-            result = &mut verdict => {
+            result = &mut response => {
                 return Err(result.err().unwrap_or_else(|| Loss::new("the peer ended the stream")));
             }
-            result = pump(&mut stream, frames, &self.shared, &self.limits) => result?,
+            result = write_queue(&mut stream, frames, &self.shared, &self.limits) => result?,
         }
-        timeout(self.limits.write_timeout, verdict)
+        timeout(self.limits.write_timeout, response)
             .await
             .map_err(|_| Loss::new("the peer did not confirm the end of the stream"))?
     }
@@ -153,11 +154,13 @@
     Ok((client, connection, socket))
 }
 
-/// Ends a connection and reads what the peer still sends until it closes too.
+/// Ends a connection, then reads and discards what the peer still sends until
+/// it closes too.
 ///
-/// A socket that is closed with bytes unread, or that gets more afterwards,
-/// answers with a reset, by which the peer would lose what it has not read yet.
-async fn finish(
+/// A socket that is closed with unread bytes, or that gets bytes after it is
+/// closed, sends a reset, and the peer would lose the frames that it has not
+/// read yet.
+async fn close(
     connection: Connection<TcpStream, Bytes>,
     socket: net::TcpStream,
 ) -> Result<(), Loss> {
@@ -167,8 +170,9 @@
     Ok(())
 }
 
-/// Waits for the peer's answer and the end of its body.
-async fn verdict(response: ResponseFuture, shared: &Shared) -> Result<(), Loss> {
+/// Waits for the peer's response and the end of its body. Fails if the peer
+/// refuses the stream.
+async fn read_response(response: ResponseFuture, shared: &Shared) -> Result<(), Loss> {
     let response = response.await?;
     if response.status() != StatusCode::OK {
         let detail = format!("the peer refused the stream with {}", response.status());
@@ -183,14 +187,16 @@
     Ok(())
 }
 
-async fn pump(
+/// Writes the frames of the queue until the queue is closed and empty, then
+/// ends the stream.
+async fn write_queue(
     stream: &mut SendStream<Bytes>,
     frames: &mut Receiver<Bytes>,
     shared: &Shared,
     limits: &Limits,
 ) -> Result<(), Loss> {
     while let Some(frame) = frames.recv().await {
-        let batch = gather(frame, frames);
+        let batch = join(frame, frames);
         let length = batch.len();
         write(stream, batch, limits).await?;
         shared.queued.fetch_sub(length, Ordering::Relaxed);
@@ -199,16 +205,16 @@
     Ok(())
 }
 
-/// Joins a frame with those that wait behind it, up to [`BATCH`] bytes.
+/// Joins a frame with those that wait behind it, up to [`BATCH_BYTES`].
 ///
-/// Peers bound the memory that small DATA frames take beside their content, so
-/// that many small ones would cost the connection.
-fn gather(first: Bytes, frames: &mut Receiver<Bytes>) -> Bytes {
-    if first.len() >= BATCH || frames.is_empty() {
+/// Peers limit the memory that small DATA frames take beside their content, and
+/// close a connection that sends too many of them.
+fn join(first: Bytes, frames: &mut Receiver<Bytes>) -> Bytes {
+    if first.len() >= BATCH_BYTES || frames.is_empty() {
         return first;
     }
     let mut batch = BytesMut::from(first);
-    while batch.len() < BATCH
+    while batch.len() < BATCH_BYTES
         && let Ok(frame) = frames.try_recv()
     {
         batch.extend_from_slice(&frame);
@@ -216,7 +222,7 @@
     batch.freeze()
 }
 
-/// Sends a batch, as the peer gives room for it.
+/// Sends a batch in pieces, as the flow-control windows of the peer allow.
 async fn write(
     stream: &mut SendStream<Bytes>,
     mut batch: Bytes,
@@ -224,20 +230,21 @@
 ) -> Result<(), Loss> {
     while !batch.is_empty() {
         stream.reserve_capacity(batch.len());
-        let room = timeout(limits.write_timeout, room(stream))
+        let capacity = timeout(limits.write_timeout, capacity(stream))
             .await
             .map_err(|_| Loss::new("the peer takes no bytes"))??;
-        let piece = batch.split_to(room.min(batch.len()));
+        let piece = batch.split_to(capacity.min(batch.len()));
         stream.send_data(piece, false)?;
     }
     Ok(())
 }
 
-/// Waits for room in the windows of the peer.
+/// Waits for capacity in the flow-control windows of the peer and returns it in
+/// bytes.
 ///
-/// `poll_capacity` tells only of an increase, so room that is there already is
-/// taken without it.
-async fn room(stream: &mut SendStream<Bytes>) -> Result<usize, Loss> {
+/// `poll_capacity` reports only an increase, so capacity that is there already
+/// is returned without it.
+async fn capacity(stream: &mut SendStream<Bytes>) -> Result<usize, Loss> {
     while stream.capacity() == 0 {
         poll_fn(|context| stream.poll_capacity(context))
             .await
@@ -246,6 +253,7 @@
     Ok(stream.capacity())
 }
 
-fn ended(result: Result<(), h2::Error>) -> Loss {
+/// Returns the loss for a connection that has ended.
+fn connection_loss(result: Result<(), h2::Error>) -> Loss {
     result.map_or_else(Loss::from, |()| Loss::new("the peer closed the connection"))
 }
--- a/src/wire/ping.rs
+++ b/src/wire/ping.rs
@@ -1,14 +1,15 @@
-//! Finds a peer that has become silent, by pings.
+//! Detects by pings that a peer no longer responds.
 
 use h2::{Ping, PingPong};
 use tokio::time::{interval, timeout};
 
 use super::Limits;
 
-/// Pings until the peer leaves a ping unanswered, and returns why it stopped.
+/// Pings a peer at intervals until a ping is not answered in time or the
+/// connection fails, and returns the reason.
 pub async fn watch(pings: Option<PingPong>, limits: Limits) -> String {
     let Some(mut pings) = pings else {
-        return "the connection has no pings".to_owned();
+        return "the connection does not support pings".to_owned();
     };
     let mut ticks = interval(limits.ping_interval);
     loop {
