Wrap comments at 80 columns

Cause: comments in the code around keep to 80 columns. Change: line breaks, and the name of the admission rules in the locals of src/vm.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -7,8 +7,8 @@
     time::{Instant, Wall},
 };
 
-/// Reads the clocks of the operating system. All threads of a VM use copies of one
-/// clock, so that their monotonic times have the same zero and compare.
+/// Reads the clocks of the operating system. All threads of a VM use copies of
+/// one clock, so that their monotonic times have the same zero and compare.
 #[derive(Clone, Copy, Debug)]
 pub struct System {
     start: std::time::Instant,
--- a/src/control/codec.rs
+++ b/src/control/codec.rs
@@ -9,8 +9,8 @@
 
 impl Codec for Json {
     fn encode(&self, record: &Record) -> Vec<u8> {
-        // The keys of all maps in a record are strings, and JSON can express every
-        // value in it.
+        // The keys of all maps in a record are strings, and JSON can express
+        // every value in it.
         serde_json::to_vec(record).expect("a record is always expressible as JSON")
     }
 
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -45,8 +45,8 @@
 }
 
 impl Inbox {
-    /// Waits for the next request of an operator. This is for code that answers in
-    /// place of the control thread. Returns none when all handles are gone.
+    /// Waits for the next request of an operator. This is for code that answers
+    /// in place of the control thread. Returns none when all handles are gone.
     pub async fn next(&mut self) -> Option<Submission> {
         self.submissions.recv().await
     }
@@ -73,13 +73,14 @@
         let _ = self.events.send(event);
     }
 
-    /// Returns the channel for the replies of the client of the platform's service.
+    /// Returns the channel for the replies of the client of the platform's
+    /// service.
     pub fn replies(&self) -> UnboundedSender<(CallId, Reply)> {
         self.replies.clone()
     }
 
-    /// Submits a request of an operator and waits for its answer, which is none when
-    /// the control thread has ended.
+    /// Submits a request of an operator and waits for its answer, which is none
+    /// when the control thread has ended.
     pub async fn request(&self, request: Request) -> Option<Answer> {
         let (answer, receiver) = oneshot::channel();
         self.submissions.send(Submission { request, answer }).ok()?;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,8 +1,8 @@
 //! The control thread: one runtime, one engine, and the borders around it.
 //!
 //! The thread waits for events or for the earliest time at which the engine has
-//! something to do, takes the events that are ready, runs one step of the engine
-//! and carries out the outbox of the step. It decides nothing.
+//! something to do, takes the events that are ready, runs one step of the
+//! engine and carries out the outbox of the step. It decides nothing.
 
 mod codec;
 mod handle;
@@ -36,8 +36,8 @@
     fn observe(&mut self, engine: &Engine);
 }
 
-/// The borders through which the control thread acts. They are made on the thread
-/// itself, because the clients behind them need its runtime.
+/// The borders through which the control thread acts. They are made on the
+/// thread itself, because the clients behind them need its runtime.
 pub struct Borders {
     pub platform: Box<dyn Platform>,
     /// The control threads of other VMs.
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -84,8 +84,8 @@
 
 impl Control {
     /// Waits for the first event or the earliest time at which the engine has
-    /// something to do, then takes the events that are ready. Returns false when
-    /// every handle is dropped, so that no more events can come.
+    /// something to do, then takes the events that are ready. Returns false
+    /// when every handle is dropped, so that no more events can come.
     async fn wait(&mut self, inbox: &mut Inbox, events: &mut Vec<Event>) -> bool {
         let now = self.clock.now();
         let pause = self.engine.wake().map_or(MAX_SLEEP, |wake| wake.remaining(now).min(MAX_SLEEP));
@@ -156,7 +156,8 @@
         }
     }
 
-    /// Sends a notice to traffic threads. A thread that has ended does not need it.
+    /// Sends a notice to traffic threads. A thread that has ended does not need
+    /// it.
     fn notify(&self, recipient: Recipient, notice: Notice) {
         match recipient {
             Recipient::All => {
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -55,9 +55,9 @@
         self.lock().state
     }
 
-    /// Returns the current state and registers `reader`, which is woken when the
-    /// connection begins to wait for its next request. The HTTP library does not
-    /// poll the stream again by itself at that point.
+    /// Returns the current state and registers `reader`, which is woken when
+    /// the connection begins to wait for its next request. The HTTP library
+    /// does not poll the stream again by itself at that point.
     pub fn watch(&self, reader: &Waker) -> State {
         let mut inner = self.lock();
         if !inner.reader.as_ref().is_some_and(|registered| registered.will_wake(reader)) {
@@ -66,7 +66,8 @@
         inner.state
     }
 
-    /// Records that bytes have arrived, which starts a head if none has started.
+    /// Records that bytes have arrived, which starts a head if none has
+    /// started.
     pub fn receive_bytes(&self) {
         let mut inner = self.lock();
         if inner.state.phase == Phase::Waiting {
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -59,8 +59,8 @@
         Intake { routes, gate, limits, metrics, ready }
     }
 
-    /// Answers a request of `connection`. A refusal that no thread has counted is
-    /// counted here.
+    /// Answers a request of `connection`. A refusal that no thread has counted
+    /// is counted here.
     pub async fn handle(&self, request: Request, connection: &Connection) -> Response {
         let response = self.answer(request, connection).await;
         if let Some(&kind) = response.extensions().get::<Kind>() {
@@ -80,8 +80,8 @@
         if *self.ready.borrow() { response } else { close_after(response) }
     }
 
-    /// Replaces the body that is still arriving with the whole body, read within
-    /// limits.
+    /// Replaces the body that is still arriving with the whole body, read
+    /// within limits.
     async fn read_body(&self, request: &mut Request) -> Result<(), Refusal> {
         self.gate.check(request.uri().path(), request.headers())?;
         let limits = self.limits.body();
--- a/src/front/limit.rs
+++ b/src/front/limit.rs
@@ -10,10 +10,11 @@
 pub struct Limits {
     /// The largest request head (request line and headers) in bytes.
     pub header_size: usize,
-    /// The time within which a whole head must arrive, counted from its first byte.
+    /// The time within which a whole head must arrive, counted from its first
+    /// byte.
     pub header_timeout: Duration,
-    /// The time after which a connection is closed that has no request, or whose
-    /// caller does not read the response.
+    /// The time after which a connection is closed that has no request, or
+    /// whose caller does not read the response.
     pub idle_timeout: Duration,
     /// The most connections that are open at a time.
     pub connections: usize,
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,11 +1,11 @@
-//! The HTTP front for callers: decodes requests into typed events and encodes the
-//! answers.
+//! The HTTP front for callers: decodes requests into typed events and encodes
+//! the answers.
 //!
 //! Nothing is decided here. A body is decoded into a raw structure, which
-//! `TryFrom` turns into a checked one; the traffic thread does the rest, so that
-//! another front can use the same decisions. A request that is refused before it
-//! reaches the traffic thread is malformed, too large or too slow, and nothing of
-//! it has run.
+//! `TryFrom` turns into a checked one; the traffic thread does the rest, so
+//! that another front can use the same decisions. A request that is refused
+//! before it reaches the traffic thread is malformed, too large or too slow,
+//! and nothing of it has run.
 
 pub mod body;
 pub mod connection;
--- a/src/front/port.rs
+++ b/src/front/port.rs
@@ -1,9 +1,10 @@
-//! Serves the routes of a front on one address, within limits on its connections.
+//! Serves the routes of a front on one address, within limits on its
+//! connections.
 //!
 //! The routes are poem's, but the accept loop is not: poem's server polls a
-//! connection again after it has ended, which keeps the handler of a caller that
-//! went away. Here a connection that ends drops its handler, which tells the
-//! traffic thread that the caller went away.
+//! connection again after it has ended, which keeps the handler of a caller
+//! that went away. Here a connection that ends drops its handler, which tells
+//! the traffic thread that the caller went away.
 
 use std::{
     convert::Infallible,
@@ -218,6 +219,7 @@
 
 /// Waits until `signal` is true or its sender is gone.
 async fn wait_until_true(mut signal: watch::Receiver<bool>) {
-    // An error means that the sender is gone, which happens only when the VM ends.
+    // An error means that the sender is gone, which happens only when the VM
+    // ends.
     let _ = signal.wait_for(|on| *on).await;
 }
--- a/src/front/probe.rs
+++ b/src/front/probe.rs
@@ -15,8 +15,8 @@
 pub trait Metrics: Send + Sync {
     /// Encodes all metrics as OpenMetrics text.
     fn encode(&self) -> String;
-    /// Counts a refusal of a request that reached no thread, so that no thread has
-    /// counted it.
+    /// Counts a refusal of a request that reached no thread, so that no thread
+    /// has counted it.
     fn refused(&self, kind: Kind);
 }
 
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -1,6 +1,7 @@
 //! Faults as problem documents (RFC 9457).
 //!
-//! Status, title and retry advice come from the table in [`laburnum_core::fault`].
+//! Status, title and retry advice come from the table in
+//! [`laburnum_core::fault`].
 
 use laburnum_core::{
     fault::{Fault, Kind, Ran, Retry},
--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -1,11 +1,11 @@
 //! The byte stream of one caller, with limits on time and size.
 //!
 //! The HTTP library reads as long as bytes come. This stream ends a connection
-//! whose head is too large or does not arrive in time, even if it trickles in byte
-//! by byte, and a connection that stays idle or does not take its response. A
-//! refused caller is answered, and what it still sends is read and discarded for
-//! up to [`LINGER_TIMEOUT`], because unread bytes would make the operating system
-//! reset the connection and lose the answer.
+//! whose head is too large or does not arrive in time, even if it trickles in
+//! byte by byte, and a connection that stays idle or does not take its
+//! response. A refused caller is answered, and what it still sends is read and
+//! discarded for up to [`LINGER_TIMEOUT`], because unread bytes would make the
+//! operating system reset the connection and lose the answer.
 
 use std::{
     io,
@@ -125,8 +125,8 @@
         Ok(())
     }
 
-    /// Polls the time limit of the current phase. A connection that stays idle is
-    /// closed, and one whose head is late is refused.
+    /// Polls the time limit of the current phase. A connection that stays idle
+    /// is closed, and one whose head is late is refused.
     fn poll_read_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let state = self.connection.watch(cx.waker());
         match state.phase {
@@ -150,13 +150,15 @@
         self.is_refused = true;
         self.metrics.refused(fault.kind);
         if self.is_flushed {
-            // A caller whose socket has no room for this short response gets none.
+            // A caller whose socket has no room for this short response gets
+            // none.
             let _ = self.socket.try_write(&Refusal::from(fault).to_http());
         }
         let _ = Pin::new(&mut self.socket).poll_shutdown(cx);
     }
 
-    /// Discards what arrives until the caller closes or [`LINGER_TIMEOUT`] is over.
+    /// Discards what arrives until the caller closes or [`LINGER_TIMEOUT`] is
+    /// over.
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let state = self.connection.state();
         let mut discarded = [0; DISCARD_BUFFER_BYTES];
--- a/src/inbox.rs
+++ b/src/inbox.rs
@@ -49,14 +49,15 @@
 }
 
 impl<C: Copy, E, A> Handle<C, E, A> {
-    /// Makes a handle that hands calls to `inputs`; `make_call` makes the id of a
-    /// call from its number.
+    /// Makes a handle that hands calls to `inputs`; `make_call` makes the id of
+    /// a call from its number.
     pub fn new(inputs: UnboundedSender<Input<C, E, A>>, make_call: fn(u64) -> C) -> Self {
         Handle { inputs, make_call, next_number: Arc::new(AtomicU64::new(0)) }
     }
 
-    /// Submits a call and waits for its answer, which is none when the thread has
-    /// ended. Dropping the future tells the thread that the caller went away.
+    /// Submits a call and waits for its answer, which is none when the thread
+    /// has ended. Dropping the future tells the thread that the caller went
+    /// away.
     pub async fn request(&self, event: impl FnOnce(C) -> E) -> Option<A> {
         let call = (self.make_call)(self.next_number.fetch_add(1, Ordering::Relaxed));
         let (answer, receiver) = oneshot::channel();
@@ -79,9 +80,9 @@
 }
 
 impl<C: Copy + Ord, A> Pending<C, A> {
-    /// Registers the call of an input, or removes one whose caller went away, and
-    /// returns the event for the engine; `abandoned` makes the event for a caller
-    /// that went away.
+    /// Registers the call of an input, or removes one whose caller went away,
+    /// and returns the event for the engine; `abandoned` makes the event for a
+    /// caller that went away.
     pub fn register<E>(&mut self, input: Input<C, E, A>, abandoned: impl FnOnce(C) -> E) -> E {
         match input {
             Input::Call(submission) => {
@@ -103,8 +104,8 @@
     }
 }
 
-/// Tells the thread that the caller went away, if the future of a call is dropped
-/// before its answer.
+/// Tells the thread that the caller went away, if the future of a call is
+/// dropped before its answer.
 struct Guard<'a, C: Copy, E, A> {
     call: C,
     inputs: &'a UnboundedSender<Input<C, E, A>>,
@@ -117,8 +118,8 @@
     }
 }
 
-/// Moves what is ready in `channel` to `into` without waiting, until `into` holds
-/// `limit` items.
+/// Moves what is ready in `channel` to `into` without waiting, until `into`
+/// holds `limit` items.
 pub fn take_ready<T>(channel: &mut UnboundedReceiver<T>, into: &mut Vec<T>, limit: usize) {
     while into.len() < limit {
         match channel.try_recv() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,8 @@
-//! laburnumworks, a query tier over many shards, which stands between callers and
-//! targets.
+//! laburnumworks, a query tier over many shards, which stands between callers
+//! and targets.
 //!
-//! The crate `laburnum-core` makes the decisions. This crate holds what they run
-//! in: threads, sockets, codecs, settings and the command line. See
+//! The crate `laburnum-core` makes the decisions. This crate holds what they
+//! run in: threads, sockets, codecs, settings and the command line. See
 //! `docs/DESIGN.md`.
 
 pub mod settings;
--- a/src/operator/access.rs
+++ b/src/operator/access.rs
@@ -61,8 +61,8 @@
     })
 }
 
-/// Returns the text of the bearer token, if there is exactly one `Authorization`
-/// header and it has the scheme [`SCHEME`].
+/// Returns the text of the bearer token, if there is exactly one
+/// `Authorization` header and it has the scheme [`SCHEME`].
 fn bearer_token(headers: &HeaderMap) -> Option<&str> {
     let mut values = headers.get_all(header::AUTHORIZATION).iter();
     let value = values.next()?.to_str().ok()?;
--- a/src/operator/answer.rs
+++ b/src/operator/answer.rs
@@ -22,11 +22,12 @@
 
 use crate::front::{body, problem::Refusal};
 
-/// The path at which the outcome of an unsettled publication is requested again.
+/// The path at which the outcome of an unsettled publication is requested
+/// again.
 pub const SETTLE_PATH: &str = "/v1/publications/settle";
 
-/// Makes the response for an answer of the control thread; `answer` is none when
-/// the thread has ended.
+/// Makes the response for an answer of the control thread; `answer` is none
+/// when the thread has ended.
 pub fn respond(answer: Option<Answer>) -> Result<Response, Refusal> {
     match answer.ok_or_else(thread_ended)? {
         Answer::Accepted { revision, changes } => outcome("accepted", revision, Some(changes)),
@@ -251,8 +252,8 @@
     }
 }
 
-/// Formats where a row comes from: `list`, `own`, or `peer` with the name of the
-/// VM.
+/// Formats where a row comes from: `list`, `own`, or `peer` with the name of
+/// the VM.
 fn source(source: &Source) -> String {
     match source {
         Source::List => "list".to_owned(),
--- a/src/operator/document.rs
+++ b/src/operator/document.rs
@@ -79,8 +79,8 @@
     }
 }
 
-/// Reads the revision that must be in force from the `If-Match` header, if there
-/// is one.
+/// Reads the revision that must be in force from the `If-Match` header, if
+/// there is one.
 pub fn expected_revision(headers: &HeaderMap) -> Result<Option<Revision>, Fault> {
     let Some(value) = headers.get(header::IF_MATCH) else { return Ok(None) };
     let text = String::from_utf8_lossy(value.as_bytes());
@@ -90,8 +90,8 @@
     revision.map(Some).ok_or_else(refusal)
 }
 
-/// Reads from the query of the URI whether a publication is a dry run, which only
-/// compares.
+/// Reads from the query of the URI whether a publication is a dry run, which
+/// only compares.
 pub fn dry_run(query: Option<&str>) -> Result<bool, Fault> {
     match query.unwrap_or_default() {
         "" | "dry_run=false" => Ok(false),
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,8 +1,8 @@
-//! The HTTP front for operators: decodes requests into typed ones and encodes the
-//! answers.
+//! The HTTP front for operators: decodes requests into typed ones and encodes
+//! the answers.
 //!
-//! The only decision here is whether the token is known and carries the role that
-//! the path needs. Which profiles a team may change is decided by
+//! The only decision here is whether the token is known and carries the role
+//! that the path needs. Which profiles a team may change is decided by
 //! [`laburnum_core::control::access`], against the document in force.
 
 pub mod access;
@@ -27,8 +27,8 @@
     settings::identity::{Operators, Role},
 };
 
-/// Limits on the body of a request. A document of profiles takes more bytes in a
-/// request than in its stored form.
+/// Limits on the body of a request. A document of profiles takes more bytes in
+/// a request than in its stored form.
 const BODY_LIMITS: body::Limits =
     body::Limits { size: 2 * 1024 * 1024, read_timeout: Duration::from_secs(30) };
 
--- a/src/traffic/handle.rs
+++ b/src/traffic/handle.rs
@@ -5,7 +5,8 @@
 
 use crate::inbox;
 
-/// A call that was submitted to a traffic thread, with the channel for its answer.
+/// A call that was submitted to a traffic thread, with the channel for its
+/// answer.
 pub type Submission = inbox::Submission<Call, Event, Answer>;
 
 /// An input of a traffic thread from its front.
--- a/src/traffic/ready.rs
+++ b/src/traffic/ready.rs
@@ -18,8 +18,8 @@
 }
 
 impl Ready {
-    /// Makes the set of the threads 0 to `threads - 1`, none of which is ready yet.
-    /// The receiver is true while all are ready.
+    /// Makes the set of the threads 0 to `threads - 1`, none of which is ready
+    /// yet. The receiver is true while all are ready.
     pub fn new(threads: u16) -> (Ready, watch::Receiver<bool>) {
         let (sender, receiver) = watch::channel(false);
         let not_ready = Arc::new(Mutex::new((0..threads).collect()));
--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -33,8 +33,8 @@
 pub struct Inbox {
     /// Calls from the front.
     pub inputs: UnboundedReceiver<Input>,
-    /// Messages from other traffic threads, whose sending waits while the channel is
-    /// full.
+    /// Messages from other traffic threads, whose sending waits while the
+    /// channel is full.
     pub frames: Receiver<wire::Frame>,
     /// Losses of messages to other traffic threads.
     pub losses: UnboundedReceiver<wire::Lost>,
@@ -100,11 +100,11 @@
 }
 
 impl Batch {
-    /// Waits until a channel has events or `pause` is over, then takes the events
-    /// that are ready. Returns false when the thread must end.
+    /// Waits until a channel has events or `pause` is over, then takes the
+    /// events that are ready. Returns false when the thread must end.
     async fn fill(&mut self, inbox: &mut Inbox, pause: Duration) -> bool {
-        // A channel whose senders are all gone is always ready, so waiting for it
-        // would spin.
+        // A channel whose senders are all gone is always ready, so waiting for
+        // it would spin.
         let has_front = !(inbox.inputs.is_closed() && inbox.inputs.is_empty());
         let has_peers = !(inbox.frames.is_closed() && inbox.frames.is_empty());
         tokio::select! {
@@ -190,7 +190,8 @@
     }
 }
 
-/// Returns the event for a frame from a traffic thread, and none for other frames.
+/// Returns the event for a frame from a traffic thread, and none for other
+/// frames.
 fn message_event(frame: wire::Frame) -> Option<Event> {
     match frame.body {
         Body::Traffic(message) => Some(Event::Message { from: frame.from, message }),
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -31,8 +31,8 @@
     pub peers: net::TcpListener,
     /// The socket for operators.
     pub operators: net::TcpListener,
-    /// Dropped when the front of the operators has answered all requests that it
-    /// took.
+    /// Dropped when the front of the operators has answered all requests that
+    /// it took.
     pub serving: mpsc::Sender<()>,
 }
 
@@ -83,8 +83,9 @@
     let key = deployment_key(&shared.settings);
     let wire_limits = limits::wire(&shared.settings);
     let (frames, receiver) = mpsc::channel(MAX_FRAMES);
-    let guard = wire::Admission { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
-    tokio::spawn(wire::listen(peers, guard, frames));
+    let admission =
+        wire::Admission { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
+    tokio::spawn(wire::listen(peers, admission, frames));
     tokio::spawn(forward_messages(receiver, shared.control.clone()));
     // The receiver is dropped, so that losses are ignored: the probes of the
     // membership find a peer that is gone.
--- a/src/vm/limits.rs
+++ b/src/vm/limits.rs
@@ -9,8 +9,8 @@
     wire,
 };
 
-/// The number of status reads of a target that may be missed before its last known
-/// status is too old to act on.
+/// The number of status reads of a target that may be missed before its last
+/// known status is too old to act on.
 const MAX_MISSED_STATUS_READS: u32 = 2;
 
 /// Returns the limits of one traffic thread.
@@ -62,8 +62,8 @@
     }
 }
 
-/// Returns the VMs that the control thread asks when the platform's list cannot be
-/// read.
+/// Returns the VMs that the control thread asks when the platform's list cannot
+/// be read.
 pub fn seeds(settings: &Settings) -> Vec<(Name, SocketAddr)> {
     let seeds = settings.membership.seeds.iter();
     seeds.map(|seed| (seed.name.clone(), seed.control)).collect()
--- a/src/vm/listen.rs
+++ b/src/vm/listen.rs
@@ -50,8 +50,8 @@
     open(address, false)
 }
 
-/// Binds an address that several threads listen on; the operating system spreads
-/// new connections over their sockets.
+/// Binds an address that several threads listen on; the operating system
+/// spreads new connections over their sockets.
 fn bind_shared(address: SocketAddr) -> Result<TcpListener, Report<Error>> {
     open(address, true)
 }
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -1,7 +1,7 @@
 //! Adds what the threads count to the metrics of the VM.
 //!
-//! The gauges of a thread need walks over its tables, so they are updated at most
-//! once in [`GAUGE_INTERVAL`] and not in each tick.
+//! The gauges of a thread need walks over its tables, so they are updated at
+//! most once in [`GAUGE_INTERVAL`] and not in each tick.
 
 use std::{
     sync::Arc,
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -100,8 +100,8 @@
 }
 
 /// Starts a VM: binds its addresses, then starts its threads. `policies` is
-/// called once for each traffic thread; only measurements pass other policies than
-/// the default ones.
+/// called once for each traffic thread; only measurements pass other policies
+/// than the default ones.
 pub fn start_with(
     settings: Settings,
     output: Output,
@@ -179,8 +179,8 @@
     Ok((threads, notices))
 }
 
-/// Converts an index or a count of threads. The settings allow far fewer threads
-/// than `u16` holds.
+/// Converts an index or a count of threads. The settings allow far fewer
+/// threads than `u16` holds.
 fn thread_number(index: usize) -> u16 {
     u16::try_from(index).unwrap_or(CONTROL_THREAD)
 }
@@ -189,8 +189,8 @@
     Error { detail: format!("the {thread} thread could not be started") }
 }
 
-/// Makes the row of this VM in the view. Its incarnation is the wall-clock time of
-/// its start in milliseconds.
+/// Makes the row of this VM in the view. Its incarnation is the wall-clock time
+/// of its start in milliseconds.
 fn view_row(settings: &Settings) -> view::Vm {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     view::Vm {
@@ -210,10 +210,11 @@
         matches!(timeout(limit, ready.wait_for(|ready| *ready)).await, Ok(Ok(_)))
     }
 
-    /// Shuts the VM down without cutting a request. The VM reports that it is not
-    /// ready and that it is leaving, goes on taking requests until the balancer and
-    /// the other VMs have had time to learn of it, and then finishes what is open.
-    /// Returns false if something was still open after the limit.
+    /// Shuts the VM down without cutting a request. The VM reports that it is
+    /// not ready and that it is leaving, goes on taking requests until the
+    /// balancer and the other VMs have had time to learn of it, and then
+    /// finishes what is open. Returns false if something was still open after
+    /// the limit.
     pub async fn leave(mut self) -> bool {
         self.shared.control.leave();
         sleep(self.shared.settings.shutdown.announce).await;
@@ -230,10 +231,11 @@
         is_idle
     }
 
-    /// Waits until the fronts have answered the requests that they took, then until
-    /// no leg of another VM's query is in flight here.
+    /// Waits until the fronts have answered the requests that they took, then
+    /// until no leg of another VM's query is in flight here.
     async fn finish(&mut self) -> bool {
-        // Nothing is ever sent; the channel closes when the last front has ended.
+        // Nothing is ever sent; the channel closes when the last front has
+        // ended.
         let _ = self.serving.recv().await;
         self.idle.wait_for(|idle| *idle).await.is_ok()
     }
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -21,8 +21,8 @@
     wire::{self, Dialer},
 };
 
-/// The most frames that wait for a traffic thread. When the channel is full, the
-/// senders are held back.
+/// The most frames that wait for a traffic thread. When the channel is full,
+/// the senders are held back.
 const MAX_FRAMES: usize = 4096;
 
 /// The channels, sockets and policies that only one traffic thread uses.
@@ -43,8 +43,8 @@
     pub policies: policy::Factory,
 }
 
-/// Starts a traffic thread with its front, clients and listeners. It ends when the
-/// VM stops.
+/// Starts a traffic thread with its front, clients and listeners. It ends when
+/// the VM stops.
 pub fn spawn(shared: Shared, resources: Resources) -> io::Result<thread::JoinHandle<()>> {
     let runtime = runtime()?;
     let name = format!("traffic-{}", resources.number);
@@ -59,8 +59,9 @@
     let (events, event_receiver) = mpsc::unbounded_channel();
     let wire_limits = limits::wire(&shared.settings);
     let key = super::control::deployment_key(&shared.settings);
-    let guard = wire::Admission { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
-    let listener = tokio::spawn(wire::listen(resources.peers, guard, frames));
+    let admission =
+        wire::Admission { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
+    let listener = tokio::spawn(wire::listen(resources.peers, admission, frames));
     let front = front::Parts {
         listener: resources.callers,
         limits: limits::callers(&shared.settings),
@@ -124,8 +125,8 @@
     })
 }
 
-/// Sends to other traffic threads through the dialer, which is shared with the code
-/// that closes it.
+/// Sends to other traffic threads through the dialer, which is shared with the
+/// code that closes it.
 struct Lanes(Rc<RefCell<Dialer>>);
 
 impl Peers for Lanes {
