Keep the path of frames under its outer name and finish loose comments

Cause: the format text of the path is on the list of outward names; some comments had lost a bound or said nothing of the accept loop.

--- a/src/front/field.rs
+++ b/src/front/field.rs
@@ -89,7 +89,7 @@
     }
 }
 
-/// Quotes the start of a text, with dots if characters were cut off.
+/// Quotes the start of a text, followed by `...` if the rest is cut off.
 pub fn excerpt(text: &str) -> String {
     let start: String = text.chars().take(MAX_EXCERPT_CHARS).collect();
     let rest = if start.len() < text.len() { "..." } else { "" };
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -50,8 +50,8 @@
 
 /// Serves callers until `shutdown` becomes true and the open requests have
 /// finished.
-pub async fn serve(seed: Parts) -> io::Result<()> {
-    let Parts { listener, limits, handle, ready, metrics, shutdown } = seed;
+pub async fn serve(parts: Parts) -> io::Result<()> {
+    let Parts { listener, limits, handle, ready, metrics, shutdown } = parts;
     let probe = Probe { ready: ready.clone(), metrics: Arc::clone(&metrics) };
     let port = Port {
         listener,
--- a/src/front/port.rs
+++ b/src/front/port.rs
@@ -46,7 +46,7 @@
 /// The pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// The parts of a port that does not serve yet.
+/// A listening socket, with the limits and channels for serving on it.
 pub struct Port {
     /// The socket that accepts connections.
     pub listener: TcpListener,
@@ -67,7 +67,7 @@
     address: SocketAddr,
 }
 
-/// A port that serves.
+/// A port that accepts connections.
 struct Server {
     listener: tokio::net::TcpListener,
     local: SocketAddr,
@@ -113,6 +113,8 @@
 }
 
 impl Server {
+    /// Accepts connections until the VM shuts down, then waits for those that
+    /// are open to finish.
     async fn accept_loop(mut self) {
         let stop = wait_until_true(self.shutdown.clone());
         tokio::pin!(stop);
@@ -128,6 +130,7 @@
         while tasks.join_next().await.is_some() {}
     }
 
+    /// Opens a connection, or refuses one beyond the limit.
     fn admit(&mut self, accepted: Accepted) {
         if let Ok(permit) = Arc::clone(&self.connection_permits).try_acquire_owned() {
             self.open(accepted, permit);
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -65,8 +65,8 @@
 
 /// Serves operators until `shutdown` becomes true and the open requests have
 /// finished.
-pub async fn serve(seed: Parts) -> io::Result<()> {
-    let Parts { listener, operators, handle, ready, metrics, shutdown } = seed;
+pub async fn serve(parts: Parts) -> io::Result<()> {
+    let Parts { listener, operators, handle, ready, metrics, shutdown } = parts;
     let probe = Probe { ready: ready.clone(), metrics: Arc::clone(&metrics) };
     let operators = Arc::new(operators);
     let port = Port {
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -20,7 +20,7 @@
 
 /// Sends reports to the control thread of this VM.
 pub trait Control {
-    /// Sends a report, without a wait for the control thread to take it.
+    /// Sends a report; does not wait for the control thread.
     fn report(&mut self, report: Report);
 }
 
--- a/src/vm/listen.rs
+++ b/src/vm/listen.rs
@@ -15,7 +15,7 @@
 pub struct Traffic {
     /// For callers; every traffic thread has one on the same address.
     pub callers: TcpListener,
-    /// For the traffic threads of other VMs.
+    /// For other traffic threads.
     pub peers: TcpListener,
 }
 
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -161,12 +161,12 @@
 ) -> Result<Traffic, Report<Error>> {
     let mut threads = Vec::new();
     let mut notices = Vec::new();
-    for (index, own) in sockets.into_iter().enumerate() {
+    for (index, sockets) in sockets.into_iter().enumerate() {
         let (sender, receiver) = mpsc::unbounded_channel();
         let resources = traffic::Resources {
             number: thread_number(index),
-            callers: own.callers,
-            peers: own.peers,
+            callers: sockets.callers,
+            peers: sockets.peers,
             notices: receiver,
             ready: common.ready.clone(),
             serving: common.serving.clone(),
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -58,7 +58,8 @@
 
 /// Splits a stream of bytes into bodies.
 ///
-/// The decoder buffers the bytes that were pushed but not taken as a body yet.
+/// The decoder buffers at most one incomplete frame and the bytes that were
+/// pushed after it.
 #[derive(Debug)]
 pub struct Decoder {
     limit: usize,
--- a/src/wire/hello.rs
+++ b/src/wire/hello.rs
@@ -11,7 +11,7 @@
 
 use super::Key;
 
-const FRAMES_PATH: &str = "/v1/frames";
+const PATH: &str = "/v1/frames";
 const KEY_HEADER: &str = "laburnum-key";
 const FROM_VM_HEADER: &str = "laburnum-from-vm";
 const FROM_THREAD_HEADER: &str = "laburnum-from-thread";
@@ -97,7 +97,7 @@
     Request::builder()
         .method(Method::POST)
         .version(Version::HTTP_2)
-        .uri(format!("http://laburnum{FRAMES_PATH}"))
+        .uri(format!("http://laburnum{PATH}"))
         .header(KEY_HEADER, key.header()?)
         .header(FROM_VM_HEADER, hello.from.vm.as_str())
         .header(FROM_THREAD_HEADER, hello.from.thread)
