Name the receivers of the VM's signals

Cause: shutdown_seen, stop_seen and ready_seen hid that they are receivers. Change: locals of vm::start_with.

--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -110,9 +110,9 @@
     let listeners = listen::bind(&settings.listen)?;
     let (writer, log) = Writer::new(&settings.log, &settings.vm.name, output);
     let (control, inbox) = crate::control::channel();
-    let (shutdown, shutdown_seen) = watch::channel(false);
-    let (stop, stop_seen) = watch::channel(false);
-    let (ready, ready_seen) = Ready::new(thread_number(listeners.traffic.len()));
+    let (shutdown, shutdown_receiver) = watch::channel(false);
+    let (stop, stop_receiver) = watch::channel(false);
+    let (ready, ready_receiver) = Ready::new(thread_number(listeners.traffic.len()));
     let shared = Shared {
         row: view_row(&settings),
         settings: Arc::new(settings),
@@ -120,9 +120,9 @@
         writer,
         metrics: Arc::new(Metrics::new()),
         control,
-        shutdown: shutdown_seen,
-        stop: stop_seen,
-        ready: ready_seen,
+        shutdown: shutdown_receiver,
+        stop: stop_receiver,
+        ready: ready_receiver,
     };
     let (serving_sender, serving) = mpsc::channel(1);
     let common = Common { ready, serving: serving_sender.clone(), policies };
