--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -1,4 +1,4 @@
-//! The ways into the control thread.
+//! The channels into the control thread.
 
 use laburnum_core::{
     control::{Answer, Event, Message, Request},
@@ -10,12 +10,11 @@
     oneshot,
 };
 
-/// A request of an operator with the place for its answer.
+/// A request of an operator, with the channel for its answer.
 #[derive(Debug)]
-pub struct Ask {
-    /// The request.
+pub struct Submission {
     pub request: Request,
-    /// Where the answer goes.
+    /// Sends the answer back.
     pub answer: oneshot::Sender<Answer>,
 }
 
@@ -23,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub struct Handle {
     events: UnboundedSender<Event>,
-    asks: UnboundedSender<Ask>,
+    submissions: UnboundedSender<Submission>,
     replies: UnboundedSender<(CallId, Reply)>,
 }
 
@@ -31,58 +30,60 @@
 #[derive(Debug)]
 pub struct Inbox {
     pub(super) events: UnboundedReceiver<Event>,
-    pub(super) asks: UnboundedReceiver<Ask>,
+    pub(super) submissions: UnboundedReceiver<Submission>,
     pub(super) replies: UnboundedReceiver<(CallId, Reply)>,
 }
 
 /// Makes the channels of the control thread.
 pub fn channel() -> (Handle, Inbox) {
     let (events, event_receiver) = unbounded_channel();
-    let (asks, ask_receiver) = unbounded_channel();
+    let (submissions, submission_receiver) = unbounded_channel();
     let (replies, reply_receiver) = unbounded_channel();
-    let inbox = Inbox { events: event_receiver, asks: ask_receiver, replies: reply_receiver };
-    (Handle { events, asks, replies }, inbox)
+    let inbox =
+        Inbox { events: event_receiver, submissions: submission_receiver, replies: reply_receiver };
+    (Handle { events, submissions, replies }, inbox)
 }
 
 impl Inbox {
-    /// Waits for the next request of an operator, for who answers in place of
-    /// the control thread. It answers none when all handles are gone.
-    pub async fn ask(&mut self) -> Option<Ask> {
-        self.asks.recv().await
+    /// Waits for the next request of an operator. This is for code that answers
+    /// in place of the control thread. Returns none when all handles are gone.
+    pub async fn next(&mut self) -> Option<Submission> {
+        self.submissions.recv().await
     }
 }
 
 impl Handle {
-    /// Reports for the traffic thread with the number `thread`.
+    /// Sends a report of the traffic thread with the number `thread`.
     pub fn report(&self, thread: u16, report: Report) {
-        self.event(Event::Report { thread, report });
+        self.send(Event::Report { thread, report });
     }
 
-    /// Hands over a message of another VM.
+    /// Passes on a message from another VM.
     pub fn message(&self, message: Message) {
-        self.event(Event::Message(message));
+        self.send(Event::Message(message));
     }
 
     /// Asks the VM to shut down.
     pub fn leave(&self) {
-        self.event(Event::Leave);
+        self.send(Event::Leave);
     }
 
-    fn event(&self, event: Event) {
-        // The receiver is gone only when the process is shutting down.
+    fn send(&self, event: Event) {
+        // The receiver is dropped only when the process shuts down.
         let _ = self.events.send(event);
     }
 
-    /// The channel through which the client of the platform's service replies.
+    /// Returns the channel for the replies of the client of the platform's
+    /// service.
     pub fn replies(&self) -> UnboundedSender<(CallId, Reply)> {
         self.replies.clone()
     }
 
-    /// Asks for something on behalf of an operator. It answers none when the
-    /// control thread has ended.
-    pub async fn ask(&self, request: Request) -> Option<Answer> {
+    /// Submits a request of an operator and waits for its answer, which is none
+    /// when the control thread has ended.
+    pub async fn request(&self, request: Request) -> Option<Answer> {
         let (answer, receiver) = oneshot::channel();
-        self.asks.send(Ask { request, answer }).ok()?;
+        self.submissions.send(Submission { request, answer }).ok()?;
         receiver.await.ok()
     }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,17 +1,18 @@
-//! The HTTP front for callers: bytes to typed events, answers to bytes.
+//! The HTTP front for callers: decodes requests into typed events and encodes
+//! the answers.
 //!
-//! Nothing is decided here. A body becomes a raw structure, that becomes a
-//! checked one by `TryFrom`, and the traffic thread does the rest, so that
-//! another front can use the same decisions. What is refused before it reaches
-//! the traffic thread is malformed, too large or too slow, and nothing of it
-//! ran.
+//! Nothing is decided here. A body is decoded into a raw structure, which
+//! `TryFrom` turns into a checked one; the traffic thread does the rest, so
+//! that another front can use the same decisions. A request that is refused
+//! before it reaches the traffic thread is malformed, too large or too slow,
+//! and nothing of it has run.
 
 pub mod body;
-pub mod bound;
 pub mod connection;
 pub mod field;
 pub mod head;
 pub mod intake;
+pub mod limit;
 pub mod operation;
 pub mod port;
 pub mod probe;
@@ -25,41 +26,40 @@
 use tokio::sync::watch;
 
 use self::{
-    bound::Fixed,
+    limit::Fixed,
     port::Port,
     probe::{Metrics, Probe},
     problem::Refusal,
 };
 use crate::{settings::traffic::Callers, traffic::Handle};
 
-/// What a front is made from.
-pub struct Seed {
-    /// Where callers connect.
+/// The sockets, limits and channels that a front is made from.
+pub struct Parts {
+    /// The socket on which callers connect.
     pub listener: TcpListener,
-    /// The limits on them.
+    /// The limits on callers.
     pub limits: Callers,
-    /// The way into the traffic thread.
+    /// Hands calls to the traffic thread.
     pub handle: Handle,
     /// Whether the VM takes requests.
     pub ready: watch::Receiver<bool>,
-    /// The metrics of the VM.
     pub metrics: Arc<dyn Metrics>,
-    /// Turns true when the VM shuts down.
+    /// Becomes true when the VM shuts down.
     pub shutdown: watch::Receiver<bool>,
 }
 
-/// Serves callers until `shutdown` turns true and the open requests have
+/// Serves callers until `shutdown` becomes true and the open requests have
 /// finished.
-pub async fn serve(seed: Seed) -> io::Result<()> {
-    let Seed { listener, limits, handle, ready, metrics, shutdown } = seed;
+pub async fn serve(parts: Parts) -> io::Result<()> {
+    let Parts { listener, limits, handle, ready, metrics, shutdown } = parts;
     let probe = Probe { ready: ready.clone(), metrics: Arc::clone(&metrics) };
     let port = Port {
         listener,
-        bound: Arc::new(Fixed {
-            connection: bound::Limits::from(&limits),
+        limits: Arc::new(Fixed {
+            connection: limit::Limits::from(&limits),
             body: body::Limits::from(&limits),
         }),
-        gate: Box::new(intake::Open),
+        gate: Box::new(intake::AllowAll),
         metrics,
         ready,
         shutdown,
@@ -69,18 +69,18 @@
 
 fn routes(handle: Handle, probe: Probe) -> Route {
     probe::routes(Route::new(), probe)
-        .at("/v1/search", post(take_search).data(handle.clone()))
-        .at("/v1/operations", post(take_operation).data(handle))
+        .at("/v1/search", post(handle_search).data(handle.clone()))
+        .at("/v1/operations", post(handle_operation).data(handle))
 }
 
 #[handler]
-async fn take_search(Data(handle): Data<&Handle>, body: Vec<u8>) -> Result<Response, Refusal> {
+async fn handle_search(Data(handle): Data<&Handle>, body: Vec<u8>) -> Result<Response, Refusal> {
     let search = search::parse(&body)?;
     search::respond(handle.search(search).await)
 }
 
 #[handler]
-async fn take_operation(
+async fn handle_operation(
     Data(handle): Data<&Handle>,
     request: &Request,
     body: Vec<u8>,
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -18,8 +18,8 @@
         Handle(inbox::Handle::new(inputs, Call))
     }
 
-    /// Sends a request and waits for its answer; see [`inbox::Handle::ask`].
+    /// Sends a request and waits for its answer; see [`inbox::Handle::request`].
     pub async fn ask(&self, caller_request: CallerRequest) -> Option<Answer> {
-        self.0.ask(|call| Event::Arrived { call, caller_request }).await
+        self.0.request(|call| Event::Arrived { call, caller_request }).await
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -63,8 +63,8 @@
 
 impl Shared {
     /// Returns the source of the metrics in text form.
-    pub fn metrics_text(&self) -> meter::Text {
-        meter::Text { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
+    pub fn metrics_text(&self) -> meter::Exporter {
+        meter::Exporter { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
     }
 
     /// Writes a line to the log.
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -81,7 +81,11 @@
         let mut section = document.section("membership");
         let items = section.tables("seeds");
         let mut membership = Membership {
-            probe_interval: section.millis("probe_interval_ms", limits.probe_interval, up_to_secs(60)),
+            probe_interval: section.millis(
+                "probe_interval_ms",
+                limits.probe_interval,
+                up_to_secs(60),
+            ),
             probe_timeout: section.millis("probe_limit_ms", limits.ack_timeout, up_to_secs(60)),
             indirect_probes: section.count("indirect_probes", indirect, 0..=16),
             gone_after: section.millis("gone_after_ms", limits.suspicion_timeout, up_to_secs(3600)),
@@ -90,7 +94,8 @@
             stale_after: section.millis("stale_after_ms", limits.stale_after, up_to_secs(600)),
             unready_after: section.millis(
                 "unready_after_ms",
-                limits.isolation_timeout, up_to_secs(86_400),
+                limits.isolation_timeout,
+                up_to_secs(86_400),
             ),
             seeds: Vec::new(),
         };
--- a/tests/fronts/fixture.rs
+++ b/tests/fronts/fixture.rs
@@ -16,7 +16,7 @@
 use laburnumworks::{
     front::{self, probe::Metrics},
     settings::traffic::Callers,
-    traffic::{Handle, Input, handle::Ask},
+    traffic::{Handle, Input, handle::Submission},
 };
 use reqwest::Response;
 use serde_json::Value;
@@ -88,7 +88,7 @@
         let (inputs, receiver) = unbounded_channel();
         let (ready, is_ready) = watch::channel(true);
         let (shutdown, is_shut) = watch::channel(false);
-        let seed = front::Seed {
+        let seed = front::Parts {
             listener,
             limits,
             handle: Handle::new(inputs),
@@ -114,9 +114,9 @@
     }
 
     /// Waits for the next call to the traffic thread; panics on any other input.
-    pub async fn next_call(&mut self) -> Ask {
+    pub async fn next_call(&mut self) -> Submission {
         match self.next_input().await {
-            Input::Ask(ask) => ask,
+            Input::Call(ask) => ask,
             Input::Abandoned(call) => panic!("{call:?} was abandoned"),
         }
     }
@@ -147,7 +147,7 @@
 }
 
 /// Answers a call with `body`.
-pub fn reply(ask: Ask, body: Body) {
+pub fn reply(ask: Submission, body: Body) {
     let profile = match ask.event {
         Event::Search { search, .. } => search.profile,
         Event::Operate { operate, .. } => operate.profile,
--- a/tests/fronts/operator_front.rs
+++ b/tests/fronts/operator_front.rs
@@ -46,7 +46,7 @@
             token("lead", BOTH_ROLES_TOKEN, vec![Role::Read, Role::Publish]),
             token("viewer", READ_TOKEN, vec![Role::Read]),
         ];
-        let seed = operator::Seed {
+        let seed = operator::Parts {
             listener,
             operators: Operators { tokens },
             handle,
@@ -73,7 +73,7 @@
         answer: Answer,
     ) -> (Request, Response) {
         let sent = tokio::spawn(request.send());
-        let ask = timeout(EVENT_TIMEOUT, self.inbox.ask())
+        let ask = timeout(EVENT_TIMEOUT, self.inbox.next())
             .await
             .expect("a request within the limit")
             .expect("the front runs");
@@ -84,14 +84,14 @@
 
     /// Answers every request to the control thread with the same answer.
     pub async fn answer_all(&mut self) {
-        while let Some(ask) = self.inbox.ask().await {
+        while let Some(ask) = self.inbox.next().await {
             let _ = ask.answer.send(control_answer());
         }
     }
 
     /// Asserts that no request reaches the control thread.
     pub async fn assert_nothing_received(&mut self) {
-        let received = timeout(QUIET_PERIOD, self.inbox.ask()).await;
+        let received = timeout(QUIET_PERIOD, self.inbox.next()).await;
         assert!(received.is_err(), "a request reached the control thread");
     }
 }
