--- a/tests/edge/border.rs
+++ b/tests/edge/border.rs
@@ -1,4 +1,4 @@
-//! The client of the targets.
+//! The client of targets against the stand-in target.
 
 use std::time::Duration;
 
@@ -15,26 +15,29 @@
     target::Limits,
 };
 
-use crate::bed::{self, Caller, LIMIT, Target, operation, search};
+use crate::harness::{self, Caller, REQUEST_TIMEOUT, Target, operation, search};
 
-/// A number of requests that are in flight together.
-const MANY: u32 = 40;
+/// The number of attempts in flight at the same time on one connection.
+const CONCURRENT_ATTEMPTS: u32 = 40;
 
+/// Faults by which a request whose text contains "boom" crashes the target for a
+/// minute.
 fn crash(moment: Moment) -> Faults {
     let crash = Crash { mark: "boom".to_owned(), moment, down: Duration::from_secs(60) };
     Faults { crash: Some(crash), ..Faults::default() }
 }
 
+/// Faults by which requests whose text contains `mark` are never answered.
 fn mute(mark: &str) -> Faults {
     let hits = vec![Hit { wrong: Wrong::Mute, mark: mark.to_owned(), times: None }];
     Faults { hits, ..Faults::default() }
 }
 
-async fn a_search() {
+async fn search_rows() {
     let target = Target::start(|_| {});
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
-    let reply = caller.run(connection, search("radar")).await;
+    let reply = caller.call(connection, search("radar")).await;
     let expected = Index { seed: 1, rows: 1_000 }.read(Version(1), key::Range::ALL, "radar");
     assert!(!expected.is_empty());
     let Outcome::Rows { version, range, rows, count, digest } = reply.outcome else {
@@ -47,14 +50,15 @@
     assert_eq!(reply.status.map(|status| status.incarnation), Some(1));
 }
 
-async fn many_on_one_connection() {
+async fn concurrent_attempts() {
     let target = Target::start(|raw| {
-        raw.slots = MANY;
+        raw.slots = CONCURRENT_ATTEMPTS;
         raw.service = Duration::from_millis(50);
     });
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
-    let mut open: Vec<_> = (0..MANY).map(|_| caller.send(connection, search(""))).collect();
+    let mut open: Vec<_> =
+        (0..CONCURRENT_ATTEMPTS).map(|_| caller.send(connection, search(""))).collect();
     while !open.is_empty() {
         match caller.event().await {
             Event::Reply { attempt, reply, .. } => {
@@ -69,9 +73,9 @@
     assert!(counts.running_highest > 1, "{counts:?}");
 }
 
-async fn no_blocking() {
+async fn unanswered_attempt() {
     let target = Target::start(|_| {});
-    target.put(&mute("held")).await;
+    target.put_faults(&mute("held")).await;
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
     caller.send(connection, search("held"));
@@ -80,33 +84,33 @@
 
 async fn cancel_frees_the_slot() {
     let target = Target::start(|raw| raw.slots = 1);
-    target.put(&mute("held")).await;
+    target.put_faults(&mute("held")).await;
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
     let attempt = caller.send(connection, search("held"));
-    caller.quiet().await;
+    caller.assert_quiet().await;
     caller.command(Command::Cancel { connection, attempt });
     assert!(matches!(caller.outcome(connection, search("")).await, Outcome::Rows { .. }));
     let counts = target.counts().await;
     assert_eq!((counts.cancelled, counts.connections_total), (1, 1));
 }
 
-async fn close_resets_all() {
+async fn close_resets_streams() {
     let target = Target::start(|_| {});
-    target.put(&mute("held")).await;
+    target.put_faults(&mute("held")).await;
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
     caller.send(connection, search("held"));
-    caller.quiet().await;
+    caller.assert_quiet().await;
     caller.command(Command::Close { connection });
-    caller.quiet().await;
+    caller.assert_quiet().await;
     let counts = target.counts().await;
     assert_eq!((counts.cancelled, counts.connections_open), (1, 0));
 }
 
 async fn loss_is_reported_once() {
     let target = Target::start(|_| {});
-    target.put(&crash(Moment::Start)).await;
+    target.put_faults(&crash(Moment::Start)).await;
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
     caller.send(connection, search("boom"));
@@ -114,21 +118,21 @@
         if lost == connection));
     let attempt = caller.send(connection, search(""));
     assert_eq!(caller.event().await, Event::Unsent { connection, attempt });
-    caller.quiet().await;
+    caller.assert_quiet().await;
 }
 
-async fn idle_loss() {
+async fn loss_while_idle() {
     let target = Target::start(|_| {});
     let faults = Faults {
         crash: Some(Crash { mark: "boom".to_owned(), moment: Moment::Start, down: Duration::ZERO }),
         ..Faults::default()
     };
-    target.put(&faults).await;
+    target.put_faults(&faults).await;
     let mut caller = Caller::new();
     let (idle, busy) = (caller.open(&target).await, caller.open(&target).await);
     caller.send(busy, search("boom"));
     assert!(matches!(caller.event().await, Event::Closed { connection, .. } if connection == busy));
-    caller.quiet().await;
+    caller.assert_quiet().await;
     let attempt = caller.send(idle, operation("a"));
     assert_eq!(caller.event().await, Event::Unsent { connection: idle, attempt });
     assert!(matches!(caller.event().await, Event::Closed { connection, .. } if connection == idle));
@@ -137,7 +141,7 @@
     assert!(target.executions().await.tokens.is_empty());
 }
 
-async fn unknown_connection() {
+async fn closed_connection() {
     let target = Target::start(|_| {});
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
@@ -149,25 +153,25 @@
 async fn sent_while_opening() {
     let target = Target::start(|raw| raw.connection_cost = Duration::from_millis(50));
     let mut caller = Caller::new();
-    let connection = caller.dial(target.address, LIMIT);
+    let connection = caller.dial(target.address, REQUEST_TIMEOUT);
     let attempt = caller.send(connection, search(""));
     assert!(matches!(caller.event().await, Event::Opened { .. }));
     assert!(matches!(caller.event().await, Event::Reply { attempt: answered, .. }
         if answered == attempt));
 }
 
-async fn nobody_listens() {
-    let address = bed::listener().local_addr().expect("it was bound");
+async fn failed_opening() {
+    let address = harness::listener().local_addr().expect("the listener was bound");
     let mut caller = Caller::new();
-    let connection = caller.dial(address, LIMIT);
+    let connection = caller.dial(address, REQUEST_TIMEOUT);
     let attempt = caller.send(connection, search(""));
     assert_eq!(caller.event().await, Event::Unsent { connection, attempt });
     assert!(matches!(caller.event().await, Event::Closed { .. }));
 }
 
-async fn nobody_answers() {
-    let listener = bed::listener();
-    let address = listener.local_addr().expect("it is bound");
+async fn opening_without_answer() {
+    let listener = harness::listener();
+    let address = listener.local_addr().expect("the listener is bound");
     let mut caller = Caller::new();
     let started = std::time::Instant::now();
     caller.dial(address, Duration::from_millis(100));
@@ -175,9 +179,9 @@
     assert!(started.elapsed() < Duration::from_secs(2));
 }
 
-async fn long_reply() {
+async fn reply_over_the_limit() {
     let target = Target::start(|_| {});
-    let mut caller = Caller::with(Limits { body: 1_000 });
+    let mut caller = Caller::with_limits(Limits { body: 1_000 });
     let connection = caller.open(&target).await;
     let outcome = caller.outcome(connection, search("")).await;
     assert!(matches!(outcome, Outcome::Garbled { .. }), "{outcome:?}");
@@ -185,19 +189,19 @@
     assert!(matches!(outcome, Outcome::Rows { .. }), "{outcome:?}");
 }
 
-async fn ask() {
+async fn read_status() {
     let target = Target::start(|_| {});
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
-    target.put(&Faults { drain: true, ..Faults::default() }).await;
-    caller.command(Command::ReadStatus { connection, limit: LIMIT });
+    target.put_faults(&Faults { drain: true, ..Faults::default() }).await;
+    caller.command(Command::ReadStatus { connection, limit: REQUEST_TIMEOUT });
     match caller.event().await {
         Event::Status { status, .. } => assert!(status.draining),
         event => panic!("{event:?}"),
     }
 }
 
-async fn as_a_trait_object() {
+async fn trait_object() {
     let (sender, mut events) = tokio::sync::mpsc::unbounded_channel();
     let client = laburnumworks::target::Client::new(Limits::default(), sender);
     let mut targets: Box<dyn Targets> = Box::new(client);
@@ -207,18 +211,18 @@
 }
 
 cases! {
-    a_search_returns_the_rows_of_the_range => a_search();
-    many_attempts_share_one_connection => many_on_one_connection();
-    an_attempt_without_answer_blocks_no_other => no_blocking();
+    a_search_returns_the_rows_of_the_range => search_rows();
+    many_attempts_share_one_connection => concurrent_attempts();
+    an_attempt_without_answer_blocks_no_other => unanswered_attempt();
     a_cancel_resets_the_stream_and_frees_the_slot => cancel_frees_the_slot();
-    a_close_resets_all_streams_without_a_report => close_resets_all();
+    a_close_resets_all_streams_without_a_report => close_resets_streams();
     a_lost_connection_is_reported_once_and_takes_no_more => loss_is_reported_once();
-    an_idle_connection_that_was_lost_is_not_reopened => idle_loss();
-    a_send_on_a_closed_connection_is_unsent => unknown_connection();
+    an_idle_connection_that_was_lost_is_not_reopened => loss_while_idle();
+    a_send_on_a_closed_connection_is_unsent => closed_connection();
     a_send_before_the_opening_is_done_waits_for_it => sent_while_opening();
-    a_send_on_an_opening_that_fails_is_unsent => nobody_listens();
-    an_opening_without_answer_ends_at_its_limit => nobody_answers();
-    a_reply_over_the_limit_is_garbled_and_the_connection_goes_on => long_reply();
-    an_ask_reads_the_status => ask();
-    the_client_is_usable_as_a_trait_object => as_a_trait_object();
+    a_send_on_an_opening_that_fails_is_unsent => failed_opening();
+    an_opening_without_answer_ends_at_its_limit => opening_without_answer();
+    a_reply_over_the_limit_is_garbled_and_the_connection_goes_on => reply_over_the_limit();
+    a_status_is_read_on_request => read_status();
+    the_client_is_usable_as_a_trait_object => trait_object();
 }
--- a/tests/edge/case.rs
+++ b/tests/edge/case.rs
@@ -2,7 +2,7 @@
 
 /// Makes a test of each named case: `cases! { name => async { ... }; }`. The
 /// block is the body of the test and asserts what must hold; it runs on a
-/// runtime of its own.
+/// runtime of its own, without a time limit.
 #[macro_export]
 macro_rules! cases {
     ($($(#[$meta:meta])* $name:ident => $body:expr;)*) => {
--- a/tests/edge/codec.rs
+++ b/tests/edge/codec.rs
@@ -1,4 +1,4 @@
-//! Frames between VMs as bytes.
+//! The encoding of frames between VMs.
 
 use std::{sync::Arc, time::Duration};
 
@@ -17,10 +17,10 @@
 };
 use proptest::{collection::vec, prelude::*};
 
-const LIMIT: usize = 1024 * 1024;
+const MAX_BODY_BYTES: usize = 1024 * 1024;
 
 fn name(text: &str) -> Name {
-    Name::try_from(text).expect("it is a name")
+    Name::try_from(text).expect("the name is valid")
 }
 
 fn leg(sequence: u64, text: &str) -> Leg {
@@ -71,15 +71,19 @@
     ]
 }
 
-/// Decodes until the input ends or is refused.
+/// Decodes bodies until the input ends or is refused.
 fn decode_all(decoder: &mut Decoder) -> Result<Vec<Body>, Error> {
     std::iter::from_fn(|| decoder.next_body().transpose()).collect()
 }
 
-fn pieces_make_the_same_bodies(bodies: &[Body], piece: usize) {
-    let frames = bodies.iter().map(|body| encode(body, LIMIT).expect("it fits"));
+/// Asserts that a stream decodes to the same bodies when it arrives in pieces of
+/// `piece` bytes.
+fn assert_split_keeps_bodies(bodies: &[Body], piece: usize) {
+    let frames = bodies
+        .iter()
+        .map(|body| encode(body, MAX_BODY_BYTES).expect("the body is within the limit"));
     let stream: Vec<u8> = frames.flat_map(|frame| frame.to_vec()).collect();
-    let mut decoder = Decoder::new(LIMIT);
+    let mut decoder = Decoder::new(MAX_BODY_BYTES);
     let mut decoded = Vec::new();
     for piece in stream.chunks(piece) {
         decoder.push(piece);
@@ -89,8 +93,9 @@
     assert!(decoder.is_empty());
 }
 
-fn framed(bytes: &[u8]) -> Vec<u8> {
-    let length = u32::try_from(bytes.len()).expect("it is short");
+/// The bytes of a frame: `bytes` after their length.
+fn with_length(bytes: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(bytes.len()).expect("the length fits in 32 bits");
     [&length.to_be_bytes()[..], bytes].concat()
 }
 
@@ -101,20 +106,20 @@
 proptest! {
     #[test]
     fn bodies_survive_any_split(bodies in vec(body(), 0..6), piece in 1_usize..64) {
-        pieces_make_the_same_bodies(&bodies, piece);
+        assert_split_keeps_bodies(&bodies, piece);
     }
 
     #[test]
     fn any_stream_decodes_or_is_refused(bytes in vec(any::<u8>(), 0..2000)) {
-        let mut decoder = Decoder::new(LIMIT);
+        let mut decoder = Decoder::new(MAX_BODY_BYTES);
         decoder.push(&bytes);
         let _ = decode_all(&mut decoder);
     }
 
     #[test]
     fn any_body_decodes_or_is_refused(bytes in vec(any::<u8>(), 0..2000)) {
-        let mut decoder = Decoder::new(LIMIT);
-        decoder.push(&framed(&bytes));
+        let mut decoder = Decoder::new(MAX_BODY_BYTES);
+        decoder.push(&with_length(&bytes));
         let _ = decode_all(&mut decoder);
     }
 
@@ -124,10 +129,11 @@
         place in any::<prop::sample::Index>(),
         byte in any::<u8>(),
     ) {
-        let mut frame = encode(&body, LIMIT).expect("it fits").to_vec();
+        let mut frame =
+            encode(&body, MAX_BODY_BYTES).expect("the body is within the limit").to_vec();
         let place = place.index(frame.len());
         frame[place] = byte;
-        let mut decoder = Decoder::new(LIMIT);
+        let mut decoder = Decoder::new(MAX_BODY_BYTES);
         decoder.push(&frame);
         let _ = decode_all(&mut decoder);
     }
@@ -135,7 +141,7 @@
 
 cases! {
     a_body_over_the_limit_is_not_encoded => async {
-        let error = encode(&cancels(&[0; 100]), 50).expect_err("it is too long");
+        let error = encode(&cancels(&[0; 100]), 50).expect_err("the body is over the limit");
         assert!(matches!(error, Error::TooLong { limit: 50, .. }), "{error}");
     };
     a_length_over_the_limit_is_refused_before_the_body_comes => async {
@@ -144,15 +150,15 @@
         assert_eq!(decoder.next_body(), Err(Error::TooLong { length: 51, limit: 50 }));
     };
     bytes_left_over_in_a_frame_are_refused => async {
-        let frame = encode(&cancels(&[1]), LIMIT).expect("it fits");
-        let mut decoder = Decoder::new(LIMIT);
-        decoder.push(&framed(&[&frame[4..], &[0]].concat()));
+        let frame = encode(&cancels(&[1]), MAX_BODY_BYTES).expect("the body is within the limit");
+        let mut decoder = Decoder::new(MAX_BODY_BYTES);
+        decoder.push(&with_length(&[&frame[4..], &[0]].concat()));
         assert!(matches!(decoder.next_body(), Err(Error::Body { .. })));
     };
     a_length_that_claims_too_much_is_refused_without_allocation => async {
-        let claim = [1, 253, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f];
-        let mut decoder = Decoder::new(LIMIT);
-        decoder.push(&framed(&claim));
+        let body_bytes = [1, 253, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f];
+        let mut decoder = Decoder::new(MAX_BODY_BYTES);
+        decoder.push(&with_length(&body_bytes));
         assert!(matches!(decoder.next_body(), Err(Error::Body { .. })));
     };
     a_short_key_is_refused => async {
@@ -162,13 +168,13 @@
         assert_eq!(key_error("this key has spaces in it"), Some(wire_key::Error::Character));
     };
     a_digest_matches_its_key_only => async {
-        let digest = Key::try_from("0123456789abcdef").expect("it is a key").digest();
+        let digest = Key::try_from("0123456789abcdef").expect("the key is valid").digest();
         assert!(digest.matches(b"0123456789abcdef"));
         assert!(!digest.matches(b"0123456789abcdeg"));
         assert!(!digest.matches(b""));
     };
     a_key_is_not_shown => async {
-        let key = Key::try_from("0123456789abcdef").expect("it is a key");
+        let key = Key::try_from("0123456789abcdef").expect("the key is valid");
         assert_eq!(format!("{key:?}"), "Key(..)");
     };
 }
--- a/tests/edge/bed.rs
+++ b/tests/edge/harness.rs
@@ -1,4 +1,5 @@
-//! What the cases share: a stand-in target, a client and their helpers.
+//! A stand-in target and a client of targets for the cases, with the work that
+//! they send.
 
 use std::{
     net::{SocketAddr, TcpListener},
@@ -28,14 +29,14 @@
 };
 use uuid::Uuid;
 
-/// The time after which a case gives up on an event.
-const PATIENCE: Duration = Duration::from_secs(10);
+/// The time within which an expected event must come.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The time in which nothing must happen.
-pub const QUIET: Duration = Duration::from_millis(200);
+/// The time without an event after which a client counts as quiet.
+pub const QUIET_PERIOD: Duration = Duration::from_millis(200);
 
-/// The time that requests and openings are given.
-pub const LIMIT: Duration = Duration::from_secs(5);
+/// The deadline of a request and the time allowed for opening a connection.
+pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A listener on a free port of the loopback interface.
 pub fn listener() -> TcpListener {
@@ -44,15 +45,15 @@
 
 /// A stand-in target that runs on the runtime of the case.
 pub struct Target {
-    /// Where it takes requests.
+    /// The address on which it takes requests.
     pub address: SocketAddr,
     admin: SocketAddr,
     http: reqwest::Client,
 }
 
 impl Target {
-    /// Starts a target with two slots, fast service and no connection cost,
-    /// but for what `change` sets.
+    /// Starts a target with a service time of 1 ms, no connection cost and
+    /// otherwise default settings, to which `change` is applied.
     pub fn start(change: impl FnOnce(&mut Raw)) -> Target {
         let mut raw = Raw {
             service: Duration::from_millis(1),
@@ -62,37 +63,36 @@
         change(&mut raw);
         let settings = Settings::try_from(raw).expect("the settings are valid");
         let (traffic, admin) = (listener(), listener());
-        let address = traffic.local_addr().expect("it is bound");
-        let admin_address = admin.local_addr().expect("it is bound");
+        let address = traffic.local_addr().expect("the listener is bound");
+        let admin_address = admin.local_addr().expect("the listener is bound");
         tokio::spawn(target::serve(settings, traffic, admin));
-        let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+        let http = reqwest::Client::builder().no_proxy().build().expect("the client can be built");
         Target { address, admin: admin_address, http }
     }
 
-    /// Puts faults in force.
-    pub async fn put(&self, faults: &Faults) {
+    /// Replaces the faults of the target.
+    pub async fn put_faults(&self, faults: &Faults) {
         let url = format!("http://{}/v1/faults", self.admin);
         let response = self.http.put(url).json(faults).send().await.expect("the admin answers");
         assert!(response.status().is_success(), "{}", response.text().await.unwrap_or_default());
     }
 
-    /// Makes every reply wrong.
-    pub async fn spoil(&self, wrong: Wrong) {
+    /// Makes every reply wrong in the given way.
+    pub async fn corrupt_replies(&self, wrong: Wrong) {
         let hits = vec![Hit { wrong, mark: String::new(), times: None }];
-        self.put(&Faults { hits, ..Faults::default() }).await;
+        self.put_faults(&Faults { hits, ..Faults::default() }).await;
     }
 
-    /// Reads the counts.
     pub async fn counts(&self) -> Counts {
         self.read("counts").await
     }
 
-    /// Reads the operations that took effect.
+    /// Reads how often each operation took effect.
     pub async fn executions(&self) -> Executions {
         self.read("executions").await
     }
 
-    /// Reads the load as it is reported.
+    /// Reads the load that the target reports, which may lag or be false.
     pub async fn load(&self) -> Load {
         self.read("load").await
     }
@@ -104,7 +104,7 @@
     }
 }
 
-/// A client of targets with its events and ids.
+/// A client of targets with its events and a source of ids.
 pub struct Caller {
     client: Client,
     events: UnboundedReceiver<Event>,
@@ -112,45 +112,44 @@
 }
 
 impl Caller {
-    /// Makes a client with the usual limits.
+    /// Makes a client with the default limits.
     pub fn new() -> Caller {
-        Caller::with(Limits::default())
+        Caller::with_limits(Limits::default())
     }
 
-    /// Makes a client with other limits.
-    pub fn with(limits: Limits) -> Caller {
+    pub fn with_limits(limits: Limits) -> Caller {
         let (sender, events) = unbounded_channel();
         let ids = id::Source::new(Origin(7));
         Caller { client: Client::new(limits, sender), events, ids }
     }
 
-    /// Orders a connection and does not wait for it.
+    /// Starts to open a connection and does not wait for the result.
     pub fn dial(&mut self, address: SocketAddr, limit: Duration) -> id::Connection {
         let connection = self.ids.connection();
         self.client.command(Command::Open { connection, address, limit });
         connection
     }
 
-    /// Opens a connection.
+    /// Opens a connection and waits until it is open.
     pub async fn open(&mut self, target: &Target) -> id::Connection {
-        let connection = self.dial(target.address, LIMIT);
+        let connection = self.dial(target.address, REQUEST_TIMEOUT);
         match self.event().await {
             Event::Opened { connection: opened, .. } if opened == connection => connection,
             event => panic!("not opened: {event:?}"),
         }
     }
 
-    /// Carries out an order.
     pub fn command(&mut self, command: Command) {
         self.client.command(command);
     }
 
     /// Sends work and does not wait for the reply.
     pub fn send(&mut self, connection: id::Connection, work: Work) -> id::Attempt {
-        self.send_within(connection, work, LIMIT)
+        self.send_within(connection, work, REQUEST_TIMEOUT)
     }
 
-    /// Sends work with a deadline.
+    /// Sends work that has `remaining` until its deadline and does not wait for
+    /// the reply.
     pub fn send_within(
         &mut self,
         connection: id::Connection,
@@ -164,7 +163,7 @@
     }
 
     /// Sends work and waits for its reply.
-    pub async fn run(&mut self, connection: id::Connection, work: Work) -> Reply {
+    pub async fn call(&mut self, connection: id::Connection, work: Work) -> Reply {
         let attempt = self.send(connection, work);
         match self.event().await {
             Event::Reply { attempt: answered, reply, .. } if answered == attempt => reply,
@@ -172,20 +171,21 @@
         }
     }
 
-    /// Sends work and waits for its result.
+    /// Sends work and waits for the outcome in its reply.
     pub async fn outcome(&mut self, connection: id::Connection, work: Work) -> Outcome {
-        self.run(connection, work).await.outcome
+        self.call(connection, work).await.outcome
     }
 
     /// Waits for the next event.
     pub async fn event(&mut self) -> Event {
-        let event = timeout(PATIENCE, self.events.recv()).await.expect("an event comes in time");
-        event.expect("the client lives")
+        let event =
+            timeout(EVENT_TIMEOUT, self.events.recv()).await.expect("an event comes in time");
+        event.expect("the client is running")
     }
 
-    /// Asserts that no event comes for a while.
-    pub async fn quiet(&mut self) {
-        if let Ok(event) = timeout(QUIET, self.events.recv()).await {
+    /// Asserts that no event comes within [`QUIET_PERIOD`].
+    pub async fn assert_quiet(&mut self) {
+        if let Ok(event) = timeout(QUIET_PERIOD, self.events.recv()).await {
             panic!("unexpected {event:?}");
         }
     }
@@ -196,7 +196,7 @@
     search_at(1, key::Range::ALL, text)
 }
 
-/// A search.
+/// A search of a range of keys at a version.
 pub fn search_at(version: u64, range: key::Range, text: &str) -> Work {
     Work::Search { version: Version(version), range, text: Arc::from(text) }
 }
@@ -205,7 +205,7 @@
 pub fn operation(detail: &str) -> Work {
     Work::Operate {
         subject: 5,
-        operation: Name::try_from("clearance").expect("it is a name"),
+        operation: Name::try_from("clearance").expect("the name is valid"),
         detail: Arc::from(detail),
         token: Uuid::now_v7(),
     }
--- a/tests/edge/limit.rs
+++ b/tests/edge/limit.rs
@@ -9,33 +9,34 @@
     settings::{Raw, part},
 };
 
-use crate::bed::{Caller, LIMIT, Target, operation, search};
+use crate::harness::{Caller, REQUEST_TIMEOUT, Target, operation, search};
 
+/// Faults by which no request is answered.
 fn mute_all() -> Faults {
     let hits = vec![Hit { wrong: Wrong::Mute, mark: String::new(), times: None }];
     Faults { hits, ..Faults::default() }
 }
 
-async fn queue() {
+async fn full_queue() {
     let target = Target::start(|raw| {
         raw.slots = 1;
         raw.queue = 1;
     });
-    target.put(&mute_all()).await;
+    target.put_faults(&mute_all()).await;
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
     caller.send(connection, search(""));
     caller.send(connection, search(""));
-    caller.quiet().await;
+    caller.assert_quiet().await;
     let outcome = caller.outcome(connection, search("")).await;
     assert_eq!(outcome, Outcome::Refused(Refusal::Shed));
     let counts = target.counts().await;
     assert_eq!((counts.started, counts.shed, counts.running_highest), (1, 1, 1));
 }
 
-async fn deadline() {
+async fn deadline_in_queue() {
     let target = Target::start(|raw| raw.slots = 1);
-    target.put(&mute_all()).await;
+    target.put_faults(&mute_all()).await;
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
     caller.send(connection, search(""));
@@ -51,11 +52,11 @@
     assert!(target.executions().await.tokens.is_empty());
 }
 
-async fn connections() {
+async fn connection_limit() {
     let target = Target::start(|raw| raw.connections = 1);
     let mut caller = Caller::new();
     caller.open(&target).await;
-    caller.dial(target.address, LIMIT);
+    caller.dial(target.address, REQUEST_TIMEOUT);
     assert!(matches!(caller.event().await, Event::Closed { .. }));
     let counts = target.counts().await;
     assert_eq!((counts.connections_highest, counts.connections_refused), (1, 1));
@@ -69,11 +70,11 @@
     let connection = caller.open(&target).await;
     assert!(started.elapsed() >= cost);
     let opened = Instant::now();
-    caller.run(connection, search("")).await;
+    caller.call(connection, search("")).await;
     assert!(opened.elapsed() < cost, "{:?}", opened.elapsed());
 }
 
-async fn cold() {
+async fn cold_target() {
     let target = Target::start(|raw| {
         raw.cold = Duration::from_secs(1000);
         raw.cold_factor = 300.0;
@@ -81,14 +82,14 @@
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
     let started = Instant::now();
-    caller.run(connection, search("")).await;
+    caller.call(connection, search("")).await;
     assert!(started.elapsed() > Duration::from_millis(50), "{:?}", started.elapsed());
 }
 
 async fn lagging_load() {
     let lag = Duration::from_millis(300);
     let target = Target::start(|raw| raw.load_lag = lag);
-    target.put(&mute_all()).await;
+    target.put_faults(&mute_all()).await;
     let mut caller = Caller::new();
     let connection = caller.open(&target).await;
     caller.send(connection, search(""));
@@ -112,37 +113,38 @@
     assert_eq!(executions.subjects.get(&5), Some(&2));
 }
 
-fn parts_cover_all(parts: u32) {
+fn assert_parts_cover_all(parts: u32) {
     let mut next = 0;
     for number in 0..parts {
         let range = part(number, parts);
         assert_eq!(range.first(), next);
         next = range.last().wrapping_add(1);
     }
-    assert_eq!(next, 0, "the last part ends with the key space");
+    assert_eq!(next, 0, "the last part ends at the end of the key space");
 }
 
-fn refused(change: impl FnOnce(&mut Raw)) -> Option<&'static str> {
+/// The key that the error of the changed settings names, if they are invalid.
+fn invalid_key(change: impl FnOnce(&mut Raw)) -> Option<&'static str> {
     let mut raw = Raw::default();
     change(&mut raw);
     Settings::try_from(raw).err().map(|error| error.key)
 }
 
 cases! {
-    a_full_queue_sheds => queue();
-    a_deadline_that_passes_in_the_queue_is_refused => deadline();
-    a_connection_over_the_limit_is_refused => connections();
+    a_full_queue_sheds => full_queue();
+    a_deadline_that_passes_in_the_queue_is_refused => deadline_in_queue();
+    a_connection_over_the_limit_is_refused => connection_limit();
     a_new_connection_costs_time_once => connection_cost();
-    a_cold_target_is_slow => cold();
+    a_cold_target_is_slow => cold_target();
     the_reported_load_lags => lagging_load();
     each_execution_is_counted => executions();
     parts_are_disjoint_and_cover_all_keys => async {
-        [1, 2, 3, 7, 64, 1000].into_iter().for_each(parts_cover_all);
+        [1, 2, 3, 7, 64, 1000].into_iter().for_each(assert_parts_cover_all);
     };
     a_wrong_setting_is_named => async {
-        assert_eq!(refused(|raw| raw.slots = 0), Some("slots"));
-        assert_eq!(refused(|raw| raw.shard = 1), Some("shard"));
-        assert_eq!(refused(|raw| raw.spread = f64::NAN), Some("spread"));
-        assert_eq!(refused(|_| {}), None);
+        assert_eq!(invalid_key(|raw| raw.slots = 0), Some("slots"));
+        assert_eq!(invalid_key(|raw| raw.shard = 1), Some("shard"));
+        assert_eq!(invalid_key(|raw| raw.spread = f64::NAN), Some("spread"));
+        assert_eq!(invalid_key(|_| {}), None);
     };
 }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -1,12 +1,12 @@
-//! Tests of what stands at the borders of the decisions: the client of the
-//! targets, the stand-in of a target and the messages between VMs, over
-//! loopback sockets.
+//! Tests of the input and output around the decision logic, over loopback
+//! sockets: the client of targets, the stand-in target and the streams between
+//! VMs.
 
 #[macro_use]
 mod case;
-mod bed;
 mod border;
 mod fault;
+mod harness;
 mod limit;
 mod codec;
 mod wire;
--- a/tests/edge/wire.rs
+++ b/tests/edge/wire.rs
@@ -22,13 +22,13 @@
     time::timeout,
 };
 
-use crate::bed::{self, QUIET};
+use crate::harness::{self, QUIET_PERIOD};
 
-/// The time after which a case gives up on an event.
-const PATIENCE: Duration = Duration::from_secs(10);
+/// The time within which an expected frame, loss or end must come.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A message of about this many bytes.
-fn bulk(length: usize) -> Message {
+fn large_message(length: usize) -> Message {
     Message::Replies(vec![Reply {
         leg: Leg { origin: Origin(1), sequence: 1 },
         outcome: Outcome::Done { result: "0".repeat(length).into() },
@@ -37,15 +37,15 @@
     }])
 }
 
-/// The size of a body that fills queues soon, in bytes.
-const LARGE: usize = 64 * 1024;
+/// The size of a body of which a few fill the queues.
+const LARGE_BODY_BYTES: usize = 64 * 1024;
 
 fn key() -> Key {
-    Key::try_from("the-key-of-this-deployment").expect("it is a key")
+    Key::try_from("the-key-of-this-deployment").expect("the key is valid")
 }
 
 fn lane(vm: &str) -> Lane {
-    Lane { vm: Name::try_from(vm).expect("it is a name"), thread: 0 }
+    Lane { vm: Name::try_from(vm).expect("the name is valid"), thread: 0 }
 }
 
 fn limits() -> Limits {
@@ -63,43 +63,46 @@
     }
 }
 
-/// A receiver whose sink holds `room` frames.
-struct Receiving {
+/// A listener of lane `b` with the frames that it received.
+struct Inbound {
     address: SocketAddr,
     frames: Receiver<Frame>,
     task: JoinHandle<std::io::Result<()>>,
 }
 
-impl Receiving {
-    fn start(limits: Limits, room: usize) -> Receiving {
-        Receiving::start_on(bed::listener(), limits, room)
+impl Inbound {
+    /// Starts a listener whose channel holds `capacity` frames; while it is full,
+    /// the senders are held back.
+    fn start(limits: Limits, capacity: usize) -> Inbound {
+        Inbound::start_on(harness::listener(), limits, capacity)
     }
 
-    fn start_on(listener: std::net::TcpListener, limits: Limits, room: usize) -> Receiving {
-        let address = listener.local_addr().expect("it is bound");
+    fn start_on(listener: std::net::TcpListener, limits: Limits, capacity: usize) -> Inbound {
+        let address = listener.local_addr().expect("the listener is bound");
         let guard = Guard { own: lane("b"), keys: vec![key().digest()], limits };
-        let (sink, frames) = mpsc::channel(room);
-        Receiving { address, frames, task: tokio::spawn(listen(listener, guard, sink)) }
+        let (sink, frames) = mpsc::channel(capacity);
+        Inbound { address, frames, task: tokio::spawn(listen(listener, guard, sink)) }
     }
 
     async fn next(&mut self) -> Frame {
-        let frame = timeout(PATIENCE, self.frames.recv()).await.expect("a frame comes in time");
-        frame.expect("the listener lives")
+        let frame =
+            timeout(EVENT_TIMEOUT, self.frames.recv()).await.expect("a frame comes in time");
+        frame.expect("the listener is running")
     }
 }
 
-/// A dialer of lane `a` that knows lane `b`.
-struct Sending {
+/// A dialer of lane `a` that knows the address of lane `b`, with its losses.
+struct Outbound {
     dialer: Dialer,
     losses: UnboundedReceiver<Lost>,
 }
 
-impl Sending {
-    fn start(limits: Limits, key: Key, address: SocketAddr) -> Sending {
+impl Outbound {
+    fn start(limits: Limits, key: Key, address: SocketAddr) -> Outbound {
         let (sender, losses) = mpsc::unbounded_channel();
         let mut dialer = Dialer::new(lane("a"), 7, key, limits, sender);
         dialer.update(BTreeMap::from([(lane("b"), address)]));
-        Sending { dialer, losses }
+        Outbound { dialer, losses }
     }
 
     fn send(&mut self, number: u64) {
@@ -107,18 +110,20 @@
     }
 
     fn send_large(&mut self, length: usize) {
-        self.dialer.send(&lane("b"), bulk(length));
+        self.dialer.send(&lane("b"), large_message(length));
     }
 
-    async fn lost(&mut self) -> String {
-        let lost = timeout(PATIENCE, self.losses.recv()).await.expect("a loss comes in time");
-        let lost = lost.expect("the dialer lives");
+    /// Waits for a loss and returns its detail.
+    async fn loss_detail(&mut self) -> String {
+        let lost = timeout(EVENT_TIMEOUT, self.losses.recv()).await.expect("a loss comes in time");
+        let lost = lost.expect("the dialer is running");
         assert_eq!(lost.to, lane("b"));
         lost.detail
     }
 
-    async fn quiet(&mut self) {
-        if let Ok(lost) = timeout(QUIET, self.losses.recv()).await {
+    /// Asserts that no loss is reported within [`QUIET_PERIOD`].
+    async fn assert_quiet(&mut self) {
+        if let Ok(lost) = timeout(QUIET_PERIOD, self.losses.recv()).await {
             panic!("unexpected {lost:?}");
         }
     }
@@ -128,109 +133,109 @@
     Message::Cancels(vec![Leg { origin: Origin(1), sequence: number }])
 }
 
-fn pair(limits: Limits, room: usize) -> (Sending, Receiving) {
-    let receiving = Receiving::start(limits, room);
-    (Sending::start(limits, key(), receiving.address), receiving)
+fn pair(limits: Limits, capacity: usize) -> (Outbound, Inbound) {
+    let inbound = Inbound::start(limits, capacity);
+    (Outbound::start(limits, key(), inbound.address), inbound)
 }
 
-async fn order() {
-    let (mut sending, mut receiving) = pair(limits(), 4);
+async fn frame_order() {
+    let (mut outbound, mut inbound) = pair(limits(), 4);
     for number in 0..2_000 {
-        sending.send(number);
+        outbound.send(number);
     }
     for number in 0..2_000 {
-        let frame = receiving.next().await;
+        let frame = inbound.next().await;
         assert_eq!((frame.from, frame.incarnation), (lane("a"), 7));
         assert_eq!(frame.body, Body::Traffic(message(number)));
     }
-    sending.quiet().await;
+    outbound.assert_quiet().await;
 }
 
-/// Sends small frames apart from one another to a receiver that takes none
-/// until all are sent.
+/// Sends small frames, each by itself, to a receiver that reads none until all
+/// are sent.
 async fn small_frames() {
-    let (mut sending, mut receiving) = pair(limits(), 1);
+    let (mut outbound, mut inbound) = pair(limits(), 1);
     for number in 0..1_000 {
-        sending.send(number);
+        outbound.send(number);
         tokio::task::yield_now().await;
     }
     for number in 0..1_000 {
-        assert_eq!(receiving.next().await.body, Body::Traffic(message(number)));
+        assert_eq!(inbound.next().await.body, Body::Traffic(message(number)));
     }
-    sending.quiet().await;
+    outbound.assert_quiet().await;
 }
 
 async fn large_frame_at_the_sender() {
-    let (mut sending, mut receiving) = pair(limits(), 4);
-    sending.send_large(limits().frame + 1);
-    assert!(sending.lost().await.contains("longer than"));
-    sending.send(1);
-    assert_eq!(receiving.next().await.body, Body::Traffic(message(1)));
+    let (mut outbound, mut inbound) = pair(limits(), 4);
+    outbound.send_large(limits().frame + 1);
+    assert!(outbound.loss_detail().await.contains("longer than"));
+    outbound.send(1);
+    assert_eq!(inbound.next().await.body, Body::Traffic(message(1)));
 }
 
 async fn large_frame_at_the_receiver() {
-    let mut receiving = Receiving::start(Limits { frame: 1_000, ..limits() }, 4);
-    let mut sending = Sending::start(limits(), key(), receiving.address);
-    sending.send_large(1_001);
-    sending.lost().await;
-    assert!(receiving.frames.try_recv().is_err());
+    let mut inbound = Inbound::start(Limits { frame: 1_000, ..limits() }, 4);
+    let mut outbound = Outbound::start(limits(), key(), inbound.address);
+    outbound.send_large(1_001);
+    outbound.loss_detail().await;
+    assert!(inbound.frames.try_recv().is_err());
 }
 
 async fn wrong_key() {
-    let mut receiving = Receiving::start(limits(), 4);
-    let other = Key::try_from("the-key-of-another-deployment").expect("it is a key");
-    let mut sending = Sending::start(limits(), other, receiving.address);
-    sending.send(1);
-    let detail = sending.lost().await;
+    let mut inbound = Inbound::start(limits(), 4);
+    let other = Key::try_from("the-key-of-another-deployment").expect("the key is valid");
+    let mut outbound = Outbound::start(limits(), other, inbound.address);
+    outbound.send(1);
+    let detail = outbound.loss_detail().await;
     assert!(detail.contains("401"), "{detail}");
-    assert!(receiving.frames.try_recv().is_err());
+    assert!(inbound.frames.try_recv().is_err());
 }
 
 async fn two_keys() {
-    let listener = bed::listener();
-    let address = listener.local_addr().expect("it is bound");
-    let new = Key::try_from("the-next-key-of-this-deployment").expect("it is a key");
+    let listener = harness::listener();
+    let address = listener.local_addr().expect("the listener is bound");
+    let new = Key::try_from("the-next-key-of-this-deployment").expect("the key is valid");
     let keys = vec![key().digest(), new.digest()];
     let (sink, mut frames) = mpsc::channel(4);
     tokio::spawn(listen(listener, Guard { own: lane("b"), keys, limits: limits() }, sink));
     for key in [key(), new] {
-        let mut sending = Sending::start(limits(), key, address);
-        sending.send(1);
-        let frame = timeout(PATIENCE, frames.recv()).await.expect("it comes in time");
+        let mut outbound = Outbound::start(limits(), key, address);
+        outbound.send(1);
+        let frame = timeout(EVENT_TIMEOUT, frames.recv()).await.expect("a frame comes in time");
         assert!(frame.is_some());
     }
 }
 
-async fn misdirected() {
-    let mut receiving = Receiving::start(limits(), 4);
-    let mut sending = Sending::start(limits(), key(), receiving.address);
-    sending.dialer.update(BTreeMap::from([(lane("c"), receiving.address)]));
-    sending.dialer.send(&lane("c"), message(1));
-    let lost = timeout(PATIENCE, sending.losses.recv()).await.expect("it comes in time");
-    let lost = lost.expect("the dialer lives");
+async fn wrong_lane() {
+    let mut inbound = Inbound::start(limits(), 4);
+    let mut outbound = Outbound::start(limits(), key(), inbound.address);
+    outbound.dialer.update(BTreeMap::from([(lane("c"), inbound.address)]));
+    outbound.dialer.send(&lane("c"), message(1));
+    let lost = timeout(EVENT_TIMEOUT, outbound.losses.recv()).await.expect("a loss comes in time");
+    let lost = lost.expect("the dialer is running");
     assert!(lost.detail.contains("421"), "{lost:?}");
-    assert!(receiving.frames.try_recv().is_err());
+    assert!(inbound.frames.try_recv().is_err());
 }
 
 async fn unknown_lane() {
-    let (mut sending, _receiving) = pair(limits(), 4);
-    sending.dialer.update(BTreeMap::new());
-    sending.send(1);
-    assert!(sending.lost().await.contains("not known"));
+    let (mut outbound, _inbound) = pair(limits(), 4);
+    outbound.dialer.update(BTreeMap::new());
+    outbound.send(1);
+    assert!(outbound.loss_detail().await.contains("not known"));
 }
 
-/// Passes bytes to `address` until it is told to be silent; then it holds both
-/// connections open and passes nothing.
+/// Forwards one connection to `address`. After a message on the returned channel
+/// it forwards nothing and keeps both connections open.
 async fn proxy(address: SocketAddr) -> (SocketAddr, mpsc::Sender<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
-    let own = listener.local_addr().expect("it is bound");
-    let (silence, mut silenced) = mpsc::channel(1);
+    let own = listener.local_addr().expect("the listener is bound");
+    let (silence, mut silence_requested) = mpsc::channel(1);
     tokio::spawn(async move {
-        let (mut near, _) = listener.accept().await.expect("it is dialled");
-        let mut far = TcpStream::connect(address).await.expect("the receiver listens");
+        let (mut client, _) = listener.accept().await.expect("the dialer connects");
+        let mut server = TcpStream::connect(address).await.expect("the receiver listens");
         tokio::select! {
-            _ = copy_bidirectional(&mut near, &mut far) => {}
-            _ = silenced.recv() => {}
+            _ = copy_bidirectional(&mut client, &mut server) => {}
+            _ = silence_requested.recv() => {}
         }
         std::future::pending::<()>().await;
     });
@@ -238,109 +243,113 @@
 }
 
 async fn silent_peer() {
-    let mut receiving = Receiving::start(limits(), 4);
-    let (address, silence) = proxy(receiving.address).await;
-    let mut sending = Sending::start(limits(), key(), address);
-    sending.send(1);
-    receiving.next().await;
-    sending.quiet().await;
-    silence.send(()).await.expect("the proxy lives");
+    let mut inbound = Inbound::start(limits(), 4);
+    let (address, silence) = proxy(inbound.address).await;
+    let mut outbound = Outbound::start(limits(), key(), address);
+    outbound.send(1);
+    inbound.next().await;
+    outbound.assert_quiet().await;
+    silence.send(()).await.expect("the proxy is running");
     let since = Instant::now();
-    let detail = sending.lost().await;
+    let detail = outbound.loss_detail().await;
     assert!(detail.contains("ping"), "{detail}");
     let bound = limits().ping_interval + limits().ping_limit;
     assert!(since.elapsed() < bound * 3, "{:?}", since.elapsed());
 }
 
 async fn peer_that_never_answers() {
-    let listener = bed::listener();
-    let address = listener.local_addr().expect("it is bound");
-    let mut sending = Sending::start(limits(), key(), address);
+    let listener = harness::listener();
+    let address = listener.local_addr().expect("the listener is bound");
+    let mut outbound = Outbound::start(limits(), key(), address);
     let since = Instant::now();
-    sending.send(1);
-    sending.lost().await;
+    outbound.send(1);
+    outbound.loss_detail().await;
     assert!(since.elapsed() < limits().ping_limit * 3, "{:?}", since.elapsed());
 }
 
-async fn restart() {
-    let (mut sending, mut receiving) = pair(limits(), 4);
-    let address = receiving.address;
-    sending.send(1);
-    receiving.next().await;
-    receiving.task.abort();
-    sending.lost().await;
-    sending.send(2);
-    assert!(sending.lost().await.contains("a moment ago"));
+async fn peer_restart() {
+    let (mut outbound, mut inbound) = pair(limits(), 4);
+    let address = inbound.address;
+    outbound.send(1);
+    inbound.next().await;
+    inbound.task.abort();
+    outbound.loss_detail().await;
+    outbound.send(2);
+    assert!(outbound.loss_detail().await.contains("a moment ago"));
     tokio::time::sleep(limits().backoff).await;
     let listener = std::net::TcpListener::bind(address).expect("the port is free again");
-    let mut receiving = Receiving::start_on(listener, limits(), 4);
-    sending.send(3);
-    assert_eq!(receiving.next().await.body, Body::Traffic(message(3)));
-    sending.quiet().await;
+    let mut inbound = Inbound::start_on(listener, limits(), 4);
+    outbound.send(3);
+    assert_eq!(inbound.next().await.body, Body::Traffic(message(3)));
+    outbound.assert_quiet().await;
 }
 
-async fn no_dial_without_need() {
+async fn dial_on_demand() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
-    let address = listener.local_addr().expect("it is bound");
-    let mut sending = Sending::start(limits(), key(), address);
-    assert!(timeout(QUIET, listener.accept()).await.is_err(), "nothing is to be sent");
-    sending.send(1);
-    drop(timeout(PATIENCE, listener.accept()).await.expect("it is dialled"));
-    sending.lost().await;
-    assert!(timeout(QUIET * 3, listener.accept()).await.is_err(), "nothing is to be sent");
+    let address = listener.local_addr().expect("the listener is bound");
+    let mut outbound = Outbound::start(limits(), key(), address);
+    assert!(timeout(QUIET_PERIOD, listener.accept()).await.is_err(), "nothing is to be sent");
+    outbound.send(1);
+    drop(timeout(EVENT_TIMEOUT, listener.accept()).await.expect("the dialer connects"));
+    outbound.loss_detail().await;
+    assert!(timeout(QUIET_PERIOD * 3, listener.accept()).await.is_err(), "nothing is to be sent");
 }
 
 async fn full_queue() {
-    let (mut sending, receiving) = pair(limits(), 1);
-    let frames = limits().queue_bytes / LARGE * 2;
+    let (mut outbound, inbound) = pair(limits(), 1);
+    let frames = limits().queue_bytes / LARGE_BODY_BYTES * 2;
     for _ in 0..frames {
-        sending.send_large(LARGE);
+        outbound.send_large(LARGE_BODY_BYTES);
     }
-    assert!(sending.lost().await.contains("full"));
-    assert!(receiving.frames.len() <= 1);
+    assert!(outbound.loss_detail().await.contains("full"));
+    assert!(inbound.frames.len() <= 1);
 }
 
 async fn peer_that_takes_nothing() {
-    let (mut sending, receiving) = pair(limits(), 1);
-    for _ in 0..limits().queue_bytes / LARGE / 2 {
-        sending.send_large(LARGE);
+    let (mut outbound, inbound) = pair(limits(), 1);
+    for _ in 0..limits().queue_bytes / LARGE_BODY_BYTES / 2 {
+        outbound.send_large(LARGE_BODY_BYTES);
     }
     let since = Instant::now();
-    let detail = sending.lost().await;
+    let detail = outbound.loss_detail().await;
     assert!(detail.contains("takes no bytes"), "{detail}");
     assert!(since.elapsed() < limits().write * 3, "{:?}", since.elapsed());
-    assert_eq!(receiving.frames.len(), 1);
+    assert_eq!(inbound.frames.len(), 1);
 }
 
 async fn slow_receiver() {
-    let (mut sending, mut receiving) = pair(limits(), 1);
-    let frames = limits().queue_bytes / LARGE / 2;
+    let (mut outbound, mut inbound) = pair(limits(), 1);
+    let frames = limits().queue_bytes / LARGE_BODY_BYTES / 2;
     for _ in 0..frames {
-        sending.send_large(LARGE);
+        outbound.send_large(LARGE_BODY_BYTES);
     }
     for _ in 0..frames {
         tokio::time::sleep(Duration::from_millis(20)).await;
-        receiving.next().await;
+        inbound.next().await;
     }
-    sending.quiet().await;
+    outbound.assert_quiet().await;
 }
 
 async fn close() {
-    let (mut sending, mut receiving) = pair(limits(), 1);
+    let (mut outbound, mut inbound) = pair(limits(), 1);
     for number in 0..200 {
-        sending.send(number);
+        outbound.send(number);
     }
-    let closing = tokio::spawn(sending.dialer.close());
+    let closing = tokio::spawn(outbound.dialer.close());
     for number in 0..200 {
-        assert_eq!(receiving.next().await.body, Body::Traffic(message(number)));
+        assert_eq!(inbound.next().await.body, Body::Traffic(message(number)));
     }
-    timeout(PATIENCE, closing).await.expect("it ends in time").expect("it does not panic");
-    assert!(sending.losses.try_recv().is_err());
+    timeout(EVENT_TIMEOUT, closing)
+        .await
+        .expect("the task ends in time")
+        .expect("the task does not panic");
+    assert!(outbound.losses.try_recv().is_err());
 }
 
-/// Takes one stream, reads it to its end and reports how the connection ended.
+/// Serves one connection, reads each stream to its end and returns how the
+/// connection ended.
 async fn end_of_connection(listener: TcpListener) -> Result<(), h2::Error> {
-    let (tcp, _) = listener.accept().await.expect("it is dialled");
+    let (tcp, _) = listener.accept().await.expect("the dialer connects");
     let mut connection = h2::server::handshake(tcp).await?;
     while let Some(request) = connection.accept().await {
         let (request, mut respond) = request?;
@@ -358,102 +367,103 @@
 
 async fn close_is_clean() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
-    let address = listener.local_addr().expect("it is bound");
+    let address = listener.local_addr().expect("the listener is bound");
     let ending = tokio::spawn(end_of_connection(listener));
-    let mut sending = Sending::start(limits(), key(), address);
-    sending.send(1);
-    sending.dialer.close().await;
-    assert!(sending.losses.try_recv().is_err());
-    let end = timeout(PATIENCE, ending).await.expect("it ends in time");
-    end.expect("it does not panic").expect("the connection ends without an error");
+    let mut outbound = Outbound::start(limits(), key(), address);
+    outbound.send(1);
+    outbound.dialer.close().await;
+    assert!(outbound.losses.try_recv().is_err());
+    let end = timeout(EVENT_TIMEOUT, ending).await.expect("the task ends in time");
+    end.expect("the task does not panic").expect("the connection ends without an error");
 }
 
-/// A PING of HTTP/2, which asks for an answer.
+/// An HTTP/2 PING frame without the ACK flag, which the peer must answer.
 const PING_FRAME: [u8; 17] = [0, 0, 8, 6, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
 
-/// Stands before a listener; once the dialling side has ended, it sends two
-/// frames more, with a pause that lets a reset arrive.
-async fn late_frames(front: TcpListener, behind: SocketAddr) -> std::io::Result<()> {
-    let (near, _) = front.accept().await?;
-    let far = TcpStream::connect(behind).await?;
-    let (mut near_read, mut near_write) = near.into_split();
-    let (mut far_read, mut far_write) = far.into_split();
-    let back = tokio::spawn(async move {
-        tokio::io::copy(&mut far_read, &mut near_write).await.map(|_| near_write)
+/// Forwards one connection from `front` to `upstream`. Once the dialling side has
+/// ended its half, it is sent two more frames, each followed by a pause in which a
+/// reset would arrive.
+async fn late_frames(front: TcpListener, upstream: SocketAddr) -> std::io::Result<()> {
+    let (client, _) = front.accept().await?;
+    let server = TcpStream::connect(upstream).await?;
+    let (mut client_read, mut client_write) = client.into_split();
+    let (mut server_read, mut server_write) = server.into_split();
+    let responses = tokio::spawn(async move {
+        tokio::io::copy(&mut server_read, &mut client_write).await.map(|_| client_write)
     });
-    tokio::io::copy(&mut near_read, &mut far_write).await?;
-    far_write.shutdown().await?;
-    let mut near_write = back.await.expect("it does not panic")?;
+    tokio::io::copy(&mut client_read, &mut server_write).await?;
+    server_write.shutdown().await?;
+    let mut client_write = responses.await.expect("the task does not panic")?;
     for _ in 0..2 {
-        near_write.write_all(&PING_FRAME).await?;
+        client_write.write_all(&PING_FRAME).await?;
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    near_write.shutdown().await
+    client_write.shutdown().await
 }
 
 async fn close_with_late_frames() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
     let front = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
-    let behind = listener.local_addr().expect("it is bound");
-    let address = front.local_addr().expect("it is bound");
+    let upstream = listener.local_addr().expect("the listener is bound");
+    let address = front.local_addr().expect("the listener is bound");
     let ending = tokio::spawn(end_of_connection(listener));
-    let late = tokio::spawn(late_frames(front, behind));
-    let mut sending = Sending::start(limits(), key(), address);
-    sending.send(1);
-    sending.dialer.close().await;
-    assert!(sending.losses.try_recv().is_err());
-    let late = timeout(PATIENCE, late).await.expect("it ends in time");
-    late.expect("it does not panic").expect("the late frames meet no reset");
-    let end = timeout(PATIENCE, ending).await.expect("it ends in time");
-    end.expect("it does not panic").expect("the connection ends without an error");
+    let late = tokio::spawn(late_frames(front, upstream));
+    let mut outbound = Outbound::start(limits(), key(), address);
+    outbound.send(1);
+    outbound.dialer.close().await;
+    assert!(outbound.losses.try_recv().is_err());
+    let late = timeout(EVENT_TIMEOUT, late).await.expect("the task ends in time");
+    late.expect("the task does not panic").expect("the late frames meet no reset");
+    let end = timeout(EVENT_TIMEOUT, ending).await.expect("the task ends in time");
+    end.expect("the task does not panic").expect("the connection ends without an error");
 }
 
 async fn moved_lane() {
-    let (mut sending, mut old) = pair(limits(), 4);
-    let mut new = Receiving::start(limits(), 4);
-    sending.send(1);
-    sending.dialer.update(BTreeMap::from([(lane("b"), new.address)]));
-    sending.send(2);
+    let (mut outbound, mut old) = pair(limits(), 4);
+    let mut new = Inbound::start(limits(), 4);
+    outbound.send(1);
+    outbound.dialer.update(BTreeMap::from([(lane("b"), new.address)]));
+    outbound.send(2);
     assert_eq!(old.next().await.body, Body::Traffic(message(1)));
     assert_eq!(new.next().await.body, Body::Traffic(message(2)));
-    sending.quiet().await;
+    outbound.assert_quiet().await;
 }
 
 async fn noise() {
-    let (mut sending, mut receiving) = pair(limits(), 4);
-    let mut tcp = TcpStream::connect(receiving.address).await.expect("it listens");
-    tcp.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("it takes bytes");
-    sending.send(1);
-    assert_eq!(receiving.next().await.body, Body::Traffic(message(1)));
+    let (mut outbound, mut inbound) = pair(limits(), 4);
+    let mut tcp = TcpStream::connect(inbound.address).await.expect("the listener accepts");
+    tcp.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("the listener takes bytes");
+    outbound.send(1);
+    assert_eq!(inbound.next().await.body, Body::Traffic(message(1)));
 }
 
 async fn too_many_connections() {
     let limits = Limits { connections: 1, ..limits() };
-    let (mut first, mut receiving) = pair(limits, 4);
+    let (mut first, mut inbound) = pair(limits, 4);
     first.send(1);
-    receiving.next().await;
-    let mut second = Sending::start(limits, key(), receiving.address);
+    inbound.next().await;
+    let mut second = Outbound::start(limits, key(), inbound.address);
     second.send(2);
-    second.lost().await;
+    second.loss_detail().await;
     first.send(3);
-    assert_eq!(receiving.next().await.body, Body::Traffic(message(3)));
+    assert_eq!(inbound.next().await.body, Body::Traffic(message(3)));
 }
 
 cases! {
-    frames_keep_their_order => order();
+    frames_keep_their_order => frame_order();
     small_frames_do_not_cost_the_connection => small_frames();
     a_large_frame_is_refused_by_the_sender => large_frame_at_the_sender();
     a_large_frame_is_refused_by_the_receiver => large_frame_at_the_receiver();
     a_wrong_key_is_refused => wrong_key();
     two_keys_are_accepted_while_one_is_replaced => two_keys();
-    a_stream_for_another_lane_is_refused => misdirected();
+    a_stream_for_another_lane_is_refused => wrong_lane();
     a_frame_for_an_unknown_lane_is_lost => unknown_lane();
     a_peer_that_becomes_silent_is_found_within_the_limit => silent_peer();
     a_peer_that_never_answers_is_found_within_the_limit => peer_that_never_answers();
-    a_peer_that_restarts_is_dialled_again_after_the_pause => restart();
-    a_peer_is_dialled_only_to_send => no_dial_without_need();
-    a_full_queue_condemns_the_connection => full_queue();
-    a_peer_that_takes_nothing_is_condemned_within_the_limit => peer_that_takes_nothing();
+    a_peer_that_restarts_is_dialled_again_after_the_pause => peer_restart();
+    a_peer_is_dialled_only_to_send => dial_on_demand();
+    a_full_queue_closes_the_connection => full_queue();
+    a_peer_that_takes_nothing_is_disconnected_within_the_limit => peer_that_takes_nothing();
     a_slow_receiver_holds_back_and_loses_nothing => slow_receiver();
     a_close_sends_what_is_queued => close();
     a_close_ends_the_connection_without_an_error => close_is_clean();
