--- a/tests/edge/wire.rs
+++ b/tests/edge/wire.rs
@@ -133,6 +133,7 @@
     Message::Cancels(vec![Leg { origin: Origin(1), sequence: number }])
 }
 
+/// A dialer and the listener to which it sends.
 fn pair(limits: Limits, capacity: usize) -> (Outbound, Inbound) {
     let inbound = Inbound::start(limits, capacity);
     (Outbound::start(limits, key(), inbound.address), inbound)
