Rename items of the load tool that other modules use

The names were everyday words or said nothing away from their file.

load::run (module) -> load::measurement load::run::Order -> load::measurement::Spec load::run::Order::seed -> load::measurement::Spec::arrivals load::drive (module) -> load::driver load::drive::run -> load::driver::send_all load::scenario::DEFAULT -> load::scenario::DEFAULT_TOML load::arrival::Seed -> load::arrival::Params load::arrival::Seed::length -> load::arrival::Params::duration load::arrival::Seed::identical -> load::arrival::Params::identical_percent load::arrival::steady -> load::arrival::draw_at_rate

--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     load::{
-        arrival, check, cost, drive, report, run, sample,
+        arrival, check, cost, driver, measurement, report, sample,
         scenario::{self, Scenario},
         scene::{SCENES, Scene},
         scheme::{SCHEMES, Scheme},
@@ -105,11 +105,11 @@
     }
 }
 
-fn seed(command: &Load) -> arrival::Seed {
-    arrival::Seed {
+fn seed(command: &Load) -> arrival::Params {
+    arrival::Params {
         seed: command.seed,
-        length: Duration::from_secs(u64::from(command.seconds)),
-        identical: command.identical,
+        duration: Duration::from_secs(u64::from(command.seconds)),
+        identical_percent: command.identical,
     }
 }
 
@@ -118,7 +118,7 @@
         Some(file) => fs::read_to_string(file).map_err(|e| {
             Failure::report(Exit::Usage, format!("{}: {e}", file.display()), "give a scenario file")
         })?,
-        None => scenario::DEFAULT.to_owned(),
+        None => scenario::DEFAULT_TOML.to_owned(),
     };
     Scenario::try_from(text.as_str()).map_err(|e| {
         Failure::report(Exit::Invalid, format!("{e:?}"), "deploy/load-umgeni.toml is an example")
@@ -169,8 +169,9 @@
     report::heading().iter().for_each(|line| output::line(line));
     for &scene in scenes {
         for &scheme in schemes {
-            let order = run::Order { scenario: &scenario, scheme, scene, seed: seed(command) };
-            let rows = run::run(order).await.map_err(|report| {
+            let order =
+                measurement::Spec { scenario: &scenario, scheme, scene, arrivals: seed(command) };
+            let rows = measurement::run(order).await.map_err(|report| {
                 let cause = Cause(format!("{report:?}"));
                 Failure::report(Exit::Failed, report.to_string(), "").attach(cause)
             })?;
@@ -210,10 +211,10 @@
     };
     let caller = Caller::new()
         .map_err(|e| Failure::report(Exit::Failed, format!("no HTTP client: {e}"), ""))?;
-    let arrivals = arrival::steady(f64::from(command.rate.max(1)), seed(command));
-    let entries = drive::Entries::new(command.entry.clone());
+    let arrivals = arrival::draw_at_rate(f64::from(command.rate.max(1)), seed(command));
+    let entries = driver::Entries::new(command.entry.clone());
     let start = std::time::Instant::now();
-    let samples = drive::run(arrivals, &[profile], &entries, &caller, start).await;
+    let samples = driver::send_all(arrivals, &[profile], &entries, &caller, start).await;
     let summary = sample::summary(samples.iter());
     let json = serde_json::to_string_pretty(&summary)
         .map_err(|e| Failure::report(Exit::Failed, e.to_string(), ""))?;
--- a/src/load/arrival.rs
+++ b/src/load/arrival.rs
@@ -19,13 +19,13 @@
 
 /// What arrivals are made from.
 #[derive(Clone, Copy, Debug)]
-pub struct Seed {
+pub struct Params {
     /// Seeds times and texts.
     pub seed: u64,
     /// The length of the run.
-    pub length: Duration,
+    pub duration: Duration,
     /// The queries in a hundred that ask for the same text.
-    pub identical: u32,
+    pub identical_percent: u32,
 }
 
 /// The texts that identical queries ask for.
@@ -35,23 +35,23 @@
 ///
 /// Arrivals are drawn at the highest rate and thinned to the rate of their
 /// time, which keeps them a Poisson process.
-pub fn draw(scenario: &Scenario, scene: &Scene, seed: Seed) -> Vec<Arrival> {
+pub fn draw(scenario: &Scenario, scene: &Scene, params: Params) -> Vec<Arrival> {
     let mut arrivals = Vec::new();
     for (service, sized) in scenario.services.iter().enumerate() {
-        let mut random = StdRng::seed_from_u64(seed.seed.wrapping_add(service as u64));
+        let mut random = StdRng::seed_from_u64(params.seed.wrapping_add(service as u64));
         let rate = sized.capacity() * scene.load;
         let highest = scene.highest_factor();
         let mut at = 0.0;
         loop {
             at += -(1.0 - random.random::<f64>()).ln() / (rate * highest);
             let time = Duration::from_secs_f64(at);
-            if time >= seed.length {
+            if time >= params.duration {
                 break;
             }
-            if random.random::<f64>() * highest > scene.factor(time, seed.length) {
+            if random.random::<f64>() * highest > scene.factor(time, params.duration) {
                 continue;
             }
-            let text = text(&mut random, seed.identical, arrivals.len());
+            let text = text(&mut random, params.identical_percent, arrivals.len());
             arrivals.push(Arrival { at: time, service, text });
         }
     }
@@ -60,17 +60,17 @@
 }
 
 /// Draws a fixed rate against one service.
-pub fn steady(rate: f64, seed: Seed) -> Vec<Arrival> {
-    let mut random = StdRng::seed_from_u64(seed.seed);
+pub fn draw_at_rate(rate: f64, params: Params) -> Vec<Arrival> {
+    let mut random = StdRng::seed_from_u64(params.seed);
     let mut arrivals = Vec::new();
     let mut at = 0.0;
     loop {
         at += -(1.0 - random.random::<f64>()).ln() / rate;
         let time = Duration::from_secs_f64(at);
-        if time >= seed.length {
+        if time >= params.duration {
             return arrivals;
         }
-        let text = text(&mut random, seed.identical, arrivals.len());
+        let text = text(&mut random, params.identical_percent, arrivals.len());
         arrivals.push(Arrival { at: time, service: 0, text });
     }
 }
--- a/src/load/bed.rs
+++ b/src/load/bed.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use super::{Error, drive::Entries, scenario::Scenario, scheme::Scheme};
+use super::{Error, driver::Entries, scenario::Scenario, scheme::Scheme};
 use crate::{
     local::{self, Caller, Deployment, Plan, place},
     standin::target::table,
--- a/src/load/drive.rs
+++ b/src/load/driver.rs
@@ -42,7 +42,7 @@
 }
 
 /// Sends the arrivals and returns what came of each, after the last has ended.
-pub async fn run(
+pub async fn send_all(
     arrivals: Vec<Arrival>,
     profiles: &[Name],
     entries: &Entries,
--- a/src/load/run.rs
+++ b/src/load/measurement.rs
@@ -8,7 +8,7 @@
 use super::{
     Error, arrival,
     bed::{self, Bed, Counters},
-    drive, processor,
+    driver, processor,
     report::{Burst, Row},
     sample::{self, Sample},
     scenario::{Scenario, Service},
@@ -28,7 +28,7 @@
 
 /// What is measured.
 #[derive(Clone, Copy, Debug)]
-pub struct Order<'a> {
+pub struct Spec<'a> {
     /// What is started.
     pub scenario: &'a Scenario,
     /// The policies.
@@ -36,7 +36,7 @@
     /// The load and the fault.
     pub scene: Scene,
     /// The arrivals; the length is without the warm-up.
-    pub seed: arrival::Seed,
+    pub arrivals: arrival::Params,
 }
 
 /// The counters and the processor time at a point of a run.
@@ -56,32 +56,32 @@
 }
 
 /// Starts a deployment, measures and stops it; one row for each service.
-pub async fn run(order: Order<'_>) -> Result<Vec<Row>, Report<Error>> {
-    let mut bed = Bed::start(order.scenario, &order.scheme).await?;
-    prepare(&bed, &order).await?;
-    let whole = arrival::Seed { length: order.seed.length + WARM, ..order.seed };
-    let arrivals = arrival::draw(order.scenario, &order.scene, whole);
-    let profiles: Vec<_> = order.scenario.services.iter().map(|s| s.index.clone()).collect();
+pub async fn run(spec: Spec<'_>) -> Result<Vec<Row>, Report<Error>> {
+    let mut bed = Bed::start(spec.scenario, &spec.scheme).await?;
+    prepare(&bed, &spec).await?;
+    let whole = arrival::Params { duration: spec.arrivals.duration + WARM, ..spec.arrivals };
+    let arrivals = arrival::draw(spec.scenario, &spec.scene, whole);
+    let profiles: Vec<_> = spec.scenario.services.iter().map(|s| s.index.clone()).collect();
     let (caller, entries) = (bed.caller.clone(), bed.entries.clone());
     let start = Instant::now();
     let (samples, first) = tokio::join!(
-        drive::run(arrivals, &profiles, &entries, &caller, start),
-        act(&mut bed, &order, start)
+        driver::send_all(arrivals, &profiles, &entries, &caller, start),
+        act(&mut bed, &spec, start)
     );
     let first = first?;
     let last = Mark::take(&bed).await?;
     bed.deployment.stop().await;
-    let rows = order.scenario.services.iter().enumerate();
+    let rows = spec.scenario.services.iter().enumerate();
     Ok(rows
-        .map(|(number, service)| row(&order, service, number, &samples, (&first, &last)))
+        .map(|(number, service)| row(&spec, service, number, &samples, (&first, &last)))
         .collect())
 }
 
 /// Switches the faults that hold from the start.
-async fn prepare(bed: &Bed, order: &Order<'_>) -> Result<(), Report<Error>> {
-    for service in &order.scenario.services {
+async fn prepare(bed: &Bed, spec: &Spec<'_>) -> Result<(), Report<Error>> {
+    for service in &spec.scenario.services {
         let index = service.index.as_str();
-        match order.scene.fault {
+        match spec.scene.fault {
             Fault::Straggler => {
                 let faults = json!({ "slow_factor": STRAGGLER_FACTOR });
                 bed.set_faults(index, |number| number % STRAGGLER_IN == 0, &faults).await?;
@@ -97,20 +97,20 @@
 }
 
 /// Takes the first mark after the warm-up and carries out what happens later.
-async fn act(bed: &mut Bed, order: &Order<'_>, start: Instant) -> Result<Mark, Report<Error>> {
-    drive::until(start, WARM).await;
+async fn act(bed: &mut Bed, spec: &Spec<'_>, start: Instant) -> Result<Mark, Report<Error>> {
+    driver::until(start, WARM).await;
     let mark = Mark::take(bed).await?;
-    drive::until(start, WARM + order.seed.length / 4).await;
-    match order.scene.fault {
+    driver::until(start, WARM + spec.arrivals.duration / 4).await;
+    match spec.scene.fault {
         Fault::Lost => {
-            for service in &order.scenario.services {
+            for service in &spec.scenario.services {
                 let is_first = |number| number == 0;
                 bed.set_faults(service.index.as_str(), is_first, &bed::lost()).await?;
             }
         }
         Fault::Replaced => {
             bed.replace_vm().await?;
-            drive::until(start, WARM + order.seed.length / 2).await;
+            driver::until(start, WARM + spec.arrivals.duration / 2).await;
             bed.replace_vm().await?;
         }
         Fault::None | Fault::Burst | Fault::Straggler | Fault::Liar => {}
@@ -119,7 +119,7 @@
 }
 
 fn row(
-    order: &Order<'_>,
+    spec: &Spec<'_>,
     service: &Service,
     number: usize,
     samples: &[Sample],
@@ -129,15 +129,15 @@
     let own: Vec<&Sample> =
         samples.iter().filter(|s| s.service == number && s.at >= WARM).collect();
     let summary = sample::summary(own.iter().copied());
-    let seconds = order.seed.length.as_secs_f64();
+    let seconds = spec.arrivals.duration.as_secs_f64();
     let span = last.at.duration_since(first.at).as_secs_f64();
     let attempts = last.counters.attempts(index) - first.counters.attempts(index);
     let least = summary.answered * u64::from(service.shards);
     let grown = |name: &str| last.counters.vm(name) - first.counters.vm(name);
-    let is_whole = order.scene.fault != Fault::Replaced;
+    let is_whole = spec.scene.fault != Fault::Replaced;
     Row {
-        scheme: order.scheme.name.to_owned(),
-        scene: order.scene.name.to_owned(),
+        scheme: spec.scheme.name.to_owned(),
+        scene: spec.scene.name.to_owned(),
         service: index.to_owned(),
         sent_per_second: summary.sent as f64 / seconds,
         goodput_per_second: summary.answered as f64 / seconds,
@@ -159,7 +159,7 @@
                 ratio(micros, grown("attempts"))
             })
             .flatten(),
-        burst: (order.scene.fault == Fault::Burst).then(|| burst(order, service, &own)),
+        burst: (spec.scene.fault == Fault::Burst).then(|| burst(spec, service, &own)),
         summary,
     }
 }
@@ -169,8 +169,8 @@
     (whole > 0.0).then(|| part / whole)
 }
 
-fn burst(order: &Order<'_>, service: &Service, own: &[&Sample]) -> Burst {
-    let length = order.seed.length + WARM;
+fn burst(spec: &Spec<'_>, service: &Service, own: &[&Sample]) -> Burst {
+    let length = spec.arrivals.duration + WARM;
     let (start, end) = Scene::burst(length);
     let settled = start + BURST_SETTLE;
     let during = own.iter().filter(|s| s.is_answered());
--- a/src/load/scenario.rs
+++ b/src/load/scenario.rs
@@ -11,7 +11,7 @@
 use crate::{local, standin::target::settings::Raw};
 
 /// The scenario that is used when no file is given.
-pub const DEFAULT: &str = include_str!("../../deploy/load-umgeni.toml");
+pub const DEFAULT_TOML: &str = include_str!("../../deploy/load-umgeni.toml");
 
 /// The rows of each index; few, so that slots and not rows are measured.
 const ROWS: u64 = 200;
--- a/tests/load/arrival.rs
+++ b/tests/load/arrival.rs
@@ -3,17 +3,17 @@
 use std::time::Duration;
 
 use laburnumworks::load::{
-    arrival::{self, Arrival, Seed},
-    scenario::{DEFAULT, Scenario},
+    arrival::{self, Arrival, Params},
+    scenario::{DEFAULT_TOML, Scenario},
     scene::Scene,
 };
 
 const LENGTH: Duration = Duration::from_secs(100);
 
 fn draw(scene: &str, seed: u64, identical: u32) -> Vec<Arrival> {
-    let scenario = Scenario::try_from(DEFAULT).unwrap();
-    let seed = Seed { seed, length: LENGTH, identical };
-    arrival::draw(&scenario, &Scene::named(scene).unwrap(), seed)
+    let scenario = Scenario::try_from(DEFAULT_TOML).unwrap();
+    let params = Params { seed, duration: LENGTH, identical_percent: identical };
+    arrival::draw(&scenario, &Scene::named(scene).unwrap(), params)
 }
 
 fn first_service(arrivals: &[Arrival]) -> impl Iterator<Item = &Arrival> {
@@ -21,7 +21,7 @@
 }
 
 fn rate_is_the_part_of_the_slots(scene: &str, part: f64) {
-    let scenario = Scenario::try_from(DEFAULT).unwrap();
+    let scenario = Scenario::try_from(DEFAULT_TOML).unwrap();
     let expected = scenario.services[0].capacity() * part * LENGTH.as_secs_f64();
     let drawn = first_service(&draw(scene, 1, 0)).count() as f64;
     // Five standard deviations of a Poisson count.
