Rename items of the stand-in target that tests use

The names were everyday words or said nothing away from their file.

standin::target::fault::Wrong -> standin::target::fault::Defect standin::target::settings::part -> standin::target::settings::shard_range standin::target::row::WORDS -> standin::target::row::BODY_WORDS

--- a/src/load/cost.rs
+++ b/src/load/cost.rs
@@ -18,7 +18,7 @@
 use serde::Serialize;
 
 use super::processor;
-use crate::standin::target::settings::part;
+use crate::standin::target::settings::shard_range;
 
 /// The legs over all queries of a measurement of time.
 const TIMED_LEGS: u64 = 400_000;
@@ -129,7 +129,7 @@
             .targets
             .values()
             .zip(0..)
-            .map(|(target, number)| (target.address, part(number, legs)))
+            .map(|(target, number)| (target.address, shard_range(number, legs)))
             .collect();
         let engine = Engine::new(traffic::Setup {
             lane: Lane { vm: view.vm.clone(), thread: 0 },
--- a/src/standin/target/answer.rs
+++ b/src/standin/target/answer.rs
@@ -7,7 +7,7 @@
     target::{Outcome, Refusal, Reply, Request, Row, Status, Version, Work},
 };
 
-use super::{fault::Wrong, row::Index, table::Tables};
+use super::{fault::Defect, row::Index, table::Tables};
 
 /// A reply and whether it is cut.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,7 +24,7 @@
 }
 
 /// The reply to a request that ran to its end.
-pub fn result(tables: &Tables, request: &Request, wrong: Option<Wrong>) -> Answer {
+pub fn result(tables: &Tables, request: &Request, wrong: Option<Defect>) -> Answer {
     let outcome = match &request.work {
         Work::Search { version, range, text } => search(tables, *version, *range, text),
         Work::Operate { subject, operation, .. } => {
@@ -54,12 +54,12 @@
     Outcome::Rows { version, range, rows, count, digest }
 }
 
-fn spoil(tables: &Tables, mut answer: Answer, wrong: Wrong) -> Answer {
+fn spoil(tables: &Tables, mut answer: Answer, wrong: Defect) -> Answer {
     match wrong {
-        Wrong::Cut => answer.cut = true,
-        Wrong::Crossed => answer.reply.attempt = other(tables, answer.reply.attempt),
-        Wrong::Mute => {}
-        Wrong::Doubled | Wrong::Outside | Wrong::Version | Wrong::Digest => {
+        Defect::Cut => answer.cut = true,
+        Defect::Crossed => answer.reply.attempt = other(tables, answer.reply.attempt),
+        Defect::Mute => {}
+        Defect::Doubled | Defect::Outside | Defect::Version | Defect::Digest => {
             answer.reply.outcome = spoil_rows(answer.reply.outcome, wrong);
         }
     }
@@ -74,17 +74,17 @@
     running.chain(waiting).find(|&attempt| Some(attempt) != own).or(unused)
 }
 
-fn spoil_rows(outcome: Outcome, wrong: Wrong) -> Outcome {
+fn spoil_rows(outcome: Outcome, wrong: Defect) -> Outcome {
     let Outcome::Rows { version, range, rows, count, digest } = outcome else {
         return outcome;
     };
     match wrong {
-        Wrong::Doubled => {
+        Defect::Doubled => {
             let doubled = rows.into_iter().flat_map(|row| [row.clone(), row]).collect();
             stated(version, range, doubled)
         }
-        Wrong::Outside => stated(version, range, with_outside(range, rows)),
-        Wrong::Version => {
+        Defect::Outside => stated(version, range, with_outside(range, rows)),
+        Defect::Version => {
             Outcome::Rows { version: Version(version.0 + 1), range, rows, count, digest }
         }
         _ => Outcome::Rows { version, range, rows, count, digest: !digest },
--- a/src/standin/target/fault.rs
+++ b/src/standin/target/fault.rs
@@ -38,7 +38,7 @@
 /// What is wrong with the replies that are hit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Wrong {
+pub enum Defect {
     /// The reply ends in its middle.
     Cut,
     /// The reply carries the id of another attempt.
@@ -60,7 +60,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Hit {
     /// What is wrong.
-    pub wrong: Wrong,
+    pub wrong: Defect,
     /// The request's text or detail contains this; empty hits all.
     #[serde(default)]
     pub mark: String,
@@ -120,11 +120,11 @@
     }
 
     /// Takes the first fault that hits the reply to a request with this text.
-    /// `mute` chooses between [`Wrong::Mute`] and the others, because a request
+    /// `mute` chooses between [`Defect::Mute`] and the others, because a request
     /// becomes mute when it starts and is wrong when it ends.
-    pub fn take(&mut self, text: &str, mute: bool) -> Option<Wrong> {
+    pub fn take(&mut self, text: &str, mute: bool) -> Option<Defect> {
         let hit = self.hits.iter_mut().find(|hit| {
-            (hit.wrong == Wrong::Mute) == mute && hit.times != Some(0) && text.contains(&hit.mark)
+            (hit.wrong == Defect::Mute) == mute && hit.times != Some(0) && text.contains(&hit.mark)
         })?;
         hit.times = hit.times.map(|times| times - 1);
         Some(hit.wrong)
--- a/src/standin/target/row.rs
+++ b/src/standin/target/row.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The words of which each body holds two.
-pub const WORDS: [&str; 12] = [
+pub const BODY_WORDS: [&str; 12] = [
     "amateur",
     "aviation",
     "broadcast",
@@ -56,8 +56,8 @@
     fn row(self, version: Version, number: u64, step: u64) -> Row {
         let hash = xxh3_64_with_seed(&number.to_le_bytes(), self.seed);
         let key = number * step + hash % step;
-        let word = WORDS[(hash % 12) as usize];
-        let other = WORDS[(hash / 12 % 12) as usize];
+        let word = BODY_WORDS[(hash % 12) as usize];
+        let other = BODY_WORDS[(hash / 12 % 12) as usize];
         let body = format!("licence {number:06} {word} {other} v{}", version.0);
         Row { key, body: Arc::from(body) }
     }
--- a/src/standin/target/settings.rs
+++ b/src/standin/target/settings.rs
@@ -157,7 +157,7 @@
         check(raw.cold_factor >= 1.0, "cold_factor", "must be at least 1")?;
         check((1..=MAX_SHARDS).contains(&raw.shards), "shards", "must be 1 to 1000000")?;
         check(raw.shard < raw.shards, "shard", "must be less than shards")?;
-        let range = part(raw.shard, raw.shards);
+        let range = shard_range(raw.shard, raw.shards);
         Ok(Settings {
             seed: raw.seed,
             noise: raw.noise,
@@ -188,7 +188,7 @@
 ///
 /// The last part takes what the division leaves over. A part that does not
 /// exist is taken as the last one.
-pub fn part(number: u32, parts: u32) -> key::Range {
+pub fn shard_range(number: u32, parts: u32) -> key::Range {
     let parts = u64::from(parts.max(1));
     let number = u64::from(number).min(parts - 1);
     let size = u64::MAX / parts;
--- a/tests/edge/bed.rs
+++ b/tests/edge/bed.rs
@@ -16,7 +16,7 @@
 use laburnumworks::{
     standin::target::{
         self, Settings,
-        fault::{Faults, Hit, Wrong},
+        fault::{Defect, Faults, Hit},
         settings::Raw,
         table::{Counts, Executions, Load},
     },
@@ -77,7 +77,7 @@
     }
 
     /// Makes every reply wrong.
-    pub async fn spoil(&self, wrong: Wrong) {
+    pub async fn spoil(&self, wrong: Defect) {
         let hits = vec![Hit { wrong, mark: String::new(), times: None }];
         self.put(&Faults { hits, ..Faults::default() }).await;
     }
--- a/tests/edge/border.rs
+++ b/tests/edge/border.rs
@@ -9,7 +9,7 @@
 };
 use laburnumworks::{
     standin::target::{
-        fault::{Crash, Faults, Hit, Moment, Wrong},
+        fault::{Crash, Defect, Faults, Hit, Moment},
         row::Index,
     },
     target::Limits,
@@ -26,7 +26,7 @@
 }
 
 fn mute(mark: &str) -> Faults {
-    let hits = vec![Hit { wrong: Wrong::Mute, mark: mark.to_owned(), times: None }];
+    let hits = vec![Hit { wrong: Defect::Mute, mark: mark.to_owned(), times: None }];
     Faults { hits, ..Faults::default() }
 }
 
--- a/tests/edge/fault.rs
+++ b/tests/edge/fault.rs
@@ -7,8 +7,8 @@
     target::{Command, Event, Outcome, Refusal, Version},
 };
 use laburnumworks::standin::target::{
-    fault::{Crash, Faults, Hit, Moment, Wrong},
-    settings::part,
+    fault::{Crash, Defect, Faults, Hit, Moment},
+    settings::shard_range,
     table::Load,
 };
 
@@ -21,20 +21,20 @@
     (target, caller, connection)
 }
 
-async fn spoilt(wrong: Wrong) -> Outcome {
+async fn spoilt(wrong: Defect) -> Outcome {
     let (target, mut caller, connection) = bed().await;
     target.spoil(wrong).await;
-    caller.outcome(connection, search_at(1, part(0, 2), "")).await
+    caller.outcome(connection, search_at(1, shard_range(0, 2), "")).await
 }
 
 async fn cut() {
-    let outcome = spoilt(Wrong::Cut).await;
+    let outcome = spoilt(Defect::Cut).await;
     assert!(matches!(outcome, Outcome::Garbled { .. }), "{outcome:?}");
 }
 
 async fn crossed() {
     let (target, mut caller, connection) = bed().await;
-    target.spoil(Wrong::Crossed).await;
+    target.spoil(Defect::Crossed).await;
     let attempt = caller.send(connection, search(""));
     match caller.event().await {
         Event::Reply { attempt: own, reply, .. } => {
@@ -46,7 +46,7 @@
 }
 
 async fn doubled() {
-    let Outcome::Rows { rows, count, digest, .. } = spoilt(Wrong::Doubled).await else {
+    let Outcome::Rows { rows, count, digest, .. } = spoilt(Defect::Doubled).await else {
         panic!("no rows");
     };
     assert!(rows.chunks(2).all(|pair| pair[0] == pair[1]));
@@ -54,21 +54,21 @@
 }
 
 async fn outside() {
-    let Outcome::Rows { rows, range, .. } = spoilt(Wrong::Outside).await else {
+    let Outcome::Rows { rows, range, .. } = spoilt(Defect::Outside).await else {
         panic!("no rows");
     };
     assert_eq!(rows.iter().filter(|row| !range.contains(row.key)).count(), 1);
 }
 
 async fn version() {
-    let Outcome::Rows { version, .. } = spoilt(Wrong::Version).await else {
+    let Outcome::Rows { version, .. } = spoilt(Defect::Version).await else {
         panic!("no rows");
     };
     assert_eq!(version, Version(2));
 }
 
 async fn wrong_digest() {
-    let Outcome::Rows { rows, digest, .. } = spoilt(Wrong::Digest).await else {
+    let Outcome::Rows { rows, digest, .. } = spoilt(Defect::Digest).await else {
         panic!("no rows");
     };
     assert_ne!(digest, digest::rows(&rows));
@@ -76,7 +76,7 @@
 
 async fn hit_times() {
     let (target, mut caller, connection) = bed().await;
-    let hits = vec![Hit { wrong: Wrong::Cut, mark: "radar".to_owned(), times: Some(1) }];
+    let hits = vec![Hit { wrong: Defect::Cut, mark: "radar".to_owned(), times: Some(1) }];
     target.put(&Faults { hits, ..Faults::default() }).await;
     let mut garbled = Vec::new();
     for text in ["uhf", "radar", "radar"] {
@@ -109,7 +109,7 @@
 }
 
 async fn repartition() {
-    let holds = BTreeMap::from([(Version(1), part(0, 2))]);
+    let holds = BTreeMap::from([(Version(1), shard_range(0, 2))]);
     refused(Faults { holds: Some(holds), ..Faults::default() }, Refusal::RangeMoved).await;
 }
 
--- a/tests/edge/limit.rs
+++ b/tests/edge/limit.rs
@@ -5,14 +5,14 @@
 use laburnum_core::target::{Event, Outcome, Refusal};
 use laburnumworks::standin::target::{
     Settings,
-    fault::{Faults, Hit, Wrong},
-    settings::{Raw, part},
+    fault::{Defect, Faults, Hit},
+    settings::{Raw, shard_range},
 };
 
 use crate::bed::{Caller, LIMIT, Target, operation, search};
 
 fn mute_all() -> Faults {
-    let hits = vec![Hit { wrong: Wrong::Mute, mark: String::new(), times: None }];
+    let hits = vec![Hit { wrong: Defect::Mute, mark: String::new(), times: None }];
     Faults { hits, ..Faults::default() }
 }
 
@@ -115,7 +115,7 @@
 fn parts_cover_all(parts: u32) {
     let mut next = 0;
     for number in 0..parts {
-        let range = part(number, parts);
+        let range = shard_range(number, parts);
         assert_eq!(range.first(), next);
         next = range.last().wrapping_add(1);
     }
--- a/tests/process/load.rs
+++ b/tests/process/load.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use laburnumworks::{local::Caller, standin::target::row::WORDS};
+use laburnumworks::{local::Caller, standin::target::row::BODY_WORDS};
 use tokio::{
     sync::watch,
     task::{JoinHandle, JoinSet},
@@ -184,8 +184,8 @@
     if number.is_multiple_of(OPERATIONS) {
         return Request::Operate(Operation::new(number));
     }
-    let word = usize::try_from(number).unwrap() % WORDS.len();
-    Request::Search(WORDS[word])
+    let word = usize::try_from(number).unwrap() % BODY_WORDS.len();
+    Request::Search(BODY_WORDS[word])
 }
 
 async fn send(
