Reword the load tool and its tests in the terms of the field

They now say what the code does; every reason and number is kept. No behaviour changes.

Files: src/load/bed.rs -> testbed.rs, src/load/processor.rs -> process.rs. Three error texts of the measured deployment name the step that failed.

--- a/src/load/arrival.rs
+++ b/src/load/arrival.rs
@@ -1,4 +1,4 @@
-//! Seeded Poisson arrivals.
+//! Query arrivals as a seeded Poisson process.
 
 use std::time::Duration;
 
@@ -6,52 +6,51 @@
 
 use super::{scenario::Scenario, scene::Scene};
 
-/// A query that is to be sent.
+/// A query to send.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Arrival {
-    /// When it is meant to start.
+    /// The intended start, as the time since the start of the run.
     pub at: Duration,
-    /// The number of the service.
+    /// The position of the service in [`Scenario::services`].
     pub service: usize,
-    /// The text that it searches.
+    /// The search text.
     pub text: String,
 }
 
-/// What arrivals are made from.
+/// The parameters that determine the arrivals of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Params {
-    /// Seeds times and texts.
+    /// The seed of times and texts.
     pub seed: u64,
-    /// The length of the run.
     pub duration: Duration,
-    /// The queries in a hundred that ask for the same text.
+    /// The percentage of queries whose text is one of a few popular ones.
     pub identical_percent: u32,
 }
 
-/// The texts that identical queries ask for.
-const POPULAR: u64 = 4;
+/// The number of distinct texts among the identical queries.
+const POPULAR_TEXTS: u64 = 4;
 
-/// Draws the arrivals of a run in order of time.
+/// Draws the arrivals of a run, sorted by time.
 ///
-/// Arrivals are drawn at the highest rate and thinned to the rate of their
-/// time, which keeps them a Poisson process.
+/// Arrivals are drawn at the highest rate of the run and then thinned to the rate
+/// at their time, so that they remain a Poisson process.
 pub fn draw(scenario: &Scenario, scene: &Scene, params: Params) -> Vec<Arrival> {
     let mut arrivals = Vec::new();
-    for (service, sized) in scenario.services.iter().enumerate() {
+    for (service, config) in scenario.services.iter().enumerate() {
         let mut random = StdRng::seed_from_u64(params.seed.wrapping_add(service as u64));
-        let rate = sized.capacity() * scene.load;
-        let highest = scene.highest_factor();
+        let rate = config.capacity() * scene.load;
+        let max_factor = scene.max_rate_factor();
         let mut at = 0.0;
         loop {
-            at += -(1.0 - random.random::<f64>()).ln() / (rate * highest);
+            at += -(1.0 - random.random::<f64>()).ln() / (rate * max_factor);
             let time = Duration::from_secs_f64(at);
             if time >= params.duration {
                 break;
             }
-            if random.random::<f64>() * highest > scene.factor(time, params.duration) {
+            if random.random::<f64>() * max_factor > scene.rate_factor(time, params.duration) {
                 continue;
             }
-            let text = text(&mut random, params.identical_percent, arrivals.len());
+            let text = draw_text(&mut random, params.identical_percent, arrivals.len());
             arrivals.push(Arrival { at: time, service, text });
         }
     }
@@ -59,7 +58,7 @@
     arrivals
 }
 
-/// Draws a fixed rate against one service.
+/// Draws arrivals at a constant rate per second for the first service.
 pub fn draw_at_rate(rate: f64, params: Params) -> Vec<Arrival> {
     let mut random = StdRng::seed_from_u64(params.seed);
     let mut arrivals = Vec::new();
@@ -70,14 +69,14 @@
         if time >= params.duration {
             return arrivals;
         }
-        let text = text(&mut random, params.identical_percent, arrivals.len());
+        let text = draw_text(&mut random, params.identical_percent, arrivals.len());
         arrivals.push(Arrival { at: time, service: 0, text });
     }
 }
 
-fn text(random: &mut StdRng, identical: u32, number: usize) -> String {
-    if random.random_range(0..100) < identical {
-        return format!("licence 00000{}", random.random_range(0..POPULAR));
+fn draw_text(random: &mut StdRng, identical_percent: u32, number: usize) -> String {
+    if random.random_range(0..100) < identical_percent {
+        return format!("licence 00000{}", random.random_range(0..POPULAR_TEXTS));
     }
     format!("licence {number:06} ")
 }
--- a/src/load/cost.rs
+++ b/src/load/cost.rs
@@ -1,5 +1,5 @@
-//! The cost of the decisions: the real engine without sockets, against targets
-//! that answer at once.
+//! The cost of the engine's decisions: CPU time and memory of the real traffic
+//! engine without sockets, against targets that answer at once.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -17,40 +17,39 @@
 };
 use serde::Serialize;
 
-use super::processor;
+use super::process;
 use crate::standin::target::settings::shard_range;
 
-/// The legs over all queries of a measurement of time.
+/// The total number of legs in a measurement of CPU time.
 const TIMED_LEGS: u64 = 400_000;
 
-/// The legs over all queries of a measurement of memory.
-const HELD_LEGS: u64 = 220_000;
+/// The total number of legs that are open in a measurement of memory.
+const OPEN_LEGS: u64 = 220_000;
 
-/// The queries that are open at a time while time is measured.
-const OPEN_QUERIES: u64 = 4;
+/// The number of queries that are open at a time while CPU time is measured.
+const CONCURRENT_QUERIES: u64 = 4;
 
-/// The time between two ticks.
-const TICK: Duration = Duration::from_millis(1);
+const TICK_INTERVAL: Duration = Duration::from_millis(1);
 
-/// What a query of some legs costs.
+/// The cost of queries with a given number of legs.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Cost {
-    /// The legs of each query.
+    /// The number of legs of each query.
     pub legs: u32,
-    /// The queries that were timed.
+    /// The number of queries whose CPU time was measured.
     pub queries: u64,
-    /// The processor time of a query in microseconds.
+    /// The CPU time of a query in microseconds.
     pub query_micros: f64,
-    /// The processor time of a leg in microseconds.
+    /// The CPU time of a leg in microseconds.
     pub leg_micros: f64,
-    /// The memory of a query in flight in bytes.
+    /// The memory of an open query in bytes.
     pub query_bytes: f64,
-    /// The memory of a leg in flight in bytes.
+    /// The memory of an open leg in bytes.
     pub leg_bytes: f64,
 }
 
 impl Cost {
-    /// The line of the table.
+    /// Formats the row of the Markdown table.
     pub fn line(&self) -> String {
         format!(
             "| {} | {} | {:.1} | {:.2} | {:.0} | {:.0} |",
@@ -64,18 +63,19 @@
     }
 }
 
-/// The heading of the table.
+/// The heading of the Markdown table.
 pub const HEADING: &str = "| legs | queries | µs per query | µs per leg | bytes per query \
      | bytes per leg |\n|---|---|---|---|---|---|";
 
-/// Measures queries of `legs` legs. The memory is that of the process, so only
-/// the first measurement of a process states it well: later ones use again what
-/// earlier ones gave back.
+/// Measures queries of `legs` legs.
+///
+/// Memory is that of the whole process, so only the first measurement of a process
+/// is accurate: later ones reuse memory that earlier ones freed.
 pub fn measure(legs: u32) -> Cost {
-    let held = (HELD_LEGS / u64::from(legs)).max(1);
-    let bytes = memory(legs, held) as f64 / held as f64;
+    let open_queries = (OPEN_LEGS / u64::from(legs)).max(1);
+    let bytes = memory_growth(legs, open_queries) as f64 / open_queries as f64;
     let queries = (TIMED_LEGS / u64::from(legs)).max(1);
-    let micros = time(legs, queries).as_secs_f64() * 1e6 / queries as f64;
+    let micros = cpu_time(legs, queries).as_secs_f64() * 1e6 / queries as f64;
     Cost {
         legs,
         queries,
@@ -86,44 +86,46 @@
     }
 }
 
-fn time(legs: u32, queries: u64) -> Duration {
-    let mut world = World::new(legs);
-    world.send(OPEN_QUERIES);
-    world.settle();
-    let before = processor::used();
+fn cpu_time(legs: u32, queries: u64) -> Duration {
+    let mut harness = Harness::new(legs);
+    harness.send(CONCURRENT_QUERIES);
+    harness.run_until_idle();
+    let before = process::cpu_time();
     let mut sent = 0;
     while sent < queries {
-        world.send(OPEN_QUERIES.min(queries - sent));
-        sent += OPEN_QUERIES;
-        world.settle();
+        harness.send(CONCURRENT_QUERIES.min(queries - sent));
+        sent += CONCURRENT_QUERIES;
+        harness.run_until_idle();
     }
-    processor::used().saturating_sub(before)
+    process::cpu_time().saturating_sub(before)
 }
 
-fn memory(legs: u32, queries: u64) -> u64 {
-    let mut world = World::new(legs);
-    world.send(1);
-    world.settle();
-    world.is_holding = true;
-    let before = processor::resident();
-    world.send(queries);
-    world.step();
-    processor::resident().saturating_sub(before)
+/// The growth of resident memory, in bytes, while `queries` queries are open.
+fn memory_growth(legs: u32, queries: u64) -> u64 {
+    let mut harness = Harness::new(legs);
+    harness.send(1);
+    harness.run_until_idle();
+    harness.withholds_replies = true;
+    let before = process::resident_bytes();
+    harness.send(queries);
+    harness.step();
+    process::resident_bytes().saturating_sub(before)
 }
 
-/// One engine that is entry and home of every shard, and its targets.
-struct World {
+/// An engine that is both entry and home of every shard, and its targets.
+struct Harness {
     engine: Engine,
     now: Instant,
     calls: u64,
     events: Vec<Event>,
     ranges: BTreeMap<std::net::SocketAddr, Range>,
     connections: BTreeMap<id::Connection, Range>,
-    is_holding: bool,
+    /// Whether the targets leave requests unanswered.
+    withholds_replies: bool,
 }
 
-impl World {
-    fn new(legs: u32) -> World {
+impl Harness {
+    fn new(legs: u32) -> Harness {
         let view = view(legs);
         let ranges = view
             .targets
@@ -138,26 +140,26 @@
             limits: Limits { jobs: usize::MAX, open_requests: usize::MAX, ..Limits::default() },
             policies: Policies::default(),
         });
-        let mut world = World {
+        let mut harness = Harness {
             engine,
             now: Instant(1_000_000),
             calls: 0,
             events: vec![Event::Notice(Notice::View(Arc::new(view)))],
             ranges,
             connections: BTreeMap::new(),
-            is_holding: false,
+            withholds_replies: false,
         };
-        world.settle();
-        // The targets answer some queries before they get all of their slots.
+        harness.run_until_idle();
+        // The engine gives a target all of its slots only after some replies.
         for _ in 0..16 {
-            world.send(1);
-            world.settle();
+            harness.send(1);
+            harness.run_until_idle();
         }
-        world
+        harness
     }
 
-    fn send(&mut self, many: u64) {
-        for _ in 0..many {
+    fn send(&mut self, count: u64) {
+        for _ in 0..count {
             self.calls += 1;
             let search = Search {
                 profile: name("cost"),
@@ -168,15 +170,15 @@
         }
     }
 
-    /// Runs ticks until nothing is to be done.
-    fn settle(&mut self) {
+    /// Runs ticks until no event is left.
+    fn run_until_idle(&mut self) {
         while !self.events.is_empty() {
             self.step();
         }
     }
 
     fn step(&mut self) {
-        self.now = self.now + TICK;
+        self.now = self.now + TICK_INTERVAL;
         let mut out = Outbox::default();
         let events = std::mem::take(&mut self.events);
         self.engine.step(self.now, events, &mut out);
@@ -194,7 +196,7 @@
                 self.connections.insert(connection, range);
                 Some(target::Event::Opened { connection, status: status(range) })
             }
-            Command::Send { connection, request } if !self.is_holding => {
+            Command::Send { connection, request } if !self.withholds_replies => {
                 Some(answer(connection, &request, *self.connections.get(&connection)?))
             }
             Command::Ask { connection, .. } => {
@@ -243,7 +245,7 @@
     };
     view.vms.insert(vm.name.clone(), vm);
     for number in 0..legs {
-        let target = listed(number);
+        let target = listed_target(number);
         view.targets.insert(target.name.clone(), target);
     }
     view.document = Arc::new(document());
@@ -251,7 +253,7 @@
     view
 }
 
-fn listed(number: u32) -> Target {
+fn listed_target(number: u32) -> Target {
     let [_, _, high, low] = number.to_be_bytes();
     Target {
         name: name(&format!("target-{number:05}")),
--- a/src/load/driver.rs
+++ b/src/load/driver.rs
@@ -1,4 +1,5 @@
-//! Sends arrivals at their times, however long the answers take.
+//! The open-loop sender: sends each query at its time, however long earlier answers
+//! take.
 
 use std::{
     net::SocketAddr,
@@ -15,12 +16,12 @@
 };
 use crate::local::Caller;
 
-/// The VMs that take queries, as a balancer knows them.
+/// The VMs that get queries, as a load balancer lists them.
 #[derive(Clone, Debug, Default)]
 pub struct Entries(Arc<Mutex<Vec<SocketAddr>>>);
 
 impl Entries {
-    /// Makes a list.
+    /// Makes a list from the caller-facing addresses of VMs.
     pub fn new(addresses: Vec<SocketAddr>) -> Entries {
         Entries(Arc::new(Mutex::new(addresses)))
     }
@@ -30,18 +31,18 @@
         list.get(number % list.len().max(1)).copied()
     }
 
-    /// Takes a VM out.
     pub fn remove(&self, address: SocketAddr) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).retain(|own| *own != address);
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).retain(|entry| *entry != address);
     }
 
-    /// Adds a VM.
     pub fn add(&self, address: SocketAddr) {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).push(address);
     }
 }
 
-/// Sends the arrivals and returns what came of each, after the last has ended.
+/// Sends all arrivals and returns their samples once the last one has ended.
+///
+/// Arrival times count from `start`; `profiles` holds the profile of each service.
 pub async fn send_all(
     arrivals: Vec<Arrival>,
     profiles: &[Name],
@@ -49,7 +50,7 @@
     caller: &Caller,
     start: Instant,
 ) -> Vec<Sample> {
-    let (sender, mut ends) = mpsc::unbounded_channel();
+    let (sender, mut finished) = mpsc::unbounded_channel();
     for (number, arrival) in arrivals.into_iter().enumerate() {
         let intended = start + arrival.at;
         sleep_until(intended.into()).await;
@@ -59,26 +60,26 @@
         };
         let (sender, caller, profile) = (sender.clone(), caller.clone(), profile.clone());
         tokio::spawn(async move {
-            let outcome = ask(&caller, entry, &profile, &arrival.text).await;
+            let outcome = search(&caller, entry, &profile, &arrival.text).await;
             let sample = Sample {
                 at: arrival.at,
                 service: arrival.service,
-                took: intended.elapsed(),
+                latency: intended.elapsed(),
                 outcome,
             };
-            // The receiver waits for every sender.
+            // Cannot fail: the receiver outlives every sender.
             let _ = sender.send(sample);
         });
     }
     drop(sender);
     let mut samples = Vec::new();
-    while let Some(sample) = ends.recv().await {
+    while let Some(sample) = finished.recv().await {
         samples.push(sample);
     }
     samples
 }
 
-async fn ask(caller: &Caller, entry: SocketAddr, profile: &Name, text: &str) -> Outcome {
+async fn search(caller: &Caller, entry: SocketAddr, profile: &Name, text: &str) -> Outcome {
     let Ok(reply) = caller.search(entry, profile.as_str(), text).await else {
         return Outcome::Lost;
     };
@@ -90,7 +91,7 @@
     Outcome::Refused { kind, is_not_run: reply.body["ran"] == "no" }
 }
 
-/// Waits until a time of the run.
-pub async fn until(start: Instant, at: Duration) {
-    sleep_until((start + at).into()).await;
+/// Waits until `offset` after the start of the run.
+pub async fn wait_until(start: Instant, offset: Duration) {
+    sleep_until((start + offset).into()).await;
 }
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -1,29 +1,29 @@
-//! The load tool: open-loop queries with seeded arrivals against a deployment
-//! in this process or a running one, and what came of them.
+//! The load tool: sends open-loop queries with seeded arrivals to a deployment in
+//! this process or to a running one, and reports the outcomes.
 //!
-//! A latency counts from the time at which its query was meant to start, so a
-//! late sender cannot hide a wait (coordinated omission). `docs/MEASUREMENTS.md`
-//! holds the results, `docs/design/homes.md` what follows from them.
+//! Latency counts from the intended start of a query, so that a late sender cannot
+//! hide waiting time (coordinated omission). `docs/MEASUREMENTS.md` holds the
+//! results, `docs/design/homes.md` the conclusions.
 
 pub mod arrival;
-pub mod bed;
 pub mod check;
 pub mod cost;
 pub mod driver;
 pub mod measurement;
-pub mod processor;
+pub mod process;
 pub mod report;
 pub mod scenario;
 pub mod scene;
 pub mod scheme;
 pub mod sample;
+pub mod testbed;
 
 use std::fmt;
 
-/// Why a measurement ended early.
+/// The error that ended a measurement early.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error {
-    /// What did not work.
+    /// The description of the failed step.
     pub detail: String,
 }
 
@@ -36,7 +36,7 @@
 impl std::error::Error for Error {}
 
 impl Error {
-    /// Makes an error from what did not work.
+    /// Makes an error from a description of the failed step.
     pub fn new(detail: impl Into<String>) -> Error {
         Error { detail: detail.into() }
     }
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -1,4 +1,4 @@
-//! The results, as a table for people and as JSON.
+//! The results, as a Markdown table and as JSON.
 
 use serde::Serialize;
 
@@ -7,74 +7,70 @@
 /// The result of one scheme under one scene for one service.
 #[derive(Clone, Debug, Serialize)]
 pub struct Row {
-    /// The name of the scheme.
     pub scheme: String,
-    /// The name of the scene.
     pub scene: String,
-    /// The name of the service.
     pub service: String,
-    /// What came of the queries.
+    /// The outcomes of the queries.
     #[serde(flatten)]
     pub summary: Summary,
-    /// The queries that were sent a second.
     pub sent_per_second: f64,
-    /// The answers that met their profile a second.
+    /// The answers per second that met their profile.
     pub goodput_per_second: f64,
-    /// The queries a second that keep every slot busy.
+    /// The queries per second that keep every slot busy.
     pub capacity_per_second: f64,
-    /// The attempts at targets over the least that the answers needed.
+    /// The ratio of attempts at targets to the fewest that the answers needed; none
+    /// without answers.
     pub extra_load: Option<f64>,
-    /// All attempts over first attempts, over all services; none where VMs were
-    /// replaced and took their counters with them.
+    /// The ratio of all attempts to first attempts, over all services. None if VMs
+    /// were replaced, because their counters are lost with them.
     pub attempts_per_first: Option<f64>,
-    /// The hedges of all services.
+    /// The number of hedges, over all services.
     pub hedges: f64,
-    /// The retries of all services.
+    /// The number of retries, over all services.
     pub retries: f64,
-    /// The extra attempts of all services that the budgets did not allow.
+    /// The number of extra attempts that retry budgets denied, over all services.
     pub denied: f64,
-    /// The most connections that any target had at a time.
+    /// The highest number of simultaneous connections to any target.
     pub connections: u32,
-    /// The connections that a target takes.
+    /// The number of connections that a target accepts.
     pub connection_limit: u32,
-    /// The calls of the platform a second.
+    /// The calls to the platform per second.
     pub platform_calls_per_second: f64,
-    /// The processor time of the whole process over the wall time.
+    /// The ratio of the CPU time of the whole process to wall time.
     pub processor_cores: f64,
-    /// The processor time of the traffic threads for each attempt, with HTTP to
-    /// callers and targets, in microseconds.
+    /// The CPU time of the traffic threads per attempt, in microseconds, which
+    /// includes HTTP to callers and targets. None if VMs were replaced.
     pub tier_micros_per_attempt: Option<f64>,
-    /// What happened in a burst and after it.
+    /// The figures of the burst, in scenes that have one.
     pub burst: Option<Burst>,
 }
 
-/// The figures of a burst.
+/// The figures during and after a burst.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Burst {
-    /// The answers a second while it lasted.
+    /// The answers per second during the burst.
     pub goodput_per_second: f64,
-    /// What the slots allow.
+    /// The answers per second that the slots allow.
     pub allowed_per_second: f64,
-    /// The 99th percentile before it.
+    /// The 99th percentile of latency before the burst.
     pub p99_before_ms: f64,
-    /// The 99th percentile from two seconds after it.
+    /// The 99th percentile of latency, from two seconds after the burst.
     pub p99_after_ms: f64,
 }
 
-/// All results of a run of the tool.
+/// All results of one run of the load tool.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Document {
     /// The seed of the arrivals.
     pub seed: u64,
-    /// The length of each measurement in seconds.
+    /// The duration of each measurement, without the warm-up.
     pub seconds: u32,
-    /// The results.
     pub rows: Vec<Row>,
-    /// The targets that were checked.
+    /// The results of the checks; empty if none were requested.
     pub findings: Vec<Finding>,
 }
 
-/// The heading of the table.
+/// The heading of the Markdown table.
 pub fn heading() -> Vec<String> {
     vec![
         "| scheme | scene | service | p50 ms | p99 ms | p99.9 ms | coverage | complete | sent/s \
@@ -87,11 +83,11 @@
 }
 
 impl Row {
-    /// The row of the table.
+    /// Formats the row of the Markdown table.
     pub fn line(&self) -> String {
         let summary = &self.summary;
         let refused: u64 = summary.refusals.values().sum();
-        let part = |count: u64, of: u64| count as f64 / of.max(1) as f64;
+        let fraction = |count: u64, total: u64| count as f64 / total.max(1) as f64;
         format!(
             "| {} | {} | {} | {:.1} | {:.1} | {:.1} | {:.4} | {:.4} | {:.1} | {:.1} | {:.1} \
              | {:.4} | {} | {} | {} | {} | {} | {} of {} | {:.1} | {:.2} | {} |",
@@ -102,29 +98,29 @@
             summary.p99_ms,
             summary.p999_ms,
             summary.coverage,
-            part(summary.complete, summary.answered),
+            fraction(summary.complete, summary.answered),
             self.sent_per_second,
             self.goodput_per_second,
             self.capacity_per_second,
-            part(refused, summary.sent),
+            fraction(refused, summary.sent),
             summary.lost,
-            optional(self.extra_load),
-            optional(self.attempts_per_first),
+            format_optional(self.extra_load),
+            format_optional(self.attempts_per_first),
             self.hedges,
             self.retries,
             self.connections,
             self.connection_limit,
             self.platform_calls_per_second,
             self.processor_cores,
-            optional(self.tier_micros_per_attempt),
+            format_optional(self.tier_micros_per_attempt),
         )
     }
 
-    /// What else is worth a line: refusals by kind and the burst.
+    /// Formats the refusals by kind and the figures of the burst, one line each.
     pub fn notes(&self) -> Vec<String> {
         let mut notes = Vec::new();
         if !self.summary.refusals.is_empty() {
-            let of: u64 = self.summary.refusals.values().sum();
+            let total: u64 = self.summary.refusals.values().sum();
             let kinds: Vec<String> = self
                 .summary
                 .refusals
@@ -132,7 +128,7 @@
                 .map(|(kind, count)| format!("{kind} {count}"))
                 .collect();
             notes.push(format!(
-                "{} {} {}: refused {}; {} of {of} say that nothing ran",
+                "{} {} {}: refused {}; {} of {total} say that nothing ran",
                 self.scheme,
                 self.scene,
                 self.service,
@@ -157,6 +153,6 @@
     }
 }
 
-fn optional(value: Option<f64>) -> String {
+fn format_optional(value: Option<f64>) -> String {
     value.map_or_else(|| "-".to_owned(), |value| format!("{value:.3}"))
 }
--- a/src/load/sample.rs
+++ b/src/load/sample.rs
@@ -1,83 +1,83 @@
-//! What came of each query, and the figures over many of them.
+//! The outcome of each query, and the summary of many.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use hdrhistogram::Histogram;
 
-/// What came of a query.
+/// The outcome of a query.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// An answer with this coverage in parts per million.
+    /// An answer, complete or partial, with its coverage in parts per million.
     Answered { coverage: u32 },
-    /// A refusal of this kind, and whether it says that nothing ran.
+    /// A refusal with its kind, and whether it states that nothing ran.
     Refused { kind: String, is_not_run: bool },
-    /// No answer came.
+    /// No response, or one that could not be read.
     Lost,
 }
 
-/// A query that has ended.
+/// A finished query.
 #[derive(Clone, Debug)]
 pub struct Sample {
-    /// When it was meant to start.
+    /// The intended start, as the time since the start of the run.
     pub at: Duration,
-    /// The number of the service.
+    /// The position of the service in the scenario.
     pub service: usize,
     /// The time from the intended start to the end.
-    pub took: Duration,
-    /// What came of it.
+    pub latency: Duration,
     pub outcome: Outcome,
 }
 
 impl Sample {
-    /// Whether an answer came.
+    /// Whether the query got an answer, complete or partial.
     pub fn is_answered(&self) -> bool {
         matches!(self.outcome, Outcome::Answered { .. })
     }
 }
 
-/// The figures over some queries.
+/// The figures of a set of queries. Latencies are those of the answers.
 #[derive(Clone, Debug, Default, serde::Serialize)]
 pub struct Summary {
-    /// The queries that were sent.
+    /// The number of queries sent.
     pub sent: u64,
-    /// The answers, complete or partial.
+    /// The number of answers, complete or partial.
     pub answered: u64,
-    /// The answers that were complete.
+    /// The number of complete answers.
     pub complete: u64,
-    /// The mean coverage of the answers.
+    /// The mean coverage of the answers, from 0 to 1.
     pub coverage: f64,
-    /// The median latency of the answers in milliseconds.
+    /// The median latency in milliseconds.
     pub p50_ms: f64,
-    /// The 99th percentile.
+    /// The 99th percentile of latency in milliseconds.
     pub p99_ms: f64,
-    /// The 99.9th percentile.
+    /// The 99.9th percentile of latency in milliseconds.
     pub p999_ms: f64,
-    /// The refusals by kind.
+    /// The number of refusals by kind.
     pub refusals: BTreeMap<String, u64>,
-    /// The refusals that say that nothing ran.
+    /// The number of refusals that state that nothing ran.
     pub not_run: u64,
-    /// The queries without an answer.
+    /// The number of queries without a response.
     pub lost: u64,
 }
 
-/// The longest latency that the histogram tells apart, in microseconds.
-const MAX_MICROS: u64 = 60_000_000;
+/// The longest latency that the histogram resolves, in microseconds; longer ones
+/// count as this one.
+const MAX_LATENCY_MICROS: u64 = 60_000_000;
 
-/// Sums samples up.
+/// Summarises samples.
 pub fn summary<'a>(samples: impl Iterator<Item = &'a Sample>) -> Summary {
     let mut summary = Summary::default();
-    let mut histogram = Histogram::<u64>::new_with_bounds(1, MAX_MICROS, 3)
+    let mut histogram = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_MICROS, 3)
         .expect("the bounds of the histogram are constants");
     let mut coverage = 0.0;
     for sample in samples {
         summary.sent += 1;
         match &sample.outcome {
-            Outcome::Answered { coverage: parts } => {
-                let micros = u64::try_from(sample.took.as_micros()).unwrap_or(u64::MAX);
+            Outcome::Answered { coverage: ppm } => {
+                let micros = u64::try_from(sample.latency.as_micros()).unwrap_or(u64::MAX);
                 histogram.saturating_record(micros);
                 summary.answered += 1;
-                summary.complete += u64::from(*parts >= laburnum_core::profile::WHOLE);
-                coverage += f64::from(*parts) / f64::from(laburnum_core::profile::WHOLE);
+                summary.complete += u64::from(*ppm >= laburnum_core::profile::WHOLE);
+                coverage += f64::from(*ppm) / f64::from(laburnum_core::profile::WHOLE);
             }
             Outcome::Refused { kind, is_not_run } => {
                 *summary.refusals.entry(kind.clone()).or_default() += 1;
@@ -88,7 +88,7 @@
     }
     if summary.answered > 0 {
         summary.coverage = coverage / summary.answered as f64;
-        let millis = |part| histogram.value_at_quantile(part) as f64 / 1e3;
+        let millis = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
         summary.p50_ms = millis(0.5);
         summary.p99_ms = millis(0.99);
         summary.p999_ms = millis(0.999);
--- a/src/load/scenario.rs
+++ b/src/load/scenario.rs
@@ -1,4 +1,4 @@
-//! What a measurement starts: services with the sizes of their targets.
+//! The scenario of a measurement: services and the sizes of their targets.
 
 use std::time::Duration;
 
@@ -10,62 +10,63 @@
 use super::Error;
 use crate::{local, standin::target::settings::Raw};
 
-/// The scenario that is used when no file is given.
+/// The scenario, as TOML, that is used if no file is given.
 pub const DEFAULT_TOML: &str = include_str!("../../deploy/load-umgeni.toml");
 
-/// The rows of each index; few, so that slots and not rows are measured.
-const ROWS: u64 = 200;
+/// The number of rows of each index; small, so that the cost of slots is measured
+/// and not that of rows.
+const ROWS_PER_INDEX: u64 = 200;
 
-/// A deployment and the services on it.
+/// The size of a deployment and its services.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
     /// The number of VMs.
     pub vms: u32,
-    /// The services; each has an index and a profile of its name.
+    /// The services; each has an index and a profile of the same name.
     pub services: Vec<Service>,
 }
 
-/// An index, its targets and its profile.
+/// A service: an index, its targets and its profile.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// The name of the index and of the profile.
     pub index: Name,
-    /// The shards; each query reads all of them.
+    /// The number of shards; each query reads all of them.
     pub shards: u32,
-    /// The targets of each shard.
+    /// The number of targets of each shard.
     pub replicas: u32,
-    /// The requests that a target runs at a time.
+    /// The number of requests that a target runs at a time.
     pub slots: u32,
-    /// The connections that a target takes.
+    /// The number of connections that a target accepts.
     pub connections: u32,
-    /// The time that a new connection costs.
+    /// The delay of the first answer on a new connection.
     #[serde(rename = "connection_cost_us")]
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     pub connection_cost: Duration,
-    /// The median service time.
+    /// The median service time of a target.
     #[serde(rename = "service_us")]
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     pub service: Duration,
     /// The standard deviation of the logarithm of the service time.
     pub spread: f64,
-    /// The least coverage of an answer.
+    /// The lowest coverage of an answer, in parts per million.
     pub coverage_ppm: u32,
-    /// The time within which an answer is given.
+    /// The time within which a query must be answered.
     #[serde(rename = "deadline_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub deadline: Duration,
-    /// The time that hedging aims at.
+    /// The latency goal that hedging aims at.
     #[serde(rename = "tail_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub tail: Duration,
-    /// The extra attempts allowed.
+    /// The attempts allowed beyond the first, in parts per million of first attempts.
     pub extra_load_ppm: u32,
-    /// The share of the slots relative to other profiles.
+    /// The share of the slots relative to other profiles under overload.
     pub priority: u32,
-    /// Whether a new search is tried at one shard before it goes to all.
+    /// Whether a new search is tried on one shard before it goes to all.
     pub canary: bool,
 }
 
@@ -86,16 +87,16 @@
 }
 
 impl Service {
-    /// The queries a second that keep every slot of each shard busy.
+    /// The queries per second that keep every slot of each shard busy.
     pub fn capacity(&self) -> f64 {
         let mean = self.service.as_secs_f64() * (self.spread * self.spread / 2.0).exp();
         f64::from(self.replicas * self.slots) / mean
     }
 
-    /// The index as a local deployment starts it.
+    /// The index of the service, for a local deployment.
     pub fn index(&self) -> local::Index {
         let target = Raw {
-            rows: ROWS,
+            rows: ROWS_PER_INDEX,
             slots: self.slots,
             connections: self.connections,
             connection_cost: self.connection_cost,
@@ -111,7 +112,7 @@
         }
     }
 
-    /// The profile as it is published.
+    /// The profile of the service, as JSON to publish.
     pub fn profile(&self) -> serde_json::Value {
         serde_json::json!({
             "team": "local",
--- a/src/load/scheme.rs
+++ b/src/load/scheme.rs
@@ -1,35 +1,38 @@
-//! The ways to route, limit and hedge that are compared.
+//! The sets of policies for routing, slots and hedging that are compared.
 
 use laburnum_core::traffic::policy::{
     self, Adaptive, AllSlots, Direct, EqualShare, HEDGE_QUANTILE_PERMILLE, Hedge, Home,
     LeastExpected, Never, NeverCoalesce, Policies, Quantile, Route, Slots,
 };
 
-/// A set of policies under a name.
+/// A named set of policies.
 #[derive(Clone, Copy, Debug)]
 pub struct Scheme {
     /// The name on the command line.
     pub name: &'static str,
-    /// Makes the policies of a thread.
+    /// Makes the policies of one traffic thread.
     pub policies: policy::Factory,
 }
 
-/// Every scheme; the first is the product.
+/// All schemes; the first is the one that the product uses.
 pub const SCHEMES: &[Scheme] = &[
     Scheme { name: "homes", policies: Policies::default },
-    Scheme { name: "homes-no-sharing", policies: || make(Home, AllSlots, hedge()) },
-    Scheme { name: "homes-no-hedge", policies: || make(Home, AllSlots, Never) },
-    Scheme { name: "share", policies: || make(Direct, EqualShare, hedge()) },
-    Scheme { name: "share-no-hedge", policies: || make(Direct, EqualShare, Never) },
-    Scheme { name: "adaptive", policies: || make(Direct, Adaptive::default(), hedge()) },
-    Scheme { name: "adaptive-no-hedge", policies: || make(Direct, Adaptive::default(), Never) },
+    Scheme { name: "homes-no-sharing", policies: || policies(Home, AllSlots, default_hedge()) },
+    Scheme { name: "homes-no-hedge", policies: || policies(Home, AllSlots, Never) },
+    Scheme { name: "share", policies: || policies(Direct, EqualShare, default_hedge()) },
+    Scheme { name: "share-no-hedge", policies: || policies(Direct, EqualShare, Never) },
+    Scheme {
+        name: "adaptive",
+        policies: || policies(Direct, Adaptive::default(), default_hedge()),
+    },
+    Scheme { name: "adaptive-no-hedge", policies: || policies(Direct, Adaptive::default(), Never) },
 ];
 
-fn hedge() -> Quantile {
+fn default_hedge() -> Quantile {
     Quantile { permille: HEDGE_QUANTILE_PERMILLE }
 }
 
-fn make(
+fn policies(
     route: impl Route + Send + 'static,
     slots: impl Slots + Send + 'static,
     hedge: impl Hedge + Send + 'static,
@@ -44,12 +47,13 @@
 }
 
 impl Scheme {
-    /// The scheme with this name.
+    /// Finds a scheme by its name.
     pub fn named(name: &str) -> Option<Scheme> {
         SCHEMES.iter().find(|scheme| scheme.name == name).copied()
     }
 
-    /// Whether each VM goes to the targets on its own.
+    /// Whether this is a scheme to compare the product with, in which each VM sends
+    /// to the targets itself, without homes.
     pub fn is_baseline(&self) -> bool {
         !self.name.starts_with("homes")
     }
--- a/src/load/bed.rs
+++ b/src/load/testbed.rs
@@ -1,4 +1,5 @@
-//! The deployment under measurement: its start, its faults and its counters.
+//! The deployment under measurement: starting it, injecting faults and reading
+//! its counters.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -13,55 +14,55 @@
     standin::target::table,
 };
 
-/// The threads that the targets share.
-const HOSTS: usize = 4;
+/// The number of threads that the targets share.
+const TARGET_THREADS: usize = 4;
 
-/// The time within which a deployment must take requests.
-const START_LIMIT: Duration = Duration::from_secs(20);
+/// The time within which a deployment must accept requests.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// The time between two looks at whether the profiles are in force.
-const LOOK: Duration = Duration::from_millis(100);
+/// The interval of the checks whether the profiles are in force.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The time for which a VM that leaves is still sent requests.
+/// The time for which a leaving VM still gets requests, as from a load balancer
+/// that removes it late.
 const BALANCER_LAG: Duration = Duration::from_millis(500);
 
-/// A deployment with a caller.
-pub struct Bed {
-    /// The deployment.
+/// A deployment in this process and a client for it.
+pub struct Testbed {
     pub deployment: Deployment,
-    /// The caller of its administration.
+    /// The HTTP client for queries and administration.
     pub caller: Caller,
-    /// The VMs that take queries.
+    /// The VMs that get queries.
     pub entries: Entries,
-    /// The number of the VM that was started last.
+    /// The number of the most recently started VM.
     last_vm: u32,
 }
 
-/// What all parts of a deployment have counted.
+/// The counters of all parts of a deployment.
 #[derive(Clone, Debug, Default)]
 pub struct Counters {
-    /// The counts of the targets, by index.
+    /// The counts of each target, by index.
     pub targets: BTreeMap<String, Vec<table::Counts>>,
-    /// The counters of all VMs, summed up by series.
+    /// The counters of the VMs, summed over all VMs for each series.
     pub vms: BTreeMap<String, f64>,
-    /// The calls that the platform took.
-    pub platform: u64,
+    /// The number of calls to the platform.
+    pub platform_calls: u64,
 }
 
 impl Counters {
-    /// The requests that arrived at the targets of an index.
+    /// The number of requests that arrived at the targets of an index.
     pub fn attempts(&self, index: &str) -> u64 {
         self.targets.get(index).into_iter().flatten().map(|counts| counts.attempts).sum()
     }
 
-    /// The most connections that any target of an index had at a time.
-    pub fn connections(&self, index: &str) -> u32 {
+    /// The highest number of simultaneous connections to any target of an index.
+    pub fn max_connections(&self, index: &str) -> u32 {
         let counts = self.targets.get(index).into_iter().flatten();
         counts.map(|counts| counts.connections_highest).max().unwrap_or_default()
     }
 
-    /// The counter of all VMs with this name, over all of its reasons.
-    pub fn vm(&self, name: &str) -> f64 {
+    /// The sum of a counter over all VMs and all values of its labels.
+    pub fn vm_total(&self, name: &str) -> f64 {
         let prefix = format!("laburnum_{name}_total");
         let is_series = |series: &&String| {
             series
@@ -72,13 +73,13 @@
     }
 }
 
-impl Bed {
+impl Testbed {
     /// Starts a deployment and waits until its profiles are in force.
-    pub async fn start(scenario: &Scenario, scheme: &Scheme) -> Result<Bed, Report<Error>> {
+    pub async fn start(scenario: &Scenario, scheme: &Scheme) -> Result<Testbed, Report<Error>> {
         let plan = Plan {
             vms: scenario.vms,
             indexes: scenario.services.iter().map(super::scenario::Service::index).collect(),
-            hosts: HOSTS,
+            hosts: TARGET_THREADS,
             policies: scheme.policies,
         };
         let failed = || Error::new("the deployment did not start");
@@ -86,12 +87,12 @@
         let caller = Caller::new().change_context_lazy(failed)?;
         let callers = deployment.vms.iter().map(|(place, _)| place.callers).collect();
         let entries = Entries::new(callers);
-        let bed = Bed { deployment, caller, entries, last_vm: scenario.vms };
-        if !bed.deployment.ready(START_LIMIT).await {
+        let testbed = Testbed { deployment, caller, entries, last_vm: scenario.vms };
+        if !testbed.deployment.ready(START_TIMEOUT).await {
             return Err(Report::new(Error::new("the VMs are not ready after 20 s")));
         }
-        bed.publish(scenario).await?;
-        Ok(bed)
+        testbed.publish(scenario).await?;
+        Ok(testbed)
     }
 
     async fn publish(&self, scenario: &Scenario) -> Result<(), Report<Error>> {
@@ -107,17 +108,19 @@
             let detail = format!("the profiles were refused: {}", published.body);
             return Err(Report::new(Error::new(detail)));
         }
-        let limit = Instant::now() + START_LIMIT;
-        while !self.is_in_force(scenario).await {
-            if Instant::now() > limit {
-                return Err(Report::new(Error::new("a VM does not answer after 20 s")));
+        let deadline = Instant::now() + START_TIMEOUT;
+        while !self.are_profiles_in_force(scenario).await {
+            if Instant::now() > deadline {
+                return Err(Report::new(Error::new(
+                    "a VM does not answer queries 20 s after the profiles were published",
+                )));
             }
-            sleep(LOOK).await;
+            sleep(POLL_INTERVAL).await;
         }
         Ok(())
     }
 
-    async fn is_in_force(&self, scenario: &Scenario) -> bool {
+    async fn are_profiles_in_force(&self, scenario: &Scenario) -> bool {
         for (place, _) in &self.deployment.vms {
             for service in &scenario.services {
                 let reply = self.caller.search(place.callers, service.index.as_str(), "none").await;
@@ -129,24 +132,24 @@
         true
     }
 
-    /// Switches the faults of the targets of an index with these numbers.
+    /// Replaces the faults of those targets of an index whose number is selected.
     pub async fn set_faults(
         &self,
         index: &str,
-        numbers: impl Fn(usize) -> bool,
+        is_selected: impl Fn(usize) -> bool,
         faults: &Value,
     ) -> Result<(), Report<Error>> {
-        let own = self.deployment.targets.iter().filter(|t| t.listed.index.as_str() == index);
-        for (_, target) in own.enumerate().filter(|(number, _)| numbers(*number)) {
+        let targets = self.deployment.targets.iter().filter(|t| t.listed.index.as_str() == index);
+        for (_, target) in targets.enumerate().filter(|(number, _)| is_selected(*number)) {
             self.caller
                 .send(Method::PUT, target.admin, "/v1/faults", &[], faults)
                 .await
-                .change_context_lazy(|| Error::new("a fault could not be switched"))?;
+                .change_context_lazy(|| Error::new("the faults of a target could not be set"))?;
         }
         Ok(())
     }
 
-    /// Reads every counter.
+    /// Reads the counters of all targets, all VMs and the platform.
     pub async fn counters(&self) -> Result<Counters, Report<Error>> {
         let mut counters = Counters::default();
         for target in &self.deployment.targets {
@@ -160,7 +163,7 @@
             self.add_metrics(place.operators, &mut counters).await?;
         }
         let calls = self.read(self.deployment.platform, "/v1/calls").await?;
-        counters.platform = sum(&calls);
+        counters.platform_calls = sum_numbers(&calls);
         Ok(counters)
     }
 
@@ -194,30 +197,31 @@
         Ok(reply.body)
     }
 
-    /// Lets a VM leave and starts a new one in its place.
+    /// Makes the oldest VM leave and starts a new one in its place.
     pub async fn replace_vm(&mut self) -> Result<(), Report<Error>> {
         let failed = || Error::new("a VM could not be replaced");
         if self.deployment.vms.is_empty() {
             return Ok(());
         }
-        let (old, vm) = self.deployment.vms.remove(0);
-        // Nobody waits for the one that leaves; the queries tell if one is cut.
-        drop(local::leave(vm));
+        let (old_place, old_vm) = self.deployment.vms.remove(0);
+        // The end of the old VM is not awaited: a query that it cuts off shows up in
+        // the samples.
+        drop(local::leave(old_vm));
         self.last_vm += 1;
         let place = place::free(self.last_vm).change_context_lazy(failed)?;
         let path = format!("/v1/list/vms/{}", place.name);
         let row = serde_json::to_value(place.row()).change_context_lazy(failed)?;
         self.change_list(Method::PUT, &path, &row).await?;
-        let new = local::start_vm(&place, self.deployment.platform, self.deployment.policies)
+        let new_vm = local::start_vm(&place, self.deployment.platform, self.deployment.policies)
             .change_context_lazy(failed)?;
         sleep(BALANCER_LAG).await;
-        self.entries.remove(old.callers);
-        self.change_list(Method::DELETE, &format!("/v1/list/vms/{}", old.name), &Value::Null)
+        self.entries.remove(old_place.callers);
+        self.change_list(Method::DELETE, &format!("/v1/list/vms/{}", old_place.name), &Value::Null)
             .await?;
-        if new.ready(START_LIMIT).await {
+        if new_vm.ready(START_TIMEOUT).await {
             self.entries.add(place.callers);
         }
-        self.deployment.vms.push((place, new));
+        self.deployment.vms.push((place, new_vm));
         Ok(())
     }
 
@@ -230,21 +234,23 @@
         self.caller
             .send(method, self.deployment.platform, path, &[], body)
             .await
-            .change_context_lazy(|| Error::new("the list could not be changed"))?;
+            .change_context_lazy(|| Error::new("the platform's list could not be changed"))?;
         Ok(())
     }
 }
 
-/// A fault that crashes a target with its next request, for good.
-pub fn lost() -> Value {
+/// A fault that crashes a target at its next request. It stays down for an hour, so
+/// in practice for the rest of the run.
+pub fn permanent_crash() -> Value {
     json!({ "crash": { "mark": "", "moment": "start", "down_ms": 3_600_000 } })
 }
 
-fn sum(value: &Value) -> u64 {
+/// The sum of all numbers in a JSON value.
+fn sum_numbers(value: &Value) -> u64 {
     match value {
         Value::Number(number) => number.as_u64().unwrap_or_default(),
-        Value::Object(members) => members.values().map(sum).sum(),
-        Value::Array(items) => items.iter().map(sum).sum(),
+        Value::Object(members) => members.values().map(sum_numbers).sum(),
+        Value::Array(items) => items.iter().map(sum_numbers).sum(),
         _ => 0,
     }
 }
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -1,4 +1,4 @@
-//! Tests of the load tool: arrivals, figures and checks.
+//! Tests of the load tool: arrivals, summaries and checks.
 
 #[macro_use]
 #[path = "../common/case.rs"]
