Reword the slope measurements in the terms of the field

Constants had no meaning away from their file (LEGS, TICK, SPAN, LIMIT, HOP, EPOCH, KILOBYTE), functions were words of everyday speech or bare nouns (settle, spend, quiet, lowest, stranger, viewed), and comments repeated names. They now say what the code does, and comments say why earlier fleets, engines and views are kept during a measurement of memory. Labels, sizes and units in the output stay, and so does the behaviour.

File: src/slope/bed.rs -> fixture.rs.

--- a/src/slope/entry.rs
+++ b/src/slope/entry.rs
@@ -13,40 +13,42 @@
 
 use super::{
     Part, Slope,
-    bed::{self, Size},
+    fixture::{self, Size},
     meter,
 };
 
-/// The legs of a query.
-const LEGS: [usize; 3] = [10, 100, 1100];
+/// The numbers of legs of a query.
+const LEGS_PER_QUERY: [usize; 3] = [10, 100, 1100];
 
-/// The queries of one tick.
-const TICK: [usize; 3] = [1, 4, 16];
+/// The numbers of queries in one tick.
+const QUERIES_PER_TICK: [usize; 3] = [1, 4, 16];
 
-/// The VMs of a failure domain, which are the homes that an entry asks.
-const HOMES: usize = 137;
+/// The number of VMs in a failure domain, which are the homes that an entry sends
+/// legs to.
+const HOME_VMS: usize = 137;
 
-/// The legs that are open while memory is measured.
+/// The number of legs that are open while memory is measured.
 const OPEN_LEGS: usize = 220_000;
 
-/// Measures the part.
+/// Measures a traffic thread as entry.
 pub fn measure() -> Vec<Slope> {
     let mut slopes = Vec::new();
-    let mut held = Vec::new();
-    for legs in LEGS {
+    // The engines are kept, so that a later one reuses no memory of an earlier one.
+    let mut engines = Vec::new();
+    for legs in LEGS_PER_QUERY {
         let queries = OPEN_LEGS / legs;
         let mut engine = engine(legs);
-        let (sample, ()) = meter::growth(queries, || open(&mut engine, queries));
-        held.push(engine);
+        let (sample, ()) = meter::memory_growth(queries, || open_queries(&mut engine, queries));
+        engines.push(engine);
         slopes.push(slope("memory of an open query", format!("{legs} legs"), "bytes", sample));
     }
-    drop(held);
-    for legs in LEGS {
-        for queries in TICK {
-            slopes.extend(processor(legs, queries));
+    drop(engines);
+    for legs in LEGS_PER_QUERY {
+        for queries in QUERIES_PER_TICK {
+            slopes.extend(measure_ticks(legs, queries));
         }
     }
-    slopes.extend(bytes());
+    slopes.extend(measure_encoding());
     slopes
 }
 
@@ -55,34 +57,33 @@
 }
 
 fn engine(legs: usize) -> Engine {
-    bed::entry(Size { vms: HOMES, shards: legs, targets: legs })
+    fixture::entry(Size { vms: HOME_VMS, shards: legs, targets: legs })
 }
 
-fn search(call: u64) -> Event {
+fn search_event(call: u64) -> Event {
     let text = format!("band {call}").into();
-    let search = Search { profile: bed::name(bed::PROFILE), text, deadline: None };
+    let search = Search { profile: fixture::name(fixture::PROFILE_NAME), text, deadline: None };
     Event::Search { call: Call(call), search }
 }
 
-/// Opens queries one after the other and leaves them open.
-fn open(engine: &mut Engine, queries: usize) {
+/// Starts queries one after the other, without any reply.
+fn open_queries(engine: &mut Engine, queries: usize) {
     for call in 0..queries {
-        bed::step(engine, vec![search(call as u64)]);
+        fixture::step(engine, vec![search_event(call as u64)]);
     }
 }
 
-/// Measures the two ticks of `queries` queries that come and are answered
-/// together.
-fn processor(legs: usize, queries: usize) -> Vec<Slope> {
+/// Measures `queries` queries that arrive in one tick and are answered in another.
+fn measure_ticks(legs: usize, queries: usize) -> Vec<Slope> {
     let mut engine = engine(legs);
     let mut frames = 0;
-    let sent = meter::micros(queries, || {
-        let (sending, out) = send(&mut engine, queries);
+    let sent = meter::micros_per_unit(queries, || {
+        let (time, out) = send(&mut engine, queries);
         frames = out.messages.len();
         answer(&mut engine, &out);
-        sending
+        time
     });
-    let merged = meter::micros(queries, || {
+    let merged = meter::micros_per_unit(queries, || {
         let (_, out) = send(&mut engine, queries);
         answer(&mut engine, &out)
     });
@@ -95,11 +96,11 @@
 }
 
 fn send(engine: &mut Engine, queries: usize) -> (Duration, Outbox) {
-    let events = (0..queries as u64).map(search).collect();
-    meter::timed(|| bed::step(engine, events))
+    let events = (0..queries as u64).map(search_event).collect();
+    meter::timed(|| fixture::step(engine, events))
 }
 
-/// Answers every leg with one row and returns the time that the entry takes.
+/// Answers every leg with one row and returns the CPU time of the entry.
 fn answer(engine: &mut Engine, out: &Outbox) -> Duration {
     let mut events = Vec::new();
     for (lane, messages) in &out.messages {
@@ -107,7 +108,7 @@
             events.extend(replies(lane, message));
         }
     }
-    let (time, out) = meter::timed(|| bed::step(engine, events));
+    let (time, out) = meter::timed(|| fixture::step(engine, events));
     assert!(!out.answers.is_empty(), "the queries were not answered");
     time
 }
@@ -132,12 +133,12 @@
 }
 
 fn row(key: u64) -> Row {
-    Row { key, body: bed::BODY.into() }
+    Row { key, body: fixture::ROW_BODY.into() }
 }
 
-/// Measures the bytes of legs and replies as they are sent, and the time that
-/// encoding and decoding take.
-fn bytes() -> Vec<Slope> {
+/// Measures the encoded size of legs and replies and the CPU time of encoding and
+/// decoding them.
+fn measure_encoding() -> Vec<Slope> {
     let legs = 1100;
     let mut engine = engine(legs);
     let (_, out) = send(&mut engine, 1);
@@ -150,43 +151,45 @@
         })
         .collect();
     let answers: Vec<&Message> = answers.iter().collect();
-    let wide = wide_reply(100);
-    let narrow = wide_reply(0);
-    let row = (encoded(&wide).len() - encoded(&narrow).len()) as f64 / 100.0;
+    let wide = reply_message(100);
+    let narrow = reply_message(0);
+    let row_bytes = (encode(&wide).len() - encode(&narrow).len()) as f64 / 100.0;
     let size = format!("{legs} legs in {} messages", messages.len());
-    let mut slopes = codec("a leg", &size, legs, &messages);
-    slopes.extend(codec("a reply of one row", &size, legs, &answers));
-    let exact = meter::Sample::exact(row);
+    let mut slopes = measure_codec("a leg", &size, legs, &messages);
+    slopes.extend(measure_codec("a reply of one row", &size, legs, &answers));
+    let exact = meter::Sample::exact(row_bytes);
     slopes.push(slope("bytes of a reply row of 32 bytes", "100 rows".into(), "bytes", exact));
     slopes
 }
 
-fn wide_reply(rows: u64) -> Message {
+/// A message with one reply of `rows` rows.
+fn reply_message(rows: u64) -> Message {
     let rows: Vec<Row> = (0..rows).map(row).collect();
     let digest = digest::rows(&rows);
     let range = laburnum_core::key::Range::ALL;
-    let outcome = Outcome::Rows { version: bed::VERSION, range, rows, digest };
+    let outcome = Outcome::Rows { version: fixture::VERSION, range, rows, digest };
     let leg = laburnum_core::id::Source::new(laburnum_core::id::Origin(u64::MAX)).leg();
     Message::Replies(vec![message::Reply { leg, outcome, attempts: 1, backlog: Duration::ZERO }])
 }
 
-fn encoded(message: &Message) -> Vec<u8> {
+fn encode(message: &Message) -> Vec<u8> {
     bincode::serde::encode_to_vec(message, bincode::config::standard())
         .expect("a message can always be encoded")
 }
 
-fn codec(what: &str, size: &str, units: usize, messages: &[&Message]) -> Vec<Slope> {
-    let all: Vec<Vec<u8>> = messages.iter().map(|message| encoded(message)).collect();
-    let total: usize = all.iter().map(Vec::len).sum();
-    let encode = meter::micros(units, || {
-        meter::timed(|| messages.iter().map(|message| encoded(message).len()).sum::<usize>()).0
+fn measure_codec(what: &str, size: &str, units: usize, messages: &[&Message]) -> Vec<Slope> {
+    let frames: Vec<Vec<u8>> = messages.iter().map(|message| encode(message)).collect();
+    let total: usize = frames.iter().map(Vec::len).sum();
+    let encoding = meter::micros_per_unit(units, || {
+        meter::timed(|| messages.iter().map(|message| encode(message).len()).sum::<usize>()).0
     });
-    let decode = meter::micros(units, || meter::timed(|| all.iter().for_each(|b| decode(b))).0);
+    let decoding =
+        meter::micros_per_unit(units, || meter::timed(|| frames.iter().for_each(|b| decode(b))).0);
     let size = format!("{what}, {size}");
     vec![
         slope("bytes", size.clone(), "bytes", meter::Sample::exact(total as f64 / units as f64)),
-        slope("encode", size.clone(), "us", encode),
-        slope("decode", size, "us", decode),
+        slope("encode", size.clone(), "us", encoding),
+        slope("decode", size, "us", decoding),
     ]
 }
 
--- a/src/slope/bed.rs
+++ b/src/slope/fixture.rs
@@ -1,4 +1,5 @@
-//! Views, engines and messages of a chosen size.
+//! Fixtures of a chosen size for the measurements: names, views, profiles and
+//! traffic engines.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -15,67 +16,63 @@
     view::{Lane, State, Target, View, Vm},
 };
 
-/// The index of every shard.
-pub const INDEX: &str = "register";
+/// The name of the index that every shard belongs to.
+pub const INDEX_NAME: &str = "register";
 
-/// The profile of every query.
-pub const PROFILE: &str = "clearance";
+/// The name of the profile that every query uses.
+pub const PROFILE_NAME: &str = "clearance";
 
 /// The version that every target holds.
 pub const VERSION: Version = Version(1);
 
-/// The content of a row, 32 bytes.
-pub const BODY: &str = "a licence of thirty-two bytes ..";
+/// The body of a row, 32 bytes long.
+pub const ROW_BODY: &str = "a licence of thirty-two bytes ..";
 
-/// The failure domains.
-const DOMAINS: usize = 19;
+/// The number of failure domains.
+const DOMAIN_COUNT: usize = 19;
 
-/// The factor that spreads the names of shards over the key space, prime to
-/// every number of shards that is measured.
-const SPREAD: usize = 7919;
+/// The stride between the ranges of shards that follow each other by name. It is
+/// coprime to every number of shards that is measured, so that each range is used
+/// once.
+const RANGE_STRIDE: usize = 7919;
 
-/// The sizes of a deployment.
+/// The size of a deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
-    /// The number of VMs.
     pub vms: usize,
-    /// The number of shards.
     pub shards: usize,
-    /// The number of targets.
     pub targets: usize,
 }
 
-/// Makes a name from constants of this module.
+/// Makes a name from a text that is known to be valid.
 pub fn name(text: &str) -> Name {
     Name::try_from(text).expect("the text holds only characters of a name")
 }
 
-/// The name of a VM.
 pub fn vm_name(number: usize) -> Name {
     name(&format!("vm-{number:04}"))
 }
 
-/// The name of a shard.
 pub fn shard_name(number: usize) -> Name {
     name(&format!("shard-{number:04}"))
 }
 
-/// The lane of a VM.
+/// The lane of the only traffic thread of a VM.
 pub fn lane(number: usize) -> Lane {
     Lane { vm: vm_name(number), thread: 0 }
 }
 
-/// An address that differs by number; nothing listens there.
+/// A distinct address for each number; nothing listens there.
 pub fn address(number: usize) -> SocketAddr {
     let [_, a, b, c] = u32::try_from(number).unwrap_or_default().to_be_bytes();
     SocketAddr::from(([10, a, b, c], 7000))
 }
 
-/// A VM as others know it.
+/// A live VM with one traffic thread.
 pub fn vm(number: usize) -> Vm {
     Vm {
         name: vm_name(number),
-        domain: name(&format!("domain-{:02}", number % DOMAINS)),
+        domain: name(&format!("domain-{:02}", number % DOMAIN_COUNT)),
         incarnation: 1,
         state: State::Live,
         control: address(number),
@@ -83,13 +80,13 @@
     }
 }
 
-/// A target as the platform lists it.
+/// A live target; targets are assigned to the shards in turn.
 pub fn target(number: usize, shards: usize) -> Target {
     Target {
         name: name(&format!("replica-{number:05}")),
-        index: name(INDEX),
+        index: name(INDEX_NAME),
         shard: shard_name(number % shards),
-        domain: name(&format!("domain-{:02}", number % DOMAINS)),
+        domain: name(&format!("domain-{:02}", number % DOMAIN_COUNT)),
         address: address(number),
         slots: 2,
         connections: 55,
@@ -97,11 +94,11 @@
     }
 }
 
-/// Profiles of which only the revision differs.
+/// A document with the same profile for every revision.
 pub fn document(revision: u64) -> Arc<Document> {
     let profile = Profile::try_from(Raw {
         team: "field".to_owned(),
-        index: INDEX.to_owned(),
+        index: INDEX_NAME.to_owned(),
         coverage_ppm: 1_000_000,
         deadline: Duration::from_secs(60),
         tail: Duration::from_secs(1),
@@ -111,11 +108,11 @@
         canary: false,
     })
     .expect("the profile keeps to the limits");
-    let profiles = BTreeMap::from([(name(PROFILE), profile)]);
+    let profiles = BTreeMap::from([(name(PROFILE_NAME), profile)]);
     Arc::new(Document { revision: Revision(revision), profiles })
 }
 
-/// The view of the VM `own` of a deployment.
+/// The view of a deployment that the VM `own` has.
 pub fn view(own: &Name, size: Size) -> View {
     let mut view = View::starting(own.clone(), name("domain-00"));
     view.vms = (0..size.vms).map(|number| (vm_name(number), vm(number))).collect();
@@ -128,25 +125,26 @@
     view
 }
 
-/// The range of a shard. The order of names is not the order of keys, as after
-/// some repartitions.
+/// The range of a shard. Ranges are not in the order of shard names, as in a
+/// deployment that has been repartitioned.
 pub fn range(shard: usize, shards: usize) -> Range {
-    let place = (shard * SPREAD % shards) as u64;
+    let position = (shard * RANGE_STRIDE % shards) as u64;
     let width = u64::MAX / shards as u64;
-    let last = if place + 1 == shards as u64 { u64::MAX } else { (place + 1) * width - 1 };
-    Range::try_from((place * width, last)).expect("the range is not reversed")
+    let last = if position + 1 == shards as u64 { u64::MAX } else { (position + 1) * width - 1 };
+    Range::try_from((position * width, last)).expect("the range is not reversed")
 }
 
-/// What the homes of all shards say that they hold.
+/// The holdings of all shards, as their homes announce them.
 pub fn holdings(shards: usize) -> Vec<Holding> {
-    let one = |shard| {
+    let holding = |shard| {
         let held = Held { version: VERSION, range: range(shard, shards), replicas: 2 };
-        Holding { index: name(INDEX), shard: shard_name(shard), ranges: vec![held] }
+        Holding { index: name(INDEX_NAME), shard: shard_name(shard), ranges: vec![held] }
     };
-    (0..shards).map(one).collect()
+    (0..shards).map(holding).collect()
 }
 
-/// An engine of the VM `own` without a view.
+/// A traffic engine of the VM `own` that has no view yet. Its limits on
+/// requests and jobs and its status intervals never take effect.
 pub fn engine(own: &Name) -> Engine {
     let limits = Limits {
         open_requests: usize::MAX,
@@ -164,38 +162,39 @@
     })
 }
 
-/// The event of a new view.
-pub fn viewed(view: View) -> Event {
+/// The event that hands a new view to the engine.
+pub fn view_event(view: View) -> Event {
     Event::Notice(Notice::View(Arc::new(view)))
 }
 
-/// A VM that is listed nowhere, so that it is home of no shard.
-pub fn stranger() -> Name {
+/// The name of a VM that no view lists, so that it is home of no shard.
+pub fn unlisted_vm() -> Name {
     name("entry")
 }
 
-/// An entry that is home of nothing and knows what every shard holds.
+/// The engine of an entry that is home of no shard and has the holdings of all.
 pub fn entry(size: Size) -> Engine {
-    let own = stranger();
+    let own = unlisted_vm();
     let mut engine = engine(&own);
-    step(&mut engine, vec![viewed(view(&own, size))]);
+    step(&mut engine, vec![view_event(view(&own, size))]);
     let message = Message::Holdings(holdings(size.shards));
     step(&mut engine, vec![Event::Message { from: lane(0), message }]);
     engine
 }
 
-/// A time that no measurement reaches.
+/// An interval longer than any measurement, so that it never elapses.
 const NEVER: Duration = Duration::from_secs(1_000_000);
 
-/// The time of a step where time stands still, so that no timer is due.
-pub const NOW: Instant = Instant(1_000_000);
+/// The time of the steps during which time stands still, so that no timer becomes
+/// due.
+pub const FIXED_NOW: Instant = Instant(1_000_000);
 
-/// Runs one step at [`NOW`].
+/// Runs one step at [`FIXED_NOW`].
 pub fn step(engine: &mut Engine, events: Vec<Event>) -> Outbox {
-    step_at(engine, NOW, events)
+    step_at(engine, FIXED_NOW, events)
 }
 
-/// Runs one step.
+/// Runs one step of the engine and returns its output.
 pub fn step_at(engine: &mut Engine, now: Instant, events: Vec<Event>) -> Outbox {
     let mut out = Outbox::default();
     engine.step(now, events, &mut out);
--- a/src/slope/fleet.rs
+++ b/src/slope/fleet.rs
@@ -1,5 +1,5 @@
-//! Control engines of many VMs in virtual time, with the processor time that
-//! each of them takes.
+//! A simulated fleet: the control engines of many VMs in virtual time, whose CPU time
+//! is measured.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,7 +16,7 @@
     view::{State, Vm},
 };
 
-use super::{bed, meter};
+use super::{fixture, meter};
 use crate::{
     control::Json,
     standin::platform::{
@@ -27,77 +27,86 @@
     },
 };
 
-/// The wall-clock time at which a fleet starts, in milliseconds.
-const EPOCH: u64 = 1_700_000_000_000;
+/// The wall-clock time at virtual time zero, in milliseconds.
+const WALL_EPOCH_MS: u64 = 1_700_000_000_000;
 
-/// The time that a message takes.
-const HOP: Duration = Duration::from_millis(1);
+/// The delivery time of a message between VMs.
+const MESSAGE_DELAY: Duration = Duration::from_millis(1);
 
-/// The time that the platform's service takes to answer.
-const SERVICE: Duration = Duration::from_millis(2);
+/// The response time of the platform's service.
+const PLATFORM_DELAY: Duration = Duration::from_millis(2);
 
-/// What is on its way to a VM.
+/// A delivery on its way to a VM.
 enum Delivery {
-    /// A message as it was encoded.
+    /// An encoded message.
     Message(Vec<u8>),
-    /// An answer of the service, to the start that called.
+    /// A reply of the platform's service, with the number of the start that called:
+    /// a VM that has restarted since then must not get it.
     Reply(u64, CallId, Reply),
 }
 
-/// A call that the service has not answered.
+/// A call that the platform's service has not answered.
 struct Call {
     vm: Name,
-    start: u64,
+    start_number: u64,
     id: CallId,
 }
 
-/// One VM.
+/// A running VM.
 struct Node {
     engine: Engine,
-    start: u64,
+    /// The number of its start, unique in the fleet.
+    start_number: u64,
+    /// The time of its next step.
     wake: Instant,
-    live: usize,
-    in_force: u64,
+    /// The number of live VMs in its latest view.
+    live_vms: usize,
+    /// The revision in force in its latest view.
+    revision: u64,
 }
 
-/// What all VMs have cost so far.
+/// The total cost of all VMs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Cost {
-    /// The messages that were sent.
+    /// The number of messages sent.
     pub messages: u64,
-    /// The bytes of these messages.
+    /// The encoded size of these messages.
     pub bytes: u64,
-    /// The processor time of the steps, encoding and decoding.
-    pub used: Duration,
-    /// The processor time of the longest step.
-    pub longest: Duration,
-    /// The views that were published.
+    /// The CPU time of steps, encoding and decoding.
+    pub cpu_time: Duration,
+    /// The CPU time of the longest step.
+    pub longest_step: Duration,
+    /// The number of views that were published.
     pub views: u64,
 }
 
-/// Control engines on a network with the platform's service.
+/// Control engines that are connected with each other and the platform's service.
 pub struct Fleet {
-    /// The time.
+    /// The virtual time.
     pub now: Instant,
-    /// What was spent since it was last taken.
+    /// The cost since it was last reset.
     pub cost: Cost,
     nodes: BTreeMap<Name, Node>,
     platform: Tables,
     calls: BTreeMap<Ticket, Call>,
+    /// The number of the latest ticket.
     tickets: u64,
+    /// The deliveries in order of their time.
     queue: BTreeMap<(Instant, u64), (Name, Delivery)>,
     wakes: BTreeSet<(Instant, Name)>,
+    /// Orders deliveries of the same time and numbers publications.
     sequence: u64,
+    /// The number of starts so far.
     starts: u64,
 }
 
 impl Fleet {
-    /// Starts VMs that the platform lists, with targets that it lists as well.
+    /// Starts a fleet; the platform lists all of its VMs and targets.
     pub fn new(vms: usize, targets: usize) -> Fleet {
         let shards = targets.clamp(1, 1100);
         let raw = Raw {
-            vms: (0..vms).map(bed::vm).collect(),
-            targets: (0..targets).map(|number| bed::target(number, shards)).collect(),
+            vms: (0..vms).map(fixture::vm).collect(),
+            targets: (0..targets).map(|number| fixture::target(number, shards)).collect(),
         };
         let list = List::try_from(raw).expect("every row is live");
         let mut fleet = Fleet {
@@ -116,16 +125,16 @@
         fleet
     }
 
-    /// The number of VMs that run.
+    /// The number of running VMs.
     pub fn size(&self) -> usize {
         self.nodes.len()
     }
 
-    /// Starts a VM, again if it ran before.
+    /// Starts a VM, or restarts it if it is running.
     pub fn start(&mut self, number: usize) {
         self.kill(number);
         self.starts += 1;
-        let vm = Vm { incarnation: self.wall().0 + self.starts, ..bed::vm(number) };
+        let vm = Vm { incarnation: self.wall().0 + self.starts, ..fixture::vm(number) };
         let name = vm.name.clone();
         let limits = Limits::default();
         let setup = Setup {
@@ -138,81 +147,85 @@
         };
         let engine = Engine::new(setup);
         let wake = self.now;
-        let node = Node { engine, start: self.starts, wake, live: 0, in_force: 0 };
+        let node = Node { engine, start_number: self.starts, wake, live_vms: 0, revision: 0 };
         self.nodes.insert(name.clone(), node);
         self.wakes.insert((wake, name));
     }
 
-    /// Ends a VM without a word.
+    /// Ends a VM without notice to others.
     pub fn kill(&mut self, number: usize) {
-        let name = bed::vm_name(number);
+        let name = fixture::vm_name(number);
         if let Some(node) = self.nodes.remove(&name) {
             self.wakes.remove(&(node.wake, name));
         }
     }
 
-    /// Takes a VM out of the platform's list.
-    pub fn unlist(&mut self, number: usize) {
-        let ticket = self.ticket();
-        self.serve(vec![(ticket, Input::ChangeList(Change::RemoveVm(bed::vm_name(number))))]);
+    /// Removes a VM from the platform's list.
+    pub fn remove_from_list(&mut self, number: usize) {
+        let ticket = self.next_ticket();
+        self.call_platform(vec![(
+            ticket,
+            Input::ChangeList(Change::RemoveVm(fixture::vm_name(number))),
+        )]);
     }
 
-    /// Publishes profiles that differ from all before through a VM.
+    /// Publishes profiles through a VM; each publication has a different content.
     pub fn publish(&mut self, number: usize) {
         self.sequence += 1;
         let concurrency = u32::try_from(self.sequence % 90_000).unwrap_or_default() + 1;
-        let mut profiles = bed::document(1).profiles.clone();
+        let mut profiles = fixture::document(1).profiles.clone();
         profiles.values_mut().for_each(|profile| profile.concurrency = concurrency);
         let request = Request::Publish {
             profiles,
             expect: None,
             who: "operator".to_owned(),
-            team: bed::name("field"),
+            team: fixture::name("field"),
             dry_run: false,
         };
         let id = RequestId(self.sequence);
-        self.step(&bed::vm_name(number), vec![Event::Request { id, request }]);
+        self.step(&fixture::vm_name(number), vec![Event::Request { id, request }]);
     }
 
-    /// Runs for a time.
-    pub fn run(&mut self, span: Duration) {
+    /// Advances virtual time by `span`.
+    pub fn run_for(&mut self, span: Duration) {
         let end = self.now + span;
-        while let Some(at) = self.next().filter(|&at| at <= end) {
+        while let Some(at) = self.next_time().filter(|&at| at <= end) {
             self.now = self.now.max(at);
             self.tick();
         }
         self.now = end;
     }
 
-    /// Runs until `done` or for the `limit`; returns the time that passed.
-    pub fn until(&mut self, limit: Duration, done: impl Fn(&Fleet) -> bool) -> Duration {
+    /// Runs until `is_done` holds, but at most for `limit`; returns the time that
+    /// passed.
+    pub fn run_until(&mut self, limit: Duration, is_done: impl Fn(&Fleet) -> bool) -> Duration {
         let start = self.now;
-        while !done(self) && self.now.since(start) < limit {
-            self.run(Duration::from_millis(50));
+        while !is_done(self) && self.now.since(start) < limit {
+            self.run_for(Duration::from_millis(50));
         }
         self.now.since(start)
     }
 
-    /// Whether every VM that runs sees as many live VMs as there are.
-    pub fn settled(&self) -> bool {
-        self.nodes.values().all(|node| node.live == self.nodes.len())
+    /// Whether every running VM sees as many live VMs as are running.
+    pub fn is_converged(&self) -> bool {
+        self.nodes.values().all(|node| node.live_vms == self.nodes.len())
     }
 
-    /// Whether no VM has news to pass on.
-    pub fn quiet(&self) -> bool {
+    /// Whether no VM has gossip left to send.
+    pub fn is_gossip_done(&self) -> bool {
         self.nodes.values().all(|node| node.engine.tables().gossip.is_empty())
     }
 
-    /// The lowest revision in force on any VM.
-    pub fn lowest(&self) -> u64 {
-        self.nodes.values().map(|node| node.in_force).min().unwrap_or_default()
+    /// The lowest revision in force on any running VM.
+    pub fn lowest_revision(&self) -> u64 {
+        self.nodes.values().map(|node| node.revision).min().unwrap_or_default()
     }
 
     fn wall(&self) -> Wall {
-        Wall(EPOCH + self.now.0 / 1000)
+        Wall(WALL_EPOCH_MS + self.now.0 / 1000)
     }
 
-    fn next(&self) -> Option<Instant> {
+    fn next_time(&self) -> Option<Instant> {
         let queued = self.queue.keys().next().map(|&(at, _)| at);
         let wakes = self.wakes.first().map(|&(at, _)| at);
         [queued, wakes, self.platform.next_deadline()].into_iter().flatten().min()
@@ -220,12 +233,12 @@
 
     fn tick(&mut self) {
         if self.platform.next_deadline().is_some_and(|at| at <= self.now) {
-            self.serve(Vec::new());
+            self.call_platform(Vec::new());
         }
         let mut events: BTreeMap<Name, Vec<Event>> = BTreeMap::new();
         while let Some(entry) = self.queue.first_entry().filter(|e| e.key().0 <= self.now) {
             let (vm, delivery) = entry.remove();
-            if let Some(event) = self.event(&vm, delivery) {
+            if let Some(event) = self.delivered_event(&vm, delivery) {
                 events.entry(vm).or_default().push(event);
             }
         }
@@ -238,16 +251,17 @@
         }
     }
 
-    fn event(&mut self, vm: &Name, delivery: Delivery) -> Option<Event> {
+    /// Turns a delivery into an event; none if the VM is not running or has restarted.
+    fn delivered_event(&mut self, vm: &Name, delivery: Delivery) -> Option<Event> {
         let node = self.nodes.get(vm)?;
         match delivery {
             Delivery::Message(bytes) => {
                 let (took, message) = meter::timed(|| decode(&bytes));
-                self.cost.used += took;
+                self.cost.cpu_time += took;
                 Some(Event::Message(message))
             }
-            Delivery::Reply(start, call, reply) => {
-                (start == node.start).then_some(Event::Reply { call, reply })
+            Delivery::Reply(start_number, call, reply) => {
+                (start_number == node.start_number).then_some(Event::Reply { call, reply })
             }
         }
     }
@@ -258,8 +272,8 @@
         let mut out = Outbox::default();
         let now = self.now;
         let (took, ()) = meter::timed(|| node.engine.step(now, wall, events, &mut out));
-        self.cost.used += took;
-        self.cost.longest = self.cost.longest.max(took);
+        self.cost.cpu_time += took;
+        self.cost.longest_step = self.cost.longest_step.max(took);
         self.wakes.remove(&(node.wake, vm.clone()));
         node.wake = node.engine.wake().unwrap_or(now + Duration::from_secs(1));
         self.wakes.insert((node.wake, vm.clone()));
@@ -271,44 +285,48 @@
         for (_, notice) in out.notices {
             if let Notice::View(view) = notice {
                 self.cost.views += 1;
-                node.live = view.vms.values().filter(|vm| vm.state == State::Live).count();
-                node.in_force = view.document.revision.0;
+                node.live_vms = view.vms.values().filter(|vm| vm.state == State::Live).count();
+                node.revision = view.document.revision.0;
             }
         }
-        let start = node.start;
+        let start_number = node.start_number;
         for post in out.messages {
             let (took, bytes) = meter::timed(|| encode(&post.message));
-            self.cost.used += took;
+            self.cost.cpu_time += took;
             self.cost.messages += 1;
             self.cost.bytes += bytes.len() as u64;
-            self.enqueue(HOP, post.vm, Delivery::Message(bytes));
+            self.enqueue(MESSAGE_DELAY, post.vm, Delivery::Message(bytes));
         }
         for (id, call) in out.calls {
-            let ticket = self.ticket();
-            self.calls.insert(ticket, Call { vm: vm.clone(), start, id });
-            self.serve(vec![(ticket, Input::Call { vm: Some(vm.clone()), call })]);
+            let ticket = self.next_ticket();
+            self.calls.insert(ticket, Call { vm: vm.clone(), start_number, id });
+            self.call_platform(vec![(ticket, Input::Call { vm: Some(vm.clone()), call })]);
         }
     }
 
-    fn ticket(&mut self) -> Ticket {
+    fn next_ticket(&mut self) -> Ticket {
         self.tickets += 1;
         Ticket(self.tickets)
     }
 
-    fn serve(&mut self, inputs: Vec<(Ticket, Input)>) {
+    fn call_platform(&mut self, inputs: Vec<(Ticket, Input)>) {
         let mut outputs = Vec::new();
         system::run(&mut self.platform, self.now, inputs, &mut outputs);
         for (ticket, output) in outputs {
             let (Output::Reply(reply), Some(call)) = (output, self.calls.remove(&ticket)) else {
                 continue;
             };
-            self.enqueue(SERVICE, call.vm, Delivery::Reply(call.start, call.id, reply));
+            self.enqueue(
+                PLATFORM_DELAY,
+                call.vm,
+                Delivery::Reply(call.start_number, call.id, reply),
+            );
         }
     }
 
-    fn enqueue(&mut self, after: Duration, vm: Name, delivery: Delivery) {
+    fn enqueue(&mut self, delay: Duration, vm: Name, delivery: Delivery) {
         self.sequence += 1;
-        self.queue.insert((self.now + after, self.sequence), (vm, delivery));
+        self.queue.insert((self.now + delay, self.sequence), (vm, delivery));
     }
 }
 
--- a/src/slope/mod.rs
+++ b/src/slope/mod.rs
@@ -1,13 +1,13 @@
-//! Slopes of cost: what the tables and systems take in processor time, memory
-//! and bytes at several sizes, measured without a deployment.
+//! Slopes of cost: the CPU time, memory and bytes of the tables and systems at
+//! several sizes, measured without a deployment.
 //!
-//! `docs/CAPACITY.md` works the planned size out from these slopes. Processor
-//! time is that of the measuring thread, so that other load on the machine
-//! changes the spread and hardly the median.
+//! `docs/CAPACITY.md` derives the planned size from these slopes. CPU time is that of
+//! the measuring thread, so that other load on the machine affects the spread and
+//! hardly the median.
 
-pub mod bed;
 pub mod control;
 pub mod entry;
+pub mod fixture;
 pub mod fleet;
 pub mod holding;
 pub mod home;
@@ -20,23 +20,20 @@
 
 pub use self::meter::Sample;
 
-/// A measured figure.
+/// A figure that was measured at one size.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Slope {
-    /// The part that was measured.
     pub part: Part,
     /// What was measured.
     pub figure: &'static str,
-    /// The size at which it was measured.
+    /// The description of the size, such as `19 VMs, at rest`.
     pub size: String,
-    /// The unit of the values.
     pub unit: &'static str,
-    /// The median and the spread.
     #[serde(flatten)]
     pub sample: Sample,
 }
 
-/// A part of the tier that is measured by itself.
+/// A part of the tier that is measured separately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Part {
@@ -44,7 +41,7 @@
     Entry,
     /// A traffic thread as home.
     Home,
-    /// Changes of holdings and of the view.
+    /// An entry that takes changes of holdings and of the view.
     Holding,
     /// Frames between VMs.
     Wire,
@@ -53,7 +50,7 @@
 }
 
 impl Part {
-    /// Every part.
+    /// All parts.
     pub const ALL: [Part; 5] = [Part::Entry, Part::Home, Part::Holding, Part::Wire, Part::Control];
 
     /// The name on the command line.
@@ -67,14 +64,14 @@
         }
     }
 
-    /// Measures the part, with fleets of at most `most` VMs.
-    pub fn measure(self, most: usize) -> Vec<Slope> {
+    /// Measures the part. Fleets of control engines have at most `max_vms` VMs.
+    pub fn measure(self, max_vms: usize) -> Vec<Slope> {
         match self {
             Part::Entry => entry::measure(),
             Part::Home => home::measure(),
             Part::Holding => holding::measure(),
             Part::Wire => wire::measure(),
-            Part::Control => control::measure(most),
+            Part::Control => control::measure(max_vms),
         }
     }
 }
@@ -85,10 +82,9 @@
     }
 }
 
-/// A name that is no part.
+/// The error for a text that names no part.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Unknown {
-    /// What was given.
     pub text: String,
 }
 
--- a/src/slope/wire.rs
+++ b/src/slope/wire.rs
@@ -1,4 +1,4 @@
-//! Frames over loopback, sender and receiver on one thread.
+//! Frames between VMs over loopback, with sender and receiver on one thread.
 
 use std::{collections::BTreeMap, net::TcpListener, time::Duration};
 
@@ -12,27 +12,27 @@
 use tokio::sync::mpsc;
 
 use super::{
-    Part, Slope, bed,
+    Part, Slope, fixture,
     meter::{self, Sample},
 };
 use crate::wire::{self, Body, Dialer, Guard, Key, Limits, codec, listen};
 
-/// The legs of one frame.
-const LEGS: [usize; 3] = [1, 8, 64];
+/// The numbers of legs in one frame.
+const LEGS_PER_FRAME: [usize; 3] = [1, 8, 64];
 
-/// The frames of one repeat.
-const FRAMES: usize = 2000;
+/// The number of frames in one repeat.
+const FRAMES_PER_REPEAT: usize = 2000;
 
-/// The frames that are sent before the receiver is awaited.
-const BURST: usize = 20;
+/// The number of frames in a burst: all are sent before the first is received.
+const FRAMES_PER_BURST: usize = 20;
 
-/// Measures the part.
+/// Measures frames between VMs.
 pub fn measure() -> Vec<Slope> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("a runtime can be made");
-    LEGS.into_iter().flat_map(|legs| runtime.block_on(frames(legs))).collect()
+    LEGS_PER_FRAME.into_iter().flat_map(|legs| runtime.block_on(measure_frames(legs))).collect()
 }
 
 fn slope(figure: &'static str, size: String, unit: &'static str, sample: Sample) -> Slope {
@@ -45,12 +45,12 @@
     let leg = |shard| Leg {
         leg: ids.leg(),
         query: ids.query(),
-        index: bed::name(bed::INDEX),
-        shard: bed::shard_name(shard),
-        profile: bed::name(bed::PROFILE),
+        index: fixture::name(fixture::INDEX_NAME),
+        shard: fixture::shard_name(shard),
+        profile: fixture::name(fixture::PROFILE_NAME),
         work: Work::Search {
-            version: bed::VERSION,
-            range: bed::range(shard, shards),
+            version: fixture::VERSION,
+            range: fixture::range(shard, shards),
             text: "band 7".into(),
         },
         fingerprint: Fingerprint(u64::MAX),
@@ -60,13 +60,13 @@
     Message::Legs((0..legs).map(leg).collect())
 }
 
-/// Measures frames of `legs` legs that come in bursts, and one at a time.
-async fn frames(legs: usize) -> Vec<Slope> {
+/// Measures frames of `legs` legs, in bursts and one at a time.
+async fn measure_frames(legs: usize) -> Vec<Slope> {
     let message = message(legs);
     let limit = Limits::default().frame;
     let bytes = codec::encode(&Body::Traffic(message.clone()), limit).map_or(0, |b| b.len());
     let mut link = Link::open();
-    let burst = link.measure(&message, BURST).await;
+    let in_bursts = link.measure(&message, FRAMES_PER_BURST).await;
     let single = link.measure(&message, 1).await;
     let size = format!("{legs} legs a frame");
     let per_byte = |sample: Sample| Sample {
@@ -77,16 +77,17 @@
     };
     vec![
         slope("bytes of a frame", size.clone(), "bytes", Sample::exact(bytes as f64)),
-        slope("send and receive a frame, 20 at a time", size.clone(), "us", burst),
-        slope("the same for each byte", size.clone(), "ns", per_byte(burst)),
+        slope("send and receive a frame, 20 at a time", size.clone(), "us", in_bursts),
+        slope("the same for each byte", size.clone(), "ns", per_byte(in_bursts)),
         slope("send and receive a frame, one at a time", size, "us", single),
     ]
 }
 
-/// A connection from one lane to another.
+/// A connection from one lane to another, with both ends.
 struct Link {
     dialer: Dialer,
     frames: mpsc::Receiver<wire::Frame>,
+    /// Kept open for the dialer, which reports lost connections to it.
     _losses: mpsc::UnboundedReceiver<wire::Lost>,
 }
 
@@ -96,33 +97,34 @@
         let address = listener.local_addr().expect("the listener is bound");
         let key = Key::try_from("the-key-of-a-measurement").expect("the text is a key");
         let limits = Limits::default();
-        let guard = Guard { own: bed::lane(1), keys: vec![key.digest()], limits };
-        let (sink, frames) = mpsc::channel(FRAMES);
+        let guard = Guard { own: fixture::lane(1), keys: vec![key.digest()], limits };
+        let (sink, frames) = mpsc::channel(FRAMES_PER_REPEAT);
         tokio::spawn(listen(listener, guard, sink));
         let (losses, lost) = mpsc::unbounded_channel();
-        let mut dialer = Dialer::new(bed::lane(0), 1, key, limits, losses);
-        dialer.update(BTreeMap::from([(bed::lane(1), address)]));
+        let mut dialer = Dialer::new(fixture::lane(0), 1, key, limits, losses);
+        dialer.update(BTreeMap::from([(fixture::lane(1), address)]));
         Link { dialer, frames, _losses: lost }
     }
 
+    /// The CPU time per frame in microseconds, for bursts of `burst` frames.
     async fn measure(&mut self, message: &Message, burst: usize) -> Sample {
         let mut values = Vec::new();
         for repeat in 0..=meter::REPEATS {
-            let before = meter::processor();
-            for _ in 0..FRAMES / burst {
-                self.pass(message, burst).await;
+            let before = meter::thread_cpu_time();
+            for _ in 0..FRAMES_PER_REPEAT / burst {
+                self.send_and_receive(message, burst).await;
             }
-            let took = meter::processor().saturating_sub(before);
+            let took = meter::thread_cpu_time().saturating_sub(before);
             if repeat > 0 {
-                values.push(took.as_secs_f64() * 1e6 / FRAMES as f64);
+                values.push(took.as_secs_f64() * 1e6 / FRAMES_PER_REPEAT as f64);
             }
         }
         Sample::of(values)
     }
 
-    async fn pass(&mut self, message: &Message, burst: usize) {
+    async fn send_and_receive(&mut self, message: &Message, burst: usize) {
         for _ in 0..burst {
-            self.dialer.send(&bed::lane(1), message.clone());
+            self.dialer.send(&fixture::lane(1), message.clone());
         }
         for _ in 0..burst {
             self.frames.recv().await.expect("the listener runs");
