--- a/src/standin/target/admin.rs
+++ b/src/standin/target/admin.rs
@@ -1,4 +1,5 @@
-//! The administration of a stand-in target: faults, counts and executions.
+//! The administration interface of a stand-in target: faults, counts, executions and
+//! load.
 
 use poem::{
     Endpoint, EndpointExt, IntoEndpoint, Response, Route, get, handler, put,
@@ -8,13 +9,13 @@
 use super::{
     engine::{Event, Handle},
     fault::Faults,
-    front::{optional, read_load},
+    front::{json_or_error, read_load},
 };
 
-/// The routes of the administration.
+/// The routes of the administration interface.
 pub fn routes(handle: Handle) -> impl IntoEndpoint<Endpoint = impl Endpoint + 'static> {
     Route::new()
-        .at("/v1/faults", put(put_faults))
+        .at("/v1/faults", put(set_faults))
         .at("/v1/counts", get(read_counts))
         .at("/v1/executions", get(read_executions))
         .at("/v1/load", get(read_load))
@@ -22,16 +23,16 @@
 }
 
 #[handler]
-async fn put_faults(Data(handle): Data<&Handle>, Json(faults): Json<Faults>) -> Response {
-    optional(handle.ask(|reply| Event::Put { faults, reply }).await)
+async fn set_faults(Data(handle): Data<&Handle>, Json(faults): Json<Faults>) -> Response {
+    json_or_error(handle.call(|reply| Event::SetFaults { faults, reply }).await)
 }
 
 #[handler]
 async fn read_counts(Data(handle): Data<&Handle>) -> Response {
-    optional(handle.ask(|reply| Event::Counts { reply }).await)
+    json_or_error(handle.call(|reply| Event::Counts { reply }).await)
 }
 
 #[handler]
 async fn read_executions(Data(handle): Data<&Handle>) -> Response {
-    optional(handle.ask(|reply| Event::Executions { reply }).await)
+    json_or_error(handle.call(|reply| Event::Executions { reply }).await)
 }
--- a/src/standin/target/link.rs
+++ b/src/standin/target/connection.rs
@@ -1,4 +1,4 @@
-//! Connections of a stand-in target, which can become silent or be cut.
+//! Connections of a stand-in target, which can be silenced or reset.
 
 use std::{
     io,
@@ -24,33 +24,33 @@
 
 use super::{
     engine::{Event, Handle},
-    table::Link,
+    table::Connection,
 };
 
 const OPEN: u8 = 0;
 const SILENT: u8 = 1;
-const DEAD: u8 = 2;
+const RESET: u8 = 2;
 
-/// The size of the pieces in which a silent connection's input is thrown away,
-/// in bytes.
-const PIECE: usize = 4096;
+/// The size of the chunks in which the input of a silent connection is discarded.
+const DISCARD_CHUNK_BYTES: usize = 4096;
 
-/// Switches one connection between open, silent and dead.
+/// Switches a connection between open, silent and reset.
 #[derive(Debug, Default)]
-pub struct Gate {
+pub struct Switch {
     state: AtomicU8,
+    /// The task that reads from the connection, to wake after a change.
     reader: Mutex<Option<Waker>>,
 }
 
-impl Gate {
-    /// Lets no byte pass any more, in either direction.
+impl Switch {
+    /// Stops all bytes in both directions, while the connection stays open.
     pub fn silence(&self) {
         self.set(SILENT);
     }
 
-    /// Cuts the connection.
-    pub fn kill(&self) {
-        self.set(DEAD);
+    /// Makes all reads and writes fail as on a connection that was reset.
+    pub fn reset(&self) {
+        self.set(RESET);
     }
 
     fn set(&self, state: u8) {
@@ -61,14 +61,15 @@
         }
     }
 
-    fn watch(&self, context: &Context<'_>) -> u8 {
+    /// Returns the state and registers the reader for the next change.
+    fn poll_state(&self, context: &Context<'_>) -> u8 {
         let waker = context.waker().clone();
         *self.reader.lock().unwrap_or_else(PoisonError::into_inner) = Some(waker);
         self.state.load(Ordering::SeqCst)
     }
 }
 
-/// Accepts connections as long as the target takes them.
+/// Accepts connections as far as the target's limit allows.
 pub struct Acceptor {
     listener: TcpListener,
     handle: Handle,
@@ -76,19 +77,27 @@
 }
 
 impl Acceptor {
-    /// Makes an acceptor. The first bytes of each connection are read after
+    /// Makes an acceptor that reads the first bytes of each connection only after
     /// `cost`.
     pub fn new(listener: TcpListener, handle: Handle, cost: Duration) -> Acceptor {
         Acceptor { listener, handle, cost }
     }
 
+    /// Asks the engine whether to accept the connection; drops it otherwise.
     async fn admit(&self, tcp: TcpStream) -> Option<Stream> {
-        let link = Link(self.handle.number());
-        let gate = Arc::new(Gate::default());
-        let own = Arc::clone(&gate);
-        let taken = self.handle.ask(|reply| Event::Connect { link, gate, reply }).await?;
-        let opening = Some(Box::pin(sleep(self.cost)));
-        taken.then(|| Stream { tcp, link, gate: own, handle: self.handle.clone(), opening })
+        let connection = Connection(self.handle.next_id());
+        let switch = Arc::new(Switch::default());
+        let own_switch = Arc::clone(&switch);
+        let is_accepted =
+            self.handle.call(|reply| Event::Connect { connection, switch, reply }).await?;
+        let opening_delay = Some(Box::pin(sleep(self.cost)));
+        is_accepted.then(|| Stream {
+            tcp,
+            connection,
+            switch: own_switch,
+            handle: self.handle.clone(),
+            opening_delay,
+        })
     }
 }
 
@@ -113,35 +122,36 @@
     }
 }
 
-/// One connection.
+/// An accepted connection.
 pub struct Stream {
     tcp: TcpStream,
-    link: Link,
-    gate: Arc<Gate>,
+    connection: Connection,
+    switch: Arc<Switch>,
     handle: Handle,
-    opening: Option<Pin<Box<Sleep>>>,
+    /// The rest of the time before the first bytes are read.
+    opening_delay: Option<Pin<Box<Sleep>>>,
 }
 
 impl Drop for Stream {
     fn drop(&mut self) {
-        self.handle.tell(Event::Disconnect { link: self.link });
+        self.handle.send(Event::Disconnect { connection: self.connection });
     }
 }
 
 impl Stream {
-    fn poll_opening(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        if let Some(opening) = &mut self.opening {
-            ready!(opening.as_mut().poll(context));
-            self.opening = None;
+    fn poll_opening_delay(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if let Some(delay) = &mut self.opening_delay {
+            ready!(delay.as_mut().poll(context));
+            self.opening_delay = None;
         }
         Poll::Ready(())
     }
 
-    /// Throws away what arrives, until the other end closes.
+    /// Discards input until the other end closes.
     fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let mut piece = [0; PIECE];
+        let mut chunk = [0; DISCARD_CHUNK_BYTES];
         loop {
-            let mut buffer = ReadBuf::new(&mut piece);
+            let mut buffer = ReadBuf::new(&mut chunk);
             ready!(Pin::new(&mut self.tcp).poll_read(context, &mut buffer))?;
             if buffer.filled().is_empty() {
                 return Poll::Ready(Ok(()));
@@ -150,7 +160,7 @@
     }
 }
 
-fn dead<T>() -> Poll<io::Result<T>> {
+fn connection_reset<T>() -> Poll<io::Result<T>> {
     Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
 }
 
@@ -161,12 +171,12 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        let state = this.gate.watch(context);
-        ready!(this.poll_opening(context));
+        let state = this.switch.poll_state(context);
+        ready!(this.poll_opening_delay(context));
         match state {
             OPEN => Pin::new(&mut this.tcp).poll_read(context, buffer),
             SILENT => this.poll_discard(context),
-            _ => dead(),
+            _ => connection_reset(),
         }
     }
 }
@@ -178,10 +188,10 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        match this.gate.state.load(Ordering::SeqCst) {
+        match this.switch.state.load(Ordering::SeqCst) {
             OPEN => Pin::new(&mut this.tcp).poll_write(context, bytes),
             SILENT => Poll::Ready(Ok(bytes.len())),
-            _ => dead(),
+            _ => connection_reset(),
         }
     }
 
--- a/src/standin/target/engine.rs
+++ b/src/standin/target/engine.rs
@@ -1,5 +1,5 @@
-//! The loop of a stand-in target: waits for an event or the next deadline,
-//! runs the systems once and carries out what they decided.
+//! The engine loop of a stand-in target: waits for an event or the next deadline,
+//! runs the systems once and carries out their decisions.
 
 use std::{
     collections::BTreeMap,
@@ -24,62 +24,62 @@
 use super::{
     End, Settings,
     answer::Answer,
+    connection::Switch,
     fault::Faults,
-    link::Gate,
     system::{self, Outbox},
-    table::{Counts, Executions, Job, Link, Load, Tables},
+    table::{Connection, Counts, Executions, Job, Load, Tables},
 };
 
-/// What the servers tell the loop. Each reply goes to the one who asked.
+/// An event from the servers. `reply` returns the result to the sender.
 pub enum Event {
-    /// A connection was accepted; the reply tells whether it is taken.
-    Connect { link: Link, gate: Arc<Gate>, reply: oneshot::Sender<bool> },
+    /// A connection arrived; the reply says whether to accept it.
+    Connect { connection: Connection, switch: Arc<Switch>, reply: oneshot::Sender<bool> },
     /// A connection was closed.
-    Disconnect { link: Link },
+    Disconnect { connection: Connection },
     /// A request arrived.
-    Arrive { job: Job, request: Request, reply: oneshot::Sender<Answer> },
+    Request { job: Job, request: Request, reply: oneshot::Sender<Answer> },
     /// The stream of a request was reset.
-    Withdraw { job: Job },
-    /// Asks for the status.
+    Cancel { job: Job },
+    /// Reads the status.
     Status { reply: oneshot::Sender<Status> },
-    /// Asks for the load as it is reported.
+    /// Reads the load as it is reported.
     Load { reply: oneshot::Sender<Load> },
-    /// Asks for the operations that took effect.
+    /// Reads the operations that took effect.
     Executions { reply: oneshot::Sender<Executions> },
-    /// Asks for the counts.
+    /// Reads the counts.
     Counts { reply: oneshot::Sender<Counts> },
-    /// Replaces the faults.
-    Put { faults: Faults, reply: oneshot::Sender<()> },
+    /// Replaces all faults.
+    SetFaults { faults: Faults, reply: oneshot::Sender<()> },
 }
 
-/// The servers' end of the loop.
+/// The handle through which the servers send events to the engine loop.
 #[derive(Clone)]
 pub struct Handle {
     events: UnboundedSender<Event>,
-    last: Arc<AtomicU64>,
+    next_id: Arc<AtomicU64>,
 }
 
 impl Handle {
     /// Makes a handle that sends to `events`.
     pub fn new(events: UnboundedSender<Event>) -> Handle {
-        Handle { events, last: Arc::default() }
+        Handle { events, next_id: Arc::default() }
     }
 
-    /// A number that is greater than all before.
-    pub fn number(&self) -> u64 {
-        self.last.fetch_add(1, Ordering::Relaxed)
+    /// Returns an id that is greater than all earlier ones.
+    pub fn next_id(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::Relaxed)
     }
 
     /// Sends an event that has no reply.
-    pub fn tell(&self, event: Event) {
-        // The loop ends only with the servers.
+    pub fn send(&self, event: Event) {
+        // A failure does not matter: the loop ends only together with the servers.
         let _ = self.events.send(event);
     }
 
     /// Sends an event and waits for the reply; none if the target crashed.
-    pub async fn ask<T>(&self, event: impl FnOnce(oneshot::Sender<T>) -> Event) -> Option<T> {
+    pub async fn call<T>(&self, event: impl FnOnce(oneshot::Sender<T>) -> Event) -> Option<T> {
         let (reply, answer) = oneshot::channel();
-        self.tell(event(reply));
+        self.send(event(reply));
         answer.await.ok()
     }
 }
@@ -87,28 +87,28 @@
 struct Engine {
     clock: time::Instant,
     tables: Tables,
-    gates: BTreeMap<Link, Arc<Gate>>,
+    switches: BTreeMap<Connection, Arc<Switch>>,
     replies: BTreeMap<Job, oneshot::Sender<Answer>>,
 }
 
-/// Runs the loop until a crash that ends the process.
+/// Runs the loop until a crash, if the settings say that a crash ends the process.
 pub async fn run(settings: Settings, mut events: UnboundedReceiver<Event>) -> End {
     let mut engine = Engine {
         clock: time::Instant::now(),
         tables: Tables::new(settings, Instant::default()),
-        gates: BTreeMap::new(),
+        switches: BTreeMap::new(),
         replies: BTreeMap::new(),
     };
     loop {
         let first = tokio::select! {
             event = events.recv() => event,
-            () = engine.wait() => None,
+            () = engine.wait_for_tick() => None,
         };
         let mut out = Outbox::default();
         let now = engine.now();
         let rest = std::iter::from_fn(|| events.try_recv().ok());
         for event in first.into_iter().chain(rest) {
-            engine.take(now, event, &mut out);
+            engine.handle(now, event, &mut out);
         }
         system::tick(&mut engine.tables, now, &mut out);
         let crashed = out.crashed;
@@ -124,66 +124,67 @@
         Instant::default() + self.clock.elapsed()
     }
 
-    /// Waits for the time of the next tick, without end if there is none.
-    async fn wait(&self) {
-        match system::next(&self.tables) {
+    /// Waits until the next tick is due, forever if there is none.
+    async fn wait_for_tick(&self) {
+        match system::next_tick(&self.tables) {
             Some(at) => time::sleep(at.remaining(self.now())).await,
             None => std::future::pending().await,
         }
     }
 
-    fn take(&mut self, now: Instant, event: Event, out: &mut Outbox) {
+    fn handle(&mut self, now: Instant, event: Event, out: &mut Outbox) {
         let tables = &mut self.tables;
         match event {
-            Event::Connect { link, gate, reply } => {
-                let taken = system::connect(tables, now, link);
-                if taken {
-                    self.gates.insert(link, gate);
+            Event::Connect { connection, switch, reply } => {
+                let is_accepted = system::connect(tables, now, connection);
+                if is_accepted {
+                    self.switches.insert(connection, switch);
                 }
-                answer(reply, taken);
+                send_reply(reply, is_accepted);
             }
-            Event::Disconnect { link } => {
-                system::disconnect(tables, link);
-                self.gates.remove(&link);
+            Event::Disconnect { connection } => {
+                system::disconnect(tables, connection);
+                self.switches.remove(&connection);
             }
-            Event::Arrive { job, request, reply } => {
+            Event::Request { job, request, reply } => {
                 self.replies.insert(job, reply);
-                system::arrive(tables, now, job, request, out);
+                system::admit(tables, now, job, request, out);
             }
-            Event::Withdraw { job } => {
+            Event::Cancel { job } => {
                 self.replies.remove(&job);
-                system::withdraw(tables, job);
+                system::cancel(tables, job);
             }
-            Event::Status { reply } => answer(reply, tables.status()),
-            Event::Load { reply } => answer(reply, system::reported(tables, now)),
-            Event::Executions { reply } => answer(reply, tables.executions.clone()),
-            Event::Counts { reply } => answer(reply, tables.counts),
-            Event::Put { faults, reply } => {
-                system::put(tables, faults, out);
-                answer(reply, ());
+            Event::Status { reply } => send_reply(reply, tables.status()),
+            Event::Load { reply } => send_reply(reply, system::reported_load(tables, now)),
+            Event::Executions { reply } => send_reply(reply, tables.executions.clone()),
+            Event::Counts { reply } => send_reply(reply, tables.counts),
+            Event::SetFaults { faults, reply } => {
+                system::set_faults(tables, faults, out);
+                send_reply(reply, ());
             }
         }
     }
 
+    /// Carries out the decisions of a tick.
     fn flush(&mut self, out: Outbox) {
-        for link in out.silenced {
-            if let Some(gate) = self.gates.get(&link) {
-                gate.silence();
+        for connection in out.silenced {
+            if let Some(switch) = self.switches.get(&connection) {
+                switch.silence();
             }
         }
         if out.crashed {
-            std::mem::take(&mut self.gates).values().for_each(|gate| gate.kill());
+            std::mem::take(&mut self.switches).values().for_each(|switch| switch.reset());
             self.replies.clear();
         }
         for (job, reply) in out.answers {
             if let Some(sender) = self.replies.remove(&job) {
-                answer(sender, reply);
+                send_reply(sender, reply);
             }
         }
     }
 }
 
-fn answer<T>(reply: oneshot::Sender<T>, value: T) {
-    // Who asked may have gone.
+fn send_reply<T>(reply: oneshot::Sender<T>, value: T) {
+    // The receiver may have gone away in the meantime.
     let _ = reply.send(value);
 }
--- a/src/standin/target/fault.rs
+++ b/src/standin/target/fault.rs
@@ -1,4 +1,4 @@
-//! The faults of a stand-in target, replaced as a whole while it runs.
+//! The faults of a stand-in target, which are replaced as a whole while it runs.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -8,91 +8,90 @@
 
 use super::table::Load;
 
-/// When a request that crashes its target does so.
+/// The moment at which a request crashes its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Moment {
-    /// Before it takes effect, as soon as it has a slot.
+    /// As soon as it has a slot, before it takes effect.
     Start,
-    /// Before it takes effect, after half of its service time.
+    /// After half of its service time, before it takes effect.
     Midway,
-    /// After it took effect and before its reply.
+    /// After it took effect, before its reply.
     After,
 }
 
-/// A crash of the target by a marked request.
+/// A crash of the target that a marked request causes.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Crash {
-    /// The request's text or detail contains this.
+    /// The text that marks a request if its text or detail contains it.
     pub mark: String,
-    /// When it crashes.
     pub moment: Moment,
-    /// The time until the target takes connections again.
+    /// The time until the target accepts connections again.
     #[serde(rename = "down_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub down: Duration,
 }
 
-/// What is wrong with the replies that are hit.
+/// A defect of a reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Defect {
-    /// The reply ends in its middle.
+    /// The reply breaks off in the middle.
     Cut,
     /// The reply carries the id of another attempt.
     Crossed,
-    /// Each row comes twice.
+    /// Each row is sent twice.
     Doubled,
-    /// A row lies outside of the range that was asked for.
+    /// A row lies outside of the requested range.
     Outside,
-    /// The reply states another version.
+    /// The reply states a wrong version.
     Version,
-    /// The reply states another digest.
+    /// The reply states a wrong digest.
     Digest,
-    /// The request takes a slot and is never answered.
+    /// The request holds its slot and is never answered.
     Mute,
 }
 
-/// Which replies are hit and how.
+/// A defect in the replies to marked requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Hit {
-    /// What is wrong.
     pub wrong: Defect,
-    /// The request's text or detail contains this; empty hits all.
+    /// The text that marks a request if its text or detail contains it; the empty
+    /// text marks all.
     #[serde(default)]
     pub mark: String,
-    /// The replies that are hit before the fault ends by itself.
+    /// The number of replies after which the fault ends; none for no end.
     #[serde(default)]
     pub times: Option<u32>,
 }
 
-/// All faults that are in force.
+/// All faults in force.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
-    /// How many times longer each request takes.
+    /// The factor by which each request takes longer.
     pub slow_factor: f64,
-    /// Replaces the share of stragglers.
+    /// Replaces the share of stragglers in the settings.
     pub straggler_ppm: Option<u32>,
-    /// Replaces the factor of stragglers.
+    /// Replaces the factor of stragglers in the settings.
     pub straggler_factor: Option<f64>,
-    /// Every request is shed.
+    /// Whether every request is shed.
     pub shed: bool,
-    /// The target is leaving.
+    /// Whether the target is draining.
     pub drain: bool,
-    /// A marked request crashes the target.
+    /// The crash that a marked request causes.
     pub crash: Option<Crash>,
-    /// Replies are wrong.
+    /// The defects of replies; the first that matches a request applies.
     pub hits: Vec<Hit>,
-    /// The connections that are open now never carry a byte again. New ones
-    /// work. It is carried out once, when the faults are put in force.
+    /// Silences the open connections: they stay open and carry no more bytes. This
+    /// is done once, when the faults are set; new connections work.
     pub silence: bool,
-    /// Replaces the ranges that are held.
+    /// Replaces the held ranges.
     pub holds: Option<BTreeMap<Version, key::Range>>,
-    /// Replaces the load that is reported.
+    /// Replaces the reported load.
     pub load: Option<Load>,
 }
 
@@ -114,15 +113,16 @@
 }
 
 impl Faults {
-    /// Tells when a request with this text crashes the target, if it does.
-    pub fn crash(&self, text: &str) -> Option<&Crash> {
+    /// The crash that a request with this text causes, if any.
+    pub fn crash_for(&self, text: &str) -> Option<&Crash> {
         self.crash.as_ref().filter(|crash| text.contains(&crash.mark))
     }
 
-    /// Takes the first fault that hits the reply to a request with this text.
-    /// `mute` chooses between [`Defect::Mute`] and the others, because a request
-    /// becomes mute when it starts and is wrong when it ends.
-    pub fn take(&mut self, text: &str, mute: bool) -> Option<Defect> {
+    /// Takes the first defect for a request with this text and counts it as used.
+    ///
+    /// `mute` selects [`Defect::Mute`], which applies when a request starts, or else
+    /// the other defects, which apply when it ends.
+    pub fn take_defect(&mut self, text: &str, mute: bool) -> Option<Defect> {
         let hit = self.hits.iter_mut().find(|hit| {
             (hit.wrong == Defect::Mute) == mute && hit.times != Some(0) && text.contains(&hit.mark)
         })?;
--- a/src/standin/target/front.rs
+++ b/src/standin/target/front.rs
@@ -27,14 +27,14 @@
 };
 use crate::target::body::{self, Done, Operate, Refused, Rows, Search};
 
-/// The longest request body that is read, in bytes.
-const MAX_BODY: usize = 1024 * 1024;
+/// The longest request body that is read.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
 
 /// The routes of the traffic interface.
 pub fn routes(handle: Handle) -> impl IntoEndpoint<Endpoint = impl Endpoint + 'static> {
     Route::new()
-        .at(body::SEARCH, post(run_search).with(SizeLimit::new(MAX_BODY)))
-        .at(body::OPERATE, post(run_operation).with(SizeLimit::new(MAX_BODY)))
+        .at(body::SEARCH, post(run_search).with(SizeLimit::new(MAX_BODY_BYTES)))
+        .at(body::OPERATE, post(run_operation).with(SizeLimit::new(MAX_BODY_BYTES)))
         .at(body::STATUS, get(read_status))
         .at("/v1/load", get(read_load))
         .data(handle)
@@ -44,49 +44,50 @@
 async fn run_search(Data(handle): Data<&Handle>, Json(search): Json<Search>) -> Response {
     let Search { attempt, remaining, version, range, text } = search;
     let work = Work::Search { version, range, text };
-    run(handle, Request { attempt, work, remaining }).await
+    serve_request(handle, Request { attempt, work, remaining }).await
 }
 
 #[handler]
 async fn run_operation(Data(handle): Data<&Handle>, Json(operate): Json<Operate>) -> Response {
     let Operate { attempt, remaining, subject, operation, detail, token } = operate;
     let work = Work::Operate { subject, operation, detail, token };
-    run(handle, Request { attempt, work, remaining }).await
+    serve_request(handle, Request { attempt, work, remaining }).await
 }
 
 #[handler]
 async fn read_status(Data(handle): Data<&Handle>) -> Response {
-    optional(handle.ask(|reply| Event::Status { reply }).await)
+    json_or_error(handle.call(|reply| Event::Status { reply }).await)
 }
 
 #[handler]
 pub async fn read_load(Data(handle): Data<&Handle>) -> Response {
-    optional(handle.ask(|reply| Event::Load { reply }).await)
+    json_or_error(handle.call(|reply| Event::Load { reply }).await)
 }
 
-/// Withdraws a request when its stream is reset, which drops its handler.
-struct Withdrawal {
+/// Cancels a request when it is dropped. The handler of a request is dropped when its
+/// stream is reset.
+struct CancelOnDrop {
     handle: Handle,
     job: Job,
 }
 
-impl Drop for Withdrawal {
+impl Drop for CancelOnDrop {
     fn drop(&mut self) {
-        self.handle.tell(Event::Withdraw { job: self.job });
+        self.handle.send(Event::Cancel { job: self.job });
     }
 }
 
-async fn run(handle: &Handle, request: Request) -> Response {
-    let job = Job(handle.number());
-    // A request that was answered is unknown to the loop and withdrawn in vain.
-    let _withdrawal = Withdrawal { handle: handle.clone(), job };
-    match handle.ask(|reply| Event::Arrive { job, request, reply }).await {
-        Some(answer) => encode(answer),
+async fn serve_request(handle: &Handle, request: Request) -> Response {
+    let job = Job(handle.next_id());
+    // Once a request has been answered, the engine ignores its cancellation.
+    let _cancel = CancelOnDrop { handle: handle.clone(), job };
+    match handle.call(|reply| Event::Request { job, request, reply }).await {
+        Some(answer) => encode_answer(answer),
         None => StatusCode::INTERNAL_SERVER_ERROR.into(),
     }
 }
 
-fn encode(answer: Answer) -> Response {
+fn encode_answer(answer: Answer) -> Response {
     let Reply { attempt, outcome, status } = answer.reply;
     let (code, json) = match outcome {
         Outcome::Rows { version, range, rows, count, digest } => {
@@ -102,40 +103,40 @@
         Outcome::Garbled { detail } => (StatusCode::INTERNAL_SERVER_ERROR, Ok(detail.into())),
     };
     match json {
-        Ok(json) => respond(code, json, answer.cut),
-        Err(error) => failure(attempt, &error),
+        Ok(json) => json_response(code, json, answer.cut),
+        Err(error) => encoding_error(attempt, &error),
     }
 }
 
-fn failure(attempt: Option<id::Attempt>, error: &serde_json::Error) -> Response {
+fn encoding_error(attempt: Option<id::Attempt>, error: &serde_json::Error) -> Response {
     let text = format!("reply to {attempt:?} cannot be encoded: {error}");
     Response::builder().status(StatusCode::INTERNAL_SERVER_ERROR).body(text)
 }
 
-fn respond(code: StatusCode, json: Vec<u8>, cut: bool) -> Response {
+fn json_response(code: StatusCode, json: Vec<u8>, cut: bool) -> Response {
     let response = Response::builder().status(code).content_type("application/json");
     if cut {
         let half = json[..json.len() / 2].to_vec();
-        return response.body(Body::from_async_read(Cut { half: Some(half) }));
+        return response.body(Body::from_async_read(TruncatedBody { half: Some(half) }));
     }
     response.body(json)
 }
 
-/// Encodes what the loop answered; nothing if the target crashed meanwhile.
-pub fn optional<T: Serialize>(value: Option<T>) -> Response {
+/// Encodes a reply of the engine as JSON, or an error if the target has crashed.
+pub fn json_or_error<T: Serialize>(value: Option<T>) -> Response {
     match value.map(|value| serde_json::to_vec(&value)) {
-        Some(Ok(json)) => respond(StatusCode::OK, json, false),
-        Some(Err(error)) => failure(None, &error),
+        Some(Ok(json)) => json_response(StatusCode::OK, json, false),
+        Some(Err(error)) => encoding_error(None, &error),
         None => StatusCode::INTERNAL_SERVER_ERROR.into(),
     }
 }
 
 /// A body that fails after its first half.
-struct Cut {
+struct TruncatedBody {
     half: Option<Vec<u8>>,
 }
 
-impl AsyncRead for Cut {
+impl AsyncRead for TruncatedBody {
     fn poll_read(
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
--- a/src/standin/target/mod.rs
+++ b/src/standin/target/mod.rs
@@ -1,10 +1,10 @@
-//! The stand-in of a target: a replica of one shard with slots, a queue, a
-//! connection limit and faults that are switched while it runs.
+//! The stand-in for a target: a replica of one shard with slots, a queue, a
+//! connection limit and faults that can be changed while it runs.
 //!
-//! It keeps the shape of the product: [`table`] holds the rows, [`system`] the
-//! decisions without a socket, [`engine`] the loop that waits and ticks, and
-//! [`front`] and [`admin`] the encoding. Traffic and administration have
-//! addresses of their own, so that the tests take no connection of the limit.
+//! It has the same structure as the product: [`table`] holds the rows, [`system`] the
+//! decisions without sockets, [`engine`] the loop that waits and ticks, and [`front`]
+//! and [`admin`] the encoding. Traffic and administration have separate addresses, so
+//! that administrative calls of tests do not count towards the connection limit.
 
 use std::{io, net};
 
@@ -18,16 +18,17 @@
 pub mod table;
 mod admin;
 mod answer;
+mod connection;
 mod engine;
 mod front;
-mod link;
 
 pub use settings::Settings;
 
-/// The cancelled streams that may wait to be noticed on one connection.
+/// The number of reset streams per connection that the server need not have accepted
+/// yet; with more it closes the connection.
 const MAX_PENDING_RESETS: u32 = 10_000;
 
-/// Why a stand-in ended by itself.
+/// The reason why a stand-in ended by itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
     /// A request crashed it; the process should exit with an error.
@@ -46,24 +47,25 @@
     let (sender, events) = mpsc::unbounded_channel();
     let handle = engine::Handle::new(sender);
     let cost = settings.connection_cost;
-    let acceptor = link::Acceptor::new(listener(traffic)?, handle.clone(), cost);
-    let traffic = Server::new_with_acceptor(acceptor)
+    let acceptor = connection::Acceptor::new(tokio_listener(traffic)?, handle.clone(), cost);
+    let traffic_server = Server::new_with_acceptor(acceptor)
         .http2_max_pending_accept_reset_streams(MAX_PENDING_RESETS)
         .run(front::routes(handle.clone()));
-    let admin_acceptor = TcpAcceptor::from_tokio(listener(admin)?)?;
-    let admin = Server::new_with_acceptor(admin_acceptor).run(admin::routes(handle));
+    let admin_acceptor = TcpAcceptor::from_tokio(tokio_listener(admin)?)?;
+    let admin_server = Server::new_with_acceptor(admin_acceptor).run(admin::routes(handle));
     tokio::select! {
         end = engine::run(settings, events) => Ok(end),
-        result = traffic => stopped(result),
-        result = admin => stopped(result),
+        result = traffic_server => server_stopped(result),
+        result = admin_server => server_stopped(result),
     }
 }
 
-fn listener(listener: net::TcpListener) -> io::Result<TcpListener> {
+fn tokio_listener(listener: net::TcpListener) -> io::Result<TcpListener> {
     listener.set_nonblocking(true)?;
     TcpListener::from_std(listener)
 }
 
-fn stopped(result: io::Result<()>) -> io::Result<End> {
+/// Turns the end of a server into an error: servers must not end before the engine.
+fn server_stopped(result: io::Result<()>) -> io::Result<End> {
     result.and(Err(io::Error::other("the server of the stand-in stopped")))
 }
--- a/src/standin/target/row.rs
+++ b/src/standin/target/row.rs
@@ -1,7 +1,8 @@
 //! The rows of a stand-in index, computed from a seed.
 //!
-//! Every replica computes the same rows, so that a test can compute the whole
-//! answer as well. A body names its version, so that a mixed answer shows.
+//! Every replica computes the same rows, so that a test can compute the complete
+//! answer too. Each body contains its version, so that an answer of mixed versions
+//! is detected.
 
 use std::sync::Arc;
 
@@ -11,7 +12,7 @@
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The words of which each body holds two.
+/// The words from which row bodies are made; each body contains two.
 pub const BODY_WORDS: [&str; 12] = [
     "amateur",
     "aviation",
@@ -30,14 +31,14 @@
 /// A generated index.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Index {
-    /// Seeds the rows.
+    /// The seed of the rows.
     pub seed: u64,
-    /// The rows of the whole index.
+    /// The number of rows of the whole index.
     pub rows: u64,
 }
 
 impl Index {
-    /// The rows of `range` at `version` whose body contains `text`, by key.
+    /// The rows of `range` at `version` whose body contains `text`, in key order.
     pub fn read(self, version: Version, range: key::Range, text: &str) -> Vec<Row> {
         if self.rows == 0 {
             return Vec::new();
@@ -51,8 +52,7 @@
             .collect()
     }
 
-    /// One row in each stretch of `step` keys, at a place that depends on the
-    /// seed.
+    /// The row among the `step` keys with this number; its key depends on the seed.
     fn row(self, version: Version, number: u64, step: u64) -> Row {
         let hash = xxh3_64_with_seed(&number.to_le_bytes(), self.seed);
         let key = number * step + hash % step;
--- a/src/standin/target/settings.rs
+++ b/src/standin/target/settings.rs
@@ -1,4 +1,4 @@
-//! Settings of a stand-in target.
+//! The settings of a stand-in target.
 
 use std::{collections::BTreeMap, fmt, time::Duration};
 
@@ -6,28 +6,28 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMicroSeconds, DurationMilliSeconds, serde_as};
 
-/// The most shards that the key space is split into.
+/// The highest number of shards that the key space can be split into.
 const MAX_SHARDS: u32 = 1_000_000;
 
-/// Checked settings of a stand-in target.
+/// The validated settings of a stand-in target.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(try_from = "Raw")]
 pub struct Settings {
-    /// Seeds the rows; replicas of one index have the same.
+    /// The seed of the rows; all replicas of an index have the same one.
     pub seed: u64,
-    /// Seeds the service times.
+    /// The seed of the service times.
     pub noise: u64,
-    /// The rows of the whole index.
+    /// The number of rows of the whole index.
     pub rows: u64,
-    /// The number of this start.
+    /// The incarnation of the target at its first start; each crash increases it.
     pub incarnation: u64,
-    /// The ranges that are held, by version.
+    /// The held range of each version.
     pub holds: BTreeMap<Version, key::Range>,
-    /// The requests that run at a time.
+    /// The number of requests that run at a time.
     pub slots: u32,
-    /// The requests that wait for a slot; more are shed.
+    /// The number of requests that may wait for a slot; more are shed.
     pub queue: u32,
-    /// The connections that are open at a time; more are refused.
+    /// The number of connections that may be open at a time; more are refused.
     pub connections: u32,
     /// The delay of the first answer on a new connection.
     pub connection_cost: Duration,
@@ -37,19 +37,19 @@
     pub spread: f64,
     /// The share of stragglers, in parts per million.
     pub straggler_ppm: u32,
-    /// How many times longer a straggler takes.
+    /// The factor by which a straggler takes longer.
     pub straggler_factor: f64,
-    /// The time after a start in which the target is slower.
+    /// The time after a start during which the target is slower.
     pub cold: Duration,
-    /// How many times longer a request takes right after a start.
+    /// The factor by which a request takes longer right after a start.
     pub cold_factor: f64,
-    /// The age of the load that is reported.
+    /// The age of the reported load.
     pub load_lag: Duration,
-    /// Whether a crash ends the process; else the target comes back.
+    /// Whether a crash ends the process; otherwise the target restarts.
     pub exit_on_crash: bool,
 }
 
-/// Settings as they stand in a file, before they are checked.
+/// The settings as written in a file, before validation.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -62,11 +62,11 @@
     pub rows: u64,
     /// See [`Settings::incarnation`].
     pub incarnation: u64,
-    /// The shard that is held, counted from zero.
+    /// The held shard, counted from zero.
     pub shard: u32,
     /// The number of equal shards that the key space is split into.
     pub shards: u32,
-    /// The versions at which the shard is held.
+    /// The versions of the shard that are held.
     pub versions: Vec<u64>,
     /// See [`Settings::slots`].
     pub slots: u32,
@@ -128,12 +128,11 @@
     }
 }
 
-/// Why raw settings were refused: the key at fault and what is allowed.
+/// The error for invalid settings: the key and what is allowed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error {
-    /// The key at fault.
     pub key: &'static str,
-    /// What is allowed.
+    /// The allowed values.
     pub detail: &'static str,
 }
 
@@ -180,19 +179,19 @@
     }
 }
 
-fn check(holds: bool, key: &'static str, detail: &'static str) -> Result<(), Error> {
-    if holds { Ok(()) } else { Err(Error { key, detail }) }
+fn check(is_valid: bool, key: &'static str, detail: &'static str) -> Result<(), Error> {
+    if is_valid { Ok(()) } else { Err(Error { key, detail }) }
 }
 
-/// The range of one of `parts` equal parts of the key space.
+/// The range of one of `shards` equal shards of the key space.
 ///
-/// The last part takes what the division leaves over. A part that does not
-/// exist is taken as the last one.
-pub fn shard_range(number: u32, parts: u32) -> key::Range {
-    let parts = u64::from(parts.max(1));
-    let number = u64::from(number).min(parts - 1);
-    let size = u64::MAX / parts;
+/// The last shard includes the remainder of the division. A number past the last
+/// shard gives the last one.
+pub fn shard_range(number: u32, shards: u32) -> key::Range {
+    let shards = u64::from(shards.max(1));
+    let number = u64::from(number).min(shards - 1);
+    let size = u64::MAX / shards;
     let first = number * size;
-    let last = if number + 1 == parts { u64::MAX } else { first + (size - 1) };
+    let last = if number + 1 == shards { u64::MAX } else { first + (size - 1) };
     key::Range::try_from((first, last)).unwrap_or(key::Range::ALL)
 }
--- a/src/standin/target/system.rs
+++ b/src/standin/target/system.rs
@@ -1,7 +1,7 @@
-//! The decisions of a stand-in target, without sockets and clocks.
+//! The decisions of a stand-in target, without sockets or clocks.
 //!
-//! Each function takes the tables, the time and an [`Outbox`]. [`tick`] runs
-//! the systems in their order.
+//! The functions work on the tables, get the time from outside and write their
+//! decisions to an [`Outbox`]. [`tick`] runs the systems in order.
 
 use std::time::Duration;
 
@@ -14,59 +14,58 @@
 use super::{
     answer::{self, Answer},
     fault::{Crash, Faults, Moment},
-    table::{Change, Finish, Job, Link, Load, Running, Tables, Waiting, text},
+    table::{Change, Completion, Connection, Job, Load, Running, Tables, Waiting, match_text},
 };
 
-/// What the engine does after a tick.
+/// The decisions that the engine carries out after a tick.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    /// The answers to requests.
     pub answers: Vec<(Job, Answer)>,
     /// Whether the target crashed.
     pub crashed: bool,
-    /// The connections that become silent.
-    pub silenced: Vec<Link>,
+    /// The connections to silence.
+    pub silenced: Vec<Connection>,
 }
 
-/// Takes or refuses a connection.
-pub fn connect(tables: &mut Tables, now: Instant, link: Link) -> bool {
-    let full = tables.links.len() >= tables.settings.connections as usize;
-    if full || now < tables.started {
+/// Accepts or refuses a connection; returns whether it is accepted.
+pub fn connect(tables: &mut Tables, now: Instant, connection: Connection) -> bool {
+    let is_full = tables.connections.len() >= tables.settings.connections as usize;
+    if is_full || now < tables.started {
         tables.counts.connections_refused += 1;
         return false;
     }
-    tables.links.insert(link);
+    tables.connections.insert(connection);
     tables.counts.connections_total += 1;
-    count_links(tables);
+    count_connections(tables);
     true
 }
 
-/// Forgets a connection that was closed.
-pub fn disconnect(tables: &mut Tables, link: Link) {
-    tables.links.remove(&link);
-    count_links(tables);
+/// Removes a connection that was closed.
+pub fn disconnect(tables: &mut Tables, connection: Connection) {
+    tables.connections.remove(&connection);
+    count_connections(tables);
 }
 
-fn count_links(tables: &mut Tables) {
-    let open = u32::try_from(tables.links.len()).unwrap_or(u32::MAX);
+fn count_connections(tables: &mut Tables) {
+    let open = u32::try_from(tables.connections.len()).unwrap_or(u32::MAX);
     tables.counts.connections_open = open;
     tables.counts.connections_highest = tables.counts.connections_highest.max(open);
 }
 
-/// Puts faults in force.
+/// Replaces all faults.
 ///
-/// Connections that become silent are no longer counted: the target's end of
-/// them is as good as closed.
-pub fn put(tables: &mut Tables, faults: Faults, out: &mut Outbox) {
+/// Silenced connections no longer count towards the limit: for the target they are as
+/// good as closed.
+pub fn set_faults(tables: &mut Tables, faults: Faults, out: &mut Outbox) {
     if faults.silence {
-        out.silenced.extend(std::mem::take(&mut tables.links));
-        count_links(tables);
+        out.silenced.extend(std::mem::take(&mut tables.connections));
+        count_connections(tables);
     }
     tables.faults = faults;
 }
 
-/// Takes a request into the queue or refuses it.
-pub fn arrive(tables: &mut Tables, now: Instant, job: Job, request: Request, out: &mut Outbox) {
+/// Adds a request to the queue or refuses it.
+pub fn admit(tables: &mut Tables, now: Instant, job: Job, request: Request, out: &mut Outbox) {
     tables.counts.attempts += 1;
     if let Some(refusal) = refusal(tables, &request) {
         match refusal {
@@ -91,16 +90,16 @@
             Some(_) => {}
         }
     }
-    let room = tables.settings.slots.saturating_add(tables.settings.queue);
-    let taken = tables.running.len() + tables.waiting.len();
-    (tables.faults.shed || taken >= room as usize).then_some(Refusal::Shed)
+    let capacity = tables.settings.slots.saturating_add(tables.settings.queue);
+    let used = tables.running.len() + tables.waiting.len();
+    (tables.faults.shed || used >= capacity as usize).then_some(Refusal::Shed)
 }
 
-/// Frees what a withdrawn request holds.
-pub fn withdraw(tables: &mut Tables, job: Job) {
-    let waited = tables.waiting.remove(&job).is_some();
-    let ran = tables.running.remove(&job).is_some();
-    if waited || ran {
+/// Removes a cancelled request from the queue or from its slot.
+pub fn cancel(tables: &mut Tables, job: Job) {
+    let was_waiting = tables.waiting.remove(&job).is_some();
+    let was_running = tables.running.remove(&job).is_some();
+    if was_waiting || was_running {
         tables.counts.cancelled += 1;
     }
 }
@@ -110,17 +109,17 @@
     finish(tables, now, out);
     expire(tables, now, out);
     start(tables, now, out);
-    observe(tables, now);
+    record_load(tables, now);
 }
 
-/// The time at which the next tick is due, if there is one.
-pub fn next(tables: &Tables) -> Option<Instant> {
+/// The time at which the next tick is due, if any.
+pub fn next_tick(tables: &Tables) -> Option<Instant> {
     let ends = tables.running.values().filter_map(|running| running.end);
     let deadlines = tables.waiting.values().map(|waiting| waiting.deadline);
     ends.chain(deadlines).min()
 }
 
-/// Ends the requests whose service time is over.
+/// Completes the requests whose service time has elapsed.
 fn finish(tables: &mut Tables, now: Instant, out: &mut Outbox) {
     let ended: Vec<Job> = tables
         .running
@@ -129,7 +128,8 @@
         .map(|(&job, _)| job)
         .collect();
     for job in ended {
-        // A crash of an earlier one empties the table.
+        // An earlier request of the same tick may have crashed the target, which empties
+        // the table.
         if let Some(running) = tables.running.remove(&job) {
             finish_one(tables, now, job, &running, out);
         }
@@ -137,24 +137,24 @@
 }
 
 fn finish_one(tables: &mut Tables, now: Instant, job: Job, running: &Running, out: &mut Outbox) {
-    let mark = text(&running.request.work);
-    let crash = tables.faults.crash(mark).cloned();
-    if running.finish == Finish::Crash {
-        crash_now(tables, now, crash.as_ref(), out);
+    let text = match_text(&running.request.work);
+    let crash = tables.faults.crash_for(text).cloned();
+    if running.completion == Completion::Crash {
+        crash_target(tables, now, crash.as_ref(), out);
         return;
     }
-    execute(tables, &running.request.work);
+    record_execution(tables, &running.request.work);
     tables.counts.finished += 1;
     if let Some(crash) = crash.filter(|crash| crash.moment == Moment::After) {
-        crash_now(tables, now, Some(&crash), out);
+        crash_target(tables, now, Some(&crash), out);
         return;
     }
-    let wrong = tables.faults.take(mark, false);
-    out.answers.push((job, answer::result(tables, &running.request, wrong)));
+    let defect = tables.faults.take_defect(text, false);
+    out.answers.push((job, answer::result(tables, &running.request, defect)));
 }
 
 /// Records that an operation took effect.
-fn execute(tables: &mut Tables, work: &Work) {
+fn record_execution(tables: &mut Tables, work: &Work) {
     let Work::Operate { subject, detail, token, .. } = work else {
         return;
     };
@@ -164,12 +164,13 @@
     *executions.subjects.entry(*subject).or_default() += 1;
 }
 
-/// Loses all that is in memory; the target is down for the time of the crash.
-fn crash_now(tables: &mut Tables, now: Instant, crash: Option<&Crash>, out: &mut Outbox) {
+/// Drops all requests, connections and pending answers; the target stays down for the
+/// time that the crash states.
+fn crash_target(tables: &mut Tables, now: Instant, crash: Option<&Crash>, out: &mut Outbox) {
     tables.running.clear();
     tables.waiting.clear();
-    tables.links.clear();
-    count_links(tables);
+    tables.connections.clear();
+    count_connections(tables);
     tables.counts.crashes += 1;
     tables.incarnation += 1;
     tables.started = now + crash.map_or(Duration::ZERO, |crash| crash.down);
@@ -177,7 +178,7 @@
     out.crashed = true;
 }
 
-/// Refuses the requests whose deadline passed before they got a slot.
+/// Refuses the waiting requests whose deadline has passed.
 fn expire(tables: &mut Tables, now: Instant, out: &mut Outbox) {
     let late: Vec<Job> = tables
         .waiting
@@ -195,7 +196,7 @@
     }
 }
 
-/// Gives free slots to the requests that wait, the earliest first.
+/// Gives free slots to waiting requests in order of arrival.
 fn start(tables: &mut Tables, now: Instant, out: &mut Outbox) {
     while tables.running.len() < tables.settings.slots as usize {
         let Some((job, waiting)) = tables.waiting.pop_first() else {
@@ -207,71 +208,74 @@
 
 fn start_one(tables: &mut Tables, now: Instant, job: Job, request: Request, out: &mut Outbox) {
     tables.counts.started += 1;
-    let mark = text(&request.work).to_owned();
-    let crash = tables.faults.crash(&mark).cloned();
-    let mute = tables.faults.take(&mark, true).is_some();
-    let service = service(tables, now);
-    let (end, finish) = match crash.as_ref().map(|crash| crash.moment) {
-        Some(Moment::Start) => return crash_now(tables, now, crash.as_ref(), out),
-        Some(Moment::Midway) => (now + service / 2, Finish::Crash),
-        Some(Moment::After) | None => (now + service, Finish::Answer),
+    let text = match_text(&request.work).to_owned();
+    let crash = tables.faults.crash_for(&text).cloned();
+    let is_mute = tables.faults.take_defect(&text, true).is_some();
+    let service_time = draw_service_time(tables, now);
+    let (end, completion) = match crash.as_ref().map(|crash| crash.moment) {
+        Some(Moment::Start) => return crash_target(tables, now, crash.as_ref(), out),
+        Some(Moment::Midway) => (now + service_time / 2, Completion::Crash),
+        Some(Moment::After) | None => (now + service_time, Completion::Answer),
     };
-    tables.running.insert(job, Running { request, end: (!mute).then_some(end), finish });
+    tables.running.insert(job, Running { request, end: (!is_mute).then_some(end), completion });
     let running = tables.load().running;
     tables.counts.running_highest = tables.counts.running_highest.max(running);
 }
 
-/// Draws a service time.
-fn service(tables: &mut Tables, now: Instant) -> Duration {
+/// Draws the service time of a request that starts now.
+fn draw_service_time(tables: &mut Tables, now: Instant) -> Duration {
     let settings = &tables.settings;
     let faults = &tables.faults;
     let straggler_ppm = faults.straggler_ppm.unwrap_or(settings.straggler_ppm);
     let straggler_factor = faults.straggler_factor.unwrap_or(settings.straggler_factor);
-    let cold = cold_factor(tables, now);
-    let mut factor = (settings.spread * normal(&mut tables.random)).exp();
+    let cold_factor = current_cold_factor(tables, now);
+    let mut factor = (settings.spread * draw_normal(&mut tables.random)).exp();
     if tables.random.random_range(0..1_000_000) < straggler_ppm {
         factor *= straggler_factor;
     }
-    settings.service.mul_f64((factor * faults.slow_factor * cold).clamp(0.0, 1e6))
+    settings.service.mul_f64((factor * faults.slow_factor * cold_factor).clamp(0.0, 1e6))
 }
 
 /// Draws from an approximate normal distribution: the sum of twelve uniform
 /// numbers has a variance of one.
-fn normal(random: &mut impl RngExt) -> f64 {
+fn draw_normal(random: &mut impl RngExt) -> f64 {
     let sum: f64 = (0..12).map(|_| random.random::<f64>()).sum();
     sum - 6.0
 }
 
-/// Falls from the cold factor to one over the time after a start.
-fn cold_factor(tables: &Tables, now: Instant) -> f64 {
+/// The factor by which requests take longer after a start; it falls from the setting
+/// to one, linearly over the cold time.
+fn current_cold_factor(tables: &Tables, now: Instant) -> f64 {
     let age = now.since(tables.started);
-    let whole = tables.settings.cold;
-    if age >= whole {
+    let cold = tables.settings.cold;
+    if age >= cold {
         return 1.0;
     }
-    let left = 1.0 - age.as_secs_f64() / whole.as_secs_f64();
-    1.0 + (tables.settings.cold_factor - 1.0) * left
+    let remaining = 1.0 - age.as_secs_f64() / cold.as_secs_f64();
+    1.0 + (tables.settings.cold_factor - 1.0) * remaining
 }
 
-/// Keeps the load of the time that is still reported.
-fn observe(tables: &mut Tables, now: Instant) {
+/// Records the load and drops the entries that are older than the one to report.
+fn record_load(tables: &mut Tables, now: Instant) {
     let load = tables.load();
-    if tables.loads.back().is_none_or(|change| change.load != load) {
-        tables.loads.push_back(Change { at: now, load });
+    if tables.load_history.back().is_none_or(|change| change.load != load) {
+        tables.load_history.push_back(Change { at: now, load });
     }
     let lag = tables.settings.load_lag;
-    while tables.loads.get(1).is_some_and(|change| now.since(change.at) >= lag) {
-        tables.loads.pop_front();
+    while tables.load_history.get(1).is_some_and(|change| now.since(change.at) >= lag) {
+        tables.load_history.pop_front();
     }
 }
 
-/// The load as it is reported: as it was some time ago.
-pub fn reported(tables: &Tables, now: Instant) -> Load {
+/// The load as it is reported: as it was one [`load_lag`] ago.
+///
+/// [`load_lag`]: super::Settings::load_lag
+pub fn reported_load(tables: &Tables, now: Instant) -> Load {
     if let Some(load) = tables.faults.load {
         return load;
     }
     let lag = tables.settings.load_lag;
-    let old = tables.loads.iter().rev().find(|change| now.since(change.at) >= lag);
+    let lagging = tables.load_history.iter().rev().find(|change| now.since(change.at) >= lag);
     let idle = Load { slots: tables.settings.slots, ..Load::default() };
-    old.map_or(idle, |change| change.load)
+    lagging.map_or(idle, |change| change.load)
 }
--- a/src/standin/target/table.rs
+++ b/src/standin/target/table.rs
@@ -16,26 +16,25 @@
 
 use super::{fault::Faults, settings::Settings};
 
-/// The id of a request at the target; a greater one came later.
+/// The id of a request at the target, in order of arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Job(pub u64);
 
 /// The id of a connection to the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Link(pub u64);
+pub struct Connection(pub u64);
 
 /// A request that waits for a slot.
 #[derive(Clone, Debug)]
 pub struct Waiting {
-    /// What is asked.
     pub request: Request,
-    /// When it is of no more use.
+    /// The time after which the caller has no use for an answer.
     pub deadline: Instant,
 }
 
-/// What a request does when its time is over.
+/// The effect of a request when its service time has elapsed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Finish {
+pub enum Completion {
     /// It is answered.
     Answer,
     /// It crashes the target.
@@ -45,100 +44,93 @@
 /// A request that holds a slot.
 #[derive(Clone, Debug)]
 pub struct Running {
-    /// What is asked.
     pub request: Request,
-    /// When it ends; none for a request that is never answered.
+    /// The end of its service time; none if it is never answered.
     pub end: Option<Instant>,
-    /// What it does then.
-    pub finish: Finish,
+    pub completion: Completion,
 }
 
 /// The load of a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// The slots that are taken.
+    /// The number of requests that hold a slot.
     pub running: u32,
-    /// The requests that wait for a slot.
+    /// The number of requests that wait for a slot.
     pub waiting: u32,
-    /// All slots.
+    /// The number of slots, free or not.
     pub slots: u32,
 }
 
-/// The load from a point in time on.
+/// A change of the load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Change {
-    /// When the load changed.
     pub at: Instant,
-    /// What it was from then on.
+    /// The load from then on.
     pub load: Load,
 }
 
 /// The non-idempotent operations that took effect.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Executions {
-    /// The runs of each token.
+    /// The number of runs with each token.
     pub tokens: BTreeMap<Uuid, u64>,
-    /// The runs with each detail.
+    /// The number of runs with each detail.
     pub details: BTreeMap<Arc<str>, u64>,
-    /// The runs on each subject.
+    /// The number of runs on each subject.
     pub subjects: BTreeMap<u64, u64>,
 }
 
-/// What the target has counted since the process started.
+/// The counts of the target since the process started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
-    /// The requests that arrived.
+    /// Requests that arrived.
     pub attempts: u64,
-    /// The requests that got a slot.
+    /// Requests that got a slot.
     pub started: u64,
-    /// The requests that ran to their end.
+    /// Requests that ran to completion.
     pub finished: u64,
-    /// The requests that were withdrawn while they waited or ran.
+    /// Requests that were cancelled while they waited or ran.
     pub cancelled: u64,
-    /// The requests that were shed.
+    /// Requests that were shed.
     pub shed: u64,
-    /// The requests whose deadline passed before they got a slot.
+    /// Requests whose deadline passed before they got a slot.
     pub expired: u64,
-    /// The requests that were refused for any other reason.
+    /// Requests that were refused for any other reason.
     pub refused: u64,
-    /// The most requests that ran at a time.
+    /// The highest number of requests that ran at the same time.
     pub running_highest: u32,
-    /// The connections that are open.
+    /// Connections that are open now.
     pub connections_open: u32,
-    /// The most connections that were open at a time.
+    /// The highest number of connections that were open at the same time.
     pub connections_highest: u32,
-    /// The connections that were taken.
+    /// Connections that were accepted.
     pub connections_total: u64,
-    /// The connections that were refused.
+    /// Connections that were refused.
     pub connections_refused: u64,
-    /// The crashes.
     pub crashes: u64,
 }
 
 /// All tables of a stand-in target.
 #[derive(Debug)]
 pub struct Tables {
-    /// The settings.
     pub settings: Settings,
-    /// The number of this start.
+    /// The incarnation since the last start; each crash increases it.
     pub incarnation: u64,
-    /// When this start began; it is later than now while the target is down.
+    /// The time of the last start; in the future while the target is down.
     pub started: Instant,
-    /// The faults in force.
     pub faults: Faults,
     /// The requests that wait, in order of arrival.
     pub waiting: BTreeMap<Job, Waiting>,
     /// The requests that hold a slot.
     pub running: BTreeMap<Job, Running>,
-    /// The connections that are open.
-    pub links: BTreeSet<Link>,
-    /// The operations that took effect; they outlive a crash.
+    /// The open connections, without those that were silenced.
+    pub connections: BTreeSet<Connection>,
+    /// The operations that took effect; they are kept over a crash.
     pub executions: Executions,
-    /// What was counted.
     pub counts: Counts,
-    /// The load over the last time, as old as it is reported.
-    pub loads: VecDeque<Change>,
-    /// The source of service times.
+    /// The changes of the load, back to the load that is reported now.
+    pub load_history: VecDeque<Change>,
+    /// The random source of service times.
     pub random: StdRng,
 }
 
@@ -153,20 +145,20 @@
             faults: Faults::default(),
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
-            links: BTreeSet::new(),
+            connections: BTreeSet::new(),
             executions: Executions::default(),
             counts: Counts::default(),
-            loads: VecDeque::new(),
+            load_history: VecDeque::new(),
             random,
         }
     }
 
-    /// The ranges that are held now, by version.
+    /// The held range of each version, with faults taken into account.
     pub fn holds(&self) -> &BTreeMap<Version, key::Range> {
         self.faults.holds.as_ref().unwrap_or(&self.settings.holds)
     }
 
-    /// What the target says of itself.
+    /// The status that the target reports.
     pub fn status(&self) -> Status {
         Status {
             incarnation: self.incarnation,
@@ -175,7 +167,7 @@
         }
     }
 
-    /// The load at this moment.
+    /// The current load.
     pub fn load(&self) -> Load {
         Load {
             running: count(self.running.len()),
@@ -185,8 +177,8 @@
     }
 }
 
-/// The text by which marked requests are known.
-pub fn text(work: &Work) -> &str {
+/// The text that faults match their marks against.
+pub fn match_text(work: &Work) -> &str {
     match work {
         Work::Search { text, .. } => text,
         Work::Operate { detail, .. } => detail,
