Reword the client of the targets in the terms of the field

Names were words of everyday speech or vague (Order, Stop::Ordered, End, ask, gather, early, wanted, Once, Spent, describe), and comments repeated names or put them as riddles ("What is to be done over the connection"). They now say what the code does, and each reason is kept. JSON names, paths and error texts stay. No behaviour changes.

--- a/src/standin/target/front.rs
+++ b/src/standin/target/front.rs
@@ -33,9 +33,9 @@
 /// The routes of the traffic interface.
 pub fn routes(handle: Handle) -> impl IntoEndpoint<Endpoint = impl Endpoint + 'static> {
     Route::new()
-        .at(body::SEARCH, post(run_search).with(SizeLimit::new(MAX_BODY_BYTES)))
-        .at(body::OPERATE, post(run_operation).with(SizeLimit::new(MAX_BODY_BYTES)))
-        .at(body::STATUS, get(read_status))
+        .at(body::SEARCH_PATH, post(run_search).with(SizeLimit::new(MAX_BODY_BYTES)))
+        .at(body::OPERATE_PATH, post(run_operation).with(SizeLimit::new(MAX_BODY_BYTES)))
+        .at(body::STATUS_PATH, get(read_status))
         .at("/v1/load", get(read_load))
         .data(handle)
 }
@@ -98,7 +98,7 @@
             (StatusCode::OK, serde_json::to_vec(&Done { attempt, result, status }))
         }
         Outcome::Refused(refusal) => {
-            (body::code(refusal), serde_json::to_vec(&Refused { attempt, refusal, status }))
+            (body::refusal_code(refusal), serde_json::to_vec(&Refused { attempt, refusal, status }))
         }
         Outcome::Garbled { detail } => (StatusCode::INTERNAL_SERVER_ERROR, Ok(detail.into())),
     };
--- a/src/target/body.rs
+++ b/src/target/body.rs
@@ -1,7 +1,7 @@
-//! The JSON bodies between VMs and targets.
+//! The JSON bodies of requests and replies between VMs and targets.
 //!
-//! They are apart from the types of the border, so that the names on the wire
-//! do not change with the names in the code.
+//! They are separate from the types of `laburnum_core::target`, so that the names on
+//! the wire do not change with the names in the code.
 
 use std::{sync::Arc, time::Duration};
 
@@ -16,11 +16,11 @@
 use uuid::Uuid;
 
 /// The path of searches.
-pub const SEARCH: &str = "/v1/search";
+pub const SEARCH_PATH: &str = "/v1/search";
 /// The path of non-idempotent operations.
-pub const OPERATE: &str = "/v1/operate";
+pub const OPERATE_PATH: &str = "/v1/operate";
 /// The path of the status.
-pub const STATUS: &str = "/v1/status";
+pub const STATUS_PATH: &str = "/v1/status";
 
 /// The body of a search.
 #[serde_as]
@@ -37,11 +37,11 @@
     pub version: Version,
     /// The range to read.
     pub range: key::Range,
-    /// What the rows must match.
+    /// The text that the rows must match.
     pub text: Arc<str>,
 }
 
-/// The body of an operation.
+/// The body of a non-idempotent operation.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -54,11 +54,11 @@
     pub remaining: Duration,
     /// The key that the operation is about.
     pub subject: u64,
-    /// The operation.
+    /// The name of the operation.
     pub operation: Name,
-    /// What exactly is asked.
+    /// The parameters of the operation.
     pub detail: Arc<str>,
-    /// Names this one run.
+    /// Identifies this run of the operation.
     pub token: Uuid,
 }
 
@@ -71,13 +71,12 @@
     pub version: Version,
     /// The range that was read.
     pub range: key::Range,
-    /// The rows.
     pub rows: Vec<Row>,
     /// The number of rows that the target meant to send.
     pub count: u64,
     /// The digest of the rows that the target meant to send.
     pub digest: u64,
-    /// What the target says of itself.
+    /// The status of the target.
     pub status: Option<Status>,
 }
 
@@ -86,9 +85,9 @@
 pub struct Done {
     /// The id from the request.
     pub attempt: Option<id::Attempt>,
-    /// What the operation returned.
+    /// The result of the operation.
     pub result: Arc<str>,
-    /// What the target says of itself.
+    /// The status of the target.
     pub status: Option<Status>,
 }
 
@@ -97,14 +96,14 @@
 pub struct Refused {
     /// The id from the request.
     pub attempt: Option<id::Attempt>,
-    /// Why the request was not started.
+    /// The reason why the request was not started.
     pub refusal: Refusal,
-    /// What the target says of itself.
+    /// The status of the target.
     pub status: Option<Status>,
 }
 
 /// The HTTP status code of a refusal.
-pub fn code(refusal: Refusal) -> StatusCode {
+pub fn refusal_code(refusal: Refusal) -> StatusCode {
     match refusal {
         Refusal::VersionGone => StatusCode::GONE,
         Refusal::RangeMoved => StatusCode::CONFLICT,
@@ -114,12 +113,11 @@
     }
 }
 
-/// A request as it is sent: its path and its body.
+/// A request as it is sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Encoded {
-    /// The path.
     pub path: &'static str,
-    /// The JSON text.
+    /// The body.
     pub json: Vec<u8>,
 }
 
@@ -129,51 +127,52 @@
     match work {
         Work::Search { version, range, text } => {
             let body = Search { attempt, remaining, version, range, text };
-            Ok(Encoded { path: SEARCH, json: serde_json::to_vec(&body)? })
+            Ok(Encoded { path: SEARCH_PATH, json: serde_json::to_vec(&body)? })
         }
         Work::Operate { subject, operation, detail, token } => {
             let body = Operate { attempt, remaining, subject, operation, detail, token };
-            Ok(Encoded { path: OPERATE, json: serde_json::to_vec(&body)? })
+            Ok(Encoded { path: OPERATE_PATH, json: serde_json::to_vec(&body)? })
         }
     }
 }
 
 /// Decodes the reply to a request that was sent to `path`.
 ///
-/// What cannot be read becomes [`Outcome::Garbled`], so that the caller always
-/// has a reply to decide on.
+/// A reply that cannot be decoded becomes [`Outcome::Garbled`], so that there is
+/// always a reply to decide on.
 pub fn decode(path: &str, code: StatusCode, json: &[u8]) -> Reply {
-    let read = if code != StatusCode::OK {
-        refused(code, json)
-    } else if path == SEARCH {
-        rows(json)
+    let decoded = if code != StatusCode::OK {
+        decode_refusal(code, json)
+    } else if path == SEARCH_PATH {
+        decode_rows(json)
     } else {
-        done(json)
+        decode_done(json)
     };
-    read.unwrap_or_else(|error| garbled(format!("status {code}: {error}")))
+    decoded.unwrap_or_else(|error| garbled(format!("status {code}: {error}")))
 }
 
-/// Makes the reply that stands for one that could not be read.
+/// Makes the reply that stands for one that cannot be decoded.
 pub fn garbled(detail: String) -> Reply {
     Reply { attempt: None, outcome: Outcome::Garbled { detail }, status: None }
 }
 
-fn rows(json: &[u8]) -> serde_json::Result<Reply> {
+fn decode_rows(json: &[u8]) -> serde_json::Result<Reply> {
     let Rows { attempt, version, range, rows, count, digest, status } =
         serde_json::from_slice(json)?;
     let outcome = Outcome::Rows { version, range, rows, count, digest };
     Ok(Reply { attempt, outcome, status })
 }
 
-fn done(json: &[u8]) -> serde_json::Result<Reply> {
+fn decode_done(json: &[u8]) -> serde_json::Result<Reply> {
     let Done { attempt, result, status } = serde_json::from_slice(json)?;
     Ok(Reply { attempt, outcome: Outcome::Done { result }, status })
 }
 
-fn refused(found: StatusCode, json: &[u8]) -> serde_json::Result<Reply> {
+fn decode_refusal(found: StatusCode, json: &[u8]) -> serde_json::Result<Reply> {
     let Refused { attempt, refusal, status } = serde_json::from_slice(json)?;
-    if code(refusal) != found {
-        // A code that contradicts the body is no proof that nothing ran.
+    if refusal_code(refusal) != found {
+        // If the status code contradicts the body, the refusal does not prove that the
+        // request did not run.
         return Ok(garbled(format!("status {found} with refusal {refusal:?}")));
     }
     Ok(Reply { attempt, outcome: Outcome::Refused(refusal), status })
--- a/src/target/connection.rs
+++ b/src/target/connection.rs
@@ -16,46 +16,46 @@
     exchange::{Channel, Failure},
 };
 
-/// What is to be done over the connection.
+/// An action for the task of a connection.
 #[derive(Clone, Debug)]
-pub enum Order {
-    /// Send a request.
+pub enum Action {
     Send(Request),
-    /// Reset the stream of a request.
+    /// Resets the stream of a request.
     Cancel(id::Attempt),
-    /// Read the status within a time.
-    Ask(Duration),
+    /// Reads the status of the target within this time.
+    ReadStatus(Duration),
 }
 
-/// Where and within which time the connection is opened.
+/// The parameters for opening a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Opening {
-    /// The address of the target.
     pub address: SocketAddr,
-    /// The time for the connection and its first answer.
+    /// The time within which the connection must be open and the status read.
     pub limit: Duration,
 }
 
-/// What an exchange ended with.
-enum End {
-    Sent(id::Attempt, Result<Reply, Failure>),
-    Asked(Result<Status, Failure>),
+/// The result of an exchange.
+enum Finished {
+    Request(id::Attempt, Result<Reply, Failure>),
+    Status(Result<Status, Failure>),
 }
 
-/// Why the connection ends.
+/// The reason why a connection ends.
 enum Stop {
-    /// It was closed by an order.
-    Ordered,
-    /// It was lost.
+    /// The client closed it by dropping the sender of actions.
+    Closed,
+    /// The connection was lost.
     Lost { detail: String },
 }
 
+/// An open connection with its exchanges.
 struct Task {
     connection: id::Connection,
     channel: Channel,
     events: UnboundedSender<Event>,
+    /// The running exchanges of requests, to abort them.
     attempts: BTreeMap<id::Attempt, AbortHandle>,
-    exchanges: JoinSet<End>,
+    exchanges: JoinSet<Finished>,
 }
 
 /// Opens a connection and serves it until it is closed or lost.
@@ -63,32 +63,32 @@
     connection: id::Connection,
     opening: Opening,
     limits: Limits,
-    mut orders: UnboundedReceiver<Order>,
+    mut actions: UnboundedReceiver<Action>,
     events: UnboundedSender<Event>,
 ) {
-    let mut early = Vec::new();
+    let mut pending = Vec::new();
     let opened = tokio::select! {
         opened = open(connection, opening, limits, events.clone()) => opened,
-        () = gather(&mut orders, &mut early) => Err(Stop::Ordered),
+        () = collect(&mut actions, &mut pending) => Err(Stop::Closed),
     };
     let stop = match opened {
-        Ok(task) => task.serve(std::mem::take(&mut early), &mut orders).await,
+        Ok(task) => task.serve(std::mem::take(&mut pending), &mut actions).await,
         Err(stop) => stop,
     };
     if let Stop::Lost { detail } = stop {
-        let rest = early.into_iter().chain(drain(&mut orders));
-        for event in unsent(connection, rest) {
+        let rest = pending.into_iter().chain(drain(&mut actions));
+        for event in unsent_events(connection, rest) {
             report(&events, event);
         }
         report(&events, Event::Closed { connection, detail });
     }
 }
 
-/// Gathers the orders that come while the connection is being opened, until it
-/// is closed by an order.
-async fn gather(orders: &mut UnboundedReceiver<Order>, early: &mut Vec<Order>) {
-    while let Some(order) = orders.recv().await {
-        early.push(order);
+/// Collects the actions that arrive while the connection is being opened. Returns when
+/// the client closes the connection.
+async fn collect(actions: &mut UnboundedReceiver<Action>, pending: &mut Vec<Action>) {
+    while let Some(action) = actions.recv().await {
+        pending.push(action);
     }
 }
 
@@ -101,51 +101,55 @@
     let client = dial::client(opening.limit)
         .map_err(|error| Stop::Lost { detail: format!("client: {error}") })?;
     let channel = Channel { client, address: opening.address, limits };
-    match channel.clone().ask(opening.limit).await {
+    match channel.clone().read_status(opening.limit).await {
         Ok(status) => {
             report(&events, Event::Opened { connection, status });
             let attempts = BTreeMap::new();
             Ok(Task { connection, channel, events, attempts, exchanges: JoinSet::new() })
         }
-        Err(failure) => Err(Stop::Lost { detail: detail(failure) }),
+        Err(failure) => Err(Stop::Lost { detail: failure_detail(failure) }),
     }
 }
 
-/// Takes the orders that were never taken up; later ones are refused.
-fn drain(orders: &mut UnboundedReceiver<Order>) -> Vec<Order> {
-    orders.close();
-    std::iter::from_fn(|| orders.try_recv().ok()).collect()
+/// Takes the actions that were not started, and makes sends of later ones fail.
+fn drain(actions: &mut UnboundedReceiver<Action>) -> Vec<Action> {
+    actions.close();
+    std::iter::from_fn(|| actions.try_recv().ok()).collect()
 }
 
-/// The events that say of orders that their requests were not sent.
-fn unsent(
+/// The events that report the requests among `actions` as not sent.
+fn unsent_events(
     connection: id::Connection,
-    orders: impl Iterator<Item = Order>,
+    actions: impl Iterator<Item = Action>,
 ) -> impl Iterator<Item = Event> {
-    orders.filter_map(move |order| match order {
-        Order::Send(request) => Some(Event::Unsent { connection, attempt: request.attempt }),
-        Order::Cancel(_) | Order::Ask(_) => None,
+    actions.filter_map(move |action| match action {
+        Action::Send(request) => Some(Event::Unsent { connection, attempt: request.attempt }),
+        Action::Cancel(_) | Action::ReadStatus(_) => None,
     })
 }
 
 fn report(events: &UnboundedSender<Event>, event: Event) {
-    // The receiver is gone only when the thread is ending.
+    // Fails only if the thread is ending and has dropped the receiver.
     let _ = events.send(event);
 }
 
 impl Task {
-    async fn serve(mut self, early: Vec<Order>, orders: &mut UnboundedReceiver<Order>) -> Stop {
-        for order in early {
-            self.start(order);
+    async fn serve(
+        mut self,
+        pending: Vec<Action>,
+        actions: &mut UnboundedReceiver<Action>,
+    ) -> Stop {
+        for action in pending {
+            self.start(action);
         }
         loop {
             tokio::select! {
-                order = orders.recv() => match order {
-                    Some(order) => self.start(order),
-                    None => return Stop::Ordered,
+                action = actions.recv() => match action {
+                    Some(action) => self.start(action),
+                    None => return Stop::Closed,
                 },
-                Some(end) = self.exchanges.join_next() => {
-                    if let Err(stop) = self.finish_joined(end) {
+                Some(joined) = self.exchanges.join_next() => {
+                    if let Err(stop) = self.finish_joined(joined) {
                         self.finish_ready();
                         return stop;
                     }
@@ -154,18 +158,20 @@
         }
     }
 
-    fn start(&mut self, order: Order) {
+    fn start(&mut self, action: Action) {
         let channel = self.channel.clone();
-        match order {
-            Order::Send(request) => {
+        match action {
+            Action::Send(request) => {
                 let attempt = request.attempt;
-                let exchange = async move { End::Sent(attempt, channel.send(request).await) };
+                let exchange =
+                    async move { Finished::Request(attempt, channel.send(request).await) };
                 self.attempts.insert(attempt, self.exchanges.spawn(exchange));
             }
-            Order::Ask(limit) => {
-                self.exchanges.spawn(async move { End::Asked(channel.ask(limit).await) });
+            Action::ReadStatus(limit) => {
+                self.exchanges
+                    .spawn(async move { Finished::Status(channel.read_status(limit).await) });
             }
-            Order::Cancel(attempt) => {
+            Action::Cancel(attempt) => {
                 if let Some(exchange) = self.attempts.remove(&attempt) {
                     exchange.abort();
                 }
@@ -173,31 +179,31 @@
         }
     }
 
-    fn finish_joined(&mut self, end: Result<End, JoinError>) -> Result<(), Stop> {
-        match end {
-            Ok(end) => self.finish(end),
+    fn finish_joined(&mut self, joined: Result<Finished, JoinError>) -> Result<(), Stop> {
+        match joined {
+            Ok(finished) => self.finish(finished),
             Err(error) if error.is_cancelled() => Ok(()),
             Err(error) => Err(Stop::Lost { detail: error.to_string() }),
         }
     }
 
-    fn finish(&mut self, end: End) -> Result<(), Stop> {
-        match end {
-            End::Sent(attempt, result) => self.finish_sent(attempt, result),
-            End::Asked(Ok(status)) => {
+    fn finish(&mut self, finished: Finished) -> Result<(), Stop> {
+        match finished {
+            Finished::Request(attempt, result) => self.finish_request(attempt, result),
+            Finished::Status(Ok(status)) => {
                 self.report(Event::Status { connection: self.connection, status });
                 Ok(())
             }
-            End::Asked(Err(failure)) => Err(Stop::Lost { detail: detail(failure) }),
+            Finished::Status(Err(failure)) => Err(Stop::Lost { detail: failure_detail(failure) }),
         }
     }
 
-    fn finish_sent(
+    fn finish_request(
         &mut self,
         attempt: id::Attempt,
         result: Result<Reply, Failure>,
     ) -> Result<(), Stop> {
-        let wanted = self.attempts.remove(&attempt).is_some();
+        let is_wanted = self.attempts.remove(&attempt).is_some();
         let connection = self.connection;
         let (event, stop) = match result {
             Ok(reply) => (Some(Event::Reply { connection, attempt, reply }), Ok(())),
@@ -210,7 +216,7 @@
             }
             Err(Failure::Connection { detail }) => (None, Err(Stop::Lost { detail })),
         };
-        if let Some(event) = event.filter(|_| wanted) {
+        if let Some(event) = event.filter(|_| is_wanted) {
             self.report(event);
         }
         stop
@@ -218,10 +224,9 @@
 
     /// Reports the exchanges that ended before the loss was noticed.
     fn finish_ready(&mut self) {
-        while let Some(end) = self.exchanges.try_join_next() {
-            // The loss is known already; what it means for the rest is reported
-            // with the connection.
-            let _ = self.finish_joined(end);
+        while let Some(joined) = self.exchanges.try_join_next() {
+            // The loss is known already; `Event::Closed` covers the remaining attempts.
+            let _ = self.finish_joined(joined);
         }
     }
 
@@ -230,7 +235,7 @@
     }
 }
 
-fn detail(failure: Failure) -> String {
+fn failure_detail(failure: Failure) -> String {
     match failure {
         Failure::Unsent { detail }
         | Failure::Stream { detail }
--- a/src/target/dial.rs
+++ b/src/target/dial.rs
@@ -1,10 +1,10 @@
-//! Holds an HTTP client to one TCP connection.
+//! Limits an HTTP client to one TCP connection.
 //!
-//! An HTTP client replaces a lost connection by itself. For a target that
-//! would take a second connection out of its limit without a row in the
-//! connection table, and a request could be sent again unseen. The layer here
-//! lets the connector run once; every later call fails, which the client
-//! reports as a connect error, and a request with that error was never sent.
+//! An HTTP client replaces a lost connection by itself. That would use a second
+//! connection of the target's limit that is not in the connection table, and a request
+//! could be sent again unnoticed. The layer here lets the connector run once. Every
+//! later call fails, which the client reports as a connect error, and a request with
+//! that error was never sent.
 
 use std::{
     error::Error,
@@ -20,36 +20,36 @@
 use tower_layer::Layer;
 use tower_service::Service;
 
-/// The error of a second use of a connector.
+/// The error of a connector that is called a second time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Spent;
+pub struct AlreadyUsed;
 
-impl fmt::Display for Spent {
+impl fmt::Display for AlreadyUsed {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("the connection was lost and is not opened again")
     }
 }
 
-impl Error for Spent {}
+impl Error for AlreadyUsed {}
 
-/// Lets the connector below it run once.
+/// The layer that lets the connector below it run once.
 #[derive(Clone, Debug, Default)]
-pub struct Once {
-    spent: Arc<AtomicBool>,
+pub struct SingleUse {
+    is_used: Arc<AtomicBool>,
 }
 
-impl<S> Layer<S> for Once {
+impl<S> Layer<S> for SingleUse {
     type Service = Connector<S>;
 
     fn layer(&self, inner: S) -> Connector<S> {
-        Connector { spent: Arc::clone(&self.spent), inner }
+        Connector { is_used: Arc::clone(&self.is_used), inner }
     }
 }
 
-/// A connector that runs once.
+/// A connector that runs once; clones count as the same one.
 #[derive(Clone, Debug)]
 pub struct Connector<S> {
-    spent: Arc<AtomicBool>,
+    is_used: Arc<AtomicBool>,
     inner: S,
 }
 
@@ -71,14 +71,15 @@
     }
 
     fn call(&mut self, request: R) -> Connecting<S::Response> {
-        if self.spent.swap(true, Ordering::SeqCst) {
-            return Box::pin(async { Err(BoxError::from(Spent)) });
+        if self.is_used.swap(true, Ordering::SeqCst) {
+            return Box::pin(async { Err(BoxError::from(AlreadyUsed)) });
         }
         Box::pin(self.inner.call(request))
     }
 }
 
-/// Builds an HTTP/2 client that opens one TCP connection and no other.
+/// Builds an HTTP/2 client that opens one TCP connection, within `limit`, and no
+/// other.
 pub fn client(limit: Duration) -> reqwest::Result<reqwest::Client> {
     reqwest::Client::builder()
         .http2_prior_knowledge()
@@ -89,6 +90,6 @@
         .connect_timeout(limit)
         .pool_idle_timeout(None)
         .tcp_nodelay(true)
-        .connector_layer(Once::default())
+        .connector_layer(SingleUse::default())
         .build()
 }
--- a/src/target/exchange.rs
+++ b/src/target/exchange.rs
@@ -1,4 +1,4 @@
-//! One exchange with a target: a request and its reply, or how it failed.
+//! An exchange with a target: a request and its reply, or a failure.
 
 use std::{error::Error, net::SocketAddr, time::Duration};
 
@@ -7,25 +7,23 @@
 
 use super::{Limits, body};
 
-/// How an exchange failed.
+/// The failure of an exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// No byte of the request was handed to the connection, which is lost.
+    /// The connection was lost before any byte of the request was handed to it.
     Unsent { detail: String },
-    /// The stream failed and the connection goes on. The request may have run.
+    /// The stream failed, but the connection is still usable. The request may have run.
     Stream { detail: String },
-    /// The connection is lost. The request may have run.
+    /// The connection was lost. The request may have run.
     Connection { detail: String },
 }
 
-/// The means of an exchange over one connection.
+/// A connection to a target, over which exchanges run.
 #[derive(Clone, Debug)]
 pub struct Channel {
-    /// The client that is held to one connection.
+    /// The HTTP client, which is limited to one connection; see [`super::dial`].
     pub client: reqwest::Client,
-    /// The address of the target.
     pub address: SocketAddr,
-    /// The bounds of a reply.
     pub limits: Limits,
 }
 
@@ -46,13 +44,13 @@
             .send();
         let response = sending.await.map_err(|error| classify(&error))?;
         let code = response.status();
-        let text = self.read(response).await?;
-        Ok(body::decode(encoded.path, code, &text))
+        let bytes = self.read_body(response).await?;
+        Ok(body::decode(encoded.path, code, &bytes))
     }
 
     /// Reads the status of the target within `limit`.
-    pub async fn ask(self, limit: Duration) -> Result<Status, Failure> {
-        match tokio::time::timeout(limit, self.status()).await {
+    pub async fn read_status(self, limit: Duration) -> Result<Status, Failure> {
+        match tokio::time::timeout(limit, self.fetch_status()).await {
             Ok(result) => result,
             Err(_) => Err(Failure::Connection {
                 detail: format!("no status within {} ms", limit.as_millis()),
@@ -60,38 +58,38 @@
         }
     }
 
-    async fn status(&self) -> Result<Status, Failure> {
-        let sending = self.client.get(self.url(body::STATUS)).send();
+    async fn fetch_status(&self) -> Result<Status, Failure> {
+        let sending = self.client.get(self.url(body::STATUS_PATH)).send();
         let response = sending.await.map_err(|error| classify(&error))?;
         let code = response.status();
         if code != StatusCode::OK {
             return Err(Failure::Stream { detail: format!("status was answered with {code}") });
         }
-        let text = self.read(response).await?;
-        serde_json::from_slice(&text)
+        let bytes = self.read_body(response).await?;
+        serde_json::from_slice(&bytes)
             .map_err(|error| Failure::Stream { detail: format!("status: {error}") })
     }
 
-    async fn read(&self, mut response: reqwest::Response) -> Result<Vec<u8>, Failure> {
-        let mut text = Vec::new();
+    async fn read_body(&self, mut response: reqwest::Response) -> Result<Vec<u8>, Failure> {
+        let mut bytes = Vec::new();
         while let Some(chunk) = response.chunk().await.map_err(|error| classify(&error))? {
-            if text.len() + chunk.len() > self.limits.body {
+            if bytes.len() + chunk.len() > self.limits.body {
                 let detail = format!("reply is longer than {} bytes", self.limits.body);
                 return Err(Failure::Stream { detail });
             }
-            text.extend_from_slice(&chunk);
+            bytes.extend_from_slice(&chunk);
         }
-        Ok(text)
+        Ok(bytes)
     }
 }
 
-/// Tells what an error of the HTTP client means for the connection.
+/// Classifies an error of the HTTP client by its effect on the connection.
 ///
-/// Only a connect error proves that nothing was sent: the connector runs once,
-/// so that error is the refusal to run again. A reset concerns one stream.
-/// Anything else is taken as the loss of the connection.
+/// Only a connect error proves that nothing was sent: it is the connector's refusal to
+/// run a second time. A reset affects one stream. Any other error counts as the loss of
+/// the connection.
 fn classify(error: &reqwest::Error) -> Failure {
-    let detail = describe(error);
+    let detail = error_chain(error);
     if error.is_connect() {
         Failure::Unsent { detail }
     } else if is_reset(error) {
@@ -105,7 +103,8 @@
     causes(error).any(|cause| cause.downcast_ref::<h2::Error>().is_some_and(h2::Error::is_reset))
 }
 
-fn describe(error: &reqwest::Error) -> String {
+/// The texts of an error and its sources.
+fn error_chain(error: &reqwest::Error) -> String {
     let texts: Vec<String> = causes(error).map(ToString::to_string).collect();
     texts.join(": ")
 }
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -1,11 +1,10 @@
 //! The client of the targets: JSON over HTTP/2, one TCP connection for each
 //! row of the connection table.
 //!
-//! The client carries out [`Command`]s and reports [`Event`]s; it decides
-//! nothing. Each connection is served by one task, so that a slow exchange
-//! never delays another. The limits of a target count connections, so a
-//! connection that was lost is reported and never replaced in silence; see
-//! [`dial`].
+//! The client carries out [`Command`]s and reports [`Event`]s; it decides nothing. Each
+//! connection is served by a task of its own, so that a slow exchange never delays
+//! another. A target limits the number of its connections, so a lost connection is
+//! reported and never replaced automatically; see [`dial`].
 
 use std::collections::BTreeMap;
 
@@ -21,9 +20,9 @@
 mod connection;
 mod exchange;
 
-use connection::Order;
+use connection::Action;
 
-/// Bounds that the client keeps.
+/// The limits on replies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// The longest reply body that is read, in bytes.
@@ -43,7 +42,7 @@
 pub struct Client {
     limits: Limits,
     events: UnboundedSender<Event>,
-    connections: BTreeMap<id::Connection, UnboundedSender<Order>>,
+    connections: BTreeMap<id::Connection, UnboundedSender<Action>>,
 }
 
 impl Client {
@@ -53,28 +52,29 @@
     }
 
     /// The number of connections that are open or being opened.
-    pub fn open(&self) -> usize {
-        self.connections.values().filter(|orders| !orders.is_closed()).count()
+    pub fn open_count(&self) -> usize {
+        self.connections.values().filter(|actions| !actions.is_closed()).count()
     }
 
     fn start(&mut self, connection: id::Connection, opening: connection::Opening) {
-        self.connections.retain(|_, orders| !orders.is_closed());
-        let (sender, orders) = mpsc::unbounded_channel();
+        self.connections.retain(|_, actions| !actions.is_closed());
+        let (sender, actions) = mpsc::unbounded_channel();
         let events = self.events.clone();
-        tokio::spawn(connection::run(connection, opening, self.limits, orders, events));
+        tokio::spawn(connection::run(connection, opening, self.limits, actions, events));
         self.connections.insert(connection, sender);
     }
 
-    /// Hands an order to the task of a connection, or gives it back.
-    fn order(&self, connection: id::Connection, order: Order) -> Result<(), Order> {
+    /// Hands an action to the task of a connection. Returns the action if the connection
+    /// is unknown or has ended.
+    fn send_action(&self, connection: id::Connection, action: Action) -> Result<(), Action> {
         match self.connections.get(&connection) {
-            Some(orders) => orders.send(order).map_err(|refused| refused.0),
-            None => Err(order),
+            Some(actions) => actions.send(action).map_err(|error| error.0),
+            None => Err(action),
         }
     }
 
     fn report(&self, event: Event) {
-        // The receiver is gone only when the thread is ending.
+        // Fails only if the thread is ending and has dropped the receiver.
         let _ = self.events.send(event);
     }
 }
@@ -87,20 +87,20 @@
             }
             Command::Send { connection, request } => {
                 let attempt = request.attempt;
-                if self.order(connection, Order::Send(request)).is_err() {
+                if self.send_action(connection, Action::Send(request)).is_err() {
                     self.report(Event::Unsent { connection, attempt });
                 }
             }
             Command::Cancel { connection, attempt } => {
-                // The reply of a lost connection needs no withdrawal.
-                let _ = self.order(connection, Order::Cancel(attempt));
+                // If the connection was lost, there is nothing left to cancel.
+                let _ = self.send_action(connection, Action::Cancel(attempt));
             }
             Command::Ask { connection, limit } => {
-                // The loss of the connection has been reported already.
-                let _ = self.order(connection, Order::Ask(limit));
+                // If the connection was lost, that has been reported already.
+                let _ = self.send_action(connection, Action::ReadStatus(limit));
             }
             Command::Close { connection } => {
-                // Dropping the sender ends the task with all that runs on it.
+                // Dropping the sender ends the task, which resets all of its streams.
                 self.connections.remove(&connection);
             }
         }
