--- a/src/standin/target/fault.rs
+++ b/src/standin/target/fault.rs
@@ -63,7 +63,7 @@
     /// text marks all.
     #[serde(default)]
     pub mark: String,
-    /// The number of replies after which the fault ends; none for no end.
+    /// The number of replies after which the fault ends; without it, it has no end.
     #[serde(default)]
     pub times: Option<u32>,
 }
