--- a/tests/edge/fault.rs
+++ b/tests/edge/fault.rs
@@ -7,8 +7,8 @@
     target::{Command, Event, Outcome, Refusal, Version},
 };
 use laburnumworks::standin::target::{
-    fault::{Crash, Faults, Hit, Moment, Wrong},
-    settings::part,
+    fault::{Crash, Defect, Faults, Hit, Moment},
+    settings::shard_range,
     table::Load,
 };
 
@@ -24,20 +24,20 @@
 
 /// The outcome of a search of half the key space when all replies are wrong in
 /// the given way.
-async fn wrong_outcome(wrong: Wrong) -> Outcome {
+async fn wrong_outcome(wrong: Defect) -> Outcome {
     let (target, mut caller, connection) = setup().await;
     target.corrupt_replies(wrong).await;
-    caller.outcome(connection, search_at(1, part(0, 2), "")).await
+    caller.outcome(connection, search_at(1, shard_range(0, 2), "")).await
 }
 
 async fn cut() {
-    let outcome = wrong_outcome(Wrong::Cut).await;
+    let outcome = wrong_outcome(Defect::Cut).await;
     assert!(matches!(outcome, Outcome::Garbled { .. }), "{outcome:?}");
 }
 
 async fn crossed() {
     let (target, mut caller, connection) = setup().await;
-    target.corrupt_replies(Wrong::Crossed).await;
+    target.corrupt_replies(Defect::Crossed).await;
     let attempt = caller.send(connection, search(""));
     match caller.event().await {
         Event::Reply { attempt: own, reply, .. } => {
@@ -49,7 +49,7 @@
 }
 
 async fn doubled() {
-    let Outcome::Rows { rows, count, digest, .. } = wrong_outcome(Wrong::Doubled).await else {
+    let Outcome::Rows { rows, count, digest, .. } = wrong_outcome(Defect::Doubled).await else {
         panic!("no rows");
     };
     assert!(rows.chunks(2).all(|pair| pair[0] == pair[1]));
@@ -57,21 +57,21 @@
 }
 
 async fn outside() {
-    let Outcome::Rows { rows, range, .. } = wrong_outcome(Wrong::Outside).await else {
+    let Outcome::Rows { rows, range, .. } = wrong_outcome(Defect::Outside).await else {
         panic!("no rows");
     };
     assert_eq!(rows.iter().filter(|row| !range.contains(row.key)).count(), 1);
 }
 
 async fn version() {
-    let Outcome::Rows { version, .. } = wrong_outcome(Wrong::Version).await else {
+    let Outcome::Rows { version, .. } = wrong_outcome(Defect::Version).await else {
         panic!("no rows");
     };
     assert_eq!(version, Version(2));
 }
 
 async fn wrong_digest() {
-    let Outcome::Rows { rows, digest, .. } = wrong_outcome(Wrong::Digest).await else {
+    let Outcome::Rows { rows, digest, .. } = wrong_outcome(Defect::Digest).await else {
         panic!("no rows");
     };
     assert_ne!(digest, digest::rows(&rows));
@@ -79,7 +79,7 @@
 
 async fn limited_hits() {
     let (target, mut caller, connection) = setup().await;
-    let hits = vec![Hit { wrong: Wrong::Cut, mark: "radar".to_owned(), times: Some(1) }];
+    let hits = vec![Hit { wrong: Defect::Cut, mark: "radar".to_owned(), times: Some(1) }];
     target.put_faults(&Faults { hits, ..Faults::default() }).await;
     let mut garbled = Vec::new();
     for text in ["uhf", "radar", "radar"] {
@@ -113,7 +113,7 @@
 }
 
 async fn range_moved() {
-    let holds = BTreeMap::from([(Version(1), part(0, 2))]);
+    let holds = BTreeMap::from([(Version(1), shard_range(0, 2))]);
     assert_refused(Faults { holds: Some(holds), ..Faults::default() }, Refusal::RangeMoved).await;
 }
 
--- a/tests/edge/harness.rs
+++ b/tests/edge/harness.rs
@@ -17,7 +17,7 @@
 use laburnumworks::{
     standin::target::{
         self, Settings,
-        fault::{Faults, Hit, Wrong},
+        fault::{Defect, Faults, Hit},
         settings::Raw,
         table::{Counts, Executions, Load},
     },
@@ -78,7 +78,7 @@
     }
 
     /// Makes every reply wrong in the given way.
-    pub async fn corrupt_replies(&self, wrong: Wrong) {
+    pub async fn corrupt_replies(&self, wrong: Defect) {
         let hits = vec![Hit { wrong, mark: String::new(), times: None }];
         self.put_faults(&Faults { hits, ..Faults::default() }).await;
     }
