--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -1,5 +1,5 @@
-//! Callers: they send requests over connections that they keep open until the
-//! relay ends them, and note what they get.
+//! Callers, which send requests over connections that they keep open until the relay
+//! closes them, and record the outcomes.
 
 use std::{
     net::SocketAddr,
@@ -17,27 +17,27 @@
 
 use crate::{
     entries::HOST,
-    ledger::{Answer, Ask, Kind, Ledger, Outcome},
+    ledger::{Answer, Kind, Ledger, Outcome, Request},
     message::{self, Message},
 };
 
-/// How long a caller waits for an answer, in milliseconds.
-pub const PATIENCE_MS: u64 = 1500;
+/// The deadline that a caller states in each request.
+pub const REQUEST_DEADLINE_MS: u64 = 1500;
 
-/// The time after which a caller gives up a relay that says nothing at all. It
-/// is above every bound that is checked.
-const GIVE_UP: Duration = Duration::from_secs(4);
+/// How long a caller waits for an answer before it closes the connection. It is longer
+/// than every bound that is checked, so that the checks see each late answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(4);
 
-/// The pause between two requests of a caller, in milliseconds.
+/// The pause between two requests of a caller.
 const PAUSE_MS: std::ops::Range<u64> = 5..35;
 
-/// The share of callers that leave early.
-const LEAVES: f64 = 0.02;
+/// The share of requests whose caller closes the connection before the answer.
+const CANCEL_SHARE: f64 = 0.02;
 
-/// The number of the last request.
-static LAST: AtomicU64 = AtomicU64::new(0);
+/// The number of requests so far, from which each request gets a unique id.
+static REQUEST_COUNT: AtomicU64 = AtomicU64::new(0);
 
-/// Sends requests to a relay until it is told to stop.
+/// A caller of one relay.
 pub struct Caller {
     pub relay: usize,
     pub address: SocketAddr,
@@ -45,10 +45,11 @@
 }
 
 impl Caller {
-    pub async fn run(self, stop: &AtomicBool) {
+    /// Sends one request after the other until `stop` is true.
+    pub async fn send_requests(self, stop: &AtomicBool) {
         let mut connection: Option<(TcpStream, Vec<u8>)> = None;
         while !stop.load(Ordering::Relaxed) {
-            sleep(pause()).await;
+            sleep(random_pause()).await;
             let open = match connection.take() {
                 Some(open) => open,
                 None => match TcpStream::connect(self.address).await {
@@ -59,70 +60,75 @@
                     }
                 },
             };
-            connection = self.ask(open, kind()).await;
+            connection = self.send(open, random_kind()).await;
         }
     }
 
-    /// Sends the request that crashes targets, on a connection of its own.
-    pub async fn poison(&self) {
+    /// Sends a request that crashes targets, on a new connection.
+    pub async fn send_poison(&self) {
         if let Ok(socket) = TcpStream::connect(self.address).await {
-            self.ask((socket, Vec::new()), Kind::Poison).await;
+            self.send((socket, Vec::new()), Kind::Poison).await;
         }
     }
 
-    /// Sends one request and returns the connection if it can be used again.
-    async fn ask(
+    /// Sends one request, records its outcome and returns the connection if it can be
+    /// used again.
+    async fn send(
         &self,
         (mut socket, mut buffer): (TcpStream, Vec<u8>),
         kind: Kind,
     ) -> Option<(TcpStream, Vec<u8>)> {
-        let id = format!("{:08x}", LAST.fetch_add(1, Ordering::Relaxed) + 0x1000_0000);
-        let body = if kind == Kind::Operation { content(&id) } else { Vec::new() };
-        let mut text = head(&id, kind, body.len()).into_bytes();
+        let id = format!("{:08x}", REQUEST_COUNT.fetch_add(1, Ordering::Relaxed) + 0x1000_0000);
+        let body = if kind == Kind::Operation { operation_body(&id) } else { Vec::new() };
+        let mut text = request_head(&id, kind, body.len()).into_bytes();
         text.extend_from_slice(&body);
         let sent = Instant::now();
-        let leaves = rand::rng().random::<f64>() < LEAVES;
-        let wait = if leaves { Duration::from_millis(3) } else { GIVE_UP };
+        let cancels = rand::rng().random::<f64>() < CANCEL_SHARE;
+        let limit = if cancels { Duration::from_millis(3) } else { ANSWER_LIMIT };
         let exchange = async {
             socket.write_all(&text).await?;
             message::read(&mut socket, &mut buffer).await
         };
-        let outcome = match timeout(wait, exchange).await {
-            Err(_) if leaves => Outcome::Left,
-            Err(_) => Outcome::Closed { detail: "no answer at all".to_owned() },
+        let outcome = match timeout(limit, exchange).await {
+            Err(_) if cancels => Outcome::Cancelled,
+            Err(_) => Outcome::Closed { detail: "no answer within the limit".to_owned() },
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::InvalidData => {
-                Outcome::Stray(error.to_string())
+                Outcome::Malformed(error.to_string())
             }
             Ok(Err(error)) => Outcome::Closed { detail: error.to_string() },
-            Ok(Ok(None)) => Outcome::Closed { detail: "closed before an answer".to_owned() },
-            Ok(Ok(Some(answer))) => read(&answer),
+            Ok(Ok(None)) => {
+                Outcome::Closed { detail: "connection closed before an answer".to_owned() }
+            }
+            Ok(Ok(Some(answer))) => parse_answer(&answer),
         };
-        let stays = matches!(&outcome, Outcome::Answer(answer) if !answer.closes);
-        let ask = Ask { id, kind, relay: self.relay, body, sent, ended: Instant::now(), outcome };
+        let is_reusable = matches!(&outcome, Outcome::Answer(answer) if !answer.closes_connection);
+        let request =
+            Request { id, kind, relay: self.relay, body, sent, ended: Instant::now(), outcome };
         let mut rows = self.ledger.rows();
-        if stays && !buffer.is_empty() {
-            rows.breaches.push(format!("{}: bytes after the answer", ask.id));
+        if is_reusable && !buffer.is_empty() {
+            rows.violations.push(format!("{}: unexpected bytes after the answer", request.id));
         }
-        rows.asks.push(ask);
+        rows.requests.push(request);
         drop(rows);
-        stays.then_some((socket, buffer))
+        is_reusable.then_some((socket, buffer))
     }
 }
 
-fn pause() -> Duration {
+fn random_pause() -> Duration {
     Duration::from_millis(rand::rng().random_range(PAUSE_MS))
 }
 
-fn kind() -> Kind {
+fn random_kind() -> Kind {
     if rand::rng().random::<f64>() < 0.6 { Kind::Search } else { Kind::Operation }
 }
 
-/// The body of an operation, which tells the request that it belongs to.
-fn content(id: &str) -> Vec<u8> {
+/// Returns a body for an operation; it repeats the request's id, so that the checks see
+/// which request it belongs to.
+fn operation_body(id: &str) -> Vec<u8> {
     id.repeat(rand::rng().random_range(1..200)).into_bytes()
 }
 
-fn head(id: &str, kind: Kind, length: usize) -> String {
+fn request_head(id: &str, kind: Kind, length: usize) -> String {
     let (method, path) = match kind {
         Kind::Search => ("GET", format!("/search/{id}?page=2")),
         Kind::Operation => ("POST", format!("/desk/{id}?step=1")),
@@ -130,13 +136,13 @@
     };
     format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: {id}\r\n\
-         {DEADLINE_MS}: {PATIENCE_MS}\r\nContent-Length: {length}\r\n\r\n"
+         {DEADLINE_MS}: {REQUEST_DEADLINE_MS}\r\nContent-Length: {length}\r\n\r\n"
     )
 }
 
-fn read(answer: &Message) -> Outcome {
-    let Ok(status) = answer.second().parse() else {
-        return Outcome::Stray(answer.first.clone());
+fn parse_answer(answer: &Message) -> Outcome {
+    let Ok(status) = answer.second_word().parse() else {
+        return Outcome::Malformed(answer.start_line.clone());
     };
     let named = answer.header(DIGESTS.as_str()).map(|text| text.split(',').map(str::trim));
     Outcome::Answer(Answer {
@@ -144,7 +150,7 @@
         digest: answer.header(DIGEST.as_str()).map(str::to_owned),
         digests: named.into_iter().flatten().map(str::to_owned).collect(),
         missing: answer.header(MISSING.as_str()).and_then(|n| n.parse().ok()).unwrap_or(0),
-        closes: answer.header("connection") == Some("close"),
+        closes_connection: answer.header("connection") == Some("close"),
         body: answer.body.clone(),
     })
 }
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -1,5 +1,5 @@
-//! What must hold, as systems that run over the rows of a soak. Each returns
-//! what broke it; the bounds are those that `docs/SOAK.md` states.
+//! The checks of a soak, as systems that run over its rows. Each returns the violations
+//! that it finds; the bounds are those that `docs/SOAK.md` states.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -7,111 +7,123 @@
 };
 
 use crate::{
-    bed::{
-        APPLY, DRAIN, LEAST, OPERATION, RELAYS, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, SEARCH, TOP,
+    caller::REQUEST_DEADLINE_MS,
+    deployment::{
+        APPLY_LIMIT, DRAIN_PERIOD, MIN_COVERAGE, OPERATION_ROUTE, RELAY_CORES, RETRY_RATIO,
+        RETRY_SLACK, RETRY_WINDOW, SEARCH_ROUTE, TOP_K,
     },
-    caller::PATIENCE_MS,
     entries::ATTEMPTS,
-    ledger::{Answer, Ask, Kind, Outcome, Rows, Run, Subject, Version},
+    ledger::{Answer, Attempt, Kind, Outcome, Request, Rows, Subject, Version},
 };
 
-/// How late a final answer may be.
-const LATE: Duration = Duration::from_millis(500);
+/// How late an answer may be, how far a stated deadline may exceed the remaining time, and
+/// how long after a cancellation attempts may still arrive.
+const LATENESS_LIMIT: Duration = Duration::from_millis(500);
 
-/// The time without disturbance after which bounds on changes hold.
-const STABLE: Duration = Duration::from_secs(4);
+/// How long nothing may have been disturbed before the bounds on changes apply.
+const STABLE_PERIOD: Duration = Duration::from_secs(4);
 
-/// The time after which a version that was seen must not be followed by an
-/// older one.
-const ROLLBACK: Duration = Duration::from_millis(250);
+/// How long after an attempt under one version a caller may still send requests that run
+/// under an older one.
+const VERSION_ORDER_DELAY: Duration = Duration::from_millis(250);
 
-/// The time at the end in which requests must be served again, and its share.
-const RECOVERED: (Duration, f64) = (Duration::from_secs(3), 0.95);
+/// The period at the end of a soak, and the least share of its requests that must be
+/// served.
+const RECOVERY: (Duration, f64) = (Duration::from_secs(3), 0.95);
 
-/// The requests that may reach a target although their caller left.
-const LEFT_OVER: usize = 3;
+/// How many attempts of a soak may arrive later than [`LATENESS_LIMIT`] after a
+/// cancellation.
+const MAX_ATTEMPTS_AFTER_CANCEL: usize = 3;
 
-/// The runs of the poison after it has crashed three targets.
-const POISONED: usize = 3;
+/// How many more targets may crash later than [`STABLE_PERIOD`] after the third crash.
+const MAX_CRASHES_AFTER_QUARANTINE: usize = 3;
 
-/// What the checks look up in the rows.
+/// The rows, with requests and attempts by the id of the request.
 struct Index<'a> {
     rows: &'a Rows,
     end: Instant,
-    asks: BTreeMap<&'a str, &'a Ask>,
-    runs: BTreeMap<&'a str, Vec<&'a Run>>,
+    requests: BTreeMap<&'a str, &'a Request>,
+    attempts: BTreeMap<&'a str, Vec<&'a Attempt>>,
 }
 
-/// Runs every check; `end` is when the last request was sent.
-pub fn run(rows: &Rows, end: Instant) -> Vec<String> {
-    let asks = rows.asks.iter().map(|ask| (ask.id.as_str(), ask)).collect();
-    let mut runs: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
-    for run in &rows.runs {
-        runs.entry(&run.id).or_default().push(run);
+/// Runs all checks and returns the violations that were found by them and before them.
+/// `end` is when the last request was sent.
+pub fn violations(rows: &Rows, end: Instant) -> Vec<String> {
+    let requests = rows.requests.iter().map(|request| (request.id.as_str(), request)).collect();
+    let mut attempts: BTreeMap<&str, Vec<&Attempt>> = BTreeMap::new();
+    for attempt in &rows.attempts {
+        attempts.entry(&attempt.id).or_default().push(attempt);
     }
-    let index = Index { rows, end, asks, runs };
+    let index = Index { rows, end, requests, attempts };
     let checks: [fn(&Index<'_>) -> Vec<String>; 13] = [
         answers,
-        once,
+        single_execution,
         refusals,
-        unchanged,
-        attempts,
-        budget,
+        forwarded_requests,
+        attempt_limit,
+        retry_budget,
         drains,
         versions,
         deadlines,
-        closings,
-        withdrawals,
+        closed_connections,
+        cancellations,
         poison,
         recovery,
     ];
     let found = checks.iter().flat_map(|check| check(&index));
-    rows.breaches.iter().cloned().chain(found).collect()
+    rows.violations.iter().cloned().chain(found).collect()
 }
 
 impl<'a> Index<'a> {
-    fn runs(&self, id: &str) -> impl Iterator<Item = &'a Run> + use<'a> {
-        let runs = self.runs.get(id).cloned().unwrap_or_default();
-        runs.into_iter().filter(|run| !run.refused)
+    /// Returns the attempts of a request that its targets did not refuse.
+    fn executions(&self, id: &str) -> impl Iterator<Item = &'a Attempt> + use<'a> {
+        let attempts = self.attempts.get(id).cloned().unwrap_or_default();
+        attempts.into_iter().filter(|attempt| !attempt.refused)
     }
 
-    fn answered(&self) -> impl Iterator<Item = (&'a Ask, &'a Answer)> {
-        self.rows.asks.iter().filter_map(|ask| match &ask.outcome {
-            Outcome::Answer(answer) => Some((ask, answer)),
-            Outcome::Closed { .. } | Outcome::Left | Outcome::Stray(_) => None,
+    /// Returns the requests that were answered, with their answers.
+    fn answered(&self) -> impl Iterator<Item = (&'a Request, &'a Answer)> {
+        self.rows.requests.iter().filter_map(|request| match &request.outcome {
+            Outcome::Answer(answer) => Some((request, answer)),
+            Outcome::Closed { .. } | Outcome::Cancelled | Outcome::Malformed(_) => None,
         })
     }
 
-    /// Whether anything but targets was disturbed in a time.
-    fn is_calm(&self, from: Instant, to: Instant) -> bool {
-        let spells = self.rows.spells.iter();
-        let mut spells = spells.filter(|spell| !matches!(spell.subject, Subject::Link(_)));
-        !spells.any(|spell| spell.from <= to && spell.to >= from)
+    /// Returns whether nothing but links to targets was disturbed in a period.
+    fn is_stable(&self, from: Instant, to: Instant) -> bool {
+        let disturbances = self.rows.disturbances.iter();
+        let mut disturbances = disturbances
+            .filter(|disturbance| !matches!(disturbance.subject, Subject::TargetLink(_)));
+        !disturbances.any(|disturbance| disturbance.from <= to && disturbance.to >= from)
     }
 
-    /// Whether the process of a relay was disturbed in a time. The last relay
-    /// hands its requests on, so that it shares the disturbances of the others.
+    /// Returns whether the process of a relay was disturbed in a period. The last relay
+    /// hands its requests to the others, so that it is affected by their disturbances.
     fn is_disturbed(&self, relay: usize, from: Instant, to: Instant) -> bool {
-        let concerns = |subject: Subject| match subject {
+        let affects = |subject: Subject| match subject {
             Subject::Relay(number) | Subject::Leaving(number) => {
-                number == relay || relay + 1 == RELAYS.len()
+                number == relay || relay + 1 == RELAY_CORES.len()
             }
-            Subject::Store | Subject::Link(_) => false,
+            Subject::Store | Subject::TargetLink(_) => false,
         };
-        let mut spells = self.rows.spells.iter().filter(|spell| concerns(spell.subject));
-        spells.any(|spell| spell.from <= to && spell.to >= from)
+        let mut disturbances =
+            self.rows.disturbances.iter().filter(|disturbance| affects(disturbance.subject));
+        disturbances.any(|disturbance| disturbance.from <= to && disturbance.to >= from)
     }
 
-    /// Whether the link to the target of a run held bytes back in a time. What
-    /// arrives late by that was sent in time.
-    fn is_held_up(&self, run: &Run, from: Instant) -> bool {
-        let subject = Subject::Link(run.place);
-        let mut spells = self.rows.spells.iter().filter(|spell| spell.subject == subject);
-        spells.any(|spell| spell.from <= run.at && spell.to >= from)
+    /// Returns whether the link to the target held back bytes between `from` and the
+    /// arrival of an attempt. The attempt may have been sent in time even if it arrived
+    /// late.
+    fn is_held_back(&self, attempt: &Attempt, from: Instant) -> bool {
+        let subject = Subject::TargetLink(attempt.endpoint);
+        let mut disturbances =
+            self.rows.disturbances.iter().filter(|disturbance| disturbance.subject == subject);
+        disturbances.any(|disturbance| disturbance.from <= attempt.at && disturbance.to >= from)
     }
 
-    /// The versions that may have sent a request to a service by a time.
-    fn named(&self, service: &str, by: Instant) -> impl Iterator<Item = &'a Version> {
+    /// Returns the versions written by a time that name a service for shards or for
+    /// operations. Only under these can a request have been sent to it.
+    fn versions_naming(&self, service: &str, by: Instant) -> impl Iterator<Item = &'a Version> {
         let versions = self.rows.versions.iter().filter(move |version| version.written <= by);
         let service = service.to_owned();
         versions
@@ -119,136 +131,158 @@
     }
 }
 
-fn is_promise(status: u16) -> bool {
+/// Returns whether a status promises that no target ran the request.
+fn promises_not_run(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
 }
 
-/// Whole answers to one's own request, with the parts that they name.
+/// Every answer belongs to the caller's own request and consists of the parts whose
+/// digests it names. A malformed answer counts unless the relay's process was disturbed.
 fn answers(index: &Index<'_>) -> Vec<String> {
     let mut found = Vec::new();
-    for (ask, answer) in index.answered() {
-        let wrong = match (answer.status, ask.kind) {
-            (200, Kind::Operation) => passed_on(index, ask, answer),
-            (200, Kind::Search | Kind::Poison) => gathered(index, ask, answer),
-            (500, _) => answer.digest.as_ref().is_some_and(|d| *d != format!("failed.{}", ask.id)),
-            (status, _) if is_promise(status) || status >= 500 => answer.digest.is_some(),
+    for (request, answer) in index.answered() {
+        let wrong = match (answer.status, request.kind) {
+            (200, Kind::Operation) => is_wrong_operation_answer(index, request, answer),
+            (200, Kind::Search | Kind::Poison) => is_wrong_search_answer(index, request, answer),
+            (500, _) => {
+                answer.digest.as_ref().is_some_and(|d| *d != format!("failed.{}", request.id))
+            }
+            (status, _) if promises_not_run(status) || status >= 500 => answer.digest.is_some(),
             (_, _) => true,
         };
         if wrong {
-            found.push(format!("{}: wrong answer: {} {:?}", ask.id, answer.status, answer.digests));
+            found.push(format!(
+                "{}: wrong answer: {} {:?}",
+                request.id, answer.status, answer.digests
+            ));
         }
     }
-    for ask in &index.rows.asks {
-        let is_disturbed = index.is_disturbed(ask.relay, ask.sent, ask.ended);
-        if let Outcome::Stray(detail) = &ask.outcome
+    for request in &index.rows.requests {
+        let is_disturbed = index.is_disturbed(request.relay, request.sent, request.ended);
+        if let Outcome::Malformed(detail) = &request.outcome
             && !is_disturbed
         {
-            found.push(format!("{}: no answer: {detail}", ask.id));
+            found.push(format!("{}: malformed answer: {detail}", request.id));
         }
     }
     found
 }
 
-/// Whether the answer to an operation is not the reply of its target.
-fn passed_on(index: &Index<'_>, ask: &Ask, answer: &Answer) -> bool {
+/// Returns whether the answer to an operation differs from every reply of its targets.
+fn is_wrong_operation_answer(index: &Index<'_>, request: &Request, answer: &Answer) -> bool {
     let Some(digest) = &answer.digest else { return true };
-    !index.runs(&ask.id).any(|run| run.success == Some((digest.clone(), answer.body.clone())))
+    !index
+        .executions(&request.id)
+        .any(|attempt| attempt.success == Some((digest.clone(), answer.body.clone())))
 }
 
-/// Whether the answer to a search is not made of parts of one version.
-fn gathered(index: &Index<'_>, ask: &Ask, answer: &Answer) -> bool {
-    let parts: Vec<&Run> = index
-        .runs(&ask.id)
-        .filter(|run| run.success.as_ref().is_some_and(|(d, _)| answer.digests.contains(d)))
+/// Returns whether the answer to a search is not the result of parts that belong to one
+/// version and cover enough of its shards.
+fn is_wrong_search_answer(index: &Index<'_>, request: &Request, answer: &Answer) -> bool {
+    let parts: Vec<&Attempt> = index
+        .executions(&request.id)
+        .filter(|attempt| attempt.success.as_ref().is_some_and(|(d, _)| answer.digests.contains(d)))
         .collect();
-    let services: BTreeSet<&str> = parts.iter().map(|run| run.service.as_str()).collect();
-    let is_named = parts.len() == answer.digests.len() && services.len() == parts.len();
+    let services: BTreeSet<&str> = parts.iter().map(|attempt| attempt.service.as_str()).collect();
+    let parts_match = parts.len() == answer.digests.len() && services.len() == parts.len();
     let shards = answer.digests.len() + answer.missing;
-    let is_version = index.rows.versions.iter().any(|version| {
-        let all = services.iter().all(|service| version.shards.contains(service));
-        all && version.shards.len() == shards && version.written <= ask.ended
+    let version_matches = index.rows.versions.iter().any(|version| {
+        let services_match = services.iter().all(|service| version.shards.contains(service));
+        services_match && version.shards.len() == shards && version.written <= request.ended
     });
     let share = parts.len() as f64 / shards.max(1) as f64;
-    !(is_named && is_version && share >= LEAST && answer.body == greatest(&parts))
+    !(parts_match && version_matches && share >= MIN_COVERAGE && answer.body == top_records(&parts))
 }
 
-/// The greatest records of parts.
-fn greatest(parts: &[&Run]) -> Vec<u8> {
-    let bodies = parts.iter().filter_map(|run| run.success.as_ref().map(|(_, body)| body));
+/// Returns the [`TOP_K`] greatest records of the parts.
+fn top_records(parts: &[&Attempt]) -> Vec<u8> {
+    let bodies = parts.iter().filter_map(|attempt| attempt.success.as_ref().map(|(_, body)| body));
     let mut records: Vec<&[u8]> = bodies.flat_map(|body| body.chunks_exact(16)).collect();
     records.sort_unstable_by(|a, b| b.cmp(a));
-    records.truncate(TOP);
+    records.truncate(TOP_K);
     records.concat()
 }
 
-/// An operation runs once at most.
-fn once(index: &Index<'_>) -> Vec<String> {
-    let operations = index.rows.asks.iter().filter(|ask| ask.kind == Kind::Operation);
+/// An operation runs at most once.
+fn single_execution(index: &Index<'_>) -> Vec<String> {
+    let operations = index.rows.requests.iter().filter(|request| request.kind == Kind::Operation);
     operations
-        .filter(|ask| index.runs(&ask.id).count() > 1)
-        .map(|ask| format!("{}: ran twice", ask.id))
+        .filter(|request| index.executions(&request.id).count() > 1)
+        .map(|request| format!("{}: ran more than once", request.id))
         .collect()
 }
 
-/// A refusal that promises that nothing ran is true.
+/// No target ran an operation that was refused with the promise that it did not run.
 fn refusals(index: &Index<'_>) -> Vec<String> {
-    let promised = index
-        .answered()
-        .filter(|(ask, answer)| ask.kind == Kind::Operation && is_promise(answer.status));
-    promised
-        .filter(|(ask, _)| index.runs(&ask.id).next().is_some())
-        .map(|(ask, answer)| format!("{}: ran, was answered {}", ask.id, answer.status))
+    let refused = index.answered().filter(|(request, answer)| {
+        request.kind == Kind::Operation && promises_not_run(answer.status)
+    });
+    refused
+        .filter(|(request, _)| index.executions(&request.id).next().is_some())
+        .map(|(request, answer)| {
+            format!("{}: ran although it was answered {}", request.id, answer.status)
+        })
         .collect()
 }
 
-/// Targets run what callers sent, where a version sent it, with the time that is
-/// left.
-fn unchanged(index: &Index<'_>) -> Vec<String> {
+/// Targets run exactly what callers sent, at a service that a version names, and get the
+/// remaining time as the deadline.
+fn forwarded_requests(index: &Index<'_>) -> Vec<String> {
     let mut found = Vec::new();
-    for run in index.rows.runs.iter().filter(|run| !run.refused) {
-        let Some(ask) = index.asks.get(run.id.as_str()) else {
-            found.push(format!("{}: nobody sent what {} ran", run.id, run.target));
+    for attempt in index.rows.attempts.iter().filter(|attempt| !attempt.refused) {
+        let Some(request) = index.requests.get(attempt.id.as_str()) else {
+            found.push(format!(
+                "{}: {} ran a request that no caller sent",
+                attempt.id, attempt.target
+            ));
             continue;
         };
-        let path = match ask.kind {
-            Kind::Search => format!("/search/{}?page=2", ask.id),
-            Kind::Operation => format!("/desk/{}?step=1", ask.id),
+        let path = match request.kind {
+            Kind::Search => format!("/search/{}?page=2", request.id),
+            Kind::Operation => format!("/desk/{}?step=1", request.id),
             Kind::Poison => "/search/poison".to_owned(),
         };
-        if run.path != path || run.body != ask.body {
-            found.push(format!("{}: {} ran something else", run.id, run.target));
+        if attempt.path != path || attempt.body != request.body {
+            found.push(format!(
+                "{}: {} ran another path or body than was sent",
+                attempt.id, attempt.target
+            ));
         }
-        if index.named(&run.service, run.at).next().is_none() {
-            found.push(format!("{}: no version sends it to {}", run.id, run.service));
+        if index.versions_naming(&attempt.service, attempt.at).next().is_none() {
+            found.push(format!("{}: no version names the service {}", attempt.id, attempt.service));
         }
-        let left = Duration::from_millis(PATIENCE_MS).saturating_sub(run.at - ask.sent);
-        // A VM that stood still does not know how long a request has waited.
-        let is_excused =
-            index.is_held_up(run, ask.sent) || index.is_disturbed(ask.relay, ask.sent, run.at);
-        if run.deadline > left + LATE && !is_excused {
-            found.push(format!("{}: {} was told {:?}", run.id, run.target, run.deadline));
+        let remaining =
+            Duration::from_millis(REQUEST_DEADLINE_MS).saturating_sub(attempt.at - request.sent);
+        // A VM whose process was stopped does not know how long a request has waited.
+        let is_excused = index.is_held_back(attempt, request.sent)
+            || index.is_disturbed(request.relay, request.sent, attempt.at);
+        if attempt.deadline > remaining + LATENESS_LIMIT && !is_excused {
+            found.push(format!(
+                "{}: {} got the deadline {:?}",
+                attempt.id, attempt.target, attempt.deadline
+            ));
         }
     }
     found
 }
 
-/// One request reaches as many targets of a service as its route allows.
-fn attempts(index: &Index<'_>) -> Vec<String> {
+/// A request reaches at most as many targets of a service as its route allows.
+fn attempt_limit(index: &Index<'_>) -> Vec<String> {
     let mut counts: BTreeMap<(&str, &str), usize> = BTreeMap::new();
-    for run in index.rows.runs.iter().filter(|run| !run.refused) {
-        *counts.entry((&run.id, &run.service)).or_default() += 1;
+    for attempt in index.rows.attempts.iter().filter(|attempt| !attempt.refused) {
+        *counts.entry((&attempt.id, &attempt.service)).or_default() += 1;
     }
-    let over = counts.into_iter().filter(|(_, count)| *count > ATTEMPTS);
-    over.map(|((id, service), count)| format!("{id}: {count} attempts at {service}")).collect()
+    let excess = counts.into_iter().filter(|(_, count)| *count > ATTEMPTS);
+    excess.map(|((id, service), count)| format!("{id}: {count} attempts at {service}")).collect()
 }
 
-/// All relays together keep to the retry budget of each service.
-fn budget(index: &Index<'_>) -> Vec<String> {
+/// All relays together stay within the retry budget of each service.
+fn retry_budget(index: &Index<'_>) -> Vec<String> {
     let mut arrivals: BTreeMap<&str, Vec<(Instant, bool)>> = BTreeMap::new();
     let mut seen = BTreeSet::new();
-    for run in &index.rows.runs {
-        let is_extra = !seen.insert((&run.id, &run.service));
-        arrivals.entry(&run.service).or_default().push((run.at, is_extra));
+    for attempt in &index.rows.attempts {
+        let is_extra = !seen.insert((&attempt.id, &attempt.service));
+        arrivals.entry(&attempt.service).or_default().push((attempt.at, is_extra));
     }
     let mut found = Vec::new();
     for (service, arrivals) in arrivals {
@@ -259,124 +293,147 @@
         });
         let worst = worst.fold(0.0, f64::max);
         if worst > RETRY_SLACK {
-            found.push(format!("{service}: {worst:.0} extra attempts beyond the share"));
+            found
+                .push(format!("{service}: {worst:.0} extra attempts beyond the ratio in a window"));
         }
     }
     found
 }
 
-/// A target that leaves gets nothing new after its time.
+/// A draining target gets no requests after [`DRAIN_PERIOD`].
 fn drains(index: &Index<'_>) -> Vec<String> {
     let mut found = Vec::new();
     for drain in &index.rows.drains {
-        let late = drain.acknowledged + DRAIN;
-        if !index.is_calm(drain.acknowledged - STABLE, drain.acknowledged + DRAIN) {
+        let late = drain.acknowledged + DRAIN_PERIOD;
+        if !index.is_stable(drain.acknowledged - STABLE_PERIOD, drain.acknowledged + DRAIN_PERIOD) {
             continue;
         }
-        let runs = index.rows.runs.iter().filter(|run| {
-            // What no caller here sent comes from a process of another run.
-            let is_ours = index.asks.contains_key(run.id.as_str());
-            let is_late = run.target == drain.target && run.at > late;
-            is_late && is_ours && !index.is_held_up(run, late - DRAIN)
+        let attempts = index.rows.attempts.iter().filter(|attempt| {
+            // A request that no caller of this soak sent comes from a process of another one.
+            let is_ours = index.requests.contains_key(attempt.id.as_str());
+            let is_late = attempt.target == drain.target && attempt.at > late;
+            is_late && is_ours && !index.is_held_back(attempt, late - DRAIN_PERIOD)
         });
-        found.extend(runs.map(|run| format!("{}: reached {} that left", run.id, run.target)));
+        found.extend(attempts.map(|attempt| {
+            format!("{}: reached {} after its draining", attempt.id, attempt.target)
+        }));
     }
     found
 }
 
-/// A version is in force in its time, and is never followed by an older one.
+/// A version is in force within [`APPLY_LIMIT`], and no relay returns to an older one.
 fn versions(index: &Index<'_>) -> Vec<String> {
     let mut found = Vec::new();
-    let mut newest: BTreeMap<usize, Vec<(Instant, u64)>> = BTreeMap::new();
-    for run in index.rows.runs.iter().filter(|run| !run.refused) {
-        let Some(ask) = index.asks.get(run.id.as_str()) else { continue };
-        let numbers: Vec<u64> = index.named(&run.service, run.at).map(|v| v.number).collect();
-        let (Some(&least), Some(&most)) = (numbers.iter().min(), numbers.iter().max()) else {
+    let mut seen_versions: BTreeMap<usize, Vec<(Instant, u64)>> = BTreeMap::new();
+    for attempt in index.rows.attempts.iter().filter(|attempt| !attempt.refused) {
+        let Some(request) = index.requests.get(attempt.id.as_str()) else { continue };
+        let numbers: Vec<u64> =
+            index.versions_naming(&attempt.service, attempt.at).map(|v| v.number).collect();
+        let (Some(&oldest_version), Some(&newest_version)) =
+            (numbers.iter().min(), numbers.iter().max())
+        else {
             continue;
         };
         let due = index.rows.versions.iter().filter(|version| {
-            version.acknowledged + APPLY <= ask.sent
-                && index.is_calm(version.acknowledged - STABLE, run.at)
+            version.acknowledged + APPLY_LIMIT <= request.sent
+                && index.is_stable(version.acknowledged - STABLE_PERIOD, attempt.at)
         });
         let due = due.map(|version| version.number).max().unwrap_or(0);
-        let seen = newest.entry(ask.relay).or_default();
-        let before = seen.iter().filter(|(at, _)| *at + ROLLBACK < ask.sent);
-        let before = before.filter(|(at, _)| index.is_calm(*at - STABLE, run.at));
+        let seen = seen_versions.entry(request.relay).or_default();
+        let before = seen.iter().filter(|(at, _)| *at + VERSION_ORDER_DELAY < request.sent);
+        let before = before.filter(|(at, _)| index.is_stable(*at - STABLE_PERIOD, attempt.at));
         let before = before.map(|(_, number)| *number).max().unwrap_or(0);
-        if most < due.max(before) {
-            let text = format!("{}: version {most} after {due} and {before}", run.id);
+        if newest_version < due.max(before) {
+            let text = format!(
+                "{}: ran under version {newest_version}, due {due}, seen before {before}",
+                attempt.id
+            );
             found.push(text);
         }
-        if seen.last().is_none_or(|(_, number)| *number < least) {
-            seen.push((run.at, least));
+        if seen.last().is_none_or(|(_, number)| *number < oldest_version) {
+            seen.push((attempt.at, oldest_version));
         }
     }
     found
 }
 
-/// Every request ends in its time.
+/// Every request ends by its time limit, with [`LATENESS_LIMIT`] added.
 fn deadlines(index: &Index<'_>) -> Vec<String> {
-    let late = index.rows.asks.iter().filter(|ask| {
-        let route = if ask.kind == Kind::Operation { OPERATION } else { SEARCH };
-        let limit = route.timeout + LATE;
-        ask.ended - ask.sent > limit && !index.is_disturbed(ask.relay, ask.sent, ask.ended)
+    let late = index.rows.requests.iter().filter(|request| {
+        let route = if request.kind == Kind::Operation { OPERATION_ROUTE } else { SEARCH_ROUTE };
+        let limit = route.timeout + LATENESS_LIMIT;
+        request.ended - request.sent > limit
+            && !index.is_disturbed(request.relay, request.sent, request.ended)
     });
-    late.map(|ask| format!("{}: took {:?}", ask.id, ask.ended - ask.sent)).collect()
+    late.map(|request| format!("{}: took {:?}", request.id, request.ended - request.sent)).collect()
 }
 
-/// No connection ends without an answer, but at the end of its process; a VM
-/// that leaves may do so only to a request that it has not passed on.
-fn closings(index: &Index<'_>) -> Vec<String> {
+/// No connection ends without an answer unless its process was disturbed. A VM that shuts
+/// down in an orderly way may close it only if no target ran the request.
+fn closed_connections(index: &Index<'_>) -> Vec<String> {
     let mut found = Vec::new();
-    for ask in &index.rows.asks {
-        let Outcome::Closed { detail } = &ask.outcome else { continue };
+    for request in &index.rows.requests {
+        let Outcome::Closed { detail } = &request.outcome else { continue };
         let overlaps = |subject: Subject| {
-            let mut spells = index.rows.spells.iter().filter(|spell| spell.subject == subject);
-            spells.any(|spell| spell.from <= ask.ended && spell.to >= ask.sent)
+            let mut disturbances =
+                index.rows.disturbances.iter().filter(|disturbance| disturbance.subject == subject);
+            disturbances.any(|disturbance| {
+                disturbance.from <= request.ended && disturbance.to >= request.sent
+            })
         };
-        let is_killed = overlaps(Subject::Relay(ask.relay));
-        let is_crossing =
-            overlaps(Subject::Leaving(ask.relay)) && index.runs(&ask.id).next().is_none();
-        if !is_killed && !is_crossing {
-            found.push(format!("{}: vm-{}: {detail}", ask.id, ask.relay));
+        let is_relay_disturbed = overlaps(Subject::Relay(request.relay));
+        let is_unforwarded = overlaps(Subject::Leaving(request.relay))
+            && index.executions(&request.id).next().is_none();
+        if !is_relay_disturbed && !is_unforwarded {
+            found.push(format!("{}: vm-{}: {detail}", request.id, request.relay));
         }
     }
     found
 }
 
-/// Nothing goes on for a caller that left.
-fn withdrawals(index: &Index<'_>) -> Vec<String> {
-    let left = index.rows.asks.iter().filter(|ask| matches!(ask.outcome, Outcome::Left));
-    let late = left.flat_map(|ask| {
-        let calm = !index.is_disturbed(ask.relay, ask.sent, ask.ended + LATE);
-        let late = move |run: &&Run| run.at > ask.ended + LATE && !index.is_held_up(run, ask.sent);
-        index.runs(&ask.id).filter(move |run| calm && late(run))
+/// Attempts for a cancelled request stop.
+fn cancellations(index: &Index<'_>) -> Vec<String> {
+    let cancelled =
+        index.rows.requests.iter().filter(|request| matches!(request.outcome, Outcome::Cancelled));
+    let late = cancelled.flat_map(|request| {
+        let is_undisturbed =
+            !index.is_disturbed(request.relay, request.sent, request.ended + LATENESS_LIMIT);
+        let late = move |attempt: &&Attempt| {
+            attempt.at > request.ended + LATENESS_LIMIT
+                && !index.is_held_back(attempt, request.sent)
+        };
+        index.executions(&request.id).filter(move |attempt| is_undisturbed && late(attempt))
     });
-    let late: Vec<String> = late.map(|run| run.id.clone()).collect();
-    if late.len() > LEFT_OVER { vec![format!("callers had left: {late:?}")] } else { Vec::new() }
+    let late: Vec<String> = late.map(|attempt| attempt.id.clone()).collect();
+    if late.len() > MAX_ATTEMPTS_AFTER_CANCEL {
+        vec![format!("attempts ran after the caller cancelled: {late:?}")]
+    } else {
+        Vec::new()
+    }
 }
 
-/// A request that crashed three targets is held back.
+/// A request that crashed three targets is quarantined.
 fn poison(index: &Index<'_>) -> Vec<String> {
     let mut crashes: Vec<Instant> = index.rows.crashes.values().copied().collect();
     crashes.sort_unstable();
     let Some(third) = crashes.get(2) else { return Vec::new() };
-    let late = crashes.iter().filter(|at| **at > *third + STABLE).count();
-    let text = || format!("the poison crashed {late} targets after it was known");
-    if late > POISONED { vec![text()] } else { Vec::new() }
+    let late = crashes.iter().filter(|at| **at > *third + STABLE_PERIOD).count();
+    let text = || format!("{late} targets crashed long after the third one");
+    if late > MAX_CRASHES_AFTER_QUARANTINE { vec![text()] } else { Vec::new() }
 }
 
-/// Requests are served again at the end, through every relay.
+/// Requests are served again at the end of the soak, through every relay.
 fn recovery(index: &Index<'_>) -> Vec<String> {
-    let (span, share) = RECOVERED;
+    let (span, share) = RECOVERY;
     let mut found = Vec::new();
-    for relay in 0..RELAYS.len() {
-        let asks = index.rows.asks.iter().filter(|ask| {
-            let is_last = ask.sent >= index.end - span && !matches!(ask.outcome, Outcome::Left);
-            ask.relay == relay && is_last
+    for relay in 0..RELAY_CORES.len() {
+        let requests = index.rows.requests.iter().filter(|request| {
+            let is_last =
+                request.sent >= index.end - span && !matches!(request.outcome, Outcome::Cancelled);
+            request.relay == relay && is_last
         });
-        let total = asks.clone().count();
-        let served = asks.filter(|ask| ask.is_served()).count();
+        let total = requests.clone().count();
+        let served = requests.filter(|request| request.is_served()).count();
         if total < 30 || (served as f64) < share * total as f64 {
             found.push(format!("vm-{relay}: {served} of {total} served at the end"));
         }
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -1,53 +1,54 @@
-//! The faults of a soak, as they are drawn.
+//! The faults that a soak injects, and how one is drawn.
 
 use std::time::Duration;
 
 use rand::{RngExt, rngs::StdRng};
 
-use crate::{proxy::Mode, target::Manner};
+use crate::{proxy::Mode, target::Behaviour};
 
-/// What is disturbed, and how.
+/// A fault of one relay, one target, the store or the links between them. Relays and
+/// targets are given by their index in the deployment.
 #[derive(Clone, Debug)]
 pub enum Fault {
-    /// A relay is killed and starts again.
+    /// A relay is killed, and launched again after the time `down`.
     Kill { relay: usize, down: Duration },
-    /// The process of a relay stands still.
+    /// The process of a relay is stopped for a while.
     Freeze { relay: usize, span: Duration },
-    /// A relay ends in an orderly way and starts again.
+    /// A relay shuts down in an orderly way and is launched again.
     Restart { relay: usize },
-    /// A relay is told that its settings changed.
+    /// A relay reads its settings again.
     Reload { relay: usize },
-    /// A target goes down and comes back.
+    /// A target closes its connections and accepts none for a while.
     Down { target: usize, span: Duration },
-    /// A target runs nothing for a while.
+    /// A target accepts requests but delays running them for a while.
     Pause { target: usize, span: Duration },
-    /// A target misbehaves with a share of its requests.
-    Manner { target: usize, manner: Manner, share: f64, span: Duration },
-    /// A target leaves and another one takes its place.
+    /// A target shows a behaviour for a share of its requests.
+    Behaviour { target: usize, behaviour: Behaviour, share: f64, span: Duration },
+    /// A target drains and another one replaces it.
     Replace { target: usize },
-    /// The link to a target is disturbed.
-    Link { target: usize, mode: Mode, span: Duration },
+    /// The link to a target delays or holds back bytes.
+    TargetLink { target: usize, mode: Mode, span: Duration },
     /// The connections to a target are reset.
     Reset { target: usize },
-    /// The connections to a target are silent for good.
-    Forget { target: usize },
-    /// The store fails for all relays, or loses what it answers.
+    /// The open connections to a target stay open but pass no more bytes.
+    Blackhole { target: usize },
+    /// The store fails for all relays, answers late or loses answers.
     Store { faults: &'static str, span: Duration },
-    /// The store discards its history.
-    History,
-    /// The link of one relay to the store is disturbed.
-    Uplink { relay: usize, mode: Mode, span: Duration },
-    /// A change of the configuration.
-    Change,
-    /// A search that crashes targets comes a few times.
+    /// The store discards its history of changes.
+    DiscardHistory,
+    /// The link of one relay to the store delays or holds back bytes.
+    StoreLink { relay: usize, mode: Mode, span: Duration },
+    /// A new version of the configuration is written.
+    Reconfigure,
+    /// A search that crashes targets is sent several times.
     Poison,
 }
 
-/// The targets that run operations; they are the last ones.
-const OPERATING: usize = 4;
+/// The number of targets that run operations, which are the last ones.
+const OPERATION_TARGETS: usize = 4;
 
-/// The faults of the store that last.
-const STORE: [&str; 5] = [
+/// The faults of the store that last for a span, as the stand-in reads them.
+const STORE_FAULTS: [&str; 5] = [
     r#"{"down": "refuse"}"#,
     r#"{"down": "hang"}"#,
     r#"{"down": "cut"}"#,
@@ -55,24 +56,26 @@
     r#"{"lose_after": 3, "lose_by": "hang"}"#,
 ];
 
-const MANNERS: [Manner; 8] = [
-    Manner::Slow,
-    Manner::Fails,
-    Manner::Sheds,
-    Manner::Hangs,
-    Manner::Cuts,
-    Manner::Doubles,
-    Manner::Crosses,
-    Manner::Unframed,
+const BEHAVIOURS: [Behaviour; 8] = [
+    Behaviour::Slow,
+    Behaviour::Fails,
+    Behaviour::Sheds,
+    Behaviour::Hangs,
+    Behaviour::Cuts,
+    Behaviour::Doubles,
+    Behaviour::Crosses,
+    Behaviour::Unframed,
 ];
 
-/// Draws a fault for so many relays and targets.
+/// Draws a fault for the given numbers of relays and targets. A seed gives the same
+/// faults only while the order of the draws stays the same.
 pub fn draw(random: &mut StdRng, relays: usize, targets: usize) -> Fault {
     let span = Duration::from_millis(random.random_range(200..2500));
     let short = Duration::from_millis(random.random_range(50..1500));
     let relay = random.random_range(0..relays);
-    // The last targets run operations, whose promises are the strictest.
-    let first = if random.random::<bool>() { targets - OPERATING } else { 0 };
+    // Half of the draws pick only from the targets that run operations, because
+    // operations have the strictest guarantees.
+    let first = if random.random::<bool>() { targets - OPERATION_TARGETS } else { 0 };
     let target = random.random_range(first..targets);
     let modes = [Mode::Silent, Mode::OneWay, Mode::Delay(Duration::from_millis(80))];
     let mode = modes[random.random_range(0..modes.len())];
@@ -84,17 +87,19 @@
         5 => Fault::Down { target, span },
         6 => Fault::Pause { target, span: short },
         7 | 8 => {
-            let manner = MANNERS[random.random_range(0..MANNERS.len())];
-            Fault::Manner { target, manner, share: random.random_range(0.1..0.9), span }
+            let behaviour = BEHAVIOURS[random.random_range(0..BEHAVIOURS.len())];
+            Fault::Behaviour { target, behaviour, share: random.random_range(0.1..0.9), span }
         }
         9 => Fault::Replace { target },
-        10 | 11 => Fault::Link { target, mode, span },
+        10 | 11 => Fault::TargetLink { target, mode, span },
         12 => Fault::Reset { target },
-        13 => Fault::Forget { target },
-        14 => Fault::Store { faults: STORE[random.random_range(0..STORE.len())], span },
-        15 => Fault::History,
-        16 => Fault::Uplink { relay, mode, span },
-        17 | 18 => Fault::Change,
+        13 => Fault::Blackhole { target },
+        14 => {
+            Fault::Store { faults: STORE_FAULTS[random.random_range(0..STORE_FAULTS.len())], span }
+        }
+        15 => Fault::DiscardHistory,
+        16 => Fault::StoreLink { relay, mode, span },
+        17 | 18 => Fault::Reconfigure,
         _ => Fault::Poison,
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,5 +1,6 @@
-//! A randomized fault soak: relays as processes of their own against stand-ins,
-//! with faults from outside that are drawn from a seed. See `docs/SOAK.md`.
+//! Soak tests with injected faults. Relays run as separate processes against
+//! stand-ins of the store, the targets and the callers; the faults are drawn from a
+//! seed. See `docs/SOAK.md`.
 
 #[macro_use]
 #[path = "../common/case.rs"]
@@ -19,58 +20,65 @@
 mod relay;
 mod fault;
 mod plan;
-mod bed;
+mod deployment;
 mod check;
-mod play;
+mod runner;
 
 use std::time::Duration;
 
-use crate::{fault::Fault, plan::Step, target::Manner};
+use crate::{fault::Fault, plan::Step, target::Behaviour};
 
-/// When the only fault of a case begins.
-const SOON: Duration = Duration::from_millis(500);
+/// The time at which a case with fixed faults injects the first of them.
+const FIRST_FAULT: Duration = Duration::from_millis(500);
 
-/// Most requests fail at the targets of every shard.
-fn failing() -> Vec<Step> {
-    let (manner, span) = (Manner::Fails, Duration::from_secs(5));
-    let fault = |target| Fault::Manner { target, manner, share: 0.8, span };
-    (0..6).map(|target| Step { at: SOON, fault: fault(target) }).collect()
+/// Returns faults that make most requests fail at the targets of every shard of the
+/// first version.
+fn failing_targets() -> Vec<Step> {
+    let (behaviour, span) = (Behaviour::Fails, Duration::from_secs(5));
+    let fault = |target| Fault::Behaviour { target, behaviour, share: 0.8, span };
+    (0..6).map(|target| Step { at: FIRST_FAULT, fault: fault(target) }).collect()
 }
 
-/// Targets of shards and of operations spoil their answers, each in its way.
-fn spoilt() -> Vec<Step> {
+/// Returns faults that make targets of shards and of operations corrupt their
+/// answers, each in a different way.
+fn corrupt_answers() -> Vec<Step> {
     let (share, span) = (0.4, Duration::from_secs(5));
-    let ways = [(0, Manner::Cuts), (2, Manner::Crosses), (4, Manner::Doubles)];
-    let operations = [(10, Manner::Cuts), (11, Manner::Unframed)];
-    let steps = ways.into_iter().chain(operations).map(|(target, manner)| {
-        let fault = Fault::Manner { target, manner, share, span };
-        Step { at: SOON, fault }
+    let shards = [(0, Behaviour::Cuts), (2, Behaviour::Crosses), (4, Behaviour::Doubles)];
+    let operations = [(10, Behaviour::Cuts), (11, Behaviour::Unframed)];
+    let steps = shards.into_iter().chain(operations).map(|(target, behaviour)| {
+        let fault = Fault::Behaviour { target, behaviour, share, span };
+        Step { at: FIRST_FAULT, fault }
     });
     steps.collect()
 }
 
 cases! {
-    seed_1 => play::seed(1);
-    seed_2 => play::seed(2);
-    // VMs refused each other's requests where their stores had two addresses.
-    nothing_fails_without_a_fault => play::steps("calm", &[]);
-    // A target of the soak did not come back after the poison.
-    poison => play::steps("poison", &[Step { at: SOON, fault: Fault::Poison }]);
-    // A VM that had stood still told targets the time of requests that had waited.
-    freeze => play::steps("freeze", &[
-        Step { at: SOON, fault: Fault::Freeze { relay: 2, span: Duration::from_millis(1460) } },
+    seed_1 => runner::run_seed(1);
+    seed_2 => runner::run_seed(2);
+    // VMs refused each other's requests when they reached the store at different
+    // addresses.
+    nothing_fails_without_a_fault => runner::run_steps("calm", &[]);
+    // A target of the soak did not restart after the request that crashes targets.
+    poison => runner::run_steps("poison", &[Step { at: FIRST_FAULT, fault: Fault::Poison }]);
+    // A VM that had been stopped sent waiting requests to targets with a deadline that
+    // ignored the time they had waited.
+    freeze => runner::run_steps("freeze", &[
+        Step {
+            at: FIRST_FAULT,
+            fault: Fault::Freeze { relay: 2, span: Duration::from_millis(1460) },
+        },
     ]);
-    a_target_leaves => play::steps("leaves", &[
-        Step { at: SOON, fault: Fault::Replace { target: 0 } },
-        Step { at: SOON, fault: Fault::Replace { target: 10 } },
+    a_target_leaves => runner::run_steps("leaves", &[
+        Step { at: FIRST_FAULT, fault: Fault::Replace { target: 0 } },
+        Step { at: FIRST_FAULT, fault: Fault::Replace { target: 10 } },
     ]);
-    answers_are_spoilt => play::steps("spoilt", &spoilt());
-    most_targets_fail => play::steps("fail", &failing());
-    relays_end_in_turn => play::steps("turn", &[0, 1, 2].map(|relay| {
-        Step { at: SOON * (1 + 4 * relay as u32), fault: Fault::Restart { relay } }
+    answers_are_spoilt => runner::run_steps("spoilt", &corrupt_answers());
+    most_targets_fail => runner::run_steps("fail", &failing_targets());
+    relays_end_in_turn => runner::run_steps("turn", &[0, 1, 2].map(|relay| {
+        Step { at: FIRST_FAULT * (1 + 4 * relay as u32), fault: Fault::Restart { relay } }
     }));
-    versions_follow_each_other => play::steps("versions", &[1, 3, 9].map(|n| {
-        Step { at: SOON * n, fault: Fault::Change }
+    versions_follow_each_other => runner::run_steps("versions", &[1, 3, 9].map(|n| {
+        Step { at: FIRST_FAULT * n, fault: Fault::Reconfigure }
     }));
-    fresh_seeds => play::fresh();
+    fresh_seeds => runner::run_fresh_seeds();
 }
--- a/tests/soak/relay.rs
+++ b/tests/soak/relay.rs
@@ -1,4 +1,4 @@
-//! A relay as a process that signals disturb.
+//! Runs a relay as a process and disturbs it by signals.
 
 use std::{
     fs,
@@ -15,30 +15,31 @@
     port,
 };
 
-/// The time for which a VM is disturbed beyond the disturbance itself: it has to
-/// come up, or to find out what it missed.
-pub const SETTLE: Duration = Duration::from_millis(3000);
+/// How long a VM counts as disturbed after a disturbance has ended. It has to start, or
+/// to catch up with the changes that it missed.
+pub const SETTLE_PERIOD: Duration = Duration::from_millis(3000);
 
-/// The time after its start in which a process listens to signals.
-const STARTING: Duration = Duration::from_millis(1000);
+/// How long after its launch a process may take until it handles signals.
+const STARTUP_PERIOD: Duration = Duration::from_millis(1000);
 
-/// The limit of an orderly end, in milliseconds.
-pub const LIMIT_MS: u64 = 4000;
+/// The limit of an orderly shutdown.
+pub const SHUTDOWN_LIMIT_MS: u64 = 4000;
 
-/// A relay.
+/// A relay, whose process can be killed and launched again under the same settings.
 pub struct Relay {
     pub number: usize,
-    pub callers: SocketAddr,
-    ready: SocketAddr,
+    pub callers_address: SocketAddr,
+    ready_address: SocketAddr,
     name: String,
     folder: PathBuf,
     ledger: Ledger,
     child: Option<Child>,
-    launched: Instant,
+    launched_at: Instant,
 }
 
 impl Relay {
-    /// Starts a relay with a number of cores, whose store is at `store`.
+    /// Writes the settings of a relay that announces `cores` processor cores, and
+    /// launches it. It reaches the store at the address `store`.
     pub fn start(
         number: usize,
         cores: f64,
@@ -46,19 +47,19 @@
         folder: &Path,
         ledger: &Ledger,
     ) -> Relay {
-        let address: Vec<SocketAddr> = (0..4).map(|_| port::unused_address()).collect();
+        let addresses: Vec<SocketAddr> = (0..4).map(|_| port::unused_address()).collect();
         let name = format!("vm-{number}");
-        let text = settings(&name, cores, &address, store);
+        let text = settings(&name, cores, &addresses, store);
         fs::write(folder.join(format!("{name}.toml")), text).unwrap();
         let mut relay = Relay {
             number,
-            callers: address[0],
-            ready: address[1],
+            callers_address: addresses[0],
+            ready_address: addresses[1],
             name,
             folder: folder.to_owned(),
             ledger: ledger.clone(),
             child: None,
-            launched: Instant::now(),
+            launched_at: Instant::now(),
         };
         relay.launch();
         relay
@@ -68,12 +69,12 @@
         let file = format!("{}.toml", self.name);
         let arguments = ["relay", "--settings", &file];
         self.child = Some(Child::start(&self.folder, &self.name, &arguments));
-        self.launched = Instant::now();
+        self.launched_at = Instant::now();
     }
 
-    /// Whether it says that it is ready.
+    /// Returns whether the relay reports that it is ready.
     pub async fn is_ready(&self, client: &reqwest::Client) -> bool {
-        let url = format!("http://{}/v1/ready", self.ready);
+        let url = format!("http://{}/v1/ready", self.ready_address);
         let response = client.get(url).timeout(Duration::from_millis(500)).send().await;
         response.is_ok_and(|response| response.status() == 200)
     }
@@ -82,66 +83,75 @@
         self.child.as_ref().unwrap().signal(signal);
     }
 
-    /// Kills it and starts it again after a while.
+    /// Kills the process and launches it again after the time `down`.
     pub async fn kill(&mut self, down: Duration) {
         let from = Instant::now();
         self.child = None;
         sleep(down).await;
         self.launch();
-        self.ledger.spell(Subject::Relay(self.number), from, Instant::now() + SETTLE);
+        self.ledger.record_disturbance(
+            Subject::Relay(self.number),
+            from,
+            Instant::now() + SETTLE_PERIOD,
+        );
     }
 
-    /// Stops its process for a while.
+    /// Stops the process for the time `span` (SIGSTOP, then SIGCONT).
     pub async fn freeze(&mut self, span: Duration) {
         let from = Instant::now();
         self.signal(Signal::STOP);
         sleep(span).await;
         self.signal(Signal::CONT);
-        self.ledger.spell(Subject::Relay(self.number), from, Instant::now() + SETTLE);
+        self.ledger.record_disturbance(
+            Subject::Relay(self.number),
+            from,
+            Instant::now() + SETTLE_PERIOD,
+        );
     }
 
-    /// Tells it to end, waits for that and starts it again.
+    /// Requests an orderly shutdown (SIGTERM), waits until the process exits and launches
+    /// it again.
     pub async fn restart(&mut self) {
-        // A process that has not begun to listen ends by the signal itself.
-        sleep(STARTING.saturating_sub(self.launched.elapsed())).await;
+        // The signal kills a process that does not handle it yet.
+        sleep(STARTUP_PERIOD.saturating_sub(self.launched_at.elapsed())).await;
         let from = Instant::now();
         self.signal(Signal::TERM);
-        let limit = Duration::from_millis(LIMIT_MS) + Duration::from_secs(1);
+        let limit = Duration::from_millis(SHUTDOWN_LIMIT_MS) + Duration::from_secs(1);
         let status = self.child.as_mut().unwrap().wait_exit(limit).await;
         if !status.success() {
-            let breach = format!("{}: its orderly end gave {status}", self.name);
-            self.ledger.rows().breaches.push(breach);
+            let violation = format!("{}: orderly shutdown ended with {status}", self.name);
+            self.ledger.rows().violations.push(violation);
         }
         let to = Instant::now();
         self.launch();
-        self.ledger.spell(Subject::Leaving(self.number), from, to + SETTLE);
+        self.ledger.record_disturbance(Subject::Leaving(self.number), from, to + SETTLE_PERIOD);
     }
 
-    /// Tells it that its settings may have changed.
+    /// Makes the process read its settings again (SIGHUP).
     pub fn reload(&self) {
         self.signal(Signal::HUP);
     }
 
-    /// Notes if the process ended by itself.
-    pub fn look(&mut self) {
+    /// Records a violation if the process exited by itself.
+    pub fn check_running(&mut self) {
         let name = self.name.clone();
         if let Some(status) = self.child.as_mut().and_then(Child::exit_status) {
-            self.ledger.rows().breaches.push(format!("{name}: ended by itself: {status}"));
+            self.ledger.rows().violations.push(format!("{name}: exited by itself: {status}"));
         }
     }
 }
 
-fn settings(name: &str, cores: f64, address: &[SocketAddr], store: SocketAddr) -> String {
-    let [callers, ready, metrics, peers] = address else { panic!("four addresses") };
+fn settings(name: &str, cores: f64, addresses: &[SocketAddr], store: SocketAddr) -> String {
+    let [callers, ready, metrics, peers] = addresses else { panic!("expected four addresses") };
     format!(
         "[vm]\nname = \"{name}\"\ndomain = \"near\"\ncores = {cores}\n\
          [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\nmetrics = \"{metrics}\"\n\
          peers = \"{peers}\"\n[store]\naddress = \"{store}\"\n\
          [retry]\nratio = {}\nslack = {}\nwindow_s = {}\n\
-         [shutdown]\nannounce_ms = 800\nlimit_ms = {LIMIT_MS}\n\
+         [shutdown]\nannounce_ms = 800\nlimit_ms = {SHUTDOWN_LIMIT_MS}\n\
          [log]\nlevel = \"debug\"\nrate = 500\n",
-        crate::bed::RETRY_RATIO,
-        crate::bed::RETRY_SLACK,
-        crate::bed::RETRY_WINDOW.as_secs()
+        crate::deployment::RETRY_RATIO,
+        crate::deployment::RETRY_SLACK,
+        crate::deployment::RETRY_WINDOW.as_secs()
     )
 }
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -1,4 +1,4 @@
-//! The stand-in of the store, its faults, and what others than relays write.
+//! The stand-in of the store with its faults, and the writes of operators and targets.
 
 use std::{
     net::{SocketAddr, TcpListener},
@@ -9,13 +9,13 @@
 use serde_json::{Value, json};
 
 use crate::{
-    bed::{self, SHARDS},
+    deployment::{self, SHARD_SETS},
     entries::{self, CONFIG, Document, target_key},
     ledger::{Drain, Ledger, Version},
     target::{SLOTS, Target},
 };
 
-/// The store.
+/// The stand-in of the store, which runs as a task of the test.
 pub struct Store {
     pub address: SocketAddr,
     client: reqwest::Client,
@@ -36,27 +36,28 @@
         assert!(response.status().is_success(), "{path}: {}", response.status());
     }
 
-    /// Puts faults in force for the relays; operators and targets have none.
-    pub async fn faults(&self, faults: &Value) {
+    /// Sets the faults that the relays see. Operators and targets see none. An empty
+    /// object removes all faults.
+    pub async fn set_faults(&self, faults: &Value) {
         self.put("/v1/faults", faults).await;
     }
 
-    /// Discards the history of changes.
-    pub async fn forget(&self) {
+    /// Discards the history of changes, so that watches cannot resume.
+    pub async fn discard_history(&self) {
         self.put("/v1/history", &json!("forgotten")).await;
     }
 
-    /// Registers a target at an address.
-    pub async fn register(&self, target: &Target, address: SocketAddr, drains: bool) {
-        let entry = entries::target(target.service(), address, SLOTS, drains);
+    /// Registers a target at the address of its proxy and records it if it is draining.
+    pub async fn register(&self, target: &Target, address: SocketAddr, is_draining: bool) {
+        let entry = entries::target(target.service(), address, SLOTS, is_draining);
         self.put(&entry_path(&target_key(target.id())), &entry).await;
-        if drains {
+        if is_draining {
             let row = Drain { target: target.id().to_owned(), acknowledged: Instant::now() };
             self.ledger.rows().drains.push(row);
         }
     }
 
-    /// Writes a version of the configuration.
+    /// Writes a version of the configuration and records it.
     pub async fn configure(&self, number: u64, shards: &[&'static str], desk: &'static str) {
         let written = Instant::now();
         self.put(&entry_path(CONFIG), &config(number, shards, desk)).await;
@@ -67,23 +68,24 @@
     }
 }
 
-/// Where an entry is written in the place of its writer.
+/// Returns the path that writes an entry directly, as its operator or target would.
 fn entry_path(key: &str) -> String {
     format!("/v1/entry?key={key}")
 }
 
 fn config(number: u64, shards: &[&str], desk: &str) -> Value {
-    let services: Vec<&str> = SHARDS.concat().into_iter().chain(bed::DESKS).collect();
+    let services: Vec<&str> =
+        SHARD_SETS.concat().into_iter().chain(deployment::OPERATION_SERVICES).collect();
     let document = Document {
         version: number,
-        search: bed::SEARCH,
+        search: deployment::SEARCH_ROUTE,
         shards,
-        top_k: bed::TOP,
-        min_coverage: bed::LEAST,
-        operation: bed::OPERATION,
+        top_k: deployment::TOP_K,
+        min_coverage: deployment::MIN_COVERAGE,
+        operation: deployment::OPERATION_ROUTE,
         desk,
         services: &services,
-        connections: bed::CONNECTIONS,
+        connections: deployment::MAX_CONNECTIONS,
     };
     document.write()
 }
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -1,5 +1,5 @@
-//! A target that speaks the published protocol, misbehaves, and notes what it
-//! was asked.
+//! A target that speaks the published protocol, misbehaves on request and records the
+//! attempts that reach it.
 
 use std::{
     net::SocketAddr,
@@ -21,44 +21,55 @@
 };
 
 use crate::{
-    ledger::{Ledger, Run},
+    ledger::{Attempt, Ledger},
     message::{self, Message},
     proxy,
 };
 
-/// The requests that a target runs at a time.
+/// The number of requests that a target runs at a time; it refuses further ones.
 pub const SLOTS: u64 = 4;
 
-/// The time for which it is down after the poison.
-const CRASH: Duration = Duration::from_millis(1500);
+/// How long a target is down after a request that crashed it.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(1500);
 
-/// What a target does with a share of its requests.
+/// How a target treats a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Manner {
-    Well,
+pub enum Behaviour {
+    Normal,
+    /// Takes 60 ms instead of the usual time.
     Slow,
+    /// Answers with status 500.
     Fails,
+    /// Refuses the request with status 503 and the promise that it was not run.
     Sheds,
+    /// Answers 5 s late.
     Hangs,
+    /// Sends a truncated answer and closes the connection.
     Cuts,
+    /// Sends the answer twice.
     Doubles,
+    /// Sends the answer under the id of another attempt.
     Crosses,
+    /// Sends an answer without a content length and closes the connection.
     Unframed,
 }
 
-/// What all connections of a target see.
+/// The state of a target that its connections share.
 struct State {
     id: String,
     service: &'static str,
-    place: usize,
-    manner: Mutex<(Manner, f64)>,
+    endpoint: usize,
+    /// A behaviour and the share of requests that it applies to.
+    behaviour: Mutex<(Behaviour, f64)>,
+    /// The end of the pause before which no request is answered.
     paused: Mutex<Option<Instant>>,
+    /// The number of requests that run now.
     running: AtomicU64,
     down: watch::Sender<bool>,
     ledger: Ledger,
 }
 
-/// A target.
+/// A handle to a target, which runs as tasks of the test.
 #[derive(Clone)]
 pub struct Target {
     pub address: SocketAddr,
@@ -66,14 +77,14 @@
 }
 
 impl Target {
-    pub async fn start(id: &str, service: &'static str, place: usize, ledger: Ledger) -> Target {
+    pub async fn start(id: &str, service: &'static str, endpoint: usize, ledger: Ledger) -> Target {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let state = Arc::new(State {
             id: id.to_owned(),
             service,
-            place,
-            manner: Mutex::new((Manner::Well, 0.0)),
+            endpoint,
+            behaviour: Mutex::new((Behaviour::Normal, 0.0)),
             paused: Mutex::new(None),
             running: AtomicU64::new(0),
             down: watch::Sender::new(false),
@@ -91,34 +102,34 @@
         self.state.service
     }
 
-    /// Does so with a share of its requests.
-    pub fn behave(&self, manner: Manner, share: f64) {
-        *self.state.manner.lock().unwrap() = (manner, share);
+    /// Sets the behaviour for a share of the requests; the others get a normal answer.
+    pub fn set_behaviour(&self, behaviour: Behaviour, share: f64) {
+        *self.state.behaviour.lock().unwrap() = (behaviour, share);
     }
 
-    /// Runs nothing for a time.
+    /// Delays the answers to requests until the time `span` has passed.
     pub fn pause(&self, span: Duration) {
         *self.state.paused.lock().unwrap() = Some(Instant::now() + span);
     }
 
-    /// Whether it is down.
+    /// Returns a receiver that shows whether the target is down.
     pub fn down(&self) -> watch::Receiver<bool> {
         self.state.down.subscribe()
     }
 
-    /// Takes no connections and has none, or comes back.
+    /// Closes all connections and accepts none, or accepts connections again.
     pub fn set_down(&self, is_down: bool) {
         self.state.down.send_replace(is_down);
     }
 }
 
-/// Accepts connections while the target is up, and ends them when it goes down.
+/// Accepts connections while the target is up, and closes them when it goes down.
 async fn serve(listener: TcpListener, address: SocketAddr, state: Arc<State>) {
     let connections = Arc::new(Mutex::new(JoinSet::new()));
-    let (mut down, open, own) =
+    let (mut down, open, shared) =
         (state.down.subscribe(), Arc::clone(&connections), Arc::clone(&state));
     let accepting = proxy::accept(listener, address, down.clone(), move |socket| {
-        open.lock().unwrap().spawn(connection(socket, Arc::clone(&own)));
+        open.lock().unwrap().spawn(connection(socket, Arc::clone(&shared)));
     });
     let ending = async {
         while down.wait_for(|is_down| *is_down).await.is_ok() {
@@ -141,7 +152,7 @@
     }
 }
 
-/// A request that runs, until it ends or its connection does.
+/// Counts a request as running until it ends or its connection does.
 struct Slot<'a>(&'a AtomicU64);
 
 impl<'a> Slot<'a> {
@@ -158,31 +169,32 @@
 }
 
 impl State {
-    /// Answers a request; it returns false if the connection is over.
+    /// Answers a request and returns whether the connection can be used further.
     async fn answer(&self, socket: &mut TcpStream, request: &Message) -> bool {
         let row = self.row(request);
         if request.header(TARGET.as_str()) != Some(&self.id) {
-            self.ledger.rows().runs.push(Run { refused: true, ..row });
+            self.ledger.rows().attempts.push(Attempt { refused: true, ..row });
             return send(socket, &refusal(421)).await;
         }
-        let manner = self.manner();
+        let behaviour = self.draw_behaviour();
         let is_full = self.running.load(Ordering::Relaxed) >= SLOTS;
-        if is_full || manner == Manner::Sheds {
-            self.ledger.rows().runs.push(Run { refused: true, ..row });
+        if is_full || behaviour == Behaviour::Sheds {
+            self.ledger.rows().attempts.push(Attempt { refused: true, ..row });
             return send(socket, &refusal(503)).await;
         }
         let _slot = Slot::take(&self.running);
-        self.run(socket, row, manner).await
+        self.execute(socket, row, behaviour).await
     }
 
-    fn row(&self, request: &Message) -> Run {
+    /// Returns the row of an attempt that has no result yet.
+    fn row(&self, request: &Message) -> Attempt {
         let number = request.header(DEADLINE_MS.as_str()).and_then(|text| text.parse().ok());
-        Run {
+        Attempt {
             id: request.header(ATTEMPT_ID.as_str()).unwrap_or_default().to_owned(),
             target: self.id.clone(),
-            place: self.place,
+            endpoint: self.endpoint,
             service: self.service.to_owned(),
-            path: request.second().to_owned(),
+            path: request.second_word().to_owned(),
             body: request.body.clone(),
             at: Instant::now(),
             deadline: Duration::from_millis(number.unwrap_or(u64::MAX >> 20)),
@@ -191,65 +203,69 @@
         }
     }
 
-    fn manner(&self) -> Manner {
-        let (manner, share) = *self.manner.lock().unwrap();
-        if rand::rng().random::<f64>() < share { manner } else { Manner::Well }
+    fn draw_behaviour(&self) -> Behaviour {
+        let (behaviour, share) = *self.behaviour.lock().unwrap();
+        if rand::rng().random::<f64>() < share { behaviour } else { Behaviour::Normal }
     }
 
-    async fn run(&self, socket: &mut TcpStream, row: Run, manner: Manner) -> bool {
+    /// Records an attempt, runs it and answers as `behaviour` requires. Returns whether the
+    /// connection can be used further.
+    async fn execute(&self, socket: &mut TcpStream, row: Attempt, behaviour: Behaviour) -> bool {
         if row.path.contains("poison") {
             return self.crash(row).await;
         }
-        let place = {
+        let index = {
             let mut rows = self.ledger.rows();
-            rows.runs.push(row.clone());
-            rows.runs.len() - 1
+            rows.attempts.push(row.clone());
+            rows.attempts.len() - 1
         };
         let paused = *self.paused.lock().unwrap();
         if let Some(until) = paused {
             sleep(until.saturating_duration_since(Instant::now())).await;
         }
-        let usual = if row.path.starts_with("/desk/") { 5..40 } else { 1..5 };
-        let span = if manner == Manner::Slow { 60 } else { rand::rng().random_range(usual) };
-        sleep(Duration::from_millis(span)).await;
-        if manner == Manner::Hangs {
+        let usual_ms = if row.path.starts_with("/desk/") { 5..40 } else { 1..5 };
+        let span_ms =
+            if behaviour == Behaviour::Slow { 60 } else { rand::rng().random_range(usual_ms) };
+        sleep(Duration::from_millis(span_ms)).await;
+        if behaviour == Behaviour::Hangs {
             sleep(Duration::from_secs(5)).await;
         }
         let (digest, body) = success(&row, &self.id);
-        if !matches!(manner, Manner::Fails | Manner::Crosses | Manner::Cuts) {
-            self.ledger.rows().runs[place].success = Some((digest.clone(), body.clone()));
+        if !matches!(behaviour, Behaviour::Fails | Behaviour::Crosses | Behaviour::Cuts) {
+            self.ledger.rows().attempts[index].success = Some((digest.clone(), body.clone()));
         }
         let text = reply(&row.id, &digest, &body);
-        match manner {
-            Manner::Fails => send(socket, &failure(&row.id)).await,
-            Manner::Cuts => {
+        match behaviour {
+            Behaviour::Fails => send(socket, &failure(&row.id)).await,
+            Behaviour::Cuts => {
                 send(socket, &text[..text.len() - 5]).await;
                 false
             }
-            Manner::Doubles => send(socket, &[&text[..], &text[..]].concat()).await,
-            Manner::Crosses => send(socket, &reply("another", &digest, &body)).await,
-            Manner::Unframed => {
+            Behaviour::Doubles => send(socket, &[&text[..], &text[..]].concat()).await,
+            Behaviour::Crosses => send(socket, &reply("another", &digest, &body)).await,
+            Behaviour::Unframed => {
                 send(socket, &unframed(&row.id, &digest, &body)).await;
                 false
             }
-            Manner::Well | Manner::Slow | Manner::Hangs | Manner::Sheds => {
+            Behaviour::Normal | Behaviour::Slow | Behaviour::Hangs | Behaviour::Sheds => {
                 send(socket, &text).await
             }
         }
     }
 
-    /// Goes down under a request and comes back after a while.
-    async fn crash(&self, row: Run) -> bool {
+    /// Goes down without an answer to the request, and comes back after
+    /// [`CRASH_DOWNTIME`].
+    async fn crash(&self, row: Attempt) -> bool {
         {
             let mut rows = self.ledger.rows();
-            let name = format!("{}@{}", self.id, rows.runs.len());
+            let name = format!("{}@{}", self.id, rows.attempts.len());
             rows.crashes.insert(name, row.at);
-            rows.runs.push(row);
+            rows.attempts.push(row);
         }
         self.down.send_replace(true);
         let down = self.down.clone();
         tokio::spawn(async move {
-            sleep(CRASH).await;
+            sleep(CRASH_DOWNTIME).await;
             down.send_replace(false);
         });
         false
@@ -260,8 +276,9 @@
     socket.write_all(bytes).await.is_ok()
 }
 
-/// The digest and body of a success. Both tell the request and the service.
-fn success(row: &Run, target: &str) -> (String, Vec<u8>) {
+/// Returns the digest and the body of a success. Both depend on the service and the id of
+/// the request, so that the checks can tell the replies apart.
+fn success(row: &Attempt, target: &str) -> (String, Vec<u8>) {
     let digest = format!("{}.{}.{target}", row.id, row.service);
     let mut body = Vec::new();
     for number in 0..4u8 {
@@ -283,6 +300,7 @@
     [head.as_bytes(), body].concat()
 }
 
+/// Returns a success without a content length, so that its end is not defined.
 fn unframed(id: &str, digest: &str, body: &[u8]) -> Vec<u8> {
     let head = format!("HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\n{DIGEST}: {digest}\r\n\r\n");
     [head.as_bytes(), body].concat()
