--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -47,7 +47,7 @@
     /// Decodes a configuration.
     fn config(&self, entry: &Entry) -> Result<Config, String>;
     /// Returns the key whose presence means that a request is held back.
-    fn held_key(&self, request: Fingerprint) -> String;
+    fn quarantine_key(&self, request: Fingerprint) -> String;
     /// Decodes the registration of a target.
     fn target(&self, entry: &Entry) -> Result<view::Target, String>;
 }
@@ -59,7 +59,7 @@
     Target(Name),
     Vm(Name),
     /// A request that is held back.
-    Held(Fingerprint),
+    Quarantined(Fingerprint),
     /// Anything else; the feed ignores the entry.
     Other,
 }
@@ -91,7 +91,7 @@
     /// How far other VMs have read the store.
     pub progress: Vec<Progress>,
     /// The requests that this VM holds back from this tick on.
-    pub held: Vec<Fingerprint>,
+    pub quarantined: Vec<Fingerprint>,
 }
 
 /// The output of a tick of the feed.
--- a/crates/core/src/relay/feed/report.rs
+++ b/crates/core/src/relay/feed/report.rs
@@ -19,9 +19,9 @@
 const MAX_WAITING_REPORTS: usize = 16;
 
 /// Queues reports of requests that this VM holds back.
-pub fn enqueue(tables: &mut Tables, held: Vec<Fingerprint>) {
-    for fingerprint in held {
-        let is_known = tables.view.held.contains(&fingerprint);
+pub fn enqueue(tables: &mut Tables, quarantined: Vec<Fingerprint>) {
+    for fingerprint in quarantined {
+        let is_known = tables.view.quarantined.contains(&fingerprint);
         let waiting = &mut tables.reports.waiting;
         if !is_known && waiting.len() < MAX_WAITING_REPORTS && !waiting.contains(&fingerprint) {
             waiting.push_back(fingerprint);
@@ -71,7 +71,7 @@
 fn start_write(tables: &mut Tables, lease: LeaseId, cx: &mut Context<'_>) {
     let Some(fingerprint) = tables.reports.waiting.front() else { return };
     let call = Call::Swap {
-        key: cx.format.held_key(*fingerprint),
+        key: cx.format.quarantine_key(*fingerprint),
         expect: None,
         value: tables.own.name.as_str().into(),
         lease: Some(lease),
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -37,7 +37,7 @@
             handle_reply(tables, id, reply, cx);
         }
     }
-    report::enqueue(tables, input.held);
+    report::enqueue(tables, input.quarantined);
     for progress in input.progress {
         progress::receive(tables, progress, cx);
     }
@@ -156,7 +156,9 @@
         Subject::Config => apply_config(tables, entry, cx),
         Subject::Target(id) => apply_target(tables, &id, entry, cx),
         Subject::Vm(name) => apply_vm(tables, name, entry, cx),
-        Subject::Held(request) => tables.is_changed |= tables.view.held.insert(request),
+        Subject::Quarantined(request) => {
+            tables.is_changed |= tables.view.quarantined.insert(request)
+        }
         Subject::Other => {}
     }
 }
@@ -241,8 +243,8 @@
 /// Applies the result of a scan, and marks the targets that it lacks as missing.
 fn replace_all(tables: &mut Tables, entries: &[Entry], cx: &mut Context<'_>) {
     let mut listed = BTreeSet::new();
-    tables.is_changed |= !tables.view.held.is_empty();
-    tables.view.held.clear();
+    tables.is_changed |= !tables.view.quarantined.is_empty();
+    tables.view.quarantined.clear();
     for entry in entries {
         apply(tables, entry, cx);
         if let Subject::Target(id) = cx.format.subject(&entry.key) {
@@ -261,7 +263,9 @@
         Subject::Vm(name) => {
             tables.is_changed |= tables.view.vms.remove(&name).is_some();
         }
-        Subject::Held(request) => tables.is_changed |= tables.view.held.remove(&request),
+        Subject::Quarantined(request) => {
+            tables.is_changed |= tables.view.quarantined.remove(&request)
+        }
         Subject::Config | Subject::Other => {}
     }
 }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -108,6 +108,6 @@
     pub answers: Vec<(Call, Answer)>,
     pub lines: Vec<Line>,
     /// The requests that this VM holds back from this tick on.
-    pub held: Vec<Fingerprint>,
+    pub quarantined: Vec<Fingerprint>,
     pub counts: Counts,
 }
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -79,7 +79,7 @@
 
 fn is_reachable(tables: &Tables, name: &Name, now: Instant) -> bool {
     let Some(link) = tables.links.get(name) else { return true };
-    let waits_since = link.open.first().map_or(now, |(since, _)| (*since).max(link.heard));
+    let waits_since = link.open.first().map_or(now, |(since, _)| (*since).max(link.last_message));
     link.pause_until <= now && now.since(waits_since) < SILENCE_TIMEOUT
 }
 
@@ -125,7 +125,7 @@
 /// Handles a message of another VM.
 pub fn receive(tables: &mut Tables, from: Name, hop: Hop, cx: &mut Context<'_>) {
     if let Some(link) = tables.links.get_mut(&from) {
-        link.heard = cx.now;
+        link.last_message = cx.now;
         link.pause_until = Instant::default();
     }
     match hop {
--- a/crates/core/src/relay/system/suspect.rs
+++ b/crates/core/src/relay/system/suspect.rs
@@ -42,13 +42,13 @@
 /// this proves to crash targets.
 pub fn confirm_crash(tables: &mut Tables, target: &Name, cx: &mut Context<'_>) {
     for fingerprint in tables.suspects.confirm_down(target) {
-        if tables.suspects.is_held(fingerprint, cx.now) {
+        if tables.suspects.is_quarantined(fingerprint, cx.now) {
             continue;
         }
-        tables.suspects.held.retain(|_, until| *until > cx.now);
-        tables.suspects.held.insert(fingerprint, cx.now + QUARANTINE_DURATION);
+        tables.suspects.quarantined.retain(|_, until| *until > cx.now);
+        tables.suspects.quarantined.insert(fingerprint, cx.now + QUARANTINE_DURATION);
         log_quarantine(tables, fingerprint, cx);
-        cx.out.held.push(fingerprint);
+        cx.out.quarantined.push(fingerprint);
     }
 }
 
@@ -68,12 +68,12 @@
 
 /// Whether a request is quarantined, by this VM or by another one.
 pub fn is_quarantined(tables: &Tables, caller_request: &CallerRequest, cx: &Context<'_>) -> bool {
-    let (own, others) = (&tables.suspects, &tables.view.held);
-    if own.held.is_empty() && others.is_empty() {
+    let (own, others) = (&tables.suspects, &tables.view.quarantined);
+    if own.quarantined.is_empty() && others.is_empty() {
         return false;
     }
     let fingerprint = caller_request.fingerprint();
-    own.is_held(fingerprint, cx.now) || others.contains(&fingerprint)
+    own.is_quarantined(fingerprint, cx.now) || others.contains(&fingerprint)
 }
 
 /// Whether a leg belongs to a quarantined request.
@@ -88,7 +88,7 @@
 
 /// Ends the queued legs of requests that were quarantined since they were queued.
 pub fn end_quarantined_legs(tables: &mut Tables, cx: &mut Context<'_>) {
-    if cx.out.held.is_empty() {
+    if cx.out.quarantined.is_empty() {
         return;
     }
     let queued = tables.legs.iter().filter(|(_, leg)| leg.queued).map(|(key, _)| *key);
--- a/crates/core/src/relay/table/suspect.rs
+++ b/crates/core/src/relay/table/suspect.rs
@@ -50,7 +50,7 @@
     /// The suspected requests with their losses.
     pub rows: BTreeMap<Fingerprint, Suspect>,
     /// The requests that this VM holds back, with the time at which that ends.
-    pub held: BTreeMap<Fingerprint, Instant>,
+    pub quarantined: BTreeMap<Fingerprint, Instant>,
 }
 
 impl Suspects {
@@ -90,7 +90,7 @@
     }
 
     /// Returns whether this VM holds a request back.
-    pub fn is_held(&self, request: Fingerprint, now: Instant) -> bool {
-        self.held.get(&request).is_some_and(|until| *until > now)
+    pub fn is_quarantined(&self, request: Fingerprint, now: Instant) -> bool {
+        self.quarantined.get(&request).is_some_and(|until| *until > now)
     }
 }
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -26,7 +26,7 @@
     /// The number of VMs to assume while none is known.
     pub assumed_vms: u32,
     /// The requests that are held back because they crashed targets.
-    pub held: BTreeSet<Fingerprint>,
+    pub quarantined: BTreeSet<Fingerprint>,
     /// The VMs that have so much more processor time that this one hands them its
     /// requests.
     pub larger: BTreeMap<Name, Vm>,
--- a/crates/core/tests/relay/answers.rs
+++ b/crates/core/tests/relay/answers.rs
@@ -2,19 +2,19 @@
 
 use laburnum_core::relay::Answer;
 
-use crate::harness::{Harness, failure, inquiry, refusal, single, success};
+use crate::harness::{Harness, failure, refusal, request, single, success};
 
 cases! {
     a_success_is_passed_on_unchanged => {
         let mut harness = Harness::with_route(single("desk"));
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
         harness.reply(&sent, success("d", 7));
         assert_eq!(harness.answers[&call], Answer::Forwarded(Box::new(success("d", 7))));
     };
     a_failure_is_tried_elsewhere_before_it_is_passed_on => {
         let mut harness = Harness::with_route(single("desk"));
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let first = harness.take_one_sent();
         harness.reply(&first, failure(500));
         let second = harness.take_one_sent();
@@ -23,14 +23,14 @@
     };
     a_client_error_is_not_retried => {
         let mut harness = Harness::with_route(single("desk"));
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
         harness.reply(&sent, failure(404));
         assert!(matches!(&harness.answers[&call], Answer::Forwarded(reply) if reply.status == 404));
     };
     a_request_that_every_target_refused_was_not_run => {
         let mut harness = Harness::with_route(single("desk"));
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         for _ in 0..2 {
             let sent = harness.take_one_sent();
             harness.reply(&sent, refusal(503));
@@ -39,7 +39,7 @@
     };
     a_refusal_does_not_hide_a_run => {
         let mut harness = Harness::with_route(single("desk"));
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
         harness.lose_connection(&sent, true);
         let sent = harness.take_one_sent();
@@ -48,7 +48,7 @@
     };
     the_log_says_why_a_request_was_refused => {
         let mut harness = Harness::with_route(single("desk"));
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
         harness.lose_connection(&sent, true);
         let sent = harness.take_one_sent();
--- a/crates/core/tests/relay/gather.rs
+++ b/crates/core/tests/relay/gather.rs
@@ -3,7 +3,7 @@
 
 use laburnum_core::relay::{Answer, message::Gathered};
 
-use crate::harness::{Harness, Sent, failure, inquiry, ms, refusal, search, success};
+use crate::harness::{Harness, Sent, failure, ms, refusal, request, search, success};
 
 const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
 
@@ -29,14 +29,14 @@
 cases! {
     each_shard_gets_one_leg_at_once => {
         let mut harness = Harness::with_route(search(&SHARDS, 0.75));
-        harness.submit(inquiry("/search/1"));
+        harness.submit(request("/search/1"));
         let sent = harness.take_sent();
         assert_eq!(sent.len(), 4);
         assert!(SHARDS.iter().all(|shard| sent_to(&sent, shard).at == harness.now));
     };
     a_whole_answer_goes_out_with_the_last_part => {
         let mut harness = Harness::with_route(search(&SHARDS, 0.75));
-        let call = harness.submit(inquiry("/search/1"));
+        let call = harness.submit(request("/search/1"));
         let sent = harness.take_sent();
         reply_except(&mut harness, &sent, &["s4"]);
         assert!(!harness.answers.contains_key(&call));
@@ -48,7 +48,7 @@
     a_partial_answer_goes_out_just_before_the_goal => {
         let mut harness = Harness::with_route(search(&SHARDS, 0.75));
         let since = harness.now;
-        let call = harness.submit(inquiry("/search/1"));
+        let call = harness.submit(request("/search/1"));
         let sent = harness.take_sent();
         reply_except(&mut harness, &sent, &["s4"]);
         harness.advance(ms(100));
@@ -57,7 +57,7 @@
     };
     too_few_parts_at_the_goal_are_waited_for => {
         let mut harness = Harness::with_route(search(&SHARDS, 0.75));
-        let call = harness.submit(inquiry("/search/1"));
+        let call = harness.submit(request("/search/1"));
         let sent = harness.take_sent();
         reply_except(&mut harness, &sent, &["s3", "s4"]);
         harness.advance(ms(150));
@@ -67,7 +67,7 @@
     };
     a_search_that_cannot_become_complete_enough_is_refused_at_once => {
         let mut harness = Harness::with_route(search(&SHARDS, 0.75));
-        let call = harness.submit(inquiry("/search/1"));
+        let call = harness.submit(request("/search/1"));
         for _ in 0..2 {
             for sent in harness.take_sent() {
                 if sent.target().starts_with("s1") || sent.target().starts_with("s2") {
@@ -80,7 +80,7 @@
     };
     a_search_that_no_target_ran_says_so => {
         let mut harness = Harness::with_route(search(&["s1"], 1.0));
-        let call = harness.submit(inquiry("/search/1"));
+        let call = harness.submit(request("/search/1"));
         for _ in 0..2 {
             let sent = harness.take_one_sent();
             harness.reply(&sent, refusal(503));
@@ -89,7 +89,7 @@
     };
     a_failure_is_no_part_even_with_a_digest => {
         let mut harness = Harness::with_route(search(&["s1"], 1.0));
-        let call = harness.submit(inquiry("/search/1"));
+        let call = harness.submit(request("/search/1"));
         let sent = harness.take_one_sent();
         harness.reply(&sent, failure(500));
         assert!(!harness.answers.contains_key(&call));
@@ -99,7 +99,7 @@
     };
     a_success_without_a_digest_is_no_part => {
         let mut harness = Harness::with_route(search(&["s1"], 1.0));
-        let call = harness.submit(inquiry("/search/1"));
+        let call = harness.submit(request("/search/1"));
         let sent = harness.take_one_sent();
         let mut reply = success("s1", 1);
         reply.digest = None;
@@ -111,7 +111,7 @@
         let mut view = (*harness.engine.tables().view).clone();
         view.targets.retain(|id, _| !id.as_str().starts_with("s2"));
         harness.set_view(view);
-        let call = harness.submit(inquiry("/search/1"));
+        let call = harness.submit(request("/search/1"));
         let sent = harness.take_sent();
         reply_except(&mut harness, &sent, &["s2"]);
         assert_eq!(gathered(&harness, call).missing, 1);
@@ -119,7 +119,7 @@
     a_hedged_shard_counts_once => {
         let mut harness = Harness::with_route(search(&["s1"], 1.0));
         harness.train_latency("/search/1", 10, ms(10));
-        let call = harness.submit(inquiry("/search/1"));
+        let call = harness.submit(request("/search/1"));
         let first = harness.take_one_sent();
         harness.advance(ms(40));
         let second = harness.take_one_sent();
--- a/crates/core/tests/relay/harness.rs
+++ b/crates/core/tests/relay/harness.rs
@@ -108,7 +108,7 @@
 }
 
 /// A request of a caller that waits 600 ms.
-pub fn inquiry(path: &str) -> CallerRequest {
+pub fn request(path: &str) -> CallerRequest {
     let message = Message {
         method: "GET".into(),
         path: path.into(),
@@ -177,7 +177,7 @@
     pub answered_at: BTreeMap<Call, Instant>,
     pub lines: Vec<Line>,
     pub hops: Vec<(Name, Hop)>,
-    pub held: Vec<Fingerprint>,
+    pub quarantined: Vec<Fingerprint>,
     last_call: u64,
 }
 
@@ -211,7 +211,7 @@
             answered_at: BTreeMap::new(),
             lines: Vec::new(),
             hops: Vec::new(),
-            held: Vec::new(),
+            quarantined: Vec::new(),
             last_call: 0,
         }
     }
@@ -248,7 +248,7 @@
             self.answered_at.insert(call, self.now);
         }
         self.lines.extend(out.lines);
-        self.held.extend(out.held);
+        self.quarantined.extend(out.quarantined);
     }
 
     /// Gives the engine a newer view.
@@ -355,7 +355,7 @@
     /// latency statistics for the route.
     pub fn train_latency(&mut self, path: &str, count: usize, span: Duration) {
         for _ in 0..count {
-            self.submit(inquiry(path));
+            self.submit(request(path));
             let sent = self.take_sent();
             self.now = self.now + span;
             for (index, sent) in sent.iter().enumerate() {
--- a/crates/core/tests/relay/hedges.rs
+++ b/crates/core/tests/relay/hedges.rs
@@ -9,7 +9,7 @@
     },
 };
 
-use crate::harness::{Harness, config, inquiry, limits, ms, search, single, success, target, view};
+use crate::harness::{Harness, config, limits, ms, request, search, single, success, target, view};
 
 fn latency_of(millis: &[u64]) -> Latency {
     let mut latency = Latency::default();
@@ -43,7 +43,7 @@
     a_leg_at_a_paused_target_is_hedged_at_another => {
         let mut harness = Harness::with_route(search(&["s1", "s2"], 1.0));
         harness.train_latency("/search/1", 20, ms(8));
-        let call = harness.submit(inquiry("/search/1"));
+        let call = harness.submit(request("/search/1"));
         let sent = harness.take_sent();
         harness.now = harness.now + ms(8);
         harness.reply(&sent[0], success("a", 1));
@@ -57,13 +57,13 @@
     a_leg_goes_to_as_many_targets_as_its_route_allows => {
         let mut harness = Harness::with_view(four_targets());
         harness.train_latency("/fetch/1", 20, ms(5));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         harness.advance(ms(500));
         assert_eq!(harness.take_sent().len(), 2);
     };
     a_lost_leg_goes_to_as_many_targets_as_its_route_allows => {
         let mut harness = Harness::with_view(four_targets());
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let mut sent = 0;
         while let Some(attempt) = harness.take_sent().pop() {
             harness.lose_connection(&attempt, true);
@@ -74,7 +74,7 @@
     a_leg_that_was_retried_before_its_hedge_goes_to_no_third_target => {
         let mut harness = Harness::with_view(four_targets());
         harness.train_latency("/fetch/1", 20, ms(20));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         harness.now = harness.now + ms(1);
         let first = harness.take_one_sent();
         harness.lose_connection(&first, true);
@@ -87,12 +87,12 @@
         harness.train_latency("/fetch/1", 20, ms(5));
         // One target reports that other VMs keep it busy, so the next request goes to
         // the other target, which is slow.
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         let busy = harness.take_one_sent();
         let mut reply = success("d", 1);
         reply.load = Some(Load { running: 6, waiting: 0, slots: 2 });
         harness.reply(&busy, reply);
-        harness.submit(inquiry("/fetch/2"));
+        harness.submit(request("/fetch/2"));
         assert_ne!(harness.take_one_sent().target(), busy.target());
         harness.advance(ms(100));
         assert!(harness.take_sent().is_empty(), "it would delay all requests of that target");
@@ -105,7 +105,7 @@
         harness.open_first_connections();
         harness.advance(ms(10_000));
         for _ in 0..40 {
-            harness.submit(inquiry("/fetch/1"));
+            harness.submit(request("/fetch/1"));
             harness.advance(ms(60));
             for sent in harness.take_sent() {
                 harness.reply(&sent, success("d", 1));
@@ -121,19 +121,19 @@
         let mut harness = Harness::with_slack(0.0);
         harness.set_view(view(config(1, vec![single("desk")], 100)));
         harness.open_first_connections();
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         harness.advance(ms(300));
         assert_eq!(harness.take_sent().len(), 1, "the retry budget is empty");
         harness.engine.set_limits(limits(100.0));
         harness.advance(ms(11_000));
-        harness.submit(inquiry("/fetch/2"));
+        harness.submit(request("/fetch/2"));
         harness.advance(ms(300));
         assert_eq!(harness.take_sent().len(), 2);
     };
     the_loser_of_a_hedge_keeps_its_connection_if_it_answers => {
         let mut harness = Harness::with_route(single("desk"));
         harness.train_latency("/fetch/1", 20, ms(5));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         harness.advance(ms(45));
         let sent = harness.take_sent();
         harness.reply(&sent[1], success("d", 1));
@@ -144,7 +144,7 @@
     the_loser_of_a_hedge_is_withdrawn_in_the_end => {
         let mut harness = Harness::with_route(single("desk"));
         harness.train_latency("/fetch/1", 20, ms(5));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         harness.advance(ms(45));
         let sent = harness.take_sent();
         harness.reply(&sent[1], success("d", 1));
--- a/crates/core/tests/relay/hops.rs
+++ b/crates/core/tests/relay/hops.rs
@@ -11,7 +11,7 @@
     },
 };
 
-use crate::harness::{Harness, config, inquiry, ms, name, search, single, success, view};
+use crate::harness::{Harness, config, ms, name, request, search, single, success, view};
 
 fn vm(domain: &str, last: u8) -> Vm {
     let address = format!("10.1.0.{last}:7000").parse().unwrap();
@@ -63,7 +63,7 @@
 cases! {
     a_small_vm_hands_its_requests_on => {
         let mut harness = small(&[("large", "near")]);
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let (to, asked, caller_request) = take_request(&mut harness);
         assert_eq!((to.as_str(), &*caller_request.id), ("large", "c1"));
         assert!(caller_request.peer_delay > ms(0), "the round trip takes a part of the goal");
@@ -72,21 +72,21 @@
     };
     a_larger_vm_of_the_same_failure_domain_comes_first => {
         let mut harness = small(&[("a", "far"), ("b", "near"), ("c", "far")]);
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         assert_eq!(take_request(&mut harness).0, "b");
     };
     a_vm_that_is_lost_ends_its_requests_and_is_left_alone => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         take_request(&mut harness);
         harness.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true }]);
         assert_eq!(harness.refusal_status(call), 502);
-        harness.submit(inquiry("/fetch/2"));
+        harness.submit(request("/fetch/2"));
         assert_eq!(take_request(&mut harness).0, "b");
     };
     a_request_that_a_vm_did_not_take_goes_to_another_one => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         assert_eq!(take_request(&mut harness).0, "a");
         harness.now = harness.now + ms(100);
         harness.step(vec![unreached("a")]);
@@ -98,7 +98,7 @@
     };
     a_request_that_no_vm_took_was_not_run => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         harness.step(vec![unreached("a"), unreached("b")]);
         let Answer::Refused(refusal) = &harness.answers[&call] else { panic!() };
         assert_eq!(refusal.fault.ran, Ran::No);
@@ -109,29 +109,29 @@
         own.larger = harness.engine.tables().view.larger.clone();
         own.is_current = true;
         harness.set_view(own);
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         harness.step(vec![unreached("a")]);
         assert!(harness.take_one_sent().target().starts_with("desk-"));
     };
     a_silent_vm_gets_no_new_requests => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         take_request(&mut harness);
         harness.advance(ms(450));
-        harness.submit(inquiry("/fetch/2"));
+        harness.submit(request("/fetch/2"));
         assert_eq!(take_request(&mut harness).0, "b");
     };
     a_request_without_an_answer_ends_in_time => {
         let mut harness = small(&[("a", "near")]);
         let since = harness.now;
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         harness.advance(ms(700));
         assert_eq!(harness.refusal_status(call), 504);
         assert!(harness.waited(call, since) < ms(600));
     };
     an_answer_that_comes_too_late_is_dropped => {
         let mut harness = small(&[("a", "near")]);
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let (_, asked, _) = take_request(&mut harness);
         harness.advance(ms(700));
         answer(&mut harness, "a", asked);
@@ -140,10 +140,10 @@
     a_vm_that_reaches_no_larger_one_is_alone => {
         let mut harness = small(&[("a", "near")]);
         assert!(!harness.engine.is_alone(harness.now));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         harness.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true }]);
         assert!(harness.engine.is_alone(harness.now));
-        let call = harness.submit(inquiry("/fetch/2"));
+        let call = harness.submit(request("/fetch/2"));
         assert_eq!(harness.refusal_status(call), 503);
     };
     a_vm_without_larger_ones_is_not_alone => {
@@ -152,7 +152,7 @@
     };
     a_large_vm_answers_for_a_small_one => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.step(vec![request_of(5, inquiry("/fetch/1"))]);
+        harness.step(vec![request_of(5, request("/fetch/1"))]);
         let sent = harness.take_one_sent();
         harness.reply(&sent, success("d", 1));
         let [(to, Hop::Answer { call, answer, .. })] = &harness.hops[..] else { panic!() };
@@ -162,14 +162,14 @@
     };
     a_large_vm_refuses_for_a_small_one => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.step(vec![request_of(5, inquiry("/nowhere/1"))]);
+        harness.step(vec![request_of(5, request("/nowhere/1"))]);
         let [(_, Hop::Answer { answer, .. })] = &harness.hops[..] else { panic!() };
         let Answer::Refused(Refusal { fault: Fault { kind, .. }, .. }) = answer else { panic!() };
         assert_eq!(*kind, Kind::NotFound);
     };
     a_large_vm_answers_sooner_by_the_way_back => {
         let mut harness = Harness::with_route(search(&["s1", "s2"], 0.5));
-        let mut detour = inquiry("/search/1");
+        let mut detour = request("/search/1");
         detour.peer_delay = ms(30);
         let since = harness.now;
         harness.step(vec![request_of(5, detour)]);
@@ -182,7 +182,7 @@
     };
     a_refusal_by_old_routes_is_asked_again_elsewhere => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let (_, first, _) = take_request(&mut harness);
         let fault = Fault::not_run(Kind::NotFound, "no route");
         let answer = Answer::Refused(Refusal { fault, retry: None });
@@ -194,22 +194,22 @@
     };
     a_vm_with_old_routes_is_asked_last => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         let (_, first, _) = take_request(&mut harness);
         answer(&mut harness, "a", first);
         harness.step(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: false } }]);
-        harness.submit(inquiry("/fetch/2"));
+        harness.submit(request("/fetch/2"));
         assert_eq!(take_request(&mut harness).0, "b");
         harness.step(vec![Event::HopLost { to: name("b"), detail: "reset".into(), maybe_received: true }]);
         assert!(harness.engine.is_alone(harness.now), "the VM must read the routes itself");
-        harness.submit(inquiry("/fetch/3"));
+        harness.submit(request("/fetch/3"));
         assert_eq!(take_request(&mut harness).0, "a", "outdated routes are better than none");
         harness.step(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: true } }]);
         assert!(!harness.engine.is_alone(harness.now));
     };
     a_large_vm_tells_that_it_lost_the_store => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.step(vec![request_of(5, inquiry("/fetch/1"))]);
+        harness.step(vec![request_of(5, request("/fetch/1"))]);
         let mut view = (*harness.engine.tables().view).clone();
         view.is_current = !view.is_current;
         let is_current = view.is_current;
@@ -219,12 +219,12 @@
     };
     a_caller_that_leaves_a_small_vm_leaves_the_large_one => {
         let mut harness = small(&[("a", "near")]);
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         take_request(&mut harness);
         harness.step(vec![Event::Abandoned { call }]);
         assert!(matches!(&harness.hops[..], [(_, Hop::Cancel { .. })]));
         let mut large = Harness::with_route(single("desk"));
-        large.step(vec![request_of(5, inquiry("/fetch/1"))]);
+        large.step(vec![request_of(5, request("/fetch/1"))]);
         let sent = large.take_one_sent();
         let hop = Hop::Cancel { call: Call(5) };
         large.step(vec![Event::Hop { from: name("small"), hop }]);
--- a/crates/core/tests/relay/routes.rs
+++ b/crates/core/tests/relay/routes.rs
@@ -3,7 +3,7 @@
 use laburnum_core::relay::{Answer, route::Route};
 
 use crate::harness::{
-    HOST, Harness, config, inquiry, ms, name, search, single, split, success, view,
+    HOST, Harness, config, ms, name, request, search, single, split, success, view,
 };
 
 fn prefix_route(prefix: &str, service: &str) -> Route {
@@ -27,25 +27,25 @@
     };
     a_path_without_a_route_is_not_found => {
         let mut harness = Harness::with_route(single("one"));
-        let call = harness.submit(inquiry("/elsewhere/1"));
+        let call = harness.submit(request("/elsewhere/1"));
         assert_eq!(harness.refusal_status(call), 404);
         assert!(harness.sent.is_empty());
     };
     another_host_is_not_found => {
         let mut harness = Harness::with_route(single("one"));
-        let mut request = inquiry("/fetch/1");
+        let mut request = request("/fetch/1");
         request.host = "other.example".into();
         let call = harness.submit(request);
         assert_eq!(harness.refusal_status(call), 404);
     };
     without_a_configuration_nothing_is_not_found => {
         let mut harness = Harness::empty();
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         assert_eq!(harness.refusal_status(call), 503);
     };
     a_request_keeps_its_version_to_the_end => {
         let mut harness = Harness::with_route(single("one"));
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
         let mut moved = single("two");
         moved.name = name("fetch");
@@ -57,12 +57,12 @@
         assert!(again.target().starts_with("one-"), "{}", again.target());
         harness.reply(&again, success("d", 1));
         assert!(harness.answers.contains_key(&call));
-        harness.submit(inquiry("/fetch/2"));
+        harness.submit(request("/fetch/2"));
         assert!(harness.take_one_sent().target().starts_with("two-"));
     };
     a_search_keeps_the_shards_of_its_version => {
         let mut harness = Harness::with_route(search(&["one", "two"], 0.5));
-        let call = harness.submit(inquiry("/search/1"));
+        let call = harness.submit(request("/search/1"));
         let sent = harness.take_sent();
         harness.set_view(view(config(2, vec![search(&["one", "two", "three", "four"], 0.5)], 100)));
         for (sent, digest) in sent.iter().zip(["a", "b"]) {
@@ -73,7 +73,7 @@
     };
     rows_of_routes_that_are_gone_are_dropped => {
         let mut harness = Harness::with_route(split(&[("one", 1.0), ("two", 1.0)]));
-        harness.submit(inquiry("/split/1"));
+        harness.submit(request("/split/1"));
         let sent = harness.take_one_sent();
         harness.reply(&sent, success("d", 1));
         let rows = |harness: &Harness| {
@@ -91,7 +91,7 @@
         let mut harness = Harness::with_route(split(&[("one", 3.0), ("two", 1.0)]));
         let mut ones = 0;
         for _ in 0..400 {
-            harness.submit(inquiry("/split/1"));
+            harness.submit(request("/split/1"));
             let sent = harness.take_one_sent();
             ones += u32::from(sent.target().starts_with("one-"));
             harness.reply(&sent, success("d", 1));
@@ -102,7 +102,7 @@
         let mut harness = Harness::with_route(split(&[("one", 1.0), ("two", 0.0)]));
         harness.set_view(view(config(2, vec![split(&[("one", 0.0), ("two", 1.0)])], 100)));
         for turn in 0..20 {
-            harness.submit(inquiry("/split/1"));
+            harness.submit(request("/split/1"));
             let sent = harness.take_one_sent();
             // The credit from the previous version may decide the first pick.
             assert!(turn == 0 || sent.target().starts_with("two-"), "turn {turn}");
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -32,7 +32,7 @@
         match key.split_once('/') {
             Some(("target", id)) => Subject::Target(harness::name(id)),
             Some(("vm", name)) => Subject::Vm(harness::name(name)),
-            Some(("held", request)) => Subject::Held(request.parse().unwrap()),
+            Some(("held", request)) => Subject::Quarantined(request.parse().unwrap()),
             None if key == "config" => Subject::Config,
             _ => Subject::Other,
         }
@@ -51,7 +51,7 @@
         text.parse().map(vm).map_err(|_| text)
     }
 
-    fn held_key(&self, request: Fingerprint) -> String {
+    fn quarantine_key(&self, request: Fingerprint) -> String {
         format!("held/{request}")
     }
 
@@ -104,7 +104,7 @@
     /// The announcements that the feed has sent to other VMs.
     pub announced: Vec<(SocketAddr, Progress)>,
     /// The requests that the VM starts to hold back in the next step.
-    pub held: Vec<Fingerprint>,
+    pub quarantined: Vec<Fingerprint>,
     /// The calls that report requests that are held back.
     pub reports: Vec<Call>,
     open_report: Option<(CallId, Call)>,
@@ -144,7 +144,7 @@
             is_silent: false,
             incoming: Vec::new(),
             announced: Vec::new(),
-            held: Vec::new(),
+            quarantined: Vec::new(),
             reports: Vec::new(),
             open_report: None,
             oldest: 0,
@@ -202,10 +202,10 @@
     fn step(&mut self) {
         let mut replies: Vec<(CallId, Reply)> = self.answer_call().into_iter().collect();
         replies.extend(self.answer_report());
-        let held = std::mem::take(&mut self.held);
+        let quarantined = std::mem::take(&mut self.quarantined);
         let mut out = Outbox::default();
         let progress = std::mem::take(&mut self.incoming);
-        self.feed.step(self.now, Input { replies, progress, held }, &mut out);
+        self.feed.step(self.now, Input { replies, progress, quarantined }, &mut out);
         self.announced.extend(out.progress);
         self.lines.extend(out.lines);
         if let Some(view) = out.view {
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     harness::{
-        Harness, Sent, config, failure, inquiry, ms, name, search, single, success, target, view,
+        Harness, Sent, config, failure, ms, name, request, search, single, success, target, view,
     },
     store::World,
 };
@@ -32,7 +32,7 @@
 /// Sends a request that crashes every target that it reaches, and returns how many
 /// it crashed.
 fn crash(harness: &mut Harness, path: &str) -> usize {
-    harness.submit(inquiry(path));
+    harness.submit(request(path));
     let mut crashed = 0;
     loop {
         let sent = harness.take_sent();
@@ -47,12 +47,12 @@
 }
 
 fn fingerprint(path: &str) -> Fingerprint {
-    inquiry(path).fingerprint()
+    request(path).fingerprint()
 }
 
 /// Sends a request and returns the attempt that reached a target, if there is one.
 fn send(harness: &mut Harness, path: &str) -> Option<Sent> {
-    harness.submit(inquiry(path));
+    harness.submit(request(path));
     harness.take_sent().pop()
 }
 
@@ -67,8 +67,8 @@
     a_request_that_crashed_two_targets_is_held_back => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
         assert_eq!(crash(&mut harness, "/fetch/bad"), 2);
-        assert_eq!(harness.held, [fingerprint("/fetch/bad")]);
-        let call = harness.submit(inquiry("/fetch/bad"));
+        assert_eq!(harness.quarantined, [fingerprint("/fetch/bad")]);
+        let call = harness.submit(request("/fetch/bad"));
         assert!(harness.take_sent().is_empty(), "a quarantined request reaches no target");
         assert_eq!(harness.refusal_status(call), 422);
         let Answer::Refused(refusal) = &harness.answers[&call] else { panic!() };
@@ -82,9 +82,9 @@
     a_request_is_let_go_after_its_time_and_held_back_at_the_next_loss => {
         let mut harness = Harness::with_view(four_targets(Route { attempts: 1, ..single("desk") }));
         crash(&mut harness, "/fetch/bad");
-        assert!(harness.held.is_empty(), "one loss is not enough for quarantine");
+        assert!(harness.quarantined.is_empty(), "one loss is not enough for quarantine");
         crash(&mut harness, "/fetch/bad");
-        assert_eq!(harness.held.len(), 1);
+        assert_eq!(harness.quarantined.len(), 1);
         harness.advance(ms(59_000));
         assert!(send(&mut harness, "/fetch/bad").is_none());
         harness.advance(ms(2_000));
@@ -92,19 +92,19 @@
     };
     targets_that_go_down_together_prove_nothing => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         let first = harness.take_one_sent();
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         let second = harness.take_one_sent();
         assert_ne!(first.target(), second.target());
         harness.now = harness.now + ms(1);
         harness.crash_target(&first);
         harness.crash_target(&second);
-        assert!(harness.held.is_empty());
+        assert!(harness.quarantined.is_empty());
     };
     a_target_that_takes_connections_did_not_crash => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         for _ in 0..2 {
             let sent = harness.take_one_sent();
             harness.reset_connection(&sent);
@@ -112,7 +112,7 @@
             let open = rows.values().flat_map(|row| row.unconfirmed.keys());
             assert!(!open.into_iter().any(|id| id.as_str() == sent.target()), "{rows:?}");
         }
-        assert!(harness.held.is_empty());
+        assert!(harness.quarantined.is_empty());
     };
     a_target_that_refuses_connections_later_did_not_crash => {
         let (mut suspects, request) = (Suspects::default(), fingerprint("/fetch/1"));
@@ -128,7 +128,7 @@
     };
     a_silent_target_did_not_crash => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         for _ in 0..2 {
             let sent = harness.take_one_sent();
             harness.opened.clear();
@@ -136,7 +136,7 @@
             harness.advance(ms(250));
             harness.refuse_connections();
         }
-        assert!(harness.held.is_empty());
+        assert!(harness.quarantined.is_empty());
     };
     a_request_that_a_target_answered_crashes_none => {
         let mut harness = Harness::with_view(four_targets(Route { attempts: 1, ..single("desk") }));
@@ -144,7 +144,7 @@
         let sent = send(&mut harness, "/fetch/1").unwrap();
         harness.reply(&sent, success("d", 1));
         crash(&mut harness, "/fetch/1");
-        assert!(harness.held.is_empty());
+        assert!(harness.quarantined.is_empty());
     };
     a_failure_does_not_clear_a_request => {
         let mut harness = Harness::with_view(four_targets(Route { attempts: 1, ..single("desk") }));
@@ -152,7 +152,7 @@
         let sent = send(&mut harness, "/fetch/1").unwrap();
         harness.reply(&sent, failure(500));
         crash(&mut harness, "/fetch/1");
-        assert_eq!(harness.held.len(), 1);
+        assert_eq!(harness.quarantined.len(), 1);
     };
     an_operation_that_crashes_targets_is_held_back => {
         let mut harness =
@@ -164,13 +164,13 @@
     a_search_that_crashes_targets_is_not_retried_further => {
         let mut harness = Harness::with_route(search(&["one", "two", "three"], 0.5));
         crash(&mut harness, "/search/bad");
-        assert_eq!(harness.held.len(), 1);
+        assert_eq!(harness.quarantined.len(), 1);
         assert!(send(&mut harness, "/search/bad").is_none());
     };
     a_request_that_another_vm_holds_back_is_held_back_here => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
         let mut view = four_targets(single("desk"));
-        view.held.insert(fingerprint("/fetch/bad"));
+        view.quarantined.insert(fingerprint("/fetch/bad"));
         harness.set_view(view);
         assert!(send(&mut harness, "/fetch/bad").is_none());
         assert!(send(&mut harness, "/fetch/good").is_some());
@@ -185,11 +185,11 @@
     };
     a_quarantined_request_is_reported_once => {
         let mut world = running_feed();
-        world.held = vec![Fingerprint(7), Fingerprint(7)];
+        world.quarantined = vec![Fingerprint(7), Fingerprint(7)];
         world.pass(ms(3000));
         assert!(matches!(&world.reports[..], [Call::Grant { .. }, Call::Swap { .. }]));
-        assert!(world.view.held.contains(&Fingerprint(7)), "the watch returns the entry");
-        world.held = vec![Fingerprint(7)];
+        assert!(world.view.quarantined.contains(&Fingerprint(7)), "the watch returns the entry");
+        world.quarantined = vec![Fingerprint(7)];
         world.pass(ms(3000));
         assert_eq!(world.reports.len(), 2);
     };
@@ -197,15 +197,15 @@
         let mut world = running_feed();
         world.put("held/000000000000000a", "other");
         world.pass(ms(1000));
-        assert!(world.view.held.contains(&Fingerprint(10)));
+        assert!(world.view.quarantined.contains(&Fingerprint(10)));
         world.remove("held/000000000000000a");
         world.pass(ms(1000));
-        assert!(world.view.held.is_empty());
+        assert!(world.view.quarantined.is_empty());
     };
     a_report_that_the_store_refuses_is_not_repeated => {
         let mut world = running_feed();
         world.is_down = true;
-        world.held = vec![Fingerprint(7)];
+        world.quarantined = vec![Fingerprint(7)];
         world.pass(ms(3000));
         assert_eq!((world.reports.len(), world.logged(Event::ReportLost)), (1, 1));
     };
--- a/crates/core/tests/relay/targets.rs
+++ b/crates/core/tests/relay/targets.rs
@@ -4,13 +4,13 @@
 
 use laburnum_core::relay::{Attempt, Event};
 
-use crate::harness::{Harness, config, inquiry, ms, name, refusal, single, success, target, view};
+use crate::harness::{Harness, config, ms, name, refusal, request, single, success, target, view};
 
 /// Sends `count` requests one after another and returns their targets.
 fn send_in_turn(harness: &mut Harness, count: usize) -> Vec<String> {
     (0..count)
         .map(|_| {
-            harness.submit(inquiry("/fetch/1"));
+            harness.submit(request("/fetch/1"));
             let sent = harness.take_one_sent();
             harness.now = harness.now + ms(5);
             harness.reply(&sent, success("d", 1));
@@ -46,7 +46,7 @@
     };
     a_draining_target_finishes_its_work => {
         let mut harness = Harness::with_route(single("desk"));
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
         drain(&mut harness, sent.target());
         harness.reply(&sent, success("d", 1));
@@ -62,7 +62,7 @@
     };
     another_target_at_an_address_is_found_out_once => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
         harness.reply(&sent, refusal(421));
         let again = harness.take_one_sent();
@@ -73,7 +73,7 @@
     };
     the_target_that_is_meant_is_named => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
         assert_eq!(sent.target_request.target, name(sent.target()));
         assert!(sent.target_request.time_left <= ms(600));
@@ -82,7 +82,7 @@
         let mut harness = Harness::with_route(single("desk"));
         let mut slow = 0;
         for _ in 0..100 {
-            harness.submit(inquiry("/fetch/1"));
+            harness.submit(request("/fetch/1"));
             let sent = harness.take_one_sent();
             let is_slow = sent.target() == "desk-1";
             slow += u32::from(is_slow);
@@ -98,7 +98,7 @@
         let mut harness = Harness::with_route(single("desk"));
         let mut failed = 0;
         for turn in 0..200 {
-            harness.submit(inquiry("/fetch/1"));
+            harness.submit(request("/fetch/1"));
             while let Some(sent) = harness.take_sent().pop() {
                 harness.now = harness.now + ms(5);
                 if sent.target() == "desk-1" && turn % 2 == 0 {
@@ -113,7 +113,7 @@
     };
     a_target_that_lost_a_connection_is_left_alone_for_a_moment => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         let lost = harness.take_one_sent();
         harness.lose_connection(&lost, true);
         let again = harness.take_one_sent();
@@ -135,7 +135,7 @@
         harness.train_latency("/fetch/1", 10, ms(5));
         let mut near = 0;
         for _ in 0..100 {
-            harness.submit(inquiry("/fetch/1"));
+            harness.submit(request("/fetch/1"));
             let sent = harness.take_one_sent();
             let is_near = sent.target() == "desk-2";
             near += usize::from(is_near);
@@ -148,7 +148,7 @@
         let mut harness = bed_with_remote_target();
         harness.train_latency("/fetch/1", 10, ms(5));
         let asked = ["/fetch/1", "/fetch/2", "/fetch/3"].map(|path| {
-            harness.submit(inquiry(path));
+            harness.submit(request(path));
             harness.take_one_sent().target().to_owned()
         });
         assert_eq!(asked, ["desk-2", "desk-2", "desk-1"]);
@@ -156,10 +156,10 @@
     a_near_target_that_pauses_is_avoided => {
         let mut harness = bed_with_remote_target();
         harness.train_latency("/fetch/1", 10, ms(5));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         assert_eq!(harness.take_one_sent().target(), "desk-2");
         harness.now = harness.now + ms(40);
-        harness.submit(inquiry("/fetch/2"));
+        harness.submit(request("/fetch/2"));
         // The hedge of the first request also goes to the remote target.
         let sent = harness.take_sent();
         assert!(sent.len() == 2 && sent.iter().all(|sent| sent.target() == "desk-1"), "{sent:?}");
@@ -181,7 +181,7 @@
             view.targets = [target("desk-1", "desk")].into();
             view.assumed_vms = vms;
             let mut harness = Harness::with_view(view);
-            (0..6).for_each(|_| { harness.submit(inquiry("/fetch/1")); });
+            (0..6).for_each(|_| { harness.submit(request("/fetch/1")); });
             let sent = harness.take_sent();
             assert_eq!(sent.len(), allowed, "{vms} VMs, {accepted} connections");
             harness.reply(&sent[0], success("d", 1));
@@ -192,14 +192,14 @@
         let mut view = view(config(1, vec![single("desk")], 55));
         view.assumed_vms = 19;
         let mut harness = Harness::with_view(view);
-        harness.submit(inquiry("/fetch/1"));
-        harness.submit(inquiry("/fetch/2"));
+        harness.submit(request("/fetch/1"));
+        harness.submit(request("/fetch/2"));
         let sent = harness.take_sent();
         assert_ne!(sent[0].target(), sent[1].target());
     };
     a_reply_that_no_attempt_waits_for_closes_its_connection => {
         let mut harness = Harness::with_route(single("desk"));
-        let call = harness.submit(inquiry("/fetch/1"));
+        let call = harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
         let reply = Box::new(success("x", 1));
         let connection = sent.connection;
@@ -209,13 +209,13 @@
     };
     a_connection_that_cannot_be_used_again_is_not => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.submit(inquiry("/fetch/1"));
+        harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
         let mut reply = success("d", 1);
         reply.reusable = false;
         harness.reply(&sent, reply);
         for _ in 0..10 {
-            harness.submit(inquiry("/fetch/1"));
+            harness.submit(request("/fetch/1"));
             let next = harness.take_one_sent();
             assert_ne!(next.connection, sent.connection);
             harness.reply(&next, success("d", 1));
--- a/crates/core/tests/relay/waits.rs
+++ b/crates/core/tests/relay/waits.rs
@@ -3,7 +3,7 @@
 
 use laburnum_core::relay::{View, route::Route};
 
-use crate::harness::{Harness, config, inquiry, ms, search, single, success, target, view};
+use crate::harness::{Harness, config, ms, request, search, single, success, target, view};
 
 /// Two routes to one target that accepts a single connection from this VM.
 fn one_connection() -> View {
@@ -21,16 +21,16 @@
 cases! {
     the_urgent_request_goes_first => {
         let mut harness = Harness::with_view(one_connection());
-        harness.submit(inquiry("/fetch/1"));
-        harness.submit(inquiry("/fetch/2"));
-        harness.submit(inquiry("/urgent/3"));
+        harness.submit(request("/fetch/1"));
+        harness.submit(request("/fetch/2"));
+        harness.submit(request("/urgent/3"));
         let first = harness.take_one_sent();
         harness.reply(&first, success("d", 1));
         assert_eq!(&*harness.take_one_sent().target_request.caller_request.path, "/urgent/3");
     };
     equal_requests_go_in_their_order => {
         let mut harness = Harness::with_view(one_connection());
-        (1..=3).for_each(|n| { harness.submit(inquiry(&format!("/fetch/{n}"))); });
+        (1..=3).for_each(|n| { harness.submit(request(&format!("/fetch/{n}"))); });
         for n in 1..=3 {
             let sent = harness.take_one_sent();
             assert_eq!(&*sent.target_request.caller_request.path, format!("/fetch/{n}"));
@@ -39,15 +39,15 @@
     };
     a_request_that_never_got_a_connection_was_not_run => {
         let mut harness = Harness::with_view(one_connection());
-        harness.submit(inquiry("/fetch/1"));
-        let waiting = harness.submit(inquiry("/fetch/2"));
+        harness.submit(request("/fetch/1"));
+        let waiting = harness.submit(request("/fetch/2"));
         harness.advance(ms(700));
         assert_eq!(harness.refusal_status(waiting), 503);
     };
     the_time_for_a_target_is_what_is_left => {
         let mut harness = Harness::with_view(one_connection());
-        harness.submit(inquiry("/fetch/1"));
-        harness.submit(inquiry("/fetch/2"));
+        harness.submit(request("/fetch/1"));
+        harness.submit(request("/fetch/2"));
         let first = harness.take_one_sent();
         harness.now = harness.now + ms(250);
         harness.reply(&first, success("d", 1));
@@ -57,7 +57,7 @@
     a_caller_that_waited_elsewhere_gets_its_answer_sooner => {
         let mut harness = Harness::with_route(search(&["s1", "s2"], 0.5));
         harness.train_latency("/search/1", 3, ms(5));
-        let mut again = inquiry("/search/1");
+        let mut again = request("/search/1");
         again.caller_timeout = Some(ms(560));
         let since = harness.now;
         let call = harness.submit(again);
@@ -68,7 +68,7 @@
     };
     a_caller_is_answered_before_it_gives_up => {
         let mut harness = Harness::with_route(single("desk"));
-        let mut short = inquiry("/fetch/1");
+        let mut short = request("/fetch/1");
         short.caller_timeout = Some(ms(200));
         let since = harness.now;
         let call = harness.submit(short);
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -51,7 +51,7 @@
     /// Whether no larger VM is in reach.
     pub alone: watch::Receiver<bool>,
     /// The requests that the traffic thread has begun to hold back.
-    pub held: mpsc::UnboundedReceiver<Fingerprint>,
+    pub quarantined: mpsc::UnboundedReceiver<Fingerprint>,
 }
 
 /// Runs the control thread until the VM stops.
@@ -64,7 +64,7 @@
     let mut stop = shared.stop.clone();
     let mut batch = Vec::new();
     let mut progress = Vec::new();
-    let mut held = Vec::new();
+    let mut quarantined = Vec::new();
     let mut datagram = Datagram::open(&shared).await;
     loop {
         let mut out = Outbox::default();
@@ -72,7 +72,7 @@
         let input = Input {
             replies: std::mem::take(&mut batch),
             progress: std::mem::take(&mut progress),
-            held: std::mem::take(&mut held),
+            quarantined: std::mem::take(&mut quarantined),
         };
         feed.step(shared.clock.now(), input, &mut out);
         for (id, call) in out.calls {
@@ -97,7 +97,7 @@
             Ok(()) = resources.alone.changed() => {}
             received = datagram.receive() => progress.extend(received),
             _ = receiver.recv_many(&mut batch, MAX_BATCH) => {}
-            Some(request) = resources.held.recv() => held.push(request),
+            Some(request) = resources.quarantined.recv() => quarantined.push(request),
             () = sleep(pause) => {}
         }
     }
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -94,7 +94,7 @@
         let body = request.take_body().into_bytes().await?;
         let (method, uri) = (request.method(), request.original_uri());
         let answer = match caller::read(method, uri, request.headers(), &body) {
-            Ok(caller_request) => self.handle.ask(caller_request).await,
+            Ok(caller_request) => self.handle.request(caller_request).await,
             Err(fault) => Some(Answer::Refused(Refusal { fault, retry: None })),
         };
         // The thread ends only after the front; without it, no request was run.
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -19,7 +19,7 @@
     }
 
     /// Sends a request and waits for its answer; see [`inbox::Handle::request`].
-    pub async fn ask(&self, caller_request: CallerRequest) -> Option<Answer> {
+    pub async fn request(&self, caller_request: CallerRequest) -> Option<Answer> {
         self.0.request(|call| Event::Arrived { call, caller_request }).await
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -119,13 +119,13 @@
     let listeners = bind(&shared)?;
     let (serving_sender, serving) = mpsc::channel(1);
     let (alone_sender, alone) = watch::channel(false);
-    let (held_sender, held) = mpsc::unbounded_channel();
+    let (quarantined_sender, quarantined) = mpsc::unbounded_channel();
     let control = control::Resources {
         view: view_sender,
         ready: ready_sender,
         leaving: leaving_seen,
         alone,
-        held,
+        quarantined,
     };
     let (for_control, for_traffic) = (shared.clone(), shared.clone());
     let control = spawn("control", move || control::run(for_control, control))?;
@@ -133,7 +133,7 @@
         listeners,
         serving: serving_sender,
         alone: alone_sender,
-        held: held_sender,
+        quarantined: quarantined_sender,
     };
     let traffic = spawn("traffic", move || traffic::run(for_traffic, resources))?;
     let address = shared.settings.listen.callers.to_string();
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -57,13 +57,13 @@
 pub fn start(shared: &Shared, listeners: &Listeners) -> io::Result<(Peers, Inbox)> {
     let key = key().map_err(|error| io::Error::other(error.to_string()))?;
     let own = lane(&shared.settings.vm.name);
-    let guard = Admission { own: own.clone(), keys: vec![key.digest()], limits: limits() };
+    let admission = Admission { own: own.clone(), keys: vec![key.digest()], limits: limits() };
     let listener = listeners.peers.try_clone()?;
     let (frames, frame_receiver) = channel(MAX_WAITING_FRAMES);
     let (losses, loss_receiver) = unbounded_channel();
     let log = shared.clone();
     tokio::spawn(async move {
-        let ended = wire::listen(listener, guard, frames).await;
+        let ended = wire::listen(listener, admission, frames).await;
         super::traffic::log_port_failure(&log, "peers", ended);
     });
     let dialer = Dialer::new(own, rand::random(), key, limits(), losses);
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -43,7 +43,7 @@
     /// Publishes whether no larger VM is in reach.
     pub alone: watch::Sender<bool>,
     /// Reports the requests that the thread holds back from then on.
-    pub held: mpsc::UnboundedSender<Fingerprint>,
+    pub quarantined: mpsc::UnboundedSender<Fingerprint>,
 }
 
 /// Runs the traffic thread until the VM stops.
@@ -54,12 +54,12 @@
         Ok(started) => started,
         Err(error) => return log_port_failure(&shared, "peers", Err(error)),
     };
-    let (alone, held) = (resources.alone.clone(), resources.held.clone());
+    let (alone, quarantined) = (resources.alone.clone(), resources.quarantined.clone());
     serve_ports(&shared, resources, Handle::new(inputs));
     let engine = Engine::new(limits(&shared.settings), Policies::default(), rand::random());
     let targets = Client::new(events);
     let waiting = Pending::default();
-    let thread = Thread { engine, targets, peers, alone, held, waiting, shared };
+    let thread = Thread { engine, targets, peers, alone, quarantined, waiting, shared };
     let inbox = Inbox {
         inputs: input_receiver,
         events: event_receiver,
@@ -130,7 +130,7 @@
     targets: Client,
     peers: Peers,
     alone: watch::Sender<bool>,
-    held: mpsc::UnboundedSender<Fingerprint>,
+    quarantined: mpsc::UnboundedSender<Fingerprint>,
     waiting: Pending<Call, Answer>,
     shared: Shared,
 }
@@ -202,9 +202,9 @@
         for (call, answer) in out.answers {
             self.waiting.answer(call, answer);
         }
-        for request in out.held {
+        for request in out.quarantined {
             // The receiver is dropped only when the VM stops.
-            let _ = self.held.send(request);
+            let _ = self.quarantined.send(request);
         }
         let now = self.shared.clock.now();
         for line in &out.lines {
--- a/tests/edge/wire.rs
+++ b/tests/edge/wire.rs
@@ -77,9 +77,9 @@
 
     fn start_on(listener: std::net::TcpListener, limits: Limits, room: usize) -> Receiving {
         let address = listener.local_addr().expect("it is bound");
-        let guard = Admission { own: lane("b"), keys: vec![key().digest()], limits };
+        let admission = Admission { own: lane("b"), keys: vec![key().digest()], limits };
         let (sink, frames) = mpsc::channel(room);
-        Receiving { address, frames, task: tokio::spawn(listen(listener, guard, sink)) }
+        Receiving { address, frames, task: tokio::spawn(listen(listener, admission, sink)) }
     }
 
     async fn next(&mut self) -> Frame {
--- a/tests/fronts/fixture.rs
+++ b/tests/fronts/fixture.rs
@@ -88,7 +88,7 @@
         let (inputs, receiver) = unbounded_channel();
         let (ready, is_ready) = watch::channel(true);
         let (shutdown, is_shut) = watch::channel(false);
-        let seed = front::Parts {
+        let parts = front::Parts {
             listener,
             limits,
             handle: Handle::new(inputs),
@@ -99,7 +99,7 @@
         Front {
             address,
             signals: Signals { ready, shutdown },
-            task: tokio::spawn(front::serve(seed)),
+            task: tokio::spawn(front::serve(parts)),
             http: client(),
             inputs: receiver,
         }
--- a/tests/fronts/operator_front.rs
+++ b/tests/fronts/operator_front.rs
@@ -46,7 +46,7 @@
             token("lead", BOTH_ROLES_TOKEN, vec![Role::Read, Role::Publish]),
             token("viewer", READ_TOKEN, vec![Role::Read]),
         ];
-        let seed = operator::Parts {
+        let parts = operator::Parts {
             listener,
             operators: Operators { tokens },
             handle,
@@ -54,7 +54,7 @@
             metrics: Arc::new(NoMetrics),
             shutdown: is_shut,
         };
-        tokio::spawn(operator::serve(seed));
+        tokio::spawn(operator::serve(parts));
         OperatorFront { address, signals: Signals { ready, shutdown }, http: client(), inbox }
     }
 
