Name one run of an engine a tick

Cause: the engines document one run over their tables as a tick, but the method was called step, and the threads use both words.

Change: renames only, old -> new: - laburnum_core::claims::Engine::step -> tick - laburnum_core::control::Engine::step -> tick - laburnum_core::traffic::Engine::step -> tick - laburnum_core::relay::Engine::step -> tick - laburnum_core::relay::feed::Feed::step -> tick

--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -8,7 +8,7 @@
 //! as home of the same bucket; this costs additional writes but does not affect
 //! correctness. See `docs/design/claims.md`.
 //!
-//! [`Engine::step`] runs the systems in this order: intake, collect, expire,
+//! [`Engine::tick`] runs the systems in this order: intake, collect, expire,
 //! route, decide, confirm, sweep, reply.
 
 pub mod layout;
@@ -96,7 +96,7 @@
 
     /// Applies `events`, runs the systems and adds the resulting calls, messages
     /// and verdicts to `out`.
-    pub fn step(
+    pub fn tick(
         &mut self,
         now: Instant,
         wall: Wall,
--- a/crates/core/src/control/engine.rs
+++ b/crates/core/src/control/engine.rs
@@ -80,7 +80,7 @@
 
     /// Applies `events`, runs every system once and adds the resulting calls,
     /// messages, notices and answers to `out`.
-    pub fn step(&mut self, now: Instant, wall: Wall, events: Vec<Event>, out: &mut Outbox) {
+    pub fn tick(&mut self, now: Instant, wall: Wall, events: Vec<Event>, out: &mut Outbox) {
         let tables = &mut self.tables;
         let step = &mut Step { now, wall, limits: &self.limits, codec: &*self.codec, out };
         system::pause::run(tables, step);
--- a/crates/core/src/control/system/claims.rs
+++ b/crates/core/src/control/system/claims.rs
@@ -18,7 +18,7 @@
 pub fn run(tables: &mut Tables, step: &mut Step<'_>, engine: &mut Engine) {
     let events = std::mem::take(&mut tables.claims.events);
     let mut out = claims::Outbox::default();
-    engine.step(step.now, step.wall, &tables.view.vms, events, &mut out);
+    engine.tick(step.now, step.wall, &tables.view.vms, events, &mut out);
     for (id, call) in out.calls {
         step.out.calls.push((store::CallId(id.0 | CLAIMS_CALL_BIT), call));
     }
--- a/crates/core/src/control/system/mod.rs
+++ b/crates/core/src/control/system/mod.rs
@@ -1,4 +1,4 @@
-//! The systems of the control thread. [`Engine::step`](super::Engine::step)
+//! The systems of the control thread. [`Engine::tick`](super::Engine::tick)
 //! gives the order in which they run.
 
 pub mod pause;
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -25,7 +25,7 @@
     }
 
     /// Takes events, runs every system once and puts its output into `out`.
-    pub fn step(&mut self, now: Instant, events: Vec<Event>, out: &mut Outbox) {
+    pub fn tick(&mut self, now: Instant, events: Vec<Event>, out: &mut Outbox) {
         let mut cx = Context {
             now,
             limits: &self.limits,
--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -137,7 +137,7 @@
 
     /// Takes replies of the store and announcements of other VMs, and runs every system
     /// once.
-    pub fn step(&mut self, now: Instant, input: Input, out: &mut Outbox) {
+    pub fn tick(&mut self, now: Instant, input: Input, out: &mut Outbox) {
         let mut cx = Context {
             now,
             limits: &self.limits,
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -282,7 +282,7 @@
     }
 
     /// Runs a tick: every system once, in the order of [`system::run`].
-    pub fn step(&mut self, now: Instant, events: Vec<Event>, out: &mut Outbox) {
+    pub fn tick(&mut self, now: Instant, events: Vec<Event>, out: &mut Outbox) {
         let due = self.wake().unwrap_or(now);
         self.context.paused =
             now.since(due.max(self.last_step)) > self.context.limits.pause_threshold;
--- a/crates/core/tests/claims/world/carry.rs
+++ b/crates/core/tests/claims/world/carry.rs
@@ -52,7 +52,7 @@
         let events = std::mem::take(&mut machine.inbox);
         let mut out = Outbox::default();
         let now = Instant(self.now);
-        machine.engine.step(now, wall, &machine.view, events, &mut out);
+        machine.engine.tick(now, wall, &machine.view, events, &mut out);
         let wake = machine.engine.wake().map_or(u64::MAX, |at| at.0.max(self.now + TICK_MICROS));
         machine.wake = wake;
         if wake != u64::MAX {
--- a/crates/core/tests/control/world.rs
+++ b/crates/core/tests/control/world.rs
@@ -275,7 +275,7 @@
         node.paused = None;
         let mut out = Outbox::default();
         let wall = Wall(EPOCH_MS + self.now.0 / 1000);
-        node.engine.step(self.now, wall, events, &mut out);
+        node.engine.tick(self.now, wall, events, &mut out);
         let wake = node.engine.wake().unwrap();
         assert!(wake > self.now, "{vm} would spin at {:?}", self.now);
         self.wakes.remove(&(node.wake, vm.clone()));
--- a/crates/core/tests/relay/harness.rs
+++ b/crates/core/tests/relay/harness.rs
@@ -232,7 +232,7 @@
     /// Runs one tick with events and collects what the engine leaves in its outbox.
     pub fn step(&mut self, events: Vec<Event>) {
         let mut out = Outbox::default();
-        self.engine.step(self.now, events, &mut out);
+        self.engine.tick(self.now, events, &mut out);
         for command in out.commands {
             match command {
                 Command::Open { connection, .. } => self.opened.push(connection),
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -205,7 +205,7 @@
         let quarantined = std::mem::take(&mut self.quarantined);
         let mut out = Outbox::default();
         let progress = std::mem::take(&mut self.incoming);
-        self.feed.step(self.now, Input { replies, progress, quarantined }, &mut out);
+        self.feed.tick(self.now, Input { replies, progress, quarantined }, &mut out);
         self.announced.extend(out.progress);
         self.lines.extend(out.lines);
         if let Some(view) = out.view {
--- a/crates/core/tests/world/control.rs
+++ b/crates/core/tests/world/control.rs
@@ -134,7 +134,7 @@
         }
         let events = std::mem::take(&mut control.inbox);
         let mut out = Outbox::default();
-        control.engine.step(now, wall, events, &mut out);
+        control.engine.tick(now, wall, events, &mut out);
         let revision = control.engine.tables().in_force.document.revision;
         assert!(revision >= control.highest, "{vm} went back to {revision:?}");
         control.highest = revision;
--- a/crates/core/tests/world/vm.rs
+++ b/crates/core/tests/world/vm.rs
@@ -79,7 +79,7 @@
     pub fn step(&mut self, now: Instant) -> Outbox {
         let mut out = Outbox::default();
         let events = std::mem::take(&mut self.inbox);
-        self.engine.step(now, events, &mut out);
+        self.engine.tick(now, events, &mut out);
         for (count, times) in out.counts.iter() {
             self.counts.add_many(count, times);
         }
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -127,7 +127,7 @@
 
     fn step(&mut self, events: Vec<Event>) {
         let mut out = Outbox::default();
-        self.engine.step(self.clock.now(), self.clock.wall(), events, &mut out);
+        self.engine.tick(self.clock.now(), self.clock.wall(), events, &mut out);
         self.borders.meter.count(&out);
         self.carry_out(out);
         self.borders.meter.observe(&self.engine);
--- a/src/load/cost.rs
+++ b/src/load/cost.rs
@@ -179,7 +179,7 @@
         self.now = self.now + TICK;
         let mut out = Outbox::default();
         let events = std::mem::take(&mut self.events);
-        self.engine.step(self.now, events, &mut out);
+        self.engine.tick(self.now, events, &mut out);
         for command in out.commands {
             if let Some(event) = self.carry_out(command) {
                 self.events.push(Event::Target(event));
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -74,7 +74,7 @@
             progress: std::mem::take(&mut progress),
             quarantined: std::mem::take(&mut quarantined),
         };
-        feed.step(shared.clock.now(), input, &mut out);
+        feed.tick(shared.clock.now(), input, &mut out);
         for (id, call) in out.calls {
             client.call(id, call);
         }
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -183,7 +183,7 @@
         let abandoned = |call| Event::Abandoned { call };
         batch.extend(inputs.drain(..).map(|input| self.waiting.register(input, abandoned)));
         let mut out = Outbox::default();
-        self.engine.step(self.shared.clock.now(), batch, &mut out);
+        self.engine.tick(self.shared.clock.now(), batch, &mut out);
         self.flush(out);
         let is_alone = self.engine.is_alone(self.shared.clock.now());
         self.alone.send_if_modified(|alone| std::mem::replace(alone, is_alone) != is_alone);
--- a/src/slope/bed.rs
+++ b/src/slope/bed.rs
@@ -198,6 +198,6 @@
 /// Runs one step.
 pub fn step_at(engine: &mut Engine, now: Instant, events: Vec<Event>) -> Outbox {
     let mut out = Outbox::default();
-    engine.step(now, events, &mut out);
+    engine.tick(now, events, &mut out);
     out
 }
--- a/src/slope/fleet.rs
+++ b/src/slope/fleet.rs
@@ -257,7 +257,7 @@
         let Some(node) = self.nodes.get_mut(vm) else { return };
         let mut out = Outbox::default();
         let now = self.now;
-        let (took, ()) = meter::timed(|| node.engine.step(now, wall, events, &mut out));
+        let (took, ()) = meter::timed(|| node.engine.tick(now, wall, events, &mut out));
         self.cost.used += took;
         self.cost.longest = self.cost.longest.max(took);
         self.wakes.remove(&(node.wake, vm.clone()));
--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -158,7 +158,7 @@
             events.push(self.pending.register(input, |call| Event::Abandoned { call }));
         }
         let mut out = Outbox::default();
-        self.engine.step(self.clock.now(), events, &mut out);
+        self.engine.tick(self.clock.now(), events, &mut out);
         self.carry_out(out);
         let is_ready = self.engine.is_ready();
         if std::mem::replace(&mut self.is_ready, is_ready) != is_ready {
