--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -71,7 +71,7 @@
     tables: Tables,
 }
 
-/// The inputs of a step that every system reads.
+/// The inputs of a tick that every system reads.
 struct Context<'a> {
     vm: &'a Name,
     limits: &'a Limits,
@@ -117,7 +117,7 @@
         reply::run(tables, &context, replies, out);
     }
 
-    /// Returns the time of the next step that is needed without an event, if any.
+    /// Returns the time of the next tick that is needed without an event, if any.
     pub fn wake(&self) -> Option<Instant> {
         wake::earliest(&self.tables, &self.limits)
     }
--- a/crates/core/src/claims/wake.rs
+++ b/crates/core/src/claims/wake.rs
@@ -1,4 +1,4 @@
-//! Computes when the next step is needed without an event.
+//! Computes when the next tick is needed without an event.
 
 use crate::time::Instant;
 
--- a/crates/core/src/control/engine.rs
+++ b/crates/core/src/control/engine.rs
@@ -32,8 +32,8 @@
     pub codec: Box<dyn Codec>,
 }
 
-/// The inputs and the outbox that the systems of one step share.
-pub struct Step<'a> {
+/// The inputs and the outbox that the systems of one tick share.
+pub struct Context<'a> {
     pub now: Instant,
     pub wall: Wall,
     pub limits: &'a Limits,
@@ -82,21 +82,21 @@
     /// messages, notices and answers to `out`.
     pub fn tick(&mut self, now: Instant, wall: Wall, events: Vec<Event>, out: &mut Outbox) {
         let tables = &mut self.tables;
-        let step = &mut Step { now, wall, limits: &self.limits, codec: &*self.codec, out };
-        system::pause::run(tables, step);
-        system::intake::run(tables, step, events);
-        system::call::run(tables, step);
-        system::expiry::run(tables, step);
-        system::probe::run(tables, step);
-        system::reading::run(tables, step);
-        system::publish::run(tables, step);
-        system::sync::run(tables, step);
-        system::gossip::run(tables, step);
-        system::view::run(tables, step);
-        system::claims::run(tables, step, &mut self.claims);
+        let cx = &mut Context { now, wall, limits: &self.limits, codec: &*self.codec, out };
+        system::pause::run(tables, cx);
+        system::intake::run(tables, cx, events);
+        system::call::run(tables, cx);
+        system::expiry::run(tables, cx);
+        system::probe::run(tables, cx);
+        system::reading::run(tables, cx);
+        system::publish::run(tables, cx);
+        system::sync::run(tables, cx);
+        system::gossip::run(tables, cx);
+        system::view::run(tables, cx);
+        system::claims::run(tables, cx, &mut self.claims);
     }
 
-    /// The earliest time at which a step is due even if no event arrives.
+    /// The earliest time at which a tick is due even if no event arrives.
     pub fn wake(&self) -> Option<Instant> {
         let wakes = [system::wake::next(&self.tables, &self.limits), self.claims.wake()];
         wakes.into_iter().flatten().min()
@@ -108,8 +108,8 @@
     /// then.
     pub fn idle(&self, threads: usize) -> bool {
         let in_flight = &self.tables.own.in_flight;
-        let is_at_rest = in_flight.len() >= threads && in_flight.values().all(|&count| count == 0);
-        is_at_rest && self.claims.pending() == 0
+        let is_idle = in_flight.len() >= threads && in_flight.values().all(|&count| count == 0);
+        is_idle && self.claims.pending() == 0
     }
 
     /// Whether this VM is shutting down.
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -43,7 +43,7 @@
     pub message: Message,
 }
 
-/// The outputs of a step, to be carried out by the thread that runs it.
+/// The outputs of a tick, to be carried out by the thread that runs it.
 #[derive(Debug, Default)]
 pub struct Outbox {
     /// Calls to make to the platform's service.
--- a/crates/core/src/control/limit.rs
+++ b/crates/core/src/control/limit.rs
@@ -22,7 +22,7 @@
     /// the table of announcements is full, it also bounds the age of those from
     /// targets that are not listed.
     pub retention: Duration,
-    /// The gap between two steps above which this VM counts as paused.
+    /// The gap between two ticks above which this VM counts as paused.
     pub pause_threshold: Duration,
     /// The number of VMs that read the list and watch the profiles at the
     /// platform's service on behalf of all.
@@ -38,7 +38,7 @@
     /// The time after which a call of the service counts as lost; a watch has
     /// `watch_timeout` in addition.
     pub call_timeout: Duration,
-    /// The time between two tries of a failed step of an operator's request, and
+    /// The time between two tries of a failed stage of an operator's request, and
     /// the base of the back-off after a failed read.
     pub retry_delay: Duration,
     /// The time within which a request of an operator is answered.
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,6 +1,6 @@
 //! The decisions of the control thread: membership and publication of profiles.
 //!
-//! [`Engine`] holds the tables. Each step takes the events that are ready, runs
+//! [`Engine`] holds the tables. Each tick takes the events that are ready, runs
 //! the systems once in the order of [`Engine::tick`] and puts calls, messages
 //! and answers into an [`Outbox`]. See `docs/design/membership.md` and
 //! `docs/design/publication.md`.
--- a/crates/core/src/control/system/call.rs
+++ b/crates/core/src/control/system/call.rs
@@ -6,7 +6,7 @@
 use super::{claims, list, profiles, publish};
 use crate::{
     control::{
-        engine::Step,
+        engine::Context,
         table::{
             Tables,
             call::{Call as Row, Purpose},
@@ -17,12 +17,12 @@
 };
 
 /// Counts calls as lost whose reply did not arrive in time.
-pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
+pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
     let rows = &tables.calls.rows;
     let due: Vec<CallId> =
-        rows.iter().filter(|(_, row)| row.until <= step.now).map(|(&id, _)| id).collect();
+        rows.iter().filter(|(_, row)| row.until <= cx.now).map(|(&id, _)| id).collect();
     for id in due {
-        handle(tables, step, id, Reply::Lost { detail: "no reply in time".to_owned() });
+        handle(tables, cx, id, Reply::Lost { detail: "no reply in time".to_owned() });
     }
 }
 
@@ -30,33 +30,33 @@
 /// and `wait`, the time for which the service may hold the call back.
 pub fn make(
     tables: &mut Tables,
-    step: &mut Step<'_>,
+    cx: &mut Context<'_>,
     purpose: Purpose,
     call: Call,
     wait: Duration,
 ) -> CallId {
     tables.calls.last += 1;
     let id = CallId(tables.calls.last);
-    let until = step.now + step.limits.call_timeout + wait;
-    tables.calls.rows.insert(id, Row { purpose, made: step.now, until });
-    step.out.calls.push((id, call));
+    let until = cx.now + cx.limits.call_timeout + wait;
+    tables.calls.rows.insert(id, Row { purpose, made: cx.now, until });
+    cx.out.calls.push((id, call));
     id
 }
 
 /// Passes the reply to a call on to the system that made it. A reply to a call
 /// that is no longer in the table is ignored.
-pub fn handle(tables: &mut Tables, step: &mut Step<'_>, id: CallId, reply: Reply) {
+pub fn handle(tables: &mut Tables, cx: &mut Context<'_>, id: CallId, reply: Reply) {
     let Some(reply) = claims::intercept(tables, id, reply) else { return };
     let Some(row) = tables.calls.rows.remove(&id) else { return };
-    track_availability(tables, step, &reply);
+    track_availability(tables, cx, &reply);
     match row.purpose {
-        Purpose::Profiles => profiles::handle_reply(tables, step, row.made, reply),
-        Purpose::List => list::handle_reply(tables, step, row.made, reply),
-        Purpose::Request(request) => publish::handle_reply(tables, step, request, reply),
+        Purpose::Profiles => profiles::handle_reply(tables, cx, row.made, reply),
+        Purpose::List => list::handle_reply(tables, cx, row.made, reply),
+        Purpose::Request(request) => publish::handle_reply(tables, cx, request, reply),
         Purpose::ReadExpired => {
             if let Reply::Value { entry: Some(Entry { key, version, .. }), .. } = reply {
                 let call = Call::Remove { key, expect: version };
-                make(tables, step, Purpose::RemoveExpired, call, Duration::ZERO);
+                make(tables, cx, Purpose::RemoveExpired, call, Duration::ZERO);
             }
         }
         Purpose::RemoveExpired => {}
@@ -65,17 +65,17 @@
 
 /// Logs when the service becomes unavailable or available again. A refused or
 /// lost call counts as unavailable, any other reply as available.
-fn track_availability(tables: &mut Tables, step: &mut Step<'_>, reply: &Reply) {
+fn track_availability(tables: &mut Tables, cx: &mut Context<'_>, reply: &Reply) {
     let (down, detail) = match reply {
         Reply::Refused { detail } | Reply::Lost { detail } => (true, detail.clone()),
         _ => (false, String::new()),
     };
     if !down {
-        tables.own.last_heard = step.now;
+        tables.own.last_received = cx.now;
     }
     if down != tables.calls.down {
         tables.calls.down = down;
         let event = if down { Event::StoreDown } else { Event::StoreUp };
-        step.out.lines.push(Line::new(event, vec![("detail", detail)]));
+        cx.out.lines.push(Line::new(event, vec![("detail", detail)]));
     }
 }
--- a/crates/core/src/control/system/claims.rs
+++ b/crates/core/src/control/system/claims.rs
@@ -6,7 +6,7 @@
     claims::{self, CallId, Engine, Event},
     control::{
         Recipient,
-        engine::Step,
+        engine::Context,
         message::Body,
         table::{Tables, call::CLAIMS_CALL_BIT},
     },
@@ -14,25 +14,25 @@
     store,
 };
 
-/// Runs one step of the claims engine.
-pub fn run(tables: &mut Tables, step: &mut Step<'_>, engine: &mut Engine) {
+/// Runs one tick of the claims engine.
+pub fn run(tables: &mut Tables, cx: &mut Context<'_>, engine: &mut Engine) {
     let events = std::mem::take(&mut tables.claims.events);
     let mut out = claims::Outbox::default();
-    engine.tick(step.now, step.wall, &tables.view.vms, events, &mut out);
+    engine.tick(cx.now, cx.wall, &tables.view.vms, events, &mut out);
     for (id, call) in out.calls {
-        step.out.calls.push((store::CallId(id.0 | CLAIMS_CALL_BIT), call));
+        cx.out.calls.push((store::CallId(id.0 | CLAIMS_CALL_BIT), call));
     }
     for (vm, message) in out.messages {
-        gossip::send(tables, step, &vm, Body::Claims(message));
+        gossip::send(tables, cx, &vm, Body::Claims(message));
     }
     for (operation, verdict) in out.verdicts {
         if let Some(thread) = tables.claims.threads.remove(&operation) {
             let notice = Notice::Claimed { operation, verdict };
-            step.out.notices.push((Recipient::Thread(thread), notice));
+            cx.out.notices.push((Recipient::Thread(thread), notice));
         }
     }
-    step.out.claims.extend(out.counts);
-    step.out.lines.extend(out.lines);
+    cx.out.claims.extend(out.counts);
+    cx.out.lines.extend(out.lines);
 }
 
 /// Passes a reply on to the claims engine if that made the call; returns it
--- a/crates/core/src/control/system/gossip.rs
+++ b/crates/core/src/control/system/gossip.rs
@@ -7,7 +7,7 @@
 use crate::{
     control::{
         Envelope, Message,
-        engine::Step,
+        engine::Context,
         message::{Body, Digest, Health, Item, RevisionReport},
         table::{Tables, gossip::Key},
     },
@@ -21,14 +21,14 @@
 
 /// Sends a round of gossip to a few VMs if something changed since the last
 /// round. The interval between rounds bounds the cost of many changes.
-pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
-    if !tables.gossip.has_new || step.now < tables.gossip.next_round {
+pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
+    if !tables.gossip.has_new || cx.now < tables.gossip.next_round {
         return;
     }
     tables.gossip.has_new = false;
-    tables.gossip.next_round = step.now + step.limits.gossip_interval;
-    for vm in pick(tables, step.limits.fanout, None) {
-        send(tables, step, &vm, Body::Gossip);
+    tables.gossip.next_round = cx.now + cx.limits.gossip_interval;
+    for vm in pick(tables, cx.limits.fanout, None) {
+        send(tables, cx, &vm, Body::Gossip);
     }
 }
 
@@ -40,32 +40,32 @@
 }
 
 /// Sends a message to a VM, or nothing if the VM is not in the table.
-pub fn send(tables: &mut Tables, step: &mut Step<'_>, vm: &Name, body: Body) {
+pub fn send(tables: &mut Tables, cx: &mut Context<'_>, vm: &Name, body: Body) {
     if let Some(row) = tables.vms.rows.get(vm) {
         let address = row.member.contact.control;
-        send_to(tables, step, vm, address, body);
+        send_to(tables, cx, vm, address, body);
     }
 }
 
 /// Sends a message to a VM at the given address.
 pub fn send_to(
     tables: &mut Tables,
-    step: &mut Step<'_>,
+    cx: &mut Context<'_>,
     vm: &Name,
     address: SocketAddr,
     body: Body,
 ) {
     let mut items = required_items(tables, vm);
-    items.extend(take_gossip(tables, step));
+    items.extend(take_gossip(tables, cx));
     let message = Message {
         from: tables.own.vm.name.clone(),
         incarnation: tables.own.vm.incarnation,
-        digest: digest(tables, step.now),
+        digest: digest(tables, cx.now),
         items,
-        revisions: next_revisions(tables, step),
+        revisions: next_revisions(tables, cx),
         body,
     };
-    step.out.messages.push(Envelope { vm: vm.clone(), address, message });
+    cx.out.messages.push(Envelope { vm: vm.clone(), address, message });
 }
 
 /// The items that a message to `vm` always carries: the addresses of this VM
@@ -94,11 +94,11 @@
 
 /// The items for the state changes that were sent least often, which then count
 /// as sent once more.
-fn take_gossip(tables: &mut Tables, step: &Step<'_>) -> Vec<Item> {
+fn take_gossip(tables: &mut Tables, cx: &Context<'_>) -> Vec<Item> {
     let doublings = usize::BITS - tables.vms.count().leading_zeros();
     let sends = SENDS_PER_DOUBLING * doublings;
-    let keys = tables.gossip.take(step.limits.max_items, sends);
-    keys.iter().flat_map(|key| current_items(tables, step.now, key)).collect()
+    let keys = tables.gossip.take(cx.limits.max_items, sends);
+    keys.iter().flat_map(|key| current_items(tables, cx.now, key)).collect()
 }
 
 /// The items for a state change, with the content that is known now.
@@ -144,22 +144,22 @@
 
 /// The next revisions of other VMs, from where the last message ended, so that
 /// over several messages each one is passed on.
-fn next_revisions(tables: &mut Tables, step: &Step<'_>) -> Vec<RevisionReport> {
+fn next_revisions(tables: &mut Tables, cx: &Context<'_>) -> Vec<RevisionReport> {
     let from = match tables.revision_cursor.take() {
         Some(vm) => Bound::Excluded(vm),
         None => Bound::Unbounded,
     };
     let revisions = tables.peer_revisions.range((from, Bound::Unbounded));
     let rows: Vec<RevisionReport> = revisions
-        .take(step.limits.max_revisions)
+        .take(cx.limits.max_revisions)
         .map(|(vm, row)| RevisionReport {
             vm: vm.clone(),
             revision: row.revision,
-            heard: row.heard.at(step.now),
+            heard: row.heard.at(cx.now),
             confirmed: row.confirmed,
         })
         .collect();
-    if rows.len() == step.limits.max_revisions {
+    if rows.len() == cx.limits.max_revisions {
         tables.revision_cursor = rows.last().map(|row| row.vm.clone());
     }
     rows
--- a/crates/core/src/control/system/list.rs
+++ b/crates/core/src/control/system/list.rs
@@ -10,7 +10,7 @@
 use super::{gossip, member, reading};
 use crate::{
     control::{
-        engine::Step,
+        engine::Context,
         message::{Body, Digest},
         request::Source,
         table::{
@@ -32,62 +32,62 @@
 const AGE_TOLERANCE: Duration = Duration::from_millis(100);
 
 /// Handles the reply to a read that was started at `made`.
-pub fn handle_reply(tables: &mut Tables, step: &mut Step<'_>, made: Instant, reply: Reply) {
+pub fn handle_reply(tables: &mut Tables, cx: &mut Context<'_>, made: Instant, reply: Reply) {
     tables.list.call = None;
     let Reply::Listed { vms, targets } = reply else {
         tables.list.failures += 1;
         let failures = tables.list.failures;
-        tables.list.next = step.now + reading::back_off(tables, step, failures);
+        tables.list.next = cx.now + reading::back_off(tables, cx, failures);
         return;
     };
     tables.list.failures = 0;
-    let pause = reading::read_delay(tables, step.limits.list_interval, step.limits.stale_after);
-    tables.list.next = step.now + pause;
-    replace(tables, step, (vms, targets), Age::new(Duration::ZERO, made));
+    let pause = reading::read_delay(tables, cx.limits.list_interval, cx.limits.stale_after);
+    tables.list.next = cx.now + pause;
+    replace(tables, cx, (vms, targets), Age::new(Duration::ZERO, made));
 }
 
 /// Takes over the list of another VM if it was read later than that of this VM.
 pub fn adopt(
     tables: &mut Tables,
-    step: &mut Step<'_>,
+    cx: &mut Context<'_>,
     vms: Vec<view::Vm>,
     targets: Vec<view::Target>,
     digest: &Digest,
 ) {
     let Some(listed) = digest.listed else { return };
-    let own = tables.targets.list_age.map(|age| age.at(step.now));
+    let own = tables.targets.list_age.map(|age| age.at(cx.now));
     if own.is_none_or(|own| listed < own) {
-        replace(tables, step, (vms, targets), Age::new(listed, step.now));
+        replace(tables, cx, (vms, targets), Age::new(listed, cx.now));
     }
 }
 
 /// Sends the list to another VM.
-pub fn send(tables: &mut Tables, step: &mut Step<'_>, to: &Name) {
+pub fn send(tables: &mut Tables, cx: &mut Context<'_>, to: &Name) {
     let vms = tables.targets.vms.clone();
     let targets = tables.targets.listed.values().cloned().collect();
-    gossip::send(tables, step, to, Body::List { vms, targets });
+    gossip::send(tables, cx, to, Body::List { vms, targets });
 }
 
 /// Compares the list of another VM with that of this one: takes over the age of
 /// an equal list, and asks for a different one that was read later.
-pub fn compare(tables: &mut Tables, step: &mut Step<'_>, from: &Name, digest: &Digest) {
+pub fn compare(tables: &mut Tables, cx: &mut Context<'_>, from: &Name, digest: &Digest) {
     let Some(listed) = digest.listed else { return };
     let own = tables.targets.list_age;
     if own.is_some() && digest.list == tables.targets.digest {
-        let age = Age::new(listed, step.now);
-        tables.targets.list_age = age::younger(own, Some(age), step.now);
+        let age = Age::new(listed, cx.now);
+        tables.targets.list_age = age::younger(own, Some(age), cx.now);
         return;
     }
-    let later = own.is_none_or(|own| listed + AGE_TOLERANCE < own.at(step.now));
-    if later && step.now >= tables.targets.next_list_request {
-        tables.targets.next_list_request = step.now + step.limits.ack_timeout;
-        gossip::send(tables, step, from, Body::AskList);
+    let later = own.is_none_or(|own| listed + AGE_TOLERANCE < own.at(cx.now));
+    if later && cx.now >= tables.targets.next_list_request {
+        tables.targets.next_list_request = cx.now + cx.limits.ack_timeout;
+        gossip::send(tables, cx, from, Body::AskList);
     }
 }
 
 fn replace(
     tables: &mut Tables,
-    step: &mut Step<'_>,
+    cx: &mut Context<'_>,
     (vms, targets): (Vec<view::Vm>, Vec<view::Target>),
     age: Age,
 ) {
@@ -97,7 +97,7 @@
         return;
     }
     for vm in &vms {
-        member::add_listed(tables, step, vm);
+        member::add_listed(tables, cx, vm);
     }
     for row in tables.vms.rows.values_mut() {
         row.listed = false;
@@ -107,7 +107,7 @@
             row.listed = true;
         }
     }
-    tables.targets.set_listed(targets, step.now);
+    tables.targets.set_listed(targets, cx.now);
     tables.targets.vms = vms;
     tables.targets.digest = digest;
     mark_leaving(tables);
@@ -135,7 +135,7 @@
 /// drains does not return.
 pub fn apply_announcement(
     tables: &mut Tables,
-    step: &mut Step<'_>,
+    cx: &mut Context<'_>,
     target: &Name,
     announcement: Announcement,
     source: Source,
@@ -149,7 +149,7 @@
     tables
         .targets
         .announcements
-        .insert(target.clone(), Received { announcement, at: step.now, source });
+        .insert(target.clone(), Received { announcement, at: cx.now, source });
     if let Some(listed) = tables.targets.leaving.get_mut(target) {
         listed.get_or_insert(incarnation);
     }
@@ -163,7 +163,7 @@
     }
     if leaves && !left {
         let fields = vec![("target", target.to_string())];
-        step.out.lines.push(Line::new(Event::TargetDraining, fields));
+        cx.out.lines.push(Line::new(Event::TargetDraining, fields));
     }
 }
 
--- a/crates/core/src/control/system/outcome.rs
+++ b/crates/core/src/control/system/outcome.rs
@@ -11,7 +11,7 @@
     control::{
         Answer, Record, Request,
         codec::history_key,
-        engine::Step,
+        engine::Context,
         request::{Audit, difference},
         table::{
             Tables,
@@ -28,15 +28,15 @@
 
 /// Handles a publication that took effect: puts it in force here as well, and
 /// removes from the history the document that is now beyond the limit.
-pub fn accepted(tables: &mut Tables, step: &mut Step<'_>, row: &Publication) -> Next {
+pub fn accepted(tables: &mut Tables, cx: &mut Context<'_>, row: &Publication) -> Next {
     let Some(proposal) = &row.proposal else { return Next::Retry };
-    profiles::apply(tables, step, Arc::new(proposal.document.clone()));
+    profiles::apply(tables, cx, Arc::new(proposal.document.clone()));
     let revision = proposal.document.revision;
     let fields = vec![("revision", revision.0.to_string()), ("who", proposal.who.clone())];
-    step.out.lines.push(Line::new(Event::RevisionPublished, fields));
-    if let Some(old) = revision.0.checked_sub(step.limits.max_history + 1) {
+    cx.out.lines.push(Line::new(Event::RevisionPublished, fields));
+    if let Some(old) = revision.0.checked_sub(cx.limits.max_history + 1) {
         let call = Call::Get { key: history_key(old) };
-        call::make(tables, step, Purpose::ReadExpired, call, Duration::ZERO);
+        call::make(tables, cx, Purpose::ReadExpired, call, Duration::ZERO);
     }
     Next::Done(Answer::Accepted { revision, changes: changes(row, &proposal.document.profiles) })
 }
@@ -49,14 +49,14 @@
 /// lost. Otherwise the write may have taken effect and been replaced since,
 /// which the history shows; or, as long as the version that it expects is
 /// unchanged, it may still take effect, which a fence rules out.
-pub fn resolve(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication) -> Next {
+pub fn resolve(tables: &mut Tables, cx: &mut Context<'_>, row: &mut Publication) -> Next {
     let Some(token) = row.token else { return Next::Retry };
     if row.base.as_ref().is_some_and(|base| base.token == token.id) {
-        return confirmed(tables, step, row);
+        return confirmed(tables, cx, row);
     }
     let current = revision(row);
     if let Some(base) = &row.base {
-        profiles::apply(tables, step, Arc::new(base.document.clone()));
+        profiles::apply(tables, cx, Arc::new(base.document.clone()));
     }
     if current <= token.base && matches!(row.request, Request::Settle { .. }) {
         return Next::Step(Stage::Fence);
@@ -64,26 +64,26 @@
     if row.reply_lost && current > token.revision {
         return Next::Step(Stage::Trace);
     }
-    Next::Done(lost(step, row))
+    Next::Done(lost(cx, row))
 }
 
 /// Handles the case that the service holds the document of the publication.
-fn confirmed(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication) -> Next {
+fn confirmed(tables: &mut Tables, cx: &mut Context<'_>, row: &mut Publication) -> Next {
     if row.proposal.is_none() {
         row.proposal.clone_from(&row.base);
         row.base = None;
-        return settled(tables, step, row);
+        return settled(tables, cx, row);
     }
     let base = row.base.take();
-    let next = accepted(tables, step, row);
+    let next = accepted(tables, cx, row);
     row.base = base;
     next
 }
 
 /// Accepts a publication that was asked for by its token. The answer lists no
 /// changes; the history shows them.
-fn settled(tables: &mut Tables, step: &mut Step<'_>, row: &Publication) -> Next {
-    match accepted(tables, step, row) {
+fn settled(tables: &mut Tables, cx: &mut Context<'_>, row: &Publication) -> Next {
+    match accepted(tables, cx, row) {
         Next::Done(Answer::Accepted { revision, .. }) => {
             Next::Done(Answer::Accepted { revision, changes: Vec::new() })
         }
@@ -97,28 +97,28 @@
 /// another token therefore shows that the write never took effect, and so does
 /// a missing entry as long as the history is too short for it to have been
 /// removed.
-pub fn traced(step: &mut Step<'_>, row: &Publication, entry: Option<Entry>) -> Next {
+pub fn traced(cx: &mut Context<'_>, row: &Publication, entry: Option<Entry>) -> Next {
     let Some(token) = row.token else { return Next::Retry };
     let Some(entry) = entry else {
         // Half of the limit allows for publications since the document was read.
-        let removed = revision(row).0 > token.revision.0 + step.limits.max_history / 2;
-        return Next::Done(if removed { Answer::Unsettled { token } } else { lost(step, row) });
+        let removed = revision(row).0 > token.revision.0 + cx.limits.max_history / 2;
+        return Next::Done(if removed { Answer::Unsettled { token } } else { lost(cx, row) });
     };
-    match profiles::decode(step, &entry) {
+    match profiles::decode(cx, &entry) {
         Ok(record) if record.token == token.id => {
             let revision = token.revision;
             Next::Done(Answer::Accepted { revision, changes: Vec::new() })
         }
-        Ok(_) => Next::Done(lost(step, row)),
+        Ok(_) => Next::Done(lost(cx, row)),
         Err(_) => Next::Done(Answer::Unsettled { token }),
     }
 }
 
 /// Logs that the publication lost to the one in force, and makes the answer.
-fn lost(step: &mut Step<'_>, row: &Publication) -> Answer {
+fn lost(cx: &mut Context<'_>, row: &Publication) -> Answer {
     let winner = revision(row);
     let fields = vec![("winner", winner.0.to_string())];
-    step.out.lines.push(Line::new(Event::RevisionLost, fields));
+    cx.out.lines.push(Line::new(Event::RevisionLost, fields));
     match &row.proposal {
         Some(proposal) => conflict(row, &proposal.document.profiles),
         None => Answer::NotPublished { current: winner },
--- a/crates/core/src/control/system/probe.rs
+++ b/crates/core/src/control/system/probe.rs
@@ -7,7 +7,7 @@
 use super::{gossip, member};
 use crate::{
     control::{
-        engine::Step,
+        engine::Context,
         message::Body,
         table::{
             Tables,
@@ -20,23 +20,23 @@
 
 /// Moves probes whose stage has ended to the next one, and starts the probes
 /// that are due.
-pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
-    expire(tables, step);
+pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
+    expire(tables, cx);
     for vm in std::mem::take(&mut tables.vms.urgent_probes) {
         if !tables.vms.probes.values().any(|probe| probe.vm == vm) {
-            start(tables, step, &vm, Stage::Direct);
+            start(tables, cx, &vm, Stage::Direct);
         }
     }
-    if step.now >= tables.vms.next_probe {
-        tables.vms.next_probe = step.now + step.limits.probe_interval;
+    if cx.now >= tables.vms.next_probe {
+        tables.vms.next_probe = cx.now + cx.limits.probe_interval;
         match next_vm(tables) {
-            Some(vm) => start(tables, step, &vm, Stage::Direct),
-            None => ping_seed(tables, step),
+            Some(vm) => start(tables, cx, &vm, Stage::Direct),
+            None => ping_seed(tables, cx),
         }
     }
-    if step.now >= tables.vms.next_reconnect {
-        tables.vms.next_reconnect = step.now + step.limits.reconnect_interval;
-        ping_gone(tables, step);
+    if cx.now >= tables.vms.next_reconnect {
+        tables.vms.next_reconnect = cx.now + cx.limits.reconnect_interval;
+        ping_gone(tables, cx);
     }
 }
 
@@ -57,23 +57,23 @@
 }
 
 /// Pings a random VM from the settings.
-fn ping_seed(tables: &mut Tables, step: &mut Step<'_>) {
+fn ping_seed(tables: &mut Tables, cx: &mut Context<'_>) {
     if tables.vms.seeds.is_empty() {
         return;
     }
     let index = tables.rng.random_range(0..tables.vms.seeds.len());
     let (vm, address) = tables.vms.seeds[index].clone();
     if vm != tables.own.vm.name {
-        let probe = add_probe(tables, &vm, Stage::Reconnect, step.now + step.limits.ack_timeout);
-        gossip::send_to(tables, step, &vm, address, Body::Ping { probe });
+        let probe = add_probe(tables, &vm, Stage::Reconnect, cx.now + cx.limits.ack_timeout);
+        gossip::send_to(tables, cx, &vm, address, Body::Ping { probe });
     }
 }
 
-fn ping_gone(tables: &mut Tables, step: &mut Step<'_>) {
+fn ping_gone(tables: &mut Tables, cx: &mut Context<'_>) {
     let Some(last) = tables.vms.gone.len().checked_sub(1) else { return };
     let index = tables.rng.random_range(0..=last);
     if let Some(vm) = tables.vms.gone.iter().nth(index).cloned() {
-        start(tables, step, &vm, Stage::Reconnect);
+        start(tables, cx, &vm, Stage::Reconnect);
     }
 }
 
@@ -83,59 +83,59 @@
     tables.vms.last_probe
 }
 
-fn start(tables: &mut Tables, step: &mut Step<'_>, vm: &Name, stage: Stage) {
-    let probe = add_probe(tables, vm, stage, step.now + step.limits.ack_timeout);
-    gossip::send(tables, step, vm, Body::Ping { probe });
+fn start(tables: &mut Tables, cx: &mut Context<'_>, vm: &Name, stage: Stage) {
+    let probe = add_probe(tables, vm, stage, cx.now + cx.limits.ack_timeout);
+    gossip::send(tables, cx, vm, Body::Ping { probe });
 }
 
-fn expire(tables: &mut Tables, step: &mut Step<'_>) {
+fn expire(tables: &mut Tables, cx: &mut Context<'_>) {
     let due: Vec<u64> = tables
         .vms
         .probes
         .iter()
-        .filter(|(_, probe)| probe.until <= step.now)
+        .filter(|(_, probe)| probe.until <= cx.now)
         .map(|(&number, _)| number)
         .collect();
     for number in due {
         let Some(probe) = tables.vms.probes.remove(&number) else { continue };
         match probe.stage {
-            Stage::Direct => probe_indirectly(tables, step, number, probe),
-            Stage::Indirect => member::mark_suspect(tables, step, &probe.vm),
+            Stage::Direct => probe_indirectly(tables, cx, number, probe),
+            Stage::Indirect => member::mark_suspect(tables, cx, &probe.vm),
             Stage::Delegated { .. } | Stage::Reconnect => {}
         }
     }
 }
 
-fn probe_indirectly(tables: &mut Tables, step: &mut Step<'_>, number: u64, probe: Probe) {
+fn probe_indirectly(tables: &mut Tables, cx: &mut Context<'_>, number: u64, probe: Probe) {
     let Some(row) = tables.vms.rows.get_mut(&probe.vm) else { return };
     row.acked_incarnation = 0;
     let address = row.member.contact.control;
     let vm = probe.vm.clone();
-    let until = step.now + step.limits.ack_timeout * 2;
+    let until = cx.now + cx.limits.ack_timeout * 2;
     tables.vms.probes.insert(number, Probe { stage: Stage::Indirect, until, ..probe });
-    for helper in pick_helpers(tables, step.limits.indirect_probes, &vm) {
+    for helper in pick_helpers(tables, cx.limits.indirect_probes, &vm) {
         let body = Body::PingFor { probe: number, vm: vm.clone(), address };
-        gossip::send(tables, step, &helper, body);
+        gossip::send(tables, cx, &helper, body);
     }
 }
 
 /// Picks the VMs that are asked to ping `vm`. The sender of the last message is
 /// among them, so that a VM that reaches few others asks one that it can hear.
 fn pick_helpers(tables: &mut Tables, count: usize, vm: &Name) -> Vec<Name> {
-    let heard = tables.vms.last_sender.clone().filter(|heard| heard != vm);
+    let last_sender = tables.vms.last_sender.clone().filter(|last_sender| last_sender != vm);
     let drawn = gossip::pick(tables, count, Some(vm));
-    let others = drawn.into_iter().filter(|drawn| Some(drawn) != heard.as_ref());
-    heard.iter().cloned().chain(others).take(count).collect()
+    let others = drawn.into_iter().filter(|drawn| Some(drawn) != last_sender.as_ref());
+    last_sender.iter().cloned().chain(others).take(count).collect()
 }
 
 /// Acknowledges a ping.
-pub fn answer_ping(tables: &mut Tables, step: &mut Step<'_>, from: &Name, probe: u64) {
-    gossip::send(tables, step, from, Body::Ack { probe });
+pub fn answer_ping(tables: &mut Tables, cx: &mut Context<'_>, from: &Name, probe: u64) {
+    gossip::send(tables, cx, from, Body::Ack { probe });
 }
 
 /// Handles an acknowledgement, sent by the probed VM itself or passed on by a
 /// helper. An acknowledgement of a helper counts only in the indirect stage.
-pub fn handle_ack(tables: &mut Tables, step: &mut Step<'_>, from: &Name, number: u64) {
+pub fn handle_ack(tables: &mut Tables, cx: &mut Context<'_>, from: &Name, number: u64) {
     let Some(probe) = tables.vms.probes.get(&number) else { return };
     let direct = probe.vm == *from;
     if !direct && probe.stage != Stage::Indirect {
@@ -150,18 +150,18 @@
         }
     }
     if let Stage::Delegated { requester, probe } = stage {
-        gossip::send(tables, step, &requester, Body::Ack { probe });
+        gossip::send(tables, cx, &requester, Body::Ack { probe });
     }
 }
 
 /// Pings a VM on behalf of `from`, which chose the number `probe`.
 pub fn ping_for(
     tables: &mut Tables,
-    step: &mut Step<'_>,
+    cx: &mut Context<'_>,
     from: &Name,
     (probe, vm, address): (u64, Name, SocketAddr),
 ) {
     let stage = Stage::Delegated { requester: from.clone(), probe };
-    let number = add_probe(tables, &vm, stage, step.now + step.limits.ack_timeout);
-    gossip::send_to(tables, step, &vm, address, Body::Ping { probe: number });
+    let number = add_probe(tables, &vm, stage, cx.now + cx.limits.ack_timeout);
+    gossip::send_to(tables, cx, &vm, address, Body::Ping { probe: number });
 }
--- a/crates/core/src/control/system/profiles.rs
+++ b/crates/core/src/control/system/profiles.rs
@@ -8,7 +8,7 @@
     control::{
         Record,
         codec::CURRENT_KEY,
-        engine::Step,
+        engine::Context,
         message::{Body, Digest, RevisionReport},
         table::{PeerRevision, Tables, age, age::Age},
     },
@@ -20,26 +20,26 @@
 };
 
 /// Handles the reply to a read or watch that was started at `made`.
-pub fn handle_reply(tables: &mut Tables, step: &mut Step<'_>, made: Instant, reply: Reply) {
+pub fn handle_reply(tables: &mut Tables, cx: &mut Context<'_>, made: Instant, reply: Reply) {
     tables.profiles.call = None;
     let (entry, change) = match reply {
         Reply::Value { entry, change } => (entry, change),
         Reply::Changed { entries, change, .. } => {
             (entries.into_iter().rev().find(|entry| entry.key == CURRENT_KEY), change)
         }
-        _ => return failed(tables, step),
+        _ => return failed(tables, cx),
     };
     if let Some(entry) = entry {
-        match decode(step, &entry) {
-            Ok(record) => apply(tables, step, Arc::new(record.document)),
-            Err(_) => return failed(tables, step),
+        match decode(cx, &entry) {
+            Ok(record) => apply(tables, cx, Arc::new(record.document)),
+            Err(_) => return failed(tables, cx),
         }
     }
     tables.profiles.change = Some(change);
     tables.profiles.failures = 0;
     tables.profiles.next =
-        step.now + reading::read_delay(tables, Duration::ZERO, step.limits.stale_after);
-    confirm(tables, step.now, made);
+        cx.now + reading::read_delay(tables, Duration::ZERO, cx.limits.stale_after);
+    confirm(tables, cx.now, made);
 }
 
 /// Records that the service was read at `made` and holds no higher revision.
@@ -56,84 +56,84 @@
     }
 }
 
-fn failed(tables: &mut Tables, step: &Step<'_>) {
+fn failed(tables: &mut Tables, cx: &Context<'_>) {
     tables.profiles.change = None;
     tables.profiles.failures += 1;
     let failures = tables.profiles.failures;
-    tables.profiles.next = step.now + reading::back_off(tables, step, failures);
+    tables.profiles.next = cx.now + reading::back_off(tables, cx, failures);
 }
 
 /// Decodes a stored record.
-pub fn decode(step: &Step<'_>, entry: &Entry) -> Result<Record, String> {
-    step.codec.decode(&entry.value)
+pub fn decode(cx: &Context<'_>, entry: &Entry) -> Result<Record, String> {
+    cx.codec.decode(&entry.value)
 }
 
 /// Puts a document in force if its revision is higher than that of the current
 /// one. Nothing else ever replaces the document.
-pub fn apply(tables: &mut Tables, step: &mut Step<'_>, document: Arc<Document>) {
+pub fn apply(tables: &mut Tables, cx: &mut Context<'_>, document: Arc<Document>) {
     if document.revision <= tables.in_force.document.revision {
         return;
     }
     let fields = vec![("revision", document.revision.0.to_string())];
-    step.out.lines.push(Line::new(Event::RevisionApplied, fields));
+    cx.out.lines.push(Line::new(Event::RevisionApplied, fields));
     tables.in_force.document = document;
     tables.gossip.has_new = true;
     tables.view_changed = true;
 }
 
 /// Sends the document in force to another VM.
-pub fn send(tables: &mut Tables, step: &mut Step<'_>, to: &Name) {
+pub fn send(tables: &mut Tables, cx: &mut Context<'_>, to: &Name) {
     let document = Arc::clone(&tables.in_force.document);
-    gossip::send(tables, step, to, Body::Document(document));
+    gossip::send(tables, cx, to, Body::Document(document));
 }
 
 /// Compares the revision of another VM with that of this one: asks for a higher
 /// one, and takes over the confirmation of an equal one.
-pub fn compare(tables: &mut Tables, step: &mut Step<'_>, from: &Name, digest: &Digest) {
-    record_revision(tables, step, from, digest);
+pub fn compare(tables: &mut Tables, cx: &mut Context<'_>, from: &Name, digest: &Digest) {
+    record_revision(tables, cx, from, digest);
     let own = tables.in_force.document.revision;
     if digest.revision > own {
-        if step.now >= tables.targets.next_document_request {
-            tables.targets.next_document_request = step.now + step.limits.ack_timeout;
-            gossip::send(tables, step, from, Body::AskDocument);
+        if cx.now >= tables.targets.next_document_request {
+            tables.targets.next_document_request = cx.now + cx.limits.ack_timeout;
+            gossip::send(tables, cx, from, Body::AskDocument);
         }
         return;
     }
     let Some(confirmed) = digest.confirmed else { return };
     if digest.revision == own {
-        let age = Age::new(confirmed, step.now);
-        tables.in_force.confirmed = age::younger(tables.in_force.confirmed, Some(age), step.now);
+        let age = Age::new(confirmed, cx.now);
+        tables.in_force.confirmed = age::younger(tables.in_force.confirmed, Some(age), cx.now);
     }
-    count_confirmation(tables, step, from);
+    count_confirmation(tables, cx, from);
 }
 
 /// Counts the VMs whose confirmed revision is not above that of this VM, until
 /// there are enough of them for this VM to count its revision as the highest.
-fn count_confirmation(tables: &mut Tables, step: &Step<'_>, from: &Name) {
+fn count_confirmation(tables: &mut Tables, cx: &Context<'_>, from: &Name) {
     if tables.own.learnt {
         return;
     }
     tables.own.confirmed_by.insert(from.clone());
     let others = tables.vms.count() - 1;
-    if tables.own.confirmed_by.len() >= step.limits.required_confirmations.min(others.max(1)) {
+    if tables.own.confirmed_by.len() >= cx.limits.required_confirmations.min(others.max(1)) {
         mark_learnt(tables);
     }
 }
 
-fn record_revision(tables: &mut Tables, step: &Step<'_>, from: &Name, digest: &Digest) {
-    let heard = Age::new(Duration::ZERO, step.now);
+fn record_revision(tables: &mut Tables, cx: &Context<'_>, from: &Name, digest: &Digest) {
+    let heard = Age::new(Duration::ZERO, cx.now);
     let row = PeerRevision { revision: digest.revision, heard, confirmed: digest.confirmed };
     tables.peer_revisions.insert(from.clone(), row);
 }
 
 /// Merges what another VM has heard of the revisions in force. Only younger
 /// reports replace those that are known.
-pub fn merge_revisions(tables: &mut Tables, step: &Step<'_>, reports: Vec<RevisionReport>) {
+pub fn merge_revisions(tables: &mut Tables, cx: &Context<'_>, reports: Vec<RevisionReport>) {
     for report in reports {
-        let age = tables.peer_revisions.get(&report.vm).map(|known| known.heard.at(step.now));
+        let age = tables.peer_revisions.get(&report.vm).map(|known| known.heard.at(cx.now));
         let is_known = tables.vms.rows.contains_key(&report.vm);
         if is_known && age.is_none_or(|age| report.heard < age) {
-            let heard = Age::new(report.heard, step.now);
+            let heard = Age::new(report.heard, cx.now);
             let known =
                 PeerRevision { revision: report.revision, heard, confirmed: report.confirmed };
             tables.peer_revisions.insert(report.vm, known);
--- a/crates/core/src/control/system/publish.rs
+++ b/crates/core/src/control/system/publish.rs
@@ -11,7 +11,7 @@
     control::{
         Answer, Record, Request, RequestId, access,
         codec::{CURRENT_KEY, HISTORY, MAX_VALUE_BYTES, history_key},
-        engine::Step,
+        engine::Context,
         request::{Token, difference},
         table::{
             Tables,
@@ -34,28 +34,28 @@
 }
 
 /// Makes the calls that are due, and answers requests that have timed out.
-pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
+pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
     let ids: Vec<RequestId> = tables.publications.keys().copied().collect();
     for id in ids {
         let Some(mut row) = tables.publications.remove(&id) else { continue };
-        if row.until <= step.now {
+        if row.until <= cx.now {
             let answer = outcome::timed_out(tables, &row);
-            step.out.answers.push((id, answer));
+            cx.out.answers.push((id, answer));
             continue;
         }
-        if row.call.is_none() && row.next <= step.now {
-            let call = call(step, &row);
+        if row.call.is_none() && row.next <= cx.now {
+            let call = call(cx, &row);
             let purpose = Purpose::Request(id);
-            row.call = Some(call::make(tables, step, purpose, call, Duration::ZERO));
+            row.call = Some(call::make(tables, cx, purpose, call, Duration::ZERO));
         }
         tables.publications.insert(id, row);
     }
 }
 
-fn call(step: &Step<'_>, row: &Publication) -> Call {
+fn call(cx: &Context<'_>, row: &Publication) -> Call {
     let get = |key: String| Call::Get { key };
     let swap = |key: String, expect, record: Option<&Record>| {
-        let value = record.map(|record| step.codec.encode(record)).unwrap_or_default();
+        let value = record.map(|record| cx.codec.encode(record)).unwrap_or_default();
         Call::Swap { key, expect, value, lease: None }
     };
     match &row.stage {
@@ -94,21 +94,21 @@
 }
 
 /// Handles the reply to the call of a stage.
-pub fn handle_reply(tables: &mut Tables, step: &mut Step<'_>, id: RequestId, reply: Reply) {
+pub fn handle_reply(tables: &mut Tables, cx: &mut Context<'_>, id: RequestId, reply: Reply) {
     let Some(mut row) = tables.publications.remove(&id) else { return };
     row.call = None;
-    match advance(tables, step, &mut row, reply) {
-        Next::Done(answer) => return step.out.answers.push((id, answer)),
-        Next::Retry => row.next = step.now + step.limits.retry_delay,
+    match advance(tables, cx, &mut row, reply) {
+        Next::Done(answer) => return cx.out.answers.push((id, answer)),
+        Next::Retry => row.next = cx.now + cx.limits.retry_delay,
         Next::Step(stage) => {
             row.stage = stage;
-            row.next = step.now;
+            row.next = cx.now;
         }
     }
     tables.publications.insert(id, row);
 }
 
-fn advance(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication, reply: Reply) -> Next {
+fn advance(tables: &mut Tables, cx: &mut Context<'_>, row: &mut Publication, reply: Reply) -> Next {
     if let Reply::Lost { .. } = reply {
         row.reply_lost |= row.stage == Stage::Swap;
         return Next::Retry;
@@ -117,31 +117,29 @@
         return Next::Retry;
     }
     match (row.stage.clone(), reply) {
-        (Stage::Read, Reply::Value { entry, .. }) => read(tables, step, row, entry),
-        (Stage::Fetch, Reply::Value { entry, .. }) => fetched(tables, step, row, entry),
-        (Stage::Scan, Reply::Entries { entries, .. }) => scanned(step, row, &entries),
-        (Stage::Trace, Reply::Value { entry, .. }) => outcome::traced(step, row, entry),
+        (Stage::Read, Reply::Value { entry, .. }) => read(tables, cx, row, entry),
+        (Stage::Fetch, Reply::Value { entry, .. }) => fetched(tables, cx, row, entry),
+        (Stage::Scan, Reply::Entries { entries, .. }) => scanned(cx, row, &entries),
+        (Stage::Trace, Reply::Value { entry, .. }) => outcome::traced(cx, row, entry),
         (Stage::Archive, Reply::Swapped { .. } | Reply::Conflict { .. }) => Next::Step(Stage::Swap),
-        (Stage::Swap, Reply::Swapped { .. }) => outcome::accepted(tables, step, row),
+        (Stage::Swap, Reply::Swapped { .. }) => outcome::accepted(tables, cx, row),
         (Stage::Fence, Reply::Swapped { .. }) => {
             Next::Done(Answer::NotPublished { current: revision(row) })
         }
-        (Stage::Swap | Stage::Fence, Reply::Conflict { current }) => {
-            match load(step, row, current) {
-                Ok(()) => outcome::resolve(tables, step, row),
-                Err(answer) => Next::Done(answer),
-            }
-        }
+        (Stage::Swap | Stage::Fence, Reply::Conflict { current }) => match load(cx, row, current) {
+            Ok(()) => outcome::resolve(tables, cx, row),
+            Err(answer) => Next::Done(answer),
+        },
         (_, reply) => Next::Done(internal(format!("unexpected reply {reply:?}"))),
     }
 }
 
 /// Stores the version and the record that the service holds under the key of the
 /// document in force.
-fn load(step: &Step<'_>, row: &mut Publication, entry: Option<Entry>) -> Result<(), Answer> {
+fn load(cx: &Context<'_>, row: &mut Publication, entry: Option<Entry>) -> Result<(), Answer> {
     row.version = entry.as_ref().map(|entry| entry.version);
     row.base = entry
-        .map(|entry| profiles::decode(step, &entry))
+        .map(|entry| profiles::decode(cx, &entry))
         .transpose()
         .map_err(|e| internal(format!("{CURRENT_KEY} cannot be decoded: {e}")))?;
     Ok(())
@@ -149,30 +147,30 @@
 
 fn read(
     tables: &mut Tables,
-    step: &mut Step<'_>,
+    cx: &mut Context<'_>,
     row: &mut Publication,
     entry: Option<Entry>,
 ) -> Next {
-    if let Err(answer) = load(step, row, entry) {
+    if let Err(answer) = load(cx, row, entry) {
         return Next::Done(answer);
     }
     if let Some(base) = &row.base {
-        profiles::apply(tables, step, Arc::new(base.document.clone()));
+        profiles::apply(tables, cx, Arc::new(base.document.clone()));
     }
     match row.request.clone() {
         Request::Publish { profiles, expect, who, team, dry_run } => {
             let plan = Plan { profiles, expect, who, team, note: String::new(), dry_run };
-            propose(tables, step, row, plan)
+            propose(tables, cx, row, plan)
         }
         Request::Rollback { to, .. } if to != revision(row) => Next::Step(Stage::Fetch),
         Request::Rollback { .. } => match row.base.clone() {
-            Some(base) => roll_back(tables, step, row, base.document),
+            Some(base) => roll_back(tables, cx, row, base.document),
             None => Next::Done(missing(Revision::default())),
         },
         Request::Settle { token } => {
             row.token = Some(token);
             row.reply_lost = true;
-            outcome::resolve(tables, step, row)
+            outcome::resolve(tables, cx, row)
         }
         Request::Diff { profiles } => Next::Done(Answer::Changes {
             revision: revision(row),
@@ -208,20 +206,20 @@
 
 fn fetched(
     tables: &mut Tables,
-    step: &mut Step<'_>,
+    cx: &mut Context<'_>,
     row: &mut Publication,
     entry: Option<Entry>,
 ) -> Next {
     let Some(entry) = entry else { return Next::Done(missing(rollback(row))) };
-    match profiles::decode(step, &entry) {
-        Ok(record) => roll_back(tables, step, row, record.document),
+    match profiles::decode(cx, &entry) {
+        Ok(record) => roll_back(tables, cx, row, record.document),
         Err(e) => Next::Done(internal(format!("{} cannot be decoded: {e}", entry.key))),
     }
 }
 
 fn roll_back(
     tables: &mut Tables,
-    step: &mut Step<'_>,
+    cx: &mut Context<'_>,
     row: &mut Publication,
     document: Document,
 ) -> Next {
@@ -230,10 +228,10 @@
     };
     let note = format!("roll back to revision {}", to.0);
     let plan = Plan { profiles: document.profiles, expect, who, team, note, dry_run: false };
-    propose(tables, step, row, plan)
+    propose(tables, cx, row, plan)
 }
 
-fn propose(tables: &mut Tables, step: &mut Step<'_>, row: &mut Publication, plan: Plan) -> Next {
+fn propose(tables: &mut Tables, cx: &mut Context<'_>, row: &mut Publication, plan: Plan) -> Next {
     let base = revision(row);
     if plan.expect.is_some_and(|expect| expect != base) {
         return Next::Done(outcome::conflict(row, &plan.profiles));
@@ -251,8 +249,8 @@
     }
     let id = uuid::Builder::from_random_bytes(rand::RngExt::random(&mut tables.rng)).into_uuid();
     let document = Document { revision: next, profiles: plan.profiles };
-    let record = Record { document, token: id, who: plan.who, at: step.wall, note: plan.note };
-    let size = step.codec.encode(&record).len();
+    let record = Record { document, token: id, who: plan.who, at: cx.wall, note: plan.note };
+    let size = cx.codec.encode(&record).len();
     if size > MAX_VALUE_BYTES {
         let detail = format!("the profiles take {size} bytes, allowed are {MAX_VALUE_BYTES}");
         return Next::Done(Answer::Failed(Fault::not_run(Kind::TooLarge, detail)));
@@ -270,8 +268,8 @@
     access::check(&plan.team, before, &plan.profiles)
 }
 
-fn scanned(step: &Step<'_>, row: &Publication, entries: &[Entry]) -> Next {
-    let kept = entries.iter().filter_map(|entry| profiles::decode(step, entry).ok());
+fn scanned(cx: &Context<'_>, row: &Publication, entries: &[Entry]) -> Next {
+    let kept = entries.iter().filter_map(|entry| profiles::decode(cx, entry).ok());
     let mut records: Vec<Record> = kept.collect();
     records.extend(row.base.clone());
     records.sort_by_key(|record| record.document.revision);
--- a/crates/core/src/control/system/quarantine.rs
+++ b/crates/core/src/control/system/quarantine.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     control::{
-        engine::Step,
+        engine::Context,
         table::{
             Tables,
             gossip::Key,
@@ -27,14 +27,14 @@
 /// add up, because a rack that fails takes down many at once.
 pub fn record_loss(
     tables: &mut Tables,
-    step: &mut Step<'_>,
+    cx: &mut Context<'_>,
     (fingerprint, target, origin): (Fingerprint, Name, Origin),
     remaining: Duration,
 ) {
     if tables.quarantine.quarantined.contains_key(&fingerprint) {
         return;
     }
-    let until = step.now + remaining.min(step.limits.suspect_duration);
+    let until = cx.now + remaining.min(cx.limits.suspect_duration);
     let rows = &mut tables.quarantine.suspects;
     let row = rows.entry(fingerprint).or_insert_with(|| Suspicion {
         targets: BTreeSet::new(),
@@ -47,10 +47,10 @@
     let listed = &tables.targets.listed;
     let shard = |name: &Name| listed.get(name).map(|target| (&target.index, &target.shard));
     let of_shard = row.targets.iter().filter(|name| shard(name) == shard(&target)).count();
-    if of_shard >= step.limits.lost_targets {
-        return add(tables, step, fingerprint, origin, step.limits.quarantine_duration);
+    if of_shard >= cx.limits.lost_targets {
+        return add(tables, cx, fingerprint, origin, cx.limits.quarantine_duration);
     }
-    if rows.len() > step.limits.max_fingerprints {
+    if rows.len() > cx.limits.max_fingerprints {
         let oldest = rows.iter().min_by_key(|(_, row)| row.until).map(|(&key, _)| key);
         oldest.and_then(|key| rows.remove(&key));
     }
@@ -62,7 +62,7 @@
 /// duration. If the table is full, the entry that expires first is removed.
 pub fn add(
     tables: &mut Tables,
-    step: &mut Step<'_>,
+    cx: &mut Context<'_>,
     fingerprint: Fingerprint,
     origin: Origin,
     remaining: Duration,
@@ -71,9 +71,9 @@
     if rows.contains_key(&fingerprint) {
         return;
     }
-    let until = step.now + remaining.min(step.limits.quarantine_duration);
+    let until = cx.now + remaining.min(cx.limits.quarantine_duration);
     rows.insert(fingerprint, Quarantined { origin, until });
-    if rows.len() > step.limits.max_fingerprints {
+    if rows.len() > cx.limits.max_fingerprints {
         let oldest = rows.iter().min_by_key(|(_, row)| row.until).map(|(&key, _)| key);
         oldest.and_then(|key| rows.remove(&key));
     }
@@ -82,5 +82,5 @@
     tables.gossip.add(Key::Quarantined(fingerprint));
     tables.view_changed = true;
     let fields = vec![("fingerprint", format!("{:016x}", fingerprint.0))];
-    step.out.lines.push(Line::new(Event::RequestQuarantined, fields));
+    cx.out.lines.push(Line::new(Event::RequestQuarantined, fields));
 }
--- a/crates/core/src/control/system/reading.rs
+++ b/crates/core/src/control/system/reading.rs
@@ -13,7 +13,7 @@
     control::{
         Limits,
         codec::CURRENT_KEY,
-        engine::Step,
+        engine::Context,
         message::Health,
         table::{Tables, age::Age, call::Purpose, reader::Reader},
     },
@@ -36,16 +36,16 @@
 const SPREAD_TIME_PER_DOUBLING: Duration = Duration::from_millis(500);
 
 /// Starts the reads that are due.
-pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
+pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
     if std::mem::take(&mut tables.vms.rerank) {
-        rank(tables, step);
+        rank(tables, cx);
     }
-    let stale = stale_age(tables, step.limits);
-    if profiles_due(tables, stale).is_some_and(|at| at <= step.now) {
-        read_profiles(tables, step);
+    let stale = stale_age(tables, cx.limits);
+    if profiles_due(tables, stale).is_some_and(|at| at <= cx.now) {
+        read_profiles(tables, cx);
     }
-    if list_due(tables, stale).is_some_and(|at| at <= step.now) {
-        let id = call::make(tables, step, Purpose::List, Call::List, Duration::ZERO);
+    if list_due(tables, stale).is_some_and(|at| at <= cx.now) {
+        let id = call::make(tables, cx, Purpose::List, Call::List, Duration::ZERO);
         tables.list.call = Some(id);
     }
 }
@@ -57,32 +57,32 @@
     limits.stale_after + SPREAD_TIME_PER_DOUBLING * tables.vms.count().ilog2()
 }
 
-fn rank(tables: &mut Tables, step: &Step<'_>) {
+fn rank(tables: &mut Tables, cx: &Context<'_>) {
     let own = &tables.own.vm.name;
     let others = tables.vms.rows.iter().filter(|(_, row)| row.is_active()).map(|(name, _)| name);
     let all = others.chain((!tables.own.leaving()).then_some(own));
     let order: Vec<&Name> = rank::order(rank::seed(&["watchers"]), all);
     let live = tables.vms.rows.iter().filter(|(_, row)| row.member.health == Health::Live);
     let live = live.map(|(name, _)| name.clone()).collect();
-    let watcher = order.iter().take(step.limits.watchers).any(|&name| name == own);
+    let watcher = order.iter().take(cx.limits.watchers).any(|&name| name == own);
     tables.vms.live = live;
     if watcher && !tables.vms.watcher {
-        tables.profiles.next = step.now;
-        tables.list.next = step.now;
+        tables.profiles.next = cx.now;
+        tables.list.next = cx.now;
     }
     tables.vms.watcher = watcher;
 }
 
-fn read_profiles(tables: &mut Tables, step: &mut Step<'_>) {
+fn read_profiles(tables: &mut Tables, cx: &mut Context<'_>) {
     let watch = tables.profiles.change.filter(|_| tables.vms.watcher && tables.own.learnt);
     let (call, wait) = match watch {
         Some(after) => {
-            let wait = step.limits.watch_timeout;
+            let wait = cx.limits.watch_timeout;
             (Call::Watch { prefix: CURRENT_KEY.to_owned(), after, wait }, wait)
         }
         None => (Call::Get { key: CURRENT_KEY.to_owned() }, Duration::ZERO),
     };
-    tables.profiles.call = Some(call::make(tables, step, Purpose::Profiles, call, wait));
+    tables.profiles.call = Some(call::make(tables, cx, Purpose::Profiles, call, wait));
 }
 
 /// When the profiles are next read from the service; `None` while a read is
@@ -114,8 +114,8 @@
 
 /// The delay after a failed read. It grows with each failure and has a random
 /// part, so that not all VMs retry at the same time.
-pub fn back_off(tables: &mut Tables, step: &Step<'_>, failures: u32) -> Duration {
-    let delay = (step.limits.retry_delay * 2u32.pow(failures.min(6))).min(MAX_RETRY_DELAY);
+pub fn back_off(tables: &mut Tables, cx: &Context<'_>, failures: u32) -> Duration {
+    let delay = (cx.limits.retry_delay * 2u32.pow(failures.min(6))).min(MAX_RETRY_DELAY);
     let delay = if tables.vms.watcher { delay } else { delay.max(read_interval(tables)) };
     delay / 2 + delay.mul_f64(tables.rng.random_range(0.0..0.5))
 }
--- a/crates/core/src/control/system/report.rs
+++ b/crates/core/src/control/system/report.rs
@@ -4,7 +4,7 @@
 use crate::{
     claims::Event,
     control::{
-        engine::Step,
+        engine::Context,
         request::Source,
         table::{Tables, target::Announcement},
     },
@@ -12,7 +12,7 @@
 };
 
 /// Handles a report of the traffic thread with the number `thread`.
-pub fn handle(tables: &mut Tables, step: &mut Step<'_>, thread: u16, report: Report) {
+pub fn handle(tables: &mut Tables, cx: &mut Context<'_>, thread: u16, report: Report) {
     match report {
         Report::Claim { operation, request, deadline } => {
             tables.claims.threads.insert(operation, thread);
@@ -22,20 +22,20 @@
             tables.claims.events.push(Event::Outcome { request, outcome });
         }
         Report::Suspect { fingerprint, query, target } => {
-            let remaining = step.limits.suspect_duration;
-            quarantine::record_loss(tables, step, (fingerprint, target, query.origin), remaining);
+            let remaining = cx.limits.suspect_duration;
+            quarantine::record_loss(tables, cx, (fingerprint, target, query.origin), remaining);
         }
         Report::Quarantined { fingerprint, origin } => {
-            let remaining = step.limits.quarantine_duration;
-            quarantine::add(tables, step, fingerprint, origin, remaining);
+            let remaining = cx.limits.quarantine_duration;
+            quarantine::add(tables, cx, fingerprint, origin, remaining);
         }
         Report::Draining { target, incarnation } => {
             let announcement = Announcement { incarnation, draining: true };
-            list::apply_announcement(tables, step, &target, announcement, Source::Own);
+            list::apply_announcement(tables, cx, &target, announcement, Source::Own);
         }
         Report::Serving { target, incarnation } => {
             let announcement = Announcement { incarnation, draining: false };
-            list::apply_announcement(tables, step, &target, announcement, Source::Own);
+            list::apply_announcement(tables, cx, &target, announcement, Source::Own);
         }
         Report::Unreachable { vm } => {
             tables.claims.events.push(Event::Unreachable { vm: vm.clone() });
--- a/crates/core/src/control/system/request.rs
+++ b/crates/core/src/control/system/request.rs
@@ -3,22 +3,22 @@
 use super::status;
 use crate::control::{
     Answer, Request, RequestId,
-    engine::Step,
+    engine::Context,
     table::{Tables, publication::Publication},
 };
 
 /// Answers a request from the tables, or adds a row for a request that needs the
 /// platform's service.
-pub fn handle(tables: &mut Tables, step: &mut Step<'_>, id: RequestId, request: Request) {
+pub fn handle(tables: &mut Tables, cx: &mut Context<'_>, id: RequestId, request: Request) {
     let answer = match request {
-        Request::Status => Answer::Status(status::revisions(tables, step)),
-        Request::Vms => Answer::Vms(status::vms(tables, step.now)),
-        Request::Targets => Answer::Targets(status::targets(tables, step.now)),
+        Request::Status => Answer::Status(status::revisions(tables, cx)),
+        Request::Vms => Answer::Vms(status::vms(tables, cx.now)),
+        Request::Targets => Answer::Targets(status::targets(tables, cx.now)),
         request => {
-            let until = step.now + step.limits.publish_timeout;
-            tables.publications.insert(id, Publication::new(request, step.now, until));
+            let until = cx.now + cx.limits.publish_timeout;
+            tables.publications.insert(id, Publication::new(request, cx.now, until));
             return;
         }
     };
-    step.out.answers.push((id, answer));
+    cx.out.answers.push((id, answer));
 }
--- a/crates/core/src/control/system/status.rs
+++ b/crates/core/src/control/system/status.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     control::{
-        engine::Step,
+        engine::Context,
         listing,
         request::{InForce, Source, Status},
         table::{PeerRevision, Tables},
@@ -16,33 +16,33 @@
 };
 
 /// The revision in force on each VM that is not gone, this one first.
-pub fn revisions(tables: &Tables, step: &Step<'_>) -> Status {
+pub fn revisions(tables: &Tables, cx: &Context<'_>) -> Status {
     let revision = tables.in_force.document.revision;
     let present = tables.vms.rows.iter().filter(|(_, row)| row.present());
-    let others = present.map(|(name, _)| other(name, tables.peer_revisions.get(name), step));
-    let vms: Vec<InForce> = std::iter::once(own(tables, step)).chain(others).collect();
+    let others = present.map(|(name, _)| other(name, tables.peer_revisions.get(name), cx));
+    let vms: Vec<InForce> = std::iter::once(own(tables, cx)).chain(others).collect();
     let has = |row: &&InForce| row.revision.is_some_and(|found: Revision| found >= revision);
     Status { revision, in_force: vms.iter().filter(has).count(), vms }
 }
 
-fn own(tables: &Tables, step: &Step<'_>) -> InForce {
+fn own(tables: &Tables, cx: &Context<'_>) -> InForce {
     InForce {
         vm: tables.own.vm.name.clone(),
         revision: Some(tables.in_force.document.revision),
         heard: Some(Duration::ZERO),
-        confirmed: tables.in_force.confirmed.map(|age| age.at(step.now)),
+        confirmed: tables.in_force.confirmed.map(|age| age.at(cx.now)),
         silent: false,
     }
 }
 
-fn other(name: &Name, known: Option<&PeerRevision>, step: &Step<'_>) -> InForce {
-    let heard = known.map(|known| known.heard.at(step.now));
+fn other(name: &Name, known: Option<&PeerRevision>, cx: &Context<'_>) -> InForce {
+    let heard = known.map(|known| known.heard.at(cx.now));
     InForce {
         vm: name.clone(),
         revision: known.map(|known| known.revision),
         heard,
-        confirmed: known.and_then(|known| Some(known.confirmed? + known.heard.at(step.now))),
-        silent: heard.is_none_or(|heard| heard > step.limits.silent_after),
+        confirmed: known.and_then(|known| Some(known.confirmed? + known.heard.at(cx.now))),
+        silent: heard.is_none_or(|heard| heard > cx.limits.silent_after),
     }
 }
 
--- a/crates/core/src/control/system/sync.rs
+++ b/crates/core/src/control/system/sync.rs
@@ -8,7 +8,7 @@
 use super::gossip;
 use crate::{
     control::{
-        engine::Step,
+        engine::Context,
         message::{Body, Item},
         table::{Tables, gossip::Key},
     },
@@ -28,38 +28,38 @@
 ///
 /// A new VM may be the home of a shard before it has heard which requests are
 /// quarantined, so it compares more often at first.
-pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
-    if step.now < tables.vms.next_sync {
+pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
+    if cx.now < tables.vms.next_sync {
         return;
     }
-    let is_new = step.now.since(tables.own.since) < NEW_VM_PERIOD;
+    let is_new = cx.now.since(tables.own.since) < NEW_VM_PERIOD;
     tables.vms.next_sync =
-        step.now + if is_new { NEW_VM_SYNC_INTERVAL } else { step.limits.sync_interval };
+        cx.now + if is_new { NEW_VM_SYNC_INTERVAL } else { cx.limits.sync_interval };
     let digest = digest(tables);
     for vm in gossip::pick(tables, 1, None) {
-        gossip::send(tables, step, &vm, Body::Compare { digest });
+        gossip::send(tables, cx, &vm, Body::Compare { digest });
     }
 }
 
 /// Sends the soft state if its hash differs from that of the VM `from`, and
 /// asks for the soft state of that VM in return.
-pub fn answer_digest(tables: &mut Tables, step: &mut Step<'_>, from: &Name, peer_digest: u64) {
+pub fn answer_digest(tables: &mut Tables, cx: &mut Context<'_>, from: &Name, peer_digest: u64) {
     if peer_digest != digest(tables) {
-        let items = items(tables, step);
-        gossip::send(tables, step, from, Body::State { items, wants_reply: true });
+        let items = items(tables, cx);
+        gossip::send(tables, cx, from, Body::State { items, wants_reply: true });
     }
 }
 
 /// Sends the soft state if the VM `from` wants a reply. The answer wants none,
 /// so that the exchange ends.
-pub fn answer_state(tables: &mut Tables, step: &mut Step<'_>, from: &Name, wants_reply: bool) {
+pub fn answer_state(tables: &mut Tables, cx: &mut Context<'_>, from: &Name, wants_reply: bool) {
     if wants_reply {
-        let items = items(tables, step);
-        gossip::send(tables, step, from, Body::State { items, wants_reply: false });
+        let items = items(tables, cx);
+        gossip::send(tables, cx, from, Body::State { items, wants_reply: false });
     }
 }
 
-fn items(tables: &Tables, step: &Step<'_>) -> Vec<Item> {
+fn items(tables: &Tables, cx: &Context<'_>) -> Vec<Item> {
     let quarantine = &tables.quarantine;
     let quarantined =
         quarantine.quarantined.keys().map(|&key| Key::Quarantined(key)).take(MAX_ITEMS);
@@ -69,7 +69,7 @@
     let announcements =
         announcements.map(|(target, _)| Key::Announcement(target.clone())).take(MAX_ITEMS);
     let keys = quarantined.chain(suspects).chain(announcements);
-    keys.flat_map(|key| gossip::current_items(tables, step.now, &key)).collect()
+    keys.flat_map(|key| gossip::current_items(tables, cx.now, &key)).collect()
 }
 
 fn digest(tables: &Tables) -> u64 {
--- a/crates/core/src/control/system/view.rs
+++ b/crates/core/src/control/system/view.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    control::{Recipient, engine::Step, table::Tables},
+    control::{Recipient, engine::Context, table::Tables},
     log::{Event, Line},
     notice::Notice,
     view::View,
@@ -11,18 +11,18 @@
 
 /// Sends a new view to the traffic threads if something that it shows has
 /// changed.
-pub fn run(tables: &mut Tables, step: &mut Step<'_>) {
+pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
     if !std::mem::take(&mut tables.view_changed) {
         return;
     }
     let ready = is_ready(tables);
     if ready && !tables.own.ready {
-        step.out.lines.push(Line::new(Event::Ready, Vec::new()));
+        cx.out.lines.push(Line::new(Event::Ready, Vec::new()));
     }
     tables.own.ready = ready;
     tables.view = Arc::new(make(tables));
     let notice = Notice::View(Arc::clone(&tables.view));
-    step.out.notices.push((Recipient::All, notice));
+    cx.out.notices.push((Recipient::All, notice));
 }
 
 fn is_ready(tables: &Tables) -> bool {
--- a/crates/core/src/control/system/wake.rs
+++ b/crates/core/src/control/system/wake.rs
@@ -22,7 +22,7 @@
         (!vms.gone.is_empty()).then_some(vms.next_reconnect),
         suspects,
         vms.probes.values().map(|probe| probe.until).min(),
-        isolation.then(|| tables.own.last_heard + limits.isolation_timeout),
+        isolation.then(|| tables.own.last_received + limits.isolation_timeout),
         tables.gossip.has_new.then_some(tables.gossip.next_round),
         tables.calls.rows.values().map(|row| row.until).min(),
         reading::profiles_due(tables, stale),
--- a/crates/core/src/control/table/claim.rs
+++ b/crates/core/src/control/table/claim.rs
@@ -4,7 +4,7 @@
 
 use crate::{claims::Event, id};
 
-/// The inputs of the claims engine, collected during a step.
+/// The inputs of the claims engine, collected during a tick.
 #[derive(Debug, Default)]
 pub struct Claims {
     pub events: Vec<Event>,
--- a/crates/core/src/control/table/own.rs
+++ b/crates/core/src/control/table/own.rs
@@ -16,8 +16,8 @@
     pub vm: view::Vm,
     /// When the VM started or last resumed after a pause.
     pub since: Instant,
-    /// The monotonic and the wall-clock time of the last step.
-    pub last_step: Option<(Instant, Wall)>,
+    /// The monotonic and the wall-clock time of the last tick.
+    pub last_tick: Option<(Instant, Wall)>,
     /// Whether the highest revision was learnt since the start, the last pause
     /// or the last isolation.
     pub learnt: bool,
@@ -25,7 +25,7 @@
     /// VM, collected until `learnt` is set.
     pub confirmed_by: BTreeSet<Name>,
     /// When the last message of a VM or reply of the service arrived.
-    pub last_heard: Instant,
+    pub last_received: Instant,
     /// Whether the last view says that this VM is ready.
     pub ready: bool,
     /// The number of requests and legs in flight by traffic thread, reported
@@ -39,10 +39,10 @@
         Own {
             vm,
             since: Instant::default(),
-            last_step: None,
+            last_tick: None,
             learnt: false,
             confirmed_by: BTreeSet::new(),
-            last_heard: Instant::default(),
+            last_received: Instant::default(),
             ready: false,
             in_flight: BTreeMap::new(),
         }
--- a/crates/core/src/control/table/vm.rs
+++ b/crates/core/src/control/table/vm.rs
@@ -110,7 +110,7 @@
     pub last_probe: u64,
     /// The VMs that are still to be probed in this round, in random order.
     pub probe_order: Vec<Name>,
-    /// VMs to probe in the next step, because a traffic thread could not reach
+    /// VMs to probe in the next tick, because a traffic thread could not reach
     /// them.
     pub urgent_probes: Vec<Name>,
     /// The VM whose message was handled last.
@@ -145,7 +145,7 @@
     }
 
     /// Removes VMs that are gone.
-    pub fn forget(&mut self, vms: &[Name]) {
+    pub fn remove_all(&mut self, vms: &[Name]) {
         for vm in vms {
             self.rows.remove(vm);
             self.gone.remove(vm);
--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -46,7 +46,7 @@
     fn write_vm(&self, vm: &view::Vm) -> Vec<u8>;
     /// Decodes a configuration.
     fn config(&self, entry: &Entry) -> Result<Config, String>;
-    /// Returns the key whose presence means that a request is held back.
+    /// Returns the key whose presence means that a request is quarantined.
     fn quarantine_key(&self, request: Fingerprint) -> String;
     /// Decodes the registration of a target.
     fn target(&self, entry: &Entry) -> Result<view::Target, String>;
@@ -58,7 +58,7 @@
     Config,
     Target(Name),
     Vm(Name),
-    /// A request that is held back.
+    /// A quarantined request.
     Quarantined(Fingerprint),
     /// Anything else; the feed ignores the entry.
     Other,
@@ -90,7 +90,7 @@
     pub replies: Vec<(CallId, Reply)>,
     /// How far other VMs have read the store.
     pub progress: Vec<Progress>,
-    /// The requests that this VM holds back from this tick on.
+    /// The requests that this VM quarantines from this tick on.
     pub quarantined: Vec<Fingerprint>,
 }
 
--- a/crates/core/src/relay/feed/progress.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -42,9 +42,9 @@
 }
 
 /// Announces to the next few VMs, in the order of their names, how far this one or
-/// any VM that it has heard from has read. VMs pass announcements on because,
-/// where the store does not answer most VMs, the few that it answers do not reach
-/// all others themselves.
+/// any VM that announced its progress to it has read. VMs pass announcements on
+/// because, where the store does not answer most VMs, the few that it answers do
+/// not reach all others themselves.
 pub fn announce(tables: &mut Tables, cx: &mut Context<'_>) {
     let latest = tables.latest.max(tables.latest_of_others);
     if tables.announced >= latest || tables.role != Role::Forwarding {
--- a/crates/core/src/relay/feed/report.rs
+++ b/crates/core/src/relay/feed/report.rs
@@ -1,11 +1,11 @@
-//! Reports to the other VMs through the store which requests are held back.
+//! Reports to the other VMs through the store which requests are quarantined.
 //!
 //! An entry is removed with its lease, so that no VM has to delete it. It is
 //! written only once: a VM that misses it finds the request by itself.
 
 use super::{
     system::Context,
-    table::{Step, Tables},
+    table::{Stage, Tables},
 };
 use crate::{
     digest::Fingerprint,
@@ -18,7 +18,7 @@
 /// does not report the rest.
 const MAX_WAITING_REPORTS: usize = 16;
 
-/// Queues reports of requests that this VM holds back.
+/// Queues reports of requests that this VM quarantined.
 pub fn enqueue(tables: &mut Tables, quarantined: Vec<Fingerprint>) {
     for fingerprint in quarantined {
         let is_known = tables.view.quarantined.contains(&fingerprint);
@@ -38,7 +38,7 @@
     {
         return;
     }
-    start_call(tables, Step::Grant, Call::Grant { ttl: QUARANTINE_DURATION }, cx);
+    start_call(tables, Stage::Grant, Call::Grant { ttl: QUARANTINE_DURATION }, cx);
 }
 
 /// Handles the reply to a call of a report. Returns the reply if it belongs to none.
@@ -48,13 +48,13 @@
     reply: Reply,
     cx: &mut Context<'_>,
 ) -> Option<Reply> {
-    let Some((_, step)) = tables.reports.in_flight.take_if(|(open, _)| *open == id) else {
+    let Some((_, stage)) = tables.reports.in_flight.take_if(|(open, _)| *open == id) else {
         return Some(reply);
     };
-    match (step, reply) {
-        (Step::Grant, Reply::Leased { lease }) => start_write(tables, lease, cx),
+    match (stage, reply) {
+        (Stage::Grant, Reply::Leased { lease }) => start_write(tables, lease, cx),
         // A conflict means that another VM has already written the report.
-        (Step::Write, Reply::Swapped { .. } | Reply::Conflict { .. }) => {
+        (Stage::Write, Reply::Swapped { .. } | Reply::Conflict { .. }) => {
             tables.reports.waiting.pop_front();
         }
         (_, reply) => discard(tables, &reply, cx),
@@ -62,9 +62,9 @@
     None
 }
 
-fn start_call(tables: &mut Tables, step: Step, call: Call, cx: &mut Context<'_>) {
+fn start_call(tables: &mut Tables, stage: Stage, call: Call, cx: &mut Context<'_>) {
     let id = tables.call_id();
-    tables.reports.in_flight = Some((id, step));
+    tables.reports.in_flight = Some((id, stage));
     cx.out.calls.push((id, call));
 }
 
@@ -76,7 +76,7 @@
         value: tables.own.name.as_str().into(),
         lease: Some(lease),
     };
-    start_call(tables, Step::Write, call, cx);
+    start_call(tables, Stage::Write, call, cx);
 }
 
 fn discard(tables: &mut Tables, reply: &Reply, cx: &mut Context<'_>) {
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -53,21 +53,21 @@
     Down { failures: u32 },
 }
 
-/// A step of a report.
+/// The stage of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Step {
+pub enum Stage {
     /// Create a lease.
     Grant,
     /// Write the entry under the lease.
     Write,
 }
 
-/// The reports to other VMs of requests that this VM holds back.
+/// The reports to other VMs of requests that this VM quarantined.
 #[derive(Clone, Debug, Default)]
 pub struct Reports {
     /// The requests to report. A call in flight is for the first one.
     pub waiting: VecDeque<Fingerprint>,
-    pub in_flight: Option<(CallId, Step)>,
+    pub in_flight: Option<(CallId, Stage)>,
 }
 
 /// All tables of the feed.
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -107,7 +107,7 @@
     /// Answers to callers.
     pub answers: Vec<(Call, Answer)>,
     pub lines: Vec<Line>,
-    /// The requests that this VM holds back from this tick on.
+    /// The requests that this VM quarantines from this tick on.
     pub quarantined: Vec<Fingerprint>,
     pub counts: Counts,
 }
--- a/crates/core/src/relay/system/collect.rs
+++ b/crates/core/src/relay/system/collect.rs
@@ -68,11 +68,11 @@
     cx: &mut Context<'_>,
 ) {
     let took = cx.now.since(row.sent);
-    let pace = tables.stats_of(&row.route);
-    let usual = pace.latency.mean().as_secs_f64();
+    let stats = tables.stats_of(&row.route);
+    let usual = stats.latency.mean().as_secs_f64();
     let ratio = if usual > 0.0 { took.as_secs_f64() / usual } else { 1.0 };
     if reply.is_success() {
-        pace.latency.record(took);
+        stats.latency.record(took);
     }
     let Some(target) = tables.targets.get_mut(&row.target) else { return };
     target.running.remove(&(row.sent, attempt));
--- a/crates/core/src/relay/system/dispatch.rs
+++ b/crates/core/src/relay/system/dispatch.rs
@@ -50,16 +50,16 @@
         .collect();
     for service in waiting {
         let queue: Vec<QueuePosition> = tables.waiting[&service].iter().copied().collect();
-        for place in queue {
-            match decide(tables, place.key, cx) {
+        for position in queue {
+            match decide(tables, position.key, cx) {
                 Decision::Send(target) => {
-                    leg::dequeue(tables, place.key);
-                    send(tables, place.key, &target, cx);
+                    leg::dequeue(tables, position.key);
+                    send(tables, position.key, &target, cx);
                 }
                 Decision::Wait => {}
                 Decision::GiveUp => {
-                    leg::dequeue(tables, place.key);
-                    leg::give_up(tables, place.key, cx);
+                    leg::dequeue(tables, position.key);
+                    leg::give_up(tables, position.key, cx);
                 }
             }
         }
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -53,7 +53,7 @@
 const HANDED_CALL_BIT: u64 = 1 << 63;
 
 /// Returns the larger VM that gets the next request, if there is one: a VM that
-/// hears from the store, or any reachable one while this VM has no current
+/// the store answers, or any reachable one while this VM has no current
 /// configuration itself.
 pub fn pick_vm(tables: &Tables, cx: &Context<'_>) -> Option<(Name, SocketAddr)> {
     let is_own_current = tables.view.config.is_some() && tables.view.is_current;
@@ -63,7 +63,7 @@
 
 /// Returns the reachable larger VM with the highest rank: those in the same failure
 /// domain come first, and rendezvous hashing picks one of them. With `is_current`
-/// it skips VMs that do not hear from the store.
+/// it skips VMs that the store does not answer.
 fn best_vm(tables: &Tables, cx: &Context<'_>, is_current: bool) -> Option<(Name, SocketAddr)> {
     let larger = tables.view.larger.iter();
     let reachable = larger.filter(|(name, _)| {
@@ -79,7 +79,7 @@
 
 fn is_reachable(tables: &Tables, name: &Name, now: Instant) -> bool {
     let Some(link) = tables.links.get(name) else { return true };
-    let waits_since = link.open.first().map_or(now, |(since, _)| (*since).max(link.last_message));
+    let waits_since = link.open.first().map_or(now, |(since, _)| (*since).max(link.last_received));
     link.pause_until <= now && now.since(waits_since) < SILENCE_TIMEOUT
 }
 
@@ -87,8 +87,8 @@
     tables.links.get(name).is_some_and(|link| link.is_stale)
 }
 
-/// Whether there are larger VMs but none is reachable and hears from the store, so
-/// that this VM must know the routes.
+/// Whether there are larger VMs but none that is reachable and that the store
+/// answers, so that this VM must know the routes.
 pub fn is_alone(tables: &Tables, now: Instant) -> bool {
     let larger = &tables.view.larger;
     let is_served = |name: &Name| is_reachable(tables, name, now) && !is_stale(tables, name);
@@ -125,7 +125,7 @@
 /// Handles a message of another VM.
 pub fn receive(tables: &mut Tables, from: Name, hop: Hop, cx: &mut Context<'_>) {
     if let Some(link) = tables.links.get_mut(&from) {
-        link.last_message = cx.now;
+        link.last_received = cx.now;
         link.pause_until = Instant::default();
     }
     match hop {
@@ -141,9 +141,10 @@
         }
         Hop::State { is_current } => set_stale(tables, &from, !is_current),
         Hop::Cancel { call } => {
-            let is_withdrawn =
-                |(_, taken): &(&Call, &AcceptedRequest)| taken.from == from && taken.call == call;
-            let own = tables.accepted.iter().find(is_withdrawn).map(|(own, _)| *own);
+            let is_cancelled = |(_, accepted): &(&Call, &AcceptedRequest)| {
+                accepted.from == from && accepted.call == call
+            };
+            let own = tables.accepted.iter().find(is_cancelled).map(|(own, _)| *own);
             if let Some(own) = own {
                 tables.accepted.remove(&own);
                 intake::abandon(tables, own, cx);
@@ -179,14 +180,14 @@
     cx.out.answers.push((call, answer));
 }
 
-/// Tells the VMs that recently handed requests to this one whether it hears from
-/// the store.
+/// Tells the VMs that recently handed requests to this one whether the store
+/// answers it.
 pub fn send_state(tables: &mut Tables, cx: &mut Context<'_>) {
     let now = cx.now;
-    tables.senders.retain(|_, asker| now.since(asker.last_request) < STATE_UPDATE_PERIOD);
-    for (to, asker) in &tables.senders {
+    tables.senders.retain(|_, sender| now.since(sender.last_request) < STATE_UPDATE_PERIOD);
+    for (to, sender) in &tables.senders {
         let hop = Hop::State { is_current: tables.view.is_current };
-        cx.out.commands.push(Command::Hop { to: to.clone(), address: asker.reply_to, hop });
+        cx.out.commands.push(Command::Hop { to: to.clone(), address: sender.reply_to, hop });
     }
 }
 
@@ -216,22 +217,26 @@
 }
 
 /// Ends the requests that a VM has when the connection to it is lost. If it cannot
-/// have taken any of them (`taken` is false), they are routed again instead.
+/// have received any of them (`maybe_received` is false), they are routed again
+/// instead.
 pub fn connection_lost(
     tables: &mut Tables,
     to: &Name,
     detail: &str,
-    taken: bool,
+    maybe_received: bool,
     cx: &mut Context<'_>,
 ) {
     let Some(link) = tables.links.get_mut(to) else { return };
     link.pause_until = cx.now + LOSS_PAUSE;
     let open: Vec<Call> = link.open.iter().map(|(_, call)| *call).collect();
-    let fields =
-        vec![("peer", to.to_string()), ("taken", taken.to_string()), ("detail", detail.to_owned())];
+    let fields = vec![
+        ("peer", to.to_string()),
+        ("taken", maybe_received.to_string()),
+        ("detail", detail.to_owned()),
+    ];
     cx.out.lines.push(Line::new(Event::HopLost, fields));
     for call in open {
-        if taken {
+        if maybe_received {
             refuse(
                 tables,
                 call,
@@ -245,14 +250,14 @@
     }
 }
 
-/// Routes a request again that its VM did not take, with the time that is left.
+/// Routes a request again that its VM did not receive, with the time that is left.
 fn reroute(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
     let Some(row) = tables.handed.get(&call).cloned() else { return };
     remove_handed(tables, call);
     let mut caller_request = CallerRequest::clone(&row.caller_request);
     let age = cx.now.since(row.arrived);
     caller_request.caller_timeout =
-        caller_request.caller_timeout.map(|patience| patience.saturating_sub(age));
+        caller_request.caller_timeout.map(|timeout| timeout.saturating_sub(age));
     intake::route(tables, call, caller_request, cx);
 }
 
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -107,7 +107,7 @@
     let elapsed =
         elapsed_at_caller(tables, route, caller_request.caller_timeout) + caller_request.peer_delay;
     let timeout =
-        caller_request.caller_timeout.map_or(route.timeout, |patience| patience.min(route.timeout));
+        caller_request.caller_timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let goal = cx.now + route.goal.saturating_sub(elapsed + GOAL_MARGIN);
     let deadline = cx.now + timeout.saturating_sub(DEADLINE_MARGIN);
     let services = pick_services(tables, route, cx);
@@ -137,12 +137,16 @@
 }
 
 /// Estimates the time that the caller spent on earlier tries: the difference
-/// between the longest wait that any caller of the route stated and its own.
-fn elapsed_at_caller(tables: &mut Tables, route: &Route, patience: Option<Duration>) -> Duration {
-    let Some(patience) = patience else { return Duration::ZERO };
-    let pace = tables.stats_of(&route.name);
-    pace.longest_timeout = pace.longest_timeout.max(patience);
-    pace.longest_timeout - patience
+/// between the longest timeout that any caller of the route stated and its own.
+fn elapsed_at_caller(
+    tables: &mut Tables,
+    route: &Route,
+    caller_timeout: Option<Duration>,
+) -> Duration {
+    let Some(timeout) = caller_timeout else { return Duration::ZERO };
+    let stats = tables.stats_of(&route.name);
+    stats.longest_timeout = stats.longest_timeout.max(timeout);
+    stats.longest_timeout - timeout
 }
 
 /// Returns the services that get a leg of a request, one per leg.
@@ -150,9 +154,9 @@
     match &route.plan {
         Plan::Single(service) => vec![service.clone()],
         Plan::Gather(gather) => gather.shards.clone(),
-        Plan::Split(parts) => {
-            let turn = tables.round_robins.entry(route.name.clone()).or_default();
-            turn.pick(parts, cx.random.random::<f64>()).into_iter().collect()
+        Plan::Split(services) => {
+            let round_robin = tables.round_robins.entry(route.name.clone()).or_default();
+            round_robin.pick(services, cx.random.random::<f64>()).into_iter().collect()
         }
     }
 }
--- a/crates/core/src/relay/system/leg.rs
+++ b/crates/core/src/relay/system/leg.rs
@@ -50,10 +50,11 @@
 /// Puts a leg into the queue of its service.
 pub fn enqueue(tables: &mut Tables, key: Key) {
     let Some(request) = tables.requests.get(&key.call) else { return };
-    let place = QueuePosition { priority: request.route.priority, arrived: request.arrived, key };
+    let position =
+        QueuePosition { priority: request.route.priority, arrived: request.arrived, key };
     let Some(leg) = tables.legs.get_mut(&key) else { return };
     leg.queued = true;
-    tables.waiting.entry(leg.service.clone()).or_default().insert(place);
+    tables.waiting.entry(leg.service.clone()).or_default().insert(position);
 }
 
 /// Ends a leg with a reply.
@@ -83,9 +84,10 @@
         return;
     }
     let Some(request) = tables.requests.get(&key.call) else { return };
-    let place = QueuePosition { priority: request.route.priority, arrived: request.arrived, key };
+    let position =
+        QueuePosition { priority: request.route.priority, arrived: request.arrived, key };
     if let Some(queue) = tables.waiting.get_mut(&leg.service) {
-        queue.remove(&place);
+        queue.remove(&position);
     }
 }
 
--- a/crates/core/src/relay/table/hop.rs
+++ b/crates/core/src/relay/table/hop.rs
@@ -36,7 +36,7 @@
     /// When requests may be handed to it again after a loss.
     pub pause_until: Instant,
     /// When the last message from it arrived.
-    pub last_message: Instant,
+    pub last_received: Instant,
     /// Whether it reported that the store does not answer it.
     pub is_stale: bool,
 }
--- a/crates/core/src/relay/table/round_robin.rs
+++ b/crates/core/src/relay/table/round_robin.rs
@@ -12,19 +12,20 @@
 }
 
 impl RoundRobin {
-    /// Picks the next service of `parts`. `draw`, from 0 to 1, is random and sets the
+    /// Picks the next service of `services`. `draw`, from 0 to 1, is random and sets the
     /// phase of the first pick, so that VMs that start together pick differently.
-    pub fn pick(&mut self, parts: &[WeightedService], draw: f64) -> Option<Name> {
-        let total: f64 = parts.iter().map(|part| part.weight).sum();
-        let is_known = parts.iter().all(|part| self.credits.contains_key(&part.service));
-        if !is_known || self.credits.len() != parts.len() {
-            let start = |part: &WeightedService| (part.service.clone(), part.weight * draw);
-            self.credits = parts.iter().map(start).collect();
+    pub fn pick(&mut self, services: &[WeightedService], draw: f64) -> Option<Name> {
+        let total: f64 = services.iter().map(|service| service.weight).sum();
+        let is_known = services.iter().all(|service| self.credits.contains_key(&service.service));
+        if !is_known || self.credits.len() != services.len() {
+            let start =
+                |service: &WeightedService| (service.service.clone(), service.weight * draw);
+            self.credits = services.iter().map(start).collect();
         }
-        for part in parts {
-            *self.credits.entry(part.service.clone()).or_default() += part.weight;
+        for service in services {
+            *self.credits.entry(service.service.clone()).or_default() += service.weight;
         }
-        let best = parts
+        let best = services
             .iter()
             .max_by(|a, b| self.credits[&a.service].total_cmp(&self.credits[&b.service]))?;
         *self.credits.entry(best.service.clone()).or_default() -= total;
--- a/crates/core/src/relay/table/suspect.rs
+++ b/crates/core/src/relay/table/suspect.rs
@@ -44,12 +44,12 @@
     }
 }
 
-/// The requests that are suspected of crashing targets or held back for it.
+/// The requests that are suspected of crashing targets or quarantined for it.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     /// The suspected requests with their losses.
     pub rows: BTreeMap<Fingerprint, Suspect>,
-    /// The requests that this VM holds back, with the time at which that ends.
+    /// The requests that this VM quarantined, with the time at which that ends.
     pub quarantined: BTreeMap<Fingerprint, Instant>,
 }
 
@@ -89,7 +89,7 @@
         self.rows.remove(&request);
     }
 
-    /// Returns whether this VM holds a request back.
+    /// Returns whether this VM quarantines a request.
     pub fn is_quarantined(&self, request: Fingerprint, now: Instant) -> bool {
         self.quarantined.get(&request).is_some_and(|until| *until > now)
     }
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -25,7 +25,7 @@
     pub vms: BTreeMap<Name, Vm>,
     /// The number of VMs to assume while none is known.
     pub assumed_vms: u32,
-    /// The requests that are held back because they crashed targets.
+    /// The requests that are quarantined because they crashed targets.
     pub quarantined: BTreeSet<Fingerprint>,
     /// The VMs that have so much more processor time that this one hands them its
     /// requests.
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -244,7 +244,7 @@
 pub struct Engine {
     tables: Tables,
     context: Context,
-    last_step: Instant,
+    last_tick: Instant,
 }
 
 /// The parameters of an [`Engine`].
@@ -277,7 +277,7 @@
                 random: StdRng::seed_from_u64(setup.origin.0),
                 paused: false,
             },
-            last_step: Instant::default(),
+            last_tick: Instant::default(),
         }
     }
 
@@ -285,14 +285,14 @@
     pub fn tick(&mut self, now: Instant, events: Vec<Event>, out: &mut Outbox) {
         let due = self.wake().unwrap_or(now);
         self.context.paused =
-            now.since(due.max(self.last_step)) > self.context.limits.pause_threshold;
+            now.since(due.max(self.last_tick)) > self.context.limits.pause_threshold;
         self.context.now = now;
-        self.last_step = now;
+        self.last_tick = now;
         let inbox = Inbox::sort(events);
         system::run(&mut self.tables, &mut self.context, inbox, out);
     }
 
-    /// When the next step is due if no event comes before, or none if only an
+    /// When the next tick is due if no event comes before, or none if only an
     /// event makes one due.
     pub fn wake(&self) -> Option<Instant> {
         if self.tables.is_busy() {
--- a/crates/core/src/traffic/policy/route.rs
+++ b/crates/core/src/traffic/policy/route.rs
@@ -40,9 +40,9 @@
     let mut best = Vec::with_capacity(max + 1);
     for (name, vm) in &view.vms {
         let rank = (preference(vm.state), Reverse((rank::weight(seed, name), name)));
-        let place = best.partition_point(|(own, _)| *own < rank);
-        if place < max {
-            best.insert(place, (rank, vm));
+        let position = best.partition_point(|(own, _)| *own < rank);
+        if position < max {
+            best.insert(position, (rank, vm));
             best.truncate(max);
         }
     }
--- a/crates/core/src/traffic/system/coalesce.rs
+++ b/crates/core/src/traffic/system/coalesce.rs
@@ -48,7 +48,7 @@
 }
 
 /// Removes a job that ends from its group. If it was a leader, its first
-/// follower takes over its attempts or its place in the queue.
+/// follower takes over its attempts or its position in the queue.
 pub fn leave(tables: &mut Tables, job: &mut Job) {
     let id = job.leg.leg;
     if let Some(leader) = job.follows.and_then(|leader| tables.jobs.get_mut(&leader)) {
@@ -71,7 +71,7 @@
             row.job = next;
         }
     }
-    let place = match (job.place, tables.shards.get_mut(&job.shard)) {
+    let position = match (job.position, tables.shards.get_mut(&job.shard)) {
         (Some((tag, _)), Some(shard)) => {
             shard.queue.insert((tag, next));
             Some((tag, next))
@@ -83,7 +83,7 @@
     row.follows = None;
     row.followers = std::mem::take(&mut job.followers);
     row.attempts = attempts;
-    row.place = place;
+    row.position = position;
     row.tries = job.tries;
     row.ran = job.ran;
     row.suspect = job.suspect;
--- a/crates/core/src/traffic/system/collect.rs
+++ b/crates/core/src/traffic/system/collect.rs
@@ -48,7 +48,7 @@
     status: target::Status,
     out: &mut Outbox,
 ) {
-    connect::note_activity(tables, cx, connection);
+    connect::record_activity(tables, cx, connection);
     let Some(row) = tables.connections.get(&connection) else { return };
     let name = row.target.clone();
     if let Some(target) = tables.targets.get_mut(&name) {
@@ -72,10 +72,10 @@
     if let Some(status) = reply.status {
         take_status(tables, cx, connection, status, out);
     } else {
-        connect::note_activity(tables, cx, connection);
+        connect::record_activity(tables, cx, connection);
     }
     if reply.attempt.is_some_and(|echoed| echoed != sent_as) {
-        note_dropped(Drop::Crossed, sent_as, out);
+        record_dropped(Drop::Crossed, sent_as, out);
         fail_attempt(tables, cx, sent_as, Retry::Garbled, out);
         let target = tables.connections.get(&connection).map(|row| row.target.clone());
         connect::close(tables, cx, connection, out);
@@ -93,7 +93,7 @@
     match reply.outcome {
         target::Outcome::Refused(refusal) => refused(tables, cx, &attempt, refusal, out),
         target::Outcome::Garbled { .. } => {
-            note_dropped(Drop::Cut, sent_as, out);
+            record_dropped(Drop::Cut, sent_as, out);
             mark_ran(tables, attempt.job);
             mark_avoided(tables, &attempt);
             job::retry(tables, cx, attempt.job, Retry::Garbled, out);
@@ -136,7 +136,7 @@
             job::finish(tables, cx, attempt.job, outcome, out);
         }
         Err(reason) => {
-            note_dropped(reason, id, out);
+            record_dropped(reason, id, out);
             mark_ran(tables, attempt.job);
             mark_avoided(tables, attempt);
             job::retry(tables, cx, attempt.job, Retry::Garbled, out);
@@ -231,7 +231,7 @@
     let fields = vec![("target", row.target.to_string()), ("detail", detail.to_owned())];
     out.lines.push(Line::new(Event::ConnectionLost, fields));
     for attempt in row.attempts {
-        note_suspect(tables, cx, attempt, out);
+        record_suspect(tables, cx, attempt, out);
         fail_attempt(tables, cx, attempt, Retry::ConnectionLost, out);
     }
     connect::reopen(tables, cx, &row.target, out);
@@ -239,7 +239,7 @@
 
 /// Records that a target was lost while it ran a request, and reports the
 /// request for quarantine once it has lost as many targets as the limit allows.
-fn note_suspect(tables: &mut Tables, cx: &Context, id: id::Attempt, out: &mut Outbox) {
+fn record_suspect(tables: &mut Tables, cx: &Context, id: id::Attempt, out: &mut Outbox) {
     let Some(attempt) = tables.attempts.get(&id) else { return };
     let Some(row) = tables.jobs.get_mut(&attempt.job) else { return };
     row.suspect = true;
@@ -315,7 +315,7 @@
     }
 }
 
-fn note_dropped(reason: Drop, id: id::Attempt, out: &mut Outbox) {
+fn record_dropped(reason: Drop, id: id::Attempt, out: &mut Outbox) {
     out.count(Count::Dropped(reason));
     let fields = vec![("attempt", id.to_string()), ("reason", format!("{reason:?}"))];
     out.lines.push(Line::new(Event::ReplyDropped, fields));
--- a/crates/core/src/traffic/system/connect.rs
+++ b/crates/core/src/traffic/system/connect.rs
@@ -76,7 +76,7 @@
 
 /// Records that something was received on a connection, which also answers a
 /// status read.
-pub fn note_activity(tables: &mut Tables, cx: &Context, connection: id::Connection) {
+pub fn record_activity(tables: &mut Tables, cx: &Context, connection: id::Connection) {
     if let Some(row) = tables.connections.get_mut(&connection) {
         row.last_received = cx.now;
         row.status_requested = None;
--- a/crates/core/src/traffic/system/dispatch.rs
+++ b/crates/core/src/traffic/system/dispatch.rs
@@ -34,9 +34,9 @@
 fn start_waiting(tables: &mut Tables, cx: &mut Context, key: &shard::Key, out: &mut Outbox) {
     let mut after = None;
     let mut ahead = 0;
-    while let Some(place) = next_waiting(tables, key, after) {
-        after = Some(place);
-        let id = place.1;
+    while let Some(position) = next_waiting(tables, key, after) {
+        after = Some(position);
+        let id = position.1;
         let Some(row) = tables.jobs.get(&id) else { continue };
         if job::is_quarantined(tables, cx, row) {
             finish_quarantined(tables, cx, id, out);
@@ -51,7 +51,7 @@
         let Some(row) = tables.jobs.get(&id) else { continue };
         match choose(tables, cx, row, ahead) {
             Pick::Target(name) => start(tables, cx, id, &name, out),
-            Pick::Moved => job::moved(tables, cx, id, out),
+            Pick::Moved => job::finish_moved(tables, cx, id, out),
             Pick::Busy => {
                 ahead += 1;
                 if !may_overtake(tables, key) {
@@ -82,8 +82,8 @@
 fn next_waiting(
     tables: &Tables,
     key: &shard::Key,
-    after: Option<shard::Place>,
-) -> Option<shard::Place> {
+    after: Option<shard::QueuePosition>,
+) -> Option<shard::QueuePosition> {
     use std::ops::Bound;
     let queue = &tables.shards.get(key)?.queue;
     let start = after.map_or(Bound::Unbounded, Bound::Excluded);
@@ -240,8 +240,9 @@
     let Some(connection) = open_connection(tables, target, &BTreeSet::new()) else { return };
     let Some(row) = tables.jobs.get_mut(&id) else { return };
     let is_first = row.tries == 0;
-    if let (Some(place), Some(shard)) = (row.place.take(), tables.shards.get_mut(&row.shard)) {
-        shard.dequeue(place);
+    if let (Some(position), Some(shard)) = (row.position.take(), tables.shards.get_mut(&row.shard))
+    {
+        shard.dequeue(position);
     }
     if is_first {
         out.count(Count::FirstAttempts);
--- a/crates/core/src/traffic/system/job.rs
+++ b/crates/core/src/traffic/system/job.rs
@@ -41,7 +41,7 @@
         from,
         shard,
         deadline,
-        place: None,
+        position: None,
         attempts: BTreeSet::new(),
         tries: 0,
         avoid: suspect.map(targets_to_avoid).unwrap_or_default(),
@@ -69,7 +69,7 @@
     let id = job.leg.leg;
     if let Some(row) = tables.shards.get_mut(&job.shard) {
         row.last_used = cx.now;
-        job.place = Some(row.enqueue(id, &job.leg.profile, priority));
+        job.position = Some(row.enqueue(id, &job.leg.profile, priority));
     }
     tables.to_dispatch.insert(job.shard.clone());
     tables.timers.set(deadline, Timer::Job(id));
@@ -190,7 +190,7 @@
     outcome: Outcome,
     out: &mut Outbox,
 ) {
-    note_slow(tables, cx, id);
+    record_slow(tables, cx, id);
     for follower in coalesce::take_followers(tables, id, &outcome) {
         let Some(mut job) = tables.jobs.remove(&follower) else { continue };
         tables.timers.cancel(job.deadline, Timer::Job(follower));
@@ -202,7 +202,7 @@
 }
 
 /// Ends a job because no target of its shard holds what it asks for.
-pub fn moved(tables: &mut Tables, cx: &mut Context, id: id::Leg, out: &mut Outbox) {
+pub fn finish_moved(tables: &mut Tables, cx: &mut Context, id: id::Leg, out: &mut Outbox) {
     let ran = super::collect::ran_of(tables, id);
     finish(tables, cx, id, Outcome::Moved { ran }, out);
 }
@@ -210,7 +210,7 @@
 /// Records for the attempts that are no longer awaited how long they have taken
 /// at least. Without this, a target that always loses against its hedge would
 /// never count as slow.
-fn note_slow(tables: &mut Tables, cx: &Context, id: id::Leg) {
+fn record_slow(tables: &mut Tables, cx: &Context, id: id::Leg) {
     let Some(job) = tables.jobs.get(&id) else { return };
     for attempt in job.attempts.iter().filter_map(|attempt| tables.attempts.get(attempt)) {
         if let Some(target) = tables.targets.get_mut(&attempt.target) {
@@ -225,8 +225,8 @@
     let mut job = tables.jobs.remove(&id)?;
     coalesce::leave(tables, &mut job);
     tables.timers.cancel(job.deadline, Timer::Job(id));
-    if let (Some(place), Some(shard)) = (job.place, tables.shards.get_mut(&job.shard)) {
-        shard.queue.remove(&place);
+    if let (Some(position), Some(shard)) = (job.position, tables.shards.get_mut(&job.shard)) {
+        shard.queue.remove(&position);
     }
     for &attempt in &job.attempts {
         let Some(row) = release(tables, attempt) else { continue };
@@ -291,7 +291,7 @@
     }
     let Some(job) = tables.jobs.get_mut(&id) else { return };
     if let Some(shard) = tables.shards.get_mut(&job.shard) {
-        job.place = Some(shard.requeue(id));
+        job.position = Some(shard.requeue(id));
         tables.to_dispatch.insert(job.shard.clone());
     }
 }
@@ -306,7 +306,7 @@
     out: &mut Outbox,
 ) -> bool {
     let Some(job) = tables.jobs.get(&id) else { return false };
-    if !job.attempts.is_empty() || job.place.is_some() {
+    if !job.attempts.is_empty() || job.position.is_some() {
         return false;
     }
     if job.ran && !job.is_idempotent() {
@@ -362,6 +362,6 @@
     let Some(shard) = tables.shards.get(key) else { return };
     let waiting: Vec<id::Leg> = shard.queue.iter().map(|&(_, id)| id).collect();
     for id in waiting {
-        moved(tables, cx, id, out);
+        finish_moved(tables, cx, id, out);
     }
 }
--- a/crates/core/src/traffic/system/merge.rs
+++ b/crates/core/src/traffic/system/merge.rs
@@ -42,7 +42,7 @@
         out.count(Count::Dropped(Drop::Late));
         return;
     };
-    note_backlog(tables, cx, &leg, &reply);
+    record_backlog(tables, cx, &leg, &reply);
     if let Some(query) = tables.queries.get_mut(&leg.query) {
         query.attempts += reply.attempts;
         query.ran = query.ran.max(ran_of(&reply.outcome));
@@ -63,7 +63,7 @@
     }
 }
 
-fn note_backlog(tables: &mut Tables, cx: &Context, leg: &Leg, reply: &Reply) {
+fn record_backlog(tables: &mut Tables, cx: &Context, leg: &Leg, reply: &Reply) {
     let index = tables.indexes.get_mut(&leg.message.index);
     if let Some(holding) = index.and_then(|index| index.shards.get_mut(&leg.shard)) {
         let backlog = Backlog { wait: reply.backlog, received: cx.now };
--- a/crates/core/src/traffic/table/answered.rs
+++ b/crates/core/src/traffic/table/answered.rs
@@ -21,8 +21,8 @@
     /// table is full.
     pub fn insert(&mut self, fingerprint: Fingerprint, version: Version) {
         self.last += 1;
-        if let Some((_, place)) = self.rows.insert(fingerprint, (version, self.last)) {
-            self.order.remove(&place);
+        if let Some((_, position)) = self.rows.insert(fingerprint, (version, self.last)) {
+            self.order.remove(&position);
         }
         self.order.insert(self.last, fingerprint);
         if self.rows.len() > MAX_SEARCHES
--- a/crates/core/src/traffic/table/job.rs
+++ b/crates/core/src/traffic/table/job.rs
@@ -13,8 +13,8 @@
     pub shard: shard::Key,
     /// When the reply is due.
     pub deadline: Instant,
-    /// The place in the queue of the shard, while the job waits for a slot.
-    pub place: Option<shard::Place>,
+    /// The position in the queue of the shard, while the job waits for a slot.
+    pub position: Option<shard::QueuePosition>,
     /// The attempts in flight.
     pub attempts: BTreeSet<id::Attempt>,
     /// The number of attempts so far.
--- a/crates/core/src/traffic/table/shard.rs
+++ b/crates/core/src/traffic/table/shard.rs
@@ -16,8 +16,8 @@
     pub shard: Name,
 }
 
-/// A place in the queue, ordered by virtual time and then by leg id.
-pub type Place = (u64, id::Leg);
+/// A position in the queue, ordered by virtual time and then by leg id.
+pub type QueuePosition = (u64, id::Leg);
 
 /// A shard and the jobs that wait for one of its targets.
 #[derive(Clone, Debug, Default)]
@@ -26,7 +26,7 @@
     /// Whether this thread is the first home of the shard.
     pub home: bool,
     /// The waiting jobs, in the order in which they are started.
-    pub queue: BTreeSet<Place>,
+    pub queue: BTreeSet<QueuePosition>,
     /// The highest virtual time of a job that was started.
     pub virtual_time: u64,
     /// The virtual time of the last queued job of each profile.
@@ -38,17 +38,17 @@
 }
 
 impl Shard {
-    /// Queues a job and returns its place.
+    /// Queues a job and returns its position.
     ///
     /// Each profile's jobs are spaced by the inverse of its priority, so that
     /// profiles share the slots in the ratio of their priorities and one with
     /// few jobs does not wait behind one with many.
-    pub fn enqueue(&mut self, leg: id::Leg, profile: &Name, priority: u32) -> Place {
+    pub fn enqueue(&mut self, leg: id::Leg, profile: &Name, priority: u32) -> QueuePosition {
         let tag = self.tag(profile, priority);
         self.tags.insert(profile.clone(), tag);
-        let place = (tag, leg);
-        self.queue.insert(place);
-        place
+        let position = (tag, leg);
+        self.queue.insert(position);
+        position
     }
 
     /// The number of waiting jobs that are ahead of a new job of a profile.
@@ -67,16 +67,16 @@
     }
 
     /// Puts a job that was started before back at the head of the queue.
-    pub fn requeue(&mut self, leg: id::Leg) -> Place {
-        let place = (self.virtual_time, leg);
-        self.queue.insert(place);
-        place
+    pub fn requeue(&mut self, leg: id::Leg) -> QueuePosition {
+        let position = (self.virtual_time, leg);
+        self.queue.insert(position);
+        position
     }
 
     /// Removes a job that is started from the queue.
-    pub fn dequeue(&mut self, place: Place) {
-        self.queue.remove(&place);
-        self.virtual_time = self.virtual_time.max(place.0);
+    pub fn dequeue(&mut self, position: QueuePosition) {
+        self.queue.remove(&position);
+        self.virtual_time = self.virtual_time.max(position.0);
         if self.queue.is_empty() {
             self.tags.clear();
         }
--- a/crates/core/tests/claims/rule.rs
+++ b/crates/core/tests/claims/rule.rs
@@ -250,10 +250,10 @@
     an_idle_engine_seldom_wakes => {
         let mut world = world();
         world.run(Duration::from_secs(2));
-        let before: u64 = world.machines.iter().map(|machine| machine.steps).sum();
+        let before: u64 = world.machines.iter().map(|machine| machine.ticks).sum();
         world.run(Duration::from_secs(10));
-        let after: u64 = world.machines.iter().map(|machine| machine.steps).sum();
-        assert!(after - before < 300, "{} steps", after - before);
+        let after: u64 = world.machines.iter().map(|machine| machine.ticks).sum();
+        assert!(after - before < 300, "{} ticks", after - before);
     };
     tables_stay_bounded_while_the_store_is_silent => {
         let limits = Limits { operations: 100, reports: 100, queue: 100, ..Limits::default() };
--- a/crates/core/tests/claims/world/carry.rs
+++ b/crates/core/tests/claims/world/carry.rs
@@ -19,10 +19,10 @@
 impl World {
     pub(super) fn perform(&mut self, action: Action) {
         match action {
-            Action::Step { vm } => self.step(vm),
+            Action::Tick { vm } => self.tick(vm),
             Action::Wake { vm, at } => {
                 if self.machines[vm].wake == at {
-                    self.schedule_step(vm);
+                    self.schedule_tick(vm);
                 }
             }
             Action::Deliver { vm, from, message } => {
@@ -41,14 +41,14 @@
         }
     }
 
-    fn step(&mut self, vm: usize) {
+    fn tick(&mut self, vm: usize) {
         let wall = Wall((self.wall() as i64 + self.machines[vm].skew_secs * 1000) as u64);
         let machine = &mut self.machines[vm];
         if machine.paused || !machine.step_scheduled {
             return;
         }
         machine.step_scheduled = false;
-        machine.steps += 1;
+        machine.ticks += 1;
         let events = std::mem::take(&mut machine.inbox);
         let mut out = Outbox::default();
         let now = Instant(self.now);
@@ -61,7 +61,7 @@
         self.flush(vm, out);
     }
 
-    /// Carries out the outputs of one step of an engine.
+    /// Carries out the outputs of one tick of an engine.
     fn flush(&mut self, vm: usize, out: Outbox) {
         for (count, times) in out.counts {
             *self.counts.entry(count).or_default() += times;
--- a/crates/core/tests/claims/world/mod.rs
+++ b/crates/core/tests/claims/world/mod.rs
@@ -27,7 +27,7 @@
 /// The wall-clock time at virtual time zero, in milliseconds since the Unix
 /// epoch.
 pub const START_MILLIS: u64 = 1_800_000_000_000;
-/// The time between the first event for a machine and the step that handles it,
+/// The time between the first event for a machine and the tick that handles it,
 /// together with all events that arrive in between.
 const TICK_MICROS: u64 = 100;
 
@@ -77,7 +77,7 @@
 /// A scheduled action of the simulation.
 #[derive(Clone, Debug)]
 pub enum Action {
-    Step { vm: usize },
+    Tick { vm: usize },
     Wake { vm: usize, at: u64 },
     Deliver { vm: usize, from: Name, message: Message },
     Arrive { vm: usize, epoch: u64, id: CallId, call: Call, handling: Handling },
@@ -108,8 +108,8 @@
     pub paused: bool,
     /// Counts replacements, so that what belongs to an earlier VM is ignored.
     pub epoch: u64,
-    /// The number of steps that the engine ran.
-    pub steps: u64,
+    /// The number of ticks that the engine ran.
+    pub ticks: u64,
     inbox: Vec<Event>,
     step_scheduled: bool,
     wake: u64,
@@ -161,7 +161,7 @@
             skew_secs: 0,
             paused: false,
             epoch: 1,
-            steps: 0,
+            ticks: 0,
             inbox: Vec::new(),
             step_scheduled: false,
             wake: u64::MAX,
@@ -181,7 +181,7 @@
             limits,
             sequence: 0,
         };
-        (0..size).for_each(|vm| world.schedule_step(vm));
+        (0..size).for_each(|vm| world.schedule_tick(vm));
         world
     }
 
@@ -227,18 +227,18 @@
         self.queue.insert((at, self.sequence), action);
     }
 
-    /// Schedules a step of a machine unless one is scheduled or it is paused.
-    fn schedule_step(&mut self, vm: usize) {
+    /// Schedules a tick of a machine unless one is scheduled or it is paused.
+    fn schedule_tick(&mut self, vm: usize) {
         let machine = &mut self.machines[vm];
         if !machine.step_scheduled && !machine.paused {
             machine.step_scheduled = true;
-            self.schedule(self.now + TICK_MICROS, Action::Step { vm });
+            self.schedule(self.now + TICK_MICROS, Action::Tick { vm });
         }
     }
 
     fn push_event(&mut self, vm: usize, event: Event) {
         self.machines[vm].inbox.push(event);
-        self.schedule_step(vm);
+        self.schedule_tick(vm);
     }
 
     /// Submits an operation of a caller to a VM. Each has a new token.
@@ -271,7 +271,7 @@
     pub fn resume(&mut self, vm: usize) {
         self.machines[vm].paused = false;
         self.machines[vm].step_scheduled = false;
-        self.schedule_step(vm);
+        self.schedule_tick(vm);
     }
 
     /// Replaces a VM with a new one of the same name and with empty tables.
@@ -283,7 +283,7 @@
         machine.paused = false;
         machine.step_scheduled = false;
         machine.wake = u64::MAX;
-        self.schedule_step(vm);
+        self.schedule_tick(vm);
     }
 
     /// Removes two VMs from each other's view.
--- a/crates/core/tests/control/fuzz.rs
+++ b/crates/core/tests/control/fuzz.rs
@@ -98,12 +98,12 @@
             let who = operators.who();
             let to = Revision(to);
             let request = Request::Rollback { to, expect: None, who: who.clone(), team: team() };
-            let id = world.ask(&vm(at), request);
+            let id = world.submit(&vm(at), request);
             operators.publications.insert(id, who);
         }
         Action::Settle { at } => {
             if let Some((token, who)) = operators.unsettled(world) {
-                let id = world.ask(&vm(at), Request::Settle { token });
+                let id = world.submit(&vm(at), Request::Settle { token });
                 operators.settlements.insert(id, (token, who));
             }
         }
--- a/crates/core/tests/control/membership.rs
+++ b/crates/core/tests/control/membership.rs
@@ -127,7 +127,7 @@
         // Gossip about the starts must end first: its content is read when it
         // is sent, so it would pass on the leaving as well.
         world.run_for(Duration::from_secs(20));
-        world.step(&vm(4), vec![Event::Leave]);
+        world.tick_vm(&vm(4), vec![Event::Leave]);
         let took = world.run_until(Duration::from_secs(1), |world| {
             world.all(|view| view.vms[&vm(4)].state == State::Leaving)
         });
@@ -169,7 +169,7 @@
     };
     the_list_of_vms_says_who_said_so => {
         let mut world = settled(5, 16);
-        let id = world.ask(&vm(0), Request::Vms);
+        let id = world.submit(&vm(0), Request::Vms);
         let laburnum_core::control::Answer::Vms(rows) = world.answer(id) else { panic!() };
         assert_eq!(rows.len(), 5);
     };
--- a/crates/core/tests/control/publication.rs
+++ b/crates/core/tests/control/publication.rs
@@ -154,7 +154,7 @@
         world.platform.mode = Mode::ReplyLost;
         let Answer::Unsettled { token } = world.answer(id) else { panic!() };
         world.platform.mode = Mode::Up;
-        let id = world.ask(&vm(4), Request::Settle { token });
+        let id = world.submit(&vm(4), Request::Settle { token });
         assert_eq!(expect_accepted(&mut world, id), Revision(2));
     };
     a_refusal_after_a_lost_answer_settles_nothing => {
@@ -190,7 +190,7 @@
         let Answer::Unsettled { token } = world.answer(id) else { panic!() };
         world.platform.mode = Mode::Up;
         let before = world.platform.values[codec::CURRENT_KEY].version;
-        let id = world.ask(&vm(4), Request::Settle { token });
+        let id = world.submit(&vm(4), Request::Settle { token });
         assert_eq!(world.answer(id), Answer::NotPublished { current: Revision(1) });
         assert!(world.platform.values[codec::CURRENT_KEY].version > before);
     };
@@ -276,7 +276,7 @@
         world.run_for(IN_FORCE_LIMIT);
         world.platform.values.get_mut(codec::CURRENT_KEY).unwrap().value = earlier;
         world.run_for(Duration::from_secs(30));
-        let id = world.ask(&vm(1), Request::Show);
+        let id = world.submit(&vm(1), Request::Show);
         world.answer(id);
         assert!(world.all(|view| view.document.revision == revision));
     };
@@ -285,7 +285,7 @@
         publish(&mut world, &vm(0), 7);
         let (profiles, who, team) = (profiles(8), "operator".to_owned(), name("billing"));
         let request = Request::Publish { profiles, expect: None, who, team, dry_run: false };
-        let id = world.ask(&vm(1), request);
+        let id = world.submit(&vm(1), request);
         assert!(matches!(world.answer(id), Answer::Failed(_)));
         assert_eq!(world.platform.writes, 1);
     };
@@ -294,7 +294,7 @@
         let profiles = profiles(7);
         let who = "operator".to_owned();
         let request = Request::Publish { profiles, expect: None, who, team: team(), dry_run: true };
-        let id = world.ask(&vm(0), request);
+        let id = world.submit(&vm(0), request);
         assert!(matches!(world.answer(id), Answer::Planned { revision: Revision(1), .. }));
         assert_eq!(world.platform.writes, 0);
     };
@@ -303,7 +303,7 @@
         publish(&mut world, &vm(0), 7);
         publish(&mut world, &vm(1), 8);
         let who = "operator".to_owned();
-        let id = world.ask(&vm(2), Request::Rollback { to: Revision(1), expect: None, who, team: team() });
+        let id = world.submit(&vm(2), Request::Rollback { to: Revision(1), expect: None, who, team: team() });
         assert_eq!(expect_accepted(&mut world, id), Revision(3));
         assert_eq!(world.document(&vm(2)).profiles, profiles(7));
     };
@@ -312,7 +312,7 @@
         for mark in 7..10 {
             publish(&mut world, &vm(0), mark);
         }
-        let id = world.ask(&vm(4), Request::History);
+        let id = world.submit(&vm(4), Request::History);
         let Answer::History(audits) = world.answer(id) else { panic!() };
         let who: Vec<&str> = audits.iter().map(|audit| audit.who.as_str()).collect();
         assert_eq!(who, ["operator-7", "operator-8", "operator-9"]);
@@ -334,7 +334,7 @@
         let mut world = settled(19, 21);
         let revision = publish(&mut world, &vm(0), 7);
         world.run_for(Duration::from_secs(10));
-        let id = world.ask(&vm(5), Request::Status);
+        let id = world.submit(&vm(5), Request::Status);
         let Answer::Status(status) = world.answer(id) else { panic!() };
         assert_eq!((status.revision, status.in_force), (revision, 19));
         assert!(status.vms.iter().all(|row| !row.silent));
@@ -344,7 +344,7 @@
         world.isolate(&vm(4));
         let revision = publish(&mut world, &vm(0), 7);
         world.run_for(Duration::from_millis(500));
-        let id = world.ask(&vm(0), Request::Status);
+        let id = world.submit(&vm(0), Request::Status);
         let Answer::Status(status) = world.answer(id) else { panic!() };
         assert_eq!((status.revision, status.in_force), (revision, 4));
     };
--- a/crates/core/tests/control/world.rs
+++ b/crates/core/tests/control/world.rs
@@ -219,7 +219,7 @@
             events.entry(vm.clone()).or_default();
         }
         for (vm, events) in events {
-            self.step(&vm, events);
+            self.tick_vm(&vm, events);
         }
     }
 
@@ -261,9 +261,9 @@
         self.queue.insert((at, self.sequence), delivery);
     }
 
-    /// Runs one step of a VM. If it is paused, the events are queued until it
+    /// Runs one tick of a VM. If it is paused, the events are queued until it
     /// resumes.
-    pub fn step(&mut self, vm: &Name, events: Vec<Event>) {
+    pub fn tick_vm(&mut self, vm: &Name, events: Vec<Event>) {
         let Some(node) = self.nodes.get_mut(vm) else { return };
         if let Some(until) = node.paused.filter(|&until| until > self.now) {
             let start = (vm.clone(), node.start);
@@ -296,16 +296,16 @@
             }
         }
         let start = (vm.clone(), node.start);
-        for post in &out.messages {
+        for envelope in &out.messages {
             let config = bincode::config::standard();
-            let size = bincode::serde::encode_to_vec(&post.message, config).unwrap().len();
+            let size = bincode::serde::encode_to_vec(&envelope.message, config).unwrap().len();
             node.sent = (node.sent.0 + 1, node.sent.1 + size as u64);
         }
         self.check_revision(vm);
-        for post in out.messages {
-            if self.network.carries(vm, &post.vm) {
+        for envelope in out.messages {
+            if self.network.carries(vm, &envelope.vm) {
                 let at = self.now + self.network.delay;
-                self.enqueue(at, Delivery::Message(post.vm, Box::new(post.message)));
+                self.enqueue(at, Delivery::Message(envelope.vm, Box::new(envelope.message)));
             }
         }
         for (id, call) in out.calls {
@@ -330,7 +330,7 @@
         self.enqueue(self.now + LATE_WRITE_DELAY, Delivery::Late(call));
     }
 
-    /// Checks after each step that the revision in force on a VM never goes
+    /// Checks after each tick that the revision in force on a VM never goes
     /// down.
     fn check_revision(&mut self, vm: &Name) {
         let revision = self.revision(vm);
@@ -340,11 +340,11 @@
     }
 
     /// Sends a request of an operator to a VM.
-    pub fn ask(&mut self, vm: &Name, request: Request) -> RequestId {
+    pub fn submit(&mut self, vm: &Name, request: Request) -> RequestId {
         self.sequence += 1;
         let id = RequestId(self.sequence);
         self.asked.insert(id, (vm.clone(), self.nodes[vm].start));
-        self.step(vm, vec![Event::Request { id, request }]);
+        self.tick_vm(vm, vec![Event::Request { id, request }]);
         id
     }
 
@@ -358,7 +358,7 @@
             team: team(),
             dry_run: false,
         };
-        self.ask(vm, request)
+        self.submit(vm, request)
     }
 
     /// Runs until a request is answered, and returns the answer.
@@ -375,7 +375,7 @@
 
     /// Sends a report of a traffic thread to the control engine of a VM.
     pub fn report(&mut self, vm: &Name, report: Report) {
-        self.step(vm, vec![Event::Report { thread: 0, report }]);
+        self.tick_vm(vm, vec![Event::Report { thread: 0, report }]);
     }
 
     /// The last view that a VM published.
--- a/crates/core/tests/matrix/step.rs
+++ b/crates/core/tests/matrix/step.rs
@@ -158,7 +158,7 @@
         Step::SearchSent => tables.legs.len() == SHARD_COUNT as usize,
         Step::SearchWaiting => world.vms.values().any(|vm| {
             let mut jobs = vm.engine.tables().jobs.values();
-            jobs.any(|job| job.place.is_some())
+            jobs.any(|job| job.position.is_some())
         }),
         Step::SearchRunning => was_started(" for one"),
         Step::SearchReplied => was_started(" for one") && !is_running(world),
--- a/crates/core/tests/relay/harness.rs
+++ b/crates/core/tests/relay/harness.rs
@@ -230,7 +230,7 @@
     }
 
     /// Runs one tick with events and collects what the engine leaves in its outbox.
-    pub fn step(&mut self, events: Vec<Event>) {
+    pub fn tick(&mut self, events: Vec<Event>) {
         let mut out = Outbox::default();
         self.engine.tick(self.now, events, &mut out);
         for command in out.commands {
@@ -253,7 +253,7 @@
 
     /// Gives the engine a newer view.
     pub fn set_view(&mut self, view: View) {
-        self.step(vec![Event::View(Arc::new(view))]);
+        self.tick(vec![Event::View(Arc::new(view))]);
     }
 
     /// Advances the clock by `span`, with a tick at every timer that falls due.
@@ -261,10 +261,10 @@
         let end = self.now + span;
         while let Some(wake) = self.engine.wake().filter(|wake| *wake <= end) {
             self.now = self.now.max(wake);
-            self.step(Vec::new());
+            self.tick(Vec::new());
         }
         self.now = end;
-        self.step(Vec::new());
+        self.tick(Vec::new());
     }
 
     /// Waits until the engine has asked for the first connection to every target and
@@ -272,7 +272,7 @@
     pub fn open_first_connections(&mut self) {
         self.advance(Duration::from_secs(2));
         for connection in std::mem::take(&mut self.opened) {
-            self.step(vec![Event::Opened { connection }]);
+            self.tick(vec![Event::Opened { connection }]);
         }
     }
 
@@ -280,30 +280,30 @@
     pub fn submit(&mut self, caller_request: CallerRequest) -> Call {
         self.last_call += 1;
         let call = Call(self.last_call);
-        self.step(vec![Event::Arrived { call, caller_request }]);
+        self.tick(vec![Event::Arrived { call, caller_request }]);
         call
     }
 
     /// Lets a target reply to a request.
     pub fn reply(&mut self, sent: &Sent, reply: Reply) {
         let (connection, attempt) = (sent.connection, sent.attempt);
-        self.step(vec![Event::Replied { connection, attempt, reply: Box::new(reply) }]);
+        self.tick(vec![Event::Replied { connection, attempt, reply: Box::new(reply) }]);
     }
 
     /// Loses the connection of a request without a sign from the target; `was_sent`
     /// tells whether some of the request may have reached it.
     pub fn lose_connection(&mut self, sent: &Sent, was_sent: bool) {
         let loss = Loss { sent: was_sent, idle: false, gone: false, detail: "silent".to_owned() };
-        self.step(vec![Event::Closed { connection: sent.connection, loss }]);
+        self.tick(vec![Event::Closed { connection: sent.connection, loss }]);
     }
 
     /// Lets a target reset the connection of a request and accept new connections.
     pub fn reset_connection(&mut self, sent: &Sent) {
         let loss = Loss { sent: true, idle: false, gone: true, detail: "reset".to_owned() };
-        self.step(vec![Event::Closed { connection: sent.connection, loss }]);
+        self.tick(vec![Event::Closed { connection: sent.connection, loss }]);
         self.advance(ms(250));
         for connection in std::mem::take(&mut self.opened) {
-            self.step(vec![Event::Opened { connection }]);
+            self.tick(vec![Event::Opened { connection }]);
         }
     }
 
@@ -311,7 +311,7 @@
     pub fn refuse_connections(&mut self) {
         for connection in std::mem::take(&mut self.opened) {
             let loss = Loss { sent: false, idle: false, gone: true, detail: "refused".to_owned() };
-            self.step(vec![Event::Closed { connection, loss }]);
+            self.tick(vec![Event::Closed { connection, loss }]);
         }
     }
 
@@ -321,7 +321,7 @@
         let loss = Loss { sent: true, idle: false, gone: true, detail: "reset".to_owned() };
         let connection = sent.connection;
         self.opened.clear();
-        self.step(vec![Event::Closed { connection, loss }]);
+        self.tick(vec![Event::Closed { connection, loss }]);
         self.advance(ms(250));
         self.refuse_connections();
     }
--- a/crates/core/tests/relay/hops.rs
+++ b/crates/core/tests/relay/hops.rs
@@ -39,7 +39,7 @@
 fn answer(harness: &mut Harness, from: &str, call: Call) {
     let answer = Answer::Forwarded(Box::new(success("d", 1)));
     let hop = Hop::Answer { call, answer, is_current: true };
-    harness.step(vec![Event::Hop { from: name(from), hop }]);
+    harness.tick(vec![Event::Hop { from: name(from), hop }]);
 }
 
 /// Sends an answer of another VM and checks that the caller gets it.
@@ -79,7 +79,7 @@
         let mut harness = small(&[("a", "near"), ("b", "far")]);
         let call = harness.submit(request("/fetch/1"));
         take_request(&mut harness);
-        harness.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true }]);
+        harness.tick(vec![Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true }]);
         assert_eq!(harness.refusal_status(call), 502);
         harness.submit(request("/fetch/2"));
         assert_eq!(take_request(&mut harness).0, "b");
@@ -89,7 +89,7 @@
         let call = harness.submit(request("/fetch/1"));
         assert_eq!(take_request(&mut harness).0, "a");
         harness.now = harness.now + ms(100);
-        harness.step(vec![unreached("a")]);
+        harness.tick(vec![unreached("a")]);
         assert!(!harness.answers.contains_key(&call));
         let (to, again, asked) = take_request(&mut harness);
         assert_eq!((to.as_str(), asked.caller_timeout), ("b", Some(ms(500))));
@@ -99,7 +99,7 @@
     a_request_that_no_vm_took_was_not_run => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
         let call = harness.submit(request("/fetch/1"));
-        harness.step(vec![unreached("a"), unreached("b")]);
+        harness.tick(vec![unreached("a"), unreached("b")]);
         let Answer::Refused(refusal) = &harness.answers[&call] else { panic!() };
         assert_eq!(refusal.fault.ran, Ran::No);
     };
@@ -110,7 +110,7 @@
         own.is_current = true;
         harness.set_view(own);
         harness.submit(request("/fetch/1"));
-        harness.step(vec![unreached("a")]);
+        harness.tick(vec![unreached("a")]);
         assert!(harness.take_one_sent().target().starts_with("desk-"));
     };
     a_silent_vm_gets_no_new_requests => {
@@ -141,7 +141,7 @@
         let mut harness = small(&[("a", "near")]);
         assert!(!harness.engine.is_alone(harness.now));
         harness.submit(request("/fetch/1"));
-        harness.step(vec![Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true }]);
+        harness.tick(vec![Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true }]);
         assert!(harness.engine.is_alone(harness.now));
         let call = harness.submit(request("/fetch/2"));
         assert_eq!(harness.refusal_status(call), 503);
@@ -152,7 +152,7 @@
     };
     a_large_vm_answers_for_a_small_one => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.step(vec![request_of(5, request("/fetch/1"))]);
+        harness.tick(vec![request_of(5, request("/fetch/1"))]);
         let sent = harness.take_one_sent();
         harness.reply(&sent, success("d", 1));
         let [(to, Hop::Answer { call, answer, .. })] = &harness.hops[..] else { panic!() };
@@ -162,17 +162,17 @@
     };
     a_large_vm_refuses_for_a_small_one => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.step(vec![request_of(5, request("/nowhere/1"))]);
+        harness.tick(vec![request_of(5, request("/nowhere/1"))]);
         let [(_, Hop::Answer { answer, .. })] = &harness.hops[..] else { panic!() };
         let Answer::Refused(Refusal { fault: Fault { kind, .. }, .. }) = answer else { panic!() };
         assert_eq!(*kind, Kind::NotFound);
     };
     a_large_vm_answers_sooner_by_the_way_back => {
         let mut harness = Harness::with_route(search(&["s1", "s2"], 0.5));
-        let mut detour = request("/search/1");
-        detour.peer_delay = ms(30);
+        let mut handed = request("/search/1");
+        handed.peer_delay = ms(30);
         let since = harness.now;
-        harness.step(vec![request_of(5, detour)]);
+        harness.tick(vec![request_of(5, handed)]);
         let sent = harness.take_sent();
         harness.reply(&sent[0], success("a", 1));
         while harness.hops.is_empty() {
@@ -187,7 +187,7 @@
         let fault = Fault::not_run(Kind::NotFound, "no route");
         let answer = Answer::Refused(Refusal { fault, retry: None });
         let hop = Hop::Answer { call: first, answer, is_current: false };
-        harness.step(vec![Event::Hop { from: name("a"), hop }]);
+        harness.tick(vec![Event::Hop { from: name("a"), hop }]);
         let (to, again, _) = take_request(&mut harness);
         assert_eq!(to, "b");
         answer_and_check(&mut harness, "b", again, call);
@@ -197,19 +197,19 @@
         harness.submit(request("/fetch/1"));
         let (_, first, _) = take_request(&mut harness);
         answer(&mut harness, "a", first);
-        harness.step(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: false } }]);
+        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: false } }]);
         harness.submit(request("/fetch/2"));
         assert_eq!(take_request(&mut harness).0, "b");
-        harness.step(vec![Event::HopLost { to: name("b"), detail: "reset".into(), maybe_received: true }]);
+        harness.tick(vec![Event::HopLost { to: name("b"), detail: "reset".into(), maybe_received: true }]);
         assert!(harness.engine.is_alone(harness.now), "the VM must read the routes itself");
         harness.submit(request("/fetch/3"));
         assert_eq!(take_request(&mut harness).0, "a", "outdated routes are better than none");
-        harness.step(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: true } }]);
+        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: true } }]);
         assert!(!harness.engine.is_alone(harness.now));
     };
     a_large_vm_tells_that_it_lost_the_store => {
         let mut harness = Harness::with_route(single("desk"));
-        harness.step(vec![request_of(5, request("/fetch/1"))]);
+        harness.tick(vec![request_of(5, request("/fetch/1"))]);
         let mut view = (*harness.engine.tables().view).clone();
         view.is_current = !view.is_current;
         let is_current = view.is_current;
@@ -221,13 +221,13 @@
         let mut harness = small(&[("a", "near")]);
         let call = harness.submit(request("/fetch/1"));
         take_request(&mut harness);
-        harness.step(vec![Event::Abandoned { call }]);
+        harness.tick(vec![Event::Abandoned { call }]);
         assert!(matches!(&harness.hops[..], [(_, Hop::Cancel { .. })]));
         let mut large = Harness::with_route(single("desk"));
-        large.step(vec![request_of(5, request("/fetch/1"))]);
+        large.tick(vec![request_of(5, request("/fetch/1"))]);
         let sent = large.take_one_sent();
         let hop = Hop::Cancel { call: Call(5) };
-        large.step(vec![Event::Hop { from: name("small"), hop }]);
+        large.tick(vec![Event::Hop { from: name("small"), hop }]);
         large.advance(ms(400));
         assert_eq!(large.closed, [sent.connection]);
         assert!(large.hops.is_empty());
--- a/crates/core/tests/relay/once.rs
+++ b/crates/core/tests/relay/once.rs
@@ -83,7 +83,7 @@
         let mut harness = Harness::with_route(operation());
         let call = harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
-        harness.step(vec![laburnum_core::relay::Event::Abandoned { call }]);
+        harness.tick(vec![laburnum_core::relay::Event::Abandoned { call }]);
         harness.reply(&sent, success("d", 1));
         assert!(harness.answers.is_empty());
     };
@@ -91,7 +91,7 @@
         let mut harness = Harness::with_route(operation());
         let call = harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
-        harness.step(vec![laburnum_core::relay::Event::Abandoned { call }]);
+        harness.tick(vec![laburnum_core::relay::Event::Abandoned { call }]);
         harness.advance(ms(400));
         assert_eq!(harness.closed, [sent.connection]);
         harness.advance(ms(1000));
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -99,13 +99,13 @@
     pub is_down: bool,
     /// Whether calls are never answered.
     pub is_silent: bool,
-    /// The announcements of other VMs that the feed gets in the next step.
+    /// The announcements of other VMs that the feed gets in the next tick.
     pub incoming: Vec<Progress>,
     /// The announcements that the feed has sent to other VMs.
     pub announced: Vec<(SocketAddr, Progress)>,
-    /// The requests that the VM starts to hold back in the next step.
+    /// The requests that the VM quarantines in the next tick.
     pub quarantined: Vec<Fingerprint>,
-    /// The calls that report requests that are held back.
+    /// The calls that report quarantined requests.
     pub reports: Vec<Call>,
     open_report: Option<(CallId, Call)>,
     /// The revision before which the store has discarded its history.
@@ -172,11 +172,11 @@
         self.oldest = self.revision;
     }
 
-    /// Advances time by `span`, with a step every 5 ms.
+    /// Advances time by `span`, with a tick every 5 ms.
     pub fn pass(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
-            self.step();
+            self.tick();
             self.now = self.now + Duration::from_millis(5);
         }
     }
@@ -199,7 +199,7 @@
         self.lines.iter().filter(|line| line.event == event).count()
     }
 
-    fn step(&mut self) {
+    fn tick(&mut self) {
         let mut replies: Vec<(CallId, Reply)> = self.answer_call().into_iter().collect();
         replies.extend(self.answer_report());
         let quarantined = std::mem::take(&mut self.quarantined);
@@ -298,7 +298,7 @@
     }
 }
 
-/// Returns whether a call belongs to the report of a request that is held back.
+/// Returns whether a call belongs to the report of a quarantined request.
 fn is_report(call: &Call) -> bool {
     match call {
         Call::Grant { .. } => true,
--- a/crates/core/tests/relay/targets.rs
+++ b/crates/core/tests/relay/targets.rs
@@ -203,7 +203,7 @@
         let sent = harness.take_one_sent();
         let reply = Box::new(success("x", 1));
         let connection = sent.connection;
-        harness.step(vec![Event::Replied { connection, attempt: Attempt(9999), reply }]);
+        harness.tick(vec![Event::Replied { connection, attempt: Attempt(9999), reply }]);
         assert_eq!(harness.closed, [connection]);
         assert!(!harness.answers.contains_key(&call));
     };
--- a/crates/core/tests/rules/search.rs
+++ b/crates/core/tests/rules/search.rs
@@ -312,11 +312,11 @@
         world.run(1100 * MS);
         assert_eq!(refusal(&world, call).0, Kind::Quarantined);
         // The control threads would publish the quarantine.
-        let condemned = world.reports.iter().filter_map(|report| match report {
+        let quarantined = world.reports.iter().filter_map(|report| match report {
             Report::Quarantined { fingerprint, .. } => Some(*fingerprint),
             _ => None,
         });
-        world.quarantine = condemned.collect();
+        world.quarantine = quarantined.collect();
         world.publish();
     }
     let crashed = world.targets.rows.values().filter(|target| !target.alive).count();
--- a/crates/core/tests/world/control.rs
+++ b/crates/core/tests/world/control.rs
@@ -124,7 +124,7 @@
     }
 
     /// Runs a tick of the control thread of a VM, if it has work.
-    pub(super) fn step_control(&mut self, vm: &Name) {
+    pub(super) fn tick_control(&mut self, vm: &Name) {
         let wall = self.wall(vm);
         let now = self.now;
         let Some(row) = self.vms.get_mut(vm) else { return };
@@ -153,9 +153,9 @@
             }
             self.deliver(vm, Duration::ZERO, traffic::Event::Notice(notice));
         }
-        for post in out.messages {
-            if let Some(after) = self.network.delay(vm, &post.vm) {
-                self.deliver_to_control(&post.vm, after, Event::Message(post.message));
+        for envelope in out.messages {
+            if let Some(after) = self.network.delay(vm, &envelope.vm) {
+                self.deliver_to_control(&envelope.vm, after, Event::Message(envelope.message));
             }
         }
         for (id, call) in out.calls {
@@ -227,15 +227,15 @@
             team: name("tests"),
             dry_run: false,
         };
-        self.ask_operator(vm, who, request)
+        self.submit_request(vm, who, request)
     }
 
     /// Asks through a VM for the outcome of a publication.
     pub fn settle(&mut self, vm: &str, token: Token, who: String) -> RequestId {
-        self.ask_operator(vm, who, Request::Settle { token })
+        self.submit_request(vm, who, Request::Settle { token })
     }
 
-    fn ask_operator(&mut self, vm: &str, who: String, request: Request) -> RequestId {
+    fn submit_request(&mut self, vm: &str, who: String, request: Request) -> RequestId {
         let id = RequestId(self.operators.requests.len() as u64 + 1);
         let vm = name(vm);
         self.operators.requests.insert(id, (who, vm.clone(), self.vms[&vm].start));
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -323,8 +323,8 @@
         let due: Vec<Name> =
             self.vms.values().filter(|vm| vm.is_due(self.now)).map(|vm| vm.name.clone()).collect();
         for vm in due {
-            self.step_control(&vm);
-            let out = self.vms.get_mut(&vm).unwrap().step(self.now);
+            self.tick_control(&vm);
+            let out = self.vms.get_mut(&vm).unwrap().tick(self.now);
             self.apply_outbox(&vm, out);
         }
         self.oracle.check(self.now, &self.targets, |request| {
--- a/crates/core/tests/world/targets.rs
+++ b/crates/core/tests/world/targets.rs
@@ -162,7 +162,7 @@
         match command {
             Command::Open { connection, address, .. } => self.open(vm, connection, address),
             Command::Send { connection, request } => self.send(connection, request),
-            Command::ReadStatus { connection, .. } => self.ask(connection),
+            Command::ReadStatus { connection, .. } => self.read_status(connection),
             Command::Cancel { connection, attempt } => self.cancel(connection, attempt),
             Command::Close { connection } => {
                 if let Some(target) = self.by_connection(connection) {
@@ -224,7 +224,7 @@
         Effect::event(OPEN_DELAY, Event::Opened { connection, status })
     }
 
-    fn ask(&mut self, connection: id::Connection) -> Effect {
+    fn read_status(&mut self, connection: id::Connection) -> Effect {
         let Some(target) = self.by_connection(connection) else { return Effect::default() };
         if target.silent.contains(&connection) {
             return Effect::default();
--- a/crates/core/tests/world/vm.rs
+++ b/crates/core/tests/world/vm.rs
@@ -76,7 +76,7 @@
     }
 
     /// Runs a tick of the traffic thread.
-    pub fn step(&mut self, now: Instant) -> Outbox {
+    pub fn tick(&mut self, now: Instant) -> Outbox {
         let mut out = Outbox::default();
         let events = std::mem::take(&mut self.inbox);
         self.engine.tick(now, events, &mut out);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -157,7 +157,7 @@
     }
 
     async fn read_body(&mut self, mut body: Incoming) -> Result<Bytes, Failure> {
-        let mut whole = BytesMut::new();
+        let mut bytes = BytesMut::new();
         let mut is_driven = !self.sender.is_closed();
         loop {
             let frame = tokio::select! {
@@ -169,7 +169,7 @@
                 }
             };
             match frame {
-                None => return Ok(whole.freeze()),
+                None => return Ok(bytes.freeze()),
                 Some(Err(error)) => {
                     let gone = is_gone(&error);
                     let detail = format!("body: {}", describe(&error));
@@ -177,11 +177,11 @@
                 }
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    if whole.len() + data.len() > self.max_body {
+                    if bytes.len() + data.len() > self.max_body {
                         let max = self.max_body;
                         return Err(Failure::sent(format!("body: longer than {max} bytes")));
                     }
-                    whole.extend_from_slice(&data);
+                    bytes.extend_from_slice(&data);
                 }
             }
         }
--- a/crates/http/tests/channel.rs
+++ b/crates/http/tests/channel.rs
@@ -110,9 +110,9 @@
     a_whole_response_leaves_the_connection_usable => {
         let mut channel = open(vec![Action::Send(OK_RESPONSE), Action::Send(OK_RESPONSE)]).await;
         for _ in 0..2 {
-            let whole = channel.exchange(request()).await.unwrap();
-            assert_eq!(&whole.response.body()[..], b"ok");
-            assert!(whole.reusable);
+            let complete = channel.exchange(request()).await.unwrap();
+            assert_eq!(&complete.response.body()[..], b"ok");
+            assert!(complete.reusable);
         }
     };
     chunks_are_joined => {
@@ -139,9 +139,9 @@
         assert!(exchange_once(Action::Send("garbage garbage\r\n\r\n")).await.unwrap_err().sent);
     };
     a_body_without_length_ends_with_its_connection => {
-        let whole = exchange_once(Action::Close("HTTP/1.1 200 OK\r\n\r\nok")).await.unwrap();
-        assert_eq!(&whole.response.body()[..], b"ok");
-        assert!(!whole.reusable);
+        let complete = exchange_once(Action::Close("HTTP/1.1 200 OK\r\n\r\nok")).await.unwrap();
+        assert_eq!(&complete.response.body()[..], b"ok");
+        assert!(!complete.reusable);
     };
     a_body_without_length_that_is_reset_is_no_response => {
         let failure = exchange_once(Action::Reset("HTTP/1.1 200 OK\r\n\r\nok")).await.unwrap_err();
@@ -156,9 +156,9 @@
         let peer = tokio::spawn(respond_early(listener));
         let mut channel = Channel::open(address, LIMITS).await.unwrap();
         let long = request().map(|_| Full::new(Bytes::from(vec![b'x'; 8 << 20])));
-        let whole = channel.exchange(long).await.unwrap();
-        assert_eq!(&whole.response.body()[..], b"ok");
-        assert!(!whole.reusable, "the rest of the body still waits");
+        let complete = channel.exchange(long).await.unwrap();
+        assert_eq!(&complete.response.body()[..], b"ok");
+        assert!(!complete.reusable, "the rest of the body still waits");
         drop(channel);
         assert!(peer.await.unwrap().iter().all(|byte| *byte == b'x'));
     };
