Align the remaining names of the threads, fronts and process tests

Cause: some locals and fields kept the names of types from before they were renamed, and the relay named some things otherwise than the VM does.

Change: comments and private names. - src/relay: Shared::metrics_text -> exporter, the receivers *_seen -> *_receiver, Thread::waiting -> pending, whole -> complete (a CompleteResponse), bound -> limits; comments say tick and quarantine - src/control: Control::step -> tick, post -> envelope - src/operator/document.rs: place -> location - tests/fronts: ask -> submission - tests/process: part::Vm::place -> endpoints No test case is renamed.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,8 +1,8 @@
 //! The control thread: one runtime, one engine, and the borders around it.
 //!
 //! The thread waits for events or for the earliest time at which the engine has
-//! something to do, takes the events that are ready, runs one step of the
-//! engine and carries out the outbox of the step. It decides nothing.
+//! something to do, takes the events that are ready, runs one tick of the
+//! engine and carries out the outbox of the tick. It decides nothing.
 
 mod codec;
 mod handle;
@@ -30,7 +30,7 @@
 
 /// Counts what the control thread does, in counters and gauges.
 pub trait Meter {
-    /// Adds the calls and claim counts in the outbox of a step.
+    /// Adds the calls and claim counts in the outbox of a tick.
     fn count(&mut self, out: &Outbox);
     /// Updates the gauges from the tables.
     fn observe(&mut self, engine: &Engine);
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -15,10 +15,10 @@
 
 use super::{Borders, Inbox, Submission};
 
-/// The longest sleep between two steps when no event comes.
+/// The longest sleep between two ticks when no event comes.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
-/// The most events that one step takes.
+/// The most events that one tick takes.
 const MAX_BATCH: usize = 1024;
 
 /// The parts that the control thread is made from.
@@ -60,7 +60,7 @@
         let mut stop = parts.stop;
         let mut events = Vec::new();
         loop {
-            control.step(std::mem::take(&mut events));
+            control.tick(std::mem::take(&mut events));
             let is_open = tokio::select! {
                 is_open = control.wait(&mut inbox, &mut events) => is_open,
                 _ = stop.wait_for(|stop| *stop) => false,
@@ -125,7 +125,7 @@
         Event::Request { id, request: submission.request }
     }
 
-    fn step(&mut self, events: Vec<Event>) {
+    fn tick(&mut self, events: Vec<Event>) {
         let mut out = Outbox::default();
         self.engine.tick(self.clock.now(), self.clock.wall(), events, &mut out);
         self.borders.meter.count(&out);
@@ -145,8 +145,8 @@
         for (id, call) in out.calls {
             self.borders.platform.call(id, call);
         }
-        for post in out.messages {
-            self.borders.messenger.send(&post.vm, post.address, post.message);
+        for envelope in out.messages {
+            self.borders.messenger.send(&envelope.vm, envelope.address, envelope.message);
         }
         for (id, answer) in out.answers {
             if let Some(sender) = self.pending.remove(&id) {
--- a/src/operator/document.rs
+++ b/src/operator/document.rs
@@ -47,8 +47,8 @@
 fn decode_fault(path: &str, value: &Value, error: &serde_json::Error) -> Fault {
     let fields = value.as_object().into_iter().flatten();
     let wrong_field = fields.map(|(key, _)| key).find(|key| !is_decodable(key, value));
-    let place = wrong_field.map_or(path.to_owned(), |key| format!("{path}.{key}"));
-    Fault::not_run(Kind::Malformed, format!("{place}: {error}"))
+    let location = wrong_field.map_or(path.to_owned(), |key| format!("{path}.{key}"));
+    Fault::not_run(Kind::Malformed, format!("{location}: {error}"))
 }
 
 /// Returns whether a valid profile can still be decoded when its field `key` is
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -38,7 +38,7 @@
     lapse_grace: Duration::from_millis(2500),
 };
 
-/// The largest number of replies that one step takes.
+/// The largest number of replies that one tick takes.
 const MAX_BATCH: usize = 64;
 
 /// The channel ends that the control thread owns.
@@ -50,7 +50,7 @@
     pub leaving: watch::Receiver<bool>,
     /// Whether no larger VM is in reach.
     pub alone: watch::Receiver<bool>,
-    /// The requests that the traffic thread has begun to hold back.
+    /// The requests that the traffic thread has quarantined.
     pub quarantined: mpsc::UnboundedReceiver<Fingerprint>,
 }
 
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -70,12 +70,12 @@
 
 /// Serves callers until the VM shuts down and all open requests have finished.
 pub async fn serve(listener: TcpListener, handle: Handle, shared: &Shared) -> io::Result<()> {
-    let bound = Configured { settings: shared.latest.clone(), view: shared.view.clone() };
+    let limits = Configured { settings: shared.latest.clone(), view: shared.view.clone() };
     let port = Port {
         listener,
-        limits: Arc::new(bound),
+        limits: Arc::new(limits),
         gate: Box::new(AllowAll),
-        metrics: Arc::new(shared.metrics_text()),
+        metrics: Arc::new(shared.exporter()),
         ready: shared.ready.clone(),
         shutdown: shared.shutdown.clone(),
     };
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -62,8 +62,8 @@
 }
 
 impl Shared {
-    /// Returns the source of the metrics in text form.
-    pub fn metrics_text(&self) -> meter::Exporter {
+    /// Returns the encoder of the metrics for the fronts.
+    pub fn exporter(&self) -> meter::Exporter {
         meter::Exporter { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
     }
 
@@ -100,21 +100,21 @@
     let clock = System::start();
     let (view_sender, view) = watch::channel(Arc::default());
     let (ready_sender, ready) = watch::channel(false);
-    let (leaving, leaving_seen) = watch::channel(false);
-    let (shutdown, shutdown_seen) = watch::channel(false);
-    let (stop, stop_seen) = watch::channel(false);
+    let (leaving, leaving_receiver) = watch::channel(false);
+    let (shutdown, shutdown_receiver) = watch::channel(false);
+    let (stop, stop_receiver) = watch::channel(false);
     let settings = Arc::new(settings);
-    let (latest, latest_seen) = watch::channel(Arc::clone(&settings));
+    let (latest, latest_receiver) = watch::channel(Arc::clone(&settings));
     let shared = Shared {
         settings,
-        latest: latest_seen,
+        latest: latest_receiver,
         clock,
         writer,
         metrics: Arc::new(Metrics::new()),
         view,
         ready,
-        shutdown: shutdown_seen,
-        stop: stop_seen,
+        shutdown: shutdown_receiver,
+        stop: stop_receiver,
     };
     let listeners = bind(&shared)?;
     let (serving_sender, serving) = mpsc::channel(1);
@@ -123,7 +123,7 @@
     let control = control::Resources {
         view: view_sender,
         ready: ready_sender,
-        leaving: leaving_seen,
+        leaving: leaving_receiver,
         alone,
         quarantined,
     };
--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -33,7 +33,7 @@
 
 /// Serves the collector of metrics until the VM stops.
 pub async fn metrics(listener: TcpListener, shared: &Shared) -> io::Result<()> {
-    let probe = Probe { ready: shared.ready.clone(), metrics: Arc::new(shared.metrics_text()) };
+    let probe = Probe { ready: shared.ready.clone(), metrics: Arc::new(shared.exporter()) };
     port(listener, shared).serve(probe::routes(Route::new(), probe)).await
 }
 
@@ -45,7 +45,7 @@
             body: body::Limits { size: 1024, read_timeout: LIMITS.header_timeout },
         }),
         gate: Box::new(AllowAll),
-        metrics: Arc::new(shared.metrics_text()),
+        metrics: Arc::new(shared.exporter()),
         ready: shared.ready.clone(),
         shutdown: shared.stop.clone(),
     }
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -148,9 +148,9 @@
             // connection.
             _ = self.tasks.recv() => return Err(End::Closed),
         };
-        let whole = outcome.map_err(End::from)?;
-        let keep_alive = wire::keep_alive(&whole.response).unwrap_or(DEFAULT_KEEP_ALIVE);
-        let reply = match wire::read(target_request, whole) {
+        let complete = outcome.map_err(End::from)?;
+        let keep_alive = wire::keep_alive(&complete.response).unwrap_or(DEFAULT_KEEP_ALIVE);
+        let reply = match wire::read(target_request, complete) {
             Ok(reply) => reply,
             Err(wire::Error::Crossed) => return Err(lost(true, "reply to another request")),
             Err(wire::Error::Encoded) => return Err(lost(true, "reply with an encoded body")),
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -42,7 +42,7 @@
     pub serving: mpsc::Sender<()>,
     /// Publishes whether no larger VM is in reach.
     pub alone: watch::Sender<bool>,
-    /// Reports the requests that the thread holds back from then on.
+    /// Reports the requests that the thread quarantines.
     pub quarantined: mpsc::UnboundedSender<Fingerprint>,
 }
 
@@ -58,8 +58,8 @@
     serve_ports(&shared, resources, Handle::new(inputs));
     let engine = Engine::new(limits(&shared.settings), Policies::default(), rand::random());
     let targets = Client::new(events);
-    let waiting = Pending::default();
-    let thread = Thread { engine, targets, peers, alone, quarantined, waiting, shared };
+    let pending = Pending::default();
+    let thread = Thread { engine, targets, peers, alone, quarantined, pending, shared };
     let inbox = Inbox {
         inputs: input_receiver,
         events: event_receiver,
@@ -131,7 +131,7 @@
     peers: Peers,
     alone: watch::Sender<bool>,
     quarantined: mpsc::UnboundedSender<Fingerprint>,
-    waiting: Pending<Call, Answer>,
+    pending: Pending<Call, Answer>,
     shared: Shared,
 }
 
@@ -172,7 +172,7 @@
         }
     }
 
-    /// Runs one step of the engine over the inputs and events.
+    /// Runs one tick of the engine over the inputs and events.
     fn tick(&mut self, inputs: &mut Vec<Input>, events: &mut Vec<Event>) {
         for event in events.iter() {
             if let Event::Closed { connection, .. } = event {
@@ -181,7 +181,7 @@
         }
         let mut batch = std::mem::take(events);
         let abandoned = |call| Event::Abandoned { call };
-        batch.extend(inputs.drain(..).map(|input| self.waiting.register(input, abandoned)));
+        batch.extend(inputs.drain(..).map(|input| self.pending.register(input, abandoned)));
         let mut out = Outbox::default();
         self.engine.tick(self.shared.clock.now(), batch, &mut out);
         self.flush(out);
@@ -189,7 +189,7 @@
         self.alone.send_if_modified(|alone| std::mem::replace(alone, is_alone) != is_alone);
     }
 
-    /// Passes the output of a step on to its receivers.
+    /// Passes the output of a tick on to its receivers.
     fn flush(&mut self, out: Outbox) {
         for command in out.commands {
             match command {
@@ -200,7 +200,7 @@
             }
         }
         for (call, answer) in out.answers {
-            self.waiting.answer(call, answer);
+            self.pending.answer(call, answer);
         }
         for request in out.quarantined {
             // The receiver is dropped only when the VM stops.
--- a/src/traffic/thread.rs
+++ b/src/traffic/thread.rs
@@ -23,10 +23,10 @@
     wire::{self, Body},
 };
 
-/// The longest sleep between two steps when no event comes.
+/// The longest sleep between two ticks when no event comes.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
-/// The most events of each channel that one step takes.
+/// The most events of each channel that one tick takes.
 const MAX_BATCH: usize = 4096;
 
 /// The receiving ends of the channels of a traffic thread.
@@ -64,8 +64,8 @@
 /// Runs a traffic thread until it is stopped or the control thread has ended.
 ///
 /// The thread waits for an event or for the earliest time at which the engine
-/// has something to do, takes the events that are ready, runs one step of the
-/// engine and carries out the outbox of the step.
+/// has something to do, takes the events that are ready, runs one tick of the
+/// engine and carries out the outbox of the tick.
 pub async fn run_loop(parts: Parts) {
     let mut thread = Thread {
         engine: parts.engine,
@@ -89,7 +89,7 @@
     }
 }
 
-/// The events of one step, by the channel that they came through.
+/// The events of one tick, by the channel that they came through.
 #[derive(Default)]
 struct Batch {
     inputs: Vec<Input>,
--- a/tests/fronts/callers.rs
+++ b/tests/fronts/callers.rs
@@ -44,15 +44,15 @@
 async fn search_whole() {
     let mut front = Front::start(|_| {});
     let sent = tokio::spawn(front.post("/v1/search", SEARCH_BODY).send());
-    let ask = front.next_call().await;
-    let Event::Search { search, .. } = &ask.event else { panic!("{:?}", ask.event) };
+    let submission = front.next_call().await;
+    let Event::Search { search, .. } = &submission.event else { panic!("{:?}", submission.event) };
     let expected = Search {
         profile: name("portal"),
         text: "146 MHz".into(),
         deadline: Some(Duration::from_millis(80)),
     };
     assert_eq!(search, &expected);
-    reply(ask, search_result(Set::new(), 1_000_000));
+    reply(submission, search_result(Set::new(), 1_000_000));
     let response = sent.await.unwrap().unwrap();
     assert_eq!(response.status(), 200);
     let expected = json!({
@@ -87,8 +87,10 @@
     // Above 2^53, where clients that store numbers as doubles lose digits.
     let request = operation(&front, &key.to_string(), r#""9007199254740993""#);
     let sent = tokio::spawn(request.send());
-    let ask = front.next_call().await;
-    let Event::Operate { operate, .. } = &ask.event else { panic!("{:?}", ask.event) };
+    let submission = front.next_call().await;
+    let Event::Operate { operate, .. } = &submission.event else {
+        panic!("{:?}", submission.event)
+    };
     let expected = Operate {
         profile: name("clearance"),
         operation: name("assign"),
@@ -98,7 +100,7 @@
         deadline: None,
     };
     assert_eq!(operate, &expected);
-    reply(ask, Body::Done { result: "assigned".into(), replayed: true, revision: 3 });
+    reply(submission, Body::Done { result: "assigned".into(), replayed: true, revision: 3 });
     let document: Value = sent.await.unwrap().unwrap().json().await.unwrap();
     let expected = json!({
         "request": QUERY_ID.to_string(),
@@ -163,10 +165,10 @@
     let mut front = Front::start(|_| {});
     let mut connection = Connection::open(front.address).await;
     connection.send(&raw_post("/v1/search", SEARCH_BODY)).await;
-    let ask = front.next_call().await;
+    let submission = front.next_call().await;
     drop(connection);
     let Input::Abandoned(call) = front.next_input().await else { panic!("another call") };
-    assert_eq!(call, ask.call);
+    assert_eq!(call, submission.call);
 }
 
 async fn caller_gone_harms_no_other() {
@@ -187,14 +189,14 @@
     let mut front = Front::start(|_| {});
     let mut connection = Connection::open(front.address).await;
     connection.send(&raw_post("/v1/search", SEARCH_BODY)).await;
-    let ask = front.next_call().await;
+    let submission = front.next_call().await;
     front.signals.shutdown.send_replace(true);
     // The listener is closed before the request is answered.
     while tokio::net::TcpStream::connect(front.address).await.is_ok() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     assert!(!front.task.is_finished());
-    reply(ask, search_result(Set::new(), 1_000_000));
+    reply(submission, search_result(Set::new(), 1_000_000));
     let response = connection.read_to_end().await;
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     assert!(response.contains("connection: close"), "{response}");
--- a/tests/fronts/fixture.rs
+++ b/tests/fronts/fixture.rs
@@ -116,7 +116,7 @@
     /// Waits for the next call to the traffic thread; panics on any other input.
     pub async fn next_call(&mut self) -> Submission {
         match self.next_input().await {
-            Input::Call(ask) => ask,
+            Input::Call(submission) => submission,
             Input::Abandoned(call) => panic!("{call:?} was abandoned"),
         }
     }
@@ -129,8 +129,8 @@
     /// Sends `request`, answers the call with `body` and returns the response.
     pub async fn exchange(&mut self, request: reqwest::RequestBuilder, body: Body) -> Response {
         let sent = tokio::spawn(request.send());
-        let ask = self.next_call().await;
-        reply(ask, body);
+        let submission = self.next_call().await;
+        reply(submission, body);
         sent.await.expect("the client does not panic").expect("an answer comes")
     }
 
@@ -147,14 +147,14 @@
 }
 
 /// Answers a call with `body`.
-pub fn reply(ask: Submission, body: Body) {
-    let profile = match ask.event {
+pub fn reply(submission: Submission, body: Body) {
+    let profile = match submission.event {
         Event::Search { search, .. } => search.profile,
         Event::Operate { operate, .. } => operate.profile,
         other => panic!("{other:?} is not a call"),
     };
     let answer = Answer { query: QUERY_ID, body, profile, took: Duration::ZERO };
-    let _ = ask.answer.send(answer);
+    let _ = submission.answer.send(answer);
 }
 
 pub fn refusal(fault: Fault) -> Body {
--- a/tests/fronts/limit.rs
+++ b/tests/fronts/limit.rs
@@ -207,9 +207,9 @@
         limits.idle_timeout = SHORT_LIMIT;
     });
     let sent = tokio::spawn(front.post("/v1/search", SEARCH_BODY).send());
-    let ask = front.next_call().await;
+    let submission = front.next_call().await;
     sleep(3 * SHORT_LIMIT).await;
-    reply(ask, done());
+    reply(submission, done());
     assert_eq!(sent.await.unwrap().unwrap().status(), 500);
 }
 
@@ -229,14 +229,14 @@
     let mut front = Front::start(|limits| limits.open_connections = 2);
     let mut first = Connection::open(front.address).await;
     first.send(&raw_post("/v1/search", SEARCH_BODY)).await;
-    let ask = front.next_call().await;
+    let submission = front.next_call().await;
     let mut second = Connection::open(front.address).await;
     second.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
     assert!(second.read_some().await.starts_with("HTTP/1.1 200"));
     let mut third = Connection::open(front.address).await;
     third.send("GET /livez HTTP/1.1\r\nhost: vm\r\n\r\n").await;
     assert_refused(&third.read_to_end().await, 503, "too_many_open");
-    reply(ask, done());
+    reply(submission, done());
     assert!(first.read_some().await.starts_with("HTTP/1.1 500"));
     drop(second);
     drop(first);
--- a/tests/fronts/operator_front.rs
+++ b/tests/fronts/operator_front.rs
@@ -73,19 +73,19 @@
         answer: Answer,
     ) -> (Request, Response) {
         let sent = tokio::spawn(request.send());
-        let ask = timeout(EVENT_TIMEOUT, self.inbox.next())
+        let submission = timeout(EVENT_TIMEOUT, self.inbox.next())
             .await
             .expect("a request within the limit")
             .expect("the front runs");
-        let _ = ask.answer.send(answer);
+        let _ = submission.answer.send(answer);
         let response = sent.await.expect("the client does not panic").expect("an answer comes");
-        (ask.request, response)
+        (submission.request, response)
     }
 
     /// Answers every request to the control thread with the same answer.
     pub async fn answer_all(&mut self) {
-        while let Some(ask) = self.inbox.next().await {
-            let _ = ask.answer.send(control_answer());
+        while let Some(submission) = self.inbox.next().await {
+            let _ = submission.answer.send(control_answer());
         }
     }
 
--- a/tests/fronts/random.rs
+++ b/tests/fronts/random.rs
@@ -69,14 +69,14 @@
 /// Answers every call with an empty success.
 async fn answer_calls(mut front: Front) {
     loop {
-        let ask = front.next_call().await;
-        let body = match ask.event {
+        let submission = front.next_call().await;
+        let body = match submission.event {
             Event::Operate { .. } => {
                 Body::Done { result: "done".into(), replayed: false, revision: 1 }
             }
             _ => empty_result(),
         };
-        reply(ask, body);
+        reply(submission, body);
     }
 }
 
--- a/tests/process/deployment.rs
+++ b/tests/process/deployment.rs
@@ -87,7 +87,7 @@
 
     /// Waits until a VM reports that it is ready.
     pub async fn wait_ready(&self, number: usize) {
-        let callers = self.vms[number].place.callers;
+        let callers = self.vms[number].endpoints.callers;
         self.wait("readyz", START_LIMIT, async || self.is_success(callers, "/readyz").await).await;
     }
 
@@ -109,7 +109,7 @@
     async fn publish_initial_profiles(&self) {
         let profiles =
             json!({ COMPLETE_PROFILE: profile(1_000_000, 10), PARTIAL_PROFILE: profile(1, 10) });
-        let reply = self.caller.publish(self.vms[0].place.operators, &profiles).await.unwrap();
+        let reply = self.caller.publish(self.vms[0].endpoints.operators, &profiles).await.unwrap();
         assert!(reply.status.is_success(), "publish: {}", reply.body);
         self.wait_in_force(&self.started(), 1, IN_FORCE_LIMIT).await;
         self.wait("searches are complete", START_LIMIT, async || {
@@ -155,18 +155,18 @@
     }
 
     pub async fn search(&self, number: usize, profile: &str, text: &str) -> reqwest::Result<Reply> {
-        self.caller.search(self.vms[number].place.callers, profile, text).await
+        self.caller.search(self.vms[number].endpoints.callers, profile, text).await
     }
 
     pub async fn operate(&self, number: usize, operation: &Operation) -> reqwest::Result<Reply> {
-        let callers = self.vms[number].place.callers;
+        let callers = self.vms[number].endpoints.callers;
         self.caller.operate(callers, &operation.key, &operation.body).await
     }
 
     /// Sends operations through a VM at intervals of [`SEND_INTERVAL`] without
     /// waiting for the answers in between. The task returns the outcomes in order.
     pub fn send_spaced(&self, number: usize, operations: &[Operation]) -> JoinHandle<Vec<Outcome>> {
-        let callers = self.vms[number].place.callers;
+        let callers = self.vms[number].endpoints.callers;
         let (caller, operations) = (self.caller.clone(), operations.to_vec());
         tokio::spawn(async move {
             let mut sent = Vec::new();
@@ -190,7 +190,7 @@
         let expect = format!("\"{expect}\"");
         let headers = [("Authorization", authorization.as_str()), ("If-Match", expect.as_str())];
         let body = json!({ "profiles": profiles });
-        let operators = self.vms[number].place.operators;
+        let operators = self.vms[number].endpoints.operators;
         let sent = self.caller.send(Method::PUT, operators, "/v1/profiles", &headers, &body);
         sent.await.unwrap()
     }
@@ -199,7 +199,7 @@
     pub async fn settle(&self, number: usize, token: &Value) -> Reply {
         let authorization = format!("Bearer {OPERATOR_TOKEN}");
         let headers = [("Authorization", authorization.as_str())];
-        let operators = self.vms[number].place.operators;
+        let operators = self.vms[number].endpoints.operators;
         let path = "/v1/publications/settle";
         let body = json!({ "token": token });
         self.caller.send(Method::POST, operators, path, &headers, &body).await.unwrap()
--- a/tests/process/load.rs
+++ b/tests/process/load.rs
@@ -92,7 +92,7 @@
     pub fn start(deployment: &Deployment, vms: &[usize], profile: &'static str) -> Load {
         let (stop, stopped) = watch::channel(false);
         let vms: Vec<(usize, SocketAddr)> =
-            vms.iter().map(|&vm| (vm, deployment.vms[vm].place.callers)).collect();
+            vms.iter().map(|&vm| (vm, deployment.vms[vm].endpoints.callers)).collect();
         let ready = Ready::default();
         for &(vm, address) in &vms {
             tokio::spawn(probe(
--- a/tests/process/part.rs
+++ b/tests/process/part.rs
@@ -49,7 +49,7 @@
 
 /// A VM, whose process may not have been started.
 pub struct Vm {
-    pub place: Endpoints,
+    pub endpoints: Endpoints,
     /// The address on which each traffic thread listens for other VMs.
     traffic: Vec<SocketAddr>,
     /// `None` until the first start.
@@ -60,7 +60,7 @@
     /// Chooses the addresses of a VM without starting it.
     pub fn new(number: u32, threads: u32) -> Vm {
         let traffic: Vec<SocketAddr> = (0..threads).map(|_| port::unused_address()).collect();
-        let place = Endpoints {
+        let endpoints = Endpoints {
             name: Name::try_from(format!("vm-{number}")).unwrap(),
             domain: Name::try_from(format!("domain-{number}")).unwrap(),
             callers: port::unused_address(),
@@ -68,20 +68,20 @@
             control: port::unused_address(),
             traffic: traffic[0],
         };
-        Vm { place, traffic, child: None }
+        Vm { endpoints, traffic, child: None }
     }
 
     /// Starts the process, also after an earlier one was killed.
     pub fn start(&mut self, folder: &Path, platform: SocketAddr) {
-        let name = self.place.name.to_string();
+        let name = self.endpoints.name.to_string();
         let file = format!("{name}.toml");
         fs::write(folder.join(&file), self.settings(platform)).unwrap();
         self.child = Some(Child::start(folder, &name, &["entry", "--settings", &file]));
     }
 
     fn settings(&self, platform: SocketAddr) -> String {
-        let single = format!("traffic = [\"{}\"]", self.place.traffic);
-        let text = self.place.settings(platform);
+        let single = format!("traffic = [\"{}\"]", self.endpoints.traffic);
+        let text = self.endpoints.settings(platform);
         assert!(text.contains(&single), "{text}");
         text.replace(&single, &format!("traffic = {}", self.traffic_toml()))
     }
@@ -94,7 +94,7 @@
 
     /// The row of this VM in the platform's list, as TOML.
     fn row(&self) -> String {
-        let Endpoints { name, domain, control, .. } = &self.place;
+        let Endpoints { name, domain, control, .. } = &self.endpoints;
         format!(
             "[[vms]]\nname = \"{name}\"\ndomain = \"{domain}\"\nincarnation = 0\n\
              state = \"live\"\ncontrol = \"{control}\"\ntraffic = {}\n",
--- a/tests/process/path.rs
+++ b/tests/process/path.rs
@@ -65,7 +65,7 @@
 }
 
 async fn query_command(deployment: Deployment) {
-    let entry = deployment.vms[1].place.callers.to_string();
+    let entry = deployment.vms[1].endpoints.callers.to_string();
     let output = run_query(&["--entry", &entry, "--profile", COMPLETE_PROFILE, "maritime"]).await;
     let text = String::from_utf8(output.stdout).unwrap();
     assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
--- a/tests/process/publish.rs
+++ b/tests/process/publish.rs
@@ -44,7 +44,7 @@
         let tasks = vms
             .iter()
             .map(|&number| {
-                let callers = deployment.vms[number].place.callers;
+                let callers = deployment.vms[number].endpoints.callers;
                 let (caller, stopped) = (deployment.caller.clone(), stopped.clone());
                 let regressions = Arc::clone(&regressions);
                 tokio::spawn(async move {
