Say in the control comments what a VM receives and from whom

Cause: some comments said that a VM hears something, without saying that it is a message or a report.

Change: comments only, in crates/core/src/control. The field heard stays, as it is part of serialized types.

--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -64,7 +64,7 @@
     Quarantined { fingerprint: Fingerprint, origin: Origin, remaining: Duration },
 }
 
-/// The revision in force on a VM, as the sender last heard of it.
+/// The revision in force on a VM, as it was last reported to the sender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RevisionReport {
     pub vm: Name,
--- a/crates/core/src/control/request.rs
+++ b/crates/core/src/control/request.rs
@@ -88,7 +88,7 @@
     pub changes: Option<Vec<Difference>>,
 }
 
-/// The revision in force on a VM, as far as the VM that answers has heard.
+/// The revision in force on a VM, as far as the VM that answers knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InForce {
     pub vm: Name,
--- a/crates/core/src/control/system/expiry.rs
+++ b/crates/core/src/control/system/expiry.rs
@@ -39,8 +39,9 @@
     tables.vms.remove_all(&due);
 }
 
-/// Makes this VM not ready when it has heard neither a VM nor the service for
-/// too long: a revision may be in force elsewhere that this VM cannot learn of.
+/// Makes this VM not ready when it has received nothing from other VMs or the
+/// service for too long: a revision may be in force elsewhere that this VM cannot
+/// learn of.
 fn check_isolation(tables: &mut Tables, cx: &Context<'_>) {
     let alone = tables.vms.rows.is_empty();
     let silent = cx.now.since(tables.own.last_received) >= cx.limits.isolation_timeout;
--- a/crates/core/src/control/system/probe.rs
+++ b/crates/core/src/control/system/probe.rs
@@ -120,7 +120,8 @@
 }
 
 /// Picks the VMs that are asked to ping `vm`. The sender of the last message is
-/// among them, so that a VM that reaches few others asks one that it can hear.
+/// among them, so that a VM that reaches few others asks one whose messages
+/// reach it.
 fn pick_helpers(tables: &mut Tables, count: usize, vm: &Name) -> Vec<Name> {
     let last_sender = tables.vms.last_sender.clone().filter(|last_sender| last_sender != vm);
     let drawn = gossip::pick(tables, count, Some(vm));
--- a/crates/core/src/control/system/profiles.rs
+++ b/crates/core/src/control/system/profiles.rs
@@ -126,7 +126,7 @@
     tables.peer_revisions.insert(from.clone(), row);
 }
 
-/// Merges what another VM has heard of the revisions in force. Only younger
+/// Merges what another VM reports about the revisions in force. Only younger
 /// reports replace those that are known.
 pub fn merge_revisions(tables: &mut Tables, cx: &Context<'_>, reports: Vec<RevisionReport>) {
     for report in reports {
--- a/crates/core/src/control/system/reading.rs
+++ b/crates/core/src/control/system/reading.rs
@@ -2,7 +2,7 @@
 //!
 //! A few VMs, the watchers, read on behalf of all, so that the number of calls
 //! does not grow with the number of VMs. Every other VM reads at its start, and
-//! when what it heard from other VMs is too old.
+//! when what it received from other VMs is too old.
 
 use std::time::Duration;
 
--- a/crates/core/src/control/system/sync.rs
+++ b/crates/core/src/control/system/sync.rs
@@ -26,7 +26,7 @@
 
 /// Sends the hash of the soft state to one VM when a comparison is due.
 ///
-/// A new VM may be the home of a shard before it has heard which requests are
+/// A new VM may be the home of a shard before it has learnt which requests are
 /// quarantined, so it compares more often at first.
 pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
     if cx.now < tables.vms.next_sync {
