--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -8,7 +8,7 @@
 //! as home of the same bucket; this costs additional writes but does not affect
 //! correctness. See `docs/design/claims.md`.
 //!
-//! [`Engine::step`] runs the systems in this order: intake, collect, expire,
+//! [`Engine::tick`] runs the systems in this order: intake, collect, expire,
 //! route, decide, confirm, sweep, reply.
 
 pub mod layout;
@@ -71,7 +71,7 @@
     tables: Tables,
 }
 
-/// The inputs of a step that every system reads.
+/// The inputs of a tick that every system reads.
 struct Context<'a> {
     vm: &'a Name,
     limits: &'a Limits,
@@ -96,7 +96,7 @@
 
     /// Applies `events`, runs the systems and adds the resulting calls, messages
     /// and verdicts to `out`.
-    pub fn step(
+    pub fn tick(
         &mut self,
         now: Instant,
         wall: Wall,
@@ -117,7 +117,7 @@
         reply::run(tables, &context, replies, out);
     }
 
-    /// Returns the time of the next step that is needed without an event, if any.
+    /// Returns the time of the next tick that is needed without an event, if any.
     pub fn wake(&self) -> Option<Instant> {
         wake::earliest(&self.tables, &self.limits)
     }
--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -46,8 +46,8 @@
     fn write_vm(&self, vm: &view::Vm) -> Vec<u8>;
     /// Decodes a configuration.
     fn config(&self, entry: &Entry) -> Result<Config, String>;
-    /// Returns the key whose presence means that a request is held back.
-    fn held_key(&self, request: Fingerprint) -> String;
+    /// Returns the key whose presence means that a request is quarantined.
+    fn quarantine_key(&self, request: Fingerprint) -> String;
     /// Decodes the registration of a target.
     fn target(&self, entry: &Entry) -> Result<view::Target, String>;
 }
@@ -58,8 +58,8 @@
     Config,
     Target(Name),
     Vm(Name),
-    /// A request that is held back.
-    Held(Fingerprint),
+    /// A quarantined request.
+    Quarantined(Fingerprint),
     /// Anything else; the feed ignores the entry.
     Other,
 }
@@ -90,8 +90,8 @@
     pub replies: Vec<(CallId, Reply)>,
     /// How far other VMs have read the store.
     pub progress: Vec<Progress>,
-    /// The requests that this VM holds back from this tick on.
-    pub held: Vec<Fingerprint>,
+    /// The requests that this VM quarantines from this tick on.
+    pub quarantined: Vec<Fingerprint>,
 }
 
 /// The output of a tick of the feed.
@@ -137,7 +137,7 @@
 
     /// Takes replies of the store and announcements of other VMs, and runs every system
     /// once.
-    pub fn step(&mut self, now: Instant, input: Input, out: &mut Outbox) {
+    pub fn tick(&mut self, now: Instant, input: Input, out: &mut Outbox) {
         let mut cx = Context {
             now,
             limits: &self.limits,
--- a/crates/core/src/relay/table/suspect.rs
+++ b/crates/core/src/relay/table/suspect.rs
@@ -44,13 +44,13 @@
     }
 }
 
-/// The requests that are suspected of crashing targets or held back for it.
+/// The requests that are suspected of crashing targets or quarantined for it.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     /// The suspected requests with their losses.
     pub rows: BTreeMap<Fingerprint, Suspect>,
-    /// The requests that this VM holds back, with the time at which that ends.
-    pub held: BTreeMap<Fingerprint, Instant>,
+    /// The requests that this VM quarantined, with the time at which that ends.
+    pub quarantined: BTreeMap<Fingerprint, Instant>,
 }
 
 impl Suspects {
@@ -89,8 +89,8 @@
         self.rows.remove(&request);
     }
 
-    /// Returns whether this VM holds a request back.
-    pub fn is_held(&self, request: Fingerprint, now: Instant) -> bool {
-        self.held.get(&request).is_some_and(|until| *until > now)
+    /// Returns whether this VM quarantines a request.
+    pub fn is_quarantined(&self, request: Fingerprint, now: Instant) -> bool {
+        self.quarantined.get(&request).is_some_and(|until| *until > now)
     }
 }
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -32,7 +32,7 @@
         match key.split_once('/') {
             Some(("target", id)) => Subject::Target(harness::name(id)),
             Some(("vm", name)) => Subject::Vm(harness::name(name)),
-            Some(("held", request)) => Subject::Held(request.parse().unwrap()),
+            Some(("held", request)) => Subject::Quarantined(request.parse().unwrap()),
             None if key == "config" => Subject::Config,
             _ => Subject::Other,
         }
@@ -51,7 +51,7 @@
         text.parse().map(vm).map_err(|_| text)
     }
 
-    fn held_key(&self, request: Fingerprint) -> String {
+    fn quarantine_key(&self, request: Fingerprint) -> String {
         format!("held/{request}")
     }
 
@@ -99,13 +99,13 @@
     pub is_down: bool,
     /// Whether calls are never answered.
     pub is_silent: bool,
-    /// The announcements of other VMs that the feed gets in the next step.
+    /// The announcements of other VMs that the feed gets in the next tick.
     pub incoming: Vec<Progress>,
     /// The announcements that the feed has sent to other VMs.
     pub announced: Vec<(SocketAddr, Progress)>,
-    /// The requests that the VM starts to hold back in the next step.
-    pub held: Vec<Fingerprint>,
-    /// The calls that report requests that are held back.
+    /// The requests that the VM quarantines in the next tick.
+    pub quarantined: Vec<Fingerprint>,
+    /// The calls that report quarantined requests.
     pub reports: Vec<Call>,
     open_report: Option<(CallId, Call)>,
     /// The revision before which the store has discarded its history.
@@ -144,7 +144,7 @@
             is_silent: false,
             incoming: Vec::new(),
             announced: Vec::new(),
-            held: Vec::new(),
+            quarantined: Vec::new(),
             reports: Vec::new(),
             open_report: None,
             oldest: 0,
@@ -172,11 +172,11 @@
         self.oldest = self.revision;
     }
 
-    /// Advances time by `span`, with a step every 5 ms.
+    /// Advances time by `span`, with a tick every 5 ms.
     pub fn pass(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
-            self.step();
+            self.tick();
             self.now = self.now + Duration::from_millis(5);
         }
     }
@@ -199,13 +199,13 @@
         self.lines.iter().filter(|line| line.event == event).count()
     }
 
-    fn step(&mut self) {
+    fn tick(&mut self) {
         let mut replies: Vec<(CallId, Reply)> = self.answer_call().into_iter().collect();
         replies.extend(self.answer_report());
-        let held = std::mem::take(&mut self.held);
+        let quarantined = std::mem::take(&mut self.quarantined);
         let mut out = Outbox::default();
         let progress = std::mem::take(&mut self.incoming);
-        self.feed.step(self.now, Input { replies, progress, held }, &mut out);
+        self.feed.tick(self.now, Input { replies, progress, quarantined }, &mut out);
         self.announced.extend(out.progress);
         self.lines.extend(out.lines);
         if let Some(view) = out.view {
@@ -298,7 +298,7 @@
     }
 }
 
-/// Returns whether a call belongs to the report of a request that is held back.
+/// Returns whether a call belongs to the report of a quarantined request.
 fn is_report(call: &Call) -> bool {
     match call {
         Call::Grant { .. } => true,
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -42,8 +42,8 @@
     pub serving: mpsc::Sender<()>,
     /// Publishes whether no larger VM is in reach.
     pub alone: watch::Sender<bool>,
-    /// Reports the requests that the thread holds back from then on.
-    pub held: mpsc::UnboundedSender<Fingerprint>,
+    /// Reports the requests that the thread quarantines.
+    pub quarantined: mpsc::UnboundedSender<Fingerprint>,
 }
 
 /// Runs the traffic thread until the VM stops.
@@ -54,12 +54,12 @@
         Ok(started) => started,
         Err(error) => return log_port_failure(&shared, "peers", Err(error)),
     };
-    let (alone, held) = (resources.alone.clone(), resources.held.clone());
+    let (alone, quarantined) = (resources.alone.clone(), resources.quarantined.clone());
     serve_ports(&shared, resources, Handle::new(inputs));
     let engine = Engine::new(limits(&shared.settings), Policies::default(), rand::random());
     let targets = Client::new(events);
-    let waiting = Pending::default();
-    let thread = Thread { engine, targets, peers, alone, held, waiting, shared };
+    let pending = Pending::default();
+    let thread = Thread { engine, targets, peers, alone, quarantined, pending, shared };
     let inbox = Inbox {
         inputs: input_receiver,
         events: event_receiver,
@@ -130,8 +130,8 @@
     targets: Client,
     peers: Peers,
     alone: watch::Sender<bool>,
-    held: mpsc::UnboundedSender<Fingerprint>,
-    waiting: Pending<Call, Answer>,
+    quarantined: mpsc::UnboundedSender<Fingerprint>,
+    pending: Pending<Call, Answer>,
     shared: Shared,
 }
 
@@ -172,7 +172,7 @@
         }
     }
 
-    /// Runs one step of the engine over the inputs and events.
+    /// Runs one tick of the engine over the inputs and events.
     fn tick(&mut self, inputs: &mut Vec<Input>, events: &mut Vec<Event>) {
         for event in events.iter() {
             if let Event::Closed { connection, .. } = event {
@@ -181,15 +181,15 @@
         }
         let mut batch = std::mem::take(events);
         let abandoned = |call| Event::Abandoned { call };
-        batch.extend(inputs.drain(..).map(|input| self.waiting.register(input, abandoned)));
+        batch.extend(inputs.drain(..).map(|input| self.pending.register(input, abandoned)));
         let mut out = Outbox::default();
-        self.engine.step(self.shared.clock.now(), batch, &mut out);
+        self.engine.tick(self.shared.clock.now(), batch, &mut out);
         self.flush(out);
         let is_alone = self.engine.is_alone(self.shared.clock.now());
         self.alone.send_if_modified(|alone| std::mem::replace(alone, is_alone) != is_alone);
     }
 
-    /// Passes the output of a step on to its receivers.
+    /// Passes the output of a tick on to its receivers.
     fn flush(&mut self, out: Outbox) {
         for command in out.commands {
             match command {
@@ -200,11 +200,11 @@
             }
         }
         for (call, answer) in out.answers {
-            self.waiting.answer(call, answer);
+            self.pending.answer(call, answer);
         }
-        for request in out.held {
+        for request in out.quarantined {
             // The receiver is dropped only when the VM stops.
-            let _ = self.held.send(request);
+            let _ = self.quarantined.send(request);
         }
         let now = self.shared.clock.now();
         for line in &out.lines {
--- a/src/slope/fleet.rs
+++ b/src/slope/fleet.rs
@@ -271,7 +271,7 @@
         let Some(node) = self.nodes.get_mut(vm) else { return };
         let mut out = Outbox::default();
         let now = self.now;
-        let (took, ()) = meter::timed(|| node.engine.step(now, wall, events, &mut out));
+        let (took, ()) = meter::timed(|| node.engine.tick(now, wall, events, &mut out));
         self.cost.cpu_time += took;
         self.cost.longest_step = self.cost.longest_step.max(took);
         self.wakes.remove(&(node.wake, vm.clone()));
--- a/tests/fronts/operator_front.rs
+++ b/tests/fronts/operator_front.rs
@@ -46,7 +46,7 @@
             token("lead", BOTH_ROLES_TOKEN, vec![Role::Read, Role::Publish]),
             token("viewer", READ_TOKEN, vec![Role::Read]),
         ];
-        let seed = operator::Parts {
+        let parts = operator::Parts {
             listener,
             operators: Operators { tokens },
             handle,
@@ -54,7 +54,7 @@
             metrics: Arc::new(NoMetrics),
             shutdown: is_shut,
         };
-        tokio::spawn(operator::serve(seed));
+        tokio::spawn(operator::serve(parts));
         OperatorFront { address, signals: Signals { ready, shutdown }, http: client(), inbox }
     }
 
@@ -73,19 +73,19 @@
         answer: Answer,
     ) -> (Request, Response) {
         let sent = tokio::spawn(request.send());
-        let ask = timeout(EVENT_TIMEOUT, self.inbox.next())
+        let submission = timeout(EVENT_TIMEOUT, self.inbox.next())
             .await
             .expect("a request within the limit")
             .expect("the front runs");
-        let _ = ask.answer.send(answer);
+        let _ = submission.answer.send(answer);
         let response = sent.await.expect("the client does not panic").expect("an answer comes");
-        (ask.request, response)
+        (submission.request, response)
     }
 
     /// Answers every request to the control thread with the same answer.
     pub async fn answer_all(&mut self) {
-        while let Some(ask) = self.inbox.next().await {
-            let _ = ask.answer.send(control_answer());
+        while let Some(submission) = self.inbox.next().await {
+            let _ = submission.answer.send(control_answer());
         }
     }
 
