Bring names in src in line with renamed types

The states of the stand-in's Switch had no comment.

Change: comments and names only, no text changes. - target::Limits::body -> body_bytes (used in src/target and, renamed with the tests, tests/edge) - cli::load::seed -> arrival_params - settings::profiles: MILLIS and COUNT -> MILLIS_FORMAT and COUNT_FORMAT - locals in settings, load, local and slope

--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -106,7 +106,7 @@
     }
 }
 
-fn seed(command: &Load) -> arrival::Params {
+fn arrival_params(command: &Load) -> arrival::Params {
     arrival::Params {
         seed: command.seed,
         duration: Duration::from_secs(u64::from(command.seconds)),
@@ -171,9 +171,13 @@
     report::heading().iter().for_each(|line| output::line(line));
     for &scene in scenes {
         for &scheme in schemes {
-            let order =
-                measurement::Spec { scenario: &scenario, scheme, scene, arrivals: seed(command) };
-            let rows = measurement::run(order).await.map_err(|report| {
+            let spec = measurement::Spec {
+                scenario: &scenario,
+                scheme,
+                scene,
+                arrivals: arrival_params(command),
+            };
+            let rows = measurement::run(spec).await.map_err(|report| {
                 let cause = Cause(format!("{report:?}"));
                 Failure::report(Exit::Failed, report.to_string(), "").attach(cause)
             })?;
@@ -214,7 +218,7 @@
     };
     let caller = Caller::new()
         .map_err(|e| Failure::report(Exit::Failed, format!("no HTTP client: {e}"), ""))?;
-    let arrivals = arrival::draw_at_rate(f64::from(command.rate.max(1)), seed(command));
+    let arrivals = arrival::draw_at_rate(f64::from(command.rate.max(1)), arrival_params(command));
     let entries = driver::Entries::new(command.entry.clone());
     let start = std::time::Instant::now();
     let samples = driver::send_all(arrivals, &[profile], &entries, &caller, start).await;
--- a/src/load/testbed.rs
+++ b/src/load/testbed.rs
@@ -85,7 +85,7 @@
         let failed = || Error::new("the deployment did not start");
         let deployment = local::start(&plan).change_context_lazy(failed)?;
         let caller = Caller::new().change_context_lazy(failed)?;
-        let callers = deployment.vms.iter().map(|(place, _)| place.callers).collect();
+        let callers = deployment.vms.iter().map(|(endpoints, _)| endpoints.callers).collect();
         let entries = Entries::new(callers);
         let testbed = Testbed { deployment, caller, entries, last_vm: scenario.vms };
         if !testbed.deployment.ready(START_TIMEOUT).await {
@@ -98,10 +98,10 @@
     async fn publish(&self, scenario: &Scenario) -> Result<(), Report<Error>> {
         let profiles: serde_json::Map<String, Value> =
             scenario.services.iter().map(|s| (s.index.to_string(), s.profile())).collect();
-        let Some((place, _)) = self.deployment.vms.first() else { return Ok(()) };
+        let Some((endpoints, _)) = self.deployment.vms.first() else { return Ok(()) };
         let published = self
             .caller
-            .publish(place.operators, &Value::Object(profiles))
+            .publish(endpoints.operators, &Value::Object(profiles))
             .await
             .change_context_lazy(|| Error::new("the profiles were not published"))?;
         if !published.status.is_success() {
@@ -121,9 +121,10 @@
     }
 
     async fn are_profiles_in_force(&self, scenario: &Scenario) -> bool {
-        for (place, _) in &self.deployment.vms {
+        for (endpoints, _) in &self.deployment.vms {
             for service in &scenario.services {
-                let reply = self.caller.search(place.callers, service.index.as_str(), "none").await;
+                let reply =
+                    self.caller.search(endpoints.callers, service.index.as_str(), "none").await;
                 if !reply.is_ok_and(|reply| reply.status.is_success()) {
                     return false;
                 }
@@ -159,8 +160,8 @@
             let index = target.listed.index.to_string();
             counters.targets.entry(index).or_default().push(counts);
         }
-        for (place, _) in &self.deployment.vms {
-            self.add_metrics(place.operators, &mut counters).await?;
+        for (endpoints, _) in &self.deployment.vms {
+            self.add_metrics(endpoints.operators, &mut counters).await?;
         }
         let calls = self.read(self.deployment.platform, "/v1/calls").await?;
         counters.platform_calls = sum_numbers(&calls);
@@ -203,25 +204,30 @@
         if self.deployment.vms.is_empty() {
             return Ok(());
         }
-        let (old_place, old_vm) = self.deployment.vms.remove(0);
+        let (old_endpoints, old_vm) = self.deployment.vms.remove(0);
         // The end of the old VM is not awaited: a query that it cuts off shows up in
         // the samples.
         drop(local::leave(old_vm));
         self.last_vm += 1;
-        let place = endpoints::allocate(self.last_vm).change_context_lazy(failed)?;
-        let path = format!("/v1/list/vms/{}", place.name);
-        let row = serde_json::to_value(place.list_entry()).change_context_lazy(failed)?;
+        let endpoints = endpoints::allocate(self.last_vm).change_context_lazy(failed)?;
+        let path = format!("/v1/list/vms/{}", endpoints.name);
+        let row = serde_json::to_value(endpoints.list_entry()).change_context_lazy(failed)?;
         self.change_list(Method::PUT, &path, &row).await?;
-        let new_vm = local::start_vm(&place, self.deployment.platform, self.deployment.policies)
-            .change_context_lazy(failed)?;
+        let new_vm =
+            local::start_vm(&endpoints, self.deployment.platform, self.deployment.policies)
+                .change_context_lazy(failed)?;
         sleep(BALANCER_LAG).await;
-        self.entries.remove(old_place.callers);
-        self.change_list(Method::DELETE, &format!("/v1/list/vms/{}", old_place.name), &Value::Null)
-            .await?;
+        self.entries.remove(old_endpoints.callers);
+        self.change_list(
+            Method::DELETE,
+            &format!("/v1/list/vms/{}", old_endpoints.name),
+            &Value::Null,
+        )
+        .await?;
         if new_vm.ready(START_TIMEOUT).await {
-            self.entries.add(place.callers);
+            self.entries.add(endpoints.callers);
         }
-        self.deployment.vms.push((place, new_vm));
+        self.deployment.vms.push((endpoints, new_vm));
         Ok(())
     }
 
--- a/src/local/demo.rs
+++ b/src/local/demo.rs
@@ -1,5 +1,5 @@
 //! The demo: starts a deployment of three VMs, sends searches and one
-//! clearance, then takes a shard away.
+//! clearance, then drains the targets of one shard.
 
 use std::{
     fmt,
@@ -99,9 +99,9 @@
     async fn publish(&mut self) -> Result<(), Report<Error>> {
         let is_ready = self.deployment.ready(START_TIMEOUT).await;
         self.record("every VM takes requests within 10 s", is_ready);
-        let whole = profile(1_000_000);
-        let part = profile(500_000);
-        let profiles = json!({ "clearance": whole, "browse": part });
+        let full = profile(1_000_000);
+        let partial = profile(500_000);
+        let profiles = json!({ "clearance": full, "browse": partial });
         let Some((endpoints, _)) = self.deployment.vms.first() else {
             return Err(Report::new(error("there is no VM")));
         };
@@ -173,12 +173,12 @@
                 let reply = self.search(&vm, "clearance", text).await?;
                 let expected = contents.read(laburnum_core::target::Version(1), all, text);
                 let found = rows(&reply);
-                let is_whole = found.len() == expected.len()
+                let is_complete = found.len() == expected.len()
                     && found
                         .iter()
                         .zip(&expected)
                         .all(|(found, row)| found["body"].as_str() == Some(&*row.body));
-                self.record("the answer holds every row of one snapshot, once", is_whole);
+                self.record("the answer holds every row of one snapshot, once", is_complete);
             }
         }
         Ok(())
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -77,7 +77,7 @@
 impl Membership {
     pub(super) fn read(document: &mut Document<'_>) -> Membership {
         let limits = Limits::default();
-        let (indirect, watchers) = (count(limits.indirect_probes), count(limits.watchers));
+        let (indirect_probes, watchers) = (count(limits.indirect_probes), count(limits.watchers));
         let mut section = document.section("membership");
         let items = section.tables("seeds");
         let mut membership = Membership {
@@ -87,7 +87,7 @@
                 up_to_secs(60),
             ),
             probe_timeout: section.millis("probe_limit_ms", limits.ack_timeout, up_to_secs(60)),
-            indirect_probes: section.count("indirect_probes", indirect, 0..=16),
+            indirect_probes: section.count("indirect_probes", indirect_probes, 0..=16),
             gone_after: section.millis("gone_after_ms", limits.suspicion_timeout, up_to_secs(3600)),
             list_interval: section.millis("list_interval_ms", limits.list_interval, up_to_secs(60)),
             watchers: section.count("watchers", watchers, 1..=16),
@@ -128,14 +128,18 @@
 impl Claims {
     pub(super) fn read(document: &mut Document<'_>) -> Claims {
         let limits = claims::Limits::default();
-        let value = MIN_VALUE_LIMIT_BYTES..=MAX_VALUE_BYTES as u64;
-        let gather = Duration::ZERO..=Duration::from_secs(1);
+        let allowed_bytes = MIN_VALUE_LIMIT_BYTES..=MAX_VALUE_BYTES as u64;
+        let allowed_delay = Duration::ZERO..=Duration::from_secs(1);
         let mut section = document.section("claims");
         let claims = Claims {
             window: section.millis("window_ms", limits.window, up_to_secs(86_400)),
-            value_limit_bytes: section.size("value_limit_bytes", limits.bucket_bytes as u64, value),
+            value_limit_bytes: section.size(
+                "value_limit_bytes",
+                limits.bucket_bytes as u64,
+                allowed_bytes,
+            ),
             clock_skew: section.millis("future_ms", limits.skew, up_to_secs(600)),
-            batch_delay: section.millis("gather_ms", limits.batch_delay, gather),
+            batch_delay: section.millis("gather_ms", limits.batch_delay, allowed_delay),
         };
         section.finish();
         claims
@@ -158,13 +162,13 @@
 impl Quarantine {
     pub(super) fn read(document: &mut Document<'_>) -> Quarantine {
         let limits = Limits::default();
-        let (hold, suspect) = (limits.quarantine_duration, limits.suspect_duration);
+        let (hold_time, suspect_time) = (limits.quarantine_duration, limits.suspect_duration);
         let lost_targets = count(traffic::Limits::default().lost_targets);
         let mut section = document.section("quarantine");
         let quarantine = Quarantine {
             capacity: section.count("capacity", count(limits.max_fingerprints), 1..=100_000),
-            hold_time: section.millis("hold_ms", hold, up_to_secs(86_400)),
-            suspect_time: section.millis("suspect_ms", suspect, up_to_secs(3600)),
+            hold_time: section.millis("hold_ms", hold_time, up_to_secs(86_400)),
+            suspect_time: section.millis("suspect_ms", suspect_time, up_to_secs(3600)),
             lost_targets: section.count("lost_targets", lost_targets, 1..=2),
         };
         section.finish();
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -29,7 +29,7 @@
 impl<'i> Document<'i> {
     /// Parses `text` and collects its syntax errors.
     pub fn new(file: &str, text: &'i str) -> Document<'i> {
-        let (root, faults) = DeTable::parse_recoverable(text);
+        let (root, syntax_errors) = DeTable::parse_recoverable(text);
         let mut document = Document {
             file: Arc::from(file),
             text,
@@ -38,9 +38,9 @@
             lines: BTreeMap::new(),
             errors: Vec::new(),
         };
-        for fault in faults {
-            let line = fault.span().map_or(1, |span| document.line_at(span.start));
-            document.report(line, String::new(), fault.message().to_owned());
+        for syntax_error in syntax_errors {
+            let line = syntax_error.span().map_or(1, |span| document.line_at(span.start));
+            document.report(line, String::new(), syntax_error.message().to_owned());
         }
         document
     }
--- a/src/settings/profiles.rs
+++ b/src/settings/profiles.rs
@@ -60,17 +60,17 @@
 }
 
 fn profile(section: &mut Section<'_, '_>) -> Option<Profile> {
-    const MILLIS: &str = "a whole number of milliseconds";
-    const COUNT: &str = "a whole number";
+    const MILLIS_FORMAT: &str = "a whole number of milliseconds";
+    const COUNT_FORMAT: &str = "a whole number";
     let millis = |n: u64| Ok::<_, String>(Duration::from_millis(n));
     let team = section.value("team", "a name");
     let index = section.value("index", "a name");
-    let coverage_ppm = section.value("coverage_ppm", COUNT);
-    let deadline = section.checked("deadline_ms", MILLIS, millis);
-    let tail = section.checked("tail_ms", MILLIS, millis);
-    let extra_load_ppm = section.value("extra_load_ppm", COUNT);
-    let concurrency = section.value("concurrency", COUNT);
-    let priority = section.value("priority", COUNT);
+    let coverage_ppm = section.value("coverage_ppm", COUNT_FORMAT);
+    let deadline = section.checked("deadline_ms", MILLIS_FORMAT, millis);
+    let tail = section.checked("tail_ms", MILLIS_FORMAT, millis);
+    let extra_load_ppm = section.value("extra_load_ppm", COUNT_FORMAT);
+    let concurrency = section.value("concurrency", COUNT_FORMAT);
+    let priority = section.value("priority", COUNT_FORMAT);
     let canary = section.flag("canary", laburnum_core::profile::default_canary());
     let raw = Raw {
         team: team?,
--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -131,13 +131,13 @@
 impl Peers {
     pub(super) fn read(document: &mut Document<'_>) -> Peers {
         let limits = wire::Limits::default();
-        let (frame, queue) = (limits.frame_bytes as u64, limits.queue_bytes as u64);
+        let (frame_bytes, queue_bytes) = (limits.frame_bytes as u64, limits.queue_bytes as u64);
         let mut section = document.section("peers");
         let peers = Peers {
             ping_interval: section.millis("ping_interval_ms", limits.ping_interval, up_to_secs(60)),
             ping_timeout: section.millis("ping_limit_ms", limits.ping_timeout, up_to_secs(60)),
-            frame_limit_bytes: section.size("frame_limit_bytes", frame, 64 * KIB..=64 * MIB),
-            queue_limit_bytes: section.size("queue_limit_bytes", queue, 64 * KIB..=256 * MIB),
+            frame_limit_bytes: section.size("frame_limit_bytes", frame_bytes, 64 * KIB..=64 * MIB),
+            queue_limit_bytes: section.size("queue_limit_bytes", queue_bytes, 64 * KIB..=256 * MIB),
         };
         section.finish();
         peers
--- a/src/slope/fleet.rs
+++ b/src/slope/fleet.rs
@@ -290,12 +290,12 @@
             }
         }
         let start_number = node.start_number;
-        for post in out.messages {
-            let (took, bytes) = meter::timed(|| encode(&post.message));
+        for envelope in out.messages {
+            let (took, bytes) = meter::timed(|| encode(&envelope.message));
             self.cost.cpu_time += took;
             self.cost.messages += 1;
             self.cost.bytes += bytes.len() as u64;
-            self.enqueue(MESSAGE_DELAY, post.vm, Delivery::Message(bytes));
+            self.enqueue(MESSAGE_DELAY, envelope.vm, Delivery::Message(bytes));
         }
         for (id, call) in out.calls {
             let ticket = self.next_ticket();
--- a/src/slope/wire.rs
+++ b/src/slope/wire.rs
@@ -97,9 +97,9 @@
         let address = listener.local_addr().expect("the listener is bound");
         let key = Key::try_from("the-key-of-a-measurement").expect("the text is a key");
         let limits = Limits::default();
-        let guard = Admission { own: fixture::lane(1), keys: vec![key.digest()], limits };
+        let admission = Admission { own: fixture::lane(1), keys: vec![key.digest()], limits };
         let (sink, frames) = mpsc::channel(FRAMES_PER_REPEAT);
-        tokio::spawn(listen(listener, guard, sink));
+        tokio::spawn(listen(listener, admission, sink));
         let (losses, lost) = mpsc::unbounded_channel();
         let mut dialer = Dialer::new(fixture::lane(0), 1, key, limits, losses);
         dialer.update(BTreeMap::from([(fixture::lane(1), address)]));
--- a/src/standin/target/connection.rs
+++ b/src/standin/target/connection.rs
@@ -27,8 +27,11 @@
     table::Connection,
 };
 
+/// The state of a [`Switch`] in which bytes pass in both directions.
 const OPEN: u8 = 0;
+/// The state in which no bytes pass, while the connection stays open.
 const SILENT: u8 = 1;
+/// The state in which all reads and writes fail.
 const RESET: u8 = 2;
 
 /// The size of the chunks in which the input of a silent connection is discarded.
--- a/src/target/exchange.rs
+++ b/src/target/exchange.rs
@@ -73,8 +73,8 @@
     async fn read_body(&self, mut response: reqwest::Response) -> Result<Vec<u8>, Failure> {
         let mut bytes = Vec::new();
         while let Some(chunk) = response.chunk().await.map_err(|error| classify(&error))? {
-            if bytes.len() + chunk.len() > self.limits.body {
-                let detail = format!("reply is longer than {} bytes", self.limits.body);
+            if bytes.len() + chunk.len() > self.limits.body_bytes {
+                let detail = format!("reply is longer than {} bytes", self.limits.body_bytes);
                 return Err(Failure::Stream { detail });
             }
             bytes.extend_from_slice(&chunk);
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -26,12 +26,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// The longest reply body that is read, in bytes.
-    pub body: usize,
+    pub body_bytes: usize,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { body: 8 * 1024 * 1024 }
+        Limits { body_bytes: 8 * 1024 * 1024 }
     }
 }
 
--- a/tests/edge/border.rs
+++ b/tests/edge/border.rs
@@ -181,7 +181,7 @@
 
 async fn reply_over_the_limit() {
     let target = Target::start(|_| {});
-    let mut caller = Caller::with_limits(Limits { body: 1_000 });
+    let mut caller = Caller::with_limits(Limits { body_bytes: 1_000 });
     let connection = caller.open(&target).await;
     let outcome = caller.outcome(connection, search("")).await;
     assert!(matches!(outcome, Outcome::Garbled { .. }), "{outcome:?}");
