Bring names in the product, edge and load tests in line

`place`, `piece` and `whole` did not say what they hold.

Change: comments and names inside tests/product, tests/edge and tests/load; no case is renamed and no check, number or order changes. One panic text, which no test matches, says "shard" for "part". - tests/product/harness.rs: Harness::shown -> operator_output, Harness::json -> operator_json - tests/edge: fault.rs wrong_outcome -> outcome_with; limit.rs assert_parts_cover_all -> assert_shards_cover_all

--- a/tests/edge/codec.rs
+++ b/tests/edge/codec.rs
@@ -76,17 +76,17 @@
     std::iter::from_fn(|| decoder.next_body().transpose()).collect()
 }
 
-/// Asserts that a stream decodes to the same bodies when it arrives in pieces of
-/// `piece` bytes.
-fn assert_split_keeps_bodies(bodies: &[Body], piece: usize) {
+/// Asserts that a stream decodes to the same bodies when it arrives in chunks of
+/// `chunk_bytes`.
+fn assert_split_keeps_bodies(bodies: &[Body], chunk_bytes: usize) {
     let frames = bodies
         .iter()
         .map(|body| encode(body, MAX_BODY_BYTES).expect("the body is within the limit"));
     let stream: Vec<u8> = frames.flat_map(|frame| frame.to_vec()).collect();
     let mut decoder = Decoder::new(MAX_BODY_BYTES);
     let mut decoded = Vec::new();
-    for piece in stream.chunks(piece) {
-        decoder.push(piece);
+    for chunk in stream.chunks(chunk_bytes) {
+        decoder.push(chunk);
         decoded.extend(decode_all(&mut decoder).expect("the stream is valid"));
     }
     assert_eq!(decoded, bodies);
@@ -105,8 +105,8 @@
 
 proptest! {
     #[test]
-    fn bodies_survive_any_split(bodies in vec(body(), 0..6), piece in 1_usize..64) {
-        assert_split_keeps_bodies(&bodies, piece);
+    fn bodies_survive_any_split(bodies in vec(body(), 0..6), chunk_bytes in 1_usize..64) {
+        assert_split_keeps_bodies(&bodies, chunk_bytes);
     }
 
     #[test]
@@ -126,13 +126,13 @@
     #[test]
     fn a_changed_byte_decodes_or_is_refused(
         body in body(),
-        place in any::<prop::sample::Index>(),
+        position in any::<prop::sample::Index>(),
         byte in any::<u8>(),
     ) {
         let mut frame =
             encode(&body, MAX_BODY_BYTES).expect("the body is within the limit").to_vec();
-        let place = place.index(frame.len());
-        frame[place] = byte;
+        let position = position.index(frame.len());
+        frame[position] = byte;
         let mut decoder = Decoder::new(MAX_BODY_BYTES);
         decoder.push(&frame);
         let _ = decode_all(&mut decoder);
--- a/tests/edge/fault.rs
+++ b/tests/edge/fault.rs
@@ -22,16 +22,16 @@
     (target, caller, connection)
 }
 
-/// The outcome of a search of half the key space when all replies are wrong in
-/// the given way.
-async fn wrong_outcome(wrong: Defect) -> Outcome {
+/// The outcome of a search of half the key space when all replies have
+/// `defect`.
+async fn outcome_with(defect: Defect) -> Outcome {
     let (target, mut caller, connection) = setup().await;
-    target.corrupt_replies(wrong).await;
+    target.corrupt_replies(defect).await;
     caller.outcome(connection, search_at(1, shard_range(0, 2), "")).await
 }
 
 async fn cut() {
-    let outcome = wrong_outcome(Defect::Cut).await;
+    let outcome = outcome_with(Defect::Cut).await;
     assert!(matches!(outcome, Outcome::Garbled { .. }), "{outcome:?}");
 }
 
@@ -49,7 +49,7 @@
 }
 
 async fn doubled() {
-    let Outcome::Rows { rows, count, digest, .. } = wrong_outcome(Defect::Doubled).await else {
+    let Outcome::Rows { rows, count, digest, .. } = outcome_with(Defect::Doubled).await else {
         panic!("no rows");
     };
     assert!(rows.chunks(2).all(|pair| pair[0] == pair[1]));
@@ -57,21 +57,21 @@
 }
 
 async fn outside() {
-    let Outcome::Rows { rows, range, .. } = wrong_outcome(Defect::Outside).await else {
+    let Outcome::Rows { rows, range, .. } = outcome_with(Defect::Outside).await else {
         panic!("no rows");
     };
     assert_eq!(rows.iter().filter(|row| !range.contains(row.key)).count(), 1);
 }
 
 async fn version() {
-    let Outcome::Rows { version, .. } = wrong_outcome(Defect::Version).await else {
+    let Outcome::Rows { version, .. } = outcome_with(Defect::Version).await else {
         panic!("no rows");
     };
     assert_eq!(version, Version(2));
 }
 
 async fn wrong_digest() {
-    let Outcome::Rows { rows, digest, .. } = wrong_outcome(Defect::Digest).await else {
+    let Outcome::Rows { rows, digest, .. } = outcome_with(Defect::Digest).await else {
         panic!("no rows");
     };
     assert_ne!(digest, digest::rows(&rows));
--- a/tests/edge/harness.rs
+++ b/tests/edge/harness.rs
@@ -77,9 +77,9 @@
         assert!(response.status().is_success(), "{}", response.text().await.unwrap_or_default());
     }
 
-    /// Makes every reply wrong in the given way.
-    pub async fn corrupt_replies(&self, wrong: Defect) {
-        let hits = vec![Hit { wrong, mark: String::new(), times: None }];
+    /// Makes every reply have `defect`.
+    pub async fn corrupt_replies(&self, defect: Defect) {
+        let hits = vec![Hit { wrong: defect, mark: String::new(), times: None }];
         self.put_faults(&Faults { hits, ..Faults::default() }).await;
     }
 
--- a/tests/edge/limit.rs
+++ b/tests/edge/limit.rs
@@ -113,14 +113,14 @@
     assert_eq!(executions.subjects.get(&5), Some(&2));
 }
 
-fn assert_parts_cover_all(parts: u32) {
+fn assert_shards_cover_all(shards: u32) {
     let mut next = 0;
-    for number in 0..parts {
-        let range = shard_range(number, parts);
+    for number in 0..shards {
+        let range = shard_range(number, shards);
         assert_eq!(range.first(), next);
         next = range.last().wrapping_add(1);
     }
-    assert_eq!(next, 0, "the last part ends at the end of the key space");
+    assert_eq!(next, 0, "the last shard ends at the end of the key space");
 }
 
 /// The key that the error of the changed settings names, if they are invalid.
@@ -139,7 +139,7 @@
     the_reported_load_lags => lagging_load();
     each_execution_is_counted => executions();
     parts_are_disjoint_and_cover_all_keys => async {
-        [1, 2, 3, 7, 64, 1000].into_iter().for_each(assert_parts_cover_all);
+        [1, 2, 3, 7, 64, 1000].into_iter().for_each(assert_shards_cover_all);
     };
     a_wrong_setting_is_named => async {
         assert_eq!(invalid_key(|raw| raw.slots = 0), Some("slots"));
--- a/tests/edge/wire.rs
+++ b/tests/edge/wire.rs
@@ -27,7 +27,7 @@
 /// The time within which an expected frame, loss or end must come.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A message of about this many bytes.
+/// A message of about `length` bytes.
 fn large_message(length: usize) -> Message {
     Message::Replies(vec![Reply {
         leg: Leg { origin: Origin(1), sequence: 1 },
@@ -79,9 +79,9 @@
 
     fn start_on(listener: std::net::TcpListener, limits: Limits, capacity: usize) -> Inbound {
         let address = listener.local_addr().expect("the listener is bound");
-        let guard = Admission { own: lane("b"), keys: vec![key().digest()], limits };
+        let admission = Admission { own: lane("b"), keys: vec![key().digest()], limits };
         let (sink, frames) = mpsc::channel(capacity);
-        Inbound { address, frames, task: tokio::spawn(listen(listener, guard, sink)) }
+        Inbound { address, frames, task: tokio::spawn(listen(listener, admission, sink)) }
     }
 
     async fn next(&mut self) -> Frame {
--- a/tests/load/arrival.rs
+++ b/tests/load/arrival.rs
@@ -33,8 +33,8 @@
     let arrivals = draw("burst", 1, 0);
     let during = first_service(&arrivals).filter(|a| (start..end).contains(&a.at)).count() as f64;
     let all = first_service(&arrivals).count() as f64;
-    let (span, whole) = ((end - start).as_secs_f64(), RUN_DURATION.as_secs_f64());
-    let ratio = (during / span) / ((all - during) / (whole - span));
+    let (burst_seconds, run_seconds) = ((end - start).as_secs_f64(), RUN_DURATION.as_secs_f64());
+    let ratio = (during / burst_seconds) / ((all - during) / (run_seconds - burst_seconds));
     assert!((2.7..3.3).contains(&ratio), "{ratio}");
 }
 
--- a/tests/product/harness.rs
+++ b/tests/product/harness.rs
@@ -52,8 +52,8 @@
     /// The complete lines of a log in JSON.
     pub fn lines(&self) -> Vec<Value> {
         let text = self.text();
-        let whole = &text[..text.rfind('\n').map_or(0, |end| end + 1)];
-        whole.lines().map(|line| serde_json::from_str(line).unwrap()).collect()
+        let complete = &text[..text.rfind('\n').map_or(0, |end| end + 1)];
+        complete.lines().map(|line| serde_json::from_str(line).unwrap()).collect()
     }
 }
 
@@ -102,10 +102,10 @@
         runtime: tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap(),
         caller: Caller::new().unwrap(),
     };
-    let places: Vec<Endpoints> =
+    let all_endpoints: Vec<Endpoints> =
         (1..=vms).map(|number| local::endpoints::allocate(number).unwrap()).collect();
-    places.iter().for_each(|place| harness.list_vm(place));
-    places.into_iter().for_each(|place| harness.start_vm(place));
+    all_endpoints.iter().for_each(|endpoints| harness.list_vm(endpoints));
+    all_endpoints.into_iter().for_each(|endpoints| harness.start_vm(endpoints));
     assert!(
         harness.runtime.block_on(harness.deployment.ready(START_LIMIT)),
         "the VMs are not ready"
@@ -136,22 +136,22 @@
 
 impl Harness {
     /// Adds a VM to the platform's list.
-    fn list_vm(&self, place: &Endpoints) {
-        let path = format!("/v1/list/vms/{}", place.name);
-        let row = serde_json::to_value(place.list_entry()).unwrap();
+    fn list_vm(&self, endpoints: &Endpoints) {
+        let path = format!("/v1/list/vms/{}", endpoints.name);
+        let row = serde_json::to_value(endpoints.list_entry()).unwrap();
         let sent = self.caller.send(Method::PUT, self.deployment.platform, &path, &[], &row);
         assert!(self.runtime.block_on(sent).unwrap().status.is_success());
     }
 
     /// Starts a VM that logs all levels and adds its log to `logs`.
-    fn start_vm(&mut self, place: Endpoints) {
-        let settings = place.settings(self.deployment.platform);
+    fn start_vm(&mut self, endpoints: Endpoints) {
+        let settings = endpoints.settings(self.deployment.platform);
         let text = format!("{settings}\n[log]\nlevel = \"debug\"\n");
         let source = Source { file: Path::new("vm.toml"), text: &text };
         let log = Buffer::default();
         let settings = Settings::try_from(source).unwrap();
         let vm = vm::start(settings, Box::new(log.clone())).unwrap();
-        self.deployment.vms.push((place, vm));
+        self.deployment.vms.push((endpoints, vm));
         self.logs.push(log);
     }
 
@@ -197,7 +197,7 @@
 
     /// Runs an operator's command that must succeed and returns what it prints.
     #[track_caller]
-    pub fn shown(&self, words: &[&str]) -> String {
+    pub fn operator_output(&self, words: &[&str]) -> String {
         let output = self.run_operator(words);
         assert_exit(&output, Exit::Done);
         stdout(&output)
@@ -206,8 +206,8 @@
     /// Runs an operator's command with `--json`, which must succeed, and returns
     /// the document that it prints.
     #[track_caller]
-    pub fn json(&self, words: &[&str]) -> Value {
-        let text = self.shown(&[words, &["--json"]].concat());
+    pub fn operator_json(&self, words: &[&str]) -> Value {
+        let text = self.operator_output(&[words, &["--json"]].concat());
         serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {text}"))
     }
 
@@ -215,7 +215,7 @@
     #[track_caller]
     pub fn publish(&self, text: &str) -> String {
         let file = self.file("profiles.toml", text);
-        self.shown(&["profile", "publish", file.to_str().unwrap()])
+        self.operator_output(&["profile", "publish", file.to_str().unwrap()])
     }
 
     /// Sets the faults of the platform's stand-in.
--- a/tests/product/log.rs
+++ b/tests/product/log.rs
@@ -105,27 +105,27 @@
         assert_eq!(found[2]["suppressed"], 2);
     };
     a_flood_of_one_event_leaves_others_alone => {
-        let mut rate = Limiter::new(1);
-        while rate.admit(Event::ConnectionLost, at(0)).is_some() {}
-        assert_eq!(rate.admit(Event::TargetDraining, at(0)), Some(0));
+        let mut limiter = Limiter::new(1);
+        while limiter.admit(Event::ConnectionLost, at(0)).is_some() {}
+        assert_eq!(limiter.admit(Event::TargetDraining, at(0)), Some(0));
     };
     the_end_of_a_flood_is_reported_once => {
-        let mut rate = Limiter::new(1);
-        while rate.admit(Event::ConnectionLost, at(0)).is_some() {}
-        assert!(rate.due(at(0)).is_empty());
-        assert_eq!(rate.due(at(1000)), [(Event::ConnectionLost, 1)]);
-        assert!(rate.due(at(5000)).is_empty());
+        let mut limiter = Limiter::new(1);
+        while limiter.admit(Event::ConnectionLost, at(0)).is_some() {}
+        assert!(limiter.due(at(0)).is_empty());
+        assert_eq!(limiter.due(at(1000)), [(Event::ConnectionLost, 1)]);
+        assert!(limiter.due(at(5000)).is_empty());
     };
     a_rate_does_not_save_up_without_end => {
-        let mut rate = Limiter::new(10);
-        rate.admit(Event::ConnectionLost, at(0));
+        let mut limiter = Limiter::new(10);
+        limiter.admit(Event::ConnectionLost, at(0));
         let later = Instant::default() + Duration::from_secs(3600);
-        let admitted = (0..100).filter(|_| rate.admit(Event::ConnectionLost, later).is_some());
+        let admitted = (0..100).filter(|_| limiter.admit(Event::ConnectionLost, later).is_some());
         assert_eq!(admitted.count(), 20);
     };
     a_clock_that_stands_still_admits_no_more => {
-        let mut rate = Limiter::new(10);
-        let admitted = (0..100).filter(|_| rate.admit(Event::ConnectionLost, at(7)).is_some());
+        let mut limiter = Limiter::new(10);
+        let admitted = (0..100).filter(|_| limiter.admit(Event::ConnectionLost, at(7)).is_some());
         assert_eq!(admitted.count(), 20);
     };
     lines_beyond_the_queue_are_counted_and_block_nobody => {
--- a/tests/product/operator.rs
+++ b/tests/product/operator.rs
@@ -58,29 +58,29 @@
     a_publication_is_shown_and_recorded => {
         let harness = start(1);
         assert!(harness.publish(PROFILES).starts_with("published: revision 1\n"));
-        let shown = harness.shown(&["profile", "show"]);
+        let shown = harness.operator_output(&["profile", "show"]);
         assert!(shown.starts_with("# revision 1, confirmed by"), "{shown}");
         assert_eq!(parsed(&shown), parsed(PROFILES));
-        let history = harness.shown(&["profile", "history"]);
+        let history = harness.operator_output(&["profile", "history"]);
         assert!(history.contains("revision 1 by local at 20"), "{history}");
         assert!(history.contains("no record before it is kept"), "{history}");
         harness.publish(&shorter_tail_profiles());
-        let history = harness.shown(&["profile", "history"]);
+        let history = harness.operator_output(&["profile", "history"]);
         assert!(history.contains("renewal.tail_ms: 300 -> 200"), "{history}");
     };
     a_dry_run_publishes_nothing => {
         let harness = start(1);
         let file = harness.file("p.toml", PROFILES);
-        let shown = harness.shown(&["profile", "publish", file.to_str().unwrap(), "--dry-run"]);
+        let shown = harness.operator_output(&["profile", "publish", file.to_str().unwrap(), "--dry-run"]);
         assert!(shown.starts_with("nothing was published; it would be revision 1"), "{shown}");
         assert!(shown.contains("renewal: added"), "{shown}");
-        assert_eq!(harness.json(&["profile", "show"])["revision"], 0);
+        assert_eq!(harness.operator_json(&["profile", "show"])["revision"], 0);
     };
     a_diff_names_the_fields => {
         let harness = start(1);
         harness.publish(PROFILES);
         let file = harness.file("faster.toml", &shorter_tail_profiles());
-        let shown = harness.shown(&["profile", "diff", file.to_str().unwrap()]);
+        let shown = harness.operator_output(&["profile", "diff", file.to_str().unwrap()]);
         assert_eq!(shown, "compared with revision 1:\n  renewal.tail_ms: 300 -> 200\n");
     };
     the_loser_of_a_race_is_told_who_won_and_what_to_do => {
@@ -99,9 +99,9 @@
         let harness = start(1);
         harness.publish(PROFILES);
         harness.publish(&shorter_tail_profiles());
-        let shown = harness.shown(&["profile", "rollback", "--to", "1", "--expect", "2"]);
+        let shown = harness.operator_output(&["profile", "rollback", "--to", "1", "--expect", "2"]);
         assert!(shown.starts_with("published: revision 3\n"), "{shown}");
-        assert_eq!(parsed(&harness.shown(&["profile", "show"])), parsed(PROFILES));
+        assert_eq!(parsed(&harness.operator_output(&["profile", "show"])), parsed(PROFILES));
     };
     an_unsettled_publication_is_settled_by_its_token => {
         let harness = start(1);
@@ -112,7 +112,7 @@
         assert!(shown.contains("revision_unsettled"), "{shown}");
         let token = shown.split("profile settle ").nth(1).unwrap().trim().to_owned();
         harness.set_platform_faults(&json!({}));
-        let settled = harness.shown(&["profile", "settle", &token]);
+        let settled = harness.operator_output(&["profile", "settle", &token]);
         assert!(settled.starts_with("published: revision 2"), "{settled}");
     };
     a_token_of_no_publication_is_a_usage_error => {
@@ -127,36 +127,36 @@
         harness.publish(PROFILES);
         harness.wait_for_profile("renewal");
         let is_reported = (0..100).any(|_| {
-            let status = harness.json(&["profile", "status"]);
+            let status = harness.operator_json(&["profile", "status"]);
             let is_everywhere = status["in_force"] == 2;
             if !is_everywhere {
                 thread::sleep(Duration::from_millis(100));
             }
             is_everywhere
         });
-        assert!(is_reported, "{}", harness.shown(&["profile", "status"]));
-        let shown = harness.shown(&["profile", "status"]);
+        assert!(is_reported, "{}", harness.operator_output(&["profile", "status"]));
+        let shown = harness.operator_output(&["profile", "status"]);
         assert!(shown.starts_with("revision 1 is in force on 2 of 2 VMs; silent: none"), "{shown}");
     };
     the_lists_say_state_time_and_source => {
         let harness = start(2);
-        let vms = harness.shown(&["vm", "list"]);
+        let vms = harness.operator_output(&["vm", "list"]);
         assert!(vms.starts_with("vm "), "{vms}");
         assert_eq!(vms.lines().filter(|line| line.contains("live")).count(), 2, "{vms}");
-        let targets = harness.json(&["target", "list"]);
+        let targets = harness.operator_json(&["target", "list"]);
         assert_eq!(targets["targets"].as_array().unwrap().len(), 4);
         assert_eq!(targets["targets"][0]["source"], "list");
-        let shown = harness.shown(&["target", "list"]);
+        let shown = harness.operator_output(&["target", "list"]);
         assert!(shown.contains("ago"), "{shown}");
         let since = |list: &Value| list["targets"][0]["since_ms"].as_u64().unwrap();
         thread::sleep(Duration::from_millis(20));
-        assert!(since(&harness.json(&["target", "list"])) >= since(&targets) + 20);
+        assert!(since(&harness.operator_json(&["target", "list"])) >= since(&targets) + 20);
     };
     a_draining_target_is_listed_with_who_said_so => {
         let harness = start(2);
         harness.set_target_faults(&json!({ "drain": true }));
         let has_source = |source: &str| (0..50).any(|_| {
-            let list = harness.json(&["target", "list"]);
+            let list = harness.operator_json(&["target", "list"]);
             let rows = list["targets"].as_array().unwrap();
             let found = rows.iter().all(|row| {
                 let row_source = row["source"].as_str().unwrap();
@@ -168,7 +168,7 @@
             }
             found && rows.iter().any(|row| row["source"].as_str().unwrap().starts_with(source))
         });
-        assert!(has_source("own") || has_source("peer"), "{}", harness.shown(&["target", "list"]));
+        assert!(has_source("own") || has_source("peer"), "{}", harness.operator_output(&["target", "list"]));
     };
     a_wrong_token_is_refused_and_not_shown => {
         let harness = start(1);
