Reword the last unclear comments of the stand-ins, settings and slopes

Cause: a few comments used figures of speech ("gone", "as good as closed", "time stands still"), and the start limit of a deployment had two names.

Change: comments; in tests/product/harness.rs START_LIMIT -> START_TIMEOUT, as in src/load and src/local.

--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -26,7 +26,8 @@
 /// The default of [`Callers::open_connections`].
 pub const DEFAULT_OPEN_CONNECTIONS: u32 = 8192;
 
-/// Limits on callers, so that a slow caller or a large request harms no other.
+/// Limits on callers, so that a slow caller or a large request harms no
+/// other caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Callers {
     /// The largest request body in bytes.
--- a/src/slope/fixture.rs
+++ b/src/slope/fixture.rs
@@ -185,8 +185,7 @@
 /// An interval longer than any measurement, so that it never elapses.
 const NEVER: Duration = Duration::from_secs(1_000_000);
 
-/// The time of the steps during which time stands still, so that no timer becomes
-/// due.
+/// The time of steps that do not advance the clock, so that no timer becomes due.
 pub const FIXED_NOW: Instant = Instant(1_000_000);
 
 /// Runs one step at [`FIXED_NOW`].
--- a/src/standin/target/engine.rs
+++ b/src/standin/target/engine.rs
@@ -185,6 +185,6 @@
 }
 
 fn send_reply<T>(reply: oneshot::Sender<T>, value: T) {
-    // The receiver may have gone away in the meantime.
+    // The receiver may have been dropped in the meantime.
     let _ = reply.send(value);
 }
--- a/src/standin/target/system.rs
+++ b/src/standin/target/system.rs
@@ -54,8 +54,8 @@
 
 /// Replaces all faults.
 ///
-/// Silenced connections no longer count towards the limit: for the target they are as
-/// good as closed.
+/// Silenced connections no longer count towards the limit, as if the target had closed
+/// them.
 pub fn set_faults(tables: &mut Tables, faults: Faults, out: &mut Outbox) {
     if faults.silence {
         out.silenced.extend(std::mem::take(&mut tables.connections));
--- a/tests/product/harness.rs
+++ b/tests/product/harness.rs
@@ -24,7 +24,7 @@
 use tokio::runtime::Runtime;
 
 /// The time within which a deployment must take requests.
-const START_LIMIT: Duration = Duration::from_secs(20);
+const START_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Profiles of the team whose token the deployment has.
 pub const PROFILES: &str = r#"
@@ -107,7 +107,7 @@
     all_endpoints.iter().for_each(|endpoints| harness.list_vm(endpoints));
     all_endpoints.into_iter().for_each(|endpoints| harness.start_vm(endpoints));
     assert!(
-        harness.runtime.block_on(harness.deployment.ready(START_LIMIT)),
+        harness.runtime.block_on(harness.deployment.ready(START_TIMEOUT)),
         "the VMs are not ready"
     );
     harness
