--- a/tests/edge/wire.rs
+++ b/tests/edge/wire.rs
@@ -27,7 +27,7 @@
 /// The time within which an expected frame, loss or end must come.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A message of about this many bytes.
+/// A message of about `length` bytes.
 fn large_message(length: usize) -> Message {
     Message::Replies(vec![Reply {
         leg: Leg { origin: Origin(1), sequence: 1 },
