Put the figurative names of test cases into plain words

Cause: some case names used figures of speech ("word of a peer", "hears", "held back", "is not denied", "spoilt") where the code speaks of announcements, quarantine and results that are reported as not run.

No case is added, removed or moved.

two_at_once_get_one_grant -> two_claims_of_a_key_at_once_get_one_grant what_ran_is_never_changed_to_what_did_not -> a_recorded_result_is_never_changed_to_not_run the_floor_stays_while_its_mover_hears_no_clock -> the_floor_stays_while_the_vm_that_raises_it_receives_no_clock another_request_under_the_same_key_is_told_apart -> another_request_under_the_same_key_is_reported_as_reuse a_resend_through_another_vm_gets_no_second_right -> a_resend_through_another_vm_gets_no_second_grant a_claim_while_the_platform_is_down_gets_no_right -> a_claim_while_the_platform_is_down_gets_no_grant the_own_word_of_a_target_is_in_force_at_once_and_everywhere_in_time -> the_announcement_of_a_target_is_in_force_at_once_and_everywhere_in_time the_word_of_a_peer_reaches_a_vm_that_hears_one_other_only -> the_announcement_of_a_peer_reaches_a_vm_that_receives_from_one_other_only a_list_that_lags_does_not_take_the_word_of_a_target_back -> a_list_that_lags_does_not_revoke_the_announcement_of_a_target the_word_of_the_same_or_an_earlier_incarnation_takes_nothing_back -> the_announcement_of_the_same_or_an_earlier_incarnation_revokes_nothing the_word_of_a_newer_incarnation_takes_it_back_everywhere -> the_announcement_of_a_newer_incarnation_revokes_it_everywhere the_word_of_a_newer_incarnation_overrules_a_list_that_lags -> the_announcement_of_a_newer_incarnation_overrides_a_list_that_lags the_word_of_the_listed_incarnation_does_not_overrule_the_list -> the_announcement_of_the_listed_incarnation_does_not_override_the_list a_newer_incarnation_than_the_first_heard_overrules_a_list_that_lags -> a_newer_incarnation_than_the_first_received_overrides_a_list_that_lags check_vm_that_hears_one_other_only -> check_vm_that_receives_from_one_other_only a_vm_that_hears_nothing_but_can_send_is_not_called_live_by_itself -> a_vm_that_receives_nothing_but_can_send_is_not_ready two_targets_lost_through_two_vms_hold_a_request_back_everywhere -> two_targets_lost_through_two_vms_quarantine_a_request_everywhere two_targets_lost_at_the_same_time_hold_a_request_back_everywhere -> two_targets_lost_at_the_same_time_quarantine_a_request_everywhere one_target_lost_twice_holds_nothing_back -> one_target_lost_twice_quarantines_nothing a_condemned_request_is_held_back_everywhere -> a_reported_quarantine_is_in_force_everywhere a_request_is_let_go_when_its_time_is_up -> a_quarantine_ends_when_its_duration_is_over a_first_loss_is_forgotten_when_its_time_is_up -> a_first_loss_is_dropped_when_its_duration_is_over a_vm_enters_itself_once -> a_vm_registers_itself_once a_large_vm_enters_itself_before_a_small_one_looks_again -> a_large_vm_registers_itself_before_a_small_one nothing_is_asked_while_nothing_changes -> no_call_is_made_while_nothing_changes what_is_known_stays_in_use_while_the_store_is_away -> what_was_read_stays_in_use_while_the_store_is_unreachable a_store_that_is_away_is_asked_about_once_a_second -> an_unreachable_store_is_called_about_once_a_second a_change_is_told_to_a_few_others -> a_change_is_announced_to_a_few_others what_is_heard_is_told_on_by_a_vm_that_cannot_read_it -> an_announcement_is_passed_on_by_a_vm_that_cannot_read_it a_watch_that_is_never_answered_is_found_out -> a_watch_that_is_never_answered_is_detected another_target_at_an_address_is_found_out_once -> another_target_at_an_address_is_detected_once the_target_that_is_meant_is_named -> a_request_to_a_target_names_that_target a_target_that_lost_a_connection_is_left_alone_for_a_moment -> a_target_that_lost_a_connection_is_avoided_for_a_time a_small_vm_hands_its_requests_on -> a_small_vm_forwards_its_requests a_vm_that_is_lost_ends_its_requests_and_is_left_alone -> a_vm_that_is_lost_ends_its_requests_and_is_avoided a_large_vm_answers_sooner_by_the_way_back -> a_large_vm_answers_sooner_by_the_delay_to_the_small_one a_refusal_by_old_routes_is_asked_again_elsewhere -> a_request_refused_by_old_routes_is_retried_at_another_vm a_large_vm_tells_that_it_lost_the_store -> a_large_vm_reports_whether_its_routes_are_current a_caller_that_leaves_a_small_vm_leaves_the_large_one -> a_caller_that_leaves_a_small_vm_cancels_at_the_large_one a_request_that_crashed_two_targets_is_held_back -> a_request_that_crashed_two_targets_is_quarantined other_requests_are_served_beside_one_that_is_held_back -> other_requests_are_served_beside_a_quarantined_one a_request_is_let_go_after_its_time_and_held_back_at_the_next_loss -> a_request_is_released_after_its_quarantine_and_quarantined_at_the_next_loss targets_that_go_down_together_prove_nothing -> targets_that_go_down_together_quarantine_nothing an_operation_that_crashes_targets_is_held_back -> an_operation_that_crashes_targets_is_quarantined a_request_that_another_vm_holds_back_is_held_back_here -> a_request_that_another_vm_quarantined_is_refused_here what_others_hold_back_is_known_and_goes_with_its_entry -> a_quarantine_by_another_vm_is_in_force_until_its_entry_is_removed a_home_that_just_started_knows_what_is_held_back -> a_home_that_just_started_knows_the_quarantine a_search_that_is_held_back_beside_legs_that_ran_ran -> a_quarantined_search_with_legs_that_ran_is_not_reported_as_not_run a_search_that_ran_at_a_lost_home_is_not_denied -> a_search_that_ran_at_a_lost_home_is_not_reported_as_not_run a_search_whose_replies_are_cut_is_not_denied -> a_search_whose_replies_are_cut_is_not_reported_as_not_run a_search_whose_replies_are_doubled_is_not_denied -> a_search_whose_replies_are_doubled_is_not_reported_as_not_run a_search_whose_replies_are_crossed_is_not_denied -> a_search_whose_replies_are_crossed_is_not_reported_as_not_run a_home_that_hears_nothing_is_replaced -> a_home_that_receives_nothing_is_replaced a_home_that_is_not_heard_is_replaced -> a_home_whose_messages_are_lost_is_replaced a_slow_receiver_holds_back_and_loses_nothing -> a_slow_receiver_delays_the_sender_and_loses_nothing noise_harms_no_other_connection -> bytes_of_another_protocol_affect_no_other_connection a_straggler_that_shows -> latency_with_a_straggler_beyond_the_limit a_baseline_that_refuses_most_is_no_match -> a_baseline_that_refuses_most_is_not_compared a_vm_that_leaves_says_so_once_and_stops -> a_vm_that_leaves_logs_it_once_and_stops a_flood_is_cut_and_counted -> lines_beyond_the_rate_are_suppressed_and_counted a_flood_of_one_event_leaves_others_alone -> the_limit_on_one_event_does_not_suppress_others the_end_of_a_flood_is_reported_once -> suppressed_lines_are_reported_once a_rate_does_not_save_up_without_end -> unused_rate_accumulates_to_two_seconds_at_most claims_are_counted_by_what_became_of_them -> claims_are_counted_by_reason a_part_in_a_million_tells_partial_from_whole -> a_part_in_a_million_separates_partial_from_whole the_status_counts_the_vms_and_names_the_silent -> the_status_counts_the_vms_and_names_those_that_are_silent a_draining_target_is_listed_with_who_said_so -> a_draining_target_is_listed_with_its_source all_errors_of_a_file_come_at_once -> all_errors_of_a_file_are_reported_at_once a_key_and_a_key_file_are_one_too_many -> a_key_beside_a_key_file_is_refused all_faults_of_a_profile_come_at_once -> all_faults_of_a_profile_are_reported_at_once answers_are_spoilt -> answers_are_corrupted the_list_of_vms_says_who_said_so -> the_list_of_vms_has_a_row_for_each_vm the_list_alone_is_enough -> a_target_that_only_the_list_calls_leaving_is_leaving_everywhere a_vm_that_was_cut_off_learns_of_it_when_it_is_back -> a_vm_that_was_cut_off_learns_of_a_drain_when_it_is_back a_dripping_head -> a_head_sent_byte_by_byte a_dripping_body -> a_body_sent_byte_by_byte a_dripping_chunked_body -> a_chunked_body_sent_byte_by_byte dripping_head -> head_sent_byte_by_byte no_operator_is_told_a_wrong_thing_and_no_revision_goes_down_seed_1 -> no_operator_gets_a_wrong_answer_and_no_revision_goes_down_seed_1 no_operator_is_told_a_wrong_thing_and_no_revision_goes_down_seed_2 -> no_operator_gets_a_wrong_answer_and_no_revision_goes_down_seed_2 no_operator_is_told_a_wrong_thing_and_no_revision_goes_down_seed_3 -> no_operator_gets_a_wrong_answer_and_no_revision_goes_down_seed_3 a_service_that_lost_a_revision_does_not_take_it_back -> a_revision_that_the_service_lost_stays_in_force a_service_that_shows_an_earlier_revision_does_not_take_a_later_one_back -> an_earlier_revision_at_the_service_replaces_no_later_one a_publication_that_never_arrived_is_ruled_out_before_it_is_called_lost -> a_publication_that_never_arrived_is_prevented_before_it_is_reported_as_not_published the_operating_page_does_what_it_says -> the_steps_of_the_operating_page_run noise -> other_protocol

Not run: the soak.

--- a/crates/core/tests/claims/rule.rs
+++ b/crates/core/tests/claims/rule.rs
@@ -107,7 +107,7 @@
         assert_eq!(operate(&mut world, 0, key, Plan::Silent { delay: 100 }), Verdict::Granted);
         assert_eq!(operate(&mut world, 1, key, plan()), Verdict::Unknown);
     };
-    two_at_once_get_one_grant => {
+    two_claims_of_a_key_at_once_get_one_grant => {
         let mut world = world();
         let key = world.key();
         let one = world.submit(0, key, OPERATION_TIMEOUT, Plan::Silent { delay: 100 });
@@ -135,7 +135,7 @@
         world.run(Duration::from_secs(2));
         assert_eq!(operate(&mut world, 1, key, plan()), Verdict::Granted);
     };
-    what_ran_is_never_changed_to_what_did_not => {
+    a_recorded_result_is_never_changed_to_not_run => {
         let mut world = world();
         let key = world.key();
         let first = world.submit(0, key, OPERATION_TIMEOUT, plan());
@@ -201,7 +201,7 @@
         let left: Vec<&String> = world.store.values.keys().collect();
         assert_eq!(left, [FLOOR_KEY]);
     };
-    the_floor_stays_while_its_mover_hears_no_clock => {
+    the_floor_stays_while_the_vm_that_raises_it_receives_no_clock => {
         let mut world = world();
         let mover = world.first_ranked(floor_seed());
         world.machines[mover].skew_secs = 3600;
@@ -224,7 +224,7 @@
         assert_eq!(operate(&mut world, 0, first, Plan::Silent { delay: 1 }), Verdict::Granted);
         assert_eq!(operate(&mut world, 0, second, plan()), Verdict::Full);
     };
-    another_request_under_the_same_key_is_told_apart => {
+    another_request_under_the_same_key_is_reported_as_reuse => {
         let mut world = world();
         let key = world.key();
         assert_eq!(operate(&mut world, 0, key, plan()), Verdict::Granted);
--- a/crates/core/tests/control/claims.rs
+++ b/crates/core/tests/control/claims.rs
@@ -54,13 +54,13 @@
             assert_eq!(claim(&mut world, &vm(at), 1, key), Some(Verdict::Granted));
         }
     };
-    a_resend_through_another_vm_gets_no_second_right => {
+    a_resend_through_another_vm_gets_no_second_grant => {
         let mut world = settled(2);
         let key = key(&world);
         assert_eq!(claim(&mut world, &vm(0), 1, key), Some(Verdict::Granted));
         assert_eq!(claim(&mut world, &vm(3), 2, key), Some(Verdict::Unknown));
     };
-    a_claim_while_the_platform_is_down_gets_no_right => {
+    a_claim_while_the_platform_is_down_gets_no_grant => {
         let mut world = settled(3);
         let key = key(&world);
         world.platform.mode = Mode::Down;
--- a/crates/core/tests/control/drain.rs
+++ b/crates/core/tests/control/drain.rs
@@ -37,7 +37,7 @@
     world.platform.targets.get_mut(&name("r1")).unwrap().state = state;
 }
 
-fn check_vm_that_hears_one_other_only(seed: u64) {
+fn check_vm_that_receives_from_one_other_only(seed: u64) {
     let mut world = settled(seed);
     for other in (0..19).filter(|&other| other != 7 && other != 8) {
         world.network.cut(&vm(other), &vm(7));
@@ -49,27 +49,27 @@
 }
 
 cases! {
-    the_own_word_of_a_target_is_in_force_at_once_and_everywhere_in_time => {
+    the_announcement_of_a_target_is_in_force_at_once_and_everywhere_in_time => {
         let mut world = settled(1);
         world.report(&vm(3), draining(5));
         assert!(leaving(world.view(&vm(3))));
         assert!(world.run_until(DRAIN_LIMIT, |world| world.all(leaving)).is_some());
     };
-    the_list_alone_is_enough => {
+    a_target_that_only_the_list_calls_leaving_is_leaving_everywhere => {
         let mut world = settled(2);
         set_listed_state(&mut world, State::Leaving);
         assert!(world.run_until(DRAIN_LIMIT, |world| world.all(leaving)).is_some());
     };
-    the_word_of_a_peer_reaches_a_vm_that_hears_one_other_only => {
-        (100..110).for_each(check_vm_that_hears_one_other_only);
+    the_announcement_of_a_peer_reaches_a_vm_that_receives_from_one_other_only => {
+        (100..110).for_each(check_vm_that_receives_from_one_other_only);
     };
-    a_list_that_lags_does_not_take_the_word_of_a_target_back => {
+    a_list_that_lags_does_not_revoke_the_announcement_of_a_target => {
         let mut world = settled(4);
         world.report(&vm(3), draining(5));
         world.run_for(Duration::from_secs(30));
         assert!(world.all(leaving));
     };
-    the_word_of_the_same_or_an_earlier_incarnation_takes_nothing_back => {
+    the_announcement_of_the_same_or_an_earlier_incarnation_revokes_nothing => {
         let mut world = settled(5);
         world.report(&vm(3), draining(5));
         world.run_for(DRAIN_LIMIT);
@@ -78,14 +78,14 @@
         world.run_for(DRAIN_LIMIT);
         assert!(world.all(leaving));
     };
-    the_word_of_a_newer_incarnation_takes_it_back_everywhere => {
+    the_announcement_of_a_newer_incarnation_revokes_it_everywhere => {
         let mut world = settled(6);
         world.report(&vm(3), draining(5));
         world.run_for(DRAIN_LIMIT);
         world.report(&vm(4), serving(6));
         assert!(world.run_until(DRAIN_LIMIT, |world| world.all(|view| !leaving(view))).is_some());
     };
-    the_word_of_a_newer_incarnation_overrules_a_list_that_lags => {
+    the_announcement_of_a_newer_incarnation_overrides_a_list_that_lags => {
         let mut world = settled(7);
         world.report(&vm(3), serving(5));
         set_listed_state(&mut world, State::Leaving);
@@ -94,14 +94,14 @@
         world.report(&vm(3), serving(6));
         assert!(!leaving(world.view(&vm(3))));
     };
-    the_word_of_the_listed_incarnation_does_not_overrule_the_list => {
+    the_announcement_of_the_listed_incarnation_does_not_override_the_list => {
         let mut world = settled(8);
         set_listed_state(&mut world, State::Leaving);
         world.run_for(DRAIN_LIMIT);
         world.report(&vm(3), serving(5));
         assert!(leaving(world.view(&vm(3))));
     };
-    a_newer_incarnation_than_the_first_heard_overrules_a_list_that_lags => {
+    a_newer_incarnation_than_the_first_received_overrides_a_list_that_lags => {
         let mut world = settled(10);
         set_listed_state(&mut world, State::Leaving);
         world.run_for(DRAIN_LIMIT);
@@ -109,7 +109,7 @@
         world.report(&vm(3), serving(6));
         assert!(!leaving(world.view(&vm(3))));
     };
-    a_vm_that_was_cut_off_learns_of_it_when_it_is_back => {
+    a_vm_that_was_cut_off_learns_of_a_drain_when_it_is_back => {
         let mut world = settled(9);
         world.isolate(&vm(7));
         world.report(&vm(3), draining(5));
--- a/crates/core/tests/control/fuzz.rs
+++ b/crates/core/tests/control/fuzz.rs
@@ -210,9 +210,9 @@
 }
 
 cases! {
-    no_operator_is_told_a_wrong_thing_and_no_revision_goes_down_seed_1 => fuzz([1; 32], 60);
-    no_operator_is_told_a_wrong_thing_and_no_revision_goes_down_seed_2 => fuzz([2; 32], 60);
-    no_operator_is_told_a_wrong_thing_and_no_revision_goes_down_seed_3 => fuzz([3; 32], 60);
+    no_operator_gets_a_wrong_answer_and_no_revision_goes_down_seed_1 => fuzz([1; 32], 60);
+    no_operator_gets_a_wrong_answer_and_no_revision_goes_down_seed_2 => fuzz([2; 32], 60);
+    no_operator_gets_a_wrong_answer_and_no_revision_goes_down_seed_3 => fuzz([3; 32], 60);
     longer_on_new_seeds_when_asked_for => {
         let runs = env::var(RUNS_VARIABLE).ok().and_then(|runs| runs.parse().ok()).unwrap_or(0u32);
         if runs > 0 {
--- a/crates/core/tests/control/membership.rs
+++ b/crates/core/tests/control/membership.rs
@@ -158,7 +158,7 @@
         world.network.heal();
         assert!(world.run_until(Duration::from_secs(20), World::settled).is_some());
     };
-    a_vm_that_hears_nothing_but_can_send_is_not_called_live_by_itself => {
+    a_vm_that_receives_nothing_but_can_send_is_not_ready => {
         let mut world = settled(5, 15);
         for other in [0, 1, 2, 4] {
             world.network.cut(&vm(other), &vm(3));
@@ -167,7 +167,7 @@
         world.run_for(Duration::from_secs(30));
         assert!(!world.view(&vm(3)).ready);
     };
-    the_list_of_vms_says_who_said_so => {
+    the_list_of_vms_has_a_row_for_each_vm => {
         let mut world = settled(5, 16);
         let id = world.submit(&vm(0), Request::Vms);
         let laburnum_core::control::Answer::Vms(rows) = world.answer(id) else { panic!() };
--- a/crates/core/tests/control/publication.rs
+++ b/crates/core/tests/control/publication.rs
@@ -179,7 +179,7 @@
         assert!(world.nodes[&vm(3)].engine.tables().targets.list_age.is_some());
         assert!(!world.view(&vm(3)).ready);
     };
-    a_publication_that_never_arrived_is_ruled_out_before_it_is_called_lost => {
+    a_publication_that_never_arrived_is_prevented_before_it_is_reported_as_not_published => {
         let mut world = settled(5, 10);
         publish(&mut world, &vm(0), 7);
         let id = world.publish(&vm(1), 8, None);
@@ -258,7 +258,7 @@
             world.run_until(Duration::from_secs(10), |world| world.revision(&vm(6)) == revision);
         assert!(took.is_some());
     };
-    a_service_that_lost_a_revision_does_not_take_it_back => {
+    a_revision_that_the_service_lost_stays_in_force => {
         let mut world = settled(5, 16);
         publish(&mut world, &vm(0), 7);
         let revision = publish(&mut world, &vm(0), 8);
@@ -268,7 +268,7 @@
         assert!(world.all(|view| view.document.revision == revision));
         assert_eq!(publish(&mut world, &vm(1), 9), Revision(3));
     };
-    a_service_that_shows_an_earlier_revision_does_not_take_a_later_one_back => {
+    an_earlier_revision_at_the_service_replaces_no_later_one => {
         let mut world = settled(5, 24);
         publish(&mut world, &vm(0), 7);
         let earlier = world.platform.values[codec::CURRENT_KEY].value.clone();
--- a/crates/core/tests/control/quarantine.rs
+++ b/crates/core/tests/control/quarantine.rs
@@ -36,20 +36,20 @@
 }
 
 cases! {
-    two_targets_lost_through_two_vms_hold_a_request_back_everywhere => {
+    two_targets_lost_through_two_vms_quarantine_a_request_everywhere => {
         let mut world = settled(1);
         world.report(&vm(3), target_lost("r1"));
         world.run_for(SHARE_LIMIT);
         world.report(&vm(9), target_lost("r2"));
         assert!(world.run_until(SHARE_LIMIT, is_quarantined).is_some());
     };
-    two_targets_lost_at_the_same_time_hold_a_request_back_everywhere => {
+    two_targets_lost_at_the_same_time_quarantine_a_request_everywhere => {
         let mut world = settled(2);
         world.report(&vm(3), target_lost("r1"));
         world.report(&vm(9), target_lost("r2"));
         assert!(world.run_until(SHARE_LIMIT, is_quarantined).is_some());
     };
-    one_target_lost_twice_holds_nothing_back => {
+    one_target_lost_twice_quarantines_nothing => {
         let mut world = settled(3);
         world.report(&vm(3), target_lost("r1"));
         world.run_for(SHARE_LIMIT);
@@ -57,12 +57,12 @@
         world.run_for(SHARE_LIMIT);
         assert!(is_empty(&world));
     };
-    a_condemned_request_is_held_back_everywhere => {
+    a_reported_quarantine_is_in_force_everywhere => {
         let mut world = settled(4);
         world.report(&vm(3), Report::Quarantined { fingerprint: CRASHING, origin: Origin(1) });
         assert!(world.run_until(SHARE_LIMIT, is_quarantined).is_some());
     };
-    a_request_is_let_go_when_its_time_is_up => {
+    a_quarantine_ends_when_its_duration_is_over => {
         let mut world = settled(5);
         let limit = world.limits.quarantine_duration;
         world.report(&vm(3), Report::Quarantined { fingerprint: CRASHING, origin: Origin(1) });
@@ -72,7 +72,7 @@
         world.run_for(Duration::from_secs(30));
         assert!(is_empty(&world));
     };
-    a_first_loss_is_forgotten_when_its_time_is_up => {
+    a_first_loss_is_dropped_when_its_duration_is_over => {
         let mut world = settled(6);
         world.report(&vm(3), target_lost("r1"));
         world.run_for(world.limits.suspect_duration + Duration::from_secs(5));
--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -40,7 +40,7 @@
         assert!(world.feed.is_ready());
         assert_eq!(world.view.sharing_vms(), 2);
     };
-    a_vm_enters_itself_once => {
+    a_vm_registers_itself_once => {
         let mut world = world_with_vms(170, &[("other", 170)]);
         world.pass(ms(4000));
         assert_eq!(world.view.sharing_vms(), 2);
@@ -72,7 +72,7 @@
         assert_eq!(world.view.larger.len(), 1);
         assert!(world.calls.iter().all(|(_, call)| matches!(call, Call::Peek { .. })));
     };
-    a_large_vm_enters_itself_before_a_small_one_looks_again => {
+    a_large_vm_registers_itself_before_a_small_one => {
         let entered = |share| {
             let mut world = world_with_vms(share, &[]);
             world.pass(ms(4000));
@@ -99,7 +99,7 @@
         world.pass(ms(2000));
         assert!(world.feed.is_ready());
     };
-    nothing_is_asked_while_nothing_changes => {
+    no_call_is_made_while_nothing_changes => {
         let mut world = synced_world();
         let before = world.calls.len();
         world.pass(ms(25_000));
@@ -152,7 +152,7 @@
         world.pass(ms(1000));
         assert!(!world.has_target("desk-1") && world.has_target("desk-2"));
     };
-    what_is_known_stays_in_use_while_the_store_is_away => {
+    what_was_read_stays_in_use_while_the_store_is_unreachable => {
         let mut world = synced_world();
         world.is_down = true;
         world.put("config", "4");
@@ -165,7 +165,7 @@
         assert_eq!(world.version(), Some(4));
         assert_eq!(world.logged(Event::StoreUp), 1);
     };
-    a_store_that_is_away_is_asked_about_once_a_second => {
+    an_unreachable_store_is_called_about_once_a_second => {
         let mut world = synced_world();
         world.pass(ms(30_000));
         world.is_down = true;
@@ -226,7 +226,7 @@
         }
         assert!(world.view.is_current);
     };
-    a_change_is_told_to_a_few_others => {
+    a_change_is_announced_to_a_few_others => {
         let mut world = world_with_vms(170, &[("own", 170), ("a", 170), ("b", 170), ("p", 170), ("q", 170), ("z", 170)]);
         world.pass(ms(1000));
         world.announced.clear();
@@ -237,7 +237,7 @@
         world.pass(ms(20_000));
         assert_eq!(world.announced.len(), 4, "announced once for each change");
     };
-    what_is_heard_is_told_on_by_a_vm_that_cannot_read_it => {
+    an_announcement_is_passed_on_by_a_vm_that_cannot_read_it => {
         let mut world = synced_world();
         (0..6).for_each(|n| world.put(&format!("vm/other-{n}"), "170"));
         world.pass(ms(1000));
@@ -252,7 +252,7 @@
         world.pass(ms(100));
         assert_eq!(world.announced.len(), 4, "announced once");
     };
-    a_watch_that_is_never_answered_is_found_out => {
+    a_watch_that_is_never_answered_is_detected => {
         let mut world = synced_world();
         world.is_silent = true;
         world.put("config", "4");
--- a/crates/core/tests/relay/hops.rs
+++ b/crates/core/tests/relay/hops.rs
@@ -61,7 +61,7 @@
 }
 
 cases! {
-    a_small_vm_hands_its_requests_on => {
+    a_small_vm_forwards_its_requests => {
         let mut harness = small(&[("large", "near")]);
         let call = harness.submit(request("/fetch/1"));
         let (to, asked, caller_request) = take_request(&mut harness);
@@ -75,7 +75,7 @@
         harness.submit(request("/fetch/1"));
         assert_eq!(take_request(&mut harness).0, "b");
     };
-    a_vm_that_is_lost_ends_its_requests_and_is_left_alone => {
+    a_vm_that_is_lost_ends_its_requests_and_is_avoided => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
         let call = harness.submit(request("/fetch/1"));
         take_request(&mut harness);
@@ -167,7 +167,7 @@
         let Answer::Refused(Refusal { fault: Fault { kind, .. }, .. }) = answer else { panic!() };
         assert_eq!(*kind, Kind::NotFound);
     };
-    a_large_vm_answers_sooner_by_the_way_back => {
+    a_large_vm_answers_sooner_by_the_delay_to_the_small_one => {
         let mut harness = Harness::with_route(search(&["s1", "s2"], 0.5));
         let mut handed = request("/search/1");
         handed.peer_delay = ms(30);
@@ -180,7 +180,7 @@
         }
         assert!(harness.now.since(since) <= ms(70));
     };
-    a_refusal_by_old_routes_is_asked_again_elsewhere => {
+    a_request_refused_by_old_routes_is_retried_at_another_vm => {
         let mut harness = small(&[("a", "near"), ("b", "far")]);
         let call = harness.submit(request("/fetch/1"));
         let (_, first, _) = take_request(&mut harness);
@@ -207,7 +207,7 @@
         harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: true } }]);
         assert!(!harness.engine.is_alone(harness.now));
     };
-    a_large_vm_tells_that_it_lost_the_store => {
+    a_large_vm_reports_whether_its_routes_are_current => {
         let mut harness = Harness::with_route(single("desk"));
         harness.tick(vec![request_of(5, request("/fetch/1"))]);
         let mut view = (*harness.engine.tables().view).clone();
@@ -217,7 +217,7 @@
         let hop = Hop::State { is_current };
         assert_eq!(harness.hops.last(), Some(&(name("small"), hop)));
     };
-    a_caller_that_leaves_a_small_vm_leaves_the_large_one => {
+    a_caller_that_leaves_a_small_vm_cancels_at_the_large_one => {
         let mut harness = small(&[("a", "near")]);
         let call = harness.submit(request("/fetch/1"));
         take_request(&mut harness);
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -64,7 +64,7 @@
 }
 
 cases! {
-    a_request_that_crashed_two_targets_is_held_back => {
+    a_request_that_crashed_two_targets_is_quarantined => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
         assert_eq!(crash(&mut harness, "/fetch/bad"), 2);
         assert_eq!(harness.quarantined, [fingerprint("/fetch/bad")]);
@@ -74,12 +74,12 @@
         let Answer::Refused(refusal) = &harness.answers[&call] else { panic!() };
         assert!(refusal.retry.is_some() && refusal.fault.ran == Ran::No);
     };
-    other_requests_are_served_beside_one_that_is_held_back => {
+    other_requests_are_served_beside_a_quarantined_one => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
         crash(&mut harness, "/fetch/bad");
         assert!(send(&mut harness, "/fetch/good").is_some());
     };
-    a_request_is_let_go_after_its_time_and_held_back_at_the_next_loss => {
+    a_request_is_released_after_its_quarantine_and_quarantined_at_the_next_loss => {
         let mut harness = Harness::with_view(four_targets(Route { attempts: 1, ..single("desk") }));
         crash(&mut harness, "/fetch/bad");
         assert!(harness.quarantined.is_empty(), "one loss is not enough for quarantine");
@@ -90,7 +90,7 @@
         harness.advance(ms(2_000));
         assert!(send(&mut harness, "/fetch/bad").is_some());
     };
-    targets_that_go_down_together_prove_nothing => {
+    targets_that_go_down_together_quarantine_nothing => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
         harness.submit(request("/fetch/1"));
         let first = harness.take_one_sent();
@@ -154,7 +154,7 @@
         crash(&mut harness, "/fetch/1");
         assert_eq!(harness.quarantined.len(), 1);
     };
-    an_operation_that_crashes_targets_is_held_back => {
+    an_operation_that_crashes_targets_is_quarantined => {
         let mut harness =
             Harness::with_view(four_targets(Route { idempotent: false, ..single("desk") }));
         assert_eq!(crash(&mut harness, "/fetch/bad"), 1);
@@ -167,7 +167,7 @@
         assert_eq!(harness.quarantined.len(), 1);
         assert!(send(&mut harness, "/search/bad").is_none());
     };
-    a_request_that_another_vm_holds_back_is_held_back_here => {
+    a_request_that_another_vm_quarantined_is_refused_here => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
         let mut view = four_targets(single("desk"));
         view.quarantined.insert(fingerprint("/fetch/bad"));
@@ -193,7 +193,7 @@
         world.pass(ms(3000));
         assert_eq!(world.reports.len(), 2);
     };
-    what_others_hold_back_is_known_and_goes_with_its_entry => {
+    a_quarantine_by_another_vm_is_in_force_until_its_entry_is_removed => {
         let mut world = running_feed();
         world.put("held/000000000000000a", "other");
         world.pass(ms(1000));
--- a/crates/core/tests/relay/targets.rs
+++ b/crates/core/tests/relay/targets.rs
@@ -60,7 +60,7 @@
         harness.set_view(view);
         assert!(send_in_turn(&mut harness, 20).iter().all(|id| id == "desk-2"));
     };
-    another_target_at_an_address_is_found_out_once => {
+    another_target_at_an_address_is_detected_once => {
         let mut harness = Harness::with_route(single("desk"));
         harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
@@ -71,7 +71,7 @@
         harness.advance(ms(20_000));
         assert!(send_in_turn(&mut harness, 20).iter().all(|id| id == again.target()), "it stays out of use");
     };
-    the_target_that_is_meant_is_named => {
+    a_request_to_a_target_names_that_target => {
         let mut harness = Harness::with_route(single("desk"));
         harness.submit(request("/fetch/1"));
         let sent = harness.take_one_sent();
@@ -111,7 +111,7 @@
         }
         assert!(failed < 40, "{failed}");
     };
-    a_target_that_lost_a_connection_is_left_alone_for_a_moment => {
+    a_target_that_lost_a_connection_is_avoided_for_a_time => {
         let mut harness = Harness::with_route(single("desk"));
         harness.submit(request("/fetch/1"));
         let lost = harness.take_one_sent();
--- a/crates/core/tests/rules/found.rs
+++ b/crates/core/tests/rules/found.rs
@@ -211,15 +211,15 @@
     a_straggler_at_a_new_home_costs_no_answer => straggler_at_a_new_home();
     a_target_that_crossed_a_reply_is_connected_again => crossed_target_is_connected_again();
     a_search_beside_a_home_that_just_started_is_whole => search_beside_a_new_home();
-    a_home_that_just_started_knows_what_is_held_back => restarted_home_knows_the_quarantine();
-    a_search_that_is_held_back_beside_legs_that_ran_ran => quarantined_with_legs_that_ran();
+    a_home_that_just_started_knows_the_quarantine => restarted_home_knows_the_quarantine();
+    a_quarantined_search_with_legs_that_ran_is_not_reported_as_not_run => quarantined_with_legs_that_ran();
     copies_of_a_poison_request_in_flight_stop_after_two_targets => copies_in_flight();
     a_new_home_knows_of_targets_that_others_lost => next_home_knows_the_loss();
     a_target_that_is_lost_twice_counts_twice => lost_twice_counts_twice();
-    a_search_that_ran_at_a_lost_home_is_not_denied => home_lost_with_the_reply();
-    a_search_whose_replies_are_cut_is_not_denied => invalid_replies_ran(Fault::Cut);
-    a_search_whose_replies_are_doubled_is_not_denied => invalid_replies_ran(Fault::Doubled);
-    a_search_whose_replies_are_crossed_is_not_denied => invalid_replies_ran(Fault::Crossed);
+    a_search_that_ran_at_a_lost_home_is_not_reported_as_not_run => home_lost_with_the_reply();
+    a_search_whose_replies_are_cut_is_not_reported_as_not_run => invalid_replies_ran(Fault::Cut);
+    a_search_whose_replies_are_doubled_is_not_reported_as_not_run => invalid_replies_ran(Fault::Doubled);
+    a_search_whose_replies_are_crossed_is_not_reported_as_not_run => invalid_replies_ran(Fault::Crossed);
     a_home_that_was_stopped_asks_before_it_sends => paused_home_asks_first();
     a_home_that_was_stopped_drops_legs_that_moved => slow_home_drops_the_leg();
 }
--- a/crates/core/tests/rules/search.rs
+++ b/crates/core/tests/rules/search.rs
@@ -401,8 +401,8 @@
     a_silent_connection_is_replaced => silent_connection_is_replaced();
     a_killed_home_is_replaced => home_killed_during_the_query();
     a_paused_home_is_replaced => home_paused_during_the_query();
-    a_home_that_hears_nothing_is_replaced => home_cut_off(true, false);
-    a_home_that_is_not_heard_is_replaced => home_cut_off(false, true);
+    a_home_that_receives_nothing_is_replaced => home_cut_off(true, false);
+    a_home_whose_messages_are_lost_is_replaced => home_cut_off(false, true);
     a_home_that_is_cut_off_is_replaced => home_cut_off(true, true);
     a_home_that_is_reported_lost_is_replaced_at_once => home_reported_lost();
     a_leaving_home_finishes_what_it_has => leaving_home_finishes_what_it_has();
--- a/tests/edge/wire.rs
+++ b/tests/edge/wire.rs
@@ -430,7 +430,7 @@
     outbound.assert_quiet().await;
 }
 
-async fn noise() {
+async fn other_protocol() {
     let (mut outbound, mut inbound) = pair(limits(), 4);
     let mut tcp = TcpStream::connect(inbound.address).await.expect("the listener accepts");
     tcp.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("the listener takes bytes");
@@ -465,11 +465,11 @@
     a_peer_is_dialled_only_to_send => dial_on_demand();
     a_full_queue_closes_the_connection => full_queue();
     a_peer_that_takes_nothing_is_disconnected_within_the_limit => peer_that_takes_nothing();
-    a_slow_receiver_holds_back_and_loses_nothing => slow_receiver();
+    a_slow_receiver_delays_the_sender_and_loses_nothing => slow_receiver();
     a_close_sends_what_is_queued => close();
     a_close_ends_the_connection_without_an_error => close_is_clean();
     a_close_takes_what_the_peer_still_sends => close_with_late_frames();
     a_lane_that_moves_gets_what_was_queued_at_its_old_address => moved_lane();
-    noise_harms_no_other_connection => noise();
+    bytes_of_another_protocol_affect_no_other_connection => other_protocol();
     a_connection_over_the_limit_is_refused => too_many_connections();
 }
--- a/tests/fronts/limit.rs
+++ b/tests/fronts/limit.rs
@@ -147,7 +147,7 @@
     front.assert_nothing_ran();
 }
 
-async fn dripping_head() {
+async fn head_sent_byte_by_byte() {
     let mut front = Front::start(|limits| limits.header_read_timeout = SHORT_LIMIT);
     let mut connection = Connection::open(front.address).await;
     let start = Instant::now();
@@ -333,11 +333,11 @@
     a_large_second_head => large_second_head().await;
     a_body_beyond_the_limit_of_heads => body_beyond_head_limit().await;
     a_slow_head => slow_head().await;
-    a_dripping_head => dripping_head().await;
+    a_head_sent_byte_by_byte => head_sent_byte_by_byte().await;
     a_slow_second_head => slow_second_head().await;
     a_stopped_body => slow_body(LENGTH_HEAD, "").await;
-    a_dripping_body => slow_body(LENGTH_HEAD, "x").await;
-    a_dripping_chunked_body => slow_body(CHUNKED_HEAD, "1\r\nx\r\n").await;
+    a_body_sent_byte_by_byte => slow_body(LENGTH_HEAD, "x").await;
+    a_chunked_body_sent_byte_by_byte => slow_body(CHUNKED_HEAD, "1\r\nx\r\n").await;
     a_slow_thread_is_no_slow_caller => slow_thread().await;
     an_idle_connection => idle_connections().await;
     too_many_connections => many_connections().await;
--- a/tests/load/check.rs
+++ b/tests/load/check.rs
@@ -79,7 +79,7 @@
             "extra load",
         );
     };
-    a_straggler_that_shows => {
+    latency_with_a_straggler_beyond_the_limit => {
         let slow = product_row("straggler", |row| row.summary.p99_ms = 201.0);
         assert_one_unmet(&[row("homes", "steady-60"), slow], "without straggler");
     };
@@ -100,7 +100,7 @@
     a_baseline_that_is_nearly_as_good => {
         assert_one_unmet(&[row("homes", "steady-85"), baseline_row(199.0, 85.0)], "best baseline");
     };
-    a_baseline_that_refuses_most_is_no_match => {
+    a_baseline_that_refuses_most_is_not_compared => {
         assert!(unmet_targets(&[row("homes", "steady-85"), baseline_row(10.0, 20.0)]).is_empty());
     };
 }
--- a/tests/product/event.rs
+++ b/tests/product/event.rs
@@ -89,7 +89,7 @@
                 .contains(&u64::from(Event::RevisionPublished.number()))
         );
     };
-    a_vm_that_leaves_says_so_once_and_stops => {
+    a_vm_that_leaves_logs_it_once_and_stops => {
         let mut harness = harness::start(2);
         let (_, vm) = harness.deployment.vms.remove(0);
         let left = harness.runtime.block_on(local::leave(vm)).unwrap();
--- a/tests/product/log.rs
+++ b/tests/product/log.rs
@@ -98,25 +98,25 @@
     a_level_that_is_not_wanted_is_not_written => {
         assert!(logged_json(&[(0, line(Event::ConnectionOpened))]).is_empty());
     };
-    a_flood_is_cut_and_counted => {
+    lines_beyond_the_rate_are_suppressed_and_counted => {
         let flood = |millis| (millis, line(Event::ConnectionLost));
         let found = logged_json(&[flood(0), flood(1), flood(2), flood(3), flood(2000)]);
         assert_eq!(found.len(), 3);
         assert_eq!(found[2]["suppressed"], 2);
     };
-    a_flood_of_one_event_leaves_others_alone => {
+    the_limit_on_one_event_does_not_suppress_others => {
         let mut limiter = Limiter::new(1);
         while limiter.admit(Event::ConnectionLost, at(0)).is_some() {}
         assert_eq!(limiter.admit(Event::TargetDraining, at(0)), Some(0));
     };
-    the_end_of_a_flood_is_reported_once => {
+    suppressed_lines_are_reported_once => {
         let mut limiter = Limiter::new(1);
         while limiter.admit(Event::ConnectionLost, at(0)).is_some() {}
         assert!(limiter.due(at(0)).is_empty());
         assert_eq!(limiter.due(at(1000)), [(Event::ConnectionLost, 1)]);
         assert!(limiter.due(at(5000)).is_empty());
     };
-    a_rate_does_not_save_up_without_end => {
+    unused_rate_accumulates_to_two_seconds_at_most => {
         let mut limiter = Limiter::new(10);
         limiter.admit(Event::ConnectionLost, at(0));
         let later = Instant::default() + Duration::from_secs(3600);
--- a/tests/product/metric.rs
+++ b/tests/product/metric.rs
@@ -206,7 +206,7 @@
         let series = "laburnum_replies_dropped_total{reason=\"late\"}";
         assert_eq!(value(&metrics, series), Some(2.0));
     };
-    claims_are_counted_by_what_became_of_them => {
+    claims_are_counted_by_reason => {
         let metrics = Metrics::new();
         metrics.add_claims(&BTreeMap::from([(claims::Count::Granted, 3)]));
         assert_eq!(value(&metrics, "laburnum_claims_total{reason=\"granted\"}"), Some(3.0));
@@ -221,7 +221,7 @@
         let series = "laburnum_answer_coverage_count{profile=\"renewal\"}";
         assert_eq!(value(&metrics, series), Some(1.0));
     };
-    a_part_in_a_million_tells_partial_from_whole => {
+    a_part_in_a_million_separates_partial_from_whole => {
         let metrics = Metrics::new();
         let mut counts = Counts::default();
         counts.sample(sample("partial"));
--- a/tests/product/operator.rs
+++ b/tests/product/operator.rs
@@ -122,7 +122,7 @@
         assert_exit(&output, Exit::Usage);
         assert!(stderr(&output).contains("\"4:x\""), "{}", stderr(&output));
     };
-    the_status_counts_the_vms_and_names_the_silent => {
+    the_status_counts_the_vms_and_names_those_that_are_silent => {
         let harness = start(2);
         harness.publish(PROFILES);
         harness.wait_for_profile("renewal");
@@ -152,7 +152,7 @@
         thread::sleep(Duration::from_millis(20));
         assert!(since(&harness.operator_json(&["target", "list"])) >= since(&targets) + 20);
     };
-    a_draining_target_is_listed_with_who_said_so => {
+    a_draining_target_is_listed_with_its_source => {
         let harness = start(2);
         harness.set_target_faults(&json!({ "drain": true }));
         let has_source = |source: &str| (0..50).any(|_| {
--- a/tests/product/settings.rs
+++ b/tests/product/settings.rs
@@ -106,7 +106,7 @@
             ["vm.toml:15: shutdown.colour: unknown key; known are announce_ms, limit_ms"]
         );
     };
-    all_errors_of_a_file_come_at_once => {
+    all_errors_of_a_file_are_reported_at_once => {
         let found = errors("[retry]\nburst = -1\n[callers]\nidle_ms = -1\nbody = 1\n[log]\nlevel = \"loud\"\n");
         assert_eq!(found.len(), 4, "{found:?}");
     };
@@ -134,7 +134,7 @@
         let text = MINIMAL_SETTINGS.replace("127.0.0.1:3", "0.0.0.0:3");
         assert!(parse(&text).unwrap_err().contains("listen.control: found 0.0.0.0:3"));
     };
-    a_key_and_a_key_file_are_one_too_many => {
+    a_key_beside_a_key_file_is_refused => {
         let text = format!("{MINIMAL_SETTINGS}key_file = \"missing.key\"\n");
         let found = parse(&text).unwrap_err();
         assert!(found.contains("deployment.key_file"), "{found}");
@@ -175,7 +175,7 @@
         let profiles = Profiles::try_from(source).unwrap().0;
         assert_eq!(profiles.values().next().unwrap().deadline, Duration::from_secs(1));
     };
-    all_faults_of_a_profile_come_at_once => {
+    all_faults_of_a_profile_are_reported_at_once => {
         let text = PROFILE.replace("concurrency = 10", "concurrency = 0")
             .replace("900000", "2000000")
             .replace("priority = 10", "priority = 0");
--- a/tests/product/walk.rs
+++ b/tests/product/walk.rs
@@ -142,7 +142,7 @@
 }
 
 cases! {
-    the_operating_page_does_what_it_says => {
+    the_steps_of_the_operating_page_run => {
         let steps = steps(&page("docs/OPERATING.md"));
         assert!(steps.len() > 40, "{}", steps.len());
         run_steps(&steps, &address());
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -72,7 +72,7 @@
         Step { at: FIRST_FAULT, fault: Fault::Replace { target: 0 } },
         Step { at: FIRST_FAULT, fault: Fault::Replace { target: 10 } },
     ]);
-    answers_are_spoilt => runner::run_steps("spoilt", &corrupt_answers());
+    answers_are_corrupted => runner::run_steps("corrupted", &corrupt_answers());
     most_targets_fail => runner::run_steps("fail", &failing_targets());
     relays_end_in_turn => runner::run_steps("turn", &[0, 1, 2].map(|relay| {
         Step { at: FIRST_FAULT * (1 + 4 * relay as u32), fault: Fault::Restart { relay } }
