Put the texts of events, errors and metrics into plain terms

Cause: some texts in the log, in errors and in the help of the metrics were figurative or hard to understand. Numbers, levels, names, keys, labels and statuses are unchanged, and so are the values of the log key `part`.

Help of metrics: - open_requests: Requests of callers that are open -> Open requests of callers - free_slots, homes: whose home is here -> whose home is this VM - queued_legs: Legs that wait here for a slot -> Legs that wait at this VM for a slot - target_connections: Connections to targets that are open -> Open connections to targets - quarantined_requests: Requests that are held back -> Requests in quarantine - claims: What became of claims -> Claims by outcome

Details: - `cause` of 404: called gone -> declared gone - readiness: or out of touch with the others -> or isolated from other VMs and the platform's service - frame cannot be decoded -> frame cannot be encoded or decoded - the connection to the peer was lost a moment ago -> the pause before the next connection to the peer is not over (with its test) - the peer takes no bytes -> the peer accepted no bytes in time (with its test) - the peer left a ping unanswered for N ms -> the peer did not answer a ping within N ms - no roll back was asked for -> the request is not a rollback - a range is read in pages -> replies to range reads are decoded page by page - find out what became of it: profile settle -> query the outcome: profile settle

Not run: the tests process, load and soak, and the tests of the platform crate.

--- a/crates/core/src/control/system/member.rs
+++ b/crates/core/src/control/system/member.rs
@@ -74,7 +74,7 @@
     } else if current && update.health == Health::Suspect {
         own.vm.incarnation += 1;
     } else if current && update.health == Health::Gone {
-        return pause::resume(tables, step, "called gone");
+        return pause::resume(tables, step, "declared gone");
     } else {
         return;
     }
--- a/crates/core/src/control/system/publish.rs
+++ b/crates/core/src/control/system/publish.rs
@@ -226,7 +226,7 @@
     document: Document,
 ) -> Next {
     let Request::Rollback { to, expect, who, team } = row.request.clone() else {
-        return Next::Done(internal("no roll back was asked for".to_owned()));
+        return Next::Done(internal("the request is not a rollback".to_owned()));
     };
     let note = format!("roll back to revision {}", to.0);
     let plan = Plan { profiles: document.profiles, expect, who, team, note, dry_run: false };
--- a/crates/core/src/fault.rs
+++ b/crates/core/src/fault.rs
@@ -95,7 +95,7 @@
     /// The token lacks the role that the request requires.
     Forbidden "forbidden" 403 "the token does not allow this" Retry::Never;
     /// Nothing is served under this path.
-    NotFound "not_found" 404 "nothing is here" Retry::Never;
+    NotFound "not_found" 404 "the resource was not found" Retry::Never;
     /// No profile of this name is in force.
     UnknownProfile "unknown_profile" 404 "no such profile is in force" Retry::Never;
     /// The caller took too long to send the request.
@@ -105,7 +105,7 @@
     /// Too many requests are open at this VM.
     TooManyOpen "too_many_open" 503 "too many requests are open at this VM" AFTER_100_MS;
     /// The profile has reached its concurrency limit at this VM.
-    ProfileLimit "profile_limit" 429 "the concurrency of the profile is used up" AFTER_100_MS;
+    ProfileLimit "profile_limit" 429 "the profile has reached its concurrency limit" AFTER_100_MS;
     /// The request cannot finish before its deadline and was not started.
     Overloaded "overloaded" 503 "the request cannot finish in time" AFTER_100_MS;
     /// No VM or target is available for the request.
@@ -115,9 +115,9 @@
     /// The deadline passed before the answer reached the required coverage.
     DeadlinePassed "deadline_passed" 504 "the deadline passed" AFTER_100_MS;
     /// The answer covers less of the index than its profile requires.
-    CoverageTooLow "coverage_too_low" 503 "too little of the index answered" AFTER_100_MS;
+    CoverageTooLow "coverage_too_low" 503 "the answer covers too little of the index" AFTER_100_MS;
     /// The request crashed targets and is in quarantine.
-    Quarantined "quarantined" 422 "the request crashed targets and is held back" AFTER_60_S;
+    Quarantined "quarantined" 422 "the request crashed targets and is quarantined" AFTER_60_S;
     /// The idempotency key is older than the window for which claims are kept.
     KeyExpired "key_expired" 409 "the idempotency key is too old" Retry::Never;
     /// The idempotency key was used with another request.
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -66,7 +66,7 @@
     /// The address for metrics cannot be used. Requests are served nevertheless.
     MetricsUnavailable 105 Warning "metrics cannot be served";
     /// A listening socket could not be used.
-    PortFailed 106 Error "port cannot be served";
+    PortFailed 106 Error "listening socket failed";
     /// The settings file was reloaded. The line tells which settings took effect.
     SettingsChanged 107 Info "settings file was read again";
     /// The settings file cannot be read. The earlier settings stay in force.
@@ -90,25 +90,25 @@
     /// A search was answered without the rows of some shards.
     PartialAnswer 209 Info "partial answer";
     /// A caller disconnected before it was answered.
-    CallerLeft 210 Debug "caller left before its answer";
+    CallerLeft 210 Debug "caller disconnected before it was answered";
     /// A connection to a target was opened.
     ConnectionOpened 301 Debug "connection to target opened";
     /// A connection to a target was lost or could not be opened.
     ConnectionLost 302 Warning "connection to target lost";
     /// A connection was closed because the target stopped responding on it.
-    ConnectionSilent 303 Warning "connection to target went silent";
+    ConnectionSilent 303 Warning "connection to target stopped responding";
     /// A target finishes its work and takes no new requests.
     TargetDraining 304 Info "target is draining";
     /// A request crashed targets and is put into quarantine.
-    RequestQuarantined 305 Error "request crashed targets and is held back";
+    RequestQuarantined 305 Error "request crashed targets and is quarantined";
     /// A target registered itself.
-    TargetListed 306 Info "target is listed";
+    TargetListed 306 Info "target is registered";
     /// The registration of a target was removed.
-    TargetUnlisted 307 Info "target is listed no more";
+    TargetUnlisted 307 Info "target is no longer registered";
     /// The registration of a target cannot be read.
     TargetUnreadable 308 Warning "registration of a target cannot be read";
     /// A request in quarantine could not be reported to the other VMs.
-    ReportLost 309 Warning "other VMs are not told of a request that is held back";
+    ReportLost 309 Warning "quarantine of a request could not be reported to the other VMs";
     /// The entry of a VM cannot be read.
     VmUnreadable 408 Warning "entry of a VM cannot be read";
     /// A VM became live.
@@ -126,11 +126,11 @@
     /// A revision of the profiles was published through this VM.
     RevisionPublished 502 Info "revision of the profiles was published";
     /// A publication was refused because another one came first.
-    RevisionLost 503 Info "publication lost the race";
+    RevisionLost 503 Info "publication refused, another revision came first";
     /// The connection to a VM to which requests are passed was lost.
-    HopLost 406 Warning "VM that requests are handed to is lost";
+    HopLost 406 Warning "connection to a larger VM lost";
     /// This VM has decided whether it serves requests itself or passes them on.
-    RoleDecided 407 Info "part of this VM is decided";
+    RoleDecided 407 Info "role of this VM was decided";
     /// A version of the routes took effect on this VM.
     RoutesApplied 504 Info "version of the routes is in force";
     /// A version of the routes cannot be read.
@@ -141,7 +141,7 @@
     StoreDown 701 Warning "platform's service is unavailable";
     /// The watch of this VM delivers nothing although other VMs have read newer
     /// changes of the store.
-    StoreSilent 703 Warning "platform's service is silent";
+    StoreSilent 703 Warning "watch of the platform's service delivers no changes";
     /// The platform's service is available again.
     StoreUp 702 Info "platform's service is available";
 }
--- a/src/cli/profile/publication.rs
+++ b/src/cli/profile/publication.rs
@@ -35,7 +35,7 @@
 pub fn hint(problem: &Problem) -> String {
     if let Some(token) = &problem.token {
         let token = token_text(token);
-        return format!("find out what became of it: profile settle {token}");
+        return format!("query the outcome: profile settle {token}");
     }
     match problem.winner {
         Some(Revision(winner)) => {
--- a/src/front/probe.rs
+++ b/src/front/probe.rs
@@ -50,7 +50,8 @@
     if *probe.ready.borrow() {
         return "ready\n".into_response();
     }
-    let detail = "this VM is starting, leaving or out of touch with the others";
+    let detail =
+        "this VM is starting, leaving or isolated from other VMs and the platform's service";
     let mut response = Refusal::from(Fault::not_run(Kind::NotReady, detail)).into_response();
     // Without a kind the response is not counted as a refused request.
     response.extensions_mut().remove::<Kind>();
--- a/src/metric/gauge.rs
+++ b/src/metric/gauge.rs
@@ -32,17 +32,17 @@
 
 gauges! {
     /// The requests of callers that are open.
-    OpenRequests "open_requests" "Requests of callers that are open";
+    OpenRequests "open_requests" "Open requests of callers";
     /// The free slots of the replicas whose home is here.
-    FreeSlots "free_slots" "Free slots of the replicas whose home is here";
+    FreeSlots "free_slots" "Free slots of the replicas whose home is this VM";
     /// The legs that wait here for a slot.
-    QueuedLegs "queued_legs" "Legs that wait here for a slot";
+    QueuedLegs "queued_legs" "Legs that wait at this VM for a slot";
     /// The shards whose home is here.
-    Homes "homes" "Shards whose home is here";
+    Homes "homes" "Shards whose home is this VM";
     /// The attempts that targets run for this VM.
     AttemptsInFlight "attempts_in_flight" "Attempts that targets run for this VM";
     /// The connections to targets that are open.
-    TargetConnections "target_connections" "Connections to targets that are open";
+    TargetConnections "target_connections" "Open connections to targets";
     /// The attempts beyond the first that the budget still allows.
     RetryBudget "retry_budget" "Attempts beyond the first that the budget still allows";
     /// The revision of the profiles in force.
@@ -55,7 +55,7 @@
     /// The targets that take work.
     LiveTargets "live_targets" "Targets that take work";
     /// The requests that are held back because they crashed targets.
-    Quarantined "quarantined_requests" "Requests that are held back";
+    Quarantined "quarantined_requests" "Requests in quarantine";
     /// Whether the VM takes requests, as 1 or 0.
     Ready "ready" "Whether the VM takes requests, 1 or 0";
     /// The log lines that were lost because the queue of the writer was full.
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -183,7 +183,7 @@
         family.get_or_create(&vec![("reason", count.as_str().to_owned())]).clone()
     };
     let counters = claims::Count::ALL.iter().map(|&count| (count, counter(count))).collect();
-    registry.register("claims", "What became of claims", family.clone());
+    registry.register("claims", "Claims by outcome", family.clone());
     counters
 }
 
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -30,7 +30,7 @@
             Error::TooLong { length, limit } => {
                 write!(f, "frame of {length} bytes is longer than {limit} bytes")
             }
-            Error::Body { detail } => write!(f, "frame cannot be decoded: {detail}"),
+            Error::Body { detail } => write!(f, "frame cannot be encoded or decoded: {detail}"),
         }
     }
 }
--- a/src/wire/dialer.rs
+++ b/src/wire/dialer.rs
@@ -144,7 +144,7 @@
         while self.tasks.try_join_next().is_some() {}
         let peer = self.peers.get_mut(to).ok_or("the address of the peer is not known")?;
         if !peer.backoff.is_over(Instant::now()) {
-            return Err("the connection to the peer was lost a moment ago".to_owned());
+            return Err("the pause before the next connection to the peer is not over".to_owned());
         }
         let (from, incarnation) = (self.own.clone(), self.incarnation);
         let request = hello::request(&Hello { from, incarnation, to: to.clone() }, &self.key)
--- a/src/wire/outbound.rs
+++ b/src/wire/outbound.rs
@@ -232,7 +232,7 @@
         stream.reserve_capacity(batch.len());
         let capacity = timeout(limits.write_timeout, capacity(stream))
             .await
-            .map_err(|_| Loss::new("the peer takes no bytes"))??;
+            .map_err(|_| Loss::new("the peer accepted no bytes in time"))??;
         let piece = batch.split_to(capacity.min(batch.len()));
         stream.send_data(piece, false)?;
     }
--- a/src/wire/ping.rs
+++ b/src/wire/ping.rs
@@ -19,7 +19,7 @@
             Ok(Err(error)) => return error.to_string(),
             Err(_) => {
                 let limit = limits.ping_timeout.as_millis();
-                return format!("the peer left a ping unanswered for {limit} ms");
+                return format!("the peer did not answer a ping within {limit} ms");
             }
         }
     }
--- a/tests/edge/wire.rs
+++ b/tests/edge/wire.rs
@@ -276,7 +276,7 @@
     inbound.task.abort();
     outbound.loss_detail().await;
     outbound.send(2);
-    assert!(outbound.loss_detail().await.contains("a moment ago"));
+    assert!(outbound.loss_detail().await.contains("pause before the next connection"));
     tokio::time::sleep(limits().backoff_min).await;
     let listener = std::net::TcpListener::bind(address).expect("the port is free again");
     let mut inbound = Inbound::start_on(listener, limits(), 4);
@@ -313,7 +313,7 @@
     }
     let since = Instant::now();
     let detail = outbound.loss_detail().await;
-    assert!(detail.contains("takes no bytes"), "{detail}");
+    assert!(detail.contains("accepted no bytes in time"), "{detail}");
     assert!(since.elapsed() < limits().write_timeout * 3, "{:?}", since.elapsed());
     assert_eq!(inbound.frames.len(), 1);
 }
