--- a/crates/core/src/control/system/member.rs
+++ b/crates/core/src/control/system/member.rs
@@ -74,7 +74,7 @@
     } else if current && update.health == Health::Suspect {
         own.vm.incarnation += 1;
     } else if current && update.health == Health::Gone {
-        return pause::resume(tables, cx, "called gone");
+        return pause::resume(tables, cx, "declared gone");
     } else {
         return;
     }
