--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -131,6 +131,8 @@
     RevisionLost 503 Info "publication refused, another revision came first";
     /// The connection to a VM to which requests are passed was lost.
     HopLost 406 Warning "connection to a larger VM lost";
+    /// An answer of another VM belongs to no open request of this process.
+    HopUnknown 409 Info "answer of another VM belongs to no open request";
     /// This VM has decided whether it serves requests itself or passes them on.
     RoleDecided 407 Info "role of this VM was decided";
     /// A version of the routes took effect on this VM.
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -7,7 +7,7 @@
     policy::Policies,
     system::{self, Context},
 };
-use crate::time::Instant;
+use crate::{id::Origin, time::Instant};
 
 /// The tables of a traffic thread with what its systems need to run over them.
 pub struct Engine {
@@ -15,13 +15,14 @@
     limits: Limits,
     policies: Policies,
     random: StdRng,
+    origin: Origin,
 }
 
 impl Engine {
-    /// Creates an engine with empty tables.
-    pub fn new(limits: Limits, policies: Policies, seed: u64) -> Engine {
+    /// Creates an engine with empty tables. Each start of a thread has another origin.
+    pub fn new(limits: Limits, policies: Policies, seed: u64, origin: Origin) -> Engine {
         let random = StdRng::seed_from_u64(seed);
-        Engine { tables: Tables::default(), limits, policies, random }
+        Engine { tables: Tables::default(), limits, policies, random, origin }
     }
 
     /// Takes events, runs every system once and puts its output into `out`.
@@ -31,6 +32,7 @@
             limits: &self.limits,
             policies: &self.policies,
             random: &mut self.random,
+            origin: self.origin,
             out,
         };
         system::run(&mut self.tables, events, &mut cx);
--- a/crates/core/src/relay/hop.rs
+++ b/crates/core/src/relay/hop.rs
@@ -5,26 +5,37 @@
 use serde::{Deserialize, Serialize};
 
 use super::message::{Answer, Call, CallerRequest};
-use crate::name::Name;
+use crate::{id::Origin, name::Name};
+
+/// Identifies a request that one VM handed to another.
+///
+/// A process numbers its requests from zero, and the VM that has a request may answer
+/// only after that process was killed and started again under the same name. The origin
+/// keeps the requests of the two processes apart; see `docs/incidents/review-1.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Id {
+    /// The start of the thread that handed the request over.
+    pub origin: Origin,
+    pub call: Call,
+}
 
 /// A message between two VMs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Hop {
     /// A request for the receiver to answer.
     Request {
-        /// The id of the request at the sender.
-        call: Call,
+        id: Id,
         caller_request: Box<CallerRequest>,
         /// The address at which the sender takes the answer.
         reply_to: SocketAddr,
     },
     /// The answer to [`Hop::Request`], and whether the store answers the sender, so
     /// that its routes are current.
-    Answer { call: Call, answer: Answer, is_current: bool },
+    Answer { id: Id, answer: Answer, is_current: bool },
     /// Whether the store answers the sender, sent when that changes.
     State { is_current: bool },
     /// The caller disconnected and the answer is no longer needed.
-    Cancel { call: Call },
+    Cancel { id: Id },
     /// A target told the sender that it is leaving. The receiver may send to it itself
     /// later, and must know by then.
     Leaving {
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -16,7 +16,7 @@
     name::Name,
     rank,
     relay::{
-        Command, Hop, Reach, Tables,
+        Command, Hop, Reach, Tables, hop,
         message::{Answer, Call, CallerRequest, Refusal},
         table::{
             hop::{AcceptedRequest, HandedRequest, Sender},
@@ -124,7 +124,8 @@
     let mut sent = caller_request.clone();
     sent.peer_delay = ROUND_TRIP_ALLOWANCE;
     let reply_to = cx.limits.address;
-    let hop = Hop::Request { call, caller_request: Box::new(sent), reply_to };
+    let id = hop::Id { origin: cx.origin, call };
+    let hop = Hop::Request { id, caller_request: Box::new(sent), reply_to };
     let row = HandedRequest {
         to: to.clone(),
         caller_request: Arc::new(caller_request),
@@ -146,21 +147,24 @@
         link.pause_until = Instant::default();
     }
     match hop {
-        Hop::Request { call, caller_request, reply_to } => {
+        Hop::Request { id, caller_request, reply_to } => {
             let own = Call(HANDED_CALL_BIT | tables.next_id());
             tables.senders.insert(from.clone(), Sender { reply_to, last_request: cx.now });
-            tables.accepted.insert(own, AcceptedRequest { from, reply_to, call });
+            tables.accepted.insert(own, AcceptedRequest { from, reply_to, id });
             intake::accept(tables, vec![(own, *caller_request)], cx);
         }
-        Hop::Answer { call, answer, is_current } => {
+        Hop::Answer { id, answer, is_current } => {
             set_stale(tables, &from, !is_current);
-            handle_answer(tables, call, answer, is_current, cx);
+            match find_handed(tables, &from, id, cx) {
+                Some(row) => handle_answer(tables, id.call, &row, answer, is_current, cx),
+                None => log_unknown(&from, id, cx),
+            }
         }
         Hop::Leaving { target, born } => record_leaving(tables, target, born, cx.now),
         Hop::State { is_current } => set_stale(tables, &from, !is_current),
-        Hop::Cancel { call } => {
+        Hop::Cancel { id } => {
             let is_cancelled = |(_, accepted): &(&Call, &AcceptedRequest)| {
-                accepted.from == from && accepted.call == call
+                accepted.from == from && accepted.id == id
             };
             let own = tables.accepted.iter().find(is_cancelled).map(|(own, _)| *own);
             if let Some(own) = own {
@@ -177,22 +181,43 @@
     }
 }
 
+/// Returns the row of a request that this process handed to the VM `from`, if it still
+/// waits for the answer.
+fn find_handed(
+    tables: &Tables,
+    from: &Name,
+    id: hop::Id,
+    cx: &Context<'_>,
+) -> Option<HandedRequest> {
+    let row = tables.handed.get(&id.call)?;
+    (id.origin == cx.origin && row.to == *from).then(|| row.clone())
+}
+
+fn log_unknown(from: &Name, id: hop::Id, cx: &mut Context<'_>) {
+    let fields = vec![
+        ("peer", from.to_string()),
+        ("request", format!("{:016x}-{:x}", id.origin.0, id.call.0)),
+        ("earlier", (id.origin != cx.origin).to_string()),
+    ];
+    cx.out.lines.push(Line::new(Event::HopUnknown, fields));
+}
+
 /// Passes an answer on to the caller. A refusal of a request that was not run is
 /// not final if the routes of that VM may be outdated: then the request goes to
 /// another VM, if one is reachable.
 fn handle_answer(
     tables: &mut Tables,
     call: Call,
+    row: &HandedRequest,
     answer: Answer,
     is_current: bool,
     cx: &mut Context<'_>,
 ) {
-    let Some(row) = tables.handed.get(&call).cloned() else { return };
     remove_handed(tables, call);
     let is_refused = matches!(&answer, Answer::Refused(refusal) if refusal.fault.ran == Ran::No);
     let other = if is_refused && !is_current { best_vm(tables, cx, true) } else { None };
     if let Some(other) = other {
-        hand_over(tables, call, with_time_left(&row, cx.now), other, cx);
+        hand_over(tables, call, with_time_left(row, cx.now), other, cx);
         return;
     }
     cx.out.answers.push((call, answer));
@@ -253,9 +278,10 @@
 
 /// Tells the VM that has a request that its answer is no longer needed.
 fn cancel(tables: &Tables, call: Call, cx: &mut Context<'_>) {
+    let id = hop::Id { origin: cx.origin, call };
     let Some(to) = tables.handed.get(&call).map(|row| row.to.clone()) else { return };
     if let Some(address) = tables.view.larger.get(&to).map(|vm| vm.address) {
-        cx.out.commands.push(Command::Hop { to, address, hop: Hop::Cancel { call } });
+        cx.out.commands.push(Command::Hop { to, address, hop: Hop::Cancel { id } });
     }
 }
 
@@ -341,9 +367,9 @@
     let answers = std::mem::take(&mut cx.out.answers);
     for (call, answer) in answers {
         match tables.accepted.remove(&call) {
-            Some(AcceptedRequest { from, reply_to, call }) => {
+            Some(AcceptedRequest { from, reply_to, id }) => {
                 let is_current = tables.view.is_current;
-                let hop = Hop::Answer { call, answer, is_current };
+                let hop = Hop::Answer { id, answer, is_current };
                 cx.out.commands.push(Command::Hop { to: from, address: reply_to, hop });
             }
             None => cx.out.answers.push((call, answer)),
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -17,7 +17,7 @@
 use rand::rngs::StdRng;
 
 use super::{Event, Limits, Outbox, Tables, policy::Policies};
-use crate::time::Instant;
+use crate::{id::Origin, time::Instant};
 
 /// The inputs and the outbox that every system shares within one tick.
 pub struct Context<'a> {
@@ -27,6 +27,8 @@
     pub policies: &'a Policies,
     /// The seeded random number generator of the thread.
     pub random: &'a mut StdRng,
+    /// The start of this thread.
+    pub origin: Origin,
     /// Collects commands, answers, log lines and counts for the caller to carry out.
     pub out: &'a mut Outbox,
 }
--- a/crates/core/src/relay/table/hop.rs
+++ b/crates/core/src/relay/table/hop.rs
@@ -4,7 +4,10 @@
 
 use crate::{
     name::Name,
-    relay::message::{Call, CallerRequest},
+    relay::{
+        hop,
+        message::{Call, CallerRequest},
+    },
     time::Instant,
 };
 
@@ -24,8 +27,8 @@
     pub from: Name,
     /// The address at which that VM takes the answer.
     pub reply_to: SocketAddr,
-    /// The id of the request at that VM.
-    pub call: Call,
+    /// The id of the request that the answer repeats.
+    pub id: hop::Id,
 }
 
 /// A VM that requests are handed to.
--- a/crates/core/tests/relay/harness.rs
+++ b/crates/core/tests/relay/harness.rs
@@ -9,6 +9,7 @@
 
 use laburnum_core::{
     digest::Fingerprint,
+    id::Origin,
     log::Line,
     name::Name,
     relay::{
@@ -22,6 +23,9 @@
     time::Instant,
 };
 
+/// The origin of the engine.
+pub const ORIGIN: Origin = Origin(11);
+
 /// The host of every route.
 pub const HOST: &str = "register.example";
 
@@ -203,7 +207,7 @@
     /// An engine without a view whose limits are [`limits`] of `slack`.
     pub fn with_slack(slack: f64) -> Harness {
         Harness {
-            engine: Engine::new(limits(slack), Policies::default(), 7),
+            engine: Engine::new(limits(slack), Policies::default(), 7, ORIGIN),
             now: Instant(1_000_000),
             sent: Vec::new(),
             opened: Vec::new(),
--- a/crates/core/tests/relay/hops.rs
+++ b/crates/core/tests/relay/hops.rs
@@ -4,14 +4,16 @@
 
 use laburnum_core::{
     fault::{Fault, Kind, Ran},
+    id::Origin,
+    log,
     relay::{
-        Answer, Call, Event, Hop, Reach, View,
+        Answer, Call, Event, Hop, Reach, View, hop,
         message::{CallerRequest, Refusal},
         view::Vm,
     },
 };
 
-use crate::harness::{Harness, config, ms, name, request, search, single, success, view};
+use crate::harness::{Harness, ORIGIN, config, ms, name, request, search, single, success, view};
 
 fn vm(domain: &str, last: u8) -> Vm {
     let address = format!("10.1.0.{last}:7000").parse().unwrap();
@@ -29,29 +31,34 @@
 }
 
 /// Takes the only message to another VM, which must be a request.
-fn take_request(harness: &mut Harness) -> (String, Call, CallerRequest) {
+fn take_request(harness: &mut Harness) -> (String, hop::Id, CallerRequest) {
     let hops = std::mem::take(&mut harness.hops);
-    let [(to, Hop::Request { call, caller_request, .. })] = &hops[..] else { panic!("{hops:?}") };
-    (to.to_string(), *call, (**caller_request).clone())
+    let [(to, Hop::Request { id, caller_request, .. })] = &hops[..] else { panic!("{hops:?}") };
+    (to.to_string(), *id, (**caller_request).clone())
 }
 
 /// Sends an answer of another VM to the engine.
-fn answer(harness: &mut Harness, from: &str, call: Call) {
+fn answer(harness: &mut Harness, from: &str, id: hop::Id) {
     let answer = Answer::Forwarded(Box::new(success("d", 1)));
-    let hop = Hop::Answer { call, answer, is_current: true };
+    let hop = Hop::Answer { id, answer, is_current: true };
     harness.tick(vec![Event::Hop { from: name(from), hop }]);
 }
 
 /// Sends an answer of another VM and checks that the caller gets it.
-fn answer_and_check(harness: &mut Harness, from: &str, call: Call, at_caller: Call) {
-    answer(harness, from, call);
+fn answer_and_check(harness: &mut Harness, from: &str, id: hop::Id, at_caller: Call) {
+    answer(harness, from, id);
     assert!(matches!(harness.answers[&at_caller], Answer::Forwarded(_)));
 }
 
+/// The id of a request at the VM `small`.
+fn id_of(call: u64) -> hop::Id {
+    hop::Id { origin: Origin(77), call: Call(call) }
+}
+
 /// A request that the VM `small` hands over.
 fn request_of(call: u64, caller_request: CallerRequest) -> Event {
     let reply_to = "10.2.0.1:7000".parse().unwrap();
-    let hop = Hop::Request { call: Call(call), caller_request: Box::new(caller_request), reply_to };
+    let hop = Hop::Request { id: id_of(call), caller_request: Box::new(caller_request), reply_to };
     Event::Hop { from: name("small"), hop }
 }
 
@@ -157,8 +164,8 @@
         harness.tick(vec![request_of(5, request("/fetch/1"))]);
         let sent = harness.take_one_sent();
         harness.reply(&sent, success("d", 1));
-        let [(to, Hop::Answer { call, answer, .. })] = &harness.hops[..] else { panic!() };
-        assert_eq!((to.as_str(), *call), ("small", Call(5)));
+        let [(to, Hop::Answer { id, answer, .. })] = &harness.hops[..] else { panic!() };
+        assert_eq!((to.as_str(), *id), ("small", id_of(5)));
         assert!(matches!(answer, Answer::Forwarded(_)));
         assert!(harness.answers.is_empty());
     };
@@ -188,7 +195,7 @@
         let (_, first, _) = take_request(&mut harness);
         let fault = Fault::not_run(Kind::NotFound, "no route");
         let answer = Answer::Refused(Refusal { fault, retry: None });
-        let hop = Hop::Answer { call: first, answer, is_current: false };
+        let hop = Hop::Answer { id: first, answer, is_current: false };
         harness.tick(vec![Event::Hop { from: name("a"), hop }]);
         let (to, again, _) = take_request(&mut harness);
         assert_eq!(to, "b");
@@ -201,7 +208,7 @@
         harness.advance(ms(250));
         let fault = Fault::not_run(Kind::NotFound, "no route");
         let answer = Answer::Refused(Refusal { fault, retry: None });
-        let hop = Hop::Answer { call: first, answer, is_current: false };
+        let hop = Hop::Answer { id: first, answer, is_current: false };
         harness.tick(vec![Event::Hop { from: name("a"), hop }]);
         let (_, _, again) = take_request(&mut harness);
         assert!(again.caller_timeout <= Some(ms(350)), "{:?}", again.caller_timeout);
@@ -211,11 +218,11 @@
         harness.submit(request("/fetch/1"));
         let (_, asked, _) = take_request(&mut harness);
         harness.advance(ms(600));
-        assert!(matches!(&harness.hops[..], [(_, Hop::Cancel { call })] if *call == asked));
+        assert!(matches!(&harness.hops[..], [(_, Hop::Cancel { id })] if *id == asked));
     };
     a_request_and_its_withdrawal_that_come_together_reach_no_target => {
         let mut large = Harness::with_route(single("desk"));
-        let cancel = Event::Hop { from: name("small"), hop: Hop::Cancel { call: Call(5) } };
+        let cancel = Event::Hop { from: name("small"), hop: Hop::Cancel { id: id_of(5) } };
         large.tick(vec![request_of(5, request("/fetch/1")), cancel]);
         assert!(large.take_sent().is_empty());
     };
@@ -253,10 +260,41 @@
         let mut large = Harness::with_route(single("desk"));
         large.tick(vec![request_of(5, request("/fetch/1"))]);
         let sent = large.take_one_sent();
-        let hop = Hop::Cancel { call: Call(5) };
+        let hop = Hop::Cancel { id: id_of(5) };
         large.tick(vec![Event::Hop { from: name("small"), hop }]);
         large.advance(ms(400));
         assert_eq!(large.closed, [sent.connection]);
         assert!(large.hops.is_empty());
     };
+    // Guards against answers to requests of a process that was killed, which reached
+    // callers of the process after it (review/1).
+    an_answer_to_an_earlier_process_of_this_vm_is_dropped => {
+        let mut harness = small(&[("a", "near")]);
+        let call = harness.submit(request("/fetch/1"));
+        let (_, asked, _) = take_request(&mut harness);
+        assert_eq!(asked.origin, ORIGIN);
+        answer(&mut harness, "a", hop::Id { origin: Origin(12), ..asked });
+        assert!(harness.answers.is_empty());
+        assert_eq!(harness.lines.last().unwrap().event, log::Event::HopUnknown);
+        answer_and_check(&mut harness, "a", asked, call);
+    };
+    an_answer_of_a_vm_that_does_not_have_the_request_is_dropped => {
+        let mut harness = small(&[("a", "near"), ("b", "far")]);
+        let call = harness.submit(request("/fetch/1"));
+        let (_, asked, _) = take_request(&mut harness);
+        answer(&mut harness, "b", asked);
+        assert!(harness.answers.is_empty());
+        answer_and_check(&mut harness, "a", asked, call);
+    };
+    // Guards against the withdrawal of a request of the running process by a message of an
+    // earlier one, which would have the same number.
+    a_withdrawal_of_an_earlier_process_ends_no_request_of_the_next_one => {
+        let mut large = Harness::with_route(single("desk"));
+        large.tick(vec![request_of(5, request("/fetch/1"))]);
+        let sent = large.take_one_sent();
+        let id = hop::Id { origin: Origin(76), ..id_of(5) };
+        large.tick(vec![Event::Hop { from: name("small"), hop: Hop::Cancel { id } }]);
+        large.reply(&sent, success("d", 1));
+        assert!(matches!(&large.hops[..], [(_, Hop::Answer { .. })]));
+    };
 }
--- a/crates/core/tests/relay/notices.rs
+++ b/crates/core/tests/relay/notices.rs
@@ -2,9 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use laburnum_core::relay::{
-    Answer, Call, Event, Hop, Reply, View,
-    message::{Notice, Refusal},
+use laburnum_core::{
+    id::Origin,
+    relay::{
+        Answer, Call, Event, Hop, Reply, View, hop,
+        message::{Notice, Refusal},
+    },
 };
 
 use crate::harness::{
@@ -105,7 +108,7 @@
     a_vm_that_hands_requests_over_is_told => {
         let mut large = Harness::with_route(single("desk"));
         let hop = Hop::Request {
-            call: Call(5),
+            id: hop::Id { origin: Origin(77), call: Call(5) },
             caller_request: Box::new(request("/fetch/1")),
             reply_to: "10.1.0.9:7000".parse().unwrap(),
         };
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -47,7 +47,10 @@
 /// The key of all relays. It is no secret, as the port accepts the same requests
 /// as the one for callers. Whether a stream is meant for this VM is checked by the
 /// VM's name.
-const KEY: &str = "laburnumworks-relay";
+///
+/// It ends with the version of [`Hop`], which frames do not state: VMs of two builds
+/// whose messages differ refuse each other's streams, and no frame is misread.
+const KEY: &str = "laburnumworks-relay-2";
 
 fn key() -> Result<Key, wire::key::Error> {
     Key::try_from(KEY)
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -6,6 +6,7 @@
 use laburnum_core::{
     border::Clock,
     digest::Fingerprint,
+    id::Origin,
     relay::{Answer, Call, Command, Engine, Event, Limits, Outbox, Reach, View, policy::Policies},
 };
 use tokio::{
@@ -56,7 +57,8 @@
     };
     let (reach, quarantined) = (resources.reach.clone(), resources.quarantined.clone());
     serve_ports(&shared, resources, Handle::new(inputs));
-    let engine = Engine::new(limits(&shared.settings), Policies::default(), rand::random());
+    let (policies, origin) = (Policies::default(), Origin(rand::random()));
+    let engine = Engine::new(limits(&shared.settings), policies, rand::random(), origin);
     let targets = Client::new(events);
     let pending = Pending::default();
     let thread = Thread { engine, targets, peers, reach, quarantined, pending, shared };
--- a/tests/relay/harness.rs
+++ b/tests/relay/harness.rs
@@ -1,6 +1,12 @@
 //! A harness with a store, targets and relays that are ready to serve.
 
-use std::{collections::BTreeMap, fs, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use http::HeaderValue;
 use laburnum_platform::{caller::READY_PATH, header as names};
@@ -34,6 +40,11 @@
         self.child.signal(Signal::TERM);
     }
 
+    /// Kills the process.
+    pub fn kill(&self) {
+        self.child.signal(Signal::KILL);
+    }
+
     /// Changes the file of the settings and signals the process to read it.
     pub fn reload(&self, change: impl FnOnce(String) -> String) {
         let text = fs::read_to_string(&self.file).unwrap();
@@ -95,14 +106,32 @@
         let address: Vec<SocketAddr> = (0..4).map(|_| port::unused_address()).collect();
         let file = self.folder.path().join(format!("{name}.toml"));
         fs::write(&file, settings(name, cores, &address, self.store.address)).unwrap();
-        let path = file.display().to_string();
-        let child = Child::start(self.folder.path(), name, &["relay", "--settings", &path]);
+        let child = self.launch(&file);
         let relay =
             Relay { child, file, callers: address[0], ready: address[1], metrics: address[2] };
-        while self.is_ready(&relay).await != Some(true) {
+        self.wait_ready(&relay).await;
+        relay
+    }
+
+    /// Starts the process of a relay by the file of its settings.
+    fn launch(&self, file: &Path) -> Child {
+        let name = file.file_stem().unwrap().to_str().unwrap();
+        let path = file.display().to_string();
+        Child::start(self.folder.path(), name, &["relay", "--settings", &path])
+    }
+
+    async fn wait_ready(&self, relay: &Relay) {
+        while self.is_ready(relay).await != Some(true) {
             sleep(Duration::from_millis(20)).await;
         }
-        relay
+    }
+
+    /// Starts a relay again, whose process was told to end, by the same settings, and
+    /// waits until it is ready.
+    pub async fn restart(&self, relay: &mut Relay) {
+        relay.child.wait_exit(Duration::from_secs(10)).await;
+        relay.child = self.launch(&relay.file);
+        self.wait_ready(relay).await;
     }
 
     /// Returns whether the relay answers a probe that it is ready, or none if it does
@@ -132,7 +161,18 @@
 
     /// Sends an operation of a caller that waits for `wait`, and that may get no answer.
     pub async fn try_operate(&self, relay: &Relay, wait: Duration) -> reqwest::Result<Response> {
+        self.try_operate_as(relay, "c1", wait).await
+    }
+
+    /// Does the same under an id of the attempt.
+    pub async fn try_operate_as(
+        &self,
+        relay: &Relay,
+        id: &str,
+        wait: Duration,
+    ) -> reqwest::Result<Response> {
         let mut headers = entry::caller();
+        headers.insert(names::ATTEMPT_ID, HeaderValue::from_str(id).unwrap());
         headers.insert(names::DEADLINE_MS, HeaderValue::from(wait.as_millis() as u64));
         let url = format!("http://{}/desk/1", relay.callers);
         self.client.post(url).headers(headers).send().await
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -13,6 +13,7 @@
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
 mod store;
+mod handover;
 mod limit;
 mod notice;
 mod outage;
