Bound the time for which a VM relies on a watch that may be lost (CONFIG)

Cause: a watch waits for half a second for each VM that is listed, because the VMs renew their watches in turn and tell the others what they find. Entries of VMs that are gone stay, so that nobody renews in their turns, and a lost watch is noticed only when it is itself overdue, after 9.5 s at 19 entries.

Evidence: a_vm_that_is_left_alone_misses_no_change and a_few_vms_that_are_left_miss_no_change failed before the change, at many times of a round; with five VMs left their announcements go to VMs that are gone.

Change: an answer of the store confirms its newest change, and the VM that gets it tells all others, at most once in 400 ms in the fleet. A VM without a confirmation for 1.1 to 1.3 s probes the store beside its open watch (feed/confirm.rs). The test of announcements counts them by reason, with the same figures, and a new one bounds the confirmations.

Weighed: watches of a second at each VM (a call a second and VM), leases on the entries of VMs (they lapse in an outage, and every VM would take a larger part of the retry budget), a table of who lives (a second membership).

--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -10,6 +10,7 @@
 mod role;
 mod report;
 mod probe;
+mod confirm;
 mod watch;
 pub mod progress;
 pub mod system;
@@ -89,6 +90,10 @@
     /// The time without an answer after which the store is in doubt. It exceeds the
     /// time that a slow store takes.
     pub answer_limit: Duration,
+    /// The longest time that a VM relies on its open watch while neither the store nor
+    /// another VM confirms that there is no newer change. Up to a fifth is added at
+    /// random. It exceeds the shortest wait of a watch.
+    pub confirmation_limit: Duration,
     /// The pause between a watch that found changes and the next one, in which further
     /// changes accumulate.
     pub watch_gap: Duration,
@@ -116,6 +121,7 @@
         stale_delay: Duration::from_secs(2),
         served_delay: Duration::from_secs(5),
         answer_limit: Duration::from_millis(600),
+        confirmation_limit: Duration::from_millis(1100),
         watch_gap: Duration::from_millis(500),
         first_pause: Duration::from_millis(150),
         longest_pause: Duration::from_millis(1200),
--- a/crates/core/src/relay/feed/probe.rs
+++ b/crates/core/src/relay/feed/probe.rs
@@ -7,7 +7,7 @@
 //! so that the VM learns within a second that the store is back.
 
 use super::{
-    progress, role,
+    confirm, progress, role,
     system::{Context, mark_store_down, mark_store_up, retry_pause, set_current},
     table::{Purpose, Role, Tables},
 };
@@ -81,12 +81,15 @@
 /// Ends the check: the store answers, and its newest change has the number `change`.
 fn finish(tables: &mut Tables, change: u64, cx: &mut Context<'_>) {
     mark_store_up(tables, cx);
+    let is_complete = tables.change.is_some_and(|own| own >= change);
+    if is_complete {
+        confirm::record_own(tables, cx);
+    }
     if tables.call.is_some() {
         // The open watch is silent if it does not deliver what the check has found.
         progress::record_latest(tables, change, cx);
         return;
     }
-    let is_complete = tables.change.is_some_and(|own| own >= change);
     if is_complete {
         set_current(tables, true);
     }
--- a/crates/core/src/relay/feed/progress.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    probe,
+    confirm, probe,
     system::{Context, set_current},
     table::{Purpose, Role, Tables},
 };
@@ -29,15 +29,26 @@
 pub struct Progress {
     /// The number of the newest change that it knows of.
     pub change: u64,
-    /// Whether it doubts that the store answers, so that the receiver should check.
-    pub is_doubting: bool,
+    pub reason: Reason,
+}
+
+/// Why a VM announces its progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// It has learned of a newer change.
+    Change,
+    /// It doubts that the store answers, so that the receiver should check.
+    Doubt,
+    /// The store has just confirmed that there is no newer change.
+    Confirmation,
 }
 
 /// Records what another VM announced.
 pub fn receive(tables: &mut Tables, progress: Progress, cx: &mut Context<'_>) {
     record_latest(tables, progress.change, cx);
-    if progress.is_doubting {
-        probe::take_up_doubt(tables, cx);
+    match progress.reason {
+        Reason::Doubt => probe::take_up_doubt(tables, cx),
+        Reason::Change | Reason::Confirmation => confirm::record(tables, cx),
     }
 }
 
@@ -61,7 +72,7 @@
 pub fn announce(tables: &mut Tables, cx: &mut Context<'_>) {
     let change = tables.own_change().max(tables.latest_of_others);
     if tables.announced < change && tables.role == Role::Forwarding {
-        send(tables, false, cx);
+        send(tables, Reason::Change, cx);
     }
 }
 
@@ -69,14 +80,21 @@
 pub fn announce_doubt(tables: &mut Tables, cx: &mut Context<'_>) {
     tables.doubt_pause_until = cx.now + DOUBT_PAUSE;
     if tables.role == Role::Forwarding {
-        send(tables, true, cx);
+        send(tables, Reason::Doubt, cx);
     }
 }
 
-fn send(tables: &mut Tables, is_doubting: bool, cx: &mut Context<'_>) {
+/// Tells all VMs that the store has just confirmed how far this one has read.
+pub fn send_to_all(tables: &Tables, cx: &mut Context<'_>) {
+    let progress = Progress { change: tables.own_change(), reason: Reason::Confirmation };
+    let others = tables.view.vms.iter().filter(|(name, _)| **name != tables.own.name);
+    cx.out.progress.extend(others.map(|(_, vm)| (vm.address, progress)));
+}
+
+fn send(tables: &mut Tables, reason: Reason, cx: &mut Context<'_>) {
     let change = tables.own_change().max(tables.latest_of_others);
     tables.announced = change;
-    let progress = Progress { change, is_doubting };
+    let progress = Progress { change, reason };
     cx.out.progress.extend(recipients(tables).into_iter().map(|to| (to, progress)));
 }
 
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, rngs::StdRng};
 
 use super::{
-    Format, Input, Limits, Outbox, Subject, probe, progress, report, role,
+    Format, Input, Limits, Outbox, Subject, confirm, probe, progress, report, role,
     table::{Purpose, Role, Store, Tables},
     watch,
 };
@@ -50,6 +50,7 @@
     }
     progress::rescan_if_behind(tables, cx);
     probe::give_up_overdue_watch(tables, cx);
+    confirm::check_if_overdue(tables, cx);
     probe::run(tables, cx);
     progress::announce(tables, cx);
     expire(tables, cx);
@@ -73,6 +74,7 @@
             replace_all(tables, &entries, cx);
             set_current(tables, true);
             tables.change = Some(change);
+            confirm::record(tables, cx);
             tables.next_purpose = Some(role::after_scan(tables));
         }
         (Purpose::Register, Reply::Swapped { version }) => {
@@ -103,6 +105,11 @@
             tables.next_purpose = Some(Purpose::Watch);
             let changes = entries.len() + removed.len();
             tables.is_watch_quiet = changes == 0;
+            if tables.is_watch_quiet {
+                confirm::record_own(tables, cx);
+            } else {
+                confirm::record(tables, cx);
+            }
             if (1..LONG_HISTORY_CHANGES).contains(&changes) {
                 tables.not_before = cx.now + cx.limits.watch_gap;
             }
@@ -340,6 +347,7 @@
             lease: None,
         },
         Purpose::Watch => {
+            confirm::rely_on_watch(tables, cx);
             let wait = watch::wait(tables, cx.limits);
             tables.watch_due = Some(cx.now + wait + cx.limits.answer_limit);
             let prefix = cx.format.watch_prefix().to_owned();
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::{Limits, role};
+use super::{Limits, confirm, role};
 use crate::{
     digest::Fingerprint,
     name::Name,
@@ -113,6 +113,11 @@
     /// Whether the last watch ended without a change, so that this VM keeps its place
     /// in the order in which the VMs renew their watches.
     pub is_watch_quiet: bool,
+    /// When the store's newest change was last confirmed, to this VM or to another one
+    /// that told it.
+    pub confirmed_at: Instant,
+    /// When this VM checks the store if nothing is confirmed until then.
+    pub confirm_by: Option<Instant>,
     /// The check whether the store answers, if one is running.
     pub probe: Option<Probe>,
     /// Until when this VM takes up no further doubt about the store.
@@ -152,6 +157,8 @@
             call: None,
             watch_due: None,
             is_watch_quiet: false,
+            confirmed_at: Instant::default(),
+            confirm_by: None,
             probe: None,
             doubt_pause_until: Instant::default(),
             next_purpose: None,
@@ -196,7 +203,8 @@
         let probe = self.probe.as_ref().map(|probe| probe.next_at);
         let missing = self.missing.values().min().copied();
         let reading = role::reading_change_at(self, limits);
-        [call, probe, self.watch_due, missing, self.lag_deadline, reading]
+        let confirmation = confirm::due(self);
+        [call, probe, confirmation, self.watch_due, missing, self.lag_deadline, reading]
             .into_iter()
             .flatten()
             .min()
--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -2,8 +2,12 @@
 
 use laburnum_core::{
     log::Event,
-    relay::{Reach, feed::progress::Progress},
+    relay::{
+        Reach,
+        feed::progress::{Progress, Reason},
+    },
     store::Call,
+    time::Instant,
 };
 
 use crate::{
@@ -339,10 +343,38 @@
         world.own.announced.clear();
         world.put("config", "4");
         world.pass(ms(1000));
-        assert_eq!(world.own.announced.len(), 3, "to the VMs at distances 1, 2 and 4");
-        assert!(world.own.announced.iter().all(|(_, progress)| progress.change == world.revision()));
+        let announced = world.own.announced_as(Reason::Change);
+        assert_eq!(announced.len(), 3, "to the VMs at distances 1, 2 and 4");
+        assert!(announced.iter().all(|progress| progress.change == world.revision()));
         world.pass(ms(20_000));
-        assert_eq!(world.own.announced.len(), 3, "announced once for each change");
+        assert_eq!(world.own.announced_as(Reason::Change).len(), 3, "announced once for each change");
+        assert!(world.own.announced_as(Reason::Doubt).is_empty());
+    };
+    a_confirmation_is_told_to_all_others_at_a_bounded_rate => {
+        let mut world = world_with_vms(170, &[("own", 170), ("a", 170), ("b", 170), ("p", 170), ("q", 170), ("z", 170)]);
+        world.pass(ms(5000));
+        world.own.announced.clear();
+        world.pass(ms(20_000));
+        let told = world.own.announced_as(Reason::Confirmation);
+        assert_eq!(told.len() % 5, 0, "each to the five other VMs");
+        assert!(told.len() / 5 >= 20_000 / 1500, "{told:?}");
+        assert!(told.len() / 5 <= 20_000 / 400, "{told:?}");
+        assert!(told.iter().all(|progress| progress.change == world.revision()));
+    };
+    a_confirmation_of_another_vm_replaces_an_own_check => {
+        let mut world = world_with_vms(170, &[("own", 170), ("z", 170)]);
+        (0..8).for_each(|n| world.put(&format!("vm/other-{n}"), "170"));
+        world.pass(ms(2000));
+        let is_check = |(_, call): &&(Instant, Call)| matches!(call, Call::Scan { .. });
+        let before = world.own.calls.iter().filter(is_check).count();
+        for _ in 0..6 {
+            let change = world.revision();
+            world.incoming = vec![Progress { change, reason: Reason::Confirmation }];
+            world.pass(ms(500));
+        }
+        assert_eq!(world.own.calls.iter().filter(is_check).count(), before);
+        world.pass(ms(1500));
+        assert_eq!(world.own.calls.iter().filter(is_check).count(), before + 1);
     };
     an_announcement_is_passed_on_by_a_vm_that_cannot_read_it => {
         let mut world = synced_world();
@@ -350,7 +382,7 @@
         world.pass(ms(1000));
         world.own.announced.clear();
         world.store.is_silent = true;
-        let announcement = Progress { change: world.revision() + 7, is_doubting: false };
+        let announcement = Progress { change: world.revision() + 7, reason: Reason::Change };
         world.incoming = vec![announcement];
         world.pass(ms(100));
         assert_eq!(world.own.announced.len(), 3);
@@ -363,7 +395,7 @@
         let mut world = synced_world();
         world.store.is_silent = true;
         world.put("config", "4");
-        world.incoming = vec![Progress { change: world.revision(), is_doubting: false }];
+        world.incoming = vec![Progress { change: world.revision(), reason: Reason::Change }];
         world.pass(ms(1200));
         assert!(!world.own.view.is_current);
         assert_eq!(world.own.logged(Event::StoreSilent), 1);
@@ -375,7 +407,7 @@
     a_vm_that_reads_as_far_as_others_goes_on_watching => {
         let mut world = synced_world();
         world.put("config", "4");
-        world.incoming = vec![Progress { change: world.revision(), is_doubting: false }];
+        world.incoming = vec![Progress { change: world.revision(), reason: Reason::Change }];
         let before = world.own.calls.len();
         world.pass(ms(5000));
         assert_eq!(world.own.logged(Event::StoreSilent), 0);
--- a/crates/core/tests/relay/outages.rs
+++ b/crates/core/tests/relay/outages.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use laburnum_core::relay::feed::progress::Progress;
+use laburnum_core::relay::feed::progress::{Progress, Reason};
 
 use crate::{harness::ms, store::Fleet};
 
@@ -55,7 +55,59 @@
     }
 }
 
+/// Ends all of 19 VMs but those with the numbers `left` and makes the store silent for half
+/// a second, `pause` later, so that the answers to all watches are lost. Asserts that a
+/// change after the time in which the store counts as undisturbed is known in time.
+fn lose_most_vms(left: &[usize], calm: Duration, pause: Duration) {
+    let mut fleet = Fleet::new(19, calm.as_millis() as u64);
+    fleet.pass(ms(10_000) + calm);
+    fleet.keep_only(left);
+    fleet.pass(pause);
+    fleet.store.is_silent = true;
+    fleet.pass(ms(5));
+    fleet.store.put("target/desk-2", "desk");
+    fleet.pass(ms(500));
+    fleet.store.is_silent = false;
+    fleet.pass(ms(4200));
+    fleet.store.put("config", "4");
+    fleet.pass(CATCH_UP_LIMIT);
+    let behind = fleet.without_version(4);
+    assert!(behind.is_empty(), "left {left:?}, calm {calm:?}: behind are {behind:?}");
+}
+
+/// Plays the loss of most VMs at many times of a round of watches.
+fn lose_most_vms_at_any_time(left: &[usize]) {
+    for calm in (0..20).map(|step| ms(step * 710)) {
+        lose_most_vms(left, calm, ms(4000));
+        lose_most_vms(left, calm, ms(0));
+    }
+}
+
 cases! {
+    // Guards against a VM that waits for watches and news of VMs that are gone, and keeps
+    // old routes behind one lost answer of the store (review/4).
+    a_vm_that_is_left_alone_misses_no_change => {
+        lose_most_vms_at_any_time(&[18]);
+        lose_most_vms_at_any_time(&[0]);
+    };
+    // Guards against the same where the VMs that are left tell each other too late.
+    a_few_vms_that_are_left_miss_no_change => {
+        lose_most_vms_at_any_time(&[2, 5]);
+        lose_most_vms_at_any_time(&[0, 3, 6, 9, 12]);
+    };
+    // Guards against confirmations that cost more calls than they save.
+    vms_that_are_left_call_the_store_at_a_bounded_rate => {
+        for left in [&[18][..], &[2, 5], &[0, 3, 6, 9, 12]] {
+            let mut fleet = Fleet::new(19, 1);
+            fleet.pass(ms(15_000));
+            fleet.keep_only(left);
+            let before = fleet.count_calls();
+            fleet.pass(ms(30_000));
+            // Two calls a second in all, as of a whole fleet.
+            let calls = fleet.count_calls() - before;
+            assert!(calls <= 60 + 19, "left {left:?}: {calls}");
+        }
+    };
     a_short_silence_hides_no_change => {
         lose_answers_at_any_time(19, ms(300), Timing::Begin);
         lose_answers_at_any_time(19, ms(1300), Timing::End);
@@ -100,7 +152,7 @@
         fleet.store.put("config", "4");
         fleet.pass(ms(1000));
         let before = fleet.count_calls();
-        let doubt = Progress { change: 0, is_doubting: true };
+        let doubt = Progress { change: 0, reason: Reason::Doubt };
         fleet.announce_to_first(doubt);
         fleet.pass(ms(400));
         let calls = fleet.count_calls() - before;
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -8,7 +8,11 @@
     name::Name,
     relay::{
         Reach, View,
-        feed::{Feed, Format, Input, Limits, Outbox, Subject, progress::Progress, table::OwnVm},
+        feed::{
+            Feed, Format, Input, Limits, Outbox, Subject,
+            progress::{Progress, Reason},
+            table::OwnVm,
+        },
         route::Config,
         view::{Target, Vm},
     },
@@ -217,6 +221,12 @@
         self.view.targets.contains_key(&harness::name(id))
     }
 
+    /// Returns the announcements for a reason, one for each VM that got one.
+    pub fn announced_as(&self, reason: Reason) -> Vec<Progress> {
+        let announced = self.announced.iter().map(|(_, progress)| *progress);
+        announced.filter(|progress| progress.reason == reason).collect()
+    }
+
     /// Returns how many log lines of `event` there are.
     pub fn logged(&self, event: Event) -> usize {
         self.lines.iter().filter(|line| line.event == event).count()
@@ -416,6 +426,14 @@
         }
     }
 
+    /// Ends every VM but those with these numbers for good; their entries stay.
+    pub fn keep_only(&mut self, numbers: &[usize]) {
+        let mut number = 0..;
+        self.vms.retain(|_| numbers.contains(&number.next().unwrap()));
+        let mut number = 0..;
+        self.addresses.retain(|_| numbers.contains(&number.next().unwrap()));
+    }
+
     /// Lets an announcement arrive at the first VM.
     pub fn announce_to_first(&mut self, progress: Progress) {
         self.underway.push((self.addresses[0], progress));
