--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -24,7 +24,7 @@
     system::Context,
     table::{OwnVm, Role, Tables},
 };
-use super::{Reach, View, route::Config, view};
+use super::{Reach, Suspicion, View, route::Config, view};
 use crate::{
     digest::Fingerprint,
     log::Line,
@@ -138,6 +138,8 @@
     pub progress: Vec<Progress>,
     /// The requests that this VM quarantines from this tick on.
     pub quarantined: Vec<Fingerprint>,
+    /// What this VM found out about requests that may crash targets.
+    pub suspicions: Vec<Suspicion>,
     /// Whether this VM reaches larger VMs.
     pub reach: Reach,
 }
@@ -151,6 +153,8 @@
     pub view: Option<Arc<View>>,
     /// The announcements to other VMs.
     pub progress: Vec<(SocketAddr, Progress)>,
+    /// Suspicions for other VMs.
+    pub suspicions: Vec<(SocketAddr, Vec<Suspicion>)>,
     pub lines: Vec<Line>,
 }
 
--- a/crates/core/src/relay/feed/progress.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -87,8 +87,7 @@
 /// Tells all VMs that the store has just confirmed how far this one has read.
 pub fn send_to_all(tables: &Tables, cx: &mut Context<'_>) {
     let progress = Progress { change: tables.own_change(), reason: Reason::Confirmation };
-    let others = tables.view.vms.iter().filter(|(name, _)| **name != tables.own.name);
-    cx.out.progress.extend(others.map(|(_, vm)| (vm.address, progress)));
+    cx.out.progress.extend(tables.others().map(|(_, vm)| (vm.address, progress)));
 }
 
 fn send(tables: &mut Tables, reason: Reason, cx: &mut Context<'_>) {
--- a/crates/core/src/relay/feed/report.rs
+++ b/crates/core/src/relay/feed/report.rs
@@ -1,4 +1,5 @@
-//! Reports to the other VMs through the store which requests are quarantined.
+//! Reports to the other VMs through the store which requests are quarantined, and tells
+//! them directly which requests are suspected of crashing targets.
 //!
 //! An entry is removed with its lease, so that no VM has to delete it. It is
 //! written only once: a VM that misses it finds the request by itself.
@@ -10,7 +11,7 @@
 use crate::{
     digest::Fingerprint,
     log::{Event, Line},
-    relay::system::suspect::QUARANTINE_DURATION,
+    relay::{Suspicion, system::suspect::QUARANTINE_DURATION},
     store::{Call, CallId, LeaseId, Reply},
 };
 
@@ -18,6 +19,18 @@
 /// does not report the rest.
 const MAX_WAITING_REPORTS: usize = 16;
 
+/// The most suspicions in one message, which must fit into a datagram.
+const MAX_SUSPICIONS: usize = 8;
+
+/// Tells all VMs that send to targets what this VM found out. A message may be lost: a VM
+/// that misses it lets the request through once more.
+pub fn tell(tables: &Tables, suspicions: &[Suspicion], cx: &mut Context<'_>) {
+    for part in suspicions.chunks(MAX_SUSPICIONS) {
+        let others = tables.others().map(|(_, vm)| (vm.address, part.to_vec()));
+        cx.out.suspicions.extend(others);
+    }
+}
+
 /// Queues reports of requests that this VM quarantined.
 pub fn enqueue(tables: &mut Tables, quarantined: Vec<Fingerprint>) {
     for fingerprint in quarantined {
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -45,6 +45,7 @@
     }
     role::update_reading(tables, input.reach, cx);
     report::enqueue(tables, input.quarantined);
+    report::tell(tables, &input.suspicions, cx);
     for progress in input.progress {
         progress::receive(tables, progress, cx);
     }
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -179,6 +179,11 @@
         self.role == Role::Handing && !self.is_reading
     }
 
+    /// Returns the VMs that are listed, except this one.
+    pub fn others(&self) -> impl Iterator<Item = (&Name, &Vm)> {
+        self.view.vms.iter().filter(|(name, _)| **name != self.own.name)
+    }
+
     /// Returns the id for a new call.
     pub fn call_id(&mut self) -> CallId {
         self.last_call_id += 1;
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -12,6 +12,7 @@
 pub mod route;
 pub mod view;
 pub mod limits;
+pub mod suspicion;
 pub mod policy;
 pub mod table;
 pub mod system;
@@ -28,6 +29,7 @@
     limits::Limits,
     message::{Answer, Call, CallerRequest, Message, Reply},
     route::{Config, Route},
+    suspicion::Suspicion,
     table::Tables,
     view::View,
 };
@@ -58,6 +60,8 @@
     /// Messages to another VM may be lost; `maybe_received` is false if that VM
     /// cannot have received any of them.
     HopLost { to: Name, detail: String, maybe_received: bool },
+    /// Another VM told what it found out about requests that may crash targets.
+    Suspicions(Vec<Suspicion>),
     /// The control thread published a newer view.
     View(Arc<View>),
 }
@@ -109,5 +113,7 @@
     pub lines: Vec<Line>,
     /// The requests that this VM quarantines from this tick on.
     pub quarantined: Vec<Fingerprint>,
+    /// What to tell the other VMs about requests that may crash targets.
+    pub suspicions: Vec<Suspicion>,
     pub counts: Counts,
 }
--- a/crates/core/src/relay/system/collect.rs
+++ b/crates/core/src/relay/system/collect.rs
@@ -129,7 +129,8 @@
     leg.attempts.remove(&attempt);
     if reply.is_success() {
         if let Some(request) = tables.requests.get(&key.call).filter(|_| is_suspecting) {
-            tables.suspects.clear_request(request.caller_request.fingerprint());
+            let fingerprint = request.caller_request.fingerprint();
+            suspect::clear_request(tables, fingerprint, cx);
         }
         leg::finish(tables, key, Arc::new(reply), cx);
         return;
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -47,6 +47,7 @@
                 hop::withdraw(tables, call, cx);
                 intake::abandon(tables, call, cx);
             }
+            Event::Suspicions(suspicions) => suspect::receive(tables, suspicions, cx),
             Event::Hop { from, hop } => hop::receive(tables, from, hop, cx),
             Event::HopLost { to, detail, maybe_received } => {
                 hop::connection_lost(tables, &to, &detail, maybe_received, cx)
--- a/crates/core/src/relay/table/suspect.rs
+++ b/crates/core/src/relay/table/suspect.rs
@@ -8,7 +8,7 @@
 /// that crashes targets may be sent again after that.
 const LOSS_RETENTION: Duration = Duration::from_secs(60);
 
-/// The number of suspected requests from which on further losses are not recorded.
+/// The most suspected requests. Beyond it, the one whose last loss is the oldest is dropped.
 const MAX_SUSPECTS: usize = 1024;
 
 /// When an attempt was sent, and when its connection was lost.
@@ -38,9 +38,12 @@
         })
     }
 
+    fn last_loss(&self) -> Option<Instant> {
+        self.unconfirmed.values().chain(self.down.values()).map(|loss| loss.lost).max()
+    }
+
     fn is_expired(&self, now: Instant) -> bool {
-        let losses = self.unconfirmed.values().chain(self.down.values());
-        losses.map(|loss| loss.lost).max().is_none_or(|last| now.since(last) > LOSS_RETENTION)
+        self.last_loss().is_none_or(|last| now.since(last) > LOSS_RETENTION)
     }
 }
 
@@ -51,17 +54,42 @@
     pub rows: BTreeMap<Fingerprint, Suspect>,
     /// The requests that this VM quarantined, with the time at which that ends.
     pub quarantined: BTreeMap<Fingerprint, Instant>,
+    /// Whether a request was quarantined in this tick, so that legs of it may be queued.
+    pub is_news: bool,
 }
 
 impl Suspects {
     /// Records that the connection of an attempt ended as it does when a target crashes.
     pub fn record_loss(&mut self, request: Fingerprint, target: &Name, loss: Loss) {
-        self.rows.retain(|_, row| !row.is_expired(loss.lost));
-        if self.rows.len() < MAX_SUSPECTS {
-            self.rows.entry(request).or_default().unconfirmed.insert(target.clone(), loss);
+        self.make_room(loss.lost);
+        self.rows.entry(request).or_default().unconfirmed.insert(target.clone(), loss);
+    }
+
+    /// Records that another VM lost a target, which took no connections afterwards.
+    /// Returns whether this proves that the request crashes targets.
+    pub fn record_down(&mut self, request: Fingerprint, target: Name, loss: Loss) -> bool {
+        self.make_room(loss.lost);
+        let row = self.rows.entry(request).or_default();
+        row.down.insert(target, loss);
+        row.is_proven()
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        self.rows.retain(|_, row| !row.is_expired(now));
+        if self.rows.len() >= MAX_SUSPECTS
+            && let Some((oldest, _)) = self.rows.iter().min_by_key(|(_, row)| row.last_loss())
+        {
+            let oldest = *oldest;
+            self.rows.remove(&oldest);
         }
     }
 
+    /// Returns the requests with a loss of this target that is not confirmed.
+    pub fn unconfirmed_on(&self, target: &Name) -> Vec<(Fingerprint, Loss)> {
+        let loss = |row: &Suspect| row.unconfirmed.get(target).copied();
+        self.rows.iter().filter_map(|(request, row)| Some((*request, loss(row)?))).collect()
+    }
+
     /// Drops the unconfirmed losses of a target that takes connections: it did not
     /// crash.
     pub fn clear_target(&mut self, target: &Name) {
@@ -84,9 +112,10 @@
         proven
     }
 
-    /// Drops a request that a target answered, as it does not crash targets.
-    pub fn clear_request(&mut self, request: Fingerprint) {
-        self.rows.remove(&request);
+    /// Drops a request that a target answered, as it does not crash targets. Returns
+    /// whether other VMs know of a loss.
+    pub fn clear_request(&mut self, request: Fingerprint) -> bool {
+        self.rows.remove(&request).is_some_and(|row| !row.down.is_empty())
     }
 
     /// Returns whether this VM quarantines a request.
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -20,6 +20,12 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the time `span` earlier, or zero if that would be negative.
+    pub fn before(self, span: Duration) -> Instant {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Instant(self.0.saturating_sub(micros))
+    }
+
     /// Returns the time from `now` until `self`, or zero if `self` has passed.
     pub fn remaining(self, now: Instant) -> Duration {
         self.since(now)
--- a/crates/core/tests/relay/harness.rs
+++ b/crates/core/tests/relay/harness.rs
@@ -14,7 +14,7 @@
     name::Name,
     relay::{
         Answer, Attempt, Call, CallerRequest, Command, Connection, Engine, Event, Hop, Limits,
-        Loss, Message, Outbox, Reply, TargetRequest, View,
+        Loss, Message, Outbox, Reply, Suspicion, TargetRequest, View,
         message::{Header, Notice},
         policy::Policies,
         route::{Bounds, Config, Gather, Plan, Route, Service, WeightedService},
@@ -183,6 +183,7 @@
     pub lines: Vec<Line>,
     pub hops: Vec<(Name, Hop)>,
     pub quarantined: Vec<Fingerprint>,
+    pub suspicions: Vec<Suspicion>,
     last_call: u64,
 }
 
@@ -217,6 +218,7 @@
             lines: Vec::new(),
             hops: Vec::new(),
             quarantined: Vec::new(),
+            suspicions: Vec::new(),
             last_call: 0,
         }
     }
@@ -254,6 +256,7 @@
         }
         self.lines.extend(out.lines);
         self.quarantined.extend(out.quarantined);
+        self.suspicions.extend(out.suspicions);
     }
 
     /// Gives the engine a newer view.
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -7,7 +7,7 @@
     log::{Event, Line},
     name::Name,
     relay::{
-        Reach, View,
+        Reach, Suspicion, View,
         feed::{
             Feed, Format, Input, Limits, Outbox, Subject,
             progress::{Progress, Reason},
@@ -192,6 +192,8 @@
     pub reports: Vec<Call>,
     /// The announcements to other VMs.
     pub announced: Vec<(SocketAddr, Progress)>,
+    /// The suspicions for other VMs.
+    pub told: Vec<(SocketAddr, Vec<Suspicion>)>,
     /// Whether the VM reaches larger VMs.
     pub reach: Reach,
     open: Vec<OpenCall>,
@@ -208,6 +210,7 @@
             calls: Vec::new(),
             reports: Vec::new(),
             announced: Vec::new(),
+            told: Vec::new(),
             reach: Reach::Served,
             open: Vec::new(),
         }
@@ -239,11 +242,14 @@
         store: &mut Store,
         progress: Vec<Progress>,
         quarantined: Vec<Fingerprint>,
+        suspicions: Vec<Suspicion>,
     ) {
         let replies = self.replies(now, store);
         let mut out = Outbox::default();
-        self.feed.tick(now, Input { replies, progress, quarantined, reach: self.reach }, &mut out);
+        let input = Input { replies, progress, quarantined, suspicions, reach: self.reach };
+        self.feed.tick(now, input, &mut out);
         self.announced.extend(out.progress);
+        self.told.extend(out.suspicions);
         self.lines.extend(out.lines);
         if let Some(view) = out.view {
             self.view = view;
@@ -322,6 +328,8 @@
     pub incoming: Vec<Progress>,
     /// The requests that the VM quarantines in the next tick.
     pub quarantined: Vec<Fingerprint>,
+    /// What the VM finds out about requests by the next tick.
+    pub suspicions: Vec<Suspicion>,
 }
 
 impl World {
@@ -347,6 +355,7 @@
             own: Reader::new("own", vm(share), 3),
             incoming: Vec::new(),
             quarantined: Vec::new(),
+            suspicions: Vec::new(),
         }
     }
 
@@ -369,7 +378,8 @@
         while self.now < end {
             let incoming = std::mem::take(&mut self.incoming);
             let quarantined = std::mem::take(&mut self.quarantined);
-            self.own.tick(self.now, &mut self.store, incoming, quarantined);
+            let suspicions = std::mem::take(&mut self.suspicions);
+            self.own.tick(self.now, &mut self.store, incoming, quarantined, suspicions);
             self.now = self.now + STEP;
         }
     }
@@ -419,7 +429,7 @@
             for (vm, address) in self.vms.iter_mut().zip(&self.addresses) {
                 let incoming = underway.iter().filter(|(to, _)| to == address);
                 let incoming = incoming.map(|(_, progress)| *progress).collect();
-                vm.tick(self.now, &mut self.store, incoming, Vec::new());
+                vm.tick(self.now, &mut self.store, incoming, Vec::new(), Vec::new());
                 self.underway.append(&mut vm.announced);
             }
             self.now = self.now + STEP;
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -1,12 +1,15 @@
 //! Quarantine of requests that crash the targets that run them, and similar
 //! losses that must not lead to it.
 
+use std::time::Duration;
+
 use laburnum_core::{
     digest::Fingerprint,
     fault::Ran,
     log::Event,
+    name::Name,
     relay::{
-        Answer, View,
+        self, Answer, Suspicion, View,
         route::Route,
         table::suspect::{Loss, Suspects},
     },
@@ -63,7 +66,104 @@
     world
 }
 
+/// What another VM tells about a target that it lost `lost` ago.
+fn told(path: &str, target: &str, sent: Duration, lost: Duration) -> relay::Event {
+    let (request, target) = (fingerprint(path), name(target));
+    relay::Event::Suspicions(vec![Suspicion::Lost { request, target, sent, lost }])
+}
+
+fn is_loss_of(suspicion: &Suspicion, id: &Name) -> bool {
+    matches!(suspicion, Suspicion::Lost { target, .. } if target == id)
+}
+
+/// Four targets that a request reaches at one of them at a time.
+fn one_attempt() -> Harness {
+    Harness::with_view(four_targets(Route { attempts: 1, ..single("desk") }))
+}
+
 cases! {
+    // Guards against a request that crashes one target through each VM (review/5).
+    losses_at_different_vms_add_up => {
+        let (mut first, mut second) = (one_attempt(), one_attempt());
+        assert_eq!(crash(&mut first, "/fetch/bad"), 1);
+        // The next request reaches another target, as the first one is down.
+        let mut rest = View::clone(&second.engine.tables().view);
+        rest.targets.retain(|id, _| first.suspicions.iter().all(|told| !is_loss_of(told, id)));
+        second.set_view(rest);
+        let told = std::mem::take(&mut first.suspicions);
+        assert!(matches!(&told[..], [Suspicion::Lost { .. }]), "{told:?}");
+        second.tick(vec![relay::Event::Suspicions(told)]);
+        second.advance(ms(300));
+        assert_eq!(crash(&mut second, "/fetch/bad"), 1);
+        assert_eq!(second.quarantined, [fingerprint("/fetch/bad")]);
+        assert!(send(&mut second, "/fetch/bad").is_none());
+        first.advance(ms(600));
+        first.tick(vec![relay::Event::Suspicions(std::mem::take(&mut second.suspicions))]);
+        assert!(send(&mut first, "/fetch/bad").is_none());
+        assert!(first.quarantined.is_empty(), "the second VM reports it to the store");
+    };
+    losses_at_the_same_moment_at_different_vms_prove_nothing => {
+        let mut harness = one_attempt();
+        let sent = send(&mut harness, "/fetch/1").unwrap();
+        harness.advance(ms(50));
+        harness.crash_target(&sent);
+        let other = if sent.target() == "desk-4" { "desk-3" } else { "desk-4" };
+        harness.tick(vec![told("/fetch/1", other, ms(300), ms(250))]);
+        assert!(harness.quarantined.is_empty());
+        assert!(send(&mut harness, "/fetch/1").is_some());
+    };
+    the_same_target_lost_at_two_vms_proves_nothing => {
+        let mut harness = one_attempt();
+        let sent = send(&mut harness, "/fetch/1").unwrap();
+        harness.tick(vec![told("/fetch/1", sent.target(), ms(5000), ms(4900))]);
+        harness.crash_target(&sent);
+        assert!(harness.quarantined.is_empty());
+    };
+    // Guards against requests that are held although another VM has served them.
+    an_answer_at_one_vm_clears_a_request_at_all => {
+        let mut harness = one_attempt();
+        harness.tick(vec![told("/fetch/1", "desk-4", ms(300), ms(250))]);
+        let sent = send(&mut harness, "/fetch/1").unwrap();
+        harness.reply(&sent, success("d", 1));
+        let cleared = vec![Suspicion::Cleared { request: fingerprint("/fetch/1") }];
+        assert_eq!(harness.suspicions, cleared);
+        let mut other = one_attempt();
+        crash(&mut other, "/fetch/1");
+        other.tick(vec![relay::Event::Suspicions(cleared)]);
+        crash(&mut other, "/fetch/1");
+        assert!(other.quarantined.is_empty());
+    };
+    an_answer_to_a_request_that_nobody_suspects_is_not_told => {
+        let mut harness = one_attempt();
+        let sent = send(&mut harness, "/fetch/1").unwrap();
+        harness.reply(&sent, success("d", 1));
+        assert!(harness.suspicions.is_empty());
+    };
+    many_suspects_do_not_hide_the_next_one => {
+        let mut harness = one_attempt();
+        for number in 0..3000 {
+            harness.tick(vec![told(&format!("/fetch/{number}"), "desk-4", ms(300), ms(250))]);
+        }
+        assert!(harness.engine.tables().suspects.rows.len() <= 1024);
+        harness.advance(ms(300));
+        crash(&mut harness, "/fetch/bad");
+        crash(&mut harness, "/fetch/bad");
+        assert_eq!(harness.quarantined, [fingerprint("/fetch/bad")]);
+    };
+    suspicions_are_told_to_all_other_vms => {
+        let mut world = running_feed();
+        world.put("vm/a", "170@10.1.0.1:7000");
+        world.put("vm/b", "170@10.1.0.2:7000");
+        world.pass(ms(1000));
+        let cleared = |number| Suspicion::Cleared { request: Fingerprint(number) };
+        world.suspicions = (0..20).map(cleared).collect();
+        world.pass(ms(10));
+        for address in ["10.1.0.1:7000", "10.1.0.2:7000"] {
+            let told = world.own.told.iter().filter(|(to, _)| to.to_string() == address);
+            let told: Vec<Suspicion> = told.flat_map(|(_, part)| part.clone()).collect();
+            assert_eq!(told, (0..20).map(cleared).collect::<Vec<_>>());
+        }
+    };
     a_request_that_crashed_two_targets_is_quarantined => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
         assert_eq!(crash(&mut harness, "/fetch/bad"), 2);
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -7,7 +7,7 @@
     digest::Fingerprint,
     log::Event,
     relay::{
-        Reach, View,
+        Reach, Suspicion, View,
         feed::{Feed, Input, Limits, Outbox, table::OwnVm},
         view::Vm,
     },
@@ -18,7 +18,10 @@
     time::sleep,
 };
 
-use super::{Shared, datagram::Datagram};
+use super::{
+    Shared,
+    datagram::{Datagram, Message},
+};
 
 /// The longest sleep while no timer of the feed is set.
 const MAX_SLEEP: Duration = Duration::from_secs(60);
@@ -41,6 +44,10 @@
     pub reach: watch::Receiver<Reach>,
     /// The requests that the traffic thread has quarantined.
     pub quarantined: mpsc::UnboundedReceiver<Fingerprint>,
+    /// What the traffic thread found out about requests that may crash targets.
+    pub found: mpsc::UnboundedReceiver<Vec<Suspicion>>,
+    /// Passes on what other VMs found out.
+    pub heard: mpsc::UnboundedSender<Vec<Suspicion>>,
 }
 
 /// Runs the control thread until the VM stops.
@@ -55,6 +62,7 @@
     let mut batch = Vec::new();
     let mut progress = Vec::new();
     let mut quarantined = Vec::new();
+    let mut suspicions = Vec::new();
     let mut datagram = Datagram::open(&shared).await;
     loop {
         let mut out = Outbox::default();
@@ -62,6 +70,7 @@
             replies: std::mem::take(&mut batch),
             progress: std::mem::take(&mut progress),
             quarantined: std::mem::take(&mut quarantined),
+            suspicions: std::mem::take(&mut suspicions),
             reach: *resources.reach.borrow_and_update(),
         };
         feed.tick(shared.clock.now(), input, &mut out);
@@ -69,7 +78,10 @@
             client.call(id, call);
         }
         for (to, progress) in out.progress {
-            datagram.send(to, progress).await;
+            datagram.send(to, &Message::Progress(progress)).await;
+        }
+        for (to, suspicions) in out.suspicions {
+            datagram.send(to, &Message::Suspicions(suspicions)).await;
         }
         if let Some(view) = out.view {
             resources.view.send_replace(view);
@@ -85,9 +97,15 @@
             _ = stop.wait_for(|stop| *stop) => return,
             _ = resources.leaving.changed() => {}
             Ok(()) = resources.reach.changed() => {}
-            received = datagram.receive() => progress.extend(received),
+            received = datagram.receive() => match received {
+                Some(Message::Progress(received)) => progress.push(received),
+                // The receiver is dropped only when the VM stops.
+                Some(Message::Suspicions(received)) => drop(resources.heard.send(received)),
+                None => {}
+            },
             _ = receiver.recv_many(&mut batch, MAX_BATCH) => {}
             Some(request) = resources.quarantined.recv() => quarantined.push(request),
+            Some(found) = resources.found.recv() => suspicions.extend(found),
             () = sleep(pause) => {}
         }
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -119,12 +119,16 @@
     let (serving_sender, serving) = mpsc::channel(1);
     let (reach_sender, reach) = watch::channel(Reach::Served);
     let (quarantined_sender, quarantined) = mpsc::unbounded_channel();
+    let (found_sender, found) = mpsc::unbounded_channel();
+    let (heard_sender, heard) = mpsc::unbounded_channel();
     let control = control::Resources {
         view: view_sender,
         ready: ready_sender,
         leaving: leaving_receiver,
         reach,
         quarantined,
+        found,
+        heard: heard_sender,
     };
     let (for_control, for_traffic) = (shared.clone(), shared.clone());
     let ended = guard::Ended::default();
@@ -136,6 +140,8 @@
         serving: serving_sender,
         reach: reach_sender,
         quarantined: quarantined_sender,
+        found: found_sender,
+        heard,
     };
     let traffic = guard::spawn("traffic", &ended, move || traffic::run(for_traffic, resources))
         .change_context_lazy(|| error("traffic"))?;
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -7,7 +7,10 @@
     border::Clock,
     digest::Fingerprint,
     id::Origin,
-    relay::{Answer, Call, Command, Engine, Event, Limits, Outbox, Reach, View, policy::Policies},
+    relay::{
+        Answer, Call, Command, Engine, Event, Limits, Outbox, Reach, Suspicion, View,
+        policy::Policies,
+    },
 };
 use tokio::{
     sync::{
@@ -45,6 +48,10 @@
     pub reach: watch::Sender<Reach>,
     /// Reports the requests that the thread quarantines.
     pub quarantined: mpsc::UnboundedSender<Fingerprint>,
+    /// Reports what the thread found out about requests that may crash targets.
+    pub found: mpsc::UnboundedSender<Vec<Suspicion>>,
+    /// What other VMs found out.
+    pub heard: UnboundedReceiver<Vec<Suspicion>>,
 }
 
 /// Runs the traffic thread until the VM stops.
@@ -55,17 +62,18 @@
         Ok(started) => started,
         Err(error) => return log_port_failure(&shared, "peers", Err(error)),
     };
-    let (reach, quarantined) = (resources.reach.clone(), resources.quarantined.clone());
-    serve_ports(&shared, resources, Handle::new(inputs));
+    let Resources { listeners, serving, reach, quarantined, found, heard } = resources;
+    serve_ports(&shared, listeners, serving, Handle::new(inputs));
     let (policies, origin) = (Policies::default(), Origin(rand::random()));
     let engine = Engine::new(limits(&shared.settings), policies, rand::random(), origin);
     let targets = Client::new(events);
     let pending = Pending::default();
-    let thread = Thread { engine, targets, peers, reach, quarantined, pending, shared };
+    let thread = Thread { engine, targets, peers, reach, quarantined, found, pending, shared };
     let inbox = Inbox {
         inputs: input_receiver,
         events: event_receiver,
         peers: peer_inbox,
+        heard,
         view: thread.shared.view.clone(),
         settings: thread.shared.latest.clone(),
         stop: thread.shared.stop.clone(),
@@ -85,8 +93,7 @@
 }
 
 /// Starts to serve callers, probes and the collector of metrics.
-fn serve_ports(shared: &Shared, resources: Resources, handle: Handle) {
-    let Resources { listeners, serving, .. } = resources;
+fn serve_ports(shared: &Shared, listeners: Listeners, serving: mpsc::Sender<()>, handle: Handle) {
     let Listeners { callers, ready, metrics, .. } = listeners;
     let own = shared.clone();
     tokio::spawn(async move {
@@ -121,6 +128,7 @@
     inputs: UnboundedReceiver<Input>,
     events: UnboundedReceiver<Event>,
     peers: peer::Inbox,
+    heard: UnboundedReceiver<Vec<Suspicion>>,
     view: watch::Receiver<Arc<View>>,
     settings: watch::Receiver<Arc<Settings>>,
     stop: watch::Receiver<bool>,
@@ -133,6 +141,7 @@
     peers: Peers,
     reach: watch::Sender<Reach>,
     quarantined: mpsc::UnboundedSender<Fingerprint>,
+    found: mpsc::UnboundedSender<Vec<Suspicion>>,
     pending: Pending<Call, Answer>,
     shared: Shared,
 }
@@ -166,6 +175,7 @@
                 Some(lost) = inbox.peers.losses.recv() => {
                     events.push(Event::HopLost { to: lost.to.vm, detail: lost.detail, maybe_received: lost.maybe_received });
                 }
+                Some(heard) = inbox.heard.recv() => events.push(Event::Suspicions(heard)),
                 1.. = inbox.events.recv_many(&mut events, MAX_BATCH) => {}
                 1.. = inbox.inputs.recv_many(&mut inputs, MAX_BATCH) => {}
                 () = sleep(pause) => {}
@@ -212,6 +222,10 @@
             // The receiver is dropped only when the VM stops.
             let _ = self.quarantined.send(request);
         }
+        if !out.suspicions.is_empty() {
+            // Dropped only when the VM stops, too.
+            let _ = self.found.send(out.suspicions);
+        }
         let now = self.shared.clock.now();
         for line in &out.lines {
             self.shared.writer.write(line, now);
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod store;
 mod handover;
 mod limit;
+mod crash;
 mod notice;
 mod outage;
 mod path;
