--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -24,7 +24,7 @@
     system::Context,
     table::{OwnVm, Role, Tables},
 };
-use super::{Reach, Suspicion, View, route::Config, view};
+use super::{Quarantine, Reach, Suspicion, View, route::Config, view};
 use crate::{
     digest::Fingerprint,
     log::Line,
@@ -137,7 +137,7 @@
     /// How far other VMs have read the store.
     pub progress: Vec<Progress>,
     /// The requests that this VM quarantines from this tick on.
-    pub quarantined: Vec<Fingerprint>,
+    pub quarantined: Vec<Quarantine>,
     /// What this VM found out about requests that may crash targets.
     pub suspicions: Vec<Suspicion>,
     /// Whether this VM reaches larger VMs.
--- a/crates/core/src/relay/feed/report.rs
+++ b/crates/core/src/relay/feed/report.rs
@@ -9,9 +9,8 @@
     table::{Stage, Tables},
 };
 use crate::{
-    digest::Fingerprint,
     log::{Event, Line},
-    relay::{Suspicion, system::suspect::QUARANTINE_DURATION},
+    relay::{Quarantine, Suspicion},
     store::{Call, CallId, LeaseId, Reply},
 };
 
@@ -32,12 +31,12 @@
 }
 
 /// Queues reports of requests that this VM quarantined.
-pub fn enqueue(tables: &mut Tables, quarantined: Vec<Fingerprint>) {
-    for fingerprint in quarantined {
-        let is_known = tables.view.quarantined.contains(&fingerprint);
+pub fn enqueue(tables: &mut Tables, quarantined: Vec<Quarantine>) {
+    for quarantine in quarantined {
+        let is_known = tables.view.quarantined.contains(&quarantine.request);
         let waiting = &mut tables.reports.waiting;
-        if !is_known && waiting.len() < MAX_WAITING_REPORTS && !waiting.contains(&fingerprint) {
-            waiting.push_back(fingerprint);
+        if !is_known && waiting.len() < MAX_WAITING_REPORTS && !waiting.contains(&quarantine) {
+            waiting.push_back(quarantine);
         }
     }
 }
@@ -45,13 +44,12 @@
 /// Starts the next report. A VM that hands its requests to others does not use the
 /// store and makes no reports.
 pub fn start_next(tables: &mut Tables, cx: &mut Context<'_>) {
-    if tables.reports.in_flight.is_some()
-        || tables.reports.waiting.is_empty()
-        || tables.is_handing()
-    {
+    if tables.reports.in_flight.is_some() || tables.is_handing() {
         return;
     }
-    start_call(tables, Stage::Grant, Call::Grant { ttl: QUARANTINE_DURATION }, cx);
+    let Some(quarantine) = tables.reports.waiting.front() else { return };
+    let grant = Call::Grant { ttl: quarantine.hold };
+    start_call(tables, Stage::Grant, grant, cx);
 }
 
 /// Handles the reply to a call of a report. Returns the reply if it belongs to none.
@@ -82,9 +80,9 @@
 }
 
 fn start_write(tables: &mut Tables, lease: LeaseId, cx: &mut Context<'_>) {
-    let Some(fingerprint) = tables.reports.waiting.front() else { return };
+    let Some(quarantine) = tables.reports.waiting.front() else { return };
     let call = Call::Swap {
-        key: cx.format.quarantine_key(*fingerprint),
+        key: cx.format.quarantine_key(quarantine.request),
         expect: None,
         value: tables.own.name.as_str().into(),
         lease: Some(lease),
@@ -93,11 +91,11 @@
 }
 
 fn discard(tables: &mut Tables, reply: &Reply, cx: &mut Context<'_>) {
-    let Some(fingerprint) = tables.reports.waiting.pop_front() else { return };
+    let Some(quarantine) = tables.reports.waiting.pop_front() else { return };
     let detail = match reply {
         Reply::Refused { detail } | Reply::Lost { detail } => detail.clone(),
         _ => "unexpected type of reply".to_owned(),
     };
-    let fields = vec![("fingerprint", fingerprint.to_string()), ("detail", detail)];
+    let fields = vec![("fingerprint", quarantine.request.to_string()), ("detail", detail)];
     cx.out.lines.push(Line::new(Event::ReportLost, fields));
 }
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -4,9 +4,8 @@
 
 use super::{Limits, confirm, role};
 use crate::{
-    digest::Fingerprint,
     name::Name,
-    relay::{Reach, View, view::Vm},
+    relay::{Quarantine, Reach, View, view::Vm},
     store::{CallId, Version},
     time::Instant,
 };
@@ -76,7 +75,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Reports {
     /// The requests to report. A call in flight is for the first one.
-    pub waiting: VecDeque<Fingerprint>,
+    pub waiting: VecDeque<Quarantine>,
     pub in_flight: Option<(CallId, Stage)>,
 }
 
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -21,7 +21,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::{count::Counts, digest::Fingerprint, log::Line, name::Name};
+use crate::{count::Counts, log::Line, name::Name};
 
 pub use self::{
     engine::Engine,
@@ -29,7 +29,7 @@
     limits::Limits,
     message::{Answer, Call, CallerRequest, Message, Reply},
     route::{Config, Route},
-    suspicion::Suspicion,
+    suspicion::{Quarantine, Suspicion},
     table::Tables,
     view::View,
 };
@@ -112,7 +112,7 @@
     pub answers: Vec<(Call, Answer)>,
     pub lines: Vec<Line>,
     /// The requests that this VM quarantines from this tick on.
-    pub quarantined: Vec<Fingerprint>,
+    pub quarantined: Vec<Quarantine>,
     /// What to tell the other VMs about requests that may crash targets.
     pub suspicions: Vec<Suspicion>,
     pub counts: Counts,
--- a/crates/core/src/relay/suspicion.rs
+++ b/crates/core/src/relay/suspicion.rs
@@ -9,6 +9,14 @@
 
 use crate::{digest::Fingerprint, name::Name};
 
+/// A request that a VM quarantines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quarantine {
+    pub request: Fingerprint,
+    /// How long the request is refused.
+    pub hold: Duration,
+}
+
 /// What one VM found out about a request. It states ages, as VMs have no common clock.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Suspicion {
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -52,13 +52,14 @@
         let fault = Fault::not_run(Kind::NotReady, "this VM knows no configuration yet");
         return refuse(call, &caller_request, fault, Some(NOT_READY_RETRY_AFTER), cx);
     };
+    let quarantine_left = suspect::quarantine_left(tables, &caller_request, cx);
     match config.find(&caller_request.host, &caller_request.path) {
-        Some(_) if suspect::is_quarantined(tables, &caller_request, cx) => {
+        Some(_) if quarantine_left.is_some() => {
             let fault = Fault::not_run(
                 Kind::Quarantined,
                 "the request is quarantined because it crashed targets",
             );
-            refuse(call, &caller_request, fault, Some(suspect::QUARANTINE_DURATION), cx);
+            refuse(call, &caller_request, fault, quarantine_left, cx);
         }
         Some(route) => admit(tables, call, caller_request, &config, route, cx),
         None => {
--- a/crates/core/src/relay/system/suspect.rs
+++ b/crates/core/src/relay/system/suspect.rs
@@ -11,16 +11,15 @@
     log::{Event, Line},
     name::Name,
     relay::{
-        Loss, Suspicion, Tables,
+        Loss, Quarantine, Suspicion, Tables,
         message::{Call, CallerRequest},
-        table::{attempt::Attempt, suspect},
+        table::{
+            attempt::Attempt,
+            suspect::{self, FIRST_HOLD},
+        },
     },
 };
 
-/// Time for which a request is quarantined. Afterwards it is let through, and one
-/// more loss quarantines it again.
-pub const QUARANTINE_DURATION: Duration = Duration::from_secs(60);
-
 /// The longest time that a suspicion is assumed to take to the receiver. A request that
 /// another VM sent counts as sent earlier by it, so that it does not seem to follow a loss
 /// that it did not follow.
@@ -55,8 +54,8 @@
         lost: now.since(loss.lost),
     }));
     for fingerprint in tables.suspects.confirm_down(target) {
-        if quarantine(tables, fingerprint, cx) {
-            cx.out.quarantined.push(fingerprint);
+        if let Some(hold) = quarantine(tables, fingerprint, cx) {
+            cx.out.quarantined.push(Quarantine { request: fingerprint, hold });
         }
     }
 }
@@ -89,40 +88,60 @@
     }
 }
 
-/// Quarantines a request. Returns false if it is quarantined already.
-fn quarantine(tables: &mut Tables, fingerprint: Fingerprint, cx: &mut Context<'_>) -> bool {
+/// Quarantines a request and returns how long, unless it is quarantined already.
+fn quarantine(
+    tables: &mut Tables,
+    fingerprint: Fingerprint,
+    cx: &mut Context<'_>,
+) -> Option<Duration> {
     if tables.suspects.is_quarantined(fingerprint, cx.now) {
-        return false;
+        return None;
     }
-    tables.suspects.quarantined.retain(|_, until| *until > cx.now);
-    tables.suspects.quarantined.insert(fingerprint, cx.now + QUARANTINE_DURATION);
-    tables.suspects.is_news = true;
-    log_quarantine(tables, fingerprint, cx);
-    true
+    let targets = down_targets(tables, fingerprint);
+    let hold = tables.suspects.quarantine(fingerprint, cx.now);
+    log_quarantine(tables, fingerprint, targets, hold, cx);
+    Some(hold)
 }
 
-fn log_quarantine(tables: &Tables, fingerprint: Fingerprint, cx: &mut Context<'_>) {
+/// Formats the targets that a request is known to have crashed for a log line.
+fn down_targets(tables: &Tables, fingerprint: Fingerprint) -> String {
     let row = tables.suspects.rows.get(&fingerprint);
-    let targets = row.map(|row| row.down.keys().map(Name::as_str).collect::<Vec<_>>().join(" "));
+    let names = row.map(|row| row.down.keys().map(Name::as_str).collect::<Vec<_>>());
+    names.unwrap_or_default().join(" ")
+}
+
+fn log_quarantine(
+    tables: &Tables,
+    fingerprint: Fingerprint,
+    targets: String,
+    hold: Duration,
+    cx: &mut Context<'_>,
+) {
     let same = |caller_request: &CallerRequest| caller_request.fingerprint() == fingerprint;
     let request = tables.requests.values().find(|request| same(&request.caller_request));
     let fields = vec![
         ("id", request.map(|request| request.caller_request.id.to_string()).unwrap_or_default()),
         ("fingerprint", fingerprint.to_string()),
-        ("targets", targets.unwrap_or_default()),
-        ("hold_ms", QUARANTINE_DURATION.as_millis().to_string()),
+        ("targets", targets),
+        ("hold_ms", hold.as_millis().to_string()),
     ];
     cx.out.lines.push(Line::new(Event::RequestQuarantined, fields));
 }
 
-/// Whether a request is quarantined, by this VM or by another one.
-pub fn is_quarantined(tables: &Tables, caller_request: &CallerRequest, cx: &Context<'_>) -> bool {
+/// Returns how much longer a request is quarantined, by this VM or by another one. The
+/// entry of another VM does not state its end.
+pub fn quarantine_left(
+    tables: &Tables,
+    caller_request: &CallerRequest,
+    cx: &Context<'_>,
+) -> Option<Duration> {
     let (own, others) = (&tables.suspects, &tables.view.quarantined);
     if own.quarantined.is_empty() && others.is_empty() {
-        return false;
+        return None;
     }
     let fingerprint = caller_request.fingerprint();
-    own.is_quarantined(fingerprint, cx.now) || others.contains(&fingerprint)
+    let by_others = others.contains(&fingerprint).then_some(FIRST_HOLD);
+    own.time_left(fingerprint, cx.now).or(by_others)
 }
 
 /// Whether a leg belongs to a quarantined request.
@@ -132,7 +151,7 @@
     cx: &Context<'_>,
 ) -> bool {
     let request = tables.requests.get(&key.call);
-    request.is_some_and(|request| is_quarantined(tables, &request.caller_request, cx))
+    request.is_some_and(|request| quarantine_left(tables, &request.caller_request, cx).is_some())
 }
 
 /// Ends the queued legs of requests that were quarantined since they were queued.
--- a/crates/core/src/relay/table/suspect.rs
+++ b/crates/core/src/relay/table/suspect.rs
@@ -8,7 +8,19 @@
 /// that crashes targets may be sent again after that.
 const LOSS_RETENTION: Duration = Duration::from_secs(60);
 
-/// The most suspected requests. Beyond it, the one whose last loss is the oldest is dropped.
+/// How long it is remembered that a request crashed targets, after its last quarantine
+/// began. It exceeds the longest quarantine.
+const PROOF_RETENTION: Duration = Duration::from_secs(3600);
+
+/// How long a request is refused after the first proof. Each further proof doubles it.
+pub const FIRST_HOLD: Duration = Duration::from_secs(60);
+
+/// The longest time for which a request is refused without a trial. The users' store
+/// allows leases of ten minutes.
+const LONGEST_HOLD: Duration = Duration::from_secs(480);
+
+/// The most suspected requests. Beyond it, the one whose last loss is the oldest is dropped,
+/// those that are proven last.
 const MAX_SUSPECTS: usize = 1024;
 
 /// When an attempt was sent, and when its connection was lost.
@@ -25,25 +37,47 @@
     pub unconfirmed: BTreeMap<Name, Loss>,
     /// The targets that took no connection afterwards.
     pub down: BTreeMap<Name, Loss>,
+    /// How often it was proven that the request crashes targets.
+    pub proofs: u32,
+    /// When it was last proven.
+    pub proven_at: Option<Instant>,
 }
 
 impl Suspect {
     /// Returns whether two targets went down one after the other, where the second
     /// got the request after the first was lost. Targets that go down together do
-    /// so for another reason than the requests that they run.
+    /// so for another reason than the requests that they run. If it was proven before,
+    /// one further target is enough.
     pub fn is_proven(&self) -> bool {
+        if self.proofs > 0 {
+            return !self.down.is_empty();
+        }
         self.down.iter().any(|(second, later)| {
             let mut others = self.down.iter().filter(|(first, _)| *first != second);
             others.any(|(_, first)| later.sent >= first.lost)
         })
     }
 
+    /// Counts a proof, for which the losses so far are used up, and returns how long the
+    /// request is refused.
+    fn count_proof(&mut self, now: Instant) -> Duration {
+        let hold = FIRST_HOLD.saturating_mul(1 << self.proofs.min(8)).min(LONGEST_HOLD);
+        self.proofs = self.proofs.saturating_add(1);
+        self.proven_at = Some(now);
+        self.down.clear();
+        hold
+    }
+
     fn last_loss(&self) -> Option<Instant> {
         self.unconfirmed.values().chain(self.down.values()).map(|loss| loss.lost).max()
     }
 
     fn is_expired(&self, now: Instant) -> bool {
-        self.last_loss().is_none_or(|last| now.since(last) > LOSS_RETENTION)
+        let is_forgotten = |at: Option<Instant>, retention: Duration| {
+            at.is_none_or(|at| now.since(at) > retention)
+        };
+        is_forgotten(self.last_loss(), LOSS_RETENTION)
+            && is_forgotten(self.proven_at, PROOF_RETENTION)
     }
 }
 
@@ -77,7 +111,8 @@
     fn make_room(&mut self, now: Instant) {
         self.rows.retain(|_, row| !row.is_expired(now));
         if self.rows.len() >= MAX_SUSPECTS
-            && let Some((oldest, _)) = self.rows.iter().min_by_key(|(_, row)| row.last_loss())
+            && let Some((oldest, _)) =
+                self.rows.iter().min_by_key(|(_, row)| (row.proven_at, row.last_loss()))
         {
             let oldest = *oldest;
             self.rows.remove(&oldest);
@@ -118,8 +153,23 @@
         self.rows.remove(&request).is_some_and(|row| !row.down.is_empty())
     }
 
+    /// Quarantines a request that is proven to crash targets, and returns how long.
+    pub fn quarantine(&mut self, request: Fingerprint, now: Instant) -> Duration {
+        let hold = self.rows.entry(request).or_default().count_proof(now);
+        self.quarantined.retain(|_, until| *until > now);
+        self.quarantined.insert(request, now + hold);
+        self.is_news = true;
+        hold
+    }
+
+    /// Returns how much longer this VM quarantines a request, if it does.
+    pub fn time_left(&self, request: Fingerprint, now: Instant) -> Option<Duration> {
+        let left = self.quarantined.get(&request)?.remaining(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Returns whether this VM quarantines a request.
     pub fn is_quarantined(&self, request: Fingerprint, now: Instant) -> bool {
-        self.quarantined.get(&request).is_some_and(|until| *until > now)
+        self.time_left(request, now).is_some()
     }
 }
--- a/crates/core/tests/relay/harness.rs
+++ b/crates/core/tests/relay/harness.rs
@@ -183,6 +183,8 @@
     pub lines: Vec<Line>,
     pub hops: Vec<(Name, Hop)>,
     pub quarantined: Vec<Fingerprint>,
+    /// How long each of `quarantined` is refused.
+    pub holds: Vec<Duration>,
     pub suspicions: Vec<Suspicion>,
     last_call: u64,
 }
@@ -218,6 +220,7 @@
             lines: Vec::new(),
             hops: Vec::new(),
             quarantined: Vec::new(),
+            holds: Vec::new(),
             suspicions: Vec::new(),
             last_call: 0,
         }
@@ -255,7 +258,8 @@
             self.answered_at.insert(call, self.now);
         }
         self.lines.extend(out.lines);
-        self.quarantined.extend(out.quarantined);
+        self.quarantined.extend(out.quarantined.iter().map(|quarantine| quarantine.request));
+        self.holds.extend(out.quarantined.iter().map(|quarantine| quarantine.hold));
         self.suspicions.extend(out.suspicions);
     }
 
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -7,7 +7,7 @@
     log::{Event, Line},
     name::Name,
     relay::{
-        Reach, Suspicion, View,
+        Quarantine, Reach, Suspicion, View,
         feed::{
             Feed, Format, Input, Limits, Outbox, Subject,
             progress::{Progress, Reason},
@@ -94,6 +94,9 @@
 /// The time after which the client gives up a call; for a watch, after its wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long the requests are refused that a test quarantines.
+pub const HOLD: Duration = Duration::from_secs(60);
+
 /// The time between two ticks.
 pub const STEP: Duration = Duration::from_millis(5);
 
@@ -246,6 +249,8 @@
     ) {
         let replies = self.replies(now, store);
         let mut out = Outbox::default();
+        let quarantined = quarantined.into_iter().map(|request| Quarantine { request, hold: HOLD });
+        let quarantined = quarantined.collect();
         let input = Input { replies, progress, quarantined, suspicions, reach: self.reach };
         self.feed.tick(now, input, &mut out);
         self.announced.extend(out.progress);
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -21,7 +21,7 @@
     harness::{
         Harness, Sent, config, failure, ms, name, request, search, single, success, target, view,
     },
-    store::World,
+    store::{HOLD, World},
 };
 
 /// A view with four targets of a service, so that some are left after a request
@@ -190,6 +190,51 @@
         harness.advance(ms(2_000));
         assert!(send(&mut harness, "/fetch/bad").is_some());
     };
+    // Guards against two more crashes in each minute, by a request that comes again and again.
+    one_loss_after_the_quarantine_quarantines_again => {
+        let mut harness = one_attempt();
+        crash(&mut harness, "/fetch/bad");
+        crash(&mut harness, "/fetch/bad");
+        harness.advance(ms(61_000));
+        assert_eq!(crash(&mut harness, "/fetch/bad"), 1);
+        assert!(send(&mut harness, "/fetch/bad").is_none());
+        assert_eq!(harness.quarantined.len(), 2);
+    };
+    each_further_quarantine_is_longer => {
+        let mut harness = one_attempt();
+        crash(&mut harness, "/fetch/bad");
+        for round in 0..6 {
+            assert_eq!(crash(&mut harness, "/fetch/bad"), 1);
+            let hold = *harness.holds.last().unwrap();
+            let call = harness.submit(request("/fetch/bad"));
+            let Answer::Refused(refusal) = &harness.answers[&call] else { panic!() };
+            assert_eq!(refusal.retry, Some(hold), "told when it is let through");
+            harness.advance(hold);
+            // Targets that crashed come back under new names.
+            let mut view = View::clone(&harness.engine.tables().view);
+            view.targets = (0..4).map(|n| target(&format!("desk-{round}-{n}"), "desk")).collect();
+            harness.set_view(view);
+            harness.opened.clear();
+            harness.open_first_connections();
+        }
+        assert_eq!(harness.holds, [60, 120, 240, 480, 480, 480].map(Duration::from_secs));
+    };
+    a_request_that_was_answered_after_its_quarantine_starts_anew => {
+        let mut harness = one_attempt();
+        crash(&mut harness, "/fetch/bad");
+        crash(&mut harness, "/fetch/bad");
+        harness.advance(ms(61_000));
+        let sent = send(&mut harness, "/fetch/bad").unwrap();
+        harness.reply(&sent, success("d", 1));
+        crash(&mut harness, "/fetch/bad");
+        assert_eq!(harness.quarantined.len(), 1, "one loss is not enough again");
+    };
+    the_report_of_a_quarantine_lasts_as_long_as_it => {
+        let mut world = running_feed();
+        world.quarantined = vec![Fingerprint(7)];
+        world.pass(ms(1000));
+        assert!(matches!(world.own.reports[0], Call::Grant { ttl } if ttl == HOLD));
+    };
     targets_that_go_down_together_quarantine_nothing => {
         let mut harness = Harness::with_view(four_targets(single("desk")));
         harness.submit(request("/fetch/1"));
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -4,10 +4,9 @@
 
 use laburnum_core::{
     border::{Clock, Platform},
-    digest::Fingerprint,
     log::Event,
     relay::{
-        Reach, Suspicion, View,
+        Quarantine, Reach, Suspicion, View,
         feed::{Feed, Input, Limits, Outbox, table::OwnVm},
         view::Vm,
     },
@@ -43,7 +42,7 @@
     /// Whether this VM reaches larger VMs.
     pub reach: watch::Receiver<Reach>,
     /// The requests that the traffic thread has quarantined.
-    pub quarantined: mpsc::UnboundedReceiver<Fingerprint>,
+    pub quarantined: mpsc::UnboundedReceiver<Quarantine>,
     /// What the traffic thread found out about requests that may crash targets.
     pub found: mpsc::UnboundedReceiver<Vec<Suspicion>>,
     /// Passes on what other VMs found out.
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -5,10 +5,9 @@
 
 use laburnum_core::{
     border::Clock,
-    digest::Fingerprint,
     id::Origin,
     relay::{
-        Answer, Call, Command, Engine, Event, Limits, Outbox, Reach, Suspicion, View,
+        Answer, Call, Command, Engine, Event, Limits, Outbox, Quarantine, Reach, Suspicion, View,
         policy::Policies,
     },
 };
@@ -47,7 +46,7 @@
     /// Publishes whether this VM reaches larger VMs.
     pub reach: watch::Sender<Reach>,
     /// Reports the requests that the thread quarantines.
-    pub quarantined: mpsc::UnboundedSender<Fingerprint>,
+    pub quarantined: mpsc::UnboundedSender<Quarantine>,
     /// Reports what the thread found out about requests that may crash targets.
     pub found: mpsc::UnboundedSender<Vec<Suspicion>>,
     /// What other VMs found out.
@@ -140,7 +139,7 @@
     targets: Client,
     peers: Peers,
     reach: watch::Sender<Reach>,
-    quarantined: mpsc::UnboundedSender<Fingerprint>,
+    quarantined: mpsc::UnboundedSender<Quarantine>,
     found: mpsc::UnboundedSender<Vec<Suspicion>>,
     pending: Pending<Call, Answer>,
     shared: Shared,
@@ -218,9 +217,9 @@
         for (call, answer) in out.answers {
             self.pending.answer(call, answer);
         }
-        for request in out.quarantined {
+        for quarantine in out.quarantined {
             // The receiver is dropped only when the VM stops.
-            let _ = self.quarantined.send(request);
+            let _ = self.quarantined.send(quarantine);
         }
         if !out.suspicions.is_empty() {
             // Dropped only when the VM stops, too.
