--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -104,6 +104,14 @@
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status) && self.digest.is_some()
     }
+
+    /// Returns whether the reply is a failure that may be passed on. A success without a
+    /// digest, or an interim status, is no reply of a target that works. A status that tells
+    /// the caller that the request was not run counts only in a refusal, which is not passed
+    /// on.
+    pub fn is_failure(&self) -> bool {
+        self.status >= 300 && !matches!(self.status, 408 | 421 | 429 | 503)
+    }
 }
 
 /// The answer to a caller.
--- a/crates/core/src/relay/system/answer.rs
+++ b/crates/core/src/relay/system/answer.rs
@@ -65,11 +65,13 @@
     };
     let execution = execution(tables, call, request);
     match &leg.state {
-        State::Done(reply) if implies_not_run(reply) => Some(Answer::Refused(Refusal {
+        State::Done(reply) if reply.is_success() || reply.is_failure() => {
+            Some(Answer::Forwarded(Box::new(Reply::clone(reply))))
+        }
+        State::Done(reply) => Some(Answer::Refused(Refusal {
             fault: Fault::unknown(Kind::TargetFailed, format!("status {}", reply.status)),
             retry: None,
         })),
-        State::Done(reply) => Some(Answer::Forwarded(Box::new(Reply::clone(reply)))),
         State::Failed => {
             let retry = retry_after(tables, &leg.service, cx);
             Some(refused(execution, Kind::TargetFailed, "no target answered", retry))
@@ -82,13 +84,6 @@
     }
 }
 
-/// Whether a status tells the caller that the request was not run. That holds only
-/// if the target also marks the reply as a refusal, so that other replies with
-/// such a status are not passed on.
-fn implies_not_run(reply: &Reply) -> bool {
-    matches!(reply.status, 408 | 421 | 429 | 503)
-}
-
 /// Returns a refusal of `kind` if a target may have run the request, and one that
 /// says that it was not run otherwise.
 fn refused(execution: Execution, kind: Kind, detail: &str, retry: Duration) -> Answer {
--- a/crates/core/src/relay/system/collect.rs
+++ b/crates/core/src/relay/system/collect.rs
@@ -144,7 +144,7 @@
     }
     leg.runs.may_have_run = true;
     let reply = Arc::new(reply);
-    let is_final = !is_gather && (!is_idempotent || reply.status < 500);
+    let is_final = !is_gather && (!is_idempotent || reply.is_failure() && reply.status < 500);
     if !is_gather {
         leg.failure = Some(Arc::clone(&reply));
     }
--- a/crates/core/tests/relay/answers.rs
+++ b/crates/core/tests/relay/answers.rs
@@ -1,6 +1,9 @@
 //! Replies of a single target: which are passed on, which are retried.
 
-use laburnum_core::relay::Answer;
+use laburnum_core::{
+    fault::Ran,
+    relay::{Answer, Reply, Route},
+};
 
 use crate::harness::{Harness, failure, refusal, request, single, success};
 
@@ -21,6 +24,24 @@
         harness.reply(&second, failure(500));
         assert_eq!(harness.answers[&call], Answer::Forwarded(Box::new(failure(500))));
     };
+    // Guards against a success whose body the caller cannot check: the target broke off, or its
+    // bytes are no reply of it.
+    a_success_without_a_digest_is_not_passed_on => {
+        for status in [200, 204, 101] {
+            for idempotent in [true, false] {
+                let mut harness = Harness::with_route(Route { idempotent, ..single("desk") });
+                let call = harness.submit(request("/fetch/1"));
+                for _ in 0..2 {
+                    for sent in harness.take_sent() {
+                        harness.reply(&sent, Reply { digest: None, ..failure(status) });
+                    }
+                }
+                let Answer::Refused(refusal) = &harness.answers[&call] else { panic!("{status}") };
+                assert_eq!(refusal.fault.ran, Ran::Unknown);
+                assert_eq!(harness.refusal_status(call), 502);
+            }
+        }
+    };
     a_client_error_is_not_retried => {
         let mut harness = Harness::with_route(single("desk"));
         let call = harness.submit(request("/fetch/1"));
--- a/crates/http/tests/channel.rs
+++ b/crates/http/tests/channel.rs
@@ -135,6 +135,33 @@
     a_cut_head_is_no_response => {
         assert!(exchange_once(Action::Close("HTTP/1.1 200 OK\r\nConte")).await.unwrap_err().sent);
     };
+    // Guards against a success with a short body after a peer closed in the middle of a head.
+    a_response_that_is_cut_anywhere_is_no_response => {
+        let framings = [
+            "Content-Length: 2\r\n\r\nok",
+            "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            "Connection: close\r\nContent-Length: 2\r\n\r\nok",
+        ];
+        let heads = [
+            "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n",
+            "HTTP/1.0 200 OK\r\nServer-Seal: s\r\n",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+        ];
+        for (head, framing) in heads.iter().flat_map(|head| framings.map(|f| (head, f))) {
+            let whole: &'static str = Box::leak(format!("{head}{framing}").into());
+            for end in 0..whole.len() {
+                let outcome = exchange_once(Action::Close(&whole[..end])).await;
+                assert!(outcome.is_err_and(|failure| failure.sent), "{:?}", &whole[..end]);
+            }
+        }
+    };
+    a_head_that_is_cut_before_a_body_without_length_is_no_response => {
+        let head = "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n\r\n";
+        for end in 0..head.len() {
+            let outcome = exchange_once(Action::Close(&head[..end])).await;
+            assert!(outcome.is_err_and(|failure| failure.sent), "{:?}", &head[..end]);
+        }
+    };
     bytes_of_no_protocol_are_no_response => {
         assert!(exchange_once(Action::Send("garbage garbage\r\n\r\n")).await.unwrap_err().sent);
     };
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod handover;
 mod limit;
 mod crash;
+mod cut;
 mod notice;
 mod outage;
 mod path;
