Answer every request before the end of a planned stop (LOST)

Requests that a smaller VM had handed to a larger one ended as 502 when that was stopped.

Cause: the threads end at the limit of the shutdown and nothing told the engine. Deadlines were those of the callers; only the front's own requests were waited for; smaller VMs were not told.

Change: Event::Stopping tells the engine when every request is to be answered, 300 ms before the limit, and no deadline is later. What cannot be served by then is refused at once as not run; what is at work then is answered without a promise, and the exit says that not all was finished, as before. A request that comes with less than its route's goal left is refused as not run. Smaller VMs are told and hand over elsewhere; the process ends when it has answered theirs too.

Ruled out: the front. It closes each connection after its response during the stop, and reads what has arrived.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -53,6 +53,16 @@
         system::hop::reach(&self.tables, now)
     }
 
+    /// Returns whether another VM waits for the answer to a request.
+    pub fn owes_answers(&self) -> bool {
+        !self.tables.accepted.is_empty()
+    }
+
+    /// Returns whether a request was open at the end of the shutdown.
+    pub fn is_cut_short(&self) -> bool {
+        self.tables.is_cut_short
+    }
+
     /// Returns the tables, for gauges and tests.
     pub fn tables(&self) -> &Tables {
         &self.tables
--- a/crates/core/src/relay/hop.rs
+++ b/crates/core/src/relay/hop.rs
@@ -1,6 +1,6 @@
 //! Messages between VMs about requests that one hands to another.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +34,9 @@
     Answer { id: Id, answer: Answer, is_current: bool },
     /// Whether the store answers the sender, sent when that changes.
     State { is_current: bool },
+    /// The sender shuts down and takes no further requests if there is another VM. Its
+    /// process ends within this time.
+    Stopping { ends_in: Duration },
     /// The caller disconnected and the answer is no longer needed.
     Cancel { id: Id },
     /// A target told the sender that it is leaving. The receiver may send to it itself
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -21,7 +21,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::{count::Counts, log::Line, name::Name};
+use crate::{count::Counts, log::Line, name::Name, time::Instant};
 
 pub use self::{
     engine::Engine,
@@ -60,6 +60,8 @@
     /// Messages to another VM may be lost; `maybe_received` is false if that VM
     /// cannot have received any of them.
     HopLost { to: Name, detail: String, maybe_received: bool },
+    /// The VM shuts down; every request is to be answered by `at`.
+    Stopping { at: Instant },
     /// Another VM told what it found out about requests that may crash targets.
     Suspicions(Vec<Suspicion>),
     /// The control thread published a newer view.
--- a/crates/core/src/relay/system/expire.rs
+++ b/crates/core/src/relay/system/expire.rs
@@ -1,6 +1,6 @@
 //! Handles the timers that are due.
 
-use super::{Context, connect, dispatch, hop};
+use super::{Context, connect, dispatch, hop, stop};
 use crate::{
     name::Name,
     relay::{self, Tables, table::timer::Timer},
@@ -21,6 +21,7 @@
             }
             // The queued legs are dispatched in every tick.
             Timer::Backoff(_) => {}
+            Timer::Stop => stop::end(tables),
         }
     }
 }
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -8,7 +8,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{Context, intake, leg};
+use super::{Context, intake, leg, stop};
 use crate::{
     count::Count,
     fault::{Fault, Kind, Ran},
@@ -63,21 +63,29 @@
 /// configuration itself.
 pub fn pick_vm(tables: &Tables, cx: &Context<'_>) -> Option<(Name, SocketAddr)> {
     let is_own_current = tables.view.config.is_some() && tables.view.is_current;
-    best_vm(tables, cx, true)
-        .or_else(|| if is_own_current { None } else { best_vm(tables, cx, false) })
+    best_current_vm(tables, cx)
+        .or_else(|| if is_own_current { None } else { best_vm(tables, cx, |_| true) })
 }
 
-/// Returns the reachable larger VM with the highest rank: those in the same failure
-/// domain come first, and rendezvous hashing picks one of them. With `is_current`
-/// it skips VMs that the store does not answer.
-fn best_vm(tables: &Tables, cx: &Context<'_>, is_current: bool) -> Option<(Name, SocketAddr)> {
+/// Returns the best larger VM that the store answers and that does not shut down.
+fn best_current_vm(tables: &Tables, cx: &Context<'_>) -> Option<(Name, SocketAddr)> {
+    best_vm(tables, cx, |name| !is_stale(tables, name) && !is_stopping(tables, name, cx.now))
+}
+
+/// Returns the reachable larger VM with the highest rank among those that are `wanted`: those
+/// that do not shut down come first, then those in the same failure domain, and rendezvous
+/// hashing picks one of them.
+fn best_vm(
+    tables: &Tables,
+    cx: &Context<'_>,
+    wanted: impl Fn(&Name) -> bool,
+) -> Option<(Name, SocketAddr)> {
     let larger = tables.view.larger.iter();
-    let reachable = larger.filter(|(name, _)| {
-        is_reachable(tables, name, cx.now) && !(is_current && is_stale(tables, name))
-    });
+    let reachable = larger.filter(|(name, _)| is_reachable(tables, name, cx.now) && wanted(name));
     let rank = |(name, vm): &(&Name, &Vm)| {
+        let is_staying = !is_stopping(tables, name, cx.now);
         let is_near = vm.domain == cx.limits.domain;
-        (is_near, rank::weight(rank::seed(&[cx.limits.vm.as_str()]), name))
+        (is_staying, is_near, rank::weight(rank::seed(&[cx.limits.vm.as_str()]), name))
     };
     let (name, vm) = reachable.max_by_key(rank)?;
     Some((name.clone(), vm.address))
@@ -93,13 +101,18 @@
     tables.links.get(name).is_some_and(|link| link.is_stale)
 }
 
+fn is_stopping(tables: &Tables, name: &Name, now: Instant) -> bool {
+    tables.links.get(name).is_some_and(|link| link.stops_until > now)
+}
+
 /// Returns whether this VM reaches larger VMs. One whose connection was lost counts
 /// again when a message from it arrives.
 pub fn reach(tables: &Tables, now: Instant) -> Reach {
     let larger = &tables.view.larger;
     let is_lost = |name: &Name| tables.links.get(name).is_some_and(|link| link.is_lost);
-    let mut reachable =
-        larger.keys().filter(|name| is_reachable(tables, name, now) && !is_lost(name)).peekable();
+    let is_served =
+        |name: &&Name| is_reachable(tables, name, now) && !is_stopping(tables, name, now);
+    let mut reachable = larger.keys().filter(|name| is_served(name) && !is_lost(name)).peekable();
     if larger.is_empty() {
         Reach::Served
     } else if reachable.peek().is_none() {
@@ -120,8 +133,11 @@
     cx: &mut Context<'_>,
 ) {
     let timeout = caller_request.caller_timeout.unwrap_or(DEFAULT_TIMEOUT);
-    let deadline = cx.now + timeout.saturating_sub(HANDED_DEADLINE_MARGIN);
+    let deadline = stop::limit(tables, cx.now + timeout.saturating_sub(HANDED_DEADLINE_MARGIN));
     let mut sent = caller_request.clone();
+    if tables.stop_at.is_some() {
+        sent.caller_timeout = Some(deadline.remaining(cx.now));
+    }
     sent.peer_delay = ROUND_TRIP_ALLOWANCE;
     let reply_to = cx.limits.address;
     let id = hop::Id { origin: cx.origin, call };
@@ -149,7 +165,11 @@
     match hop {
         Hop::Request { id, caller_request, reply_to } => {
             let own = Call(HANDED_CALL_BIT | tables.next_id());
-            tables.senders.insert(from.clone(), Sender { reply_to, last_request: cx.now });
+            let is_known =
+                tables.senders.insert(from.clone(), Sender { reply_to, last_request: cx.now });
+            if is_known.is_none() {
+                announce_stop(tables, cx);
+            }
             tables.accepted.insert(own, AcceptedRequest { from, reply_to, id });
             intake::accept(tables, vec![(own, *caller_request)], cx);
         }
@@ -162,6 +182,11 @@
         }
         Hop::Leaving { target, born } => record_leaving(tables, target, born, cx.now),
         Hop::State { is_current } => set_stale(tables, &from, !is_current),
+        Hop::Stopping { ends_in } => {
+            if let Some(link) = tables.links.get_mut(&from) {
+                link.stops_until = cx.now + ends_in;
+            }
+        }
         Hop::Cancel { id } => {
             let is_cancelled = |(_, accepted): &(&Call, &AcceptedRequest)| {
                 accepted.from == from && accepted.id == id
@@ -215,7 +240,7 @@
 ) {
     remove_handed(tables, call);
     let is_refused = matches!(&answer, Answer::Refused(refusal) if refusal.fault.ran == Ran::No);
-    let other = if is_refused && !is_current { best_vm(tables, cx, true) } else { None };
+    let other = if is_refused && !is_current { best_current_vm(tables, cx) } else { None };
     if let Some(other) = other {
         hand_over(tables, call, with_time_left(row, cx.now), other, cx);
         return;
@@ -226,11 +251,23 @@
 /// Tells the VMs that recently handed requests to this one whether the store
 /// answers it.
 pub fn send_state(tables: &mut Tables, cx: &mut Context<'_>) {
+    let is_current = tables.view.is_current;
+    tell_senders(tables, &Hop::State { is_current }, cx);
+}
+
+/// Tells the VMs that recently handed requests to this one that it shuts down, if it does.
+pub fn announce_stop(tables: &mut Tables, cx: &mut Context<'_>) {
+    let Some(at) = tables.stop_at else { return };
+    tell_senders(tables, &Hop::Stopping { ends_in: at.remaining(cx.now) }, cx);
+}
+
+/// Sends a message to the VMs that recently handed requests to this one.
+fn tell_senders(tables: &mut Tables, hop: &Hop, cx: &mut Context<'_>) {
     let now = cx.now;
     tables.senders.retain(|_, sender| now.since(sender.last_request) < STATE_UPDATE_PERIOD);
     for (to, sender) in &tables.senders {
-        let hop = Hop::State { is_current: tables.view.is_current };
-        cx.out.commands.push(Command::Hop { to: to.clone(), address: sender.reply_to, hop });
+        let (to, address, hop) = (to.clone(), sender.reply_to, hop.clone());
+        cx.out.commands.push(Command::Hop { to, address, hop });
     }
 }
 
@@ -238,12 +275,7 @@
 pub fn announce_leaving(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
     let Some(target) = tables.targets.get(id) else { return };
     let hop = Hop::Leaving { target: id.clone(), born: target.entry.born };
-    let now = cx.now;
-    tables.senders.retain(|_, sender| now.since(sender.last_request) < STATE_UPDATE_PERIOD);
-    for (to, sender) in &tables.senders {
-        let (to, address, hop) = (to.clone(), sender.reply_to, hop.clone());
-        cx.out.commands.push(Command::Hop { to, address, hop });
-    }
+    tell_senders(tables, &hop, cx);
 }
 
 /// Records that another VM knows a target to be leaving.
@@ -270,6 +302,15 @@
     true
 }
 
+/// Shortens the time for which this VM waits for answers of other VMs until `at`.
+pub fn shorten_handed(tables: &mut Tables, at: Instant) {
+    for (call, row) in tables.handed.iter_mut().filter(|(_, row)| row.deadline > at) {
+        tables.timers.cancel(row.deadline, Timer::HandedDeadline(*call));
+        row.deadline = at;
+        tables.timers.set(at, Timer::HandedDeadline(*call));
+    }
+}
+
 /// Withdraws a request from the VM that has it, because its caller left.
 pub fn withdraw(tables: &mut Tables, call: Call, cx: &mut Context<'_>) {
     cancel(tables, call, cx);
@@ -305,6 +346,7 @@
     let Some(link) = tables.links.get_mut(to) else { return };
     link.pause_until = cx.now + LOSS_PAUSE;
     link.is_lost = true;
+    link.stops_until = Instant::default();
     let open: Vec<Call> = link.open.iter().map(|(_, call)| *call).collect();
     let fields = vec![
         ("peer", to.to_string()),
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::{Context, hop, leg, suspect};
+use super::{Context, hop, leg, stop, suspect};
 use crate::{
     count::Count,
     fault::{Fault, Kind},
@@ -35,6 +35,9 @@
 /// Retry-after time that a VM without a configuration tells its callers.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Retry-after time of a VM that shuts down, whose callers turn to other VMs.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Counts and routes requests that arrived from callers or other VMs.
 pub fn accept(tables: &mut Tables, arrivals: Vec<(Call, CallerRequest)>, cx: &mut Context<'_>) {
     for (call, caller_request) in arrivals {
@@ -61,6 +64,10 @@
             );
             refuse(call, &caller_request, fault, quarantine_left, cx);
         }
+        Some(route) if !stop::has_time(tables, route, cx.now) => {
+            let fault = Fault::not_run(Kind::NotReady, "the VM shuts down");
+            refuse(call, &caller_request, fault, Some(STOPPING_RETRY_AFTER), cx);
+        }
         Some(route) => admit(tables, call, caller_request, &config, route, cx),
         None => {
             let detail = format!("no route at version {}", config.version);
@@ -112,7 +119,7 @@
     let timeout =
         caller_request.caller_timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let goal = cx.now + route.goal.saturating_sub(elapsed + GOAL_MARGIN);
-    let deadline = cx.now + timeout.saturating_sub(DEADLINE_MARGIN);
+    let deadline = stop::limit(tables, cx.now + timeout.saturating_sub(DEADLINE_MARGIN));
     let services = pick_services(tables, route, cx);
     let legs = u32::try_from(services.len()).unwrap_or(u32::MAX);
     let request = Request {
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -12,6 +12,7 @@
 pub mod connect;
 pub mod leg;
 pub mod suspect;
+pub mod stop;
 pub mod merge;
 
 use rand::rngs::StdRng;
@@ -47,6 +48,7 @@
                 hop::withdraw(tables, call, cx);
                 intake::abandon(tables, call, cx);
             }
+            Event::Stopping { at } => stop::begin(tables, at, cx),
             Event::Suspicions(suspicions) => suspect::receive(tables, suspicions, cx),
             Event::Hop { from, hop } => hop::receive(tables, from, hop, cx),
             Event::HopLost { to, detail, maybe_received } => {
--- a/crates/core/src/relay/table/hop.rs
+++ b/crates/core/src/relay/table/hop.rs
@@ -42,6 +42,8 @@
     pub is_lost: bool,
     /// When the last message from it arrived.
     pub last_received: Instant,
+    /// Until when it shuts down, if it said so; its process ends by then.
+    pub stops_until: Instant,
     /// Whether it reported that the store does not answer it.
     pub is_stale: bool,
 }
--- a/crates/core/src/relay/table/mod.rs
+++ b/crates/core/src/relay/table/mod.rs
@@ -62,6 +62,10 @@
     pub leaving: BTreeMap<(Name, u64), Instant>,
     /// The requests suspected of crashing targets.
     pub suspects: Suspects,
+    /// When every request is to be answered, if the VM shuts down.
+    pub stop_at: Option<Instant>,
+    /// Whether a request was open at the end of the shutdown.
+    pub is_cut_short: bool,
     /// The time of the first tick.
     pub started: Instant,
     pub timers: Timers<Timer>,
--- a/crates/core/src/relay/table/timer.rs
+++ b/crates/core/src/relay/table/timer.rs
@@ -6,6 +6,9 @@
 /// What is due when a timer expires.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
+    /// The end of the shutdown. It comes before the deadlines of the same moment, so that
+    /// what they end still counts as open.
+    Stop,
     /// The goal of a request: an answer with enough parts is given from here on.
     Goal(Call),
     /// The deadline of a request.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -18,6 +18,7 @@
     net::{SocketAddr, TcpListener},
     sync::Arc,
     thread,
+    time::Duration,
 };
 
 use error_stack::{Report, ResultExt};
@@ -25,6 +26,7 @@
     border::Clock,
     log::{Event, Line},
     relay::{Reach, View},
+    time::Instant,
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -39,6 +41,9 @@
     vm::{Error, meter},
 };
 
+/// The time before the limit of a shutdown in which the last answers are written.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
 /// What the threads of the VM share.
 #[derive(Clone)]
 pub struct Shared {
@@ -53,6 +58,8 @@
     pub view: watch::Receiver<Arc<View>>,
     /// Whether the VM accepts requests.
     pub ready: watch::Receiver<bool>,
+    /// When every request is to be answered, once the VM shuts down.
+    pub stop_at: watch::Receiver<Option<Instant>>,
     /// Becomes true when the VM accepts no further connections.
     pub shutdown: watch::Receiver<bool>,
     /// Becomes true when the threads are to end.
@@ -85,6 +92,8 @@
     latest: watch::Sender<Arc<Settings>>,
     serving: mpsc::Receiver<()>,
     leaving: watch::Sender<bool>,
+    stop_at: watch::Sender<Option<Instant>>,
+    cut_short: watch::Receiver<bool>,
     shutdown: watch::Sender<bool>,
     stop: watch::Sender<bool>,
     threads: Vec<thread::JoinHandle<()>>,
@@ -100,6 +109,8 @@
     let (view_sender, view) = watch::channel(Arc::default());
     let (ready_sender, ready) = watch::channel(false);
     let (leaving, leaving_receiver) = watch::channel(false);
+    let (stop_at, stop_at_receiver) = watch::channel(None);
+    let (cut_short_sender, cut_short) = watch::channel(false);
     let (shutdown, shutdown_receiver) = watch::channel(false);
     let (stop, stop_receiver) = watch::channel(false);
     let settings = Arc::new(settings);
@@ -112,6 +123,7 @@
         metrics: Arc::new(Metrics::new()),
         view,
         ready,
+        stop_at: stop_at_receiver,
         shutdown: shutdown_receiver,
         stop: stop_receiver,
     };
@@ -142,13 +154,26 @@
         quarantined: quarantined_sender,
         found: found_sender,
         heard,
+        cut_short: cut_short_sender,
     };
     let traffic = guard::spawn("traffic", &ended, move || traffic::run(for_traffic, resources))
         .change_context_lazy(|| error("traffic"))?;
     let address = shared.settings.listen.callers.to_string();
     shared.log(Event::Started, vec![("callers", address)]);
     let threads = vec![control, traffic];
-    Ok(Relay { shared, latest, serving, leaving, shutdown, stop, threads, ended, _log: log })
+    Ok(Relay {
+        shared,
+        latest,
+        serving,
+        leaving,
+        stop_at,
+        cut_short,
+        shutdown,
+        stop,
+        threads,
+        ended,
+        _log: log,
+    })
 }
 
 /// Binds the addresses of the settings. A failure to bind the one for metrics is
@@ -203,16 +228,22 @@
 
     /// Shuts the VM down without interrupting a request. The VM reports that it is
     /// not ready, accepts requests until the balancer has noticed that, then
-    /// finishes the open ones. Returns false if some were still open at the limit.
+    /// finishes the open ones, also those that other VMs handed over. Shortly before the
+    /// limit, what is still open is answered without a reply of a target. Returns false if
+    /// there was anything.
     pub async fn shut_down(mut self) -> bool {
         self.shared.log(Event::Leaving, Vec::new());
         self.leaving.send_replace(true);
         let limits = self.latest.borrow().shutdown;
+        let answer_by = self.shared.clock.now() + limits.limit.saturating_sub(ANSWER_TIME);
+        self.stop_at.send_replace(Some(answer_by));
         sleep(limits.announce).await;
         self.shutdown.send_replace(true);
         let rest = limits.limit.saturating_sub(limits.announce);
-        // Nothing is ever sent: the channel closes when the front has finished.
+        // Nothing is ever sent: the channel closes when the front and the traffic thread
+        // have finished.
         let is_idle = timeout(rest, self.serving.recv()).await.is_ok();
+        let is_idle = is_idle && !*self.cut_short.borrow();
         let finished = if is_idle { "all" } else { "not all" };
         self.shared.log(Event::Stopped, vec![("finished", finished.to_owned())]);
         self.stop.send_replace(true);
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -4,7 +4,10 @@
 use std::{collections::BTreeMap, io, net::SocketAddr, time::Duration};
 
 use laburnum_core::{name::Name, relay::Hop, view::Lane};
-use tokio::sync::mpsc::{Receiver, UnboundedReceiver, channel, unbounded_channel};
+use tokio::{
+    sync::mpsc::{Receiver, UnboundedReceiver, channel, unbounded_channel},
+    time::timeout,
+};
 
 use super::{Listeners, Shared};
 use crate::wire::{self, Admission, Body, Dialer, Key};
@@ -13,6 +16,9 @@
 /// senders have to wait.
 const MAX_WAITING_FRAMES: usize = 1024;
 
+/// The time for the last messages at the end of the process.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Returns the limits on connections to other VMs. A VM that does not answer
 /// pings is detected within 1.5 s.
 fn limits() -> wire::Limits {
@@ -75,6 +81,13 @@
 }
 
 impl Peers {
+    /// Sends the messages that wait, for at most [`CLOSE_TIMEOUT`], and closes the
+    /// connections.
+    pub async fn close(self) {
+        // What is not sent by then is lost like the rest of the process.
+        let _ = timeout(CLOSE_TIMEOUT, self.dialer.close()).await;
+    }
+
     /// Sends a message to another VM, which listens at `address`.
     pub fn send(&mut self, to: &Name, address: SocketAddr, hop: Hop) {
         let lane = lane(to);
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -10,6 +10,7 @@
         Answer, Call, Command, Engine, Event, Limits, Outbox, Quarantine, Reach, Suspicion, View,
         policy::Policies,
     },
+    time::Instant,
 };
 use tokio::{
     sync::{
@@ -41,7 +42,8 @@
 /// The sockets and channel ends that the traffic thread owns.
 pub struct Resources {
     pub listeners: Listeners,
-    /// Dropped when the front has answered all requests that it accepted.
+    /// Dropped when the front has answered all requests that it accepted, and this thread
+    /// those that other VMs handed over.
     pub serving: mpsc::Sender<()>,
     /// Publishes whether this VM reaches larger VMs.
     pub reach: watch::Sender<Reach>,
@@ -51,6 +53,8 @@
     pub found: mpsc::UnboundedSender<Vec<Suspicion>>,
     /// What other VMs found out.
     pub heard: UnboundedReceiver<Vec<Suspicion>>,
+    /// Becomes true if a request was open at the end of the shutdown.
+    pub cut_short: watch::Sender<bool>,
 }
 
 /// Runs the traffic thread until the VM stops.
@@ -61,13 +65,25 @@
         Ok(started) => started,
         Err(error) => return log_port_failure(&shared, "peers", Err(error)),
     };
-    let Resources { listeners, serving, reach, quarantined, found, heard } = resources;
-    serve_ports(&shared, listeners, serving, Handle::new(inputs));
+    let Resources { listeners, serving, reach, quarantined, found, heard, cut_short } = resources;
+    serve_ports(&shared, listeners, serving.clone(), Handle::new(inputs));
     let (policies, origin) = (Policies::default(), Origin(rand::random()));
     let engine = Engine::new(limits(&shared.settings), policies, rand::random(), origin);
     let targets = Client::new(events);
     let pending = Pending::default();
-    let thread = Thread { engine, targets, peers, reach, quarantined, found, pending, shared };
+    let serving = Some(serving);
+    let thread = Thread {
+        engine,
+        targets,
+        peers,
+        serving,
+        reach,
+        quarantined,
+        found,
+        cut_short,
+        pending,
+        shared,
+    };
     let inbox = Inbox {
         inputs: input_receiver,
         events: event_receiver,
@@ -75,6 +91,8 @@
         heard,
         view: thread.shared.view.clone(),
         settings: thread.shared.latest.clone(),
+        stop_at: thread.shared.stop_at.clone(),
+        shutdown: thread.shared.shutdown.clone(),
         stop: thread.shared.stop.clone(),
     };
     thread.run(inbox).await;
@@ -130,6 +148,8 @@
     heard: UnboundedReceiver<Vec<Suspicion>>,
     view: watch::Receiver<Arc<View>>,
     settings: watch::Receiver<Arc<Settings>>,
+    stop_at: watch::Receiver<Option<Instant>>,
+    shutdown: watch::Receiver<bool>,
     stop: watch::Receiver<bool>,
 }
 
@@ -138,9 +158,12 @@
     engine: Engine,
     targets: Client,
     peers: Peers,
+    /// Held until the VM accepts no further requests and owes no other VM an answer.
+    serving: Option<mpsc::Sender<()>>,
     reach: watch::Sender<Reach>,
     quarantined: mpsc::UnboundedSender<Quarantine>,
     found: mpsc::UnboundedSender<Vec<Suspicion>>,
+    cut_short: watch::Sender<bool>,
     pending: Pending<Call, Answer>,
     shared: Shared,
 }
@@ -158,7 +181,7 @@
                 wake.map_or(MAX_SLEEP, |at| at.remaining(self.shared.clock.now()).min(MAX_SLEEP));
             tokio::select! {
                 biased;
-                _ = inbox.stop.wait_for(|stop| *stop) => return,
+                _ = inbox.stop.wait_for(|stop| *stop) => return self.peers.close().await,
                 changed = inbox.view.changed() => {
                     if changed.is_err() {
                         return;
@@ -169,6 +192,11 @@
                 Ok(()) = inbox.settings.changed() => {
                     self.engine.set_limits(limits(&inbox.settings.borrow_and_update()));
                 }
+                Ok(()) = inbox.stop_at.changed() => {
+                    let at = *inbox.stop_at.borrow_and_update();
+                    events.extend(at.map(|at| Event::Stopping { at }));
+                }
+                Ok(()) = inbox.shutdown.changed() => {}
                 // A channel that is closed gives nothing, at once and each time.
                 1.. = inbox.peers.frames.recv_many(&mut frames, MAX_BATCH) => {}
                 Some(lost) = inbox.peers.losses.recv() => {
@@ -184,6 +212,9 @@
             take_ready(&mut inbox.events, &mut events, MAX_BATCH);
             take_ready(&mut inbox.inputs, &mut inputs, MAX_BATCH);
             self.tick(&mut inputs, &mut events);
+            if *inbox.shutdown.borrow() && !self.engine.owes_answers() {
+                self.serving = None;
+            }
         }
     }
 
@@ -201,6 +232,9 @@
         self.engine.tick(self.shared.clock.now(), batch, &mut out);
         self.flush(out);
         let reach = self.engine.reach(self.shared.clock.now());
+        let is_cut_short = self.engine.is_cut_short();
+        self.cut_short
+            .send_if_modified(|last| std::mem::replace(last, is_cut_short) != is_cut_short);
         self.reach.send_if_modified(|last| std::mem::replace(last, reach) != reach);
     }
 
--- a/tests/relay/handover.rs
+++ b/tests/relay/handover.rs
@@ -62,4 +62,41 @@
         }
         assert_eq!(harness.runs("desk"), 4);
     };
+    // Guards against requests that a larger VM was handed and drops at a planned stop, because
+    // none of its own callers waits.
+    a_larger_vm_finishes_what_it_was_handed_before_it_stops => {
+        let harness = slow_harness().await;
+        let mut large = harness.relay("large", 1.0).await;
+        let small = harness.relay("small", 0.1).await;
+        let stop = async {
+            sleep(Duration::from_millis(300)).await;
+            assert_eq!(harness.runs("desk"), 1, "the larger VM has the request");
+            large.terminate();
+        };
+        let (response, ()) = tokio::join!(harness.try_operate(&small, PATIENCE), stop);
+        assert_eq!(response.unwrap().status(), 200);
+        assert!(large.exits_successfully().await);
+    };
+    a_vm_that_stops_gets_no_new_requests_of_smaller_ones => {
+        let harness = slow_harness().await;
+        let stopping = harness.relay("large-1", 1.0).await;
+        let other = harness.relay("large-2", 1.0).await;
+        let small = harness.relay("small", 0.1).await;
+        // A request tells the larger VM who hands requests to it.
+        assert_eq!(harness.search(&small).await.status(), 200);
+        let handed = |metrics: &str| {
+            let line = metrics.lines().find(|line| line.starts_with("laburnum_requests_total"));
+            line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).unwrap_or_default()
+        };
+        let (first, second) =
+            (handed(&harness.metrics(&stopping).await), handed(&harness.metrics(&other).await));
+        let (stopping, other) = if first > second { (stopping, other) } else { (other, stopping) };
+        stopping.terminate();
+        sleep(Duration::from_millis(100)).await;
+        let before = handed(&harness.metrics(&other).await);
+        for _ in 0..3 {
+            assert_eq!(harness.search(&small).await.status(), 200);
+        }
+        assert_eq!(handed(&harness.metrics(&other).await), before + 3.0);
+    };
 }
--- a/tests/relay/threads.rs
+++ b/tests/relay/threads.rs
@@ -1,6 +1,9 @@
 //! Tests of a VM that loses one of its threads or stops with requests open.
 
-use std::{future::pending, time::Duration};
+use std::{
+    future::pending,
+    time::{Duration, Instant},
+};
 
 use laburnumworks::relay::guard::{Ended, spawn};
 use tokio::time::{sleep, timeout};
@@ -50,4 +53,36 @@
         assert_eq!(harness.runs("desk"), 1);
         assert!(!relay.exits_successfully().await, "a request was open");
     };
+    // Guards against requests that a VM reads during a planned stop, keeps because all targets
+    // ask for a pause, and cuts off without an answer at the end (review/2).
+    a_request_that_cannot_be_served_before_the_end_is_refused_at_once => {
+        let harness = Harness::start().await;
+        let mut relay = harness.relay("vm-1", 1.0).await;
+        let mut patient = config(9);
+        patient["routes"][1]["timeout_ms"] = 9000.into();
+        harness.store.put(CONFIG, &patient).await;
+        for id in ["desk-1", "desk-2"] {
+            let behaviour =
+                Behaviour { refuses: true, retry_after: Some("8"), ..Behaviour::default() };
+            harness.targets[id].set_behaviour(behaviour);
+        }
+        sleep(Duration::from_secs(1)).await;
+        // Both targets ask for a pause that is longer than the stop takes.
+        let wait = Duration::from_secs(9);
+        let _ = timeout(Duration::from_millis(500), harness.try_operate(&relay, wait)).await;
+        let open = harness.try_operate(&relay, wait);
+        let stop = async {
+            sleep(Duration::from_millis(200)).await;
+            relay.terminate();
+            sleep(Duration::from_millis(50)).await;
+            let since = Instant::now();
+            let late = harness.try_operate(&relay, wait).await.unwrap();
+            assert!(since.elapsed() < Duration::from_millis(500), "{:?}", since.elapsed());
+            late.status()
+        };
+        let (open, late) = tokio::join!(open, stop);
+        assert_eq!((open.unwrap().status().as_u16(), late.as_u16()), (503, 503));
+        assert!(relay.exits_successfully().await);
+        assert_eq!(harness.runs("desk"), 0);
+    };
 }
