Never serve by older routes than a VM has served before (CONFIG)

Cause: a larger VM whose oldest open request had waited for 400 ms without a message counted as gone, although requests may take longer, and the next one went elsewhere. Neither requests nor answers stated a version, so that nothing kept the small VM from a larger one with older routes.

Change: answers state the version of the routes and requests the newest one that callers of their VM were served by; a VM with older routes refuses them as not run, and they go to another one. A larger VM that has kept a request for 150 ms is asked for its state, so that only one that does not reply counts as gone. One that was lost while the store did not answer it is asked each 2 s; before, what its earlier process had said kept it out of use.

Ruled out: that the feed goes back. It takes only newer versions.

--- a/crates/core/src/relay/hop.rs
+++ b/crates/core/src/relay/hop.rs
@@ -19,6 +19,15 @@
     pub call: Call,
 }
 
+/// What a VM knows of the routes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// Whether the store answers the VM, so that its routes are current.
+    pub is_current: bool,
+    /// The version of its routes, zero if it has none.
+    pub version: u64,
+}
+
 /// A message between two VMs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Hop {
@@ -29,11 +38,16 @@
         /// The address at which the sender takes the answer.
         reply_to: SocketAddr,
     },
-    /// The answer to [`Hop::Request`], and whether the store answers the sender, so
-    /// that its routes are current.
-    Answer { id: Id, answer: Answer, is_current: bool },
-    /// Whether the store answers the sender, sent when that changes.
-    State { is_current: bool },
+    /// The answer to [`Hop::Request`].
+    Answer { id: Id, answer: Answer, state: State },
+    /// The routes of the sender, sent when they change and when they are asked for.
+    State(State),
+    /// Asks for [`Hop::State`]. A VM that works on a long request answers it at once, so
+    /// that it differs from one that is gone.
+    AskState {
+        /// The address at which the sender takes the answer.
+        reply_to: SocketAddr,
+    },
     /// The sender shuts down and takes no further requests if there is another VM. Its
     /// process ends within this time.
     Stopping { ends_in: Duration },
--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -46,6 +46,9 @@
     pub caller_timeout: Option<Duration>,
     /// The part of the goal that is spent on the way through another VM.
     pub peer_delay: Duration,
+    /// The oldest version of the routes that may serve the request. The VM that handed it
+    /// over has served newer ones, and must not go back.
+    pub min_version: u64,
     pub message: Message,
 }
 
--- a/crates/core/src/relay/system/expire.rs
+++ b/crates/core/src/relay/system/expire.rs
@@ -14,6 +14,7 @@
                 tables.changed.insert(call);
             }
             Timer::HandedDeadline(call) => hop::expire(tables, call, cx),
+            Timer::Check(vm) => hop::check(tables, &vm, cx),
             Timer::Hedge(key) => dispatch::hedge(tables, key, cx),
             Timer::Orphan(attempt) => close_orphan(tables, attempt, cx),
             Timer::Pause(target) | Timer::Warm(target) => {
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -19,7 +19,7 @@
         Command, Hop, Reach, Tables, hop,
         message::{Answer, Call, CallerRequest, Refusal},
         table::{
-            hop::{AcceptedRequest, HandedRequest, Sender},
+            hop::{AcceptedRequest, HandedRequest, Link, Sender},
             timer::Timer,
         },
         view::Vm,
@@ -45,6 +45,14 @@
 /// new requests go to another VM.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time without any message from a VM that has unanswered requests, after which it is asked
+/// for a sign. It may work on a long request.
+const CHECK_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Time between two checks of a VM that was lost while the store did not answer it. It may
+/// have been started again, and would not be asked otherwise.
+const LOST_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Time after the last request of another VM for which it is sent [`Hop::State`].
 const STATE_UPDATE_PERIOD: Duration = Duration::from_secs(120);
 
@@ -97,8 +105,16 @@
     link.pause_until <= now && now.since(waits_since) < SILENCE_TIMEOUT
 }
 
+/// Whether a VM reported that the store does not answer it, or has older routes than callers
+/// of this VM were served by.
 fn is_stale(tables: &Tables, name: &Name) -> bool {
-    tables.links.get(name).is_some_and(|link| link.is_stale)
+    let is_behind = |link: &Link| link.version.is_some_and(|own| own < tables.served_version);
+    tables.links.get(name).is_some_and(|link| link.is_stale || is_behind(link))
+}
+
+/// What this VM knows of the routes.
+pub fn own_state(tables: &Tables) -> hop::State {
+    hop::State { is_current: tables.view.is_current, version: tables.view.version() }
 }
 
 fn is_stopping(tables: &Tables, name: &Name, now: Instant) -> bool {
@@ -139,6 +155,7 @@
         sent.caller_timeout = Some(deadline.remaining(cx.now));
     }
     sent.peer_delay = ROUND_TRIP_ALLOWANCE;
+    sent.min_version = sent.min_version.max(tables.served_version);
     let reply_to = cx.limits.address;
     let id = hop::Id { origin: cx.origin, call };
     let hop = Hop::Request { id, caller_request: Box::new(sent), reply_to };
@@ -151,6 +168,7 @@
     tables.handed.insert(call, row);
     tables.timers.set(deadline, Timer::HandedDeadline(call));
     tables.links.entry(to.clone()).or_default().open.insert((cx.now, call));
+    schedule_check(tables, &to, CHECK_INTERVAL, cx.now);
     cx.out.counts.add(Count::Handed);
     cx.out.commands.push(Command::Hop { to, address, hop });
 }
@@ -173,15 +191,19 @@
             tables.accepted.insert(own, AcceptedRequest { from, reply_to, id });
             intake::accept(tables, vec![(own, *caller_request)], cx);
         }
-        Hop::Answer { id, answer, is_current } => {
-            set_stale(tables, &from, !is_current);
+        Hop::Answer { id, answer, state } => {
+            record_state(tables, &from, state);
             match find_handed(tables, &from, id, cx) {
-                Some(row) => handle_answer(tables, id.call, &row, answer, is_current, cx),
+                Some(row) => handle_answer(tables, id.call, &row, answer, state, cx),
                 None => log_unknown(&from, id, cx),
             }
         }
         Hop::Leaving { target, born } => record_leaving(tables, target, born, cx.now),
-        Hop::State { is_current } => set_stale(tables, &from, !is_current),
+        Hop::State(state) => record_state(tables, &from, state),
+        Hop::AskState { reply_to } => {
+            let hop = Hop::State(own_state(tables));
+            cx.out.commands.push(Command::Hop { to: from, address: reply_to, hop });
+        }
         Hop::Stopping { ends_in } => {
             if let Some(link) = tables.links.get_mut(&from) {
                 link.stops_until = cx.now + ends_in;
@@ -200,9 +222,38 @@
     }
 }
 
-fn set_stale(tables: &mut Tables, from: &Name, is_stale: bool) {
+fn record_state(tables: &mut Tables, from: &Name, state: hop::State) {
     if let Some(link) = tables.links.get_mut(from) {
-        link.is_stale = is_stale;
+        link.is_stale = !state.is_current;
+        link.version = Some(state.version);
+    }
+}
+
+/// Sets the timer for the next check of a VM, unless one is set.
+fn schedule_check(tables: &mut Tables, name: &Name, interval: Duration, now: Instant) {
+    let Some(link) = tables.links.get_mut(name) else { return };
+    if !std::mem::replace(&mut link.is_checked, true) {
+        tables.timers.set(now + interval, Timer::Check(name.clone()));
+    }
+}
+
+/// Asks a VM for a sign if it has kept a request for some time without any, or if it was
+/// lost and would not be asked otherwise.
+pub fn check(tables: &mut Tables, name: &Name, cx: &mut Context<'_>) {
+    let Some(link) = tables.links.get_mut(name) else { return };
+    link.is_checked = false;
+    let Some(address) = tables.view.larger.get(name).map(|vm| vm.address) else { return };
+    let waits_since = link.open.first().map(|(since, _)| (*since).max(link.last_received));
+    let is_silent = waits_since.is_some_and(|since| cx.now.since(since) >= CHECK_INTERVAL);
+    let is_forgotten = link.is_lost && link.is_stale;
+    if is_silent || is_forgotten {
+        let hop = Hop::AskState { reply_to: cx.limits.address };
+        cx.out.commands.push(Command::Hop { to: name.clone(), address, hop });
+    }
+    if is_forgotten {
+        schedule_check(tables, name, LOST_CHECK_INTERVAL, cx.now);
+    } else if waits_since.is_some() {
+        schedule_check(tables, name, CHECK_INTERVAL, cx.now);
     }
 }
 
@@ -229,30 +280,36 @@
 
 /// Passes an answer on to the caller. A refusal of a request that was not run is
 /// not final if the routes of that VM may be outdated: then the request goes to
-/// another VM, if one is reachable.
+/// another VM, if one is reachable, or is served here by newer routes.
 fn handle_answer(
     tables: &mut Tables,
     call: Call,
     row: &HandedRequest,
     answer: Answer,
-    is_current: bool,
+    state: hop::State,
     cx: &mut Context<'_>,
 ) {
     remove_handed(tables, call);
     let is_refused = matches!(&answer, Answer::Refused(refusal) if refusal.fault.ran == Ran::No);
-    let other = if is_refused && !is_current { best_current_vm(tables, cx) } else { None };
-    if let Some(other) = other {
-        hand_over(tables, call, with_time_left(row, cx.now), other, cx);
-        return;
+    let is_outdated = !state.is_current || state.version < tables.served_version;
+    if is_refused && is_outdated {
+        if let Some(other) = best_current_vm(tables, cx) {
+            return hand_over(tables, call, with_time_left(row, cx.now), other, cx);
+        }
+        if tables.view.is_current && tables.view.version() > state.version {
+            return intake::route(tables, call, with_time_left(row, cx.now), cx);
+        }
+    }
+    if !is_refused {
+        tables.served_version = tables.served_version.max(state.version);
     }
     cx.out.answers.push((call, answer));
 }
 
-/// Tells the VMs that recently handed requests to this one whether the store
-/// answers it.
+/// Tells the VMs that recently handed requests to this one what it knows of the routes.
 pub fn send_state(tables: &mut Tables, cx: &mut Context<'_>) {
-    let is_current = tables.view.is_current;
-    tell_senders(tables, &Hop::State { is_current }, cx);
+    let state = own_state(tables);
+    tell_senders(tables, &Hop::State(state), cx);
 }
 
 /// Tells the VMs that recently handed requests to this one that it shuts down, if it does.
@@ -347,6 +404,7 @@
     link.pause_until = cx.now + LOSS_PAUSE;
     link.is_lost = true;
     link.stops_until = Instant::default();
+    let is_stale = link.is_stale;
     let open: Vec<Call> = link.open.iter().map(|(_, call)| *call).collect();
     let fields = vec![
         ("peer", to.to_string()),
@@ -354,6 +412,9 @@
         ("detail", detail.to_owned()),
     ];
     cx.out.lines.push(Line::new(Event::HopLost, fields));
+    if is_stale {
+        schedule_check(tables, to, LOST_CHECK_INTERVAL, cx.now);
+    }
     for call in open {
         if maybe_received {
             refuse(
@@ -410,8 +471,8 @@
     for (call, answer) in answers {
         match tables.accepted.remove(&call) {
             Some(AcceptedRequest { from, reply_to, id }) => {
-                let is_current = tables.view.is_current;
-                let hop = Hop::Answer { id, answer, is_current };
+                let state = own_state(tables);
+                let hop = Hop::Answer { id, answer, state };
                 cx.out.commands.push(Command::Hop { to: from, address: reply_to, hop });
             }
             None => cx.out.answers.push((call, answer)),
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -55,6 +55,12 @@
         let fault = Fault::not_run(Kind::NotReady, "this VM knows no configuration yet");
         return refuse(call, &caller_request, fault, Some(NOT_READY_RETRY_AFTER), cx);
     };
+    let min_version = caller_request.min_version.max(tables.served_version);
+    if config.version < min_version {
+        let detail = format!("version {} is older than {min_version}", config.version);
+        let fault = Fault::not_run(Kind::NotReady, detail);
+        return refuse(call, &caller_request, fault, Some(NOT_READY_RETRY_AFTER), cx);
+    }
     let quarantine_left = suspect::quarantine_left(tables, &caller_request, cx);
     match config.find(&caller_request.host, &caller_request.path) {
         Some(_) if quarantine_left.is_some() => {
@@ -122,6 +128,7 @@
     let deadline = stop::limit(tables, cx.now + timeout.saturating_sub(DEADLINE_MARGIN));
     let services = pick_services(tables, route, cx);
     let legs = u32::try_from(services.len()).unwrap_or(u32::MAX);
+    tables.served_version = tables.served_version.max(config.version);
     let request = Request {
         caller_request: Arc::new(caller_request),
         route: Arc::clone(route),
--- a/crates/core/src/relay/system/refresh.rs
+++ b/crates/core/src/relay/system/refresh.rs
@@ -22,9 +22,9 @@
 
 /// Replaces the view and updates the targets to match it.
 pub fn apply_view(tables: &mut Tables, view: Arc<View>, cx: &mut Context<'_>) {
-    let was_current = tables.view.is_current;
+    let before = hop::own_state(tables);
     tables.view = view;
-    if tables.view.is_current != was_current {
+    if hop::own_state(tables) != before {
         hop::send_state(tables, cx);
     }
     let view = Arc::clone(&tables.view);
--- a/crates/core/src/relay/table/hop.rs
+++ b/crates/core/src/relay/table/hop.rs
@@ -46,6 +46,10 @@
     pub stops_until: Instant,
     /// Whether it reported that the store does not answer it.
     pub is_stale: bool,
+    /// The version of its routes, as it reported last.
+    pub version: Option<u64>,
+    /// Whether a timer is set that checks it.
+    pub is_checked: bool,
 }
 
 /// A VM that handed requests to this one.
--- a/crates/core/src/relay/table/mod.rs
+++ b/crates/core/src/relay/table/mod.rs
@@ -62,6 +62,9 @@
     pub leaving: BTreeMap<(Name, u64), Instant>,
     /// The requests suspected of crashing targets.
     pub suspects: Suspects,
+    /// The newest version of the routes by which callers of this VM were served. None is
+    /// served by an older one afterwards.
+    pub served_version: u64,
     /// When every request is to be answered, if the VM shuts down.
     pub stop_at: Option<Instant>,
     /// Whether a request was open at the end of the shutdown.
--- a/crates/core/src/relay/table/timer.rs
+++ b/crates/core/src/relay/table/timer.rs
@@ -15,6 +15,8 @@
     Deadline(Call),
     /// The deadline of a request that was handed to another VM.
     HandedDeadline(Call),
+    /// The check whether a larger VM still answers.
+    Check(Name),
     /// A hedge of a slow leg.
     Hedge(leg::Key),
     /// The end of an attempt whose reply nothing waits for.
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -33,6 +33,11 @@
 }
 
 impl View {
+    /// Returns the version of the configuration, zero if there is none.
+    pub fn version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.version)
+    }
+
     /// Returns the number of VMs among which connections and retry budgets are divided.
     pub fn sharing_vms(&self) -> u32 {
         match u32::try_from(self.vms.len()) {
--- a/crates/core/tests/relay/harness.rs
+++ b/crates/core/tests/relay/harness.rs
@@ -125,6 +125,7 @@
         path: path.into(),
         caller_timeout: Some(ms(600)),
         peer_delay: Duration::ZERO,
+        min_version: 0,
         message,
     }
 }
@@ -182,6 +183,8 @@
     pub answered_at: BTreeMap<Call, Instant>,
     pub lines: Vec<Line>,
     pub hops: Vec<(Name, Hop)>,
+    /// The VMs that were asked for their state.
+    pub asked: Vec<Name>,
     pub quarantined: Vec<Fingerprint>,
     /// How long each of `quarantined` is refused.
     pub holds: Vec<Duration>,
@@ -219,6 +222,7 @@
             answered_at: BTreeMap::new(),
             lines: Vec::new(),
             hops: Vec::new(),
+            asked: Vec::new(),
             quarantined: Vec::new(),
             holds: Vec::new(),
             suspicions: Vec::new(),
@@ -250,6 +254,7 @@
                     self.sent.push(Sent { connection, attempt, target_request, at: self.now });
                 }
                 Command::Close { connection } => self.closed.push(connection),
+                Command::Hop { to, hop: Hop::AskState { .. }, .. } => self.asked.push(to),
                 Command::Hop { to, hop, .. } => self.hops.push((to, hop)),
             }
         }
--- a/crates/core/tests/relay/hops.rs
+++ b/crates/core/tests/relay/hops.rs
@@ -15,6 +15,12 @@
 
 use crate::harness::{Harness, ORIGIN, config, ms, name, request, search, single, success, view};
 
+/// What a VM says whose routes are current.
+const CURRENT: hop::State = hop::State { is_current: true, version: 1 };
+
+/// What a VM says that the store does not answer.
+const OUTDATED: hop::State = hop::State { is_current: false, version: 1 };
+
 fn vm(domain: &str, last: u8) -> Vm {
     let address = format!("10.1.0.{last}:7000").parse().unwrap();
     Vm { domain: name(domain), address, share: 500 }
@@ -40,7 +46,7 @@
 /// Sends an answer of another VM to the engine.
 fn answer(harness: &mut Harness, from: &str, id: hop::Id) {
     let answer = Answer::Forwarded(Box::new(success("d", 1)));
-    let hop = Hop::Answer { id, answer, is_current: true };
+    let hop = Hop::Answer { id, answer, state: CURRENT };
     harness.tick(vec![Event::Hop { from: name(from), hop }]);
 }
 
@@ -195,7 +201,7 @@
         let (_, first, _) = take_request(&mut harness);
         let fault = Fault::not_run(Kind::NotFound, "no route");
         let answer = Answer::Refused(Refusal { fault, retry: None });
-        let hop = Hop::Answer { id: first, answer, is_current: false };
+        let hop = Hop::Answer { id: first, answer, state: OUTDATED };
         harness.tick(vec![Event::Hop { from: name("a"), hop }]);
         let (to, again, _) = take_request(&mut harness);
         assert_eq!(to, "b");
@@ -208,7 +214,7 @@
         harness.advance(ms(250));
         let fault = Fault::not_run(Kind::NotFound, "no route");
         let answer = Answer::Refused(Refusal { fault, retry: None });
-        let hop = Hop::Answer { id: first, answer, is_current: false };
+        let hop = Hop::Answer { id: first, answer, state: OUTDATED };
         harness.tick(vec![Event::Hop { from: name("a"), hop }]);
         let (_, _, again) = take_request(&mut harness);
         assert!(again.caller_timeout <= Some(ms(350)), "{:?}", again.caller_timeout);
@@ -231,14 +237,14 @@
         harness.submit(request("/fetch/1"));
         let (_, first, _) = take_request(&mut harness);
         answer(&mut harness, "a", first);
-        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: false } }]);
+        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State(OUTDATED) }]);
         harness.submit(request("/fetch/2"));
         assert_eq!(take_request(&mut harness).0, "b");
         harness.tick(vec![Event::HopLost { to: name("b"), detail: "reset".into(), maybe_received: true }]);
         assert_eq!(harness.engine.reach(harness.now), Reach::Stale);
         harness.submit(request("/fetch/3"));
         assert_eq!(take_request(&mut harness).0, "a", "outdated routes are better than none");
-        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State { is_current: true } }]);
+        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State(CURRENT) }]);
         assert_eq!(harness.engine.reach(harness.now), Reach::Served);
     };
     a_large_vm_reports_whether_its_routes_are_current => {
@@ -246,9 +252,9 @@
         harness.tick(vec![request_of(5, request("/fetch/1"))]);
         let mut view = (*harness.engine.tables().view).clone();
         view.is_current = !view.is_current;
-        let is_current = view.is_current;
+        let state = hop::State { is_current: view.is_current, version: 1 };
         harness.set_view(view);
-        let hop = Hop::State { is_current };
+        let hop = Hop::State(state);
         assert_eq!(harness.hops.last(), Some(&(name("small"), hop)));
     };
     a_caller_that_leaves_a_small_vm_cancels_at_the_large_one => {
@@ -297,4 +303,101 @@
         large.reply(&sent, success("d", 1));
         assert!(matches!(&large.hops[..], [(_, Hop::Answer { .. })]));
     };
+    // Guards against a VM that counts as gone while it works on a long request, so that the next
+    // request goes to one with older routes (review/3).
+    a_vm_that_works_on_a_long_request_still_gets_new_ones => {
+        let mut harness = small(&[("a", "near"), ("b", "far")]);
+        harness.submit(request("/fetch/1"));
+        take_request(&mut harness);
+        for _ in 0..5 {
+            harness.advance(ms(100));
+            if std::mem::take(&mut harness.asked) == [name("a")] {
+                harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State(CURRENT) }]);
+            }
+        }
+        harness.submit(request("/fetch/2"));
+        assert_eq!(take_request(&mut harness).0, "a");
+    };
+    a_vm_that_answers_in_time_is_asked_for_no_sign => {
+        let mut harness = small(&[("a", "near")]);
+        for _ in 0..20 {
+            harness.submit(request("/fetch/1"));
+            let (_, asked, _) = take_request(&mut harness);
+            harness.advance(ms(100));
+            answer(&mut harness, "a", asked);
+        }
+        assert!(harness.asked.is_empty(), "{:?}", harness.asked);
+    };
+    a_vm_that_is_asked_for_its_state_tells_it_at_once => {
+        let mut harness = Harness::with_route(single("desk"));
+        let reply_to = "10.2.0.1:7000".parse().unwrap();
+        harness.tick(vec![Event::Hop { from: name("small"), hop: Hop::AskState { reply_to } }]);
+        let state = hop::State { is_current: false, version: 1 };
+        assert_eq!(harness.hops, [(name("small"), Hop::State(state))]);
+    };
+    // Guards against callers of a small VM who are served by older routes than before, through
+    // a larger VM that is cut off from the store (review/3).
+    a_request_is_not_served_by_older_routes_than_its_vm_has_served => {
+        let mut harness = small(&[("a", "near"), ("b", "far")]);
+        harness.submit(request("/fetch/1"));
+        let (_, first, _) = take_request(&mut harness);
+        let newer = hop::State { is_current: true, version: 2 };
+        let reply = Answer::Forwarded(Box::new(success("d", 1)));
+        let hop = Hop::Answer { id: first, answer: reply, state: newer };
+        harness.tick(vec![Event::Hop { from: name("a"), hop }]);
+        harness.submit(request("/fetch/2"));
+        let (_, _, next) = take_request(&mut harness);
+        assert_eq!(next.min_version, 2);
+        let mut behind = Harness::with_route(single("desk"));
+        behind.tick(vec![request_of(5, next)]);
+        assert!(behind.take_sent().is_empty());
+        let [(_, Hop::Answer { answer: Answer::Refused(refusal), .. })] = &behind.hops[..] else {
+            panic!("{:?}", behind.hops)
+        };
+        assert_eq!((refusal.fault.kind, refusal.fault.ran), (Kind::NotReady, Ran::No));
+    };
+    a_vm_with_older_routes_than_were_served_is_asked_last => {
+        let mut harness = small(&[("a", "near"), ("b", "far")]);
+        harness.submit(request("/fetch/1"));
+        let (_, first, _) = take_request(&mut harness);
+        let reply = Answer::Forwarded(Box::new(success("d", 1)));
+        let state = hop::State { is_current: true, version: 2 };
+        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::Answer { id: first, answer: reply, state } }]);
+        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State(CURRENT) }]);
+        harness.submit(request("/fetch/2"));
+        assert_eq!(take_request(&mut harness).0, "b");
+    };
+    a_vm_serves_nobody_by_older_routes_than_before => {
+        let mut harness = small(&[("a", "near")]);
+        harness.submit(request("/fetch/1"));
+        let (_, first, _) = take_request(&mut harness);
+        let reply = Answer::Forwarded(Box::new(success("d", 1)));
+        let state = hop::State { is_current: true, version: 2 };
+        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::Answer { id: first, answer: reply, state } }]);
+        let mut own = view(config(1, vec![single("desk")], 100));
+        own.is_current = true;
+        harness.set_view(own);
+        let call = harness.submit(request("/fetch/2"));
+        assert!(harness.take_sent().is_empty());
+        assert_eq!(harness.refusal_status(call), 503);
+        harness.set_view(view(config(2, vec![single("desk")], 100)));
+        harness.open_first_connections();
+        harness.submit(request("/fetch/3"));
+        assert_eq!(harness.take_sent().len(), 1);
+    };
+    // Guards against a larger VM that is never asked again, because the process before it said
+    // that the store does not answer it.
+    a_vm_that_was_outdated_when_it_was_lost_is_asked_for_its_state => {
+        let mut harness = small(&[("a", "near"), ("b", "far")]);
+        harness.submit(request("/fetch/1"));
+        let (_, first, _) = take_request(&mut harness);
+        answer(&mut harness, "a", first);
+        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State(OUTDATED) }]);
+        harness.tick(vec![Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true }]);
+        harness.advance(ms(10_000));
+        assert!((4..=6).contains(&harness.asked.len()), "{:?}", harness.asked);
+        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State(CURRENT) }]);
+        harness.submit(request("/fetch/2"));
+        assert_eq!(take_request(&mut harness).0, "a");
+    };
 }
--- a/tests/relay/handover.rs
+++ b/tests/relay/handover.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use laburnum_platform::header as names;
+use serde_json::json;
 use tokio::time::sleep;
 
 use crate::{
     entry::config,
-    harness::Harness,
+    harness::{Harness, Relay},
     standin::{entries::CONFIG, target::Behaviour},
 };
 
@@ -30,6 +31,33 @@
     harness
 }
 
+/// Returns the number of requests that a relay has taken, its own and handed ones.
+async fn taken(harness: &Harness, relay: &Relay) -> f64 {
+    let metrics = harness.metrics(relay).await;
+    let line = metrics.lines().find(|line| line.starts_with("laburnum_requests_total"));
+    line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or_default()
+}
+
+/// Returns two larger relays and a smaller one that hands its requests to the first.
+async fn two_larger_and_a_smaller(harness: &Harness) -> (Relay, Relay, Relay) {
+    let one = harness.relay("large-1", 1.0).await;
+    let two = harness.relay("large-2", 1.0).await;
+    let small = harness.relay("small", 0.1).await;
+    assert_eq!(harness.search(&small).await.status(), 200);
+    if taken(harness, &one).await > taken(harness, &two).await {
+        (one, two, small)
+    } else {
+        (two, one, small)
+    }
+}
+
+/// Returns the start of the digest of an operation's answer, which names the service.
+async fn served_by(harness: &Harness, relay: &Relay) -> String {
+    let response = harness.try_operate(relay, PATIENCE).await.unwrap();
+    let digest = response.headers().get(names::DIGEST).map(|value| value.to_str().unwrap());
+    digest.unwrap_or_default().to_owned()
+}
+
 cases! {
     async:
     // Guards against answers to requests of a process that was killed, which reached
@@ -79,24 +107,38 @@
     };
     a_vm_that_stops_gets_no_new_requests_of_smaller_ones => {
         let harness = slow_harness().await;
-        let stopping = harness.relay("large-1", 1.0).await;
-        let other = harness.relay("large-2", 1.0).await;
-        let small = harness.relay("small", 0.1).await;
-        // A request tells the larger VM who hands requests to it.
-        assert_eq!(harness.search(&small).await.status(), 200);
-        let handed = |metrics: &str| {
-            let line = metrics.lines().find(|line| line.starts_with("laburnum_requests_total"));
-            line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).unwrap_or_default()
-        };
-        let (first, second) =
-            (handed(&harness.metrics(&stopping).await), handed(&harness.metrics(&other).await));
-        let (stopping, other) = if first > second { (stopping, other) } else { (other, stopping) };
+        let (stopping, other, small) = two_larger_and_a_smaller(&harness).await;
         stopping.terminate();
         sleep(Duration::from_millis(100)).await;
-        let before = handed(&harness.metrics(&other).await);
+        let before = taken(&harness, &other).await;
         for _ in 0..3 {
             assert_eq!(harness.search(&small).await.status(), 200);
         }
-        assert_eq!(handed(&harness.metrics(&other).await), before + 3.0);
+        assert_eq!(taken(&harness, &other).await, before + 3.0);
+    };
+    // Guards against a small VM that serves older routes than it has served before, through a
+    // larger VM that is cut off from the store (review/3).
+    a_small_vm_never_goes_back_to_older_routes => {
+        let harness = Harness::start().await;
+        let (_near, far, small) = two_larger_and_a_smaller(&harness).await;
+        harness.store.set_faults(&json!({ "vms": { far.name(): "hang" } })).await;
+        sleep(Duration::from_millis(300)).await;
+        let mut moved = config(10);
+        moved["routes"][1]["backend"] = "one".into();
+        moved["routes"][1]["timeout_ms"] = 9000.into();
+        harness.store.put(CONFIG, &moved).await;
+        while !served_by(&harness, &small).await.starts_with("seal-one") {
+            sleep(Duration::from_millis(50)).await;
+        }
+        for id in ["one-1", "one-2"] {
+            let behaviour = Behaviour { run_time: RUN_TIME, ..Behaviour::default() };
+            harness.targets[id].set_behaviour(behaviour);
+        }
+        let next = async {
+            sleep(Duration::from_millis(700)).await;
+            served_by(&harness, &small).await
+        };
+        let (first, next) = tokio::join!(served_by(&harness, &small), next);
+        assert!(first.starts_with("seal-one") && next.starts_with("seal-one"), "{first}, {next}");
     };
 }
--- a/tests/relay/harness.rs
+++ b/tests/relay/harness.rs
@@ -40,6 +40,11 @@
         self.child.signal(Signal::TERM);
     }
 
+    /// The name of the VM.
+    pub fn name(&self) -> &str {
+        self.file.file_stem().unwrap().to_str().unwrap()
+    }
+
     /// Kills the process.
     pub fn kill(&self) {
         self.child.signal(Signal::KILL);
