--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -11,6 +11,7 @@
 mod operation;
 mod part;
 mod port;
+mod unused;
 mod runner;
 mod invariant;
 
--- a/tests/process/port.rs
+++ b/tests/process/port.rs
@@ -1,7 +1,8 @@
 //! Addresses on loopback for the processes of a deployment.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    io::ErrorKind,
+    net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         OnceLock,
         atomic::{AtomicU16, Ordering},
@@ -32,13 +33,21 @@
     for _ in 0..PORTS_PER_BLOCK {
         let offset = 1 + NEXT_OFFSET.fetch_add(1, Ordering::Relaxed) % (PORTS_PER_BLOCK - 1);
         let address = loopback(first.port() + offset);
-        if TcpListener::bind(address).is_ok() {
+        if is_unused(address) {
             return address;
         }
     }
     panic!("every port of the block is in use");
 }
 
+/// Returns whether nothing listens on an address. It is not tried with a listener: a process
+/// that another thread is starting would hold a copy of it for a moment, in which the process
+/// of the deployment cannot listen.
+fn is_unused(address: SocketAddr) -> bool {
+    let connected = TcpStream::connect(address);
+    connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Reserves the first block that no other run has reserved.
 fn reserve_block() -> TcpListener {
     let mut firsts = (0..BLOCK_COUNT).map(|block| loopback(FIRST_PORT + block * PORTS_PER_BLOCK));
