Split the choice of larger VMs from handing requests over

The choice of the larger VM that gets a request, and the checks whether larger VMs answer, are in system/reach.rs now; nothing else changes. The tests of the relay share the configuration with a service of their own, and name headers by the constants of platform/.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -50,7 +50,7 @@
 
     /// Returns whether this VM reaches larger VMs, if there are any.
     pub fn reach(&self, now: Instant) -> Reach {
-        system::hop::reach(&self.tables, now)
+        system::reach::reach(&self.tables, now)
     }
 
     /// Returns whether another VM waits for the answer to a request.
--- a/crates/core/src/relay/system/expire.rs
+++ b/crates/core/src/relay/system/expire.rs
@@ -1,6 +1,6 @@
 //! Handles the timers that are due.
 
-use super::{Context, connect, dispatch, hop, stop};
+use super::{Context, connect, dispatch, hop, reach, stop};
 use crate::{
     name::Name,
     relay::{self, Tables, table::timer::Timer},
@@ -14,7 +14,7 @@
                 tables.changed.insert(call);
             }
             Timer::HandedDeadline(call) => hop::expire(tables, call, cx),
-            Timer::Check(vm) => hop::check(tables, &vm, cx),
+            Timer::Check(vm) => reach::check(tables, &vm, cx),
             Timer::Hedge(key) => dispatch::hedge(tables, key, cx),
             Timer::Orphan(attempt) => close_orphan(tables, attempt, cx),
             Timer::Pause(target) | Timer::Warm(target) => {
--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::{Context, hop, leg, stop, suspect};
+use super::{Context, hop, leg, reach, stop, suspect};
 use crate::{
     count::Count,
     fault::{Fault, Kind},
@@ -48,7 +48,7 @@
 
 /// Hands a request to a larger VM, admits it or refuses it.
 pub fn route(tables: &mut Tables, call: Call, caller_request: CallerRequest, cx: &mut Context<'_>) {
-    if let Some(larger) = hop::pick_vm(tables, cx) {
+    if let Some(larger) = reach::pick_vm(tables, cx) {
         return hop::hand_over(tables, call, caller_request, larger, cx);
     }
     let Some(config) = tables.view.config.clone() else {
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -6,6 +6,7 @@
 pub mod collect;
 pub mod expire;
 pub mod hop;
+pub mod reach;
 pub mod intake;
 pub mod dispatch;
 pub mod answer;
--- a/crates/http/tests/channel.rs
+++ b/crates/http/tests/channel.rs
@@ -143,8 +143,8 @@
             "Connection: close\r\nContent-Length: 2\r\n\r\nok",
         ];
         let heads = [
-            "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n",
-            "HTTP/1.0 200 OK\r\nServer-Seal: s\r\n",
+            "HTTP/1.1 200 OK\r\nDigest: s\r\n",
+            "HTTP/1.0 200 OK\r\nDigest: s\r\n",
             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
         ];
         for (head, framing) in heads.iter().flat_map(|head| framings.map(|f| (head, f))) {
@@ -156,7 +156,7 @@
         }
     };
     a_head_that_is_cut_before_a_body_without_length_is_no_response => {
-        let head = "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n\r\n";
+        let head = "HTTP/1.1 200 OK\r\nDigest: s\r\n\r\n";
         for end in 0..head.len() {
             let outcome = exchange_once(Action::Close(&head[..end])).await;
             assert!(outcome.is_err_and(|failure| failure.sent), "{:?}", &head[..end]);
--- a/tests/relay/crash.rs
+++ b/tests/relay/crash.rs
@@ -9,7 +9,6 @@
     time::Duration,
 };
 
-use serde_json::json;
 use tokio::{
     io::AsyncReadExt,
     net::{TcpListener, TcpStream},
@@ -17,7 +16,7 @@
 };
 
 use crate::{
-    entry::config,
+    entry::config_with_service,
     harness::Harness,
     standin::entries::{self, CONFIG},
 };
@@ -70,11 +69,7 @@
         let entry = entries::target(SERVICE, address, 2, false);
         harness.store.put(&entries::target_key(&format!("{SERVICE}-{number}")), &entry).await;
     }
-    let mut crashing = config(9);
-    let service = json!({"name": SERVICE, "health_path": "/health", "max_conns": 50});
-    crashing["backends"].as_array_mut().unwrap().push(service);
-    crashing["routes"][1]["backend"] = SERVICE.into();
-    harness.store.put(CONFIG, &crashing).await;
+    harness.store.put(CONFIG, &config_with_service(9, SERVICE)).await;
     crashes
 }
 
--- a/tests/relay/cut.rs
+++ b/tests/relay/cut.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use serde_json::json;
+use laburnum_platform::header as names;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -10,22 +10,24 @@
 };
 
 use crate::{
-    entry::config,
+    entry::config_with_service,
     harness::Harness,
     standin::entries::{self, CONFIG},
 };
 
 const SERVICE: &str = "cutter";
 
-/// The parts of a reply, of which a target sends the first few.
-const PARTS: [&str; 6] = [
-    "HTTP/1.1 200",
-    " OK\r\n",
-    "Server-Seal: s\r\n",
-    "Attempt-Id: c1\r\nConte",
-    "nt-Length: 2\r\n",
-    "\r\no",
-];
+/// Returns the parts of a reply, of which a target sends the first few.
+fn parts() -> [String; 6] {
+    [
+        "HTTP/1.1 200".to_owned(),
+        " OK\r\n".to_owned(),
+        format!("{}: s\r\n", names::DIGEST),
+        format!("{}: c1\r\nConte", names::ATTEMPT_ID),
+        "nt-Length: 2\r\n".to_owned(),
+        "\r\no".to_owned(),
+    ]
+}
 
 /// Starts a target that answers each request with the first `count` parts and closes the
 /// connection.
@@ -35,7 +37,7 @@
     tokio::spawn(async move {
         loop {
             let (connection, _) = listener.accept().await.unwrap();
-            tokio::spawn(answer(connection, PARTS[..count].concat()));
+            tokio::spawn(answer(connection, parts()[..count].concat()));
         }
     });
     address
@@ -58,19 +60,15 @@
     // stopped in the middle of its reply.
     a_reply_that_is_cut_anywhere_is_no_success => {
         let harness = Harness::start().await;
-        for count in 1..=PARTS.len() {
+        for count in 1..=parts().len() {
             let entry = entries::target(SERVICE, start_target(count).await, 2, false);
             harness.store.put(&entries::target_key(&format!("cutter-{count}")), &entry).await;
         }
-        let mut cut = config(9);
-        let service = json!({"name": SERVICE, "health_path": "/health", "max_conns": 50});
-        cut["backends"].as_array_mut().unwrap().push(service);
-        cut["routes"][1]["backend"] = SERVICE.into();
-        harness.store.put(CONFIG, &cut).await;
+        harness.store.put(CONFIG, &config_with_service(9, SERVICE)).await;
         let relay = harness.relay("vm-1", 1.0).await;
         sleep(Duration::from_secs(1)).await;
         // Each request reaches another target, as one that closed is not used for a while.
-        for _ in 0..PARTS.len() {
+        for _ in 0..parts().len() {
             assert_eq!(harness.operate(&relay).await.status(), 502);
         }
     };
--- a/tests/relay/entry.rs
+++ b/tests/relay/entry.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, header};
 use laburnum_platform::header as names;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::standin::entries::{Document, HOST, Route};
 
@@ -38,6 +38,15 @@
     config
 }
 
+/// Returns a configuration whose operation goes to a service of the test's own.
+pub fn config_with_service(version: u64, service: &str) -> Value {
+    let mut config = config(version);
+    let row = json!({"name": service, "health_path": "/health", "max_conns": 50});
+    config["backends"].as_array_mut().unwrap().push(row);
+    config["routes"][1]["backend"] = service.into();
+    config
+}
+
 /// Returns the headers of a caller that waits for a second.
 pub fn caller() -> HeaderMap {
     let mut headers = HeaderMap::new();
