--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,30 +1,36 @@
-//! A replica that turns requests away and says for how long it wants none.
+//! A request that crashes replicas, at a service with one replica that starts again under
+//! the id that it had.
 
 #[path = "../stand-2/stand.rs"]
 mod stand;
 
 use std::{
-    net::SocketAddr,
     process::exit,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering::SeqCst},
-    },
+    sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
 
 use stand::*;
 
-/// The time that the replica asks for, in seconds.
-const PAUSE_S: f64 = 75.0;
-/// The time after the answer from which requests count.
-const GRACE_S: f64 = 0.5;
-/// The requests that may reach the replica in that time.
-const MAX_ARRIVALS: usize = 2;
-const REPLICAS: usize = 2;
-const CALLERS: usize = 8;
-const INTERVAL: Duration = Duration::from_millis(100);
+/// `stable_ms` of the sheets.
+const STABLE_S: f64 = 4.0;
+/// The retries that may reach replicas once the request has crashed three.
+const MAX_RETRIES: usize = 3;
+/// Services with two replicas each. One replica of all of them, an eighth, is lost.
+const SERVICES: [&str; 4] = ["svc1", "svc2", "svc3", "svc4"];
+/// "The replica is back after some seconds."
+const RESTART_DELAY: Duration = Duration::from_millis(2000);
+const POISON_COUNT: usize = 14;
+const POISON_INTERVAL: Duration = Duration::from_millis(3200);
+
+/// What the replicas recorded of the request.
+#[derive(Default)]
+struct Trace {
+    /// The time and the attempt of each run.
+    runs: Mutex<Vec<(f64, String)>>,
+    crashes: Mutex<Vec<f64>>,
+}
 
 fn main() {
     exit(run());
@@ -33,86 +39,88 @@
 fn run() -> i32 {
     let case = Case::start("review/9");
     let store = Store::start();
-    let arrivals: Arc<Mutex<Vec<f64>>> = Arc::default();
-    let is_busy = Arc::new(AtomicBool::new(false));
-    let refused_at: Arc<Mutex<Option<f64>>> = Arc::default();
-    let handler = handler(&arrivals, &is_busy, &refused_at);
-    for index in 0..REPLICAS {
-        Replica::start(&format!("i-{index}"), "svc1", &store, &case.record, handler.clone());
+    let trace = Arc::new(Trace::default());
+    let handler = handler(&trace);
+    let mut replicas = Vec::new();
+    for service in SERVICES {
+        for index in 0..2 {
+            let id = format!("i-{service}-{index}");
+            replicas.push(Replica::start(&id, service, &store, &case.record, handler.clone()));
+        }
     }
-    store.put("op/config", &configuration(5, &[route()], &[("svc1", 55)]));
-    let mut relay = Relay::new("front-a-1", 0.17, &store, &case.temporary);
-    relay.start();
-    relay.wait_ready();
-    thread::sleep(Duration::from_secs(3));
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|_| {
-            let (to, record) = (relay.callers, case.record.clone());
-            thread::spawn(move || call_until(to, PAUSE_S + 12.0, &record))
-        })
+    let services = SERVICES.map(|service| (service, 55));
+    store.put("op/config", &configuration(5, &SERVICES.map(route), &services));
+    let mut relays: Vec<Relay> = (1..=2)
+        .map(|index| Relay::new(&format!("front-a-{index}"), 0.17, &store, &case.temporary))
         .collect();
-    thread::sleep(Duration::from_secs(2));
-    is_busy.store(case.with_trouble, SeqCst);
-    for caller in callers {
-        let _ = caller.join();
+    relays.iter_mut().for_each(Relay::start);
+    relays.iter().for_each(Relay::wait_ready);
+    thread::sleep(Duration::from_secs(3));
+    if case.with_trouble {
+        replicas[1].crash();
+        case.record.line(format!("replica {} is lost for good", replicas[1].id));
     }
-    judge(&case, *refused_at.lock().unwrap(), &arrivals.lock().unwrap())
-}
-
-fn route() -> String {
-    "{\"name\":\"r-1\",\"host\":\"pupu76.example\",\"prefix\":\"/timi402/\",\
-     \"kind\":\"idempotent\",\"timeout_ms\":2000,\"goal_ms\":400,\"priority\":2,\
-     \"backend\":\"svc1\",\"attempts\":2}"
-        .to_owned()
+    thread::sleep(Duration::from_secs(6));
+    let mut sent = Vec::new();
+    for index in 0..POISON_COUNT {
+        let (id, relay) = (attempt_id(), &relays[index % 2]);
+        sent.push((id.clone(), case.record.now()));
+        case.record.line(format!("caller sends poison {id} to {}", relay.name));
+        let bytes = request("GET", "/svc1/poison", &id, 2000, b"");
+        let answer = exchange(relay.callers, &bytes, Duration::from_secs(3));
+        let answer = answer.map_or_else(|error| error.to_string(), |answer| answer.start);
+        case.record.line(format!("caller of {id} is answered: {answer}"));
+        thread::sleep(POISON_INTERVAL);
+    }
+    judge(&case, &sent, &trace)
 }
 
-/// Sends ten requests a second until `end`.
-fn call_until(to: SocketAddr, end: f64, record: &Record) {
-    while record.now() < end {
-        let id = attempt_id();
-        let bytes = request("GET", "/timi402/a", &id, 2000, b"");
-        let answer = exchange(to, &bytes, Duration::from_secs(3));
-        let status = answer.map_or(0, |answer| answer.status());
-        record.line(format!("{id} sent: {status}"));
-        thread::sleep(INTERVAL);
-    }
+fn route(service: &str) -> String {
+    format!(
+        "{{\"name\":\"r-{service}\",\"host\":\"pupu76.example\",\"prefix\":\"/{service}/\",\
+         \"kind\":\"idempotent\",\"timeout_ms\":2000,\"goal_ms\":400,\"priority\":2,\
+         \"backend\":\"{service}\",\"attempts\":2}}"
+    )
 }
 
-/// Sound replicas, of which `i-0` turns one request away.
-fn handler(
-    arrivals: &Arc<Mutex<Vec<f64>>>,
-    is_busy: &Arc<AtomicBool>,
-    refused_at: &Arc<Mutex<Option<f64>>>,
-) -> Handler {
-    let (arrivals, is_busy) = (arrivals.clone(), is_busy.clone());
-    let refused_at = refused_at.clone();
+/// A replica that crashes as it begins to run the request.
+fn handler(trace: &Arc<Trace>) -> Handler {
+    let trace = trace.clone();
     Arc::new(move |replica, request, out| {
-        if replica.id == "i-0" {
-            let attempt = request.header("attempt-id").unwrap_or("");
-            replica.record.line(format!("{attempt} reaches i-0"));
-            arrivals.lock().unwrap().push(replica.record.now());
-            if is_busy.swap(false, SeqCst) {
-                refused_at.lock().unwrap().get_or_insert(replica.record.now());
-                replica.record.line(format!("i-0 answers {attempt} with 503, {PAUSE_S} s"));
-                return replica.reject(request, out, Some(&format!("{PAUSE_S}")));
-            }
+        if !request.target().ends_with("/poison") {
+            let work = Duration::from_millis(40);
+            return replica.run_request(request, out, work, b"0123456789abcdef");
         }
-        replica.run_request(request, out, Duration::from_millis(20), b"0123456789abcdef")
+        let attempt = request.header("attempt-id").unwrap_or("").to_owned();
+        replica.record.line(format!("replica {} begins to run poison {attempt}", replica.id));
+        trace.runs.lock().unwrap().push((replica.record.now(), attempt));
+        replica.crash();
+        trace.crashes.lock().unwrap().push(replica.record.now());
+        replica.record.line(format!("replica {} has crashed", replica.id));
+        let replica = replica.clone();
+        thread::spawn(move || {
+            thread::sleep(RESTART_DELAY);
+            let id = replica.id.clone();
+            replica.restart(&id);
+        });
+        Next::Close
     })
 }
 
-/// Counts the requests that reached the replica in the time for which it wants none.
-fn judge(case: &Case, refused_at: Option<f64>, arrivals: &[f64]) -> i32 {
-    let Some(refused_at) = refused_at else {
-        return case.end(false, &format!("i-0 turned nothing away, {} arrivals", arrivals.len()));
+/// Counts the attempts that were sent later than `stable_ms` after the third crash and
+/// reached a replica.
+fn judge(case: &Case, sent: &[(String, f64)], trace: &Trace) -> i32 {
+    let (runs, crashes) = (trace.runs.lock().unwrap(), trace.crashes.lock().unwrap());
+    let Some(third) = crashes.get(2) else {
+        return case.end(false, &format!("the request has crashed {} replicas", crashes.len()));
     };
-    let span = refused_at + GRACE_S..refused_at + PAUSE_S;
-    let found: Vec<f64> = arrivals.iter().copied().filter(|at| span.contains(at)).collect();
-    let first = found.first().map_or(0.0, |at| at - refused_at);
+    let from = third + STABLE_S;
+    let has_run = |id: &String| runs.iter().any(|(at, attempt)| attempt == id && *at > from);
+    let late = sent.iter().filter(|(id, at)| *at > from && has_run(id)).count();
     let result = format!(
-        "{} requests reached i-0 within the {PAUSE_S} s for which it wants none ({MAX_ARRIVALS} \
-         may), the first of them after {first:.1} s",
-        found.len()
+        "{late} attempts that were sent later than {STABLE_S} s after the third crash reached \
+         replicas ({MAX_RETRIES} may); replicas crashed {} times in all",
+        crashes.len()
     );
-    case.end(found.len() > MAX_ARRIVALS, &result)
+    case.end(late > MAX_RETRIES, &result)
 }
