--- a/crates/core/src/count.rs
+++ b/crates/core/src/count.rs
@@ -64,6 +64,8 @@
         Late "late";
         /// The reply carries the id of another attempt.
         Crossed "crossed";
+        /// There is no room for the reply.
+        Unheld "unheld";
         /// The reply is truncated or its digest does not match.
         Cut "cut";
         /// The rows were read at another version of the index.
@@ -142,6 +144,8 @@
         Handed "requests_handed";
         /// Queries restarted on another version of the index.
         Restarts "query_restarts";
+        /// Connections closed to make room for others.
+        Evicted "connections_evicted";
         /// Attempts cancelled at the target.
         Cancelled "attempts_cancelled";
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod store;
 pub mod target;
 pub mod claim;
+pub mod memory;
 pub mod message;
 pub mod notice;
 pub mod border;
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -93,6 +93,8 @@
     PartialAnswer 209 Info "partial answer";
     /// A caller disconnected before it was answered.
     CallerLeft 210 Debug "caller disconnected before it was answered";
+    /// A connection was closed to make room for others.
+    ConnectionEvicted 211 Info "connection closed to make room";
     /// A connection to a target was opened.
     ConnectionOpened 301 Debug "connection to target opened";
     /// A connection to a target was lost or could not be opened.
--- /dev/null
+++ b/crates/core/src/memory/limits.rs
@@ -0,0 +1,43 @@
+//! Limits on what a process holds for others.
+
+use std::time::Duration;
+
+/// The part of a machine's memory that is held for others, as a divisor. The rest is for
+/// the program, what the allocator cannot reuse, and copies that exist for a moment.
+const MEMORY_DIVISOR: usize = 3;
+
+/// The memory of the smallest machine that is supported without settings, in bytes.
+pub const DEFAULT_MACHINE_BYTES: usize = 112_000_000;
+
+/// The limits on what a process holds for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The most bytes that are held in all.
+    pub bytes: usize,
+    /// The age before which a transfer or an idle connection is not closed to make room.
+    pub grace: Duration,
+}
+
+impl Limits {
+    /// Returns the limits for a machine with this memory in bytes.
+    pub fn new(machine_bytes: usize) -> Limits {
+        Limits { bytes: machine_bytes / MEMORY_DIVISOR, grace: Duration::from_millis(250) }
+    }
+
+    /// Returns the most bytes that connections and requests may take.
+    pub fn request_bytes(&self) -> usize {
+        self.bytes / 4 * 3
+    }
+
+    /// Returns by how many bytes the limit may be exceeded until connections that were told
+    /// to close have ended.
+    pub fn closing_bytes(&self) -> usize {
+        self.bytes / 2
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits::new(DEFAULT_MACHINE_BYTES)
+    }
+}
--- /dev/null
+++ b/crates/core/src/memory/system/evict.rs
@@ -0,0 +1,74 @@
+//! Chooses the connections that are closed to make room.
+
+use crate::{
+    memory::{Holder, Party, Row, Tables},
+    time::Instant,
+};
+
+use super::Context;
+
+/// The order in which connections are closed; the least is closed first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Worth {
+    /// Whether nothing is under way. A request that arrives or an answer that is taken too
+    /// slowly goes first, as it takes the most memory.
+    is_idle: bool,
+    /// Whether a request was answered on the connection.
+    is_proven: bool,
+    /// The rate of the slower direction, in bytes a second.
+    rate: u64,
+    /// Since when the connection is as it is.
+    since: Instant,
+}
+
+/// Closes slow connections that hold bytes until `bytes` are free. Returns false if that is
+/// not possible; then none is closed.
+pub fn free(
+    tables: &mut Tables,
+    requester: Option<Holder>,
+    bytes: usize,
+    cx: &mut Context<'_>,
+) -> bool {
+    let rows = tables.rows.iter().filter(|(id, row)| Some(**id) != requester && row.total() > 0);
+    let mut slow: Vec<(Worth, Holder, usize)> =
+        rows.filter_map(|(id, row)| Some((worth(row, cx)?, *id, row.total()))).collect();
+    slow.sort_unstable();
+    let mut chosen = Vec::new();
+    let mut free = 0;
+    for (_, id, held) in slow {
+        if free >= bytes {
+            break;
+        }
+        free += held;
+        chosen.push(id);
+    }
+    if free < bytes {
+        return false;
+    }
+    for id in chosen {
+        tables.mark_closing(id);
+        cx.close.push(id);
+    }
+    true
+}
+
+/// Returns how much a connection is worth keeping, or none if it may not be closed.
+fn worth(row: &Row, cx: &Context<'_>) -> Option<Worth> {
+    if row.is_closing || row.port.party == Party::Vm {
+        return None;
+    }
+    let slower = row.sending.or(if row.is_working { None } else { row.receiving });
+    if slower.is_none() && row.is_working {
+        return None;
+    }
+    let since = slower.map_or(row.idle_since, |transfer| transfer.since);
+    if cx.now.since(since) < cx.limits.grace {
+        return None;
+    }
+    Some(Worth {
+        is_idle: slower.is_none(),
+        is_proven: row.answered > 0,
+        rate: slower.map_or(0, |transfer| transfer.rate(cx.now)),
+        since,
+    })
+}
--- /dev/null
+++ b/crates/core/src/memory/table.rs
@@ -0,0 +1,202 @@
+//! The connections of others, and the bytes that are held for them.
+
+use std::collections::BTreeMap;
+
+use super::Purpose;
+use crate::time::Instant;
+
+/// The id of a row, never used twice in a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Holder(pub u64);
+
+/// A port at which others open connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Port {
+    pub party: Party,
+    /// The number of the thread that serves the port.
+    pub thread: u16,
+}
+
+/// Who opens connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Party {
+    Caller,
+    /// The balancer, which asks whether the VM is ready.
+    Probe,
+    /// The collector of metrics.
+    Collector,
+    Operator,
+    /// Another VM. Its connection is never closed to make room.
+    Vm,
+}
+
+impl Party {
+    /// Returns the name of the party in the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Party::Caller => "caller",
+            Party::Probe => "probe",
+            Party::Collector => "collector",
+            Party::Operator => "operator",
+            Party::Vm => "vm",
+        }
+    }
+}
+
+/// Bytes on their way in or out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Transfer {
+    pub since: Instant,
+    /// The bytes that have moved so far.
+    pub moved: usize,
+}
+
+impl Transfer {
+    /// Starts a transfer.
+    pub fn new(now: Instant) -> Transfer {
+        Transfer { since: now, moved: 0 }
+    }
+
+    /// Returns the average rate in bytes a second.
+    pub fn rate(&self, now: Instant) -> u64 {
+        let millis = now.since(self.since).as_millis().max(1) as u64;
+        (self.moved as u64).saturating_mul(1000) / millis
+    }
+}
+
+/// A connection that was opened by others.
+#[derive(Clone, Debug)]
+pub struct Row {
+    pub port: Port,
+    /// The bytes that the connection takes by itself, without long messages.
+    pub base: usize,
+    /// The further bytes that are held for it.
+    pub bytes: usize,
+    /// The bytes of its answers that count without it, but are dropped with it.
+    pub lent: usize,
+    /// Since when nothing is under way, or when the connection was opened.
+    pub idle_since: Instant,
+    /// The request that is arriving.
+    pub receiving: Option<Transfer>,
+    /// Whether a request is being worked on.
+    pub is_working: bool,
+    /// The answer that the other side has not taken whole.
+    pub sending: Option<Transfer>,
+    /// The number of requests that were answered.
+    pub answered: u64,
+    /// Whether the connection was chosen to be closed.
+    pub is_closing: bool,
+}
+
+impl Row {
+    /// Returns the bytes that are dropped with the connection.
+    pub fn total(&self) -> usize {
+        self.bytes + self.lent
+    }
+}
+
+/// The connections and the sums over them.
+#[derive(Debug, Default)]
+pub struct Tables {
+    pub rows: BTreeMap<Holder, Row>,
+    /// The bytes that those connections take by themselves.
+    pub bases: usize,
+    /// The bytes that are held for each purpose, beside those of the connections.
+    pub held: BTreeMap<Purpose, usize>,
+    /// The part of them that is held for connections that are being closed.
+    pub closing: usize,
+    last_id: u64,
+}
+
+impl Tables {
+    /// Returns the bytes that are held for all purposes and connections.
+    pub fn bytes(&self) -> usize {
+        self.bases + self.held.values().sum::<usize>()
+    }
+
+    /// Returns the bytes that are held for a purpose.
+    pub fn held(&self, purpose: Purpose) -> usize {
+        self.held.get(&purpose).copied().unwrap_or_default()
+    }
+
+    /// Adds a connection that has just been opened.
+    pub fn insert(&mut self, port: Port, base: usize, now: Instant) -> Holder {
+        self.last_id += 1;
+        let id = Holder(self.last_id);
+        let row = Row {
+            port,
+            base,
+            bytes: 0,
+            lent: 0,
+            idle_since: now,
+            receiving: None,
+            is_working: false,
+            sending: None,
+            answered: 0,
+            is_closing: false,
+        };
+        self.rows.insert(id, row);
+        self.bases += base;
+        id
+    }
+
+    /// Removes a connection that has ended. Bytes that are still held stay counted.
+    pub fn remove(&mut self, id: Holder) {
+        self.mark_closing(id);
+        if let Some(row) = self.rows.remove(&id) {
+            self.closing = self.closing.saturating_sub(row.total());
+        }
+    }
+
+    /// Records that bytes which count already are dropped with a connection.
+    pub fn lend(&mut self, id: Holder, bytes: usize) {
+        let Some(row) = self.rows.get_mut(&id) else { return };
+        row.lent += bytes;
+        if row.is_closing {
+            self.closing += bytes;
+        }
+    }
+
+    /// Records that a connection has let go of all that was lent to it.
+    pub fn take_back(&mut self, id: Holder) {
+        let Some(row) = self.rows.get_mut(&id) else { return };
+        let lent = std::mem::take(&mut row.lent);
+        if row.is_closing {
+            self.closing = self.closing.saturating_sub(lent);
+        }
+    }
+
+    /// Adds to the bytes that are held, for a connection if it is known.
+    pub fn add(&mut self, id: Option<Holder>, purpose: Purpose, bytes: usize) {
+        *self.held.entry(purpose).or_default() += bytes;
+        if let Some(row) = id.and_then(|id| self.rows.get_mut(&id)) {
+            row.bytes += bytes;
+            if row.is_closing {
+                self.closing += bytes;
+            }
+        }
+    }
+
+    /// Takes from the bytes that are held.
+    pub fn subtract(&mut self, id: Option<Holder>, purpose: Purpose, bytes: usize) {
+        if let Some(held) = self.held.get_mut(&purpose) {
+            *held = held.saturating_sub(bytes);
+        }
+        if let Some(row) = id.and_then(|id| self.rows.get_mut(&id)) {
+            row.bytes = row.bytes.saturating_sub(bytes);
+            if row.is_closing {
+                self.closing = self.closing.saturating_sub(bytes);
+            }
+        }
+    }
+
+    /// Marks a connection as one that is being closed.
+    pub fn mark_closing(&mut self, id: Holder) {
+        let Some(row) = self.rows.get_mut(&id) else { return };
+        if std::mem::replace(&mut row.is_closing, true) {
+            return;
+        }
+        self.closing += row.total();
+        self.bases = self.bases.saturating_sub(row.base);
+    }
+}
--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -30,7 +31,7 @@
     pub path: Arc<str>,
     /// The headers, without those that apply to a single connection.
     pub headers: Vec<Header>,
-    pub body: Arc<[u8]>,
+    pub body: Bytes,
 }
 
 /// A request of a caller.
@@ -77,7 +78,7 @@
     pub status: u16,
     /// The headers, without those that apply to a single connection.
     pub headers: Vec<Header>,
-    pub body: Arc<[u8]>,
+    pub body: Bytes,
     /// The digest with which the caller checks the body.
     pub digest: Option<Arc<str>>,
     /// Whether the target states that it did not run the request.
--- a/crates/core/src/relay/system/collect.rs
+++ b/crates/core/src/relay/system/collect.rs
@@ -166,6 +166,30 @@
     cx.out.lines.push(Line::new(Event::AttemptFailed, fields));
 }
 
+/// Ends an attempt whose reply was dropped for want of room. It ran, and another reply
+/// would need as much room, so its leg is not retried; the target did nothing wrong.
+pub fn unheld(
+    tables: &mut Tables,
+    connection: relay::Connection,
+    attempt: relay::Attempt,
+    cx: &mut Context<'_>,
+) {
+    connect::close(tables, connection, cx);
+    cx.out.counts.add(Count::Dropped(Drop::Unheld));
+    let Some(row) = tables.attempts.remove(&attempt) else { return };
+    if let Some(target) = tables.targets.get_mut(&row.target) {
+        target.running.remove(&(row.sent, attempt));
+    }
+    connect::prune(tables, &row.target);
+    let Some(leg) = row.leg.and_then(|key| tables.legs.get_mut(&key)) else { return };
+    leg.attempts.remove(&attempt);
+    leg.runs.may_have_run = true;
+    let is_over = leg.attempts.is_empty() && !leg.queued;
+    if let Some(key) = row.leg.filter(|_| is_over) {
+        leg::give_up(tables, key, cx);
+    }
+}
+
 /// Removes a connection that was closed and retries the leg that it carried.
 pub fn closed(
     tables: &mut Tables,
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -59,6 +59,9 @@
             Event::Replied { connection, attempt, reply } => {
                 collect::replied(tables, connection, attempt, *reply, cx);
             }
+            Event::Unheld { connection, attempt } => {
+                collect::unheld(tables, connection, attempt, cx);
+            }
             Event::Closed { connection, loss } => collect::closed(tables, connection, &loss, cx),
         }
     }
--- /dev/null
+++ b/crates/core/tests/memory/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the table of what a process holds for others, and of its systems.
+
+#[macro_use]
+#[path = "../rules/case.rs"]
+mod case;
+mod harness;
+mod hold;
+mod random;
--- /dev/null
+++ b/crates/core/tests/memory/random.rs
@@ -0,0 +1,129 @@
+//! Random series of what callers do keep the table within its limits.
+
+use laburnum_core::memory::{Holder, Party, Purpose, Row};
+use proptest::prelude::*;
+
+use crate::harness::{LIMITS, Memory};
+
+/// What happens next.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Pass(u64),
+    Open(Party),
+    Receive(usize, usize),
+    Work(usize),
+    Answer(usize, usize),
+    Send(usize, usize),
+    Finish(usize),
+    /// A connection ends, and what is held for it is dropped.
+    End(usize),
+    /// Every connection that was told to close ends.
+    Close,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let party = prop_oneof![Just(Party::Caller), Just(Party::Probe), Just(Party::Vm)];
+    prop_oneof![
+        (0..300u64).prop_map(Step::Pass),
+        party.prop_map(Step::Open),
+        (0..50usize, 0..400usize).prop_map(|(row, bytes)| Step::Receive(row, bytes)),
+        (0..50usize).prop_map(Step::Work),
+        (0..50usize, 0..400usize).prop_map(|(row, bytes)| Step::Answer(row, bytes)),
+        (0..50usize, 0..400usize).prop_map(|(row, bytes)| Step::Send(row, bytes)),
+        (0..50usize).prop_map(Step::Finish),
+        (0..50usize).prop_map(Step::End),
+        Just(Step::Close),
+    ]
+}
+
+/// A table with what is held for each connection, as the owners of the bytes know it.
+struct Model {
+    memory: Memory,
+    held: Vec<(Holder, Purpose, usize)>,
+}
+
+impl Model {
+    fn pick(&self, row: usize) -> Option<Holder> {
+        let ids: Vec<Holder> = self.memory.tables.rows.keys().copied().collect();
+        ids.get(row).copied()
+    }
+
+    fn grow(&mut self, id: Holder, purpose: Purpose, bytes: usize) {
+        if self.memory.grow(id, purpose, bytes).is_ok() {
+            self.held.push((id, purpose, bytes));
+        }
+    }
+
+    fn end(&mut self, id: Holder) {
+        let (dropped, kept): (Vec<_>, Vec<_>) =
+            self.held.drain(..).partition(|(holder, ..)| *holder == id);
+        self.held = kept;
+        for (holder, purpose, bytes) in dropped {
+            self.memory.tables.subtract(Some(holder), purpose, bytes);
+        }
+        self.memory.tables.remove(id);
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Pass(millis) => self.memory.pass(millis),
+            Step::Open(party) => drop(self.memory.open(party)),
+            Step::Receive(row, bytes) => {
+                let Some(id) = self.pick(row) else { return };
+                self.memory.receive(id, bytes);
+                self.grow(id, Purpose::Request, bytes);
+            }
+            Step::Work(row) => {
+                let Some(id) = self.pick(row) else { return };
+                // A caller that is refused is only not worked for.
+                let _ = self.memory.work(id);
+            }
+            Step::Answer(row, bytes) => {
+                let Some(id) = self.pick(row) else { return };
+                self.grow(id, Purpose::Answer, bytes);
+                let _ = self.memory.answer(id, 0);
+            }
+            Step::Send(row, bytes) => {
+                let Some(id) = self.pick(row) else { return };
+                self.memory.send(id, bytes);
+            }
+            Step::Finish(row) => {
+                let Some(id) = self.pick(row) else { return };
+                self.memory.finish(id);
+            }
+            Step::End(row) => {
+                let Some(id) = self.pick(row) else { return };
+                self.end(id);
+            }
+            Step::Close => {
+                for id in std::mem::take(&mut self.memory.closing) {
+                    self.end(id);
+                }
+            }
+        }
+    }
+
+    fn check(&self) {
+        let tables = &self.memory.tables;
+        let held: usize = self.held.iter().map(|(.., bytes)| bytes).sum();
+        assert_eq!(tables.bytes(), held + tables.bases, "the sums are those of the parts");
+        let open = tables.rows.values().filter(|row| !row.is_closing);
+        assert_eq!(tables.bases, open.map(|row| row.base).sum::<usize>());
+        let closing = tables.rows.values().filter(|row| row.is_closing);
+        assert_eq!(tables.closing, closing.map(Row::total).sum::<usize>());
+        let held = tables.bytes() - tables.bases;
+        assert!(held <= LIMITS.bytes + LIMITS.closing_bytes(), "{held}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
+    #[test]
+    fn any_series_of_steps_keeps_the_limits(steps in prop::collection::vec(step(), 1..200)) {
+        let mut model = Model { memory: Memory::new(), held: Vec::new() };
+        for step in steps {
+            model.take(step);
+            model.check();
+        }
+    }
+}
--- a/crates/core/tests/relay/harness.rs
+++ b/crates/core/tests/relay/harness.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use laburnum_core::{
     digest::Fingerprint,
     id::Origin,
@@ -117,7 +118,7 @@
         method: "GET".into(),
         path: path.into(),
         headers: Vec::new(),
-        body: Arc::from(&b""[..]),
+        body: Bytes::new(),
     };
     CallerRequest {
         id: "c1".into(),
@@ -135,7 +136,7 @@
     Reply {
         status: 200,
         headers: Vec::<Header>::new(),
-        body: Arc::from(&[fill; 16][..]),
+        body: Bytes::copy_from_slice(&[fill; 16]),
         digest: Some(digest.into()),
         refused: false,
         misdirected: false,
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -19,4 +19,5 @@
 mod routes;
 mod suspects;
 mod targets;
+mod unheld;
 mod waits;
--- /dev/null
+++ b/crates/core/tests/relay/unheld.rs
@@ -0,0 +1,63 @@
+//! Requests and replies for which this VM has no room.
+
+use laburnum_core::{
+    fault::{Kind, Ran},
+    relay::{Answer, Event},
+};
+
+use crate::harness::{Harness, Sent, ms, name, request, search, single, success};
+
+/// Tells the engine that there is no room for the reply to a request.
+fn drop_reply(harness: &mut Harness, sent: &Sent) {
+    let (connection, attempt) = (sent.connection, sent.attempt);
+    harness.tick(vec![Event::Unheld { connection, attempt }]);
+}
+
+cases! {
+    an_operation_without_its_reply_may_have_run_and_is_not_sent_again => {
+        let mut harness = Harness::with_route(laburnum_core::relay::Route { idempotent: false, ..single("desk") });
+        let call = harness.submit(request("/fetch/1"));
+        let sent = harness.take_one_sent();
+        drop_reply(&mut harness, &sent);
+        let Answer::Refused(refusal) = &harness.answers[&call] else { panic!() };
+        assert_eq!((refusal.fault.kind, refusal.fault.ran), (Kind::TargetFailed, Ran::Unknown));
+        assert!(harness.closed.contains(&sent.connection));
+        assert!(harness.take_sent().is_empty());
+    };
+    a_request_that_may_run_twice_is_not_sent_again_either => {
+        let mut harness = Harness::with_route(single("desk"));
+        let call = harness.submit(request("/fetch/1"));
+        let sent = harness.take_one_sent();
+        drop_reply(&mut harness, &sent);
+        assert_eq!(harness.refusal_status(call), 502);
+        harness.advance(ms(2000));
+        assert!(harness.take_sent().is_empty());
+    };
+    a_target_whose_reply_has_no_room_gets_the_next_request => {
+        let mut harness = Harness::with_route(single("desk"));
+        harness.submit(request("/fetch/1"));
+        let first = harness.take_one_sent();
+        let target = &harness.engine.tables().targets[&name(first.target())];
+        let (errors, pause) = (target.error_rate(harness.now), target.pause_until);
+        drop_reply(&mut harness, &first);
+        let target = &harness.engine.tables().targets[&name(first.target())];
+        assert_eq!((target.error_rate(harness.now), target.pause_until), (errors, pause));
+        assert!(target.running.is_empty());
+        let call = harness.submit(request("/fetch/2"));
+        let sent = harness.take_one_sent();
+        harness.reply(&sent, success("d", 1));
+        assert!(matches!(harness.answers[&call], Answer::Forwarded(_)));
+    };
+    a_search_goes_on_with_its_other_shards => {
+        let mut harness = Harness::with_route(search(&["a", "b", "c"], 0.6));
+        let call = harness.submit(request("/search/1"));
+        let sent = harness.take_sent();
+        drop_reply(&mut harness, &sent[0]);
+        for (index, sent) in sent.iter().enumerate().skip(1) {
+            harness.reply(sent, success(&format!("d{index}"), 1));
+        }
+        let Answer::Gathered(gathered) = &harness.answers[&call] else { panic!() };
+        assert_eq!((gathered.digests.len(), gathered.missing), (2, 1));
+    };
+
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,22 +5,26 @@
 //! bytes which belong to no request. [`Channel`] reports all three. It drives its
 //! connection inside the caller's future, so that it needs no task of its own.
 
+pub mod buffer;
 mod socket;
 
 use std::{fmt, io, net::SocketAddr, pin::Pin, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    body::Incoming,
+    body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
-use self::socket::{FlushFlag, ReadLimit, Socket};
+use self::{
+    buffer::{Buffer, Room, Unlimited},
+    socket::{FlushFlag, ReadLimit, Socket},
+};
 
 type Driver = http1::Connection<TokioIo<Socket>, Full<Bytes>>;
 
@@ -50,6 +54,8 @@
     /// Whether the peer closed the connection during the request or refused the
     /// connection, in contrast to a peer that does not answer.
     pub gone: bool,
+    /// Whether there was no [`Room`] for the body, which is no fault of the peer.
+    pub unheld: bool,
     /// A human-readable description.
     pub detail: String,
 }
@@ -64,11 +70,11 @@
 
 impl Failure {
     fn unsent(detail: impl Into<String>) -> Failure {
-        Failure { sent: false, gone: false, detail: detail.into() }
+        Failure { sent: false, gone: false, unheld: false, detail: detail.into() }
     }
 
     fn sent(detail: impl Into<String>) -> Failure {
-        Failure { sent: true, gone: false, detail: detail.into() }
+        Failure { sent: true, gone: false, unheld: false, detail: detail.into() }
     }
 }
 
@@ -120,6 +126,15 @@
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
+    ) -> Result<CompleteResponse, Failure> {
+        self.exchange_within(request, &mut Unlimited).await
+    }
+
+    /// Sends a request and waits for the complete response, whose body takes `room`.
+    pub async fn exchange_within(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        room: &mut dyn Room,
     ) -> Result<CompleteResponse, Failure> {
         self.ready().await?;
         self.read_limit.set(MAX_HEAD_BYTES);
@@ -128,7 +143,7 @@
         self.read_limit.set(self.max_body.saturating_mul(2).saturating_add(MAX_HEAD_BYTES));
         let keeps = keeps_open(response.headers());
         let (parts, body) = response.into_parts();
-        let body = self.read_body(body).await?;
+        let body = self.read_body(body, room).await?;
         // A peer may answer before it has read the whole request.
         let reusable = keeps && self.flush_flag.is_set() && !self.sender.is_closed();
         Ok(CompleteResponse { response: Response::from_parts(parts, body), reusable })
@@ -164,12 +179,20 @@
             // hyper returns a request of which it has sent nothing.
             let sent = error.take_message().is_none();
             let gone = sent && is_gone(error.error());
-            Failure { sent, gone, detail: describe(error.error()) }
+            Failure { sent, gone, unheld: false, detail: describe(error.error()) }
         })
     }
 
-    async fn read_body(&mut self, mut body: Incoming) -> Result<Bytes, Failure> {
-        let mut bytes = BytesMut::new();
+    async fn read_body(
+        &mut self,
+        mut body: Incoming,
+        room: &mut dyn Room,
+    ) -> Result<Bytes, Failure> {
+        let announced = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+        let mut bytes = Buffer::new(announced.filter(|length| *length <= self.max_body));
+        if !bytes.allocate(room) {
+            return Err(Failure { unheld: true, ..Failure::sent("body: no room") });
+        }
         let mut is_driven = !self.sender.is_closed();
         loop {
             let frame = tokio::select! {
@@ -181,7 +204,7 @@
                 }
             };
             match frame {
-                None => return Ok(bytes.freeze()),
+                None => return Ok(bytes.into_bytes()),
                 Some(Err(error)) => {
                     let gone = is_gone(&error);
                     let detail = format!("body: {}", describe(&error));
@@ -193,7 +216,10 @@
                         let max = self.max_body;
                         return Err(Failure::sent(format!("body: longer than {max} bytes")));
                     }
-                    bytes.extend_from_slice(&data);
+                    if !bytes.push(&data, room) {
+                        let detail = format!("body: no room after {} bytes", bytes.len());
+                        return Err(Failure { unheld: true, ..Failure::sent(detail) });
+                    }
                 }
             }
         }
--- a/src/front/body.rs
+++ b/src/front/body.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use laburnum_core::fault::{Fault, Kind};
+use laburnum_core::{
+    fault::{Fault, Kind},
+    memory::Full,
+};
 use poem::{
-    Body, Response,
+    Body, IntoResponse, Response,
     error::ReadBodyError,
     http::{HeaderMap, StatusCode, header},
 };
@@ -12,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::problem::Refusal;
-use crate::settings::traffic::Callers;
+use crate::{memory::Hold, settings::traffic::Callers};
 
 /// The most characters of a decoder's message that a fault repeats.
 const MAX_REASON_CHARS: usize = 300;
@@ -67,6 +70,32 @@
     }
 }
 
+/// Makes the refusal of a request for which there is no room.
+pub fn no_room(full: Full) -> Refusal {
+    Fault::not_run(Kind::TooManyOpen, full.to_string()).into()
+}
+
+/// Counts the body of a response until the caller has taken it. An answer for which there is
+/// no room is dropped, and its caller does not learn whether the request ran.
+pub async fn hold_answer(response: Response, mut hold: Hold) -> Response {
+    if response.extensions().get::<Counted>().is_some() {
+        return response;
+    }
+    let (parts, body) = response.into_parts();
+    // The bodies of the handlers are in memory, and reading them cannot fail.
+    let bytes = body.into_bytes().await.unwrap_or_default();
+    match hold.grow_to(bytes.len()) {
+        Ok(()) => Response::from_parts(parts, Body::from_bytes(hold.keep(bytes))),
+        Err(full) => {
+            Refusal::from(Fault::unknown(Kind::Internal, full.to_string())).into_response()
+        }
+    }
+}
+
+/// Marks a response of whose body this many bytes count already.
+#[derive(Clone, Copy, Debug)]
+pub struct Counted(pub usize);
+
 /// Decodes a JSON document into a structure whose values are not checked yet.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Fault> {
     serde_json::from_slice(bytes).map_err(|e| {
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -9,6 +9,10 @@
     task::Waker,
 };
 
+use laburnum_core::memory::{Full, Purpose};
+
+use crate::memory::{Account, Hold};
+
 /// What the next bytes of a connection belong to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -38,18 +42,29 @@
     reader: Option<Waker>,
 }
 
-/// The shared state of one connection.
-#[derive(Debug)]
-pub struct Connection(Mutex<Inner>);
+/// The shared state of one connection, and the account of what is held for it.
+pub struct Connection {
+    inner: Mutex<Inner>,
+    account: Account,
+}
 
-impl Default for Connection {
-    fn default() -> Connection {
+impl Connection {
+    /// Makes the state of a connection that has just been opened.
+    pub fn new(account: Account) -> Connection {
         let state = State { phase: Phase::Waiting, answered: 0 };
-        Connection(Mutex::new(Inner { state, reader: None }))
+        Connection { inner: Mutex::new(Inner { state, reader: None }), account }
+    }
+
+    /// Waits until the connection is to be closed to make room for others.
+    pub async fn closing(&self) {
+        self.account.closing().await;
+    }
+
+    /// Makes an empty hold for this connection.
+    pub fn hold(&self, purpose: Purpose) -> Hold {
+        self.account.hold(purpose)
     }
-}
 
-impl Connection {
     /// Returns the current state.
     pub fn state(&self) -> State {
         self.lock().state
@@ -68,20 +83,38 @@
 
     /// Records that bytes have arrived, which starts a head if none has
     /// started.
-    pub fn receive_bytes(&self) {
+    pub fn receive_bytes(&self, bytes: usize) {
+        self.account.receive(bytes);
         let mut inner = self.lock();
         if inner.state.phase == Phase::Waiting {
             inner.state.phase = Phase::Head;
         }
     }
 
+    /// Records that the other side took bytes of an answer.
+    pub fn send_bytes(&self, bytes: usize) {
+        self.account.send(bytes);
+    }
+
+    /// Records that the other side took all bytes that were to be sent.
+    pub fn finish_sending(&self) {
+        self.account.end_answer();
+    }
+
     /// Records that a request was handed to its handler.
     pub fn begin_request(&self) {
         self.lock().state.phase = Phase::Request;
     }
 
-    /// Records that a request was read whole and has been answered.
-    pub fn finish_request(&self) {
+    /// Records that a request was read whole, if there is room to work on it.
+    pub fn begin_work(&self) -> Result<(), Full> {
+        self.account.begin_work()
+    }
+
+    /// Records that a request was read whole and has been answered. Of the answer `lent`
+    /// bytes count already.
+    pub fn finish_request(&self, lent: usize) {
+        self.account.begin_answer(lent);
         let mut inner = self.lock();
         inner.state.phase = Phase::Waiting;
         inner.state.answered += 1;
@@ -92,10 +125,11 @@
 
     /// Records that the rest of the request is discarded.
     pub fn close(&self) {
+        self.account.begin_answer(0);
         self.lock().state.phase = Phase::Closing;
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use laburnum_core::fault::Kind;
+use laburnum_core::{fault::Kind, memory::Purpose};
 use poem::{
     Endpoint, EndpointExt, IntoResponse, Request, Response, Route,
     endpoint::BoxEndpoint,
@@ -75,8 +75,13 @@
             connection.close();
             return close_after(refusal.into_response());
         }
-        let response = self.routes.get_response(request).await;
-        connection.finish_request();
+        let response = match connection.begin_work() {
+            Ok(()) => self.routes.get_response(request).await,
+            Err(full) => body::no_room(full).into_response(),
+        };
+        let response = body::hold_answer(response, connection.hold(Purpose::Answer)).await;
+        let lent = response.extensions().get::<body::Counted>().map_or(0, |counted| counted.0);
+        connection.finish_request(lent);
         if *self.ready.borrow() { response } else { close_after(response) }
     }
 
--- a/src/front/limit.rs
+++ b/src/front/limit.rs
@@ -5,6 +5,17 @@
 use super::body;
 use crate::settings::traffic::Callers;
 
+/// The rate that a caller must keep up on average while it reads a response, in bytes a
+/// second.
+pub const MIN_READ_RATE: usize = 4 << 10;
+
+/// What a connection takes beside its head, in bytes: buffers of the HTTP library for what
+/// follows the head and for what is sent, the task, and short messages.
+const CONNECTION_BYTES: usize = 24 << 10;
+
+/// The most bytes of the next request that are read while one is answered.
+const READ_AHEAD_BYTES: usize = 8 << 10;
+
 /// Limits on connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -16,16 +27,32 @@
     /// The time after which a connection is closed that has no request, or
     /// whose caller does not read the response.
     pub idle_timeout: Duration,
+    /// The rate that a caller must keep up on average while it reads a response, in bytes a
+    /// second, after `idle_timeout`.
+    pub min_rate: usize,
     /// The most connections that are open at a time.
     pub connections: usize,
 }
 
+impl Limits {
+    /// Returns the most bytes that the HTTP library buffers of what a connection sends.
+    pub fn read_buffer(&self) -> usize {
+        self.header_size.saturating_add(READ_AHEAD_BYTES)
+    }
+
+    /// Returns the bytes that a connection takes by itself.
+    pub fn connection_bytes(&self) -> usize {
+        self.header_size.saturating_add(CONNECTION_BYTES)
+    }
+}
+
 impl From<&Callers> for Limits {
     fn from(callers: &Callers) -> Limits {
         Limits {
             header_size: to_usize(callers.header_limit_bytes),
             header_timeout: callers.header_read_timeout,
             idle_timeout: callers.idle_timeout,
+            min_rate: MIN_READ_RATE,
             connections: to_usize(callers.open_connections.into()),
         }
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -22,6 +22,7 @@
 
 use std::{io, net::TcpListener, sync::Arc};
 
+use laburnum_core::memory::{self, Party};
 use poem::{EndpointExt, Request, Response, Route, handler, post, web::Data};
 use tokio::sync::watch;
 
@@ -31,7 +32,7 @@
     probe::{Metrics, Probe},
     problem::Refusal,
 };
-use crate::{settings::traffic::Callers, traffic::Handle};
+use crate::{memory::Ledger, settings::traffic::Callers, traffic::Handle};
 
 /// The sockets, limits and channels that a front is made from.
 pub struct Parts {
@@ -39,6 +40,10 @@
     pub listener: TcpListener,
     /// The limits on callers.
     pub limits: Callers,
+    /// Counts what the process holds for others.
+    pub ledger: Ledger,
+    /// The number of the thread that serves the callers.
+    pub thread: u16,
     /// Hands calls to the traffic thread.
     pub handle: Handle,
     /// Whether the VM takes requests.
@@ -51,7 +56,7 @@
 /// Serves callers until `shutdown` becomes true and the open requests have
 /// finished.
 pub async fn serve(parts: Parts) -> io::Result<()> {
-    let Parts { listener, limits, handle, ready, metrics, shutdown } = parts;
+    let Parts { listener, limits, ledger, thread, handle, ready, metrics, shutdown } = parts;
     let probe = Probe { ready: ready.clone(), metrics: Arc::clone(&metrics) };
     let port = Port {
         listener,
@@ -59,6 +64,8 @@
             connection: limit::Limits::from(&limits),
             body: body::Limits::from(&limits),
         }),
+        ledger,
+        port: memory::Port { party: Party::Caller, thread },
         gate: Box::new(intake::AllowAll),
         metrics,
         ready,
--- a/src/front/port.rs
+++ b/src/front/port.rs
@@ -17,7 +17,10 @@
 
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use laburnum_core::fault::{Fault, Kind};
+use laburnum_core::{
+    fault::{Fault, Kind},
+    memory,
+};
 use poem::{
     Request, Route,
     http::{self, uri::Scheme},
@@ -39,6 +42,7 @@
     problem::Refusal,
     stream::{DISCARD_BUFFER_BYTES, LINGER_TIMEOUT, Stream},
 };
+use crate::memory::Ledger;
 
 /// The most connections beyond the limit that are answered with a refusal at a
 /// time; the rest are closed without an answer.
@@ -60,6 +64,10 @@
     /// The socket that accepts connections.
     pub listener: TcpListener,
     pub limits: Arc<dyn Provider>,
+    /// Counts what the process holds for others.
+    pub ledger: Ledger,
+    /// The port in that table.
+    pub port: memory::Port,
     /// Decides which requests may send a body.
     pub gate: Box<dyn Gate>,
     /// Counts the refusals that reach no thread.
@@ -82,6 +90,8 @@
     listener: Option<tokio::net::TcpListener>,
     local: SocketAddr,
     limits: Arc<dyn Provider>,
+    ledger: Ledger,
+    port: memory::Port,
     max_connections: usize,
     metrics: Arc<dyn Metrics>,
     intake: Arc<Intake>,
@@ -111,6 +121,8 @@
                 self.ready,
             )),
             limits: self.limits,
+            ledger: self.ledger,
+            port: self.port,
             max_connections,
             shutdown: self.shutdown,
             connection_permits: Arc::new(Semaphore::new(permits)),
@@ -156,16 +168,22 @@
     }
 
     fn open(&mut self, accepted: Accepted, permit: OwnedSemaphorePermit) {
+        let limits = self.limits.connection();
+        let account = self.ledger.open(self.port, limits.connection_bytes());
         let Accepted { socket, address } = accepted;
         // Without `TCP_NODELAY` a response may wait for an acknowledgement. A
         // failure only makes the connection slower.
         let _ = socket.set_nodelay(true);
-        let connection = Arc::new(Connection::default());
+        let connection = Arc::new(Connection::new(account));
         let metrics = Arc::clone(&self.metrics);
-        let stream =
-            Stream::new(socket, self.limits.connection(), metrics, Arc::clone(&connection));
-        let context =
-            Context { connection, intake: Arc::clone(&self.intake), local: self.local, address };
+        let stream = Stream::new(socket, limits, metrics, Arc::clone(&connection));
+        let context = Context {
+            connection,
+            intake: Arc::clone(&self.intake),
+            local: self.local,
+            address,
+            read_buffer: limits.read_buffer(),
+        };
         self.tasks.spawn(serve(stream, context, self.shutdown.clone(), permit));
     }
 }
@@ -201,6 +219,8 @@
     intake: Arc<Intake>,
     local: SocketAddr,
     address: SocketAddr,
+    /// The most bytes that are buffered of what arrives.
+    read_buffer: usize,
 }
 
 impl Context {
@@ -211,20 +231,32 @@
     }
 }
 
-/// Serves one connection until it ends.
+/// Serves one connection until it ends, or until it is to be closed to make room.
 async fn serve(
     stream: Stream,
     context: Context,
     shutdown: watch::Receiver<bool>,
     _permit: OwnedSemaphorePermit,
 ) {
+    let connection = Arc::clone(&context.connection);
+    tokio::select! {
+        biased;
+        () = connection.closing() => {}
+        () = serve_requests(stream, context, shutdown) => {}
+    }
+}
+
+/// Serves the requests of one connection until it ends.
+async fn serve_requests(stream: Stream, context: Context, shutdown: watch::Receiver<bool>) {
     let state = Arc::clone(&context.connection);
     let service = service_fn(|request| {
         let request = context.request(request);
         let (intake, connection) = (&context.intake, &context.connection);
         async move { Ok::<_, Infallible>(intake.handle(request, connection).await.into()) }
     });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let connection = http1::Builder::new()
+        .max_buf_size(context.read_buffer)
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
         biased;
--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -3,7 +3,7 @@
 //! The HTTP library reads as long as bytes come. This stream ends a connection
 //! whose head is too large or does not arrive in time, even if it trickles in
 //! byte by byte, and a connection that stays idle or does not take its
-//! response. A refused caller is answered, and what it still sends is read and
+//! response fast enough. A refused caller is answered, and what it still sends is read and
 //! discarded for up to [`LINGER_TIMEOUT`], because unread bytes would make the
 //! operating system reset the connection and lose the answer.
 
@@ -15,7 +15,10 @@
     time::Duration,
 };
 
-use laburnum_core::fault::{Fault, Kind};
+use laburnum_core::{
+    fault::{Fault, Kind},
+    memory::system::transfer,
+};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -57,8 +60,35 @@
         self.sleep.as_mut().poll(cx)
     }
 
-    fn clear(&mut self) {
-        self.state = None;
+    /// Waits until a point in time.
+    fn poll_until(&mut self, cx: &mut Context<'_>, at: Instant) -> Poll<()> {
+        if self.sleep.deadline() != at {
+            self.sleep.as_mut().reset(at);
+        }
+        self.sleep.as_mut().poll(cx)
+    }
+}
+
+/// The bytes on their way out since the last time that all were taken.
+struct Sending {
+    since: Instant,
+    /// When the caller last took any.
+    last: Instant,
+    taken: usize,
+}
+
+impl Sending {
+    fn start() -> Sending {
+        let now = Instant::now();
+        Sending { since: now, last: now, taken: 0 }
+    }
+
+    /// Returns when the caller is too slow: it takes nothing for the idle time, or is
+    /// slower on average than the least rate.
+    fn deadline(&self, limits: &Limits) -> Instant {
+        let patience = limits.idle_timeout;
+        let allowed = transfer::allowed_time(self.taken, patience, limits.min_rate);
+        (self.last + patience).min(self.since + allowed)
     }
 }
 
@@ -71,6 +101,8 @@
     head: Head,
     read_timer: Timer,
     write_timer: Timer,
+    /// The bytes that are on their way out, if there are any.
+    sending: Option<Sending>,
     linger_timer: Timer,
     is_flushed: bool,
     is_refused: bool,
@@ -92,6 +124,7 @@
             head: Head::default(),
             read_timer: Timer::new(),
             write_timer: Timer::new(),
+            sending: None,
             linger_timer: Timer::new(),
             is_flushed: true,
             is_refused: false,
@@ -100,11 +133,10 @@
 
     /// Adds bytes that have arrived to the head and checks it.
     fn receive(&mut self, bytes: &[u8]) -> Result<(), Fault> {
-        match self.connection.state().phase {
-            Phase::Waiting => {
-                self.connection.receive_bytes();
-                self.head = Head::default();
-            }
+        let phase = self.connection.state().phase;
+        self.connection.receive_bytes(bytes.len());
+        match phase {
+            Phase::Waiting => self.head = Head::default(),
             Phase::Head => {}
             Phase::Request | Phase::Closing => return Ok(()),
         }
@@ -145,6 +177,25 @@
         }
     }
 
+    /// Passes on the result of a write, unless the caller is too slow.
+    fn poll_sent(
+        &mut self,
+        cx: &mut Context<'_>,
+        polled: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        self.is_flushed = false;
+        let sending = self.sending.get_or_insert_with(Sending::start);
+        if let Poll::Ready(written) = polled {
+            let taken = *written.as_ref().unwrap_or(&0);
+            sending.taken += taken;
+            sending.last = Instant::now();
+            self.connection.send_bytes(taken);
+            return Poll::Ready(written);
+        }
+        ready!(self.write_timer.poll_until(cx, sending.deadline(&self.limits)));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     /// Answers in place of the HTTP library, which has not seen a whole head.
     fn refuse(&mut self, cx: &mut Context<'_>, fault: Fault) {
         self.is_refused = true;
@@ -206,20 +257,32 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let stream = self.get_mut();
-        stream.is_flushed = false;
-        if let Poll::Ready(written) = Pin::new(&mut stream.socket).poll_write(cx, buf) {
-            stream.write_timer.clear();
-            return Poll::Ready(written);
-        }
-        let state = stream.connection.state();
-        ready!(stream.write_timer.poll(cx, state, stream.limits.idle_timeout));
-        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+        let polled = Pin::new(&mut stream.socket).poll_write(cx, buf);
+        stream.poll_sent(cx, polled)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let stream = self.get_mut();
+        let polled = Pin::new(&mut stream.socket).poll_write_vectored(cx, parts);
+        stream.poll_sent(cx, polled)
+    }
+
+    /// The HTTP library copies a whole body if it cannot write it in parts.
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let stream = self.get_mut();
         ready!(Pin::new(&mut stream.socket).poll_flush(cx))?;
         stream.is_flushed = true;
+        if stream.sending.take().is_some() {
+            stream.connection.finish_sending();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod settings;
 pub mod clock;
 pub mod inbox;
+pub mod memory;
 pub mod vm;
 pub mod relay;
 pub mod load;
--- a/src/metric/gauge.rs
+++ b/src/metric/gauge.rs
@@ -58,6 +58,8 @@
     Quarantined "quarantined_requests" "Requests that are held back";
     /// Whether the VM takes requests, as 1 or 0.
     Ready "ready" "Whether the VM takes requests, 1 or 0";
+    /// The bytes that are held for others.
+    HeldBytes "held_bytes" "Bytes held for callers, operators, targets and other VMs";
     /// The log lines that were lost because the queue of the writer was full.
     LogLost "log_lines_lost" "Log lines that were lost since the start";
 }
@@ -71,6 +73,8 @@
     Traffic(u16),
     /// The writer of the log.
     Log,
+    /// The process as a whole.
+    Process,
 }
 
 impl Part {
@@ -80,6 +84,7 @@
             Part::Control => "control".to_owned(),
             Part::Traffic(thread) => format!("traffic-{thread}"),
             Part::Log => "log".to_owned(),
+            Part::Process => "process".to_owned(),
         }
     }
 }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -11,7 +11,10 @@
 
 use std::{io, net::TcpListener, sync::Arc, time::Duration};
 
-use laburnum_core::control::{Answer, Request as ControlRequest};
+use laburnum_core::{
+    control::{Answer, Request as ControlRequest},
+    memory::{self, Party},
+};
 use poem::{EndpointExt, Request, Response, Route, get, handler, post, web::Data};
 use tokio::sync::watch;
 
@@ -19,11 +22,12 @@
     control::Handle,
     front::{
         body,
-        limit::{self, Fixed},
+        limit::{self, Fixed, MIN_READ_RATE},
         port::Port,
         probe::{self, Metrics, Probe},
         problem::Refusal,
     },
+    memory::Ledger,
     settings::identity::{Operators, Role},
 };
 
@@ -37,6 +41,7 @@
     header_size: 16 * 1024,
     header_timeout: Duration::from_secs(5),
     idle_timeout: Duration::from_secs(60),
+    min_rate: MIN_READ_RATE,
     connections: 64,
 };
 
@@ -46,6 +51,8 @@
     pub listener: TcpListener,
     /// The tokens that are accepted.
     pub operators: Operators,
+    /// Counts what the process holds for others.
+    pub ledger: Ledger,
     /// Hands requests to the control thread.
     pub handle: Handle,
     /// Whether the VM takes requests of callers.
@@ -66,12 +73,14 @@
 /// Serves operators until `shutdown` becomes true and the open requests have
 /// finished.
 pub async fn serve(parts: Parts) -> io::Result<()> {
-    let Parts { listener, operators, handle, ready, metrics, shutdown } = parts;
+    let Parts { listener, operators, ledger, handle, ready, metrics, shutdown } = parts;
     let probe = Probe { ready: ready.clone(), metrics: Arc::clone(&metrics) };
     let operators = Arc::new(operators);
     let port = Port {
         listener,
         limits: Arc::new(Fixed { connection: CONNECTION_LIMITS, body: BODY_LIMITS }),
+        ledger,
+        port: memory::Port { party: Party::Operator, thread: 0 },
         gate: Box::new(access::TokenGate(Arc::clone(&operators))),
         metrics,
         ready,
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -5,6 +5,7 @@
 
 use laburnum_core::{
     fault::{Fault, Kind},
+    memory::{self, Party},
     relay::{
         View,
         message::{Answer, Refusal},
@@ -20,7 +21,7 @@
     front::{
         body,
         intake::AllowAll,
-        limit::{Limits, Provider, to_usize},
+        limit::{Limits, MIN_READ_RATE, Provider, to_usize},
         port::Port,
     },
     settings::relay::Settings,
@@ -56,6 +57,7 @@
             header_size: bounds.head,
             header_timeout: bounds.head_time,
             idle_timeout: bounds.idle,
+            min_rate: MIN_READ_RATE,
             connections: to_usize(self.settings.borrow().callers.open_connections.into()),
         }
     }
@@ -74,6 +76,8 @@
     let port = Port {
         listener,
         limits: Arc::new(limits),
+        ledger: shared.ledger.clone(),
+        port: memory::Port { party: Party::Caller, thread: 0 },
         gate: Box::new(AllowAll),
         metrics: Arc::new(shared.exporter()),
         ready: shared.ready.clone(),
@@ -93,7 +97,7 @@
     async fn call(&self, mut request: Request) -> Result<Response> {
         let body = request.take_body().into_bytes().await?;
         let (method, uri) = (request.method(), request.original_uri());
-        let answer = match caller::read(method, uri, request.headers(), &body) {
+        let answer = match caller::read(method, uri, request.headers(), body) {
             Ok(caller_request) => self.handle.request(caller_request).await,
             Err(fault) => Some(Answer::Refused(Refusal { fault, retry: None })),
         };
@@ -103,9 +107,17 @@
                 Fault::unknown(Kind::Internal, "the VM stopped before it answered the request");
             Answer::Refused(Refusal { fault, retry: None })
         });
-        let (parts, body) = caller::write(&answer).into_parts();
+        let counted = match &answer {
+            Answer::Forwarded(reply) => reply.body.len(),
+            Answer::Gathered(_) | Answer::Refused(_) => 0,
+        };
+        let (parts, body) = caller::write(answer).into_parts();
         let mut response = Response::builder().status(parts.status).body(Body::from(body));
         *response.headers_mut() = parts.headers;
+        if counted > 0 {
+            // The body has counted since it arrived from its target.
+            response.extensions_mut().insert(body::Counted(counted));
+        }
         Ok(response)
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -25,6 +25,7 @@
 use laburnum_core::{
     border::Clock,
     log::{Event, Line},
+    memory,
     relay::{Reach, View},
     time::Instant,
 };
@@ -36,6 +37,7 @@
 use crate::{
     clock::System,
     log::{Guard, Writer, drain::Output},
+    memory::{Ledger, Observer},
     metric::Metrics,
     settings::relay::Settings,
     vm::{Error, meter},
@@ -54,6 +56,8 @@
     pub clock: System,
     pub writer: Writer,
     pub metrics: Arc<Metrics>,
+    /// What the process holds for others.
+    pub ledger: Ledger,
     /// The view that the control thread published last.
     pub view: watch::Receiver<Arc<View>>,
     /// Whether the VM accepts requests.
@@ -69,7 +73,11 @@
 impl Shared {
     /// Returns the encoder of the metrics for the fronts.
     pub fn exporter(&self) -> meter::Exporter {
-        meter::Exporter { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
+        meter::Exporter {
+            metrics: Arc::clone(&self.metrics),
+            writer: self.writer.clone(),
+            ledger: self.ledger.clone(),
+        }
     }
 
     /// Writes a line to the log.
@@ -113,6 +121,10 @@
     let (cut_short_sender, cut_short) = watch::channel(false);
     let (shutdown, shutdown_receiver) = watch::channel(false);
     let (stop, stop_receiver) = watch::channel(false);
+    let metrics = Arc::new(Metrics::new());
+    let observer = Observer { writer: writer.clone(), metrics: Arc::clone(&metrics) };
+    let held = memory::Limits::new(settings.memory.machine_bytes());
+    let ledger = Ledger::new(held, clock, Some(observer));
     let settings = Arc::new(settings);
     let (latest, latest_receiver) = watch::channel(Arc::clone(&settings));
     let shared = Shared {
@@ -120,7 +132,8 @@
         latest: latest_receiver,
         clock,
         writer,
-        metrics: Arc::new(Metrics::new()),
+        metrics,
+        ledger,
         view,
         ready,
         stop_at: stop_at_receiver,
--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::TcpListener, sync::Arc, time::Duration};
 
+use laburnum_core::memory::{self, Party};
 use laburnum_platform::caller::READY_PATH;
 use poem::{EndpointExt, Response, Route, get, handler, http::StatusCode, web::Data};
 use tokio::sync::watch;
@@ -10,7 +11,7 @@
 use crate::front::{
     body,
     intake::AllowAll,
-    limit::{Fixed, Limits},
+    limit::{Fixed, Limits, MIN_READ_RATE},
     port::Port,
     probe::{self, Probe},
 };
@@ -21,6 +22,7 @@
     header_size: 8 << 10,
     header_timeout: Duration::from_secs(2),
     idle_timeout: Duration::from_secs(30),
+    min_rate: MIN_READ_RATE,
     connections: 16,
 };
 
@@ -28,22 +30,24 @@
 pub async fn ready(listener: TcpListener, shared: &Shared) -> io::Result<()> {
     let state = shared.ready.clone();
     let routes = Route::new().at(READY_PATH, get(answer).data(state));
-    port(listener, shared).serve(routes).await
+    port(listener, shared, Party::Probe).serve(routes).await
 }
 
 /// Serves the collector of metrics until the VM stops.
 pub async fn metrics(listener: TcpListener, shared: &Shared) -> io::Result<()> {
     let probe = Probe { ready: shared.ready.clone(), metrics: Arc::new(shared.exporter()) };
-    port(listener, shared).serve(probe::routes(Route::new(), probe)).await
+    port(listener, shared, Party::Collector).serve(probe::routes(Route::new(), probe)).await
 }
 
-fn port(listener: TcpListener, shared: &Shared) -> Port {
+fn port(listener: TcpListener, shared: &Shared, party: Party) -> Port {
     Port {
         listener,
         limits: Arc::new(Fixed {
             connection: LIMITS,
             body: body::Limits { size: 1024, read_timeout: LIMITS.header_timeout },
         }),
+        ledger: shared.ledger.clone(),
+        port: memory::Port { party, thread: 0 },
         gate: Box::new(AllowAll),
         metrics: Arc::new(shared.exporter()),
         ready: shared.ready.clone(),
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use laburnum_core::relay::{Attempt, Command, Connection, Event, Loss, TargetRequest};
+use laburnum_core::{
+    memory::Purpose,
+    relay::{Attempt, Command, Connection, Event, Loss, Reply, TargetRequest},
+};
 use laburnum_http::{Channel, Failure, Limits};
 use laburnum_platform::target as wire;
 use tokio::{
@@ -10,6 +13,8 @@
     time::sleep,
 };
 
+use crate::memory::Ledger;
+
 /// The limits on a connection to a target. A target in reach accepts within a few
 /// milliseconds.
 const LIMITS: Limits =
@@ -27,14 +32,15 @@
 
 /// The client of the targets.
 pub struct Client {
+    ledger: Ledger,
     events: UnboundedSender<Event>,
     connections: BTreeMap<Connection, UnboundedSender<Task>>,
 }
 
 impl Client {
-    /// Makes a client that reports through `events`.
-    pub fn new(events: UnboundedSender<Event>) -> Client {
-        Client { events, connections: BTreeMap::new() }
+    /// Makes a client that reports through `events` and counts replies in `ledger`.
+    pub fn new(ledger: Ledger, events: UnboundedSender<Event>) -> Client {
+        Client { ledger, events, connections: BTreeMap::new() }
     }
 
     /// Starts to execute a command.
@@ -43,7 +49,8 @@
             Command::Open { connection, address } => {
                 let (sender, tasks) = unbounded_channel();
                 self.connections.insert(connection, sender);
-                let link = Link { connection, events: self.events.clone(), tasks };
+                let (ledger, events) = (self.ledger.clone(), self.events.clone());
+                let link = Link { connection, ledger, events, tasks };
                 tokio::spawn(link.run(address));
             }
             Command::Send { connection, attempt, target_request } => {
@@ -83,7 +90,7 @@
 
 impl From<Failure> for End {
     fn from(failure: Failure) -> End {
-        let Failure { sent, gone, detail } = failure;
+        let Failure { sent, gone, detail, .. } = failure;
         End::Lost(Loss { sent, idle: false, gone, detail })
     }
 }
@@ -96,6 +103,7 @@
 /// One connection with the requests that wait for it.
 struct Link {
     connection: Connection,
+    ledger: Ledger,
     events: UnboundedSender<Event>,
     tasks: UnboundedReceiver<Task>,
 }
@@ -141,17 +149,25 @@
     ) -> Result<Duration, End> {
         let request = wire::write(target_request)
             .map_err(|error| lost(false, format!("request: {error}")))?;
+        let mut hold = self.ledger.hold(Purpose::Answer);
         let outcome = tokio::select! {
             biased;
-            outcome = channel.exchange(request) => outcome,
+            outcome = channel.exchange_within(request, &mut hold) => outcome,
             // No request is queued while one is in flight: the client has closed the
             // connection.
             _ = self.tasks.recv() => return Err(End::Closed),
         };
-        let complete = outcome.map_err(End::from)?;
+        let complete = match outcome {
+            Ok(complete) => complete,
+            Err(failure) if failure.unheld => {
+                self.report(Event::Unheld { connection: self.connection, attempt });
+                return Err(End::Closed);
+            }
+            Err(failure) => return Err(End::from(failure)),
+        };
         let keep_alive = wire::keep_alive(&complete.response).unwrap_or(DEFAULT_KEEP_ALIVE);
         let reply = match wire::read(target_request, complete) {
-            Ok(reply) => reply,
+            Ok(reply) => Reply { body: hold.keep(reply.body.clone()), ..reply },
             Err(wire::Error::Crossed) => return Err(lost(true, "reply to another request")),
             Err(wire::Error::Encoded) => return Err(lost(true, "reply with an encoded body")),
         };
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -69,7 +69,7 @@
     serve_ports(&shared, listeners, serving.clone(), Handle::new(inputs));
     let (policies, origin) = (Policies::default(), Origin(rand::random()));
     let engine = Engine::new(limits(&shared.settings), policies, rand::random(), origin);
-    let targets = Client::new(events);
+    let targets = Client::new(shared.ledger.clone(), events);
     let pending = Pending::default();
     let serving = Some(serving);
     let thread = Thread {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -11,6 +11,7 @@
 pub mod identity;
 pub mod traffic;
 pub mod control;
+pub mod memory;
 pub mod profiles;
 pub mod relay;
 mod check;
@@ -22,6 +23,7 @@
     document::Document,
     error::{Error, Errors},
     identity::{Deployment, Listen, Operators, Platform, Vm},
+    memory::Memory,
     traffic::{Callers, Peers, Retry, Targets},
 };
 
@@ -52,6 +54,8 @@
     pub retry: Retry,
     /// How requests that crash targets are held back.
     pub quarantine: Quarantine,
+    /// The memory that is filled for others.
+    pub memory: Memory,
     /// How the VM shuts down.
     pub shutdown: Shutdown,
     /// The format, level and limits of the log.
@@ -112,6 +116,7 @@
     let claims = Claims::read(document);
     let retry = Retry::read(document);
     let quarantine = Quarantine::read(document);
+    let memory = Memory::read(document);
     let shutdown = Shutdown::read(document);
     let log = Log::read(document);
     Some(Settings {
@@ -127,6 +132,7 @@
         claims,
         retry,
         quarantine,
+        memory,
         shutdown,
         log,
     })
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -9,6 +9,7 @@
     control::Log,
     document::Document,
     error::Errors,
+    memory::Memory,
     read,
     section::up_to_secs,
     size::{KIB, MIB},
@@ -38,6 +39,8 @@
     pub callers: Callers,
     /// The budget for retries and hedges of all VMs together.
     pub retry: Retry,
+    /// The memory that is filled for others.
+    pub memory: Memory,
     /// How the VM shuts down.
     pub shutdown: Shutdown,
     /// The format, level and limits of the log.
@@ -138,10 +141,11 @@
     let store = store(document);
     let callers = callers(document);
     let retry = retry(document);
+    let memory = Memory::read(document);
     let shutdown = shutdown(document);
     let log = Log::read(document);
     let (vm, listen, store) = (vm?, listen?, store?);
-    Some(Settings { vm, listen, store, callers, retry: retry?, shutdown, log })
+    Some(Settings { vm, listen, store, callers, retry: retry?, memory, shutdown, log })
 }
 
 fn vm(document: &mut Document<'_>) -> Option<Vm> {
--- a/src/target/connection.rs
+++ b/src/target/connection.rs
@@ -12,7 +12,7 @@
 };
 
 use super::{
-    Limits, body, dial,
+    Rules, body, dial,
     exchange::{Channel, Failure},
 };
 
@@ -62,13 +62,13 @@
 pub async fn run(
     connection: id::Connection,
     opening: Opening,
-    limits: Limits,
+    rules: Rules,
     mut actions: UnboundedReceiver<Action>,
     events: UnboundedSender<Event>,
 ) {
     let mut pending = Vec::new();
     let opened = tokio::select! {
-        opened = open(connection, opening, limits, events.clone()) => opened,
+        opened = open(connection, opening, rules, events.clone()) => opened,
         () = collect(&mut actions, &mut pending) => Err(Stop::Closed),
     };
     let stop = match opened {
@@ -95,12 +95,12 @@
 async fn open(
     connection: id::Connection,
     opening: Opening,
-    limits: Limits,
+    rules: Rules,
     events: UnboundedSender<Event>,
 ) -> Result<Task, Stop> {
     let client = dial::client(opening.limit)
         .map_err(|error| Stop::Lost { detail: format!("client: {error}") })?;
-    let channel = Channel { client, address: opening.address, limits };
+    let channel = Channel { client, address: opening.address, rules };
     match channel.clone().read_status(opening.limit).await {
         Ok(status) => {
             report(&events, Event::Opened { connection, status });
--- a/src/target/exchange.rs
+++ b/src/target/exchange.rs
@@ -3,9 +3,12 @@
 use std::{error::Error, net::SocketAddr, time::Duration};
 
 use http::{StatusCode, header::CONTENT_TYPE};
-use laburnum_core::target::{Reply, Request, Status};
+use laburnum_core::{
+    memory::Purpose,
+    target::{Reply, Request, Status},
+};
 
-use super::{Limits, body};
+use super::{Rules, body};
 
 /// The failure of an exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,7 +27,7 @@
     /// The HTTP client, which is limited to one connection; see [`super::dial`].
     pub client: reqwest::Client,
     pub address: SocketAddr,
-    pub limits: Limits,
+    pub rules: Rules,
 }
 
 impl Channel {
@@ -71,12 +74,16 @@
     }
 
     async fn read_body(&self, mut response: reqwest::Response) -> Result<Vec<u8>, Failure> {
+        let limit = self.rules.limits.body_bytes;
+        let mut hold = self.rules.ledger.hold(Purpose::Answer);
         let mut bytes = Vec::new();
         while let Some(chunk) = response.chunk().await.map_err(|error| classify(&error))? {
-            if bytes.len() + chunk.len() > self.limits.body_bytes {
-                let detail = format!("reply is longer than {} bytes", self.limits.body_bytes);
+            let length = bytes.len() + chunk.len();
+            if length > limit {
+                let detail = format!("reply is longer than {limit} bytes");
                 return Err(Failure::Stream { detail });
             }
+            hold.grow_to(length).map_err(|full| Failure::Stream { detail: full.to_string() })?;
             bytes.extend_from_slice(&chunk);
         }
         Ok(bytes)
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -20,7 +20,8 @@
 mod connection;
 mod exchange;
 
-use connection::Action;
+use self::connection::Action;
+use crate::memory::Ledger;
 
 /// The limits on replies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,27 +36,36 @@
     }
 }
 
+/// The rules for the replies on a connection.
+#[derive(Clone, Debug)]
+struct Rules {
+    limits: Limits,
+    ledger: Ledger,
+}
+
 /// The client of the targets.
 ///
 /// It must be used inside a tokio runtime, because it starts one task for each
 /// connection.
 pub struct Client {
     limits: Limits,
+    ledger: Ledger,
     events: UnboundedSender<Event>,
     connections: BTreeMap<id::Connection, UnboundedSender<Action>>,
 }
 
 impl Client {
-    /// Makes a client that reports to `events`.
-    pub fn new(limits: Limits, events: UnboundedSender<Event>) -> Client {
-        Client { limits, events, connections: BTreeMap::new() }
+    /// Makes a client that reports to `events` and counts replies in `ledger`.
+    pub fn new(limits: Limits, ledger: Ledger, events: UnboundedSender<Event>) -> Client {
+        Client { limits, ledger, events, connections: BTreeMap::new() }
     }
 
     fn start(&mut self, connection: id::Connection, opening: connection::Opening) {
         self.connections.retain(|_, actions| !actions.is_closed());
         let (sender, actions) = mpsc::unbounded_channel();
         let events = self.events.clone();
-        tokio::spawn(connection::run(connection, opening, self.limits, actions, events));
+        let rules = Rules { limits: self.limits, ledger: self.ledger.clone() };
+        tokio::spawn(connection::run(connection, opening, rules, actions, events));
         self.connections.insert(connection, sender);
     }
 
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -65,6 +65,7 @@
     operator::Parts {
         listener,
         operators: shared.settings.operators.clone(),
+        ledger: shared.ledger.clone(),
         handle: shared.control.clone(),
         ready: shared.ready.clone(),
         metrics: Arc::new(shared.exporter()),
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -23,6 +23,7 @@
     control::Meter as ControlMeter,
     front,
     log::Writer,
+    memory::Ledger,
     metric::{
         Metrics,
         call::Call,
@@ -177,12 +178,14 @@
     pub metrics: Arc<Metrics>,
     /// The writer of the log, which counts the lines that it lost.
     pub writer: Writer,
+    pub ledger: Ledger,
 }
 
 impl front::probe::Metrics for Exporter {
     fn encode(&self) -> String {
         let lost = i64::try_from(self.writer.lost()).unwrap_or(i64::MAX);
         self.metrics.set(Gauge::LogLost, Part::Log, lost);
+        self.metrics.set(Gauge::HeldBytes, Part::Process, to_i64(self.ledger.bytes()));
         self.metrics.text()
     }
 
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -22,6 +22,7 @@
 use laburnum_core::{
     border::Clock,
     log::{Event, Line},
+    memory,
     notice::Notice,
     traffic::{Policies, policy},
     view,
@@ -35,6 +36,7 @@
     clock::System,
     control::Handle,
     log::{Guard, Writer, drain::Output},
+    memory::{Ledger, Observer},
     metric::Metrics,
     settings::Settings,
     traffic::Ready,
@@ -66,6 +68,8 @@
     clock: System,
     writer: Writer,
     metrics: Arc<Metrics>,
+    /// What the process holds for others.
+    ledger: Ledger,
     control: Handle,
     shutdown: watch::Receiver<bool>,
     stop: watch::Receiver<bool>,
@@ -75,7 +79,11 @@
 impl Shared {
     /// Returns the encoder of the metrics for the fronts.
     fn exporter(&self) -> meter::Exporter {
-        meter::Exporter { metrics: Arc::clone(&self.metrics), writer: self.writer.clone() }
+        meter::Exporter {
+            metrics: Arc::clone(&self.metrics),
+            writer: self.writer.clone(),
+            ledger: self.ledger.clone(),
+        }
     }
 
     fn log(&self, event: Event, fields: Vec<(&'static str, String)>) {
@@ -113,12 +121,18 @@
     let (shutdown, shutdown_receiver) = watch::channel(false);
     let (stop, stop_receiver) = watch::channel(false);
     let (ready, ready_receiver) = Ready::new(thread_number(listeners.traffic.len()));
+    let clock = System::start();
+    let metrics = Arc::new(Metrics::new());
+    let observer = Observer { writer: writer.clone(), metrics: Arc::clone(&metrics) };
+    let held = memory::Limits::new(settings.memory.machine_bytes());
+    let ledger = Ledger::new(held, clock, Some(observer));
     let shared = Shared {
         row: view_row(&settings),
         settings: Arc::new(settings),
-        clock: System::start(),
+        clock,
         writer,
-        metrics: Arc::new(Metrics::new()),
+        metrics,
+        ledger,
         control,
         shutdown: shutdown_receiver,
         stop: stop_receiver,
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -65,6 +65,8 @@
     let front = front::Parts {
         listener: resources.callers,
         limits: limits::callers(&shared.settings),
+        ledger: shared.ledger.clone(),
+        thread: resources.number,
         handle: Handle::new(inputs),
         ready: shared.ready.clone(),
         metrics: Arc::new(shared.exporter()),
@@ -85,7 +87,11 @@
         },
         clock: Box::new(shared.clock),
         borders: Borders {
-            targets: Box::new(target::Client::new(target::Limits::default(), events)),
+            targets: Box::new(target::Client::new(
+                target::Limits::default(),
+                shared.ledger.clone(),
+                events,
+            )),
             peers: Box::new(Lanes(Rc::clone(&dialer))),
             control: Box::new(Reports {
                 number: resources.number,
--- /dev/null
+++ b/tests/crowd/product.rs
@@ -0,0 +1,119 @@
+//! Crowds of callers of an entry VM.
+
+use std::{fs, time::Duration};
+
+use laburnumworks::local::{Caller, DEMO_INDEX, Endpoints};
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+use crate::{
+    alone::alone,
+    caller::{self, crowd, plain_head, read_slowly},
+    child::Child,
+    part::{Plan, Platform, Target, Vm},
+    port, process,
+};
+
+/// The number of rows in the index; a search that finds them all has an answer of 1.8 MB.
+const ROWS: u32 = 20_000;
+
+/// A text that each row contains.
+const EACH_ROW: &str = "licence";
+
+/// A platform, a target and one VM.
+struct Deployment {
+    endpoints: Endpoints,
+    vm: Child,
+    _platform: Platform,
+    _target: Child,
+    _folder: TempDir,
+}
+
+impl Deployment {
+    /// Starts a deployment whose VM has these settings too, and publishes a profile.
+    async fn start(settings: &str) -> Deployment {
+        let folder = TempDir::new().unwrap();
+        let plan = Plan { vms: 1, started: 1, shards: 1, replicas: 1, threads: 1 };
+        let vm = Vm::new(1, plan.threads);
+        let (target, row) = start_target(folder.path());
+        let platform = Platform::start(folder.path(), std::slice::from_ref(&vm), &[row]);
+        let endpoints = vm.endpoints;
+        let text = format!("{}{settings}", endpoints.settings(platform.address));
+        fs::write(folder.path().join("vm.toml"), text).unwrap();
+        let vm = Child::start(folder.path(), "vm", &["entry", "--settings", "vm.toml"]);
+        let deployment =
+            Deployment { endpoints, vm, _platform: platform, _target: target, _folder: folder };
+        deployment.publish().await;
+        deployment
+    }
+
+    async fn publish(&self) {
+        let caller = Caller::new().unwrap();
+        let profile = json!({"team": "local", "index": DEMO_INDEX, "coverage_ppm": 1_000_000,
+            "deadline_ms": 30_000, "tail_ms": 10_000, "extra_load_ppm": 0, "concurrency": 1000,
+            "priority": 10});
+        let profiles = json!({"all": profile});
+        let is_published = async || {
+            let reply = caller.publish(self.endpoints.operators, &profiles).await;
+            reply.is_ok_and(|reply| reply.status.is_success())
+        };
+        let is_served = async || {
+            let reply = caller.search(self.endpoints.callers, "all", "uhf").await;
+            reply.is_ok_and(|reply| reply.status.is_success())
+        };
+        while !is_published().await {
+            sleep(Duration::from_millis(50)).await;
+        }
+        while !is_served().await {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Asserts that the VM lives, is sound and serves an ordinary caller.
+    async fn assert_serves(&self) {
+        let status = caller::status(self.endpoints.callers, search("uhf").as_bytes()).await;
+        process::assert_sound(self.vm.id());
+        assert_eq!(status, 200, "an ordinary request is served");
+    }
+}
+
+/// Starts a target with [`ROWS`] rows and returns it with its row of the platform's list.
+fn start_target(folder: &std::path::Path) -> (Child, Target) {
+    let (address, admin) = (port::unused_address(), port::unused_address());
+    fs::write(folder.join("target.toml"), format!("rows = {ROWS}\nqueue = 1000\n")).unwrap();
+    let (listen, admin_text) = (address.to_string(), admin.to_string());
+    let arguments = [
+        "stand-in",
+        "target",
+        "--listen",
+        &listen,
+        "--admin",
+        &admin_text,
+        "--settings",
+        "target.toml",
+    ];
+    let child = Child::start(folder, "target", &arguments);
+    let listed = json!({"name": "target", "index": DEMO_INDEX, "shard": "shard-0",
+        "domain": "domain-1", "address": address, "slots": 2, "connections": 55, "state": "live"});
+    let unused = Child::start(folder, "unused", &["--help"]);
+    (child, Target { name: "target".to_owned(), admin, child: unused, listed })
+}
+
+fn search(text: &str) -> String {
+    let body = format!("{{\"profile\":\"all\",\"text\":\"{text}\"}}");
+    format!("{}{body}", plain_head("POST", "/v1/search", body.len()))
+}
+
+async fn slow_readers() {
+    let deployment = Deployment::start("").await;
+    let callers = deployment.endpoints.callers;
+    read_slowly(crowd(callers, 96, search(EACH_ROW).as_bytes()).await);
+    // The answers are made one after the other.
+    sleep(Duration::from_secs(20)).await;
+    deployment.assert_serves().await;
+}
+
+cases! {
+    slow_readers_of_long_answers => alone(slow_readers);
+}
--- a/tests/edge/border.rs
+++ b/tests/edge/border.rs
@@ -8,6 +8,7 @@
     target::{Command, Event, Outcome, Version},
 };
 use laburnumworks::{
+    memory::Ledger,
     standin::target::{
         fault::{Crash, Defect, Faults, Hit, Moment},
         row::Index,
@@ -203,7 +204,7 @@
 
 async fn trait_object() {
     let (sender, mut events) = tokio::sync::mpsc::unbounded_channel();
-    let client = laburnumworks::target::Client::new(Limits::default(), sender);
+    let client = laburnumworks::target::Client::new(Limits::default(), Ledger::default(), sender);
     let mut targets: Box<dyn Targets> = Box::new(client);
     let connection = laburnum_core::id::Source::new(laburnum_core::id::Origin(1)).connection();
     targets.command(Command::Close { connection });
--- a/tests/edge/harness.rs
+++ b/tests/edge/harness.rs
@@ -15,6 +15,7 @@
     target::{Command, Event, Outcome, Reply, Request, Version, Work},
 };
 use laburnumworks::{
+    memory::Ledger,
     standin::target::{
         self, Settings,
         fault::{Defect, Faults, Hit},
@@ -120,7 +121,7 @@
     pub fn with_limits(limits: Limits) -> Caller {
         let (sender, events) = unbounded_channel();
         let ids = id::Source::new(Origin(7));
-        Caller { client: Client::new(limits, sender), events, ids }
+        Caller { client: Client::new(limits, Ledger::default(), sender), events, ids }
     }
 
     /// Starts to open a connection and does not wait for the result.
--- a/tests/fronts/fixture.rs
+++ b/tests/fronts/fixture.rs
@@ -15,6 +15,7 @@
 };
 use laburnumworks::{
     front::{self, probe::Metrics},
+    memory::Ledger,
     settings::traffic::Callers,
     traffic::{Handle, Input, handle::Submission},
 };
@@ -91,6 +92,8 @@
         let parts = front::Parts {
             listener,
             limits,
+            ledger: Ledger::default(),
+            thread: 0,
             handle: Handle::new(inputs),
             ready: is_ready,
             metrics: Arc::new(NoMetrics),
--- a/tests/fronts/operator_front.rs
+++ b/tests/fronts/operator_front.rs
@@ -9,6 +9,7 @@
 };
 use laburnumworks::{
     control::{self, Inbox},
+    memory::Ledger,
     operator,
     settings::identity::{Hash, Operators, Role, Token},
 };
@@ -48,6 +49,7 @@
         ];
         let parts = operator::Parts {
             listener,
+            ledger: Ledger::default(),
             operators: Operators { tokens },
             handle,
             ready: is_ready,
--- a/tests/process/child.rs
+++ b/tests/process/child.rs
@@ -26,9 +26,13 @@
 impl Child {
     /// Starts the binary; its output is appended to `name`.log in `folder`.
     pub fn start(folder: &Path, name: &str, arguments: &[&str]) -> Child {
+        Child::spawn(Command::new(BINARY), folder, name, arguments)
+    }
+
+    fn spawn(mut command: Command, folder: &Path, name: &str, arguments: &[&str]) -> Child {
         let log = folder.join(format!("{name}.log"));
         let log = File::options().create(true).append(true).open(log).unwrap();
-        let process = Command::new(BINARY)
+        let process = command
             .args(arguments)
             .current_dir(folder)
             .stdin(Stdio::null())
@@ -39,6 +43,21 @@
         Child { name: name.to_owned(), process }
     }
 
+    /// Returns the id of the process.
+    #[allow(dead_code)]
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
+    /// Starts the binary with at most `limit` descriptors.
+    #[allow(dead_code)]
+    pub fn start_limited(folder: &Path, name: &str, arguments: &[&str], limit: u32) -> Child {
+        let script = format!("ulimit -n {limit} && exec \"$0\" \"$@\"");
+        let mut command = Command::new("sh");
+        command.args(["-c", &script, BINARY]);
+        Child::spawn(command, folder, name, arguments)
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.process);
         kill_process(pid, signal).unwrap_or_else(|e| panic!("{signal:?} to {}: {e}", self.name));
--- a/tests/product/limits.rs
+++ b/tests/product/limits.rs
@@ -73,6 +73,7 @@
     ("membership.stale_after_ms", "7", Part::Control),
     ("membership.unready_after_ms", "7000", Part::Control),
     ("membership.seeds", "[{ name = \"c\", control = \"127.0.0.1:17\" }]", Part::Seeds),
+    ("memory.machine_mb", "70", Part::Memory),
     ("claims.window_ms", "70000", Part::Claims),
     ("claims.value_limit_bytes", "\"128 KiB\"", Part::Claims),
     ("claims.future_ms", "7", Part::Claims),
@@ -121,6 +122,8 @@
     Claims,
     /// The shutdown of the VM.
     Shutdown,
+    /// The memory that is filled for others.
+    Memory,
     /// The log writer.
     Log,
 }
@@ -141,6 +144,7 @@
         Part::Seeds => format!("{:?}", limits::seeds(settings)),
         Part::Claims => format!("{:?}", limits::claims(settings)),
         Part::Shutdown => format!("{:?}", settings.shutdown),
+        Part::Memory => format!("{:?}", settings.memory),
         Part::Log => format!("{:?}", settings.log),
     }
 }
--- a/tests/relay/harness.rs
+++ b/tests/relay/harness.rs
@@ -29,6 +29,8 @@
 pub struct Relay {
     child: Child,
     file: PathBuf,
+    /// The most descriptors that the process may hold, from its next start on.
+    descriptors: Option<u32>,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
@@ -52,9 +54,26 @@
 
     /// Changes the file of the settings and signals the process to read it.
     pub fn reload(&self, change: impl FnOnce(String) -> String) {
+        self.change_settings(change);
+        self.child.signal(Signal::HUP);
+    }
+
+    /// Changes the file of the settings, which the process reads when it starts again.
+    pub fn change_settings(&self, change: impl FnOnce(String) -> String) {
         let text = fs::read_to_string(&self.file).unwrap();
         fs::write(&self.file, change(text)).unwrap();
-        self.child.signal(Signal::HUP);
+    }
+
+    /// Limits the descriptors of the process from its next start on.
+    #[allow(dead_code)]
+    pub fn limit_descriptors(&mut self, limit: u32) {
+        self.descriptors = Some(limit);
+    }
+
+    /// Returns the id of the process.
+    #[allow(dead_code)]
+    pub fn process(&self) -> u32 {
+        self.child.id()
     }
 
     /// Waits until the log has a line of an event and returns the line.
@@ -111,18 +130,22 @@
         let address: Vec<SocketAddr> = (0..4).map(|_| port::unused_address()).collect();
         let file = self.folder.path().join(format!("{name}.toml"));
         fs::write(&file, settings(name, cores, &address, self.store.address)).unwrap();
-        let child = self.launch(&file);
-        let relay =
-            Relay { child, file, callers: address[0], ready: address[1], metrics: address[2] };
+        let child = self.launch(&file, None);
+        let (callers, ready, metrics) = (address[0], address[1], address[2]);
+        let relay = Relay { child, file, descriptors: None, callers, ready, metrics };
         self.wait_ready(&relay).await;
         relay
     }
 
     /// Starts the process of a relay by the file of its settings.
-    fn launch(&self, file: &Path) -> Child {
+    fn launch(&self, file: &Path, descriptors: Option<u32>) -> Child {
         let name = file.file_stem().unwrap().to_str().unwrap();
         let path = file.display().to_string();
-        Child::start(self.folder.path(), name, &["relay", "--settings", &path])
+        let arguments = ["relay", "--settings", &path];
+        match descriptors {
+            Some(limit) => Child::start_limited(self.folder.path(), name, &arguments, limit),
+            None => Child::start(self.folder.path(), name, &arguments),
+        }
     }
 
     async fn wait_ready(&self, relay: &Relay) {
@@ -135,7 +158,7 @@
     /// waits until it is ready.
     pub async fn restart(&self, relay: &mut Relay) {
         relay.child.wait_exit(Duration::from_secs(10)).await;
-        relay.child = self.launch(&relay.file);
+        relay.child = self.launch(&relay.file, relay.descriptors);
         self.wait_ready(relay).await;
     }
 
--- a/tests/relay/settings.rs
+++ b/tests/relay/settings.rs
@@ -25,6 +25,7 @@
         ("{{node|json}}", "\"front-1\""),
         ("{{zone|json}}", "\"jhb-north\""),
         ("{{limits.cpu_quota|json}}", "0.17"),
+        ("{{limits.memory_mb|json}}", "182"),
         ("{{listen.front|json}}", "\"10.1.0.9:8104\""),
         ("{{listen.ready|json}}", "\"10.1.0.9:8108\""),
         ("{{ip_addr}}", "10.1.0.9"),
@@ -44,6 +45,7 @@
         let source = Source { file: Path::new("relay.toml"), text: &text };
         let settings = Settings::try_from(source).unwrap();
         assert_eq!(settings.vm.millicores, 170);
+        assert_eq!(settings.memory.machine_mb, 182);
         assert_eq!(settings.listen.peers.to_string(), "10.1.0.9:7380");
         assert_eq!(settings.retry.window.as_secs(), 10);
     };
