Count the bodies of requests on their way in and while they wait

What callers saw: clients that sent long bodies and stopped before their end, or whose requests waited for slow targets, took a process beyond the memory of its machine.

Cause: the size of a body was limited for each connection, the sum of all of them by nothing. A body was there several times: as it was read, and copied for the request.

Change: a body counts in the table as it arrives and until the last copy of it is dropped.

--- a/src/front/body.rs
+++ b/src/front/body.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body::Body as _;
+use http_body_util::{BodyExt, combinators::BoxBody};
 use laburnum_core::{
     fault::{Fault, Kind},
     memory::Full,
 };
+use laburnum_http::buffer::Buffer;
 use poem::{
     Body, IntoResponse, Response,
-    error::ReadBodyError,
     http::{HeaderMap, StatusCode, header},
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -52,17 +55,11 @@
     Fault::not_run(Kind::TooLarge, detail).into()
 }
 
-/// Reads a whole body. The limit on its size also holds for a request without
-/// `Content-Length`.
-pub async fn read(body: Body, limits: Limits) -> Result<Vec<u8>, Refusal> {
-    let read = timeout(limits.read_timeout, body.into_bytes_limit(limits.size)).await;
-    match read {
-        Ok(Ok(bytes)) => Ok(bytes.into()),
-        Ok(Err(ReadBodyError::PayloadTooLarge)) => Err(too_large("", limits)),
-        Ok(Err(error)) => {
-            let detail = format!("body: cannot be read: {error}");
-            Err(Fault::not_run(Kind::Malformed, detail).into())
-        }
+/// Reads a whole body, which counts in `hold` as it arrives. The limit on its size also
+/// holds for a request without `Content-Length`.
+pub async fn read(body: Body, limits: Limits, hold: Hold) -> Result<Bytes, Refusal> {
+    match timeout(limits.read_timeout, collect(body, limits, hold)).await {
+        Ok(read) => read,
         Err(_) => {
             let detail = format!("body: allowed are {} ms", limits.read_timeout.as_millis());
             Err(Fault::not_run(Kind::SlowCaller, detail).into())
@@ -70,6 +67,26 @@
     }
 }
 
+async fn collect(body: Body, limits: Limits, mut hold: Hold) -> Result<Bytes, Refusal> {
+    let mut body = BoxBody::from(body);
+    let expected = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    let mut bytes = Buffer::new(expected);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            Fault::not_run(Kind::Malformed, format!("body: cannot be read: {error}"))
+        })?;
+        // A trailer is no part of the body.
+        let Ok(data) = frame.into_data() else { continue };
+        if bytes.len() + data.len() > limits.size {
+            return Err(too_large("", limits));
+        }
+        if !bytes.push(&data, &mut hold) {
+            return Err(no_room(Full));
+        }
+    }
+    Ok(hold.keep(bytes.into_bytes()))
+}
+
 /// Makes the refusal of a request for which there is no room.
 pub fn no_room(full: Full) -> Refusal {
     Fault::not_run(Kind::TooManyOpen, full.to_string()).into()
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -71,7 +71,7 @@
 
     async fn answer(&self, mut request: Request, connection: &Connection) -> Response {
         connection.begin_request();
-        if let Err(refusal) = self.read_body(&mut request).await {
+        if let Err(refusal) = self.read_body(&mut request, connection).await {
             connection.close();
             return close_after(refusal.into_response());
         }
@@ -87,11 +87,16 @@
 
     /// Replaces the body that is still arriving with the whole body, read
     /// within limits.
-    async fn read_body(&self, request: &mut Request) -> Result<(), Refusal> {
+    async fn read_body(
+        &self,
+        request: &mut Request,
+        connection: &Connection,
+    ) -> Result<(), Refusal> {
         self.gate.check(request.uri().path(), request.headers())?;
         let limits = self.limits.body();
         body::check_content_length(request.headers(), limits)?;
-        let bytes = body::read(request.take_body(), limits).await?;
+        let hold = connection.hold(Purpose::Request);
+        let bytes = body::read(request.take_body(), limits, hold).await?;
         request.set_body(bytes);
         Ok(())
     }
--- a/tests/crowd/caller.rs
+++ b/tests/crowd/caller.rs
@@ -64,6 +64,18 @@
     }
 }
 
+/// Sends a byte now and then from each caller, until the process closes its connection or
+/// the case ends.
+pub fn send_slowly(callers: Vec<TcpStream>) {
+    for mut caller in callers {
+        tokio::spawn(async move {
+            while caller.write_all(b"x").await.is_ok() {
+                sleep(BYTE_PAUSE).await;
+            }
+        });
+    }
+}
+
 /// Returns the head of a request to a relay whose caller waits for `deadline`.
 pub fn head(method: &str, path: &str, deadline: Duration, body: usize) -> String {
     format!(
--- a/tests/crowd/product.rs
+++ b/tests/crowd/product.rs
@@ -9,12 +9,15 @@
 
 use crate::{
     alone::alone,
-    caller::{self, crowd, plain_head, read_slowly},
+    caller::{self, crowd, plain_head, read_slowly, send_slowly},
     child::Child,
     part::{Plan, Platform, Target, Vm},
     port, process,
 };
 
+/// The longest body that the settings of the cases allow, in bytes.
+const LONG_BODY: usize = 8 << 20;
+
 /// The number of rows in the index; a search that finds them all has an answer of 1.8 MB.
 const ROWS: u32 = 20_000;
 
@@ -105,6 +108,10 @@
     format!("{}{body}", plain_head("POST", "/v1/search", body.len()))
 }
 
+async fn settle() {
+    sleep(Duration::from_secs(2)).await;
+}
+
 async fn slow_readers() {
     let deployment = Deployment::start("").await;
     let callers = deployment.endpoints.callers;
@@ -114,6 +121,17 @@
     deployment.assert_serves().await;
 }
 
+async fn bodies_without_their_end() {
+    let deployment =
+        Deployment::start(&format!("[callers]\nbody_limit_bytes = {LONG_BODY}\n")).await;
+    let mut request = plain_head("POST", "/v1/search", LONG_BODY).into_bytes();
+    request.resize(request.len() + LONG_BODY - 4096, b'x');
+    send_slowly(crowd(deployment.endpoints.callers, 32, &request).await);
+    settle().await;
+    deployment.assert_serves().await;
+}
+
 cases! {
     slow_readers_of_long_answers => alone(slow_readers);
+    long_bodies_that_stop_before_their_end => alone(bodies_without_their_end);
 }
