Close the connection least worth keeping when a port is full

What callers saw: callers that held connections (idle, with a begun head or body, with an answer that they did not read) kept all others out with 503 for up to 75 s. 16 connections to the port for probes made a balancer take the VM out; the ports for metrics and operators could be held in the same way. At `entry` 3,000 connections took 3,027 descriptors, of the 2,670 that its machine has.

Cause: a limit counted connections but knew nothing of what they do, so the newcomer always was the one to go. No limit took account of the descriptors that connections to targets need.

Evidence, on the code before, each failed: the eight cases of ports, seven with 503 (one of them with 210 MB) and one in which the ordinary caller got no answer within 30 s, of product slow_heads, slow_bodies and the_port_for_operators with 503, a_crowd_of_connections with 3,027 descriptors.

Change: the table of what the process holds admits connections. At a full port it closes the one that is least worth keeping: what is slowest, then what is idle and never had an answer, then what is idle for longest. One that is worked on, or younger than 250 ms, stays. All ports together take half of the descriptors. The limits of the ports are as before.

Why it works: a crowd can only keep its places by doing what ordinary callers do.

After: the cases pass; 596 descriptors and 35 MB at 3,000 connections. The tests of memory, fronts, product and relay pass.

--- a/crates/core/src/memory/limits.rs
+++ b/crates/core/src/memory/limits.rs
@@ -9,19 +9,35 @@
 /// The memory of the smallest machine that is supported without settings, in bytes.
 pub const DEFAULT_MACHINE_BYTES: usize = 112_000_000;
 
+/// The part of the descriptors that connections of others may take, as a divisor. The rest
+/// is for connections to targets, other VMs and the store.
+const DESCRIPTOR_DIVISOR: usize = 2;
+
 /// The limits on what a process holds for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// The most bytes that are held in all.
     pub bytes: usize,
+    /// The most connections that others may have open in all.
+    pub connections: usize,
     /// The age before which a transfer or an idle connection is not closed to make room.
     pub grace: Duration,
 }
 
 impl Limits {
-    /// Returns the limits for a machine with this memory in bytes.
-    pub fn new(machine_bytes: usize) -> Limits {
-        Limits { bytes: machine_bytes / MEMORY_DIVISOR, grace: Duration::from_millis(250) }
+    /// Returns the limits for a machine with this memory in bytes, and for a process with
+    /// this number of descriptors.
+    pub fn new(machine_bytes: usize, descriptors: usize) -> Limits {
+        Limits {
+            bytes: machine_bytes / MEMORY_DIVISOR,
+            connections: (descriptors / DESCRIPTOR_DIVISOR).max(1),
+            grace: Duration::from_millis(250),
+        }
+    }
+
+    /// Returns the most bytes that connections may take by themselves.
+    pub fn connection_bytes(&self) -> usize {
+        self.bytes / 2
     }
 
     /// Returns the most bytes that connections and requests may take.
@@ -38,6 +54,6 @@
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits::new(DEFAULT_MACHINE_BYTES)
+        Limits::new(DEFAULT_MACHINE_BYTES, usize::MAX)
     }
 }
--- a/crates/core/src/memory/system/admit.rs
+++ b/crates/core/src/memory/system/admit.rs
@@ -1,9 +1,25 @@
 //! Admits connections.
 
-use super::Context;
-use crate::memory::{Holder, Port, Tables};
+use super::{Context, evict};
+use crate::memory::{Full, Holder, Port, Tables};
 
-/// Admits a connection at a port that takes `base` bytes by itself.
-pub fn open(tables: &mut Tables, port: Port, base: usize, cx: &mut Context<'_>) -> Holder {
-    tables.insert(port, base, cx.now)
+/// Admits a connection at a port that may have `max` of them and that takes `base` bytes
+/// by itself. If there is no room, the connection that is least worth keeping is closed for
+/// it, so that callers who hold connections idle keep no other caller out.
+pub fn open(
+    tables: &mut Tables,
+    port: Port,
+    max: usize,
+    base: usize,
+    cx: &mut Context<'_>,
+) -> Result<Holder, Full> {
+    if tables.count(port) >= max {
+        evict::close_one(tables, Some(port), cx).ok_or(Full)?;
+    }
+    let is_full = tables.connections() >= cx.limits.connections
+        || tables.bases + base > cx.limits.connection_bytes();
+    if is_full {
+        evict::close_one(tables, None, cx).ok_or(Full)?;
+    }
+    Ok(tables.insert(port, base, cx.now))
 }
--- a/crates/core/src/memory/system/evict.rs
+++ b/crates/core/src/memory/system/evict.rs
@@ -1,7 +1,7 @@
 //! Chooses the connections that are closed to make room.
 
 use crate::{
-    memory::{Holder, Party, Row, Tables},
+    memory::{Holder, Party, Port, Row, Tables},
     time::Instant,
 };
 
@@ -21,6 +21,18 @@
     since: Instant,
 }
 
+/// Closes the connection that is least worth keeping, at one port or at any. Returns none
+/// if each is new, works on a request, or belongs to another VM.
+pub fn close_one(tables: &mut Tables, port: Option<Port>, cx: &mut Context<'_>) -> Option<Holder> {
+    let rows = tables.rows.iter();
+    let rows = rows.filter(|(_, row)| port.is_none_or(|port| row.port == port));
+    let worths = rows.filter_map(|(id, row)| Some((worth(row, cx)?, *id)));
+    let (_, id) = worths.min()?;
+    tables.mark_closing(id);
+    cx.close.push(id);
+    Some(id)
+}
+
 /// Closes slow connections that hold bytes until `bytes` are free. Returns false if that is
 /// not possible; then none is closed.
 pub fn free(
@@ -54,7 +66,7 @@
 
 /// Returns how much a connection is worth keeping, or none if it may not be closed.
 fn worth(row: &Row, cx: &Context<'_>) -> Option<Worth> {
-    if row.is_closing || row.port.party == Party::Vm {
+    if row.is_closing || matches!(row.port.party, Party::Vm | Party::Refused) {
         return None;
     }
     let slower = row.sending.or(if row.is_working { None } else { row.receiving });
--- a/crates/core/src/memory/table.rs
+++ b/crates/core/src/memory/table.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Holder(pub u64);
 
-/// A port at which others open connections.
+/// A port at which others open connections. Each has a limit of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Port {
     pub party: Party,
@@ -28,6 +28,8 @@
     Operator,
     /// Another VM. Its connection is never closed to make room.
     Vm,
+    /// Anyone whose connection is refused and closed as soon as that is answered.
+    Refused,
 }
 
 impl Party {
@@ -39,6 +41,7 @@
             Party::Collector => "collector",
             Party::Operator => "operator",
             Party::Vm => "vm",
+            Party::Refused => "refused",
         }
     }
 }
@@ -99,6 +102,8 @@
 #[derive(Debug, Default)]
 pub struct Tables {
     pub rows: BTreeMap<Holder, Row>,
+    /// The number of connections of each port that are not being closed.
+    pub ports: BTreeMap<Port, usize>,
     /// The bytes that those connections take by themselves.
     pub bases: usize,
     /// The bytes that are held for each purpose, beside those of the connections.
@@ -119,6 +124,16 @@
         self.held.get(&purpose).copied().unwrap_or_default()
     }
 
+    /// Returns the number of connections of a port that are not being closed.
+    pub fn count(&self, port: Port) -> usize {
+        self.ports.get(&port).copied().unwrap_or_default()
+    }
+
+    /// Returns the number of all connections that are not being closed.
+    pub fn connections(&self) -> usize {
+        self.ports.values().sum()
+    }
+
     /// Adds a connection that has just been opened.
     pub fn insert(&mut self, port: Port, base: usize, now: Instant) -> Holder {
         self.last_id += 1;
@@ -136,6 +151,7 @@
             is_closing: false,
         };
         self.rows.insert(id, row);
+        *self.ports.entry(port).or_default() += 1;
         self.bases += base;
         id
     }
@@ -198,5 +214,8 @@
         }
         self.closing += row.total();
         self.bases = self.bases.saturating_sub(row.base);
+        if let Some(count) = self.ports.get_mut(&row.port) {
+            *count = count.saturating_sub(1);
+        }
     }
 }
--- a/crates/core/tests/memory/harness.rs
+++ b/crates/core/tests/memory/harness.rs
@@ -14,7 +14,8 @@
 pub const BASE: usize = 10;
 
 /// Limits with round numbers.
-pub const LIMITS: Limits = Limits { bytes: 1000, grace: Duration::from_millis(100) };
+pub const LIMITS: Limits =
+    Limits { bytes: 1000, connections: 40, grace: Duration::from_millis(100) };
 
 /// A table whose time the test sets.
 pub struct Memory {
@@ -39,15 +40,15 @@
         system(&mut self.tables, &mut Context { now: self.now, limits: &self.limits, close })
     }
 
-    /// Opens a connection.
-    pub fn open(&mut self, party: Party) -> Holder {
+    /// Opens a connection at a port that takes `max` of them.
+    pub fn open(&mut self, party: Party, max: usize) -> Result<Holder, Full> {
         let port = Port { party, thread: 0 };
-        self.run(|tables, cx| admit::open(tables, port, BASE, cx))
+        self.run(|tables, cx| admit::open(tables, port, max, BASE, cx))
     }
 
-    /// Opens a connection of a caller.
+    /// Opens a connection of a caller, for whom there is room.
     pub fn caller(&mut self) -> Holder {
-        self.open(Party::Caller)
+        self.open(Party::Caller, 100).unwrap()
     }
 
     pub fn grow(&mut self, id: Holder, purpose: Purpose, bytes: usize) -> Result<(), Full> {
--- a/crates/core/tests/memory/main.rs
+++ b/crates/core/tests/memory/main.rs
@@ -4,5 +4,6 @@
 #[path = "../rules/case.rs"]
 mod case;
 mod harness;
+mod admit;
 mod hold;
 mod random;
--- a/crates/core/tests/memory/random.rs
+++ b/crates/core/tests/memory/random.rs
@@ -67,7 +67,7 @@
     fn take(&mut self, step: Step) {
         match step {
             Step::Pass(millis) => self.memory.pass(millis),
-            Step::Open(party) => drop(self.memory.open(party)),
+            Step::Open(party) => drop(self.memory.open(party, 10)),
             Step::Receive(row, bytes) => {
                 let Some(id) = self.pick(row) else { return };
                 self.memory.receive(id, bytes);
@@ -108,11 +108,13 @@
         let held: usize = self.held.iter().map(|(.., bytes)| bytes).sum();
         assert_eq!(tables.bytes(), held + tables.bases, "the sums are those of the parts");
         let open = tables.rows.values().filter(|row| !row.is_closing);
-        assert_eq!(tables.bases, open.map(|row| row.base).sum::<usize>());
+        assert_eq!(tables.bases, open.clone().map(|row| row.base).sum::<usize>());
+        assert_eq!(tables.connections(), open.count());
         let closing = tables.rows.values().filter(|row| row.is_closing);
         assert_eq!(tables.closing, closing.map(Row::total).sum::<usize>());
-        let held = tables.bytes() - tables.bases;
-        assert!(held <= LIMITS.bytes + LIMITS.closing_bytes(), "{held}");
+        assert!(tables.connections() <= LIMITS.connections);
+        assert!(tables.bases <= LIMITS.connection_bytes());
+        assert!(tables.bytes() <= LIMITS.bytes + LIMITS.closing_bytes(), "{}", tables.bytes());
     }
 }
 
--- a/src/front/limit.rs
+++ b/src/front/limit.rs
@@ -11,7 +11,7 @@
 
 /// What a connection takes beside its head, in bytes: buffers of the HTTP library for what
 /// follows the head and for what is sent, the task, and short messages.
-const CONNECTION_BYTES: usize = 24 << 10;
+const CONNECTION_BYTES: usize = 16 << 10;
 
 /// The most bytes of the next request that are read while one is answered.
 const READ_AHEAD_BYTES: usize = 8 << 10;
--- a/src/front/port.rs
+++ b/src/front/port.rs
@@ -19,7 +19,7 @@
 use hyper_util::rt::TokioIo;
 use laburnum_core::{
     fault::{Fault, Kind},
-    memory,
+    memory::{self, Full, Party},
 };
 use poem::{
     Request, Route,
@@ -29,7 +29,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    sync::{OwnedSemaphorePermit, Semaphore, watch},
+    sync::watch,
     task::JoinSet,
     time::{sleep, timeout},
 };
@@ -37,12 +37,12 @@
 use super::{
     connection::{Connection, Phase, State},
     intake::{Gate, Intake},
-    limit::Provider,
+    limit::{Limits, Provider},
     probe::Metrics,
     problem::Refusal,
     stream::{DISCARD_BUFFER_BYTES, LINGER_TIMEOUT, Stream},
 };
-use crate::memory::Ledger;
+use crate::memory::{Account, Ledger};
 
 /// The most connections beyond the limit that are answered with a refusal at a
 /// time; the rest are closed without an answer.
@@ -92,12 +92,9 @@
     limits: Arc<dyn Provider>,
     ledger: Ledger,
     port: memory::Port,
-    max_connections: usize,
     metrics: Arc<dyn Metrics>,
     intake: Arc<Intake>,
     shutdown: watch::Receiver<bool>,
-    connection_permits: Arc<Semaphore>,
-    refusal_permits: Arc<Semaphore>,
     tasks: JoinSet<()>,
 }
 
@@ -106,8 +103,6 @@
     /// finished.
     pub async fn serve(self, routes: Route) -> io::Result<()> {
         self.listener.set_nonblocking(true)?;
-        let max_connections = self.limits.connection().connections;
-        let permits = max_connections.min(Semaphore::MAX_PERMITS);
         let metrics = Arc::clone(&self.metrics);
         let server = Server {
             metrics: self.metrics,
@@ -123,10 +118,7 @@
             limits: self.limits,
             ledger: self.ledger,
             port: self.port,
-            max_connections,
             shutdown: self.shutdown,
-            connection_permits: Arc::new(Semaphore::new(permits)),
-            refusal_permits: Arc::new(Semaphore::new(MAX_REFUSALS)),
             tasks: JoinSet::new(),
         };
         server.accept_loop().await;
@@ -155,21 +147,26 @@
         while self.tasks.join_next().await.is_some() {}
     }
 
-    /// Opens a connection, or refuses one beyond the limit.
+    /// Opens a connection, or refuses one for which there is no room.
     fn admit(&mut self, accepted: Accepted) {
-        if let Ok(permit) = Arc::clone(&self.connection_permits).try_acquire_owned() {
-            self.open(accepted, permit);
-        } else if let Ok(permit) = Arc::clone(&self.refusal_permits).try_acquire_owned() {
-            let detail = format!("connections: allowed are {} at a time", self.max_connections);
+        let limits = self.limits.connection();
+        match self.ledger.open(self.port, limits.connections, limits.connection_bytes()) {
+            Ok(account) => self.open(accepted, account, limits),
+            Err(Full) => self.refuse(accepted, &limits),
+        }
+    }
+
+    fn refuse(&mut self, accepted: Accepted, limits: &Limits) {
+        let port = memory::Port { party: Party::Refused, ..self.port };
+        if let Ok(account) = self.ledger.open(port, MAX_REFUSALS, 0) {
+            let detail = format!("connections: allowed are {} at a time", limits.connections);
             let refusal = Fault::not_run(Kind::TooManyOpen, detail).into();
             self.metrics.refused(Kind::TooManyOpen);
-            self.tasks.spawn(refuse(accepted.socket, refusal, permit));
+            self.tasks.spawn(refuse(accepted.socket, refusal, account));
         }
     }
 
-    fn open(&mut self, accepted: Accepted, permit: OwnedSemaphorePermit) {
-        let limits = self.limits.connection();
-        let account = self.ledger.open(self.port, limits.connection_bytes());
+    fn open(&mut self, accepted: Accepted, account: Account, limits: Limits) {
         let Accepted { socket, address } = accepted;
         // Without `TCP_NODELAY` a response may wait for an acknowledgement. A
         // failure only makes the connection slower.
@@ -184,7 +181,7 @@
             address,
             read_buffer: limits.read_buffer(),
         };
-        self.tasks.spawn(serve(stream, context, self.shutdown.clone(), permit));
+        self.tasks.spawn(serve(stream, context, self.shutdown.clone()));
     }
 }
 
@@ -232,12 +229,7 @@
 }
 
 /// Serves one connection until it ends, or until it is to be closed to make room.
-async fn serve(
-    stream: Stream,
-    context: Context,
-    shutdown: watch::Receiver<bool>,
-    _permit: OwnedSemaphorePermit,
-) {
+async fn serve(stream: Stream, context: Context, shutdown: watch::Receiver<bool>) {
     let connection = Arc::clone(&context.connection);
     tokio::select! {
         biased;
@@ -280,7 +272,7 @@
 }
 
 /// Answers a connection beyond the limit with `refusal` and closes it.
-async fn refuse(mut socket: TcpStream, refusal: Refusal, _permit: OwnedSemaphorePermit) {
+async fn refuse(mut socket: TcpStream, refusal: Refusal, _account: Account) {
     let mut discarded = [0; DISCARD_BUFFER_BYTES];
     let exchange = async {
         socket.write_all(&refusal.to_http()).await?;
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -20,6 +20,7 @@
         system::{Context, admit, hold, transfer},
     },
 };
+use rustix::process::{Resource, getrlimit};
 use tokio::sync::Notify;
 
 use crate::{clock::System, log::Writer, metric::Metrics};
@@ -28,6 +29,17 @@
 /// their connection counts.
 const SMALL_BYTES: usize = 8 << 10;
 
+/// The descriptors that are kept free of connections, for listeners, the log and the
+/// runtimes.
+const OWN_DESCRIPTORS: usize = 64;
+
+/// Returns the number of descriptors that this process may use for connections.
+pub fn descriptors() -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    let limit = limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX));
+    limit.saturating_sub(OWN_DESCRIPTORS)
+}
+
 /// Tells people which connections were closed.
 pub struct Observer {
     pub writer: Writer,
@@ -80,13 +92,14 @@
         self.lock().tables.bytes()
     }
 
-    /// Opens the account of a connection at a port, which takes `base` bytes by itself.
-    pub fn open(&self, port: Port, base: usize) -> Account {
+    /// Opens the account of a connection at a port that may have `max` of them. The
+    /// connection takes `base` bytes by itself.
+    pub fn open(&self, port: Port, max: usize, base: usize) -> Result<Account, Full> {
         let mut state = self.lock();
-        let id = self.run(&mut state, |tables, cx| admit::open(tables, port, base, cx));
+        let id = self.run(&mut state, |tables, cx| admit::open(tables, port, max, base, cx))?;
         let closer = Arc::new(Notify::new());
         state.closers.insert(id, Arc::clone(&closer));
-        Account { ledger: self.clone(), id, closer }
+        Ok(Account { ledger: self.clone(), id, closer })
     }
 
     /// Makes an empty hold that belongs to no connection of others.
--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -34,4 +34,5 @@
 mod process;
 mod deployment;
 mod relay;
+mod ports;
 mod product;
--- a/tests/crowd/product.rs
+++ b/tests/crowd/product.rs
@@ -1,8 +1,8 @@
-//! Crowds of callers of an entry VM.
+//! Crowds of callers and operators of an entry VM.
 
-use std::{fs, time::Duration};
+use std::{fs, net::SocketAddr, time::Duration};
 
-use laburnumworks::local::{Caller, DEMO_INDEX, Endpoints};
+use laburnumworks::local::{Caller, DEMO_INDEX, Endpoints, OPERATOR_TOKEN};
 use serde_json::json;
 use tempfile::TempDir;
 use tokio::time::sleep;
@@ -18,6 +18,9 @@
 /// The longest body that the settings of the cases allow, in bytes.
 const LONG_BODY: usize = 8 << 20;
 
+/// The number of connections that the settings of some cases allow.
+const CONNECTIONS: usize = 16;
+
 /// The number of rows in the index; a search that finds them all has an answer of 1.8 MB.
 const ROWS: u32 = 20_000;
 
@@ -131,7 +134,57 @@
     deployment.assert_serves().await;
 }
 
+async fn held_connections(request: &str) {
+    let settings = format!(
+        "[callers]\nopen_connections = {CONNECTIONS}\nidle_ms = 600000\n\
+         header_read_ms = 60000\nbody_read_ms = 60000\n"
+    );
+    let deployment = Deployment::start(&settings).await;
+    let callers = deployment.endpoints.callers;
+    let _idle = crowd(callers, CONNECTIONS, b"").await;
+    send_slowly(crowd(callers, CONNECTIONS, request.as_bytes()).await);
+    settle().await;
+    let probe = plain_head("GET", "/readyz", 0);
+    assert_eq!(caller::status(callers, probe.as_bytes()).await, 200);
+    deployment.assert_serves().await;
+}
+
+async fn begun_heads() {
+    held_connections("POST /v1/search HTTP/1.1\r\nFiller: ").await;
+}
+
+async fn begun_bodies() {
+    held_connections(&plain_head("POST", "/v1/search", 60_000)).await;
+}
+
+/// Holds every connection of the port for operators, which serves probes and metrics too.
+async fn operators() {
+    let deployment = Deployment::start("").await;
+    let port: SocketAddr = deployment.endpoints.operators;
+    let _idle = crowd(port, 100, b"").await;
+    send_slowly(crowd(port, 100, b"GET /metrics HTTP/1.1\r\nFiller: ").await);
+    settle().await;
+    let token = format!("Authorization: Bearer {OPERATOR_TOKEN}\r\n\r\n");
+    let show = plain_head("GET", "/v1/profiles", 0).replace("\r\n\r\n", &format!("\r\n{token}"));
+    for request in [plain_head("GET", "/readyz", 0), plain_head("GET", "/metrics", 0), show] {
+        assert_eq!(caller::status(port, request.as_bytes()).await, 200, "{request}");
+    }
+    deployment.assert_serves().await;
+}
+
+/// More connections than the machine has descriptors for.
+async fn descriptors() {
+    let deployment = Deployment::start("[callers]\nidle_ms = 600000\n").await;
+    let _callers = crowd(deployment.endpoints.callers, 3000, b"").await;
+    settle().await;
+    deployment.assert_serves().await;
+}
+
 cases! {
     slow_readers_of_long_answers => alone(slow_readers);
     long_bodies_that_stop_before_their_end => alone(bodies_without_their_end);
+    slow_heads_take_no_other_callers_place => alone(begun_heads);
+    slow_bodies_take_no_other_callers_place => alone(begun_bodies);
+    the_port_for_operators_serves_beside_a_crowd => alone(operators);
+    a_crowd_of_connections => alone(descriptors);
 }
