Count the messages that VMs send each other

What callers saw: callers of a smaller VM with long bodies and slow targets took the larger VM that serves them beyond the memory of its machine.

Cause: nothing counted what arrives from other VMs. 1,024 messages of 4 MiB could wait for the thread, and each request that was handed over held its body until it was answered.

Change: the connections of other VMs, the bytes of a message as it arrives, the body that it carries and the messages that wait to be sent count in the table. A request without room is refused at once, as not run; an answer without room is replaced by one that says that the request may have run. A decoder no longer keeps the buffer of its longest message.

Why it works: a body that came from another VM counts against the share of requests like one that came from a caller, until its last copy is dropped.

The tests edge and relay and those of the core's relay pass.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -60,6 +60,8 @@
     Closed { connection: Connection, loss: Loss },
     /// A message from another VM arrived.
     Hop { from: Name, hop: Hop },
+    /// A message from another VM arrived, but there was no room for its body.
+    HopUnheld { from: Name, hop: Hop },
     /// Messages to another VM may be lost; `maybe_received` is false if that VM
     /// cannot have received any of them.
     HopLost { to: Name, detail: String, maybe_received: bool },
--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -46,6 +46,9 @@
 /// Time after the last request of another VM for which it is sent [`Hop::State`].
 const STATE_UPDATE_PERIOD: Duration = Duration::from_secs(120);
 
+/// Retry-after time of a VM that has no room for a request.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Time for which a report is kept that a target is leaving. Targets end within it.
 const LEAVING_MEMORY: Duration = Duration::from_secs(120);
 
@@ -138,6 +141,27 @@
     }
 }
 
+/// Handles a message of another VM for whose body there was no room: a request is refused,
+/// and an answer is replaced by one that says that the request may have run.
+pub fn receive_unheld(tables: &mut Tables, from: Name, hop: Hop, cx: &mut Context<'_>) {
+    let detail = "there is no room for the message between VMs";
+    let (hop, address) = match hop {
+        Hop::Request { id, reply_to, .. } => {
+            let fault = Fault::not_run(Kind::TooManyOpen, detail);
+            cx.out.counts.add(Count::Refused(fault.kind));
+            let answer = Answer::Refused(Refusal { fault, retry: Some(NO_ROOM_RETRY_AFTER) });
+            (Hop::Answer { id, answer, state: own_state(tables) }, reply_to)
+        }
+        Hop::Answer { id, state, .. } => {
+            let fault = Fault::unknown(Kind::TargetFailed, detail);
+            let answer = Answer::Refused(Refusal { fault, retry: None });
+            return receive(tables, from, Hop::Answer { id, answer, state }, cx);
+        }
+        other => return receive(tables, from, other, cx),
+    };
+    cx.out.commands.push(Command::Hop { to: from, address, hop });
+}
+
 /// What this VM knows of the routes.
 pub fn own_state(tables: &Tables) -> hop::State {
     hop::State { is_current: tables.view.is_current, version: tables.view.version() }
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -62,6 +62,7 @@
             Event::Unheld { connection, attempt } => {
                 collect::unheld(tables, connection, attempt, cx);
             }
+            Event::HopUnheld { from, hop } => hop::receive_unheld(tables, from, hop, cx),
             Event::Closed { connection, loss } => collect::closed(tables, connection, &loss, cx),
         }
     }
--- a/crates/core/tests/relay/unheld.rs
+++ b/crates/core/tests/relay/unheld.rs
@@ -2,10 +2,11 @@
 
 use laburnum_core::{
     fault::{Kind, Ran},
-    relay::{Answer, Event},
+    id::Origin,
+    relay::{Answer, Call, Event, Hop, View, hop, message::CallerRequest, view::Vm},
 };
 
-use crate::harness::{Harness, Sent, ms, name, request, search, single, success};
+use crate::harness::{Harness, ORIGIN, Sent, ms, name, request, search, single, success};
 
 /// Tells the engine that there is no room for the reply to a request.
 fn drop_reply(harness: &mut Harness, sent: &Sent) {
@@ -13,6 +14,23 @@
     harness.tick(vec![Event::Unheld { connection, attempt }]);
 }
 
+/// The id of a request that the VM `small` hands over.
+const ID: hop::Id = hop::Id { origin: Origin(77), call: Call(5) };
+
+fn request_of(caller_request: CallerRequest) -> Hop {
+    let reply_to = "10.2.0.1:7000".parse().unwrap();
+    Hop::Request { id: ID, caller_request: Box::new(caller_request), reply_to }
+}
+
+/// Returns the refusal that was sent to the VM `small`.
+fn refusal_at_small(harness: &Harness) -> (Kind, Ran, bool) {
+    let [(to, Hop::Answer { id, answer: Answer::Refused(refusal), .. })] = &harness.hops[..] else {
+        panic!("{:?}", harness.hops)
+    };
+    assert_eq!((to.as_str(), *id), ("small", ID));
+    (refusal.fault.kind, refusal.fault.ran, refusal.retry.is_some())
+}
+
 cases! {
     an_operation_without_its_reply_may_have_run_and_is_not_sent_again => {
         let mut harness = Harness::with_route(laburnum_core::relay::Route { idempotent: false, ..single("desk") });
@@ -59,5 +77,27 @@
         let Answer::Gathered(gathered) = &harness.answers[&call] else { panic!() };
         assert_eq!((gathered.digests.len(), gathered.missing), (2, 1));
     };
+    a_request_of_another_vm_that_has_no_room_was_not_run => {
+        let mut harness = Harness::with_route(single("desk"));
+        let hop = request_of(request("/fetch/1"));
+        harness.tick(vec![Event::HopUnheld { from: name("small"), hop }]);
+        assert_eq!(refusal_at_small(&harness), (Kind::TooManyOpen, Ran::No, true));
+        assert!(harness.take_sent().is_empty());
+        assert!(!harness.engine.owes_answers());
+    };
+    a_caller_whose_answer_of_another_vm_has_no_room_learns_that_it_may_have_run => {
+        let mut harness = Harness::empty();
+        let address = "10.1.0.1:7000".parse().unwrap();
+        let larger = [(name("large"), Vm { domain: name("near"), address, share: 500 })];
+        harness.set_view(View { larger: larger.into(), ..View::default() });
+        let call = harness.submit(request("/fetch/1"));
+        let id = hop::Id { origin: ORIGIN, call };
+        let state = hop::State { is_current: true, version: 1 };
+        let answer = Answer::Forwarded(Box::new(success("d", 1)));
+        let hop = Hop::Answer { id, answer, state };
+        harness.tick(vec![Event::HopUnheld { from: name("large"), hop }]);
+        let Answer::Refused(refusal) = &harness.answers[&call] else { panic!() };
+        assert_eq!((refusal.fault.kind, refusal.fault.ran), (Kind::TargetFailed, Ran::Unknown));
+    };
 
 }
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -229,6 +229,16 @@
         Ok(())
     }
 
+    /// Counts `bytes` in all, also if there is no room for them. It is for copies of what
+    /// counts already, which cannot be refused any more.
+    pub fn force(&mut self, bytes: usize) {
+        if bytes > SMALL_BYTES && bytes > self.bytes {
+            let more = bytes - self.bytes;
+            self.ledger.lock().tables.add(self.holder, self.purpose, more);
+            self.bytes = bytes;
+        }
+    }
+
     /// Returns the same bytes, which are counted until the last copy of them is dropped.
     pub fn keep(self, bytes: Bytes) -> Bytes {
         if self.bytes == 0 {
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -66,7 +66,12 @@
 pub fn start(shared: &Shared, listeners: &Listeners) -> io::Result<(Peers, Inbox)> {
     let key = key().map_err(|error| io::Error::other(error.to_string()))?;
     let own = lane(&shared.settings.vm.name);
-    let admission = Admission { own: own.clone(), keys: vec![key.digest()], limits: limits() };
+    let admission = Admission {
+        own: own.clone(),
+        keys: vec![key.digest()],
+        limits: limits(),
+        ledger: shared.ledger.clone(),
+    };
     let listener = listeners.peers.try_clone()?;
     let (frames, frame_receiver) = channel(MAX_WAITING_FRAMES);
     let (losses, loss_receiver) = unbounded_channel();
@@ -75,7 +80,8 @@
         let ended = wire::listen(listener, admission, frames).await;
         super::traffic::log_port_failure(&log, "peers", ended);
     });
-    let dialer = Dialer::new(own, rand::random(), key, limits(), losses);
+    let dialer =
+        Dialer::new(own, rand::random(), key, limits(), losses).with_ledger(shared.ledger.clone());
     let peers = Peers { dialer, addresses: BTreeMap::new() };
     Ok((peers, Inbox { frames: frame_receiver, losses: loss_receiver }))
 }
--- a/src/relay/traffic.rs
+++ b/src/relay/traffic.rs
@@ -270,7 +270,8 @@
 /// Returns the event for a frame of another VM; the relay ignores other frames.
 fn hop_event(frame: wire::Frame) -> Option<Event> {
     match frame.body {
-        Body::Relay(hop) => Some(Event::Hop { from: frame.from.vm, hop: *hop }),
+        Body::Relay(hop) if frame.has_room => Some(Event::Hop { from: frame.from.vm, hop: *hop }),
+        Body::Relay(hop) => Some(Event::HopUnheld { from: frame.from.vm, hop: *hop }),
         Body::Traffic(_) | Body::Control(_) => None,
     }
 }
--- a/src/slope/wire.rs
+++ b/src/slope/wire.rs
@@ -15,7 +15,10 @@
     Part, Slope, fixture,
     meter::{self, Sample},
 };
-use crate::wire::{self, Admission, Body, Dialer, Key, Limits, codec, listen};
+use crate::{
+    memory::Ledger,
+    wire::{self, Admission, Body, Dialer, Key, Limits, codec, listen},
+};
 
 /// The numbers of legs in one frame.
 const LEGS_PER_FRAME: [usize; 3] = [1, 8, 64];
@@ -97,7 +100,12 @@
         let address = listener.local_addr().expect("the listener is bound");
         let key = Key::try_from("the-key-of-a-measurement").expect("the text is a key");
         let limits = Limits::default();
-        let admission = Admission { own: fixture::lane(1), keys: vec![key.digest()], limits };
+        let admission = Admission {
+            own: fixture::lane(1),
+            keys: vec![key.digest()],
+            limits,
+            ledger: Ledger::default(),
+        };
         let (sink, frames) = mpsc::channel(FRAMES_PER_REPEAT);
         tokio::spawn(listen(listener, admission, sink));
         let (losses, lost) = mpsc::unbounded_channel();
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -84,14 +84,19 @@
     let key = deployment_key(&shared.settings);
     let wire_limits = limits::wire(&shared.settings);
     let (frames, receiver) = mpsc::channel(MAX_FRAMES);
-    let admission =
-        wire::Admission { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
+    let admission = wire::Admission {
+        own: own.clone(),
+        keys: vec![key.digest()],
+        limits: wire_limits,
+        ledger: shared.ledger.clone(),
+    };
     tokio::spawn(wire::listen(peers, admission, frames));
     tokio::spawn(forward_messages(receiver, shared.control.clone()));
     // The receiver is dropped, so that losses are ignored: the probes of the
     // membership find a peer that is gone.
     let (losses, _) = mpsc::unbounded_channel();
-    let dialer = Dialer::new(own, shared.row.incarnation, key, wire_limits, losses);
+    let dialer = Dialer::new(own, shared.row.incarnation, key, wire_limits, losses)
+        .with_ledger(shared.ledger.clone());
     Borders {
         platform: Box::new(platform_client(shared)),
         messenger: Box::new(messenger::Wire::new(dialer)),
--- a/src/vm/traffic.rs
+++ b/src/vm/traffic.rs
@@ -59,8 +59,12 @@
     let (events, event_receiver) = mpsc::unbounded_channel();
     let wire_limits = limits::wire(&shared.settings);
     let key = super::control::deployment_key(&shared.settings);
-    let admission =
-        wire::Admission { own: own.clone(), keys: vec![key.digest()], limits: wire_limits };
+    let admission = wire::Admission {
+        own: own.clone(),
+        keys: vec![key.digest()],
+        limits: wire_limits,
+        ledger: shared.ledger.clone(),
+    };
     let listener = tokio::spawn(wire::listen(resources.peers, admission, frames));
     let front = front::Parts {
         listener: resources.callers,
@@ -73,7 +77,8 @@
         shutdown: shared.shutdown.clone(),
     };
     let front = tokio::spawn(serve(front, resources.serving));
-    let dialer = Dialer::new(own.clone(), shared.row.incarnation, key, wire_limits, losses);
+    let dialer = Dialer::new(own.clone(), shared.row.incarnation, key, wire_limits, losses)
+        .with_ledger(shared.ledger.clone());
     let dialer = Rc::new(RefCell::new(dialer));
     let parts = Parts {
         engine: engine(&shared, own, resources.policies),
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -77,6 +77,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns the number of bytes that are buffered.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether no bytes are buffered, so that the stream may end here.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
@@ -96,7 +101,12 @@
             return Ok(None);
         }
         self.buffer.advance(PREFIX_BYTES);
-        decode(&self.buffer.split_to(length)).map(Some)
+        let body = decode(&self.buffer.split_to(length)).map(Some);
+        if self.buffer.is_empty() {
+            // A long message must not keep its buffer for the life of the stream.
+            self.buffer = BytesMut::new();
+        }
+        body
     }
 }
 
--- a/src/wire/dialer.rs
+++ b/src/wire/dialer.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use laburnum_core::{border::Peers, message::Message, view::Lane};
+use laburnum_core::{border::Peers, memory::Purpose, message::Message, view::Lane};
 use tokio::{
     sync::mpsc::{self, UnboundedSender},
     task::{AbortHandle, JoinSet},
@@ -21,6 +21,7 @@
     hello::{self, Hello},
     outbound::{self, Outbound, Shared},
 };
+use crate::memory::Ledger;
 
 /// An open connection to a peer, or one that is being opened.
 struct Link {
@@ -47,6 +48,7 @@
     key: Key,
     limits: Limits,
     losses: UnboundedSender<Lost>,
+    ledger: Ledger,
     peers: BTreeMap<Lane, Peer>,
     tasks: JoinSet<()>,
 }
@@ -60,8 +62,13 @@
         limits: Limits,
         losses: UnboundedSender<Lost>,
     ) -> Dialer {
-        let (peers, tasks) = (BTreeMap::new(), JoinSet::new());
-        Dialer { own, incarnation, key, limits, losses, peers, tasks }
+        let (peers, tasks, ledger) = (BTreeMap::new(), JoinSet::new(), Ledger::default());
+        Dialer { own, incarnation, key, limits, losses, ledger, peers, tasks }
+    }
+
+    /// Counts the frames that wait in a table that the process shares.
+    pub fn with_ledger(self, ledger: Ledger) -> Dialer {
+        Dialer { ledger, ..self }
     }
 
     /// Replaces the addresses of the lanes. The connection to a lane that has
@@ -100,12 +107,15 @@
     fn enqueue(&mut self, to: &Lane, frame: Bytes) -> Result<(), Lost> {
         let unsent = |detail| Lost { to: to.clone(), detail, maybe_received: false };
         self.remove_lost_link(to).map_err(unsent)?;
-        let limit = self.limits.queue_bytes;
+        let (limit, length) = (self.limits.queue_bytes, frame.len());
+        // The frame is a copy of what counts already and is bounded for each peer.
+        let mut hold = self.ledger.hold(Purpose::Answer);
+        hold.force(length);
+        let frame = hold.keep(frame);
         let link = match self.peers.get(to) {
             Some(Peer { link: Some(link), .. }) => link,
             _ => self.dial(to).map_err(unsent)?,
         };
-        let length = frame.len();
         let queued = link.shared.queued.fetch_add(length, Ordering::Relaxed) + length;
         if queued <= limit && link.frames.try_send(frame).is_ok() {
             return Ok(());
--- a/src/wire/inbound.rs
+++ b/src/wire/inbound.rs
@@ -8,7 +8,11 @@
     server::{Connection, SendResponse},
 };
 use http::{HeaderMap, Request, Response, StatusCode};
-use laburnum_core::view::Lane;
+use laburnum_core::{
+    memory::{Party, Port, Purpose},
+    relay::{Answer, Hop},
+    view::Lane,
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc::Sender,
@@ -17,12 +21,13 @@
 };
 
 use super::{
-    Frame, Limits,
+    Body, Frame, Limits,
     codec::Decoder,
     hello::{self, Hello},
     key::Digest,
     ping,
 };
+use crate::memory::{Account, Ledger};
 
 /// The pause after a connection could not be accepted, which happens when the
 /// process has no more file descriptors.
@@ -31,6 +36,9 @@
 /// The largest header list of the request that opens a stream, in bytes.
 const MAX_HEADER_BYTES: u32 = 8 * 1024;
 
+/// What a connection takes beside its messages, in bytes.
+const CONNECTION_BYTES: usize = 32 << 10;
+
 /// The rules by which a listener accepts streams.
 #[derive(Clone, Debug)]
 pub struct Admission {
@@ -40,6 +48,8 @@
     /// being replaced.
     pub keys: Vec<Digest>,
     pub limits: Limits,
+    /// Counts what the process holds for others.
+    pub ledger: Ledger,
 }
 
 /// Accepts connections and hands their frames to `sink`, until the future is
@@ -54,14 +64,19 @@
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
     let admission = Arc::new(admission);
+    let port = Port { party: Party::Vm, thread: admission.own.thread };
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((tcp, _)) if connections.len() < admission.limits.connections => {
-                    connections.spawn(serve(tcp, Arc::clone(&admission), sink.clone()));
+                Ok((tcp, _)) => {
+                    let max = admission.limits.connections;
+                    // A connection for which there is no room is closed; its VM dials again.
+                    if let Ok(account) = admission.ledger.open(port, max, CONNECTION_BYTES) {
+                        let serving = serve(tcp, Arc::clone(&admission), sink.clone(), account);
+                        connections.spawn(serving);
+                    }
                 }
-                Ok(_) => {}
                 Err(_) => sleep(ACCEPT_PAUSE).await,
             },
             Some(_) = connections.join_next() => {}
@@ -69,7 +84,7 @@
     }
 }
 
-async fn serve(tcp: TcpStream, admission: Arc<Admission>, sink: Sender<Frame>) {
+async fn serve(tcp: TcpStream, admission: Arc<Admission>, sink: Sender<Frame>, _account: Account) {
     // Without `TCP_NODELAY` the connection is slower but correct.
     let _ = tcp.set_nodelay(true);
     let handshake = handshake(tcp, &admission.limits);
@@ -127,7 +142,7 @@
     let Ok(mut response) = respond.send_response(Response::new(()), false) else {
         return;
     };
-    match receive(body, hello, admission.limits.frame_bytes, sink).await {
+    match receive(body, hello, &admission, sink).await {
         // The end of the response tells the sender that all frames were taken.
         Ok(()) => drop(response.send_data(Bytes::new(), true)),
         Err(reason) => response.send_reset(reason),
@@ -162,18 +177,44 @@
 async fn receive(
     mut body: RecvStream,
     hello: Hello,
-    limit: usize,
+    admission: &Admission,
     sink: Sender<Frame>,
 ) -> Result<(), Reason> {
-    let mut decoder = Decoder::new(limit);
+    let ledger = &admission.ledger;
+    let mut decoder = Decoder::new(admission.limits.frame_bytes);
+    let mut hold = ledger.hold(Purpose::Answer);
     while let Some(data) = body.data().await {
         let data = data.map_err(|error| error.reason().unwrap_or(Reason::CANCEL))?;
+        hold.grow_to(decoder.len() + data.len()).map_err(|_| Reason::ENHANCE_YOUR_CALM)?;
         decoder.push(&data);
-        while let Some(body) = decoder.next_body().map_err(|_| Reason::ENHANCE_YOUR_CALM)? {
-            let frame = Frame { from: hello.from.clone(), incarnation: hello.incarnation, body };
+        while let Some(mut body) = decoder.next_body().map_err(|_| Reason::ENHANCE_YOUR_CALM)? {
+            let has_room = hold_body(ledger, &mut body);
+            let (from, incarnation) = (hello.from.clone(), hello.incarnation);
+            let frame = Frame { from, incarnation, body, has_room };
             sink.send(frame).await.map_err(|_| Reason::CANCEL)?;
         }
+        if decoder.is_empty() {
+            hold = ledger.hold(Purpose::Answer);
+        }
         body.flow_control().release_capacity(data.len()).map_err(|_| Reason::CANCEL)?;
     }
     if decoder.is_empty() { Ok(()) } else { Err(Reason::PROTOCOL_ERROR) }
 }
+
+/// Counts the body of the request or answer that a message carries, until it is dropped. If
+/// there is no room for it, empties it and returns false.
+fn hold_body(ledger: &Ledger, message: &mut Body) -> bool {
+    let Body::Relay(hop) = message else { return true };
+    let (purpose, bytes) = match &mut **hop {
+        Hop::Request { caller_request, .. } => (Purpose::Request, &mut caller_request.message.body),
+        Hop::Answer { answer: Answer::Forwarded(reply), .. } => (Purpose::Answer, &mut reply.body),
+        _ => return true,
+    };
+    let mut hold = ledger.hold(purpose);
+    let held = std::mem::take(bytes);
+    let has_room = hold.grow_to(held.len()).is_ok();
+    if has_room {
+        *bytes = hold.keep(held);
+    }
+    has_room
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -47,6 +47,8 @@
     /// The incarnation of the VM that sent the frame.
     pub incarnation: u64,
     pub body: Body,
+    /// Whether there was room for the body of the message. If not, it is empty.
+    pub has_room: bool,
 }
 
 /// Reports that frames to a lane were lost: at least the one that could not be
--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -35,4 +35,5 @@
 mod deployment;
 mod relay;
 mod ports;
+mod vms;
 mod product;
--- a/tests/edge/wire.rs
+++ b/tests/edge/wire.rs
@@ -13,7 +13,10 @@
     name::Name,
     view::Lane,
 };
-use laburnumworks::wire::{Admission, Body, Dialer, Frame, Key, Limits, Lost, listen};
+use laburnumworks::{
+    memory::Ledger,
+    wire::{Admission, Body, Dialer, Digest, Frame, Key, Limits, Lost, listen},
+};
 use tokio::{
     io::{AsyncWriteExt, copy_bidirectional},
     net::{TcpListener, TcpStream},
@@ -70,6 +73,11 @@
     task: JoinHandle<std::io::Result<()>>,
 }
 
+/// The rules of the listener of the lane "b".
+fn admission(keys: Vec<Digest>, limits: Limits) -> Admission {
+    Admission { own: lane("b"), keys, limits, ledger: Ledger::default() }
+}
+
 impl Inbound {
     /// Starts a listener whose channel holds `capacity` frames; while it is full,
     /// the senders are held back.
@@ -79,7 +87,7 @@
 
     fn start_on(listener: std::net::TcpListener, limits: Limits, capacity: usize) -> Inbound {
         let address = listener.local_addr().expect("the listener is bound");
-        let admission = Admission { own: lane("b"), keys: vec![key().digest()], limits };
+        let admission = admission(vec![key().digest()], limits);
         let (sink, frames) = mpsc::channel(capacity);
         Inbound { address, frames, task: tokio::spawn(listen(listener, admission, sink)) }
     }
@@ -198,7 +206,7 @@
     let new = Key::try_from("the-next-key-of-this-deployment").expect("the key is valid");
     let keys = vec![key().digest(), new.digest()];
     let (sink, mut frames) = mpsc::channel(4);
-    tokio::spawn(listen(listener, Admission { own: lane("b"), keys, limits: limits() }, sink));
+    tokio::spawn(listen(listener, admission(keys, limits()), sink));
     for key in [key(), new] {
         let mut outbound = Outbound::start(limits(), key, address);
         outbound.send(1);
