Let messages between VMs carry the longest answer

What callers saw: an answer of 8 MiB came through a larger VM and never through a smaller one, in calm: the caller waited until its deadline and got 504.

Cause: a message between VMs was limited to 4 MiB. The larger VM dropped the longer one and reported the loss to itself, where it means nothing for a request that was handed to it.

Evidence, on the code before: vms::an_answer_longer_than_a_message_between_vms failed with 504 and 61 bytes instead of 200 and 8,388,608.

Change: a message may have 18 MiB, the longest reply of a target with room for its headers. Its bytes count in the table, so that the sum stays bounded.

Why it works: no reply that a target may give is too long for a message any more.

After: the case passes, and so do the other cases of vms.

--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -16,6 +16,10 @@
 /// senders have to wait.
 const MAX_WAITING_FRAMES: usize = 1024;
 
+/// The longest message between VMs: the longest reply of a target, with room for its
+/// headers.
+const MAX_FRAME_BYTES: usize = 18 << 20;
+
 /// The time for the last messages at the end of the process.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -23,8 +27,9 @@
 /// pings is detected within 1.5 s.
 fn limits() -> wire::Limits {
     wire::Limits {
+        frame_bytes: MAX_FRAME_BYTES,
         queue_frames: 256,
-        queue_bytes: 4 << 20,
+        queue_bytes: MAX_FRAME_BYTES + (4 << 20),
         window_bytes: 256 << 10,
         connect_timeout: Duration::from_millis(400),
         ping_interval: Duration::from_secs(1),
--- a/tests/crowd/vms.rs
+++ b/tests/crowd/vms.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     alone::alone,
-    caller::{crowd, head, read_slowly},
+    caller::{self, crowd, head, read_slowly},
     deployment::{self, PATIENCE, assert_serves, set_behaviour, settle},
     process,
     standin::target::Behaviour,
@@ -45,7 +45,20 @@
     assert_serves(&small).await;
 }
 
+async fn long_answer() {
+    const LONGER: usize = 8 << 20;
+    let harness = deployment::start(LONG).await;
+    let _large = deployment::relay(&harness, "large", 1.0).await;
+    let small = deployment::relay(&harness, "small", 0.1).await;
+    set_behaviour(&harness, "desk", Behaviour { body_bytes: LONGER, ..Behaviour::default() });
+    let request = head("POST", "/desk/1", Duration::from_secs(8), 0);
+    let answer = caller::exchange(small.callers, request.as_bytes()).await;
+    assert_eq!(answer, (200, LONGER));
+    assert_serves(&small).await;
+}
+
 cases! {
     slow_readers_at_a_small_vm => alone(slow_readers);
     long_bodies_that_a_larger_vm_holds => alone(waiting_requests);
+    an_answer_longer_than_a_message_between_vms => alone(long_answer);
 }
