Let a VM without a configuration take the bodies that the configuration allows

What callers saw: a body of 6 MiB that the configuration allows was refused with 413 by a smaller VM.

Cause: a smaller VM reads no configuration. Until it has one it applies the limit of its settings, whose default was 1 MiB.

Evidence, on the code before: vms::a_body_longer_than_a_message_between_vms failed with 413.

The VM that serves a request that was handed to it applies the limit of the configuration.

Why it works: the limit that decides is that of the VM which knows the configuration.

After: the case passes; a_body_of_another_vm_over_the_limit_is_refused shows the limit at the VM that serves. The tests of vms, limit and unheld pass.

--- a/crates/core/src/relay/system/intake.rs
+++ b/crates/core/src/relay/system/intake.rs
@@ -61,6 +61,12 @@
         let fault = Fault::not_run(Kind::NotReady, detail);
         return refuse(call, &caller_request, fault, Some(NOT_READY_RETRY_AFTER), cx);
     }
+    let (found, allowed) = (caller_request.message.body.len(), config.bounds.body);
+    if found > allowed {
+        // The VM that handed the request over may know no configuration.
+        let detail = format!("body: found {found} bytes, allowed are {allowed} bytes");
+        return refuse(call, &caller_request, Fault::not_run(Kind::TooLarge, detail), None, cx);
+    }
     let quarantine_left = suspect::quarantine_left(tables, &caller_request, cx);
     match config.find(&caller_request.host, &caller_request.path) {
         Some(_) if quarantine_left.is_some() => {
--- a/crates/core/tests/relay/unheld.rs
+++ b/crates/core/tests/relay/unheld.rs
@@ -1,5 +1,6 @@
 //! Requests and replies for which this VM has no room.
 
+use bytes::Bytes;
 use laburnum_core::{
     fault::{Kind, Ran},
     id::Origin,
@@ -99,5 +100,14 @@
         let Answer::Refused(refusal) = &harness.answers[&call] else { panic!() };
         assert_eq!((refusal.fault.kind, refusal.fault.ran), (Kind::TargetFailed, Ran::Unknown));
     };
-
+    // Guards against a body over the limit of the configuration that came through a VM which
+    // knows no configuration.
+    a_body_of_another_vm_over_the_limit_is_refused => {
+        let mut harness = Harness::with_route(single("desk"));
+        let allowed = harness.engine.tables().view.config.as_ref().unwrap().bounds.body;
+        let mut long = request("/fetch/1");
+        long.message.body = Bytes::from(vec![0; allowed + 1]);
+        harness.tick(vec![Event::Hop { from: name("small"), hop: request_of(long) }]);
+        assert_eq!(refusal_at_small(&harness), (Kind::TooLarge, Ran::No, false));
+    };
 }
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -185,7 +185,7 @@
     let callers = Callers {
         open_connections: section.count("open_connections", 512, 1..=1_000_000),
         header_limit_bytes: section.size("header_limit_bytes", 32 * KIB, KIB..=MIB),
-        body_limit_bytes: section.size("body_limit_bytes", MIB, KIB..=64 * MIB),
+        body_limit_bytes: section.size("body_limit_bytes", 16 * MIB, KIB..=64 * MIB),
         header_read_timeout: section.millis(
             "header_read_ms",
             DEFAULT_HEADER_READ_TIMEOUT,
--- a/tests/crowd/vms.rs
+++ b/tests/crowd/vms.rs
@@ -57,8 +57,20 @@
     assert_serves(&small).await;
 }
 
+async fn long_body() {
+    const LONGER: usize = 6 << 20;
+    let harness = deployment::start(LONGER).await;
+    let _large = deployment::relay(&harness, "large", 1.0).await;
+    let small = deployment::relay(&harness, "small", 0.1).await;
+    let mut request = head("POST", "/desk/1", PATIENCE, LONGER).into_bytes();
+    request.resize(request.len() + LONGER, b'x');
+    assert_eq!(caller::exchange(small.callers, &request).await.0, 200);
+    assert_serves(&small).await;
+}
+
 cases! {
     slow_readers_at_a_small_vm => alone(slow_readers);
     long_bodies_that_a_larger_vm_holds => alone(waiting_requests);
     an_answer_longer_than_a_message_between_vms => alone(long_answer);
+    a_body_longer_than_a_message_between_vms => alone(long_body);
 }
