--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -110,11 +110,11 @@
     }
 
     /// Returns whether the reply is a failure that may be passed on. A success without a
-    /// digest, or an interim status, is no reply of a target that works. A status that tells
-    /// the caller that the request was not run counts only in a refusal, which is not passed
-    /// on.
+    /// digest, an interim status, or one of no class of HTTP is no reply of a target that works.
+    /// A status that tells the caller that the request was not run counts only in a refusal,
+    /// which is not passed on.
     pub fn is_failure(&self) -> bool {
-        self.status >= 300 && !matches!(self.status, 408 | 421 | 429 | 503)
+        (300..600).contains(&self.status) && !matches!(self.status, 408 | 421 | 429 | 503)
     }
 }
 
--- a/crates/core/tests/relay/answers.rs
+++ b/crates/core/tests/relay/answers.rs
@@ -42,6 +42,21 @@
             }
         }
     };
+    // Guards against a status that is none in HTTP, which a target in trouble may send.
+    a_status_of_no_class_is_not_passed_on => {
+        for status in [0, 1, 99, 600, 999] {
+            for idempotent in [true, false] {
+                let mut harness = Harness::with_route(Route { idempotent, ..single("desk") });
+                let call = harness.submit(request("/fetch/1"));
+                for _ in 0..2 {
+                    for sent in harness.take_sent() {
+                        harness.reply(&sent, failure(status));
+                    }
+                }
+                assert_eq!(harness.refusal_status(call), 502, "{status}");
+            }
+        }
+    };
     a_client_error_is_not_retried => {
         let mut harness = Harness::with_route(single("desk"));
         let call = harness.submit(request("/fetch/1"));
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -21,4 +21,5 @@
 mod outage;
 mod path;
 mod settings;
+mod status;
 mod threads;
