Close no connection for a refusal, and share the raw target of two tests

Cause: a refusal takes a place in the table for a second. With all places of the process taken, an idle caller was closed for it, which helps nobody. Found by reading the change.

Change: a refusal takes a free place or none. The tests cut and status had the same target that answers with given bytes; it stands in raw.rs now.

Measured: no_connection_is_closed_for_a_refusal and the other cases of memory pass, as do status and cut. That the first failed before was not run.

--- a/crates/core/src/memory/system/admit.rs
+++ b/crates/core/src/memory/system/admit.rs
@@ -1,7 +1,7 @@
 //! Admits connections.
 
 use super::{Context, evict};
-use crate::memory::{Full, Holder, Port, Tables};
+use crate::memory::{Full, Holder, Party, Port, Tables};
 
 /// Admits a connection at a port that may have `max` of them and that takes `base` bytes
 /// by itself. If there is no room, the connection that is least worth keeping is closed for
@@ -18,6 +18,10 @@
     }
     let is_full = tables.connections() >= cx.limits.connections
         || tables.bases + base > cx.limits.connection_bytes();
+    if is_full && port.party == Party::Refused {
+        // No caller is closed to tell another one that it is refused.
+        return Err(Full);
+    }
     if is_full {
         evict::close_one(tables, None, cx).ok_or(Full)?;
     }
--- a/crates/core/tests/memory/admit.rs
+++ b/crates/core/tests/memory/admit.rs
@@ -93,6 +93,15 @@
         assert_eq!(memory.closing, [first]);
         assert_eq!(memory.open(Party::Vm, 100), Err(Full));
     };
+    no_connection_is_closed_for_a_refusal => {
+        let mut memory = Memory::new();
+        for _ in 0..LIMITS.connections {
+            memory.caller();
+        }
+        memory.pass(200);
+        assert_eq!(memory.open(Party::Refused, 64), Err(Full));
+        assert_eq!(memory.closing, []);
+    };
     the_bytes_of_connections_are_limited => {
         let mut memory = Memory::new();
         memory.tables.insert(laburnum_core::memory::Port { party: Party::Vm, thread: 1 },
--- a/tests/relay/cut.rs
+++ b/tests/relay/cut.rs
@@ -1,17 +1,14 @@
 //! Tests of targets that close in the middle of their replies.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use laburnum_platform::header as names;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-    time::sleep,
-};
+use tokio::time::sleep;
 
 use crate::{
     entry::config_with_service,
     harness::Harness,
+    raw,
     standin::entries::{self, CONFIG},
 };
 
@@ -29,31 +26,6 @@
     ]
 }
 
-/// Starts a target that answers each request with the first `count` parts and closes the
-/// connection.
-async fn start_target(count: usize) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        loop {
-            let (connection, _) = listener.accept().await.unwrap();
-            tokio::spawn(answer(connection, parts()[..count].concat()));
-        }
-    });
-    address
-}
-
-async fn answer(mut connection: TcpStream, text: String) {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        match connection.read_u8().await {
-            Ok(byte) => head.push(byte),
-            Err(_) => return,
-        }
-    }
-    connection.write_all(text.as_bytes()).await.unwrap();
-}
-
 cases! {
     async:
     // Guards against a 200 with an empty or short body that is framed as whole, after a target
@@ -61,7 +33,7 @@
     a_reply_that_is_cut_anywhere_is_no_success => {
         let harness = Harness::start().await;
         for count in 1..=parts().len() {
-            let entry = entries::target(SERVICE, start_target(count).await, 2, false);
+            let entry = entries::target(SERVICE, raw::start_target(parts()[..count].concat()).await, 2, false);
             harness.store.put(&entries::target_key(&format!("cutter-{count}")), &entry).await;
         }
         harness.store.put(CONFIG, &config_with_service(9, SERVICE)).await;
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -20,6 +20,7 @@
 mod notice;
 mod outage;
 mod path;
+mod raw;
 mod settings;
 mod status;
 mod threads;
--- a/tests/relay/status.rs
+++ b/tests/relay/status.rs
@@ -1,56 +1,30 @@
 //! Tests of targets whose replies have a status that HTTP does not know.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use laburnum_platform::header as names;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-    time::sleep,
-};
+use tokio::time::sleep;
 
 use crate::{
     entry::config_with_service,
     harness::Harness,
+    raw,
     standin::entries::{self, CONFIG},
 };
 
 const SERVICE: &str = "odd";
 
-/// Starts a target that answers each request with this status and a digest.
-async fn start_target(status: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        loop {
-            let (connection, _) = listener.accept().await.unwrap();
-            tokio::spawn(answer(connection, status));
-        }
-    });
-    address
-}
-
-async fn answer(mut connection: TcpStream, status: &str) {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        match connection.read_u8().await {
-            Ok(byte) => head.push(byte),
-            Err(_) => return,
-        }
-    }
+/// Returns a reply with this status and a digest.
+fn reply(status: &str) -> String {
     let (digest, id) = (names::DIGEST, names::ATTEMPT_ID);
-    let reply =
-        format!("HTTP/1.1 {status} Odd\r\n{digest}: s\r\n{id}: c1\r\nContent-Length: 2\r\n\r\nok");
-    // The relay may close the connection while it reads.
-    let _ = connection.write_all(reply.as_bytes()).await;
-    let _ = connection.read_u8().await;
+    format!("HTTP/1.1 {status} Odd\r\n{digest}: s\r\n{id}: c1\r\nContent-Length: 2\r\n\r\nok")
 }
 
 /// Asserts that a caller whose request is answered with this status gets a failure of the
 /// relay instead, without the digest.
-async fn is_not_passed_on(status: &'static str) {
+async fn is_not_passed_on(status: &str) {
     let harness = Harness::start().await;
-    let entry = entries::target(SERVICE, start_target(status).await, 2, false);
+    let entry = entries::target(SERVICE, raw::start_target(reply(status)).await, 2, false);
     harness.store.put(&entries::target_key("odd-1"), &entry).await;
     harness.store.put(CONFIG, &config_with_service(9, SERVICE)).await;
     let relay = harness.relay("vm-1", 1.0).await;
