Close a slow reader before a caller that sends its first request

Cause: among the connections with something under way, one that had no answer yet went first, and only then the slower one. A reader always had an answer, so a crowd of slow readers stayed at the cost of callers that sent their first request. Found by reading the change. Beside it an answer whose body could not be read would have been sent with an empty one.

Evidence: a_slow_reader_goes_before_a_faster_first_request failed before: the second connection was closed, not the first.

Change: the rate decides first. An answer that cannot be read is replaced by one that says that the request may have run; no test shows that, as no handler has such a body.

--- a/crates/core/src/memory/system/evict.rs
+++ b/crates/core/src/memory/system/evict.rs
@@ -13,10 +13,10 @@
     /// Whether nothing is under way. A request that arrives or an answer that is taken too
     /// slowly goes first, as it takes the most memory.
     is_idle: bool,
+    /// The rate of what is under way, in bytes a second.
+    rate: u64,
     /// Whether a request was answered on the connection.
     is_proven: bool,
-    /// The rate of the slower direction, in bytes a second.
-    rate: u64,
     /// Since when the connection is as it is.
     since: Instant,
 }
@@ -79,8 +79,8 @@
     }
     Some(Worth {
         is_idle: slower.is_none(),
-        is_proven: row.answered > 0,
         rate: slower.map_or(0, |transfer| transfer.rate(cx.now)),
+        is_proven: row.answered > 0,
         since,
     })
 }
--- a/crates/core/tests/memory/admit.rs
+++ b/crates/core/tests/memory/admit.rs
@@ -55,6 +55,19 @@
         memory.open(Party::Caller, 3).unwrap();
         assert_eq!(memory.closing, [slow, fast, idle]);
     };
+    // Guards against a slow reader that stays because it was answered, at the cost of a caller
+    // that sends its first request.
+    a_slow_reader_goes_before_a_faster_first_request => {
+        let mut memory = Memory::new();
+        let reader = memory.open(Party::Caller, 2).unwrap();
+        let sender = memory.open(Party::Caller, 2).unwrap();
+        memory.answer(reader, 100).unwrap();
+        memory.send(reader, 1);
+        memory.receive(sender, 1000);
+        memory.pass(200);
+        memory.open(Party::Caller, 2).unwrap();
+        assert_eq!(memory.closing, [reader]);
+    };
     a_connection_that_had_an_answer_goes_after_one_that_had_none => {
         let mut memory = Memory::new();
         let proven = memory.open(Party::Caller, 2).unwrap();
--- a/src/front/body.rs
+++ b/src/front/body.rs
@@ -99,16 +99,21 @@
         return response;
     }
     let (parts, body) = response.into_parts();
-    // The bodies of the handlers are in memory, and reading them cannot fail.
-    let bytes = body.into_bytes().await.unwrap_or_default();
+    let bytes = match body.into_bytes().await {
+        Ok(bytes) => bytes,
+        Err(error) => return lost_answer(error.to_string()),
+    };
     match hold.grow_to(bytes.len()) {
         Ok(()) => Response::from_parts(parts, Body::from_bytes(hold.keep(bytes))),
-        Err(full) => {
-            Refusal::from(Fault::unknown(Kind::Internal, full.to_string())).into_response()
-        }
+        Err(full) => lost_answer(full.to_string()),
     }
 }
 
+/// Makes the response to a request that may have run and whose answer cannot be sent.
+fn lost_answer(detail: String) -> Response {
+    Refusal::from(Fault::unknown(Kind::Internal, detail)).into_response()
+}
+
 /// Marks a response of whose body this many bytes count already.
 #[derive(Clone, Copy, Debug)]
 pub struct Counted(pub usize);
