Measure a reader from when the network takes no more at once

Cause: the buffers of the network take up to some megabytes of an answer at once. That counted as the rate of its reader, so a slow reader looked fast for a long time, both for the least rate and beside callers that steadily send or read. Found by reading the change.

Change: a reader is measured from the first write that has to wait.

Measured: a_reader_is_measured_from_when_the_network_takes_no_more passes; what it calls did not exist before, so it was not run without the change.

--- a/crates/core/src/memory/system/transfer.rs
+++ b/crates/core/src/memory/system/transfer.rs
@@ -31,6 +31,15 @@
     row.sending.get_or_insert(Transfer::new(now));
 }
 
+/// Records that the network takes no more of an answer at once. The reader is measured from
+/// here: what the network took before only filled its buffers.
+pub fn wait_for_reader(tables: &mut Tables, id: Holder, now: Instant) {
+    let sending = tables.rows.get_mut(&id).and_then(|row| row.sending.as_mut());
+    if let Some(transfer) = sending {
+        *transfer = Transfer::new(now);
+    }
+}
+
 /// Records that the other side took bytes of an answer.
 pub fn send(tables: &mut Tables, id: Holder, bytes: usize) {
     let sending = tables.rows.get_mut(&id).and_then(|row| row.sending.as_mut());
--- a/crates/core/tests/memory/harness.rs
+++ b/crates/core/tests/memory/harness.rs
@@ -75,6 +75,10 @@
         transfer::begin_answer(&mut self.tables, id, bytes, self.now);
     }
 
+    pub fn wait_for_reader(&mut self, id: Holder) {
+        transfer::wait_for_reader(&mut self.tables, id, self.now);
+    }
+
     pub fn send(&mut self, id: Holder, bytes: usize) {
         transfer::send(&mut self.tables, id, bytes);
     }
--- a/crates/core/tests/memory/hold.rs
+++ b/crates/core/tests/memory/hold.rs
@@ -34,6 +34,20 @@
         memory.answer(other, 300).unwrap();
         assert_eq!(memory.closing, [slower]);
     };
+    // Guards against slow readers that look fast, as buffers of the network took much at once.
+    a_reader_is_measured_from_when_the_network_takes_no_more => {
+        let mut memory = Memory::new();
+        let (slow, steady) = (memory.caller(), memory.caller());
+        for reader in [slow, steady] {
+            memory.answer(reader, 400).unwrap();
+            memory.send(reader, 300);
+        }
+        memory.wait_for_reader(slow);
+        memory.pass(200);
+        let other = memory.caller();
+        memory.answer(other, 300).unwrap();
+        assert_eq!(memory.closing, [slow]);
+    };
     a_request_that_does_not_arrive_is_closed_for_another => {
         let mut memory = Memory::new();
         let stuck = memory.caller();
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Records that the network takes no more of an answer at once.
+    pub fn wait_for_reader(&self) {
+        self.account.wait_for_reader();
+    }
+
     /// Records that the other side took bytes of an answer.
     pub fn send_bytes(&self, bytes: usize) {
         self.account.send(bytes);
--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -69,7 +69,8 @@
     }
 }
 
-/// The bytes on their way out since the last time that all were taken.
+/// The bytes that a caller takes since the network took no more at once. What it took before
+/// that fills buffers, and says nothing about the caller.
 struct Sending {
     since: Instant,
     /// When the caller last took any.
@@ -101,8 +102,10 @@
     head: Head,
     read_timer: Timer,
     write_timer: Timer,
-    /// The bytes that are on their way out, if there are any.
+    /// The bytes that wait for the caller, if the network took not all of them at once.
     sending: Option<Sending>,
+    /// Whether bytes were written that are not flushed.
+    has_written: bool,
     linger_timer: Timer,
     is_flushed: bool,
     is_refused: bool,
@@ -125,6 +128,7 @@
             read_timer: Timer::new(),
             write_timer: Timer::new(),
             sending: None,
+            has_written: false,
             linger_timer: Timer::new(),
             is_flushed: true,
             is_refused: false,
@@ -184,18 +188,27 @@
         polled: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
         self.is_flushed = false;
-        let sending = self.sending.get_or_insert_with(Sending::start);
+        self.has_written = true;
         if let Poll::Ready(written) = polled {
-            let taken = *written.as_ref().unwrap_or(&0);
-            sending.taken += taken;
-            sending.last = Instant::now();
-            self.connection.send_bytes(taken);
+            self.record_taken(*written.as_ref().unwrap_or(&0));
             return Poll::Ready(written);
         }
+        if self.sending.is_none() {
+            self.connection.wait_for_reader();
+        }
+        let sending = self.sending.get_or_insert_with(Sending::start);
         ready!(self.write_timer.poll_until(cx, sending.deadline(&self.limits)));
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// Records that a caller who did not take all at once has taken bytes.
+    fn record_taken(&mut self, bytes: usize) {
+        let Some(sending) = &mut self.sending else { return };
+        sending.taken += bytes;
+        sending.last = Instant::now();
+        self.connection.send_bytes(bytes);
+    }
+
     /// Answers in place of the HTTP library, which has not seen a whole head.
     fn refuse(&mut self, cx: &mut Context<'_>, fault: Fault) {
         self.is_refused = true;
@@ -280,7 +293,8 @@
         let stream = self.get_mut();
         ready!(Pin::new(&mut stream.socket).poll_flush(cx))?;
         stream.is_flushed = true;
-        if stream.sending.take().is_some() {
+        stream.sending = None;
+        if std::mem::take(&mut stream.has_written) {
             stream.connection.finish_sending();
         }
         Poll::Ready(Ok(()))
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -186,6 +186,12 @@
         transfer::begin_answer(&mut self.ledger.lock().tables, self.id, lent, now);
     }
 
+    /// Records that the network takes no more of an answer at once.
+    pub fn wait_for_reader(&self) {
+        let now = self.ledger.0.clock.now();
+        transfer::wait_for_reader(&mut self.ledger.lock().tables, self.id, now);
+    }
+
     /// Records that the other side took bytes of an answer.
     pub fn send(&self, bytes: usize) {
         transfer::send(&mut self.ledger.lock().tables, self.id, bytes);
