Let the test of many connections open them on any machine

Cause: the case opens 3,000 connections itself, for which the usual 1,024 descriptors of a process do not suffice.

Change: it raises its own limit, after the process under test was started.

--- a/tests/crowd/caller.rs
+++ b/tests/crowd/caller.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use laburnum_platform::header::{ATTEMPT_ID, DEADLINE_MS};
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
@@ -37,6 +38,12 @@
     socket
 }
 
+/// Lets the test itself open as many connections as the system allows.
+pub fn raise_descriptor_limit() {
+    let limit = getrlimit(Resource::Nofile);
+    setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, ..limit }).unwrap();
+}
+
 /// Connects a number of callers, each of which sends the same bytes, at the same time.
 pub async fn crowd(address: SocketAddr, count: usize, bytes: &[u8]) -> Vec<TcpStream> {
     let sending: Vec<JoinHandle<TcpStream>> = (0..count)
--- a/tests/crowd/product.rs
+++ b/tests/crowd/product.rs
@@ -175,6 +175,7 @@
 /// More connections than the machine has descriptors for.
 async fn descriptors() {
     let deployment = Deployment::start("[callers]\nidle_ms = 600000\n").await;
+    caller::raise_descriptor_limit();
     let _callers = crowd(deployment.endpoints.callers, 3000, b"").await;
     settle().await;
     deployment.assert_serves().await;
