--- a/crates/core/tests/relay/merge.rs
+++ b/crates/core/tests/relay/merge.rs
@@ -27,6 +27,16 @@
     fewer_records_than_asked_are_all_given => {
         assert_eq!(merged(&[record(3).to_vec(), Vec::new()], 50), record(3).to_vec());
     };
+    // Guards against records that are dropped too early when parts have many.
+    the_greatest_of_many_records_are_found_wherever_they_stand => {
+        let number = |n: u32| [[0; RECORD_BYTES - 4].as_slice(), &n.to_be_bytes()].concat();
+        let up: Vec<u8> = (0..10_000).flat_map(number).collect();
+        let down: Vec<u8> = (0..10_000).rev().flat_map(number).collect();
+        for top in [1, 7, 700, 5000] {
+            let expected: Vec<u8> = (0..10_000).rev().flat_map(|n| [n, n]).take(top).flat_map(number).collect();
+            assert_eq!(merged(&[up.clone(), down.clone()], top), expected, "{top}");
+        }
+    };
     no_record_is_asked_for => {
         assert_eq!(merged(&[record(3).to_vec()], 0), Vec::<u8>::new());
     };
