Let the soak send SIGHUP only to a process that handles it

A signal kills a process that does not handle it yet. The restart waits for that already, the reload did not.

Change: the reload waits as the restart does. No check, bound or plan is changed.

--- a/tests/soak/relay.rs
+++ b/tests/soak/relay.rs
@@ -112,8 +112,7 @@
     /// Requests an orderly shutdown (SIGTERM), waits until the process exits and launches
     /// it again.
     pub async fn restart(&mut self) {
-        // The signal kills a process that does not handle it yet.
-        sleep(STARTUP_PERIOD.saturating_sub(self.launched_at.elapsed())).await;
+        self.wait_started().await;
         let from = Instant::now();
         self.signal(Signal::TERM);
         let limit = Duration::from_millis(SHUTDOWN_LIMIT_MS) + Duration::from_secs(1);
@@ -127,8 +126,15 @@
         self.ledger.record_disturbance(Subject::Leaving(self.number), from, to + SETTLE_PERIOD);
     }
 
+    /// Waits until a process that was just launched handles signals; one that does not yet is
+    /// killed by them.
+    async fn wait_started(&self) {
+        sleep(STARTUP_PERIOD.saturating_sub(self.launched_at.elapsed())).await;
+    }
+
     /// Makes the process read its settings again (SIGHUP).
-    pub fn reload(&self) {
+    pub async fn reload(&self) {
+        self.wait_started().await;
         self.signal(Signal::HUP);
     }
 
--- a/tests/soak/runner.rs
+++ b/tests/soak/runner.rs
@@ -143,7 +143,7 @@
         Fault::Kill { relay, down } => deployment.relays[relay].lock().await.kill(down).await,
         Fault::Freeze { relay, span } => deployment.relays[relay].lock().await.freeze(span).await,
         Fault::Restart { relay } => deployment.relays[relay].lock().await.restart().await,
-        Fault::Reload { relay } => deployment.relays[relay].lock().await.reload(),
+        Fault::Reload { relay } => deployment.relays[relay].lock().await.reload().await,
         Fault::Down { target, span } => {
             deployment.endpoints[target].lock().await.target.set_down(true);
             sleep(span).await;
