Let the core say when a reader is too slow, and name things by their use

Cause, found by reading the change: the stream of a caller kept what it sent and when in a copy of the row in the table, and combined two time limits itself. The memory of a VM was called that of a machine, the word of the platform. "lent" bytes needed explaining. One limit had no name. A test started a process only to fill a field.

Change: the table has the one copy, and a transfer says its deadline. `memory.machine_mb` is `memory.vm_mb`, `lent` is `attributed`, the age before a connection is closed is EVICTION_GRACE. The target of the crowd's `entry` is launched by the code that launches the others.

--- a/crates/core/src/memory/limits.rs
+++ b/crates/core/src/memory/limits.rs
@@ -2,17 +2,21 @@
 
 use std::time::Duration;
 
-/// The part of a machine's memory that is held for others, as a divisor. The rest is for
+/// The part of a VM's memory that is held for others, as a divisor. The rest is for
 /// the program, what the allocator cannot reuse, and copies that exist for a moment.
 const MEMORY_DIVISOR: usize = 3;
 
-/// The memory of the smallest machine that is supported without settings, in bytes.
-pub const DEFAULT_MACHINE_BYTES: usize = 112_000_000;
+/// The memory of the smallest VM that is supported without settings, in bytes.
+pub const DEFAULT_VM_BYTES: usize = 112_000_000;
 
 /// The part of the descriptors that connections of others may take, as a divisor. The rest
 /// is for connections to targets, other VMs and the store.
 const DESCRIPTOR_DIVISOR: usize = 2;
 
+/// The age before which a transfer or an idle connection is not closed to make room, as its
+/// rate says nothing yet.
+const EVICTION_GRACE: Duration = Duration::from_millis(250);
+
 /// The limits on what a process holds for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -25,13 +29,13 @@
 }
 
 impl Limits {
-    /// Returns the limits for a machine with this memory in bytes, and for a process with
+    /// Returns the limits for a VM with this memory in bytes, and for a process with
     /// this number of descriptors.
-    pub fn new(machine_bytes: usize, descriptors: usize) -> Limits {
+    pub fn new(vm_bytes: usize, descriptors: usize) -> Limits {
         Limits {
-            bytes: machine_bytes / MEMORY_DIVISOR,
+            bytes: vm_bytes / MEMORY_DIVISOR,
             connections: (descriptors / DESCRIPTOR_DIVISOR).max(1),
-            grace: Duration::from_millis(250),
+            grace: EVICTION_GRACE,
         }
     }
 
@@ -54,6 +58,6 @@
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits::new(DEFAULT_MACHINE_BYTES, usize::MAX)
+        Limits::new(DEFAULT_VM_BYTES, usize::MAX)
     }
 }
--- a/crates/core/src/memory/table.rs
+++ b/crates/core/src/memory/table.rs
@@ -1,6 +1,6 @@
 //! The connections of others, and the bytes that are held for them.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use super::Purpose;
 use crate::time::Instant;
@@ -50,6 +50,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Transfer {
     pub since: Instant,
+    /// When bytes moved last.
+    pub last: Instant,
     /// The bytes that have moved so far.
     pub moved: usize,
 }
@@ -57,7 +59,22 @@
 impl Transfer {
     /// Starts a transfer.
     pub fn new(now: Instant) -> Transfer {
-        Transfer { since: now, moved: 0 }
+        Transfer { since: now, last: now, moved: 0 }
+    }
+
+    /// Records that bytes moved.
+    pub fn advance(&mut self, bytes: usize, now: Instant) {
+        self.moved += bytes;
+        self.last = now;
+    }
+
+    /// Returns when the other side is too slow: nothing has moved for `patience`, or the
+    /// average since then is below `min_rate` in bytes a second. A byte now and then buys next
+    /// to no time.
+    pub fn deadline(&self, patience: Duration, min_rate: usize) -> Instant {
+        let micros = (self.moved as u64).saturating_mul(1_000_000) / min_rate.max(1) as u64;
+        let allowed = patience.saturating_add(Duration::from_micros(micros));
+        (self.last + patience).min(self.since + allowed)
     }
 
     /// Returns the average rate in bytes a second.
@@ -76,7 +93,7 @@
     /// The further bytes that are held for it.
     pub bytes: usize,
     /// The bytes of its answers that count without it, but are dropped with it.
-    pub lent: usize,
+    pub attributed: usize,
     /// Since when nothing is under way, or when the connection was opened.
     pub idle_since: Instant,
     /// The request that is arriving.
@@ -94,7 +111,7 @@
 impl Row {
     /// Returns the bytes that are dropped with the connection.
     pub fn total(&self) -> usize {
-        self.bytes + self.lent
+        self.bytes + self.attributed
     }
 }
 
@@ -142,7 +159,7 @@
             port,
             base,
             bytes: 0,
-            lent: 0,
+            attributed: 0,
             idle_since: now,
             receiving: None,
             is_working: false,
@@ -165,20 +182,20 @@
     }
 
     /// Records that bytes which count already are dropped with a connection.
-    pub fn lend(&mut self, id: Holder, bytes: usize) {
+    pub fn attribute(&mut self, id: Holder, bytes: usize) {
         let Some(row) = self.rows.get_mut(&id) else { return };
-        row.lent += bytes;
+        row.attributed += bytes;
         if row.is_closing {
             self.closing += bytes;
         }
     }
 
-    /// Records that a connection has let go of all that was lent to it.
-    pub fn take_back(&mut self, id: Holder) {
+    /// Records that a connection has let go of all that was attributed to it.
+    pub fn clear_attributed(&mut self, id: Holder) {
         let Some(row) = self.rows.get_mut(&id) else { return };
-        let lent = std::mem::take(&mut row.lent);
+        let attributed = std::mem::take(&mut row.attributed);
         if row.is_closing {
-            self.closing = self.closing.saturating_sub(lent);
+            self.closing = self.closing.saturating_sub(attributed);
         }
     }
 
--- a/crates/core/tests/memory/harness.rs
+++ b/crates/core/tests/memory/harness.rs
@@ -71,7 +71,7 @@
     }
 
     /// Answers a request with `bytes` that count already.
-    pub fn answer_lent(&mut self, id: Holder, bytes: usize) {
+    pub fn answer_attributed(&mut self, id: Holder, bytes: usize) {
         transfer::begin_answer(&mut self.tables, id, bytes, self.now);
     }
 
@@ -80,7 +80,7 @@
     }
 
     pub fn send(&mut self, id: Holder, bytes: usize) {
-        transfer::send(&mut self.tables, id, bytes);
+        transfer::send(&mut self.tables, id, bytes, self.now);
     }
 
     pub fn finish(&mut self, id: Holder) {
--- a/crates/core/tests/memory/hold.rs
+++ b/crates/core/tests/memory/hold.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use laburnum_core::memory::{Full, Purpose, system::transfer::allowed_time};
+use laburnum_core::{
+    memory::{Full, Purpose, Transfer},
+    time::Instant,
+};
 
 use crate::harness::{LIMITS, Memory};
 
@@ -119,7 +122,7 @@
         let mut memory = Memory::new();
         memory.tables.add(None, Purpose::Answer, 900);
         let reader = memory.caller();
-        memory.answer_lent(reader, 900);
+        memory.answer_attributed(reader, 900);
         memory.pass(200);
         let other = memory.caller();
         memory.answer(other, 300).unwrap();
@@ -131,18 +134,34 @@
     a_reply_that_was_read_is_not_counted_for_its_reader => {
         let mut memory = Memory::new();
         let reader = memory.caller();
-        memory.answer_lent(reader, 900);
+        memory.answer_attributed(reader, 900);
         memory.finish(reader);
         assert_eq!(memory.tables.rows[&reader].total(), 0);
     };
     // Guards against a reader that takes a byte now and then.
     a_byte_now_and_then_gives_a_reader_no_more_time => {
-        let (bytes, rate) = (100, 4096);
-        let allowed = allowed_time(bytes, PATIENCE, rate);
+        let start = Instant(1_000);
+        let mut reader = Transfer::new(start);
+        for second in 1..=100 {
+            reader.advance(1, start + Duration::from_secs(second));
+        }
+        let allowed = reader.deadline(PATIENCE, 4096).since(start);
         assert!(allowed < PATIENCE + Duration::from_millis(25), "{allowed:?}");
     };
     a_reader_that_keeps_the_rate_has_the_time_for_a_long_answer => {
-        let (bytes, rate) = (8 << 20, 4096);
-        assert_eq!(allowed_time(bytes, PATIENCE, rate), PATIENCE + Duration::from_secs(2048));
+        let start = Instant(1_000);
+        let mut reader = Transfer::new(start);
+        for second in 1..=2048 {
+            reader.advance(4096, start + Duration::from_secs(second));
+        }
+        let deadline = reader.deadline(PATIENCE, 4096).since(start);
+        assert_eq!(deadline, PATIENCE + Duration::from_secs(2048));
+    };
+    a_reader_that_took_much_has_no_more_patience_for_the_rest => {
+        let start = Instant(1_000);
+        let mut reader = Transfer::new(start);
+        reader.advance(8 << 20, start + Duration::from_secs(1));
+        let deadline = reader.deadline(PATIENCE, 4096).since(start);
+        assert_eq!(deadline, PATIENCE + Duration::from_secs(1));
     };
 }
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -7,10 +7,12 @@
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
     task::Waker,
+    time::Duration,
 };
 
 use laburnum_core::memory::{Full, Purpose};
 
+use super::limit::Limits;
 use crate::memory::{Account, Hold};
 
 /// What the next bytes of a connection belong to.
@@ -96,6 +98,11 @@
         self.account.wait_for_reader();
     }
 
+    /// Returns how long the caller may still take to read.
+    pub fn reader_time_left(&self, limits: &Limits) -> Duration {
+        self.account.reader_time_left(limits.idle_timeout, limits.min_rate)
+    }
+
     /// Records that the other side took bytes of an answer.
     pub fn send_bytes(&self, bytes: usize) {
         self.account.send(bytes);
@@ -116,10 +123,10 @@
         self.account.begin_work()
     }
 
-    /// Records that a request was read whole and has been answered. Of the answer `lent`
+    /// Records that a request was read whole and has been answered. Of the answer `attributed`
     /// bytes count already.
-    pub fn finish_request(&self, lent: usize) {
-        self.account.begin_answer(lent);
+    pub fn finish_request(&self, attributed: usize) {
+        self.account.begin_answer(attributed);
         let mut inner = self.lock();
         inner.state.phase = Phase::Waiting;
         inner.state.answered += 1;
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -80,8 +80,9 @@
             Err(full) => body::no_room(full).into_response(),
         };
         let response = body::hold_answer(response, connection.hold(Purpose::Answer)).await;
-        let lent = response.extensions().get::<body::Counted>().map_or(0, |counted| counted.0);
-        connection.finish_request(lent);
+        let attributed =
+            response.extensions().get::<body::Counted>().map_or(0, |counted| counted.0);
+        connection.finish_request(attributed);
         if *self.ready.borrow() { response } else { close_after(response) }
     }
 
--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -15,10 +15,7 @@
     time::Duration,
 };
 
-use laburnum_core::{
-    fault::{Fault, Kind},
-    memory::system::transfer,
-};
+use laburnum_core::fault::{Fault, Kind};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -60,39 +57,13 @@
         self.sleep.as_mut().poll(cx)
     }
 
-    /// Waits until a point in time.
-    fn poll_until(&mut self, cx: &mut Context<'_>, at: Instant) -> Poll<()> {
-        if self.sleep.deadline() != at {
-            self.sleep.as_mut().reset(at);
-        }
+    /// Waits for a span from now.
+    fn poll_within(&mut self, cx: &mut Context<'_>, span: Duration) -> Poll<()> {
+        self.sleep.as_mut().reset(Instant::now() + span);
         self.sleep.as_mut().poll(cx)
     }
 }
 
-/// The bytes that a caller takes since the network took no more at once. What it took before
-/// that fills buffers, and says nothing about the caller.
-struct Sending {
-    since: Instant,
-    /// When the caller last took any.
-    last: Instant,
-    taken: usize,
-}
-
-impl Sending {
-    fn start() -> Sending {
-        let now = Instant::now();
-        Sending { since: now, last: now, taken: 0 }
-    }
-
-    /// Returns when the caller is too slow: it takes nothing for the idle time, or is
-    /// slower on average than the least rate.
-    fn deadline(&self, limits: &Limits) -> Instant {
-        let patience = limits.idle_timeout;
-        let allowed = transfer::allowed_time(self.taken, patience, limits.min_rate);
-        (self.last + patience).min(self.since + allowed)
-    }
-}
-
 /// The byte stream of one caller.
 pub struct Stream {
     socket: TcpStream,
@@ -102,8 +73,8 @@
     head: Head,
     read_timer: Timer,
     write_timer: Timer,
-    /// The bytes that wait for the caller, if the network took not all of them at once.
-    sending: Option<Sending>,
+    /// Whether bytes wait for the caller, as the network took not all of them at once.
+    is_waiting: bool,
     /// Whether bytes were written that are not flushed.
     has_written: bool,
     linger_timer: Timer,
@@ -127,7 +98,7 @@
             head: Head::default(),
             read_timer: Timer::new(),
             write_timer: Timer::new(),
-            sending: None,
+            is_waiting: false,
             has_written: false,
             linger_timer: Timer::new(),
             is_flushed: true,
@@ -190,25 +161,19 @@
         self.is_flushed = false;
         self.has_written = true;
         if let Poll::Ready(written) = polled {
-            self.record_taken(*written.as_ref().unwrap_or(&0));
+            if self.is_waiting {
+                self.connection.send_bytes(*written.as_ref().unwrap_or(&0));
+            }
             return Poll::Ready(written);
         }
-        if self.sending.is_none() {
+        if !std::mem::replace(&mut self.is_waiting, true) {
             self.connection.wait_for_reader();
         }
-        let sending = self.sending.get_or_insert_with(Sending::start);
-        ready!(self.write_timer.poll_until(cx, sending.deadline(&self.limits)));
+        let left = self.connection.reader_time_left(&self.limits);
+        ready!(self.write_timer.poll_within(cx, left));
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
-    /// Records that a caller who did not take all at once has taken bytes.
-    fn record_taken(&mut self, bytes: usize) {
-        let Some(sending) = &mut self.sending else { return };
-        sending.taken += bytes;
-        sending.last = Instant::now();
-        self.connection.send_bytes(bytes);
-    }
-
     /// Answers in place of the HTTP library, which has not seen a whole head.
     fn refuse(&mut self, cx: &mut Context<'_>, fault: Fault) {
         self.is_refused = true;
@@ -293,7 +258,7 @@
         let stream = self.get_mut();
         ready!(Pin::new(&mut stream.socket).poll_flush(cx))?;
         stream.is_flushed = true;
-        stream.sending = None;
+        stream.is_waiting = false;
         if std::mem::take(&mut stream.has_written) {
             stream.connection.finish_sending();
         }
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -8,6 +8,7 @@
     collections::BTreeMap,
     fmt,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -180,10 +181,10 @@
         self.ledger.run(&mut state, |tables, cx| hold::begin_work(tables, self.id, cx))
     }
 
-    /// Records that the answer to a request begins, of which `lent` bytes count already.
-    pub fn begin_answer(&self, lent: usize) {
+    /// Records that the answer to a request begins, of which `attributed` bytes count already.
+    pub fn begin_answer(&self, attributed: usize) {
         let now = self.ledger.0.clock.now();
-        transfer::begin_answer(&mut self.ledger.lock().tables, self.id, lent, now);
+        transfer::begin_answer(&mut self.ledger.lock().tables, self.id, attributed, now);
     }
 
     /// Records that the network takes no more of an answer at once.
@@ -194,7 +195,17 @@
 
     /// Records that the other side took bytes of an answer.
     pub fn send(&self, bytes: usize) {
-        transfer::send(&mut self.ledger.lock().tables, self.id, bytes);
+        let now = self.ledger.0.clock.now();
+        transfer::send(&mut self.ledger.lock().tables, self.id, bytes, now);
+    }
+
+    /// Returns how long the other side may still take to read; see
+    /// [`laburnum_core::memory::Transfer::deadline`].
+    pub fn reader_time_left(&self, patience: Duration, min_rate: usize) -> Duration {
+        let now = self.ledger.0.clock.now();
+        let state = self.ledger.lock();
+        let sending = state.tables.rows.get(&self.id).and_then(|row| row.sending);
+        sending.map_or(patience, |transfer| transfer.deadline(patience, min_rate).remaining(now))
     }
 
     /// Records that the other side took the whole answer.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -123,7 +123,7 @@
     let (stop, stop_receiver) = watch::channel(false);
     let metrics = Arc::new(Metrics::new());
     let observer = Observer { writer: writer.clone(), metrics: Arc::clone(&metrics) };
-    let held = memory::Limits::new(settings.memory.machine_bytes(), descriptors());
+    let held = memory::Limits::new(settings.memory.vm_bytes(), descriptors());
     let ledger = Ledger::new(held, clock, Some(observer));
     let settings = Arc::new(settings);
     let (latest, latest_receiver) = watch::channel(Arc::clone(&settings));
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -124,7 +124,7 @@
     let clock = System::start();
     let metrics = Arc::new(Metrics::new());
     let observer = Observer { writer: writer.clone(), metrics: Arc::clone(&metrics) };
-    let held = memory::Limits::new(settings.memory.machine_bytes(), descriptors());
+    let held = memory::Limits::new(settings.memory.vm_bytes(), descriptors());
     let ledger = Ledger::new(held, clock, Some(observer));
     let shared = Shared {
         row: view_row(&settings),
--- a/tests/crowd/product.rs
+++ b/tests/crowd/product.rs
@@ -1,6 +1,6 @@
 //! Crowds of callers and operators of an entry VM.
 
-use std::{fs, net::SocketAddr, time::Duration};
+use std::{fs, net::SocketAddr, path::Path, slice, time::Duration};
 
 use laburnumworks::local::{Caller, DEMO_INDEX, Endpoints, OPERATOR_TOKEN};
 use serde_json::json;
@@ -12,7 +12,7 @@
     caller::{self, crowd, plain_head, read_slowly, send_slowly},
     child::Child,
     part::{Plan, Platform, Target, Vm},
-    port, process,
+    process,
 };
 
 /// The longest body that the settings of the cases allow, in bytes.
@@ -32,7 +32,7 @@
     endpoints: Endpoints,
     vm: Child,
     _platform: Platform,
-    _target: Child,
+    _target: Target,
     _folder: TempDir,
 }
 
@@ -42,8 +42,9 @@
         let folder = TempDir::new().unwrap();
         let plan = Plan { vms: 1, started: 1, shards: 1, replicas: 1, threads: 1 };
         let vm = Vm::new(1, plan.threads);
-        let (target, row) = start_target(folder.path());
-        let platform = Platform::start(folder.path(), std::slice::from_ref(&vm), &[row]);
+        let target = launch_target(folder.path());
+        let platform =
+            Platform::start(folder.path(), slice::from_ref(&vm), slice::from_ref(&target));
         let endpoints = vm.endpoints;
         let text = format!("{}{settings}", endpoints.settings(platform.address));
         fs::write(folder.path().join("vm.toml"), text).unwrap();
@@ -84,26 +85,11 @@
     }
 }
 
-/// Starts a target with [`ROWS`] rows and returns it with its row of the platform's list.
-fn start_target(folder: &std::path::Path) -> (Child, Target) {
-    let (address, admin) = (port::unused_address(), port::unused_address());
-    fs::write(folder.join("target.toml"), format!("rows = {ROWS}\nqueue = 1000\n")).unwrap();
-    let (listen, admin_text) = (address.to_string(), admin.to_string());
-    let arguments = [
-        "stand-in",
-        "target",
-        "--listen",
-        &listen,
-        "--admin",
-        &admin_text,
-        "--settings",
-        "target.toml",
-    ];
-    let child = Child::start(folder, "target", &arguments);
-    let listed = json!({"name": "target", "index": DEMO_INDEX, "shard": "shard-0",
-        "domain": "domain-1", "address": address, "slots": 2, "connections": 55, "state": "live"});
-    let unused = Child::start(folder, "unused", &["--help"]);
-    (child, Target { name: "target".to_owned(), admin, child: unused, listed })
+/// Launches a target with [`ROWS`] rows.
+fn launch_target(folder: &Path) -> Target {
+    let settings = format!("rows = {ROWS}\nqueue = 1000\n");
+    let place = json!({"shard": "shard-0", "domain": "domain-1"});
+    Target::launch(folder, "target", &settings, &place)
 }
 
 fn search(text: &str) -> String {
--- a/tests/process/part.rs
+++ b/tests/process/part.rs
@@ -129,11 +129,20 @@
 
     fn start(folder: &Path, plan: &Plan, shard: u32, replica: u32) -> Target {
         let name = format!("target-{shard}-{replica}");
-        let (address, admin) = (port::unused_address(), port::unused_address());
         let noise = shard * plan.replicas + replica;
         let shards = plan.shards;
-        let file = format!("{name}.toml");
         let settings = format!("shard = {shard}\nshards = {shards}\nnoise = {noise}\n");
+        let place = json!({
+            "shard": format!("shard-{shard}"),
+            "domain": format!("domain-{}", replica + 1),
+        });
+        Target::launch(folder, &name, &settings, &place)
+    }
+
+    /// Launches a target with these settings, and lists it with its shard and domain.
+    pub fn launch(folder: &Path, name: &str, settings: &str, place: &Value) -> Target {
+        let (address, admin) = (port::unused_address(), port::unused_address());
+        let file = format!("{name}.toml");
         fs::write(folder.join(&file), settings).unwrap();
         let (listen, admin_text) = (address.to_string(), admin.to_string());
         let arguments = [
@@ -146,18 +155,17 @@
             "--settings",
             &file,
         ];
-        let child = Child::start(folder, &name, &arguments);
-        let listed = json!({
+        let child = Child::start(folder, name, &arguments);
+        let mut listed = json!({
             "name": name,
             "index": DEMO_INDEX,
-            "shard": format!("shard-{shard}"),
-            "domain": format!("domain-{}", replica + 1),
             "address": address,
             "slots": 2,
             "connections": 55,
             "state": "live",
         });
-        Target { name, admin, child, listed }
+        listed.as_object_mut().unwrap().extend(place.as_object().unwrap().clone());
+        Target { name: name.to_owned(), admin, child, listed }
     }
 
     /// The row of this target in the platform's list, as TOML.
--- a/tests/product/limits.rs
+++ b/tests/product/limits.rs
@@ -73,7 +73,7 @@
     ("membership.stale_after_ms", "7", Part::Control),
     ("membership.unready_after_ms", "7000", Part::Control),
     ("membership.seeds", "[{ name = \"c\", control = \"127.0.0.1:17\" }]", Part::Seeds),
-    ("memory.machine_mb", "70", Part::Memory),
+    ("memory.vm_mb", "70", Part::Memory),
     ("claims.window_ms", "70000", Part::Claims),
     ("claims.value_limit_bytes", "\"128 KiB\"", Part::Claims),
     ("claims.future_ms", "7", Part::Claims),
--- a/tests/relay/settings.rs
+++ b/tests/relay/settings.rs
@@ -45,7 +45,7 @@
         let source = Source { file: Path::new("relay.toml"), text: &text };
         let settings = Settings::try_from(source).unwrap();
         assert_eq!(settings.vm.millicores, 170);
-        assert_eq!(settings.memory.machine_mb, 182);
+        assert_eq!(settings.memory.vm_mb, 182);
         assert_eq!(settings.listen.peers.to_string(), "10.1.0.9:7380");
         assert_eq!(settings.retry.window.as_secs(), 10);
     };
