Keep one flag of whether a stream has written what is not flushed

Cause, found by reading the change: the stream had two flags, one the opposite of the other.

Change: the older one serves both uses.

Measured: the 131 cases of fronts and seven of crowd (slow readers, those that never read, the single request in calm) pass.

--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -75,8 +75,6 @@
     write_timer: Timer,
     /// Whether bytes wait for the caller, as the network took not all of them at once.
     is_waiting: bool,
-    /// Whether bytes were written that are not flushed.
-    has_written: bool,
     linger_timer: Timer,
     is_flushed: bool,
     is_refused: bool,
@@ -99,7 +97,6 @@
             read_timer: Timer::new(),
             write_timer: Timer::new(),
             is_waiting: false,
-            has_written: false,
             linger_timer: Timer::new(),
             is_flushed: true,
             is_refused: false,
@@ -159,7 +156,6 @@
         polled: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
         self.is_flushed = false;
-        self.has_written = true;
         if let Poll::Ready(written) = polled {
             if self.is_waiting {
                 self.connection.send_bytes(*written.as_ref().unwrap_or(&0));
@@ -257,9 +253,8 @@
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let stream = self.get_mut();
         ready!(Pin::new(&mut stream.socket).poll_flush(cx))?;
-        stream.is_flushed = true;
         stream.is_waiting = false;
-        if std::mem::take(&mut stream.has_written) {
+        if !std::mem::replace(&mut stream.is_flushed, true) {
             stream.connection.finish_sending();
         }
         Poll::Ready(Ok(()))
