--- a/crates/core/src/border.rs
+++ b/crates/core/src/border.rs
@@ -17,7 +17,7 @@
 
 /// The client of the platform's key-value service and of its list.
 pub trait Platform {
-    /// Starts a call; its [`crate::store::Reply`] is reported under `id`.
+    /// Starts a call; its [`crate::store::Outcome`] is reported under `id`.
     fn call(&mut self, id: CallId, call: Call);
 }
 
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -8,7 +8,7 @@
     log::Line,
     name::Name,
     notice::{Notice, Report},
-    store::{Call, CallId, Reply},
+    store::{Call, CallId, Outcome},
 };
 
 /// An input of the control thread.
@@ -19,7 +19,7 @@
     /// The control thread of another VM sent a message.
     Message(Message),
     /// The platform's service answered a call.
-    Reply { call: CallId, reply: Reply },
+    Store(Outcome),
     /// An operator sent a request.
     Request { id: RequestId, request: Request },
     /// The process was asked to shut down.
--- a/crates/core/src/control/system/call.rs
+++ b/crates/core/src/control/system/call.rs
@@ -13,7 +13,7 @@
         },
     },
     log::{Event, Line},
-    store::{Call, CallId, Entry, Reply},
+    store::{Call, CallId, Entry, Outcome, Reply},
 };
 
 /// Counts calls as lost whose reply did not arrive in time.
@@ -22,7 +22,8 @@
     let due: Vec<CallId> =
         rows.iter().filter(|(_, row)| row.until <= cx.now).map(|(&id, _)| id).collect();
     for id in due {
-        handle(tables, cx, id, Reply::Lost { detail: "no reply in time".to_owned() });
+        let reply = Reply::Lost { detail: "no reply in time".to_owned() };
+        handle(tables, cx, Outcome { id, era: None, reply });
     }
 }
 
@@ -45,7 +46,8 @@
 
 /// Passes the reply to a call on to the system that made it. A reply to a call
 /// that is no longer in the table is ignored.
-pub fn handle(tables: &mut Tables, cx: &mut Context<'_>, id: CallId, reply: Reply) {
+pub fn handle(tables: &mut Tables, cx: &mut Context<'_>, outcome: Outcome) {
+    let Outcome { id, reply, .. } = outcome;
     let Some(reply) = claims::intercept(tables, id, reply) else { return };
     let Some(row) = tables.calls.rows.remove(&id) else { return };
     track_availability(tables, cx, &reply);
--- a/crates/core/src/control/system/intake.rs
+++ b/crates/core/src/control/system/intake.rs
@@ -16,7 +16,7 @@
         match event {
             Event::Report { thread, report } => report::handle(tables, cx, thread, report),
             Event::Message(message) => handle_message(tables, cx, message),
-            Event::Reply { call, reply } => call::handle(tables, cx, call, reply),
+            Event::Store(outcome) => call::handle(tables, cx, outcome),
             Event::Request { id, request } => request::handle(tables, cx, id, request),
             Event::Leave => leave(tables, cx),
         }
--- a/crates/core/src/control/system/profiles.rs
+++ b/crates/core/src/control/system/profiles.rs
@@ -22,10 +22,10 @@
 /// Handles the reply to a read or watch that was started at `made`.
 pub fn handle_reply(tables: &mut Tables, cx: &mut Context<'_>, made: Instant, reply: Reply) {
     tables.profiles.call = None;
-    let (entry, change) = match reply {
-        Reply::Value { entry, change } => (entry, change),
-        Reply::Changed { entries, change, .. } => {
-            (entries.into_iter().rev().find(|entry| entry.key == CURRENT_KEY), change)
+    let (entry, position) = match reply {
+        Reply::Value { entry, position } => (entry, position),
+        Reply::Changed { entries, position, .. } => {
+            (entries.into_iter().rev().find(|entry| entry.key == CURRENT_KEY), position)
         }
         _ => return failed(tables, cx),
     };
@@ -35,7 +35,7 @@
             Err(_) => return failed(tables, cx),
         }
     }
-    tables.profiles.change = Some(change);
+    tables.profiles.position = Some(position);
     tables.profiles.failures = 0;
     tables.profiles.next =
         cx.now + reading::read_delay(tables, Duration::ZERO, cx.limits.stale_after);
@@ -57,7 +57,7 @@
 }
 
 fn failed(tables: &mut Tables, cx: &Context<'_>) {
-    tables.profiles.change = None;
+    tables.profiles.position = None;
     tables.profiles.failures += 1;
     let failures = tables.profiles.failures;
     tables.profiles.next = cx.now + reading::back_off(tables, cx, failures);
--- a/crates/core/src/control/system/reading.rs
+++ b/crates/core/src/control/system/reading.rs
@@ -74,7 +74,7 @@
 }
 
 fn read_profiles(tables: &mut Tables, cx: &mut Context<'_>) {
-    let watch = tables.profiles.change.filter(|_| tables.vms.watcher && tables.own.learnt);
+    let watch = tables.profiles.position.filter(|_| tables.vms.watcher && tables.own.learnt);
     let (call, wait) = match watch {
         Some(after) => {
             let wait = cx.limits.watch_timeout;
--- a/crates/core/src/control/table/reader.rs
+++ b/crates/core/src/control/table/reader.rs
@@ -1,6 +1,9 @@
 //! The state of the reads of a value or list from the platform's service.
 
-use crate::{store::CallId, time::Instant};
+use crate::{
+    store::{CallId, Position},
+    time::Instant,
+};
 
 /// The state of the repeated reads of one value or list from the platform's
 /// service.
@@ -12,6 +15,6 @@
     pub next: Instant,
     /// The number of consecutive failures.
     pub failures: u32,
-    /// The change number after which the next watch starts.
-    pub change: Option<u64>,
+    /// The position after which the next watch starts.
+    pub position: Option<Position>,
 }
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -148,6 +148,8 @@
     /// The watch of this VM delivers nothing although other VMs have read newer
     /// changes of the store.
     StoreSilent 703 Warning "watch of the platform's service delivers no changes";
+    /// The platform's service came back from an older copy of its data.
+    StoreRestored 704 Warning "platform's service lost changes";
     /// The platform's service is available again.
     StoreUp 702 Info "platform's service is available";
 }
--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -29,7 +29,7 @@
     digest::Fingerprint,
     log::Line,
     name::Name,
-    store::{Call, CallId, Entry, Reply},
+    store::{Call, CallId, Entry, Outcome},
     time::Instant,
 };
 
@@ -133,7 +133,7 @@
 /// The input of a tick of the feed.
 #[derive(Debug, Default)]
 pub struct Input {
-    pub replies: Vec<(CallId, Reply)>,
+    pub outcomes: Vec<Outcome>,
     /// How far other VMs have read the store.
     pub progress: Vec<Progress>,
     /// The requests that this VM quarantines from this tick on.
@@ -202,7 +202,7 @@
     /// Returns whether requests can be served: by own routes, or by a larger VM that is
     /// reachable, even if its routes are old.
     pub fn is_ready(&self) -> bool {
-        let is_loaded = self.tables.view.config.is_some() && self.tables.change.is_some();
+        let is_loaded = self.tables.view.config.is_some() && self.tables.position.is_some();
         is_loaded || (self.tables.role == Role::Handing && self.tables.reach != Reach::Lost)
     }
 }
--- a/crates/core/src/relay/feed/probe.rs
+++ b/crates/core/src/relay/feed/probe.rs
@@ -12,7 +12,7 @@
     table::{Purpose, Role, Tables},
 };
 use crate::{
-    store::{Call, CallId, Reply},
+    store::{Call, CallId, Position, Reply},
     time::Instant,
 };
 
@@ -65,7 +65,7 @@
     }
     let is_last = probe.open.is_empty();
     match reply {
-        Reply::Entries { change, .. } => finish(tables, change, cx),
+        Reply::Entries { position, .. } => finish(tables, position, cx),
         Reply::Refused { detail } | Reply::Lost { detail } => {
             mark_store_down(tables, &detail, cx);
             if is_last {
@@ -78,16 +78,16 @@
     None
 }
 
-/// Ends the check: the store answers, and its newest change has the number `change`.
-fn finish(tables: &mut Tables, change: u64, cx: &mut Context<'_>) {
+/// Ends the check: the store answers, and its newest change is at `position`.
+fn finish(tables: &mut Tables, position: Position, cx: &mut Context<'_>) {
     mark_store_up(tables, cx);
-    let is_complete = tables.change.is_some_and(|own| own >= change);
+    let is_complete = tables.position.is_some_and(|own| own.change >= position.change);
     if is_complete {
         confirm::record_own(tables, cx);
     }
     if tables.call.is_some() {
         // The open watch is silent if it does not deliver what the check has found.
-        progress::record_latest(tables, change, cx);
+        progress::record_latest(tables, position, None, cx);
         return;
     }
     if is_complete {
--- a/crates/core/src/relay/feed/progress.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -13,9 +13,13 @@
 use super::{
     confirm, probe,
     system::{Context, set_current},
-    table::{Purpose, Role, Tables},
+    table::{Heard, Purpose, Role, Tables},
+};
+use crate::{
+    log::{Event, Line},
+    name::Name,
+    store::Position,
 };
-use crate::log::{Event, Line};
 
 /// How long a VM may be behind others before it gives up its watch. It must exceed the
 /// time by which the store answers one VM later than another.
@@ -25,10 +29,12 @@
 const DOUBT_PAUSE: Duration = Duration::from_secs(1);
 
 /// What a VM announces about its reading of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
-    /// The number of the newest change that it knows of.
-    pub change: u64,
+    /// The VM that announces it.
+    pub from: Name,
+    /// The newest change that it knows of.
+    pub position: Position,
     pub reason: Reason,
 }
 
@@ -45,20 +51,25 @@
 
 /// Records what another VM announced.
 pub fn receive(tables: &mut Tables, progress: Progress, cx: &mut Context<'_>) {
-    record_latest(tables, progress.change, cx);
+    record_latest(tables, progress.position, Some(progress.from), cx);
     match progress.reason {
         Reason::Doubt => probe::take_up_doubt(tables, cx),
         Reason::Change | Reason::Confirmation => confirm::record(tables, cx),
     }
 }
 
-/// Records that the store has a change with the number `change`, and starts the time
-/// limit for reading it.
-pub fn record_latest(tables: &mut Tables, change: u64, cx: &Context<'_>) {
-    if change <= tables.own_change().max(tables.latest_of_others) {
+/// Records that the store has a change at `position`, as the VM `from` or a check of this VM
+/// says, and starts the time limit for reading it.
+pub fn record_latest(
+    tables: &mut Tables,
+    position: Position,
+    from: Option<Name>,
+    cx: &Context<'_>,
+) {
+    if position.change <= tables.own_change().max(tables.heard.position.change) {
         return;
     }
-    tables.latest_of_others = change;
+    tables.heard = Heard { position, from, at: cx.now };
     // A change is also read late because this VM pauses between two watches.
     tables.lag_deadline.get_or_insert(cx.now.max(tables.not_before) + MAX_LAG);
     if let Some(probe) = &mut tables.probe {
@@ -70,8 +81,7 @@
 /// pass announcements on because, where the store does not answer most VMs, the few
 /// that it answers do not reach all others themselves.
 pub fn announce(tables: &mut Tables, cx: &mut Context<'_>) {
-    let change = tables.own_change().max(tables.latest_of_others);
-    if tables.announced < change && tables.role == Role::Forwarding {
+    if tables.announced < newest(tables).change && tables.role == Role::Forwarding {
         send(tables, Reason::Change, cx);
     }
 }
@@ -86,15 +96,23 @@
 
 /// Tells all VMs that the store has just confirmed how far this one has read.
 pub fn send_to_all(tables: &Tables, cx: &mut Context<'_>) {
-    let progress = Progress { change: tables.own_change(), reason: Reason::Confirmation };
-    cx.out.progress.extend(tables.others().map(|(_, vm)| (vm.address, progress)));
+    let position = tables.position.unwrap_or_default();
+    let progress =
+        Progress { from: tables.own.name.clone(), position, reason: Reason::Confirmation };
+    cx.out.progress.extend(tables.others().map(|(_, vm)| (vm.address, progress.clone())));
+}
+
+/// Returns the newest change that this VM knows of.
+fn newest(tables: &Tables) -> Position {
+    let own = tables.position.unwrap_or_default();
+    if tables.heard.position.change > own.change { tables.heard.position } else { own }
 }
 
 fn send(tables: &mut Tables, reason: Reason, cx: &mut Context<'_>) {
-    let change = tables.own_change().max(tables.latest_of_others);
-    tables.announced = change;
-    let progress = Progress { change, reason };
-    cx.out.progress.extend(recipients(tables).into_iter().map(|to| (to, progress)));
+    let position = newest(tables);
+    tables.announced = position.change;
+    let progress = Progress { from: tables.own.name.clone(), position, reason };
+    cx.out.progress.extend(recipients(tables).into_iter().map(|to| (to, progress.clone())));
 }
 
 /// Returns the VMs at distances 1, 2, 4, 8 and so on after this one, in the order of
@@ -113,7 +131,7 @@
 /// long.
 pub fn rescan_if_behind(tables: &mut Tables, cx: &mut Context<'_>) {
     let own = tables.own_change();
-    if tables.latest_of_others <= own {
+    if tables.heard.position.change <= own {
         tables.lag_deadline = None;
         return;
     }
@@ -124,10 +142,29 @@
     if !matches!(tables.call, Some((_, Purpose::Watch))) {
         return;
     }
-    let fields = vec![("own", own.to_string()), ("heard", tables.latest_of_others.to_string())];
-    cx.out.lines.push(Line::new(Event::StoreSilent, fields));
+    cx.out.lines.push(Line::new(Event::StoreSilent, lag(tables, cx)));
     tables.abandon_call();
     tables.next_purpose = Some(Purpose::Scan);
     tables.not_before = cx.now;
     set_current(tables, false);
 }
+
+/// Returns the fields of a line about a VM that is behind others: how far each is, by whose
+/// word and since when, and what the store itself said last.
+fn lag(tables: &Tables, cx: &Context<'_>) -> Vec<(&'static str, String)> {
+    let own = tables.position.unwrap_or_default();
+    let Heard { position: heard, from, at } = &tables.heard;
+    let mut fields = vec![
+        ("own", own.change.to_string()),
+        ("own_era", own.era.0.to_string()),
+        ("heard", heard.change.to_string()),
+        ("heard_era", heard.era.0.to_string()),
+        ("from", from.as_ref().map_or_else(String::new, Name::to_string)),
+        ("heard_ms_ago", cx.now.since(*at).as_millis().to_string()),
+    ];
+    if let Some(scan) = tables.scan {
+        fields.push(("scanned", scan.position.change.to_string()));
+        fields.push(("scanned_ms_ago", cx.now.since(scan.at).as_millis().to_string()));
+    }
+    fields
+}
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -6,13 +6,13 @@
 
 use super::{
     Format, Input, Limits, Outbox, Subject, confirm, probe, progress, report, role,
-    table::{Purpose, Role, Store, Tables},
+    table::{Purpose, Role, Scan, Store, Tables},
     watch,
 };
 use crate::{
     log::{Event, Line},
     name::Name,
-    store::{Call, CallId, Entry, Reply},
+    store::{Call, CallId, Entry, Era, Outcome, Reply},
     time::Instant,
 };
 
@@ -36,7 +36,8 @@
 /// Handles the input and runs every system once.
 pub fn run(tables: &mut Tables, input: Input, cx: &mut Context<'_>) {
     tables.started.get_or_insert(cx.now);
-    for (id, reply) in input.replies {
+    for Outcome { id, era, reply } in input.outcomes {
+        record_era(tables, era, cx);
         let reply = report::handle_reply(tables, id, reply, cx);
         let reply = reply.and_then(|reply| probe::handle_reply(tables, id, reply, cx));
         if let Some(reply) = reply {
@@ -60,6 +61,19 @@
     publish(tables, cx);
 }
 
+/// Logs when the store begins a new era.
+fn record_era(tables: &mut Tables, era: Option<Era>, cx: &mut Context<'_>) {
+    let Some(era) = era.filter(|era| tables.era.is_none_or(|known| known < *era)) else { return };
+    if let Some(before) = tables.era.replace(era) {
+        let fields = vec![
+            ("era", era.0.to_string()),
+            ("before", before.0.to_string()),
+            ("own", tables.own_change().to_string()),
+        ];
+        cx.out.lines.push(Line::new(Event::StoreRestored, fields));
+    }
+}
+
 /// Handles the reply to the call in flight; any other reply is dropped.
 fn handle_reply(tables: &mut Tables, id: CallId, reply: Reply, cx: &mut Context<'_>) {
     let Some((_, purpose)) = tables.call.take_if(|(open, _)| *open == id) else { return };
@@ -70,11 +84,12 @@
             replace_vms(tables, &entries, cx);
             role::choose_role(tables, cx);
         }
-        (Purpose::Scan, Reply::Entries { entries, change }) => {
+        (Purpose::Scan, Reply::Entries { entries, position }) => {
             mark_store_up(tables, cx);
             replace_all(tables, &entries, cx);
             set_current(tables, true);
-            tables.change = Some(change);
+            tables.position = Some(position);
+            tables.scan = Some(Scan { position, at: cx.now });
             confirm::record(tables, cx);
             tables.next_purpose = Some(role::after_scan(tables));
         }
@@ -93,7 +108,7 @@
             // Without the entry, other VMs count one VM less until the next start.
             mark_store_down(tables, &detail, cx);
         }
-        (Purpose::Watch, Reply::Changed { entries, removed, change }) => {
+        (Purpose::Watch, Reply::Changed { entries, removed, position }) => {
             mark_store_up(tables, cx);
             for entry in &entries {
                 apply(tables, entry, cx);
@@ -102,7 +117,9 @@
                 remove(tables, key, cx);
             }
             set_current(tables, true);
-            tables.change = tables.change.max(Some(change));
+            if tables.own_change() < position.change {
+                tables.position = Some(position);
+            }
             tables.next_purpose = Some(Purpose::Watch);
             let changes = entries.len() + removed.len();
             tables.is_watch_quiet = changes == 0;
@@ -352,7 +369,7 @@
             let wait = watch::wait(tables, cx.limits);
             tables.watch_due = Some(cx.now + wait + cx.limits.answer_limit);
             let prefix = cx.format.watch_prefix().to_owned();
-            Call::Watch { prefix, after: tables.own_change(), wait }
+            Call::Watch { prefix, after: tables.position.unwrap_or_default(), wait }
         }
     };
     let id = tables.call_id();
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -6,7 +6,7 @@
 use crate::{
     name::Name,
     relay::{Quarantine, Reach, View, view::Vm},
-    store::{CallId, Version},
+    store::{CallId, Era, Position, Version},
     time::Instant,
 };
 
@@ -79,6 +79,22 @@
     pub in_flight: Option<(CallId, Stage)>,
 }
 
+/// What is known of the newest change from others than the open watch.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    pub position: Position,
+    /// The VM that announced it; none if a check of this VM found it.
+    pub from: Option<Name>,
+    pub at: Instant,
+}
+
+/// A scan that the store has answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Scan {
+    pub position: Position,
+    pub at: Instant,
+}
+
 /// All tables of the feed.
 #[derive(Clone, Debug)]
 pub struct Tables {
@@ -102,7 +118,7 @@
     /// The newest change that was announced to other VMs.
     pub announced: u64,
     /// The newest change that other VMs announced or that a probe found.
-    pub latest_of_others: u64,
+    pub heard: Heard,
     /// When this VM scans the store again if it is still behind other VMs.
     pub lag_deadline: Option<Instant>,
     /// The call in flight.
@@ -124,8 +140,12 @@
     pub next_purpose: Option<Purpose>,
     /// The earliest time of the next call.
     pub not_before: Instant,
-    /// The change number from which the watch continues; `None` until the first scan.
-    pub change: Option<u64>,
+    /// The position from which the watch continues; `None` until the first scan.
+    pub position: Option<Position>,
+    /// The latest era that an answer of the store stated.
+    pub era: Option<Era>,
+    /// The last scan that was answered.
+    pub scan: Option<Scan>,
     pub store: Store,
     /// Until when targets whose entries lapsed during an outage stay in use.
     pub lapse_until: Instant,
@@ -151,7 +171,9 @@
             view: View::default(),
             is_changed: false,
             announced: 0,
-            latest_of_others: 0,
+            heard: Heard::default(),
+            era: None,
+            scan: None,
             lag_deadline: None,
             call: None,
             watch_due: None,
@@ -162,7 +184,7 @@
             doubt_pause_until: Instant::default(),
             next_purpose: None,
             not_before: Instant::default(),
-            change: None,
+            position: None,
             store: Store::Up,
             lapse_until: Instant::default(),
             missing: BTreeMap::new(),
@@ -191,7 +213,7 @@
 
     /// Returns the newest change that this VM has read; zero before the first scan.
     pub fn own_change(&self) -> u64 {
-        self.change.unwrap_or_default()
+        self.position.unwrap_or_default().change
     }
 
     /// Gives up the call in flight. A late reply to it is dropped.
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -9,12 +9,38 @@
 
 use crate::view;
 
-/// The version of a value: the number of the change that wrote it. It grows with
-/// each write of the key.
+/// A history of the store. A store that comes back from an older copy of its data has lost
+/// the changes since then and begins the next era, in which it gives their numbers out again.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub struct Version(pub u64);
+pub struct Era(pub u64);
+
+/// The position of a change in the store. The number of a change means something only
+/// together with its era, so neither is compared without the other: every position of an
+/// era comes after all those of earlier ones. See `docs/design/platform.md`.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    pub era: Era,
+    /// The number of the change within its era.
+    pub change: u64,
+}
+
+impl Position {
+    /// Returns the position of a change in an era, both by their numbers.
+    pub fn new(era: u64, change: u64) -> Position {
+        Position { era: Era(era), change }
+    }
+}
+
+/// The version of a value: the position of the change that wrote it, in the era in which it
+/// was read. It grows with each write of the key.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Version(pub Position);
 
 /// The id of a call, which matches the reply to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -50,20 +76,30 @@
     Grant { ttl: Duration },
     /// Renews a lease.
     Keep { lease: LeaseId },
-    /// Waits for a change after the number `after` to a key that starts with
-    /// `prefix`, for at most `wait`.
-    Watch { prefix: String, after: u64, wait: Duration },
+    /// Waits for a change after the position `after` to a key that starts with `prefix`,
+    /// for at most `wait`. The store knows only the number; the era of the reply tells
+    /// whether it continues from that position.
+    Watch { prefix: String, after: Position, wait: Duration },
     /// Reads the list of live and leaving VMs and targets, which lags behind.
     List,
 }
 
+/// The result of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outcome {
+    pub id: CallId,
+    /// The era that the service stated; none if it did not answer, or stated none.
+    pub era: Option<Era>,
+    pub reply: Reply,
+}
+
 /// The service's reply to a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
-    /// The entry of a key, or none, and the change number at which it was read.
-    Value { entry: Option<Entry>, change: u64 },
-    /// The entries of a scan and the change number at which they were read.
-    Entries { entries: Vec<Entry>, change: u64 },
+    /// The entry of a key, or none, and the position at which it was read.
+    Value { entry: Option<Entry>, position: Position },
+    /// The entries of a scan and the position at which they were read.
+    Entries { entries: Vec<Entry>, position: Position },
     /// The write took effect; the key now has this version.
     Swapped { version: Version },
     /// The write did not take effect because the key has another version;
@@ -75,10 +111,10 @@
     Leased { lease: LeaseId },
     /// The lease has expired.
     Lapsed,
-    /// The entries that were written, the keys that were removed, and the change
-    /// number from which the next watch continues.
-    Changed { entries: Vec<Entry>, removed: Vec<String>, change: u64 },
-    /// The service no longer has the history after the change number.
+    /// The entries that were written, the keys that were removed, and the position from
+    /// which the next watch continues.
+    Changed { entries: Vec<Entry>, removed: Vec<String>, position: Position },
+    /// The service does not have the history after the position.
     Outdated,
     /// The list of VMs and targets.
     Listed { vms: Vec<view::Vm>, targets: Vec<view::Target> },
--- a/crates/core/tests/claims/rule.rs
+++ b/crates/core/tests/claims/rule.rs
@@ -202,7 +202,7 @@
         let key = world.key_at(START_MILLIS);
         let slot = START_MILLIS / 1000 + 100;
         let floor = Floor { slot, swept: slot }.encode();
-        let version = laburnum_core::store::Version(1);
+        let version = laburnum_core::store::Version::default();
         world.store.values.insert(FLOOR_KEY.to_owned(), (version, floor));
         assert_eq!(operate(&mut world, 0, key, plan()), Verdict::Expired);
         assert!(!world.oracle.ran(key));
@@ -260,7 +260,7 @@
         let mut world = world();
         let key = world.key();
         let bucket = Layout::V1.bucket(&key).unwrap().key();
-        let version = laburnum_core::store::Version(1);
+        let version = laburnum_core::store::Version::default();
         world.store.values.insert(bucket, (version, vec![250]));
         assert!(matches!(operate(&mut world, 0, key, plan()), Verdict::Unsettled { .. }));
         assert!(!world.oracle.ran(key));
--- a/crates/core/tests/claims/store.rs
+++ b/crates/core/tests/claims/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use laburnum_core::store::{Call, Entry, Reply, Version};
+use laburnum_core::store::{Call, Entry, Position, Reply, Version};
 
 /// How the store handles one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -90,11 +90,13 @@
     /// Applies a call and returns the reply.
     pub fn apply(&mut self, call: Call) -> Reply {
         match call {
-            Call::Get { key } => Reply::Value { entry: self.entry(&key), change: 0 },
+            Call::Get { key } => {
+                Reply::Value { entry: self.entry(&key), position: Position::default() }
+            }
             Call::Scan { prefix } => {
                 let keys = self.values.keys().filter(|key| key.starts_with(&prefix));
                 let entries = keys.filter_map(|key| self.entry(key)).collect();
-                Reply::Entries { entries, change: 0 }
+                Reply::Entries { entries, position: Position::default() }
             }
             Call::Swap { key, expect, value, .. } => self.swap(key, expect, value),
             Call::Remove { key, expect } => self.remove(&key, expect),
@@ -112,7 +114,7 @@
         if current.as_ref().map(|entry| entry.version) != expect {
             return Reply::Conflict { current };
         }
-        let version = Version(expect.map_or(1, |version| version.0 + 1));
+        let version = Version(Position::new(0, expect.map_or(1, |version| version.0.change + 1)));
         self.values.insert(key, (version, value));
         Reply::Swapped { version }
     }
--- a/crates/core/tests/control/platform.rs
+++ b/crates/core/tests/control/platform.rs
@@ -4,7 +4,7 @@
 
 use laburnum_core::{
     name::Name,
-    store::{Call, CallId, Entry, Reply, Version},
+    store::{Call, CallId, Entry, Position, Reply, Version},
     time::Instant,
     view,
 };
@@ -103,7 +103,7 @@
             Mode::Up | Mode::ListOnly | Mode::ReplyLost | Mode::Late => {}
         }
         if let Call::Watch { prefix, after, wait } = call {
-            return self.watch(now, Watch { vm, call: id, prefix, after }, wait);
+            return self.watch(now, Watch { vm, call: id, prefix, after: after.change }, wait);
         }
         let (reply, mut answers) = self.apply(now, call);
         let answer = match self.mode {
@@ -140,7 +140,7 @@
             .iter()
             .filter(|(key, change)| key.starts_with(&watch.prefix) && **change > watch.after);
         let entries = keys.filter_map(|(key, _)| self.values.get(key).cloned()).collect();
-        Reply::Changed { entries, removed: Vec::new(), change: self.change }
+        Reply::Changed { entries, removed: Vec::new(), position: Position::new(0, self.change) }
     }
 
     /// Removes a watch that has been answered.
@@ -149,12 +149,12 @@
     }
 
     fn apply(&mut self, now: Instant, call: Call) -> (Reply, Vec<Answer>) {
-        let change = self.change;
+        let position = Position::new(0, self.change);
         let reply = match call {
-            Call::Get { key } => Reply::Value { entry: self.values.get(&key).cloned(), change },
+            Call::Get { key } => Reply::Value { entry: self.values.get(&key).cloned(), position },
             Call::Scan { prefix } => {
                 let rows = self.values.values().filter(|entry| entry.key.starts_with(&prefix));
-                Reply::Entries { entries: rows.cloned().collect(), change }
+                Reply::Entries { entries: rows.cloned().collect(), position }
             }
             Call::Swap { key, expect, value, .. } => return self.swap(now, key, expect, value),
             Call::Remove { key, .. } => {
@@ -185,7 +185,7 @@
             self.writes += 1;
             self.written.push(value.clone());
         }
-        let version = Version(expect.map_or(1, |version| version.0 + 1));
+        let version = Version(Position::new(0, expect.map_or(1, |version| version.0.change + 1)));
         self.change += 1;
         self.changed.insert(key.clone(), self.change);
         self.values.insert(key.clone(), Entry { key, version, value });
--- a/crates/core/tests/control/world.rs
+++ b/crates/core/tests/control/world.rs
@@ -18,7 +18,7 @@
     name::Name,
     notice::{Notice, Report},
     profile::{Document, Revision},
-    store::{Call, CallId, Reply},
+    store::{Call, CallId, Outcome, Reply},
     time::{Instant, Wall},
     view::{State, View, Vm},
 };
@@ -250,7 +250,7 @@
                 return;
             }
             Delivery::Event(_, event) => event,
-            Delivery::Reply(_, call, reply) => Event::Reply { call, reply },
+            Delivery::Reply(_, call, reply) => Event::Store(Outcome { id: call, era: None, reply }),
             Delivery::Late(_) => return,
         };
         events.entry(vm).or_default().push(event);
--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -1,17 +1,19 @@
 //! Tests of how a VM keeps its configuration and targets up to date from the store.
 
+use std::collections::BTreeMap;
+
 use laburnum_core::{
     log::Event,
     relay::{
         Reach,
         feed::progress::{Progress, Reason},
     },
-    store::Call,
+    store::{Call, Position},
     time::Instant,
 };
 
 use crate::{
-    harness::ms,
+    harness::{ms, name},
     store::{LIMITS, World},
 };
 
@@ -345,7 +347,7 @@
         world.pass(ms(1000));
         let announced = world.own.announced_as(Reason::Change);
         assert_eq!(announced.len(), 3, "to the VMs at distances 1, 2 and 4");
-        assert!(announced.iter().all(|progress| progress.change == world.revision()));
+        assert!(announced.iter().all(|progress| progress.position == world.position()));
         world.pass(ms(20_000));
         assert_eq!(world.own.announced_as(Reason::Change).len(), 3, "announced once for each change");
         assert!(world.own.announced_as(Reason::Doubt).is_empty());
@@ -359,7 +361,7 @@
         assert_eq!(told.len() % 5, 0, "each to the five other VMs");
         assert!(told.len() / 5 >= 20_000 / 1500, "{told:?}");
         assert!(told.len() / 5 <= 20_000 / 400, "{told:?}");
-        assert!(told.iter().all(|progress| progress.change == world.revision()));
+        assert!(told.iter().all(|progress| progress.position == world.position()));
     };
     a_confirmation_of_another_vm_replaces_an_own_check => {
         let mut world = world_with_vms(170, &[("own", 170), ("z", 170)]);
@@ -368,8 +370,7 @@
         let is_check = |(_, call): &&(Instant, Call)| matches!(call, Call::Scan { .. });
         let before = world.own.calls.iter().filter(is_check).count();
         for _ in 0..6 {
-            let change = world.revision();
-            world.incoming = vec![Progress { change, reason: Reason::Confirmation }];
+            world.announce(Reason::Confirmation);
             world.pass(ms(500));
         }
         assert_eq!(world.own.calls.iter().filter(is_check).count(), before);
@@ -382,12 +383,14 @@
         world.pass(ms(1000));
         world.own.announced.clear();
         world.store.is_silent = true;
-        let announcement = Progress { change: world.revision() + 7, reason: Reason::Change };
-        world.incoming = vec![announcement];
+        let Position { era, change } = world.position();
+        let position = Position { era, change: change + 7 };
+        world.announce_at(position, Reason::Change);
         world.pass(ms(100));
         assert_eq!(world.own.announced.len(), 3);
-        assert!(world.own.announced.iter().all(|(_, progress)| *progress == announcement));
-        world.incoming = vec![announcement];
+        let passed_on = Progress { from: name("own"), position, reason: Reason::Change };
+        assert!(world.own.announced.iter().all(|(_, progress)| *progress == passed_on));
+        world.announce_at(position, Reason::Change);
         world.pass(ms(100));
         assert_eq!(world.own.announced.len(), 3, "announced once");
     };
@@ -395,7 +398,7 @@
         let mut world = synced_world();
         world.store.is_silent = true;
         world.put("config", "4");
-        world.incoming = vec![Progress { change: world.revision(), reason: Reason::Change }];
+        world.announce(Reason::Change);
         world.pass(ms(1200));
         assert!(!world.own.view.is_current);
         assert_eq!(world.own.logged(Event::StoreSilent), 1);
@@ -404,10 +407,41 @@
         assert_eq!(world.own.version(), Some(4));
         assert!(world.own.view.is_current);
     };
+    a_vm_that_is_behind_logs_who_announced_what => {
+        let mut world = synced_world();
+        let own = world.position();
+        world.own.lose_calls();
+        world.announce_at(Position { change: own.change + 7, ..own }, Reason::Change);
+        world.pass(ms(900));
+        let lines = world.own.lines.iter().filter(|line| line.event == Event::StoreSilent);
+        let fields: Vec<BTreeMap<&str, String>> =
+            lines.map(|line| line.fields.iter().cloned().collect()).collect();
+        let [first, second] = &fields[..] else { panic!("{fields:?}") };
+        assert_eq!(first["own"], own.change.to_string());
+        assert_eq!(first["heard"], (own.change + 7).to_string());
+        assert_eq!((&*first["own_era"], &*first["heard_era"], &*first["from"]), ("0", "0", "other"));
+        assert_eq!(first["heard_ms_ago"], "400");
+        assert_eq!(second["scanned"], own.change.to_string(), "the scan between both was answered");
+        assert_eq!(second["heard_ms_ago"], "800");
+    };
+    a_new_era_of_the_store_is_logged => {
+        let mut world = synced_world();
+        world.store.take_copy();
+        world.put("config", "4");
+        world.pass(ms(1000));
+        let read = world.position().change;
+        world.store.restore();
+        world.own.lose_calls();
+        world.pass(ms(5000));
+        let line = world.own.lines.iter().find(|line| line.event == Event::StoreRestored).unwrap();
+        let fields: BTreeMap<&str, String> = line.fields.iter().cloned().collect();
+        assert_eq!((&*fields["era"], &*fields["before"]), ("1", "0"));
+        assert_eq!(fields["own"], read.to_string());
+    };
     a_vm_that_reads_as_far_as_others_goes_on_watching => {
         let mut world = synced_world();
         world.put("config", "4");
-        world.incoming = vec![Progress { change: world.revision(), reason: Reason::Change }];
+        world.announce(Reason::Change);
         let before = world.own.calls.len();
         world.pass(ms(5000));
         assert_eq!(world.own.logged(Event::StoreSilent), 0);
--- a/crates/core/tests/relay/outages.rs
+++ b/crates/core/tests/relay/outages.rs
@@ -3,9 +3,12 @@
 
 use std::time::Duration;
 
-use laburnum_core::relay::feed::progress::{Progress, Reason};
+use laburnum_core::{relay::feed::progress::Reason, store::Position};
 
-use crate::{harness::ms, store::Fleet};
+use crate::{
+    harness::ms,
+    store::{Fleet, announcement},
+};
 
 /// The time after the end of an outage within which every VM must know the newest
 /// state, whatever was lost. The shortest limit of the users is 3 s.
@@ -152,7 +155,7 @@
         fleet.store.put("config", "4");
         fleet.pass(ms(1000));
         let before = fleet.count_calls();
-        let doubt = Progress { change: 0, reason: Reason::Doubt };
+        let doubt = announcement(Position::default(), Reason::Doubt);
         fleet.announce_to_first(doubt);
         fleet.pass(ms(400));
         let calls = fleet.count_calls() - before;
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -16,7 +16,7 @@
         route::Config,
         view::{Target, Vm},
     },
-    store::{Call, CallId, Entry, LeaseId, Reply, Version},
+    store::{Call, CallId, Entry, Era, LeaseId, Outcome, Position, Reply, Version},
     time::Instant,
 };
 
@@ -102,6 +102,14 @@
 
 pub const LIMITS: Limits = Limits::DEFAULT;
 
+/// A copy of the data of the store.
+#[derive(Clone)]
+struct Copy {
+    entries: BTreeMap<String, (u64, Vec<u8>)>,
+    changes: Vec<(u64, String)>,
+    revision: u64,
+}
+
 /// A simulated store.
 #[derive(Default)]
 pub struct Store {
@@ -111,6 +119,9 @@
     pub is_silent: bool,
     /// The revision before which the store has discarded its history.
     oldest: u64,
+    /// The number of times that the store came back from an older copy.
+    era: u64,
+    copy: Option<Copy>,
     entries: BTreeMap<String, (u64, Vec<u8>)>,
     changes: Vec<(u64, String)>,
     revision: u64,
@@ -134,21 +145,25 @@
     }
 
     fn read(&mut self, call: &Call, since: Instant, now: Instant) -> Option<Reply> {
-        let change = self.revision;
+        let position = self.position();
         match call {
-            Call::Get { key } => Some(Reply::Value { entry: self.entry(key), change }),
+            Call::Get { key } => Some(Reply::Value { entry: self.entry(key), position }),
             Call::Grant { .. } => Some(Reply::Leased { lease: LeaseId(9) }),
             Call::Scan { prefix } | Call::Peek { prefix } => {
                 let keys = self.entries.keys().filter(|key| key.starts_with(prefix));
                 let entries = keys.filter_map(|key| self.entry(key)).collect();
-                Some(Reply::Entries { entries, change })
+                Some(Reply::Entries { entries, position })
+            }
+            Call::Watch { after, .. }
+                if after.change < self.oldest || after.change > self.revision =>
+            {
+                Some(Reply::Outdated)
             }
-            Call::Watch { after, .. } if *after < self.oldest => Some(Reply::Outdated),
             Call::Watch { after, wait, .. } => {
                 let is_over = now.since(since) >= *wait;
-                let later = self.changes.iter().filter(|(revision, _)| revision > after);
+                let later = self.changes.iter().filter(|(revision, _)| *revision > after.change);
                 let later: Vec<&(u64, String)> = later.take(MAX_CHANGES_PER_REPLY).collect();
-                let change = later.last().map_or(change, |(revision, _)| *revision);
+                let position = later.last().map_or(position, |(revision, _)| self.at(*revision));
                 let keys: Vec<&String> = later.into_iter().map(|(_, key)| key).collect();
                 if keys.is_empty() && !is_over {
                     return None;
@@ -156,7 +171,7 @@
                 let entries = keys.iter().filter_map(|key| self.entry(key)).collect();
                 let removed =
                     keys.into_iter().filter(|key| !self.entries.contains_key(*key)).cloned();
-                Some(Reply::Changed { entries, removed: removed.collect(), change })
+                Some(Reply::Changed { entries, removed: removed.collect(), position })
             }
             Call::Swap { key, expect, value, .. } => {
                 let current = self.entry(key);
@@ -164,15 +179,46 @@
                     return Some(Reply::Conflict { current });
                 }
                 self.put_bytes(key, value);
-                Some(Reply::Swapped { version: Version(self.revision) })
+                Some(Reply::Swapped { version: Version(self.position()) })
             }
             other => panic!("{other:?}"),
         }
     }
 
+    /// Takes a copy of the data.
+    pub fn take_copy(&mut self) {
+        let (entries, changes) = (self.entries.clone(), self.changes.clone());
+        self.copy = Some(Copy { entries, changes, revision: self.revision });
+    }
+
+    /// Comes back from the copy, which begins a new era. What was written since the copy was
+    /// taken is lost, and its revisions are given out again.
+    pub fn restore(&mut self) {
+        let Copy { entries, changes, revision } = self.copy.clone().expect("a copy was taken");
+        (self.entries, self.changes, self.revision) = (entries, changes, revision);
+        self.era += 1;
+    }
+
+    /// Returns the outcome of a call; no era belongs to one that was not answered.
+    fn outcome(&self, id: CallId, reply: Reply) -> Outcome {
+        let is_answer = !matches!(reply, Reply::Refused { .. } | Reply::Lost { .. });
+        Outcome { id, era: is_answer.then_some(Era(self.era)), reply }
+    }
+
     fn entry(&self, key: &str) -> Option<Entry> {
         let (revision, value) = self.entries.get(key)?;
-        Some(Entry { key: key.to_owned(), version: Version(*revision), value: value.clone() })
+        let version = Version(self.at(*revision));
+        Some(Entry { key: key.to_owned(), version, value: value.clone() })
+    }
+
+    /// Returns the position of the newest change.
+    fn position(&self) -> Position {
+        self.at(self.revision)
+    }
+
+    /// Returns the position of a change of the current era.
+    fn at(&self, change: u64) -> Position {
+        Position::new(self.era, change)
     }
 }
 
@@ -185,6 +231,11 @@
     is_lost: bool,
 }
 
+/// Returns what another VM announces.
+pub fn announcement(position: Position, reason: Reason) -> Progress {
+    Progress { from: harness::name("other"), position, reason }
+}
+
 /// A VM with its feed and the calls that it made.
 pub struct Reader {
     pub feed: Feed,
@@ -229,7 +280,7 @@
 
     /// Returns the announcements for a reason, one for each VM that got one.
     pub fn announced_as(&self, reason: Reason) -> Vec<Progress> {
-        let announced = self.announced.iter().map(|(_, progress)| *progress);
+        let announced = self.announced.iter().map(|(_, progress)| progress.clone());
         announced.filter(|progress| progress.reason == reason).collect()
     }
 
@@ -251,7 +302,8 @@
         let mut out = Outbox::default();
         let quarantined = quarantined.into_iter().map(|request| Quarantine { request, hold: HOLD });
         let quarantined = quarantined.collect();
-        let input = Input { replies, progress, quarantined, suspicions, reach: self.reach };
+        let outcomes = replies.into_iter().map(|(id, reply)| store.outcome(id, reply)).collect();
+        let input = Input { outcomes, progress, quarantined, suspicions, reach: self.reach };
         self.feed.tick(now, input, &mut out);
         self.announced.extend(out.progress);
         self.told.extend(out.suspicions);
@@ -271,6 +323,11 @@
         }
     }
 
+    /// Lets the answers of all open calls be lost, as when their connections go silent.
+    pub fn lose_calls(&mut self) {
+        self.open.iter_mut().for_each(|open| open.is_lost = true);
+    }
+
     /// Returns the number of open calls of a kind, if `call` is of that kind too.
     fn count(&self, wanted: Kind, call: &Call) -> usize {
         let is_wanted = |call: &Call| kind(call) == wanted;
@@ -389,9 +446,19 @@
         }
     }
 
-    /// Returns the revision of the newest change.
-    pub fn revision(&self) -> u64 {
-        self.store.revision
+    /// Returns the position of the newest change.
+    pub fn position(&self) -> Position {
+        self.store.position()
+    }
+
+    /// Lets another VM announce the newest change in the next tick.
+    pub fn announce(&mut self, reason: Reason) {
+        self.announce_at(self.position(), reason);
+    }
+
+    /// Lets another VM announce a position in the next tick.
+    pub fn announce_at(&mut self, position: Position, reason: Reason) {
+        self.incoming.push(announcement(position, reason));
     }
 }
 
@@ -433,7 +500,7 @@
             let underway = std::mem::take(&mut self.underway);
             for (vm, address) in self.vms.iter_mut().zip(&self.addresses) {
                 let incoming = underway.iter().filter(|(to, _)| to == address);
-                let incoming = incoming.map(|(_, progress)| *progress).collect();
+                let incoming = incoming.map(|(_, progress)| progress.clone()).collect();
                 vm.tick(self.now, &mut self.store, incoming, Vec::new(), Vec::new());
                 self.underway.append(&mut vm.announced);
             }
--- a/crates/core/tests/world/control.rs
+++ b/crates/core/tests/world/control.rs
@@ -11,7 +11,7 @@
     name::Name,
     notice::{Notice, Report},
     profile::Revision,
-    store::{Call, CallId, Reply},
+    store::{Call, CallId, Outcome, Reply},
     time::{Instant, Wall},
     traffic,
     view::{self, State, View},
@@ -197,7 +197,11 @@
     pub(super) fn take_store_reply(&mut self, caller: &(Name, u64), call: CallId, reply: Reply) {
         self.platform.as_mut().unwrap().end_watch(caller, call);
         if self.vms.get(&caller.0).is_some_and(|vm| vm.start == caller.1) {
-            self.deliver_to_control(&caller.0, Duration::ZERO, Event::Reply { call, reply });
+            self.deliver_to_control(
+                &caller.0,
+                Duration::ZERO,
+                Event::Store(Outcome { id: call, era: None, reply }),
+            );
         }
     }
 
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -3,7 +3,7 @@
 use laburnum_core::{
     control::{Answer, Event, Message, Request},
     notice::Report,
-    store::{CallId, Reply},
+    store::Outcome,
 };
 use tokio::sync::{
     mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -23,7 +23,7 @@
 pub struct Handle {
     events: UnboundedSender<Event>,
     submissions: UnboundedSender<Submission>,
-    replies: UnboundedSender<(CallId, Reply)>,
+    outcomes: UnboundedSender<Outcome>,
 }
 
 /// The receiving ends of the channels of the control thread.
@@ -31,17 +31,20 @@
 pub struct Inbox {
     pub(super) events: UnboundedReceiver<Event>,
     pub(super) submissions: UnboundedReceiver<Submission>,
-    pub(super) replies: UnboundedReceiver<(CallId, Reply)>,
+    pub(super) outcomes: UnboundedReceiver<Outcome>,
 }
 
 /// Makes the channels of the control thread.
 pub fn channel() -> (Handle, Inbox) {
     let (events, event_receiver) = unbounded_channel();
     let (submissions, submission_receiver) = unbounded_channel();
-    let (replies, reply_receiver) = unbounded_channel();
-    let inbox =
-        Inbox { events: event_receiver, submissions: submission_receiver, replies: reply_receiver };
-    (Handle { events, submissions, replies }, inbox)
+    let (outcomes, outcome_receiver) = unbounded_channel();
+    let inbox = Inbox {
+        events: event_receiver,
+        submissions: submission_receiver,
+        outcomes: outcome_receiver,
+    };
+    (Handle { events, submissions, outcomes }, inbox)
 }
 
 impl Inbox {
@@ -73,10 +76,9 @@
         let _ = self.events.send(event);
     }
 
-    /// Returns the channel for the replies of the client of the platform's
-    /// service.
-    pub fn replies(&self) -> UnboundedSender<(CallId, Reply)> {
-        self.replies.clone()
+    /// Returns the channel for the outcomes of calls to the platform's service.
+    pub fn outcomes(&self) -> UnboundedSender<Outcome> {
+        self.outcomes.clone()
     }
 
     /// Submits a request of an operator and waits for its answer, which is none
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -95,9 +95,7 @@
                 None => return false,
             },
             Some(submission) = inbox.submissions.recv() => events.push(self.register(submission)),
-            Some((call, reply)) = inbox.replies.recv() => {
-                events.push(Event::Reply { call, reply });
-            }
+            Some(outcome) = inbox.outcomes.recv() => events.push(Event::Store(outcome)),
             () = sleep(pause) => {}
         }
         self.take_ready(inbox, events);
@@ -106,8 +104,8 @@
 
     fn take_ready(&mut self, inbox: &mut Inbox, events: &mut Vec<Event>) {
         while events.len() < MAX_BATCH {
-            if let Ok((call, reply)) = inbox.replies.try_recv() {
-                events.push(Event::Reply { call, reply });
+            if let Ok(outcome) = inbox.outcomes.try_recv() {
+                events.push(Event::Store(outcome));
             } else if let Ok(event) = inbox.events.try_recv() {
                 events.push(event);
             } else if let Ok(submission) = inbox.submissions.try_recv() {
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -51,9 +51,9 @@
 
 /// Runs the control thread until the VM stops.
 pub async fn run(shared: Shared, mut resources: Resources) {
-    let (replies, mut receiver) = mpsc::unbounded_channel();
+    let (outcomes, mut receiver) = mpsc::unbounded_channel();
     let (store, name) = (shared.settings.store, &shared.settings.vm.name);
-    let mut client: Box<dyn Platform> = Box::new(Client::new(store, name, CALL_TIMEOUT, replies));
+    let mut client: Box<dyn Platform> = Box::new(Client::new(store, name, CALL_TIMEOUT, outcomes));
     let vms = shared.settings.retry.vms;
     let mut feed =
         Feed::new(Limits::DEFAULT, Box::new(Format), own_vm(&shared), vms, rand::random());
@@ -66,7 +66,7 @@
     loop {
         let mut out = Outbox::default();
         let input = Input {
-            replies: std::mem::take(&mut batch),
+            outcomes: std::mem::take(&mut batch),
             progress: std::mem::take(&mut progress),
             quarantined: std::mem::take(&mut quarantined),
             suspicions: std::mem::take(&mut suspicions),
--- a/src/slope/fleet.rs
+++ b/src/slope/fleet.rs
@@ -11,7 +11,7 @@
     control::{Engine, Event, Limits, Message, Outbox, Request, RequestId, Setup},
     name::Name,
     notice::Notice,
-    store::{CallId, Reply},
+    store::{CallId, Outcome, Reply},
     time::{Instant, Wall},
     view::{State, Vm},
 };
@@ -260,9 +260,8 @@
                 self.cost.cpu_time += took;
                 Some(Event::Message(message))
             }
-            Delivery::Reply(start_number, call, reply) => {
-                (start_number == node.start_number).then_some(Event::Reply { call, reply })
-            }
+            Delivery::Reply(start_number, call, reply) => (start_number == node.start_number)
+                .then_some(Event::Store(Outcome { id: call, era: None, reply })),
         }
     }
 
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -112,7 +112,7 @@
 fn platform_client(shared: &Shared) -> Client {
     let settings = &shared.settings;
     let (address, limit) = (settings.platform.address, settings.platform.call_timeout);
-    Client::new(address, &settings.vm.name, limit, shared.control.replies())
+    Client::new(address, &settings.vm.name, limit, shared.control.outcomes())
 }
 
 /// Passes the messages of other VMs on to the control thread.
--- a/tests/border/platform.rs
+++ b/tests/border/platform.rs
@@ -11,7 +11,7 @@
 use reqwest::StatusCode;
 use serde_json::json;
 
-use crate::service::{Service, get, is_refused, swap, vm, watch};
+use crate::service::{Service, at, get, is_refused, swap, vm, watch};
 
 /// A time that does not elapse within a case.
 const LONG_MS: u64 = 20_000;
@@ -19,7 +19,7 @@
 cases! { async:
     a_missing_key_has_no_entry => {
         let mut client = Service::start().client("vm-1");
-        assert_eq!(client.call(get("a")).await, Reply::Value { entry: None, change: 0 });
+        assert_eq!(client.call(get("a")).await, Reply::Value { entry: None, position: at(0) });
     };
     a_written_value_is_read_back => {
         let mut client = Service::start().client("vm-1");
@@ -32,7 +32,7 @@
         let mut client = Service::start().client("vm-1");
         let first = client.write("a", None, b"1").await;
         let second = client.write("a", Some(first), b"2").await;
-        assert_eq!(second, Version(first.0 + 1));
+        assert_eq!(second, Version(at(first.0.change + 1)));
     };
     a_write_on_another_version_is_a_conflict => {
         let mut client = Service::start().client("vm-1");
@@ -50,7 +50,7 @@
     };
     a_write_of_a_missing_key_as_existing_is_a_conflict => {
         let mut client = Service::start().client("vm-1");
-        let reply = client.call(swap("a", Some(Version(1)), b"2")).await;
+        let reply = client.call(swap("a", Some(Version(at(1))), b"2")).await;
         assert_eq!(reply, Reply::Conflict { current: None });
     };
     a_removed_key_is_gone_and_has_no_earlier_version_later => {
@@ -68,9 +68,9 @@
             client.write(key, None, b"").await;
         }
         let reply = client.call(Call::Scan { prefix: "b/".to_owned() }).await;
-        let Reply::Entries { entries, change } = reply else { panic!("{reply:?}") };
+        let Reply::Entries { entries, position } = reply else { panic!("{reply:?}") };
         let keys: Vec<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
-        assert_eq!((keys, change), (vec!["b/1", "b/2"], 4));
+        assert_eq!((keys, position), (vec!["b/1", "b/2"], at(4)));
     };
     a_value_of_a_megabyte_is_kept => {
         let mut client = Service::start().client("vm-1");
@@ -100,7 +100,7 @@
         let reply = client.call(call).await;
         assert!(matches!(reply, Reply::Swapped { .. }), "{reply:?}");
         let reply = client.call(watch("a", 1, LONG_MS)).await;
-        let expected = Reply::Changed { entries: vec![], removed: vec!["a".to_owned()], change: 2 };
+        let expected = Reply::Changed { entries: vec![], removed: vec!["a".to_owned()], position: at(2) };
         assert_eq!(reply, expected);
         assert_eq!(client.call(Call::Keep { lease }).await, Reply::Lapsed);
     };
@@ -125,21 +125,22 @@
         writer.write("q/other", None, b"1").await;
         writer.write("p/new", None, b"2").await;
         let (_, reply) = watcher.next().await;
-        let Reply::Changed { entries, removed, change } = reply else { panic!("{reply:?}") };
-        assert_eq!((entries[0].key.as_str(), entries.len(), change), ("p/new", 1, 3));
+        let Reply::Changed { entries, removed, position } = reply else { panic!("{reply:?}") };
+        assert_eq!((entries[0].key.as_str(), entries.len(), position), ("p/new", 1, at(3)));
         assert!(removed.is_empty());
     };
     a_watch_sees_a_change_from_before_it_began => {
         let mut client = Service::start().client("vm-1");
         client.write("a", None, b"1").await;
         let reply = client.call(watch("a", 0, LONG_MS)).await;
-        assert!(matches!(reply, Reply::Changed { change: 1, .. }), "{reply:?}");
+        let Reply::Changed { position, .. } = reply else { panic!("{reply:?}") };
+        assert_eq!(position, at(1));
     };
     a_watch_without_a_change_ends_with_its_wait => {
         let mut client = Service::start().client("vm-1");
         client.write("b", None, b"1").await;
         let reply = client.call(watch("a", 0, 50)).await;
-        assert_eq!(reply, Reply::Changed { entries: vec![], removed: vec![], change: 1 });
+        assert_eq!(reply, Reply::Changed { entries: vec![], removed: vec![], position: at(1) });
     };
     a_watch_may_wait_beyond_the_limit_of_other_calls => {
         let mut client = Service::start().client("vm-1");
--- a/tests/border/platform_system.rs
+++ b/tests/border/platform_system.rs
@@ -4,7 +4,7 @@
 use std::{num::NonZeroU32, time::Duration};
 
 use laburnum_core::{
-    store::{Call, LeaseId, Reply},
+    store::{Call, LeaseId, Position, Reply},
     time::Instant,
     view::State,
 };
@@ -145,7 +145,7 @@
         assert_eq!(simulation.call(watch("k/", 1, 0)), Some(Reply::Outdated));
         let reply = simulation.call(watch("k/", 139_998, 0));
         let expected = Reply::Changed {
-            entries: vec![], removed: vec!["k/69999".to_owned()], change: 140_000,
+            entries: vec![], removed: vec!["k/69999".to_owned()], position: Position::new(0, 140_000),
         };
         assert_eq!(reply, Some(expected));
     };
--- a/tests/border/service.rs
+++ b/tests/border/service.rs
@@ -10,7 +10,7 @@
 use laburnum_core::{
     border::Platform,
     name::Name,
-    store::{Call, CallId, Entry, Reply, Version},
+    store::{Call, CallId, Entry, Outcome, Position, Reply, Version},
     view::{State, Vm},
 };
 use laburnum_platform::store::Client;
@@ -67,18 +67,21 @@
     }
 }
 
+/// The era that the stand-in states at the start.
+const ERA: u64 = 0;
+
 /// A client of the platform's service that collects its replies.
 pub struct TestClient {
     client: Client,
-    replies: UnboundedReceiver<(CallId, Reply)>,
+    outcomes: UnboundedReceiver<Outcome>,
     last_id: u64,
 }
 
 impl TestClient {
     pub fn new(address: SocketAddr, vm: &str) -> TestClient {
-        let (sender, replies) = unbounded_channel();
+        let (sender, outcomes) = unbounded_channel();
         let client = Client::new(address, &name(vm), CALL_LIMIT, sender);
-        TestClient { client, replies, last_id: 0 }
+        TestClient { client, outcomes, last_id: 0 }
     }
 
     /// Starts a call without waiting for its reply.
@@ -90,7 +93,8 @@
 
     /// Waits for the next reply to any call.
     pub async fn next(&mut self) -> (CallId, Reply) {
-        self.replies.recv().await.unwrap()
+        let outcome = self.outcomes.recv().await.unwrap();
+        (outcome.id, outcome.reply)
     }
 
     /// Makes a call and waits for its reply. No other call may be outstanding.
@@ -140,7 +144,13 @@
     Call::Swap { key: key.to_owned(), expect, value: value.to_vec(), lease: None }
 }
 
+/// Returns the position of a change in the era of the stand-in.
+pub fn at(change: u64) -> Position {
+    Position::new(ERA, change)
+}
+
 pub fn watch(prefix: &str, after: u64, wait_ms: u64) -> Call {
+    let after = at(after);
     Call::Watch { prefix: prefix.to_owned(), after, wait: Duration::from_millis(wait_ms) }
 }
 
