Show that VMs miss versions after the store comes back from an older copy

Callers saw requests run by the service of an older version after a newer one was acknowledged.

Change: the simulated store of the core's tests comes back from a copy, in a new era that gives the lost numbers out again, with open calls that end or go silent. Eight cases assert that a version that is written at once after that is in force at every VM within 3 s, and that no VM gives up live watches.

Measured on this code, which compares numbers without their era: all eight fail. The other 223 cases pass.

--- a/crates/core/tests/relay/harness.rs
+++ b/crates/core/tests/relay/harness.rs
@@ -34,7 +34,7 @@
     Name::try_from(text).unwrap()
 }
 
-pub fn ms(millis: u64) -> Duration {
+pub const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod notices;
 mod once;
 mod outages;
+mod restores;
 mod routes;
 mod suspects;
 mod targets;
--- /dev/null
+++ b/crates/core/tests/relay/restores.rs
@@ -0,0 +1,144 @@
+//! Tests of a store that comes back from an older copy of its data: it loses changes that it
+//! had acknowledged, and gives their numbers out again in a new era.
+
+use std::time::Duration;
+
+use laburnum_core::log::Event;
+
+use crate::{
+    harness::ms,
+    store::{Fleet, STEP},
+};
+
+/// The time after its acknowledgement within which a version must be in force.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(3);
+
+/// What happens to the calls that are open when the store goes away.
+#[derive(Clone, Copy, Debug)]
+enum Open {
+    /// Their connections end.
+    Ends,
+    /// Their connections go silent for good.
+    Silent,
+}
+
+/// One return of the store from an older copy.
+#[derive(Clone, Copy, Debug)]
+struct Drill {
+    open: Open,
+    /// The number of changes that are lost.
+    lost: u32,
+    /// The number of changes that are written again before the next version.
+    rewritten: u32,
+    /// How long the store is away.
+    away: Duration,
+}
+
+const DRILL: Drill = Drill { open: Open::Silent, lost: 100, rewritten: 0, away: ms(300) };
+
+/// Returns a fleet whose VMs have read version 3 and what others announced.
+fn settled_fleet(count: u16) -> Fleet {
+    let mut fleet = Fleet::new(count, 7);
+    fleet.pass(ms(15_000));
+    assert!(fleet.without_version(3).is_empty());
+    fleet
+}
+
+/// Writes entries of targets, as when targets register.
+fn register_targets(fleet: &mut Fleet, count: u32) {
+    for number in 0..count {
+        fleet.store.put(&format!("target/late-{}", number % 5), "desk");
+    }
+}
+
+/// Plays a drill: the version `lost` is read by all VMs and lost with the changes after the
+/// copy. What others than VMs wrote is written again.
+fn play(fleet: &mut Fleet, drill: Drill, lost: u64) {
+    fleet.store.take_copy();
+    fleet.store.put("config", &lost.to_string());
+    register_targets(fleet, drill.lost);
+    fleet.pass(ms(4000));
+    assert!(fleet.without_version(lost).is_empty());
+    match drill.open {
+        Open::Silent => fleet.lose_calls(),
+        Open::Ends => fleet.end_calls(),
+    }
+    // A store that is away answers no new calls either.
+    fleet.store.is_down = true;
+    fleet.pass(drill.away);
+    fleet.store.is_down = false;
+    fleet.store.restore();
+    register_targets(fleet, drill.rewritten);
+}
+
+/// Writes a version, and asserts that it is in force at every VM in time and that no VM goes
+/// back to an older one meanwhile.
+fn assert_in_force(fleet: &mut Fleet, version: u64) {
+    fleet.store.put("config", &version.to_string());
+    let mut newest: Vec<Option<u64>> = fleet.vms.iter().map(|vm| vm.version()).collect();
+    let end = fleet.now + IN_FORCE_LIMIT;
+    while fleet.now < end {
+        fleet.pass(STEP);
+        for (vm, newest) in fleet.vms.iter().zip(&mut newest) {
+            assert!(vm.version() >= *newest, "went back from {newest:?} to {:?}", vm.version());
+            *newest = vm.version();
+        }
+    }
+    let behind = fleet.without_version(version);
+    assert!(behind.is_empty(), "behind are {behind:?}");
+}
+
+/// Asserts that a version is in force in time that is written at once after a drill.
+fn assert_drill(count: u16, drill: Drill) {
+    let mut fleet = settled_fleet(count);
+    play(&mut fleet, drill, 4);
+    assert_in_force(&mut fleet, 5);
+}
+
+cases! {
+    a_watch_that_was_silenced_with_the_store_hides_no_version => assert_drill(15, DRILL);
+    numbers_that_are_given_out_again_hide_no_version => {
+        for rewritten in [1, 50, 98, 99, 100, 101, 150] {
+            assert_drill(15, Drill { rewritten, ..DRILL });
+        }
+    };
+    connections_that_end_hide_no_version => {
+        for rewritten in [0, 50, 100, 150] {
+            assert_drill(15, Drill { open: Open::Ends, rewritten, ..DRILL });
+        }
+    };
+    a_store_that_is_back_at_once_hides_no_version => {
+        for open in [Open::Ends, Open::Silent] {
+            assert_drill(15, Drill { open, away: Duration::ZERO, rewritten: 100, ..DRILL });
+        }
+    };
+    a_long_absence_hides_no_version => {
+        for open in [Open::Ends, Open::Silent] {
+            assert_drill(15, Drill { open, away: ms(4500), rewritten: 20, ..DRILL });
+        }
+    };
+    a_fleet_of_any_size_misses_no_version => {
+        for count in [1, 2, 5, 100] {
+            assert_drill(count, DRILL);
+        }
+    };
+    two_drills_in_a_row_hide_no_version => {
+        let mut fleet = settled_fleet(15);
+        play(&mut fleet, DRILL, 4);
+        fleet.store.restore();
+        fleet.lose_calls();
+        assert_in_force(&mut fleet, 5);
+        play(&mut fleet, Drill { rewritten: 100, ..DRILL }, 6);
+        assert_in_force(&mut fleet, 7);
+    };
+    an_announcement_of_an_ended_era_keeps_no_vm_behind => {
+        let mut fleet = settled_fleet(15);
+        play(&mut fleet, Drill { open: Open::Ends, ..DRILL }, 4);
+        fleet.pass(ms(3000));
+        let before: usize = fleet.vms.iter().map(|vm| vm.logged(Event::StoreSilent)).sum();
+        fleet.pass(ms(10_000));
+        let after: usize = fleet.vms.iter().map(|vm| vm.logged(Event::StoreSilent)).sum();
+        assert_eq!(after - before, 0, "VMs hold their watch for silent");
+        assert!(fleet.vms.iter().all(|vm| vm.view.is_current));
+    };
+}
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -229,6 +229,8 @@
     since: Instant,
     /// Whether its answer is lost.
     is_lost: bool,
+    /// Whether its connection has ended.
+    is_ended: bool,
 }
 
 /// Returns what another VM announces.
@@ -319,7 +321,8 @@
             assert_eq!(self.count(Kind::Report, &call), 0, "two reports at a time");
             let is_given_up = self.open.iter().any(|open| open.is_lost);
             assert!(is_given_up || self.count(Kind::Read, &call) == 0, "two calls at a time");
-            self.open.push(OpenCall { id, call, since: now, is_lost: store.is_silent });
+            let is_lost = store.is_silent;
+            self.open.push(OpenCall { id, call, since: now, is_lost, is_ended: false });
         }
     }
 
@@ -355,7 +358,7 @@
         let is_over = now.since(open.since) >= wait + CALL_TIMEOUT;
         return is_over.then(|| Reply::Refused { detail: "no answer".to_owned() });
     }
-    if store.is_down {
+    if store.is_down || open.is_ended {
         return Some(Reply::Refused { detail: "down".to_owned() });
     }
     store.read(&open.call, open.since, now)
@@ -508,6 +511,17 @@
         }
     }
 
+    /// Lets the answers of all open calls of all VMs be lost.
+    pub fn lose_calls(&mut self) {
+        self.vms.iter_mut().for_each(Reader::lose_calls);
+    }
+
+    /// Ends all open calls of all VMs with their connections.
+    pub fn end_calls(&mut self) {
+        let open = self.vms.iter_mut().flat_map(|vm| &mut vm.open);
+        open.for_each(|open| open.is_ended = true);
+    }
+
     /// Ends every VM but those with these numbers for good; their entries stay.
     pub fn keep_only(&mut self, numbers: &[usize]) {
         let mut number = 0..;
