--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -12,6 +12,7 @@
 mod probe;
 mod confirm;
 mod watch;
+pub mod reading;
 pub mod progress;
 pub mod system;
 
@@ -202,7 +203,8 @@
     /// Returns whether requests can be served: by own routes, or by a larger VM that is
     /// reachable, even if its routes are old.
     pub fn is_ready(&self) -> bool {
-        let is_loaded = self.tables.view.config.is_some() && self.tables.position.is_some();
+        let is_loaded =
+            self.tables.view.config.is_some() && self.tables.reading.position().is_some();
         is_loaded || (self.tables.role == Role::Handing && self.tables.reach != Reach::Lost)
     }
 }
--- a/crates/core/src/relay/feed/probe.rs
+++ b/crates/core/src/relay/feed/probe.rs
@@ -81,7 +81,7 @@
 /// Ends the check: the store answers, and its newest change is at `position`.
 fn finish(tables: &mut Tables, position: Position, cx: &mut Context<'_>) {
     mark_store_up(tables, cx);
-    let is_complete = tables.position.is_some_and(|own| own.change >= position.change);
+    let is_complete = tables.reading.is_complete_at(position);
     if is_complete {
         confirm::record_own(tables, cx);
     }
--- a/crates/core/src/relay/feed/progress.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -8,12 +8,14 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
 use super::{
     confirm, probe,
+    reading::{Heard, Standing},
     system::{Context, set_current},
-    table::{Heard, Purpose, Role, Tables},
+    table::{Purpose, Role, Tables},
 };
 use crate::{
     log::{Event, Line},
@@ -21,9 +23,9 @@
     store::Position,
 };
 
-/// How long a VM may be behind others before it gives up its watch. It must exceed the
-/// time by which the store answers one VM later than another.
-const MAX_LAG: Duration = Duration::from_millis(400);
+/// The longest time by which a VM delays its scan after it learns that the store has begun a
+/// new era, so that not all VMs scan and register at the same moment.
+const MAX_ERA_DELAY: Duration = Duration::from_millis(200);
 
 /// How long a VM takes up no further doubt after one.
 const DOUBT_PAUSE: Duration = Duration::from_secs(1);
@@ -49,12 +51,17 @@
     Confirmation,
 }
 
-/// Records what another VM announced.
+/// Records what another VM announced. It confirms the state of this VM only if this VM has
+/// read as far in the same era.
 pub fn receive(tables: &mut Tables, progress: Progress, cx: &mut Context<'_>) {
-    record_latest(tables, progress.position, Some(progress.from), cx);
-    match progress.reason {
+    let Progress { from, position, reason } = progress;
+    record_latest(tables, position, Some(from), cx);
+    match reason {
         Reason::Doubt => probe::take_up_doubt(tables, cx),
-        Reason::Change | Reason::Confirmation => confirm::record(tables, cx),
+        Reason::Change | Reason::Confirmation if tables.reading.is_complete_at(position) => {
+            confirm::record(tables, cx);
+        }
+        Reason::Change | Reason::Confirmation => {}
     }
 }
 
@@ -64,24 +71,35 @@
     tables: &mut Tables,
     position: Position,
     from: Option<Name>,
-    cx: &Context<'_>,
+    cx: &mut Context<'_>,
 ) {
-    if position.change <= tables.own_change().max(tables.heard.position.change) {
+    if !tables.reading.hear(position, from, cx.now) {
         return;
     }
-    tables.heard = Heard { position, from, at: cx.now };
-    // A change is also read late because this VM pauses between two watches.
-    tables.lag_deadline.get_or_insert(cx.now.max(tables.not_before) + MAX_LAG);
+    if tables.reading.standing() == Standing::Superseded {
+        leave_era(tables, cx);
+    } else {
+        // A change is also read late because this VM pauses between two watches.
+        tables.reading.start_lag(cx.now.max(tables.not_before));
+    }
     if let Some(probe) = &mut tables.probe {
         probe.next_at = cx.now;
     }
 }
 
+/// Schedules a scan because the era in which this VM has read is over. Its watch continues
+/// nothing, and may never be answered.
+pub fn leave_era(tables: &mut Tables, cx: &mut Context<'_>) {
+    set_current(tables, false);
+    let delay = MAX_ERA_DELAY.mul_f64(cx.random.random::<f64>());
+    tables.reading.schedule_scan(cx.now + delay);
+}
+
 /// Announces how far this VM or any VM that announced its progress to it has read. VMs
 /// pass announcements on because, where the store does not answer most VMs, the few
 /// that it answers do not reach all others themselves.
 pub fn announce(tables: &mut Tables, cx: &mut Context<'_>) {
-    if tables.announced < newest(tables).change && tables.role == Role::Forwarding {
+    if tables.reading.has_news() && tables.role == Role::Forwarding {
         send(tables, Reason::Change, cx);
     }
 }
@@ -96,21 +114,14 @@
 
 /// Tells all VMs that the store has just confirmed how far this one has read.
 pub fn send_to_all(tables: &Tables, cx: &mut Context<'_>) {
-    let position = tables.position.unwrap_or_default();
+    let Some(position) = tables.reading.position() else { return };
     let progress =
         Progress { from: tables.own.name.clone(), position, reason: Reason::Confirmation };
     cx.out.progress.extend(tables.others().map(|(_, vm)| (vm.address, progress.clone())));
 }
 
-/// Returns the newest change that this VM knows of.
-fn newest(tables: &Tables) -> Position {
-    let own = tables.position.unwrap_or_default();
-    if tables.heard.position.change > own.change { tables.heard.position } else { own }
-}
-
 fn send(tables: &mut Tables, reason: Reason, cx: &mut Context<'_>) {
-    let position = newest(tables);
-    tables.announced = position.change;
+    let position = tables.reading.announce();
     let progress = Progress { from: tables.own.name.clone(), position, reason };
     cx.out.progress.extend(recipients(tables).into_iter().map(|to| (to, progress.clone())));
 }
@@ -127,21 +138,14 @@
     distances.map_while(|distance| others.get(distance - 1).copied()).collect()
 }
 
-/// Schedules a new scan of the store if this VM has stayed behind others for too
-/// long.
+/// Schedules a new scan of the store if this VM has stayed behind others for too long.
 pub fn rescan_if_behind(tables: &mut Tables, cx: &mut Context<'_>) {
-    let own = tables.own_change();
-    if tables.heard.position.change <= own {
-        tables.lag_deadline = None;
-        return;
-    }
-    if tables.lag_deadline.is_none_or(|at| at > cx.now) {
-        return;
-    }
-    tables.lag_deadline = Some(cx.now + MAX_LAG);
-    if !matches!(tables.call, Some((_, Purpose::Watch))) {
+    let is_paused = tables.call.is_none() && tables.probe.is_none();
+    let is_watching = matches!(tables.call, Some((_, Purpose::Watch)));
+    if !tables.reading.is_overdue(cx.now) || !(is_watching || is_paused) {
         return;
     }
+    tables.reading.restart_lag(cx.now);
     cx.out.lines.push(Line::new(Event::StoreSilent, lag(tables, cx)));
     tables.abandon_call();
     tables.next_purpose = Some(Purpose::Scan);
@@ -152,8 +156,8 @@
 /// Returns the fields of a line about a VM that is behind others: how far each is, by whose
 /// word and since when, and what the store itself said last.
 fn lag(tables: &Tables, cx: &Context<'_>) -> Vec<(&'static str, String)> {
-    let own = tables.position.unwrap_or_default();
-    let Heard { position: heard, from, at } = &tables.heard;
+    let own = tables.reading.position().unwrap_or_default();
+    let Heard { position: heard, from, at, .. } = tables.reading.heard();
     let mut fields = vec![
         ("own", own.change.to_string()),
         ("own_era", own.era.0.to_string()),
@@ -162,7 +166,7 @@
         ("from", from.as_ref().map_or_else(String::new, Name::to_string)),
         ("heard_ms_ago", cx.now.since(*at).as_millis().to_string()),
     ];
-    if let Some(scan) = tables.scan {
+    if let Some(scan) = tables.reading.last_scan() {
         fields.push(("scanned", scan.position.change.to_string()));
         fields.push(("scanned_ms_ago", cx.now.since(scan.at).as_millis().to_string()));
     }
--- /dev/null
+++ b/crates/core/src/relay/feed/reading.rs
@@ -0,0 +1,194 @@
+//! How far a VM has read the store, and what is known of the store's newest change.
+//!
+//! Whether what a VM has read is the newest state is decided here and nowhere else, from
+//! positions, which compare the era of the store before the number of a change. The store
+//! itself is the only authority on its era; what other VMs announce makes a VM read again.
+//! See `docs/design/platform.md`.
+
+use std::time::Duration;
+
+use crate::{
+    name::Name,
+    store::{Era, Position},
+    time::Instant,
+};
+
+/// How long a VM may be behind others before it gives up its watch. It must exceed the
+/// time by which the store answers one VM later than another.
+const MAX_LAG: Duration = Duration::from_millis(400);
+
+/// What is known of the newest change from others than the open watch.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    pub position: Position,
+    /// The VM that announced it; none if a check of this VM found it.
+    pub from: Option<Name>,
+    pub at: Instant,
+}
+
+/// A scan that the store has answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Scan {
+    pub position: Position,
+    pub at: Instant,
+}
+
+/// How what a VM has read compares with what it knows of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing was read yet.
+    Unread,
+    /// No newer change is known.
+    Newest,
+    /// The store has newer changes in the same era.
+    Behind,
+    /// The era in which this VM has read is over. What it has read may be lost.
+    Superseded,
+}
+
+/// The state of the reading of one VM.
+#[derive(Clone, Debug, Default)]
+pub struct Reading {
+    position: Option<Position>,
+    era: Option<Era>,
+    heard: Heard,
+    scan: Option<Scan>,
+    announced: Position,
+    lag_deadline: Option<Instant>,
+}
+
+impl Reading {
+    /// Returns the position up to which this VM has read; none before the first scan.
+    pub fn position(&self) -> Option<Position> {
+        self.position
+    }
+
+    /// Returns the latest era that the store has stated.
+    pub fn era(&self) -> Option<Era> {
+        self.era
+    }
+
+    /// Returns what others know of the newest change.
+    pub fn heard(&self) -> &Heard {
+        &self.heard
+    }
+
+    /// Returns the last scan that was answered.
+    pub fn last_scan(&self) -> Option<Scan> {
+        self.scan
+    }
+
+    /// Returns when this VM reads everything again if it is still behind.
+    pub fn lag_deadline(&self) -> Option<Instant> {
+        self.lag_deadline
+    }
+
+    /// Returns the newest position that this VM knows of.
+    pub fn newest(&self) -> Position {
+        self.position.unwrap_or_default().max(self.heard.position)
+    }
+
+    /// Compares what was read with what is known.
+    pub fn standing(&self) -> Standing {
+        let Some(own) = self.position else { return Standing::Unread };
+        let newest_era = self.era.unwrap_or_default().max(self.heard.position.era);
+        if own.era < newest_era {
+            Standing::Superseded
+        } else if own < self.heard.position {
+            Standing::Behind
+        } else {
+            Standing::Newest
+        }
+    }
+
+    /// Returns whether the store has stated a later era than the one in which this VM read.
+    pub fn is_ended(&self) -> bool {
+        self.position.is_some_and(|own| Some(own.era) < self.era)
+    }
+
+    /// Returns whether this VM has read everything that the store has if `newest` is the
+    /// store's newest change. A number of another era proves nothing.
+    pub fn is_complete_at(&self, newest: Position) -> bool {
+        self.position.is_some_and(|own| own.era == newest.era && own >= newest)
+    }
+
+    /// Records the era that an answer of the store states. Returns the era that has ended,
+    /// if a later one has begun.
+    pub fn state_era(&mut self, era: Era) -> Option<Era> {
+        let ended = self.era.filter(|known| *known < era);
+        self.era = self.era.max(Some(era));
+        ended
+    }
+
+    /// Returns whether a scan that was read at `position` is one of the current era.
+    pub fn accepts_scan(&self, position: Position) -> bool {
+        self.era.is_none_or(|era| position.era >= era)
+    }
+
+    /// Records an accepted scan.
+    pub fn finish_scan(&mut self, position: Position, now: Instant) {
+        self.position = Some(position);
+        self.scan = Some(Scan { position, at: now });
+    }
+
+    /// Records that a watch has read up to `position`. Returns whether the watch continued
+    /// what this VM has read; if not, the store has begun another era meanwhile.
+    pub fn advance(&mut self, position: Position) -> bool {
+        let Some(own) = &mut self.position else { return false };
+        if own.era != position.era {
+            return false;
+        }
+        *own = position.max(*own);
+        true
+    }
+
+    /// Records what `from`, or a check of this VM, says about the newest change, if it is
+    /// news. A VM that does not know of it by `now` and the longest lag reads again; at once
+    /// if it has read in an era that is over, as its watch waits for nothing then.
+    pub fn hear(&mut self, position: Position, from: Option<Name>, now: Instant) -> bool {
+        if position <= self.newest() {
+            return false;
+        }
+        self.heard = Heard { position, from, at: now };
+        true
+    }
+
+    /// Sets when this VM reads again, unless it is earlier already.
+    pub fn schedule_scan(&mut self, at: Instant) {
+        self.lag_deadline = Some(self.lag_deadline.map_or(at, |deadline| deadline.min(at)));
+    }
+
+    /// Sets when this VM reads again if it is still behind, unless that is set already.
+    pub fn start_lag(&mut self, from: Instant) {
+        self.lag_deadline.get_or_insert(from + MAX_LAG);
+    }
+
+    /// Returns whether this VM has been behind for too long.
+    pub fn is_overdue(&mut self, now: Instant) -> bool {
+        if matches!(self.standing(), Standing::Newest | Standing::Unread) {
+            self.lag_deadline = None;
+        }
+        self.lag_deadline.is_some_and(|at| at <= now)
+    }
+
+    /// Starts the time limit of the next scan.
+    pub fn restart_lag(&mut self, now: Instant) {
+        self.lag_deadline = Some(now + MAX_LAG);
+    }
+
+    /// Returns whether there is news for other VMs.
+    pub fn has_news(&self) -> bool {
+        self.announced < self.newest()
+    }
+
+    /// Records that the newest position was announced, and returns it.
+    pub fn announce(&mut self) -> Position {
+        self.announced = self.newest();
+        self.announced
+    }
+
+    /// Forgets what was read. It would be old when this VM reads again.
+    pub fn reset(&mut self) {
+        self.position = None;
+    }
+}
--- a/crates/core/src/relay/feed/role.rs
+++ b/crates/core/src/relay/feed/role.rs
@@ -106,7 +106,7 @@
     tables.abandon_call();
     tables.probe = None;
     tables.next_purpose = None;
-    tables.position = None;
+    tables.reading.reset();
     tables.missing.clear();
     let View { vms, larger, assumed_vms, .. } = std::mem::take(&mut tables.view);
     tables.view = View { vms, larger, assumed_vms, ..View::default() };
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Format, Input, Limits, Outbox, Subject, confirm, probe, progress, report, role,
-    table::{Purpose, Role, Scan, Store, Tables},
+    table::{Purpose, Role, Store, Tables},
     watch,
 };
 use crate::{
@@ -61,17 +61,19 @@
     publish(tables, cx);
 }
 
-/// Logs when the store begins a new era.
+/// Records the era that an answer of the store states. If it has begun a new one, what this
+/// VM has read is in doubt.
 fn record_era(tables: &mut Tables, era: Option<Era>, cx: &mut Context<'_>) {
-    let Some(era) = era.filter(|era| tables.era.is_none_or(|known| known < *era)) else { return };
-    if let Some(before) = tables.era.replace(era) {
-        let fields = vec![
-            ("era", era.0.to_string()),
-            ("before", before.0.to_string()),
-            ("own", tables.own_change().to_string()),
-        ];
-        cx.out.lines.push(Line::new(Event::StoreRestored, fields));
-    }
+    let Some(era) = era else { return };
+    let Some(ended) = tables.reading.state_era(era) else { return };
+    let own = tables.reading.position().unwrap_or_default();
+    let fields = vec![
+        ("era", era.0.to_string()),
+        ("before", ended.0.to_string()),
+        ("own", own.change.to_string()),
+    ];
+    cx.out.lines.push(Line::new(Event::StoreRestored, fields));
+    progress::leave_era(tables, cx);
 }
 
 /// Handles the reply to the call in flight; any other reply is dropped.
@@ -86,12 +88,17 @@
         }
         (Purpose::Scan, Reply::Entries { entries, position }) => {
             mark_store_up(tables, cx);
-            replace_all(tables, &entries, cx);
-            set_current(tables, true);
-            tables.position = Some(position);
-            tables.scan = Some(Scan { position, at: cx.now });
-            confirm::record(tables, cx);
-            tables.next_purpose = Some(role::after_scan(tables));
+            if tables.reading.accepts_scan(position) {
+                replace_all(tables, &entries, cx);
+                set_current(tables, true);
+                tables.reading.finish_scan(position, cx.now);
+                confirm::record(tables, cx);
+                tables.next_purpose = Some(role::after_scan(tables));
+            } else {
+                // The answer was under way while the store began the current era.
+                tables.next_purpose = Some(Purpose::Scan);
+                tables.not_before = cx.now + cx.limits.first_pause;
+            }
         }
         (Purpose::Register, Reply::Swapped { version }) => {
             mark_store_up(tables, cx);
@@ -110,6 +117,9 @@
         }
         (Purpose::Watch, Reply::Changed { entries, removed, position }) => {
             mark_store_up(tables, cx);
+            if !tables.reading.advance(position) {
+                return scan_again(tables);
+            }
             for entry in &entries {
                 apply(tables, entry, cx);
             }
@@ -117,9 +127,6 @@
                 remove(tables, key, cx);
             }
             set_current(tables, true);
-            if tables.own_change() < position.change {
-                tables.position = Some(position);
-            }
             tables.next_purpose = Some(Purpose::Watch);
             let changes = entries.len() + removed.len();
             tables.is_watch_quiet = changes == 0;
@@ -134,9 +141,7 @@
         }
         (Purpose::Watch, Reply::Outdated) => {
             mark_store_up(tables, cx);
-            // The changes since the last reply are unknown until the next scan.
-            set_current(tables, false);
-            tables.next_purpose = Some(Purpose::Scan);
+            scan_again(tables);
         }
         (_, Reply::Refused { detail } | Reply::Lost { detail }) => {
             mark_store_down(tables, &detail, cx);
@@ -145,6 +150,12 @@
     }
 }
 
+/// Ends a series of watches whose next changes are unknown until a scan.
+fn scan_again(tables: &mut Tables) {
+    set_current(tables, false);
+    tables.next_purpose = Some(Purpose::Scan);
+}
+
 /// Sets whether the view is current, that is, has the newest state of the store.
 pub fn set_current(tables: &mut Tables, is_current: bool) {
     tables.is_changed |= std::mem::replace(&mut tables.view.is_current, is_current) != is_current;
@@ -354,7 +365,11 @@
         return;
     }
     let first = if tables.role == Role::Undecided { Purpose::ListVms } else { Purpose::Scan };
-    let purpose = tables.next_purpose.take().unwrap_or(first);
+    let purpose = match tables.next_purpose.take().unwrap_or(first) {
+        // A watch cannot continue an era that is over.
+        Purpose::Watch if tables.reading.is_ended() => Purpose::Scan,
+        purpose => purpose,
+    };
     let call = match purpose {
         Purpose::ListVms => Call::Peek { prefix: cx.format.vm_prefix().to_owned() },
         Purpose::Scan => Call::Scan { prefix: cx.format.watch_prefix().to_owned() },
@@ -369,7 +384,7 @@
             let wait = watch::wait(tables, cx.limits);
             tables.watch_due = Some(cx.now + wait + cx.limits.answer_limit);
             let prefix = cx.format.watch_prefix().to_owned();
-            Call::Watch { prefix, after: tables.position.unwrap_or_default(), wait }
+            Call::Watch { prefix, after: tables.reading.position().unwrap_or_default(), wait }
         }
     };
     let id = tables.call_id();
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::{Limits, confirm, role};
+use super::{Limits, confirm, reading::Reading, role};
 use crate::{
     name::Name,
     relay::{Quarantine, Reach, View, view::Vm},
-    store::{CallId, Era, Position, Version},
+    store::{CallId, Version},
     time::Instant,
 };
 
@@ -79,22 +79,6 @@
     pub in_flight: Option<(CallId, Stage)>,
 }
 
-/// What is known of the newest change from others than the open watch.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Heard {
-    pub position: Position,
-    /// The VM that announced it; none if a check of this VM found it.
-    pub from: Option<Name>,
-    pub at: Instant,
-}
-
-/// A scan that the store has answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Scan {
-    pub position: Position,
-    pub at: Instant,
-}
-
 /// All tables of the feed.
 #[derive(Clone, Debug)]
 pub struct Tables {
@@ -115,12 +99,8 @@
     pub view: View,
     /// Whether the view changed since it was last published.
     pub is_changed: bool,
-    /// The newest change that was announced to other VMs.
-    pub announced: u64,
-    /// The newest change that other VMs announced or that a probe found.
-    pub heard: Heard,
-    /// When this VM scans the store again if it is still behind other VMs.
-    pub lag_deadline: Option<Instant>,
+    /// How far this VM has read, and what it knows of the newest change.
+    pub reading: Reading,
     /// The call in flight.
     pub call: Option<(CallId, Purpose)>,
     /// When the open watch counts as silent.
@@ -140,12 +120,6 @@
     pub next_purpose: Option<Purpose>,
     /// The earliest time of the next call.
     pub not_before: Instant,
-    /// The position from which the watch continues; `None` until the first scan.
-    pub position: Option<Position>,
-    /// The latest era that an answer of the store stated.
-    pub era: Option<Era>,
-    /// The last scan that was answered.
-    pub scan: Option<Scan>,
     pub store: Store,
     /// Until when targets whose entries lapsed during an outage stay in use.
     pub lapse_until: Instant,
@@ -170,11 +144,7 @@
             own_entry: None,
             view: View::default(),
             is_changed: false,
-            announced: 0,
-            heard: Heard::default(),
-            era: None,
-            scan: None,
-            lag_deadline: None,
+            reading: Reading::default(),
             call: None,
             watch_due: None,
             is_watch_quiet: false,
@@ -184,7 +154,6 @@
             doubt_pause_until: Instant::default(),
             next_purpose: None,
             not_before: Instant::default(),
-            position: None,
             store: Store::Up,
             lapse_until: Instant::default(),
             missing: BTreeMap::new(),
@@ -211,11 +180,6 @@
         CallId(self.last_call_id)
     }
 
-    /// Returns the newest change that this VM has read; zero before the first scan.
-    pub fn own_change(&self) -> u64 {
-        self.position.unwrap_or_default().change
-    }
-
     /// Gives up the call in flight. A late reply to it is dropped.
     pub fn abandon_call(&mut self) {
         self.call = None;
@@ -230,7 +194,7 @@
         let missing = self.missing.values().min().copied();
         let reading = role::reading_change_at(self, limits);
         let confirmation = confirm::due(self);
-        [call, probe, confirmation, self.watch_due, missing, self.lag_deadline, reading]
+        [call, probe, confirmation, self.watch_due, missing, self.reading.lag_deadline(), reading]
             .into_iter()
             .flatten()
             .min()
--- a/crates/core/tests/relay/restores.rs
+++ b/crates/core/tests/relay/restores.rs
@@ -3,11 +3,16 @@
 
 use std::time::Duration;
 
-use laburnum_core::log::Event;
+use laburnum_core::{
+    log::Event,
+    relay::feed::progress::Reason,
+    store::{Call, Position},
+    time::Instant,
+};
 
 use crate::{
     harness::ms,
-    store::{Fleet, STEP},
+    store::{Fleet, STEP, World},
 };
 
 /// The time after its acknowledgement within which a version must be in force.
@@ -131,6 +136,22 @@
         play(&mut fleet, Drill { rewritten: 100, ..DRILL }, 6);
         assert_in_force(&mut fleet, 7);
     };
+    a_confirmation_of_an_ended_era_confirms_nothing => {
+        let mut world = World::new();
+        world.store.take_copy();
+        world.pass(ms(3000));
+        let ended = world.position();
+        world.store.restore();
+        world.own.lose_calls();
+        for _ in 0..4 {
+            world.announce_at(Position { change: ended.change + 50, ..ended }, Reason::Confirmation);
+            world.pass(ms(500));
+        }
+        let era = |(_, call): &&(Instant, Call)| matches!(call, Call::Scan { .. });
+        assert!(world.own.calls.iter().filter(era).count() >= 3, "{:?}", world.own.calls);
+        world.pass(ms(1000));
+        assert!(world.own.view.is_current);
+    };
     an_announcement_of_an_ended_era_keeps_no_vm_behind => {
         let mut fleet = settled_fleet(15);
         play(&mut fleet, Drill { open: Open::Ends, ..DRILL }, 4);
