Drop an announced change that the store does not have

Cause, found by looking for the same class elsewhere: what a VM hears of others is kept as a maximum and nothing lowers it. One announcement of a change that does not exist, or of an era that does not, made each VM that heard it scan every 0.4 s for ever, count as not current, and tell it on.

Change: five scans in a row that do not reach the change show that it does not exist; the store is the authority. What was heard is dropped, event 705 names the VM that announced it, and the VM announces from its own position again.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -148,6 +148,8 @@
     /// The watch of this VM delivers nothing although other VMs have read newer
     /// changes of the store.
     StoreSilent 703 Warning "watch of the platform's service delivers no changes";
+    /// A change that another VM announced is not in the store, as several scans have shown.
+    AnnouncementDropped 705 Warning "announced change of the platform's service does not exist";
     /// The platform's service came back from an older copy of its data.
     StoreRestored 704 Warning "platform's service lost changes";
     /// The platform's service is available again.
--- a/crates/core/src/relay/feed/progress.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -13,7 +13,7 @@
 
 use super::{
     confirm, probe,
-    reading::{Heard, Standing},
+    reading::{Heard, Remedy, Standing},
     system::{Context, set_current},
     table::{Purpose, Role, Tables},
 };
@@ -138,19 +138,27 @@
     distances.map_while(|distance| others.get(distance - 1).copied()).collect()
 }
 
-/// Schedules a new scan of the store if this VM has stayed behind others for too long.
+/// Schedules a new scan of the store if this VM has stayed behind others for too long. What
+/// several scans have not confirmed does not exist, and is dropped.
 pub fn rescan_if_behind(tables: &mut Tables, cx: &mut Context<'_>) {
     let is_paused = tables.call.is_none() && tables.probe.is_none();
     let is_watching = matches!(tables.call, Some((_, Purpose::Watch)));
     if !tables.reading.is_overdue(cx.now) || !(is_watching || is_paused) {
         return;
     }
-    tables.reading.restart_lag(cx.now);
-    cx.out.lines.push(Line::new(Event::StoreSilent, lag(tables, cx)));
-    tables.abandon_call();
-    tables.next_purpose = Some(Purpose::Scan);
-    tables.not_before = cx.now;
-    set_current(tables, false);
+    match tables.reading.remedy(cx.now) {
+        Remedy::Forget => {
+            cx.out.lines.push(Line::new(Event::AnnouncementDropped, lag(tables, cx)));
+            tables.reading.forget_heard();
+        }
+        Remedy::Scan => {
+            cx.out.lines.push(Line::new(Event::StoreSilent, lag(tables, cx)));
+            tables.abandon_call();
+            tables.next_purpose = Some(Purpose::Scan);
+            tables.not_before = cx.now;
+            set_current(tables, false);
+        }
+    }
 }
 
 /// Returns the fields of a line about a VM that is behind others: how far each is, by whose
--- a/crates/core/src/relay/feed/reading.rs
+++ b/crates/core/src/relay/feed/reading.rs
@@ -2,8 +2,8 @@
 //!
 //! Whether what a VM has read is the newest state is decided here and nowhere else, from
 //! positions, which compare the era of the store before the number of a change. The store
-//! itself is the only authority on its era; what other VMs announce makes a VM read again.
-//! See `docs/design/platform.md`.
+//! itself is the only authority on its era; what other VMs announce makes a VM read again,
+//! and is dropped if the store does not confirm it. See `docs/design/platform.md`.
 
 use std::time::Duration;
 
@@ -17,6 +17,9 @@
 /// time by which the store answers one VM later than another.
 const MAX_LAG: Duration = Duration::from_millis(400);
 
+/// The number of scans after which an announced change counts as one that does not exist.
+const MAX_UNCONFIRMED_SCANS: u32 = 5;
+
 /// What is known of the newest change from others than the open watch.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Heard {
@@ -24,6 +27,8 @@
     /// The VM that announced it; none if a check of this VM found it.
     pub from: Option<Name>,
     pub at: Instant,
+    /// How many scans were started since then because this VM was behind.
+    scans: u32,
 }
 
 /// A scan that the store has answered.
@@ -46,6 +51,15 @@
     Superseded,
 }
 
+/// What to do about a VM that has been behind for too long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Remedy {
+    /// Read everything again.
+    Scan,
+    /// Drop what was heard, as the store has no such change.
+    Forget,
+}
+
 /// The state of the reading of one VM.
 #[derive(Clone, Debug, Default)]
 pub struct Reading {
@@ -149,7 +163,7 @@
         if position <= self.newest() {
             return false;
         }
-        self.heard = Heard { position, from, at: now };
+        self.heard = Heard { position, from, at: now, scans: 0 };
         true
     }
 
@@ -171,9 +185,21 @@
         self.lag_deadline.is_some_and(|at| at <= now)
     }
 
-    /// Starts the time limit of the next scan.
-    pub fn restart_lag(&mut self, now: Instant) {
+    /// Returns what to do about being behind for too long, and starts the next time limit.
+    pub fn remedy(&mut self, now: Instant) -> Remedy {
         self.lag_deadline = Some(now + MAX_LAG);
+        if self.heard.scans >= MAX_UNCONFIRMED_SCANS {
+            return Remedy::Forget;
+        }
+        self.heard.scans += 1;
+        Remedy::Scan
+    }
+
+    /// Drops what was heard and not confirmed by the store.
+    pub fn forget_heard(&mut self) {
+        self.heard = Heard::default();
+        self.announced = self.position.unwrap_or_default();
+        self.lag_deadline = None;
     }
 
     /// Returns whether there is news for other VMs.
--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -424,6 +424,28 @@
         assert_eq!(second["scanned"], own.change.to_string(), "the scan between both was answered");
         assert_eq!(second["heard_ms_ago"], "800");
     };
+    an_announced_change_that_does_not_exist_is_dropped => {
+        let own = synced_world().position();
+        let ahead = [Position { change: own.change + 100, ..own }, Position::new(u64::MAX, 1)];
+        for position in ahead {
+            let mut world = synced_world();
+            (0..6).for_each(|n| world.put(&format!("vm/other-{n}"), "170"));
+            world.pass(ms(1000));
+            world.own.lose_calls();
+            world.announce_at(position, Reason::Change);
+            world.pass(ms(4000));
+            assert_eq!(world.own.logged(Event::AnnouncementDropped), 1);
+            assert!(world.own.view.is_current);
+            world.own.announced.clear();
+            world.put("config", "4");
+            world.pass(ms(1000));
+            assert_eq!(world.own.version(), Some(4));
+            let news = world.own.announced_as(Reason::Change);
+            assert!(news.iter().any(|progress| progress.position == world.position()), "{news:?}");
+            world.pass(ms(5000));
+            assert_eq!(world.own.logged(Event::StoreSilent), 5, "it has gone on watching");
+        }
+    };
     a_new_era_of_the_store_is_logged => {
         let mut world = synced_world();
         world.store.take_copy();
