Register again at a store that has lost the entry of a VM

Cause: after a scan a VM asked its own table of VMs whether it is listed, and that keeps entries which the store no longer has. A VM that registered after the copy from which the store came back never registered again: others gave it no part of the retry budget and told it nothing.

Change: each scan states anew whether the store has the entry of this VM, and the next write expects what the scan found. A VM that was registered before delays its write by up to half a second, so that 100 VMs write 100 entries within the rate of the store.

--- a/crates/core/src/relay/feed/role.rs
+++ b/crates/core/src/relay/feed/role.rs
@@ -20,6 +20,9 @@
 /// time, as the gain must be worth the extra round trip.
 const LARGER_VM_FACTOR: u32 = 3;
 
+/// The longest time by which a VM delays the write of an entry that the store has lost.
+const MAX_REGISTRATION_DELAY: Duration = Duration::from_millis(500);
+
 /// Returns the VMs that have enough processor time to be handed requests by this one.
 pub fn larger_vms(tables: &Tables) -> BTreeMap<Name, Vm> {
     let min_share = tables.own.vm.share.saturating_mul(LARGER_VM_FACTOR);
@@ -113,8 +116,19 @@
     tables.is_changed = true;
 }
 
+/// Schedules the call that follows a scan. A VM whose entry the store has lost writes it
+/// again after a random delay, as the others do so too.
+pub fn continue_after_scan(tables: &mut Tables, cx: &mut Context<'_>) {
+    let purpose = after_scan(tables);
+    tables.next_purpose = Some(purpose);
+    if purpose == Purpose::Register && tables.was_registered {
+        let delay = MAX_REGISTRATION_DELAY.mul_f64(cx.random.random::<f64>());
+        tables.not_before = cx.now + delay;
+    }
+}
+
 /// Returns the purpose of the call that follows a scan.
 pub fn after_scan(tables: &Tables) -> Purpose {
-    let is_listed = tables.view.vms.get(&tables.own.name) == Some(&tables.own.vm);
+    let is_listed = tables.own_entry.is_some();
     if is_listed || tables.role != Role::Forwarding { Purpose::Watch } else { Purpose::Register }
 }
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -93,7 +93,7 @@
                 set_current(tables, true);
                 tables.reading.finish_scan(position, cx.now);
                 confirm::record(tables, cx);
-                tables.next_purpose = Some(role::after_scan(tables));
+                role::continue_after_scan(tables, cx);
             } else {
                 // The answer was under way while the store began the current era.
                 tables.next_purpose = Some(Purpose::Scan);
@@ -103,11 +103,12 @@
         (Purpose::Register, Reply::Swapped { version }) => {
             mark_store_up(tables, cx);
             tables.own_entry = Some(version);
+            tables.was_registered = true;
             tables.next_purpose = Some(Purpose::Watch);
         }
         (Purpose::Register, Reply::Conflict { current }) => {
-            // The reply to an earlier write was lost, or the entry is from an earlier start.
             mark_store_up(tables, cx);
+            // The reply to an earlier write was lost, or the entry is from an earlier start.
             tables.own_entry = current.map(|entry| entry.version);
             tables.next_purpose = Some(Purpose::Watch);
         }
@@ -287,6 +288,7 @@
     };
     if name == tables.own.name && vm == tables.own.vm {
         tables.own_entry = Some(entry.version);
+        tables.was_registered = true;
     }
     if tables.view.vms.get(&name) != Some(&vm) {
         tables.view.vms.insert(name, vm);
@@ -306,6 +308,7 @@
 /// Applies the result of a scan, and marks the targets that it lacks as missing.
 fn replace_all(tables: &mut Tables, entries: &[Entry], cx: &mut Context<'_>) {
     let mut listed = BTreeSet::new();
+    tables.own_entry = None;
     tables.is_changed |= !tables.view.quarantined.is_empty();
     tables.view.quarantined.clear();
     for entry in entries {
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -93,8 +93,10 @@
     pub reach_since: Instant,
     /// The time of the first tick.
     pub started: Option<Instant>,
-    /// The version of the entry of this VM, if the store has one.
+    /// The version of the entry of this VM, if the store has it as this VM writes it.
     pub own_entry: Option<Version>,
+    /// Whether the store has had that entry.
+    pub was_registered: bool,
     /// The view that is published to the traffic threads.
     pub view: View,
     /// Whether the view changed since it was last published.
@@ -142,6 +144,7 @@
             reach_since: Instant::default(),
             started: None,
             own_entry: None,
+            was_registered: false,
             view: View::default(),
             is_changed: false,
             reading: Reading::default(),
--- a/crates/core/tests/relay/restores.rs
+++ b/crates/core/tests/relay/restores.rs
@@ -152,6 +152,34 @@
         world.pass(ms(1000));
         assert!(world.own.view.is_current);
     };
+    a_registration_that_was_lost_is_written_again => {
+        let mut world = World::new();
+        world.store.take_copy();
+        world.pass(ms(3000));
+        assert!(world.store.has("vm/own"));
+        world.store.restore();
+        world.own.end_calls();
+        assert!(!world.store.has("vm/own"));
+        world.pass(ms(2000));
+        assert!(world.store.has("vm/own"));
+        let writes = world.own.calls.iter().filter(|(_, call)| matches!(call, Call::Swap { .. }));
+        assert_eq!(writes.count(), 2, "once in each era");
+    };
+    registrations_are_not_written_again_all_at_once => {
+        let mut fleet = Fleet::new(100, 7);
+        fleet.store.take_copy();
+        fleet.pass(ms(15_000));
+        fleet.store.restore();
+        fleet.end_calls();
+        let (start, mut most) = (fleet.now, 0);
+        while fleet.now.since(start) < ms(2000) {
+            let before = fleet.store.registrations();
+            fleet.pass(ms(20));
+            most = most.max(fleet.store.registrations() - before);
+        }
+        assert_eq!(fleet.store.registrations(), 100);
+        assert!(most <= 30, "{most} writes within 20 ms");
+    };
     an_announcement_of_an_ended_era_keeps_no_vm_behind => {
         let mut fleet = settled_fleet(15);
         play(&mut fleet, Drill { open: Open::Ends, ..DRILL }, 4);
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -185,6 +185,21 @@
         }
     }
 
+    /// Returns whether a key exists.
+    pub fn has(&self, key: &str) -> bool {
+        self.entries.contains_key(key)
+    }
+
+    /// Returns the value of a key as text.
+    pub fn value(&self, key: &str) -> Option<&str> {
+        self.entries.get(key).and_then(|(_, value)| std::str::from_utf8(value).ok())
+    }
+
+    /// Returns the number of VMs that are registered.
+    pub fn registrations(&self) -> usize {
+        self.entries.keys().filter(|key| key.starts_with("vm/")).count()
+    }
+
     /// Takes a copy of the data.
     pub fn take_copy(&mut self) {
         let (entries, changes) = (self.entries.clone(), self.changes.clone());
@@ -331,6 +346,11 @@
         self.open.iter_mut().for_each(|open| open.is_lost = true);
     }
 
+    /// Ends all open calls with their connections.
+    pub fn end_calls(&mut self) {
+        self.open.iter_mut().for_each(|open| open.is_ended = true);
+    }
+
     /// Returns the number of open calls of a kind, if `call` is of that kind too.
     fn count(&self, wanted: Kind, call: &Call) -> usize {
         let is_wanted = |call: &Call| kind(call) == wanted;
@@ -518,8 +538,7 @@
 
     /// Ends all open calls of all VMs with their connections.
     pub fn end_calls(&mut self) {
-        let open = self.vms.iter_mut().flat_map(|vm| &mut vm.open);
-        open.for_each(|open| open.is_ended = true);
+        self.vms.iter_mut().for_each(Reader::end_calls);
     }
 
     /// Ends every VM but those with these numbers for good; their entries stay.
