Replace the entry of an earlier start of the same VM

Cause: a VM whose write met an entry under its own key took that entry for its own, whatever its content. The address of an earlier start, or of a copy from which the store came back, stayed until another scan: messages of other VMs went to it.

Change: only an entry with the content that this VM writes counts as its own; any other is replaced by a write that expects its version.

--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -108,9 +108,12 @@
         }
         (Purpose::Register, Reply::Conflict { current }) => {
             mark_store_up(tables, cx);
-            // The reply to an earlier write was lost, or the entry is from an earlier start.
+            // The reply to an earlier write was lost, or the entry is from an earlier start
+            // and is replaced.
+            let vm = current.as_ref().and_then(|entry| cx.format.vm(entry).ok());
+            let is_own = vm.as_ref() == Some(&tables.own.vm);
             tables.own_entry = current.map(|entry| entry.version);
-            tables.next_purpose = Some(Purpose::Watch);
+            tables.next_purpose = Some(if is_own { Purpose::Watch } else { Purpose::Register });
         }
         (Purpose::Register, Reply::Refused { detail } | Reply::Lost { detail }) => {
             // Without the entry, other VMs count one VM less until the next start.
--- a/crates/core/tests/relay/restores.rs
+++ b/crates/core/tests/relay/restores.rs
@@ -165,6 +165,17 @@
         let writes = world.own.calls.iter().filter(|(_, call)| matches!(call, Call::Swap { .. }));
         assert_eq!(writes.count(), 2, "once in each era");
     };
+    an_older_registration_that_came_back_is_replaced => {
+        let mut world = World::new();
+        world.put("vm/own", "500");
+        world.store.take_copy();
+        world.pass(ms(6000));
+        assert_eq!(world.store.value("vm/own"), Some("170@10.9.9.9:7000"));
+        world.store.restore();
+        world.own.end_calls();
+        world.pass(ms(2000));
+        assert_eq!(world.store.value("vm/own"), Some("170@10.9.9.9:7000"));
+    };
     registrations_are_not_written_again_all_at_once => {
         let mut fleet = Fleet::new(100, 7);
         fleet.store.take_copy();
