Keep targets that the store has lost until they had time to register again

Cause: the time for which missing targets stay in use began only when calls had failed before. A VM that found the new era by another VM, or by a check beside its silent watch, removed at once every target that had registered after the copy from which the store came back.

Change: a new era starts that time too.

Measured: targets_that_were_lost_stay_until_they_had_time_to_register_again failed before when open connections went silent, and passes; one that registers again stays, one that does not is removed.

--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -105,8 +105,8 @@
     /// The time over which VMs that start for the first time spread their
     /// registrations, the larger VMs first.
     pub registration_window: Duration,
-    /// How long after an outage of the store a target stays in use although its entry
-    /// lapsed, as targets write lapsed entries again.
+    /// How long after an outage of the store, or after the begin of an era, a target stays in
+    /// use although its entry lapsed or was lost, as targets write such entries again.
     pub lapse_grace: Duration,
 }
 
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -73,6 +73,7 @@
         ("own", own.change.to_string()),
     ];
     cx.out.lines.push(Line::new(Event::StoreRestored, fields));
+    tables.lapse_until = cx.now + cx.limits.lapse_grace;
     progress::leave_era(tables, cx);
 }
 
@@ -343,7 +344,8 @@
 }
 
 /// Records that the entry of a target is missing. Entries lapse while the store is
-/// unavailable, and targets write them again when they reach it.
+/// unavailable, and are lost when it comes back from an older copy. Targets write them again
+/// when they reach it.
 fn mark_missing(tables: &mut Tables, id: Name, cx: &mut Context<'_>) {
     if tables.view.targets.contains_key(&id) {
         let gone_at = tables.lapse_until.max(cx.now);
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -123,7 +123,8 @@
     /// The earliest time of the next call.
     pub not_before: Instant,
     pub store: Store,
-    /// Until when targets whose entries lapsed during an outage stay in use.
+    /// Until when targets stay in use whose entries lapsed in an outage, or were lost with the
+    /// last era.
     pub lapse_until: Instant,
     /// Targets whose entry is missing, with the time at which they are removed.
     pub missing: BTreeMap<Name, Instant>,
--- a/crates/core/tests/relay/restores.rs
+++ b/crates/core/tests/relay/restores.rs
@@ -41,6 +41,17 @@
 
 const DRILL: Drill = Drill { open: Open::Silent, lost: 100, rewritten: 0, away: ms(300) };
 
+impl World {
+    /// Brings the store back from its copy at once.
+    fn restore(&mut self, open: Open) {
+        self.store.restore();
+        match open {
+            Open::Ends => self.own.end_calls(),
+            Open::Silent => self.own.lose_calls(),
+        }
+    }
+}
+
 /// Returns a fleet whose VMs have read version 3 and what others announced.
 fn settled_fleet(count: u16) -> Fleet {
     let mut fleet = Fleet::new(count, 7);
@@ -176,6 +187,26 @@
         world.pass(ms(2000));
         assert_eq!(world.store.value("vm/own"), Some("170@10.9.9.9:7000"));
     };
+    targets_that_were_lost_stay_until_they_had_time_to_register_again => {
+        for open in [Open::Ends, Open::Silent] {
+            let mut world = World::new();
+            world.pass(ms(3000));
+            world.store.take_copy();
+            world.put("target/back", "desk");
+            world.put("target/gone", "desk");
+            world.pass(ms(1000));
+            world.restore(open);
+            world.store.put("config", "4");
+            let end = world.now + ms(2000);
+            while world.now < end {
+                assert!(world.own.has_target("back") && world.own.has_target("gone"));
+                world.pass(STEP);
+            }
+            world.put("target/back", "desk");
+            world.pass(ms(4000));
+            assert!(world.own.has_target("back") && !world.own.has_target("gone"));
+        }
+    };
     registrations_are_not_written_again_all_at_once => {
         let mut fleet = Fleet::new(100, 7);
         fleet.store.take_copy();
