--- a/crates/core/src/relay/feed/report.rs
+++ b/crates/core/src/relay/feed/report.rs
@@ -2,11 +2,12 @@
 //! them directly which requests are suspected of crashing targets.
 //!
 //! An entry is removed with its lease, so that no VM has to delete it. It is
-//! written only once: a VM that misses it finds the request by itself.
+//! written only once in each era of the store, which may lose it with the last one: a VM
+//! that misses it finds the request by itself.
 
 use super::{
     system::Context,
-    table::{Stage, Tables},
+    table::{Reports, Stage, Tables},
 };
 use crate::{
     log::{Event, Line},
@@ -64,8 +65,9 @@
     };
     match (stage, reply) {
         (Stage::Grant, Reply::Leased { lease }) => start_write(tables, lease, cx),
-        // A conflict means that another VM has already written the report.
-        (Stage::Write, Reply::Swapped { .. } | Reply::Conflict { .. }) => {
+        (Stage::Write, Reply::Swapped { .. }) => record_written(tables, cx),
+        // Another VM has already written the report.
+        (Stage::Write, Reply::Conflict { .. }) => {
             tables.reports.waiting.pop_front();
         }
         (_, reply) => discard(tables, &reply, cx),
@@ -90,6 +92,26 @@
     start_call(tables, Stage::Write, call, cx);
 }
 
+fn record_written(tables: &mut Tables, cx: &Context<'_>) {
+    let Some(quarantine) = tables.reports.waiting.pop_front() else { return };
+    let written = &mut tables.reports.written;
+    written.retain(|_, until| *until > cx.now);
+    written.insert(quarantine.request, cx.now + quarantine.hold);
+}
+
+/// Queues the reports again that the store may have lost with the last era, each for the rest
+/// of its quarantine. A report that is being written starts anew, as its lease may be lost.
+pub fn write_again(tables: &mut Tables, cx: &Context<'_>) {
+    let Reports { waiting, in_flight, written } = &mut tables.reports;
+    *in_flight = None;
+    for (request, until) in std::mem::take(written) {
+        let hold = until.remaining(cx.now);
+        if !hold.is_zero() && waiting.len() < MAX_WAITING_REPORTS {
+            waiting.push_back(Quarantine { request, hold });
+        }
+    }
+}
+
 fn discard(tables: &mut Tables, reply: &Reply, cx: &mut Context<'_>) {
     let Some(quarantine) = tables.reports.waiting.pop_front() else { return };
     let detail = match reply {
--- a/crates/core/src/relay/feed/role.rs
+++ b/crates/core/src/relay/feed/role.rs
@@ -111,6 +111,7 @@
     tables.next_purpose = None;
     tables.reading.reset();
     tables.missing.clear();
+    tables.missing_requests.clear();
     let View { vms, larger, assumed_vms, .. } = std::mem::take(&mut tables.view);
     tables.view = View { vms, larger, assumed_vms, ..View::default() };
     tables.is_changed = true;
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -10,6 +10,7 @@
     watch,
 };
 use crate::{
+    digest::Fingerprint,
     log::{Event, Line},
     name::Name,
     store::{Call, CallId, Entry, Era, Outcome, Reply},
@@ -74,6 +75,7 @@
     ];
     cx.out.lines.push(Line::new(Event::StoreRestored, fields));
     tables.lapse_until = cx.now + cx.limits.lapse_grace;
+    report::write_again(tables, cx);
     progress::leave_era(tables, cx);
 }
 
@@ -212,7 +214,8 @@
         Subject::Target(id) => apply_target(tables, &id, entry, cx),
         Subject::Vm(name) => apply_vm(tables, name, entry, cx),
         Subject::Quarantined(request) => {
-            tables.is_changed |= tables.view.quarantined.insert(request)
+            tables.missing_requests.remove(&request);
+            tables.is_changed |= tables.view.quarantined.insert(request);
         }
         Subject::Other => {}
     }
@@ -313,12 +316,13 @@
 fn replace_all(tables: &mut Tables, entries: &[Entry], cx: &mut Context<'_>) {
     let mut listed = BTreeSet::new();
     tables.own_entry = None;
-    tables.is_changed |= !tables.view.quarantined.is_empty();
-    tables.view.quarantined.clear();
+    let mut quarantined = BTreeSet::new();
     for entry in entries {
         apply(tables, entry, cx);
-        if let Subject::Target(id) = cx.format.subject(&entry.key) {
-            listed.insert(id);
+        match cx.format.subject(&entry.key) {
+            Subject::Target(id) => drop(listed.insert(id)),
+            Subject::Quarantined(request) => drop(quarantined.insert(request)),
+            Subject::Config | Subject::Vm(_) | Subject::Other => {}
         }
     }
     let keys: BTreeSet<&str> = entries.iter().map(|entry| &*entry.key).collect();
@@ -327,6 +331,10 @@
     for id in known.into_iter().filter(|id| !listed.contains(id)) {
         mark_missing(tables, id, cx);
     }
+    for request in tables.view.quarantined.difference(&quarantined) {
+        let released_at = tables.lapse_until.max(cx.now);
+        tables.missing_requests.entry(*request).or_insert(released_at);
+    }
 }
 
 fn remove(tables: &mut Tables, key: &str, cx: &mut Context<'_>) {
@@ -336,9 +344,7 @@
         Subject::Vm(name) => {
             tables.is_changed |= tables.view.vms.remove(&name).is_some();
         }
-        Subject::Quarantined(request) => {
-            tables.is_changed |= tables.view.quarantined.remove(&request)
-        }
+        Subject::Quarantined(request) => release(tables, &request),
         Subject::Config | Subject::Other => {}
     }
 }
@@ -353,8 +359,17 @@
     }
 }
 
-/// Removes the targets whose entries were not written again in time.
+/// Ends the quarantine of a request as another VM reported it.
+fn release(tables: &mut Tables, request: &Fingerprint) {
+    tables.missing_requests.remove(request);
+    tables.is_changed |= tables.view.quarantined.remove(request);
+}
+
+/// Removes the targets and the quarantines whose entries were not written again in time.
 fn expire(tables: &mut Tables, cx: &mut Context<'_>) {
+    let due = tables.missing_requests.iter().filter(|(_, at)| **at <= cx.now);
+    let due: Vec<Fingerprint> = due.map(|(request, _)| *request).collect();
+    due.iter().for_each(|request| release(tables, request));
     let gone: Vec<Name> =
         tables.missing.iter().filter(|(_, at)| **at <= cx.now).map(|(id, _)| id.clone()).collect();
     for id in gone {
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -4,6 +4,7 @@
 
 use super::{Limits, confirm, reading::Reading, role};
 use crate::{
+    digest::Fingerprint,
     name::Name,
     relay::{Quarantine, Reach, View, view::Vm},
     store::{CallId, Version},
@@ -77,6 +78,8 @@
     /// The requests to report. A call in flight is for the first one.
     pub waiting: VecDeque<Quarantine>,
     pub in_flight: Option<(CallId, Stage)>,
+    /// The requests whose reports the store has, with the time at which each quarantine ends.
+    pub written: BTreeMap<Fingerprint, Instant>,
 }
 
 /// All tables of the feed.
@@ -128,6 +131,8 @@
     pub lapse_until: Instant,
     /// Targets whose entry is missing, with the time at which they are removed.
     pub missing: BTreeMap<Name, Instant>,
+    /// Quarantined requests whose entry is missing, with the time at which they are released.
+    pub missing_requests: BTreeMap<Fingerprint, Instant>,
     /// The entries that could not be read, with the versions that were logged.
     pub unreadable: BTreeMap<String, Version>,
     pub reports: Reports,
@@ -161,6 +166,7 @@
             store: Store::Up,
             lapse_until: Instant::default(),
             missing: BTreeMap::new(),
+            missing_requests: BTreeMap::new(),
             unreadable: BTreeMap::new(),
             reports: Reports::default(),
             last_call_id: 0,
@@ -195,7 +201,7 @@
         let is_calling = self.call.is_some() || self.probe.is_some() || self.is_handing();
         let call = (!is_calling).then_some(self.not_before);
         let probe = self.probe.as_ref().map(|probe| probe.next_at);
-        let missing = self.missing.values().min().copied();
+        let missing = self.missing.values().chain(self.missing_requests.values()).min().copied();
         let reading = role::reading_change_at(self, limits);
         let confirmation = confirm::due(self);
         [call, probe, confirmation, self.watch_due, missing, self.reading.lag_deadline(), reading]
--- a/crates/core/tests/relay/restores.rs
+++ b/crates/core/tests/relay/restores.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use laburnum_core::{
+    digest::Fingerprint,
     log::Event,
     relay::feed::progress::Reason,
     store::{Call, Position},
@@ -12,7 +13,7 @@
 
 use crate::{
     harness::ms,
-    store::{Fleet, STEP, World},
+    store::{Fleet, HOLD, STEP, World},
 };
 
 /// The time after its acknowledgement within which a version must be in force.
@@ -41,6 +42,10 @@
 
 const DRILL: Drill = Drill { open: Open::Silent, lost: 100, rewritten: 0, away: ms(300) };
 
+fn is_grant(call: &&Call) -> bool {
+    matches!(call, Call::Grant { .. })
+}
+
 impl World {
     /// Brings the store back from its copy at once.
     fn restore(&mut self, open: Open) {
@@ -207,6 +212,30 @@
             assert!(world.own.has_target("back") && !world.own.has_target("gone"));
         }
     };
+    a_quarantine_outlives_the_loss_of_its_entry => {
+        for open in [Open::Ends, Open::Silent] {
+            let request = Fingerprint(7);
+            let key = format!("held/{request}");
+            let mut fleet = settled_fleet(5);
+            fleet.store.take_copy();
+            fleet.quarantine_at_first(request);
+            fleet.pass(ms(1000));
+            assert!(fleet.store.has(&key));
+            fleet.store.restore();
+            match open {
+                Open::Ends => fleet.end_calls(),
+                Open::Silent => fleet.lose_calls(),
+            }
+            let end = fleet.now + ms(6000);
+            while fleet.now < end {
+                fleet.pass(STEP);
+                assert!(fleet.vms.iter().all(|vm| vm.view.quarantined.contains(&request)));
+            }
+            assert!(fleet.store.has(&key));
+            let Some(Call::Grant { ttl }) = fleet.vms[0].reports.iter().rfind(is_grant) else { panic!() };
+            assert!((HOLD - ms(4000)..HOLD).contains(ttl), "{ttl:?}");
+        }
+    };
     registrations_are_not_written_again_all_at_once => {
         let mut fleet = Fleet::new(100, 7);
         fleet.store.take_copy();
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -493,6 +493,8 @@
     addresses: Vec<SocketAddr>,
     /// The announcements that arrive in the next tick.
     underway: Vec<(SocketAddr, Progress)>,
+    /// The requests that the first VM quarantines in the next tick.
+    quarantined: Vec<Fingerprint>,
 }
 
 impl Fleet {
@@ -513,6 +515,7 @@
             vms: (0..count).map(reader).collect(),
             addresses: (0..count).map(address).collect(),
             underway: Vec::new(),
+            quarantined: Vec::new(),
         }
     }
 
@@ -524,7 +527,8 @@
             for (vm, address) in self.vms.iter_mut().zip(&self.addresses) {
                 let incoming = underway.iter().filter(|(to, _)| to == address);
                 let incoming = incoming.map(|(_, progress)| progress.clone()).collect();
-                vm.tick(self.now, &mut self.store, incoming, Vec::new(), Vec::new());
+                let quarantined = std::mem::take(&mut self.quarantined);
+                vm.tick(self.now, &mut self.store, incoming, quarantined, Vec::new());
                 self.underway.append(&mut vm.announced);
             }
             self.now = self.now + STEP;
@@ -549,6 +553,11 @@
         self.addresses.retain(|_| numbers.contains(&number.next().unwrap()));
     }
 
+    /// Lets the first VM quarantine a request.
+    pub fn quarantine_at_first(&mut self, request: Fingerprint) {
+        self.quarantined.push(request);
+    }
+
     /// Lets an announcement arrive at the first VM.
     pub fn announce_to_first(&mut self, progress: Progress) {
         self.underway.push((self.addresses[0], progress));
