--- a/src/slope/fleet.rs
+++ b/src/slope/fleet.rs
@@ -300,7 +300,10 @@
         for (id, call) in out.calls {
             let ticket = self.next_ticket();
             self.calls.insert(ticket, Call { vm: vm.clone(), start_number, id });
-            self.call_platform(vec![(ticket, Input::Call { vm: Some(vm.clone()), call })]);
+            self.call_platform(vec![(
+                ticket,
+                Input::Call { vm: Some(vm.clone()), connection: None, call },
+            )]);
         }
     }
 
--- a/tests/border/main.rs
+++ b/tests/border/main.rs
@@ -7,4 +7,5 @@
 mod service;
 mod platform;
 mod platform_faults;
+mod platform_restore;
 mod platform_system;
--- a/tests/border/platform_system.rs
+++ b/tests/border/platform_system.rs
@@ -50,7 +50,7 @@
     }
 
     fn call(&mut self, call: Call) -> Option<Reply> {
-        match self.tick(vec![Input::Call { vm: None, call }]).pop() {
+        match self.tick(vec![Input::Call { vm: None, connection: None, call }]).pop() {
             Some((_, Output::Reply(reply))) => Some(reply),
             None => None,
             other => panic!("{other:?}"),
