--- a/tests/relay/harness.rs
+++ b/tests/relay/harness.rs
@@ -11,6 +11,7 @@
 use http::HeaderValue;
 use laburnum_platform::{caller::READY_PATH, header as names};
 use reqwest::{Response, StatusCode};
+use serde_json::Value;
 use tempfile::TempDir;
 use tokio::time::sleep;
 
@@ -76,13 +77,26 @@
         self.child.id()
     }
 
+    /// Stops the process until it is continued.
+    pub fn pause(&self) {
+        self.child.signal(Signal::STOP);
+    }
+
+    /// Continues the process after a stop.
+    pub fn resume(&self) {
+        self.child.signal(Signal::CONT);
+    }
+
+    /// Returns the log.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.file.with_extension("log")).unwrap()
+    }
+
     /// Waits until the log has a line of an event and returns the line.
     pub async fn logged(&self, event: u16) -> String {
-        let log = self.file.with_extension("log");
         let pattern = format!("\"event\":{event},");
         for _ in 0..200 {
-            let text = fs::read_to_string(&log).unwrap();
-            if let Some(line) = text.lines().find(|line| line.contains(&pattern)) {
+            if let Some(line) = self.log().lines().find(|line| line.contains(&pattern)) {
                 return line.to_owned();
             }
             sleep(Duration::from_millis(20)).await;
@@ -101,6 +115,8 @@
 pub struct Harness {
     pub store: Store,
     pub targets: BTreeMap<String, Target>,
+    /// The entries of the targets by their ids.
+    registrations: BTreeMap<String, Value>,
     folder: TempDir,
     client: reqwest::Client,
 }
@@ -109,32 +125,54 @@
     /// Starts the store and the targets.
     pub async fn start() -> Harness {
         let store = Store::start();
-        let mut targets = BTreeMap::new();
+        let (mut targets, mut registrations) = (BTreeMap::new(), BTreeMap::new());
         for (service, fill) in SERVICES.iter().zip(1u8..) {
             for number in 1..=2 {
                 let id = format!("{service}-{number}");
                 let (target, address) = Target::start(&id, fill).await;
                 let entry = entries::target(service, address, 2, false);
                 store.put(&entries::target_key(&id), &entry).await;
+                registrations.insert(id.clone(), entry);
                 targets.insert(id, target);
             }
         }
         store.put(CONFIG, &entry::config(3)).await;
         let folder = TempDir::new().unwrap();
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
-        Harness { store, targets, folder, client }
+        Harness { store, targets, registrations, folder, client }
+    }
+
+    /// Writes the entries of all targets again, as targets do all the time.
+    pub async fn register_targets(&self) {
+        for (id, entry) in &self.registrations {
+            self.store.put(&entries::target_key(id), entry).await;
+        }
     }
 
     /// Starts a relay with a number of cores and waits until it is ready.
     pub async fn relay(&self, name: &str, cores: f64) -> Relay {
+        let relay = self.begin(name, cores);
+        self.wait_ready(&relay).await;
+        relay
+    }
+
+    /// Starts several relays at the same time and waits until all of them are ready.
+    pub async fn relays(&self, names: &[String], cores: f64) -> Vec<Relay> {
+        let relays: Vec<Relay> = names.iter().map(|name| self.begin(name, cores)).collect();
+        for relay in &relays {
+            self.wait_ready(relay).await;
+        }
+        relays
+    }
+
+    /// Starts a relay without waiting for it.
+    fn begin(&self, name: &str, cores: f64) -> Relay {
         let address: Vec<SocketAddr> = (0..4).map(|_| port::unused_address()).collect();
         let file = self.folder.path().join(format!("{name}.toml"));
         fs::write(&file, settings(name, cores, &address, self.store.address)).unwrap();
         let child = self.launch(&file, None);
         let (callers, ready, metrics) = (address[0], address[1], address[2]);
-        let relay = Relay { child, file, descriptors: None, callers, ready, metrics };
-        self.wait_ready(&relay).await;
-        relay
+        Relay { child, file, descriptors: None, callers, ready, metrics }
     }
 
     /// Starts the process of a relay by the file of its settings.
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -21,6 +21,8 @@
 mod outage;
 mod path;
 mod raw;
+mod fleet;
+mod restore;
 mod settings;
 mod status;
 mod threads;
--- a/tests/relay/store.rs
+++ b/tests/relay/store.rs
@@ -1,11 +1,14 @@
 //! The stand-in for the store, and the entries that others than the relay write.
 
-use std::net::{SocketAddr, TcpListener};
+use std::{
+    net::{SocketAddr, TcpListener},
+    time::Duration,
+};
 
-use laburnum_platform::store::shape::KEY_PATH;
+use laburnum_platform::store::shape::{KEY_PATH, Missing};
 use laburnumworks::standin::platform::{List, serve};
-use reqwest::StatusCode;
-use serde_json::Value;
+use reqwest::{Response, StatusCode};
+use serde_json::{Value, json};
 
 /// A store that runs in the runtime of the test until the test ends.
 pub struct Store {
@@ -30,14 +33,41 @@
 
     /// Sets the faults that the relays see. An empty object removes all faults.
     pub async fn set_faults(&self, faults: &Value) {
-        let url = format!("http://{}/v1/faults", self.address);
-        let response = self.client.put(url).body(faults.to_string()).send().await.unwrap();
-        assert!(response.status().is_success());
+        self.control("/v1/faults", faults).await;
+    }
+
+    /// Takes a copy, from which the store can return.
+    pub async fn take_copy(&self) {
+        self.control("/v1/copy", &Value::Null).await;
+    }
+
+    /// Lets the store return from the copy after a time, and ends what is open before in
+    /// the way `open`.
+    pub async fn restore(&self, open: &str, away: Duration) {
+        let away_ms = u64::try_from(away.as_millis()).unwrap();
+        self.control("/v1/restore", &json!({ "open": open, "away_ms": away_ms })).await;
+    }
+
+    async fn control(&self, path: &str, body: &Value) {
+        let url = format!("http://{}{path}", self.address);
+        let response = self.client.put(url).body(body.to_string()).send().await.unwrap();
+        assert!(response.status().is_success(), "{path}: {}", response.status());
+    }
+
+    /// Returns the number of the last change.
+    pub async fn change(&self) -> u64 {
+        self.read("none").await.json::<Missing>().await.unwrap().change
     }
 
     /// Returns whether a key exists.
     pub async fn has(&self, key: &str) -> bool {
+        self.read(key).await.status() == StatusCode::OK
+    }
+
+    /// Reads a key over a new connection, because one of an earlier read may be silent.
+    async fn read(&self, key: &str) -> Response {
         let url = format!("http://{}{KEY_PATH}?key={key}", self.address);
-        self.client.get(url).send().await.unwrap().status() == StatusCode::OK
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        client.get(url).send().await.unwrap()
     }
 }
