--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -68,6 +68,8 @@
     pub callers: Vec<Caller>,
     /// The number of the last version of the configuration.
     pub version: Mutex<u64>,
+    /// Held while a copy of the store is in use.
+    pub copy: Mutex<()>,
     client: reqwest::Client,
 }
 
@@ -97,8 +99,17 @@
         }
         let version = Mutex::new(1);
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
-        let deployment =
-            Deployment { ledger, store, endpoints, store_links, relays, callers, version, client };
+        let deployment = Deployment {
+            ledger,
+            store,
+            endpoints,
+            store_links,
+            relays,
+            callers,
+            version,
+            copy: Mutex::default(),
+            client,
+        };
         deployment.wait_ready().await;
         Arc::new(deployment)
     }
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -36,6 +36,10 @@
     Store { faults: &'static str, span: Duration },
     /// The store discards its history of changes.
     DiscardHistory,
+    /// The store returns from a copy of the age `age` after it was away. It ends open
+    /// connections in the way `open`. The operator and the targets write again what it
+    /// lost, and the operator writes a new version.
+    Return { open: &'static str, age: Duration, away: Duration },
     /// The link of one relay to the store delays or holds back bytes.
     StoreLink { relay: usize, mode: Mode, span: Duration },
     /// A new version of the configuration is written.
@@ -56,6 +60,9 @@
     r#"{"lose_after": 3, "lose_by": "hang"}"#,
 ];
 
+/// How a return of the store ends open connections, as the stand-in reads it.
+const ENDINGS: [&str; 3] = ["cut", "hang", "outdated"];
+
 const BEHAVIOURS: [Behaviour; 8] = [
     Behaviour::Slow,
     Behaviour::Fails,
@@ -79,7 +86,7 @@
     let target = random.random_range(first..targets);
     let modes = [Mode::Silent, Mode::OneWay, Mode::Delay(Duration::from_millis(80))];
     let mode = modes[random.random_range(0..modes.len())];
-    match random.random_range(0..20) {
+    match random.random_range(0..22) {
         0 => Fault::Kill { relay, down: short },
         1 => Fault::Freeze { relay, span: short },
         2 | 3 => Fault::Restart { relay },
@@ -100,6 +107,10 @@
         15 => Fault::DiscardHistory,
         16 => Fault::StoreLink { relay, mode, span },
         17 | 18 => Fault::Reconfigure,
+        19 | 20 => {
+            let open = ENDINGS[random.random_range(0..ENDINGS.len())];
+            Fault::Return { open, age: span, away: short }
+        }
         _ => Fault::Poison,
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -52,6 +52,18 @@
     steps.collect()
 }
 
+/// Returns the faults of a store that returns from a copy, with a version that is written
+/// long enough after it for the checks of versions to apply.
+fn return_from_copy() -> Vec<Step> {
+    let (age, away) = (Duration::from_secs(2), Duration::from_millis(300));
+    let restore = Fault::Return { open: "hang", age, away };
+    vec![
+        Step { at: FIRST_FAULT, fault: restore },
+        Step { at: 2 * FIRST_FAULT, fault: Fault::Reconfigure },
+        Step { at: 20 * FIRST_FAULT, fault: Fault::Reconfigure },
+    ]
+}
+
 cases! {
     seed_1 => runner::run_seed(1);
     seed_2 => runner::run_seed(2);
@@ -80,5 +92,7 @@
     versions_follow_each_other => runner::run_steps("versions", &[1, 3, 9].map(|n| {
         Step { at: FIRST_FAULT * n, fault: Fault::Reconfigure }
     }));
+    // After the return, numbers of changes are lower than those that VMs have read.
+    the_store_returns_from_a_copy => runner::run_steps("return", &return_from_copy());
     fresh_seeds => runner::run_fresh_seeds();
 }
--- a/tests/soak/runner.rs
+++ b/tests/soak/runner.rs
@@ -39,6 +39,10 @@
 /// come well after the third crash, from which such a search must be quarantined.
 const POISON_INTERVAL: Duration = Duration::from_millis(900);
 
+/// How often all entries are written between a copy and the return to it, so that the
+/// numbers of these changes lie well above those that are given out after the return.
+const LOST_ROUNDS: u32 = 6;
+
 /// The environment variable with the first and the last of the seeds that
 /// [`run_fresh_seeds`] runs, as in `LABURNUM_SOAK=100-120`.
 const SEED_RANGE_VARIABLE: &str = "LABURNUM_SOAK";
@@ -177,6 +181,7 @@
                 Instant::now() + SETTLE_PERIOD,
             );
         }
+        Fault::Return { open, age, away } => restore_store(deployment, open, age, away).await,
         Fault::StoreLink { relay, mode, span } => {
             disturb_store_link(deployment, relay, mode, span).await
         }
@@ -199,6 +204,21 @@
     deployment.ledger.record_disturbance(Subject::Store, from, Instant::now() + SETTLE_PERIOD);
 }
 
+/// Lets the store return from a copy. The next copy is taken after the return.
+async fn restore_store(deployment: &Deployment, open: &str, age: Duration, away: Duration) {
+    let _single = deployment.copy.lock().await;
+    deployment.store.take_copy().await;
+    for _ in 0..LOST_ROUNDS {
+        deployment.store.write_again().await;
+        sleep(age / LOST_ROUNDS).await;
+    }
+    let from = Instant::now();
+    deployment.store.restore(open, away).await;
+    deployment.store.write_again().await;
+    write_next_version(deployment).await;
+    deployment.ledger.record_disturbance(Subject::Store, from, Instant::now() + SETTLE_PERIOD);
+}
+
 async fn disturb_store_link(deployment: &Deployment, relay: usize, mode: Mode, span: Duration) {
     let from = Instant::now();
     deployment.store_links[relay].set_mode(mode);
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -1,12 +1,14 @@
 //! The stand-in of the store with its faults, and the writes of operators and targets.
 
 use std::{
+    collections::BTreeMap,
     net::{SocketAddr, TcpListener},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use laburnumworks::standin::platform::{List, serve};
 use serde_json::{Value, json};
+use tokio::sync::Mutex;
 
 use crate::{
     deployment::{self, SHARD_SETS},
@@ -20,6 +22,8 @@
     pub address: SocketAddr,
     client: reqwest::Client,
     ledger: Ledger,
+    /// What operators and targets wrote last, by its key.
+    entries: Mutex<BTreeMap<String, Value>>,
 }
 
 impl Store {
@@ -27,7 +31,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         tokio::spawn(serve(listener, List::default()));
-        Store { address, client: reqwest::Client::builder().no_proxy().build().unwrap(), ledger }
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        Store { address, client, ledger, entries: Mutex::default() }
     }
 
     async fn put(&self, path: &str, body: &Value) {
@@ -47,10 +52,37 @@
         self.put("/v1/history", &json!("forgotten")).await;
     }
 
+    /// Takes a copy, from which the store can return.
+    pub async fn take_copy(&self) {
+        self.put("/v1/copy", &Value::Null).await;
+    }
+
+    /// Lets the store return from the copy after a time, and ends what is open before in
+    /// the way `open`.
+    pub async fn restore(&self, open: &str, away: Duration) {
+        let away_ms = u64::try_from(away.as_millis()).unwrap();
+        self.put("/v1/restore", &json!({ "open": open, "away_ms": away_ms })).await;
+    }
+
+    /// Writes an entry as its operator or target.
+    async fn write(&self, key: &str, entry: Value) {
+        let mut entries = self.entries.lock().await;
+        self.put(&entry_path(key), &entry).await;
+        entries.insert(key.to_owned(), entry);
+    }
+
+    /// Writes all entries again. Other writes wait, so that none is followed by an older
+    /// one of its key.
+    pub async fn write_again(&self) {
+        for (key, entry) in &*self.entries.lock().await {
+            self.put(&entry_path(key), entry).await;
+        }
+    }
+
     /// Registers a target at the address of its proxy and records it if it is draining.
     pub async fn register(&self, target: &Target, address: SocketAddr, is_draining: bool) {
         let entry = entries::target(target.service(), address, SLOTS, is_draining);
-        self.put(&entry_path(&target_key(target.id())), &entry).await;
+        self.write(&target_key(target.id()), entry).await;
         if is_draining {
             let row = Drain { target: target.id().to_owned(), acknowledged: Instant::now() };
             self.ledger.rows().drains.push(row);
@@ -60,7 +92,7 @@
     /// Writes a version of the configuration and records it.
     pub async fn configure(&self, number: u64, shards: &[&'static str], desk: &'static str) {
         let written = Instant::now();
-        self.put(&entry_path(CONFIG), &config(number, shards, desk)).await;
+        self.write(CONFIG, config(number, shards, desk)).await;
         let acknowledged = Instant::now();
         let shards = shards.to_vec();
         let row = Version { number, shards, desk, written, acknowledged };
