--- a/tests/border/service.rs
+++ b/tests/border/service.rs
@@ -68,7 +68,7 @@
 }
 
 /// The era that the stand-in states at the start.
-const ERA: u64 = 0;
+const ERA: u64 = 1;
 
 /// A client of the platform's service that collects its replies.
 pub struct TestClient {
