Use no idle connection to the store that may have gone silent with it

Cause: when the store comes back, connections that were open before may be silent for good, idle ones too. A call on such a one is answered after 2 s at the earliest, with a time-out, while a new connection works: a scan in the new era could take most of the time in which a version must be in force.

A VM whose watch may be silent, because another VM doubts it, has read more or knows a later era, has the client drop the idle ones before its next call.

--- a/crates/core/src/border.rs
+++ b/crates/core/src/border.rs
@@ -19,6 +19,8 @@
 pub trait Platform {
     /// Starts a call; its [`crate::store::Outcome`] is reported under `id`.
     fn call(&mut self, id: CallId, call: Call);
+    /// Closes the connections that no call uses, because they may have gone silent.
+    fn drop_idle(&mut self);
 }
 
 /// The client of the targets.
--- a/crates/core/src/relay/feed/confirm.rs
+++ b/crates/core/src/relay/feed/confirm.rs
@@ -59,6 +59,6 @@
 /// Checks the store if nothing was confirmed in time.
 pub fn check_if_overdue(tables: &mut Tables, cx: &mut Context<'_>) {
     if due(tables).is_some_and(|at| at <= cx.now) {
-        probe::start(tables, cx.now);
+        probe::doubt(tables, cx);
     }
 }
--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -148,6 +148,9 @@
 /// The output of a tick of the feed.
 #[derive(Debug, Default)]
 pub struct Outbox {
+    /// Whether idle connections to the store may have gone silent, so that none of them may
+    /// carry the calls.
+    pub drop_idle: bool,
     /// Calls to the store.
     pub calls: Vec<(CallId, Call)>,
     /// The new view, if it differs from the last one.
--- a/crates/core/src/relay/feed/probe.rs
+++ b/crates/core/src/relay/feed/probe.rs
@@ -21,13 +21,19 @@
     tables.probe.get_or_insert_default().next_at = at;
 }
 
+/// Checks the store now because a watch may be silent; idle connections then are too.
+pub fn doubt(tables: &mut Tables, cx: &mut Context<'_>) {
+    cx.out.drop_idle = true;
+    start(tables, cx.now);
+}
+
 /// Gives up a watch that the store did not answer in time, and checks the store.
 pub fn give_up_overdue_watch(tables: &mut Tables, cx: &mut Context<'_>) {
     if tables.watch_due.is_none_or(|due| due > cx.now) {
         return;
     }
     tables.abandon_call();
-    start(tables, cx.now);
+    doubt(tables, cx);
     progress::announce_doubt(tables, cx);
 }
 
@@ -104,6 +110,6 @@
     if !is_watching || tables.probe.is_some() || tables.doubt_pause_until > cx.now {
         return;
     }
-    start(tables, cx.now);
+    doubt(tables, cx);
     progress::announce_doubt(tables, cx);
 }
--- a/crates/core/src/relay/feed/progress.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -154,6 +154,7 @@
         Remedy::Scan => {
             cx.out.lines.push(Line::new(Event::StoreSilent, lag(tables, cx)));
             tables.abandon_call();
+            cx.out.drop_idle = true;
             tables.next_purpose = Some(Purpose::Scan);
             tables.not_before = cx.now;
             set_current(tables, false);
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -73,6 +73,9 @@
             reach: *resources.reach.borrow_and_update(),
         };
         feed.tick(shared.clock.now(), input, &mut out);
+        if out.drop_idle {
+            client.drop_idle();
+        }
         for (id, call) in out.calls {
             client.call(id, call);
         }
