Keep a target that left from coming back with an older copy of the store

Cause: what a VM knew of a target ended with its entry. A store that comes back from an older copy lists targets again that had left since, and every VM sent requests to them, or to whoever has the address now.

Change: a VM remembers for a minute which start of a target left. For 5 s of a new era it holds back an entry of that start which a scan has found, unless the target writes it anew; the store removes the entry of a target that is gone within that time, and one that is still there then is used.

--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -11,6 +11,7 @@
 mod report;
 mod probe;
 mod confirm;
+mod departure;
 mod watch;
 pub mod reading;
 pub mod progress;
--- a/crates/core/src/relay/feed/role.rs
+++ b/crates/core/src/relay/feed/role.rs
@@ -112,6 +112,7 @@
     tables.reading.reset();
     tables.missing.clear();
     tables.missing_requests.clear();
+    tables.held_back.clear();
     let View { vms, larger, assumed_vms, .. } = std::mem::take(&mut tables.view);
     tables.view = View { vms, larger, assumed_vms, ..View::default() };
     tables.is_changed = true;
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, rngs::StdRng};
 
 use super::{
-    Format, Input, Limits, Outbox, Subject, confirm, probe, progress, report, role,
+    Format, Input, Limits, Outbox, Subject, confirm, departure, probe, progress, report, role,
     table::{Purpose, Role, Store, Tables},
     watch,
 };
@@ -13,6 +13,7 @@
     digest::Fingerprint,
     log::{Event, Line},
     name::Name,
+    relay::view::Target,
     store::{Call, CallId, Entry, Era, Outcome, Reply},
     time::Instant,
 };
@@ -75,6 +76,7 @@
     ];
     cx.out.lines.push(Line::new(Event::StoreRestored, fields));
     tables.lapse_until = cx.now + cx.limits.lapse_grace;
+    departure::begin_era(tables, cx);
     report::write_again(tables, cx);
     progress::leave_era(tables, cx);
 }
@@ -128,7 +130,7 @@
                 return scan_again(tables);
             }
             for entry in &entries {
-                apply(tables, entry, cx);
+                apply(tables, entry, Origin::Watch, cx);
             }
             for key in &removed {
                 remove(tables, key, cx);
@@ -207,11 +209,20 @@
     span.mul_f64(0.5 + 0.5 * cx.random.random::<f64>())
 }
 
+/// Where an entry was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// In a scan; it may have been written in an earlier era.
+    Scan,
+    /// In a watch, so that it was written in this era.
+    Watch,
+}
+
 /// Applies an entry that was read.
-fn apply(tables: &mut Tables, entry: &Entry, cx: &mut Context<'_>) {
+fn apply(tables: &mut Tables, entry: &Entry, origin: Origin, cx: &mut Context<'_>) {
     match cx.format.subject(&entry.key) {
         Subject::Config => apply_config(tables, entry, cx),
-        Subject::Target(id) => apply_target(tables, &id, entry, cx),
+        Subject::Target(id) => apply_target(tables, &id, entry, origin, cx),
         Subject::Vm(name) => apply_vm(tables, name, entry, cx),
         Subject::Quarantined(request) => {
             tables.missing_requests.remove(&request);
@@ -260,7 +271,13 @@
 
 /// Applies the registration of a target. One that cannot be read names no target, so a
 /// target that had the entry before is missing.
-fn apply_target(tables: &mut Tables, id: &Name, entry: &Entry, cx: &mut Context<'_>) {
+fn apply_target(
+    tables: &mut Tables,
+    id: &Name,
+    entry: &Entry,
+    origin: Origin,
+    cx: &mut Context<'_>,
+) {
     let target = match cx.format.target(entry) {
         Ok(target) => target,
         Err(detail) => {
@@ -269,9 +286,19 @@
             return;
         }
     };
+    match origin {
+        Origin::Scan if departure::hold_back(tables, id, &target, cx) => return,
+        Origin::Scan => {}
+        Origin::Watch => departure::forget(tables, id),
+    }
+    list_target(tables, id, Arc::new(target), cx);
+}
+
+/// Lists a target, or replaces its registration.
+fn list_target(tables: &mut Tables, id: &Name, target: Arc<Target>, cx: &mut Context<'_>) {
     tables.missing.remove(id);
     let old = tables.view.targets.get(id);
-    if old.is_some_and(|old| **old == target) {
+    if old == Some(&target) {
         return;
     }
     if old.is_none() {
@@ -282,7 +309,7 @@
         ];
         cx.out.lines.push(Line::new(Event::TargetListed, fields));
     }
-    tables.view.targets.insert(id.clone(), Arc::new(target));
+    tables.view.targets.insert(id.clone(), target);
     tables.is_changed = true;
 }
 
@@ -318,7 +345,7 @@
     tables.own_entry = None;
     let mut quarantined = BTreeSet::new();
     for entry in entries {
-        apply(tables, entry, cx);
+        apply(tables, entry, Origin::Scan, cx);
         match cx.format.subject(&entry.key) {
             Subject::Target(id) => drop(listed.insert(id)),
             Subject::Quarantined(request) => drop(quarantined.insert(request)),
@@ -340,7 +367,10 @@
 fn remove(tables: &mut Tables, key: &str, cx: &mut Context<'_>) {
     tables.unreadable.remove(key);
     match cx.format.subject(key) {
-        Subject::Target(id) => mark_missing(tables, id, cx),
+        Subject::Target(id) => {
+            departure::forget(tables, &id);
+            mark_missing(tables, id, cx);
+        }
         Subject::Vm(name) => {
             tables.is_changed |= tables.view.vms.remove(&name).is_some();
         }
@@ -367,6 +397,9 @@
 
 /// Removes the targets and the quarantines whose entries were not written again in time.
 fn expire(tables: &mut Tables, cx: &mut Context<'_>) {
+    for (id, target) in departure::take_due(tables, cx) {
+        list_target(tables, &id, target, cx);
+    }
     let due = tables.missing_requests.iter().filter(|(_, at)| **at <= cx.now);
     let due: Vec<Fingerprint> = due.map(|(request, _)| *request).collect();
     due.iter().for_each(|request| release(tables, request));
@@ -374,7 +407,9 @@
         tables.missing.iter().filter(|(_, at)| **at <= cx.now).map(|(id, _)| id.clone()).collect();
     for id in gone {
         tables.missing.remove(&id);
-        tables.view.targets.remove(&id);
+        if let Some(target) = tables.view.targets.remove(&id) {
+            departure::record(tables, &id, &target, cx);
+        }
         tables.is_changed = true;
         let fields = vec![("target", id.to_string())];
         cx.out.lines.push(Line::new(Event::TargetUnlisted, fields));
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -1,12 +1,23 @@
 //! The tables of the feed.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
 
-use super::{Limits, confirm, reading::Reading, role};
+use super::{
+    Limits, confirm,
+    departure::{self, Departure},
+    reading::Reading,
+    role,
+};
 use crate::{
     digest::Fingerprint,
     name::Name,
-    relay::{Quarantine, Reach, View, view::Vm},
+    relay::{
+        Quarantine, Reach, View,
+        view::{Target, Vm},
+    },
     store::{CallId, Version},
     time::Instant,
 };
@@ -131,6 +142,12 @@
     pub lapse_until: Instant,
     /// Targets whose entry is missing, with the time at which they are removed.
     pub missing: BTreeMap<Name, Instant>,
+    /// Targets that left.
+    pub departed: BTreeMap<Name, Departure>,
+    /// Targets that left and that the store has listed again since it began an era.
+    pub held_back: BTreeMap<Name, Arc<Target>>,
+    /// Until when such targets are held back.
+    pub held_until: Instant,
     /// Quarantined requests whose entry is missing, with the time at which they are released.
     pub missing_requests: BTreeMap<Fingerprint, Instant>,
     /// The entries that could not be read, with the versions that were logged.
@@ -166,6 +183,9 @@
             store: Store::Up,
             lapse_until: Instant::default(),
             missing: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            held_back: BTreeMap::new(),
+            held_until: Instant::default(),
             missing_requests: BTreeMap::new(),
             unreadable: BTreeMap::new(),
             reports: Reports::default(),
@@ -204,7 +224,9 @@
         let missing = self.missing.values().chain(self.missing_requests.values()).min().copied();
         let reading = role::reading_change_at(self, limits);
         let confirmation = confirm::due(self);
-        [call, probe, confirmation, self.watch_due, missing, self.reading.lag_deadline(), reading]
+        let held_back = departure::due(self);
+        let lag = self.reading.lag_deadline();
+        [call, probe, confirmation, self.watch_due, missing, held_back, lag, reading]
             .into_iter()
             .flatten()
             .min()
--- a/crates/core/tests/relay/restores.rs
+++ b/crates/core/tests/relay/restores.rs
@@ -212,6 +212,47 @@
             assert!(world.own.has_target("back") && !world.own.has_target("gone"));
         }
     };
+    a_target_that_left_does_not_come_back_with_the_copy => {
+        for open in [Open::Ends, Open::Silent] {
+            let mut world = World::new();
+            world.pass(ms(3000));
+            world.store.take_copy();
+            world.remove("target/desk-2");
+            world.pass(ms(1000));
+            assert!(!world.own.has_target("desk-2"));
+            world.restore(open);
+            let end = world.now + ms(4500);
+            while world.now < end {
+                world.pass(STEP);
+                assert!(!world.own.has_target("desk-2"), "it is used again");
+            }
+            world.remove("target/desk-2");
+            world.pass(ms(5000));
+            assert!(!world.own.has_target("desk-2"));
+        }
+    };
+    a_target_that_left_and_registers_again_is_used_at_once => {
+        let mut world = World::new();
+        world.pass(ms(3000));
+        world.store.take_copy();
+        world.remove("target/desk-2");
+        world.pass(ms(1000));
+        world.restore(Open::Ends);
+        world.pass(ms(1000));
+        world.put("target/desk-2", "desk");
+        world.pass(ms(1000));
+        assert!(world.own.has_target("desk-2"));
+    };
+    a_target_that_only_seemed_to_leave_is_used_again_in_time => {
+        let mut world = World::new();
+        world.pass(ms(3000));
+        world.store.take_copy();
+        world.remove("target/desk-2");
+        world.pass(ms(1000));
+        world.restore(Open::Ends);
+        world.pass(ms(6000));
+        assert!(world.own.has_target("desk-2"), "its entry is still there");
+    };
     a_quarantine_outlives_the_loss_of_its_entry => {
         for open in [Open::Ends, Open::Silent] {
             let request = Fingerprint(7);
