Log each scan and the call that failed, and show the era and the routes in metrics

No metric showed which VM had which version of the routes.

Change: event 706 (debug) has how far a scan has read and how far the VM had read before, both with their eras; the detail of 701 begins with the call. The gauge of the revision in force has the version of the routes at a relay, and a new gauge the era of the store.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -152,6 +152,8 @@
     AnnouncementDropped 705 Warning "announced change of the platform's service does not exist";
     /// The platform's service came back from an older copy of its data.
     StoreRestored 704 Warning "platform's service lost changes";
+    /// All entries of the platform's service were read.
+    StoreScanned 706 Debug "state of the platform's service was read";
     /// The platform's service is available again.
     StoreUp 702 Info "platform's service is available";
 }
--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -31,7 +31,7 @@
     digest::Fingerprint,
     log::Line,
     name::Name,
-    store::{Call, CallId, Entry, Outcome},
+    store::{Call, CallId, Entry, Era, Outcome},
     time::Instant,
 };
 
@@ -199,6 +199,11 @@
         system::run(&mut self.tables, input, &mut cx);
     }
 
+    /// Returns the latest era that the store has stated.
+    pub fn era(&self) -> Option<Era> {
+        self.tables.reading.era()
+    }
+
     /// Returns when the next tick is due, if one is.
     pub fn wake(&self) -> Option<Instant> {
         self.tables.wake(&self.limits)
--- a/crates/core/src/relay/feed/probe.rs
+++ b/crates/core/src/relay/feed/probe.rs
@@ -42,7 +42,8 @@
 pub fn run(tables: &mut Tables, cx: &mut Context<'_>) {
     let Some(probe) = tables.probe.as_ref().filter(|probe| probe.next_at <= cx.now) else { return };
     if !probe.open.is_empty() {
-        let detail = format!("no answer within {} ms", cx.limits.answer_limit.as_millis());
+        let limit = cx.limits.answer_limit.as_millis();
+        let detail = format!("check: no answer within {limit} ms");
         mark_store_down(tables, &detail, cx);
     }
     let pause = match tables.role {
@@ -73,13 +74,13 @@
     match reply {
         Reply::Entries { position, .. } => finish(tables, position, cx),
         Reply::Refused { detail } | Reply::Lost { detail } => {
-            mark_store_down(tables, &detail, cx);
+            mark_store_down(tables, &format!("check: {detail}"), cx);
             if is_last {
                 let at = cx.now + retry_pause(tables, cx);
                 start(tables, at);
             }
         }
-        _ => mark_store_down(tables, "unexpected type of reply", cx),
+        _ => mark_store_down(tables, "check: unexpected type of reply", cx),
     }
     None
 }
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -14,7 +14,7 @@
     log::{Event, Line},
     name::Name,
     relay::view::Target,
-    store::{Call, CallId, Entry, Era, Outcome, Reply},
+    store::{Call, CallId, Entry, Era, Outcome, Position, Reply},
     time::Instant,
 };
 
@@ -93,6 +93,7 @@
         }
         (Purpose::Scan, Reply::Entries { entries, position }) => {
             mark_store_up(tables, cx);
+            log_scan(tables, position, entries.len(), cx);
             if tables.reading.accepts_scan(position) {
                 replace_all(tables, &entries, cx);
                 set_current(tables, true);
@@ -120,10 +121,6 @@
             tables.own_entry = current.map(|entry| entry.version);
             tables.next_purpose = Some(if is_own { Purpose::Watch } else { Purpose::Register });
         }
-        (Purpose::Register, Reply::Refused { detail } | Reply::Lost { detail }) => {
-            // Without the entry, other VMs count one VM less until the next start.
-            mark_store_down(tables, &detail, cx);
-        }
         (Purpose::Watch, Reply::Changed { entries, removed, position }) => {
             mark_store_up(tables, cx);
             if !tables.reading.advance(position) {
@@ -152,13 +149,29 @@
             mark_store_up(tables, cx);
             scan_again(tables);
         }
-        (_, Reply::Refused { detail } | Reply::Lost { detail }) => {
+        (purpose, Reply::Refused { detail } | Reply::Lost { detail }) => {
+            mark_store_down(tables, &format!("{}: {detail}", purpose.text()), cx);
+        }
+        (purpose, _) => {
+            let detail = format!("{}: unexpected type of reply", purpose.text());
             mark_store_down(tables, &detail, cx);
         }
-        (_, _) => mark_store_down(tables, "unexpected type of reply", cx),
     }
 }
 
+/// Logs up to where a scan has read, beside what this VM had read before.
+fn log_scan(tables: &Tables, position: Position, entries: usize, cx: &mut Context<'_>) {
+    let before = tables.reading.position().unwrap_or_default();
+    let fields = vec![
+        ("change", position.change.to_string()),
+        ("era", position.era.0.to_string()),
+        ("before", before.change.to_string()),
+        ("before_era", before.era.0.to_string()),
+        ("entries", entries.to_string()),
+    ];
+    cx.out.lines.push(Line::new(Event::StoreScanned, fields));
+}
+
 /// Ends a series of watches whose next changes are unknown until a scan.
 fn scan_again(tables: &mut Tables) {
     set_current(tables, false);
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -35,6 +35,18 @@
     Watch,
 }
 
+impl Purpose {
+    /// Returns the text for the log.
+    pub fn text(self) -> &'static str {
+        match self {
+            Purpose::ListVms => "list of VMs",
+            Purpose::Scan => "scan",
+            Purpose::Register => "registration",
+            Purpose::Watch => "watch",
+        }
+    }
+}
+
 /// How a VM serves requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Role {
--- a/src/metric/gauge.rs
+++ b/src/metric/gauge.rs
@@ -45,8 +45,8 @@
     TargetConnections "target_connections" "Connections to targets that are open";
     /// The attempts beyond the first that the budget still allows.
     RetryBudget "retry_budget" "Attempts beyond the first that the budget still allows";
-    /// The revision of the profiles in force.
-    Revision "revision_in_force" "Revision of the profiles in force";
+    /// The revision of the profiles, or the version of the routes, that is in force.
+    Revision "revision_in_force" "Revision of the profiles or version of the routes in force";
     /// The time in milliseconds since the view was last confirmed by the
     /// platform's service.
     ViewAge "view_age_milliseconds" "Time since the view was last confirmed";
@@ -58,6 +58,8 @@
     Quarantined "quarantined_requests" "Requests that are held back";
     /// Whether the VM takes requests, as 1 or 0.
     Ready "ready" "Whether the VM takes requests, 1 or 0";
+    /// The era that the platform's service has stated last.
+    StoreEra "store_era" "Era of the platform's service, which rises when it has lost changes";
     /// The bytes that are held for others.
     HeldBytes "held_bytes" "Bytes held for callers, operators, targets and other VMs";
     /// The log lines that were lost because the queue of the writer was full.
--- a/src/relay/control.rs
+++ b/src/relay/control.rs
@@ -21,6 +21,7 @@
     Shared,
     datagram::{Datagram, Message},
 };
+use crate::metric::gauge::{Gauge, Part};
 
 /// The longest sleep while no timer of the feed is set.
 const MAX_SLEEP: Duration = Duration::from_secs(60);
@@ -86,6 +87,7 @@
             datagram.send(to, &Message::Suspicions(suspicions)).await;
         }
         if let Some(view) = out.view {
+            update_gauges(&shared, &view, &feed);
             resources.view.send_replace(view);
         }
         for line in &out.lines {
@@ -124,6 +126,16 @@
     OwnVm { name: settings.vm.name.clone(), vm }
 }
 
+/// Updates the gauges of the routes and of the store. A new era changes the view too.
+fn update_gauges(shared: &Shared, view: &View, feed: &Feed) {
+    let set = |gauge, value| {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        shared.metrics.set(gauge, Part::Control, value);
+    };
+    set(Gauge::Revision, view.version());
+    set(Gauge::StoreEra, feed.era().unwrap_or_default().0);
+}
+
 /// Publishes whether the VM accepts requests, and logs when it begins to.
 fn update_ready(shared: &Shared, resources: &Resources, is_feed_ready: bool) {
     let is_ready = is_feed_ready && !*resources.leaving.borrow();
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -157,6 +157,7 @@
         let live = |state: State| state == State::Live;
         let revision = usize::try_from(view.document.revision.0).unwrap_or(usize::MAX);
         self.set(Gauge::Revision, revision);
+        self.set(Gauge::StoreEra, 0);
         self.set(Gauge::LiveVms, view.vms.values().filter(|vm| live(vm.state)).count());
         let targets = view.targets.values().filter(|target| live(target.state));
         self.set(Gauge::LiveTargets, targets.count());
