--- a/crates/core/src/relay/feed/confirm.rs
+++ b/crates/core/src/relay/feed/confirm.rs
@@ -11,8 +11,9 @@
 use rand::RngExt;
 
 use super::{
-    Limits, probe, progress,
-    system::Context,
+    Limits,
+    context::Context,
+    probe, progress,
     table::{Purpose, Role, Tables},
 };
 use crate::time::Instant;
--- a/crates/core/src/relay/feed/departure.rs
+++ b/crates/core/src/relay/feed/departure.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{system::Context, table::Tables};
+use super::{context::Context, table::Tables};
 use crate::{name::Name, relay::view::Target, time::Instant};
 
 /// How long it is remembered that a target left. It exceeds the age of a copy.
--- a/crates/core/src/relay/feed/mod.rs
+++ b/crates/core/src/relay/feed/mod.rs
@@ -11,7 +11,10 @@
 mod report;
 mod probe;
 mod confirm;
+mod context;
 mod departure;
+mod availability;
+mod entry;
 mod watch;
 pub mod reading;
 pub mod progress;
@@ -22,8 +25,8 @@
 use rand::{SeedableRng, rngs::StdRng};
 
 use self::{
+    context::Context,
     progress::Progress,
-    system::Context,
     table::{OwnVm, Role, Tables},
 };
 use super::{Quarantine, Reach, Suspicion, View, route::Config, view};
--- a/crates/core/src/relay/feed/probe.rs
+++ b/crates/core/src/relay/feed/probe.rs
@@ -7,8 +7,10 @@
 //! so that the VM learns within a second that the store is back.
 
 use super::{
-    confirm, progress, role,
-    system::{Context, mark_store_down, mark_store_up, retry_pause, set_current},
+    availability::{mark_store_down, mark_store_up, retry_pause, set_current},
+    confirm,
+    context::Context,
+    progress, role,
     table::{Purpose, Role, Tables},
 };
 use crate::{
--- a/crates/core/src/relay/feed/progress.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -12,9 +12,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    confirm, probe,
+    availability::set_current,
+    confirm,
+    context::Context,
+    probe,
     reading::{Heard, Remedy, Standing},
-    system::{Context, set_current},
     table::{Purpose, Role, Tables},
 };
 use crate::{
--- a/crates/core/src/relay/feed/report.rs
+++ b/crates/core/src/relay/feed/report.rs
@@ -6,7 +6,7 @@
 //! that misses it finds the request by itself.
 
 use super::{
-    system::Context,
+    context::Context,
     table::{Reports, Stage, Tables},
 };
 use crate::{
--- a/crates/core/src/relay/feed/role.rs
+++ b/crates/core/src/relay/feed/role.rs
@@ -5,8 +5,9 @@
 use rand::RngExt;
 
 use super::{
-    Limits, probe,
-    system::Context,
+    Limits,
+    context::Context,
+    probe,
     table::{Purpose, Role, Tables},
 };
 use crate::{
