Believe a store that counts its eras anew

From a store that was set up again, and counts its eras from the start, no scan was ever accepted: a VM kept its routes for ever and scanned every 150 ms.

Change: five scans in a row of an earlier era show that the store has it, since an answer that was merely late comes once.

Measured: a_store_that_counts_its_eras_anew_is_read_again failed before (version 3 instead of 4 after 6 s) and passes; 242 cases of the core's relay pass.

--- a/crates/core/src/relay/feed/reading.rs
+++ b/crates/core/src/relay/feed/reading.rs
@@ -17,7 +17,8 @@
 /// time by which the store answers one VM later than another.
 const MAX_LAG: Duration = Duration::from_millis(400);
 
-/// The number of scans after which an announced change counts as one that does not exist.
+/// The number of scans in a row after which the store is believed against what was heard or
+/// read before.
 const MAX_UNCONFIRMED_SCANS: u32 = 5;
 
 /// What is known of the newest change from others than the open watch.
@@ -67,6 +68,8 @@
     era: Option<Era>,
     heard: Heard,
     scan: Option<Scan>,
+    /// How many scans in a row were of an era that is over.
+    late_scans: u32,
     announced: Position,
     lag_deadline: Option<Instant>,
 }
@@ -134,15 +137,20 @@
         ended
     }
 
-    /// Returns whether a scan that was read at `position` is one of the current era.
-    pub fn accepts_scan(&self, position: Position) -> bool {
-        self.era.is_none_or(|era| position.era >= era)
-    }
-
-    /// Records an accepted scan.
-    pub fn finish_scan(&mut self, position: Position, now: Instant) {
+    /// Records a scan that was read at `position`. Returns false if it is of an era that is
+    /// over, so that it was under way while the current one began. Several such scans in a
+    /// row show that the store counts its eras anew.
+    pub fn finish_scan(&mut self, position: Position, now: Instant) -> bool {
+        let is_late = self.era.is_some_and(|era| position.era < era);
+        self.late_scans = if is_late { self.late_scans + 1 } else { 0 };
+        if is_late && self.late_scans < MAX_UNCONFIRMED_SCANS {
+            return false;
+        }
+        self.late_scans = 0;
+        self.era = Some(position.era);
         self.position = Some(position);
         self.scan = Some(Scan { position, at: now });
+        true
     }
 
     /// Records that a watch has read up to `position`. Returns whether the watch continued
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -123,15 +123,13 @@
 /// Applies the result of a scan, unless it is of an era that is over.
 fn finish_scan(tables: &mut Tables, entries: &[Entry], position: Position, cx: &mut Context<'_>) {
     log_scan(tables, position, entries.len(), cx);
-    if !tables.reading.accepts_scan(position) {
-        // The answer was under way while the store began the current era.
+    if !tables.reading.finish_scan(position, cx.now) {
         tables.next_purpose = Some(Purpose::Scan);
         tables.not_before = cx.now + cx.limits.first_pause;
         return;
     }
     entry::replace_all(tables, entries, cx);
     set_current(tables, true);
-    tables.reading.finish_scan(position, cx.now);
     confirm::record(tables, cx);
     role::continue_after_scan(tables, cx);
 }
--- a/crates/core/tests/relay/restores.rs
+++ b/crates/core/tests/relay/restores.rs
@@ -292,6 +292,23 @@
         assert_eq!(fleet.store.registrations(), 100);
         assert!(most <= 30, "{most} writes within 20 ms");
     };
+    a_store_that_counts_its_eras_anew_is_read_again => {
+        for open in [Open::Ends, Open::Silent] {
+            let mut world = World::new();
+            world.store.take_copy();
+            (0..3).for_each(|_| world.store.restore());
+            world.pass(ms(3000));
+            world.store.count_eras_anew();
+            world.restore(open);
+            world.put("config", "4");
+            world.pass(ms(6000));
+            assert_eq!(world.own.version(), Some(4));
+            assert!(world.own.view.is_current);
+            world.put("config", "5");
+            world.pass(ms(1000));
+            assert_eq!(world.own.version(), Some(5));
+        }
+    };
     an_announcement_of_an_ended_era_keeps_no_vm_behind => {
         let mut fleet = settled_fleet(15);
         play(&mut fleet, Drill { open: Open::Ends, ..DRILL }, 4);
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -214,6 +214,11 @@
         self.era += 1;
     }
 
+    /// Starts the count of eras again.
+    pub fn count_eras_anew(&mut self) {
+        self.era = 0;
+    }
+
     /// Returns the outcome of a call; no era belongs to one that was not answered.
     fn outcome(&self, id: CallId, reply: Reply) -> Outcome {
         let is_answer = !matches!(reply, Reply::Refused { .. } | Reply::Lost { .. });
