Give up the longest replies when there is no room

Cause: replies of targets on their way in counted in the table, but nothing could be ended for what came after them. Targets that send bodies without end filled it, and requests with a body of 100 KB to sound targets were refused with 503 until the floods ended. What a connection to a target buffers did not count.

Change: a reply on its way in is a row. Requests keep their three quarters without regard to replies. Heads, the buffer of a connection and replies of less than 8 KiB count.

Ruled out: the slowest reply first, as fast floods end before they are old enough to be told from others; a smaller limit on each body, as one long answer must still fit.

--- a/crates/core/src/memory/limits.rs
+++ b/crates/core/src/memory/limits.rs
@@ -13,6 +13,9 @@
 /// is for connections to targets, other VMs and the store.
 const DESCRIPTOR_DIVISOR: usize = 2;
 
+/// The length of a reply beyond which it leaves room for shorter ones.
+const SHORT_REPLY_BYTES: usize = 128 << 10;
+
 /// The age before which a transfer or an idle connection is not closed to make room, as its
 /// rate says nothing yet.
 const EVICTION_GRACE: Duration = Duration::from_millis(250);
@@ -49,6 +52,19 @@
         self.bytes / 4 * 3
     }
 
+    /// Returns the bytes of replies on their way in beyond which room for anything is made
+    /// among them before a connection of others is closed.
+    pub fn reply_bytes(&self) -> usize {
+        self.bytes / 2
+    }
+
+    /// Returns by how many bytes a reply of this length, on its way in among many, may exceed
+    /// the limit until those that were given up have ended. It is little, as many grow at the same time,
+    /// and nothing for a long one, so that it leaves room for short ones.
+    pub fn reply_closing_bytes(&self, length: usize) -> usize {
+        if length > SHORT_REPLY_BYTES { 0 } else { self.bytes / 8 }
+    }
+
     /// Returns by how many bytes the limit may be exceeded until connections that were told
     /// to close have ended.
     pub fn closing_bytes(&self) -> usize {
--- a/crates/core/src/memory/mod.rs
+++ b/crates/core/src/memory/mod.rs
@@ -3,8 +3,9 @@
 //! Each connection that others opened is a row. A row counts the bytes that the process
 //! holds for it: the request on its way in, and the answer on its way out. Bytes that
 //! outlive their connection, such as the body of a request that another VM has, count until
-//! they are dropped. The systems admit connections and bytes, and choose the connections
-//! that are closed to make room. See `docs/design/memory.md`.
+//! they are dropped. Each reply of a target on its way in is a row of its own. The systems
+//! admit connections and bytes, and choose the connections that are closed and the replies
+//! that are given up to make room. See `docs/design/memory.md`.
 //!
 //! The threads of a process share one [`Tables`]; each call is a tick of its own.
 
@@ -14,7 +15,7 @@
 
 pub use self::{
     limits::Limits,
-    table::{Holder, Party, Port, Row, Tables, Transfer},
+    table::{Holder, Party, Port, Reply, Row, Tables, Transfer},
 };
 
 /// What bytes are held for, which decides how much of the limit they may fill.
--- a/crates/core/src/memory/system/evict.rs
+++ b/crates/core/src/memory/system/evict.rs
@@ -1,4 +1,4 @@
-//! Chooses the connections that are closed to make room.
+//! Chooses the connections that are closed, and the replies that are given up, to make room.
 
 use crate::{
     memory::{Holder, Party, Port, Row, Tables},
@@ -33,35 +33,59 @@
     Some(id)
 }
 
-/// Closes slow connections that hold bytes until `bytes` are free. Returns false if that is
-/// not possible; then none is closed.
-pub fn free(
-    tables: &mut Tables,
-    requester: Option<Holder>,
+/// What can be ended to make room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    id: Holder,
+    /// The bytes that are dropped with it.
     bytes: usize,
-    cx: &mut Context<'_>,
-) -> bool {
+}
+
+/// Returns the connections that hold bytes and may be closed, the slowest first.
+pub fn slow_connections(
+    tables: &Tables,
+    requester: Option<Holder>,
+    cx: &Context<'_>,
+) -> Vec<Candidate> {
     let rows = tables.rows.iter().filter(|(id, row)| Some(**id) != requester && row.total() > 0);
     let mut slow: Vec<(Worth, Holder, usize)> =
         rows.filter_map(|(id, row)| Some((worth(row, cx)?, *id, row.total()))).collect();
     slow.sort_unstable();
-    let mut chosen = Vec::new();
+    slow.into_iter().map(|(_, id, bytes)| Candidate { id, bytes }).collect()
+}
+
+/// Returns the replies on their way in that hold more than `bytes`, the longest first. A peer
+/// that sends without end has the longest sooner or later, however fast it sends.
+pub fn long_replies(tables: &Tables, bytes: usize) -> Vec<Candidate> {
+    let longer = tables.replies.iter().filter(|(_, reply)| reply.bytes > bytes);
+    let mut long: Vec<Candidate> = longer
+        .filter(|(_, reply)| !reply.is_closing)
+        .map(|(id, reply)| Candidate { id: *id, bytes: reply.bytes })
+        .collect();
+    long.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.bytes));
+    long
+}
+
+/// Returns how many of the candidates, from the first on, must end to free `bytes`; none if
+/// all of them are too few.
+pub fn count_to_free(candidates: &[Candidate], bytes: usize) -> Option<usize> {
     let mut free = 0;
-    for (_, id, held) in slow {
+    for (index, candidate) in candidates.iter().enumerate() {
         if free >= bytes {
-            break;
+            return Some(index);
         }
-        free += held;
-        chosen.push(id);
-    }
-    if free < bytes {
-        return false;
+        free += candidate.bytes;
     }
-    for id in chosen {
-        tables.mark_closing(id);
-        cx.close.push(id);
+    (free >= bytes).then_some(candidates.len())
+}
+
+/// Ends connections and replies.
+pub fn end(tables: &mut Tables, candidates: &[Candidate], cx: &mut Context<'_>) {
+    for candidate in candidates {
+        tables.mark_closing(candidate.id);
+        tables.give_up_reply(candidate.id);
+        cx.close.push(candidate.id);
     }
-    true
 }
 
 /// Returns how much a connection is worth keeping, or none if it may not be closed.
--- a/crates/core/src/memory/system/hold.rs
+++ b/crates/core/src/memory/system/hold.rs
@@ -4,7 +4,7 @@
 use crate::memory::{Full, Holder, Purpose, Tables};
 
 /// Counts `bytes` more for a connection, or for none that is known. If there is no room,
-/// slow connections are closed for it.
+/// slow connections are closed and long replies are given up for it.
 pub fn grow(
     tables: &mut Tables,
     id: Option<Holder>,
@@ -12,18 +12,54 @@
     bytes: usize,
     cx: &mut Context<'_>,
 ) -> Result<(), Full> {
-    // What is being closed still takes memory.
-    if tables.bytes() + bytes > cx.limits.bytes + cx.limits.closing_bytes() {
-        return Err(Full);
-    }
-    let excess = excess(tables, purpose, bytes, cx);
-    if excess > 0 && !evict::free(tables, id, excess, cx) {
-        return Err(Full);
+    check_maximum(tables, bytes, cx.limits.closing_bytes(), cx)?;
+    let (own, all) = (excess_beside_replies(tables, purpose, bytes, cx), excess(tables, bytes, cx));
+    if own.max(all) > 0 {
+        let slow = evict::slow_connections(tables, id, cx);
+        let first = evict::count_to_free(&slow, own).ok_or(Full)?;
+        let (first, later) = slow.split_at(first);
+        let long = evict::long_replies(tables, bytes);
+        let order = if are_replies_many(tables, 0, cx) {
+            [first, &long, later].concat()
+        } else {
+            [first, later, &long].concat()
+        };
+        let count = evict::count_to_free(&order, own.max(all)).ok_or(Full)?;
+        evict::end(tables, &order[..count], cx);
     }
     tables.add(id, purpose, bytes);
     Ok(())
 }
 
+/// Counts `bytes` more of a reply on its way in. If there is no room, longer replies are given
+/// up for it; slow connections are closed only while replies take a small part of the room, so
+/// that no flood of replies closes those of callers.
+pub fn grow_reply(
+    tables: &mut Tables,
+    id: Holder,
+    bytes: usize,
+    cx: &mut Context<'_>,
+) -> Result<(), Full> {
+    let length = tables.replies.get(&id).map_or(0, |reply| reply.bytes) + bytes;
+    let are_many = are_replies_many(tables, bytes, cx);
+    let closing =
+        if are_many { cx.limits.reply_closing_bytes(length) } else { cx.limits.closing_bytes() };
+    check_maximum(tables, bytes, closing, cx)?;
+    let excess = excess(tables, bytes, cx);
+    if excess > 0 {
+        let long = evict::long_replies(tables, length);
+        let order = if are_many {
+            long
+        } else {
+            [evict::slow_connections(tables, None, cx), long].concat()
+        };
+        let count = evict::count_to_free(&order, excess).ok_or(Full)?;
+        evict::end(tables, &order[..count], cx);
+    }
+    tables.add_to_reply(id, bytes);
+    Ok(())
+}
+
 /// Admits work on a request of a connection, unless everything is full. Requests that wait
 /// do not fill everything, so they keep no short request out.
 pub fn begin_work(tables: &mut Tables, id: Holder, cx: &mut Context<'_>) -> Result<(), Full> {
@@ -32,11 +68,41 @@
     Ok(())
 }
 
-/// Returns by how much `bytes` more for a purpose would be too many.
-fn excess(tables: &Tables, purpose: Purpose, bytes: usize, cx: &Context<'_>) -> usize {
+/// Fails if `bytes` more exceed the limit by more than `closing`, although that is being freed.
+fn check_maximum(
+    tables: &Tables,
+    bytes: usize,
+    closing: usize,
+    cx: &Context<'_>,
+) -> Result<(), Full> {
+    let maximum = cx.limits.bytes + closing;
+    if tables.bytes() + bytes > maximum { Err(Full) } else { Ok(()) }
+}
+
+/// Returns by how much `bytes` more would be too many.
+fn excess(tables: &Tables, bytes: usize, cx: &Context<'_>) -> usize {
+    let ending = tables.closing + tables.given_up;
+    (tables.bytes() + bytes).saturating_sub(cx.limits.bytes + ending)
+}
+
+/// Returns by how much `bytes` more for a purpose would be too many if no reply arrived.
+fn excess_beside_replies(
+    tables: &Tables,
+    purpose: Purpose,
+    bytes: usize,
+    cx: &Context<'_>,
+) -> usize {
     let limit = match purpose {
         Purpose::Request => cx.limits.request_bytes(),
         Purpose::Answer => cx.limits.bytes,
     };
-    (tables.bytes() + bytes).saturating_sub(limit + tables.closing)
+    let held = tables.bytes().saturating_sub(tables.arriving);
+    (held + bytes).saturating_sub(limit + tables.closing)
+}
+
+/// Whether replies on their way in, with `bytes` more of them, take so much that room is made
+/// among them first.
+fn are_replies_many(tables: &Tables, bytes: usize, cx: &Context<'_>) -> bool {
+    let held = tables.arriving.saturating_sub(tables.given_up);
+    held + bytes > cx.limits.reply_bytes()
 }
--- a/crates/core/src/memory/table.rs
+++ b/crates/core/src/memory/table.rs
@@ -115,6 +115,15 @@
     }
 }
 
+/// A reply of a target on its way in. Its bytes count as those of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reply {
+    /// The bytes that are held for it.
+    pub bytes: usize,
+    /// Whether it was chosen to be given up.
+    pub is_closing: bool,
+}
+
 /// The connections and the sums over them.
 #[derive(Debug, Default)]
 pub struct Tables {
@@ -127,6 +136,11 @@
     pub held: BTreeMap<Purpose, usize>,
     /// The part of them that is held for connections that are being closed.
     pub closing: usize,
+    pub replies: BTreeMap<Holder, Reply>,
+    /// The bytes that are held for replies on their way in.
+    pub arriving: usize,
+    /// The part of them that is held for replies that are given up.
+    pub given_up: usize,
     last_id: u64,
 }
 
@@ -151,10 +165,49 @@
         self.ports.values().sum()
     }
 
+    fn next_id(&mut self) -> Holder {
+        self.last_id += 1;
+        Holder(self.last_id)
+    }
+
+    /// Adds a reply that begins to arrive.
+    pub fn insert_reply(&mut self) -> Holder {
+        let id = self.next_id();
+        self.replies.insert(id, Reply::default());
+        id
+    }
+
+    /// Adds to the bytes that are held for a reply on its way in.
+    pub fn add_to_reply(&mut self, id: Holder, bytes: usize) {
+        self.add(None, Purpose::Answer, bytes);
+        let Some(reply) = self.replies.get_mut(&id) else { return };
+        reply.bytes += bytes;
+        self.arriving += bytes;
+        if reply.is_closing {
+            self.given_up += bytes;
+        }
+    }
+
+    /// Removes a reply that has arrived or ended. Its bytes stay counted.
+    pub fn remove_reply(&mut self, id: Holder) {
+        let Some(reply) = self.replies.remove(&id) else { return };
+        self.arriving = self.arriving.saturating_sub(reply.bytes);
+        if reply.is_closing {
+            self.given_up = self.given_up.saturating_sub(reply.bytes);
+        }
+    }
+
+    /// Marks a reply as one that is given up.
+    pub fn give_up_reply(&mut self, id: Holder) {
+        let Some(reply) = self.replies.get_mut(&id) else { return };
+        if !std::mem::replace(&mut reply.is_closing, true) {
+            self.given_up += reply.bytes;
+        }
+    }
+
     /// Adds a connection that has just been opened.
     pub fn insert(&mut self, port: Port, base: usize, now: Instant) -> Holder {
-        self.last_id += 1;
-        let id = Holder(self.last_id);
+        let id = self.next_id();
         let row = Row {
             port,
             base,
--- a/crates/core/tests/memory/harness.rs
+++ b/crates/core/tests/memory/harness.rs
@@ -55,6 +55,17 @@
         self.run(|tables, cx| hold::grow(tables, Some(id), purpose, bytes, cx))
     }
 
+    pub fn grow_reply(&mut self, id: Holder, bytes: usize) -> Result<(), Full> {
+        self.run(|tables, cx| hold::grow_reply(tables, id, bytes, cx))
+    }
+
+    /// Begins a reply of which `bytes` arrive, for which there is room.
+    pub fn reply(&mut self, bytes: usize) -> Holder {
+        let id = self.tables.insert_reply();
+        self.grow_reply(id, bytes).unwrap();
+        id
+    }
+
     pub fn receive(&mut self, id: Holder, bytes: usize) {
         transfer::receive(&mut self.tables, id, bytes, self.now);
     }
--- a/crates/core/tests/memory/main.rs
+++ b/crates/core/tests/memory/main.rs
@@ -6,4 +6,5 @@
 mod harness;
 mod admit;
 mod hold;
+mod reply;
 mod random;
--- a/crates/core/tests/memory/random.rs
+++ b/crates/core/tests/memory/random.rs
@@ -15,6 +15,10 @@
     Answer(usize, usize),
     Send(usize, usize),
     Finish(usize),
+    /// A reply grows, which begins if there are not as many.
+    Reply(usize, usize),
+    /// A reply arrives, and is dropped at once.
+    Arrive(usize),
     /// A connection ends, and what is held for it is dropped.
     End(usize),
     /// Every connection that was told to close ends.
@@ -31,6 +35,8 @@
         (0..50usize, 0..400usize).prop_map(|(row, bytes)| Step::Answer(row, bytes)),
         (0..50usize, 0..400usize).prop_map(|(row, bytes)| Step::Send(row, bytes)),
         (0..50usize).prop_map(Step::Finish),
+        (0..20usize, 0..400usize).prop_map(|(reply, bytes)| Step::Reply(reply, bytes)),
+        (0..20usize).prop_map(Step::Arrive),
         (0..50usize).prop_map(Step::End),
         Just(Step::Close),
     ]
@@ -40,6 +46,7 @@
 struct Model {
     memory: Memory,
     held: Vec<(Holder, Purpose, usize)>,
+    replies: Vec<(Holder, usize)>,
 }
 
 impl Model {
@@ -64,8 +71,31 @@
         self.memory.tables.remove(id);
     }
 
+    fn grow_reply(&mut self, reply: usize, bytes: usize) {
+        if reply >= self.replies.len() {
+            self.replies.push((self.memory.tables.insert_reply(), 0));
+        }
+        let index = reply.min(self.replies.len() - 1);
+        let (id, length) = self.replies[index];
+        if self.memory.grow_reply(id, bytes).is_ok() {
+            self.replies[index].1 = length + bytes;
+        }
+    }
+
+    fn end_reply(&mut self, id: Holder) {
+        let Some(index) = self.replies.iter().position(|reply| reply.0 == id) else { return };
+        let (_, length) = self.replies.remove(index);
+        self.memory.tables.remove_reply(id);
+        self.memory.tables.subtract(None, Purpose::Answer, length);
+    }
+
     fn take(&mut self, step: Step) {
         match step {
+            Step::Reply(reply, bytes) => self.grow_reply(reply, bytes),
+            Step::Arrive(reply) => {
+                let Some((id, _)) = self.replies.get(reply).copied() else { return };
+                self.end_reply(id);
+            }
             Step::Pass(millis) => self.memory.pass(millis),
             Step::Open(party) => drop(self.memory.open(party, 10)),
             Step::Receive(row, bytes) => {
@@ -97,6 +127,7 @@
             }
             Step::Close => {
                 for id in std::mem::take(&mut self.memory.closing) {
+                    self.end_reply(id);
                     self.end(id);
                 }
             }
@@ -106,7 +137,15 @@
     fn check(&self) {
         let tables = &self.memory.tables;
         let held: usize = self.held.iter().map(|(.., bytes)| bytes).sum();
-        assert_eq!(tables.bytes(), held + tables.bases, "the sums are those of the parts");
+        let arriving: usize = self.replies.iter().map(|(_, length)| length).sum();
+        assert_eq!(tables.arriving, arriving);
+        let given_up = tables.replies.values().filter(|reply| reply.is_closing);
+        assert_eq!(tables.given_up, given_up.map(|reply| reply.bytes).sum::<usize>());
+        assert_eq!(
+            tables.bytes(),
+            held + arriving + tables.bases,
+            "the sums are those of the parts"
+        );
         let open = tables.rows.values().filter(|row| !row.is_closing);
         assert_eq!(tables.bases, open.clone().map(|row| row.base).sum::<usize>());
         assert_eq!(tables.connections(), open.count());
@@ -122,7 +161,7 @@
     #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
     #[test]
     fn any_series_of_steps_keeps_the_limits(steps in prop::collection::vec(step(), 1..200)) {
-        let mut model = Model { memory: Memory::new(), held: Vec::new() };
+        let mut model = Model { memory: Memory::new(), held: Vec::new(), replies: Vec::new() };
         for step in steps {
             model.take(step);
             model.check();
--- a/crates/http/src/buffer.rs
+++ b/crates/http/src/buffer.rs
@@ -17,6 +17,18 @@
     }
 }
 
+/// Room beside which a number of bytes is taken by something else.
+pub struct Beside<'a> {
+    pub room: &'a mut dyn Room,
+    pub bytes: usize,
+}
+
+impl Room for Beside<'_> {
+    fn grow_to(&mut self, bytes: usize) -> bool {
+        self.room.grow_to(self.bytes + bytes)
+    }
+}
+
 /// A body of which some bytes have arrived.
 #[derive(Debug, Default)]
 pub struct Buffer {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod buffer;
 mod socket;
 
-use std::{fmt, io, net::SocketAddr, pin::Pin, time::Duration};
+use std::{fmt, future::poll_fn, io, net::SocketAddr, pin::Pin, task::Poll, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
@@ -22,7 +22,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use self::{
-    buffer::{Buffer, Room, Unlimited},
+    buffer::{Beside, Buffer, Room, Unlimited},
     socket::{FlushFlag, ReadLimit, Socket},
 };
 
@@ -144,7 +144,7 @@
     ) -> Result<CompleteResponse, Failure> {
         self.ready().await?;
         self.read_limit.set(MAX_HEAD_BYTES);
-        let response = self.send(request).await?;
+        let response = self.send(request, room).await?;
         // The framing of small chunks may take as much again as the body.
         self.read_limit.set(self.max_body.saturating_mul(2).saturating_add(MAX_HEAD_BYTES));
         let keeps = keeps_open(response.headers());
@@ -169,17 +169,32 @@
         }
     }
 
-    /// Sends a request and waits for the head of its response.
-    async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+    /// Sends a request and waits for the head of its response, which takes `room`.
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        room: &mut dyn Room,
+    ) -> Result<Response<Incoming>, Failure> {
         let reply = self.sender.try_send_request(request);
         tokio::pin!(reply);
-        let mut ended = None;
-        let reply = loop {
-            tokio::select! {
-                biased;
-                reply = &mut reply => break reply,
-                end = self.driver.as_mut(), if ended.is_none() => ended = Some(describe_end(end)),
+        let mut has_ended = false;
+        let (driver, read_limit) = (&mut self.driver, &self.read_limit);
+        let reply = poll_fn(|cx| {
+            if !has_ended {
+                has_ended = driver.as_mut().poll(cx).is_ready();
+            }
+            let reply = reply.as_mut().poll(cx);
+            // What is read is buffered until the head is complete.
+            let buffered = (MAX_HEAD_BYTES - read_limit.left()).min(MAX_BUFFER_BYTES);
+            if reply.is_ready() || room.grow_to(buffered) {
+                reply.map(Some)
+            } else {
+                Poll::Ready(None)
             }
+        })
+        .await;
+        let Some(reply) = reply else {
+            return Err(Failure { unheld: true, ..Failure::sent("head: no room") });
         };
         reply.map_err(|mut error| {
             // hyper returns a request of which it has sent nothing.
@@ -196,6 +211,10 @@
     ) -> Result<Bytes, Failure> {
         let announced = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
         let mut bytes = Buffer::new(announced.filter(|length| *length <= self.max_body));
+        // A body that is longer than the buffer of its connection fills that too.
+        let is_long = announced.is_none_or(|length| length > MAX_BUFFER_BYTES);
+        let mut room = Beside { room, bytes: if is_long { MAX_BUFFER_BYTES } else { 0 } };
+        let room = &mut room;
         if !bytes.allocate(room) {
             return Err(Failure { unheld: true, ..Failure::sent("body: no room") });
         }
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -57,13 +57,17 @@
         self.0.store(bytes, Ordering::Relaxed);
     }
 
+    /// Returns the number of bytes that may still be read.
+    pub fn left(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
     fn spend(&self, bytes: usize) {
-        let left = self.0.load(Ordering::Relaxed);
-        self.set(left.saturating_sub(bytes));
+        self.set(self.left().saturating_sub(bytes));
     }
 
     fn is_spent(&self) -> bool {
-        self.0.load(Ordering::Relaxed) == 0
+        self.left() == 0
     }
 }
 
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -1,8 +1,9 @@
 //! Counts what the threads of a process hold for others, and tells connections to close.
 //!
 //! The decisions are those of [`laburnum_core::memory`]. A front opens an [`Account`] for
-//! each connection, and whoever collects bytes has a [`Hold`] that grows with them. Both
-//! give back what they took when they are dropped, so that nothing is counted that is gone.
+//! each connection, and whoever collects bytes has a [`Hold`] that grows with them, or an
+//! [`Arrival`] if they are a reply of a target. All give back what they took when they are
+//! dropped, so that nothing is counted that is gone.
 
 use std::{
     collections::BTreeMap,
@@ -108,6 +109,15 @@
         Hold { ledger: self.clone(), holder: None, purpose, bytes: 0 }
     }
 
+    /// Makes the account of a reply that begins to arrive.
+    pub fn begin_reply(&self) -> Arrival {
+        let mut state = self.lock();
+        let id = state.tables.insert_reply();
+        let closer = Arc::new(Notify::new());
+        state.closers.insert(id, Arc::clone(&closer));
+        Arrival { hold: self.hold(Purpose::Answer), id, closer }
+    }
+
     /// Runs a system and tells the connections that it chose to close.
     fn run<T>(
         &self,
@@ -223,6 +233,53 @@
     }
 }
 
+/// A reply of a target on its way in, whose row is removed when this is dropped.
+pub struct Arrival {
+    hold: Hold,
+    id: Holder,
+    closer: Arc<Notify>,
+}
+
+impl Arrival {
+    /// Returns what is notified when the reply is given up to make room.
+    pub fn closer(&self) -> Arc<Notify> {
+        Arc::clone(&self.closer)
+    }
+
+    /// Counts `bytes` in all from now on, also if they are few: a connection to a target
+    /// counts nothing by itself.
+    pub fn grow_to(&mut self, bytes: usize) -> Result<(), Full> {
+        let id = self.id;
+        self.hold.extend(bytes, |tables, more, cx| hold::grow_reply(tables, id, more, cx))
+    }
+
+    /// Returns the hold of a reply that has arrived.
+    pub fn finish(mut self) -> Hold {
+        let empty = self.hold.ledger.hold(Purpose::Answer);
+        std::mem::replace(&mut self.hold, empty)
+    }
+}
+
+impl laburnum_http::buffer::Room for Hold {
+    fn grow_to(&mut self, bytes: usize) -> bool {
+        Hold::grow_to(self, bytes).is_ok()
+    }
+}
+
+impl laburnum_http::buffer::Room for Arrival {
+    fn grow_to(&mut self, bytes: usize) -> bool {
+        Arrival::grow_to(self, bytes).is_ok()
+    }
+}
+
+impl Drop for Arrival {
+    fn drop(&mut self) {
+        let mut state = self.hold.ledger.lock();
+        state.tables.remove_reply(self.id);
+        state.closers.remove(&self.id);
+    }
+}
+
 /// Bytes that are held, which are given back when the hold is dropped.
 pub struct Hold {
     ledger: Ledger,
@@ -235,13 +292,25 @@
 impl Hold {
     /// Counts `bytes` in all from now on. A hold never shrinks.
     pub fn grow_to(&mut self, bytes: usize) -> Result<(), Full> {
-        if bytes <= SMALL_BYTES || bytes <= self.bytes {
+        if bytes <= SMALL_BYTES {
             return Ok(());
         }
-        let more = bytes - self.bytes;
         let (holder, purpose) = (self.holder, self.purpose);
+        self.extend(bytes, |tables, more, cx| hold::grow(tables, holder, purpose, more, cx))
+    }
+
+    /// Counts `bytes` in all if a system admits those that are new.
+    fn extend(
+        &mut self,
+        bytes: usize,
+        admit: impl FnOnce(&mut Tables, usize, &mut Context<'_>) -> Result<(), Full>,
+    ) -> Result<(), Full> {
+        if bytes <= self.bytes {
+            return Ok(());
+        }
+        let more = bytes - self.bytes;
         let mut state = self.ledger.lock();
-        self.ledger.run(&mut state, |tables, cx| hold::grow(tables, holder, purpose, more, cx))?;
+        self.ledger.run(&mut state, |tables, cx| admit(tables, more, cx))?;
         self.bytes = bytes;
         Ok(())
     }
@@ -265,12 +334,6 @@
     }
 }
 
-impl laburnum_http::buffer::Room for Hold {
-    fn grow_to(&mut self, bytes: usize) -> bool {
-        Hold::grow_to(self, bytes).is_ok()
-    }
-}
-
 impl Drop for Hold {
     fn drop(&mut self) {
         if self.bytes > 0 {
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -2,10 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use laburnum_core::{
-    memory::Purpose,
-    relay::{Attempt, Command, Connection, Event, Loss, Reply, TargetRequest},
-};
+use laburnum_core::relay::{Attempt, Command, Connection, Event, Loss, Reply, TargetRequest};
 use laburnum_http::{Channel, Failure, Limits};
 use laburnum_platform::target as wire;
 use tokio::{
@@ -149,22 +146,22 @@
     ) -> Result<Duration, End> {
         let request = wire::write(target_request)
             .map_err(|error| lost(false, format!("request: {error}")))?;
-        let mut hold = self.ledger.hold(Purpose::Answer);
+        let mut arrival = self.ledger.begin_reply();
+        let closer = arrival.closer();
         let outcome = tokio::select! {
             biased;
-            outcome = channel.exchange_within(request, &mut hold) => outcome,
+            outcome = channel.exchange_within(request, &mut arrival) => outcome,
+            () = closer.notified() => return Err(self.unheld(attempt)),
             // No request is queued while one is in flight: the client has closed the
             // connection.
             _ = self.tasks.recv() => return Err(End::Closed),
         };
         let complete = match outcome {
             Ok(complete) => complete,
-            Err(failure) if failure.unheld => {
-                self.report(Event::Unheld { connection: self.connection, attempt });
-                return Err(End::Closed);
-            }
+            Err(failure) if failure.unheld => return Err(self.unheld(attempt)),
             Err(failure) => return Err(End::from(failure)),
         };
+        let hold = arrival.finish();
         let keep_alive = wire::keep_alive(&complete.response).unwrap_or(DEFAULT_KEEP_ALIVE);
         let reply = match wire::read(target_request, complete) {
             Ok(reply) => Reply { body: hold.keep(reply.body.clone()), ..reply },
@@ -177,6 +174,12 @@
         if reusable { Ok(keep_alive.saturating_sub(KEEP_ALIVE_MARGIN)) } else { Err(End::Closed) }
     }
 
+    /// Reports that there is no room for a reply, and returns the end of its connection.
+    fn unheld(&self, attempt: Attempt) -> End {
+        self.report(Event::Unheld { connection: self.connection, attempt });
+        End::Closed
+    }
+
     fn report(&self, event: Event) {
         // The receiver is dropped only when the thread ends.
         let _ = self.events.send(event);
--- a/src/target/exchange.rs
+++ b/src/target/exchange.rs
@@ -4,7 +4,7 @@
 
 use http::{StatusCode, header::CONTENT_TYPE};
 use laburnum_core::{
-    memory::Purpose,
+    memory::Full,
     target::{Reply, Request, Status},
 };
 
@@ -75,21 +75,32 @@
 
     async fn read_body(&self, mut response: reqwest::Response) -> Result<Vec<u8>, Failure> {
         let limit = self.rules.limits.body_bytes;
-        let mut hold = self.rules.ledger.hold(Purpose::Answer);
+        let mut arrival = self.rules.ledger.begin_reply();
+        let closer = arrival.closer();
         let mut bytes = Vec::new();
-        while let Some(chunk) = response.chunk().await.map_err(|error| classify(&error))? {
+        loop {
+            let chunk = tokio::select! {
+                biased;
+                () = closer.notified() => return Err(unheld(Full)),
+                chunk = response.chunk() => chunk.map_err(|error| classify(&error))?,
+            };
+            let Some(chunk) = chunk else { return Ok(bytes) };
             let length = bytes.len() + chunk.len();
             if length > limit {
                 let detail = format!("reply is longer than {limit} bytes");
                 return Err(Failure::Stream { detail });
             }
-            hold.grow_to(length).map_err(|full| Failure::Stream { detail: full.to_string() })?;
+            arrival.grow_to(length).map_err(unheld)?;
             bytes.extend_from_slice(&chunk);
         }
-        Ok(bytes)
     }
 }
 
+/// Returns the failure of an exchange for whose reply there is no room.
+fn unheld(full: Full) -> Failure {
+    Failure::Stream { detail: full.to_string() }
+}
+
 /// Classifies an error of the HTTP client by its effect on the connection.
 ///
 /// Only a connect error proves that nothing was sent: it is the connector's refusal to
--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -39,3 +39,4 @@
 mod product;
 mod flood;
 mod endless;
+mod endless_body;
