Close a connection on a body that cannot be one

Cause: a body that announces more than the limit was read until the limit, and one whose bytes bring no data, such as the digits of a chunk's size, until twice that.

Change: an announced length beyond the limit ends the exchange before its body is read; 96 KiB may come without data, as before a body.

A channel whose peer announces too much and sends nothing waited for the time limit of the test (30 s) and now fails at once. Bodies within the limit whose chunks have a single byte are still read.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -145,8 +145,6 @@
         self.ready().await?;
         self.read_limit.set(MAX_HEAD_BYTES);
         let response = self.send(request, room).await?;
-        // The framing of small chunks may take as much again as the body.
-        self.read_limit.set(self.max_body.saturating_mul(2).saturating_add(MAX_HEAD_BYTES));
         let keeps = keeps_open(response.headers());
         let (parts, body) = response.into_parts();
         let body = self.read_body(body, room).await?;
@@ -204,13 +202,25 @@
         })
     }
 
+    fn too_long(&self) -> Failure {
+        Failure::sent(format!("body: longer than {} bytes", self.max_body))
+    }
+
     async fn read_body(
         &mut self,
         mut body: Incoming,
         room: &mut dyn Room,
     ) -> Result<Bytes, Failure> {
-        let announced = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
-        let mut bytes = Buffer::new(announced.filter(|length| *length <= self.max_body));
+        let announced = body.size_hint().exact();
+        if announced.is_some_and(|length| length > self.max_body as u64) {
+            return Err(self.too_long());
+        }
+        let announced = announced.and_then(|length| usize::try_from(length).ok());
+        let mut bytes = Buffer::new(announced);
+        // The framing of small chunks may take as much again as the body.
+        let mut left = self.max_body.saturating_mul(2).saturating_add(MAX_HEAD_BYTES);
+        let mut allowed = MAX_HEAD_BYTES;
+        self.read_limit.set(allowed);
         // A body that is longer than the buffer of its connection fills that too.
         let is_long = announced.is_none_or(|length| length > MAX_BUFFER_BYTES);
         let mut room = Beside { room, bytes: if is_long { MAX_BUFFER_BYTES } else { 0 } };
@@ -238,9 +248,12 @@
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     if bytes.len() + data.len() > self.max_body {
-                        let max = self.max_body;
-                        return Err(Failure::sent(format!("body: longer than {max} bytes")));
+                        return Err(self.too_long());
                     }
+                    left = left.saturating_sub(allowed - self.read_limit.left());
+                    // Bytes that bring no data end soon.
+                    allowed = left.min(MAX_HEAD_BYTES);
+                    self.read_limit.set(allowed);
                     if !bytes.push(&data, room) {
                         let detail = format!("body: no room after {} bytes", bytes.len());
                         return Err(Failure { unheld: true, ..Failure::sent(detail) });
--- a/crates/http/tests/channel.rs
+++ b/crates/http/tests/channel.rs
@@ -247,6 +247,18 @@
         let text = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
         assert!(!exchange_once(Action::Send(text)).await.unwrap().reusable);
     };
+    a_body_that_is_announced_too_long_ends_before_it_comes => {
+        let head = "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n";
+        let failure = exchange_once(Action::Send(head)).await.unwrap_err();
+        assert!(failure.sent && !failure.gone, "{failure:?}");
+    };
+    a_long_body_of_small_chunks_is_read => {
+        let chunks = "1\r\nb\r\n".repeat(LIMITS.body);
+        let text =
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}0\r\n\r\n");
+        let complete = exchange_once(Action::Send(text.leak())).await.unwrap();
+        assert_eq!(complete.response.body().len(), LIMITS.body);
+    };
     too_long_a_body_is_no_response => {
         let text = "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n";
         let text: &'static str = Box::leak(format!("{text}{}", "x".repeat(2000)).into());
