Test an entry VM whose targets send HTTP/2 frames without end

18 floods (of another protocol, frames of all kinds, in place of the handshake, the status or an answer, and on idle connections) on 90 shards x 3 targets.

Frames that belong to no answer are legal, and the client of the targets has no place at which bytes could be counted.

--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -38,5 +38,7 @@
 mod vms;
 mod product;
 mod flood;
+mod frames;
 mod endless;
 mod endless_body;
+mod endless_entry;
--- a/tests/crowd/product.rs
+++ b/tests/crowd/product.rs
@@ -3,7 +3,7 @@
 use std::{fs, net::SocketAddr, path::Path, slice, time::Duration};
 
 use laburnumworks::local::{Caller, DEMO_INDEX, Endpoints, OPERATOR_TOKEN};
-use serde_json::json;
+use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::time::sleep;
 
@@ -11,7 +11,7 @@
     alone::alone,
     caller::{self, crowd, plain_head, read_slowly, send_slowly},
     child::Child,
-    part::{Plan, Platform, Target, Vm},
+    part::{Platform, Target, Vm},
     process,
 };
 
@@ -28,9 +28,9 @@
 const EACH_ROW: &str = "licence";
 
 /// A platform, a target and one VM.
-struct Deployment {
-    endpoints: Endpoints,
-    vm: Child,
+pub struct Deployment {
+    pub endpoints: Endpoints,
+    pub vm: Child,
     _platform: Platform,
     _target: Target,
     _folder: TempDir,
@@ -40,38 +40,58 @@
     /// Starts a deployment whose VM has these settings too, and publishes a profile.
     async fn start(settings: &str) -> Deployment {
         let folder = TempDir::new().unwrap();
-        let plan = Plan { vms: 1, started: 1, shards: 1, replicas: 1, threads: 1 };
-        let vm = Vm::new(1, plan.threads);
         let target = launch_target(folder.path());
-        let platform =
-            Platform::start(folder.path(), slice::from_ref(&vm), slice::from_ref(&target));
+        let listed = [target.listed.clone()];
+        let deployment = Deployment::start_with(settings, folder, target, &listed).await;
+        deployment.publish(&[("all", DEMO_INDEX)]).await;
+        deployment.wait_served().await;
+        deployment
+    }
+
+    /// Starts a deployment with a sound target, and with these targets in the platform's
+    /// list. No profile is published.
+    pub async fn start_with(
+        settings: &str,
+        folder: TempDir,
+        target: Target,
+        listed: &[Value],
+    ) -> Deployment {
+        let vm = Vm::new(1, 1);
+        let platform = Platform::start_with(folder.path(), slice::from_ref(&vm), listed);
         let endpoints = vm.endpoints;
         let text = format!("{}{settings}", endpoints.settings(platform.address));
         fs::write(folder.path().join("vm.toml"), text).unwrap();
         let vm = Child::start(folder.path(), "vm", &["entry", "--settings", "vm.toml"]);
-        let deployment =
-            Deployment { endpoints, vm, _platform: platform, _target: target, _folder: folder };
-        deployment.publish().await;
-        deployment
+        Deployment { endpoints, vm, _platform: platform, _target: target, _folder: folder }
     }
 
-    async fn publish(&self) {
+    /// Publishes profiles with these names and indices.
+    pub async fn publish(&self, profiles: &[(&str, &str)]) {
         let caller = Caller::new().unwrap();
-        let profile = json!({"team": "local", "index": DEMO_INDEX, "coverage_ppm": 1_000_000,
-            "deadline_ms": 30_000, "tail_ms": 10_000, "extra_load_ppm": 0, "concurrency": 1000,
-            "priority": 10});
-        let profiles = json!({"all": profile});
+        let profile = |index: &str| {
+            json!({"team": "local", "index": index,
+            "coverage_ppm": 1_000_000, "deadline_ms": 30_000, "tail_ms": 10_000,
+            "extra_load_ppm": 0, "concurrency": 1000, "priority": 10})
+        };
+        let profiles: serde_json::Map<String, Value> =
+            profiles.iter().map(|(name, index)| ((*name).to_owned(), profile(index))).collect();
+        let profiles = Value::from(profiles);
         let is_published = async || {
             let reply = caller.publish(self.endpoints.operators, &profiles).await;
             reply.is_ok_and(|reply| reply.status.is_success())
         };
+        while !is_published().await {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Waits until the sound target serves the profile `all`.
+    pub async fn wait_served(&self) {
+        let caller = Caller::new().unwrap();
         let is_served = async || {
             let reply = caller.search(self.endpoints.callers, "all", "uhf").await;
             reply.is_ok_and(|reply| reply.status.is_success())
         };
-        while !is_published().await {
-            sleep(Duration::from_millis(50)).await;
-        }
         while !is_served().await {
             sleep(Duration::from_millis(50)).await;
         }
@@ -86,14 +106,19 @@
 }
 
 /// Launches a target with [`ROWS`] rows.
-fn launch_target(folder: &Path) -> Target {
+pub fn launch_target(folder: &Path) -> Target {
     let settings = format!("rows = {ROWS}\nqueue = 1000\n");
     let place = json!({"shard": "shard-0", "domain": "domain-1"});
     Target::launch(folder, "target", &settings, &place)
 }
 
-fn search(text: &str) -> String {
-    let body = format!("{{\"profile\":\"all\",\"text\":\"{text}\"}}");
+pub fn search(text: &str) -> String {
+    search_with("all", text)
+}
+
+/// Returns a search by a profile.
+pub fn search_with(profile: &str, text: &str) -> String {
+    let body = format!("{{\"profile\":\"{profile}\",\"text\":\"{text}\"}}");
     format!("{}{body}", plain_head("POST", "/v1/search", body.len()))
 }
 
--- a/tests/process/part.rs
+++ b/tests/process/part.rs
@@ -37,8 +37,15 @@
 impl Platform {
     /// Starts the platform with these VMs and targets in its list.
     pub fn start(folder: &Path, vms: &[Vm], targets: &[Target]) -> Platform {
+        let listed: Vec<Value> = targets.iter().map(|target| target.listed.clone()).collect();
+        Platform::start_with(folder, vms, &listed)
+    }
+
+    /// Starts the platform with these VMs, and with targets that have these fields in its
+    /// list.
+    pub fn start_with(folder: &Path, vms: &[Vm], targets: &[Value]) -> Platform {
         let mut list: String = vms.iter().map(Vm::row).collect();
-        list.extend(targets.iter().map(Target::row));
+        list.extend(targets.iter().map(target_row));
         fs::write(folder.join("list.toml"), list).unwrap();
         let address = port::unused_address();
         let listen = address.to_string();
@@ -156,23 +163,29 @@
             &file,
         ];
         let child = Child::start(folder, name, &arguments);
-        let mut listed = json!({
-            "name": name,
-            "index": DEMO_INDEX,
-            "address": address,
-            "slots": 2,
-            "connections": 55,
-            "state": "live",
-        });
-        listed.as_object_mut().unwrap().extend(place.as_object().unwrap().clone());
+        let listed = target_fields(name, address, place);
         Target { name: name.to_owned(), admin, child, listed }
     }
+}
 
-    /// The row of this target in the platform's list, as TOML.
-    fn row(&self) -> String {
-        let fields = self.listed.as_object().unwrap().iter();
-        // JSON strings and numbers are valid TOML values as well.
-        let lines = fields.map(|(key, value)| format!("{key} = {value}\n"));
-        std::iter::once("[[targets]]\n".to_owned()).chain(lines).collect()
-    }
+/// Returns the fields of a target in the platform's list, with its shard and domain.
+pub fn target_fields(name: &str, address: SocketAddr, place: &Value) -> Value {
+    let mut listed = json!({
+        "name": name,
+        "index": DEMO_INDEX,
+        "address": address,
+        "slots": 2,
+        "connections": 55,
+        "state": "live",
+    });
+    listed.as_object_mut().unwrap().extend(place.as_object().unwrap().clone());
+    listed
+}
+
+/// The row of a target in the platform's list, as TOML.
+fn target_row(fields: &Value) -> String {
+    let fields = fields.as_object().unwrap().iter();
+    // JSON strings and numbers are valid TOML values as well.
+    let lines = fields.map(|(key, value)| format!("{key} = {value}\n"));
+    std::iter::once("[[targets]]\n".to_owned()).chain(lines).collect()
 }
