--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod buffer;
 mod socket;
 
-use std::{fmt, io, net::SocketAddr, pin::Pin, time::Duration};
+use std::{fmt, future::poll_fn, io, net::SocketAddr, pin::Pin, task::Poll, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
@@ -22,16 +22,20 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use self::{
-    buffer::{Buffer, Room, Unlimited},
+    buffer::{Beside, Buffer, Room, Unlimited},
     socket::{FlushFlag, ReadLimit, Socket},
 };
 
 type Driver = http1::Connection<TokioIo<Socket>, Full<Bytes>>;
 
+/// The bytes that a connection buffers while it reads, which bounds the head of a response.
+/// It is twice what callers may send for a head in the deployments in force.
+pub const MAX_BUFFER_BYTES: usize = 32 << 10;
+
 /// The bytes that may be read before the body of a response: its head and interim
 /// responses. It exceeds what hyper buffers, so that a body which arrives with its head
 /// is not cut off.
-const MAX_HEAD_BYTES: usize = 512 << 10;
+const MAX_HEAD_BYTES: usize = 3 * MAX_BUFFER_BYTES;
 
 /// The limits of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -116,7 +120,9 @@
         let socket = Socket::new(socket);
         let (flush_flag, read_limit) = (socket.flush_flag(), socket.read_limit());
         read_limit.set(MAX_HEAD_BYTES);
-        let handshake = http1::handshake(TokioIo::new(socket)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(socket)).await;
         let (sender, driver) = handshake.map_err(|e| Failure::unsent(describe(&e)))?;
         let driver = Box::pin(driver);
         Ok(Channel { sender, driver, flush_flag, read_limit, max_body: limits.body })
@@ -138,9 +144,7 @@
     ) -> Result<CompleteResponse, Failure> {
         self.ready().await?;
         self.read_limit.set(MAX_HEAD_BYTES);
-        let response = self.send(request).await?;
-        // The framing of small chunks may take as much again as the body.
-        self.read_limit.set(self.max_body.saturating_mul(2).saturating_add(MAX_HEAD_BYTES));
+        let response = self.send(request, room).await?;
         let keeps = keeps_open(response.headers());
         let (parts, body) = response.into_parts();
         let body = self.read_body(body, room).await?;
@@ -163,17 +167,32 @@
         }
     }
 
-    /// Sends a request and waits for the head of its response.
-    async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+    /// Sends a request and waits for the head of its response, which takes `room`.
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        room: &mut dyn Room,
+    ) -> Result<Response<Incoming>, Failure> {
         let reply = self.sender.try_send_request(request);
         tokio::pin!(reply);
-        let mut ended = None;
-        let reply = loop {
-            tokio::select! {
-                biased;
-                reply = &mut reply => break reply,
-                end = self.driver.as_mut(), if ended.is_none() => ended = Some(describe_end(end)),
+        let mut has_ended = false;
+        let (driver, read_limit) = (&mut self.driver, &self.read_limit);
+        let reply = poll_fn(|cx| {
+            if !has_ended {
+                has_ended = driver.as_mut().poll(cx).is_ready();
             }
+            let reply = reply.as_mut().poll(cx);
+            // What is read is buffered until the head is complete.
+            let buffered = (MAX_HEAD_BYTES - read_limit.left()).min(MAX_BUFFER_BYTES);
+            if reply.is_ready() || room.grow_to(buffered) {
+                reply.map(Some)
+            } else {
+                Poll::Ready(None)
+            }
+        })
+        .await;
+        let Some(reply) = reply else {
+            return Err(Failure { unheld: true, ..Failure::sent("head: no room") });
         };
         reply.map_err(|mut error| {
             // hyper returns a request of which it has sent nothing.
@@ -183,13 +202,29 @@
         })
     }
 
+    fn too_long(&self) -> Failure {
+        Failure::sent(format!("body: longer than {} bytes", self.max_body))
+    }
+
     async fn read_body(
         &mut self,
         mut body: Incoming,
         room: &mut dyn Room,
     ) -> Result<Bytes, Failure> {
-        let announced = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
-        let mut bytes = Buffer::new(announced.filter(|length| *length <= self.max_body));
+        let announced = body.size_hint().exact();
+        if announced.is_some_and(|length| length > self.max_body as u64) {
+            return Err(self.too_long());
+        }
+        let announced = announced.and_then(|length| usize::try_from(length).ok());
+        let mut bytes = Buffer::new(announced);
+        // The framing of small chunks may take as much again as the body.
+        let mut left = self.max_body.saturating_mul(2).saturating_add(MAX_HEAD_BYTES);
+        let mut allowed = MAX_HEAD_BYTES;
+        self.read_limit.set(allowed);
+        // A body that is longer than the buffer of its connection fills that too.
+        let is_long = announced.is_none_or(|length| length > MAX_BUFFER_BYTES);
+        let mut room = Beside { room, bytes: if is_long { MAX_BUFFER_BYTES } else { 0 } };
+        let room = &mut room;
         if !bytes.allocate(room) {
             return Err(Failure { unheld: true, ..Failure::sent("body: no room") });
         }
@@ -213,9 +248,12 @@
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     if bytes.len() + data.len() > self.max_body {
-                        let max = self.max_body;
-                        return Err(Failure::sent(format!("body: longer than {max} bytes")));
+                        return Err(self.too_long());
                     }
+                    left = left.saturating_sub(allowed - self.read_limit.left());
+                    // Bytes that bring no data end soon.
+                    allowed = left.min(MAX_HEAD_BYTES);
+                    self.read_limit.set(allowed);
                     if !bytes.push(&data, room) {
                         let detail = format!("body: no room after {} bytes", bytes.len());
                         return Err(Failure { unheld: true, ..Failure::sent(detail) });
--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -37,3 +37,8 @@
 mod ports;
 mod vms;
 mod product;
+mod flood;
+mod frames;
+mod endless;
+mod endless_body;
+mod endless_entry;
