Admit no connection while what is being ended fills everything

Cause: a connection was admitted without a look at all that is held. While replies are given up and what comes in their place takes the rest, the table passed its maximum by the bytes of each new connection. any_series_of_steps_keeps_the_limits found it (1,501 to 1,510 of at most 1,500 bytes, after Reply(0, 38), Open, Reply(1, 364), Reply(2, 160), Open, Reply(2, 204), Reply(3, 224), Close and further steps).

Change: the maximum holds for a new connection as for bytes.

--- a/crates/core/src/memory/limits.rs
+++ b/crates/core/src/memory/limits.rs
@@ -59,8 +59,8 @@
     }
 
     /// Returns by how many bytes a reply of this length, on its way in among many, may exceed
-    /// the limit until those that were given up have ended. It is little, as many grow at the same time,
-    /// and nothing for a long one, so that it leaves room for short ones.
+    /// the limit until those that were given up have ended. It is little, as many grow at the
+    /// same time, and nothing for a long one, so that it leaves room for short ones.
     pub fn reply_closing_bytes(&self, length: usize) -> usize {
         if length > SHORT_REPLY_BYTES { 0 } else { self.bytes / 8 }
     }
--- a/crates/core/src/memory/system/admit.rs
+++ b/crates/core/src/memory/system/admit.rs
@@ -1,6 +1,6 @@
 //! Admits connections.
 
-use super::{Context, evict};
+use super::{Context, evict, hold};
 use crate::memory::{Full, Holder, Party, Port, Tables};
 
 /// Admits a connection at a port that may have `max` of them and that takes `base` bytes
@@ -13,6 +13,7 @@
     base: usize,
     cx: &mut Context<'_>,
 ) -> Result<Holder, Full> {
+    hold::check_maximum(tables, base, cx.limits.closing_bytes(), cx)?;
     if tables.count(port) >= max {
         evict::close_one(tables, Some(port), cx).ok_or(Full)?;
     }
--- a/crates/core/src/memory/system/hold.rs
+++ b/crates/core/src/memory/system/hold.rs
@@ -69,7 +69,7 @@
 }
 
 /// Fails if `bytes` more exceed the limit by more than `closing`, although that is being freed.
-fn check_maximum(
+pub fn check_maximum(
     tables: &Tables,
     bytes: usize,
     closing: usize,
--- a/crates/core/tests/memory/admit.rs
+++ b/crates/core/tests/memory/admit.rs
@@ -22,6 +22,13 @@
         memory.pass(1);
         assert!(memory.open(Party::Caller, 1).is_ok());
     };
+    no_connection_is_admitted_while_what_is_being_ended_fills_everything => {
+        let mut memory = Memory::new();
+        let caller = memory.caller();
+        memory.reply(LIMITS.bytes - BASE);
+        memory.grow(caller, Purpose::Answer, LIMITS.closing_bytes()).unwrap();
+        assert_eq!(memory.open(Party::Caller, 100), Err(Full));
+    };
     a_connection_whose_request_is_worked_on_is_not_closed => {
         let mut memory = Memory::new();
         let worker = memory.open(Party::Caller, 1).unwrap();
