--- a/crates/core/src/claims/collect.rs
+++ b/crates/core/src/claims/collect.rs
@@ -1,17 +1,18 @@
 //! Applies the replies to store calls, and the calls that timed out, to the
 //! tables.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     claim::Verdict,
-    store::{Call, Entry, Reply, Version},
+    store::{Call, Entry, Era, Reply, Version},
 };
 
 use super::{
-    Context, Count, Outbox, Replies, intake,
+    Context, Count, Outbox, Replies, era,
+    intake::{self, Answered},
     layout::Bucket,
-    start_call, sweep,
+    memory, start_call, sweep,
     table::{Cache, CallId, Grant, Pending, Purpose, Record, Row, Tables},
     value::{Floor, Value},
 };
@@ -26,16 +27,17 @@
 pub fn run(
     tables: &mut Tables,
     context: &Context<'_>,
-    calls: Vec<(CallId, Reply)>,
+    calls: Vec<Answered>,
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
-    for (id, reply) in calls {
-        handle_reply(tables, context, id, reply, replies, out);
+    for answered in calls {
+        handle_reply(tables, context, answered, replies, out);
     }
     for id in timed_out(tables, context) {
         let detail = "the call got no answer in time".to_owned();
-        handle_reply(tables, context, id, Reply::Lost { detail }, replies, out);
+        let answered = Answered { id, era: None, reply: Reply::Lost { detail } };
+        handle_reply(tables, context, answered, replies, out);
     }
 }
 
@@ -47,12 +49,16 @@
 fn handle_reply(
     tables: &mut Tables,
     context: &Context<'_>,
-    id: CallId,
-    reply: Reply,
+    answered: Answered,
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
+    let Answered { id, era, reply } = answered;
     let Some(call) = tables.calls.remove(&id) else { return };
+    if let Some(era) = era {
+        era::observe(tables, context, era, out);
+    }
+    let reply = era::check(tables, &call, era, reply);
     if matches!(reply, Reply::Lost { .. }) {
         out.count(Count::Lost);
     }
@@ -63,7 +69,7 @@
             handle_write(tables, context, bucket, batch, reply, replies, out);
         }
         Purpose::Confirm { grants } => {
-            handle_confirm(tables, context, grants, &reply, replies, out)
+            handle_confirm(tables, context, grants, era, &reply, replies, out)
         }
         Purpose::Undo => {}
         purpose => sweep::handle_reply(tables, context, purpose, reply, out),
@@ -72,20 +78,22 @@
 
 /// Caches the value that was read.
 fn handle_read(tables: &mut Tables, context: &Context<'_>, bucket: Bucket, reply: Reply) {
-    let Some(row) = tables.buckets.get_mut(&bucket) else { return };
+    let Some(mut row) = tables.buckets.remove(&bucket) else { return };
     row.call = None;
     match reply {
         Reply::Value { entry, .. } => {
             row.failures = 0;
             row.cache = decode(entry, context);
+            memory::merge(tables, context, bucket, &mut row);
         }
-        _ => back_off(row, context),
+        _ => back_off(&mut row, context),
     }
+    tables.buckets.insert(bucket, row);
 }
 
 /// The claims and outcomes that were put into one write, and the value written.
 struct Batch {
-    value: Value,
+    value: Arc<Value>,
     claims: Vec<Pending>,
     records: Vec<Record>,
 }
@@ -101,17 +109,21 @@
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
-    let Some(row) = tables.buckets.get_mut(&bucket) else { return };
+    let Some(mut row) = tables.buckets.remove(&bucket) else { return };
     row.call = None;
     match reply {
         Reply::Swapped { version } => {
             row.failures = 0;
+            memory::remember(tables, context, bucket, Arc::clone(&batch.value));
             row.cache = Cache::Known {
                 version: Some(version),
                 value: batch.value,
                 read_at: Some(context.now),
+                is_ahead: false,
             };
-            let grants = batch.claims.into_iter().map(|pending| Grant { pending, bucket });
+            tables.buckets.insert(bucket, row);
+            let era = tables.history.era;
+            let grants = batch.claims.into_iter().map(|pending| Grant { pending, bucket, era });
             tables.grants.extend(grants);
             let recorded = batch.records.into_iter();
             replies.recorded.extend(recorded.map(|r| (r.requester, r.request.token)));
@@ -121,17 +133,19 @@
             out.count(Count::Conflict);
             row.failures = 0;
             row.cache = decode(current, context);
+            memory::merge(tables, context, bucket, &mut row);
         }
-        Reply::Refused { .. } => back_off(row, context),
+        Reply::Refused { .. } => back_off(&mut row, context),
         _ => {
             // The write may have taken effect or may still do so, so only a new
             // read shows which tokens are stored.
             row.cache = Cache::Stale;
-            back_off(row, context);
+            back_off(&mut row, context);
         }
     }
     row.claims.splice(0..0, batch.claims);
     row.records.splice(0..0, batch.records);
+    tables.buckets.insert(bucket, row);
 }
 
 /// Delays the next call of a bucket after a failure.
@@ -143,22 +157,27 @@
 
 fn decode(entry: Option<Entry>, context: &Context<'_>) -> Cache {
     let Some(entry) = entry else {
-        return Cache::Known { version: None, value: Value::default(), read_at: Some(context.now) };
+        return known(None, Value::default(), context);
     };
     match Value::try_from(entry.value.as_slice()) {
-        Ok(value) => {
-            Cache::Known { version: Some(entry.version), value, read_at: Some(context.now) }
-        }
+        Ok(value) => known(Some(entry.version), value, context),
         Err(_) => Cache::Unreadable,
     }
 }
 
+fn known(version: Option<Version>, value: Value, context: &Context<'_>) -> Cache {
+    let read_at = Some(context.now);
+    Cache::Known { version, value: Arc::new(value), read_at, is_ahead: false }
+}
+
 /// Answers stored claims once the floor was read. A claim whose slot is below
-/// the floor has expired, and its bucket is removed again.
+/// the floor has expired, and its bucket is removed again. A claim that was stored in
+/// another era than that of the floor is settled once more.
 fn handle_confirm(
     tables: &mut Tables,
     context: &Context<'_>,
     grants: Vec<Grant>,
+    era: Option<Era>,
     reply: &Reply,
     replies: &mut Replies,
     out: &mut Outbox,
@@ -169,7 +188,12 @@
         return;
     };
     tables.floor = tables.floor.max(floor);
+    let era = era.or(tables.history.era);
     for grant in grants {
+        if grant.era != era {
+            era::settle(tables, context, grant);
+            continue;
+        }
         let below = grant.bucket.slot < tables.floor;
         let verdict = if below { Verdict::Expired } else { Verdict::Granted };
         out.count(if below { Count::Expired } else { Count::Granted });
--- a/crates/core/src/claims/decide.rs
+++ b/crates/core/src/claims/decide.rs
@@ -1,7 +1,7 @@
 //! Answers claims from the cached values and starts the reads and writes of
 //! buckets, with at most one call in flight for each bucket.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     claim::{Outcome, Request, Verdict},
@@ -43,7 +43,13 @@
 }
 
 fn has_no_work(row: &Row) -> bool {
-    row.claims.is_empty() && row.held.is_empty() && row.records.is_empty()
+    let is_restored = row.restore_at.is_none() && !is_ahead(row);
+    row.claims.is_empty() && row.held.is_empty() && row.records.is_empty() && is_restored
+}
+
+/// Whether the cached value holds entries that the store has lost.
+fn is_ahead(row: &Row) -> bool {
+    matches!(row.cache, Cache::Known { is_ahead: true, .. })
 }
 
 /// Returns when the next held claim no longer waits.
@@ -70,7 +76,8 @@
     out: &mut Outbox,
 ) {
     release_held(row, context);
-    if row.claims.is_empty() && row.records.is_empty() {
+    let restores = is_ahead(row) || row.restore_at.is_some_and(|at| at <= context.now);
+    if row.claims.is_empty() && row.records.is_empty() && !restores {
         return;
     }
     match row.cache {
@@ -101,6 +108,7 @@
         replies.recorded.push((record.requester, record.request.token));
     }
     row.cache = Cache::Stale;
+    row.restore_at = None;
 }
 
 fn start_read(
@@ -155,13 +163,16 @@
     out: &mut Outbox,
 ) {
     let fresh = is_fresh(row, context);
-    let Cache::Known { value, .. } = &row.cache else { return };
+    let Cache::Known { value, is_ahead, .. } = &row.cache else { return };
+    let era = tables.history.era;
     let mut needs_read = false;
     let mut free = Vec::new();
     for mut pending in row.claims.drain(..) {
         match match_claim(value, &pending.request) {
             Match::Free => free.push(pending),
-            Match::Own => tables.grants.push(Grant { pending, bucket }),
+            // The store lost the claim. It is granted once it is stored again.
+            Match::Own if *is_ahead => free.push(pending),
+            Match::Own => tables.grants.push(Grant { pending, bucket, era }),
             Match::Verdict(Verdict::Unknown) => {
                 match reported_result(value, &row.records, &pending.request) {
                     Some(verdict) => finish_claim(&pending, verdict, replies, out),
@@ -228,10 +239,10 @@
 }
 
 /// When the waiting claims and outcomes of a bucket are due to be written, apart
-/// from the rate limit. Claims and full batches are due at once; outcomes wait
-/// for `batch_delay`.
+/// from the rate limit. Claims, full batches and what the store has lost are due at
+/// once; outcomes wait for `batch_delay`.
 pub fn write_due(row: &Row, limits: &Limits) -> Option<Instant> {
-    if !row.claims.is_empty() || row.records.len() >= limits.batch_size {
+    if is_ahead(row) || !row.claims.is_empty() || row.records.len() >= limits.batch_size {
         return Some(Instant::default());
     }
     row.records.iter().map(|record| record.queued_at + limits.batch_delay).min()
@@ -269,17 +280,17 @@
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
-    let Cache::Known { version, value, .. } = &row.cache else { return };
-    let expect = *version;
-    let mut value = value.clone();
+    let Cache::Known { version, value, is_ahead, .. } = &row.cache else { return };
+    let (expect, is_ahead) = (*version, *is_ahead);
+    let mut value = Value::clone(value);
     let claims = add_claims(&mut value, row, context, replies, out);
     let records = add_records(&mut value, row, context, replies, out);
-    if claims.is_empty() && records.is_empty() {
+    if claims.is_empty() && records.is_empty() && !is_ahead {
         return;
     }
     let key = bucket.key();
     let swap = Call::Swap { key, expect, value: value.encode(), lease: None };
-    let purpose = Purpose::Write { bucket, value, claims, records };
+    let purpose = Purpose::Write { bucket, value: Arc::new(value), claims, records };
     row.call = Some(start_call(tables, context, out, purpose, swap));
 }
 
--- a/crates/core/src/claims/intake.rs
+++ b/crates/core/src/claims/intake.rs
@@ -1,6 +1,6 @@
 //! Applies events to the tables.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use uuid::Uuid;
 
@@ -13,17 +13,23 @@
 };
 
 use super::{
-    Context, Count, Event, Message, Outbox, Replies,
+    Context, Count, Event, Message, Outbox, Replies, era,
     layout::Bucket,
     message::{Answer, Claim, Record},
     table::{self, Cache, CallId, Operation, Pending, Report, Row, Tables},
-    value::Value,
 };
 
 /// The age up to which a slot without a cached value counts as new, so that its
 /// first write tries to create the bucket without reading it.
 const NEW_SLOT_AGE: Duration = Duration::from_secs(2);
 
+/// The reply to a store call, and the era that it stated.
+pub struct Answered {
+    pub id: CallId,
+    pub era: Option<store::Era>,
+    pub reply: store::Reply,
+}
+
 /// Handles all events but the replies to store calls, which it returns.
 pub fn run(
     tables: &mut Tables,
@@ -31,7 +37,7 @@
     events: Vec<Event>,
     replies: &mut Replies,
     out: &mut Outbox,
-) -> Vec<(CallId, store::Reply)> {
+) -> Vec<Answered> {
     let mut calls = Vec::new();
     for event in events {
         match event {
@@ -44,7 +50,8 @@
             Event::Message { from, message } => {
                 handle_message(tables, context, &from, message, replies, out)
             }
-            Event::Reply { id, reply } => calls.push((id, reply)),
+            Event::Reply { id, era, reply } => calls.push(Answered { id, era, reply }),
+            Event::Era(era) => era::observe(tables, context, era, out),
             Event::Unreachable { vm } => {
                 tables.unreachable.insert(vm.clone(), context.now + context.limits.unreachable_for);
                 reroute(tables, context, &vm);
@@ -156,6 +163,7 @@
                 tables.reports.remove(&token);
             }
         }
+        Message::Era(era) => era::hear(tables, context, era),
         Message::Clock { wall } => record_clock(tables, context, from, wall),
     }
 }
@@ -271,17 +279,26 @@
 }
 
 /// Returns the row of a bucket, which is created if there is none.
-fn bucket_row<'a>(tables: &'a mut Tables, context: &Context<'_>, bucket: Bucket) -> &'a mut Row {
+pub fn bucket_row<'a>(
+    tables: &'a mut Tables,
+    context: &Context<'_>,
+    bucket: Bucket,
+) -> &'a mut Row {
     let now = context.now;
-    let start = context.limits.layout.slot_start(bucket.slot);
+    let memory = &tables.memory;
     let row = tables.buckets.entry(bucket).or_insert_with(|| Row {
-        cache: initial_cache(context, start),
+        cache: if memory.contains_key(&bucket) {
+            Cache::Stale
+        } else {
+            initial_cache(context, context.limits.layout.slot_start(bucket.slot))
+        },
         claims: Vec::new(),
         held: Vec::new(),
         records: Vec::new(),
         call: None,
         retry_at: now,
         failures: 0,
+        restore_at: None,
         last_used: now,
     });
     row.last_used = now;
@@ -290,7 +307,7 @@
 
 fn initial_cache(context: &Context<'_>, start: u64) -> Cache {
     if context.wall.0.saturating_sub(start) <= NEW_SLOT_AGE.as_millis() as u64 {
-        Cache::Known { version: None, value: Value::default(), read_at: None }
+        Cache::Known { version: None, value: Arc::default(), read_at: None, is_ahead: false }
     } else {
         Cache::Stale
     }
--- a/crates/core/src/claims/limits.rs
+++ b/crates/core/src/claims/limits.rs
@@ -49,6 +49,11 @@
     pub tries: usize,
     /// How long an outcome is sent again before it is dropped.
     pub report_timeout: Duration,
+    /// The age up to which a copy may be from which the store comes back. What the store
+    /// acknowledged within this time is remembered, to be written again.
+    pub copy_age: Duration,
+    /// The most bytes, in the stored form, of what is remembered of the store.
+    pub memory_bytes: usize,
     /// How long a VM that did not answer is not used as a home.
     pub unreachable_for: Duration,
     /// The time between two checks of the floor.
@@ -78,6 +83,8 @@
             cached_buckets: 64,
             tries: 3,
             report_timeout: Duration::from_secs(30),
+            copy_age: Duration::from_secs(30),
+            memory_bytes: 16 * 1024 * 1024,
             unreachable_for: Duration::from_secs(2),
             sweep_interval: Duration::from_secs(10),
             removals_per_second: 20,
--- a/crates/core/src/claims/message.rs
+++ b/crates/core/src/claims/message.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     claim::{Outcome, Request, Verdict},
+    store::Era,
     time::Wall,
 };
 
@@ -49,4 +50,6 @@
     Recorded(Vec<Uuid>),
     /// The wall clock of the sender, for the VM that advances the floor.
     Clock { wall: Wall },
+    /// The era that the store stated to the sender, which follows an earlier one.
+    Era(Era),
 }
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -21,8 +21,10 @@
 mod collect;
 mod confirm;
 mod decide;
+mod era;
 mod expire;
 mod intake;
+mod memory;
 mod reply;
 mod route;
 mod sweep;
@@ -56,8 +58,10 @@
     Outcome { request: claim::Request, outcome: claim::Outcome },
     /// A message from another VM.
     Message { from: Name, message: Message },
-    /// The reply to a store call of this engine.
-    Reply { id: CallId, reply: store::Reply },
+    /// The reply to a store call of this engine, and the era that it stated.
+    Reply { id: CallId, era: Option<store::Era>, reply: store::Reply },
+    /// The store stated this era in the answer to another call of this VM.
+    Era(store::Era),
     /// A VM that did not accept messages or did not answer in time.
     Unreachable { vm: Name },
 }
@@ -151,9 +155,8 @@
 ) -> CallId {
     tables.last_call += 1;
     let id = CallId(tables.last_call);
-    tables
-        .calls
-        .insert(id, table::Call { purpose, deadline: context.now + context.limits.call_timeout });
+    let deadline = context.now + context.limits.call_timeout;
+    tables.calls.insert(id, table::Call { purpose, era: tables.history.era, deadline });
     out.calls.push((id, call));
     id
 }
--- a/crates/core/src/claims/sweep.rs
+++ b/crates/core/src/claims/sweep.rs
@@ -116,6 +116,8 @@
         None => target,
         Some(floor) => target.min(max_slot(tables, context, floor.slot)),
     };
+    // A floor that was in force stays so, even if the store has lost it.
+    let next = next.max(tables.floor);
     let current = stored.unwrap_or(Floor { slot: 0, swept: next });
     tables.floor = tables.floor.max(current.slot);
     tables.sweep.stored = Some((version, current));
--- a/crates/core/src/claims/table.rs
+++ b/crates/core/src/claims/table.rs
@@ -1,6 +1,9 @@
 //! The tables of the claims engine.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use uuid::Uuid;
 
@@ -8,7 +11,7 @@
     claim::{Outcome, Request},
     id,
     name::Name,
-    store::Version,
+    store::{Era, Version},
     time::{Instant, Wall},
 };
 
@@ -81,10 +84,11 @@
     Stale,
     /// The value could not be decoded; nothing is granted and nothing written.
     Unreadable,
-    /// The value as read or written at `read_at`. Without a version the bucket
-    /// did not exist. Without `read_at` the bucket was not read but is assumed
-    /// not to exist.
-    Known { version: Option<Version>, value: Value, read_at: Option<Instant> },
+    /// The value as read or written at `read_at` in the present era. Without a version
+    /// the bucket did not exist. Without `read_at` the bucket was not read but is
+    /// assumed not to exist. A value that is ahead holds entries of an ended era that
+    /// the store lacks and that are to be written again.
+    Known { version: Option<Version>, value: Arc<Value>, read_at: Option<Instant>, is_ahead: bool },
 }
 
 /// A bucket at this home, with its cached value and its work.
@@ -103,6 +107,8 @@
     pub retry_at: Instant,
     /// The number of failed calls in a row.
     pub failures: u32,
+    /// When the bucket is read in a new era, to write again what the store has lost.
+    pub restore_at: Option<Instant>,
     /// When a claim or outcome last arrived for the bucket.
     pub last_used: Instant,
 }
@@ -112,6 +118,8 @@
 pub struct Grant {
     pub pending: Pending,
     pub bucket: Bucket,
+    /// The era in which the claim was stored. A floor of another era does not confirm it.
+    pub era: Option<Era>,
 }
 
 /// Why a store call was made, with the data that its reply needs.
@@ -120,7 +128,7 @@
     /// Reads a bucket.
     Read { bucket: Bucket },
     /// Writes a bucket with these claims and outcomes in it.
-    Write { bucket: Bucket, value: Value, claims: Vec<Pending>, records: Vec<Record> },
+    Write { bucket: Bucket, value: Arc<Value>, claims: Vec<Pending>, records: Vec<Record> },
     /// Reads the floor to confirm these claims.
     Confirm { grants: Vec<Grant> },
     /// Removes a bucket that was written below the floor.
@@ -139,10 +147,31 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     pub purpose: Purpose,
+    /// The era that was known when the call was made.
+    pub era: Option<Era>,
     /// When the call counts as lost.
     pub deadline: Instant,
 }
 
+/// The value of a bucket that the store acknowledged.
+#[derive(Clone, Debug)]
+pub struct Memory {
+    pub value: Arc<Value>,
+    /// The era in which the store held the value.
+    pub era: Option<Era>,
+    /// When the value was last read or written.
+    pub at: Instant,
+}
+
+/// The era of the store as this VM knows it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct History {
+    /// The highest era that an answer stated.
+    pub era: Option<Era>,
+    /// When the store last answered in an era that was known already.
+    pub answered_at: Option<Instant>,
+}
+
 /// The rate limiter for the writes of one partition.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Limiter {
@@ -183,6 +212,9 @@
     pub reports: BTreeMap<Uuid, Report>,
     /// Buckets with work or a cached value at this home.
     pub buckets: BTreeMap<Bucket, Row>,
+    /// What the store acknowledged and may lose, by bucket.
+    pub memory: BTreeMap<Bucket, Memory>,
+    pub history: History,
     /// Stored claims that wait for the read of the floor.
     pub grants: Vec<Grant>,
     /// The time before which no read of the floor for grants starts.
--- a/crates/core/src/claims/value.rs
+++ b/crates/core/src/claims/value.rs
@@ -66,6 +66,19 @@
         }
     }
 
+    /// Adds what `known` of an ended era holds and this value lacks. Returns whether the
+    /// value changed.
+    pub fn merge(&mut self, known: &Value) -> bool {
+        let mut changed = false;
+        for (key, entry) in &known.entries {
+            if self.get(key).is_none_or(|stored| replaces(entry, stored)) {
+                self.insert(*key, entry.clone());
+                changed = true;
+            }
+        }
+        changed
+    }
+
     /// Returns the number of claims.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -123,6 +136,18 @@
     }
 }
 
+/// Whether the entry of a key from an ended era says more than the one that is stored.
+/// If both may have run, either keeps the key from being granted.
+fn replaces(known: &Entry, stored: &Entry) -> bool {
+    match (&known.outcome, &stored.outcome) {
+        (_, Some(Outcome::Done { .. })) => false,
+        (Some(Outcome::Done { .. }), _) => true,
+        (None, Some(Outcome::NotRun)) => true,
+        (Some(Outcome::NotRun), None) => known.token == stored.token,
+        (Some(Outcome::NotRun), Some(Outcome::NotRun)) | (None, None) => false,
+    }
+}
+
 fn encoded_result_len(entry: &Entry) -> usize {
     match &entry.outcome {
         Some(Outcome::Done { result }) => LENGTH_BYTES + result.len(),
--- a/crates/core/src/claims/wake.rs
+++ b/crates/core/src/claims/wake.rs
@@ -42,6 +42,7 @@
         }
         _ => (!row.claims.is_empty() || !row.records.is_empty()).then_some(row.retry_at),
     };
-    let hold_end = decide::hold_end(row).map(|end| end.max(row.retry_at));
-    expiry.into_iter().chain(start).chain(hold_end).min()
+    let later = [decide::hold_end(row), row.restore_at];
+    let later = later.into_iter().flatten().map(|at| at.max(row.retry_at));
+    expiry.into_iter().chain(start).chain(later).min()
 }
--- a/crates/core/src/control/system/claims.rs
+++ b/crates/core/src/control/system/claims.rs
@@ -35,16 +35,21 @@
     cx.out.lines.extend(out.lines);
 }
 
-/// Passes a reply on to the claims engine if that made the call; returns it
-/// otherwise.
-pub fn intercept(
-    tables: &mut Tables,
-    id: store::CallId,
-    reply: store::Reply,
-) -> Option<store::Reply> {
+/// Passes the outcome of a call on to the claims engine if that made the call; returns
+/// it otherwise.
+pub fn intercept(tables: &mut Tables, outcome: store::Outcome) -> Option<store::Outcome> {
+    let store::Outcome { id, era, reply } = outcome;
     if id.0 & CLAIMS_CALL_BIT == 0 {
-        return Some(reply);
+        return Some(store::Outcome { id, era, reply });
     }
-    tables.claims.events.push(Event::Reply { id: CallId(id.0 & !CLAIMS_CALL_BIT), reply });
+    tables.claims.events.push(Event::Reply { id: CallId(id.0 & !CLAIMS_CALL_BIT), era, reply });
     None
 }
+
+/// Passes on to the claims engine an era that it may not have heard of.
+pub fn pass_era(tables: &mut Tables, era: Option<store::Era>) {
+    if era > tables.calls.era {
+        tables.calls.era = era;
+        tables.claims.events.extend(era.map(Event::Era));
+    }
+}
--- a/crates/core/src/control/table/call.rs
+++ b/crates/core/src/control/table/call.rs
@@ -2,7 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use crate::{control::RequestId, store::CallId, time::Instant};
+use crate::{
+    control::RequestId,
+    store::{CallId, Era},
+    time::Instant,
+};
 
 /// The bit set in the ids of calls that the claims engine makes.
 pub const CLAIMS_CALL_BIT: u64 = 1 << 63;
@@ -38,6 +42,8 @@
     pub rows: BTreeMap<CallId, Call>,
     /// The last id that was assigned.
     pub last: u64,
+    /// The highest era that the service stated.
+    pub era: Option<Era>,
     /// Whether the last call was refused or lost.
     pub down: bool,
 }
--- /dev/null
+++ b/crates/core/tests/claims/drill.rs
@@ -0,0 +1,165 @@
+//! The store comes back from a copy that is some seconds old, and has lost the claims
+//! and outcomes that it acknowledged since.
+
+use std::time::Duration;
+
+use laburnum_core::{
+    claim::{Key, Verdict},
+    claims::{Limits, layout},
+    store::Call,
+};
+
+use crate::{
+    store::Values,
+    world::{Action, Plan, World},
+};
+
+const OPERATION_TIMEOUT: Duration = Duration::from_millis(500);
+const RUN: Plan = Plan::Run { delay: 100, duration: 1_000 };
+/// How long a VM must have been home to know all claims that a copy can lack.
+const TENURE: Duration = Duration::from_secs(40);
+/// The time within which the homes write again what the store lost.
+const RESTORE_TIME: Duration = Duration::from_secs(5);
+
+/// A world whose VMs have been running for longer than a copy may be old, with a key
+/// whose home is not VM 0.
+struct Drill {
+    world: World,
+    key: Key,
+    home: usize,
+    copy: Values,
+}
+
+fn drill() -> Drill {
+    let limits = Limits { sweep_interval: Duration::from_secs(1), ..Limits::default() };
+    let mut world = World::new(4, limits, 5);
+    world.run(TENURE);
+    let (key, home) = world.remote_key();
+    let copy = world.store.values.clone();
+    Drill { world, key, home, copy }
+}
+
+impl Drill {
+    fn operate(&mut self, vm: usize, key: Key, plan: Plan) -> Verdict {
+        let operation = self.world.submit(vm, key, OPERATION_TIMEOUT, plan);
+        self.world.run(OPERATION_TIMEOUT + Duration::from_millis(100));
+        self.world.operations[&operation].verdict.clone().expect("the operation has a verdict")
+    }
+
+    fn restore(&mut self) {
+        self.world.store.restore(self.copy.clone());
+    }
+
+    /// Creates a key whose bucket is that of the drill's key.
+    fn key_beside(&mut self) -> Key {
+        let millis = self.key.issued_millis().unwrap();
+        let layout = layout::Layout::V1;
+        loop {
+            let key = self.world.key_at(millis);
+            if layout.bucket(&key) == layout.bucket(&self.key) {
+                return key;
+            }
+        }
+    }
+
+    fn bucket(&self) -> String {
+        layout::Layout::V1.bucket(&self.key).unwrap().key()
+    }
+}
+
+fn is_floor_read(action: &Action, machine: usize) -> bool {
+    matches!(
+        action,
+        Action::Arrive { vm, call: Call::Get { key }, .. }
+            if *vm == machine && key == layout::FLOOR_KEY
+    )
+}
+
+cases! {
+    a_result_that_the_store_lost_is_still_returned => {
+        let mut drill = drill();
+        let key = drill.key;
+        assert_eq!(drill.operate(0, key, RUN), Verdict::Granted);
+        drill.restore();
+        for vm in 0..4 {
+            let verdict = drill.operate(vm, key, RUN);
+            assert!(matches!(verdict, Verdict::Recorded { .. }), "{verdict:?}");
+        }
+    };
+    a_lost_claim_without_an_outcome_stays_unknown => {
+        let mut drill = drill();
+        let key = drill.key;
+        assert_eq!(drill.operate(0, key, Plan::Silent { delay: 10 }), Verdict::Granted);
+        drill.restore();
+        drill.world.run(RESTORE_TIME);
+        for vm in 0..4 {
+            assert_eq!(drill.operate(vm, key, RUN), Verdict::Unknown);
+        }
+    };
+    lost_claims_are_written_again_without_a_request => {
+        let mut drill = drill();
+        let key = drill.key;
+        assert_eq!(drill.operate(0, key, RUN), Verdict::Granted);
+        drill.restore();
+        assert!(!drill.world.store.values.contains_key(&drill.bucket()));
+        drill.world.run(RESTORE_TIME);
+        assert!(drill.world.store.values.contains_key(&drill.bucket()));
+    };
+    lost_claims_of_buckets_that_left_the_cache_are_known => {
+        let mut drill = drill();
+        let mut keys = Vec::new();
+        for _ in 0..100 {
+            let key = drill.world.key();
+            drill.world.submit(0, key, OPERATION_TIMEOUT, RUN);
+            keys.push(key);
+            drill.world.run(Duration::from_millis(100));
+        }
+        drill.restore();
+        for key in keys {
+            drill.world.submit(1, key, OPERATION_TIMEOUT, RUN);
+            drill.world.run(Duration::from_millis(20));
+        }
+        drill.world.run(OPERATION_TIMEOUT);
+        assert_eq!(drill.world.oracle.verdicts.get("granted"), Some(&100));
+    };
+    a_claim_that_is_lost_before_its_grant_is_stored_again_first => {
+        let mut drill = drill();
+        let (key, home) = (drill.key, drill.home);
+        let operation = drill.world.submit(0, key, OPERATION_TIMEOUT, Plan::Silent { delay: 10 });
+        let bucket = drill.bucket();
+        let end = drill.world.now + 200_000;
+        let is_confirming = drill.world.run_until(end, |world| {
+            let is_stored = world.store.values.contains_key(&bucket);
+            is_stored && world.queue.values().any(|action| is_floor_read(action, home))
+        });
+        assert!(is_confirming);
+        drill.restore();
+        let end = drill.world.now + 400_000;
+        let is_granted = |world: &World| world.operations[&operation].verdict.is_some();
+        assert!(drill.world.run_until(end, is_granted));
+        assert_eq!(drill.world.operations[&operation].verdict, Some(Verdict::Granted));
+        assert!(drill.world.store.values.contains_key(&bucket), "granted but not stored");
+        drill.world.replace(home);
+        assert_eq!(drill.operate(1, key, RUN), Verdict::Unknown);
+    };
+    a_version_of_an_ended_era_replaces_nothing => {
+        let mut drill = drill();
+        let home = drill.home;
+        let first = drill.key;
+        let [second, third, fourth] = [(); 3].map(|()| drill.key_beside());
+        assert_eq!(drill.operate(0, first, Plan::Silent { delay: 10 }), Verdict::Granted);
+        drill.copy = drill.world.store.values.clone();
+        assert_eq!(drill.operate(0, second, Plan::Silent { delay: 10 }), Verdict::Granted);
+        drill.restore();
+        // Another home stores a claim under the version that the home still has cached.
+        let other = (1..4).find(|&vm| vm != home).unwrap();
+        drill.world.split(other, home);
+        assert_eq!(drill.operate(other, third, Plan::Silent { delay: 10 }), Verdict::Granted);
+        drill.world.run(Duration::from_secs(2));
+        assert_eq!(drill.operate(0, fourth, Plan::Silent { delay: 10 }), Verdict::Granted);
+        drill.world.heal();
+        for key in [first, second, third, fourth] {
+            assert_eq!(drill.operate(0, key, RUN), Verdict::Unknown, "{key:?}");
+        }
+    };
+}
--- a/crates/core/tests/claims/main.rs
+++ b/crates/core/tests/claims/main.rs
@@ -4,6 +4,7 @@
 #[macro_use]
 #[path = "../rules/case.rs"]
 mod case;
+mod drill;
 mod fault;
 mod fuzz;
 mod oracle;
--- a/crates/core/tests/claims/store.rs
+++ b/crates/core/tests/claims/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use laburnum_core::store::{Call, Entry, Position, Reply, Version};
+use laburnum_core::store::{Call, Entry, Era, Position, Reply, Version};
 
 /// How the store handles one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,10 +39,15 @@
     pub bytes: u64,
 }
 
+/// The values of a store by key.
+pub type Values = BTreeMap<String, (Version, Vec<u8>)>;
+
 /// The store. A removed key starts over at version one, which is the hardest
 /// case that the interface allows: an old version may match again.
 pub struct Store {
-    pub values: BTreeMap<String, (Version, Vec<u8>)>,
+    pub values: Values,
+    /// The era that all answers state.
+    pub era: Era,
     pub mode: Mode,
     /// How the next writes are handled, which overrides `mode`.
     pub next_writes: VecDeque<Handling>,
@@ -55,6 +60,7 @@
     pub fn new() -> Store {
         Store {
             values: BTreeMap::new(),
+            era: Era(1),
             mode: Mode::Up,
             next_writes: VecDeque::new(),
             next_reads: VecDeque::new(),
@@ -62,6 +68,17 @@
         }
     }
 
+    /// Replaces all values by those of an earlier copy, as a store does that comes back
+    /// from it, and gives the versions since then out again in the next era.
+    pub fn restore(&mut self, copy: Values) {
+        self.values = copy;
+        self.era.0 += 1;
+    }
+
+    fn position(&self, change: u64) -> Position {
+        Position { era: self.era, change }
+    }
+
     /// Returns how a call that is made now is handled.
     pub fn handling(&mut self, call: &Call) -> Handling {
         let next = if is_write(call) { &mut self.next_writes } else { &mut self.next_reads };
@@ -91,12 +108,12 @@
     pub fn apply(&mut self, call: Call) -> Reply {
         match call {
             Call::Get { key } => {
-                Reply::Value { entry: self.entry(&key), position: Position::default() }
+                Reply::Value { entry: self.entry(&key), position: self.position(0) }
             }
             Call::Scan { prefix } => {
                 let keys = self.values.keys().filter(|key| key.starts_with(&prefix));
                 let entries = keys.filter_map(|key| self.entry(key)).collect();
-                Reply::Entries { entries, position: Position::default() }
+                Reply::Entries { entries, position: self.position(0) }
             }
             Call::Swap { key, expect, value, .. } => self.swap(key, expect, value),
             Call::Remove { key, expect } => self.remove(&key, expect),
@@ -106,22 +123,23 @@
 
     fn entry(&self, key: &str) -> Option<Entry> {
         let (version, value) = self.values.get(key)?;
-        Some(Entry { key: key.to_owned(), version: *version, value: value.clone() })
+        let version = Version(self.position(version.0.change));
+        Some(Entry { key: key.to_owned(), version, value: value.clone() })
     }
 
     fn swap(&mut self, key: String, expect: Option<Version>, value: Vec<u8>) -> Reply {
         let current = self.entry(&key);
-        if current.as_ref().map(|entry| entry.version) != expect {
+        if current.as_ref().map(change) != expect.map(|version| version.0.change) {
             return Reply::Conflict { current };
         }
-        let version = Version(Position::new(0, expect.map_or(1, |version| version.0.change + 1)));
+        let version = Version(self.position(expect.map_or(1, |version| version.0.change + 1)));
         self.values.insert(key, (version, value));
         Reply::Swapped { version }
     }
 
     fn remove(&mut self, key: &str, expect: Version) -> Reply {
         let current = self.entry(key);
-        if current.as_ref().map(|entry| entry.version) != Some(expect) {
+        if current.as_ref().map(change) != Some(expect.0.change) {
             return Reply::Conflict { current };
         }
         self.values.remove(key);
@@ -129,6 +147,11 @@
     }
 }
 
+/// The number of the change that wrote an entry, which is all that the store compares.
+fn change(entry: &Entry) -> u64 {
+    entry.version.0.change
+}
+
 pub fn is_write(call: &Call) -> bool {
     matches!(call, Call::Swap { .. } | Call::Remove { .. })
 }
--- a/crates/core/tests/claims/world/carry.rs
+++ b/crates/core/tests/claims/world/carry.rs
@@ -31,9 +31,9 @@
             Action::Arrive { vm, epoch, id, call, handling } => {
                 self.handle_call(vm, epoch, id, call, handling)
             }
-            Action::Answer { vm, epoch, id, reply } => {
+            Action::Answer { vm, epoch, id, era, reply } => {
                 if self.machines[vm].epoch == epoch {
-                    self.push_event(vm, Event::Reply { id, reply });
+                    self.push_event(vm, Event::Reply { id, era, reply });
                 }
             }
             Action::Send { operation } => self.send_to_target(operation),
@@ -106,7 +106,8 @@
             }
         };
         let at = self.now + 1000 + self.random.below(1500);
-        self.schedule(at, Action::Answer { vm, epoch, id, reply });
+        let era = (handling == Handling::Normal).then_some(self.store.era);
+        self.schedule(at, Action::Answer { vm, epoch, id, era, reply });
     }
 
     /// Sends a message, which the network may lose, duplicate or delay.
--- a/crates/core/tests/claims/world/mod.rs
+++ b/crates/core/tests/claims/world/mod.rs
@@ -13,7 +13,7 @@
     id::{Origin, Query},
     name::Name,
     rank,
-    store::{Call, Reply},
+    store::{Call, Era, Reply},
     time::Instant,
     view::{State, Vm},
 };
@@ -81,7 +81,7 @@
     Wake { vm: usize, at: u64 },
     Deliver { vm: usize, from: Name, message: Message },
     Arrive { vm: usize, epoch: u64, id: CallId, call: Call, handling: Handling },
-    Answer { vm: usize, epoch: u64, id: CallId, reply: Reply },
+    Answer { vm: usize, epoch: u64, id: CallId, era: Option<Era>, reply: Reply },
     Send { operation: Query },
     Finish { operation: Query },
 }
