--- a/crates/core/src/claims/collect.rs
+++ b/crates/core/src/claims/collect.rs
@@ -9,11 +9,12 @@
 };
 
 use super::{
-    Context, Count, Outbox, Replies, era,
-    intake::{self, Answered},
-    layout::Bucket,
+    Context, Count, Message, Outbox, Replies, decide, era,
+    intake::Answered,
+    layout::{Bucket, FLOOR_KEY},
     memory, start_call, sweep,
-    table::{Cache, CallId, Grant, Pending, Purpose, Record, Row, Tables},
+    table::{Cache, CallId, Grant, Pending, Purpose, Record, Row, StoredFloor, Tables},
+    tenure,
     value::{Floor, Value},
 };
 
@@ -71,7 +72,7 @@
         Purpose::Confirm { grants } => {
             handle_confirm(tables, context, grants, era, &reply, replies, out)
         }
-        Purpose::Undo => {}
+        Purpose::Undo | Purpose::LossWrite => {}
         purpose => sweep::handle_reply(tables, context, purpose, reply, out),
     }
 }
@@ -122,6 +123,7 @@
                 is_ahead: false,
             };
             tables.buckets.insert(bucket, row);
+            notify_home(tables, context, bucket, out);
             let era = tables.history.era;
             let grants = batch.claims.into_iter().map(|pending| Grant { pending, bucket, era });
             tables.grants.extend(grants);
@@ -148,6 +150,16 @@
     tables.buckets.insert(bucket, row);
 }
 
+/// Tells the home of a bucket that this VM, which is not its home, wrote it.
+fn notify_home(tables: &Tables, context: &Context<'_>, bucket: Bucket, out: &mut Outbox) {
+    if tables.tenure.since.contains_key(&bucket.partition) {
+        return;
+    }
+    if let Some(home) = tenure::home(context, bucket.partition).filter(|vm| *vm != context.vm) {
+        out.messages.push((home.clone(), Message::Written(bucket)));
+    }
+}
+
 /// Delays the next call of a bucket after a failure.
 fn back_off(row: &mut Row, context: &Context<'_>) {
     let doublings = row.failures.min(MAX_BACKOFF_DOUBLINGS);
@@ -182,36 +194,62 @@
     replies: &mut Replies,
     out: &mut Outbox,
 ) {
-    let Some(floor) = decode_floor(reply) else {
+    let stored = decode_floor(reply);
+    let recorded = stored.filter(|stored| is_loss_recorded(tables, context, *stored, out));
+    let Some(StoredFloor { floor, .. }) = recorded else {
         tables.grants.extend(grants);
         tables.next_confirm = context.now + INITIAL_BACKOFF;
         return;
     };
-    tables.floor = tables.floor.max(floor);
+    tables.floor = tables.floor.max(floor.slot);
+    tables.history.loss = era::loss(tables, context, floor);
     let era = era.or(tables.history.era);
     for grant in grants {
         if grant.era != era {
             era::settle(tables, context, grant);
             continue;
         }
-        let below = grant.bucket.slot < tables.floor;
-        let verdict = if below { Verdict::Expired } else { Verdict::Granted };
-        out.count(if below { Count::Expired } else { Count::Granted });
-        if below {
+        let verdict = if grant.bucket.slot < tables.floor {
             undo_write(tables, context, grant.bucket, out);
-        }
-        let pending = grant.pending;
-        intake::push_answer(replies, &pending.requester, pending.request.token, verdict, false);
+            Verdict::Expired
+        } else if tenure::is_doubtful(tables, grant.bucket) {
+            Verdict::Unknown
+        } else {
+            Verdict::Granted
+        };
+        decide::finish_claim(&grant.pending, verdict, replies, out);
     }
 }
 
-/// Returns the slot of the floor, or `None` if the read failed or its value
-/// cannot be decoded. A floor that was never written is zero.
-fn decode_floor(reply: &Reply) -> Option<u64> {
+/// Returns whether the floor states the loss of the present era, and starts to write it
+/// otherwise. Nothing is granted before that: a VM that starts later learns of the loss
+/// only from the floor.
+fn is_loss_recorded(
+    tables: &mut Tables,
+    context: &Context<'_>,
+    stored: StoredFloor,
+    out: &mut Outbox,
+) -> bool {
+    let StoredFloor { version, floor } = stored;
+    let loss = era::loss(tables, context, floor);
+    let Some(expect) = version.filter(|_| loss != floor.loss) else { return true };
+    let value = Floor { loss, ..floor }.encode();
+    let key = FLOOR_KEY.to_owned();
+    let swap = Call::Swap { key, expect: Some(expect), value, lease: None };
+    start_call(tables, context, out, Purpose::LossWrite, swap);
+    false
+}
+
+/// Returns the floor, or `None` if the read failed or its value cannot be decoded. A
+/// floor that was never written is zero.
+fn decode_floor(reply: &Reply) -> Option<StoredFloor> {
     match reply {
-        Reply::Value { entry: None, .. } => Some(0),
+        Reply::Value { entry: None, .. } => {
+            Some(StoredFloor { version: None, floor: Floor::default() })
+        }
         Reply::Value { entry: Some(entry), .. } => {
-            Floor::try_from(entry.value.as_slice()).ok().map(|floor| floor.slot)
+            let floor = Floor::try_from(entry.value.as_slice()).ok()?;
+            Some(StoredFloor { version: Some(entry.version), floor })
         }
         _ => None,
     }
--- a/crates/core/src/claims/decide.rs
+++ b/crates/core/src/claims/decide.rs
@@ -14,6 +14,7 @@
     layout::Bucket,
     start_call,
     table::{Cache, Grant, Limiter, Pending, Purpose, Record, Row, Tables},
+    tenure,
     value::{CLAIM_BYTES, Entry, Value},
 };
 
@@ -169,7 +170,13 @@
     let mut free = Vec::new();
     for mut pending in row.claims.drain(..) {
         match match_claim(value, &pending.request) {
-            Match::Free => free.push(pending),
+            Match::Free if !tenure::is_doubtful(tables, bucket) => free.push(pending),
+            // Another home may have stored the key again since the read.
+            Match::Free if !fresh => {
+                needs_read = true;
+                free.push(pending);
+            }
+            Match::Free => finish_claim(&pending, Verdict::Unknown, replies, out),
             // The store lost the claim. It is granted once it is stored again.
             Match::Own if *is_ahead => free.push(pending),
             Match::Own => tables.grants.push(Grant { pending, bucket, era }),
@@ -225,7 +232,7 @@
 }
 
 /// Counts the verdict and queues it for the requester.
-fn finish_claim(pending: &Pending, verdict: Verdict, replies: &mut Replies, out: &mut Outbox) {
+pub fn finish_claim(pending: &Pending, verdict: Verdict, replies: &mut Replies, out: &mut Outbox) {
     out.count(match verdict {
         Verdict::Granted => Count::Granted,
         Verdict::Recorded { .. } => Count::Recorded,
--- a/crates/core/src/claims/era.rs
+++ b/crates/core/src/claims/era.rs
@@ -11,6 +11,8 @@
 use super::{
     Context, Message, Outbox, intake, memory,
     table::{Cache, Call, Grant, Purpose, Tables},
+    tenure,
+    value::{Floor, Loss},
 };
 
 /// Takes note of the era that an answer stated. A new one ends the earlier one here,
@@ -37,7 +39,9 @@
 }
 
 fn end_era(tables: &mut Tables, context: &Context<'_>, era: Era) {
+    tenure::end_era(tables, context);
     tables.history.era = Some(era);
+    tables.history.ended_below = Some(present_slot(context));
     for row in tables.buckets.values_mut() {
         row.cache = Cache::Stale;
     }
@@ -50,6 +54,27 @@
     tables.sweep.next_check = context.now;
 }
 
+/// Returns the slot above those of all keys that were issued up to now, by any clock that
+/// is no further ahead than the skew.
+fn present_slot(context: &Context<'_>) -> u64 {
+    let skew = u64::try_from(context.limits.skew.as_millis()).unwrap_or(u64::MAX);
+    context.limits.layout.slot_at(context.wall.0.saturating_add(skew)) + 1
+}
+
+/// Returns what the store may have lost when the present era began. The VM that first
+/// reads a floor of an earlier era decides this, and records it in the floor for those
+/// that start later. Returns none if the store states no era.
+pub fn loss(tables: &Tables, context: &Context<'_>, floor: Floor) -> Option<Loss> {
+    let era = tables.history.era?;
+    let ended_below = tables.history.ended_below;
+    let below = match floor.loss {
+        Some(loss) if loss.era >= era => return Some(loss),
+        Some(_) => ended_below.unwrap_or_else(|| present_slot(context)),
+        None => ended_below.unwrap_or(0),
+    };
+    Some(Loss { era, below })
+}
+
 /// Queues a claim again that was stored in an era which has ended, because the store may
 /// have lost it before its grant.
 pub fn settle(tables: &mut Tables, context: &Context<'_>, grant: Grant) {
--- a/crates/core/src/claims/intake.rs
+++ b/crates/core/src/claims/intake.rs
@@ -15,6 +15,7 @@
 use super::{
     Context, Count, Event, Message, Outbox, Replies, era,
     layout::Bucket,
+    memory,
     message::{Answer, Claim, Record},
     table::{self, Cache, CallId, Operation, Pending, Report, Row, Tables},
 };
@@ -164,6 +165,7 @@
             }
         }
         Message::Era(era) => era::hear(tables, context, era),
+        Message::Written(bucket) => memory::note_written(tables, context, bucket),
         Message::Clock { wall } => record_clock(tables, context, from, wall),
     }
 }
--- a/crates/core/src/claims/layout.rs
+++ b/crates/core/src/claims/layout.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{claim::Key, rank};
@@ -50,7 +51,7 @@
 
 /// The unit of storage: the claims of one partition of one time slot, which are
 /// one value in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Bucket {
     /// The time slot in which the keys were issued.
     pub slot: u64,
--- a/crates/core/src/claims/limits.rs
+++ b/crates/core/src/claims/limits.rs
@@ -83,7 +83,7 @@
             cached_buckets: 64,
             tries: 3,
             report_timeout: Duration::from_secs(30),
-            copy_age: Duration::from_secs(30),
+            copy_age: Duration::from_secs(15),
             memory_bytes: 16 * 1024 * 1024,
             unreachable_for: Duration::from_secs(2),
             sweep_interval: Duration::from_secs(10),
--- a/crates/core/src/claims/memory.rs
+++ b/crates/core/src/claims/memory.rs
@@ -1,6 +1,6 @@
 //! Remembers what the store acknowledged, and writes it again if the store loses it.
 //!
-//! The store may come back from a copy that is up to [`Limits::copy_age`] old. What a
+//! The store may come back from a copy that is up to [`Limits::copy_age`](super::Limits::copy_age) old. What a
 //! home read or wrote within that time is kept apart from the cached buckets, which are
 //! evicted at any time. In a new era it is merged into the first value that is read of
 //! each bucket, and that value is written if the store lacks a part of it. See
@@ -8,11 +8,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::{
-    Context, Limits, intake,
+    Context, intake,
     layout::Bucket,
+    spread,
     table::{Cache, Memory, Row, Tables},
     value::Value,
 };
@@ -27,6 +26,8 @@
     tables.memory.insert(bucket, Memory { value, era, at: context.now });
     let mut bytes: usize = tables.memory.values().map(|row| row.value.encoded_len()).sum();
     while bytes > context.limits.memory_bytes {
+        // Without it this VM no longer knows all claims that a copy can lack.
+        tables.tenure.since.clear();
         let oldest = tables.memory.iter().min_by_key(|(_, row)| row.at);
         let Some((&bucket, row)) = oldest else { return };
         bytes -= row.value.encoded_len();
@@ -43,10 +44,21 @@
         .retain(|_, row| row.era != era || context.now.since(row.at) <= context.limits.copy_age);
 }
 
+/// Reads a bucket soon that another VM wrote, so that this home remembers all claims of
+/// its partitions.
+pub fn note_written(tables: &mut Tables, context: &Context<'_>, bucket: Bucket) {
+    if bucket.slot >= tables.floor {
+        let row = intake::bucket_row(tables, context, bucket);
+        row.cache = Cache::Stale;
+        row.restore_at = Some(context.now);
+    }
+}
+
 /// Lets every remembered bucket be read in the new era, at a time that differs between
 /// VMs and buckets.
 pub fn schedule_restore(tables: &mut Tables, context: &Context<'_>) {
-    tables.memory.retain(|bucket, _| is_kept(tables.floor, context, *bucket));
+    // The keys of a bucket below the floor are refused without it.
+    tables.memory.retain(|bucket, _| bucket.slot >= tables.floor);
     let buckets: Vec<Bucket> = tables.memory.keys().copied().collect();
     for bucket in buckets {
         let at = context.now + restore_delay(context, bucket);
@@ -54,19 +66,8 @@
     }
 }
 
-/// Whether the claims of a bucket are still kept. A bucket that was removed because of
-/// its age must not be written again.
-fn is_kept(floor: u64, context: &Context<'_>, bucket: Bucket) -> bool {
-    let Limits { layout, window, .. } = context.limits;
-    let window = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
-    let end = layout.slot_start(bucket.slot).saturating_add(window);
-    bucket.slot >= floor && end > context.wall.0
-}
-
 fn restore_delay(context: &Context<'_>, bucket: Bucket) -> Duration {
-    let seed = format!("{}/{}", context.vm, bucket.key());
-    let spread = RESTORE_SPREAD.as_micros() as u64;
-    Duration::from_micros(xxh3_64(seed.as_bytes()) % spread)
+    spread::delay(&format!("{}/{}", context.vm, bucket.key()), RESTORE_SPREAD)
 }
 
 /// Adds to the value of a bucket that was just read what this VM remembers of an ended
@@ -76,7 +77,7 @@
     let Cache::Known { value, is_ahead, .. } = &mut row.cache else { return };
     let remembered = tables.memory.get(&bucket).filter(|known| known.era != tables.history.era);
     if let Some(known) = remembered
-        && is_kept(tables.floor, context, bucket)
+        && bucket.slot >= tables.floor
     {
         *is_ahead = Arc::make_mut(value).merge(&known.value);
     }
--- a/crates/core/src/claims/message.rs
+++ b/crates/core/src/claims/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
+use super::layout::Bucket;
 use crate::{
     claim::{Outcome, Request, Verdict},
     store::Era,
@@ -52,4 +53,7 @@
     Clock { wall: Wall },
     /// The era that the store stated to the sender, which follows an earlier one.
     Era(Era),
+    /// The sender wrote a bucket of which the receiver is home, for instance because the
+    /// requester did not reach the receiver.
+    Written(Bucket),
 }
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -8,7 +8,7 @@
 //! as home of the same bucket; this costs additional writes but does not affect
 //! correctness. See `docs/design/claims.md`.
 //!
-//! [`Engine::tick`] runs the systems in this order: intake, collect, expire,
+//! [`Engine::tick`] runs the systems in this order: tenure, intake, collect, expire,
 //! route, decide, confirm, sweep, reply.
 
 pub mod layout;
@@ -27,7 +27,9 @@
 mod memory;
 mod reply;
 mod route;
+mod spread;
 mod sweep;
+mod tenure;
 mod wake;
 
 use std::collections::BTreeMap;
@@ -111,6 +113,7 @@
         let context = Context { vm: &self.vm, limits: &self.limits, now, wall, vms };
         let tables = &mut self.tables;
         let mut replies = Replies::default();
+        tenure::run(tables, &context);
         let calls = intake::run(tables, &context, events, &mut replies, out);
         collect::run(tables, &context, calls, &mut replies, out);
         expire::run(tables, &context, &mut replies, out);
--- a/crates/core/src/claims/sweep.rs
+++ b/crates/core/src/claims/sweep.rs
@@ -14,15 +14,17 @@
 };
 
 use super::{
-    Context, Count, Message, Outbox,
+    Context, Count, Message, Outbox, era,
     layout::{self, Bucket, FLOOR_KEY},
-    start_call,
-    table::{Purpose, Tables},
+    spread, start_call,
+    table::{Purpose, StoredFloor, Tables},
     value::Floor,
 };
 
 /// How many VMs, the first in rank, contribute their clocks to the floor.
 const CLOCK_VMS: usize = 5;
+/// The time between two reads of the floor by a home without claims.
+const HOME_READ_INTERVAL: Duration = Duration::from_secs(60);
 /// How many times faster than real time the floor may advance, so that clocks
 /// that are far ahead do not expire current keys at once.
 const MAX_ADVANCE_RATE: u64 = 4;
@@ -56,6 +58,23 @@
         }
         _ => {}
     }
+    if !tables.tenure.since.is_empty() {
+        read_as_home(tables, context, out);
+    }
+}
+
+/// Reads the floor without a claim that waits for it, so that a home without claims
+/// knows the era and the loss that is recorded.
+fn read_as_home(tables: &mut Tables, context: &Context<'_>, out: &mut Outbox) {
+    // The first read is at a time that differs between VMs.
+    let phase = spread::delay(context.vm.as_str(), HOME_READ_INTERVAL);
+    let next = *tables.tenure.next_read.get_or_insert(context.now + phase);
+    if next > context.now {
+        return;
+    }
+    tables.tenure.next_read = Some(context.now + HOME_READ_INTERVAL);
+    let get = Call::Get { key: FLOOR_KEY.to_owned() };
+    start_call(tables, context, out, Purpose::Confirm { grants: Vec::new() }, get);
 }
 
 fn start_sweep_call(
@@ -84,7 +103,7 @@
         }
         (Purpose::FloorWrite { floor }, Reply::Swapped { version }) => {
             tables.floor = tables.floor.max(floor.slot);
-            tables.sweep.stored = Some((Some(version), floor));
+            tables.sweep.stored = Some(StoredFloor { version: Some(version), floor });
             tables.sweep.slot = tables.sweep.slot.max(floor.swept);
             start_scan(tables, context, out);
         }
@@ -118,16 +137,17 @@
     };
     // A floor that was in force stays so, even if the store has lost it.
     let next = next.max(tables.floor);
-    let current = stored.unwrap_or(Floor { slot: 0, swept: next });
+    let current = stored.unwrap_or(Floor { slot: 0, swept: next, loss: None });
     tables.floor = tables.floor.max(current.slot);
-    tables.sweep.stored = Some((version, current));
+    tables.sweep.stored = Some(StoredFloor { version, floor: current });
     // A slot that another VM has swept as well is swept again, which is harmless.
     tables.sweep.slot = tables.sweep.slot.clamp(current.swept, current.slot.max(current.swept));
     if next <= current.slot {
         start_scan(tables, context, out);
         return;
     }
-    let floor = Floor { slot: next, swept: tables.sweep.slot };
+    let loss = era::loss(tables, context, current);
+    let floor = Floor { slot: next, swept: tables.sweep.slot, loss };
     let key = FLOOR_KEY.to_owned();
     let swap = Call::Swap { key, expect: version, value: floor.encode(), lease: None };
     start_sweep_call(tables, context, out, Purpose::FloorWrite { floor }, swap);
@@ -167,7 +187,7 @@
 
 /// Lists the buckets of the next slot to remove, if one is below the floor.
 fn start_scan(tables: &mut Tables, context: &Context<'_>, out: &mut Outbox) {
-    let Some((_, floor)) = tables.sweep.stored else { return };
+    let Some(StoredFloor { floor, .. }) = tables.sweep.stored else { return };
     let slot = tables.sweep.slot;
     if slot >= floor.slot {
         return;
@@ -185,7 +205,7 @@
     tables.sweep.entries = found.filter(|(bucket, _)| bucket.slot == slot).collect();
     if tables.sweep.entries.is_empty() {
         tables.sweep.slot = slot + 1;
-        let floor = tables.sweep.stored.map_or(0, |(_, floor)| floor.slot);
+        let floor = tables.sweep.stored.map_or(0, |stored| stored.floor.slot);
         if tables.sweep.slot < floor {
             tables.sweep.next_check = context.now + removal_interval(context);
         }
--- a/crates/core/src/claims/table.rs
+++ b/crates/core/src/claims/table.rs
@@ -17,7 +17,7 @@
 
 use super::{
     layout::Bucket,
-    value::{Floor, Value},
+    value::{Floor, Loss, Value},
 };
 
 /// The id of a store call of this engine. It is unique only within the engine;
@@ -133,6 +133,8 @@
     Confirm { grants: Vec<Grant> },
     /// Removes a bucket that was written below the floor.
     Undo,
+    /// Records in the floor what the store may have lost.
+    LossWrite,
     /// Reads the floor in order to advance it.
     FloorRead,
     /// Advances the floor.
@@ -170,6 +172,29 @@
     pub era: Option<Era>,
     /// When the store last answered in an era that was known already.
     pub answered_at: Option<Instant>,
+    /// The slot below which keys may have been claimed in an ended era, if this VM saw
+    /// one end.
+    pub ended_below: Option<u64>,
+    /// What the store may have lost when the present era began, once this is recorded.
+    pub loss: Option<Loss>,
+}
+
+/// The partitions of which this VM is home.
+#[derive(Clone, Debug, Default)]
+pub struct Tenure {
+    /// Since when this VM has been the home of each partition without interruption.
+    pub since: BTreeMap<u16, Instant>,
+    pub checked_at: Option<Instant>,
+    /// When this home next reads the floor although no claim waits for it.
+    pub next_read: Option<Instant>,
+}
+
+/// The floor as it was read or written.
+#[derive(Clone, Copy, Debug)]
+pub struct StoredFloor {
+    /// The version of the entry, or none if there is no floor yet.
+    pub version: Option<Version>,
+    pub floor: Floor,
 }
 
 /// The rate limiter for the writes of one partition.
@@ -182,8 +207,8 @@
 /// The state of advancing the floor and of removing the buckets below it.
 #[derive(Clone, Debug, Default)]
 pub struct Sweep {
-    /// The floor that was last read or written, with its version in the store.
-    pub stored: Option<(Option<Version>, Floor)>,
+    /// The floor that was last read or written.
+    pub stored: Option<StoredFloor>,
     /// When the floor is checked next.
     pub next_check: Instant,
     /// When the next bucket may be removed.
@@ -215,6 +240,10 @@
     /// What the store acknowledged and may lose, by bucket.
     pub memory: BTreeMap<Bucket, Memory>,
     pub history: History,
+    pub tenure: Tenure,
+    /// The partitions whose claims of the ended era this VM knows, with the slot below
+    /// which keys are in doubt nevertheless because of an earlier loss.
+    pub doubt: BTreeMap<u16, u64>,
     /// Stored claims that wait for the read of the floor.
     pub grants: Vec<Grant>,
     /// The time before which no read of the floor for grants starts.
--- a/crates/core/src/claims/value.rs
+++ b/crates/core/src/claims/value.rs
@@ -12,6 +12,7 @@
 use crate::{
     claim::{Key, Outcome},
     digest::Fingerprint,
+    store::Era,
 };
 
 /// The first byte of a stored bucket.
@@ -70,9 +71,13 @@
     /// value changed.
     pub fn merge(&mut self, known: &Value) -> bool {
         let mut changed = false;
-        for (key, entry) in &known.entries {
-            if self.get(key).is_none_or(|stored| replaces(entry, stored)) {
-                self.insert(*key, entry.clone());
+        for (key, known) in &known.entries {
+            let merged = match self.get(key) {
+                None => Some(known.clone()),
+                Some(stored) => merged_entry(known, stored),
+            };
+            if let Some(entry) = merged {
+                self.insert(*key, entry);
                 changed = true;
             }
         }
@@ -136,15 +141,17 @@
     }
 }
 
-/// Whether the entry of a key from an ended era says more than the one that is stored.
-/// If both may have run, either keeps the key from being granted.
-fn replaces(known: &Entry, stored: &Entry) -> bool {
+/// Returns the entry that takes the place of the stored one, if the entry of the same key
+/// from an ended era says more.
+fn merged_entry(known: &Entry, stored: &Entry) -> Option<Entry> {
+    let is_same = known.token == stored.token;
     match (&known.outcome, &stored.outcome) {
-        (_, Some(Outcome::Done { .. })) => false,
-        (Some(Outcome::Done { .. }), _) => true,
-        (None, Some(Outcome::NotRun)) => true,
-        (Some(Outcome::NotRun), None) => known.token == stored.token,
-        (Some(Outcome::NotRun), Some(Outcome::NotRun)) | (None, None) => false,
+        (_, Some(Outcome::Done { .. })) => None,
+        (Some(Outcome::Done { .. }), _) | (None, Some(Outcome::NotRun)) => Some(known.clone()),
+        (Some(Outcome::NotRun), None) if is_same => Some(known.clone()),
+        // Either request may have run, so neither may release the key.
+        (None, None) if !is_same => Some(Entry { token: Uuid::nil(), ..stored.clone() }),
+        (Some(Outcome::NotRun), _) | (None, None) => None,
     }
 }
 
@@ -175,6 +182,12 @@
         Ok(out)
     }
 
+    fn loss(&mut self) -> Result<Loss, Unreadable> {
+        let era = Era(u64::from_le_bytes(self.array()?));
+        let below = u64::from_le_bytes(self.array()?);
+        Ok(Loss { era, below })
+    }
+
     fn outcome(&mut self) -> Result<Option<Outcome>, Unreadable> {
         let at = Unreadable { offset: self.offset };
         match self.array::<1>()? {
@@ -198,12 +211,28 @@
     pub slot: u64,
     /// The slot below which all buckets have been removed.
     pub swept: u64,
+    /// The last loss of the store that was recorded.
+    pub loss: Option<Loss>,
+}
+
+/// What the store may have lost when its present era began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loss {
+    /// The era that began.
+    pub era: Era,
+    /// The slot below which a key that is not found may have been claimed before.
+    pub below: u64,
 }
 
 impl Floor {
     /// Encodes the stored format.
     pub fn encode(&self) -> Vec<u8> {
-        [self.slot.to_le_bytes(), self.swept.to_le_bytes()].concat()
+        let mut out = [self.slot.to_le_bytes(), self.swept.to_le_bytes()].concat();
+        if let Some(Loss { era: Era(era), below }) = self.loss {
+            out.extend_from_slice(&era.to_le_bytes());
+            out.extend_from_slice(&below.to_le_bytes());
+        }
+        out
     }
 }
 
@@ -214,6 +243,8 @@
         let mut reader = Reader { bytes, offset: 0 };
         let slot = u64::from_le_bytes(reader.array()?);
         let swept = u64::from_le_bytes(reader.array()?);
-        Ok(Floor { slot, swept })
+        // An earlier release stored no loss.
+        let loss = if reader.offset < bytes.len() { Some(reader.loss()?) } else { None };
+        Ok(Floor { slot, swept, loss })
     }
 }
