--- a/crates/core/src/control/engine.rs
+++ b/crates/core/src/control/engine.rs
@@ -58,13 +58,19 @@
             own: Own::new(setup.vm),
             vms: Default::default(),
             targets: Default::default(),
-            in_force: InForce { document: Arc::new(Document::default()), confirmed: None },
+            in_force: InForce {
+                document: Arc::new(Document::default()),
+                confirmed: None,
+                since: Instant::default(),
+                origin: None,
+            },
             peer_revisions: Default::default(),
             revision_cursor: None,
             quarantine: Default::default(),
             gossip: Default::default(),
             calls: Default::default(),
             profiles: Default::default(),
+            restore: None,
             list: Default::default(),
             publications: Default::default(),
             rng: StdRng::seed_from_u64(setup.seed),
@@ -88,6 +94,7 @@
         system::call::run(tables, cx);
         system::expiry::run(tables, cx);
         system::probe::run(tables, cx);
+        system::restore::run(tables, cx);
         system::reading::run(tables, cx);
         system::publish::run(tables, cx);
         system::sync::run(tables, cx);
--- a/crates/core/src/control/system/call.rs
+++ b/crates/core/src/control/system/call.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::{claims, list, profiles, publish};
+use super::{claims, list, profiles, publish, restore};
 use crate::{
     control::{
         engine::Context,
@@ -53,6 +53,7 @@
     claims::pass_era(tables, era);
     match row.purpose {
         Purpose::Profiles => profiles::handle_reply(tables, cx, row.made, reply),
+        Purpose::Restore => restore::handle_reply(tables, cx, &reply),
         Purpose::List => list::handle_reply(tables, cx, row.made, reply),
         Purpose::Request(request) => publish::handle_reply(tables, cx, request, reply),
         Purpose::ReadExpired => {
--- a/crates/core/src/control/system/mod.rs
+++ b/crates/core/src/control/system/mod.rs
@@ -12,6 +12,7 @@
 pub mod reading;
 pub mod list;
 pub mod profiles;
+pub mod restore;
 pub mod publish;
 pub mod outcome;
 pub mod quarantine;
--- a/crates/core/src/control/system/outcome.rs
+++ b/crates/core/src/control/system/outcome.rs
@@ -12,7 +12,7 @@
         Answer, Record, Request,
         codec::history_key,
         engine::Context,
-        request::{Audit, difference},
+        request::{Audit, Token, difference},
         table::{
             Tables,
             call::Purpose,
@@ -30,7 +30,7 @@
 /// removes from the history the document that is now beyond the limit.
 pub fn accepted(tables: &mut Tables, cx: &mut Context<'_>, row: &Publication) -> Next {
     let Some(proposal) = &row.proposal else { return Next::Retry };
-    profiles::apply(tables, cx, Arc::new(proposal.document.clone()));
+    profiles::apply_record(tables, cx, proposal);
     let revision = proposal.document.revision;
     let fields = vec![("revision", revision.0.to_string()), ("who", proposal.who.clone())];
     cx.out.lines.push(Line::new(Event::RevisionPublished, fields));
@@ -56,7 +56,10 @@
     }
     let current = revision(row);
     if let Some(base) = &row.base {
-        profiles::apply(tables, cx, Arc::new(base.document.clone()));
+        profiles::apply_record(tables, cx, base);
+    }
+    if current < tables.in_force.document.revision && row.reply_lost {
+        return Next::Done(resolve_loss(tables, row, token));
     }
     if current <= token.base && matches!(row.request, Request::Settle { .. }) {
         return Next::Step(Stage::Fence);
@@ -67,6 +70,20 @@
     Next::Done(lost(cx, row))
 }
 
+/// Decides the outcome of a publication while the service holds a lower revision than
+/// the one in force: it has lost changes, which the watchers write again. A publication
+/// that is in force here took effect; any other one may have been lost or replaced.
+fn resolve_loss(tables: &Tables, row: &Publication, token: Token) -> Answer {
+    let origin = tables.in_force.origin.as_ref();
+    if origin.is_none_or(|origin| origin.token != token.id) {
+        return Answer::Unsettled { token };
+    }
+    let profiles = &tables.in_force.document.profiles;
+    let is_settle = matches!(row.request, Request::Settle { .. });
+    let changes = if is_settle { Vec::new() } else { changes(row, profiles) };
+    Answer::Accepted { revision: token.revision, changes }
+}
+
 /// Handles the case that the service holds the document of the publication.
 fn confirmed(tables: &mut Tables, cx: &mut Context<'_>, row: &mut Publication) -> Next {
     if row.proposal.is_none() {
--- a/crates/core/src/control/system/profiles.rs
+++ b/crates/core/src/control/system/profiles.rs
@@ -3,37 +3,48 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{gossip, reading};
+use super::{gossip, reading, restore};
 use crate::{
     control::{
         Record,
         codec::CURRENT_KEY,
         engine::Context,
         message::{Body, Digest, RevisionReport},
-        table::{PeerRevision, Tables, age, age::Age},
+        table::{Origin, PeerRevision, Tables, age, age::Age},
     },
     log::{Event, Line},
     name::Name,
     profile::Document,
-    store::{Entry, Reply},
+    store::{Entry, Position, Reply},
     time::Instant,
 };
 
 /// Handles the reply to a read or watch that was started at `made`.
 pub fn handle_reply(tables: &mut Tables, cx: &mut Context<'_>, made: Instant, reply: Reply) {
     tables.profiles.call = None;
+    let is_read = matches!(reply, Reply::Value { .. });
     let (entry, position) = match reply {
         Reply::Value { entry, position } => (entry, position),
+        Reply::Changed { position, .. } if is_of_new_era(tables, position) => {
+            // The changes before the position are not those that this VM has seen.
+            tables.profiles.position = None;
+            tables.profiles.next = cx.now;
+            return;
+        }
         Reply::Changed { entries, position, .. } => {
             (entries.into_iter().rev().find(|entry| entry.key == CURRENT_KEY), position)
         }
         _ => return failed(tables, cx),
     };
-    if let Some(entry) = entry {
-        match decode(cx, &entry) {
-            Ok(record) => apply(tables, cx, Arc::new(record.document)),
-            Err(_) => return failed(tables, cx),
-        }
+    let version = entry.as_ref().map(|entry| entry.version);
+    let Ok(record) = entry.map(|entry| decode(cx, &entry)).transpose() else {
+        return failed(tables, cx);
+    };
+    if let Some(record) = &record {
+        apply_record(tables, cx, record);
+    }
+    if is_read || record.is_some() {
+        restore::compare(tables, cx, made, version, record);
     }
     tables.profiles.position = Some(position);
     tables.profiles.failures = 0;
@@ -42,6 +53,12 @@
     confirm(tables, cx.now, made);
 }
 
+/// Whether a watch that continues from the position of this VM was answered in a later
+/// era.
+fn is_of_new_era(tables: &Tables, position: Position) -> bool {
+    tables.profiles.position.is_some_and(|after| after.era < position.era)
+}
+
 /// Records that the service was read at `made` and holds no higher revision.
 fn confirm(tables: &mut Tables, now: Instant, made: Instant) {
     let age = Age::new(Duration::ZERO, made);
@@ -77,10 +94,22 @@
     let fields = vec![("revision", document.revision.0.to_string())];
     cx.out.lines.push(Line::new(Event::RevisionApplied, fields));
     tables.in_force.document = document;
+    tables.in_force.since = cx.now;
+    tables.in_force.origin = None;
     tables.gossip.has_new = true;
     tables.view_changed = true;
 }
 
+/// Puts a document in force as [`apply`] does, and remembers its publication if it is
+/// the one in force.
+pub fn apply_record(tables: &mut Tables, cx: &mut Context<'_>, record: &Record) {
+    apply(tables, cx, Arc::new(record.document.clone()));
+    if record.document.revision == tables.in_force.document.revision {
+        let Record { token, who, at, note, .. } = record.clone();
+        tables.in_force.origin = Some(Origin { token, who, at, note });
+    }
+}
+
 /// Sends the document in force to another VM.
 pub fn send(tables: &mut Tables, cx: &mut Context<'_>, to: &Name) {
     let document = Arc::clone(&tables.in_force.document);
--- a/crates/core/src/control/system/publish.rs
+++ b/crates/core/src/control/system/publish.rs
@@ -116,6 +116,10 @@
     if let Reply::Refused { .. } = reply {
         return Next::Retry;
     }
+    if has_crossed(row, &reply) {
+        row.reply_lost |= row.stage == Stage::Swap;
+        return Next::Retry;
+    }
     match (row.stage.clone(), reply) {
         (Stage::Read, Reply::Value { entry, .. }) => read(tables, cx, row, entry),
         (Stage::Fetch, Reply::Value { entry, .. }) => fetched(tables, cx, row, entry),
@@ -134,6 +138,14 @@
     }
 }
 
+/// Whether a write took effect in a later era than that of the version that it expected.
+/// The numbers of the two versions are equal but not the changes, so the write is tried
+/// again, which shows what the service holds.
+fn has_crossed(row: &Publication, reply: &Reply) -> bool {
+    let (Reply::Swapped { version }, Some(expected)) = (reply, row.version) else { return false };
+    matches!(row.stage, Stage::Swap | Stage::Fence) && expected.0.era != version.0.era
+}
+
 /// Stores the version and the record that the service holds under the key of the
 /// document in force.
 fn load(cx: &Context<'_>, row: &mut Publication, entry: Option<Entry>) -> Result<(), Answer> {
@@ -155,7 +167,7 @@
         return Next::Done(answer);
     }
     if let Some(base) = &row.base {
-        profiles::apply(tables, cx, Arc::new(base.document.clone()));
+        profiles::apply_record(tables, cx, base);
     }
     match row.request.clone() {
         Request::Publish { profiles, expect, who, team, dry_run } => {
--- a/crates/core/src/control/system/wake.rs
+++ b/crates/core/src/control/system/wake.rs
@@ -1,6 +1,6 @@
 //! The earliest time at which a system is due.
 
-use super::reading;
+use super::{reading, restore};
 use crate::{
     control::{Limits, table::Tables},
     time::Instant,
@@ -27,6 +27,7 @@
         tables.calls.rows.values().map(|row| row.until).min(),
         reading::profiles_due(tables, stale),
         reading::list_due(tables, stale),
+        restore::due(tables),
         publications.min(),
         tables.quarantine.next(),
     ];
--- a/crates/core/src/control/table/call.rs
+++ b/crates/core/src/control/table/call.rs
@@ -20,6 +20,8 @@
     List,
     /// Carries out a stage of an operator's request.
     Request(RequestId),
+    /// Writes the document in force again that the service has lost.
+    Restore,
     /// Reads a replaced document beyond the history limit, for its version.
     ReadExpired,
     /// Removes a replaced document beyond the history limit.
--- a/crates/core/src/control/table/mod.rs
+++ b/crates/core/src/control/table/mod.rs
@@ -8,21 +8,24 @@
 pub mod publication;
 pub mod quarantine;
 pub mod reader;
+pub mod restore;
 pub mod target;
 pub mod vm;
 
 use std::{collections::BTreeMap, sync::Arc};
 
 use rand::rngs::StdRng;
+use uuid::Uuid;
 
 use self::{
     age::Age, call::Calls, claim::Claims, gossip::Gossip, own::Own, publication::Publication,
-    quarantine::Quarantine, reader::Reader, target::Targets, vm::Vms,
+    quarantine::Quarantine, reader::Reader, restore::Restore, target::Targets, vm::Vms,
 };
 use super::RequestId;
 use crate::{
     name::Name,
     profile::{Document, Revision},
+    time::{Instant, Wall},
     view::View,
 };
 
@@ -32,6 +35,19 @@
     pub document: Arc<Document>,
     /// How long ago the revision was confirmed against the platform's service.
     pub confirmed: Option<Age>,
+    /// When the document came into force on this VM.
+    pub since: Instant,
+    /// The publication of the document, unless this VM learnt it from another one only.
+    pub origin: Option<Origin>,
+}
+
+/// The publication that a document comes from.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    pub token: Uuid,
+    pub who: String,
+    pub at: Wall,
+    pub note: String,
 }
 
 /// The revision in force on another VM.
@@ -67,6 +83,8 @@
     pub calls: Calls,
     /// The state of reading the profiles from the service.
     pub profiles: Reader,
+    /// The document in force that the service has lost.
+    pub restore: Option<Restore>,
     /// The state of reading the platform's list from the service.
     pub list: Reader,
     /// The requests of operators that wait for the service.
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -131,6 +131,8 @@
     RevisionPublished 502 Info "revision of the profiles was published";
     /// A publication was refused because another one came first.
     RevisionLost 503 Info "publication refused, another revision came first";
+    /// The platform's service had lost the revision in force, which was written again.
+    RevisionRestored 506 Warning "revision of the profiles was lost by the service and written again";
     /// The connection to a VM to which requests are passed was lost.
     HopLost 406 Warning "connection to a larger VM lost";
     /// An answer of another VM belongs to no open request of this process.
--- a/crates/core/tests/control/main.rs
+++ b/crates/core/tests/control/main.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod cost;
 mod drain;
+mod drill;
 mod fixture;
 mod fuzz;
 mod membership;
--- a/crates/core/tests/control/platform.rs
+++ b/crates/core/tests/control/platform.rs
@@ -4,7 +4,7 @@
 
 use laburnum_core::{
     name::Name,
-    store::{Call, CallId, Entry, Position, Reply, Version},
+    store::{Call, CallId, Entry, Era, Position, Reply, Version},
     time::Instant,
     view,
 };
@@ -41,9 +41,19 @@
 /// call.
 pub type Answer = (Instant, (Name, u64), CallId, Reply);
 
+/// A copy of what the service holds, from which it may come back.
+#[derive(Clone)]
+pub struct Copy {
+    values: BTreeMap<String, Entry>,
+    change: u64,
+    changed: BTreeMap<String, u64>,
+}
+
 /// The simulated service.
 pub struct Platform {
     pub mode: Mode,
+    /// The era that all answers state.
+    pub era: Era,
     /// The time from a call to its reply.
     pub delay: Duration,
     /// The VMs that the service lists.
@@ -68,6 +78,7 @@
     pub fn new() -> Platform {
         Platform {
             mode: Mode::Up,
+            era: Era(0),
             delay: Duration::from_millis(2),
             vms: BTreeMap::new(),
             targets: BTreeMap::new(),
@@ -81,6 +92,28 @@
         }
     }
 
+    /// Copies what the service holds.
+    pub fn copy(&self) -> Copy {
+        let (values, changed) = (self.values.clone(), self.changed.clone());
+        Copy { values, change: self.change, changed }
+    }
+
+    /// Comes back from a copy, in the next era. The changes since are lost, and their
+    /// numbers are given out again.
+    pub fn restore(&mut self, copy: Copy) {
+        self.era.0 += 1;
+        self.values = copy.values;
+        for entry in self.values.values_mut() {
+            entry.version.0.era = self.era;
+        }
+        self.change = copy.change;
+        self.changed = copy.changed;
+    }
+
+    fn position(&self, change: u64) -> Position {
+        Position { era: self.era, change }
+    }
+
     /// The number of watches that wait for a change.
     pub fn watches(&self) -> usize {
         self.watches.len()
@@ -103,6 +136,9 @@
             Mode::Up | Mode::ListOnly | Mode::ReplyLost | Mode::Late => {}
         }
         if let Call::Watch { prefix, after, wait } = call {
+            if after.change > self.change {
+                return vec![(now + self.delay, vm, id, Reply::Outdated)];
+            }
             return self.watch(now, Watch { vm, call: id, prefix, after: after.change }, wait);
         }
         let (reply, mut answers) = self.apply(now, call);
@@ -140,7 +176,7 @@
             .iter()
             .filter(|(key, change)| key.starts_with(&watch.prefix) && **change > watch.after);
         let entries = keys.filter_map(|(key, _)| self.values.get(key).cloned()).collect();
-        Reply::Changed { entries, removed: Vec::new(), position: Position::new(0, self.change) }
+        Reply::Changed { entries, removed: Vec::new(), position: self.position(self.change) }
     }
 
     /// Removes a watch that has been answered.
@@ -149,7 +185,7 @@
     }
 
     fn apply(&mut self, now: Instant, call: Call) -> (Reply, Vec<Answer>) {
-        let position = Position::new(0, self.change);
+        let position = self.position(self.change);
         let reply = match call {
             Call::Get { key } => Reply::Value { entry: self.values.get(&key).cloned(), position },
             Call::Scan { prefix } => {
@@ -178,14 +214,16 @@
         value: Vec<u8>,
     ) -> (Reply, Vec<Answer>) {
         let current = self.values.get(&key).cloned();
-        if current.as_ref().map(|entry| entry.version) != expect {
+        // The service knows only the number of a version.
+        let number = |version: Version| version.0.change;
+        if current.as_ref().map(|entry| number(entry.version)) != expect.map(number) {
             return (Reply::Conflict { current }, Vec::new());
         }
         if key == laburnum_core::control::codec::CURRENT_KEY {
             self.writes += 1;
             self.written.push(value.clone());
         }
-        let version = Version(Position::new(0, expect.map_or(1, |version| version.0.change + 1)));
+        let version = Version(self.position(expect.map_or(1, |version| number(version) + 1)));
         self.change += 1;
         self.changed.insert(key.clone(), self.change);
         self.values.insert(key.clone(), Entry { key, version, value });
--- a/crates/core/tests/control/world.rs
+++ b/crates/core/tests/control/world.rs
@@ -250,7 +250,11 @@
                 return;
             }
             Delivery::Event(_, event) => event,
-            Delivery::Reply(_, call, reply) => Event::Store(Outcome { id: call, era: None, reply }),
+            Delivery::Reply(_, call, reply) => {
+                let is_answered = !matches!(reply, Reply::Lost { .. } | Reply::Refused { .. });
+                let era = is_answered.then_some(self.platform.era);
+                Event::Store(Outcome { id: call, era, reply })
+            }
             Delivery::Late(_) => return,
         };
         events.entry(vm).or_default().push(event);
