--- a/crates/core/src/control/system/call.rs
+++ b/crates/core/src/control/system/call.rs
@@ -47,10 +47,10 @@
 /// Passes the reply to a call on to the system that made it. A reply to a call
 /// that is no longer in the table is ignored.
 pub fn handle(tables: &mut Tables, cx: &mut Context<'_>, outcome: Outcome) {
-    let Some(Outcome { id, era, reply }) = claims::intercept(tables, outcome) else { return };
+    claims::pass_era(tables, outcome.era);
+    let Some(Outcome { id, reply, .. }) = claims::intercept(tables, outcome) else { return };
     let Some(row) = tables.calls.rows.remove(&id) else { return };
     track_availability(tables, cx, &reply);
-    claims::pass_era(tables, era);
     match row.purpose {
         Purpose::Profiles => profiles::handle_reply(tables, cx, row.made, reply),
         Purpose::Restore => restore::handle_reply(tables, cx, &reply),
--- a/crates/core/tests/claims/drill.rs
+++ b/crates/core/tests/claims/drill.rs
@@ -5,12 +5,15 @@
 
 use laburnum_core::{
     claim::{Key, Verdict},
-    claims::{Limits, layout, value::Value},
+    claims::{
+        Limits, layout,
+        value::{Floor, Loss, Value},
+    },
     store::Call,
 };
 
 use crate::{
-    store::Values,
+    store::{Handling, Values},
     world::{Action, Plan, World},
 };
 
@@ -62,6 +65,11 @@
         }
     }
 
+    fn floor(&self) -> Floor {
+        let (_, stored) = &self.world.store.values[layout::FLOOR_KEY];
+        Floor::try_from(stored.as_slice()).unwrap()
+    }
+
     fn bucket(&self) -> String {
         layout::Layout::V1.bucket(&self.key).unwrap().key()
     }
@@ -75,6 +83,35 @@
     )
 }
 
+/// Loses a claim between its write and the read of the floor, and lets the service refuse
+/// some writes after that.
+fn lose_before_grant(refused: usize) {
+    let mut drill = drill();
+    let (key, home) = (drill.key, drill.home);
+    let operation = drill.world.submit(0, key, OPERATION_TIMEOUT, Plan::Silent { delay: 10 });
+    let bucket = drill.bucket();
+    let end = drill.world.now + 200_000;
+    let is_confirming = drill.world.run_until(end, |world| {
+        let is_stored = world.store.values.contains_key(&bucket);
+        is_stored && world.queue.values().any(|action| is_floor_read(action, home))
+    });
+    assert!(is_confirming);
+    drill.restore();
+    // No write of the floor comes before those of the bucket.
+    let Floor { slot, swept, .. } = drill.floor();
+    let loss = Some(Loss { era: drill.world.store.era, below: 0 });
+    let floor = Floor { slot, swept, loss }.encode();
+    drill.world.store.values.get_mut(layout::FLOOR_KEY).unwrap().1 = floor;
+    drill.world.store.next_writes.extend(vec![Handling::Refused; refused]);
+    let end = drill.world.now + 400_000;
+    let is_granted = |world: &World| world.operations[&operation].verdict.is_some();
+    assert!(drill.world.run_until(end, is_granted));
+    assert_eq!(drill.world.operations[&operation].verdict, Some(Verdict::Granted));
+    assert!(drill.world.store.values.contains_key(&bucket), "granted but not stored");
+    drill.world.replace(home);
+    assert_eq!(drill.operate(1, key, RUN), Verdict::Unknown);
+}
+
 cases! {
     a_result_that_the_store_lost_is_still_returned => {
         let mut drill = drill();
@@ -123,24 +160,10 @@
         assert_eq!(drill.world.oracle.verdicts.get("granted"), Some(&100));
     };
     a_claim_that_is_lost_before_its_grant_is_stored_again_first => {
-        let mut drill = drill();
-        let (key, home) = (drill.key, drill.home);
-        let operation = drill.world.submit(0, key, OPERATION_TIMEOUT, Plan::Silent { delay: 10 });
-        let bucket = drill.bucket();
-        let end = drill.world.now + 200_000;
-        let is_confirming = drill.world.run_until(end, |world| {
-            let is_stored = world.store.values.contains_key(&bucket);
-            is_stored && world.queue.values().any(|action| is_floor_read(action, home))
-        });
-        assert!(is_confirming);
-        drill.restore();
-        let end = drill.world.now + 400_000;
-        let is_granted = |world: &World| world.operations[&operation].verdict.is_some();
-        assert!(drill.world.run_until(end, is_granted));
-        assert_eq!(drill.world.operations[&operation].verdict, Some(Verdict::Granted));
-        assert!(drill.world.store.values.contains_key(&bucket), "granted but not stored");
-        drill.world.replace(home);
-        assert_eq!(drill.operate(1, key, RUN), Verdict::Unknown);
+        lose_before_grant(0);
+    };
+    a_claim_that_is_lost_before_its_grant_waits_until_it_is_stored_again => {
+        lose_before_grant(3);
     };
     a_version_of_an_ended_era_replaces_nothing => {
         let mut drill = drill();
@@ -209,6 +232,22 @@
         drill.restore();
         assert_eq!(drill.operate(0, key, RUN), Verdict::Unknown);
     };
+    the_first_home_that_confirms_records_the_loss => {
+        let mut drill = drill();
+        let sweeper = drill.world.first_ranked(layout::floor_seed());
+        while drill.home == sweeper {
+            (drill.key, drill.home) = drill.world.remote_key();
+        }
+        let key = drill.key;
+        drill.world.pause(sweeper);
+        drill.restore();
+        let requester = (0..4).find(|&vm| vm != sweeper).unwrap();
+        assert_eq!(drill.operate(requester, key, RUN), Verdict::Granted);
+        let issued = layout::Layout::V1.bucket(&key).unwrap().slot;
+        let loss = drill.floor().loss.unwrap();
+        assert_eq!(loss.era, drill.world.store.era);
+        assert!(loss.below > issued);
+    };
     new_keys_are_granted_at_once_by_the_homes_that_saw_the_loss => {
         let mut drill = drill();
         let key = drill.key;
--- a/crates/core/tests/control/claims.rs
+++ b/crates/core/tests/control/claims.rs
@@ -6,6 +6,7 @@
 
 use laburnum_core::{
     claim::{Key, Request, Verdict},
+    claims::layout::Layout,
     digest::Fingerprint,
     id::{Origin, Query},
     name::Name,
@@ -60,6 +61,25 @@
         assert_eq!(claim(&mut world, &vm(0), 1, key), Some(Verdict::Granted));
         assert_eq!(claim(&mut world, &vm(3), 2, key), Some(Verdict::Unknown));
     };
+    a_claim_that_the_service_lost_is_written_again_without_a_claim => {
+        let mut world = settled(4);
+        let key = key(&world);
+        let copy = world.platform.copy();
+        assert_eq!(claim(&mut world, &vm(0), 1, key), Some(Verdict::Granted));
+        let bucket = Layout::V1.bucket(&key).unwrap().key();
+        assert!(world.platform.values.contains_key(&bucket));
+        world.platform.restore(copy);
+        world.run_for(Duration::from_secs(6));
+        assert!(world.platform.values.contains_key(&bucket));
+    };
+    a_resend_of_a_claim_that_the_service_lost_gets_no_second_grant => {
+        let mut world = settled(5);
+        let key = key(&world);
+        let copy = world.platform.copy();
+        assert_eq!(claim(&mut world, &vm(0), 1, key), Some(Verdict::Granted));
+        world.platform.restore(copy);
+        assert_eq!(claim(&mut world, &vm(3), 2, key), Some(Verdict::Unknown));
+    };
     a_claim_while_the_platform_is_down_gets_no_grant => {
         let mut world = settled(3);
         let key = key(&world);
