--- a/crates/core/src/claims/message.rs
+++ b/crates/core/src/claims/message.rs
@@ -5,8 +5,10 @@
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
+use super::layout::Bucket;
 use crate::{
     claim::{Outcome, Request, Verdict},
+    store::Era,
     time::Wall,
 };
 
@@ -49,4 +51,9 @@
     Recorded(Vec<Uuid>),
     /// The wall clock of the sender, for the VM that advances the floor.
     Clock { wall: Wall },
+    /// The era that the store stated to the sender, which follows an earlier one.
+    Era(Era),
+    /// The sender wrote a bucket of which the receiver is home, for instance because the
+    /// requester did not reach the receiver.
+    Written(Bucket),
 }
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -8,7 +8,7 @@
 //! as home of the same bucket; this costs additional writes but does not affect
 //! correctness. See `docs/design/claims.md`.
 //!
-//! [`Engine::tick`] runs the systems in this order: intake, collect, expire,
+//! [`Engine::tick`] runs the systems in this order: tenure, intake, collect, expire,
 //! route, decide, confirm, sweep, reply.
 
 pub mod layout;
@@ -21,11 +21,15 @@
 mod collect;
 mod confirm;
 mod decide;
+mod era;
 mod expire;
 mod intake;
+mod memory;
 mod reply;
 mod route;
+mod spread;
 mod sweep;
+mod tenure;
 mod wake;
 
 use std::collections::BTreeMap;
@@ -56,8 +60,10 @@
     Outcome { request: claim::Request, outcome: claim::Outcome },
     /// A message from another VM.
     Message { from: Name, message: Message },
-    /// The reply to a store call of this engine.
-    Reply { id: CallId, reply: store::Reply },
+    /// The reply to a store call of this engine, and the era that it stated.
+    Reply { id: CallId, era: Option<store::Era>, reply: store::Reply },
+    /// The store stated this era in the answer to another call of this VM.
+    Era(store::Era),
     /// A VM that did not accept messages or did not answer in time.
     Unreachable { vm: Name },
 }
@@ -107,6 +113,7 @@
         let context = Context { vm: &self.vm, limits: &self.limits, now, wall, vms };
         let tables = &mut self.tables;
         let mut replies = Replies::default();
+        tenure::run(tables, &context);
         let calls = intake::run(tables, &context, events, &mut replies, out);
         collect::run(tables, &context, calls, &mut replies, out);
         expire::run(tables, &context, &mut replies, out);
@@ -151,9 +158,8 @@
 ) -> CallId {
     tables.last_call += 1;
     let id = CallId(tables.last_call);
-    tables
-        .calls
-        .insert(id, table::Call { purpose, deadline: context.now + context.limits.call_timeout });
+    let deadline = context.now + context.limits.call_timeout;
+    tables.calls.insert(id, table::Call { purpose, era: tables.history.era, deadline });
     out.calls.push((id, call));
     id
 }
--- a/crates/core/src/claims/table.rs
+++ b/crates/core/src/claims/table.rs
@@ -1,6 +1,9 @@
 //! The tables of the claims engine.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use uuid::Uuid;
 
@@ -8,13 +11,13 @@
     claim::{Outcome, Request},
     id,
     name::Name,
-    store::Version,
+    store::{Era, Version},
     time::{Instant, Wall},
 };
 
 use super::{
     layout::Bucket,
-    value::{Floor, Value},
+    value::{Floor, Loss, Value},
 };
 
 /// The id of a store call of this engine. It is unique only within the engine;
@@ -81,10 +84,11 @@
     Stale,
     /// The value could not be decoded; nothing is granted and nothing written.
     Unreadable,
-    /// The value as read or written at `read_at`. Without a version the bucket
-    /// did not exist. Without `read_at` the bucket was not read but is assumed
-    /// not to exist.
-    Known { version: Option<Version>, value: Value, read_at: Option<Instant> },
+    /// The value as read or written at `read_at` in the present era. Without a version
+    /// the bucket did not exist. Without `read_at` the bucket was not read but is
+    /// assumed not to exist. A value that is ahead holds entries of an ended era that
+    /// the store lacks and that are to be written again.
+    Known { version: Option<Version>, value: Arc<Value>, read_at: Option<Instant>, is_ahead: bool },
 }
 
 /// A bucket at this home, with its cached value and its work.
@@ -103,6 +107,8 @@
     pub retry_at: Instant,
     /// The number of failed calls in a row.
     pub failures: u32,
+    /// When the bucket is read in a new era, to write again what the store has lost.
+    pub restore_at: Option<Instant>,
     /// When a claim or outcome last arrived for the bucket.
     pub last_used: Instant,
 }
@@ -112,6 +118,8 @@
 pub struct Grant {
     pub pending: Pending,
     pub bucket: Bucket,
+    /// The era in which the claim was stored. A floor of another era does not confirm it.
+    pub era: Option<Era>,
 }
 
 /// Why a store call was made, with the data that its reply needs.
@@ -120,11 +128,13 @@
     /// Reads a bucket.
     Read { bucket: Bucket },
     /// Writes a bucket with these claims and outcomes in it.
-    Write { bucket: Bucket, value: Value, claims: Vec<Pending>, records: Vec<Record> },
+    Write { bucket: Bucket, value: Arc<Value>, claims: Vec<Pending>, records: Vec<Record> },
     /// Reads the floor to confirm these claims.
     Confirm { grants: Vec<Grant> },
     /// Removes a bucket that was written below the floor.
     Undo,
+    /// Records in the floor what the store may have lost.
+    LossWrite,
     /// Reads the floor in order to advance it.
     FloorRead,
     /// Advances the floor.
@@ -139,10 +149,54 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     pub purpose: Purpose,
+    /// The era that was known when the call was made.
+    pub era: Option<Era>,
     /// When the call counts as lost.
     pub deadline: Instant,
 }
 
+/// The value of a bucket that the store acknowledged.
+#[derive(Clone, Debug)]
+pub struct Memory {
+    pub value: Arc<Value>,
+    /// The era in which the store held the value.
+    pub era: Option<Era>,
+    /// When the value was last read or written.
+    pub at: Instant,
+}
+
+/// The era of the store as this VM knows it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct History {
+    /// The highest era that an answer stated.
+    pub era: Option<Era>,
+    /// When the store last answered in an era that was known already.
+    pub answered_at: Option<Instant>,
+    /// The slot below which keys may have been claimed in an ended era, if this VM saw
+    /// one end.
+    pub ended_below: Option<u64>,
+    /// What the store may have lost when the present era began, once this is recorded.
+    pub loss: Option<Loss>,
+}
+
+/// The partitions of which this VM is home.
+#[derive(Clone, Debug, Default)]
+pub struct Tenure {
+    /// Since when this VM has been the home of each partition without interruption.
+    pub since: BTreeMap<u16, Instant>,
+    pub checked_at: Option<Instant>,
+    /// When this home next reads the floor although no claim waits for it.
+    pub next_read: Option<Instant>,
+}
+
+/// The floor as it was read or written.
+#[derive(Clone, Copy, Debug)]
+pub struct StoredFloor {
+    /// The version of the entry, or none if there is no floor yet.
+    pub version: Option<Version>,
+    pub floor: Floor,
+}
+
 /// The rate limiter for the writes of one partition.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Limiter {
@@ -153,8 +207,8 @@
 /// The state of advancing the floor and of removing the buckets below it.
 #[derive(Clone, Debug, Default)]
 pub struct Sweep {
-    /// The floor that was last read or written, with its version in the store.
-    pub stored: Option<(Option<Version>, Floor)>,
+    /// The floor that was last read or written.
+    pub stored: Option<StoredFloor>,
     /// When the floor is checked next.
     pub next_check: Instant,
     /// When the next bucket may be removed.
@@ -183,6 +237,13 @@
     pub reports: BTreeMap<Uuid, Report>,
     /// Buckets with work or a cached value at this home.
     pub buckets: BTreeMap<Bucket, Row>,
+    /// What the store acknowledged and may lose, by bucket.
+    pub memory: BTreeMap<Bucket, Memory>,
+    pub history: History,
+    pub tenure: Tenure,
+    /// The partitions whose claims of the ended era this VM knows, with the slot below
+    /// which keys are in doubt nevertheless because of an earlier loss.
+    pub doubt: BTreeMap<u16, u64>,
     /// Stored claims that wait for the read of the floor.
     pub grants: Vec<Grant>,
     /// The time before which no read of the floor for grants starts.
--- a/crates/core/src/claims/value.rs
+++ b/crates/core/src/claims/value.rs
@@ -12,6 +12,7 @@
 use crate::{
     claim::{Key, Outcome},
     digest::Fingerprint,
+    store::Era,
 };
 
 /// The first byte of a stored bucket.
@@ -66,6 +67,23 @@
         }
     }
 
+    /// Adds what `known` of an ended era holds and this value lacks. Returns whether the
+    /// value changed.
+    pub fn merge(&mut self, known: &Value) -> bool {
+        let mut changed = false;
+        for (key, known) in &known.entries {
+            let merged = match self.get(key) {
+                None => Some(known.clone()),
+                Some(stored) => merged_entry(known, stored),
+            };
+            if let Some(entry) = merged {
+                self.insert(*key, entry);
+                changed = true;
+            }
+        }
+        changed
+    }
+
     /// Returns the number of claims.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -123,6 +141,20 @@
     }
 }
 
+/// Returns the entry that takes the place of the stored one, if the entry of the same key
+/// from an ended era says more.
+fn merged_entry(known: &Entry, stored: &Entry) -> Option<Entry> {
+    let is_same = known.token == stored.token;
+    match (&known.outcome, &stored.outcome) {
+        (_, Some(Outcome::Done { .. })) => None,
+        (Some(Outcome::Done { .. }), _) | (None, Some(Outcome::NotRun)) => Some(known.clone()),
+        (Some(Outcome::NotRun), None) if is_same => Some(known.clone()),
+        // Either request may have run, so neither may release the key.
+        (None, None) if !is_same => Some(Entry { token: Uuid::nil(), ..stored.clone() }),
+        (Some(Outcome::NotRun), _) | (None, None) => None,
+    }
+}
+
 fn encoded_result_len(entry: &Entry) -> usize {
     match &entry.outcome {
         Some(Outcome::Done { result }) => LENGTH_BYTES + result.len(),
@@ -150,6 +182,12 @@
         Ok(out)
     }
 
+    fn loss(&mut self) -> Result<Loss, Unreadable> {
+        let era = Era(u64::from_le_bytes(self.array()?));
+        let below = u64::from_le_bytes(self.array()?);
+        Ok(Loss { era, below })
+    }
+
     fn outcome(&mut self) -> Result<Option<Outcome>, Unreadable> {
         let at = Unreadable { offset: self.offset };
         match self.array::<1>()? {
@@ -173,12 +211,28 @@
     pub slot: u64,
     /// The slot below which all buckets have been removed.
     pub swept: u64,
+    /// The last loss of the store that was recorded.
+    pub loss: Option<Loss>,
+}
+
+/// What the store may have lost when its present era began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loss {
+    /// The era that began.
+    pub era: Era,
+    /// The slot below which a key that is not found may have been claimed before.
+    pub below: u64,
 }
 
 impl Floor {
     /// Encodes the stored format.
     pub fn encode(&self) -> Vec<u8> {
-        [self.slot.to_le_bytes(), self.swept.to_le_bytes()].concat()
+        let mut out = [self.slot.to_le_bytes(), self.swept.to_le_bytes()].concat();
+        if let Some(Loss { era: Era(era), below }) = self.loss {
+            out.extend_from_slice(&era.to_le_bytes());
+            out.extend_from_slice(&below.to_le_bytes());
+        }
+        out
     }
 }
 
@@ -189,6 +243,8 @@
         let mut reader = Reader { bytes, offset: 0 };
         let slot = u64::from_le_bytes(reader.array()?);
         let swept = u64::from_le_bytes(reader.array()?);
-        Ok(Floor { slot, swept })
+        // An earlier release stored no loss.
+        let loss = if reader.offset < bytes.len() { Some(reader.loss()?) } else { None };
+        Ok(Floor { slot, swept, loss })
     }
 }
--- a/crates/core/src/control/system/call.rs
+++ b/crates/core/src/control/system/call.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::{claims, list, profiles, publish};
+use super::{claims, list, profiles, publish, restore};
 use crate::{
     control::{
         engine::Context,
@@ -47,12 +47,13 @@
 /// Passes the reply to a call on to the system that made it. A reply to a call
 /// that is no longer in the table is ignored.
 pub fn handle(tables: &mut Tables, cx: &mut Context<'_>, outcome: Outcome) {
-    let Outcome { id, reply, .. } = outcome;
-    let Some(reply) = claims::intercept(tables, id, reply) else { return };
+    claims::pass_era(tables, outcome.era);
+    let Some(Outcome { id, reply, .. }) = claims::intercept(tables, outcome) else { return };
     let Some(row) = tables.calls.rows.remove(&id) else { return };
     track_availability(tables, cx, &reply);
     match row.purpose {
         Purpose::Profiles => profiles::handle_reply(tables, cx, row.made, reply),
+        Purpose::Restore => restore::handle_reply(tables, cx, &reply),
         Purpose::List => list::handle_reply(tables, cx, row.made, reply),
         Purpose::Request(request) => publish::handle_reply(tables, cx, request, reply),
         Purpose::ReadExpired => {
--- a/crates/core/src/control/table/call.rs
+++ b/crates/core/src/control/table/call.rs
@@ -2,7 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use crate::{control::RequestId, store::CallId, time::Instant};
+use crate::{
+    control::RequestId,
+    store::{CallId, Era},
+    time::Instant,
+};
 
 /// The bit set in the ids of calls that the claims engine makes.
 pub const CLAIMS_CALL_BIT: u64 = 1 << 63;
@@ -16,6 +20,8 @@
     List,
     /// Carries out a stage of an operator's request.
     Request(RequestId),
+    /// Writes the document in force again that the service has lost.
+    Restore,
     /// Reads a replaced document beyond the history limit, for its version.
     ReadExpired,
     /// Removes a replaced document beyond the history limit.
@@ -38,6 +44,8 @@
     pub rows: BTreeMap<CallId, Call>,
     /// The last id that was assigned.
     pub last: u64,
+    /// The highest era that the service stated.
+    pub era: Option<Era>,
     /// Whether the last call was refused or lost.
     pub down: bool,
 }
