--- a/crates/core/src/relay/system/refresh.rs
+++ b/crates/core/src/relay/system/refresh.rs
@@ -56,6 +56,9 @@
 fn update(tables: &mut Tables, id: &Name, entry: &Arc<view::Target>, cx: &mut Context<'_>) {
     match tables.targets.get_mut(id) {
         Some(target) if is_same_incarnation(&target.entry, entry) => {
+            if std::mem::replace(&mut target.is_unlisted, false) {
+                target.is_usable = !target.entry.draining;
+            }
             if entry.draining && target.is_usable {
                 log_target(id, Event::TargetDraining, cx);
                 target.is_usable = false;
@@ -90,6 +93,7 @@
 fn retire(tables: &mut Tables, id: &Name, cx: &mut Context<'_>) {
     let Some(target) = tables.targets.get_mut(id) else { return };
     target.is_usable = false;
+    target.is_unlisted = true;
     connect::close_idle(tables, id, cx);
     connect::prune(tables, id);
 }
--- a/crates/core/src/relay/table/target.rs
+++ b/crates/core/src/relay/table/target.rs
@@ -45,6 +45,9 @@
     pub entry: Arc<view::Target>,
     /// Whether the target may get new work.
     pub is_usable: bool,
+    /// Whether it is not listed at the moment. One that is listed again may be used again,
+    /// unless it was draining.
+    pub is_unlisted: bool,
     /// When the target no longer counts as slow from its start.
     pub cold_until: Instant,
     /// All connections to the target.
@@ -75,6 +78,7 @@
             cold_until: now + entry.cold,
             entry,
             is_usable: true,
+            is_unlisted: false,
             connections: BTreeSet::new(),
             idle: Vec::new(),
             running: BTreeSet::new(),
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -17,6 +17,7 @@
 mod once;
 mod outages;
 mod restores;
+mod returns;
 mod routes;
 mod suspects;
 mod targets;
--- /dev/null
+++ b/crates/core/tests/relay/returns.rs
@@ -0,0 +1,117 @@
+//! Tests of what outlives a time in which the store was away, or its return from an older copy.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use laburnum_core::{
+    digest::Fingerprint,
+    log::Event as Logged,
+    relay::{
+        Answer, Event, Hop, View,
+        feed::progress::Reason,
+        hop,
+        view::{Target, Vm},
+    },
+    store::{Call, Position},
+};
+
+use crate::{
+    harness::{Harness, ms, name, request, single, success},
+    store::{Fleet, LIMITS, STEP, World},
+};
+
+/// The time after an answer of the store within which everything that was missed is in force
+/// (docs/design/platform.md).
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(2);
+
+/// The time after its acknowledgement within which a version must be in force.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(3);
+
+/// The longest time without a confirmation after which a VM checks the store.
+fn longest_reliance() -> Duration {
+    LIMITS.confirmation_limit.mul_f64(1.2) + STEP
+}
+
+fn synced_world() -> World {
+    let mut world = World::new();
+    world.pass(ms(3000));
+    assert!(world.own.feed.is_ready());
+    world
+}
+
+/// Returns a world with so many VMs that a watch waits for several seconds.
+fn world_with_long_watches() -> World {
+    let mut world = synced_world();
+    (0..20).for_each(|n| world.put(&format!("vm/other-{n}"), "170"));
+    world.pass(ms(2000));
+    world
+}
+
+fn settled_fleet(count: u16) -> Fleet {
+    let mut fleet = Fleet::new(count, 7);
+    fleet.pass(ms(15_000));
+    assert!(fleet.without_version(3).is_empty());
+    fleet
+}
+
+/// Passes `span`, and returns the number of ticks after which the feed asks to run again at
+/// once although nothing has happened.
+fn count_idle_wakes(world: &mut World, span: Duration) -> usize {
+    let end = world.now + span;
+    let mut count = 0;
+    while world.now < end {
+        let ticked_at = world.now;
+        world.pass(STEP);
+        count += usize::from(world.own.feed.wake().is_some_and(|at| at <= ticked_at));
+    }
+    count
+}
+
+/// Returns the number of checks of the store among the calls from number `from` on.
+fn checks_since(world: &World, from: usize) -> usize {
+    let is_check = |call: &Call| matches!(call, Call::Scan { prefix } if prefix == "vm/own");
+    world.own.calls[from..].iter().filter(|(_, call)| is_check(call)).count()
+}
+
+fn entry_of(harness: &Harness, id: &str) -> Target {
+    (*harness.engine.tables().view.targets[&name(id)]).clone()
+}
+
+fn with_target(harness: &Harness, id: &str, entry: Option<Target>) -> View {
+    let mut view = (*harness.engine.tables().view).clone();
+    match entry {
+        Some(entry) => drop(view.targets.insert(name(id), Arc::new(entry))),
+        None => drop(view.targets.remove(&name(id))),
+    }
+    view
+}
+
+cases! {
+    a_target_that_registers_again_while_it_runs_a_request_is_used_again => {
+        let mut harness = Harness::with_route(single("desk"));
+        harness.submit(request("/fetch/1"));
+        let sent = harness.take_one_sent();
+        let id = sent.target().to_owned();
+        let other = if id == "desk-1" { "desk-2" } else { "desk-1" };
+        let entry = entry_of(&harness, &id);
+        harness.set_view(with_target(&harness, other, None));
+        harness.set_view(with_target(&harness, &id, None));
+        harness.set_view(with_target(&harness, &id, Some(entry)));
+        harness.reply(&sent, success("d", 1));
+        harness.advance(ms(60_000));
+        let call = harness.submit(request("/fetch/2"));
+        for connection in std::mem::take(&mut harness.opened) {
+            harness.tick(vec![Event::Opened { connection }]);
+        }
+        assert_eq!(harness.take_sent().len(), 1, "{:?}", harness.answers.get(&call));
+    };
+    a_target_that_registers_again_while_it_runs_nothing_is_used_again => {
+        let mut harness = Harness::with_route(single("desk"));
+        let entry = entry_of(&harness, "desk-1");
+        harness.set_view(with_target(&harness, "desk-2", None));
+        harness.set_view(with_target(&harness, "desk-1", None));
+        harness.set_view(with_target(&harness, "desk-1", Some(entry)));
+        harness.open_first_connections();
+        harness.submit(request("/fetch/2"));
+        assert_eq!(harness.take_sent().len(), 1);
+    };
+}
