Ask a larger VM that was behind when it was lost for its state

Cause, found by a review: a small VM hands nothing to a larger one that reported older routes than callers were served by, and asked a lost VM for its state only if the store did not answer that VM. One that had older routes, and started anew, was never asked again.

Change: both reasons for which a VM is not used make the small one ask.

Measured: a_larger_vm_that_was_behind_when_it_was_lost_is_asked_for_its_state failed before (no question in 10 s) and passes.

--- a/crates/core/src/relay/system/hop.rs
+++ b/crates/core/src/relay/system/hop.rs
@@ -321,7 +321,6 @@
     link.pause_until = cx.now + LOSS_PAUSE;
     link.is_lost = true;
     link.stops_until = Instant::default();
-    let is_stale = link.is_stale;
     let open: Vec<Call> = link.open.iter().map(|(_, call)| *call).collect();
     let fields = vec![
         ("peer", to.to_string()),
@@ -329,7 +328,7 @@
         ("detail", detail.to_owned()),
     ];
     cx.out.lines.push(Line::new(Event::HopLost, fields));
-    if is_stale {
+    if reach::is_stale(tables, to) {
         reach::schedule_check(tables, to, LOST_CHECK_INTERVAL, cx.now);
     }
     for call in open {
--- a/crates/core/src/relay/system/reach.rs
+++ b/crates/core/src/relay/system/reach.rs
@@ -67,7 +67,7 @@
 
 /// Whether a VM reported that the store does not answer it, or has older routes than callers
 /// of this VM were served by.
-fn is_stale(tables: &Tables, name: &Name) -> bool {
+pub fn is_stale(tables: &Tables, name: &Name) -> bool {
     let is_behind = |link: &Link| link.version.is_some_and(|own| own < tables.served_version);
     tables.links.get(name).is_some_and(|link| link.is_stale || is_behind(link))
 }
@@ -106,12 +106,13 @@
 /// Asks a VM for a sign if it has kept a request for some time without any, or if it was
 /// lost and would not be asked otherwise.
 pub fn check(tables: &mut Tables, name: &Name, cx: &mut Context<'_>) {
+    let is_stale = is_stale(tables, name);
     let Some(link) = tables.links.get_mut(name) else { return };
     link.is_checked = false;
     let Some(address) = tables.view.larger.get(name).map(|vm| vm.address) else { return };
     let waits_since = link.open.first().map(|(since, _)| (*since).max(link.last_received));
     let is_silent = waits_since.is_some_and(|since| cx.now.since(since) >= CHECK_INTERVAL);
-    let is_forgotten = link.is_lost && link.is_stale;
+    let is_forgotten = link.is_lost && is_stale;
     if is_silent || is_forgotten {
         let hop = Hop::AskState { reply_to: cx.limits.address };
         cx.out.commands.push(Command::Hop { to: name.clone(), address, hop });
--- a/crates/core/tests/relay/returns.rs
+++ b/crates/core/tests/relay/returns.rs
@@ -114,4 +114,22 @@
         harness.submit(request("/fetch/2"));
         assert_eq!(harness.take_sent().len(), 1);
     };
+    a_larger_vm_that_was_behind_when_it_was_lost_is_asked_for_its_state => {
+        let address = "10.1.0.1:7000".parse().unwrap();
+        let vm = Vm { domain: name("near"), address, share: 500 };
+        let mut harness = Harness::empty();
+        harness.set_view(View { larger: BTreeMap::from([(name("a"), vm)]), ..View::default() });
+        harness.submit(request("/fetch/1"));
+        let Some((_, Hop::Request { id, .. })) = harness.hops.pop() else { panic!() };
+        let answer = Answer::Forwarded(Box::new(success("d", 1)));
+        let state = hop::State { is_current: true, version: 4 };
+        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::Answer { id, answer, state } }]);
+        // It started anew and read the older configuration of the copy.
+        let older = hop::State { is_current: true, version: 3 };
+        harness.tick(vec![Event::Hop { from: name("a"), hop: Hop::State(older) }]);
+        let lost = Event::HopLost { to: name("a"), detail: "reset".into(), maybe_received: true };
+        harness.tick(vec![lost]);
+        harness.advance(ms(10_000));
+        assert!(!harness.asked.is_empty(), "it is never asked again");
+    };
 }
