Keep a later start of a target when the copy lists an earlier one

Cause, found by a review: a store that comes back from an older copy lists a target that has started anew since as it was before. VMs closed their connections to the running process and sent to the address of the one that is gone.

Change: for the first 5 s of an era an entry of an earlier start does not replace that of a later one, unless it is written anew.

Measured: an_older_start_of_a_target_replaces_no_newer_one fails without the change and passes. The review had it as a case of the traffic thread; there an earlier start may be right, as the clock of a target may step back, so the case is one of the feed.

--- a/crates/core/src/relay/feed/departure.rs
+++ b/crates/core/src/relay/feed/departure.rs
@@ -1,8 +1,10 @@
-//! Targets that left, and that a store which comes back from an older copy lists again.
+//! Targets that left or started anew, and that a store which comes back from an older copy
+//! lists again as they were.
 //!
-//! The store removes such an entry once more when the target has been silent for some of its
-//! intervals. Until then the entry is held back, unless the target writes it anew. A target
-//! that is alive after all is used when that time is over. See `docs/design/platform.md`.
+//! The store removes the entry of a target that left once more when it has been silent for some
+//! of its intervals, and one that started anew writes its entry again. Until then the entry is
+//! held back. What it says is used after all when that time is over. See
+//! `docs/design/platform.md`.
 
 use std::{sync::Arc, time::Duration};
 
@@ -35,11 +37,12 @@
     tables.held_until = cx.now + HOLD;
 }
 
-/// Holds an entry that a scan has found back if its target left before the era began.
-/// Returns whether it does.
+/// Holds an entry that a scan has found back if its target left before the era began, or if a
+/// later start of it is in use. Returns whether it does.
 pub fn hold_back(tables: &mut Tables, id: &Name, target: &Target, cx: &Context<'_>) -> bool {
     let departed = tables.departed.get(id).is_some_and(|departure| departure.born == target.born);
-    let is_held = departed && cx.now < tables.held_until;
+    let replaced = tables.view.targets.get(id).is_some_and(|known| known.born > target.born);
+    let is_held = (departed || replaced) && cx.now < tables.held_until;
     if is_held {
         tables.held_back.insert(id.clone(), Arc::new(target.clone()));
     }
--- a/crates/core/tests/relay/returns.rs
+++ b/crates/core/tests/relay/returns.rs
@@ -114,6 +114,25 @@
         harness.submit(request("/fetch/2"));
         assert_eq!(harness.take_sent().len(), 1);
     };
+    an_older_start_of_a_target_replaces_no_newer_one => {
+        let mut world = synced_world();
+        world.put("target/desk-1", "desk@1");
+        world.store.take_copy();
+        world.put("target/desk-1", "desk@2");
+        world.pass(ms(1000));
+        let born = |world: &World| world.own.view.targets[&name("desk-1")].born;
+        assert_eq!(born(&world), 2);
+        world.store.restore();
+        world.own.end_calls();
+        let end = world.now + ms(4500);
+        while world.now < end {
+            world.pass(STEP);
+            assert_eq!(born(&world), 2);
+        }
+        world.put("target/desk-1", "desk@3");
+        world.pass(ms(1000));
+        assert_eq!(born(&world), 3);
+    };
     a_larger_vm_that_was_behind_when_it_was_lost_is_asked_for_its_state => {
         let address = "10.1.0.1:7000".parse().unwrap();
         let vm = Vm { domain: name("near"), address, share: 500 };
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -36,7 +36,7 @@
 }
 
 /// A format with plain text entries: the share of a VM, the version of a
-/// configuration, or the service of a target.
+/// configuration, or the service of a target and which start it is of.
 struct TextFormat;
 
 impl Format for TextFormat {
@@ -83,8 +83,10 @@
 
     fn target(&self, entry: &Entry) -> Result<Target, String> {
         let text = String::from_utf8(entry.value.clone()).map_err(|e| e.to_string())?;
-        let service = Name::try_from(text.as_str()).map_err(|e| e.to_string())?;
-        Ok((*harness::target("any", service.as_str()).1).clone())
+        let (service, born) = text.split_once('@').unwrap_or((&text, "0"));
+        let service = Name::try_from(service).map_err(|e| e.to_string())?;
+        let born = born.parse().map_err(|_| text.clone())?;
+        Ok(Target { born, ..(*harness::target("any", service.as_str()).1).clone() })
     }
 }
 
