Write the report of a quarantine again after an outage, and one that failed

Cause, found by a review: a report whose call failed as the store went away was dropped, and one whose lease ended in an outage was not written again. The other VMs let the request through to targets.

Change: a VM keeps the reports that it wrote or tried to write until the quarantine ends, and writes them again when the store is back, as in a new era.

Measured: a_report_under_way_at_the_return_is_written_after_it and a_quarantine_outlives_the_lapse_of_its_lease_in_an_outage failed before and pass.

--- a/crates/core/src/relay/feed/report.rs
+++ b/crates/core/src/relay/feed/report.rs
@@ -2,8 +2,8 @@
 //! them directly which requests are suspected of crashing targets.
 //!
 //! An entry is removed with its lease, so that no VM has to delete it. It is
-//! written only once in each era of the store, which may lose it with the last one: a VM
-//! that misses it finds the request by itself.
+//! written once, and again after each time in which the store may have lost it: a VM that
+//! misses it finds the request by itself.
 
 use super::{
     context::Context,
@@ -65,10 +65,9 @@
     };
     match (stage, reply) {
         (Stage::Grant, Reply::Leased { lease }) => start_write(tables, lease, cx),
-        (Stage::Write, Reply::Swapped { .. }) => record_written(tables, cx),
-        // Another VM has already written the report.
-        (Stage::Write, Reply::Conflict { .. }) => {
-            tables.reports.waiting.pop_front();
+        // A conflict means that another VM has already written the report.
+        (Stage::Write, Reply::Swapped { .. } | Reply::Conflict { .. }) => {
+            record_written(tables, cx);
         }
         (_, reply) => discard(tables, &reply, cx),
     }
@@ -92,15 +91,18 @@
     start_call(tables, Stage::Write, call, cx);
 }
 
-fn record_written(tables: &mut Tables, cx: &Context<'_>) {
-    let Some(quarantine) = tables.reports.waiting.pop_front() else { return };
+/// Ends the first report. Returns it if there is one.
+fn record_written(tables: &mut Tables, cx: &Context<'_>) -> Option<Quarantine> {
+    let quarantine = tables.reports.waiting.pop_front()?;
     let written = &mut tables.reports.written;
     written.retain(|_, until| *until > cx.now);
     written.insert(quarantine.request, cx.now + quarantine.hold);
+    Some(quarantine)
 }
 
-/// Queues the reports again that the store may have lost with the last era, each for the rest
-/// of its quarantine. A report that is being written starts anew, as its lease may be lost.
+/// Queues the reports again that the store may have lost, since it was away or has begun a new
+/// era, each for the rest of its quarantine. A report that is being written starts anew, as its
+/// lease may be lost.
 pub fn write_again(tables: &mut Tables, cx: &Context<'_>) {
     let Reports { waiting, in_flight, written } = &mut tables.reports;
     *in_flight = None;
@@ -113,7 +115,7 @@
 }
 
 fn discard(tables: &mut Tables, reply: &Reply, cx: &mut Context<'_>) {
-    let Some(quarantine) = tables.reports.waiting.pop_front() else { return };
+    let Some(quarantine) = record_written(tables, cx) else { return };
     let detail = match reply {
         Reply::Refused { detail } | Reply::Lost { detail } => detail.clone(),
         _ => "unexpected type of reply".to_owned(),
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -101,7 +101,8 @@
     /// The requests to report. A call in flight is for the first one.
     pub waiting: VecDeque<Quarantine>,
     pub in_flight: Option<(CallId, Stage)>,
-    /// The requests whose reports the store has, with the time at which each quarantine ends.
+    /// The requests that this VM has reported or tried to, with the time at which each
+    /// quarantine ends.
     pub written: BTreeMap<Fingerprint, Instant>,
 }
 
--- a/crates/core/tests/relay/returns.rs
+++ b/crates/core/tests/relay/returns.rs
@@ -151,4 +151,44 @@
         harness.advance(ms(10_000));
         assert!(!harness.asked.is_empty(), "it is never asked again");
     };
+    an_era_that_a_report_learns_of_is_read_at_once => {
+        let mut world = world_with_long_watches();
+        world.store.take_copy();
+        world.store.restore();
+        world.own.lose_calls();
+        world.put("config", "4");
+        world.quarantined.push(Fingerprint(7));
+        world.pass(ms(300));
+        assert_eq!(world.own.version(), Some(4));
+    };
+    a_report_under_way_at_the_return_is_written_after_it => {
+        let request = Fingerprint(7);
+        let mut fleet = settled_fleet(5);
+        fleet.store.take_copy();
+        fleet.quarantine_at_first(request);
+        fleet.pass(STEP);
+        assert_eq!(fleet.vms[0].reports.len(), 1);
+        fleet.end_calls();
+        fleet.store.restore();
+        fleet.pass(ms(6000));
+        assert!(fleet.store.has(&format!("held/{request}")), "{:?}", fleet.vms[0].reports);
+    };
+    a_quarantine_outlives_the_lapse_of_its_lease_in_an_outage => {
+        let request = Fingerprint(7);
+        let key = format!("held/{request}");
+        let mut fleet = settled_fleet(5);
+        fleet.quarantine_at_first(request);
+        fleet.pass(ms(1000));
+        assert!(fleet.store.has(&key));
+        fleet.store.is_down = true;
+        fleet.pass(ms(1000));
+        fleet.store.remove(&key);
+        fleet.store.is_down = false;
+        let end = fleet.now + ms(6000);
+        while fleet.now < end {
+            fleet.pass(STEP);
+            let free = fleet.vms.iter().filter(|vm| !vm.view.quarantined.contains(&request)).count();
+            assert_eq!(free, 0, "VMs let the request through again");
+        }
+    };
 }
