Give missing targets their time anew at each return of the store

Cause, found by a review: the time at which a missing target is removed was set once. After a second return, and while the store was away again, live targets were removed before they could register.

Change: each return and each new era extends the time of all that is missing, and nothing is removed while the store does not answer.

Measured: a_second_return_gives_lost_targets_their_time_again (removed 1.2 s too early) and a_target_is_not_removed_while_the_store_cannot_say_that_it_is_back failed before and pass.

--- a/crates/core/src/relay/feed/availability.rs
+++ b/crates/core/src/relay/feed/availability.rs
@@ -6,7 +6,7 @@
 
 use super::{
     context::Context,
-    probe, progress, report,
+    entry, probe, progress, report,
     table::{Store, Tables},
 };
 use crate::log::{Event, Line};
@@ -20,7 +20,7 @@
 pub fn mark_store_up(tables: &mut Tables, cx: &mut Context<'_>) {
     tables.probe = None;
     if let Store::Down { failures } = std::mem::take(&mut tables.store) {
-        tables.lapse_until = cx.now + cx.limits.lapse_grace;
+        entry::extend_missing(tables, cx);
         report::write_again(tables, cx);
         let fields = vec![("failures", failures.to_string())];
         cx.out.lines.push(Line::new(Event::StoreUp, fields));
--- a/crates/core/src/relay/feed/entry.rs
+++ b/crates/core/src/relay/feed/entry.rs
@@ -2,7 +2,12 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use super::{Subject, context::Context, departure, table::Tables};
+use super::{
+    Subject,
+    context::Context,
+    departure,
+    table::{Store, Tables},
+};
 use crate::{
     digest::Fingerprint,
     log::{Event, Line},
@@ -194,6 +199,15 @@
     }
 }
 
+/// Gives what is missing the time again in which it may be written anew, because the store is
+/// back or has lost changes.
+pub fn extend_missing(tables: &mut Tables, cx: &Context<'_>) {
+    tables.lapse_until = cx.now + cx.limits.lapse_grace;
+    let until = tables.lapse_until;
+    let missing = tables.missing.values_mut().chain(tables.missing_requests.values_mut());
+    missing.for_each(|at| *at = until.max(*at));
+}
+
 /// Ends the quarantine of a request as another VM reported it.
 fn release(tables: &mut Tables, request: &Fingerprint) {
     tables.missing_requests.remove(request);
@@ -201,7 +215,11 @@
 }
 
 /// Removes the targets and the quarantines whose entries were not written again in time.
+/// While the store is away, nobody can say that they were.
 pub fn expire(tables: &mut Tables, cx: &mut Context<'_>) {
+    if tables.store != Store::Up {
+        return;
+    }
     for (id, target) in departure::take_due(tables, cx) {
         list_target(tables, &id, target, cx);
     }
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -63,7 +63,7 @@
         ("own", own.change.to_string()),
     ];
     cx.out.lines.push(Line::new(Event::StoreRestored, fields));
-    tables.lapse_until = cx.now + cx.limits.lapse_grace;
+    entry::extend_missing(tables, cx);
     departure::begin_era(tables, cx);
     report::write_again(tables, cx);
     progress::leave_era(tables, cx);
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -234,10 +234,11 @@
         let is_calling = self.call.is_some() || self.probe.is_some() || self.is_handing();
         let call = (!is_calling).then_some(self.not_before);
         let probe = self.probe.as_ref().map(|probe| probe.next_at);
-        let missing = self.missing.values().chain(self.missing_requests.values()).min().copied();
+        let missing = self.missing.values().chain(self.missing_requests.values()).min();
+        let missing = missing.copied().filter(|_| self.store == Store::Up);
         let reading = role::reading_change_at(self, limits);
         let confirmation = confirm::due(self);
-        let held_back = departure::due(self);
+        let held_back = departure::due(self).filter(|_| self.store == Store::Up);
         let lag = self.reading.lag_deadline();
         [call, probe, confirmation, self.watch_due, missing, held_back, lag, reading]
             .into_iter()
--- a/crates/core/tests/relay/returns.rs
+++ b/crates/core/tests/relay/returns.rs
@@ -151,6 +151,38 @@
         harness.advance(ms(10_000));
         assert!(!harness.asked.is_empty(), "it is never asked again");
     };
+    a_second_return_gives_lost_targets_their_time_again => {
+        let mut world = synced_world();
+        world.store.take_copy();
+        world.put("target/back", "desk");
+        world.pass(ms(1000));
+        world.store.restore();
+        world.own.end_calls();
+        world.pass(ms(2000));
+        assert!(world.own.has_target("back"));
+        world.store.restore();
+        world.own.end_calls();
+        let end = world.now + ms(1800);
+        while world.now < end {
+            world.pass(STEP);
+            assert!(world.own.has_target("back"), "removed {:?} before its time ended", end.since(world.now));
+        }
+    };
+    a_target_is_not_removed_while_the_store_cannot_say_that_it_is_back => {
+        let mut world = synced_world();
+        world.store.take_copy();
+        world.put("target/back", "desk");
+        world.pass(ms(1000));
+        world.store.restore();
+        world.own.end_calls();
+        world.pass(ms(1000));
+        assert!(world.own.has_target("back"));
+        world.store.is_down = true;
+        world.pass(ms(100));
+        world.put("target/back", "desk");
+        world.pass(ms(3000));
+        assert!(world.own.has_target("back"), "it registered again 1.1 s after the return");
+    };
     an_era_that_a_report_learns_of_is_read_at_once => {
         let mut world = world_with_long_watches();
         world.store.take_copy();
