Check a store once and not without pause while a watch may be silent

Cause, found by a review: a check that found a newer change left the time for the next one in the past, so that the next began at once, until the VM gave up its watch 400 ms later.

Change: a check that found something starts the time to the next one anew.

--- a/crates/core/src/relay/feed/probe.rs
+++ b/crates/core/src/relay/feed/probe.rs
@@ -95,8 +95,10 @@
         confirm::record_own(tables, cx);
     }
     if tables.call.is_some() {
-        // The open watch is silent if it does not deliver what the check has found.
+        // The open watch is silent if it does not deliver what the check has found. Another
+        // check would find nothing else.
         progress::record_latest(tables, position, None, cx);
+        confirm::rely_on_watch(tables, cx);
         return;
     }
     if is_complete {
--- a/crates/core/tests/relay/returns.rs
+++ b/crates/core/tests/relay/returns.rs
@@ -223,4 +223,26 @@
             assert_eq!(free, 0, "VMs let the request through again");
         }
     };
+    a_silent_watch_that_hides_a_change_costs_few_checks => {
+        let mut world = synced_world();
+        world.own.lose_calls();
+        world.put("config", "4");
+        let from = world.own.calls.len();
+        world.pass(CATCH_UP_LIMIT);
+        assert_eq!(world.own.version(), Some(4));
+        let checks = checks_since(&world, from);
+        assert!(checks <= 3, "{checks} checks of a store that answered each within 5 ms");
+    };
+    a_silent_watch_of_an_ended_era_costs_few_checks => {
+        let mut fleet = settled_fleet(100);
+        fleet.store.take_copy();
+        (0..100).for_each(|n| fleet.store.put(&format!("target/late-{}", n % 5), "desk"));
+        fleet.pass(ms(6000));
+        fleet.store.restore();
+        fleet.lose_calls();
+        let before = fleet.count_calls();
+        fleet.pass(ms(1000));
+        let calls = fleet.count_calls() - before;
+        assert!(calls <= 4 * 100, "{calls} calls of 100 VMs within a second");
+    };
 }
