--- a/crates/core/src/relay/feed/progress.rs
+++ b/crates/core/src/relay/feed/progress.rs
@@ -143,9 +143,7 @@
 /// Schedules a new scan of the store if this VM has stayed behind others for too long. What
 /// several scans have not confirmed does not exist, and is dropped.
 pub fn rescan_if_behind(tables: &mut Tables, cx: &mut Context<'_>) {
-    let is_paused = tables.call.is_none() && tables.probe.is_none();
-    let is_watching = matches!(tables.call, Some((_, Purpose::Watch)));
-    if !tables.reading.is_overdue(cx.now) || !(is_watching || is_paused) {
+    if !tables.reading.is_overdue(cx.now) || !tables.can_rescan() {
         return;
     }
     match tables.reading.remedy(cx.now) {
--- a/crates/core/src/relay/feed/table.rs
+++ b/crates/core/src/relay/feed/table.rs
@@ -229,6 +229,14 @@
         self.watch_due = None;
     }
 
+    /// Returns whether this VM may start a scan in place of what it waits for.
+    pub fn can_rescan(&self) -> bool {
+        match self.call {
+            Some((_, purpose)) => purpose == Purpose::Watch,
+            None => self.probe.is_none(),
+        }
+    }
+
     /// Returns when the next call or deadline is due.
     pub fn wake(&self, limits: &Limits) -> Option<Instant> {
         let is_calling = self.call.is_some() || self.probe.is_some() || self.is_handing();
@@ -239,7 +247,7 @@
         let reading = role::reading_change_at(self, limits);
         let confirmation = confirm::due(self);
         let held_back = departure::due(self).filter(|_| self.store == Store::Up);
-        let lag = self.reading.lag_deadline();
+        let lag = self.reading.lag_deadline().filter(|_| self.can_rescan());
         [call, probe, confirmation, self.watch_due, missing, held_back, lag, reading]
             .into_iter()
             .flatten()
--- a/crates/core/tests/relay/returns.rs
+++ b/crates/core/tests/relay/returns.rs
@@ -86,6 +86,21 @@
 }
 
 cases! {
+    a_vm_that_is_behind_a_silent_store_does_not_spin => {
+        let mut world = synced_world();
+        let own = world.position();
+        world.store.is_silent = true;
+        world.announce_at(Position { change: own.change + 5, ..own }, Reason::Change);
+        let count = count_idle_wakes(&mut world, ms(6000));
+        assert!(count <= 10, "{count} of 1200 ticks ask for another tick at once");
+    };
+    a_vm_that_knows_of_a_later_era_of_an_absent_store_does_not_spin => {
+        let mut world = synced_world();
+        world.store.is_down = true;
+        world.announce_at(Position::new(1, 5), Reason::Change);
+        let count = count_idle_wakes(&mut world, ms(6000));
+        assert!(count <= 10, "{count} of 1200 ticks ask for another tick at once");
+    };
     a_target_that_registers_again_while_it_runs_a_request_is_used_again => {
         let mut harness = Harness::with_route(single("desk"));
         harness.submit(request("/fetch/1"));
