Let only the own position confirm a reading, and believe no dropped change again

Cause, found by a review: a confirmation at an earlier number of the same era, from a VM that had been paused or in a late datagram, renewed the trust in a silent watch. And a change that was dropped, as the store does not have it, was believed again when a VM that did not know that yet told it on.

Change: a state is confirmed by its own position alone; what was dropped is remembered and not heard again. A check before each watch that no test needed is gone.

--- a/crates/core/src/relay/feed/reading.rs
+++ b/crates/core/src/relay/feed/reading.rs
@@ -68,6 +68,9 @@
     era: Option<Era>,
     heard: Heard,
     scan: Option<Scan>,
+    /// What was heard last and is not in the store. VMs that do not know that yet announce it
+    /// again.
+    refuted: Option<Position>,
     /// How many scans in a row were of an era that is over.
     late_scans: u32,
     announced: Position,
@@ -118,15 +121,11 @@
         }
     }
 
-    /// Returns whether the store has stated a later era than the one in which this VM read.
-    pub fn is_ended(&self) -> bool {
-        self.position.is_some_and(|own| Some(own.era) < self.era)
-    }
-
     /// Returns whether this VM has read everything that the store has if `newest` is the
-    /// store's newest change. A number of another era proves nothing.
+    /// store's newest change. A position before the own one is of an earlier time, and proves
+    /// nothing.
     pub fn is_complete_at(&self, newest: Position) -> bool {
-        self.position.is_some_and(|own| own.era == newest.era && own >= newest)
+        self.position == Some(newest)
     }
 
     /// Records the era that an answer of the store states. Returns the era that has ended,
@@ -168,7 +167,7 @@
     /// news. A VM that does not know of it by `now` and the longest lag reads again; at once
     /// if it has read in an era that is over, as its watch waits for nothing then.
     pub fn hear(&mut self, position: Position, from: Option<Name>, now: Instant) -> bool {
-        if position <= self.newest() {
+        if position <= self.newest() || Some(position) == self.refuted {
             return false;
         }
         self.heard = Heard { position, from, at: now, scans: 0 };
@@ -205,6 +204,7 @@
 
     /// Drops what was heard and not confirmed by the store.
     pub fn forget_heard(&mut self) {
+        self.refuted = Some(self.heard.position);
         self.heard = Heard::default();
         self.announced = self.position.unwrap_or_default();
         self.lag_deadline = None;
--- a/crates/core/src/relay/feed/system.rs
+++ b/crates/core/src/relay/feed/system.rs
@@ -182,11 +182,7 @@
         return;
     }
     let first = if tables.role == Role::Undecided { Purpose::ListVms } else { Purpose::Scan };
-    let purpose = match tables.next_purpose.take().unwrap_or(first) {
-        // A watch cannot continue an era that is over.
-        Purpose::Watch if tables.reading.is_ended() => Purpose::Scan,
-        purpose => purpose,
-    };
+    let purpose = tables.next_purpose.take().unwrap_or(first);
     let call = match purpose {
         Purpose::ListVms => Call::Peek { prefix: cx.format.vm_prefix().to_owned() },
         Purpose::Scan => Call::Scan { prefix: cx.format.watch_prefix().to_owned() },
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -17,6 +17,7 @@
 mod once;
 mod outages;
 mod restores;
+mod reading;
 mod returns;
 mod routes;
 mod suspects;
--- a/crates/core/tests/relay/returns.rs
+++ b/crates/core/tests/relay/returns.rs
@@ -198,6 +198,50 @@
         world.pass(ms(3000));
         assert!(world.own.has_target("back"), "it registered again 1.1 s after the return");
     };
+    a_confirmation_that_is_older_than_what_was_read_confirms_nothing => {
+        let mut world = world_with_long_watches();
+        (0..20).for_each(|_| world.put("target/late", "desk"));
+        world.pass(ms(2000));
+        let own = world.position();
+        world.own.lose_calls();
+        let from = world.own.calls.len();
+        let end = world.now + longest_reliance();
+        while world.now < end {
+            world.announce_at(Position { change: own.change - 10, ..own }, Reason::Confirmation);
+            world.pass(ms(250));
+        }
+        assert!(checks_since(&world, from) > 0, "the silent watch was relied on all the while");
+    };
+    a_confirmation_of_an_ended_era_at_a_lower_number_confirms_nothing => {
+        let mut world = world_with_long_watches();
+        world.store.take_copy();
+        world.store.restore();
+        world.own.end_calls();
+        world.pass(ms(1000));
+        (0..20).for_each(|_| world.put("target/late", "desk"));
+        world.pass(ms(2000));
+        let own = world.position();
+        assert_eq!(own.era.0, 1);
+        world.own.lose_calls();
+        let from = world.own.calls.len();
+        let end = world.now + longest_reliance();
+        while world.now < end {
+            world.announce_at(Position::new(0, own.change - 10), Reason::Confirmation);
+            world.pass(ms(250));
+        }
+        assert!(checks_since(&world, from) > 0, "the silent watch was relied on all the while");
+    };
+    a_watch_that_is_answered_in_the_next_era_hides_no_version => {
+        let mut world = synced_world();
+        world.store.take_copy();
+        (0..10).for_each(|_| world.put("target/late", "desk"));
+        world.pass(ms(2000));
+        world.store.restore();
+        world.put("config", "4");
+        (0..20).for_each(|_| world.put("target/later", "desk"));
+        world.pass(ms(1000));
+        assert_eq!(world.own.version(), Some(4));
+    };
     an_era_that_a_report_learns_of_is_read_at_once => {
         let mut world = world_with_long_watches();
         world.store.take_copy();
@@ -208,6 +252,28 @@
         world.pass(ms(300));
         assert_eq!(world.own.version(), Some(4));
     };
+    a_scan_that_was_silenced_with_the_store_hides_no_version => {
+        let mut world = synced_world();
+        world.store.take_copy();
+        world.put("target/late", "desk");
+        world.pass(ms(1000));
+        world.compact();
+        world.own.end_calls();
+        let is_scan = |world: &World| matches!(world.own.calls.last(), Some((_, Call::Scan { prefix })) if prefix.is_empty());
+        let limit = world.now + ms(2000);
+        while !is_scan(&world) && world.now < limit {
+            world.put("target/late", "desk");
+            world.compact();
+            world.pass(STEP);
+        }
+        assert!(is_scan(&world));
+        world.own.lose_calls();
+        world.store.restore();
+        world.put("config", "4");
+        world.announce(Reason::Change);
+        world.pass(IN_FORCE_LIMIT);
+        assert_eq!(world.own.version(), Some(4));
+    };
     a_report_under_way_at_the_return_is_written_after_it => {
         let request = Fingerprint(7);
         let mut fleet = settled_fleet(5);
@@ -260,4 +326,18 @@
         let calls = fleet.count_calls() - before;
         assert!(calls <= 4 * 100, "{calls} calls of 100 VMs within a second");
     };
+    a_change_that_was_dropped_is_not_believed_again => {
+        let mut world = world_with_long_watches();
+        world.put("target/late", "desk");
+        world.pass(ms(1000));
+        world.own.lose_calls();
+        let never = Position::new(u64::MAX, 1);
+        world.announce_at(never, Reason::Change);
+        world.pass(ms(2500));
+        assert_eq!(world.own.logged(Logged::AnnouncementDropped), 1);
+        // A VM that has not dropped it yet doubts the store.
+        world.announce_at(never, Reason::Doubt);
+        world.pass(ms(2500));
+        assert_eq!(world.own.logged(Logged::AnnouncementDropped), 1);
+    };
 }
