Count against an announcement only the scans that were answered

Cause, found by the review and by reading: scans were counted when they were started, so that scans that failed could refute a change that exists; and a VM that dropped an announcement while the era of what it had read was over forgot to read again.

Change: a scan counts when its answer lacks the change. Dropping an announcement leaves the time for the next scan as it is, which ends by itself when nothing newer is known.

--- a/crates/core/src/relay/feed/reading.rs
+++ b/crates/core/src/relay/feed/reading.rs
@@ -28,8 +28,8 @@
     /// The VM that announced it; none if a check of this VM found it.
     pub from: Option<Name>,
     pub at: Instant,
-    /// How many scans were started since then because this VM was behind.
-    scans: u32,
+    /// How many scans were answered since then without it.
+    missed: u32,
 }
 
 /// A scan that the store has answered.
@@ -149,6 +149,9 @@
         self.era = Some(position.era);
         self.position = Some(position);
         self.scan = Some(Scan { position, at: now });
+        if position < self.heard.position {
+            self.heard.missed += 1;
+        }
         true
     }
 
@@ -163,14 +166,13 @@
         true
     }
 
-    /// Records what `from`, or a check of this VM, says about the newest change, if it is
-    /// news. A VM that does not know of it by `now` and the longest lag reads again; at once
-    /// if it has read in an era that is over, as its watch waits for nothing then.
+    /// Records what `from`, or a check of this VM, says about the newest change. Returns whether
+    /// it is news.
     pub fn hear(&mut self, position: Position, from: Option<Name>, now: Instant) -> bool {
         if position <= self.newest() || Some(position) == self.refuted {
             return false;
         }
-        self.heard = Heard { position, from, at: now, scans: 0 };
+        self.heard = Heard { position, from, at: now, missed: 0 };
         true
     }
 
@@ -195,11 +197,7 @@
     /// Returns what to do about being behind for too long, and starts the next time limit.
     pub fn remedy(&mut self, now: Instant) -> Remedy {
         self.lag_deadline = Some(now + MAX_LAG);
-        if self.heard.scans >= MAX_UNCONFIRMED_SCANS {
-            return Remedy::Forget;
-        }
-        self.heard.scans += 1;
-        Remedy::Scan
+        if self.heard.missed >= MAX_UNCONFIRMED_SCANS { Remedy::Forget } else { Remedy::Scan }
     }
 
     /// Drops what was heard and not confirmed by the store.
@@ -207,7 +205,6 @@
         self.refuted = Some(self.heard.position);
         self.heard = Heard::default();
         self.announced = self.position.unwrap_or_default();
-        self.lag_deadline = None;
     }
 
     /// Returns whether there is news for other VMs.
--- a/crates/core/tests/relay/reading.rs
+++ b/crates/core/tests/relay/reading.rs
@@ -1,7 +1,7 @@
 //! Tests of what a VM concludes from what it has read and heard of the store.
 
 use laburnum_core::{
-    relay::feed::reading::{Reading, Standing},
+    relay::feed::reading::{Reading, Remedy, Standing},
     store::{Era, Position},
     time::Instant,
 };
@@ -73,6 +73,28 @@
         }
         assert_eq!(reading.position(), Some(Position::new(2, 12)));
     };
+    only_scans_that_were_answered_refute_an_announcement => {
+        let mut reading = scanned(2, 10);
+        reading.hear(Position::new(2, 99), None, Instant(2));
+        for _ in 0..9 {
+            assert_eq!(reading.remedy(Instant(3)), Remedy::Scan);
+        }
+        for _ in 0..5 {
+            assert_eq!(reading.remedy(Instant(4)), Remedy::Scan);
+            reading.finish_scan(Position::new(2, 10), Instant(4));
+        }
+        assert_eq!(reading.remedy(Instant(5)), Remedy::Forget);
+    };
+    a_vm_whose_era_is_over_reads_again_after_it_has_dropped_an_announcement => {
+        let mut reading = scanned(2, 10);
+        reading.hear(Position::new(2, 99), None, Instant(2));
+        (0..5).for_each(|_| assert!(reading.finish_scan(Position::new(2, 10), Instant(3))));
+        reading.state_era(Era(3));
+        assert_eq!(reading.remedy(Instant(4)), Remedy::Forget);
+        reading.forget_heard();
+        assert_eq!(reading.standing(), Standing::Superseded);
+        assert!(reading.lag_deadline().is_some());
+    };
     what_was_dropped_is_not_heard_again => {
         let mut reading = scanned(2, 10);
         let never = Position::new(2, 99);
