--- a/crates/core/tests/relay/feed.rs
+++ b/crates/core/tests/relay/feed.rs
@@ -446,20 +446,6 @@
             assert_eq!(world.own.logged(Event::StoreSilent), 5, "it has gone on watching");
         }
     };
-    a_new_era_of_the_store_is_logged => {
-        let mut world = synced_world();
-        world.store.take_copy();
-        world.put("config", "4");
-        world.pass(ms(1000));
-        let read = world.position().change;
-        world.store.restore();
-        world.own.lose_calls();
-        world.pass(ms(5000));
-        let line = world.own.lines.iter().find(|line| line.event == Event::StoreRestored).unwrap();
-        let fields: BTreeMap<&str, String> = line.fields.iter().cloned().collect();
-        assert_eq!((&*fields["era"], &*fields["before"]), ("1", "0"));
-        assert_eq!(fields["own"], read.to_string());
-    };
     a_vm_that_reads_as_far_as_others_goes_on_watching => {
         let mut world = synced_world();
         world.put("config", "4");
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod case;
 mod harness;
 mod store;
+mod fleet;
 mod stops;
 mod answers;
 mod budget;
--- a/crates/core/tests/relay/outages.rs
+++ b/crates/core/tests/relay/outages.rs
@@ -5,10 +5,7 @@
 
 use laburnum_core::{relay::feed::progress::Reason, store::Position};
 
-use crate::{
-    harness::ms,
-    store::{Fleet, announcement},
-};
+use crate::{fleet::Fleet, harness::ms, store::announcement};
 
 /// The time after the end of an outage within which every VM must know the newest
 /// state, whatever was lost. The shortest limit of the users is 3 s.
--- a/crates/core/tests/relay/restores.rs
+++ b/crates/core/tests/relay/restores.rs
@@ -1,7 +1,7 @@
 //! Tests of a store that comes back from an older copy of its data: it loses changes that it
 //! had acknowledged, and gives their numbers out again in a new era.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use laburnum_core::{
     digest::Fingerprint,
@@ -12,8 +12,9 @@
 };
 
 use crate::{
+    fleet::Fleet,
     harness::ms,
-    store::{Fleet, HOLD, STEP, World},
+    store::{HOLD, STEP, World},
 };
 
 /// The time after its acknowledgement within which a version must be in force.
@@ -57,6 +58,16 @@
     }
 }
 
+/// Returns a world in which a target left after the copy.
+fn world_that_a_target_left() -> World {
+    let mut world = World::new();
+    world.pass(ms(3000));
+    world.store.take_copy();
+    world.remove("target/desk-2");
+    world.pass(ms(1000));
+    world
+}
+
 /// Returns a fleet whose VMs have read version 3 and what others announced.
 fn settled_fleet(count: u16) -> Fleet {
     let mut fleet = Fleet::new(count, 7);
@@ -214,11 +225,7 @@
     };
     a_target_that_left_does_not_come_back_with_the_copy => {
         for open in [Open::Ends, Open::Silent] {
-            let mut world = World::new();
-            world.pass(ms(3000));
-            world.store.take_copy();
-            world.remove("target/desk-2");
-            world.pass(ms(1000));
+            let mut world = world_that_a_target_left();
             assert!(!world.own.has_target("desk-2"));
             world.restore(open);
             let end = world.now + ms(4500);
@@ -232,11 +239,7 @@
         }
     };
     a_target_that_left_and_registers_again_is_used_at_once => {
-        let mut world = World::new();
-        world.pass(ms(3000));
-        world.store.take_copy();
-        world.remove("target/desk-2");
-        world.pass(ms(1000));
+        let mut world = world_that_a_target_left();
         world.restore(Open::Ends);
         world.pass(ms(1000));
         world.put("target/desk-2", "desk");
@@ -244,11 +247,7 @@
         assert!(world.own.has_target("desk-2"));
     };
     a_target_that_only_seemed_to_leave_is_used_again_in_time => {
-        let mut world = World::new();
-        world.pass(ms(3000));
-        world.store.take_copy();
-        world.remove("target/desk-2");
-        world.pass(ms(1000));
+        let mut world = world_that_a_target_left();
         world.restore(Open::Ends);
         world.pass(ms(6000));
         assert!(world.own.has_target("desk-2"), "its entry is still there");
@@ -309,6 +308,21 @@
             assert_eq!(world.own.version(), Some(5));
         }
     };
+    a_new_era_of_the_store_is_logged => {
+        let mut world = World::new();
+        world.pass(ms(3000));
+        world.store.take_copy();
+        world.put("config", "4");
+        world.pass(ms(1000));
+        let read = world.position().change;
+        world.store.restore();
+        world.own.lose_calls();
+        world.pass(ms(5000));
+        let line = world.own.lines.iter().find(|line| line.event == Event::StoreRestored).unwrap();
+        let fields: BTreeMap<&str, String> = line.fields.iter().cloned().collect();
+        assert_eq!((&*fields["era"], &*fields["before"]), ("1", "0"));
+        assert_eq!(fields["own"], read.to_string());
+    };
     an_announcement_of_an_ended_era_keeps_no_vm_behind => {
         let mut fleet = settled_fleet(15);
         play(&mut fleet, Drill { open: Open::Ends, ..DRILL }, 4);
--- a/crates/core/tests/relay/returns.rs
+++ b/crates/core/tests/relay/returns.rs
@@ -15,8 +15,9 @@
 };
 
 use crate::{
+    fleet::Fleet,
     harness::{Harness, ms, name, request, single, success},
-    store::{Fleet, LIMITS, STEP, World},
+    store::{LIMITS, STEP, World},
 };
 
 /// The time after an answer of the store within which everything that was missed is in force
@@ -46,6 +47,17 @@
     world
 }
 
+/// Returns a world whose store has just come back without the entry of a target.
+fn world_that_lost(key: &str) -> World {
+    let mut world = synced_world();
+    world.store.take_copy();
+    world.put(key, "desk");
+    world.pass(ms(1000));
+    world.store.restore();
+    world.own.end_calls();
+    world
+}
+
 fn settled_fleet(count: u16) -> Fleet {
     let mut fleet = Fleet::new(count, 7);
     fleet.pass(ms(15_000));
@@ -167,12 +179,7 @@
         assert!(!harness.asked.is_empty(), "it is never asked again");
     };
     a_second_return_gives_lost_targets_their_time_again => {
-        let mut world = synced_world();
-        world.store.take_copy();
-        world.put("target/back", "desk");
-        world.pass(ms(1000));
-        world.store.restore();
-        world.own.end_calls();
+        let mut world = world_that_lost("target/back");
         world.pass(ms(2000));
         assert!(world.own.has_target("back"));
         world.store.restore();
@@ -184,12 +191,7 @@
         }
     };
     a_target_is_not_removed_while_the_store_cannot_say_that_it_is_back => {
-        let mut world = synced_world();
-        world.store.take_copy();
-        world.put("target/back", "desk");
-        world.pass(ms(1000));
-        world.store.restore();
-        world.own.end_calls();
+        let mut world = world_that_lost("target/back");
         world.pass(ms(1000));
         assert!(world.own.has_target("back"));
         world.store.is_down = true;
--- a/crates/core/tests/relay/store.rs
+++ b/crates/core/tests/relay/store.rs
@@ -130,6 +130,11 @@
 }
 
 impl Store {
+    /// Creates a store that has had some changes and holds no entry.
+    pub fn new() -> Store {
+        Store { revision: 10, ..Store::default() }
+    }
+
     pub fn put(&mut self, key: &str, value: &str) {
         self.put_bytes(key, value.as_bytes());
     }
@@ -443,7 +448,7 @@
     pub fn with_share(share: u32) -> World {
         World {
             now: Instant(1_000_000),
-            store: Store { revision: 10, ..Store::default() },
+            store: Store::new(),
             own: Reader::new("own", vm(share), 3),
             incoming: Vec::new(),
             quarantined: Vec::new(),
@@ -491,93 +496,3 @@
         self.incoming.push(announcement(position, reason));
     }
 }
-
-/// A simulated store with the feeds of several VMs, which announce to each other.
-pub struct Fleet {
-    pub now: Instant,
-    pub store: Store,
-    pub vms: Vec<Reader>,
-    addresses: Vec<SocketAddr>,
-    /// The announcements that arrive in the next tick.
-    underway: Vec<(SocketAddr, Progress)>,
-    /// The requests that the first VM quarantines in the next tick.
-    quarantined: Vec<Fingerprint>,
-}
-
-impl Fleet {
-    /// Creates `count` VMs that start together with a store that has a configuration
-    /// and a target.
-    pub fn new(count: u16, seed: u64) -> Fleet {
-        let mut store = Store { revision: 10, ..Store::default() };
-        store.put("config", "3");
-        store.put("target/desk-1", "desk");
-        let address = |number| SocketAddr::from(([10, 9, 9, 9], 7000 + number));
-        let reader = |number| {
-            let own = Vm { address: address(number), ..vm(170) };
-            Reader::new(&format!("vm-{number:03}"), own, seed + u64::from(number))
-        };
-        Fleet {
-            now: Instant(1_000_000),
-            store,
-            vms: (0..count).map(reader).collect(),
-            addresses: (0..count).map(address).collect(),
-            underway: Vec::new(),
-            quarantined: Vec::new(),
-        }
-    }
-
-    /// Advances time by `span`, with a tick of every VM in each step.
-    pub fn pass(&mut self, span: Duration) {
-        let end = self.now + span;
-        while self.now < end {
-            let underway = std::mem::take(&mut self.underway);
-            for (vm, address) in self.vms.iter_mut().zip(&self.addresses) {
-                let incoming = underway.iter().filter(|(to, _)| to == address);
-                let incoming = incoming.map(|(_, progress)| progress.clone()).collect();
-                let quarantined = std::mem::take(&mut self.quarantined);
-                vm.tick(self.now, &mut self.store, incoming, quarantined, Vec::new());
-                self.underway.append(&mut vm.announced);
-            }
-            self.now = self.now + STEP;
-        }
-    }
-
-    /// Lets the answers of all open calls of all VMs be lost.
-    pub fn lose_calls(&mut self) {
-        self.vms.iter_mut().for_each(Reader::lose_calls);
-    }
-
-    /// Ends all open calls of all VMs with their connections.
-    pub fn end_calls(&mut self) {
-        self.vms.iter_mut().for_each(Reader::end_calls);
-    }
-
-    /// Ends every VM but those with these numbers for good; their entries stay.
-    pub fn keep_only(&mut self, numbers: &[usize]) {
-        let mut number = 0..;
-        self.vms.retain(|_| numbers.contains(&number.next().unwrap()));
-        let mut number = 0..;
-        self.addresses.retain(|_| numbers.contains(&number.next().unwrap()));
-    }
-
-    /// Lets the first VM quarantine a request.
-    pub fn quarantine_at_first(&mut self, request: Fingerprint) {
-        self.quarantined.push(request);
-    }
-
-    /// Lets an announcement arrive at the first VM.
-    pub fn announce_to_first(&mut self, progress: Progress) {
-        self.underway.push((self.addresses[0], progress));
-    }
-
-    /// Returns the VMs, by number, without the configuration `version`.
-    pub fn without_version(&self, version: u64) -> Vec<usize> {
-        let numbered = self.vms.iter().enumerate();
-        numbered.filter(|(_, vm)| vm.version() != Some(version)).map(|(n, _)| n).collect()
-    }
-
-    /// Returns the number of calls to the store so far.
-    pub fn count_calls(&self) -> usize {
-        self.vms.iter().map(|vm| vm.calls.len()).sum()
-    }
-}
