--- a/crates/http/src/buffer.rs
+++ b/crates/http/src/buffer.rs
@@ -29,10 +29,17 @@
     }
 }
 
+/// The largest part of a body that is allocated at once, in bytes. Long bodies that grow and
+/// end at any length would leave gaps between them that the allocator cannot use again; parts
+/// of one size leave none.
+const PART_BYTES: usize = 64 << 10;
+
 /// A body of which some bytes have arrived.
 #[derive(Debug, Default)]
 pub struct Buffer {
-    bytes: Vec<u8>,
+    /// The parts that are full, of [`PART_BYTES`] each.
+    full: Vec<Vec<u8>>,
+    last: Vec<u8>,
     /// The length that was announced.
     expected: Option<usize>,
 }
@@ -41,53 +48,76 @@
     /// Makes an empty buffer for a body whose length may be announced. An announcement
     /// takes no memory by itself.
     pub fn new(expected: Option<usize>) -> Buffer {
-        Buffer { bytes: Vec::new(), expected }
+        Buffer { expected, ..Buffer::default() }
     }
 
-    /// Allocates the announced length at once, which spares copies. Returns false if there is
-    /// no room for it. It is for peers that are trusted to send what they announce.
-    pub fn allocate(&mut self, room: &mut dyn Room) -> bool {
-        let expected = self.expected.unwrap_or_default();
-        if !room.grow_to(expected) {
-            return false;
-        }
-        self.bytes.reserve_exact(expected);
-        true
+    /// Takes room for the announced length at once, so that a body without room is not begun.
+    /// Returns false if there is none. It is for peers that are trusted to send what they
+    /// announce.
+    pub fn reserve(&mut self, room: &mut dyn Room) -> bool {
+        room.grow_to(self.expected.unwrap_or_default())
     }
 
     /// Returns the number of bytes that have arrived.
     pub fn len(&self) -> usize {
-        self.bytes.len()
+        self.full.len() * PART_BYTES + self.last.len()
     }
 
     /// Returns whether no byte has arrived.
     pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.len() == 0
     }
 
     /// Adds bytes; returns false if there is no room for what the buffer allocates.
-    pub fn push(&mut self, data: &[u8], room: &mut dyn Room) -> bool {
-        let length = self.len() + data.len();
-        if length > self.bytes.capacity() {
-            let capacity = self.next_capacity(length);
-            if !room.grow_to(capacity) {
+    pub fn push(&mut self, mut data: &[u8], room: &mut dyn Room) -> bool {
+        while !data.is_empty() {
+            if self.last.len() == PART_BYTES {
+                self.full.push(std::mem::take(&mut self.last));
+            }
+            let (now, later) = data.split_at(data.len().min(PART_BYTES - self.last.len()));
+            if !self.make_room(now.len(), room) {
                 return false;
             }
-            self.bytes.reserve_exact(capacity - self.len());
+            self.last.extend_from_slice(now);
+            data = later;
         }
-        self.bytes.extend_from_slice(data);
         true
     }
 
-    /// Returns the capacity to allocate for `length` bytes: at least twice the last one, but
-    /// no more than the body takes.
-    fn next_capacity(&self, length: usize) -> usize {
-        let doubled = length.max(self.bytes.capacity().saturating_mul(2));
-        self.expected.map_or(doubled, |expected| doubled.min(expected.max(length)))
+    /// Allocates what `more` bytes of the last part need; returns false if there is no room.
+    fn make_room(&mut self, more: usize, room: &mut dyn Room) -> bool {
+        let length = self.last.len() + more;
+        if length <= self.last.capacity() {
+            return true;
+        }
+        let before = self.full.len() * PART_BYTES;
+        let capacity = self.next_capacity(length, before);
+        if !room.grow_to(before + capacity) {
+            return false;
+        }
+        self.last.reserve_exact(capacity - self.last.len());
+        true
+    }
+
+    /// Returns the capacity to allocate for `length` bytes of the last part, which has `before`
+    /// bytes before it: at least twice the last one, but no more than the body takes.
+    fn next_capacity(&self, length: usize, before: usize) -> usize {
+        let doubled = length.max(self.last.capacity().saturating_mul(2)).min(PART_BYTES);
+        let expected = self.expected.map(|expected| expected.saturating_sub(before).max(length));
+        expected.map_or(doubled, |expected| doubled.min(expected))
     }
 
-    /// Returns the bytes.
+    /// Returns the bytes. Parts are dropped while they are joined, so that a long body does not
+    /// take its room twice.
     pub fn into_bytes(self) -> Bytes {
-        Bytes::from(self.bytes)
+        if self.full.is_empty() {
+            return Bytes::from(self.last);
+        }
+        let mut bytes = Vec::with_capacity(self.len());
+        for part in self.full {
+            bytes.extend_from_slice(&part);
+        }
+        bytes.extend_from_slice(&self.last);
+        Bytes::from(bytes)
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -225,7 +225,7 @@
         let is_long = announced.is_none_or(|length| length > MAX_BUFFER_BYTES);
         let mut room = Beside { room, bytes: if is_long { MAX_BUFFER_BYTES } else { 0 } };
         let room = &mut room;
-        if !bytes.allocate(room) {
+        if !bytes.reserve(room) {
             return Err(Failure { unheld: true, ..Failure::sent("body: no room") });
         }
         let mut is_driven = !self.sender.is_closed();
