--- a/crates/core/src/memory/limits.rs
+++ b/crates/core/src/memory/limits.rs
@@ -65,11 +65,28 @@
         if length > SHORT_REPLY_BYTES { 0 } else { self.bytes / 8 }
     }
 
+    /// Returns the bytes of the total that a reply of this length, on its way in among many,
+    /// leaves free for short ones.
+    pub fn reply_spare_bytes(&self, length: usize) -> usize {
+        self.bytes / 8 - self.reply_closing_bytes(length)
+    }
+
     /// Returns by how many bytes the limit may be exceeded until connections that were told
     /// to close have ended.
     pub fn closing_bytes(&self) -> usize {
         self.bytes / 2
     }
+
+    /// Returns the most bytes that are held for others and taken by connections to targets
+    /// together, beyond which idle ones of these are closed and replies are given up.
+    pub fn total_bytes(&self) -> usize {
+        self.bytes / 2 * 3
+    }
+
+    /// Returns the bytes that both never exceed, also while some are being freed.
+    pub fn max_total_bytes(&self) -> usize {
+        self.total_bytes() + self.bytes / 8
+    }
 }
 
 impl Default for Limits {
--- a/crates/core/src/memory/mod.rs
+++ b/crates/core/src/memory/mod.rs
@@ -15,7 +15,7 @@
 
 pub use self::{
     limits::Limits,
-    table::{Holder, Party, Port, Reply, Row, Tables, Transfer},
+    table::{Holder, Link, Party, Port, Reply, Row, Tables, Transfer},
 };
 
 /// What bytes are held for, which decides how much of the limit they may fill.
--- a/crates/core/src/memory/system/evict.rs
+++ b/crates/core/src/memory/system/evict.rs
@@ -66,6 +66,15 @@
     long
 }
 
+/// Returns the connections to targets that carry no request, the one without the longest first.
+pub fn idle_links(tables: &Tables) -> Vec<Candidate> {
+    let links = tables.links.iter().filter(|(_, link)| !link.is_closing);
+    let mut idle: Vec<(Instant, Holder, usize)> =
+        links.filter_map(|(id, link)| Some((link.idle_since?, *id, link.base))).collect();
+    idle.sort_unstable();
+    idle.into_iter().map(|(_, id, bytes)| Candidate { id, bytes }).collect()
+}
+
 /// Returns how many of the candidates, from the first on, must end to free `bytes`; none if
 /// all of them are too few.
 pub fn count_to_free(candidates: &[Candidate], bytes: usize) -> Option<usize> {
@@ -79,11 +88,17 @@
     (free >= bytes).then_some(candidates.len())
 }
 
+/// Returns the bytes that the candidates free.
+pub fn sum(candidates: &[Candidate]) -> usize {
+    candidates.iter().map(|candidate| candidate.bytes).sum()
+}
+
 /// Ends connections and replies.
 pub fn end(tables: &mut Tables, candidates: &[Candidate], cx: &mut Context<'_>) {
     for candidate in candidates {
         tables.mark_closing(candidate.id);
         tables.give_up_reply(candidate.id);
+        tables.close_link(candidate.id);
         cx.close.push(candidate.id);
     }
 }
--- a/crates/core/src/memory/system/hold.rs
+++ b/crates/core/src/memory/system/hold.rs
@@ -14,7 +14,7 @@
 ) -> Result<(), Full> {
     check_maximum(tables, bytes, cx.limits.closing_bytes(), cx)?;
     let (own, all) = (excess_beside_replies(tables, purpose, bytes, cx), excess(tables, bytes, cx));
-    if own.max(all) > 0 {
+    if own.max(all) > 0 || total_excess(tables, bytes, cx) > 0 {
         let slow = evict::slow_connections(tables, id, cx);
         let first = evict::count_to_free(&slow, own).ok_or(Full)?;
         let (first, later) = slow.split_at(first);
@@ -24,8 +24,7 @@
         } else {
             [first, later, &long].concat()
         };
-        let count = evict::count_to_free(&order, own.max(all)).ok_or(Full)?;
-        evict::end(tables, &order[..count], cx);
+        make_room(tables, &order, own.max(all), bytes, cx)?;
     }
     tables.add(id, purpose, bytes);
     Ok(())
@@ -46,20 +45,41 @@
         if are_many { cx.limits.reply_closing_bytes(length) } else { cx.limits.closing_bytes() };
     check_maximum(tables, bytes, closing, cx)?;
     let excess = excess(tables, bytes, cx);
-    if excess > 0 {
+    let spare = if are_many { cx.limits.reply_spare_bytes(length) } else { 0 };
+    check_total(tables, bytes + spare, cx)?;
+    if excess > 0 || total_excess(tables, bytes + spare, cx) > 0 {
         let long = evict::long_replies(tables, length);
         let order = if are_many {
             long
         } else {
             [evict::slow_connections(tables, None, cx), long].concat()
         };
-        let count = evict::count_to_free(&order, excess).ok_or(Full)?;
-        evict::end(tables, &order[..count], cx);
+        make_room(tables, &order, excess, bytes + spare, cx)?;
     }
     tables.add_to_reply(id, bytes);
     Ok(())
 }
 
+/// Frees `excess` of what is held for others by ending the candidates, from the first on, and
+/// what `bytes` more exceed the total by. For that, idle connections to targets go first, as
+/// another one is soon opened.
+pub fn make_room(
+    tables: &mut Tables,
+    candidates: &[evict::Candidate],
+    excess: usize,
+    bytes: usize,
+    cx: &mut Context<'_>,
+) -> Result<(), Full> {
+    let count = evict::count_to_free(candidates, excess).ok_or(Full)?;
+    let (first, left) = candidates.split_at(count);
+    let left = [&evict::idle_links(tables), left].concat();
+    let more = total_excess(tables, bytes, cx).saturating_sub(evict::sum(first));
+    let count = evict::count_to_free(&left, more).ok_or(Full)?;
+    evict::end(tables, first, cx);
+    evict::end(tables, &left[..count], cx);
+    Ok(())
+}
+
 /// Admits work on a request of a connection, unless everything is full. Requests that wait
 /// do not fill everything, so they keep no short request out.
 pub fn begin_work(tables: &mut Tables, id: Holder, cx: &mut Context<'_>) -> Result<(), Full> {
@@ -68,7 +88,8 @@
     Ok(())
 }
 
-/// Fails if `bytes` more exceed the limit by more than `closing`, although that is being freed.
+/// Fails if `bytes` more exceed the limit by more than `closing`, although that is being freed,
+/// or the total with connections to targets.
 pub fn check_maximum(
     tables: &Tables,
     bytes: usize,
@@ -76,7 +97,13 @@
     cx: &Context<'_>,
 ) -> Result<(), Full> {
     let maximum = cx.limits.bytes + closing;
-    if tables.bytes() + bytes > maximum { Err(Full) } else { Ok(()) }
+    if tables.bytes() + bytes > maximum { Err(Full) } else { check_total(tables, bytes, cx) }
+}
+
+/// Fails if `bytes` more exceed the total with connections to targets.
+pub fn check_total(tables: &Tables, bytes: usize, cx: &Context<'_>) -> Result<(), Full> {
+    let maximum = cx.limits.max_total_bytes();
+    if tables.total_bytes() + bytes > maximum { Err(Full) } else { Ok(()) }
 }
 
 /// Returns by how much `bytes` more would be too many.
@@ -85,6 +112,12 @@
     (tables.bytes() + bytes).saturating_sub(cx.limits.bytes + ending)
 }
 
+/// Returns by how much `bytes` more would be too many beside connections to targets.
+pub fn total_excess(tables: &Tables, bytes: usize, cx: &Context<'_>) -> usize {
+    let ending = tables.closing + tables.given_up + tables.unlinked;
+    (tables.total_bytes() + bytes).saturating_sub(cx.limits.total_bytes() + ending)
+}
+
 /// Returns by how much `bytes` more for a purpose would be too many if no reply arrived.
 fn excess_beside_replies(
     tables: &Tables,
--- /dev/null
+++ b/crates/core/src/memory/system/link.rs
@@ -0,0 +1,32 @@
+//! Admits connections to targets, which are closed while they are idle to make room.
+
+use super::{Context, evict, hold};
+use crate::{
+    memory::{Full, Holder, Tables},
+    time::Instant,
+};
+
+/// Admits a connection for a request; it takes `base` bytes by itself. If there is no room,
+/// idle connections are closed and replies are given up for it.
+pub fn open(tables: &mut Tables, base: usize, cx: &mut Context<'_>) -> Result<Holder, Full> {
+    hold::check_total(tables, base, cx)?;
+    if hold::total_excess(tables, base, cx) > 0 {
+        let long = evict::long_replies(tables, 0);
+        hold::make_room(tables, &long, 0, base, cx)?;
+    }
+    Ok(tables.insert_link(base))
+}
+
+/// Records that a connection carries no request any more.
+pub fn rest(tables: &mut Tables, id: Holder, now: Instant) {
+    if let Some(link) = tables.links.get_mut(&id) {
+        link.idle_since = Some(now);
+    }
+}
+
+/// Records that a connection carries a request.
+pub fn work(tables: &mut Tables, id: Holder) {
+    if let Some(link) = tables.links.get_mut(&id) {
+        link.idle_since = None;
+    }
+}
--- a/crates/core/src/memory/system/mod.rs
+++ b/crates/core/src/memory/system/mod.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod evict;
 pub mod hold;
+pub mod link;
 pub mod transfer;
 
 use super::{Holder, Limits};
--- a/crates/core/src/memory/table.rs
+++ b/crates/core/src/memory/table.rs
@@ -115,6 +115,17 @@
     }
 }
 
+/// A connection to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Link {
+    /// The bytes that the connection takes by itself, without a reply.
+    pub base: usize,
+    /// Since when it has carried no request; none while it carries one.
+    pub idle_since: Option<Instant>,
+    /// Whether it was chosen to be closed.
+    pub is_closing: bool,
+}
+
 /// A reply of a target on its way in. Its bytes count as those of an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Reply {
@@ -136,11 +147,18 @@
     pub held: BTreeMap<Purpose, usize>,
     /// The part of them that is held for connections that are being closed.
     pub closing: usize,
+    pub links: BTreeMap<Holder, Link>,
+    /// The bytes that connections to targets take by themselves.
+    pub linked: usize,
+    /// The part of them that is taken by those that are being closed.
+    pub unlinked: usize,
     pub replies: BTreeMap<Holder, Reply>,
     /// The bytes that are held for replies on their way in.
     pub arriving: usize,
     /// The part of them that is held for replies that are given up.
     pub given_up: usize,
+    /// The most bytes that there were in all, with those of connections to targets.
+    pub peak: usize,
     last_id: u64,
 }
 
@@ -150,6 +168,15 @@
         self.bases + self.held.values().sum::<usize>()
     }
 
+    /// Returns the same with what connections to targets take.
+    pub fn total_bytes(&self) -> usize {
+        self.bytes() + self.linked
+    }
+
+    fn note_peak(&mut self) {
+        self.peak = self.peak.max(self.total_bytes());
+    }
+
     /// Returns the bytes that are held for a purpose.
     pub fn held(&self, purpose: Purpose) -> usize {
         self.held.get(&purpose).copied().unwrap_or_default()
@@ -170,6 +197,32 @@
         Holder(self.last_id)
     }
 
+    /// Adds a connection to a target that is being opened for a request.
+    pub fn insert_link(&mut self, base: usize) -> Holder {
+        let id = self.next_id();
+        self.links.insert(id, Link { base, idle_since: None, is_closing: false });
+        self.linked += base;
+        self.note_peak();
+        id
+    }
+
+    /// Marks a connection to a target as one that is being closed.
+    pub fn close_link(&mut self, id: Holder) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if !std::mem::replace(&mut link.is_closing, true) {
+            self.unlinked += link.base;
+        }
+    }
+
+    /// Removes a connection to a target that has ended.
+    pub fn remove_link(&mut self, id: Holder) {
+        self.close_link(id);
+        if let Some(link) = self.links.remove(&id) {
+            self.linked = self.linked.saturating_sub(link.base);
+            self.unlinked = self.unlinked.saturating_sub(link.base);
+        }
+    }
+
     /// Adds a reply that begins to arrive.
     pub fn insert_reply(&mut self) -> Holder {
         let id = self.next_id();
@@ -223,6 +276,7 @@
         self.rows.insert(id, row);
         *self.ports.entry(port).or_default() += 1;
         self.bases += base;
+        self.note_peak();
         id
     }
 
@@ -255,6 +309,7 @@
     /// Adds to the bytes that are held, for a connection if it is known.
     pub fn add(&mut self, id: Option<Holder>, purpose: Purpose, bytes: usize) {
         *self.held.entry(purpose).or_default() += bytes;
+        self.note_peak();
         if let Some(row) = id.and_then(|id| self.rows.get_mut(&id)) {
             row.bytes += bytes;
             if row.is_closing {
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -53,9 +53,9 @@
     Opened { connection: Connection },
     /// A target answered an attempt.
     Replied { connection: Connection, attempt: Attempt, reply: Box<Reply> },
-    /// A target answered an attempt, but there was no room for its reply. The connection is
-    /// closed.
-    Unheld { connection: Connection, attempt: Attempt },
+    /// There was no room for the reply to an attempt, or, unless it was sent, for the connection
+    /// that it needs. The connection is closed.
+    Unheld { connection: Connection, attempt: Attempt, sent: bool },
     /// A connection was closed or lost.
     Closed { connection: Connection, loss: Loss },
     /// A message from another VM arrived.
--- a/crates/core/src/relay/system/collect.rs
+++ b/crates/core/src/relay/system/collect.rs
@@ -166,12 +166,13 @@
     cx.out.lines.push(Line::new(Event::AttemptFailed, fields));
 }
 
-/// Ends an attempt whose reply was dropped for want of room. It ran, and another reply
-/// would need as much room, so its leg is not retried; the target did nothing wrong.
+/// Ends an attempt for which there was no room. Another one would need as much, so its leg is
+/// not retried; the target did nothing wrong. It ran if it was sent.
 pub fn unheld(
     tables: &mut Tables,
     connection: relay::Connection,
     attempt: relay::Attempt,
+    sent: bool,
     cx: &mut Context<'_>,
 ) {
     connect::close(tables, connection, cx);
@@ -183,7 +184,11 @@
     connect::prune(tables, &row.target);
     let Some(leg) = row.leg.and_then(|key| tables.legs.get_mut(&key)) else { return };
     leg.attempts.remove(&attempt);
-    leg.runs.may_have_run = true;
+    if sent {
+        leg.runs.may_have_run = true;
+    } else {
+        leg.runs.arrived = leg.runs.arrived.saturating_sub(1);
+    }
     let is_over = leg.attempts.is_empty() && !leg.queued;
     if let Some(key) = row.leg.filter(|_| is_over) {
         leg::give_up(tables, key, cx);
--- a/crates/core/src/relay/system/mod.rs
+++ b/crates/core/src/relay/system/mod.rs
@@ -59,8 +59,8 @@
             Event::Replied { connection, attempt, reply } => {
                 collect::replied(tables, connection, attempt, *reply, cx);
             }
-            Event::Unheld { connection, attempt } => {
-                collect::unheld(tables, connection, attempt, cx);
+            Event::Unheld { connection, attempt, sent } => {
+                collect::unheld(tables, connection, attempt, sent, cx);
             }
             Event::HopUnheld { from, hop } => hop::receive_unheld(tables, from, hop, cx),
             Event::Closed { connection, loss } => collect::closed(tables, connection, &loss, cx),
--- a/crates/core/tests/memory/harness.rs
+++ b/crates/core/tests/memory/harness.rs
@@ -5,7 +5,7 @@
 use laburnum_core::{
     memory::{
         Full, Holder, Limits, Party, Port, Purpose, Tables,
-        system::{Context, admit, hold, transfer},
+        system::{Context, admit, hold, link, transfer},
     },
     time::Instant,
 };
@@ -28,7 +28,15 @@
 
 impl Memory {
     pub fn new() -> Memory {
-        Memory { tables: Tables::default(), now: Instant(1), closing: Vec::new(), limits: LIMITS }
+        Memory::with_limits(LIMITS)
+    }
+
+    pub fn with_limits(limits: Limits) -> Memory {
+        Memory { tables: Tables::default(), now: Instant(1), closing: Vec::new(), limits }
+    }
+
+    pub fn limits(&self) -> Limits {
+        self.limits
     }
 
     pub fn pass(&mut self, millis: u64) {
@@ -66,6 +74,26 @@
         id
     }
 
+    /// Opens a connection to a target that takes `bytes` by itself.
+    pub fn open_link(&mut self, bytes: usize) -> Result<Holder, Full> {
+        self.run(|tables, cx| link::open(tables, bytes, cx))
+    }
+
+    /// Opens a connection to a target, for which there is room, that is idle from now on.
+    pub fn idle_link(&mut self, bytes: usize) -> Holder {
+        let id = self.open_link(bytes).unwrap();
+        self.rest_link(id);
+        id
+    }
+
+    pub fn rest_link(&mut self, id: Holder) {
+        link::rest(&mut self.tables, id, self.now);
+    }
+
+    pub fn work_link(&mut self, id: Holder) {
+        link::work(&mut self.tables, id);
+    }
+
     pub fn receive(&mut self, id: Holder, bytes: usize) {
         transfer::receive(&mut self.tables, id, bytes, self.now);
     }
--- a/crates/core/tests/memory/main.rs
+++ b/crates/core/tests/memory/main.rs
@@ -6,5 +6,6 @@
 mod harness;
 mod admit;
 mod hold;
+mod link;
 mod reply;
 mod random;
--- a/crates/core/tests/memory/random.rs
+++ b/crates/core/tests/memory/random.rs
@@ -19,6 +19,12 @@
     Reply(usize, usize),
     /// A reply arrives, and is dropped at once.
     Arrive(usize),
+    /// A connection to a target is opened.
+    Link(usize),
+    /// One becomes idle.
+    Rest(usize),
+    /// One ends.
+    Unlink(usize),
     /// A connection ends, and what is held for it is dropped.
     End(usize),
     /// Every connection that was told to close ends.
@@ -37,6 +43,9 @@
         (0..50usize).prop_map(Step::Finish),
         (0..20usize, 0..400usize).prop_map(|(reply, bytes)| Step::Reply(reply, bytes)),
         (0..20usize).prop_map(Step::Arrive),
+        (0..300usize).prop_map(Step::Link),
+        (0..20usize).prop_map(Step::Rest),
+        (0..20usize).prop_map(Step::Unlink),
         (0..50usize).prop_map(Step::End),
         Just(Step::Close),
     ]
@@ -55,6 +64,10 @@
         ids.get(row).copied()
     }
 
+    fn pick_link(&self, link: usize) -> Option<Holder> {
+        self.memory.tables.links.keys().copied().nth(link)
+    }
+
     fn grow(&mut self, id: Holder, purpose: Purpose, bytes: usize) {
         if self.memory.grow(id, purpose, bytes).is_ok() {
             self.held.push((id, purpose, bytes));
@@ -96,6 +109,16 @@
                 let Some((id, _)) = self.replies.get(reply).copied() else { return };
                 self.end_reply(id);
             }
+            // A connection for which there is no room is not opened.
+            Step::Link(bytes) => drop(self.memory.open_link(bytes)),
+            Step::Rest(link) => {
+                let Some(id) = self.pick_link(link) else { return };
+                self.memory.rest_link(id);
+            }
+            Step::Unlink(link) => {
+                let Some(id) = self.pick_link(link) else { return };
+                self.memory.tables.remove_link(id);
+            }
             Step::Pass(millis) => self.memory.pass(millis),
             Step::Open(party) => drop(self.memory.open(party, 10)),
             Step::Receive(row, bytes) => {
@@ -128,6 +151,7 @@
             Step::Close => {
                 for id in std::mem::take(&mut self.memory.closing) {
                     self.end_reply(id);
+                    self.memory.tables.remove_link(id);
                     self.end(id);
                 }
             }
@@ -151,6 +175,11 @@
         assert_eq!(tables.connections(), open.count());
         let closing = tables.rows.values().filter(|row| row.is_closing);
         assert_eq!(tables.closing, closing.map(Row::total).sum::<usize>());
+        let links = tables.links.values();
+        assert_eq!(tables.linked, links.clone().map(|link| link.base).sum::<usize>());
+        let unlinked = links.filter(|link| link.is_closing).map(|link| link.base);
+        assert_eq!(tables.unlinked, unlinked.sum::<usize>());
+        assert!(tables.total_bytes() <= LIMITS.max_total_bytes(), "{}", tables.total_bytes());
         assert!(tables.connections() <= LIMITS.connections);
         assert!(tables.bases <= LIMITS.connection_bytes());
         assert!(tables.bytes() <= LIMITS.bytes + LIMITS.closing_bytes(), "{}", tables.bytes());
--- a/crates/core/tests/relay/unheld.rs
+++ b/crates/core/tests/relay/unheld.rs
@@ -12,7 +12,13 @@
 /// Tells the engine that there is no room for the reply to a request.
 fn drop_reply(harness: &mut Harness, sent: &Sent) {
     let (connection, attempt) = (sent.connection, sent.attempt);
-    harness.tick(vec![Event::Unheld { connection, attempt }]);
+    harness.tick(vec![Event::Unheld { connection, attempt, sent: true }]);
+}
+
+/// Tells the engine that there is no room for the connection that a request needs.
+fn drop_connection(harness: &mut Harness, sent: &Sent) {
+    let (connection, attempt) = (sent.connection, sent.attempt);
+    harness.tick(vec![Event::Unheld { connection, attempt, sent: false }]);
 }
 
 /// The id of a request that the VM `small` hands over.
@@ -43,6 +49,16 @@
         assert!(harness.closed.contains(&sent.connection));
         assert!(harness.take_sent().is_empty());
     };
+    an_operation_without_a_connection_did_not_run_and_is_refused_at_once => {
+        let mut harness = Harness::with_route(laburnum_core::relay::Route { idempotent: false, ..single("desk") });
+        let call = harness.submit(request("/fetch/1"));
+        let sent = harness.take_one_sent();
+        drop_connection(&mut harness, &sent);
+        let Answer::Refused(refusal) = &harness.answers[&call] else { panic!() };
+        assert_eq!(refusal.fault.ran, Ran::No);
+        assert!(refusal.retry.is_some());
+        assert!(harness.take_sent().is_empty());
+    };
     a_request_that_may_run_twice_is_not_sent_again_either => {
         let mut harness = Harness::with_route(single("desk"));
         let call = harness.submit(request("/fetch/1"));
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -23,7 +23,7 @@
 
 use self::{
     buffer::{Beside, Buffer, Room, Unlimited},
-    socket::{FlushFlag, ReadLimit, Socket},
+    socket::{FlushFlag, READ_BYTES, ReadLimit, Socket},
 };
 
 type Driver = http1::Connection<TokioIo<Socket>, Full<Bytes>>;
@@ -32,6 +32,10 @@
 /// It is twice what callers may send for a head in the deployments in force.
 pub const MAX_BUFFER_BYTES: usize = 32 << 10;
 
+/// What a connection takes by itself, in bytes: a buffer of [`READ_BYTES`] for what is read, one
+/// as large for what is written, and the task that drives it.
+pub const CONNECTION_BYTES: usize = 3 * READ_BYTES;
+
 /// The bytes that may be read before the body of a response: its head and interim
 /// responses. It exceeds what hyper buffers, so that a body which arrives with its head
 /// is not cut off.
@@ -145,11 +149,13 @@
         self.ready().await?;
         self.read_limit.set(MAX_HEAD_BYTES);
         let response = self.send(request, room).await?;
+        let head = buffer_bytes(head_length(response.headers()));
         let keeps = keeps_open(response.headers());
         let (parts, body) = response.into_parts();
-        let body = self.read_body(body, room).await?;
-        // A peer may answer before it has read the whole request.
-        let reusable = keeps && self.flush_flag.is_set() && !self.sender.is_closed();
+        let body = self.read_body(body, &mut Beside { room, bytes: head }).await?;
+        // A peer may answer before it has read the whole request. The buffer of a long head
+        // would be kept while the connection is idle.
+        let reusable = keeps && head == 0 && self.flush_flag.is_set() && !self.sender.is_closed();
         Ok(CompleteResponse { response: Response::from_parts(parts, body), reusable })
     }
 
@@ -183,8 +189,8 @@
             }
             let reply = reply.as_mut().poll(cx);
             // What is read is buffered until the head is complete.
-            let buffered = (MAX_HEAD_BYTES - read_limit.left()).min(MAX_BUFFER_BYTES);
-            if reply.is_ready() || room.grow_to(buffered) {
+            let read = MAX_HEAD_BYTES - read_limit.left();
+            if reply.is_ready() || room.grow_to(buffer_bytes(read)) {
                 reply.map(Some)
             } else {
                 Poll::Ready(None)
@@ -221,9 +227,9 @@
         let mut left = self.max_body.saturating_mul(2).saturating_add(MAX_HEAD_BYTES);
         let mut allowed = MAX_HEAD_BYTES;
         self.read_limit.set(allowed);
-        // A body that is longer than the buffer of its connection fills that too.
-        let is_long = announced.is_none_or(|length| length > MAX_BUFFER_BYTES);
-        let mut room = Beside { room, bytes: if is_long { MAX_BUFFER_BYTES } else { 0 } };
+        // While one part of a longer body is taken over, the next is read.
+        let is_long = announced.is_none_or(|length| length > READ_BYTES);
+        let mut room = Beside { room, bytes: if is_long { READ_BYTES } else { 0 } };
         let room = &mut room;
         if !bytes.reserve(room) {
             return Err(Failure { unheld: true, ..Failure::sent("body: no room") });
@@ -264,6 +270,16 @@
     }
 }
 
+/// Returns the bytes that a head of which `read` bytes were read takes beside its connection,
+/// whose buffer doubles until it has room.
+fn buffer_bytes(read: usize) -> usize {
+    read.min(MAX_BUFFER_BYTES).next_power_of_two().saturating_sub(READ_BYTES)
+}
+
+fn head_length(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()
+}
+
 fn set_options(socket: &TcpStream, limits: Limits) -> io::Result<()> {
     socket.set_nodelay(true)?;
     let socket = SockRef::from(socket);
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -16,6 +16,9 @@
     net::TcpStream,
 };
 
+/// The size of the buffer that hyper reads into, in bytes.
+pub const READ_BYTES: usize = 8 << 10;
+
 /// A TCP socket with a [`FlushFlag`] and a [`ReadLimit`].
 ///
 /// hyper 1 regards an exchange as finished when the response is complete, even if
@@ -24,7 +27,8 @@
 /// checked.
 ///
 /// hyper also reads interim responses and the digits of a chunk's size without end. The
-/// limit bounds them.
+/// limit bounds them. It doubles the buffer of a connection whenever one read fills it, and
+/// keeps it, so a read is always shorter.
 pub struct Socket {
     tcp: TcpStream,
     flush_flag: FlushFlag,
@@ -98,9 +102,12 @@
             let error = io::Error::new(io::ErrorKind::InvalidData, "response without end");
             return Poll::Ready(Err(error));
         }
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.tcp).poll_read(cx, buffer);
-        self.read_limit.spend(buffer.filled().len() - before);
+        let length = buffer.remaining().min(READ_BYTES - 1);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+        let polled = Pin::new(&mut self.tcp).poll_read(cx, &mut part);
+        let read = part.filled().len();
+        buffer.advance(read);
+        self.read_limit.spend(read);
         polled
     }
 }
--- a/crates/http/tests/channel.rs
+++ b/crates/http/tests/channel.rs
@@ -259,6 +259,20 @@
         let complete = exchange_once(Action::Send(text.leak())).await.unwrap();
         assert_eq!(complete.response.body().len(), LIMITS.body);
     };
+    a_connection_that_carried_a_long_body_is_used_again => {
+        let body = "x".repeat(LIMITS.body);
+        let text =
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", LIMITS.body);
+        let complete = exchange_once(Action::Send(text.leak())).await.unwrap();
+        assert!(complete.reusable);
+        assert_eq!(complete.response.body().len(), LIMITS.body);
+    };
+    // An idle connection would keep the buffer of the head.
+    a_connection_that_carried_a_long_head_is_not_used_again => {
+        let value = "x".repeat(9 << 10);
+        let text = format!("HTTP/1.1 200 OK\r\nA: {value}\r\nContent-Length: 2\r\n\r\nok");
+        assert!(!exchange_once(Action::Send(text.leak())).await.unwrap().reusable);
+    };
     too_long_a_body_is_no_response => {
         let text = "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n";
         let text: &'static str = Box::leak(format!("{text}{}", "x".repeat(2000)).into());
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -19,7 +19,7 @@
     log::{Event, Line},
     memory::{
         Full, Holder, Limits, Port, Purpose, Tables,
-        system::{Context, admit, hold, transfer},
+        system::{Context, admit, hold, link, transfer},
     },
 };
 use rustix::process::{Resource, getrlimit};
@@ -66,6 +66,15 @@
     closers: BTreeMap<Holder, Arc<Notify>>,
 }
 
+impl State {
+    /// Makes what tells the task of a connection to close it.
+    fn add_closer(&mut self, id: Holder) -> Arc<Notify> {
+        let closer = Arc::new(Notify::new());
+        self.closers.insert(id, Arc::clone(&closer));
+        closer
+    }
+}
+
 impl fmt::Debug for Ledger {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Ledger").field("limits", &self.0.limits).finish_non_exhaustive()
@@ -89,9 +98,14 @@
         &self.0.limits
     }
 
-    /// Returns the bytes that are held.
+    /// Returns the bytes that are held, with those of connections to targets.
     pub fn bytes(&self) -> usize {
-        self.lock().tables.bytes()
+        self.lock().tables.total_bytes()
+    }
+
+    /// Returns the most bytes that were held at once.
+    pub fn peak(&self) -> usize {
+        self.lock().tables.peak
     }
 
     /// Opens the account of a connection at a port that may have `max` of them. The
@@ -99,11 +113,18 @@
     pub fn open(&self, port: Port, max: usize, base: usize) -> Result<Account, Full> {
         let mut state = self.lock();
         let id = self.run(&mut state, |tables, cx| admit::open(tables, port, max, base, cx))?;
-        let closer = Arc::new(Notify::new());
-        state.closers.insert(id, Arc::clone(&closer));
+        let closer = state.add_closer(id);
         Ok(Account { ledger: self.clone(), id, closer })
     }
 
+    /// Opens the account of a connection to a target, which takes `base` bytes by itself.
+    pub fn open_link(&self, base: usize) -> Result<Link, Full> {
+        let mut state = self.lock();
+        let id = self.run(&mut state, |tables, cx| link::open(tables, base, cx))?;
+        let closer = state.add_closer(id);
+        Ok(Link { ledger: self.clone(), id, closer })
+    }
+
     /// Makes an empty hold that belongs to no connection of others.
     pub fn hold(&self, purpose: Purpose) -> Hold {
         Hold { ledger: self.clone(), holder: None, purpose, bytes: 0 }
@@ -113,8 +134,7 @@
     pub fn begin_reply(&self) -> Arrival {
         let mut state = self.lock();
         let id = state.tables.insert_reply();
-        let closer = Arc::new(Notify::new());
-        state.closers.insert(id, Arc::clone(&closer));
+        let closer = state.add_closer(id);
         Arrival { hold: self.hold(Purpose::Answer), id, closer }
     }
 
@@ -233,6 +253,35 @@
     }
 }
 
+/// The row of a connection to a target, which is removed when this is dropped.
+pub struct Link {
+    ledger: Ledger,
+    id: Holder,
+    closer: Arc<Notify>,
+}
+
+impl Link {
+    /// Records that the connection is idle, and waits until it is to be closed to make room.
+    pub async fn rest(&self) {
+        let now = self.ledger.0.clock.now();
+        link::rest(&mut self.ledger.lock().tables, self.id, now);
+        self.closer.notified().await;
+    }
+
+    /// Records that the connection carries a request, which keeps it open.
+    pub fn work(&self) {
+        link::work(&mut self.ledger.lock().tables, self.id);
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        let mut state = self.ledger.lock();
+        state.tables.remove_link(self.id);
+        state.closers.remove(&self.id);
+    }
+}
+
 /// A reply of a target on its way in, whose row is removed when this is dropped.
 pub struct Arrival {
     hold: Hold,
--- a/src/metric/gauge.rs
+++ b/src/metric/gauge.rs
@@ -62,6 +62,8 @@
     StoreEra "store_era" "Era of the platform's service, which rises when it has lost changes";
     /// The bytes that are held for others.
     HeldBytes "held_bytes" "Bytes held for callers, operators, targets and other VMs";
+    /// The most bytes that were held for others at once.
+    HeldPeak "held_bytes_peak" "Most bytes held at once since the start";
     /// The log lines that were lost because the queue of the writer was full.
     LogLost "log_lines_lost" "Log lines that were lost since the start";
 }
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -3,14 +3,14 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use laburnum_core::relay::{Attempt, Command, Connection, Event, Loss, Reply, TargetRequest};
-use laburnum_http::{Channel, Failure, Limits};
+use laburnum_http::{CONNECTION_BYTES, Channel, Failure, Limits};
 use laburnum_platform::target as wire;
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
     time::sleep,
 };
 
-use crate::memory::Ledger;
+use crate::memory::{self, Ledger};
 
 /// The limits on a connection to a target. A target in reach accepts within a few
 /// milliseconds.
@@ -108,8 +108,11 @@
 impl Link {
     /// Opens the connection, serves it and reports its loss.
     async fn run(mut self, address: SocketAddr) {
+        let Ok(account) = self.ledger.open_link(CONNECTION_BYTES) else {
+            return self.refuse().await;
+        };
         let end = match Channel::open(address, LIMITS).await {
-            Ok(channel) => self.serve(channel).await,
+            Ok(channel) => self.serve(channel, &account).await,
             Err(failure) => End::from(failure),
         };
         if let End::Lost(loss) = end {
@@ -117,8 +120,15 @@
         }
     }
 
+    /// Reports that there is no room for the connection that a request needs.
+    async fn refuse(&mut self) {
+        if let Some((attempt, _)) = self.tasks.recv().await {
+            self.report(Event::Unheld { connection: self.connection, attempt, sent: false });
+        }
+    }
+
     /// Sends the requests one after the other until the connection ends.
-    async fn serve(&mut self, mut channel: Channel) -> End {
+    async fn serve(&mut self, mut channel: Channel, account: &memory::Link) -> End {
         self.report(Event::Opened { connection: self.connection });
         let mut keep_alive = DEFAULT_KEEP_ALIVE;
         loop {
@@ -127,8 +137,10 @@
                 task = self.tasks.recv() => task,
                 detail = channel.closed() => return idle(detail),
                 () = sleep(keep_alive) => return idle("idle for too long"),
+                () = account.rest() => return idle("closed to make room"),
             };
             let Some((attempt, target_request)) = task else { return End::Closed };
+            account.work();
             match self.exchange(&mut channel, attempt, &target_request).await {
                 Ok(next) => keep_alive = next,
                 Err(end) => return end,
@@ -176,7 +188,7 @@
 
     /// Reports that there is no room for a reply, and returns the end of its connection.
     fn unheld(&self, attempt: Attempt) -> End {
-        self.report(Event::Unheld { connection: self.connection, attempt });
+        self.report(Event::Unheld { connection: self.connection, attempt, sent: true });
         End::Closed
     }
 
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -188,6 +188,7 @@
         let lost = i64::try_from(self.writer.lost()).unwrap_or(i64::MAX);
         self.metrics.set(Gauge::LogLost, Part::Log, lost);
         self.metrics.set(Gauge::HeldBytes, Part::Process, to_i64(self.ledger.bytes()));
+        self.metrics.set(Gauge::HeldPeak, Part::Process, to_i64(self.ledger.peak()));
         self.metrics.text()
     }
 
--- a/tests/crowd/caller.rs
+++ b/tests/crowd/caller.rs
@@ -105,6 +105,14 @@
 
 /// Sends a request as an ordinary caller and returns the status and the size of the body.
 pub async fn exchange(address: SocketAddr, request: &[u8]) -> (u16, usize) {
+    let answer = read(address, request).await;
+    let head = head_length(&answer).expect("an answer has a head");
+    let status = String::from_utf8_lossy(&answer[9..12]).parse().unwrap();
+    (status, answer.len() - head)
+}
+
+/// Sends a request and returns its answer with the head.
+pub async fn read(address: SocketAddr, request: &[u8]) -> Vec<u8> {
     let mut socket = TcpStream::connect(address).await.unwrap();
     let (mut reader, mut writer) = socket.split();
     let mut answer = Vec::new();
@@ -119,9 +127,7 @@
     };
     // A caller that is refused early need not send the rest.
     let (_, ()) = tokio::join!(writer.write_all(request), reading);
-    let head = head_length(&answer).expect("an answer has a head");
-    let status = String::from_utf8_lossy(&answer[9..12]).parse().unwrap();
-    (status, answer.len() - head)
+    answer
 }
 
 fn head_length(answer: &[u8]) -> Option<usize> {
--- a/tests/crowd/endless.rs
+++ b/tests/crowd/endless.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     alone::alone,
-    caller::{self, head},
+    caller::{self, head, plain_head},
     deployment::{self, PATIENCE, set_behaviour},
     entry::config,
     flood::{self, Flood, Pace, Tally},
@@ -175,9 +175,20 @@
         }
         self.print(sent, refused.len());
         process::assert_sound(self.relay.process());
+        process::assert_counted(self.relay.process(), self.read_held_peak().await);
         assert!(refused.is_empty(), "{} of {sent} sound requests: {refused:?}", refused.len());
     }
 
+    /// Returns the most that the relay says it has held for others, in bytes.
+    async fn read_held_peak(&self) -> u64 {
+        let request = plain_head("GET", "/metrics", 0);
+        let metrics = caller::read(self.relay.metrics, request.as_bytes()).await;
+        let metrics = String::from_utf8(metrics).unwrap();
+        let gauge = metrics.lines().find(|line| line.starts_with("laburnum_held_bytes_peak{"));
+        let value = gauge.and_then(|line| line.rsplit(' ').next());
+        value.and_then(|value| value.trim().parse().ok()).expect("the gauge is there")
+    }
+
     /// Sends a search and an operation with a long body to sound targets.
     async fn send_sound(&self) -> [(&'static str, u16); 2] {
         let search = head("GET", "/search/1", PATIENCE, 0);
--- a/tests/crowd/process.rs
+++ b/tests/crowd/process.rs
@@ -17,11 +17,29 @@
     assert!(open < MACHINE_DESCRIPTORS, "the process holds {open} descriptors");
 }
 
+/// The part of the memory of that machine that a process may take beside what it counts, and
+/// beside its program, in bytes: a quarter.
+const UNCOUNTED_BYTES: u64 = MACHINE_BYTES / 4;
+
+/// Asserts that what a process takes for others is counted, of which `counted` bytes were the
+/// most.
+pub fn assert_counted(process: u32, counted: u64) {
+    let taken = peak_memory(process) - status(process, "RssFile:");
+    println!("peak memory without files {taken} bytes, counted {counted}");
+    let uncounted = taken.saturating_sub(counted);
+    assert!(uncounted < UNCOUNTED_BYTES, "{uncounted} bytes of {taken} are not counted");
+}
+
 /// Returns the largest resident memory that the process has had, in bytes.
 fn peak_memory(process: u32) -> u64 {
+    status(process, "VmHWM:")
+}
+
+/// Returns a size that the system states of a process, in bytes.
+fn status(process: u32, name: &str) -> u64 {
     let status = fs::read_to_string(format!("/proc/{process}/status"));
     let status = status.expect("the process lives");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let line = status.lines().find(|line| line.starts_with(name));
     let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
     kilobytes.expect("the process has ended") * 1024
 }
