--- a/src/target/connection.rs
+++ b/src/target/connection.rs
@@ -9,11 +9,12 @@
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender},
     task::{AbortHandle, JoinError, JoinSet},
+    time::timeout,
 };
 
 use super::{
-    Rules, body, dial,
-    exchange::{Channel, Failure},
+    Rules, body,
+    exchange::{self, Channel, Failure},
 };
 
 /// An action for the task of a connection.
@@ -98,11 +99,9 @@
     rules: Rules,
     events: UnboundedSender<Event>,
 ) -> Result<Task, Stop> {
-    let client = dial::client(opening.limit)
-        .map_err(|error| Stop::Lost { detail: format!("client: {error}") })?;
-    let channel = Channel { client, address: opening.address, rules };
-    match channel.clone().read_status(opening.limit).await {
-        Ok(status) => {
+    let opened = timeout(opening.limit, open_channel(opening, rules)).await;
+    match opened.unwrap_or_else(|_| Err(exchange::late_status(opening.limit))) {
+        Ok((channel, status)) => {
             report(&events, Event::Opened { connection, status });
             let attempts = BTreeMap::new();
             Ok(Task { connection, channel, events, attempts, exchanges: JoinSet::new() })
@@ -111,6 +110,12 @@
     }
 }
 
+async fn open_channel(opening: Opening, rules: Rules) -> Result<(Channel, Status), Failure> {
+    let channel = Channel::open(opening.address, rules).await?;
+    let status = channel.clone().read_status(opening.limit).await?;
+    Ok((channel, status))
+}
+
 /// Takes the actions that were not started, and makes sends of later ones fail.
 fn drain(actions: &mut UnboundedReceiver<Action>) -> Vec<Action> {
     actions.close();
--- a/src/target/dial.rs
+++ b/src/target/dial.rs
@@ -1,95 +1,66 @@
-//! Limits an HTTP client to one TCP connection.
+//! Opens the one TCP connection of a row of the connection table.
 //!
-//! An HTTP client replaces a lost connection by itself. That would use a second
+//! A pooling HTTP client replaces a lost connection by itself. That would use a second
 //! connection of the target's limit that is not in the connection table, and a request
-//! could be sent again unnoticed. The layer here lets the connector run once. Every
-//! later call fails, which the client reports as a connect error, and a request with
-//! that error was never sent.
+//! could be sent again unnoticed. A connection that is opened here is never replaced: once
+//! it is lost, requests on it fail, and the HTTP library hands back those of which it has
+//! sent nothing.
 
 use std::{
     error::Error,
-    fmt,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    task::{Context, Poll},
-    time::Duration,
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
 };
 
-use tower_layer::Layer;
-use tower_service::Service;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http2::{self, SendRequest};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
 
-/// The error of a connector that is called a second time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AlreadyUsed;
+use super::{meter::Meter, socket::Socket};
 
-impl fmt::Display for AlreadyUsed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the connection was lost and is not opened again")
-    }
-}
-
-impl Error for AlreadyUsed {}
+/// The idle time after which the operating system probes a connection, and the time between
+/// two probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(15);
 
-/// The layer that lets the connector below it run once.
-#[derive(Clone, Debug, Default)]
-pub struct SingleUse {
-    is_used: Arc<AtomicBool>,
-}
+/// The number of unanswered probes after which a connection is lost.
+const PROBES: u32 = 3;
 
-impl<S> Layer<S> for SingleUse {
-    type Service = Connector<S>;
-
-    fn layer(&self, inner: S) -> Connector<S> {
-        Connector { is_used: Arc::clone(&self.is_used), inner }
-    }
-}
+/// The time without an acknowledgement after which a connection is lost.
+const SILENCE_LIMIT: Duration = Duration::from_secs(30);
 
-/// A connector that runs once; clones count as the same one.
-#[derive(Clone, Debug)]
-pub struct Connector<S> {
-    is_used: Arc<AtomicBool>,
-    inner: S,
+/// An open connection.
+pub struct Link {
+    /// Sends requests. When all clones are dropped, the connection closes.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// Bounds what is read on the connection.
+    pub meter: Meter,
 }
 
-type BoxError = Box<dyn Error + Send + Sync>;
-
-type Connecting<T> = std::pin::Pin<Box<dyn Future<Output = Result<T, BoxError>> + Send>>;
-
-impl<S, R> Service<R> for Connector<S>
-where
-    S: Service<R, Error = BoxError>,
-    S::Future: Send + 'static,
-{
-    type Response = S::Response;
-    type Error = BoxError;
-    type Future = Connecting<S::Response>;
-
-    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), BoxError>> {
-        self.inner.poll_ready(context)
-    }
-
-    fn call(&mut self, request: R) -> Connecting<S::Response> {
-        if self.is_used.swap(true, Ordering::SeqCst) {
-            return Box::pin(async { Err(BoxError::from(AlreadyUsed)) });
-        }
-        Box::pin(self.inner.call(request))
-    }
+/// Connects to `address` and starts the task that drives the connection.
+pub async fn open(address: SocketAddr) -> Result<Link, Box<dyn Error + Send + Sync>> {
+    let tcp = TcpStream::connect(address).await?;
+    set_options(&tcp)?;
+    let meter = Meter::new(Instant::now());
+    let socket = TokioIo::new(Socket::new(tcp, meter.clone()));
+    let mut builder = http2::Builder::new(TokioExecutor::new());
+    builder.adaptive_window(true);
+    let (sender, driver) = builder.handshake(socket).await?;
+    // An error of the connection is also the error of its exchanges.
+    tokio::spawn(async move { driver.await.ok() });
+    Ok(Link { sender, meter })
 }
 
-/// Builds an HTTP/2 client that opens one TCP connection, within `limit`, and no
-/// other.
-pub fn client(limit: Duration) -> reqwest::Result<reqwest::Client> {
-    reqwest::Client::builder()
-        .http2_prior_knowledge()
-        .http2_adaptive_window(true)
-        .no_proxy()
-        .redirect(reqwest::redirect::Policy::none())
-        .retry(reqwest::retry::never())
-        .connect_timeout(limit)
-        .pool_idle_timeout(None)
-        .tcp_nodelay(true)
-        .connector_layer(SingleUse::default())
-        .build()
+fn set_options(tcp: &TcpStream) -> io::Result<()> {
+    tcp.set_nodelay(true)?;
+    let socket = SockRef::from(tcp);
+    socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)
 }
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -4,7 +4,8 @@
 //! The client carries out [`Command`]s and reports [`Event`]s; it decides nothing. Each
 //! connection is served by a task of its own, so that a slow exchange never delays
 //! another. A target limits the number of its connections, so a lost connection is
-//! reported and never replaced automatically; see [`dial`].
+//! reported and never replaced automatically; see `dial`. What a target can make a
+//! connection read without delivering anything is bounded; see [`meter`].
 
 use std::collections::BTreeMap;
 
@@ -16,13 +17,19 @@
 use tokio::sync::mpsc::{self, UnboundedSender};
 
 pub mod body;
-pub mod dial;
 mod connection;
+mod dial;
 mod exchange;
+pub mod frame;
+pub mod meter;
+mod socket;
 
 use self::connection::Action;
 use crate::memory::Ledger;
 
+/// The longest reply body that is read by default, in bytes.
+const BODY_BYTES: usize = 8 << 20;
+
 /// The limits on replies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -32,7 +39,7 @@
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { body_bytes: 8 * 1024 * 1024 }
+        Limits { body_bytes: BODY_BYTES }
     }
 }
 
--- a/tests/crowd/frames.rs
+++ b/tests/crowd/frames.rs
@@ -11,7 +11,7 @@
 use crate::flood::{self, Pace, Tally};
 
 /// The length of the text with which a client begins a connection, in bytes.
-const PREFACE_BYTES: usize = 24;
+pub const PREFACE_BYTES: usize = 24;
 
 /// The length of the header of a frame, in bytes.
 const HEADER_BYTES: usize = 9;
@@ -22,21 +22,21 @@
 /// The time after an answer at which an idle connection is flooded.
 const IDLE_PAUSE: Duration = Duration::from_millis(200);
 
-const DATA: u8 = 0;
-const HEADERS: u8 = 1;
-const SETTINGS: u8 = 4;
+pub const DATA: u8 = 0;
+pub const HEADERS: u8 = 1;
+pub const SETTINGS: u8 = 4;
 const PUSH_PROMISE: u8 = 5;
-const PING: u8 = 6;
+pub const PING: u8 = 6;
 const WINDOW_UPDATE: u8 = 8;
 const CONTINUATION: u8 = 9;
 const UNKNOWN: u8 = 0xfe;
 
-const END_STREAM: u8 = 1;
-const ACK: u8 = 1;
-const END_HEADERS: u8 = 4;
+pub const END_STREAM: u8 = 1;
+pub const ACK: u8 = 1;
+pub const END_HEADERS: u8 = 4;
 
 /// The status 200 as a header block.
-const STATUS_200: &[u8] = &[0x88];
+pub const STATUS_200: &[u8] = &[0x88];
 
 /// The status 103 as a header block.
 const STATUS_103: &[u8] = &[0x08, 3, b'1', b'0', b'3'];
@@ -198,7 +198,8 @@
     header
 }
 
-fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+/// Returns a frame.
+pub fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
     let mut frame = (payload.len() as u32).to_be_bytes()[1..].to_vec();
     frame.extend_from_slice(&[kind, flags]);
     frame.extend_from_slice(&stream.to_be_bytes());
@@ -207,7 +208,7 @@
 }
 
 /// Reads a frame and returns its type, its flags and its stream.
-async fn read_frame(socket: &mut TcpStream) -> Option<(u8, u8, u32)> {
+pub async fn read_frame(socket: &mut TcpStream) -> Option<(u8, u8, u32)> {
     let mut header = [0; HEADER_BYTES];
     socket.read_exact(&mut header).await.ok()?;
     let [l0, l1, l2, kind, flags, s0, s1, s2, s3] = header;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -4,6 +4,16 @@
 
 #[macro_use]
 mod case;
+// Shared with the crowds, which use all of it.
+#[allow(dead_code)]
+#[path = "../crowd/flood.rs"]
+mod flood;
+#[path = "../crowd/frames.rs"]
+mod frames;
+mod endless;
+mod frame;
+mod meter;
+mod peer;
 mod border;
 mod fault;
 mod harness;
