--- a/crates/core/src/memory/limits.rs
+++ b/crates/core/src/memory/limits.rs
@@ -83,7 +83,8 @@
         self.bytes / 2 * 3
     }
 
-    /// Returns the bytes that both never exceed, also while some are being freed.
+    /// Returns the bytes that both never exceed, also while some are being freed. Only
+    /// connections that are being closed do not count.
     pub fn max_total_bytes(&self) -> usize {
         self.total_bytes() + self.bytes / 8
     }
--- a/crates/core/src/memory/system/admit.rs
+++ b/crates/core/src/memory/system/admit.rs
@@ -1,6 +1,6 @@
 //! Admits connections.
 
-use super::{Context, evict, hold};
+use super::{Context, evict, hold, link};
 use crate::memory::{Full, Holder, Party, Port, Tables};
 
 /// Admits a connection at a port that may have `max` of them and that takes `base` bytes
@@ -26,5 +26,6 @@
     if is_full {
         evict::close_one(tables, None, cx).ok_or(Full)?;
     }
+    link::close_idle(tables, base, cx);
     Ok(tables.insert(port, base, cx.now))
 }
--- a/crates/core/src/memory/system/evict.rs
+++ b/crates/core/src/memory/system/evict.rs
@@ -66,6 +66,12 @@
     long
 }
 
+/// Returns what is ended for `bytes` that belong to no connection of others, from the first on.
+pub fn order(tables: &Tables, bytes: usize, are_many: bool, cx: &Context<'_>) -> Vec<Candidate> {
+    let (slow, long) = (slow_connections(tables, None, cx), long_replies(tables, bytes));
+    if are_many { [long, slow].concat() } else { [slow, long].concat() }
+}
+
 /// Returns the connections to targets that carry no request, the one without the longest first.
 pub fn idle_links(tables: &Tables) -> Vec<Candidate> {
     let links = tables.links.iter().filter(|(_, link)| !link.is_closing);
--- a/crates/core/src/memory/system/hold.rs
+++ b/crates/core/src/memory/system/hold.rs
@@ -14,7 +14,7 @@
 ) -> Result<(), Full> {
     check_maximum(tables, bytes, cx.limits.closing_bytes(), cx)?;
     let (own, all) = (excess_beside_replies(tables, purpose, bytes, cx), excess(tables, bytes, cx));
-    if own.max(all) > 0 || total_excess(tables, bytes, cx) > 0 {
+    if own.max(all) > 0 || total_excess(tables, bytes, 0, cx) > 0 {
         let slow = evict::slow_connections(tables, id, cx);
         let first = evict::count_to_free(&slow, own).ok_or(Full)?;
         let (first, later) = slow.split_at(first);
@@ -47,7 +47,7 @@
     let excess = excess(tables, bytes, cx);
     let spare = if are_many { cx.limits.reply_spare_bytes(length) } else { 0 };
     check_total(tables, bytes + spare, cx)?;
-    if excess > 0 || total_excess(tables, bytes + spare, cx) > 0 {
+    if excess > 0 || total_excess(tables, bytes + spare, 0, cx) > 0 {
         let long = evict::long_replies(tables, length);
         let order = if are_many {
             long
@@ -73,7 +73,7 @@
     let count = evict::count_to_free(candidates, excess).ok_or(Full)?;
     let (first, left) = candidates.split_at(count);
     let left = [&evict::idle_links(tables), left].concat();
-    let more = total_excess(tables, bytes, cx).saturating_sub(evict::sum(first));
+    let more = total_excess(tables, bytes, evict::sum(first), cx);
     let count = evict::count_to_free(&left, more).ok_or(Full)?;
     evict::end(tables, first, cx);
     evict::end(tables, &left[..count], cx);
@@ -100,10 +100,15 @@
     if tables.bytes() + bytes > maximum { Err(Full) } else { check_total(tables, bytes, cx) }
 }
 
-/// Fails if `bytes` more exceed the total with connections to targets.
+/// Fails if `bytes` more exceed the total with connections to targets, without those that are
+/// being closed or can be.
 pub fn check_total(tables: &Tables, bytes: usize, cx: &Context<'_>) -> Result<(), Full> {
-    let maximum = cx.limits.max_total_bytes();
-    if tables.total_bytes() + bytes > maximum { Err(Full) } else { Ok(()) }
+    let maximum = cx.limits.max_total_bytes() + tables.unlinked;
+    if tables.total_bytes() + bytes <= maximum {
+        return Ok(());
+    }
+    let idle = evict::sum(&evict::idle_links(tables));
+    if tables.total_bytes() + bytes > maximum + idle { Err(Full) } else { Ok(()) }
 }
 
 /// Returns by how much `bytes` more would be too many.
@@ -112,10 +117,13 @@
     (tables.bytes() + bytes).saturating_sub(cx.limits.bytes + ending)
 }
 
-/// Returns by how much `bytes` more would be too many beside connections to targets.
-pub fn total_excess(tables: &Tables, bytes: usize, cx: &Context<'_>) -> usize {
-    let ending = tables.closing + tables.given_up + tables.unlinked;
-    (tables.total_bytes() + bytes).saturating_sub(cx.limits.total_bytes() + ending)
+/// Returns by how much `bytes` more would be too many beside connections to targets, if
+/// `ending` bytes are about to be freed.
+pub fn total_excess(tables: &Tables, bytes: usize, ending: usize, cx: &Context<'_>) -> usize {
+    let total = tables.total_bytes() + bytes - tables.unlinked;
+    let ending = ending + tables.closing + tables.given_up;
+    let excess = total.saturating_sub(cx.limits.total_bytes() + ending);
+    excess.max(total.saturating_sub(cx.limits.max_total_bytes()))
 }
 
 /// Returns by how much `bytes` more for a purpose would be too many if no reply arrived.
@@ -135,7 +143,7 @@
 
 /// Whether replies on their way in, with `bytes` more of them, take so much that room is made
 /// among them first.
-fn are_replies_many(tables: &Tables, bytes: usize, cx: &Context<'_>) -> bool {
+pub fn are_replies_many(tables: &Tables, bytes: usize, cx: &Context<'_>) -> bool {
     let held = tables.arriving.saturating_sub(tables.given_up);
     held + bytes > cx.limits.reply_bytes()
 }
--- a/crates/core/tests/memory/link.rs
+++ b/crates/core/tests/memory/link.rs
@@ -1,6 +1,6 @@
 //! Connections to targets, which take memory too.
 
-use laburnum_core::memory::{Full, Limits, Purpose};
+use laburnum_core::memory::{Full, Limits, Party, Purpose};
 
 use crate::harness::{LIMITS, Memory};
 
@@ -62,4 +62,74 @@
         memory.tables.remove_link(next);
         assert_eq!((memory.tables.linked, memory.tables.unlinked), (0, 0));
     };
+    // Idle connections up to the total: a request or reply of more than an eighth of the bytes finds
+    // no room, and none is made for the next one either.
+    idle_connections_to_targets_are_closed_for_a_long_reply => {
+        let mut memory = Memory::new();
+        for _ in 0..15 {
+            memory.idle_link(100);
+        }
+        let reply = memory.tables.insert_reply();
+        assert_eq!(memory.grow_reply(reply, LIMITS.bytes / 8 + 1), Ok(()));
+    };
+    idle_connections_to_targets_are_closed_for_a_long_request => {
+        let mut memory = Memory::new();
+        for _ in 0..14 {
+            memory.idle_link(100);
+        }
+        let caller = memory.caller();
+        assert_eq!(memory.grow(caller, Purpose::Request, LIMITS.bytes / 4), Ok(()));
+    };
+    // At the sizes of 112 MB: 1,200 idle connections (300 targets, 4 each), one reply of 16 MiB that is kept for its caller,
+    // and a second one. Before, both were served.
+    two_long_replies_in_calm_beside_idle_connections => {
+        let mut memory = Memory::with_limits(Limits { bytes: 112_000_000 / 3, ..LIMITS });
+        for _ in 0..1200 {
+            memory.idle_link(24 << 10);
+        }
+        memory.reply((16 << 20) + (8 << 10));
+        let second = memory.tables.insert_reply();
+        assert_eq!(memory.grow_reply(second, (16 << 20) + (8 << 10)), Ok(()));
+    };
+    idle_connections_to_targets_are_closed_for_a_reply_among_many => {
+        let mut memory = Memory::with_limits(Limits { bytes: 8 << 20, ..LIMITS });
+        for _ in 0..76 {
+            memory.idle_link(100 << 10);
+        }
+        let other = memory.reply(4 << 20);
+        let reply = memory.reply(200 << 10);
+        let grown = memory.grow_reply(reply, 600 << 10);
+        assert!(!memory.closing.contains(&other));
+        assert_eq!(grown, Ok(()));
+    };
+    // docs/design/memory.md: a reply "that is longer than what needs room".
+    no_shorter_reply_is_given_up_for_a_connection => {
+        let mut memory = Memory::new();
+        memory.open_link(LIMITS.total_bytes() - 50).unwrap();
+        for _ in 0..5 {
+            memory.reply(10);
+        }
+        let _ = memory.open_link(24);
+        assert_eq!(memory.closing, []);
+    };
+    // docs/design/memory.md: "idle ones are closed first, and then as above".
+    a_slow_caller_is_closed_for_a_connection => {
+        let mut memory = Memory::new();
+        let reader = memory.caller();
+        memory.answer(reader, 900).unwrap();
+        memory.pass(200);
+        memory.open_link(LIMITS.total_bytes() - memory.tables.bytes()).unwrap();
+        assert!(memory.open_link(24).is_ok());
+        assert_eq!(memory.closing, [reader]);
+    };
+    a_caller_is_admitted_while_idle_connections_take_the_room => {
+        let mut memory = Memory::new();
+        for _ in 0..15 {
+            memory.idle_link(100);
+        }
+        // Callers that have sent nothing yet.
+        for _ in 0..20 {
+            assert!(memory.open(Party::Caller, 100).is_ok());
+        }
+    };
 }
