--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use laburnum_core::relay::{Attempt, Command, Connection, Event, Loss, Reply, TargetRequest};
+use laburnum_core::{
+    memory::Full,
+    relay::{Attempt, Command, Connection, Event, Loss, Reply, TargetRequest},
+};
 use laburnum_http::{CONNECTION_BYTES, Channel, Failure, Limits};
 use laburnum_platform::target as wire;
 use tokio::{
@@ -109,7 +112,7 @@
     /// Opens the connection, serves it and reports its loss.
     async fn run(mut self, address: SocketAddr) {
         let Ok(account) = self.ledger.open_link(CONNECTION_BYTES) else {
-            return self.refuse().await;
+            return self.refuse();
         };
         let end = match Channel::open(address, LIMITS).await {
             Ok(channel) => self.serve(channel, &account).await,
@@ -120,11 +123,17 @@
         }
     }
 
-    /// Reports that there is no room for the connection that a request needs.
-    async fn refuse(&mut self) {
-        if let Some((attempt, _)) = self.tasks.recv().await {
-            self.report(Event::Unheld { connection: self.connection, attempt, sent: false });
-        }
+    /// Reports that there is no room for the connection, or for the request that it is to carry.
+    fn refuse(&mut self) {
+        let connection = self.connection;
+        let event = match self.tasks.try_recv() {
+            Ok((attempt, _)) => Event::Unheld { connection, attempt, sent: false },
+            Err(_) => {
+                let loss = Loss { sent: false, idle: true, gone: false, detail: Full.to_string() };
+                Event::Closed { connection, loss }
+            }
+        };
+        self.report(event);
     }
 
     /// Sends the requests one after the other until the connection ends.
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -21,3 +21,4 @@
 mod codec;
 mod wire;
 mod ready;
+mod room;
