--- a/crates/core/src/relay/system/collect.rs
+++ b/crates/core/src/relay/system/collect.rs
@@ -195,7 +195,8 @@
     }
 }
 
-/// Removes a connection that was closed and retries the leg that it carried.
+/// Removes a connection that was closed and retries the leg that it carried. One that carried no
+/// request when it ended says nothing against its target, also if one was on its way to it.
 pub fn closed(
     tables: &mut Tables,
     connection: relay::Connection,
@@ -206,11 +207,9 @@
     if loss.idle && matches!(row.state, State::Idle { .. }) {
         return;
     }
-    log_lost_connection(&row.target, loss, cx);
-    if let Some(target) = tables.targets.get_mut(&row.target) {
-        target.record_loss(cx.now);
-        let until = target.pause_until;
-        tables.timers.set(until, Timer::Pause(row.target.clone()));
+    if !loss.idle {
+        log_lost_connection(&row.target, loss, cx);
+        pause(tables, &row.target, cx);
     }
     if loss.gone && !loss.sent {
         suspect::confirm_crash(tables, &row.target, cx);
@@ -221,6 +220,14 @@
     connect::prune(tables, &row.target);
 }
 
+/// Sends a target no new connection for a while, as one to it was lost.
+fn pause(tables: &mut Tables, target: &Name, cx: &Context<'_>) {
+    let Some(row) = tables.targets.get_mut(target) else { return };
+    row.record_loss(cx.now);
+    let until = row.pause_until;
+    tables.timers.set(until, Timer::Pause(target.clone()));
+}
+
 /// Ends an attempt whose connection is lost and retries its leg.
 fn lose_attempt(tables: &mut Tables, attempt: relay::Attempt, loss: &Loss, cx: &mut Context<'_>) {
     let Some(row) = tables.attempts.remove(&attempt) else { return };
--- a/crates/core/tests/relay/unheld.rs
+++ b/crates/core/tests/relay/unheld.rs
@@ -4,7 +4,7 @@
 use laburnum_core::{
     fault::{Kind, Ran},
     id::Origin,
-    relay::{Answer, Call, Event, Hop, View, hop, message::CallerRequest, view::Vm},
+    relay::{Answer, Call, Event, Hop, Loss, View, hop, message::CallerRequest, view::Vm},
 };
 
 use crate::harness::{Harness, ORIGIN, Sent, ms, name, request, search, single, success};
@@ -126,4 +126,17 @@
         harness.tick(vec![Event::Hop { from: name("small"), hop: request_of(long) }]);
         assert_eq!(refusal_at_small(&harness), (Kind::TooLarge, Ran::No, false));
     };
+    // A request was sent while its connection was closed to make room: the target did nothing wrong.
+    a_connection_closed_to_make_room_blames_no_target => {
+        let mut harness = Harness::with_route(single("desk"));
+        harness.submit(request("/fetch/1"));
+        let sent = harness.take_one_sent();
+        let target = name(sent.target());
+        let row = &harness.engine.tables().targets[&target];
+        let (errors, pause) = (row.error_rate(harness.now), row.pause_until);
+        let loss = Loss { sent: false, idle: true, gone: false, detail: "closed to make room".into() };
+        harness.tick(vec![Event::Closed { connection: sent.connection, loss }]);
+        let row = &harness.engine.tables().targets[&target];
+        assert_eq!((row.error_rate(harness.now), row.pause_until), (errors, pause));
+    };
 }
