--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,7 +11,7 @@
 use std::{fmt, future::poll_fn, io, net::SocketAddr, pin::Pin, task::Poll, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::{Body, Incoming},
@@ -148,14 +148,19 @@
     ) -> Result<CompleteResponse, Failure> {
         self.ready().await?;
         self.read_limit.set(MAX_HEAD_BYTES);
+        let before = self.read_limit.total();
+        let sent = buffer_bytes(request.uri().path().len() + head_length(request.headers()));
+        let room = &mut Beside { room, bytes: sent };
         let response = self.send(request, room).await?;
         let head = buffer_bytes(head_length(response.headers()));
         let keeps = keeps_open(response.headers());
         let (parts, body) = response.into_parts();
         let body = self.read_body(body, &mut Beside { room, bytes: head }).await?;
-        // A peer may answer before it has read the whole request. The buffer of a long head
-        // would be kept while the connection is idle.
-        let reusable = keeps && head == 0 && self.flush_flag.is_set() && !self.sender.is_closed();
+        // The buffers of long heads would be kept while the connection is idle.
+        let is_short = sent == 0 && self.read_limit.total() - before <= body.len() + READ_BYTES;
+        // A peer may answer before it has read the whole request.
+        let is_sent = self.flush_flag.is_set() && !self.sender.is_closed();
+        let reusable = keeps && is_short && is_sent;
         Ok(CompleteResponse { response: Response::from_parts(parts, body), reusable })
     }
 
@@ -270,14 +275,16 @@
     }
 }
 
-/// Returns the bytes that a head of which `read` bytes were read takes beside its connection,
-/// whose buffer doubles until it has room.
-fn buffer_bytes(read: usize) -> usize {
-    read.min(MAX_BUFFER_BYTES).next_power_of_two().saturating_sub(READ_BYTES)
+/// Returns the bytes that a head of which `length` bytes were read or written takes beside its
+/// connection, whose buffer doubles until it has room.
+fn buffer_bytes(length: usize) -> usize {
+    length.min(MAX_BUFFER_BYTES).next_power_of_two().saturating_sub(READ_BYTES)
 }
 
+/// Returns about how long a head with these headers is, in bytes.
 fn head_length(headers: &HeaderMap) -> usize {
-    headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()
+    let field = |name: &HeaderName, value: &HeaderValue| name.as_str().len() + value.len() + 4;
+    headers.iter().map(|(name, value)| field(name, value)).sum()
 }
 
 fn set_options(socket: &TcpStream, limits: Limits) -> io::Result<()> {
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -51,22 +51,34 @@
     }
 }
 
-/// The number of bytes that may still be read. Clones share the number.
+/// The number of bytes that may still be read, and of those that were. Clones share the numbers.
 #[derive(Clone, Debug, Default)]
-pub struct ReadLimit(Arc<AtomicUsize>);
+pub struct ReadLimit(Arc<Reads>);
+
+#[derive(Debug, Default)]
+struct Reads {
+    left: AtomicUsize,
+    total: AtomicUsize,
+}
 
 impl ReadLimit {
     /// Allows `bytes` to be read from now on.
     pub fn set(&self, bytes: usize) {
-        self.0.store(bytes, Ordering::Relaxed);
+        self.0.left.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Returns the number of bytes that were read since the connection was opened.
+    pub fn total(&self) -> usize {
+        self.0.total.load(Ordering::Relaxed)
     }
 
     /// Returns the number of bytes that may still be read.
     pub fn left(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+        self.0.left.load(Ordering::Relaxed)
     }
 
     fn spend(&self, bytes: usize) {
+        self.0.total.fetch_add(bytes, Ordering::Relaxed);
         self.set(self.left().saturating_sub(bytes));
     }
 
--- a/crates/http/tests/channel.rs
+++ b/crates/http/tests/channel.rs
@@ -273,6 +273,24 @@
         let text = format!("HTTP/1.1 200 OK\r\nA: {value}\r\nContent-Length: 2\r\n\r\nok");
         assert!(!exchange_once(Action::Send(text.leak())).await.unwrap().reusable);
     };
+    a_connection_that_carried_a_long_reason_is_not_used_again => {
+        let reason = "x".repeat(20 << 10);
+        let text = format!("HTTP/1.1 200 {reason}\r\nContent-Length: 2\r\n\r\nok");
+        assert!(!exchange_once(Action::Send(text.leak())).await.unwrap().reusable);
+    };
+    a_connection_that_carried_a_long_interim_response_is_not_used_again => {
+        let value = "x".repeat(20 << 10);
+        let text = format!(
+            "HTTP/1.1 103 Early Hints\r\nA: {value}\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        );
+        assert!(!exchange_once(Action::Send(text.leak())).await.unwrap().reusable);
+    };
+    a_connection_that_carried_a_head_of_many_fields_is_not_used_again => {
+        let fields: String = (0..90).map(|i| format!("A{i:02}: {}\r\n", "x".repeat(87))).collect();
+        let text = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 2\r\n\r\nok");
+        assert!(text.len() > 8300, "{}", text.len());
+        assert!(!exchange_once(Action::Send(text.leak())).await.unwrap().reusable);
+    };
     too_long_a_body_is_no_response => {
         let text = "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n";
         let text: &'static str = Box::leak(format!("{text}{}", "x".repeat(2000)).into());
--- a/tests/crowd/endless.rs
+++ b/tests/crowd/endless.rs
@@ -96,6 +96,8 @@
     harness: Harness,
     relay: Relay,
     tally: Tally,
+    /// The length of a further header of the searches to targets that flood, in bytes.
+    header: usize,
 }
 
 /// Starts a relay whose targets send all of `kinds`, each target one of them.
@@ -117,7 +119,7 @@
     let answer = Behaviour { body_bytes: SOUND_ANSWER, ..Behaviour::default() };
     set_behaviour(&harness, "desk", answer);
     let relay = deployment::relay(&harness, "vm-1", 1.0).await;
-    Case { harness, relay, tally }
+    Case { harness, relay, tally, header: 0 }
 }
 
 fn service(shard: usize) -> String {
@@ -149,10 +151,13 @@
     async fn run(&self) {
         let mut callers = JoinSet::new();
         let address = self.relay.callers;
+        let header = format!("\r\nx-long: {}\r\n", "x".repeat(self.header));
+        let request = head("GET", "/flood/1", PATIENCE, 0);
+        let request = if self.header > 0 { request.replacen("\r\n", &header, 1) } else { request };
         for _ in 0..CALLERS {
+            let request = request.clone();
             callers.spawn(async move {
                 loop {
-                    let request = head("GET", "/flood/1", PATIENCE, 0);
                     // The answer, if there is one, is not what the case is about.
                     let _ = caller::send(address, request.as_bytes()).await.readable().await;
                     sleep(Duration::from_millis(50)).await;
@@ -237,6 +242,14 @@
     start(kinds, Duration::ZERO, pace).await.run().await;
 }
 
+/// What a connection writes is kept too: callers in the deployments in force may send heads of
+/// 16 KiB, and one search has as many copies as shards.
+async fn is_held_with_long_requests() {
+    let pace = Pace::Slow { at_once: SHORT_HEAD };
+    let case = Case { header: 14 << 10, ..start(&LASTING_HEADS, Duration::ZERO, pace).await };
+    case.run().await;
+}
+
 async fn idle() {
     is_closed(&ANSWERS, Duration::from_millis(200), Pace::Fast).await;
 }
@@ -249,5 +262,6 @@
     short_heads_that_go_on_slowly => {
         alone(async || is_held(&LASTING_HEADS, Pace::Slow { at_once: SHORT_HEAD }).await);
     };
+    short_heads_that_go_on_slowly_for_long_requests => alone(is_held_with_long_requests);
     answers_with_more_after_them => alone(idle);
 }
--- a/tests/crowd/flood.rs
+++ b/tests/crowd/flood.rs
@@ -124,10 +124,11 @@
 /// Reads the head of a request; returns false if none comes.
 async fn read_head(socket: &mut TcpStream) -> bool {
     let mut head = Vec::new();
+    let mut part = vec![0; 16 << 10];
     while !head.ends_with(b"\r\n\r\n") {
-        match socket.read_u8().await {
-            Ok(byte) => head.push(byte),
-            Err(_) => return false,
+        match socket.read(&mut part).await {
+            Ok(0) | Err(_) => return false,
+            Ok(count) => head.extend_from_slice(&part[..count]),
         }
     }
     true
