--- a/crates/http/src/buffer.rs
+++ b/crates/http/src/buffer.rs
@@ -29,15 +29,18 @@
     }
 }
 
-/// The largest part of a body that is allocated at once, in bytes. Long bodies that grow and
-/// end at any length would leave gaps between them that the allocator cannot use again; parts
-/// of one size leave none.
+/// The size of the parts of a long body, in bytes. Long bodies that grow and end at any length
+/// would leave gaps between them that the allocator cannot use again; parts of one size leave
+/// none.
 const PART_BYTES: usize = 64 << 10;
 
+/// The longest announced body that is one part, in bytes, which spares the copy at its end.
+const MAX_SINGLE_BYTES: usize = 256 << 10;
+
 /// A body of which some bytes have arrived.
 #[derive(Debug, Default)]
 pub struct Buffer {
-    /// The parts that are full, of [`PART_BYTES`] each.
+    /// The parts that are full.
     full: Vec<Vec<u8>>,
     last: Vec<u8>,
     /// The length that was announced.
@@ -51,16 +54,30 @@
         Buffer { expected, ..Buffer::default() }
     }
 
+    /// Returns the size of a part.
+    fn part_bytes(&self) -> usize {
+        self.expected
+            .filter(|length| *length <= MAX_SINGLE_BYTES)
+            .map_or(PART_BYTES, |length| length.max(PART_BYTES))
+    }
+
     /// Takes room for the announced length at once, so that a body without room is not begun.
     /// Returns false if there is none. It is for peers that are trusted to send what they
     /// announce.
     pub fn reserve(&mut self, room: &mut dyn Room) -> bool {
-        room.grow_to(self.expected.unwrap_or_default())
+        let expected = self.expected.unwrap_or_default();
+        if !room.grow_to(expected) {
+            return false;
+        }
+        if expected <= MAX_SINGLE_BYTES {
+            self.last.reserve_exact(expected);
+        }
+        true
     }
 
     /// Returns the number of bytes that have arrived.
     pub fn len(&self) -> usize {
-        self.full.len() * PART_BYTES + self.last.len()
+        self.full.len() * self.part_bytes() + self.last.len()
     }
 
     /// Returns whether no byte has arrived.
@@ -71,10 +88,10 @@
     /// Adds bytes; returns false if there is no room for what the buffer allocates.
     pub fn push(&mut self, mut data: &[u8], room: &mut dyn Room) -> bool {
         while !data.is_empty() {
-            if self.last.len() == PART_BYTES {
+            if self.last.len() == self.part_bytes() {
                 self.full.push(std::mem::take(&mut self.last));
             }
-            let (now, later) = data.split_at(data.len().min(PART_BYTES - self.last.len()));
+            let (now, later) = data.split_at(data.len().min(self.part_bytes() - self.last.len()));
             if !self.make_room(now.len(), room) {
                 return false;
             }
@@ -90,7 +107,7 @@
         if length <= self.last.capacity() {
             return true;
         }
-        let before = self.full.len() * PART_BYTES;
+        let before = self.full.len() * self.part_bytes();
         let capacity = self.next_capacity(length, before);
         if !room.grow_to(before + capacity) {
             return false;
@@ -102,13 +119,13 @@
     /// Returns the capacity to allocate for `length` bytes of the last part, which has `before`
     /// bytes before it: at least twice the last one, but no more than the body takes.
     fn next_capacity(&self, length: usize, before: usize) -> usize {
-        let doubled = length.max(self.last.capacity().saturating_mul(2)).min(PART_BYTES);
+        let doubled = length.max(self.last.capacity().saturating_mul(2)).min(self.part_bytes());
         let expected = self.expected.map(|expected| expected.saturating_sub(before).max(length));
         expected.map_or(doubled, |expected| doubled.min(expected))
     }
 
-    /// Returns the bytes. Parts are dropped while they are joined, so that a long body does not
-    /// take its room twice.
+    /// Returns the bytes. Each part is dropped as soon as it is copied, but the allocator keeps it
+    /// for the next body: for a moment, a body of several parts is resident twice.
     pub fn into_bytes(self) -> Bytes {
         if self.full.is_empty() {
             return Bytes::from(self.last);
