Keep connections to a store that counts its eras anew

Cause: the client of the store kept the latest era as a maximum. From a store that states a lower era than before it kept no connection, and opened one for each call until the process started again. Change: `store::Epoch` decides what an answer says about the era. Another era in the answer to a request that was sent while the known era was in force begins the next epoch, also a lower one, and drops the connections that were kept. An answer to an earlier request that states the era in which it was sent, or a lower one, is late: its connection was open before the store was away and is dropped, the others stay. Ruled out: to let any different era reset the connections. A late answer of the ended era would then drop those of the present one and keep its own, which may have gone silent.

--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -3,12 +3,16 @@
 //! The systems of the control thread emit calls and receive replies as events.
 //! The client that sends them over HTTP makes no decisions.
 
+mod epoch;
+
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::view;
 
+pub use epoch::{Epoch, Statement};
+
 /// A history of the store. A store that comes back from an older copy of its data has lost
 /// the changes since then and begins the next era, in which it gives their numbers out again.
 #[derive(
--- a/crates/core/tests/claims/main.rs
+++ b/crates/core/tests/claims/main.rs
@@ -5,6 +5,7 @@
 #[path = "../rules/case.rs"]
 mod case;
 mod drill;
+mod epoch;
 mod fault;
 mod fuzz;
 mod oracle;
