Settle claims of a store that counts its eras anew

Cause: `entry` took each answer of a lower era for one of an ended era, so that it settled no claim until its process started again, and read the document in force without pause. A VM that started meanwhile took the loss of the higher era in the floor for the present one, and granted keys that the store had lost. Change: each call keeps the epoch in which it was started, and the row that decides for the client of the store (`store::Epoch`) decides here. A lower era in the answer to a call that was started after the known era was stated shows a new count. An answer to an earlier call counts as lost. What was stored, read or remembered is kept with its epoch, since a later one may have the same era. A lower era that another VM announces is checked by a read of the floor. A loss of another era in the floor, also of a later one, does not count as recorded; after a new count a VM raises a loss of the same era to what it has seen. The simulated services state the era in which they handled a call, not that in which its answer arrives. Ruled out: the rule of `relay`, five lower answers in a row, as late answers may come in any number; and to believe an announced lower era, which may be late. `relay` keeps its rule, which its tests fix.

--- a/crates/core/src/claims/collect.rs
+++ b/crates/core/src/claims/collect.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     claim::Verdict,
-    store::{Call, Entry, Era, Reply, Version},
+    store::{Call, Entry, Reply, Version},
 };
 
 use super::{
@@ -56,10 +56,7 @@
 ) {
     let Answered { id, era, reply } = answered;
     let Some(call) = tables.calls.remove(&id) else { return };
-    if let Some(era) = era {
-        era::observe(tables, context, era, out);
-    }
-    let reply = era::check(tables, &call, era, reply);
+    let reply = era::receive(tables, context, &call, era, reply, out);
     if matches!(reply, Reply::Lost { .. }) {
         out.count(Count::Lost);
     }
@@ -70,7 +67,7 @@
             handle_write(tables, context, bucket, batch, reply, replies, out);
         }
         Purpose::Confirm { grants } => {
-            handle_confirm(tables, context, grants, era, &reply, replies, out)
+            handle_confirm(tables, context, grants, &reply, replies, out)
         }
         Purpose::Undo | Purpose::LossWrite => {}
         purpose => sweep::handle_reply(tables, context, purpose, reply, out),
@@ -124,8 +121,8 @@
             };
             tables.buckets.insert(bucket, row);
             notify_home(tables, context, bucket, out);
-            let era = tables.history.era;
-            let grants = batch.claims.into_iter().map(|pending| Grant { pending, bucket, era });
+            let epoch = tables.history.epoch;
+            let grants = batch.claims.into_iter().map(|pending| Grant { pending, bucket, epoch });
             tables.grants.extend(grants);
             let recorded = batch.records.into_iter();
             replies.recorded.extend(recorded.map(|r| (r.requester, r.request.token)));
@@ -184,12 +181,11 @@
 
 /// Answers stored claims once the floor was read. A claim whose slot is below
 /// the floor has expired, and its bucket is removed again. A claim that was stored in
-/// another era than that of the floor is settled once more.
+/// another epoch than that of the floor is settled once more.
 fn handle_confirm(
     tables: &mut Tables,
     context: &Context<'_>,
     grants: Vec<Grant>,
-    era: Option<Era>,
     reply: &Reply,
     replies: &mut Replies,
     out: &mut Outbox,
@@ -203,9 +199,8 @@
     };
     tables.floor = tables.floor.max(floor.slot);
     tables.history.loss = era::loss(tables, context, floor);
-    let era = era.or(tables.history.era);
     for grant in grants {
-        if grant.era != era {
+        if grant.epoch != tables.history.epoch {
             era::settle(tables, context, grant);
             continue;
         }
--- a/crates/core/src/claims/decide.rs
+++ b/crates/core/src/claims/decide.rs
@@ -165,7 +165,7 @@
 ) {
     let fresh = is_fresh(row, context);
     let Cache::Known { value, is_ahead, .. } = &row.cache else { return };
-    let era = tables.history.era;
+    let epoch = tables.history.epoch;
     let mut needs_read = false;
     let mut free = Vec::new();
     for mut pending in row.claims.drain(..) {
@@ -179,7 +179,7 @@
             Match::Free => finish_claim(&pending, Verdict::Unknown, replies, out),
             // The store lost the claim. It is granted once it is stored again.
             Match::Own if *is_ahead => free.push(pending),
-            Match::Own => tables.grants.push(Grant { pending, bucket, era }),
+            Match::Own => tables.grants.push(Grant { pending, bucket, epoch }),
             Match::Verdict(Verdict::Unknown) => {
                 match reported_result(value, &row.records, &pending.request) {
                     Some(verdict) => finish_claim(&pending, verdict, replies, out),
--- a/crates/core/src/claims/intake.rs
+++ b/crates/core/src/claims/intake.rs
@@ -52,7 +52,7 @@
                 handle_message(tables, context, &from, message, replies, out)
             }
             Event::Reply { id, era, reply } => calls.push(Answered { id, era, reply }),
-            Event::Era(era) => era::observe(tables, context, era, out),
+            Event::Era(era) => era::learn(tables, context, era, out),
             Event::Unreachable { vm } => {
                 tables.unreachable.insert(vm.clone(), context.now + context.limits.unreachable_for);
                 reroute(tables, context, &vm);
--- a/crates/core/src/claims/memory.rs
+++ b/crates/core/src/claims/memory.rs
@@ -22,8 +22,8 @@
 
 /// Remembers the value that the store holds for a bucket in the present era.
 pub fn remember(tables: &mut Tables, context: &Context<'_>, bucket: Bucket, value: Arc<Value>) {
-    let era = tables.history.era;
-    tables.memory.insert(bucket, Memory { value, era, at: context.now });
+    let epoch = tables.history.epoch;
+    tables.memory.insert(bucket, Memory { value, epoch, at: context.now });
     let mut bytes: usize = tables.memory.values().map(|row| row.value.encoded_len()).sum();
     while bytes > context.limits.memory_bytes {
         // Without it this VM no longer knows all claims that a copy can lack.
@@ -38,10 +38,10 @@
 /// Forgets what no copy can lack. Called when the store answers in the present era: it
 /// cannot have come back since from a copy made before `copy_age`.
 pub fn expire(tables: &mut Tables, context: &Context<'_>) {
-    let era = tables.history.era;
-    tables
-        .memory
-        .retain(|_, row| row.era != era || context.now.since(row.at) <= context.limits.copy_age);
+    let epoch = tables.history.epoch;
+    tables.memory.retain(|_, row| {
+        row.epoch != epoch || context.now.since(row.at) <= context.limits.copy_age
+    });
 }
 
 /// Reads a bucket soon that another VM wrote, so that this home remembers all claims of
@@ -75,7 +75,7 @@
 pub fn merge(tables: &mut Tables, context: &Context<'_>, bucket: Bucket, row: &mut Row) {
     row.restore_at = None;
     let Cache::Known { value, is_ahead, .. } = &mut row.cache else { return };
-    let remembered = tables.memory.get(&bucket).filter(|known| known.era != tables.history.era);
+    let remembered = tables.memory.get(&bucket).filter(|known| known.epoch != tables.history.epoch);
     if let Some(known) = remembered
         && bucket.slot >= tables.floor
     {
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -62,7 +62,7 @@
     Message { from: Name, message: Message },
     /// The reply to a store call of this engine, and the era that it stated.
     Reply { id: CallId, era: Option<store::Era>, reply: store::Reply },
-    /// The store stated this era in the answer to another call of this VM.
+    /// The store is in this era by the answer to another call of this VM.
     Era(store::Era),
     /// A VM that did not accept messages or did not answer in time.
     Unreachable { vm: Name },
@@ -129,6 +129,11 @@
         wake::earliest(&self.tables, &self.limits)
     }
 
+    /// Returns the epoch of the store as this engine knows it.
+    pub fn epoch(&self) -> store::Epoch {
+        self.tables.history.epoch
+    }
+
     /// Returns the number of operations, reports, buckets, and queued claims and
     /// outcomes, for metrics and for tests of their bounds.
     pub fn rows(&self) -> usize {
@@ -159,7 +164,7 @@
     tables.last_call += 1;
     let id = CallId(tables.last_call);
     let deadline = context.now + context.limits.call_timeout;
-    tables.calls.insert(id, table::Call { purpose, era: tables.history.era, deadline });
+    tables.calls.insert(id, table::Call { purpose, epoch: tables.history.epoch, deadline });
     out.calls.push((id, call));
     id
 }
--- a/crates/core/src/claims/table.rs
+++ b/crates/core/src/claims/table.rs
@@ -11,7 +11,7 @@
     claim::{Outcome, Request},
     id,
     name::Name,
-    store::{Era, Version},
+    store::{Epoch, Version},
     time::{Instant, Wall},
 };
 
@@ -118,8 +118,8 @@
 pub struct Grant {
     pub pending: Pending,
     pub bucket: Bucket,
-    /// The era in which the claim was stored. A floor of another era does not confirm it.
-    pub era: Option<Era>,
+    /// The epoch in which the claim was stored. A floor of another one does not confirm it.
+    pub epoch: Epoch,
 }
 
 /// Why a store call was made, with the data that its reply needs.
@@ -149,8 +149,8 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     pub purpose: Purpose,
-    /// The era that was known when the call was made.
-    pub era: Option<Era>,
+    /// The epoch in which the call was made.
+    pub epoch: Epoch,
     /// When the call counts as lost.
     pub deadline: Instant,
 }
@@ -159,8 +159,8 @@
 #[derive(Clone, Debug)]
 pub struct Memory {
     pub value: Arc<Value>,
-    /// The era in which the store held the value.
-    pub era: Option<Era>,
+    /// The epoch in which the store held the value.
+    pub epoch: Epoch,
     /// When the value was last read or written.
     pub at: Instant,
 }
@@ -168,8 +168,8 @@
 /// The era of the store as this VM knows it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct History {
-    /// The highest era that an answer stated.
-    pub era: Option<Era>,
+    /// The era that the store states.
+    pub epoch: Epoch,
     /// When the store last answered in an era that was known already.
     pub answered_at: Option<Instant>,
     /// The slot below which keys may have been claimed in an ended era, if this VM saw
--- a/crates/core/src/control/system/call.rs
+++ b/crates/core/src/control/system/call.rs
@@ -5,6 +5,7 @@
 
 use super::{claims, list, profiles, publish, restore};
 use crate::{
+    claims as claims_engine,
     control::{
         engine::Context,
         table::{
@@ -13,7 +14,7 @@
         },
     },
     log::{Event, Line},
-    store::{Call, CallId, Entry, Outcome, Reply},
+    store::{Call, CallId, Entry, Epoch, Era, Outcome, Reply, Statement},
 };
 
 /// Counts calls as lost whose reply did not arrive in time.
@@ -39,7 +40,8 @@
     tables.calls.last += 1;
     let id = CallId(tables.calls.last);
     let until = cx.now + cx.limits.call_timeout + wait;
-    tables.calls.rows.insert(id, Row { purpose, made: cx.now, until });
+    let epoch = tables.calls.epoch;
+    tables.calls.rows.insert(id, Row { purpose, made: cx.now, epoch, until });
     cx.out.calls.push((id, call));
     id
 }
@@ -47,10 +49,10 @@
 /// Passes the reply to a call on to the system that made it. A reply to a call
 /// that is no longer in the table is ignored.
 pub fn handle(tables: &mut Tables, cx: &mut Context<'_>, outcome: Outcome) {
-    claims::pass_era(tables, outcome.era);
-    let Some(Outcome { id, reply, .. }) = claims::intercept(tables, outcome) else { return };
+    let Some(Outcome { id, era, reply }) = claims::intercept(tables, outcome) else { return };
     let Some(row) = tables.calls.rows.remove(&id) else { return };
     track_availability(tables, cx, &reply);
+    let reply = receive(tables, row.epoch, era, reply);
     match row.purpose {
         Purpose::Profiles => profiles::handle_reply(tables, cx, row.made, reply),
         Purpose::Restore => restore::handle_reply(tables, cx, &reply),
@@ -66,6 +68,22 @@
     }
 }
 
+/// Takes note of the era that the reply to a call of the epoch `made` stated. A reply that
+/// may come from an ended era says nothing about the service as it is, and counts as lost.
+fn receive(tables: &mut Tables, made: Epoch, era: Option<Era>, reply: Reply) -> Reply {
+    let Some(era) = era else { return reply };
+    let before = tables.calls.epoch;
+    let statement = tables.calls.epoch.observe(made, era);
+    if statement == Statement::New {
+        tables.claims.events.push(claims_engine::Event::Era(era));
+        profiles::leave_era(tables);
+    }
+    if statement == Statement::Late || (made != before && made.era().is_some()) {
+        return Reply::Lost { detail: "the era of the service ended during the call".to_owned() };
+    }
+    reply
+}
+
 /// Logs when the service becomes unavailable or available again. A refused or
 /// lost call counts as unavailable, any other reply as available.
 fn track_availability(tables: &mut Tables, cx: &mut Context<'_>, reply: &Reply) {
--- a/crates/core/src/control/system/claims.rs
+++ b/crates/core/src/control/system/claims.rs
@@ -1,7 +1,7 @@
 //! Runs the claims engine with the events that concern it, and passes on its
 //! outputs: calls, messages and verdicts.
 
-use super::gossip;
+use super::{gossip, profiles};
 use crate::{
     claims::{self, CallId, Engine, Event},
     control::{
@@ -31,10 +31,21 @@
             cx.out.notices.push((Recipient::Thread(thread), notice));
         }
     }
+    take_over_era(tables, engine);
     cx.out.claims.extend(out.counts);
     cx.out.lines.extend(out.lines);
 }
 
+/// Takes over the era that the claims engine has learnt from its own calls or from other
+/// VMs.
+fn take_over_era(tables: &mut Tables, engine: &Engine) {
+    let era = engine.epoch().era();
+    if let Some(era) = era.filter(|_| era != tables.calls.epoch.era()) {
+        tables.calls.epoch.begin(era);
+        profiles::leave_era(tables);
+    }
+}
+
 /// Passes the outcome of a call on to the claims engine if that made the call; returns
 /// it otherwise.
 pub fn intercept(tables: &mut Tables, outcome: store::Outcome) -> Option<store::Outcome> {
@@ -45,11 +56,3 @@
     tables.claims.events.push(Event::Reply { id: CallId(id.0 & !CLAIMS_CALL_BIT), era, reply });
     None
 }
-
-/// Passes on to the claims engine an era that it may not have heard of.
-pub fn pass_era(tables: &mut Tables, era: Option<store::Era>) {
-    if era > tables.calls.era {
-        tables.calls.era = era;
-        tables.claims.events.extend(era.map(Event::Era));
-    }
-}
--- a/crates/core/src/control/system/profiles.rs
+++ b/crates/core/src/control/system/profiles.rs
@@ -53,10 +53,16 @@
     confirm(tables, cx.now, made);
 }
 
-/// Whether a watch that continues from the position of this VM was answered in a later
-/// era.
+/// Whether a watch was answered in another era than that of the position from which this
+/// VM continues, or this VM has left the era since the watch began.
 fn is_of_new_era(tables: &Tables, position: Position) -> bool {
-    tables.profiles.position.is_some_and(|after| after.era < position.era)
+    tables.profiles.position.is_none_or(|after| after.era != position.era)
+}
+
+/// Forgets the position in an ended era, which says nothing about the changes of the
+/// present one.
+pub fn leave_era(tables: &mut Tables) {
+    tables.profiles.position = None;
 }
 
 /// Records that the service was read at `made` and holds no higher revision.
--- a/crates/core/src/control/system/reading.rs
+++ b/crates/core/src/control/system/reading.rs
@@ -75,7 +75,8 @@
 
 fn read_profiles(tables: &mut Tables, cx: &mut Context<'_>) {
     // A position of an ended era says nothing about the changes of the present one.
-    let position = tables.profiles.position.filter(|after| Some(after.era) >= tables.calls.era);
+    let era = tables.calls.epoch.era();
+    let position = tables.profiles.position.filter(|after| Some(after.era) == era);
     let watch = position.filter(|_| tables.vms.watcher && tables.own.learnt);
     let (call, wait) = match watch {
         Some(after) => {
--- a/crates/core/src/control/table/call.rs
+++ b/crates/core/src/control/table/call.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     control::RequestId,
-    store::{CallId, Era},
+    store::{CallId, Epoch},
     time::Instant,
 };
 
@@ -34,6 +34,8 @@
     pub purpose: Purpose,
     /// When the call was made.
     pub made: Instant,
+    /// The epoch of the service in which the call was made.
+    pub epoch: Epoch,
     /// When the call counts as lost.
     pub until: Instant,
 }
@@ -44,8 +46,8 @@
     pub rows: BTreeMap<CallId, Call>,
     /// The last id that was assigned.
     pub last: u64,
-    /// The highest era that the service stated.
-    pub era: Option<Era>,
+    /// The era that the service states.
+    pub epoch: Epoch,
     /// Whether the last call was refused or lost.
     pub down: bool,
 }
--- a/crates/core/src/store/epoch.rs
+++ b/crates/core/src/store/epoch.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Epoch {
     era: Option<Era>,
+    /// The highest era of the epochs before.
+    highest: Option<Era>,
     /// How many epochs came before. Before the first answer there is one without an era.
     number: u64,
 }
@@ -34,6 +36,12 @@
         self.era
     }
 
+    /// Returns whether the store has counted its eras anew and may have stated this one in
+    /// an earlier history too.
+    pub fn may_repeat(&self) -> bool {
+        self.era.is_some() && self.era <= self.highest
+    }
+
     /// Records the era in the answer to a call that was started in the epoch `started`.
     ///
     /// A lower era in the answer to a call that was started in the present epoch shows that
@@ -54,6 +62,7 @@
     /// Begins the next epoch, for a reader that has learnt otherwise that the store states
     /// this era.
     pub fn begin(&mut self, era: Era) {
-        *self = Epoch { era: Some(era), number: self.number + 1 };
+        let highest = self.highest.max(self.era);
+        *self = Epoch { era: Some(era), highest, number: self.number + 1 };
     }
 }
--- a/crates/core/tests/claims/epoch.rs
+++ b/crates/core/tests/claims/epoch.rs
@@ -45,6 +45,11 @@
     the_era_before_a_new_count_is_late => {
         observe(&[9, 1], 1, 9, Statement::Late);
     };
+    an_era_may_repeat_once_the_store_has_counted_anew => {
+        assert!(!after(&[]).may_repeat() && !after(&[2, 3]).may_repeat());
+        assert!(after(&[3, 1]).may_repeat() && after(&[3, 1, 2]).may_repeat());
+        assert!(after(&[3, 1, 3]).may_repeat() && !after(&[3, 1, 4]).may_repeat());
+    };
     two_epochs_of_the_same_era_differ => {
         assert_ne!(after(&[2]), after(&[2, 1, 2]));
     };
--- a/crates/core/tests/claims/fuzz.rs
+++ b/crates/core/tests/claims/fuzz.rs
@@ -9,6 +9,7 @@
 use laburnum_core::{
     claim::Key,
     claims::{Limits, layout::FLOOR_KEY},
+    store::Era,
 };
 use proptest::{
     prelude::*,
@@ -17,7 +18,7 @@
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 use crate::{
-    store::{FIRST_ERA, Handling, Mode, Values},
+    store::{Handling, Mode, Values},
     world::{Network, Plan, World},
 };
 
@@ -27,6 +28,12 @@
 const DEFAULT_CASES: u32 = 400;
 const SEED: u64 = 20_261_204;
 const MAX_TRANSITIONS: usize = 60;
+/// The store counts its eras anew if it comes back at a multiple of so many microseconds.
+const ANEW_EVERY: u64 = 2;
+/// The era at the start. Each new count starts lower, at an era that was not stated before.
+const START_ERA: Era = Era(1_000_000);
+/// The number of eras for each count.
+const ERAS_PER_COUNT: u64 = 1_000;
 
 /// One transition: an action of a caller, the passing of time, or a fault that
 /// begins or ends.
@@ -194,6 +201,8 @@
     /// rise above current keys, so that new keys may be refused. Operations must
     /// still run at most once.
     several_wrong_clocks: bool,
+    /// The first era of the store's present count.
+    count: Era,
     /// The last copy of the store's values, and when it was made.
     copy: Option<(u64, Values)>,
     /// Whether a clock was wrong, two VMs did not see each other, or messages were lost.
@@ -207,7 +216,13 @@
         let Some((at, values)) = &self.copy else { return };
         let age = Duration::from_micros(self.world.now - at);
         let has_floor = values.contains_key(FLOOR_KEY);
-        if age <= Limits::default().copy_age && has_floor && !self.not_covered {
+        if age > Limits::default().copy_age || !has_floor || self.not_covered {
+            return;
+        }
+        if self.world.now.is_multiple_of(ANEW_EVERY) {
+            self.count.0 -= ERAS_PER_COUNT;
+            self.world.store.restore_in(values.clone(), self.count);
+        } else {
             self.world.store.restore(values.clone());
         }
     }
@@ -229,8 +244,11 @@
             report_timeout: Duration::from_secs(10),
             ..Limits::default()
         };
+        let mut world = World::new(VMS, limits, 1);
+        world.store.era = START_ERA;
         Fleet {
-            world: World::new(VMS, limits, 1),
+            world,
+            count: START_ERA,
             keys: Vec::new(),
             several_wrong_clocks: false,
             copy: None,
@@ -302,7 +320,7 @@
         let world = &mut fleet.world;
         world.run(Duration::from_secs(1));
         world.assert_answered();
-        if world.store.era > FIRST_ERA {
+        if world.store.era != START_ERA {
             // A home that does not know all claims that were lost refuses keys that may
             // be among them.
             world.run(Limits::default().skew + Duration::from_secs(2));
--- a/crates/core/tests/claims/store.rs
+++ b/crates/core/tests/claims/store.rs
@@ -17,6 +17,8 @@
     AnswerLost,
     /// The answer is lost, and the call takes effect this many microseconds later.
     EffectLater(u64),
+    /// The call takes effect, and the answer comes this many microseconds later.
+    AnswerLater(u64),
 }
 
 /// How the store handles calls that have no handling of their own.
@@ -39,9 +41,6 @@
     pub bytes: u64,
 }
 
-/// The era of a store that was never restored.
-pub const FIRST_ERA: Era = Era(1);
-
 /// The values of a store by key.
 pub type Values = BTreeMap<String, (Version, Vec<u8>)>;
 
@@ -63,7 +62,7 @@
     pub fn new() -> Store {
         Store {
             values: BTreeMap::new(),
-            era: FIRST_ERA,
+            era: Era(1),
             mode: Mode::Up,
             next_writes: VecDeque::new(),
             next_reads: VecDeque::new(),
@@ -74,8 +73,13 @@
     /// Replaces all values by those of an earlier copy, as a store does that comes back
     /// from it, and gives the versions since then out again in the next era.
     pub fn restore(&mut self, copy: Values) {
+        self.restore_in(copy, Era(self.era.0 + 1));
+    }
+
+    /// Comes back from a copy in any era, as a store does that counts its eras anew.
+    pub fn restore_in(&mut self, copy: Values, era: Era) {
         self.values = copy;
-        self.era.0 += 1;
+        self.era = era;
     }
 
     fn position(&self, change: u64) -> Position {
--- a/crates/core/tests/claims/world/carry.rs
+++ b/crates/core/tests/claims/world/carry.rs
@@ -89,7 +89,7 @@
     fn handle_call(&mut self, vm: usize, epoch: u64, id: CallId, call: Call, handling: Handling) {
         let lost = || Reply::Lost { detail: String::new() };
         let reply = match handling {
-            Handling::Normal => {
+            Handling::Normal | Handling::AnswerLater(_) => {
                 self.store.count(&call);
                 self.store.apply(call)
             }
@@ -105,8 +105,10 @@
                 lost()
             }
         };
-        let at = self.now + 1000 + self.random.below(1500);
-        let era = (handling == Handling::Normal).then_some(self.store.era);
+        let late_by = if let Handling::AnswerLater(by) = handling { by } else { 0 };
+        let at = self.now + 1000 + self.random.below(1500) + late_by;
+        let is_answered = matches!(handling, Handling::Normal | Handling::AnswerLater(_));
+        let era = is_answered.then_some(self.store.era);
         self.schedule(at, Action::Answer { vm, epoch, id, era, reply });
     }
 
--- a/crates/core/tests/claims/world/mod.rs
+++ b/crates/core/tests/claims/world/mod.rs
@@ -236,7 +236,8 @@
         }
     }
 
-    fn push_event(&mut self, vm: usize, event: Event) {
+    /// Passes an event to a VM.
+    pub fn push_event(&mut self, vm: usize, event: Event) {
         self.machines[vm].inbox.push(event);
         self.schedule_tick(vm);
     }
--- a/crates/core/tests/control/drill.rs
+++ b/crates/core/tests/control/drill.rs
@@ -7,7 +7,7 @@
     control::{Answer, Codec, Record, Request, codec},
     name::Name,
     profile::Revision,
-    store::Call,
+    store::{Call, Era},
 };
 
 use crate::{
@@ -19,6 +19,11 @@
 /// The time within which the service holds again what it lost.
 const RESTORE_TIME: Duration = Duration::from_secs(8);
 
+/// The era of a service that has come back several times, before it counts anew.
+const HIGH_ERA: Era = Era(9);
+/// The era with which the service counts anew.
+const LOW_ERA: Era = Era(1);
+
 struct Drill {
     world: World,
     copy: Copy,
@@ -53,9 +58,31 @@
     }
 }
 
+/// A drill whose VMs know a high era.
+fn drill_in_high_era(seed: u64) -> Drill {
+    let mut drill = drill(seed);
+    drill.world.platform.restore_in(drill.copy.clone(), HIGH_ERA);
+    drill.world.run_for(RESTORE_TIME);
+    drill.copy = drill.world.platform.copy();
+    drill
+}
+
+/// Counts the calls of the service in a time without changes.
+fn count_calls(world: &mut World) -> u64 {
+    let before = world.platform.calls;
+    world.run_for(Duration::from_secs(60));
+    world.platform.calls - before
+}
+
 /// Loses a publication whose answer is lost, the given time after it took effect, and
 /// checks that its operator is told whether it is in force in the end.
-fn lose_publication(mut drill: Drill, after: Duration) {
+fn lose_publication(drill: Drill, after: Duration) {
+    let era = Era(drill.world.platform.era.0 + 1);
+    lose_publication_in(drill, after, era);
+}
+
+/// Loses a publication as [`lose_publication`] does, to a service that comes back in `era`.
+fn lose_publication_in(mut drill: Drill, after: Duration, era: Era) {
     let writes = drill.world.platform.writes;
     let id = drill.world.publish(&vm(1), 9, None);
     // The document is read and its entry in the history written.
@@ -65,7 +92,7 @@
     assert!(drill.world.run_until(Duration::from_secs(3), is_written).is_some());
     drill.world.run_for(after);
     drill.world.platform.mode = Mode::Up;
-    drill.restore();
+    drill.world.platform.restore_in(drill.copy.clone(), era);
     let answer = drill.world.answer(id);
     drill.world.run_for(RESTORE_TIME);
     let stored = drill.stored(codec::CURRENT_KEY).unwrap();
@@ -130,6 +157,27 @@
         drill.world.run_for(RESTORE_TIME);
         assert_eq!(drill.stored(codec::CURRENT_KEY).unwrap().document.revision, Revision(2));
     };
+    a_publication_that_was_lost_as_eras_are_counted_anew_is_written_again => {
+        let mut drill = drill_in_high_era(7);
+        assert_eq!(drill.publish(&vm(2), 2), Revision(2));
+        let published = drill.stored(codec::CURRENT_KEY);
+        drill.world.platform.restore_in(drill.copy.clone(), LOW_ERA);
+        drill.world.run_for(RESTORE_TIME);
+        assert_eq!(drill.stored(codec::CURRENT_KEY), published);
+    };
+    a_service_that_counts_its_eras_anew_is_read_as_rarely_as_before => {
+        let mut drill = drill_in_high_era(8);
+        let before = count_calls(&mut drill.world);
+        drill.world.platform.restore_in(drill.copy.clone(), LOW_ERA);
+        drill.world.run_for(RESTORE_TIME);
+        let after = count_calls(&mut drill.world);
+        assert!(after <= before * 2, "{after} calls in place of {before}");
+    };
+    a_publication_during_a_new_count_of_eras_is_answered_truly => {
+        for after in [0, 1, 5, 500] {
+            lose_publication_in(drill_in_high_era(9), Duration::from_millis(after), LOW_ERA);
+        }
+    };
     a_publication_that_was_lost_before_it_spread_is_answered_truly => {
         lose_publication(drill(5), Duration::ZERO);
     };
--- a/crates/core/tests/control/platform.rs
+++ b/crates/core/tests/control/platform.rs
@@ -101,7 +101,12 @@
     /// Comes back from a copy, in the next era. The changes since are lost, and their
     /// numbers are given out again.
     pub fn restore(&mut self, copy: Copy) {
-        self.era.0 += 1;
+        self.restore_in(copy, Era(self.era.0 + 1));
+    }
+
+    /// Comes back from a copy in any era, as a service does that counts its eras anew.
+    pub fn restore_in(&mut self, copy: Copy, era: Era) {
+        self.era = era;
         self.values = copy.values;
         for entry in self.values.values_mut() {
             entry.version.0.era = self.era;
--- a/crates/core/tests/control/world.rs
+++ b/crates/core/tests/control/world.rs
@@ -18,7 +18,7 @@
     name::Name,
     notice::{Notice, Report},
     profile::{Document, Revision},
-    store::{Call, CallId, Outcome, Reply},
+    store::{Call, CallId, Era, Outcome, Reply},
     time::{Instant, Wall},
     view::{State, View, Vm},
 };
@@ -38,7 +38,9 @@
 /// Something that arrives at a later time.
 enum Delivery {
     Message(Name, Box<Message>),
-    Reply((Name, u64), CallId, Reply),
+    /// A reply, and the era that it states; that at its arrival if none is set, as a watch
+    /// is answered when it ends.
+    Reply((Name, u64), CallId, Option<Era>, Reply),
     Event((Name, u64), Event),
     Late(Call),
 }
@@ -230,12 +232,12 @@
             | Delivery::Event((vm, _), _) => vm.clone(),
             Delivery::Late(call) => {
                 for (at, vm, id, reply) in self.platform.apply_late(self.now, call.clone()) {
-                    self.enqueue(at, Delivery::Reply(vm, id, reply));
+                    self.enqueue(at, Delivery::Reply(vm, id, None, reply));
                 }
                 return;
             }
         };
-        if let Delivery::Reply(start, call, _) = &delivery {
+        if let Delivery::Reply(start, call, ..) = &delivery {
             self.platform.end_watch(start, *call);
         }
         let Some(node) = self.nodes.get(&vm) else { return };
@@ -250,9 +252,9 @@
                 return;
             }
             Delivery::Event(_, event) => event,
-            Delivery::Reply(_, call, reply) => {
+            Delivery::Reply(_, call, era, reply) => {
                 let is_answered = !matches!(reply, Reply::Lost { .. } | Reply::Refused { .. });
-                let era = is_answered.then_some(self.platform.era);
+                let era = is_answered.then_some(era.unwrap_or(self.platform.era));
                 Event::Store(Outcome { id: call, era, reply })
             }
             Delivery::Late(_) => return,
@@ -320,8 +322,11 @@
             if id.0 & CLAIMS_CALL_BIT != 0 {
                 self.claim_calls += 1;
             }
-            for (at, vm, id, reply) in self.platform.call(self.now, start.clone(), id, call) {
-                self.enqueue(at, Delivery::Reply(vm, id, reply));
+            let is_watch = matches!(call, Call::Watch { .. });
+            let era = (!is_watch).then_some(self.platform.era);
+            for (at, vm, ended, reply) in self.platform.call(self.now, start.clone(), id, call) {
+                let era = era.filter(|_| ended == id);
+                self.enqueue(at, Delivery::Reply(vm, ended, era, reply));
             }
         }
         self.answers.extend(out.answers);
@@ -330,7 +335,7 @@
     /// Reports a write as lost, and lets it take effect only after that.
     fn delay_write(&mut self, start: (Name, u64), id: CallId, call: Call) {
         let lost = Reply::Lost { detail: "no answer".to_owned() };
-        self.enqueue(self.now + CALL_TIMEOUT, Delivery::Reply(start, id, lost));
+        self.enqueue(self.now + CALL_TIMEOUT, Delivery::Reply(start, id, None, lost));
         self.enqueue(self.now + LATE_WRITE_DELAY, Delivery::Late(call));
     }
 
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -157,7 +157,7 @@
         let live = |state: State| state == State::Live;
         let revision = usize::try_from(view.document.revision.0).unwrap_or(usize::MAX);
         self.set(Gauge::Revision, revision);
-        let era = tables.calls.era.unwrap_or_default().0;
+        let era = tables.calls.epoch.era().unwrap_or_default().0;
         self.set(Gauge::StoreEra, usize::try_from(era).unwrap_or(usize::MAX));
         self.set(Gauge::LiveVms, view.vms.values().filter(|vm| live(vm.state)).count());
         let targets = view.targets.values().filter(|target| live(target.state));
