Do not answer "not run" while it is not known whether the key ran

Cause: an operation whose claim could not be settled was refused with `ran: no`. That was true of this send alone. A caller who lost the answer to an earlier one under the key, and sent it again through a VM that got no reply of the platform's service in time, was told that nothing ran although the operation had. Change: `claim_unsettled` has `ran: unknown`, unless the claim was granted and not used: the key was free then. Ruled out: to keep `no` and define it as this send, as the page of proofs had it. What a caller decides with it is whether the operation was done, and the tests of processes read it so. To tell a first send from a later one, as nothing in a request or at a VM without the service does.

--- a/crates/core/src/fault.rs
+++ b/crates/core/src/fault.rs
@@ -8,7 +8,8 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Whether a target ran any part of a refused request.
+/// Whether a target ran any part of a refused request. `docs/ERRORS.md` says what this
+/// covers if an operation is sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Ran {
--- a/crates/core/src/traffic/system/answer.rs
+++ b/crates/core/src/traffic/system/answer.rs
@@ -110,9 +110,16 @@
             revision: query.revision,
         },
         Stage::Settled(Err(fault)) => Body::Refused(fault.clone()),
-        Stage::Claiming | Stage::Granted => {
+        Stage::Claiming => {
             claim::await_outcome(tables, id, operation.claim(query.fingerprint));
             let detail = "the claim was not settled before the deadline";
+            // An earlier request with the key may have run.
+            Body::Refused(Fault::unknown(Kind::ClaimUnsettled, detail))
+        }
+        // The key was free, so no earlier request with it ran either.
+        Stage::Granted => {
+            claim::await_outcome(tables, id, operation.claim(query.fingerprint));
+            let detail = "the operation was not sent before the deadline";
             Body::Refused(Fault::not_run(Kind::ClaimUnsettled, detail))
         }
         Stage::Sent => {
--- a/crates/core/src/traffic/system/claim.rs
+++ b/crates/core/src/traffic/system/claim.rs
@@ -74,7 +74,8 @@
             Kind::ClaimFull,
             "the time slot of the idempotency key is full; use a new key",
         ),
-        Verdict::Unsettled { detail } => Fault::not_run(Kind::ClaimUnsettled, detail),
+        // An earlier request with the key may have run.
+        Verdict::Unsettled { detail } => Fault::unknown(Kind::ClaimUnsettled, detail),
         Verdict::Granted | Verdict::Recorded { .. } => {
             Fault::not_run(Kind::Internal, "a verdict that is no refusal was handled as one")
         }
--- a/crates/core/tests/world/claims.rs
+++ b/crates/core/tests/world/claims.rs
@@ -63,6 +63,9 @@
     }
 
     fn claim(&mut self, request: claim::Request) -> Verdict {
+        if self.claims_unsettled {
+            return Verdict::Unsettled { detail: "the claim was not stored in time".to_owned() };
+        }
         match self.claims.get(&request.key) {
             Some((own, _)) if own.fingerprint != request.fingerprint => Verdict::Reused,
             Some((_, Some(claim::Outcome::Done { result }))) => {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -87,6 +87,8 @@
     pub claims: BTreeMap<claim::Key, (claim::Request, Option<claim::Outcome>)>,
     /// Whether claims get no answer.
     pub claims_down: bool,
+    /// Whether claims end as unsettled.
+    pub claims_unsettled: bool,
     /// The time until a claim is answered.
     pub claim_delay: Duration,
     /// The answers that callers received.
@@ -181,6 +183,7 @@
             network: Network::default(),
             claims: BTreeMap::new(),
             claims_down: false,
+            claims_unsettled: false,
             claim_delay: Duration::from_millis(5),
             answers: BTreeMap::new(),
             reports: Vec::new(),
