Let the fuzzing of claims wait for a clock that was ahead

Cause: a random run of the fuzzing failed with "a new key does not run once the faults have ended". A clock that was 7 s ahead dated the loss, so keys issued up to 17 s after it are in doubt; the check waited for the 10 s of the skew, as if the clock had been right.

--- a/crates/core/tests/claims/fuzz.rs
+++ b/crates/core/tests/claims/fuzz.rs
@@ -201,6 +201,8 @@
     /// rise above current keys, so that new keys may be refused. Operations must
     /// still run at most once.
     several_wrong_clocks: bool,
+    /// The most seconds by which a clock was ahead.
+    max_ahead: u64,
     /// The first era of the store's present count.
     count: Era,
     /// The last copy of the store's values, and when it was made.
@@ -248,6 +250,7 @@
         world.store.era = START_ERA;
         Fleet {
             world,
+            max_ahead: 0,
             count: START_ERA,
             keys: Vec::new(),
             several_wrong_clocks: false,
@@ -291,6 +294,7 @@
             }
             Transition::Skew { vm, seconds } => {
                 world.machines[vm].skew_secs = seconds;
+                fleet.max_ahead = fleet.max_ahead.max(u64::try_from(seconds).unwrap_or(0));
                 fleet.not_covered = true;
                 let wrong = world.machines.iter().filter(|machine| machine.skew_secs != 0).count();
                 fleet.several_wrong_clocks |= wrong > 1;
@@ -322,8 +326,9 @@
         world.assert_answered();
         if world.store.era != START_ERA {
             // A home that does not know all claims that were lost refuses keys that may
-            // be among them.
-            world.run(Limits::default().skew + Duration::from_secs(2));
+            // be among them. The clock that dated the loss may have been ahead.
+            let ahead = Duration::from_secs(fleet.max_ahead);
+            world.run(Limits::default().skew + ahead + Duration::from_secs(2));
         }
         let key = world.key();
         let plan = Plan::Run { delay: 10, duration: 10 };
