Keep the settled fleet of the tests of the relay once

Cause: restores and returns each had the same function. Change: it is a constructor of the simulated fleet. Measured: the cases of relay pass.

--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -10,6 +10,9 @@
 
 use crate::store::{Reader, STEP, Store, vm};
 
+/// The time after a common start in which all VMs have read, announced and confirmed.
+const SETTLE_TIME: Duration = Duration::from_secs(15);
+
 /// A simulated store with the feeds of several VMs, which announce to each other.
 pub struct Fleet {
     pub now: Instant,
@@ -44,6 +47,14 @@
         }
     }
 
+    /// Creates `count` VMs that have read version 3 and what the others announced.
+    pub fn settled(count: u16) -> Fleet {
+        let mut fleet = Fleet::new(count, 7);
+        fleet.pass(SETTLE_TIME);
+        assert!(fleet.without_version(3).is_empty());
+        fleet
+    }
+
     /// Advances time by `span`, with a tick of every VM in each step.
     pub fn pass(&mut self, span: Duration) {
         let end = self.now + span;
--- a/crates/core/tests/relay/restores.rs
+++ b/crates/core/tests/relay/restores.rs
@@ -68,14 +68,6 @@
     world
 }
 
-/// Returns a fleet whose VMs have read version 3 and what others announced.
-fn settled_fleet(count: u16) -> Fleet {
-    let mut fleet = Fleet::new(count, 7);
-    fleet.pass(ms(15_000));
-    assert!(fleet.without_version(3).is_empty());
-    fleet
-}
-
 /// Writes entries of targets, as when targets register.
 fn register_targets(fleet: &mut Fleet, count: u32) {
     for number in 0..count {
@@ -122,7 +114,7 @@
 
 /// Asserts that a version is in force in time that is written at once after a drill.
 fn assert_drill(count: u16, drill: Drill) {
-    let mut fleet = settled_fleet(count);
+    let mut fleet = Fleet::settled(count);
     play(&mut fleet, drill, 4);
     assert_in_force(&mut fleet, 5);
 }
@@ -155,7 +147,7 @@
         }
     };
     two_drills_in_a_row_hide_no_version => {
-        let mut fleet = settled_fleet(15);
+        let mut fleet = Fleet::settled(15);
         play(&mut fleet, DRILL, 4);
         fleet.store.restore();
         fleet.lose_calls();
@@ -256,7 +248,7 @@
         for open in [Open::Ends, Open::Silent] {
             let request = Fingerprint(7);
             let key = format!("held/{request}");
-            let mut fleet = settled_fleet(5);
+            let mut fleet = Fleet::settled(5);
             fleet.store.take_copy();
             fleet.quarantine_at_first(request);
             fleet.pass(ms(1000));
@@ -324,7 +316,7 @@
         assert_eq!(fields["own"], read.to_string());
     };
     an_announcement_of_an_ended_era_keeps_no_vm_behind => {
-        let mut fleet = settled_fleet(15);
+        let mut fleet = Fleet::settled(15);
         play(&mut fleet, Drill { open: Open::Ends, ..DRILL }, 4);
         fleet.pass(ms(3000));
         let before: usize = fleet.vms.iter().map(|vm| vm.logged(Event::StoreSilent)).sum();
--- a/crates/core/tests/relay/returns.rs
+++ b/crates/core/tests/relay/returns.rs
@@ -58,13 +58,6 @@
     world
 }
 
-fn settled_fleet(count: u16) -> Fleet {
-    let mut fleet = Fleet::new(count, 7);
-    fleet.pass(ms(15_000));
-    assert!(fleet.without_version(3).is_empty());
-    fleet
-}
-
 /// Passes `span`, and returns the number of ticks after which the feed asks to run again at
 /// once although nothing has happened.
 fn count_idle_wakes(world: &mut World, span: Duration) -> usize {
@@ -278,7 +271,7 @@
     };
     a_report_under_way_at_the_return_is_written_after_it => {
         let request = Fingerprint(7);
-        let mut fleet = settled_fleet(5);
+        let mut fleet = Fleet::settled(5);
         fleet.store.take_copy();
         fleet.quarantine_at_first(request);
         fleet.pass(STEP);
@@ -291,7 +284,7 @@
     a_quarantine_outlives_the_lapse_of_its_lease_in_an_outage => {
         let request = Fingerprint(7);
         let key = format!("held/{request}");
-        let mut fleet = settled_fleet(5);
+        let mut fleet = Fleet::settled(5);
         fleet.quarantine_at_first(request);
         fleet.pass(ms(1000));
         assert!(fleet.store.has(&key));
@@ -317,7 +310,7 @@
         assert!(checks <= 3, "{checks} checks of a store that answered each within 5 ms");
     };
     a_silent_watch_of_an_ended_era_costs_few_checks => {
-        let mut fleet = settled_fleet(100);
+        let mut fleet = Fleet::settled(100);
         fleet.store.take_copy();
         (0..100).for_each(|n| fleet.store.put(&format!("target/late-{}", n % 5), "desk"));
         fleet.pass(ms(6000));
