Teach the simulated store of entry to come back from an older copy

Cause: the store of the tests of the control engines and of whole VMs knew one history. Whole VMs were told no era at all, and a reply that was under way stated the era of its arrival. Change: the store keeps what it held before each change, goes away for a while and comes back from what it held some seconds ago, in the next era; open calls end, go silent or get 410, the list of the deployment is written again later. Each reply states the era in which it was given. A removal compares the version that it expects. Versions are numbered by key or by change. Nothing draws it yet.

--- /dev/null
+++ b/crates/core/tests/control/history.rs
@@ -0,0 +1,66 @@
+//! The documents that were written to the platform's service, against which the answers
+//! to operators are checked.
+
+use std::collections::BTreeSet;
+
+use laburnum_core::control::{Answer, Codec, Record};
+
+use super::platform::Platform;
+
+/// The records written as the document in force, each in order and without repetitions,
+/// which fences and restored documents are.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// The records up to the one that the service holds, without those that it has lost.
+    pub kept: Vec<Record>,
+    /// All records that were ever written.
+    ever: Vec<Record>,
+}
+
+impl History {
+    /// Reads what was written to the service so far.
+    pub fn new(platform: &Platform, codec: &dyn Codec) -> History {
+        let decode = |values: &[Vec<u8>]| -> Vec<Record> {
+            values.iter().map(|value| codec.decode(value).unwrap()).collect()
+        };
+        let mut kept = decode(&platform.written);
+        kept.dedup();
+        let mut ever = decode(&platform.ever_written);
+        ever.sort_by_key(|record| (record.document.revision, record.token));
+        ever.dedup();
+        History { kept, ever }
+    }
+
+    /// Checks that the revisions only go up, and that no operator's document was written
+    /// under two of them.
+    pub fn check(&self) {
+        for pair in self.kept.windows(2) {
+            let [before, after] = pair else { continue };
+            assert!(before.document.revision < after.document.revision, "{before:?} {after:?}");
+        }
+        let mut operators = BTreeSet::new();
+        // A document that a VM restores without knowing its publication has no operator.
+        for record in self.ever.iter().filter(|record| !record.who.is_empty()) {
+            assert!(operators.insert(&record.who), "{} was written twice", record.who);
+        }
+    }
+
+    /// Checks that the answer to an operator does not contradict what was written. A
+    /// document that the service has lost before any VM had it in force was not published.
+    pub fn check_answer(&self, who: &str, answer: &Answer) {
+        let is_own = |record: &&Record| record.who == who;
+        match answer {
+            Answer::Accepted { revision, .. } => {
+                let found = self.ever.iter().find(is_own);
+                let found = found.map(|record| record.document.revision);
+                assert_eq!(found, Some(*revision), "{who} was told {answer:?}");
+            }
+            Answer::Unsettled { .. } => {}
+            Answer::Conflict { .. } | Answer::NotPublished { .. } | Answer::Failed(_) => {
+                let found = self.kept.iter().find(is_own);
+                assert!(found.is_none(), "{who} was told {answer:?} but was written");
+            }
+            answer => panic!("{who} was told {answer:?}"),
+        }
+    }
+}
--- a/crates/core/tests/control/platform.rs
+++ b/crates/core/tests/control/platform.rs
@@ -1,6 +1,9 @@
 //! A simulation of the platform's service and its faults.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use laburnum_core::{
     name::Name,
@@ -29,22 +32,87 @@
 /// The time after which a client reports a call as lost.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// The greatest age of a copy from which the service comes back.
+pub const MAX_COPY_AGE: Duration = Duration::from_secs(15);
+
+/// How the service numbers the versions of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Numbering {
+    /// Each key has its own numbers, which start again after a removal. An old number
+    /// matches again more often than the interface allows.
+    Key,
+    /// The number of a version is that of the change that wrote it.
+    Change,
+}
+
+/// What becomes of the calls that are open when the service goes away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Open {
+    /// Watches end with their connections; replies that were sent still arrive.
+    Ends,
+    /// No reply arrives any more, and no connection ends.
+    Silent,
+    /// Watches are told that the service does not have their position; replies that were
+    /// sent still arrive.
+    Outdated,
+}
+
+/// The service goes away, and comes back from an older copy.
+#[derive(Clone, Copy, Debug)]
+pub struct Drill {
+    pub open: Open,
+    /// How long the service is away.
+    pub away: Duration,
+    /// The age of the copy when the service goes away.
+    pub age: Duration,
+    /// The time after the return in which the deployment writes its list again.
+    pub rewrite: Duration,
+}
+
+/// The VMs that the service lists.
+pub type Vms = BTreeMap<Name, view::Vm>;
+
+/// The targets that the service lists.
+pub type Targets = BTreeMap<Name, view::Target>;
+
+/// A VM with the number of its start.
+pub type Caller = (Name, u64);
+
 /// A watch that waits for a change.
 struct Watch {
-    vm: (Name, u64),
+    vm: Caller,
     call: CallId,
     prefix: String,
     after: u64,
 }
 
-/// A reply with the time of its arrival, the VM and its start number, and the
-/// call.
-pub type Answer = (Instant, (Name, u64), CallId, Reply);
+/// A reply to a call of a VM.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// When the reply arrives.
+    pub at: Instant,
+    pub vm: Caller,
+    pub call: CallId,
+    /// The era in which the service answered; none if it did not.
+    pub era: Option<Era>,
+    pub reply: Reply,
+}
+
+impl Answer {
+    /// The report of a client that got no reply.
+    pub fn lost(at: Instant, vm: Caller, call: CallId) -> Answer {
+        let reply = Reply::Lost { detail: "no answer".to_owned() };
+        Answer { at, vm, call, era: None, reply }
+    }
+}
 
 /// A copy of what the service holds, from which it may come back.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Copy {
-    values: BTreeMap<String, Entry>,
+    vms: Vms,
+    targets: Targets,
+    pub values: BTreeMap<String, Entry>,
+    written: Vec<Vec<u8>>,
     change: u64,
     changed: BTreeMap<String, u64>,
 }
@@ -54,23 +122,31 @@
     pub mode: Mode,
     /// The era that all answers state.
     pub era: Era,
+    pub numbering: Numbering,
+    /// Whether the service is away, so that no call reaches it.
+    pub is_away: bool,
     /// The time from a call to its reply.
     pub delay: Duration,
     /// The VMs that the service lists.
-    pub vms: BTreeMap<Name, view::Vm>,
+    pub vms: Vms,
     /// The targets that the service lists.
-    pub targets: BTreeMap<Name, view::Target>,
+    pub targets: Targets,
     /// The stored values by key.
     pub values: BTreeMap<String, Entry>,
     /// The number of calls; a watch counts as one.
     pub calls: u64,
     /// The number of times that the document in force was written.
     pub writes: u64,
-    /// The values that were written as the document in force, in order.
+    /// The values that were written as the document in force, in order, without those
+    /// that the service has lost since.
     pub written: Vec<Vec<u8>>,
+    /// Like `written`, with those that the service has lost since.
+    pub ever_written: Vec<Vec<u8>>,
     change: u64,
     changed: BTreeMap<String, u64>,
     watches: Vec<Watch>,
+    /// What the service held before each of the last changes, with the time of the change.
+    copies: VecDeque<(Instant, Copy)>,
 }
 
 impl Platform {
@@ -79,6 +155,8 @@
         Platform {
             mode: Mode::Up,
             era: Era(0),
+            numbering: Numbering::Key,
+            is_away: false,
             delay: Duration::from_millis(2),
             vms: BTreeMap::new(),
             targets: BTreeMap::new(),
@@ -86,26 +164,58 @@
             calls: 0,
             writes: 0,
             written: Vec::new(),
+            ever_written: Vec::new(),
             change: 0,
             changed: BTreeMap::new(),
             watches: Vec::new(),
+            copies: VecDeque::new(),
         }
     }
 
     /// Copies what the service holds.
     pub fn copy(&self) -> Copy {
-        let (values, changed) = (self.values.clone(), self.changed.clone());
-        Copy { values, change: self.change, changed }
+        Copy {
+            vms: self.vms.clone(),
+            targets: self.targets.clone(),
+            values: self.values.clone(),
+            written: self.written.clone(),
+            change: self.change,
+            changed: self.changed.clone(),
+        }
+    }
+
+    /// Keeps a copy of what the service holds before a change at `now`.
+    fn keep_copy(&mut self, now: Instant) {
+        while self.copies.front().is_some_and(|(at, _)| now.since(*at) > MAX_COPY_AGE) {
+            self.copies.pop_front();
+        }
+        let copy = self.copy();
+        self.copies.push_back((now, copy));
+    }
+
+    /// Returns what the service held `age` before `now`.
+    pub fn copy_of(&self, now: Instant, age: Duration) -> Copy {
+        let changed_since = self.copies.iter().find(|(at, _)| now.since(*at) <= age);
+        changed_since.map_or_else(|| self.copy(), |(_, copy)| copy.clone())
+    }
+
+    /// Replaces the list of VMs and targets, as the deployment does.
+    pub fn set_list(&mut self, now: Instant, vms: Vms, targets: Targets) {
+        self.keep_copy(now);
+        (self.vms, self.targets) = (vms, targets);
     }
 
     /// Comes back from a copy, in the next era. The changes since are lost, and their
     /// numbers are given out again.
     pub fn restore(&mut self, copy: Copy) {
         self.era.0 += 1;
+        self.is_away = false;
+        (self.vms, self.targets) = (copy.vms, copy.targets);
         self.values = copy.values;
         for entry in self.values.values_mut() {
             entry.version.0.era = self.era;
         }
+        self.written = copy.written;
         self.change = copy.change;
         self.changed = copy.changed;
     }
@@ -121,39 +231,69 @@
 
     /// Handles a call of a VM. Returns its reply, and those to watches that the
     /// call ends.
-    pub fn call(&mut self, now: Instant, vm: (Name, u64), id: CallId, call: Call) -> Vec<Answer> {
+    pub fn call(&mut self, now: Instant, vm: Caller, call_id: CallId, call: Call) -> Vec<Answer> {
         self.calls += 1;
-        let lost = Reply::Lost { detail: "no answer".to_owned() };
+        let lost = Answer::lost(now + CALL_TIMEOUT, vm.clone(), call_id);
+        if self.is_away {
+            return vec![lost];
+        }
         match self.mode {
-            Mode::Down => return vec![(now + CALL_TIMEOUT, vm, id, lost)],
-            Mode::ListOnly if call != Call::List => {
-                return vec![(now + CALL_TIMEOUT, vm, id, lost)];
-            }
+            Mode::Down => return vec![lost],
+            Mode::ListOnly if call != Call::List => return vec![lost],
             Mode::Refusing => {
-                let refused = Reply::Refused { detail: "no connection".to_owned() };
-                return vec![(now + self.delay, vm, id, refused)];
+                let reply = Reply::Refused { detail: "no connection".to_owned() };
+                let at = now + self.delay;
+                return vec![Answer { at, vm, call: call_id, era: None, reply }];
             }
             Mode::Up | Mode::ListOnly | Mode::ReplyLost | Mode::Late => {}
         }
         if let Call::Watch { prefix, after, wait } = call {
             if after.change > self.change {
-                return vec![(now + self.delay, vm, id, Reply::Outdated)];
+                return vec![self.answer(now + self.delay, vm, call_id, Reply::Outdated)];
             }
-            return self.watch(now, Watch { vm, call: id, prefix, after: after.change }, wait);
+            let after = after.change;
+            return self.watch(now, Watch { vm, call: call_id, prefix, after }, wait);
         }
         let (reply, mut answers) = self.apply(now, call);
-        let answer = match self.mode {
-            Mode::ReplyLost => (now + CALL_TIMEOUT, vm, id, lost),
-            _ => (now + self.delay, vm, id, reply),
-        };
-        answers.push(answer);
+        answers.push(match self.mode {
+            Mode::ReplyLost => lost,
+            _ => self.answer(now + self.delay, vm, call_id, reply),
+        });
+        answers
+    }
+
+    fn answer(&self, at: Instant, vm: Caller, call: CallId, reply: Reply) -> Answer {
+        Answer { at, vm, call, era: Some(self.era), reply }
+    }
+
+    /// Goes away. Returns what becomes of the replies that are under way.
+    pub fn go_away(&mut self, now: Instant, drill: Drill, underway: Vec<Answer>) -> Vec<Answer> {
+        let answers = underway.into_iter().filter_map(|answer| self.interrupt(now, drill, answer));
+        let answers = answers.collect();
+        self.is_away = true;
+        self.watches.clear();
         answers
     }
 
+    /// Returns what becomes of a reply that is under way when the service goes away.
+    fn interrupt(&self, now: Instant, drill: Drill, answer: Answer) -> Option<Answer> {
+        let is_same = |watch: &Watch| watch.vm == answer.vm && watch.call == answer.call;
+        let is_watch = self.watches.iter().any(is_same);
+        match drill.open {
+            Open::Silent => None,
+            Open::Ends if is_watch => Some(Answer::lost(now, answer.vm, answer.call)),
+            Open::Outdated if is_watch => {
+                let era = Some(Era(self.era.0 + 1));
+                Some(Answer { at: now + drill.away, era, reply: Reply::Outdated, ..answer })
+            }
+            Open::Ends | Open::Outdated => Some(answer),
+        }
+    }
+
     /// Carries out a write that the client has reported as lost. Returns the
     /// replies to watches that the write ends.
     pub fn apply_late(&mut self, now: Instant, call: Call) -> Vec<Answer> {
-        self.apply(now, call).1
+        if self.is_away { Vec::new() } else { self.apply(now, call).1 }
     }
 
     fn watch(&mut self, now: Instant, watch: Watch, wait: Duration) -> Vec<Answer> {
@@ -163,7 +303,7 @@
             .any(|(key, &change)| key.starts_with(&watch.prefix) && change > watch.after);
         let until = if due { now + self.delay } else { now + wait };
         let reply = self.changes(&watch);
-        let answer = (until, watch.vm.clone(), watch.call, reply);
+        let answer = self.answer(until, watch.vm.clone(), watch.call, reply);
         if !due {
             self.watches.push(watch);
         }
@@ -180,7 +320,7 @@
     }
 
     /// Removes a watch that has been answered.
-    pub fn end_watch(&mut self, vm: &(Name, u64), call: CallId) {
+    pub fn end_watch(&mut self, vm: &Caller, call: CallId) {
         self.watches.retain(|watch| watch.vm != *vm || watch.call != call);
     }
 
@@ -193,10 +333,7 @@
                 Reply::Entries { entries: rows.cloned().collect(), position }
             }
             Call::Swap { key, expect, value, .. } => return self.swap(now, key, expect, value),
-            Call::Remove { key, .. } => {
-                self.values.remove(&key);
-                Reply::Removed
-            }
+            Call::Remove { key, expect } => return (self.remove(now, &key, expect), Vec::new()),
             Call::List => Reply::Listed {
                 vms: self.vms.values().cloned().collect(),
                 targets: self.targets.values().cloned().collect(),
@@ -206,6 +343,19 @@
         (reply, Vec::new())
     }
 
+    fn remove(&mut self, now: Instant, key: &str, expect: Version) -> Reply {
+        let current = self.values.get(key).cloned();
+        if current.as_ref().is_some_and(|entry| number(entry.version) != number(expect)) {
+            return Reply::Conflict { current };
+        }
+        if current.is_some() {
+            self.keep_copy(now);
+            self.change += 1;
+            self.values.remove(key);
+        }
+        Reply::Removed
+    }
+
     fn swap(
         &mut self,
         now: Instant,
@@ -214,17 +364,20 @@
         value: Vec<u8>,
     ) -> (Reply, Vec<Answer>) {
         let current = self.values.get(&key).cloned();
-        // The service knows only the number of a version.
-        let number = |version: Version| version.0.change;
         if current.as_ref().map(|entry| number(entry.version)) != expect.map(number) {
             return (Reply::Conflict { current }, Vec::new());
         }
+        self.keep_copy(now);
         if key == laburnum_core::control::codec::CURRENT_KEY {
             self.writes += 1;
             self.written.push(value.clone());
+            self.ever_written.push(value.clone());
         }
-        let version = Version(self.position(expect.map_or(1, |version| number(version) + 1)));
         self.change += 1;
+        let version = Version(self.position(match self.numbering {
+            Numbering::Key => expect.map_or(1, |version| number(version) + 1),
+            Numbering::Change => self.change,
+        }));
         self.changed.insert(key.clone(), self.change);
         self.values.insert(key.clone(), Entry { key, version, value });
         (Reply::Swapped { version }, self.notify(now))
@@ -237,6 +390,12 @@
         });
         self.watches = rest;
         let at = now + self.delay;
-        due.iter().map(|w| (at, w.vm.clone(), w.call, self.changes(w))).collect()
+        let answer = |w: &Watch| self.answer(at, w.vm.clone(), w.call, self.changes(w));
+        due.iter().map(answer).collect()
     }
 }
+
+/// The number of a version, which is all that the service knows of it.
+fn number(version: Version) -> u64 {
+    version.0.change
+}
--- a/crates/core/tests/control/world.rs
+++ b/crates/core/tests/control/world.rs
@@ -18,7 +18,7 @@
     name::Name,
     notice::{Notice, Report},
     profile::{Document, Revision},
-    store::{Call, CallId, Outcome, Reply},
+    store::{Call, CallId, Outcome},
     time::{Instant, Wall},
     view::{State, View, Vm},
 };
@@ -26,7 +26,9 @@
 use crate::{
     fixture::{Json, address, name, profiles, row, target, team, vm},
     network::Network,
-    platform::{CALL_TIMEOUT, Mode, Platform},
+    platform::{
+        Answer as StoreAnswer, CALL_TIMEOUT, Caller, Copy, Drill, Mode, Platform, Targets, Vms,
+    },
 };
 
 /// The wall-clock time at virtual time zero.
@@ -38,9 +40,13 @@
 /// Something that arrives at a later time.
 enum Delivery {
     Message(Name, Box<Message>),
-    Reply((Name, u64), CallId, Reply),
-    Event((Name, u64), Event),
+    Reply(StoreAnswer),
+    Event(Caller, Event),
     Late(Call),
+    /// The service comes back from a copy.
+    Return(Box<Copy>),
+    /// The deployment writes its list again.
+    List(Vms, Targets),
 }
 
 /// A VM of the simulation.
@@ -225,18 +231,14 @@
 
     fn deliver(&mut self, delivery: Delivery, events: &mut BTreeMap<Name, Vec<Event>>) {
         let vm = match &delivery {
-            Delivery::Message(vm, _)
-            | Delivery::Reply((vm, _), ..)
-            | Delivery::Event((vm, _), _) => vm.clone(),
-            Delivery::Late(call) => {
-                for (at, vm, id, reply) in self.platform.apply_late(self.now, call.clone()) {
-                    self.enqueue(at, Delivery::Reply(vm, id, reply));
-                }
-                return;
+            Delivery::Message(vm, _) | Delivery::Event((vm, _), _) => vm.clone(),
+            Delivery::Reply(answer) => answer.vm.0.clone(),
+            Delivery::Late(_) | Delivery::Return(_) | Delivery::List(..) => {
+                return self.change_platform(delivery);
             }
         };
-        if let Delivery::Reply(start, call, _) = &delivery {
-            self.platform.end_watch(start, *call);
+        if let Delivery::Reply(answer) = &delivery {
+            self.platform.end_watch(&answer.vm, answer.call);
         }
         let Some(node) = self.nodes.get(&vm) else { return };
         if let Some(until) = node.paused.filter(|&until| until > self.now) {
@@ -244,22 +246,56 @@
         }
         let event = match delivery {
             Delivery::Message(_, message) => Event::Message(*message),
-            Delivery::Reply((_, start), ..) | Delivery::Event((_, start), _)
-                if start != node.start =>
-            {
-                return;
-            }
+            Delivery::Event((_, start), _) if start != node.start => return,
+            Delivery::Reply(answer) if answer.vm.1 != node.start => return,
             Delivery::Event(_, event) => event,
-            Delivery::Reply(_, call, reply) => {
-                let is_answered = !matches!(reply, Reply::Lost { .. } | Reply::Refused { .. });
-                let era = is_answered.then_some(self.platform.era);
-                Event::Store(Outcome { id: call, era, reply })
+            Delivery::Reply(StoreAnswer { call: id, era, reply, .. }) => {
+                Event::Store(Outcome { id, era, reply })
             }
-            Delivery::Late(_) => return,
+            Delivery::Late(_) | Delivery::Return(_) | Delivery::List(..) => return,
         };
         events.entry(vm).or_default().push(event);
     }
 
+    /// Handles a delivery that concerns no VM.
+    fn change_platform(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Late(call) => {
+                let answers = self.platform.apply_late(self.now, call);
+                self.enqueue_answers(answers);
+            }
+            Delivery::Return(copy) => self.platform.restore(*copy),
+            Delivery::List(vms, targets) => self.platform.set_list(self.now, vms, targets),
+            Delivery::Message(..) | Delivery::Reply(_) | Delivery::Event(..) => {}
+        }
+    }
+
+    fn enqueue_answers(&mut self, answers: Vec<StoreAnswer>) {
+        for answer in answers {
+            self.enqueue(answer.at, Delivery::Reply(answer));
+        }
+    }
+
+    /// Lets the service go away and come back from an older copy, unless it is away.
+    pub fn drill(&mut self, drill: Drill) {
+        if self.platform.is_away {
+            return;
+        }
+        let is_reply = |delivery: &Delivery| matches!(delivery, Delivery::Reply(_));
+        let replies = self.queue.extract_if(.., |_, delivery| is_reply(delivery));
+        let underway = replies.filter_map(|(_, delivery)| match delivery {
+            Delivery::Reply(answer) => Some(answer),
+            _ => None,
+        });
+        let underway = underway.collect();
+        let copy = self.platform.copy_of(self.now, drill.age);
+        let list = Delivery::List(self.platform.vms.clone(), self.platform.targets.clone());
+        let answers = self.platform.go_away(self.now, drill, underway);
+        self.enqueue_answers(answers);
+        self.enqueue(self.now + drill.away, Delivery::Return(Box::new(copy)));
+        self.enqueue(self.now + drill.away + drill.rewrite, list);
+    }
+
     fn enqueue(&mut self, at: Instant, delivery: Delivery) {
         self.sequence += 1;
         self.queue.insert((at, self.sequence), delivery);
@@ -320,17 +356,16 @@
             if id.0 & CLAIMS_CALL_BIT != 0 {
                 self.claim_calls += 1;
             }
-            for (at, vm, id, reply) in self.platform.call(self.now, start.clone(), id, call) {
-                self.enqueue(at, Delivery::Reply(vm, id, reply));
-            }
+            let answers = self.platform.call(self.now, start.clone(), id, call);
+            self.enqueue_answers(answers);
         }
         self.answers.extend(out.answers);
     }
 
     /// Reports a write as lost, and lets it take effect only after that.
     fn delay_write(&mut self, start: (Name, u64), id: CallId, call: Call) {
-        let lost = Reply::Lost { detail: "no answer".to_owned() };
-        self.enqueue(self.now + CALL_TIMEOUT, Delivery::Reply(start, id, lost));
+        let lost = StoreAnswer::lost(self.now + CALL_TIMEOUT, start, id);
+        self.enqueue(lost.at, Delivery::Reply(lost));
         self.enqueue(self.now + LATE_WRITE_DELAY, Delivery::Late(call));
     }
 
--- a/crates/core/tests/world/control.rs
+++ b/crates/core/tests/world/control.rs
@@ -11,15 +11,17 @@
     name::Name,
     notice::{Notice, Report},
     profile::Revision,
-    store::{Call, CallId, Outcome, Reply},
+    store::{Call, CallId, Outcome},
     time::{Instant, Wall},
     traffic,
     view::{self, State, View},
 };
 
 use super::{
-    Delivery, World, name,
-    platform::{CALL_TIMEOUT, Mode, Platform},
+    Delivery, World,
+    history::History,
+    name,
+    platform::{Answer as StoreAnswer, CALL_TIMEOUT, Caller, Mode, Platform},
 };
 
 /// The wall-clock time in milliseconds at the virtual time zero.
@@ -120,6 +122,7 @@
     pub(super) fn is_list_readable(&self) -> bool {
         let Some(platform) = &self.platform else { return true };
         let is_up = matches!(platform.mode, Mode::Up | Mode::ListOnly | Mode::Late);
+        let is_up = is_up && !platform.is_away && !self.is_list_old;
         is_up && platform.delay <= LIST_LAG && self.is_stable()
     }
 
@@ -173,35 +176,36 @@
 
     fn call(&mut self, vm: &Name, start: u64, id: CallId, call: Call) {
         let platform = self.platform.as_mut().unwrap();
-        let caller = (vm.clone(), start);
+        let caller: Caller = (vm.clone(), start);
         if platform.mode == Mode::Late && matches!(call, Call::Swap { .. }) {
-            let lost = Reply::Lost { detail: "no answer".to_owned() };
-            self.schedule(self.now + CALL_TIMEOUT, Delivery::StoreReply(caller, id, lost));
+            let lost = StoreAnswer::lost(self.now + CALL_TIMEOUT, caller, id);
+            self.schedule(lost.at, Delivery::StoreReply(lost));
             self.schedule(self.now + LATE_WRITE_DELAY, Delivery::LateWrite(call));
             return;
         }
-        for (at, vm, id, reply) in platform.call(self.now, caller, id, call) {
-            self.schedule(at, Delivery::StoreReply(vm, id, reply));
+        let answers = platform.call(self.now, caller, id, call);
+        self.schedule_answers(answers);
+    }
+
+    fn schedule_answers(&mut self, answers: Vec<StoreAnswer>) {
+        for answer in answers {
+            self.schedule(answer.at, Delivery::StoreReply(answer));
         }
     }
 
     /// Executes a write whose client has given up.
     pub(super) fn write_late(&mut self, call: Call) {
         let answers = self.platform.as_mut().unwrap().apply_late(self.now, call);
-        for (at, vm, id, reply) in answers {
-            self.schedule(at, Delivery::StoreReply(vm, id, reply));
-        }
+        self.schedule_answers(answers);
     }
 
     /// Hands a reply of the platform's service to the VM, unless it has restarted.
-    pub(super) fn take_store_reply(&mut self, caller: &(Name, u64), call: CallId, reply: Reply) {
-        self.platform.as_mut().unwrap().end_watch(caller, call);
-        if self.vms.get(&caller.0).is_some_and(|vm| vm.start == caller.1) {
-            self.deliver_to_control(
-                &caller.0,
-                Duration::ZERO,
-                Event::Store(Outcome { id: call, era: None, reply }),
-            );
+    pub(super) fn take_store_reply(&mut self, answer: StoreAnswer) {
+        let StoreAnswer { vm: (vm, start), call: id, era, reply, .. } = answer;
+        self.platform().end_watch(&(vm.clone(), start), id);
+        if self.vms.get(&vm).is_some_and(|row| row.start == start) {
+            let event = Event::Store(Outcome { id, era, reply });
+            self.deliver_to_control(&vm, Duration::ZERO, event);
         }
     }
 
@@ -255,31 +259,23 @@
         })
     }
 
-    /// Returns the records written as the document in force, in order.
+    /// Returns what was written as the document in force.
+    pub fn history(&self) -> History {
+        History::new(self.platform.as_ref().unwrap(), &Json)
+    }
+
+    /// Returns the records written as the document in force, in order, without those that
+    /// the service has lost.
     pub fn written(&self) -> Vec<Record> {
-        let values = &self.platform.as_ref().unwrap().written;
-        let mut records: Vec<Record> =
-            values.iter().map(|value| Json.decode(value).unwrap()).collect();
-        records.dedup();
-        records
+        self.history().kept
     }
 
     /// Checks that each operator got the right answer and revisions only grew.
     pub fn check_operators(&self) {
-        let records = self.written();
-        for pair in records.windows(2) {
-            assert!(pair[0].document.revision < pair[1].document.revision, "{pair:?}");
-        }
+        let history = self.history();
+        history.check();
         for (id, answer) in &self.operators.answers {
-            let who = &self.operators.requests[id].0;
-            let mut found = records.iter().filter(|record| record.who == *who);
-            let revision = found.next().map(|record| record.document.revision);
-            assert!(found.next().is_none(), "{who} was written twice");
-            match answer {
-                Answer::Accepted { revision: told, .. } => assert_eq!(revision, Some(*told)),
-                Answer::Unsettled { .. } => {}
-                answer => assert_eq!(revision, None, "{who} was told {answer:?}"),
-            }
+            history.check_answer(&self.operators.requests[id].0, answer);
         }
     }
 
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -4,8 +4,11 @@
 pub mod claims;
 pub mod content;
 pub mod control;
+pub mod drill;
 pub mod effect;
 pub mod fault;
+#[path = "../control/history.rs"]
+pub mod history;
 pub mod network;
 pub mod oracle;
 #[path = "../control/platform.rs"]
@@ -28,7 +31,7 @@
     name::Name,
     notice::{Notice, Report},
     profile::{Document, Profile, Raw, Revision},
-    store::{self, CallId, Reply},
+    store,
     target::Version,
     time::Instant,
     traffic::{Answer, Call, Event, Outbox},
@@ -66,11 +69,15 @@
     /// An event for a control thread, dropped if the VM has restarted since.
     Control { vm: Name, start: u64, event: core_control::Event },
     /// A reply of the platform's service to one start of a VM.
-    StoreReply((Name, u64), CallId, Reply),
+    StoreReply(platform::Answer),
+    /// The platform's service comes back from a copy.
+    StoreReturn(Box<platform::Copy>),
+    /// The deployment writes its list again.
+    ListRewrite,
     /// A write that reaches the platform's service after its client gave up.
     LateWrite(store::Call),
     /// The new content of the platform's list.
-    ListUpdate(Box<(BTreeMap<Name, view::Vm>, BTreeMap<Name, view::Target>)>),
+    ListUpdate(Box<(platform::Vms, platform::Targets)>),
     /// Publishes a view of the listed VMs and targets to every VM.
     Publish,
     /// Ends the process of a VM that is leaving, if it is idle.
@@ -105,6 +112,8 @@
     pub operators: Operators,
     /// The platform's service, if the VMs have control threads.
     pub platform: Option<Platform>,
+    /// Whether the platform's list is that of an older copy, or cannot be written.
+    is_list_old: bool,
     keys: BTreeMap<u128, claim::Key>,
     /// The texts of all searches.
     texts: BTreeSet<Arc<str>>,
@@ -191,6 +200,7 @@
             oracle: Oracle::default(),
             operators: Operators::default(),
             platform: None,
+            is_list_old: false,
             keys: BTreeMap::new(),
             texts: BTreeSet::new(),
             suspects: BTreeMap::new(),
@@ -303,14 +313,11 @@
                         control.inbox.push(event);
                     }
                 }
-                Delivery::StoreReply(caller, call, reply) => {
-                    self.take_store_reply(&caller, call, reply)
-                }
+                Delivery::StoreReply(answer) => self.take_store_reply(answer),
+                Delivery::StoreReturn(copy) => self.platform().restore(*copy),
+                Delivery::ListRewrite => self.rewrite_list(),
                 Delivery::LateWrite(call) => self.write_late(call),
-                Delivery::ListUpdate(list) => {
-                    let platform = self.platform();
-                    (platform.vms, platform.targets) = *list;
-                }
+                Delivery::ListUpdate(list) => self.set_list(*list),
                 Delivery::Publish => self.publish(),
                 Delivery::Exit { vm } => self.exit(&vm),
                 Delivery::ServiceEnd { target, attempt } => {
