--- a/crates/core/tests/fuzz/fleet.rs
+++ b/crates/core/tests/fuzz/fleet.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use laburnum_core::{
+    store::Era,
     target::Version,
     traffic::{Body, Call},
     view::State,
@@ -12,7 +13,11 @@
 use crate::{
     reference::{self, Action, REPLICA_COUNT, Reference, SHARD_COUNT, Step, VM_COUNT},
     runner,
-    world::{ANY_COVERAGE, FULL_COVERAGE, World, name, platform::Mode, targets},
+    world::{
+        ANY_COVERAGE, FULL_COVERAGE, World, name,
+        platform::{Drill, Mode, Numbering, Open},
+        targets,
+    },
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -25,6 +30,15 @@
 /// find each other again.
 const WHOLE_VM_RECOVERY_LIMIT: Duration = Duration::from_secs(10);
 
+/// The time beyond [`WHOLE_VM_RECOVERY_LIMIT`], within which VMs see that the platform's
+/// service came back from an older copy, in which a home may refuse keys that may have been
+/// lost: the skew of keys, by a clock that is four seconds ahead, and a slot. See
+/// `docs/design/claims.md`.
+const DOUBT_LIMIT: Duration = Duration::from_secs(15);
+
+/// The era of a service that was never away.
+const FIRST_ERA: Era = Era(0);
+
 /// The time within which every VM learns that a target has restarted.
 const RESTART_KNOWN_LIMIT: Duration = Duration::from_secs(3);
 
@@ -76,7 +90,8 @@
     fn teardown(mut fleet: Fleet, reference: Reference) {
         fleet.heal(reference.version);
         fleet.world.run(TRAFFIC_RECOVERY_LIMIT);
-        fleet.check_liveness();
+        fleet.check_searches();
+        fleet.check_operations();
     }
 }
 
@@ -84,8 +99,10 @@
     type SystemUnderTest = Fleet;
     type Reference = reference::WholeVm;
 
-    fn init_test(_: &Reference) -> Fleet {
-        Fleet::new(World::with_control(VM_COUNT, SHARD_COUNT, REPLICA_COUNT))
+    fn init_test(reference: &Reference) -> Fleet {
+        let mut world = World::with_control(VM_COUNT, SHARD_COUNT, REPLICA_COUNT);
+        world.platform().numbering = reference.numbering;
+        Fleet::new(world)
     }
 
     fn apply(fleet: Fleet, reference: &Reference, step: Step) -> Fleet {
@@ -95,8 +112,12 @@
     fn teardown(mut fleet: Fleet, reference: Reference) {
         fleet.heal(reference.version);
         fleet.world.run(WHOLE_VM_RECOVERY_LIMIT);
-        fleet.check_liveness();
+        fleet.check_searches();
         fleet.check_revisions();
+        if fleet.world.platform().era > FIRST_ERA {
+            fleet.world.run(DOUBT_LIMIT);
+        }
+        fleet.check_operations();
     }
 }
 
@@ -164,6 +185,7 @@
             | Action::Settle { .. }
             | Action::Store(_)
             | Action::StoreSlow { .. }
+            | Action::Drill(_)
             | Action::Skew { .. } => self.change_control(action),
             action => self.change_target(action),
         }
@@ -226,6 +248,7 @@
             Action::StoreSlow { delay_millis } => {
                 world.platform().delay = Duration::from_millis(delay_millis)
             }
+            Action::Drill(drill) => world.drill(drill),
             Action::Skew { vm: at, skew_millis } => {
                 world.vms.get_mut(&name(&vm_name(at))).unwrap().skew_millis = skew_millis
             }
@@ -296,24 +319,29 @@
         }
     }
 
-    /// Checks that every VM answers searches with all rows and runs operations.
-    fn check_liveness(&mut self) {
+    /// Checks that every VM answers searches with all rows.
+    fn check_searches(&mut self) {
         let mut calls = BTreeMap::new();
         for at in 0..VM_COUNT {
             self.text_count += 1;
             let text = format!(" for {}", self.text_count);
             calls.insert(self.world.search(&vm_name(at), FULL_COVERAGE, &text), at);
         }
+        self.world.run(1100 * MS);
+        for (call, at) in calls {
+            let found = self.world.found(call);
+            assert!(found.missing.is_empty(), "vm-{at} missed {:?}", found.missing);
+        }
+    }
+
+    /// Checks that every VM runs operations.
+    fn check_operations(&mut self) {
         let first_operation = self.operations.len();
         for at in 0..VM_COUNT {
             self.operations.push(u64::MAX / 7 * at as u64);
             self.operate(at, first_operation + at);
         }
         self.world.run(1100 * MS);
-        for (call, at) in calls {
-            let found = self.world.found(call);
-            assert!(found.missing.is_empty(), "vm-{at} missed {:?}", found.missing);
-        }
         assert!(
             self.world.oracle.open.is_empty() || self.only_lost_requests_are_open(),
             "unanswered"
@@ -363,7 +391,37 @@
     target.status.holds = [(Version(version), targets::range_of(shard, SHARD_COUNT))].into();
 }
 
+/// Plays the steps to a fleet of whole VMs, as the fuzzing does.
+fn play(numbering: Numbering, steps: Vec<Step>) {
+    let mut reference = Reference { numbering, ..Reference::new() };
+    let mut fleet = WholeVm::init_test(&reference);
+    for step in steps {
+        reference = reference.apply(&step);
+        fleet = fleet.apply(&reference, step);
+    }
+    WholeVm::teardown(fleet, reference);
+}
+
+/// Returns of the platform's service at once, from a copy of this age.
+fn drill(open: Open, age: Duration) -> Action {
+    Action::Drill(Drill { open, away: Duration::ZERO, age, rewrite: Duration::ZERO })
+}
+
+/// Two VMs start after a return of the service, one of them before the service answers.
+fn homes_that_start_after_a_return() -> Vec<Step> {
+    vec![
+        (Action::Store(Mode::Down), 2_220),
+        (Action::Start { vm: 1 }, 174_772),
+        (drill(Open::Ends, Duration::ZERO), 0),
+        (Action::Cut { from: 1, to: 0 }, 4_173_858),
+        (Action::Start { vm: 3 }, 10_000_000),
+    ]
+}
+
 cases! {
+    new_keys_are_granted_by_homes_that_start_after_the_return_of_the_store => {
+        play(Numbering::Key, homes_that_start_after_a_return());
+    };
     traffic_keeps_the_promises_on_seed_1 => runner::run_cases::<Traffic>(1, 150);
     traffic_keeps_the_promises_on_seed_2 => runner::run_cases::<Traffic>(2, 150);
     traffic_keeps_the_promises_on_seed_3 => runner::run_cases::<Traffic>(3, 150);
--- a/crates/core/tests/fuzz/reference.rs
+++ b/crates/core/tests/fuzz/reference.rs
@@ -1,9 +1,14 @@
 //! The reference state machine, which generates the steps.
 
+use std::time::Duration;
+
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 
-use crate::world::{platform::Mode, targets::Fault};
+use crate::world::{
+    platform::{Drill, Mode, Numbering, Open},
+    targets::Fault,
+};
 
 pub const VM_COUNT: usize = 4;
 
@@ -87,6 +92,8 @@
     Store(Mode),
     /// The delay of the platform's service changes.
     StoreSlow { delay_millis: u64 },
+    /// The platform's service goes away and comes back from an older copy.
+    Drill(Drill),
     /// The wall clock of a VM changes its skew.
     Skew { vm: usize, skew_millis: i64 },
 }
@@ -103,6 +110,8 @@
     pub operations: Vec<u64>,
     /// The newest version of the index.
     pub version: u64,
+    /// How the platform's service numbers the versions of its keys.
+    pub numbering: Numbering,
 }
 
 /// Steps for VMs with traffic threads only.
@@ -141,7 +150,8 @@
     type Transition = Step;
 
     fn init_state() -> BoxedStrategy<Reference> {
-        Just(Reference::new()).boxed()
+        let numbering = prop_oneof![Just(Numbering::Key), Just(Numbering::Change)];
+        numbering.prop_map(|numbering| Reference { numbering, ..Reference::new() }).boxed()
     }
 
     fn transitions(state: &Reference) -> BoxedStrategy<Step> {
@@ -174,11 +184,18 @@
 }
 
 impl Reference {
-    fn new() -> Reference {
-        Reference { serving: vec![true; VM_COUNT], operations: Vec::new(), version: 1 }
+    /// The state before the first step.
+    pub fn new() -> Reference {
+        Reference {
+            serving: vec![true; VM_COUNT],
+            operations: Vec::new(),
+            version: 1,
+            numbering: Numbering::Key,
+        }
     }
 
-    fn apply(mut self, (action, _): &Step) -> Reference {
+    /// The state after a step.
+    pub fn apply(mut self, (action, _): &Step) -> Reference {
         match action {
             Action::Operate { subject, .. } => self.operations.push(*subject),
             Action::Kill { vm, .. } | Action::Leave { vm } => self.serving[*vm] = false,
@@ -292,7 +309,20 @@
         1 => vm.clone().prop_map(|vm| Action::Settle { vm }),
         4 => mode.prop_map(Action::Store),
         1 => (2..900u64).prop_map(|delay_millis| Action::StoreSlow { delay_millis }),
+        2 => drill().prop_map(Action::Drill),
         1 => (vm, -4000..4000i64).prop_map(|(vm, skew_millis)| Action::Skew { vm, skew_millis }),
     ]
     .boxed()
 }
+
+fn drill() -> impl Strategy<Value = Drill> {
+    let open = prop_oneof![Just(Open::Ends), Just(Open::Silent), Just(Open::Outdated)];
+    let away_millis = prop_oneof![1 => Just(0), 2 => 1..1500u64];
+    let age_millis = prop_oneof![1 => 0..500u64, 2 => 500..10_000u64];
+    (open, away_millis, age_millis, 0..5000u64).prop_map(|(open, away, age, rewrite)| Drill {
+        open,
+        away: Duration::from_millis(away),
+        age: Duration::from_millis(age),
+        rewrite: Duration::from_millis(rewrite),
+    })
+}
