Play a return of the store from a copy at every step of the matrix

Change: a row for each process: the store is away for 0.5 s and comes back from what it held a second before, so that the writes of the process are lost; the list is written again 2 s later.

--- a/crates/core/tests/matrix/fault.rs
+++ b/crates/core/tests/matrix/fault.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::world::{ANY_COVERAGE, World, name, platform::Mode};
+use crate::world::{
+    ANY_COVERAGE, World, name,
+    platform::{Drill, Mode, Open},
+};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -17,6 +20,9 @@
 /// The length of a pause that exceeds all time limits.
 const LONG_PAUSE: Duration = Duration::from_secs(12);
 
+/// The age of the copy from which the platform's service comes back.
+const COPY_AGE: Duration = Duration::from_secs(1);
+
 /// A fault, a row of the matrix.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -34,6 +40,8 @@
     AnswerLost,
     /// The acting VM is paused for longer than any lease.
     LeaseLapsed,
+    /// The platform's service goes away, and comes back from a copy of before the process.
+    StoreRestored,
     /// Two operators publish through two VMs at the same time.
     OperatorsRacing,
     /// A search crashes its targets and is sent again.
@@ -75,6 +83,11 @@
         Fault::StoreDown => world.platform().mode = Mode::Down,
         Fault::StoreSlow => world.platform().delay = 400 * MS,
         Fault::AnswerLost => world.platform().mode = Mode::ReplyLost,
+        Fault::StoreRestored => {
+            let (away, age, rewrite) = (500 * MS, COPY_AGE, 2000 * MS);
+            world.drill(Drill { open: Open::Ends, away, age, rewrite });
+            assert!(world.platform().is_away, "the copy has no floor of the claims");
+        }
         Fault::OperatorsRacing => {
             world.publish_profiles(&roles.other, None);
             world.publish_profiles(&roles.actor, None);
--- a/crates/core/tests/matrix/main.rs
+++ b/crates/core/tests/matrix/main.rs
@@ -22,6 +22,7 @@
     store_slow StoreSlow;
     answer_lost AnswerLost;
     lease_lapsed LeaseLapsed;
+    store_restored StoreRestored;
     operators_racing OperatorsRacing;
     poison Poison;
     silent_connection SilentConnection;
