Check that accepted publications stay in force, and list what fails

Cause: no random series checked that what an operator was told is accepted stays in force, or was replaced, across a return of the store. Change: the fuzzing of whole VMs checks it. The end of the faults also replaces targets that the list calls leaving while VMs could not read it yet.

--- a/crates/core/tests/control/fuzz.rs
+++ b/crates/core/tests/control/fuzz.rs
@@ -217,7 +217,26 @@
     ]
 }
 
+/// A VM that starts after the loss of the third revision and publishes at once.
+fn publication_by_a_new_vm() -> Vec<(u64, Action)> {
+    let publish = |at| Action::Publish { at, expect: false };
+    let age = Duration::from_millis(2000);
+    let (away, rewrite) = (Duration::ZERO, Duration::ZERO);
+    let drill = Drill { open: Open::Silent, away, age, rewrite };
+    vec![
+        (1000, publish(0)),
+        (1500, publish(0)),
+        (1500, publish(0)),
+        (2, Action::Drill(drill)),
+        (2, Action::Restart(4)),
+        (1, publish(4)),
+    ]
+}
+
 cases! {
+    a_vm_that_starts_after_a_loss_gives_no_revision_out_again => {
+        run_actions(Numbering::Key, publication_by_a_new_vm());
+    };
     a_lost_revision_is_written_again_although_the_first_tries_fail => {
         run_actions(Numbering::Key, failing_restore());
     };
--- a/crates/core/tests/control/history.rs
+++ b/crates/core/tests/control/history.rs
@@ -45,6 +45,18 @@
         }
     }
 
+    /// Checks that the service holds a publication that was accepted, or one that replaced
+    /// it.
+    pub fn check_kept(&self, who: &str, answer: &Answer) {
+        let Answer::Accepted { revision, .. } = answer else { return };
+        let last = self.kept.last().expect("the service has lost every document");
+        let is_replaced = last.document.revision > *revision;
+        // A VM that does not know who published a document restores it without a name.
+        let is_own =
+            last.document.revision == *revision && (last.who == who || last.who.is_empty());
+        assert!(is_replaced || is_own, "{who} was told {answer:?}, in force is {last:?}");
+    }
+
     /// Checks that the answer to an operator does not contradict what was written. A
     /// document that the service has lost before any VM had it in force was not published.
     pub fn check_answer(&self, who: &str, answer: &Answer) {
--- a/crates/core/tests/fuzz/fleet.rs
+++ b/crates/core/tests/fuzz/fleet.rs
@@ -36,6 +36,9 @@
 /// `docs/design/claims.md`.
 const DOUBT_LIMIT: Duration = Duration::from_secs(15);
 
+/// The time after the faults in which an operator publishes again what was lost for good.
+const OPERATOR_DELAY: Duration = Duration::from_secs(10);
+
 /// The era of a service that was never away.
 const FIRST_ERA: Era = Era(0);
 
@@ -111,6 +114,11 @@
 
     fn teardown(mut fleet: Fleet, reference: Reference) {
         fleet.heal(reference.version);
+        if fleet.world.operators.has_lost_revision {
+            // An operator publishes the profiles again.
+            fleet.world.run(OPERATOR_DELAY);
+            fleet.world.publish_profiles(&vm_name(0), None);
+        }
         fleet.world.run(WHOLE_VM_RECOVERY_LIMIT);
         fleet.check_searches();
         fleet.check_revisions();
@@ -356,6 +364,7 @@
     /// operator was answered unless the VM has restarted.
     fn check_revisions(&self) {
         self.world.check_operators();
+        self.world.check_accepted();
         let last = self.world.written().last().map(|record| record.document.revision);
         for vm in self.world.vms.values() {
             let control = vm.control.as_ref().unwrap();
@@ -379,7 +388,9 @@
 
 fn heal_target(world: &mut World, shard: u64, replica: u64, version: u64) {
     let is_alive = world.targets.get(shard, replica).alive;
-    let is_leaving = world.targets.get(shard, replica).leaving.is_some();
+    let target = world.targets.get(shard, replica);
+    // VMs may read the list later than the end of the faults.
+    let is_leaving = target.leaving.is_some() || target.listed == Some(State::Leaving);
     if !is_alive || is_leaving || world.targets.get(shard, replica).status.draining {
         world.restart_target(shard, replica);
     }
@@ -433,7 +444,67 @@
     ]
 }
 
+/// Two publications through one VM, of which the service loses the first as it answers it;
+/// the second is written in the next era.
+fn publications_across_a_return() -> Vec<Step> {
+    vec![
+        (Action::StoreSlow { delay_millis: 61 }, 0),
+        (Action::Publish { vm: 0, expect: false }, 101),
+        (Action::Publish { vm: 0, expect: false }, 3_974),
+        (Action::HealLinks, 117_925),
+        (drill(Open::Outdated, Duration::ZERO), 0),
+    ]
+}
+
+/// A request that crashes its targets, after a VM left and another lost its connections.
+fn poison_after_a_vm_left() -> Vec<Step> {
+    let search = |vm| Action::Search { vm, is_full_coverage: false };
+    vec![
+        (Action::Straggle { target: (1, 1), service_millis: 232 }, 0),
+        (Action::Operate { vm: 0, subject: 0 }, 359_244),
+        (search(0), 0),
+        (Action::Crash((1, 0)), 0),
+        (search(0), 0),
+        (Action::Leave { vm: 1 }, 24),
+        (Action::Settle { vm: 2 }, 191_529),
+        (Action::Resend { vm: 2, operation: 0 }, 2_082),
+        (search(2), 939),
+        (Action::LoseConnections { vm: 3 }, 236_942),
+        (Action::Poison { vm: 0 }, 37_211),
+    ]
+}
+
+/// A target drains while a VM is paused that others reach late, or not at all.
+fn drain_during_a_pause() -> Vec<Step> {
+    let search = |vm| Action::Search { vm, is_full_coverage: false };
+    vec![
+        (search(0), 500),
+        (Action::Pause { vm: 1, span_millis: 2700 }, 0),
+        (Action::Slow { from: 2, to: 1, delay_millis: 94 }, 194_023),
+        (Action::Slow { from: 3, to: 1, delay_millis: 86 }, 395_939),
+        (search(1), 0),
+        (Action::Drain((1, 0)), 0),
+        (Action::Cut { from: 0, to: 1 }, 3_030_519),
+        (search(0), 0),
+    ]
+}
+
 cases! {
+    a_target_that_drains_gets_no_late_work_of_a_vm_that_was_paused => {
+        play(Numbering::Key, drain_during_a_pause());
+    };
+    nothing_is_lost_beside_a_suspect_after_a_vm_left => {
+        play(Numbering::Key, poison_after_a_vm_left());
+    };
+    targets_that_the_list_calls_leaving_when_the_faults_end_are_replaced => {
+        let leaving = |replica| Action::ListLeaving((0, replica));
+        let kill = Action::Kill { vm: 0, noticed: false };
+        let steps = vec![(leaving(1), 0), (kill, 254_109), (leaving(0), 0), (leaving(2), 0)];
+        play(Numbering::Key, steps);
+    };
+    publications_across_the_return_of_the_store_get_no_revision_twice => {
+        play(Numbering::Key, publications_across_a_return());
+    };
     a_home_that_is_told_of_a_write_during_its_own_does_not_spin => {
         play(Numbering::Key, home_told_of_a_write_during_its_own());
     };
--- a/crates/core/tests/world/claims.rs
+++ b/crates/core/tests/world/claims.rs
@@ -86,6 +86,7 @@
         }
         vm.alive = false;
         vm.listed = None;
+        self.note_lost_revision();
         self.targets.close_connections_of(name);
         self.publish();
         self.report_lost_lane(name);
--- a/crates/core/tests/world/control.rs
+++ b/crates/core/tests/world/control.rs
@@ -90,6 +90,11 @@
     pub answers: std::collections::BTreeMap<RequestId, Answer>,
     /// The number of publications so far.
     pub publications: u32,
+    /// The highest revision that is in force on a VM or stored.
+    highest: Revision,
+    /// Whether a revision was lost for good: the service had lost it, and so had every VM
+    /// that had it in force.
+    pub has_lost_revision: bool,
     /// The number of answers at the last check.
     checked: u64,
 }
@@ -139,6 +144,7 @@
         let mut out = Outbox::default();
         control.engine.tick(now, wall, events, &mut out);
         let revision = control.engine.tables().in_force.document.revision;
+        self.operators.highest = self.operators.highest.max(revision);
         assert!(revision >= control.highest, "{vm} went back to {revision:?}");
         control.highest = revision;
         let is_over = control.engine.leaving() && control.engine.idle(1);
@@ -279,6 +285,34 @@
         }
     }
 
+    /// Takes note of a revision that is lost for good, since no VM that runs has it in
+    /// force and the service does not hold it. Called when a VM ends and when the service
+    /// comes back from a copy.
+    pub(super) fn note_lost_revision(&mut self) {
+        if self.platform.is_none() {
+            return;
+        }
+        let running = self.vms.values().filter(|vm| vm.alive);
+        let controls = running.filter_map(|vm| vm.control.as_ref());
+        let in_force = controls.map(|row| row.engine.tables().in_force.document.revision);
+        let stored = self.written().last().map(|record| record.document.revision);
+        let highest = in_force.chain(stored).max().unwrap_or_default();
+        self.operators.has_lost_revision |= highest < self.operators.highest;
+        self.operators.highest = highest;
+    }
+
+    /// Checks that the publications that operators were told are accepted are in force,
+    /// or were replaced since, unless one was lost for good.
+    pub fn check_accepted(&self) {
+        if self.operators.has_lost_revision {
+            return;
+        }
+        let history = self.history();
+        for (id, answer) in &self.operators.answers {
+            history.check_kept(&self.operators.requests[id].0, answer);
+        }
+    }
+
     /// Returns the platform's service, which this world must have.
     pub fn platform(&mut self) -> &mut Platform {
         self.platform.as_mut().expect("this world has control threads")
--- a/crates/core/tests/world/fault.rs
+++ b/crates/core/tests/world/fault.rs
@@ -38,6 +38,7 @@
     pub fn kill_vm(&mut self, vm: &str) {
         let vm = name(vm);
         self.vms.get_mut(&vm).unwrap().alive = false;
+        self.note_lost_revision();
         self.targets.close_connections_of(&vm);
     }
 
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -330,7 +330,10 @@
                     }
                 }
                 Delivery::StoreReply(answer) => self.take_store_reply(answer),
-                Delivery::StoreReturn(copy) => self.platform().restore(*copy),
+                Delivery::StoreReturn(copy) => {
+                    self.platform().restore(*copy);
+                    self.note_lost_revision();
+                }
                 Delivery::ListRewrite => self.rewrite_list(),
                 Delivery::LateWrite(call) => self.write_late(call),
                 Delivery::ListUpdate(list) => self.set_list(*list),
