Give a document the next revision if its number was given out twice

Cause: after a loss a VM that does not know of the lost revision gives its number out again, and so does a publication whose write was sent before the loss and meets the same number after it. Both operators were told "accepted", and VMs had different documents under one revision, none of which ever replaced the other. Change: a VM that reads another document of the revision in force than its own, writes that of the store under the next revision, as it writes a lost one. Ruled out: telling revisions of two eras apart in the stored record, which changes the stored form and does not help a write that crosses the loss.

--- a/crates/core/src/control/system/profiles.rs
+++ b/crates/core/src/control/system/profiles.rs
@@ -14,7 +14,7 @@
     },
     log::{Event, Line},
     name::Name,
-    profile::{Document, Revision},
+    profile::Document,
     store::{Entry, Position, Reply},
     time::Instant,
 };
@@ -44,8 +44,8 @@
         apply_record(tables, cx, record);
     }
     if is_read || record.is_some() {
-        tables.in_force.stored =
-            record.as_ref().map_or(Revision::default(), |record| record.document.revision);
+        let stored = record.as_ref().map(|record| record.document.clone());
+        tables.in_force.stored = stored.unwrap_or_default();
         restore::compare(tables, cx, made, version, record);
     }
     tables.profiles.position = Some(position);
--- a/crates/core/src/control/system/restore.rs
+++ b/crates/core/src/control/system/restore.rs
@@ -3,7 +3,8 @@
 //! A document comes into force only after the service has stored it. A read that began
 //! later and shows a lower revision therefore proves that the service came back from an
 //! older copy. The watchers then write the document again, each after a random time; the
-//! compare-and-swap lets one of them do so. See `docs/design/publication.md`.
+//! compare-and-swap lets one of them do so. If the service holds another document under the
+//! revision in force, that one was published after the loss, and gets the next revision. See `docs/design/publication.md`.
 
 use std::time::Duration;
 
@@ -44,7 +45,8 @@
     base: Option<Record>,
 ) {
     let stored = base.as_ref().map_or(Revision::default(), |base| base.document.revision);
-    if stored >= tables.in_force.document.revision {
+    let is_disputed = base.as_ref().is_some_and(|base| tables.in_force.is_disputed(&base.document));
+    if stored >= tables.in_force.document.revision && !is_disputed {
         tables.restore = None;
         return;
     }
@@ -74,6 +76,9 @@
     let Some(mut row) = tables.restore.take() else { return };
     let call = match (row.step, &row.base) {
         (Step::Archive, Some(base)) => swap(cx, history_key(base.document.revision.0), None, base),
+        (_, Some(base)) if tables.in_force.is_disputed(&base.document) => {
+            swap(cx, CURRENT_KEY.to_owned(), row.version, &next_of(base, cx))
+        }
         _ => swap(cx, CURRENT_KEY.to_owned(), row.version, &in_force(tables, cx)),
     };
     row.call = Some(call::make(tables, cx, Purpose::Restore, call, Duration::ZERO));
@@ -84,6 +89,19 @@
     Call::Swap { key, expect, value: cx.codec.encode(record), lease: None }
 }
 
+/// The record that puts the document of `base` in force under the next revision. The one
+/// in force here was published before, as the service has lost it.
+fn next_of(base: &Record, cx: &Context<'_>) -> Record {
+    let Document { revision, profiles } = base.document.clone();
+    Record {
+        document: Document { revision: Revision(revision.0 + 1), profiles },
+        token: uuid::Uuid::nil(),
+        who: String::new(),
+        at: cx.wall,
+        note: "written again as its revision was given out twice".to_owned(),
+    }
+}
+
 /// The record of the document in force. The audit is empty if this VM does not know it.
 fn in_force(tables: &Tables, cx: &Context<'_>) -> Record {
     let document = Document::clone(&tables.in_force.document);
--- a/crates/core/src/control/table/mod.rs
+++ b/crates/core/src/control/table/mod.rs
@@ -39,14 +39,21 @@
     pub since: Instant,
     /// The publication of the document, unless this VM learnt it from another one only.
     pub origin: Option<Origin>,
-    /// The revision that the platform's service held when this VM last read it.
-    pub stored: Revision,
+    /// The document that the platform's service held when this VM last read it.
+    pub stored: Document,
 }
 
 impl InForce {
-    /// Whether the service was not yet seen to hold the document, or has lost it.
+    /// Whether the service was not yet seen to hold the document, has lost it, or holds
+    /// another one under its revision.
     pub fn is_ahead(&self) -> bool {
-        self.document.revision > self.stored
+        self.document.revision > self.stored.revision || self.is_disputed(&self.stored)
+    }
+
+    /// Whether a document that the service holds has the revision of this one, which a
+    /// VM that does not know what the service has lost may give out again.
+    pub fn is_disputed(&self, stored: &Document) -> bool {
+        self.document.revision == stored.revision && *self.document != *stored
     }
 }
 
