Keep the token of a publication that gets the next revision

Cause: a document whose revision was given out twice was written under the next one without its token. Change: it keeps its token and audit.

--- a/crates/core/src/claims/sweep.rs
+++ b/crates/core/src/claims/sweep.rs
@@ -69,7 +69,7 @@
     // The first read is at a time that differs between VMs.
     let phase = spread::delay(context.vm.as_str(), HOME_READ_INTERVAL);
     let next = *tables.tenure.next_read.get_or_insert(context.now + phase);
-    // The loss is recorded as late as it is first read for, and keys are in doubt until then.
+    // A VM that starts before the loss is recorded dates it later, and so doubts more keys.
     let is_loss_known = tables.history.era.is_none() || tables.history.loss.is_some();
     if is_loss_known && next > context.now {
         return;
--- a/crates/core/src/control/system/restore.rs
+++ b/crates/core/src/control/system/restore.rs
@@ -4,7 +4,8 @@
 //! later and shows a lower revision therefore proves that the service came back from an
 //! older copy. The watchers then write the document again, each after a random time; the
 //! compare-and-swap lets one of them do so. If the service holds another document under the
-//! revision in force, that one was published after the loss, and gets the next revision. See `docs/design/publication.md`.
+//! revision in force, that one was published after the loss, and gets the next revision. See
+//! `docs/design/publication.md`.
 
 use std::time::Duration;
 
@@ -77,7 +78,7 @@
     let call = match (row.step, &row.base) {
         (Step::Archive, Some(base)) => swap(cx, history_key(base.document.revision.0), None, base),
         (_, Some(base)) if tables.in_force.is_disputed(&base.document) => {
-            swap(cx, CURRENT_KEY.to_owned(), row.version, &next_of(base, cx))
+            swap(cx, CURRENT_KEY.to_owned(), row.version, &next_of(base))
         }
         _ => swap(cx, CURRENT_KEY.to_owned(), row.version, &in_force(tables, cx)),
     };
@@ -89,17 +90,13 @@
     Call::Swap { key, expect, value: cx.codec.encode(record), lease: None }
 }
 
-/// The record that puts the document of `base` in force under the next revision. The one
-/// in force here was published before, as the service has lost it.
-fn next_of(base: &Record, cx: &Context<'_>) -> Record {
-    let Document { revision, profiles } = base.document.clone();
-    Record {
-        document: Document { revision: Revision(revision.0 + 1), profiles },
-        token: uuid::Uuid::nil(),
-        who: String::new(),
-        at: cx.wall,
-        note: "written again as its revision was given out twice".to_owned(),
-    }
+/// The record that puts the document of `base` in force under the next revision, with the
+/// same token and audit. The one in force here was published before, as the service has
+/// lost it.
+fn next_of(base: &Record) -> Record {
+    let mut record = base.clone();
+    record.document.revision.0 += 1;
+    record
 }
 
 /// The record of the document in force. The audit is empty if this VM does not know it.
--- a/crates/core/tests/fuzz/fleet.rs
+++ b/crates/core/tests/fuzz/fleet.rs
@@ -489,7 +489,32 @@
     ]
 }
 
+/// Publications across a return of the service, of which one gets the next revision before
+/// its operator is answered.
+fn publication_that_gets_the_next_revision() -> Vec<Step> {
+    let publish = |expect| Action::Publish { vm: 0, expect };
+    vec![
+        (Action::StoreSlow { delay_millis: 5 }, 0),
+        (publish(false), 0),
+        (Action::Poison { vm: 0 }, 2_771),
+        (Action::StoreSlow { delay_millis: 617 }, 0),
+        (Action::Slow { from: 1, to: 0, delay_millis: 169 }, 116_042),
+        (publish(false), 26_093),
+        (Action::Cut { from: 3, to: 1 }, 3_963),
+        (publish(false), 2_821),
+        (Action::Crash((0, 0)), 112_654),
+        (Action::Crash((0, 0)), 0),
+        (Action::Skew { vm: 0, skew_millis: -1943 }, 0),
+        (drill(Open::Ends, 643 * MS), 0),
+        (Action::Crash((0, 0)), 2_538),
+        (publish(true), 354_118),
+    ]
+}
+
 cases! {
+    an_operator_whose_publication_gets_the_next_revision_is_not_told_of_a_conflict => {
+        play(Numbering::Key, publication_that_gets_the_next_revision());
+    };
     a_target_that_drains_gets_no_late_work_of_a_vm_that_was_paused => {
         play(Numbering::Key, drain_during_a_pause());
     };
