--- a/crates/core/src/control/system/profiles.rs
+++ b/crates/core/src/control/system/profiles.rs
@@ -44,12 +44,13 @@
         apply_record(tables, cx, record);
     }
     if is_read || record.is_some() {
+        let stored = record.as_ref().map(|record| record.document.clone());
+        tables.in_force.stored = stored.unwrap_or_default();
         restore::compare(tables, cx, made, version, record);
     }
     tables.profiles.position = Some(position);
     tables.profiles.failures = 0;
-    tables.profiles.next =
-        cx.now + reading::read_delay(tables, Duration::ZERO, cx.limits.stale_after);
+    tables.profiles.next = cx.now + reading::profiles_delay(tables, cx.limits);
     confirm(tables, cx.now, made);
 }
 
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -4,8 +4,11 @@
 pub mod claims;
 pub mod content;
 pub mod control;
+pub mod drill;
 pub mod effect;
 pub mod fault;
+#[path = "../control/history.rs"]
+pub mod history;
 pub mod network;
 pub mod oracle;
 #[path = "../control/platform.rs"]
@@ -28,7 +31,7 @@
     name::Name,
     notice::{Notice, Report},
     profile::{Document, Profile, Raw, Revision},
-    store::{self, CallId, Reply},
+    store,
     target::Version,
     time::Instant,
     traffic::{Answer, Call, Event, Outbox},
@@ -56,6 +59,9 @@
 /// The deadline of all profiles.
 pub const DEADLINE: Duration = Duration::from_secs(1);
 
+/// The number of ticks at one time from which a VM counts as spinning.
+const MAX_TICKS_AT_ONCE: u32 = 1_000;
+
 /// A scheduled event and its receiver.
 #[derive(Clone, Debug)]
 pub enum Delivery {
@@ -66,11 +72,15 @@
     /// An event for a control thread, dropped if the VM has restarted since.
     Control { vm: Name, start: u64, event: core_control::Event },
     /// A reply of the platform's service to one start of a VM.
-    StoreReply((Name, u64), CallId, Reply),
-    /// A write that reaches the platform's service after its client gave up.
-    LateWrite(store::Call),
+    StoreReply(platform::Answer),
+    /// The platform's service comes back from a copy.
+    StoreReturn(Box<platform::Copy>),
+    /// The deployment writes its list again.
+    ListRewrite,
+    /// A write, sent in an era, that reaches the platform's service after its client gave up.
+    LateWrite(store::Era, store::Call),
     /// The new content of the platform's list.
-    ListUpdate(Box<(BTreeMap<Name, view::Vm>, BTreeMap<Name, view::Target>)>),
+    ListUpdate(Box<(platform::Vms, platform::Targets)>),
     /// Publishes a view of the listed VMs and targets to every VM.
     Publish,
     /// Ends the process of a VM that is leaving, if it is idle.
@@ -107,6 +117,10 @@
     pub operators: Operators,
     /// The platform's service, if the VMs have control threads.
     pub platform: Option<Platform>,
+    /// Whether the platform's list is that of an older copy, or cannot be written.
+    is_list_old: bool,
+    /// The number of ticks since the time last advanced.
+    ticks_at_once: u32,
     keys: BTreeMap<u128, claim::Key>,
     /// The texts of all searches.
     texts: BTreeSet<Arc<str>>,
@@ -194,6 +208,8 @@
             oracle: Oracle::default(),
             operators: Operators::default(),
             platform: None,
+            is_list_old: false,
+            ticks_at_once: 0,
             keys: BTreeMap::new(),
             texts: BTreeSet::new(),
             suspects: BTreeMap::new(),
@@ -259,12 +275,22 @@
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while let Some(at) = self.next_due().filter(|&at| at <= end) {
-            self.now = self.now.max(at);
+            self.advance(at);
             self.process_due();
         }
         self.now = end;
     }
 
+    /// Advances the time to that of the next event, and checks that it does not stand
+    /// still.
+    fn advance(&mut self, at: Instant) {
+        self.ticks_at_once = if at > self.now { 0 } else { self.ticks_at_once + 1 };
+        let due = self.vms.values().filter(|vm| vm.is_due(self.now));
+        let due: Vec<&Name> = due.map(|vm| &vm.name).collect();
+        assert!(self.ticks_at_once < MAX_TICKS_AT_ONCE, "{due:?} spin at {:?}", self.now);
+        self.now = self.now.max(at);
+    }
+
     fn next_due(&self) -> Option<Instant> {
         let delivery = self.pending.keys().next().map(|(at, _)| *at);
         let wake = self.vms.values().filter_map(Vm::wake).min();
@@ -277,7 +303,7 @@
         let end = self.now + span;
         while !reached(self) {
             let Some(at) = self.next_due().filter(|&at| at <= end) else { return false };
-            self.now = self.now.max(at);
+            self.advance(at);
             self.process_due();
         }
         true
@@ -306,14 +332,14 @@
                         control.inbox.push(event);
                     }
                 }
-                Delivery::StoreReply(caller, call, reply) => {
-                    self.take_store_reply(&caller, call, reply)
-                }
-                Delivery::LateWrite(call) => self.write_late(call),
-                Delivery::ListUpdate(list) => {
-                    let platform = self.platform();
-                    (platform.vms, platform.targets) = *list;
+                Delivery::StoreReply(answer) => self.take_store_reply(answer),
+                Delivery::StoreReturn(copy) => {
+                    self.platform().restore(*copy);
+                    self.note_lost_revision();
                 }
+                Delivery::ListRewrite => self.rewrite_list(),
+                Delivery::LateWrite(sent, call) => self.write_late(sent, call),
+                Delivery::ListUpdate(list) => self.set_list(*list),
                 Delivery::Publish => self.publish(),
                 Delivery::Exit { vm } => self.exit(&vm),
                 Delivery::ServiceEnd { target, attempt } => {
