--- a/crates/core/tests/fuzz/fleet.rs
+++ b/crates/core/tests/fuzz/fleet.rs
@@ -511,7 +511,29 @@
     ]
 }
 
+/// Publications across a return of the service, of which one is replaced before its operator
+/// is answered, while the history has another one of its revision.
+fn publication_beside_another_of_its_revision() -> Vec<Step> {
+    let publish = || Action::Publish { vm: 0, expect: false };
+    vec![
+        (Action::StoreSlow { delay_millis: 5 }, 0),
+        (publish(), 0),
+        (Action::Poison { vm: 0 }, 2_771),
+        (Action::StoreSlow { delay_millis: 674 }, 0),
+        (Action::Slow { from: 1, to: 0, delay_millis: 169 }, 116_042),
+        (publish(), 54_562),
+        (Action::Cut { from: 3, to: 1 }, 3_963),
+        (publish(), 2_821),
+        (Action::Crash((0, 0)), 112_654),
+        (drill(Open::Ends, Duration::from_millis(1288)), 0),
+        (Action::Start { vm: 1 }, 3_523_728),
+    ]
+}
+
 cases! {
+    an_operator_whose_revision_was_given_out_twice_is_not_told_of_a_conflict => {
+        play(Numbering::Key, publication_beside_another_of_its_revision());
+    };
     an_operator_whose_publication_gets_the_next_revision_is_not_told_of_a_conflict => {
         play(Numbering::Key, publication_that_gets_the_next_revision());
     };
