--- a/tests/product/event.rs
+++ b/tests/product/event.rs
@@ -75,6 +75,8 @@
     };
     a_vm_logs_its_start_readiness_and_revision => {
         let harness = harness::start(2);
+        // The log is written by a thread of its own, some time after the VM serves.
+        wait_for_event(&harness.logs[0], Event::Ready);
         let found = event_numbers(&harness.logs[0]);
         let index_of = |event: Event| found.iter().position(|&n| n == u64::from(event.number()));
         assert_eq!(index_of(Event::Started), Some(0), "{found:?}");
