--- a/crates/core/tests/fuzz/main.rs
+++ b/crates/core/tests/fuzz/main.rs
@@ -10,3 +10,4 @@
 mod reference;
 mod runner;
 mod fleet;
+mod found;
