--- a/crates/core/tests/fuzz/found.rs
+++ b/crates/core/tests/fuzz/found.rs
@@ -126,16 +126,17 @@
 fn publication_beside_another_of_its_revision() -> Vec<Step> {
     let publish = || Action::Publish { vm: 0, expect: false };
     vec![
-        (Action::StoreSlow { delay_millis: 5 }, 0),
+        (Action::Pause { vm: 0, span_millis: 1 }, 355_474),
+        (Action::StoreSlow { delay_millis: 322 }, 950_527),
         (publish(), 0),
         (Action::Poison { vm: 0 }, 2_771),
-        (Action::StoreSlow { delay_millis: 674 }, 0),
+        (Action::StoreSlow { delay_millis: 688 }, 0),
         (Action::Slow { from: 1, to: 0, delay_millis: 169 }, 116_042),
-        (publish(), 54_562),
+        (publish(), 68_562),
         (Action::Cut { from: 3, to: 1 }, 3_963),
         (publish(), 2_821),
         (Action::Crash((0, 0)), 112_654),
-        (drill(Open::Ends, Duration::from_millis(1288)), 0),
+        (drill(Open::Ends, Duration::from_millis(985)), 0),
         (Action::Start { vm: 1 }, 3_523_728),
     ]
 }
