--- a/crates/core/src/memory/system/link.rs
+++ b/crates/core/src/memory/system/link.rs
@@ -7,7 +7,7 @@
 };
 
 /// Admits a connection for a request; it takes `base` bytes by itself. If there is no room,
-/// idle connections are closed and replies are given up for it.
+/// idle connections are closed for it, and then slow callers and longer replies.
 pub fn open(tables: &mut Tables, base: usize, cx: &mut Context<'_>) -> Result<Holder, Full> {
     hold::check_total(tables, base, cx)?;
     if hold::total_excess(tables, base, 0, cx) > 0 {
